--- /dev/null
+++ b/lacewingpitch/answer.py
@@ -0,0 +1,41 @@
+"""How a refusal or a broken stream is put to whoever asked."""
+
+import math
+
+from aiohttp import web
+import msgspec
+
+from lacewingpitch import errors
+from lacewingpitch import work
+
+STREAM_END = b'data: [DONE]\n\n'
+EVENT_END = b'\n\n'
+
+
+def refusal_response(
+    error: errors.RefusalError, request_id: str
+) -> web.Response:
+    """Return the HTTP answer of a refusal."""
+    headers = {
+        work.REQUEST_ID_HEADER: request_id,
+        work.OUTCOME_HEADER: error.outcome.value,
+        work.KIND_HEADER: error.kind.value,
+    }
+    if error.retry_after_s is not None:
+        headers['Retry-After'] = str(max(1, math.ceil(error.retry_after_s)))
+    return web.Response(
+        status=error.status,
+        body=error_json(error),
+        content_type='application/json',
+        headers=headers,
+    )
+
+
+def error_json(error: errors.RefusalError) -> bytes:
+    """Return the JSON body of a refusal."""
+    return msgspec.json.encode(work.ErrorBody(error=work.refusal_of(error)))
+
+
+def error_event(error: errors.RefusalError) -> bytes:
+    """Return the event that ends a stream that cannot be whole."""
+    return b'event: error\ndata: ' + error_json(error) + EVENT_END
--- /dev/null
+++ b/lacewingpitch/config_service.py
@@ -0,0 +1,83 @@
+"""The platform's configuration service: read and watch, never write."""
+
+from typing import Protocol
+
+import aiohttp
+import msgspec
+
+from lacewingpitch import platform_call
+
+MAX_VALUE_BYTES = 1 << 20
+_READ_TIMEOUT_S = 5.0
+
+
+class Value(msgspec.Struct, frozen=True):
+    """One value with the revision at which it was last changed."""
+
+    name: str
+    revision: int
+    content: msgspec.Raw
+
+
+class ConfigService(Protocol):
+    """What the system needs of the configuration service."""
+
+    async def read(self, name: str) -> Value | None:
+        """Return a value, or ``None`` if there is none of that name."""
+        ...
+
+    async def watch(
+        self, name: str, after_revision: int, timeout_s: float
+    ) -> Value | None:
+        """Return a value once its revision is above `after_revision`."""
+        ...
+
+
+class HttpConfigService:
+    """Configuration service over HTTP, with long polls as watches."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url
+
+    async def read(self, name: str) -> Value | None:
+        """Return a value, or ``None`` if there is none of that name.
+
+        Raises
+        ------
+        PlatformError
+            The service is down or its answer cannot be used.
+        """
+        return await self._get(name, {}, _READ_TIMEOUT_S)
+
+    async def watch(
+        self, name: str, after_revision: int, timeout_s: float
+    ) -> Value | None:
+        """Return a value once its revision is above `after_revision`.
+
+        Returns ``None`` when nothing changed within `timeout_s`.
+
+        Raises
+        ------
+        PlatformError
+            The service is down or its answer cannot be used.
+        """
+        query = {
+            'after_revision': str(after_revision),
+            'timeout_s': str(timeout_s),
+        }
+        return await self._get(name, query, timeout_s + _READ_TIMEOUT_S)
+
+    async def _get(
+        self, name: str, query: dict[str, str], timeout_s: float
+    ) -> Value | None:
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        with platform_call.platform_errors('configuration service'):
+            async with self._session.get(
+                f'{self._url}/v1/values/{name}', params=query, timeout=timeout
+            ) as response:
+                if response.status in (204, 304, 404):
+                    return None
+                response.raise_for_status()
+                data = await response.content.read(2 * MAX_VALUE_BYTES)
+                return msgspec.json.decode(data, type=Value)
--- /dev/null
+++ b/lacewingpitch/entry.py
@@ -0,0 +1,366 @@
+"""The process that callers reach: it applies contracts and answers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import contextlib
+import time
+
+import aiohttp
+from aiohttp import web
+import msgspec
+import structlog
+import uuid_utils
+
+from lacewingpitch import answer
+from lacewingpitch import clock as clock_module
+from lacewingpitch import config_service
+from lacewingpitch import contract as contract_module
+from lacewingpitch import contract_book
+from lacewingpitch import dispatch
+from lacewingpitch import errors
+from lacewingpitch import event_stream
+from lacewingpitch import http_server
+from lacewingpitch import link
+from lacewingpitch import live_list
+from lacewingpitch import membership
+from lacewingpitch import placement
+from lacewingpitch import settings as settings_module
+from lacewingpitch import work
+
+_BEARER = 'Bearer '
+_EVENT_STREAM = 'text/event-stream'
+MAX_KEY_LENGTH = 128
+_READY_POLL_S = 0.02
+log = structlog.get_logger(__name__)
+
+
+Handler = Callable[
+    [web.Request, contract_module.Contract, str],
+    Awaitable[web.StreamResponse],
+]
+
+
+class CompletionCall(msgspec.Struct, frozen=True):
+    """What the entry must know of a completion's JSON."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int = 0
+
+
+class Entry:
+    """Takes callers' requests, and delivers each answer whole.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        clock: clock_module.Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self._clock = clock or clock_module.SystemClock()
+        self._sealer = link.Sealer(
+            settings.deployment, settings.secret, settings.instance
+        )
+        self._server = http_server.HttpServer(settings.max_body_bytes)
+        self._peers = link.PeerPool(self._sealer)
+        self.book = contract_book.ContractBook()
+        self.membership = membership.Membership(self._clock)
+        self._exits = contextlib.AsyncExitStack()
+        self._draining = False
+        self._dispatcher: dispatch.Dispatcher
+
+    @property
+    def work_port(self) -> int:
+        """Return the port that callers reach."""
+        return self._server.port
+
+    def ports(self) -> dict[str, int]:
+        """Return the ports it listens on, by name."""
+        return {'work_port': self.work_port}
+
+    async def start(self) -> None:
+        """Follow the platform, then take requests."""
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        )
+        await self._exits.enter_async_context(session)
+        self._exits.callback(self._peers.close)
+        self._dispatcher = dispatch.Dispatcher(
+            session,
+            self._sealer,
+            self._peers,
+            self.membership,
+            placement.Placement(),
+        )
+        self._follow_platform(session)
+        self._add_routes()
+        await self._server.start(self.settings.ip, self.settings.work_port)
+        self._exits.push_async_callback(self._server.close)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether contracts and backend servers are known."""
+        known = len(self.book) and self.membership.instances
+        return bool(known) and not self._draining
+
+    async def ready(self) -> None:
+        """Wait until contracts and backend servers are known."""
+        while not self.is_ready:
+            await asyncio.sleep(_READY_POLL_S)
+
+    async def close(self) -> None:
+        """Drain, then release everything."""
+        self._draining = True
+        await self._server.drain(self.settings.drain_s)
+        await self._exits.aclose()
+
+    def _follow_platform(self, session: aiohttp.ClientSession) -> None:
+        service = config_service.HttpConfigService(
+            session, self.settings.config_service.url
+        )
+        published = contract_book.PublishedContracts(service)
+        instances = live_list.HttpLiveList(
+            session, self.settings.live_list.url
+        )
+        for following in (
+            published.run(self.book),
+            self.membership.follow(instances),
+        ):
+            task = asyncio.create_task(following)
+            self._exits.callback(task.cancel)
+
+    def _add_routes(self) -> None:
+        server = self._server
+        server.route_work('POST', '/v1/chat/completions', self._completion)
+        server.route_work('POST', '/v1/completions', self._completion)
+        server.route('GET', '/v1/models', self._models)
+        server.route_work('*', '/services/{name}', self._service)
+        server.route_work('*', '/services/{name}/{path:.*}', self._service)
+        server.route('GET', '/healthz', self._health)
+        server.route('GET', '/readyz', self._ready)
+
+    async def _completion(self, request: web.Request) -> web.StreamResponse:
+        return await self._answered(request, self._complete)
+
+    async def _service(self, request: web.Request) -> web.StreamResponse:
+        return await self._answered(request, self._call_service)
+
+    async def _answered(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        request_id = str(uuid_utils.uuid7())
+        started_s = time.monotonic()
+        try:
+            self._check_open()
+            contract = self._authenticate(request)
+            response = await handler(request, contract, request_id)
+        except errors.RefusalError as error:
+            response = answer.refusal_response(error, request_id)
+        log.info(
+            'answered',
+            request_id=request_id,
+            status=response.status,
+            duration_s=round(time.monotonic() - started_s, 6),
+        )
+        return response
+
+    def _check_open(self) -> None:
+        if self._draining:
+            raise errors.RefusalError(
+                errors.ErrorKind.DRAINING, 'this entry instance is leaving'
+            )
+        if self._server.in_progress > self.settings.max_requests:
+            raise errors.RefusalError(
+                errors.ErrorKind.QUEUE_FULL, 'too many requests in progress'
+            )
+
+    def _authenticate(self, request: web.Request) -> contract_module.Contract:
+        header = request.headers.get('Authorization', '')
+        if not header.startswith(_BEARER):
+            raise errors.RefusalError(
+                errors.ErrorKind.UNAUTHENTICATED, 'no API key'
+            )
+        return self.book.authenticate(header.removeprefix(_BEARER))
+
+    async def _complete(
+        self,
+        request: web.Request,
+        contract: contract_module.Contract,
+        request_id: str,
+    ) -> web.StreamResponse:
+        body = await _read_body(request)
+        try:
+            call = msgspec.json.decode(body, type=CompletionCall)
+        except msgspec.DecodeError as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.BAD_REQUEST, str(error)
+            ) from error
+        adapter = contract.adapter(call.model)
+        if adapter is None:
+            raise errors.RefusalError(
+                errors.ErrorKind.NOT_IN_CONTRACT,
+                f'the contract names no adapter {call.model!r}',
+            )
+        order = _make_order(
+            request,
+            contract,
+            request_id,
+            path=request.path,
+            repeatable=adapter.repeatable,
+            adapter=adapter,
+            stream=call.stream,
+            max_tokens=call.max_tokens,
+        )
+        return await self._deliver(request, order, body)
+
+    async def _call_service(
+        self,
+        request: web.Request,
+        contract: contract_module.Contract,
+        request_id: str,
+    ) -> web.StreamResponse:
+        name = request.match_info['name']
+        grant = contract.service(name)
+        if grant is None:
+            raise errors.RefusalError(
+                errors.ErrorKind.NOT_IN_CONTRACT,
+                f'the contract names no service {name!r}',
+            )
+        path = request.raw_path.removeprefix(f'/services/{name}') or '/'
+        order = _make_order(
+            request,
+            contract,
+            request_id,
+            path=path,
+            repeatable=request.method in grant.repeatable_methods,
+            service=name,
+        )
+        return await self._deliver(request, order, await _read_body(request))
+
+    async def _deliver(
+        self, request: web.Request, order: work.WorkOrder, body: bytes
+    ) -> web.StreamResponse:
+        content_type = request.headers.get('Content-Type', '')
+        async with self._dispatcher.send(order, body, content_type) as found:
+            if found.content_type == _EVENT_STREAM:
+                return await self._stream(request, order, found)
+            return await _pass_whole(order, found)
+
+    async def _stream(
+        self,
+        request: web.Request,
+        order: work.WorkOrder,
+        found: aiohttp.ClientResponse,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(status=found.status)
+        response.content_type = found.content_type
+        response.headers[work.REQUEST_ID_HEADER] = order.request_id
+        await response.prepare(request)
+        relay = event_stream.EventRelay()
+        try:
+            async for chunk in found.content.iter_any():
+                events = relay.feed(chunk)
+                if events:
+                    await response.write(events)
+        except aiohttp.ClientError as error:
+            log.warning(
+                'stream cut', request_id=order.request_id, error=repr(error)
+            )
+            await response.write(
+                answer.error_event(
+                    errors.RefusalError(
+                        errors.ErrorKind.ANSWER_CUT, 'the answer broke off'
+                    )
+                )
+            )
+        await response.write_eof()
+        return response
+
+    async def _models(self, request: web.Request) -> web.Response:
+        try:
+            contract = self._authenticate(request)
+        except errors.RefusalError as error:
+            return answer.refusal_response(error, '')
+        models = [
+            {'id': grant.name, 'object': 'model', 'version': grant.version}
+            for grant in contract.adapters
+        ]
+        return web.json_response({'object': 'list', 'data': models})
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        return web.Response(text='ok\n')
+
+    async def _ready(self, _request: web.Request) -> web.Response:
+        if not self.is_ready:
+            return web.Response(status=503, text='not ready\n')
+        return web.Response(text='ready\n')
+
+
+async def _read_body(request: web.Request) -> bytes:
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise errors.RefusalError(
+            errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
+        ) from error
+
+
+def _make_order(
+    request: web.Request,
+    contract: contract_module.Contract,
+    request_id: str,
+    *,
+    path: str,
+    repeatable: bool,
+    adapter: contract_module.AdapterGrant | None = None,
+    service: str = '',
+    stream: bool = False,
+    max_tokens: int = 0,
+) -> work.WorkOrder:
+    key = request.headers.get('Idempotency-Key', '')
+    if len(key) > MAX_KEY_LENGTH:
+        raise errors.RefusalError(
+            errors.ErrorKind.BAD_IDEMPOTENCY_KEY, 'the key is too long'
+        )
+    return work.WorkOrder(
+        request_id=request_id,
+        attempt=0,
+        customer=contract.customer,
+        contract_revision=contract.revision,
+        urgency=contract.urgency,
+        weight=contract.weight,
+        deadline_s=contract.deadline_s,
+        method=request.method,
+        path=path,
+        repeatable=repeatable and not key,
+        adapter=adapter,
+        service=service,
+        stream=stream,
+        idempotency_key=key,
+        max_tokens=max_tokens,
+    )
+
+
+async def _pass_whole(
+    order: work.WorkOrder, found: aiohttp.ClientResponse
+) -> web.Response:
+    # The answer is sent only once it is whole here: the caller gets all
+    # of it or an error with a status, never a torn body.
+    try:
+        body = await found.read()
+    except aiohttp.ClientError as error:
+        raise errors.RefusalError(
+            errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer broke off'
+        ) from error
+    headers = {work.REQUEST_ID_HEADER: order.request_id}
+    if 'Content-Type' in found.headers:
+        headers['Content-Type'] = found.headers['Content-Type']
+    return web.Response(status=found.status, body=body, headers=headers)
--- /dev/null
+++ b/lacewingpitch/errors.py
@@ -0,0 +1,152 @@
+"""The closed list of error kinds and the answer that each one gives."""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+
+class Outcome(enum.StrEnum):
+    """What is known about the work of a request.
+
+    ``NOT_RUN`` is a promise: the request did not run and will not run.
+    """
+
+    SERVED = 'served'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+    PARTIAL = 'partial'
+
+
+class ErrorKind(enum.StrEnum):
+    """Every kind of error that a caller can meet."""
+
+    BAD_REQUEST = 'bad-request'
+    BODY_TOO_LARGE = 'body-too-large'
+    UNAUTHENTICATED = 'unauthenticated'
+    NOT_IN_CONTRACT = 'not-in-contract'
+    BAD_IDEMPOTENCY_KEY = 'bad-idempotency-key'
+    KEY_OUT_OF_WINDOW = 'key-out-of-window'
+    KEY_IN_USE = 'key-in-use'
+    RATE_LIMITED = 'rate-limited'
+    CONCURRENCY_LIMITED = 'concurrency-limited'
+    QUEUE_FULL = 'queue-full'
+    DEADLINE_UNREACHABLE = 'deadline-unreachable'
+    ADAPTER_UNAVAILABLE = 'adapter-unavailable'
+    NO_BACKEND_SERVER = 'no-backend-server'
+    CLAIM_UNAVAILABLE = 'claim-unavailable'
+    CONTRACT_OUTDATED = 'contract-outdated'
+    DRAINING = 'draining'
+    FOREIGN_PROCESS = 'foreign-process'
+    WRONG_ADAPTER = 'wrong-adapter'
+    CALLER_GONE = 'caller-gone'
+    OUTCOME_UNKNOWN = 'outcome-unknown'
+    ANSWER_CUT = 'answer-cut'
+    INTERNAL = 'internal'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerRule:
+    """How one error kind is answered.
+
+    Parameters
+    ----------
+    status
+        HTTP status code.
+    outcome
+        What the caller may conclude about the work.
+    retry_after_s
+        When to come back, in seconds; ``None`` where it does not help.
+    retry_elsewhere
+        Whether another backend server may take the request at once.
+    """
+
+    status: int
+    outcome: Outcome
+    retry_after_s: float | None = None
+    retry_elsewhere: bool = False
+
+
+_NOT_RUN = Outcome.NOT_RUN
+
+ANSWER_RULES: Mapping[ErrorKind, AnswerRule] = {
+    ErrorKind.BAD_REQUEST: AnswerRule(400, _NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: AnswerRule(413, _NOT_RUN),
+    ErrorKind.UNAUTHENTICATED: AnswerRule(401, _NOT_RUN),
+    ErrorKind.NOT_IN_CONTRACT: AnswerRule(403, _NOT_RUN),
+    ErrorKind.BAD_IDEMPOTENCY_KEY: AnswerRule(400, _NOT_RUN),
+    ErrorKind.KEY_OUT_OF_WINDOW: AnswerRule(409, _NOT_RUN),
+    ErrorKind.KEY_IN_USE: AnswerRule(409, Outcome.UNKNOWN),
+    ErrorKind.RATE_LIMITED: AnswerRule(429, _NOT_RUN, 1.0),
+    ErrorKind.CONCURRENCY_LIMITED: AnswerRule(429, _NOT_RUN, 1.0),
+    ErrorKind.QUEUE_FULL: AnswerRule(503, _NOT_RUN, 1.0, True),
+    ErrorKind.DEADLINE_UNREACHABLE: AnswerRule(503, _NOT_RUN, 2.0, True),
+    ErrorKind.ADAPTER_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0, True),
+    ErrorKind.NO_BACKEND_SERVER: AnswerRule(503, _NOT_RUN, 2.0),
+    ErrorKind.CLAIM_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0),
+    ErrorKind.CONTRACT_OUTDATED: AnswerRule(503, _NOT_RUN, 1.0, True),
+    ErrorKind.DRAINING: AnswerRule(503, _NOT_RUN, 1.0, True),
+    ErrorKind.FOREIGN_PROCESS: AnswerRule(403, _NOT_RUN),
+    ErrorKind.WRONG_ADAPTER: AnswerRule(502, Outcome.UNKNOWN),
+    ErrorKind.CALLER_GONE: AnswerRule(499, Outcome.UNKNOWN),
+    ErrorKind.OUTCOME_UNKNOWN: AnswerRule(504, Outcome.UNKNOWN),
+    ErrorKind.ANSWER_CUT: AnswerRule(502, Outcome.PARTIAL),
+    ErrorKind.INTERNAL: AnswerRule(500, Outcome.UNKNOWN),
+}
+
+
+class LacewingpitchError(Exception):
+    """Root of every error that this package raises."""
+
+
+class SettingsError(LacewingpitchError):
+    """Settings or contracts that cannot be accepted."""
+
+
+class LinkError(LacewingpitchError):
+    """A peer did not answer, or its answer cannot be used."""
+
+
+class PlatformError(LacewingpitchError):
+    """The platform refused a call or did not answer."""
+
+
+class RefusalError(LacewingpitchError):
+    """A request that ends without a whole answer.
+
+    Parameters
+    ----------
+    kind
+        Entry in the closed list.
+    detail
+        A sentence for the caller; it never holds another's data.
+    retry_after_s
+        When to come back; the table's value where ``None``.
+    outcome
+        Overrides the table where more, or less, is known.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+        outcome: Outcome | None = None,
+    ) -> None:
+        super().__init__(f'{kind}: {detail}')
+        rule = ANSWER_RULES[kind]
+        self.kind = kind
+        self.detail = detail
+        self.status = rule.status
+        self.outcome = outcome or rule.outcome
+        self.retry_after_s = (
+            rule.retry_after_s if retry_after_s is None else retry_after_s
+        )
+
+    @property
+    def retry_elsewhere(self) -> bool:
+        """Whether another backend server may take the request at once."""
+        return (
+            self.outcome is Outcome.NOT_RUN
+            and ANSWER_RULES[self.kind].retry_elsewhere
+        )
--- /dev/null
+++ b/lacewingpitch/live_list.py
@@ -0,0 +1,98 @@
+"""The platform's list of live and leaving instances; it lags."""
+
+import enum
+from typing import Protocol
+
+import aiohttp
+import msgspec
+
+from lacewingpitch import platform_call
+
+_READ_TIMEOUT_S = 5.0
+
+
+class Role(enum.StrEnum):
+    """What a process of the system does."""
+
+    ENTRY = 'entry'
+    SIDECAR = 'sidecar'
+
+
+class InstanceState(enum.StrEnum):
+    """Whether an instance takes new work."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+class Instance(msgspec.Struct, frozen=True, kw_only=True):
+    """One instance, as the platform lists it.
+
+    Parameters
+    ----------
+    serves
+        Base model or plain service behind a sidecar; empty for an entry.
+    started_at_s
+        When its process started, in seconds since the epoch.
+    """
+
+    name: str
+    role: Role
+    region: str
+    availability_zone: str
+    ip: str
+    work_port: int
+    control_port: int
+    serves: str = ''
+    started_at_s: float = 0.0
+    state: InstanceState = InstanceState.LIVE
+
+
+class InstanceList(msgspec.Struct, frozen=True):
+    """One published list; a higher revision is newer."""
+
+    revision: int
+    instances: tuple[Instance, ...]
+
+
+class LiveList(Protocol):
+    """What the system needs of the list of instances."""
+
+    async def watch(
+        self, after_revision: int, timeout_s: float
+    ) -> InstanceList | None:
+        """Return the list once it is newer than `after_revision`."""
+        ...
+
+
+class HttpLiveList:
+    """List of instances over HTTP, with long polls as watches."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url
+
+    async def watch(
+        self, after_revision: int, timeout_s: float
+    ) -> InstanceList | None:
+        """Return the list once it is newer than `after_revision`.
+
+        Raises
+        ------
+        PlatformError
+            The list is down or its answer cannot be used.
+        """
+        query = {
+            'after_revision': str(after_revision),
+            'timeout_s': str(timeout_s),
+        }
+        timeout = aiohttp.ClientTimeout(total=timeout_s + _READ_TIMEOUT_S)
+        with platform_call.platform_errors('list of instances'):
+            async with self._session.get(
+                f'{self._url}/v1/instances', params=query, timeout=timeout
+            ) as response:
+                if response.status in (204, 304):
+                    return None
+                response.raise_for_status()
+                data = await response.read()
+                return msgspec.json.decode(data, type=InstanceList)
--- /dev/null
+++ b/lacewingpitch/plain_service.py
@@ -0,0 +1,90 @@
+"""A plain service beside a sidecar: any call, passed through."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+from typing import Protocol
+
+import aiohttp
+
+from lacewingpitch import engine
+from lacewingpitch import platform_call
+
+_CONNECT_TIMEOUT_S = 2.0
+_SILENCE_TIMEOUT_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """One call as it is passed on to the service."""
+
+    run_id: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """The head of a service's answer and its body as it comes."""
+
+    status: int
+    content_type: str
+    chunks: AsyncIterator[bytes]
+
+
+class PlainService(Protocol):
+    """What a sidecar needs of its plain service."""
+
+    def run(
+        self, call: ServiceCall
+    ) -> contextlib.AbstractAsyncContextManager[ServiceAnswer]:
+        """Pass a call on."""
+        ...
+
+
+class HttpPlainService:
+    """A plain service over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url
+
+    @contextlib.asynccontextmanager
+    async def run(self, call: ServiceCall) -> AsyncIterator[ServiceAnswer]:
+        """Pass a call on.
+
+        Raises
+        ------
+        engine.NotSentError
+            The call did not run.
+        PlatformError
+            The service broke off; the call may have run.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=_CONNECT_TIMEOUT_S,
+            sock_read=_SILENCE_TIMEOUT_S,
+        )
+        headers = {'X-Request-Id': call.run_id}
+        if call.content_type:
+            headers['Content-Type'] = call.content_type
+        with platform_call.platform_errors('service'):
+            try:
+                response = await self._session.request(
+                    call.method,
+                    f'{self._url}{call.path}',
+                    data=call.body,
+                    headers=headers,
+                    timeout=timeout,
+                    allow_redirects=False,
+                )
+            except aiohttp.ClientConnectorError as error:
+                raise engine.NotSentError(f'service: {error!r}') from error
+            async with response:
+                yield ServiceAnswer(
+                    response.status,
+                    response.headers.get('Content-Type', ''),
+                    response.content.iter_any(),
+                )
--- /dev/null
+++ b/lacewingpitch/runner.py
@@ -0,0 +1,325 @@
+"""How a sidecar runs one request: on a model engine or a plain service."""
+
+import asyncio
+import contextlib
+from types import TracebackType
+from typing import Protocol, Self
+
+import aiohttp
+from aiohttp import web
+import structlog
+
+from lacewingpitch import answer
+from lacewingpitch import clock as clock_module
+from lacewingpitch import engine as engine_module
+from lacewingpitch import errors
+from lacewingpitch import event_stream
+from lacewingpitch import fence as fence_module
+from lacewingpitch import plain_service
+from lacewingpitch import settings as settings_module
+from lacewingpitch import slots
+from lacewingpitch import voiding
+from lacewingpitch import work
+
+MAX_WHOLE_ANSWER_BYTES = 8 << 20
+_REPORT_INTERVAL_S = 1.0
+_MAX_RESUMES = 2
+_EVENT_STREAM = 'text/event-stream'
+log = structlog.get_logger(__name__)
+
+
+class Runner(Protocol):
+    """Runs requests on one kind of backend server."""
+
+    async def __aenter__(self) -> Self:
+        """Attach to the backend server."""
+        ...
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Detach from it."""
+        ...
+
+    def ready(
+        self, order: work.WorkOrder
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Hold whatever the request needs, such as its adapter."""
+        ...
+
+    async def run(
+        self, request: web.Request, order: work.WorkOrder, body: bytes
+    ) -> web.StreamResponse:
+        """Pass the request on and its answer back."""
+        ...
+
+
+def make_runner(
+    backend: settings_module.EngineSettings | settings_module.ServiceSettings,
+    session: aiohttp.ClientSession,
+    clock: clock_module.Clock,
+) -> Runner:
+    """Return the runner for a backend server."""
+    url = backend.address.url
+    if isinstance(backend, settings_module.ServiceSettings):
+        return ServiceRunner(plain_service.HttpPlainService(session, url))
+    return EngineRunner(
+        engine_module.HttpEngine(session, url), backend.adapter_slots, clock
+    )
+
+
+class EngineRunner:
+    """Runs completions on a model engine, each on its own adapter."""
+
+    def __init__(
+        self,
+        engine: engine_module.Engine,
+        slot_count: int,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._engine = engine
+        self._fence = fence_module.Fence(clock)
+        self._slots = slots.AdapterSlots(engine, slot_count, self._fence)
+        self._exits = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Start to watch the engine for restarts."""
+        with contextlib.suppress(errors.PlatformError):
+            await self._read_report()
+        watching = asyncio.create_task(self._watch())
+        self._exits.callback(watching.cancel)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop watching."""
+        await self._exits.aclose()
+
+    def ready(
+        self, order: work.WorkOrder
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Hold the request's adapter in the engine."""
+        assert order.adapter is not None
+        return self._slots.hold(order.adapter.engine_name, order.deadline_s)
+
+    async def run(
+        self, request: web.Request, order: work.WorkOrder, body: bytes
+    ) -> web.StreamResponse:
+        """Pass the request on and its answer back.
+
+        Raises
+        ------
+        RefusalError
+            Nothing was sent back yet and nothing will be.
+        """
+        assert order.adapter is not None
+        call = engine_module.EngineCall(
+            run_id=voiding.attempt_id(order.request_id, order.attempt),
+            path=order.path,
+            adapter=order.adapter,
+            body=body,
+            stream=order.stream,
+            urgency=order.urgency,
+            fencing=self._fence.number,
+        )
+        try:
+            async with self._engine.run(call) as found:
+                self._check_adapter(found, call)
+                if found.content_type == _EVENT_STREAM:
+                    return await self._stream(request, call, found)
+                return await _whole(found)
+        except (
+            engine_module.NotSentError,
+            engine_module.AdapterMissingError,
+            engine_module.FencedError,
+        ) as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.ADAPTER_UNAVAILABLE, str(error)
+            ) from error
+        except errors.PlatformError as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.OUTCOME_UNKNOWN, str(error)
+            ) from error
+
+    @staticmethod
+    def _check_adapter(
+        found: engine_module.EngineAnswer,
+        call: engine_module.EngineCall,
+    ) -> None:
+        # An engine whose slots were changed behind our back would answer
+        # from another adapter; the caller would see a fluent answer made
+        # for somebody else.  The engine names what it ran, so we refuse.
+        if found.status == 200 and found.adapter != call.adapter.engine_name:
+            raise errors.RefusalError(
+                errors.ErrorKind.WRONG_ADAPTER,
+                'the backend server used another adapter',
+            )
+
+    async def _stream(
+        self,
+        request: web.Request,
+        call: engine_module.EngineCall,
+        found: engine_module.EngineAnswer,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(status=found.status)
+        response.content_type = found.content_type
+        await response.prepare(request)
+        relay = event_stream.EventRelay()
+        try:
+            await self._relay(response, relay, found)
+            for _ in range(_MAX_RESUMES):
+                if relay.is_complete:
+                    break
+                await self._resume(response, relay, call)
+        except asyncio.CancelledError:
+            await self._cancel(call.run_id)
+            raise
+        if not relay.is_complete:
+            await response.write(
+                answer.error_event(
+                    errors.RefusalError(
+                        errors.ErrorKind.ANSWER_CUT,
+                        'the backend server broke off',
+                    )
+                )
+            )
+        await response.write_eof()
+        return response
+
+    async def _relay(
+        self,
+        response: web.StreamResponse,
+        relay: event_stream.EventRelay,
+        found: engine_module.EngineAnswer,
+    ) -> None:
+        try:
+            async for chunk in found.chunks:
+                events = relay.feed(chunk)
+                if events:
+                    await response.write(events)
+        except (aiohttp.ClientPayloadError, errors.PlatformError) as error:
+            log.warning('stream cut', error=repr(error))
+            relay.drop_partial_event()
+
+    async def _resume(
+        self,
+        response: web.StreamResponse,
+        relay: event_stream.EventRelay,
+        call: engine_module.EngineCall,
+    ) -> None:
+        try:
+            async with self._engine.resume(call, relay.event_count) as found:
+                self._check_adapter(found, call)
+                await self._relay(response, relay, found)
+        except (errors.PlatformError, errors.RefusalError) as error:
+            log.warning('resume failed', error=str(error))
+
+    async def _cancel(self, run_id: str) -> None:
+        with contextlib.suppress(errors.PlatformError):
+            await self._engine.cancel(run_id)
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                await self._read_report()
+            except errors.PlatformError as error:
+                log.warning('engine report failed', error=str(error))
+            await asyncio.sleep(_REPORT_INTERVAL_S)
+
+    async def _read_report(self) -> None:
+        if self._fence.renew(await self._engine.report()):
+            self._slots.forget_all()
+
+
+class ServiceRunner:
+    """Passes calls through to a plain service."""
+
+    def __init__(self, service: plain_service.PlainService) -> None:
+        self._service = service
+
+    async def __aenter__(self) -> Self:
+        """Attach; a plain service needs nothing."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Detach."""
+
+    def ready(
+        self, order: work.WorkOrder
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Hold nothing."""
+        return contextlib.nullcontext()
+
+    async def run(
+        self, request: web.Request, order: work.WorkOrder, body: bytes
+    ) -> web.StreamResponse:
+        """Pass the call on and its answer back.
+
+        Raises
+        ------
+        RefusalError
+            Nothing was sent back yet and nothing will be.
+        """
+        call = plain_service.ServiceCall(
+            run_id=voiding.attempt_id(order.request_id, order.attempt),
+            method=order.method,
+            path=order.path,
+            content_type=request.headers.get('Content-Type', ''),
+            body=body,
+        )
+        try:
+            async with self._service.run(call) as found:
+                return await _pass_through(request, found)
+        except engine_module.NotSentError as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.NO_BACKEND_SERVER, str(error)
+            ) from error
+        except errors.PlatformError as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.OUTCOME_UNKNOWN, str(error)
+            ) from error
+
+
+async def _whole(found: engine_module.EngineAnswer) -> web.Response:
+    # A whole answer is sent only once it is whole here: the caller gets
+    # either all of it or an error with a status, never a torn body.
+    parts = bytearray()
+    async for chunk in found.chunks:
+        parts += chunk
+        if len(parts) > MAX_WHOLE_ANSWER_BYTES:
+            raise errors.PlatformError('engine: answer too large')
+    return web.Response(
+        status=found.status, body=parts, content_type=found.content_type
+    )
+
+
+async def _pass_through(
+    request: web.Request, found: plain_service.ServiceAnswer
+) -> web.StreamResponse:
+    response = web.StreamResponse(status=found.status)
+    if found.content_type:
+        response.headers['Content-Type'] = found.content_type
+    await response.prepare(request)
+    try:
+        async for chunk in found.chunks:
+            await response.write(chunk)
+    except aiohttp.ClientError:
+        # The body has no end marker of its own: only a connection that
+        # is torn down tells the peer that the answer is not whole.
+        if request.transport is not None:
+            request.transport.abort()
+        raise
+    await response.write_eof()
+    return response
--- /dev/null
+++ b/lacewingpitch/settings.py
@@ -0,0 +1,117 @@
+"""Settings of the daemons, read from JSON files."""
+
+import pathlib
+from typing import Annotated, TypeVar
+
+import msgspec
+
+from lacewingpitch import contract
+from lacewingpitch import decoding
+from lacewingpitch import errors
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Secret = Annotated[str, msgspec.Meta(min_length=16)]
+Ip = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:]+$')]
+
+SettingsType = TypeVar('SettingsType')
+
+
+class Address(decoding.Record, frozen=True):
+    """A TCP endpoint, by IP number."""
+
+    ip: Ip
+    port: Port
+
+    @property
+    def url(self) -> str:
+        """Return the HTTP URL of the endpoint."""
+        host = f'[{self.ip}]' if ':' in self.ip else self.ip
+        return f'http://{host}:{self.port}'
+
+
+class ProcessSettings(decoding.Record, frozen=True, kw_only=True):
+    """What every daemon must know of itself and of the platform.
+
+    Parameters
+    ----------
+    deployment
+        Processes of another deployment are refused.
+    secret
+        Signs what the processes of a deployment send each other.
+    work_port
+        HTTP port; callers' at an entry, entries' at a sidecar.
+    control_port
+        Port for control messages.
+    drain_s
+        How long a graceful shutdown waits for work in progress.
+    """
+
+    deployment: contract.Name
+    secret: Secret
+    instance: contract.Name
+    availability_zone: contract.Name
+    region: contract.Name
+    ip: Ip
+    work_port: Port
+    control_port: Port
+    config_service: Address
+    live_list: Address
+    drain_s: contract.PositiveFloat = 600.0
+
+
+class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
+    """Settings of an entry instance."""
+
+    max_body_bytes: contract.PositiveInt = 4 << 20
+    max_requests: contract.PositiveInt = 4096
+
+
+class EngineSettings(decoding.Record, frozen=True, tag='engine'):
+    """The model engine beside a sidecar.
+
+    Parameters
+    ----------
+    base_model
+        Model that the engine serves.
+    adapter_slots
+        Adapters that the engine holds at once.
+    max_running
+        Requests that the engine batches at once.
+    """
+
+    address: Address
+    base_model: contract.Name
+    adapter_slots: contract.PositiveInt
+    max_running: contract.PositiveInt
+
+
+class ServiceSettings(decoding.Record, frozen=True, tag='service'):
+    """The plain service beside a sidecar."""
+
+    address: Address
+    name: contract.Name
+    max_running: contract.PositiveInt
+
+
+class SidecarSettings(ProcessSettings, frozen=True, kw_only=True):
+    """Settings of a sidecar."""
+
+    backend_server: EngineSettings | ServiceSettings
+    max_queued: contract.PositiveInt = 1024
+
+
+def load_settings(
+    path: pathlib.Path, kind: type[SettingsType]
+) -> SettingsType:
+    """Read settings of one kind from a JSON file.
+
+    Raises
+    ------
+    SettingsError
+        The file cannot be read, or a field is wrong.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise errors.SettingsError(f'{path}: {error.strerror}') from error
+    return decoding.decode_json(data, kind, str(path))
--- /dev/null
+++ b/lacewingpitch/sidecar.py
@@ -0,0 +1,181 @@
+"""The process beside a backend server, and the only one to send it work."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+import aiohttp
+from aiohttp import web
+import structlog
+
+from lacewingpitch import answer
+from lacewingpitch import clock as clock_module
+from lacewingpitch import errors
+from lacewingpitch import http_server
+from lacewingpitch import ledger
+from lacewingpitch import link
+from lacewingpitch import runner as runner_module
+from lacewingpitch import settings as settings_module
+from lacewingpitch import voiding
+from lacewingpitch import work
+
+MAX_BODY_BYTES = 8 << 20
+log = structlog.get_logger(__name__)
+
+
+class Sidecar:
+    """Runs requests on one backend server.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.SidecarSettings,
+        clock: clock_module.Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self._clock = clock or clock_module.SystemClock()
+        self._sealer = link.Sealer(
+            settings.deployment, settings.secret, settings.instance
+        )
+        self._ledger = ledger.RunLedger(self._clock)
+        self._server = http_server.HttpServer(MAX_BODY_BYTES)
+        self._control = link.ControlServer(self._sealer)
+        self._exits = contextlib.AsyncExitStack()
+        self._draining = False
+        self._queued = 0
+        self._running = asyncio.Semaphore(settings.backend_server.max_running)
+        self._runner: runner_module.Runner
+
+    @property
+    def work_port(self) -> int:
+        """Return the port that takes requests."""
+        return self._server.port
+
+    @property
+    def control_port(self) -> int:
+        """Return the port that takes control messages."""
+        return self._control.port
+
+    def ports(self) -> dict[str, int]:
+        """Return the ports it listens on, by name."""
+        return {
+            'work_port': self.work_port,
+            'control_port': self.control_port,
+        }
+
+    async def start(self) -> None:
+        """Take the port, then the backend server, then requests."""
+        # Two sidecars of one engine that ignores fencing numbers would
+        # mix their orders: one evicts what the other's request runs on.
+        # The port is bound exclusively, also by a frozen process, and
+        # freed by the kernel at its death; no order precedes it.
+        self._server.route_work('POST', '/run', self._take)
+        self._server.route('GET', '/healthz', self._health)
+        self._server.route('GET', '/readyz', self._ready)
+        await self._server.start(self.settings.ip, self.settings.work_port)
+        self._exits.push_async_callback(self._server.close)
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        )
+        await self._exits.enter_async_context(session)
+        self._runner = runner_module.make_runner(
+            self.settings.backend_server, session, self._clock
+        )
+        await self._exits.enter_async_context(self._runner)
+        self._control.handle(voiding.VoidRequest, self._void)
+        await self._control.start(self.settings.ip, self.settings.control_port)
+        self._exits.push_async_callback(self._control.close)
+
+    async def close(self) -> None:
+        """Drain, then release everything."""
+        self._draining = True
+        await self._server.drain(self.settings.drain_s)
+        await self._exits.aclose()
+
+    async def _take(self, request: web.Request) -> web.StreamResponse:
+        try:
+            order = work.decode_order(
+                request.headers.get(work.ORDER_HEADER, ''), self._sealer
+            )
+        except errors.RefusalError as error:
+            return answer.refusal_response(error, '')
+        try:
+            return await self._run(request, order)
+        except errors.RefusalError as error:
+            log.info(
+                'refused',
+                request_id=order.request_id,
+                customer=order.customer,
+                kind=error.kind,
+            )
+            return answer.refusal_response(error, order.request_id)
+
+    async def _run(
+        self, request: web.Request, order: work.WorkOrder
+    ) -> web.StreamResponse:
+        attempt_id = voiding.attempt_id(order.request_id, order.attempt)
+        self._ledger.admit(attempt_id)
+        try:
+            self._admit()
+            body = await request.read()
+            async with self._turn(order):
+                self._ledger.start(attempt_id)
+                return await self._runner.run(request, order, body)
+        finally:
+            self._ledger.finish(attempt_id)
+
+    def _admit(self) -> None:
+        if self._draining:
+            raise errors.RefusalError(
+                errors.ErrorKind.DRAINING, 'this backend server is leaving'
+            )
+        if self._queued >= self.settings.max_queued:
+            raise errors.RefusalError(
+                errors.ErrorKind.QUEUE_FULL, 'too many requests wait here'
+            )
+
+    @contextlib.asynccontextmanager
+    async def _turn(self, order: work.WorkOrder) -> AsyncIterator[None]:
+        self._queued += 1
+        try:
+            async with contextlib.AsyncExitStack() as held:
+                await self._wait_turn(held, order)
+                self._queued -= 1
+                try:
+                    yield
+                finally:
+                    self._queued += 1
+        finally:
+            self._queued -= 1
+
+    async def _wait_turn(
+        self, held: contextlib.AsyncExitStack, order: work.WorkOrder
+    ) -> None:
+        try:
+            async with asyncio.timeout(order.deadline_s):
+                await held.enter_async_context(self._runner.ready(order))
+                await held.enter_async_context(self._running)
+        except TimeoutError as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                'no turn before the deadline',
+            ) from error
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        return web.Response(text='ok\n')
+
+    async def _ready(self, _request: web.Request) -> web.Response:
+        if self._draining:
+            return web.Response(status=503, text='draining\n')
+        return web.Response(text='ready\n')
+
+    async def _void(self, message: voiding.VoidRequest) -> voiding.VoidReply:
+        state = self._ledger.void(message.attempt_id)
+        return voiding.VoidReply(state=state)
--- /dev/null
+++ b/lacewingpitch/standin_engine.py
@@ -0,0 +1,273 @@
+"""A small stand-in for a model engine, with its own account of truth."""
+
+import asyncio
+import collections
+import dataclasses
+import itertools
+
+from aiohttp import web
+import msgspec
+
+from lacewingpitch import answer
+from lacewingpitch import http_server
+
+_MAX_KEPT_RUNS = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class EngineFaults:
+    """What the stand-in does wrong on command.
+
+    Parameters
+    ----------
+    failing_loads
+        How many of the next loads fail.
+    cut_after_events
+        Streams break after so many events; ``None`` for never.
+    wrong_adapter
+        Whether calls run on another adapter than they name.
+    refusing
+        Whether every call is refused with status 503.
+    """
+
+    failing_loads: int = 0
+    cut_after_events: int | None = None
+    wrong_adapter: bool = False
+    refusing: bool = False
+    report_delay_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Ground truth: one run of one request."""
+
+    run_id: str
+    adapter: str
+    body: bytes
+    finished: bool = False
+    cancelled: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class EngineTruth:
+    """Ground truth of an engine, for holding answers against it."""
+
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    loads: list[str] = dataclasses.field(default_factory=list)
+    evictions: list[str] = dataclasses.field(default_factory=list)
+    evictions_under_run: list[str] = dataclasses.field(default_factory=list)
+    fenced_orders: int = 0
+
+
+class StandinEngine:
+    """Serves made-up completions on adapters that it must hold."""
+
+    def __init__(
+        self,
+        base_model: str,
+        *,
+        adapter_slots: int = 4,
+        checks_fencing: bool = True,
+        load_s: float = 0.05,
+        token_s: float = 0.005,
+        answer_tokens: int = 8,
+    ) -> None:
+        self.base_model = base_model
+        self.adapter_slots = adapter_slots
+        self.checks_fencing = checks_fencing
+        self.load_s = load_s
+        self.token_s = token_s
+        self.answer_tokens = answer_tokens
+        self.faults = EngineFaults()
+        self.truth = EngineTruth()
+        self._incarnations = itertools.count(1)
+        self._server = http_server.HttpServer(8 << 20)
+        self.restart()
+
+    @property
+    def port(self) -> int:
+        """Return the port it listens on."""
+        return self._server.port
+
+    async def start(self, ip: str, port: int = 0) -> None:
+        """Listen on `ip`."""
+        server = self._server
+        server.route('GET', '/v1/report', self._report)
+        server.route('POST', '/v1/load_lora_adapter', self._load)
+        server.route('POST', '/v1/unload_lora_adapter', self._unload)
+        server.route('POST', '/v1/cancel', self._cancel)
+        server.route('POST', '/v1/resume', self._resume)
+        server.route('POST', '/v1/chat/completions', self._complete)
+        server.route('POST', '/v1/completions', self._complete)
+        server.route('GET', '/truth', self._tell_truth)
+        server.route('POST', '/faults', self._set_faults)
+        server.route('POST', '/restart', self._restart)
+        await server.start(ip, port)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    def restart(self) -> None:
+        """Forget all, as an engine that restarts empty."""
+        self.incarnation = f'incarnation-{next(self._incarnations)}'
+        self.last_fencing = 0
+        self.adapters: set[str] = set()
+        self.running: collections.Counter[str] = collections.Counter()
+        self._kept: collections.OrderedDict[str, Run] = (
+            collections.OrderedDict()
+        )
+
+    async def _report(self, _request: web.Request) -> web.Response:
+        await asyncio.sleep(self.faults.report_delay_s)
+        return web.json_response(
+            {
+                'incarnation': self.incarnation,
+                'base_model': self.base_model,
+                'last_fencing': self.last_fencing,
+                'adapter_slots': self.adapter_slots,
+                'adapters': sorted(self.adapters),
+                'running': self.running.total(),
+            }
+        )
+
+    async def _load(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if not self._passes_fence(order['fencing']):
+            return web.Response(status=409)
+        await asyncio.sleep(self.load_s)
+        if self.faults.failing_loads:
+            self.faults.failing_loads -= 1
+            return web.Response(status=500, text='load failed')
+        name = order['lora_name']
+        if name not in self.adapters:
+            if len(self.adapters) >= self.adapter_slots:
+                return web.Response(status=507, text='no free slot')
+            self.adapters.add(name)
+        self.truth.loads.append(name)
+        return web.Response()
+
+    async def _unload(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if not self._passes_fence(order['fencing']):
+            return web.Response(status=409)
+        name = order['lora_name']
+        if self.running[name]:
+            self.truth.evictions_under_run.append(name)
+        self.adapters.discard(name)
+        self.truth.evictions.append(name)
+        return web.Response()
+
+    def _passes_fence(self, number: int) -> bool:
+        if self.checks_fencing and number < self.last_fencing:
+            self.truth.fenced_orders += 1
+            return False
+        self.last_fencing = max(self.last_fencing, number)
+        return True
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        if self.faults.refusing:
+            return web.Response(status=503)
+        if not self._passes_fence(int(request.headers['X-Fencing'])):
+            return web.Response(status=409)
+        body = await request.read()
+        call = msgspec.json.decode(body)
+        adapter = call['model']
+        if adapter not in self.adapters:
+            return web.Response(status=404, headers={'X-Adapter-Missing': '1'})
+        if self.faults.wrong_adapter:
+            adapter = f'not-{adapter}'
+        run = Run(request.headers['X-Request-Id'], adapter, body)
+        self.truth.runs.append(run)
+        self._keep(run)
+        return await self._answer(request, run, 0)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        asked = await request.json()
+        run = self._kept.get(asked['run_id'])
+        if run is None or run.cancelled:
+            return web.Response(status=404)
+        return await self._answer(request, run, asked['after_events'])
+
+    def _keep(self, run: Run) -> None:
+        self._kept[run.run_id] = run
+        while len(self._kept) > _MAX_KEPT_RUNS:
+            self._kept.popitem(last=False)
+
+    async def _answer(
+        self, request: web.Request, run: Run, after_events: int
+    ) -> web.StreamResponse:
+        call = msgspec.json.decode(run.body)
+        tokens = min(call.get('max_tokens') or self.answer_tokens, 100_000)
+        self.running[run.adapter] += 1
+        try:
+            if call.get('stream'):
+                return await self._stream(request, run, tokens, after_events)
+            await asyncio.sleep(self.token_s * tokens)
+            run.finished = True
+            return web.json_response(
+                {
+                    'id': run.run_id,
+                    'model': run.adapter,
+                    'choices': [{'message': {'content': _text(run, tokens)}}],
+                    'usage': {'completion_tokens': tokens},
+                },
+                headers={'X-Adapter': run.adapter},
+            )
+        finally:
+            self.running[run.adapter] -= 1
+
+    async def _stream(
+        self, request: web.Request, run: Run, tokens: int, after_events: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={'X-Adapter': run.adapter})
+        response.content_type = 'text/event-stream'
+        await response.prepare(request)
+        for number in range(after_events, tokens):
+            if number == self.faults.cut_after_events:
+                self.faults.cut_after_events = None
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await asyncio.sleep(self.token_s)
+            await response.write(_event(run, number))
+        await response.write(answer.STREAM_END)
+        await response.write_eof()
+        run.finished = True
+        return response
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        asked = await request.json()
+        run = self._kept.get(asked['run_id'])
+        if run is not None:
+            run.cancelled = True
+        return web.Response()
+
+    async def _tell_truth(self, _request: web.Request) -> web.Response:
+        return web.Response(
+            body=msgspec.json.encode(self.truth),
+            content_type='application/json',
+        )
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self.faults = msgspec.json.decode(
+            await request.read(), type=EngineFaults
+        )
+        return web.Response()
+
+    async def _restart(self, _request: web.Request) -> web.Response:
+        self.restart()
+        return web.Response()
+
+
+def _text(run: Run, tokens: int) -> str:
+    return ' '.join(f'{run.run_id}:{n}' for n in range(tokens))
+
+
+def _event(run: Run, number: int) -> bytes:
+    data = {
+        'id': run.run_id,
+        'model': run.adapter,
+        'choices': [{'delta': {'content': f'{run.run_id}:{number} '}}],
+    }
+    return b'data: ' + msgspec.json.encode(data) + answer.EVENT_END
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,283 @@
+"""Real processes of a small deployment, to be killed, frozen and cut."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import secrets
+import signal
+import sys
+import uuid
+
+import aiohttp
+import msgspec
+import uuid_utils
+
+from lacewingpitch import contract
+from lacewingpitch import live_list
+from lacewingpitch import settings
+from lacewingpitch import standin_engine
+
+IP = '127.0.0.1'
+START_S = 30.0
+WAIT_S = 30.0
+POLL_S = 0.02
+
+
+class Process:
+    """One real process that tells its ports in its first log lines."""
+
+    def __init__(self, *arguments):
+        self.arguments = arguments
+        self.ports = {}
+        self.log = []
+
+    async def start(self):
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-c',
+            'from lacewingpitch import cli; cli.main()',
+            *self.arguments,
+            stderr=asyncio.subprocess.PIPE,
+            limit=1 << 20,
+        )
+        listening = asyncio.Event()
+        self._reading = asyncio.create_task(self._read_log(listening))
+        async with asyncio.timeout(START_S):
+            await listening.wait()
+        if not self.ports:
+            raise RuntimeError(f'did not start: {self.log}')
+        return self
+
+    async def _read_log(self, listening):
+        async for line in self._process.stderr:
+            try:
+                entry = json.loads(line)
+            except ValueError:
+                entry = {'event': line.decode()}
+            self.log.append(entry)
+            if entry['event'] == 'listening':
+                self.ports = {k: v for k, v in entry.items() if 'port' in k}
+                listening.set()
+        listening.set()
+
+    @property
+    def url(self):
+        return f'http://{IP}:{self.ports["work_port"]}'
+
+    def freeze(self):
+        os.kill(self._process.pid, signal.SIGSTOP)
+
+    def wake(self):
+        os.kill(self._process.pid, signal.SIGCONT)
+
+    def terminate(self):
+        self._process.terminate()
+
+    async def exited(self):
+        async with asyncio.timeout(WAIT_S):
+            return await self._process.wait()
+
+    async def kill(self):
+        with contextlib.suppress(ProcessLookupError):
+            self._process.kill()
+        await self._process.wait()
+        await self._reading
+
+
+class Deployment:
+    """Stand-ins, sidecars and entry instances, each a real process."""
+
+    def __init__(self, folder: pathlib.Path):
+        self._folder = folder
+        self._exits = contextlib.AsyncExitStack()
+        self._secret = secrets.token_hex()
+        self.entries = []
+        self.sidecars = []
+        self.engines = []
+        self.services = []
+        self.instances = []
+        self.contracts = {}
+        self.keys = {}
+
+    async def __aenter__(self):
+        self.session = await self._exits.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.platform = await self.run('standin', 'platform')
+        return self
+
+    async def __aexit__(self, *exception):
+        await self._exits.aclose()
+
+    async def run(self, *arguments):
+        process = Process(*arguments)
+        self._exits.push_async_callback(process.kill)
+        return await process.start()
+
+    async def add_engine(self, *options, **fields):
+        """Start a stand-in engine and the sidecar beside it."""
+        engine = await self.run('standin', 'engine', *options)
+        self.engines.append(engine)
+        port = engine.ports['work_port']
+        return await self.add_sidecar(
+            settings.EngineSettings(
+                address=settings.Address(ip=IP, port=port),
+                base_model='base',
+                adapter_slots=4,
+                max_running=16,
+            ),
+            **fields,
+        )
+
+    async def add_service(self, *options, **fields):
+        """Start a stand-in service and the sidecar beside it."""
+        service = await self.run('standin', 'service', *options)
+        self.services.append(service)
+        port = service.ports['work_port']
+        return await self.add_sidecar(
+            settings.ServiceSettings(
+                address=settings.Address(ip=IP, port=port),
+                name='plain',
+                max_running=16,
+            ),
+            **fields,
+        )
+
+    async def add_sidecar(self, backend_server, **fields):
+        name = f'sidecar-{len(self.sidecars)}'
+        found = settings.SidecarSettings(
+            **self._process(name, **fields), backend_server=backend_server
+        )
+        process = await self.run('sidecar', self._write(name, found))
+        self.sidecars.append(process)
+        self.instances.append(
+            live_list.Instance(
+                name=name,
+                role=live_list.Role.SIDECAR,
+                region=found.region,
+                availability_zone=found.availability_zone,
+                ip=IP,
+                work_port=process.ports['work_port'],
+                control_port=process.ports['control_port'],
+                serves=getattr(backend_server, 'base_model', 'plain'),
+            )
+        )
+        return process
+
+    async def add_entry(self, **fields):
+        name = f'entry-{len(self.entries)}'
+        found = settings.EntrySettings(**self._process(name, **fields))
+        process = await self.run('entry', self._write(name, found))
+        self.entries.append(process)
+        return process
+
+    def _process(self, name, **fields):
+        port = self.platform.ports['work_port']
+        platform = settings.Address(ip=IP, port=port)
+        defaults = {
+            'deployment': 'test',
+            'secret': self._secret,
+            'instance': name,
+            'availability_zone': 'zone-a',
+            'region': 'region-a',
+            'ip': IP,
+            'work_port': 0,
+            'control_port': 0,
+            'config_service': platform,
+            'live_list': platform,
+        }
+        return defaults | fields
+
+    def _write(self, name, found):
+        path = self._folder / f'{name}.json'
+        path.write_bytes(msgspec.json.encode(found))
+        return str(path)
+
+    async def put(self, process, path, value):
+        async with self.session.put(
+            process.url + path, data=msgspec.json.encode(value)
+        ) as response:
+            assert response.status == 200
+
+    async def publish_instances(self):
+        await self.put(self.platform, '/v1/instances', tuple(self.instances))
+
+    def add_customer(self, customer, *adapters, **fields):
+        """Write a contract; `publish_contracts` puts it in force."""
+        self.keys[customer] = secrets.token_hex()
+        self.contracts[customer] = contract.Contract(
+            customer=customer,
+            revision=1,
+            key_digests=(contract.digest_key(self.keys[customer]),),
+            adapters=tuple(
+                contract.AdapterGrant(
+                    name=name, version='1', base_model='base'
+                )
+                for name in adapters
+            ),
+            **fields,
+        )
+
+    async def publish_contracts(self):
+        revision = 1 + sum(c.revision for c in self.contracts.values())
+        await self.put(
+            self.platform,
+            '/v1/values/contracts.0',
+            {'contracts': tuple(self.contracts.values())},
+        )
+        await self.put(
+            self.platform,
+            '/v1/values/contracts.index',
+            {'shards': [{'name': 'contracts.0', 'revision': revision}]},
+        )
+
+    async def publish(self):
+        """Publish instances and contracts, and wait for the entries."""
+        await self.publish_instances()
+        await self.publish_contracts()
+        for entry in self.entries:
+            await self.ready(entry)
+
+    async def ready(self, process):
+        await until(lambda: self._answers_200(process, '/readyz'))
+
+    async def _answers_200(self, process, path):
+        async with self.session.get(process.url + path) as response:
+            return response.status == 200
+
+    async def set_faults(self, process, **faults):
+        async with self.session.post(
+            process.url + '/faults', json=faults
+        ) as response:
+            assert response.status == 200
+
+    async def truth(self, engine):
+        async with self.session.get(engine.url + '/truth') as response:
+            return msgspec.json.decode(
+                await response.read(), type=standin_engine.EngineTruth
+            )
+
+    def call(self, entry, customer, adapter, *, key='', **fields):
+        """Send a completion; use as an async context."""
+        headers = {'Authorization': f'Bearer {self.keys[customer]}'}
+        if key:
+            headers['Idempotency-Key'] = key
+        return self.session.post(
+            entry.url + '/v1/chat/completions',
+            json={'model': adapter, 'messages': [], **fields},
+            headers=headers,
+        )
+
+
+async def until(predicate, timeout_s=WAIT_S):
+    """Wait for a condition instead of for a time."""
+    async with asyncio.timeout(timeout_s):
+        while not await predicate():
+            await asyncio.sleep(POLL_S)
+
+
+def new_key():
+    """Return an idempotency key made now."""
+    return str(uuid.UUID(str(uuid_utils.uuid7())))
