One node for every process; the fault matrix from the tests' markers

Cause: entry and sidecar each built links, membership and contracts, and claims, limits and accounts need them in both.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench bench-policy capacity fault-matrix
+.PHONY: demo test lint format bench bench-policy capacity fault-matrix \
+	fault-matrix-check
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -37,3 +38,6 @@
 
 fault-matrix: $(STAMP)
 	$(BIN)/python -m tests.fault_matrix
+
+fault-matrix-check: $(STAMP)
+	$(BIN)/python -m tests.fault_matrix --check
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -13,16 +13,12 @@
 
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
-from lacewingpitch import config_service
 from lacewingpitch import contract as contract_module
-from lacewingpitch import contract_book
 from lacewingpitch import dispatch
 from lacewingpitch import errors
 from lacewingpitch import event_stream
 from lacewingpitch import http_server
-from lacewingpitch import link
-from lacewingpitch import live_list
-from lacewingpitch import membership
+from lacewingpitch import node
 from lacewingpitch import placement
 from lacewingpitch import settings as settings_module
 from lacewingpitch import work
@@ -65,14 +61,8 @@
         clock: clock_module.Clock | None = None,
     ) -> None:
         self.settings = settings
-        self._clock = clock or clock_module.SystemClock()
-        self._sealer = link.Sealer(
-            settings.deployment, settings.secret, settings.instance
-        )
+        self._node = node.Node(settings, clock or clock_module.SystemClock())
         self._server = http_server.HttpServer(settings.max_body_bytes)
-        self._peers = link.PeerPool(self._sealer)
-        self.book = contract_book.ContractBook()
-        self.membership = membership.Membership(self._clock)
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._dispatcher: dispatch.Dispatcher
@@ -84,23 +74,22 @@
 
     def ports(self) -> dict[str, int]:
         """Return the ports it listens on, by name."""
-        return {'work_port': self.work_port}
+        return {
+            'work_port': self.work_port,
+            'control_port': self._node.control.port,
+        }
 
     async def start(self) -> None:
         """Follow the platform, then take requests."""
-        session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
-        )
-        await self._exits.enter_async_context(session)
-        self._exits.callback(self._peers.close)
+        await self._exits.enter_async_context(self._node)
         self._dispatcher = dispatch.Dispatcher(
-            session,
-            self._sealer,
-            self._peers,
-            self.membership,
+            self._node.session,
+            self._node.sealer,
+            self._node.peers,
+            self._node.membership,
             placement.Placement(),
         )
-        self._follow_platform(session)
+        self._node.follow_platform()
         self._add_routes()
         await self._server.start(self.settings.ip, self.settings.work_port)
         self._exits.push_async_callback(self._server.close)
@@ -108,7 +97,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether contracts and backend servers are known."""
-        known = len(self.book) and self.membership.instances
+        known = len(self._node.book) and self._node.membership.instances
         return bool(known) and not self._draining
 
     async def ready(self) -> None:
@@ -122,21 +111,6 @@
         await self._server.drain(self.settings.drain_s)
         await self._exits.aclose()
 
-    def _follow_platform(self, session: aiohttp.ClientSession) -> None:
-        service = config_service.HttpConfigService(
-            session, self.settings.config_service.url
-        )
-        published = contract_book.PublishedContracts(service)
-        instances = live_list.HttpLiveList(
-            session, self.settings.live_list.url
-        )
-        for following in (
-            published.run(self.book),
-            self.membership.follow(instances),
-        ):
-            task = asyncio.create_task(following)
-            self._exits.callback(task.cancel)
-
     def _add_routes(self) -> None:
         server = self._server
         server.route_work('POST', '/v1/chat/completions', self._completion)
@@ -188,7 +162,7 @@
             raise errors.RefusalError(
                 errors.ErrorKind.UNAUTHENTICATED, 'no API key'
             )
-        return self.book.authenticate(header.removeprefix(_BEARER))
+        return self._node.book.authenticate(header.removeprefix(_BEARER))
 
     async def _complete(
         self,
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator
 import contextlib
 
-import aiohttp
 from aiohttp import web
 import structlog
 
@@ -13,7 +12,7 @@
 from lacewingpitch import errors
 from lacewingpitch import http_server
 from lacewingpitch import ledger
-from lacewingpitch import link
+from lacewingpitch import node
 from lacewingpitch import runner as runner_module
 from lacewingpitch import settings as settings_module
 from lacewingpitch import voiding
@@ -40,13 +39,9 @@
         clock: clock_module.Clock | None = None,
     ) -> None:
         self.settings = settings
-        self._clock = clock or clock_module.SystemClock()
-        self._sealer = link.Sealer(
-            settings.deployment, settings.secret, settings.instance
-        )
-        self._ledger = ledger.RunLedger(self._clock)
+        self._node = node.Node(settings, clock or clock_module.SystemClock())
+        self._ledger = ledger.RunLedger(self._node.clock)
         self._server = http_server.HttpServer(MAX_BODY_BYTES)
-        self._control = link.ControlServer(self._sealer)
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._queued = 0
@@ -61,7 +56,7 @@
     @property
     def control_port(self) -> int:
         """Return the port that takes control messages."""
-        return self._control.port
+        return self._node.control.port
 
     def ports(self) -> dict[str, int]:
         """Return the ports it listens on, by name."""
@@ -81,17 +76,15 @@
         self._server.route('GET', '/readyz', self._ready)
         await self._server.start(self.settings.ip, self.settings.work_port)
         self._exits.push_async_callback(self._server.close)
-        session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
-        )
-        await self._exits.enter_async_context(session)
+        await self._exits.enter_async_context(self._node)
         self._runner = runner_module.make_runner(
-            self.settings.backend_server, session, self._clock
+            self.settings.backend_server,
+            self._node.session,
+            self._node.clock,
         )
         await self._exits.enter_async_context(self._runner)
-        self._control.handle(voiding.VoidRequest, self._void)
-        await self._control.start(self.settings.ip, self.settings.control_port)
-        self._exits.push_async_callback(self._control.close)
+        self._node.control.handle(voiding.VoidRequest, self._void)
+        self._node.follow_platform()
 
     async def close(self) -> None:
         """Drain, then release everything."""
@@ -102,7 +95,7 @@
     async def _take(self, request: web.Request) -> web.StreamResponse:
         try:
             order = work.decode_order(
-                request.headers.get(work.ORDER_HEADER, ''), self._sealer
+                request.headers.get(work.ORDER_HEADER, ''), self._node.sealer
             )
         except errors.RefusalError as error:
             return answer.refusal_response(error, '')
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -5,8 +5,13 @@
 import pytest
 
 from lacewingpitch import work
+from tests import fault_matrix
 from tests import processes
 
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+
 
 @pytest.fixture
 async def deployment(tmp_path):
@@ -46,6 +51,7 @@
 
 
 class TestDrain:
+    @pytest.mark.proves(Promise.DRAIN, Fault.NONE, Step.MID_STREAM)
     async def test_terminated_under_load_cuts_nothing(self, deployment):
         """A caller sees its stream end early when an instance leaves.
 
