The account of service, its copies at peers, and the report

Cause: an entry counted nothing. What a customer got could not be shown, and a lost instance took its counts with it.

Change: every request that comes in ends in exactly one bucket, and is served only after the connection took its last byte. Counters are monotonic per incarnation; what changed is copied to two other entries as absolute counts, merged by the greater. A report asks every entry, falls back on copies, and says first which instance it lacks, from when until when. Burn rates come from slots that are counters of the same rows, so they survive an instance as well. A page with plots drawn by pygal (no script, no outside link), /metrics, an account line per answer, and the report command.

Ruled out: hdrhistogram per customer (fixed arrays of counts, mergeable only whole; sparse quarter-doubling buckets are counters like any other); time series per customer in /metrics; matplotlib (seconds to import beside streams).

--- /dev/null
+++ b/lacewingpitch/account_copy.py
@@ -0,0 +1,526 @@
+"""Copies of the account at peers, so that it survives an instance.
+
+Each entry sends the counters that changed to a few others.  They are
+absolute counts, and a holder keeps the greater of two, so that a copy
+may be lost, late or repeated.  Nothing is agreed on: a holder only
+remembers, and a report merges what it reaches.
+"""
+
+import asyncio
+import collections
+from collections.abc import Iterable, Iterator, Mapping
+import contextlib
+import itertools
+import secrets
+
+import structlog
+
+from lacewingpitch import account as account_module
+from lacewingpitch import account_rows
+from lacewingpitch import errors
+from lacewingpitch import link
+from lacewingpitch import live_list
+from lacewingpitch import node as node_module
+from lacewingpitch import placement
+
+COPY_COUNT = 2
+COPY_INTERVAL_S = 2.0
+# With two holders and a message each interval this is 1.5 KB/s at most.
+MAX_BATCH_BYTES = 1536
+MAX_ENDED_BYTES = 512
+MAX_HELD_ACCOUNTS = 1024
+MAX_HELD_ROWS = 120_000
+_ASK_TIMEOUT_S = 1.0
+_ROW_BYTES = 12
+_COUNTER_BYTES = 8
+_SWEPT_ROWS = 256
+_MAX_DEPARTED = 1024
+log = structlog.get_logger(__name__)
+
+
+class AccountHead(link.Message, frozen=True):
+    """What a process knows of one account, but for its rows.
+
+    Parameters
+    ----------
+    complete_until_s
+        The rows lack nothing that was counted before, by the clock of
+        the account's own instance; 0 while they are being filled.
+    received_count
+        Requests that had come in by then.
+    is_final
+        Whether the instance ended gracefully, with nothing left out.
+    copy_id
+        Identifies the holder's copy; it changes when the copy is lost.
+    """
+
+    account_id: account_module.AccountId
+    complete_until_s: float = 0.0
+    received_count: int = 0
+    is_final: bool = False
+    copy_id: str = ''
+
+
+class AccountCopy(link.Message, frozen=True):
+    """Counters of one account that changed, for one holder.
+
+    ``head.copy_id`` is the copy that the sender believes to add to.
+    """
+
+    head: AccountHead
+    rows: dict[str, account_rows.Row]
+
+
+class AccountCopied(link.Message, frozen=True):
+    """Confirms a copy, and says to which copy it was added."""
+
+    copy_id: str
+
+
+class HeldAccount:
+    """The copy of an account, as one holder has it."""
+
+    def __init__(self, account_id: account_module.AccountId) -> None:
+        self.account_id = account_id
+        self.rows = account_rows.RowTable()
+        self.generation = 0
+        self.copy_id = secrets.token_hex(4)
+        self.complete_until_s = 0.0
+        self.received_count = 0
+        self.is_final = False
+
+    @property
+    def head(self) -> AccountHead:
+        """Return what is known but for the rows."""
+        return AccountHead(
+            account_id=self.account_id,
+            complete_until_s=self.complete_until_s,
+            received_count=self.received_count,
+            is_final=self.is_final,
+            copy_id=self.copy_id,
+        )
+
+    def merge(self, message: AccountCopy) -> None:
+        """Take over a copy; it may come late or twice."""
+        for customer, row in message.rows.items():
+            if account_rows.merge(self.rows.writable(customer), row):
+                self.generation += 1
+        # A holder that restarted, or dropped the copy, has only what came
+        # since.  If it took over the sender's claim of completeness, a
+        # report would show too little and state no gap.  The claim is
+        # made of one copy, so it is void for any other.
+        head = message.head
+        if head.copy_id != self.copy_id:
+            return
+        before = self.head
+        self.complete_until_s = max(
+            self.complete_until_s, head.complete_until_s
+        )
+        self.received_count = max(self.received_count, head.received_count)
+        self.is_final = self.is_final or head.is_final
+        if self.head != before:
+            self.generation += 1
+
+
+class CopyHolder:
+    """The accounts of others that this process keeps, within a bound."""
+
+    def __init__(
+        self,
+        capacity_accounts: int = MAX_HELD_ACCOUNTS,
+        capacity_rows: int = MAX_HELD_ROWS,
+    ) -> None:
+        self._capacity_accounts = capacity_accounts
+        self._capacity_rows = capacity_rows
+        self._turns: Iterator[HeldAccount] = iter(())
+        self._held: collections.OrderedDict[
+            account_module.AccountId, HeldAccount
+        ] = collections.OrderedDict()
+
+    @property
+    def accounts(self) -> tuple[HeldAccount, ...]:
+        """Return the copies, least recently added to first."""
+        return tuple(self._held.values())
+
+    def account(
+        self, account_id: account_module.AccountId
+    ) -> HeldAccount | None:
+        """Return the copy of one account."""
+        return self._held.get(account_id)
+
+    async def take(self, message: AccountCopy) -> AccountCopied:
+        """Take over a copy; when full, drop the one longest unused."""
+        account_id = message.head.account_id
+        held = self._held.get(account_id)
+        if held is None:
+            held = self._held[account_id] = HeldAccount(account_id)
+        held.merge(message)
+        self._held.move_to_end(account_id)
+        while self._is_over_capacity():
+            dropped, _ = self._held.popitem(last=False)
+            log.warning('copy dropped', instance=dropped.instance)
+        return AccountCopied(copy_id=held.copy_id)
+
+    def take_turns(self) -> Iterator[HeldAccount]:
+        """Return the copies that have not had their turn yet."""
+        turn = next(self._turns, None)
+        if turn is None:
+            self._turns = iter(self.accounts)
+        else:
+            self._turns = itertools.chain((turn,), self._turns)
+        return self._turns
+
+    def sweep(self, count: int, now_s: float) -> None:
+        """Drop expired slots and pack idle rows, `count` of each copy."""
+        for held in self._held.values():
+            held.rows.sweep(count, now_s)
+
+    def _is_over_capacity(self) -> bool:
+        if len(self._held) <= 1:
+            return False
+        row_count = sum(len(held.rows) for held in self._held.values())
+        return (
+            len(self._held) > self._capacity_accounts
+            or row_count > self._capacity_rows
+        )
+
+
+class Backlog:
+    """What one holder still lacks of one account.
+
+    It is bounded by the account itself: a customer's counters that
+    change again while they wait are sent once, with the newest counts.
+    """
+
+    def __init__(self, rows: account_rows.RowTable) -> None:
+        self.generation = 0
+        self.is_final = False
+        self._rows = rows
+        self._waiting: collections.deque[str]
+        self._changed: dict[str, set[int]] = {}
+        self._copy_id = ''
+        self.refill()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the holder has all that is known."""
+        return not self._changed and not self._waiting
+
+    def refill(self) -> None:
+        """Begin again with every counter."""
+        self._changed = {}
+        self._waiting = collections.deque(self._rows)
+
+    def note(self, changed: Mapping[str, Iterable[int]]) -> None:
+        """Note that counters have changed."""
+        for customer, numbers in changed.items():
+            self._changed.setdefault(customer, set()).update(numbers)
+
+    def next_copy(
+        self, head: AccountHead, max_bytes: int = MAX_BATCH_BYTES
+    ) -> AccountCopy:
+        """Return the next message: new changes first, then the refill.
+
+        It says that the copy is complete only if nothing is left over.
+        What it takes is gone from here; see `confirm`.
+        """
+        rows = self._take_changed(max_bytes)
+        size = sum(_row_bytes(c, r) for c, r in rows.items())
+        self._add_refill(rows, max_bytes - size)
+        is_whole = self.is_empty
+        sent = AccountHead(
+            account_id=head.account_id,
+            complete_until_s=head.complete_until_s if is_whole else 0.0,
+            received_count=head.received_count if is_whole else 0,
+            is_final=head.is_final and is_whole,
+            copy_id=self._copy_id,
+        )
+        return AccountCopy(head=sent, rows=rows)
+
+    def confirm(self, message: AccountCopy, reply: AccountCopied) -> bool:
+        """Note that a holder has a message; return if all is well.
+
+        A reply of another copy means that the holder lost the one that
+        was being filled, so everything is sent anew.
+        """
+        if reply.copy_id == message.head.copy_id:
+            self.is_final = message.head.is_final
+            return True
+        self._copy_id = reply.copy_id
+        self.refill()
+        return False
+
+    def lost(self, message: AccountCopy) -> None:
+        """Note that a message was not confirmed."""
+        self.note(message.rows)
+
+    def _take_changed(self, max_bytes: int) -> dict[str, account_rows.Row]:
+        rows: dict[str, account_rows.Row] = {}
+        size = 0
+        for customer in tuple(self._changed):
+            numbers = self._changed[customer]
+            source = self._rows.row(customer)
+            row = {n: source[n] for n in numbers if n in source}
+            size += _row_bytes(customer, row)
+            if rows and size > max_bytes:
+                break
+            del self._changed[customer]
+            rows[customer] = row
+        return rows
+
+    def _add_refill(
+        self, rows: dict[str, account_rows.Row], max_bytes: int
+    ) -> None:
+        while self._waiting and max_bytes > 0:
+            customer = self._waiting.popleft()
+            row = dict(self._rows.row(customer))
+            max_bytes -= _row_bytes(customer, row)
+            rows[customer] = row
+
+
+class AccountCopier:
+    """Keeps the copies of this process's account up to date.
+
+    Parameters
+    ----------
+    node
+        The process, its peers and its view of others.
+    account
+        The account to copy.
+    holder
+        Copies that others keep here; those of ended instances are sent
+        on when one of their holders is lost.
+    """
+
+    def __init__(
+        self,
+        node: node_module.Node,
+        account: account_module.Account,
+        holder: CopyHolder,
+    ) -> None:
+        self._node = node
+        self._account = account
+        self._holder = holder
+        self._backlogs: dict[
+            tuple[account_module.AccountId, str], Backlog
+        ] = {}
+        self._copied_until_s = account.account_id.started_at_s
+        self.sent_bytes = 0
+        self.sent_count = 0
+        self.departed: collections.OrderedDict[
+            str, tuple[live_list.Instance, float]
+        ] = collections.OrderedDict()
+        self._listed: dict[str, live_list.Instance] = {}
+        self._task: asyncio.Task[None]
+
+    def start(self) -> None:
+        """Copy from now on."""
+        self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(COPY_INTERVAL_S)
+            try:
+                await self.copy_once()
+            except Exception:
+                # A fault in one round must not end the copies: the next
+                # loss of this instance would lose all since.
+                log.exception('copy round failed')
+
+    def age_s(self) -> float:
+        """Return how long ago the account was last copied whole."""
+        return self._node.clock.wall_s() - self._copied_until_s
+
+    def own_head(self, *, is_final: bool = False) -> AccountHead:
+        """Return what is known of this process's own account now."""
+        return AccountHead(
+            account_id=self._account.account_id,
+            complete_until_s=self._node.clock.wall_s(),
+            received_count=self._account.received_count,
+            is_final=is_final,
+        )
+
+    async def copy_once(self, *, is_final: bool = False) -> None:
+        """Send one message to each holder."""
+        self._note_departed()
+        self._account.sweep(_SWEPT_ROWS)
+        self._holder.sweep(_SWEPT_ROWS, self._node.clock.wall_s())
+        await self._copy_own(is_final)
+        await self._copy_ended()
+
+    async def close(self, timeout_s: float) -> None:
+        """Stop; send what is left, and say that it is all."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not await self._is_all_copied():
+                    await asyncio.sleep(0)
+        except TimeoutError:
+            log.warning('account not copied whole')
+
+    async def _is_all_copied(self) -> bool:
+        await self.copy_once(is_final=True)
+        return all(
+            backlog.is_final
+            for (account_id, _), backlog in self._backlogs.items()
+            if account_id == self._account.account_id
+        )
+
+    async def _copy_own(self, is_final: bool) -> None:
+        account = self._account
+        changed = account.take_changes()
+        head = self.own_head(is_final=is_final)
+        holders = self._holders(account.account_id)
+        self._drop_backlogs(account.account_id, holders)
+        backlogs = [
+            self._backlog(account.account_id, account.rows, peer)
+            for peer in holders
+        ]
+        for backlog in backlogs:
+            backlog.note(changed)
+        await asyncio.gather(
+            *map(self._send, holders, backlogs, itertools.repeat(head))
+        )
+
+    async def _copy_ended(self) -> None:
+        # The copies of an ended instance have no owner left to renew
+        # them: with each holder that is replaced one would go, until the
+        # account is lost.  So a holder sends its copy on to whoever the
+        # hash now names; merging makes a second sender harmless.  One
+        # account a round, in turn, also when nothing is due: only the
+        # reply tells that a holder has lost its copy.
+        listed = {entry.name: entry for entry in self._entries()}
+        for held in self._holder.take_turns():
+            if _has_ended(held.account_id, listed):
+                await self._copy_held(held)
+                return
+
+    async def _copy_held(self, held: HeldAccount) -> None:
+        holders = self._holders(held.account_id)
+        self._drop_backlogs(held.account_id, holders)
+        for peer in holders:
+            backlog = self._backlog(held.account_id, held.rows, peer)
+            if backlog.generation != held.generation:
+                backlog.generation = held.generation
+                backlog.refill()
+            await self._send(peer, backlog, held.head, MAX_ENDED_BYTES)
+
+    async def _send(
+        self,
+        peer: live_list.Instance,
+        backlog: Backlog,
+        head: AccountHead,
+        max_bytes: int = MAX_BATCH_BYTES,
+    ) -> None:
+        message = backlog.next_copy(head, max_bytes)
+        self.sent_count += 1
+        self.sent_bytes += len(self._node.sealer.seal(message))
+        try:
+            reply = await self._node.peers.peer(
+                peer.ip, peer.control_port
+            ).ask(message, AccountCopied, _ASK_TIMEOUT_S)
+        except errors.LinkError as error:
+            backlog.lost(message)
+            log.debug('copy failed', holder=peer.name, error=str(error))
+            return
+        except asyncio.CancelledError:
+            backlog.lost(message)
+            raise
+        if not backlog.confirm(message, reply):
+            return
+        if head.account_id == self._account.account_id:
+            self._copied_until_s = max(
+                self._copied_until_s, message.head.complete_until_s
+            )
+
+    def _backlog(
+        self,
+        account_id: account_module.AccountId,
+        rows: account_rows.RowTable,
+        peer: live_list.Instance,
+    ) -> Backlog:
+        key = (account_id, peer.name)
+        if key not in self._backlogs:
+            self._backlogs[key] = Backlog(rows)
+        return self._backlogs[key]
+
+    def _drop_backlogs(
+        self,
+        account_id: account_module.AccountId,
+        holders: list[live_list.Instance],
+    ) -> None:
+        names = {holder.name for holder in holders}
+        for key in tuple(self._backlogs):
+            if key[0] == account_id and key[1] not in names:
+                del self._backlogs[key]
+
+    def _holders(
+        self, account_id: account_module.AccountId
+    ) -> list[live_list.Instance]:
+        others = [
+            entry
+            for entry in self._entries()
+            if entry.name not in (self._name, account_id.instance)
+        ]
+        return choose_holders(account_id, self._node.settings.region, others)
+
+    @property
+    def _name(self) -> str:
+        return self._account.account_id.instance
+
+    def _entries(self) -> list[live_list.Instance]:
+        return [
+            instance
+            for instance in self._node.membership.instances
+            if instance.role is live_list.Role.ENTRY
+        ]
+
+    def _note_departed(self) -> None:
+        listed = {entry.name: entry for entry in self._entries()}
+        for name, entry in self._listed.items():
+            if name not in listed:
+                self.departed[name] = (entry, self._node.clock.wall_s())
+        for name in listed:
+            self.departed.pop(name, None)
+        while len(self.departed) > _MAX_DEPARTED:
+            self.departed.popitem(last=False)
+        self._listed = listed
+
+
+def choose_holders(
+    account_id: account_module.AccountId,
+    region: str,
+    others: list[live_list.Instance],
+) -> list[live_list.Instance]:
+    """Return who holds the copies of an account.
+
+    They are chosen by rendezvous hash, within the region if it has
+    enough, each in another availability zone where there are such.
+    """
+    near = [entry for entry in others if entry.region == region]
+    pool = near if len(near) >= COPY_COUNT else others
+    ranked = placement.rank(f'account/{account_id.instance}', pool)
+    taken_zones = {account_id.availability_zone}
+    chosen: list[live_list.Instance] = []
+    for entry in ranked:
+        if entry.availability_zone not in taken_zones:
+            taken_zones.add(entry.availability_zone)
+            chosen.append(entry)
+    rest = [entry for entry in ranked if entry not in chosen]
+    return (chosen + rest)[:COPY_COUNT]
+
+
+def _has_ended(
+    account_id: account_module.AccountId,
+    listed: Mapping[str, live_list.Instance],
+) -> bool:
+    found = listed.get(account_id.instance)
+    if found is None:
+        return True
+    return found.started_at_s > account_id.started_at_s
+
+
+def _row_bytes(customer: str, row: account_rows.Row) -> int:
+    return _ROW_BYTES + len(customer) + _COUNTER_BYTES * len(row)
--- /dev/null
+++ b/lacewingpitch/account_rows.py
@@ -0,0 +1,86 @@
+"""Rows of counters by customer, packed while a customer is idle."""
+
+from collections.abc import Iterator, Mapping
+import itertools
+from typing import TypeAlias
+
+import msgspec
+
+from lacewingpitch import burn
+
+Row: TypeAlias = dict[int, int]
+_DECODER = msgspec.msgpack.Decoder(dict[int, int])
+
+
+def merge(row: Row, other: Mapping[int, int]) -> bool:
+    """Merge another copy of the same row; return if anything grew."""
+    grew = False
+    for number, count in other.items():
+        if count > row.get(number, 0):
+            row[number] = count
+            grew = True
+    return grew
+
+
+def add(row: Row, other: Mapping[int, int]) -> None:
+    """Add the row of another incarnation to `row`."""
+    for number, count in other.items():
+        row[number] = row.get(number, 0) + count
+
+
+class RowTable:
+    """Rows by customer; those that two sweeps find unused are packed.
+
+    Most customers are idle at any moment.  A packed row takes about a
+    tenth of a dictionary, and is unpacked when it is next written to.
+    """
+
+    def __init__(self) -> None:
+        self._active: dict[str, Row] = {}
+        self._packed: dict[str, bytes] = {}
+        self._touched: set[str] = set()
+        self._swept: Iterator[str] = iter(())
+
+    def __len__(self) -> int:
+        return len(self._active) + len(self._packed)
+
+    def __iter__(self) -> Iterator[str]:
+        return itertools.chain(tuple(self._active), tuple(self._packed))
+
+    def row(self, customer: str) -> Mapping[int, int]:
+        """Return a customer's row, to be read only."""
+        found = self._active.get(customer)
+        if found is not None:
+            return found
+        packed = self._packed.get(customer)
+        return {} if packed is None else _DECODER.decode(packed)
+
+    def writable(self, customer: str) -> Row:
+        """Return a customer's row, to be written to at once."""
+        self._touched.add(customer)
+        found = self._active.get(customer)
+        if found is None:
+            packed = self._packed.pop(customer, None)
+            found = {} if packed is None else _DECODER.decode(packed)
+            self._active[customer] = found
+        return found
+
+    def sweep(self, count: int, now_s: float) -> None:
+        """Drop expired slots of `count` active rows, and pack the idle."""
+        batch = list(itertools.islice(self._swept, count))
+        if len(batch) < count:
+            self._swept = iter(tuple(self._active))
+        for customer in batch:
+            self._sweep_row(customer, now_s)
+
+    def _sweep_row(self, customer: str, now_s: float) -> None:
+        row = self._active.get(customer)
+        if row is None:
+            return
+        for number in burn.expired(row, now_s):
+            del row[number]
+        if customer in self._touched:
+            self._touched.discard(customer)
+            return
+        self._packed[customer] = msgspec.msgpack.encode(row)
+        del self._active[customer]
--- /dev/null
+++ b/lacewingpitch/burn.py
@@ -0,0 +1,242 @@
+"""Service-level burn: how fast a customer's error budget is spent.
+
+A burn rate of 1 spends the budget exactly over the period that the
+objective holds for.  An alert needs two windows at once, a long one so
+that it matters and a short one so that it ends soon after the fault.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+import math
+
+from lacewingpitch import contract
+from lacewingpitch import errors
+
+# Within which share of answers and gaps the times of an objective hold.
+LATENCY_RATIO = 0.95
+# Number of the first counter that belongs to a slot of a window.
+FIRST_NUMBER = 1024
+
+# Refusals that the contract itself asks for, or that the caller's own
+# request brings about, spend no budget.
+_CALLERS_OWN = frozenset(
+    {
+        errors.ErrorKind.BAD_REQUEST,
+        errors.ErrorKind.BODY_TOO_LARGE,
+        errors.ErrorKind.UNAUTHENTICATED,
+        errors.ErrorKind.NOT_IN_CONTRACT,
+        errors.ErrorKind.BAD_IDEMPOTENCY_KEY,
+        errors.ErrorKind.KEY_OUT_OF_WINDOW,
+        errors.ErrorKind.KEY_IN_USE,
+        errors.ErrorKind.RATE_LIMITED,
+        errors.ErrorKind.CONCURRENCY_LIMITED,
+        errors.ErrorKind.CALLER_GONE,
+    }
+)
+
+
+class Signal(enum.IntEnum):
+    """What is counted in each slot; numbers are never reused."""
+
+    ANSWERS = 0
+    FAILED = 1
+    STREAMS = 2
+    SLOW_FIRST_TOKENS = 3
+    GAPS = 4
+    SLOW_GAPS = 5
+
+
+class Subject(enum.StrEnum):
+    """What an objective promises, each with an error budget."""
+
+    SERVED = 'served'
+    FIRST_TOKEN = 'first-token'
+    BETWEEN_TOKENS = 'between-tokens'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Level:
+    """Slots of one length, and how far back they are kept."""
+
+    slot_s: int
+    kept_s: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """A stretch of time that ends now, summed from one level's slots."""
+
+    name: str
+    length_s: int
+    level: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alert:
+    """Two windows that must both burn faster than a threshold."""
+
+    long: Window
+    short: Window
+    threshold: float
+    severity: str
+
+
+LEVELS = (
+    Level(slot_s=60, kept_s=3600),
+    Level(slot_s=1800, kept_s=6 * 3600),
+    Level(slot_s=6 * 3600, kept_s=3 * 86400),
+)
+_FIVE_MINUTES = Window('5 min', 300, 0)
+_HALF_HOUR = Window('30 min', 1800, 0)
+_HOUR = Window('1 h', 3600, 0)
+_SIX_HOURS = Window('6 h', 6 * 3600, 1)
+_THREE_DAYS = Window('3 d', 3 * 86400, 2)
+WINDOWS = (_FIVE_MINUTES, _HALF_HOUR, _HOUR, _SIX_HOURS, _THREE_DAYS)
+ALERTS = (
+    Alert(_HOUR, _FIVE_MINUTES, 14.4, 'page'),
+    Alert(_SIX_HOURS, _HALF_HOUR, 6.0, 'page'),
+    Alert(_THREE_DAYS, _SIX_HOURS, 1.0, 'ticket'),
+)
+
+_PARTS: Mapping[Subject, tuple[Signal, Signal]] = {
+    Subject.SERVED: (Signal.ANSWERS, Signal.FAILED),
+    Subject.FIRST_TOKEN: (Signal.STREAMS, Signal.SLOW_FIRST_TOKENS),
+    Subject.BETWEEN_TOKENS: (Signal.GAPS, Signal.SLOW_GAPS),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Burn:
+    """The burn of one subject over one window.
+
+    Parameters
+    ----------
+    burn_rate
+        Share that failed over the share that may fail; ``None`` where
+        nothing was counted.
+    """
+
+    subject: Subject
+    window: str
+    total_count: int
+    failed_count: int
+    burn_rate: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FiredAlert:
+    """An alert whose two windows both burn too fast."""
+
+    subject: Subject
+    severity: str
+    long_window: str
+    short_window: str
+    threshold: float
+
+
+def spends_budget(kind: errors.ErrorKind) -> bool:
+    """Return whether an error of this kind counts against the service."""
+    return kind not in _CALLERS_OWN
+
+
+def increments(at_s: float, signals: Mapping[Signal, int]) -> dict[int, int]:
+    """Return what to add to a row's counters for signals at a time."""
+    return {
+        _number(level, int(at_s // LEVELS[level].slot_s), signal): count
+        for level in range(len(LEVELS))
+        for signal, count in signals.items()
+        if count
+    }
+
+
+def measure(
+    row: Mapping[int, int], objective: contract.Objective, now_s: float
+) -> list[Burn]:
+    """Return the burn of each subject over each window."""
+    return [
+        _burn(row, subject, window, budget, now_s)
+        for subject, budget in _budgets(objective).items()
+        for window in WINDOWS
+    ]
+
+
+def fired(burns: list[Burn]) -> list[FiredAlert]:
+    """Return the alerts that fire at these burns."""
+    rates = {(b.subject, b.window): b.burn_rate or 0.0 for b in burns}
+    return [
+        FiredAlert(
+            subject,
+            alert.severity,
+            alert.long.name,
+            alert.short.name,
+            alert.threshold,
+        )
+        for subject in Subject
+        for alert in ALERTS
+        if rates[subject, alert.long.name] >= alert.threshold
+        and rates[subject, alert.short.name] >= alert.threshold
+    ]
+
+
+def expired(row: Mapping[int, int], now_s: float) -> list[int]:
+    """Return the counters of slots that no window reaches any more.
+
+    They are the bound of a row: it keeps at most as many slots of a
+    level as its longest window has, and two at its ends.
+    """
+    return [
+        number
+        for number in row
+        if number >= FIRST_NUMBER and _is_expired(number, now_s)
+    ]
+
+
+def count_in(
+    row: Mapping[int, int], signal: Signal, window: Window, now_s: float
+) -> int:
+    """Return the count of a signal over a window.
+
+    The oldest slot that the window touches is counted whole, so the
+    window is up to one slot longer than its name says.
+    """
+    slot_s = LEVELS[window.level].slot_s
+    first = math.floor((now_s - window.length_s) / slot_s)
+    last = math.floor(now_s / slot_s)
+    return sum(
+        row.get(_number(window.level, slot, signal), 0)
+        for slot in range(first, last + 1)
+    )
+
+
+def _burn(
+    row: Mapping[int, int],
+    subject: Subject,
+    window: Window,
+    budget: float,
+    now_s: float,
+) -> Burn:
+    total_signal, failed_signal = _PARTS[subject]
+    total = count_in(row, total_signal, window, now_s)
+    failed = count_in(row, failed_signal, window, now_s)
+    rate = failed / total / budget if total else None
+    return Burn(subject, window.name, total, failed, rate)
+
+
+def _budgets(objective: contract.Objective) -> dict[Subject, float]:
+    return {
+        Subject.SERVED: 1 - objective.served_ratio,
+        Subject.FIRST_TOKEN: 1 - LATENCY_RATIO,
+        Subject.BETWEEN_TOKENS: 1 - LATENCY_RATIO,
+    }
+
+
+def _number(level: int, slot: int, signal: Signal) -> int:
+    return FIRST_NUMBER + (slot * len(LEVELS) + level) * len(Signal) + signal
+
+
+def _is_expired(number: int, now_s: float) -> bool:
+    place = (number - FIRST_NUMBER) // len(Signal)
+    slot, level = divmod(place, len(LEVELS))
+    found = LEVELS[level]
+    return (slot + 1) * found.slot_s < now_s - found.kept_s
--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -15,6 +15,7 @@
 from lacewingpitch import demo as demo_module
 from lacewingpitch import entry as entry_module
 from lacewingpitch import errors
+from lacewingpitch import report as report_module
 from lacewingpitch import settings
 from lacewingpitch import sidecar as sidecar_module
 from lacewingpitch import standin_engine
@@ -80,6 +81,39 @@
     sys.exit(uvloop.run(demo_module.run_demo()))
 
 
+@main.command()
+@click.argument('url')
+@click.option('--customer', help='Only this customer, and no other.')
+@click.option(
+    '--format',
+    'output_format',
+    type=click.Choice(['table', 'json']),
+    default='table',
+    show_default=True,
+)
+@click.option(
+    '--token',
+    envvar='LACEWINGPITCH_TOKEN',
+    required=True,
+    help="Operators' token, or the customer's API key.  Better given in"
+    ' the environment as LACEWINGPITCH_TOKEN, where no list of processes'
+    ' shows it.',
+)
+def report(
+    url: str, customer: str | None, output_format: str, token: str
+) -> None:
+    """Print the account of service, asked of the entry at URL.
+
+    It says first what it may lack.  Exit code 1: no report was got.
+    """
+    try:
+        asyncio.run(
+            report_module.print_report(url, customer, token, output_format)
+        )
+    except errors.PlatformError as error:
+        raise click.ClickException(str(error)) from error
+
+
 @main.group()
 def standin() -> None:
     """Run a small stand-in of an outside system, for tests."""
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import contextlib
-import time
 
 import aiohttp
 from aiohttp import web
@@ -11,15 +10,22 @@
 import structlog
 import uuid_utils
 
+from lacewingpitch import account as account_module
+from lacewingpitch import account_copy
+from lacewingpitch import account_query
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract as contract_module
+from lacewingpitch import delivery
 from lacewingpitch import dispatch
 from lacewingpitch import errors
 from lacewingpitch import event_stream
 from lacewingpitch import http_server
+from lacewingpitch import metrics as metrics_module
 from lacewingpitch import node
 from lacewingpitch import placement
+from lacewingpitch import report as report_module
+from lacewingpitch import report_server
 from lacewingpitch import settings as settings_module
 from lacewingpitch import work
 
@@ -27,6 +33,8 @@
 _EVENT_STREAM = 'text/event-stream'
 MAX_KEY_LENGTH = 128
 _READY_POLL_S = 0.02
+_LAST_COPY_TIMEOUT_S = 5.0
+_TALLY = 'tally'
 log = structlog.get_logger(__name__)
 
 
@@ -44,6 +52,14 @@
     max_tokens: int = 0
 
 
+class _Usage(msgspec.Struct, frozen=True):
+    completion_tokens: int = 0
+
+
+class _WholeAnswer(msgspec.Struct, frozen=True):
+    usage: _Usage = _Usage()
+
+
 class Entry:
     """Takes callers' requests, and delivers each answer whole.
 
@@ -66,6 +82,13 @@
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._dispatcher: dispatch.Dispatcher
+        self._account = account_module.Account(
+            account_module.new_account_id(settings, self._node.started_at_s),
+            self._node.clock,
+        )
+        self._metrics = metrics_module.Metrics(
+            settings.instance, settings.availability_zone
+        )
 
     @property
     def work_port(self) -> int:
@@ -89,6 +112,7 @@
             self._node.membership,
             placement.Placement(),
         )
+        self._start_account()
         self._node.follow_platform()
         self._add_routes()
         await self._server.start(self.settings.ip, self.settings.work_port)
@@ -111,6 +135,27 @@
         await self._server.drain(self.settings.drain_s)
         await self._exits.aclose()
 
+    def _start_account(self) -> None:
+        holder = account_copy.CopyHolder()
+        copier = account_copy.AccountCopier(self._node, self._account, holder)
+        reader = account_query.AccountReader(self._account, holder, copier)
+        control = self._node.control
+        control.handle(account_copy.AccountCopy, holder.take)
+        control.handle(account_query.AccountRequest, reader.answer)
+        copier.start()
+        self._exits.push_async_callback(copier.close, _LAST_COPY_TIMEOUT_S)
+        reports = report_server.ReportServer(
+            report_module.Reporter(self._node, reader),
+            self._node.book,
+            self.settings.operator_token_digest,
+            self._node.clock,
+        )
+        reports.add_routes(self._server)
+        metrics_module.add_account(
+            self._metrics, self._account, holder, copier
+        )
+        self._server.route('GET', '/metrics', self._metrics.answer)
+
     def _add_routes(self) -> None:
         server = self._server
         server.route_work('POST', '/v1/chat/completions', self._completion)
@@ -131,19 +176,18 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         request_id = str(uuid_utils.uuid7())
-        started_s = time.monotonic()
-        try:
-            self._check_open()
-            contract = self._authenticate(request)
-            response = await handler(request, contract, request_id)
-        except errors.RefusalError as error:
-            response = answer.refusal_response(error, request_id)
-        log.info(
-            'answered',
-            request_id=request_id,
-            status=response.status,
-            duration_s=round(time.monotonic() - started_s, 6),
-        )
+        with self._account.counted(request_id) as tally:
+            request[_TALLY] = tally
+            try:
+                self._check_open()
+                contract = self._authenticate(request)
+                self._account.identify(tally, contract)
+                response = await handler(request, contract, request_id)
+            except errors.RefusalError as error:
+                tally.refused(error)
+                response = answer.refusal_response(error, request_id)
+            await delivery.finish(request, response)
+            tally.delivered()
         return response
 
     def _check_open(self) -> None:
@@ -223,10 +267,14 @@
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
         content_type = request.headers.get('Content-Type', '')
+        tally: account_module.Tally = request[_TALLY]
+        if order.adapter is not None:
+            tally.adapter = order.adapter.engine_name
         async with self._dispatcher.send(order, body, content_type) as found:
+            tally.stalled(found.headers.get(work.LOAD_STALL_HEADER))
             if found.content_type == _EVENT_STREAM:
                 return await self._stream(request, order, found)
-            return await _pass_whole(order, found)
+            return await _pass_whole(order, found, tally)
 
     async def _stream(
         self,
@@ -239,11 +287,15 @@
         response.headers[work.REQUEST_ID_HEADER] = order.request_id
         await response.prepare(request)
         relay = event_stream.EventRelay()
+        tally: account_module.Tally = request[_TALLY]
+        told = 0
         try:
             async for chunk in found.content.iter_any():
                 events = relay.feed(chunk)
                 if events:
                     await response.write(events)
+                    tally.wrote(relay.event_count - told - relay.is_complete)
+                    told = relay.event_count
         except aiohttp.ClientError as error:
             log.warning(
                 'stream cut', request_id=order.request_id, error=repr(error)
@@ -255,7 +307,8 @@
                     )
                 )
             )
-        await response.write_eof()
+        if not relay.is_complete:
+            tally.cut()
         return response
 
     async def _models(self, request: web.Request) -> web.Response:
@@ -324,7 +377,9 @@
 
 
 async def _pass_whole(
-    order: work.WorkOrder, found: aiohttp.ClientResponse
+    order: work.WorkOrder,
+    found: aiohttp.ClientResponse,
+    tally: account_module.Tally,
 ) -> web.Response:
     # The answer is sent only once it is whole here: the caller gets all
     # of it or an error with a status, never a torn body.
@@ -334,7 +389,17 @@
         raise errors.RefusalError(
             errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer broke off'
         ) from error
+    if order.adapter is not None:
+        tally.has_tokens(_count_tokens(body))
     headers = {work.REQUEST_ID_HEADER: order.request_id}
     if 'Content-Type' in found.headers:
         headers['Content-Type'] = found.headers['Content-Type']
     return web.Response(status=found.status, body=body, headers=headers)
+
+
+def _count_tokens(body: bytes) -> int:
+    try:
+        found = msgspec.json.decode(body, type=_WholeAnswer)
+    except msgspec.DecodeError:
+        return 0
+    return found.usage.completion_tokens
--- /dev/null
+++ b/lacewingpitch/metrics.py
@@ -0,0 +1,129 @@
+"""Metrics of a process, in the text form that Prometheus reads."""
+
+from collections.abc import Callable, Mapping
+
+from aiohttp import web
+import aioprometheus
+from aioprometheus import renderer
+
+from lacewingpitch import account as account_module
+from lacewingpitch import account_copy
+
+Read = Callable[[], float]
+ReadByLabel = Callable[[], Mapping[str, float]]
+
+
+class Metrics:
+    """A registry whose values are read when they are asked for."""
+
+    def __init__(self, instance: str, availability_zone: str) -> None:
+        self._registry = aioprometheus.Registry()
+        self._labels = {
+            'instance': instance,
+            'availability_zone': availability_zone,
+        }
+        self._readers: list[Callable[[], None]] = []
+
+    def gauge(self, name: str, doc: str, read: Read) -> None:
+        """Offer a value that goes up and down."""
+        metric = aioprometheus.Gauge(
+            f'lacewingpitch_{name}',
+            doc,
+            const_labels=self._labels,
+            registry=self._registry,
+        )
+        self._readers.append(lambda: metric.set({}, read()))
+
+    def counter(self, name: str, doc: str, read: Read) -> None:
+        """Offer a value that only grows while the process lives."""
+        metric = self._counter(name, doc)
+        self._readers.append(lambda: metric.set({}, read()))
+
+    def counter_by(
+        self, name: str, doc: str, label: str, read: ReadByLabel
+    ) -> None:
+        """Offer growing values that one label tells apart."""
+        metric = self._counter(name, doc)
+
+        def update() -> None:
+            for value, count in read().items():
+                metric.set({label: value}, count)
+
+        self._readers.append(update)
+
+    async def answer(self, request: web.Request) -> web.Response:
+        """Answer ``/metrics``."""
+        for update in self._readers:
+            update()
+        content, headers = renderer.render(
+            self._registry, request.headers.getall('Accept', [])
+        )
+        return web.Response(body=content, headers=headers)
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            f'lacewingpitch_{name}',
+            doc,
+            const_labels=self._labels,
+            registry=self._registry,
+        )
+
+
+def add_account(
+    metrics: Metrics,
+    account: account_module.Account,
+    holder: account_copy.CopyHolder,
+    copier: account_copy.AccountCopier,
+) -> None:
+    """Offer the totals of an account; customers are in the report.
+
+    A time series for each of 36,000 customers would cost every reader
+    more than the account itself.
+    """
+    metrics.counter(
+        'requests_received_total',
+        'Requests that came in.',
+        lambda: account.received_count,
+    )
+    metrics.counter_by(
+        'requests_ended_total',
+        'Requests that came to an end, by outcome.',
+        'outcome',
+        lambda: account.ended_by_outcome,
+    )
+    metrics.counter_by(
+        'errors_total',
+        'Requests without a whole answer, by kind of error.',
+        'kind',
+        lambda: account.errors_by_kind,
+    )
+    metrics.counter(
+        'tokens_total',
+        'Tokens of answers.',
+        lambda: account.token_count,
+    )
+    metrics.counter(
+        'load_stall_seconds_total',
+        'Time that served requests waited for an adapter to be loaded.',
+        lambda: account.stall_s,
+    )
+    metrics.gauge(
+        'account_rows',
+        'Customers with counts here.',
+        lambda: len(account.rows),
+    )
+    metrics.gauge(
+        'account_copies_held',
+        "Accounts of other instances' incarnations held here.",
+        lambda: len(holder.accounts),
+    )
+    metrics.gauge(
+        'account_copy_age_seconds',
+        'How long ago the account was last known to be copied whole.',
+        copier.age_s,
+    )
+    metrics.counter(
+        'account_copy_sent_bytes_total',
+        'Bytes of copies sent, of all messages.',
+        lambda: copier.sent_bytes,
+    )
--- /dev/null
+++ b/lacewingpitch/report_server.py
@@ -0,0 +1,150 @@
+"""The report over HTTP: for operators, and for one customer alone."""
+
+import asyncio
+import base64
+import binascii
+import collections
+import hmac
+
+from aiohttp import web
+import msgspec
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import contract as contract_module
+from lacewingpitch import contract_book
+from lacewingpitch import errors
+from lacewingpitch import http_server
+from lacewingpitch import report as report_module
+from lacewingpitch import report_page
+
+REUSE_S = 2.0
+_MAX_ASSEMBLING = 2
+_MAX_KEPT = 64
+_BEARER = 'Bearer '
+_BASIC = 'Basic '
+_CHALLENGE = {'WWW-Authenticate': 'Basic realm="account of service"'}
+_PAGE_HEADERS = {
+    'Cache-Control': 'no-store',
+    'Content-Security-Policy': (
+        "default-src 'none'; style-src 'unsafe-inline'"
+    ),
+    'X-Content-Type-Options': 'nosniff',
+}
+
+
+class ReportServer:
+    """Answers ``/report`` and ``/report/customers/NAME``.
+
+    Parameters
+    ----------
+    reporter
+        Assembles the reports.
+    book
+        Tells whose an API key is.
+    operator_token_digest
+        SHA-256 of the operators' token; without it there is no page for
+        operators.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        reporter: report_module.Reporter,
+        book: contract_book.ContractBook,
+        operator_token_digest: str | None,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._reporter = reporter
+        self._book = book
+        self._operator_token_digest = operator_token_digest
+        self._clock = clock
+        self._assembling = asyncio.Semaphore(_MAX_ASSEMBLING)
+        self._kept: collections.OrderedDict[
+            str | None, tuple[float, report_module.Report]
+        ] = collections.OrderedDict()
+
+    def add_routes(self, server: http_server.HttpServer) -> None:
+        """Answer the report's paths at `server`."""
+        server.route('GET', '/report', self._all_customers)
+        server.route('GET', '/report/customers/{name}', self._one_customer)
+
+    async def _all_customers(self, request: web.Request) -> web.Response:
+        if not self._is_operator(_token_of(request)):
+            return _refuse()
+        return await self._answer(request, None)
+
+    async def _one_customer(self, request: web.Request) -> web.Response:
+        name = request.match_info['name']
+        token = _token_of(request)
+        if not self._is_operator(token) and self._customer(token) != name:
+            return _refuse()
+        if self._book.contract(name) is None:
+            return web.Response(status=404, text='no such customer\n')
+        return await self._answer(request, name)
+
+    async def _answer(
+        self, request: web.Request, customer: str | None
+    ) -> web.Response:
+        report = await self._report(customer)
+        if request.query.get('format') == 'json':
+            return web.Response(
+                body=msgspec.json.encode(report),
+                content_type='application/json',
+                headers={'Cache-Control': 'no-store'},
+            )
+        # Drawing takes tens of milliseconds, which the streams that pass
+        # through this process would see as a gap between tokens.
+        page = await asyncio.to_thread(report_page.render, report)
+        return web.Response(
+            text=page, content_type='text/html', headers=_PAGE_HEADERS
+        )
+
+    async def _report(self, customer: str | None) -> report_module.Report:
+        # A report asks every entry.  A caller that reloads it over and
+        # over would multiply that load by the fleet, so reports are
+        # reused for a while and few are assembled at a time.
+        async with self._assembling:
+            kept = self._kept.get(customer)
+            now_s = self._clock.monotonic_s()
+            if kept is not None and now_s - kept[0] < REUSE_S:
+                return kept[1]
+            report = await self._reporter.assemble(customer)
+            self._kept[customer] = (self._clock.monotonic_s(), report)
+            self._kept.move_to_end(customer)
+            while len(self._kept) > _MAX_KEPT:
+                self._kept.popitem(last=False)
+            return report
+
+    def _is_operator(self, token: str) -> bool:
+        if self._operator_token_digest is None:
+            return False
+        return hmac.compare_digest(
+            contract_module.digest_key(token), self._operator_token_digest
+        )
+
+    def _customer(self, token: str) -> str | None:
+        try:
+            return self._book.authenticate(token).customer
+        except errors.RefusalError:
+            return None
+
+
+def _token_of(request: web.Request) -> str:
+    header = request.headers.get('Authorization', '')
+    if header.startswith(_BEARER):
+        return header.removeprefix(_BEARER)
+    if not header.startswith(_BASIC):
+        return ''
+    # Browsers ask for a name and a password; the password is the token.
+    try:
+        data = base64.b64decode(header.removeprefix(_BASIC), validate=True)
+        return data.decode().partition(':')[2]
+    except (binascii.Error, UnicodeDecodeError):
+        return ''
+
+
+def _refuse() -> web.Response:
+    # One answer for a wrong token and for another's name, so that it
+    # does not tell which customers there are.
+    return web.Response(status=401, text='not allowed\n', headers=_CHALLENGE)
--- a/lacewingpitch/settings.py
+++ b/lacewingpitch/settings.py
@@ -60,10 +60,18 @@
 
 
 class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
-    """Settings of an entry instance."""
+    """Settings of an entry instance.
+
+    Parameters
+    ----------
+    operator_token_digest
+        SHA-256 of the token that opens the report of all customers, in
+        lower-case hexadecimal; without it that report is closed.
+    """
 
     max_body_bytes: contract.PositiveInt = 4 << 20
     max_requests: contract.PositiveInt = 4096
+    operator_token_digest: contract.Digest | None = None
 
 
 class EngineSettings(decoding.Record, frozen=True, tag='engine'):
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -1,6 +1,7 @@
 """The process beside a backend server, and the only one to send it work."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 import contextlib
 
@@ -12,6 +13,7 @@
 from lacewingpitch import errors
 from lacewingpitch import http_server
 from lacewingpitch import ledger
+from lacewingpitch import metrics as metrics_module
 from lacewingpitch import node
 from lacewingpitch import runner as runner_module
 from lacewingpitch import settings as settings_module
@@ -45,6 +47,9 @@
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._queued = 0
+        self._error_count_by_kind: collections.Counter[str] = (
+            collections.Counter()
+        )
         self._running = asyncio.Semaphore(settings.backend_server.max_running)
         self._runner: runner_module.Runner
 
@@ -74,6 +79,7 @@
         self._server.route_work('POST', '/run', self._take)
         self._server.route('GET', '/healthz', self._health)
         self._server.route('GET', '/readyz', self._ready)
+        self._add_metrics()
         await self._server.start(self.settings.ip, self.settings.work_port)
         self._exits.push_async_callback(self._server.close)
         await self._exits.enter_async_context(self._node)
@@ -92,6 +98,28 @@
         await self._server.drain(self.settings.drain_s)
         await self._exits.aclose()
 
+    def _add_metrics(self) -> None:
+        metrics = metrics_module.Metrics(
+            self.settings.instance, self.settings.availability_zone
+        )
+        metrics.gauge(
+            'requests_in_progress',
+            'Requests that are waiting or running here.',
+            lambda: self._server.in_progress,
+        )
+        metrics.gauge(
+            'requests_queued',
+            'Requests that wait for their adapter or their turn.',
+            lambda: self._queued,
+        )
+        metrics.counter_by(
+            'errors_total',
+            'Requests without a whole answer, by kind of error.',
+            'kind',
+            lambda: self._error_count_by_kind,
+        )
+        self._server.route('GET', '/metrics', metrics.answer)
+
     async def _take(self, request: web.Request) -> web.StreamResponse:
         try:
             order = work.decode_order(
@@ -108,6 +136,7 @@
                 customer=order.customer,
                 kind=error.kind,
             )
+            self._error_count_by_kind[error.kind.value] += 1
             return answer.refusal_response(error, order.request_id)
 
     async def _run(
