Tests of the copies: any order, loss and repetition merge to the same

A state machine plays counting, copies that are delivered, lost, late or repeated, and a holder that restarts; at every step the holder must have all that it claims to be complete, and never more than the owner.

--- /dev/null
+++ b/tests/test_account_copy.py
@@ -0,0 +1,265 @@
+"""Copies of the account at peers: any order, loss and repetition."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from lacewingpitch import account as account_module
+from lacewingpitch import account_copy
+from lacewingpitch import account_rows
+from lacewingpitch import live_list
+from tests import fault_matrix
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+OWNER = account_module.AccountId('entry-0', 'one', 'zone-a', 0.0)
+CUSTOMERS = strategies.sampled_from(['haneul', 'caravan'])
+COUNTERS = strategies.integers(0, 1)
+
+
+class FixedClock:
+    def monotonic_s(self):
+        return 0.0
+
+    def wall_s(self):
+        return 0.0
+
+
+class Link:
+    """An owner and a holder, with messages in between."""
+
+    def __init__(self, capacity_accounts=8):
+        self.account = account_module.Account(OWNER, FixedClock())
+        self.backlog = account_copy.Backlog(self.account.rows)
+        self.holder = account_copy.CopyHolder(capacity_accounts)
+        self.now_s = 1.0
+        self.past = {}
+
+    def count(self, customer, number):
+        self.account.add(customer, {number: 1})
+
+    def snapshot(self):
+        rows = self.account.rows
+        return {c: dict(rows.row(c)) for c in rows}
+
+    def next_copy(self, max_bytes=account_copy.MAX_BATCH_BYTES):
+        self.now_s += 1
+        self.past[self.now_s] = self.snapshot()
+        self.backlog.note(self.account.take_changes())
+        head = account_copy.AccountHead(
+            account_id=OWNER, complete_until_s=self.now_s
+        )
+        return self.backlog.next_copy(head, max_bytes)
+
+    async def exchange(self, **fields):
+        message = self.next_copy(**fields)
+        self.backlog.confirm(message, await self.holder.take(message))
+
+    def held(self):
+        return self.holder.account(OWNER)
+
+    def held_rows(self):
+        held = self.held()
+        return {c: dict(held.rows.row(c)) for c in held.rows}
+
+    def check_claim(self):
+        """What the holder claims to be complete, it has."""
+        held = self.held()
+        if held is None or not held.complete_until_s:
+            return
+        for customer, row in self.past[held.complete_until_s].items():
+            kept = held.rows.row(customer)
+            for number, count in row.items():
+                assert kept.get(number, 0) >= count
+
+
+def run(coroutine):
+    """Run a coroutine that waits for nothing."""
+    with pytest.raises(StopIteration) as found:
+        coroutine.send(None)
+    return found.value.value
+
+
+class CopyMachine(stateful.RuleBasedStateMachine):
+    """Any order, loss and repetition of copies merges to the same."""
+
+    def __init__(self):
+        super().__init__()
+        self.link = Link()
+        self.sent = []
+
+    @stateful.rule(customer=CUSTOMERS, number=COUNTERS)
+    def count(self, customer, number):
+        self.link.count(customer, number)
+
+    @stateful.rule(max_bytes=strategies.sampled_from([1, 40, 1536]))
+    def delivered(self, max_bytes):
+        message = self.link.next_copy(max_bytes)
+        self.sent.append(message)
+        self.link.backlog.confirm(message, run(self.link.holder.take(message)))
+
+    @stateful.rule(max_bytes=strategies.sampled_from([1, 40, 1536]))
+    def lost(self, max_bytes):
+        message = self.link.next_copy(max_bytes)
+        self.sent.append(message)
+        self.link.backlog.lost(message)
+
+    @stateful.rule(max_bytes=strategies.sampled_from([1, 40, 1536]))
+    def reply_lost(self, max_bytes):
+        message = self.link.next_copy(max_bytes)
+        run(self.link.holder.take(message))
+        self.link.backlog.lost(message)
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=strategies.data())
+    def late_again(self, data):
+        message = data.draw(strategies.sampled_from(self.sent))
+        run(self.link.holder.take(message))
+
+    @stateful.rule()
+    def holder_restarts(self):
+        self.link.holder = account_copy.CopyHolder()
+
+    @stateful.rule(count=strategies.integers(1, 4))
+    def sweep(self, count):
+        self.link.account.sweep(count)
+        self.link.holder.sweep(count, 0.0)
+
+    @stateful.invariant()
+    def claims_only_what_it_has(self):
+        self.link.check_claim()
+
+    @stateful.invariant()
+    def never_more_than_the_owner(self):
+        if self.link.held() is None:
+            return
+        own = self.link.snapshot()
+        for customer, row in self.link.held_rows().items():
+            for number, count in row.items():
+                assert own[customer][number] >= count
+
+    def teardown(self):
+        for _ in range(20):
+            run(self.link.exchange())
+        assert self.link.held_rows() == self.link.snapshot()
+        assert self.link.held().complete_until_s == self.link.now_s
+
+
+CopyMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+)
+TestAnyOrder = CopyMachine.TestCase
+
+
+class TestHolder:
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.TWO_FAULTS, Step.ANY)
+    async def test_restarted_holder_claims_nothing_until_refilled(self):
+        """A report lacks a lost instance's answers and states no gap.
+
+        The holder of its copies restarts empty, gets one more delta, and
+        then the instance is lost.  The cause would be a holder that
+        takes over the sender's claim of completeness for a copy that it
+        no longer has.
+        """
+        link = Link()
+        link.count('haneul', 1)
+        await link.exchange()
+        await link.exchange()
+        assert link.held().complete_until_s
+        link.holder = account_copy.CopyHolder()
+        link.count('caravan', 1)
+        await link.exchange()
+        assert link.held_rows() == {'caravan': {1: 1}}
+        assert link.held().complete_until_s == 0.0
+        await link.exchange()
+        assert link.held_rows() == link.snapshot()
+        assert link.held().complete_until_s
+
+    async def test_copy_dropped_for_room_claims_nothing(self):
+        link = Link(capacity_accounts=1)
+        link.count('haneul', 1)
+        await link.exchange()
+        await link.exchange()
+        other = account_module.AccountId('entry-9', 'x', 'zone-b', 0.0)
+        head = account_copy.AccountHead(account_id=other)
+        await link.holder.take(account_copy.AccountCopy(head=head, rows={}))
+        assert link.held() is None
+        await link.exchange()
+        assert link.held().complete_until_s == 0.0
+
+    async def test_is_bounded_by_rows(self):
+        holder = account_copy.CopyHolder(capacity_rows=10)
+        for number in range(5):
+            account_id = account_module.AccountId(
+                f'entry-{number}', 'x', 'zone-a', 0.0
+            )
+            head = account_copy.AccountHead(account_id=account_id)
+            rows = {f'c{customer}': {1: 1} for customer in range(4)}
+            await holder.take(account_copy.AccountCopy(head=head, rows=rows))
+        assert [h.account_id.instance for h in holder.accounts] == [
+            'entry-3',
+            'entry-4',
+        ]
+
+
+class TestBacklog:
+    async def test_message_stays_within_its_bytes(self):
+        link = Link()
+        for number in range(500):
+            link.count(f'customer-{number}', 1)
+        for _ in range(100):
+            message = link.next_copy()
+            size = sum(
+                account_copy._row_bytes(c, r) for c, r in message.rows.items()
+            )
+            assert size <= account_copy.MAX_BATCH_BYTES + 100
+            link.backlog.confirm(message, await link.holder.take(message))
+        assert link.held_rows() == link.snapshot()
+
+    def test_only_what_changed_is_sent(self):
+        link = Link()
+        link.count('haneul', 1)
+        link.count('caravan', 1)
+        link.next_copy()
+        link.count('haneul', 2)
+        assert link.next_copy().rows == {'haneul': {2: 1}}
+
+
+def entry(name, zone, region='region-a'):
+    return live_list.Instance(
+        name=name,
+        role=live_list.Role.ENTRY,
+        region=region,
+        availability_zone=zone,
+        ip='127.0.0.1',
+        work_port=1,
+        control_port=1,
+    )
+
+
+class TestChooseHolders:
+    def test_spreads_over_other_zones_of_the_region(self):
+        others = [
+            entry(f'entry-{n}', f'zone-{"abc"[n % 3]}') for n in range(9)
+        ]
+        others += [entry(f'far-{n}', 'zone-z', 'region-z') for n in range(9)]
+        chosen = account_copy.choose_holders(OWNER, 'region-a', others)
+        zones = {holder.availability_zone for holder in chosen}
+        assert zones == {'zone-b', 'zone-c'}
+
+    def test_takes_what_there_is(self):
+        others = [entry('entry-1', 'zone-a')]
+        assert account_copy.choose_holders(OWNER, 'region-a', others) == others
+        assert not account_copy.choose_holders(OWNER, 'region-a', [])
+
+
+class TestMerge:
+    def test_keeps_the_greater(self):
+        row = {1: 5, 2: 1}
+        account_rows.merge(row, {1: 3, 2: 4, 3: 1})
+        assert row == {1: 5, 2: 4, 3: 1}
