Tests of the report: its gaps, its readers, and sums against callers

Real entries are killed, frozen and ended gracefully under load; what the report shows equals what callers received whole, or the gap it names covers the difference. The page carries no script: the plots' own is dropped, so a page can be handed on as one file.

--- a/lacewingpitch/report_page.py
+++ b/lacewingpitch/report_page.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 import html
+from xml.etree import ElementTree
 
 import pygal
 import pygal.style
@@ -394,9 +395,18 @@
 
 
 def _svg(chart: pygal.Graph) -> str:
+    chart.add_xml_filter(_drop_scripts)
     return str(chart.render(is_unicode=True))
 
 
+def _drop_scripts(root: ElementTree.Element) -> ElementTree.Element:
+    for parent in tuple(root.iter()):
+        for child in tuple(parent):
+            if str(child.tag).endswith('script'):
+                parent.remove(child)
+    return root
+
+
 _Count = Callable[[report_module.CustomerService], int]
 _OUTCOMES: tuple[tuple[str, _Count], ...] = (
     ('served', lambda s: s.served_count),
--- /dev/null
+++ b/tests/account_fleet.py
@@ -0,0 +1,139 @@
+"""Entries in one process, joined by calls, to be lost and replaced."""
+
+import itertools
+import types
+
+from lacewingpitch import account as account_module
+from lacewingpitch import account_copy
+from lacewingpitch import account_query
+from lacewingpitch import contract
+from lacewingpitch import contract_book
+from lacewingpitch import errors
+from lacewingpitch import link
+from lacewingpitch import live_list
+from lacewingpitch import report
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+
+
+class FleetClock:
+    def __init__(self):
+        self.now_s = 1_800_000_000.0
+
+    def monotonic_s(self):
+        return self.now_s
+
+    def wall_s(self):
+        return self.now_s
+
+
+class Entry:
+    """One incarnation of an entry: its account, copies and reporter."""
+
+    def __init__(self, fleet, name, zone):
+        self.fleet = fleet
+        self.name = name
+        self.port = next(fleet.ports)
+        self.account = account_module.Account(
+            account_module.AccountId(
+                name, f'{self.port}', zone, fleet.clock.wall_s()
+            ),
+            fleet.clock,
+        )
+        self.instance = live_list.Instance(
+            name=name,
+            role=live_list.Role.ENTRY,
+            region='region-a',
+            availability_zone=zone,
+            ip='127.0.0.1',
+            work_port=self.port,
+            control_port=self.port,
+            started_at_s=fleet.clock.wall_s(),
+        )
+        self.node = types.SimpleNamespace(
+            settings=types.SimpleNamespace(instance=name, region='region-a'),
+            clock=fleet.clock,
+            membership=fleet,
+            peers=types.SimpleNamespace(peer=self._peer),
+            sealer=link.Sealer('test', 'x' * 16, name),
+            book=fleet.book,
+        )
+        self.holder = account_copy.CopyHolder()
+        self.copier = account_copy.AccountCopier(
+            self.node, self.account, self.holder
+        )
+        self.reader = account_query.AccountReader(
+            self.account, self.holder, self.copier
+        )
+        self.reporter = report.Reporter(self.node, self.reader)
+
+    def _peer(self, _ip, port):
+        return types.SimpleNamespace(
+            ask=lambda message, _kind, _s: self._ask(port, message)
+        )
+
+    async def _ask(self, port, message):
+        found = self.fleet.by_port.get(port)
+        if found is None or {self.name, found.name} & self.fleet.cut_off:
+            raise errors.LinkError('no reply')
+        if isinstance(message, account_copy.AccountCopy):
+            return await found.holder.take(message)
+        return await found.reader.answer(message)
+
+    def serve(self, customer, count=1):
+        """Count answers that were served."""
+        for _ in range(count):
+            with self.account.counted('id') as tally:
+                self.account.identify(tally, self.fleet.contract(customer))
+                tally.delivered()
+
+
+class Fleet:
+    """The entries that live, and the list that names them."""
+
+    def __init__(self, size=3):
+        self.clock = FleetClock()
+        self.ports = itertools.count(1)
+        self.by_port = {}
+        self.cut_off = set()
+        self.listed = {}
+        self.book = contract_book.ContractBook()
+        self.entries = {}
+        for number in range(size):
+            self.add(f'entry-{number}')
+
+    @property
+    def instances(self):
+        return tuple(self.listed.values())
+
+    def contract(self, customer):
+        found = contract.Contract(
+            customer=customer, revision=1, key_digests=()
+        )
+        self.book.accept(found)
+        return found
+
+    def add(self, name):
+        """Start an entry, or its next incarnation."""
+        zone = ZONES[int(name.split('-')[1]) % len(ZONES)]
+        found = Entry(self, name, zone)
+        self.by_port[found.port] = found
+        self.entries[name] = found
+        self.listed[name] = found.instance
+        return found
+
+    def kill(self, name):
+        """Lose an entry with all its memory; the list lags."""
+        found = self.entries.pop(name)
+        del self.by_port[found.port]
+        return found
+
+    def unlist(self, name):
+        del self.listed[name]
+
+    async def rounds(self, count=1):
+        """Let every entry copy its account, in turn."""
+        for _ in range(count):
+            self.clock.now_s += account_copy.COPY_INTERVAL_S
+            for found in tuple(self.entries.values()):
+                await found.copier.copy_once()
--- /dev/null
+++ b/tests/test_account_processes.py
@@ -0,0 +1,243 @@
+"""The account against what callers received, over real processes."""
+
+import asyncio
+import collections
+import time
+
+import aiohttp
+import msgspec
+import pytest
+
+from lacewingpitch import answer as answer_module
+from lacewingpitch import contract
+from lacewingpitch import report as report_module
+from tests import fault_matrix
+from tests import processes
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+TOKEN = 'token-of-operators'
+CALLS = (('haneul', 'ficus'), ('caravan', 'trade-in'))
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with processes.Deployment(tmp_path) as found:
+        for _ in range(2):
+            await found.add_engine()
+        for zone in ('zone-a', 'zone-b', 'zone-c'):
+            await found.add_entry(
+                availability_zone=zone,
+                operator_token_digest=contract.digest_key(TOKEN),
+            )
+        for customer, adapter in CALLS:
+            found.add_customer(customer, adapter)
+        await found.publish()
+        yield found
+
+
+class Callers:
+    """Callers that note what they received whole, and when."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.received = []
+
+    async def call(self, entry, customer, adapter, stream):
+        try:
+            async with self.deployment.call(
+                entry, customer, adapter, stream=stream
+            ) as response:
+                body = await response.read()
+        except aiohttp.ClientError:
+            return False
+        assert response.status == 200
+        if not stream or body.endswith(answer_module.STREAM_END):
+            self.received.append((time.time(), entry, customer))
+        return True
+
+    async def keep_calling(self, entry, count):
+        for number in range(count):
+            for customer, adapter in CALLS:
+                is_stream = number % 2 == 1
+                if not await self.call(entry, customer, adapter, is_stream):
+                    return
+
+    def counts(self, is_counted=lambda _at_s, _entry: True):
+        return collections.Counter(
+            customer
+            for at_s, entry, customer in self.received
+            if is_counted(at_s, entry)
+        )
+
+
+async def read_report(deployment, entry):
+    data = await report_module.fetch(entry.url, None, TOKEN)
+    return msgspec.json.decode(data, type=report_module.Report)
+
+
+def served(report):
+    return {s.customer: s.served_count for s in report.services}
+
+
+async def without_gaps(deployment, entry):
+    async def is_whole():
+        return not (await read_report(deployment, entry)).gaps
+
+    await processes.until(is_whole)
+    return await read_report(deployment, entry)
+
+
+class TestKilled:
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.KILLED, Step.MID_STREAM)
+    async def test_gap_covers_what_the_report_lacks(self, deployment):
+        """A customer's report shows fewer answers than the customer got.
+
+        Callers use three entries; one is killed under load, between an
+        answer and its next copy.  The cause would be counts that only
+        the lost instance had, and a report silent about them.
+        """
+        callers = Callers(deployment)
+        lost = deployment.entries[2]
+        calling = [
+            asyncio.create_task(callers.keep_calling(entry, count))
+            for entry, count in zip(
+                deployment.entries, (10, 10, 10_000), strict=True
+            )
+        ]
+
+        async def is_copied():
+            report = await read_report(deployment, deployment.entries[0])
+            return any(s.read_from == 'a copy' for s in report.sources)
+
+        await asyncio.gather(*calling[:2])
+        await asyncio.sleep(5)
+        await lost.kill()
+        await calling[2]
+        await processes.until(is_copied)
+        report = await read_report(deployment, deployment.entries[0])
+        (gap,) = report.gaps
+        assert gap.instance == 'entry-2'
+        certain = callers.counts(
+            lambda at_s, entry: entry is not lost or at_s < gap.from_s
+        )
+        received = callers.counts()
+        for customer, count in served(report).items():
+            assert certain[customer] <= count <= received[customer]
+        assert (
+            certain.total()
+            > callers.counts(lambda _at_s, entry: entry is not lost).total()
+        )
+
+
+class TestFrozen:
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.FROZEN, Step.ANY)
+    async def test_gap_closes_when_the_instance_wakes(self, deployment):
+        """A report misses what a frozen entry has served, for good.
+
+        An entry freezes after serving and wakes up later.  Meanwhile the
+        report must name it; then its counts are there, once.  The cause
+        would be a copy and the instance itself both being added up.
+        """
+        callers = Callers(deployment)
+        for entry in deployment.entries:
+            await callers.keep_calling(entry, 5)
+        frozen = deployment.entries[1]
+        frozen.freeze()
+        report = await read_report(deployment, deployment.entries[0])
+        assert [gap.instance for gap in report.gaps] == ['entry-1']
+        assert sum(served(report).values()) <= len(callers.received)
+        frozen.wake()
+        report = await without_gaps(deployment, deployment.entries[0])
+        assert served(report) == callers.counts()
+
+
+class TestGraceful:
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.NONE, Step.DRAINING)
+    async def test_terminated_entry_leaves_no_gap(self, deployment):
+        callers = Callers(deployment)
+        for entry in deployment.entries:
+            await callers.keep_calling(entry, 5)
+        deployment.entries[2].terminate()
+        assert await deployment.entries[2].exited() == 0
+        del deployment.instances[-1]
+        await deployment.publish_instances()
+        report = await without_gaps(deployment, deployment.entries[0])
+        assert served(report) == callers.counts()
+
+
+class TestFates:
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.STREAM_CUT, Step.MID_STREAM)
+    async def test_cut_and_abandoned_answers_are_not_served(self, deployment):
+        """Answers that nobody got whole are in the account as served.
+
+        One caller leaves in the middle of its stream; an engine dies in
+        the middle of another's.  The cause would be counting an answer
+        by the status at its head.
+        """
+        entry = deployment.entries[0]
+
+        async def begin():
+            response = await deployment.call(
+                entry, 'haneul', 'ficus', stream=True, max_tokens=5000
+            )
+            await response.content.readline()
+            return response
+
+        leaving, cut = await begin(), await begin()
+        leaving.close()
+        for engine in deployment.engines:
+            await engine.kill()
+        await cut.read()
+
+        async def are_counted():
+            report = await read_report(deployment, entry)
+            (found,) = (s for s in report.services if s.customer == 'haneul')
+            assert found.served_count == 0
+            return found.caller_gone_count == 1 and found.partial == {
+                'answer-cut': 1
+            }
+
+        await processes.until(are_counted)
+
+
+class TestOneCustomer:
+    async def test_key_opens_its_own_report_alone(self, deployment):
+        entry = deployment.entries[0]
+        callers = Callers(deployment)
+        await callers.keep_calling(entry, 2)
+        headers = {'Authorization': f'Bearer {deployment.keys["haneul"]}'}
+        for path in ('/report', '/report/customers/caravan'):
+            async with deployment.session.get(
+                entry.url + path, headers=headers
+            ) as response:
+                assert response.status == 401
+                assert 'caravan' not in await response.text()
+        for query in ('', '?format=json'):
+            async with deployment.session.get(
+                f'{entry.url}/report/customers/haneul{query}', headers=headers
+            ) as response:
+                assert response.status == 200
+                text = await response.text()
+        assert 'haneul' in text
+        assert 'caravan' not in text
+        assert 'trade-in' not in text
+
+    async def test_account_line_names_no_key(self, deployment):
+        entry = deployment.entries[0]
+        await Callers(deployment).keep_calling(entry, 1)
+
+        async def lines():
+            return [x for x in entry.log if x['event'] == 'answered']
+
+        await processes.until(lines)
+        line = (await lines())[0]
+        assert line['customer'] == 'haneul'
+        assert line['adapter'] == 'ficus@1'
+        assert line['instance'] == 'entry-0'
+        assert line['availability_zone'] == 'zone-a'
+        assert line['outcome'] == 'served'
+        assert line['request_id']
+        text = msgspec.json.encode(entry.log).decode()
+        assert not any(key in text for key in deployment.keys.values())
