Check settings and contracts offline; render and diff contracts

The daemons stop at the first wrong field, and take what decodes but cannot be meant. check goes through the types field by field, prints every error with field, value and what is allowed, and adds rules of meaning, alone and between files. render spreads contracts over shards by a hash of the customer; the count of shards is in each shard's name, since under kept names a shard's revision could fall and its next change be passed over. diff marks what must not be published.

Found by the property tests and mended, each with its test: - text nested too deep raised RecursionError out of decode_json, which would have ended the task that follows the contracts (remove it from the except clauses and test_decoding fails); - a wrong field before text that is not JSON raised out of the explanation of the error; - names, digests and IP numbers could end in a line break ($ in place of \Z), and words such as 'abc' passed as IP numbers; - a wrong secret was shown in the error.

--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -12,9 +12,12 @@
 import uvloop
 
 import lacewingpitch
+from lacewingpitch import checking
+from lacewingpitch import contract_files
 from lacewingpitch import demo as demo_module
 from lacewingpitch import entry as entry_module
 from lacewingpitch import errors
+from lacewingpitch import errors_page
 from lacewingpitch import settings
 from lacewingpitch import sidecar as sidecar_module
 from lacewingpitch import standin_engine
@@ -25,6 +28,9 @@
 _SETTINGS_FILE = click.Path(
     exists=True, dir_okay=False, path_type=pathlib.Path
 )
+_PATH = click.Path(exists=True, path_type=pathlib.Path)
+_FOLDER = click.Path(file_okay=False, path_type=pathlib.Path)
+_PROBLEMS_EXIT_CODE = 1
 
 
 class Daemon(Protocol):
@@ -47,20 +53,33 @@
 @click.version_option(lacewingpitch.__version__)
 @click.option(
     '--log-level',
-    type=click.Choice(['debug', 'info', 'warning', 'error']),
+    type=click.Choice(['debug', 'info', 'warning', 'error', 'critical']),
     default='info',
     show_default=True,
     help='Least important log lines to write.',
 )
 def main(log_level: str) -> None:
-    """Serve many LoRA adapters, each customer by its contract."""
+    """Serve many LoRA adapters, each customer by its contract.
+
+    Daemons: `entry` takes callers' requests, `sidecar` runs beside each
+    backend server.  For operators: `check`, `contracts`, `errors`,
+    `demo`.  Logs go to standard error as JSON lines.
+
+    Exit codes of every command: 0 done, nothing wrong; 1 something given
+    is wrong, or a daemon cannot listen; 2 the command line is wrong.
+    """
     configure_logs(log_level)
 
 
 @main.command()
 @click.argument('settings_file', type=_SETTINGS_FILE)
 def entry(settings_file: pathlib.Path) -> None:
-    """Run an entry instance; SIGTERM drains it."""
+    """Run an entry instance with the settings in SETTINGS_FILE.
+
+    SIGTERM or SIGINT drains it: /readyz turns 503, new requests are
+    refused as "not-run", those in progress end whole, and it exits 0.
+    The log line "listening" names its ports.
+    """
     found = _load(settings_file, settings.EntrySettings)
     _serve(entry_module.Entry(found))
 
@@ -68,18 +87,131 @@
 @main.command()
 @click.argument('settings_file', type=_SETTINGS_FILE)
 def sidecar(settings_file: pathlib.Path) -> None:
-    """Run the process beside a backend server; SIGTERM drains it."""
+    """Run the process beside a backend server.
+
+    SETTINGS_FILE names the engine or plain service.  SIGTERM or SIGINT
+    drains it as an entry.  It listens on its work port exclusively, so a
+    second sidecar for the same address exits 1.
+    """
     found = _load(settings_file, settings.SidecarSettings)
     _serve(sidecar_module.Sidecar(found))
 
 
 @main.command()
 def demo() -> None:
-    """Serve sample traffic in one process and print a report."""
-    configure_logs('error')
+    """Serve sample traffic in one process and print a report.
+
+    Entry, sidecars and stand-ins run here on free ports of 127.0.0.1;
+    two customers call several adapters, whole and streamed, are refused
+    once, and send one request twice that may run only once.
+    """
+    configure_logs('critical')
     sys.exit(uvloop.run(demo_module.run_demo()))
 
 
+@main.command()
+@click.argument('paths', nargs=-1, required=True, type=_PATH)
+@click.option(
+    '--kind',
+    type=click.Choice([kind.value for kind in checking.Kind]),
+    help='What the files hold; told from their fields if left out.',
+)
+def check(paths: tuple[pathlib.Path, ...], kind: str | None) -> None:
+    """Check settings and contracts offline.
+
+    PATHS are JSON files and folders of them.  Every problem is printed
+    on a line of its own with file, field, what is allowed and the value
+    found.  Files are checked alone and against each other: a customer,
+    key digest, instance or address may be in one of them only.
+
+    Exits 0 if all is well, 1 if there is a problem.
+    """
+    found = checking.check_paths(paths, checking.Kind(kind) if kind else None)
+    bad = [item for item in found if item.problems]
+    for item in bad:
+        for problem in item.problems:
+            click.echo(str(problem))
+    click.echo(f'{len(found)} checked, {len(bad)} with problems', err=True)
+    sys.exit(_PROBLEMS_EXIT_CODE if bad or not found else 0)
+
+
+@main.group()
+def contracts() -> None:
+    """Prepare contracts for the configuration service.
+
+    Contracts are kept as one JSON file for each customer in a folder.
+    """
+
+
+@contracts.command('render')
+@click.argument('folder', type=_PATH)
+@click.option(
+    '--output',
+    type=_FOLDER,
+    help='Folder for one NAME.json per value; standard output if left out.',
+)
+@click.option(
+    '--shards',
+    type=click.IntRange(min=1),
+    default=contract_files.DEFAULT_SHARD_COUNT,
+    show_default=True,
+    help='How many values the contracts are spread over; keep it.',
+)
+def contracts_render(
+    folder: pathlib.Path, output: pathlib.Path | None, shards: int
+) -> None:
+    """Write the values to publish from the contracts in FOLDER.
+
+    The values are shards of contracts, each under 1 MB, and the index
+    "contracts.index", which is to be published last.  A customer's shard
+    follows from its name and the number of shards, so one change touches
+    one shard.  To standard output each value is a JSON line with "name"
+    and "content".
+
+    Exits 1 and writes nothing if a contract has a problem.
+    """
+    try:
+        found = contract_files.load_contracts(folder)
+        values = contract_files.render(found, shards)
+    except errors.SettingsError as error:
+        raise click.ClickException(str(error)) from error
+    contract_files.write_values(values, output, sys.stdout)
+
+
+@contracts.command('diff')
+@click.argument('old', type=_PATH)
+@click.argument('new', type=_PATH)
+def contracts_diff(old: pathlib.Path, new: pathlib.Path) -> None:
+    """Say who changes in what between OLD and NEW.
+
+    Each is a folder of contracts, one contract, or rendered values.
+    A line "FAULT" marks a change that must not be published: a content
+    that changed while its revision did not rise, or a contract that was
+    removed instead of revoked.
+
+    Exits 0 if there is no fault (also if nothing changed), else 1.
+    """
+    try:
+        changes = contract_files.diff(
+            contract_files.load_contracts(old),
+            contract_files.load_contracts(new),
+        )
+    except errors.SettingsError as error:
+        raise click.ClickException(str(error)) from error
+    for change in changes:
+        for line in change.changes:
+            click.echo(f'{change.customer}: {line}')
+        for line in change.faults:
+            click.echo(f'{change.customer}: FAULT {line}')
+    sys.exit(_PROBLEMS_EXIT_CODE if any(c.faults for c in changes) else 0)
+
+
+@main.command('errors')
+def errors_command() -> None:
+    """Print the table of error kinds, as in docs/ERRORS.md."""
+    click.echo(errors_page.render(), nl=False)
+
+
 @main.group()
 def standin() -> None:
     """Run a small stand-in of an outside system, for tests."""
--- a/lacewingpitch/contract.py
+++ b/lacewingpitch/contract.py
@@ -8,13 +8,14 @@
 
 from lacewingpitch import decoding
 
+# `\Z` and not `$`, which would let a name end in a line break.
 Name = Annotated[
     str,
     msgspec.Meta(
-        pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*$', min_length=1, max_length=128
+        pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*\Z', min_length=1, max_length=128
     ),
 ]
-Digest = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+Digest = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-f]{64}\Z')]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
 Ratio = Annotated[float, msgspec.Meta(gt=0, lt=1)]
--- /dev/null
+++ b/lacewingpitch/contract_files.py
@@ -0,0 +1,239 @@
+"""Contracts as operators keep them: one JSON file for each customer.
+
+From a folder of such files come the values to publish at the
+configuration service: shards of contracts, and an index of the shards.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import pathlib
+from typing import Any, TextIO
+
+import msgspec
+import xxhash
+
+from lacewingpitch import checking
+from lacewingpitch import config_service
+from lacewingpitch import contract as contract_module
+from lacewingpitch import contract_book
+from lacewingpitch import errors
+
+DEFAULT_SHARD_COUNT = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishedValue:
+    """One value for the configuration service."""
+
+    name: str
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContractChange:
+    """What differs in one customer's contract.
+
+    Parameters
+    ----------
+    changes
+        One line for each field that differs.
+    faults
+        Why this change must not be published; empty if it may be.
+    """
+
+    customer: str
+    changes: tuple[str, ...]
+    faults: tuple[str, ...] = ()
+
+
+def load_contracts(path: pathlib.Path) -> tuple[contract_module.Contract, ...]:
+    """Read the contracts of a folder, a file, or rendered shards.
+
+    Raises
+    ------
+    SettingsError
+        A contract is wrong, or clashes with another; names them all.
+    """
+    checked = checking.check_paths([path])
+    problems = [str(p) for item in checked for p in item.problems]
+    if problems:
+        raise errors.SettingsError('\n'.join(problems))
+    found = [
+        item.content
+        for item in checked
+        if isinstance(item.content, contract_module.Contract)
+    ]
+    if not found:
+        raise errors.SettingsError(f'{path}: holds no contract')
+    return tuple(sorted(found, key=lambda contract: contract.customer))
+
+
+def render(
+    contracts: Iterable[contract_module.Contract],
+    shard_count: int = DEFAULT_SHARD_COUNT,
+) -> list[PublishedValue]:
+    """Return the values to publish, the index last.
+
+    A customer's shard depends on its name and `shard_count` alone, so
+    that a change of one contract changes one shard and the index.
+
+    Raises
+    ------
+    SettingsError
+        A value would be larger than the configuration service takes.
+    """
+    shards: dict[str, list[contract_module.Contract]] = {}
+    for contract in sorted(contracts, key=lambda c: c.customer):
+        name = shard_name(contract.customer, shard_count)
+        shards.setdefault(name, []).append(contract)
+    values = [
+        PublishedValue(name, _encode({'contracts': shards[name]}))
+        for name in sorted(shards)
+    ]
+    index = contract_book.ContractIndex(
+        shards=tuple(
+            contract_book.ShardRevision(
+                name=name, revision=_shard_revision(shards[name])
+            )
+            for name in sorted(shards)
+        )
+    )
+    # The index comes last: whoever reads it finds the shards it names.
+    values.append(PublishedValue(contract_book.INDEX_NAME, _encode(index)))
+    for value in values:
+        _check_size(value)
+    return values
+
+
+def write_values(
+    values: Iterable[PublishedValue],
+    folder: pathlib.Path | None,
+    stream: TextIO,
+) -> None:
+    """Write values as files of a folder, or as JSON lines to a stream."""
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+    for value in values:
+        if folder is not None:
+            (folder / f'{value.name}.json').write_bytes(value.content)
+            continue
+        line = {'name': value.name, 'content': msgspec.Raw(value.content)}
+        stream.write(_encode(line).decode() + '\n')
+
+
+def shard_name(customer: str, shard_count: int) -> str:
+    """Return the name of the value that holds a customer's contract."""
+    number = xxhash.xxh64_intdigest(customer.encode()) % shard_count
+    # With the count in the name, another count gives new names.  Under
+    # the old names a shard's revision could fall, and readers would pass
+    # over its next change.
+    return f'contracts.{number}-of-{shard_count}'
+
+
+def diff(
+    old: Iterable[contract_module.Contract],
+    new: Iterable[contract_module.Contract],
+) -> list[ContractChange]:
+    """Return the customers whose contracts differ, by name."""
+    before = {contract.customer: contract for contract in old}
+    after = {contract.customer: contract for contract in new}
+    found = [
+        _change(customer, before.get(customer), after.get(customer))
+        for customer in sorted(before.keys() | after.keys())
+    ]
+    return [change for change in found if change.changes or change.faults]
+
+
+def _change(
+    customer: str,
+    old: contract_module.Contract | None,
+    new: contract_module.Contract | None,
+) -> ContractChange:
+    if old is None:
+        return ContractChange(customer, ('added',))
+    if new is None:
+        return ContractChange(
+            customer,
+            ('removed',),
+            (
+                'a contract that is no longer published stays in force:'
+                ' publish it with "revoked": true',
+            ),
+        )
+    changes = tuple(_differences(_plain(old), _plain(new), checking.ROOT))
+    changes += tuple(_version_changes(old, new))
+    return ContractChange(customer, changes, _revision_faults(old, new))
+
+
+def _revision_faults(
+    old: contract_module.Contract, new: contract_module.Contract
+) -> tuple[str, ...]:
+    if new.revision < old.revision:
+        return (
+            f'revision fell from {old.revision} to {new.revision}:'
+            ' it would be passed over',
+        )
+    if new.revision == old.revision and new != old:
+        return (
+            f'revision stayed {old.revision} while the content changed:'
+            ' it would be passed over',
+        )
+    return ()
+
+
+def _version_changes(
+    old: contract_module.Contract, new: contract_module.Contract
+) -> list[str]:
+    lines = []
+    for grant in new.adapters:
+        before = old.adapter(grant.name)
+        if before is not None and before.version != grant.version:
+            lines.append(
+                f'adapter {grant.name}: version'
+                f' {before.version} -> {grant.version}'
+            )
+    return lines
+
+
+def _differences(old: Any, new: Any, path: str) -> list[str]:
+    if old == new:
+        return []
+    if isinstance(old, dict) and isinstance(new, dict):
+        lines = []
+        for name in sorted(old.keys() | new.keys()):
+            lines += _differences(
+                old.get(name), new.get(name), f'{path}.{name}'
+            )
+        return lines
+    before = checking.short_json(old)
+    return [f'{path}: {before} -> {checking.short_json(new)}']
+
+
+def _plain(contract: contract_module.Contract) -> dict[str, Any]:
+    """Return a contract as mappings, its grants under their names."""
+    plain = msgspec.to_builtins(contract)
+    for field in ('adapters', 'services'):
+        plain[field] = {grant['name']: grant for grant in plain[field]}
+    return plain
+
+
+def _shard_revision(contracts: Iterable[contract_module.Contract]) -> int:
+    """Return a number that rises with every change of a shard.
+
+    Contracts are neither removed nor set back, so each change, and each
+    customer that is added, raises the sum of their revisions.
+    """
+    return sum(contract.revision for contract in contracts)
+
+
+def _encode(content: Any) -> bytes:
+    return msgspec.json.encode(content)
+
+
+def _check_size(value: PublishedValue) -> None:
+    limit_bytes = config_service.MAX_VALUE_BYTES
+    if len(value.content) > limit_bytes:
+        raise errors.SettingsError(
+            f'{value.name}: {len(value.content)} bytes, allowed are'
+            f' {limit_bytes}: render with more shards'
+        )
--- a/lacewingpitch/decoding.py
+++ b/lacewingpitch/decoding.py
@@ -12,6 +12,7 @@
 _PATH = re.compile(r' - at `(?P<path>\$[^`]*)`$')
 _STEP = re.compile(r'\.(?P<name>[^.\[]+)|\[(?P<index>\d+)\]')
 _VALUE_LIMIT = 60
+_SECRET_FIELD = '.secret'
 
 
 class Record(
@@ -45,7 +46,7 @@
         raise errors.SettingsError(
             f'{source}: {_explain(str(error), data)}'
         ) from error
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise errors.SettingsError(f'{source}: not JSON: {error}') from error
 
 
@@ -59,7 +60,13 @@
 
 
 def _value_at(path: str, data: bytes | str) -> str:
-    value: Any = msgspec.json.decode(data)
+    if path.endswith(_SECRET_FIELD):
+        return 'a value that is not shown'
+    try:
+        value: Any = msgspec.json.decode(data)
+    except (msgspec.DecodeError, RecursionError):
+        # The field is wrong already before the text ceases to be JSON.
+        return 'text that is not JSON'
     for step in _STEP.finditer(path):
         name = step['name']
         try:
--- a/lacewingpitch/settings.py
+++ b/lacewingpitch/settings.py
@@ -1,5 +1,6 @@
 """Settings of the daemons, read from JSON files."""
 
+import ipaddress
 import pathlib
 from typing import Annotated, TypeVar
 
@@ -11,7 +12,7 @@
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Secret = Annotated[str, msgspec.Meta(min_length=16)]
-Ip = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:]+$')]
+Ip = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:]+\Z')]
 
 SettingsType = TypeVar('SettingsType')
 
@@ -22,6 +23,10 @@
     ip: Ip
     port: Port
 
+    def __post_init__(self) -> None:
+        """Refuse what only looks like an IP number."""
+        check_ip(self.ip)
+
     @property
     def url(self) -> str:
         """Return the HTTP URL of the endpoint."""
@@ -58,6 +63,10 @@
     live_list: Address
     drain_s: contract.PositiveFloat = 600.0
 
+    def __post_init__(self) -> None:
+        """Refuse what only looks like an IP number."""
+        check_ip(self.ip)
+
 
 class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
     """Settings of an entry instance."""
@@ -100,6 +109,11 @@
     max_queued: contract.PositiveInt = 1024
 
 
+def check_ip(text: str) -> None:
+    """Raise ``ValueError`` unless `text` is an IP number."""
+    ipaddress.ip_address(text)
+
+
 def load_settings(
     path: pathlib.Path, kind: type[SettingsType]
 ) -> SettingsType:
--- /dev/null
+++ b/tests/test_checking.py
@@ -0,0 +1,190 @@
+"""Checking settings and contracts offline."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from lacewingpitch import checking
+from tests import samples
+
+Kind = checking.Kind
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(strategies.text(), inner)
+    ),
+    max_leaves=8,
+)
+SAMPLES = {
+    Kind.ENTRY: samples.entry_settings,
+    Kind.SIDECAR: samples.sidecar_settings,
+    Kind.CONTRACT: samples.contract,
+}
+
+
+def fields_of(checked):
+    return [problem.field for problem in checked.problems]
+
+
+def write(folder, name, value):
+    path = folder / name
+    path.write_text(json.dumps(value))
+    return path
+
+
+class TestTypes:
+    @pytest.mark.parametrize('kind', SAMPLES)
+    def test_accepts_the_sample(self, kind):
+        checked = checking.check_value(SAMPLES[kind](), kind, 'x')
+        assert checked.problems == ()
+        assert checked.content is not None
+
+    def test_names_every_error_at_once(self):
+        contract = samples.contract(
+            revision=0,
+            urgency='soon',
+            limits={'requests_per_s': -1, 'requests': 2},
+            adapters=[{'name': 'a b', 'version': '1'}],
+        )
+        del contract['key_digests']
+        checked = checking.check_value(contract, Kind.CONTRACT, 'x')
+        assert sorted(fields_of(checked)) == [
+            '$.adapters[0].base_model',
+            '$.adapters[0].name',
+            '$.key_digests',
+            '$.limits.requests',
+            '$.limits.requests_per_s',
+            '$.revision',
+            '$.urgency',
+        ]
+
+    def test_says_value_and_what_is_allowed(self):
+        contract = samples.contract(urgency='soon')
+        (problem,) = checking.check_value(
+            contract, Kind.CONTRACT, 'x'
+        ).problems
+        assert 'interactive, standard, batch' in str(problem)
+        assert str(problem).endswith('got "soon"')
+
+    def test_checks_the_tagged_backend_server(self):
+        found = samples.sidecar_settings()
+        found['backend_server']['adapter_slots'] = 0
+        checked = checking.check_value(found, Kind.SIDECAR, 'x')
+        assert fields_of(checked) == ['$.backend_server.adapter_slots']
+
+    @pytest.mark.parametrize('ip', ['localhost', 'abc', '1.2.3', '1.2.3.4\n'])
+    def test_refuses_what_is_no_ip_number(self, ip):
+        address = {'ip': ip, 'port': 1}
+        found = samples.entry_settings(config_service=address)
+        assert checking.check_value(found, Kind.ENTRY, 'x').problems
+
+    def test_never_shows_a_secret(self):
+        found = samples.entry_settings(secret='hush hush')
+        (problem,) = checking.check_value(found, Kind.ENTRY, 'x').problems
+        assert 'hush' not in str(problem)
+
+    @given(strategies.sampled_from(list(Kind)), JSON)
+    def test_answers_any_json(self, kind, value):
+        checked = checking.check_value(value, kind, 'x')
+        assert (checked.content is None) == bool(checked.problems)
+
+    @given(strategies.sampled_from(list(SAMPLES)), strategies.data(), JSON)
+    def test_agrees_with_the_decoder(self, kind, data, value):
+        """What the checker passes by types is what the daemons decode."""
+        found = SAMPLES[kind]()
+        field = data.draw(strategies.sampled_from(sorted(found)))
+        found[field] = value
+        checked = checking.check_value(found, kind, 'x')
+        decodes = checking.decodes(found, kind)
+        assert (checked.content is not None) == decodes
+
+
+class TestMeaning:
+    @pytest.mark.parametrize(
+        ('fields', 'field'),
+        [
+            (
+                {'adapters': samples.contract()['adapters'] * 2},
+                '$.adapters',
+            ),
+            ({'services': [{'name': 'a'}, {'name': 'a'}]}, '$.services'),
+            ({'key_digests': [samples.DIGEST] * 2}, '$.key_digests'),
+            ({'key_digests': []}, '$.key_digests'),
+            ({'deadline_s': 0.5}, '$.deadline_s'),
+            (
+                {'services': [{'name': 'a', 'repeatable_methods': ['get']}]},
+                '$.services[0].repeatable_methods',
+            ),
+        ],
+    )
+    def test_refuses_in_a_contract(self, fields, field):
+        contract = samples.contract(**fields)
+        checked = checking.check_value(contract, Kind.CONTRACT, 'x')
+        assert fields_of(checked) == [field]
+
+    def test_needs_no_digest_when_revoked(self):
+        contract = samples.contract(key_digests=[], revoked=True)
+        checked = checking.check_value(contract, Kind.CONTRACT, 'x')
+        assert checked.problems == ()
+
+    def test_refuses_one_port_for_two_things(self):
+        found = samples.entry_settings(control_port=8080)
+        checked = checking.check_value(found, Kind.ENTRY, 'x')
+        assert fields_of(checked) == ['$.control_port']
+
+
+class TestFiles:
+    def test_reports_the_bad_one_among_good_ones_alone(self, tmp_path):
+        write(tmp_path, 'a.json', samples.contract('a'))
+        write(tmp_path, 'b.json', samples.contract('b', revision='2'))
+        write(
+            tmp_path,
+            'c.json',
+            samples.contract('c', key_digests=[samples.OTHER_DIGEST]),
+        )
+        found = checking.check_paths([tmp_path])
+        assert [bool(item.problems) for item in found] == [False, True, False]
+
+    def test_refuses_one_customer_and_one_digest_twice(self, tmp_path):
+        write(tmp_path, 'a.json', samples.contract())
+        write(tmp_path, 'b.json', samples.contract())
+        first, second = checking.check_paths([tmp_path])
+        assert not first.problems
+        assert fields_of(second) == ['$.customer', '$.key_digests']
+
+    def test_refuses_one_instance_and_address_twice(self, tmp_path):
+        write(tmp_path, 'a.json', samples.entry_settings())
+        write(tmp_path, 'b.json', samples.entry_settings())
+        first, second = checking.check_paths([tmp_path])
+        assert not first.problems
+        assert fields_of(second) == [
+            '$.instance',
+            '$.work_port',
+            '$.control_port',
+        ]
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'',
+            b'{',
+            b'\xff',
+            b'[' * 100_000,
+            b'{"a": NaN}',
+            b'{"customer": 1e999}',
+            b'{}',
+            b'3',
+        ],
+    )
+    def test_reports_what_it_cannot_tell(self, tmp_path, content):
+        path = tmp_path / 'a.json'
+        path.write_bytes(content)
+        (checked,) = checking.check_paths([path])
+        assert fields_of(checked) == [checking.ROOT]
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,112 @@
+"""The command line."""
+
+import json
+
+from click import testing
+import pytest
+
+import lacewingpitch
+from lacewingpitch import cli
+from tests import samples
+
+
+def run(*arguments):
+    return testing.CliRunner().invoke(
+        cli.main, [str(argument) for argument in arguments]
+    )
+
+
+def write(path, value):
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(value))
+    return path
+
+
+class TestMain:
+    def test_tells_its_version(self):
+        assert lacewingpitch.__version__ in run('--version').output
+
+    @pytest.mark.parametrize(
+        'command',
+        [
+            ['entry'],
+            ['sidecar'],
+            ['check'],
+            ['contracts', 'render'],
+            ['contracts', 'diff'],
+            ['errors'],
+            ['demo'],
+        ],
+    )
+    def test_explains_each_command(self, command):
+        result = run(*command, '--help')
+        assert result.exit_code == 0
+        assert len(result.output.splitlines()) > 5
+
+    def test_a_wrong_command_line_exits_2(self):
+        assert run('check').exit_code == 2
+        assert run('check', 'no-such-file').exit_code == 2
+
+    @pytest.mark.parametrize('command', ['entry', 'sidecar'])
+    def test_a_daemon_with_wrong_settings_exits_1(self, tmp_path, command):
+        path = write(tmp_path / 'a.json', samples.entry_settings(ip='here'))
+        result = run(command, path)
+        assert result.exit_code == 1
+        assert '$.ip' in result.output
+        assert samples.entry_settings()['secret'] not in result.output
+
+
+class TestCheck:
+    def test_exits_0_when_all_is_well(self, tmp_path):
+        write(tmp_path / 'a.json', samples.contract())
+        write(tmp_path / 'settings' / 'b.json', samples.sidecar_settings())
+        assert run('check', tmp_path).exit_code == 0
+
+    def test_prints_each_problem_and_exits_1(self, tmp_path):
+        path = write(
+            tmp_path / 'a.json', samples.contract(revision=0, weight=0)
+        )
+        result = run('check', path)
+        assert result.exit_code == 1
+        assert f'{path}: field $.revision' in result.output
+        assert f'{path}: field $.weight' in result.output
+
+    def test_an_empty_folder_is_no_success(self, tmp_path):
+        assert run('check', tmp_path).exit_code == 1
+
+    def test_takes_the_kind_from_an_option(self, tmp_path):
+        path = write(tmp_path / 'a.json', samples.entry_settings())
+        result = run('check', '--kind', 'sidecar', path)
+        assert '$.backend_server' in result.output
+
+
+class TestContracts:
+    def test_renders_to_standard_output(self, tmp_path):
+        write(tmp_path / 'a.json', samples.contract())
+        result = run('contracts', 'render', tmp_path)
+        names = [json.loads(line)['name'] for line in result.stdout.split()]
+        assert result.exit_code == 0
+        assert names[-1] == 'contracts.index'
+
+    def test_renders_to_a_folder(self, tmp_path):
+        write(tmp_path / 'in' / 'a.json', samples.contract())
+        out = tmp_path / 'out'
+        result = run('contracts', 'render', tmp_path / 'in', '--output', out)
+        assert result.exit_code == 0
+        assert len(list(out.iterdir())) == 2
+        assert run('contracts', 'diff', tmp_path / 'in', out).exit_code == 0
+
+    def test_writes_nothing_of_a_folder_with_a_bad_contract(self, tmp_path):
+        write(tmp_path / 'in' / 'a.json', samples.contract())
+        write(tmp_path / 'in' / 'b.json', samples.contract('b', revision=0))
+        out = tmp_path / 'out'
+        result = run('contracts', 'render', tmp_path / 'in', '--output', out)
+        assert result.exit_code == 1
+        assert not out.exists()
+
+    def test_diff_exits_1_at_a_fault(self, tmp_path):
+        old = write(tmp_path / 'a.json', samples.contract())
+        new = write(tmp_path / 'b.json', samples.contract(weight=2))
+        result = run('contracts', 'diff', old, new)
+        assert result.exit_code == 1
+        assert 'FAULT revision stayed 1' in result.output
--- /dev/null
+++ b/tests/test_decoding.py
@@ -0,0 +1,59 @@
+"""Decoding of JSON, with errors that name the field."""
+
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from lacewingpitch import contract
+from lacewingpitch import decoding
+from lacewingpitch import errors
+from lacewingpitch import settings
+from tests import samples
+
+KINDS = [settings.EntrySettings, settings.SidecarSettings, contract.Contract]
+
+
+def refusal(data, kind=contract.Contract):
+    with pytest.raises(errors.SettingsError) as caught:
+        decoding.decode_json(data, kind, 'the source')
+    return str(caught.value)
+
+
+class TestRefusals:
+    def test_name_source_field_value_and_what_is_allowed(self):
+        data = samples.contract(revision=0)
+        text = refusal(msgspec.json.encode(data))
+        assert text == (
+            'the source: field $.revision: Expected `int` >= 1, got 0'
+        )
+
+    def test_keep_a_long_value_short(self):
+        data = samples.contract(customer='x' * 10_000)
+        assert len(refusal(msgspec.json.encode(data))) < 400
+
+    @pytest.mark.parametrize(
+        'data',
+        [b'[' * 100_000, b'{"customer":' * 9999, b'{"adapters":[[[' * 9999],
+    )
+    def test_deep_nesting_is_refused_like_other_bad_text(self, data):
+        """One absurd value stops all changes of contracts from then on.
+
+        It nests deeper than the decoder goes, which raises no error of
+        decoding; the task that follows the contracts ended with it.
+        """
+        refusal(data)
+
+    def test_a_wrong_field_before_text_that_is_not_json(self):
+        text = refusal(b'{"customer": 1, "revision"')
+        assert 'field $.customer' in text
+
+    def test_never_show_a_secret(self):
+        data = samples.entry_settings(secret='hush hush')
+        text = refusal(msgspec.json.encode(data), settings.EntrySettings)
+        assert '$.secret' in text
+        assert 'hush' not in text
+
+    @given(strategies.sampled_from(KINDS), strategies.binary())
+    def test_any_bytes_give_one_kind_of_error(self, kind, data):
+        refusal(data, kind)
