--- a/lacewingpitch/config_service.py
+++ b/lacewingpitch/config_service.py
@@ -79,5 +79,7 @@
                 if response.status in (204, 304, 404):
                     return None
                 response.raise_for_status()
-                data = await response.content.read(2 * MAX_VALUE_BYTES)
+                data = await platform_call.read_limited(
+                    response, 2 * MAX_VALUE_BYTES
+                )
                 return msgspec.json.decode(data, type=Value)
--- a/lacewingpitch/demo.py
+++ b/lacewingpitch/demo.py
@@ -1,15 +1,20 @@
-"""A whole deployment in one process, with sample traffic."""
+"""A whole deployment in one process, with sample traffic and a report."""
 
 import asyncio
-import collections
+from collections.abc import Iterable
 import contextlib
+import dataclasses
 import secrets
+import time
 from typing import Any
 
 import aiohttp
+import rich.box
 import rich.console
 import rich.table
+import uuid_utils
 
+from lacewingpitch import answer
 from lacewingpitch import contract
 from lacewingpitch import entry as entry_module
 from lacewingpitch import live_list
@@ -17,44 +22,110 @@
 from lacewingpitch import sidecar as sidecar_module
 from lacewingpitch import standin_engine
 from lacewingpitch import standin_platform
+from lacewingpitch import standin_service
 from lacewingpitch import work
 
-_READY_S = 10.0
 IP = '127.0.0.1'
-_CALLS = (
-    ('haneul', 'ficus-care'),
-    ('haneul', 'balcony-summary'),
-    ('caravan', 'trade-in'),
-    ('caravan', 'warranty'),
-    ('caravan', 'ficus-care'),
+ZONES = ('demo-a', 'demo-b', 'demo-c')
+BASE_MODEL = 'base'
+SERVICE = 'fleet'
+ENGINE_COUNT = 4
+ADAPTER_SLOTS = 2
+MAX_RUNNING = 16
+_READY_S = 10.0
+_SERVED = 'served'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One request of the sample traffic.
+
+    Parameters
+    ----------
+    target
+        Adapter, or path below the plain service.
+    key
+        Idempotency key; empty for none.
+    """
+
+    customer: str
+    target: str
+    stream: bool = False
+    key: str = ''
+    is_service: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a caller got.
+
+    Parameters
+    ----------
+    kind
+        Error kind, or ``served`` for a whole answer.
+    first_byte_s
+        Time until the answer began.
+    """
+
+    call: Call
+    status: int
+    kind: str
+    outcome: str
+    detail: str
+    first_byte_s: float
+
+
+# Caravan asks for an adapter of Haneul's: that one is refused.
+CALLS = (
+    Call('haneul', 'ficus-care'),
+    Call('haneul', 'ficus-care', stream=True),
+    Call('haneul', 'balcony-summary', stream=True),
+    Call('haneul', 'week-summary'),
+    Call('haneul', 'readings/7', is_service=True),
+    Call('caravan', 'trade-in', stream=True),
+    Call('caravan', 'warranty'),
+    Call('caravan', 'finance-terms', stream=True),
+    Call('caravan', 'ficus-care'),
 )
+ONCE = Call('caravan', 'quote')
+_ADAPTERS = {
+    'haneul': ('ficus-care', 'balcony-summary', 'week-summary'),
+    'caravan': ('trade-in', 'warranty', 'finance-terms'),
+}
+_ONCE_ADAPTERS = {'haneul': ('watering-plan',), 'caravan': ('quote',)}
 
 
 class Deployment:
     """Stand-ins, sidecars and one entry instance, on free ports."""
 
-    def __init__(self) -> None:
+    def __init__(self, **entry_fields: Any) -> None:
         self._exits = contextlib.AsyncExitStack()
         self._secret = secrets.token_hex()
+        self._entry_fields = entry_fields
         self.platform = standin_platform.StandinPlatform()
-        self.engines = [standin_engine.StandinEngine('base') for _ in range(2)]
+        self.engines = [
+            standin_engine.StandinEngine(
+                BASE_MODEL, adapter_slots=ADAPTER_SLOTS
+            )
+            for _ in range(ENGINE_COUNT)
+        ]
+        self.service = standin_service.StandinService()
+        self.sidecars: list[sidecar_module.Sidecar] = []
         self.entry: entry_module.Entry
-        self.keys = {
-            name: secrets.token_hex() for name in ('haneul', 'caravan')
-        }
+        self.keys = {name: secrets.token_hex() for name in _ADAPTERS}
 
     async def __aenter__(self) -> 'Deployment':
         """Start everything."""
         await self.platform.start(IP)
         self._exits.push_async_callback(self.platform.close)
-        instances = [
-            await self._start_sidecar(number, engine)
-            for number, engine in enumerate(self.engines)
-        ]
+        instances = [await self._add_engine(e) for e in self.engines]
+        instances.append(await self._add_service())
         await self.platform.publish_instances(tuple(instances))
         await self.platform.publish_contracts(self._contracts())
         self.entry = entry_module.Entry(
-            settings.EntrySettings(**self._process('entry-0'))
+            settings.EntrySettings(
+                **self._process('entry-0', ZONES[0]) | self._entry_fields
+            )
         )
         await self.entry.start()
         self._exits.push_async_callback(self.entry.close)
@@ -66,42 +137,77 @@
         """Stop everything, the entry first."""
         await self._exits.aclose()
 
-    async def _start_sidecar(
-        self, number: int, engine: standin_engine.StandinEngine
+    @property
+    def url(self) -> str:
+        """Return the URL that callers reach."""
+        return f'http://{IP}:{self.entry.work_port}'
+
+    def runs(self, adapter: str) -> int:
+        """Return how often an adapter ran: the ground truth."""
+        name = f'{adapter}@1'
+        return sum(
+            run.adapter == name
+            for engine in self.engines
+            for run in engine.truth.runs
+        )
+
+    async def _add_engine(
+        self, engine: standin_engine.StandinEngine
     ) -> live_list.Instance:
         await engine.start(IP)
         self._exits.push_async_callback(engine.close)
+        backend_server = settings.EngineSettings(
+            address=settings.Address(ip=IP, port=engine.port),
+            base_model=engine.base_model,
+            adapter_slots=engine.adapter_slots,
+            max_running=MAX_RUNNING,
+        )
+        return await self._add_sidecar(backend_server, engine.base_model)
+
+    async def _add_service(self) -> live_list.Instance:
+        await self.service.start(IP)
+        self._exits.push_async_callback(self.service.close)
+        backend_server = settings.ServiceSettings(
+            address=settings.Address(ip=IP, port=self.service.port),
+            name=SERVICE,
+            max_running=MAX_RUNNING,
+        )
+        return await self._add_sidecar(backend_server, SERVICE)
+
+    async def _add_sidecar(
+        self,
+        backend_server: settings.EngineSettings | settings.ServiceSettings,
+        serves: str,
+    ) -> live_list.Instance:
+        number = len(self.sidecars)
+        zone = ZONES[number % len(ZONES)]
         sidecar = sidecar_module.Sidecar(
             settings.SidecarSettings(
-                **self._process(f'sidecar-{number}'),
-                backend_server=settings.EngineSettings(
-                    address=settings.Address(ip=IP, port=engine.port),
-                    base_model=engine.base_model,
-                    adapter_slots=engine.adapter_slots,
-                    max_running=16,
-                ),
+                **self._process(f'sidecar-{number}', zone),
+                backend_server=backend_server,
             )
         )
         await sidecar.start()
         self._exits.push_async_callback(sidecar.close)
+        self.sidecars.append(sidecar)
         return live_list.Instance(
             name=sidecar.settings.instance,
             role=live_list.Role.SIDECAR,
             region='demo',
-            availability_zone='demo-a',
+            availability_zone=zone,
             ip=IP,
             work_port=sidecar.work_port,
             control_port=sidecar.control_port,
-            serves=engine.base_model,
+            serves=serves,
         )
 
-    def _process(self, instance: str) -> dict[str, Any]:
+    def _process(self, instance: str, zone: str) -> dict[str, Any]:
         platform = settings.Address(ip=IP, port=self.platform.port)
         return {
             'deployment': 'demo',
             'secret': self._secret,
             'instance': instance,
-            'availability_zone': 'demo-a',
+            'availability_zone': zone,
             'region': 'demo',
             'ip': IP,
             'work_port': 0,
@@ -111,44 +217,142 @@
         }
 
     def _contracts(self) -> tuple[contract.Contract, ...]:
-        adapters = {
-            'haneul': ('ficus-care', 'balcony-summary'),
-            'caravan': ('trade-in', 'warranty'),
-        }
-        return tuple(
-            contract.Contract(
-                customer=customer,
-                revision=1,
-                key_digests=(contract.digest_key(self.keys[customer]),),
-                adapters=tuple(
-                    contract.AdapterGrant(
-                        name=name, version='1', base_model='base'
-                    )
-                    for name in names
-                ),
+        return tuple(self._contract(customer) for customer in _ADAPTERS)
+
+    def _contract(self, customer: str) -> contract.Contract:
+        granted = [(name, True) for name in _ADAPTERS[customer]]
+        granted += [(name, False) for name in _ONCE_ADAPTERS[customer]]
+        return contract.Contract(
+            customer=customer,
+            revision=1,
+            region='demo',
+            key_digests=(contract.digest_key(self.keys[customer]),),
+            adapters=tuple(
+                contract.AdapterGrant(
+                    name=name,
+                    version='1',
+                    base_model=BASE_MODEL,
+                    repeatable=repeatable,
+                )
+                for name, repeatable in granted
+            ),
+            services=(contract.ServiceGrant(name=SERVICE),),
+        )
+
+
+class Caller:
+    """Sends the sample traffic, as customers' programs would."""
+
+    def __init__(
+        self, deployment: Deployment, session: aiohttp.ClientSession
+    ) -> None:
+        self._deployment = deployment
+        self._session = session
+
+    async def send(self, call: Call) -> Result:
+        """Send one request and take its answer."""
+        started_s = time.monotonic()
+        async with self._request(call) as response:
+            first_byte_s = time.monotonic() - started_s
+            body = await response.read()
+        kind = response.headers.get(work.KIND_HEADER, _SERVED)
+        detail = ''
+        if call.stream and kind == _SERVED:
+            kind = _SERVED if body.endswith(answer.STREAM_END) else 'cut'
+        if kind != _SERVED:
+            detail = _detail(body)
+        return Result(
+            call,
+            response.status,
+            kind,
+            response.headers.get(work.OUTCOME_HEADER, _SERVED),
+            detail,
+            first_byte_s,
+        )
+
+    def _request(
+        self, call: Call
+    ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        api_key = self._deployment.keys[call.customer]
+        headers = {'Authorization': f'Bearer {api_key}'}
+        if call.key:
+            headers['Idempotency-Key'] = call.key
+        url = self._deployment.url
+        if call.is_service:
+            return self._session.get(
+                f'{url}/services/{SERVICE}/{call.target}', headers=headers
             )
-            for customer, names in adapters.items()
+        body = {'model': call.target, 'messages': [], 'stream': call.stream}
+        return self._session.post(
+            f'{url}/v1/chat/completions', json=body, headers=headers
         )
 
 
-async def run_demo() -> int:
+async def run_demo(console: rich.console.Console | None = None) -> int:
     """Serve sample traffic and print a report; return the exit code."""
-    outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
+    console = console or rich.console.Console()
     async with Deployment() as deployment, aiohttp.ClientSession() as session:
-        url = f'http://{IP}:{deployment.entry.work_port}'
-        for customer, adapter in _CALLS:
-            async with session.post(
-                f'{url}/v1/chat/completions',
-                json={'model': adapter, 'messages': []},
-                headers={
-                    'Authorization': f'Bearer {deployment.keys[customer]}'
-                },
-            ) as response:
-                await response.read()
-                kind = response.headers.get(work.KIND_HEADER, 'served')
-                outcomes[customer, kind] += 1
-    table = rich.table.Table('customer', 'outcome', 'requests')
-    for (customer, kind), count in sorted(outcomes.items()):
-        table.add_row(customer, kind, str(count))
-    rich.console.Console().print(table)
+        caller = Caller(deployment, session)
+        results = list(
+            await asyncio.gather(*(caller.send(call) for call in CALLS))
+        )
+        once = dataclasses.replace(ONCE, key=str(uuid_utils.uuid7()))
+        twice = [await caller.send(once), await caller.send(once)]
+        console.print(_customer_table(results + twice[:1]))
+        for result in results:
+            if result.kind != _SERVED:
+                console.print(_refusal_text(result))
+        console.print(_twice_text(twice, deployment.runs(once.target)))
     return 0
+
+
+def _customer_table(results: Iterable[Result]) -> rich.table.Table:
+    table = rich.table.Table(
+        'customer',
+        'served whole',
+        'served streamed',
+        'refused',
+        'slowest first byte, ms',
+        title='What each customer got',
+        box=rich.box.SIMPLE,
+    )
+    by_customer: dict[str, list[Result]] = {}
+    for result in results:
+        by_customer.setdefault(result.call.customer, []).append(result)
+    for customer, found in sorted(by_customer.items()):
+        served = [r for r in found if r.kind == _SERVED]
+        streamed = sum(r.call.stream for r in served)
+        slowest_s = max((r.first_byte_s for r in served), default=0.0)
+        table.add_row(
+            customer,
+            str(len(served) - streamed),
+            str(streamed),
+            str(len(found) - len(served)),
+            f'{slowest_s * 1000:.0f}',
+        )
+    return table
+
+
+def _refusal_text(result: Result) -> str:
+    return (
+        f'Refused: {result.call.customer} asked for {result.call.target!r}:'
+        f' {result.kind} ({result.outcome}), {result.detail}.'
+    )
+
+
+def _twice_text(results: list[Result], runs: int) -> str:
+    answers = ', then '.join(
+        f'{r.status} {r.kind} ({r.outcome})' for r in results
+    )
+    call = results[0].call
+    verdict = 'at most once' if runs <= 1 else 'MORE THAN ONCE'
+    return (
+        f'Sent twice with one key: {call.customer} asked for'
+        f' {call.target!r}, which may not be repeated: {answers}.\n'
+        f'The engines ran it {runs} time(s): {verdict}.'
+    )
+
+
+def _detail(body: bytes) -> str:
+    found = work.decode_error(body)
+    return found.error.detail if found else 'the answer broke off'
--- a/lacewingpitch/engine.py
+++ b/lacewingpitch/engine.py
@@ -17,6 +17,7 @@
 _CONNECT_TIMEOUT_S = 2.0
 _SILENCE_TIMEOUT_S = 60.0
 _HTTP_CONFLICT = 409
+_MAX_REPORT_BYTES = 1 << 20
 
 
 class EngineReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -136,9 +137,10 @@
                 f'{self._url}/v1/report', timeout=timeout
             ) as response:
                 response.raise_for_status()
-                return msgspec.json.decode(
-                    await response.read(), type=EngineReport
+                data = await platform_call.read_limited(
+                    response, _MAX_REPORT_BYTES
                 )
+                return msgspec.json.decode(data, type=EngineReport)
 
     async def load_adapter(self, name: str, fencing: int) -> None:
         """Order the engine to load an adapter, and wait for it.
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import contextlib
+import re
 import time
+from typing import Annotated
 
 import aiohttp
 from aiohttp import web
@@ -17,6 +19,7 @@
 from lacewingpitch import dispatch
 from lacewingpitch import errors
 from lacewingpitch import event_stream
+from lacewingpitch import http_guard
 from lacewingpitch import http_server
 from lacewingpitch import node
 from lacewingpitch import placement
@@ -26,7 +29,11 @@
 _BEARER = 'Bearer '
 _EVENT_STREAM = 'text/event-stream'
 MAX_KEY_LENGTH = 128
+_MAX_MODEL_LENGTH = 256
+_MAX_TOKENS = 1 << 31
 _READY_POLL_S = 0.02
+_SERVICES = '/services/'
+_NAME_END = re.compile('[/?#]')
 log = structlog.get_logger(__name__)
 
 
@@ -39,9 +46,11 @@
 class CompletionCall(msgspec.Struct, frozen=True):
     """What the entry must know of a completion's JSON."""
 
-    model: str
-    stream: bool = False
-    max_tokens: int = 0
+    model: Annotated[str, msgspec.Meta(max_length=_MAX_MODEL_LENGTH)]
+    stream: bool | None = None
+    max_tokens: Annotated[int, msgspec.Meta(ge=0, le=_MAX_TOKENS)] | None = (
+        None
+    )
 
 
 class Entry:
@@ -62,7 +71,9 @@
     ) -> None:
         self.settings = settings
         self._node = node.Node(settings, clock or clock_module.SystemClock())
-        self._server = http_server.HttpServer(settings.max_body_bytes)
+        self._server = http_server.HttpServer(
+            settings.max_body_bytes, stall_s=settings.stall_timeout_s
+        )
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._dispatcher: dispatch.Dispatcher
@@ -131,6 +142,7 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         request_id = str(uuid_utils.uuid7())
+        http_guard.name_request(request_id)
         started_s = time.monotonic()
         try:
             self._check_open()
@@ -170,10 +182,10 @@
         contract: contract_module.Contract,
         request_id: str,
     ) -> web.StreamResponse:
-        body = await _read_body(request)
+        body = await self._read_body(request)
         try:
             call = msgspec.json.decode(body, type=CompletionCall)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise errors.RefusalError(
                 errors.ErrorKind.BAD_REQUEST, str(error)
             ) from error
@@ -190,8 +202,8 @@
             path=request.path,
             repeatable=adapter.repeatable,
             adapter=adapter,
-            stream=call.stream,
-            max_tokens=call.max_tokens,
+            stream=call.stream or False,
+            max_tokens=call.max_tokens or 0,
         )
         return await self._deliver(request, order, body)
 
@@ -208,7 +220,7 @@
                 errors.ErrorKind.NOT_IN_CONTRACT,
                 f'the contract names no service {name!r}',
             )
-        path = request.raw_path.removeprefix(f'/services/{name}') or '/'
+        path = _service_path(request.raw_path)
         order = _make_order(
             request,
             contract,
@@ -217,7 +229,13 @@
             repeatable=request.method in grant.repeatable_methods,
             service=name,
         )
-        return await self._deliver(request, order, await _read_body(request))
+        body = await self._read_body(request)
+        return await self._deliver(request, order, body)
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        return await http_guard.read_body(
+            request, self.settings.body_timeout_s
+        )
 
     async def _deliver(
         self, request: web.Request, order: work.WorkOrder, body: bytes
@@ -259,10 +277,7 @@
         return response
 
     async def _models(self, request: web.Request) -> web.Response:
-        try:
-            contract = self._authenticate(request)
-        except errors.RefusalError as error:
-            return answer.refusal_response(error, '')
+        contract = self._authenticate(request)
         models = [
             {'id': grant.name, 'object': 'model', 'version': grant.version}
             for grant in contract.adapters
@@ -278,13 +293,14 @@
         return web.Response(text='ready\n')
 
 
-async def _read_body(request: web.Request) -> bytes:
-    try:
-        return await request.read()
-    except web.HTTPRequestEntityTooLarge as error:
-        raise errors.RefusalError(
-            errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
-        ) from error
+def _service_path(raw_path: str) -> str:
+    """Return what follows ``/services/NAME`` of a path, as it came."""
+    # The name may be written with escapes, so its length in the path is
+    # not that of its decoded text.  A target may also be a whole URL.
+    path = raw_path[raw_path.index(_SERVICES) + len(_SERVICES) :]
+    found = _NAME_END.search(path)
+    rest = path[found.start() :] if found else ''
+    return rest if rest.startswith('/') else f'/{rest}'
 
 
 def _make_order(
--- a/lacewingpitch/errors.py
+++ b/lacewingpitch/errors.py
@@ -21,7 +21,9 @@
     """Every kind of error that a caller can meet."""
 
     BAD_REQUEST = 'bad-request'
+    NOT_FOUND = 'not-found'
     BODY_TOO_LARGE = 'body-too-large'
+    BODY_TOO_SLOW = 'body-too-slow'
     UNAUTHENTICATED = 'unauthenticated'
     NOT_IN_CONTRACT = 'not-in-contract'
     BAD_IDEMPOTENCY_KEY = 'bad-idempotency-key'
@@ -70,7 +72,9 @@
 
 ANSWER_RULES: Mapping[ErrorKind, AnswerRule] = {
     ErrorKind.BAD_REQUEST: AnswerRule(400, _NOT_RUN),
+    ErrorKind.NOT_FOUND: AnswerRule(404, _NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: AnswerRule(413, _NOT_RUN),
+    ErrorKind.BODY_TOO_SLOW: AnswerRule(408, _NOT_RUN),
     ErrorKind.UNAUTHENTICATED: AnswerRule(401, _NOT_RUN),
     ErrorKind.NOT_IN_CONTRACT: AnswerRule(403, _NOT_RUN),
     ErrorKind.BAD_IDEMPOTENCY_KEY: AnswerRule(400, _NOT_RUN),
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -37,7 +37,11 @@
 
 MEANINGS: Mapping[errors.ErrorKind, str] = {
     errors.ErrorKind.BAD_REQUEST: 'the request cannot be understood',
+    errors.ErrorKind.NOT_FOUND: 'no such method and path',
     errors.ErrorKind.BODY_TOO_LARGE: 'the body is above `max_body_bytes`',
+    errors.ErrorKind.BODY_TOO_SLOW: (
+        'the body did not come within `body_timeout_s`'
+    ),
     errors.ErrorKind.UNAUTHENTICATED: 'no API key, or one of no contract',
     errors.ErrorKind.NOT_IN_CONTRACT: (
         'the contract names no such adapter or service, or is revoked'
--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -1,20 +1,34 @@
 """An HTTP server that knows its work in progress and can drain."""
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
-from collections.abc import Awaitable, Callable, Iterator
 
 from aiohttp import web
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+from lacewingpitch import http_guard
+
+Handler = http_guard.Handler
 _SHUTDOWN_S = 1.0
+_STALL_S = 60.0
 
 
 class HttpServer:
     """Routes requests to handlers and counts those in progress."""
 
-    def __init__(self, max_body_bytes: int) -> None:
-        self._app = web.Application(client_max_size=max_body_bytes)
+    def __init__(
+        self,
+        max_body_bytes: int,
+        *,
+        max_field_bytes: int = http_guard.MAX_FIELD_BYTES,
+        stall_s: float = _STALL_S,
+    ) -> None:
+        self._app = web.Application(
+            client_max_size=max_body_bytes,
+            middlewares=[http_guard.answer_errors],
+        )
+        self._max_field_bytes = max_field_bytes
+        self._stall_s = stall_s
         self._exits = contextlib.AsyncExitStack()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -30,14 +44,23 @@
 
         async def counted(request: web.Request) -> web.StreamResponse:
             with self._counted():
-                return await handler(request)
+                http_guard.limit_stall(request, self._stall_s)
+                response = await handler(request)
+                await http_guard.finish(request, response)
+                return response
 
         self.route(method, path, counted)
 
     async def start(self, ip: str, port: int) -> None:
         """Bind `ip` and `port` exclusively; port 0 takes a free one."""
         runner = web.AppRunner(
-            self._app, handler_cancellation=True, access_log=None
+            self._app,
+            handler_cancellation=True,
+            access_log=None,
+            logger=http_guard.SILENT_LOGGER,
+            keepalive_timeout=http_guard.KEEPALIVE_S,
+            max_line_size=http_guard.MAX_FIELD_BYTES,
+            max_field_size=self._max_field_bytes,
         )
         await runner.setup()
         self._exits.push_async_callback(runner.cleanup)
--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -79,10 +79,10 @@
             raise errors.LinkError('wrong signature')
         try:
             envelope = msgspec.msgpack.decode(content, type=_Envelope)
-        except msgspec.DecodeError as error:
-            raise errors.LinkError(f'malformed envelope: {error}') from error
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise errors.LinkError('malformed envelope') from error
         if envelope.protocol < OLDEST_PROTOCOL_VERSION:
-            raise errors.LinkError(f'protocol version {envelope.protocol}')
+            raise errors.LinkError('protocol version too old')
         if envelope.deployment != self._deployment:
             raise errors.LinkError('another deployment')
         return envelope.kind, envelope.body
@@ -130,30 +130,31 @@
                 data = await context.arecv()
                 reply = await self._answer(data)
                 with contextlib.suppress(pynng.NNGException):
-                    await context.asend(self._sealer.seal(reply))
+                    await context.asend(reply)
 
-    async def _answer(self, data: bytes) -> msgspec.Struct:
+    async def _answer(self, data: bytes) -> bytes:
         try:
             name, body = self._sealer.open(data)
             kind, handler = self._handlers[name]
             message = msgspec.msgpack.decode(body, type=kind)
         except KeyError:
             return self._refuse('unknown kind')
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return self._refuse('malformed body')
         except errors.LinkError as error:
             return self._refuse(str(error))
         try:
-            return await handler(message)
+            return self._sealer.seal(await handler(message))
         except Exception:
             # A failing handler must not end the serving task: the peer
             # would see nothing but timeouts from then on.
             log.exception('control handler failed', kind=name)
             return self._refuse('handler failed')
 
-    def _refuse(self, reason: str) -> _Refused:
+    def _refuse(self, reason: str) -> bytes:
+        # Reasons are fixed texts, so that nobody can make the table grow.
         self.refused_count[reason] += 1
-        return _Refused(reason=reason)
+        return self._sealer.seal(_Refused(reason=reason))
 
 
 class Peer:
--- a/lacewingpitch/platform_call.py
+++ b/lacewingpitch/platform_call.py
@@ -16,7 +16,25 @@
         yield
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise errors.PlatformError(f'{name}: {error!r}') from error
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise errors.PlatformError(
             f'{name}: unusable answer: {error}'
         ) from error
+
+
+async def read_limited(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> bytes:
+    """Return the body of an answer.
+
+    Raises
+    ------
+    PlatformError
+        It is larger than `max_bytes`.
+    """
+    data = bytearray()
+    async for chunk in response.content.iter_any():
+        data += chunk
+        if len(data) > max_bytes:
+            raise errors.PlatformError(f'an answer above {max_bytes} bytes')
+    return bytes(data)
--- a/lacewingpitch/settings.py
+++ b/lacewingpitch/settings.py
@@ -49,6 +49,10 @@
         Port for control messages.
     drain_s
         How long a graceful shutdown waits for work in progress.
+    body_timeout_s
+        Time within which a request's body must have come.
+    stall_timeout_s
+        How long the other end may take no byte of an answer.
     """
 
     deployment: contract.Name
@@ -62,6 +66,8 @@
     config_service: Address
     live_list: Address
     drain_s: contract.PositiveFloat = 600.0
+    body_timeout_s: contract.PositiveFloat = 30.0
+    stall_timeout_s: contract.PositiveFloat = 30.0
 
     def __post_init__(self) -> None:
         """Refuse what only looks like an IP number."""
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -10,6 +10,7 @@
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import http_guard
 from lacewingpitch import http_server
 from lacewingpitch import ledger
 from lacewingpitch import node
@@ -41,7 +42,11 @@
         self.settings = settings
         self._node = node.Node(settings, clock or clock_module.SystemClock())
         self._ledger = ledger.RunLedger(self._node.clock)
-        self._server = http_server.HttpServer(MAX_BODY_BYTES)
+        self._server = http_server.HttpServer(
+            MAX_BODY_BYTES,
+            max_field_bytes=http_guard.MAX_ORDER_FIELD_BYTES,
+            stall_s=settings.stall_timeout_s,
+        )
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._queued = 0
@@ -117,7 +122,9 @@
         self._ledger.admit(attempt_id)
         try:
             self._admit()
-            body = await request.read()
+            body = await http_guard.read_body(
+                request, self.settings.body_timeout_s
+            )
             async with self._turn(order):
                 self._ledger.start(attempt_id)
                 return await self._runner.run(request, order, body)
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -91,6 +91,14 @@
         ) from error
 
 
+def decode_error(body: bytes) -> ErrorBody | None:
+    """Return the error that a body says, or ``None`` if it says none."""
+    try:
+        return msgspec.json.decode(body, type=ErrorBody)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+
+
 def refusal_of(error: errors.RefusalError) -> Refusal:
     """Return what a caller or peer is told of an error."""
     return Refusal(
