--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -32,8 +32,8 @@
 _MAX_MODEL_LENGTH = 256
 _MAX_TOKENS = 1 << 31
 _READY_POLL_S = 0.02
-_SERVICES = '/services/'
-_NAME_END = re.compile('[/?#]')
+_ORIGIN = re.compile('^[A-Za-z][A-Za-z0-9+.-]*://[^/]*')
+_FIRST_TWO = re.compile('/[^/?#]*/[^/?#]*')
 log = structlog.get_logger(__name__)
 
 
@@ -295,11 +295,11 @@
 
 def _service_path(raw_path: str) -> str:
     """Return what follows ``/services/NAME`` of a path, as it came."""
-    # The name may be written with escapes, so its length in the path is
-    # not that of its decoded text.  A target may also be a whole URL.
-    path = raw_path[raw_path.index(_SERVICES) + len(_SERVICES) :]
-    found = _NAME_END.search(path)
-    rest = path[found.start() :] if found else ''
+    # Both words may be written with escapes, and the target may be a
+    # whole URL, so they are found by their place and not by their text.
+    path = _ORIGIN.sub('', raw_path)
+    found = _FIRST_TWO.match(path)
+    rest = path[found.end() :] if found else ''
     return rest if rest.startswith('/') else f'/{rest}'
 
 
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -85,7 +85,7 @@
         if kind != WorkOrder.__name__:
             raise errors.LinkError(f'not an order but {kind}')
         return msgspec.msgpack.decode(body, type=WorkOrder)
-    except (ValueError, errors.LinkError) as error:
+    except (ValueError, RecursionError, errors.LinkError) as error:
         raise errors.RefusalError(
             errors.ErrorKind.FOREIGN_PROCESS, str(error)
         ) from error
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import hypothesis
 import pytest
 
+from lacewingpitch import cli
 from tests import known_red
 
 # The same examples in each run, so that the verdict is the same; and no
@@ -19,6 +20,12 @@
 _LISTED = pytest.StashKey()
 
 
+@pytest.fixture(autouse=True)
+def logs():
+    """Write logs as the daemons do."""
+    cli.configure_logs('info')
+
+
 def pytest_configure(config):
     """Read the list of known failures; a malformed one ends the run."""
     try:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -2,19 +2,33 @@
 
 import asyncio
 import contextlib
+import socket
+import zlib
 
 import aiohttp
+from aiohttp import web
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 import msgspec
 import pytest
 
+from lacewingpitch import cli
+from lacewingpitch import config_service
+from lacewingpitch import contract
 from lacewingpitch import demo
+from lacewingpitch import engine
 from lacewingpitch import errors
+from lacewingpitch import http_server
+from lacewingpitch import live_list
 from lacewingpitch import work
+from tests import fault_matrix
 from tests import processes
 
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+
 IP = demo.IP
 KINDS = {kind.value for kind in errors.ErrorKind}
 MAX_HEAD_BYTES = 1 << 16
@@ -50,6 +64,19 @@
     b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
     b'GET /healthz HTTP/1.1\r\nHost: a\r\n' + b'A: b\r\n' * 1000 + b'\r\n',
 ]
+PLATFORM_GARBAGE = [
+    b'',
+    b'null',
+    b'[]',
+    b'{}',
+    b'[' * 100_000,
+    b'{"name": 1, "revision": "x", "content": []}',
+    b'{"revision": 1e400, "instances": [], "name": "a", "content": 1}',
+    b'{"revision": ' + b'[' * 100_000,
+    b'"' + b'x' * (3 << 20) + b'"',
+    b'<html>busy</html>',
+    b'\xff\xfe',
+]
 
 
 @pytest.fixture
@@ -250,7 +277,276 @@
 
 
 def _gzip_zeros(size):
-    import zlib
-
     packer = zlib.compressobj(wbits=31)
     return packer.compress(b'\0' * size) + packer.flush()
+
+
+class TestServices:
+    @pytest.mark.parametrize(
+        ('target', 'path'),
+        [
+            ('/services/fleet', '/'),
+            ('/services/fleet/', '/'),
+            ('/services/fleet?a=b', '/?a=b'),
+            ('/services/fleet/a%2Fb?c=%20d', '/a%2Fb?c=%20d'),
+            ('/services/fl%65et/a', '/a'),
+            ('/%73ervices/fleet/a', '/a'),
+            ('/services/fleet//a', '//a'),
+            ('http://other.example/services/fleet/a', '/a'),
+            (
+                '/services/fleet/a?b=%0d%0aX-Injected:%201',
+                '/a?b=%0D%0AX-Injected:%201',
+            ),
+            ('/services/fleet/' + 'a' * 7000, '/' + 'a' * 7000),
+        ],
+    )
+    async def test_passes_the_rest_of_the_path(self, deployment, target, path):
+        key = deployment.keys['haneul']
+        answer = await send_raw(
+            deployment.entry.work_port,
+            f'GET {target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n'
+            f'Authorization: Bearer {key}\r\n\r\n'.encode(),
+        )
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert [run.path for run in deployment.service.runs] == [path]
+
+    @pytest.mark.parametrize(
+        'target',
+        [
+            '/services/',
+            '/services/fleet@other.example/',
+            '/services/..%2Ffleet/',
+            '/services/fleet/a%0d%0aX-Injected:%201',
+            '/services/base',
+            '/services/../services/fleet',
+        ],
+    )
+    async def test_reaches_no_other_service(self, deployment, target):
+        key = deployment.keys['haneul']
+        answer = await send_raw(
+            deployment.entry.work_port,
+            f'GET {target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n'
+            f'Authorization: Bearer {key}\r\n\r\n'.encode(),
+        )
+        assert answer.split()[1] in (b'403', b'404')
+        assert not deployment.service.runs
+
+
+class TestSlowCallers:
+    async def test_a_body_that_does_not_come_is_given_up(self):
+        """New callers are refused while nobody seems to be served.
+
+        Others opened requests and send their bodies a byte now and then,
+        or never; each holds a place among the requests in progress.
+        """
+        async with demo.Deployment(body_timeout_s=0.3) as deployment:
+            key = deployment.keys['haneul']
+            answer = await send_raw(
+                deployment.entry.work_port,
+                b'POST /v1/completions HTTP/1.1\r\nHost: a\r\n'
+                b'Connection: close\r\nContent-Length: 100\r\n'
+                b'Authorization: Bearer ' + key.encode() + b'\r\n\r\n{',
+            )
+            assert answer.startswith(b'HTTP/1.1 408')
+            assert b'Lacewingpitch-Outcome: not-run' in answer
+
+    async def test_a_caller_that_stops_to_read_frees_what_it_holds(self):
+        """An adapter stays in its slot for a caller that is not there.
+
+        The caller opened a long stream and then took no more bytes, but
+        its connection stays up.  Writing waits, the sidecar's writing
+        too, and so the run never ends.
+        """
+        async with demo.Deployment(stall_timeout_s=1) as deployment:
+            for found in deployment.engines:
+                found.token_s = 0
+            async with _unread_call(deployment, stream=True):
+                await processes.until(lambda: _is_running(deployment, 1))
+                await processes.until(lambda: _is_running(deployment, 0))
+
+
+class TestDrain:
+    @pytest.mark.proves(Promise.DRAIN, Fault.HALF_OPEN, Step.BEFORE_DELIVERY)
+    async def test_a_whole_answer_on_its_way_is_not_cut(self):
+        """A caller on a slow line gets half of a long answer.
+
+        The entry had the answer whole, its handler had returned, and the
+        rest waited for the caller to read; then the entry was drained,
+        which waited for handlers only.
+        """
+        async with contextlib.AsyncExitStack() as held:
+            deployment = await held.enter_async_context(demo.Deployment())
+            for found in deployment.engines:
+                found.token_s = 0
+            reader = await held.enter_async_context(
+                _unread_call(deployment, stream=False)
+            )
+            await processes.until(lambda: _has_finished(deployment))
+            closing = asyncio.create_task(deployment.entry.close())
+            # Longer than the server gives to handlers that it ends.
+            await asyncio.sleep(2)
+            answer = await _read_all(reader)
+            await closing
+        head, body = answer.split(b'\r\n\r\n', 1)
+        assert f'Content-Length: {len(body)}'.encode() in head
+        assert body.endswith(b'}')
+
+
+class TestLogs:
+    async def test_hold_no_api_key_and_no_body(self, session, capsys, caplog):
+        """A key turns up in a log that many may read.
+
+        The caller sent it in a head that cannot be parsed, or with a
+        request that is refused or fails, and the error quotes it.
+        """
+        cli.configure_logs('debug')
+        marker = 'the-words-of-a-customer'
+        async with demo.Deployment() as deployment:
+            key = deployment.keys['haneul']
+            bearer = b'Authorization: Bearer ' + key.encode()
+            for odd in (b'\x00', b'\xff', b'\r\n A b: c', b'x' * 9000):
+                await send_raw(
+                    deployment.entry.work_port,
+                    b'POST /v1/completions HTTP/1.1\r\nHost: a\r\n'
+                    b'Connection: close\r\n' + bearer + odd + b'\r\n\r\n',
+                    half_close=True,
+                )
+            for model in ('ficus-care', 'trade-in', 7):
+                body = {'model': model, 'messages': [marker]}
+                async with session.post(
+                    url_of(deployment),
+                    json=body,
+                    headers=headers_of(deployment),
+                ) as response:
+                    await response.read()
+            async with session.post(
+                url_of(deployment),
+                data=marker,
+                headers={'Authorization': f'Bearer {key}x'},
+            ) as response:
+                await response.read()
+        written = capsys.readouterr()
+        text = written.err + written.out + caplog.text
+        assert 'answered' in text
+        assert key not in text
+        assert marker not in text
+
+
+class TestPlatformAnswers:
+    """Garbage from the platform is one kind of error, and bounded."""
+
+    @pytest.mark.parametrize('body', PLATFORM_GARBAGE)
+    async def test_hand_made(self, session, body):
+        async with _answering(body) as url:
+            await _check_platform_errors(session, url)
+
+    @hypothesis_settings(max_examples=EXAMPLES)
+    @given(body=strategies.binary(max_size=100))
+    def test_any_bytes(self, body):
+        async def check():
+            async with (
+                _answering(body) as url,
+                aiohttp.ClientSession() as session,
+            ):
+                await _check_platform_errors(session, url)
+
+        asyncio.run(check())
+
+    async def test_a_truncated_answer(self, session):
+        server = await asyncio.start_server(_truncate, IP, 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            await _check_platform_errors(session, f'http://{IP}:{port}')
+
+    async def test_contracts_come_into_force_after_garbage(self, deployment):
+        """No change of a contract arrives any more, though all looks well.
+
+        Garbage was published once, by mistake, as index and as shard;
+        the task that follows the contracts ended with an error.
+        """
+        for name in ('contracts.index', 'contracts.0'):
+            for body in PLATFORM_GARBAGE:
+                await deployment.platform.publish(name, body)
+        changed = contract.Contract(
+            customer='haneul', revision=2, key_digests=(), revoked=True
+        )
+        await deployment.platform.publish_contracts((changed,))
+
+        async def is_revoked():
+            async with aiohttp.ClientSession() as session:
+                return not await serves(deployment, session)
+
+        await processes.until(is_revoked)
+
+
+async def _check_platform_errors(session, url):
+    with pytest.raises(errors.PlatformError):
+        await config_service.HttpConfigService(session, url).read('a')
+    with pytest.raises(errors.PlatformError):
+        await live_list.HttpLiveList(session, url).watch(0, 0.1)
+    with pytest.raises(errors.PlatformError):
+        await engine.HttpEngine(session, url).report()
+
+
+@contextlib.asynccontextmanager
+async def _answering(body):
+    async def answer(_request):
+        return web.Response(body=body, content_type='application/json')
+
+    server = http_server.HttpServer(1 << 20)
+    server.route('*', '/{path:.*}', answer)
+    await server.start(IP, 0)
+    try:
+        yield f'http://{IP}:{server.port}'
+    finally:
+        await server.close()
+
+
+async def _truncate(reader, writer):
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"name"')
+    await writer.drain()
+    writer.close()
+
+
+@contextlib.asynccontextmanager
+async def _unread_call(deployment, *, stream):
+    """A caller that has sent a request and reads nothing by itself."""
+    body = msgspec.json.encode(
+        {'model': 'ficus-care', 'stream': stream, 'max_tokens': 90_000}
+    )
+    found = socket.socket()
+    with contextlib.closing(found):
+        found.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        found.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(found, (IP, deployment.entry.work_port))
+        await loop.sock_sendall(
+            found,
+            b'POST /v1/completions HTTP/1.1\r\nHost: a\r\n'
+            b'Connection: close\r\nAuthorization: Bearer '
+            + deployment.keys['haneul'].encode()
+            + f'\r\nContent-Length: {len(body)}\r\n\r\n'.encode()
+            + body,
+        )
+        yield found
+
+
+async def _read_all(found):
+    loop = asyncio.get_running_loop()
+    data = bytearray()
+    async with asyncio.timeout(processes.WAIT_S):
+        while chunk := await loop.sock_recv(found, MAX_HEAD_BYTES):
+            data += chunk
+    return bytes(data)
+
+
+async def _has_finished(deployment):
+    return any(
+        run.finished for e in deployment.engines for run in e.truth.runs
+    )
+
+
+async def _is_running(deployment, count):
+    running = sum(e.running.total() for e in deployment.engines)
+    return running == count
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,208 @@
+"""Control messages between processes, and what is no such message."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+import pynng
+import pytest
+
+from lacewingpitch import errors
+from lacewingpitch import link
+from lacewingpitch import work
+
+IP = '127.0.0.1'
+SECRET = 'a secret of sixteen'
+TIMEOUT_S = 10.0
+# More than the server serves at once: a task that ended would be missed.
+MANY = 40
+
+
+class Ping(link.Message, frozen=True):
+    number: int
+    note: str = ''
+
+
+class Pong(link.Message, frozen=True):
+    number: int
+    size: int = 0
+
+
+def make_sealer(deployment='test', secret=SECRET, sender='a'):
+    return link.Sealer(deployment, secret, sender)
+
+
+class Server:
+    """A control server that answers pings, and one link to it."""
+
+    async def __aenter__(self):
+        self.control = link.ControlServer(make_sealer())
+        self.control.handle(Ping, self.answer)
+        await self.control.start(IP, 0)
+        self.peers = link.PeerPool(make_sealer(sender='b'))
+        return self
+
+    async def __aexit__(self, *exception):
+        self.peers.close()
+        await self.control.close()
+
+    async def answer(self, ping):
+        if ping.note == 'fail':
+            raise ValueError(ping.note)
+        # A number beyond 64 bits cannot be encoded.
+        factor = 1 << 70 if ping.note == 'huge' else 1
+        return Pong(number=ping.number * factor)
+
+    async def ask(self, message, kind=Pong, sealer=None):
+        peers = link.PeerPool(sealer) if sealer else self.peers
+        peer = peers.peer(IP, self.control.port)
+        return await peer.ask(message, kind, TIMEOUT_S)
+
+    async def send_raw(self, data):
+        with pynng.Req0() as req:
+            req.dial(f'tcp://{IP}:{self.control.port}')
+            async with asyncio.timeout(TIMEOUT_S):
+                await req.asend(data)
+                return await req.arecv()
+
+    async def still_serves(self):
+        replies = await asyncio.gather(
+            *(self.ask(Ping(number=n)) for n in range(MANY))
+        )
+        return [reply.number for reply in replies] == list(range(MANY))
+
+
+@pytest.fixture
+async def server():
+    async with Server() as found:
+        yield found
+
+
+def envelope(**fields):
+    """Return a signed envelope with some fields set otherwise."""
+    content = {
+        'protocol': link.PROTOCOL_VERSION,
+        'deployment': 'test',
+        'sender': 'a',
+        'kind': 'Ping',
+        'body': {'number': 1},
+    } | fields
+    return sign(msgspec.msgpack.encode(list(content.values())))
+
+
+def sign(data):
+    sealer = make_sealer()
+    return data + sealer._tag(data)
+
+
+NESTED = b'\x91' * 100_000
+REFUSED = [
+    (b'', 'wrong signature'),
+    (b'x' * 100, 'wrong signature'),
+    (
+        make_sealer(secret='another secret of 16').seal(Ping(number=1)),
+        'wrong signature',
+    ),
+    (make_sealer('other').seal(Ping(number=1)), 'another deployment'),
+    (envelope(protocol=0), 'protocol version too old'),
+    (envelope(kind='Pung'), 'unknown kind'),
+    (envelope(body={'number': 'one'}), 'malformed body'),
+    (envelope(body=[]), 'malformed body'),
+    (envelope(protocol='1'), 'malformed envelope'),
+    (sign(b''), 'malformed envelope'),
+    (sign(b'\x93\x01'), 'malformed envelope'),
+    (sign(NESTED), 'malformed envelope'),
+    (sign(envelope()[:-40]), 'malformed envelope'),
+]
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(('data', 'reason'), REFUSED)
+    async def test_are_counted_and_end_nothing(self, server, data, reason):
+        """Peers see nothing but timeouts, from one message on.
+
+        It was malformed or foreign, and raised out of the task that
+        serves; after one such message for each task nobody answers.
+        """
+        for _ in range(MANY):
+            kind, _ = make_sealer().open(await server.send_raw(data))
+            assert kind == '_Refused'
+        assert server.control.refused_count == {reason: MANY}
+        assert await server.still_serves()
+
+    @pytest.mark.parametrize('note', ['fail', 'huge'])
+    async def test_of_a_failing_handler_end_nothing(self, server, note):
+        for _ in range(MANY):
+            with pytest.raises(errors.LinkError, match='Refused'):
+                await server.ask(Ping(number=1, note=note))
+        assert server.control.refused_count == {'handler failed': MANY}
+        assert await server.still_serves()
+
+    async def test_of_a_message_above_the_limit(self, server):
+        size = 2 * link.MAX_MESSAGE_BYTES
+        peer = server.peers.peer(IP, server.control.port)
+        with pytest.raises(errors.LinkError):
+            await peer.ask(Ping(number=1, note='x' * size), Pong, 0.5)
+        assert await server.still_serves()
+
+    async def test_another_deployment_learns_nothing(self, server):
+        foreign = make_sealer(secret='another secret of 16')
+        with pytest.raises(errors.LinkError, match='signature'):
+            await server.ask(Ping(number=1), sealer=foreign)
+
+    async def test_a_reply_of_another_kind_is_not_used(self, server):
+        with pytest.raises(errors.LinkError, match='replied Pong'):
+            await server.ask(Ping(number=1), kind=Ping)
+
+
+class TestSealer:
+    @given(strategies.binary(max_size=200))
+    def test_opens_nothing_unsigned(self, data):
+        with pytest.raises(errors.LinkError):
+            make_sealer().open(data)
+
+    @given(strategies.integers(min_value=0), strategies.integers(1, 255))
+    def test_opens_nothing_that_was_changed(self, position, flip):
+        data = bytearray(make_sealer().seal(Ping(number=1, note='note')))
+        data[position % len(data)] ^= flip
+        with pytest.raises(errors.LinkError):
+            make_sealer().open(bytes(data))
+
+    @given(strategies.binary(max_size=200))
+    def test_signed_bytes_give_a_message_or_one_kind_of_error(self, data):
+        try:
+            make_sealer().open(sign(data))
+        except errors.LinkError:
+            return
+
+
+class TestMixedVersions:
+    async def test_a_newer_sender_is_understood(self, server):
+        """A rolling upgrade stops the old processes.
+
+        The newer ones send a later protocol version, a longer envelope
+        and messages with fields that the older ones do not know.
+        """
+        body = {'number': 3, 'added': {'later': [1, 2]}}
+        data = envelope(protocol=link.PROTOCOL_VERSION + 1, body=body, more=1)
+        kind, raw = make_sealer().open(await server.send_raw(data))
+        assert kind == 'Pong'
+        assert msgspec.msgpack.decode(raw, type=Pong).number == 3
+
+    def test_an_older_message_gets_the_defaults(self):
+        old = msgspec.msgpack.encode({'number': 3})
+        assert msgspec.msgpack.decode(old, type=Pong).size == 0
+
+
+class TestOrders:
+    @given(strategies.text(max_size=200) | strategies.binary().map(str))
+    def test_any_text_is_refused_as_foreign(self, text):
+        with pytest.raises(errors.RefusalError) as caught:
+            work.decode_order(text, make_sealer())
+        assert caught.value.kind is errors.ErrorKind.FOREIGN_PROCESS
+
+    def test_another_message_is_no_order(self):
+        text = work.encode_order(Ping(number=1), make_sealer())
+        with pytest.raises(errors.RefusalError, match='not an order'):
+            work.decode_order(text, make_sealer())
