--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,192 @@
+"""The pages and examples, held against the code."""
+
+import enum
+import pathlib
+import re
+
+import click
+import msgspec
+import pytest
+
+from lacewingpitch import checking
+from lacewingpitch import cli
+from lacewingpitch import contract
+from lacewingpitch import contract_files
+from lacewingpitch import errors
+from lacewingpitch import errors_page
+from lacewingpitch import settings
+
+ROOT = pathlib.Path(__file__).parents[1]
+DOCS = ROOT / 'docs'
+PAGES = [
+    ROOT / 'README.md',
+    *sorted(p for p in DOCS.rglob('*.md') if p.name != 'FAULT_MATRIX.md'),
+]
+# Notes of the design that the architecture names and that are still to
+# be written; empty once they are.
+AWAITED = {
+    f'design/{name}.md'
+    for name in (
+        'claims',
+        'not-run',
+        'fencing',
+        'answers',
+        'retries',
+        'placement',
+        'store-pacing',
+        'limits',
+        'order',
+        'contracts',
+        'membership',
+        'account',
+    )
+}
+TABLES = {
+    'Both daemons': [settings.ProcessSettings],
+    'Entry': [settings.EntrySettings],
+    'Sidecar': [
+        settings.SidecarSettings,
+        settings.EngineSettings,
+        settings.ServiceSettings,
+    ],
+    'Contract': [
+        contract.Contract,
+        contract.Limits,
+        contract.Objective,
+        contract.AdapterGrant,
+        contract.ServiceGrant,
+    ],
+}
+_LINK = re.compile(r'\]\((?P<target>[^)#]+)')
+_ROW = re.compile(r'^\| `(\w+)` \| [^|]+ \| ([^|]+) \|', re.MULTILINE)
+
+
+def read(path):
+    return path.read_text(encoding='utf-8')
+
+
+class TestPages:
+    @pytest.mark.parametrize('page', PAGES, ids=lambda page: page.name)
+    def test_link_to_what_is_there(self, page):
+        for target in _LINK.findall(read(page)):
+            path = page.parent / target
+            awaited = path.is_relative_to(DOCS) and (
+                str(path.relative_to(DOCS)) in AWAITED
+            )
+            assert path.exists() or awaited, target
+
+    def test_index_every_page_for_operators(self):
+        text = read(DOCS / 'OPERATIONS.md')
+        for page in (DOCS / 'operations').glob('*.md'):
+            assert f'(operations/{page.name})' in text
+
+    def test_index_every_design_note(self):
+        text = read(DOCS / 'ARCHITECTURE.md')
+        for page in (DOCS / 'design').glob('*.md'):
+            assert f'(design/{page.name})' in text
+
+    def test_readme_names_every_command_it_uses(self):
+        commands = re.findall(r'^ +lacewingpitch (\w+)', read(PAGES[0]), re.M)
+        assert commands
+        for name in commands:
+            assert name in cli.main.commands
+
+    def test_every_command_says_its_exit_codes(self):
+        context = click.Context(cli.main)
+        assert 'Exit codes' in cli.main.get_help(context)
+
+
+class TestErrorsPage:
+    def test_is_current(self):
+        assert read(DOCS / 'ERRORS.md') == errors_page.render()
+
+    def test_gives_each_kind_a_rule_and_a_meaning(self):
+        assert set(errors.ANSWER_RULES) == set(errors.ErrorKind)
+        assert set(errors_page.MEANINGS) == set(errors.ErrorKind)
+
+
+class TestSettingsTables:
+    @pytest.mark.parametrize('title', TABLES)
+    def test_list_every_field_with_its_default(self, title):
+        rows = self._rows(title)
+        inherited = {
+            f.name for f in msgspec.structs.fields(settings.ProcessSettings)
+        }
+        for struct in TABLES[title]:
+            for field in msgspec.structs.fields(struct):
+                if title != 'Both daemons' and field.name in inherited:
+                    continue
+                assert self._default(field) in rows[field.name], field.name
+
+    @pytest.mark.parametrize('title', TABLES)
+    def test_list_no_other_fields(self, title):
+        known = {
+            field.name
+            for struct in TABLES[title]
+            for field in msgspec.structs.fields(struct)
+        }
+        assert set(self._rows(title)) <= known
+
+    @staticmethod
+    def _rows(title):
+        text = read(DOCS / 'OPERATIONS.md').split(f'### {title}\n', 1)[1]
+        section = re.split(r'^##+ ', text, maxsplit=1, flags=re.M)[0]
+        rows = {}
+        for name, default in _ROW.findall(section):
+            rows.setdefault(name, []).append(default)
+        return rows
+
+    @staticmethod
+    def _default(field):
+        default = field.default
+        if field.required:
+            return 'required'
+        if isinstance(default, msgspec.Struct):
+            return 'below'
+        if isinstance(default, enum.Enum):
+            return str(default.value)
+        if isinstance(default, bool):
+            return str(default).lower()
+        if isinstance(default, tuple):
+            return ', '.join(default) or 'none'
+        return str(default)
+
+
+class TestExamples:
+    @pytest.mark.parametrize(
+        ('name', 'engines', 'services'),
+        [('haneul', 5, 4), ('association', 9, 4)],
+    )
+    def test_are_accepted_and_have_the_sizes_of_today(
+        self, name, engines, services
+    ):
+        found = checking.check_paths([ROOT / 'examples' / name])
+        assert [p for item in found for p in item.problems] == []
+        backend_servers = [
+            type(item.content.backend_server)
+            for item in found
+            if item.kind is checking.Kind.SIDECAR
+        ]
+        zones = {
+            item.content.availability_zone
+            for item in found
+            if item.kind is checking.Kind.ENTRY
+        }
+        assert backend_servers.count(settings.EngineSettings) == engines
+        assert backend_servers.count(settings.ServiceSettings) == services
+        assert len(zones) == 4
+
+    @pytest.mark.parametrize('name', ['haneul', 'association'])
+    def test_call_what_their_sidecars_serve(self, name):
+        folder = ROOT / 'examples' / name
+        found = checking.check_paths([folder / 'settings'])
+        served = {
+            getattr(server, 'base_model', '') or server.name
+            for item in found
+            if item.kind is checking.Kind.SIDECAR
+            for server in [item.content.backend_server]
+        }
+        for found in contract_files.load_contracts(folder / 'contracts'):
+            called = {grant.base_model for grant in found.adapters}
+            called |= {grant.name for grant in found.services}
+            assert called <= served
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -358,11 +358,13 @@
         too, and so the run never ends.
         """
         async with demo.Deployment(stall_timeout_s=1) as deployment:
+            # The whole stream would take minutes.
             for found in deployment.engines:
-                found.token_s = 0
+                found.token_s = 0.002
             async with _unread_call(deployment, stream=True):
                 await processes.until(lambda: _is_running(deployment, 1))
                 await processes.until(lambda: _is_running(deployment, 0))
+            assert not await _has_finished(deployment)
 
 
 class TestDrain:
