--- a/tests/processes.py
+++ b/tests/processes.py
@@ -62,6 +62,10 @@
                 listening.set()
         listening.set()
 
+    @property
+    def pid(self):
+        return self._process.pid
+
     @property
     def url(self):
         return f'http://{IP}:{self.ports["work_port"]}'
@@ -116,7 +120,14 @@
         self._exits.push_async_callback(process.kill)
         return await process.start()
 
-    async def add_engine(self, *options, **fields):
+    async def add_engine(
+        self,
+        *options,
+        base_model='base',
+        adapter_slots=4,
+        max_running=16,
+        **fields,
+    ):
         """Start a stand-in engine and the sidecar beside it."""
         engine = await self.run('standin', 'engine', *options)
         self.engines.append(engine)
@@ -124,9 +135,9 @@
         return await self.add_sidecar(
             settings.EngineSettings(
                 address=settings.Address(ip=IP, port=port),
-                base_model='base',
-                adapter_slots=4,
-                max_running=16,
+                base_model=base_model,
+                adapter_slots=adapter_slots,
+                max_running=max_running,
             ),
             **fields,
         )
