Property tests of bodies and headers; odd expectations; foreign orders

An Expect header that is no text made the library answer 500 outside of every middleware (found by the property test of headers): expectations are now answered by http_guard.expect; without it the test fails. Orders that are not of this deployment are counted at the sidecar.

--- a/lacewingpitch/http_guard.py
+++ b/lacewingpitch/http_guard.py
@@ -18,6 +18,8 @@
 MAX_ORDER_FIELD_BYTES = 32 << 10
 KEEPALIVE_S = 75.0
 _HTTP_TOO_LARGE = 413
+_EXPECTED = '100-continue'
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 log = structlog.get_logger(__name__)
 
 # The library logs what it cannot parse as it came, API keys included.
@@ -54,6 +56,21 @@
     return answer.refusal_response(refusal, _request_id())
 
 
+async def expect(request: web.Request) -> web.StreamResponse | None:
+    """Answer the header ``Expect`` before the body is read."""
+    # The library's own handler quotes an unknown value, outside of every
+    # middleware, and fails at one that is no text.
+    if request.headers.get('Expect', '').lower() != _EXPECTED:
+        refusal = errors.RefusalError(
+            errors.ErrorKind.BAD_REQUEST, f'only {_EXPECTED} may be expected'
+        )
+        return answer.refusal_response(refusal, _request_id())
+    await request.writer.write(_CONTINUE)
+    # This was no part of the answer, which has still to begin.
+    request.writer.output_size = 0
+    return None
+
+
 async def read_body(request: web.Request, timeout_s: float) -> bytes:
     """Return the whole body of a request.
 
--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -37,7 +37,9 @@
 
     def route(self, method: str, path: str, handler: Handler) -> None:
         """Answer `method` at `path` by `handler`."""
-        self._app.router.add_route(method, path, handler)
+        self._app.router.add_route(
+            method, path, handler, expect_handler=http_guard.expect
+        )
 
     def route_work(self, method: str, path: str, handler: Handler) -> None:
         """Like `route`, for requests that a drain waits for."""
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -1,6 +1,7 @@
 """The process beside a backend server, and the only one to send it work."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 import contextlib
 
@@ -70,6 +71,11 @@
             'control_port': self.control_port,
         }
 
+    @property
+    def refused_count(self) -> collections.Counter[str]:
+        """Return how many messages and orders were refused, by reason."""
+        return self._node.control.refused_count
+
     async def start(self) -> None:
         """Take the port, then the backend server, then requests."""
         # Two sidecars of one engine that ignores fencing numbers would
@@ -103,6 +109,7 @@
                 request.headers.get(work.ORDER_HEADER, ''), self._node.sealer
             )
         except errors.RefusalError as error:
+            self._node.control.refused_count['foreign order'] += 1
             return answer.refusal_response(error, '')
         try:
             return await self._run(request, order)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -21,6 +21,7 @@
 from lacewingpitch import engine
 from lacewingpitch import errors
 from lacewingpitch import http_server
+from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import work
 from tests import fault_matrix
@@ -69,6 +70,21 @@
     b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
     b'GET /healthz HTTP/1.1\r\nHost: a\r\n' + b'A: b\r\n' * 1000 + b'\r\n',
 ]
+MODELS = strategies.sampled_from(['ficus-care', 'trade-in']) | (
+    strategies.text()
+)
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(strategies.text(), inner)
+    ),
+    max_leaves=6,
+)
 PLATFORM_GARBAGE = [
     b'',
     b'null',
@@ -115,7 +131,7 @@
             if half_close:
                 writer.write_eof()
             with contextlib.suppress(ConnectionError):
-                return await reader.read(MAX_HEAD_BYTES)
+                return await reader.read()
     return b''
 
 
@@ -167,6 +183,24 @@
         ) as response:
             assert response.status == 200
 
+    async def test_a_caller_may_wait_before_it_sends_the_body(
+        self, deployment
+    ):
+        body = b'{"model": "ficus-care"}'
+        answer = await send_raw(
+            deployment.entry.work_port,
+            b'POST /v1/completions HTTP/1.1\r\nHost: a\r\n'
+            b'Connection: close\r\nExpect: 100-continue\r\n'
+            + f'Content-Length: {len(body)}\r\n'.encode()
+            + f'Authorization: Bearer {deployment.keys["haneul"]}'.encode()
+            + b'\r\n\r\n'
+            + body,
+        )
+        assert answer.count(b'HTTP/1.1 ') == 2, answer
+        first, second, _ = answer.split(b'\r\n\r\n')
+        assert first.startswith(b'HTTP/1.1 100')
+        assert second.startswith(b'HTTP/1.1 200')
+
     @pytest.mark.parametrize('data', ODD_HEADS)
     async def test_odd_heads_end_the_connection_only(
         self, deployment, session, data
@@ -286,6 +320,125 @@
     return packer.compress(b'\0' * size) + packer.flush()
 
 
+class TestProperties:
+    def test_any_json_is_served_or_refused(self):
+        fields = {'model': MODELS, 'messages': JSON}
+        optional = {'stream': JSON, 'max_tokens': JSON, 'n': JSON}
+        bodies = strategies.fixed_dictionaries(fields, optional=optional)
+
+        async def check(deployment, session, body):
+            async with session.post(
+                url_of(deployment),
+                data=msgspec.json.encode(body),
+                headers=headers_of(deployment),
+            ) as response:
+                if response.status == 200:
+                    assert (await response.read()).count(b'ficus-care@1')
+                    return
+                assert await check_refusal(response) in (
+                    'bad-request',
+                    'not-in-contract',
+                )
+
+        self._run(bodies, check)
+
+    def test_any_header_is_served_or_refused(self):
+        names = strategies.sampled_from(
+            [
+                'Authorization',
+                'Idempotency-Key',
+                'Content-Type',
+                'Content-Encoding',
+                'Accept',
+                'Lacewingpitch-Order',
+                'X-Request-Id',
+                'Expect',
+            ]
+        )
+        headers = strategies.tuples(names, strategies.binary(max_size=50))
+
+        async def check(deployment, _session, header):
+            name, value = header
+            body = b'{"model": "ficus-care"}'
+            key = deployment.keys['haneul']
+            answer = await send_raw(
+                deployment.entry.work_port,
+                f'POST /v1/completions HTTP/1.1\r\nHost: a\r\n'
+                f'Connection: close\r\nContent-Length: {len(body)}\r\n'
+                f'Authorization: Bearer {key}\r\n{name}: '.encode()
+                + value.replace(b'\n', b'')
+                + b'\r\n\r\n'
+                + body,
+            )
+            status = int(answer.split()[1])
+            assert status == 200 or 400 <= status < 500, answer
+
+        self._run(headers, check)
+
+    @staticmethod
+    def _run(strategy, check):
+        """Check every example against one deployment."""
+        with asyncio.Runner() as runner:
+            held = contextlib.AsyncExitStack()
+
+            async def start():
+                return (
+                    await held.enter_async_context(demo.Deployment()),
+                    await held.enter_async_context(aiohttp.ClientSession()),
+                )
+
+            deployment, session = runner.run(start())
+
+            @given(example=strategy)
+            def check_example(example):
+                runner.run(check(deployment, session, example))
+
+            try:
+                check_example()
+            finally:
+                runner.run(held.aclose())
+
+
+class TestSidecar:
+    async def test_takes_orders_of_its_deployment_only(
+        self, deployment, session
+    ):
+        """A backend server runs work that no contract allows.
+
+        Somebody else sent it: a caller who found the sidecar's port, or
+        an entry of another deployment whose list named the address.
+        """
+        order = work.WorkOrder(
+            request_id='a',
+            attempt=1,
+            customer='haneul',
+            contract_revision=1,
+            urgency=contract.Urgency.STANDARD,
+            weight=1.0,
+            deadline_s=1.0,
+            method='GET',
+            path='/',
+            repeatable=True,
+            service=demo.SERVICE,
+        )
+        foreign = link.Sealer('demo', 'another secret of 16', 'entry-0')
+        good = work.encode_order(order, foreign)
+        headers = ['', 'x', good, good[:-4], good + good, 'é', 'A' * 9000]
+        for number, text in enumerate(headers, 1):
+            sidecar = deployment.sidecars[-1]
+            async with session.post(
+                f'http://{IP}:{sidecar.work_port}/run',
+                headers={work.ORDER_HEADER: text},
+            ) as response:
+                kind = msgspec.json.decode(
+                    await response.read(), type=work.ErrorBody
+                ).error.kind
+                assert kind is errors.ErrorKind.FOREIGN_PROCESS
+            refused = sidecar.refused_count
+            assert refused['foreign order'] == number
+        assert not deployment.service.runs
+
+
 class TestServices:
     @pytest.mark.parametrize(
         ('target', 'path'),
