--- a/lacewingpitch/live_list.py
+++ b/lacewingpitch/live_list.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lacewingpitch import platform_call
+from lacewingpitch import settings
 
 _READ_TIMEOUT_S = 5.0
 _MAX_LIST_BYTES = 4 << 20
@@ -41,9 +42,9 @@
     role: Role
     region: str
     availability_zone: str
-    ip: str
-    work_port: int
-    control_port: int
+    ip: settings.Ip
+    work_port: settings.Port
+    control_port: settings.Port
     serves: str = ''
     started_at_s: float = 0.0
     state: InstanceState = InstanceState.LIVE
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -96,6 +96,7 @@
     b'{"revision": ' + b'[' * 100_000,
     b'"' + b'x' * (3 << 20) + b'"',
     b'<html>busy</html>',
+    b'{"revision": 1, "instances": 7}',
     b'\xff\xfe',
 ]
 
@@ -508,6 +509,29 @@
             assert answer.startswith(b'HTTP/1.1 408')
             assert b'Lacewingpitch-Outcome: not-run' in answer
 
+    @pytest.mark.parametrize('stream', [True, False])
+    async def test_a_caller_that_hangs_up_frees_what_it_holds(
+        self, deployment, stream
+    ):
+        """Engines are full of work that nobody waits for.
+
+        Callers lose patience, hang up and ask again; the first runs go
+        on to their ends.
+        """
+        # The whole answer would take minutes.
+        for found in deployment.engines:
+            found.token_s = 0.002
+        body = {'model': 'ficus-care', 'stream': stream, 'max_tokens': 99_999}
+        async with _unread_call(
+            deployment.entry.work_port,
+            deployment.keys['haneul'],
+            '/v1/completions',
+            msgspec.json.encode(body),
+        ):
+            await processes.until(lambda: _is_running(deployment, 1))
+        await processes.until(lambda: _is_running(deployment, 0))
+        assert not await _has_finished(deployment)
+
     async def test_a_caller_that_stops_to_read_frees_what_it_holds(self):
         """An adapter stays in its slot for a caller that is not there.
 
