--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -1,6 +1,7 @@
 """The process beside a backend server, and the only one to send it work."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 import contextlib
 
@@ -10,6 +11,7 @@
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import http_guard
 from lacewingpitch import http_server
 from lacewingpitch import ledger
 from lacewingpitch import node
@@ -41,7 +43,11 @@
         self.settings = settings
         self._node = node.Node(settings, clock or clock_module.SystemClock())
         self._ledger = ledger.RunLedger(self._node.clock)
-        self._server = http_server.HttpServer(MAX_BODY_BYTES)
+        self._server = http_server.HttpServer(
+            MAX_BODY_BYTES,
+            max_field_bytes=http_guard.MAX_ORDER_FIELD_BYTES,
+            stall_s=settings.stall_timeout_s,
+        )
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._queued = 0
@@ -65,6 +71,11 @@
             'control_port': self.control_port,
         }
 
+    @property
+    def refused_count(self) -> collections.Counter[str]:
+        """Return how many messages and orders were refused, by reason."""
+        return self._node.control.refused_count
+
     async def start(self) -> None:
         """Take the port, then the backend server, then requests."""
         # Two sidecars of one engine that ignores fencing numbers would
@@ -98,6 +109,7 @@
                 request.headers.get(work.ORDER_HEADER, ''), self._node.sealer
             )
         except errors.RefusalError as error:
+            self._node.control.refused_count['foreign order'] += 1
             return answer.refusal_response(error, '')
         try:
             return await self._run(request, order)
@@ -117,7 +129,9 @@
         self._ledger.admit(attempt_id)
         try:
             self._admit()
-            body = await request.read()
+            body = await http_guard.read_body(
+                request, self.settings.body_timeout_s
+            )
             async with self._turn(order):
                 self._ledger.start(attempt_id)
                 return await self._runner.run(request, order, body)
