Turns in weighted fair order, refused at once when too late

Cause: a semaphore gave turns first come, first served, so that one customer's burst stood before everybody else's requests, and a request that could not start in time was held until its deadline.

Change: TurnQueue hands turns out by an Order; FairOrder is start-time fair queueing by turn seconds over contract weight with a head start by urgency. The contract's queued_requests rides in the order of work.

--- /dev/null
+++ b/benchmarks/order.py
@@ -0,0 +1,501 @@
+"""Who goes first: orders of turns, and turns against adapter slots.
+
+Run ``python -m benchmarks.order`` (``--seeds 3`` for more seeds).  The
+real queue, orders and adapter slots run in virtual time against a
+stand-in engine; figures are means over the seeds.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+import statistics
+import time
+
+import click
+
+from benchmarks import order_rivals
+from benchmarks import virtual_time
+from lacewingpitch import contract
+from lacewingpitch import errors
+from lacewingpitch import fair_order
+from lacewingpitch import fence
+from lacewingpitch import slots
+from lacewingpitch import turn_queue
+from lacewingpitch import work
+
+TURN_COUNT = 8
+TOKEN_S = 0.02
+RUN_S = 120.0
+MAX_QUEUED = 1024
+CAPACITY_TOKENS_PER_S = TURN_COUNT / TOKEN_S
+Urgency = contract.Urgency
+
+
+@dataclasses.dataclass
+class Customer:
+    """One customer's demand, `load` being a share of the capacity."""
+
+    name: str
+    load: float
+    tokens: int = 50
+    weight: float = 1.0
+    urgency: contract.Urgency = Urgency.STANDARD
+    deadline_s: float = 15.0
+    burst_count: int = 0
+    adapters: int = 1
+
+
+def steady():
+    return [Customer(f'c{n}', 0.2) for n in range(4)]
+
+
+def overload():
+    return [Customer('hog', 2.0)] + [Customer(f'c{n}', 0.2) for n in range(3)]
+
+
+def burst():
+    others = [Customer(f'c{n}', 0.2) for n in range(3)]
+    return [Customer('burst', 0.05, burst_count=300), *others]
+
+
+def urgencies():
+    return [
+        Customer('urgent', 0.3, urgency=Urgency.INTERACTIVE, deadline_s=5.0),
+        Customer('usual', 0.5),
+        Customer('batch', 0.8, urgency=Urgency.BATCH, deadline_s=60.0),
+    ]
+
+
+def urgent_overload():
+    return [
+        Customer('urgent', 1.5, urgency=Urgency.INTERACTIVE, deadline_s=5.0),
+        Customer('usual', 0.5),
+        Customer('batch', 0.5, urgency=Urgency.BATCH, deadline_s=60.0),
+    ]
+
+
+def lengths():
+    return [
+        Customer('short', 0.8, tokens=10),
+        Customer('long', 0.8, tokens=400, deadline_s=60.0),
+    ]
+
+
+def weights():
+    return [
+        Customer(f'w{weight}', 1.0, weight=weight, deadline_s=30.0)
+        for weight in (1, 2, 4)
+    ]
+
+
+def adapters():
+    return [
+        Customer('hog', 0.9, adapters=3),
+        *[Customer(f'c{n}', 0.15, adapters=2) for n in range(4)],
+    ]
+
+
+WORKLOADS = (
+    steady,
+    overload,
+    burst,
+    urgencies,
+    urgent_overload,
+    lengths,
+    weights,
+)
+
+
+@dataclasses.dataclass
+class Request:
+    """One request and what became of it."""
+
+    customer: Customer
+    order: work.WorkOrder
+    at_s: float
+    tokens: int
+    wait_s: float | None = None
+    stall_s: float = 0.0
+    refused_after_s: float | None = None
+    kind: errors.ErrorKind | None = None
+
+
+def make_requests(customers, seed):
+    rng = random.Random(seed)
+    found = []
+    for customer in customers:
+        rate = customer.load * CAPACITY_TOKENS_PER_S / customer.tokens
+        at_s = rng.expovariate(rate)
+        while at_s < RUN_S:
+            found.append(_request(customer, at_s, rng))
+            at_s += rng.expovariate(rate)
+        for _ in range(customer.burst_count):
+            found.append(_request(customer, RUN_S / 4, rng))
+    found.sort(key=lambda request: request.at_s)
+    return found
+
+
+def _request(customer, at_s, rng):
+    number = int(rng.paretovariate(1.2)) % customer.adapters
+    return Request(
+        customer,
+        work.WorkOrder(
+            request_id=str(rng.random()),
+            attempt=1,
+            customer=customer.name,
+            contract_revision=1,
+            urgency=customer.urgency,
+            weight=customer.weight,
+            deadline_s=customer.deadline_s,
+            method='POST',
+            path='/',
+            repeatable=True,
+            adapter=contract.AdapterGrant(
+                name=f'{customer.name}-{number}',
+                version='1',
+                base_model='base',
+            ),
+            max_tokens=2 * customer.tokens,
+            queued_requests=256,
+        ),
+        at_s,
+        max(1, round(rng.gammavariate(4, customer.tokens / 4))),
+    )
+
+
+class Semaphore:
+    """What the queue replaces: FIFO, and waiting until the deadline."""
+
+    def __init__(self):
+        self._semaphore = asyncio.Semaphore(TURN_COUNT)
+
+    @contextlib.asynccontextmanager
+    async def turn(self, _order):
+        async with self._semaphore:
+            yield
+
+
+def queue_of(make_order):
+    def make():
+        clock = virtual_time.LoopClock()
+        return turn_queue.TurnQueue(
+            TURN_COUNT, MAX_QUEUED, make_order(clock), clock
+        )
+
+    return make
+
+
+def no_leads():
+    return dict.fromkeys(Urgency, 0.0)
+
+
+def leads(scale):
+    return {u: s * scale for u, s in fair_order.LEADS_S.items()}
+
+
+POLICIES = {
+    'fifo': queue_of(lambda clock: order_rivals.FifoOrder()),
+    'semaphore': Semaphore,
+    'urgency': queue_of(lambda clock: order_rivals.UrgencyOrder()),
+    'urgency+aging': queue_of(lambda clock: order_rivals.UrgencyOrder(5.0)),
+    'fair': queue_of(lambda clock: fair_order.FairOrder(no_leads())),
+    'fair+lead/4': queue_of(lambda clock: fair_order.FairOrder(leads(0.25))),
+    'fair+lead': queue_of(lambda clock: fair_order.FairOrder()),
+    'fair+lead*4': queue_of(lambda clock: fair_order.FairOrder(leads(4))),
+    'deficit': queue_of(
+        lambda clock: order_rivals.DeficitOrder(clock, TURN_COUNT)
+    ),
+    'deficit, weight': queue_of(
+        lambda clock: order_rivals.DeficitOrder(
+            clock, TURN_COUNT, doubles=False
+        )
+    ),
+}
+
+
+async def drive(requests, make_gate, make_run):
+    """Send the requests and return how long it took."""
+    gate = make_gate()
+    loop = asyncio.get_running_loop()
+    async with asyncio.TaskGroup() as tasks:
+        for request in requests:
+            await asyncio.sleep(request.at_s - loop.time())
+            tasks.create_task(serve(request, gate, make_run))
+    return loop.time()
+
+
+async def serve(request, gate, run):
+    loop = asyncio.get_running_loop()
+    try:
+        async with contextlib.AsyncExitStack() as held:
+            async with asyncio.timeout(request.order.deadline_s):
+                await run.prepare(held, gate, request)
+            request.wait_s = loop.time() - request.at_s
+            await run.work(request)
+    except errors.RefusalError as error:
+        request.kind = error.kind
+        request.refused_after_s = loop.time() - request.at_s
+    except TimeoutError:
+        request.kind = errors.ErrorKind.DEADLINE_UNREACHABLE
+        request.refused_after_s = loop.time() - request.at_s
+
+
+class TurnsOnly:
+    """Requests that need a turn and nothing else."""
+
+    async def prepare(self, held, gate, request):
+        await held.enter_async_context(gate.turn(request.order))
+
+    async def work(self, request):
+        await asyncio.sleep(request.tokens * TOKEN_S)
+
+
+def entitlements(requests):
+    """Return what each customer would get from ideal sharing, in tokens."""
+    left = CAPACITY_TOKENS_PER_S * RUN_S
+    demand = collections.Counter()
+    weight = {}
+    for request in requests:
+        demand[request.customer.name] += request.tokens
+        weight[request.customer.name] = request.customer.weight
+    found = {}
+    for name in sorted(demand, key=lambda n: demand[n] / weight[n]):
+        found[name] = min(demand[name], left * weight[name] / sum_(weight))
+        left -= found[name]
+        del weight[name]
+    return found
+
+
+def sum_(weight):
+    return sum(weight.values())
+
+
+def jain(values):
+    return sum(values) ** 2 / (len(values) * sum(v * v for v in values))
+
+
+def percentile(values, ratio):
+    values = sorted(values)
+    return values[min(len(values) - 1, int(ratio * len(values)))]
+
+
+def waits(requests, urgency):
+    return [
+        r.wait_s
+        for r in requests
+        if r.wait_s is not None and r.customer.urgency is urgency
+    ]
+
+
+def measure(requests):
+    """Return one row of figures."""
+    served = collections.Counter()
+    for request in requests:
+        if request.wait_s is not None:
+            served[request.customer.name] += request.tokens
+    ideal = entitlements(requests)
+    refused = [r for r in requests if r.refused_after_s is not None]
+    late = [r for r in refused if r.kind is not errors.ErrorKind.QUEUE_FULL]
+    row = {
+        'jain': jain([served[n] / ideal[n] for n in ideal]),
+        'least share': min(served[n] / ideal[n] for n in ideal),
+        'refused': len(refused) / len(requests),
+        'refused after s': statistics.mean(
+            [r.refused_after_s for r in late] or [0.0]
+        ),
+        'held to deadline': sum(
+            r.refused_after_s >= 0.99 * r.order.deadline_s for r in late
+        )
+        / len(requests),
+        'longest wait': max(
+            (r.wait_s for r in requests if r.wait_s is not None), default=0.0
+        ),
+        'tokens': sum(served.values()),
+    }
+    for urgency in Urgency:
+        found = waits(requests, urgency)
+        for ratio in (0.5, 0.95, 0.99):
+            if found:
+                label = f'{urgency.value[:4]} p{round(100 * ratio)}'
+                row[label] = percentile(found, ratio)
+    return row
+
+
+def mean_row(rows):
+    return {name: statistics.mean(r[name] for r in rows) for name in rows[0]}
+
+
+def order_row(workload, policy, seeds):
+    rows = []
+    for seed in range(seeds):
+        requests = make_requests(workload(), seed)
+        virtual_time.run(drive(requests, POLICIES[policy], TurnsOnly()))
+        rows.append(measure(requests))
+    return mean_row(rows)
+
+
+class SlowStore:
+    """An engine that loads one adapter at a time, with no failures."""
+
+    load_s = 0.5
+
+    async def load_adapter(self, name, fencing):
+        await asyncio.sleep(self.load_s)
+
+    async def evict_adapter(self, name, fencing):
+        pass
+
+
+class WithSlots:
+    """Requests that need a turn and an adapter, in an order to measure.
+
+    `lookahead` requests beyond the turns get their adapters while they
+    wait for a second gate, in order of arrival there.
+    """
+
+    def __init__(self, slot_count=4, *, adapter_first=False):
+        clock = virtual_time.LoopClock()
+        self._slots = slots.AdapterSlots(
+            SlowStore(), slot_count, fence.Fence(clock)
+        )
+        self._adapter_first = adapter_first
+        self._batch = asyncio.Semaphore(TURN_COUNT)
+        self.running = 0
+        self.busy_s = 0.0
+
+    async def prepare(self, held, gate, request):
+        if self._adapter_first:
+            await self._hold(held, request)
+        await held.enter_async_context(gate.turn(request.order))
+        if not self._adapter_first:
+            await self._hold(held, request)
+        await held.enter_async_context(self._batch)
+
+    async def _hold(self, held, request):
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        name = request.order.adapter.engine_name
+        await held.enter_async_context(
+            self._slots.hold(name, request.order.deadline_s)
+        )
+        request.stall_s = loop.time() - started_s
+
+    async def work(self, request):
+        used_s = request.tokens * TOKEN_S
+        await asyncio.sleep(used_s)
+        self.busy_s += used_s
+
+
+def slots_row(lookahead, adapter_first, seeds):
+    rows = []
+    for seed in range(seeds):
+        requests = make_requests(adapters(), seed)
+
+        async def main(requests=requests):
+            run = WithSlots(adapter_first=adapter_first)
+            clock = virtual_time.LoopClock()
+
+            def make_gate():
+                return turn_queue.TurnQueue(
+                    TURN_COUNT + lookahead,
+                    MAX_QUEUED,
+                    fair_order.FairOrder(),
+                    clock,
+                )
+
+            took_s = await drive(requests, make_gate, run)
+            return run.busy_s / (took_s * TURN_COUNT)
+
+        efficiency = virtual_time.run(main())
+        served = [r for r in requests if r.wait_s is not None]
+        row = measure(requests)
+        row['batch efficiency'] = efficiency
+        row['stall s'] = statistics.mean(r.stall_s for r in served)
+        rows.append(row)
+    return mean_row(rows)
+
+
+def print_table(title, rows, base):
+    """Print rows as Markdown: figures of `base`, ratios to it below."""
+    names = list(rows[base])
+    click.echo(f'\n### {title}\n')
+    click.echo('| policy | ' + ' | '.join(names) + ' |')
+    click.echo('| --- |' + ' ---: |' * len(names))
+    for policy, row in rows.items():
+        cells = []
+        for name in names:
+            first = rows[base][name]
+            if policy == base:
+                cells.append(f'{first:.3g}')
+            elif first:
+                cells.append(f'x{row[name] / first:.2f}')
+            else:
+                cells.append(f'{row[name]:.3g}')
+        click.echo(f'| {policy} | ' + ' | '.join(cells) + ' |')
+
+
+class Idle:
+    """Measures what the queue itself costs, in real time."""
+
+    @staticmethod
+    async def arrivals(waiting):
+        clock = virtual_time.LoopClock()
+        queue = turn_queue.TurnQueue(
+            TURN_COUNT, 4096, fair_order.FairOrder(), clock
+        )
+        customer = Customer('c', 1.0, deadline_s=1e9)
+        rng = random.Random(1)
+
+        async def wait(number):
+            order = _request(
+                dataclasses.replace(customer, name=f'c{number % 64}'), 0, rng
+            ).order
+            async with queue.turn(order):
+                await asyncio.Event().wait()
+
+        tasks = [
+            asyncio.create_task(wait(n)) for n in range(waiting + TURN_COUNT)
+        ]
+        while queue.queued < waiting:
+            await asyncio.sleep(0)
+        order = _request(customer, 0, rng).order
+        started_s = time.perf_counter()
+        waiters = [queue._enter(order) for _ in range(50)]
+        arrival_s = (time.perf_counter() - started_s) / 50
+        started_s = time.perf_counter()
+        for _ in range(50):
+            queue._recheck()
+        recheck_s = (time.perf_counter() - started_s) / 50
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert all(waiter.granted for waiter in waiters)
+        return arrival_s, recheck_s
+
+
+@click.command()
+@click.option('--seeds', default=3, show_default=True)
+def main(seeds):
+    """Print the tables."""
+    for workload in WORKLOADS:
+        rows = {p: order_row(workload, p, seeds) for p in POLICIES}
+        print_table(workload.__name__, rows, 'fifo')
+    rows = {'adapter first': slots_row(0, True, seeds)}
+    for lookahead in (0, 2, 4, 8):
+        rows[f'turn first, {lookahead} ahead'] = slots_row(
+            lookahead, False, seeds
+        )
+    print_table('turns and adapter slots', rows, 'adapter first')
+    click.echo('\n### cost\n\n| waiting | arrival us | recheck us |')
+    click.echo('| ---: | ---: | ---: |')
+    for waiting in (32, 256, 1024):
+        arrival_s, recheck_s = virtual_time.run(Idle.arrivals(waiting))
+        click.echo(
+            f'| {waiting} | {1e6 * arrival_s:.0f} | {1e6 * recheck_s:.0f} |'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -320,6 +320,7 @@
         stream=stream,
         idempotency_key=key,
         max_tokens=max_tokens,
+        queued_requests=contract.limits.queued_requests,
     )
 
 
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -5,16 +5,19 @@
 import contextlib
 
 from aiohttp import web
+import msgspec
 import structlog
 
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import fair_order
 from lacewingpitch import http_server
 from lacewingpitch import ledger
 from lacewingpitch import node
 from lacewingpitch import runner as runner_module
 from lacewingpitch import settings as settings_module
+from lacewingpitch import turn_queue
 from lacewingpitch import voiding
 from lacewingpitch import work
 
@@ -44,8 +47,12 @@
         self._server = http_server.HttpServer(MAX_BODY_BYTES)
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
-        self._queued = 0
-        self._running = asyncio.Semaphore(settings.backend_server.max_running)
+        self._queue = turn_queue.TurnQueue(
+            settings.backend_server.max_running,
+            settings.max_queued,
+            fair_order.FairOrder(),
+            self._node.clock,
+        )
         self._runner: runner_module.Runner
 
     @property
@@ -129,32 +136,25 @@
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING, 'this backend server is leaving'
             )
-        if self._queued >= self.settings.max_queued:
-            raise errors.RefusalError(
-                errors.ErrorKind.QUEUE_FULL, 'too many requests wait here'
-            )
 
     @contextlib.asynccontextmanager
     async def _turn(self, order: work.WorkOrder) -> AsyncIterator[None]:
-        self._queued += 1
-        try:
-            async with contextlib.AsyncExitStack() as held:
-                await self._wait_turn(held, order)
-                self._queued -= 1
-                try:
-                    yield
-                finally:
-                    self._queued += 1
-        finally:
-            self._queued -= 1
+        async with contextlib.AsyncExitStack() as held:
+            await self._wait_turn(held, order)
+            yield
 
     async def _wait_turn(
         self, held: contextlib.AsyncExitStack, order: work.WorkOrder
     ) -> None:
+        # The turn comes before the adapter: a request that waits for its
+        # turn keeps no adapter from eviction.
+        start_by_s = self._node.clock.monotonic_s() + order.deadline_s
         try:
             async with asyncio.timeout(order.deadline_s):
+                await held.enter_async_context(self._queue.turn(order))
+                left_s = start_by_s - self._node.clock.monotonic_s()
+                order = msgspec.structs.replace(order, deadline_s=left_s)
                 await held.enter_async_context(self._runner.ready(order))
-                await held.enter_async_context(self._running)
         except TimeoutError as error:
             raise errors.RefusalError(
                 errors.ErrorKind.DEADLINE_UNREACHABLE,
--- /dev/null
+++ b/lacewingpitch/turn_queue.py
@@ -0,0 +1,323 @@
+"""Hands the turns of one backend server to the requests that wait."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator, Iterator
+import contextlib
+import dataclasses
+import heapq
+from typing import Protocol
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import errors
+from lacewingpitch import turn_time
+from lacewingpitch import work
+
+RECHECK_INTERVAL_S = 0.2
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """One request that waits for a turn, or has one.
+
+    Parameters
+    ----------
+    cost_s
+        Seconds for which it is expected to keep its turn.
+    granted
+        Done when it gets its turn; fails when it is refused.
+    """
+
+    order: work.WorkOrder
+    arrived_s: float
+    cost_s: float
+    granted: asyncio.Future[None]
+    started_s: float = 0.0
+
+    @property
+    def start_by_s(self) -> float:
+        """Return the time by which it must have its turn."""
+        return self.arrived_s + self.order.deadline_s
+
+
+class Order(Protocol):
+    """Decides which waiting request gets the next turn."""
+
+    def add(self, waiter: Waiter) -> None:
+        """Take note of a request that waits."""
+        ...
+
+    def remove(self, waiter: Waiter) -> None:
+        """Forget a request that waits no longer and got no turn."""
+        ...
+
+    def take(self) -> Waiter:
+        """Return the request that gets a turn; at least one waits."""
+        ...
+
+    def finish(self, waiter: Waiter, used_s: float) -> None:
+        """Take note that a turn ended, and how long it was kept."""
+        ...
+
+    def forecast(self) -> Iterator[Waiter]:
+        """Yield those waiting in order of turns, if nobody else came."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueLoad:
+    """How much work a queue has, as a hint for whoever sends more.
+
+    Parameters
+    ----------
+    estimated_wait_s
+        Wait of a request that came now and went last.
+    """
+
+    queued_count: int
+    running_count: int
+    estimated_wait_s: float
+
+
+class TurnQueue:
+    """Bounded queue for the turns of one backend server.
+
+    Parameters
+    ----------
+    turn_count
+        Requests that may have a turn at once.
+    max_queued
+        Requests that may wait, over all customers.
+    order
+        Who goes first.
+    """
+
+    def __init__(
+        self,
+        turn_count: int,
+        max_queued: int,
+        order: Order,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._turn_count = turn_count
+        self._max_queued = max_queued
+        self._order = order
+        self._clock = clock
+        self._turn_times = turn_time.TurnTimes()
+        self._waiting: dict[Waiter, None] = {}
+        self._running: dict[Waiter, None] = {}
+        self._queued_by_customer: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._recheck_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests have a turn."""
+        return len(self._running)
+
+    def load(self) -> QueueLoad:
+        """Return how much work there is, for hints."""
+        return QueueLoad(self.queued, self.running, self._wait_of_last())
+
+    @contextlib.asynccontextmanager
+    async def turn(self, order: work.WorkOrder) -> AsyncIterator[None]:
+        """Wait for a turn and keep it while the context lasts.
+
+        Raises
+        ------
+        RefusalError
+            The queue is full, or the turn would come after the
+            deadline.  The request did not run.
+        """
+        waiter = self._enter(order)
+        await self._wait(waiter)
+        try:
+            yield
+        finally:
+            self._finish(waiter)
+
+    def _enter(self, order: work.WorkOrder) -> Waiter:
+        self._check_bounds(order)
+        waiter = Waiter(
+            order,
+            self._clock.monotonic_s(),
+            self._turn_times.predict_s(order),
+            asyncio.get_running_loop().create_future(),
+        )
+        self._add(waiter)
+        if self._has_free_turn():
+            self._grant_turns()
+            return waiter
+        wait_s = self._wait_of(waiter)
+        if not self._is_in_time(waiter, wait_s):
+            self._remove(waiter)
+            raise self._too_late(waiter, wait_s)
+        self._schedule_recheck()
+        return waiter
+
+    async def _wait(self, waiter: Waiter) -> None:
+        try:
+            await waiter.granted
+        except asyncio.CancelledError:
+            # A caller can hang up in the moment between being given the
+            # turn and waking up.  The turn would be lost for good, and
+            # with each such caller the backend server would get slower.
+            if waiter in self._running:
+                self._finish(waiter)
+            elif waiter in self._waiting:
+                self._remove(waiter)
+            raise
+
+    def _add(self, waiter: Waiter) -> None:
+        self._waiting[waiter] = None
+        self._queued_by_customer[waiter.order.customer] += 1
+        self._order.add(waiter)
+
+    def _remove(self, waiter: Waiter) -> None:
+        self._order.remove(waiter)
+        self._forget_waiting(waiter)
+
+    def _forget_waiting(self, waiter: Waiter) -> None:
+        del self._waiting[waiter]
+        customer = waiter.order.customer
+        self._queued_by_customer[customer] -= 1
+        if not self._queued_by_customer[customer]:
+            del self._queued_by_customer[customer]
+
+    def _has_free_turn(self) -> bool:
+        return len(self._running) < self._turn_count
+
+    def _grant_turns(self) -> None:
+        while self._waiting and self._has_free_turn():
+            waiter = self._order.take()
+            self._forget_waiting(waiter)
+            waiter.started_s = self._clock.monotonic_s()
+            self._running[waiter] = None
+            waiter.granted.set_result(None)
+
+    def _finish(self, waiter: Waiter) -> None:
+        del self._running[waiter]
+        used_s = self._clock.monotonic_s() - waiter.started_s
+        self._turn_times.learn(waiter.order, used_s)
+        self._order.finish(waiter, used_s)
+        self._grant_turns()
+
+    def _check_bounds(self, order: work.WorkOrder) -> None:
+        customer = order.customer
+        if self._has_free_turn():
+            return
+        if self._queued_by_customer[customer] >= order.queued_requests:
+            raise errors.RefusalError(
+                errors.ErrorKind.QUEUE_FULL,
+                'too many requests of this customer wait here',
+                retry_after_s=self._wait_of_first(customer),
+            )
+        if len(self._waiting) >= self._max_queued:
+            self._make_room(order)
+
+    def _make_room(self, order: work.WorkOrder) -> None:
+        # One customer's burst can fill the queue while its own bound
+        # still allows it; others would be refused for its sake.  The
+        # newest request of the longest queue, by weight, gives way.
+        victim = self._newest_of_longest_queue()
+        customer = order.customer
+        length = self._queued_by_customer[customer] + 1
+        if self._relative_length(victim) > length / order.weight:
+            self._refuse(victim, self._queue_full())
+            return
+        raise self._queue_full()
+
+    def _newest_of_longest_queue(self) -> Waiter:
+        newest = {w.order.customer: w for w in self._waiting}
+        return max(newest.values(), key=self._relative_length)
+
+    def _relative_length(self, waiter: Waiter) -> float:
+        length = self._queued_by_customer[waiter.order.customer]
+        return length / waiter.order.weight
+
+    def _queue_full(self) -> errors.RefusalError:
+        return errors.RefusalError(
+            errors.ErrorKind.QUEUE_FULL,
+            'too many requests wait here',
+            retry_after_s=self._wait_of_first(None),
+        )
+
+    def _refuse(self, waiter: Waiter, error: errors.RefusalError) -> None:
+        self._remove(waiter)
+        if not waiter.granted.done():
+            waiter.granted.set_exception(error)
+
+    def _schedule_recheck(self) -> None:
+        if self._recheck_timer is None and self._waiting:
+            self._recheck_timer = asyncio.get_running_loop().call_later(
+                RECHECK_INTERVAL_S, self._recheck
+            )
+
+    def _recheck(self) -> None:
+        # The estimate made on arrival can worsen: the engine slows down
+        # or stops, or others go ahead.  Callers would learn only at
+        # their deadline that they had waited for nothing.
+        self._recheck_timer = None
+        late = [
+            (waiter, wait_s)
+            for waiter, wait_s in self._forecast()
+            if not self._is_in_time(waiter, wait_s)
+        ]
+        for waiter, wait_s in late:
+            self._refuse(waiter, self._too_late(waiter, wait_s))
+        self._schedule_recheck()
+
+    def _is_in_time(self, waiter: Waiter, wait_s: float) -> bool:
+        return self._clock.monotonic_s() + wait_s <= waiter.start_by_s
+
+    def _too_late(self, waiter: Waiter, wait_s: float) -> errors.RefusalError:
+        # Coming back then, with its whole deadline, it starts in time.
+        return errors.RefusalError(
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            'no turn before the deadline',
+            retry_after_s=max(0.0, wait_s - waiter.order.deadline_s),
+        )
+
+    def _forecast(self) -> Iterator[tuple[Waiter, float]]:
+        free_in_s = self._free_in_s()
+        for waiter in self._order.forecast():
+            wait_s = free_in_s[0]
+            yield waiter, wait_s
+            if self._is_in_time(waiter, wait_s):
+                cost_s = self._turn_times.predict_s(waiter.order)
+                heapq.heapreplace(free_in_s, wait_s + cost_s)
+
+    def _free_in_s(self) -> list[float]:
+        now_s = self._clock.monotonic_s()
+        times = [self._remaining_s(w, now_s) for w in self._running]
+        times += [0.0] * (self._turn_count - len(times))
+        heapq.heapify(times)
+        return times
+
+    def _remaining_s(self, waiter: Waiter, now_s: float) -> float:
+        # A turn that is overdue by some time is expected to last as long
+        # again, so that a stalled engine worsens every estimate.
+        expected_s = self._turn_times.predict_s(waiter.order)
+        return abs(expected_s - (now_s - waiter.started_s))
+
+    def _wait_of(self, waiter: Waiter) -> float:
+        return next(s for w, s in self._forecast() if w is waiter)
+
+    def _wait_of_first(self, customer: str | None) -> float:
+        for waiter, wait_s in self._forecast():
+            if customer in (None, waiter.order.customer):
+                return wait_s
+        return 0.0
+
+    def _wait_of_last(self) -> float:
+        free_in_s = self._free_in_s()
+        for waiter in self._waiting:
+            cost_s = self._turn_times.predict_s(waiter.order)
+            heapq.heapreplace(free_in_s, free_in_s[0] + cost_s)
+        return free_in_s[0]
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -33,6 +33,8 @@
         since the clocks of two instances differ.
     idempotency_key
         The caller's key; empty if it gave none.
+    queued_requests
+        Requests of the customer that may wait at one sidecar.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     stream: bool = False
     idempotency_key: str = ''
     max_tokens: int = 0
+    queued_requests: int = 32
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
