Order: a lead for held adapters, drain rate in the estimate, way bench

Change: requests whose adapter is held go ahead by a bounded lead; the estimate heeds how fast a customer's own queue moved of late.

--- a/benchmarks/order.py
+++ b/benchmarks/order.py
@@ -28,6 +28,7 @@
 TURN_COUNT = 8
 TOKEN_S = 0.02
 RUN_S = 120.0
+SLOT_COUNT = 4
 MAX_QUEUED = 1024
 CAPACITY_TOKENS_PER_S = TURN_COUNT / TOKEN_S
 Urgency = contract.Urgency
@@ -45,6 +46,7 @@
     deadline_s: float = 15.0
     burst_count: int = 0
     adapters: int = 1
+    is_over: bool = False
 
 
 def steady():
@@ -52,12 +54,14 @@
 
 
 def overload():
-    return [Customer('hog', 2.0)] + [Customer(f'c{n}', 0.2) for n in range(3)]
+    return [Customer('hog', 2.0, is_over=True)] + [
+        Customer(f'c{n}', 0.2) for n in range(3)
+    ]
 
 
 def burst():
     others = [Customer(f'c{n}', 0.2) for n in range(3)]
-    return [Customer('burst', 0.05, burst_count=300), *others]
+    return [Customer('burst', 0.05, burst_count=300, is_over=True), *others]
 
 
 def urgencies():
@@ -92,7 +96,7 @@
 
 def adapters():
     return [
-        Customer('hog', 0.9, adapters=3),
+        Customer('hog', 0.9, adapters=3, is_over=True),
         *[Customer(f'c{n}', 0.15, adapters=2) for n in range(4)],
     ]
 
@@ -195,15 +199,22 @@
     return {u: s * scale for u, s in fair_order.LEADS_S.items()}
 
 
+def fair(leads_s):
+    return queue_of(
+        lambda clock: fair_order.FairOrder(
+            TURN_COUNT, lambda order: True, leads_s
+        )
+    )
+
+
 POLICIES = {
     'fifo': queue_of(lambda clock: order_rivals.FifoOrder()),
     'semaphore': Semaphore,
     'urgency': queue_of(lambda clock: order_rivals.UrgencyOrder()),
     'urgency+aging': queue_of(lambda clock: order_rivals.UrgencyOrder(5.0)),
-    'fair': queue_of(lambda clock: fair_order.FairOrder(no_leads())),
-    'fair+lead/4': queue_of(lambda clock: fair_order.FairOrder(leads(0.25))),
-    'fair+lead': queue_of(lambda clock: fair_order.FairOrder()),
-    'fair+lead*4': queue_of(lambda clock: fair_order.FairOrder(leads(4))),
+    'fair': fair(no_leads()),
+    'fair+lead/4': fair(leads(0.25)),
+    'fair+lead': fair(leads(1.0)),
     'deficit': queue_of(
         lambda clock: order_rivals.DeficitOrder(clock, TURN_COUNT)
     ),
@@ -302,6 +313,8 @@
         'jain': jain([served[n] / ideal[n] for n in ideal]),
         'least share': min(served[n] / ideal[n] for n in ideal),
         'refused': len(refused) / len(requests),
+        'others refused': sum(not r.customer.is_over for r in refused)
+        / sum(not r.customer.is_over for r in requests),
         'refused after s': statistics.mean(
             [r.refused_after_s for r in late] or [0.0]
         ),
@@ -348,6 +361,18 @@
         pass
 
 
+class QuickSlots(slots.AdapterSlots):
+    """Slots where an adapter that is held does not wait behind a load."""
+
+    async def _take(self, name):
+        slot = self._slots.get(name)
+        if slot is None:
+            return await super()._take(name)
+        self._slots[name] = self._slots.pop(name)
+        slot.serving += 1
+        return slot
+
+
 class WithSlots:
     """Requests that need a turn and an adapter, in an order to measure.
 
@@ -355,16 +380,16 @@
     wait for a second gate, in order of arrival there.
     """
 
-    def __init__(self, slot_count=4, *, adapter_first=False):
+    def __init__(self, kind, *, adapter_first=False):
         clock = virtual_time.LoopClock()
-        self._slots = slots.AdapterSlots(
-            SlowStore(), slot_count, fence.Fence(clock)
-        )
+        self._slots = kind(SlowStore(), SLOT_COUNT, fence.Fence(clock))
         self._adapter_first = adapter_first
         self._batch = asyncio.Semaphore(TURN_COUNT)
-        self.running = 0
         self.busy_s = 0.0
 
+    def holds(self, order):
+        return order.adapter.engine_name in self._slots.adapters
+
     async def prepare(self, held, gate, request):
         if self._adapter_first:
             await self._hold(held, request)
@@ -388,35 +413,61 @@
         self.busy_s += used_s
 
 
-def slots_row(lookahead, adapter_first, seeds):
-    rows = []
-    for seed in range(seeds):
-        requests = make_requests(adapters(), seed)
+@dataclasses.dataclass
+class Way:
+    """One way to combine turns and adapter slots."""
 
-        async def main(requests=requests):
-            run = WithSlots(adapter_first=adapter_first)
-            clock = virtual_time.LoopClock()
+    lookahead: int = 0
+    adapter_first: bool = False
+    held_lead_s: float = 0.0
+    kind: type = QuickSlots
 
-            def make_gate():
-                return turn_queue.TurnQueue(
-                    TURN_COUNT + lookahead,
-                    MAX_QUEUED,
-                    fair_order.FairOrder(),
-                    clock,
-                )
 
-            took_s = await drive(requests, make_gate, run)
-            return run.busy_s / (took_s * TURN_COUNT)
+WAYS = {
+    'adapter first': Way(adapter_first=True),
+    'adapter first, one lock': Way(
+        adapter_first=True, kind=slots.AdapterSlots
+    ),
+    'turn first, one lock': Way(kind=slots.AdapterSlots),
+    'turn first': Way(),
+    'turn first, 4 ahead': Way(4),
+    'held lead 0.25 s': Way(held_lead_s=0.25),
+    'held lead 1 s': Way(held_lead_s=1.0),
+    'held lead 1 s, one lock': Way(held_lead_s=1.0, kind=slots.AdapterSlots),
+    'held lead 1 s, 2 ahead': Way(2, held_lead_s=1.0),
+    'held lead 1 s, 4 ahead': Way(4, held_lead_s=1.0),
+    'held lead 4 s': Way(held_lead_s=4.0),
+}
 
-        efficiency = virtual_time.run(main())
+
+def slots_row(way, seeds):
+    rows = []
+    for seed in range(seeds):
+        requests = make_requests(adapters(), seed)
+        run, took_s = virtual_time.run(drive_slots(way, requests))
         served = [r for r in requests if r.wait_s is not None]
         row = measure(requests)
-        row['batch efficiency'] = efficiency
+        row['batch efficiency'] = run.busy_s / (took_s * TURN_COUNT)
         row['stall s'] = statistics.mean(r.stall_s for r in served)
         rows.append(row)
     return mean_row(rows)
 
 
+async def drive_slots(way, requests):
+    run = WithSlots(way.kind, adapter_first=way.adapter_first)
+    turn_count = TURN_COUNT + way.lookahead
+
+    def make_gate():
+        order = fair_order.FairOrder(
+            turn_count, run.holds, held_lead_s=way.held_lead_s
+        )
+        return turn_queue.TurnQueue(
+            turn_count, MAX_QUEUED, order, virtual_time.LoopClock()
+        )
+
+    return run, await drive(requests, make_gate, run)
+
+
 def print_table(title, rows, base):
     """Print rows as Markdown: figures of `base`, ratios to it below."""
     names = list(rows[base])
@@ -442,9 +493,8 @@
     @staticmethod
     async def arrivals(waiting):
         clock = virtual_time.LoopClock()
-        queue = turn_queue.TurnQueue(
-            TURN_COUNT, 4096, fair_order.FairOrder(), clock
-        )
+        order = fair_order.FairOrder(TURN_COUNT, lambda order: True)
+        queue = turn_queue.TurnQueue(TURN_COUNT, 4096, order, clock)
         customer = Customer('c', 1.0, deadline_s=1e9)
         rng = random.Random(1)
 
@@ -477,17 +527,22 @@
 
 @click.command()
 @click.option('--seeds', default=3, show_default=True)
-def main(seeds):
+@click.option('--only', default='', help='One workload, "slots" or "cost".')
+def main(seeds, only):
     """Print the tables."""
     for workload in WORKLOADS:
+        if only not in ('', workload.__name__):
+            continue
         rows = {p: order_row(workload, p, seeds) for p in POLICIES}
         print_table(workload.__name__, rows, 'fifo')
-    rows = {'adapter first': slots_row(0, True, seeds)}
-    for lookahead in (0, 2, 4, 8):
-        rows[f'turn first, {lookahead} ahead'] = slots_row(
-            lookahead, False, seeds
-        )
-    print_table('turns and adapter slots', rows, 'adapter first')
+    if only in ('', 'slots'):
+        rows = {name: slots_row(way, seeds) for name, way in WAYS.items()}
+        print_table('turns and adapter slots', rows, 'adapter first')
+    if only in ('', 'cost'):
+        print_cost()
+
+
+def print_cost():
     click.echo('\n### cost\n\n| waiting | arrival us | recheck us |')
     click.echo('| ---: | ---: | ---: |')
     for waiting in (32, 256, 1024):
--- a/lacewingpitch/fair_order.py
+++ b/lacewingpitch/fair_order.py
@@ -1,20 +1,27 @@
 """Weighted fair turns between customers, with a head start by urgency."""
 
 import collections
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 import dataclasses
 import heapq
+import itertools
 
 from lacewingpitch import contract
 from lacewingpitch import turn_queue
+from lacewingpitch import work
 
 LEADS_S: Mapping[contract.Urgency, float] = {
-    contract.Urgency.INTERACTIVE: 10.0,
-    contract.Urgency.STANDARD: 2.0,
+    contract.Urgency.INTERACTIVE: 5.0,
+    contract.Urgency.STANDARD: 1.0,
     contract.Urgency.BATCH: 0.0,
 }
+HELD_LEAD_S = 1.0
+_MAX_PASSED_COUNT = 16
+_MAX_LOOK_COUNT = 16
 _MIN_SWEEP_COUNT = 64
 
+Holds = Callable[[work.WorkOrder], bool]
+
 
 @dataclasses.dataclass(slots=True)
 class _Share:
@@ -24,9 +31,12 @@
     ----------
     used_s
         Turn seconds per unit of weight, on the scale of virtual time.
+    passed_count
+        How often a later request went ahead of the first that waits.
     """
 
     used_s: float = 0.0
+    passed_count: int = 0
     running_count: int = 0
     waiting: collections.deque[turn_queue.Waiter] = dataclasses.field(
         default_factory=collections.deque
@@ -43,16 +53,32 @@
     the long run each customer gets its weight.  Virtual time passes every
     position that waits, which is the aging: nothing starves.
 
+    A request whose adapter is held has a lead as well, so that turns
+    are not spent on loads; it may pass a few of its own customer's.
+
     Parameters
     ----------
+    turn_count
+        Turns of the backend server, which a lead in seconds is times.
+    holds
+        Whether the backend server holds what a request needs.
     leads_s
-        Turn seconds per unit of weight by which an urgency goes ahead.
+        Seconds of the backend server, per unit of weight, by which an
+        urgency goes ahead.
+    held_lead_s
+        The same for a request whose adapter is held.
     """
 
     def __init__(
-        self, leads_s: Mapping[contract.Urgency, float] = LEADS_S
+        self,
+        turn_count: int,
+        holds: Holds,
+        leads_s: Mapping[contract.Urgency, float] = LEADS_S,
+        held_lead_s: float = HELD_LEAD_S,
     ) -> None:
-        self._leads_s = leads_s
+        self._holds = holds
+        self._leads_s = {u: s * turn_count for u, s in leads_s.items()}
+        self._held_lead_s = held_lead_s * turn_count
         self._virtual_s = 0.0
         self._shares: dict[str, _Share] = {}
         self._backlog: dict[str, _Share] = {}
@@ -82,15 +108,16 @@
 
     def take(self) -> turn_queue.Waiter:
         """Return the request that gets a turn; at least one waits."""
-        share = min(self._backlog.values(), key=self._rank)
-        waiter = share.waiting[0]
-        position_s = self._position_s(share.used_s, waiter)
-        self._virtual_s = max(self._virtual_s, position_s)
+        rank, waiter, share = min(
+            (self._choice(share) for share in self._backlog.values()),
+            key=lambda choice: choice[0],
+        )
+        self._virtual_s = max(self._virtual_s, rank[0])
         share.used_s += waiter.cost_s / waiter.order.weight
         share.running_count += 1
-        share.waiting.popleft()
-        if not share.waiting:
-            del self._backlog[waiter.order.customer]
+        is_first = waiter is share.waiting[0]
+        share.passed_count = 0 if is_first else share.passed_count + 1
+        self.remove(waiter)
         return waiter
 
     def finish(self, waiter: turn_queue.Waiter, used_s: float) -> None:
@@ -105,7 +132,7 @@
         for number, share in enumerate(self._backlog.values()):
             waiters = iter(share.waiting)
             waiter = next(waiters)
-            rank = self._rank(share)
+            rank = self._rank(share.used_s, waiter)
             heads.append((rank, number, share.used_s, waiter, waiters))
         heapq.heapify(heads)
         while heads:
@@ -116,18 +143,34 @@
             if following is None:
                 heapq.heappop(heads)
                 continue
-            position_s = self._position_s(used_s, following)
-            rank = (position_s, following.arrived_s)
+            rank = self._rank(used_s, following)
             heapq.heapreplace(
                 heads, (rank, number, used_s, following, waiters)
             )
 
-    def _rank(self, share: _Share) -> tuple[float, float]:
-        waiter = share.waiting[0]
-        return self._position_s(share.used_s, waiter), waiter.arrived_s
-
-    def _position_s(self, used_s: float, waiter: turn_queue.Waiter) -> float:
-        return used_s - self._leads_s[waiter.order.urgency]
+    def _choice(
+        self, share: _Share
+    ) -> tuple[tuple[float, float], turn_queue.Waiter, _Share]:
+        first = share.waiting[0]
+        held = self._first_held(share)
+        if held is None:
+            return self._rank(share.used_s, first), first, share
+        used_s = share.used_s - self._held_lead_s
+        return self._rank(used_s, held), held, share
+
+    def _first_held(self, share: _Share) -> turn_queue.Waiter | None:
+        # A customer's first request could starve while later ones find
+        # their adapters held; after some of them it goes first.
+        look_count = _MAX_LOOK_COUNT
+        if share.passed_count >= _MAX_PASSED_COUNT:
+            look_count = 1
+        looked_at = itertools.islice(share.waiting, look_count)
+        return next((w for w in looked_at if self._holds(w.order)), None)
+
+    def _rank(
+        self, used_s: float, waiter: turn_queue.Waiter
+    ) -> tuple[float, float]:
+        return used_s - self._leads_s[waiter.order.urgency], waiter.arrived_s
 
     def _sweep(self) -> None:
         # Customers come and go by the ten thousand.  One that virtual
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -50,6 +50,10 @@
         """Hold whatever the request needs, such as its adapter."""
         ...
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Whether the request finds what it needs without a wait."""
+        ...
+
     async def run(
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
@@ -109,6 +113,11 @@
         assert order.adapter is not None
         return self._slots.hold(order.adapter.engine_name, order.deadline_s)
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Whether the engine holds the request's adapter."""
+        assert order.adapter is not None
+        return order.adapter.engine_name in self._slots.adapters
+
     async def run(
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
@@ -262,6 +271,10 @@
         """Hold nothing."""
         return contextlib.nullcontext()
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Return that nothing is missing."""
+        return True
+
     async def run(
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -50,7 +50,10 @@
         self._queue = turn_queue.TurnQueue(
             settings.backend_server.max_running,
             settings.max_queued,
-            fair_order.FairOrder(),
+            fair_order.FairOrder(
+                settings.backend_server.max_running,
+                lambda order: self._runner.holds(order),
+            ),
             self._node.clock,
         )
         self._runner: runner_module.Runner
--- a/lacewingpitch/turn_queue.py
+++ b/lacewingpitch/turn_queue.py
@@ -1,7 +1,6 @@
 """Hands the turns of one backend server to the requests that wait."""
 
 import asyncio
-import collections
 from collections.abc import AsyncIterator, Iterator
 import contextlib
 import dataclasses
@@ -14,6 +13,8 @@
 from lacewingpitch import work
 
 RECHECK_INTERVAL_S = 0.2
+_MIN_BACKLOG_AGE_S = 1.0
+_MAX_BACKLOG_AGE_S = 20.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -40,6 +41,35 @@
         return self.arrived_s + self.order.deadline_s
 
 
+@dataclasses.dataclass(slots=True)
+class _Backlog:
+    """One customer's requests that wait, and how fast they get turns.
+
+    Parameters
+    ----------
+    granted_s
+        Turn seconds given to the customer since `since_s`.
+    """
+
+    since_s: float
+    count: int = 0
+    granted_s: float = 0.0
+
+    def grant(self, cost_s: float, now_s: float) -> None:
+        self.granted_s += cost_s
+        age_s = now_s - self.since_s
+        if age_s > _MAX_BACKLOG_AGE_S:
+            self.since_s = now_s - age_s / 2
+            self.granted_s /= 2
+
+    def wait_s(self, ahead_s: float, cost_s: float, now_s: float) -> float:
+        """Return the wait behind `ahead_s` turn seconds of its own."""
+        age_s = now_s - self.since_s
+        if age_s < _MIN_BACKLOG_AGE_S:
+            return 0.0
+        return ahead_s * age_s / (self.granted_s + cost_s)
+
+
 class Order(Protocol):
     """Decides which waiting request gets the next turn."""
 
@@ -106,9 +136,7 @@
         self._turn_times = turn_time.TurnTimes()
         self._waiting: dict[Waiter, None] = {}
         self._running: dict[Waiter, None] = {}
-        self._queued_by_customer: collections.Counter[str] = (
-            collections.Counter()
-        )
+        self._backlogs: dict[str, _Backlog] = {}
         self._recheck_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -176,7 +204,10 @@
 
     def _add(self, waiter: Waiter) -> None:
         self._waiting[waiter] = None
-        self._queued_by_customer[waiter.order.customer] += 1
+        customer = waiter.order.customer
+        if customer not in self._backlogs:
+            self._backlogs[customer] = _Backlog(waiter.arrived_s)
+        self._backlogs[customer].count += 1
         self._order.add(waiter)
 
     def _remove(self, waiter: Waiter) -> None:
@@ -186,9 +217,13 @@
     def _forget_waiting(self, waiter: Waiter) -> None:
         del self._waiting[waiter]
         customer = waiter.order.customer
-        self._queued_by_customer[customer] -= 1
-        if not self._queued_by_customer[customer]:
-            del self._queued_by_customer[customer]
+        self._backlogs[customer].count -= 1
+        if not self._backlogs[customer].count:
+            del self._backlogs[customer]
+
+    def _queued_of(self, customer: str) -> int:
+        backlog = self._backlogs.get(customer)
+        return backlog.count if backlog else 0
 
     def _has_free_turn(self) -> bool:
         return len(self._running) < self._turn_count
@@ -196,8 +231,10 @@
     def _grant_turns(self) -> None:
         while self._waiting and self._has_free_turn():
             waiter = self._order.take()
-            self._forget_waiting(waiter)
             waiter.started_s = self._clock.monotonic_s()
+            backlog = self._backlogs[waiter.order.customer]
+            backlog.grant(waiter.cost_s, waiter.started_s)
+            self._forget_waiting(waiter)
             self._running[waiter] = None
             waiter.granted.set_result(None)
 
@@ -212,7 +249,7 @@
         customer = order.customer
         if self._has_free_turn():
             return
-        if self._queued_by_customer[customer] >= order.queued_requests:
+        if self._queued_of(customer) >= order.queued_requests:
             raise errors.RefusalError(
                 errors.ErrorKind.QUEUE_FULL,
                 'too many requests of this customer wait here',
@@ -227,7 +264,7 @@
         # newest request of the longest queue, by weight, gives way.
         victim = self._newest_of_longest_queue()
         customer = order.customer
-        length = self._queued_by_customer[customer] + 1
+        length = self._queued_of(customer) + 1
         if self._relative_length(victim) > length / order.weight:
             self._refuse(victim, self._queue_full())
             return
@@ -238,7 +275,7 @@
         return max(newest.values(), key=self._relative_length)
 
     def _relative_length(self, waiter: Waiter) -> float:
-        length = self._queued_by_customer[waiter.order.customer]
+        length = self._queued_of(waiter.order.customer)
         return length / waiter.order.weight
 
     def _queue_full(self) -> errors.RefusalError:
@@ -285,13 +322,24 @@
         )
 
     def _forecast(self) -> Iterator[tuple[Waiter, float]]:
+        # Who waits now says too little: others will come and go ahead
+        # of a customer that sends more than its share.  What its queue
+        # got of late tells how fast it really moves.
+        now_s = self._clock.monotonic_s()
         free_in_s = self._free_in_s()
+        ahead_s = dict.fromkeys(self._backlogs, 0.0)
         for waiter in self._order.forecast():
-            wait_s = free_in_s[0]
+            customer = waiter.order.customer
+            wait_s = max(
+                free_in_s[0],
+                self._backlogs[customer].wait_s(
+                    ahead_s[customer], waiter.cost_s, now_s
+                ),
+            )
             yield waiter, wait_s
-            if self._is_in_time(waiter, wait_s):
-                cost_s = self._turn_times.predict_s(waiter.order)
-                heapq.heapreplace(free_in_s, wait_s + cost_s)
+            if now_s + wait_s <= waiter.start_by_s:
+                ahead_s[customer] += waiter.cost_s
+                heapq.heapreplace(free_in_s, free_in_s[0] + waiter.cost_s)
 
     def _free_in_s(self) -> list[float]:
         now_s = self._clock.monotonic_s()
@@ -318,6 +366,5 @@
     def _wait_of_last(self) -> float:
         free_in_s = self._free_in_s()
         for waiter in self._waiting:
-            cost_s = self._turn_times.predict_s(waiter.order)
-            heapq.heapreplace(free_in_s, free_in_s[0] + cost_s)
+            heapq.heapreplace(free_in_s, free_in_s[0] + waiter.cost_s)
         return free_in_s[0]
