Places before turns: a few requests prepare while others run

Cause: with the turn before the adapter, turns stand idle during loads; with the adapter first, requests that wait pin their adapters. Change: as many places as turns again, given in fair order; the engine's turns go to whoever is prepared. The estimate counts the time to the turn and refuses prepared requests as well.

--- a/lacewingpitch/fair_order.py
+++ b/lacewingpitch/fair_order.py
@@ -48,7 +48,7 @@
 
     A customer's position is what it used per unit of weight, less the
     lead of its urgency; the lowest goes first.  A customer that comes
-    back starts at virtual time, the highest position that got a turn, so
+    back starts at virtual time, the highest position that got a place, so
     that it saves up nothing.  Urgency is a lead and no larger share: in
     the long run each customer gets its weight.  Virtual time passes every
     position that waits, which is the aging: nothing starves.
@@ -99,7 +99,7 @@
         share.waiting.append(waiter)
 
     def remove(self, waiter: turn_queue.Waiter) -> None:
-        """Forget a request that waits no longer and got no turn."""
+        """Forget a request that waits no longer and got no place."""
         customer = waiter.order.customer
         share = self._shares[customer]
         share.waiting.remove(waiter)
@@ -107,7 +107,7 @@
             del self._backlog[customer]
 
     def take(self) -> turn_queue.Waiter:
-        """Return the request that gets a turn; at least one waits."""
+        """Return the request that gets a place; at least one waits."""
         rank, waiter, share = min(
             (self._choice(share) for share in self._backlog.values()),
             key=lambda choice: choice[0],
@@ -127,7 +127,7 @@
         share.used_s += (used_s - waiter.cost_s) / waiter.order.weight
 
     def forecast(self) -> Iterator[turn_queue.Waiter]:
-        """Yield those waiting in order of turns, if nobody else came."""
+        """Yield those waiting in their order, if nobody else came."""
         heads = []
         for number, share in enumerate(self._backlog.values()):
             waiters = iter(share.waiting)
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -22,6 +22,8 @@
 from lacewingpitch import work
 
 MAX_BODY_BYTES = 8 << 20
+# Requests that get their adapters while others run, over those running.
+LOOKAHEAD_RATIO = 1.0
 log = structlog.get_logger(__name__)
 
 
@@ -47,16 +49,23 @@
         self._server = http_server.HttpServer(MAX_BODY_BYTES)
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
-        self._queue = turn_queue.TurnQueue(
-            settings.backend_server.max_running,
-            settings.max_queued,
+        self._queue = self._make_queue()
+        self._runner: runner_module.Runner
+
+    def _make_queue(self) -> turn_queue.TurnQueue:
+        backend = self.settings.backend_server
+        lookahead_count = 0
+        if isinstance(backend, settings_module.EngineSettings):
+            lookahead_count = round(backend.max_running * LOOKAHEAD_RATIO)
+        return turn_queue.TurnQueue(
+            backend.max_running,
+            lookahead_count,
+            self.settings.max_queued,
             fair_order.FairOrder(
-                settings.backend_server.max_running,
-                lambda order: self._runner.holds(order),
+                backend.max_running, lambda order: self._runner.holds(order)
             ),
             self._node.clock,
         )
-        self._runner: runner_module.Runner
 
     @property
     def work_port(self) -> int:
@@ -149,15 +158,18 @@
     async def _wait_turn(
         self, held: contextlib.AsyncExitStack, order: work.WorkOrder
     ) -> None:
-        # The turn comes before the adapter: a request that waits for its
-        # turn keeps no adapter from eviction.
+        # The place comes before the adapter: who waits for a place keeps
+        # no adapter from eviction, and nobody prepares out of order.
         start_by_s = self._node.clock.monotonic_s() + order.deadline_s
         try:
             async with asyncio.timeout(order.deadline_s):
-                await held.enter_async_context(self._queue.turn(order))
+                place = await held.enter_async_context(
+                    self._queue.place(order)
+                )
                 left_s = start_by_s - self._node.clock.monotonic_s()
                 order = msgspec.structs.replace(order, deadline_s=left_s)
                 await held.enter_async_context(self._runner.ready(order))
+                await held.enter_async_context(place.turn())
         except TimeoutError as error:
             raise errors.RefusalError(
                 errors.ErrorKind.DEADLINE_UNREACHABLE,
--- a/lacewingpitch/turn_queue.py
+++ b/lacewingpitch/turn_queue.py
@@ -19,21 +19,26 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Waiter:
-    """One request that waits for a turn, or has one.
+    """One request from its arrival to the end of its turn.
 
     Parameters
     ----------
     cost_s
         Seconds for which it is expected to keep its turn.
-    granted
+    placed
+        Done when it gets its place; fails when it is refused.
+    turn
         Done when it gets its turn; fails when it is refused.
     """
 
     order: work.WorkOrder
     arrived_s: float
     cost_s: float
-    granted: asyncio.Future[None]
+    placed: asyncio.Future[None]
+    turn: asyncio.Future[None]
+    placed_s: float = 0.0
     started_s: float = 0.0
+    used_s: float = 0.0
 
     @property
     def start_by_s(self) -> float:
@@ -71,26 +76,26 @@
 
 
 class Order(Protocol):
-    """Decides which waiting request gets the next turn."""
+    """Decides which waiting request gets the next place."""
 
     def add(self, waiter: Waiter) -> None:
         """Take note of a request that waits."""
         ...
 
     def remove(self, waiter: Waiter) -> None:
-        """Forget a request that waits no longer and got no turn."""
+        """Forget a request that waits no longer and got no place."""
         ...
 
     def take(self) -> Waiter:
-        """Return the request that gets a turn; at least one waits."""
+        """Return the request that gets a place; at least one waits."""
         ...
 
     def finish(self, waiter: Waiter, used_s: float) -> None:
-        """Take note that a turn ended, and how long it was kept."""
+        """Take note that a place is free, and how long its turn was."""
         ...
 
     def forecast(self) -> Iterator[Waiter]:
-        """Yield those waiting in order of turns, if nobody else came."""
+        """Yield those waiting in their order, if nobody else came."""
         ...
 
 
@@ -109,15 +114,41 @@
     estimated_wait_s: float
 
 
+class Place:
+    """The place of one request, which it keeps while it prepares."""
+
+    def __init__(self, queue: 'TurnQueue', waiter: Waiter) -> None:
+        self._queue = queue
+        self._waiter = waiter
+
+    def turn(self) -> contextlib.AbstractAsyncContextManager[None]:
+        """Wait for a turn and keep it while the context lasts.
+
+        Raises
+        ------
+        RefusalError
+            The turn would come after the deadline; the request did
+            not run.
+        """
+        return self._queue.turn(self._waiter)
+
+
 class TurnQueue:
     """Bounded queue for the turns of one backend server.
 
+    A request waits for a place, prepares, such as by getting its
+    adapter, and then waits for its turn.  There are a few more places
+    than turns, so that some prepare while others run.  Places go by the
+    order, turns to whoever is prepared first.
+
     Parameters
     ----------
     turn_count
         Requests that may have a turn at once.
+    lookahead_count
+        Places beyond the turns.
     max_queued
-        Requests that may wait, over all customers.
+        Requests that may wait for a place, over all customers.
     order
         Who goes first.
     """
@@ -125,24 +156,28 @@
     def __init__(
         self,
         turn_count: int,
+        lookahead_count: int,
         max_queued: int,
         order: Order,
         clock: clock_module.Clock,
     ) -> None:
         self._turn_count = turn_count
+        self._place_count = turn_count + lookahead_count
         self._max_queued = max_queued
         self._order = order
         self._clock = clock
         self._turn_times = turn_time.TurnTimes()
         self._waiting: dict[Waiter, None] = {}
+        self._placed: dict[Waiter, None] = {}
+        self._prepared: dict[Waiter, None] = {}
         self._running: dict[Waiter, None] = {}
         self._backlogs: dict[str, _Backlog] = {}
         self._recheck_timer: asyncio.TimerHandle | None = None
 
     @property
     def queued(self) -> int:
-        """Return how many requests wait."""
-        return len(self._waiting)
+        """Return how many requests wait, with or without a place."""
+        return len(self._waiting) + len(self._placed) - len(self._running)
 
     @property
     def running(self) -> int:
@@ -154,8 +189,8 @@
         return QueueLoad(self.queued, self.running, self._wait_of_last())
 
     @contextlib.asynccontextmanager
-    async def turn(self, order: work.WorkOrder) -> AsyncIterator[None]:
-        """Wait for a turn and keep it while the context lasts.
+    async def place(self, order: work.WorkOrder) -> AsyncIterator[Place]:
+        """Wait for a place and keep it while the context lasts.
 
         Raises
         ------
@@ -164,43 +199,56 @@
             deadline.  The request did not run.
         """
         waiter = self._enter(order)
-        await self._wait(waiter)
+        # A caller can hang up in the moment between being given the
+        # place and waking up.  The place would be lost for good, and
+        # with each such caller the backend server would get slower.
         try:
+            await waiter.placed
+            yield Place(self, waiter)
+        finally:
+            self._leave(waiter)
+
+    @contextlib.asynccontextmanager
+    async def turn(self, waiter: Waiter) -> AsyncIterator[None]:
+        """Wait for a turn; see `Place.turn`."""
+        self._prepared[waiter] = None
+        self._give_turns()
+        try:
+            await waiter.turn
             yield
         finally:
-            self._finish(waiter)
+            self._end_turn(waiter)
 
     def _enter(self, order: work.WorkOrder) -> Waiter:
         self._check_bounds(order)
+        loop = asyncio.get_running_loop()
         waiter = Waiter(
             order,
             self._clock.monotonic_s(),
             self._turn_times.predict_s(order),
-            asyncio.get_running_loop().create_future(),
+            loop.create_future(),
+            loop.create_future(),
         )
         self._add(waiter)
-        if self._has_free_turn():
-            self._grant_turns()
-            return waiter
-        wait_s = self._wait_of(waiter)
+        if len(self._placed) >= self._turn_count:
+            self._check_in_time(waiter)
+        self._give_places()
+        self._schedule_recheck()
+        return waiter
+
+    def _check_in_time(self, waiter: Waiter) -> None:
+        wait_s = next(s for w, s in self._forecast() if w is waiter)
         if not self._is_in_time(waiter, wait_s):
             self._remove(waiter)
             raise self._too_late(waiter, wait_s)
-        self._schedule_recheck()
-        return waiter
 
-    async def _wait(self, waiter: Waiter) -> None:
-        try:
-            await waiter.granted
-        except asyncio.CancelledError:
-            # A caller can hang up in the moment between being given the
-            # turn and waking up.  The turn would be lost for good, and
-            # with each such caller the backend server would get slower.
-            if waiter in self._running:
-                self._finish(waiter)
-            elif waiter in self._waiting:
-                self._remove(waiter)
-            raise
+    def _leave(self, waiter: Waiter) -> None:
+        if waiter in self._waiting:
+            self._remove(waiter)
+        elif waiter in self._placed:
+            del self._placed[waiter]
+            self._order.finish(waiter, waiter.used_s)
+            self._give_places()
 
     def _add(self, waiter: Waiter) -> None:
         self._waiting[waiter] = None
@@ -225,29 +273,39 @@
         backlog = self._backlogs.get(customer)
         return backlog.count if backlog else 0
 
-    def _has_free_turn(self) -> bool:
-        return len(self._running) < self._turn_count
+    def _has_free_place(self) -> bool:
+        return len(self._placed) < self._place_count
 
-    def _grant_turns(self) -> None:
-        while self._waiting and self._has_free_turn():
+    def _give_places(self) -> None:
+        while self._waiting and self._has_free_place():
             waiter = self._order.take()
-            waiter.started_s = self._clock.monotonic_s()
+            waiter.placed_s = self._clock.monotonic_s()
             backlog = self._backlogs[waiter.order.customer]
-            backlog.grant(waiter.cost_s, waiter.started_s)
+            backlog.grant(waiter.cost_s, waiter.placed_s)
             self._forget_waiting(waiter)
+            self._placed[waiter] = None
+            _settle(waiter.placed)
+
+    def _give_turns(self) -> None:
+        while self._prepared and len(self._running) < self._turn_count:
+            waiter = next(iter(self._prepared))
+            del self._prepared[waiter]
+            waiter.started_s = self._clock.monotonic_s()
             self._running[waiter] = None
-            waiter.granted.set_result(None)
+            _settle(waiter.turn)
 
-    def _finish(self, waiter: Waiter) -> None:
+    def _end_turn(self, waiter: Waiter) -> None:
+        self._prepared.pop(waiter, None)
+        if waiter not in self._running:
+            return
         del self._running[waiter]
-        used_s = self._clock.monotonic_s() - waiter.started_s
-        self._turn_times.learn(waiter.order, used_s)
-        self._order.finish(waiter, used_s)
-        self._grant_turns()
+        waiter.used_s = self._clock.monotonic_s() - waiter.started_s
+        self._turn_times.learn(waiter.order, waiter.used_s)
+        self._give_turns()
 
     def _check_bounds(self, order: work.WorkOrder) -> None:
         customer = order.customer
-        if self._has_free_turn():
+        if self._has_free_place():
             return
         if self._queued_of(customer) >= order.queued_requests:
             raise errors.RefusalError(
@@ -266,7 +324,9 @@
         customer = order.customer
         length = self._queued_of(customer) + 1
         if self._relative_length(victim) > length / order.weight:
-            self._refuse(victim, self._queue_full())
+            error = self._queue_full()
+            self._remove(victim)
+            _settle(victim.placed, error)
             return
         raise self._queue_full()
 
@@ -285,13 +345,8 @@
             retry_after_s=self._wait_of_first(None),
         )
 
-    def _refuse(self, waiter: Waiter, error: errors.RefusalError) -> None:
-        self._remove(waiter)
-        if not waiter.granted.done():
-            waiter.granted.set_exception(error)
-
     def _schedule_recheck(self) -> None:
-        if self._recheck_timer is None and self._waiting:
+        if self._recheck_timer is None and (self._waiting or self._prepared):
             self._recheck_timer = asyncio.get_running_loop().call_later(
                 RECHECK_INTERVAL_S, self._recheck
             )
@@ -310,6 +365,14 @@
             self._refuse(waiter, self._too_late(waiter, wait_s))
         self._schedule_recheck()
 
+    def _refuse(self, waiter: Waiter, error: errors.RefusalError) -> None:
+        if waiter in self._waiting:
+            self._remove(waiter)
+            _settle(waiter.placed, error)
+        elif waiter in self._prepared:
+            del self._prepared[waiter]
+            _settle(waiter.turn, error)
+
     def _is_in_time(self, waiter: Waiter, wait_s: float) -> bool:
         return self._clock.monotonic_s() + wait_s <= waiter.start_by_s
 
@@ -322,12 +385,17 @@
         )
 
     def _forecast(self) -> Iterator[tuple[Waiter, float]]:
+        """Yield those without a turn, with the time until they have it."""
         # Who waits now says too little: others will come and go ahead
         # of a customer that sends more than its share.  What its queue
         # got of late tells how fast it really moves.
         now_s = self._clock.monotonic_s()
         free_in_s = self._free_in_s()
         ahead_s = dict.fromkeys(self._backlogs, 0.0)
+        for waiter in self._placed:
+            if waiter not in self._running:
+                yield waiter, free_in_s[0]
+                heapq.heapreplace(free_in_s, free_in_s[0] + waiter.cost_s)
         for waiter in self._order.forecast():
             customer = waiter.order.customer
             wait_s = max(
@@ -354,17 +422,30 @@
         expected_s = self._turn_times.predict_s(waiter.order)
         return abs(expected_s - (now_s - waiter.started_s))
 
-    def _wait_of(self, waiter: Waiter) -> float:
-        return next(s for w, s in self._forecast() if w is waiter)
-
     def _wait_of_first(self, customer: str | None) -> float:
         for waiter, wait_s in self._forecast():
-            if customer in (None, waiter.order.customer):
+            is_asked = customer in (None, waiter.order.customer)
+            if is_asked and waiter in self._waiting:
                 return wait_s
         return 0.0
 
     def _wait_of_last(self) -> float:
         free_in_s = self._free_in_s()
-        for waiter in self._waiting:
-            heapq.heapreplace(free_in_s, free_in_s[0] + waiter.cost_s)
+        for waiter in (*self._placed, *self._waiting):
+            if waiter not in self._running:
+                heapq.heapreplace(free_in_s, free_in_s[0] + waiter.cost_s)
         return free_in_s[0]
+
+
+def _settle(
+    future: asyncio.Future[None], error: errors.RefusalError | None = None
+) -> None:
+    # The future of a caller that hung up is cancelled before its task
+    # wakes up and leaves; settling it again would break the loop that
+    # serves the others.
+    if future.done():
+        return
+    if error is None:
+        future.set_result(None)
+    else:
+        future.set_exception(error)
