--- a/lacewingpitch/fair_order.py
+++ b/lacewingpitch/fair_order.py
@@ -79,7 +79,9 @@
         self._holds = holds
         self._leads_s = {u: s * turn_count for u, s in leads_s.items()}
         self._held_lead_s = held_lead_s * turn_count
+        self._most_lead_s = max(self._leads_s.values()) + self._held_lead_s
         self._virtual_s = 0.0
+        self._running_count = 0
         self._shares: dict[str, _Share] = {}
         self._backlog: dict[str, _Share] = {}
         self._sweep_count = _MIN_SWEEP_COUNT
@@ -115,6 +117,7 @@
         self._virtual_s = max(self._virtual_s, rank[0])
         share.used_s += waiter.cost_s / waiter.order.weight
         share.running_count += 1
+        self._running_count += 1
         is_first = waiter is share.waiting[0]
         share.passed_count = 0 if is_first else share.passed_count + 1
         self.remove(waiter)
@@ -125,6 +128,10 @@
         share = self._shares[waiter.order.customer]
         share.running_count -= 1
         share.used_s += (used_s - waiter.cost_s) / waiter.order.weight
+        self._running_count -= 1
+        if not self._running_count and not self._backlog:
+            # Nobody was kept waiting by what was used so far.
+            self._shares.clear()
 
     def forecast(self) -> Iterator[turn_queue.Waiter]:
         """Yield those waiting in their order, if nobody else came."""
@@ -174,8 +181,9 @@
 
     def _sweep(self) -> None:
         # Customers come and go by the ten thousand.  One that virtual
-        # time has passed would start at virtual time anyway, so that
-        # forgetting it changes nothing.
+        # time has passed would start at virtual time anyway.  One that
+        # is ahead of it by less than the leads is forgotten too, since
+        # virtual time stands still while all who come are that urgent.
         if len(self._shares) < self._sweep_count:
             return
         self._shares = {
@@ -183,6 +191,6 @@
             for customer, share in self._shares.items()
             if share.waiting
             or share.running_count
-            or share.used_s > self._virtual_s
+            or share.used_s > self._virtual_s + self._most_lead_s
         }
         self._sweep_count = max(_MIN_SWEEP_COUNT, 2 * len(self._shares))
--- a/lacewingpitch/turn_queue.py
+++ b/lacewingpitch/turn_queue.py
@@ -13,7 +13,7 @@
 from lacewingpitch import work
 
 RECHECK_INTERVAL_S = 0.2
-_MIN_BACKLOG_AGE_S = 1.0
+_MIN_GRANTED_COUNT = 16
 _MAX_BACKLOG_AGE_S = 20.0
 
 
@@ -53,26 +53,29 @@
     Parameters
     ----------
     granted_s
-        Turn seconds given to the customer since `since_s`.
+        Turn seconds given to the customer from `since_s` to `until_s`.
     """
 
     since_s: float
+    until_s: float
     count: int = 0
+    granted_count: int = 0
     granted_s: float = 0.0
 
     def grant(self, cost_s: float, now_s: float) -> None:
+        self.until_s = now_s
+        self.granted_count += 1
         self.granted_s += cost_s
         age_s = now_s - self.since_s
         if age_s > _MAX_BACKLOG_AGE_S:
             self.since_s = now_s - age_s / 2
             self.granted_s /= 2
 
-    def wait_s(self, ahead_s: float, cost_s: float, now_s: float) -> float:
+    def wait_s(self, ahead_s: float) -> float:
         """Return the wait behind `ahead_s` turn seconds of its own."""
-        age_s = now_s - self.since_s
-        if age_s < _MIN_BACKLOG_AGE_S:
+        if self.granted_count < _MIN_GRANTED_COUNT:
             return 0.0
-        return ahead_s * age_s / (self.granted_s + cost_s)
+        return ahead_s * (self.until_s - self.since_s) / self.granted_s
 
 
 class Order(Protocol):
@@ -254,7 +257,9 @@
         self._waiting[waiter] = None
         customer = waiter.order.customer
         if customer not in self._backlogs:
-            self._backlogs[customer] = _Backlog(waiter.arrived_s)
+            self._backlogs[customer] = _Backlog(
+                waiter.arrived_s, waiter.arrived_s
+            )
         self._backlogs[customer].count += 1
         self._order.add(waiter)
 
@@ -400,9 +405,7 @@
             customer = waiter.order.customer
             wait_s = max(
                 free_in_s[0],
-                self._backlogs[customer].wait_s(
-                    ahead_s[customer], waiter.cost_s, now_s
-                ),
+                self._backlogs[customer].wait_s(ahead_s[customer]),
             )
             yield waiter, wait_s
             if now_s + wait_s <= waiter.start_by_s:
