Aging: half its deadline gives a waiting request every lead

Cause: each newcomer has its lead anew, so a stream of customers that each come once would pass a request without a lead until its deadline. Change: a request that has waited for half its deadline has every lead and thus the lowest position of all who came later.

--- a/benchmarks/order.py
+++ b/benchmarks/order.py
@@ -87,6 +87,15 @@
     ]
 
 
+def many_light():
+    light = [
+        Customer(f'u{n}', 0.01, urgency=Urgency.INTERACTIVE, deadline_s=10.0)
+        for n in range(120)
+    ]
+    batch = Customer('batch', 0.1, urgency=Urgency.BATCH, deadline_s=60.0)
+    return [*light, batch]
+
+
 def weights():
     return [
         Customer(f'w{weight}', 1.0, weight=weight, deadline_s=30.0)
@@ -107,6 +116,7 @@
     burst,
     urgencies,
     urgent_overload,
+    many_light,
     lengths,
     weights,
 )
@@ -206,7 +216,7 @@
 def fair(leads_s):
     return queue_of(
         lambda clock: fair_order.FairOrder(
-            TURN_COUNT, lambda order: True, leads_s
+            TURN_COUNT, lambda order: True, clock, leads_s
         )
     )
 
@@ -461,7 +471,7 @@
 
     def make_order(clock):
         return fair_order.FairOrder(
-            TURN_COUNT, run.holds, held_lead_s=way.held_lead_s
+            TURN_COUNT, run.holds, clock, held_lead_s=way.held_lead_s
         )
 
     return run, await drive(requests, queue_of(make_order, way.lookahead), run)
@@ -492,7 +502,7 @@
     @staticmethod
     async def arrivals(waiting):
         clock = virtual_time.LoopClock()
-        order = fair_order.FairOrder(TURN_COUNT, lambda order: True)
+        order = fair_order.FairOrder(TURN_COUNT, lambda order: True, clock)
         queue = turn_queue.TurnQueue(TURN_COUNT, 0, 4096, order, clock)
         customer = Customer('c', 1.0, deadline_s=1e9)
         rng = random.Random(1)
--- a/lacewingpitch/fair_order.py
+++ b/lacewingpitch/fair_order.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 
+from lacewingpitch import clock as clock_module
 from lacewingpitch import contract
 from lacewingpitch import turn_queue
 from lacewingpitch import work
@@ -16,6 +17,7 @@
     contract.Urgency.BATCH: 0.0,
 }
 HELD_LEAD_S = 1.0
+_PATIENCE_RATIO = 0.5
 _MAX_PASSED_COUNT = 16
 _MAX_LOOK_COUNT = 16
 _MIN_SWEEP_COUNT = 64
@@ -50,8 +52,8 @@
     lead of its urgency; the lowest goes first.  A customer that comes
     back starts at virtual time, the highest position that got a place, so
     that it saves up nothing.  Urgency is a lead and no larger share: in
-    the long run each customer gets its weight.  Virtual time passes every
-    position that waits, which is the aging: nothing starves.
+    the long run each customer gets its weight.  A request that has waited
+    for half its deadline has every lead, so that nothing starves.
 
     A request whose adapter is held has a lead as well, so that turns
     are not spent on loads; it may pass a few of its own customer's.
@@ -73,10 +75,12 @@
         self,
         turn_count: int,
         holds: Holds,
+        clock: clock_module.Clock,
         leads_s: Mapping[contract.Urgency, float] = LEADS_S,
         held_lead_s: float = HELD_LEAD_S,
     ) -> None:
         self._holds = holds
+        self._clock = clock
         self._leads_s = {u: s * turn_count for u, s in leads_s.items()}
         self._held_lead_s = held_lead_s * turn_count
         self._most_lead_s = max(self._leads_s.values()) + self._held_lead_s
@@ -139,7 +143,7 @@
         for number, share in enumerate(self._backlog.values()):
             waiters = iter(share.waiting)
             waiter = next(waiters)
-            rank = self._rank(share.used_s, waiter)
+            rank = self._rank(share.used_s, waiter, True)
             heads.append((rank, number, share.used_s, waiter, waiters))
         heapq.heapify(heads)
         while heads:
@@ -150,7 +154,7 @@
             if following is None:
                 heapq.heappop(heads)
                 continue
-            rank = self._rank(used_s, following)
+            rank = self._rank(used_s, following, True)
             heapq.heapreplace(
                 heads, (rank, number, used_s, following, waiters)
             )
@@ -158,12 +162,12 @@
     def _choice(
         self, share: _Share
     ) -> tuple[tuple[float, float], turn_queue.Waiter, _Share]:
-        first = share.waiting[0]
+        waiter = share.waiting[0]
         held = self._first_held(share)
-        if held is None:
-            return self._rank(share.used_s, first), first, share
-        used_s = share.used_s - self._held_lead_s
-        return self._rank(used_s, held), held, share
+        if held is not None:
+            waiter = held
+        rank = self._rank(share.used_s, waiter, held is not None)
+        return rank, waiter, share
 
     def _first_held(self, share: _Share) -> turn_queue.Waiter | None:
         # A customer's first request could starve while later ones find
@@ -175,9 +179,22 @@
         return next((w for w in looked_at if self._holds(w.order)), None)
 
     def _rank(
-        self, used_s: float, waiter: turn_queue.Waiter
+        self, used_s: float, waiter: turn_queue.Waiter, is_held: bool
     ) -> tuple[float, float]:
-        return used_s - self._leads_s[waiter.order.urgency], waiter.arrived_s
+        lead_s = self._leads_s[waiter.order.urgency]
+        if is_held:
+            lead_s += self._held_lead_s
+        if self._is_aged(waiter):
+            lead_s = self._most_lead_s
+        return used_s - lead_s, waiter.arrived_s
+
+    def _is_aged(self, waiter: turn_queue.Waiter) -> bool:
+        # Each customer that comes has its lead anew.  Where hundreds
+        # come with a request or two, one without a lead would wait
+        # behind all of them until its deadline.  With every lead it has
+        # the lowest position of all who came later.
+        waited_s = self._clock.monotonic_s() - waiter.arrived_s
+        return waited_s >= _PATIENCE_RATIO * waiter.order.deadline_s
 
     def _sweep(self) -> None:
         # Customers come and go by the ten thousand.  One that virtual
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -62,7 +62,9 @@
             lookahead_count,
             self.settings.max_queued,
             fair_order.FairOrder(
-                backend.max_running, lambda order: self._runner.holds(order)
+                backend.max_running,
+                lambda order: self._runner.holds(order),
+                self._node.clock,
             ),
             self._node.clock,
         )
--- a/tests/test_fair_order.py
+++ b/tests/test_fair_order.py
@@ -26,12 +26,32 @@
 )
 
 
-def make_order(held=lambda _order: True):
-    return fair_order.FairOrder(1, held, LEADS_S, HELD_LEAD_S)
+class HandClock:
+    """A clock that a test moves."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def monotonic_s(self):
+        return self.now_s
+
+    def wall_s(self):
+        return self.now_s
+
+
+def make_order(held=lambda _order: True, clock=None):
+    return fair_order.FairOrder(
+        1, held, clock or HandClock(), LEADS_S, HELD_LEAD_S
+    )
 
 
 def make_waiter(
-    customer, cost_s=1.0, weight=1.0, urgency=Urgency.STANDARD, path='/'
+    customer,
+    cost_s=1.0,
+    weight=1.0,
+    urgency=Urgency.STANDARD,
+    path='/',
+    arrived_s=0.0,
 ):
     return turn_queue.Waiter(
         work.WorkOrder(
@@ -46,7 +66,7 @@
             path=path,
             repeatable=True,
         ),
-        0.0,
+        arrived_s,
         cost_s,
         None,
         None,
@@ -193,6 +213,35 @@
             assert passed_s <= bound_s + 1e-6
             add(int(waiter.order.customer))
 
+    def test_ends_when_half_the_deadline_has_passed(self):
+        """A batch request waits behind hundreds of light customers.
+
+        Each second another customer comes with one urgent request that
+        takes a second, so that nobody is over its share and the turns
+        are never free.  The cause would be leads that each newcomer has
+        anew.
+        """
+        clock = HandClock()
+        order = make_order(lambda found: found.path == '/hot', clock)
+
+        def add_light():
+            order.add(
+                make_waiter(
+                    f'light-{clock.now_s}',
+                    urgency=Urgency.INTERACTIVE,
+                    path='/hot',
+                    arrived_s=clock.now_s,
+                )
+            )
+
+        add_light()
+        order.add(make_waiter('patient', urgency=Urgency.BATCH))
+        while serve(order).order.customer != 'patient':
+            clock.now_s += 1.0
+            add_light()
+            assert clock.now_s <= 16.0
+        assert clock.now_s >= 14.0
+
     def test_of_an_adapter_that_is_never_held(self):
         """A customer's rare adapter is never loaded beside its hot one.
 
--- a/tests/test_turn_queue.py
+++ b/tests/test_turn_queue.py
@@ -23,13 +23,10 @@
 
 
 def make_queue(turn_count=1, *, lookahead_count=0, max_queued=100):
-    order = fair_order.FairOrder(turn_count, lambda _order: True)
+    clock = virtual_time.LoopClock()
+    order = fair_order.FairOrder(turn_count, lambda _order: True, clock)
     return turn_queue.TurnQueue(
-        turn_count,
-        lookahead_count,
-        max_queued,
-        order,
-        virtual_time.LoopClock(),
+        turn_count, lookahead_count, max_queued, order, clock
     )
 
 
