Shutdown timeout set where the server's library wants it

Cause: 1,424 deprecation warnings in a run of the tests, for a parameter of the site that belongs to the runner. Change: moved. Figures: no warning left in test_edges.

--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -59,6 +59,7 @@
             self._app,
             handler_cancellation=True,
             access_log=None,
+            shutdown_timeout=_SHUTDOWN_S,
             logger=http_guard.SILENT_LOGGER,
             keepalive_timeout=http_guard.KEEPALIVE_S,
             max_line_size=http_guard.MAX_FIELD_BYTES,
@@ -71,7 +72,6 @@
             ip,
             port,
             reuse_port=False,
-            shutdown_timeout=_SHUTDOWN_S,
             backlog=1024,
         )
         await site.start()
