--- a/lacewingpitch/account.py
+++ b/lacewingpitch/account.py
@@ -77,6 +77,8 @@
     'outcome-unknown': 20,
     'answer-cut': 21,
     'internal': 22,
+    'not-found': 23,
+    'body-too-slow': 24,
 }
 _KIND_NAMES = {number: kind for kind, number in KIND_NUMBERS.items()}
 
--- a/lacewingpitch/burn.py
+++ b/lacewingpitch/burn.py
@@ -25,7 +25,9 @@
 _CALLERS_OWN = frozenset(
     {
         errors.ErrorKind.BAD_REQUEST,
+        errors.ErrorKind.NOT_FOUND,
         errors.ErrorKind.BODY_TOO_LARGE,
+        errors.ErrorKind.BODY_TOO_SLOW,
         errors.ErrorKind.UNAUTHENTICATED,
         errors.ErrorKind.NOT_IN_CONTRACT,
         errors.ErrorKind.BAD_IDEMPOTENCY_KEY,
--- a/lacewingpitch/live_list.py
+++ b/lacewingpitch/live_list.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from lacewingpitch import platform_call
+from lacewingpitch import settings
 
 _READ_TIMEOUT_S = 5.0
+_MAX_LIST_BYTES = 4 << 20
 
 
 class Role(enum.StrEnum):
@@ -40,9 +42,9 @@
     role: Role
     region: str
     availability_zone: str
-    ip: str
-    work_port: int
-    control_port: int
+    ip: settings.Ip
+    work_port: settings.Port
+    control_port: settings.Port
     serves: str = ''
     started_at_s: float = 0.0
     state: InstanceState = InstanceState.LIVE
@@ -94,5 +96,7 @@
                 if response.status in (204, 304):
                     return None
                 response.raise_for_status()
-                data = await response.read()
+                data = await platform_call.read_limited(
+                    response, _MAX_LIST_BYTES
+                )
                 return msgspec.json.decode(data, type=InstanceList)
--- a/tests/test_delivery.py
+++ b/tests/test_http_guard.py
@@ -6,11 +6,12 @@
 from aiohttp import web
 import pytest
 
-from lacewingpitch import delivery
+from lacewingpitch import http_guard
 from lacewingpitch import http_server
 from tests import fault_matrix
 
 IP = '127.0.0.1'
+STALL_S = 1.0
 BIG = b'x' * (32 << 20)
 # Fits the buffer of this process, and not that of the system.
 FITTING = b'x' * (60 << 10)
@@ -21,7 +22,7 @@
 async def served():
     """Serve /big and /small; tell what became of each answer."""
     fates = asyncio.Queue()
-    server = http_server.HttpServer(1 << 20)
+    server = http_server.HttpServer(1 << 20, stall_s=STALL_S)
 
     async def answer(request):
         response = web.Response(body=BODIES[request.path])
@@ -29,14 +30,14 @@
             connection = request.transport.get_extra_info('socket')
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         try:
-            await delivery.finish(request, response)
+            await http_guard.finish(request, response)
         except (ConnectionError, asyncio.CancelledError):
             fates.put_nowait('gone')
             raise
         fates.put_nowait('taken')
         return response
 
-    server.route('GET', '/{name}', answer)
+    server.route_work('GET', '/{name}', answer)
     await server.start(IP, 0)
     yield server, fates
     await server.close()
@@ -70,10 +71,7 @@
         writer.transport.abort()
         assert await asyncio.wait_for(fates.get(), 30) == 'gone'
 
-    async def test_caller_that_never_reads_is_given_up(
-        self, served, monkeypatch
-    ):
-        monkeypatch.setattr(delivery, 'DELIVERY_TIMEOUT_S', 0.2)
+    async def test_caller_that_never_reads_is_given_up(self, served):
         server, fates = served
         _, writer = await ask(server, '/big')
         assert await asyncio.wait_for(fates.get(), 30) == 'gone'
