--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -38,7 +38,7 @@
 _MAX_TOKENS = 1 << 31
 _READY_POLL_S = 0.02
 _LAST_COPY_TIMEOUT_S = 5.0
-_TALLY = 'tally'
+_TALLY = web.RequestKey('tally', account_module.Tally)
 _ORIGIN = re.compile('^[A-Za-z][A-Za-z0-9+.-]*://[^/]*')
 _FIRST_TWO = re.compile('/[^/?#]*/[^/?#]*')
 log = structlog.get_logger(__name__)
@@ -284,7 +284,7 @@
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
         content_type = request.headers.get('Content-Type', '')
-        tally: account_module.Tally = request[_TALLY]
+        tally = request[_TALLY]
         if order.adapter is not None:
             tally.adapter = order.adapter.engine_name
         async with self._dispatcher.send(order, body, content_type) as found:
@@ -304,7 +304,7 @@
         response.headers[work.REQUEST_ID_HEADER] = order.request_id
         await response.prepare(request)
         relay = event_stream.EventRelay()
-        tally: account_module.Tally = request[_TALLY]
+        tally = request[_TALLY]
         told = 0
         try:
             async for chunk in found.content.iter_any():
--- a/lacewingpitch/http_guard.py
+++ b/lacewingpitch/http_guard.py
@@ -13,7 +13,7 @@
 from lacewingpitch import errors
 
 _REQUEST_ID = 'request_id'
-_FINISHED = 'finished'
+_FINISHED = web.RequestKey('finished', bool)
 MAX_FIELD_BYTES = 8190
 # An order carries a path of up to a whole field, in base64.
 MAX_ORDER_FIELD_BYTES = 32 << 10
