A late copy of an ended account reaches its other holder

Without the generation that HeldAccount.merge counts up, the test fails. The copier's end no longer waits without bound for its cancelled round: a cancelled wait on a link was seen, once, not to return.

--- a/lacewingpitch/account_copy.py
+++ b/lacewingpitch/account_copy.py
@@ -9,7 +9,6 @@
 import asyncio
 import collections
 from collections.abc import Iterable, Iterator, Mapping
-import contextlib
 import dataclasses
 import itertools
 import secrets
@@ -413,8 +412,9 @@
     async def close(self, timeout_s: float) -> None:
         """Stop; send what is left, and say that it is all."""
         self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
+        # A cancelled wait on a link has been seen not to return; the
+        # last copies must not wait for it.
+        await asyncio.wait({self._task}, timeout=_ASK_TIMEOUT_S)
         try:
             async with asyncio.timeout(timeout_s):
                 while not await self._is_all_copied():
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -5,6 +5,8 @@
 import aiohttp
 import pytest
 
+from lacewingpitch import account as account_module
+from lacewingpitch import account_copy
 from lacewingpitch import account_query
 from lacewingpitch import contract
 from lacewingpitch import http_server
@@ -80,6 +82,28 @@
         assert len(held) == 1
         assert held[0].complete_until_s
 
+    async def test_late_copy_of_an_ended_instance_reaches_both_holders(self):
+        fleet = account_fleet.Fleet(3)
+        owner = fleet.entries['entry-0']
+        owner.serve('haneul')
+        await fleet.rounds(2)
+        fleet.kill('entry-0')
+        fleet.unlist('entry-0')
+        await fleet.rounds(4)
+        owner.serve('haneul')
+        owner.copier._backlogs.clear()
+        late = account_copy.make_copy(
+            owner.copier.own_head(),
+            {'haneul': dict(owner.account.rows.row('haneul'))},
+        )
+        await fleet.entries['entry-1'].holder.take(late)
+        await fleet.rounds(4)
+        held = fleet.entries['entry-2'].holder.account(
+            owner.account.account_id
+        )
+        counter = account_module.Counter.SERVED
+        assert held.rows.row('haneul')[counter] == 2
+
 
 class TestGaps:
     @pytest.mark.proves(Promise.ACCOUNT, Fault.FROZEN, Step.ANY)
