--- a/tests/test_account_processes.py
+++ b/tests/test_account_processes.py
@@ -18,6 +18,7 @@
 Fault = fault_matrix.Fault
 Step = fault_matrix.Step
 TOKEN = 'token-of-operators'
+COPY_AGE = 'lacewingpitch_account_copy_age_seconds{'
 CALLS = (('haneul', 'ficus'), ('caravan', 'trade-in'))
 
 
@@ -89,6 +90,18 @@
     return await read_report(deployment, entry)
 
 
+async def some_are_copied(callers, entry):
+    """Return whether copies cover some answers of an entry."""
+    ends = [at_s for at_s, found, _ in callers.received if found is entry]
+    async with callers.deployment.session.get(
+        entry.url + '/metrics'
+    ) as response:
+        text = await response.text()
+    (line,) = (x for x in text.splitlines() if x.startswith(COPY_AGE))
+    copied_until_s = time.time() - float(line.split()[-1])
+    return bool(ends) and copied_until_s > min(ends) + 1
+
+
 class TestKilled:
     @pytest.mark.proves(Promise.ACCOUNT, Fault.KILLED, Step.MID_STREAM)
     async def test_gap_covers_what_the_report_lacks(self, deployment):
@@ -112,7 +125,7 @@
             return any(s.read_from == 'a copy' for s in report.sources)
 
         await asyncio.gather(*calling[:2])
-        await asyncio.sleep(5)
+        await processes.until(lambda: some_are_copied(callers, lost))
         await lost.kill()
         await calling[2]
         await processes.until(is_copied)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -91,7 +91,6 @@
         fleet.unlist('entry-0')
         await fleet.rounds(4)
         owner.serve('haneul')
-        owner.copier._backlogs.clear()
         late = account_copy.make_copy(
             owner.copier.own_head(),
             {'haneul': dict(owner.account.rows.row('haneul'))},
