--- a/lacewingpitch/contract_files.py
+++ b/lacewingpitch/contract_files.py
@@ -209,12 +209,16 @@
     return [f'{path}: {before} -> {checking.short_json(new)}']
 
 
-def _plain(contract: contract_module.Contract) -> dict[str, Any]:
+def _plain(value: Any) -> Any:
     """Return a contract as mappings, its grants under their names."""
-    plain = msgspec.to_builtins(contract)
-    for field in ('adapters', 'services'):
-        plain[field] = {grant['name']: grant for grant in plain[field]}
-    return plain
+    if isinstance(value, msgspec.Struct):
+        fields = msgspec.structs.asdict(value)
+        return {name: _plain(part) for name, part in fields.items()}
+    if isinstance(value, tuple):
+        if all(isinstance(part, msgspec.Struct) for part in value):
+            return {part.name: _plain(part) for part in value}
+        return list(value)
+    return value
 
 
 def _shard_revision(contracts: Iterable[contract_module.Contract]) -> int:
