--- a/lacewingpitch/config_service.py
+++ b/lacewingpitch/config_service.py
@@ -8,6 +8,7 @@
 from lacewingpitch import platform_call
 
 MAX_VALUE_BYTES = 1 << 20
+_ENVELOPE_BYTES = 1 << 10
 _READ_TIMEOUT_S = 5.0
 
 
@@ -80,6 +81,6 @@
                     return None
                 response.raise_for_status()
                 data = await platform_call.read_limited(
-                    response, 2 * MAX_VALUE_BYTES
+                    response, MAX_VALUE_BYTES + _ENVELOPE_BYTES
                 )
                 return msgspec.json.decode(data, type=Value)
--- a/lacewingpitch/platform_call.py
+++ b/lacewingpitch/platform_call.py
@@ -36,5 +36,7 @@
     async for chunk in response.content.iter_any():
         data += chunk
         if len(data) > max_bytes:
-            raise errors.PlatformError(f'an answer above {max_bytes} bytes')
+            raise errors.PlatformError(
+                f'an answer is larger than {max_bytes} bytes'
+            )
     return bytes(data)
--- a/tests/test_contract_files.py
+++ b/tests/test_contract_files.py
@@ -74,7 +74,7 @@
     def test_refuses_a_value_above_the_limit(self):
         grants = [
             {'name': f'adapter-{n}', 'version': '1', 'base_model': 'base'}
-            for n in range(config_service.MAX_VALUE_BYTES // 60)
+            for n in range(config_service.MAX_VALUE_BYTES // 40)
         ]
         with pytest.raises(errors.SettingsError, match='more shards'):
             contract_files.render([make('a', adapters=grants)], 1)
