--- a/lacewingpitch/demo.py
+++ b/lacewingpitch/demo.py
@@ -32,6 +32,14 @@
 ENGINE_COUNT = 4
 ADAPTER_SLOTS = 2
 MAX_RUNNING = 16
+# Wide, since tests send all they have through one demo deployment.
+LIMITS = contract.Limits(
+    requests_per_s=1000.0,
+    burst_requests=1000,
+    concurrent_requests=100,
+    queued_requests=100,
+    tokens_per_s=1_000_000.0,
+)
 _READY_S = 10.0
 _SERVED = 'served'
 
@@ -237,6 +245,7 @@
                 for name, repeatable in granted
             ),
             services=(contract.ServiceGrant(name=SERVICE),),
+            limits=LIMITS,
         )
 
 
