Aging after three quarters of the deadline instead of a half

Cause: with a half, requests of customers over their share, which always wait long, went ahead of urgent ones.

--- a/benchmarks/order.py
+++ b/benchmarks/order.py
@@ -213,10 +213,10 @@
     return {u: s * scale for u, s in fair_order.LEADS_S.items()}
 
 
-def fair(leads_s):
+def fair(leads_s, **fields):
     return queue_of(
         lambda clock: fair_order.FairOrder(
-            TURN_COUNT, lambda order: True, clock, leads_s
+            TURN_COUNT, lambda order: True, clock, leads_s, **fields
         )
     )
 
@@ -229,6 +229,8 @@
     'fair': fair(no_leads()),
     'fair+lead/4': fair(leads(0.25)),
     'fair+lead': fair(leads(1.0)),
+    'fair+lead, aging 0.5': fair(leads(1.0), patience_ratio=0.5),
+    'fair+lead, no aging': fair(leads(1.0), patience_ratio=2.0),
     'deficit': queue_of(
         lambda clock: order_rivals.DeficitOrder(clock, TURN_COUNT)
     ),
--- a/lacewingpitch/fair_order.py
+++ b/lacewingpitch/fair_order.py
@@ -17,7 +17,7 @@
     contract.Urgency.BATCH: 0.0,
 }
 HELD_LEAD_S = 1.0
-_PATIENCE_RATIO = 0.5
+PATIENCE_RATIO = 0.75
 _MAX_PASSED_COUNT = 16
 _MAX_LOOK_COUNT = 16
 _MIN_SWEEP_COUNT = 64
@@ -53,7 +53,7 @@
     back starts at virtual time, the highest position that got a place, so
     that it saves up nothing.  Urgency is a lead and no larger share: in
     the long run each customer gets its weight.  A request that has waited
-    for half its deadline has every lead, so that nothing starves.
+    for most of its deadline has every lead, so that nothing starves.
 
     A request whose adapter is held has a lead as well, so that turns
     are not spent on loads; it may pass a few of its own customer's.
@@ -69,6 +69,8 @@
         urgency goes ahead.
     held_lead_s
         The same for a request whose adapter is held.
+    patience_ratio
+        Part of its deadline after which a request has every lead.
     """
 
     def __init__(
@@ -78,9 +80,11 @@
         clock: clock_module.Clock,
         leads_s: Mapping[contract.Urgency, float] = LEADS_S,
         held_lead_s: float = HELD_LEAD_S,
+        patience_ratio: float = PATIENCE_RATIO,
     ) -> None:
         self._holds = holds
         self._clock = clock
+        self._patience_ratio = patience_ratio
         self._leads_s = {u: s * turn_count for u, s in leads_s.items()}
         self._held_lead_s = held_lead_s * turn_count
         self._most_lead_s = max(self._leads_s.values()) + self._held_lead_s
@@ -194,7 +198,7 @@
         # behind all of them until its deadline.  With every lead it has
         # the lowest position of all who came later.
         waited_s = self._clock.monotonic_s() - waiter.arrived_s
-        return waited_s >= _PATIENCE_RATIO * waiter.order.deadline_s
+        return waited_s >= self._patience_ratio * waiter.order.deadline_s
 
     def _sweep(self) -> None:
         # Customers come and go by the ten thousand.  One that virtual
