--- a/lacewingpitch/fair_order.py
+++ b/lacewingpitch/fair_order.py
@@ -215,9 +215,8 @@
 
     def _sweep(self) -> None:
         # Customers come and go by the ten thousand.  One that virtual
-        # time has passed would start at virtual time anyway.  One that
-        # is ahead of it by less than the leads is forgotten too, since
-        # virtual time stands still while all who come are that urgent.
+        # time has passed would start at virtual time anyway, so that
+        # forgetting it changes nothing.
         if len(self._shares) < self._sweep_count:
             return
         self._shares = {
@@ -225,6 +224,6 @@
             for customer, share in self._shares.items()
             if share.waiting
             or share.running_count
-            or share.used_s > self._virtual_s + self._most_lead_s
+            or share.used_s > self._virtual_s
         }
         self._sweep_count = max(_MIN_SWEEP_COUNT, 2 * len(self._shares))
--- a/tests/test_fair_order.py
+++ b/tests/test_fair_order.py
@@ -248,6 +248,27 @@
         assert len(waits_s) >= 18
         assert max(waits_s) <= 25.0
 
+    def test_is_not_what_a_flood_suffers(self):
+        """A light customer's requests are late whenever a flood ages.
+
+        The flood's requests wait long because it sends too many.  The
+        cause would be aging that asks for nothing but the wait.
+        """
+        clock = HandClock()
+        order = make_order(clock=clock)
+        for _ in range(200):
+            order.add(make_waiter('flood'))
+        waits_s = []
+        for second in range(60):
+            clock.now_s = float(second)
+            if second % 4 == 0:
+                order.add(make_waiter('light', arrived_s=clock.now_s))
+            waiter = serve(order)
+            if waiter.order.customer == 'light':
+                waits_s.append(clock.now_s - waiter.arrived_s)
+        assert len(waits_s) == 15
+        assert max(waits_s) <= 1.0
+
     def test_of_an_adapter_that_is_never_held(self):
         """A customer's rare adapter is never loaded beside its hot one.
 
