Limits: leases from an owner entry, and a bench of the ways

A customer's rates and places now hold over all entry instances: the owner among the live entries, by rendezvous hash, leases parts of its buckets; an entry that cannot reach it admits one share of n.

--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,358 @@
+"""Ways to hold a customer's limit over all entries, under faults.
+
+The real decision objects run in virtual time on seeded arrivals.  Each
+way meets the same arrivals in the same scenario.  Two loads: *within*
+(70% of the rate, every arrival within the contract) and *over* (three
+times the rate).  The figures are
+
+- overshoot: requests above what one central bucket would have let by, at
+  the worst moment, as a ratio to the burst;
+- needless: refused arrivals of the load that is within the contract;
+- used: admitted of the load that is over, to what the contract allows.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import logging
+import random
+
+import rich.console
+import rich.table
+import structlog
+
+from lacewingpitch import errors
+from lacewingpitch import token_bucket
+from tests import lease_entries
+from tests import virtual_time
+
+ENTRIES = 8
+RATE_PER_S = 20.0
+BURST = 20
+RUN_S = 80.0
+FAULT_S = 30.0
+CUSTOMER = 'haneul'
+
+
+@dataclasses.dataclass
+class Scenario:
+    """What fails, and where the balancer sends the requests."""
+
+    name: str
+    skew: float = 0.0
+    fault: str = ''
+
+
+SCENARIOS = (
+    Scenario('steady'),
+    Scenario('skewed to one entry', skew=0.95),
+    Scenario('owner killed', fault='kill'),
+    Scenario('partition 5 and 3', fault='part'),
+    Scenario('partition, skewed to cut entry', skew=0.95, fault='part'),
+    Scenario('paused owner wakes', fault='pause'),
+    Scenario('list lags 10 s at half', fault='lag'),
+)
+
+
+class EqualSplit:
+    """Each entry admits its part, known from the list."""
+
+    def __init__(self, clock, entries):
+        self._clock = clock
+        count = len(entries.all)
+        self._buckets = {
+            name: token_bucket.TokenBucket(
+                RATE_PER_S / count,
+                max(1.0, BURST / count),
+                BURST,
+                clock.monotonic_s(),
+            )
+            for name in entries.all
+        }
+
+    async def admit(self, name):
+        now_s = self._clock.monotonic_s()
+        bucket = self._buckets[name]
+        if bucket.level(now_s) < 1:
+            return False
+        bucket.add(-1, now_s)
+        return True
+
+    def close(self):
+        pass
+
+
+class DemandSplit:
+    """Each entry admits by its part of the demand that all told of.
+
+    Every entry tells every other its demand each second, so messages
+    grow with the square of the entries.
+    """
+
+    PERIOD_S = 1.0
+    FORGET_S = 3.0
+
+    def __init__(self, clock, entries):
+        self._clock = clock
+        self._entries = entries
+        now_s = clock.monotonic_s()
+        count = len(entries.all)
+        self._buckets = {
+            name: token_bucket.TokenBucket(
+                RATE_PER_S / count, max(1.0, BURST / count), BURST, now_s
+            )
+            for name in entries.all
+        }
+        self._arrived = collections.Counter()
+        self._told = {name: {} for name in entries.all}
+        self._task = asyncio.create_task(self._tell())
+
+    async def _tell(self):
+        while True:
+            await asyncio.sleep(self.PERIOD_S)
+            for sender in self._entries.all:
+                if not self._runs(sender):
+                    continue
+                self._tell_all(sender, self._arrived.pop(sender, 0))
+            for name in self._entries.all:
+                if self._runs(name):
+                    self._split(name)
+
+    def _tell_all(self, sender, arrived):
+        now_s = self._clock.monotonic_s()
+        for name in self._entries.all:
+            if (sender, name) not in self._entries.cut and self._runs(name):
+                self._told[name][sender] = (now_s, arrived)
+
+    def _split(self, name):
+        now_s = self._clock.monotonic_s()
+        told = {
+            sender: arrived
+            for sender, (at_s, arrived) in self._told[name].items()
+            if now_s - at_s < self.FORGET_S
+        }
+        least = 0.05 * max(1.0, sum(told.values())) / len(told)
+        total = sum(arrived + least for arrived in told.values())
+        ratio = (told.get(name, 0) + least) / total
+        self._buckets[name].change(
+            RATE_PER_S * ratio, max(1.0, BURST * ratio), now_s
+        )
+
+    def _runs(self, name):
+        if name in self._entries.dead:
+            return False
+        return self._entries.all[name].awake.is_set()
+
+    async def admit(self, name):
+        now_s = self._clock.monotonic_s()
+        self._arrived[name] += 1
+        bucket = self._buckets[name]
+        if bucket.level(now_s) < 1:
+            return False
+        bucket.add(-1, now_s)
+        return True
+
+    def close(self):
+        self._task.cancel()
+
+
+class Leases:
+    """The product's way: `lacewingpitch.limits`."""
+
+    def __init__(self, clock, entries):
+        self._entries = entries
+        self._contract = entries.contracts.add(
+            CUSTOMER,
+            requests_per_s=RATE_PER_S,
+            burst_requests=BURST,
+            concurrent_requests=1000,
+            queued_requests=1000,
+            tokens_per_s=1e6,
+        )
+
+    async def admit(self, name):
+        entry = self._entries.all[name]
+        try:
+            async with entry.limits.admit(self._contract, 1):
+                return True
+        except errors.RefusalError:
+            return False
+
+    def close(self):
+        pass
+
+
+class Envelope:
+    """What one central bucket would admit."""
+
+    def __init__(self, now_s):
+        self._bucket = token_bucket.TokenBucket(
+            RATE_PER_S, BURST, BURST, now_s
+        )
+        self.worst = 0.0
+        self.admitted = 0
+
+    def conforms(self, now_s):
+        if self._bucket.level(now_s) < 1:
+            return False
+        self._bucket.add(-1, now_s)
+        self.admitted += 1
+        return True
+
+    def pass_through(self, now_s):
+        """Count an admitted request, also beyond what is there."""
+        self._bucket.add(-1, now_s)
+        self.worst = max(self.worst, -self._bucket.level(now_s))
+
+
+class Run:
+    """One way in one scenario under one load."""
+
+    def __init__(self, way, scenario, load, seed):
+        self._way = way
+        self._scenario = scenario
+        self._load = load
+        self._random = random.Random(seed)
+        self.offered = 0
+        self.refused = 0
+        self.admitted = 0
+
+    async def run(self):
+        clock = virtual_time.LoopClock()
+        entries = lease_entries.Entries(clock, ENTRIES)
+        way = self._way(clock, entries)
+        self._entries = entries
+        start_s = clock.monotonic_s()
+        self._given = Envelope(start_s)
+        self._ideal = Envelope(start_s)
+        faults = asyncio.create_task(self._fail())
+        calls = []
+        while clock.monotonic_s() < start_s + RUN_S:
+            gap = self._random.expovariate(RATE_PER_S * self._load)
+            await asyncio.sleep(gap)
+            now_s = clock.monotonic_s()
+            conforms = self._ideal.conforms(now_s)
+            if self._load < 1 and not conforms:
+                continue
+            self.offered += 1
+            call = self._call(clock, way, self._choose())
+            calls.append(asyncio.create_task(call))
+        await asyncio.gather(*calls)
+        faults.cancel()
+        way.close()
+        entries.close()
+        return self
+
+    def _choose(self):
+        entries = self._entries
+        up = [
+            name
+            for name, entry in entries.all.items()
+            if name not in entries.dead and entry.awake.is_set()
+        ]
+        # The balancer takes a second to notice a frozen instance.
+        up += [n for n in getattr(self, 'unnoticed', ()) if n not in up]
+        owner = entries.owner_of(CUSTOMER).name
+        skewed = [name for name in up if name != owner]
+        if self._random.random() < self._scenario.skew:
+            return skewed[0]
+        return self._random.choice(up)
+
+    async def _call(self, clock, way, name):
+        await self._entries.all[name].awake.wait()
+        if await way.admit(name):
+            self._given.pass_through(clock.monotonic_s())
+            self.admitted += 1
+        else:
+            self.refused += 1
+
+    async def _fail(self):
+        await asyncio.sleep(FAULT_S)
+        entries = self._entries
+        owner = entries.owner_of(CUSTOMER).name
+        others = [name for name in entries.all if name != owner]
+        match self._scenario.fault:
+            case 'kill':
+                entries.dead.add(owner)
+                await asyncio.sleep(5.0)
+                entries.publish(others)
+            case 'part':
+                entries.part(others[:3])
+                await asyncio.sleep(25.0)
+                entries.cut.clear()
+            case 'pause':
+                await self._pause(owner, others)
+            case 'lag':
+                entries.publish(others, to=others[:4])
+                await asyncio.sleep(10.0)
+                entries.publish(others)
+
+    async def _pause(self, owner, others):
+        entries = self._entries
+        entries.all[owner].awake.clear()
+        self.unnoticed = [owner]
+        await asyncio.sleep(1.0)
+        self.unnoticed = []
+        await asyncio.sleep(4.0)
+        entries.publish(others, to=others)
+        await asyncio.sleep(10.0)
+        # It wakes with its old list, and learns of the new one later.
+        entries.all[owner].awake.set()
+        await asyncio.sleep(1.0)
+        entries.publish(others, to=[owner])
+        await asyncio.sleep(5.0)
+        entries.publish(list(entries.all))
+
+    @property
+    def overshoot_ratio(self):
+        return max(0.0, self._given.worst) / BURST
+
+    @property
+    def used_ratio(self):
+        return self.admitted / self._ideal.admitted
+
+
+def measure(way, scenario, seeds):
+    """Return worst overshoot, needless refusals and use over seeds."""
+    overshoot = needless = offered = used = 0.0
+    for seed in seeds:
+        within = virtual_time.run(Run(way, scenario, 0.7, seed).run())
+        over = virtual_time.run(Run(way, scenario, 3.0, seed).run())
+        overshoot = max(
+            overshoot, over.overshoot_ratio, within.overshoot_ratio
+        )
+        needless += within.refused
+        offered += within.offered
+        used += over.used_ratio / len(seeds)
+    return overshoot, needless / offered, used
+
+
+def main():
+    """Print the table."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seeds', type=int, default=3)
+    seeds = range(parser.parse_args().seeds)
+    table = rich.table.Table(
+        title=f'{ENTRIES} entries, {RATE_PER_S}/s, burst {BURST}'
+    )
+    for column in ('scenario', 'way', 'overshoot', 'needless', 'used'):
+        table.add_column(column)
+    for scenario in SCENARIOS:
+        for way in (EqualSplit, DemandSplit, Leases):
+            overshoot, needless, used = measure(way, scenario, seeds)
+            table.add_row(
+                scenario.name,
+                way.__name__,
+                f'{overshoot:.2f}',
+                f'{needless:.2%}',
+                f'{used:.2f}',
+            )
+    rich.console.Console(width=100).print(table)
+
+
+if __name__ == '__main__':
+    main()
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -18,6 +18,7 @@
 from lacewingpitch import errors
 from lacewingpitch import event_stream
 from lacewingpitch import http_server
+from lacewingpitch import limits as limits_module
 from lacewingpitch import node
 from lacewingpitch import placement
 from lacewingpitch import settings as settings_module
@@ -44,6 +45,18 @@
     max_tokens: int = 0
 
 
+class Usage(msgspec.Struct, frozen=True):
+    """The part of a completion's account that limits need."""
+
+    completion_tokens: int
+
+
+class CompletionAnswer(msgspec.Struct, frozen=True):
+    """What the entry must know of a whole completion."""
+
+    usage: Usage | None = None
+
+
 class Entry:
     """Takes callers' requests, and delivers each answer whole.
 
@@ -66,6 +79,7 @@
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._dispatcher: dispatch.Dispatcher
+        self._limits: limits_module.Limits
 
     @property
     def work_port(self) -> int:
@@ -89,6 +103,9 @@
             self._node.membership,
             placement.Placement(),
         )
+        self._limits = await self._exits.enter_async_context(
+            limits_module.node_limits(self._node)
+        )
         self._node.follow_platform()
         self._add_routes()
         await self._server.start(self.settings.ip, self.settings.work_port)
@@ -193,7 +210,7 @@
             stream=call.stream,
             max_tokens=call.max_tokens,
         )
-        return await self._deliver(request, order, body)
+        return await self._deliver(request, contract, order, body)
 
     async def _call_service(
         self,
@@ -217,22 +234,50 @@
             repeatable=request.method in grant.repeatable_methods,
             service=name,
         )
-        return await self._deliver(request, order, await _read_body(request))
+        body = await _read_body(request)
+        return await self._deliver(request, contract, order, body)
 
     async def _deliver(
-        self, request: web.Request, order: work.WorkOrder, body: bytes
+        self,
+        request: web.Request,
+        contract: contract_module.Contract,
+        order: work.WorkOrder,
+        body: bytes,
+    ) -> web.StreamResponse:
+        async with contextlib.AsyncExitStack() as held:
+            permit = await held.enter_async_context(
+                self._limits.admit(contract, order.max_tokens)
+            )
+            if order.adapter is None:
+                permit.tokens = 0.0
+            return await self._run(request, order, body, permit)
+
+    async def _run(
+        self,
+        request: web.Request,
+        order: work.WorkOrder,
+        body: bytes,
+        permit: limits_module.Permit,
     ) -> web.StreamResponse:
         content_type = request.headers.get('Content-Type', '')
-        async with self._dispatcher.send(order, body, content_type) as found:
-            if found.content_type == _EVENT_STREAM:
-                return await self._stream(request, order, found)
-            return await _pass_whole(order, found)
+        try:
+            async with self._dispatcher.send(
+                order, body, content_type
+            ) as found:
+                if found.content_type == _EVENT_STREAM:
+                    return await self._stream(request, order, found, permit)
+                return await _pass_whole(order, found, permit)
+        except errors.RefusalError as error:
+            if error.outcome is errors.Outcome.NOT_RUN:
+                permit.tokens = 0.0
+            raise
 
     async def _stream(
         self,
         request: web.Request,
         order: work.WorkOrder,
         found: aiohttp.ClientResponse,
+        permit: limits_module.Permit,
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=found.status)
         response.content_type = found.content_type
@@ -242,6 +287,8 @@
         try:
             async for chunk in found.content.iter_any():
                 events = relay.feed(chunk)
+                # An event is about one token.
+                permit.tokens = float(relay.event_count)
                 if events:
                     await response.write(events)
         except aiohttp.ClientError as error:
@@ -324,7 +371,9 @@
 
 
 async def _pass_whole(
-    order: work.WorkOrder, found: aiohttp.ClientResponse
+    order: work.WorkOrder,
+    found: aiohttp.ClientResponse,
+    permit: limits_module.Permit,
 ) -> web.Response:
     # The answer is sent only once it is whole here: the caller gets all
     # of it or an error with a status, never a torn body.
@@ -334,7 +383,17 @@
         raise errors.RefusalError(
             errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer broke off'
         ) from error
+    if order.adapter is not None:
+        _charge_usage(body, permit)
     headers = {work.REQUEST_ID_HEADER: order.request_id}
     if 'Content-Type' in found.headers:
         headers['Content-Type'] = found.headers['Content-Type']
     return web.Response(status=found.status, body=body, headers=headers)
+
+
+def _charge_usage(body: bytes, permit: limits_module.Permit) -> None:
+    # An answer without a usable account stays charged as estimated.
+    with contextlib.suppress(msgspec.DecodeError):
+        found = msgspec.json.decode(body, type=CompletionAnswer)
+        if found.usage is not None:
+            permit.tokens = float(found.usage.completion_tokens)
--- /dev/null
+++ b/tests/lease_entries.py
@@ -0,0 +1,130 @@
+"""A few entries' limits in one process, joined by a link that can fail."""
+
+import asyncio
+
+from lacewingpitch import contract
+from lacewingpitch import entry_ring
+from lacewingpitch import errors
+from lacewingpitch import limit_lease
+from lacewingpitch import limits
+from lacewingpitch import live_list
+
+DELAY_S = 0.001
+TIMEOUT_S = 0.3
+REGION = 'default'
+
+
+class Contracts:
+    """The contracts in force, the same at every entry."""
+
+    def __init__(self):
+        self._contracts = {}
+
+    def contract(self, customer):
+        return self._contracts.get(customer)
+
+    def add(self, customer, revision=1, **fields):
+        found = contract.Contract(
+            customer=customer,
+            revision=revision,
+            key_digests=(),
+            region=REGION,
+            limits=contract.Limits(**fields),
+        )
+        self._contracts[customer] = found
+        return found
+
+
+def make_instance(number):
+    return live_list.Instance(
+        name=f'entry-{number}',
+        role=live_list.Role.ENTRY,
+        region=REGION,
+        availability_zone='zone-a',
+        ip='127.0.0.1',
+        work_port=1,
+        control_port=1,
+    )
+
+
+class LeaseEntry:
+    """The real limits of one entry instance."""
+
+    def __init__(self, clock, instance, contracts, link):
+        self.instance = instance
+        self.name = instance.name
+        self.ring = entry_ring.EntryRing(clock, instance.name, REGION)
+        self.owner = limit_lease.LeaseOwner(clock, self.ring, contracts)
+        self.limits = limits.Limits(clock, self.ring, self.owner, link)
+        self.awake = asyncio.Event()
+        self.awake.set()
+
+    async def tick(self):
+        while True:
+            await asyncio.sleep(limits.TICK_S)
+            await self.awake.wait()
+            self.limits.tick()
+
+
+class Entries:
+    """Entries that ask each other, until they are cut, frozen, killed."""
+
+    def __init__(self, clock, count):
+        self.contracts = Contracts()
+        self.cut = set()
+        self.dead = set()
+        instances = [make_instance(number) for number in range(count)]
+        self.all = {
+            instance.name: LeaseEntry(
+                clock, instance, self.contracts, _Link(self, instance.name)
+            )
+            for instance in instances
+        }
+        for entry in self.all.values():
+            entry.ring.update(instances)
+        self._ticks = [
+            asyncio.create_task(entry.tick()) for entry in self.all.values()
+        ]
+
+    def close(self):
+        for entry in self.all.values():
+            entry.limits.close()
+        for tick in self._ticks:
+            tick.cancel()
+
+    def owner_of(self, customer):
+        entry = next(iter(self.all.values()))
+        found = entry.ring.owner(customer, REGION)
+        return self.all[found.name] if found else entry
+
+    def part(self, some):
+        """Cut `some` off from the others, both ways."""
+        for one in some:
+            for other in set(self.all) - set(some):
+                self.cut |= {(one, other), (other, one)}
+
+    def publish(self, names, to=None):
+        """Give the list to all entries, or to those in `to`."""
+        instances = [self.all[name].instance for name in names]
+        for name in to if to is not None else self.all:
+            self.all[name].ring.update(instances)
+
+    async def ask(self, sender, owner, ask):
+        entry = self.all[owner.name]
+        await asyncio.sleep(DELAY_S)
+        blocked = (sender, owner.name) in self.cut
+        if blocked or owner.name in self.dead or not entry.awake.is_set():
+            await asyncio.sleep(TIMEOUT_S)
+            raise errors.LinkError('no reply')
+        reply = entry.owner.grant(ask)
+        await asyncio.sleep(DELAY_S)
+        return reply
+
+
+class _Link:
+    def __init__(self, entries, sender):
+        self._entries = entries
+        self._sender = sender
+
+    async def ask(self, owner, ask):
+        return await self._entries.ask(self._sender, owner, ask)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -171,6 +171,17 @@
         found = settings.EntrySettings(**self._process(name, **fields))
         process = await self.run('entry', self._write(name, found))
         self.entries.append(process)
+        self.instances.append(
+            live_list.Instance(
+                name=name,
+                role=live_list.Role.ENTRY,
+                region=found.region,
+                availability_zone=found.availability_zone,
+                ip=IP,
+                work_port=process.ports['work_port'],
+                control_port=process.ports['control_port'],
+            )
+        )
         return process
 
     def _process(self, name, **fields):
