Limits: an owner hands over, and refers those whose list lags

Cause: with the list lagging at half of the entries two owners leased one limit, 7.2 bursts of overshoot in 10 s. So the hand-over names the list's revision, is refused to an older list, and the old owner refers holders to the new one.

--- a/lacewingpitch/entry_ring.py
+++ b/lacewingpitch/entry_ring.py
@@ -43,13 +43,17 @@
         self.instance = instance
         self._region = region
         self.version = 0
+        self.revision = 0
         self._views: collections.deque[_View] = collections.deque(
             maxlen=_MAX_VIEWS
         )
         self._views.append(_View(clock.monotonic_s(), (), frozenset(), {}))
 
-    def update(self, instances: Sequence[live_list.Instance]) -> None:
-        """Take over a list of instances."""
+    def update(
+        self, revision: int, instances: Sequence[live_list.Instance]
+    ) -> None:
+        """Take over a published list."""
+        self.revision = revision
         entries = tuple(
             instance
             for instance in instances
@@ -95,6 +99,25 @@
             since_s = view.since_s
         return self._clock.monotonic_s() - since_s
 
+    def previous_owner(
+        self, customer: str, region: str
+    ) -> live_list.Instance | None:
+        """Return who was the owner before this instance, if known."""
+        for view in reversed(self._views):
+            found = _owner(view, customer, region)
+            if found is not None and found.name != self.instance:
+                return found
+        # A process that joined finds only lists with itself in them: the
+        # owner before it is the one that the others' lists give.
+        return _owner(self._views[-1], customer, region, self.instance)
+
+    def this_instance(self) -> live_list.Instance | None:
+        """Return this entry instance as it is listed."""
+        for entry in self._views[-1].entries:
+            if entry.name == self.instance:
+                return entry
+        return None
+
     def entry_count(self, region: str) -> int:
         """Return over how many entry instances a limit is shared."""
         view = self._views[-1]
@@ -119,10 +142,13 @@
 
 
 def _owner(
-    view: _View, customer: str, region: str
+    view: _View, customer: str, region: str, without: str = ''
 ) -> live_list.Instance | None:
+    candidates = [
+        entry for entry in _candidates(view, region) if entry.name != without
+    ]
     return max(
-        _candidates(view, region),
+        candidates,
         key=lambda entry: xxhash.xxh3_64_intdigest(
             f'limits/{customer}/{entry.name}'.encode()
         ),
--- a/lacewingpitch/limit_holding.py
+++ b/lacewingpitch/limit_holding.py
@@ -246,13 +246,17 @@
 
     def fail(self) -> None:
         """Note that the owner did not answer."""
+        self.withdraw()
+        now_s = self._clock.monotonic_s()
+        self._unreached_until_s = now_s + _UNREACHED_S
+
+    def withdraw(self) -> None:
+        """Take back what was asked and not answered."""
         self._asked_running = None
         # What was given back is lost if the owner never heard of it; a
         # debt must not be, or cut links would make tokens free.
         self._tokens += self._asked_debt
         self._asked_debt = 0.0
-        now_s = self._clock.monotonic_s()
-        self._unreached_until_s = now_s + _UNREACHED_S
 
     def _running_limit(self) -> int:
         allowed = self._running_allowed if self.is_leased else 0
--- a/lacewingpitch/limit_lease.py
+++ b/lacewingpitch/limit_lease.py
@@ -7,6 +7,7 @@
 are spent; places (to run, to wait) are held and given back.
 """
 
+from collections.abc import Sequence
 import dataclasses
 import math
 from typing import Protocol
@@ -17,12 +18,14 @@
 from lacewingpitch import contract as contract_module
 from lacewingpitch import entry_ring
 from lacewingpitch import link
+from lacewingpitch import live_list
 from lacewingpitch import token_bucket
 
 LEASE_S = 6.0
 RENEW_S = 2.0
 PAUSE_S = 2.0
 CONFIRM_S = 2.0
+HANDED_S = 60.0
 TOKEN_WINDOW_S = 10.0
 _MIN_RETRY_S = 0.02
 _LEAST_RATIO = 0.001
@@ -84,13 +87,62 @@
     retry_after_s: float = 0.0
 
 
+class Moved(msgspec.Struct, frozen=True, array_like=True):
+    """Says who owns a customer now, to those whose list is older."""
+
+    customer: str
+    owner: live_list.Instance
+
+
 class LeaseReply(link.Message, frozen=True):
     """Leases, without the customers that it does not own."""
 
     parts: tuple[LeasePart, ...] = ()
+    moved: tuple[Moved, ...] = ()
     lease_s: float = LEASE_S
 
 
+class HandedPlaces(msgspec.Struct, frozen=True, array_like=True):
+    """Places that a holder has, told by one owner to the next."""
+
+    holder: str
+    running: int
+    waiting: int
+    expires_in_s: float
+    renews: bool
+
+
+class HandedState(msgspec.Struct, frozen=True, array_like=True):
+    """What an owner knew of one customer when it handed it over."""
+
+    customer: str
+    requests: float
+    tokens: float
+    places: tuple[HandedPlaces, ...] = ()
+
+
+class HandOver(link.Message, frozen=True):
+    """Asks an owner to stop, since the sender is the owner now.
+
+    Parameters
+    ----------
+    owner
+        The sender.
+    revision
+        Of the list by which it is the owner.
+    """
+
+    owner: live_list.Instance
+    revision: int
+    customers: tuple[str, ...]
+
+
+class HandedOver(link.Message, frozen=True):
+    """A promise to lease no more of the customers that were asked for."""
+
+    states: tuple[HandedState, ...] = ()
+
+
 class ContractLookup(Protocol):
     """What an owner needs of the contracts in force."""
 
@@ -108,10 +160,17 @@
     wanted: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Handed:
+    to: live_list.Instance
+    ring_version: int
+    until_s: float
+
+
 class _Owned:
     """The buckets and the places of one customer, at its owner."""
 
-    __slots__ = ('requests', 'tokens', 'holders')
+    __slots__ = ('requests', 'tokens', 'holders', 'settles_s')
 
     def __init__(
         self, limits: contract_module.Limits, ratio: float, now_s: float
@@ -125,6 +184,46 @@
             limits.tokens_per_s, token_capacity, token_capacity * ratio, now_s
         )
         self.holders: dict[str, _Held] = {}
+        self.settles_s = now_s
+
+    @classmethod
+    def adopt(
+        cls,
+        limits: contract_module.Limits,
+        state: HandedState,
+        now_s: float,
+    ) -> '_Owned':
+        """Go on from where the owner before stopped."""
+        found = cls(limits, 1.0, now_s)
+        found.requests.add(state.requests - limits.burst_requests, now_s)
+        found.tokens.add(state.tokens - found.tokens.capacity, now_s)
+        for places in state.places:
+            found.holders[places.holder] = _Held(
+                places.running,
+                places.waiting,
+                now_s + min(places.expires_in_s, LEASE_S),
+                places.renews,
+                0.0,
+            )
+        return found
+
+    def handed(self, customer: str, now_s: float) -> HandedState:
+        """Return what the next owner must know."""
+        return HandedState(
+            customer,
+            self.requests.level(now_s),
+            self.tokens.level(now_s),
+            tuple(
+                HandedPlaces(
+                    name,
+                    held.running,
+                    held.waiting,
+                    held.expires_s - now_s,
+                    held.renews,
+                )
+                for name, held in self.holders.items()
+            ),
+        )
 
     def change(
         self, limits: contract_module.Limits, ratio: float, now_s: float
@@ -176,6 +275,14 @@
             else:
                 running_free -= share(limits.concurrent_requests, entries)
                 waiting_free -= share(limits.queued_requests, entries)
+        # A new owner that was told nothing does not know yet who holds
+        # places.  All that do ask within a lease; until then it leases
+        # no more than each may use without it.
+        if now_s < self.settles_s:
+            running_share = share(limits.concurrent_requests, entries)
+            waiting_share = share(limits.queued_requests, entries)
+            running_free = min(running_free, running_share)
+            waiting_free = min(waiting_free, waiting_share)
         held = _Held(
             max(want.running_used, min(want.running, running_free)),
             max(want.waiting_used, min(want.waiting, waiting_free)),
@@ -237,6 +344,7 @@
         self._contracts = contracts
         self._owned: dict[str, _Owned] = {}
         self._heard: dict[str, tuple[str, int]] = {}
+        self._handed: dict[str, _Handed] = {}
         self._ticked_s = clock.monotonic_s()
         self._grants_from_s = 0.0
 
@@ -250,7 +358,14 @@
         if now_s < self._grants_from_s or not self._is_new(ask):
             return LeaseReply()
         parts = [self._grant_one(ask.holder, w, now_s) for w in ask.wants]
-        return LeaseReply(parts=tuple(p for p in parts if p is not None))
+        moved = tuple(
+            Moved(want.customer, self._handed[want.customer].to)
+            for want in ask.wants
+            if self._is_handed(want.customer, now_s)
+        )
+        return LeaseReply(
+            parts=tuple(p for p in parts if p is not None), moved=moved
+        )
 
     def tick(self) -> None:
         """Note the time, and drop the state of idle customers."""
@@ -260,8 +375,11 @@
             self._drop_expired(owned, now_s)
             # A full bucket without leases is what a new state starts
             # with, so an idle customer loses nothing by being dropped.
-            if owned.is_idle(now_s):
+            if owned.is_idle(now_s) or self._is_left_over(customer, now_s):
                 del self._owned[customer]
+        for customer in list(self._handed):
+            if not self._is_handed(customer, now_s):
+                del self._handed[customer]
         if len(self._heard) > _MAX_HEARD:
             self._heard = {
                 name: heard
@@ -269,6 +387,99 @@
                 if self._ring.is_listed(name)
             }
 
+    def to_adopt(
+        self, wants: Sequence[LeaseWant]
+    ) -> dict[live_list.Instance, list[str]]:
+        """Return whose owners before this one are to be asked, by them."""
+        found: dict[live_list.Instance, list[str]] = {}
+        now_s = self._clock.monotonic_s()
+        self._note_pause(now_s)
+        if now_s < self._grants_from_s:
+            return found
+        for want in wants:
+            contract = self._contracts.contract(want.customer)
+            if contract is None or want.customer in self._owned:
+                continue
+            customer, region = contract.customer, contract.region
+            if self._ring.owner(customer, region) is not None:
+                continue
+            if self._ring.owned_for_s(customer, region) > HANDED_S:
+                continue
+            previous = self._ring.previous_owner(customer, region)
+            if previous is not None:
+                found.setdefault(previous, []).append(customer)
+        return found
+
+    def adopt(self, customers: Sequence[str], reply: HandedOver) -> None:
+        """Go on from where the owner before stopped, if it said so."""
+        now_s = self._clock.monotonic_s()
+        states = {state.customer: state for state in reply.states}
+        for customer in customers:
+            contract = self._contracts.contract(customer)
+            if contract is None or customer in self._owned:
+                continue
+            state = states.get(customer)
+            if state is None:
+                self._find(contract, now_s)
+            else:
+                self._owned[customer] = _Owned.adopt(
+                    contract.limits, state, now_s
+                )
+
+    def hand_over(self, message: HandOver) -> HandedOver:
+        """Stop leasing, and tell the next owner what it must know."""
+        now_s = self._clock.monotonic_s()
+        self._note_pause(now_s)
+        states = []
+        for customer in message.customers:
+            if not self._may_hand_over(customer, message):
+                continue
+            owned = self._owned.pop(customer, None)
+            if owned is None and self._is_owner(customer, now_s):
+                contract = self._contracts.contract(customer)
+                owned = self._find(contract, now_s) if contract else None
+                self._owned.pop(customer, None)
+            if owned is not None:
+                states.append(owned.handed(customer, now_s))
+            # While the list lags here, this instance still holds itself
+            # for the owner; two of them would lease the limit twice.
+            self._handed[customer] = _Handed(
+                message.owner, self._ring.version, now_s + HANDED_S
+            )
+        return HandedOver(states=tuple(states))
+
+    def _may_hand_over(self, customer: str, message: HandOver) -> bool:
+        # A paused instance wakes up with an old list and holds itself for
+        # the owner: it must not take the limits from the owner of today.
+        if message.revision > self._ring.revision:
+            return True
+        contract = self._contracts.contract(customer)
+        if contract is None or message.revision < self._ring.revision:
+            return False
+        owner = self._ring.owner(customer, contract.region)
+        return owner is not None and owner.name == message.owner.name
+
+    def _is_owner(self, customer: str, now_s: float) -> bool:
+        contract = self._contracts.contract(customer)
+        if contract is None or now_s < self._grants_from_s:
+            return False
+        if self._is_handed(customer, now_s):
+            return False
+        return self._ring.owner(customer, contract.region) is None
+
+    def _is_handed(self, customer: str, now_s: float) -> bool:
+        found = self._handed.get(customer)
+        if found is None or found.ring_version != self._ring.version:
+            return False
+        return now_s < found.until_s
+
+    def _is_left_over(self, customer: str, now_s: float) -> bool:
+        owned = self._owned[customer]
+        held = owned.holders.values()
+        if any(holder.expires_s > now_s for holder in held):
+            return False
+        return not self._is_owner(customer, now_s)
+
     def _note_pause(self, now_s: float) -> None:
         # An owner that was paused may have a successor, and its buckets
         # have refilled meanwhile: the customer would get a second burst
@@ -296,7 +507,7 @@
         contract = self._contracts.contract(want.customer)
         if contract is None:
             return None
-        if self._ring.owner(contract.customer, contract.region) is not None:
+        if not self._is_owner(want.customer, now_s):
             return None
         limits = contract.limits
         owned = self._find(contract, now_s)
@@ -337,6 +548,7 @@
             refill = age_s * limits.requests_per_s / limits.burst_requests
             ratio = min(1.0, 1 / self._ring.entry_count(region) + refill)
             found = self._owned[customer] = _Owned(limits, ratio, now_s)
+            found.settles_s = now_s - age_s + LEASE_S
         return found
 
     def _drop_expired(self, owned: _Owned, now_s: float) -> None:
--- a/lacewingpitch/limits.py
+++ b/lacewingpitch/limits.py
@@ -19,6 +19,7 @@
 from lacewingpitch import contract as contract_module
 from lacewingpitch import entry_ring
 from lacewingpitch import errors
+from lacewingpitch import limit_handover
 from lacewingpitch import limit_holding
 from lacewingpitch import limit_lease
 from lacewingpitch import link
@@ -28,6 +29,7 @@
 TICK_S = 0.5
 UNSTATED_TOKENS = 256
 _ASK_TIMEOUT_S = 0.3
+_HAND_OVER_TIMEOUT_S = 0.15
 _SUSPECT_S = 3.0
 _PROBE_S = 1.0
 _MAX_WANTS = 512
@@ -65,6 +67,15 @@
         peer = self._peers.peer(owner.ip, owner.control_port)
         return await peer.ask(ask, limit_lease.LeaseReply, _ASK_TIMEOUT_S)
 
+    async def hand_over(
+        self, owner: live_list.Instance, message: limit_lease.HandOver
+    ) -> limit_lease.HandedOver:
+        """Return the reply of the owner before."""
+        peer = self._peers.peer(owner.ip, owner.control_port)
+        return await peer.ask(
+            message, limit_lease.HandedOver, _HAND_OVER_TIMEOUT_S
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class Permit:
@@ -115,7 +126,9 @@
     ring
         The live entry instances.
     owner
-        Leases what this instance owns itself.
+        State of what this instance owns itself.
+    granter
+        Leases out of it.
     lease_link
         Reaches the other owners.
     """
@@ -125,11 +138,13 @@
         clock: clock_module.Clock,
         ring: entry_ring.EntryRing,
         owner: limit_lease.LeaseOwner,
+        granter: limit_handover.LeaseGranter,
         lease_link: LeaseLink,
     ) -> None:
         self._clock = clock
         self._ring = ring
         self._owner = owner
+        self._granter = granter
         self._link = lease_link
         self._incarnation = str(uuid_utils.uuid7())
         self._sequence = 0
@@ -330,25 +345,42 @@
             while state.soon:
                 state.due.setdefault(state.soon.pop(), [])
             names = list(state.due)[:_MAX_WANTS]
-            waiting = [turn for name in names for turn in state.due.pop(name)]
+            waiting = {name: state.due.pop(name) for name in names}
             asked = [
                 self._customers[name]
                 for name in names
                 if name in self._customers
             ]
             try:
-                await self._exchange(owner, asked, state)
+                for moved in await self._exchange(owner, asked, state):
+                    self._follow(moved, waiting.pop(moved.customer, []))
             finally:
-                for turn in waiting:
-                    if not turn.done():
-                        turn.set_result(None)
+                for turns in waiting.values():
+                    _release(turns)
+
+    def _follow(
+        self,
+        moved: limit_lease.Moved,
+        turns: list[asyncio.Future[None]],
+    ) -> None:
+        customer = self._customers.get(moved.customer)
+        if customer is None:
+            _release(turns)
+            return
+        # The list here is older than the owner's: until it is renewed,
+        # the owner that was told of is asked.
+        is_self = moved.owner.name == self._ring.instance
+        customer.owner = None if is_self else moved.owner
+        state = self._owners[customer.owner_name]
+        state.due.setdefault(moved.customer, []).extend(turns)
+        self._start(customer, state)
 
     async def _exchange(
         self,
         owner: live_list.Instance | None,
         asked: list[_Customer],
         state: _OwnerState,
-    ) -> None:
+    ) -> tuple[limit_lease.Moved, ...]:
         asked_s = self._clock.monotonic_s()
         try:
             reply = await self._request(owner, asked)
@@ -360,16 +392,20 @@
             for customer in asked:
                 customer.holding.fail()
                 _wake(customer)
-            return
+            return ()
         state.suspect_until_s = 0.0
         parts = {part.customer: part for part in reply.parts}
+        moved = {found.customer for found in reply.moved}
         for customer in asked:
             part = parts.get(customer.contract.customer)
-            if part is None:
+            if customer.contract.customer in moved:
+                customer.holding.withdraw()
+            elif part is None:
                 customer.holding.fail()
             else:
                 customer.holding.apply(part, asked_s, reply.lease_s)
             _wake(customer)
+        return reply.moved
 
     async def _request(
         self, owner: live_list.Instance | None, asked: list[_Customer]
@@ -387,7 +423,7 @@
             ),
         )
         if owner is None:
-            return self._owner.grant(ask)
+            return await self._granter.grant(ask)
         self.asks_count += 1
         self.wants_count += len(asked)
         return await self._link.ask(owner, ask)
@@ -400,6 +436,12 @@
                     del self._owners[name]
 
 
+def _release(turns: list[asyncio.Future[None]]) -> None:
+    for turn in turns:
+        if not turn.done():
+            turn.set_result(None)
+
+
 def _wake(customer: _Customer) -> None:
     holding = customer.holding
     while customer.queue and holding.has_place():
@@ -426,15 +468,13 @@
     settings = node.settings
     ring = entry_ring.EntryRing(node.clock, settings.instance, settings.region)
     owner = limit_lease.LeaseOwner(node.clock, ring, node.book)
-    found = Limits(node.clock, ring, owner, ControlLeaseLink(node.peers))
-
-    async def answer(ask: limit_lease.LeaseAsk) -> limit_lease.LeaseReply:
-        return owner.grant(ask)
-
-    node.control.handle(limit_lease.LeaseAsk, answer)
-    ring.update(node.membership.instances)
+    links = ControlLeaseLink(node.peers)
+    granter = limit_handover.LeaseGranter(node.clock, ring, owner, links)
+    found = Limits(node.clock, ring, owner, granter, links)
+    node.control.handle(limit_lease.LeaseAsk, granter.grant)
+    node.control.handle(limit_lease.HandOver, granter.hand_over)
     node.membership.changes.subscribe(
-        lambda published: ring.update(published.instances)
+        lambda published: ring.update(published.revision, published.instances)
     )
     node.book.changes.subscribe(found.change)
     node.run(found.run())
--- a/tests/lease_entries.py
+++ b/tests/lease_entries.py
@@ -5,6 +5,7 @@
 from lacewingpitch import contract
 from lacewingpitch import entry_ring
 from lacewingpitch import errors
+from lacewingpitch import limit_handover
 from lacewingpitch import limit_lease
 from lacewingpitch import limits
 from lacewingpitch import live_list
@@ -55,7 +56,12 @@
         self.name = instance.name
         self.ring = entry_ring.EntryRing(clock, instance.name, REGION)
         self.owner = limit_lease.LeaseOwner(clock, self.ring, contracts)
-        self.limits = limits.Limits(clock, self.ring, self.owner, link)
+        self.granter = limit_handover.LeaseGranter(
+            clock, self.ring, self.owner, link
+        )
+        self.limits = limits.Limits(
+            clock, self.ring, self.owner, self.granter, link
+        )
         self.awake = asyncio.Event()
         self.awake.set()
 
@@ -81,7 +87,8 @@
             for instance in instances
         }
         for entry in self.all.values():
-            entry.ring.update(instances)
+            entry.ring.update(1, instances)
+        self.revision = 1
         self._ticks = [
             asyncio.create_task(entry.tick()) for entry in self.all.values()
         ]
@@ -104,21 +111,20 @@
                 self.cut |= {(one, other), (other, one)}
 
     def publish(self, names, to=None):
-        """Give the list to all entries, or to those in `to`."""
+        """Give a new list to all entries, or to those in `to`."""
+        self.revision += 1
         instances = [self.all[name].instance for name in names]
         for name in to if to is not None else self.all:
-            self.all[name].ring.update(instances)
+            self.all[name].ring.update(self.revision, instances)
 
-    async def ask(self, sender, owner, ask):
+    async def reach(self, sender, owner):
         entry = self.all[owner.name]
         await asyncio.sleep(DELAY_S)
         blocked = (sender, owner.name) in self.cut
         if blocked or owner.name in self.dead or not entry.awake.is_set():
             await asyncio.sleep(TIMEOUT_S)
             raise errors.LinkError('no reply')
-        reply = entry.owner.grant(ask)
-        await asyncio.sleep(DELAY_S)
-        return reply
+        return entry.granter
 
 
 class _Link:
@@ -127,4 +133,13 @@
         self._sender = sender
 
     async def ask(self, owner, ask):
-        return await self._entries.ask(self._sender, owner, ask)
+        granter = await self._entries.reach(self._sender, owner)
+        reply = await granter.grant(ask)
+        await asyncio.sleep(DELAY_S)
+        return reply
+
+    async def hand_over(self, owner, message):
+        granter = await self._entries.reach(self._sender, owner)
+        reply = await granter.hand_over(message)
+        await asyncio.sleep(DELAY_S)
+        return reply
