Limits: tests of holdings and admission, and promises by what arrives

A holder that got little of a limit in full use did not promise to ask again, so its share was not kept free when it was cut off. Now the promise goes by what arrives, not by what is admitted.

A second check of late replies in apply changed nothing and is gone.

--- a/lacewingpitch/limit_holding.py
+++ b/lacewingpitch/limit_holding.py
@@ -57,8 +57,10 @@
         self._places_after_s = now_s
         self._unreached_until_s = 0.0
         self._asked_s = now_s
+        self._arrived = 0
         self._admitted = 0
         self._charged = 0.0
+        self._arrived_per_s = 0.0
         self._demand_per_s = 0.0
         self._token_demand_per_s = 0.0
         self._asked_running: int | None = None
@@ -110,6 +112,7 @@
         """Spend one request and its estimated tokens, if they are there."""
         now_s = self._clock.monotonic_s()
         self._used_s = now_s
+        self._arrived += 1
         if self.is_leased and self._requests >= 1 and self._tokens > 0:
             self._requests -= 1
             self._tokens -= tokens
@@ -207,7 +210,9 @@
         running += math.ceil(self.running * _HEADROOM_RATIO)
         waiting = self.waiting + pending
         self._asked_running = running
-        self._promised = self._demand_per_s >= _STEADY_PER_S
+        # Also a holder that gets little of a limit in full use promises:
+        # cut off, it would begin to admit its share.
+        self._promised = self._arrived_per_s >= _STEADY_PER_S
         return limit_lease.LeaseWant(
             self.customer,
             max(0.0, target - self._requests),
@@ -228,12 +233,10 @@
         now_s = self._clock.monotonic_s()
         asked_running, self._asked_running = self._asked_running, None
         self._asked_debt = 0.0
+        self._drop_expired(now_s)
         # The time runs from before the message left, so a reply that was
         # long under way, or read by a process that was paused, is no
         # lease any more: the owner may have leased the places again.
-        if now_s >= asked_s + lease_s:
-            return
-        self._drop_expired(now_s)
         self._expires_s = asked_s + lease_s
         self._requests += part.requests
         self._tokens += part.tokens
@@ -289,10 +292,13 @@
         gain = 1 - (1 - _DEMAND_GAIN) ** (passed_s / limit_lease.RENEW_S)
         requests_per_s = self._admitted / passed_s
         tokens_per_s = max(0.0, self._charged) / passed_s
+        arrived_per_s = self._arrived / passed_s
+        self._arrived_per_s += gain * (arrived_per_s - self._arrived_per_s)
         self._demand_per_s += gain * (requests_per_s - self._demand_per_s)
         self._token_demand_per_s += gain * (
             tokens_per_s - self._token_demand_per_s
         )
+        self._arrived = 0
         self._admitted = 0
         self._charged = 0.0
         self._asked_s = now_s
--- /dev/null
+++ b/tests/test_limit_holding.py
@@ -0,0 +1,90 @@
+import pytest
+
+from lacewingpitch import limit_holding
+from lacewingpitch import limit_lease
+from tests import fault_matrix
+from tests import lease_entries
+from tests import test_limit_lease
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+
+
+@pytest.fixture
+def clock():
+    return test_limit_lease.ManualClock()
+
+
+@pytest.fixture
+def holding(clock):
+    contracts = lease_entries.Contracts()
+    contract = contracts.add('haneul', requests_per_s=4, burst_requests=8)
+    return limit_holding.LimitHolding(clock, contract, 4)
+
+
+def lease(holding, clock, asked_s=None, **part):
+    holding.want(1, 1)
+    holding.apply(
+        limit_lease.LeasePart('haneul', **part),
+        clock.now_s if asked_s is None else asked_s,
+        limit_lease.LEASE_S,
+    )
+
+
+class TestLease:
+    def test_is_spent_once(self, holding, clock):
+        lease(holding, clock, requests=2, tokens=10)
+        assert [holding.spend(1) for _ in range(3)] == [True, True, False]
+
+    def test_lapses(self, holding, clock):
+        lease(holding, clock, requests=2, tokens=10, running=1)
+        clock.now_s += limit_lease.LEASE_S
+        assert not holding.spend(1)
+        assert not holding.has_place()
+
+    @pytest.mark.proves(Promise.LIMITS, Fault.FROZEN, Step.BEFORE_ADMISSION)
+    def test_a_reply_read_late_is_no_lease(self, holding, clock):
+        """An instance that slept admits on places leased to others since.
+
+        It asks, is paused, and reads the reply after the lease is over.
+        The cause would be a lease that runs from when the reply is read.
+        """
+        asked_s = clock.now_s
+        clock.now_s += limit_lease.LEASE_S
+        lease(holding, clock, asked_s, requests=2, tokens=10, running=1)
+        assert not holding.spend(1)
+        assert not holding.has_place()
+
+    @pytest.mark.proves(Promise.LIMITS, Fault.LINK_CUT, Step.BEFORE_DELIVERY)
+    def test_debt_outlives_a_lost_message(self, holding, clock):
+        """Tokens are free for a customer whose link to the owner is bad.
+
+        The debt of a long answer is told to the owner, and the message is
+        lost.  The cause would be a debt that is forgotten once it is sent.
+        """
+        lease(holding, clock, requests=2, tokens=10)
+        holding.charge(500)
+        assert holding.want(1, 1).tokens_back == -490
+        holding.fail()
+        assert holding.want(1, 1).tokens_back == -490
+
+    def test_places_asked_back_are_not_used_meanwhile(self, holding, clock):
+        lease(holding, clock, requests=9, tokens=10, running=5)
+        holding.want(0, 0)
+        assert not holding.has_place()
+
+
+class TestShare:
+    def test_is_admitted_while_the_owner_is_silent(self, holding, clock):
+        holding.fail()
+        assert [holding.spend(1) for _ in range(3)] == [True, True, False]
+        assert holding.retry_after_s() == pytest.approx(1.0)
+        assert holding.has_place()
+
+    def test_does_not_grow_by_failing_again(self, holding, clock):
+        for _ in range(5):
+            holding.fail()
+            lease(holding, clock)
+        holding.fail()
+        assert sum(holding.spend(1) for _ in range(9)) == 2
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,342 @@
+import asyncio
+
+import pytest
+
+from lacewingpitch import errors
+from lacewingpitch import limit_lease
+from tests import fault_matrix
+from tests import lease_entries
+from tests import virtual_time
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+ErrorKind = errors.ErrorKind
+CUSTOMER = 'haneul'
+COUNT = 4
+BURST = 8
+RATE_PER_S = 2.0
+PLACES = 4
+QUEUE = 2
+TOKENS_PER_S = 100.0
+
+
+def in_virtual_time(test):
+    """Run an async test method with entries, in virtual time."""
+
+    def wrapper(self):
+        async def run():
+            entries = lease_entries.Entries(virtual_time.LoopClock(), COUNT)
+            entries.contract = entries.contracts.add(
+                CUSTOMER,
+                requests_per_s=RATE_PER_S,
+                burst_requests=BURST,
+                concurrent_requests=PLACES,
+                queued_requests=QUEUE,
+                tokens_per_s=TOKENS_PER_S,
+            )
+            await asyncio.sleep(60)
+            try:
+                await test(self, entries)
+            finally:
+                entries.close()
+
+        virtual_time.run(run())
+
+    wrapper.__name__ = test.__name__
+    wrapper.__doc__ = test.__doc__
+    return wrapper
+
+
+def others(entries):
+    """Return the entries that do not own the customer."""
+    owner = entries.owner_of(CUSTOMER)
+    return [e for e in entries.all.values() if e is not owner]
+
+
+async def call(entry, contract, run_s=0.0, max_tokens=1, tokens=1):
+    """Return ``None`` if admitted, else the refusal."""
+    try:
+        async with entry.limits.admit(contract, max_tokens) as permit:
+            await asyncio.sleep(run_s)
+            permit.tokens = tokens
+    except errors.RefusalError as error:
+        return error
+    return None
+
+
+async def call_often(entry, contract, count, **options):
+    """Return how many of `count` calls, one by one, are admitted."""
+    found = [await call(entry, contract, **options) for _ in range(count)]
+    return found.count(None)
+
+
+class TestRate:
+    @in_virtual_time
+    async def test_one_burst_over_all_entries(self, entries):
+        admitted = 0
+        for entry in entries.all.values():
+            admitted += await call_often(entry, entries.contract, 10)
+        assert admitted == BURST
+
+    @in_virtual_time
+    async def test_one_entry_alone_gets_the_whole_limit(self, entries):
+        entry = others(entries)[0]
+        assert await call_often(entry, entries.contract, 10) == BURST
+
+    @in_virtual_time
+    async def test_comes_back_when_it_was_told_to(self, entries):
+        entry = others(entries)[0]
+        await call_often(entry, entries.contract, BURST)
+        error = await call(entry, entries.contract)
+        assert error.kind is ErrorKind.RATE_LIMITED
+        assert error.outcome is errors.Outcome.NOT_RUN
+        assert 0 < error.retry_after_s <= 1 / RATE_PER_S
+        await asyncio.sleep(error.retry_after_s)
+        assert await call(entry, entries.contract) is None
+
+    @in_virtual_time
+    async def test_another_customers_burst_takes_nothing(self, entries):
+        other = entries.contracts.add('caravan', requests_per_s=1)
+        entry = others(entries)[0]
+        await call_often(entry, other, 200)
+        assert await call_often(entry, entries.contract, BURST) == BURST
+
+    @in_virtual_time
+    async def test_tokens_are_corrected_when_the_answer_ends(self, entries):
+        entry = others(entries)[0]
+        generated = TOKENS_PER_S * limit_lease.TOKEN_WINDOW_S + 200
+        await call(entry, entries.contract, max_tokens=10, tokens=generated)
+        error = await call(entry, entries.contract)
+        assert error.kind is ErrorKind.RATE_LIMITED
+        assert error.retry_after_s > 1
+        await asyncio.sleep(error.retry_after_s + 1)
+        assert await call(entry, entries.contract) is None
+
+    @in_virtual_time
+    async def test_new_limits_are_in_force_at_once(self, entries):
+        entry = others(entries)[0]
+        assert await call_often(entry, entries.contract, 2) == 2
+        new = entries.contracts.add(
+            CUSTOMER, revision=2, requests_per_s=0.01, burst_requests=1
+        )
+        for found in entries.all.values():
+            found.limits.change(new)
+        assert await call_often(entry, new, 5) <= 1
+
+
+class TestPlaces:
+    @in_virtual_time
+    async def test_run_wait_and_refuse_over_all_entries(self, entries):
+        calls = [
+            asyncio.create_task(call(entry, entries.contract, run_s=3.0))
+            for entry in entries.all.values()
+            for _ in range(2)
+        ]
+        await asyncio.sleep(1.0)
+        running = sum(
+            customer.holding.running
+            for entry in entries.all.values()
+            for customer in entry.limits._customers.values()
+        )
+        assert running <= PLACES
+        found = await asyncio.gather(*calls)
+        kinds = [error.kind for error in found if error is not None]
+        assert found.count(None) >= PLACES
+        assert set(kinds) <= {ErrorKind.QUEUE_FULL}
+
+    @in_virtual_time
+    async def test_a_wait_too_long_is_refused(self, entries):
+        entry = others(entries)[0]
+        calls = [
+            asyncio.create_task(call(entry, entries.contract, run_s=100.0))
+            for _ in range(PLACES + 1)
+        ]
+        found = await asyncio.gather(*calls)
+        kinds = [error.kind for error in found if error is not None]
+        assert kinds == [ErrorKind.CONCURRENCY_LIMITED]
+
+    @pytest.mark.proves(Promise.LIMITS, Fault.NONE, Step.MID_STREAM)
+    @in_virtual_time
+    async def test_places_of_callers_that_left_are_free(self, entries):
+        """A customer is refused for good after callers hung up.
+
+        Calls run and wait, and all are cancelled, some in the very turn
+        in which their place comes.  The cause would be a place that is
+        given back on the good path only.
+        """
+        entry = others(entries)[0]
+        for _ in range(3):
+            calls = [
+                asyncio.create_task(call(entry, entries.contract, run_s=9))
+                for _ in range(PLACES + QUEUE)
+            ]
+            await asyncio.sleep(1.0)
+            for running in calls:
+                running.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+            await asyncio.sleep(10.0)
+        customer = entry.limits._customers.get(CUSTOMER)
+        assert customer is None or customer.holding.running == 0
+        calls = [call(entry, entries.contract, run_s=1) for _ in range(PLACES)]
+        assert await asyncio.gather(*calls) == [None] * PLACES
+
+    @pytest.mark.proves(Promise.LIMITS, Fault.NONE, Step.QUEUED)
+    @in_virtual_time
+    async def test_a_place_given_to_a_caller_that_leaves(self, entries):
+        """A place is lost each time that a waiting caller hangs up.
+
+        The place comes, and the caller is cancelled before it runs again.
+        The cause would be a cancelled wait that only leaves the queue.
+        """
+        limits = others(entries)[0].limits
+        held = [limits.admit(entries.contract, 1) for _ in range(PLACES)]
+        for place in held:
+            await place.__aenter__()
+        entry = others(entries)[0]
+        waiting = asyncio.create_task(call(entry, entries.contract))
+        await asyncio.sleep(0.05)
+        await held[0].__aexit__(None, None, None)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        for place in held[1:]:
+            await place.__aexit__(None, None, None)
+        assert limits._customers[CUSTOMER].holding.running == 0
+
+
+class TestFaults:
+    @pytest.mark.proves(Promise.LIMITS, Fault.PARTITION, Step.ANY)
+    @in_virtual_time
+    async def test_both_sides_of_a_partition_serve_within_bound(self, entries):
+        """A customer gets its limit once on each side of a partition.
+
+        Two of four entries are cut off from the owner for two minutes;
+        all are called as fast as they admit.  The cause would be a side
+        that takes the whole limit for itself.
+        """
+        cut = others(entries)[:2]
+        entries.part([entry.name for entry in cut])
+        admitted = {entry.name: 0 for entry in cut}
+        whole = 0
+        started_s = asyncio.get_running_loop().time()
+        for _ in range(600):
+            await asyncio.sleep(0.2)
+            for entry in entries.all.values():
+                if await call(entry, entries.contract) is None:
+                    whole += 1
+                    if entry.name in admitted:
+                        admitted[entry.name] += 1
+        run_s = asyncio.get_running_loop().time() - started_s
+        share = RATE_PER_S / COUNT
+        for count in admitted.values():
+            assert 0.5 * share * run_s < count
+            assert count <= BURST / COUNT + share * run_s + 1
+        cut_bound = 2 * (BURST / COUNT + share * run_s)
+        assert whole <= BURST + RATE_PER_S * run_s + cut_bound + 2
+
+    @pytest.mark.proves(Promise.LIMITS, Fault.LINK_CUT, Step.ANY)
+    @in_virtual_time
+    async def test_shares_in_use_are_kept_free_at_the_owner(self, entries):
+        """A partition under steady load gives more than the contract.
+
+        All entries serve when the cut comes, and go on.  The cause would
+        be an owner that leases also the shares of those that it hears no
+        more, while they use them.
+        """
+        loop, admitted = asyncio.get_running_loop(), 0
+        contract = entries.contracts.add(
+            CUSTOMER, revision=2, requests_per_s=20, burst_requests=BURST
+        )
+        for second in range(140):
+            if second == 20:
+                cut_s = loop.time()
+                cut = others(entries)[:2]
+                entries.part([entry.name for entry in cut])
+            for _ in range(10):
+                await asyncio.sleep(0.1)
+                for entry in entries.all.values():
+                    found = await call(entry, contract)
+                    admitted += found is None and second >= 20
+        run_s = loop.time() - cut_s
+        lease = 20 * 2 / COUNT * limit_lease.LEASE_S
+        share = 2 * BURST / COUNT
+        assert admitted <= BURST + 20 * run_s + lease + share + 8
+        assert admitted >= 0.9 * 20 * run_s
+
+    @pytest.mark.proves(Promise.LIMITS, Fault.KILLED, Step.BEFORE_ADMISSION)
+    @in_virtual_time
+    async def test_a_dead_owner_delays_a_few_and_refuses_none(self, entries):
+        """A customer within its contract is refused as an instance dies.
+
+        The owner dies; the list says so after 5 s.  The cause would be a
+        holder that waits for the dead owner, or admits nothing.
+        """
+        owner = entries.owner_of(CUSTOMER)
+        entries.dead.add(owner.name)
+        entry = others(entries)[0]
+        loop = asyncio.get_running_loop()
+        slow = 0
+        for second in range(20):
+            if second == 5:
+                entries.publish([e.name for e in others(entries)])
+            await asyncio.sleep(COUNT / RATE_PER_S)
+            started_s = loop.time()
+            assert await call(entry, entries.contract) is None
+            slow += loop.time() - started_s > 0.1
+        assert slow <= 3
+
+    @pytest.mark.proves(Promise.LIMITS, Fault.HALF_OPEN, Step.ANY)
+    @in_virtual_time
+    async def test_refuses_at_once_while_the_owner_is_silent(self, entries):
+        """Each refusal takes as long as a timeout.
+
+        The owner does not answer; a customer sends more than the share
+        of this instance.  The cause would be a request that asks an
+        owner which is known to be silent.
+        """
+        entries.dead.add(entries.owner_of(CUSTOMER).name)
+        entry = others(entries)[0]
+        await call(entry, entries.contract)
+        started_s = asyncio.get_running_loop().time()
+        assert await call_often(entry, entries.contract, 20) <= 2
+        assert asyncio.get_running_loop().time() - started_s < 0.2
+
+    @pytest.mark.proves(Promise.LIMITS, Fault.FROZEN, Step.BEFORE_ADMISSION)
+    @in_virtual_time
+    async def test_an_owner_that_wakes_up_late_adds_no_second_limit(
+        self, entries
+    ):
+        """A customer gets twice its limit after an owner was paused.
+
+        The owner is paused, another takes its place, and it wakes with
+        the old list; callers press on both.  The cause would be an owner
+        that goes on where it stopped.
+        """
+        owner = entries.owner_of(CUSTOMER)
+        rest = others(entries)
+        await call_often(rest[0], entries.contract, BURST)
+        owner.awake.clear()
+        entries.publish([e.name for e in rest], to=[e.name for e in rest])
+        await asyncio.sleep(30)
+        await call_often(rest[0], entries.contract, 2 * BURST)
+        owner.awake.set()
+        admitted = 0
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            for entry in entries.all.values():
+                admitted += await call(entry, entries.contract) is None
+        assert admitted <= 2 * RATE_PER_S + BURST / COUNT + 1
+
+
+class TestMemory:
+    @in_virtual_time
+    async def test_idle_customers_leave_nothing_behind(self, entries):
+        for number in range(50):
+            contract = entries.contracts.add(f'customer-{number}')
+            for entry in entries.all.values():
+                assert await call(entry, contract) is None
+        await asyncio.sleep(60)
+        for entry in entries.all.values():
+            assert len(entry.limits) == 0
+            assert len(entry.owner) == 0
+            assert not entry.limits._owners
