Limits: what came for a waiting request is not another's

Cause: the demo refused one of three calls at once as rate-limited. A call that came between the owner's reply and the turn of the call that waited for it took its request. Ruled out: the size of the burst and the share of a new owner, one entry has the whole. Now a call joins those that wait. Without the check of pending in _spend the new test and the demo's fail.

--- a/lacewingpitch/limits.py
+++ b/lacewingpitch/limits.py
@@ -92,6 +92,7 @@
     ring_version: int
     owner: live_list.Instance | None
     pending: int = 0
+    pending_places: int = 0
     pending_tokens: float = 0.0
     queue: collections.deque[asyncio.Future[None]] = dataclasses.field(
         default_factory=collections.deque
@@ -249,7 +250,9 @@
 
     async def _spend(self, customer: _Customer, tokens: float) -> None:
         holding = customer.holding
-        if holding.spend(tokens):
+        # What came for a request that waits for it is not for one that
+        # comes later: the first would be refused within the contract.
+        if not customer.pending and holding.spend(tokens):
             return
         if holding.may_ask:
             await self._ask(customer, tokens)
@@ -263,11 +266,16 @@
 
     async def _take_place(self, customer: _Customer) -> None:
         holding = customer.holding
-        if not customer.queue and holding.has_place():
+        is_first = not customer.queue and not customer.pending_places
+        if is_first and holding.has_place():
             holding.running += 1
             return
         if holding.may_ask_places:
-            await self._ask(customer, 0.0)
+            customer.pending_places += 1
+            try:
+                await self._ask(customer, 0.0)
+            finally:
+                customer.pending_places -= 1
             if not customer.queue and holding.has_place():
                 holding.running += 1
                 return
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -84,6 +84,23 @@
         entry = others(entries)[0]
         assert await call_often(entry, entries.contract, 10) == BURST
 
+    @in_virtual_time
+    async def test_calls_at_once_are_all_admitted(self, entries):
+        """A customer within its contract is refused when calls come close.
+
+        A second call comes between the owner's reply to the first and the
+        turn in which the first goes on.  The cause would be a call that
+        takes what came for another.
+        """
+        for turns in range(8):
+            contract = entries.contracts.add(f'customer-{turns}')
+            entry = entries.owner_of(contract.customer)
+            first = asyncio.create_task(call(entry, contract))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            second = asyncio.create_task(call(entry, contract))
+            assert await asyncio.gather(first, second) == [None, None]
+
     @in_virtual_time
     async def test_comes_back_when_it_was_told_to(self, entries):
         entry = others(entries)[0]
