--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -14,15 +14,20 @@
 import argparse
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import logging
 import random
+import time
 
+import msgspec
 import rich.console
 import rich.table
 import structlog
 
 from lacewingpitch import errors
+from lacewingpitch import limit_lease
+from lacewingpitch import link
 from lacewingpitch import token_bucket
 from tests import lease_entries
 from tests import virtual_time
@@ -328,14 +333,209 @@
     return overshoot, needless / offered, used
 
 
-def main():
-    """Print the table."""
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+PLACES = 40
+RUN_MEAN_S = 2.0
+QUEUE = 16
+
+
+class LeasedPlaces(Leases):
+    """Places of leases, with calls that run for a while."""
+
+    def __init__(self, clock, entries):
+        self._entries = entries
+        self.running = self.most = 0
+        self._contract = entries.contracts.add(
+            CUSTOMER,
+            requests_per_s=1e6,
+            burst_requests=10**6,
+            concurrent_requests=PLACES,
+            queued_requests=QUEUE,
+            tokens_per_s=1e9,
+        )
+
+    async def admit(self, name):
+        entry = self._entries.all[name]
+        try:
+            async with entry.limits.admit(self._contract, 1):
+                await self.hold()
+                return True
+        except errors.RefusalError:
+            return False
+
+    async def hold(self):
+        """Run for a while, and count those that run at once."""
+        self.running += 1
+        self.most = max(self.most, self.running)
+        await asyncio.sleep(RUN_MEAN_S)
+        self.running -= 1
+
+
+class SplitPlaces(LeasedPlaces):
+    """Each entry has its part of the places."""
+
+    def __init__(self, clock, entries):
+        super().__init__(clock, entries)
+        self._held = collections.Counter()
+
+    async def admit(self, name):
+        if self._held[name] >= PLACES // ENTRIES:
+            return False
+        self._held[name] += 1
+        with contextlib.ExitStack() as held:
+            held.callback(self._held.subtract, [name])
+            await self.hold()
+            return True
+
+
+class PlacesRun(Run):
+    """The same faults, on places that are held."""
+
+    async def run(self):
+        clock = virtual_time.LoopClock()
+        entries = self._entries = lease_entries.Entries(clock, ENTRIES)
+        self._given = Envelope(0.0)
+        way = self._way(clock, entries)
+        faults = asyncio.create_task(self._fail())
+        calls = []
+        until_s = clock.monotonic_s() + RUN_S
+        rate_per_s = PLACES / RUN_MEAN_S * self._load
+        while clock.monotonic_s() < until_s:
+            await asyncio.sleep(self._random.expovariate(rate_per_s))
+            if self._load < 1 and way.running >= PLACES:
+                continue
+            self.offered += 1
+            call = self._call(clock, way, self._choose())
+            calls.append(asyncio.create_task(call))
+        await asyncio.gather(*calls)
+        faults.cancel()
+        entries.close()
+        self.most = way.most
+        return self
+
+
+def measure_places(way, scenario, seeds):
+    """Return most places at once, to the limit, and needless refusals."""
+    most = refused = offered = 0
+    for seed in seeds:
+        within = virtual_time.run(PlacesRun(way, scenario, 0.7, seed).run())
+        over = virtual_time.run(PlacesRun(way, scenario, 3.0, seed).run())
+        most = max(most, within.most, over.most)
+        refused += within.refused
+        offered += within.offered
+    return most / PLACES, refused / offered
+
+
+class CountingLink:
+    """Counts the bytes and the time of sealing and opening messages."""
+
+    def __init__(self, entries):
+        self._entries = entries
+        self._sealer = link.Sealer('bench', 'secret' * 8, 'entry')
+        self.bytes = self.messages = 0
+
+    def count(self, message):
+        data = self._sealer.seal(message)
+        self.bytes += len(data)
+        self.messages += 1
+
+
+async def measure_cost(entry_count, requests_per_s, customers, run_s):
+    """Return messages and bytes a node and second at one size."""
+    clock = virtual_time.LoopClock()
+    entries = lease_entries.Entries(clock, entry_count)
+    counting = CountingLink(entries)
+    reach = entries.reach
+
+    async def counted(sender, owner):
+        granter = await reach(sender, owner)
+        return _CountedGranter(granter, counting)
+
+    entries.reach = counted
+    contracts = [
+        entries.contracts.add(f'customer-{number}')
+        for number in range(customers)
+    ]
+    chooser = random.Random(1)
+    weights = [1 / (rank + 1) ** 0.9 for rank in range(customers)]
+    names = list(entries.all)
+    total = int(requests_per_s * (run_s + WARM_S))
+    chosen = chooser.choices(contracts, weights, k=total)
+    calls = []
+    refused = 0
+
+    async def call(contract):
+        nonlocal refused
+        entry = entries.all[chooser.choice(names)]
+        try:
+            async with entry.limits.admit(contract, 250) as permit:
+                await asyncio.sleep(10.0)
+                permit.tokens = 250
+        except errors.RefusalError:
+            refused += 1
+
+    for number, contract in enumerate(chosen):
+        if number == int(requests_per_s * WARM_S):
+            counting.bytes = counting.messages = 0
+        await asyncio.sleep(1 / requests_per_s)
+        calls.append(asyncio.create_task(call(contract)))
+    exchanges = counting.messages / 2 / run_s / entry_count
+    sent = counting.bytes / run_s / entry_count
+    held = sum(len(e.limits) for e in entries.all.values()) / entry_count
+    owned = sum(len(e.owner) for e in entries.all.values()) / entry_count
+    for running in calls:
+        running.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
+    entries.close()
+    return exchanges, sent, held, owned, refused / total
+
+
+WARM_S = 12.0
+
+
+class _CountedGranter:
+    def __init__(self, granter, counting):
+        self._granter = granter
+        self._counting = counting
+
+    async def grant(self, ask):
+        self._counting.count(ask)
+        reply = await self._granter.grant(ask)
+        self._counting.count(reply)
+        return reply
+
+    async def hand_over(self, message):
+        return await self._granter.hand_over(message)
+
+
+def measure_message(wants, rounds=300):
+    """Return bytes and microseconds of one exchange, both ends."""
+    sealer = link.Sealer('bench', 'secret' * 8, 'entry')
+    entries = [f'customer-{number}' for number in range(wants)]
+    ask = limit_lease.LeaseAsk(
+        holder='entry-1',
+        incarnation='0' * 36,
+        sequence=1,
+        wants=tuple(
+            limit_lease.LeaseWant(name, 2.0, 250.0, 2, 1, 1, 0, 0.0, 17.5)
+            for name in entries
+        ),
     )
-    parser = argparse.ArgumentParser()
-    parser.add_argument('--seeds', type=int, default=3)
-    seeds = range(parser.parse_args().seeds)
+    reply = limit_lease.LeaseReply(
+        parts=tuple(
+            limit_lease.LeasePart(name, 2.0, 250.0, 2, 1) for name in entries
+        )
+    )
+    size = len(sealer.seal(ask)) + len(sealer.seal(reply))
+    started_s = time.process_time()
+    for _ in range(rounds):
+        for message in (ask, reply):
+            _, body = sealer.open(sealer.seal(message))
+            msgspec.msgpack.decode(body, type=type(message))
+    return size, (time.process_time() - started_s) / rounds * 1e6
+
+
+def print_rates(console, seeds):
+    """Print how the ways hold a rate."""
     table = rich.table.Table(
         title=f'{ENTRIES} entries, {RATE_PER_S}/s, burst {BURST}'
     )
@@ -351,7 +551,82 @@
                 f'{needless:.2%}',
                 f'{used:.2f}',
             )
-    rich.console.Console(width=100).print(table)
+    console.print(table)
+
+
+def print_places(console, seeds):
+    """Print how the ways hold a number of places."""
+    table = rich.table.Table(title=f'{ENTRIES} entries, {PLACES} places')
+    for column in ('scenario', 'way', 'most at once', 'needless'):
+        table.add_column(column)
+    for scenario in SCENARIOS:
+        for way in (SplitPlaces, LeasedPlaces):
+            most, needless = measure_places(way, scenario, seeds)
+            table.add_row(
+                scenario.name, way.__name__, f'{most:.2f}', f'{needless:.2%}'
+            )
+    console.print(table)
+
+
+def print_cost(console):
+    """Print what messages cost."""
+    table = rich.table.Table(title='one exchange, without the transport')
+    for column in ('customers', 'bytes', 'us'):
+        table.add_column(column)
+    for wants in (1, 10, 100):
+        size, cost_us = measure_message(wants)
+        table.add_row(str(wants), str(size), f'{cost_us:.0f}')
+    console.print(table)
+    table = rich.table.Table(title='a region, calls of 10 s, Zipf 0.9')
+    for column in (
+        'entries',
+        'requests/s',
+        'customers',
+        'exchanges/s/node',
+        'bytes/s/node',
+        'held',
+        'owned',
+        'refused',
+    ):
+        table.add_column(column)
+    for count, rate, customers in SIZES:
+        found = virtual_time.run(measure_cost(count, rate, customers, 8.0))
+        exchanges, sent, held, owned, refused = found
+        table.add_row(
+            str(count),
+            str(rate),
+            str(customers),
+            f'{exchanges:.1f}',
+            f'{sent:.0f}',
+            f'{held:.0f}',
+            f'{owned:.0f}',
+            f'{refused:.1%}',
+        )
+    console.print(table)
+
+
+SIZES = ((3, 82, 600), (12, 328, 2250), (24, 656, 4500), (48, 1300, 9000))
+
+
+def main():
+    """Print the tables."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seeds', type=int, default=3)
+    parser.add_argument(
+        '--only', choices=('rates', 'places', 'cost'), default=None
+    )
+    options = parser.parse_args()
+    seeds = range(options.seeds)
+    console = rich.console.Console(width=100)
+    if options.only in (None, 'rates'):
+        print_rates(console, seeds)
+    if options.only in (None, 'places'):
+        print_places(console, seeds)
+    if options.only in (None, 'cost'):
+        print_cost(console)
 
 
 if __name__ == '__main__':
