--- a/lacewingpitch/limit_holding.py
+++ b/lacewingpitch/limit_holding.py
@@ -64,6 +64,7 @@
         self._demand_per_s = 0.0
         self._token_demand_per_s = 0.0
         self._asked_running: int | None = None
+        self._asked_waiting = 0
         self._asked_debt = 0.0
         self._promised = False
         self._used_s = now_s
@@ -210,6 +211,7 @@
         running += math.ceil(self.running * _HEADROOM_RATIO)
         waiting = self.waiting + pending
         self._asked_running = running
+        self._asked_waiting = waiting
         # Also a holder that gets little of a limit in full use promises:
         # cut off, it would begin to admit its share.
         self._promised = self._arrived_per_s >= _STEADY_PER_S
@@ -243,7 +245,10 @@
         self._running_allowed = part.running
         self._waiting_allowed = part.waiting
         self._ask_after_s = now_s + part.retry_after_s
-        if part.running < (asked_running or 0):
+        # Only with neither a place to run nor one to wait is asking again
+        # at once in vain.
+        is_short = part.running < (asked_running or 0)
+        if is_short and part.waiting < self._asked_waiting:
             self._places_after_s = now_s + _PLACES_RETRY_S
         self._unreached_until_s = 0.0
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -162,6 +162,26 @@
         assert found.count(None) >= PLACES
         assert set(kinds) <= {ErrorKind.QUEUE_FULL}
 
+    @in_virtual_time
+    async def test_the_whole_queue_is_used_before_one_is_refused(
+        self, entries
+    ):
+        """A customer is refused while its queue is empty.
+
+        All places are taken; calls come one after the other, faster than
+        an entry asks again.  The cause would be an entry that takes "no
+        place to run" for "no place to wait".
+        """
+        entry = others(entries)[0]
+        calls = []
+        for _ in range(PLACES + QUEUE):
+            found = call(entry, entries.contract, run_s=5.0)
+            calls.append(asyncio.create_task(found))
+            await asyncio.sleep(0.02)
+        error = await call(entry, entries.contract)
+        assert error.kind is ErrorKind.QUEUE_FULL
+        assert await asyncio.gather(*calls) == [None] * (PLACES + QUEUE)
+
     @in_virtual_time
     async def test_a_wait_too_long_is_refused(self, entries):
         entry = others(entries)[0]
