Limits: long leases for calls that merely run, and their places given back

Change: a holder with nothing but running calls has a lease of 30 s, numbers go as integers, and the process's mark is short. A first try kept free places to the lease's end: a customer called here and there filled its limit with them, so a surplus goes back within 4 s. A new owner is told at once of places in use.

--- a/lacewingpitch/limit_holding.py
+++ b/lacewingpitch/limit_holding.py
@@ -13,6 +13,7 @@
 _STEADY_PER_S = 1.0
 _LEAST_TOKENS = 1.0
 _PLACES_RETRY_S = 0.1
+_SURPLUS_RATIO = 2.0
 
 
 class LimitHolding:
@@ -57,6 +58,7 @@
         self._places_after_s = now_s
         self._unreached_until_s = 0.0
         self._asked_s = now_s
+        self._renewed_s = now_s
         self._arrived = 0
         self._admitted = 0
         self._charged = 0.0
@@ -65,6 +67,7 @@
         self._token_demand_per_s = 0.0
         self._asked_running: int | None = None
         self._asked_waiting = 0
+        self._must_renew = False
         self._asked_debt = 0.0
         self._promised = False
         self._used_s = now_s
@@ -98,6 +101,31 @@
         """Whether the owner did not answer of late."""
         return self._clock.monotonic_s() < self._unreached_until_s
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether it has only calls that run, and so a long lease."""
+        return not (
+            self._promised
+            or self.waiting
+            or self._arrived > 1
+            or self._tokens < 0
+            or self.is_cut_off
+        )
+
+    @property
+    def _has_surplus(self) -> bool:
+        used = self.running + self.waiting
+        return self.is_leased and self._running_allowed > used
+
+    @property
+    def _quiet_ratio(self) -> float:
+        # A place that came free is given back soon, though not at once:
+        # a customer that is called here and there would fill its limit
+        # with places that are only leased.
+        if self._has_surplus:
+            return _SURPLUS_RATIO
+        return limit_lease.QUIET_RENEW_S / limit_lease.RENEW_S
+
     @property
     def may_ask(self) -> bool:
         """Whether the owner may have more than it granted last."""
@@ -169,11 +197,22 @@
     def needs_renewal(self, after_s: float) -> bool:
         """Whether to ask again `after_s` seconds after the last time."""
         now_s = self._clock.monotonic_s()
-        if now_s - self._asked_s < after_s:
+        if self._must_renew and (self.running or self.waiting):
+            return True
+        if self.is_quiet:
+            after_s *= self._quiet_ratio
+        if now_s - self._renewed_s < after_s:
             return False
         busy = self.running or self.waiting or self._promised
+        busy = busy or self._has_surplus
         return bool(busy or self._tokens < 0 or self._admitted > 1)
 
+    def renew_now(self) -> None:
+        """Tell a new owner at once which places are in use."""
+        # Its leases leave those places out of account until it is told,
+        # so that the limit would be held twice for as long as a lease.
+        self._must_renew = True
+
     def is_idle(self) -> bool:
         """Whether nothing is lost by forgetting it."""
         now_s = self._clock.monotonic_s()
@@ -197,19 +236,23 @@
         self._drop_expired(now_s)
         ahead_s = limit_lease.RENEW_S * (1 + _HEADROOM_RATIO)
         target = math.ceil(self._demand_per_s * ahead_s) + pending
-        target_tokens = self._token_demand_per_s * ahead_s + pending_tokens
+        target_tokens: float = math.ceil(
+            self._token_demand_per_s * ahead_s + pending_tokens
+        )
         if pending or target:
             target_tokens = max(target_tokens, _LEAST_TOKENS)
-        back = max(0.0, self._requests - target)
-        tokens_back = max(0.0, self._tokens - target_tokens)
-        tokens_back += min(0.0, self._tokens)
+        back = max(0, math.floor(self._requests - target))
+        tokens_back = max(0, math.floor(self._tokens - target_tokens))
+        tokens_back += min(0, math.floor(self._tokens))
         self._requests -= back
         self._tokens -= tokens_back
-        self._asked_debt = min(0.0, tokens_back)
+        self._asked_debt = float(min(0, tokens_back))
         used = self.running + self.waiting
         running = used + pending
         running += math.ceil(self.running * _HEADROOM_RATIO)
         waiting = self.waiting + pending
+        self._must_renew = False
+        self._renewed_s = now_s
         self._asked_running = running
         self._asked_waiting = waiting
         # Also a holder that gets little of a limit in full use promises:
@@ -217,8 +260,8 @@
         self._promised = self._arrived_per_s >= _STEADY_PER_S
         return limit_lease.LeaseWant(
             self.customer,
-            max(0.0, target - self._requests),
-            max(0.0, target_tokens - self._tokens),
+            max(0, math.ceil(target - self._requests)),
+            max(0, math.ceil(target_tokens - self._tokens)),
             running,
             waiting,
             self.running,
@@ -228,9 +271,7 @@
             self._promised,
         )
 
-    def apply(
-        self, part: limit_lease.LeasePart, asked_s: float, lease_s: float
-    ) -> None:
+    def apply(self, part: limit_lease.LeasePart, asked_s: float) -> None:
         """Take over what was leased; the lease runs from `asked_s`."""
         now_s = self._clock.monotonic_s()
         asked_running, self._asked_running = self._asked_running, None
@@ -239,7 +280,7 @@
         # The time runs from before the message left, so a reply that was
         # long under way, or read by a process that was paused, is no
         # lease any more: the owner may have leased the places again.
-        self._expires_s = asked_s + lease_s
+        self._expires_s = asked_s + limit_lease.lease_s(self._promised)
         self._requests += part.requests
         self._tokens += part.tokens
         self._running_allowed = part.running
--- a/lacewingpitch/limit_lease.py
+++ b/lacewingpitch/limit_lease.py
@@ -23,6 +23,8 @@
 
 LEASE_S = 6.0
 RENEW_S = 2.0
+QUIET_LEASE_S = 30.0
+QUIET_RENEW_S = 20.0
 PAUSE_S = 2.0
 CONFIRM_S = 2.0
 HANDED_S = 60.0
@@ -99,7 +101,6 @@
 
     parts: tuple[LeasePart, ...] = ()
     moved: tuple[Moved, ...] = ()
-    lease_s: float = LEASE_S
 
 
 class HandedPlaces(msgspec.Struct, frozen=True, array_like=True):
@@ -201,7 +202,7 @@
             found.holders[places.holder] = _Held(
                 places.running,
                 places.waiting,
-                now_s + min(places.expires_in_s, LEASE_S),
+                now_s + min(places.expires_in_s, QUIET_LEASE_S),
                 places.renews,
                 0.0,
             )
@@ -286,7 +287,7 @@
         held = _Held(
             max(want.running_used, min(want.running, running_free)),
             max(want.waiting_used, min(want.waiting, waiting_free)),
-            now_s + LEASE_S,
+            now_s + lease_s(want.renews),
             want.renews,
             want.requests,
         )
@@ -315,6 +316,15 @@
         )
 
 
+def lease_s(renews: bool) -> float:
+    """Return how long a lease lasts, the same for owner and holder.
+
+    Most holders have a call or two that run for long.  Their leases are
+    long, or renewing them would be most of all messages.
+    """
+    return LEASE_S if renews else QUIET_LEASE_S
+
+
 def share(limit: int, entry_count: int) -> int:
     """Return the places that an entry instance may use without a lease."""
     return max(1, limit // entry_count)
@@ -519,8 +529,9 @@
         owned.tokens.add(want.tokens_back, now_s)
         spread = owned.spread(holder, want)
         requests = _part(want.requests, owned.requests.level(now_s), spread)
-        requests = float(math.floor(requests))
+        requests = math.floor(requests)
         tokens = _part(want.tokens, owned.tokens.level(now_s), spread)
+        tokens = math.floor(tokens)
         owned.requests.add(-requests, now_s)
         owned.tokens.add(-tokens, now_s)
         held = owned.hold(holder, want, limits, entries, now_s)
--- a/lacewingpitch/limits.py
+++ b/lacewingpitch/limits.py
@@ -35,6 +35,7 @@
 _MAX_WANTS = 512
 _SELF = ''
 _PLACE_RETRY_S = 1.0
+_INCARNATION_LENGTH = 8
 log = structlog.get_logger(__name__)
 
 
@@ -147,7 +148,7 @@
         self._owner = owner
         self._granter = granter
         self._link = lease_link
-        self._incarnation = str(uuid_utils.uuid7())
+        self._incarnation = str(uuid_utils.uuid7())[-_INCARNATION_LENGTH:]
         self._sequence = 0
         self._customers: dict[str, _Customer] = {}
         self._owners: dict[str, _OwnerState] = collections.defaultdict(
@@ -245,7 +246,10 @@
             return
         contract = customer.contract
         customer.ring_version = self._ring.version
-        customer.owner = self._ring.owner(contract.customer, contract.region)
+        owner = self._ring.owner(contract.customer, contract.region)
+        if owner != customer.owner:
+            customer.holding.renew_now()
+        customer.owner = owner
         customer.holding.share_over(self._ring.entry_count(contract.region))
 
     async def _spend(self, customer: _Customer, tokens: float) -> None:
@@ -411,7 +415,7 @@
             elif part is None:
                 customer.holding.fail()
             else:
-                customer.holding.apply(part, asked_s, reply.lease_s)
+                customer.holding.apply(part, asked_s)
             _wake(customer)
         return reply.moved
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -182,6 +182,23 @@
         assert error.kind is ErrorKind.QUEUE_FULL
         assert await asyncio.gather(*calls) == [None] * (PLACES + QUEUE)
 
+    @in_virtual_time
+    async def test_places_that_came_free_are_given_back(self, entries):
+        """A customer waits though nothing of it runs.
+
+        It calls every entry once, then one entry with all it may run.
+        The cause would be entries that keep free places to their lease's
+        end.
+        """
+        for entry in entries.all.values():
+            assert await call(entry, entries.contract) is None
+        await asyncio.sleep(6.0)
+        started_s = asyncio.get_running_loop().time()
+        entry = others(entries)[0]
+        calls = [call(entry, entries.contract) for _ in range(PLACES)]
+        assert await asyncio.gather(*calls) == [None] * PLACES
+        assert asyncio.get_running_loop().time() - started_s < 0.2
+
     @in_virtual_time
     async def test_a_wait_too_long_is_refused(self, entries):
         entry = others(entries)[0]
@@ -240,6 +257,30 @@
             await place.__aexit__(None, None, None)
         assert limits._customers[CUSTOMER].holding.running == 0
 
+    @pytest.mark.proves(Promise.LIMITS, Fault.KILLED, Step.MID_STREAM)
+    @in_virtual_time
+    async def test_a_new_owner_learns_of_long_calls(self, entries):
+        """A customer runs twice its limit after an instance dies.
+
+        Calls run for long at one entry; the owner dies, and calls press
+        on another entry.  The cause would be a holder that tells the new
+        owner of its calls only when its long lease ends.
+        """
+        owner = entries.owner_of(CUSTOMER)
+        first, second = others(entries)[:2]
+        long = []
+        for _ in range(PLACES):
+            found = call(first, entries.contract, run_s=40.0)
+            long.append(asyncio.create_task(found))
+            await asyncio.sleep(4.0)
+        entries.dead.add(owner.name)
+        entries.publish([e.name for e in others(entries)])
+        await asyncio.sleep(limit_lease.LEASE_S + 1)
+        late = asyncio.create_task(call(second, entries.contract))
+        await asyncio.sleep(2.0)
+        assert not late.done()
+        assert await asyncio.gather(*long, late) == [None] * (PLACES + 1)
+
 
 class TestFaults:
     @pytest.mark.proves(Promise.LIMITS, Fault.PARTITION, Step.ANY)
