--- a/lacewingpitch/limit_holding.py
+++ b/lacewingpitch/limit_holding.py
@@ -234,6 +234,9 @@
         now_s = self._clock.monotonic_s()
         self._measure_demand(now_s)
         self._drop_expired(now_s)
+        # Also a holder that gets little of a limit in full use promises:
+        # cut off, it would begin to admit its share.
+        self._promised = self._arrived_per_s >= _STEADY_PER_S
         ahead_s = limit_lease.RENEW_S * (1 + _HEADROOM_RATIO)
         target = math.ceil(self._demand_per_s * ahead_s) + pending
         target_tokens: float = math.ceil(
@@ -249,15 +252,13 @@
         self._asked_debt = float(min(0, tokens_back))
         used = self.running + self.waiting
         running = used + pending
-        running += math.ceil(self.running * _HEADROOM_RATIO)
+        if self._promised:
+            running += math.ceil(self.running * _HEADROOM_RATIO)
         waiting = self.waiting + pending
         self._must_renew = False
         self._renewed_s = now_s
         self._asked_running = running
         self._asked_waiting = waiting
-        # Also a holder that gets little of a limit in full use promises:
-        # cut off, it would begin to admit its share.
-        self._promised = self._arrived_per_s >= _STEADY_PER_S
         return limit_lease.LeaseWant(
             self.customer,
             max(0, math.ceil(target - self._requests)),
