--- a/lacewingpitch/limit_holding.py
+++ b/lacewingpitch/limit_holding.py
@@ -252,8 +252,7 @@
         self._asked_debt = float(min(0, tokens_back))
         used = self.running + self.waiting
         running = used + pending
-        if self._promised:
-            running += math.ceil(self.running * _HEADROOM_RATIO)
+        running += math.ceil(self.running * _HEADROOM_RATIO)
         waiting = self.waiting + pending
         self._must_renew = False
         self._renewed_s = now_s
