--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -23,6 +23,7 @@
 from lacewingpitch import event_stream
 from lacewingpitch import http_guard
 from lacewingpitch import http_server
+from lacewingpitch import limits as limits_module
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import node
 from lacewingpitch import placement
@@ -61,11 +62,11 @@
 
 
 class _Usage(msgspec.Struct, frozen=True):
-    completion_tokens: int = 0
+    completion_tokens: int
 
 
 class _WholeAnswer(msgspec.Struct, frozen=True):
-    usage: _Usage = _Usage()
+    usage: _Usage | None = None
 
 
 class Entry:
@@ -99,6 +100,7 @@
         self._metrics = metrics_module.Metrics(
             settings.instance, settings.availability_zone
         )
+        self._limits: limits_module.Limits
 
     @property
     def work_port(self) -> int:
@@ -123,6 +125,9 @@
             placement.Placement(),
         )
         self._start_account()
+        self._limits = await self._exits.enter_async_context(
+            limits_module.node_limits(self._node)
+        )
         self._node.follow_platform()
         self._add_routes()
         await self._server.start(self.settings.ip, self.settings.work_port)
@@ -248,7 +253,7 @@
             stream=call.stream or False,
             max_tokens=call.max_tokens or 0,
         )
-        return await self._deliver(request, order, body)
+        return await self._deliver(request, contract, order, body)
 
     async def _call_service(
         self,
@@ -273,7 +278,7 @@
             service=name,
         )
         body = await self._read_body(request)
-        return await self._deliver(request, order, body)
+        return await self._deliver(request, contract, order, body)
 
     async def _read_body(self, request: web.Request) -> bytes:
         return await http_guard.read_body(
@@ -281,23 +286,50 @@
         )
 
     async def _deliver(
-        self, request: web.Request, order: work.WorkOrder, body: bytes
+        self,
+        request: web.Request,
+        contract: contract_module.Contract,
+        order: work.WorkOrder,
+        body: bytes,
+    ) -> web.StreamResponse:
+        async with contextlib.AsyncExitStack() as held:
+            permit = await held.enter_async_context(
+                self._limits.admit(contract, order.max_tokens)
+            )
+            if order.adapter is None:
+                permit.tokens = 0.0
+            return await self._run(request, order, body, permit)
+
+    async def _run(
+        self,
+        request: web.Request,
+        order: work.WorkOrder,
+        body: bytes,
+        permit: limits_module.Permit,
     ) -> web.StreamResponse:
         content_type = request.headers.get('Content-Type', '')
         tally = request[_TALLY]
         if order.adapter is not None:
             tally.adapter = order.adapter.engine_name
-        async with self._dispatcher.send(order, body, content_type) as found:
-            tally.stalled(found.headers.get(work.LOAD_STALL_HEADER))
-            if found.content_type == _EVENT_STREAM:
-                return await self._stream(request, order, found)
-            return await _pass_whole(order, found, tally)
+        try:
+            async with self._dispatcher.send(
+                order, body, content_type
+            ) as found:
+                tally.stalled(found.headers.get(work.LOAD_STALL_HEADER))
+                if found.content_type == _EVENT_STREAM:
+                    return await self._stream(request, order, found, permit)
+                return await _pass_whole(order, found, tally, permit)
+        except errors.RefusalError as error:
+            if error.outcome is errors.Outcome.NOT_RUN:
+                permit.tokens = 0.0
+            raise
 
     async def _stream(
         self,
         request: web.Request,
         order: work.WorkOrder,
         found: aiohttp.ClientResponse,
+        permit: limits_module.Permit,
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=found.status)
         response.content_type = found.content_type
@@ -309,6 +341,8 @@
         try:
             async for chunk in found.content.iter_any():
                 events = relay.feed(chunk)
+                # An event is about one token.
+                permit.tokens = float(relay.event_count)
                 if events:
                     await response.write(events)
                     tally.wrote(relay.event_count - told - relay.is_complete)
@@ -396,6 +430,7 @@
     order: work.WorkOrder,
     found: aiohttp.ClientResponse,
     tally: account_module.Tally,
+    permit: limits_module.Permit,
 ) -> web.Response:
     # The answer is sent only once it is whole here: the caller gets all
     # of it or an error with a status, never a torn body.
@@ -406,16 +441,19 @@
             errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer broke off'
         ) from error
     if order.adapter is not None:
-        tally.has_tokens(_count_tokens(body))
+        _count_tokens(body, tally, permit)
     headers = {work.REQUEST_ID_HEADER: order.request_id}
     if 'Content-Type' in found.headers:
         headers['Content-Type'] = found.headers['Content-Type']
     return web.Response(status=found.status, body=body, headers=headers)
 
 
-def _count_tokens(body: bytes) -> int:
-    try:
+def _count_tokens(
+    body: bytes, tally: account_module.Tally, permit: limits_module.Permit
+) -> None:
+    # An answer without a usable count stays charged as estimated.
+    with contextlib.suppress(msgspec.DecodeError, RecursionError):
         found = msgspec.json.decode(body, type=_WholeAnswer)
-    except msgspec.DecodeError:
-        return 0
-    return found.usage.completion_tokens
+        if found.usage is not None:
+            tally.has_tokens(found.usage.completion_tokens)
+            permit.tokens = float(found.usage.completion_tokens)
