--- a/lacewingpitch/config_service.py
+++ b/lacewingpitch/config_service.py
@@ -5,9 +5,11 @@
 import aiohttp
 import msgspec
 
+from lacewingpitch import errors
 from lacewingpitch import platform_call
 
 MAX_VALUE_BYTES = 1 << 20
+_ENVELOPE_BYTES = 1 << 10
 _READ_TIMEOUT_S = 5.0
 
 
@@ -79,5 +81,17 @@
                 if response.status in (204, 304, 404):
                     return None
                 response.raise_for_status()
-                data = await response.content.read(2 * MAX_VALUE_BYTES)
+                data = await _read_limited(response)
                 return msgspec.json.decode(data, type=Value)
+
+
+async def _read_limited(response: aiohttp.ClientResponse) -> bytes:
+    # One read returns what has arrived, which is a part of a large value.
+    data = bytearray()
+    async for chunk in response.content.iter_any():
+        data += chunk
+        if len(data) > MAX_VALUE_BYTES + _ENVELOPE_BYTES:
+            raise errors.PlatformError(
+                f'a value is larger than {MAX_VALUE_BYTES} bytes'
+            )
+    return bytes(data)
--- a/lacewingpitch/contract.py
+++ b/lacewingpitch/contract.py
@@ -123,3 +123,15 @@
 def digest_key(api_key: str) -> str:
     """Return the digest under which a contract lists an API key."""
     return hashlib.sha256(api_key.encode()).hexdigest()
+
+
+def customer_of(data: bytes | msgspec.Raw) -> str:
+    """Return the customer of an encoded contract; empty if unreadable."""
+    try:
+        return msgspec.json.decode(data, type=_Head).customer
+    except msgspec.DecodeError:
+        return ''
+
+
+class _Head(msgspec.Struct, frozen=True):
+    customer: str = ''
--- /dev/null
+++ b/lacewingpitch/contract_gossip.py
@@ -0,0 +1,569 @@
+"""How contracts spread between the system's own processes.
+
+A change is pushed on at once to a few peers; besides, each process
+compares hashes with one random peer a second and takes over only what
+differs.  What this costs a process does not depend on the fleet's size.
+"""
+
+import asyncio
+from collections.abc import Iterable, Sequence
+import dataclasses
+import random
+from typing import Protocol, TypeVar
+
+import msgspec
+import structlog
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import contract as contract_module
+from lacewingpitch import contract_book
+from lacewingpitch import contract_versions
+from lacewingpitch import errors
+from lacewingpitch import link
+from lacewingpitch import live_list
+from lacewingpitch import membership as membership_module
+from lacewingpitch import placement
+
+FANOUT_PEERS = 4
+WATCHERS_PER_ZONE = 2
+WATCHER_SILENCE_S = 30.0
+SETTLE_S = 5.0
+_ROUND_S = 1.0
+_ASK_TIMEOUT_S = 1.0
+_SETTLE_RETRY_S = 0.1
+_SETTLE_PEERS = 8
+_CATCH_UP_PEERS = 3
+_LEAVES_PER_MESSAGE = 16
+_CONTRACTS_PER_MESSAGE = 64
+_REPLY_BYTES = 1 << 19
+_WATCH_KEY = 'contract watchers'
+log = structlog.get_logger(__name__)
+
+Reply = TypeVar('Reply', bound=msgspec.Struct)
+_Item = TypeVar('_Item')
+
+
+class DigestRequest(link.Message, frozen=True):
+    """Asks whether the versions known differ.
+
+    Parameters
+    ----------
+    watch_age_s
+        Time since an elected watcher read the configuration service, as
+        far as the sender has heard.
+    """
+
+    root: int
+    watch_age_s: float | None = None
+    view_age_s: float | None = None
+
+
+class DigestReply(link.Message, frozen=True):
+    """Hashes of the versions known; the leaves only if the root differs.
+
+    Parameters
+    ----------
+    is_settled
+        Whether the sender has itself asked others since its start.
+    """
+
+    root: int
+    leaves: bytes = b''
+    is_settled: bool = False
+    watch_age_s: float | None = None
+    view_age_s: float | None = None
+
+
+class VersionsRequest(link.Message, frozen=True):
+    """Asks for the versions in some leaves."""
+
+    leaves: tuple[int, ...]
+
+
+class VersionsReply(link.Message, frozen=True):
+    """The versions known."""
+
+    versions: tuple[contract_versions.CustomerVersion, ...]
+
+
+class ContractsRequest(link.Message, frozen=True):
+    """Asks for the contracts of some customers."""
+
+    customers: tuple[str, ...]
+
+
+class ContractsReply(link.Message, frozen=True):
+    """Versions known and, where held, the contracts as JSON."""
+
+    versions: tuple[contract_versions.CustomerVersion, ...]
+    contracts: tuple[bytes, ...]
+
+
+class ContractsPush(link.Message, frozen=True):
+    """Tells of contracts that came into force."""
+
+    contracts: tuple[bytes, ...]
+    versions: tuple[contract_versions.CustomerVersion, ...] = ()
+
+
+class PushReply(link.Message, frozen=True):
+    """The contracts pushed were taken over, or are older."""
+
+
+class _Link(Protocol):
+    async def ask(
+        self, message: msgspec.Struct, kind: type[Reply], timeout_s: float
+    ) -> Reply: ...
+
+
+class Links(Protocol):
+    """Links to other processes."""
+
+    def peer(self, ip: str, port: int) -> _Link:
+        """Return the link to the process at `ip` and `port`."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContractStatus:
+    """What an operator is told of the contracts at one instance.
+
+    Parameters
+    ----------
+    view_age_s
+        Time since any process of which this one heard read the
+        configuration service; ``None`` if none did.
+    outdated_count
+        Customers refused here until their newest contract arrives.
+    """
+
+    contract_count: int
+    customer_count: int
+    outdated_count: int
+    rejected_count: int
+    conflict_count: int
+    view_age_s: float | None
+    is_settled: bool
+    is_watcher: bool
+
+
+class ContractGossip:
+    """Spreads contracts and versions between the processes.
+
+    Parameters
+    ----------
+    book
+        The contracts in force here.
+    membership
+        The other processes.
+    links
+        Links to them.
+    clock
+        Source of time.
+    instance
+        Name of this instance.
+    seed
+        Seeds the choice of peers.
+    settle_s
+        How long a process that starts waits for an answer of its peers.
+    """
+
+    def __init__(
+        self,
+        book: contract_book.ContractBook,
+        membership: membership_module.Membership,
+        links: Links,
+        clock: clock_module.Clock,
+        instance: str,
+        seed: int | None = None,
+        settle_s: float = SETTLE_S,
+    ) -> None:
+        self._book = book
+        self._settle_s = settle_s
+        self._membership = membership
+        self._links = links
+        self._clock = clock
+        self._instance = instance
+        self._random = random.Random(seed)
+        self._pending: set[str] = set()
+        self._changed = asyncio.Event()
+        self._settled = asyncio.Event()
+        self._watched_at_s: float | None = None
+        self._viewed_at_s: float | None = None
+        self._started_at_s = clock.monotonic_s()
+        self.sent_count = 0
+
+    def register(self, control: link.ControlServer) -> None:
+        """Answer other processes from now on."""
+        control.handle(DigestRequest, self.answer_digest)
+        control.handle(VersionsRequest, self.answer_versions)
+        control.handle(ContractsRequest, self.answer_contracts)
+        control.handle(ContractsPush, self.answer_push)
+
+    async def run(self) -> None:
+        """Settle, then spread and compare until cancelled."""
+        with self._book.changes.subscribe(self._on_change):
+            await self.settle()
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._spread_changes())
+                tasks.create_task(self._compare_forever())
+
+    async def settled(self) -> None:
+        """Wait until peers were asked what they know, or none answers."""
+        await self._settled.wait()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether peers were asked what they know."""
+        return self._settled.is_set()
+
+    @property
+    def status(self) -> ContractStatus:
+        """What an operator is told."""
+        return ContractStatus(
+            contract_count=len(self._book),
+            customer_count=len(self._book.versions),
+            outdated_count=len(self._book.outdated),
+            rejected_count=len(self._book.rejected),
+            conflict_count=len(self._book.conflicts),
+            view_age_s=self._age_s(self._viewed_at_s),
+            is_settled=self.is_settled,
+            is_watcher=self.is_watcher,
+        )
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this instance is one of the few to watch the service."""
+        own = self._membership.instance(self._instance)
+        if own is None:
+            return False
+        same_zone = [
+            instance
+            for instance in self._membership.instances
+            if instance.role is live_list.Role.ENTRY
+            and instance.state is live_list.InstanceState.LIVE
+            and (instance.region, instance.availability_zone)
+            == (own.region, own.availability_zone)
+        ]
+        elected = placement.rank(_WATCH_KEY, same_zone)[:WATCHERS_PER_ZONE]
+        return own in elected
+
+    @property
+    def must_watch(self) -> bool:
+        """Whether this instance watches, as no elected one is heard."""
+        is_listed = self._membership.instance(self._instance) is not None
+        if self.is_watcher or not is_listed:
+            return True
+        # The elected ones may all be dead or cut off while the list that
+        # elects them lags.  A change would then reach nobody.
+        age_s = self._age_s(self._watched_at_s)
+        if age_s is None:
+            age_s = self._clock.monotonic_s() - self._started_at_s
+        return age_s > WATCHER_SILENCE_S
+
+    def note_read(self, read_at_s: float | None) -> None:
+        """Note when this process read the configuration service."""
+        if read_at_s is None:
+            return
+        self._viewed_at_s = max(self._viewed_at_s or read_at_s, read_at_s)
+        if self.is_watcher:
+            self._watched_at_s = max(
+                self._watched_at_s or read_at_s, read_at_s
+            )
+
+    async def settle(self) -> None:
+        """Ask peers what they know before this process is relied on."""
+        # A process that starts while the service is stale would bring
+        # back contracts that were revoked.  Its peers know better; they
+        # are asked first, and those that have just started do not count
+        # unless there are no others.
+        try:
+            async with asyncio.timeout(self._settle_s):
+                while not await self._ask_peers():
+                    await asyncio.sleep(_SETTLE_RETRY_S)
+        except TimeoutError:
+            log.warning('no peer says which contracts are in force')
+        self._settled.set()
+
+    async def compare(self, peer: live_list.Instance) -> bool:
+        """Take over from a peer, and give it, what differs.
+
+        Returns
+        -------
+        bool
+            Whether the peer has itself settled.
+
+        Raises
+        ------
+        LinkError
+            The peer does not answer.
+        """
+        request = DigestRequest(
+            root=self._book.versions.root,
+            watch_age_s=self._age_s(self._watched_at_s),
+            view_age_s=self._age_s(self._viewed_at_s),
+        )
+        reply = await self._ask(peer, request, DigestReply)
+        self._note_ages(reply)
+        if reply.root != self._book.versions.root:
+            leaves = self._book.versions.differing_leaves(reply.leaves)
+            for part in _parts(leaves, _LEAVES_PER_MESSAGE):
+                await self._compare_leaves(peer, part)
+        await self._fetch_outdated(peer)
+        return reply.is_settled
+
+    async def catch_up(
+        self, customer: str, known_by: live_list.Instance
+    ) -> None:
+        """Fetch a contract of which `known_by` knows a newer revision."""
+        # The sidecar that refused knows the revision, but holds the
+        # contract only if it changed lately; entries hold all.  If none
+        # of them answers, the customer stays refused: that is safe.
+        peers = [known_by, *self._entries()[:_CATCH_UP_PEERS]]
+        for peer in peers:
+            try:
+                await self._fetch(peer, (customer,))
+            except errors.LinkError as error:
+                log.warning('not caught up', peer=peer.name, error=str(error))
+            known = self._book.contract(customer)
+            if known is not None and customer not in self._book.outdated:
+                if known.revision >= self._book.revision(customer):
+                    break
+
+    async def answer_digest(self, request: DigestRequest) -> DigestReply:
+        """Answer with hashes of the versions known here."""
+        self._note_ages(request)
+        versions = self._book.versions
+        root = versions.root
+        return DigestReply(
+            root=root,
+            leaves=b'' if root == request.root else versions.leaves(),
+            is_settled=self.is_settled,
+            watch_age_s=self._age_s(self._watched_at_s),
+            view_age_s=self._age_s(self._viewed_at_s),
+        )
+
+    async def answer_versions(self, request: VersionsRequest) -> VersionsReply:
+        """Answer with the versions in some leaves."""
+        leaves = request.leaves[:_LEAVES_PER_MESSAGE]
+        return VersionsReply(versions=self._book.versions.in_leaves(leaves))
+
+    async def answer_contracts(
+        self, request: ContractsRequest
+    ) -> ContractsReply:
+        """Answer with contracts, as many as fit a message."""
+        customers = request.customers[:_CONTRACTS_PER_MESSAGE]
+        return ContractsReply(
+            versions=self._versions_of(customers),
+            contracts=_fitting(self._book.encoded(customers)),
+        )
+
+    async def answer_push(self, push: ContractsPush) -> PushReply:
+        """Take over contracts that came into force elsewhere."""
+        self._take(push.contracts, push.versions)
+        return PushReply()
+
+    def _on_change(self, contract: contract_module.Contract) -> None:
+        if not self.is_settled:
+            return
+        self._pending.add(contract.customer)
+        self._changed.set()
+
+    async def _spread_changes(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            await self._spread()
+
+    async def _spread(self) -> None:
+        customers, self._pending = sorted(self._pending), set()
+        # Thousands of contracts at once would cost each process some
+        # megabytes for every peer; comparing moves each only once.
+        if len(customers) > _CONTRACTS_PER_MESSAGE:
+            return
+        push = self._push_of(customers)
+        peers = self._choose(FANOUT_PEERS)
+        async with asyncio.TaskGroup() as tasks:
+            for peer in peers:
+                tasks.create_task(self._push(peer, push))
+
+    async def _push(
+        self, peer: live_list.Instance, push: ContractsPush
+    ) -> None:
+        try:
+            await self._ask(peer, push, PushReply)
+        except errors.LinkError as error:
+            log.info('not pushed', peer=peer.name, error=str(error))
+
+    async def _compare_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_ROUND_S * self._random.uniform(0.5, 1.5))
+            for peer in self._choose(1):
+                try:
+                    await self.compare(peer)
+                except errors.LinkError as error:
+                    log.info('not compared', peer=peer.name, error=str(error))
+
+    async def _ask_peers(self) -> bool:
+        if not self._membership.instances:
+            return False
+        peers = self._choose(_SETTLE_PEERS)
+        answers = await asyncio.gather(
+            *(self.compare(peer) for peer in peers), return_exceptions=True
+        )
+        for error in answers:
+            if isinstance(error, BaseException) and not isinstance(
+                error, errors.LinkError
+            ):
+                raise error
+        return True in answers or all(a is False for a in answers)
+
+    async def _compare_leaves(
+        self, peer: live_list.Instance, leaves: Sequence[int]
+    ) -> None:
+        reply = await self._ask(
+            peer, VersionsRequest(leaves=tuple(leaves)), VersionsReply
+        )
+        theirs = {found.customer: found.version for found in reply.versions}
+        newer = [c for c in theirs if theirs[c] > self._version(c)]
+        if self._book.holds_all or self._is_few_changes(newer):
+            for part in _parts(newer, _CONTRACTS_PER_MESSAGE):
+                await self._fetch(peer, part)
+        for customer in newer:
+            self._book.note_version(customer, theirs[customer])
+        older = [
+            found.customer
+            for found in self._book.versions.in_leaves(leaves)
+            if found.version
+            > theirs.get(found.customer, contract_versions.NO_VERSION)
+        ]
+        if older:
+            few = older[:_CONTRACTS_PER_MESSAGE]
+            await self._ask(peer, self._push_of(few), PushReply)
+
+    def _is_few_changes(self, customers: Sequence[str]) -> bool:
+        return self.is_settled and len(customers) <= _CONTRACTS_PER_MESSAGE
+
+    async def _fetch_outdated(self, peer: live_list.Instance) -> None:
+        outdated = sorted(self._book.outdated)
+        if outdated:
+            self._random.shuffle(outdated)
+            await self._fetch(peer, outdated[:_CONTRACTS_PER_MESSAGE])
+
+    async def _fetch(
+        self, peer: live_list.Instance, customers: Sequence[str]
+    ) -> None:
+        missing = list(customers)
+        while missing:
+            request = ContractsRequest(customers=tuple(missing))
+            reply = await self._ask(peer, request, ContractsReply)
+            self._take(reply.contracts, reply.versions)
+            # A reply holds what fits a message; ask for the rest, as long
+            # as each reply brings something.
+            came = {
+                contract_module.customer_of(raw) for raw in reply.contracts
+            }
+            rest = [c for c in missing if c not in came]
+            if len(rest) == len(missing):
+                return
+            missing = rest
+
+    def _take(
+        self,
+        contracts: Iterable[bytes],
+        versions: Iterable[contract_versions.CustomerVersion],
+    ) -> None:
+        for raw in contracts:
+            self._book.accept_json(
+                raw, f'peer:{contract_module.customer_of(raw)}'
+            )
+        for found in versions:
+            self._book.note_version(found.customer, found.version)
+
+    def _push_of(self, customers: Sequence[str]) -> ContractsPush:
+        return ContractsPush(
+            contracts=_fitting(self._book.encoded(customers)),
+            versions=self._versions_of(customers),
+        )
+
+    def _version(self, customer: str) -> contract_versions.ContractVersion:
+        return self._book.versions.version(customer)
+
+    def _versions_of(
+        self, customers: Iterable[str]
+    ) -> tuple[contract_versions.CustomerVersion, ...]:
+        return tuple(
+            contract_versions.CustomerVersion(c, self._version(c))
+            for c in customers
+        )
+
+    def _choose(self, count: int) -> list[live_list.Instance]:
+        """Return random peers, three of four in the own region."""
+        own = self._membership.instance(self._instance)
+        peers = self._others()
+        near = [p for p in peers if own and p.region == own.region]
+        far = [p for p in peers if not own or p.region != own.region]
+        self._random.shuffle(near)
+        self._random.shuffle(far)
+        chosen: list[live_list.Instance] = []
+        while len(chosen) < count and (near or far):
+            prefers_near = self._random.random() < 0.75
+            source = near if near and (prefers_near or not far) else far
+            chosen.append(source.pop())
+        return chosen
+
+    def _entries(self) -> list[live_list.Instance]:
+        entries = [i for i in self._others() if i.role is live_list.Role.ENTRY]
+        self._random.shuffle(entries)
+        return entries
+
+    def _others(self) -> list[live_list.Instance]:
+        return [
+            instance
+            for instance in self._membership.instances
+            if instance.name != self._instance
+        ]
+
+    async def _ask(
+        self,
+        peer: live_list.Instance,
+        message: msgspec.Struct,
+        kind: type[Reply],
+    ) -> Reply:
+        self.sent_count += 1
+        found = self._links.peer(peer.ip, peer.control_port)
+        return await found.ask(message, kind, _ASK_TIMEOUT_S)
+
+    def _note_ages(self, message: DigestRequest | DigestReply) -> None:
+        now_s = self._clock.monotonic_s()
+        if message.watch_age_s is not None:
+            watched_at_s = now_s - message.watch_age_s
+            self._watched_at_s = max(
+                self._watched_at_s or watched_at_s, watched_at_s
+            )
+        if message.view_age_s is not None:
+            viewed_at_s = now_s - message.view_age_s
+            self._viewed_at_s = max(
+                self._viewed_at_s or viewed_at_s, viewed_at_s
+            )
+
+    def _age_s(self, at_s: float | None) -> float | None:
+        if at_s is None:
+            return None
+        return max(0.0, self._clock.monotonic_s() - at_s)
+
+
+def _fitting(contracts: Iterable[bytes]) -> tuple[bytes, ...]:
+    fitting: list[bytes] = []
+    size_bytes = 0
+    for data in contracts:
+        size_bytes += len(data)
+        if fitting and size_bytes > _REPLY_BYTES:
+            break
+        fitting.append(data)
+    return tuple(fitting)
+
+
+def _parts(items: Sequence[_Item], count: int) -> Iterable[Sequence[_Item]]:
+    for start in range(0, len(items), count):
+        yield items[start : start + count]
--- /dev/null
+++ b/lacewingpitch/contract_versions.py
@@ -0,0 +1,135 @@
+"""Which version of each customer's contract is the highest seen."""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from lacewingpitch import contract as contract_module
+
+LEAF_COUNT = 256
+_HASH_BYTES = 8
+_REVOKED_RANK = 1 << 63
+
+
+class ContractVersion(
+    msgspec.Struct, frozen=True, order=True, array_like=True
+):
+    """What orders two contracts of one customer.
+
+    Parameters
+    ----------
+    revision
+        The operators' number.
+    rank
+        Orders two contents of one revision; 0 if the content is unknown.
+    """
+
+    revision: int = 0
+    rank: int = 0
+
+    @property
+    def is_revoked(self) -> bool:
+        """Whether the contract of this version is known to be revoked."""
+        return self.rank >= _REVOKED_RANK
+
+
+class CustomerVersion(msgspec.Struct, frozen=True, array_like=True):
+    """The highest version known of one customer."""
+
+    customer: str
+    version: ContractVersion
+
+
+NO_VERSION = ContractVersion()
+
+
+def version_of(contract: contract_module.Contract) -> ContractVersion:
+    """Return the version of a contract.
+
+    Two operators may publish different contents under one revision.  All
+    processes must pick the same one whatever the order in which they see
+    them, so contents are ordered: a revoked one first, then by hash.
+    """
+    # Defaults are left out of the encoding, so a field that a newer
+    # release adds changes no rank during a rolling upgrade.
+    rank = xxhash.xxh3_64_intdigest(msgspec.json.encode(contract)) >> 1
+    if contract.revoked:
+        rank |= _REVOKED_RANK
+    return ContractVersion(contract.revision, rank)
+
+
+class VersionTable:
+    """The highest version seen of every customer, with hashes over them.
+
+    Each customer lies in one of `LEAF_COUNT` leaves.  Two tables are
+    equal if their leaves are, so two processes find what differs with few
+    bytes.
+    """
+
+    def __init__(self) -> None:
+        self._versions: dict[str, ContractVersion] = {}
+        self._leaves = [0] * LEAF_COUNT
+        self._customers: list[set[str]] = [set() for _ in range(LEAF_COUNT)]
+
+    def __len__(self) -> int:
+        return len(self._versions)
+
+    @property
+    def root(self) -> int:
+        """Return one hash over all leaves."""
+        return xxhash.xxh3_64_intdigest(self.leaves())
+
+    def leaves(self) -> bytes:
+        """Return the hash of each leaf, one after the other."""
+        return b''.join(h.to_bytes(_HASH_BYTES, 'big') for h in self._leaves)
+
+    def version(self, customer: str) -> ContractVersion:
+        """Return the highest version seen of a customer."""
+        return self._versions.get(customer, NO_VERSION)
+
+    def raise_to(self, customer: str, version: ContractVersion) -> bool:
+        """Note a version; return whether it is higher than any before."""
+        found = self._versions.get(customer, NO_VERSION)
+        if version <= found:
+            return False
+        leaf = _leaf_of(customer)
+        if found is not NO_VERSION:
+            self._leaves[leaf] ^= _hash(customer, found)
+        self._leaves[leaf] ^= _hash(customer, version)
+        self._versions[customer] = version
+        self._customers[leaf].add(customer)
+        return True
+
+    def differing_leaves(self, leaves: bytes) -> list[int]:
+        """Return the leaves whose hash in another table differs."""
+        if len(leaves) != LEAF_COUNT * _HASH_BYTES:
+            return list(range(LEAF_COUNT))
+        own = self.leaves()
+        return [
+            number
+            for number in range(LEAF_COUNT)
+            if own[_slice(number)] != leaves[_slice(number)]
+        ]
+
+    def in_leaves(self, leaves: Iterable[int]) -> tuple[CustomerVersion, ...]:
+        """Return the versions in some leaves."""
+        return tuple(
+            CustomerVersion(customer, self._versions[customer])
+            for leaf in leaves
+            if 0 <= leaf < LEAF_COUNT
+            for customer in sorted(self._customers[leaf])
+        )
+
+
+def _leaf_of(customer: str) -> int:
+    return xxhash.xxh3_64_intdigest(customer.encode()) % LEAF_COUNT
+
+
+def _hash(customer: str, version: ContractVersion) -> int:
+    text = f'{customer}/{version.revision}/{version.rank}'
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def _slice(leaf: int) -> slice:
+    return slice(leaf * _HASH_BYTES, (leaf + 1) * _HASH_BYTES)
--- a/lacewingpitch/decoding.py
+++ b/lacewingpitch/decoding.py
@@ -15,7 +15,11 @@
 
 
 class Record(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
 ):
     """A frozen data class that refuses fields it does not know."""
 
--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -1,7 +1,7 @@
 """Sends a request to sidecars until one answers, and never twice."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import dataclasses
 
@@ -25,6 +25,8 @@
 _ANSWER_GRACE_S = 2.0
 log = structlog.get_logger(__name__)
 
+OnOutdated = Callable[[str, live_list.Instance], Awaitable[None]]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
@@ -37,7 +39,11 @@
 
 
 class Dispatcher:
-    """Chooses a sidecar for a request and brings back its answer."""
+    """Chooses a sidecar for a request and brings back its answer.
+
+    `on_outdated` is awaited with the customer and the sidecar when that
+    one knows a newer revision of the customer's contract.
+    """
 
     def __init__(
         self,
@@ -46,12 +52,14 @@
         peers: link.PeerPool,
         membership: membership_module.Membership,
         placement: placement_module.Placement,
+        on_outdated: OnOutdated | None = None,
     ) -> None:
         self._session = session
         self._sealer = sealer
         self._peers = peers
         self._membership = membership
         self._placement = placement
+        self._on_outdated = on_outdated
 
     @contextlib.asynccontextmanager
     async def send(
@@ -137,16 +145,21 @@
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING, f'gave up on {sidecar.name}'
             ) from error
+        if work.LEAVING_HEADER in response.headers:
+            self._membership.note_leaving(sidecar.name)
         if work.KIND_HEADER in response.headers:
-            await self._raise_refusal(response, sidecar)
+            await self._raise_refusal(response, attempt)
         return response
 
     async def _raise_refusal(
-        self, response: aiohttp.ClientResponse, sidecar: live_list.Instance
+        self, response: aiohttp.ClientResponse, attempt: Attempt
     ) -> None:
         body = msgspec.json.decode(await response.read(), type=work.ErrorBody)
-        if body.error.kind is errors.ErrorKind.DRAINING:
-            self._membership.suspect(sidecar.name)
+        kind = body.error.kind
+        if kind is errors.ErrorKind.DRAINING:
+            self._membership.note_leaving(attempt.sidecar.name)
+        if kind is errors.ErrorKind.CONTRACT_OUTDATED and self._on_outdated:
+            await self._on_outdated(attempt.order.customer, attempt.sidecar)
         raise work.error_of(body.error)
 
     async def _void(self, attempt: Attempt) -> None:
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -88,6 +88,7 @@
             self._node.peers,
             self._node.membership,
             placement.Placement(),
+            self._node.contracts.catch_up,
         )
         self._node.follow_platform()
         self._add_routes()
@@ -98,7 +99,8 @@
     def is_ready(self) -> bool:
         """Whether contracts and backend servers are known."""
         known = len(self._node.book) and self._node.membership.instances
-        return bool(known) and not self._draining
+        settled = self._node.contracts.is_settled
+        return bool(known) and settled and not self._draining
 
     async def ready(self) -> None:
         """Wait until contracts and backend servers are known."""
@@ -134,8 +136,7 @@
         started_s = time.monotonic()
         try:
             self._check_open()
-            contract = self._authenticate(request)
-            response = await handler(request, contract, request_id)
+            response = await self._apply(request, handler, request_id)
         except errors.RefusalError as error:
             response = answer.refusal_response(error, request_id)
         log.info(
@@ -146,6 +147,21 @@
         )
         return response
 
+    async def _apply(
+        self, request: web.Request, handler: Handler, request_id: str
+    ) -> web.StreamResponse:
+        contract = self._authenticate(request)
+        try:
+            return await handler(request, contract, request_id)
+        except errors.RefusalError as error:
+            if error.kind is not errors.ErrorKind.CONTRACT_OUTDATED:
+                raise
+        # A sidecar refused before the work ran, as it knows a newer
+        # contract, and that one is here now.  It is applied from the
+        # start, since it may refuse what the old one allowed.
+        contract = self._authenticate(request)
+        return await handler(request, contract, str(uuid_utils.uuid7()))
+
     def _check_open(self) -> None:
         if self._draining:
             raise errors.RefusalError(
@@ -273,9 +289,11 @@
         return web.Response(text='ok\n')
 
     async def _ready(self, _request: web.Request) -> web.Response:
-        if not self.is_ready:
-            return web.Response(status=503, text='not ready\n')
-        return web.Response(text='ready\n')
+        return web.Response(
+            status=200 if self.is_ready else 503,
+            body=msgspec.json.encode(self._node.contracts.status),
+            content_type='application/json',
+        )
 
 
 async def _read_body(request: web.Request) -> bytes:
--- a/lacewingpitch/errors.py
+++ b/lacewingpitch/errors.py
@@ -83,7 +83,7 @@
     ErrorKind.ADAPTER_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0, True),
     ErrorKind.NO_BACKEND_SERVER: AnswerRule(503, _NOT_RUN, 2.0),
     ErrorKind.CLAIM_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0),
-    ErrorKind.CONTRACT_OUTDATED: AnswerRule(503, _NOT_RUN, 1.0, True),
+    ErrorKind.CONTRACT_OUTDATED: AnswerRule(503, _NOT_RUN, 1.0),
     ErrorKind.DRAINING: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.FOREIGN_PROCESS: AnswerRule(403, _NOT_RUN),
     ErrorKind.WRONG_ADAPTER: AnswerRule(502, Outcome.UNKNOWN),
--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Mark = Callable[[web.Request, web.StreamResponse], Awaitable[None]]
 _SHUTDOWN_S = 1.0
 
 
@@ -34,6 +35,10 @@
 
         self.route(method, path, counted)
 
+    def mark_answers(self, mark: Mark) -> None:
+        """Call `mark` on every answer before its head is sent."""
+        self._app.on_response_prepare.append(mark)
+
     async def start(self, ip: str, port: int) -> None:
         """Bind `ip` and `port` exclusively; port 0 takes a free one."""
         runner = web.AppRunner(
--- a/lacewingpitch/live_list.py
+++ b/lacewingpitch/live_list.py
@@ -5,10 +5,12 @@
 
 import aiohttp
 import msgspec
+import structlog
 
 from lacewingpitch import platform_call
 
 _READ_TIMEOUT_S = 5.0
+log = structlog.get_logger(__name__)
 
 
 class Role(enum.StrEnum):
@@ -34,6 +36,8 @@
         Base model or plain service behind a sidecar; empty for an entry.
     started_at_s
         When its process started, in seconds since the epoch.
+    deployment
+        Empty where the platform lists one deployment only.
     """
 
     name: str
@@ -46,6 +50,11 @@
     serves: str = ''
     started_at_s: float = 0.0
     state: InstanceState = InstanceState.LIVE
+    deployment: str = ''
+
+    def is_same_process(self, other: 'Instance') -> bool:
+        """Whether `other` is the same process, whatever its state."""
+        return msgspec.structs.replace(other, state=self.state) == self
 
 
 class InstanceList(msgspec.Struct, frozen=True):
@@ -55,6 +64,29 @@
     instances: tuple[Instance, ...]
 
 
+class _RawList(msgspec.Struct, frozen=True):
+    revision: int
+    instances: tuple[msgspec.Raw, ...]
+
+
+def decode_list(data: bytes) -> InstanceList:
+    """Decode a published list, less the instances that are malformed.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        It is no list at all.
+    """
+    raw = msgspec.json.decode(data, type=_RawList)
+    instances = []
+    for number, item in enumerate(raw.instances):
+        try:
+            instances.append(msgspec.json.decode(item, type=Instance))
+        except msgspec.DecodeError as error:
+            log.error('instance rejected', number=number, reason=str(error))
+    return InstanceList(raw.revision, tuple(instances))
+
+
 class LiveList(Protocol):
     """What the system needs of the list of instances."""
 
@@ -95,4 +127,4 @@
                     return None
                 response.raise_for_status()
                 data = await response.read()
-                return msgspec.json.decode(data, type=InstanceList)
+                return decode_list(data)
--- a/lacewingpitch/node.py
+++ b/lacewingpitch/node.py
@@ -6,15 +6,23 @@
 from typing import Any, Self
 
 import aiohttp
+import structlog
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import config_service
 from lacewingpitch import contract_book
+from lacewingpitch import contract_gossip
+from lacewingpitch import errors
 from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import membership
+from lacewingpitch import published_contracts
 from lacewingpitch import settings as settings_module
 
+_SIDECAR_CONTRACTS = 1024
+_WATCH_CHECK_S = 1.0
+log = structlog.get_logger(__name__)
+
 
 class Node:
     """One process among the others of its deployment.
@@ -43,8 +51,17 @@
         )
         self.control = link.ControlServer(self.sealer)
         self.peers = link.PeerPool(self.sealer)
-        self.membership = membership.Membership(clock)
-        self.book = contract_book.ContractBook()
+        self.membership = membership.Membership(clock, settings.deployment)
+        # A sidecar decides by revision alone; of the contracts it keeps
+        # those that changed last, for entries that missed the change.
+        self.book = contract_book.ContractBook(
+            _SIDECAR_CONTRACTS
+            if isinstance(settings, settings_module.SidecarSettings)
+            else None
+        )
+        self.contracts = contract_gossip.ContractGossip(
+            self.book, self.membership, self.peers, clock, settings.instance
+        )
         self.session: aiohttp.ClientSession
         self._exits = contextlib.AsyncExitStack()
 
@@ -57,6 +74,7 @@
             )
         )
         self._exits.callback(self.peers.close)
+        self.contracts.register(self.control)
         await self.control.start(self.settings.ip, self.settings.control_port)
         self._exits.push_async_callback(self.control.close)
         return self
@@ -73,9 +91,32 @@
         service = config_service.HttpConfigService(
             self.session, self.settings.config_service.url
         )
-        published = contract_book.PublishedContracts(service)
         self.run(self.membership.follow(instances))
-        self.run(published.run(self.book))
+        if self.book.holds_all:
+            published = published_contracts.PublishedContracts(
+                service, self.book, self.clock
+            )
+            self.run(self._follow_contracts(published))
+        else:
+            self.run(self.contracts.run())
+
+    async def _follow_contracts(
+        self, published: published_contracts.PublishedContracts
+    ) -> None:
+        # What the service holds is read first, so that peers need to send
+        # only what it lacks.
+        try:
+            await published.read_once()
+        except errors.PlatformError as error:
+            log.warning('contracts not read', error=str(error))
+        self.contracts.note_read(published.read_at_s)
+        self.run(self.contracts.run())
+        while True:
+            if self.contracts.must_watch:
+                await published.step()
+                self.contracts.note_read(published.read_at_s)
+            else:
+                await asyncio.sleep(_WATCH_CHECK_S)
 
     def run(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a task for as long as this process works."""
--- /dev/null
+++ b/lacewingpitch/published_contracts.py
@@ -0,0 +1,223 @@
+"""Contracts as operators publish them at the configuration service."""
+
+import asyncio
+import collections
+import random
+
+import msgspec
+import structlog
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import config_service
+from lacewingpitch import contract as contract_module
+from lacewingpitch import contract_book
+from lacewingpitch import decoding
+from lacewingpitch import errors
+
+INDEX_NAME = 'contracts.index'
+WATCH_S = 10.0
+_FIRST_RETRY_S = 0.5
+_LAST_RETRY_S = 15.0
+log = structlog.get_logger(__name__)
+
+
+class ShardRevision(decoding.Record, frozen=True):
+    """Which revision of one shard is published."""
+
+    name: str
+    revision: int
+
+
+class ContractIndex(decoding.Record, frozen=True):
+    """The shards that hold the contracts."""
+
+    shards: tuple[ShardRevision, ...]
+
+
+class ContractShard(decoding.Record, frozen=True):
+    """Contracts that are published in one value.
+
+    Parameters
+    ----------
+    revision
+        The same number as in the index; 0 if it is not given.
+    """
+
+    contracts: tuple[msgspec.Raw, ...]
+    revision: int = 0
+
+
+class PublishedContracts:
+    """Reads and watches the contracts at the configuration service.
+
+    Parameters
+    ----------
+    service
+        Where they are published.
+    book
+        Takes the contracts.
+    clock
+        Source of time.
+    seed
+        Seeds the spread of retries.
+
+    Attributes
+    ----------
+    problems
+        What could not be taken over, by name of the value, with reason.
+    """
+
+    def __init__(
+        self,
+        service: config_service.ConfigService,
+        book: contract_book.ContractBook,
+        clock: clock_module.Clock,
+        seed: int | None = None,
+    ) -> None:
+        self._service = service
+        self._book = book
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._index_revision = 0
+        self._shard_revisions: dict[str, int] = {}
+        self._retry_s = _FIRST_RETRY_S
+        self.problems: dict[str, str] = {}
+        self.jump_back_count = 0
+        self.read_at_s: float | None = None
+
+    async def step(self) -> None:
+        """Watch once and take over what changed; wait before a retry."""
+        try:
+            await self.watch_once(self._watch_s)
+        except (errors.PlatformError, errors.SettingsError) as error:
+            log.warning('contracts not read', error=str(error))
+            # All instances lose the service at once: without a spread
+            # they would also come back to it at once.
+            await asyncio.sleep(self._retry_s * self._random.uniform(0.5, 1))
+            self._retry_s = min(2 * self._retry_s, _LAST_RETRY_S)
+            return
+        if not self.problems:
+            self._retry_s = _FIRST_RETRY_S
+
+    async def watch_once(self, timeout_s: float) -> None:
+        """Wait for a change of the index, and take over what changed.
+
+        Raises
+        ------
+        PlatformError
+            The configuration service is down.
+        SettingsError
+            The index cannot be decoded.
+        """
+        value = await self._service.watch(
+            INDEX_NAME, self._index_revision, timeout_s
+        )
+        if value is None:
+            # A service that fell back to an old state answers no watch
+            # above its own number: what is published from then on would
+            # never be seen.  A plain read shows the lower number.
+            await self.read_once()
+            return
+        await self._take_index(value)
+
+    async def read_once(self) -> None:
+        """Read the index, and take over what changed.
+
+        Raises
+        ------
+        PlatformError
+            The configuration service is down.
+        SettingsError
+            The index cannot be decoded.
+        """
+        value = await self._service.read(INDEX_NAME)
+        if value is None:
+            raise errors.PlatformError(f'no value {INDEX_NAME}')
+        await self._take_index(value)
+
+    @property
+    def _watch_s(self) -> float:
+        if not self.problems:
+            return WATCH_S
+        self._retry_s = min(2 * self._retry_s, WATCH_S)
+        return self._retry_s
+
+    async def _take_index(self, value: config_service.Value) -> None:
+        try:
+            index = decoding.decode_json(
+                bytes(value.content), ContractIndex, INDEX_NAME
+            )
+        except errors.SettingsError as error:
+            self._report(INDEX_NAME, str(error))
+            self._index_revision = value.revision
+            return
+        self.problems.pop(INDEX_NAME, None)
+        if value.revision < self._index_revision:
+            self.jump_back_count += 1
+            log.error(
+                'configuration service fell back',
+                revision=value.revision,
+                seen_revision=self._index_revision,
+            )
+        await self._take_shards(index)
+        self._index_revision = value.revision
+        self.read_at_s = self._clock.monotonic_s()
+
+    async def _take_shards(self, index: ContractIndex) -> None:
+        names = {shard.name for shard in index.shards}
+        for name in self._shard_revisions.keys() - names:
+            # Its contracts stay in force: only a revision ends a right.
+            log.warning('shard left the index', shard=name)
+            del self._shard_revisions[name]
+        for name in self.problems.keys() - names - {INDEX_NAME}:
+            del self.problems[name]
+        for shard in index.shards:
+            if self._shard_revisions.get(shard.name) != shard.revision:
+                await self._take_shard(shard)
+
+    async def _take_shard(self, shard: ShardRevision) -> None:
+        # One shard that cannot be read keeps none of the others from
+        # coming into force, and what it held before stays in force.
+        try:
+            content = await self._read_shard(shard)
+        except (errors.PlatformError, errors.SettingsError) as error:
+            self._report(shard.name, str(error))
+            return
+        self._check_duplicates(shard.name, content)
+        self._book.forget_rejected(f'{shard.name}[')
+        for number, raw in enumerate(content.contracts):
+            self._book.accept_json(raw, f'{shard.name}[{number}]')
+        self._shard_revisions[shard.name] = shard.revision
+        self.problems.pop(shard.name, None)
+
+    async def _read_shard(self, shard: ShardRevision) -> ContractShard:
+        value = await self._service.read(shard.name)
+        if value is None:
+            raise errors.PlatformError(f'no value {shard.name}')
+        content = decoding.decode_json(
+            bytes(value.content), ContractShard, shard.name
+        )
+        if content.revision and content.revision < shard.revision:
+            raise errors.PlatformError(
+                f'{shard.name} is at revision {content.revision},'
+                f' the index names {shard.revision}'
+            )
+        return content
+
+    def _check_duplicates(self, name: str, content: ContractShard) -> None:
+        customers = collections.Counter(
+            contract_module.customer_of(raw) for raw in content.contracts
+        )
+        for customer, count in customers.items():
+            if customer and count > 1:
+                log.error(
+                    'customer twice in a shard',
+                    shard=name,
+                    customer=customer,
+                    count=count,
+                )
+
+    def _report(self, name: str, reason: str) -> None:
+        if self.problems.get(name) != reason:
+            log.error('value not taken over', value=name, reason=reason)
+        self.problems[name] = reason
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -58,6 +58,16 @@
         """Return the port that takes control messages."""
         return self._node.control.port
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it takes no new work, by a signal or by the list."""
+        # An entry that was paused, or whose list lags, still sends work
+        # to a backend server that leaves.  The sidecar watches the list
+        # for its own name, and refuses whatever the entry believes.
+        return self._draining or self._node.membership.is_leaving(
+            self.settings.instance
+        )
+
     def ports(self) -> dict[str, int]:
         """Return the ports it listens on, by name."""
         return {
@@ -74,6 +84,7 @@
         self._server.route_work('POST', '/run', self._take)
         self._server.route('GET', '/healthz', self._health)
         self._server.route('GET', '/readyz', self._ready)
+        self._server.mark_answers(self._mark_leaving)
         await self._server.start(self.settings.ip, self.settings.work_port)
         self._exits.push_async_callback(self._server.close)
         await self._exits.enter_async_context(self._node)
@@ -113,19 +124,26 @@
     async def _run(
         self, request: web.Request, order: work.WorkOrder
     ) -> web.StreamResponse:
+        await self._node.contracts.settled()
         attempt_id = voiding.attempt_id(order.request_id, order.attempt)
         self._ledger.admit(attempt_id)
         try:
             self._admit()
+            self._node.book.check_order(
+                order.customer, order.contract_revision
+            )
             body = await request.read()
             async with self._turn(order):
+                # A contract may be revoked while its request waits; what
+                # waits must not run on a right that has ended.
+                self._node.book.check_revoked(order.customer)
                 self._ledger.start(attempt_id)
                 return await self._runner.run(request, order, body)
         finally:
             self._ledger.finish(attempt_id)
 
     def _admit(self) -> None:
-        if self._draining:
+        if self.is_leaving:
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING, 'this backend server is leaving'
             )
@@ -161,11 +179,17 @@
                 'no turn before the deadline',
             ) from error
 
+    async def _mark_leaving(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.is_leaving:
+            response.headers[work.LEAVING_HEADER] = 'true'
+
     async def _health(self, _request: web.Request) -> web.Response:
         return web.Response(text='ok\n')
 
     async def _ready(self, _request: web.Request) -> web.Response:
-        if self._draining:
+        if self.is_leaving:
             return web.Response(status=503, text='draining\n')
         return web.Response(text='ready\n')
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -99,6 +99,7 @@
         self.services = []
         self.instances = []
         self.contracts = {}
+        self.shard_revision = 0
         self.keys = {}
 
     async def __aenter__(self):
@@ -171,6 +172,17 @@
         found = settings.EntrySettings(**self._process(name, **fields))
         process = await self.run('entry', self._write(name, found))
         self.entries.append(process)
+        self.instances.append(
+            live_list.Instance(
+                name=name,
+                role=live_list.Role.ENTRY,
+                region=found.region,
+                availability_zone=found.availability_zone,
+                ip=IP,
+                work_port=process.ports['work_port'],
+                control_port=process.ports['control_port'],
+            )
+        )
         return process
 
     def _process(self, name, **fields):
@@ -221,11 +233,15 @@
         )
 
     async def publish_contracts(self):
-        revision = 1 + sum(c.revision for c in self.contracts.values())
+        self.shard_revision += 1
+        revision = self.shard_revision
         await self.put(
             self.platform,
             '/v1/values/contracts.0',
-            {'contracts': tuple(self.contracts.values())},
+            {
+                'revision': revision,
+                'contracts': tuple(self.contracts.values()),
+            },
         )
         await self.put(
             self.platform,
--- /dev/null
+++ b/tests/test_contract_book.py
@@ -0,0 +1,292 @@
+import asyncio
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from lacewingpitch import contract_book
+from lacewingpitch import contract_versions
+from lacewingpitch import errors
+from lacewingpitch import live_list
+from lacewingpitch import published_contracts
+from tests import contract_fakes
+from tests import fault_matrix
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+make_contract = contract_fakes.make_contract
+
+
+def refusal(book, api_key):
+    with pytest.raises(errors.RefusalError) as caught:
+        book.authenticate(api_key)
+    return caught.value.kind
+
+
+@pytest.fixture
+def book():
+    return contract_book.ContractBook()
+
+
+class TestRevisions:
+    def test_higher_wins_and_lower_is_passed_over(self, book):
+        assert book.accept(make_contract('ivy', 2, weight=2.0))
+        assert not book.accept(make_contract('ivy', 1))
+        assert book.contract('ivy').weight == 2.0
+        assert book.passed_over_count == 1
+
+    @pytest.mark.proves(Promise.CONTRACTS, Fault.OPERATOR_RACE, Step.ANY)
+    @pytest.mark.parametrize('revoked', [0, 1])
+    def test_race_of_one_revision_ends_alike_everywhere(self, revoked):
+        """A customer is served through one entry and refused by another.
+
+        Two operators publish different contents under one revision, and
+        instances read them in different orders.  The cause would be that
+        the first, or the last, to arrive wins.
+        """
+        rivals = [
+            make_contract('ivy', 3, weight=1.5, revoked=bool(revoked)),
+            make_contract('ivy', 3, weight=2.5),
+        ]
+        books = [contract_book.ContractBook() for _ in rivals]
+        for rival in rivals:
+            books[0].accept(rival)
+        for rival in reversed(rivals):
+            books[1].accept(rival)
+        assert books[0].contract('ivy') == books[1].contract('ivy')
+        assert books[0].versions.root == books[1].versions.root
+        assert all('ivy' in found.conflicts for found in books)
+        if revoked:
+            assert books[0].contract('ivy').revoked
+
+    def test_rank_is_the_same_after_a_hop(self):
+        sent = make_contract('ivy', 1, weight=2.0)
+        data = msgspec.json.encode(sent)
+        received = msgspec.json.decode(data, type=type(sent))
+        assert contract_versions.version_of(
+            sent
+        ) == contract_versions.version_of(received)
+
+    def test_bad_contract_keeps_the_last_good_one(self, book):
+        book.accept(make_contract('ivy', 1))
+        assert not book.accept_json(
+            b'{"customer":"ivy","revision":"two"}', 'x'
+        )
+        assert 'revision' in book.rejected['x']
+        assert book.authenticate('ivy').revision == 1
+
+
+class TestKeys:
+    def test_key_dropped_by_a_revision_is_unknown(self, book):
+        book.accept(make_contract('ivy', 1, keys=('old', 'kept')))
+        book.accept(make_contract('ivy', 2, keys=('kept',)))
+        assert refusal(book, 'old') is errors.ErrorKind.UNAUTHENTICATED
+        assert book.authenticate('kept').customer == 'ivy'
+
+    @pytest.mark.parametrize('names', [('ivy', 'moss'), ('moss', 'ivy')])
+    def test_key_of_two_customers_serves_neither(self, book, names):
+        """A customer's requests are billed to, and limited by, another.
+
+        An operator lists one key in two contracts.  The cause would be a
+        table of keys in which the last to arrive takes the key over.
+        """
+        for name in names:
+            book.accept(make_contract(name, 1, keys=('shared', name)))
+        assert refusal(book, 'shared') is errors.ErrorKind.UNAUTHENTICATED
+        assert names[1] in book.conflicts
+        for name in names:
+            assert book.authenticate(name).customer == name
+
+    def test_mended_clash_leaves_the_key_with_its_owner(self, book):
+        """A customer is locked out after another gave up its key.
+
+        Two contracts list a key, then one drops it.  The cause would be
+        that dropping removes the key whoever else lists it.
+        """
+        book.accept(make_contract('ivy', 1, keys=('shared',)))
+        book.accept(make_contract('moss', 1, keys=('shared',)))
+        book.accept(make_contract('moss', 2, keys=('own',)))
+        assert book.authenticate('shared').customer == 'ivy'
+        assert 'moss' not in book.conflicts
+
+    def test_key_of_a_revoked_contract_can_move(self, book):
+        book.accept(make_contract('ivy', 1))
+        book.accept(make_contract('ivy', 2, revoked=True))
+        assert refusal(book, 'ivy') is errors.ErrorKind.NOT_IN_CONTRACT
+        book.accept(make_contract('ivy-gmbh', 1, keys=('ivy',)))
+        assert book.authenticate('ivy').customer == 'ivy-gmbh'
+
+    def test_key_twice_in_one_contract_is_no_clash(self, book):
+        book.accept(make_contract('ivy', 1, keys=('ivy', 'ivy')))
+        assert book.authenticate('ivy').customer == 'ivy'
+        book.accept(make_contract('ivy', 2))
+        assert not book.conflicts
+
+
+class TestOutdated:
+    def test_known_version_without_contract_refuses(self, book):
+        book.accept(make_contract('ivy', 1))
+        book.note_version('ivy', contract_versions.ContractVersion(2))
+        assert refusal(book, 'ivy') is errors.ErrorKind.CONTRACT_OUTDATED
+        assert refusal(book, 'other') is errors.ErrorKind.CONTRACT_OUTDATED
+        book.accept(make_contract('ivy', 2))
+        assert book.authenticate('ivy').revision == 2
+        assert refusal(book, 'other') is errors.ErrorKind.UNAUTHENTICATED
+
+    def test_order_under_an_older_revision_is_refused(self):
+        book = contract_book.ContractBook(capacity_contracts=1)
+        book.check_order('ivy', 2)
+        book.check_order('ivy', 2)
+        book.check_order('ivy', 3)
+        with pytest.raises(errors.RefusalError) as caught:
+            book.check_order('ivy', 2)
+        assert caught.value.kind is errors.ErrorKind.CONTRACT_OUTDATED
+        assert caught.value.outcome is errors.Outcome.NOT_RUN
+        assert not caught.value.retry_elsewhere
+
+    def test_revoked_while_queued_is_refused(self):
+        book = contract_book.ContractBook(capacity_contracts=1)
+        book.check_order('ivy', 1)
+        book.check_revoked('ivy')
+        book.accept(make_contract('ivy', 2, revoked=True))
+        with pytest.raises(errors.RefusalError) as caught:
+            book.check_revoked('ivy')
+        assert caught.value.kind is errors.ErrorKind.NOT_IN_CONTRACT
+
+    def test_bounded_book_keeps_versions_of_all(self):
+        book = contract_book.ContractBook(capacity_contracts=1)
+        book.accept(make_contract('ivy', 4))
+        book.accept(make_contract('moss', 5))
+        assert len(book) == 1
+        assert book.revision('ivy') == 4
+        assert book.encoded(('ivy',)) == []
+        assert not book.accept(make_contract('ivy', 4))
+
+
+_CUSTOMERS = ('ivy', 'moss', 'fern')
+_NODE_COUNT = 4
+_nodes = strategies.integers(0, _NODE_COUNT - 1)
+
+
+class NeverReverts(stateful.RuleBasedStateMachine):
+    """Publishings, stale reads, gossip, cuts and restarts in any order.
+
+    A revoked customer would be served again after a stale read, a late
+    message, or the restart of the instance that knew.  The cause would
+    be any path by which a lower version replaces a higher one.
+    """
+
+    def __init__(self):
+        super().__init__()
+        entry, sidecar = live_list.Role.ENTRY, live_list.Role.SIDECAR
+        self.fleet = contract_fakes.Fleet(entry, entry, entry, sidecar)
+        self.history = [dict.fromkeys(_CUSTOMERS)]
+        self.revisions = dict.fromkeys(_CUSTOMERS, 0)
+        self.floor = [{} for _ in self.fleet.nodes]
+        self.runner = asyncio.Runner()
+
+    def teardown(self):
+        self.runner.close()
+
+    @stateful.rule(
+        customer=strategies.sampled_from(_CUSTOMERS),
+        revoked=strategies.booleans(),
+        is_race=strategies.booleans(),
+        weight=strategies.sampled_from((1.5, 2.5)),
+    )
+    def publish(self, customer, revoked, is_race, weight):
+        if not is_race or not self.revisions[customer]:
+            self.revisions[customer] += 1
+        found = make_contract(
+            customer, self.revisions[customer], revoked=revoked, weight=weight
+        )
+        self.history.append(self.history[-1] | {customer: found})
+
+    @stateful.rule(node=_nodes, back=strategies.integers(0, 5))
+    def read(self, node, back):
+        if self.fleet.nodes[node].role is live_list.Role.SIDECAR:
+            return
+        self._read(self.fleet.nodes[node], back)
+
+    @stateful.rule(one=_nodes, other=_nodes)
+    def compare(self, one, other):
+        if one != other:
+            self._compare(one, other)
+
+    @stateful.rule(one=_nodes, other=_nodes)
+    def cut_or_heal(self, one, other):
+        if one != other:
+            self.fleet.cut ^= {frozenset((one, other))}
+
+    @stateful.rule(node=_nodes, back=strategies.integers(0, 5))
+    def restart(self, node, back):
+        restarted = self.fleet.nodes[node]
+        restarted.restart()
+        self.fleet.list_all()
+        self.floor[node] = {}
+        if restarted.role is live_list.Role.ENTRY:
+            self._read(restarted, back)
+        self.runner.run(restarted.gossip.settle())
+        for other in self.fleet.nodes:
+            if frozenset((node, other.number)) in self.fleet.cut:
+                continue
+            for customer in _CUSTOMERS:
+                assert restarted.book.versions.version(
+                    customer
+                ) >= other.book.versions.version(customer)
+
+    @stateful.invariant()
+    def versions_only_rise(self):
+        for node, floor in zip(self.fleet.nodes, self.floor, strict=True):
+            for customer in _CUSTOMERS:
+                version = node.book.versions.version(customer)
+                assert version >= floor.get(customer, version)
+                floor[customer] = version
+
+    @stateful.invariant()
+    def only_the_highest_seen_is_served(self):
+        for node in self.fleet.nodes:
+            for customer in _CUSTOMERS:
+                try:
+                    found = node.book.authenticate(customer)
+                except errors.RefusalError:
+                    continue
+                assert not found.revoked
+                version = contract_versions.version_of(found)
+                assert version == node.book.versions.version(customer)
+
+    @stateful.rule()
+    def all_agree_once_healed(self):
+        self.fleet.cut.clear()
+        for _ in range(3):
+            for one in range(_NODE_COUNT):
+                self._compare(one, (one + 1) % _NODE_COUNT)
+        roots = {node.book.versions.root for node in self.fleet.nodes}
+        assert len(roots) == 1
+
+    def _read(self, node, back):
+        shown = self.history[max(0, len(self.history) - 1 - back)]
+        service = contract_fakes.FakeService()
+        service.put_shards(a=[c for c in shown.values() if c])
+        reader = published_contracts.PublishedContracts(
+            service, node.book, node.clock
+        )
+        self.runner.run(reader.read_once())
+
+    def _compare(self, one, other):
+        nodes = self.fleet.nodes
+        try:
+            self.runner.run(nodes[one].gossip.compare(nodes[other].instance))
+        except errors.LinkError:
+            assert frozenset((one, other)) in self.fleet.cut
+
+
+TestNeverReverts = pytest.mark.proves(
+    Promise.CONTRACTS, Fault.TWO_FAULTS, Step.ANY
+)(NeverReverts.TestCase)
+TestNeverReverts.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+)
