--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,188 @@
+import asyncio
+
+import msgspec
+import pytest
+
+from lacewingpitch import errors
+from lacewingpitch import live_list
+from lacewingpitch import membership
+from tests import contract_fakes
+from tests import fault_matrix
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+LEAVING = live_list.InstanceState.LEAVING
+
+
+def make_instance(name, **fields):
+    defaults = {
+        'role': live_list.Role.SIDECAR,
+        'region': 'region-a',
+        'availability_zone': 'zone-a',
+        'ip': '127.0.0.1',
+        'work_port': 1,
+        'control_port': 2,
+        'serves': 'base',
+    }
+    return live_list.Instance(name=name, **(defaults | fields))
+
+
+def publish(members, revision, *instances):
+    members.update(live_list.InstanceList(revision, instances))
+
+
+def names(members):
+    return [instance.name for instance in members.sidecars('base')]
+
+
+@pytest.fixture
+def clock():
+    return contract_fakes.ManualClock()
+
+
+@pytest.fixture
+def members(clock):
+    return membership.Membership(clock, 'haneul')
+
+
+class TestWrongList:
+    @pytest.mark.proves(
+        Promise.LEAVING, Fault.LIST_WRONG, Step.BEFORE_ADMISSION
+    )
+    def test_older_list_brings_back_no_leaving_instance(self, members, clock):
+        """A request goes to a backend server that was told to leave.
+
+        The list falls back to a state from before that, first for a
+        moment and then for good.  The cause would be to follow it as it
+        is.
+        """
+        leaving = make_instance('a', state=LEAVING)
+        publish(members, 5, leaving, make_instance('b'))
+        older = (make_instance('a'), make_instance('b'), make_instance('c'))
+        publish(members, 4, *older)
+        assert names(members) == ['b']
+        clock.now_s += membership.JUMP_BACK_S
+        publish(members, 4, *older)
+        assert names(members) == ['b', 'c']
+        publish(members, 5, *older)
+        assert names(members) == ['a', 'b', 'c']
+
+    def test_moments_of_older_lists_do_not_add_up(self, members, clock):
+        publish(members, 5, make_instance('a'))
+        publish(members, 4, make_instance('b'))
+        clock.now_s += membership.JUMP_BACK_S
+        publish(members, 5, make_instance('a'))
+        publish(members, 4, make_instance('b'))
+        assert names(members) == ['a']
+
+    def test_empty_list_drops_nobody(self, members):
+        """Every caller is refused although all backend servers work.
+
+        The platform loses its list and publishes an empty one.  The
+        cause would be to follow it.
+        """
+        publish(members, 1, make_instance('a'))
+        publish(members, 2)
+        assert names(members) == ['a']
+        assert members.passed_over_count == 1
+        publish(members, 3, make_instance('b'))
+        assert names(members) == ['b']
+
+    @pytest.mark.parametrize('is_first', [True, False])
+    def test_listed_twice_counts_the_later_process(self, members, is_first):
+        twins = [
+            make_instance('a', started_at_s=2.0, work_port=7),
+            make_instance('a', started_at_s=1.0, state=LEAVING),
+        ]
+        publish(members, 1, *(twins if is_first else reversed(twins)))
+        assert [i.work_port for i in members.sidecars('base')] == [7]
+
+    @pytest.mark.parametrize('is_first', [True, False])
+    def test_listed_twice_as_live_and_leaving_is_leaving(
+        self, members, is_first
+    ):
+        twins = [make_instance('a'), make_instance('a', state=LEAVING)]
+        publish(members, 1, *(twins if is_first else reversed(twins)))
+        assert names(members) == []
+        assert members.is_leaving('a')
+
+    def test_another_deployment_is_passed_over(self, members):
+        publish(
+            members,
+            1,
+            make_instance('a', deployment='caravan'),
+            make_instance('b', deployment='haneul'),
+            make_instance('c'),
+        )
+        assert names(members) == ['b', 'c']
+
+    def test_malformed_instance_hides_no_other(self):
+        good = msgspec.to_builtins(make_instance('a'))
+        bad = good | {'role': 'gardener'}
+        data = msgspec.json.encode({'revision': 3, 'instances': [bad, good]})
+        found = live_list.decode_list(data)
+        assert found.instances == (make_instance('a'),)
+
+
+class TestOwnWord:
+    def test_word_of_leaving_comes_before_the_list(self, members, clock):
+        publish(members, 1, make_instance('a'), make_instance('b'))
+        members.note_leaving('a')
+        publish(members, 2, make_instance('a'), make_instance('b'))
+        assert names(members) == ['b']
+        clock.now_s += membership.LEAVING_WORD_S
+        assert names(members) == ['a', 'b']
+
+    def test_successor_of_that_name_takes_work(self, members):
+        publish(members, 1, make_instance('a'))
+        members.note_leaving('a')
+        members.suspect('a')
+        publish(members, 2, make_instance('a', started_at_s=9.0))
+        assert names(members) == ['a']
+
+    def test_suspect_is_passed_over_for_a_while(self, members, clock):
+        publish(members, 1, make_instance('a'))
+        members.suspect('a', for_s=2.0)
+        assert names(members) == []
+        clock.now_s += 2.0
+        assert names(members) == ['a']
+
+    def test_marks_of_instances_that_are_gone_are_dropped(self, members):
+        publish(members, 1, make_instance('a'))
+        members.note_leaving('a')
+        publish(members, 2, make_instance('b'))
+        publish(members, 3, make_instance('a'), make_instance('b'))
+        assert names(members) == ['a', 'b']
+
+
+class _FakeList:
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def watch(self, after_revision, timeout_s):
+        self.asked.append(after_revision)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class TestFollow:
+    async def test_fallen_back_list_is_found_by_a_plain_read(self, members):
+        publish(members, 5, make_instance('a'))
+        older = live_list.InstanceList(4, (make_instance('b'),))
+        source = _FakeList(None, older)
+        await members.follow_once(source)
+        assert source.asked == [5, 0]
+        assert members.passed_over_count == 1
+
+    async def test_list_that_is_down_keeps_the_known(self, members):
+        publish(members, 5, make_instance('a'))
+        source = _FakeList(errors.PlatformError('down'))
+        following = asyncio.create_task(members.follow(source))
+        while source.answers:
+            await asyncio.sleep(0)
+        following.cancel()
+        assert names(members) == ['a']
