--- a/tests/processes.py
+++ b/tests/processes.py
@@ -92,7 +92,7 @@
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
         self._exits = contextlib.AsyncExitStack()
-        self._secret = secrets.token_hex()
+        self.secret = secrets.token_hex()
         self.entries = []
         self.sidecars = []
         self.engines = []
@@ -190,7 +190,7 @@
         platform = settings.Address(ip=IP, port=port)
         defaults = {
             'deployment': 'test',
-            'secret': self._secret,
+            'secret': self.secret,
             'instance': name,
             'availability_zone': 'zone-a',
             'region': 'region-a',
--- /dev/null
+++ b/tests/test_contracts_processes.py
@@ -0,0 +1,163 @@
+import msgspec
+import pytest
+
+from lacewingpitch import contract_gossip
+from lacewingpitch import link
+from lacewingpitch import settings
+from lacewingpitch import work
+from tests import fault_matrix
+from tests import processes
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+PUBLISHINGS_PER_CHANGE = 2
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with processes.Deployment(tmp_path) as found:
+        await found.add_engine()
+        for _ in range(2):
+            await found.add_entry()
+        found.add_customer('haneul', 'ficus')
+        await found.publish()
+        yield found
+
+
+async def call(deployment, entry):
+    """Return status, outcome and error kind of one request."""
+    async with deployment.call(entry, 'haneul', 'ficus') as response:
+        await response.read()
+        headers = response.headers
+        return (
+            response.status,
+            headers.get(work.OUTCOME_HEADER),
+            headers.get(work.KIND_HEADER),
+        )
+
+
+REVOKED = (403, 'not-run', 'not-in-contract')
+
+
+async def revoke(deployment):
+    old = deployment.contracts['haneul']
+    deployment.contracts['haneul'] = msgspec.structs.replace(
+        old, revision=old.revision + 1, revoked=True
+    )
+    await deployment.publish_contracts()
+
+
+async def until_refused(deployment, entry):
+    async def is_refused():
+        return await call(deployment, entry) == REVOKED
+
+    await processes.until(is_refused)
+
+
+async def until_known(deployment, process, revision):
+    """Wait until a process knows a revision, by asking it as a peer."""
+    sealer = link.Sealer('test', deployment.secret, 'test')
+    peer = link.Peer(sealer, processes.IP, process.ports['control_port'])
+    request = contract_gossip.ContractsRequest(customers=('haneul',))
+
+    async def is_known():
+        reply = await peer.ask(request, contract_gossip.ContractsReply, 5.0)
+        return reply.versions[0].version.revision >= revision
+
+    try:
+        await processes.until(is_known)
+    finally:
+        peer.close()
+
+
+async def run_count(deployment):
+    truth = await deployment.truth(deployment.engines[0])
+    return len(truth.runs)
+
+
+class TestStaleService:
+    @pytest.mark.proves(
+        Promise.CONTRACTS, Fault.CONFIG_STALE, Step.BEFORE_ADMISSION
+    )
+    async def test_restarted_entry_asks_peers(self, deployment):
+        """A revoked customer is served again after an entry restarts.
+
+        The contract is revoked and in force; then the service falls back
+        to the state before and stays there, and an entry is replaced.
+        The cause would be a new instance that trusts the service alone.
+        """
+        assert (await call(deployment, deployment.entries[0]))[0] == 200
+        await revoke(deployment)
+        await until_refused(deployment, deployment.entries[0])
+        await until_known(deployment, deployment.sidecars[0], 2)
+        await deployment.set_faults(
+            deployment.platform, config_jump_back=PUBLISHINGS_PER_CHANGE
+        )
+        before = await run_count(deployment)
+        await deployment.entries[0].kill()
+        restarted = await deployment.add_entry()
+        await deployment.publish_instances()
+        await deployment.ready(restarted)
+        assert await call(deployment, restarted) == REVOKED
+        assert await run_count(deployment) == before
+
+    @pytest.mark.proves(Promise.CONTRACTS, Fault.KILLED, Step.BEFORE_ADMISSION)
+    async def test_sidecar_alone_remembers(self, deployment):
+        """As above, but every entry instance is replaced at once."""
+        await revoke(deployment)
+        await until_known(deployment, deployment.sidecars[0], 2)
+        await deployment.set_faults(
+            deployment.platform, config_jump_back=PUBLISHINGS_PER_CHANGE
+        )
+        for entry in deployment.entries:
+            await entry.kill()
+        restarted = await deployment.add_entry()
+        await deployment.publish_instances()
+        await deployment.ready(restarted)
+        assert await call(deployment, restarted) == REVOKED
+        assert await run_count(deployment) == 0
+
+    @pytest.mark.proves(
+        Promise.CONTRACTS, Fault.CONFIG_DOWN, Step.BEFORE_ADMISSION
+    )
+    async def test_change_reaches_an_entry_without_the_service(
+        self, deployment
+    ):
+        """A change never arrives where the service cannot be reached.
+
+        One entry's service is down from its start.  The cause would be
+        an instance that learns of contracts from the service alone.
+        """
+        down = await deployment.run('standin', 'platform')
+        await deployment.set_faults(down, config_down=True)
+        cut_off = await deployment.add_entry(
+            config_service=settings.Address(
+                ip=processes.IP, port=down.ports['work_port']
+            )
+        )
+        await deployment.publish_instances()
+        await deployment.ready(cut_off)
+        assert (await call(deployment, cut_off))[0] == 200
+        await revoke(deployment)
+        await until_refused(deployment, cut_off)
+
+
+class TestPaused:
+    @pytest.mark.proves(Promise.CONTRACTS, Fault.FROZEN, Step.BEFORE_ADMISSION)
+    async def test_woken_entry_serves_no_revoked_customer(self, deployment):
+        """A revoked customer is served through an instance that slept.
+
+        One entry is frozen, the contract is revoked, the entry wakes up
+        with a request already waiting for it.  The cause would be that
+        nobody on the request's way knows the newer revision.
+        """
+        paused = deployment.entries[1]
+        paused.freeze()
+        await revoke(deployment)
+        await until_refused(deployment, deployment.entries[0])
+        await until_known(deployment, deployment.sidecars[0], 2)
+        before = await run_count(deployment)
+        paused.wake()
+        assert await call(deployment, paused) == REVOKED
+        assert await run_count(deployment) == before
