Leaving under SIGTERM, models after a restart; design of contracts

The first tests of both passed without their guards (a drained sidecar was gone before it could admit; a sidecar's refusal covered for the entry), so they now keep the sidecar busy, and ask the entry alone. The state machine gets a rule by which a sidecar learns a version that entries lack.

--- a/tests/test_contract_book.py
+++ b/tests/test_contract_book.py
@@ -168,6 +168,7 @@
 
 _CUSTOMERS = ('ivy', 'moss')
 _NODE_COUNT = 3
+_SIDECAR = 2
 _nodes = strategies.integers(0, _NODE_COUNT - 1)
 
 
@@ -211,6 +212,22 @@
             return
         self._read(self.fleet.nodes[node], back)
 
+    @stateful.rule(
+        customer=strategies.sampled_from(_CUSTOMERS),
+        revoked=strategies.booleans(),
+        entry=strategies.sampled_from((0, 1)),
+    )
+    def change_that_one_entry_tells_the_sidecar(
+        self, customer, revoked, entry
+    ):
+        self.publish(customer, revoked, is_race=False, weight=1.5)
+        self._read(self.fleet.nodes[entry], back=0)
+        self._compare(entry, _SIDECAR)
+
+    @stateful.rule(entry=strategies.sampled_from((0, 1)))
+    def compare_with_the_sidecar(self, entry):
+        self._compare(entry, _SIDECAR)
+
     @stateful.rule(one=_nodes, other=_nodes)
     def compare(self, one, other):
         if one != other:
--- a/tests/test_contracts_processes.py
+++ b/tests/test_contracts_processes.py
@@ -37,6 +37,14 @@
         )
 
 
+async def models_status(deployment, entry):
+    headers = {'Authorization': f'Bearer {deployment.keys["haneul"]}'}
+    async with deployment.session.get(
+        entry.url + '/v1/models', headers=headers
+    ) as response:
+        return response.status
+
+
 REVOKED = (403, 'not-run', 'not-in-contract')
 
 
@@ -99,6 +107,8 @@
         restarted = await deployment.add_entry()
         await deployment.publish_instances()
         await deployment.ready(restarted)
+        # No sidecar is asked for the models, so the entry must know.
+        assert await models_status(deployment, restarted) == 403
         assert await call(deployment, restarted) == REVOKED
         assert await run_count(deployment) == before
 
--- a/tests/test_leaving_processes.py
+++ b/tests/test_leaving_processes.py
@@ -33,9 +33,12 @@
     ]
     await deployment.publish_instances()
 
+    await until_not_ready(deployment, deployment.sidecars[number])
+
+
+async def until_not_ready(deployment, sidecar):
     async def is_refusing():
-        url = deployment.sidecars[number].url + '/readyz'
-        async with deployment.session.get(url) as response:
+        async with deployment.session.get(sidecar.url + '/readyz') as response:
             return response.status == 503
 
     await processes.until(is_refusing)
@@ -101,9 +104,23 @@
 
     @pytest.mark.proves(Promise.LEAVING, Fault.NONE, Step.DRAINING)
     async def test_terminated_sidecar_takes_no_new_work(self, deployment):
-        deployment.sidecars[0].terminate()
-        await call_all(deployment, deployment.entries[0])
-        before = await run_counts(deployment)
-        await call_all(deployment, deployment.entries[0])
-        after = await run_counts(deployment)
-        assert after[0] == before[0]
+        """New requests keep a backend server busy that is to shut down.
+
+        Its sidecar gets SIGTERM while a stream runs, and the list still
+        calls it live.  The cause would be a drain that admits more.
+        """
+        entry = deployment.entries[0]
+        grants = deployment.contracts['haneul'].adapters
+        async with deployment.call(
+            entry, 'haneul', grants[0].name, stream=True, max_tokens=1000
+        ) as response:
+            await response.content.readline()
+            before = await run_counts(deployment)
+            busy = before.index(max(before))
+            deployment.sidecars[busy].terminate()
+            await until_not_ready(deployment, deployment.sidecars[busy])
+            await call_all(deployment, entry)
+            after = await run_counts(deployment)
+            assert after[busy] == before[busy]
+            text = await response.text()
+            assert text.endswith('data: [DONE]\n\n')
