--- a/benchmarks/contracts.py
+++ b/benchmarks/contracts.py
@@ -16,6 +16,7 @@
 from lacewingpitch import contract_gossip
 from lacewingpitch import contract_versions
 from lacewingpitch import link
+from lacewingpitch import live_list
 from lacewingpitch import standin_platform
 from tests import contract_fakes
 from tests import processes
@@ -159,6 +160,36 @@
     show('paused, from waking', times, direct_s)
 
 
+async def measure_leaving(fleet):
+    """Measure from the publishing of the list to the first refusal."""
+    deployment = fleet.deployment
+    times = []
+    for number, sidecar in enumerate(deployment.sidecars[:-1]):
+        deployment.instances = [
+            msgspec.structs.replace(i, state=live_list.InstanceState.LEAVING)
+            if i.name == f'sidecar-{number}'
+            else i
+            for i in deployment.instances
+        ]
+        started_s = time.monotonic()
+        await deployment.publish_instances()
+        await until_leaving(deployment, sidecar)
+        times.append(time.monotonic() - started_s)
+    print(
+        f'leaving, from the list to refusals: n={len(times)}'
+        f' median {statistics.median(times):.4f} s'
+        f' worst {max(times):.4f} s'
+    )
+
+
+async def until_leaving(deployment, sidecar):
+    while True:
+        async with deployment.session.get(sidecar.url + '/readyz') as answer:
+            if answer.status == 503:
+                return
+        await asyncio.sleep(POLL_S)
+
+
 async def measure_calls(fleet):
     before = await fleet.calls()
     await asyncio.sleep(IDLE_S)
@@ -233,6 +264,7 @@
             await measure_service_down(fleet, direct_s)
             await measure_paused(fleet, direct_s)
             await measure_calls(fleet)
+            await measure_leaving(fleet)
 
 
 if __name__ == '__main__':
--- a/tests/test_contract_book.py
+++ b/tests/test_contract_book.py
@@ -136,6 +136,11 @@
         assert book.authenticate('ivy').revision == 2
         assert refusal(book, 'other') is errors.ErrorKind.UNAUTHENTICATED
 
+    def test_lower_version_noted_changes_nothing(self, book):
+        book.accept(make_contract('ivy', 2))
+        book.note_version('ivy', contract_versions.ContractVersion(1, 9))
+        assert book.authenticate('ivy').revision == 2
+
     def test_order_under_an_older_revision_is_refused(self):
         book = contract_book.ContractBook(capacity_contracts=1)
         book.check_order('ivy', 2)
