--- a/tests/contract_fakes.py
+++ b/tests/contract_fakes.py
@@ -124,6 +124,7 @@
         ends = frozenset((self.source.number, self.target.number))
         if ends in self.source.fleet.cut:
             raise errors.LinkError('cut')
+        self.source.fleet.sent_kinds.add(type(message))
         data = msgspec.msgpack.encode(message)
         self.source.fleet.sent_bytes.append(len(data))
         received = msgspec.msgpack.decode(data, type=type(message))
@@ -140,6 +141,7 @@
         self.clock = ManualClock()
         self.cut = set()
         self.sent_bytes = []
+        self.sent_kinds = set()
         self.nodes = [
             FakeNode(self, number, role, self.clock)
             for number, role in enumerate(roles)
