--- a/lacewingpitch/config_service.py
+++ b/lacewingpitch/config_service.py
@@ -5,7 +5,6 @@
 import aiohttp
 import msgspec
 
-from lacewingpitch import errors
 from lacewingpitch import platform_call
 
 MAX_VALUE_BYTES = 1 << 20
@@ -81,17 +80,7 @@
                 if response.status in (204, 304, 404):
                     return None
                 response.raise_for_status()
-                data = await _read_limited(response)
+                data = await platform_call.read_limited(
+                    response, MAX_VALUE_BYTES + _ENVELOPE_BYTES
+                )
                 return msgspec.json.decode(data, type=Value)
-
-
-async def _read_limited(response: aiohttp.ClientResponse) -> bytes:
-    # One read returns what has arrived, which is a part of a large value.
-    data = bytearray()
-    async for chunk in response.content.iter_any():
-        data += chunk
-        if len(data) > MAX_VALUE_BYTES + _ENVELOPE_BYTES:
-            raise errors.PlatformError(
-                f'a value is larger than {MAX_VALUE_BYTES} bytes'
-            )
-    return bytes(data)
--- a/lacewingpitch/contract_book.py
+++ b/lacewingpitch/contract_book.py
@@ -170,7 +170,7 @@
     def encoded(self, customers: Iterable[str]) -> list[bytes]:
         """Return those contracts of `customers` that are in force here."""
         return [
-            msgspec.json.encode(self._contracts[customer])
+            contract_versions.encode(self._contracts[customer])
             for customer in customers
             if customer in self._contracts and customer not in self._outdated
         ]
--- a/lacewingpitch/contract_versions.py
+++ b/lacewingpitch/contract_versions.py
@@ -1,6 +1,8 @@
 """Which version of each customer's contract is the highest seen."""
 
 from collections.abc import Iterable
+import functools
+from typing import Any
 
 import msgspec
 import xxhash
@@ -51,14 +53,21 @@
     processes must pick the same one whatever the order in which they see
     them, so contents are ordered: a revoked one first, then by hash.
     """
-    # Defaults are left out of the encoding, so a field that a newer
-    # release adds changes no rank during a rolling upgrade.
-    rank = xxhash.xxh3_64_intdigest(msgspec.json.encode(contract)) >> 1
+    rank = xxhash.xxh3_64_intdigest(encode(contract)) >> 1
     if contract.revoked:
         rank |= _REVOKED_RANK
     return ContractVersion(contract.revision, rank)
 
 
+def encode(contract: contract_module.Contract) -> bytes:
+    """Return a contract as JSON without fields that hold their default.
+
+    A field that a newer release adds then changes no rank, and no older
+    release rejects the contract, until an operator sets the field.
+    """
+    return msgspec.json.encode(_without_defaults(contract))
+
+
 class VersionTable:
     """The highest version seen of every customer, with hashes over them.
 
@@ -122,6 +131,24 @@
         )
 
 
+def _without_defaults(value: Any) -> Any:
+    if isinstance(value, tuple):
+        return [_without_defaults(item) for item in value]
+    if not isinstance(value, msgspec.Struct):
+        return value
+    defaults = _defaults(type(value))
+    return {
+        name: _without_defaults(getattr(value, name))
+        for name, default in defaults.items()
+        if getattr(value, name) != default
+    }
+
+
+@functools.cache
+def _defaults(kind: type[msgspec.Struct]) -> dict[str, Any]:
+    return {f.name: f.default for f in msgspec.structs.fields(kind)}
+
+
 def _leaf_of(customer: str) -> int:
     return xxhash.xxh3_64_intdigest(customer.encode()) % LEAF_COUNT
 
--- a/lacewingpitch/live_list.py
+++ b/lacewingpitch/live_list.py
@@ -8,8 +8,10 @@
 import structlog
 
 from lacewingpitch import platform_call
+from lacewingpitch import settings
 
 _READ_TIMEOUT_S = 5.0
+_MAX_LIST_BYTES = 4 << 20
 log = structlog.get_logger(__name__)
 
 
@@ -44,9 +46,9 @@
     role: Role
     region: str
     availability_zone: str
-    ip: str
-    work_port: int
-    control_port: int
+    ip: settings.Ip
+    work_port: settings.Port
+    control_port: settings.Port
     serves: str = ''
     started_at_s: float = 0.0
     state: InstanceState = InstanceState.LIVE
@@ -126,5 +128,7 @@
                 if response.status in (204, 304):
                     return None
                 response.raise_for_status()
-                data = await response.read()
+                data = await platform_call.read_limited(
+                    response, _MAX_LIST_BYTES
+                )
                 return decode_list(data)
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -34,6 +34,8 @@
         since the clocks of two instances differ.
     idempotency_key
         The caller's key; empty if it gave none.
+    queued_requests
+        Requests of the customer that may wait at one sidecar.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     stream: bool = False
     idempotency_key: str = ''
     max_tokens: int = 0
+    queued_requests: int = 32
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -86,12 +89,20 @@
         if kind != WorkOrder.__name__:
             raise errors.LinkError(f'not an order but {kind}')
         return msgspec.msgpack.decode(body, type=WorkOrder)
-    except (ValueError, errors.LinkError) as error:
+    except (ValueError, RecursionError, errors.LinkError) as error:
         raise errors.RefusalError(
             errors.ErrorKind.FOREIGN_PROCESS, str(error)
         ) from error
 
 
+def decode_error(body: bytes) -> ErrorBody | None:
+    """Return the error that a body says, or ``None`` if it says none."""
+    try:
+        return msgspec.json.decode(body, type=ErrorBody)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+
+
 def refusal_of(error: errors.RefusalError) -> Refusal:
     """Return what a caller or peer is told of an error."""
     return Refusal(
--- a/tests/test_published_contracts.py
+++ b/tests/test_published_contracts.py
@@ -217,7 +217,7 @@
 
     async def test_value_over_the_limit_is_refused(self, aiohttp_pair):
         content = msgspec.json.encode(['x' * 1000] * 1100)
-        with pytest.raises(errors.PlatformError, match='larger than'):
+        with pytest.raises(errors.PlatformError, match='above'):
             await aiohttp_pair(content)
 
 
