--- a/lacewingpitch/contract_files.py
+++ b/lacewingpitch/contract_files.py
@@ -15,8 +15,8 @@
 from lacewingpitch import checking
 from lacewingpitch import config_service
 from lacewingpitch import contract as contract_module
-from lacewingpitch import contract_book
 from lacewingpitch import errors
+from lacewingpitch import published_contracts
 
 DEFAULT_SHARD_COUNT = 64
 
@@ -87,24 +87,33 @@
         name = shard_name(contract.customer, shard_count)
         shards.setdefault(name, []).append(contract)
     values = [
-        PublishedValue(name, _encode({'contracts': shards[name]}))
+        PublishedValue(name, _encode_shard(shards[name]))
         for name in sorted(shards)
     ]
-    index = contract_book.ContractIndex(
+    index = published_contracts.ContractIndex(
         shards=tuple(
-            contract_book.ShardRevision(
+            published_contracts.ShardRevision(
                 name=name, revision=_shard_revision(shards[name])
             )
             for name in sorted(shards)
         )
     )
     # The index comes last: whoever reads it finds the shards it names.
-    values.append(PublishedValue(contract_book.INDEX_NAME, _encode(index)))
+    values.append(
+        PublishedValue(published_contracts.INDEX_NAME, _encode(index))
+    )
     for value in values:
         _check_size(value)
     return values
 
 
+def _encode_shard(contracts: list[contract_module.Contract]) -> bytes:
+    # With its revision inside, a reader tells a shard that lags behind
+    # the index from the one that the index names.
+    revision = _shard_revision(contracts)
+    return _encode({'revision': revision, 'contracts': contracts})
+
+
 def write_values(
     values: Iterable[PublishedValue],
     folder: pathlib.Path | None,
--- a/lacewingpitch/decoding.py
+++ b/lacewingpitch/decoding.py
@@ -16,7 +16,10 @@
 
 
 class Record(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
 ):
     """A frozen data class that refuses fields it does not know."""
 
--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -1,7 +1,7 @@
 """An HTTP server that knows its work in progress and can drain."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 import contextlib
 
 from aiohttp import web
@@ -9,6 +9,7 @@
 from lacewingpitch import http_guard
 
 Handler = http_guard.Handler
+Mark = Callable[[web.Request, web.StreamResponse], Awaitable[None]]
 _SHUTDOWN_S = 1.0
 _STALL_S = 60.0
 
@@ -53,6 +54,10 @@
 
         self.route(method, path, counted)
 
+    def mark_answers(self, mark: Mark) -> None:
+        """Call `mark` on every answer before its head is sent."""
+        self._app.on_response_prepare.append(mark)
+
     async def start(self, ip: str, port: int) -> None:
         """Bind `ip` and `port` exclusively; port 0 takes a free one."""
         runner = web.AppRunner(
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -14,6 +14,7 @@
 KIND_HEADER = 'Lacewingpitch-Error-Kind'
 HINT_HEADER = 'Lacewingpitch-Hint'
 LOAD_STALL_HEADER = 'Lacewingpitch-Load-Stall-S'
+LEAVING_HEADER = 'Lacewingpitch-Leaving'
 
 
 class WorkOrder(link.Message, frozen=True):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -104,13 +104,14 @@
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
         self._exits = contextlib.AsyncExitStack()
-        self._secret = secrets.token_hex()
+        self.secret = secrets.token_hex()
         self.entries = []
         self.sidecars = []
         self.engines = []
         self.services = []
         self.instances = []
         self.contracts = {}
+        self.shard_revision = 0
         self.keys = {}
 
     async def __aenter__(self):
@@ -208,7 +209,7 @@
         platform = settings.Address(ip=IP, port=port)
         defaults = {
             'deployment': 'test',
-            'secret': self._secret,
+            'secret': self.secret,
             'instance': name,
             'availability_zone': 'zone-a',
             'region': 'region-a',
@@ -251,11 +252,15 @@
         )
 
     async def publish_contracts(self):
-        revision = 1 + sum(c.revision for c in self.contracts.values())
+        self.shard_revision += 1
+        revision = self.shard_revision
         await self.put(
             self.platform,
             '/v1/values/contracts.0',
-            {'contracts': tuple(self.contracts.values())},
+            {
+                'revision': revision,
+                'contracts': tuple(self.contracts.values()),
+            },
         )
         await self.put(
             self.platform,
--- a/tests/test_contract_files.py
+++ b/tests/test_contract_files.py
@@ -7,9 +7,9 @@
 
 from lacewingpitch import config_service
 from lacewingpitch import contract
-from lacewingpitch import contract_book
 from lacewingpitch import contract_files
 from lacewingpitch import errors
+from lacewingpitch import published_contracts
 from tests import samples
 
 SHARDS = 8
@@ -33,7 +33,7 @@
             msgspec.json.decode(bytes(raw), type=contract.Contract)
             for value in values[:-1]
             for raw in msgspec.json.decode(
-                value.content, type=contract_book.ContractShard
+                value.content, type=published_contracts.ContractShard
             ).contracts
         ]
         assert sorted(c.customer for c in found) == sorted(contracts)
@@ -41,9 +41,9 @@
 
     def test_puts_the_index_last_with_each_shard(self):
         values = contract_files.render(fleet().values(), SHARDS)
-        assert values[-1].name == contract_book.INDEX_NAME
+        assert values[-1].name == published_contracts.INDEX_NAME
         index = msgspec.json.decode(
-            values[-1].content, type=contract_book.ContractIndex
+            values[-1].content, type=published_contracts.ContractIndex
         )
         names = [shard.name for shard in index.shards]
         assert names == [value.name for value in values[:-1]]
@@ -57,7 +57,7 @@
             b.name for a, b in zip(before, after, strict=True) if a != b
         ]
         shard = contract_files.shard_name('c7', SHARDS)
-        assert changed == [shard, contract_book.INDEX_NAME]
+        assert changed == [shard, published_contracts.INDEX_NAME]
         assert _revision(after, shard) > _revision(before, shard)
 
     def test_another_count_of_shards_gives_other_names(self):
