Voters and claims: first cut, not yet proved

Promises of one attempt per idempotency key, kept in memory at sidecars, and the claim that collects a quorum before a request is passed on.

--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -18,6 +18,7 @@
 from lacewingpitch import errors
 from lacewingpitch import event_stream
 from lacewingpitch import http_server
+from lacewingpitch import idempotency
 from lacewingpitch import node
 from lacewingpitch import placement
 from lacewingpitch import settings as settings_module
@@ -25,7 +26,6 @@
 
 _BEARER = 'Bearer '
 _EVENT_STREAM = 'text/event-stream'
-MAX_KEY_LENGTH = 128
 _READY_POLL_S = 0.02
 log = structlog.get_logger(__name__)
 
@@ -222,6 +222,13 @@
     async def _deliver(
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
+        if order.idempotency_key:
+            idempotency.check_window(
+                order.idempotency_key,
+                self._node.clock.wall_s(),
+                self.settings.key_window_s,
+                self.settings.clock_skew_s,
+            )
         content_type = request.headers.get('Content-Type', '')
         async with self._dispatcher.send(order, body, content_type) as found:
             if found.content_type == _EVENT_STREAM:
@@ -287,6 +294,17 @@
         ) from error
 
 
+def _read_key(request: web.Request) -> str:
+    keys = request.headers.getall('Idempotency-Key', [])
+    if not keys:
+        return ''
+    if len(keys) > 1:
+        raise errors.RefusalError(
+            errors.ErrorKind.BAD_IDEMPOTENCY_KEY, 'more than one key'
+        )
+    return idempotency.canonical(keys[0])
+
+
 def _make_order(
     request: web.Request,
     contract: contract_module.Contract,
@@ -299,11 +317,7 @@
     stream: bool = False,
     max_tokens: int = 0,
 ) -> work.WorkOrder:
-    key = request.headers.get('Idempotency-Key', '')
-    if len(key) > MAX_KEY_LENGTH:
-        raise errors.RefusalError(
-            errors.ErrorKind.BAD_IDEMPOTENCY_KEY, 'the key is too long'
-        )
+    key = _read_key(request)
     return work.WorkOrder(
         request_id=request_id,
         attempt=0,
@@ -319,6 +333,7 @@
         service=service,
         stream=stream,
         idempotency_key=key,
+        region=contract.region,
         max_tokens=max_tokens,
     )
 
--- a/lacewingpitch/settings.py
+++ b/lacewingpitch/settings.py
@@ -44,6 +44,10 @@
         Port for control messages.
     drain_s
         How long a graceful shutdown waits for work in progress.
+    key_window_s
+        Age up to which an idempotency key is accepted.
+    clock_skew_s
+        Most that two clocks, a caller's or an instance's, may differ.
     """
 
     deployment: contract.Name
@@ -57,6 +61,8 @@
     config_service: Address
     live_list: Address
     drain_s: contract.PositiveFloat = 600.0
+    key_window_s: contract.PositiveFloat = 600.0
+    clock_skew_s: contract.PositiveFloat = 5.0
 
 
 class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
@@ -94,10 +100,22 @@
 
 
 class SidecarSettings(ProcessSettings, frozen=True, kw_only=True):
-    """Settings of a sidecar."""
+    """Settings of a sidecar.
+
+    Parameters
+    ----------
+    max_queued
+        Requests that may wait here.
+    list_lag_s
+        Longest that two instances may hold different lists.
+    max_votes
+        Idempotency keys whose votes are remembered.
+    """
 
     backend_server: EngineSettings | ServiceSettings
     max_queued: contract.PositiveInt = 1024
+    list_lag_s: contract.PositiveFloat = 60.0
+    max_votes: contract.PositiveInt = 100_000
 
 
 def load_settings(
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -8,6 +8,7 @@
 import structlog
 
 from lacewingpitch import answer
+from lacewingpitch import claim as claim_module
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
 from lacewingpitch import http_server
@@ -16,6 +17,7 @@
 from lacewingpitch import runner as runner_module
 from lacewingpitch import settings as settings_module
 from lacewingpitch import voiding
+from lacewingpitch import voter as voter_module
 from lacewingpitch import work
 
 MAX_BODY_BYTES = 8 << 20
@@ -41,6 +43,26 @@
         self.settings = settings
         self._node = node.Node(settings, clock or clock_module.SystemClock())
         self._ledger = ledger.RunLedger(self._node.clock)
+        self._voter = voter_module.Voter(
+            settings.instance,
+            self._node.clock,
+            window_s=settings.key_window_s,
+            skew_s=settings.clock_skew_s,
+            list_lag_s=settings.list_lag_s,
+            max_votes=settings.max_votes,
+        )
+        self._claims = claim_module.Claims(
+            settings.instance,
+            claim_module.PeerVoters(
+                settings.instance,
+                self._voter,
+                self._node.peers,
+                self._node.membership,
+            ),
+            self._node.membership,
+            self._node.clock,
+            settings.key_window_s,
+        )
         self._server = http_server.HttpServer(MAX_BODY_BYTES)
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
@@ -84,6 +106,7 @@
         )
         await self._exits.enter_async_context(self._runner)
         self._node.control.handle(voiding.VoidRequest, self._void)
+        self._start_claims()
         self._node.follow_platform()
 
     async def close(self) -> None:
@@ -92,6 +115,17 @@
         await self._server.drain(self.settings.drain_s)
         await self._exits.aclose()
 
+    def _start_claims(self) -> None:
+        self._node.control.handle(voter_module.VoteRequest, self._vote)
+        self._node.control.handle(voter_module.WithdrawRequest, self._withdraw)
+        self._node.control.handle(
+            claim_module.OutcomeRequest, self._claims.tell
+        )
+        self._exits.push_async_callback(self._claims.close)
+        self._node.membership.changes.subscribe(
+            lambda published: self._voter.take_list(published.instances)
+        )
+
     async def _take(self, request: web.Request) -> web.StreamResponse:
         try:
             order = work.decode_order(
@@ -118,9 +152,19 @@
         try:
             self._admit()
             body = await request.read()
-            async with self._turn(order):
+            async with (
+                self._claims.claim(order, body) as claim,
+                contextlib.AsyncExitStack() as held,
+            ):
+                async with claim.collecting():
+                    await held.enter_async_context(self._turn(order))
+                claim.start()
                 self._ledger.start(attempt_id)
-                return await self._runner.run(request, order, body)
+                response = await self._runner.run(request, order, body)
+                claim.keep(response)
+                return response
+        except claim_module.KeptAnswerError as found:
+            return found.answer.response()
         finally:
             self._ledger.finish(attempt_id)
 
@@ -172,3 +216,13 @@
     async def _void(self, message: voiding.VoidRequest) -> voiding.VoidReply:
         state = self._ledger.void(message.attempt_id)
         return voiding.VoidReply(state=state)
+
+    async def _vote(
+        self, message: voter_module.VoteRequest
+    ) -> voter_module.VoteReply:
+        return self._voter.vote(message)
+
+    async def _withdraw(
+        self, message: voter_module.WithdrawRequest
+    ) -> voter_module.WithdrawReply:
+        return self._voter.withdraw(message)
--- /dev/null
+++ b/lacewingpitch/voter.py
@@ -0,0 +1,349 @@
+"""Promises, kept in memory, that back one attempt per idempotency key."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+import heapq
+import math
+
+import xxhash
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import idempotency
+from lacewingpitch import link
+from lacewingpitch import live_list
+
+MAX_VOTERS = 5
+MAX_VOTERS_PER_ZONE = 2
+ANY_REGION = 'default'
+_SMALLEST_SPARING_ONE = 4
+_MAX_VIEWS = 64
+_MAX_WITHDRAWN = 16
+_RETRY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VoterSet:
+    """The voters of one key by one list, and how many must agree."""
+
+    instances: tuple[live_list.Instance, ...]
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Return the voters' names."""
+        return frozenset(instance.name for instance in self.instances)
+
+    @property
+    def quorum(self) -> int:
+        """Return how many votes a claim needs."""
+        return quorum_of(len(self.instances))
+
+
+def quorum_of(voter_count: int) -> int:
+    """Return the votes needed of so many voters.
+
+    From four voters on, one may be down; fewer must all agree.
+    """
+    if voter_count >= _SMALLEST_SPARING_ONE:
+        return voter_count - 1
+    return voter_count
+
+
+def voters_of(
+    customer: str,
+    key: str,
+    region: str,
+    instances: Iterable[live_list.Instance],
+) -> VoterSet:
+    """Return the voters of a key, the same for equal lists everywhere.
+
+    Zones take turns of `MAX_VOTERS_PER_ZONE` voters, best hash first, so
+    that the loss of a zone costs no more voters than need be.  One
+    instance more or less in the list changes one voter at most.
+
+    Notes
+    -----
+    Instances that leave still vote until the list drops them: they keep
+    their promises until they end.
+    """
+    scored = sorted(
+        (
+            (_score(customer, key, instance), instance)
+            for instance in instances
+            if instance.role is live_list.Role.SIDECAR
+            and region in (ANY_REGION, '', instance.region)
+        ),
+        key=lambda pair: (-pair[0], pair[1].name),
+    )
+    found: list[tuple[int, int, live_list.Instance]] = []
+    seen: dict[str, int] = {}
+    for order, (_, instance) in enumerate(scored):
+        zone = instance.availability_zone
+        place = seen.get(zone, 0)
+        seen[zone] = place + 1
+        found.append((place // MAX_VOTERS_PER_ZONE, order, instance))
+    found.sort(key=lambda item: item[:2])
+    return VoterSet(tuple(item[2] for item in found[:MAX_VOTERS]))
+
+
+def _score(customer: str, key: str, instance: live_list.Instance) -> int:
+    name = f'{customer}/{key}/{instance.name}'
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+class Verdict(enum.StrEnum):
+    """What a voter says to a claim."""
+
+    GRANTED = 'granted'
+    TAKEN = 'taken'
+    OTHER_BODY = 'other-body'
+    WITHDRAWN = 'withdrawn'
+    TOO_OLD = 'too-old'
+    FROM_FUTURE = 'from-future'
+    LISTS_DIFFER = 'lists-differ'
+    TABLE_FULL = 'table-full'
+
+
+class VoteRequest(link.Message, frozen=True):
+    """Asks a voter to back one claim on a key, and no other.
+
+    Parameters
+    ----------
+    claim_id
+        Unique for each try of an attempt to claim the key.
+    holder
+        Instance whose sidecar claims.
+    digest
+        Tells whether another request carries the same key.
+    voters, quorum
+        The key's voters as the claiming sidecar knows them.
+    """
+
+    customer: str
+    key: str
+    region: str
+    claim_id: str
+    holder: str
+    digest: str
+    voters: tuple[str, ...]
+    quorum: int
+
+
+class VoteReply(link.Message, frozen=True):
+    """A voter's answer; names who holds its vote if it is taken."""
+
+    verdict: Verdict
+    claim_id: str = ''
+    holder: str = ''
+    retry_after_s: float = _RETRY_S
+
+
+class WithdrawRequest(link.Message, frozen=True):
+    """Gives back the vote of a claim that did not and will not run."""
+
+    customer: str
+    key: str
+    claim_id: str
+
+
+class WithdrawReply(link.Message, frozen=True):
+    """The voter will never again back that claim."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Vote:
+    claim_id: str = ''
+    holder: str = ''
+    digest: str = ''
+    withdrawn: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _View:
+    taken_at_s: float
+    instances: tuple[live_list.Instance, ...]
+
+
+class Voter:
+    """Backs at most one claim per key, for as long as the key is valid.
+
+    Parameters
+    ----------
+    name
+        This instance.
+    window_s
+        Age up to which keys are backed.
+    skew_s
+        Most that two clocks, a caller's or an instance's, may differ.
+    list_lag_s
+        Longest that two instances may hold different lists.
+    max_votes
+        Bound of the table.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: clock_module.Clock,
+        *,
+        window_s: float,
+        skew_s: float,
+        list_lag_s: float,
+        max_votes: int,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._window_s = window_s
+        self._skew_s = skew_s
+        self._list_lag_s = list_lag_s
+        self._max_votes = max_votes
+        self._votes: dict[tuple[str, str], _Vote] = {}
+        self._by_age: list[tuple[float, tuple[str, str]]] = []
+        self._views: list[_View] = []
+        # Keys from before this are refused.  It never goes back, so what
+        # was forgotten once is never backed again, whatever the clock.
+        self._oldest_s = math.inf
+
+    def __len__(self) -> int:
+        """Return the number of keys remembered."""
+        return len(self._votes)
+
+    def take_list(self, instances: tuple[live_list.Instance, ...]) -> None:
+        """Take over a published list."""
+        now_s = self._clock.wall_s()
+        if self._views:
+            # A clock that jumps back must not hide a list that was in
+            # force after a key was made.
+            now_s = max(now_s, self._views[-1].taken_at_s)
+        else:
+            # A voter that restarted has forgotten its promises.  The
+            # caller would see its work done twice when a second sending
+            # is backed by voters that lost the first.  Keys from before
+            # the first list are refused, by the latest possible clock.
+            self._oldest_s = now_s + self._skew_s
+        self._views.append(_View(now_s, instances))
+        self._drop_views(now_s)
+
+    def vote(self, request: VoteRequest) -> VoteReply:
+        """Back a claim, or say why not.  Asking again changes nothing."""
+        refusal = self._check_time(request) or self._check_lists(request)
+        if refusal is not None:
+            return refusal
+        name = (request.customer, request.key)
+        vote = self._votes.get(name)
+        if vote is None:
+            if len(self._votes) >= self._max_votes:
+                # Forgetting a vote to make room would let a second
+                # sending run; refusing costs only a later retry.
+                return VoteReply(
+                    verdict=Verdict.TABLE_FULL,
+                    retry_after_s=self._room_in_s(),
+                )
+            vote = self._remember(name)
+        return self._decide(vote, request)
+
+    def withdraw(self, request: WithdrawRequest) -> WithdrawReply:
+        """Free the vote of a claim, and never back that claim again."""
+        name = (request.customer, request.key)
+        self._forget_old()
+        if idempotency.created_at_s(request.key) < self._oldest_s:
+            return WithdrawReply()
+        vote = self._votes.get(name)
+        if vote is None:
+            if len(self._votes) >= self._max_votes:
+                return WithdrawReply()
+            vote = self._remember(name)
+        # The request for the vote may arrive after this, or once more.
+        # Backing it then would block the key for a claim that is over.
+        if len(vote.withdrawn) < _MAX_WITHDRAWN:
+            vote.withdrawn = (*vote.withdrawn, request.claim_id)
+        if vote.claim_id == request.claim_id:
+            vote.claim_id = vote.holder = ''
+        return WithdrawReply()
+
+    def _decide(self, vote: _Vote, request: VoteRequest) -> VoteReply:
+        if request.claim_id in vote.withdrawn:
+            return VoteReply(verdict=Verdict.WITHDRAWN)
+        if vote.digest and vote.claim_id and vote.digest != request.digest:
+            return VoteReply(verdict=Verdict.OTHER_BODY)
+        if vote.claim_id not in ('', request.claim_id):
+            return VoteReply(
+                verdict=Verdict.TAKEN,
+                claim_id=vote.claim_id,
+                holder=vote.holder,
+            )
+        if vote.claim_id:
+            return VoteReply(verdict=Verdict.GRANTED)
+        if len(vote.withdrawn) >= _MAX_WITHDRAWN:
+            return VoteReply(verdict=Verdict.TABLE_FULL)
+        vote.claim_id = request.claim_id
+        vote.holder = request.holder
+        vote.digest = request.digest
+        return VoteReply(verdict=Verdict.GRANTED)
+
+    def _check_time(self, request: VoteRequest) -> VoteReply | None:
+        created_s = idempotency.created_at_s(request.key)
+        self._forget_old()
+        if created_s > self._clock.wall_s() + self._skew_s:
+            # Backed now, it could outlive a restart of this voter.
+            return VoteReply(verdict=Verdict.FROM_FUTURE)
+        if created_s < self._oldest_s:
+            return VoteReply(verdict=Verdict.TOO_OLD)
+        return None
+
+    def _check_lists(self, request: VoteRequest) -> VoteReply | None:
+        # Claims with very different lists choose voters that do not meet,
+        # and both would win.  A voter that came in by a change of the
+        # list cannot know of earlier claims on older keys; one whose
+        # lists of late give voters that need not meet the claim's cannot
+        # tell who else claims.  Both abstain, so neither claim goes on.
+        now_s = self._clock.wall_s()
+        since_s = idempotency.created_at_s(request.key) - self._skew_s
+        asked = frozenset(request.voters)
+        ends_s = [view.taken_at_s for view in self._views[1:]] + [math.inf]
+        for view, end_s in zip(self._views, ends_s, strict=True):
+            own = voters_of(
+                request.customer, request.key, request.region, view.instances
+            )
+            if end_s > since_s and self._name not in own.names:
+                return VoteReply(verdict=Verdict.LISTS_DIFFER)
+            is_recent = end_s > now_s - self._list_lag_s
+            met = own.quorum + request.quorum > len(own.names | asked)
+            if is_recent and not met:
+                wait_s = end_s + self._list_lag_s - now_s
+                return VoteReply(
+                    verdict=Verdict.LISTS_DIFFER,
+                    retry_after_s=(
+                        max(_RETRY_S, wait_s)
+                        if math.isfinite(wait_s)
+                        else _RETRY_S
+                    ),
+                )
+        return None
+
+    def _remember(self, name: tuple[str, str]) -> _Vote:
+        vote = self._votes[name] = _Vote()
+        heapq.heappush(self._by_age, (idempotency.created_at_s(name[1]), name))
+        return vote
+
+    def _forget_old(self) -> None:
+        self._oldest_s = max(
+            self._oldest_s, self._clock.wall_s() - self._window_s
+        )
+        while self._by_age and self._by_age[0][0] < self._oldest_s:
+            del self._votes[heapq.heappop(self._by_age)[1]]
+
+    def _room_in_s(self) -> float:
+        oldest_s = self._by_age[0][0] + self._window_s
+        return max(_RETRY_S, oldest_s - self._clock.wall_s())
+
+    def _drop_views(self, now_s: float) -> None:
+        kept_s = max(self._window_s + self._skew_s, self._list_lag_s)
+        while len(self._views) > 1:
+            end_s = self._views[1].taken_at_s
+            if end_s >= now_s - kept_s and len(self._views) <= _MAX_VIEWS:
+                return
+            del self._views[0]
+            # What is not known of older lists is made up for by
+            # refusing the keys that they could have concerned.
+            self._oldest_s = max(self._oldest_s, end_s + self._skew_s)
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -32,7 +32,9 @@
         Seconds left until the answer must have started.  It is relative,
         since the clocks of two instances differ.
     idempotency_key
-        The caller's key; empty if it gave none.
+        The caller's key, a UUIDv7; empty if it gave none.
+    region
+        The customer's, where the voters on its keys are.
     """
 
     request_id: str
@@ -49,6 +51,7 @@
     service: str = ''
     stream: bool = False
     idempotency_key: str = ''
+    region: str = ''
     max_tokens: int = 0
 
 
--- /dev/null
+++ b/tests/test_voter.py
@@ -0,0 +1,531 @@
+"""Voters alone, then the promise under random interleavings."""
+
+import random
+
+from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from lacewingpitch import claim
+from lacewingpitch import live_list
+from lacewingpitch import voter
+from tests import fault_matrix
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+Verdict = voter.Verdict
+
+WINDOW_S = 600.0
+SKEW_S = 4.0
+LAG_S = 60.0
+START_S = 1_700_000_000.0
+
+
+class FakeClock:
+    """A wall clock that is off by some seconds; time passes on command."""
+
+    now_s = START_S
+
+    def __init__(self, world=None, offset_s=0.0):
+        self._world = world or self
+        self._offset_s = offset_s
+
+    def wall_s(self):
+        return self._world.now_s + self._offset_s
+
+    def monotonic_s(self):
+        return self._world.now_s
+
+
+def instances(count, zones=4):
+    return tuple(
+        live_list.Instance(
+            name=f'sidecar-{number}',
+            role=live_list.Role.SIDECAR,
+            region='region-a',
+            availability_zone=f'zone-{number % zones}',
+            ip='127.0.0.1',
+            work_port=1,
+            control_port=2,
+        )
+        for number in range(count)
+    )
+
+
+def key_at(created_s, noise=0):
+    """Return a UUIDv7 made at some time."""
+    value = int(created_s * 1000) << 80 | 7 << 76 | 2 << 62 | noise
+    text = f'{value:032x}'
+    return '-'.join(
+        (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
+    )
+
+
+def make_voter(name, clock, *, kind=voter.Voter, max_votes=100):
+    return kind(
+        name,
+        clock,
+        window_s=WINDOW_S,
+        skew_s=SKEW_S,
+        list_lag_s=LAG_S,
+        max_votes=max_votes,
+    )
+
+
+def ask(key, claim_id='claim-1', found=None, **fields):
+    voters = found or voter.VoterSet(instances(1))
+    return voter.VoteRequest(
+        **{
+            'customer': 'haneul',
+            'key': key,
+            'region': 'region-a',
+            'claim_id': claim_id,
+            'holder': 'sidecar-0',
+            'digest': 'body-1',
+            'voters': tuple(i.name for i in voters.instances),
+            'quorum': voters.quorum,
+        }
+        | fields
+    )
+
+
+def give_back(key, claim_id):
+    return voter.WithdrawRequest(customer='haneul', key=key, claim_id=claim_id)
+
+
+@pytest.fixture
+def clock():
+    return FakeClock()
+
+
+@pytest.fixture
+def alone(clock):
+    """Return the only voter of every key, past its start."""
+    found = make_voter('sidecar-0', clock)
+    found.take_list(instances(1))
+    clock.now_s += 100.0
+    return found
+
+
+class TestVotersOf:
+    @given(
+        count=strategies.integers(1, 14),
+        zones=strategies.integers(1, 5),
+        gone=strategies.integers(0, 13),
+        noise=strategies.integers(0, 1 << 40),
+    )
+    def test_one_change_of_the_list_changes_one_voter(
+        self, count, zones, gone, noise
+    ):
+        before = instances(count, zones)
+        after = tuple(i for i in before if i.name != f'sidecar-{gone % count}')
+        key = key_at(START_S, noise)
+        one = voter.voters_of('haneul', key, 'region-a', before)
+        other = voter.voters_of('haneul', key, 'region-a', after)
+        assert len(one.names - other.names) <= 1
+        assert len(other.names - one.names) <= 1
+
+    @given(count=strategies.integers(1, 14), noise=strategies.integers(0, 99))
+    def test_two_quorums_of_one_list_meet(self, count, noise):
+        found = voter.voters_of(
+            'haneul', key_at(START_S, noise), 'region-a', instances(count)
+        )
+        assert 2 * found.quorum > len(found.instances)
+        assert len(found.instances) == min(count, voter.MAX_VOTERS)
+
+    @pytest.mark.parametrize('zones', [3, 4, 5])
+    def test_no_zone_holds_a_quorum(self, zones):
+        for noise in range(200):
+            found = voter.voters_of(
+                'haneul',
+                key_at(START_S, noise),
+                'region-a',
+                instances(12, zones),
+            )
+            places = [i.availability_zone for i in found.instances]
+            assert max(places.count(zone) for zone in places) <= 2
+
+    def test_other_regions_have_no_vote(self):
+        found = voter.voters_of(
+            'haneul', key_at(START_S), 'region-b', instances(9)
+        )
+        assert not found.instances
+
+
+class TestVote:
+    def test_backs_one_claim_however_often_it_asks(self, alone, clock):
+        key = key_at(clock.now_s)
+        for _ in range(2):
+            assert alone.vote(ask(key)).verdict is Verdict.GRANTED
+        reply = alone.vote(ask(key, 'claim-2', holder='sidecar-9'))
+        assert reply.verdict is Verdict.TAKEN
+        assert (reply.claim_id, reply.holder) == ('claim-1', 'sidecar-0')
+
+    def test_keys_of_two_customers_are_two_keys(self, alone, clock):
+        key = key_at(clock.now_s)
+        alone.vote(ask(key))
+        reply = alone.vote(ask(key, 'claim-2', customer='caravan'))
+        assert reply.verdict is Verdict.GRANTED
+
+    def test_tells_another_body(self, alone, clock):
+        key = key_at(clock.now_s)
+        alone.vote(ask(key))
+        reply = alone.vote(ask(key, 'claim-2', digest='body-2'))
+        assert reply.verdict is Verdict.OTHER_BODY
+
+    def test_only_the_holder_gives_its_vote_back(self, alone, clock):
+        key = key_at(clock.now_s)
+        alone.vote(ask(key))
+        alone.withdraw(give_back(key, 'claim-2'))
+        assert alone.vote(ask(key, 'claim-3')).verdict is Verdict.TAKEN
+        alone.withdraw(give_back(key, 'claim-1'))
+        assert alone.vote(ask(key, 'claim-3')).verdict is Verdict.GRANTED
+
+    def test_late_request_of_a_withdrawn_claim_blocks_nothing(
+        self, alone, clock
+    ):
+        """A caller's key is refused though nothing holds it.
+
+        A claim is given up; its request for the vote arrives after the
+        withdrawal.  The cause would be a voter that backs it then.
+        """
+        key = key_at(clock.now_s)
+        alone.withdraw(give_back(key, 'claim-1'))
+        assert alone.vote(ask(key)).verdict is Verdict.WITHDRAWN
+        assert alone.vote(ask(key, 'claim-2')).verdict is Verdict.GRANTED
+
+
+class TestWindow:
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.KILLED, Step.CLAIMED)
+    def test_restarted_voter_backs_no_older_key(self, clock):
+        """A subscriber's balcony is watered twice.
+
+        A first sending wins the votes and runs; the voters restart and
+        forget; the second sending would win them again.
+        """
+        key = key_at(clock.now_s)
+        clock.now_s += 1.0
+        found = make_voter('sidecar-0', clock)
+        assert found.vote(ask(key)).verdict is Verdict.TOO_OLD
+        found.take_list(instances(1))
+        clock.now_s += 2 * SKEW_S
+        assert found.vote(ask(key)).verdict is Verdict.TOO_OLD
+        fresh = key_at(clock.now_s)
+        assert found.vote(ask(fresh)).verdict is Verdict.GRANTED
+
+    def test_key_from_the_future_is_refused(self, alone, clock):
+        key = key_at(clock.now_s + SKEW_S + 1.0)
+        assert alone.vote(ask(key)).verdict is Verdict.FROM_FUTURE
+
+    def test_what_is_forgotten_is_refused_whatever_the_clock(
+        self, alone, clock
+    ):
+        """A buyer gets a second quote after a clock was set back.
+
+        The vote lapses with the window; then the clock jumps back, and
+        the key looks young again.
+        """
+        key = key_at(clock.now_s)
+        alone.vote(ask(key))
+        clock.now_s += WINDOW_S + 1.0
+        alone.vote(ask(key_at(clock.now_s)))
+        assert len(alone) == 1
+        clock.now_s -= WINDOW_S
+        assert alone.vote(ask(key, 'claim-2')).verdict is Verdict.TOO_OLD
+
+    def test_full_table_refuses_and_forgets_nothing(self, clock):
+        found = make_voter('sidecar-0', clock, max_votes=3)
+        found.take_list(instances(1))
+        clock.now_s += 100.0
+        keys = [key_at(clock.now_s, noise) for noise in range(5)]
+        for key in keys[:3]:
+            assert found.vote(ask(key)).verdict is Verdict.GRANTED
+        reply = found.vote(ask(keys[3], 'claim-2'))
+        assert reply.verdict is Verdict.TABLE_FULL
+        assert reply.retry_after_s == pytest.approx(WINDOW_S, abs=1.0)
+        found.withdraw(give_back(keys[4], 'claim-2'))
+        assert len(found) == 3
+        assert found.vote(ask(keys[0], 'claim-2')).verdict is Verdict.TAKEN
+
+
+class TestLists:
+    def test_newcomer_backs_no_key_from_before_the_change(self, clock):
+        everyone = instances(9)
+        key = key_at(clock.now_s + 50.0)
+        old = voter.voters_of('haneul', key, 'region-a', everyone)
+        gone = old.instances[0].name
+        after = tuple(i for i in everyone if i.name != gone)
+        new = voter.voters_of('haneul', key, 'region-a', after)
+        (name,) = new.names - old.names
+        found = make_voter(name, clock)
+        found.take_list(everyone)
+        clock.now_s += 100.0
+        found.take_list(after)
+        clock.now_s += 2 * SKEW_S
+        reply = found.vote(ask(key, found=new))
+        assert reply.verdict is Verdict.LISTS_DIFFER
+
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.LIST_WRONG, Step.QUEUED)
+    def test_voter_notices_lists_too_far_apart(self, clock):
+        """Two zones each water the same balcony.
+
+        Two sidecars hold lists that share too few voters of a key, so
+        that both could win it.  The voter that sees both abstains.
+        """
+        everyone = instances(12)
+        key = key_at(clock.now_s + 100.0)
+        mine = voter.voters_of('haneul', key, 'region-a', everyone)
+        few = tuple(
+            i
+            for i in everyone
+            if i not in mine.instances or i == mine.instances[0]
+        )
+        theirs = voter.voters_of('haneul', key, 'region-a', few)
+        found = make_voter(mine.instances[0].name, clock)
+        found.take_list(everyone)
+        clock.now_s += 100.0
+        reply = found.vote(ask(key, found=theirs))
+        assert reply.verdict is Verdict.LISTS_DIFFER
+        assert found.vote(ask(key, found=mine)).verdict is Verdict.GRANTED
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Sendings of one key against voters that fail in every way.
+
+    Lists change by two members within `LAG_S` at most, clocks differ by
+    `SKEW_S` at most; messages are lost, doubled, late and out of order.
+    """
+
+    voter_kind = voter.Voter
+    ballot_kind = claim.Ballot
+
+    @stateful.initialize(
+        count=strategies.integers(1, 8),
+        zones=strategies.integers(1, 4),
+        seed=strategies.integers(0, 1 << 32),
+        caller_s=strategies.sampled_from([-SKEW_S / 2, 0.0, SKEW_S / 2]),
+    )
+    def set_up(self, count, zones, seed, caller_s):
+        noise = random.Random(seed)
+        self.clock = FakeClock()
+        self.pool = instances(count + 3, zones)
+        self.published = [(0.0, self.pool[:count])]
+        self.offsets = {
+            i.name: noise.choice([-SKEW_S / 2, 0.0, SKEW_S / 2])
+            for i in self.pool
+        }
+        self.known = {i.name: 0 for i in self.pool}
+        self.voters = {}
+        for instance in self.pool:
+            self.boot(instance.name)
+        self.clock.now_s += 3 * SKEW_S
+        self.key = key_at(self.clock.now_s + caller_s, seed)
+        self.ballots = []
+        self.started = []
+        self.votes = []
+        self.replies = []
+        self.withdrawals = []
+
+    def boot(self, name):
+        clock = FakeClock(self.clock, self.offsets[name])
+        self.voters[name] = make_voter(name, clock, kind=self.voter_kind)
+        self.voters[name].take_list(self.published[self.known[name]][1])
+
+    @stateful.rule(data=strategies.data())
+    def send(self, data):
+        """One more sending of the key, to a sidecar with its own list."""
+        holder = data.draw(strategies.sampled_from(self.pool)).name
+        listed = self.published[self.known[holder]][1]
+        ballot = self.ballot_kind(
+            voter.voters_of('haneul', self.key, 'region-a', listed)
+        )
+        self.ballots.append(ballot)
+        request = ask(self.key, ballot.claim_id, ballot.voters)
+        names = sorted(ballot.voters.names)
+        self.votes += [(ballot, name, request) for name in names]
+
+    @stateful.precondition(lambda self: self.votes)
+    @stateful.rule(
+        data=strategies.data(),
+        is_doubled=strategies.booleans(),
+        reply_lost=strategies.integers(0, 3),
+    )
+    def deliver_vote(self, data, is_doubled, reply_lost):
+        sent = data.draw(strategies.sampled_from(self.votes))
+        if not is_doubled:
+            self.votes.remove(sent)
+        ballot, name, request = sent
+        reply = self.voters[name].vote(request)
+        if reply_lost:
+            self.replies.append((ballot, name, reply))
+        else:
+            ballot.count(name, None)
+
+    @stateful.precondition(lambda self: self.votes)
+    @stateful.rule()
+    def deliver_all_votes(self):
+        for ballot, name, request in self.votes:
+            reply = self.voters[name].vote(request)
+            self.replies.append((ballot, name, reply))
+        self.votes.clear()
+
+    @stateful.precondition(lambda self: self.replies)
+    @stateful.rule(data=strategies.data(), is_doubled=strategies.booleans())
+    def deliver_reply(self, data, is_doubled):
+        sent = data.draw(strategies.sampled_from(self.replies))
+        if not is_doubled:
+            self.replies.remove(sent)
+        ballot, name, reply = sent
+        ballot.count(name, reply)
+
+    @stateful.precondition(lambda self: self.replies)
+    @stateful.rule()
+    def deliver_all_replies(self):
+        for ballot, name, reply in self.replies:
+            ballot.count(name, reply)
+        self.replies.clear()
+
+    @stateful.precondition(lambda self: self.ballots)
+    @stateful.rule(data=strategies.data())
+    def give_up(self, data):
+        """A claim ends before its request started, or proven not run."""
+        ballot = data.draw(strategies.sampled_from(self.ballots))
+        self.ballots.remove(ballot)
+        if ballot in self.started:
+            self.started.remove(ballot)
+        message = give_back(self.key, ballot.claim_id)
+        self.withdrawals += [(i.name, message) for i in ballot.end()]
+        self.ended = ballot
+
+    @stateful.precondition(lambda self: self.withdrawals)
+    @stateful.rule(data=strategies.data())
+    def deliver_withdrawal(self, data):
+        sent = data.draw(strategies.sampled_from(self.withdrawals))
+        self.withdrawals.remove(sent)
+        self.voters[sent[0]].withdraw(sent[1])
+
+    @stateful.rule(data=strategies.data())
+    def restart(self, data):
+        name = data.draw(strategies.sampled_from(self.pool)).name
+        self.boot(name)
+
+    @stateful.rule()
+    def restart_all(self):
+        for name in self.voters:
+            self.boot(name)
+
+    @stateful.rule(data=strategies.data())
+    def change_list(self, data):
+        since_s = self.clock.now_s - LAG_S
+        if sum(at_s > since_s for at_s, _ in self.published) >= 2:
+            return
+        listed = self.published[-1][1]
+        one = data.draw(strategies.sampled_from(self.pool))
+        after = tuple(i for i in listed if i != one)
+        if after == listed:
+            after = (*listed, one)
+        if after:
+            self.published.append((self.clock.now_s, after))
+
+    @stateful.rule(data=strategies.data())
+    def take_list(self, data):
+        name = data.draw(strategies.sampled_from(self.pool)).name
+        self.catch_up(name, len(self.published) - 1)
+
+    @stateful.rule(
+        by_s=strategies.sampled_from([0.5, SKEW_S, LAG_S, WINDOW_S])
+    )
+    def pass_time(self, by_s):
+        overdue_s = self.clock.now_s + by_s - LAG_S
+        due = sum(at_s < overdue_s for at_s, _ in self.published) - 1
+        for name in self.known:
+            self.catch_up(name, due)
+        self.clock.now_s += by_s
+
+    def catch_up(self, name, revision):
+        if revision > self.known[name]:
+            self.known[name] = revision
+            self.voters[name].take_list(self.published[revision][1])
+
+    @stateful.invariant()
+    def at_most_one_started(self):
+        """What has the quorum starts at once, the worst case."""
+        for ballot in getattr(self, 'ballots', ()):
+            if ballot.is_won and ballot not in self.started:
+                self.started.append(ballot)
+        assert len(getattr(self, 'started', ())) <= 1
+
+
+MACHINE_SETTINGS = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class ForgetfulVoter(voter.Voter):
+    """Backs keys from before its start."""
+
+    def take_list(self, found):
+        super().take_list(found)
+        self._oldest_s = 0.0
+
+
+class TrustingVoter(voter.Voter):
+    """Backs whoever asks, whatever the lists say."""
+
+    def _check_lists(self, request):
+        return None
+
+
+class GenerousVoter(voter.Voter):
+    """Backs every claim."""
+
+    def _decide(self, vote, request):
+        vote.claim_id = ''
+        return super()._decide(vote, request)
+
+
+class EndlessBallot(claim.Ballot):
+    """Counts replies also after its votes were given back."""
+
+    def end(self):
+        found = super().end()
+        self._is_over = False
+        return found
+
+
+class TestInterleavings:
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.TWO_FAULTS, Step.QUEUED)
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.SAME_TWICE, Step.CLAIMED)
+    def test_never_two_winners(self):
+        """A subscriber's balcony is watered twice.
+
+        Sendings of one key race each other while messages are lost,
+        doubled and late, voters restart, and lists differ.
+        """
+        stateful.run_state_machine_as_test(
+            ClaimMachine, settings=MACHINE_SETTINGS
+        )
+
+    @pytest.mark.parametrize(
+        'broken',
+        [
+            {'voter_kind': ForgetfulVoter},
+            {'voter_kind': TrustingVoter},
+            {'voter_kind': GenerousVoter},
+        ],
+        ids=lambda broken: next(iter(broken.values())).__name__,
+    )
+    def test_finds_two_winners_without_a_guard(self, broken):
+        machine = type('BrokenMachine', (ClaimMachine,), broken)
+        with pytest.raises(AssertionError):
+            stateful.run_state_machine_as_test(
+                machine, settings=MACHINE_SETTINGS
+            )
