--- a/lacewingpitch/claim.py
+++ b/lacewingpitch/claim.py
@@ -1,7 +1,7 @@
 """Claiming an idempotency key before its request is passed on."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 import collections
 import contextlib
 import dataclasses
@@ -262,11 +262,10 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
     state: ClaimState
     changed_at_s: float
-    answer: KeptAnswer | None = None
 
 
 class Claims:
@@ -298,6 +297,9 @@
         self._held: collections.OrderedDict[str, _Held] = (
             collections.OrderedDict()
         )
+        self._answers: collections.OrderedDict[str, KeptAnswer] = (
+            collections.OrderedDict()
+        )
         self._kept_bytes = 0
         self._withdrawals: set[asyncio.Task[None]] = set()
 
@@ -323,7 +325,9 @@
         found = self._held.get(message.claim_id)
         if found is None:
             return OutcomeReply(state=ClaimState.NOT_HELD)
-        return OutcomeReply(state=found.state, answer=found.answer)
+        return OutcomeReply(
+            state=found.state, answer=self._answers.get(message.claim_id)
+        )
 
     def voters(self, order: work.WorkOrder) -> voter_module.VoterSet:
         """Return the voters of an order's key by the newest list."""
@@ -344,12 +348,10 @@
         self._drop(claim_id)
         if state is ClaimState.NOT_HELD:
             return
-        if answer is not None:
-            if len(answer.body) > MAX_KEPT_ANSWER_BYTES:
-                answer = None
-            else:
-                self._kept_bytes += len(answer.body)
-        self._held[claim_id] = _Held(state, self._clock.monotonic_s(), answer)
+        self._held[claim_id] = _Held(state, self._clock.monotonic_s())
+        if answer is not None and len(answer.body) <= MAX_KEPT_ANSWER_BYTES:
+            self._answers[claim_id] = answer
+            self._kept_bytes += len(answer.body)
         self._forget()
 
     async def withdraw(self, order: work.WorkOrder, ballot: Ballot) -> None:
@@ -395,24 +397,25 @@
                 )
 
     def _drop(self, claim_id: str) -> None:
-        found = self._held.pop(claim_id, None)
-        if found is not None and found.answer is not None:
-            self._kept_bytes -= len(found.answer.body)
+        self._held.pop(claim_id, None)
+        answer = self._answers.pop(claim_id, None)
+        if answer is not None:
+            self._kept_bytes -= len(answer.body)
 
     def _forget(self) -> None:
         oldest_s = self._clock.monotonic_s() - self._window_s
-        for claim_id, found in self._oldest_first():
-            is_over = found.state is ClaimState.FINISHED
-            if found.changed_at_s < oldest_s and is_over:
-                self._drop(claim_id)
-            elif self._kept_bytes > MAX_KEPT_BYTES and found.answer:
-                self._kept_bytes -= len(found.answer.body)
-                found.answer = None
-            else:
-                return
-
-    def _oldest_first(self) -> Iterator[tuple[str, _Held]]:
-        return iter(list(self._held.items())[:8])
+        while self._held:
+            claim_id, found = next(iter(self._held.items()))
+            if found.changed_at_s >= oldest_s:
+                break
+            self._drop(claim_id)
+            if found.state is not ClaimState.FINISHED:
+                self._held[claim_id] = _Held(
+                    found.state, self._clock.monotonic_s()
+                )
+        while self._kept_bytes > MAX_KEPT_BYTES:
+            _, answer = self._answers.popitem(last=False)
+            self._kept_bytes -= len(answer.body)
 
 
 class Claim:
