At most once with real processes frozen, restarted and split

A relay of the tests' own cuts, stalls, delays and goes one way, so that two sides of a fleet, each with its own list, go on serving. Engines' ground truth decides: 0 or 1 run per key, and after the links heal both entries give the one answer.

--- a/lacewingpitch/claim.py
+++ b/lacewingpitch/claim.py
@@ -1,8 +1,8 @@
 """Claiming an idempotency key before its request is passed on."""
 
 import asyncio
-from collections.abc import AsyncIterator
 import collections
+from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
 import enum
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,95 @@
+"""A TCP relay that cuts, stalls and delays what passes through it."""
+
+import asyncio
+import contextlib
+
+IP = '127.0.0.1'
+_CHUNK_BYTES = 1 << 16
+
+
+class Relay:
+    """Passes connections on to one address, until told otherwise.
+
+    Bytes that are stalled are kept, as TCP keeps them by sending again:
+    they arrive when the link heals.  Use it as an async context.
+    """
+
+    def __init__(self, port, ip=IP):
+        self._target = (ip, port)
+        self.delay_s = 0.0
+        self._towards = asyncio.Event()
+        self._back = asyncio.Event()
+        self._writers = set()
+        self._tasks = set()
+        self._server = None
+        self.port = 0
+
+    async def __aenter__(self):
+        self.heal()
+        await self._listen()
+        return self
+
+    async def __aexit__(self, *exception):
+        await self.cut()
+
+    async def _listen(self):
+        self._server = await asyncio.start_server(self._serve, IP, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def cut(self):
+        """Reset every connection, and refuse new ones."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in self._writers:
+            writer.transport.abort()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def mend(self):
+        """Take connections again after `cut`."""
+        self.heal()
+        if self._server is None:
+            await self._listen()
+
+    def half_open(self):
+        """Keep connections, and take new ones, but pass nothing on."""
+        self._towards.clear()
+        self._back.clear()
+
+    def one_way(self):
+        """Pass on what goes to the target, and hold what comes back."""
+        self._towards.set()
+        self._back.clear()
+
+    def heal(self):
+        """Pass everything on, also what was held."""
+        self._towards.set()
+        self._back.set()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        self._tasks.add(asyncio.current_task())
+        try:
+            await self._towards.wait()
+            there = await asyncio.open_connection(*self._target)
+            self._writers.add(there[1])
+            await asyncio.gather(
+                self._pump(reader, there[1], self._towards),
+                self._pump(there[0], writer, self._back),
+            )
+        except OSError:
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(asyncio.current_task())
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _pump(self, reader, writer, is_open):
+        with contextlib.closing(writer):
+            while data := await reader.read(_CHUNK_BYTES):
+                await asyncio.sleep(self.delay_s)
+                await is_open.wait()
+                writer.write(data)
+                await writer.drain()
--- /dev/null
+++ b/tests/test_claim_processes.py
@@ -0,0 +1,323 @@
+"""At most once, with real processes frozen, restarted and cut off."""
+
+import asyncio
+import contextlib
+
+import msgspec
+import pytest
+
+from lacewingpitch import live_list
+from lacewingpitch import settings
+from lacewingpitch import voter
+from lacewingpitch import work
+from tests import fault_matrix
+from tests import processes
+from tests import relay
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+
+CLOCKS = {'clock_skew_s': 0.5, 'list_lag_s': 5.0}
+CUSTOMER = 'haneul'
+
+
+async def send(deployment, entry, key, adapter='ficus'):
+    """Send one request; return its status, headers and body."""
+    async with deployment.call(
+        entry, CUSTOMER, adapter, key=key, messages=[{'content': key}]
+    ) as response:
+        return response.status, response.headers, await response.read()
+
+
+async def runs_of(deployment, key):
+    """Return the runs of a key at all engines, by their own account."""
+    truths = [await deployment.truth(e) for e in deployment.engines]
+    return [
+        run for truth in truths for run in truth.runs if key in str(run.body)
+    ]
+
+
+async def backed(deployment, *entries):
+    """Wait until the voters, being new, back keys sent through entries."""
+
+    async def is_backed(entry):
+        status, _, _ = await send(
+            deployment, entry, processes.new_key(), 'fern'
+        )
+        return status == 200
+
+    for entry in entries:
+        await processes.until(lambda entry=entry: is_backed(entry))
+
+
+def claims_made(deployment):
+    return [
+        sum(line['event'] == 'claimed' for line in sidecar.log)
+        for sidecar in deployment.sidecars
+    ]
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with processes.Deployment(tmp_path) as found:
+        found.add_customer(CUSTOMER, 'ficus', 'fern')
+        yield found
+
+
+class TestFrozen:
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.FROZEN, Step.CLAIMED)
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.DUPLICATE, Step.CLAIMED)
+    @pytest.mark.proves(Promise.NOT_RUN, Fault.FROZEN, Step.CLAIMED)
+    async def test_frozen_winner_stays_the_only_one(self, deployment):
+        """A balcony is watered twice, minutes apart.
+
+        A sidecar is frozen after its claim, while the adapter loads.  The
+        platform drops it; the caller sends the same key through another
+        entry, and is answered.  Then the frozen sidecar wakes and passes
+        the work on, acting on an old view of the world.
+        """
+        for zone in 'abcde':
+            await deployment.add_engine(
+                '--load-s=2', availability_zone=f'zone-{zone}', **CLOCKS
+            )
+        first_entry = await deployment.add_entry(**CLOCKS)
+        await deployment.publish()
+        await backed(deployment, first_entry)
+        before = claims_made(deployment)
+        key = processes.new_key()
+        first = asyncio.create_task(send(deployment, first_entry, key))
+
+        async def is_claimed():
+            return claims_made(deployment) != before
+
+        await processes.until(is_claimed)
+        (number,) = (
+            n
+            for n, made in enumerate(claims_made(deployment))
+            if made != before[n]
+        )
+        assert not await runs_of(deployment, key)
+        deployment.sidecars[number].freeze()
+        del deployment.instances[number]
+        await deployment.publish_instances()
+        second_entry = await deployment.add_entry(**CLOCKS)
+        await deployment.ready(second_entry)
+        status, headers, _ = await send(deployment, second_entry, key)
+        assert status == 409
+        assert headers[work.KIND_HEADER] == 'key-in-use'
+        assert headers[work.OUTCOME_HEADER] == 'unknown'
+        deployment.sidecars[number].wake()
+        status, _, _ = await first
+        assert status == 200
+        assert len(await runs_of(deployment, key)) == 1
+
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.FROZEN, Step.QUEUED)
+    async def test_frozen_voters_refuse_nothing_wrongly(self, deployment):
+        """A command is refused for good, or runs twice, after a pause.
+
+        Two voters are frozen, so the claim cannot be complete: the caller
+        is refused, "not run".  They wake and get the old requests for
+        votes; the caller sends the same key again, and it runs once.
+        """
+        for zone in 'abcde':
+            await deployment.add_engine(
+                availability_zone=f'zone-{zone}', **CLOCKS
+            )
+        entry = await deployment.add_entry(**CLOCKS)
+        await deployment.publish()
+        await backed(deployment, entry)
+        home = max(range(5), key=claims_made(deployment).__getitem__)
+        frozen = [s for n, s in enumerate(deployment.sidecars) if n != home]
+        for sidecar in frozen[:2]:
+            sidecar.freeze()
+        key = processes.new_key()
+        status, headers, _ = await send(deployment, entry, key, 'fern')
+        assert status == 503
+        assert headers[work.KIND_HEADER] == 'claim-unavailable'
+        assert headers[work.OUTCOME_HEADER] == 'not-run'
+        assert int(headers['Retry-After']) >= 1
+        assert not await runs_of(deployment, key)
+        for sidecar in frozen[:2]:
+            sidecar.wake()
+
+        async def is_served():
+            found = await send(deployment, entry, key, 'fern')
+            return found[0] == 200
+
+        await processes.until(is_served)
+        await send(deployment, entry, key, 'fern')
+        assert len(await runs_of(deployment, key)) == 1
+
+
+class TestRestarted:
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.KILLED, Step.ANY)
+    async def test_restarted_voters_back_no_older_key(self, deployment):
+        """A buyer gets two quotes that disagree.
+
+        A request runs; all sidecars are killed and come back with empty
+        memories; the caller, whose answer was lost, sends the key again.
+        """
+        for zone in 'abcde':
+            await deployment.add_engine(
+                availability_zone=f'zone-{zone}', **CLOCKS
+            )
+        entries = [await deployment.add_entry(**CLOCKS) for _ in range(2)]
+        await deployment.publish()
+        await backed(deployment, *entries)
+        key = processes.new_key()
+        assert (await send(deployment, entries[0], key))[0] == 200
+        for number, old in enumerate(deployment.sidecars):
+            await old.kill()
+            new = await deployment.run(*old.arguments)
+            deployment.sidecars[number] = new
+            deployment.instances[number] = msgspec.structs.replace(
+                deployment.instances[number], **new.ports
+            )
+        await deployment.publish_instances()
+        await backed(deployment, *entries)
+        for entry in entries:
+            status, headers, _ = await send(deployment, entry, key)
+            assert status == 409
+            assert headers[work.KIND_HEADER] == 'key-out-of-window'
+            assert headers[work.OUTCOME_HEADER] == 'unknown'
+        assert len(await runs_of(deployment, key)) == 1
+
+
+class Sides:
+    """Two sides of a fleet, each with its own platform and entry.
+
+    Each side's list leads to the other side through relays.
+    """
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.relays = []
+        self.exits = contextlib.AsyncExitStack()
+        self.across = []
+        self.left_count = 5
+
+    async def start(self):
+        found = self.deployment
+        self.platforms = [
+            found.platform,
+            await found.run('standin', 'platform'),
+        ]
+        self.lists = [
+            settings.Address(ip=processes.IP, port=p.ports['work_port'])
+            for p in self.platforms
+        ]
+        for number, zone in enumerate('aabbcdd'):
+            side = int(number >= self.left_count)
+            await found.add_engine(
+                availability_zone=f'zone-{zone}',
+                live_list=self.lists[side],
+                **CLOCKS,
+            )
+        for instance in found.instances:
+            ports = {
+                name: (await self.relay(getattr(instance, name))).port
+                for name in ('work_port', 'control_port')
+            }
+            self.across.append(msgspec.structs.replace(instance, **ports))
+        for side in (0, 1):
+            await found.add_entry(live_list=self.lists[side], **CLOCKS)
+        await self.publish(live_list.InstanceState.LIVE)
+        await found.publish_contracts()
+        for entry in found.entries:
+            await found.ready(entry)
+
+    async def relay(self, port):
+        made = await self.exits.enter_async_context(relay.Relay(port))
+        self.relays.append(made)
+        return made
+
+    async def publish(self, state):
+        """Publish both lists; the other side is said to be in a state."""
+        direct = self.deployment.instances
+        for side, platform in enumerate(self.platforms):
+            listed = tuple(
+                direct[n]
+                if int(n >= self.left_count) == side
+                else msgspec.structs.replace(self.across[n], state=state)
+                for n in range(len(direct))
+            )
+            await self.deployment.put(platform, '/v1/instances', listed)
+
+    def key(self, left_voters):
+        """Return a key that has so many voters on the left."""
+        left = {i.name for i in self.deployment.instances[: self.left_count]}
+        while True:
+            key = processes.new_key()
+            found = voter.voters_of(
+                CUSTOMER, key, '', self.deployment.instances
+            )
+            if len(found.names & left) == left_voters:
+                return key
+
+
+@pytest.fixture
+async def sides(deployment):
+    found = Sides(deployment)
+    async with found.exits:
+        await found.start()
+        await backed(deployment, *deployment.entries)
+        yield found
+
+
+class TestPartition:
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.PARTITION, Step.ANY)
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.LINK_CUT, Step.QUEUED)
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.HALF_OPEN, Step.QUEUED)
+    @pytest.mark.parametrize('how', ['cut', 'half-open', 'one-way'])
+    async def test_both_sides_serving(self, deployment, sides, how):
+        """A household's command runs in both halves of a split fleet.
+
+        The fleet is split, and both sides go on serving.  The caller
+        sends each key through an entry on either side at once, and, when
+        the links heal, once more.
+        """
+        for link in sides.relays:
+            if how == 'cut':
+                await link.cut()
+            elif how == 'half-open':
+                link.half_open()
+            else:
+                link.one_way()
+        await sides.publish(live_list.InstanceState.LEAVING)
+        for entry in deployment.entries:
+            await processes.until(lambda e=entry: self.serves(deployment, e))
+        lefts = (3, 4, 5, 3, 4, 5)
+        keys = [sides.key(left) for left in lefts]
+        answers = await asyncio.gather(
+            *(self.send_to_both(deployment, key) for key in keys)
+        )
+        for left, key, found in zip(lefts, keys, answers, strict=True):
+            statuses = [status for status, _, _ in found]
+            runs = await runs_of(deployment, key)
+            # Four of five voters are needed, and the right has two.
+            assert len(runs) == statuses.count(200) == int(left >= 4)
+            assert statuses[1] != 200
+        for link in sides.relays:
+            await link.mend()
+        await sides.publish(live_list.InstanceState.LIVE)
+        for key in keys:
+            await processes.until(lambda key=key: self.agree(deployment, key))
+            assert len(await runs_of(deployment, key)) == 1
+
+    @staticmethod
+    async def send_to_both(deployment, key):
+        return await asyncio.gather(
+            *(send(deployment, entry, key) for entry in deployment.entries)
+        )
+
+    @classmethod
+    async def agree(cls, deployment, key):
+        """Return whether both entries give the one answer."""
+        one, other = await cls.send_to_both(deployment, key)
+        return one[0] == other[0] == 200 and one[2] == other[2]
+
+    @staticmethod
+    async def serves(deployment, entry):
+        status, _, _ = await send(deployment, entry, '')
+        return status == 200
