--- a/lacewingpitch/settings.py
+++ b/lacewingpitch/settings.py
@@ -1,5 +1,6 @@
 """Settings of the daemons, read from JSON files."""
 
+import ipaddress
 import pathlib
 from typing import Annotated, TypeVar
 
@@ -11,7 +12,7 @@
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Secret = Annotated[str, msgspec.Meta(min_length=16)]
-Ip = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:]+$')]
+Ip = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:]+\Z')]
 
 SettingsType = TypeVar('SettingsType')
 
@@ -22,6 +23,10 @@
     ip: Ip
     port: Port
 
+    def __post_init__(self) -> None:
+        """Refuse what only looks like an IP number."""
+        check_ip(self.ip)
+
     @property
     def url(self) -> str:
         """Return the HTTP URL of the endpoint."""
@@ -51,6 +56,10 @@
     list_lag_s
         Longest that two instances may hold different lists; a sidecar
         whose list is older backs no claims.
+    body_timeout_s
+        Time within which a request's body must have come.
+    stall_timeout_s
+        How long the other end may take no byte of an answer.
     """
 
     deployment: contract.Name
@@ -67,6 +76,12 @@
     key_window_s: contract.PositiveFloat = 600.0
     clock_skew_s: contract.PositiveFloat = 5.0
     list_lag_s: contract.PositiveFloat = 60.0
+    body_timeout_s: contract.PositiveFloat = 30.0
+    stall_timeout_s: contract.PositiveFloat = 30.0
+
+    def __post_init__(self) -> None:
+        """Refuse what only looks like an IP number."""
+        check_ip(self.ip)
 
 
 class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
@@ -119,6 +134,11 @@
     max_votes: contract.PositiveInt = 100_000
 
 
+def check_ip(text: str) -> None:
+    """Raise ``ValueError`` unless `text` is an IP number."""
+    ipaddress.ip_address(text)
+
+
 def load_settings(
     path: pathlib.Path, kind: type[SettingsType]
 ) -> SettingsType:
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -1,26 +1,33 @@
 """The process beside a backend server, and the only one to send it work."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 import contextlib
 
 from aiohttp import web
+import msgspec
 import structlog
 
 from lacewingpitch import answer
 from lacewingpitch import claim as claim_module
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import fair_order
+from lacewingpitch import http_guard
 from lacewingpitch import http_server
 from lacewingpitch import ledger
 from lacewingpitch import node
 from lacewingpitch import runner as runner_module
 from lacewingpitch import settings as settings_module
+from lacewingpitch import turn_queue
 from lacewingpitch import voiding
 from lacewingpitch import voter as voter_module
 from lacewingpitch import work
 
 MAX_BODY_BYTES = 8 << 20
+# Requests that get their adapters while others run, over those running.
+LOOKAHEAD_RATIO = 1.0
 log = structlog.get_logger(__name__)
 
 
@@ -64,13 +71,33 @@
             self._node.clock,
             settings.key_window_s,
         )
-        self._server = http_server.HttpServer(MAX_BODY_BYTES)
+        self._server = http_server.HttpServer(
+            MAX_BODY_BYTES,
+            max_field_bytes=http_guard.MAX_ORDER_FIELD_BYTES,
+            stall_s=settings.stall_timeout_s,
+        )
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
-        self._queued = 0
-        self._running = asyncio.Semaphore(settings.backend_server.max_running)
+        self._queue = self._make_queue()
         self._runner: runner_module.Runner
 
+    def _make_queue(self) -> turn_queue.TurnQueue:
+        backend = self.settings.backend_server
+        lookahead_count = 0
+        if isinstance(backend, settings_module.EngineSettings):
+            lookahead_count = round(backend.max_running * LOOKAHEAD_RATIO)
+        return turn_queue.TurnQueue(
+            backend.max_running,
+            lookahead_count,
+            self.settings.max_queued,
+            fair_order.FairOrder(
+                backend.max_running,
+                lambda order: self._runner.holds(order),
+                self._node.clock,
+            ),
+            self._node.clock,
+        )
+
     @property
     def work_port(self) -> int:
         """Return the port that takes requests."""
@@ -88,6 +115,11 @@
             'control_port': self.control_port,
         }
 
+    @property
+    def refused_count(self) -> collections.Counter[str]:
+        """Return how many messages and orders were refused, by reason."""
+        return self._node.control.refused_count
+
     async def start(self) -> None:
         """Take the port, then the backend server, then requests."""
         # Two sidecars of one engine that ignores fencing numbers would
@@ -133,6 +165,7 @@
                 request.headers.get(work.ORDER_HEADER, ''), self._node.sealer
             )
         except errors.RefusalError as error:
+            self._node.control.refused_count['foreign order'] += 1
             return answer.refusal_response(error, '')
         try:
             return await self._run(request, order)
@@ -152,7 +185,9 @@
         self._ledger.admit(attempt_id)
         try:
             self._admit()
-            body = await request.read()
+            body = await http_guard.read_body(
+                request, self.settings.body_timeout_s
+            )
             async with (
                 self._claims.claim(order, body) as claim,
                 contextlib.AsyncExitStack() as held,
@@ -174,32 +209,28 @@
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING, 'this backend server is leaving'
             )
-        if self._queued >= self.settings.max_queued:
-            raise errors.RefusalError(
-                errors.ErrorKind.QUEUE_FULL, 'too many requests wait here'
-            )
 
     @contextlib.asynccontextmanager
     async def _turn(self, order: work.WorkOrder) -> AsyncIterator[None]:
-        self._queued += 1
-        try:
-            async with contextlib.AsyncExitStack() as held:
-                await self._wait_turn(held, order)
-                self._queued -= 1
-                try:
-                    yield
-                finally:
-                    self._queued += 1
-        finally:
-            self._queued -= 1
+        async with contextlib.AsyncExitStack() as held:
+            await self._wait_turn(held, order)
+            yield
 
     async def _wait_turn(
         self, held: contextlib.AsyncExitStack, order: work.WorkOrder
     ) -> None:
+        # The place comes before the adapter: who waits for a place keeps
+        # no adapter from eviction, and nobody prepares out of order.
+        start_by_s = self._node.clock.monotonic_s() + order.deadline_s
         try:
             async with asyncio.timeout(order.deadline_s):
+                place = await held.enter_async_context(
+                    self._queue.place(order)
+                )
+                left_s = start_by_s - self._node.clock.monotonic_s()
+                order = msgspec.structs.replace(order, deadline_s=left_s)
                 await held.enter_async_context(self._runner.ready(order))
-                await held.enter_async_context(self._running)
+                await held.enter_async_context(place.turn())
         except TimeoutError as error:
             raise errors.RefusalError(
                 errors.ErrorKind.DEADLINE_UNREACHABLE,
--- a/lacewingpitch/voter.py
+++ b/lacewingpitch/voter.py
@@ -301,29 +301,23 @@
         return None
 
     def _check_lists(self, request: VoteRequest) -> VoteReply | None:
-        # Claims with very different lists choose voters that do not meet,
-        # and both would win.  A voter that came in by a change of the
-        # list cannot know of earlier claims on older keys.  One whose
-        # lists, since a lag before the key was made, give voters that
-        # need not meet the claim's cannot tell who else claims.  One cut
-        # off from the list cannot tell how far the others have moved on.
-        # All three abstain, so that neither claim gets its quorum.
+        # Claims with very different lists choose voters that need not
+        # meet, and both would win.  A voter whose lists, since a lag
+        # before the key was made, give such voters cannot tell who else
+        # claims; one cut off from the list cannot tell how far the others
+        # have moved on.  Both abstain, so that no claim gets its quorum.
         if self._list_age_s() > self._list_lag_s:
             return VoteReply(verdict=Verdict.LIST_STALE)
-        created_s = idempotency.created_at_s(request.key)
+        since_s = idempotency.created_at_s(request.key) - self._reach_s
         asked = frozenset(request.voters)
         ends_s = [view.taken_at_s for view in self._views[1:]] + [math.inf]
         for view, end_s in zip(self._views, ends_s, strict=True):
-            if end_s <= created_s - self._reach_s:
+            if end_s <= since_s:
                 continue
             own = voters_of(
                 request.customer, request.key, request.region, view.instances
             )
-            is_voter = (
-                self._name in own.names or end_s <= created_s - self._skew_s
-            )
-            meets = own.quorum + request.quorum > len(own.names | asked)
-            if not (is_voter and meets):
+            if own.quorum + request.quorum <= len(own.names | asked):
                 return VoteReply(verdict=Verdict.LISTS_DIFFER)
         return None
 
