--- a/lacewingpitch/voter.py
+++ b/lacewingpitch/voter.py
@@ -16,7 +16,7 @@
 MAX_VOTERS = 5
 ANY_REGION = 'default'
 _SMALLEST_SPARING_ONE = 4
-_MAX_VIEWS = 64
+_MAX_VIEWS = 32
 _MAX_WITHDRAWN = 16
 _RETRY_S = 1.0
 
--- a/tests/test_claim_processes.py
+++ b/tests/test_claim_processes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import time
+import uuid
 
 import msgspec
 import pytest
@@ -13,6 +15,7 @@
 from tests import fault_matrix
 from tests import processes
 from tests import relay
+from tests import test_voter
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -184,6 +187,55 @@
         assert len(await runs_of(deployment, key)) == 1
 
 
+class TestKeys:
+    async def test_are_checked_before_anything_runs(self, deployment):
+        await deployment.add_engine(**CLOCKS)
+        entry = await deployment.add_entry(**CLOCKS)
+        await deployment.publish()
+        await backed(deployment, entry)
+        now_s = time.time()
+        for key, expected in (
+            ('quote-7', (400, 'bad-idempotency-key', 'not-run')),
+            (str(uuid.uuid4()), (400, 'bad-idempotency-key', 'not-run')),
+            (
+                test_voter.key_at(now_s - 700.0),
+                (409, 'key-out-of-window', 'unknown'),
+            ),
+            (
+                test_voter.key_at(now_s + 60.0),
+                (409, 'key-out-of-window', 'not-run'),
+            ),
+        ):
+            status, headers, _ = await send(deployment, entry, key)
+            kind = headers[work.KIND_HEADER]
+            assert (status, kind, headers[work.OUTCOME_HEADER]) == expected
+            assert not await runs_of(deployment, key)
+
+    async def test_one_spelling_and_one_body(self, deployment):
+        """A caller that writes its key in capitals is served twice."""
+        await deployment.add_engine(**CLOCKS)
+        entry = await deployment.add_entry(**CLOCKS)
+        await deployment.publish()
+        await backed(deployment, entry)
+        key = processes.new_key()
+        answers = []
+        for text in (key, key.upper()):
+            async with deployment.call(
+                entry, CUSTOMER, 'ficus', key=text, messages=[key]
+            ) as response:
+                assert response.status == 200
+                answers.append(await response.read())
+        assert answers[0] == answers[1]
+        assert len(await runs_of(deployment, key)) == 1
+        async with deployment.call(
+            entry, CUSTOMER, 'ficus', key=key, messages=[key, 'more']
+        ) as response:
+            assert response.status == 400
+            kind = response.headers[work.KIND_HEADER]
+            assert kind == 'bad-idempotency-key'
+        assert len(await runs_of(deployment, key)) == 1
+
+
 class Sides:
     """Two sides of a fleet, each with its own platform and entry.
 
