--- a/lacewingpitch/voter.py
+++ b/lacewingpitch/voter.py
@@ -1,5 +1,6 @@
 """Promises, kept in memory, that back one attempt per idempotency key."""
 
+import collections
 from collections.abc import Callable, Iterable
 import dataclasses
 import enum
@@ -65,29 +66,30 @@
     Instances that leave still vote until the list drops them: they keep
     their promises until they end.
     """
+    seed = xxhash.xxh3_64_intdigest(f'{customer}/{key}'.encode())
+    members = [
+        instance
+        for instance in instances
+        if instance.role is live_list.Role.SIDECAR
+        and region in (ANY_REGION, '', instance.region)
+    ]
     scored = sorted(
-        (
-            (_score(customer, key, instance), instance)
-            for instance in instances
-            if instance.role is live_list.Role.SIDECAR
-            and region in (ANY_REGION, '', instance.region)
-        ),
-        key=lambda pair: (-pair[0], pair[1].name),
+        (xxhash.xxh3_64_intdigest(instance.name.encode(), seed), number)
+        for number, instance in enumerate(members)
     )
-    found: list[tuple[int, int, live_list.Instance]] = []
-    seen: dict[str, int] = {}
-    for order, (_, instance) in enumerate(scored):
-        zone = instance.availability_zone
-        place = seen.get(zone, 0)
-        seen[zone] = place + 1
-        found.append((place, order, instance))
-    found.sort(key=lambda item: item[:2])
-    return VoterSet(tuple(item[2] for item in found[:MAX_VOTERS]))
-
-
-def _score(customer: str, key: str, instance: live_list.Instance) -> int:
-    name = f'{customer}/{key}/{instance.name}'
-    return xxhash.xxh3_64_intdigest(name.encode())
+    zone_count = len({instance.availability_zone for instance in members})
+    turns = math.ceil(MAX_VOTERS / max(1, zone_count))
+    taken: collections.Counter[str] = collections.Counter()
+    found: list[tuple[int, int, int]] = []
+    zones_done = 0
+    while scored and zones_done < zone_count:
+        score, number = scored.pop()
+        zone = members[number].availability_zone
+        found.append((taken[zone], -score, number))
+        taken[zone] += 1
+        zones_done += taken[zone] == turns
+    found.sort()
+    return VoterSet(tuple(members[item[2]] for item in found[:MAX_VOTERS]))
 
 
 class Verdict(enum.StrEnum):
