--- a/lacewingpitch/demo.py
+++ b/lacewingpitch/demo.py
@@ -41,6 +41,8 @@
     tokens_per_s=1_000_000.0,
 )
 _READY_S = 10.0
+_CLOCK_SKEW_S = 0.1
+_LIST_LAG_S = 1.5
 _SERVED = 'served'
 
 
@@ -222,6 +224,8 @@
             'control_port': 0,
             'config_service': platform,
             'live_list': platform,
+            'clock_skew_s': _CLOCK_SKEW_S,
+            'list_lag_s': _LIST_LAG_S,
         }
 
     def _contracts(self) -> tuple[contract.Contract, ...]:
@@ -305,6 +309,8 @@
         results = list(
             await asyncio.gather(*(caller.send(call) for call in CALLS))
         )
+        # Sidecars that have just started back no key made until now.
+        await asyncio.sleep(_LIST_LAG_S + _CLOCK_SKEW_S)
         once = dataclasses.replace(ONCE, key=str(uuid_utils.uuid7()))
         twice = [await caller.send(once), await caller.send(once)]
         console.print(_customer_table(results + twice[:1]))
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -23,6 +23,7 @@
 from lacewingpitch import event_stream
 from lacewingpitch import http_guard
 from lacewingpitch import http_server
+from lacewingpitch import idempotency
 from lacewingpitch import limits as limits_module
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import node
@@ -34,7 +35,6 @@
 
 _BEARER = 'Bearer '
 _EVENT_STREAM = 'text/event-stream'
-MAX_KEY_LENGTH = 128
 _MAX_MODEL_LENGTH = 256
 _MAX_TOKENS = 1 << 31
 _READY_POLL_S = 0.02
@@ -323,6 +323,13 @@
         body: bytes,
         permit: limits_module.Permit,
     ) -> web.StreamResponse:
+        if order.idempotency_key:
+            idempotency.check_window(
+                order.idempotency_key,
+                self._node.clock.wall_s(),
+                self.settings.key_window_s,
+                self.settings.clock_skew_s,
+            )
         content_type = request.headers.get('Content-Type', '')
         tally = request[_TALLY]
         if order.adapter is not None:
@@ -407,6 +414,17 @@
     return rest if rest.startswith('/') else f'/{rest}'
 
 
+def _read_key(request: web.Request) -> str:
+    keys = request.headers.getall('Idempotency-Key', [])
+    if not keys:
+        return ''
+    if len(keys) > 1:
+        raise errors.RefusalError(
+            errors.ErrorKind.BAD_IDEMPOTENCY_KEY, 'more than one key'
+        )
+    return idempotency.canonical(keys[0])
+
+
 def _make_order(
     request: web.Request,
     contract: contract_module.Contract,
@@ -419,11 +437,7 @@
     stream: bool = False,
     max_tokens: int = 0,
 ) -> work.WorkOrder:
-    key = request.headers.get('Idempotency-Key', '')
-    if len(key) > MAX_KEY_LENGTH:
-        raise errors.RefusalError(
-            errors.ErrorKind.BAD_IDEMPOTENCY_KEY, 'the key is too long'
-        )
+    key = _read_key(request)
     return work.WorkOrder(
         request_id=request_id,
         attempt=0,
@@ -439,6 +453,7 @@
         service=service,
         stream=stream,
         idempotency_key=key,
+        region=contract.region,
         max_tokens=max_tokens,
         queued_requests=contract.limits.queued_requests,
     )
--- a/lacewingpitch/membership.py
+++ b/lacewingpitch/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+import math
 
 import reactivex
 import reactivex.subject
@@ -39,13 +40,13 @@
         self._deployment = deployment
         self._list = live_list.InstanceList(0, ())
         self._by_name: dict[str, live_list.Instance] = {}
+        self._current_at_s = -math.inf
         self._suspect_until_s: dict[str, float] = {}
         self._leaving_until_s: dict[str, float] = {}
         self._older_since_s: float | None = None
         self._changes: reactivex.subject.Subject[live_list.InstanceList] = (
             reactivex.subject.Subject()
         )
-        self.read_at_s: float | None = None
         self.passed_over_count = 0
 
     @property
@@ -70,10 +71,16 @@
             and found.state is live_list.InstanceState.LEAVING
         )
 
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the list was last known to be current."""
+        return self._clock.monotonic_s() - self._current_at_s
+
     def update(self, published: live_list.InstanceList) -> None:
         """Take over a published list unless it is worse than none."""
         if published.revision == self._list.revision:
             self._older_since_s = None
+            self._current_at_s = self._clock.monotonic_s()
             return
         is_older = published.revision < self._list.revision
         if is_older and not self._is_older_for_good():
@@ -116,11 +123,13 @@
             and not self._is_marked(self._leaving_until_s, instance.name)
         ]
 
-    async def follow(self, source: live_list.LiveList) -> None:
+    async def follow(
+        self, source: live_list.LiveList, watch_s: float = _WATCH_S
+    ) -> None:
         """Follow the published list until cancelled."""
         while True:
             try:
-                await self.follow_once(source)
+                await self.follow_once(source, watch_s)
             except errors.PlatformError as error:
                 log.warning('list not read', error=str(error))
                 await asyncio.sleep(_RETRY_S)
@@ -140,7 +149,6 @@
             # A platform that fell back to an old list answers no watch
             # above its own number; a plain read shows the lower one.
             found = await source.watch(0, 0.0)
-        self.read_at_s = self._clock.monotonic_s()
         if found is not None:
             self.update(found)
 
@@ -184,6 +192,7 @@
 
     def _take(self, taken: live_list.InstanceList) -> None:
         self._list = taken
+        self._current_at_s = self._clock.monotonic_s()
         before = self._by_name
         self._by_name = {i.name: i for i in taken.instances}
         for name, instance in self._by_name.items():
--- a/lacewingpitch/node.py
+++ b/lacewingpitch/node.py
@@ -22,6 +22,7 @@
 _SIDECAR_CONTRACTS = 1024
 _WATCH_CHECK_S = 1.0
 log = structlog.get_logger(__name__)
+_LONGEST_WATCH_S = 30.0
 
 
 class Node:
@@ -91,7 +92,10 @@
         service = config_service.HttpConfigService(
             self.session, self.settings.config_service.url
         )
-        self.run(self.membership.follow(instances))
+        # A list is known to be current as often as a watch ends, which
+        # must be well within the time after which it counts as stale.
+        watch_s = min(_LONGEST_WATCH_S, self.settings.list_lag_s / 3)
+        self.run(self.membership.follow(instances, watch_s))
         if self.book.holds_all:
             published = published_contracts.PublishedContracts(
                 service, self.book, self.clock
--- a/lacewingpitch/settings.py
+++ b/lacewingpitch/settings.py
@@ -49,6 +49,13 @@
         Port for control messages.
     drain_s
         How long a graceful shutdown waits for work in progress.
+    key_window_s
+        Age up to which an idempotency key is accepted.
+    clock_skew_s
+        Most that two clocks, a caller's or an instance's, may differ.
+    list_lag_s
+        Longest that two instances may hold different lists; a sidecar
+        whose list is older backs no claims.
     body_timeout_s
         Time within which a request's body must have come.
     stall_timeout_s
@@ -66,6 +73,9 @@
     config_service: Address
     live_list: Address
     drain_s: contract.PositiveFloat = 600.0
+    key_window_s: contract.PositiveFloat = 600.0
+    clock_skew_s: contract.PositiveFloat = 5.0
+    list_lag_s: contract.PositiveFloat = 60.0
     body_timeout_s: contract.PositiveFloat = 30.0
     stall_timeout_s: contract.PositiveFloat = 30.0
 
@@ -117,10 +127,19 @@
 
 
 class SidecarSettings(ProcessSettings, frozen=True, kw_only=True):
-    """Settings of a sidecar."""
+    """Settings of a sidecar.
+
+    Parameters
+    ----------
+    max_queued
+        Requests that may wait here.
+    max_votes
+        Idempotency keys whose votes are remembered.
+    """
 
     backend_server: EngineSettings | ServiceSettings
     max_queued: contract.PositiveInt = 1024
+    max_votes: contract.PositiveInt = 100_000
 
 
 def check_ip(text: str) -> None:
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -34,7 +34,9 @@
         Seconds left until the answer must have started.  It is relative,
         since the clocks of two instances differ.
     idempotency_key
-        The caller's key; empty if it gave none.
+        The caller's key, a UUIDv7; empty if it gave none.
+    region
+        The customer's, where the voters on its keys are.
     queued_requests
         Requests of the customer that may wait at one sidecar.
     """
@@ -53,6 +55,7 @@
     service: str = ''
     stream: bool = False
     idempotency_key: str = ''
+    region: str = ''
     max_tokens: int = 0
     queued_requests: int = 32
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -27,7 +27,6 @@
 AWAITED = {
     f'design/{name}.md'
     for name in (
-        'claims',
         'not-run',
         'fencing',
         'answers',
