--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -1,28 +1,48 @@
 """Sends a request to sidecars until one answers, and never twice."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Coroutine
+from collections.abc import Mapping
 import contextlib
 import dataclasses
+import random
+import time
+from typing import TypeVar
 
 import aiohttp
 import msgspec
 import structlog
 
+from lacewingpitch import ejection
 from lacewingpitch import errors
 from lacewingpitch import ledger
 from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import membership as membership_module
 from lacewingpitch import placement as placement_module
+from lacewingpitch import retry_budget
 from lacewingpitch import settings
 from lacewingpitch import voiding
 from lacewingpitch import work
 
 MAX_ATTEMPTS = 3
 _CONNECT_TIMEOUT_S = 1.0
-_VOID_TIMEOUT_S = 1.0
+_VOID_TIMEOUT_S = 2.0
+_CANCEL_TIMEOUT_S = 1.0
 _ANSWER_GRACE_S = 2.0
+_SILENCE_S = 5.0
+_REATTACH_DELAYS_S = (0.0, 0.1, 0.3, 0.6, 1.0, 1.5)
+# The connection was never made, so not a byte of the request went out.
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+_LOST = (aiohttp.ClientError, TimeoutError, OSError)
+_REPEATABLE_KINDS = frozenset(
+    {
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+        errors.ErrorKind.WRONG_ADAPTER,
+        errors.ErrorKind.INTERNAL,
+    }
+)
+Found = TypeVar('Found')
 log = structlog.get_logger(__name__)
 
 
@@ -35,6 +55,81 @@
     body: bytes
     content_type: str
 
+    @property
+    def attempt_id(self) -> str:
+        """Return the name of the attempt."""
+        return voiding.attempt_id(self.order.request_id, self.order.attempt)
+
+
+class Reply:
+    """The answer of one attempt, as it comes from its sidecar."""
+
+    def __init__(
+        self,
+        dispatcher: 'Dispatcher',
+        attempt: Attempt,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self.attempt = attempt
+        self._response = response
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self._response.status
+
+    @property
+    def content_type(self) -> str:
+        """Return the media type without its parameters."""
+        return self._response.content_type
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Return the headers."""
+        return self._response.headers
+
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Give the body as it comes.
+
+        Raises
+        ------
+        ClientError, LinkError
+            It broke off, or the sidecar says nothing any more.
+        """
+        content = self._response.content
+        while True:
+            try:
+                async with asyncio.timeout(_SILENCE_S):
+                    chunk = await content.readany()
+            except TimeoutError:
+                # A frozen sidecar, or a link that is half open, keeps
+                # the connection and sends nothing: the caller would
+                # wait for ever.  A sidecar that only waits for its
+                # engine answers at once.
+                await self._dispatcher.ask_state(self.attempt)
+                continue
+            if not chunk:
+                return
+            yield chunk
+
+    async def resume(self, after_events: int) -> None:
+        """Ask the sidecar for the rest, or again for a whole answer.
+
+        Raises
+        ------
+        RefusalError
+            It cannot be had.
+        """
+        self._response.close()
+        self._response = await self._dispatcher.reattach(
+            self.attempt, after_events
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._response.close()
+
 
 class Dispatcher:
     """Chooses a sidecar for a request and brings back its answer."""
@@ -46,17 +141,22 @@
         peers: link.PeerPool,
         membership: membership_module.Membership,
         placement: placement_module.Placement,
+        ejector: ejection.Ejector,
     ) -> None:
         self._session = session
         self._sealer = sealer
         self._peers = peers
         self._membership = membership
         self._placement = placement
+        self._ejector = ejector
+        self._budget = retry_budget.RetryBudget()
+        self._random = random.Random()
+        self._cancelling: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
     async def send(
         self, order: work.WorkOrder, body: bytes, content_type: str
-    ) -> AsyncIterator[aiohttp.ClientResponse]:
+    ) -> AsyncIterator[Reply]:
         """Bring back the head of an answer, its body still to be read.
 
         Raises
@@ -64,24 +164,80 @@
         RefusalError
             No sidecar answered; says whether the request may have run.
         """
-        async with contextlib.AsyncExitStack() as held:
-            yield await self._try_all(held, order, body, content_type)
+        self._budget.earn()
+        with contextlib.closing(
+            await self._try_all(order, body, content_type)
+        ) as reply:
+            try:
+                yield reply
+            except BaseException:
+                self._cancel(reply.attempt)
+                raise
 
-    async def _try_all(
-        self,
-        held: contextlib.AsyncExitStack,
-        order: work.WorkOrder,
-        body: bytes,
-        content_type: str,
+    async def ask_state(self, attempt: Attempt) -> ledger.RunState:
+        """Return how far an attempt got; void it if it did not start.
+
+        Raises
+        ------
+        LinkError
+            The sidecar does not answer.
+        """
+        sidecar = attempt.sidecar
+        peer = self._peers.peer(sidecar.ip, sidecar.control_port)
+        message = voiding.VoidRequest(attempt_id=attempt.attempt_id)
+        reply = await peer.ask(message, voiding.VoidReply, _VOID_TIMEOUT_S)
+        return reply.state
+
+    async def reattach(
+        self, attempt: Attempt, after_events: int
     ) -> aiohttp.ClientResponse:
+        """Take up the answer of an attempt that has started.
+
+        Raises
+        ------
+        RefusalError
+            It cannot be had.
+        """
+        order = msgspec.structs.replace(
+            attempt.order, after_events=after_events
+        )
+        attempt = dataclasses.replace(attempt, order=order, body=b'')
+        for delay_s in _REATTACH_DELAYS_S:
+            await asyncio.sleep(delay_s)
+            try:
+                return await self._while_alive(
+                    attempt, self._post('/resume', attempt)
+                )
+            except errors.LinkError:
+                break
+            except _LOST as error:
+                log.info(
+                    'not resumed',
+                    request_id=order.request_id,
+                    instance=attempt.sidecar.name,
+                    error=repr(error),
+                )
+        raise _unknown('the answer was lost after the request had started')
+
+    async def _try_all(
+        self, order: work.WorkOrder, body: bytes, content_type: str
+    ) -> Reply:
+        until_s = time.monotonic() + order.deadline_s
         last = errors.RefusalError(
             errors.ErrorKind.NO_BACKEND_SERVER, 'none is known to be live'
         )
-        for sidecar in self._candidates(order)[:MAX_ATTEMPTS]:
-            order = msgspec.structs.replace(order, attempt=order.attempt + 1)
+        for number, sidecar in enumerate(self._candidates(order)):
+            if number and not await self._may_retry(number):
+                break
+            left_s = until_s - time.monotonic()
+            if left_s <= 0.0:
+                break
+            order = msgspec.structs.replace(
+                order, attempt=order.attempt + 1, deadline_s=left_s
+            )
             attempt = Attempt(order, sidecar, body, content_type)
             try:
-                return await self._try(held, attempt)
+                return await self._try(attempt)
             except errors.RefusalError as error:
                 log.info(
                     'attempt failed',
@@ -91,91 +247,174 @@
                     detail=error.detail,
                 )
                 last = error
-                if not error.retry_elsewhere:
+                if not _goes_again(error, order):
                     raise
         raise last
 
+    async def _may_retry(self, number: int) -> bool:
+        if not self._budget.spend():
+            return False
+        delay_s = retry_budget.backoff_s(number, self._random)
+        await asyncio.sleep(delay_s)
+        return True
+
     def _candidates(self, order: work.WorkOrder) -> list[live_list.Instance]:
         adapter = order.adapter
         if adapter is None:
-            return self._placement.candidates(
+            found = self._placement.candidates(
                 order.request_id, self._membership.sidecars(order.service)
             )
-        return self._placement.candidates(
-            adapter.engine_name, self._membership.sidecars(adapter.base_model)
-        )
+        else:
+            found = self._placement.candidates(
+                adapter.engine_name,
+                self._membership.sidecars(adapter.base_model),
+            )
+        names = [instance.name for instance in found]
+        allowed = set(self._ejector.allowed(names))
+        return [i for i in found if i.name in allowed][:MAX_ATTEMPTS]
 
-    async def _try(
-        self, held: contextlib.AsyncExitStack, attempt: Attempt
-    ) -> aiohttp.ClientResponse:
+    async def _try(self, attempt: Attempt) -> Reply:
+        name = attempt.sidecar.name
+        self._ejector.begin(name)
+        try:
+            response = await self._first_answer(attempt)
+        except asyncio.CancelledError:
+            self._cancel(attempt)
+            raise
+        except errors.RefusalError as error:
+            if error.kind in _REPEATABLE_KINDS:
+                self._ejector.failed(name)
+            raise
+        self._ejector.succeeded(name)
+        return Reply(self, attempt, response)
+
+    async def _first_answer(self, attempt: Attempt) -> aiohttp.ClientResponse:
         order = attempt.order
-        headers = {work.ORDER_HEADER: work.encode_order(order, self._sealer)}
-        if attempt.content_type:
-            headers['Content-Type'] = attempt.content_type
-        sidecar = attempt.sidecar
-        url = settings.Address(ip=sidecar.ip, port=sidecar.work_port).url
+        name = attempt.sidecar.name
         try:
             async with asyncio.timeout(order.deadline_s + _ANSWER_GRACE_S):
-                response = await held.enter_async_context(
-                    self._session.post(
-                        f'{url}/run',
-                        data=attempt.body,
-                        headers=headers,
-                        timeout=aiohttp.ClientTimeout(
-                            total=None, sock_connect=_CONNECT_TIMEOUT_S
-                        ),
-                    )
-                )
-        except aiohttp.ClientConnectorError as error:
-            self._membership.suspect(sidecar.name)
+                return await self._post('/run', attempt)
+        except _NOT_SENT as error:
+            self._ejector.failed(name)
+            self._membership.suspect(name)
             raise errors.RefusalError(
-                errors.ErrorKind.DRAINING, f'not reached: {sidecar.name}'
-            ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            self._membership.suspect(sidecar.name)
-            await self._void(attempt)
-            raise errors.RefusalError(
-                errors.ErrorKind.DRAINING, f'gave up on {sidecar.name}'
+                errors.ErrorKind.DRAINING, f'not reached: {name}'
             ) from error
+        except _LOST as error:
+            # The connection is closed by now: what the sidecar does not
+            # know of yet cannot arrive at a later process on its port.
+            await self._void(attempt, error)
+        # A whole answer may take longer than its deadline to start, and
+        # a connection that broke does not end the run.
+        return await self.reattach(attempt, 0)
+
+    async def _post(
+        self, path: str, attempt: Attempt
+    ) -> aiohttp.ClientResponse:
+        headers = {
+            work.ORDER_HEADER: work.encode_order(attempt.order, self._sealer)
+        }
+        if attempt.content_type:
+            headers['Content-Type'] = attempt.content_type
+        sidecar = attempt.sidecar
+        url = settings.Address(ip=sidecar.ip, port=sidecar.work_port).url
+        response = await self._session.post(
+            url + path,
+            data=attempt.body,
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=_CONNECT_TIMEOUT_S
+            ),
+        )
         if work.KIND_HEADER in response.headers:
             await self._raise_refusal(response, sidecar)
+        if response.headers.get(work.ATTEMPT_HEADER) != attempt.attempt_id:
+            # The list lags: another program may have the port by now,
+            # and its answer would pass for that of the request.
+            response.close()
+            raise aiohttp.ClientPayloadError('not the answer of the attempt')
         return response
 
     async def _raise_refusal(
         self, response: aiohttp.ClientResponse, sidecar: live_list.Instance
     ) -> None:
-        body = msgspec.json.decode(await response.read(), type=work.ErrorBody)
+        try:
+            body = msgspec.json.decode(
+                await response.read(), type=work.ErrorBody
+            )
+        except msgspec.DecodeError as error:
+            raise aiohttp.ClientPayloadError('unusable refusal') from error
         if body.error.kind is errors.ErrorKind.DRAINING:
             self._membership.suspect(sidecar.name)
         raise work.error_of(body.error)
 
-    async def _void(self, attempt: Attempt) -> None:
-        """Return if the attempt did not run and never will.
+    async def _void(self, attempt: Attempt, cause: Exception) -> None:
+        """Return if the attempt has started; it can be taken up then.
 
         Raises
         ------
         RefusalError
-            It ran, or nothing is known.
+            It did not run and never will, or nothing is known.
         """
         # A timeout proves nothing: a frozen sidecar may wake up and pass
         # the work on after the caller was told "not run".  Only its
         # promise not to does.
-        sidecar = attempt.sidecar
-        peer = self._peers.peer(sidecar.ip, sidecar.control_port)
-        message = voiding.VoidRequest(
-            attempt_id=voiding.attempt_id(
-                attempt.order.request_id, attempt.order.attempt
-            )
-        )
+        name = attempt.sidecar.name
         try:
-            reply = await peer.ask(message, voiding.VoidReply, _VOID_TIMEOUT_S)
+            state = await self.ask_state(attempt)
         except errors.LinkError as error:
-            raise errors.RefusalError(
-                errors.ErrorKind.OUTCOME_UNKNOWN,
-                'the backend server does not say whether it ran',
+            self._membership.suspect(name)
+            raise _unknown(
+                'the backend server does not say whether it ran'
             ) from error
-        if reply.state is not ledger.RunState.VOID:
+        if state is ledger.RunState.VOID:
+            self._ejector.failed(name)
             raise errors.RefusalError(
-                errors.ErrorKind.OUTCOME_UNKNOWN,
-                'the answer was lost after the request had started',
-            )
+                errors.ErrorKind.DRAINING, f'gave up on {name}'
+            ) from cause
+        if state is ledger.RunState.FORGOTTEN:
+            raise _unknown('the sidecar was replaced') from cause
+
+    async def _while_alive(
+        self, attempt: Attempt, waiting: Coroutine[None, None, Found]
+    ) -> Found:
+        """Wait for as long as the sidecar says that it is there."""
+        task = asyncio.create_task(waiting)
+        try:
+            while True:
+                done, _ = await asyncio.wait({task}, timeout=_SILENCE_S)
+                if done:
+                    return task.result()
+                await self.ask_state(attempt)
+        finally:
+            task.cancel()
+
+    def _cancel(self, attempt: Attempt) -> None:
+        """Tell the sidecar that nobody waits for the answer."""
+        if not attempt.order.repeatable:
+            return
+        task = asyncio.create_task(self._send_cancel(attempt))
+        self._cancelling.add(task)
+        task.add_done_callback(self._cancelling.discard)
+
+    async def _send_cancel(self, attempt: Attempt) -> None:
+        sidecar = attempt.sidecar
+        peer = self._peers.peer(sidecar.ip, sidecar.control_port)
+        message = voiding.CancelRequest(attempt_id=attempt.attempt_id)
+        with contextlib.suppress(errors.LinkError):
+            await peer.ask(message, voiding.CancelReply, _CANCEL_TIMEOUT_S)
+
+
+def _goes_again(error: errors.RefusalError, order: work.WorkOrder) -> bool:
+    """Return whether another sidecar may get the request.
+
+    Either it provably did not run, or it may run twice and nothing of
+    its answer was delivered.
+    """
+    if error.retry_elsewhere:
+        return True
+    return order.repeatable and error.kind in _REPEATABLE_KINDS
+
+
+def _unknown(detail: str) -> errors.RefusalError:
+    return errors.RefusalError(errors.ErrorKind.OUTCOME_UNKNOWN, detail)
--- /dev/null
+++ b/lacewingpitch/ejection.py
@@ -0,0 +1,89 @@
+"""Passing over a backend server that keeps failing, and trying it again."""
+
+from collections.abc import Sequence
+import dataclasses
+import random
+
+from lacewingpitch import clock as clock_module
+
+MAX_EJECTED_RATIO = 0.5
+_FAILURES_TO_EJECT = 3
+_FIRST_EJECTION_S = 1.0
+_MAX_EJECTION_S = 30.0
+_TRIAL_TIMEOUT_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """What this process has seen of one backend server."""
+
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_s: float | None = None
+    trial_until_s: float = 0.0
+
+
+class Ejector:
+    """Ejects a backend server after failures in a row.
+
+    When its time is up, one request tries it; the others pass it over
+    until that one has succeeded.  A trial that fails doubles the time.
+    """
+
+    def __init__(
+        self, clock: clock_module.Clock, source: random.Random
+    ) -> None:
+        self._clock = clock
+        self._source = source
+        self._health: dict[str, Health] = {}
+
+    def allowed(self, names: Sequence[str]) -> list[str]:
+        """Return the servers to use, in the order given.
+
+        At most `MAX_EJECTED_RATIO` of them are left out: when all fail,
+        the fault is likely elsewhere, and the rest would be overloaded.
+        """
+        spare_count = int(len(names) * MAX_EJECTED_RATIO)
+        allowed = []
+        for name in names:
+            if spare_count and not self._is_open(name):
+                spare_count -= 1
+                continue
+            allowed.append(name)
+        return allowed
+
+    def begin(self, name: str) -> None:
+        """Record a request to a server; the first is its trial."""
+        found = self._health.get(name)
+        if found is not None and found.ejected_until_s is not None:
+            now_s = self._clock.monotonic_s()
+            found.trial_until_s = now_s + _TRIAL_TIMEOUT_S
+
+    def succeeded(self, name: str) -> None:
+        """Record an answer: the server is well."""
+        self._health.pop(name, None)
+
+    def failed(self, name: str) -> None:
+        """Record a failure that tells of the server, not the request."""
+        found = self._health.setdefault(name, Health())
+        found.failures += 1
+        now_s = self._clock.monotonic_s()
+        if found.ejected_until_s is None:
+            if found.failures < _FAILURES_TO_EJECT:
+                return
+        elif now_s < found.ejected_until_s:
+            # Sent before the ejection: it tells nothing new.
+            return
+        length_s = min(_FIRST_EJECTION_S * 2**found.ejections, _MAX_EJECTION_S)
+        found.ejections += 1
+        found.trial_until_s = 0.0
+        # Spread out, so that entry instances do not try it all at once.
+        length_s *= self._source.uniform(0.75, 1.25)
+        found.ejected_until_s = now_s + length_s
+
+    def _is_open(self, name: str) -> bool:
+        found = self._health.get(name)
+        if found is None or found.ejected_until_s is None:
+            return True
+        now_s = self._clock.monotonic_s()
+        return found.ejected_until_s <= now_s >= found.trial_until_s
--- a/lacewingpitch/engine.py
+++ b/lacewingpitch/engine.py
@@ -1,6 +1,6 @@
 """The model engine beside a sidecar: the one module that knows its ways."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 import contextlib
 import dataclasses
 from typing import Protocol
@@ -30,6 +30,8 @@
         Highest fencing number of an order that it took.
     adapters
         Engine names of the adapters that it holds.
+    running_by_adapter
+        Requests that run on each; empty if the engine does not say.
     """
 
     incarnation: str
@@ -38,6 +40,13 @@
     adapter_slots: int = 1
     adapters: tuple[str, ...] = ()
     running: int = 0
+    running_by_adapter: Mapping[str, int] = {}
+
+    def running_on(self, adapter: str) -> int:
+        """Return how many requests may run on an adapter."""
+        if self.running_by_adapter:
+            return self.running_by_adapter.get(adapter, 0)
+        return self.running
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -227,6 +236,9 @@
     ) -> AsyncIterator[EngineAnswer]:
         headers = {
             'Content-Type': 'application/json',
+            # What is passed on must not be compressed: its events could
+            # not be told apart, and the caller did not ask for it.
+            'Accept-Encoding': 'identity',
             'X-Request-Id': call.run_id,
             'X-Priority': call.urgency.value,
             'X-Fencing': str(call.fencing),
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import contextlib
+import random
 import time
 
 import aiohttp
@@ -15,6 +16,7 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract as contract_module
 from lacewingpitch import dispatch
+from lacewingpitch import ejection
 from lacewingpitch import errors
 from lacewingpitch import event_stream
 from lacewingpitch import http_server
@@ -26,6 +28,15 @@
 _BEARER = 'Bearer '
 _EVENT_STREAM = 'text/event-stream'
 MAX_KEY_LENGTH = 128
+_MAX_RESUMES = 3
+_BEGUN = 'lacewingpitch.begun'
+# What a broken or silent link to a sidecar raises while it is read.
+_BROKEN = (
+    aiohttp.ClientError,
+    OSError,
+    errors.LinkError,
+    errors.PlatformError,
+)
 _READY_POLL_S = 0.02
 log = structlog.get_logger(__name__)
 
@@ -88,6 +99,7 @@
             self._node.peers,
             self._node.membership,
             placement.Placement(),
+            ejection.Ejector(self._node.clock, random.Random()),
         )
         self._node.follow_platform()
         self._add_routes()
@@ -138,6 +150,18 @@
             response = await handler(request, contract, request_id)
         except errors.RefusalError as error:
             response = answer.refusal_response(error, request_id)
+        except Exception:
+            log.exception('request failed', request_id=request_id)
+            if _BEGUN in request:
+                # A second head behind the first would be read as a piece
+                # of the answer; only a torn connection tells of the end.
+                if request.transport is not None:
+                    request.transport.abort()
+                raise
+            unexpected = errors.RefusalError(
+                errors.ErrorKind.INTERNAL, 'the entry instance failed'
+            )
+            response = answer.refusal_response(unexpected, request_id)
         log.info(
             'answered',
             request_id=request_id,
@@ -223,40 +247,12 @@
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
         content_type = request.headers.get('Content-Type', '')
-        async with self._dispatcher.send(order, body, content_type) as found:
-            if found.content_type == _EVENT_STREAM:
-                return await self._stream(request, order, found)
-            return await _pass_whole(order, found)
-
-    async def _stream(
-        self,
-        request: web.Request,
-        order: work.WorkOrder,
-        found: aiohttp.ClientResponse,
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(status=found.status)
-        response.content_type = found.content_type
-        response.headers[work.REQUEST_ID_HEADER] = order.request_id
-        await response.prepare(request)
-        relay = event_stream.EventRelay()
-        try:
-            async for chunk in found.content.iter_any():
-                events = relay.feed(chunk)
-                if events:
-                    await response.write(events)
-        except aiohttp.ClientError as error:
-            log.warning(
-                'stream cut', request_id=order.request_id, error=repr(error)
-            )
-            await response.write(
-                answer.error_event(
-                    errors.RefusalError(
-                        errors.ErrorKind.ANSWER_CUT, 'the answer broke off'
-                    )
-                )
-            )
-        await response.write_eof()
-        return response
+        async with self._dispatcher.send(order, body, content_type) as reply:
+            if order.adapter is None:
+                return await _pass_body(request, order, reply)
+            if reply.content_type == _EVENT_STREAM:
+                return await _stream(request, order, reply)
+            return await _pass_whole(order, reply)
 
     async def _models(self, request: web.Request) -> web.Response:
         try:
@@ -323,18 +319,117 @@
     )
 
 
+async def _stream(
+    request: web.Request, order: work.WorkOrder, reply: dispatch.Reply
+) -> web.StreamResponse:
+    response = web.StreamResponse(status=reply.status)
+    response.content_type = reply.content_type
+    response.headers[work.REQUEST_ID_HEADER] = order.request_id
+    request[_BEGUN] = True
+    await response.prepare(request)
+    relay = event_stream.EventRelay()
+    try:
+        await _relay(response, relay, reply, order)
+        for _ in range(_MAX_RESUMES):
+            if relay.is_complete or relay.is_failed:
+                break
+            relay.drop_partial_event()
+            await reply.resume(relay.event_count)
+            await _relay(response, relay, reply, order)
+    except errors.RefusalError as error:
+        log.warning(
+            'not resumed', request_id=order.request_id, detail=error.detail
+        )
+    if not relay.is_complete and not relay.is_failed:
+        cut = errors.RefusalError(
+            errors.ErrorKind.ANSWER_CUT, 'the answer broke off'
+        )
+        await response.write(answer.error_event(cut))
+    await response.write_eof()
+    return response
+
+
+async def _relay(
+    response: web.StreamResponse,
+    relay: event_stream.EventRelay,
+    reply: dispatch.Reply,
+    order: work.WorkOrder,
+) -> None:
+    async with contextlib.aclosing(reply.chunks()) as chunks:
+        while True:
+            try:
+                events = relay.feed(await anext(chunks))
+            except StopAsyncIteration:
+                return
+            except _BROKEN as error:
+                log.warning(
+                    'stream cut',
+                    request_id=order.request_id,
+                    error=repr(error),
+                )
+                return
+            if events:
+                await response.write(events)
+
+
 async def _pass_whole(
-    order: work.WorkOrder, found: aiohttp.ClientResponse
+    order: work.WorkOrder, reply: dispatch.Reply
 ) -> web.Response:
     # The answer is sent only once it is whole here: the caller gets all
-    # of it or an error with a status, never a torn body.
-    try:
-        body = await found.read()
-    except aiohttp.ClientError as error:
-        raise errors.RefusalError(
-            errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer broke off'
-        ) from error
+    # of it or an error with a status, never a torn body.  The sidecar
+    # keeps it for a while, and is asked again when the link breaks.
+    for number in range(_MAX_RESUMES + 1):
+        if number:
+            await reply.resume(0)
+        try:
+            body = b''.join([chunk async for chunk in reply.chunks()])
+        except _BROKEN as error:
+            log.warning(
+                'answer cut', request_id=order.request_id, error=repr(error)
+            )
+            continue
+        return web.Response(
+            status=reply.status, body=body, headers=_headers(order, reply)
+        )
+    raise errors.RefusalError(
+        errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer broke off'
+    )
+
+
+async def _pass_body(
+    request: web.Request, order: work.WorkOrder, reply: dispatch.Reply
+) -> web.StreamResponse:
+    # The body of a plain service has no end mark of its own.  One with a
+    # length is small: the sidecar had it whole, and keeps it.
+    if 'Content-Length' in reply.headers:
+        return await _pass_whole(order, reply)
+    response = web.StreamResponse(
+        status=reply.status, headers=_headers(order, reply)
+    )
+    request[_BEGUN] = True
+    await response.prepare(request)
+    async with contextlib.aclosing(reply.chunks()) as chunks:
+        while True:
+            try:
+                chunk = await anext(chunks)
+            except StopAsyncIteration:
+                break
+            except _BROKEN as error:
+                log.warning(
+                    'body cut', request_id=order.request_id, error=repr(error)
+                )
+                # Only a connection that is torn down tells the caller
+                # that the body is not whole.
+                if request.transport is not None:
+                    request.transport.abort()
+                return response
+            await response.write(chunk)
+    await response.write_eof()
+    return response
+
+
+def _headers(order: work.WorkOrder, reply: dispatch.Reply) -> dict[str, str]:
     headers = {work.REQUEST_ID_HEADER: order.request_id}
-    if 'Content-Type' in found.headers:
-        headers['Content-Type'] = found.headers['Content-Type']
-    return web.Response(status=found.status, body=body, headers=headers)
+    if 'Content-Type' in reply.headers:
+        headers['Content-Type'] = reply.headers['Content-Type']
+    return headers
--- a/lacewingpitch/errors.py
+++ b/lacewingpitch/errors.py
@@ -34,6 +34,7 @@
     ADAPTER_UNAVAILABLE = 'adapter-unavailable'
     NO_BACKEND_SERVER = 'no-backend-server'
     CLAIM_UNAVAILABLE = 'claim-unavailable'
+    ATTEMPT_OUT_OF_WINDOW = 'attempt-out-of-window'
     CONTRACT_OUTDATED = 'contract-outdated'
     DRAINING = 'draining'
     FOREIGN_PROCESS = 'foreign-process'
@@ -83,6 +84,7 @@
     ErrorKind.ADAPTER_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0, True),
     ErrorKind.NO_BACKEND_SERVER: AnswerRule(503, _NOT_RUN, 2.0),
     ErrorKind.CLAIM_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0),
+    ErrorKind.ATTEMPT_OUT_OF_WINDOW: AnswerRule(503, _NOT_RUN, 1.0),
     ErrorKind.CONTRACT_OUTDATED: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.DRAINING: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.FOREIGN_PROCESS: AnswerRule(403, _NOT_RUN),
--- a/lacewingpitch/event_stream.py
+++ b/lacewingpitch/event_stream.py
@@ -4,6 +4,7 @@
 from lacewingpitch import errors
 
 MAX_EVENT_BYTES = 1 << 20
+_ERROR_EVENT = b'event: error\n'
 
 
 class EventRelay:
@@ -15,13 +16,17 @@
 
     def __init__(self) -> None:
         self._rest = b''
-        self._tail = b''
+        self._last = b''
         self.event_count = 0
+        self.is_complete = False
 
     @property
-    def is_complete(self) -> bool:
-        """Whether the stream has come to its explicit end."""
-        return self._tail.endswith(answer.STREAM_END)
+    def is_failed(self) -> bool:
+        """Whether the last event tells of an error; it is the end."""
+        start = self._last.rfind(answer.EVENT_END, 0, -len(answer.EVENT_END))
+        if start >= 0:
+            start += len(answer.EVENT_END)
+        return self._last.startswith(_ERROR_EVENT, max(start, 0))
 
     def feed(self, chunk: bytes) -> bytes:
         """Take bytes as they came; return the whole events so far.
@@ -31,8 +36,12 @@
         PlatformError
             An event is larger than `MAX_EVENT_BYTES`.
         """
+        if self.is_complete:
+            return b''
         data = self._rest + chunk
-        end = data.rfind(answer.EVENT_END) + len(answer.EVENT_END)
+        end = self._end_of_stream(data)
+        if end < 0:
+            end = data.rfind(answer.EVENT_END) + len(answer.EVENT_END)
         if end < len(answer.EVENT_END):
             end = 0
         events, self._rest = data[:end], data[end:]
@@ -40,9 +49,22 @@
             raise errors.PlatformError('event too large')
         if events:
             self.event_count += events.count(answer.EVENT_END)
-            self._tail = events[-len(answer.STREAM_END) :]
+            self._last = events
         return events
 
     def drop_partial_event(self) -> None:
         """Forget the start of an event whose rest was lost."""
         self._rest = b''
+
+    def _end_of_stream(self, data: bytes) -> int:
+        # `data` begins at the start of an event, so the mark is an event
+        # of its own there or after the end of another one.
+        if data.startswith(answer.STREAM_END):
+            end = len(answer.STREAM_END)
+        else:
+            found = data.find(answer.EVENT_END + answer.STREAM_END)
+            if found < 0:
+                return -1
+            end = found + len(answer.EVENT_END + answer.STREAM_END)
+        self.is_complete = True
+        return end
--- a/lacewingpitch/fence.py
+++ b/lacewingpitch/fence.py
@@ -17,6 +17,7 @@
         self._clock = clock
         self.number = 0
         self.incarnation = ''
+        self._was_accepted = False
 
     def renew(self, report: engine.EngineReport) -> bool:
         """Take a number for a new incarnation of the engine.
@@ -24,13 +25,28 @@
         Returns
         -------
         bool
-            Whether the engine restarted, and so holds nothing.
+            Whether the engine restarted, and so holds nothing of ours.
         """
         if report.incarnation == self.incarnation:
+            self._overtake(report.last_fencing)
             return False
         self.incarnation = report.incarnation
+        self._was_accepted = False
         self.number = max(
             report.last_fencing + 1,
             int(self._clock.wall_s() * _MS_PER_S),
+            self.number,
         )
         return True
+
+    def accepted(self) -> None:
+        """Record that the engine has taken an order with this number."""
+        self._was_accepted = True
+
+    def _overtake(self, last_fencing: int) -> None:
+        # The first report may lag, and this clock may be behind that of
+        # an earlier sidecar: the first order is then fenced off, and the
+        # number has to rise.  Once the engine has taken an order of
+        # ours, a higher number is that of a successor, which must win.
+        if not self._was_accepted and last_fencing > self.number:
+            self.number = last_fencing + 1
--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -3,11 +3,17 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable, Iterator
+import errno
+import random
 
 from aiohttp import web
+import structlog
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 _SHUTDOWN_S = 1.0
+_FIRST_BIND_DELAY_S = 0.05
+_MAX_BIND_DELAY_S = 1.0
+log = structlog.get_logger(__name__)
 
 
 class HttpServer:
@@ -35,12 +41,41 @@
         self.route(method, path, counted)
 
     async def start(self, ip: str, port: int) -> None:
-        """Bind `ip` and `port` exclusively; port 0 takes a free one."""
+        """Bind `ip` and `port` exclusively; port 0 takes a free one.
+
+        Raises
+        ------
+        OSError
+            Another process holds the port.
+        """
+        runner = await self._set_up()
+        await self._listen(runner, ip, port)
+
+    async def start_when_free(self, ip: str, port: int) -> None:
+        """Like `start`, but wait until no other process holds the port."""
+        runner = await self._set_up()
+        delay_s = _FIRST_BIND_DELAY_S
+        while True:
+            try:
+                await self._listen(runner, ip, port)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                log.warning('port is held', ip=ip, port=port)
+                await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
+                delay_s = min(2 * delay_s, _MAX_BIND_DELAY_S)
+                continue
+            return
+
+    async def _set_up(self) -> web.AppRunner:
         runner = web.AppRunner(
             self._app, handler_cancellation=True, access_log=None
         )
         await runner.setup()
         self._exits.push_async_callback(runner.cleanup)
+        return runner
+
+    async def _listen(self, runner: web.AppRunner, ip: str, port: int) -> None:
         site = web.TCPSite(
             runner,
             ip,
@@ -49,7 +84,11 @@
             shutdown_timeout=_SHUTDOWN_S,
             backlog=1024,
         )
-        await site.start()
+        try:
+            await site.start()
+        except OSError:
+            await site.stop()
+            raise
         self.port = runner.addresses[0][1]
 
     async def drain(self, timeout_s: float) -> bool:
--- a/lacewingpitch/plain_service.py
+++ b/lacewingpitch/plain_service.py
@@ -67,7 +67,10 @@
             sock_connect=_CONNECT_TIMEOUT_S,
             sock_read=_SILENCE_TIMEOUT_S,
         )
-        headers = {'X-Request-Id': call.run_id}
+        headers = {
+            'X-Request-Id': call.run_id,
+            'Accept-Encoding': 'identity',
+        }
         if call.content_type:
             headers['Content-Type'] = call.content_type
         with platform_call.platform_errors('service'):
--- /dev/null
+++ b/lacewingpitch/retry_budget.py
@@ -0,0 +1,48 @@
+"""How many requests may be sent again, as a share of the traffic."""
+
+import random
+
+_FIRST_BACKOFF_S = 0.02
+_MAX_BACKOFF_S = 1.0
+
+
+class RetryBudget:
+    """Tokens for retries: each request earns a share of one.
+
+    An outage makes every request fail; were each of them sent three
+    times, the servers that still work would get three times the load.
+    With a budget the load grows by `ratio` at most, whatever fails.
+
+    Parameters
+    ----------
+    ratio
+        Retries allowed per request in the long run.
+    reserve
+        Tokens that a quiet time saves up at most.
+    """
+
+    def __init__(self, ratio: float = 0.1, reserve: float = 10.0) -> None:
+        self._ratio = ratio
+        self._reserve = reserve
+        self._tokens = reserve
+
+    def earn(self) -> None:
+        """Record a request that is sent for the first time."""
+        self._tokens = min(self._tokens + self._ratio, self._reserve)
+
+    def spend(self) -> bool:
+        """Take the token of one retry; return whether there was one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def backoff_s(retry: int, source: random.Random) -> float:
+    """Return how long to wait before a retry, counted from 1.
+
+    The whole of the wait is random, so that requests which failed
+    together do not come back together.
+    """
+    limit_s = min(_FIRST_BACKOFF_S * 2 ** (retry - 1), _MAX_BACKOFF_S)
+    return source.uniform(0.0, limit_s)
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -1,12 +1,12 @@
 """How a sidecar runs one request: on a model engine or a plain service."""
 
 import asyncio
+from collections.abc import AsyncIterator, Iterator
 import contextlib
 from types import TracebackType
 from typing import Protocol, Self
 
 import aiohttp
-from aiohttp import web
 import structlog
 
 from lacewingpitch import answer
@@ -16,14 +16,24 @@
 from lacewingpitch import event_stream
 from lacewingpitch import fence as fence_module
 from lacewingpitch import plain_service
+from lacewingpitch import runs
 from lacewingpitch import settings as settings_module
 from lacewingpitch import slots
 from lacewingpitch import voiding
 from lacewingpitch import work
 
 MAX_WHOLE_ANSWER_BYTES = 8 << 20
+MAX_BUFFERED_BYTES = 256 << 10
 _REPORT_INTERVAL_S = 1.0
-_MAX_RESUMES = 2
+# Engines report load with a lag: what they say of an earlier sidecar's
+# runs is believed only so long after we came.
+_REPORT_LAG_S = 3.0
+_RESUME_DELAYS_S = (0.0, 0.1, 0.5)
+_MAX_EXCERPT_BYTES = 500
+_OK_STATUSES = range(200, 300)
+# An engine that answers these has looked at the call and not run it.
+_REFUSED_STATUSES = frozenset({400, 404, 405, 413, 415, 422})
+_BUSY_STATUSES = frozenset({429, 503})
 _EVENT_STREAM = 'text/event-stream'
 log = structlog.get_logger(__name__)
 
@@ -51,9 +61,21 @@
         ...
 
     async def run(
-        self, request: web.Request, order: work.WorkOrder, body: bytes
-    ) -> web.StreamResponse:
-        """Pass the request on and its answer back."""
+        self, order: work.WorkOrder, body: bytes, delivery: runs.Delivery
+    ) -> runs.WholeAnswer | None:
+        """Pass the request on.
+
+        Returns
+        -------
+        WholeAnswer | None
+            The answer, unless it went out by `delivery`.
+        """
+        ...
+
+    async def resume(
+        self, order: work.WorkOrder, delivery: runs.Delivery
+    ) -> None:
+        """Deliver the rest of a stream whose delivery broke."""
         ...
 
 
@@ -81,14 +103,15 @@
         clock: clock_module.Clock,
     ) -> None:
         self._engine = engine
+        self._clock = clock
         self._fence = fence_module.Fence(clock)
         self._slots = slots.AdapterSlots(engine, slot_count, self._fence)
         self._exits = contextlib.AsyncExitStack()
+        self._attached = asyncio.Event()
+        self._attached_at_s = 0.0
 
     async def __aenter__(self) -> Self:
         """Start to watch the engine for restarts."""
-        with contextlib.suppress(errors.PlatformError):
-            await self._read_report()
         watching = asyncio.create_task(self._watch())
         self._exits.callback(watching.cancel)
         return self
@@ -102,51 +125,106 @@
         """Stop watching."""
         await self._exits.aclose()
 
-    def ready(
-        self, order: work.WorkOrder
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Hold the request's adapter in the engine."""
+    @contextlib.asynccontextmanager
+    async def ready(self, order: work.WorkOrder) -> AsyncIterator[None]:
+        """Hold the request's adapter in the engine.
+
+        Raises
+        ------
+        RefusalError
+            It cannot be loaded, or not in time.
+        """
         assert order.adapter is not None
-        return self._slots.hold(order.adapter.engine_name, order.deadline_s)
+        name = order.adapter.engine_name
+        async with contextlib.AsyncExitStack() as held:
+            # No order precedes the engine's report: the number of an
+            # order would be below the last one, and an adapter under a
+            # run that an earlier sidecar left would seem idle.
+            await self._attached.wait()
+            with _refusing_platform_errors():
+                await held.enter_async_context(
+                    self._slots.hold(name, order.deadline_s)
+                )
+            yield
 
     async def run(
-        self, request: web.Request, order: work.WorkOrder, body: bytes
-    ) -> web.StreamResponse:
-        """Pass the request on and its answer back.
+        self, order: work.WorkOrder, body: bytes, delivery: runs.Delivery
+    ) -> runs.WholeAnswer | None:
+        """Pass the request on.
 
         Raises
         ------
         RefusalError
-            Nothing was sent back yet and nothing will be.
+            There is no whole answer; says whether the request ran.
         """
-        assert order.adapter is not None
-        call = engine_module.EngineCall(
-            run_id=voiding.attempt_id(order.request_id, order.attempt),
-            path=order.path,
-            adapter=order.adapter,
-            body=body,
-            stream=order.stream,
-            urgency=order.urgency,
-            fencing=self._fence.number,
-        )
+        call = self._call(order, body)
+        relay = event_stream.EventRelay()
         try:
             async with self._engine.run(call) as found:
+                await _check_status(found)
                 self._check_adapter(found, call)
-                if found.content_type == _EVENT_STREAM:
-                    return await self._stream(request, call, found)
-                return await _whole(found)
+                if found.content_type != _EVENT_STREAM:
+                    return await _whole(found)
+                await delivery.begin(found.status, found.content_type)
+                await _relay(delivery, relay, found)
+        except asyncio.CancelledError:
+            await self._cancel(call.run_id)
+            raise
+        except engine_module.AdapterMissingError as error:
+            self._slots.forget(call.adapter.engine_name)
+            raise _unavailable(error) from error
         except (
             engine_module.NotSentError,
-            engine_module.AdapterMissingError,
             engine_module.FencedError,
         ) as error:
+            raise _unavailable(error) from error
+        except errors.PlatformError as error:
             raise errors.RefusalError(
-                errors.ErrorKind.ADAPTER_UNAVAILABLE, str(error)
+                errors.ErrorKind.OUTCOME_UNKNOWN, str(error)
             ) from error
+        await self._end_stream(call, delivery, relay)
+        return None
+
+    async def resume(
+        self, order: work.WorkOrder, delivery: runs.Delivery
+    ) -> None:
+        """Deliver the rest of a stream whose delivery broke.
+
+        Raises
+        ------
+        RefusalError
+            The engine cannot resume it; nothing was delivered.
+        """
+        call = self._call(order, b'')
+        relay = event_stream.EventRelay()
+        relay.event_count = order.after_events
+        try:
+            async with self._engine.resume(call, order.after_events) as found:
+                self._check_adapter(found, call)
+                await delivery.begin(found.status, found.content_type)
+                await _relay(delivery, relay, found)
         except errors.PlatformError as error:
             raise errors.RefusalError(
                 errors.ErrorKind.OUTCOME_UNKNOWN, str(error)
             ) from error
+        except asyncio.CancelledError:
+            await self._cancel(call.run_id)
+            raise
+        await self._end_stream(call, delivery, relay)
+
+    def _call(
+        self, order: work.WorkOrder, body: bytes
+    ) -> engine_module.EngineCall:
+        assert order.adapter is not None
+        return engine_module.EngineCall(
+            run_id=voiding.attempt_id(order.request_id, order.attempt),
+            path=order.path,
+            adapter=order.adapter,
+            body=body,
+            stream=order.stream,
+            urgency=order.urgency,
+            fencing=self._fence.number,
+        )
 
     @staticmethod
     def _check_adapter(
@@ -156,68 +234,45 @@
         # An engine whose slots were changed behind our back would answer
         # from another adapter; the caller would see a fluent answer made
         # for somebody else.  The engine names what it ran, so we refuse.
-        if found.status == 200 and found.adapter != call.adapter.engine_name:
+        if found.adapter != call.adapter.engine_name:
             raise errors.RefusalError(
                 errors.ErrorKind.WRONG_ADAPTER,
                 'the backend server used another adapter',
             )
 
-    async def _stream(
+    async def _end_stream(
         self,
-        request: web.Request,
         call: engine_module.EngineCall,
-        found: engine_module.EngineAnswer,
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(status=found.status)
-        response.content_type = found.content_type
-        await response.prepare(request)
-        relay = event_stream.EventRelay()
+        delivery: runs.Delivery,
+        relay: event_stream.EventRelay,
+    ) -> None:
         try:
-            await self._relay(response, relay, found)
-            for _ in range(_MAX_RESUMES):
-                if relay.is_complete:
+            for delay_s in _RESUME_DELAYS_S:
+                if relay.is_complete or relay.is_failed:
                     break
-                await self._resume(response, relay, call)
+                await asyncio.sleep(delay_s)
+                await self._resume_once(call, delivery, relay)
         except asyncio.CancelledError:
             await self._cancel(call.run_id)
             raise
-        if not relay.is_complete:
-            await response.write(
-                answer.error_event(
-                    errors.RefusalError(
-                        errors.ErrorKind.ANSWER_CUT,
-                        'the backend server broke off',
-                    )
-                )
+        if not relay.is_complete and not relay.is_failed:
+            cut = errors.RefusalError(
+                errors.ErrorKind.ANSWER_CUT, 'the backend server broke off'
             )
-        await response.write_eof()
-        return response
+            await delivery.write(answer.error_event(cut))
+        await delivery.end()
 
-    async def _relay(
+    async def _resume_once(
         self,
-        response: web.StreamResponse,
-        relay: event_stream.EventRelay,
-        found: engine_module.EngineAnswer,
-    ) -> None:
-        try:
-            async for chunk in found.chunks:
-                events = relay.feed(chunk)
-                if events:
-                    await response.write(events)
-        except (aiohttp.ClientPayloadError, errors.PlatformError) as error:
-            log.warning('stream cut', error=repr(error))
-            relay.drop_partial_event()
-
-    async def _resume(
-        self,
-        response: web.StreamResponse,
-        relay: event_stream.EventRelay,
         call: engine_module.EngineCall,
+        delivery: runs.Delivery,
+        relay: event_stream.EventRelay,
     ) -> None:
+        relay.drop_partial_event()
         try:
             async with self._engine.resume(call, relay.event_count) as found:
                 self._check_adapter(found, call)
-                await self._relay(response, relay, found)
+                await _relay(delivery, relay, found)
         except (errors.PlatformError, errors.RefusalError) as error:
             log.warning('resume failed', error=str(error))
 
@@ -234,8 +289,17 @@
             await asyncio.sleep(_REPORT_INTERVAL_S)
 
     async def _read_report(self) -> None:
-        if self._fence.renew(await self._engine.report()):
+        asked_at_s = self._clock.monotonic_s()
+        report = await self._engine.report()
+        if self._fence.renew(report):
             self._slots.forget_all()
+            self._slots.adopt(report.adapters)
+            self._attached_at_s = asked_at_s
+            self._attached.set()
+        elif asked_at_s >= self._attached_at_s + _REPORT_LAG_S:
+            await self._slots.release_adopted(
+                lambda name: not report.running_on(name)
+            )
 
 
 class ServiceRunner:
@@ -263,25 +327,25 @@
         return contextlib.nullcontext()
 
     async def run(
-        self, request: web.Request, order: work.WorkOrder, body: bytes
-    ) -> web.StreamResponse:
-        """Pass the call on and its answer back.
+        self, order: work.WorkOrder, body: bytes, delivery: runs.Delivery
+    ) -> runs.WholeAnswer | None:
+        """Pass the call on.
 
         Raises
         ------
         RefusalError
-            Nothing was sent back yet and nothing will be.
+            There is no whole answer; says whether the call ran.
         """
         call = plain_service.ServiceCall(
             run_id=voiding.attempt_id(order.request_id, order.attempt),
             method=order.method,
             path=order.path,
-            content_type=request.headers.get('Content-Type', ''),
+            content_type=delivery.request_content_type,
             body=body,
         )
         try:
             async with self._service.run(call) as found:
-                return await _pass_through(request, found)
+                return await _pass_through(delivery, found)
         except engine_module.NotSentError as error:
             raise errors.RefusalError(
                 errors.ErrorKind.NO_BACKEND_SERVER, str(error)
@@ -291,8 +355,78 @@
                 errors.ErrorKind.OUTCOME_UNKNOWN, str(error)
             ) from error
 
+    async def resume(
+        self, order: work.WorkOrder, delivery: runs.Delivery
+    ) -> None:
+        """Refuse: a plain service cannot resume.
 
-async def _whole(found: engine_module.EngineAnswer) -> web.Response:
+        Raises
+        ------
+        RefusalError
+            Always.
+        """
+        raise errors.RefusalError(
+            errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer is not kept'
+        )
+
+
+def _unavailable(error: errors.PlatformError) -> errors.RefusalError:
+    return errors.RefusalError(
+        errors.ErrorKind.ADAPTER_UNAVAILABLE, str(error)
+    )
+
+
+@contextlib.contextmanager
+def _refusing_platform_errors() -> Iterator[None]:
+    try:
+        yield
+    except errors.PlatformError as error:
+        raise _unavailable(error) from error
+
+
+async def _check_status(found: engine_module.EngineAnswer) -> None:
+    if found.status in _OK_STATUSES:
+        return
+    detail = f'the backend server answered {found.status}'
+    if found.status in _REFUSED_STATUSES:
+        text = await _excerpt(found)
+        raise errors.RefusalError(
+            errors.ErrorKind.BAD_REQUEST, f'{detail}: {text}'
+        )
+    if found.status in _BUSY_STATUSES:
+        raise errors.RefusalError(errors.ErrorKind.QUEUE_FULL, detail)
+    raise errors.RefusalError(errors.ErrorKind.OUTCOME_UNKNOWN, detail)
+
+
+async def _excerpt(found: engine_module.EngineAnswer) -> str:
+    text = b''
+    async for chunk in found.chunks:
+        text += chunk
+        if len(text) >= _MAX_EXCERPT_BYTES:
+            break
+    return text[:_MAX_EXCERPT_BYTES].decode(errors='replace')
+
+
+async def _relay(
+    delivery: runs.Delivery,
+    relay: event_stream.EventRelay,
+    found: engine_module.EngineAnswer,
+) -> None:
+    try:
+        async for chunk in found.chunks:
+            events = relay.feed(chunk)
+            if events:
+                await delivery.write(events)
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        OSError,
+        errors.PlatformError,
+    ) as error:
+        log.warning('stream cut', error=repr(error))
+
+
+async def _whole(found: engine_module.EngineAnswer) -> runs.WholeAnswer:
     # A whole answer is sent only once it is whole here: the caller gets
     # either all of it or an error with a status, never a torn body.
     parts = bytearray()
@@ -300,26 +434,27 @@
         parts += chunk
         if len(parts) > MAX_WHOLE_ANSWER_BYTES:
             raise errors.PlatformError('engine: answer too large')
-    return web.Response(
-        status=found.status, body=parts, content_type=found.content_type
-    )
+    return runs.WholeAnswer(found.status, found.content_type, bytes(parts))
 
 
 async def _pass_through(
-    request: web.Request, found: plain_service.ServiceAnswer
-) -> web.StreamResponse:
-    response = web.StreamResponse(status=found.status)
-    if found.content_type:
-        response.headers['Content-Type'] = found.content_type
-    await response.prepare(request)
-    try:
-        async for chunk in found.chunks:
-            await response.write(chunk)
-    except aiohttp.ClientError:
-        # The body has no end marker of its own: only a connection that
-        # is torn down tells the peer that the answer is not whole.
-        if request.transport is not None:
-            request.transport.abort()
-        raise
-    await response.write_eof()
-    return response
+    delivery: runs.Delivery, found: plain_service.ServiceAnswer
+) -> runs.WholeAnswer | None:
+    # A small body is sent only once it is whole here, so that a service
+    # which breaks off gives an error with a status.  A large one is sent
+    # as it comes; a break in it tears the connection to the caller down.
+    first = bytearray()
+    is_stream = found.content_type.startswith(_EVENT_STREAM)
+    limit_bytes = 0 if is_stream else MAX_BUFFERED_BYTES
+    async for chunk in found.chunks:
+        first += chunk
+        if len(first) > limit_bytes:
+            break
+    else:
+        return runs.WholeAnswer(found.status, found.content_type, bytes(first))
+    await delivery.begin(found.status, found.content_type)
+    await delivery.write(bytes(first))
+    async for chunk in found.chunks:
+        await delivery.write(chunk)
+    await delivery.end()
+    return None
--- /dev/null
+++ b/lacewingpitch/runs.py
@@ -0,0 +1,235 @@
+"""The runs of one sidecar, which outlive a connection that breaks."""
+
+import asyncio
+import collections
+from collections.abc import Coroutine
+import dataclasses
+
+import aiohttp
+from aiohttp import web
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import errors
+
+RESUME_GRACE_S = 5.0
+_WRITE_TIMEOUT_S = 60.0
+_KEPT_S = 30.0
+_MAX_KEPT_ANSWER_BYTES = 256 << 10
+_MAX_KEPT_BYTES = 16 << 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer that is complete before any of it is sent."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+    def response(self) -> web.Response:
+        """Return it as an HTTP answer."""
+        headers = {}
+        if self.content_type:
+            headers['Content-Type'] = self.content_type
+        return web.Response(
+            status=self.status, body=self.body, headers=headers
+        )
+
+
+class Delivery:
+    """Where a run's bytes go; once it is broken, they go nowhere.
+
+    Parameters
+    ----------
+    request
+        The request of the peer that waits for the answer.
+    headers
+        Headers that every answer to it carries.
+    """
+
+    def __init__(self, request: web.Request, headers: dict[str, str]) -> None:
+        self._request = request
+        self._headers = headers
+        self.request_content_type = request.headers.get('Content-Type', '')
+        self.response: web.StreamResponse | None = None
+        self.is_broken = False
+
+    async def begin(self, status: int, content_type: str) -> None:
+        """Send the head of the answer."""
+        self.response = web.StreamResponse(
+            status=status, headers=self._headers
+        )
+        if content_type:
+            self.response.headers['Content-Type'] = content_type
+        await self._send(self.response.prepare(self._request))
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        assert self.response is not None
+        if not self.is_broken:
+            await self._send(self.response.write(data))
+
+    async def end(self) -> None:
+        """Send the end of the body."""
+        assert self.response is not None
+        if not self.is_broken:
+            await self._send(self.response.write_eof())
+
+    def tear(self) -> None:
+        """Break the connection, so that the body is seen not to be whole."""
+        self.is_broken = True
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def _send(self, sending: Coroutine[None, None, object]) -> None:
+        # A reader that is gone, or takes nothing for a minute, must not
+        # end a run that may only run once, nor hold its slot for ever.
+        try:
+            async with asyncio.timeout(_WRITE_TIMEOUT_S):
+                await sending
+        except TimeoutError:
+            self.tear()
+        except (aiohttp.ClientError, OSError, RuntimeError):
+            self.is_broken = True
+
+
+class KeptAnswers:
+    """Small whole answers, kept for a peer whose connection broke."""
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._bytes = 0
+        self._answers: collections.OrderedDict[
+            str, tuple[float, WholeAnswer]
+        ] = collections.OrderedDict()
+
+    def put(self, attempt_id: str, answer: WholeAnswer) -> None:
+        """Keep an answer for a while unless it is large."""
+        if len(answer.body) > _MAX_KEPT_ANSWER_BYTES:
+            return
+        until_s = self._clock.monotonic_s() + _KEPT_S
+        self._answers[attempt_id] = (until_s, answer)
+        self._bytes += len(answer.body)
+        self._drop_old()
+
+    def get(self, attempt_id: str) -> WholeAnswer | None:
+        """Return a kept answer."""
+        found = self._answers.get(attempt_id)
+        return None if found is None else found[1]
+
+    def _drop_old(self) -> None:
+        now_s = self._clock.monotonic_s()
+        while self._answers:
+            until_s, answer = next(iter(self._answers.values()))
+            if until_s > now_s and self._bytes <= _MAX_KEPT_BYTES:
+                return
+            self._answers.popitem(last=False)
+            self._bytes -= len(answer.body)
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """The tasks that work on one attempt, and whether anyone waits."""
+
+    attempt_id: str
+    repeatable: bool
+    tasks: list[asyncio.Task[WholeAnswer | None]] = dataclasses.field(
+        default_factory=list
+    )
+    ending: asyncio.TimerHandle | None = None
+
+    def cancel(self) -> None:
+        """Stop all work on it."""
+        for task in self.tasks:
+            task.cancel()
+
+    def keep(self) -> None:
+        """Take back the decision to stop it."""
+        if self.ending is not None:
+            self.ending.cancel()
+            self.ending = None
+
+
+class Runs:
+    """What runs at this sidecar, by attempt.
+
+    A run has a task of its own.  When the connection that waits for it
+    breaks, it runs on: for good if it is not repeatable, else until
+    nobody has taken it up again for `RESUME_GRACE_S`.
+    """
+
+    def __init__(self) -> None:
+        self._runs: dict[str, Run] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def find(self, attempt_id: str) -> Run | None:
+        """Return the run of an attempt that is in progress."""
+        return self._runs.get(attempt_id)
+
+    def start(
+        self,
+        attempt_id: str,
+        repeatable: bool,
+        work: Coroutine[None, None, WholeAnswer | None],
+    ) -> asyncio.Task[WholeAnswer | None]:
+        """Run `work` in a task of its own."""
+        run = self._runs.setdefault(attempt_id, Run(attempt_id, repeatable))
+        run.keep()
+        self._idle.clear()
+        task = asyncio.create_task(work)
+        run.tasks.append(task)
+        task.add_done_callback(lambda done: self._ended(run, done))
+        return task
+
+    async def follow(
+        self, attempt_id: str, task: asyncio.Task[WholeAnswer | None]
+    ) -> WholeAnswer | None:
+        """Wait for a run, which goes on if the waiting is cancelled.
+
+        Raises
+        ------
+        RefusalError
+            What the run raised, or that it was stopped.
+        """
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                self._abandon(attempt_id)
+                raise
+            raise errors.RefusalError(
+                errors.ErrorKind.CALLER_GONE, 'the run was stopped'
+            ) from None
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Stop a run that may be repeated; return whether it was."""
+        run = self._runs.get(attempt_id)
+        if run is None or not run.repeatable:
+            return False
+        run.cancel()
+        return True
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing runs."""
+        await self._idle.wait()
+
+    def _abandon(self, attempt_id: str) -> None:
+        run = self._runs.get(attempt_id)
+        if run is None or not run.repeatable:
+            return
+        run.keep()
+        loop = asyncio.get_running_loop()
+        run.ending = loop.call_later(RESUME_GRACE_S, run.cancel)
+
+    def _ended(self, run: Run, task: asyncio.Task[WholeAnswer | None]) -> None:
+        if not task.cancelled():
+            # Marks the exception as seen: the peer may be gone.
+            task.exception()
+        run.tasks.remove(task)
+        if run.tasks:
+            return
+        run.keep()
+        del self._runs[run.attempt_id]
+        if not self._runs:
+            self._idle.set()
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -1,7 +1,7 @@
 """The process beside a backend server, and the only one to send it work."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 
 from aiohttp import web
@@ -14,13 +14,20 @@
 from lacewingpitch import ledger
 from lacewingpitch import node
 from lacewingpitch import runner as runner_module
+from lacewingpitch import runs
 from lacewingpitch import settings as settings_module
 from lacewingpitch import voiding
 from lacewingpitch import work
 
 MAX_BODY_BYTES = 8 << 20
+_LAST_WORDS_S = 1.0
 log = structlog.get_logger(__name__)
 
+Handler = Callable[
+    [web.Request, work.WorkOrder, runs.Delivery],
+    Awaitable[runs.WholeAnswer | None],
+]
+
 
 class Sidecar:
     """Runs requests on one backend server.
@@ -41,9 +48,12 @@
         self.settings = settings
         self._node = node.Node(settings, clock or clock_module.SystemClock())
         self._ledger = ledger.RunLedger(self._node.clock)
+        self._runs = runs.Runs()
+        self._kept = runs.KeptAnswers(self._node.clock)
         self._server = http_server.HttpServer(MAX_BODY_BYTES)
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
+        self._started = False
         self._queued = 0
         self._running = asyncio.Semaphore(settings.backend_server.max_running)
         self._runner: runner_module.Runner
@@ -72,9 +82,12 @@
         # The port is bound exclusively, also by a frozen process, and
         # freed by the kernel at its death; no order precedes it.
         self._server.route_work('POST', '/run', self._take)
+        self._server.route_work('POST', '/resume', self._take_up)
         self._server.route('GET', '/healthz', self._health)
         self._server.route('GET', '/readyz', self._ready)
-        await self._server.start(self.settings.ip, self.settings.work_port)
+        await self._server.start_when_free(
+            self.settings.ip, self.settings.work_port
+        )
         self._exits.push_async_callback(self._server.close)
         await self._exits.enter_async_context(self._node)
         self._runner = runner_module.make_runner(
@@ -84,51 +97,179 @@
         )
         await self._exits.enter_async_context(self._runner)
         self._node.control.handle(voiding.VoidRequest, self._void)
+        self._node.control.handle(voiding.CancelRequest, self._cancel)
         self._node.follow_platform()
+        self._started = True
 
     async def close(self) -> None:
         """Drain, then release everything."""
         self._draining = True
-        await self._server.drain(self.settings.drain_s)
+        await self._drain()
         await self._exits.aclose()
 
+    async def _drain(self) -> None:
+        # A run whose connection broke may still be taken up again, and
+        # one that is not repeatable has to end: it has no handler that
+        # the server could wait for.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.drain_s):
+                await self._server.drain(self.settings.drain_s)
+                await self._runs.wait_idle()
+                # Entry instances that do not know yet are still told
+                # "not run", and ask about what they sent before.
+                await asyncio.sleep(_LAST_WORDS_S)
+                await self._server.drain(self.settings.drain_s)
+                await self._runs.wait_idle()
+
     async def _take(self, request: web.Request) -> web.StreamResponse:
+        return await self._answered(request, self._run)
+
+    async def _take_up(self, request: web.Request) -> web.StreamResponse:
+        return await self._answered(request, self._resume)
+
+    async def _answered(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
         try:
             order = work.decode_order(
                 request.headers.get(work.ORDER_HEADER, ''), self._node.sealer
             )
         except errors.RefusalError as error:
             return answer.refusal_response(error, '')
+        attempt_id = voiding.attempt_id(order.request_id, order.attempt)
+        headers = {work.ATTEMPT_HEADER: attempt_id}
+        delivery = runs.Delivery(request, headers)
         try:
-            return await self._run(request, order)
+            found = await handler(request, order, delivery)
         except errors.RefusalError as error:
-            log.info(
-                'refused',
-                request_id=order.request_id,
-                customer=order.customer,
-                kind=error.kind,
+            return self._refused(error, order, delivery)
+        except Exception:
+            log.exception('request failed', request_id=order.request_id)
+            unexpected = errors.RefusalError(
+                errors.ErrorKind.INTERNAL, 'the sidecar failed'
             )
+            return self._refused(unexpected, order, delivery)
+        if found is None:
+            assert delivery.response is not None
+            return delivery.response
+        response = found.response()
+        response.headers.update(headers)
+        return response
+
+    def _refused(
+        self,
+        error: errors.RefusalError,
+        order: work.WorkOrder,
+        delivery: runs.Delivery,
+    ) -> web.StreamResponse:
+        log.info(
+            'refused',
+            request_id=order.request_id,
+            customer=order.customer,
+            kind=error.kind,
+        )
+        if delivery.response is None:
             return answer.refusal_response(error, order.request_id)
+        # The head of an answer is out already: a second head behind it
+        # would be read as a piece of the answer.  A connection that is
+        # torn down tells the peer that the answer is not whole.
+        delivery.tear()
+        return delivery.response
 
     async def _run(
-        self, request: web.Request, order: work.WorkOrder
-    ) -> web.StreamResponse:
+        self,
+        request: web.Request,
+        order: work.WorkOrder,
+        delivery: runs.Delivery,
+    ) -> runs.WholeAnswer | None:
         attempt_id = voiding.attempt_id(order.request_id, order.attempt)
         self._ledger.admit(attempt_id)
         try:
             self._admit()
             body = await request.read()
+        except BaseException:
+            self._ledger.close(attempt_id)
+            raise
+        task = self._runs.start(
+            attempt_id,
+            order.repeatable,
+            self._execute(attempt_id, order, body, delivery),
+        )
+        task.add_done_callback(lambda _: self._ledger.close(attempt_id))
+        try:
+            return await self._runs.follow(attempt_id, task)
+        except asyncio.CancelledError:
+            delivery.is_broken = True
+            if self._ledger.state(attempt_id) is ledger.RunState.QUEUED:
+                task.cancel()
+            raise
+
+    async def _execute(
+        self,
+        attempt_id: str,
+        order: work.WorkOrder,
+        body: bytes,
+        delivery: runs.Delivery,
+    ) -> runs.WholeAnswer | None:
+        try:
             async with self._turn(order):
                 self._ledger.start(attempt_id)
-                return await self._runner.run(request, order, body)
-        finally:
-            self._ledger.finish(attempt_id)
+                found = await self._runner.run(order, body, delivery)
+        except errors.RefusalError as error:
+            did_not_run = error.outcome is errors.Outcome.NOT_RUN
+            self._ledger.close(attempt_id, did_not_run)
+            raise
+        if found is not None:
+            self._kept.put(attempt_id, found)
+        return found
+
+    async def _resume(
+        self,
+        _request: web.Request,
+        order: work.WorkOrder,
+        delivery: runs.Delivery,
+    ) -> runs.WholeAnswer | None:
+        attempt_id = voiding.attempt_id(order.request_id, order.attempt)
+        kept = self._kept.get(attempt_id)
+        if kept is not None:
+            return kept
+        run = self._runs.find(attempt_id)
+        if not order.stream and run is not None:
+            run.keep()
+            kept = await self._runs.follow(attempt_id, run.tasks[0])
+        if kept is not None:
+            return kept
+        if not order.stream:
+            raise errors.RefusalError(
+                errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer is not kept'
+            )
+        self._ledger.resume(attempt_id)
+        task = self._runs.start(
+            attempt_id, order.repeatable, self._continue(order, delivery)
+        )
+        task.add_done_callback(lambda _: self._ledger.close(attempt_id))
+        try:
+            return await self._runs.follow(attempt_id, task)
+        except asyncio.CancelledError:
+            delivery.is_broken = True
+            raise
+
+    async def _continue(
+        self, order: work.WorkOrder, delivery: runs.Delivery
+    ) -> runs.WholeAnswer | None:
+        async with self._runner.ready(order):
+            await self._runner.resume(order, delivery)
+        return None
 
     def _admit(self) -> None:
         if self._draining:
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING, 'this backend server is leaving'
             )
+        if not self._started:
+            raise errors.RefusalError(
+                errors.ErrorKind.QUEUE_FULL, 'this sidecar is starting'
+            )
         if self._queued >= self.settings.max_queued:
             raise errors.RefusalError(
                 errors.ErrorKind.QUEUE_FULL, 'too many requests wait here'
@@ -167,8 +308,17 @@
     async def _ready(self, _request: web.Request) -> web.Response:
         if self._draining:
             return web.Response(status=503, text='draining\n')
+        if not self._started:
+            return web.Response(status=503, text='starting\n')
         return web.Response(text='ready\n')
 
     async def _void(self, message: voiding.VoidRequest) -> voiding.VoidReply:
         state = self._ledger.void(message.attempt_id)
         return voiding.VoidReply(state=state)
+
+    async def _cancel(
+        self, message: voiding.CancelRequest
+    ) -> voiding.CancelReply:
+        return voiding.CancelReply(
+            cancelled=self._runs.cancel(message.attempt_id)
+        )
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -1,7 +1,7 @@
 """The adapter slots of one engine: who holds them, who may be evicted."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Iterable
 import contextlib
 import dataclasses
 
@@ -18,10 +18,14 @@
     ----------
     serving
         Requests that run on it or are about to.
+    adopted
+        Whether runs of an earlier sidecar may still be on it; they
+        count as one in `serving`.
     """
 
     name: str
     serving: int = 0
+    adopted: bool = False
 
 
 class AdapterSlots:
@@ -77,6 +81,27 @@
         """Record that the engine restarted empty."""
         self._slots.clear()
 
+    def forget(self, name: str) -> None:
+        """Record that the engine says it does not hold an adapter."""
+        self._slots.pop(name, None)
+
+    def adopt(self, names: Iterable[str]) -> None:
+        """Record what the engine held before this sidecar came."""
+        # A sidecar that was killed may have left runs at the engine.
+        # Nobody waits for them here, so their adapters would seem idle,
+        # and be evicted under a request.
+        for name in names:
+            self._slots[name] = Slot(name, serving=1, adopted=True)
+
+    async def release_adopted(self, is_idle: Callable[[str], bool]) -> None:
+        """Let go of adopted adapters that the engine says are idle."""
+        for slot in self._slots.values():
+            if slot.adopted and is_idle(slot.name):
+                slot.adopted = False
+                slot.serving -= 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _take(self, name: str) -> Slot:
         async with self._loading:
             slot = self._slots.get(name)
@@ -94,6 +119,7 @@
             return
         victim = next(s for s in self._slots.values() if not s.serving)
         await self._engine.evict_adapter(victim.name, self._fence.number)
+        self._fence.accepted()
         self._slots.pop(victim.name, None)
 
     def _has_room(self) -> bool:
@@ -109,6 +135,7 @@
             raise errors.RefusalError(
                 errors.ErrorKind.ADAPTER_UNAVAILABLE, str(error)
             ) from error
+        self._fence.accepted()
         slot = Slot(name)
         self._slots[name] = slot
         return slot
--- a/lacewingpitch/standin_engine.py
+++ b/lacewingpitch/standin_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import itertools
 
@@ -28,6 +29,14 @@
         Whether calls run on another adapter than they name.
     refusing
         Whether every call is refused with status 503.
+    runs_on
+        Whether a run goes on when its connection breaks.
+    refusing_resumes
+        Whether no stream can be taken up again.
+    cutting_whole
+        How many of the next whole answers break off after their run.
+    status
+        Every call is answered with this status, if it is not 0.
     """
 
     failing_loads: int = 0
@@ -35,6 +44,10 @@
     wrong_adapter: bool = False
     refusing: bool = False
     report_delay_s: float = 0.0
+    runs_on: bool = False
+    refusing_resumes: bool = False
+    cutting_whole: int = 0
+    status: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,6 +141,9 @@
                 'adapter_slots': self.adapter_slots,
                 'adapters': sorted(self.adapters),
                 'running': self.running.total(),
+                'running_by_adapter': {
+                    name: count for name, count in self.running.items()
+                },
             }
         )
 
@@ -168,6 +184,8 @@
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         if self.faults.refusing:
             return web.Response(status=503)
+        if self.faults.status:
+            return web.Response(status=self.faults.status, text='refused')
         if not self._passes_fence(int(request.headers['X-Fencing'])):
             return web.Response(status=409)
         body = await request.read()
@@ -180,12 +198,18 @@
         run = Run(request.headers['X-Request-Id'], adapter, body)
         self.truth.runs.append(run)
         self._keep(run)
-        return await self._answer(request, run, 0)
+        answering = asyncio.create_task(self._answer(request, run, 0))
+        try:
+            return await asyncio.shield(answering)
+        except asyncio.CancelledError:
+            if not self.faults.runs_on:
+                answering.cancel()
+            raise
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
         asked = await request.json()
         run = self._kept.get(asked['run_id'])
-        if run is None or run.cancelled:
+        if run is None or run.cancelled or self.faults.refusing_resumes:
             return web.Response(status=404)
         return await self._answer(request, run, asked['after_events'])
 
@@ -205,6 +229,10 @@
                 return await self._stream(request, run, tokens, after_events)
             await asyncio.sleep(self.token_s * tokens)
             run.finished = True
+            if self.faults.cutting_whole:
+                self.faults.cutting_whole -= 1
+                assert request.transport is not None
+                request.transport.abort()
             return web.json_response(
                 {
                     'id': run.run_id,
@@ -230,12 +258,22 @@
                 request.transport.abort()
                 return response
             await asyncio.sleep(self.token_s)
-            await response.write(_event(run, number))
-        await response.write(answer.STREAM_END)
-        await response.write_eof()
+            if run.cancelled:
+                return response
+            await self._write(response, _event(run, number))
         run.finished = True
+        await self._write(response, answer.STREAM_END)
+        with contextlib.suppress(OSError):
+            await response.write_eof()
         return response
 
+    async def _write(self, response: web.StreamResponse, data: bytes) -> None:
+        try:
+            await response.write(data)
+        except OSError:
+            if not self.faults.runs_on:
+                raise
+
     async def _cancel(self, request: web.Request) -> web.Response:
         asked = await request.json()
         run = self._kept.get(asked['run_id'])
--- a/lacewingpitch/voiding.py
+++ b/lacewingpitch/voiding.py
@@ -16,6 +16,18 @@
     state: ledger.RunState
 
 
+class CancelRequest(link.Message, frozen=True):
+    """Tells a sidecar that nobody waits for an attempt's answer."""
+
+    attempt_id: str
+
+
+class CancelReply(link.Message, frozen=True):
+    """Whether the attempt was stopped; one not repeatable runs on."""
+
+    cancelled: bool
+
+
 def attempt_id(request_id: str, attempt: int) -> str:
     """Return the name of one attempt at one request."""
     return f'{request_id}.{attempt}'
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -12,6 +12,7 @@
 REQUEST_ID_HEADER = 'Lacewingpitch-Request-Id'
 OUTCOME_HEADER = 'Lacewingpitch-Outcome'
 KIND_HEADER = 'Lacewingpitch-Error-Kind'
+ATTEMPT_HEADER = 'Lacewingpitch-Attempt'
 HINT_HEADER = 'Lacewingpitch-Hint'
 
 
@@ -33,6 +34,8 @@
         since the clocks of two instances differ.
     idempotency_key
         The caller's key; empty if it gave none.
+    after_events
+        How many events of a stream that is resumed have arrived.
     """
 
     request_id: str
@@ -50,6 +53,7 @@
     stream: bool = False
     idempotency_key: str = ''
     max_tokens: int = 0
+    after_events: int = 0
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
