--- a/lacewingpitch/engine.py
+++ b/lacewingpitch/engine.py
@@ -256,7 +256,10 @@
                     headers=headers,
                     timeout=timeout,
                 )
-            except aiohttp.ClientConnectorError as error:
+            except (
+                aiohttp.ClientConnectorError,
+                aiohttp.ConnectionTimeoutError,
+            ) as error:
                 raise NotSentError(f'engine: {error!r}') from error
             async with response:
                 if response.status == _HTTP_CONFLICT:
--- a/lacewingpitch/plain_service.py
+++ b/lacewingpitch/plain_service.py
@@ -12,6 +12,7 @@
 
 _CONNECT_TIMEOUT_S = 2.0
 _SILENCE_TIMEOUT_S = 60.0
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,8 +83,9 @@
                     headers=headers,
                     timeout=timeout,
                     allow_redirects=False,
+                    middlewares=(_send_once,),
                 )
-            except aiohttp.ClientConnectorError as error:
+            except _NOT_SENT as error:
                 raise engine.NotSentError(f'service: {error!r}') from error
             async with response:
                 yield ServiceAnswer(
@@ -91,3 +93,18 @@
                     response.headers.get('Content-Type', ''),
                     response.content.iter_any(),
                 )
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # The library sends a PUT, DELETE or GET again by itself when the
+    # connection drops before the answer: a call that the contract marks
+    # as not repeatable would run twice.  It does so for these two types
+    # of error, so they leave here as another one.
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientPayloadError(repr(error)) from error
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,6 +18,7 @@
 from lacewingpitch import live_list
 from lacewingpitch import settings
 from lacewingpitch import standin_engine
+from lacewingpitch import standin_service
 
 IP = '127.0.0.1'
 START_S = 30.0
@@ -34,6 +35,11 @@
         self.log = []
 
     async def start(self):
+        await self.spawn()
+        return await self.listening()
+
+    async def spawn(self):
+        """Start it without waiting until it listens."""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-c',
@@ -42,10 +48,12 @@
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
         )
-        listening = asyncio.Event()
-        self._reading = asyncio.create_task(self._read_log(listening))
+        self._listening = asyncio.Event()
+        self._reading = asyncio.create_task(self._read_log(self._listening))
+
+    async def listening(self):
         async with asyncio.timeout(START_S):
-            await listening.wait()
+            await self._listening.wait()
         if not self.ports:
             raise RuntimeError(f'did not start: {self.log}')
         return self
@@ -66,6 +74,9 @@
     def url(self):
         return f'http://{IP}:{self.ports["work_port"]}'
 
+    def has_logged(self, event):
+        return any(entry['event'] == event for entry in self.log)
+
     def freeze(self):
         os.kill(self._process.pid, signal.SIGSTOP)
 
@@ -166,6 +177,24 @@
         )
         return process
 
+    async def spawn_successor(self, number):
+        """Start the sidecar that takes the place of another one.
+
+        It has the same settings, ports and backend server; return it
+        before it listens, since the old process may hold the port.
+        """
+        old = self.sidecars[number]
+        path = self._folder / f'sidecar-{number}.json'
+        found = settings.load_settings(path, settings.SidecarSettings)
+        path.write_bytes(
+            msgspec.json.encode(msgspec.structs.replace(found, **old.ports))
+        )
+        process = Process('sidecar', str(path))
+        await process.spawn()
+        self._exits.push_async_callback(process.kill)
+        self.sidecars[number] = process
+        return process
+
     async def add_entry(self, **fields):
         name = f'entry-{len(self.entries)}'
         found = settings.EntrySettings(**self._process(name, **fields))
@@ -259,6 +288,22 @@
                 await response.read(), type=standin_engine.EngineTruth
             )
 
+    async def service_truth(self, service):
+        async with self.session.get(service.url + '/truth') as response:
+            return msgspec.json.decode(
+                await response.read(),
+                type=list[standin_service.ServiceRun],
+            )
+
+    def call_service(self, entry, customer, path, *, method='POST', data=b''):
+        """Send a call to the plain service; use as an async context."""
+        return self.session.request(
+            method,
+            f'{entry.url}/services/plain/{path}',
+            data=data,
+            headers={'Authorization': f'Bearer {self.keys[customer]}'},
+        )
+
     def call(self, entry, customer, adapter, *, key='', **fields):
         """Send a completion; use as an async context."""
         headers = {'Authorization': f'Bearer {self.keys[customer]}'}
