--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -31,6 +31,8 @@
 _CANCEL_TIMEOUT_S = 1.0
 _ANSWER_GRACE_S = 2.0
 _SILENCE_S = 5.0
+# Longer than a sidecar waits for a silent engine.
+_MAX_SILENCES = 14
 _REATTACH_DELAYS_S = (0.0, 0.1, 0.3, 0.6, 1.0, 1.5)
 # The connection was never made, so not a byte of the request went out.
 _NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -98,21 +100,30 @@
             It broke off, or the sidecar says nothing any more.
         """
         content = self._response.content
+        silences = 0
         while True:
             try:
                 async with asyncio.timeout(_SILENCE_S):
                     chunk = await content.readany()
             except TimeoutError:
-                # A frozen sidecar, or a link that is half open, keeps
-                # the connection and sends nothing: the caller would
-                # wait for ever.  A sidecar that only waits for its
-                # engine answers at once.
-                await self._dispatcher.ask_state(self.attempt)
+                silences += 1
+                await self._check_silence(silences)
                 continue
             if not chunk:
                 return
+            silences = 0
             yield chunk
 
+    async def _check_silence(self, silences: int) -> None:
+        # A frozen sidecar, or a link that is half open, keeps the
+        # connection and sends nothing: the caller would wait for ever.
+        # A sidecar that only waits for its engine answers at once, and
+        # does not say for long that all was sent.
+        state = await self._dispatcher.ask_state(self.attempt)
+        is_over = state is not ledger.RunState.STARTED
+        if silences >= _MAX_SILENCES or (is_over and silences > 1):
+            raise aiohttp.ClientPayloadError('the link is silent')
+
     async def resume(self, after_events: int) -> None:
         """Ask the sidecar for the rest, or again for a whole answer.
 
