--- /dev/null
+++ b/tests/test_fence.py
@@ -0,0 +1,71 @@
+"""Fencing numbers over restarts, lagging reports and clocks set back."""
+
+import pytest
+
+from lacewingpitch import engine
+from lacewingpitch import fence
+from tests import fault_matrix
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+
+
+class ManualClock:
+    def __init__(self, wall_s):
+        self.now_s = wall_s
+
+    def monotonic_s(self):
+        return self.now_s
+
+    def wall_s(self):
+        return self.now_s
+
+
+def report(incarnation, last_fencing=0):
+    return engine.EngineReport(
+        incarnation=incarnation, base_model='base', last_fencing=last_fencing
+    )
+
+
+class TestNumber:
+    def test_is_above_the_engine_s_last_with_the_clock_set_back(self):
+        old = fence.Fence(ManualClock(1000.0))
+        old.renew(report('a'))
+        successor = fence.Fence(ManualClock(10.0))
+        successor.renew(report('a', old.number))
+        assert successor.number > old.number
+
+    def test_never_falls_when_the_engine_restarts_empty(self):
+        clock = ManualClock(1000.0)
+        found = fence.Fence(clock)
+        found.renew(report('a'))
+        before = found.number
+        clock.now_s = 10.0
+        assert found.renew(report('b'))
+        assert found.number >= before
+
+    @pytest.mark.proves(Promise.NO_EVICTION, Fault.ENGINE_LATE, Step.ANY)
+    def test_rises_if_the_first_report_lagged(self):
+        """A new sidecar is fenced off for good.
+
+        The engine's report lags behind the last order of the sidecar
+        before it, whose clock was ahead.
+        """
+        found = fence.Fence(ManualClock(1000.0))
+        found.renew(report('a', 5))
+        assert not found.renew(report('a', 2_000_000))
+        assert found.number > 2_000_000
+
+    @pytest.mark.proves(Promise.NO_EVICTION, Fault.FROZEN, Step.ANY)
+    def test_does_not_rise_over_a_successor(self):
+        """Two sidecars fence each other off in turn.
+
+        One was frozen, and wakes to a higher number at its engine.
+        """
+        found = fence.Fence(ManualClock(1000.0))
+        found.renew(report('a'))
+        found.accepted()
+        number = found.number
+        found.renew(report('a', number + 1))
+        assert found.number == number
--- /dev/null
+++ b/tests/test_fencing_processes.py
@@ -0,0 +1,177 @@
+"""Two sidecars of one engine, one frozen or killed, as real processes."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+
+from tests import fault_matrix
+from tests import processes
+
+Promise = fault_matrix.Promise
+Fault = fault_matrix.Fault
+Step = fault_matrix.Step
+
+ADAPTERS = ('ficus', 'fern', 'moss', 'ivy', 'lily', 'rose')
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with processes.Deployment(tmp_path) as found:
+        yield found
+
+
+async def start(deployment, *options):
+    await deployment.add_engine('--adapter-slots', '4', *options)
+    await deployment.add_entry()
+    deployment.add_customer('haneul', *ADAPTERS, deadline_s=20.0)
+    await deployment.publish()
+
+
+async def ask(deployment, adapter, **fields):
+    async with deployment.call(
+        deployment.entries[0], 'haneul', adapter, **fields
+    ) as response:
+        return response.status, await response.text()
+
+
+async def report(deployment):
+    engine = deployment.engines[0]
+    async with deployment.session.get(engine.url + '/v1/report') as found:
+        return await found.json()
+
+
+async def served(deployment, adapter):
+    status, text = await ask(deployment, adapter)
+    return status == 200 and f'{adapter}@1' in text
+
+
+async def ready(deployment, process):
+    with contextlib.suppress(aiohttp.ClientError):
+        async with deployment.session.get(process.url + '/readyz') as found:
+            return found.status == 200
+    return False
+
+
+async def load_held_by_runs(deployment):
+    """Fill every slot, with a long run on the first adapter."""
+    first = asyncio.create_task(
+        ask(deployment, ADAPTERS[0], stream=True, max_tokens=400)
+    )
+
+    async def runs():
+        return (await report(deployment))['running'] == 1
+
+    await processes.until(runs)
+    for adapter in ADAPTERS[1:4]:
+        assert await served(deployment, adapter)
+    return first
+
+
+class TestTwoSidecars:
+    @pytest.mark.proves(Promise.NO_EVICTION, Fault.FENCING_IGNORED, Step.SENT)
+    @pytest.mark.proves(Promise.NO_EVICTION, Fault.FROZEN, Step.SENT)
+    @pytest.mark.proves(Promise.NO_EVICTION, Fault.KILLED, Step.SENT)
+    @pytest.mark.parametrize(
+        'fencing', ['--checks-fencing', '--ignores-fencing']
+    )
+    async def test_successor_waits_and_evicts_no_orphan(
+        self, deployment, fencing
+    ):
+        """A stream changes its adapter in the middle, or breaks.
+
+        A sidecar freezes with a run at the engine and every slot full;
+        its successor starts, then the frozen one is killed.  The run is
+        still there, with nobody at the sidecar waiting for it, when
+        requests for other adapters need a slot.
+        """
+        await start(deployment, fencing, '--token-s', '0.02')
+        await deployment.set_faults(deployment.engines[0], runs_on=True)
+        first = await load_held_by_runs(deployment)
+        old = deployment.sidecars[0]
+        old.freeze()
+        before = await report(deployment)
+        successor = await deployment.spawn_successor(0)
+
+        async def waits():
+            return successor.has_logged('port is held')
+
+        await processes.until(waits)
+        after = await report(deployment)
+        assert after['last_fencing'] == before['last_fencing']
+        assert after['adapters'] == before['adapters']
+        await old.kill()
+        await successor.listening()
+        await processes.until(lambda: ready(deployment, successor))
+        await processes.until(lambda: served(deployment, ADAPTERS[4]))
+        await processes.until(lambda: served(deployment, ADAPTERS[5]))
+        await first
+        truth = await deployment.truth(deployment.engines[0])
+        assert truth.evictions
+        assert not truth.evictions_under_run
+        assert len({run.run_id for run in truth.runs}) == len(truth.runs)
+
+    @pytest.mark.proves(Promise.NO_EVICTION, Fault.HALF_OPEN, Step.ANY)
+    async def test_late_order_of_the_old_one_is_refused(self, deployment):
+        """An adapter disappears under a request of the new sidecar.
+
+        An order of the old one was on its way when it was killed, and
+        arrives after the first order of the new one.
+        """
+        await start(deployment)
+        assert await served(deployment, ADAPTERS[0])
+        old_number = (await report(deployment))['last_fencing']
+        await deployment.sidecars[0].kill()
+        successor = await deployment.spawn_successor(0)
+        await successor.listening()
+        await processes.until(lambda: served(deployment, ADAPTERS[1]))
+        async with deployment.session.post(
+            deployment.engines[0].url + '/v1/unload_lora_adapter',
+            json={'lora_name': f'{ADAPTERS[1]}@1', 'fencing': old_number},
+        ) as response:
+            assert response.status == 409
+        assert f'{ADAPTERS[1]}@1' in (await report(deployment))['adapters']
+
+
+class TestEngineRestart:
+    @pytest.mark.proves(
+        Promise.RIGHT_ADAPTER, Fault.ENGINE_EMPTY, Step.BEFORE_ADMISSION
+    )
+    async def test_empty_engine_is_filled_again(self, deployment):
+        """Every request fails after an engine has restarted.
+
+        It forgot its adapters and the last fencing number.
+        """
+        await start(deployment)
+        engine = deployment.engines[0]
+        for _ in range(2):
+            assert await served(deployment, ADAPTERS[0])
+            async with deployment.session.post(engine.url + '/restart'):
+                pass
+            await processes.until(lambda: served(deployment, ADAPTERS[0]))
+        truth = await deployment.truth(engine)
+        assert truth.fenced_orders == 0
+        assert not truth.evictions_under_run
+
+
+class TestAttaching:
+    @pytest.mark.proves(Promise.NO_EVICTION, Fault.ENGINE_LATE, Step.ANY)
+    async def test_no_order_before_the_engine_has_reported(self, deployment):
+        """A new sidecar gives an order with a number of nothing.
+
+        The engine's report takes long when the sidecar starts.
+        """
+        await start(deployment)
+        assert await served(deployment, ADAPTERS[0])
+        engine = deployment.engines[0]
+        before = await report(deployment)
+        await deployment.set_faults(engine, report_delay_s=1.5)
+        await deployment.sidecars[0].kill()
+        successor = await deployment.spawn_successor(0)
+        await successor.listening()
+        await processes.until(lambda: served(deployment, ADAPTERS[1]))
+        assert (await report(deployment))['last_fencing'] > before[
+            'last_fencing'
+        ]
+        assert (await deployment.truth(engine)).fenced_orders == 0
