--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -221,6 +221,10 @@
                 )
             except errors.LinkError:
                 break
+            except errors.RefusalError as error:
+                # A sidecar that has just taken its port is not ready.
+                if error.kind is not errors.ErrorKind.QUEUE_FULL:
+                    raise
             except _LOST as error:
                 log.info(
                     'not resumed',
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -113,13 +113,15 @@
         # the server could wait for.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_s):
-                await self._server.drain(self.settings.drain_s)
-                await self._runs.wait_idle()
+                await self._idle()
                 # Entry instances that do not know yet are still told
                 # "not run", and ask about what they sent before.
                 await asyncio.sleep(_LAST_WORDS_S)
-                await self._server.drain(self.settings.drain_s)
-                await self._runs.wait_idle()
+                await self._idle()
+
+    async def _idle(self) -> None:
+        await self._server.drain(self.settings.drain_s)
+        await self._runs.wait_idle()
 
     async def _take(self, request: web.Request) -> web.StreamResponse:
         return await self._answered(request, self._run)
@@ -140,6 +142,7 @@
         headers = {work.ATTEMPT_HEADER: attempt_id}
         delivery = runs.Delivery(request, headers)
         try:
+            self._check_started()
             found = await handler(request, order, delivery)
         except errors.RefusalError as error:
             return self._refused(error, order, delivery)
@@ -156,6 +159,13 @@
         response.headers.update(headers)
         return response
 
+    def _check_started(self) -> None:
+        # The port is held, and so reached, before the rest is there.
+        if not self._started:
+            raise errors.RefusalError(
+                errors.ErrorKind.QUEUE_FULL, 'this sidecar is starting'
+            )
+
     def _refused(
         self,
         error: errors.RefusalError,
@@ -186,7 +196,7 @@
         self._ledger.admit(attempt_id)
         try:
             self._admit()
-            body = await request.read()
+            body = await _read_body(request)
         except BaseException:
             self._ledger.close(attempt_id)
             raise
@@ -266,10 +276,6 @@
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING, 'this backend server is leaving'
             )
-        if not self._started:
-            raise errors.RefusalError(
-                errors.ErrorKind.QUEUE_FULL, 'this sidecar is starting'
-            )
         if self._queued >= self.settings.max_queued:
             raise errors.RefusalError(
                 errors.ErrorKind.QUEUE_FULL, 'too many requests wait here'
@@ -322,3 +328,12 @@
         return voiding.CancelReply(
             cancelled=self._runs.cancel(message.attempt_id)
         )
+
+
+async def _read_body(request: web.Request) -> bytes:
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise errors.RefusalError(
+            errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
+        ) from error
--- a/tests/test_drain_processes.py
+++ b/tests/test_drain_processes.py
@@ -17,6 +17,7 @@
 
 END = 'data: [DONE]\n\n'
 TOKENS = 60
+LONG_TOKENS = 200
 
 
 @pytest.fixture
@@ -107,7 +108,7 @@
             'haneul',
             'ficus',
             stream=True,
-            max_tokens=TOKENS,
+            max_tokens=LONG_TOKENS,
         ) as response:
             await response.content.readline()
             response.close()
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,88 @@
+"""Ejection of failing backend servers and their careful return."""
+
+import random
+
+import pytest
+
+from lacewingpitch import ejection
+
+NAMES = ['a', 'b', 'c', 'd']
+
+
+class ManualClock:
+    def __init__(self):
+        self.now_s = 0.0
+
+    def monotonic_s(self):
+        return self.now_s
+
+    def wall_s(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def ejector(clock):
+    return ejection.Ejector(clock, random.Random(1))
+
+
+def fail(ejector, name, times=3):
+    for _ in range(times):
+        ejector.failed(name)
+
+
+class TestEjection:
+    def test_after_failures_in_a_row_only(self, ejector):
+        fail(ejector, 'a', 2)
+        ejector.succeeded('a')
+        fail(ejector, 'a', 2)
+        assert ejector.allowed(NAMES) == NAMES
+        fail(ejector, 'a', 1)
+        assert ejector.allowed(NAMES) == ['b', 'c', 'd']
+
+    def test_leaves_half_of_them_when_all_fail(self, ejector):
+        for name in NAMES:
+            fail(ejector, name)
+        assert ejector.allowed(NAMES) == ['c', 'd']
+        assert ejector.allowed(['a']) == ['a']
+
+    def test_failures_from_before_do_not_lengthen_it(self, ejector, clock):
+        fail(ejector, 'a', 20)
+        clock.now_s += 1.5
+        assert 'a' in ejector.allowed(NAMES)
+
+
+class TestReturn:
+    def test_one_request_tries_it(self, ejector, clock):
+        """A server that comes back is flooded, and falls over again.
+
+        Every request of the entry instance goes to it at once.
+        """
+        fail(ejector, 'a')
+        clock.now_s += 1.5
+        assert 'a' in ejector.allowed(NAMES)
+        ejector.begin('a')
+        assert 'a' not in ejector.allowed(NAMES)
+        ejector.succeeded('a')
+        assert 'a' in ejector.allowed(NAMES)
+
+    def test_failed_trial_doubles_the_time(self, ejector, clock):
+        fail(ejector, 'a')
+        clock.now_s += 1.5
+        ejector.begin('a')
+        ejector.failed('a')
+        clock.now_s += 1.3
+        assert 'a' not in ejector.allowed(NAMES)
+        clock.now_s += 1.5
+        assert 'a' in ejector.allowed(NAMES)
+
+    def test_trial_that_never_ends_is_given_up(self, ejector, clock):
+        fail(ejector, 'a')
+        clock.now_s += 1.5
+        ejector.begin('a')
+        clock.now_s += 11.0
+        assert 'a' in ejector.allowed(NAMES)
--- a/tests/test_fencing_processes.py
+++ b/tests/test_fencing_processes.py
@@ -1,9 +1,9 @@
 """Two sidecars of one engine, one frozen or killed, as real processes."""
 
-import asyncio
 import contextlib
 
 import aiohttp
+import msgspec
 import pytest
 
 from tests import fault_matrix
@@ -13,7 +13,7 @@
 Fault = fault_matrix.Fault
 Step = fault_matrix.Step
 
-ADAPTERS = ('ficus', 'fern', 'moss', 'ivy', 'lily', 'rose')
+ADAPTERS = ('aloe', 'fern', 'moss', 'ivy', 'lily', 'rose')
 
 
 @pytest.fixture
@@ -26,6 +26,14 @@
     await deployment.add_engine('--adapter-slots', '4', *options)
     await deployment.add_entry()
     deployment.add_customer('haneul', *ADAPTERS, deadline_s=20.0)
+    found = deployment.contracts['haneul']
+    grants = tuple(
+        msgspec.structs.replace(grant, repeatable=False)
+        for grant in found.adapters
+    )
+    deployment.contracts['haneul'] = msgspec.structs.replace(
+        found, adapters=grants
+    )
     await deployment.publish()
 
 
@@ -54,19 +62,23 @@
     return False
 
 
-async def load_held_by_runs(deployment):
-    """Fill every slot, with a long run on the first adapter."""
-    first = asyncio.create_task(
-        ask(deployment, ADAPTERS[0], stream=True, max_tokens=400)
-    )
-
-    async def runs():
-        return (await report(deployment))['running'] == 1
+async def fill_slots(deployment):
+    """Fill every slot, with a long run that nobody waits for on one.
 
-    await processes.until(runs)
+    Its adapter is the first in any order, so the likely victim.
+    """
+    async with deployment.call(
+        deployment.entries[0],
+        'haneul',
+        ADAPTERS[0],
+        stream=True,
+        max_tokens=1000,
+    ) as response:
+        await response.content.readline()
+        response.close()
     for adapter in ADAPTERS[1:4]:
         assert await served(deployment, adapter)
-    return first
+    assert (await report(deployment))['running'] == 1
 
 
 class TestTwoSidecars:
@@ -83,12 +95,12 @@
 
         A sidecar freezes with a run at the engine and every slot full;
         its successor starts, then the frozen one is killed.  The run is
-        still there, with nobody at the sidecar waiting for it, when
-        requests for other adapters need a slot.
+        still there, with nobody waiting for it, when requests for other
+        adapters need a slot.
         """
         await start(deployment, fencing, '--token-s', '0.02')
         await deployment.set_faults(deployment.engines[0], runs_on=True)
-        first = await load_held_by_runs(deployment)
+        await fill_slots(deployment)
         old = deployment.sidecars[0]
         old.freeze()
         before = await report(deployment)
@@ -106,10 +118,10 @@
         await processes.until(lambda: ready(deployment, successor))
         await processes.until(lambda: served(deployment, ADAPTERS[4]))
         await processes.until(lambda: served(deployment, ADAPTERS[5]))
-        await first
         truth = await deployment.truth(deployment.engines[0])
-        assert truth.evictions
+        assert len(truth.evictions) == 2
         assert not truth.evictions_under_run
+        assert (await report(deployment))['running'] == 1
         assert len({run.run_id for run in truth.runs}) == len(truth.runs)
 
     @pytest.mark.proves(Promise.NO_EVICTION, Fault.HALF_OPEN, Step.ANY)
--- a/tests/test_not_run_processes.py
+++ b/tests/test_not_run_processes.py
@@ -20,6 +20,7 @@
 
 END = 'data: [DONE]\n\n'
 DEADLINE_S = 1.0
+TOKENS = 300
 
 
 @pytest.fixture
@@ -243,18 +244,22 @@
         await start(deployment, '--token-s', '0.02')
         await deployment.set_faults(deployment.engines[0], runs_on=True)
         asking = asyncio.create_task(
-            ask(deployment, 'once', 'ficus', stream=True, max_tokens=50)
+            ask(deployment, 'once', 'ficus', stream=True, max_tokens=TOKENS)
         )
         await processes.until(lambda: any_run(deployment))
-        await deployment.sidecars[0].kill()
-        await deployment.spawn_successor(0)
+        old = deployment.sidecars[0]
+        successor = await deployment.spawn_successor(0)
+
+        async def waits():
+            return successor.has_logged('port is held')
+
+        await processes.until(waits)
+        await old.kill()
         _, request_id, text = await asking
         found = await check_truth(deployment, 'served', request_id)
         assert len(found) == 1
-        assert numbers(text) == list(range(len(numbers(text))))
-        if 'event: error' not in text:
-            assert text.endswith(END)
-            assert len(numbers(text)) == 50
+        assert text.endswith(END)
+        assert numbers(text) == list(range(TOKENS))
 
 
 class TestCutLink:
