--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -4,7 +4,9 @@
 from collections.abc import Awaitable, Callable
 import contextlib
 import random
+import re
 import time
+from typing import Annotated
 
 import aiohttp
 from aiohttp import web
@@ -19,9 +21,11 @@
 from lacewingpitch import ejection
 from lacewingpitch import errors
 from lacewingpitch import event_stream
+from lacewingpitch import http_guard
 from lacewingpitch import http_server
 from lacewingpitch import node
 from lacewingpitch import placement
+from lacewingpitch import runner
 from lacewingpitch import settings as settings_module
 from lacewingpitch import work
 
@@ -29,7 +33,6 @@
 _EVENT_STREAM = 'text/event-stream'
 MAX_KEY_LENGTH = 128
 _MAX_RESUMES = 3
-_BEGUN = 'lacewingpitch.begun'
 # What a broken or silent link to a sidecar raises while it is read.
 _BROKEN = (
     aiohttp.ClientError,
@@ -37,7 +40,11 @@
     errors.LinkError,
     errors.PlatformError,
 )
+_MAX_MODEL_LENGTH = 256
+_MAX_TOKENS = 1 << 31
 _READY_POLL_S = 0.02
+_ORIGIN = re.compile('^[A-Za-z][A-Za-z0-9+.-]*://[^/]*')
+_FIRST_TWO = re.compile('/[^/?#]*/[^/?#]*')
 log = structlog.get_logger(__name__)
 
 
@@ -50,9 +57,11 @@
 class CompletionCall(msgspec.Struct, frozen=True):
     """What the entry must know of a completion's JSON."""
 
-    model: str
-    stream: bool = False
-    max_tokens: int = 0
+    model: Annotated[str, msgspec.Meta(max_length=_MAX_MODEL_LENGTH)]
+    stream: bool | None = None
+    max_tokens: Annotated[int, msgspec.Meta(ge=0, le=_MAX_TOKENS)] | None = (
+        None
+    )
 
 
 class Entry:
@@ -73,7 +82,9 @@
     ) -> None:
         self.settings = settings
         self._node = node.Node(settings, clock or clock_module.SystemClock())
-        self._server = http_server.HttpServer(settings.max_body_bytes)
+        self._server = http_server.HttpServer(
+            settings.max_body_bytes, stall_s=settings.stall_timeout_s
+        )
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
         self._dispatcher: dispatch.Dispatcher
@@ -143,6 +154,7 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         request_id = str(uuid_utils.uuid7())
+        http_guard.name_request(request_id)
         started_s = time.monotonic()
         try:
             self._check_open()
@@ -150,18 +162,6 @@
             response = await handler(request, contract, request_id)
         except errors.RefusalError as error:
             response = answer.refusal_response(error, request_id)
-        except Exception:
-            log.exception('request failed', request_id=request_id)
-            if _BEGUN in request:
-                # A second head behind the first would be read as a piece
-                # of the answer; only a torn connection tells of the end.
-                if request.transport is not None:
-                    request.transport.abort()
-                raise
-            unexpected = errors.RefusalError(
-                errors.ErrorKind.INTERNAL, 'the entry instance failed'
-            )
-            response = answer.refusal_response(unexpected, request_id)
         log.info(
             'answered',
             request_id=request_id,
@@ -194,10 +194,10 @@
         contract: contract_module.Contract,
         request_id: str,
     ) -> web.StreamResponse:
-        body = await _read_body(request)
+        body = await self._read_body(request)
         try:
             call = msgspec.json.decode(body, type=CompletionCall)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise errors.RefusalError(
                 errors.ErrorKind.BAD_REQUEST, str(error)
             ) from error
@@ -214,8 +214,8 @@
             path=request.path,
             repeatable=adapter.repeatable,
             adapter=adapter,
-            stream=call.stream,
-            max_tokens=call.max_tokens,
+            stream=call.stream or False,
+            max_tokens=call.max_tokens or 0,
         )
         return await self._deliver(request, order, body)
 
@@ -232,7 +232,7 @@
                 errors.ErrorKind.NOT_IN_CONTRACT,
                 f'the contract names no service {name!r}',
             )
-        path = request.raw_path.removeprefix(f'/services/{name}') or '/'
+        path = _service_path(request.raw_path)
         order = _make_order(
             request,
             contract,
@@ -241,7 +241,13 @@
             repeatable=request.method in grant.repeatable_methods,
             service=name,
         )
-        return await self._deliver(request, order, await _read_body(request))
+        body = await self._read_body(request)
+        return await self._deliver(request, order, body)
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        return await http_guard.read_body(
+            request, self.settings.body_timeout_s
+        )
 
     async def _deliver(
         self, request: web.Request, order: work.WorkOrder, body: bytes
@@ -255,10 +261,7 @@
             return await _pass_whole(order, reply)
 
     async def _models(self, request: web.Request) -> web.Response:
-        try:
-            contract = self._authenticate(request)
-        except errors.RefusalError as error:
-            return answer.refusal_response(error, '')
+        contract = self._authenticate(request)
         models = [
             {'id': grant.name, 'object': 'model', 'version': grant.version}
             for grant in contract.adapters
@@ -274,13 +277,14 @@
         return web.Response(text='ready\n')
 
 
-async def _read_body(request: web.Request) -> bytes:
-    try:
-        return await request.read()
-    except web.HTTPRequestEntityTooLarge as error:
-        raise errors.RefusalError(
-            errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
-        ) from error
+def _service_path(raw_path: str) -> str:
+    """Return what follows ``/services/NAME`` of a path, as it came."""
+    # Both words may be written with escapes, and the target may be a
+    # whole URL, so they are found by their place and not by their text.
+    path = _ORIGIN.sub('', raw_path)
+    found = _FIRST_TWO.match(path)
+    rest = path[found.end() :] if found else ''
+    return rest if rest.startswith('/') else f'/{rest}'
 
 
 def _make_order(
@@ -316,6 +320,7 @@
         stream=stream,
         idempotency_key=key,
         max_tokens=max_tokens,
+        queued_requests=contract.limits.queued_requests,
     )
 
 
@@ -325,7 +330,6 @@
     response = web.StreamResponse(status=reply.status)
     response.content_type = reply.content_type
     response.headers[work.REQUEST_ID_HEADER] = order.request_id
-    request[_BEGUN] = True
     await response.prepare(request)
     relay = event_stream.EventRelay()
     try:
@@ -399,14 +403,16 @@
 async def _pass_body(
     request: web.Request, order: work.WorkOrder, reply: dispatch.Reply
 ) -> web.StreamResponse:
-    # The body of a plain service has no end mark of its own.  One with a
-    # length is small: the sidecar had it whole, and keeps it.
-    if 'Content-Length' in reply.headers:
+    # The body of a plain service has no end mark of its own.  The sidecar
+    # had a small one whole before it sent its length, and keeps it.
+    length = reply.headers.get('Content-Length')
+    if length is not None and int(length) <= runner.MAX_BUFFERED_BYTES:
         return await _pass_whole(order, reply)
     response = web.StreamResponse(
         status=reply.status, headers=_headers(order, reply)
     )
-    request[_BEGUN] = True
+    if length is not None:
+        response.content_length = int(length)
     await response.prepare(request)
     async with contextlib.aclosing(reply.chunks()) as chunks:
         while True:
--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 import contextlib
 import hashlib
 import hmac
@@ -79,10 +79,10 @@
             raise errors.LinkError('wrong signature')
         try:
             envelope = msgspec.msgpack.decode(content, type=_Envelope)
-        except msgspec.DecodeError as error:
-            raise errors.LinkError(f'malformed envelope: {error}') from error
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise errors.LinkError('malformed envelope') from error
         if envelope.protocol < OLDEST_PROTOCOL_VERSION:
-            raise errors.LinkError(f'protocol version {envelope.protocol}')
+            raise errors.LinkError('protocol version too old')
         if envelope.deployment != self._deployment:
             raise errors.LinkError('another deployment')
         return envelope.kind, envelope.body
@@ -130,30 +130,31 @@
                 data = await context.arecv()
                 reply = await self._answer(data)
                 with contextlib.suppress(pynng.NNGException):
-                    await context.asend(self._sealer.seal(reply))
+                    await context.asend(reply)
 
-    async def _answer(self, data: bytes) -> msgspec.Struct:
+    async def _answer(self, data: bytes) -> bytes:
         try:
             name, body = self._sealer.open(data)
             kind, handler = self._handlers[name]
             message = msgspec.msgpack.decode(body, type=kind)
         except KeyError:
             return self._refuse('unknown kind')
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return self._refuse('malformed body')
         except errors.LinkError as error:
             return self._refuse(str(error))
         try:
-            return await handler(message)
+            return self._sealer.seal(await handler(message))
         except Exception:
             # A failing handler must not end the serving task: the peer
             # would see nothing but timeouts from then on.
             log.exception('control handler failed', kind=name)
             return self._refuse('handler failed')
 
-    def _refuse(self, reason: str) -> _Refused:
+    def _refuse(self, reason: str) -> bytes:
+        # Reasons are fixed texts, so that nobody can make the table grow.
         self.refused_count[reason] += 1
-        return _Refused(reason=reason)
+        return self._sealer.seal(_Refused(reason=reason))
 
 
 class Peer:
@@ -169,6 +170,19 @@
         """Close the link."""
         self._socket.close()
 
+    @contextlib.contextmanager
+    def _context(self) -> Iterator[pynng.Context]:
+        # A link that is closed while somebody asks fails here as well.
+        try:
+            context = self._socket.new_context()
+        except pynng.NNGException as error:
+            raise errors.LinkError(f'{self.address} is closed') from error
+        try:
+            yield context
+        finally:
+            with contextlib.suppress(pynng.NNGException):
+                context.close()
+
     async def ask(
         self, message: msgspec.Struct, kind: type[Reply], timeout_s: float
     ) -> Reply:
@@ -182,8 +196,7 @@
         LinkError
             No usable reply within `timeout_s`.
         """
-        context = self._socket.new_context()
-        with contextlib.closing(context):
+        with self._context() as context:
             try:
                 async with asyncio.timeout(timeout_s):
                     await context.asend(self._sealer.seal(message))
--- a/lacewingpitch/plain_service.py
+++ b/lacewingpitch/plain_service.py
@@ -33,6 +33,7 @@
     status: int
     content_type: str
     chunks: AsyncIterator[bytes]
+    length_bytes: int | None = None
 
 
 class PlainService(Protocol):
@@ -92,6 +93,7 @@
                     response.status,
                     response.headers.get('Content-Type', ''),
                     response.content.iter_any(),
+                    response.content_length,
                 )
 
 
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -60,6 +60,10 @@
         """Hold whatever the request needs, such as its adapter."""
         ...
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Whether the request finds what it needs without a wait."""
+        ...
+
     async def run(
         self, order: work.WorkOrder, body: bytes, delivery: runs.Delivery
     ) -> runs.WholeAnswer | None:
@@ -125,6 +129,11 @@
         """Stop watching."""
         await self._exits.aclose()
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Whether the engine holds the request's adapter."""
+        assert order.adapter is not None
+        return order.adapter.engine_name in self._slots.adapters
+
     @contextlib.asynccontextmanager
     async def ready(self, order: work.WorkOrder) -> AsyncIterator[None]:
         """Hold the request's adapter in the engine.
@@ -326,6 +335,10 @@
         """Hold nothing."""
         return contextlib.nullcontext()
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Return that nothing is missing."""
+        return True
+
     async def run(
         self, order: work.WorkOrder, body: bytes, delivery: runs.Delivery
     ) -> runs.WholeAnswer | None:
@@ -452,7 +465,7 @@
             break
     else:
         return runs.WholeAnswer(found.status, found.content_type, bytes(first))
-    await delivery.begin(found.status, found.content_type)
+    await delivery.begin(found.status, found.content_type, found.length_bytes)
     await delivery.write(bytes(first))
     async for chunk in found.chunks:
         await delivery.write(chunk)
--- a/lacewingpitch/runs.py
+++ b/lacewingpitch/runs.py
@@ -54,13 +54,17 @@
         self.response: web.StreamResponse | None = None
         self.is_broken = False
 
-    async def begin(self, status: int, content_type: str) -> None:
+    async def begin(
+        self, status: int, content_type: str, length_bytes: int | None = None
+    ) -> None:
         """Send the head of the answer."""
         self.response = web.StreamResponse(
             status=status, headers=self._headers
         )
         if content_type:
             self.response.headers['Content-Type'] = content_type
+        if length_bytes is not None:
+            self.response.content_length = length_bytes
         await self._send(self.response.prepare(self._request))
 
     async def write(self, data: bytes) -> None:
