--- a/lacewingpitch/account.py
+++ b/lacewingpitch/account.py
@@ -79,6 +79,7 @@
     'internal': 22,
     'not-found': 23,
     'body-too-slow': 24,
+    'attempt-out-of-window': 25,
 }
 _KIND_NAMES = {number: kind for kind, number in KIND_NUMBERS.items()}
 
@@ -356,7 +357,10 @@
 
     def caller_gone(self) -> None:
         """Note that the caller vanished before its answer was out."""
-        self._is_gone = not self._is_delivered
+        # A body that cannot be whole ends with its connection torn down
+        # by this program; the caller did not go of itself.
+        is_torn = self.outcome is errors.Outcome.PARTIAL
+        self._is_gone = not self._is_delivered and not is_torn
 
     def delivered(self) -> None:
         """Note that the connection took the answer's last byte."""
--- /dev/null
+++ b/lacewingpitch/answer_delivery.py
@@ -0,0 +1,201 @@
+"""Brings the answer of one request from its sidecar to its caller."""
+
+import contextlib
+
+import aiohttp
+from aiohttp import web
+import msgspec
+import structlog
+
+from lacewingpitch import account as account_module
+from lacewingpitch import answer
+from lacewingpitch import dispatch
+from lacewingpitch import errors
+from lacewingpitch import event_stream
+from lacewingpitch import limits as limits_module
+from lacewingpitch import runner
+from lacewingpitch import work
+
+_EVENT_STREAM = 'text/event-stream'
+_MAX_RESUMES = 3
+# What a broken or silent link to a sidecar raises while it is read.
+_BROKEN = (
+    aiohttp.ClientError,
+    OSError,
+    errors.LinkError,
+    errors.PlatformError,
+)
+log = structlog.get_logger(__name__)
+
+
+class _Usage(msgspec.Struct, frozen=True):
+    completion_tokens: int
+
+
+class _WholeAnswer(msgspec.Struct, frozen=True):
+    usage: _Usage | None = None
+
+
+class AnswerDelivery:
+    """Delivers one answer whole, and says so where it cannot.
+
+    Parameters
+    ----------
+    request
+        The caller's request.
+    order
+        What was sent to the sidecar.
+    reply
+        The sidecar's answer as it comes.
+    tally
+        Counts what the caller gets.
+    permit
+        Is charged with the tokens of the answer.
+    """
+
+    def __init__(
+        self,
+        request: web.Request,
+        order: work.WorkOrder,
+        reply: dispatch.Reply,
+        tally: account_module.Tally,
+        permit: limits_module.Permit,
+    ) -> None:
+        self._request = request
+        self._order = order
+        self._reply = reply
+        self._tally = tally
+        self._permit = permit
+        self._relay = event_stream.EventRelay()
+
+    async def deliver(self) -> web.StreamResponse:
+        """Pass the answer on; its end is still to be written.
+
+        Raises
+        ------
+        RefusalError
+            It broke off before anything was sent.
+        """
+        self._tally.stalled(self._reply.headers.get(work.LOAD_STALL_HEADER))
+        if self._order.adapter is None:
+            return await self._pass_body()
+        if self._reply.content_type == _EVENT_STREAM:
+            return await self._stream()
+        return await self._pass_whole()
+
+    async def _stream(self) -> web.StreamResponse:
+        response = web.StreamResponse(
+            status=self._reply.status, headers=self._headers()
+        )
+        await response.prepare(self._request)
+        relay = self._relay
+        try:
+            await self._relay_events(response)
+            for _ in range(_MAX_RESUMES):
+                if relay.is_complete or relay.is_failed:
+                    break
+                relay.drop_partial_event()
+                await self._reply.resume(relay.event_count)
+                await self._relay_events(response)
+        except errors.RefusalError as error:
+            self._warn('not resumed', error)
+        if not relay.is_complete and not relay.is_failed:
+            cut = errors.RefusalError(
+                errors.ErrorKind.ANSWER_CUT, 'the answer broke off'
+            )
+            await response.write(answer.error_event(cut))
+        if not relay.is_complete:
+            self._tally.cut()
+        return response
+
+    async def _relay_events(self, response: web.StreamResponse) -> None:
+        relay = self._relay
+        async with contextlib.aclosing(self._reply.chunks()) as chunks:
+            while True:
+                told = relay.event_count
+                try:
+                    events = relay.feed(await anext(chunks))
+                except StopAsyncIteration:
+                    return
+                except _BROKEN as error:
+                    self._warn('stream cut', error)
+                    return
+                if not events:
+                    continue
+                # An event is about one token.
+                self._permit.tokens = float(relay.event_count)
+                await response.write(events)
+                self._tally.wrote(relay.event_count - told - relay.is_complete)
+
+    async def _pass_whole(self) -> web.Response:
+        # The answer is sent only once it is whole here: the caller gets
+        # all of it or an error with a status, never a torn body.  The
+        # sidecar keeps it for a while, and is asked again when the link
+        # breaks.
+        for number in range(_MAX_RESUMES + 1):
+            if number:
+                await self._reply.resume(0)
+            try:
+                body = b''.join([c async for c in self._reply.chunks()])
+            except _BROKEN as error:
+                self._warn('answer cut', error)
+                continue
+            if self._order.adapter is not None:
+                self._count_tokens(body)
+            return web.Response(
+                status=self._reply.status, body=body, headers=self._headers()
+            )
+        raise errors.RefusalError(
+            errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer broke off'
+        )
+
+    async def _pass_body(self) -> web.StreamResponse:
+        # The body of a plain service has no end mark of its own.  The
+        # sidecar had a small one whole before it sent its length, and
+        # keeps it.
+        length = self._reply.headers.get('Content-Length')
+        if length is not None and int(length) <= runner.MAX_BUFFERED_BYTES:
+            return await self._pass_whole()
+        response = web.StreamResponse(
+            status=self._reply.status, headers=self._headers()
+        )
+        if length is not None:
+            response.content_length = int(length)
+        await response.prepare(self._request)
+        async with contextlib.aclosing(self._reply.chunks()) as chunks:
+            while True:
+                try:
+                    chunk = await anext(chunks)
+                except StopAsyncIteration:
+                    return response
+                except _BROKEN as error:
+                    self._warn('body cut', error)
+                    self._tear()
+                    return response
+                await response.write(chunk)
+
+    def _tear(self) -> None:
+        # Only a connection that is torn down tells the caller that the
+        # body is not whole.
+        self._tally.cut()
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    def _count_tokens(self, body: bytes) -> None:
+        # An answer without a usable count stays charged as estimated.
+        with contextlib.suppress(msgspec.DecodeError, RecursionError):
+            found = msgspec.json.decode(body, type=_WholeAnswer)
+            if found.usage is not None:
+                self._tally.has_tokens(found.usage.completion_tokens)
+                self._permit.tokens = float(found.usage.completion_tokens)
+
+    def _headers(self) -> dict[str, str]:
+        headers = {work.REQUEST_ID_HEADER: self._order.request_id}
+        if 'Content-Type' in self._reply.headers:
+            headers['Content-Type'] = self._reply.headers['Content-Type']
+        return headers
+
+    def _warn(self, event: str, error: Exception) -> None:
+        log.warning(
+            event, request_id=self._order.request_id, error=repr(error)
+        )
--- a/lacewingpitch/claim.py
+++ b/lacewingpitch/claim.py
@@ -9,8 +9,6 @@
 import random
 from typing import Protocol
 
-from aiohttp import web
-import msgspec
 import structlog
 import uuid_utils
 
@@ -20,6 +18,7 @@
 from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import membership as membership_module
+from lacewingpitch import runs
 from lacewingpitch import voter as voter_module
 from lacewingpitch import work
 
@@ -46,22 +45,6 @@
     NOT_HELD = 'not-held'
 
 
-class KeptAnswer(msgspec.Struct, frozen=True):
-    """A whole answer, kept for a caller that asks again."""
-
-    status: int
-    content_type: str
-    body: bytes
-
-    def response(self) -> web.Response:
-        """Return it as an HTTP answer."""
-        return web.Response(
-            status=self.status,
-            body=self.body,
-            headers={'Content-Type': self.content_type},
-        )
-
-
 class OutcomeRequest(link.Message, frozen=True):
     """Asks the holder of a claim what came of it."""
 
@@ -72,13 +55,13 @@
     """What came of a claim; the answer where it was kept."""
 
     state: ClaimState
-    answer: KeptAnswer | None = None
+    answer: runs.WholeAnswer | None = None
 
 
 class KeptAnswerError(errors.LacewingpitchError):
     """Ends an attempt whose key was won, and answered, by another."""
 
-    def __init__(self, answer: KeptAnswer) -> None:
+    def __init__(self, answer: runs.WholeAnswer) -> None:
         super().__init__('answered by another attempt')
         self.answer = answer
 
@@ -297,7 +280,7 @@
         self._held: collections.OrderedDict[str, _Held] = (
             collections.OrderedDict()
         )
-        self._answers: collections.OrderedDict[str, KeptAnswer] = (
+        self._answers: collections.OrderedDict[str, runs.WholeAnswer] = (
             collections.OrderedDict()
         )
         self._kept_bytes = 0
@@ -342,7 +325,7 @@
         self,
         claim_id: str,
         state: ClaimState,
-        answer: KeptAnswer | None = None,
+        answer: runs.WholeAnswer | None = None,
     ) -> None:
         """Remember how far a claim got."""
         self._drop(claim_id)
@@ -469,22 +452,11 @@
         self._has_started = True
         self._claims.note(self._ballot.claim_id, ClaimState.RUNNING)
 
-    def keep(self, response: web.StreamResponse) -> None:
+    def keep(self, answer: runs.WholeAnswer | None) -> None:
         """Keep the answer for a caller that asks again."""
-        if self._ballot is None or not isinstance(response, web.Response):
-            return
-        body = response.body
-        if not isinstance(body, bytes | bytearray):
+        if self._ballot is None or answer is None:
             return
-        self._claims.note(
-            self._ballot.claim_id,
-            ClaimState.FINISHED,
-            KeptAnswer(
-                response.status,
-                response.headers.get('Content-Type', ''),
-                bytes(body),
-            ),
-        )
+        self._claims.note(self._ballot.claim_id, ClaimState.FINISHED, answer)
 
     def did_not_run(self) -> None:
         """Take note of proof that the request did not run."""
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import contextlib
+import random
 import re
 from typing import Annotated
 
-import aiohttp
 from aiohttp import web
 import msgspec
 import structlog
@@ -16,11 +16,12 @@
 from lacewingpitch import account_copy
 from lacewingpitch import account_query
 from lacewingpitch import answer
+from lacewingpitch import answer_delivery
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract as contract_module
 from lacewingpitch import dispatch
+from lacewingpitch import ejection
 from lacewingpitch import errors
-from lacewingpitch import event_stream
 from lacewingpitch import http_guard
 from lacewingpitch import http_server
 from lacewingpitch import idempotency
@@ -34,7 +35,6 @@
 from lacewingpitch import work
 
 _BEARER = 'Bearer '
-_EVENT_STREAM = 'text/event-stream'
 _MAX_MODEL_LENGTH = 256
 _MAX_TOKENS = 1 << 31
 _READY_POLL_S = 0.02
@@ -61,14 +61,6 @@
     )
 
 
-class _Usage(msgspec.Struct, frozen=True):
-    completion_tokens: int
-
-
-class _WholeAnswer(msgspec.Struct, frozen=True):
-    usage: _Usage | None = None
-
-
 class Entry:
     """Takes callers' requests, and delivers each answer whole.
 
@@ -123,6 +115,7 @@
             self._node.peers,
             self._node.membership,
             placement.Placement(),
+            ejection.Ejector(self._node.clock, random.Random()),
             self._node.contracts.catch_up,
         )
         self._start_account()
@@ -337,54 +330,15 @@
         try:
             async with self._dispatcher.send(
                 order, body, content_type
-            ) as found:
-                tally.stalled(found.headers.get(work.LOAD_STALL_HEADER))
-                if found.content_type == _EVENT_STREAM:
-                    return await self._stream(request, order, found, permit)
-                return await _pass_whole(order, found, tally, permit)
+            ) as reply:
+                return await answer_delivery.AnswerDelivery(
+                    request, order, reply, tally, permit
+                ).deliver()
         except errors.RefusalError as error:
             if error.outcome is errors.Outcome.NOT_RUN:
                 permit.tokens = 0.0
             raise
 
-    async def _stream(
-        self,
-        request: web.Request,
-        order: work.WorkOrder,
-        found: aiohttp.ClientResponse,
-        permit: limits_module.Permit,
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(status=found.status)
-        response.content_type = found.content_type
-        response.headers[work.REQUEST_ID_HEADER] = order.request_id
-        await response.prepare(request)
-        relay = event_stream.EventRelay()
-        tally = request[_TALLY]
-        told = 0
-        try:
-            async for chunk in found.content.iter_any():
-                events = relay.feed(chunk)
-                # An event is about one token.
-                permit.tokens = float(relay.event_count)
-                if events:
-                    await response.write(events)
-                    tally.wrote(relay.event_count - told - relay.is_complete)
-                    told = relay.event_count
-        except aiohttp.ClientError as error:
-            log.warning(
-                'stream cut', request_id=order.request_id, error=repr(error)
-            )
-            await response.write(
-                answer.error_event(
-                    errors.RefusalError(
-                        errors.ErrorKind.ANSWER_CUT, 'the answer broke off'
-                    )
-                )
-            )
-        if not relay.is_complete:
-            tally.cut()
-        return response
-
     async def _models(self, request: web.Request) -> web.Response:
         contract = self._authenticate(request)
         models = [
@@ -457,36 +411,3 @@
         max_tokens=max_tokens,
         queued_requests=contract.limits.queued_requests,
     )
-
-
-async def _pass_whole(
-    order: work.WorkOrder,
-    found: aiohttp.ClientResponse,
-    tally: account_module.Tally,
-    permit: limits_module.Permit,
-) -> web.Response:
-    # The answer is sent only once it is whole here: the caller gets all
-    # of it or an error with a status, never a torn body.
-    try:
-        body = await found.read()
-    except aiohttp.ClientError as error:
-        raise errors.RefusalError(
-            errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer broke off'
-        ) from error
-    if order.adapter is not None:
-        _count_tokens(body, tally, permit)
-    headers = {work.REQUEST_ID_HEADER: order.request_id}
-    if 'Content-Type' in found.headers:
-        headers['Content-Type'] = found.headers['Content-Type']
-    return web.Response(status=found.status, body=body, headers=headers)
-
-
-def _count_tokens(
-    body: bytes, tally: account_module.Tally, permit: limits_module.Permit
-) -> None:
-    # An answer without a usable count stays charged as estimated.
-    with contextlib.suppress(msgspec.DecodeError, RecursionError):
-        found = msgspec.json.decode(body, type=_WholeAnswer)
-        if found.usage is not None:
-            tally.has_tokens(found.usage.completion_tokens)
-            permit.tokens = float(found.usage.completion_tokens)
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -70,6 +70,9 @@
     errors.ErrorKind.CLAIM_UNAVAILABLE: (
         'too few voters answered to claim the key'
     ),
+    errors.ErrorKind.ATTEMPT_OUT_OF_WINDOW: (
+        'the attempt was made too long ago, or by a clock that is ahead'
+    ),
     errors.ErrorKind.CONTRACT_OUTDATED: (
         'a process had yet to learn the revision of the contract'
     ),
--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 import contextlib
 import hashlib
 import hmac
@@ -171,6 +171,19 @@
         """Close the link."""
         self._socket.close()
 
+    @contextlib.contextmanager
+    def _context(self) -> Iterator[pynng.Context]:
+        # A link that is closed while somebody asks fails here as well.
+        try:
+            context = self._socket.new_context()
+        except pynng.NNGException as error:
+            raise errors.LinkError(f'{self.address} is closed') from error
+        try:
+            yield context
+        finally:
+            with contextlib.suppress(pynng.NNGException):
+                context.close()
+
     async def ask(
         self, message: msgspec.Struct, kind: type[Reply], timeout_s: float
     ) -> Reply:
@@ -184,8 +197,7 @@
         LinkError
             No usable reply within `timeout_s`.
         """
-        context = self._socket.new_context()
-        with contextlib.closing(context):
+        with self._context() as context:
             try:
                 async with asyncio.timeout(timeout_s):
                     await _finish(context.asend(self._sealer.seal(message)))
--- a/lacewingpitch/plain_service.py
+++ b/lacewingpitch/plain_service.py
@@ -12,6 +12,7 @@
 
 _CONNECT_TIMEOUT_S = 2.0
 _SILENCE_TIMEOUT_S = 60.0
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +33,7 @@
     status: int
     content_type: str
     chunks: AsyncIterator[bytes]
+    length_bytes: int | None = None
 
 
 class PlainService(Protocol):
@@ -67,7 +69,10 @@
             sock_connect=_CONNECT_TIMEOUT_S,
             sock_read=_SILENCE_TIMEOUT_S,
         )
-        headers = {'X-Request-Id': call.run_id}
+        headers = {
+            'X-Request-Id': call.run_id,
+            'Accept-Encoding': 'identity',
+        }
         if call.content_type:
             headers['Content-Type'] = call.content_type
         with platform_call.platform_errors('service'):
@@ -79,12 +84,29 @@
                     headers=headers,
                     timeout=timeout,
                     allow_redirects=False,
+                    middlewares=(_send_once,),
                 )
-            except aiohttp.ClientConnectorError as error:
+            except _NOT_SENT as error:
                 raise engine.NotSentError(f'service: {error!r}') from error
             async with response:
                 yield ServiceAnswer(
                     response.status,
                     response.headers.get('Content-Type', ''),
                     response.content.iter_any(),
+                    response.content_length,
                 )
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # The library sends a PUT, DELETE or GET again by itself when the
+    # connection drops before the answer: a call that the contract marks
+    # as not repeatable would run twice.  It does so for these two types
+    # of error, so they leave here as another one.
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientPayloadError(repr(error)) from error
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -12,6 +12,7 @@
 REQUEST_ID_HEADER = 'Lacewingpitch-Request-Id'
 OUTCOME_HEADER = 'Lacewingpitch-Outcome'
 KIND_HEADER = 'Lacewingpitch-Error-Kind'
+ATTEMPT_HEADER = 'Lacewingpitch-Attempt'
 HINT_HEADER = 'Lacewingpitch-Hint'
 LOAD_STALL_HEADER = 'Lacewingpitch-Load-Stall-S'
 LEAVING_HEADER = 'Lacewingpitch-Leaving'
@@ -37,6 +38,8 @@
         The caller's key, a UUIDv7; empty if it gave none.
     region
         The customer's, where the voters on its keys are.
+    after_events
+        How many events of a stream that is resumed have arrived.
     queued_requests
         Requests of the customer that may wait at one sidecar.
     """
@@ -57,6 +60,7 @@
     idempotency_key: str = ''
     region: str = ''
     max_tokens: int = 0
+    after_events: int = 0
     queued_requests: int = 32
 
 
