Placement by hints, slots that queue by adapter, soft permits for loads

The thin placement sent an adapter's requests to one home and the thin slots loaded one adapter after another behind one lock, so that a request whose adapter was there waited for the loads of others, and a failing load had no bound on its repetition.

Entry instances now weigh backend servers by the expected wait, from hints that ride on answers. Slots keep waiting requests by adapter, load the costliest first, back off a failing adapter alone, refuse early what cannot be in time, and know an engine's restart by generation. Loads take a soft permit from the sidecar that keeps them.

--- /dev/null
+++ b/lacewingpitch/demand.py
@@ -0,0 +1,48 @@
+"""Counts that fade, for telling hot adapters from cold ones."""
+
+import collections
+
+from lacewingpitch import clock as clock_module
+
+
+class DecayedCounts:
+    """How often each key was asked for of late.
+
+    A count halves every `half_life_s`, so that recency and frequency
+    weigh together, as in LRFU (Lee et al., 2001).  The least recently
+    counted keys are forgotten past `capacity_keys`.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        half_life_s: float,
+        capacity_keys: int = 8192,
+    ) -> None:
+        self._clock = clock
+        self._half_life_s = half_life_s
+        self._capacity_keys = capacity_keys
+        self._counts: collections.OrderedDict[str, tuple[float, float]] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return how many keys are remembered."""
+        return len(self._counts)
+
+    def add(self, key: str) -> None:
+        """Count one more request for `key`."""
+        count = self.value(key) + 1.0
+        self._counts[key] = (count, self._clock.monotonic_s())
+        self._counts.move_to_end(key)
+        if len(self._counts) > self._capacity_keys:
+            self._counts.popitem(last=False)
+
+    def value(self, key: str) -> float:
+        """Return the faded count of `key`."""
+        found = self._counts.get(key)
+        if found is None:
+            return 0.0
+        count, counted_at_s = found
+        age_s = self._clock.monotonic_s() - counted_at_s
+        return float(count * 0.5 ** (age_s / self._half_life_s))
--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -97,12 +97,9 @@
 
     def _candidates(self, order: work.WorkOrder) -> list[live_list.Instance]:
         adapter = order.adapter
-        if adapter is None:
-            return self._placement.candidates(
-                order.request_id, self._membership.sidecars(order.service)
-            )
+        serves = order.service if adapter is None else adapter.base_model
         return self._placement.candidates(
-            adapter.engine_name, self._membership.sidecars(adapter.base_model)
+            _placement_key(order), self._membership.sidecars(serves)
         )
 
     async def _try(
@@ -113,6 +110,9 @@
         if attempt.content_type:
             headers['Content-Type'] = attempt.content_type
         sidecar = attempt.sidecar
+        held.enter_context(
+            self._placement.sent(_placement_key(order), sidecar.name)
+        )
         url = settings.Address(ip=sidecar.ip, port=sidecar.work_port).url
         try:
             async with asyncio.timeout(order.deadline_s + _ANSWER_GRACE_S):
@@ -137,6 +137,9 @@
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING, f'gave up on {sidecar.name}'
             ) from error
+        self._placement.learn(
+            sidecar.name, response.headers.get(work.HINT_HEADER, '')
+        )
         if work.KIND_HEADER in response.headers:
             await self._raise_refusal(response, sidecar)
         return response
@@ -179,3 +182,9 @@
                 errors.ErrorKind.OUTCOME_UNKNOWN,
                 'the answer was lost after the request had started',
             )
+
+
+def _placement_key(order: work.WorkOrder) -> str:
+    if order.adapter is None:
+        return order.request_id
+    return order.adapter.engine_name
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -82,12 +82,16 @@
     async def start(self) -> None:
         """Follow the platform, then take requests."""
         await self._exits.enter_async_context(self._node)
+        places = placement.Placement(self._node.clock, self.settings.objective)
+        self._node.membership.changes.subscribe(
+            lambda published: places.retain(published.instances)
+        )
         self._dispatcher = dispatch.Dispatcher(
             self._node.session,
             self._node.sealer,
             self._node.peers,
             self._node.membership,
-            placement.Placement(),
+            places,
         )
         self._node.follow_platform()
         self._add_routes()
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -1,6 +1,7 @@
 """How a sidecar runs one request: on a model engine or a plain service."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import contextlib
 from types import TracebackType
 from typing import Protocol, Self
@@ -10,11 +11,13 @@
 import structlog
 
 from lacewingpitch import answer
-from lacewingpitch import clock as clock_module
+from lacewingpitch import contract
 from lacewingpitch import engine as engine_module
 from lacewingpitch import errors
 from lacewingpitch import event_stream
 from lacewingpitch import fence as fence_module
+from lacewingpitch import hint as hint_module
+from lacewingpitch import node as node_module
 from lacewingpitch import plain_service
 from lacewingpitch import settings as settings_module
 from lacewingpitch import slots
@@ -25,6 +28,13 @@
 _REPORT_INTERVAL_S = 1.0
 _MAX_RESUMES = 2
 _EVENT_STREAM = 'text/event-stream'
+_MS_PER_S = 1000
+# How much more a wait costs the more urgent of two customers.
+_URGENCY_WEIGHTS = {
+    contract.Urgency.INTERACTIVE: 4.0,
+    contract.Urgency.STANDARD: 2.0,
+    contract.Urgency.BATCH: 1.0,
+}
 log = structlog.get_logger(__name__)
 
 
@@ -58,16 +68,29 @@
 
 
 def make_runner(
-    backend: settings_module.EngineSettings | settings_module.ServiceSettings,
-    session: aiohttp.ClientSession,
-    clock: clock_module.Clock,
+    settings: settings_module.SidecarSettings,
+    node: node_module.Node,
+    pacer: slots.LoadPacer,
 ) -> Runner:
-    """Return the runner for a backend server."""
+    """Return the runner for the backend server of a sidecar."""
+    backend = settings.backend_server
     url = backend.address.url
     if isinstance(backend, settings_module.ServiceSettings):
-        return ServiceRunner(plain_service.HttpPlainService(session, url))
+        return ServiceRunner(plain_service.HttpPlainService(node.session, url))
+    engine = engine_module.HttpEngine(node.session, url)
+    fence = fence_module.Fence(node.clock)
     return EngineRunner(
-        engine_module.HttpEngine(session, url), backend.adapter_slots, clock
+        engine,
+        fence,
+        slots.AdapterSlots(
+            engine,
+            backend.adapter_slots,
+            fence,
+            node.clock,
+            pacer,
+            settings.objective.stall_weight,
+        ),
+        backend.max_running,
     )
 
 
@@ -77,18 +100,24 @@
     def __init__(
         self,
         engine: engine_module.Engine,
-        slot_count: int,
-        clock: clock_module.Clock,
+        fence: fence_module.Fence,
+        adapter_slots: slots.AdapterSlots,
+        max_running: int,
     ) -> None:
         self._engine = engine
-        self._fence = fence_module.Fence(clock)
-        self._slots = slots.AdapterSlots(engine, slot_count, self._fence)
+        self._fence = fence
+        self._slots = adapter_slots
+        self._max_running = max_running
+        self._running = 0
+        self._held = 0
+        self._stalls_s: dict[str, float] = {}
         self._exits = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
         """Start to watch the engine for restarts."""
         with contextlib.suppress(errors.PlatformError):
             await self._read_report()
+        self._exits.push_async_callback(self._slots.close)
         watching = asyncio.create_task(self._watch())
         self._exits.callback(watching.cancel)
         return self
@@ -102,12 +131,28 @@
         """Stop watching."""
         await self._exits.aclose()
 
-    def ready(
-        self, order: work.WorkOrder
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Hold the request's adapter in the engine."""
+    @contextlib.asynccontextmanager
+    async def ready(self, order: work.WorkOrder) -> AsyncIterator[None]:
+        """Hold the request's adapter in the engine.
+
+        Raises
+        ------
+        RefusalError
+            It cannot be loaded, or not in time.
+        """
         assert order.adapter is not None
-        return self._slots.hold(order.adapter.engine_name, order.deadline_s)
+        run_id = voiding.attempt_id(order.request_id, order.attempt)
+        weight = order.weight * _URGENCY_WEIGHTS[order.urgency]
+        async with self._slots.hold(
+            order.adapter.engine_name, order.deadline_s, weight
+        ) as stall_s:
+            self._stalls_s[run_id] = stall_s
+            self._held += 1
+            try:
+                yield
+            finally:
+                self._held -= 1
+                del self._stalls_s[run_id]
 
     async def run(
         self, request: web.Request, order: work.WorkOrder, body: bytes
@@ -129,15 +174,22 @@
             urgency=order.urgency,
             fencing=self._fence.number,
         )
+        self._running += 1
         try:
             async with self._engine.run(call) as found:
                 self._check_adapter(found, call)
                 if found.content_type == _EVENT_STREAM:
                     return await self._stream(request, call, found)
-                return await _whole(found)
+                response = await _whole(found)
+                response.headers.update(self._headers(call))
+                return response
+        except engine_module.AdapterMissingError as error:
+            self._slots.forget(call.adapter.engine_name)
+            raise errors.RefusalError(
+                errors.ErrorKind.ADAPTER_UNAVAILABLE, str(error)
+            ) from error
         except (
             engine_module.NotSentError,
-            engine_module.AdapterMissingError,
             engine_module.FencedError,
         ) as error:
             raise errors.RefusalError(
@@ -147,6 +199,21 @@
             raise errors.RefusalError(
                 errors.ErrorKind.OUTCOME_UNKNOWN, str(error)
             ) from error
+        finally:
+            self._running -= 1
+
+    def _headers(self, call: engine_module.EngineCall) -> dict[str, str]:
+        hint = hint_module.Hint(
+            running=self._running,
+            queued=self._held - self._running + self._slots.waiting_count,
+            max_running=self._max_running,
+            load_wait_ms=int(self._slots.expected_wait_s() * _MS_PER_S),
+            adapters=hint_module.join_fingerprints(self._slots.adapters),
+        )
+        return {
+            work.LOAD_STALL_HEADER: f'{self._stalls_s[call.run_id]:.3f}',
+            work.HINT_HEADER: hint_module.encode_hint(hint),
+        }
 
     @staticmethod
     def _check_adapter(
@@ -168,7 +235,9 @@
         call: engine_module.EngineCall,
         found: engine_module.EngineAnswer,
     ) -> web.StreamResponse:
-        response = web.StreamResponse(status=found.status)
+        response = web.StreamResponse(
+            status=found.status, headers=self._headers(call)
+        )
         response.content_type = found.content_type
         await response.prepare(request)
         relay = event_stream.EventRelay()
@@ -234,8 +303,10 @@
             await asyncio.sleep(_REPORT_INTERVAL_S)
 
     async def _read_report(self) -> None:
-        if self._fence.renew(await self._engine.report()):
+        report = await self._engine.report()
+        if self._fence.renew(report):
             self._slots.forget_all()
+        self._slots.adopt(report.adapters, report.running)
 
 
 class ServiceRunner:
--- a/lacewingpitch/settings.py
+++ b/lacewingpitch/settings.py
@@ -59,9 +59,32 @@
     drain_s: contract.PositiveFloat = 600.0
 
 
+class ObjectiveSettings(decoding.Record, frozen=True):
+    """What the operator wants most of the engines.
+
+    Parameters
+    ----------
+    stall_weight
+        Weight of load stalls against batch efficiency.  At 1 requests
+        spread over all engines and their slots; towards 0 they are
+        packed on as few engines as hold them.
+    """
+
+    stall_weight: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.5
+
+
+class StoreSettings(decoding.Record, frozen=True):
+    """What the weight store bears, from all sidecars together."""
+
+    loads_per_s: contract.PositiveFloat = 2.0
+    loads_at_once: contract.PositiveInt = 1
+
+
 class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
     """Settings of an entry instance."""
 
+    objective: ObjectiveSettings = ObjectiveSettings()
+
     max_body_bytes: contract.PositiveInt = 4 << 20
     max_requests: contract.PositiveInt = 4096
 
@@ -97,6 +120,8 @@
     """Settings of a sidecar."""
 
     backend_server: EngineSettings | ServiceSettings
+    objective: ObjectiveSettings = ObjectiveSettings()
+    store: StoreSettings = StoreSettings()
     max_queued: contract.PositiveInt = 1024
 
 
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -15,6 +15,7 @@
 from lacewingpitch import node
 from lacewingpitch import runner as runner_module
 from lacewingpitch import settings as settings_module
+from lacewingpitch import store_pacing
 from lacewingpitch import voiding
 from lacewingpitch import work
 
@@ -77,10 +78,10 @@
         await self._server.start(self.settings.ip, self.settings.work_port)
         self._exits.push_async_callback(self._server.close)
         await self._exits.enter_async_context(self._node)
+        pacing = store_pacing.StorePacing(self._node, self.settings.store)
+        self._exits.callback(pacing.desk.close)
         self._runner = runner_module.make_runner(
-            self.settings.backend_server,
-            self._node.session,
-            self._node.clock,
+            self.settings, self._node, pacing.pacer
         )
         await self._exits.enter_async_context(self._runner)
         self._node.control.handle(voiding.VoidRequest, self._void)
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -1,34 +1,126 @@
 """The adapter slots of one engine: who holds them, who may be evicted."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Iterable
 import contextlib
 import dataclasses
+import enum
+from typing import Protocol
 
+import structlog
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import demand
 from lacewingpitch import engine as engine_module
 from lacewingpitch import errors
 from lacewingpitch import fence as fence_module
 
+# Two outstanding requests for a permit keep the store busy; more would
+# only crowd out the sidecars whose waiting requests cost more.
+_MAX_ASKING = 2
+_DEMAND_HALF_LIFE_S = 60.0
+_RECENT_USE_S = 1.0
+_FIRST_BACKOFF_S = 1.0
+_MAX_BACKOFF_S = 30.0
+_MAX_BACKOFFS = 4096
+_AGING_S = 5.0
+_CLOSE_AFTER_S = 2.0
+_FIRST_LOAD_GUESS_S = 0.5
+_SMOOTHING_RATIO = 0.2
+_REPORT_LAG_S = 5.0
+_ADOPTION_GRACE_S = 10.0
+log = structlog.get_logger(__name__)
 
-@dataclasses.dataclass(slots=True)
+
+class LoadPacer(Protocol):
+    """Says when the store has room for one more load."""
+
+    def permit(
+        self, weight: Callable[[], float]
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Wait for a permit and keep it for the length of a load.
+
+        Parameters
+        ----------
+        weight
+            What waiting costs; it may grow meanwhile.
+        """
+        ...
+
+
+class UnpacedLoads:
+    """Lets every load start at once."""
+
+    def permit(
+        self, weight: Callable[[], float]
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Return a permit at once."""
+        return contextlib.nullcontext()
+
+
+class SlotState(enum.Enum):
+    """What an adapter slot is at."""
+
+    LOADING = enum.auto()
+    READY = enum.auto()
+    EVICTING = enum.auto()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
 class Slot:
     """One adapter in the engine.
 
     Parameters
     ----------
     serving
-        Requests that run on it or are about to.
+        Requests that run on it or are about to, streams being resumed
+        included.
+    is_closing
+        Whether it takes no new requests, so that it comes free.
+    guarded_until_s
+        Not evicted before: it may serve a predecessor's request.
     """
 
     name: str
+    state: SlotState = SlotState.LOADING
     serving: int = 0
+    is_closing: bool = False
+    used_at_s: float = 0.0
+    guarded_until_s: float = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a request can start on it now."""
+        return self.state is SlotState.READY and not self.is_closing
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    weight: float
+    since_s: float
+    slot: 'asyncio.Future[Slot]'
+
+
+@dataclasses.dataclass(slots=True)
+class _Backoff:
+    until_s: float
+    delay_s: float
 
 
 class AdapterSlots:
     """Loads and evicts adapters so that each request finds its own.
 
-    An adapter is evicted only when nothing runs on it and nothing is
-    about to.
+    Waiting requests are kept by adapter.  The adapter whose waiting
+    costs most is loaded next, and all its requests start together.  An
+    adapter is evicted only when nothing runs on it and nothing is about
+    to; among these, the one least in demand goes.
+
+    Parameters
+    ----------
+    pacer
+        Says when a load may start.
+    stall_weight
+        The operator's objective, see `settings.ObjectiveSettings`.
     """
 
     def __init__(
@@ -36,79 +128,389 @@
         engine: engine_module.Engine,
         slot_count: int,
         fence: fence_module.Fence,
+        clock: clock_module.Clock,
+        pacer: LoadPacer | None = None,
+        stall_weight: float = 0.5,
     ) -> None:
         self._engine = engine
         self._slot_count = slot_count
         self._fence = fence
+        self._clock = clock
+        self._pacer = pacer or UnpacedLoads()
+        self._close_after_s = _CLOSE_AFTER_S / max(stall_weight, 0.05)
+        self._demand = demand.DecayedCounts(clock, _DEMAND_HALF_LIFE_S)
         self._slots: dict[str, Slot] = {}
-        self._changed = asyncio.Condition()
-        self._loading = asyncio.Lock()
+        self._queue: dict[str, list[_Waiter]] = {}
+        self._backoffs: dict[str, _Backoff] = {}
+        self._evicted_at_s: dict[str, float] = {}
+        self._generation = 0
+        self._asking = 0
+        self._turnaround_s = _FIRST_LOAD_GUESS_S
+        self._loaders: set[asyncio.Task[None]] = set()
+        self.load_count = 0
+        self.eviction_count = 0
+        self.failed_load_count = 0
 
     @property
     def adapters(self) -> tuple[str, ...]:
-        """Return the adapters that the engine holds."""
-        return tuple(self._slots)
+        """Return the adapters that requests can start on."""
+        return tuple(s.name for s in self._slots.values() if s.is_open)
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait for their adapter."""
+        return sum(map(len, self._queue.values()))
+
+    def expected_wait_s(self, name: str = '') -> float:
+        """Return what a request for adapter `name` would wait now."""
+        slot = self._slots.get(name)
+        if slot is not None and slot.is_open:
+            return 0.0
+        if name in self._queue:
+            return self._turnaround_s
+        ahead = sum(1 for n in self._queue if n not in self._slots)
+        return self._turnaround_s * (1 + ahead // _MAX_ASKING)
 
     @contextlib.asynccontextmanager
-    async def hold(self, name: str, deadline_s: float) -> AsyncIterator[None]:
+    async def hold(
+        self, name: str, deadline_s: float, weight: float = 1.0
+    ) -> AsyncIterator[float]:
         """Keep adapter `name` in the engine while the caller uses it.
 
+        Yields the seconds that the request waited for its adapter.
+
         Raises
         ------
         RefusalError
-            It cannot be loaded in `deadline_s`.
+            It cannot be loaded, or not in `deadline_s`.
         """
+        asked_at_s = self._clock.monotonic_s()
+        slot = await self._take(name, deadline_s, weight)
         try:
-            async with asyncio.timeout(deadline_s):
-                slot = await self._take(name)
-        except TimeoutError as error:
-            raise errors.RefusalError(
-                errors.ErrorKind.DEADLINE_UNREACHABLE,
-                'no adapter slot in time',
-            ) from error
-        try:
-            yield
+            yield self._clock.monotonic_s() - asked_at_s
         finally:
-            slot.serving -= 1
-            async with self._changed:
-                self._changed.notify_all()
+            self._release(slot)
 
     def forget_all(self) -> None:
-        """Record that the engine restarted empty."""
+        """Record that the engine restarted empty.
+
+        Holds that are out keep their own slot objects, so that giving
+        them back changes nothing here; a load that is in flight finds
+        another generation and is not believed.
+        """
+        self._generation += 1
         self._slots.clear()
+        self._evicted_at_s.clear()
+        self._start_loads()
+
+    def forget(self, name: str) -> None:
+        """Record that the engine says it does not hold an adapter."""
+        slot = self._slots.get(name)
+        if slot is not None and slot.state is SlotState.READY:
+            self._discard(slot)
+            self._start_loads()
+
+    def adopt(self, names: Iterable[str], running: int) -> None:
+        """Take over adapters that the engine holds, unknown to us.
 
-    async def _take(self, name: str) -> Slot:
-        async with self._loading:
-            slot = self._slots.get(name)
-            if slot is None:
-                await self._make_room()
-                slot = await self._load(name)
-            self._slots[name] = self._slots.pop(name)
+        They were loaded for an earlier sidecar of this engine, or by a
+        load whose answer was lost.  Without this, the engine would be
+        full while we count free slots, and each load would fail.  A run
+        that its sidecar left behind has no reader any more; it is still
+        given some time to end.
+        """
+        now_s = self._clock.monotonic_s()
+        self._evicted_at_s = {
+            name: evicted_at_s
+            for name, evicted_at_s in self._evicted_at_s.items()
+            if now_s - evicted_at_s < _REPORT_LAG_S
+        }
+        for name in names:
+            # The report lags: an adapter that we evicted shows in it
+            # for a while, and would make a free slot seem used.
+            if name in self._slots or name in self._evicted_at_s:
+                continue
+            self._slots[name] = Slot(
+                name,
+                SlotState.READY,
+                guarded_until_s=now_s + _ADOPTION_GRACE_S if running else 0.0,
+            )
+            self._serve_waiters(self._slots[name])
+        self._start_loads()
+
+    async def close(self) -> None:
+        """End the loads that are waited for."""
+        for loader in self._loaders:
+            loader.cancel()
+        await asyncio.gather(*self._loaders, return_exceptions=True)
+
+    async def _take(self, name: str, deadline_s: float, weight: float) -> Slot:
+        self._demand.add(name)
+        slot = self._slots.get(name)
+        if slot is not None and slot.is_open:
             slot.serving += 1
             return slot
+        self._check_backoff(name)
+        self._check_deadline(name, deadline_s)
+        return await self._wait(name, deadline_s, weight)
 
-    async def _make_room(self) -> None:
-        async with self._changed:
-            await self._changed.wait_for(self._has_room)
-        if len(self._slots) < self._slot_count:
+    def _check_backoff(self, name: str) -> None:
+        backoff = self._backoffs.get(name)
+        if backoff is None:
             return
-        victim = next(s for s in self._slots.values() if not s.serving)
-        await self._engine.evict_adapter(victim.name, self._fence.number)
-        self._slots.pop(victim.name, None)
+        left_s = backoff.until_s - self._clock.monotonic_s()
+        if left_s > 0:
+            raise errors.RefusalError(
+                errors.ErrorKind.ADAPTER_UNAVAILABLE,
+                'the adapter failed to load a moment ago',
+                retry_after_s=left_s,
+            )
 
-    def _has_room(self) -> bool:
-        idle = any(not slot.serving for slot in self._slots.values())
-        return idle or len(self._slots) < self._slot_count
+    def _check_deadline(self, name: str, deadline_s: float) -> None:
+        wait_s = self.expected_wait_s(name)
+        if wait_s > deadline_s:
+            raise errors.RefusalError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                'the adapter cannot be loaded in time',
+                retry_after_s=wait_s - deadline_s,
+            )
 
-    async def _load(self, name: str) -> Slot:
+    async def _wait(self, name: str, deadline_s: float, weight: float) -> Slot:
+        waiter = _Waiter(
+            weight,
+            self._clock.monotonic_s(),
+            asyncio.get_running_loop().create_future(),
+        )
+        self._queue.setdefault(name, []).append(waiter)
+        self._start_loads()
         try:
-            await self._engine.load_adapter(name, self._fence.number)
-        except engine_module.FencedError:
-            raise
-        except errors.PlatformError as error:
+            async with asyncio.timeout(deadline_s):
+                return await waiter.slot
+        except TimeoutError as error:
+            self._abandon(name, waiter)
             raise errors.RefusalError(
-                errors.ErrorKind.ADAPTER_UNAVAILABLE, str(error)
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                'no adapter slot in time',
+                retry_after_s=self.expected_wait_s(name),
             ) from error
+        except asyncio.CancelledError:
+            self._abandon(name, waiter)
+            raise
+
+    def _abandon(self, name: str, waiter: _Waiter) -> None:
+        # A waiter can be given its slot and be cancelled in the same
+        # turn of the loop.  Its hold would never be given back, and the
+        # slot never be free again, so it is given back here.
+        if waiter.slot.done() and not waiter.slot.cancelled():
+            if waiter.slot.exception() is None:
+                self._release(waiter.slot.result())
+            return
+        waiters = self._queue.get(name, [])
+        if waiter in waiters:
+            waiters.remove(waiter)
+        if not waiters:
+            self._queue.pop(name, None)
+
+    def _release(self, slot: Slot) -> None:
+        slot.serving -= 1
+        slot.used_at_s = self._clock.monotonic_s()
+        if self._queue:
+            self._start_loads()
+
+    def _discard(self, slot: Slot) -> None:
+        # After a restart another slot of the same name may stand here;
+        # only the one that is meant goes.
+        if self._slots.get(slot.name) is slot:
+            del self._slots[slot.name]
+
+    def _start_loads(self) -> None:
+        self._reopen_slots()
+        wanted = min(len(self._loadable()), self._room_count(), _MAX_ASKING)
+        for _ in range(wanted - self._asking):
+            self._asking += 1
+            loader = asyncio.create_task(self._load_next())
+            self._loaders.add(loader)
+            loader.add_done_callback(self._loaders.discard)
+        self._close_slot()
+
+    def _loadable(self) -> list[str]:
+        return [name for name in self._queue if name not in self._slots]
+
+    def _room_count(self) -> int:
+        free = self._slot_count - len(self._slots)
+        return free + sum(1 for _ in self._idle_slots())
+
+    def _idle_slots(self) -> Iterable[Slot]:
+        now_s = self._clock.monotonic_s()
+        return (
+            slot
+            for slot in self._slots.values()
+            if slot.state is SlotState.READY
+            and not slot.serving
+            and slot.guarded_until_s <= now_s
+        )
+
+    def _cost(self, name: str) -> float:
+        now_s = self._clock.monotonic_s()
+        return sum(
+            waiter.weight * (1.0 + (now_s - waiter.since_s) / _AGING_S)
+            for waiter in self._queue.get(name, ())
+        )
+
+    def _highest_cost(self) -> float:
+        return max(map(self._cost, self._loadable()), default=0.0)
+
+    async def _load_next(self) -> None:
+        started_s = self._clock.monotonic_s()
+        is_asking = True
+        try:
+            async with self._pacer.permit(self._highest_cost):
+                self._asking -= 1
+                is_asking = False
+                names = self._loadable()
+                if not names or self._room_count() < 1:
+                    return
+                await self._bring(max(names, key=self._cost))
+                self._note_turnaround(started_s)
+        finally:
+            self._asking -= is_asking
+            self._start_loads()
+
+    def _note_turnaround(self, started_s: float) -> None:
+        took_s = self._clock.monotonic_s() - started_s
+        self._turnaround_s += _SMOOTHING_RATIO * (took_s - self._turnaround_s)
+
+    async def _bring(self, name: str) -> None:
+        generation = self._generation
         slot = Slot(name)
         self._slots[name] = slot
-        return slot
+        victims = self._choose_victims()
+        try:
+            await self._evict(victims)
+            await self._engine.load_adapter(name, self._fence.number)
+        except errors.PlatformError as error:
+            self._discard(slot)
+            if generation == self._generation:
+                self._fail(name, error)
+        except BaseException:
+            self._discard(slot)
+            raise
+        else:
+            self._finish_load(slot, generation)
+
+    def _finish_load(self, slot: Slot, generation: int) -> None:
+        # An engine that restarted during the load may have taken the
+        # order before or after; its requests stay queued and it is
+        # ordered again, which an engine that holds it answers at once.
+        if generation != self._generation:
+            return
+        slot.state = SlotState.READY
+        self.load_count += 1
+        self._backoffs.pop(slot.name, None)
+        self._serve_waiters(slot)
+
+    def _serve_waiters(self, slot: Slot) -> None:
+        slot.used_at_s = self._clock.monotonic_s()
+        for waiter in self._queue.pop(slot.name, []):
+            if not waiter.slot.done():
+                slot.serving += 1
+                waiter.slot.set_result(slot)
+
+    def _choose_victims(self) -> list[Slot]:
+        victims: list[Slot] = []
+        while len(self._slots) - len(victims) > self._slot_count:
+            idle = list(self._idle_slots())
+            if not idle:
+                break
+            victim = min(idle, key=self._worth)
+            victim.state = SlotState.EVICTING
+            victims.append(victim)
+        return victims
+
+    def _worth(self, slot: Slot) -> tuple[bool, bool, float, float]:
+        # A slot used a moment ago stays while another can go: the next
+        # request of the same conversation would find it just evicted.
+        now_s = self._clock.monotonic_s()
+        return (
+            not slot.is_closing,
+            now_s - slot.used_at_s < _RECENT_USE_S,
+            self._demand.value(slot.name),
+            slot.used_at_s,
+        )
+
+    async def _evict(self, victims: list[Slot]) -> None:
+        for victim in victims:
+            try:
+                await self._engine.evict_adapter(
+                    victim.name, self._fence.number
+                )
+            except errors.PlatformError:
+                # Whether it is gone is not known: if it is, the engine
+                # refuses its next request, which is then `forget`.
+                self._restore(victims)
+                raise
+            self._discard(victim)
+            self._evicted_at_s[victim.name] = self._clock.monotonic_s()
+            self.eviction_count += 1
+
+    def _restore(self, victims: list[Slot]) -> None:
+        for victim in victims:
+            if self._slots.get(victim.name) is victim:
+                victim.state = SlotState.READY
+                self._serve_waiters(victim)
+
+    def _fail(self, name: str, error: errors.PlatformError) -> None:
+        log.warning('load failed', adapter=name, error=str(error))
+        self.failed_load_count += 1
+        delay_s = self._back_off(name)
+        for waiter in self._queue.pop(name, []):
+            if not waiter.slot.done():
+                waiter.slot.set_exception(
+                    errors.RefusalError(
+                        errors.ErrorKind.ADAPTER_UNAVAILABLE,
+                        'the adapter failed to load',
+                        retry_after_s=delay_s,
+                    )
+                )
+
+    def _back_off(self, name: str) -> float:
+        earlier = self._backoffs.pop(name, None)
+        delay_s = _FIRST_BACKOFF_S
+        if earlier is not None:
+            delay_s = min(earlier.delay_s * 2, _MAX_BACKOFF_S)
+        until_s = self._clock.monotonic_s() + delay_s
+        self._backoffs[name] = _Backoff(until_s, delay_s)
+        if len(self._backoffs) > _MAX_BACKOFFS:
+            del self._backoffs[next(iter(self._backoffs))]
+        return delay_s
+
+    def _close_slot(self) -> None:
+        # Slots whose requests overlap without a gap are never idle, and
+        # an adapter that waits would wait for ever.  The least wanted
+        # of them takes no new requests until it has been evicted.
+        if self._room_count() > 0 or self._is_freeing():
+            return
+        names = self._loadable()
+        now_s = self._clock.monotonic_s()
+        if not any(
+            now_s - self._queue[name][0].since_s >= self._close_after_s
+            for name in names
+        ):
+            return
+        ready = [s for s in self._slots.values() if s.is_open]
+        if ready:
+            min(ready, key=self._worth).is_closing = True
+
+    def _is_freeing(self) -> bool:
+        return any(
+            slot.is_closing or slot.state is not SlotState.READY
+            for slot in self._slots.values()
+        )
+
+    def _reopen_slots(self) -> None:
+        if self._loadable():
+            return
+        for slot in list(self._slots.values()):
+            if slot.is_closing:
+                slot.is_closing = False
+                self._serve_waiters(slot)
--- /dev/null
+++ b/lacewingpitch/store_pacing.py
@@ -0,0 +1,419 @@
+"""Soft permits for loads, so that the weight store is not overrun.
+
+One sidecar, found by rendezvous hash, keeps the permits in memory.  The
+others ask it by control message before a load.  Permits are soft: a
+sidecar that gets no answer paces itself at its equal share.  What is
+lost with the keeper, or given twice by two of them, costs speed; the
+store refuses or slows a load too many, and no request is harmed.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import contextlib
+import dataclasses
+import itertools
+from typing import Protocol
+import uuid
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import errors
+from lacewingpitch import link
+from lacewingpitch import live_list
+from lacewingpitch import node as node_module
+from lacewingpitch import placement
+from lacewingpitch import settings as settings_module
+
+LEASE_S = 10.0
+_ASK_AGAIN_S = 2.0
+_RENEW_S = 3.0
+_ASK_TIMEOUT_S = 0.5
+_KEEPER_PAUSE_S = 5.0
+_AGING_S = 5.0
+_MAX_WAITING = 4096
+_MAX_LOADS_PER_KEEPER_PER_S = 10.0
+
+
+class PermitRequest(link.Message, frozen=True):
+    """Asks for a permit, or renews one, for one load.
+
+    Parameters
+    ----------
+    weight
+        What waiting costs the asker; the highest goes first.
+    """
+
+    permit_id: str
+    asker: str
+    weight: float = 1.0
+
+
+class PermitReply(link.Message, frozen=True):
+    """Whether the permit is given; if not, a grant follows."""
+
+    granted: bool
+
+
+class PermitGrant(link.Message, frozen=True):
+    """Tells an asker that its permit is now given."""
+
+    permit_id: str
+
+
+class PermitReturn(link.Message, frozen=True):
+    """Gives a permit back, or takes a request for one back."""
+
+    permit_id: str
+
+
+class PermitAck(link.Message, frozen=True):
+    """Confirms a grant or a return."""
+
+
+class PermitLink(Protocol):
+    """Way to the sidecar that keeps the permits."""
+
+    async def ask(self, request: PermitRequest) -> PermitReply:
+        """Ask for a permit or renew one."""
+        ...
+
+    async def give_back(self, message: PermitReturn) -> None:
+        """Give a permit back."""
+        ...
+
+    def sidecar_count(self) -> int:
+        """Return how many sidecars share the store."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class _Asking:
+    asker: str
+    weight: float
+    since_s: float
+    heard_at_s: float
+
+
+class PermitDesk:
+    """The permits of the store, at the sidecar that keeps them.
+
+    Parameters
+    ----------
+    notify
+        Tells an asker of its grant.  It may fail: the asker asks again.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        settings: settings_module.StoreSettings,
+        notify: Callable[[str, PermitGrant], None],
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._notify = notify
+        self._held_until_s: dict[str, float] = {}
+        self._waiting: dict[str, _Asking] = {}
+        self._tokens = float(settings.loads_at_once)
+        self._counted_at_s = clock.monotonic_s()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def held_count(self) -> int:
+        """Return how many permits are given and not lapsed."""
+        self._drop_lapsed()
+        return len(self._held_until_s)
+
+    def ask(self, request: PermitRequest) -> PermitReply:
+        """Give, renew or queue a permit; idempotent."""
+        now_s = self._clock.monotonic_s()
+        permit_id = request.permit_id
+        if permit_id in self._held_until_s:
+            self._held_until_s[permit_id] = now_s + LEASE_S
+            return PermitReply(granted=True)
+        asking = self._waiting.get(permit_id)
+        if asking is None and len(self._waiting) < _MAX_WAITING:
+            asking = _Asking(request.asker, request.weight, now_s, now_s)
+            self._waiting[permit_id] = asking
+        if asking is not None:
+            asking.weight = request.weight
+            asking.heard_at_s = now_s
+        self._serve(asked_by=permit_id)
+        return PermitReply(granted=permit_id in self._held_until_s)
+
+    def give_back(self, permit_id: str) -> None:
+        """Take back a permit, or the wish for one; idempotent."""
+        self._waiting.pop(permit_id, None)
+        self._held_until_s.pop(permit_id, None)
+        self._serve()
+
+    def close(self) -> None:
+        """Give no more permits."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _serve(self, asked_by: str = '') -> None:
+        self._drop_lapsed()
+        self._count_tokens()
+        while (
+            self._waiting
+            and len(self._held_until_s) < self._settings.loads_at_once
+            and self._tokens >= 1.0
+        ):
+            permit_id = max(self._waiting, key=self._cost)
+            asking = self._waiting.pop(permit_id)
+            self._tokens -= 1.0
+            self._held_until_s[permit_id] = self._clock.monotonic_s() + LEASE_S
+            if permit_id != asked_by:
+                self._notify(asking.asker, PermitGrant(permit_id=permit_id))
+        self._set_timer()
+
+    def _cost(self, permit_id: str) -> float:
+        asking = self._waiting[permit_id]
+        waited_s = self._clock.monotonic_s() - asking.since_s
+        return asking.weight * (1.0 + waited_s / _AGING_S)
+
+    def _count_tokens(self) -> None:
+        now_s = self._clock.monotonic_s()
+        self._tokens = min(
+            float(self._settings.loads_at_once),
+            self._tokens
+            + (now_s - self._counted_at_s) * self._settings.loads_per_s,
+        )
+        self._counted_at_s = now_s
+
+    def _drop_lapsed(self) -> None:
+        # An asker that died or was cut off never gives its permit back;
+        # without a lease the store would stand idle for good.
+        now_s = self._clock.monotonic_s()
+        for permit_id, until_s in list(self._held_until_s.items()):
+            if until_s <= now_s:
+                del self._held_until_s[permit_id]
+        for permit_id, asking in list(self._waiting.items()):
+            if asking.heard_at_s + 3 * _ASK_AGAIN_S <= now_s:
+                del self._waiting[permit_id]
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if not self._waiting:
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._next_chance_s(), self._serve)
+
+    def _next_chance_s(self) -> float:
+        if len(self._held_until_s) >= self._settings.loads_at_once:
+            first_s = min(self._held_until_s.values())
+            return max(first_s - self._clock.monotonic_s(), 0.0) + 1e-3
+        return (1.0 - self._tokens) / self._settings.loads_per_s + 1e-3
+
+
+class StorePacer:
+    """Gets a permit for each load of this sidecar."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        settings: settings_module.StoreSettings,
+        permits: PermitLink,
+        asker: str,
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._permits = permits
+        self._asker = asker
+        self._prefix = uuid.uuid4().hex[:8]
+        self._numbers = itertools.count(1)
+        self._granted: dict[str, asyncio.Event] = {}
+        self._alone_until_s = 0.0
+        self._next_alone_s = 0.0
+        self._returning: set[asyncio.Task[None]] = set()
+
+    @contextlib.asynccontextmanager
+    async def permit(self, weight: Callable[[], float]) -> AsyncIterator[None]:
+        """Wait for a permit and keep it for the length of a load."""
+        permit_id = f'{self._asker}/{self._prefix}/{next(self._numbers)}'
+        self._granted[permit_id] = asyncio.Event()
+        try:
+            await self._obtain(permit_id, weight)
+            renewing = asyncio.create_task(self._renew(permit_id, weight))
+            try:
+                yield
+            finally:
+                renewing.cancel()
+        finally:
+            del self._granted[permit_id]
+            self._give_back(permit_id)
+
+    def on_grant(self, grant: PermitGrant) -> PermitAck:
+        """Take a grant; one that comes late is given back again."""
+        event = self._granted.get(grant.permit_id)
+        if event is None:
+            self._give_back(grant.permit_id)
+        else:
+            event.set()
+        return PermitAck()
+
+    async def _obtain(
+        self, permit_id: str, weight: Callable[[], float]
+    ) -> None:
+        event = self._granted[permit_id]
+        while not event.is_set():
+            if await self._ask(permit_id, weight):
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_ASK_AGAIN_S):
+                    await event.wait()
+
+    async def _ask(self, permit_id: str, weight: Callable[[], float]) -> bool:
+        if self._clock.monotonic_s() < self._alone_until_s:
+            await self._wait_alone()
+            return True
+        request = PermitRequest(
+            permit_id=permit_id, asker=self._asker, weight=weight()
+        )
+        try:
+            reply = await self._permits.ask(request)
+        except errors.LinkError:
+            # The keeper is gone, frozen or cut off.  Loads go on at the
+            # share that is safe if every sidecar is as alone as this.
+            self._alone_until_s = self._clock.monotonic_s() + _KEEPER_PAUSE_S
+            await self._wait_alone()
+            return True
+        return reply.granted
+
+    async def _wait_alone(self) -> None:
+        now_s = self._clock.monotonic_s()
+        start_s = max(now_s, self._next_alone_s)
+        self._next_alone_s = start_s + (
+            self._permits.sidecar_count() / self._settings.loads_per_s
+        )
+        await asyncio.sleep(start_s - now_s)
+
+    async def _renew(
+        self, permit_id: str, weight: Callable[[], float]
+    ) -> None:
+        while True:
+            await asyncio.sleep(_RENEW_S)
+            with contextlib.suppress(errors.LinkError):
+                await self._permits.ask(
+                    PermitRequest(
+                        permit_id=permit_id,
+                        asker=self._asker,
+                        weight=weight(),
+                    )
+                )
+
+    def _give_back(self, permit_id: str) -> None:
+        task = asyncio.create_task(self._send_back(permit_id))
+        self._returning.add(task)
+        task.add_done_callback(self._returning.discard)
+
+    async def _send_back(self, permit_id: str) -> None:
+        with contextlib.suppress(errors.LinkError):
+            await self._permits.give_back(PermitReturn(permit_id=permit_id))
+
+
+class StorePacing:
+    """Both ends of pacing at one sidecar: its loads, and the desk.
+
+    Every sidecar has a desk; that of one of them is in use.  A store
+    that bears more than a sidecar can hand out is split over several
+    keepers, each with its share.
+    """
+
+    def __init__(
+        self,
+        node: node_module.Node,
+        settings: settings_module.StoreSettings,
+    ) -> None:
+        self._node = node
+        self._keeper_count = _keeper_count(settings)
+        share = settings_module.StoreSettings(
+            loads_per_s=settings.loads_per_s / self._keeper_count,
+            loads_at_once=max(1, settings.loads_at_once // self._keeper_count),
+        )
+        self.desk = PermitDesk(node.clock, share, self._notify)
+        self.pacer = StorePacer(
+            node.clock, settings, self, node.settings.instance
+        )
+        self._sending: set[asyncio.Task[None]] = set()
+        node.control.handle(PermitRequest, self._take_request)
+        node.control.handle(PermitGrant, self._take_grant)
+        node.control.handle(PermitReturn, self._take_return)
+
+    async def ask(self, request: PermitRequest) -> PermitReply:
+        """Ask the keeper for a permit.
+
+        Raises
+        ------
+        LinkError
+            It does not answer.
+        """
+        return await self._peer_of(self._keeper()).ask(
+            request, PermitReply, _ASK_TIMEOUT_S
+        )
+
+    async def give_back(self, message: PermitReturn) -> None:
+        """Give a permit back to the keeper.
+
+        Raises
+        ------
+        LinkError
+            It does not answer.
+        """
+        await self._peer_of(self._keeper()).ask(
+            message, PermitAck, _ASK_TIMEOUT_S
+        )
+
+    def sidecar_count(self) -> int:
+        """Return how many sidecars share the store."""
+        return max(1, len(self._sidecars()))
+
+    def _sidecars(self) -> list[live_list.Instance]:
+        return [
+            instance
+            for instance in self._node.membership.instances
+            if instance.role is live_list.Role.SIDECAR
+            and instance.region == self._node.settings.region
+        ]
+
+    def _keeper(self) -> live_list.Instance:
+        share = placement.bucket(
+            self._node.settings.instance, self._keeper_count
+        )
+        ranked = placement.rank(f'store/{share}', self._sidecars())
+        if not ranked:
+            raise errors.LinkError('no sidecar is listed')
+        return ranked[0]
+
+    def _peer_of(self, instance: live_list.Instance) -> link.Peer:
+        return self._node.peers.peer(instance.ip, instance.control_port)
+
+    async def _take_request(self, message: PermitRequest) -> PermitReply:
+        return self.desk.ask(message)
+
+    async def _take_grant(self, message: PermitGrant) -> PermitAck:
+        return self.pacer.on_grant(message)
+
+    async def _take_return(self, message: PermitReturn) -> PermitAck:
+        self.desk.give_back(message.permit_id)
+        return PermitAck()
+
+    def _notify(self, asker: str, grant: PermitGrant) -> None:
+        for instance in self._sidecars():
+            if instance.name == asker:
+                task = asyncio.create_task(self._send_grant(instance, grant))
+                self._sending.add(task)
+                task.add_done_callback(self._sending.discard)
+
+    async def _send_grant(
+        self, instance: live_list.Instance, grant: PermitGrant
+    ) -> None:
+        with contextlib.suppress(errors.LinkError):
+            await self._peer_of(instance).ask(grant, PermitAck, _ASK_TIMEOUT_S)
+
+
+def _keeper_count(settings: settings_module.StoreSettings) -> int:
+    wanted = settings.loads_per_s // _MAX_LOADS_PER_KEEPER_PER_S + 1
+    return int(min(wanted, settings.loads_at_once))
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -13,6 +13,7 @@
 OUTCOME_HEADER = 'Lacewingpitch-Outcome'
 KIND_HEADER = 'Lacewingpitch-Error-Kind'
 HINT_HEADER = 'Lacewingpitch-Hint'
+LOAD_STALL_HEADER = 'Lacewingpitch-Load-Stall-S'
 
 
 class WorkOrder(link.Message, frozen=True):
