--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each is run as a module."""
--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,391 @@
+"""Placement, slots and pacing under load and faults, against baselines.
+
+Run ``python -m benchmarks.policy``; it is seeded and repeatable.  The
+decision classes are the product's own; engines, store and the time are
+stand-ins.  A refused request counts with its whole deadline as stall,
+so that refusing cannot pass for serving.
+"""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+import itertools
+import random
+import sys
+
+import numpy
+import rich.console
+import rich.table
+import structlog
+
+from benchmarks import policy_baselines
+from benchmarks import policy_loop
+from benchmarks import policy_machines
+from benchmarks import policy_workloads
+from lacewingpitch import errors
+from lacewingpitch import fence as fence_module
+from lacewingpitch import hint as hint_module
+from lacewingpitch import live_list
+from lacewingpitch import placement
+from lacewingpitch import settings
+from lacewingpitch import slots as slots_module
+from lacewingpitch import store_pacing
+
+BASELINES = ('random', 'hash', 'least loaded')
+POLICIES = (*BASELINES, 'lacewingpitch')
+BOUND = 'bound'
+MAX_ATTEMPTS = 3
+WORKERS = 3
+_NETWORK_S = 0.001
+_REPORT_S = 1.0
+_GOOD_STALL_S = 2.0
+
+
+@dataclasses.dataclass
+class Result:
+    """What one policy made of one workload."""
+
+    policy: str
+    stall_mean_s: float
+    stall_p95_s: float
+    stall_p99_s: float
+    wait_mean_s: float
+    efficiency: float
+    loads: int
+    evictions: int
+    refused: int
+    jain: float
+
+
+class DirectPermits:
+    """Way to the desk without a network; it takes a moment."""
+
+    def __init__(self, desk, sidecar_count):
+        self._desk = desk
+        self._sidecar_count = sidecar_count
+
+    async def ask(self, request):
+        await asyncio.sleep(_NETWORK_S)
+        return self._desk.ask(request)
+
+    async def give_back(self, message):
+        await asyncio.sleep(_NETWORK_S)
+        self._desk.give_back(message.permit_id)
+
+    def sidecar_count(self):
+        return self._sidecar_count
+
+
+class Machine:
+    """An engine with its sidecar's decisions."""
+
+    def __init__(self, name, pool, engine, slots):
+        self.instance = live_list.Instance(
+            name=name,
+            role=live_list.Role.SIDECAR,
+            region='r',
+            availability_zone='z',
+            ip='127.0.0.1',
+            work_port=0,
+            control_port=0,
+        )
+        self.pool = pool
+        self.engine = engine
+        self.slots = slots
+        self.turns = asyncio.Semaphore(engine.max_running)
+        self.held = 0
+        self.is_empty = False
+
+    def hint(self):
+        running = len(self.engine.steps)
+        expected_s = getattr(self.slots, 'expected_wait_s', lambda: 0.0)()
+        return hint_module.encode_hint(
+            hint_module.Hint(
+                running=running,
+                queued=max(0, self.held - running) + self.slots.waiting_count,
+                max_running=self.engine.max_running,
+                load_wait_ms=int(expected_s * 1000),
+                adapters=hint_module.join_fingerprints(self.slots.adapters),
+            )
+        )
+
+
+class Run:
+    """One workload under one policy."""
+
+    def __init__(self, workload, policy, stall_weight):
+        self.workload = workload
+        self.site = workload.site
+        self.policy = policy
+        self.objective = settings.ObjectiveSettings(stall_weight=stall_weight)
+        self.clock = policy_loop.LoopClock()
+        self.random = random.Random(workload.seed)
+        self.stalls_s = {}
+        self.waits_s = {}
+        self.refused = set()
+
+    async def main(self):
+        self.requests = policy_workloads.make_requests(self.workload)
+        self.store = policy_machines.Store(
+            self.site.store, self.random, self.workload.failing_ratio
+        )
+        self.machines = self._make_machines()
+        self.by_name = {m.instance.name: m for m in self.machines}
+        self.instances = [
+            [m.instance for m in self.machines if m.pool == pool]
+            for pool in range(len(self.site.engines))
+        ]
+        self.entries = self._make_entries()
+        faults = asyncio.create_task(self._faults())
+        reports = asyncio.create_task(self._reports())
+        await self._send_all()
+        for task in (faults, reports):
+            task.cancel()
+        for machine in self.machines:
+            machine.engine.steps.advance()
+            await machine.slots.close()
+        return self._result()
+
+    def _make_machines(self):
+        desk = self._make_desk()
+        total = sum(self.site.engines)
+        machines = []
+        for pool, count in enumerate(self.site.engines):
+            for number in range(count):
+                name = f'engine-{pool}-{number}'
+                engine = policy_machines.BenchEngine(
+                    self.store, self.site.slot_count, self.site.max_running
+                )
+                slots = self._make_slots(name, engine, desk, total)
+                machines.append(Machine(name, pool, engine, slots))
+        return machines
+
+    def _make_desk(self):
+        self.pacers = {}
+
+        def notify(asker, grant):
+            asyncio.get_running_loop().call_later(
+                _NETWORK_S, self.pacers[asker].on_grant, grant
+            )
+
+        return store_pacing.PermitDesk(self.clock, self.site.store, notify)
+
+    def _make_slots(self, name, engine, desk, total):
+        if self.policy in BASELINES:
+            return policy_baselines.LruSlots(engine, self.site.slot_count)
+        self.pacers[name] = store_pacing.StorePacer(
+            self.clock, self.site.store, DirectPermits(desk, total), name
+        )
+        return slots_module.AdapterSlots(
+            engine,
+            self.site.slot_count,
+            fence_module.Fence(self.clock),
+            self.clock,
+            self.pacers[name],
+            self.objective.stall_weight,
+        )
+
+    def _make_entries(self):
+        count = policy_workloads.ENTRY_COUNT
+        if self.policy == 'random':
+            return [policy_baselines.RandomPlacement(n) for n in range(count)]
+        if self.policy == 'hash':
+            return [policy_baselines.HashPlacement()] * count
+        if self.policy == 'least loaded':
+            return [policy_baselines.LeastLoaded()] * count
+        return [
+            placement.Placement(self.clock, self.objective)
+            for _ in range(count)
+        ]
+
+    async def _send_all(self):
+        loop = asyncio.get_running_loop()
+        async with asyncio.TaskGroup() as group:
+            for request in self.requests:
+                if request.at_s > loop.time():
+                    await asyncio.sleep(request.at_s - loop.time())
+                group.create_task(self._send(request))
+
+    async def _send(self, request):
+        entry = self.entries[request.entry]
+        key = f'adapter-{request.adapter}@1'
+        ranked = entry.candidates(key, self.instances[request.pool])
+        for instance in ranked[:MAX_ATTEMPTS]:
+            machine = self.by_name[instance.name]
+            with entry.sent(key, instance.name):
+                await asyncio.sleep(_NETWORK_S)
+                if await self._attempt(request, entry, key, machine):
+                    return
+        self.refused.add(request.number)
+        self.stalls_s[request.number] = policy_workloads.DEADLINE_S
+        self.waits_s[request.number] = policy_workloads.DEADLINE_S
+
+    async def _attempt(self, request, entry, key, machine):
+        loop = asyncio.get_running_loop()
+        left_s = policy_workloads.DEADLINE_S - loop.time() + request.at_s
+        earlier_s = loop.time() - request.at_s - _NETWORK_S
+        if left_s <= 0.0:
+            return False
+        try:
+            async with machine.slots.hold(key, left_s) as stall_s:
+                machine.held += 1
+                try:
+                    async with machine.turns:
+                        self.stalls_s[request.number] = earlier_s + stall_s
+                        self.waits_s[request.number] = (
+                            loop.time() - request.at_s
+                        )
+                        entry.learn(machine.instance.name, machine.hint())
+                        await machine.engine.run(key, request.tokens)
+                finally:
+                    machine.held -= 1
+        except errors.RefusalError:
+            return False
+        except errors.PlatformError:
+            machine.slots.forget(key)
+            return False
+        return True
+
+    async def _faults(self):
+        third_s = self.site.length_s / 3
+        await asyncio.sleep(third_s)
+        if self.workload.restart:
+            self.machines[0].engine.restart()
+            self.machines[0].is_empty = True
+        if self.workload.slow_store:
+            self.store.slow_down(2.0)
+            await asyncio.sleep(third_s)
+            self.store.slow_down(1.0)
+
+    async def _reports(self):
+        while True:
+            await asyncio.sleep(_REPORT_S)
+            for machine in self.machines:
+                if machine.is_empty:
+                    machine.is_empty = False
+                    machine.slots.forget_all()
+
+    def _result(self):
+        engines = [machine.engine for machine in self.machines]
+        assert not any(engine.evictions_under_run for engine in engines)
+        steps = sum(e.steps.busy_progress for e in engines)
+        work = sum(e.steps.work_done for e in engines)
+        stalls_s = [self.stalls_s[r.number] for r in self.requests]
+        return Result(
+            self.policy,
+            float(numpy.mean(stalls_s)),
+            float(numpy.percentile(stalls_s, 95)),
+            float(numpy.percentile(stalls_s, 99)),
+            float(numpy.mean(list(self.waits_s.values()))),
+            work / (steps * self.site.max_running),
+            sum(e.load_count for e in engines),
+            sum(e.eviction_count for e in engines),
+            len(self.refused),
+            self._jain(),
+        )
+
+    def _jain(self):
+        sent = [0] * policy_workloads.CUSTOMER_COUNT
+        good = [0] * policy_workloads.CUSTOMER_COUNT
+        for request in self.requests:
+            customer = request.adapter % policy_workloads.CUSTOMER_COUNT
+            sent[customer] += 1
+            good[customer] += self.stalls_s[request.number] <= _GOOD_STALL_S
+        shares = [g / s for g, s in zip(good, sent, strict=True) if s]
+        squares = sum(share * share for share in shares)
+        return sum(shares) ** 2 / (len(shares) * squares) if squares else 0.0
+
+
+def run_policy(workload, policy, stall_weight=None):
+    """Return the result of one policy, or of the bound."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(50)
+    )
+    if policy == BOUND:
+        return _run_bound(workload)
+    weight = workload.site.stall_weight
+    if stall_weight is not None:
+        weight = stall_weight
+    return policy_loop.run(Run(workload, policy, weight).main())
+
+
+def _run_bound(workload):
+    requests = policy_workloads.make_requests(workload)
+    found = policy_baselines.Clairvoyant(workload, requests).run()
+    mean_s = float(numpy.mean(found.stalls_s))
+    return Result(
+        BOUND,
+        mean_s,
+        float(numpy.percentile(found.stalls_s, 95)),
+        float(numpy.percentile(found.stalls_s, 99)),
+        mean_s,
+        policy_baselines.packed_efficiency(workload, requests),
+        found.load_count,
+        0,
+        0,
+        1.0,
+    )
+
+
+def make_table(workload, results):
+    """Return the table of one workload."""
+    table = rich.table.Table(title=workload.name, title_justify='left')
+    for column in (
+        'policy',
+        'stall s/request',
+        'p95',
+        'p99',
+        'wait s',
+        'batch efficiency',
+        'loads',
+        'evictions',
+        'refused',
+        'Jain',
+        'stall/best',
+        'stall/bound',
+        'efficiency/best',
+    ):
+        table.add_column(column, justify='right')
+    baselines = [r for r in results if r.policy in BASELINES]
+    stall_s = min(r.stall_mean_s for r in baselines)
+    efficiency = max(r.efficiency for r in baselines)
+    bound = next(r for r in results if r.policy == BOUND)
+    for result in results:
+        table.add_row(
+            result.policy,
+            f'{result.stall_mean_s:.3f}',
+            f'{result.stall_p95_s:.2f}',
+            f'{result.stall_p99_s:.2f}',
+            f'{result.wait_mean_s:.3f}',
+            f'{result.efficiency:.3f}',
+            str(result.loads),
+            str(result.evictions),
+            str(result.refused),
+            f'{result.jain:.3f}',
+            f'{result.stall_mean_s / stall_s:.2f}',
+            f'{result.stall_mean_s / bound.stall_mean_s:.2f}',
+            f'{result.efficiency / efficiency:.2f}',
+        )
+    return table
+
+
+def main():
+    """Run what is named on the command line, or everything."""
+    names = sys.argv[1:]
+    workloads = [
+        w
+        for w in policy_workloads.WORKLOADS
+        if not names or any(name in w.name for name in names)
+    ]
+    console = rich.console.Console(width=150)
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        pairs = list(itertools.product(workloads, (*POLICIES, BOUND)))
+        results = list(pool.map(run_policy, *zip(*pairs, strict=True)))
+    size = len(POLICIES) + 1
+    for number, workload in enumerate(workloads):
+        rows = results[number * size : (number + 1) * size]
+        console.print(make_table(workload, rows))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/policy_workloads.py
@@ -0,0 +1,154 @@
+"""What callers send: seeded, the same for every policy."""
+
+import bisect
+import dataclasses
+import itertools
+import random
+
+from lacewingpitch import settings
+
+ADAPTER_COUNT = 3000
+ENTRY_COUNT = 3
+CUSTOMER_COUNT = 100
+DEADLINE_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Request:
+    at_s: float
+    number: int
+    adapter: int
+    pool: int
+    entry: int
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """Engines, store and habits of one of the users."""
+
+    name: str
+    engines: tuple[int, int]
+    store: settings.StoreSettings
+    stall_weight: float
+    sessions_per_s: float
+    session_requests: float
+    session_gap_s: float
+    tokens: float
+    zipf: float = 1.0
+    slot_count: int = 8
+    max_running: int = 16
+    length_s: float = 480.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Workload:
+    """A site's traffic with something that happens to it."""
+
+    name: str
+    site: Site
+    seed: int = 1
+    bursts: bool = False
+    shift: bool = False
+    restart: bool = False
+    slow_store: bool = False
+    failing_ratio: float = 0.0
+    flood: bool = False
+
+
+HANEUL = Site(
+    'haneul',
+    (5, 4),
+    settings.StoreSettings(loads_per_s=2.0, loads_at_once=1),
+    stall_weight=0.2,
+    sessions_per_s=2.5,
+    session_requests=10.0,
+    session_gap_s=2.0,
+    tokens=120.0,
+)
+ASSOCIATION = Site(
+    'association',
+    (9, 4),
+    settings.StoreSettings(loads_per_s=6.0, loads_at_once=2),
+    stall_weight=0.8,
+    sessions_per_s=7.0,
+    session_requests=6.0,
+    session_gap_s=3.0,
+    tokens=80.0,
+)
+WORKLOADS = (
+    Workload('haneul steady', HANEUL),
+    Workload('haneul shift', HANEUL, shift=True),
+    Workload('haneul restart', HANEUL, restart=True),
+    Workload('haneul slow store', HANEUL, slow_store=True),
+    Workload('haneul 5% fail', HANEUL, failing_ratio=0.05),
+    Workload('haneul flood', HANEUL, flood=True),
+    Workload('assoc bursts', ASSOCIATION, bursts=True),
+    Workload('assoc shift', ASSOCIATION, shift=True),
+    Workload('assoc restart', ASSOCIATION, restart=True),
+    Workload('assoc slow store', ASSOCIATION, slow_store=True),
+    Workload('assoc 5% fail', ASSOCIATION, failing_ratio=0.05),
+    Workload('assoc flood', ASSOCIATION, flood=True),
+)
+
+
+def pool_of(adapter, site):
+    """Return the base model of an adapter: engines in proportion."""
+    total = sum(site.engines)
+    return 0 if adapter % total < site.engines[0] else 1
+
+
+def make_requests(workload):
+    """Return the requests of a workload, by time."""
+    site = workload.site
+    rng = random.Random(workload.seed)
+    weights = [
+        1.0 / (place + 1) ** site.zipf for place in range(ADAPTER_COUNT)
+    ]
+    sums = list(itertools.accumulate(weights))
+    names = list(range(ADAPTER_COUNT))
+    rng.shuffle(names)
+    shifted = names[ADAPTER_COUNT // 2 :] + names[: ADAPTER_COUNT // 2]
+    found = []
+    at_s = 0.0
+    while True:
+        at_s += rng.expovariate(site.sessions_per_s * _pace(workload, at_s))
+        if at_s >= site.length_s:
+            break
+        place = bisect.bisect(sums, rng.random() * sums[-1])
+        late = workload.shift and at_s > site.length_s / 2
+        adapter = (shifted if late else names)[min(place, ADAPTER_COUNT - 1)]
+        found += _session(rng, site, at_s, adapter)
+    if workload.flood:
+        found += _flood(rng, site, names[ADAPTER_COUNT // 3])
+    found.sort(key=lambda fields: fields[0])
+    return [
+        Request(at, number, adapter, pool_of(adapter, site), entry, tokens)
+        for number, (at, adapter, entry, tokens) in enumerate(found)
+    ]
+
+
+def _pace(workload, at_s):
+    # A day in small: quiet, then bursts.
+    if not workload.bursts:
+        return 1.0
+    return 1.8 if (at_s // 60.0) % 2 else 0.5
+
+
+def _session(rng, site, at_s, adapter):
+    while at_s < site.length_s:
+        yield at_s, adapter, rng.randrange(ENTRY_COUNT), _tokens(rng, site)
+        if rng.random() < 1.0 / site.session_requests:
+            return
+        at_s += rng.expovariate(1.0 / site.session_gap_s)
+
+
+def _flood(rng, site, adapter):
+    at_s = site.length_s / 3
+    while at_s < site.length_s / 3 + 60.0:
+        yield at_s, adapter, rng.randrange(ENTRY_COUNT), _tokens(rng, site)
+        at_s += rng.expovariate(20.0)
+
+
+def _tokens(rng, site):
+    return 10 + int(rng.expovariate(1.0 / (site.tokens - 10)))
