A home for each adapter that knows where it was placed

Entry instances with different hints each chose another engine.

Change: the home, by rendezvous hash, remembers where its adapters were placed; entry instances ask it and propose engines with spare slots.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -22,6 +22,7 @@
 from benchmarks import policy_loop
 from benchmarks import policy_machines
 from benchmarks import policy_workloads
+from lacewingpitch import directory
 from lacewingpitch import errors
 from lacewingpitch import fence as fence_module
 from lacewingpitch import hint as hint_module
@@ -76,6 +77,17 @@
         return self._sidecar_count
 
 
+class DirectHomes:
+    """Way to the directories without a network; it takes a moment."""
+
+    def __init__(self, directories):
+        self._directories = directories
+
+    async def locate(self, home, request):
+        await asyncio.sleep(2 * _NETWORK_S)
+        return await self._directories[home.name].locate(request)
+
+
 class Machine:
     """An engine with its sidecar's decisions."""
 
@@ -105,6 +117,7 @@
                 queued=max(0, self.held - running) + self.slots.waiting_count,
                 max_running=self.engine.max_running,
                 load_wait_ms=int(expected_s * 1000),
+                spare_slots=getattr(self.slots, 'spare_count', 0),
                 adapters=hint_module.join_fingerprints(self.slots.adapters),
             )
         )
@@ -193,8 +206,11 @@
             return [policy_baselines.HashPlacement()] * count
         if self.policy == 'least loaded':
             return [policy_baselines.LeastLoaded()] * count
+        homes = DirectHomes(
+            {name: directory.Directory(self.clock) for name in self.by_name}
+        )
         return [
-            placement.Placement(self.clock, self.objective)
+            placement.Placement(self.clock, self.objective, homes)
             for _ in range(count)
         ]
 
@@ -209,7 +225,7 @@
     async def _send(self, request):
         entry = self.entries[request.entry]
         key = f'adapter-{request.adapter}@1'
-        ranked = entry.candidates(key, self.instances[request.pool])
+        ranked = await entry.locate(key, self.instances[request.pool])
         for instance in ranked[:MAX_ATTEMPTS]:
             machine = self.by_name[instance.name]
             with entry.sent(key, instance.name):
--- a/benchmarks/policy_baselines.py
+++ b/benchmarks/policy_baselines.py
@@ -102,6 +102,9 @@
 class _Chooser:
     """A placement that learns nothing."""
 
+    async def locate(self, key, instances):
+        return self.candidates(key, instances)
+
     @contextlib.contextmanager
     def sent(self, _key, _instance):
         yield
--- /dev/null
+++ b/lacewingpitch/directory.py
@@ -0,0 +1,147 @@
+"""Where adapters were placed, so that entry instances agree on it.
+
+The home of an adapter, by rendezvous hash over the sidecars, remembers
+in memory which backend servers it was given to.  An entry instance that
+does not see the adapter held anywhere asks the home first.  Without it,
+two entry instances with different hints would each have the adapter
+loaded on another engine.  A home that is lost or asked twice costs a
+load; nothing else follows from what it says.
+"""
+
+import collections
+import dataclasses
+from typing import Protocol
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import link
+from lacewingpitch import live_list
+from lacewingpitch import node as node_module
+
+_KEEP_S = 30.0
+_KEEP_EXTRA_S = 60.0
+_CAPACITY_KEYS = 8192
+_MAX_PLACES = 64
+_ASK_TIMEOUT_S = 0.25
+
+
+class LocateRequest(link.Message, frozen=True):
+    """Asks a home where an adapter is to be used.
+
+    Parameters
+    ----------
+    wanted
+        Number of backend servers that its demand calls for.
+    proposals
+        Where the asker would have it, best first.
+    """
+
+    key: str
+    wanted: int
+    proposals: tuple[str, ...]
+
+
+class LocateReply(link.Message, frozen=True):
+    """The backend servers that the adapter is to be used on."""
+
+    instances: tuple[str, ...]
+
+
+class DirectoryLink(Protocol):
+    """Way to the home of an adapter."""
+
+    async def locate(
+        self, home: live_list.Instance, request: LocateRequest
+    ) -> LocateReply:
+        """Ask a home where an adapter is to be used."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class _Place:
+    instance: str
+    since_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Places:
+    asked_at_s: float
+    places: list[_Place] = dataclasses.field(default_factory=list)
+
+
+class Directory:
+    """The adapters whose home is here, and where they are used."""
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._known: collections.OrderedDict[str, _Places] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return how many adapters are remembered."""
+        return len(self._known)
+
+    async def locate(self, request: LocateRequest) -> LocateReply:
+        """Return where an adapter is used, or decide it now."""
+        now_s = self._clock.monotonic_s()
+        known = self._known.pop(request.key, None)
+        if known is None or now_s - known.asked_at_s >= _KEEP_S:
+            known = _Places(now_s)
+        known.asked_at_s = now_s
+        self._drop_extras(known, now_s)
+        wanted = min(request.wanted, _MAX_PLACES)
+        for name in request.proposals:
+            if len(known.places) >= wanted:
+                break
+            if all(place.instance != name for place in known.places):
+                known.places.append(_Place(name, now_s))
+        self._known[request.key] = known
+        if len(self._known) > _CAPACITY_KEYS:
+            self._known.popitem(last=False)
+        return LocateReply(
+            instances=tuple(place.instance for place in known.places)
+        )
+
+    def forget_instances(self, listed: frozenset[str]) -> None:
+        """Drop places on backend servers that are listed no more."""
+        for known in self._known.values():
+            known.places = [p for p in known.places if p.instance in listed]
+
+    @staticmethod
+    def _drop_extras(known: _Places, now_s: float) -> None:
+        known.places[1:] = [
+            place
+            for place in known.places[1:]
+            if now_s - place.since_s < _KEEP_EXTRA_S
+        ]
+
+
+class ControlDirectoryLink:
+    """Asks homes by control message."""
+
+    def __init__(self, node: node_module.Node) -> None:
+        self._node = node
+
+    async def locate(
+        self, home: live_list.Instance, request: LocateRequest
+    ) -> LocateReply:
+        """Ask a home where an adapter is to be used.
+
+        Raises
+        ------
+        LinkError
+            It does not answer.
+        """
+        peer = self._node.peers.peer(home.ip, home.control_port)
+        return await peer.ask(request, LocateReply, _ASK_TIMEOUT_S)
+
+
+def serve_directory(node: node_module.Node) -> None:
+    """Answer the questions that reach this process as a home."""
+    directory = Directory(node.clock)
+    node.control.handle(LocateRequest, directory.locate)
+    node.membership.changes.subscribe(
+        lambda published: directory.forget_instances(
+            frozenset(instance.name for instance in published.instances)
+        )
+    )
--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -77,7 +77,7 @@
         last = errors.RefusalError(
             errors.ErrorKind.NO_BACKEND_SERVER, 'none is known to be live'
         )
-        for sidecar in self._candidates(order)[:MAX_ATTEMPTS]:
+        for sidecar in (await self._candidates(order))[:MAX_ATTEMPTS]:
             order = msgspec.structs.replace(order, attempt=order.attempt + 1)
             attempt = Attempt(order, sidecar, body, content_type)
             try:
@@ -95,11 +95,16 @@
                     raise
         raise last
 
-    def _candidates(self, order: work.WorkOrder) -> list[live_list.Instance]:
+    async def _candidates(
+        self, order: work.WorkOrder
+    ) -> list[live_list.Instance]:
         adapter = order.adapter
-        serves = order.service if adapter is None else adapter.base_model
-        return self._placement.candidates(
-            _placement_key(order), self._membership.sidecars(serves)
+        if adapter is None:
+            return self._placement.candidates(
+                order.request_id, self._membership.sidecars(order.service)
+            )
+        return await self._placement.locate(
+            adapter.engine_name, self._membership.sidecars(adapter.base_model)
         )
 
     async def _try(
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -14,6 +14,7 @@
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract as contract_module
+from lacewingpitch import directory
 from lacewingpitch import dispatch
 from lacewingpitch import errors
 from lacewingpitch import event_stream
@@ -82,7 +83,11 @@
     async def start(self) -> None:
         """Follow the platform, then take requests."""
         await self._exits.enter_async_context(self._node)
-        places = placement.Placement(self._node.clock, self.settings.objective)
+        places = placement.Placement(
+            self._node.clock,
+            self.settings.objective,
+            directory.ControlDirectoryLink(self._node),
+        )
         self._node.membership.changes.subscribe(
             lambda published: places.retain(published.instances)
         )
--- a/lacewingpitch/hint.py
+++ b/lacewingpitch/hint.py
@@ -30,6 +30,8 @@
         Requests that the engine batches at once.
     load_wait_ms
         What a request for an adapter that is not held would wait.
+    spare_slots
+        Slots that are free, or whose adapter has not been used of late.
     adapters
         Fingerprints of the adapters that the engine holds, joined.
     """
@@ -38,6 +40,7 @@
     queued: Count
     max_running: Annotated[int, msgspec.Meta(ge=1, le=1 << 31)]
     load_wait_ms: Count
+    spare_slots: Count = 0
     adapters: bytes = b''
 
     @property
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -10,14 +10,21 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import demand
+from lacewingpitch import directory
+from lacewingpitch import errors
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
 from lacewingpitch import settings as settings_module
 
 HINT_AGE_S = 30.0
 _DEMAND_HALF_LIFE_S = 30.0
-_REQUESTS_PER_CANDIDATE = 32.0
-_DETOUR_S = 2.0
+_HOT_COUNT = 8.0
+_FULL_RATIO = 0.9
+_SQUEEZE_S = 2.0
+_ASSIGNED_S = 10.0
+_SILENT_S = 5.0
+_MAX_ASSIGNMENTS = 8192
+_MS_PER_S = 1000
 _DEFAULT_LOAD_WAIT_S = 1.0
 _TURN_WAIT_S = 2.0
 _DEFAULT_MAX_RUNNING = 16
@@ -53,6 +60,7 @@
     adapters: frozenset[bytes] = frozenset()
     heard_at_s: float = 0.0
     sent_since_hint: int = 0
+    loads_since_hint: int = 0
     in_flight: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -66,35 +74,64 @@
     seen_at_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Assignment:
+    """Where the home of an adapter has it used."""
+
+    names: tuple[str, ...]
+    known_at_s: float
+
+
 class Placement:
     """Sends requests where their adapter is, or will be loaded best.
 
     Backend servers are weighed by the seconds that a request is
-    expected to wait there.  An adapter that is held nowhere goes to its
-    home by rendezvous hash, at every entry instance the same one, so
-    that its requests share one load.  An adapter in demand has several
-    homes.
+    expected to wait there.  For an adapter that is not seen anywhere,
+    its home by rendezvous hash is asked, so that all entry instances
+    send it to the same one and its requests share one load.  When the
+    backend servers of a hot adapter fill up, it is given one more.
+
+    Parameters
+    ----------
+    homes
+        Way to the homes; without it, adapters are used at their home.
     """
 
     def __init__(
         self,
         clock: clock_module.Clock,
         objective: settings_module.ObjectiveSettings | None = None,
+        homes: directory.DirectoryLink | None = None,
     ) -> None:
         self._clock = clock
         self._objective = objective or settings_module.ObjectiveSettings()
+        self._homes = homes
         self._demand = demand.DecayedCounts(clock, _DEMAND_HALF_LIFE_S)
         self._views: dict[str, _View] = {}
         self._pools: dict[frozenset[str], _Pool] = {}
+        self._assignments: collections.OrderedDict[str, _Assignment] = (
+            collections.OrderedDict()
+        )
+        self._silent_until_s: dict[str, float] = {}
+
+    async def locate(
+        self, key: str, instances: Sequence[live_list.Instance]
+    ) -> list[live_list.Instance]:
+        """Return the instances to try, best first, as the home has it."""
+        ranked = self.candidates(key, instances)
+        if self._homes is None or len(instances) <= 1:
+            return ranked
+        names = await self._assigned(key, instances, ranked)
+        ranked.sort(key=lambda instance: instance.name not in names)
+        return ranked
 
     def candidates(
         self, key: str, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
-        """Return the instances to try, best first."""
+        """Return the instances in the order of this entry's own view."""
         active = self._active(instances)
         ranked = rank(key, active)
-        homes = {i.name for i in ranked[: self._breadth(key)]}
-        ranked.sort(key=lambda instance: self._wait_s(key, instance, homes))
+        ranked.sort(key=lambda instance: self._wait_s(key, instance))
         spare = [i for i in instances if i not in active]
         return ranked + rank(key, spare)
 
@@ -104,6 +141,7 @@
         view = self._view(instance)
         self._demand.add(key)
         view.sent_since_hint += 1
+        view.loads_since_hint += not self._is_held(key, view)
         view.in_flight[key] += 1
         try:
             yield
@@ -122,6 +160,7 @@
         view.adapters = hint.fingerprints
         view.heard_at_s = self._clock.monotonic_s()
         view.sent_since_hint = 0
+        view.loads_since_hint = 0
 
     def retain(self, instances: Sequence[live_list.Instance]) -> None:
         """Forget backend servers that are listed no more."""
@@ -137,21 +176,69 @@
         age_s = self._clock.monotonic_s() - view.heard_at_s
         return view.hint if age_s < HINT_AGE_S else None
 
-    def _breadth(self, key: str) -> int:
-        return 1 + int(self._demand.value(key) / _REQUESTS_PER_CANDIDATE)
+    async def _assigned(
+        self,
+        key: str,
+        instances: Sequence[live_list.Instance],
+        ranked: list[live_list.Instance],
+    ) -> tuple[str, ...]:
+        now_s = self._clock.monotonic_s()
+        listed = {instance.name for instance in instances}
+        known = self._assignments.get(key)
+        names: tuple[str, ...] = ()
+        if known is not None:
+            names = tuple(n for n in known.names if n in listed)
+        wanted = self._wanted(key, names)
+        is_fresh = known is not None and now_s - known.known_at_s < _ASSIGNED_S
+        if is_fresh and len(names) >= wanted:
+            return names
+        home = rank(key, instances)[0]
+        request = directory.LocateRequest(
+            key=key,
+            wanted=wanted,
+            proposals=tuple(i.name for i in ranked[: wanted + 1]),
+        )
+        return await self._ask_home(home, request) or names
 
-    def _wait_s(
-        self, key: str, instance: live_list.Instance, homes: set[str]
-    ) -> float:
+    async def _ask_home(
+        self, home: live_list.Instance, request: directory.LocateRequest
+    ) -> tuple[str, ...]:
+        assert self._homes is not None
+        now_s = self._clock.monotonic_s()
+        if now_s < self._silent_until_s.get(home.name, 0.0):
+            return ()
+        try:
+            reply = await self._homes.locate(home, request)
+        except errors.LinkError:
+            # A home that is gone or frozen would hold up each request
+            # of its adapters; for a while this entry decides alone.
+            self._silent_until_s[home.name] = now_s + _SILENT_S
+            return ()
+        self._assignments[request.key] = _Assignment(reply.instances, now_s)
+        self._assignments.move_to_end(request.key)
+        if len(self._assignments) > _MAX_ASSIGNMENTS:
+            self._assignments.popitem(last=False)
+        return reply.instances
+
+    def _wanted(self, key: str, names: tuple[str, ...]) -> int:
+        count = max(1, len(names))
+        is_hot = self._demand.value(key) >= _HOT_COUNT
+        if not names or not is_hot:
+            return count
+        full = all(self._fill(self._view(n)) >= _FULL_RATIO for n in names)
+        return count + 1 if full else count
+
+    def _wait_s(self, key: str, instance: live_list.Instance) -> float:
         view = self._view(instance.name)
         wait_s = self._turn_wait_s(view)
         if self._is_held(key, view):
             return wait_s
         hint = self._fresh_hint(view)
-        wait_s += (
-            _DEFAULT_LOAD_WAIT_S if hint is None else hint.load_wait_ms / 1000
-        )
-        return wait_s if instance.name in homes else wait_s + _DETOUR_S
+        if hint is None:
+            return wait_s + _DEFAULT_LOAD_WAIT_S
+        spare = hint.spare_slots - view.loads_since_hint
+        wait_s += hint.load_wait_ms / _MS_PER_S
+        return wait_s + _SQUEEZE_S / (1.0 + max(0, spare))
 
     def _is_held(self, key: str, view: _View) -> bool:
         # A request that is on its way there brings the adapter, also
@@ -164,13 +251,15 @@
         )
 
     def _turn_wait_s(self, view: _View) -> float:
-        load = self._load(view)
-        hint = self._fresh_hint(view)
-        capacity = hint.max_running if hint else _DEFAULT_MAX_RUNNING
-        fill_ratio = load / capacity
+        fill_ratio = self._fill(view)
         over_s = max(0.0, fill_ratio - 1.0) * _TURN_WAIT_S
         return over_s + min(fill_ratio, 1.0) * self._spread_s
 
+    def _fill(self, view: _View) -> float:
+        hint = self._fresh_hint(view)
+        capacity = hint.max_running if hint else _DEFAULT_MAX_RUNNING
+        return self._load(view) / capacity
+
     @property
     def _spread_s(self) -> float:
         # Above one half the emptier of two equal backend servers is
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -208,6 +208,7 @@
             queued=self._held - self._running + self._slots.waiting_count,
             max_running=self._max_running,
             load_wait_ms=int(self._slots.expected_wait_s() * _MS_PER_S),
+            spare_slots=self._slots.spare_count,
             adapters=hint_module.join_fingerprints(self._slots.adapters),
         )
         return {
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -9,6 +9,7 @@
 
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
+from lacewingpitch import directory
 from lacewingpitch import errors
 from lacewingpitch import http_server
 from lacewingpitch import ledger
@@ -78,6 +79,7 @@
         await self._server.start(self.settings.ip, self.settings.work_port)
         self._exits.push_async_callback(self._server.close)
         await self._exits.enter_async_context(self._node)
+        directory.serve_directory(self._node)
         pacing = store_pacing.StorePacing(self._node, self.settings.store)
         self._exits.callback(pacing.desk.close)
         self._runner = runner_module.make_runner(
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -20,6 +20,7 @@
 _MAX_ASKING = 2
 _DEMAND_HALF_LIFE_S = 60.0
 _RECENT_USE_S = 1.0
+_UNUSED_S = 6.0
 _FIRST_BACKOFF_S = 1.0
 _MAX_BACKOFF_S = 30.0
 _MAX_BACKOFFS = 4096
@@ -161,6 +162,18 @@
         """Return how many requests wait for their adapter."""
         return sum(map(len, self._queue.values()))
 
+    @property
+    def spare_count(self) -> int:
+        """Return how many slots can change hands at little cost."""
+        now_s = self._clock.monotonic_s()
+        unused = sum(
+            1
+            for slot in self._idle_slots()
+            if now_s - slot.used_at_s >= _UNUSED_S
+        )
+        waiting = len(self._loadable())
+        return max(0, self._slot_count - len(self._slots) + unused - waiting)
+
     def expected_wait_s(self, name: str = '') -> float:
         """Return what a request for adapter `name` would wait now."""
         slot = self._slots.get(name)
