--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -18,8 +18,8 @@
 # Two outstanding requests for a permit keep the store busy; more would
 # only crowd out the sidecars whose waiting requests cost more.
 _MAX_ASKING = 2
-_DEMAND_HALF_LIFE_S = 60.0
-_RECENT_USE_S = 1.0
+_DEMAND_HALF_LIFE_S = 10.0
+_RECENT_USE_S = 5.0
 _UNUSED_S = 6.0
 _FIRST_BACKOFF_S = 1.0
 _MAX_BACKOFF_S = 30.0
