Park engines that the load does not need, by the operator's weight

Change: entry instances place on as many engines as hold the load at a fill of 1 - stall_weight, grow at once, shrink one by one, and homes move adapters off parked engines after a least stay. What queues for a turn does not count as load.

--- a/lacewingpitch/directory.py
+++ b/lacewingpitch/directory.py
@@ -19,6 +19,7 @@
 
 _KEEP_S = 30.0
 _KEEP_EXTRA_S = 60.0
+_STAY_S = 20.0
 _CAPACITY_KEYS = 8192
 _MAX_PLACES = 64
 _ASK_TIMEOUT_S = 0.25
@@ -33,11 +34,14 @@
         Number of backend servers that its demand calls for.
     proposals
         Where the asker would have it, best first.
+    parked
+        Backend servers that the asker would have fall out of use.
     """
 
     key: str
     wanted: int
     proposals: tuple[str, ...]
+    parked: tuple[str, ...] = ()
 
 
 class LocateReply(link.Message, frozen=True):
@@ -89,6 +93,8 @@
             known = _Places(now_s)
         known.asked_at_s = now_s
         self._drop_extras(known, now_s)
+        if request.proposals:
+            self._drop_parked(known, request.parked, now_s)
         wanted = min(request.wanted, _MAX_PLACES)
         for name in request.proposals:
             if len(known.places) >= wanted:
@@ -115,6 +121,19 @@
             if now_s - place.since_s < _KEEP_EXTRA_S
         ]
 
+    @staticmethod
+    def _drop_parked(
+        known: _Places, parked: tuple[str, ...], now_s: float
+    ) -> None:
+        # Entry instances differ for a while in what they would park.
+        # Without a least stay an adapter would move back and forth, and
+        # load each time.
+        known.places = [
+            place
+            for place in known.places
+            if place.instance not in parked or now_s - place.since_s < _STAY_S
+        ]
+
 
 class ControlDirectoryLink:
     """Asks homes by control message."""
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -29,8 +29,10 @@
 _TURN_WAIT_S = 2.0
 _DEFAULT_MAX_RUNNING = 16
 _SPREAD_S = 0.2
-_FULLEST_RATIO = 0.9
-_DEMAND_SMOOTHING_S = 30.0
+_LOAD_SMOOTHING_S = 5.0
+_SHRINK_AFTER_S = 10.0
+_PRESSED_S = 3.0
+_ACTIVE_KEY = 'active'
 _MAX_POOLS = 256
 
 
@@ -68,10 +70,12 @@
 
 @dataclasses.dataclass(slots=True)
 class _Pool:
-    """Smoothed load of the backend servers of one model."""
+    """Backend servers of one model, and how many of them are in use."""
 
-    load: float
+    active_count: int
     seen_at_s: float
+    spare_since_s: float
+    load: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,10 +122,11 @@
         self, key: str, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
         """Return the instances to try, best first, as the home has it."""
-        ranked = self.candidates(key, instances)
+        active = self._active(instances)
+        ranked = self._ranked(key, instances, active)
         if self._homes is None or len(instances) <= 1:
             return ranked
-        names = await self._assigned(key, instances, ranked)
+        names = await self._assigned(key, instances, ranked, len(active))
         ranked.sort(key=lambda instance: instance.name not in names)
         return ranked
 
@@ -129,7 +134,14 @@
         self, key: str, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
         """Return the instances in the order of this entry's own view."""
-        active = self._active(instances)
+        return self._ranked(key, instances, self._active(instances))
+
+    def _ranked(
+        self,
+        key: str,
+        instances: Sequence[live_list.Instance],
+        active: Sequence[live_list.Instance],
+    ) -> list[live_list.Instance]:
         ranked = rank(key, active)
         ranked.sort(key=lambda instance: self._wait_s(key, instance))
         spare = [i for i in instances if i not in active]
@@ -181,9 +193,11 @@
         key: str,
         instances: Sequence[live_list.Instance],
         ranked: list[live_list.Instance],
+        active_count: int,
     ) -> tuple[str, ...]:
         now_s = self._clock.monotonic_s()
         listed = {instance.name for instance in instances}
+        parked = tuple(i.name for i in ranked[active_count:])
         known = self._assignments.get(key)
         names: tuple[str, ...] = ()
         if known is not None:
@@ -196,7 +210,10 @@
         request = directory.LocateRequest(
             key=key,
             wanted=wanted,
-            proposals=tuple(i.name for i in ranked[: wanted + 1]),
+            proposals=tuple(
+                i.name for i in ranked[: min(wanted + 1, active_count)]
+            ),
+            parked=parked,
         )
         return await self._ask_home(home, request) or names
 
@@ -256,9 +273,11 @@
         return over_s + min(fill_ratio, 1.0) * self._spread_s
 
     def _fill(self, view: _View) -> float:
+        return self._load(view) / self._capacity(view)
+
+    def _capacity(self, view: _View) -> int:
         hint = self._fresh_hint(view)
-        capacity = hint.max_running if hint else _DEFAULT_MAX_RUNNING
-        return self._load(view) / capacity
+        return hint.max_running if hint else _DEFAULT_MAX_RUNNING
 
     @property
     def _spread_s(self) -> float:
@@ -276,27 +295,53 @@
     def _active(
         self, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
-        fill_ratio = _FULLEST_RATIO * (1.0 - self._objective.stall_weight)
+        fill_ratio = 1.0 - self._objective.stall_weight
         if not instances or fill_ratio <= 0.0:
             return list(instances)
-        load = self._pool_load(instances)
-        wanted = math.ceil(load / (fill_ratio * _DEFAULT_MAX_RUNNING))
-        count = min(len(instances), max(1, wanted))
-        return rank('active', instances)[:count]
-
-    def _pool_load(self, instances: Sequence[live_list.Instance]) -> float:
         now_s = self._clock.monotonic_s()
-        load = float(sum(self._load(self._view(i.name)) for i in instances))
+        pool = self._pool(instances)
+        needed = self._needed_count(instances, pool, fill_ratio, now_s)
+        if needed >= pool.active_count:
+            pool.active_count = min(needed, len(instances))
+            pool.spare_since_s = now_s
+        elif now_s - pool.spare_since_s >= _SHRINK_AFTER_S:
+            # One at a time and slowly: an engine that falls out of use
+            # takes its adapters with it, and each must load again.
+            pool.active_count -= 1
+            pool.spare_since_s = now_s
+        return rank(_ACTIVE_KEY, instances)[: pool.active_count]
+
+    def _pool(self, instances: Sequence[live_list.Instance]) -> _Pool:
         names = frozenset(instance.name for instance in instances)
         pool = self._pools.get(names)
         if pool is None:
             if len(self._pools) >= _MAX_POOLS:
                 self._pools.clear()
-            pool = self._pools[names] = _Pool(load, now_s)
-        # A peak counts at once and fades slowly, so that engines do not
-        # fall out of use, and lose their adapters, in each short lull.
-        kept_ratio = math.exp(-(now_s - pool.seen_at_s) / _DEMAND_SMOOTHING_S)
-        faded = load + (pool.load - load) * kept_ratio
-        pool.load = max(load, faded)
+            now_s = self._clock.monotonic_s()
+            pool = self._pools[names] = _Pool(len(instances), now_s, now_s)
+        return pool
+
+    def _needed_count(
+        self,
+        instances: Sequence[live_list.Instance],
+        pool: _Pool,
+        fill_ratio: float,
+        now_s: float,
+    ) -> int:
+        views = [self._view(instance.name) for instance in instances]
+        # What waits for a turn at one engine says that it is too full,
+        # not that there are too few.
+        load = float(sum(min(self._load(v), self._capacity(v)) for v in views))
+        kept_ratio = math.exp(-(now_s - pool.seen_at_s) / _LOAD_SMOOTHING_S)
+        pool.load = load + (pool.load - load) * kept_ratio
         pool.seen_at_s = now_s
-        return pool.load
+        capacity = sum(map(self._capacity, views)) / len(views)
+        needed = max(1, math.ceil(pool.load / (fill_ratio * capacity)))
+        if needed <= pool.active_count and self._is_pressed(views):
+            return pool.active_count + 1
+        return needed
+
+    def _is_pressed(self, views: Sequence[_View]) -> bool:
+        hints = [hint for hint in map(self._fresh_hint, views) if hint]
+        waits_ms = sum(hint.load_wait_ms for hint in hints)
+        return waits_ms > _PRESSED_S * _MS_PER_S * len(hints)
