--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -145,6 +145,7 @@
         self._backoffs: dict[str, _Backoff] = {}
         self._evicted_at_s: dict[str, float] = {}
         self._generation = 0
+        self._is_closed = False
         self._asking = 0
         self._turnaround_s = _FIRST_LOAD_GUESS_S
         self._loaders: set[asyncio.Task[None]] = set()
@@ -252,7 +253,8 @@
         self._start_loads()
 
     async def close(self) -> None:
-        """End the loads that are waited for."""
+        """End the loads that are waited for, and begin no more."""
+        self._is_closed = True
         for loader in self._loaders:
             loader.cancel()
         await asyncio.gather(*self._loaders, return_exceptions=True)
@@ -337,6 +339,8 @@
             del self._slots[slot.name]
 
     def _start_loads(self) -> None:
+        if self._is_closed:
+            return
         self._reopen_slots()
         wanted = min(len(self._loadable()), self._room_count(), _MAX_ASKING)
         for _ in range(wanted - self._asking):
