--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -174,6 +174,23 @@
         assert run_with(scenario, stall_weight=0.5) < 10.0
 
 
+class TestClose:
+    def test_leaves_no_load_behind(self):
+        async def scenario(slots, engine):
+            waiting = [
+                asyncio.create_task(use(slots, engine, n)) for n in 'abcd'
+            ]
+            await asyncio.sleep(LOAD_S / 2)
+            await slots.close()
+            for task in waiting:
+                task.cancel()
+            await asyncio.gather(*waiting, return_exceptions=True)
+            await asyncio.sleep(0)
+            return len(asyncio.all_tasks()), engine.loading
+
+        assert run_with(scenario) == (1, 0)
+
+
 class TestEviction:
     @pytest.mark.proves(Promise.NO_EVICTION, Fault.NONE, Step.SENT)
     def test_never_under_a_hold(self):
@@ -390,9 +407,13 @@
             slots.forget_all()
             await asyncio.sleep(LOAD_S * 0.75)
             engine.failing.clear()
-            return await waiting
+            stall_s = await waiting
+            await asyncio.sleep(2 * LOAD_S)
+            return stall_s, engine.loads
 
-        assert run_with(scenario) == pytest.approx(1.5 * LOAD_S)
+        stall_s, loads = run_with(scenario)
+        assert stall_s == pytest.approx(1.5 * LOAD_S)
+        assert loads == ['a']
 
     def test_missing_adapter_is_loaded_again(self):
         async def scenario(slots, engine):
