--- a/lacewingpitch/store_pacing.py
+++ b/lacewingpitch/store_pacing.py
@@ -123,6 +123,11 @@
         self._drop_lapsed()
         return len(self._held_until_s)
 
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait for a permit."""
+        return len(self._waiting)
+
     def ask(self, request: PermitRequest) -> PermitReply:
         """Give, renew or queue a permit; idempotent."""
         now_s = self._clock.monotonic_s()
--- a/tests/test_hint.py
+++ b/tests/test_hint.py
@@ -5,8 +5,13 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import pytest
 
+from lacewingpitch import contract
 from lacewingpitch import hint
+from lacewingpitch import link
+from lacewingpitch import work
+from tests import processes
 
 
 def make_hint(**fields):
@@ -64,3 +69,47 @@
     def test_an_overlong_one_is_dropped(self):
         text = hint.encode_hint(make_hint(adapters=bytes(4096)))
         assert hint.decode_hint(text) is None
+
+
+class TestRealProcesses:
+    @pytest.mark.parametrize('stream', [False, True])
+    async def test_answers_of_a_sidecar_carry_hint_and_stall(
+        self, tmp_path, stream
+    ):
+        async with processes.Deployment(tmp_path) as deployment:
+            sidecar = await deployment.add_engine('--load-s', '0.2')
+            sealer = link.Sealer('test', deployment._secret, 'entry-0')
+            stalls_s = []
+            for number in range(2):
+                order = work.WorkOrder(
+                    request_id=f'request-{number}',
+                    attempt=1,
+                    customer='haneul',
+                    contract_revision=1,
+                    urgency=contract.Urgency.STANDARD,
+                    weight=1.0,
+                    deadline_s=30.0,
+                    method='POST',
+                    path='/v1/chat/completions',
+                    repeatable=True,
+                    adapter=contract.AdapterGrant(
+                        name='fern', version='1', base_model='base'
+                    ),
+                    stream=stream,
+                )
+                async with deployment.session.post(
+                    f'{sidecar.url}/run',
+                    json={'model': 'fern', 'stream': stream},
+                    headers={
+                        work.ORDER_HEADER: work.encode_order(order, sealer)
+                    },
+                ) as response:
+                    assert response.status == 200
+                    headers = response.headers
+                    await response.read()
+                stalls_s.append(float(headers[work.LOAD_STALL_HEADER]))
+                found = hint.decode_hint(headers[work.HINT_HEADER])
+                assert hint.fingerprint('fern@1') in found.fingerprints
+                assert found.running == 1
+            assert stalls_s[0] >= 0.2
+            assert stalls_s[1] < stalls_s[0]
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -1,11 +1,17 @@
 """Soft permits for loads."""
 
 import asyncio
+import contextlib
+import secrets
 
 import pytest
 
 from benchmarks import policy_loop
+from lacewingpitch import clock as clock_module
+from lacewingpitch import directory
 from lacewingpitch import errors
+from lacewingpitch import live_list
+from lacewingpitch import node as node_module
 from lacewingpitch import settings
 from lacewingpitch import store_pacing
 from tests import fault_matrix
@@ -264,3 +270,83 @@
             return link.desk.held_count, len(loads.starts_s)
 
         assert policy_loop.run(main()) == (0, 1)
+
+
+class TestOverTheLink:
+    """Two sidecars' nodes with real control links."""
+
+    @pytest.fixture
+    async def nodes(self):
+        secret = secrets.token_hex()
+        nobody = settings.Address(ip='127.0.0.1', port=1)
+        async with contextlib.AsyncExitStack() as exits:
+            found = []
+            for number in range(2):
+                process = settings.ProcessSettings(
+                    deployment='test',
+                    secret=secret,
+                    instance=f'sidecar-{number}',
+                    availability_zone='z',
+                    region='r',
+                    ip='127.0.0.1',
+                    work_port=0,
+                    control_port=0,
+                    config_service=nobody,
+                    live_list=nobody,
+                )
+                node = node_module.Node(process, clock_module.SystemClock())
+                found.append(await exits.enter_async_context(node))
+            yield found
+
+    @staticmethod
+    def publish(nodes):
+        instances = tuple(
+            live_list.Instance(
+                name=node.settings.instance,
+                role=live_list.Role.SIDECAR,
+                region='r',
+                availability_zone='z',
+                ip='127.0.0.1',
+                work_port=0,
+                control_port=node.control.port,
+            )
+            for node in nodes
+        )
+        for node in nodes:
+            node.membership.update(live_list.InstanceList(1, instances))
+        return instances
+
+    async def test_permits_are_given_granted_and_returned(self, nodes):
+        store = settings.StoreSettings(loads_per_s=1000.0, loads_at_once=1)
+        sides = [store_pacing.StorePacing(node, store) for node in nodes]
+        self.publish(nodes)
+        granted = asyncio.Event()
+
+        async def load_second():
+            async with sides[1].pacer.permit(lambda: 1.0):
+                granted.set()
+
+        async with sides[0].pacer.permit(lambda: 1.0):
+            assert sum(side.desk.held_count for side in sides) == 1
+            second = asyncio.create_task(load_second())
+            while not any(side.desk.waiting_count for side in sides):
+                await asyncio.sleep(0.01)
+            assert not granted.is_set()
+        async with asyncio.timeout(30.0):
+            await second
+            while any(side.desk.held_count for side in sides):
+                await asyncio.sleep(0.01)
+
+    async def test_home_answers_where_an_adapter_is_used(self, nodes):
+        for node in nodes:
+            directory.serve_directory(node)
+        home = self.publish(nodes)[1]
+        link = directory.ControlDirectoryLink(nodes[0])
+        for proposal in ('x', 'y'):
+            reply = await link.locate(
+                home,
+                directory.LocateRequest(
+                    key='a@1', wanted=1, proposals=(proposal,)
+                ),
+            )
+            assert reply.instances == ('x',)
