--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -1,7 +1,7 @@
 """How a sidecar runs one request: on a model engine or a plain service."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
 from types import TracebackType
 from typing import Protocol, Self
@@ -60,6 +60,10 @@
         """Hold whatever the request needs, such as its adapter."""
         ...
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Whether the request finds what it needs without a wait."""
+        ...
+
     async def run(
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
@@ -71,6 +75,7 @@
     settings: settings_module.SidecarSettings,
     node: node_module.Node,
     pacer: slots.LoadPacer,
+    queued_count: Callable[[], int],
 ) -> Runner:
     """Return the runner for the backend server of a sidecar."""
     backend = settings.backend_server
@@ -91,6 +96,7 @@
             settings.objective.stall_weight,
         ),
         backend.max_running,
+        queued_count,
     )
 
 
@@ -103,13 +109,14 @@
         fence: fence_module.Fence,
         adapter_slots: slots.AdapterSlots,
         max_running: int,
+        queued_count: Callable[[], int],
     ) -> None:
         self._engine = engine
         self._fence = fence
         self._slots = adapter_slots
         self._max_running = max_running
+        self._queued_count = queued_count
         self._running = 0
-        self._held = 0
         self._stalls_s: dict[str, float] = {}
         self._exits = contextlib.AsyncExitStack()
 
@@ -147,13 +154,19 @@
             order.adapter.engine_name, order.deadline_s, weight
         ) as stall_s:
             self._stalls_s[run_id] = stall_s
-            self._held += 1
             try:
                 yield
             finally:
-                self._held -= 1
                 del self._stalls_s[run_id]
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Whether the engine holds the request's adapter."""
+        # This is asked in the task of whichever request ended: an order
+        # that came here by mistake must fail in its own task only.
+        if order.adapter is None:
+            return False
+        return self._slots.holds(order.adapter.engine_name)
+
     async def run(
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
@@ -205,7 +218,7 @@
     def _headers(self, call: engine_module.EngineCall) -> dict[str, str]:
         hint = hint_module.Hint(
             running=self._running,
-            queued=self._held - self._running + self._slots.waiting_count,
+            queued=self._queued_count(),
             max_running=self._max_running,
             load_wait_ms=int(self._slots.expected_wait_s() * _MS_PER_S),
             spare_slots=self._slots.spare_count,
@@ -334,6 +347,10 @@
         """Hold nothing."""
         return contextlib.nullcontext()
 
+    def holds(self, order: work.WorkOrder) -> bool:
+        """Return that nothing is missing."""
+        return True
+
     async def run(
         self, request: web.Request, order: work.WorkOrder, body: bytes
     ) -> web.StreamResponse:
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -158,6 +158,11 @@
         """Return the adapters that requests can start on."""
         return tuple(s.name for s in self._slots.values() if s.is_open)
 
+    def holds(self, name: str) -> bool:
+        """Return whether a request for adapter `name` can start now."""
+        slot = self._slots.get(name)
+        return slot is not None and slot.is_open
+
     @property
     def waiting_count(self) -> int:
         """Return how many requests wait for their adapter."""
@@ -177,8 +182,7 @@
 
     def expected_wait_s(self, name: str = '') -> float:
         """Return what a request for adapter `name` would wait now."""
-        slot = self._slots.get(name)
-        if slot is not None and slot.is_open:
+        if self.holds(name):
             return 0.0
         if name in self._queue:
             return self._turnaround_s
