--- a/lacewingpitch/http_guard.py
+++ b/lacewingpitch/http_guard.py
@@ -13,6 +13,7 @@
 from lacewingpitch import errors
 
 _REQUEST_ID = 'request_id'
+_FINISHED = web.RequestKey('finished', bool)
 MAX_FIELD_BYTES = 8190
 # An order carries a path of up to a whole field, in base64.
 MAX_ORDER_FIELD_BYTES = 32 << 10
@@ -121,11 +122,36 @@
 
 
 async def finish(request: web.Request, response: web.StreamResponse) -> None:
-    """Write an answer to its end."""
+    """Write an answer to its end; return once the connection took it.
+
+    Raises
+    ------
+    ConnectionError
+        The caller vanished before.
+    """
+    if _FINISHED in request:
+        return
     # The library writes a whole answer after the handler has returned,
     # when a drain no longer waits for it and would cut it off.
     await response.prepare(request)
-    await response.write_eof()
+    transport = request.transport
+    if transport is None:
+        raise ConnectionResetError('the caller is gone')
+    # A write only puts bytes into this process's buffer.  A caller that
+    # vanishes then has no whole answer, though the last write succeeded:
+    # the account would claim it as served.  With a buffer limit of 0 the
+    # drain returns only when the buffer is empty.  A caller that does not
+    # read is ended by `limit_stall`.
+    writer = request.writer
+    try:
+        await response.write_eof()
+        transport.set_write_buffer_limits(high=0)
+        await writer.drain()
+    finally:
+        transport.set_write_buffer_limits()
+    if request.transport is None or transport.is_closing():
+        raise ConnectionResetError('the caller is gone')
+    request[_FINISHED] = True
 
 
 def _check_text(request: web.Request) -> None:
