--- a/lacewingpitch/checking.py
+++ b/lacewingpitch/checking.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from lacewingpitch import contract as contract_module
-from lacewingpitch import contract_book
+from lacewingpitch import published_contracts
 from lacewingpitch import settings
 
 ROOT = '$'
@@ -44,8 +44,8 @@
     Kind.ENTRY: settings.EntrySettings,
     Kind.SIDECAR: settings.SidecarSettings,
     Kind.CONTRACT: contract_module.Contract,
-    Kind.INDEX: contract_book.ContractIndex,
-    Kind.SHARD: contract_book.ContractShard,
+    Kind.INDEX: published_contracts.ContractIndex,
+    Kind.SHARD: published_contracts.ContractShard,
 }
 # The first of these fields that a file has tells what the file is.
 _TELLING_FIELDS = (
--- a/lacewingpitch/directory.py
+++ b/lacewingpitch/directory.py
@@ -12,10 +12,11 @@
 import dataclasses
 from typing import Protocol
 
+import reactivex
+
 from lacewingpitch import clock as clock_module
 from lacewingpitch import link
 from lacewingpitch import live_list
-from lacewingpitch import node as node_module
 
 _KEEP_S = 30.0
 _KEEP_EXTRA_S = 60.0
@@ -138,8 +139,8 @@
 class ControlDirectoryLink:
     """Asks homes by control message."""
 
-    def __init__(self, node: node_module.Node) -> None:
-        self._node = node
+    def __init__(self, peers: link.PeerPool) -> None:
+        self._peers = peers
 
     async def locate(
         self, home: live_list.Instance, request: LocateRequest
@@ -151,15 +152,18 @@
         LinkError
             It does not answer.
         """
-        peer = self._node.peers.peer(home.ip, home.control_port)
+        peer = self._peers.peer(home.ip, home.control_port)
         return await peer.ask(request, LocateReply, _ASK_TIMEOUT_S)
 
 
-def serve_directory(node: node_module.Node) -> None:
+def serve_directory(
+    directory: Directory,
+    control: link.ControlServer,
+    changes: reactivex.Observable[live_list.InstanceList],
+) -> None:
     """Answer the questions that reach this process as a home."""
-    directory = Directory(node.clock)
-    node.control.handle(LocateRequest, directory.locate)
-    node.membership.changes.subscribe(
+    control.handle(LocateRequest, directory.locate)
+    changes.subscribe(
         lambda published: directory.forget_instances(
             frozenset(instance.name for instance in published.instances)
         )
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -121,7 +121,7 @@
         places = placement.Placement(
             self._node.clock,
             self.settings.objective,
-            directory.ControlDirectoryLink(self._node),
+            directory.ControlDirectoryLink(self._node.peers),
         )
         self._node.membership.changes.subscribe(
             lambda published: places.retain(published.instances)
@@ -132,6 +132,7 @@
             self._node.peers,
             self._node.membership,
             places,
+            self._node.contracts.catch_up,
         )
         self._start_account()
         self._limits = await self._exits.enter_async_context(
@@ -146,7 +147,8 @@
     def is_ready(self) -> bool:
         """Whether contracts and backend servers are known."""
         known = len(self._node.book) and self._node.membership.instances
-        return bool(known) and not self._draining
+        settled = self._node.contracts.is_settled
+        return bool(known) and settled and not self._draining
 
     async def ready(self) -> None:
         """Wait until contracts and backend servers are known."""
@@ -205,9 +207,7 @@
             request[_TALLY] = tally
             try:
                 self._check_open()
-                contract = self._authenticate(request)
-                self._account.identify(tally, contract)
-                response = await handler(request, contract, request_id)
+                response = await self._apply(request, handler, request_id)
             except errors.RefusalError as error:
                 tally.refused(error)
                 response = answer.refusal_response(error, request_id)
@@ -215,6 +215,22 @@
             tally.delivered()
         return response
 
+    async def _apply(
+        self, request: web.Request, handler: Handler, request_id: str
+    ) -> web.StreamResponse:
+        contract = self._authenticate(request)
+        self._account.identify(request[_TALLY], contract)
+        try:
+            return await handler(request, contract, request_id)
+        except errors.RefusalError as error:
+            if error.kind is not errors.ErrorKind.CONTRACT_OUTDATED:
+                raise
+        # A sidecar refused before the work ran, as it knows a newer
+        # contract, and that one is here now.  It is applied from the
+        # start, since it may refuse what the old one allowed.
+        contract = self._authenticate(request)
+        return await handler(request, contract, str(uuid_utils.uuid7()))
+
     def _check_open(self) -> None:
         if self._draining:
             raise errors.RefusalError(
@@ -383,9 +399,11 @@
         return web.Response(text='ok\n')
 
     async def _ready(self, _request: web.Request) -> web.Response:
-        if not self.is_ready:
-            return web.Response(status=503, text='not ready\n')
-        return web.Response(text='ready\n')
+        return web.Response(
+            status=200 if self.is_ready else 503,
+            body=msgspec.json.encode(self._node.contracts.status),
+            content_type='application/json',
+        )
 
 
 def _service_path(raw_path: str) -> str:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -23,6 +23,14 @@
 START_S = 30.0
 WAIT_S = 30.0
 POLL_S = 0.02
+# For tests in which no refusal is wanted, however fast they call.
+WIDE_LIMITS = contract.Limits(
+    requests_per_s=1e6,
+    burst_requests=10**6,
+    concurrent_requests=10**6,
+    queued_requests=10**6,
+    tokens_per_s=1e9,
+)
 
 
 class Process:
@@ -96,13 +104,14 @@
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
         self._exits = contextlib.AsyncExitStack()
-        self._secret = secrets.token_hex()
+        self.secret = secrets.token_hex()
         self.entries = []
         self.sidecars = []
         self.engines = []
         self.services = []
         self.instances = []
         self.contracts = {}
+        self.shard_revision = 0
         self.keys = {}
 
     async def __aenter__(self):
@@ -200,7 +209,7 @@
         platform = settings.Address(ip=IP, port=port)
         defaults = {
             'deployment': 'test',
-            'secret': self._secret,
+            'secret': self.secret,
             'instance': name,
             'availability_zone': 'zone-a',
             'region': 'region-a',
@@ -243,11 +252,15 @@
         )
 
     async def publish_contracts(self):
-        revision = 1 + sum(c.revision for c in self.contracts.values())
+        self.shard_revision += 1
+        revision = self.shard_revision
         await self.put(
             self.platform,
             '/v1/values/contracts.0',
-            {'contracts': tuple(self.contracts.values())},
+            {
+                'revision': revision,
+                'contracts': tuple(self.contracts.values()),
+            },
         )
         await self.put(
             self.platform,
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -6,9 +6,9 @@
 import pytest
 
 from lacewingpitch import contract
-from lacewingpitch import contract_book
 from lacewingpitch import decoding
 from lacewingpitch import errors
+from lacewingpitch import published_contracts
 from lacewingpitch import settings
 from tests import samples
 
@@ -38,7 +38,10 @@
         [
             (b'[' * 100_000, contract.Contract),
             (b'{"customer":' * 9999, contract.Contract),
-            (b'{"contracts":' + b'[' * 9999, contract_book.ContractShard),
+            (
+                b'{"contracts":' + b'[' * 9999,
+                published_contracts.ContractShard,
+            ),
         ],
     )
     def test_deep_nesting_is_refused_like_other_bad_text(self, data, kind):
--- a/tests/test_hint.py
+++ b/tests/test_hint.py
@@ -78,7 +78,7 @@
     ):
         async with processes.Deployment(tmp_path) as deployment:
             sidecar = await deployment.add_engine('--load-s', '0.2')
-            sealer = link.Sealer('test', deployment._secret, 'entry-0')
+            sealer = link.Sealer('test', deployment.secret, 'entry-0')
             stalls_s = []
             for number in range(2):
                 order = work.WorkOrder(
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -339,9 +339,13 @@
 
     async def test_home_answers_where_an_adapter_is_used(self, nodes):
         for node in nodes:
-            directory.serve_directory(node)
+            directory.serve_directory(
+                directory.Directory(node.clock),
+                node.control,
+                node.membership.changes,
+            )
         home = self.publish(nodes)[1]
-        link = directory.ControlDirectoryLink(nodes[0])
+        link = directory.ControlDirectoryLink(nodes[0].peers)
         for proposal in ('x', 'y'):
             reply = await link.locate(
                 home,
