--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -73,8 +73,10 @@
         dispatcher: 'Dispatcher',
         attempt: Attempt,
         response: aiohttp.ClientResponse,
+        held: contextlib.ExitStack,
     ) -> None:
         self._dispatcher = dispatcher
+        self._held = held
         self.attempt = attempt
         self._response = response
 
@@ -142,6 +144,7 @@
     def close(self) -> None:
         """Close the connection."""
         self._response.close()
+        self._held.close()
 
 
 class Dispatcher:
@@ -249,7 +252,8 @@
         last = errors.RefusalError(
             errors.ErrorKind.NO_BACKEND_SERVER, 'none is known to be live'
         )
-        for number, sidecar in enumerate(self._candidates(order)):
+        candidates = await self._candidates(order)
+        for number, sidecar in enumerate(candidates):
             if number and not await self._may_retry(number):
                 break
             left_s = until_s - time.monotonic()
@@ -281,14 +285,16 @@
         await asyncio.sleep(delay_s)
         return True
 
-    def _candidates(self, order: work.WorkOrder) -> list[live_list.Instance]:
+    async def _candidates(
+        self, order: work.WorkOrder
+    ) -> list[live_list.Instance]:
         adapter = order.adapter
         if adapter is None:
             found = self._placement.candidates(
                 order.request_id, self._membership.sidecars(order.service)
             )
         else:
-            found = self._placement.candidates(
+            found = await self._placement.locate(
                 adapter.engine_name,
                 self._membership.sidecars(adapter.base_model),
             )
@@ -299,17 +305,21 @@
     async def _try(self, attempt: Attempt) -> Reply:
         name = attempt.sidecar.name
         self._ejector.begin(name)
-        try:
-            response = await self._first_answer(attempt)
-        except asyncio.CancelledError:
-            self._cancel(attempt)
-            raise
-        except errors.RefusalError as error:
-            if error.kind in _REPEATABLE_KINDS:
-                self._ejector.failed(name)
-            raise
-        self._ejector.succeeded(name)
-        return Reply(self, attempt, response)
+        with contextlib.ExitStack() as held:
+            held.enter_context(
+                self._placement.sent(_placement_key(attempt.order), name)
+            )
+            try:
+                response = await self._first_answer(attempt)
+            except asyncio.CancelledError:
+                self._cancel(attempt)
+                raise
+            except errors.RefusalError as error:
+                if error.kind in _REPEATABLE_KINDS:
+                    self._ejector.failed(name)
+                raise
+            self._ejector.succeeded(name)
+            return Reply(self, attempt, response, held.pop_all())
 
     async def _first_answer(self, attempt: Attempt) -> aiohttp.ClientResponse:
         order = attempt.order
@@ -349,6 +359,9 @@
                 total=None, sock_connect=_CONNECT_TIMEOUT_S
             ),
         )
+        self._placement.learn(
+            sidecar.name, response.headers.get(work.HINT_HEADER, '')
+        )
         if work.LEAVING_HEADER in response.headers:
             self._membership.note_leaving(sidecar.name)
         if work.KIND_HEADER in response.headers:
@@ -446,3 +459,9 @@
 
 def _unknown(detail: str) -> errors.RefusalError:
     return errors.RefusalError(errors.ErrorKind.OUTCOME_UNKNOWN, detail)
+
+
+def _placement_key(order: work.WorkOrder) -> str:
+    if order.adapter is None:
+        return order.request_id
+    return order.adapter.engine_name
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -19,6 +19,7 @@
 from lacewingpitch import answer_delivery
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract as contract_module
+from lacewingpitch import directory
 from lacewingpitch import dispatch
 from lacewingpitch import ejection
 from lacewingpitch import errors
@@ -109,12 +110,20 @@
     async def start(self) -> None:
         """Follow the platform, then take requests."""
         await self._exits.enter_async_context(self._node)
+        places = placement.Placement(
+            self._node.clock,
+            self.settings.objective,
+            directory.ControlDirectoryLink(self._node.peers),
+        )
+        self._node.membership.changes.subscribe(
+            lambda published: places.retain(published.instances)
+        )
         self._dispatcher = dispatch.Dispatcher(
             self._node.session,
             self._node.sealer,
             self._node.peers,
             self._node.membership,
-            placement.Placement(),
+            places,
             ejection.Ejector(self._node.clock, random.Random()),
             self._node.contracts.catch_up,
         )
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -1,7 +1,7 @@
 """How a sidecar runs one request: on a model engine or a plain service."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 import contextlib
 from types import TracebackType
 from typing import Protocol, Self
@@ -11,23 +11,24 @@
 
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
+from lacewingpitch import contract
 from lacewingpitch import engine as engine_module
 from lacewingpitch import errors
 from lacewingpitch import event_stream
 from lacewingpitch import fence as fence_module
+from lacewingpitch import hint as hint_module
+from lacewingpitch import node as node_module
 from lacewingpitch import plain_service
 from lacewingpitch import runs
 from lacewingpitch import settings as settings_module
 from lacewingpitch import slots
+from lacewingpitch import turn_queue
 from lacewingpitch import voiding
 from lacewingpitch import work
 
 MAX_WHOLE_ANSWER_BYTES = 8 << 20
 MAX_BUFFERED_BYTES = 256 << 10
 _REPORT_INTERVAL_S = 1.0
-# Engines report load with a lag: what they say of an earlier sidecar's
-# runs is believed only so long after we came.
-_REPORT_LAG_S = 3.0
 _RESUME_DELAYS_S = (0.0, 0.1, 0.5)
 _MAX_EXCERPT_BYTES = 500
 _OK_STATUSES = range(200, 300)
@@ -35,6 +36,13 @@
 _REFUSED_STATUSES = frozenset({400, 404, 405, 413, 415, 422})
 _BUSY_STATUSES = frozenset({429, 503})
 _EVENT_STREAM = 'text/event-stream'
+_MS_PER_S = 1000
+# How much more a wait costs the more urgent of two customers.
+_URGENCY_WEIGHTS = {
+    contract.Urgency.INTERACTIVE: 4.0,
+    contract.Urgency.STANDARD: 2.0,
+    contract.Urgency.BATCH: 1.0,
+}
 log = structlog.get_logger(__name__)
 
 
@@ -84,16 +92,32 @@
 
 
 def make_runner(
-    backend: settings_module.EngineSettings | settings_module.ServiceSettings,
-    session: aiohttp.ClientSession,
-    clock: clock_module.Clock,
+    settings: settings_module.SidecarSettings,
+    node: node_module.Node,
+    pacer: slots.LoadPacer,
+    queue: turn_queue.TurnQueue,
 ) -> Runner:
-    """Return the runner for a backend server."""
+    """Return the runner for the backend server of a sidecar."""
+    backend = settings.backend_server
     url = backend.address.url
     if isinstance(backend, settings_module.ServiceSettings):
-        return ServiceRunner(plain_service.HttpPlainService(session, url))
+        return ServiceRunner(plain_service.HttpPlainService(node.session, url))
+    engine = engine_module.HttpEngine(node.session, url)
+    fence = fence_module.Fence(node.clock)
     return EngineRunner(
-        engine_module.HttpEngine(session, url), backend.adapter_slots, clock
+        engine,
+        fence,
+        slots.AdapterSlots(
+            engine,
+            backend.adapter_slots,
+            fence,
+            node.clock,
+            pacer,
+            settings.objective.stall_weight,
+        ),
+        backend.max_running,
+        queue,
+        node.clock,
     )
 
 
@@ -103,19 +127,25 @@
     def __init__(
         self,
         engine: engine_module.Engine,
-        slot_count: int,
+        fence: fence_module.Fence,
+        adapter_slots: slots.AdapterSlots,
+        max_running: int,
+        queue: turn_queue.TurnQueue,
         clock: clock_module.Clock,
     ) -> None:
         self._engine = engine
         self._clock = clock
-        self._fence = fence_module.Fence(clock)
-        self._slots = slots.AdapterSlots(engine, slot_count, self._fence)
+        self._fence = fence
+        self._slots = adapter_slots
+        self._max_running = max_running
+        self._queue = queue
+        self._stalls_s: dict[str, float] = {}
         self._exits = contextlib.AsyncExitStack()
         self._attached = asyncio.Event()
-        self._attached_at_s = 0.0
 
     async def __aenter__(self) -> Self:
         """Start to watch the engine for restarts."""
+        self._exits.push_async_callback(self._slots.close)
         watching = asyncio.create_task(self._watch())
         self._exits.callback(watching.cancel)
         return self
@@ -135,7 +165,7 @@
         # that came here by mistake must fail in its own task only.
         if order.adapter is None:
             return False
-        return order.adapter.engine_name in self._slots.adapters
+        return self._slots.holds(order.adapter.engine_name)
 
     @contextlib.asynccontextmanager
     async def ready(self, order: work.WorkOrder) -> AsyncIterator[None]:
@@ -147,17 +177,20 @@
             It cannot be loaded, or not in time.
         """
         assert order.adapter is not None
-        name = order.adapter.engine_name
-        async with contextlib.AsyncExitStack() as held:
-            # No order precedes the engine's report: the number of an
-            # order would be below the last one, and an adapter under a
-            # run that an earlier sidecar left would seem idle.
-            await self._attached.wait()
-            with _refusing_platform_errors():
-                await held.enter_async_context(
-                    self._slots.hold(name, order.deadline_s)
-                )
-            yield
+        run_id = voiding.attempt_id(order.request_id, order.attempt)
+        weight = order.weight * _URGENCY_WEIGHTS[order.urgency]
+        # No order precedes the engine's report: the number of an order
+        # would be below the last one, and an adapter under a run that an
+        # earlier sidecar left would seem idle.
+        await self._attached.wait()
+        async with self._slots.hold(
+            order.adapter.engine_name, order.deadline_s, weight
+        ) as stall_s:
+            self._stalls_s[run_id] = stall_s
+            try:
+                yield
+            finally:
+                self._stalls_s.pop(run_id, None)
 
     async def run(
         self, order: work.WorkOrder, body: bytes, delivery: runs.Delivery
@@ -175,6 +208,7 @@
             async with self._engine.run(call) as found:
                 await _check_status(found)
                 self._check_adapter(found, call)
+                delivery.headers.update(self._headers(call))
                 if found.content_type != _EVENT_STREAM:
                     return await _whole(found)
                 await delivery.begin(found.status, found.content_type)
@@ -238,6 +272,21 @@
             fencing=self._fence.number,
         )
 
+    def _headers(self, call: engine_module.EngineCall) -> dict[str, str]:
+        stall_s = self._stalls_s.get(call.run_id, 0.0)
+        hint = hint_module.Hint(
+            running=self._queue.running,
+            queued=self._queue.queued,
+            max_running=self._max_running,
+            load_wait_ms=int(self._slots.expected_wait_s() * _MS_PER_S),
+            spare_slots=self._slots.spare_count,
+            adapters=hint_module.join_fingerprints(self._slots.adapters),
+        )
+        return {
+            work.LOAD_STALL_HEADER: f'{stall_s:.3f}',
+            work.HINT_HEADER: hint_module.encode_hint(hint),
+        }
+
     @staticmethod
     def _check_adapter(
         found: engine_module.EngineAnswer,
@@ -305,13 +354,11 @@
         report = await self._engine.report()
         if self._fence.renew(report):
             self._slots.forget_all()
-            self._slots.adopt(report.adapters)
-            self._attached_at_s = asked_at_s
-            self._attached.set()
-        elif asked_at_s >= self._attached_at_s + _REPORT_LAG_S:
-            await self._slots.release_adopted(
-                lambda name: not report.running_on(name)
-            )
+        self._slots.adopt(report.adapters)
+        self._slots.release_adopted(
+            asked_at_s, lambda name: not report.running_on(name)
+        )
+        self._attached.set()
 
 
 class ServiceRunner:
@@ -392,14 +439,6 @@
     )
 
 
-@contextlib.contextmanager
-def _refusing_platform_errors() -> Iterator[None]:
-    try:
-        yield
-    except errors.PlatformError as error:
-        raise _unavailable(error) from error
-
-
 async def _check_status(found: engine_module.EngineAnswer) -> None:
     if found.status in _OK_STATUSES:
         return
--- a/lacewingpitch/runs.py
+++ b/lacewingpitch/runs.py
@@ -49,7 +49,7 @@
 
     def __init__(self, request: web.Request, headers: dict[str, str]) -> None:
         self._request = request
-        self._headers = headers
+        self.headers = headers
         self.request_content_type = request.headers.get('Content-Type', '')
         self.response: web.StreamResponse | None = None
         self.is_broken = False
@@ -58,9 +58,7 @@
         self, status: int, content_type: str, length_bytes: int | None = None
     ) -> None:
         """Send the head of the answer."""
-        self.response = web.StreamResponse(
-            status=status, headers=self._headers
-        )
+        self.response = web.StreamResponse(status=status, headers=self.headers)
         if content_type:
             self.response.headers['Content-Type'] = content_type
         if length_bytes is not None:
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -12,6 +12,7 @@
 from lacewingpitch import answer
 from lacewingpitch import claim as claim_module
 from lacewingpitch import clock as clock_module
+from lacewingpitch import directory
 from lacewingpitch import errors
 from lacewingpitch import fair_order
 from lacewingpitch import http_guard
@@ -22,6 +23,7 @@
 from lacewingpitch import runner as runner_module
 from lacewingpitch import runs
 from lacewingpitch import settings as settings_module
+from lacewingpitch import store_pacing
 from lacewingpitch import turn_queue
 from lacewingpitch import voiding
 from lacewingpitch import voter as voter_module
@@ -162,10 +164,18 @@
         )
         self._exits.push_async_callback(self._server.close)
         await self._exits.enter_async_context(self._node)
+        directory.serve_directory(
+            directory.Directory(self._node.clock),
+            self._node.control,
+            self._node.membership.changes,
+        )
+        pacing = store_pacing.StorePacing(self._node, self.settings.store)
+        self._exits.callback(pacing.desk.close)
         self._runner = runner_module.make_runner(
-            self.settings.backend_server,
-            self._node.session,
-            self._node.clock,
+            self.settings,
+            self._node,
+            pacing.pacer,
+            self._queue,
         )
         await self._exits.enter_async_context(self._runner)
         self._node.control.handle(voiding.VoidRequest, self._void)
@@ -259,7 +269,7 @@
             assert delivery.response is not None
             return delivery.response
         response = found.response()
-        response.headers.update(headers)
+        response.headers.update(delivery.headers)
         return response
 
     def _check_started(self) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -125,7 +125,7 @@
             sealer,
             peers,
             members,
-            placement.Placement(),
+            placement.Placement(clock),
             ejection.Ejector(clock, random.Random(1)),
         )
         yield Bench(sidecars, dispatcher)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -27,8 +27,6 @@
 AWAITED = {
     f'design/{name}.md'
     for name in (
-        'placement',
-        'store-pacing',
         'limits',
         'order',
         'contracts',
@@ -37,9 +35,11 @@
 }
 TABLES = {
     'Both daemons': [settings.ProcessSettings],
-    'Entry': [settings.EntrySettings],
+    'Entry': [settings.EntrySettings, settings.ObjectiveSettings],
     'Sidecar': [
         settings.SidecarSettings,
+        settings.ObjectiveSettings,
+        settings.StoreSettings,
         settings.EngineSettings,
         settings.ServiceSettings,
     ],
