Measure the slopes for the page of capacity

Cause: the Makefile names `python -m benchmarks.capacity`, which was not there, so nothing said what a contract, an instance or an exchange costs at the target size.

Change: the real classes at several sizes, a line by least squares with its residual: contracts, list, ranking, votes, ledger, account, leases, links, watches, homes, gossip, permits.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,855 @@
+"""Slopes from which docs/CAPACITY.md is worked out.
+
+Run ``make capacity``.  Each line fits cost = intercept + slope x size by
+least squares over several sizes of the real classes, and gives the root
+of the mean square residual as a share of the mean cost.  Times are
+processor time of one noisy machine, the least of a few runs.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+import contextlib
+import dataclasses
+import datetime
+import gc
+import itertools
+import pathlib
+import tempfile
+import time
+import tracemalloc
+import uuid
+
+import aiohttp
+import msgspec
+import numpy
+import psutil
+import structlog
+
+from lacewingpitch import account as account_module
+from lacewingpitch import account_copy
+from lacewingpitch import account_rows
+from lacewingpitch import clock as clock_module
+from lacewingpitch import contract as contract_module
+from lacewingpitch import contract_book
+from lacewingpitch import contract_gossip
+from lacewingpitch import contract_versions
+from lacewingpitch import directory
+from lacewingpitch import entry_ring
+from lacewingpitch import ledger
+from lacewingpitch import limit_holding
+from lacewingpitch import limit_lease
+from lacewingpitch import link
+from lacewingpitch import live_list
+from lacewingpitch import membership
+from lacewingpitch import placement
+from lacewingpitch import settings
+from lacewingpitch import standin_platform
+from lacewingpitch import store_pacing
+from lacewingpitch import voter
+from tests import processes
+
+CONTRACTS = (4_000, 12_000, 24_000, 36_000)
+INSTANCES = (100, 345, 690, 1_035, 1_380)
+SIDECARS = (10, 50, 100, 200, 250)
+ENTRIES = (12, 24, 48, 95)
+MESSAGE_BYTES = (64, 256, 1_024, 4_096, 16_384)
+ROWS = (1_000, 2_000, 5_000)
+VOTES = (2_500, 5_000, 10_000)
+ACTIVE = (250, 500, 1_000, 2_000)
+WANTS = (1, 4, 16, 64)
+FLEETS = (40, 80, 160)
+ASKING = (1, 16, 64, 256)
+SIDECAR_CONTRACTS = 1_024
+REGIONS = 4
+ZONES = 11
+_US = 1e6
+_REPEATS = 3
+_AHEAD_S = 66.0
+_PROBE_KEYS = 100
+_LOOK_UPS = 2_000
+_EXCHANGES = 200
+_SEED = 20261202
+
+
+@dataclasses.dataclass(frozen=True)
+class Slope:
+    """A line through measured costs."""
+
+    subject: str
+    unit: str
+    sizes: Sequence[int]
+    costs: Sequence[float]
+
+    def fit(self):
+        """Return slope, intercept and relative residual."""
+        slope, intercept = numpy.polyfit(self.sizes, self.costs, 1)
+        fitted = numpy.polyval((slope, intercept), self.sizes)
+        residual = numpy.sqrt(numpy.mean((fitted - self.costs) ** 2))
+        return slope, intercept, residual / numpy.mean(self.costs)
+
+
+class FixedClock(clock_module.SystemClock):
+    """The system's clock, some time from now."""
+
+    ahead_s = 0.0
+
+    def wall_s(self):
+        return super().wall_s() + self.ahead_s
+
+
+def held_bytes(build: Callable[..., object], *arguments: object) -> int:
+    """Return the memory that what `build` returns keeps."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build(*arguments)
+    gc.collect()
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return used_bytes
+
+
+def least_us(
+    count: int, work: Callable[..., object], *arguments: object
+) -> float:
+    """Return the least processor time of `work` for each of `count`."""
+    found = []
+    for _ in range(_REPEATS):
+        started_s = time.process_time()
+        work(*arguments)
+        found.append(time.process_time() - started_s)
+    return min(found) / count * _US
+
+
+def for_each(work: Callable[..., object], keys, *arguments) -> None:
+    """Call `work` with each key."""
+    for key in keys:
+        work(key, *arguments)
+
+
+def make_contract(number: int) -> contract_module.Contract:
+    """Return a contract of one adapter, as an operator would write it."""
+    return contract_module.Contract(
+        customer=f'customer-{number:05}',
+        revision=1 + number % 7,
+        key_digests=(contract_module.digest_key(f'key-{number}'),),
+        region=f'region-{number % REGIONS}',
+        limits=contract_module.Limits(requests_per_s=5.0 + number % 10),
+        adapters=(
+            contract_module.AdapterGrant(
+                name=f'adapter-{number:05}',
+                version=f'v{1 + number % 9}',
+                base_model=f'base-{number % 5}',
+            ),
+        ),
+    )
+
+
+def make_instance(number: int, role: live_list.Role) -> live_list.Instance:
+    """Return one listed instance."""
+    is_sidecar = role is live_list.Role.SIDECAR
+    zone = number % ZONES
+    return live_list.Instance(
+        name=f'{role.value}-{number:04}',
+        role=role,
+        region=f'region-{zone % REGIONS}',
+        availability_zone=f'zone-{zone:02}',
+        ip=f'10.0.{number // 250}.{number % 250 + 1}',
+        work_port=18080,
+        control_port=18081,
+        serves=f'base-{number % 5}' if is_sidecar else '',
+        started_at_s=1_796_000_000.0 + number,
+        deployment='fleet',
+    )
+
+
+def make_instances(
+    count: int, entry_ratio: float = 380 / 1380
+) -> tuple[live_list.Instance, ...]:
+    """Return a list of entries and sidecars in all zones."""
+    entries = round(count * entry_ratio)
+    return tuple(
+        make_instance(
+            number,
+            live_list.Role.ENTRY
+            if number < entries
+            else live_list.Role.SIDECAR,
+        )
+        for number in range(count)
+    )
+
+
+def encoded_contracts(count: int) -> list[bytes]:
+    """Return contracts as they are published."""
+    return [
+        contract_versions.encode(make_contract(number))
+        for number in range(count)
+    ]
+
+
+def make_book(
+    contracts: Sequence[bytes], capacity: int | None = None
+) -> contract_book.ContractBook:
+    """Return a book that read these contracts."""
+    book = contract_book.ContractBook(capacity)
+    for raw in contracts:
+        book.accept_json(raw, 'bench')
+    return book
+
+
+def measure_contracts():
+    """Memory and look-up of contracts, at an entry and a sidecar."""
+    held, versions, lookups, takes, bytes_sent = [], [], [], [], []
+    for count in CONTRACTS:
+        contracts = encoded_contracts(count)
+        started_s = time.process_time()
+        book = make_book(contracts)
+        takes.append((time.process_time() - started_s) * _US)
+        bytes_sent.append(sum(map(len, contracts)))
+        step = count // _LOOK_UPS
+        keys = [f'key-{number}' for number in range(0, count, step)]
+        lookups.append(least_us(len(keys), _look_up, book, keys))
+        del book
+        held.append(held_bytes(make_book, contracts))
+        versions.append(held_bytes(make_book, contracts, SIDECAR_CONTRACTS))
+    return [
+        Slope('contract held at an entry', 'B', CONTRACTS, held),
+        Slope('version held at a sidecar', 'B', CONTRACTS, versions),
+        Slope('contract as published', 'B', CONTRACTS, bytes_sent),
+        Slope('contract taken over', 'us', CONTRACTS, takes),
+        Slope('look-up of a key, by contracts', 'us', CONTRACTS, lookups),
+    ]
+
+
+def _look_up(book: contract_book.ContractBook, keys: Sequence[str]) -> None:
+    for key in keys:
+        found = book.authenticate(key)
+        book.contract(found.customer)
+
+
+def measure_membership():
+    """The list of instances: bytes, memory and time."""
+    sizes_bytes, held, times, filters = [], [], [], []
+    for count in INSTANCES:
+        raw = encode_list(1, make_instances(count))
+        sizes_bytes.append(len(raw))
+        held.append(held_bytes(_member, raw))
+        times.append(least_us(1, _member, raw))
+        found = _member(raw)
+        models = ['base-1'] * _PROBE_KEYS
+        filters.append(least_us(_PROBE_KEYS, for_each, found.sidecars, models))
+    return [
+        Slope('list, by instances', 'B', INSTANCES, sizes_bytes),
+        Slope('instance held in Membership', 'B', INSTANCES, held),
+        Slope('list decoded and taken over', 'us', INSTANCES, times),
+        Slope('Membership.sidecars, by instances', 'us', INSTANCES, filters),
+    ]
+
+
+def encode_list(
+    revision: int, instances: tuple[live_list.Instance, ...]
+) -> bytes:
+    """Return a list as the platform publishes it."""
+    return msgspec.json.encode(live_list.InstanceList(revision, instances))
+
+
+def _member(raw: bytes) -> membership.Membership:
+    found = membership.Membership(clock_module.SystemClock(), 'fleet')
+    found.update(live_list.decode_list(raw))
+    return found
+
+
+def measure_ranking():
+    """Rendezvous hashes over sidecars, and an entry's whole choice."""
+    ranks, votings, choices = [], [], []
+    for count in SIDECARS:
+        members = make_instances(count, 0.0)
+        same_region = [
+            msgspec.structs.replace(member, region='region-0')
+            for member in members
+        ]
+        keys = [f'adapter-{number:05}@v1' for number in range(_PROBE_KEYS)]
+        ranks.append(
+            least_us(len(keys), for_each, placement.rank, keys, members)
+        )
+        votings.append(
+            least_us(len(keys), for_each, _voters_of, keys, same_region)
+        )
+        choice = placement.Placement(clock_module.SystemClock())
+        choices.append(
+            least_us(len(keys), for_each, choice.candidates, keys, members)
+        )
+    return [
+        Slope('placement.rank, by sidecars', 'us', SIDECARS, ranks),
+        Slope('voters_of, by sidecars', 'us', SIDECARS, votings),
+        Slope('Placement.candidates, by sidecars', 'us', SIDECARS, choices),
+    ]
+
+
+def _voters_of(
+    key: str, members: tuple[live_list.Instance, ...]
+) -> voter.VoterSet:
+    return voter.voters_of('customer', key, 'region-0', members)
+
+
+def measure_votes():
+    """Memory of the table of votes, and time of a vote."""
+    members = make_instances(1, 0.0)
+    held = [held_bytes(_vote, members, count) for count in VOTES]
+    times = []
+    for count in SIDECARS:
+        fleet = tuple(
+            msgspec.structs.replace(member, region='region-0')
+            for member in make_instances(count, 0.0)
+        )
+        started_s = time.process_time()
+        _vote(fleet, _PROBE_KEYS)
+        used_s = time.process_time() - started_s
+        times.append(used_s / _PROBE_KEYS * _US)
+    return [
+        Slope('vote held in Voter', 'B', VOTES, held),
+        Slope(
+            'vote with its request, one list, by sidecars',
+            'us',
+            SIDECARS,
+            times,
+        ),
+    ]
+
+
+def _vote(members: tuple[live_list.Instance, ...], count: int) -> voter.Voter:
+    ahead = FixedClock()
+    found = voter.Voter(
+        members[0].name,
+        ahead,
+        window_s=600.0,
+        skew_s=5.0,
+        list_lag_s=60.0,
+        list_age_s=lambda: 0.0,
+        max_votes=count,
+    )
+    found.take_list(members)
+    ahead.ahead_s = _AHEAD_S
+    offset = int(1000 * _AHEAD_S) << 80
+    for _ in range(count):
+        made = uuid.UUID(processes.new_key()).int + offset
+        key = str(uuid.UUID(int=made))
+        voters = voter.voters_of('customer-0001', key, 'region-0', members)
+        reply = found.vote(
+            voter.VoteRequest(
+                customer='customer-0001',
+                key=key,
+                region='region-0',
+                claim_id=processes.new_key(),
+                holder=members[0].name,
+                digest='0' * 32,
+                voters=tuple(voters.names),
+                quorum=voters.quorum,
+            )
+        )
+        assert reply.verdict is voter.Verdict.GRANTED
+    assert len(found) == count
+    return found
+
+
+def measure_ledger():
+    """What a sidecar remembers of each attempt."""
+    held = [held_bytes(_run, count) for count in VOTES]
+    times = [least_us(1, _run, count) for count in VOTES]
+    return [
+        Slope('attempt held in RunLedger', 'B', VOTES, held),
+        Slope('attempt admitted, started, closed', 'us', VOTES, times),
+    ]
+
+
+def _run(count: int) -> ledger.RunLedger:
+    found = ledger.RunLedger(clock_module.SystemClock())
+    for _ in range(count):
+        attempt = f'{processes.new_key()}.1'
+        found.admit(attempt)
+        found.start(attempt)
+        found.close(attempt)
+    return found
+
+
+def count_answer(account: account_module.Account, number: int) -> None:
+    """Count one streamed answer of a customer."""
+    customer = make_contract(number)
+    with account.counted('id') as tally:
+        account.identify(tally, customer)
+        tally.stalled('0.25')
+        for _ in range(20):
+            tally.wrote(1)
+        tally.delivered()
+
+
+def make_row() -> account_rows.Row:
+    """Return the row of a customer of a few answers."""
+    account = _account(1, 6)
+    return dict(account.rows.row('customer-00000'))
+
+
+def _account(customers: int, answers: int) -> account_module.Account:
+    account = account_module.Account(
+        account_module.AccountId('entry-1', 'i', 'zone-1', 0.0),
+        clock_module.SystemClock(),
+    )
+    for _ in range(answers):
+        for number in range(customers):
+            count_answer(account, number)
+    return account
+
+
+def measure_account():
+    """Rows of the account, active and packed, and copied deltas."""
+    row = make_row()
+    active = [held_bytes(_rows, row, count, 0) for count in ROWS]
+    packed = [held_bytes(_rows, row, count, 3) for count in ROWS]
+    account_id = account_module.AccountId('entry-1', 'i', 'zone-1', 0.0)
+    head = account_copy.AccountHead(account_id=account_id)
+    counts = (1, 8, 32, 64)
+    messages = [
+        account_copy.make_copy(head, _deltas(row, count)) for count in counts
+    ]
+    sizes = [len(msgspec.msgpack.encode(message)) for message in messages]
+    times = [least_us(1, _merge, message, account_id) for message in messages]
+    return [
+        Slope('account row, active', 'B', ROWS, active),
+        Slope('account row, packed', 'B', ROWS, packed),
+        Slope('delta of a customer in a copy', 'B', counts, sizes),
+        Slope('delta merged by a holder', 'us', counts, times),
+    ]
+
+
+def _deltas(row: account_rows.Row, count: int) -> dict[str, account_rows.Row]:
+    random = numpy.random.default_rng(_SEED)
+    customers = random.choice(CONTRACTS[-1], size=count, replace=False)
+    return {
+        f'customer-{number:05}': {
+            counter: int(random.zipf(1.3)) % 50_000
+            for counter in random.permutation(list(row)).tolist()[:12]
+        }
+        for number in customers
+    }
+
+
+def _rows(
+    row: account_rows.Row, count: int, sweeps: int
+) -> account_rows.RowTable:
+    table = account_rows.RowTable()
+    for number in range(count):
+        table.writable(f'customer-{number:05}').update(row)
+    now_s = clock_module.SystemClock().wall_s()
+    for _ in range(sweeps * 2):
+        table.sweep(count + 1, now_s)
+    return table
+
+
+def _merge(
+    message: account_copy.AccountCopy, account_id: account_module.AccountId
+) -> None:
+    account_copy.HeldAccount(account_id).merge(message)
+
+
+def measure_limits():
+    """Leases at holder and owner, and the bytes of an exchange."""
+    holding = [held_bytes(_holdings, count) for count in ACTIVE]
+    owning = []
+    for count in ACTIVE:
+        contracts = {c.customer: c for c in map(make_contract, range(count))}
+        owning.append(held_bytes(_owner, contracts, 5))
+    times, sizes = [], []
+    sealer = link.Sealer('fleet', 'secret', 'entry-0001')
+    for count in WANTS:
+        contracts = {c.customer: c for c in map(make_contract, range(count))}
+        owner = _owner(contracts, 1)
+        held = _holdings(count)
+        numbers = itertools.count(2)
+        reply = owner.grant(_ask(held, 'entry-0001', 1))
+        ask = _ask(held, 'entry-0001', next(numbers))
+        sizes.append(len(sealer.seal(ask)) + len(sealer.seal(reply)))
+        times.append(least_us(1, _renew, sealer, owner, held, numbers))
+    owners = []
+    for count in ENTRIES:
+        ring = _ring(count)
+        keys = [f'customer-{number:05}' for number in range(_PROBE_KEYS)]
+        owners.append(
+            least_us(len(keys), for_each, ring.owner, keys, 'region-0')
+        )
+    return [
+        Slope('customer held in LimitHolding', 'B', ACTIVE, holding),
+        Slope('customer owned, of 5 holders', 'B', ACTIVE, owning),
+        Slope('exchange of leases, by customers', 'B', WANTS, sizes),
+        Slope('the same, without the link', 'us', WANTS, times),
+        Slope('owner of a customer, by entries', 'us', ENTRIES, owners),
+    ]
+
+
+class _Contracts:
+    def __init__(self, contracts: dict[str, contract_module.Contract]):
+        self.contract = contracts.get
+
+
+def _ring(count: int) -> entry_ring.EntryRing:
+    ring = entry_ring.EntryRing(
+        clock_module.SystemClock(), 'entry-0000', 'region-0'
+    )
+    ring.update(
+        1,
+        [
+            msgspec.structs.replace(instance, region='region-0')
+            for instance in make_instances(count, 1.0)
+        ],
+    )
+    return ring
+
+
+def _holdings(count: int) -> list[limit_holding.LimitHolding]:
+    clock = clock_module.SystemClock()
+    return [
+        limit_holding.LimitHolding(clock, make_contract(number), 95)
+        for number in range(count)
+    ]
+
+
+def _ask(
+    held: Sequence[limit_holding.LimitHolding], holder: str, sequence: int
+) -> limit_lease.LeaseAsk:
+    wants = tuple(holding.want(1, 300.0) for holding in held)
+    return limit_lease.LeaseAsk(
+        holder=holder, incarnation='a1b2c3d4', sequence=sequence, wants=wants
+    )
+
+
+def _owner(
+    contracts: dict[str, contract_module.Contract], holders: int
+) -> limit_lease.LeaseOwner:
+    clock = clock_module.SystemClock()
+    ring = entry_ring.EntryRing(clock, 'entry-0000', 'region-0')
+    ring.update(1, [make_instance(0, live_list.Role.ENTRY)])
+    owner = limit_lease.LeaseOwner(clock, ring, _Contracts(contracts))
+    wants = tuple(
+        limit_lease.LeaseWant(customer, 1.0, 300.0, 1, 1)
+        for customer in contracts
+    )
+    for number in range(holders):
+        owner.grant(
+            limit_lease.LeaseAsk(
+                holder=f'entry-{number:04}',
+                incarnation='a1b2c3d4',
+                sequence=0,
+                wants=wants,
+            )
+        )
+    assert len(owner) == len(contracts)
+    return owner
+
+
+def _renew(sealer, owner, held, numbers) -> None:
+    asked_s = clock_module.SystemClock().monotonic_s()
+    data = sealer.seal(_ask(held, 'entry-0001', next(numbers)))
+    _, body = sealer.open(data)
+    ask = msgspec.msgpack.decode(body, type=limit_lease.LeaseAsk)
+    _, body = sealer.open(sealer.seal(owner.grant(ask)))
+    reply = msgspec.msgpack.decode(body, type=limit_lease.LeaseReply)
+    for holding, part in zip(held, reply.parts, strict=True):
+        holding.apply(part, asked_s)
+
+
+class Ping(link.Message, frozen=True):
+    """A message of some size."""
+
+    data: bytes
+
+
+async def measure_link():
+    """One request and its reply over pynng, both ends in this process."""
+    sealer = link.Sealer('fleet', 'secret', 'entry-0001')
+    server = link.ControlServer(sealer)
+
+    async def echo(message):
+        return message
+
+    server.handle(Ping, echo)
+    times = []
+    async with contextlib.AsyncExitStack() as exits:
+        await server.start('127.0.0.1', 0)
+        exits.push_async_callback(server.close)
+        peer = link.Peer(sealer, '127.0.0.1', server.port)
+        exits.callback(peer.close)
+        # Sizes take turns, since the machine's speed drifts.
+        found = [
+            [await _exchange_us(peer, size) for size in MESSAGE_BYTES]
+            for _ in range(2 * _REPEATS)
+        ]
+        times.extend(map(min, zip(*found, strict=True)))
+    return [
+        Slope(
+            'exchange over pynng, both ends, by bytes each way',
+            'us',
+            MESSAGE_BYTES,
+            times,
+        )
+    ]
+
+
+async def _exchange_us(peer: link.Peer, size: int) -> float:
+    message = Ping(data=b'x' * size)
+    started_s = time.process_time()
+    for _ in range(_EXCHANGES):
+        await peer.ask(message, Ping, 5.0)
+    return (time.process_time() - started_s) / _EXCHANGES * _US
+
+
+async def measure_watch():
+    """Watches on the live list over HTTP, with the stand-in's own cost."""
+    idle, taken = [], []
+    platform = standin_platform.StandinPlatform()
+    async with contextlib.AsyncExitStack() as exits:
+        await platform.start('127.0.0.1')
+        exits.push_async_callback(platform.close)
+        session = await exits.enter_async_context(aiohttp.ClientSession())
+        url = f'http://127.0.0.1:{platform.port}'
+        source = live_list.HttpLiveList(session, url)
+        for count in INSTANCES:
+            await platform.publish_instances(make_instances(count))
+            found = await source.watch(0, 0.0)
+            idle.append(await _watch_us(source, found.revision))
+            taken.append(await _watch_us(source, 0))
+    return [
+        Slope('idle watch, both ends, by instances', 'us', INSTANCES, idle),
+        Slope('list read, both ends, by instances', 'us', INSTANCES, taken),
+    ]
+
+
+async def _watch_us(source: live_list.HttpLiveList, after: int) -> float:
+    count = 10
+    found = []
+    for _ in range(_REPEATS):
+        started_s = time.process_time()
+        for _ in range(count):
+            await source.watch(after, 0.0)
+        found.append(time.process_time() - started_s)
+    return min(found) / count * _US
+
+
+async def measure_directory():
+    """Adapters at their home."""
+    counts = (500, 1_000, 4_000, 8_000)
+    held, times = [], []
+    for count in counts:
+        home = directory.Directory(clock_module.SystemClock())
+        gc.collect()
+        tracemalloc.start()
+        await _locate(home, count)
+        held.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        started_s = time.process_time()
+        await _locate(home, count)
+        times.append((time.process_time() - started_s) * _US)
+    return [
+        Slope('adapter at its home', 'B', counts, held),
+        Slope('question to a home, without the link', 'us', counts, times),
+    ]
+
+
+async def _locate(home: directory.Directory, count: int) -> None:
+    proposals = ('sidecar-0001', 'sidecar-0002')
+    for number in range(count):
+        await home.locate(
+            directory.LocateRequest(
+                key=f'adapter-{number:05}@v1', wanted=1, proposals=proposals
+            )
+        )
+
+
+class _Wire:
+    """Counts messages between gossips, without a network."""
+
+    def __init__(self) -> None:
+        self.sealer = link.Sealer('fleet', 'secret', 'entry-0001')
+        self.answers: dict[tuple[str, str], object] = {}
+        self.sent_bytes = 0
+        self.sent_count = 0
+
+    def peer(self, ip, port):
+        return _WirePeer(self, ip)
+
+
+@dataclasses.dataclass(frozen=True)
+class _WirePeer:
+    wire: _Wire
+    ip: str
+
+    async def ask(self, message, kind, timeout_s):
+        await asyncio.sleep(0)
+        wire = self.wire
+        reply = await wire.answers[self.ip, type(message).__name__](message)
+        wire.sent_count += 1
+        wire.sent_bytes += len(wire.sealer.seal(message))
+        wire.sent_bytes += len(wire.sealer.seal(reply))
+        return reply
+
+
+@dataclasses.dataclass(frozen=True)
+class _Port:
+    wire: _Wire
+    ip: str
+
+    def handle(self, kind, handler):
+        self.wire.answers[self.ip, kind.__name__] = handler
+
+
+async def measure_gossip():
+    """Messages of a round, and of a change, against the fleet's size."""
+    rounds, round_bytes, changes, change_bytes, spread_s = [], [], [], [], []
+    raw = encoded_contracts(100)
+    for count in FLEETS:
+        wire = _Wire()
+        members = _member(encode_list(1, make_instances(count)))
+        gossips, books = [], []
+        for number, instance in enumerate(members.instances):
+            book = make_book(raw)
+            gossip = contract_gossip.ContractGossip(
+                book,
+                members,
+                wire,
+                clock_module.SystemClock(),
+                instance.name,
+                seed=number,
+            )
+            gossip.register(_Port(wire, instance.ip))
+            gossips.append(gossip)
+            books.append(book)
+        async with asyncio.TaskGroup() as tasks:
+            running = [tasks.create_task(g.run()) for g in gossips]
+            await asyncio.gather(*(g.settled() for g in gossips))
+            began = wire.sent_count, wire.sent_bytes
+            began_s = time.monotonic()
+            await asyncio.sleep(3.0)
+            passed_s = time.monotonic() - began_s
+            rounds.append((wire.sent_count - began[0]) / passed_s / count)
+            round_bytes.append((wire.sent_bytes - began[1]) / passed_s / count)
+            began = wire.sent_count, wire.sent_bytes
+            began_s = time.monotonic()
+            books[0].accept(
+                msgspec.structs.replace(make_contract(5), revision=99)
+            )
+            while any(b.revision('customer-00005') < 99 for b in books):
+                await asyncio.sleep(0.005)
+            passed_s = time.monotonic() - began_s
+            await asyncio.sleep(0.05)
+            spread_s.append(passed_s * 1000)
+            changes.append((wire.sent_count - began[0]) / count)
+            change_bytes.append((wire.sent_bytes - began[1]) / count)
+            for task in running:
+                task.cancel()
+    return [
+        Slope('gossip, exchanges/s a process', '', FLEETS, rounds),
+        Slope('gossip, bytes/s a process', 'B', FLEETS, round_bytes),
+        Slope('a change, exchanges a process', '', FLEETS, changes),
+        Slope('a change, bytes a process', 'B', FLEETS, change_bytes),
+        Slope('a change, until all have it', 'ms', FLEETS, spread_s),
+    ]
+
+
+async def measure_permits():
+    """The store's permits at their keeper, by sidecars that wait."""
+    held, times = [], []
+    for count in ASKING:
+        held.append(held_bytes(_desk, count))
+        desk = _desk(count)
+        asks = [_permit(number) for number in range(count)]
+        repeats = max(1, _PROBE_KEYS // count)
+        work = [a for _ in range(repeats) for a in asks]
+        times.append(least_us(len(work), for_each, desk.ask, work))
+        desk.close()
+    return [
+        Slope('request for a permit, held', 'B', ASKING, held),
+        Slope('request for a permit, by those waiting', 'us', ASKING, times),
+    ]
+
+
+def _permit(number: int) -> store_pacing.PermitRequest:
+    return store_pacing.PermitRequest(
+        permit_id=f'sidecar-{number:04}/12345678/{number}',
+        asker=f'sidecar-{number:04}',
+    )
+
+
+def _desk(count: int) -> store_pacing.PermitDesk:
+    desk = store_pacing.PermitDesk(
+        clock_module.SystemClock(),
+        settings.StoreSettings(),
+        lambda asker, grant: None,
+    )
+    for number in range(count):
+        desk.ask(_permit(number))
+    return desk
+
+
+async def show_processes() -> None:
+    """Print the memory of real processes that have nothing to do."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with processes.Deployment(pathlib.Path(folder)) as deployment:
+            await deployment.add_engine()
+            entry = await deployment.add_entry()
+            deployment.add_customer('haneul', 'ficus')
+            await deployment.publish()
+            sidecar = deployment.sidecars[0]
+            for name, process in (('entry', entry), ('sidecar', sidecar)):
+                found = psutil.Process(process._process.pid)
+                rss_mb = found.memory_info().rss / 1e6
+                print(f'a real {name} without load: {rss_mb:.0f} MB')
+
+
+def show(slopes: Sequence[Slope]) -> None:
+    """Print each line as a row of a table."""
+    for found in slopes:
+        slope, intercept, residual = found.fit()
+        unit = f' {found.unit}' if found.unit else ''
+        sizes = ', '.join(f'{size:,}' for size in found.sizes)
+        largest = found.costs[-1]
+        print(
+            f'| {found.subject} | {sizes} | {slope:.4g}{unit} |'
+            f' {intercept:.4g}{unit} | {residual:.1%} |'
+            f' {largest:.4g}{unit} |',
+            flush=True,
+        )
+
+
+async def main() -> None:
+    """Print every line."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(50)
+    )
+    started_s = time.monotonic()
+    print(datetime.datetime.now(datetime.timezone.utc).date().isoformat())
+    print(
+        '| subject | sizes | slope | intercept | residual | at the largest |'
+    )
+    print('| --- | --- | --- | --- | --- | --- |')
+    for measure in (
+        measure_contracts,
+        measure_membership,
+        measure_ranking,
+        measure_votes,
+        measure_ledger,
+        measure_account,
+        measure_limits,
+    ):
+        show(measure())
+    for measure_async in (
+        measure_link,
+        measure_watch,
+        measure_directory,
+        measure_gossip,
+        measure_permits,
+    ):
+        show(await measure_async())
+    await show_processes()
+    print(f'{time.monotonic() - started_s:.0f} s in all')
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
