The page of capacity: each role at the target size

Cause: the users ask for a page that gives state, messages, processor time and memory of each role at their target size.

A test holds that each role has its lines.

--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -90,6 +90,25 @@
         assert 'Exit codes' in cli.main.get_help(context)
 
 
+class TestCapacityPage:
+    @pytest.mark.parametrize(
+        'role',
+        [
+            'Entry',
+            'Sidecar',
+            'Duty: voter',
+            'Duty: owner of limits',
+            'Duty: holder of copies',
+            'Duty: watcher of contracts',
+            'Duty: keeper of store permits',
+            'Duty: home of adapters',
+        ],
+    )
+    def test_has_lines_for_each_role(self, role):
+        text = read(DOCS / 'CAPACITY.md').split(f'\n## {role}\n', 1)[1]
+        assert '| memory' in text.split('\n## ', 1)[0]
+
+
 class TestErrorsPage:
     def test_is_current(self):
         assert read(DOCS / 'ERRORS.md') == errors_page.render()
