Attempts have a module of their own; an entry waits for a backend server

Change: Attempts takes an attempt through claim, turn and run; Sidecar keeps port, drain and order checks; votes are served by voter.serve_votes; readiness needs a sidecar in the list. Conclusion: behaviour as before but for the readiness.

--- /dev/null
+++ b/lacewingpitch/attempts.py
@@ -0,0 +1,283 @@
+"""The attempts at requests that reach one sidecar, from claim to answer."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import contextlib
+
+import msgspec
+
+from lacewingpitch import claim as claim_module
+from lacewingpitch import errors
+from lacewingpitch import fair_order
+from lacewingpitch import ledger
+from lacewingpitch import node as node_module
+from lacewingpitch import runner as runner_module
+from lacewingpitch import runs
+from lacewingpitch import settings as settings_module
+from lacewingpitch import turn_queue
+from lacewingpitch import voiding
+from lacewingpitch import voter as voter_module
+from lacewingpitch import work
+
+# Requests that get their adapters while others run, over those running.
+LOOKAHEAD_RATIO = 1.0
+
+
+class Attempts:
+    """Takes each attempt through claim, turn and run.
+
+    It knows of each attempt whether it ran, and answers whoever asks.
+
+    Parameters
+    ----------
+    settings
+        Checked settings of the sidecar.
+    node
+        Links, peers and contracts of the process.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.SidecarSettings,
+        node: node_module.Node,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._ledger = ledger.RunLedger(node.clock)
+        self._runs = runs.Runs()
+        self._kept = runs.KeptAnswers(node.clock)
+        self._voter = _make_voter(settings, node)
+        self._claims = _make_claims(settings, node, self._voter)
+        self.queue = self._make_queue()
+        self._runner: runner_module.Runner
+
+    def serve(self, runner: runner_module.Runner) -> None:
+        """Run on a backend server, and answer peers, from now on."""
+        self._runner = runner
+        control = self._node.control
+        control.handle(voiding.VoidRequest, self._void)
+        control.handle(voiding.CancelRequest, self._cancel)
+        control.handle(claim_module.OutcomeRequest, self._claims.tell)
+        voter_module.serve_votes(
+            self._voter, control, self._node.membership.changes
+        )
+
+    async def close(self) -> None:
+        """Stop giving votes back."""
+        await self._claims.close()
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing runs."""
+        await self._runs.wait_idle()
+
+    async def run(
+        self,
+        order: work.WorkOrder,
+        delivery: runs.Delivery,
+        check_open: Callable[[], None],
+    ) -> runs.WholeAnswer | None:
+        """Run an attempt, and deliver a stream or return a whole answer.
+
+        Raises
+        ------
+        RefusalError
+            There is no whole answer; says whether the attempt ran.
+        """
+        attempt_id = voiding.attempt_id(order.request_id, order.attempt)
+        self._ledger.admit(attempt_id)
+        try:
+            check_open()
+            self._node.book.check_order(
+                order.customer, order.contract_revision
+            )
+            body = await delivery.read_body(self._settings.body_timeout_s)
+        except BaseException:
+            self._ledger.close(attempt_id)
+            raise
+        task = self._runs.start(
+            attempt_id,
+            order.repeatable,
+            self._execute(attempt_id, order, body, delivery),
+        )
+        try:
+            return await self._follow(attempt_id, task, delivery)
+        except asyncio.CancelledError:
+            if self._ledger.state(attempt_id) is ledger.RunState.QUEUED:
+                task.cancel()
+            raise
+
+    async def resume(
+        self, order: work.WorkOrder, delivery: runs.Delivery
+    ) -> runs.WholeAnswer | None:
+        """Deliver again what an attempt has for a link that broke.
+
+        Raises
+        ------
+        RefusalError
+            It cannot be had any more.
+        """
+        attempt_id = voiding.attempt_id(order.request_id, order.attempt)
+        kept = self._kept.get(attempt_id)
+        run = self._runs.find(attempt_id)
+        if kept is None and not order.stream and run is not None:
+            run.keep()
+            kept = await self._runs.follow(attempt_id, run.tasks[0])
+        if kept is not None:
+            return kept
+        if not order.stream:
+            raise errors.RefusalError(
+                errors.ErrorKind.OUTCOME_UNKNOWN, 'the answer is not kept'
+            )
+        self._ledger.resume(attempt_id)
+        task = self._runs.start(
+            attempt_id, order.repeatable, self._continue(order, delivery)
+        )
+        return await self._follow(attempt_id, task, delivery)
+
+    async def _follow(
+        self,
+        attempt_id: str,
+        task: asyncio.Task[runs.WholeAnswer | None],
+        delivery: runs.Delivery,
+    ) -> runs.WholeAnswer | None:
+        task.add_done_callback(lambda _: self._ledger.close(attempt_id))
+        try:
+            return await self._runs.follow(attempt_id, task)
+        except asyncio.CancelledError:
+            delivery.is_broken = True
+            raise
+
+    async def _execute(
+        self,
+        attempt_id: str,
+        order: work.WorkOrder,
+        body: bytes,
+        delivery: runs.Delivery,
+    ) -> runs.WholeAnswer | None:
+        try:
+            found = await self._claim_and_run(
+                attempt_id, order, body, delivery
+            )
+        except claim_module.KeptAnswerError as kept:
+            self._ledger.close(attempt_id, did_not_run=True)
+            return kept.answer
+        except errors.RefusalError as error:
+            did_not_run = error.outcome is errors.Outcome.NOT_RUN
+            self._ledger.close(attempt_id, did_not_run)
+            raise
+        if found is not None:
+            self._kept.put(attempt_id, found)
+        return found
+
+    async def _claim_and_run(
+        self,
+        attempt_id: str,
+        order: work.WorkOrder,
+        body: bytes,
+        delivery: runs.Delivery,
+    ) -> runs.WholeAnswer | None:
+        async with (
+            self._claims.claim(order, body) as claim,
+            contextlib.AsyncExitStack() as held,
+        ):
+            async with claim.collecting():
+                await held.enter_async_context(self._turn(order))
+            # A contract may be revoked while its request waits; what
+            # waits must not run on a right that has ended.
+            self._node.book.check_revoked(order.customer)
+            claim.start()
+            self._ledger.start(attempt_id)
+            found = await self._runner.run(order, body, delivery)
+            claim.keep(found)
+            return found
+
+    async def _continue(
+        self, order: work.WorkOrder, delivery: runs.Delivery
+    ) -> runs.WholeAnswer | None:
+        async with self._runner.ready(order):
+            await self._runner.resume(order, delivery)
+        return None
+
+    @contextlib.asynccontextmanager
+    async def _turn(self, order: work.WorkOrder) -> AsyncIterator[None]:
+        async with contextlib.AsyncExitStack() as held:
+            await self._wait_turn(held, order)
+            yield
+
+    async def _wait_turn(
+        self, held: contextlib.AsyncExitStack, order: work.WorkOrder
+    ) -> None:
+        # The place comes before the adapter: who waits for a place keeps
+        # no adapter from eviction, and nobody prepares out of order.
+        start_by_s = self._node.clock.monotonic_s() + order.deadline_s
+        try:
+            async with asyncio.timeout(order.deadline_s):
+                place = await held.enter_async_context(self.queue.place(order))
+                left_s = start_by_s - self._node.clock.monotonic_s()
+                order = msgspec.structs.replace(order, deadline_s=left_s)
+                await held.enter_async_context(self._runner.ready(order))
+                await held.enter_async_context(place.turn())
+        except TimeoutError as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                'no turn before the deadline',
+            ) from error
+
+    def _make_queue(self) -> turn_queue.TurnQueue:
+        backend = self._settings.backend_server
+        lookahead_count = 0
+        if isinstance(backend, settings_module.EngineSettings):
+            lookahead_count = round(backend.max_running * LOOKAHEAD_RATIO)
+        return turn_queue.TurnQueue(
+            backend.max_running,
+            lookahead_count,
+            self._settings.max_queued,
+            fair_order.FairOrder(
+                backend.max_running,
+                lambda order: self._runner.holds(order),
+                self._node.clock,
+            ),
+            self._node.clock,
+        )
+
+    async def _void(self, message: voiding.VoidRequest) -> voiding.VoidReply:
+        state = self._ledger.void(message.attempt_id)
+        return voiding.VoidReply(state=state)
+
+    async def _cancel(
+        self, message: voiding.CancelRequest
+    ) -> voiding.CancelReply:
+        return voiding.CancelReply(
+            cancelled=self._runs.cancel(message.attempt_id)
+        )
+
+
+def _make_voter(
+    settings: settings_module.SidecarSettings, node: node_module.Node
+) -> voter_module.Voter:
+    return voter_module.Voter(
+        settings.instance,
+        node.clock,
+        window_s=settings.key_window_s,
+        skew_s=settings.clock_skew_s,
+        list_lag_s=settings.list_lag_s,
+        list_age_s=lambda: node.membership.age_s,
+        max_votes=settings.max_votes,
+    )
+
+
+def _make_claims(
+    settings: settings_module.SidecarSettings,
+    node: node_module.Node,
+    voter: voter_module.Voter,
+) -> claim_module.Claims:
+    links = claim_module.PeerVoters(
+        settings.instance, voter, node.peers, node.membership
+    )
+    return claim_module.Claims(
+        settings.instance,
+        links,
+        node.membership,
+        node.clock,
+        settings.key_window_s,
+    )
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -139,7 +139,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether contracts and backend servers are known."""
-        known = len(self._node.book) and self._node.membership.instances
+        known = len(self._node.book) and self._node.membership.has_sidecars
         settled = self._node.contracts.is_settled
         return bool(known) and settled and not self._draining
 
--- a/lacewingpitch/membership.py
+++ b/lacewingpitch/membership.py
@@ -71,6 +71,14 @@
             and found.state is live_list.InstanceState.LEAVING
         )
 
+    @property
+    def has_sidecars(self) -> bool:
+        """Whether any backend server is listed."""
+        return any(
+            instance.role is live_list.Role.SIDECAR
+            for instance in self._list.instances
+        )
+
     @property
     def age_s(self) -> float:
         """Return how long ago the list was last known to be current."""
--- a/lacewingpitch/runs.py
+++ b/lacewingpitch/runs.py
@@ -10,6 +10,7 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import http_guard
 
 RESUME_GRACE_S = 5.0
 _WRITE_TIMEOUT_S = 60.0
@@ -54,6 +55,16 @@
         self.response: web.StreamResponse | None = None
         self.is_broken = False
 
+    async def read_body(self, timeout_s: float) -> bytes:
+        """Return the body of the request.
+
+        Raises
+        ------
+        RefusalError
+            It is too large, or too slow.
+        """
+        return await http_guard.read_body(self._request, timeout_s)
+
     async def begin(
         self, status: int, content_type: str, length_bytes: int | None = None
     ) -> None:
--- a/lacewingpitch/voter.py
+++ b/lacewingpitch/voter.py
@@ -7,6 +7,7 @@
 import heapq
 import math
 
+import reactivex
 import xxhash
 
 from lacewingpitch import clock as clock_module
@@ -349,3 +350,21 @@
             # What is not known of older lists is made up for by
             # refusing the keys that they could have concerned.
             self._oldest_s = max(self._oldest_s, end_s + self._reach_s)
+
+
+def serve_votes(
+    voter: Voter,
+    control: link.ControlServer,
+    changes: reactivex.Observable[live_list.InstanceList],
+) -> None:
+    """Let peers ask a voter, and keep it informed of the lists."""
+
+    async def vote(message: VoteRequest) -> VoteReply:
+        return voter.vote(message)
+
+    async def withdraw(message: WithdrawRequest) -> WithdrawReply:
+        return voter.withdraw(message)
+
+    control.handle(VoteRequest, vote)
+    control.handle(WithdrawRequest, withdraw)
+    changes.subscribe(lambda published: voter.take_list(published.instances))
