Claim split: the ballot and the way to voters have modules of their own

Change: ballot.py (one round of votes), voter_link.py (how voters and holders are reached). Conclusion: behaviour unchanged.

--- a/lacewingpitch/attempts.py
+++ b/lacewingpitch/attempts.py
@@ -17,6 +17,7 @@
 from lacewingpitch import turn_queue
 from lacewingpitch import voiding
 from lacewingpitch import voter as voter_module
+from lacewingpitch import voter_link
 from lacewingpitch import work
 
 # Requests that get their adapters while others run, over those running.
@@ -57,7 +58,7 @@
         control = self._node.control
         control.handle(voiding.VoidRequest, self._void)
         control.handle(voiding.CancelRequest, self._cancel)
-        control.handle(claim_module.OutcomeRequest, self._claims.tell)
+        control.handle(voter_link.OutcomeRequest, self._claims.tell)
         voter_module.serve_votes(
             self._voter, control, self._node.membership.changes
         )
@@ -271,7 +272,7 @@
     node: node_module.Node,
     voter: voter_module.Voter,
 ) -> claim_module.Claims:
-    links = claim_module.PeerVoters(
+    links = voter_link.PeerVoters(
         settings.instance, voter, node.peers, node.membership
     )
     return claim_module.Claims(
--- a/lacewingpitch/claim.py
+++ b/lacewingpitch/claim.py
@@ -5,24 +5,21 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
-import enum
 import random
-from typing import Protocol
 
 import structlog
-import uuid_utils
 
+from lacewingpitch import ballot as ballot_module
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
 from lacewingpitch import idempotency
-from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import membership as membership_module
 from lacewingpitch import runs
 from lacewingpitch import voter as voter_module
+from lacewingpitch import voter_link
 from lacewingpitch import work
 
-_ASK_TIMEOUT_S = 1.0
 _WITHDRAW_WAIT_S = 0.5
 _WITHDRAW_TRIES = 3
 _FIRST_BACKOFF_S = 0.01
@@ -36,28 +33,6 @@
 Verdict = voter_module.Verdict
 
 
-class ClaimState(enum.StrEnum):
-    """How far a claim got at the sidecar that made it."""
-
-    CLAIMING = 'claiming'
-    RUNNING = 'running'
-    FINISHED = 'finished'
-    NOT_HELD = 'not-held'
-
-
-class OutcomeRequest(link.Message, frozen=True):
-    """Asks the holder of a claim what came of it."""
-
-    claim_id: str
-
-
-class OutcomeReply(link.Message, frozen=True):
-    """What came of a claim; the answer where it was kept."""
-
-    state: ClaimState
-    answer: runs.WholeAnswer | None = None
-
-
 class KeptAnswerError(errors.LacewingpitchError):
     """Ends an attempt whose key was won, and answered, by another."""
 
@@ -66,188 +41,9 @@
         self.answer = answer
 
 
-class VoterLinks(Protocol):
-    """How a claim reaches voters and holders of claims."""
-
-    async def vote(
-        self,
-        instance: live_list.Instance,
-        request: voter_module.VoteRequest,
-    ) -> voter_module.VoteReply:
-        """Ask for a vote."""
-        ...
-
-    async def withdraw(
-        self,
-        instance: live_list.Instance,
-        request: voter_module.WithdrawRequest,
-    ) -> voter_module.WithdrawReply:
-        """Give a vote back."""
-        ...
-
-    async def outcome(self, holder: str, claim_id: str) -> OutcomeReply:
-        """Ask what came of a claim."""
-        ...
-
-
-class PeerVoters:
-    """Voters over control links; this instance's own is called directly."""
-
-    def __init__(
-        self,
-        name: str,
-        voter: voter_module.Voter,
-        peers: link.PeerPool,
-        membership: membership_module.Membership,
-    ) -> None:
-        self._name = name
-        self._voter = voter
-        self._peers = peers
-        self._membership = membership
-
-    async def vote(
-        self,
-        instance: live_list.Instance,
-        request: voter_module.VoteRequest,
-    ) -> voter_module.VoteReply:
-        """Ask for a vote.
-
-        Raises
-        ------
-        LinkError
-            No reply; the vote may have been given.
-        """
-        if instance.name == self._name:
-            return self._voter.vote(request)
-        return await self._peer(instance).ask(
-            request, voter_module.VoteReply, _ASK_TIMEOUT_S
-        )
-
-    async def withdraw(
-        self,
-        instance: live_list.Instance,
-        request: voter_module.WithdrawRequest,
-    ) -> voter_module.WithdrawReply:
-        """Give a vote back.
-
-        Raises
-        ------
-        LinkError
-            No reply.
-        """
-        if instance.name == self._name:
-            return self._voter.withdraw(request)
-        return await self._peer(instance).ask(
-            request, voter_module.WithdrawReply, _ASK_TIMEOUT_S
-        )
-
-    async def outcome(self, holder: str, claim_id: str) -> OutcomeReply:
-        """Ask what came of a claim.
-
-        Raises
-        ------
-        LinkError
-            The holder does not answer, or is not in the list.
-        """
-        for instance in self._membership.instances:
-            if instance.name == holder:
-                return await self._peer(instance).ask(
-                    OutcomeRequest(claim_id=claim_id),
-                    OutcomeReply,
-                    _ASK_TIMEOUT_S,
-                )
-        raise errors.LinkError(f'{holder} is not in the list')
-
-    def _peer(self, instance: live_list.Instance) -> link.Peer:
-        return self._peers.peer(instance.ip, instance.control_port)
-
-
-class Ballot:
-    """One round of votes for one claim."""
-
-    def __init__(self, voters: voter_module.VoterSet) -> None:
-        self.claim_id = str(uuid_utils.uuid7())
-        self.voters = voters
-        self._pending = set(voters.names)
-        self._granted: set[str] = set()
-        self._refused: dict[str, voter_module.VoteReply] = {}
-        self._is_over = False
-
-    @property
-    def is_won(self) -> bool:
-        """Whether the quorum backs this claim and no other."""
-        return not self._is_over and 0 < self.voters.quorum <= len(
-            self._granted
-        )
-
-    @property
-    def is_lost(self) -> bool:
-        """Whether the quorum cannot be reached any more."""
-        possible = len(self._granted) + len(self._pending)
-        return self._is_over or possible < max(1, self.voters.quorum)
-
-    def count(self, name: str, reply: voter_module.VoteReply | None) -> None:
-        """Take one voter's reply; ``None`` where it gave none."""
-        # A voter's reply counts once, and only for this round: one that
-        # comes late, or twice, must not stand for a second voter.
-        if name not in self._pending:
-            return
-        self._pending.discard(name)
-        if reply is None:
-            return
-        if reply.verdict is Verdict.GRANTED:
-            self._granted.add(name)
-        else:
-            self._refused[name] = reply
-
-    def end(self) -> list[live_list.Instance]:
-        """Give the round up; return the voters that may back it."""
-        # Votes are about to be given back, so replies that are still
-        # under way must not complete the claim any more.
-        self._is_over = True
-        return [
-            instance
-            for instance in self.voters.instances
-            if instance.name not in self._refused
-        ]
-
-    def holder(self) -> voter_module.VoteReply | None:
-        """Return the reply that names another claim, if one does."""
-        return self._first(Verdict.TAKEN)
-
-    def refusal(self) -> errors.RefusalError:
-        """Return what the caller is told of a claim that failed."""
-        if self._first(Verdict.OTHER_BODY):
-            return errors.RefusalError(
-                errors.ErrorKind.BAD_IDEMPOTENCY_KEY,
-                'Idempotency-Key was used for another request',
-            )
-        if self._first(Verdict.TOO_OLD):
-            return idempotency.too_old('voters may have forgotten it')
-        if self._first(Verdict.FROM_FUTURE):
-            return errors.RefusalError(
-                errors.ErrorKind.KEY_OUT_OF_WINDOW,
-                'Idempotency-Key was made in the future',
-            )
-        return errors.RefusalError(
-            errors.ErrorKind.CLAIM_UNAVAILABLE,
-            f'{len(self._granted)} of {self.voters.quorum} votes; this '
-            'sending did not run, send again with the same key',
-            retry_after_s=max(
-                (reply.retry_after_s for reply in self._refused.values()),
-                default=None,
-            ),
-        )
-
-    def _first(self, verdict: Verdict) -> voter_module.VoteReply | None:
-        return next(
-            (r for r in self._refused.values() if r.verdict is verdict), None
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
-    state: ClaimState
+    state: voter_link.ClaimState
     changed_at_s: float
 
 
@@ -267,7 +63,7 @@
     def __init__(
         self,
         name: str,
-        links: VoterLinks,
+        links: voter_link.VoterLinks,
         membership: membership_module.Membership,
         clock: clock_module.Clock,
         window_s: float,
@@ -303,12 +99,16 @@
         finally:
             await found.close()
 
-    async def tell(self, message: OutcomeRequest) -> OutcomeReply:
+    async def tell(
+        self, message: voter_link.OutcomeRequest
+    ) -> voter_link.OutcomeReply:
         """Answer what came of a claim."""
         found = self._held.get(message.claim_id)
         if found is None:
-            return OutcomeReply(state=ClaimState.NOT_HELD)
-        return OutcomeReply(
+            return voter_link.OutcomeReply(
+                state=voter_link.ClaimState.NOT_HELD
+            )
+        return voter_link.OutcomeReply(
             state=found.state, answer=self._answers.get(message.claim_id)
         )
 
@@ -324,12 +124,12 @@
     def note(
         self,
         claim_id: str,
-        state: ClaimState,
+        state: voter_link.ClaimState,
         answer: runs.WholeAnswer | None = None,
     ) -> None:
         """Remember how far a claim got."""
         self._drop(claim_id)
-        if state is ClaimState.NOT_HELD:
+        if state is voter_link.ClaimState.NOT_HELD:
             return
         self._held[claim_id] = _Held(state, self._clock.monotonic_s())
         if answer is not None and len(answer.body) <= MAX_KEPT_ANSWER_BYTES:
@@ -337,10 +137,12 @@
             self._kept_bytes += len(answer.body)
         self._forget()
 
-    async def withdraw(self, order: work.WorkOrder, ballot: Ballot) -> None:
+    async def withdraw(
+        self, order: work.WorkOrder, ballot: ballot_module.Ballot
+    ) -> None:
         """Give the votes of a round back; wait for a short while only."""
         voters = ballot.end()
-        self.note(ballot.claim_id, ClaimState.NOT_HELD)
+        self.note(ballot.claim_id, voter_link.ClaimState.NOT_HELD)
         message = voter_module.WithdrawRequest(
             customer=order.customer,
             key=order.idempotency_key,
@@ -392,7 +194,7 @@
             if found.changed_at_s >= oldest_s:
                 break
             self._drop(claim_id)
-            if found.state is not ClaimState.FINISHED:
+            if found.state is not voter_link.ClaimState.FINISHED:
                 self._held[claim_id] = _Held(
                     found.state, self._clock.monotonic_s()
                 )
@@ -413,7 +215,7 @@
         self._claims = claims
         self._order = order
         self._digest = idempotency.digest(order.method, order.path, body)
-        self._ballot: Ballot | None = None
+        self._ballot: ballot_module.Ballot | None = None
         self._has_started = False
 
     @contextlib.asynccontextmanager
@@ -450,13 +252,15 @@
                 errors.ErrorKind.CLAIM_UNAVAILABLE, 'the claim is incomplete'
             )
         self._has_started = True
-        self._claims.note(self._ballot.claim_id, ClaimState.RUNNING)
+        self._claims.note(self._ballot.claim_id, voter_link.ClaimState.RUNNING)
 
     def keep(self, answer: runs.WholeAnswer | None) -> None:
         """Keep the answer for a caller that asks again."""
         if self._ballot is None or answer is None:
             return
-        self._claims.note(self._ballot.claim_id, ClaimState.FINISHED, answer)
+        self._claims.note(
+            self._ballot.claim_id, voter_link.ClaimState.FINISHED, answer
+        )
 
     def did_not_run(self) -> None:
         """Take note of proof that the request did not run."""
@@ -470,10 +274,12 @@
             await self._claims.withdraw(self._order, self._ballot)
             return
         held = await self._claims.tell(
-            OutcomeRequest(claim_id=self._ballot.claim_id)
+            voter_link.OutcomeRequest(claim_id=self._ballot.claim_id)
         )
-        if held.state is ClaimState.RUNNING:
-            self._claims.note(self._ballot.claim_id, ClaimState.FINISHED)
+        if held.state is voter_link.ClaimState.RUNNING:
+            self._claims.note(
+                self._ballot.claim_id, voter_link.ClaimState.FINISHED
+            )
 
     async def _collect(self) -> None:
         try:
@@ -504,10 +310,10 @@
             await asyncio.sleep(random.uniform(0, longest_s))
         raise _key_in_use('another sending holds this key')
 
-    async def _round(self) -> Ballot:
+    async def _round(self) -> ballot_module.Ballot:
         voters = self._claims.voters(self._order)
-        ballot = self._ballot = Ballot(voters)
-        self._claims.note(ballot.claim_id, ClaimState.CLAIMING)
+        ballot = self._ballot = ballot_module.Ballot(voters)
+        self._claims.note(ballot.claim_id, voter_link.ClaimState.CLAIMING)
         request = voter_module.VoteRequest(
             customer=self._order.customer,
             key=self._order.idempotency_key,
@@ -534,7 +340,7 @@
 
     async def _ask(
         self,
-        ballot: Ballot,
+        ballot: ballot_module.Ballot,
         instance: live_list.Instance,
         request: voter_module.VoteRequest,
     ) -> None:
@@ -558,9 +364,9 @@
                 ) from error
             if reply.answer is not None:
                 raise KeptAnswerError(reply.answer)
-            if reply.state is ClaimState.FINISHED:
+            if reply.state is voter_link.ClaimState.FINISHED:
                 raise _key_in_use('a request with this key ran before')
-            if reply.state is not ClaimState.RUNNING:
+            if reply.state is not voter_link.ClaimState.RUNNING:
                 return
             await asyncio.sleep(_RUN_POLL_S)
 
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lacewingpitch import ballot as ballot_module
 from lacewingpitch import claim
 from lacewingpitch import contract
 from lacewingpitch import errors
@@ -13,6 +14,7 @@
 from lacewingpitch import membership
 from lacewingpitch import runs
 from lacewingpitch import voter
+from lacewingpitch import voter_link
 from lacewingpitch import work
 from tests import fault_matrix
 from tests import test_voter
@@ -88,7 +90,7 @@
         await asyncio.sleep(0)
         self.check('outcome', holder)
         return await self.claims[holder].tell(
-            claim.OutcomeRequest(claim_id=claim_id)
+            voter_link.OutcomeRequest(claim_id=claim_id)
         )
 
     async def run(self, name, order, *, body=BODY, work_done=None):
@@ -321,7 +323,7 @@
         votes back, by when another has won them.
         """
         order = fleet.order()
-        ballot = claim.Ballot(fleet.claims['sidecar-0'].voters(order))
+        ballot = ballot_module.Ballot(fleet.claims['sidecar-0'].voters(order))
         ballot.end()
         await fleet.run('sidecar-1', order, work_done=service)
         for name in ballot.voters.names:
@@ -329,7 +331,9 @@
         assert not ballot.is_won
 
     def test_a_doubled_vote_counts_once(self, fleet):
-        ballot = claim.Ballot(fleet.claims['sidecar-0'].voters(fleet.order()))
+        ballot = ballot_module.Ballot(
+            fleet.claims['sidecar-0'].voters(fleet.order())
+        )
         for _ in range(5):
             ballot.count(
                 'sidecar-1', voter.VoteReply(verdict=voter.Verdict.GRANTED)
@@ -342,9 +346,11 @@
         found = fleet.claims['sidecar-0']
         answer = runs.WholeAnswer(200, 'text/plain', bytes(60_000))
         for number in range(400):
-            found.note(f'{number}', claim.ClaimState.FINISHED, answer)
+            found.note(f'{number}', voter_link.ClaimState.FINISHED, answer)
         kept = [
-            (await found.tell(claim.OutcomeRequest(claim_id=f'{n}'))).answer
+            (
+                await found.tell(voter_link.OutcomeRequest(claim_id=f'{n}'))
+            ).answer
             for n in range(400)
         ]
         assert 60_000 * sum(a is not None for a in kept) <= (
--- a/tests/test_voter.py
+++ b/tests/test_voter.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 import pytest
 
-from lacewingpitch import claim
+from lacewingpitch import ballot as ballot_module
 from lacewingpitch import live_list
 from lacewingpitch import voter
 from tests import fault_matrix
@@ -322,7 +322,7 @@
     """
 
     voter_kind = voter.Voter
-    ballot_kind = claim.Ballot
+    ballot_kind = ballot_module.Ballot
 
     @stateful.initialize(
         count=strategies.integers(1, 8),
@@ -535,7 +535,7 @@
         return super()._decide(vote, request)
 
 
-class EndlessBallot(claim.Ballot):
+class EndlessBallot(ballot_module.Ballot):
     """Counts replies also after its votes were given back."""
 
     def end(self):
