The list is confirmed without its bytes; choosing scans what is listed once

Ruled out: leaving the plain read out, as a platform that fell back answers no watch. Change: the read is conditional (If-None-Match with the known revision); live sidecars are indexed when a list is taken; spare sidecars are found by a set of names.

--- a/lacewingpitch/live_list.py
+++ b/lacewingpitch/live_list.py
@@ -98,6 +98,10 @@
         """Return the list once it is newer than `after_revision`."""
         ...
 
+    async def read(self, unless_revision: int) -> InstanceList | None:
+        """Return the list, or ``None`` if it has a known revision."""
+        ...
+
 
 class HttpLiveList:
     """List of instances over HTTP, with long polls as watches."""
@@ -120,10 +124,29 @@
             'after_revision': str(after_revision),
             'timeout_s': str(timeout_s),
         }
+        return await self._get(timeout_s, query, {})
+
+    async def read(self, unless_revision: int) -> InstanceList | None:
+        """Return the list, or ``None`` if it has a known revision.
+
+        Raises
+        ------
+        PlatformError
+            The list is down or its answer cannot be used.
+        """
+        headers = {'If-None-Match': f'"{unless_revision}"'}
+        return await self._get(0.0, {}, headers)
+
+    async def _get(
+        self, timeout_s: float, query: dict[str, str], headers: dict[str, str]
+    ) -> InstanceList | None:
         timeout = aiohttp.ClientTimeout(total=timeout_s + _READ_TIMEOUT_S)
         with platform_call.platform_errors('list of instances'):
             async with self._session.get(
-                f'{self._url}/v1/instances', params=query, timeout=timeout
+                f'{self._url}/v1/instances',
+                params=query,
+                headers=headers,
+                timeout=timeout,
             ) as response:
                 if response.status in (204, 304):
                     return None
--- a/lacewingpitch/membership.py
+++ b/lacewingpitch/membership.py
@@ -40,6 +40,7 @@
         self._deployment = deployment
         self._list = live_list.InstanceList(0, ())
         self._by_name: dict[str, live_list.Instance] = {}
+        self._live_by_serves: dict[str, list[live_list.Instance]] = {}
         self._current_at_s = -math.inf
         self._suspect_until_s: dict[str, float] = {}
         self._leaving_until_s: dict[str, float] = {}
@@ -87,8 +88,7 @@
     def update(self, published: live_list.InstanceList) -> None:
         """Take over a published list unless it is worse than none."""
         if published.revision == self._list.revision:
-            self._older_since_s = None
-            self._current_at_s = self._clock.monotonic_s()
+            self._confirm()
             return
         is_older = published.revision < self._list.revision
         if is_older and not self._is_older_for_good():
@@ -123,11 +123,8 @@
         """Return the sidecars that take new work for a model or service."""
         return [
             instance
-            for instance in self._list.instances
-            if instance.role is live_list.Role.SIDECAR
-            and instance.serves == serves
-            and instance.state is live_list.InstanceState.LIVE
-            and not self._is_marked(self._suspect_until_s, instance.name)
+            for instance in self._live_by_serves.get(serves, ())
+            if not self._is_marked(self._suspect_until_s, instance.name)
             and not self._is_marked(self._leaving_until_s, instance.name)
         ]
 
@@ -156,10 +153,16 @@
         if found is None and self._list.revision:
             # A platform that fell back to an old list answers no watch
             # above its own number; a plain read shows the lower one.
-            found = await source.watch(0, 0.0)
+            found = await source.read(self._list.revision)
+            if found is None:
+                self._confirm()
         if found is not None:
             self.update(found)
 
+    def _confirm(self) -> None:
+        self._older_since_s = None
+        self._current_at_s = self._clock.monotonic_s()
+
     def _is_older_for_good(self) -> bool:
         # One reader of a lagging copy sees an older list for a moment,
         # and would route to instances that are gone.  A platform that
@@ -203,6 +206,7 @@
         self._current_at_s = self._clock.monotonic_s()
         before = self._by_name
         self._by_name = {i.name: i for i in taken.instances}
+        self._live_by_serves = _live_sidecars(taken.instances)
         for name, instance in self._by_name.items():
             known = before.get(name)
             if known is not None and not known.is_same_process(instance):
@@ -236,3 +240,16 @@
     if one.state is live_list.InstanceState.LEAVING:
         return one
     return other
+
+
+def _live_sidecars(
+    instances: Iterable[live_list.Instance],
+) -> dict[str, list[live_list.Instance]]:
+    found: dict[str, list[live_list.Instance]] = {}
+    for instance in instances:
+        if (
+            instance.role is live_list.Role.SIDECAR
+            and instance.state is live_list.InstanceState.LIVE
+        ):
+            found.setdefault(instance.serves, []).append(instance)
+    return found
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -145,7 +145,8 @@
     ) -> list[live_list.Instance]:
         ranked = rank(key, active)
         ranked.sort(key=lambda instance: self._wait_s(key, instance))
-        spare = [i for i in instances if i not in active]
+        active_names = {instance.name for instance in active}
+        spare = [i for i in instances if i.name not in active_names]
         return ranked + rank(key, spare)
 
     @contextlib.contextmanager
--- a/lacewingpitch/standin_platform.py
+++ b/lacewingpitch/standin_platform.py
@@ -173,6 +173,11 @@
         self.calls['list'] += 1
         if self.faults.list_down:
             return web.Response(status=503)
+        if any(
+            tag.value == str(self._seen_list.revision)
+            for tag in request.if_none_match or ()
+        ):
+            return web.Response(status=304)
         after, timeout_s = _watch_of(request)
         if not await self._wait(
             lambda: self._seen_list.revision > after, timeout_s
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -162,7 +162,13 @@
         self.asked = []
 
     async def watch(self, after_revision, timeout_s):
-        self.asked.append(after_revision)
+        return self.answer(f'watch after {after_revision}')
+
+    async def read(self, unless_revision):
+        return self.answer(f'read unless {unless_revision}')
+
+    def answer(self, question):
+        self.asked.append(question)
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
@@ -175,9 +181,18 @@
         older = live_list.InstanceList(4, (make_instance('b'),))
         source = _FakeList(None, older)
         await members.follow_once(source)
-        assert source.asked == [5, 0]
+        assert source.asked == ['watch after 5', 'read unless 5']
         assert members.passed_over_count == 1
 
+    async def test_unchanged_list_is_confirmed_without_its_bytes(
+        self, members, clock
+    ):
+        publish(members, 5, make_instance('a'))
+        clock.now_s += 60.0
+        await members.follow_once(_FakeList(None, None))
+        assert members.age_s == 0.0
+        assert names(members) == ['a']
+
     async def test_list_that_is_down_keeps_the_known(self, members):
         publish(members, 5, make_instance('a'))
         source = _FakeList(errors.PlatformError('down'))
