Demo: the account's own report, and exactly one run of what is sent twice

The demo printed a table of its own and counted runs as at most once. Since claims are in, a request that may not be repeated and is sent twice under one key runs exactly once and both sendings get the same bytes: the demo reads the engines' ground truth, says so, and exits 1 otherwise. Its test asks for exactly one run where it asked for a mention of the count.

The report is fetched from the entry as operators get it. Thirteen columns do not fit a terminal, so up to three customers stand side by side, a row per figure, with their burn.

--- a/lacewingpitch/demo.py
+++ b/lacewingpitch/demo.py
@@ -1,23 +1,21 @@
 """A whole deployment in one process, with sample traffic and a report."""
 
 import asyncio
-from collections.abc import Iterable
 import contextlib
 import dataclasses
 import secrets
-import time
 from typing import Any
 
 import aiohttp
-import rich.box
+import msgspec
 import rich.console
-import rich.table
 import uuid_utils
 
 from lacewingpitch import answer
 from lacewingpitch import contract
 from lacewingpitch import entry as entry_module
 from lacewingpitch import live_list
+from lacewingpitch import report as report_module
 from lacewingpitch import settings
 from lacewingpitch import sidecar as sidecar_module
 from lacewingpitch import standin_engine
@@ -44,6 +42,10 @@
 _CLOCK_SKEW_S = 0.1
 _LIST_LAG_S = 1.5
 _SERVED = 'served'
+_LOAD_STALL_TEXT = (
+    'Every adapter was called for the first time here, so the load stalls'
+    ' are first loads.'
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,8 +75,8 @@
     ----------
     kind
         Error kind, or ``served`` for a whole answer.
-    first_byte_s
-        Time until the answer began.
+    body
+        The bytes of the answer.
     """
 
     call: Call
@@ -82,7 +84,7 @@
     kind: str
     outcome: str
     detail: str
-    first_byte_s: float
+    body: bytes
 
 
 # Caravan asks for an adapter of Haneul's: that one is refused.
@@ -111,6 +113,7 @@
     def __init__(self, **entry_fields: Any) -> None:
         self._exits = contextlib.AsyncExitStack()
         self._secret = secrets.token_hex()
+        self._operator_token = secrets.token_hex()
         self._entry_fields = entry_fields
         self.platform = standin_platform.StandinPlatform()
         self.engines = [
@@ -134,7 +137,10 @@
         await self.platform.publish_contracts(self._contracts())
         self.entry = entry_module.Entry(
             settings.EntrySettings(
-                **self._process('entry-0', ZONES[0]) | self._entry_fields
+                operator_token_digest=contract.digest_key(
+                    self._operator_token
+                ),
+                **self._process('entry-0', ZONES[0]) | self._entry_fields,
             )
         )
         await self.entry.start()
@@ -161,6 +167,11 @@
             for run in engine.truth.runs
         )
 
+    async def report(self) -> report_module.Report:
+        """Return the account of service, as operators get it."""
+        data = await report_module.fetch(self.url, None, self._operator_token)
+        return msgspec.json.decode(data, type=report_module.Report)
+
     async def _add_engine(
         self, engine: standin_engine.StandinEngine
     ) -> live_list.Instance:
@@ -264,9 +275,7 @@
 
     async def send(self, call: Call) -> Result:
         """Send one request and take its answer."""
-        started_s = time.monotonic()
         async with self._request(call) as response:
-            first_byte_s = time.monotonic() - started_s
             body = await response.read()
         kind = response.headers.get(work.KIND_HEADER, _SERVED)
         detail = ''
@@ -280,7 +289,7 @@
             kind,
             response.headers.get(work.OUTCOME_HEADER, _SERVED),
             detail,
-            first_byte_s,
+            body,
         )
 
     def _request(
@@ -302,50 +311,26 @@
 
 
 async def run_demo(console: rich.console.Console | None = None) -> int:
-    """Serve sample traffic and print a report; return the exit code."""
+    """Serve sample traffic and print a report; return the exit code.
+
+    The code is 0 if what was sent twice ran once, by the engines' truth.
+    """
     console = console or rich.console.Console()
     async with Deployment() as deployment, aiohttp.ClientSession() as session:
         caller = Caller(deployment, session)
-        results = list(
-            await asyncio.gather(*(caller.send(call) for call in CALLS))
-        )
+        results = await asyncio.gather(*(caller.send(call) for call in CALLS))
         # Sidecars that have just started back no key made until now.
         await asyncio.sleep(_LIST_LAG_S + _CLOCK_SKEW_S)
         once = dataclasses.replace(ONCE, key=str(uuid_utils.uuid7()))
         twice = [await caller.send(once), await caller.send(once)]
-        console.print(_customer_table(results + twice[:1]))
-        for result in results:
-            if result.kind != _SERVED:
-                console.print(_refusal_text(result))
-        console.print(_twice_text(twice, deployment.runs(once.target)))
-    return 0
-
-
-def _customer_table(results: Iterable[Result]) -> rich.table.Table:
-    table = rich.table.Table(
-        'customer',
-        'served whole',
-        'served streamed',
-        'refused',
-        'slowest first byte, ms',
-        title='What each customer got',
-        box=rich.box.SIMPLE,
-    )
-    by_customer: dict[str, list[Result]] = {}
+        run_count = deployment.runs(once.target)
+        report_module.print_table(await deployment.report(), console)
+    console.print(_LOAD_STALL_TEXT)
     for result in results:
-        by_customer.setdefault(result.call.customer, []).append(result)
-    for customer, found in sorted(by_customer.items()):
-        served = [r for r in found if r.kind == _SERVED]
-        streamed = sum(r.call.stream for r in served)
-        slowest_s = max((r.first_byte_s for r in served), default=0.0)
-        table.add_row(
-            customer,
-            str(len(served) - streamed),
-            str(streamed),
-            str(len(found) - len(served)),
-            f'{slowest_s * 1000:.0f}',
-        )
-    return table
+        if result.kind != _SERVED:
+            console.print(_refusal_text(result))
+    console.print(_twice_text(twice, run_count))
+    return 0 if run_count == 1 else 1
 
 
 def _refusal_text(result: Result) -> str:
@@ -355,19 +340,25 @@
     )
 
 
-def _twice_text(results: list[Result], runs: int) -> str:
+def _twice_text(results: list[Result], run_count: int) -> str:
     answers = ', then '.join(
         f'{r.status} {r.kind} ({r.outcome})' for r in results
     )
     call = results[0].call
-    verdict = 'at most once' if runs <= 1 else 'MORE THAN ONCE'
+    same = 'the same answer' if _are_equal(results) else 'DIFFERENT ANSWERS'
+    verdict = 'exactly once' if run_count == 1 else 'NOT ONCE'
     return (
         f'Sent twice with one key: {call.customer} asked for'
-        f' {call.target!r}, which may not be repeated: {answers}.\n'
-        f'The engines ran it {runs} time(s): {verdict}.'
+        f' {call.target!r}, which may not be repeated: {answers}; {same}.\n'
+        f'By their own count the engines ran it {run_count} time(s):'
+        f' {verdict}.'
     )
 
 
+def _are_equal(results: list[Result]) -> bool:
+    return len({result.body for result in results}) == 1
+
+
 def _detail(body: bytes) -> str:
     found = work.decode_error(body)
     return found.error.detail if found else 'the answer broke off'
--- a/lacewingpitch/report.py
+++ b/lacewingpitch/report.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import msgspec
+import rich.box
 import rich.console
 import rich.table
 import structlog
@@ -525,12 +526,42 @@
         console.print(f'[bold red]GAP[/] {describe_gap(gap)}')
     if not report.gaps:
         console.print('No gaps: every known instance was read.')
+    if 0 < len(report.services) <= _MAX_SIDE_BY_SIDE:
+        console.print(_side_by_side(report.services))
+        return
     table = rich.table.Table(*_COLUMNS)
     for service in report.services:
         table.add_row(*_cells(service))
     console.print(table)
 
 
+def _side_by_side(services: Iterable[CustomerService]) -> rich.table.Table:
+    # Thirteen columns do not fit a terminal; a few customers do.
+    columns = [
+        (*_cells(service), *_burn_cells(service)) for service in services
+    ]
+    names = (*_COLUMNS, *(f'burn: {name}' for name in SUBJECT_NAMES.values()))
+    header, *rows = zip(names, *columns, strict=True)
+    table = rich.table.Table(*header, box=rich.box.SIMPLE)
+    for row in rows:
+        table.add_row(*row)
+    return table
+
+
+def _burn_cells(service: CustomerService) -> tuple[str, ...]:
+    return tuple(
+        '\n'.join(
+            f'{found.burn_rate:.1f} over {found.window}'
+            for found in service.burns
+            if found.subject is subject
+            and found.burn_rate is not None
+            and found.window in _TABLE_WINDOWS
+        )
+        or '-'
+        for subject in SUBJECT_NAMES
+    )
+
+
 def describe_gap(gap: Gap) -> str:
     """Return a gap as a sentence."""
     start = 'an unknown time' if gap.from_s is None else utc(gap.from_s)
@@ -556,6 +587,13 @@
     return customer or '(no customer identified)'
 
 
+SUBJECT_NAMES = {
+    burn.Subject.SERVED: 'answers served whole',
+    burn.Subject.FIRST_TOKEN: 'first token in time',
+    burn.Subject.BETWEEN_TOKENS: 'tokens after it in time',
+}
+_MAX_SIDE_BY_SIDE = 3
+_TABLE_WINDOWS = ('5 min', '1 h')
 _COLUMNS = (
     'customer',
     'received',
--- a/lacewingpitch/report_page.py
+++ b/lacewingpitch/report_page.py
@@ -14,11 +14,6 @@
 _MAX_BARS = 12
 _MAX_LINES = 5
 _MAX_LABELS = 8
-_SUBJECT_NAMES = {
-    burn.Subject.SERVED: 'answers served whole',
-    burn.Subject.FIRST_TOKEN: 'first token in time',
-    burn.Subject.BETWEEN_TOKENS: 'tokens after it in time',
-}
 # Colours that stay apart for readers who see few colours (Okabe-Ito).
 _OUTCOME_STYLE = pygal.style.Style(
     background='white',
@@ -288,7 +283,7 @@
     rows = (
         (
             report_module.display_name(service.customer),
-            _SUBJECT_NAMES[subject],
+            report_module.SUBJECT_NAMES[subject],
             *(_rate(service, subject, window) for window in burn.WINDOWS),
             _alerts(service, subject),
         )
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,40 +1,57 @@
 """The demo that a newcomer runs first."""
 
+import asyncio
 import io
 
+import pytest
 import rich.console
 
 from lacewingpitch import demo
 
 
-async def report():
+@pytest.fixture(scope='module')
+def text():
     out = io.StringIO()
-    console = rich.console.Console(file=out, width=100)
-    assert await demo.run_demo(console) == 0
+    console = rich.console.Console(file=out, width=160)
+    assert asyncio.run(demo.run_demo(console)) == 0
     return out.getvalue()
 
 
 class TestReport:
-    async def test_says_customer_by_customer_who_got_what(self):
-        text = await report()
-        rows = {line.split()[0]: line.split()[1:4] for line in _rows(text)}
-        assert rows['haneul'] == ['3', '2', '0']
-        assert rows['caravan'] == ['2', '2', '1']
-
-    async def test_gives_the_reason_of_the_refusal(self):
-        text = ' '.join((await report()).split())
+    def test_says_customer_by_customer_who_got_what(self, text):
+        rows = _rows(text)
+        assert rows['customer'] == ['caravan', 'haneul']
+        assert rows['received'] == ['6', '5']
+        assert rows['served'] == ['5', '5']
+        assert rows['refused'] == ['not-in-contract', '1', '0']
+
+    def test_shows_load_stalls_and_burn(self, text):
+        rows = _rows(text)
+        caravan, _, _, haneul = rows['load stalls'][:4]
+        assert caravan == '4'
+        # Two requests for one adapter may share the wait for its load.
+        assert haneul in {'3', '4'}
+        assert rows['burn: answers served whole'][:2] == ['0.0', 'over']
+
+    def test_says_that_nothing_is_missing(self, text):
+        assert 'No gaps: every known instance was read.' in text
+
+    def test_gives_the_reason_of_the_refusal(self, text):
+        text = ' '.join(text.split())
         assert 'not-in-contract (not-run)' in text
         assert "names no adapter 'ficus-care'" in text
 
-    async def test_counts_at_the_engines_what_was_sent_twice(self):
-        text = ' '.join((await report()).split())
-        assert 'Sent twice with one key' in text
-        assert 'The engines ran it' in text
+    def test_counts_at_the_engines_what_was_sent_twice(self, text):
+        text = ' '.join(text.split())
+        assert '200 served (served), then 200 served (served)' in text
+        assert 'the same answer' in text
+        assert 'the engines ran it 1 time(s): exactly once' in text
 
 
 def _rows(text):
-    return [
-        line.strip()
-        for line in text.splitlines()
-        if line.strip().startswith(('haneul ', 'caravan '))
-    ]
+    """Return the cells after each row's name, which ends at two blanks."""
+    rows = {}
+    for line in text.splitlines():
+        name, _, cells = line.strip().partition('  ')
+        rows.setdefault(name, cells.split())
+    return rows
