--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -40,6 +40,9 @@
         contract.ServiceGrant,
     ],
 }
+_LOG_EVENT = re.compile(
+    r"\blog\.(?:info|warning|error|exception)\(\s*'([^']+)'"
+)
 _MODULE = re.compile(r'`(test_\w+)')
 _TEST = re.compile(r'`(?:(test_\w+)::)?(Test\w+)(?:::(test_\w+))?`')
 _LINK = re.compile(r'\]\((?P<target>[^)#]+)')
@@ -61,6 +64,12 @@
         for page in (DOCS / 'operations').glob('*.md'):
             assert f'(operations/{page.name})' in text
 
+    def test_list_every_log_event_for_operators(self):
+        table = read(DOCS / 'OPERATIONS.md').split('| log event |', 1)[1]
+        for path in (ROOT / 'lacewingpitch').glob('*.py'):
+            for event in _LOG_EVENT.findall(read(path)):
+                assert f'`{event}`' in table, event
+
     def test_index_every_design_note(self):
         text = read(DOCS / 'ARCHITECTURE.md')
         for page in (DOCS / 'design').glob('*.md'):
