--- a/benchmarks/order.py
+++ b/benchmarks/order.py
@@ -386,29 +386,19 @@
         pass
 
 
-class QuickSlots(slots.AdapterSlots):
-    """Slots where an adapter that is held does not wait behind a load."""
-
-    async def _take(self, name):
-        slot = self._slots.get(name)
-        if slot is None:
-            return await super()._take(name)
-        self._slots[name] = self._slots.pop(name)
-        slot.serving += 1
-        return slot
-
-
 class WithSlots:
     """Requests that need a turn and an adapter."""
 
-    def __init__(self, kind, *, adapter_first=False):
+    def __init__(self, *, adapter_first=False):
         clock = virtual_time.LoopClock()
-        self._slots = kind(SlowStore(), SLOT_COUNT, fence.Fence(clock))
+        self._slots = slots.AdapterSlots(
+            SlowStore(), SLOT_COUNT, fence.Fence(clock), clock
+        )
         self._adapter_first = adapter_first
         self.busy_s = 0.0
 
     def holds(self, order):
-        return order.adapter.engine_name in self._slots.adapters
+        return self._slots.holds(order.adapter.engine_name)
 
     async def prepare(self, held, gate, request):
         if self._adapter_first:
@@ -440,7 +430,6 @@
     lookahead: int = 0
     adapter_first: bool = False
     held_lead_s: float = 0.0
-    kind: type = QuickSlots
 
 
 WAYS = {
@@ -469,7 +458,7 @@
 
 
 async def drive_slots(way, requests):
-    run = WithSlots(way.kind, adapter_first=way.adapter_first)
+    run = WithSlots(adapter_first=way.adapter_first)
 
     def make_order(clock):
         return fair_order.FairOrder(
