Claims bench: a customer with wide limits

Since limits are in, the bench's customer ran into its default rate and the bench ended in an error (rate-limited). It has the tests' wide limits now.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -138,7 +138,9 @@
                 '--token-s=0', availability_zone=f'zone-{zone}', **_CLOCKS
             )
         await deployment.add_entry(**_CLOCKS)
-        deployment.add_customer('haneul', 'ficus')
+        deployment.add_customer(
+            'haneul', 'ficus', limits=processes.WIDE_LIMITS
+        )
         await deployment.publish()
 
         async def is_backed():
