path: one timer per stream in place of one per token

Cause: `asyncio.timeout` for each chunk read by an entry and for each piece written by a sidecar takes and drops a timer, and three coroutine steps, per token. Ruled out: leaving the write without a timer as long as the connection takes all (a write may still wait once its own bytes fill the buffer). Change: IdleTimeout keeps its timer over many waits and looks only when it fires how long the wait in progress has lasted. Limits and what ends at them are the same; time between waits still does not count.

--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -15,6 +15,7 @@
 
 from lacewingpitch import ejection
 from lacewingpitch import errors
+from lacewingpitch import idle_timeout
 from lacewingpitch import ledger
 from lacewingpitch import link
 from lacewingpitch import live_list
@@ -79,6 +80,7 @@
         self._held = held
         self.attempt = attempt
         self._response = response
+        self._silence = idle_timeout.IdleTimeout(_SILENCE_S)
 
     @property
     def status(self) -> int:
@@ -107,7 +109,7 @@
         silences = 0
         while True:
             try:
-                async with asyncio.timeout(_SILENCE_S):
+                with self._silence:
                     chunk = await content.readany()
             except TimeoutError:
                 silences += 1
@@ -143,6 +145,7 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self._silence.close()
         self._response.close()
         self._held.close()
 
--- a/lacewingpitch/runs.py
+++ b/lacewingpitch/runs.py
@@ -10,6 +10,7 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import idle_timeout
 
 RESUME_GRACE_S = 5.0
 _WRITE_TIMEOUT_S = 60.0
@@ -53,6 +54,7 @@
         self.request_content_type = request.headers.get('Content-Type', '')
         self.response: web.StreamResponse | None = None
         self.is_broken = False
+        self._timeout = idle_timeout.IdleTimeout(_WRITE_TIMEOUT_S)
 
     async def begin(
         self, status: int, content_type: str, length_bytes: int | None = None
@@ -76,6 +78,7 @@
         assert self.response is not None
         if not self.is_broken:
             await self._send(self.response.write_eof())
+        self._timeout.close()
 
     def tear(self) -> None:
         """Break the connection, so that the body is seen not to be whole."""
@@ -87,7 +90,7 @@
         # A reader that is gone, or takes nothing for a minute, must not
         # end a run that may only run once, nor hold its slot for ever.
         try:
-            async with asyncio.timeout(_WRITE_TIMEOUT_S):
+            with self._timeout:
                 await sending
         except TimeoutError:
             self.tear()
--- /dev/null
+++ b/tests/test_idle_timeout.py
@@ -0,0 +1,97 @@
+"""Waits that one timer ends."""
+
+import asyncio
+
+import pytest
+
+from lacewingpitch import idle_timeout
+from tests import virtual_time
+
+LIMIT_S = 5.0
+
+
+class TestExpiry:
+    def test_each_wait_ends_at_its_own_limit(self):
+        async def main():
+            limit = idle_timeout.IdleTimeout(LIMIT_S)
+            loop = asyncio.get_running_loop()
+            for short_s in (0.0, 1.0, 4.0, 4.9):
+                with limit:
+                    await asyncio.sleep(short_s)
+                began_s = loop.time()
+                with pytest.raises(TimeoutError), limit:
+                    await asyncio.sleep(100.0)
+                assert loop.time() - began_s == pytest.approx(LIMIT_S)
+            assert asyncio.current_task().cancelling() == 0
+
+        virtual_time.run(main())
+
+    def test_time_between_the_waits_does_not_count(self):
+        async def main():
+            limit = idle_timeout.IdleTimeout(LIMIT_S)
+            for _ in range(20):
+                with limit:
+                    await asyncio.sleep(4.0)
+                await asyncio.sleep(3 * LIMIT_S)
+
+        virtual_time.run(main())
+
+
+class TestCancellation:
+    def test_a_cancelled_wait_is_cancelled(self):
+        async def wait(limit):
+            with limit:
+                await asyncio.sleep(100.0)
+
+        async def main():
+            limit = idle_timeout.IdleTimeout(LIMIT_S)
+            task = asyncio.create_task(wait(limit))
+            await asyncio.sleep(1.0)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+
+        virtual_time.run(main())
+
+    def test_cancelling_wins_over_expiry_in_the_same_moment(self):
+        # The caller hangs up in the very turn in which the sidecar has
+        # been silent for too long.  Were its cancelling taken for the
+        # expiry, the request would run on for nobody.
+        async def wait(limit):
+            with limit:
+                await asyncio.sleep(100.0)
+
+        async def main():
+            limit = idle_timeout.IdleTimeout(LIMIT_S)
+            task = asyncio.create_task(wait(limit))
+            await asyncio.sleep(0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(LIMIT_S, task.cancel)
+            with pytest.raises(asyncio.CancelledError):
+                await task
+
+        virtual_time.run(main())
+
+
+class TestTimer:
+    def test_many_waits_share_one_timer(self):
+        async def main():
+            loop = asyncio.get_running_loop()
+            limit = idle_timeout.IdleTimeout(LIMIT_S)
+            for _ in range(100):
+                with limit:
+                    await asyncio.sleep(0)
+            assert len(loop._scheduled) == 1
+            limit.close()
+
+        virtual_time.run(main())
+
+    def test_a_dropped_one_lets_its_timer_run_out(self):
+        async def main():
+            loop = asyncio.get_running_loop()
+            with idle_timeout.IdleTimeout(LIMIT_S):
+                pass
+            await asyncio.sleep(LIMIT_S + 1.0)
+            assert not loop._scheduled
+
+        virtual_time.run(main())
