path: the entry reads a reply without generators

Cause: each token passed an async generator, `anext` and `aclosing` on its way through the entry. Ruled out: dropping `chunks`, which whole answers still use. Change: Reply.read returns the next bytes, with the same silence check; streams and bodies of plain services loop over it.

--- a/lacewingpitch/answer_delivery.py
+++ b/lacewingpitch/answer_delivery.py
@@ -110,22 +110,22 @@
 
     async def _relay_events(self, response: web.StreamResponse) -> None:
         relay = self._relay
-        async with contextlib.aclosing(self._reply.chunks()) as chunks:
-            while True:
-                told = relay.event_count
-                try:
-                    events = relay.feed(await anext(chunks))
-                except StopAsyncIteration:
-                    return
-                except _BROKEN as error:
-                    self._warn('stream cut', error)
-                    return
-                if not events:
-                    continue
-                # An event is about one token.
-                self._permit.tokens = float(relay.event_count)
-                await response.write(events)
-                self._tally.wrote(relay.event_count - told - relay.is_complete)
+        while True:
+            told = relay.event_count
+            try:
+                chunk = await self._reply.read()
+                events = relay.feed(chunk)
+            except _BROKEN as error:
+                self._warn('stream cut', error)
+                return
+            if not chunk:
+                return
+            if not events:
+                continue
+            # An event is about one token.
+            self._permit.tokens = float(relay.event_count)
+            await response.write(events)
+            self._tally.wrote(relay.event_count - told - relay.is_complete)
 
     async def _pass_whole(self) -> web.Response:
         # The answer is sent only once it is whole here: the caller gets
@@ -162,17 +162,16 @@
         if length is not None:
             response.content_length = int(length)
         await response.prepare(self._request)
-        async with contextlib.aclosing(self._reply.chunks()) as chunks:
-            while True:
-                try:
-                    chunk = await anext(chunks)
-                except StopAsyncIteration:
-                    return response
-                except _BROKEN as error:
-                    self._warn('body cut', error)
-                    self._tear()
-                    return response
-                await response.write(chunk)
+        while True:
+            try:
+                chunk = await self._reply.read()
+            except _BROKEN as error:
+                self._warn('body cut', error)
+                self._tear()
+                return response
+            if not chunk:
+                return response
+            await response.write(chunk)
 
     def _tear(self) -> None:
         # Only a connection that is torn down tells the caller that the
--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -97,27 +97,26 @@
         """Return the headers."""
         return self._response.headers
 
-    async def chunks(self) -> AsyncGenerator[bytes, None]:
-        """Give the body as it comes.
+    async def read(self) -> bytes:
+        """Return what came of the body; nothing at its end.
 
         Raises
         ------
         ClientError, LinkError
             It broke off, or the sidecar says nothing any more.
         """
-        content = self._response.content
         silences = 0
         while True:
             try:
                 with self._silence:
-                    chunk = await content.readany()
+                    return await self._response.content.readany()
             except TimeoutError:
                 silences += 1
                 await self._check_silence(silences)
-                continue
-            if not chunk:
-                return
-            silences = 0
+
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Give the body as it comes, by `read`."""
+        while chunk := await self.read():
             yield chunk
 
     async def _check_silence(self, silences: int) -> None:
