--- a/lacewingpitch/runs.py
+++ b/lacewingpitch/runs.py
@@ -10,6 +10,7 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import http_guard
 from lacewingpitch import idle_timeout
 
 RESUME_GRACE_S = 5.0
@@ -56,6 +57,16 @@
         self.is_broken = False
         self._timeout = idle_timeout.IdleTimeout(_WRITE_TIMEOUT_S)
 
+    async def read_body(self, timeout_s: float) -> bytes:
+        """Return the body of the request.
+
+        Raises
+        ------
+        RefusalError
+            It is too large, or too slow.
+        """
+        return await http_guard.read_body(self._request, timeout_s)
+
     async def begin(
         self, status: int, content_type: str, length_bytes: int | None = None
     ) -> None:
