--- a/tests/test_idle_timeout.py
+++ b/tests/test_idle_timeout.py
@@ -28,11 +28,15 @@
 
     def test_time_between_the_waits_does_not_count(self):
         async def main():
+            faults = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, found: faults.append(found))
             limit = idle_timeout.IdleTimeout(LIMIT_S)
             for _ in range(20):
                 with limit:
                     await asyncio.sleep(4.0)
                 await asyncio.sleep(3 * LIMIT_S)
+            assert not faults
 
         virtual_time.run(main())
 
