--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -15,6 +15,7 @@
 
 from lacewingpitch import ejection
 from lacewingpitch import errors
+from lacewingpitch import idle_timeout
 from lacewingpitch import ledger
 from lacewingpitch import link
 from lacewingpitch import live_list
@@ -79,6 +80,7 @@
         self._held = held
         self.attempt = attempt
         self._response = response
+        self._silence = idle_timeout.IdleTimeout(_SILENCE_S)
 
     @property
     def status(self) -> int:
@@ -95,27 +97,26 @@
         """Return the headers."""
         return self._response.headers
 
-    async def chunks(self) -> AsyncGenerator[bytes, None]:
-        """Give the body as it comes.
+    async def read(self) -> bytes:
+        """Return what came of the body; nothing at its end.
 
         Raises
         ------
         ClientError, LinkError
             It broke off, or the sidecar says nothing any more.
         """
-        content = self._response.content
         silences = 0
         while True:
             try:
-                async with asyncio.timeout(_SILENCE_S):
-                    chunk = await content.readany()
+                with self._silence:
+                    return await self._response.content.readany()
             except TimeoutError:
                 silences += 1
                 await self._check_silence(silences)
-                continue
-            if not chunk:
-                return
-            silences = 0
+
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Give the body as it comes, by `read`."""
+        while chunk := await self.read():
             yield chunk
 
     async def _check_silence(self, silences: int) -> None:
@@ -143,6 +144,7 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self._silence.close()
         self._response.close()
         self._held.close()
 
--- a/lacewingpitch/runs.py
+++ b/lacewingpitch/runs.py
@@ -11,6 +11,7 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
 from lacewingpitch import http_guard
+from lacewingpitch import idle_timeout
 
 RESUME_GRACE_S = 5.0
 _WRITE_TIMEOUT_S = 60.0
@@ -54,6 +55,7 @@
         self.request_content_type = request.headers.get('Content-Type', '')
         self.response: web.StreamResponse | None = None
         self.is_broken = False
+        self._timeout = idle_timeout.IdleTimeout(_WRITE_TIMEOUT_S)
 
     async def read_body(self, timeout_s: float) -> bytes:
         """Return the body of the request.
@@ -87,6 +89,7 @@
         assert self.response is not None
         if not self.is_broken:
             await self._send(self.response.write_eof())
+        self._timeout.close()
 
     def tear(self) -> None:
         """Break the connection, so that the body is seen not to be whole."""
@@ -98,7 +101,7 @@
         # A reader that is gone, or takes nothing for a minute, must not
         # end a run that may only run once, nor hold its slot for ever.
         try:
-            async with asyncio.timeout(_WRITE_TIMEOUT_S):
+            with self._timeout:
                 await sending
         except TimeoutError:
             self.tear()
