Limits: messages of leases go without the names of their fields

Cause: at 95 entries and 1,300 requests/s a node sends 28.5 exchanges/s and 7,761 bytes/s, so 272 bytes an exchange, nearly all of one customer. Of the 229 bytes of the least exchange 64 are HMACs, about 45 the envelopes, 46 the names of fields, and the rest holder, customer and numbers. Ruled out as the main part: names of customers (12 bytes, twice). Change: both messages are arrays; new fields still go to the end with defaults.

Not enough: the exchanges must go.

--- a/lacewingpitch/limit_lease.py
+++ b/lacewingpitch/limit_lease.py
@@ -63,7 +63,7 @@
     renews: bool = False
 
 
-class LeaseAsk(link.Message, frozen=True):
+class LeaseAsk(link.Message, frozen=True, array_like=True):
     """Asks an owner for leases of many customers at once."""
 
     holder: str
@@ -96,7 +96,7 @@
     owner: live_list.Instance
 
 
-class LeaseReply(link.Message, frozen=True):
+class LeaseReply(link.Message, frozen=True, array_like=True):
     """Leases, without the customers that it does not own."""
 
     parts: tuple[LeasePart, ...] = ()
