--- a/tests/test_limit_holding.py
+++ b/tests/test_limit_holding.py
@@ -73,6 +73,16 @@
         holding.running = holding.want(0, 0).running
         assert not holding.has_place()
 
+    def test_a_new_owner_is_told_of_free_places(self, holding, clock):
+        """A limit is held twice after its owner has changed.
+
+        An entry holds a free place for a call to come.  The cause would
+        be a holder that tells the new owner only of places in use.
+        """
+        lease(holding, clock, requests=1, tokens=1, running=1)
+        holding.renew_now()
+        assert holding.needs_renewal(limit_lease.RENEW_S)
+
     def test_asks_again_while_the_queue_may_have_room(self, holding, clock):
         """A customer is refused while its queue is empty.
 
