Limits: the test of a paused owner also sees it take nothing over

Of the four lines of the guard, removed one at a time, setting it fails the test of the pause, and the check in to_adopt does now (it did not before). The checks in grant and in _is_owner cover each other there, so either may go unseen; _is_owner's alone for a hand-over after a pause is not tested.

--- a/tests/test_limit_lease.py
+++ b/tests/test_limit_lease.py
@@ -231,6 +231,8 @@
         table.lease(requests=BURST)
         table.clock.now_s += 30
         assert table.lease(requests=BURST) is None
+        want = limit_lease.LeaseWant(CUSTOMER, requests=1)
+        assert not table.owner.to_adopt([want])
         table.age(limit_lease.CONFIRM_S)
         part = table.lease(requests=BURST)
         most = BURST / 3 + RATE_PER_S * limit_lease.CONFIRM_S
