--- a/tests/test_limit_holding.py
+++ b/tests/test_limit_holding.py
@@ -70,9 +70,31 @@
 
     def test_places_asked_back_are_not_used_meanwhile(self, holding, clock):
         lease(holding, clock, requests=9, tokens=10, running=5)
-        holding.want(0, 0)
+        holding.running = holding.want(0, 0).running
         assert not holding.has_place()
 
+    def test_a_new_owner_is_told_of_free_places(self, holding, clock):
+        """A limit is held twice after its owner has changed.
+
+        An entry holds a free place for a call to come.  The cause would
+        be a holder that tells the new owner only of places in use.
+        """
+        lease(holding, clock, requests=1, tokens=1, running=1)
+        holding.renew_now()
+        assert holding.needs_renewal(limit_lease.RENEW_S)
+
+    def test_asks_again_while_the_queue_may_have_room(self, holding, clock):
+        """A customer is refused while its queue is empty.
+
+        It runs all that it may, has requests to spend, and calls come
+        faster than places are asked for.  The cause would be a holder
+        that takes "no place to run" for "no place to wait".
+        """
+        lease(holding, clock, requests=9, running=0, waiting=1)
+        assert holding.may_ask_places
+        lease(holding, clock, running=0, waiting=0)
+        assert not holding.may_ask_places
+
 
 class TestShare:
     def test_is_admitted_while_the_owner_is_silent(self, holding, clock):
