Drive the real turn queue in the policy bench; read engine reports

Cause: the bench gave turns first come first served after the adapter, while a sidecar gives a place, then the adapter, then the turn by TurnQueue and FairOrder. It also never adopted what an engine reports, so the rule for adopted adapters (busy until a report asked 3 s later) was not exercised.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import dataclasses
 import itertools
 import random
@@ -24,13 +25,16 @@
 from benchmarks import policy_workloads
 from lacewingpitch import directory
 from lacewingpitch import errors
+from lacewingpitch import fair_order
 from lacewingpitch import fence as fence_module
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
 from lacewingpitch import placement
 from lacewingpitch import settings
+from lacewingpitch import sidecar
 from lacewingpitch import slots as slots_module
 from lacewingpitch import store_pacing
+from lacewingpitch import turn_queue
 
 BASELINES = ('random', 'hash', 'least loaded')
 POLICIES = (*BASELINES, 'lacewingpitch')
@@ -38,6 +42,7 @@
 NO_FORESIGHT = 'no foresight'
 MAX_ATTEMPTS = 3
 WORKERS = 4
+MAX_QUEUED = 1024
 _NETWORK_S = 0.001
 _REPORT_S = 1.0
 _GOOD_STALL_S = 2.0
@@ -89,10 +94,91 @@
         return await self._directories[home.name].locate(request)
 
 
+class AdapterFirst:
+    """Adapter, then a turn first come first served: the baselines' way."""
+
+    def __init__(self, engine, slots):
+        self._slots = slots
+        self._turns = asyncio.Semaphore(engine.max_running)
+        self._held_count = 0
+        self.running = 0
+
+    @property
+    def queued(self):
+        return self._held_count - self.running + self._slots.waiting_count
+
+    @contextlib.asynccontextmanager
+    async def turn(self, key, order):
+        async with self._slots.hold(key, order.deadline_s) as stall_s:
+            self._held_count += 1
+            try:
+                async with self._turns:
+                    self.running += 1
+                    try:
+                        yield stall_s
+                    finally:
+                        self.running -= 1
+            finally:
+                self._held_count -= 1
+
+
+class PlaceFirst:
+    """The product's queue and order: place, adapter, turn.
+
+    It mirrors `Sidecar._wait_turn`, with nothing but these three steps.
+    """
+
+    def __init__(self, engine, slots, clock):
+        self._slots = slots
+        self._clock = clock
+        self._queue = turn_queue.TurnQueue(
+            engine.max_running,
+            round(engine.max_running * sidecar.LOOKAHEAD_RATIO),
+            MAX_QUEUED,
+            fair_order.FairOrder(
+                engine.max_running,
+                lambda order: slots.holds(order.adapter.engine_name),
+                clock,
+            ),
+            clock,
+        )
+
+    @property
+    def queued(self):
+        return self._queue.queued
+
+    @property
+    def running(self):
+        return self._queue.running
+
+    @contextlib.asynccontextmanager
+    async def turn(self, key, order):
+        async with contextlib.AsyncExitStack() as held:
+            yield await self._wait_turn(held, key, order)
+
+    async def _wait_turn(self, held, key, order):
+        start_by_s = self._clock.monotonic_s() + order.deadline_s
+        try:
+            async with asyncio.timeout(order.deadline_s):
+                place = await held.enter_async_context(
+                    self._queue.place(order)
+                )
+                left_s = start_by_s - self._clock.monotonic_s()
+                stall_s = await held.enter_async_context(
+                    self._slots.hold(key, left_s)
+                )
+                await held.enter_async_context(place.turn())
+                return stall_s
+        except TimeoutError as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE, 'no turn in time'
+            ) from error
+
+
 class Machine:
     """An engine with its sidecar's decisions."""
 
-    def __init__(self, name, pool, engine, slots):
+    def __init__(self, name, pool, engine, slots, turns):
         self.instance = live_list.Instance(
             name=name,
             role=live_list.Role.SIDECAR,
@@ -105,17 +191,25 @@
         self.pool = pool
         self.engine = engine
         self.slots = slots
-        self.turns = asyncio.Semaphore(engine.max_running)
-        self.held = 0
+        self.turns = turns
         self.is_empty = False
 
+    def read_report(self, asked_at_s):
+        if self.is_empty:
+            self.is_empty = False
+            self.slots.forget_all()
+        if isinstance(self.slots, slots_module.AdapterSlots):
+            self.slots.adopt(sorted(self.engine.held))
+            self.slots.release_adopted(
+                asked_at_s, lambda name: not self.engine.busy_on.get(name)
+            )
+
     def hint(self):
-        running = len(self.engine.steps)
         expected_s = getattr(self.slots, 'expected_wait_s', lambda: 0.0)()
         return hint_module.encode_hint(
             hint_module.Hint(
-                running=running,
-                queued=max(0, self.held - running) + self.slots.waiting_count,
+                running=self.turns.running,
+                queued=self.turns.queued,
                 max_running=self.engine.max_running,
                 load_wait_ms=int(expected_s * 1000),
                 spare_slots=getattr(self.slots, 'spare_count', 0),
@@ -171,7 +265,8 @@
                     self.store, self.site.slot_count, self.site.max_running
                 )
                 slots = self._make_slots(name, engine, desk, total)
-                machines.append(Machine(name, pool, engine, slots))
+                turns = self._make_turns(engine, slots)
+                machines.append(Machine(name, pool, engine, slots, turns))
         return machines
 
     def _make_desk(self):
@@ -199,6 +294,11 @@
             self.objective.stall_weight,
         )
 
+    def _make_turns(self, engine, slots):
+        if self.policy in BASELINES:
+            return AdapterFirst(engine, slots)
+        return PlaceFirst(engine, slots, self.clock)
+
     def _make_entries(self):
         count = policy_workloads.ENTRY_COUNT
         if self.policy == 'random':
@@ -244,18 +344,12 @@
         if left_s <= 0.0:
             return False
         try:
-            async with machine.slots.hold(key, left_s) as stall_s:
-                machine.held += 1
-                try:
-                    async with machine.turns:
-                        self.stalls_s[request.number] = earlier_s + stall_s
-                        self.waits_s[request.number] = (
-                            loop.time() - request.at_s
-                        )
-                        entry.learn(machine.instance.name, machine.hint())
-                        await machine.engine.run(key, request.tokens)
-                finally:
-                    machine.held -= 1
+            order = policy_workloads.make_order(request, key, left_s)
+            async with machine.turns.turn(key, order) as stall_s:
+                self.stalls_s[request.number] = earlier_s + stall_s
+                self.waits_s[request.number] = loop.time() - request.at_s
+                entry.learn(machine.instance.name, machine.hint())
+                await machine.engine.run(key, request.tokens)
         except errors.RefusalError:
             return False
         except errors.PlatformError:
@@ -278,9 +372,7 @@
         while True:
             await asyncio.sleep(_REPORT_S)
             for machine in self.machines:
-                if machine.is_empty:
-                    machine.is_empty = False
-                    machine.slots.forget_all()
+                machine.read_report(self.clock.monotonic_s())
 
     def _result(self):
         engines = [machine.engine for machine in self.machines]
--- a/benchmarks/policy_workloads.py
+++ b/benchmarks/policy_workloads.py
@@ -5,7 +5,9 @@
 import itertools
 import random
 
+from lacewingpitch import contract
 from lacewingpitch import settings
+from lacewingpitch import work
 
 ADAPTER_COUNT = 3000
 ENTRY_COUNT = 3
@@ -92,6 +94,26 @@
 )
 
 
+def make_order(request, key, deadline_s):
+    """Return a request as its sidecar gets it."""
+    name, _, version = key.rpartition('@')
+    return work.WorkOrder(
+        request_id=str(request.number),
+        attempt=1,
+        customer=f'customer-{request.adapter % CUSTOMER_COUNT}',
+        contract_revision=1,
+        urgency=contract.Urgency.STANDARD,
+        weight=1.0,
+        deadline_s=deadline_s,
+        method='POST',
+        path='/v1/completions',
+        repeatable=True,
+        adapter=contract.AdapterGrant(
+            name=name, version=version, base_model=f'model-{request.pool}'
+        ),
+    )
+
+
 def pool_of(adapter, site):
     """Return the base model of an adapter: engines in proportion."""
     total = sum(site.engines)
