Refuse at once what waits for an adapter that comes too late

The slots looked at the expected wait on arrival only, and took a queued adapter for the next to load; the turn queue knew nothing of loads. Loads that came too late also kept the store from those in time. Change: the slots check each second what waits and is not loading; an adapter's expected wait counts those whose waiting costs more. The turn queue refuses who has no place yet by the larger of the wait for a turn and the expected load wait, on arrival and at its recheck; the load wait is not kept with the customer's, as each request may need another adapter. Guards: without _check_deadline in AdapterSlots._settled, test_what_can_be_in_time_no_longer_is_refused_then fails; without the load wait in _check_in_time and _recheck both new tests of the turn queue fail (run on a scratch copy).

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -141,6 +141,7 @@
                 clock,
             ),
             clock,
+            lambda order: slots.expected_wait_s(order.adapter.engine_name),
         )
 
     @property
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -72,6 +72,10 @@
         """Whether the request finds what it needs without a wait."""
         ...
 
+    def expected_wait_s(self, order: work.WorkOrder) -> float:
+        """Return what the request would wait for what it needs."""
+        ...
+
     async def run(
         self, order: work.WorkOrder, body: bytes, delivery: runs.Delivery
     ) -> runs.WholeAnswer | None:
@@ -167,6 +171,12 @@
             return False
         return self._slots.holds(order.adapter.engine_name)
 
+    def expected_wait_s(self, order: work.WorkOrder) -> float:
+        """Return what the request would wait for its adapter."""
+        if order.adapter is None:
+            return 0.0
+        return self._slots.expected_wait_s(order.adapter.engine_name)
+
     @contextlib.asynccontextmanager
     async def ready(self, order: work.WorkOrder) -> AsyncIterator[None]:
         """Hold the request's adapter in the engine.
@@ -389,6 +399,10 @@
         """Return that nothing is missing."""
         return True
 
+    def expected_wait_s(self, order: work.WorkOrder) -> float:
+        """Return that nothing is waited for."""
+        return 0.0
+
     async def run(
         self, order: work.WorkOrder, body: bytes, delivery: runs.Delivery
     ) -> runs.WholeAnswer | None:
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -113,6 +113,7 @@
                 self._node.clock,
             ),
             self._node.clock,
+            lambda order: self._runner.expected_wait_s(order),
         )
 
     @property
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -28,6 +28,7 @@
 _CLOSE_AFTER_S = 2.0
 _FIRST_LOAD_GUESS_S = 0.5
 _SMOOTHING_RATIO = 0.2
+_RECHECK_INTERVAL_S = 1.0
 # Engines report with a lag: what they say of an earlier sidecar's runs
 # is believed only so long after we came.
 _REPORT_LAG_S = 3.0
@@ -187,10 +188,13 @@
         """Return what a request for adapter `name` would wait now."""
         if self.holds(name):
             return 0.0
-        if name in self._queue:
+        if name in self._slots:
             return self._turnaround_s
-        ahead = sum(1 for n in self._queue if n not in self._slots)
-        return self._turnaround_s * (1 + ahead // _MAX_ASKING)
+        ahead = self._loadable()
+        if name in self._queue:
+            cost = self._cost(name)
+            ahead = [n for n in ahead if self._cost(n) > cost]
+        return self._turnaround_s * (1 + len(ahead) // _MAX_ASKING)
 
     @contextlib.asynccontextmanager
     async def hold(
@@ -326,19 +330,33 @@
         self._queue.setdefault(name, []).append(waiter)
         self._start_loads()
         try:
-            async with asyncio.timeout(deadline_s):
-                return await waiter.slot
-        except TimeoutError as error:
-            self._abandon(name, waiter)
-            raise errors.RefusalError(
-                errors.ErrorKind.DEADLINE_UNREACHABLE,
-                'no adapter slot in time',
-                retry_after_s=self.expected_wait_s(name),
-            ) from error
-        except asyncio.CancelledError:
+            return await self._settled(name, waiter, deadline_s)
+        except (errors.RefusalError, asyncio.CancelledError):
             self._abandon(name, waiter)
             raise
 
+    async def _settled(
+        self, name: str, waiter: _Waiter, deadline_s: float
+    ) -> Slot:
+        # What was expected on arrival can worsen: the store slows down,
+        # or adapters with more waiting go first.  Callers would learn
+        # only at their deadline that they had waited for nothing.
+        until_s = waiter.since_s + deadline_s
+        while not waiter.slot.done():
+            left_s = until_s - self._clock.monotonic_s()
+            if left_s <= 0.0:
+                raise errors.RefusalError(
+                    errors.ErrorKind.DEADLINE_UNREACHABLE,
+                    'no adapter slot in time',
+                    retry_after_s=self.expected_wait_s(name),
+                )
+            if name not in self._slots:
+                self._check_deadline(name, left_s)
+            await asyncio.wait(
+                [waiter.slot], timeout=min(_RECHECK_INTERVAL_S, left_s)
+            )
+        return waiter.slot.result()
+
     def _abandon(self, name: str, waiter: _Waiter) -> None:
         # A waiter can be given its slot and be cancelled in the same
         # turn of the loop.  Its hold would never be given back, and the
--- a/lacewingpitch/turn_queue.py
+++ b/lacewingpitch/turn_queue.py
@@ -1,7 +1,7 @@
 """Hands the turns of one backend server to the requests that wait."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 import contextlib
 import dataclasses
 import heapq
@@ -140,6 +140,10 @@
         return self._queue.turn(self._waiter)
 
 
+def _prepared(_order: work.WorkOrder) -> float:
+    return 0.0
+
+
 class TurnQueue:
     """Bounded queue for the turns of one backend server.
 
@@ -158,6 +162,8 @@
         Requests that may wait for a place, over all customers.
     order
         Who goes first.
+    prepare_wait_s
+        How long a request that came now would prepare.
     """
 
     def __init__(
@@ -167,7 +173,9 @@
         max_queued: int,
         order: Order,
         clock: clock_module.Clock,
+        prepare_wait_s: Callable[[work.WorkOrder], float] = _prepared,
     ) -> None:
+        self._prepare_wait_s = prepare_wait_s
         self._turn_count = turn_count
         self._place_count = turn_count + lookahead_count
         self._max_queued = max_queued
@@ -244,7 +252,10 @@
         return waiter
 
     def _check_in_time(self, waiter: Waiter) -> None:
-        wait_s = self._wait_of(waiter)
+        # A customer's wait is kept for a moment, its adapter's is not:
+        # each of its requests may need another one.
+        prepare_s = self._prepare_wait_s(waiter.order)
+        wait_s = max(self._wait_of(waiter), prepare_s)
         if not self._is_in_time(waiter, wait_s):
             self._remove(waiter)
             raise self._too_late(waiter, wait_s)
@@ -381,15 +392,25 @@
         # or stops, or others go ahead.  Callers would learn only at
         # their deadline that they had waited for nothing.
         self._recheck_timer = None
+        waits = [
+            (waiter, max(wait_s, self._left_to_prepare_s(waiter)))
+            for waiter, wait_s in self._forecast()
+        ]
         late = [
             (waiter, wait_s)
-            for waiter, wait_s in self._forecast()
+            for waiter, wait_s in waits
             if not self._is_in_time(waiter, wait_s)
         ]
         for waiter, wait_s in late:
             self._refuse(waiter, self._too_late(waiter, wait_s))
         self._schedule_recheck()
 
+    def _left_to_prepare_s(self, waiter: Waiter) -> float:
+        # Who has a place is told by what it prepares with.
+        if waiter not in self._waiting:
+            return 0.0
+        return self._prepare_wait_s(waiter.order)
+
     def _refuse(self, waiter: Waiter, error: errors.RefusalError) -> None:
         if waiter in self._waiting:
             self._remove(waiter)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -79,6 +79,16 @@
                 running[name] -= 1
 
 
+class OneAtATime:
+    """Lets one load start after the other."""
+
+    def __init__(self):
+        self._lock = asyncio.Lock()
+
+    def permit(self, _weight):
+        return self._lock
+
+
 def make_slots(engine, **options):
     clock = policy_loop.LoopClock()
     return slots_module.AdapterSlots(
@@ -296,6 +306,40 @@
 
 
 class TestDeadline:
+    def test_what_can_be_in_time_no_longer_is_refused_then(self):
+        """Others go ahead of a request that waits for its adapter.
+
+        It could be loaded in time when it came.  Then many came for
+        twenty other adapters, two for each, whose loads go first.  Its
+        caller was held until the deadline for nothing.
+        """
+
+        async def scenario(slots, engine):
+            first = [
+                asyncio.create_task(use(slots, engine, f'first-{n}', 9.0))
+                for n in range(2)
+            ]
+            await asyncio.sleep(0.01)
+            late = asyncio.create_task(
+                use(slots, engine, 'late', deadline_s=4.0)
+            )
+            await asyncio.sleep(0.01)
+            others = [
+                asyncio.create_task(use(slots, engine, f'a-{n // 2}', 9.0))
+                for n in range(40)
+            ]
+            with pytest.raises(errors.RefusalError) as refused:
+                await late
+            for task in (*first, *others):
+                task.cancel()
+            return refused.value, policy_loop.LoopClock().monotonic_s()
+
+        pacer = OneAtATime()
+        error, now_s = run_with(scenario, slot_count=40, pacer=pacer)
+        assert error.kind is errors.ErrorKind.DEADLINE_UNREACHABLE
+        assert error.retry_after_s > 0
+        assert now_s < 2.0
+
     def test_what_cannot_be_in_time_is_refused_at_once(self):
         async def scenario(slots, engine):
             waiting = [
--- a/tests/test_turn_queue.py
+++ b/tests/test_turn_queue.py
@@ -22,11 +22,18 @@
 _LONGEST_STORY_S = 200.0
 
 
-def make_queue(turn_count=1, *, lookahead_count=0, max_queued=100):
+def make_queue(
+    turn_count=1, *, lookahead_count=0, max_queued=100, prepare_s=None
+):
     clock = virtual_time.LoopClock()
     order = fair_order.FairOrder(turn_count, lambda _order: True, clock)
     return turn_queue.TurnQueue(
-        turn_count, lookahead_count, max_queued, order, clock
+        turn_count,
+        lookahead_count,
+        max_queued,
+        order,
+        clock,
+        lambda order: (prepare_s or {}).get(order.path, 0.0),
     )
 
 
@@ -259,6 +266,36 @@
 
 
 class TestDeadline:
+    @told
+    async def test_tells_of_an_adapter_that_comes_too_late(self):
+        story = Story(make_queue(prepare_s={'/cold': 5.0}))
+        await learn(story)
+        tasks = [story.send('running')]
+        await soon()
+        tasks.append(story.send('late', deadline_s=4.0, path='/cold'))
+        tasks.append(story.send('warm', deadline_s=4.0, path='/warm'))
+        await soon()
+        assert list(story.refused) == ['late']
+        _, error = story.refused['late']
+        assert error.retry_after_s == pytest.approx(1.0)
+        await asyncio.gather(*tasks)
+        assert 'warm' in story.started
+
+    @told
+    async def test_tells_when_an_adapter_gets_too_late(self):
+        prepare_s = {'/cold': 1.0}
+        story = Story(make_queue(prepare_s=prepare_s))
+        await learn(story, 3.0)
+        tasks = [story.send('running', 3.0)]
+        await soon()
+        tasks.append(story.send('late', deadline_s=4.0, path='/cold'))
+        await asyncio.sleep(0.5)
+        prepare_s['/cold'] = 9.0
+        await asyncio.gather(*tasks)
+        refused_s, error = story.refused['late']
+        assert error.kind is ErrorKind.DEADLINE_UNREACHABLE
+        assert refused_s - 3.0 <= 0.5 + 2 * turn_queue.RECHECK_INTERVAL_S
+
     @told
     async def test_refuses_at_once_and_says_truly_when_to_come_back(self):
         story = Story(make_queue(2))
