--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -23,6 +23,7 @@
 from benchmarks import policy_loop
 from benchmarks import policy_machines
 from benchmarks import policy_workloads
+from lacewingpitch import attempts
 from lacewingpitch import directory
 from lacewingpitch import errors
 from lacewingpitch import fair_order
@@ -31,7 +32,6 @@
 from lacewingpitch import live_list
 from lacewingpitch import placement
 from lacewingpitch import settings
-from lacewingpitch import sidecar
 from lacewingpitch import slots as slots_module
 from lacewingpitch import store_pacing
 from lacewingpitch import turn_queue
@@ -125,7 +125,7 @@
 class PlaceFirst:
     """The product's queue and order: place, adapter, turn.
 
-    It mirrors `Sidecar._wait_turn`, with nothing but these three steps.
+    It mirrors `attempts.Attempts`, with nothing but these three steps.
     """
 
     def __init__(self, engine, slots, clock):
@@ -133,7 +133,7 @@
         self._clock = clock
         self._queue = turn_queue.TurnQueue(
             engine.max_running,
-            round(engine.max_running * sidecar.LOOKAHEAD_RATIO),
+            round(engine.max_running * attempts.LOOKAHEAD_RATIO),
             MAX_QUEUED,
             fair_order.FairOrder(
                 engine.max_running,
