One virtual-time loop for tests and benches

Three stood side by side. The one kept says a deadlock instead of hanging and never reads sockets (the policy bench's); its wall clock is that of the order bench, apart from the loop's time. Tests of limits, slots, pacing, placement and the turn queue pass on it unchanged but for the import. The order and limits benches import it; they were not run anew.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -25,12 +25,12 @@
 import rich.table
 import structlog
 
+from benchmarks import virtual_time
 from lacewingpitch import errors
 from lacewingpitch import limit_lease
 from lacewingpitch import link
 from lacewingpitch import token_bucket
 from tests import lease_entries
-from tests import virtual_time
 
 ENTRIES = 8
 RATE_PER_S = 20.0
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -20,9 +20,9 @@
 import structlog
 
 from benchmarks import policy_baselines
-from benchmarks import policy_loop
 from benchmarks import policy_machines
 from benchmarks import policy_workloads
+from benchmarks import virtual_time
 from lacewingpitch import attempts
 from lacewingpitch import directory
 from lacewingpitch import errors
@@ -227,7 +227,7 @@
         self.site = workload.site
         self.policy = policy
         self.objective = settings.ObjectiveSettings(stall_weight=stall_weight)
-        self.clock = policy_loop.LoopClock()
+        self.clock = virtual_time.LoopClock()
         self.random = random.Random(workload.seed)
         self.stalls_s = {}
         self.waits_s = {}
@@ -418,7 +418,7 @@
     weight = workload.site.stall_weight
     if stall_weight is not None:
         weight = stall_weight
-    return policy_loop.run(Run(workload, policy, weight).main())
+    return virtual_time.run(Run(workload, policy, weight).main())
 
 
 def _run_bound(workload, policy, kind):
--- a/benchmarks/virtual_time.py
+++ b/benchmarks/virtual_time.py
@@ -1,41 +1,49 @@
-"""An event loop whose clock jumps to the next timer: no time is spent."""
+"""An event loop whose time is virtual, so that asyncio code is repeatable.
+
+Nothing waits: when no callback is ready, the time jumps to the next
+timer.  A loop with nothing to wait for is a deadlock, and said so.
+"""
 
 import asyncio
-import heapq
+import selectors
 
+WALL_START_S = 1.8e9
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Runs coroutines of one process in virtual time."""
 
+class _JumpingSelector(selectors.SelectSelector):
     def __init__(self):
-        self._now_s = 0.0
         super().__init__()
+        self.now_s = 0.0
 
-    def time(self):
-        return self._now_s
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError('deadlock: nothing is left to wait for')
+        self.now_s += max(timeout, 0.0)
+        return []
 
-    def _run_once(self):
-        timers = self._scheduled
-        while timers and timers[0].cancelled():
-            timer = heapq.heappop(timers)
-            timer._scheduled = False
-            self._timer_cancelled_count -= 1
-        if timers and not self._ready:
-            self._now_s = max(self._now_s, timers[0].when())
-        super()._run_once()
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Runs timers in order without waiting for them."""
+
+    def __init__(self):
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self):
+        return self._jumping.now_s
 
 
 class LoopClock:
-    """The virtual loop's time, as the product reads it."""
+    """The running loop's time, as the product reads it."""
 
     def monotonic_s(self):
         return asyncio.get_running_loop().time()
 
     def wall_s(self):
-        return 1.8e9 + self.monotonic_s()
+        return WALL_START_S + self.monotonic_s()
 
 
 def run(main):
-    """Run a coroutine to its end in virtual time."""
+    """Run a coroutine in a virtual loop and return its result."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(main)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from benchmarks import virtual_time
 from lacewingpitch import errors
 from lacewingpitch import limit_lease
 from tests import fault_matrix
 from tests import lease_entries
-from tests import virtual_time
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks import policy_loop
+from benchmarks import virtual_time
 from lacewingpitch import directory
 from lacewingpitch import errors
 from lacewingpitch import hint
@@ -294,6 +294,6 @@
             await asyncio.sleep(3600.0)
             return asyncio.get_running_loop().time()
 
-        assert policy_loop.run(sleep()) == pytest.approx(3600.0)
+        assert virtual_time.run(sleep()) == pytest.approx(3600.0)
         with pytest.raises(RuntimeError, match='deadlock'):
-            policy_loop.run(asyncio.Event().wait())
+            virtual_time.run(asyncio.Event().wait())
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 import pytest
 
-from benchmarks import policy_loop
+from benchmarks import virtual_time
 from lacewingpitch import contract
 from lacewingpitch import engine as engine_module
 from lacewingpitch import errors
@@ -90,7 +90,7 @@
 
 
 def make_slots(engine, **options):
-    clock = policy_loop.LoopClock()
+    clock = virtual_time.LoopClock()
     return slots_module.AdapterSlots(
         engine, engine.slot_count, fence_module.Fence(clock), clock, **options
     )
@@ -120,7 +120,7 @@
         assert not engine.wrong
         return found
 
-    return policy_loop.run(main())
+    return virtual_time.run(main())
 
 
 class TestWaiting:
@@ -292,10 +292,10 @@
             for _ in range(3):
                 with pytest.raises(errors.RefusalError) as first:
                     await use(slots, engine, 'a')
-                asked_s = policy_loop.LoopClock().monotonic_s()
+                asked_s = virtual_time.LoopClock().monotonic_s()
                 with pytest.raises(errors.RefusalError):
                     await use(slots, engine, 'a')
-                assert policy_loop.LoopClock().monotonic_s() == asked_s
+                assert virtual_time.LoopClock().monotonic_s() == asked_s
                 after_s.append(first.value.retry_after_s)
                 await asyncio.sleep(first.value.retry_after_s)
             engine.failing.clear()
@@ -332,7 +332,7 @@
                 await late
             for task in (*first, *others):
                 task.cancel()
-            return refused.value, policy_loop.LoopClock().monotonic_s()
+            return refused.value, virtual_time.LoopClock().monotonic_s()
 
         pacer = OneAtATime()
         error, now_s = run_with(scenario, slot_count=40, pacer=pacer)
@@ -351,7 +351,7 @@
                 await use(slots, engine, 'late', deadline_s=0.6)
             for task in waiting:
                 task.cancel()
-            return refused.value, policy_loop.LoopClock().monotonic_s()
+            return refused.value, virtual_time.LoopClock().monotonic_s()
 
         error, now_s = run_with(scenario)
         assert error.kind is errors.ErrorKind.DEADLINE_UNREACHABLE
@@ -571,7 +571,7 @@
 
     def __init__(self):
         super().__init__()
-        self.loop = policy_loop.VirtualLoop()
+        self.loop = virtual_time.VirtualLoop()
         self.engine = FakeEngine(slot_count=3)
         self.slots = self.wait(self._make())
         self.tasks = []
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from benchmarks import policy_loop
+from benchmarks import virtual_time
 from lacewingpitch import clock as clock_module
 from lacewingpitch import directory
 from lacewingpitch import errors
@@ -27,7 +27,7 @@
     """A desk in this process that can be cut off or go deaf."""
 
     def __init__(self, store=HANEUL, sidecar_count=4):
-        self.clock = policy_loop.LoopClock()
+        self.clock = virtual_time.LoopClock()
         self.store = store
         self.pacers = {}
         self.is_cut = False
@@ -99,7 +99,7 @@
             await load_all(DirectLink(store), loads, 12)
             return loads, asyncio.get_running_loop().time()
 
-        loads, took_s = policy_loop.run(main())
+        loads, took_s = virtual_time.run(main())
         assert loads.most <= store.loads_at_once
         assert took_s >= (12 - store.loads_at_once) / store.loads_per_s
         assert took_s <= 1.1 * 12 / store.loads_per_s + 0.1
@@ -110,7 +110,7 @@
             await load_all(DirectLink(), loads, 6)
             return loads
 
-        assert policy_loop.run(main()).most == 1
+        assert virtual_time.run(main()).most == 1
 
     def test_costliest_wait_goes_first(self):
         async def main():
@@ -128,7 +128,7 @@
                 group.create_task(load('heavy', 9.0))
             return order, loads
 
-        assert policy_loop.run(main())[0] == ['first', 'heavy', 'light']
+        assert virtual_time.run(main())[0] == ['first', 'heavy', 'light']
 
     def test_light_wait_is_not_passed_over_for_ever(self):
         async def main():
@@ -148,7 +148,7 @@
             await task
             return done_s[0]
 
-        assert policy_loop.run(main()) < 40.0
+        assert virtual_time.run(main()) < 40.0
 
 
 class TestLoss:
@@ -171,7 +171,7 @@
             await loads.run(link.pacer('alive'))
             return loads.starts_s[0]
 
-        started_s = policy_loop.run(main())
+        started_s = virtual_time.run(main())
         assert started_s <= store_pacing.LEASE_S + 0.1
 
     @pytest.mark.proves(Promise.NOT_RUN, Fault.PARTITION, Step.LOADING)
@@ -193,7 +193,7 @@
                         group.create_task(loads.run(pacer))
             return loads.starts_s
 
-        starts_s = policy_loop.run(main())
+        starts_s = virtual_time.run(main())
         assert len(starts_s) == 12
         # Four sidecars at half a load per second each is the store's 2.
         assert max(starts_s) == pytest.approx(4.0, abs=0.2)
@@ -206,7 +206,7 @@
             await load_all(link, loads, 4)
             return loads, asyncio.get_running_loop().time()
 
-        loads, took_s = policy_loop.run(main())
+        loads, took_s = virtual_time.run(main())
         assert len(loads.starts_s) == 4
         assert took_s < 4 * store_pacing.LEASE_S
 
@@ -217,7 +217,7 @@
             await load_all(link, loads, 3)
             return asyncio.get_running_loop().time()
 
-        assert policy_loop.run(main()) < 3 * store_pacing.LEASE_S
+        assert virtual_time.run(main()) < 3 * store_pacing.LEASE_S
 
     @pytest.mark.proves(Promise.NOT_RUN, Fault.SAME_TWICE, Step.LOADING)
     def test_keeper_that_restarts_twice_serves_on(self):
@@ -231,7 +231,7 @@
             await loading
             return loads
 
-        loads = policy_loop.run(main())
+        loads = virtual_time.run(main())
         assert len(loads.starts_s) == 8
         assert loads.most <= 3
 
@@ -241,7 +241,7 @@
             await load_all(link, loads, 2)
             return loads.most
 
-        assert policy_loop.run(main()) == 1
+        assert virtual_time.run(main()) == 1
 
     def test_late_grant_is_given_back(self):
         async def main():
@@ -255,7 +255,7 @@
             await asyncio.sleep(0.01)
             return link.desk.held_count
 
-        assert policy_loop.run(main()) == 0
+        assert virtual_time.run(main()) == 0
 
     def test_cancelled_wait_leaves_nothing_behind(self):
         async def main():
@@ -269,7 +269,7 @@
             await asyncio.sleep(0.01)
             return link.desk.held_count, len(loads.starts_s)
 
-        assert policy_loop.run(main()) == (0, 1)
+        assert virtual_time.run(main()) == (0, 1)
 
 
 class TestOverTheLink:
