--- a/lacewingpitch/attempts.py
+++ b/lacewingpitch/attempts.py
@@ -239,6 +239,7 @@
                 self._node.clock,
             ),
             self._node.clock,
+            lambda order: self._runner.expected_wait_s(order),
         )
 
     async def _void(self, message: voiding.VoidRequest) -> voiding.VoidReply:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 import pytest
 
-from benchmarks import policy_loop
+from benchmarks import virtual_time
 from lacewingpitch import contract
 from lacewingpitch import engine as engine_module
 from lacewingpitch import errors
@@ -79,8 +79,18 @@
                 running[name] -= 1
 
 
+class OneAtATime:
+    """Lets one load start after the other."""
+
+    def __init__(self):
+        self._lock = asyncio.Lock()
+
+    def permit(self, _weight):
+        return self._lock
+
+
 def make_slots(engine, **options):
-    clock = policy_loop.LoopClock()
+    clock = virtual_time.LoopClock()
     return slots_module.AdapterSlots(
         engine, engine.slot_count, fence_module.Fence(clock), clock, **options
     )
@@ -110,7 +120,7 @@
         assert not engine.wrong
         return found
 
-    return policy_loop.run(main())
+    return virtual_time.run(main())
 
 
 class TestWaiting:
@@ -282,10 +292,10 @@
             for _ in range(3):
                 with pytest.raises(errors.RefusalError) as first:
                     await use(slots, engine, 'a')
-                asked_s = policy_loop.LoopClock().monotonic_s()
+                asked_s = virtual_time.LoopClock().monotonic_s()
                 with pytest.raises(errors.RefusalError):
                     await use(slots, engine, 'a')
-                assert policy_loop.LoopClock().monotonic_s() == asked_s
+                assert virtual_time.LoopClock().monotonic_s() == asked_s
                 after_s.append(first.value.retry_after_s)
                 await asyncio.sleep(first.value.retry_after_s)
             engine.failing.clear()
@@ -296,6 +306,40 @@
 
 
 class TestDeadline:
+    def test_what_can_be_in_time_no_longer_is_refused_then(self):
+        """Others go ahead of a request that waits for its adapter.
+
+        It could be loaded in time when it came.  Then many came for
+        twenty other adapters, two for each, whose loads go first.  Its
+        caller was held until the deadline for nothing.
+        """
+
+        async def scenario(slots, engine):
+            first = [
+                asyncio.create_task(use(slots, engine, f'first-{n}', 9.0))
+                for n in range(2)
+            ]
+            await asyncio.sleep(0.01)
+            late = asyncio.create_task(
+                use(slots, engine, 'late', deadline_s=4.0)
+            )
+            await asyncio.sleep(0.01)
+            others = [
+                asyncio.create_task(use(slots, engine, f'a-{n // 2}', 9.0))
+                for n in range(40)
+            ]
+            with pytest.raises(errors.RefusalError) as refused:
+                await late
+            for task in (*first, *others):
+                task.cancel()
+            return refused.value, virtual_time.LoopClock().monotonic_s()
+
+        pacer = OneAtATime()
+        error, now_s = run_with(scenario, slot_count=40, pacer=pacer)
+        assert error.kind is errors.ErrorKind.DEADLINE_UNREACHABLE
+        assert error.retry_after_s > 0
+        assert now_s < 2.0
+
     def test_what_cannot_be_in_time_is_refused_at_once(self):
         async def scenario(slots, engine):
             waiting = [
@@ -307,7 +351,7 @@
                 await use(slots, engine, 'late', deadline_s=0.6)
             for task in waiting:
                 task.cancel()
-            return refused.value, policy_loop.LoopClock().monotonic_s()
+            return refused.value, virtual_time.LoopClock().monotonic_s()
 
         error, now_s = run_with(scenario)
         assert error.kind is errors.ErrorKind.DEADLINE_UNREACHABLE
@@ -527,7 +571,7 @@
 
     def __init__(self):
         super().__init__()
-        self.loop = policy_loop.VirtualLoop()
+        self.loop = virtual_time.VirtualLoop()
         self.engine = FakeEngine(slot_count=3)
         self.slots = self.wait(self._make())
         self.tasks = []
