--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test lint format bench bench-account bench-claims \
-	bench-contracts bench-limits bench-order bench-policy bench-retries \
+	bench-contracts bench-hop bench-limits bench-order bench-policy bench-retries \
 	capacity fault-matrix fault-matrix-check
 
 $(STAMP): pyproject.toml constraints.txt
@@ -40,6 +40,9 @@
 bench-contracts: $(STAMP)
 	$(BIN)/python -m benchmarks.contracts
 
+bench-hop: $(STAMP)
+	$(BIN)/python -m benchmarks.path_hop
+
 bench-limits: $(STAMP)
 	$(BIN)/python -m benchmarks.limits
 
