A promise not to run names the sidecar it is asked of; slots as the engine says

Cause: a list that pairs one sidecar's work port with another's control port let the other promise for work that the first had: with the first frozen, the caller was told "not run" and the request ran at its waking. And settings with more slots than the engine has made every further load fail. Ruled out: that the entry could notice by itself, as both addresses answer. Change: VoidRequest names the instance, and another one answers that it does not know; slots are bounded by the report. Conclusion: one way to a false "not run" less.

--- a/lacewingpitch/attempts.py
+++ b/lacewingpitch/attempts.py
@@ -243,6 +243,11 @@
         )
 
     async def _void(self, message: voiding.VoidRequest) -> voiding.VoidReply:
+        # A list that pairs one sidecar's work port with another's control
+        # port would have this one promise for work that the other has:
+        # the caller would be told "not run" of a request that runs.
+        if message.instance not in ('', self._settings.instance):
+            return voiding.VoidReply(state=ledger.RunState.FORGOTTEN)
         state = self._ledger.void(message.attempt_id)
         return voiding.VoidReply(state=state)
 
--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -208,7 +208,9 @@
         """
         sidecar = attempt.sidecar
         peer = self._peers.peer(sidecar.ip, sidecar.control_port)
-        message = voiding.VoidRequest(attempt_id=attempt.attempt_id)
+        message = voiding.VoidRequest(
+            attempt_id=attempt.attempt_id, instance=sidecar.name
+        )
         reply = await peer.ask(message, voiding.VoidReply, _VOID_TIMEOUT_S)
         return reply.state
 
--- a/lacewingpitch/engine.py
+++ b/lacewingpitch/engine.py
@@ -29,6 +29,8 @@
         Changes when the engine restarts, and so is empty.
     last_fencing
         Highest fencing number of an order that it took.
+    adapter_slots
+        Adapters that it can hold; 0 if it does not say.
     adapters
         Engine names of the adapters that it holds.
     running_by_adapter
@@ -38,7 +40,7 @@
     incarnation: str
     base_model: str
     last_fencing: int = 0
-    adapter_slots: int = 1
+    adapter_slots: int = 0
     adapters: tuple[str, ...] = ()
     running: int = 0
     running_by_adapter: Mapping[str, int] = {}
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -364,6 +364,7 @@
         report = await self._engine.report()
         if self._fence.renew(report):
             self._slots.forget_all()
+        self._slots.limit(report.adapter_slots)
         self._slots.adopt(report.adapters)
         self._slots.release_adopted(
             asked_at_s, lambda name: not report.running_on(name)
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -283,6 +283,13 @@
                 slot.adopted_at_s = None
                 self._release(slot)
 
+    def limit(self, slot_count: int) -> None:
+        """Use no more slots than the engine says that it has."""
+        # Settings that name more than there are would make each load
+        # into a slot that is none fail, and its requests with it.
+        if slot_count > 0:
+            self._slot_count = min(self._slot_count, slot_count)
+
     async def close(self) -> None:
         """End the loads that are waited for, and begin no more."""
         self._is_closed = True
--- a/lacewingpitch/voiding.py
+++ b/lacewingpitch/voiding.py
@@ -5,9 +5,17 @@
 
 
 class VoidRequest(link.Message, frozen=True):
-    """Asks a sidecar to promise never to run an attempt."""
+    """Asks a sidecar to promise never to run an attempt.
+
+    Parameters
+    ----------
+    instance
+        The sidecar that the attempt was sent to; empty from a process
+        of an earlier version.
+    """
 
     attempt_id: str
+    instance: str = ''
 
 
 class VoidReply(link.Message, frozen=True):
--- a/tests/test_not_run_processes.py
+++ b/tests/test_not_run_processes.py
@@ -9,6 +9,9 @@
 import pytest
 
 from lacewingpitch import contract
+from lacewingpitch import ledger
+from lacewingpitch import link
+from lacewingpitch import voiding
 from lacewingpitch import work
 from tests import fault_matrix
 from tests import processes
@@ -136,6 +139,21 @@
     return found
 
 
+async def promises(deployment, instance):
+    """Return whether a sidecar, being new, promises about new attempts."""
+    sealer = link.Sealer('test', deployment.secret, 'entry-0')
+    peers = link.PeerPool(sealer)
+    with contextlib.closing(peers):
+        reply = await peers.peer(instance.ip, instance.control_port).ask(
+            voiding.VoidRequest(
+                attempt_id=voiding.attempt_id(processes.new_key(), 1)
+            ),
+            voiding.VoidReply,
+            processes.WAIT_S,
+        )
+    return reply.state is ledger.RunState.VOID
+
+
 class TestFrozenSidecar:
     @pytest.mark.parametrize('customer', ['again', 'once'])
     @pytest.mark.parametrize(
@@ -174,6 +192,37 @@
         found = await check_truth(deployment, outcome, request_id)
         assert len(found) <= 1
 
+    @pytest.mark.proves(
+        Promise.NOT_RUN, Fault.LIST_WRONG, Step.BEFORE_ADMISSION
+    )
+    @pytest.mark.proves(
+        Promise.NOT_RUN, Fault.TWO_FAULTS, Step.BEFORE_ADMISSION
+    )
+    async def test_list_that_mixes_up_ports(self, deployment):
+        """A caller reads "not run", and the pot is watered afterwards.
+
+        The list gives a frozen sidecar the control port of another, which
+        promises that the request will not run; then the first wakes.
+        """
+        for _ in range(2):
+            await deployment.add_engine()
+        frozen, other = deployment.instances
+        deployment.instances = [
+            msgspec.structs.replace(frozen, control_port=other.control_port)
+        ]
+        await deployment.add_entry()
+        add_customers(deployment)
+        await deployment.publish()
+        await processes.until(lambda: promises(deployment, other))
+        deployment.sidecars[0].freeze()
+        outcome, request_id, _ = await ask(deployment, 'once', 'ficus')
+        assert outcome == 'unknown'
+        deployment.sidecars[0].wake()
+        await processes.until(
+            lambda: answering(deployment, deployment.sidecars[0])
+        )
+        await check_truth(deployment, outcome, request_id)
+
     @pytest.mark.proves(Promise.NOT_RUN, Fault.FROZEN, Step.ANY)
     @pytest.mark.parametrize('asleep_s', [2.8, 3.2, 3.6, 4.2])
     async def test_woken_while_it_is_asked(self, deployment, asleep_s):
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -521,6 +521,23 @@
 
         assert run_with(scenario) > 20.0
 
+    def test_uses_no_more_slots_than_the_engine_has(self):
+        """An adapter is refused for minutes though slots are idle.
+
+        The settings name more slots than the engine has, so that the
+        sidecar evicts nothing and every further load fails.
+        """
+
+        async def scenario(slots, engine):
+            engine.slot_count = 1
+            slots.limit(0)
+            slots.limit(1)
+            for name in 'abc':
+                await use(slots, engine, name, 0.1)
+            return engine.evictions
+
+        assert run_with(scenario, slot_count=3) == ['a', 'b']
+
     def test_late_report_does_not_bring_back_an_evicted_one(self):
         async def scenario(slots, engine):
             for name in 'abc':
