The fault matrix fails when a test module cannot be collected

Cause: after a merge test_idle_timeout imported a module that had moved; the page was generated without it and the check stayed green. Change: rendering raises unless the collection is whole; the import is mended.

--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -112,9 +112,12 @@
 def render():
     """Return the page."""
     collector = _Collector()
-    pytest.main(
+    code = pytest.main(
         ['--collect-only', '-qq', '-n0', '--no-header'], plugins=[collector]
     )
+    # A module that cannot be imported would drop its cells in silence.
+    if code != pytest.ExitCode.OK:
+        raise RuntimeError(f'tests cannot be collected: {code!r}')
     lines = [
         '# Fault matrix',
         '',
--- a/tests/test_idle_timeout.py
+++ b/tests/test_idle_timeout.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from benchmarks import virtual_time
 from lacewingpitch import idle_timeout
-from tests import virtual_time
 
 LIMIT_S = 5.0
 
