A link that passes nothing on ends a wait for the rest of an answer

Ruled out: the silence check of the first link, which ends after two silences. Change: waiting for the head ends after two silences where the head comes at once (a stream) or the run is over. Conclusion: the guard is the count of silences in _while_alive.

--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -423,14 +423,32 @@
     async def _while_alive(
         self, attempt: Attempt, waiting: Coroutine[None, None, Found]
     ) -> Found:
-        """Wait for as long as the sidecar says that it is there."""
+        """Wait for as long as the sidecar has something to wait for.
+
+        Raises
+        ------
+        LinkError
+            It does not answer, or its answer does not come through.
+        """
+        # A link that takes bytes and passes none on would keep a caller
+        # waiting for ever, as the sidecar itself is there.  The head of
+        # a stream comes at once, that of a whole answer when its run is
+        # over; after that silence can only be the link's.
         task = asyncio.create_task(waiting)
+        silences = 0
         try:
             while True:
                 done, _ = await asyncio.wait({task}, timeout=_SILENCE_S)
                 if done:
                     return task.result()
-                await self.ask_state(attempt)
+                state = await self.ask_state(attempt)
+                if (
+                    attempt.order.stream
+                    or state is not ledger.RunState.STARTED
+                ):
+                    silences += 1
+                if silences > 1:
+                    raise errors.LinkError('the link is silent')
         finally:
             task.cancel()
 
--- a/tests/test_fault_cells.py
+++ b/tests/test_fault_cells.py
@@ -303,6 +303,13 @@
     await scene.relays[number].mend()
 
 
+@contextlib.asynccontextmanager
+async def half_open(scene, number):
+    scene.relays[number].half_open()
+    yield
+    scene.relays[number].heal()
+
+
 @contextlib.asynccontextmanager
 async def config_down(scene, _number):
     platform = scene.deployment.platform
@@ -337,6 +344,7 @@
 CELLS = [
     cell(Step.FIRST_TOKEN, Fault.FROZEN, sidecar_frozen),
     cell(Step.FIRST_TOKEN, Fault.LINK_CUT, link_cut),
+    cell(Step.MID_STREAM, Fault.HALF_OPEN, half_open),
     cell(Step.LOADING, Fault.CONFIG_DOWN, config_down),
     cell(Step.MID_STREAM, Fault.LIST_WRONG, list_wrong),
 ]
