Fault cells: 24 combinations of step and fault over real processes

Cause: killed sidecars, empty engines, two faults together and the same fault twice had no test at most steps. Conclusion: no guard was removed under these cells, so they show agreement with the truth, not that a guard is needed.

--- a/tests/test_fault_cells.py
+++ b/tests/test_fault_cells.py
@@ -153,10 +153,17 @@
         return found[0]
 
     async def _is_at(self, step, number):
+        if step is Step.QUEUED:
+            sidecar = self.deployment.sidecars[number]
+            return await self.metric(sidecar, 'lacewingpitch_requests_queued')
         truth = await self.truth(number)
         if step is Step.LOADING:
             is_told = (await self.report(number))['last_fencing'] > 0
             return is_told and not truth.loads
+        if step is Step.SENT:
+            return any(not run.finished for run in truth.runs)
+        if step is Step.BEFORE_DELIVERY:
+            return any(run.finished for run in truth.runs)
         wanted = 1 if step is Step.FIRST_TOKEN else CUT_AT // 2
         runs = {run.run_id for run in truth.runs if not run.finished}
         return any(
@@ -242,7 +249,12 @@
 
 
 @pytest.fixture
-async def scene(tmp_path):
+async def scene(tmp_path, request):
+    step = request.getfixturevalue('step')
+    # More than one run at a time would leave nobody in the queue.
+    fields = {'adapter_slots': 1}
+    if step is Step.QUEUED:
+        fields['max_running'] = 1
     async with contextlib.AsyncExitStack() as exits:
         deployment = await exits.enter_async_context(
             processes.Deployment(tmp_path)
@@ -250,10 +262,7 @@
         relays = []
         for number in range(2):
             await deployment.add_engine(
-                *ENGINE_OPTIONS,
-                '--token-s',
-                '0.03',
-                adapter_slots=1,
+                *ENGINE_OPTIONS, '--token-s', '0.03', **fields
             )
             found = deployment.instances[number]
             relays.append(
@@ -289,6 +298,14 @@
         yield Scene(deployment, relays)
 
 
+@contextlib.asynccontextmanager
+async def sidecar_killed(scene, number):
+    await scene.deployment.sidecars[number].kill()
+    yield
+    successor = await scene.deployment.spawn_successor(number)
+    await successor.listening()
+
+
 @contextlib.asynccontextmanager
 async def sidecar_frozen(scene, number):
     scene.deployment.sidecars[number].freeze()
@@ -296,6 +313,36 @@
     scene.deployment.sidecars[number].wake()
 
 
+@contextlib.asynccontextmanager
+async def entry_killed(scene, _number):
+    scene.lost_entries.add(1)
+    await scene.deployment.entries[1].kill()
+    yield
+
+
+@contextlib.asynccontextmanager
+async def engine_empty(scene, number):
+    engine = scene.deployment.engines[number]
+    async with scene.deployment.session.post(engine.url + '/restart'):
+        yield
+
+
+@contextlib.asynccontextmanager
+async def engine_empty_twice(scene, number):
+    load_count = len((await scene.truth(number)).loads)
+    async with engine_empty(scene, number):
+
+        async def is_used_again():
+            is_over = all(task.done() for task in scene.asking)
+            return is_over or len((await scene.truth(number)).loads) > (
+                load_count
+            )
+
+        await processes.until(is_used_again)
+    async with engine_empty(scene, number):
+        yield
+
+
 @contextlib.asynccontextmanager
 async def link_cut(scene, number):
     await scene.relays[number].cut()
@@ -333,6 +380,34 @@
     await scene.deployment.publish_instances()
 
 
+@contextlib.asynccontextmanager
+async def load_fails(scene, number):
+    engine = scene.deployment.engines[number]
+    await scene.deployment.set_faults(engine, failing_loads=2)
+    yield
+
+
+@contextlib.asynccontextmanager
+async def stream_cut(scene, number, cut_at=CUT_AT):
+    engine = scene.deployment.engines[number]
+    await scene.deployment.set_faults(engine, cut_after_events=cut_at)
+    yield
+
+
+@contextlib.asynccontextmanager
+async def stream_cut_twice(scene, number):
+    async with stream_cut(scene, number):
+
+        async def is_resumed():
+            return any(len(c.tokens()) > CUT_AT for c in scene.calls) or all(
+                task.done() for task in scene.asking
+            )
+
+        await processes.until(is_resumed)
+    async with stream_cut(scene, number, 2 * CUT_AT):
+        yield
+
+
 def cell(step, fault, *doings):
     marks = [pytest.mark.proves(p, fault, step) for p in PROMISES]
     name = '-'.join(d.__name__ for d in doings)
@@ -342,11 +417,33 @@
 
 
 CELLS = [
-    cell(Step.FIRST_TOKEN, Fault.FROZEN, sidecar_frozen),
-    cell(Step.FIRST_TOKEN, Fault.LINK_CUT, link_cut),
-    cell(Step.MID_STREAM, Fault.HALF_OPEN, half_open),
-    cell(Step.LOADING, Fault.CONFIG_DOWN, config_down),
-    cell(Step.MID_STREAM, Fault.LIST_WRONG, list_wrong),
+    cell(step, fault, doing)
+    for fault, doing, steps in (
+        (
+            Fault.KILLED,
+            sidecar_killed,
+            (Step.QUEUED, Step.LOADING, Step.SENT, Step.BEFORE_DELIVERY),
+        ),
+        (Fault.FROZEN, sidecar_frozen, (Step.QUEUED, Step.FIRST_TOKEN)),
+        (Fault.LINK_CUT, link_cut, (Step.QUEUED, Step.FIRST_TOKEN)),
+        (Fault.HALF_OPEN, half_open, (Step.LOADING, Step.MID_STREAM)),
+        (Fault.CONFIG_DOWN, config_down, (Step.QUEUED, Step.LOADING)),
+        (Fault.LIST_WRONG, list_wrong, (Step.QUEUED, Step.MID_STREAM)),
+        (
+            Fault.ENGINE_EMPTY,
+            engine_empty,
+            (Step.QUEUED, Step.SENT, Step.MID_STREAM),
+        ),
+        (Fault.LOAD_FAILS, load_fails, (Step.LOADING,)),
+        (Fault.STREAM_CUT, stream_cut, (Step.FIRST_TOKEN,)),
+        (Fault.SAME_TWICE, stream_cut_twice, (Step.FIRST_TOKEN,)),
+        (Fault.SAME_TWICE, engine_empty_twice, (Step.SENT,)),
+    )
+    for step in steps
+] + [
+    cell(Step.SENT, Fault.TWO_FAULTS, config_down, sidecar_killed),
+    cell(Step.MID_STREAM, Fault.TWO_FAULTS, sidecar_frozen, entry_killed),
+    cell(Step.LOADING, Fault.TWO_FAULTS, engine_empty, link_cut),
 ]
 
 
@@ -357,11 +454,19 @@
     Calls of every kind are on their way; when one is at the step, the
     faults come.  They heal once every caller has been answered.
     """
+    if step is Step.BEFORE_DELIVERY:
+        for found in scene.relays:
+            found.one_way()
     scene.ask_all()
     number = await scene.reach(step)
     async with contextlib.AsyncExitStack() as exits:
         for doing in doings:
             await exits.enter_async_context(doing(scene, number))
+        if step is Step.BEFORE_DELIVERY:
+            # What the relay holds never arrives.
+            for found in scene.relays:
+                await found.cut()
+                await found.mend()
         await scene.ended()
     await scene.recover()
     await scene.check()
