"Not run" speaks for the request, not for its last attempt

The dispatcher passed that last refusal on, and with it the outcome "not-run", although the first attempt had run.

The sidecar's word: each of the two attempts was reported truthfully. The truth of the stand-in: the run is there, unfinished.

Reading on from there, the same in one attempt: a stream that is taken up again needs its adapter, and the refusal of that load ("not run", may go elsewhere) was believed, so that a request that may run once could be sent to a second engine. Found by reading, shown by a unit test; no process test has met it.

A refusal behind an attempt that may have run is answered outcome-unknown, with the last refusal's Retry-After. A sidecar that cannot take up a stream says outcome-unknown, never not-run.

--- a/lacewingpitch/attempts.py
+++ b/lacewingpitch/attempts.py
@@ -195,8 +195,19 @@
     async def _continue(
         self, order: work.WorkOrder, delivery: runs.Delivery
     ) -> runs.WholeAnswer | None:
-        async with self._runner.ready(order):
-            await self._runner.resume(order, delivery)
+        try:
+            async with self._runner.ready(order):
+                await self._runner.resume(order, delivery)
+        except errors.RefusalError as error:
+            # The adapter may be gone from an engine that restarted, and
+            # its load be refused as "not run".  The attempt has started:
+            # believed, that would have it run once more elsewhere.
+            if error.outcome is not errors.Outcome.NOT_RUN:
+                raise
+            raise errors.RefusalError(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                f'the stream cannot be taken up: {error.detail}',
+            ) from error
         return None
 
     @contextlib.asynccontextmanager
--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -253,6 +253,7 @@
         self, order: work.WorkOrder, body: bytes, content_type: str
     ) -> Reply:
         until_s = time.monotonic() + order.deadline_s
+        may_have_run = False
         last = errors.RefusalError(
             errors.ErrorKind.NO_BACKEND_SERVER, 'none is known to be live'
         )
@@ -277,9 +278,14 @@
                     kind=error.kind,
                     detail=error.detail,
                 )
-                last = error
+                # An engine that restarts ends a run that may be repeated,
+                # and the next attempt is refused before it runs.  That
+                # refusal speaks of one attempt; "not run" is a promise
+                # about the request, which the first has broken.
+                last = _after_a_run(error) if may_have_run else error
+                may_have_run |= error.outcome is not errors.Outcome.NOT_RUN
                 if not _goes_again(error, order):
-                    raise
+                    raise last from error
         raise last
 
     async def _may_retry(self, number: int) -> bool:
@@ -479,6 +485,15 @@
     return order.repeatable and error.kind in _REPEATABLE_KINDS
 
 
+def _after_a_run(error: errors.RefusalError) -> errors.RefusalError:
+    """Return what to answer when an earlier attempt may have run."""
+    return errors.RefusalError(
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+        f'an earlier attempt may have run; the last: {error.detail}',
+        retry_after_s=error.retry_after_s,
+    )
+
+
 def _unknown(detail: str) -> errors.RefusalError:
     return errors.RefusalError(errors.ErrorKind.OUTCOME_UNKNOWN, detail)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -34,6 +34,7 @@
         self._sealer = sealer
         self._server = http_server.HttpServer(1 << 20)
         self.kind = None
+        self.kinds = []
         self.orders = []
 
     async def start(self):
@@ -49,8 +50,9 @@
             request.headers[work.ORDER_HEADER], self._sealer
         )
         self.orders.append(order)
-        if self.kind is not None:
-            error = errors.RefusalError(self.kind, 'told to')
+        kind = self.kinds.pop(0) if self.kinds else self.kind
+        if kind is not None:
+            error = errors.RefusalError(kind, 'told to')
             return answer.refusal_response(error, order.request_id)
         name = voiding.attempt_id(order.request_id, order.attempt)
         return web.Response(text='done', headers={work.ATTEMPT_HEADER: name})
@@ -71,6 +73,12 @@
         for sidecar in self.sidecars:
             sidecar.kind = kind
 
+    def fail_in_turn(self, first, later):
+        self.fail_with(later)
+        kinds = [first]
+        for sidecar in self.sidecars:
+            sidecar.kinds = kinds
+
     async def send(self, repeatable=True, deadline_s=5.0):
         order = work.WorkOrder(
             request_id=str(uuid_utils.uuid7()),
@@ -152,6 +160,25 @@
             await bench.send(repeatable=True)
         assert bench.calls > 2
 
+    async def test_not_run_is_not_said_after_an_attempt_that_may_have_run(
+        self, bench
+    ):
+        """A caller is told "not run", and the engine worked on it.
+
+        The first attempt reaches an engine that restarts empty; the next
+        is refused before it runs, as the adapter cannot be loaded in
+        time.  The last refusal was passed on as if it spoke for both.
+        """
+        bench.fail_in_turn(
+            ErrorKind.OUTCOME_UNKNOWN, ErrorKind.DEADLINE_UNREACHABLE
+        )
+        with pytest.raises(errors.RefusalError) as told:
+            await bench.send(repeatable=True)
+        assert bench.calls > 1
+        assert told.value.outcome is errors.Outcome.UNKNOWN
+        assert told.value.status == 504
+        assert told.value.retry_after_s == 2.0
+
     async def test_what_no_other_can_do_better_stays(self, bench):
         bench.fail_with(ErrorKind.BAD_REQUEST)
         with pytest.raises(errors.RefusalError):
