Split dispatch: choosing and trying again, and the link to one sidecar

The second job moves, as it was, to sidecar_link.py (Attempt, Reply, SidecarLink). Behaviour is the same.

--- a/benchmarks/path_hop.py
+++ b/benchmarks/path_hop.py
@@ -18,12 +18,12 @@
 from lacewingpitch import answer_delivery
 from lacewingpitch import clock
 from lacewingpitch import contract
-from lacewingpitch import dispatch
 from lacewingpitch import engine
 from lacewingpitch import event_stream
 from lacewingpitch import limits
 from lacewingpitch import runner
 from lacewingpitch import runs
+from lacewingpitch import sidecar_link
 from lacewingpitch import work
 
 EVENT = b'data: {"choices":[{"delta":{"content":"x"}}],"id":"%030d"}\n\n'
@@ -80,8 +80,8 @@
         repeatable=True,
         adapter=contract.AdapterGrant(name='a', version='1', base_model='b'),
     )
-    attempt = dispatch.Attempt(order, None, b'', '')
-    reply = dispatch.Reply(None, attempt, Upstream(content), None)
+    attempt = sidecar_link.Attempt(order, None, b'', '')
+    reply = sidecar_link.Reply(None, attempt, Upstream(content), None)
     delivery = answer_delivery.AnswerDelivery(
         Request(),
         order,
--- a/lacewingpitch/answer_delivery.py
+++ b/lacewingpitch/answer_delivery.py
@@ -9,11 +9,11 @@
 
 from lacewingpitch import account as account_module
 from lacewingpitch import answer
-from lacewingpitch import dispatch
 from lacewingpitch import errors
 from lacewingpitch import event_stream
 from lacewingpitch import limits as limits_module
 from lacewingpitch import runner
+from lacewingpitch import sidecar_link
 from lacewingpitch import work
 
 _EVENT_STREAM = 'text/event-stream'
@@ -57,7 +57,7 @@
         self,
         request: web.Request,
         order: work.WorkOrder,
-        reply: dispatch.Reply,
+        reply: sidecar_link.Reply,
         tally: account_module.Tally,
         permit: limits_module.Permit,
     ) -> None:
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -33,6 +33,7 @@
 from lacewingpitch import report as report_module
 from lacewingpitch import report_server
 from lacewingpitch import settings as settings_module
+from lacewingpitch import sidecar_link
 from lacewingpitch import work
 
 _BEARER = 'Bearer '
@@ -118,15 +119,19 @@
         self._node.membership.changes.subscribe(
             lambda published: places.retain(published.instances)
         )
-        self._dispatcher = dispatch.Dispatcher(
+        ejector = ejection.Ejector(self._node.clock, random.Random())
+        link = sidecar_link.SidecarLink(
             self._node.session,
             self._node.sealer,
             self._node.peers,
             self._node.membership,
             places,
-            ejection.Ejector(self._node.clock, random.Random()),
+            ejector,
             self._node.contracts.catch_up,
         )
+        self._dispatcher = dispatch.Dispatcher(
+            link, self._node.membership, places, ejector
+        )
         self._start_account()
         self._limits = await self._exits.enter_async_context(
             limits_module.node_limits(self._node)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -20,6 +20,7 @@
 from lacewingpitch import live_list
 from lacewingpitch import membership
 from lacewingpitch import placement
+from lacewingpitch import sidecar_link
 from lacewingpitch import voiding
 from lacewingpitch import work
 
@@ -128,13 +129,15 @@
         )
         peers = link.PeerPool(sealer)
         exits.callback(peers.close)
+        places = placement.Placement(clock)
+        ejector = ejection.Ejector(clock, random.Random(1))
         dispatcher = dispatch.Dispatcher(
-            session,
-            sealer,
-            peers,
+            sidecar_link.SidecarLink(
+                session, sealer, peers, members, places, ejector
+            ),
             members,
-            placement.Placement(clock),
-            ejection.Ejector(clock, random.Random(1)),
+            places,
+            ejector,
         )
         yield Bench(sidecars, dispatcher)
 
