A silent sidecar is left: it is asked about what it does not answer

A frozen sidecar keeps its port, its connections and its place in the list. Every request sent to it waited until its deadline, and nothing failed that would have ejected it. A half-open link did the same.

A shorter timeout (cuts what is well, proves nothing), heartbeats (4 KB/s), hedging (leaves the sidecar in use).

After 1 s without the head of an answer the entry asks how far the attempt got. No reply twice: the sidecar is ejected, and a request that may run twice leaves it with a token of the retry budget. Not known of, twice: it is voided and goes elsewhere, also one that may run once. A silent sidecar is asked before it is tried again.

Guards shown, trials on a scratch copy, one removed at a time, each fails its test of test_sidecar_link: one question in place of two; leaving whatever may not repeat; leaving without a token; no question before the trial; never a void for the absent; not leaving.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 
 .PHONY: demo test lint format bench bench-account bench-claims \
 	bench-contracts bench-hop bench-limits bench-order bench-policy bench-retries \
+	bench-silence \
 	capacity fault-matrix fault-matrix-check
 
 $(STAMP): pyproject.toml constraints.txt
@@ -55,6 +56,9 @@
 bench-retries: $(STAMP)
 	$(BIN)/python -m benchmarks.retries
 
+bench-silence: $(STAMP)
+	$(BIN)/python -m benchmarks.silence
+
 capacity: $(STAMP)
 	$(BIN)/python -m benchmarks.capacity
 
--- a/lacewingpitch/attempts.py
+++ b/lacewingpitch/attempts.py
@@ -259,6 +259,9 @@
         # the caller would be told "not run" of a request that runs.
         if message.instance not in ('', self._settings.instance):
             return voiding.VoidReply(state=ledger.RunState.FORGOTTEN)
+        if message.only_asks:
+            found = self._ledger.state(message.attempt_id)
+            return voiding.VoidReply(state=found or ledger.RunState.FORGOTTEN)
         state = self._ledger.void(message.attempt_id)
         return voiding.VoidReply(state=state)
 
--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -42,8 +42,8 @@
         self._link = link
         self._membership = membership
         self._placement = placement
-        self._ejector = ejector
-        self._budget = retry_budget.RetryBudget()
+        self.ejector = ejector
+        self.budget = retry_budget.RetryBudget()
         self._random = random.Random()
 
     @contextlib.asynccontextmanager
@@ -57,7 +57,7 @@
         RefusalError
             No sidecar answered; says whether the request may have run.
         """
-        self._budget.earn()
+        self.budget.earn()
         with contextlib.closing(
             await self._try_all(order, body, content_type)
         ) as reply:
@@ -76,16 +76,23 @@
             errors.ErrorKind.NO_BACKEND_SERVER, 'none is known to be live'
         )
         candidates = await self._candidates(order)
+        permit = retry_budget.RetryPermit(self.budget, False)
         for number, sidecar in enumerate(candidates):
-            if number and not await self._may_retry(number):
+            if number and not await self._may_retry(number, permit):
                 break
+            permit = retry_budget.RetryPermit(
+                self.budget,
+                order.repeatable and sidecar is not candidates[-1],
+            )
             left_s = until_s - time.monotonic()
             if left_s <= 0.0:
                 break
             order = msgspec.structs.replace(
                 order, attempt=order.attempt + 1, deadline_s=left_s
             )
-            attempt = sidecar_link.Attempt(order, sidecar, body, content_type)
+            attempt = sidecar_link.Attempt(
+                order, sidecar, body, content_type, permit.leave
+            )
             try:
                 return await self._try(attempt)
             except errors.RefusalError as error:
@@ -106,8 +113,10 @@
                     raise last from error
         raise last
 
-    async def _may_retry(self, number: int) -> bool:
-        if not self._budget.spend():
+    async def _may_retry(
+        self, number: int, permit: retry_budget.RetryPermit
+    ) -> bool:
+        if not permit.take():
             return False
         delay_s = retry_budget.backoff_s(number, self._random)
         await asyncio.sleep(delay_s)
@@ -127,12 +136,12 @@
                 self._membership.sidecars(adapter.base_model),
             )
         names = [instance.name for instance in found]
-        allowed = set(self._ejector.allowed(names))
+        allowed = set(self.ejector.allowed(names))
         return [i for i in found if i.name in allowed][:MAX_ATTEMPTS]
 
     async def _try(self, attempt: sidecar_link.Attempt) -> sidecar_link.Reply:
         name = attempt.sidecar.name
-        self._ejector.begin(name)
+        self.ejector.begin(name)
         with contextlib.ExitStack() as held:
             held.enter_context(
                 self._placement.sent(_placement_key(attempt.order), name)
@@ -144,9 +153,9 @@
                 raise
             except errors.RefusalError as error:
                 if error.kind in _REPEATABLE_KINDS:
-                    self._ejector.failed(name)
+                    self.ejector.failed(name)
                 raise
-            self._ejector.succeeded(name)
+            self.ejector.succeeded(name)
             return sidecar_link.Reply(
                 self._link, attempt, response, held.pop_all()
             )
--- a/lacewingpitch/ejection.py
+++ b/lacewingpitch/ejection.py
@@ -21,6 +21,7 @@
     ejections: int = 0
     ejected_until_s: float | None = None
     trial_until_s: float = 0.0
+    is_silent: bool = False
 
 
 class Ejector:
@@ -81,6 +82,18 @@
         length_s *= self._source.uniform(0.75, 1.25)
         found.ejected_until_s = now_s + length_s
 
+    def silent(self, name: str) -> None:
+        """Record that a server does not answer: eject it at once."""
+        found = self._health.setdefault(name, Health())
+        found.is_silent = True
+        found.failures = max(found.failures, _FAILURES_TO_EJECT - 1)
+        self.failed(name)
+
+    def is_silent(self, name: str) -> bool:
+        """Whether a server was silent when it was last tried."""
+        found = self._health.get(name)
+        return found is not None and found.is_silent
+
     def _is_open(self, name: str) -> bool:
         found = self._health.get(name)
         if found is None or found.ejected_until_s is None:
--- a/lacewingpitch/errors.py
+++ b/lacewingpitch/errors.py
@@ -37,6 +37,7 @@
     NO_BACKEND_SERVER = 'no-backend-server'
     CLAIM_UNAVAILABLE = 'claim-unavailable'
     ATTEMPT_OUT_OF_WINDOW = 'attempt-out-of-window'
+    ATTEMPT_WITHDRAWN = 'attempt-withdrawn'
     CONTRACT_OUTDATED = 'contract-outdated'
     DRAINING = 'draining'
     FOREIGN_PROCESS = 'foreign-process'
@@ -89,6 +90,7 @@
     ErrorKind.NO_BACKEND_SERVER: AnswerRule(503, _NOT_RUN, 2.0),
     ErrorKind.CLAIM_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0),
     ErrorKind.ATTEMPT_OUT_OF_WINDOW: AnswerRule(503, _NOT_RUN, 1.0),
+    ErrorKind.ATTEMPT_WITHDRAWN: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.CONTRACT_OUTDATED: AnswerRule(503, _NOT_RUN, 1.0),
     ErrorKind.DRAINING: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.FOREIGN_PROCESS: AnswerRule(403, _NOT_RUN),
@@ -112,6 +114,10 @@
     """A peer did not answer, or its answer cannot be used."""
 
 
+class NoReplyError(LinkError):
+    """A peer did not answer at all."""
+
+
 class PlatformError(LacewingpitchError):
     """The platform refused a call or did not answer."""
 
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -73,6 +73,9 @@
     errors.ErrorKind.ATTEMPT_OUT_OF_WINDOW: (
         'the attempt was made too long ago, or by a clock that is ahead'
     ),
+    errors.ErrorKind.ATTEMPT_WITHDRAWN: (
+        'the sidecar is silent, or promised not to run the attempt'
+    ),
     errors.ErrorKind.CONTRACT_OUTDATED: (
         'a process had yet to learn the revision of the contract'
     ),
--- a/lacewingpitch/ledger.py
+++ b/lacewingpitch/ledger.py
@@ -211,5 +211,5 @@
 
 def _withdrawn() -> errors.RefusalError:
     return errors.RefusalError(
-        errors.ErrorKind.NO_BACKEND_SERVER, 'this attempt was withdrawn'
+        errors.ErrorKind.ATTEMPT_WITHDRAWN, 'this attempt was withdrawn'
     )
--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -195,7 +195,7 @@
         Raises
         ------
         LinkError
-            No usable reply within `timeout_s`.
+            No usable reply within `timeout_s`; a `NoReplyError` if none.
         """
         with self._context() as context:
             try:
@@ -203,7 +203,7 @@
                     await _finish(context.asend(self._sealer.seal(message)))
                     data = await _finish(context.arecv())
             except (TimeoutError, pynng.NNGException) as error:
-                raise errors.LinkError(
+                raise errors.NoReplyError(
                     f'no reply from {self.address}: {error!r}'
                 ) from error
         name, body = self._sealer.open(data)
--- a/lacewingpitch/retry_budget.py
+++ b/lacewingpitch/retry_budget.py
@@ -38,6 +38,35 @@
         return True
 
 
+class RetryPermit:
+    """The right of one attempt to be followed by another.
+
+    Parameters
+    ----------
+    budget
+        Is charged once, when the right is first taken.
+    can_leave
+        Whether another attempt may follow while this one may still run.
+    """
+
+    def __init__(self, budget: RetryBudget, can_leave: bool) -> None:
+        self._budget = budget
+        self._can_leave = can_leave
+        self._is_paid = False
+
+    def leave(self) -> bool:
+        """Take the right before the attempt has ended."""
+        # Requests that leave a silent server together must not count on
+        # the same token: who finds none left would end in an error, and
+        # might have been served once the server wakes up.
+        return self._can_leave and self.take()
+
+    def take(self) -> bool:
+        """Take the right; return whether there was a token for it."""
+        self._is_paid = self._is_paid or self._budget.spend()
+        return self._is_paid
+
+
 def backoff_s(retry: int, source: random.Random) -> float:
     """Return how long to wait before a retry, counted from 1.
 
--- a/lacewingpitch/sidecar_link.py
+++ b/lacewingpitch/sidecar_link.py
@@ -30,6 +30,13 @@
 _SILENCE_S = 5.0
 # Longer than a sidecar waits for a silent engine.
 _MAX_SILENCES = 14
+# When a sidecar is asked about an attempt that it has not answered.
+_ASK_AFTER_S = 1.0
+_MAX_ASK_AFTER_S = 8.0
+_ASK_TIMEOUT_S = 0.75
+_UNANSWERED_TO_LEAVE = 2
+_FINISHED_TO_REATTACH = 2
+_ABSENT_TO_VOID = 2
 _REATTACH_DELAYS_S = (0.0, 0.1, 0.3, 0.6, 1.0, 1.5)
 # The connection was never made, so not a byte of the request went out.
 _NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -40,14 +47,26 @@
 OnOutdated = Callable[[str, live_list.Instance], Awaitable[None]]
 
 
+def _never() -> bool:
+    return False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
-    """One request on its way to one sidecar."""
+    """One request on its way to one sidecar.
+
+    Parameters
+    ----------
+    may_leave
+        Whether the request may now go elsewhere although this attempt
+        may run.
+    """
 
     order: work.WorkOrder
     sidecar: live_list.Instance
     body: bytes
     content_type: str
+    may_leave: Callable[[], bool] = _never
 
     @property
     def attempt_id(self) -> str:
@@ -172,9 +191,11 @@
         """
         order = attempt.order
         name = attempt.sidecar.name
+        if self._ejector.is_silent(name):
+            await self._check_answers(attempt)
         try:
             async with asyncio.timeout(order.deadline_s + _ANSWER_GRACE_S):
-                return await self._post('/run', attempt)
+                return await self._post_and_ask(attempt)
         except _NOT_SENT as error:
             self._ejector.failed(name)
             self._membership.suspect(name)
@@ -189,9 +210,17 @@
         # a connection that broke does not end the run.
         return await self.reattach(attempt, 0)
 
-    async def ask_state(self, attempt: Attempt) -> ledger.RunState:
+    async def ask_state(
+        self,
+        attempt: Attempt,
+        *,
+        only_asks: bool = False,
+        timeout_s: float = _VOID_TIMEOUT_S,
+    ) -> ledger.RunState:
         """Return how far an attempt got; void it if it did not start.
 
+        With `only_asks` it is not voided.
+
         Raises
         ------
         LinkError
@@ -200,9 +229,11 @@
         sidecar = attempt.sidecar
         peer = self._peers.peer(sidecar.ip, sidecar.control_port)
         message = voiding.VoidRequest(
-            attempt_id=attempt.attempt_id, instance=sidecar.name
+            attempt_id=attempt.attempt_id,
+            instance=sidecar.name,
+            only_asks=only_asks,
         )
-        reply = await peer.ask(message, voiding.VoidReply, _VOID_TIMEOUT_S)
+        reply = await peer.ask(message, voiding.VoidReply, timeout_s)
         return reply.state
 
     async def reattach(
@@ -296,6 +327,96 @@
             await self._on_outdated(attempt.order.customer, attempt.sidecar)
         raise work.error_of(body.error)
 
+    async def _post_and_ask(self, attempt: Attempt) -> aiohttp.ClientResponse:
+        """Wait for the head of an answer, and ask where it stays.
+
+        Raises
+        ------
+        RefusalError
+            The attempt did not arrive, or the sidecar is silent and the
+            request may leave it.
+        """
+        posting = asyncio.create_task(self._post('/run', attempt))
+        wait_s = _ASK_AFTER_S
+        finished = absent = 0
+        try:
+            while True:
+                await asyncio.wait({posting}, timeout=wait_s)
+                state = None
+                if not posting.done():
+                    state = await self._ask_progress(
+                        attempt, only_asks=absent < _ABSENT_TO_VOID
+                    )
+                if posting.done():
+                    return posting.result()
+                if state is None:
+                    self._leave_silent(attempt)
+                if state is ledger.RunState.VOID:
+                    raise self._not_arrived(attempt)
+                finished += state is ledger.RunState.FINISHED
+                if finished >= _FINISHED_TO_REATTACH:
+                    raise aiohttp.ClientPayloadError('the link is silent')
+                if state is ledger.RunState.FORGOTTEN:
+                    absent += 1
+                else:
+                    wait_s = min(2 * wait_s, _MAX_ASK_AFTER_S)
+        finally:
+            posting.cancel()
+            # Whoever asks for a void next relies on a closed connection.
+            await asyncio.wait({posting})
+
+    async def _ask_progress(
+        self, attempt: Attempt, only_asks: bool
+    ) -> ledger.RunState | None:
+        """Return how far an attempt got; nothing from a silent sidecar."""
+        # One question without a reply may be this process's own pause, in
+        # which the time for the reply ran out; a second follows it.
+        for _ in range(_UNANSWERED_TO_LEAVE):
+            try:
+                return await self.ask_state(
+                    attempt, only_asks=only_asks, timeout_s=_ASK_TIMEOUT_S
+                )
+            except errors.NoReplyError:
+                continue
+            except errors.LinkError:
+                return ledger.RunState.FORGOTTEN
+        return None
+
+    def _leave_silent(self, attempt: Attempt) -> None:
+        # A frozen sidecar keeps its connections and answers nothing, so
+        # each request sent to it would wait until its deadline.  One that
+        # may run twice goes elsewhere; any other waits on, as it may run
+        # when the sidecar wakes up.
+        name = attempt.sidecar.name
+        self._ejector.silent(name)
+        if attempt.may_leave():
+            self.cancel(attempt)
+            raise _unknown(f'{name} is silent')
+
+    def _not_arrived(self, attempt: Attempt) -> errors.RefusalError:
+        # A link that is half open takes the request and passes nothing
+        # on.  The sidecar's promise holds also if it arrives after all.
+        name = attempt.sidecar.name
+        self._ejector.failed(name)
+        return errors.RefusalError(
+            errors.ErrorKind.ATTEMPT_WITHDRAWN, f'has not arrived at {name}'
+        )
+
+    async def _check_answers(self, attempt: Attempt) -> None:
+        # The first request after an ejection tries the sidecar.  To one
+        # that was silent a question goes first: what is sent to a frozen
+        # process may run later, and so could not go elsewhere.
+        name = attempt.sidecar.name
+        try:
+            await self._ask_cancel(attempt)
+        except errors.NoReplyError as error:
+            self._ejector.silent(name)
+            raise errors.RefusalError(
+                errors.ErrorKind.ATTEMPT_WITHDRAWN, f'{name} is silent'
+            ) from error
+        except errors.LinkError:
+            return
+
     async def _void(self, attempt: Attempt, cause: Exception) -> None:
         """Return if the attempt has started; it can be taken up then.
 
@@ -356,11 +477,14 @@
             task.cancel()
 
     async def _send_cancel(self, attempt: Attempt) -> None:
+        with contextlib.suppress(errors.LinkError):
+            await self._ask_cancel(attempt)
+
+    async def _ask_cancel(self, attempt: Attempt) -> None:
         sidecar = attempt.sidecar
         peer = self._peers.peer(sidecar.ip, sidecar.control_port)
         message = voiding.CancelRequest(attempt_id=attempt.attempt_id)
-        with contextlib.suppress(errors.LinkError):
-            await peer.ask(message, voiding.CancelReply, _CANCEL_TIMEOUT_S)
+        await peer.ask(message, voiding.CancelReply, _CANCEL_TIMEOUT_S)
 
 
 def _unknown(detail: str) -> errors.RefusalError:
--- a/lacewingpitch/voiding.py
+++ b/lacewingpitch/voiding.py
@@ -12,10 +12,14 @@
     instance
         The sidecar that the attempt was sent to; empty from a process
         of an earlier version.
+    only_asks
+        Whether the attempt is left as it is; one that is not known of
+        counts as ``FORGOTTEN``.
     """
 
     attempt_id: str
     instance: str = ''
+    only_asks: bool = False
 
 
 class VoidReply(link.Message, frozen=True):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,10 +15,13 @@
 import uuid_utils
 
 from lacewingpitch import contract
+from lacewingpitch import ledger
+from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import settings
 from lacewingpitch import standin_engine
 from lacewingpitch import standin_service
+from lacewingpitch import voiding
 
 IP = '127.0.0.1'
 START_S = 30.0
@@ -317,6 +320,18 @@
         ) as response:
             assert response.status == 200
 
+    async def promises(self, instance):
+        """Return whether a sidecar, being new, promises not to run."""
+        sealer = link.Sealer('test', self.secret, 'entry-0')
+        attempt_id = voiding.attempt_id(new_key(), 1)
+        with contextlib.closing(link.PeerPool(sealer)) as peers:
+            reply = await peers.peer(instance.ip, instance.control_port).ask(
+                voiding.VoidRequest(attempt_id=attempt_id),
+                voiding.VoidReply,
+                WAIT_S,
+            )
+        return reply.state is ledger.RunState.VOID
+
     async def truth(self, engine):
         async with self.session.get(engine.url + '/truth') as response:
             return msgspec.json.decode(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,144 +2,14 @@
 
 import asyncio
 import contextlib
-import random
 
-import aiohttp
-from aiohttp import web
 import pytest
-import uuid_utils
 
-from lacewingpitch import answer
-from lacewingpitch import clock as clock_module
-from lacewingpitch import contract
-from lacewingpitch import dispatch
-from lacewingpitch import ejection
 from lacewingpitch import errors
-from lacewingpitch import http_server
-from lacewingpitch import link
-from lacewingpitch import live_list
-from lacewingpitch import membership
-from lacewingpitch import placement
-from lacewingpitch import sidecar_link
-from lacewingpitch import voiding
-from lacewingpitch import work
-
-IP = '127.0.0.1'
-ErrorKind = errors.ErrorKind
-
-
-class FakeSidecar:
-    """Answers every request as told, and counts them."""
-
-    def __init__(self, sealer):
-        self._sealer = sealer
-        self._server = http_server.HttpServer(1 << 20)
-        self.kind = None
-        self.kinds = []
-        self.orders = []
-
-    async def start(self):
-        self._server.route('POST', '/run', self._run)
-        await self._server.start(IP, 0)
-        self.port = self._server.port
-
-    async def close(self):
-        await self._server.close()
+from tests import fake_sidecars
 
-    async def _run(self, request):
-        order = work.decode_order(
-            request.headers[work.ORDER_HEADER], self._sealer
-        )
-        self.orders.append(order)
-        kind = self.kinds.pop(0) if self.kinds else self.kind
-        if kind is not None:
-            error = errors.RefusalError(kind, 'told to')
-            return answer.refusal_response(error, order.request_id)
-        name = voiding.attempt_id(order.request_id, order.attempt)
-        return web.Response(text='done', headers={work.ATTEMPT_HEADER: name})
-
-
-class Bench:
-    """A dispatcher before three fake sidecars."""
-
-    def __init__(self, sidecars, dispatcher):
-        self.sidecars = sidecars
-        self.dispatcher = dispatcher
-
-    @property
-    def calls(self):
-        return sum(len(sidecar.orders) for sidecar in self.sidecars)
-
-    def fail_with(self, kind):
-        for sidecar in self.sidecars:
-            sidecar.kind = kind
-
-    def fail_in_turn(self, first, later):
-        self.fail_with(later)
-        kinds = [first]
-        for sidecar in self.sidecars:
-            sidecar.kinds = kinds
-
-    async def send(self, repeatable=True, deadline_s=5.0):
-        order = work.WorkOrder(
-            request_id=str(uuid_utils.uuid7()),
-            attempt=0,
-            customer='haneul',
-            contract_revision=1,
-            urgency=contract.Urgency.STANDARD,
-            weight=1.0,
-            deadline_s=deadline_s,
-            method='POST',
-            path='/',
-            repeatable=repeatable,
-            service='plain',
-        )
-        async with self.dispatcher.send(order, b'', '') as reply:
-            return b''.join([chunk async for chunk in reply.chunks()])
-
-
-@pytest.fixture
-async def bench():
-    sealer = link.Sealer('test', 'secret' * 4, 'entry')
-    clock = clock_module.SystemClock()
-    async with contextlib.AsyncExitStack() as exits:
-        session = await exits.enter_async_context(aiohttp.ClientSession())
-        sidecars = [FakeSidecar(sealer) for _ in range(3)]
-        for sidecar in sidecars:
-            await sidecar.start()
-            exits.push_async_callback(sidecar.close)
-        members = membership.Membership(clock)
-        members.update(
-            live_list.InstanceList(
-                1,
-                tuple(
-                    live_list.Instance(
-                        name=f'sidecar-{number}',
-                        role=live_list.Role.SIDECAR,
-                        region='region-a',
-                        availability_zone='zone-a',
-                        ip=IP,
-                        work_port=sidecar.port,
-                        control_port=1,
-                        serves='plain',
-                    )
-                    for number, sidecar in enumerate(sidecars)
-                ),
-            )
-        )
-        peers = link.PeerPool(sealer)
-        exits.callback(peers.close)
-        places = placement.Placement(clock)
-        ejector = ejection.Ejector(clock, random.Random(1))
-        dispatcher = dispatch.Dispatcher(
-            sidecar_link.SidecarLink(
-                session, sealer, peers, members, places, ejector
-            ),
-            members,
-            places,
-            ejector,
-        )
-        yield Bench(sidecars, dispatcher)
+ErrorKind = errors.ErrorKind
+bench = fake_sidecars.bench
 
 
 class TestSendingAgain:
--- a/tests/test_not_run_processes.py
+++ b/tests/test_not_run_processes.py
@@ -9,9 +9,6 @@
 import pytest
 
 from lacewingpitch import contract
-from lacewingpitch import ledger
-from lacewingpitch import link
-from lacewingpitch import voiding
 from lacewingpitch import work
 from tests import fault_matrix
 from tests import processes
@@ -139,21 +136,6 @@
     return found
 
 
-async def promises(deployment, instance):
-    """Return whether a sidecar, being new, promises about new attempts."""
-    sealer = link.Sealer('test', deployment.secret, 'entry-0')
-    peers = link.PeerPool(sealer)
-    with contextlib.closing(peers):
-        reply = await peers.peer(instance.ip, instance.control_port).ask(
-            voiding.VoidRequest(
-                attempt_id=voiding.attempt_id(processes.new_key(), 1)
-            ),
-            voiding.VoidReply,
-            processes.WAIT_S,
-        )
-    return reply.state is ledger.RunState.VOID
-
-
 class TestFrozenSidecar:
     @pytest.mark.parametrize('customer', ['again', 'once'])
     @pytest.mark.parametrize(
@@ -213,7 +195,7 @@
         await deployment.add_entry()
         add_customers(deployment)
         await deployment.publish()
-        await processes.until(lambda: promises(deployment, other))
+        await processes.until(lambda: deployment.promises(other))
         deployment.sidecars[0].freeze()
         outcome, request_id, _ = await ask(deployment, 'once', 'ficus')
         assert outcome == 'unknown'
