--- a/tests/processes.py
+++ b/tests/processes.py
@@ -280,11 +280,12 @@
             **fields,
         )
 
-    async def publish_contracts(self):
+    async def publish_contracts(self, platform=None):
         self.shard_revision += 1
         revision = self.shard_revision
+        platform = platform or self.platform
         await self.put(
-            self.platform,
+            platform,
             '/v1/values/contracts.0',
             {
                 'revision': revision,
@@ -292,7 +293,7 @@
             },
         )
         await self.put(
-            self.platform,
+            platform,
             '/v1/values/contracts.index',
             {'shards': [{'name': 'contracts.0', 'revision': revision}]},
         )
--- /dev/null
+++ b/tests/sides.py
@@ -0,0 +1,157 @@
+"""A fleet of real processes in two sides, joined by relays."""
+
+import contextlib
+
+import msgspec
+
+from lacewingpitch import live_list
+from lacewingpitch import settings
+from tests import processes
+from tests import relay
+
+
+class Sides:
+    """Two sides of a fleet, each with its own platform and entries.
+
+    Each side's list leads to the other side through relays.  Use it as
+    an async context.
+
+    Parameters
+    ----------
+    zones
+        The zone of each sidecar, a letter each.
+    left_count
+        How many of the sidecars are on the left.
+    entries
+        The side of each entry.
+    joins_entries
+        Whether each side's list names the other side's entries.
+    own_config
+        Whether each side reads contracts from its own platform.
+    """
+
+    def __init__(
+        self,
+        deployment,
+        *,
+        zones,
+        left_count,
+        entries=(0, 1),
+        joins_entries=False,
+        own_config=False,
+        **fields,
+    ):
+        self.deployment = deployment
+        self.left_count = left_count
+        self.relays = []
+        self._zones = zones
+        self._entry_sides = list(entries)
+        self._joins_entries = joins_entries
+        self._own_config = own_config
+        self._fields = fields
+        self._across = {}
+        self._exits = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        found = self.deployment
+        self.platforms = [
+            found.platform,
+            await found.run('standin', 'platform'),
+        ]
+        for number, zone in enumerate(self._zones):
+            side = int(number >= self.left_count)
+            await found.add_engine(
+                availability_zone=f'zone-{zone}', **self._settings(side)
+            )
+        self.sidecars = tuple(found.instances)
+        for side in self._entry_sides:
+            await found.add_entry(**self._settings(side))
+        await self.publish(live_list.InstanceState.LIVE)
+        for platform in self._config_services():
+            await found.publish_contracts(platform)
+        for entry in found.entries:
+            await found.ready(entry)
+        return self
+
+    async def __aexit__(self, *exception):
+        await self._exits.aclose()
+
+    def _config_services(self):
+        return self.platforms if self._own_config else self.platforms[:1]
+
+    def _settings(self, side):
+        port = self.platforms[side].ports['work_port']
+        platform = settings.Address(ip=processes.IP, port=port)
+        found = {'live_list': platform, **self._fields}
+        if self._own_config:
+            found['config_service'] = platform
+        return found
+
+    async def add_entry(self, side):
+        """Start another entry; `publish` lists it."""
+        self._entry_sides.append(side)
+        return await self.deployment.add_entry(**self._settings(side))
+
+    def entries(self, side):
+        """Return the entry processes of a side."""
+        return [
+            entry
+            for entry, found in zip(
+                self.deployment.entries, self._entry_sides, strict=True
+            )
+            if found == side
+        ]
+
+    async def publish(self, state):
+        """Publish both lists; the other side is said to be in a state."""
+        for side, platform in enumerate(self.platforms):
+            listed = [
+                found
+                for instance in self.deployment.instances
+                if (found := await self._seen(instance, side, state))
+            ]
+            await self.deployment.put(
+                platform, '/v1/instances', tuple(listed)
+            )
+
+    async def _seen(self, instance, side, state):
+        """Return an instance as one side's list names it, if it does."""
+        if self._side(instance) == side:
+            return instance
+        is_entry = instance.role is live_list.Role.ENTRY
+        if is_entry and not self._joins_entries:
+            return None
+        if instance.name not in self._across:
+            self._across[instance.name] = {
+                name: await self._relay(getattr(instance, name))
+                for name in ('work_port', 'control_port')
+            }
+        return msgspec.structs.replace(
+            instance, state=state, **self._across[instance.name]
+        )
+
+    def _side(self, instance):
+        number = int(instance.name.rpartition('-')[2])
+        if instance.role is live_list.Role.ENTRY:
+            return self._entry_sides[number]
+        return int(number >= self.left_count)
+
+    async def _relay(self, port):
+        made = await self._exits.enter_async_context(relay.Relay(port))
+        self.relays.append(made)
+        return made.port
+
+    async def split(self, how):
+        """Let nothing, or one way only, pass between the sides."""
+        for link in self.relays:
+            if how == 'cut':
+                await link.cut()
+            elif how == 'half-open':
+                link.half_open()
+            else:
+                link.one_way()
+
+    async def heal(self):
+        """Let everything pass again, also what was held."""
+        for link in self.relays:
+            await link.mend()
--- a/tests/test_claim_processes.py
+++ b/tests/test_claim_processes.py
@@ -1,7 +1,6 @@
 """At most once, with real processes frozen, restarted and cut off."""
 
 import asyncio
-import contextlib
 import time
 import uuid
 
@@ -14,7 +13,7 @@
 from lacewingpitch import work
 from tests import fault_matrix
 from tests import processes
-from tests import relay
+from tests import sides as sides_module
 from tests import test_voter
 
 Promise = fault_matrix.Promise
@@ -238,85 +237,21 @@
         assert len(await runs_of(deployment, key)) == 1
 
 
-class Sides:
-    """Two sides of a fleet, each with its own platform and entry.
-
-    Each side's list leads to the other side through relays.
-    """
-
-    def __init__(self, deployment):
-        self.deployment = deployment
-        self.relays = []
-        self.exits = contextlib.AsyncExitStack()
-        self.across = []
-        self.left_count = 5
-
-    async def start(self):
-        found = self.deployment
-        self.platforms = [
-            found.platform,
-            await found.run('standin', 'platform'),
-        ]
-        self.lists = [
-            settings.Address(ip=processes.IP, port=p.ports['work_port'])
-            for p in self.platforms
-        ]
-        for number, zone in enumerate('aabbcdd'):
-            side = int(number >= self.left_count)
-            await found.add_engine(
-                availability_zone=f'zone-{zone}',
-                live_list=self.lists[side],
-                **CLOCKS,
-            )
-        self.sidecars = tuple(found.instances)
-        for instance in self.sidecars:
-            ports = {
-                name: (await self.relay(getattr(instance, name))).port
-                for name in ('work_port', 'control_port')
-            }
-            self.across.append(msgspec.structs.replace(instance, **ports))
-        for side in (0, 1):
-            await found.add_entry(live_list=self.lists[side], **CLOCKS)
-        await self.publish(live_list.InstanceState.LIVE)
-        await found.publish_contracts()
-        for entry in found.entries:
-            await found.ready(entry)
-
-    async def relay(self, port):
-        made = await self.exits.enter_async_context(relay.Relay(port))
-        self.relays.append(made)
-        return made
-
-    async def publish(self, state):
-        """Publish both lists; the other side is said to be in a state."""
-        direct = self.sidecars
-        entries = self.deployment.instances[len(direct) :]
-        for side, platform in enumerate(self.platforms):
-            listed = tuple(
-                direct[n]
-                if int(n >= self.left_count) == side
-                else msgspec.structs.replace(self.across[n], state=state)
-                for n in range(len(direct))
-            )
-            await self.deployment.put(
-                platform, '/v1/instances', (*listed, entries[side])
-            )
-
-    def key(self, left_voters):
-        """Return a key that has so many voters on the left."""
-        left = {i.name for i in self.sidecars[: self.left_count]}
-        while True:
-            key = processes.new_key()
-            found = voter.voters_of(CUSTOMER, key, '', self.sidecars)
-            if len(found.names & left) == left_voters:
-                return key
+def key_with(sides, left_voters):
+    """Return a key that has so many voters on the left."""
+    left = {i.name for i in sides.sidecars[: sides.left_count]}
+    while True:
+        key = processes.new_key()
+        found = voter.voters_of(CUSTOMER, key, '', sides.sidecars)
+        if len(found.names & left) == left_voters:
+            return key
 
 
 @pytest.fixture
 async def sides(deployment):
-    found = Sides(deployment)
-    async with found.exits:
-        await found.start()
+    async with sides_module.Sides(
+        deployment, zones='aabbcdd', left_count=5, **CLOCKS
+    ) as found:
         await backed(deployment, *deployment.entries)
         yield found
 
@@ -333,18 +268,12 @@
         sends each key through an entry on either side at once, and, when
         the links heal, once more.
         """
-        for link in sides.relays:
-            if how == 'cut':
-                await link.cut()
-            elif how == 'half-open':
-                link.half_open()
-            else:
-                link.one_way()
+        await sides.split(how)
         await sides.publish(live_list.InstanceState.LEAVING)
         for entry in deployment.entries:
             await processes.until(lambda e=entry: self.serves(deployment, e))
         lefts = (3, 4, 3, 4)
-        keys = [sides.key(left) for left in lefts]
+        keys = [key_with(sides, left) for left in lefts]
         answers = await asyncio.gather(
             *(self.send_to_both(deployment, key) for key in keys)
         )
@@ -363,8 +292,7 @@
             # Four of five voters are needed, and the right has two.
             assert len(runs) == statuses.count(200) == int(left >= 4)
             assert statuses[1] != 200
-        for link in sides.relays:
-            await link.mend()
+        await sides.heal()
         await sides.publish(live_list.InstanceState.LIVE)
         for key in keys:
             await processes.until(lambda key=key: self.agree(deployment, key))
