--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,6 +15,8 @@
 import uuid_utils
 
 from lacewingpitch import contract
+from lacewingpitch import contract_gossip
+from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import settings
 from lacewingpitch import standin_engine
@@ -280,17 +282,16 @@
             **fields,
         )
 
-    async def publish_contracts(self, platform=None):
+    async def publish_contracts(self, platform=None, contracts=None):
+        """Publish contracts, all of them and at `platform` by default."""
         self.shard_revision += 1
         revision = self.shard_revision
         platform = platform or self.platform
+        contracts = self.contracts if contracts is None else contracts
         await self.put(
             platform,
             '/v1/values/contracts.0',
-            {
-                'revision': revision,
-                'contracts': tuple(self.contracts.values()),
-            },
+            {'revision': revision, 'contracts': tuple(contracts.values())},
         )
         await self.put(
             platform,
@@ -298,6 +299,21 @@
             {'shards': [{'name': 'contracts.0', 'revision': revision}]},
         )
 
+    async def until_known(self, process, customer, revision):
+        """Wait until a process knows a revision, by asking it as a peer."""
+        sealer = link.Sealer('test', self.secret, 'test')
+        peer = link.Peer(sealer, IP, process.ports['control_port'])
+        request = contract_gossip.ContractsRequest(customers=(customer,))
+
+        async def is_known():
+            reply = await peer.ask(
+                request, contract_gossip.ContractsReply, WAIT_S
+            )
+            return reply.versions[0].version.revision >= revision
+
+        with contextlib.closing(peer):
+            await until(is_known)
+
     async def publish(self):
         """Publish instances and contracts, and wait for the entries."""
         await self.publish_instances()
--- a/tests/sides.py
+++ b/tests/sides.py
@@ -23,7 +23,7 @@
     left_count
         How many of the sidecars are on the left.
     entries
-        The side of each entry.
+        The side and the zone of each entry.
     joins_entries
         Whether each side's list names the other side's entries.
     own_config
@@ -36,7 +36,7 @@
         *,
         zones,
         left_count,
-        entries=(0, 1),
+        entries=((0, 'a'), (1, 'a')),
         joins_entries=False,
         own_config=False,
         **fields,
@@ -45,7 +45,8 @@
         self.left_count = left_count
         self.relays = []
         self._zones = zones
-        self._entry_sides = list(entries)
+        self._entries = entries
+        self._entry_sides = []
         self._joins_entries = joins_entries
         self._own_config = own_config
         self._fields = fields
@@ -64,11 +65,12 @@
                 availability_zone=f'zone-{zone}', **self._settings(side)
             )
         self.sidecars = tuple(found.instances)
-        for side in self._entry_sides:
-            await found.add_entry(**self._settings(side))
+        for side, zone in self._entries:
+            await self.add_entry(side, zone)
         await self.publish(live_list.InstanceState.LIVE)
-        for platform in self._config_services():
-            await found.publish_contracts(platform)
+        self.published = [dict(found.contracts) for _ in self.platforms]
+        for side in range(2 if self._own_config else 1):
+            await self.publish_contracts(side)
         for entry in found.entries:
             await found.ready(entry)
         return self
@@ -76,9 +78,6 @@
     async def __aexit__(self, *exception):
         await self._exits.aclose()
 
-    def _config_services(self):
-        return self.platforms if self._own_config else self.platforms[:1]
-
     def _settings(self, side):
         port = self.platforms[side].ports['work_port']
         platform = settings.Address(ip=processes.IP, port=port)
@@ -87,10 +86,18 @@
             found['config_service'] = platform
         return found
 
-    async def add_entry(self, side):
+    async def add_entry(self, side, zone):
         """Start another entry; `publish` lists it."""
         self._entry_sides.append(side)
-        return await self.deployment.add_entry(**self._settings(side))
+        return await self.deployment.add_entry(
+            availability_zone=f'zone-{zone}', **self._settings(side)
+        )
+
+    async def publish_contracts(self, side):
+        """Publish what `published` names for one side."""
+        await self.deployment.publish_contracts(
+            self.platforms[side], self.published[side]
+        )
 
     def entries(self, side):
         """Return the entry processes of a side."""
@@ -110,9 +117,7 @@
                 for instance in self.deployment.instances
                 if (found := await self._seen(instance, side, state))
             ]
-            await self.deployment.put(
-                platform, '/v1/instances', tuple(listed)
-            )
+            await self.deployment.put(platform, '/v1/instances', tuple(listed))
 
     async def _seen(self, instance, side, state):
         """Return an instance as one side's list names it, if it does."""
--- a/tests/test_claim_processes.py
+++ b/tests/test_claim_processes.py
@@ -8,7 +8,6 @@
 import pytest
 
 from lacewingpitch import live_list
-from lacewingpitch import settings
 from lacewingpitch import voter
 from lacewingpitch import work
 from tests import fault_matrix
--- a/tests/test_contracts_processes.py
+++ b/tests/test_contracts_processes.py
@@ -1,8 +1,6 @@
 import msgspec
 import pytest
 
-from lacewingpitch import contract_gossip
-from lacewingpitch import link
 from lacewingpitch import settings
 from lacewingpitch import work
 from tests import fault_matrix
@@ -63,22 +61,6 @@
     await processes.until(is_refused)
 
 
-async def until_known(deployment, process, revision):
-    """Wait until a process knows a revision, by asking it as a peer."""
-    sealer = link.Sealer('test', deployment.secret, 'test')
-    peer = link.Peer(sealer, processes.IP, process.ports['control_port'])
-    request = contract_gossip.ContractsRequest(customers=('haneul',))
-
-    async def is_known():
-        reply = await peer.ask(request, contract_gossip.ContractsReply, 5.0)
-        return reply.versions[0].version.revision >= revision
-
-    try:
-        await processes.until(is_known)
-    finally:
-        peer.close()
-
-
 async def run_count(deployment):
     truth = await deployment.truth(deployment.engines[0])
     return len(truth.runs)
@@ -98,7 +80,7 @@
         assert (await call(deployment, deployment.entries[0]))[0] == 200
         await revoke(deployment)
         await until_refused(deployment, deployment.entries[0])
-        await until_known(deployment, deployment.sidecars[0], 2)
+        await deployment.until_known(deployment.sidecars[0], 'haneul', 2)
         await deployment.set_faults(
             deployment.platform, config_jump_back=PUBLISHINGS_PER_CHANGE
         )
@@ -116,7 +98,7 @@
     async def test_sidecar_alone_remembers(self, deployment):
         """As above, but every entry instance is replaced at once."""
         await revoke(deployment)
-        await until_known(deployment, deployment.sidecars[0], 2)
+        await deployment.until_known(deployment.sidecars[0], 'haneul', 2)
         await deployment.set_faults(
             deployment.platform, config_jump_back=PUBLISHINGS_PER_CHANGE
         )
@@ -166,7 +148,7 @@
         paused.freeze()
         await revoke(deployment)
         await until_refused(deployment, deployment.entries[0])
-        await until_known(deployment, deployment.sidecars[0], 2)
+        await deployment.until_known(deployment.sidecars[0], 'haneul', 2)
         before = await run_count(deployment)
         paused.wake()
         assert await call(deployment, paused) == REVOKED
