Limits: the tests of a killed and of a frozen owner bite

Cause: both passed without the guard they are for. The frozen owner was told of its successor the moment it woke, by the list and by the message that waited in its socket; a deficit of seconds before hid the second burst of the killed owner's successor. Change: the frozen owner has a list of its own that lags, and the link that would tell it is cut, so that it wakes as an owner; its lease has ended, its bucket has refilled, and callers press on it alone. The successor of the killed one is asked until it leases, then pressed on alone, with a burst of 30. One fixed sleep becomes a wait for the limit. Both are stricter than before; nothing was taken out but the sum over the whole run, whose parts are bounded one by one now. Not a guard: an owner whose list goes on lagging for over CONFIRM_S leases again; limits.md has that as 'the list lags'.

--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -1,6 +1,8 @@
 """Limits over real entry processes, held against what engines ran."""
 
 import asyncio
+import contextlib
+import itertools
 import time
 
 import msgspec
@@ -8,7 +10,10 @@
 
 from lacewingpitch import contract
 from lacewingpitch import entry_ring
+from lacewingpitch import limit_lease
+from lacewingpitch import link as link_module
 from lacewingpitch import live_list
+from lacewingpitch import settings
 from lacewingpitch import work
 from tests import fault_matrix
 from tests import processes
@@ -21,29 +26,42 @@
 ADAPTER = 'ficus'
 RATE_PER_S = 10.0
 BURST = 10
+LARGE = 'caravan-yard'
+LARGE_BURST = 30
 PRESS_S = 6.0
 CALLERS = 3
 
 
+def limits(burst_requests):
+    return contract.Limits(
+        requests_per_s=RATE_PER_S,
+        burst_requests=burst_requests,
+        concurrent_requests=50,
+        queued_requests=50,
+        tokens_per_s=1e6,
+    )
+
+
+async def start(found, **lists):
+    """Start three entries, some with a list of their own, by name."""
+    await found.add_engine('--token-s', '0.001')
+    for number in range(3):
+        fields = {}
+        if f'entry-{number}' in lists:
+            port = lists[f'entry-{number}'].ports['work_port']
+            fields['live_list'] = settings.Address(ip=processes.IP, port=port)
+        await found.add_entry(**fields)
+    for customer, burst in ((CUSTOMER, BURST), (LARGE, LARGE_BURST)):
+        found.add_customer(
+            customer, ADAPTER, region='region-a', limits=limits(burst)
+        )
+    found.add_customer('caravan', ADAPTER, region='region-a')
+
+
 @pytest.fixture
 async def deployment(tmp_path):
     async with processes.Deployment(tmp_path) as found:
-        await found.add_engine('--token-s', '0.001')
-        for _ in range(3):
-            await found.add_entry()
-        found.add_customer(
-            CUSTOMER,
-            ADAPTER,
-            region='region-a',
-            limits=contract.Limits(
-                requests_per_s=RATE_PER_S,
-                burst_requests=BURST,
-                concurrent_requests=50,
-                queued_requests=50,
-                tokens_per_s=1e6,
-            ),
-        )
-        found.add_customer('caravan', ADAPTER, region='region-a')
+        await start(found)
         await found.publish()
         yield found
 
@@ -56,18 +74,54 @@
         return 0.0
 
 
-def owner_number(deployment):
-    """Return which entry owns the customer, by the published list."""
+def owner_number(customer, listed=range(3)):
+    """Return which entry owns a customer, by a list of some entries."""
     ring = entry_ring.EntryRing(Clockless(), '', 'region-a')
-    ring.update(1, deployment.instances)
-    return int(ring.owner(CUSTOMER, 'region-a').name.split('-')[1])
+    entries = [
+        live_list.Instance(
+            name=f'entry-{number}',
+            role=live_list.Role.ENTRY,
+            region='region-a',
+            availability_zone='zone-a',
+            ip=processes.IP,
+            work_port=0,
+            control_port=0,
+        )
+        for number in listed
+    ]
+    ring.update(1, entries)
+    return int(ring.owner(customer, 'region-a').name.split('-')[1])
+
+
+async def until_leasing(deployment, number, customer):
+    """Wait until an entry leases a customer's limits, as their owner."""
+    sealer = link_module.Sealer('test', deployment.secret, 'test')
+    port = deployment.entries[number].ports['control_port']
+    sequence = itertools.count(1)
+
+    async def is_leasing():
+        ask = limit_lease.LeaseAsk(
+            holder='test',
+            incarnation='test',
+            sequence=next(sequence),
+            wants=(limit_lease.LeaseWant(customer),),
+        )
+        reply = await peer.ask(ask, limit_lease.LeaseReply, processes.WAIT_S)
+        return bool(reply.parts)
+
+    peer = link_module.Peer(sealer, processes.IP, port)
+    with contextlib.closing(peer):
+        await processes.until(is_leasing)
 
 
 class Press:
     """Callers that send to some entries as fast as they are answered."""
 
-    def __init__(self, deployment, entries, press_s=PRESS_S):
+    def __init__(
+        self, deployment, entries, press_s=PRESS_S, customer=CUSTOMER
+    ):
         self._deployment = deployment
+        self._customer = customer
         self._entries = entries
         self._press_s = press_s
         self.served = {}
@@ -90,7 +144,7 @@
         entry = self._deployment.entries[number]
         while time.monotonic() < self._until_s:
             async with self._deployment.call(
-                entry, CUSTOMER, ADAPTER
+                entry, self._customer, ADAPTER
             ) as response:
                 if response.status == 200:
                     await response.read()
@@ -112,9 +166,24 @@
     return sum(len(truth.runs) for truth in truths)
 
 
+def without(deployment, number):
+    """Return the list without an entry."""
+    return [i for i in deployment.instances if i.name != f'entry-{number}']
+
+
+def put_behind(deployment, number, link):
+    """List an entry's control port as that of a relay."""
+    deployment.instances = [
+        msgspec.structs.replace(instance, control_port=link.port)
+        if instance.name == f'entry-{number}'
+        else instance
+        for instance in deployment.instances
+    ]
+
+
 class TestLimits:
     async def test_all_traffic_at_one_entry_gets_the_limit(self, deployment):
-        owner = owner_number(deployment)
+        owner = owner_number(CUSTOMER)
         press = await Press(deployment, [(owner + 1) % 3]).run()
         assert press.kinds == {'rate-limited'}
         most = BURST + RATE_PER_S * press.passed_s
@@ -128,14 +197,20 @@
         assert press.total == await runs(deployment)
 
     async def test_another_customer_is_served_meanwhile(self, deployment):
-        pressing = asyncio.create_task(Press(deployment, range(3)).run())
-        await asyncio.sleep(1.0)
+        press = Press(deployment, range(3))
+        pressing = asyncio.create_task(press.run())
+
+        async def is_at_its_limit():
+            return 'rate-limited' in press.kinds
+
+        await processes.until(is_at_its_limit)
         for number in range(9):
             async with deployment.call(
                 deployment.entries[number % 3], 'caravan', ADAPTER
             ) as response:
                 assert response.status == 200
                 await response.read()
+        assert not pressing.done()
         await pressing
 
 
@@ -146,59 +221,80 @@
 
         Callers press on the two others; the owner is killed, and the list
         is published without it after a while.  The cause would be a
-        holder that waits for the dead owner, or a successor that starts
-        with a whole burst.
+        holder that waits for the dead owner or takes the whole limit, or
+        a successor that starts with a whole burst.
         """
-        owner = owner_number(deployment)
+        owner = owner_number(LARGE)
         rest = [number for number in range(3) if number != owner]
-        before = await Press(deployment, rest, 2.0).run()
+        before = await Press(deployment, rest, 1.0, LARGE).run()
+        assert before.total >= LARGE_BURST
         await deployment.entries[owner].kill()
-        silent = await Press(deployment, rest, 4.0).run()
-        deployment.instances = [
-            instance
-            for instance in deployment.instances
-            if instance.name != f'entry-{owner}'
-        ]
+        silent = await Press(deployment, rest, 3.0, LARGE).run()
+        shares = 2 / 3 * (LARGE_BURST + RATE_PER_S * silent.passed_s)
+        assert 0.5 * shares <= silent.total <= shares + RATE_PER_S
+        listed_s = time.monotonic()
+        deployment.instances = without(deployment, owner)
         await deployment.publish_instances()
-        after = await Press(deployment, rest, 4.0).run()
-        presses = (before, silent, after)
-        passed_s = sum(press.passed_s for press in presses)
-        total = sum(press.total for press in presses)
-        shares = 2 * BURST / 3 + BURST / 2
-        assert total <= BURST + RATE_PER_S * (passed_s + 1) + shares + 3
-        assert silent.total >= 0.3 * RATE_PER_S * 4.0
-        assert after.total >= 0.4 * RATE_PER_S * 4.0
+        successor = owner_number(LARGE, rest)
+        await until_leasing(deployment, successor, LARGE)
+        after = await Press(deployment, rest, 2.0, LARGE).run()
+        rate = RATE_PER_S * (time.monotonic() - listed_s)
+        assert 0.4 * rate <= after.total <= LARGE_BURST / 2 + rate + 3
+        total = before.total + silent.total + after.total
         assert total == await runs(deployment)
 
     @pytest.mark.proves(Promise.LIMITS, Fault.FROZEN, Step.BEFORE_ADMISSION)
-    async def test_frozen_and_woken(self, deployment):
+    @pytest.mark.proves(Promise.LIMITS, Fault.LIST_WRONG, Step.ANY)
+    @pytest.mark.proves(Promise.LIMITS, Fault.TWO_FAULTS, Step.ANY)
+    async def test_frozen_and_woken(self, tmp_path):
         """A customer gets a second limit from an owner that wakes up.
 
-        The owner is frozen while callers press on the others, the list
-        drops it, and it wakes with its old list; callers press on all.
+        The owner is frozen for so long that its buckets refill, the list
+        drops it, and another leases the limits.  It wakes with its old
+        list, and nobody has reached it to say so; callers press on it.
         The cause would be an owner that goes on where it stopped.
         """
-        owner = owner_number(deployment)
+        owner = owner_number(LARGE)
         rest = [number for number in range(3) if number != owner]
-        before = await Press(deployment, rest, 2.0).run()
-        deployment.entries[owner].freeze()
-        silent = await Press(deployment, rest, 3.0).run()
-        left = [
-            instance
-            for instance in deployment.instances
-            if instance.name != f'entry-{owner}'
-        ]
-        await deployment.put(deployment.platform, '/v1/instances', tuple(left))
-        await Press(deployment, rest, 3.0).run()
-        await Press(deployment, rest, 1.0).run()
-        ran = await runs(deployment)
-        deployment.entries[owner].wake()
-        after = await Press(deployment, range(3), 4.0).run()
-        assert before.total and silent.total
-        # The share of the woken one may come on top.
-        most = RATE_PER_S * after.passed_s * (1 + 1 / 3)
-        assert after.total <= BURST + most + BURST / 3 + 2
-        assert after.total == await runs(deployment) - ran
+        async with (
+            processes.Deployment(tmp_path) as deployment,
+            contextlib.AsyncExitStack() as exits,
+        ):
+            lagging = await deployment.run('standin', 'platform')
+            await start(deployment, **{f'entry-{owner}': lagging})
+            port = deployment.entries[owner].ports['control_port']
+            link = await exits.enter_async_context(relay.Relay(port))
+            put_behind(deployment, owner, link)
+            listed = tuple(deployment.instances)
+            await deployment.put(lagging, '/v1/instances', listed)
+            await deployment.publish()
+            before = await Press(deployment, [owner], 1.0, LARGE).run()
+            assert before.total >= LARGE_BURST
+            deployment.entries[owner].freeze()
+            # What would tell it of its successor is lost, too.
+            await link.cut()
+            deployment.instances = without(deployment, owner)
+            await deployment.publish_instances()
+            await until_leasing(deployment, owner_number(LARGE, rest), LARGE)
+            # Its own lease ends meanwhile.
+            asleep = await Press(
+                deployment, rest, limit_lease.LEASE_S + 0.5, LARGE
+            ).run()
+            assert asleep.total >= 0.4 * RATE_PER_S * asleep.passed_s
+            woken_s = time.monotonic()
+            deployment.entries[owner].wake()
+            woken = await Press(deployment, [owner], 1.0, LARGE).run()
+            share = (LARGE_BURST + RATE_PER_S * woken.passed_s) / 3
+            assert 0.5 * share <= woken.total <= share + 1
+            # The list reaches it; from now on there is one limit.
+            await link.mend()
+            listed = tuple(deployment.instances)
+            await deployment.put(lagging, '/v1/instances', listed)
+            after = await Press(deployment, range(3), 3.0, LARGE).run()
+            most = RATE_PER_S * (time.monotonic() - woken_s) + share
+            assert woken.total + after.total <= most + RATE_PER_S / 2
+            total = before.total + asleep.total + woken.total + after.total
+            assert total == await runs(deployment)
 
 
 class TestPartition:
@@ -210,17 +306,11 @@
         all three.  The cause would be a side that takes the limit for
         itself, or one that admits nothing.
         """
-        owner = owner_number(deployment)
+        owner = owner_number(CUSTOMER)
         rest = [number for number in range(3) if number != owner]
-        name = f'entry-{owner}'
         control_port = deployment.entries[owner].ports['control_port']
         async with relay.Relay(control_port) as link:
-            deployment.instances = [
-                _with_control_port(instance, link.port)
-                if instance.name == name
-                else instance
-                for instance in deployment.instances
-            ]
+            put_behind(deployment, owner, link)
             await deployment.publish_instances()
             before = await Press(deployment, range(3), 3.0).run()
             link.half_open()
@@ -237,7 +327,3 @@
             most = (BURST + RATE_PER_S * cut.passed_s) / 3
             assert cut.served[number] <= most + RATE_PER_S
         assert total == await runs(deployment)
-
-
-def _with_control_port(instance: live_list.Instance, port):
-    return msgspec.structs.replace(instance, control_port=port)
