Frozen sidecars: waits on what has arrived instead of fixed sleeps

Cause: test_woken_while_it_is_asked slept 2.8 to 4.2 s to hit the moments in which the request, or the question too, waits in a frozen sidecar's sockets; on a busy machine it may miss them without a word. The stream frozen in the middle slept 0.3 s, which may be before its first token. Change: the relay says when a text has arrived at it, held back or not. The four sleeps become four orders: the request alone, both, the question before the request, the request before the question; the second and third of the old sleeps were the same case. The outcomes allowed are named, a request after it must be served, and the stream has three tokens before it freezes and ends before its last.

--- a/tests/relay.py
+++ b/tests/relay.py
@@ -13,6 +13,9 @@
     Bytes that are stalled are kept, as TCP keeps them by sending again:
     they arrive when the link heals.  Use it as an async context.
 
+    `wait_for(text)` says when a message to the target arrives here that
+    has some text in it, held back or not.
+
     `cut_after_bytes` breaks each of the next connections when so many
     bytes of the answer have passed; one number for each connection.
     """
@@ -27,6 +30,7 @@
         self._writers = set()
         self._tasks = set()
         self._server = None
+        self._awaited = {}
         self.port = 0
 
     async def __aenter__(self):
@@ -84,6 +88,15 @@
         self._towards.set()
         self._back.set()
 
+    def wait_for(self, text):
+        """Return an event that is set once some text arrives here."""
+        return self._awaited.setdefault(text, asyncio.Event())
+
+    def _note(self, data):
+        for text, event in self._awaited.items():
+            if text in data:
+                event.set()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         self._tasks.add(asyncio.current_task())
@@ -91,12 +104,13 @@
         towards, back = self._towards, self._back
         limit = self.cut_after_bytes.pop(0) if self.cut_after_bytes else None
         try:
-            await towards.wait()
+            held = await self._hold(reader, towards)
             there = await asyncio.open_connection(*self._target)
             self._writers.add(there[1])
+            there[1].write(held)
             await asyncio.gather(
-                self._pump(reader, there[1], towards, None),
-                self._pump(there[0], writer, back, limit),
+                self._pump_towards(reader, there[1], towards),
+                self._pump_back(there[0], writer, back, limit),
             )
         except (OSError, asyncio.CancelledError):
             # Streams of this version log a task that ends as cancelled.
@@ -106,7 +120,16 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _pump(self, reader, writer, is_open, limit):
+    async def _pump_towards(self, reader, writer, is_open):
+        with contextlib.closing(writer):
+            while data := await reader.read(_CHUNK_BYTES):
+                self._note(data)
+                await asyncio.sleep(self.delay_s)
+                data += await self._hold(reader, is_open)
+                writer.write(data)
+                await writer.drain()
+
+    async def _pump_back(self, reader, writer, is_open, limit):
         passed = 0
         with contextlib.closing(writer):
             while data := await reader.read(_CHUNK_BYTES):
@@ -118,3 +141,25 @@
                     return
                 writer.write(data)
                 await writer.drain()
+
+    async def _hold(self, reader, is_open):
+        """Wait until the link is open; return what arrived meanwhile."""
+        if not self._awaited:
+            await is_open.wait()
+        held = b''
+        while not is_open.is_set():
+            tasks = [
+                asyncio.create_task(reader.read(_CHUNK_BYTES)),
+                asyncio.create_task(is_open.wait()),
+            ]
+            try:
+                await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for task in tasks:
+                    task.cancel()
+            if tasks[0].done() and not tasks[0].cancelled():
+                held += tasks[0].result()
+                self._note(held)
+            if reader.at_eof():
+                await is_open.wait()
+        return held
--- a/tests/test_not_run_processes.py
+++ b/tests/test_not_run_processes.py
@@ -60,12 +60,12 @@
 
 
 @contextlib.asynccontextmanager
-async def relayed(deployment):
-    """Put a relay between the entries and the first sidecar."""
+async def relayed(deployment, port='work_port'):
+    """Put a relay between the entries and a port of the first sidecar."""
     sidecar = deployment.instances[0]
-    async with relay_module.Relay(sidecar.work_port) as relay:
+    async with relay_module.Relay(getattr(sidecar, port)) as relay:
         deployment.instances[0] = msgspec.structs.replace(
-            sidecar, work_port=relay.port
+            sidecar, **{port: relay.port}
         )
         yield relay
 
@@ -224,23 +224,60 @@
         await check_truth(deployment, outcome, request_id)
 
     @pytest.mark.proves(Promise.NOT_RUN, Fault.FROZEN, Step.ANY)
-    @pytest.mark.parametrize('asleep_s', [2.8, 3.2, 3.6, 4.2])
-    async def test_woken_while_it_is_asked(self, deployment, asleep_s):
+    @pytest.mark.proves(Promise.NOT_RUN, Fault.HALF_OPEN, Step.ANY)
+    @pytest.mark.parametrize(
+        ('finds', 'allowed'),
+        [
+            ('the request', {'served'}),
+            ('both', {'served', 'not-run', 'unknown'}),
+            ('the question first', {'not-run'}),
+            ('the request first', {'served', 'not-run', 'unknown'}),
+        ],
+    )
+    async def test_woken_while_it_is_asked(self, deployment, finds, allowed):
         """As above, with the question waiting beside the request.
 
         Whatever the sidecar finds first when it wakes, the outcome must
-        agree with what it does.
+        agree with what it does.  The links hold back what it is not to
+        find yet.
         """
-        await start(deployment)
-        sidecar = deployment.sidecars[0]
-        sidecar.freeze()
-        asking = asyncio.create_task(ask(deployment, 'once', 'ficus'))
-        await asyncio.sleep(asleep_s)
-        sidecar.wake()
-        outcome, request_id, _ = await asking
-        await processes.until(lambda: answering(deployment, sidecar))
-        found = await check_truth(deployment, outcome, request_id)
-        assert len(found) <= 1
+        await deployment.add_engine()
+        listed = deployment.instances[0]
+        async with (
+            relayed(deployment) as work_link,
+            relayed(deployment, 'control_port') as control_link,
+        ):
+            await deployment.add_entry()
+            add_customers(deployment)
+            await deployment.publish()
+            await processes.until(lambda: promises(deployment, listed))
+            sent = work_link.wait_for(b'POST /run')
+            asked = control_link.wait_for(b'VoidRequest')
+            sidecar = deployment.sidecars[0]
+            sidecar.freeze()
+            if finds == 'the question first':
+                work_link.half_open()
+            if finds == 'the request first':
+                control_link.half_open()
+            asking = asyncio.create_task(ask(deployment, 'once', 'ficus'))
+            async with asyncio.timeout(processes.WAIT_S):
+                await sent.wait()
+                if finds != 'the request':
+                    await asked.wait()
+            assert not asking.done()
+            sidecar.wake()
+            if finds == 'the request first':
+                await processes.until(lambda: answering(deployment, sidecar))
+                control_link.heal()
+            outcome, request_id, _ = await asking
+            work_link.heal()
+            assert outcome in allowed
+            await processes.until(lambda: answering(deployment, sidecar))
+            # What was held arrives before what is sent now.
+            again, _, _ = await ask(deployment, 'once', 'ficus')
+            assert again == 'served'
+            found = await check_truth(deployment, outcome, request_id)
+            assert len(found) <= 1
 
     @pytest.mark.proves(Promise.WHOLE_ANSWER, Fault.FROZEN, Step.MID_STREAM)
     async def test_in_mid_stream_ends_in_an_error_event(self, deployment):
@@ -250,16 +287,23 @@
         """
         await start(deployment, '--token-s', '0.05')
         sidecar = deployment.sidecars[0]
-        asking = asyncio.create_task(
-            ask(deployment, 'once', 'ficus', stream=True, max_tokens=60)
-        )
-        await processes.until(lambda: any_run(deployment))
-        await asyncio.sleep(0.3)
-        sidecar.freeze()
-        _, request_id, text = await asking
+        async with deployment.call(
+            deployment.entries[0],
+            'once',
+            'ficus',
+            stream=True,
+            max_tokens=TOKENS,
+        ) as response:
+            request_id = response.headers[work.REQUEST_ID_HEADER]
+            text = ''
+            while len(numbers(text)) < 3:
+                text += (await response.content.readline()).decode()
+            sidecar.freeze()
+            text += await response.text()
         assert text.count('event: error') == 1
         assert '"outcome":"partial"' in text
         assert numbers(text) == list(range(len(numbers(text))))
+        assert 3 <= len(numbers(text)) < TOKENS
         sidecar.wake()
         assert len(await check_truth(deployment, 'partial', request_id)) == 1
 
