Account over processes: a partition, and two entries killed in turn

Cause: a partition was proved with objects in one process alone; one kill was all that real processes showed. Change: one check for all: what a report shows lies between what callers received outside of its gaps and what they received in all. The fleet split with both sides serving, links cut and half-open, reports of both sides, then healed less one entry that was killed; one entry or two killed under load while the list goes on naming them. The frozen entry is held to the same check, which is stricter than the sum before.

--- a/tests/sides.py
+++ b/tests/sides.py
@@ -28,6 +28,8 @@
         Whether each side's list names the other side's entries.
     own_config
         Whether each side reads contracts from its own platform.
+    entry_fields, fields
+        Settings of the entries, and of all processes.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         entries=((0, 'a'), (1, 'a')),
         joins_entries=False,
         own_config=False,
+        entry_fields=(),
         **fields,
     ):
         self.deployment = deployment
@@ -49,6 +52,7 @@
         self._entry_sides = []
         self._joins_entries = joins_entries
         self._own_config = own_config
+        self._entry_fields = dict(entry_fields)
         self._fields = fields
         self._across = {}
         self._exits = contextlib.AsyncExitStack()
@@ -90,7 +94,9 @@
         """Start another entry; `publish` lists it."""
         self._entry_sides.append(side)
         return await self.deployment.add_entry(
-            availability_zone=f'zone-{zone}', **self._settings(side)
+            availability_zone=f'zone-{zone}',
+            **self._settings(side),
+            **self._entry_fields,
         )
 
     async def publish_contracts(self, side):
--- a/tests/test_account_processes.py
+++ b/tests/test_account_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import time
 
 import aiohttp
@@ -10,9 +11,11 @@
 
 from lacewingpitch import answer as answer_module
 from lacewingpitch import contract
+from lacewingpitch import live_list
 from lacewingpitch import report as report_module
 from tests import fault_matrix
 from tests import processes
+from tests import sides as sides_module
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -21,6 +24,15 @@
 COPY_AGE = 'lacewingpitch_account_copy_age_seconds{'
 CALLS = (('haneul', 'ficus'), ('caravan', 'trade-in'))
 
+OPERATED = {'operator_token_digest': contract.digest_key(TOKEN)}
+
+
+def add_customers(deployment):
+    for customer, adapter in CALLS:
+        deployment.add_customer(
+            customer, adapter, limits=processes.WIDE_LIMITS
+        )
+
 
 @pytest.fixture
 async def deployment(tmp_path):
@@ -28,12 +40,8 @@
         for _ in range(2):
             await found.add_engine()
         for zone in ('zone-a', 'zone-b', 'zone-c'):
-            await found.add_entry(
-                availability_zone=zone,
-                operator_token_digest=contract.digest_key(TOKEN),
-            )
-        for customer, adapter in CALLS:
-            found.add_customer(customer, adapter, limits=processes.WIDE_LIMITS)
+            await found.add_entry(availability_zone=zone, **OPERATED)
+        add_customers(found)
         await found.publish()
         yield found
 
@@ -90,6 +98,26 @@
     return await read_report(deployment, entry)
 
 
+def check_against_gaps(report, callers):
+    """Hold that a report lacks at most what it says it may lack."""
+    gaps = {gap.instance: gap for gap in report.gaps}
+    names = {
+        entry: f'entry-{number}'
+        for number, entry in enumerate(callers.deployment.entries)
+    }
+
+    def is_certain(at_s, entry):
+        gap = gaps.get(names[entry])
+        return gap is None or not gap.from_s <= at_s <= gap.to_s
+
+    certain = callers.counts(is_certain)
+    received = callers.counts()
+    found = served(report)
+    for customer, count in received.items():
+        assert certain[customer] <= found[customer] <= count
+    return certain
+
+
 async def some_are_copied(callers, entry):
     """Return whether copies cover some answers of an entry."""
     ends = [at_s for at_s, found, _ in callers.received if found is entry]
@@ -103,47 +131,132 @@
 
 
 class TestKilled:
-    @pytest.mark.proves(Promise.ACCOUNT, Fault.KILLED, Step.MID_STREAM)
-    async def test_gap_covers_what_the_report_lacks(self, deployment):
+    @pytest.mark.parametrize(
+        'lost_count',
+        [
+            pytest.param(
+                1,
+                marks=[
+                    pytest.mark.proves(Promise.ACCOUNT, fault, Step.MID_STREAM)
+                    for fault in (Fault.KILLED, Fault.LIST_WRONG)
+                ],
+            ),
+            pytest.param(
+                2,
+                marks=pytest.mark.proves(
+                    Promise.ACCOUNT, Fault.SAME_TWICE, Step.MID_STREAM
+                ),
+            ),
+        ],
+    )
+    async def test_gap_covers_what_the_report_lacks(
+        self, deployment, lost_count
+    ):
         """A customer's report shows fewer answers than the customer got.
 
         Callers use three entries; one is killed under load, between an
-        answer and its next copy.  The cause would be counts that only
+        answer and its next copy, or two are, one after the other; the
+        list goes on naming them.  The cause would be counts that only
         the lost instance had, and a report silent about them.
         """
         callers = Callers(deployment)
-        lost = deployment.entries[2]
+        first, *lost = deployment.entries
         calling = [
-            asyncio.create_task(callers.keep_calling(entry, count))
-            for entry, count in zip(
-                deployment.entries, (10, 10, 10_000), strict=True
-            )
+            asyncio.create_task(callers.keep_calling(entry, 10_000))
+            for entry in lost
         ]
-
-        async def is_copied():
-            report = await read_report(deployment, deployment.entries[0])
-            return any(s.read_from == 'a copy' for s in report.sources)
-
-        await asyncio.gather(*calling[:2])
-        await processes.until(lambda: some_are_copied(callers, lost))
-        await lost.kill()
-        await calling[2]
-        await processes.until(is_copied)
-        report = await read_report(deployment, deployment.entries[0])
-        (gap,) = report.gaps
-        assert gap.instance == 'entry-2'
-        certain = callers.counts(
-            lambda at_s, entry: entry is not lost or at_s < gap.from_s
-        )
-        received = callers.counts()
-        for customer, count in served(report).items():
-            assert certain[customer] <= count <= received[customer]
+        await callers.keep_calling(first, 10)
+        for entry in lost:
+            await processes.until(lambda e=entry: some_are_copied(callers, e))
+        lost = lost[-lost_count:]
+        for entry in lost:
+            await entry.kill()
+
+        async def are_copied():
+            report = await read_report(deployment, first)
+            copied = [s for s in report.sources if s.read_from == 'a copy']
+            return len(copied) == lost_count
+
+        await asyncio.gather(*calling[-lost_count:])
+        for task in calling[:-lost_count]:
+            task.cancel()
+            await asyncio.wait([task])
+        await processes.until(are_copied)
+        report = await read_report(deployment, first)
+        names = ['entry-1', 'entry-2'][-lost_count:]
+        assert sorted(gap.instance for gap in report.gaps) == names
+        certain = check_against_gaps(report, callers)
         assert (
             certain.total()
-            > callers.counts(lambda _at_s, entry: entry is not lost).total()
+            > callers.counts(lambda _at_s, entry: entry not in lost).total()
         )
 
 
+class TestPartition:
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.PARTITION, Step.MID_STREAM)
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.LINK_CUT, Step.MID_STREAM)
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.HALF_OPEN, Step.MID_STREAM)
+    @pytest.mark.proves(Promise.ACCOUNT, Fault.TWO_FAULTS, Step.MID_STREAM)
+    @pytest.mark.parametrize('how', ['cut', 'half-open'])
+    async def test_each_side_names_what_it_cannot_see(self, tmp_path, how):
+        """A report of one side passes for the whole account.
+
+        The fleet splits under load and both sides serve; reports of
+        both are read, then the links heal, less one entry that was
+        killed meanwhile.  The causes would be a side that counts its
+        copies of the other's accounts as current, or both of a copy
+        and its original once they meet again.
+        """
+        async with contextlib.AsyncExitStack() as exits:
+            deployment = await exits.enter_async_context(
+                processes.Deployment(tmp_path)
+            )
+            add_customers(deployment)
+            sides = await exits.enter_async_context(
+                sides_module.Sides(
+                    deployment,
+                    zones='ab',
+                    left_count=1,
+                    entries=((0, 'a'), (0, 'a'), (1, 'b'), (1, 'b')),
+                    joins_entries=True,
+                    entry_fields=OPERATED,
+                )
+            )
+            callers = Callers(deployment)
+            entries = deployment.entries
+            for entry in entries:
+                await callers.keep_calling(entry, 5)
+            for entry in entries:
+                await processes.until(
+                    lambda e=entry: some_are_copied(callers, e)
+                )
+            await sides.split(how)
+            await sides.publish(live_list.InstanceState.LEAVING)
+            for entry in entries:
+                await callers.keep_calling(entry, 5)
+            for entry, unseen in (
+                (entries[0], ['entry-2', 'entry-3']),
+                (entries[2], ['entry-0', 'entry-1']),
+            ):
+                report = await read_report(deployment, entry)
+                assert sorted(g.instance for g in report.gaps) == unseen
+                check_against_gaps(report, callers)
+            await entries[3].kill()
+            await sides.heal()
+            await sides.publish(live_list.InstanceState.LIVE)
+
+            async def sees_the_others(entry):
+                report = await read_report(deployment, entry)
+                return [g.instance for g in report.gaps] == ['entry-3']
+
+            for entry in entries[:3]:
+                await processes.until(lambda e=entry: sees_the_others(e))
+                report = await read_report(deployment, entry)
+                certain = check_against_gaps(report, callers)
+                alive = callers.counts(lambda _, e: e is not entries[3])
+                assert certain.total() > alive.total()
+
+
 class TestFrozen:
     @pytest.mark.proves(Promise.ACCOUNT, Fault.FROZEN, Step.ANY)
     async def test_gap_closes_when_the_instance_wakes(self, deployment):
@@ -160,7 +273,7 @@
         frozen.freeze()
         report = await read_report(deployment, deployment.entries[0])
         assert [gap.instance for gap in report.gaps] == ['entry-1']
-        assert sum(served(report).values()) <= len(callers.received)
+        check_against_gaps(report, callers)
         frozen.wake()
         report = await without_gaps(deployment, deployment.entries[0])
         assert served(report) == callers.counts()
