A link that loses the end of a connection: late requests meet the promise

Cause: in test_woken_while_it_is_asked the sidecar dropped the request that arrived after its promise because its caller had gone, so the test passed without the promise being kept. Change: the relay can lose the end of a connection.

--- a/tests/relay.py
+++ b/tests/relay.py
@@ -16,6 +16,9 @@
     `wait_for(text)` says when a message to the target arrives here that
     has some text in it, held back or not.
 
+    With `loses_ends` the target is not told that a caller has closed its
+    connection, as where the end of it is lost on the way.
+
     `cut_after_bytes` breaks each of the next connections when so many
     bytes of the answer have passed; one number for each connection.
     """
@@ -23,6 +26,7 @@
     def __init__(self, port, ip=IP):
         self._target = (ip, port)
         self.delay_s = 0.0
+        self.loses_ends = False
         self.cut_after_bytes = []
         self.connection_count = 0
         self._towards = asyncio.Event()
@@ -128,6 +132,8 @@
                 data += await self._hold(reader, is_open)
                 writer.write(data)
                 await writer.drain()
+            if self.loses_ends:
+                await writer.wait_closed()
 
     async def _pump_back(self, reader, writer, is_open, limit):
         passed = 0
--- a/tests/test_not_run_processes.py
+++ b/tests/test_not_run_processes.py
@@ -255,6 +255,8 @@
             asked = control_link.wait_for(b'VoidRequest')
             sidecar = deployment.sidecars[0]
             sidecar.freeze()
+            # Else the sidecar drops a request whose caller has gone.
+            work_link.loses_ends = True
             if finds == 'the question first':
                 work_link.half_open()
             if finds == 'the request first':
