Drains while the links are cut, the platform is down, or frozen

Cause: the matrix had no drain for these. Change: an entry on one side and a sidecar on the other told to leave while the links between them are cut, with streams both ways that may not be repeated; a side that leaves while the links stay half-open; an entry or a sidecar that leaves after configuration service and list were killed; one that is frozen as it is told.

--- a/tests/sides.py
+++ b/tests/sides.py
@@ -30,6 +30,8 @@
         Whether each side reads contracts from its own platform.
     entry_fields, fields
         Settings of the entries, and of all processes.
+    engine_options
+        Options of the stand-in engines.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         joins_entries=False,
         own_config=False,
         entry_fields=(),
+        engine_options=(),
         **fields,
     ):
         self.deployment = deployment
@@ -53,6 +56,7 @@
         self._joins_entries = joins_entries
         self._own_config = own_config
         self._entry_fields = dict(entry_fields)
+        self._engine_options = engine_options
         self._fields = fields
         self._across = {}
         self._exits = contextlib.AsyncExitStack()
@@ -66,7 +70,9 @@
         for number, zone in enumerate(self._zones):
             side = int(number >= self.left_count)
             await found.add_engine(
-                availability_zone=f'zone-{zone}', **self._settings(side)
+                *self._engine_options,
+                availability_zone=f'zone-{zone}',
+                **self._settings(side),
             )
         self.sidecars = tuple(found.instances)
         for side, zone in self._entries:
--- a/tests/test_drain_processes.py
+++ b/tests/test_drain_processes.py
@@ -3,13 +3,16 @@
 import asyncio
 import re
 
+import aiohttp
 import msgspec
 import pytest
 
+from lacewingpitch import live_list
 from lacewingpitch import work
 from tests import fault_matrix
 from tests import processes
 from tests import relay as relay_module
+from tests import sides as sides_module
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -18,6 +21,7 @@
 END = 'data: [DONE]\n\n'
 TOKENS = 60
 LONG_TOKENS = 200
+ADAPTERS = ('ficus', 'fern', 'moss', 'ivy')
 
 
 @pytest.fixture
@@ -26,9 +30,9 @@
         yield found
 
 
-async def ask(deployment, customer='haneul', **fields):
+async def ask(deployment, entry=None, adapter='ficus', **fields):
     async with deployment.call(
-        deployment.entries[0], customer, 'ficus', **fields
+        entry or deployment.entries[0], 'haneul', adapter, **fields
     ) as response:
         return (
             response.headers.get(work.OUTCOME_HEADER, 'served'),
@@ -37,8 +41,8 @@
         )
 
 
-async def publish(deployment, repeatable=True):
-    deployment.add_customer('haneul', 'ficus')
+def add_customer(deployment, *adapters, repeatable=True):
+    deployment.add_customer('haneul', *adapters)
     found = deployment.contracts['haneul']
     grants = tuple(
         msgspec.structs.replace(grant, repeatable=repeatable)
@@ -47,6 +51,10 @@
     deployment.contracts['haneul'] = msgspec.structs.replace(
         found, adapters=grants
     )
+
+
+async def publish(deployment, repeatable=True):
+    add_customer(deployment, 'ficus', repeatable=repeatable)
     await deployment.publish()
 
 
@@ -55,6 +63,30 @@
     return any(truth.runs for truth in truths)
 
 
+async def is_leaving(deployment, process):
+    """Return whether a process has begun to drain."""
+    try:
+        async with deployment.session.get(process.url + '/readyz') as response:
+            return response.status == 503
+    except aiohttp.ClientError:
+        return True
+
+
+async def check_whole(deployment, streams):
+    """Wait for streams; each is whole, and ran once."""
+    for _, request_id, text in await asyncio.gather(*streams):
+        assert text.endswith(END)
+        assert numbers(text) == list(range(LONG_TOKENS))
+        truths = [await deployment.truth(e) for e in deployment.engines]
+        (run,) = (
+            run
+            for truth in truths
+            for run in truth.runs
+            if run.run_id.startswith(request_id)
+        )
+        assert run.finished
+
+
 def numbers(text):
     return [int(n) for n in re.findall(r':(\d+) ', text)]
 
@@ -171,3 +203,163 @@
             assert text.count(f':{TOKENS - 1}') == 1
         assert await deployment.entries[0].exited() == 0
         assert await deployment.sidecars[0].exited() == 0
+
+
+class TestPartition:
+    @pytest.fixture
+    async def sides(self, deployment):
+        add_customer(deployment, *ADAPTERS, repeatable=False)
+        async with sides_module.Sides(
+            deployment,
+            zones='ab',
+            left_count=1,
+            entries=((0, 'a'), (1, 'b')),
+            joins_entries=True,
+            engine_options=('--token-s', '0.02'),
+        ) as found:
+            yield found
+
+    @staticmethod
+    async def streams(deployment):
+        """Start streams through both entries, to both sidecars."""
+        found = [
+            asyncio.create_task(
+                ask(
+                    deployment,
+                    entry,
+                    adapter,
+                    stream=True,
+                    max_tokens=LONG_TOKENS,
+                )
+            )
+            for entry in deployment.entries
+            for adapter in ADAPTERS
+        ]
+
+        async def all_run():
+            truths = [await deployment.truth(e) for e in deployment.engines]
+            counts = [len(truth.runs) for truth in truths]
+            assert not any(task.done() for task in found)
+            return sum(counts) == len(found) and all(counts)
+
+        await processes.until(all_run)
+        return found
+
+    @pytest.mark.proves(Promise.DRAIN, Fault.PARTITION, Step.MID_STREAM)
+    @pytest.mark.proves(Promise.DRAIN, Fault.TWO_FAULTS, Step.DRAINING)
+    @pytest.mark.proves(Promise.WHOLE_ANSWER, Fault.PARTITION, Step.MID_STREAM)
+    async def test_told_to_leave_while_the_links_are_cut(
+        self, deployment, sides
+    ):
+        """Streams between two zones end early as their ends leave.
+
+        The fleet splits; an entry on one side and a sidecar on the other
+        are told to leave while neither reaches the other, then the links
+        heal.  The cause would be a drain that counts connections only.
+        """
+        streams = await self.streams(deployment)
+        await sides.split('cut')
+        leaving = (deployment.entries[0], deployment.sidecars[1])
+        for process in leaving:
+            process.terminate()
+            await processes.until(lambda p=process: is_leaving(deployment, p))
+        await sides.heal()
+        await check_whole(deployment, streams)
+        for process in leaving:
+            assert await process.exited() == 0
+
+    @pytest.mark.proves(Promise.DRAIN, Fault.PARTITION, Step.DRAINING)
+    async def test_one_side_leaves_and_the_links_stay_cut(
+        self, deployment, sides
+    ):
+        """A side that leaves waits for ever for those it cannot reach.
+
+        The fleet splits and does not heal; an entry and its sidecar are
+        told to leave with a stream of their own side under way.  The
+        cause would be a drain that needs an answer of the others.
+        """
+        await sides.split('half-open')
+        await sides.publish(live_list.InstanceState.LEAVING)
+        streams = [
+            asyncio.create_task(
+                ask(deployment, entry, stream=True, max_tokens=LONG_TOKENS)
+            )
+            for entry in deployment.entries
+        ]
+
+        async def all_run():
+            truths = [await deployment.truth(e) for e in deployment.engines]
+            return all(truth.runs for truth in truths)
+
+        await processes.until(all_run)
+        leaving = (deployment.entries[0], deployment.sidecars[0])
+        for process in leaving:
+            process.terminate()
+        await check_whole(deployment, streams)
+        for process in leaving:
+            assert await process.exited() == 0
+
+
+class TestInstance:
+    @pytest.mark.proves(Promise.DRAIN, Fault.CONFIG_DOWN, Step.MID_STREAM)
+    @pytest.mark.proves(Promise.DRAIN, Fault.LIST_WRONG, Step.MID_STREAM)
+    @pytest.mark.parametrize('leaver', ['entry', 'sidecar'])
+    async def test_leaves_while_the_platform_is_down(self, deployment, leaver):
+        """An instance cannot be replaced while the platform is down.
+
+        Configuration service and list are gone, and with them every
+        watch; then the instance is told to leave in mid-stream.
+        """
+        await deployment.add_engine('--token-s', '0.02')
+        await deployment.add_entry()
+        await publish(deployment, repeatable=False)
+        streams = [
+            asyncio.create_task(
+                ask(deployment, stream=True, max_tokens=LONG_TOKENS)
+            )
+        ]
+        await processes.until(lambda: any_run(deployment))
+        await deployment.platform.kill()
+        process = {
+            'entry': deployment.entries[0],
+            'sidecar': deployment.sidecars[0],
+        }[leaver]
+        process.terminate()
+        await processes.until(lambda: is_leaving(deployment, process))
+        assert not streams[0].done()
+        await check_whole(deployment, streams)
+        assert await process.exited() == 0
+
+    @pytest.mark.proves(Promise.DRAIN, Fault.FROZEN, Step.MID_STREAM)
+    @pytest.mark.parametrize('leaver', ['entry', 'sidecar'])
+    async def test_frozen_as_it_is_told(self, deployment, leaver):
+        """A stream ends early as an instance wakes up to leave.
+
+        It is frozen in mid-stream and told to leave meanwhile; the
+        engine goes on, and everything arrives at once when it wakes.
+        """
+        await deployment.add_engine('--token-s', '0.02')
+        await deployment.add_entry()
+        await publish(deployment, repeatable=False)
+        streams = [
+            asyncio.create_task(
+                ask(deployment, stream=True, max_tokens=LONG_TOKENS)
+            )
+        ]
+        await processes.until(lambda: any_run(deployment))
+        process = {
+            'entry': deployment.entries[0],
+            'sidecar': deployment.sidecars[0],
+        }[leaver]
+        process.freeze()
+        process.terminate()
+        engine = deployment.engines[0]
+
+        async def is_finished():
+            (run,) = (await deployment.truth(engine)).runs
+            return run.finished
+
+        await processes.until(is_finished)
+        process.wake()
+        await check_whole(deployment, streams)
+        assert await process.exited() == 0
