The usable sidecars are kept until a mark or a list changes them

Change: the tuple is kept; a new mark, a list, or the end of the first mark drops it. Ruled out: marks looked up only where there are any, which is slow again as soon as one sidecar is suspect.

Guards, each shown failing in TestKeptSidecars without its line: the four `_usable_by_serves.clear()` (end of a mark, suspect, own word, list).

--- a/lacewingpitch/membership.py
+++ b/lacewingpitch/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+import itertools
 import math
 
 import reactivex
@@ -41,6 +42,8 @@
         self._list = live_list.InstanceList(0, ())
         self._by_name: dict[str, live_list.Instance] = {}
         self._live_by_serves: dict[str, list[live_list.Instance]] = {}
+        self._usable_by_serves: dict[str, tuple[live_list.Instance, ...]] = {}
+        self._usable_until_s = math.inf
         self._current_at_s = -math.inf
         self._suspect_until_s: dict[str, float] = {}
         self._leaving_until_s: dict[str, float] = {}
@@ -108,6 +111,7 @@
     def suspect(self, instance: str, for_s: float = _SUSPECT_S) -> None:
         """Pass over an instance for a while: it failed, or is leaving."""
         self._suspect_until_s[instance] = self._clock.monotonic_s() + for_s
+        self._usable_by_serves.clear()
 
     def note_leaving(self, instance: str) -> None:
         """Pass over an instance that says itself that it leaves.
@@ -118,15 +122,42 @@
         """
         until_s = self._clock.monotonic_s() + LEAVING_WORD_S
         self._leaving_until_s[instance] = until_s
+        self._usable_by_serves.clear()
 
-    def sidecars(self, serves: str) -> list[live_list.Instance]:
-        """Return the sidecars that take new work for a model or service."""
-        return [
-            instance
-            for instance in self._live_by_serves.get(serves, ())
-            if not self._is_marked(self._suspect_until_s, instance.name)
-            and not self._is_marked(self._leaving_until_s, instance.name)
-        ]
+    def sidecars(self, serves: str) -> tuple[live_list.Instance, ...]:
+        """Return the sidecars that take new work for a model or service.
+
+        It is the same object until one of them comes, goes or is marked.
+        """
+        # What is kept may be older than a word of leaving: a request
+        # would go there until the list says so.  Each new mark, each
+        # list and the end of the first mark drop what is kept.
+        if self._clock.monotonic_s() >= self._usable_until_s:
+            self._usable_by_serves.clear()
+        found = self._usable_by_serves.get(serves)
+        if found is None and serves in self._live_by_serves:
+            found = self._unmarked(self._live_by_serves[serves])
+            self._usable_by_serves[serves] = found
+        return found or ()
+
+    def _unmarked(
+        self, instances: Iterable[live_list.Instance]
+    ) -> tuple[live_list.Instance, ...]:
+        for marks in (self._suspect_until_s, self._leaving_until_s):
+            self._drop_ended(marks)
+        marked = self._suspect_until_s.keys() | self._leaving_until_s.keys()
+        self._usable_until_s = min(
+            itertools.chain(
+                self._suspect_until_s.values(), self._leaving_until_s.values()
+            ),
+            default=math.inf,
+        )
+        return tuple(i for i in instances if i.name not in marked)
+
+    def _drop_ended(self, marks: dict[str, float]) -> None:
+        now_s = self._clock.monotonic_s()
+        for name in [n for n, until_s in marks.items() if until_s <= now_s]:
+            del marks[name]
 
     async def follow(
         self, source: live_list.LiveList, watch_s: float = _WATCH_S
@@ -207,6 +238,7 @@
         before = self._by_name
         self._by_name = {i.name: i for i in taken.instances}
         self._live_by_serves = _live_sidecars(taken.instances)
+        self._usable_by_serves.clear()
         for name, instance in self._by_name.items():
             known = before.get(name)
             if known is not None and not known.is_same_process(instance):
@@ -221,15 +253,6 @@
         self.passed_over_count += 1
         log.warning('list passed over', reason=reason, instance=instance)
 
-    def _is_marked(self, marks: dict[str, float], instance: str) -> bool:
-        until_s = marks.get(instance)
-        if until_s is None:
-            return False
-        if until_s > self._clock.monotonic_s():
-            return True
-        del marks[instance]
-        return False
-
 
 def _newer(
     one: live_list.Instance, other: live_list.Instance
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 
 import msgspec
 import pytest
@@ -201,3 +202,53 @@
             await asyncio.sleep(0)
         following.cancel()
         assert names(members) == ['a']
+
+
+class TestKeptSidecars:
+    """What is kept between requests against what the marks say."""
+
+    @pytest.mark.proves(
+        Promise.LEAVING, Fault.LIST_WRONG, Step.BEFORE_ADMISSION
+    )
+    def test_never_older_than_a_mark(self):
+        """A request goes to a backend server that said it leaves.
+
+        The set of sidecars is kept from the request before; then one
+        says it leaves, or the list does, in any order.  The cause would
+        be keeping the set over a mark, a list or the end of a mark.
+        """
+        kinds = ('suspect', 'leaves', 'wait', 'wait long', 'list', 'unlist')
+        for steps in itertools.product(kinds, repeat=4):
+            self.check(steps)
+
+    def check(self, steps):
+        clock = contract_fakes.ManualClock()
+        members = membership.Membership(clock)
+        state = live_list.InstanceState.LIVE
+        suspect_until_s = leaving_until_s = 0.0
+        for revision, step in enumerate(('list', *steps), 1):
+            if step == 'suspect':
+                members.suspect('a', 5.0)
+                suspect_until_s = clock.now_s + 5.0
+            elif step == 'leaves':
+                members.note_leaving('a')
+                leaving_until_s = clock.now_s + membership.LEAVING_WORD_S
+            elif step.startswith('wait'):
+                clock.now_s += 5.0 if step == 'wait' else 60.0
+            else:
+                is_live = step == 'list'
+                state = live_list.InstanceState.LIVE if is_live else LEAVING
+                listed = make_instance('a', state=state), make_instance('b')
+                publish(members, revision, *listed)
+            is_used = (
+                state is not LEAVING
+                and max(suspect_until_s, leaving_until_s) <= clock.now_s
+            )
+            assert names(members) == (['a', 'b'] if is_used else ['b']), steps
+
+    def test_kept_until_something_changes(self, members, clock):
+        publish(members, 1, make_instance('a'), make_instance('b'))
+        kept = members.sidecars('base')
+        assert members.sidecars('base') is kept
+        members.suspect('a', 1.0)
+        assert members.sidecars('base') is not kept
