Weights of sidecars are kept until something is learned of one

Cause: each choice weighed all sidecars of the model anew: three calls a sidecar for load, capacity and freshness, a sum, a hash for those in use.

Change: a column for each of a set of sidecars; a hint, a request sent or ended, and a hint that grows too old have just that one weighed again. Which sidecars hold an adapter is found by its fingerprint, not by asking each view. Old hints are dropped in the order they came.

Ruled out: a choice among the best few by hash alone (choices would change, and the hash is the cheap part by then), numbers by numpy (no dependency of the product), only the region's own sidecars (changes what is chosen; not needed to fit).

Guards: each `_note_change` and `note_change` taken out fails TestKeptWeights::test_same_choice_after_any_change; weighings by name in place of identity fail test_successor_of_that_name_is_another; without `_drop_weighings` at the bound test_is_bounded fails.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -35,6 +35,7 @@
 from lacewingpitch import contract_versions
 from lacewingpitch import directory
 from lacewingpitch import entry_ring
+from lacewingpitch import hint as hint_module
 from lacewingpitch import ledger
 from lacewingpitch import limit_holding
 from lacewingpitch import limit_lease
@@ -69,6 +70,16 @@
 _LOOK_UPS = 2_000
 _EXCHANGES = 200
 _SEED = 20261202
+_HINT = hint_module.encode_hint(
+    hint_module.Hint(
+        running=4,
+        queued=1,
+        max_running=16,
+        load_wait_ms=500,
+        spare_slots=2,
+        adapters=hint_module.join_fingerprints(map(str, range(8))),
+    )
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -267,7 +278,7 @@
 
 def measure_ranking():
     """Rendezvous hashes over sidecars, and an entry's whole choice."""
-    ranks, votings, choices = [], [], []
+    ranks, votings, choices, requests = [], [], [], []
     for count in SIDECARS:
         members = make_instances(count, 0.0)
         same_region = [
@@ -285,13 +296,28 @@
         choices.append(
             least_us(len(keys), for_each, choice.candidates, keys, members)
         )
+        requests.append(
+            least_us(len(keys), for_each, _place, keys, choice, members)
+        )
     return [
         Slope('placement.rank, by sidecars', 'us', SIDECARS, ranks),
         Slope('voters_of, by sidecars', 'us', SIDECARS, votings),
         Slope('Placement.candidates, by sidecars', 'us', SIDECARS, choices),
+        Slope('the same, sent, and its hint', 'us', SIDECARS, requests),
     ]
 
 
+def _place(
+    key: str,
+    choice: placement.Placement,
+    members: tuple[live_list.Instance, ...],
+) -> None:
+    """Choose for a request, and take over the hint on its answer."""
+    name = choice.candidates(key, members)[0].name
+    with choice.sent(key, name):
+        choice.learn(name, _HINT)
+
+
 def _voters_of(
     key: str, members: tuple[live_list.Instance, ...]
 ) -> voter.VoterSet:
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -242,8 +242,9 @@
         )
         self.machines = self._make_machines()
         self.by_name = {m.instance.name: m for m in self.machines}
+        # Tuples, as membership gives them: their weights are kept.
         self.instances = [
-            [m.instance for m in self.machines if m.pool == pool]
+            tuple(m.instance for m in self.machines if m.pool == pool)
             for pool in range(len(self.site.engines))
         ]
         self.entries = self._make_entries()
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -1,7 +1,7 @@
 """Which backend server a request goes to."""
 
 import collections
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 import contextlib
 import dataclasses
 import math
@@ -35,6 +35,7 @@
 _LEAST_WEIGHT = 0.05
 _ACTIVE_KEY = 'active'
 _MAX_POOLS = 256
+_MAX_WEIGHINGS = 64
 
 
 def rank(
@@ -57,17 +58,59 @@
 
 @dataclasses.dataclass(slots=True)
 class _View:
-    """What this entry instance knows of one backend server."""
+    """What this entry instance knows of one backend server.
+
+    Parameters
+    ----------
+    hint
+        What it told last; ``None`` once that is too old.
+    under_way_count
+        Own requests that are on their way there or not answered yet.
+    places
+        Where this backend server stands in weighings.
+    """
 
     hint: hint_module.Hint | None = None
-    adapters: frozenset[bytes] = frozenset()
-    heard_at_s: float = 0.0
     sent_since_hint: int = 0
     loads_since_hint: int = 0
-    in_flight: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
+    under_way_count: int = 0
+    places: list[tuple['_Weighing', int]] = dataclasses.field(
+        default_factory=list
     )
 
+    @property
+    def load(self) -> int:
+        """Return the requests that are thought to be there."""
+        own = self.under_way_count
+        if self.hint is None:
+            return own
+        told = self.hint.running + self.hint.queued + self.sent_since_hint
+        return max(own, told)
+
+    @property
+    def capacity(self) -> int:
+        """Return how many requests it batches."""
+        return self.hint.max_running if self.hint else _DEFAULT_MAX_RUNNING
+
+    @property
+    def fill_ratio(self) -> float:
+        """Return the load as a share of the batch."""
+        return self.load / self.capacity
+
+    def turn_wait_s(self, spread_s: float) -> float:
+        """Return what is waited for a turn there."""
+        fill_ratio = self.fill_ratio
+        over_s = max(0.0, fill_ratio - 1.0) * _TURN_WAIT_S
+        return over_s + min(fill_ratio, 1.0) * spread_s
+
+    def load_wait_s(self, turn_wait_s: float) -> float:
+        """Return the same for an adapter that must be loaded there."""
+        if self.hint is None:
+            return turn_wait_s + _DEFAULT_LOAD_WAIT_S
+        spare = self.hint.spare_slots - self.loads_since_hint
+        loaded_s = turn_wait_s + self.hint.load_wait_ms / _MS_PER_S
+        return loaded_s + _SQUEEZE_S / (1.0 + max(0, spare))
+
 
 @dataclasses.dataclass(slots=True)
 class _Pool:
@@ -79,6 +122,109 @@
     load: float = 0.0
 
 
+class _Weighing:
+    """The weights of one set of backend servers, one column for each.
+
+    A column is worked out again only when what is known of its backend
+    server has changed, so that a choice among hundreds does not weigh
+    each of them anew.
+
+    Parameters
+    ----------
+    spread_s
+        What a full batch counts, in seconds of waiting.
+    """
+
+    def __init__(
+        self,
+        instances: tuple[live_list.Instance, ...],
+        views: Sequence[_View],
+        pool: _Pool,
+        spread_s: float,
+    ) -> None:
+        self.instances = instances
+        self.pool = pool
+        self.indexes = {i.name: n for n, i in enumerate(instances)}
+        self._views = views
+        self._spread_s = spread_s
+        self._names = [i.name.encode() for i in instances]
+        self._by_active = self.by_hash(_ACTIVE_KEY)
+        self._active: frozenset[int] = frozenset()
+        count = len(instances)
+        self._loads = [0] * count
+        self._capacities = [0] * count
+        self._load_waits_ms = [0] * count
+        self._hints = [False] * count
+        self._held_s = [0.0] * count
+        self._missing_s = [0.0] * count
+        self._changed = set(range(count))
+        for index, view in enumerate(views):
+            view.places.append((self, index))
+
+    def __len__(self) -> int:
+        """Return the number of backend servers."""
+        return len(self.instances)
+
+    def note_change(self, index: int) -> None:
+        """Have a backend server weighed again."""
+        self._changed.add(index)
+
+    def by_hash(self, key: str) -> list[int]:
+        """Return the places of all by rendezvous hash."""
+        prefix = f'{key}/'.encode()
+        digest = xxhash.xxh3_64_intdigest
+        digests = [digest(prefix + name) for name in self._names]
+        places = range(len(digests))
+        return sorted(places, key=digests.__getitem__, reverse=True)
+
+    def active(self) -> frozenset[int]:
+        """Return the places of those in use."""
+        if len(self._active) != self.pool.active_count:
+            count = self.pool.active_count
+            self._active = frozenset(self._by_active[:count])
+        return self._active
+
+    def waits_s(self, holders: Iterable[str]) -> list[float]:
+        """Return what a request would wait at each."""
+        self._refresh()
+        waits_s = self._missing_s.copy()
+        for name in holders:
+            index = self.indexes.get(name)
+            if index is not None:
+                waits_s[index] = self._held_s[index]
+        return waits_s
+
+    def load_sum(self) -> int:
+        """Return the requests in progress, without those that queue."""
+        self._refresh()
+        return sum(self._loads)
+
+    def mean_capacity(self) -> float:
+        """Return how many requests one batches in the mean."""
+        self._refresh()
+        return sum(self._capacities) / len(self)
+
+    def is_pressed(self, limit_s: float) -> bool:
+        """Whether loads wait longer than a limit in the mean."""
+        self._refresh()
+        limit_ms = limit_s * _MS_PER_S * sum(self._hints)
+        return sum(self._load_waits_ms) > limit_ms
+
+    def _refresh(self) -> None:
+        while self._changed:
+            index = self._changed.pop()
+            view = self._views[index]
+            hint = view.hint
+            # What waits for a turn at one engine says that it is too
+            # full, not that there are too few.
+            self._loads[index] = min(view.load, view.capacity)
+            self._capacities[index] = view.capacity
+            self._load_waits_ms[index] = hint.load_wait_ms if hint else 0
+            self._hints[index] = hint is not None
+            self._held_s[index] = view.turn_wait_s(self._spread_s)
+            self._missing_s[index] = view.load_wait_s(self._held_s[index])
+
+
 @dataclasses.dataclass(slots=True)
 class _Assignment:
     """Where the home of an adapter has it used."""
@@ -113,6 +259,13 @@
         self._homes = homes
         self._demand = demand.DecayedCounts(clock, _DEMAND_HALF_LIFE_S)
         self._views: dict[str, _View] = {}
+        self._weighings: dict[int, _Weighing] = {}
+        # Names by what they hold, and by what is on its way to them.
+        self._holders: dict[bytes, set[str]] = {}
+        self._targets: dict[str, collections.Counter[str]] = {}
+        self._heard_at_s: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
         self._pools: dict[frozenset[str], _Pool] = {}
         self._assignments: collections.OrderedDict[str, _Assignment] = (
             collections.OrderedDict()
@@ -123,46 +276,52 @@
         self, key: str, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
         """Return the instances to try, best first, as the home has it."""
-        active = self._active(instances)
-        ranked = self._ranked(key, instances, active)
+        if not instances:
+            return []
+        weighing = self._weighing(instances)
+        ranked = self._ranked(key, weighing)
         if self._homes is None or len(instances) <= 1:
             return ranked
-        names = await self._assigned(key, instances, ranked, len(active))
-        ranked.sort(key=lambda instance: instance.name not in names)
-        return ranked
+        names = await self._assigned(key, weighing, ranked)
+        chosen = [i for i in ranked if i.name in names]
+        return chosen + [i for i in ranked if i.name not in names]
 
     def candidates(
         self, key: str, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
         """Return the instances in the order of this entry's own view."""
-        return self._ranked(key, instances, self._active(instances))
+        if not instances:
+            return []
+        return self._ranked(key, self._weighing(instances))
 
     def _ranked(
-        self,
-        key: str,
-        instances: Sequence[live_list.Instance],
-        active: Sequence[live_list.Instance],
+        self, key: str, weighing: _Weighing
     ) -> list[live_list.Instance]:
-        ranked = rank(key, active)
-        ranked.sort(key=lambda instance: self._wait_s(key, instance))
-        active_names = {instance.name for instance in active}
-        spare = [i for i in instances if i.name not in active_names]
-        return ranked + rank(key, spare)
+        active = weighing.active()
+        waits_s = weighing.waits_s(self._names_holding(key))
+        by_hash = weighing.by_hash(key)
+        ranked = [place for place in by_hash if place in active]
+        ranked.sort(key=waits_s.__getitem__)
+        ranked += [place for place in by_hash if place not in active]
+        return [weighing.instances[place] for place in ranked]
 
     @contextlib.contextmanager
     def sent(self, key: str, instance: str) -> Iterator[None]:
         """Count a request as on its way while the context is open."""
         view = self._view(instance)
+        self._drop_old_hints()
         self._demand.add(key)
         view.sent_since_hint += 1
-        view.loads_since_hint += not self._is_held(key, view)
-        view.in_flight[key] += 1
+        view.loads_since_hint += instance not in self._names_holding(key)
+        view.under_way_count += 1
+        self._targets.setdefault(key, collections.Counter())[instance] += 1
+        self._note_change(view)
         try:
             yield
         finally:
-            view.in_flight[key] -= 1
-            if not view.in_flight[key]:
-                del view.in_flight[key]
+            view.under_way_count -= 1
+            self._forget_target(key, instance)
+            self._note_change(view)
 
     def learn(self, instance: str, header: str) -> None:
         """Take over the hint on an answer; a useless one is dropped."""
@@ -170,35 +329,109 @@
         if hint is None:
             return
         view = self._view(instance)
+        self._forget_hint(instance, view)
         view.hint = hint
-        view.adapters = hint.fingerprints
-        view.heard_at_s = self._clock.monotonic_s()
+        for adapter in hint.fingerprints:
+            self._holders.setdefault(adapter, set()).add(instance)
+        self._heard_at_s[instance] = self._clock.monotonic_s()
+        self._heard_at_s.move_to_end(instance)
         view.sent_since_hint = 0
         view.loads_since_hint = 0
+        self._note_change(view)
 
     def retain(self, instances: Sequence[live_list.Instance]) -> None:
         """Forget backend servers that are listed no more."""
+        # Weighings are of the list before.
+        self._drop_weighings()
         names = {instance.name for instance in instances}
         for name in self._views.keys() - names:
-            if not self._views[name].in_flight:
+            view = self._views[name]
+            if not view.under_way_count:
+                self._forget_hint(name, view)
+                self._heard_at_s.pop(name, None)
                 del self._views[name]
 
     def _view(self, instance: str) -> _View:
         return self._views.setdefault(instance, _View())
 
-    def _fresh_hint(self, view: _View) -> hint_module.Hint | None:
-        age_s = self._clock.monotonic_s() - view.heard_at_s
-        return view.hint if age_s < HINT_AGE_S else None
+    def _note_change(self, view: _View) -> None:
+        for weighing, index in view.places:
+            weighing.note_change(index)
+
+    def _drop_old_hints(self) -> None:
+        now_s = self._clock.monotonic_s()
+        while self._heard_at_s:
+            name, heard_at_s = next(iter(self._heard_at_s.items()))
+            if now_s - heard_at_s < HINT_AGE_S:
+                return
+            del self._heard_at_s[name]
+            self._forget_hint(name, self._views[name])
+            self._note_change(self._views[name])
+
+    def _forget_hint(self, instance: str, view: _View) -> None:
+        if view.hint is None:
+            return
+        for adapter in view.hint.fingerprints:
+            holders = self._holders[adapter]
+            holders.discard(instance)
+            if not holders:
+                del self._holders[adapter]
+        view.hint = None
+
+    def _forget_target(self, key: str, instance: str) -> None:
+        targets = self._targets[key]
+        targets[instance] -= 1
+        if not targets[instance]:
+            del targets[instance]
+        if not targets:
+            del self._targets[key]
+
+    def _names_holding(self, key: str) -> set[str]:
+        # A request that is on its way there brings the adapter, also
+        # before a hint can tell of it.
+        held = self._holders.get(hint_module.fingerprint(key), set())
+        return held.union(self._targets.get(key, ()))
+
+    def _weighing(self, instances: Sequence[live_list.Instance]) -> _Weighing:
+        """Return the weights of instances, as of now."""
+        self._drop_old_hints()
+        fixed = tuple(instances)
+        # By identity, which a tuple that is kept here does not lose to
+        # another: an instance of the same name may be another process.
+        found = self._weighings.get(id(fixed))
+        if found is None:
+            found = self._new_weighing(fixed)
+        self._set_active_count(found)
+        return found
+
+    def _new_weighing(
+        self, instances: tuple[live_list.Instance, ...]
+    ) -> _Weighing:
+        if len(self._weighings) >= _MAX_WEIGHINGS:
+            self._drop_weighings()
+        found = _Weighing(
+            instances,
+            [self._view(instance.name) for instance in instances],
+            self._pool(instances),
+            self._spread_s,
+        )
+        self._weighings[id(instances)] = found
+        return found
+
+    def _drop_weighings(self) -> None:
+        self._weighings.clear()
+        for view in self._views.values():
+            view.places.clear()
 
     async def _assigned(
         self,
         key: str,
-        instances: Sequence[live_list.Instance],
+        weighing: _Weighing,
         ranked: list[live_list.Instance],
-        active_count: int,
     ) -> tuple[str, ...]:
         now_s = self._clock.monotonic_s()
-        listed = {instance.name for instance in instances}
+        listed = weighing.indexes
+        active_count = weighing.pool.active_count
         parked = tuple(i.name for i in ranked[active_count:])
         known = self._assignments.get(key)
         names: tuple[str, ...] = ()
@@ -208,7 +441,7 @@
         is_fresh = known is not None and now_s - known.known_at_s < _ASSIGNED_S
         if is_fresh and len(names) >= wanted:
             return names
-        home = rank(key, instances)[0]
+        home = rank(key, ranked)[0]
         request = directory.LocateRequest(
             key=key,
             wanted=wanted,
@@ -244,74 +477,30 @@
         is_hot = self._demand.value(key) >= _HOT_COUNT
         if not names or not is_hot:
             return count
-        full = all(self._fill(self._view(n)) >= _FULL_RATIO for n in names)
+        full = all(self._view(n).fill_ratio >= _FULL_RATIO for n in names)
         return count + 1 if full else count
 
-    def _wait_s(self, key: str, instance: live_list.Instance) -> float:
-        view = self._view(instance.name)
-        wait_s = self._turn_wait_s(view)
-        if self._is_held(key, view):
-            return wait_s
-        hint = self._fresh_hint(view)
-        if hint is None:
-            return wait_s + _DEFAULT_LOAD_WAIT_S
-        spare = hint.spare_slots - view.loads_since_hint
-        wait_s += hint.load_wait_ms / _MS_PER_S
-        return wait_s + _SQUEEZE_S / (1.0 + max(0, spare))
-
-    def _is_held(self, key: str, view: _View) -> bool:
-        # A request that is on its way there brings the adapter, also
-        # before a hint can tell of it.
-        if key in view.in_flight:
-            return True
-        return (
-            self._fresh_hint(view) is not None
-            and hint_module.fingerprint(key) in view.adapters
-        )
-
-    def _turn_wait_s(self, view: _View) -> float:
-        fill_ratio = self._fill(view)
-        over_s = max(0.0, fill_ratio - 1.0) * _TURN_WAIT_S
-        return over_s + min(fill_ratio, 1.0) * self._spread_s
-
-    def _fill(self, view: _View) -> float:
-        return self._load(view) / self._capacity(view)
-
-    def _capacity(self, view: _View) -> int:
-        hint = self._fresh_hint(view)
-        return hint.max_running if hint else _DEFAULT_MAX_RUNNING
-
     @property
     def _spread_s(self) -> float:
         # Above one half the emptier of two equal backend servers is
         # taken, below it the fuller, whose steps are then used better.
         return _SPREAD_S * (2.0 * self._objective.stall_weight - 1.0)
 
-    def _load(self, view: _View) -> float:
-        own = view.in_flight.total()
-        hint = self._fresh_hint(view)
-        if hint is None:
-            return own
-        return max(own, hint.running + hint.queued + view.sent_since_hint)
-
-    def _active(
-        self, instances: Sequence[live_list.Instance]
-    ) -> list[live_list.Instance]:
+    def _set_active_count(self, weighing: _Weighing) -> None:
         fill_ratio = 1.0 - self._objective.stall_weight
-        if not instances or fill_ratio <= 0.0:
-            return list(instances)
+        if fill_ratio <= 0.0:
+            return
         now_s = self._clock.monotonic_s()
-        pool = self._pool(instances)
-        needed = self._needed_count(instances, pool, fill_ratio, now_s)
+        pool = weighing.pool
+        needed = self._needed_count(weighing, fill_ratio, now_s)
         if needed >= pool.active_count:
-            pool.active_count = min(needed, len(instances))
+            pool.active_count = min(needed, len(weighing))
             pool.spare_since_s = now_s
         elif now_s - pool.spare_since_s >= _SHRINK_AFTER_S:
             # One at a time and slowly: an engine that falls out of use
             # takes its adapters with it, and each must load again.
             pool.active_count -= 1
             pool.spare_since_s = now_s
-        return rank(_ACTIVE_KEY, instances)[: pool.active_count]
 
     def _pool(self, instances: Sequence[live_list.Instance]) -> _Pool:
         names = frozenset(instance.name for instance in instances)
@@ -324,30 +513,20 @@
         return pool
 
     def _needed_count(
-        self,
-        instances: Sequence[live_list.Instance],
-        pool: _Pool,
-        fill_ratio: float,
-        now_s: float,
+        self, weighing: _Weighing, fill_ratio: float, now_s: float
     ) -> int:
-        views = [self._view(instance.name) for instance in instances]
-        # What waits for a turn at one engine says that it is too full,
-        # not that there are too few.
-        load = float(sum(min(self._load(v), self._capacity(v)) for v in views))
+        pool = weighing.pool
+        load = float(weighing.load_sum())
         kept_ratio = math.exp(-(now_s - pool.seen_at_s) / _LOAD_SMOOTHING_S)
         pool.load = load + (pool.load - load) * kept_ratio
         pool.seen_at_s = now_s
-        capacity = sum(map(self._capacity, views)) / len(views)
+        capacity = weighing.mean_capacity()
         needed = max(1, math.ceil(pool.load / (fill_ratio * capacity)))
-        if needed <= pool.active_count and self._is_pressed(views):
-            return pool.active_count + 1
-        return needed
+        is_pressed = needed <= pool.active_count and weighing.is_pressed(
+            self._pressed_s
+        )
+        return pool.active_count + 1 if is_pressed else needed
 
     @property
     def _pressed_s(self) -> float:
         return _PRESSED_S / max(self._objective.stall_weight, _LEAST_WEIGHT)
-
-    def _is_pressed(self, views: Sequence[_View]) -> bool:
-        hints = [hint for hint in map(self._fresh_hint, views) if hint]
-        waits_ms = sum(hint.load_wait_ms for hint in hints)
-        return waits_ms > self._pressed_s * _MS_PER_S * len(hints)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,7 +1,11 @@
 """Where requests are placed, and that entry instances agree on it."""
 
 import asyncio
+import collections
+import contextlib
+import random
 
+import msgspec
 import pytest
 
 from benchmarks import virtual_time
@@ -151,6 +155,73 @@
         assert set(places._views) == {instances[0].name}
 
 
+class TestKeptWeights:
+    """Weights that are kept against weights worked out each time."""
+
+    @pytest.mark.parametrize('stall_weight', [0.1, 0.7])
+    def test_same_choice_after_any_change(self, clock, stall_weight):
+        """Requests pile up at a backend server that is full by now.
+
+        A hint says so, or it is too old, or requests went there, after
+        the weights were worked out.  The cause would be a kept weight
+        that misses a change.
+        """
+        source = random.Random(20261202)
+        instances = tuple(make_instances(6))
+        kept, fresh = (make_placement(clock, stall_weight) for _ in range(2))
+        under_way = collections.deque()
+        for _ in range(3000):
+            clock.now_s += source.choice([0.0, 0.1, 3.0])
+            key = f'adapter-{source.randrange(12)}@1'
+            name = source.choice(instances).name
+            match source.randrange(3):
+                case 0:
+                    found = make_hint(
+                        *(
+                            f'adapter-{n}@1'
+                            for n in source.sample(range(12), 3)
+                        ),
+                        running=source.randrange(40),
+                        load_wait_ms=source.randrange(20_000),
+                        spare_slots=source.randrange(4),
+                    )
+                    for places in (kept, fresh):
+                        places.learn(name, found)
+                case 1:
+                    sent = contextlib.ExitStack()
+                    for places in (kept, fresh):
+                        sent.enter_context(places.sent(key, name))
+                    under_way.append(sent)
+                case 2 if under_way:
+                    under_way.popleft().close()
+            chosen = kept.candidates(key, instances)
+            # A list is weighed from nothing each time.
+            assert chosen == fresh.candidates(key, list(instances))
+
+    def test_successor_of_that_name_is_another(self, clock, instances):
+        """A request goes to a port where nobody listens any more.
+
+        A backend server came back under its name on another port.  The
+        cause would be keeping its address with its weights.
+        """
+        places = make_placement(clock)
+        before = tuple(instances)
+        places.candidates('a@1', before)
+        after = tuple(
+            msgspec.structs.replace(instance, work_port=7)
+            for instance in instances
+        )
+        found = places.candidates('a@1', after)
+        assert {instance.work_port for instance in found} == {7}
+
+    def test_is_bounded(self, clock):
+        places = make_placement(clock)
+        for number in range(1000):
+            places.candidates('a@1', make_instances(1 + number % 3))
+        assert len(places._weighings) <= 64
+        assert all(len(v.places) <= 64 for v in places._views.values())
+
+
 class TestObjective:
     """The same load is packed or spread as the operator weighs it."""
 
