A question to a home tells parked sidecars by one number

Cause: each question named every sidecar that the asker would have fall out of use: 2,184 bytes with its reply when 150 of 200 are.

Change: sidecars fall out of use in the order of a hash; the question carries the hash below which none is in use. Ruled out: their count, as it means another set where the home's list differs from the asker's, and the home would need to know the model's sidecars; the hash needs no list.

After: 246 bytes with its reply, however many are parked (238 where none is).

Two versions beside each other: an unknown field is passed over and the missing one means that none is parked, so adapters stay on engines that would fall out of use until both are of one version; it costs batch efficiency alone.

Tests: TestDirectory::test_leaves_parked_ones_after_a_least_stay told the parked by name; it now tells them by the number, and holds besides that a sidecar of just that standing stays. Without the condition in `_drop_parked` it fails; without the number in the question test_home_is_told_in_few_bytes_which_are_parked does.

--- a/lacewingpitch/directory.py
+++ b/lacewingpitch/directory.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 import reactivex
+import xxhash
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import link
@@ -26,6 +27,14 @@
 _ASK_TIMEOUT_S = 0.25
 
 
+def standing(instance: str) -> int:
+    """Return a number by which the lowest fall out of use first.
+
+    It is the same at every process, whatever its list of instances.
+    """
+    return xxhash.xxh3_64_intdigest(f'active/{instance}'.encode())
+
+
 class LocateRequest(link.Message, frozen=True):
     """Asks a home where an adapter is to be used.
 
@@ -35,14 +44,16 @@
         Number of backend servers that its demand calls for.
     proposals
         Where the asker would have it, best first.
-    parked
-        Backend servers that the asker would have fall out of use.
+    parked_below
+        The asker would have backend servers of a lower standing fall
+        out of use.  At hundreds of them their names would make up most
+        of what an entry instance sends.
     """
 
     key: str
     wanted: int
     proposals: tuple[str, ...]
-    parked: tuple[str, ...] = ()
+    parked_below: int = 0
 
 
 class LocateReply(link.Message, frozen=True):
@@ -95,7 +106,7 @@
         known.asked_at_s = now_s
         self._drop_extras(known, now_s)
         if request.proposals:
-            self._drop_parked(known, request.parked, now_s)
+            self._drop_parked(known, request.parked_below, now_s)
         wanted = min(request.wanted, _MAX_PLACES)
         for name in request.proposals:
             if len(known.places) >= wanted:
@@ -123,16 +134,15 @@
         ]
 
     @staticmethod
-    def _drop_parked(
-        known: _Places, parked: tuple[str, ...], now_s: float
-    ) -> None:
+    def _drop_parked(known: _Places, parked_below: int, now_s: float) -> None:
         # Entry instances differ for a while in what they would park.
         # Without a least stay an adapter would move back and forth, and
         # load each time.
         known.places = [
             place
             for place in known.places
-            if place.instance not in parked or now_s - place.since_s < _STAY_S
+            if standing(place.instance) >= parked_below
+            or now_s - place.since_s < _STAY_S
         ]
 
 
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -33,7 +33,6 @@
 _SHRINK_AFTER_S = 5.0
 _PRESSED_S = 1.0
 _LEAST_WEIGHT = 0.05
-_ACTIVE_KEY = 'active'
 _MAX_POOLS = 256
 _MAX_WEIGHINGS = 64
 
@@ -148,7 +147,12 @@
         self._views = views
         self._spread_s = spread_s
         self._names = [i.name.encode() for i in instances]
-        self._by_active = self.by_hash(_ACTIVE_KEY)
+        self._standings = [directory.standing(i.name) for i in instances]
+        self._by_standing = sorted(
+            range(len(instances)),
+            key=self._standings.__getitem__,
+            reverse=True,
+        )
         self._active: frozenset[int] = frozenset()
         count = len(instances)
         self._loads = [0] * count
@@ -181,9 +185,16 @@
         """Return the places of those in use."""
         if len(self._active) != self.pool.active_count:
             count = self.pool.active_count
-            self._active = frozenset(self._by_active[:count])
+            self._active = frozenset(self._by_standing[:count])
         return self._active
 
+    @property
+    def parked_below(self) -> int:
+        """Return the standing below which none is in use."""
+        if self.pool.active_count >= len(self):
+            return 0
+        return self._standings[self._by_standing[self.pool.active_count - 1]]
+
     def waits_s(self, holders: Iterable[str]) -> list[float]:
         """Return what a request would wait at each."""
         self._refresh()
@@ -432,7 +443,6 @@
         now_s = self._clock.monotonic_s()
         listed = weighing.indexes
         active_count = weighing.pool.active_count
-        parked = tuple(i.name for i in ranked[active_count:])
         known = self._assignments.get(key)
         names: tuple[str, ...] = ()
         if known is not None:
@@ -448,7 +458,7 @@
             proposals=tuple(
                 i.name for i in ranked[: min(wanted + 1, active_count)]
             ),
-            parked=parked,
+            parked_below=weighing.parked_below,
         )
         return await self._ask_home(home, request) or names
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -40,9 +40,11 @@
         self.directories = {n: directory.Directory(clock) for n in names}
         self.silent = set()
         self.asked = []
+        self.questions = []
 
     async def locate(self, home, request):
         self.asked.append(home.name)
+        self.questions.append(request)
         if home.name in self.silent:
             raise errors.LinkError('silent')
         return await self.directories[home.name].locate(request)
@@ -246,6 +248,29 @@
         assert len(packed) == 2
         assert len(spread) == len(instances)
 
+    async def test_home_is_told_in_few_bytes_which_are_parked(self, clock):
+        """An entry spends most of its bytes on names of parked ones.
+
+        With hundreds of backend servers most are out of use, and each
+        question named them all, 26 KB a second at the target size.
+        """
+        instances = tuple(make_instances(200))
+        homes = FakeHomes(clock, [i.name for i in instances])
+        entry = make_placement(clock, stall_weight=0.1, homes=homes)
+        for number in range(300):
+            clock.now_s += 6.0
+            await entry.locate(f'adapter-{number}@1', instances)
+        question = homes.questions[-1]
+        used = {i.name for i in entry.candidates('a@1', instances)[:1]}
+        parked = {
+            i.name
+            for i in instances
+            if directory.standing(i.name) < question.parked_below
+        }
+        assert len(parked) == 199
+        assert not parked & used
+        assert len(msgspec.msgpack.encode(question)) < 128
+
 
 class TestAgreement:
     async def test_entries_with_other_hints_meet(self, clock, instances):
@@ -311,9 +336,12 @@
 
 
 class TestDirectory:
-    def request(self, *proposals, wanted=1, parked=()):
+    def request(self, *proposals, wanted=1, parked_below=0):
         return directory.LocateRequest(
-            key='a@1', wanted=wanted, proposals=proposals, parked=parked
+            key='a@1',
+            wanted=wanted,
+            proposals=proposals,
+            parked_below=parked_below,
         )
 
     async def test_first_proposal_stands(self, clock):
@@ -340,10 +368,14 @@
     async def test_leaves_parked_ones_after_a_least_stay(self, clock):
         places = directory.Directory(clock)
         await places.locate(self.request('x'))
-        reply = await places.locate(self.request('y', parked=('x',)))
+        below = directory.standing('x') + 1
+        reply = await places.locate(self.request('y', parked_below=below))
         assert reply.instances == ('x',)
         clock.now_s += 21.0
-        reply = await places.locate(self.request('y', parked=('x',)))
+        kept = directory.standing('x')
+        reply = await places.locate(self.request('y', parked_below=kept))
+        assert reply.instances == ('x',)
+        reply = await places.locate(self.request('y', parked_below=below))
         assert reply.instances == ('y',)
 
     async def test_is_bounded(self, clock):
