Path bench: processor time a token, bare relays, two versions in turns

The cost of a hop was read from a part of the run and divided by the tokens sent: on a busy machine tokens were late, and the figure was too low by as much.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import pathlib
 import sys
@@ -20,6 +21,7 @@
 import rich.table
 import uvloop
 
+from benchmarks import path_relay
 from lacewingpitch import contract
 from tests import processes
 
@@ -55,6 +57,16 @@
     failed: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What to measure."""
+
+    duration_s: float
+    scales: tuple[float, ...]
+    against: str | None
+    relays: bool
+
+
 class Generator:
     """Sends streams at a constant rate and times their events."""
 
@@ -122,6 +134,8 @@
 class Cost:
     """What a process used while a load ran."""
 
+    used_s: float
+    system_s: float
     core_ratio: float
     memory_bytes: int
 
@@ -155,17 +169,15 @@
         )
         for output in outputs
     ]
+    before = {n: _cpu_times(p) for n, p in watched.items()}
     await asyncio.sleep(WARM_UP_S)
-    before = {n: _cpu_s(p) for n, p in watched.items()}
+    warm = {n: _cpu_times(p) for n, p in watched.items()}
     started_s = time.monotonic()
     await asyncio.sleep(load.duration_s - WARM_UP_S)
     elapsed_s = time.monotonic() - started_s
-    costs = {
-        name: Cost(
-            (_cpu_s(process) - before[name]) / elapsed_s,
-            psutil.Process(process.pid).memory_info().rss,
-        )
-        for name, process in watched.items()
+    cores = {
+        n: _used_s(warm[n], _cpu_times(p)) / elapsed_s
+        for n, p in watched.items()
     }
     times = Times([], [])
     for process, output in zip(running, outputs, strict=True):
@@ -174,17 +186,41 @@
         times.first_token_s += part.first_token_s
         times.gap_s += part.gap_s
         times.failed += part.failed
+    # The cost of a token is that of the whole run, in which all tokens
+    # went through, however late.
+    costs = {
+        name: _cost(process, before[name], cores[name])
+        for name, process in watched.items()
+    }
     return Result(times, costs)
 
 
-def _cpu_s(process):
-    used = psutil.Process(process.pid).cpu_times()
-    return used.user + used.system
+def _cpu_times(process):
+    return psutil.Process(process.pid).cpu_times()
+
 
+def _used_s(before, after):
+    return after.user + after.system - before.user - before.system
+
+
+def _cost(process, before, core_ratio):
+    now = _cpu_times(process)
+    return Cost(
+        _used_s(before, now),
+        now.system - before.system,
+        core_ratio,
+        psutil.Process(process.pid).memory_info().rss,
+    )
 
-async def build(deployment):
-    """Start engines of one model each, so that all get the same load."""
+
+async def build(deployment, against):
+    """Start engines of one model each, so that all get the same load.
+
+    With `against`, every second sidecar and a second entry run the code
+    of that folder.
+    """
     for number in range(ENGINE_COUNT):
+        deployment.cwd = against if number % 2 else None
         await deployment.add_engine(
             '--token-s',
             str(TOKEN_S),
@@ -195,7 +231,9 @@
             adapter_slots=len(ADAPTERS),
             max_running=4096,
         )
-    await deployment.add_entry()
+    for deployment.cwd in (None, against) if against else (None,):
+        await deployment.add_entry()
+    deployment.cwd = None
     deployment.add_customer('bench', limits=processes.WIDE_LIMITS)
     deployment.contracts['bench'] = msgspec.structs.replace(
         deployment.contracts['bench'], adapters=_grants()
@@ -222,81 +260,134 @@
             assert response.status == 200
 
 
-def targets(deployment):
-    """Return both ways by name."""
-    entry = deployment.entries[0]
+def targets(deployment, relays):
+    """Return the ways by name."""
     path = '/v1/chat/completions'
-    return {
-        'direct': Target(
-            urls=tuple(e.url + path for e in deployment.engines),
-            models=tuple(g.engine_name for g in _grants()),
-            headers={'X-Fencing': '0'},
-        ),
-        'path': Target(
+    key = deployment.keys['bench']
+    ways = {
+        name: Target(
             urls=(entry.url + path,),
             models=ADAPTERS,
-            headers={'Authorization': f'Bearer {deployment.keys["bench"]}'},
-        ),
+            headers={'Authorization': f'Bearer {key}'},
+        )
+        for name, entry in zip(
+            ('path', 'against'), deployment.entries, strict=False
+        )
     }
+    straight = {'direct': [e.url for e in deployment.engines]}
+    for name, urls in (straight | relays).items():
+        ways[name] = Target(
+            urls=tuple(url + path for url in urls),
+            models=tuple(g.engine_name for g in _grants()),
+            headers={'X-Fencing': '0'},
+        )
+    return ways
+
+
+@contextlib.asynccontextmanager
+async def relay_process(kind, deployment):
+    """Start a bare relay before every engine; give it and its URLs."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'benchmarks.path_relay',
+        kind,
+        *(str(e.ports['work_port']) for e in deployment.engines),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        ports = msgspec.json.decode(await process.stdout.readline())
+        yield process, [f'http://{processes.IP}:{port}' for port in ports]
+    finally:
+        process.kill()
+        await process.wait()
 
 
-async def run_bench(duration_s, scales):
-    """Measure both ways at each scale and print a table."""
+async def run_bench(options):
+    """Measure all ways at each scale and print a table."""
     table = rich.table.Table(
         'scale',
         'way',
         'first token p50/p95 ms',
         'gap p50/p95 ms',
-        'tokens/s',
+        'chunks/token',
         'failed',
-        'entry core',
+        'hop core',
+        'hop us/token (system)',
         'sidecar core',
-        'entry MB',
+        'sidecars us/token',
+        'hop MB',
         'sidecar MB',
     )
-    with tempfile.TemporaryDirectory() as folder:
-        async with processes.Deployment(pathlib.Path(folder)) as deployment:
-            await build(deployment)
-            watched = {
-                'entry': deployment.entries[0],
-                'sidecar': deployment.sidecars[0],
-            }
-            for scale in scales:
-                results = {}
-                ways = targets(deployment)
-                for way in ('path', 'direct'):
-                    load = Load(
-                        ways[way], SHARE_REQUESTS_PER_S * scale, duration_s
-                    )
-                    results[way] = await measure(
-                        load,
-                        watched,
-                        1 if scale < 3 else 6,
-                        pathlib.Path(folder),
-                    )
-                for way, result in results.items():
-                    table.add_row(*_row(scale, way, result, duration_s))
-                table.add_row(*_difference(scale, results))
-    rich.console.Console(width=150).print(table)
-
-
-def _row(scale, way, result, duration_s):
+    async with contextlib.AsyncExitStack() as held:
+        folder = pathlib.Path(
+            held.enter_context(tempfile.TemporaryDirectory())
+        )
+        deployment = await held.enter_async_context(
+            processes.Deployment(folder)
+        )
+        await build(deployment, options.against)
+        hops = dict(zip(('path', 'against'), deployment.entries, strict=False))
+        relays = {}
+        for kind in path_relay.KINDS if options.relays else ():
+            hops[kind], relays[kind] = await held.enter_async_context(
+                relay_process(kind, deployment)
+            )
+        ways = targets(deployment, relays)
+        for scale in options.scales:
+            results = {}
+            for way in ways:
+                results[way] = await _measure_way(
+                    deployment, hops, ways, way, scale, options, folder
+                )
+                rows = _rows(scale, way, results[way], options.duration_s)
+                for row in rows:
+                    table.add_row(*row)
+            table.add_row(*_difference(scale, results))
+    rich.console.Console(width=170).print(table)
+
+
+async def _measure_way(deployment, hops, ways, way, scale, options, folder):
+    watched = {'sidecar': deployment.sidecars[0]}
+    if options.against:
+        watched['sidecar against'] = deployment.sidecars[1]
+    if way in hops:
+        watched['hop'] = hops[way]
+    load = Load(ways[way], SHARE_REQUESTS_PER_S * scale, options.duration_s)
+    return await measure(load, watched, 1 if scale < 3 else 6, folder)
+
+
+def _rows(scale, way, result, duration_s):
     first, gap = result.times.first_token_s, result.times.gap_s
-    entry, sidecar = result.costs['entry'], result.costs['sidecar']
-    return (
+    request_count = int(SHARE_REQUESTS_PER_S * scale * duration_s)
+    token_count = request_count * TOKENS_PER_ANSWER
+    idle = Cost(0.0, 0.0, 0.0, 0)
+    hop = result.costs.get('hop', idle)
+    sidecar = result.costs['sidecar']
+    yield (
         f'{scale:g}',
         way,
         f'{result.percentile_ms(first, 50):.1f} / '
         f'{result.percentile_ms(first, 95):.1f}',
         f'{result.percentile_ms(gap, 50):.2f} / '
         f'{result.percentile_ms(gap, 95):.2f}',
-        f'{len(gap) / duration_s:.0f}',
+        f'{len(gap) / token_count:.2f}',
         str(result.times.failed),
-        f'{entry.core_ratio:.3f}',
+        f'{hop.core_ratio:.3f}',
+        f'{hop.used_s / token_count * 1e6:.1f} '
+        f'({hop.system_s / token_count * 1e6:.1f})',
         f'{sidecar.core_ratio:.3f}',
-        f'{entry.memory_bytes / 1e6:.0f}',
+        f'{sidecar.used_s / token_count * 1e6 * ENGINE_COUNT:.1f}',
+        f'{hop.memory_bytes / 1e6:.0f}',
         f'{sidecar.memory_bytes / 1e6:.0f}',
     )
+    other = result.costs.get('sidecar against')
+    if other:
+        yield (
+            *[''] * 8,
+            f'{other.core_ratio:.3f}',
+            f'{other.used_s / token_count * 1e6 * ENGINE_COUNT:.1f}',
+        )
 
 
 def _difference(scale, results):
@@ -316,14 +407,22 @@
 @click.option('--output', type=click.Path(path_type=pathlib.Path), hidden=True)
 @click.option('--duration-s', default=20.0, show_default=True)
 @click.option('--scale', 'scales', multiple=True, type=float)
-def main(generate, output, duration_s, scales):
-    """Measure the path at an entry's share and at ten times that."""
+@click.option('--against', type=click.Path(exists=True, file_okay=False))
+@click.option('--relays', is_flag=True)
+def main(generate, output, duration_s, scales, against, relays):
+    """Measure the path at an entry's share and at ten times that.
+
+    With --against FOLDER, an entry and every second sidecar run the code
+    of that folder, and are measured in turns with the others.  With
+    --relays, a hop that does nothing but relay is measured as well.
+    """
     if generate:
         load = msgspec.json.decode(generate, type=Load)
         times = uvloop.run(Generator(load).run())
         output.write_bytes(msgspec.json.encode(times))
         return
-    uvloop.run(run_bench(duration_s, scales or (1.0, 10.0)))
+    options = Options(duration_s, scales or (1.0, 10.0), against, relays)
+    uvloop.run(run_bench(options))
 
 
 if __name__ == '__main__':
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -37,8 +37,9 @@
 class Process:
     """One real process that tells its ports in its first log lines."""
 
-    def __init__(self, *arguments):
+    def __init__(self, *arguments, cwd=None):
         self.arguments = arguments
+        self._cwd = cwd
         self.ports = {}
         self.log = []
 
@@ -55,6 +56,7 @@
             *self.arguments,
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
+            cwd=self._cwd,
         )
         self._listening = asyncio.Event()
         self._reading = asyncio.create_task(self._read_log(self._listening))
@@ -114,6 +116,8 @@
 
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
+        # The folder whose code the processes started next run.
+        self.cwd = None
         self._exits = contextlib.AsyncExitStack()
         self.secret = secrets.token_hex()
         self.entries = []
@@ -136,7 +140,7 @@
         await self._exits.aclose()
 
     async def run(self, *arguments):
-        process = Process(*arguments)
+        process = Process(*arguments, cwd=self.cwd)
         self._exits.push_async_callback(process.kill)
         return await process.start()
 
