--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -47,6 +47,7 @@
     target: Target
     requests_per_s: float
     duration_s: float
+    tokens_per_answer: int = TOKENS_PER_ANSWER
 
 
 class Times(msgspec.Struct):
@@ -65,6 +66,7 @@
     scales: tuple[float, ...]
     against: str | None
     relays: bool
+    tokens_per_answer: int
 
 
 class Generator:
@@ -106,7 +108,7 @@
             json={
                 'model': model,
                 'stream': True,
-                'max_tokens': TOKENS_PER_ANSWER,
+                'max_tokens': self._load.tokens_per_answer,
             },
             headers=target.headers | {'X-Request-Id': f'{number}'},
         ) as response:
@@ -340,7 +342,7 @@
                 results[way] = await _measure_way(
                     deployment, hops, ways, way, scale, options, folder
                 )
-                rows = _rows(scale, way, results[way], options.duration_s)
+                rows = _rows(scale, way, results[way], options)
                 for row in rows:
                     table.add_row(*row)
             table.add_row(*_difference(scale, results))
@@ -353,14 +355,19 @@
         watched['sidecar against'] = deployment.sidecars[1]
     if way in hops:
         watched['hop'] = hops[way]
-    load = Load(ways[way], SHARE_REQUESTS_PER_S * scale, options.duration_s)
+    load = Load(
+        ways[way],
+        SHARE_REQUESTS_PER_S * scale,
+        options.duration_s,
+        options.tokens_per_answer,
+    )
     return await measure(load, watched, 1 if scale < 3 else 6, folder)
 
 
-def _rows(scale, way, result, duration_s):
+def _rows(scale, way, result, options):
     first, gap = result.times.first_token_s, result.times.gap_s
-    request_count = int(SHARE_REQUESTS_PER_S * scale * duration_s)
-    token_count = request_count * TOKENS_PER_ANSWER
+    request_count = int(SHARE_REQUESTS_PER_S * scale * options.duration_s)
+    token_count = request_count * options.tokens_per_answer
     idle = Cost(0.0, 0.0, 0.0, 0)
     hop = result.costs.get('hop', idle)
     sidecar = result.costs['sidecar']
@@ -409,7 +416,15 @@
 @click.option('--scale', 'scales', multiple=True, type=float)
 @click.option('--against', type=click.Path(exists=True, file_okay=False))
 @click.option('--relays', is_flag=True)
-def main(generate, output, duration_s, scales, against, relays):
+@click.option(
+    '--tokens',
+    'tokens_per_answer',
+    default=TOKENS_PER_ANSWER,
+    show_default=True,
+)
+def main(
+    generate, output, duration_s, scales, against, relays, tokens_per_answer
+):
     """Measure the path at an entry's share and at ten times that.
 
     With --against FOLDER, an entry and every second sidecar run the code
@@ -421,7 +436,9 @@
         times = uvloop.run(Generator(load).run())
         output.write_bytes(msgspec.json.encode(times))
         return
-    options = Options(duration_s, scales or (1.0, 10.0), against, relays)
+    options = Options(
+        duration_s, scales or (1.0, 10.0), against, relays, tokens_per_answer
+    )
     uvloop.run(run_bench(options))
 
 
--- a/lacewingpitch/answer_delivery.py
+++ b/lacewingpitch/answer_delivery.py
@@ -1,5 +1,6 @@
 """Brings the answer of one request from its sidecar to its caller."""
 
+import asyncio
 import contextlib
 
 import aiohttp
@@ -90,13 +91,13 @@
         await response.prepare(self._request)
         relay = self._relay
         try:
-            await self._relay_events(response)
+            await self._relay_in_task(response)
             for _ in range(_MAX_RESUMES):
                 if relay.is_complete or relay.is_failed:
                     break
                 relay.drop_partial_event()
                 await self._reply.resume(relay.event_count)
-                await self._relay_events(response)
+                await self._relay_in_task(response)
         except errors.RefusalError as error:
             self._warn('not resumed', error)
         if not relay.is_complete and not relay.is_failed:
@@ -108,6 +109,12 @@
             self._tally.cut()
         return response
 
+    async def _relay_in_task(self, response: web.StreamResponse) -> None:
+        # Each token wakes a task up, and that passes through every await
+        # of its call chain.  In a task of its own the chain is short.
+        # A cancelled request cancels it, since it is awaited directly.
+        await asyncio.create_task(self._relay_events(response))
+
     async def _relay_events(self, response: web.StreamResponse) -> None:
         relay = self._relay
         while True:
