--- a/lacewingpitch/idle_timeout.py
+++ b/lacewingpitch/idle_timeout.py
@@ -40,7 +40,8 @@
 
     def __enter__(self) -> None:
         """Begin a wait."""
-        task = asyncio.current_task()
+        # With the loop given, nothing has to be looked up.
+        task = asyncio.current_task(self._loop)
         assert task is not None
         assert self._task is None
         self._task = task
@@ -62,9 +63,10 @@
         TimeoutError
             It took too long.
         """
-        task, self._task = self._task, None
         if not self._is_expired:
+            self._task = None
             return
+        task, self._task = self._task, None
         self._is_expired = False
         assert task is not None
         # Somebody else may have cancelled the task as well: that one
