--- a/tests/processes.py
+++ b/tests/processes.py
@@ -41,8 +41,9 @@
 class Process:
     """One real process that tells its ports in its first log lines."""
 
-    def __init__(self, *arguments):
+    def __init__(self, *arguments, cwd=None):
         self.arguments = arguments
+        self._cwd = cwd
         self.ports = {}
         self.log = []
 
@@ -59,6 +60,7 @@
             *self.arguments,
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
+            cwd=self._cwd,
         )
         self._listening = asyncio.Event()
         self._reading = asyncio.create_task(self._read_log(self._listening))
@@ -118,6 +120,8 @@
 
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
+        # The folder whose code the processes started next run.
+        self.cwd = None
         self._exits = contextlib.AsyncExitStack()
         self.secret = secrets.token_hex()
         self.entries = []
@@ -140,7 +144,7 @@
         await self._exits.aclose()
 
     async def run(self, *arguments):
-        return await self._start(Process(*arguments))
+        return await self._start(Process(*arguments, cwd=self.cwd))
 
     async def _start(self, process):
         self._exits.push_async_callback(process.kill)
--- a/tests/test_not_run_processes.py
+++ b/tests/test_not_run_processes.py
@@ -232,7 +232,7 @@
             await deployment.add_entry()
             add_customers(deployment)
             await deployment.publish()
-            await processes.until(lambda: promises(deployment, listed))
+            await processes.until(lambda: deployment.promises(listed))
             sent = work_link.wait_for(b'POST /run')
             asked = control_link.wait_for(b'VoidRequest')
             sidecar = deployment.sidecars[0]
