Replies with leases leave out names that the asker knows

Cause: a reply repeats each customer's name and sends 0.0 as nine bytes. Change: parts come in the order of the wants, without names, where none is missing and the asker says that it reads that; else with names. Test: a reply with a part missing that goes by order alone gives one customer the lease of another; fails without the check of the count.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -524,7 +524,11 @@
 ) -> limit_lease.LeaseAsk:
     wants = tuple(holding.want(1, 300.0) for holding in held)
     return limit_lease.LeaseAsk(
-        holder=holder, incarnation='a1b2c3d4', sequence=sequence, wants=wants
+        holder=holder,
+        incarnation='a1b2c3d4',
+        sequence=sequence,
+        wants=wants,
+        reads_order=True,
     )
 
 
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -526,10 +526,11 @@
             limit_lease.LeaseWant(name, 2, 250, 2, 1, 1, 0, 0, 17)
             for name in entries
         ),
+        reads_order=True,
     )
     reply = limit_lease.LeaseReply(
         parts=tuple(
-            limit_lease.LeasePart(name, 2, 250, 2, 1) for name in entries
+            limit_lease.LeasePart('', 2, 250, 2, 1, 0) for _ in entries
         )
     )
     size = len(sealer.seal_short(ask)) + len(sealer.seal_short(reply))
--- a/lacewingpitch/limit_lease.py
+++ b/lacewingpitch/limit_lease.py
@@ -64,12 +64,19 @@
 
 
 class LeaseAsk(link.Message, frozen=True, array_like=True):
-    """Asks an owner for leases of many customers at once."""
+    """Asks an owner for leases of many customers at once.
+
+    Parameters
+    ----------
+    reads_order
+        Whether the reply may leave the names out.
+    """
 
     holder: str
     incarnation: str
     sequence: int
     wants: tuple[LeaseWant, ...]
+    reads_order: bool = False
 
 
 class LeasePart(msgspec.Struct, frozen=True, array_like=True):
@@ -97,11 +104,22 @@
 
 
 class LeaseReply(link.Message, frozen=True, array_like=True):
-    """Leases, without the customers that it does not own."""
+    """Leases, without the customers that it does not own.
+
+    Where all that was wanted is leased, the parts may be without names,
+    in the order of the wants.
+    """
 
     parts: tuple[LeasePart, ...] = ()
     moved: tuple[Moved, ...] = ()
 
+    def by_customer(self, wanted: Sequence[str]) -> dict[str, LeasePart]:
+        """Return the parts of the customers that were `wanted`."""
+        if len(self.parts) == len(wanted):
+            if all(not part.customer for part in self.parts):
+                return dict(zip(wanted, self.parts, strict=True))
+        return {part.customer: part for part in self.parts}
+
 
 class HandedPlaces(msgspec.Struct, frozen=True, array_like=True):
     """Places that a holder has, told by one owner to the next."""
@@ -306,7 +324,8 @@
             wait_s = self.requests.wait_s(1.0, now_s)
         if tokens <= 0 < want.tokens:
             wait_s = max(wait_s, self.tokens.wait_s(1.0, now_s))
-        return max(_MIN_RETRY_S, wait_s) if wait_s else 0.0
+        # A whole number takes a byte in a message, 0.0 takes nine.
+        return max(_MIN_RETRY_S, wait_s) if wait_s else 0
 
     def is_idle(self, now_s: float) -> bool:
         return (
@@ -367,15 +386,18 @@
         self._note_pause(now_s)
         if now_s < self._grants_from_s or not self._is_new(ask):
             return LeaseReply()
-        parts = [self._grant_one(ask.holder, w, now_s) for w in ask.wants]
+        named = [self._grant_one(ask.holder, w, now_s) for w in ask.wants]
+        parts = tuple(part for part in named if part is not None)
+        if ask.reads_order and len(parts) == len(ask.wants):
+            parts = tuple(
+                msgspec.structs.replace(part, customer='') for part in parts
+            )
         moved = tuple(
             Moved(want.customer, self._handed[want.customer].to)
             for want in ask.wants
             if self._is_handed(want.customer, now_s)
         )
-        return LeaseReply(
-            parts=tuple(p for p in parts if p is not None), moved=moved
-        )
+        return LeaseReply(parts=parts, moved=moved)
 
     def tick(self) -> None:
         """Note the time, and drop the state of idle customers."""
--- a/lacewingpitch/limits.py
+++ b/lacewingpitch/limits.py
@@ -406,7 +406,7 @@
                 _wake(customer)
             return ()
         state.suspect_until_s = 0.0
-        parts = {part.customer: part for part in reply.parts}
+        parts = reply.by_customer([c.contract.customer for c in asked])
         moved = {found.customer for found in reply.moved}
         for customer in asked:
             part = parts.get(customer.contract.customer)
@@ -433,6 +433,7 @@
                 )
                 for customer in asked
             ),
+            reads_order=True,
         )
         if owner is None:
             return await self._granter.grant(ask)
--- a/tests/test_limit_lease.py
+++ b/tests/test_limit_lease.py
@@ -1,5 +1,6 @@
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from lacewingpitch import entry_ring
@@ -247,6 +248,37 @@
         assert part.running == PLACES
 
 
+class TestReply:
+    @pytest.mark.parametrize(
+        ('reads_order', 'other', 'names'),
+        [
+            (True, CUSTOMER, ['', '']),
+            (False, CUSTOMER, [CUSTOMER, CUSTOMER]),
+            # Of this one there is no contract, so its part is missing.
+            (True, 'unknown', [CUSTOMER]),
+        ],
+    )
+    def test_leaves_names_out_where_no_part_is_missing(
+        self, table, reads_order, other, names
+    ):
+        """A customer runs on the lease of another.
+
+        The reply has no names, and a customer in the middle is not owned.
+        The cause would be parts that are taken by their order alone.
+        """
+        asked = table.ask(requests=2)
+        wants = (limit_lease.LeaseWant(other), *asked.wants)
+        reply = table.owner.grant(
+            msgspec.structs.replace(
+                asked, wants=wants, reads_order=reads_order
+            )
+        )
+        assert [part.customer for part in reply.parts] == names
+        found = reply.by_customer([other, CUSTOMER])
+        assert found[CUSTOMER].requests == 2
+        assert 'unknown' not in found
+
+
 class TestMemory:
     def test_idle_customers_are_dropped(self, table):
         table.lease(requests=BURST, running=2)
