Permits: asked for again by the place in the queue

Cause: each load that waits asks the keeper every 2 s, and each message makes it look at all that wait for some that lapsed. Change: the keeper's answer says when to ask again, 0.8 of the time until the turn can come, 2 s at least; an asker whose weight doubles asks at once. Lapses lie in a heap. Places come from a ranking at most 1 s old. The next to load is still found by a search, once a load: costs grow at different speeds, so no heap stays in order. One that is late by a second gets no permit until it asks, and is dropped after 4 s. Tests: asks a load; dead askers, fails without the check of being late; keeper dead with loads far back; a weight that rises, fails without asking early; a keeper of before names no time and is asked each 2 s.

--- a/lacewingpitch/store_pacing.py
+++ b/lacewingpitch/store_pacing.py
@@ -8,10 +8,13 @@
 """
 
 import asyncio
+import bisect
 from collections.abc import AsyncIterator, Callable
 import contextlib
 import dataclasses
+import heapq
 import itertools
+import math
 from typing import Protocol
 import uuid
 
@@ -24,7 +27,13 @@
 from lacewingpitch import settings as settings_module
 
 LEASE_S = 10.0
-_ASK_AGAIN_S = 2.0
+ASK_AGAIN_S = 2.0
+_ASK_AGAIN_RATIO = 0.8
+_LATE_S = 1.0
+_LAPSE_S = 4.0
+_RANKING_S = 1.0
+_GROWTH_RATIO = 1.25
+_HURRY_RATIO = 2.0
 _RENEW_S = 3.0
 _ASK_TIMEOUT_S = 0.5
 _KEEPER_PAUSE_S = 5.0
@@ -48,9 +57,16 @@
 
 
 class PermitReply(link.Message, frozen=True):
-    """Whether the permit is given; if not, a grant follows."""
+    """Whether the permit is given; if not, a grant follows.
+
+    Parameters
+    ----------
+    ask_again_s
+        When to ask again at the latest, by the place in the queue.
+    """
 
     granted: bool
+    ask_again_s: float = ASK_AGAIN_S
 
 
 class PermitGrant(link.Message, frozen=True):
@@ -90,7 +106,12 @@
     asker: str
     weight: float
     since_s: float
-    heard_at_s: float
+    due_s: float
+
+    def cost(self, now_s: float) -> float:
+        """Return what waiting costs; the highest goes first."""
+        waited_s = now_s - self.since_s
+        return self.weight * (1.0 + waited_s / _AGING_S)
 
 
 class PermitDesk:
@@ -113,6 +134,10 @@
         self._notify = notify
         self._held_until_s: dict[str, float] = {}
         self._waiting: dict[str, _Asking] = {}
+        self._lapses: list[tuple[float, str]] = []
+        self._costs: list[float] = []
+        self._places: dict[str, int] = {}
+        self._ranked_at_s = -math.inf
         self._tokens = float(settings.loads_at_once)
         self._counted_at_s = clock.monotonic_s()
         self._timer: asyncio.TimerHandle | None = None
@@ -135,15 +160,20 @@
         if permit_id in self._held_until_s:
             self._held_until_s[permit_id] = now_s + LEASE_S
             return PermitReply(granted=True)
+        if permit_id not in self._waiting:
+            self._queue(request, now_s)
         asking = self._waiting.get(permit_id)
-        if asking is None and len(self._waiting) < _MAX_WAITING:
-            asking = _Asking(request.asker, request.weight, now_s, now_s)
-            self._waiting[permit_id] = asking
         if asking is not None:
             asking.weight = request.weight
-            asking.heard_at_s = now_s
+            asking.due_s = now_s + ASK_AGAIN_S
         self._serve(asked_by=permit_id)
-        return PermitReply(granted=permit_id in self._held_until_s)
+        if permit_id in self._held_until_s:
+            return PermitReply(granted=True)
+        again_s = ASK_AGAIN_S
+        if asking is not None:
+            again_s = self._ask_again_s(permit_id, now_s)
+            asking.due_s = now_s + again_s
+        return PermitReply(granted=False, ask_again_s=again_s)
 
     def give_back(self, permit_id: str) -> None:
         """Take back a permit, or the wish for one; idempotent."""
@@ -156,15 +186,26 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _queue(self, request: PermitRequest, now_s: float) -> None:
+        if len(self._waiting) >= _MAX_WAITING:
+            return
+        due_s = now_s + ASK_AGAIN_S
+        self._waiting[request.permit_id] = _Asking(
+            request.asker, request.weight, now_s, due_s
+        )
+        entry = (due_s + _LAPSE_S, request.permit_id)
+        heapq.heappush(self._lapses, entry)
+
     def _serve(self, asked_by: str = '') -> None:
         self._drop_lapsed()
         self._count_tokens()
         while (
-            self._waiting
-            and len(self._held_until_s) < self._settings.loads_at_once
+            len(self._held_until_s) < self._settings.loads_at_once
             and self._tokens >= 1.0
         ):
-            permit_id = max(self._waiting, key=self._cost)
+            permit_id = self._first()
+            if permit_id is None:
+                break
             asking = self._waiting.pop(permit_id)
             self._tokens -= 1.0
             self._held_until_s[permit_id] = self._clock.monotonic_s() + LEASE_S
@@ -172,10 +213,49 @@
                 self._notify(asking.asker, PermitGrant(permit_id=permit_id))
         self._set_timer()
 
-    def _cost(self, permit_id: str) -> float:
-        asking = self._waiting[permit_id]
-        waited_s = self._clock.monotonic_s() - asking.since_s
-        return asking.weight * (1.0 + waited_s / _AGING_S)
+    def _first(self) -> str | None:
+        # Costs grow at different speeds, so no heap stays in order; all
+        # are looked at once for each load, not for each message.
+        now_s = self._clock.monotonic_s()
+        # One that has not asked when it was to ask may be dead, and a
+        # permit given to it would be idle to the end of its lease.
+        return max(
+            (
+                permit_id
+                for permit_id, asking in self._waiting.items()
+                if now_s <= asking.due_s + _LATE_S
+            ),
+            key=lambda permit_id: self._waiting[permit_id].cost(now_s),
+            default=None,
+        )
+
+    def _ask_again_s(self, permit_id: str, now_s: float) -> float:
+        # Whoever is far back has nothing to win by asking often, and all
+        # of them together would fill the keeper.  It asks again before
+        # its turn can come, for grants may be lost and askers die.
+        before = self._place(permit_id, now_s)
+        turn_s = before / self._settings.loads_per_s
+        return max(ASK_AGAIN_S, turn_s * _ASK_AGAIN_RATIO)
+
+    def _place(self, permit_id: str, now_s: float) -> int:
+        """Return how many go before, by a ranking made of late."""
+        is_old = now_s - self._ranked_at_s > _RANKING_S
+        if is_old or len(self._waiting) > _GROWTH_RATIO * len(self._places):
+            self._rank(now_s)
+        place = self._places.get(permit_id)
+        if place is None:
+            cost = self._waiting[permit_id].cost(self._ranked_at_s)
+            place = bisect.bisect_right(self._costs, -cost)
+        return place
+
+    def _rank(self, now_s: float) -> None:
+        self._ranked_at_s = now_s
+        ranking = sorted(
+            (-asking.cost(now_s), place, permit_id)
+            for place, (permit_id, asking) in enumerate(self._waiting.items())
+        )
+        self._costs = [item[0] for item in ranking]
+        self._places = {item[2]: place for place, item in enumerate(ranking)}
 
     def _count_tokens(self) -> None:
         now_s = self._clock.monotonic_s()
@@ -193,15 +273,23 @@
         for permit_id, until_s in list(self._held_until_s.items()):
             if until_s <= now_s:
                 del self._held_until_s[permit_id]
-        for permit_id, asking in list(self._waiting.items()):
-            if asking.heard_at_s + 3 * _ASK_AGAIN_S <= now_s:
+        while self._lapses and self._lapses[0][0] <= now_s:
+            _, permit_id = heapq.heappop(self._lapses)
+            found = self._waiting.get(permit_id)
+            if found is None:
+                continue
+            if found.due_s + _LAPSE_S <= now_s:
                 del self._waiting[permit_id]
+            else:
+                entry = (found.due_s + _LAPSE_S, permit_id)
+                heapq.heappush(self._lapses, entry)
 
     def _set_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if not self._waiting:
+        if self._first() is None:
+            # Those that are late bring themselves in by asking again.
             return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._next_chance_s(), self._serve)
@@ -264,28 +352,46 @@
     ) -> None:
         event = self._granted[permit_id]
         while not event.is_set():
-            if await self._ask(permit_id, weight):
+            asked_weight = weight()
+            reply = await self._ask(permit_id, asked_weight)
+            if reply.granted:
+                return
+            await self._wait(event, reply.ask_again_s, weight, asked_weight)
+
+    async def _wait(
+        self,
+        event: asyncio.Event,
+        longest_s: float,
+        weight: Callable[[], float],
+        asked_weight: float,
+    ) -> None:
+        """Wait for a grant, or until it is time to ask again."""
+        until_s = self._clock.monotonic_s() + longest_s
+        while not event.is_set():
+            left_s = until_s - self._clock.monotonic_s()
+            # The keeper goes by the weight that it was told; a load that
+            # many have come to wait for must not wait as one of few.
+            if left_s <= 0 or weight() > _HURRY_RATIO * asked_weight:
                 return
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_ASK_AGAIN_S):
+                async with asyncio.timeout(min(ASK_AGAIN_S, left_s)):
                     await event.wait()
 
-    async def _ask(self, permit_id: str, weight: Callable[[], float]) -> bool:
+    async def _ask(self, permit_id: str, weight: float) -> PermitReply:
         if self._clock.monotonic_s() < self._alone_until_s:
             await self._wait_alone()
-            return True
+            return PermitReply(granted=True)
         request = PermitRequest(
-            permit_id=permit_id, asker=self._asker, weight=weight()
+            permit_id=permit_id, asker=self._asker, weight=weight
         )
         try:
-            reply = await self._permits.ask(request)
+            return await self._permits.ask(request)
         except errors.LinkError:
             # The keeper is gone, frozen or cut off.  Loads go on at the
             # share that is safe if every sidecar is as alone as this.
             self._alone_until_s = self._clock.monotonic_s() + _KEEPER_PAUSE_S
             await self._wait_alone()
-            return True
-        return reply.granted
+            return PermitReply(granted=True)
 
     async def _wait_alone(self) -> None:
         now_s = self._clock.monotonic_s()
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -4,6 +4,7 @@
 import contextlib
 import secrets
 
+import msgspec
 import pytest
 
 from benchmarks import virtual_time
@@ -34,6 +35,7 @@
         self.loses_grants = False
         self.loses_returns = False
         self.count = sidecar_count
+        self.asks_count = 0
         self.new_desk()
 
     def new_desk(self):
@@ -53,6 +55,7 @@
 
     async def ask(self, request):
         await asyncio.sleep(0.001)
+        self.asks_count += 1
         if self.is_cut:
             raise errors.LinkError('cut')
         return self.desk.ask(request)
@@ -151,6 +154,104 @@
         assert virtual_time.run(main()) < 40.0
 
 
+class TestAskingAgain:
+    @pytest.mark.parametrize('count', [64, 256])
+    def test_takes_few_messages_however_many_wait(self, count):
+        """The keeper of permits does nothing but answer.
+
+        Hundreds of loads wait after a zone was lost.  The cause would be
+        that each asks as often as the one whose turn is next.
+        """
+
+        async def main():
+            link, loads = DirectLink(), Loads()
+            await load_all(link, loads, count)
+            return link, loads, asyncio.get_running_loop().time()
+
+        link, loads, took_s = virtual_time.run(main())
+        assert len(loads.starts_s) == count
+        assert took_s <= 1.1 * count / HANEUL.loads_per_s
+        assert link.asks_count <= 6 * count
+
+    @pytest.mark.proves(Promise.NOT_RUN, Fault.KILLED, Step.LOADING)
+    @pytest.mark.parametrize(('dead_every', 'leases'), [(3, 1), (10, 0)])
+    def test_those_that_died_waiting_get_no_permit(self, dead_every, leases):
+        """Loads stand still for minutes after a zone was lost.
+
+        Many wait, some of them die, and their turn is far away.  The
+        cause would be permits for the dead, each idle to its lease's end.
+        """
+
+        async def main():
+            link, loads, tasks = DirectLink(), Loads(), []
+            for number in range(90):
+                pacer = link.pacer(f'sidecar-{number}')
+                tasks.append(asyncio.create_task(loads.run(pacer)))
+            await asyncio.sleep(1.5)
+            for number, task in enumerate(tasks):
+                if number >= 20 and number % dead_every == 0:
+                    # Dead, so that it neither gives back nor answers.
+                    pacer = link.pacers[f'sidecar-{number}']
+                    pacer.on_grant = pacer._give_back = lambda message: None
+                    task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            return loads, asyncio.get_running_loop().time()
+
+        loads, took_s = virtual_time.run(main())
+        in_turn_s = len(loads.starts_s) / HANEUL.loads_per_s
+        # The queue moves up as the dead are dropped, so one of many may
+        # have its turn before it was to ask again.
+        lost_s = leases * store_pacing.LEASE_S
+        assert took_s <= in_turn_s + lost_s + 0.5
+
+    @pytest.mark.proves(Promise.NOT_RUN, Fault.KILLED, Step.LOADING)
+    def test_a_keeper_that_dies_leaves_those_far_back_to_themselves(self):
+        """Loads wait for ever for a keeper that died.
+
+        Those far back in its queue were told to ask again late.  The
+        cause would be waiting for a grant alone.
+        """
+
+        async def main():
+            link, loads = DirectLink(sidecar_count=1), Loads()
+            loading = asyncio.create_task(load_all(link, loads, 40))
+            await asyncio.sleep(3.0)
+            link.desk.close()
+            link.is_cut = True
+            await loading
+            return loads, asyncio.get_running_loop().time()
+
+        loads, took_s = virtual_time.run(main())
+        assert len(loads.starts_s) == 40
+        assert took_s <= 1.5 * 40 / HANEUL.loads_per_s
+
+    def test_a_weight_that_rises_is_told_at_once(self):
+        async def main():
+            link, loads, started_s = DirectLink(), Loads(), []
+            tasks = [
+                asyncio.create_task(loads.run(link.pacer(f's-{number}')))
+                for number in range(60)
+            ]
+            await asyncio.sleep(0.1)
+            weights = iter([1.0, 1.0])
+
+            async def wanted():
+                async with link.pacer('wanted').permit(
+                    lambda: next(weights, 100.0)
+                ):
+                    started_s.append(asyncio.get_running_loop().time())
+
+            await asyncio.gather(wanted(), *tasks)
+            return started_s[0]
+
+        assert virtual_time.run(main()) < 3 * store_pacing.ASK_AGAIN_S
+
+    def test_a_keeper_of_before_says_nothing_and_is_asked_as_before(self):
+        old = msgspec.msgpack.encode({'granted': False})
+        reply = msgspec.msgpack.decode(old, type=store_pacing.PermitReply)
+        assert reply.ask_again_s == store_pacing.ASK_AGAIN_S
+
+
 class TestLoss:
     """Losing a permit or its keeper costs speed, never a load."""
 
