Voters of a key: what the list alone decides is found once per list

Cause: each claim, and each vote, went through all instances of the list (1,380, of all regions), encoded the names of those of the region and sorted them all. Change: an index for each list keeps a region's names by zone; per key they are hashed, and the best of each zone found. The voters are the same, so that versions can mix. Ruled out: gathering votes for one voter for some milliseconds. A sidecar makes 5.2 claims/s for 250 voters: a second claim within 5 ms is 2.6% of them, and one that shares a voter some 0.2%. Test: voters by a plain sorting, with zones too small for their turns; the code of before passes it too.

--- a/lacewingpitch/claim.py
+++ b/lacewingpitch/claim.py
@@ -73,6 +73,8 @@
         self._membership = membership
         self._clock = clock
         self._window_s = window_s
+        self._indexed = membership.instances
+        self._index = voter_module.VoterIndex(membership.instances)
         self._held: collections.OrderedDict[str, _Held] = (
             collections.OrderedDict()
         )
@@ -114,11 +116,12 @@
 
     def voters(self, order: work.WorkOrder) -> voter_module.VoterSet:
         """Return the voters of an order's key by the newest list."""
-        return voter_module.voters_of(
-            order.customer,
-            order.idempotency_key,
-            order.region,
-            self._membership.instances,
+        instances = self._membership.instances
+        if instances is not self._indexed:
+            self._indexed = instances
+            self._index = voter_module.VoterIndex(instances)
+        return self._index.voters_of(
+            order.customer, order.idempotency_key, order.region
         )
 
     def note(
--- a/lacewingpitch/voter.py
+++ b/lacewingpitch/voter.py
@@ -1,7 +1,6 @@
 """Promises, kept in memory, that back one attempt per idempotency key."""
 
-import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 import dataclasses
 import enum
 import heapq
@@ -56,41 +55,83 @@
     region: str,
     instances: Iterable[live_list.Instance],
 ) -> VoterSet:
-    """Return the voters of a key, the same for equal lists everywhere.
+    """Return the voters of one key, where no list is kept."""
+    return VoterIndex(instances).voters_of(customer, key, region)
 
-    Zones take turns, each with its best by hash, so that the loss of a
-    zone costs no more voters than need be.  One instance more or less in
-    the list changes one voter at most.
 
-    Notes
-    -----
-    Instances that leave still vote until the list drops them: they keep
-    their promises until they end.
+class _Members:
+    """The sidecars of one region in one list, by availability zone."""
+
+    def __init__(self, members: Sequence[live_list.Instance]) -> None:
+        zones: dict[str, list[live_list.Instance]] = {}
+        for instance in members:
+            zones.setdefault(instance.availability_zone, []).append(instance)
+        self.zones = [
+            (instances, [instance.name.encode() for instance in instances])
+            for instances in zones.values()
+        ]
+        # A zone too small for its turns leaves them to the others.
+        turns = math.ceil(MAX_VOTERS / max(1, len(zones)))
+        is_small = any(len(zone) < turns for zone in zones.values())
+        self.turns = MAX_VOTERS if is_small else turns
+
+
+class VoterIndex:
+    """Finds the voters of keys by one list.
+
+    What does not depend on the key is found once: the list holds the
+    sidecars of all regions, and each vote asks for a key's voters.
     """
-    seed = xxhash.xxh3_64_intdigest(f'{customer}/{key}'.encode())
-    members = [
-        instance
-        for instance in instances
-        if instance.role is live_list.Role.SIDECAR
-        and region in (ANY_REGION, '', instance.region)
-    ]
-    scored = sorted(
-        (xxhash.xxh3_64_intdigest(instance.name.encode(), seed), number)
-        for number, instance in enumerate(members)
-    )
-    zone_count = len({instance.availability_zone for instance in members})
-    turns = math.ceil(MAX_VOTERS / max(1, zone_count))
-    taken: collections.Counter[str] = collections.Counter()
-    found: list[tuple[int, int, int]] = []
-    zones_done = 0
-    while scored and zones_done < zone_count:
-        score, number = scored.pop()
-        zone = members[number].availability_zone
-        found.append((taken[zone], -score, number))
-        taken[zone] += 1
-        zones_done += taken[zone] == turns
-    found.sort()
-    return VoterSet(tuple(members[item[2]] for item in found[:MAX_VOTERS]))
+
+    def __init__(self, instances: Iterable[live_list.Instance]) -> None:
+        self._sidecars = tuple(
+            instance
+            for instance in instances
+            if instance.role is live_list.Role.SIDECAR
+        )
+        self._members: dict[str, _Members] = {}
+
+    def voters_of(self, customer: str, key: str, region: str) -> VoterSet:
+        """Return the voters of a key, the same for equal lists everywhere.
+
+        Zones take turns, each with its best by hash, so that the loss of
+        a zone costs no more voters than need be.  One instance more or
+        less in the list changes one voter at most.
+
+        Notes
+        -----
+        Instances that leave still vote until the list drops them: they
+        keep their promises until they end.
+        """
+        seed = xxhash.xxh3_64_intdigest(f'{customer}/{key}'.encode())
+        members = self._members_of(region)
+        digest = xxhash.xxh3_64_intdigest
+        found: list[tuple[int, int, live_list.Instance]] = []
+        for instances, names in members.zones:
+            scores = [digest(name, seed) for name in names]
+            best = heapq.nlargest(members.turns, scores)
+            found.extend(
+                (turn, -score, instances[scores.index(score)])
+                for turn, score in enumerate(best)
+            )
+        found.sort(key=lambda item: item[:2])
+        return VoterSet(tuple(item[2] for item in found[:MAX_VOTERS]))
+
+    def _members_of(self, region: str) -> _Members:
+        known = self._members.get(region)
+        if known is not None:
+            return known
+        made = _Members(
+            [
+                instance
+                for instance in self._sidecars
+                if region in (ANY_REGION, '', instance.region)
+            ]
+        )
+        # Names of regions come from messages: only real ones are kept.
+        if made.zones:
+            self._members[region] = made
+        return made
 
 
 class Verdict(enum.StrEnum):
@@ -164,7 +205,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _View:
     taken_at_s: float
-    instances: tuple[live_list.Instance, ...]
+    index: VoterIndex
 
 
 class Voter:
@@ -233,7 +274,7 @@
             # lost the first.  Keys that an earlier life, or a claim with
             # an earlier list, can have met are refused.
             self._oldest_s = now_s + self._reach_s
-        self._views.append(_View(now_s, instances))
+        self._views.append(_View(now_s, VoterIndex(instances)))
         self._drop_views(now_s)
 
     def vote(self, request: VoteRequest) -> VoteReply:
@@ -317,8 +358,8 @@
         for view, end_s in zip(self._views, ends_s, strict=True):
             if end_s <= since_s:
                 continue
-            own = voters_of(
-                request.customer, request.key, request.region, view.instances
+            own = view.index.voters_of(
+                request.customer, request.key, request.region
             )
             if own.quorum + request.quorum <= len(own.names | asked):
                 return VoteReply(verdict=Verdict.LISTS_DIFFER)
--- a/tests/test_voter.py
+++ b/tests/test_voter.py
@@ -8,7 +8,9 @@
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
+import msgspec
 import pytest
+import xxhash
 
 from lacewingpitch import ballot as ballot_module
 from lacewingpitch import live_list
@@ -153,6 +155,46 @@
             places = [i.availability_zone for i in found.instances]
             assert max(places.count(zone) for zone in places) <= 2
 
+    @given(
+        zones=strategies.lists(strategies.integers(1, 9), max_size=7),
+        noise=strategies.integers(0, 1 << 40),
+    )
+    def test_zones_take_turns_each_with_its_best(self, zones, noise):
+        """All claims are refused while an upgrade rolls.
+
+        The old and the new processes find other voters for each key.
+        The cause would be a search that is quick and not the same; zones
+        too small for their turns leave them to the others.
+        """
+        numbers = [z for z, size in enumerate(zones) for _ in range(size)]
+        members = tuple(
+            msgspec.structs.replace(one, availability_zone=f'zone-{number}')
+            for one, number in zip(
+                instances(len(numbers)), numbers, strict=True
+            )
+        )
+        elsewhere = tuple(
+            msgspec.structs.replace(one, name=f'far-{number}', region='b')
+            for number, one in enumerate(instances(9))
+        )
+        key = key_at(START_S, noise)
+        seed = xxhash.xxh3_64_intdigest(f'haneul/{key}'.encode())
+        scored = sorted(
+            (-xxhash.xxh3_64_intdigest(one.name.encode(), seed), number, one)
+            for one, number in zip(members, numbers, strict=True)
+        )
+        turns = [0] * len(zones)
+        expected = []
+        for score, number, one in scored:
+            expected.append((turns[number], score, one.name))
+            turns[number] += 1
+        index = voter.VoterIndex(elsewhere + members)
+        for _ in range(2):
+            found = index.voters_of('haneul', key, 'region-a')
+            assert [i.name for i in found.instances] == [
+                item[2] for item in sorted(expected)[: voter.MAX_VOTERS]
+            ]
+
     def test_other_regions_have_no_vote(self):
         found = voter.voters_of(
             'haneul', key_at(START_S), 'region-b', instances(9)
