Leases of small limits are renewed by how often calls come

Change: one rule for all limits, more than half a call a second. Test: two calls in 2.1 s; fails with the rule of before.

--- a/lacewingpitch/limit_holding.py
+++ b/lacewingpitch/limit_holding.py
@@ -119,8 +119,6 @@
 
     @property
     def _is_called_often(self) -> bool:
-        if not self._spare_places:
-            return self._arrived > 1
         passed_s = self._clock.monotonic_s() - self._asked_s
         return self._arrived > 1 + passed_s * _STEADY_PER_S / 2
 
--- a/tests/test_limit_holding.py
+++ b/tests/test_limit_holding.py
@@ -83,6 +83,15 @@
         holding.renew_now()
         assert holding.needs_renewal(limit_lease.RENEW_S)
 
+    @pytest.mark.parametrize(('calls', 'renews'), [(1, 0), (2, 0), (4, 1)])
+    def test_is_renewed_soon_only_where_calls_are_frequent(
+        self, holding, clock, calls, renews
+    ):
+        lease(holding, clock, requests=calls, tokens=99, running=calls)
+        holding.running = sum(holding.spend(1) for _ in range(calls))
+        clock.now_s += 1.05 * limit_lease.RENEW_S
+        assert holding.needs_renewal(limit_lease.RENEW_S) == renews
+
     @pytest.mark.parametrize(('places', 'is_told'), [(40, False), (39, True)])
     def test_only_of_a_large_limit_a_call_is_kept_ahead(
         self, clock, places, is_told
