--- a/lacewingpitch/store_pacing.py
+++ b/lacewingpitch/store_pacing.py
@@ -199,13 +199,12 @@
     def _serve(self, asked_by: str = '') -> None:
         self._drop_lapsed()
         self._count_tokens()
-        while (
-            len(self._held_until_s) < self._settings.loads_at_once
-            and self._tokens >= 1.0
-        ):
+        while self._has_room:
             permit_id = self._first()
             if permit_id is None:
-                break
+                # Those that are late come back by asking again.
+                self._stop_timer()
+                return
             asking = self._waiting.pop(permit_id)
             self._tokens -= 1.0
             self._held_until_s[permit_id] = self._clock.monotonic_s() + LEASE_S
@@ -213,6 +212,11 @@
                 self._notify(asking.asker, PermitGrant(permit_id=permit_id))
         self._set_timer()
 
+    @property
+    def _has_room(self) -> bool:
+        is_full = len(self._held_until_s) >= self._settings.loads_at_once
+        return not is_full and self._tokens >= 1.0
+
     def _first(self) -> str | None:
         # Costs grow at different speeds, so no heap stays in order; all
         # are looked at once for each load, not for each message.
@@ -285,14 +289,15 @@
                 heapq.heappush(self._lapses, entry)
 
     def _set_timer(self) -> None:
+        self._stop_timer()
+        if self._waiting:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(self._next_chance_s(), self._serve)
+
+    def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._first() is None:
-            # Those that are late bring themselves in by asking again.
-            return
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._next_chance_s(), self._serve)
 
     def _next_chance_s(self) -> float:
         if len(self._held_until_s) >= self._settings.loads_at_once:
