--- a/tests/processes.py
+++ b/tests/processes.py
@@ -144,7 +144,10 @@
         await self._exits.aclose()
 
     async def run(self, *arguments):
-        return await self._start(Process(*arguments, cwd=self.cwd))
+        return await self._start(self._new(*arguments))
+
+    def _new(self, *arguments):
+        return Process(*arguments, cwd=self.cwd)
 
     async def _start(self, process):
         self._exits.push_async_callback(process.kill)
@@ -152,13 +155,13 @@
 
     async def start_engine(self, *options):
         """Start a stand-in engine alone."""
-        engine = Process('standin', 'engine', *options)
+        engine = self._new('standin', 'engine', *options)
         self.engines.append(engine)
         return await self._start(engine)
 
     async def start_service(self, *options):
         """Start a stand-in service alone."""
-        service = Process('standin', 'service', *options)
+        service = self._new('standin', 'service', *options)
         self.services.append(service)
         return await self._start(service)
 
@@ -201,7 +204,7 @@
         found = settings.SidecarSettings(
             **self._process(name, **fields), backend_server=backend_server
         )
-        process = Process('sidecar', self._write(name, found))
+        process = self._new('sidecar', self._write(name, found))
         self.sidecars.append(process)
         # Those that start together keep the order of the calls.
         number = len(self.instances)
@@ -231,7 +234,7 @@
         path.write_bytes(
             msgspec.json.encode(msgspec.structs.replace(found, **old.ports))
         )
-        process = Process('sidecar', str(path))
+        process = self._new('sidecar', str(path))
         await process.spawn()
         self._exits.push_async_callback(process.kill)
         self.sidecars[number] = process
@@ -240,7 +243,7 @@
     async def add_entry(self, **fields):
         name = f'entry-{len(self.entries)}'
         found = settings.EntrySettings(**self._process(name, **fields))
-        process = Process('entry', self._write(name, found))
+        process = self._new('entry', self._write(name, found))
         self.entries.append(process)
         # Those that start together keep the order of the calls.
         number = len(self.instances)
