Tests share one manual clock

Change: tests/clocks.py has one ManualClock with its start and the offset of its wall clock. Starts and offsets are those that each module had. test_voter keeps a SkewedClock over it, for the one machine whose processes disagree. No test function, assertion or case was touched.

--- a/tests/account_fleet.py
+++ b/tests/account_fleet.py
@@ -12,21 +12,11 @@
 from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import report
+from tests import clocks
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 
 
-class FleetClock:
-    def __init__(self):
-        self.now_s = 1_800_000_000.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 class Entry:
     """One incarnation of an entry: its account, copies and reporter."""
 
@@ -92,7 +82,7 @@
     """The entries that live, and the list that names them."""
 
     def __init__(self, size=3):
-        self.clock = FleetClock()
+        self.clock = clocks.ManualClock(clocks.WALL_START_S)
         self.ports = itertools.count(1)
         self.by_port = {}
         self.cut_off = set()
--- a/tests/contract_fakes.py
+++ b/tests/contract_fakes.py
@@ -10,17 +10,7 @@
 from lacewingpitch import live_list
 from lacewingpitch import membership
 from lacewingpitch import published_contracts
-
-
-class ManualClock:
-    def __init__(self):
-        self.now_s = 1000.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
+from tests import clocks
 
 
 class FakeService:
@@ -138,7 +128,7 @@
     """Nodes that reach each other unless the pair is in `cut`."""
 
     def __init__(self, *roles):
-        self.clock = ManualClock()
+        self.clock = clocks.ManualClock(1000.0)
         self.cut = set()
         self.sent_bytes = []
         self.sent_kinds = set()
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -13,6 +13,7 @@
 from lacewingpitch import clock
 from lacewingpitch import contract
 from lacewingpitch import errors
+from tests import clocks
 from tests import fault_matrix
 
 Promise = fault_matrix.Promise
@@ -21,17 +22,6 @@
 HANEUL = contract.Contract(customer='haneul', revision=1, key_digests=())
 
 
-class FixedClock:
-    def __init__(self):
-        self.now_s = 1_800_000_000.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 def new_account(source=None):
     return account_module.Account(
         account_module.AccountId('entry-0', 'one', 'zone-a', 0.0),
@@ -133,7 +123,7 @@
 
 class TestTimes:
     def test_first_token_and_gaps(self):
-        source = FixedClock()
+        source = clocks.ManualClock(clocks.WALL_START_S)
         account = new_account(source)
         with account.counted('id') as tally:
             account.identify(tally, HANEUL)
--- a/tests/test_account_copy.py
+++ b/tests/test_account_copy.py
@@ -10,6 +10,7 @@
 from lacewingpitch import account_rows
 from lacewingpitch import errors
 from lacewingpitch import live_list
+from tests import clocks
 from tests import fault_matrix
 
 Promise = fault_matrix.Promise
@@ -20,19 +21,11 @@
 COUNTERS = strategies.integers(0, 1)
 
 
-class FixedClock:
-    def monotonic_s(self):
-        return 0.0
-
-    def wall_s(self):
-        return 0.0
-
-
 class Link:
     """An owner and a holder, with messages in between."""
 
     def __init__(self, capacity_accounts=8):
-        self.account = account_module.Account(OWNER, FixedClock())
+        self.account = account_module.Account(OWNER, clocks.ManualClock())
         self.backlog = account_copy.Backlog(self.account.rows)
         self.holder = account_copy.CopyHolder(capacity_accounts)
         self.now_s = 1.0
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -16,6 +16,7 @@
 from lacewingpitch import voter
 from lacewingpitch import voter_link
 from lacewingpitch import work
+from tests import clocks
 from tests import fault_matrix
 from tests import test_voter
 
@@ -31,7 +32,7 @@
     """Sidecars' voters and claims, linked in memory."""
 
     def __init__(self, count=5):
-        self.clock = test_voter.FakeClock()
+        self.clock = clocks.ManualClock(test_voter.START_S)
         self.listed = test_voter.instances(count)
         self.voters = {}
         self.claims = {}
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -5,24 +5,14 @@
 import pytest
 
 from lacewingpitch import ejection
+from tests import clocks
 
 NAMES = ['a', 'b', 'c', 'd']
 
 
-class ManualClock:
-    def __init__(self):
-        self.now_s = 0.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 @pytest.fixture
 def clock():
-    return ManualClock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
--- a/tests/test_fair_order.py
+++ b/tests/test_fair_order.py
@@ -8,6 +8,7 @@
 from lacewingpitch import fair_order
 from lacewingpitch import turn_queue
 from lacewingpitch import work
+from tests import clocks
 
 Urgency = contract.Urgency
 HELD_LEAD_S = 2.0
@@ -26,22 +27,9 @@
 )
 
 
-class HandClock:
-    """A clock that a test moves."""
-
-    def __init__(self):
-        self.now_s = 0.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 def make_order(held=lambda _order: True, clock=None):
     return fair_order.FairOrder(
-        1, held, clock or HandClock(), LEADS_S, HELD_LEAD_S
+        1, held, clock or clocks.ManualClock(), LEADS_S, HELD_LEAD_S
     )
 
 
@@ -221,7 +209,7 @@
         are never free.  The cause would be leads that each newcomer has
         anew.
         """
-        clock = HandClock()
+        clock = clocks.ManualClock()
         order = make_order(lambda found: found.path == '/hot', clock)
         waits_s = []
         for second in range(400):
@@ -254,7 +242,7 @@
         The flood's requests wait long because it sends too many.  The
         cause would be aging that asks for nothing but the wait.
         """
-        clock = HandClock()
+        clock = clocks.ManualClock()
         order = make_order(clock=clock)
         for _ in range(200):
             order.add(make_waiter('flood'))
--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -4,6 +4,7 @@
 
 from lacewingpitch import engine
 from lacewingpitch import fence
+from tests import clocks
 from tests import fault_matrix
 
 Promise = fault_matrix.Promise
@@ -11,17 +12,6 @@
 Step = fault_matrix.Step
 
 
-class ManualClock:
-    def __init__(self, wall_s):
-        self.now_s = wall_s
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 def report(incarnation, last_fencing=0):
     return engine.EngineReport(
         incarnation=incarnation, base_model='base', last_fencing=last_fencing
@@ -30,14 +20,14 @@
 
 class TestNumber:
     def test_is_above_the_engine_s_last_with_the_clock_set_back(self):
-        old = fence.Fence(ManualClock(1000.0))
+        old = fence.Fence(clocks.ManualClock(1000.0))
         old.renew(report('a'))
-        successor = fence.Fence(ManualClock(10.0))
+        successor = fence.Fence(clocks.ManualClock(10.0))
         successor.renew(report('a', old.number))
         assert successor.number > old.number
 
     def test_never_falls_when_the_engine_restarts_empty(self):
-        clock = ManualClock(1000.0)
+        clock = clocks.ManualClock(1000.0)
         found = fence.Fence(clock)
         found.renew(report('a'))
         before = found.number
@@ -52,7 +42,7 @@
         The engine's report lags behind the last order of the sidecar
         before it, whose clock was ahead.
         """
-        found = fence.Fence(ManualClock(1000.0))
+        found = fence.Fence(clocks.ManualClock(1000.0))
         found.renew(report('a', 5))
         assert not found.renew(report('a', 2_000_000))
         assert found.number > 2_000_000
@@ -63,7 +53,7 @@
 
         One was frozen, and wakes to a higher number at its engine.
         """
-        found = fence.Fence(ManualClock(1000.0))
+        found = fence.Fence(clocks.ManualClock(1000.0))
         found.renew(report('a'))
         found.accepted()
         number = found.number
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -10,6 +10,7 @@
 
 from lacewingpitch import errors
 from lacewingpitch import ledger
+from tests import clocks
 from tests import fault_matrix
 
 Promise = fault_matrix.Promise
@@ -21,18 +22,6 @@
 EPOCH_S = 1_800_000_000.0
 
 
-class ManualClock:
-    def __init__(self):
-        self.now_s = 0.0
-        self.wall_offset_s = EPOCH_S
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s + self.wall_offset_s
-
-
 def attempt_made_at(wall_s, number=0):
     """Return the name of an attempt with a UUIDv7 of that time."""
     value = int(wall_s * 1000) << 80 | 7 << 76 | 2 << 62 | number
@@ -41,7 +30,7 @@
 
 @pytest.fixture
 def clock():
-    return ManualClock()
+    return clocks.ManualClock(wall_offset_s=EPOCH_S)
 
 
 @pytest.fixture
@@ -160,7 +149,7 @@
 
     def __init__(self):
         super().__init__()
-        self.clock = ManualClock()
+        self.clock = clocks.ManualClock(wall_offset_s=EPOCH_S)
         self.book = ledger.RunLedger(self.clock)
         self.sent = {}
         self.arrived = set()
--- a/tests/test_limit_holding.py
+++ b/tests/test_limit_holding.py
@@ -2,9 +2,9 @@
 
 from lacewingpitch import limit_holding
 from lacewingpitch import limit_lease
+from tests import clocks
 from tests import fault_matrix
 from tests import lease_entries
-from tests import test_limit_lease
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -13,7 +13,7 @@
 
 @pytest.fixture
 def clock():
-    return test_limit_lease.ManualClock()
+    return clocks.ManualClock(100.0)
 
 
 @pytest.fixture
--- a/tests/test_limit_lease.py
+++ b/tests/test_limit_lease.py
@@ -4,6 +4,7 @@
 
 from lacewingpitch import entry_ring
 from lacewingpitch import limit_lease
+from tests import clocks
 from tests import fault_matrix
 from tests import lease_entries
 
@@ -16,22 +17,11 @@
 PLACES = 6
 
 
-class ManualClock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 class Table:
     """Owners around one clock, without links."""
 
     def __init__(self, count=3):
-        self.clock = ManualClock()
+        self.clock = clocks.ManualClock(100.0)
         self.contracts = lease_entries.Contracts()
         self.contracts.add(
             CUSTOMER,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,7 @@
 from lacewingpitch import errors
 from lacewingpitch import live_list
 from lacewingpitch import membership
-from tests import contract_fakes
+from tests import clocks
 from tests import fault_matrix
 
 Promise = fault_matrix.Promise
@@ -38,7 +38,7 @@
 
 @pytest.fixture
 def clock():
-    return contract_fakes.ManualClock()
+    return clocks.ManualClock(1000.0)
 
 
 @pytest.fixture
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,6 +11,7 @@
 from lacewingpitch import live_list
 from lacewingpitch import placement
 from lacewingpitch import settings
+from tests import clocks
 from tests import fault_matrix
 
 Promise = fault_matrix.Promise
@@ -18,17 +19,6 @@
 Step = fault_matrix.Step
 
 
-class FakeClock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 class FakeHomes:
     """The directories of all sidecars; some may be silent."""
 
@@ -73,7 +63,7 @@
 
 @pytest.fixture
 def clock():
-    return FakeClock()
+    return clocks.ManualClock(100.0)
 
 
 @pytest.fixture
--- a/tests/test_published_contracts.py
+++ b/tests/test_published_contracts.py
@@ -7,6 +7,7 @@
 from lacewingpitch import errors
 from lacewingpitch import published_contracts
 from lacewingpitch import standin_platform
+from tests import clocks
 from tests import contract_fakes
 from tests import fault_matrix
 
@@ -30,7 +31,7 @@
 @pytest.fixture
 def reader(service, book):
     return published_contracts.PublishedContracts(
-        service, book, contract_fakes.ManualClock(), seed=1
+        service, book, clocks.ManualClock(1000.0), seed=1
     )
 
 
--- a/tests/test_voter.py
+++ b/tests/test_voter.py
@@ -13,6 +13,7 @@
 from lacewingpitch import ballot as ballot_module
 from lacewingpitch import live_list
 from lacewingpitch import voter
+from tests import clocks
 from tests import fault_matrix
 
 Promise = fault_matrix.Promise
@@ -26,13 +27,11 @@
 START_S = 1_700_000_000.0
 
 
-class FakeClock:
-    """A wall clock that is off by some seconds; time passes on command."""
+class SkewedClock:
+    """The clock of one process, whose wall time is off by some seconds."""
 
-    now_s = START_S
-
-    def __init__(self, world=None, offset_s=0.0):
-        self._world = world or self
+    def __init__(self, world, offset_s):
+        self._world = world
         self._offset_s = offset_s
 
     def wall_s(self):
@@ -103,7 +102,7 @@
 
 @pytest.fixture
 def clock():
-    return FakeClock()
+    return clocks.ManualClock(START_S)
 
 
 @pytest.fixture
@@ -333,7 +332,7 @@
     def set_up(self, count, zones, seed, caller_s):
         self.noise = random.Random(seed)
         self.caller_s = caller_s
-        self.clock = FakeClock()
+        self.clock = clocks.ManualClock(START_S)
         self.pool = instances(count + 3, zones)
         self.published = [(0.0, self.pool[:count])]
         offsets_s = [-SKEW_S / 2, 0.0, SKEW_S / 2]
@@ -359,7 +358,7 @@
         self.withdrawals = []
 
     def boot(self, name):
-        clock = FakeClock(self.clock, self.offsets[name])
+        clock = SkewedClock(self.clock, self.offsets[name])
         self.voters[name] = make_voter(name, clock, kind=self.voter_kind)
         self.voters[name].take_list(self.published[self.known[name]][1])
 
