Tests share one sample order and one sample instance

Change: samples.order, samples.sidecar and samples.entry have the defaults; callers name what their test is about. Fields that a test turned on keep their value (deadline 60 s in test_turn_queue, region r in test_store_pacing); the others were never looked at: request_id and deadline of a refused foreign order, ports nobody connects to. No test function, assertion or case was touched.

--- a/tests/account_fleet.py
+++ b/tests/account_fleet.py
@@ -10,9 +10,9 @@
 from lacewingpitch import contract_book
 from lacewingpitch import errors
 from lacewingpitch import link
-from lacewingpitch import live_list
 from lacewingpitch import report
 from tests import clocks
+from tests import samples
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 
@@ -30,13 +30,9 @@
             ),
             fleet.clock,
         )
-        self.instance = live_list.Instance(
-            name=name,
-            role=live_list.Role.ENTRY,
-            region='region-a',
+        self.instance = samples.entry(
+            name,
             availability_zone=zone,
-            ip='127.0.0.1',
-            work_port=self.port,
             control_port=self.port,
             started_at_s=fleet.clock.wall_s(),
         )
--- a/tests/contract_fakes.py
+++ b/tests/contract_fakes.py
@@ -11,6 +11,7 @@
 from lacewingpitch import membership
 from lacewingpitch import published_contracts
 from tests import clocks
+from tests import samples
 
 
 class FakeService:
@@ -91,13 +92,10 @@
 
     @property
     def instance(self):
-        return live_list.Instance(
-            name=self.name,
+        return samples.sidecar(
+            self.name,
             role=self.role,
-            region='region-a',
             availability_zone=f'zone-{self.number % 2}',
-            ip='127.0.0.1',
-            work_port=0,
             control_port=self.number,
         )
 
--- a/tests/lease_entries.py
+++ b/tests/lease_entries.py
@@ -8,7 +8,7 @@
 from lacewingpitch import limit_handover
 from lacewingpitch import limit_lease
 from lacewingpitch import limits
-from lacewingpitch import live_list
+from tests import samples
 
 DELAY_S = 0.001
 TIMEOUT_S = 0.3
@@ -37,15 +37,7 @@
 
 
 def make_instance(number):
-    return live_list.Instance(
-        name=f'entry-{number}',
-        role=live_list.Role.ENTRY,
-        region=REGION,
-        availability_zone='zone-a',
-        ip='127.0.0.1',
-        work_port=1,
-        control_port=1,
-    )
+    return samples.entry(f'entry-{number}', region=REGION, control_port=1)
 
 
 class LeaseEntry:
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -1,7 +1,11 @@
-"""Small valid settings and contracts, to be spoilt by tests."""
+"""Small valid settings, contracts, orders and instances for tests."""
 
 import copy
 
+from lacewingpitch import contract as contract_module
+from lacewingpitch import live_list
+from lacewingpitch import work
+
 DIGEST = 'ab' * 32
 OTHER_DIGEST = 'cd' * 32
 
@@ -44,3 +48,38 @@
         'key_digests': [DIGEST],
         'adapters': [{'name': 'ficus', 'version': '1', 'base_model': 'base'}],
     } | fields
+
+
+def order(**fields):
+    """Return an order of an entry for a backend server."""
+    defaults = {
+        'request_id': 'request-1',
+        'attempt': 1,
+        'customer': 'haneul',
+        'contract_revision': 1,
+        'urgency': contract_module.Urgency.STANDARD,
+        'weight': 1.0,
+        'deadline_s': 30.0,
+        'method': 'POST',
+        'path': '/',
+        'repeatable': True,
+    }
+    return work.WorkOrder(**(defaults | fields))
+
+
+def sidecar(name='sidecar-0', **fields):
+    """Return a sidecar as the platform lists it."""
+    defaults = {
+        'role': live_list.Role.SIDECAR,
+        'region': 'region-a',
+        'availability_zone': 'zone-a',
+        'ip': '127.0.0.1',
+        'work_port': 1,
+        'control_port': 2,
+    }
+    return live_list.Instance(name=name, **(defaults | fields))
+
+
+def entry(name='entry-0', **fields):
+    """Return an entry as the platform lists it."""
+    return sidecar(name, role=live_list.Role.ENTRY, **fields)
--- a/tests/test_account_copy.py
+++ b/tests/test_account_copy.py
@@ -9,9 +9,9 @@
 from lacewingpitch import account_copy
 from lacewingpitch import account_rows
 from lacewingpitch import errors
-from lacewingpitch import live_list
 from tests import clocks
 from tests import fault_matrix
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -238,15 +238,7 @@
 
 
 def entry(name, zone, region='region-a'):
-    return live_list.Instance(
-        name=name,
-        role=live_list.Role.ENTRY,
-        region=region,
-        availability_zone=zone,
-        ip='127.0.0.1',
-        work_port=1,
-        control_port=1,
-    )
+    return samples.entry(name, region=region, availability_zone=zone)
 
 
 class TestChooseHolders:
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -7,7 +7,6 @@
 
 from lacewingpitch import ballot as ballot_module
 from lacewingpitch import claim
-from lacewingpitch import contract
 from lacewingpitch import errors
 from lacewingpitch import idempotency
 from lacewingpitch import live_list
@@ -15,9 +14,9 @@
 from lacewingpitch import runs
 from lacewingpitch import voter
 from lacewingpitch import voter_link
-from lacewingpitch import work
 from tests import clocks
 from tests import fault_matrix
+from tests import samples
 from tests import test_voter
 
 Promise = fault_matrix.Promise
@@ -51,24 +50,15 @@
         self.claims[name] = claim.Claims(name, self, known, self.clock, 600.0)
 
     def order(self, attempt=1, **fields):
-        return work.WorkOrder(
-            **{
-                'request_id': 'request-1',
-                'attempt': attempt,
-                'customer': 'haneul',
-                'contract_revision': 1,
-                'urgency': contract.Urgency.STANDARD,
-                'weight': 1.0,
-                'deadline_s': 5.0,
-                'method': 'POST',
-                'path': '/water',
-                'repeatable': False,
-                'service': 'plain',
-                'idempotency_key': test_voter.key_at(self.clock.now_s),
-                'region': 'region-a',
-            }
-            | fields
-        )
+        defaults = {
+            'path': '/water',
+            'repeatable': False,
+            'service': 'plain',
+            'idempotency_key': test_voter.key_at(self.clock.now_s),
+            'region': 'region-a',
+            'deadline_s': 5.0,
+        }
+        return samples.order(attempt=attempt, **(defaults | fields))
 
     def check(self, kind, name):
         self.asked[kind] += 1
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -26,6 +26,7 @@
 from lacewingpitch import work
 from tests import fault_matrix
 from tests import processes
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -410,19 +411,7 @@
         Somebody else sent it: a caller who found the sidecar's port, or
         an entry of another deployment whose list named the address.
         """
-        order = work.WorkOrder(
-            request_id='a',
-            attempt=1,
-            customer='haneul',
-            contract_revision=1,
-            urgency=contract.Urgency.STANDARD,
-            weight=1.0,
-            deadline_s=1.0,
-            method='GET',
-            path='/',
-            repeatable=True,
-            service=demo.SERVICE,
-        )
+        order = samples.order(method='GET', service=demo.SERVICE)
         foreign = link.Sealer('demo', 'another secret of 16', 'entry-0')
         good = work.encode_order(order, foreign)
         headers = ['', 'x', good, good[:-4], good + good, 'é', 'A' * 9000]
--- a/tests/test_fair_order.py
+++ b/tests/test_fair_order.py
@@ -7,8 +7,8 @@
 from lacewingpitch import contract
 from lacewingpitch import fair_order
 from lacewingpitch import turn_queue
-from lacewingpitch import work
 from tests import clocks
+from tests import samples
 
 Urgency = contract.Urgency
 HELD_LEAD_S = 2.0
@@ -42,17 +42,8 @@
     arrived_s=0.0,
 ):
     return turn_queue.Waiter(
-        work.WorkOrder(
-            request_id='r',
-            attempt=1,
-            customer=customer,
-            contract_revision=1,
-            urgency=urgency,
-            weight=weight,
-            deadline_s=30.0,
-            method='POST',
-            path=path,
-            repeatable=True,
+        samples.order(
+            customer=customer, weight=weight, urgency=urgency, path=path
         ),
         arrived_s,
         cost_s,
--- a/tests/test_hint.py
+++ b/tests/test_hint.py
@@ -12,6 +12,7 @@
 from lacewingpitch import link
 from lacewingpitch import work
 from tests import processes
+from tests import samples
 
 
 def make_hint(**fields):
@@ -81,17 +82,9 @@
             sealer = link.Sealer('test', deployment.secret, 'entry-0')
             stalls_s = []
             for _ in range(2):
-                order = work.WorkOrder(
+                order = samples.order(
                     request_id=processes.new_key(),
-                    attempt=1,
-                    customer='haneul',
-                    contract_revision=1,
-                    urgency=contract.Urgency.STANDARD,
-                    weight=1.0,
-                    deadline_s=30.0,
-                    method='POST',
                     path='/v1/chat/completions',
-                    repeatable=True,
                     adapter=contract.AdapterGrant(
                         name='fern', version='1', base_model='base'
                     ),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 from lacewingpitch import membership
 from tests import clocks
 from tests import fault_matrix
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -16,16 +17,7 @@
 
 
 def make_instance(name, **fields):
-    defaults = {
-        'role': live_list.Role.SIDECAR,
-        'region': 'region-a',
-        'availability_zone': 'zone-a',
-        'ip': '127.0.0.1',
-        'work_port': 1,
-        'control_port': 2,
-        'serves': 'base',
-    }
-    return live_list.Instance(name=name, **(defaults | fields))
+    return samples.sidecar(name, serves='base', **fields)
 
 
 def publish(members, revision, *instances):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,11 +8,11 @@
 from lacewingpitch import directory
 from lacewingpitch import errors
 from lacewingpitch import hint
-from lacewingpitch import live_list
 from lacewingpitch import placement
 from lacewingpitch import settings
 from tests import clocks
 from tests import fault_matrix
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -35,18 +35,7 @@
 
 
 def make_instances(count=5):
-    return [
-        live_list.Instance(
-            name=f'sidecar-{number}',
-            role=live_list.Role.SIDECAR,
-            region='r',
-            availability_zone='z',
-            ip='127.0.0.1',
-            work_port=0,
-            control_port=0,
-        )
-        for number in range(count)
-    ]
+    return [samples.sidecar(f'sidecar-{number}') for number in range(count)]
 
 
 def make_hint(*adapters, **fields):
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -15,6 +15,7 @@
 from lacewingpitch import settings
 from lacewingpitch import store_pacing
 from tests import fault_matrix
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -301,13 +302,10 @@
     @staticmethod
     def publish(nodes):
         instances = tuple(
-            live_list.Instance(
-                name=node.settings.instance,
-                role=live_list.Role.SIDECAR,
+            samples.sidecar(
+                node.settings.instance,
                 region='r',
                 availability_zone='z',
-                ip='127.0.0.1',
-                work_port=0,
                 control_port=node.control.port,
             )
             for node in nodes
--- a/tests/test_turn_queue.py
+++ b/tests/test_turn_queue.py
@@ -11,9 +11,9 @@
 from lacewingpitch import fair_order
 from lacewingpitch import settings
 from lacewingpitch import turn_queue
-from lacewingpitch import work
 from tests import fault_matrix
 from tests import processes
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -37,20 +37,8 @@
     )
 
 
-def make_order(customer='haneul', **fields):
-    defaults = {
-        'request_id': 'r',
-        'attempt': 1,
-        'customer': customer,
-        'contract_revision': 1,
-        'urgency': contract.Urgency.STANDARD,
-        'weight': 1.0,
-        'deadline_s': 60.0,
-        'method': 'POST',
-        'path': '/',
-        'repeatable': True,
-    }
-    return work.WorkOrder(**(defaults | fields))
+def make_order(**fields):
+    return samples.order(**({'deadline_s': 60.0} | fields))
 
 
 class Story:
--- a/tests/test_voter.py
+++ b/tests/test_voter.py
@@ -11,10 +11,10 @@
 import pytest
 
 from lacewingpitch import ballot as ballot_module
-from lacewingpitch import live_list
 from lacewingpitch import voter
 from tests import clocks
 from tests import fault_matrix
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -43,14 +43,8 @@
 
 def instances(count, zones=4):
     return tuple(
-        live_list.Instance(
-            name=f'sidecar-{number}',
-            role=live_list.Role.SIDECAR,
-            region='region-a',
-            availability_zone=f'zone-{number % zones}',
-            ip='127.0.0.1',
-            work_port=1,
-            control_port=2,
+        samples.sidecar(
+            f'sidecar-{number}', availability_zone=f'zone-{number % zones}'
         )
         for number in range(count)
     )
