The report: one module per job

Read: report.py (652 lines) read accounts from entries, found gaps, held the structs, fetched a report over HTTP and drew the terminal's tables; report_page.py (412) wrote the page and drew its plots. Who wanted to know how a gap comes about read past aiohttp and rich.

Change, without changed behaviour: - account_readings (84 lines): what was read, from whom - report_gaps (122): Gap, and find_gaps in short steps - report_content (133): what is said of a customer and of an account - report_text (152): words and tables - report_plots (157): the SVG plots; a plot gets its title whole instead of choosing it by the name of a field - report (233): Report, Reporter, fetch; report_page (273) cli prints the report itself; report.print_report is gone. report.Reporter, report.Report and report.fetch stay where the entry and the tests over processes use them.

Checked: the page of a fleet with a lost entry is byte for byte the one of before (31131 bytes, random ids of the plots replaced); test_report, test_demo, test_cli, test_documents, test_account_processes and test_burn pass. In test_report two names changed their module, nothing else.

--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -8,6 +8,8 @@
 from typing import Protocol
 
 import click
+import msgspec
+import rich.console
 import structlog
 import uvloop
 
@@ -19,6 +21,7 @@
 from lacewingpitch import errors
 from lacewingpitch import errors_page
 from lacewingpitch import report as report_module
+from lacewingpitch import report_text
 from lacewingpitch import settings
 from lacewingpitch import sidecar as sidecar_module
 from lacewingpitch import standin_engine
@@ -136,11 +139,14 @@
     It says first what it may lack.  Exit code 1: no report was got.
     """
     try:
-        asyncio.run(
-            report_module.print_report(url, customer, token, output_format)
-        )
+        data = asyncio.run(report_module.fetch(url, customer, token))
     except errors.PlatformError as error:
         raise click.ClickException(str(error)) from error
+    if output_format == 'json':
+        click.echo(data)
+        return
+    found = msgspec.json.decode(data, type=report_module.Report)
+    report_text.print_table(found, rich.console.Console())
 
 
 @main.command()
--- a/lacewingpitch/demo.py
+++ b/lacewingpitch/demo.py
@@ -16,6 +16,7 @@
 from lacewingpitch import entry as entry_module
 from lacewingpitch import live_list
 from lacewingpitch import report as report_module
+from lacewingpitch import report_text
 from lacewingpitch import settings
 from lacewingpitch import sidecar as sidecar_module
 from lacewingpitch import standin_engine
@@ -324,7 +325,7 @@
         once = dataclasses.replace(ONCE, key=str(uuid_utils.uuid7()))
         twice = [await caller.send(once), await caller.send(once)]
         run_count = deployment.runs(once.target)
-        report_module.print_table(await deployment.report(), console)
+        report_text.print_table(await deployment.report(), console)
     console.print(_LOAD_STALL_TEXT)
     for result in results:
         if result.kind != _SERVED:
--- /dev/null
+++ b/lacewingpitch/report_content.py
@@ -0,0 +1,133 @@
+"""What a report says of a customer and of an account, from its rows."""
+
+import msgspec
+
+from lacewingpitch import account as account_module
+from lacewingpitch import account_readings
+from lacewingpitch import account_rows
+from lacewingpitch import burn
+from lacewingpitch import contract as contract_module
+from lacewingpitch import errors
+
+_DIRECT = 'itself'
+_COPY = 'a copy'
+
+
+class Times(msgspec.Struct, frozen=True):
+    """A histogram of times, and the usual points of it."""
+
+    count: int
+    p50_s: float | None
+    p95_s: float | None
+    p99_s: float | None
+    count_by_limit_s: dict[str, int]
+
+
+class CustomerService(msgspec.Struct, frozen=True, kw_only=True):
+    """What one customer got, over all the instances that were read."""
+
+    customer: str
+    received_count: int
+    served_count: int
+    caller_gone_count: int
+    unended_count: int
+    refused: dict[str, int]
+    unknown: dict[str, int]
+    partial: dict[str, int]
+    token_count: int
+    stalled_count: int
+    stall_s: float
+    stall_not_measured_count: int
+    first_token: Times
+    between_tokens: Times
+    load_stall: Times
+    burns: tuple[burn.Burn, ...]
+    alerts: tuple[burn.FiredAlert, ...]
+
+
+class Source(msgspec.Struct, frozen=True, kw_only=True):
+    """One account that the report was assembled from.
+
+    Parameters
+    ----------
+    read_from
+        The instance itself, or a copy at another.
+    complete_until_s
+        Nothing counted before is missing, by that instance's clock.
+    unended_count
+        Requests that had come in and not ended; in progress if the
+        instance lives, cut off if it ended.
+    """
+
+    instance: str
+    incarnation: str
+    availability_zone: str
+    started_at_s: float
+    read_from: str
+    complete_until_s: float
+    unended_count: int
+
+
+def customer_service(
+    customer: str,
+    row: account_rows.Row,
+    contract: contract_module.Contract | None,
+    now_s: float,
+) -> CustomerService:
+    """Return what a row says, by the objective of the contract."""
+    counter = account_module.Counter
+    histogram = account_module.Histogram
+    objective = contract.objective if contract else contract_module.Objective()
+    burns = burn.measure(row, objective, now_s)
+    return CustomerService(
+        customer=customer,
+        received_count=row.get(counter.RECEIVED, 0),
+        served_count=row.get(counter.SERVED, 0),
+        caller_gone_count=row.get(counter.CALLER_GONE, 0),
+        unended_count=_unended(row),
+        refused=account_module.ended_by_kind(row, errors.Outcome.NOT_RUN),
+        unknown=account_module.ended_by_kind(row, errors.Outcome.UNKNOWN),
+        partial=account_module.ended_by_kind(row, errors.Outcome.PARTIAL),
+        token_count=row.get(counter.TOKENS, 0),
+        stalled_count=row.get(counter.STALLED, 0),
+        stall_s=row.get(counter.STALL_MS, 0) / 1000,
+        stall_not_measured_count=row.get(counter.STALL_NOT_MEASURED, 0),
+        first_token=_times(row, histogram.FIRST_TOKEN),
+        between_tokens=_times(row, histogram.BETWEEN_TOKENS),
+        load_stall=_times(row, histogram.LOAD_STALL),
+        burns=tuple(burns),
+        alerts=tuple(burn.fired(burns)),
+    )
+
+
+def _times(row: account_rows.Row, of: account_module.Histogram) -> Times:
+    counts = account_module.histogram(row, of)
+    return Times(
+        count=sum(counts.values()),
+        p50_s=account_module.quantile_s(counts, 0.5),
+        p95_s=account_module.quantile_s(counts, 0.95),
+        p99_s=account_module.quantile_s(counts, 0.99),
+        count_by_limit_s={
+            f'{account_module.bucket_limit_s(bucket):.6g}': count
+            for bucket, count in counts.items()
+        },
+    )
+
+
+def source_of(reading: account_readings.Reading) -> Source:
+    """Return what the report says of one account that was read."""
+    account_id = reading.account_id
+    return Source(
+        instance=account_id.instance,
+        incarnation=account_id.incarnation,
+        availability_zone=account_id.availability_zone,
+        started_at_s=account_id.started_at_s,
+        read_from=_DIRECT if reading.is_direct else _COPY,
+        complete_until_s=reading.complete_until_s,
+        unended_count=sum(_unended(row) for row in reading.rows.values()),
+    )
+
+
+def _unended(row: account_rows.Row) -> int:
+    received = row.get(account_module.Counter.RECEIVED, 0)
+    return received - account_module.ended_count(row)
--- a/lacewingpitch/report_page.py
+++ b/lacewingpitch/report_page.py
@@ -1,31 +1,15 @@
 """The report as a page for the browser: one file, with its plots in it."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 import html
-from xml.etree import ElementTree
-
-import pygal
-import pygal.style
 
 from lacewingpitch import burn
 from lacewingpitch import report as report_module
+from lacewingpitch import report_content
+from lacewingpitch import report_plots
+from lacewingpitch import report_text
 
 MAX_CUSTOMERS = 50
-_MAX_BARS = 12
-_MAX_LINES = 5
-_MAX_LABELS = 8
-# Colours that stay apart for readers who see few colours (Okabe-Ito).
-_OUTCOME_STYLE = pygal.style.Style(
-    background='white',
-    plot_background='white',
-    colors=('#009e73', '#e69f00', '#d55e00', '#cc79a7', '#56b4e9'),
-    font_family='sans-serif',
-    label_font_size=13,
-    major_label_font_size=13,
-    legend_font_size=13,
-    title_font_size=15,
-    value_label_font_size=11,
-)
 _STYLE_SHEET = """
 body { font: 15px/1.45 sans-serif; margin: 2em auto; max-width: 72em;
   padding: 0 1em; color: #222; }
@@ -49,7 +33,7 @@
     scope = report.customer or 'all customers'
     parts = [
         f'<h1>Account of service: {html.escape(scope)}</h1>',
-        f'<p>As of {report_module.utc(report.generated_at_s)}, assembled'
+        f'<p>As of {report_text.utc(report.generated_at_s)}, assembled'
         f' by {html.escape(report.generated_by)} from'
         f' {len(report.sources)} account(s).</p>',
         _gaps(report),
@@ -95,7 +79,7 @@
             ' read.</div>'
         )
     items = ''.join(
-        f'<li>{html.escape(report_module.describe_gap(gap))}</li>'
+        f'<li>{html.escape(report_text.describe_gap(gap))}</li>'
         for gap in report.gaps
     )
     return (
@@ -107,16 +91,16 @@
 def _answers(report: report_module.Report) -> str:
     rows = (
         (
-            report_module.display_name(service.customer),
+            report_text.display_name(service.customer),
             service.received_count,
             service.served_count,
-            report_module.kinds(service.refused),
-            report_module.kinds(service.unknown),
-            report_module.kinds(service.partial),
+            report_text.kinds(service.refused),
+            report_text.kinds(service.unknown),
+            report_text.kinds(service.partial),
             service.caller_gone_count,
             service.unended_count,
             service.token_count,
-            report_module.stalls(service),
+            report_text.stalls(service),
         )
         for service in _shown(report)
     )
@@ -149,113 +133,23 @@
 
 
 def _plots(report: report_module.Report) -> str:
-    services = _shown(report)[:_MAX_BARS]
-    if not services:
-        return ''
-    charts = [
-        _outcome_chart(services),
-        _burn_chart(services),
-        _time_chart('Time to first token', services, 'first_token'),
-        _time_chart('Time between tokens', services, 'between_tokens'),
-    ]
-    found = ''.join(f'<div>{chart}</div>' for chart in charts if chart)
-    return f'<h2>Plots</h2><div class="plots">{found}</div>'
-
-
-def _outcome_chart(services: list[report_module.CustomerService]) -> str:
-    chart = pygal.HorizontalStackedBar(
-        title='Share of requests by outcome (%)',
-        height=140 + 40 * len(services),
-        **_CHART_OPTIONS,
+    plots = ''.join(
+        f'<div>{p}</div>' for p in report_plots.draw(_shown(report))
     )
-    # The chart draws its bars from the bottom up; tables go down.
-    services = services[::-1]
-    chart.x_labels = [
-        report_module.display_name(service.customer) for service in services
-    ]
-    for name, count in _OUTCOMES:
-        chart.add(
-            name,
-            [
-                round(100 * count(service) / (service.received_count or 1), 2)
-                for service in services
-            ],
-        )
-    return _svg(chart)
-
-
-def _burn_chart(services: list[report_module.CustomerService]) -> str:
-    if not any(any(_served_rates(service)) for service in services):
+    if not plots:
         return ''
-    chart = pygal.Bar(
-        title='Burn rate of served answers (1 = budget spent in time)',
-        height=330,
-        **_CHART_OPTIONS,
-    )
-    chart.x_labels = [window.name for window in burn.WINDOWS]
-    for service in services[:_MAX_LINES]:
-        name = report_module.display_name(service.customer)
-        chart.add(name, _served_rates(service))
-    return _svg(chart)
-
-
-def _served_rates(
-    service: report_module.CustomerService,
-) -> list[float | None]:
-    return [
-        found.burn_rate
-        for found in service.burns
-        if found.subject is burn.Subject.SERVED
-    ]
-
-
-def _time_chart(
-    title: str, services: list[report_module.CustomerService], field: str
-) -> str:
-    times: list[report_module.Times] = [
-        getattr(service, field) for service in services[:_MAX_LINES]
-    ]
-    limits = sorted({float(x) for t in times for x in t.count_by_limit_s})
-    if not limits:
-        return ''
-    chart = pygal.Line(
-        title=f'{title}: % of answers within so many ms'
-        if field == 'first_token'
-        else f'{title}: % of gaps within so many ms',
-        height=330,
-        range=(0, 100),
-        show_minor_x_labels=False,
-        x_label_rotation=30,
-        **_CHART_OPTIONS,
-    )
-    chart.x_labels = [f'{limit * 1000:.3g}' for limit in limits]
-    step = max(1, len(limits) // _MAX_LABELS)
-    chart.x_labels_major = chart.x_labels[::step]
-    for service, found in zip(services, times, strict=False):
-        if found.count:
-            name = report_module.display_name(service.customer)
-            chart.add(name, _shares(found, limits))
-    return _svg(chart)
-
-
-def _shares(times: report_module.Times, limits: list[float]) -> list[float]:
-    seen = 0
-    shares = []
-    for limit in limits:
-        seen += times.count_by_limit_s.get(f'{limit:.6g}', 0)
-        shares.append(round(100 * seen / times.count, 2))
-    return shares
+    return f'<h2>Plots</h2><div class="plots">{plots}</div>'
 
 
 def _times(report: report_module.Report) -> str:
     rows = (
         (
-            report_module.display_name(service.customer),
+            report_text.display_name(service.customer),
             title,
             found.count,
-            report_module.milliseconds(found.p50_s),
-            report_module.milliseconds(found.p95_s),
-            report_module.milliseconds(found.p99_s),
+            report_text.milliseconds(found.p50_s),
+            report_text.milliseconds(found.p95_s),
+            report_text.milliseconds(found.p99_s),
         )
         for service in _shown(report)
         for title, found in (
@@ -282,8 +176,8 @@
 def _burns(report: report_module.Report) -> str:
     rows = (
         (
-            report_module.display_name(service.customer),
-            report_module.SUBJECT_NAMES[subject],
+            report_text.display_name(service.customer),
+            report_text.SUBJECT_NAMES[subject],
             *(_rate(service, subject, window) for window in burn.WINDOWS),
             _alerts(service, subject),
         )
@@ -303,7 +197,7 @@
 
 
 def _rate(
-    service: report_module.CustomerService,
+    service: report_content.CustomerService,
     subject: burn.Subject,
     window: burn.Window,
 ) -> str:
@@ -316,7 +210,7 @@
 
 
 def _alerts(
-    service: report_module.CustomerService, subject: burn.Subject
+    service: report_content.CustomerService, subject: burn.Subject
 ) -> str:
     return '\n'.join(
         f'{alert.severity} ({alert.long_window})'
@@ -330,9 +224,9 @@
         (
             source.instance,
             source.availability_zone,
-            report_module.utc(source.started_at_s),
+            report_text.utc(source.started_at_s),
             source.read_from,
-            report_module.utc(source.complete_until_s)
+            report_text.utc(source.complete_until_s)
             if source.complete_until_s
             else 'not known',
             source.unended_count,
@@ -355,7 +249,7 @@
 
 def _shown(
     report: report_module.Report,
-) -> list[report_module.CustomerService]:
+) -> list[report_content.CustomerService]:
     ranked = sorted(
         report.services, key=lambda s: (-s.received_count, s.customer)
     )
@@ -377,36 +271,3 @@
     )
     kind = ' class="second"' if is_text_second else ''
     return f'<table{kind}><tr>{head}</tr>{body}</table>'
-
-
-# Without scripts and outside links the page can be handed on as a file.
-_CHART_OPTIONS = {
-    'style': _OUTCOME_STYLE,
-    'js': (),
-    'disable_xml_declaration': True,
-    'legend_at_bottom': True,
-    'width': 640,
-}
-
-
-def _svg(chart: pygal.Graph) -> str:
-    chart.add_xml_filter(_drop_scripts)
-    return str(chart.render(is_unicode=True))
-
-
-def _drop_scripts(root: ElementTree.Element) -> ElementTree.Element:
-    for parent in tuple(root.iter()):
-        for child in tuple(parent):
-            if str(child.tag).endswith('script'):
-                parent.remove(child)
-    return root
-
-
-_Count = Callable[[report_module.CustomerService], int]
-_OUTCOMES: tuple[tuple[str, _Count], ...] = (
-    ('served', lambda s: s.served_count),
-    ('refused', lambda s: sum(s.refused.values())),
-    ('unknown', lambda s: sum(s.unknown.values())),
-    ('partial', lambda s: sum(s.partial.values())),
-    ('caller gone', lambda s: s.caller_gone_count),
-)
--- /dev/null
+++ b/lacewingpitch/report_text.py
@@ -0,0 +1,152 @@
+"""The report as text: tables for a terminal, and words for the page."""
+
+from collections.abc import Iterable, Mapping
+import time
+
+import rich.box
+import rich.console
+import rich.table
+
+from lacewingpitch import burn
+from lacewingpitch import report as report_module
+from lacewingpitch import report_content
+from lacewingpitch import report_gaps
+
+SUBJECT_NAMES = {
+    burn.Subject.SERVED: 'answers served whole',
+    burn.Subject.FIRST_TOKEN: 'first token in time',
+    burn.Subject.BETWEEN_TOKENS: 'tokens after it in time',
+}
+_MAX_SIDE_BY_SIDE = 3
+_TABLE_WINDOWS = ('5 min', '1 h')
+_COLUMNS = (
+    'customer',
+    'received',
+    'served',
+    'refused',
+    'unknown',
+    'partial',
+    'caller gone',
+    'not ended',
+    'tokens',
+    'load stalls',
+    'first token p95',
+    'between tokens p95',
+    'alerts',
+)
+
+
+def print_table(
+    report: report_module.Report, console: rich.console.Console
+) -> None:
+    """Print a report as tables, its gaps first."""
+    console.print(
+        f'Account of service at {utc(report.generated_at_s)},'
+        f' assembled by {report.generated_by}'
+    )
+    for gap in report.gaps:
+        console.print(f'[bold red]GAP[/] {describe_gap(gap)}')
+    if not report.gaps:
+        console.print('No gaps: every known instance was read.')
+    if 0 < len(report.services) <= _MAX_SIDE_BY_SIDE:
+        console.print(_side_by_side(report.services))
+        return
+    table = rich.table.Table(*_COLUMNS)
+    for service in report.services:
+        table.add_row(*_cells(service))
+    console.print(table)
+
+
+def _side_by_side(
+    services: Iterable[report_content.CustomerService],
+) -> rich.table.Table:
+    # Thirteen columns do not fit a terminal; a few customers do.
+    columns = [
+        (*_cells(service), *_burn_cells(service)) for service in services
+    ]
+    names = (*_COLUMNS, *(f'burn: {name}' for name in SUBJECT_NAMES.values()))
+    header, *rows = zip(names, *columns, strict=True)
+    table = rich.table.Table(*header, box=rich.box.SIMPLE)
+    for row in rows:
+        table.add_row(*row)
+    return table
+
+
+def _burn_cells(service: report_content.CustomerService) -> tuple[str, ...]:
+    return tuple(
+        '\n'.join(
+            f'{found.burn_rate:.1f} over {found.window}'
+            for found in service.burns
+            if found.subject is subject
+            and found.burn_rate is not None
+            and found.window in _TABLE_WINDOWS
+        )
+        or '-'
+        for subject in SUBJECT_NAMES
+    )
+
+
+def describe_gap(gap: report_gaps.Gap) -> str:
+    """Return a gap as a sentence."""
+    start = 'an unknown time' if gap.from_s is None else utc(gap.from_s)
+    end = 'an unknown time' if gap.to_s is None else utc(gap.to_s)
+    return (
+        f'{gap.instance} ({gap.availability_zone}): {gap.reason}.'
+        f' Answers from {start} to {end} may be missing.'
+    )
+
+
+def utc(time_s: float) -> str:
+    """Return a time as text, for readers in any time zone."""
+    return time.strftime('%Y-%m-%d %H:%M:%S UTC', time.gmtime(time_s))
+
+
+def milliseconds(time_s: float | None) -> str:
+    """Return a time in milliseconds, or a dash for none."""
+    return '-' if time_s is None else f'{time_s * 1000:.0f} ms'
+
+
+def display_name(customer: str) -> str:
+    """Return a customer's name, or what stands for no customer."""
+    return customer or '(no customer identified)'
+
+
+def _cells(service: report_content.CustomerService) -> tuple[str, ...]:
+    return (
+        display_name(service.customer),
+        str(service.received_count),
+        str(service.served_count),
+        kinds(service.refused),
+        kinds(service.unknown),
+        kinds(service.partial),
+        str(service.caller_gone_count),
+        str(service.unended_count),
+        str(service.token_count),
+        stalls(service),
+        milliseconds(service.first_token.p95_s),
+        milliseconds(service.between_tokens.p95_s),
+        alerts(service),
+    )
+
+
+def kinds(counts: Mapping[str, int]) -> str:
+    """Return counts by kind as text."""
+    found = (f'{kind} {count}' for kind, count in sorted(counts.items()))
+    return '\n'.join(found) or '0'
+
+
+def stalls(service: report_content.CustomerService) -> str:
+    """Return the load stalls as text, with how many were not measured."""
+    text = f'{service.stalled_count} ({service.stall_s:.1f} s)'
+    if service.stall_not_measured_count:
+        text += f'\n{service.stall_not_measured_count} not measured'
+    return text
+
+
+def alerts(service: report_content.CustomerService) -> str:
+    """Return the alerts that fire as text."""
+    found = (
+        f'{alert.severity}: {alert.subject} over {alert.long_window}'
+        for alert in service.alerts
+    )
+    return '\n'.join(found) or '-'
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -10,9 +10,10 @@
 from lacewingpitch import account_query
 from lacewingpitch import contract
 from lacewingpitch import http_server
-from lacewingpitch import report as report_module
+from lacewingpitch import report_gaps
 from lacewingpitch import report_page
 from lacewingpitch import report_server
+from lacewingpitch import report_text
 from tests import account_fleet
 from tests import fault_matrix
 
@@ -326,14 +327,14 @@
 
 class TestGapText:
     def test_names_instance_from_and_to(self):
-        gap = report_module.Gap(
+        gap = report_gaps.Gap(
             instance='entry-2',
             availability_zone='zone-a',
             from_s=0.0,
             to_s=None,
             reason='not reached',
         )
-        text = report_module.describe_gap(gap)
+        text = report_text.describe_gap(gap)
         assert 'entry-2' in text
         assert '1970-01-01 00:00:00 UTC' in text
         assert 'an unknown time' in text
