Checking and contract files: one module per job

Change, without changed behaviour: type_problems (150 lines: where JSON does not fit a type), meaning_problems (96: what fits but cannot be meant, one function per rule), contract_diff (118); checking (193) keeps files, alone and against each other; contract_files (144) keeps reading and rendering.

test_checking and test_contract_files name the new modules in two places; every case and assertion is as it was, and they pass, as do test_cli and test_documents.

--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -15,6 +15,7 @@
 
 import lacewingpitch
 from lacewingpitch import checking
+from lacewingpitch import contract_diff
 from lacewingpitch import contract_files
 from lacewingpitch import demo as demo_module
 from lacewingpitch import entry as entry_module
@@ -232,7 +233,7 @@
     Exits 0 if there is no fault (also if nothing changed), else 1.
     """
     try:
-        changes = contract_files.diff(
+        changes = contract_diff.diff(
             contract_files.load_contracts(old),
             contract_files.load_contracts(new),
         )
--- /dev/null
+++ b/lacewingpitch/contract_diff.py
@@ -0,0 +1,118 @@
+"""What differs between two sets of contracts, and may not be published."""
+
+from collections.abc import Iterable
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from lacewingpitch import contract as contract_module
+from lacewingpitch import type_problems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContractChange:
+    """What differs in one customer's contract.
+
+    Parameters
+    ----------
+    changes
+        One line for each field that differs.
+    faults
+        Why this change must not be published; empty if it may be.
+    """
+
+    customer: str
+    changes: tuple[str, ...]
+    faults: tuple[str, ...] = ()
+
+
+def diff(
+    old: Iterable[contract_module.Contract],
+    new: Iterable[contract_module.Contract],
+) -> list[ContractChange]:
+    """Return the customers whose contracts differ, by name."""
+    before = {contract.customer: contract for contract in old}
+    after = {contract.customer: contract for contract in new}
+    found = [
+        _change(customer, before.get(customer), after.get(customer))
+        for customer in sorted(before.keys() | after.keys())
+    ]
+    return [change for change in found if change.changes or change.faults]
+
+
+def _change(
+    customer: str,
+    old: contract_module.Contract | None,
+    new: contract_module.Contract | None,
+) -> ContractChange:
+    if old is None:
+        return ContractChange(customer, ('added',))
+    if new is None:
+        return ContractChange(
+            customer,
+            ('removed',),
+            (
+                'a contract that is no longer published stays in force:'
+                ' publish it with "revoked": true',
+            ),
+        )
+    changes = tuple(_differences(_plain(old), _plain(new), type_problems.ROOT))
+    changes += tuple(_version_changes(old, new))
+    return ContractChange(customer, changes, _revision_faults(old, new))
+
+
+def _revision_faults(
+    old: contract_module.Contract, new: contract_module.Contract
+) -> tuple[str, ...]:
+    if new.revision < old.revision:
+        return (
+            f'revision fell from {old.revision} to {new.revision}:'
+            ' it would be passed over',
+        )
+    if new.revision == old.revision and new != old:
+        return (
+            f'revision stayed {old.revision} while the content changed:'
+            ' it would be passed over',
+        )
+    return ()
+
+
+def _version_changes(
+    old: contract_module.Contract, new: contract_module.Contract
+) -> list[str]:
+    lines = []
+    for grant in new.adapters:
+        before = old.adapter(grant.name)
+        if before is not None and before.version != grant.version:
+            lines.append(
+                f'adapter {grant.name}: version'
+                f' {before.version} -> {grant.version}'
+            )
+    return lines
+
+
+def _differences(old: Any, new: Any, path: str) -> list[str]:
+    if old == new:
+        return []
+    if isinstance(old, dict) and isinstance(new, dict):
+        lines = []
+        for name in sorted(old.keys() | new.keys()):
+            lines += _differences(
+                old.get(name), new.get(name), f'{path}.{name}'
+            )
+        return lines
+    before = type_problems.short_json(old)
+    return [f'{path}: {before} -> {type_problems.short_json(new)}']
+
+
+def _plain(value: Any) -> Any:
+    """Return a contract as mappings, its grants under their names."""
+    if isinstance(value, msgspec.Struct):
+        fields = msgspec.structs.asdict(value)
+        return {name: _plain(part) for name, part in fields.items()}
+    if isinstance(value, tuple):
+        if all(isinstance(part, msgspec.Struct) for part in value):
+            return {part.name: _plain(part) for part in value}
+        return list(value)
+    return value
--- a/tests/test_checking.py
+++ b/tests/test_checking.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lacewingpitch import checking
+from lacewingpitch import type_problems
 from tests import samples
 
 Kind = checking.Kind
@@ -187,4 +188,4 @@
         path = tmp_path / 'a.json'
         path.write_bytes(content)
         (checked,) = checking.check_paths([path])
-        assert fields_of(checked) == [checking.ROOT]
+        assert fields_of(checked) == [type_problems.ROOT]
--- a/tests/test_contract_files.py
+++ b/tests/test_contract_files.py
@@ -7,6 +7,7 @@
 
 from lacewingpitch import config_service
 from lacewingpitch import contract
+from lacewingpitch import contract_diff
 from lacewingpitch import contract_files
 from lacewingpitch import errors
 from lacewingpitch import published_contracts
@@ -84,7 +85,7 @@
     def test_says_who_changes_in_what(self):
         old = [make('a'), make('b')]
         new = [make('a'), make('b', revision=2, weight=2.0), make('c')]
-        changes = contract_files.diff(old, new)
+        changes = contract_diff.diff(old, new)
         assert [change.customer for change in changes] == ['b', 'c']
         assert changes[0].changes == (
             '$.revision: 1 -> 2',
@@ -95,18 +96,18 @@
     def test_says_a_change_of_version(self):
         grant = {'name': 'ficus', 'version': '2', 'base_model': 'base'}
         new = make('a', revision=2, adapters=[grant])
-        (change,) = contract_files.diff([make('a')], [new])
+        (change,) = contract_diff.diff([make('a')], [new])
         assert 'adapter ficus: version 1 -> 2' in change.changes
 
     @pytest.mark.parametrize('revision', [2, 3])
     def test_flags_a_revision_that_did_not_rise(self, revision):
         old = make('a', revision=3)
         new = make('a', revision=revision, weight=2.0)
-        (change,) = contract_files.diff([old], [new])
+        (change,) = contract_diff.diff([old], [new])
         assert change.faults
 
     def test_flags_a_contract_that_was_removed(self):
-        (change,) = contract_files.diff([make('a')], [])
+        (change,) = contract_diff.diff([make('a')], [])
         assert 'revoked' in change.faults[0]
 
 
