--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -3,9 +3,7 @@
 import asyncio
 import logging
 import pathlib
-import signal
 import sys
-from typing import Protocol
 
 import click
 import msgspec
@@ -17,7 +15,8 @@
 from lacewingpitch import checking
 from lacewingpitch import contract_diff
 from lacewingpitch import contract_files
-from lacewingpitch import demo as demo_module
+from lacewingpitch import daemon
+from lacewingpitch import demo_traffic
 from lacewingpitch import entry as entry_module
 from lacewingpitch import errors
 from lacewingpitch import errors_page
@@ -25,11 +24,8 @@
 from lacewingpitch import report_text
 from lacewingpitch import settings
 from lacewingpitch import sidecar as sidecar_module
-from lacewingpitch import standin_engine
-from lacewingpitch import standin_platform
-from lacewingpitch import standin_service
+from lacewingpitch import standin_cli
 
-log = structlog.get_logger(__name__)
 _SETTINGS_FILE = click.Path(
     exists=True, dir_okay=False, path_type=pathlib.Path
 )
@@ -38,22 +34,6 @@
 _PROBLEMS_EXIT_CODE = 1
 
 
-class Daemon(Protocol):
-    """A long-running process of the system."""
-
-    async def start(self) -> None:
-        """Begin to work."""
-        ...
-
-    async def close(self) -> None:
-        """End gracefully."""
-        ...
-
-    def ports(self) -> dict[str, int]:
-        """Return the ports it listens on, by name."""
-        ...
-
-
 @click.group()
 @click.version_option(lacewingpitch.__version__)
 @click.option(
@@ -86,7 +66,7 @@
     The log line "listening" names its ports.
     """
     found = _load(settings_file, settings.EntrySettings)
-    _serve(entry_module.Entry(found))
+    daemon.serve(entry_module.Entry(found))
 
 
 @main.command()
@@ -99,7 +79,7 @@
     second sidecar for the same address exits 1.
     """
     found = _load(settings_file, settings.SidecarSettings)
-    _serve(sidecar_module.Sidecar(found))
+    daemon.serve(sidecar_module.Sidecar(found))
 
 
 @main.command()
@@ -111,7 +91,7 @@
     once, and send one request twice that may run only once.
     """
     configure_logs('critical')
-    sys.exit(uvloop.run(demo_module.run_demo()))
+    sys.exit(uvloop.run(demo_traffic.run_demo()))
 
 
 @main.command()
@@ -253,58 +233,7 @@
     click.echo(errors_page.render(), nl=False)
 
 
-@main.group()
-def standin() -> None:
-    """Run a small stand-in of an outside system, for tests."""
-
-
-@standin.command('engine')
-@click.option('--ip', default='127.0.0.1', show_default=True)
-@click.option('--port', type=int, default=0, show_default=True)
-@click.option('--base-model', default='base', show_default=True)
-@click.option('--adapter-slots', type=int, default=4, show_default=True)
-@click.option('--load-s', type=float, default=0.05, show_default=True)
-@click.option('--token-s', type=float, default=0.005, show_default=True)
-@click.option('--answer-tokens', type=int, default=8, show_default=True)
-@click.option('--checks-fencing/--ignores-fencing', default=True)
-def standin_engine_command(
-    ip: str,
-    port: int,
-    base_model: str,
-    adapter_slots: int,
-    load_s: float,
-    token_s: float,
-    answer_tokens: int,
-    checks_fencing: bool,
-) -> None:
-    """Run a stand-in for a model engine."""
-    engine = standin_engine.StandinEngine(
-        base_model,
-        adapter_slots=adapter_slots,
-        checks_fencing=checks_fencing,
-        load_s=load_s,
-        token_s=token_s,
-        answer_tokens=answer_tokens,
-    )
-    _serve(_AtAddress(engine, ip, port))
-
-
-@standin.command('platform')
-@click.option('--ip', default='127.0.0.1', show_default=True)
-@click.option('--port', type=int, default=0, show_default=True)
-def standin_platform_command(ip: str, port: int) -> None:
-    """Run a stand-in for configuration service and live list."""
-    _serve(_AtAddress(standin_platform.StandinPlatform(), ip, port))
-
-
-@standin.command('service')
-@click.option('--ip', default='127.0.0.1', show_default=True)
-@click.option('--port', type=int, default=0, show_default=True)
-@click.option('--answer-s', type=float, default=0.01, show_default=True)
-def standin_service_command(ip: str, port: int, answer_s: float) -> None:
-    """Run a stand-in for a plain service."""
-    service = standin_service.StandinService(answer_s=answer_s)
-    _serve(_AtAddress(service, ip, port))
+main.add_command(standin_cli.standin)
 
 
 def configure_logs(level: str) -> None:
@@ -325,31 +254,6 @@
     )
 
 
-class _Listener(Protocol):
-    @property
-    def port(self) -> int: ...
-
-    async def start(self, ip: str, port: int) -> None: ...
-
-    async def close(self) -> None: ...
-
-
-class _AtAddress:
-    def __init__(self, listener: _Listener, ip: str, port: int) -> None:
-        self._listener = listener
-        self._ip = ip
-        self._port = port
-
-    async def start(self) -> None:
-        await self._listener.start(self._ip, self._port)
-
-    async def close(self) -> None:
-        await self._listener.close()
-
-    def ports(self) -> dict[str, int]:
-        return {'work_port': self._listener.port}
-
-
 def _load(
     path: pathlib.Path, kind: type[settings.SettingsType]
 ) -> settings.SettingsType:
@@ -357,22 +261,3 @@
         return settings.load_settings(path, kind)
     except errors.SettingsError as error:
         raise click.ClickException(str(error)) from error
-
-
-def _serve(daemon: Daemon) -> None:
-    try:
-        uvloop.run(_serve_until_signal(daemon))
-    except OSError as error:
-        raise click.ClickException(f'cannot listen: {error}') from error
-
-
-async def _serve_until_signal(daemon: Daemon) -> None:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    await daemon.start()
-    log.info('listening', **daemon.ports())
-    await stopping.wait()
-    log.info('stopping')
-    await daemon.close()
--- /dev/null
+++ b/lacewingpitch/daemon.py
@@ -0,0 +1,53 @@
+"""Running a daemon until a signal asks it to end."""
+
+import asyncio
+import signal
+from typing import Protocol
+
+import click
+import structlog
+import uvloop
+
+log = structlog.get_logger(__name__)
+
+
+class Daemon(Protocol):
+    """A long-running process of the system."""
+
+    async def start(self) -> None:
+        """Begin to work."""
+        ...
+
+    async def close(self) -> None:
+        """End gracefully."""
+        ...
+
+    def ports(self) -> dict[str, int]:
+        """Return the ports it listens on, by name."""
+        ...
+
+
+def serve(daemon: Daemon) -> None:
+    """Run a daemon until SIGTERM or SIGINT, and let it end gracefully.
+
+    Raises
+    ------
+    ClickException
+        It cannot listen.
+    """
+    try:
+        uvloop.run(_serve_until_signal(daemon))
+    except OSError as error:
+        raise click.ClickException(f'cannot listen: {error}') from error
+
+
+async def _serve_until_signal(daemon: Daemon) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await daemon.start()
+    log.info('listening', **daemon.ports())
+    await stopping.wait()
+    log.info('stopping')
+    await daemon.close()
--- a/lacewingpitch/demo.py
+++ b/lacewingpitch/demo.py
@@ -1,28 +1,21 @@
-"""A whole deployment in one process, with sample traffic and a report."""
+"""A whole deployment in one process."""
 
 import asyncio
 import contextlib
-import dataclasses
 import secrets
 from typing import Any
 
-import aiohttp
 import msgspec
-import rich.console
-import uuid_utils
 
-from lacewingpitch import answer
 from lacewingpitch import contract
 from lacewingpitch import entry as entry_module
 from lacewingpitch import live_list
 from lacewingpitch import report as report_module
-from lacewingpitch import report_text
 from lacewingpitch import settings
 from lacewingpitch import sidecar as sidecar_module
 from lacewingpitch import standin_engine
 from lacewingpitch import standin_platform
 from lacewingpitch import standin_service
-from lacewingpitch import work
 
 IP = '127.0.0.1'
 ZONES = ('demo-a', 'demo-b', 'demo-c')
@@ -40,67 +33,8 @@
     tokens_per_s=1_000_000.0,
 )
 _READY_S = 10.0
-_CLOCK_SKEW_S = 0.1
-_LIST_LAG_S = 1.5
-_SERVED = 'served'
-_LOAD_STALL_TEXT = (
-    'Every adapter was called for the first time here, so the load stalls'
-    ' are first loads.'
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """One request of the sample traffic.
-
-    Parameters
-    ----------
-    target
-        Adapter, or path below the plain service.
-    key
-        Idempotency key; empty for none.
-    """
-
-    customer: str
-    target: str
-    stream: bool = False
-    key: str = ''
-    is_service: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
-    """What a caller got.
-
-    Parameters
-    ----------
-    kind
-        Error kind, or ``served`` for a whole answer.
-    body
-        The bytes of the answer.
-    """
-
-    call: Call
-    status: int
-    kind: str
-    outcome: str
-    detail: str
-    body: bytes
-
-
-# Caravan asks for an adapter of Haneul's: that one is refused.
-CALLS = (
-    Call('haneul', 'ficus-care'),
-    Call('haneul', 'ficus-care', stream=True),
-    Call('haneul', 'balcony-summary', stream=True),
-    Call('haneul', 'week-summary'),
-    Call('haneul', 'readings/7', is_service=True),
-    Call('caravan', 'trade-in', stream=True),
-    Call('caravan', 'warranty'),
-    Call('caravan', 'finance-terms', stream=True),
-    Call('caravan', 'ficus-care'),
-)
-ONCE = Call('caravan', 'quote')
+CLOCK_SKEW_S = 0.1
+LIST_LAG_S = 1.5
 _ADAPTERS = {
     'haneul': ('ficus-care', 'balcony-summary', 'week-summary'),
     'caravan': ('trade-in', 'warranty', 'finance-terms'),
@@ -236,8 +170,8 @@
             'control_port': 0,
             'config_service': platform,
             'live_list': platform,
-            'clock_skew_s': _CLOCK_SKEW_S,
-            'list_lag_s': _LIST_LAG_S,
+            'clock_skew_s': CLOCK_SKEW_S,
+            'list_lag_s': LIST_LAG_S,
         }
 
     def _contracts(self) -> tuple[contract.Contract, ...]:
@@ -263,103 +197,3 @@
             services=(contract.ServiceGrant(name=SERVICE),),
             limits=LIMITS,
         )
-
-
-class Caller:
-    """Sends the sample traffic, as customers' programs would."""
-
-    def __init__(
-        self, deployment: Deployment, session: aiohttp.ClientSession
-    ) -> None:
-        self._deployment = deployment
-        self._session = session
-
-    async def send(self, call: Call) -> Result:
-        """Send one request and take its answer."""
-        async with self._request(call) as response:
-            body = await response.read()
-        kind = response.headers.get(work.KIND_HEADER, _SERVED)
-        detail = ''
-        if call.stream and kind == _SERVED:
-            kind = _SERVED if body.endswith(answer.STREAM_END) else 'cut'
-        if kind != _SERVED:
-            detail = _detail(body)
-        return Result(
-            call,
-            response.status,
-            kind,
-            response.headers.get(work.OUTCOME_HEADER, _SERVED),
-            detail,
-            body,
-        )
-
-    def _request(
-        self, call: Call
-    ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
-        api_key = self._deployment.keys[call.customer]
-        headers = {'Authorization': f'Bearer {api_key}'}
-        if call.key:
-            headers['Idempotency-Key'] = call.key
-        url = self._deployment.url
-        if call.is_service:
-            return self._session.get(
-                f'{url}/services/{SERVICE}/{call.target}', headers=headers
-            )
-        body = {'model': call.target, 'messages': [], 'stream': call.stream}
-        return self._session.post(
-            f'{url}/v1/chat/completions', json=body, headers=headers
-        )
-
-
-async def run_demo(console: rich.console.Console | None = None) -> int:
-    """Serve sample traffic and print a report; return the exit code.
-
-    The code is 0 if what was sent twice ran once, by the engines' truth.
-    """
-    console = console or rich.console.Console()
-    async with Deployment() as deployment, aiohttp.ClientSession() as session:
-        caller = Caller(deployment, session)
-        results = await asyncio.gather(*(caller.send(call) for call in CALLS))
-        # Sidecars that have just started back no key made until now.
-        await asyncio.sleep(_LIST_LAG_S + _CLOCK_SKEW_S)
-        once = dataclasses.replace(ONCE, key=str(uuid_utils.uuid7()))
-        twice = [await caller.send(once), await caller.send(once)]
-        run_count = deployment.runs(once.target)
-        report_text.print_table(await deployment.report(), console)
-    console.print(_LOAD_STALL_TEXT)
-    for result in results:
-        if result.kind != _SERVED:
-            console.print(_refusal_text(result))
-    console.print(_twice_text(twice, run_count))
-    return 0 if run_count == 1 else 1
-
-
-def _refusal_text(result: Result) -> str:
-    return (
-        f'Refused: {result.call.customer} asked for {result.call.target!r}:'
-        f' {result.kind} ({result.outcome}), {result.detail}.'
-    )
-
-
-def _twice_text(results: list[Result], run_count: int) -> str:
-    answers = ', then '.join(
-        f'{r.status} {r.kind} ({r.outcome})' for r in results
-    )
-    call = results[0].call
-    same = 'the same answer' if _are_equal(results) else 'DIFFERENT ANSWERS'
-    verdict = 'exactly once' if run_count == 1 else 'NOT ONCE'
-    return (
-        f'Sent twice with one key: {call.customer} asked for'
-        f' {call.target!r}, which may not be repeated: {answers}; {same}.\n'
-        f'By their own count the engines ran it {run_count} time(s):'
-        f' {verdict}.'
-    )
-
-
-def _are_equal(results: list[Result]) -> bool:
-    return len({result.body for result in results}) == 1
-
-
-def _detail(body: bytes) -> str:
-    found = work.decode_error(body)
-    return found.error.detail if found else 'the answer broke off'
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -6,14 +6,14 @@
 import pytest
 import rich.console
 
-from lacewingpitch import demo
+from lacewingpitch import demo_traffic
 
 
 @pytest.fixture(scope='module')
 def text():
     out = io.StringIO()
     console = rich.console.Console(file=out, width=160)
-    assert asyncio.run(demo.run_demo(console)) == 0
+    assert asyncio.run(demo_traffic.run_demo(console)) == 0
     return out.getvalue()
 
 
