The account: its counters' numbers and its holders apart

Read: account.py (451 lines) began with 150 lines of numbers and buckets before the account itself; report_content and the tests took the numbers from there. account_copy.py (588) also chose who holds copies.

Change, without changed behaviour: account_counters (132 lines: the numbers, which stay for good, and what a row says by them), account_holders (30); account has 330, account_copy 566.

Left: Backlog and AccountCopier stay in account_copy. They need its messages, and the entry takes the copier from the module that has the messages; to part them is a change of entry.py too.

Tests name the new modules; every case and assertion is as it was. test_account, test_account_copy, test_report, test_burn, test_account_processes, test_documents and test_cli pass; the page of a fleet with a lost entry is the same to the byte.

Lines: 1039 in two modules before, 1058 in four after (imports).

--- a/lacewingpitch/account.py
+++ b/lacewingpitch/account.py
@@ -5,18 +5,16 @@
 the greater count of each: order, loss and repetition do not matter.
 """
 
-import bisect
 import collections
 from collections.abc import Iterator, Mapping
 import contextlib
-import enum
-import functools
 import math
 import secrets
 
 import msgspec
 import structlog
 
+from lacewingpitch import account_counters
 from lacewingpitch import account_rows
 from lacewingpitch import burn
 from lacewingpitch import clock as clock_module
@@ -27,76 +25,8 @@
 # Customer of a request that no API key identifies.
 UNIDENTIFIED = ''
 log = structlog.get_logger(__name__)
-
-
-class Counter(enum.IntEnum):
-    """Numbers of the plain counters; they are never reused."""
-
-    RECEIVED = 0
-    SERVED = 1
-    CALLER_GONE = 2
-    TOKENS = 3
-    STALLED = 4
-    STALL_MS = 5
-    STALL_NOT_MEASURED = 6
-
-
-_ONE_RECEIVED: Mapping[int, int] = {Counter.RECEIVED: 1}
-_REFUSED = 32
-_UNKNOWN = 96
-_PARTIAL = 160
-_BASES = {
-    errors.Outcome.NOT_RUN: _REFUSED,
-    errors.Outcome.UNKNOWN: _UNKNOWN,
-    errors.Outcome.PARTIAL: _PARTIAL,
-}
-_KINDS_PER_OUTCOME = 64
-_OTHER_KIND = 0
-
-# Two versions of the system count together during a rolling upgrade, so
-# a kind keeps its number for good; new kinds take new numbers.
-KIND_NUMBERS: Mapping[str, int] = {
-    'bad-request': 1,
-    'body-too-large': 2,
-    'unauthenticated': 3,
-    'not-in-contract': 4,
-    'bad-idempotency-key': 5,
-    'key-out-of-window': 6,
-    'key-in-use': 7,
-    'rate-limited': 8,
-    'concurrency-limited': 9,
-    'queue-full': 10,
-    'deadline-unreachable': 11,
-    'adapter-unavailable': 12,
-    'no-backend-server': 13,
-    'claim-unavailable': 14,
-    'contract-outdated': 15,
-    'draining': 16,
-    'foreign-process': 17,
-    'wrong-adapter': 18,
-    'caller-gone': 19,
-    'outcome-unknown': 20,
-    'answer-cut': 21,
-    'internal': 22,
-    'not-found': 23,
-    'body-too-slow': 24,
-    'attempt-out-of-window': 25,
-}
-_KIND_NAMES = {number: kind for kind, number in KIND_NUMBERS.items()}
-
-
-class Histogram(enum.IntEnum):
-    """First number of each histogram's buckets."""
-
-    FIRST_TOKEN = 256
-    BETWEEN_TOKENS = 512
-    LOAD_STALL = 768
-
-
-_BETWEEN_TOKENS = int(Histogram.BETWEEN_TOKENS)
-_BUCKETS_PER_DOUBLING = 4
-_SMALLEST_S = 0.001
-_LAST_BUCKET = 100
+_ONE_RECEIVED: Mapping[int, int] = {account_counters.Counter.RECEIVED: 1}
+_BETWEEN_TOKENS = int(account_counters.Histogram.BETWEEN_TOKENS)
 
 
 class AccountId(msgspec.Struct, frozen=True, array_like=True):
@@ -120,59 +50,6 @@
     )
 
 
-def bucket_limit_s(bucket: int) -> float:
-    """Return the longest time that falls into a bucket."""
-    return float(_SMALLEST_S * 2 ** (bucket / _BUCKETS_PER_DOUBLING))
-
-
-_BUCKET_LIMITS_S = [bucket_limit_s(n) for n in range(_LAST_BUCKET)]
-
-
-def bucket_of(time_s: float) -> int:
-    """Return the bucket of a time, each a quarter doubling wide."""
-    return bisect.bisect_left(_BUCKET_LIMITS_S, time_s)
-
-
-def histogram(row: Mapping[int, int], of: Histogram) -> dict[int, int]:
-    """Return the counts by bucket of one histogram."""
-    return {
-        bucket: row[of + bucket]
-        for bucket in range(_LAST_BUCKET + 1)
-        if of + bucket in row
-    }
-
-
-def quantile_s(counts: Mapping[int, int], ratio: float) -> float | None:
-    """Return the time within which `ratio` of the counts lie."""
-    wanted = ratio * sum(counts.values())
-    seen = 0
-    for bucket in sorted(counts):
-        seen += counts[bucket]
-        if seen >= wanted:
-            return bucket_limit_s(bucket)
-    return None
-
-
-def ended_count(row: Mapping[int, int]) -> int:
-    """Return how many requests came to an end, whatever the end."""
-    ended = row.get(Counter.SERVED, 0) + row.get(Counter.CALLER_GONE, 0)
-    return ended + sum(
-        sum(ended_by_kind(row, outcome).values()) for outcome in _BASES
-    )
-
-
-def ended_by_kind(
-    row: Mapping[int, int], outcome: errors.Outcome
-) -> dict[str, int]:
-    """Return the requests of one outcome that was not whole, by kind."""
-    base = _BASES[outcome]
-    return {
-        _KIND_NAMES.get(number, 'other'): row[base + number]
-        for number in range(_KINDS_PER_OUTCOME)
-        if base + number in row
-    }
-
-
 class Account:
     """The counts of one incarnation of an entry, row by customer.
 
@@ -371,10 +248,13 @@
         """Return what this request adds to its customer's row."""
         row = {self._bucket(): 1}
         if self.token_count:
-            row[Counter.TOKENS] = self.token_count
+            row[account_counters.Counter.TOKENS] = self.token_count
         self._add_stall(row)
         if self._first_token_s is not None:
-            row[Histogram.FIRST_TOKEN + bucket_of(self._first_token_s)] = 1
+            row[
+                account_counters.Histogram.FIRST_TOKEN
+                + account_counters.bucket_of(self._first_token_s)
+            ] = 1
         row.update(self._buckets)
         row.update(burn.increments(self._clock.wall_s(), self._signals()))
         return row
@@ -396,7 +276,7 @@
         }
 
     def _note_gaps(self, gap_s: float, count: int) -> None:
-        number = _BETWEEN_TOKENS + bucket_of(gap_s)
+        number = _BETWEEN_TOKENS + account_counters.bucket_of(gap_s)
         self._buckets[number] = self._buckets.get(number, 0) + count
         self._gap_count += count
         if gap_s > self._objective.between_tokens_s:
@@ -404,21 +284,26 @@
 
     def _bucket(self) -> int:
         if self._is_gone:
-            return Counter.CALLER_GONE
+            return account_counters.Counter.CALLER_GONE
         if self.outcome is errors.Outcome.SERVED:
-            return Counter.SERVED
-        return kind_counter(self.outcome, self.kind)
+            return account_counters.Counter.SERVED
+        return account_counters.kind_counter(self.outcome, self.kind)
 
     def _add_stall(self, row: account_rows.Row) -> None:
         if self.outcome is not errors.Outcome.SERVED:
             return
         if self.load_stall_s is None:
-            row[Counter.STALL_NOT_MEASURED] = 1
+            row[account_counters.Counter.STALL_NOT_MEASURED] = 1
             return
         if self.load_stall_s:
-            row[Counter.STALLED] = 1
-            row[Counter.STALL_MS] = round(self.load_stall_s * 1000)
-            row[Histogram.LOAD_STALL + bucket_of(self.load_stall_s)] = 1
+            row[account_counters.Counter.STALLED] = 1
+            row[account_counters.Counter.STALL_MS] = round(
+                self.load_stall_s * 1000
+            )
+            row[
+                account_counters.Histogram.LOAD_STALL
+                + account_counters.bucket_of(self.load_stall_s)
+            ] = 1
 
     def _signals(self) -> dict[burn.Signal, int]:
         if self._is_gone:
@@ -441,11 +326,5 @@
         }
 
 
-@functools.cache
-def kind_counter(outcome: errors.Outcome, kind: str) -> int:
-    """Return the counter of requests that ended so."""
-    return _BASES[outcome] + KIND_NUMBERS.get(kind, _OTHER_KIND)
-
-
 def _rounded(time_s: float | None) -> float | None:
     return None if time_s is None else round(time_s, 6)
--- a/lacewingpitch/account_copy.py
+++ b/lacewingpitch/account_copy.py
@@ -18,15 +18,14 @@
 import structlog
 
 from lacewingpitch import account as account_module
+from lacewingpitch import account_holders
 from lacewingpitch import account_rows
 from lacewingpitch import burn
 from lacewingpitch import errors
 from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import node as node_module
-from lacewingpitch import placement
 
-COPY_COUNT = 2
 COPY_INTERVAL_S = 2.0
 # Before compression, which leaves about 0.4 of it: with two holders and
 # a message each interval, 1.6 KB/s at most.
@@ -526,7 +525,9 @@
             for entry in self._entries()
             if entry.name not in (self._name, account_id.instance)
         ]
-        return choose_holders(account_id, self._node.settings.region, others)
+        return account_holders.choose_holders(
+            account_id, self._node.settings.region, others
+        )
 
     @property
     def _name(self) -> str:
@@ -551,29 +552,6 @@
         self._listed = listed
 
 
-def choose_holders(
-    account_id: account_module.AccountId,
-    region: str,
-    others: list[live_list.Instance],
-) -> list[live_list.Instance]:
-    """Return who holds the copies of an account.
-
-    They are chosen by rendezvous hash, within the region if it has
-    enough, each in another availability zone where there are such.
-    """
-    near = [entry for entry in others if entry.region == region]
-    pool = near if len(near) >= COPY_COUNT else others
-    ranked = placement.rank(f'account/{account_id.instance}', pool)
-    taken_zones = {account_id.availability_zone}
-    chosen: list[live_list.Instance] = []
-    for entry in ranked:
-        if entry.availability_zone not in taken_zones:
-            taken_zones.add(entry.availability_zone)
-            chosen.append(entry)
-    rest = [entry for entry in ranked if entry not in chosen]
-    return (chosen + rest)[:COPY_COUNT]
-
-
 def _has_ended(
     account_id: account_module.AccountId,
     listed: Mapping[str, live_list.Instance],
--- /dev/null
+++ b/lacewingpitch/account_counters.py
@@ -0,0 +1,132 @@
+"""The numbers of the counters in a row, and what a row says by them."""
+
+import bisect
+from collections.abc import Mapping
+import enum
+import functools
+
+from lacewingpitch import errors
+
+_REFUSED = 32
+_UNKNOWN = 96
+_PARTIAL = 160
+_BASES = {
+    errors.Outcome.NOT_RUN: _REFUSED,
+    errors.Outcome.UNKNOWN: _UNKNOWN,
+    errors.Outcome.PARTIAL: _PARTIAL,
+}
+_KINDS_PER_OUTCOME = 64
+_OTHER_KIND = 0
+
+# Two versions of the system count together during a rolling upgrade, so
+# a kind keeps its number for good; new kinds take new numbers.
+KIND_NUMBERS: Mapping[str, int] = {
+    'bad-request': 1,
+    'body-too-large': 2,
+    'unauthenticated': 3,
+    'not-in-contract': 4,
+    'bad-idempotency-key': 5,
+    'key-out-of-window': 6,
+    'key-in-use': 7,
+    'rate-limited': 8,
+    'concurrency-limited': 9,
+    'queue-full': 10,
+    'deadline-unreachable': 11,
+    'adapter-unavailable': 12,
+    'no-backend-server': 13,
+    'claim-unavailable': 14,
+    'contract-outdated': 15,
+    'draining': 16,
+    'foreign-process': 17,
+    'wrong-adapter': 18,
+    'caller-gone': 19,
+    'outcome-unknown': 20,
+    'answer-cut': 21,
+    'internal': 22,
+    'not-found': 23,
+    'body-too-slow': 24,
+    'attempt-out-of-window': 25,
+}
+_KIND_NAMES = {number: kind for kind, number in KIND_NUMBERS.items()}
+_BUCKETS_PER_DOUBLING = 4
+_SMALLEST_S = 0.001
+_LAST_BUCKET = 100
+
+
+class Counter(enum.IntEnum):
+    """Numbers of the plain counters; they are never reused."""
+
+    RECEIVED = 0
+    SERVED = 1
+    CALLER_GONE = 2
+    TOKENS = 3
+    STALLED = 4
+    STALL_MS = 5
+    STALL_NOT_MEASURED = 6
+
+
+class Histogram(enum.IntEnum):
+    """First number of each histogram's buckets."""
+
+    FIRST_TOKEN = 256
+    BETWEEN_TOKENS = 512
+    LOAD_STALL = 768
+
+
+def bucket_limit_s(bucket: int) -> float:
+    """Return the longest time that falls into a bucket."""
+    return float(_SMALLEST_S * 2 ** (bucket / _BUCKETS_PER_DOUBLING))
+
+
+_BUCKET_LIMITS_S = [bucket_limit_s(n) for n in range(_LAST_BUCKET)]
+
+
+def bucket_of(time_s: float) -> int:
+    """Return the bucket of a time, each a quarter doubling wide."""
+    return bisect.bisect_left(_BUCKET_LIMITS_S, time_s)
+
+
+def histogram(row: Mapping[int, int], of: Histogram) -> dict[int, int]:
+    """Return the counts by bucket of one histogram."""
+    return {
+        bucket: row[of + bucket]
+        for bucket in range(_LAST_BUCKET + 1)
+        if of + bucket in row
+    }
+
+
+def quantile_s(counts: Mapping[int, int], ratio: float) -> float | None:
+    """Return the time within which `ratio` of the counts lie."""
+    wanted = ratio * sum(counts.values())
+    seen = 0
+    for bucket in sorted(counts):
+        seen += counts[bucket]
+        if seen >= wanted:
+            return bucket_limit_s(bucket)
+    return None
+
+
+def ended_count(row: Mapping[int, int]) -> int:
+    """Return how many requests came to an end, whatever the end."""
+    ended = row.get(Counter.SERVED, 0) + row.get(Counter.CALLER_GONE, 0)
+    return ended + sum(
+        sum(ended_by_kind(row, outcome).values()) for outcome in _BASES
+    )
+
+
+def ended_by_kind(
+    row: Mapping[int, int], outcome: errors.Outcome
+) -> dict[str, int]:
+    """Return the requests of one outcome that was not whole, by kind."""
+    base = _BASES[outcome]
+    return {
+        _KIND_NAMES.get(number, 'other'): row[base + number]
+        for number in range(_KINDS_PER_OUTCOME)
+        if base + number in row
+    }
+
+
+@functools.cache
+def kind_counter(outcome: errors.Outcome, kind: str) -> int:
+    """Return the counter of requests that ended so."""
+    return _BASES[outcome] + KIND_NUMBERS.get(kind, _OTHER_KIND)
--- a/lacewingpitch/report.py
+++ b/lacewingpitch/report.py
@@ -9,6 +9,7 @@
 import structlog
 
 from lacewingpitch import account as account_module
+from lacewingpitch import account_counters
 from lacewingpitch import account_query
 from lacewingpitch import account_readings
 from lacewingpitch import account_rows
@@ -198,7 +199,7 @@
 ) -> list[str]:
     if limit is None:
         return sorted(total)
-    counter = account_module.Counter.RECEIVED
+    counter = account_counters.Counter.RECEIVED
     return heapq.nsmallest(
         limit, total, key=lambda name: (-total[name].get(counter, 0), name)
     )
--- a/lacewingpitch/report_content.py
+++ b/lacewingpitch/report_content.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from lacewingpitch import account as account_module
+from lacewingpitch import account_counters
 from lacewingpitch import account_readings
 from lacewingpitch import account_rows
 from lacewingpitch import burn
@@ -75,8 +75,8 @@
     now_s: float,
 ) -> CustomerService:
     """Return what a row says, by the objective of the contract."""
-    counter = account_module.Counter
-    histogram = account_module.Histogram
+    counter = account_counters.Counter
+    histogram = account_counters.Histogram
     objective = contract.objective if contract else contract_module.Objective()
     burns = burn.measure(row, objective, now_s)
     return CustomerService(
@@ -85,9 +85,9 @@
         served_count=row.get(counter.SERVED, 0),
         caller_gone_count=row.get(counter.CALLER_GONE, 0),
         unended_count=_unended(row),
-        refused=account_module.ended_by_kind(row, errors.Outcome.NOT_RUN),
-        unknown=account_module.ended_by_kind(row, errors.Outcome.UNKNOWN),
-        partial=account_module.ended_by_kind(row, errors.Outcome.PARTIAL),
+        refused=account_counters.ended_by_kind(row, errors.Outcome.NOT_RUN),
+        unknown=account_counters.ended_by_kind(row, errors.Outcome.UNKNOWN),
+        partial=account_counters.ended_by_kind(row, errors.Outcome.PARTIAL),
         token_count=row.get(counter.TOKENS, 0),
         stalled_count=row.get(counter.STALLED, 0),
         stall_s=row.get(counter.STALL_MS, 0) / 1000,
@@ -100,15 +100,15 @@
     )
 
 
-def _times(row: account_rows.Row, of: account_module.Histogram) -> Times:
-    counts = account_module.histogram(row, of)
+def _times(row: account_rows.Row, of: account_counters.Histogram) -> Times:
+    counts = account_counters.histogram(row, of)
     return Times(
         count=sum(counts.values()),
-        p50_s=account_module.quantile_s(counts, 0.5),
-        p95_s=account_module.quantile_s(counts, 0.95),
-        p99_s=account_module.quantile_s(counts, 0.99),
+        p50_s=account_counters.quantile_s(counts, 0.5),
+        p95_s=account_counters.quantile_s(counts, 0.95),
+        p99_s=account_counters.quantile_s(counts, 0.99),
         count_by_limit_s={
-            f'{account_module.bucket_limit_s(bucket):.6g}': count
+            f'{account_counters.bucket_limit_s(bucket):.6g}': count
             for bucket, count in counts.items()
         },
     )
@@ -129,5 +129,5 @@
 
 
 def _unended(row: account_rows.Row) -> int:
-    received = row.get(account_module.Counter.RECEIVED, 0)
-    return received - account_module.ended_count(row)
+    received = row.get(account_counters.Counter.RECEIVED, 0)
+    return received - account_counters.ended_count(row)
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lacewingpitch import account as account_module
+from lacewingpitch import account_counters
 from lacewingpitch import account_rows
 from lacewingpitch import burn
 from lacewingpitch import clock
@@ -79,10 +80,10 @@
             except (Exception, asyncio.CancelledError):
                 continue
         rows = [account.rows.row(customer) for customer in account.rows]
-        counter = account_module.Counter.RECEIVED
+        counter = account_counters.Counter.RECEIVED
         assert account.received_count == len(calls)
         assert sum(row[counter] for row in rows) == len(calls)
-        assert sum(map(account_module.ended_count, rows)) == len(calls)
+        assert sum(map(account_counters.ended_count, rows)) == len(calls)
         assert sum(account.ended_by_outcome.values()) == len(calls)
 
     def test_request_in_progress_is_received_and_not_ended(self):
@@ -90,8 +91,8 @@
         with account.counted('id') as tally:
             account.identify(tally, HANEUL)
             row = account.rows.row('haneul')
-            assert row[account_module.Counter.RECEIVED] == 1
-            assert account_module.ended_count(row) == 0
+            assert row[account_counters.Counter.RECEIVED] == 1
+            assert account_counters.ended_count(row) == 0
 
     @pytest.mark.proves(Promise.ACCOUNT, Fault.LINK_CUT, Step.BEFORE_DELIVERY)
     def test_caller_gone_before_the_last_byte_is_not_served(self):
@@ -105,18 +106,18 @@
         with pytest.raises(ConnectionResetError):
             play(account, raise_error(ConnectionResetError()), True)
         row = account.rows.row('haneul')
-        assert account_module.Counter.SERVED not in row
-        assert row[account_module.Counter.CALLER_GONE] == 1
+        assert account_counters.Counter.SERVED not in row
+        assert row[account_counters.Counter.CALLER_GONE] == 1
 
     def test_every_kind_has_a_number_of_its_own(self):
-        numbers = account_module.KIND_NUMBERS
+        numbers = account_counters.KIND_NUMBERS
         assert set(numbers) >= {kind.value for kind in errors.ErrorKind}
         assert len(set(numbers.values())) == len(numbers)
 
     def test_kind_of_a_newer_version_is_counted_as_other(self):
         outcome = errors.Outcome.NOT_RUN
-        number = account_module.kind_counter(outcome, 'from-the-future')
-        assert account_module.ended_by_kind({number: 1}, outcome) == {
+        number = account_counters.kind_counter(outcome, 'from-the-future')
+        assert account_counters.ended_by_kind({number: 1}, outcome) == {
             'other': 1
         }
 
@@ -132,15 +133,15 @@
                 tally.wrote(events)
             tally.delivered()
         row = account.rows.row('haneul')
-        histogram = account_module.Histogram
-        first = account_module.histogram(row, histogram.FIRST_TOKEN)
-        gaps = account_module.histogram(row, histogram.BETWEEN_TOKENS)
-        assert row[account_module.Counter.TOKENS] == 5
-        assert first == {account_module.bucket_of(0.7): 1}
+        histogram = account_counters.Histogram
+        first = account_counters.histogram(row, histogram.FIRST_TOKEN)
+        gaps = account_counters.histogram(row, histogram.BETWEEN_TOKENS)
+        assert row[account_counters.Counter.TOKENS] == 5
+        assert first == {account_counters.bucket_of(0.7): 1}
         assert gaps == {
             0: 2,
-            account_module.bucket_of(0.02): 1,
-            account_module.bucket_of(0.1): 1,
+            account_counters.bucket_of(0.02): 1,
+            account_counters.bucket_of(0.1): 1,
         }
         window = burn.WINDOWS[0].name
         signals = burn.count_signals(row, source.now_s)
@@ -165,7 +166,7 @@
             tally.stalled(header)
             tally.delivered()
         row = account.rows.row(account_module.UNIDENTIFIED)
-        counter = account_module.Counter
+        counter = account_counters.Counter
         assert row.get(counter.STALLED, 0) == stalled
         assert row.get(counter.STALL_NOT_MEASURED, 0) == not_measured
 
@@ -176,11 +177,11 @@
     def test_quantile_is_at_most_a_bucket_too_long(self, times_s, ratio):
         counts = {}
         for time_s in times_s:
-            bucket = account_module.bucket_of(time_s)
+            bucket = account_counters.bucket_of(time_s)
             counts[bucket] = counts.get(bucket, 0) + 1
         place = math.ceil(ratio * len(times_s)) - 1
         true_s = max(sorted(times_s)[place], 0.001)
-        found_s = account_module.quantile_s(counts, ratio)
+        found_s = account_counters.quantile_s(counts, ratio)
         assert true_s * 0.999 <= found_s <= true_s * 2**0.25 * 1.001
 
 
--- a/tests/test_account_copy.py
+++ b/tests/test_account_copy.py
@@ -7,6 +7,7 @@
 
 from lacewingpitch import account as account_module
 from lacewingpitch import account_copy
+from lacewingpitch import account_holders
 from lacewingpitch import account_rows
 from lacewingpitch import errors
 from tests import clocks
@@ -247,14 +248,16 @@
             entry(f'entry-{n}', f'zone-{"abc"[n % 3]}') for n in range(9)
         ]
         others += [entry(f'far-{n}', 'zone-z', 'region-z') for n in range(9)]
-        chosen = account_copy.choose_holders(OWNER, 'region-a', others)
+        chosen = account_holders.choose_holders(OWNER, 'region-a', others)
         zones = {holder.availability_zone for holder in chosen}
         assert zones == {'zone-b', 'zone-c'}
 
     def test_takes_what_there_is(self):
         others = [entry('entry-1', 'zone-a')]
-        assert account_copy.choose_holders(OWNER, 'region-a', others) == others
-        assert not account_copy.choose_holders(OWNER, 'region-a', [])
+        assert (
+            account_holders.choose_holders(OWNER, 'region-a', others) == others
+        )
+        assert not account_holders.choose_holders(OWNER, 'region-a', [])
 
 
 class TestMerge:
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -5,8 +5,8 @@
 import aiohttp
 import pytest
 
-from lacewingpitch import account as account_module
 from lacewingpitch import account_copy
+from lacewingpitch import account_counters
 from lacewingpitch import account_query
 from lacewingpitch import contract
 from lacewingpitch import http_server
@@ -101,7 +101,7 @@
         held = fleet.entries['entry-2'].holder.account(
             owner.account.account_id
         )
-        counter = account_module.Counter.SERVED
+        counter = account_counters.Counter.SERVED
         assert held.rows.row('haneul')[counter] == 2
 
 
