A daemon that cannot listen for control messages says so in a line

Read: 'lacewingpitch entry examples/haneul/settings/entry-a.json' on a machine without that address ended in a trace of 40 lines that named neither address nor port, though OPERATIONS promises exit code 1 and a reason. So did a taken control port.

Cause: pynng's errors are no OSErrors, the only ones that the command line turns into a line; ruled out: the HTTP side, whose errors are.

Change: Node wraps them with port and address, and closes its session if it cannot listen. An entry whose work port is taken still leaves 'Unclosed client session' behind its line; that is in entry.py.

Without 'except pynng.NNGException' in node.py the new test fails for entry and sidecar.

--- a/lacewingpitch/node.py
+++ b/lacewingpitch/node.py
@@ -6,6 +6,7 @@
 from typing import Any, Self
 
 import aiohttp
+import pynng
 import structlog
 
 from lacewingpitch import clock as clock_module
@@ -68,18 +69,31 @@
 
     async def __aenter__(self) -> Self:
         """Open the session and the links."""
-        self.session = await self._exits.enter_async_context(
-            aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
-                auto_decompress=False,
+        async with contextlib.AsyncExitStack() as exits:
+            self.session = await exits.enter_async_context(
+                aiohttp.ClientSession(
+                    connector=aiohttp.TCPConnector(limit=0),
+                    auto_decompress=False,
+                )
             )
-        )
-        self._exits.callback(self.peers.close)
-        self.contracts.register(self.control)
-        await self.control.start(self.settings.ip, self.settings.control_port)
-        self._exits.push_async_callback(self.control.close)
+            exits.callback(self.peers.close)
+            self.contracts.register(self.control)
+            await self._listen()
+            exits.push_async_callback(self.control.close)
+            self._exits = exits.pop_all()
         return self
 
+    async def _listen(self) -> None:
+        ip = self.settings.ip
+        port = self.settings.control_port
+        try:
+            await self.control.start(ip, port)
+        except pynng.NNGException as error:
+            # An address of another machine, or a port that is taken, would
+            # end in a trace that names neither: pynng's errors are not
+            # those of the system, for which the command line has a line.
+            raise OSError(f'control port {port} of {ip}: {error}') from error
+
     async def __aexit__(self, *exception: object) -> None:
         """Close everything, in the opposite order."""
         await self._exits.aclose()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,7 @@
 """The command line."""
 
 import json
+import socket
 
 from click import testing
 import pytest
@@ -55,6 +56,29 @@
         assert '$.ip' in result.output
         assert samples.entry_settings()['secret'] not in result.output
 
+    @pytest.mark.parametrize(
+        ('command', 'sample'),
+        [
+            ('entry', samples.entry_settings),
+            ('sidecar', samples.sidecar_settings),
+        ],
+    )
+    def test_a_daemon_that_cannot_listen_says_where(
+        self, tmp_path, command, sample
+    ):
+        """An operator starts a daemon and reads a trace of twenty lines.
+
+        Its control port is taken, or its address is another machine's;
+        nothing names the port.  The cause was that pynng's errors are
+        not those of the system.
+        """
+        with socket.create_server(('127.0.0.1', 0)) as held:
+            port = held.getsockname()[1]
+            found = sample(work_port=0, control_port=port)
+            result = run(command, write(tmp_path / 'a.json', found))
+        assert result.exit_code == 1
+        assert f'control port {port} of 127.0.0.1: ' in result.output
+
 
 class TestCheck:
     def test_exits_0_when_all_is_well(self, tmp_path):
