--- a/lacewingpitch/checking.py
+++ b/lacewingpitch/checking.py
@@ -94,12 +94,19 @@
     kind = kind or kind_of(value)
     if kind is None:
         return [_unreadable(source, None, _unknown_kind_reason())]
-    if kind is Kind.SHARD and isinstance(value.get('contracts'), list):
-        return [
-            check_value(content, Kind.CONTRACT, f'{source}[{number}]')
-            for number, content in enumerate(value['contracts'])
-        ]
-    return [check_value(value, kind, source)]
+    contracts = _contracts_of(value) if kind is Kind.SHARD else None
+    if contracts is None:
+        return [check_value(value, kind, source)]
+    return [
+        check_value(content, Kind.CONTRACT, f'{source}[{number}]')
+        for number, content in enumerate(contracts)
+    ]
+
+
+def _contracts_of(shard: Any) -> list[Any] | None:
+    # What is said to be a shard may be any JSON.
+    found = shard.get('contracts') if isinstance(shard, dict) else None
+    return found if isinstance(found, list) else None
 
 
 def check_value(value: Any, kind: Kind, source: str) -> Checked:
--- a/tests/test_checking.py
+++ b/tests/test_checking.py
@@ -171,6 +171,19 @@
             '$.control_port',
         ]
 
+    @pytest.mark.parametrize('kind', Kind)
+    def test_reports_what_is_not_of_the_kind_that_is_named(
+        self, tmp_path, kind
+    ):
+        """An operator names the kind of a file and reads a trace.
+
+        The file holds a list, as a shard without its frame would.  The
+        cause was that a shard was taken for an object unseen.
+        """
+        path = write(tmp_path, 'a.json', [])
+        (checked,) = checking.check_paths([path], kind)
+        assert fields_of(checked) == [type_problems.ROOT]
+
     @pytest.mark.parametrize(
         'content',
         [
