Messages of the commands that a newcomer could not act on

Change: each says what was done, what is wrong and what to give. To standard error, so that the output for programs is as it was; exit codes are as they were.

Tests: new ones for the messages of 'report' (without _REFUSALS in report.py three fail), the variable, the list in the help; those of check, render and diff assert the new line beside all that they did before. In TestAccess the server's address is kept in self.url; its cases are the same.

--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -20,6 +20,7 @@
 from lacewingpitch import entry as entry_module
 from lacewingpitch import errors
 from lacewingpitch import errors_page
+from lacewingpitch import published_contracts
 from lacewingpitch import report as report_module
 from lacewingpitch import report_text
 from lacewingpitch import settings
@@ -47,8 +48,8 @@
     """Serve many LoRA adapters, each customer by its contract.
 
     Daemons: `entry` takes callers' requests, `sidecar` runs beside each
-    backend server.  For operators: `check`, `contracts`, `errors`,
-    `demo`.  Logs go to standard error as JSON lines.
+    backend server.  For operators: `check`, `contracts`, `report`,
+    `errors`, `demo`.  Logs go to standard error as JSON lines.
 
     Exit codes of every command: 0 done, nothing wrong; 1 something given
     is wrong, or a daemon cannot listen; 2 the command line is wrong.
@@ -107,10 +108,10 @@
 @click.option(
     '--token',
     envvar='LACEWINGPITCH_TOKEN',
+    show_envvar=True,
     required=True,
-    help="Operators' token, or the customer's API key.  Better given in"
-    ' the environment as LACEWINGPITCH_TOKEN, where no list of processes'
-    ' shows it.',
+    help="Operators' token, or the API key of the customer named.  Better"
+    ' given in the environment, where no list of processes shows it.',
 )
 def report(
     url: str, customer: str | None, output_format: str, token: str
@@ -145,15 +146,17 @@
     found.  Files are checked alone and against each other: a customer,
     key digest, instance or address may be in one of them only.
 
-    Exits 0 if all is well, 1 if there is a problem.
+    Exits 0 if all is well, 1 if there is a problem or no file.
     """
     found = checking.check_paths(paths, checking.Kind(kind) if kind else None)
     bad = [item for item in found if item.problems]
     for item in bad:
         for problem in item.problems:
             click.echo(str(problem))
+    if not found:
+        raise click.ClickException('nothing to check: found no *.json file')
     click.echo(f'{len(found)} checked, {len(bad)} with problems', err=True)
-    sys.exit(_PROBLEMS_EXIT_CODE if bad or not found else 0)
+    sys.exit(_PROBLEMS_EXIT_CODE if bad else 0)
 
 
 @main.group()
@@ -197,6 +200,12 @@
     except errors.SettingsError as error:
         raise click.ClickException(str(error)) from error
     contract_files.write_values(values, output, sys.stdout)
+    index = published_contracts.INDEX_NAME
+    click.echo(
+        f'{len(found)} contracts in {len(values)} values, of which {index}'
+        ' is to be published last',
+        err=True,
+    )
 
 
 @contracts.command('diff')
@@ -224,7 +233,11 @@
             click.echo(f'{change.customer}: {line}')
         for line in change.faults:
             click.echo(f'{change.customer}: FAULT {line}')
-    sys.exit(_PROBLEMS_EXIT_CODE if any(c.faults for c in changes) else 0)
+    faulty = sum(bool(change.faults) for change in changes)
+    click.echo(
+        f'{len(changes)} customers differ, {faulty} with faults', err=True
+    )
+    sys.exit(_PROBLEMS_EXIT_CODE if faulty else 0)
 
 
 @main.command('errors')
--- a/lacewingpitch/report.py
+++ b/lacewingpitch/report.py
@@ -22,6 +22,11 @@
 _ASK_TIMEOUT_S = 1.0
 _FETCH_TIMEOUT_S = 30.0
 _MAX_ASKING = 16
+_REFUSALS = {
+    401: 'the token is neither that of the operators nor the API key of'
+    ' the customer named',
+    404: 'no report here, or the customer named has no contract',
+}
 log = structlog.get_logger(__name__)
 
 
@@ -225,10 +230,16 @@
             ) as response,
         ):
             data = await response.read()
-            if response.status != 200:
-                raise errors.PlatformError(
-                    f'{url}{path}: status {response.status}'
-                )
-            return data
+    except (aiohttp.InvalidURL, aiohttp.NonHttpUrlClientError) as error:
+        raise errors.PlatformError(
+            f'{url}: Expected a URL such as http://10.0.0.1:8080'
+        ) from error
     except (aiohttp.ClientError, TimeoutError) as error:
-        raise errors.PlatformError(f'{url}: {error!r}') from error
+        reason = str(error) or f'no answer within {_FETCH_TIMEOUT_S:g} s'
+        raise errors.PlatformError(f'{url}: {reason}') from error
+    if response.status != 200:
+        reason = _REFUSALS.get(response.status, 'no report')
+        raise errors.PlatformError(
+            f'{url}{path}: status {response.status}: {reason}'
+        )
+    return data
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -35,6 +35,7 @@
             ['check'],
             ['contracts', 'render'],
             ['contracts', 'diff'],
+            ['report'],
             ['errors'],
             ['demo'],
         ],
@@ -44,6 +45,16 @@
         assert result.exit_code == 0
         assert len(result.output.splitlines()) > 5
 
+    def test_names_every_command_in_its_help(self):
+        text = cli.main.help
+        for name in set(cli.main.commands) - {'standin'}:
+            assert f'`{name}`' in text
+
+    def test_a_missing_token_is_asked_for_by_its_variable(self):
+        result = run('report', 'http://127.0.0.1:1')
+        assert result.exit_code == 2
+        assert 'LACEWINGPITCH_TOKEN' in result.output
+
     def test_a_wrong_command_line_exits_2(self):
         assert run('check').exit_code == 2
         assert run('check', 'no-such-file').exit_code == 2
@@ -96,7 +107,9 @@
         assert f'{path}: field $.weight' in result.output
 
     def test_an_empty_folder_is_no_success(self, tmp_path):
-        assert run('check', tmp_path).exit_code == 1
+        result = run('check', tmp_path)
+        assert result.exit_code == 1
+        assert 'nothing to check' in result.output
 
     def test_takes_the_kind_from_an_option(self, tmp_path):
         path = write(tmp_path / 'a.json', samples.entry_settings())
@@ -111,6 +124,7 @@
         names = [json.loads(line)['name'] for line in result.stdout.split()]
         assert result.exit_code == 0
         assert names[-1] == 'contracts.index'
+        assert 'contracts.index is to be published last' in result.stderr
 
     def test_renders_to_a_folder(self, tmp_path):
         write(tmp_path / 'in' / 'a.json', samples.contract())
@@ -134,3 +148,4 @@
         result = run('contracts', 'diff', old, new)
         assert result.exit_code == 1
         assert 'FAULT revision stayed 1' in result.output
+        assert '1 customers differ, 1 with faults' in result.stderr
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -9,7 +9,9 @@
 from lacewingpitch import account_counters
 from lacewingpitch import account_query
 from lacewingpitch import contract
+from lacewingpitch import errors
 from lacewingpitch import http_server
+from lacewingpitch import report as report_module
 from lacewingpitch import report_gaps
 from lacewingpitch import report_page
 from lacewingpitch import report_server
@@ -267,15 +269,13 @@
         )
         self.server.add_routes(server)
         await server.start('127.0.0.1', 0)
+        self.url = f'http://127.0.0.1:{server.port}'
 
         async def status(path, authorization):
             headers = {'Authorization': authorization}
             async with (
                 aiohttp.ClientSession() as session,
-                session.get(
-                    f'http://127.0.0.1:{server.port}{path}',
-                    headers=headers,
-                ) as response,
+                session.get(self.url + path, headers=headers) as response,
             ):
                 return response.status
 
@@ -300,6 +300,31 @@
     async def test_by_token(self, ask, path, token, status):
         assert await ask(path, f'Bearer {token}') == status
 
+    @pytest.mark.parametrize(
+        ('customer', 'token', 'reason'),
+        [
+            (None, 'wrong', '401: the token is neither'),
+            ('caravan', KEY, '401: the token is neither'),
+            ('nobody', TOKEN, '404: .* has no contract'),
+        ],
+    )
+    async def test_command_says_why_it_got_none(
+        self, ask, customer, token, reason
+    ):
+        with pytest.raises(errors.PlatformError, match=reason):
+            await report_module.fetch(self.url, customer, token)
+
+    @pytest.mark.parametrize(
+        ('url', 'reason'),
+        [
+            ('127.0.0.1:1', 'Expected a URL such as http'),
+            ('http://127.0.0.1:1', 'Cannot connect to host 127.0.0.1:1'),
+        ],
+    )
+    async def test_command_says_what_it_did_not_reach(self, url, reason):
+        with pytest.raises(errors.PlatformError, match=reason):
+            await report_module.fetch(url, None, TOKEN)
+
     async def test_browser_gives_the_token_as_password(self, ask):
         given = base64.b64encode(f'anyone:{TOKEN}'.encode()).decode()
         assert await ask('/report', f'Basic {given}') == 200
