The report page: times written out, alerts and the error budget explained

Read in a browser (headless Chromium, six customers, one entry lost) as an operations manager: an axis said '1.02e+03' ms; 'page (1 h)' and 'burn rate' were used before anything said what the budget is of, or what to do at a page; a bar of shares that ends early had no reason.

Change: labels from 100 ms on are whole numbers; three sentences below 'How to read this'.

Without the branch for long times in report_plots.py test_writes_its_times_out fails.

--- a/lacewingpitch/report_page.py
+++ b/lacewingpitch/report_page.py
@@ -63,9 +63,16 @@
 <b>Not ended</b>: in progress, or cut off when an instance was lost.</li>
 <li>Each request is in exactly one of these; together they make
 <b>received</b>.</li>
-<li>A <b>burn rate</b> of 1 spends the error budget exactly in time; an
-alert needs a long and a short window above its threshold. Refusals that
-the contract asks for, and callers that left, do not count.</li>
+<li>In the plot of shares a bar that ends before 100 % has requests that
+have not ended.</li>
+<li>The <b>error budget</b> is the share of requests that may miss the
+objective of the customer's contract: served whole, the first token in
+time, the tokens after it in time. A <b>burn rate</b> of 1 spends it
+exactly in time, 10 ten times as fast. Refusals that the contract asks
+for, and callers that left, do not count.</li>
+<li>An <b>alert</b> fires when the burn rate is above its threshold over
+the long window named and a short one: <b>page</b> means that somebody
+should look now, <b>ticket</b> within days.</li>
 <li>Times are rounded up to the next quarter of a doubling (at most 19%
 too long).</li>
 </ul>
--- a/lacewingpitch/report_plots.py
+++ b/lacewingpitch/report_plots.py
@@ -13,6 +13,7 @@
 _MAX_BARS = 12
 _MAX_LINES = 5
 _MAX_LABELS = 8
+_WHOLE_FROM_MS = 100
 # Colours that stay apart for readers who see few colours (Okabe-Ito).
 _OUTCOME_STYLE = pygal.style.Style(
     background='white',
@@ -125,7 +126,7 @@
         x_label_rotation=30,
         **_CHART_OPTIONS,
     )
-    chart.x_labels = [f'{limit * 1000:.3g}' for limit in limits]
+    chart.x_labels = [_milliseconds(limit) for limit in limits]
     step = max(1, len(limits) // _MAX_LABELS)
     chart.x_labels_major = chart.x_labels[::step]
     for customer, found in times:
@@ -135,6 +136,11 @@
     return _svg(chart)
 
 
+def _milliseconds(time_s: float) -> str:
+    time_ms = time_s * 1000
+    return f'{time_ms:.3g}' if time_ms < _WHOLE_FROM_MS else f'{time_ms:.0f}'
+
+
 def _shares(times: report_content.Times, limits: list[float]) -> list[float]:
     seen = 0
     shares = []
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -234,6 +234,19 @@
         for name in ('src=', 'href="http', '@import', 'url(http'):
             assert name not in page
 
+    async def test_writes_its_times_out(self):
+        """A manager reads '6.55e+04' below the plot of slow answers."""
+        fleet = account_fleet.Fleet(1)
+        found = fleet.entries['entry-0']
+        with found.account.counted('id') as tally:
+            found.account.identify(tally, fleet.contract('haneul'))
+            fleet.clock.now_s += 60.0
+            tally.wrote(1)
+            tally.delivered()
+        page = report_page.render(await found.reporter.assemble())
+        assert '>65536<' in page
+        assert 'e+' not in page
+
     async def test_says_its_gaps_first(self):
         fleet = account_fleet.Fleet()
         fleet.entries['entry-0'].serve('haneul')
