README and examples: what a newcomer types, in order

Read, following the pages step by step: after 'make demo' the next command, 'lacewingpitch check', was not on the path; 'report' was shown without its token, at an address of no example; examples/ had no page, so that nothing said which commands work without a platform, that the keys of the digests are nobody's, or why 'entry' cannot listen. The demo ends with six alerts and no word on them.

--- a/lacewingpitch/demo_traffic.py
+++ b/lacewingpitch/demo_traffic.py
@@ -16,7 +16,7 @@
 _SERVED = 'served'
 _LOAD_STALL_TEXT = (
     'Every adapter was called for the first time here, so the load stalls'
-    ' are first loads.'
+    ' are first loads; an alert for the first token has no other cause.'
 )
 
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -20,6 +20,7 @@
 DOCS = ROOT / 'docs'
 PAGES = [
     ROOT / 'README.md',
+    ROOT / 'examples' / 'README.md',
     *sorted(p for p in DOCS.rglob('*.md') if p.name != 'FAULT_MATRIX.md'),
 ]
 TABLES = {
