A test for the wall clock in the fencing number

Read while folding the clocks: without 'int(self._clock.wall_s() * ...)' in fence.py every test of test_fence passed.

The new test is its case: an engine that restarted empty reports no number, and the successor of a frozen sidecar must be above it all the same. It fails without that line. The fault matrix gets its row.

--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -26,6 +26,20 @@
         successor.renew(report('a', old.number))
         assert successor.number > old.number
 
+    @pytest.mark.proves(Promise.NO_EVICTION, Fault.ENGINE_EMPTY, Step.ANY)
+    def test_is_above_an_earlier_sidecar_at_an_engine_that_forgot(self):
+        """The orders of a replaced sidecar are taken after its successor's.
+
+        It is frozen; its successor meets an engine that restarted empty
+        and reports no number.  The cause would be numbers that follow
+        from the engine's report alone.
+        """
+        old = fence.Fence(clocks.ManualClock(1000.0))
+        old.renew(report('a', 7))
+        successor = fence.Fence(clocks.ManualClock(1001.0))
+        successor.renew(report('b'))
+        assert successor.number > old.number
+
     def test_never_falls_when_the_engine_restarts_empty(self):
         clock = clocks.ManualClock(1000.0)
         found = fence.Fence(clock)
