--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -52,7 +52,8 @@
     `errors`, `demo`.  Logs go to standard error as JSON lines.
 
     Exit codes of every command: 0 done, nothing wrong; 1 something given
-    is wrong, or a daemon cannot listen; 2 the command line is wrong.
+    is wrong, a daemon cannot listen, or no report was got; 2 the command
+    line is wrong.
     """
     configure_logs(log_level)
 
