The report page: the answers' table in short functions

Read: _answers was one function of 41 lines that mixed the note, the headings and the cells. The page of a fleet with a lost entry is the same to the byte.

--- a/lacewingpitch/report_page.py
+++ b/lacewingpitch/report_page.py
@@ -10,6 +10,18 @@
 from lacewingpitch import report_text
 
 MAX_CUSTOMERS = 50
+_ANSWER_HEADINGS = (
+    'Customer',
+    'Received',
+    'Served',
+    'Refused',
+    'Unknown',
+    'Partial',
+    'Caller gone',
+    'Not ended',
+    'Tokens',
+    'Load stalls',
+)
 _STYLE_SHEET = """
 body { font: 15px/1.45 sans-serif; margin: 2em auto; max-width: 72em;
   padding: 0 1em; color: #222; }
@@ -96,46 +108,31 @@
 
 
 def _answers(report: report_module.Report) -> str:
-    rows = (
-        (
-            report_text.display_name(service.customer),
-            service.received_count,
-            service.served_count,
-            report_text.kinds(service.refused),
-            report_text.kinds(service.unknown),
-            report_text.kinds(service.partial),
-            service.caller_gone_count,
-            service.unended_count,
-            service.token_count,
-            report_text.stalls(service),
-        )
-        for service in _shown(report)
-    )
-    hidden = report.hidden_count
     note = (
-        f'<p>{hidden} more customers are in the JSON form of this report;'
-        ' shown are those with the most requests.</p>'
-        if hidden > 0
+        f'<p>{report.hidden_count} more customers are in the JSON form of'
+        ' this report; shown are those with the most requests.</p>'
+        if report.hidden_count > 0
         else ''
     )
+    rows = (_answer_cells(service) for service in _shown(report))
+    title = '<h2>Requests since the instances started</h2>'
+    return title + note + _table(_ANSWER_HEADINGS, rows)
+
+
+def _answer_cells(
+    service: report_content.CustomerService,
+) -> tuple[object, ...]:
     return (
-        '<h2>Requests since the instances started</h2>'
-        + note
-        + _table(
-            (
-                'Customer',
-                'Received',
-                'Served',
-                'Refused',
-                'Unknown',
-                'Partial',
-                'Caller gone',
-                'Not ended',
-                'Tokens',
-                'Load stalls',
-            ),
-            rows,
-        )
+        report_text.display_name(service.customer),
+        service.received_count,
+        service.served_count,
+        report_text.kinds(service.refused),
+        report_text.kinds(service.unknown),
+        report_text.kinds(service.partial),
+        service.caller_gone_count,
+        service.unended_count,
+        service.token_count,
+        report_text.stalls(service),
     )
 
 
