--- a/tests/processes.py
+++ b/tests/processes.py
@@ -183,11 +183,17 @@
         )
         process = await self.run('sidecar', self._write(name, found))
         self.sidecars.append(process)
-        self._list(
-            live_list.Role.SIDECAR,
-            found,
-            process,
-            serves=getattr(backend_server, 'base_model', 'plain'),
+        self.instances.append(
+            live_list.Instance(
+                name=name,
+                role=live_list.Role.SIDECAR,
+                region=found.region,
+                availability_zone=found.availability_zone,
+                ip=IP,
+                work_port=process.ports['work_port'],
+                control_port=process.ports['control_port'],
+                serves=getattr(backend_server, 'base_model', 'plain'),
+            )
         )
         return process
 
@@ -214,21 +220,18 @@
         found = settings.EntrySettings(**self._process(name, **fields))
         process = await self.run('entry', self._write(name, found))
         self.entries.append(process)
-        self._list(live_list.Role.ENTRY, found, process)
-        return process
-
-    def _list(self, role, found, process, **fields):
         self.instances.append(
             live_list.Instance(
-                name=found.instance,
-                role=role,
+                name=name,
+                role=live_list.Role.ENTRY,
                 region=found.region,
                 availability_zone=found.availability_zone,
                 ip=IP,
-                **process.ports,
-                **fields,
+                work_port=process.ports['work_port'],
+                control_port=process.ports['control_port'],
             )
         )
+        return process
 
     def _process(self, name, **fields):
         port = self.platform.ports['work_port']
