--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -3,29 +3,30 @@
 import asyncio
 import logging
 import pathlib
-import signal
 import sys
-from typing import Protocol
 
 import click
+import msgspec
+import rich.console
 import structlog
 import uvloop
 
 import lacewingpitch
 from lacewingpitch import checking
+from lacewingpitch import contract_diff
 from lacewingpitch import contract_files
-from lacewingpitch import demo as demo_module
+from lacewingpitch import daemon
+from lacewingpitch import demo_traffic
 from lacewingpitch import entry as entry_module
 from lacewingpitch import errors
 from lacewingpitch import errors_page
+from lacewingpitch import published_contracts
 from lacewingpitch import report as report_module
+from lacewingpitch import report_text
 from lacewingpitch import settings
 from lacewingpitch import sidecar as sidecar_module
-from lacewingpitch import standin_engine
-from lacewingpitch import standin_platform
-from lacewingpitch import standin_service
+from lacewingpitch import standin_cli
 
-log = structlog.get_logger(__name__)
 _SETTINGS_FILE = click.Path(
     exists=True, dir_okay=False, path_type=pathlib.Path
 )
@@ -34,22 +35,6 @@
 _PROBLEMS_EXIT_CODE = 1
 
 
-class Daemon(Protocol):
-    """A long-running process of the system."""
-
-    async def start(self) -> None:
-        """Begin to work."""
-        ...
-
-    async def close(self) -> None:
-        """End gracefully."""
-        ...
-
-    def ports(self) -> dict[str, int]:
-        """Return the ports it listens on, by name."""
-        ...
-
-
 @click.group()
 @click.version_option(lacewingpitch.__version__)
 @click.option(
@@ -63,11 +48,12 @@
     """Serve many LoRA adapters, each customer by its contract.
 
     Daemons: `entry` takes callers' requests, `sidecar` runs beside each
-    backend server.  For operators: `check`, `contracts`, `errors`,
-    `demo`.  Logs go to standard error as JSON lines.
+    backend server.  For operators: `check`, `contracts`, `report`,
+    `errors`, `demo`.  Logs go to standard error as JSON lines.
 
     Exit codes of every command: 0 done, nothing wrong; 1 something given
-    is wrong, or a daemon cannot listen; 2 the command line is wrong.
+    is wrong, a daemon cannot listen, or no report was got; 2 the command
+    line is wrong.
     """
     configure_logs(log_level)
 
@@ -82,7 +68,7 @@
     The log line "listening" names its ports.
     """
     found = _load(settings_file, settings.EntrySettings)
-    _serve(entry_module.Entry(found))
+    daemon.serve(entry_module.Entry(found))
 
 
 @main.command()
@@ -95,7 +81,7 @@
     second sidecar for the same address exits 1.
     """
     found = _load(settings_file, settings.SidecarSettings)
-    _serve(sidecar_module.Sidecar(found))
+    daemon.serve(sidecar_module.Sidecar(found))
 
 
 @main.command()
@@ -107,7 +93,7 @@
     once, and send one request twice that may run only once.
     """
     configure_logs('critical')
-    sys.exit(uvloop.run(demo_module.run_demo()))
+    sys.exit(uvloop.run(demo_traffic.run_demo()))
 
 
 @main.command()
@@ -123,10 +109,10 @@
 @click.option(
     '--token',
     envvar='LACEWINGPITCH_TOKEN',
+    show_envvar=True,
     required=True,
-    help="Operators' token, or the customer's API key.  Better given in"
-    ' the environment as LACEWINGPITCH_TOKEN, where no list of processes'
-    ' shows it.',
+    help="Operators' token, or the API key of the customer named.  Better"
+    ' given in the environment, where no list of processes shows it.',
 )
 def report(
     url: str, customer: str | None, output_format: str, token: str
@@ -136,11 +122,14 @@
     It says first what it may lack.  Exit code 1: no report was got.
     """
     try:
-        asyncio.run(
-            report_module.print_report(url, customer, token, output_format)
-        )
+        data = asyncio.run(report_module.fetch(url, customer, token))
     except errors.PlatformError as error:
         raise click.ClickException(str(error)) from error
+    if output_format == 'json':
+        click.echo(data)
+        return
+    found = msgspec.json.decode(data, type=report_module.Report)
+    report_text.print_table(found, rich.console.Console())
 
 
 @main.command()
@@ -158,15 +147,17 @@
     found.  Files are checked alone and against each other: a customer,
     key digest, instance or address may be in one of them only.
 
-    Exits 0 if all is well, 1 if there is a problem.
+    Exits 0 if all is well, 1 if there is a problem or no file.
     """
     found = checking.check_paths(paths, checking.Kind(kind) if kind else None)
     bad = [item for item in found if item.problems]
     for item in bad:
         for problem in item.problems:
             click.echo(str(problem))
+    if not found:
+        raise click.ClickException('nothing to check: found no *.json file')
     click.echo(f'{len(found)} checked, {len(bad)} with problems', err=True)
-    sys.exit(_PROBLEMS_EXIT_CODE if bad or not found else 0)
+    sys.exit(_PROBLEMS_EXIT_CODE if bad else 0)
 
 
 @main.group()
@@ -210,6 +201,12 @@
     except errors.SettingsError as error:
         raise click.ClickException(str(error)) from error
     contract_files.write_values(values, output, sys.stdout)
+    index = published_contracts.INDEX_NAME
+    click.echo(
+        f'{len(found)} contracts in {len(values)} values, of which {index}'
+        ' is to be published last',
+        err=True,
+    )
 
 
 @contracts.command('diff')
@@ -226,7 +223,7 @@
     Exits 0 if there is no fault (also if nothing changed), else 1.
     """
     try:
-        changes = contract_files.diff(
+        changes = contract_diff.diff(
             contract_files.load_contracts(old),
             contract_files.load_contracts(new),
         )
@@ -237,7 +234,11 @@
             click.echo(f'{change.customer}: {line}')
         for line in change.faults:
             click.echo(f'{change.customer}: FAULT {line}')
-    sys.exit(_PROBLEMS_EXIT_CODE if any(c.faults for c in changes) else 0)
+    faulty = sum(bool(change.faults) for change in changes)
+    click.echo(
+        f'{len(changes)} customers differ, {faulty} with faults', err=True
+    )
+    sys.exit(_PROBLEMS_EXIT_CODE if faulty else 0)
 
 
 @main.command('errors')
@@ -246,58 +247,7 @@
     click.echo(errors_page.render(), nl=False)
 
 
-@main.group()
-def standin() -> None:
-    """Run a small stand-in of an outside system, for tests."""
-
-
-@standin.command('engine')
-@click.option('--ip', default='127.0.0.1', show_default=True)
-@click.option('--port', type=int, default=0, show_default=True)
-@click.option('--base-model', default='base', show_default=True)
-@click.option('--adapter-slots', type=int, default=4, show_default=True)
-@click.option('--load-s', type=float, default=0.05, show_default=True)
-@click.option('--token-s', type=float, default=0.005, show_default=True)
-@click.option('--answer-tokens', type=int, default=8, show_default=True)
-@click.option('--checks-fencing/--ignores-fencing', default=True)
-def standin_engine_command(
-    ip: str,
-    port: int,
-    base_model: str,
-    adapter_slots: int,
-    load_s: float,
-    token_s: float,
-    answer_tokens: int,
-    checks_fencing: bool,
-) -> None:
-    """Run a stand-in for a model engine."""
-    engine = standin_engine.StandinEngine(
-        base_model,
-        adapter_slots=adapter_slots,
-        checks_fencing=checks_fencing,
-        load_s=load_s,
-        token_s=token_s,
-        answer_tokens=answer_tokens,
-    )
-    _serve(_AtAddress(engine, ip, port))
-
-
-@standin.command('platform')
-@click.option('--ip', default='127.0.0.1', show_default=True)
-@click.option('--port', type=int, default=0, show_default=True)
-def standin_platform_command(ip: str, port: int) -> None:
-    """Run a stand-in for configuration service and live list."""
-    _serve(_AtAddress(standin_platform.StandinPlatform(), ip, port))
-
-
-@standin.command('service')
-@click.option('--ip', default='127.0.0.1', show_default=True)
-@click.option('--port', type=int, default=0, show_default=True)
-@click.option('--answer-s', type=float, default=0.01, show_default=True)
-def standin_service_command(ip: str, port: int, answer_s: float) -> None:
-    """Run a stand-in for a plain service."""
-    service = standin_service.StandinService(answer_s=answer_s)
-    _serve(_AtAddress(service, ip, port))
+main.add_command(standin_cli.standin)
 
 
 def configure_logs(level: str) -> None:
@@ -318,31 +268,6 @@
     )
 
 
-class _Listener(Protocol):
-    @property
-    def port(self) -> int: ...
-
-    async def start(self, ip: str, port: int) -> None: ...
-
-    async def close(self) -> None: ...
-
-
-class _AtAddress:
-    def __init__(self, listener: _Listener, ip: str, port: int) -> None:
-        self._listener = listener
-        self._ip = ip
-        self._port = port
-
-    async def start(self) -> None:
-        await self._listener.start(self._ip, self._port)
-
-    async def close(self) -> None:
-        await self._listener.close()
-
-    def ports(self) -> dict[str, int]:
-        return {'work_port': self._listener.port}
-
-
 def _load(
     path: pathlib.Path, kind: type[settings.SettingsType]
 ) -> settings.SettingsType:
@@ -350,22 +275,3 @@
         return settings.load_settings(path, kind)
     except errors.SettingsError as error:
         raise click.ClickException(str(error)) from error
-
-
-def _serve(daemon: Daemon) -> None:
-    try:
-        uvloop.run(_serve_until_signal(daemon))
-    except OSError as error:
-        raise click.ClickException(f'cannot listen: {error}') from error
-
-
-async def _serve_until_signal(daemon: Daemon) -> None:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    await daemon.start()
-    log.info('listening', **daemon.ports())
-    await stopping.wait()
-    log.info('stopping')
-    await daemon.close()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -12,27 +12,17 @@
 from lacewingpitch import directory
 from lacewingpitch import errors
 from lacewingpitch import hint
-from lacewingpitch import live_list
 from lacewingpitch import placement
 from lacewingpitch import settings
+from tests import clocks
 from tests import fault_matrix
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
 Step = fault_matrix.Step
 
 
-class FakeClock:
-    def __init__(self):
-        self.now_s = 100.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 class FakeHomes:
     """The directories of all sidecars; some may be silent."""
 
@@ -51,18 +41,7 @@
 
 
 def make_instances(count=5):
-    return [
-        live_list.Instance(
-            name=f'sidecar-{number}',
-            role=live_list.Role.SIDECAR,
-            region='r',
-            availability_zone='z',
-            ip='127.0.0.1',
-            work_port=0,
-            control_port=0,
-        )
-        for number in range(count)
-    ]
+    return [samples.sidecar(f'sidecar-{number}') for number in range(count)]
 
 
 def make_hint(*adapters, **fields):
@@ -79,7 +58,7 @@
 
 @pytest.fixture
 def clock():
-    return FakeClock()
+    return clocks.ManualClock(100.0)
 
 
 @pytest.fixture
