--- a/lacewingpitch/account_counters.py
+++ b/lacewingpitch/account_counters.py
@@ -46,6 +46,7 @@
     'not-found': 23,
     'body-too-slow': 24,
     'attempt-out-of-window': 25,
+    'attempt-withdrawn': 26,
 }
 _KIND_NAMES = {number: kind for kind, number in KIND_NUMBERS.items()}
 _BUCKETS_PER_DOUBLING = 4
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -214,7 +214,7 @@
             self.check(steps)
 
     def check(self, steps):
-        clock = contract_fakes.ManualClock()
+        clock = clocks.ManualClock()
         members = membership.Membership(clock)
         state = live_list.InstanceState.LIVE
         suspect_until_s = leaving_until_s = 0.0
