Leaving under load: nothing new after seconds, whose list may lag

Cause: the bound was proved request by request, and not with the backend server's own list stale, nor for an order that a link had held. Change: callers press through two entries while a backend server is listed as leaving: nobody behind, its own list stale for good, an entry frozen before and woken 3 s later; and an order held by a half-open link until the backend server knows that it leaves.

--- a/tests/test_leaving_processes.py
+++ b/tests/test_leaving_processes.py
@@ -1,3 +1,7 @@
+import asyncio
+import collections
+import time
+
 import msgspec
 import pytest
 
@@ -5,10 +9,14 @@
 from lacewingpitch import settings
 from tests import fault_matrix
 from tests import processes
+from tests import relay
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
 Step = fault_matrix.Step
+LEAVER = 2
+# What "after a few seconds" is held to.
+LEAVING_S = 3.0
 
 
 @pytest.fixture
@@ -17,13 +25,17 @@
         for _ in range(2):
             await found.add_engine()
         await found.add_entry()
-        found.add_customer('haneul', *(f'ficus-{n}' for n in range(8)))
+        found.add_customer(
+            'haneul',
+            *(f'ficus-{n}' for n in range(8)),
+            limits=processes.WIDE_LIMITS,
+        )
         await found.publish()
         yield found
 
 
-async def tell_to_leave(deployment, number):
-    """List a sidecar as leaving, and wait until it knows."""
+async def list_as_leaving(deployment, number):
+    """List a sidecar as leaving."""
     name = f'sidecar-{number}'
     deployment.instances = [
         msgspec.structs.replace(i, state=live_list.InstanceState.LEAVING)
@@ -33,6 +45,10 @@
     ]
     await deployment.publish_instances()
 
+
+async def tell_to_leave(deployment, number):
+    """List a sidecar as leaving, and wait until it knows."""
+    await list_as_leaving(deployment, number)
     await until_not_ready(deployment, deployment.sidecars[number])
 
 
@@ -54,6 +70,15 @@
                 assert response.status == 200
 
 
+async def start_stale(deployment):
+    """Start a platform that shows the list of now for good."""
+    stale = await deployment.run('standin', 'platform')
+    await deployment.put(stale, '/v1/instances', tuple(deployment.instances))
+    return stale, settings.Address(
+        ip=processes.IP, port=stale.ports['work_port']
+    )
+
+
 async def run_counts(deployment):
     truths = [await deployment.truth(e) for e in deployment.engines]
     return [len(truth.runs) for truth in truths]
@@ -72,15 +97,8 @@
         cause would be a sidecar that takes what an entry sends, although
         its own list says that it leaves.
         """
-        stale = await deployment.run('standin', 'platform')
-        await deployment.put(
-            stale, '/v1/instances', tuple(deployment.instances)
-        )
-        behind = await deployment.add_entry(
-            live_list=settings.Address(
-                ip=processes.IP, port=stale.ports['work_port']
-            )
-        )
+        _, stale = await start_stale(deployment)
+        behind = await deployment.add_entry(live_list=stale)
         await deployment.publish_instances()
         await deployment.ready(behind)
         await call_all(deployment, behind)
@@ -124,3 +142,106 @@
             assert after[busy] == before[busy]
             text = await response.text()
             assert text.endswith('data: [DONE]\n\n')
+
+    @pytest.mark.proves(Promise.LEAVING, Fault.HALF_OPEN, Step.SENT)
+    @pytest.mark.proves(Promise.LEAVING, Fault.TWO_FAULTS, Step.SENT)
+    async def test_order_that_arrives_late_is_refused(self, deployment):
+        """A request dies with a backend server that it reached too late.
+
+        The link holds it while the backend server is told to leave, and
+        the entry's list is stale.  The cause would be a sidecar that
+        looks at its list only when it promises something.
+        """
+        first = deployment.instances[0]
+        async with relay.Relay(first.work_port) as link:
+            deployment.instances[0] = msgspec.structs.replace(
+                first, work_port=link.port
+            )
+            _, stale = await start_stale(deployment)
+            behind = await deployment.add_entry(live_list=stale)
+            await deployment.ready(behind)
+            link.half_open()
+            sent = link.wait_for(b'POST /run')
+            calling = asyncio.create_task(call_all(deployment, behind))
+            async with asyncio.timeout(processes.WAIT_S):
+                await sent.wait()
+            await tell_to_leave(deployment, 0)
+            link.heal()
+            await calling
+        assert await run_counts(deployment) == [0, 8]
+
+
+class TestUnderLoad:
+    @pytest.mark.parametrize(
+        'behind',
+        [
+            'nobody',
+            pytest.param(
+                'its own list',
+                marks=pytest.mark.proves(
+                    Promise.LEAVING, Fault.LIST_WRONG, Step.ANY
+                ),
+            ),
+            pytest.param(
+                'a paused entry',
+                marks=pytest.mark.proves(
+                    Promise.LEAVING, Fault.FROZEN, Step.ANY
+                ),
+            ),
+        ],
+    )
+    async def test_nothing_new_after_seconds(
+        self, deployment, behind, record_property
+    ):
+        """A backend server is shut down under requests it has just got.
+
+        Callers press through two entries; the list says that it leaves.
+        Its own list goes on calling it live, or an entry was frozen
+        before and wakes up later.
+        """
+        _, stale = await start_stale(deployment)
+        fields = {'live_list': stale} if behind == 'its own list' else {}
+        await deployment.add_engine(**fields)
+        await deployment.add_entry()
+        await deployment.publish()
+        served = collections.Counter()
+
+        async def keep_calling(entry):
+            while True:
+                await call_all(deployment, entry)
+                served[entry] += 1
+
+        calling = [
+            asyncio.create_task(keep_calling(entry))
+            for entry in deployment.entries
+        ]
+
+        async def all_ran():
+            return min(await run_counts(deployment)) > 0
+
+        await processes.until(all_ran)
+        paused = deployment.entries[1]
+        if behind == 'a paused entry':
+            paused.freeze()
+        count = (await run_counts(deployment))[LEAVER]
+        await list_as_leaving(deployment, LEAVER)
+        told_s = last_s = time.monotonic()
+        while time.monotonic() < told_s + LEAVING_S:
+            found = (await run_counts(deployment))[LEAVER]
+            if found != count:
+                count, last_s = found, time.monotonic()
+            await asyncio.sleep(processes.POLL_S)
+        record_property('last_new_run_s', last_s - told_s)
+        print(f'last new run {last_s - told_s:.3f} s after the list')
+        paused.wake()
+        before = served.copy()
+
+        async def all_served():
+            assert not any(task.done() for task in calling)
+            return all(served[e] > before[e] + 2 for e in deployment.entries)
+
+        await processes.until(all_served)
+        assert (await run_counts(deployment))[LEAVER] == count
+        for task in calling:
+            task.cancel()
+        await asyncio.wait(calling)
