Two versions side by side, over real processes

Cause: mixed versions were proved message by message only. Change: a daemon of the tests' own whose messages have a field more and the next protocol version. Under load two of three sidecars and one of two entries are replaced by it, and in the other case by the present version: each request served once, each entry's requests at each sidecar, a contract's change known everywhere, a key claimed once, reports of both entries whole and equal to what callers received.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -26,6 +26,9 @@
 START_S = 30.0
 WAIT_S = 30.0
 POLL_S = 0.02
+ROOT = pathlib.Path(__file__).parents[1]
+PROGRAM = 'from lacewingpitch import cli; cli.main()'
+NEXT_PROGRAM = 'from tests import next_version; next_version.main()'
 # For tests in which no refusal is wanted, however fast they call.
 WIDE_LIMITS = contract.Limits(
     requests_per_s=1e6,
@@ -39,8 +42,9 @@
 class Process:
     """One real process that tells its ports in its first log lines."""
 
-    def __init__(self, *arguments):
+    def __init__(self, *arguments, program=PROGRAM):
         self.arguments = arguments
+        self.program = program
         self.ports = {}
         self.log = []
 
@@ -53,8 +57,9 @@
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-c',
-            'from lacewingpitch import cli; cli.main()',
+            self.program,
             *self.arguments,
+            cwd=ROOT,
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
         )
@@ -126,6 +131,8 @@
         self.contracts = {}
         self.shard_revision = 0
         self.keys = {}
+        # What is started from now on, this version or the next.
+        self.program = PROGRAM
 
     async def __aenter__(self):
         self.session = await self._exits.enter_async_context(
@@ -138,7 +145,7 @@
         await self._exits.aclose()
 
     async def run(self, *arguments):
-        process = Process(*arguments)
+        process = Process(*arguments, program=self.program)
         self._exits.push_async_callback(process.kill)
         return await process.start()
 
@@ -211,7 +218,7 @@
         path.write_bytes(
             msgspec.json.encode(msgspec.structs.replace(found, **old.ports))
         )
-        process = Process('sidecar', str(path))
+        process = Process('sidecar', str(path), program=self.program)
         await process.spawn()
         self._exits.push_async_callback(process.kill)
         self.sidecars[number] = process
--- /dev/null
+++ b/tests/test_upgrade_processes.py
@@ -0,0 +1,206 @@
+"""Two versions side by side, over real processes."""
+
+import asyncio
+import collections
+import itertools
+
+import msgspec
+import pytest
+
+from lacewingpitch import answer
+from lacewingpitch import contract
+from lacewingpitch import report as report_module
+from lacewingpitch import work
+from tests import processes
+
+TOKEN = 'token-of-operators'
+OPERATED = {'operator_token_digest': contract.digest_key(TOKEN)}
+CUSTOMER = 'haneul'
+KEYED = 'caravan'
+CLOCKS = {'clock_skew_s': 0.5, 'list_lag_s': 5.0}
+ADAPTERS = tuple(f'ficus-{number}' for number in range(8))
+ONCE = 'fern'
+
+
+async def start(deployment):
+    deployment.add_customer(CUSTOMER, *ADAPTERS, limits=processes.WIDE_LIMITS)
+    for zone in 'abc':
+        await deployment.add_engine(availability_zone=f'zone-{zone}', **CLOCKS)
+    for _ in range(2):
+        await deployment.add_entry(**CLOCKS, **OPERATED)
+    deployment.add_customer(KEYED, ONCE, limits=processes.WIDE_LIMITS)
+    await deployment.publish()
+
+
+class Callers:
+    """Callers that press on while processes are replaced."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._in_progress = collections.Counter()
+        self._stopping = asyncio.Event()
+        self.entries = list(deployment.entries)
+        self.ids = collections.defaultdict(list)
+
+    async def call(self, entry, adapter, **fields):
+        async with self._deployment.call(
+            entry, CUSTOMER, adapter, **fields
+        ) as response:
+            body = await response.read()
+            assert response.status == 200, body
+        self.ids[entry].append(response.headers[work.REQUEST_ID_HEADER])
+        if fields.get('stream'):
+            assert body.endswith(answer.STREAM_END)
+
+    async def run(self):
+        for number in itertools.count():
+            if self._stopping.is_set():
+                return
+            entry = self.entries[number % len(self.entries)]
+            adapter = ADAPTERS[number % len(ADAPTERS)]
+            self._in_progress[entry] += 1
+            await self.call(entry, adapter, stream=number % 3 == 0)
+            self._in_progress[entry] -= 1
+
+    async def leave(self, entry):
+        """Go on without an entry, as a balancer does before SIGTERM."""
+        self.entries.remove(entry)
+
+        async def is_left():
+            return not self._in_progress[entry]
+
+        await processes.until(is_left)
+
+    def stop(self):
+        self._stopping.set()
+
+
+async def replace_sidecar(deployment, number):
+    old = deployment.sidecars[number]
+    old.terminate()
+    successor = await deployment.spawn_successor(number)
+    assert await old.exited() == 0
+    await successor.listening()
+    await deployment.ready(successor)
+
+
+async def runs(deployment):
+    """Return the requests that each engine ran, in order."""
+    truths = [await deployment.truth(e) for e in deployment.engines]
+    return [[run.run_id[:36] for run in truth.runs] for truth in truths]
+
+
+async def check_claims(deployment, entries):
+    """Send one key through entries in turn; it runs once."""
+    key = ''
+
+    async def send(entry):
+        async with deployment.call(
+            entry, KEYED, ONCE, key=key, messages=[{'content': key}]
+        ) as response:
+            return response.status, await response.read()
+
+    async def is_backed():
+        # New voters back no key from before their start.
+        nonlocal key
+        key = processes.new_key()
+        return (await send(entries[0]))[0] == 200
+
+    await processes.until(is_backed)
+    answers = [await send(entry) for entry in entries]
+    assert [status for status, _ in answers] == [200] * len(entries)
+    assert len(set(answers)) == 1
+    truths = [await deployment.truth(e) for e in deployment.engines]
+    ran = [
+        run for truth in truths for run in truth.runs if key in str(run.body)
+    ]
+    assert len(ran) == 1
+
+
+async def check_contracts(deployment, found):
+    """Change a contract, and wait until each process knows."""
+    old = deployment.contracts[CUSTOMER]
+    revision = old.revision + 1
+    deployment.contracts[CUSTOMER] = msgspec.structs.replace(
+        old, revision=revision
+    )
+    await deployment.publish_contracts()
+    for process in found:
+        await deployment.until_known(process, CUSTOMER, revision)
+
+
+async def check_account(deployment, entries, callers):
+    """Wait until reports have no gap, and hold them against the calls."""
+    received = sum(len(ids) for ids in callers.ids.values())
+    for entry in entries:
+
+        async def is_whole(entry=entry):
+            data = await report_module.fetch(entry.url, None, TOKEN)
+            found = msgspec.json.decode(data, type=report_module.Report)
+            (service,) = (s for s in found.services if s.customer == CUSTOMER)
+            return not found.gaps and service.served_count == received
+
+        await processes.until(is_whole)
+
+
+class TestRollingUpgrade:
+    @pytest.mark.parametrize(
+        'programs',
+        [
+            (processes.PROGRAM, processes.NEXT_PROGRAM),
+            (processes.NEXT_PROGRAM, processes.PROGRAM),
+        ],
+        ids=['up', 'back'],
+    )
+    async def test_both_versions_serve_and_nothing_is_lost(
+        self, tmp_path, programs
+    ):
+        """Requests fail while half of the fleet is of another release.
+
+        Two of three sidecars and one of two entries are replaced under
+        load, by processes whose messages have a field and a version
+        number more, or less.  The cause would be a message that one of
+        the versions cannot read.
+        """
+        async with processes.Deployment(tmp_path) as deployment:
+            deployment.program, other = programs
+            await start(deployment)
+            callers = Callers(deployment)
+            pressing = [asyncio.create_task(callers.run()) for _ in range(4)]
+            deployment.program = other
+            for number in (0, 1):
+                await replace_sidecar(deployment, number)
+            new = await deployment.add_entry(**CLOCKS, **OPERATED)
+            await deployment.publish_instances()
+            await deployment.ready(new)
+            callers.entries.append(new)
+            leaving, old = deployment.entries[:2]
+            everyone = (*deployment.sidecars, leaving, old, new)
+            await check_contracts(deployment, everyone)
+            await check_claims(deployment, (old, new))
+            await callers.leave(leaving)
+            leaving.terminate()
+            assert await leaving.exited() == 0
+            deployment.instances = [
+                i for i in deployment.instances if i.name != 'entry-0'
+            ]
+            await deployment.publish_instances()
+
+            async def each_met_each():
+                assert not any(task.done() for task in pressing)
+                ran = await runs(deployment)
+                return all(
+                    set(ids) & set(callers.ids[entry])
+                    for ids in ran
+                    for entry in (old, new)
+                )
+
+            await processes.until(each_met_each)
+            callers.stop()
+            await asyncio.gather(*pressing)
+            counts = collections.Counter(sum(await runs(deployment), []))
+            for ids in callers.ids.values():
+                assert all(counts[request_id] == 1 for request_id in ids)
+            await check_account(deployment, (old, new), callers)
+            for process in everyone:
+                assert not process.has_logged('control handler failed')
