--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -75,23 +75,50 @@
     'cannot happen: a sidecar decides an eviction by its own holds and the '
     "engine's report alone, and reads neither {} for it"
 )
+_LEAVING_ASKS_NONE = (
+    'cannot happen: a sidecar refuses new work at admission by SIGTERM and '
+    'the list of instances alone, before it asks the engine and without '
+    'any contract'
+)
+_NO_ENGINE_ORDERS_AT_ENTRIES = (
+    'cannot happen: it is kept by entries, and fencing numbers pass '
+    'between a sidecar and its engine only'
+)
 
 # Cells that cannot happen, with the reason.
-IMPOSSIBLE: dict[tuple[Promise, Fault], str] = {
-    (Promise.CONTRACTS, fault): _NO_ENGINE_HOLDS_A_CONTRACT
-    for fault in (
-        Fault.ENGINE_EMPTY,
-        Fault.LOAD_FAILS,
-        Fault.FENCING_IGNORED,
-        Fault.ENGINE_LATE,
-        Fault.STREAM_CUT,
-    )
-} | {
-    (Promise.NO_EVICTION, fault): _EVICTION_READS_NONE.format(
-        'contracts nor lists'
-    )
-    for fault in (Fault.CONFIG_STALE, Fault.LIST_WRONG)
-}
+IMPOSSIBLE: dict[tuple[Promise, Fault], str] = (
+    {
+        (Promise.CONTRACTS, fault): _NO_ENGINE_HOLDS_A_CONTRACT
+        for fault in (
+            Fault.ENGINE_EMPTY,
+            Fault.LOAD_FAILS,
+            Fault.FENCING_IGNORED,
+            Fault.ENGINE_LATE,
+            Fault.STREAM_CUT,
+        )
+    }
+    | {
+        (Promise.NO_EVICTION, fault): _EVICTION_READS_NONE.format(
+            'contracts nor lists'
+        )
+        for fault in (Fault.CONFIG_STALE, Fault.LIST_WRONG)
+    }
+    | {
+        (Promise.LEAVING, fault): _LEAVING_ASKS_NONE
+        for fault in (
+            Fault.CONFIG_DOWN,
+            Fault.CONFIG_STALE,
+            Fault.ENGINE_EMPTY,
+            Fault.LOAD_FAILS,
+            Fault.FENCING_IGNORED,
+            Fault.ENGINE_LATE,
+        )
+    }
+    | {
+        (promise, Fault.FENCING_IGNORED): _NO_ENGINE_ORDERS_AT_ENTRIES
+        for promise in (Promise.LIMITS, Promise.ACCOUNT)
+    }
+)
 
 
 class _Collector:
