--- a/tests/processes.py
+++ b/tests/processes.py
@@ -28,6 +28,9 @@
 START_S = 30.0
 WAIT_S = 30.0
 POLL_S = 0.02
+ROOT = pathlib.Path(__file__).parents[1]
+PROGRAM = 'from lacewingpitch import cli; cli.main()'
+NEXT_PROGRAM = 'from tests import next_version; next_version.main()'
 # For tests in which no refusal is wanted, however fast they call.
 WIDE_LIMITS = contract.Limits(
     requests_per_s=1e6,
@@ -41,8 +44,9 @@
 class Process:
     """One real process that tells its ports in its first log lines."""
 
-    def __init__(self, *arguments, cwd=None):
+    def __init__(self, *arguments, program=PROGRAM, cwd=ROOT):
         self.arguments = arguments
+        self.program = program
         self._cwd = cwd
         self.ports = {}
         self.log = []
@@ -56,7 +60,7 @@
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-c',
-            'from lacewingpitch import cli; cli.main()',
+            self.program,
             *self.arguments,
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
@@ -121,7 +125,7 @@
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
         # The folder whose code the processes started next run.
-        self.cwd = None
+        self.cwd = ROOT
         self._exits = contextlib.AsyncExitStack()
         self.secret = secrets.token_hex()
         self.entries = []
@@ -132,6 +136,8 @@
         self.contracts = {}
         self.shard_revision = 0
         self.keys = {}
+        # What is started from now on, this version or the next.
+        self.program = PROGRAM
 
     async def __aenter__(self):
         self.session = await self._exits.enter_async_context(
@@ -147,7 +153,7 @@
         return await self._start(self._new(*arguments))
 
     def _new(self, *arguments):
-        return Process(*arguments, cwd=self.cwd)
+        return Process(*arguments, program=self.program, cwd=self.cwd)
 
     async def _start(self, process):
         self._exits.push_async_callback(process.kill)
