The new fakes take the sample order and sidecar too

fake_sidecars and test_attempts built the same order and instance as others did; they name what their tests are about.

--- a/tests/fake_sidecars.py
+++ b/tests/fake_sidecars.py
@@ -11,7 +11,6 @@
 
 from lacewingpitch import answer
 from lacewingpitch import clock as clock_module
-from lacewingpitch import contract
 from lacewingpitch import dispatch
 from lacewingpitch import ejection
 from lacewingpitch import errors
@@ -23,6 +22,7 @@
 from lacewingpitch import sidecar_link
 from lacewingpitch import voiding
 from lacewingpitch import work
+from tests import samples
 
 IP = '127.0.0.1'
 ErrorKind = errors.ErrorKind
@@ -121,16 +121,10 @@
             sidecar.kinds = kinds
 
     async def send(self, repeatable=True, deadline_s=5.0):
-        order = work.WorkOrder(
+        order = samples.order(
             request_id=str(uuid_utils.uuid7()),
             attempt=0,
-            customer='haneul',
-            contract_revision=1,
-            urgency=contract.Urgency.STANDARD,
-            weight=1.0,
             deadline_s=deadline_s,
-            method='POST',
-            path='/',
             repeatable=repeatable,
             service='plain',
         )
@@ -153,14 +147,10 @@
             live_list.InstanceList(
                 1,
                 tuple(
-                    live_list.Instance(
-                        name=f'sidecar-{number}',
-                        role=live_list.Role.SIDECAR,
-                        region='region-a',
-                        availability_zone='zone-a',
+                    samples.sidecar(
+                        f'sidecar-{number}',
                         ip=IP,
                         work_port=sidecar.port,
-                        control_port=1,
                         serves='plain',
                     )
                     for number, sidecar in enumerate(sidecars)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,11 +8,9 @@
 
 from lacewingpitch import attempts
 from lacewingpitch import clock as clock_module
-from lacewingpitch import contract
 from lacewingpitch import errors
 from lacewingpitch import node as node_module
 from lacewingpitch import settings as settings_module
-from lacewingpitch import work
 from tests import samples
 
 
@@ -46,15 +44,9 @@
         empty; the entry asks for the stream again.  The load for it is
         refused as "not run", so that the entry sends it elsewhere.
         """
-        order = work.WorkOrder(
+        order = samples.order(
             request_id=str(uuid_utils.uuid7()),
-            attempt=1,
-            customer='haneul',
-            contract_revision=1,
-            urgency=contract.Urgency.STANDARD,
-            weight=1.0,
             deadline_s=5.0,
-            method='POST',
             path='/v1/completions',
             repeatable=False,
             stream=True,
