--- a/tests/processes.py
+++ b/tests/processes.py
@@ -44,10 +44,10 @@
 class Process:
     """One real process that tells its ports in its first log lines."""
 
-    def __init__(self, *arguments, program=PROGRAM, cwd=ROOT):
+    def __init__(self, *arguments, program=PROGRAM, cwd=None):
         self.arguments = arguments
-        self.program = program
-        self._cwd = cwd
+        self._program = program
+        self._cwd = cwd or ROOT
         self.ports = {}
         self.log = []
 
@@ -60,7 +60,7 @@
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-c',
-            self.program,
+            self._program,
             *self.arguments,
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
