--- a/benchmarks/path_relay.py
+++ b/benchmarks/path_relay.py
@@ -121,7 +121,3 @@
 def main(kind, ports):
     """Relay to each of some ports, and print the ports to call."""
     uvloop.run(serve(kind, ports))
-
-
-if __name__ == '__main__':
-    main()
