--- a/lacewingpitch/engine.py
+++ b/lacewingpitch/engine.py
@@ -10,6 +10,7 @@
 
 from lacewingpitch import contract
 from lacewingpitch import errors
+from lacewingpitch import idle_timeout
 from lacewingpitch import platform_call
 
 _ORDER_TIMEOUT_S = 120.0
@@ -248,18 +249,24 @@
             'X-Fencing': str(call.fencing),
         }
         timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=_CONNECT_TIMEOUT_S,
-            sock_read=_SILENCE_TIMEOUT_S,
+            total=None, sock_connect=_CONNECT_TIMEOUT_S
         )
-        with platform_call.platform_errors('engine'):
+        # An engine that hangs keeps its connection and sends nothing, and
+        # its requests would wait for ever.  The library's own timeout for
+        # that sets a timer for each piece that comes.
+        silence = idle_timeout.IdleTimeout(_SILENCE_TIMEOUT_S)
+        with (
+            contextlib.closing(silence),
+            platform_call.platform_errors('engine'),
+        ):
             try:
-                response = await self._session.post(
-                    f'{self._url}{path}',
-                    data=body,
-                    headers=headers,
-                    timeout=timeout,
-                )
+                with silence:
+                    response = await self._session.post(
+                        f'{self._url}{path}',
+                        data=body,
+                        headers=headers,
+                        timeout=timeout,
+                    )
             except (
                 aiohttp.ClientConnectorError,
                 aiohttp.ConnectionTimeoutError,
@@ -274,10 +281,21 @@
                     response.status,
                     response.content_type,
                     response.headers.get('X-Adapter', ''),
-                    response.content.iter_any(),
+                    _chunks(response.content, silence),
                 )
 
 
+async def _chunks(
+    content: aiohttp.StreamReader, silence: idle_timeout.IdleTimeout
+) -> AsyncIterator[bytes]:
+    while True:
+        with silence:
+            chunk = await content.readany()
+        if not chunk:
+            return
+        yield chunk
+
+
 def _with_model(body: bytes, model: str) -> bytes:
     call = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
     call['model'] = msgspec.Raw(msgspec.json.encode(model))
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 
 import aiohttp
@@ -6,9 +7,35 @@
 
 from lacewingpitch import contract
 from lacewingpitch import engine
+from lacewingpitch import errors
 from lacewingpitch import http_server
 
 IP = '127.0.0.1'
+WAIT_S = 30.0
+
+
+@contextlib.asynccontextmanager
+async def call_engine(complete, urgency=contract.Urgency.STANDARD):
+    """Call an engine that answers by `complete`; give its answer."""
+    async with contextlib.AsyncExitStack() as held:
+        server = http_server.HttpServer(1 << 20)
+        server.route('POST', '/v1/completions', complete)
+        await server.start(IP, 0)
+        held.push_async_callback(server.close)
+        session = await held.enter_async_context(aiohttp.ClientSession())
+        call = engine.EngineCall(
+            run_id='run',
+            path='/v1/completions',
+            adapter=contract.AdapterGrant(
+                name='ficus', version='1', base_model='base'
+            ),
+            body=b'{}',
+            stream=False,
+            urgency=urgency,
+            fencing=1,
+        )
+        calls = engine.HttpEngine(session, f'http://{IP}:{server.port}')
+        yield await held.enter_async_context(calls.run(call))
 
 
 class TestPriority:
@@ -20,24 +47,33 @@
             seen.append(request.headers['X-Priority'])
             return web.Response()
 
-        async with contextlib.AsyncExitStack() as held:
-            server = http_server.HttpServer(1 << 20)
-            server.route('POST', '/v1/completions', complete)
-            await server.start(IP, 0)
-            held.push_async_callback(server.close)
-            session = await held.enter_async_context(aiohttp.ClientSession())
-            call = engine.EngineCall(
-                run_id='run',
-                path='/v1/completions',
-                adapter=contract.AdapterGrant(
-                    name='ficus', version='1', base_model='base'
-                ),
-                body=b'{}',
-                stream=False,
-                urgency=urgency,
-                fencing=1,
-            )
-            calls = engine.HttpEngine(session, f'http://{IP}:{server.port}')
-            async with calls.run(call) as answer:
-                assert answer.status == 200
+        async with call_engine(complete, urgency) as answer:
+            assert answer.status == 200
         assert seen == [urgency.value]
+
+
+class TestSilence:
+    @pytest.mark.parametrize('event_count', [0, 1])
+    async def test_ends_the_run(self, event_count, monkeypatch):
+        """A request waits for ever, and holds its place at the engine.
+
+        The engine takes the request, sends nothing or a first event, and
+        hangs; its connection stays open, so nothing else ends the wait.
+        """
+        monkeypatch.setattr(engine, '_SILENCE_TIMEOUT_S', 0.05)
+        event = b'data: 1\n\n'
+
+        async def complete(request):
+            response = web.StreamResponse()
+            if event_count:
+                await response.prepare(request)
+                await response.write(event)
+            await asyncio.Event().wait()
+
+        got = []
+        async with asyncio.timeout(WAIT_S):
+            with pytest.raises(errors.PlatformError):
+                async with call_engine(complete) as answer:
+                    async for chunk in answer.chunks:
+                        got.append(chunk)
+        assert got == [event] * event_count
