--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -1,7 +1,6 @@
 """The command line."""
 
 import asyncio
-import gc
 import logging
 import pathlib
 import signal
@@ -33,8 +32,6 @@
 _PATH = click.Path(exists=True, path_type=pathlib.Path)
 _FOLDER = click.Path(file_okay=False, path_type=pathlib.Path)
 _PROBLEMS_EXIT_CODE = 1
-# New containers, less those freed, between two passes of the collector.
-_COLLECT_EVERY = 10_000
 
 
 class Daemon(Protocol):
@@ -362,21 +359,12 @@
         raise click.ClickException(f'cannot listen: {error}') from error
 
 
-def _relax_collector() -> None:
-    # What a process holds for good is not looked through again, and the
-    # objects of some requests come and go between two passes.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(_COLLECT_EVERY)
-
-
 async def _serve_until_signal(daemon: Daemon) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     await daemon.start()
-    _relax_collector()
     log.info('listening', **daemon.ports())
     await stopping.wait()
     log.info('stopping')
