--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -291,8 +291,8 @@
     """Start a bare relay before every engine; give it and its URLs."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        '-m',
-        'benchmarks.path_relay',
+        '-c',
+        'from benchmarks import path_relay; path_relay.main()',
         kind,
         *(str(e.ports['work_port']) for e in deployment.engines),
         stdout=asyncio.subprocess.PIPE,
--- a/benchmarks/path_relay.py
+++ b/benchmarks/path_relay.py
@@ -3,6 +3,7 @@
 ``http`` is the HTTP library's own server and client with no code of ours
 between them.  ``bytes`` moves bytes between two connections, which is
 the least that one process of the event loop can do: its system calls.
+`benchmarks.path` starts them.
 """
 
 import asyncio
@@ -121,7 +122,3 @@
 def main(kind, ports):
     """Relay to each of some ports, and print the ports to call."""
     uvloop.run(serve(kind, ports))
-
-
-if __name__ == '__main__':
-    main()
