--- a/benchmarks/path_relay.py
+++ b/benchmarks/path_relay.py
@@ -3,6 +3,7 @@
 ``http`` is the HTTP library's own server and client with no code of ours
 between them.  ``bytes`` moves bytes between two connections, which is
 the least that one process of the event loop can do: its system calls.
+`benchmarks.path` starts them.
 """
 
 import asyncio
