--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 
 .PHONY: demo test lint format bench bench-account bench-claims \
 	bench-contracts bench-hop bench-limits bench-order bench-policy bench-retries \
+	bench-homes bench-silence \
 	capacity fault-matrix fault-matrix-check
 
 $(STAMP): pyproject.toml constraints.txt
@@ -43,6 +44,9 @@
 bench-hop: $(STAMP)
 	$(BIN)/python -m benchmarks.path_hop
 
+bench-homes: $(STAMP)
+	$(BIN)/python -m benchmarks.home_questions
+
 bench-limits: $(STAMP)
 	$(BIN)/python -m benchmarks.limits
 
@@ -55,6 +59,9 @@
 bench-retries: $(STAMP)
 	$(BIN)/python -m benchmarks.retries
 
+bench-silence: $(STAMP)
+	$(BIN)/python -m benchmarks.silence
+
 capacity: $(STAMP)
 	$(BIN)/python -m benchmarks.capacity
 
--- a/tests/account_fleet.py
+++ b/tests/account_fleet.py
@@ -10,23 +10,13 @@
 from lacewingpitch import contract_book
 from lacewingpitch import errors
 from lacewingpitch import link
-from lacewingpitch import live_list
 from lacewingpitch import report
+from tests import clocks
+from tests import samples
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 
 
-class FleetClock:
-    def __init__(self):
-        self.now_s = 1_800_000_000.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
-
-
 class Entry:
     """One incarnation of an entry: its account, copies and reporter."""
 
@@ -40,13 +30,9 @@
             ),
             fleet.clock,
         )
-        self.instance = live_list.Instance(
-            name=name,
-            role=live_list.Role.ENTRY,
-            region='region-a',
+        self.instance = samples.entry(
+            name,
             availability_zone=zone,
-            ip='127.0.0.1',
-            work_port=self.port,
             control_port=self.port,
             started_at_s=fleet.clock.wall_s(),
         )
@@ -92,7 +78,7 @@
     """The entries that live, and the list that names them."""
 
     def __init__(self, size=3):
-        self.clock = FleetClock()
+        self.clock = clocks.ManualClock(clocks.WALL_START_S)
         self.ports = itertools.count(1)
         self.by_port = {}
         self.cut_off = set()
--- a/tests/contract_fakes.py
+++ b/tests/contract_fakes.py
@@ -10,17 +10,8 @@
 from lacewingpitch import live_list
 from lacewingpitch import membership
 from lacewingpitch import published_contracts
-
-
-class ManualClock:
-    def __init__(self):
-        self.now_s = 1000.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
+from tests import clocks
+from tests import samples
 
 
 class FakeService:
@@ -101,13 +92,10 @@
 
     @property
     def instance(self):
-        return live_list.Instance(
-            name=self.name,
+        return samples.sidecar(
+            self.name,
             role=self.role,
-            region='region-a',
             availability_zone=f'zone-{self.number % 2}',
-            ip='127.0.0.1',
-            work_port=0,
             control_port=self.number,
         )
 
@@ -138,7 +126,7 @@
     """Nodes that reach each other unless the pair is in `cut`."""
 
     def __init__(self, *roles):
-        self.clock = ManualClock()
+        self.clock = clocks.ManualClock(1000.0)
         self.cut = set()
         self.sent_bytes = []
         self.sent_kinds = set()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,15 +15,22 @@
 import uuid_utils
 
 from lacewingpitch import contract
+from lacewingpitch import contract_gossip
+from lacewingpitch import ledger
+from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import settings
 from lacewingpitch import standin_engine
 from lacewingpitch import standin_service
+from lacewingpitch import voiding
 
 IP = '127.0.0.1'
 START_S = 30.0
 WAIT_S = 30.0
 POLL_S = 0.02
+ROOT = pathlib.Path(__file__).parents[1]
+PROGRAM = 'from lacewingpitch import cli; cli.main()'
+NEXT_PROGRAM = 'from tests import next_version; next_version.main()'
 # For tests in which no refusal is wanted, however fast they call.
 WIDE_LIMITS = contract.Limits(
     requests_per_s=1e6,
@@ -37,8 +44,10 @@
 class Process:
     """One real process that tells its ports in its first log lines."""
 
-    def __init__(self, *arguments):
+    def __init__(self, *arguments, program=PROGRAM, cwd=None):
         self.arguments = arguments
+        self._program = program
+        self._cwd = cwd or ROOT
         self.ports = {}
         self.log = []
 
@@ -51,10 +60,11 @@
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-c',
-            'from lacewingpitch import cli; cli.main()',
+            self._program,
             *self.arguments,
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
+            cwd=self._cwd,
         )
         self._listening = asyncio.Event()
         self._reading = asyncio.create_task(self._read_log(self._listening))
@@ -114,6 +124,8 @@
 
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
+        # The folder whose code the processes started next run.
+        self.cwd = ROOT
         self._exits = contextlib.AsyncExitStack()
         self.secret = secrets.token_hex()
         self.entries = []
@@ -124,6 +136,8 @@
         self.contracts = {}
         self.shard_revision = 0
         self.keys = {}
+        # What is started from now on, this version or the next.
+        self.program = PROGRAM
 
     async def __aenter__(self):
         self.session = await self._exits.enter_async_context(
@@ -136,10 +150,27 @@
         await self._exits.aclose()
 
     async def run(self, *arguments):
-        process = Process(*arguments)
+        return await self._start(self._new(*arguments))
+
+    def _new(self, *arguments):
+        return Process(*arguments, program=self.program, cwd=self.cwd)
+
+    async def _start(self, process):
         self._exits.push_async_callback(process.kill)
         return await process.start()
 
+    async def start_engine(self, *options):
+        """Start a stand-in engine alone."""
+        engine = self._new('standin', 'engine', *options)
+        self.engines.append(engine)
+        return await self._start(engine)
+
+    async def start_service(self, *options):
+        """Start a stand-in service alone."""
+        service = self._new('standin', 'service', *options)
+        self.services.append(service)
+        return await self._start(service)
+
     async def add_engine(
         self,
         *options,
@@ -149,8 +180,7 @@
         **fields,
     ):
         """Start a stand-in engine and the sidecar beside it."""
-        engine = await self.run('standin', 'engine', *options)
-        self.engines.append(engine)
+        engine = await self.start_engine(*options)
         port = engine.ports['work_port']
         return await self.add_sidecar(
             settings.EngineSettings(
@@ -164,8 +194,7 @@
 
     async def add_service(self, *options, **fields):
         """Start a stand-in service and the sidecar beside it."""
-        service = await self.run('standin', 'service', *options)
-        self.services.append(service)
+        service = await self.start_service(*options)
         port = service.ports['work_port']
         return await self.add_sidecar(
             settings.ServiceSettings(
@@ -181,19 +210,21 @@
         found = settings.SidecarSettings(
             **self._process(name, **fields), backend_server=backend_server
         )
-        process = await self.run('sidecar', self._write(name, found))
+        process = self._new('sidecar', self._write(name, found))
         self.sidecars.append(process)
-        self.instances.append(
-            live_list.Instance(
-                name=name,
-                role=live_list.Role.SIDECAR,
-                region=found.region,
-                availability_zone=found.availability_zone,
-                ip=IP,
-                work_port=process.ports['work_port'],
-                control_port=process.ports['control_port'],
-                serves=getattr(backend_server, 'base_model', 'plain'),
-            )
+        # Those that start together keep the order of the calls.
+        number = len(self.instances)
+        self.instances.append(None)
+        await self._start(process)
+        self.instances[number] = live_list.Instance(
+            name=name,
+            role=live_list.Role.SIDECAR,
+            region=found.region,
+            availability_zone=found.availability_zone,
+            ip=IP,
+            work_port=process.ports['work_port'],
+            control_port=process.ports['control_port'],
+            serves=getattr(backend_server, 'base_model', 'plain'),
         )
         return process
 
@@ -209,7 +240,7 @@
         path.write_bytes(
             msgspec.json.encode(msgspec.structs.replace(found, **old.ports))
         )
-        process = Process('sidecar', str(path))
+        process = self._new('sidecar', str(path))
         await process.spawn()
         self._exits.push_async_callback(process.kill)
         self.sidecars[number] = process
@@ -218,18 +249,20 @@
     async def add_entry(self, **fields):
         name = f'entry-{len(self.entries)}'
         found = settings.EntrySettings(**self._process(name, **fields))
-        process = await self.run('entry', self._write(name, found))
+        process = self._new('entry', self._write(name, found))
         self.entries.append(process)
-        self.instances.append(
-            live_list.Instance(
-                name=name,
-                role=live_list.Role.ENTRY,
-                region=found.region,
-                availability_zone=found.availability_zone,
-                ip=IP,
-                work_port=process.ports['work_port'],
-                control_port=process.ports['control_port'],
-            )
+        # Those that start together keep the order of the calls.
+        number = len(self.instances)
+        self.instances.append(None)
+        await self._start(process)
+        self.instances[number] = live_list.Instance(
+            name=name,
+            role=live_list.Role.ENTRY,
+            region=found.region,
+            availability_zone=found.availability_zone,
+            ip=IP,
+            work_port=process.ports['work_port'],
+            control_port=process.ports['control_port'],
         )
         return process
 
@@ -280,23 +313,38 @@
             **fields,
         )
 
-    async def publish_contracts(self):
+    async def publish_contracts(self, platform=None, contracts=None):
+        """Publish contracts, all of them and at `platform` by default."""
         self.shard_revision += 1
         revision = self.shard_revision
+        platform = platform or self.platform
+        contracts = self.contracts if contracts is None else contracts
         await self.put(
-            self.platform,
+            platform,
             '/v1/values/contracts.0',
-            {
-                'revision': revision,
-                'contracts': tuple(self.contracts.values()),
-            },
+            {'revision': revision, 'contracts': tuple(contracts.values())},
         )
         await self.put(
-            self.platform,
+            platform,
             '/v1/values/contracts.index',
             {'shards': [{'name': 'contracts.0', 'revision': revision}]},
         )
 
+    async def until_known(self, process, customer, revision):
+        """Wait until a process knows a revision, by asking it as a peer."""
+        sealer = link.Sealer('test', self.secret, 'test')
+        peer = link.Peer(sealer, IP, process.ports['control_port'])
+        request = contract_gossip.ContractsRequest(customers=(customer,))
+
+        async def is_known():
+            reply = await peer.ask(
+                request, contract_gossip.ContractsReply, WAIT_S
+            )
+            return reply.versions[0].version.revision >= revision
+
+        with contextlib.closing(peer):
+            await until(is_known)
+
     async def publish(self):
         """Publish instances and contracts, and wait for the entries."""
         await self.publish_instances()
@@ -317,6 +365,18 @@
         ) as response:
             assert response.status == 200
 
+    async def promises(self, instance):
+        """Return whether a sidecar, being new, promises not to run."""
+        sealer = link.Sealer('test', self.secret, 'entry-0')
+        attempt_id = voiding.attempt_id(new_key(), 1)
+        with contextlib.closing(link.PeerPool(sealer)) as peers:
+            reply = await peers.peer(instance.ip, instance.control_port).ask(
+                voiding.VoidRequest(attempt_id=attempt_id),
+                voiding.VoidReply,
+                WAIT_S,
+            )
+        return reply.state is ledger.RunState.VOID
+
     async def truth(self, engine):
         async with self.session.get(engine.url + '/truth') as response:
             return msgspec.json.decode(
@@ -330,26 +390,31 @@
                 type=list[standin_service.ServiceRun],
             )
 
-    def call_service(self, entry, customer, path, *, method='POST', data=b''):
+    def call_service(
+        self, entry, customer, path, *, method='POST', data=b'', key=''
+    ):
         """Send a call to the plain service; use as an async context."""
         return self.session.request(
             method,
             f'{entry.url}/services/plain/{path}',
             data=data,
-            headers={'Authorization': f'Bearer {self.keys[customer]}'},
+            headers=self._headers(customer, key),
         )
 
     def call(self, entry, customer, adapter, *, key='', **fields):
         """Send a completion; use as an async context."""
-        headers = {'Authorization': f'Bearer {self.keys[customer]}'}
-        if key:
-            headers['Idempotency-Key'] = key
         return self.session.post(
             entry.url + '/v1/chat/completions',
             json={'model': adapter, 'messages': [], **fields},
-            headers=headers,
+            headers=self._headers(customer, key),
         )
 
+    def _headers(self, customer, key):
+        headers = {'Authorization': f'Bearer {self.keys[customer]}'}
+        if key:
+            headers['Idempotency-Key'] = key
+        return headers
+
 
 async def until(predicate, timeout_s=WAIT_S):
     """Wait for a condition instead of for a time."""
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -7,7 +7,6 @@
 
 from lacewingpitch import ballot as ballot_module
 from lacewingpitch import claim
-from lacewingpitch import contract
 from lacewingpitch import errors
 from lacewingpitch import idempotency
 from lacewingpitch import live_list
@@ -15,8 +14,9 @@
 from lacewingpitch import runs
 from lacewingpitch import voter
 from lacewingpitch import voter_link
-from lacewingpitch import work
+from tests import clocks
 from tests import fault_matrix
+from tests import samples
 from tests import test_voter
 
 Promise = fault_matrix.Promise
@@ -31,7 +31,7 @@
     """Sidecars' voters and claims, linked in memory."""
 
     def __init__(self, count=5):
-        self.clock = test_voter.FakeClock()
+        self.clock = clocks.ManualClock(test_voter.START_S)
         self.listed = test_voter.instances(count)
         self.voters = {}
         self.claims = {}
@@ -50,24 +50,15 @@
         self.claims[name] = claim.Claims(name, self, known, self.clock, 600.0)
 
     def order(self, attempt=1, **fields):
-        return work.WorkOrder(
-            **{
-                'request_id': 'request-1',
-                'attempt': attempt,
-                'customer': 'haneul',
-                'contract_revision': 1,
-                'urgency': contract.Urgency.STANDARD,
-                'weight': 1.0,
-                'deadline_s': 5.0,
-                'method': 'POST',
-                'path': '/water',
-                'repeatable': False,
-                'service': 'plain',
-                'idempotency_key': test_voter.key_at(self.clock.now_s),
-                'region': 'region-a',
-            }
-            | fields
-        )
+        defaults = {
+            'path': '/water',
+            'repeatable': False,
+            'service': 'plain',
+            'idempotency_key': test_voter.key_at(self.clock.now_s),
+            'region': 'region-a',
+            'deadline_s': 5.0,
+        }
+        return samples.order(attempt=attempt, **(defaults | fields))
 
     def check(self, kind, name):
         self.asked[kind] += 1
@@ -154,6 +145,33 @@
         await fleet.run('sidecar-0', fleet.order(), work_done=service)
         assert service.runs == 1
 
+    async def test_asks_no_more_voters_than_it_needs(self, fleet, service):
+        await fleet.run('sidecar-0', fleet.order(), work_done=service)
+        assert fleet.asked == {'vote': 4}
+        fleet.clock.now_s += 1.0
+        order = fleet.order()
+        fleet.asked.clear()
+        async with fleet.claims['sidecar-0'].claim(order, BODY) as found:
+            async with found.collecting():
+                pass
+        assert fleet.asked == {'vote': 4, 'withdraw': 4}
+
+    @pytest.mark.proves(Promise.AT_MOST_ONCE, Fault.FROZEN, Step.QUEUED)
+    @pytest.mark.parametrize('frozen', range(5))
+    async def test_does_without_a_voter_that_is_frozen(
+        self, fleet, service, frozen
+    ):
+        """Keyed requests wait a second each while one sidecar is frozen.
+
+        It is a voter of their keys, does not answer, and the claim needs
+        four of five.  The cause would be a claim that asks four and waits
+        for each of them.
+        """
+        fleet.delayed = {f'sidecar-{frozen}': asyncio.Event()}
+        async with asyncio.timeout(0.5):
+            await fleet.run('sidecar-0', fleet.order(), work_done=service)
+        assert service.runs == 1
+
     @pytest.mark.proves(
         Promise.AT_MOST_ONCE, Fault.DUPLICATE, Step.BEFORE_ADMISSION
     )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,9 @@
 from lacewingpitch import errors
 from lacewingpitch import live_list
 from lacewingpitch import membership
-from tests import contract_fakes
+from tests import clocks
 from tests import fault_matrix
+from tests import samples
 
 Promise = fault_matrix.Promise
 Fault = fault_matrix.Fault
@@ -17,16 +18,7 @@
 
 
 def make_instance(name, **fields):
-    defaults = {
-        'role': live_list.Role.SIDECAR,
-        'region': 'region-a',
-        'availability_zone': 'zone-a',
-        'ip': '127.0.0.1',
-        'work_port': 1,
-        'control_port': 2,
-        'serves': 'base',
-    }
-    return live_list.Instance(name=name, **(defaults | fields))
+    return samples.sidecar(name, serves='base', **fields)
 
 
 def publish(members, revision, *instances):
@@ -39,7 +31,7 @@
 
 @pytest.fixture
 def clock():
-    return contract_fakes.ManualClock()
+    return clocks.ManualClock(1000.0)
 
 
 @pytest.fixture
@@ -222,7 +214,7 @@
             self.check(steps)
 
     def check(self, steps):
-        clock = contract_fakes.ManualClock()
+        clock = clocks.ManualClock()
         members = membership.Membership(clock)
         state = live_list.InstanceState.LIVE
         suspect_until_s = leaving_until_s = 0.0
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -5,14 +5,17 @@
 import aiohttp
 import pytest
 
-from lacewingpitch import account as account_module
 from lacewingpitch import account_copy
+from lacewingpitch import account_counters
 from lacewingpitch import account_query
 from lacewingpitch import contract
+from lacewingpitch import errors
 from lacewingpitch import http_server
 from lacewingpitch import report as report_module
+from lacewingpitch import report_gaps
 from lacewingpitch import report_page
 from lacewingpitch import report_server
+from lacewingpitch import report_text
 from tests import account_fleet
 from tests import fault_matrix
 
@@ -100,7 +103,7 @@
         held = fleet.entries['entry-2'].holder.account(
             owner.account.account_id
         )
-        counter = account_module.Counter.SERVED
+        counter = account_counters.Counter.SERVED
         assert held.rows.row('haneul')[counter] == 2
 
 
@@ -231,6 +234,19 @@
         for name in ('src=', 'href="http', '@import', 'url(http'):
             assert name not in page
 
+    async def test_writes_its_times_out(self):
+        """A manager reads '6.55e+04' below the plot of slow answers."""
+        fleet = account_fleet.Fleet(1)
+        found = fleet.entries['entry-0']
+        with found.account.counted('id') as tally:
+            found.account.identify(tally, fleet.contract('haneul'))
+            fleet.clock.now_s += 60.0
+            tally.wrote(1)
+            tally.delivered()
+        page = report_page.render(await found.reporter.assemble())
+        assert '>65536<' in page
+        assert 'e+' not in page
+
     async def test_says_its_gaps_first(self):
         fleet = account_fleet.Fleet()
         fleet.entries['entry-0'].serve('haneul')
@@ -266,15 +282,13 @@
         )
         self.server.add_routes(server)
         await server.start('127.0.0.1', 0)
+        self.url = f'http://127.0.0.1:{server.port}'
 
         async def status(path, authorization):
             headers = {'Authorization': authorization}
             async with (
                 aiohttp.ClientSession() as session,
-                session.get(
-                    f'http://127.0.0.1:{server.port}{path}',
-                    headers=headers,
-                ) as response,
+                session.get(self.url + path, headers=headers) as response,
             ):
                 return response.status
 
@@ -299,6 +313,31 @@
     async def test_by_token(self, ask, path, token, status):
         assert await ask(path, f'Bearer {token}') == status
 
+    @pytest.mark.parametrize(
+        ('customer', 'token', 'reason'),
+        [
+            (None, 'wrong', '401: the token is neither'),
+            ('caravan', KEY, '401: the token is neither'),
+            ('nobody', TOKEN, '404: .* has no contract'),
+        ],
+    )
+    async def test_command_says_why_it_got_none(
+        self, ask, customer, token, reason
+    ):
+        with pytest.raises(errors.PlatformError, match=reason):
+            await report_module.fetch(self.url, customer, token)
+
+    @pytest.mark.parametrize(
+        ('url', 'reason'),
+        [
+            ('127.0.0.1:1', 'Expected a URL such as http'),
+            ('http://127.0.0.1:1', 'Cannot connect to host 127.0.0.1:1'),
+        ],
+    )
+    async def test_command_says_what_it_did_not_reach(self, url, reason):
+        with pytest.raises(errors.PlatformError, match=reason):
+            await report_module.fetch(url, None, TOKEN)
+
     async def test_browser_gives_the_token_as_password(self, ask):
         given = base64.b64encode(f'anyone:{TOKEN}'.encode()).decode()
         assert await ask('/report', f'Basic {given}') == 200
@@ -326,14 +365,14 @@
 
 class TestGapText:
     def test_names_instance_from_and_to(self):
-        gap = report_module.Gap(
+        gap = report_gaps.Gap(
             instance='entry-2',
             availability_zone='zone-a',
             from_s=0.0,
             to_s=None,
             reason='not reached',
         )
-        text = report_module.describe_gap(gap)
+        text = report_text.describe_gap(gap)
         assert 'entry-2' in text
         assert '1970-01-01 00:00:00 UTC' in text
         assert 'an unknown time' in text
