--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -919,6 +919,10 @@
     messages = {
         'a vote': (vote, voter.VoteReply(verdict=voter.Verdict.GRANTED)),
         'a question to a home': (_question(names[:2]), placed),
+        'one that tells of parked ones': (
+            _question(names[:2], directory.standing(names[0])),
+            placed,
+        ),
         'one that names 6 more': (_question(names), placed),
         'a request for a permit': (
             permit,
@@ -936,9 +940,14 @@
         print(f'{name}: {size_bytes:,} bytes')
 
 
-def _question(proposals: tuple[str, ...]) -> directory.LocateRequest:
+def _question(
+    proposals: tuple[str, ...], parked_below: int = 0
+) -> directory.LocateRequest:
     return directory.LocateRequest(
-        key='adapter-00001@v1', wanted=1, proposals=proposals
+        key='adapter-00001@v1',
+        wanted=1,
+        proposals=proposals,
+        parked_below=parked_below,
     )
 
 
