Fault cells: an engine that runs other adapters, and no new work while leaving

Change: a sidecar that drains or is listed as leaving is held to run nothing that is asked after it refuses (cells "during drain" and the operators' race); an engine that runs other adapters than are named (FENCING_IGNORED) is held to deliver nothing of it.

--- a/tests/cell_faults.py
+++ b/tests/cell_faults.py
@@ -2,7 +2,6 @@
 
 import contextlib
 
-import aiohttp
 import msgspec
 
 from lacewingpitch import live_list
@@ -189,23 +188,24 @@
     await scene.in_force()
 
 
-@contextlib.asynccontextmanager
-async def told_to_leave(scene, number):
+async def _list_as(scene, number, state):
     found = scene.deployment.instances
-    right = found[number]
-    found[number] = msgspec.structs.replace(
-        right, state=live_list.InstanceState.LEAVING
-    )
-    await scene.publish_instances()
-    yield
-    found[number] = right
+    found[number] = msgspec.structs.replace(found[number], state=state)
     await scene.publish_instances()
 
 
+@contextlib.asynccontextmanager
+async def told_to_leave(scene, number):
+    await _list_as(scene, number, live_list.InstanceState.LEAVING)
+    async with scene.leaving(number):
+        yield
+    await _list_as(scene, number, live_list.InstanceState.LIVE)
+
+
 @contextlib.asynccontextmanager
 async def told_to_leave_and_stay(scene, number):
-    async with told_to_leave(scene, number):
-        pass
+    await _list_as(scene, number, live_list.InstanceState.LEAVING)
+    await _list_as(scene, number, live_list.InstanceState.LIVE)
     yield
 
 
@@ -227,6 +227,16 @@
     await successor.listening()
 
 
+@contextlib.asynccontextmanager
+async def engine_wrong(scene, _number):
+    """Have adapters run that are not named, as after foreign orders."""
+    scene.has_wrong_engine = True
+    engine = scene.deployment.engines[0]
+    await scene.deployment.set_faults(engine, wrong_adapter=True)
+    yield
+    await scene.deployment.set_faults(engine)
+
+
 @contextlib.asynccontextmanager
 async def engine_late(scene, _number):
     for engine in scene.deployment.engines:
@@ -250,20 +260,9 @@
 @contextlib.asynccontextmanager
 async def draining(scene, number):
     """Tell a sidecar to end; another one takes its place."""
-    sidecar = scene.deployment.sidecars[number]
-    sidecar.terminate()
-
-    async def is_refusing():
-        try:
-            async with scene.deployment.session.get(
-                sidecar.url + '/readyz'
-            ) as response:
-                return response.status == 503
-        except aiohttp.ClientError:
-            return True
-
-    await processes.until(is_refusing)
-    yield
+    scene.deployment.sidecars[number].terminate()
+    async with scene.leaving(number):
+        yield
     await scene.deployment.sidecars[number].kill()
     successor = await scene.deployment.spawn_successor(number)
     await successor.listening()
--- a/tests/cell_scene.py
+++ b/tests/cell_scene.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import functools
 import itertools
@@ -85,6 +86,8 @@
         self.lost_entries = set()
         self.versions = {'1'}
         self.is_sent_twice = False
+        self.has_wrong_engine = False
+        self._barred = []
         self._labels = itertools.count()
 
     async def build(self, exits, engine_options, is_split, max_running):
@@ -313,6 +316,26 @@
         found = re.findall(rf'^{pattern}[^\n]*}} (\S+)$', text, re.M)
         return sum(map(float, found))
 
+    @contextlib.asynccontextmanager
+    async def leaving(self, number):
+        """Hold that an engine runs nothing that is asked from now on."""
+        process = self.deployment.sidecars[number]
+
+        async def is_refusing():
+            try:
+                async with self.deployment.session.get(
+                    process.url + '/readyz'
+                ) as response:
+                    return response.status == 503
+            except aiohttp.ClientError:
+                return True
+
+        await processes.until(is_refusing)
+        first = len(self.calls)
+        self.ask_all()
+        yield
+        self._barred += ((number, call.label) for call in self.calls[first:])
+
     async def reach(self, step):
         """Wait until a request is at a step; return its engine's number."""
         found = []
@@ -396,7 +419,9 @@
             truth = await self.truth(number)
             assert not truth.evictions_under_run
             for run in truth.runs:
-                runs[label_of(run)].append(run)
+                label = label_of(run)
+                assert (number, label) not in self._barred
+                runs[label].append(run)
         service = self.deployment.services[0]
         for run in await self.deployment.service_truth(service):
             runs[run.body.decode()].append(run)
@@ -430,12 +455,13 @@
             else:
                 self._check_answer(call, runs)
 
-    @staticmethod
-    def _check_answer(call, runs):
+    def _check_answer(self, call, runs):
         expected = {f'{call.adapter}@{v}' for v in call.versions}
-        assert {run.adapter for run in runs} <= expected, call
+        right = {run.run_id for run in runs if run.adapter in expected}
+        if not self.has_wrong_engine:
+            assert len(right) == len(runs), call
         got = call.tokens()
-        assert {run_id for run_id, _ in got} <= {run.run_id for run in runs}
+        assert {run_id for run_id, _ in got} <= right, call
         numbers = [number for _, number in got]
         assert numbers == list(range(len(numbers))), call
         if call.is_whole():
--- a/tests/test_fault_cells.py
+++ b/tests/test_fault_cells.py
@@ -43,6 +43,8 @@
         promises = PROMISES
         if CHANGES_CONTRACTS.intersection(self.doings):
             promises += (Promise.CONTRACTS,)
+        if self.step is Step.DRAINING or faults.told_to_leave in self.doings:
+            promises += (Promise.LEAVING,)
         return [
             pytest.mark.proves(promise, self.fault, self.step)
             for promise in promises
@@ -58,18 +60,14 @@
     'killed': at(
         Fault.KILLED,
         faults.sidecar_killed,
-        steps=(
-            Step.BEFORE_ADMISSION,
-            Step.CLAIMED,
-            Step.LOADING,
-            Step.BEFORE_DELIVERY,
-        ),
+        steps=(Step.BEFORE_ADMISSION, Step.CLAIMED, Step.LOADING),
     ),
     'killed-2': at(
         Fault.KILLED,
         faults.sidecar_killed,
-        steps=(Step.SENT, Step.DRAINING),
-    )
+        steps=(Step.BEFORE_DELIVERY, Step.DRAINING),
+    ),
+    'killed-3': at(Fault.KILLED, faults.sidecar_killed, steps=(Step.SENT,))
     + at(
         Fault.TWO_FAULTS,
         faults.config_down,
@@ -79,14 +77,14 @@
     'frozen': at(
         Fault.FROZEN,
         faults.sidecar_frozen,
-        steps=(
-            Step.BEFORE_ADMISSION,
-            Step.CLAIMED,
-            Step.FIRST_TOKEN,
-            Step.DRAINING,
-        ),
+        steps=(Step.BEFORE_ADMISSION, Step.CLAIMED),
     ),
     'frozen-2': at(
+        Fault.FROZEN,
+        faults.sidecar_frozen,
+        steps=(Step.FIRST_TOKEN, Step.DRAINING),
+    ),
+    'frozen-3': at(
         Fault.TWO_FAULTS,
         faults.sent_again,
         faults.sidecar_frozen,
@@ -143,7 +141,10 @@
     'engine-empty': at(
         Fault.ENGINE_EMPTY,
         faults.engine_empty,
-        steps=(Step.CLAIMED, Step.SENT, Step.MID_STREAM, Step.DRAINING),
+        steps=(Step.CLAIMED, Step.MID_STREAM, Step.DRAINING),
+    ),
+    'engine-empty-2': at(
+        Fault.ENGINE_EMPTY, faults.engine_empty, steps=(Step.SENT,)
     )
     + at(
         Fault.SAME_TWICE,
@@ -160,6 +161,11 @@
         faults.sidecar_replaced,
         steps=(Step.CLAIMED, Step.LOADING, Step.MID_STREAM),
     ),
+    'engine-wrong': at(
+        Fault.FENCING_IGNORED,
+        faults.engine_wrong,
+        steps=(Step.BEFORE_ADMISSION, Step.SENT),
+    ),
     'engine-late': at(
         Fault.ENGINE_LATE,
         faults.engine_late,
@@ -183,10 +189,13 @@
             Step.BEFORE_ADMISSION,
             Step.CLAIMED,
             Step.SENT,
-            Step.BEFORE_DELIVERY,
-            Step.DRAINING,
         ),
     ),
+    'sent-twice-2': at(
+        Fault.DUPLICATE,
+        faults.sent_again,
+        steps=(Step.BEFORE_DELIVERY, Step.DRAINING),
+    ),
     'operators': at(
         Fault.OPERATOR_RACE,
         faults.version_changed,
