Versions side by side: also the release that reads the long form alone

Cause: main has a second form of messages, which a release before it does not read. Change: the tests' daemons are the previous one (protocol 1, long form alone) and the next one (a field more, with a value that no default equals, so that the short form carries it); three cases.

--- a/tests/next_version.py
+++ b/tests/other_versions.py
@@ -1,11 +1,12 @@
-"""A daemon as its next release might be: every message has a field more.
+"""Daemons of other releases, for tests of two versions side by side.
 
-Run it as ``python -c 'from tests import next_version; ...main()'``; it
-takes the same arguments as ``lacewingpitch``.
+Run as ``python -c 'from tests import other_versions; ...'``; they take
+the same arguments as ``lacewingpitch``.
 """
 
 import importlib
 import pkgutil
+import uuid
 
 import msgspec
 
@@ -18,8 +19,17 @@
 _ALSO = (work.Refusal, work.ErrorBody, hint.Hint)
 
 
-def main():
-    """Run a daemon whose messages are of the next version."""
+def run_previous():
+    """Run a daemon that neither writes nor reads the short form."""
+    link.PROTOCOL_VERSION = 1
+    link._SHORT_SINCE = link.PROTOCOL_VERSION + 2
+    # To the release before, such a message is one wrongly signed.
+    link.is_short_form = lambda data: False
+    cli.main()
+
+
+def run_next():
+    """Run a daemon whose messages all have a field more."""
     for found in pkgutil.iter_modules(lacewingpitch.__path__):
         module = importlib.import_module(f'lacewingpitch.{found.name}')
         for name, kind in list(vars(module).items()):
@@ -38,13 +48,23 @@
 
 def _extended(kind):
     """Return a message type with a field that older ones do not know."""
-    config = kind.__struct_config__
+
+    def value():
+        # No two are equal, so that it is never left out as a default.
+        return str(uuid.uuid4())
+
     return msgspec.defstruct(
         kind.__name__,
-        [('added_in_next_version', str, 'new')],
+        [
+            (
+                'added_in_next_version',
+                str,
+                msgspec.field(default_factory=value),
+            )
+        ],
         bases=(kind,),
         module=kind.__module__,
         frozen=True,
-        array_like=config.array_like,
-        kw_only=True,
+        array_like=kind.__struct_config__.array_like,
+        kw_only=kind in _ALSO,
     )
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -30,7 +30,8 @@
 POLL_S = 0.02
 ROOT = pathlib.Path(__file__).parents[1]
 PROGRAM = 'from lacewingpitch import cli; cli.main()'
-NEXT_PROGRAM = 'from tests import next_version; next_version.main()'
+PREVIOUS = 'from tests import other_versions; other_versions.run_previous()'
+NEXT = 'from tests import other_versions; other_versions.run_next()'
 # For tests in which no refusal is wanted, however fast they call.
 WIDE_LIMITS = contract.Limits(
     requests_per_s=1e6,
--- a/tests/test_upgrade_processes.py
+++ b/tests/test_upgrade_processes.py
@@ -147,10 +147,11 @@
     @pytest.mark.parametrize(
         'programs',
         [
-            (processes.PROGRAM, processes.NEXT_PROGRAM),
-            (processes.NEXT_PROGRAM, processes.PROGRAM),
+            (processes.PREVIOUS, processes.PROGRAM),
+            (processes.PROGRAM, processes.NEXT),
+            (processes.NEXT, processes.PROGRAM),
         ],
-        ids=['up', 'back'],
+        ids=['from the previous', 'to the next', 'back'],
     )
     async def test_both_versions_serve_and_nothing_is_lost(
         self, tmp_path, programs
@@ -159,8 +160,8 @@
 
         Two of three sidecars and one of two entries are replaced under
         load, by processes whose messages have a field and a version
-        number more, or less.  The cause would be a message that one of
-        the versions cannot read.
+        number more, or less, or that know the long form alone.  The
+        cause would be a message that one of the versions cannot read.
         """
         async with processes.Deployment(tmp_path) as deployment:
             deployment.program, other = programs
