--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -12,8 +12,8 @@
 import dataclasses
 import itertools
 import random
-import sys
 
+import click
 import numpy
 import rich.console
 import rich.table
@@ -45,8 +45,8 @@
 MAX_ATTEMPTS = 3
 WORKERS = 4
 MAX_QUEUED = 1024
-_NETWORK_S = 0.001
 _REPORT_S = 1.0
+_DELAY_STEP = 0.01
 _GOOD_STALL_S = 2.0
 
 
@@ -60,25 +60,28 @@
     stall_p99_s: float
     wait_mean_s: float
     efficiency: float
-    loads: int
-    evictions: int
-    refused: int
+    loads: float
+    evictions: float
+    refused: float
     jain: float
+    stall_least_s: float = 0.0
+    stall_most_s: float = 0.0
 
 
 class DirectPermits:
     """Way to the desk without a network; it takes a moment."""
 
-    def __init__(self, desk, sidecar_count):
+    def __init__(self, desk, sidecar_count, network_s):
         self._desk = desk
         self._sidecar_count = sidecar_count
+        self._network_s = network_s
 
     async def ask(self, request):
-        await asyncio.sleep(_NETWORK_S)
+        await asyncio.sleep(self._network_s)
         return self._desk.ask(request)
 
     async def give_back(self, message):
-        await asyncio.sleep(_NETWORK_S)
+        await asyncio.sleep(self._network_s)
         self._desk.give_back(message.permit_id)
 
     def sidecar_count(self):
@@ -88,11 +91,12 @@
 class DirectHomes:
     """Way to the directories without a network; it takes a moment."""
 
-    def __init__(self, directories):
+    def __init__(self, directories, network_s):
         self._directories = directories
+        self._network_s = network_s
 
     async def locate(self, home, request):
-        await asyncio.sleep(2 * _NETWORK_S)
+        await asyncio.sleep(2 * self._network_s)
         return await self._directories[home.name].locate(request)
 
 
@@ -111,18 +115,32 @@
 
     @contextlib.asynccontextmanager
     async def turn(self, key, order):
+        loop = asyncio.get_running_loop()
+        start_by_s = loop.time() + order.deadline_s
         async with self._slots.hold(key, order.deadline_s) as stall_s:
             self._held_count += 1
             try:
-                async with self._turns:
-                    self.running += 1
-                    try:
-                        yield stall_s
-                    finally:
-                        self.running -= 1
+                async with self._turn_by(start_by_s):
+                    yield stall_s
             finally:
                 self._held_count -= 1
 
+    @contextlib.asynccontextmanager
+    async def _turn_by(self, start_by_s):
+        try:
+            async with asyncio.timeout_at(start_by_s):
+                await self._turns.acquire()
+        except TimeoutError as error:
+            raise errors.RefusalError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE, 'no turn in time'
+            ) from error
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+            self._turns.release()
+
 
 class PlaceFirst:
     """The product's queue and order: place, adapter, turn.
@@ -277,7 +295,7 @@
 
         def notify(asker, grant):
             asyncio.get_running_loop().call_later(
-                _NETWORK_S, self.pacers[asker].on_grant, grant
+                self.workload.network_s, self.pacers[asker].on_grant, grant
             )
 
         return store_pacing.PermitDesk(self.clock, self.site.store, notify)
@@ -285,8 +303,9 @@
     def _make_slots(self, name, engine, desk, total):
         if self.policy in BASELINES:
             return policy_baselines.LruSlots(engine, self.site.slot_count)
+        permits = DirectPermits(desk, total, self.workload.network_s)
         self.pacers[name] = store_pacing.StorePacer(
-            self.clock, self.site.store, DirectPermits(desk, total), name
+            self.clock, self.site.store, permits, name
         )
         return slots_module.AdapterSlots(
             engine,
@@ -311,7 +330,8 @@
         if self.policy == 'least loaded':
             return [policy_baselines.LeastLoaded()] * count
         homes = DirectHomes(
-            {name: directory.Directory(self.clock) for name in self.by_name}
+            {name: directory.Directory(self.clock) for name in self.by_name},
+            self.workload.network_s,
         )
         return [
             placement.Placement(self.clock, self.objective, homes)
@@ -333,7 +353,7 @@
         for instance in ranked[:MAX_ATTEMPTS]:
             machine = self.by_name[instance.name]
             with entry.sent(key, instance.name):
-                await asyncio.sleep(_NETWORK_S)
+                await asyncio.sleep(self.workload.network_s)
                 if await self._attempt(request, entry, key, machine):
                     return
         self.refused.add(request.number)
@@ -343,7 +363,7 @@
     async def _attempt(self, request, entry, key, machine):
         loop = asyncio.get_running_loop()
         left_s = policy_workloads.DEADLINE_S - loop.time() + request.at_s
-        earlier_s = loop.time() - request.at_s - _NETWORK_S
+        earlier_s = loop.time() - request.at_s - self.workload.network_s
         if left_s <= 0.0:
             return False
         try:
@@ -443,10 +463,12 @@
 
 def make_table(workload, results):
     """Return the table of one workload."""
-    table = rich.table.Table(title=workload.name, title_justify='left')
+    title = f'{workload.name}, seed {workload.seed}'
+    table = rich.table.Table(title=title, title_justify='left')
     for column in (
         'policy',
         'stall s/request',
+        'least, most',
         'p95',
         'p99',
         'wait s',
@@ -468,13 +490,14 @@
         table.add_row(
             result.policy,
             f'{result.stall_mean_s:.3f}',
+            f'{result.stall_least_s:.3f}, {result.stall_most_s:.3f}',
             f'{result.stall_p95_s:.2f}',
             f'{result.stall_p99_s:.2f}',
             f'{result.wait_mean_s:.3f}',
             f'{result.efficiency:.3f}',
-            str(result.loads),
-            str(result.evictions),
-            str(result.refused),
+            f'{result.loads:.0f}',
+            f'{result.evictions:.0f}',
+            f'{result.refused:.0f}',
             f'{result.jain:.3f}',
             f'{result.stall_mean_s / stall_s:.2f}',
             f'{result.stall_mean_s / bound.stall_mean_s:.2f}',
@@ -510,17 +533,61 @@
     return table
 
 
+def vary(workload, seed, repeats):
+    """Return the same workload with network delays that barely differ.
+
+    Which request meets which load is chaotic: one run tells as much of
+    luck as of the policy.  The mean of several tells more.
+    """
+    return [
+        dataclasses.replace(
+            workload,
+            seed=seed,
+            network_s=workload.network_s * (1.0 + _DELAY_STEP * number),
+        )
+        for number in range(repeats)
+    ]
+
+
+def run_mean(workloads, policy):
+    """Return the means of a policy over repeats of a workload."""
+    if policy in (BOUND, NO_FORESIGHT):
+        return run_policy(workloads[0], policy)
+    results = [run_policy(workload, policy) for workload in workloads]
+    stalls_s = [result.stall_mean_s for result in results]
+    rows = [dataclasses.astuple(result)[1:] for result in results]
+    found = Result(policy, *map(float, numpy.mean(rows, axis=0)))
+    found.stall_least_s = min(stalls_s)
+    found.stall_most_s = max(stalls_s)
+    return found
+
+
 def _is_wanted(workload_name, names):
     if not names:
         return workload_name not in LEFT_OUT
     return 'all' in names or any(name in workload_name for name in names)
 
 
-def main():
-    """Run what is named on the command line, or most."""
-    names = sys.argv[1:]
+@click.command()
+@click.argument('names', nargs=-1)
+@click.option('--seed', type=int, default=1, help='Of the workloads.')
+@click.option(
+    '--repeats',
+    type=click.IntRange(min=1),
+    default=1,
+    help='Runs to take the mean of, with delays that differ by 1%.',
+)
+@click.option(
+    '--objectives/--no-objectives',
+    default=True,
+    help='Whether to set the objectives against each other (seed 1).',
+)
+def main(names, seed, repeats, objectives):
+    """Run the workloads that are named in part, most, or `all`."""
     workloads = [
-        w for w in policy_workloads.WORKLOADS if _is_wanted(w.name, names)
+        vary(workload, seed, repeats)
+        for workload in policy_workloads.WORKLOADS
+        if _is_wanted(workload.name, names)
     ]
     console = rich.console.Console(width=170)
     if not names:
@@ -529,14 +596,14 @@
         pairs = list(
             itertools.product(workloads, (*POLICIES, NO_FORESIGHT, BOUND))
         )
-        objectives = pool.submit(run_objectives)
-        results = list(pool.map(run_policy, *zip(*pairs, strict=True)))
-        rows = objectives.result()
+        rows = pool.submit(run_objectives) if objectives else None
+        results = list(pool.map(run_mean, *zip(*pairs, strict=True)))
     size = len(POLICIES) + 2
-    for number, workload in enumerate(workloads):
+    for number, (workload, *_) in enumerate(workloads):
         part = results[number * size : (number + 1) * size]
         console.print(make_table(workload, part))
-    console.print(make_objective_table(rows))
+    if rows is not None:
+        console.print(make_objective_table(rows.result()))
 
 
 if __name__ == '__main__':
--- a/benchmarks/policy_workloads.py
+++ b/benchmarks/policy_workloads.py
@@ -56,6 +56,7 @@
     slow_store: bool = False
     failing_ratio: float = 0.0
     flood: bool = False
+    network_s: float = 0.001
 
 
 HANEUL = Site(
