--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -271,7 +271,10 @@
         await places.locate(self.request('x'))
         reply = await places.locate(self.request('y', parked=('x',)))
         assert reply.instances == ('x',)
-        clock.now_s += 21.0
+        clock.now_s += 28.0
+        reply = await places.locate(self.request('y', parked=('x',)))
+        assert reply.instances == ('x',)
+        clock.now_s += 3.0
         reply = await places.locate(self.request('y', parked=('x',)))
         assert reply.instances == ('y',)
 
