Fill of engines: the Association leaves fewer all but empty

Change: fill min(0.9, 1 - weight^1.8): 0.9 for Haneul as before, 0.47 for the Association in place of 0.3.

--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -31,6 +31,8 @@
 _SPREAD_S = 0.2
 _LOAD_SMOOTHING_S = 10.0
 _SHRINK_AFTER_S = 2.0
+_MOST_FILL_RATIO = 0.9
+_HEADROOM_POWER = 1.8
 _PRESSED_S = 1.0
 _LEAST_WEIGHT = 0.05
 _ACTIVE_KEY = 'active'
@@ -297,7 +299,7 @@
     def _active(
         self, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
-        fill_ratio = 1.0 - self._objective.stall_weight
+        fill_ratio = self._fill_ratio
         if not instances or fill_ratio <= 0.0:
             return list(instances)
         now_s = self._clock.monotonic_s()
@@ -343,6 +345,13 @@
             return pool.active_count + 1
         return needed
 
+    @property
+    def _fill_ratio(self) -> float:
+        # Engines that are all but empty shorten few stalls and waste
+        # each of their steps; past the most, turns are waited for.
+        kept_free_ratio = self._objective.stall_weight**_HEADROOM_POWER
+        return min(_MOST_FILL_RATIO, 1.0 - kept_free_ratio)
+
     @property
     def _pressed_s(self) -> float:
         return _PRESSED_S / max(self._objective.stall_weight, _LEAST_WEIGHT)
