--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test lint format bench bench-account bench-claims \
-	bench-contracts bench-hop bench-limits bench-order bench-policy bench-retries \
+	bench-contracts bench-hop bench-limits bench-order bench-policy \
+	bench-policy-trace bench-retries \
 	capacity fault-matrix fault-matrix-check
 
 $(STAMP): pyproject.toml constraints.txt
@@ -52,6 +53,9 @@
 bench-policy: $(STAMP)
 	$(BIN)/python -m benchmarks.policy
 
+bench-policy-trace: $(STAMP)
+	$(BIN)/python -m benchmarks.policy_trace
+
 bench-retries: $(STAMP)
 	$(BIN)/python -m benchmarks.retries
 
--- a/benchmarks/policy_trace.py
+++ b/benchmarks/policy_trace.py
@@ -132,7 +132,9 @@
 
 
 @click.command()
-@click.argument('workload', type=click.Choice(list(_WORKLOADS)))
+@click.argument(
+    'workload', type=click.Choice(list(_WORKLOADS)), default='haneul flood'
+)
 @click.option('--seed', type=int, default=1)
 @click.option('--name', default='lacewingpitch')
 @click.option('--turns', type=click.Choice(['queue', 'fifo']), default='queue')
