A restarted node of the contract test asks its peers in virtual time

Cause. test_contract_book::TestNeverReverts failed once on a busy machine: a restarted node lacked a version that a peer had. It asks its peers for 20 ms of real time; a pause of the machine ends that before they answered. The product: it says that no peer answered in time, as it should. The state machine runs in virtual time, and the other fakes wait 2 s. No assertion has changed.

--- a/tests/contract_fakes.py
+++ b/tests/contract_fakes.py
@@ -82,7 +82,7 @@
             self.clock,
             self.name,
             seed=1,
-            settle_s=0.02,
+            settle_s=2.0,
         )
         self.handlers = {}
         self.gossip.register(self)
--- a/tests/test_contract_book.py
+++ b/tests/test_contract_book.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from benchmarks import virtual_time
 from lacewingpitch import contract_book
 from lacewingpitch import contract_versions
 from lacewingpitch import errors
@@ -192,7 +193,7 @@
         self.history = [dict.fromkeys(_CUSTOMERS)]
         self.revisions = dict.fromkeys(_CUSTOMERS, 0)
         self.floor = [{} for _ in self.fleet.nodes]
-        self.runner = asyncio.Runner()
+        self.runner = asyncio.Runner(loop_factory=virtual_time.VirtualLoop)
 
     def teardown(self):
         self.runner.close()
