--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -32,8 +32,6 @@
 _SPREAD_S = 0.2
 _LOAD_SMOOTHING_S = 10.0
 _SHRINK_AFTER_S = 2.0
-_MOST_FILL_RATIO = 0.9
-_HEADROOM_POWER = 1.8
 _PRESSED_S = 1.0
 _LEAST_WEIGHT = 0.05
 _MAX_POOLS = 256
@@ -525,7 +523,7 @@
         return _SPREAD_S * (2.0 * self._objective.stall_weight - 1.0)
 
     def _set_active_count(self, weighing: _Weighing) -> None:
-        fill_ratio = self._fill_ratio
+        fill_ratio = 1.0 - self._objective.stall_weight
         if fill_ratio <= 0.0:
             return
         now_s = self._clock.monotonic_s()
@@ -565,13 +563,6 @@
         )
         return pool.active_count + 1 if is_pressed else needed
 
-    @property
-    def _fill_ratio(self) -> float:
-        # Engines that are all but empty shorten few stalls and waste
-        # each of their steps; past the most, turns are waited for.
-        kept_free_ratio = self._objective.stall_weight**_HEADROOM_POWER
-        return min(_MOST_FILL_RATIO, 1.0 - kept_free_ratio)
-
     @property
     def _pressed_s(self) -> float:
         return _PRESSED_S / max(self._objective.stall_weight, _LEAST_WEIGHT)
