--- a/lacewingpitch/directory.py
+++ b/lacewingpitch/directory.py
@@ -22,7 +22,7 @@
 # Entry instances that see an adapter held do not ask for a while.
 _KEEP_S = 45.0
 _KEEP_EXTRA_S = 60.0
-_STAY_S = 30.0
+_STAY_S = 20.0
 _CAPACITY_KEYS = 8192
 _MAX_PLACES = 64
 _ASK_TIMEOUT_S = 0.25
