Processes of the tests join the list in one place

Reading the change again: the start of a sidecar and of an entry had the same ten lines twice, with the order that those started together keep. They call one method now; what is listed is the same.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -213,21 +213,12 @@
         )
         process = self._new('sidecar', self._write(name, found))
         self.sidecars.append(process)
-        # Those that start together keep the order of the calls.
-        number = len(self.instances)
-        self.instances.append(None)
-        await self._start(process)
-        self.instances[number] = live_list.Instance(
-            name=name,
+        return await self._join(
+            process,
+            found,
             role=live_list.Role.SIDECAR,
-            region=found.region,
-            availability_zone=found.availability_zone,
-            ip=IP,
-            work_port=process.ports['work_port'],
-            control_port=process.ports['control_port'],
             serves=getattr(backend_server, 'base_model', 'plain'),
         )
-        return process
 
     async def spawn_successor(self, number):
         """Start the sidecar that takes the place of another one.
@@ -252,18 +243,22 @@
         found = settings.EntrySettings(**self._process(name, **fields))
         process = self._new('entry', self._write(name, found))
         self.entries.append(process)
+        return await self._join(process, found, role=live_list.Role.ENTRY)
+
+    async def _join(self, process, found, **fields):
+        """Start a process of some settings, and list it."""
         # Those that start together keep the order of the calls.
         number = len(self.instances)
         self.instances.append(None)
         await self._start(process)
         self.instances[number] = live_list.Instance(
-            name=name,
-            role=live_list.Role.ENTRY,
+            name=found.instance,
             region=found.region,
             availability_zone=found.availability_zone,
             ip=IP,
             work_port=process.ports['work_port'],
             control_port=process.ports['control_port'],
+            **fields,
         )
         return process
 
