A relay keeps its port while it is cut

The product: the failing bind is the relay's own. A bound socket holds the port from the start; those that listen share it. The link refuses connections while it is cut, as before. Test. test_relay: another socket cannot take the port meanwhile, the link refuses, and mends.

--- a/tests/relay.py
+++ b/tests/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 IP = '127.0.0.1'
 _CHUNK_BYTES = 1 << 16
@@ -39,15 +40,21 @@
 
     async def __aenter__(self):
         self.heal()
+        # While the link is cut nobody listens, and without this any
+        # other connection could take the port that `mend` needs again.
+        self._held = _bound(0)
+        self.port = self._held.getsockname()[1]
         await self._listen()
         return self
 
     async def __aexit__(self, *exception):
         await self.cut()
+        self._held.close()
 
     async def _listen(self):
-        self._server = await asyncio.start_server(self._serve, IP, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(
+            self._serve, sock=_bound(self.port)
+        )
 
     async def cut(self):
         """Reset every connection, and refuse new ones."""
@@ -169,3 +176,11 @@
             if reader.at_eof():
                 await is_open.wait()
         return held
+
+
+def _bound(port):
+    """Return a socket of a port that only sockets like it can share."""
+    found = socket.socket()
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    found.bind((IP, port))
+    return found
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,43 @@
+"""The relay that cuts links between processes of the tests."""
+
+import asyncio
+import socket
+
+import pytest
+
+from tests import relay
+
+
+async def echo(reader, writer):
+    writer.write(await reader.read(1))
+    writer.close()
+
+
+async def ask(port):
+    reader, writer = await asyncio.open_connection(relay.IP, port)
+    writer.write(b'x')
+    found = await reader.read()
+    writer.close()
+    return found
+
+
+class TestCut:
+    async def test_port_is_kept_while_the_link_is_cut(self):
+        """A link cannot be mended: its address is in use.
+
+        Nobody listens while it is cut, so another process, or any
+        connection that goes out, is given the port.
+        """
+        server = await asyncio.start_server(echo, relay.IP, 0)
+        target = server.sockets[0].getsockname()[1]
+        async with server, relay.Relay(target) as link:
+            assert await ask(link.port) == b'x'
+            await link.cut()
+            with pytest.raises(ConnectionRefusedError):
+                await ask(link.port)
+            with socket.socket() as other:
+                other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                with pytest.raises(OSError, match='in use'):
+                    other.bind((relay.IP, link.port))
+            await link.mend()
+            assert await ask(link.port) == b'x'
