--- /dev/null
+++ b/lacewingpitch/adapter_versions.py
@@ -0,0 +1,46 @@
+"""The versions of adapters that requests must run on at least."""
+
+import structlog
+
+log = structlog.get_logger(__name__)
+
+
+class AdapterVersions:
+    """The newest published version of each adapter that has a new one.
+
+    A version never goes down: news of an older one may arrive late, by
+    way of another process.
+    """
+
+    def __init__(self) -> None:
+        self._versions: dict[tuple[str, str], int] = {}
+
+    def note(self, model: str, adapter: str, version: int) -> bool:
+        """Take note of a version; return whether it is news."""
+        key = (model, adapter)
+        if version <= self._versions.get(key, 0):
+            return False
+        self._versions[key] = version
+        log.info(
+            'adapter version published',
+            model=model,
+            adapter=adapter,
+            version=version,
+        )
+        return True
+
+    def wanted(self, model: str, adapter: str) -> int:
+        """Return the version to run on; 0 if any will do."""
+        return self._versions.get((model, adapter), 0)
+
+
+def slot_name(model: str, adapter: str, version: int) -> str:
+    """Return the name under which an adapter is placed and held.
+
+    Parameters
+    ----------
+    version
+        Version that is wanted; 0 if any will do.
+    """
+    name = f'{model}/{adapter}'
+    return f'{name}@{version}' if version else name
--- /dev/null
+++ b/lacewingpitch/backend_list.py
@@ -0,0 +1,185 @@
+"""The backend servers that take requests, as far as this process knows."""
+
+from collections.abc import Iterable, Mapping
+import dataclasses
+
+import structlog
+
+from lacewingpitch import clock as clock_module
+
+# A backend server whose entry lapsed while the list was away is listed
+# again within two seconds of the list's return; half a second is for the
+# way of that news to here.
+_RELISTED_WITHIN_S = 2.5
+# Without any other backend server, one that has just vanished from the
+# list may still be tried: it may serve on for up to two seconds, and a
+# request that it refuses has not run.
+_LAST_RESORT_S = 1.5
+log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendServer:
+    """One incarnation of a backend server.
+
+    Parameters
+    ----------
+    name
+        Names this incarnation and no other.
+    adapters
+        Versions of the adapters that it holds, by MODEL/ADAPTER.
+    is_leaving
+        Whether it is to get no new requests.
+    """
+
+    name: str
+    service: str
+    ip: str
+    port: int
+    availability_zone: str
+    is_leaving: bool = False
+    max_running: int = 1
+    adapters: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+class BackendList:
+    """Follows the published list, across times when it is away.
+
+    While the list cannot be read, entries of servers that work well can
+    lapse.  Taking such a server as gone at once would leave requests
+    without any; it is kept until the time to be listed again is over.
+    """
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._servers: dict[str, BackendServer] = {}
+        self._lapsed: dict[str, tuple[BackendServer, float]] = {}
+        self._outage_until_s = -_RELISTED_WITHIN_S
+        self._is_away = False
+        self._confirmed_at_s = clock.monotonic_s()
+        self._by_service: dict[str, tuple[BackendServer, ...]] = {}
+        self.is_known = False
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the list was known to be current."""
+        return self._clock.monotonic_s() - self._confirmed_at_s
+
+    def note_away(self) -> None:
+        """Take note that the list cannot be read."""
+        self._is_away = True
+
+    def note_read(self) -> None:
+        """Take note that the list was read, or that nothing changed."""
+        now_s = self._clock.monotonic_s()
+        self._confirmed_at_s = now_s
+        if self._is_away:
+            self._is_away = False
+            self._outage_until_s = now_s
+
+    def replace_all(self, servers: Iterable[BackendServer]) -> None:
+        """Take over a whole list."""
+        found = {server.name: server for server in servers}
+        for name in self._servers.keys() - found.keys():
+            self._lapse(name)
+        for server in found.values():
+            self.put(server)
+        self.is_known = True
+
+    def put(self, server: BackendServer) -> None:
+        """Take over one entry."""
+        before = self._servers.get(server.name)
+        self._lapsed.pop(server.name, None)
+        self._servers[server.name] = server
+        if before is None or before.is_leaving != server.is_leaving:
+            log.info(
+                'backend server listed',
+                backend_server=server.name,
+                service=server.service,
+                address=f'{server.ip}:{server.port}',
+                leaving=server.is_leaving,
+            )
+        self._by_service.clear()
+
+    def remove(self, name: str) -> None:
+        """Take note that an entry is listed no more."""
+        if name in self._servers:
+            self._lapse(name)
+
+    def get(self, name: str) -> BackendServer | None:
+        """Return a server that is listed."""
+        return self._servers.get(name)
+
+    def find(self, service: str, name: str) -> BackendServer | None:
+        """Return a server that may get new requests of a service."""
+        for server in self.serving(service):
+            if server.name == name:
+                return server
+        return None
+
+    def at(self, ip: str, port: int) -> BackendServer | None:
+        """Return the newest server listed at an address."""
+        found = None
+        for server in self._servers.values():
+            if (server.ip, server.port) == (ip, port):
+                found = server
+        return found
+
+    def serving(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the servers of a service that may get new requests.
+
+        The same object as before if nothing has changed.
+        """
+        if self._lapsed:
+            return self._with_lapsed(service)
+        found = self._by_service.get(service)
+        if found is None:
+            found = self._listed(service)
+            self._by_service[service] = found
+        return found
+
+    def _listed(self, service: str) -> tuple[BackendServer, ...]:
+        return tuple(
+            server
+            for server in self._servers.values()
+            if server.service == service and not server.is_leaving
+        )
+
+    def _with_lapsed(self, service: str) -> tuple[BackendServer, ...]:
+        self._forget_lapsed()
+        listed = self._listed(service)
+        now_s = self._clock.monotonic_s()
+        is_after_outage = (
+            self._is_away or now_s - self._outage_until_s < _RELISTED_WITHIN_S
+        )
+        addresses = {(server.ip, server.port) for server in listed}
+        lapsed = tuple(
+            server
+            for server, lapsed_at_s in self._lapsed.values()
+            if server.service == service
+            and (server.ip, server.port) not in addresses
+            and (is_after_outage or now_s - lapsed_at_s < _LAST_RESORT_S)
+        )
+        if is_after_outage:
+            return listed + lapsed
+        return listed or lapsed
+
+    def _lapse(self, name: str) -> None:
+        server = self._servers.pop(name)
+        self._by_service.clear()
+        log.info(
+            'backend server unlisted',
+            backend_server=name,
+            service=server.service,
+            was_leaving=server.is_leaving,
+            list_away=self._is_away,
+        )
+        if not server.is_leaving:
+            self._lapsed[name] = (server, self._clock.monotonic_s())
+
+    def _forget_lapsed(self) -> None:
+        now_s = self._clock.monotonic_s()
+        for name, (_, lapsed_at_s) in list(self._lapsed.items()):
+            since_s = max(lapsed_at_s, self._outage_until_s)
+            if not self._is_away and now_s - since_s >= _RELISTED_WITHIN_S:
+                del self._lapsed[name]
--- a/lacewingpitch/ejection.py
+++ b/lacewingpitch/ejection.py
@@ -11,6 +11,12 @@
 _FIRST_EJECTION_S = 1.0
 _MAX_EJECTION_S = 30.0
 _TRIAL_TIMEOUT_S = 10.0
+# A server that fails part of its requests never fails three in a row for
+# long.  Its share of failures is kept over some ten requests, and fades
+# within seconds, so that a server which is left gets another chance.
+_RATIO_HALF_LIFE_S = 3.0
+_RATIO_PRIOR_COUNT = 2.0
+_MAX_RECORDS = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,6 +30,22 @@
     is_silent: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """Failures and answers of late, fading."""
+
+    failed: float = 0.0
+    total: float = 0.0
+    at_s: float = 0.0
+
+    def fade(self, now_s: float) -> None:
+        """Let what was counted before lose weight."""
+        kept_ratio = 0.5 ** ((now_s - self.at_s) / _RATIO_HALF_LIFE_S)
+        self.failed *= kept_ratio
+        self.total *= kept_ratio
+        self.at_s = now_s
+
+
 class Ejector:
     """Ejects a backend server after failures in a row.
 
@@ -37,6 +59,7 @@
         self._clock = clock
         self._source = source
         self._health: dict[str, Health] = {}
+        self._records: dict[str, _Record] = {}
 
     def allowed(self, names: Sequence[str]) -> list[str]:
         """Return the servers to use, in the order given.
@@ -63,9 +86,20 @@
     def succeeded(self, name: str) -> None:
         """Record an answer: the server is well."""
         self._health.pop(name, None)
+        self._count(name, 0.0)
+
+    def failure_ratio(self, name: str) -> float:
+        """Return the share of requests that failed of late."""
+        record = self._records.get(name)
+        if record is None:
+            return 0.0
+        record.fade(self._clock.monotonic_s())
+        # A single failure tells little while nothing else is known.
+        return record.failed / (record.total + _RATIO_PRIOR_COUNT)
 
     def failed(self, name: str) -> None:
         """Record a failure that tells of the server, not the request."""
+        self._count(name, 1.0)
         found = self._health.setdefault(name, Health())
         found.failures += 1
         now_s = self._clock.monotonic_s()
@@ -94,6 +128,16 @@
         found = self._health.get(name)
         return found is not None and found.is_silent
 
+    def _count(self, name: str, failed: float) -> None:
+        record = self._records.get(name)
+        if record is None:
+            if len(self._records) >= _MAX_RECORDS:
+                del self._records[next(iter(self._records))]
+            record = self._records[name] = _Record()
+        record.fade(self._clock.monotonic_s())
+        record.failed += failed
+        record.total += 1.0
+
     def _is_open(self, name: str) -> bool:
         found = self._health.get(name)
         if found is None or found.ejected_until_s is None:
--- a/lacewingpitch/engine.py
+++ b/lacewingpitch/engine.py
@@ -96,12 +96,8 @@
     """No connection to the engine, so the call did not run."""
 
 
-class Engine(Protocol):
-    """What a sidecar needs of its model engine."""
-
-    async def report(self) -> EngineReport:
-        """Return what the engine says of itself."""
-        ...
+class AdapterHost(Protocol):
+    """What holds adapters, and takes orders about them."""
 
     async def load_adapter(self, name: str, fencing: int) -> None:
         """Order the engine to load an adapter, and wait for it."""
@@ -111,6 +107,14 @@
         """Order the engine to free an adapter's slot."""
         ...
 
+
+class Engine(AdapterHost, Protocol):
+    """What a sidecar needs of its model engine."""
+
+    async def report(self) -> EngineReport:
+        """Return what the engine says of itself."""
+        ...
+
     def run(
         self, call: EngineCall
     ) -> contextlib.AbstractAsyncContextManager[EngineAnswer]:
--- /dev/null
+++ b/lacewingpitch/engine_keeper.py
@@ -0,0 +1,234 @@
+"""Keeps one engine: follows its state and grants turns at it."""
+
+import asyncio
+from typing import Protocol
+
+import structlog
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import clock as clock_module
+from lacewingpitch import engine_view
+from lacewingpitch import errors
+from lacewingpitch import fair_order
+from lacewingpitch import fence as fence_module
+from lacewingpitch import grant
+from lacewingpitch import grant_desk
+from lacewingpitch import routing
+from lacewingpitch import slots as slots_module
+from lacewingpitch import turn_queue
+from lacewingpitch import work
+
+# While a load is under way, its request waits for the report that shows
+# it done: 40 ms are a sixth of a load's 250 ms.
+_LOADING_INTERVAL_S = 0.04
+# Otherwise a report tells of a restart, of leaving and of lost turns,
+# for which a fifth of a second is soon enough.
+_IDLE_INTERVAL_S = 0.2
+# An engine takes so many adapters at once from the store.
+_MAX_LOADING = 4
+# Requests whose adapter is being loaded while all turns are taken.
+_LOOKAHEAD_COUNT = 8
+_MAX_QUEUED = 512
+_STARTING_RETRY_S = 0.3
+log = structlog.get_logger(__name__)
+
+
+class Engine(engine_view.EngineOrders, Protocol):
+    """What is needed of the engine."""
+
+    async def report(self) -> engine_view.EngineSnapshot:
+        """Return what the engine says of itself."""
+        ...
+
+
+class EngineKeeper:
+    """The one process that orders an engine, and grants turns at it.
+
+    Parameters
+    ----------
+    service
+        Service that the engine belongs to; it names its limits.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        table: routing.RoutingTable,
+        versions: adapter_versions.AdapterVersions,
+        service: str,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._engine = engine
+        self._table = table
+        self._versions = versions
+        self._service = service
+        self._clock = clock
+        self._fence = fence_module.Fence(clock)
+        self.view = engine_view.EngineView(
+            engine, self._fence, versions, clock
+        )
+        self._adapters: slots_module.AdapterSlots | None = None
+        self.desk: grant_desk.GrantDesk | None = None
+        self._adopted_runs: frozenset[str] = frozenset()
+        self._is_down = True
+
+    async def ask(self, request: grant.TurnRequest) -> grant.TurnReply:
+        """Return a turn, a refusal, or that it is still waited for."""
+        if self.desk is None:
+            return grant.TurnReply(
+                backend_server=self.view.backend_server,
+                refusal=errors.ErrorKind.QUEUE_FULL,
+                detail='the sidecar is starting',
+                retry_after_ms=int(_STARTING_RETRY_S * 1000),
+                configuration_version=self._table.version,
+            )
+        return await self.desk.ask(request)
+
+    async def end(self, message: grant.TurnEnds) -> grant.TurnEndsReply:
+        """Take back turns."""
+        if self.desk is None:
+            return grant.TurnEndsReply()
+        return await self.desk.end(message)
+
+    async def run(self) -> None:
+        """Follow the engine, for ever."""
+        while True:
+            await self._look()
+            interval_s = _IDLE_INTERVAL_S
+            if self.view.loading_count:
+                interval_s = _LOADING_INTERVAL_S
+            await asyncio.sleep(interval_s)
+
+    async def close(self) -> None:
+        """End the loads that are waited for."""
+        if self._adapters is not None:
+            await self._adapters.close()
+
+    async def _look(self) -> None:
+        asked_at_s = self._clock.monotonic_s()
+        try:
+            snapshot = await self._engine.report()
+        except errors.PlatformError as error:
+            if not self._is_down:
+                log.warning(
+                    'dependency lost', dependency='engine', error=str(error)
+                )
+            self._is_down = True
+            return
+        self._note_up(snapshot)
+        is_restart = self.view.update(snapshot)
+        if is_restart:
+            await self._forget_all()
+        self._begin(snapshot)
+        self._reconcile(snapshot, asked_at_s)
+        if self.desk is not None:
+            await self.desk.reap(
+                snapshot.run_ids, asked_at_s, snapshot.queued > 0
+            )
+
+    def _note_up(self, snapshot: engine_view.EngineSnapshot) -> None:
+        before = self.view.snapshot
+        if self._is_down:
+            log.info(
+                'dependency regained',
+                dependency='engine',
+                backend_server=snapshot.incarnation,
+                adapters=len(snapshot.held),
+            )
+        elif before is not None and before.is_leaving != snapshot.is_leaving:
+            log.info(
+                'engine leaving',
+                backend_server=snapshot.incarnation,
+                leaving=snapshot.is_leaving,
+            )
+        self._is_down = False
+
+    async def _forget_all(self) -> None:
+        log.warning(
+            'engine restarted', backend_server=self.view.backend_server
+        )
+        self._adopted_runs = frozenset()
+        if self.desk is not None:
+            await self.desk.forget_all()
+        if self._adapters is not None:
+            self._adapters.forget_all()
+
+    def _begin(self, snapshot: engine_view.EngineSnapshot) -> None:
+        limits = self._table.engine_limits(self._service)
+        if self.desk is not None or limits is None:
+            return
+        if snapshot.pending:
+            # Loads of an earlier sidecar take slots that this one would
+            # count as free; an engine over its capacity crashes.
+            return
+        self._adapters = slots_module.AdapterSlots(
+            self.view,
+            limits.adapter_slots,
+            self._fence,
+            self._clock,
+            stall_weight=1.0,
+            max_loading=_MAX_LOADING,
+        )
+        adapters = self._adapters
+        queue = turn_queue.TurnQueue(
+            limits.max_running,
+            _LOOKAHEAD_COUNT,
+            _MAX_QUEUED,
+            fair_order.FairOrder(
+                limits.max_running,
+                lambda order: not order.path or adapters.holds(order.path),
+                self._clock,
+            ),
+            self._clock,
+            lambda order: _wait_s(adapters, order),
+        )
+        self.desk = grant_desk.GrantDesk(
+            queue,
+            adapters,
+            self.view,
+            self._clock,
+            lambda: self._table.version,
+        )
+        log.info(
+            'engine taken over',
+            backend_server=snapshot.incarnation,
+            adapter_slots=limits.adapter_slots,
+            max_running=limits.max_running,
+            adapters=len(snapshot.held),
+        )
+
+    def _reconcile(
+        self, snapshot: engine_view.EngineSnapshot, asked_at_s: float
+    ) -> None:
+        """Make the slots agree with what the engine reports to hold."""
+        adapters = self._adapters
+        if adapters is None:
+            return
+        held = {
+            self._name_of(key, version)
+            for key, version in snapshot.held.items()
+        }
+        for name in adapters.adapters:
+            if name not in held:
+                adapters.forget(name)
+        unknown = [name for name in held if not adapters.knows(name)]
+        if unknown:
+            self._adopted_runs |= snapshot.run_ids
+            adapters.adopt(unknown)
+        self._adopted_runs &= snapshot.run_ids
+        if not self._adopted_runs:
+            adapters.release_adopted(asked_at_s, lambda _name: True)
+
+    def _name_of(self, key: str, version: int) -> str:
+        """Return the slot name of an adapter that the engine holds."""
+        model, _, adapter = key.partition('/')
+        wanted = self._versions.wanted(model, adapter)
+        if version < wanted:
+            wanted = 0
+        return adapter_versions.slot_name(model, adapter, wanted)
+
+
+def _wait_s(
+    adapters: slots_module.AdapterSlots, order: work.WorkOrder
+) -> float:
+    return adapters.expected_wait_s(order.path) if order.path else 0.0
--- /dev/null
+++ b/lacewingpitch/engine_view.py
@@ -0,0 +1,256 @@
+"""What a sidecar knows of its engine, and the orders it gives."""
+
+import asyncio
+from collections.abc import Mapping
+import dataclasses
+import enum
+from typing import Protocol
+
+import structlog
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import clock as clock_module
+from lacewingpitch import engine as engine_module
+from lacewingpitch import errors
+from lacewingpitch import fence as fence_module
+
+# Without a report for so long, the engine counts as down: three reports
+# in a row are missing.
+_DOWN_AFTER_S = 1.0
+# A load takes 0.25 s, and longer in proportion where more are under way
+# than the store bears; at three times what all engines together may have
+# under way, and with a replacement that waits for its runs, it is done.
+_LOAD_TIMEOUT_S = 6.0
+_ORDER_TRIES = 4
+_ORDER_PAUSE_S = 0.1
+log = structlog.get_logger(__name__)
+
+
+class OrderResult(enum.Enum):
+    """What an engine answered to an order."""
+
+    ACCEPTED = enum.auto()
+    DONE = enum.auto()
+    BUSY = enum.auto()
+    FENCED = enum.auto()
+    OTHER_INCARNATION = enum.auto()
+    REJECTED = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSnapshot:
+    """What an engine says of itself, read from its own instance.
+
+    Parameters
+    ----------
+    incarnation
+        Changes when the engine restarts, and so is empty.
+    held
+        Versions of the adapters that it holds, by MODEL/ADAPTER.
+    pending
+        The same of those that are on their way to it.
+    run_ids
+        Runs that it works on.
+    queued
+        Requests that it has accepted and not begun.
+    """
+
+    incarnation: str
+    is_leaving: bool
+    held: Mapping[str, int]
+    pending: Mapping[str, int]
+    run_ids: frozenset[str]
+    queued: int
+    running: int
+
+
+class EngineOrders(Protocol):
+    """The calls that change what an engine holds."""
+
+    async def load(
+        self,
+        model: str,
+        adapter: str,
+        version: int,
+        fencing: int,
+        incarnation: str,
+    ) -> OrderResult:
+        """Order an adapter to be loaded; version 0 is the newest."""
+        ...
+
+    async def unload(
+        self, model: str, adapter: str, fencing: int, incarnation: str
+    ) -> OrderResult:
+        """Order an adapter that nothing uses to be unloaded."""
+        ...
+
+
+class EngineView:
+    """The engine beside this process, as last reported.
+
+    It is the `engine.AdapterHost` of `slots.AdapterSlots`: an order is
+    given and then waited for until a report shows it done.
+    """
+
+    def __init__(
+        self,
+        orders: EngineOrders,
+        fence: fence_module.Fence,
+        versions: adapter_versions.AdapterVersions,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._orders = orders
+        self._fence = fence
+        self._versions = versions
+        self._clock = clock
+        self._snapshot: EngineSnapshot | None = None
+        self._reported_at_s = 0.0
+        self._news = asyncio.Event()
+        self.loading_count = 0
+
+    @property
+    def snapshot(self) -> EngineSnapshot | None:
+        """Return the last report."""
+        return self._snapshot
+
+    @property
+    def backend_server(self) -> str:
+        """Return the engine's incarnation; empty if not known."""
+        return self._snapshot.incarnation if self._snapshot else ''
+
+    @property
+    def report_age_s(self) -> float:
+        """Return how old the last report is."""
+        return self._clock.monotonic_s() - self._reported_at_s
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the engine is up, and not about to leave."""
+        return (
+            self._snapshot is not None
+            and not self._snapshot.is_leaving
+            and self.report_age_s < _DOWN_AFTER_S
+        )
+
+    def slot_name(self, model: str, adapter: str, version: int) -> str:
+        """Return the name under which an adapter is to be held.
+
+        The asker and this process may each know of a version that the
+        other has not heard of yet.
+        """
+        wanted = max(version, self._versions.wanted(model, adapter))
+        return adapter_versions.slot_name(model, adapter, wanted)
+
+    def held_version(self, slot_name: str) -> int:
+        """Return the version held under that name; 0 if not known."""
+        if self._snapshot is None:
+            return 0
+        return self._snapshot.held.get(_split(slot_name)[0], 0)
+
+    def holds(self, slot_name: str) -> bool:
+        """Whether the last report shows the adapter, at its version."""
+        if self._snapshot is None:
+            return False
+        key, version = _split(slot_name)
+        held = self._snapshot.held.get(key)
+        return held is not None and held >= version
+
+    def update(self, snapshot: EngineSnapshot) -> bool:
+        """Take over a report; return whether the engine has restarted."""
+        before = self.backend_server
+        is_restart = bool(before) and snapshot.incarnation != before
+        self._snapshot = snapshot
+        self._reported_at_s = self._clock.monotonic_s()
+        self._fence.renew(
+            engine_module.EngineReport(
+                incarnation=snapshot.incarnation, base_model=''
+            )
+        )
+        self._news.set()
+        self._news = asyncio.Event()
+        return is_restart
+
+    async def load_adapter(self, name: str, fencing: int) -> None:
+        """Order the engine to load an adapter, and wait for it.
+
+        Raises
+        ------
+        PlatformError
+            The order was refused, or not done in time.
+        """
+        key, version = _split(name)
+        model, _, adapter = key.partition('/')
+        incarnation = self.backend_server
+        self.loading_count += 1
+        started_s = self._clock.monotonic_s()
+        try:
+            async with asyncio.timeout(_LOAD_TIMEOUT_S):
+                await self._give_load(model, adapter, version, incarnation)
+                await self._until_held(name, incarnation)
+        except TimeoutError as error:
+            raise errors.PlatformError(
+                f'{name} not loaded within {_LOAD_TIMEOUT_S:g} s'
+            ) from error
+        finally:
+            self.loading_count -= 1
+        log.info(
+            'adapter loaded',
+            adapter=name,
+            version=self.held_version(name),
+            took_ms=round((self._clock.monotonic_s() - started_s) * 1000),
+        )
+
+    async def evict_adapter(self, name: str, fencing: int) -> None:
+        """Order the engine to free an adapter's slot.
+
+        Raises
+        ------
+        PlatformError
+            The order was refused, or its answer was lost.
+        """
+        key, _ = _split(name)
+        model, _, adapter = key.partition('/')
+        incarnation = self.backend_server
+        for _ in range(_ORDER_TRIES):
+            result = await self._orders.unload(
+                model, adapter, self._fence.number, incarnation
+            )
+            if result in (OrderResult.ACCEPTED, OrderResult.DONE):
+                log.info('adapter unloaded', adapter=name)
+                return
+            await self._prepare_again(result)
+        raise errors.PlatformError(f'unloading {name}: {result.name}')
+
+    async def _give_load(
+        self, model: str, adapter: str, version: int, incarnation: str
+    ) -> None:
+        for _ in range(_ORDER_TRIES):
+            result = await self._orders.load(
+                model, adapter, version, self._fence.number, incarnation
+            )
+            if result in (OrderResult.ACCEPTED, OrderResult.DONE):
+                return
+            await self._prepare_again(result)
+        raise errors.PlatformError(f'loading {model}/{adapter}: {result.name}')
+
+    async def _prepare_again(self, result: OrderResult) -> None:
+        if result is OrderResult.FENCED:
+            self._fence.refused()
+            log.info('fencing number raised', number=self._fence.number)
+            return
+        if result is OrderResult.BUSY:
+            await asyncio.sleep(_ORDER_PAUSE_S)
+            return
+        raise errors.PlatformError(f'order answered {result.name}')
+
+    async def _until_held(self, name: str, incarnation: str) -> None:
+        while not self.holds(name):
+            await self._news.wait()
+            if self.backend_server != incarnation:
+                raise errors.PlatformError('the engine has restarted')
+
+
+def _split(slot_name: str) -> tuple[str, int]:
+    """Return MODEL/ADAPTER and the version that is wanted."""
+    key, _, version = slot_name.partition('@')
+    return key, int(version) if version else 0
--- a/lacewingpitch/fence.py
+++ b/lacewingpitch/fence.py
@@ -4,6 +4,9 @@
 from lacewingpitch import engine
 
 _MS_PER_S = 1000
+# How far the clock of an earlier sidecar may have been ahead of this
+# one's: steps of a time of day are a few seconds.
+_CLOCK_AHEAD_MS = 10_000
 
 
 class Fence:
@@ -43,6 +46,15 @@
         """Record that the engine has taken an order with this number."""
         self._was_accepted = True
 
+    def refused(self) -> None:
+        """Rise above a higher number that the engine has taken.
+
+        The engine does not say which.  An earlier sidecar of this place
+        took its number from a clock that was ahead; it is gone, as its
+        port was free, so that going higher fences off nobody else.
+        """
+        self.number += _CLOCK_AHEAD_MS
+
     def _overtake(self, last_fencing: int) -> None:
         # The first report may lag, and this clock may be behind that of
         # an earlier sidecar: the first order is then fenced off, and the
--- /dev/null
+++ b/lacewingpitch/grant.py
@@ -0,0 +1,111 @@
+"""What an entry asks of a sidecar before it sends a request to its engine.
+
+The sidecar grants: it alone orders its engine and reads the engine's
+state without delay.  The entry carries: the bytes of requests and
+answers pass between it and the engine, so that the loss of a sidecar
+cuts no answer.
+"""
+
+from lacewingpitch import errors
+from lacewingpitch import hint as hint_module
+from lacewingpitch import link
+
+
+class TurnRequest(link.Message, frozen=True):
+    """Asks for a turn at an engine, with an adapter.
+
+    Asking again with the same id is idempotent: it returns the turn
+    that was granted, or goes on waiting for it.
+
+    Parameters
+    ----------
+    turn_id
+        Names one attempt of one request.
+    run_id
+        Name under which the engine will know the run.
+    adapter
+        Adapter's name; empty for the base model alone.
+    version
+        Lowest version that the asker knows to be wanted; 0 for any.
+    route
+        Route of the request; turns are shared between routes.
+    rank
+        The route's urgency; 0 is the most urgent.
+    max_tokens
+        Most tokens that the answer can have; 0 if not known.
+    wait_ms
+        How long the reply may stay away before it says `is_pending`.
+    deadline_ms
+        Time left until the request's final answer is due.
+    """
+
+    turn_id: str
+    run_id: str
+    model: str
+    adapter: str
+    version: int
+    route: str
+    rank: int
+    max_tokens: int
+    wait_ms: int
+    deadline_ms: int
+
+
+class TurnReply(link.Message, frozen=True):
+    """Grants a turn, refuses it, or says that it is still waited for.
+
+    Parameters
+    ----------
+    backend_server
+        Incarnation of the engine that the turn is for; empty if it is
+        not known.
+    version
+        Version of the adapter that the engine holds; 0 if not known.
+    refusal
+        Why there is no turn; empty if there is one.
+    configuration_version
+        Version of the configuration that the sidecar has in force.
+    hint
+        State of the engine.
+    """
+
+    backend_server: str = ''
+    version: int = 0
+    is_pending: bool = False
+    refusal: errors.ErrorKind | None = None
+    detail: str = ''
+    retry_after_ms: int = 0
+    configuration_version: int = 0
+    hint: hint_module.Hint | None = None
+
+
+class TurnEnds(link.Message, frozen=True):
+    """Says that turns have ended, or are not wanted any more."""
+
+    turn_ids: tuple[str, ...]
+
+
+class TurnEndsReply(link.Message, frozen=True):
+    """Confirms `TurnEnds`."""
+
+
+class ConfigurationRequest(link.Message, frozen=True):
+    """Asks for the configuration, if newer than a version."""
+
+    above_version: int
+
+
+class ConfigurationReply(link.Message, frozen=True):
+    """The published bytes of the configuration; empty if not newer."""
+
+    content: bytes = b''
+
+
+class ConfigurationOffer(link.Message, frozen=True):
+    """Brings the configuration to a process that has an older one."""
+
+    content: bytes
+
+
+class ConfigurationTaken(link.Message, frozen=True):
+    """Confirms `ConfigurationOffer`."""
--- /dev/null
+++ b/lacewingpitch/grant_desk.py
@@ -0,0 +1,314 @@
+"""Grants turns at one engine to the requests that entries carry."""
+
+import asyncio
+from collections.abc import Callable, Collection
+import contextlib
+import dataclasses
+from typing import Protocol
+
+import structlog
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import contract
+from lacewingpitch import errors
+from lacewingpitch import grant
+from lacewingpitch import hint as hint_module
+from lacewingpitch import slots as slots_module
+from lacewingpitch import turn_queue
+from lacewingpitch import work
+
+_MS_PER_S = 1000
+# A granted run shows in the engine's report once the entry has sent the
+# request: the way there, the body, and the engine's own queue.  A turn
+# whose run is missing for so long belongs to an entry that died or was
+# cut off, and its place is free.
+_UNSEEN_AFTER_S = 1.5
+# Refused requests that come back together would be refused again.
+_LEAVING_RETRY_S = 0.2
+# Far above what a healthy engine lets wait: requests that can't be in
+# time are refused by the estimate of their wait, and sooner.
+_MAX_QUEUED_OF_A_ROUTE = 256
+log = structlog.get_logger(__name__)
+
+
+class EngineState(Protocol):
+    """What the desk needs to know of its engine."""
+
+    @property
+    def backend_server(self) -> str:
+        """Return the engine's incarnation; empty if not known."""
+        ...
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the engine is up, and not about to leave."""
+        ...
+
+    def slot_name(self, model: str, adapter: str, version: int) -> str:
+        """Return the adapter's name in `slots.AdapterSlots`."""
+        ...
+
+    def held_version(self, slot_name: str) -> int:
+        """Return the version held under that name; 0 if not known."""
+        ...
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Turn:
+    """One turn, from the time it is asked for."""
+
+    request: grant.TurnRequest
+    asked_at_s: float
+    until_s: float
+    task: asyncio.Task[grant.TurnReply] | None = None
+    granted_at_s: float | None = None
+    seen_at_s: float | None = None
+    held: contextlib.AsyncExitStack = dataclasses.field(
+        default_factory=contextlib.AsyncExitStack
+    )
+
+
+class GrantDesk:
+    """Keeps the turns of one engine.
+
+    A turn is a lease.  It ends when its entry says so, when its engine
+    works on its run no more, or at the request's deadline, whichever is
+    first.
+
+    Parameters
+    ----------
+    configuration_version
+        Returns the version that this process has in force.
+    """
+
+    def __init__(
+        self,
+        queue: turn_queue.TurnQueue,
+        adapters: slots_module.AdapterSlots,
+        engine: EngineState,
+        clock: clock_module.Clock,
+        configuration_version: Callable[[], int],
+    ) -> None:
+        self._queue = queue
+        self._adapters = adapters
+        self._engine = engine
+        self._clock = clock
+        self._configuration_version = configuration_version
+        self._turns: dict[str, _Turn] = {}
+        self.granted_count = 0
+        self.refused_count = 0
+        self.lapsed_count = 0
+
+    def __len__(self) -> int:
+        """Return how many turns are granted or waited for."""
+        return len(self._turns)
+
+    async def ask(self, request: grant.TurnRequest) -> grant.TurnReply:
+        """Return a turn, a refusal, or that it is still waited for."""
+        turn = self._turns.get(request.turn_id)
+        if turn is None:
+            if not self._engine.is_serving:
+                return self._refused(
+                    request,
+                    errors.RefusalError(
+                        errors.ErrorKind.DRAINING,
+                        'the engine is down or leaving',
+                        retry_after_s=_LEAVING_RETRY_S,
+                    ),
+                )
+            turn = self._enter(request)
+        assert turn.task is not None
+        done, _ = await asyncio.wait(
+            [turn.task], timeout=request.wait_ms / _MS_PER_S
+        )
+        if not done:
+            return self._reply(is_pending=True)
+        if turn.task.cancelled():
+            return self._refused(
+                request,
+                errors.RefusalError(
+                    errors.ErrorKind.CALLER_GONE, 'the turn was given up'
+                ),
+            )
+        return turn.task.result()
+
+    async def end(self, message: grant.TurnEnds) -> grant.TurnEndsReply:
+        """Take back turns."""
+        for turn_id in message.turn_ids:
+            await self._end(turn_id)
+        return grant.TurnEndsReply()
+
+    async def reap(
+        self, run_ids: Collection[str], asked_at_s: float, is_queueing: bool
+    ) -> None:
+        """Take back the turns of runs that the engine does not know.
+
+        Parameters
+        ----------
+        run_ids
+            Runs that the engine works on, as of `asked_at_s`.
+        is_queueing
+            Whether the engine has accepted requests that it does not
+            work on yet, and does not name.
+        """
+        now_s = self._clock.monotonic_s()
+        for turn_id, turn in list(self._turns.items()):
+            if turn.request.run_id in run_ids:
+                turn.seen_at_s = asked_at_s
+            if now_s >= turn.until_s or (
+                not is_queueing and self._is_unseen(turn, asked_at_s)
+            ):
+                self.lapsed_count += 1
+                log.info(
+                    'turn lapsed',
+                    request_id=turn.request.run_id,
+                    age_s=round(now_s - turn.asked_at_s, 3),
+                    past_deadline=now_s >= turn.until_s,
+                )
+                await self._end(turn_id)
+
+    async def forget_all(self) -> None:
+        """Take back every turn: the engine has restarted."""
+        for turn_id in list(self._turns):
+            await self._end(turn_id)
+
+    def _is_unseen(self, turn: _Turn, asked_at_s: float) -> bool:
+        if turn.granted_at_s is None:
+            return False
+        since_s = turn.granted_at_s
+        if turn.seen_at_s is not None:
+            since_s = max(since_s, turn.seen_at_s)
+        return asked_at_s - since_s >= _UNSEEN_AFTER_S
+
+    def _enter(self, request: grant.TurnRequest) -> _Turn:
+        now_s = self._clock.monotonic_s()
+        turn = _Turn(request, now_s, now_s + request.deadline_ms / _MS_PER_S)
+        self._turns[request.turn_id] = turn
+        turn.task = asyncio.create_task(self._settle(turn))
+        return turn
+
+    async def _settle(self, turn: _Turn) -> grant.TurnReply:
+        request = turn.request
+        try:
+            await self._take(turn)
+        except errors.RefusalError as error:
+            await self._end(request.turn_id, is_settling=True)
+            return self._refused(request, error)
+        except BaseException:
+            await self._end(request.turn_id, is_settling=True)
+            raise
+        now_s = self._clock.monotonic_s()
+        turn.granted_at_s = now_s
+        self.granted_count += 1
+        name = self._slot_name(request)
+        version = self._engine.held_version(name) if name else 0
+        log.info(
+            'turn granted',
+            request_id=request.run_id,
+            adapter=name,
+            version=version,
+            wanted_version=request.version,
+            waited_ms=round((now_s - turn.asked_at_s) * _MS_PER_S),
+            running=self._queue.running,
+            queued=self._queue.queued,
+        )
+        return self._reply(version=version)
+
+    async def _take(self, turn: _Turn) -> None:
+        request = turn.request
+        name = self._slot_name(request)
+        order = self._order(request, name)
+        place = await turn.held.enter_async_context(self._queue.place(order))
+        if name:
+            left_s = turn.until_s - self._clock.monotonic_s()
+            await turn.held.enter_async_context(
+                self._adapters.hold(name, left_s)
+            )
+        await turn.held.enter_async_context(place.turn())
+
+    async def _end(self, turn_id: str, is_settling: bool = False) -> None:
+        turn = self._turns.pop(turn_id, None)
+        if turn is None:
+            return
+        if not is_settling and turn.task is not None:
+            if not turn.task.done():
+                turn.task.cancel()
+                await asyncio.wait([turn.task])
+        await turn.held.aclose()
+
+    def _slot_name(self, request: grant.TurnRequest) -> str:
+        if not request.adapter:
+            return ''
+        return self._engine.slot_name(
+            request.model, request.adapter, request.version
+        )
+
+    def _order(self, request: grant.TurnRequest, name: str) -> work.WorkOrder:
+        # Routes share an engine as customers do where there are
+        # contracts: each gets its turns, and an urgent one goes ahead.
+        urgency = contract.Urgency.STANDARD
+        if not request.rank:
+            urgency = contract.Urgency.INTERACTIVE
+        return work.WorkOrder(
+            request_id=request.run_id,
+            attempt=1,
+            customer=request.route,
+            contract_revision=0,
+            urgency=urgency,
+            weight=1.0,
+            deadline_s=request.deadline_ms / _MS_PER_S,
+            method='',
+            path=name,
+            repeatable=False,
+            max_tokens=request.max_tokens,
+            queued_requests=_MAX_QUEUED_OF_A_ROUTE,
+        )
+
+    def _refused(
+        self, request: grant.TurnRequest, error: errors.RefusalError
+    ) -> grant.TurnReply:
+        self.refused_count += 1
+        log.info(
+            'turn refused',
+            request_id=request.run_id,
+            kind=error.kind,
+            detail=error.detail,
+            retry_after_s=error.retry_after_s,
+            running=self._queue.running,
+            queued=self._queue.queued,
+        )
+        return self._reply(
+            refusal=error.kind,
+            detail=error.detail,
+            retry_after_ms=int((error.retry_after_s or 0.0) * _MS_PER_S),
+        )
+
+    def _reply(
+        self,
+        version: int = 0,
+        is_pending: bool = False,
+        refusal: errors.ErrorKind | None = None,
+        detail: str = '',
+        retry_after_ms: int = 0,
+    ) -> grant.TurnReply:
+        return grant.TurnReply(
+            backend_server=self._engine.backend_server,
+            version=version,
+            is_pending=is_pending,
+            refusal=refusal,
+            detail=detail,
+            retry_after_ms=retry_after_ms,
+            configuration_version=self._configuration_version(),
+            hint=self._hint(),
+        )
+
+    def _hint(self) -> hint_module.Hint:
+        names = self._adapters.adapters
+        return hint_module.Hint(
+            running=self._queue.running,
+            queued=self._queue.queued,
+            max_running=max(1, self._queue.turn_count),
+            load_wait_ms=int(self._adapters.expected_wait_s() * _MS_PER_S),
+            spare_slots=self._adapters.spare_count,
+            adapters=hint_module.join_fingerprints(names),
+        )
--- a/lacewingpitch/http_guard.py
+++ b/lacewingpitch/http_guard.py
@@ -72,7 +72,7 @@
     return None
 
 
-async def read_body(request: web.Request, timeout_s: float) -> bytes:
+async def read_body(request: web.BaseRequest, timeout_s: float) -> bytes:
     """Return the whole body of a request.
 
     Raises
@@ -105,7 +105,7 @@
     structlog.contextvars.bind_contextvars(**{_REQUEST_ID: request_id})
 
 
-def limit_stall(request: web.Request, stall_s: float) -> None:
+def limit_stall(request: web.BaseRequest, stall_s: float) -> None:
     """Let the kernel end the connection when the other end stalls.
 
     A caller that stops to read, or vanishes without a word, holds its
--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -229,10 +229,19 @@
 
 
 class ControlServer:
-    """Answers control messages, each by the handler of its type."""
+    """Answers control messages, each by the handler of its type.
 
-    def __init__(self, sealer: Sealer) -> None:
+    Parameters
+    ----------
+    context_count
+        Messages that are handled at once; more wait in the transport.
+    """
+
+    def __init__(
+        self, sealer: Sealer, context_count: int = _SERVER_CONTEXTS
+    ) -> None:
         self._sealer = sealer
+        self._context_count = context_count
         self._handlers: dict[
             str | int, tuple[type[msgspec.Struct], Handler]
         ] = {}
@@ -262,7 +271,7 @@
         listener = rep.listen(f'tcp://{ip}:{port}')
         # pynng gives the port in network byte order.
         self.port = port or socket.ntohs(listener.local_address.port)
-        for _ in range(_SERVER_CONTEXTS):
+        for _ in range(self._context_count):
             task = asyncio.create_task(self._serve(rep.new_context()))
             self._exits.push_async_callback(_cancel, task)
 
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -338,8 +338,11 @@
     def learn(self, instance: str, header: str) -> None:
         """Take over the hint on an answer; a useless one is dropped."""
         hint = hint_module.decode_hint(header)
-        if hint is None:
-            return
+        if hint is not None:
+            self.learn_hint(instance, hint)
+
+    def learn_hint(self, instance: str, hint: hint_module.Hint) -> None:
+        """Take over what a sidecar told of its engine."""
         view = self._view(instance)
         self._forget_hint(instance, view)
         view.hint = hint
--- /dev/null
+++ b/lacewingpitch/platform/backend_client.py
@@ -0,0 +1,166 @@
+"""Sends requests to backend servers, as the platform has them sent."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import time
+
+import aiohttp
+import yarl
+
+from lacewingpitch import backend_call
+from lacewingpitch.platform import names
+
+# Within a region a connection takes some 2 ms; one that takes longer
+# meets an instance that is down, or behind a cut.
+_CONNECT_TIMEOUT_S = 0.4
+_MS_PER_S = 1000
+_LEAST_DEADLINE_MS = 1
+_MOST_PRIORITY = 9
+_OTHER_INCARNATION = 421
+_CLOSE = 'close'
+_READ_BUFFER_BYTES = 1 << 16
+
+
+class HttpBackendClient:
+    """Sends each request on a connection of its own.
+
+    A backend server may send bytes after an answer, close an idle
+    connection as a request is on its way, or fall silent on it.  On a
+    connection that is used once none of these can touch another request;
+    each costs 1 ms of its server, and a thousandth of a request's worth.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: backend_call.BackendCall
+    ) -> AsyncIterator[backend_call.BackendAnswer]:
+        """Send a request; see `backend_call.BackendClient`."""
+        response = await self._open(call)
+        try:
+            _check_ran(call, response)
+            yield backend_call.BackendAnswer(
+                status=response.status,
+                headers=_end_to_end(response),
+                is_leaving=_says_close(response),
+                chunks=_chunks(response),
+            )
+        finally:
+            response.close()
+
+    async def _open(
+        self, call: backend_call.BackendCall
+    ) -> aiohttp.ClientResponse:
+        request = call.request
+        server = call.server
+        url = yarl.URL(
+            f'http://{server.ip}:{server.port}{request.target}', encoded=True
+        )
+        try:
+            return await self._session.request(
+                request.method,
+                url,
+                data=request.body or None,
+                headers=_headers(call),
+                allow_redirects=False,
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise backend_call.NotSentError(repr(error)) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise backend_call.AnswerLostError(repr(error)) from error
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return a session for `HttpBackendClient`."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=(
+            'Accept',
+            'Accept-Encoding',
+            'Content-Type',
+            'User-Agent',
+        ),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=_CONNECT_TIMEOUT_S
+        ),
+        read_bufsize=_READ_BUFFER_BYTES,
+    )
+
+
+def _headers(call: backend_call.BackendCall) -> list[tuple[str, str]]:
+    request = call.request
+    left_s = call.until_s - time.monotonic()
+    left_ms = max(_LEAST_DEADLINE_MS, int(left_s * _MS_PER_S))
+    headers = [
+        *request.headers,
+        (names.DEADLINE_MS, str(left_ms)),
+        (names.EXPECT_INCARNATION, call.server.name),
+    ]
+    if call.last_event_id:
+        headers.append((names.LAST_EVENT_ID, str(call.last_event_id)))
+    if request.model:
+        rank = min(request.route.rank, _MOST_PRIORITY)
+        headers.append((names.PRIORITY, str(rank)))
+    if call.adapter_version:
+        headers.append((names.EXPECT_VERSION, str(call.adapter_version)))
+    return headers
+
+
+def _check_ran(
+    call: backend_call.BackendCall, response: aiohttp.ClientResponse
+) -> None:
+    if response.status == _OTHER_INCARNATION:
+        raise backend_call.NotRunError(
+            'another incarnation or version', is_other_server=True
+        )
+    if names.NOT_RUN in response.headers:
+        raise backend_call.NotRunError(
+            f'status {response.status}', is_other_server=False
+        )
+    # An answer of another request may lie where this one's is due.
+    answered_id = response.headers.get(names.REQUEST_ID)
+    if answered_id != call.request.request_id:
+        raise backend_call.AnswerLostError('the answer is not to this request')
+    if 'Content-Encoding' in response.headers:
+        raise backend_call.AnswerLostError('the answer is encoded')
+
+
+def _end_to_end(response: aiohttp.ClientResponse) -> backend_call.Headers:
+    return tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in names.HOP_BY_HOP
+    )
+
+
+def _says_close(response: aiohttp.ClientResponse) -> bool:
+    return response.headers.get('Connection', '').lower() == _CLOSE
+
+
+async def _chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    connection = response.connection
+    protocol = connection.protocol if connection else None
+    try:
+        async for chunk in response.content.iter_any():
+            yield chunk
+    except (aiohttp.ClientError, OSError) as error:
+        raise backend_call.AnswerLostError(repr(error)) from error
+    if _is_framed(response) or protocol is None:
+        return
+    # An answer without a length ends with its connection.  The library
+    # takes a reset for such an end; the answer would be cut, and a
+    # caller would take it for whole.
+    if isinstance(protocol.exception(), OSError):
+        raise backend_call.AnswerLostError('reset before the end')
+
+
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    headers = response.headers
+    return 'Content-Length' in headers or 'Transfer-Encoding' in headers
--- /dev/null
+++ b/lacewingpitch/platform/engine.py
@@ -0,0 +1,141 @@
+"""The model engine beside a sidecar: its report, and orders to it."""
+
+import aiohttp
+import msgspec
+
+from lacewingpitch import engine_view
+from lacewingpitch import errors
+from lacewingpitch import platform_call
+from lacewingpitch.platform import names
+from lacewingpitch.platform import wire
+
+# An engine on the same instance answers within a few ms.
+_REPORT_TIMEOUT_S = 0.5
+_ORDER_TIMEOUT_S = 1.0
+_MAX_REPORT_BYTES = 1 << 20
+_RESULTS = {
+    200: engine_view.OrderResult.DONE,
+    202: engine_view.OrderResult.ACCEPTED,
+    409: engine_view.OrderResult.BUSY,
+    412: engine_view.OrderResult.FENCED,
+    421: engine_view.OrderResult.OTHER_INCARNATION,
+}
+_OK = 200
+
+
+class _Run(msgspec.Struct, frozen=True, array_like=True):
+    # The caller's name of the attempt that is being worked on.
+    request_id: str
+
+
+class _Report(msgspec.Struct, frozen=True):
+    models: tuple[wire.HeldModel, ...] = ()
+    # Adapters on their way, as MODEL/NAME@VERSION.
+    pending: tuple[str, ...] = ()
+    state: str = 'ready'
+    queued: int = 0
+    active: int = 0
+    runs: tuple[_Run, ...] = ()
+    # Number of orders taken; it starts anew when the engine does.
+    sequence: int = 0
+
+
+class Engine:
+    """Calls to the engine on this instance.
+
+    Parameters
+    ----------
+    holder
+        Name under which orders are given.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, holder: str
+    ) -> None:
+        self._session = session
+        self._url = url
+        self._holder = holder
+        self.order_count = 0
+
+    async def report(self) -> engine_view.EngineSnapshot:
+        """Return what the engine says of itself.
+
+        Raises
+        ------
+        PlatformError
+            It does not answer, or not as an engine does.
+        """
+        timeout = aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S)
+        with platform_call.platform_errors('engine'):
+            async with self._session.get(
+                f'{self._url}{names.REPORT_PATH}', timeout=timeout
+            ) as response:
+                if response.status != _OK:
+                    raise errors.PlatformError(
+                        f'engine: status {response.status}'
+                    )
+                data = await platform_call.read_limited(
+                    response, _MAX_REPORT_BYTES
+                )
+                incarnation = response.headers.get(names.INCARNATION, '')
+                found = msgspec.json.decode(data, type=_Report)
+        return engine_view.EngineSnapshot(
+            incarnation=incarnation,
+            is_leaving=found.state != 'ready',
+            held=wire.held_versions(found.models),
+            pending=wire.pending_versions(found.pending),
+            run_ids=frozenset(run.request_id for run in found.runs),
+            queued=found.queued,
+            running=found.active,
+        )
+
+    async def load(
+        self,
+        model: str,
+        adapter: str,
+        version: int,
+        fencing: int,
+        incarnation: str,
+    ) -> engine_view.OrderResult:
+        """Order an adapter to be loaded; version 0 is the newest."""
+        body: dict[str, str | int] = {
+            'operation': 'load',
+            'model': model,
+            'adapter': adapter,
+        }
+        if version:
+            body['version'] = version
+        return await self._order(body, fencing, incarnation)
+
+    async def unload(
+        self, model: str, adapter: str, fencing: int, incarnation: str
+    ) -> engine_view.OrderResult:
+        """Order an adapter that nothing uses to be unloaded."""
+        body: dict[str, str | int] = {
+            'operation': 'unload',
+            'model': model,
+            'adapter': adapter,
+        }
+        return await self._order(body, fencing, incarnation)
+
+    async def _order(
+        self, body: dict[str, str | int], fencing: int, incarnation: str
+    ) -> engine_view.OrderResult:
+        self.order_count += 1
+        body['holder'] = self._holder
+        body['fencingToken'] = fencing
+        headers = {'Content-Type': 'application/json'}
+        if incarnation:
+            headers[names.EXPECT_INCARNATION] = incarnation
+        timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
+        with platform_call.platform_errors('engine'):
+            async with self._session.post(
+                f'{self._url}{names.ORDER_PATH}',
+                data=msgspec.json.encode(body),
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                await response.read()
+                return _RESULTS.get(
+                    response.status, engine_view.OrderResult.REJECTED
+                )
--- /dev/null
+++ b/lacewingpitch/platform/entry.py
@@ -0,0 +1,194 @@
+"""The entry instance on the platform."""
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import random
+import time
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+import structlog
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import backend_call
+from lacewingpitch import backend_list
+from lacewingpitch import carrier as carrier_module
+from lacewingpitch import clock as clock_module
+from lacewingpitch import configuration_exchange
+from lacewingpitch import ejection
+from lacewingpitch import link
+from lacewingpitch import placement as placement_module
+from lacewingpitch import retry_budget
+from lacewingpitch import routing
+from lacewingpitch import service_choice
+from lacewingpitch import settings as product_settings
+from lacewingpitch import sidecar_peers
+from lacewingpitch import turn_source
+from lacewingpitch.platform import backend_client
+from lacewingpitch.platform import front as front_module
+from lacewingpitch.platform import published
+from lacewingpitch.platform import settings as settings_module
+from lacewingpitch.platform import store as store_module
+
+DEPLOYMENT = 'lacewingpitch'
+# The control messages cross the platform's internal network, which only
+# the system's own instances reach.  The signature tells damaged messages
+# and those of another version apart; it is no secret.
+SEAL = 'lacewingpitch-internal-network'
+_BACKLOG = 1024
+# Balancers take an instance out after two questions a second apart.
+_LEAST_DRAIN_S = 2.5
+_DRAIN_CHECK_S = 0.05
+_LEFT_TO_CLOSE_S = 0.5
+# As many entries share the retry budget at least: more than there are at
+# the small sites, spare instances included.
+_LEAST_ENTRIES = 10
+# New entries of engines come with each adapter that they load.
+_LIST_PAUSE_S = 0.4
+_OPERATOR_PAUSE_S = 0.1
+log = structlog.get_logger(__name__)
+
+
+class Entry:
+    """Takes callers' requests and carries them to backend servers."""
+
+    def __init__(
+        self,
+        settings: settings_module.DaemonSettings,
+        clock: clock_module.Clock | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock or clock_module.SystemClock()
+        self._random = random.Random()
+        self._exits = contextlib.AsyncExitStack()
+        self.table = routing.RoutingTable()
+        self.servers = backend_list.BackendList(self._clock)
+        self.versions = adapter_versions.AdapterVersions()
+        self.ejector = ejection.Ejector(self._clock, self._random)
+        self.front = front_module.Front(self.table, self._serve)
+        self._carrier: carrier_module.Carrier | None = None
+
+    def ports(self) -> dict[str, int]:
+        """Return the ports it listens on, by name."""
+        return {
+            'callers': settings_module.split_endpoint(self._settings.callers)[
+                1
+            ],
+            'ready': settings_module.split_endpoint(self._settings.ready)[1],
+        }
+
+    async def start(self) -> None:
+        """Follow the store, and listen for callers."""
+        settings = self._settings
+        pool = link.PeerPool(
+            link.Sealer(DEPLOYMENT, SEAL, settings.instance), 2048
+        )
+        self._exits.callback(pool.close)
+        peers = sidecar_peers.SidecarPeers(pool, settings.internal_port)
+        exchange = configuration_exchange.ConfigurationExchange(
+            peers, self.table, published.decode, self._clock
+        )
+        self._exits.callback(exchange.close)
+        turns = turn_source.TurnSource(
+            peers,
+            self.servers,
+            placement_module.Placement(
+                self._clock, product_settings.ObjectiveSettings(stall_weight=1)
+            ),
+            self.ejector,
+            self._clock,
+            exchange.note,
+        )
+        session = await self._exits.enter_async_context(
+            backend_client.new_session()
+        )
+        self._carrier = carrier_module.Carrier(
+            backend_client.HttpBackendClient(session),
+            turns,
+            service_choice.ServiceChoice(
+                self.servers,
+                self.ejector,
+                settings.availability_zone,
+                self._random,
+            ),
+            self.ejector,
+            retry_budget.ServiceBudgets(
+                settings.retry_ratio, settings.retry_allowance, _LEAST_ENTRIES
+            ),
+            self.versions,
+            self._random,
+        )
+        self._run(turns.run())
+        await self._follow(exchange)
+        await self._listen(settings.ready, web.Server(self._ready))
+        await self._listen(settings.callers, self.front.server())
+
+    async def close(self) -> None:
+        """Finish what is in progress, then release everything."""
+        self.front.is_draining = True
+        started_s = time.monotonic()
+        limit_s = self._settings.drain_s - _LEFT_TO_CLOSE_S
+        while True:
+            await asyncio.sleep(_DRAIN_CHECK_S)
+            took_s = time.monotonic() - started_s
+            is_idle = not self.front.in_progress
+            if took_s >= limit_s or (is_idle and took_s >= _LEAST_DRAIN_S):
+                break
+        log.info(
+            'drained',
+            took_s=round(took_s, 3),
+            left_over=self.front.in_progress,
+        )
+        await self._exits.aclose()
+
+    async def _serve(
+        self,
+        request: backend_call.CallerRequest,
+        delivery: backend_call.Delivery,
+    ) -> None:
+        assert self._carrier is not None
+        trail = await self._carrier.carry(request, delivery)
+        log.info(
+            'answered',
+            request_id=request.request_id,
+            status=trail.status,
+            backend_servers=trail.servers,
+            turn_wait_ms=round(trail.turn_wait_s * 1000),
+            events=trail.splitter.event_count,
+            list_age_s=round(self.servers.age_s, 1),
+        )
+
+    async def _follow(
+        self, exchange: configuration_exchange.ConfigurationExchange
+    ) -> None:
+        session = await self._exits.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        store = store_module.Store(
+            session, settings_module.url_of(self._settings.store)
+        )
+        operator = published.OperatorNews(self.versions, exchange)
+        self._run(operator.follow(store, _OPERATOR_PAUSE_S, self._random))
+        news = published.BackendNews(self.servers)
+        self._run(news.follow(store, _LIST_PAUSE_S, self._random))
+
+    async def _listen(self, endpoint: str, server: web.Server) -> None:
+        ip, port = settings_module.split_endpoint(endpoint)
+        runner = web.ServerRunner(server, shutdown_timeout=_LEFT_TO_CLOSE_S)
+        await runner.setup()
+        self._exits.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, ip, port, backlog=_BACKLOG)
+        await site.start()
+
+    async def _ready(self, _request: web.BaseRequest) -> web.Response:
+        if self.front.is_draining:
+            return web.Response(status=503, text='draining\n')
+        if self.table.configuration is None or not self.servers.is_known:
+            return web.Response(status=503, text='starting\n')
+        return web.Response(text='ready\n')
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._exits.callback(task.cancel)
--- /dev/null
+++ b/lacewingpitch/platform/front.py
@@ -0,0 +1,309 @@
+"""The HTTP interface of an entry towards callers, as the platform has it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import time
+
+from aiohttp import abc
+from aiohttp import http_parser
+from aiohttp import streams
+from aiohttp import web
+import structlog
+
+from lacewingpitch import answer as answer_module
+from lacewingpitch import backend_call
+from lacewingpitch import errors
+from lacewingpitch import http_guard
+from lacewingpitch import routing
+from lacewingpitch.platform import names
+
+_MS_PER_S = 1000
+_CLOSE = 'close'
+# Callers use connections again that were idle for less than this; one
+# that is closed earlier may cross a request on its way.
+_KEEPALIVE_S = 75.0
+# A caller that takes no byte for so long has gone without a word.
+_STALL_S = 10.0
+_BODY_TIMEOUT_S = 10.0
+_MAX_LINE_BYTES = 16 << 10
+_UNKNOWN_ROUTE_RETRY_S = 0.3
+log = structlog.get_logger(__name__)
+
+Serve = Callable[
+    [backend_call.CallerRequest, backend_call.Delivery], Awaitable[None]
+]
+
+
+class ResponseDelivery:
+    """Delivers one answer on the connection of its request."""
+
+    def __init__(
+        self, request: web.BaseRequest, is_draining: Callable[[], bool]
+    ) -> None:
+        self._request = request
+        self._is_draining = is_draining
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of an answer has been sent."""
+        return self.response is not None
+
+    async def send_whole(
+        self, answer: backend_call.BackendAnswer, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        response = web.Response(status=answer.status, body=body)
+        await self._begin(response, answer)
+        await response.write_eof()
+
+    async def begin(self, answer: backend_call.BackendAnswer) -> None:
+        """Send the head of a stream."""
+        await self._begin(web.StreamResponse(status=answer.status), answer)
+
+    async def write(self, events: bytes) -> None:
+        """Send whole events of a stream."""
+        assert self.response is not None
+        await self.response.write(events)
+
+    async def finish(self) -> None:
+        """Mark a stream as complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    async def refuse(
+        self, error: errors.RefusalError, request_id: str
+    ) -> None:
+        """Send a refusal; once an answer has begun, cut it instead."""
+        if self.response is not None:
+            # Closed without the mark of its end, the stream is seen as
+            # broken off and not as complete.
+            transport = self._request.transport
+            if transport is not None:
+                transport.close()
+            return
+        headers = {names.REQUEST_ID: request_id} if request_id else {}
+        if error.retry_after_s is not None:
+            headers[names.RETRY_AFTER] = f'{error.retry_after_s:.3f}'
+        response = web.Response(
+            status=error.status,
+            body=answer_module.error_json(error),
+            headers=headers,
+            content_type='application/json',
+        )
+        self.response = response
+        self._close_when_draining(response)
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    async def _begin(
+        self,
+        response: web.StreamResponse,
+        answer: backend_call.BackendAnswer,
+    ) -> None:
+        response.headers.clear()
+        for name, value in answer.headers:
+            response.headers.add(name, value)
+        self._close_when_draining(response)
+        self.response = response
+        await response.prepare(self._request)
+
+    def _close_when_draining(self, response: web.StreamResponse) -> None:
+        if self._is_draining():
+            response.force_close()
+
+
+class Front:
+    """Reads callers' requests and finds their routes.
+
+    Parameters
+    ----------
+    serve
+        Answers a request; raises `errors.RefusalError` otherwise.
+    """
+
+    def __init__(self, table: routing.RoutingTable, serve: Serve) -> None:
+        self._table = table
+        self._serve = serve
+        self.is_draining = False
+        self.in_progress = 0
+
+    def server(self) -> web.Server:
+        """Return the protocol factory of callers' connections."""
+        return web.Server(
+            self._handle,
+            request_factory=self._new_request,
+            handler_cancellation=True,
+            access_log=None,
+            logger=http_guard.SILENT_LOGGER,
+            keepalive_timeout=_KEEPALIVE_S,
+            max_line_size=_MAX_LINE_BYTES,
+            max_field_size=_MAX_LINE_BYTES,
+            auto_decompress=False,
+        )
+
+    def _new_request(
+        self,
+        message: http_parser.RawRequestMessage,
+        payload: streams.StreamReader,
+        protocol: web.RequestHandler,
+        writer: abc.AbstractStreamWriter,
+        task: 'asyncio.Task[None]',
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self._limits.body_bytes,
+        )
+
+    @property
+    def _limits(self) -> routing.CallerLimits:
+        configuration = self._table.configuration
+        if configuration is None:
+            return routing.CallerLimits()
+        return configuration.limits
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived_s = time.monotonic()
+        delivery = ResponseDelivery(request, lambda: self.is_draining)
+        request_id = request.headers.get(names.REQUEST_ID, '')
+        self.in_progress += 1
+        try:
+            http_guard.limit_stall(request, _STALL_S)
+            await self._answer(request, request_id, delivery, arrived_s)
+        finally:
+            self.in_progress -= 1
+        assert delivery.response is not None
+        return delivery.response
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        delivery: ResponseDelivery,
+        arrived_s: float,
+    ) -> None:
+        outcome = 'left'
+        route_name = ''
+        try:
+            route = self._route(request)
+            route_name = route.name
+            found = await self._read(request, request_id, route, arrived_s)
+            await self._serve(found, delivery)
+            outcome = 'served'
+        except errors.RefusalError as error:
+            outcome = error.kind.value
+            await delivery.refuse(error, request_id)
+        except (ConnectionError, TimeoutError):
+            outcome = 'connection lost'
+            raise
+        except Exception:
+            outcome = errors.ErrorKind.INTERNAL.value
+            log.exception('handler failed', request_id=request_id)
+            fault = errors.RefusalError(
+                errors.ErrorKind.INTERNAL, 'a fault of the server'
+            )
+            await delivery.refuse(fault, request_id)
+        finally:
+            log.info(
+                'request ended',
+                request_id=request_id,
+                route=route_name,
+                outcome=outcome,
+                status=delivery.response.status if delivery.response else 0,
+                took_ms=round((time.monotonic() - arrived_s) * _MS_PER_S),
+                configuration_version=self._table.version,
+            )
+
+    def _route(self, request: web.BaseRequest) -> routing.Route:
+        if self._table.configuration is None:
+            raise errors.RefusalError(
+                errors.ErrorKind.NO_BACKEND_SERVER,
+                'no configuration is known yet',
+                retry_after_s=_UNKNOWN_ROUTE_RETRY_S,
+            )
+        path = request.raw_path.partition('?')[0]
+        route = self._table.match(request.headers.get('Host', ''), path)
+        if route is not None:
+            return route
+        if not self._table.is_current:
+            # The route may be in a version that could not be read: the
+            # caller of a new route would take "not found" as final.
+            raise errors.RefusalError(
+                errors.ErrorKind.NO_BACKEND_SERVER,
+                'no such route here, and the configuration may be old',
+                retry_after_s=_UNKNOWN_ROUTE_RETRY_S,
+            )
+        raise errors.RefusalError(errors.ErrorKind.NOT_FOUND, 'no such route')
+
+    async def _read(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        route: routing.Route,
+        arrived_s: float,
+    ) -> backend_call.CallerRequest:
+        if not request_id:
+            raise errors.RefusalError(
+                errors.ErrorKind.BAD_REQUEST, f'no {names.REQUEST_ID}'
+            )
+        deadline_ms = _number(request, names.DEADLINE_MS)
+        limit_s = route.timeout_s
+        if deadline_ms:
+            limit_s = min(limit_s, deadline_ms / _MS_PER_S)
+        body = b''
+        if request.body_exists:
+            body = await http_guard.read_body(request, _BODY_TIMEOUT_S)
+        model, _, adapter = request.headers.get(names.MODEL, '').partition('/')
+        last_event_id = 0
+        if route.is_stream:
+            last_event_id = _number(request, names.LAST_EVENT_ID)
+        return backend_call.CallerRequest(
+            request_id=request_id,
+            method=request.method,
+            target=request.raw_path,
+            headers=_passed_on(request, last_event_id > 0),
+            body=body,
+            route=route,
+            arrived_s=arrived_s,
+            until_s=arrived_s + limit_s,
+            model=model,
+            adapter=adapter,
+            max_tokens=_max_tokens(request),
+            last_event_id=last_event_id,
+        )
+
+
+def _number(request: web.BaseRequest, name: str) -> int:
+    text = request.headers.get(name, '')
+    if not text:
+        return 0
+    if not text.isdecimal():
+        raise errors.RefusalError(
+            errors.ErrorKind.BAD_REQUEST, f'{name} is no whole number'
+        )
+    return int(text)
+
+
+def _max_tokens(request: web.BaseRequest) -> int:
+    _, _, text = request.headers.get(names.TOKENS, '').partition(',')
+    return int(text) if text.strip().isdecimal() else 0
+
+
+def _passed_on(
+    request: web.BaseRequest, has_event_id: bool
+) -> backend_call.Headers:
+    dropped = names.HOP_BY_HOP | names.SYSTEM_ONLY
+    for listed in request.headers.getall('Connection', ()):
+        dropped |= {name.strip().lower() for name in listed.split(',')}
+    if has_event_id:
+        dropped |= {names.LAST_EVENT_ID.lower()}
+    return tuple(
+        (name, value)
+        for name, value in request.headers.items()
+        if name.lower() not in dropped
+    )
--- /dev/null
+++ b/lacewingpitch/platform/published.py
@@ -0,0 +1,99 @@
+"""What is published in the store, put in force in this process."""
+
+import random
+
+import structlog
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import backend_list
+from lacewingpitch import configuration_exchange
+from lacewingpitch import errors
+from lacewingpitch.platform import names
+from lacewingpitch.platform import store as store_module
+from lacewingpitch.platform import wire
+
+log = structlog.get_logger(__name__)
+decode = wire.decode_configuration
+
+
+class OperatorNews:
+    """Puts the operator's configuration and adapter versions in force."""
+
+    def __init__(
+        self,
+        versions: adapter_versions.AdapterVersions,
+        exchange: configuration_exchange.ConfigurationExchange,
+    ) -> None:
+        self._versions = versions
+        self._exchange = exchange
+
+    async def follow(
+        self, store: store_module.Store, pause_s: float, source: random.Random
+    ) -> None:
+        """Follow what the operator publishes, for ever."""
+        follower = store_module.Follower(
+            store, names.OPERATOR_PREFIX, pause_s, source
+        )
+        with follower.changes.subscribe(self.take):
+            await follower.run()
+
+    def take(self, change: store_module.Change) -> None:
+        """Put a change in force."""
+        self._exchange.note_store(change.is_away)
+        for item in change.items:
+            try:
+                self._take_item(item)
+            except errors.PlatformError as error:
+                # One value that can't be read must not keep the others
+                # from being in force; what was in force before stays.
+                log.error('value rejected', key=item.key, error=str(error))
+
+    def _take_item(self, item: store_module.Item) -> None:
+        if item.is_deleted:
+            return
+        if item.key == names.CONFIGURATION_KEY:
+            self._exchange.take(item.value, source='store')
+        elif item.key.startswith(names.ADAPTER_VERSION_PREFIX):
+            self._versions.note(*wire.decode_adapter_version(item.value))
+
+
+class BackendNews:
+    """Follows the list of backend servers."""
+
+    def __init__(self, servers: backend_list.BackendList) -> None:
+        self._servers = servers
+
+    async def follow(
+        self, store: store_module.Store, pause_s: float, source: random.Random
+    ) -> None:
+        """Follow the list, for ever."""
+        follower = store_module.Follower(
+            store, names.BACKEND_SERVER_PREFIX, pause_s, source
+        )
+        with follower.changes.subscribe(self.take):
+            await follower.run()
+
+    def take(self, change: store_module.Change) -> None:
+        """Take over a change of the list."""
+        if change.is_away:
+            self._servers.note_away()
+            return
+        self._servers.note_read()
+        found = []
+        for item in change.items:
+            if item.is_deleted:
+                self._servers.remove(
+                    item.key.removeprefix(names.BACKEND_SERVER_PREFIX)
+                )
+                continue
+            try:
+                server = wire.decode_backend_server(item.key, item.value)
+            except errors.PlatformError as error:
+                log.error('entry rejected', key=item.key, error=str(error))
+                continue
+            found.append(server)
+        if change.is_whole:
+            self._servers.replace_all(found)
+            return
+        for server in found:
+            self._servers.put(server)
--- /dev/null
+++ b/lacewingpitch/platform/sidecar.py
@@ -0,0 +1,92 @@
+"""The process beside a model engine on the platform."""
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import random
+from typing import Any
+
+import aiohttp
+import structlog
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import clock as clock_module
+from lacewingpitch import configuration_exchange
+from lacewingpitch import engine_keeper
+from lacewingpitch import grant
+from lacewingpitch import link
+from lacewingpitch import routing
+from lacewingpitch.platform import engine as engine_module
+from lacewingpitch.platform import entry as entry_module
+from lacewingpitch.platform import published
+from lacewingpitch.platform import settings as settings_module
+from lacewingpitch.platform import store as store_module
+
+# Each waits for one turn.  More entries than this would wait at once only
+# where an engine is so overloaded that it refuses.
+_CONTROL_CONTEXTS = 256
+_OPERATOR_PAUSE_S = 0.3
+log = structlog.get_logger(__name__)
+
+
+class Sidecar:
+    """Grants turns at one engine, and orders its adapters."""
+
+    def __init__(
+        self,
+        settings: settings_module.DaemonSettings,
+        clock: clock_module.Clock | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock or clock_module.SystemClock()
+        self._random = random.Random()
+        self._exits = contextlib.AsyncExitStack()
+        self.table = routing.RoutingTable()
+        self.versions = adapter_versions.AdapterVersions()
+        self._control = link.ControlServer(
+            link.Sealer(
+                entry_module.DEPLOYMENT, entry_module.SEAL, settings.instance
+            ),
+            _CONTROL_CONTEXTS,
+        )
+
+    def ports(self) -> dict[str, int]:
+        """Return the ports it listens on, by name."""
+        return {'control': self._control.port}
+
+    async def start(self) -> None:
+        """Attach to the engine, and listen for entries."""
+        settings = self._settings
+        session = await self._exits.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        engine = engine_module.Engine(
+            session, settings_module.url_of(settings.engine), settings.instance
+        )
+        keeper = engine_keeper.EngineKeeper(
+            engine, self.table, self.versions, settings.service, self._clock
+        )
+        self._exits.push_async_callback(keeper.close)
+        exchange = configuration_exchange.ConfigurationExchange(
+            None, self.table, published.decode, self._clock
+        )
+        self._control.handle(grant.TurnRequest, keeper.ask)
+        self._control.handle(grant.TurnEnds, keeper.end)
+        self._control.handle(grant.ConfigurationRequest, exchange.answer)
+        self._control.handle(grant.ConfigurationOffer, exchange.accept)
+        store = store_module.Store(
+            session, settings_module.url_of(settings.store)
+        )
+        operator = published.OperatorNews(self.versions, exchange)
+        self._run(operator.follow(store, _OPERATOR_PAUSE_S, self._random))
+        self._run(keeper.run())
+        await self._control.start(settings.ip, settings.internal_port)
+        self._exits.push_async_callback(self._control.close)
+
+    async def close(self) -> None:
+        """Release everything; entries go on with what they were granted."""
+        await self._exits.aclose()
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._exits.callback(task.cancel)
--- /dev/null
+++ b/lacewingpitch/platform/store.py
@@ -0,0 +1,223 @@
+"""The platform's store: reading it, and following what changes there."""
+
+import asyncio
+import dataclasses
+import random
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+import reactivex
+import reactivex.subject
+import structlog
+
+from lacewingpitch import errors
+from lacewingpitch import platform_call
+from lacewingpitch.platform import names
+
+# The store answers in 4 ms; sixty times as long counts as slow, and
+# longer than this as lost.
+_READ_TIMEOUT_S = 1.5
+# A watch costs one call each time it ends without news.  A connection
+# that went silent is found out this late, of which a configuration that
+# is to be in force within 2 s bears the most.
+_WATCH_S = 1.5
+# Changes that come close together are taken with one call.
+_FIRST_PAUSE_S = 0.05
+_MAX_PAUSE_S = 1.0
+_MAX_BYTES = 8 << 20
+_ERROR_STATUS = 300
+_GONE = 410
+_Answer = TypeVar('_Answer')
+log = structlog.get_logger(__name__)
+
+
+class Item(msgspec.Struct, frozen=True):
+    """One value, or the news that there is none any more."""
+
+    key: str
+    # JSON text as base64, which the decoder takes off.
+    value: bytes = b''
+    revision: int = 0
+    is_deleted: bool = msgspec.field(name='deleted', default=False)
+
+
+class _Page(msgspec.Struct, frozen=True):
+    # Revision of the store when it answered.
+    at: int
+    items: tuple[Item, ...] = ()
+    has_more: bool = msgspec.field(name='hasMore', default=False)
+
+
+class _Events(msgspec.Struct, frozen=True):
+    at: int
+    events: tuple[Item, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What is new under a prefix.
+
+    Parameters
+    ----------
+    is_whole
+        Whether `items` are all there are, rather than those that changed.
+    is_away
+        Whether the store could not be read; `items` says nothing then.
+    """
+
+    items: tuple[Item, ...] = ()
+    is_whole: bool = False
+    is_away: bool = False
+
+
+class _HistoryGoneError(errors.PlatformError):
+    """The store no longer has the changes since a revision."""
+
+
+class Store:
+    """Reads the store over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url
+        self.call_count = 0
+
+    async def read_all(self, prefix: str) -> tuple[int, tuple[Item, ...]]:
+        """Return a revision and the items under a prefix.
+
+        The pages are no snapshot: the revision is that of the first, so
+        that changes between them come again by a watch.
+        """
+        items: list[Item] = []
+        query = {'pathPrefix': prefix}
+        first_at = 0
+        while True:
+            page = await self._get(
+                names.RANGE_PATH, query, _READ_TIMEOUT_S, _Page
+            )
+            first_at = first_at or page.at
+            items += page.items
+            if not page.has_more or not page.items:
+                return first_at, tuple(items)
+            query = {**query, 'after': page.items[-1].key}
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> tuple[int, tuple[Item, ...]]:
+        """Return what has changed since a revision, and the new one."""
+        query = {
+            'pathPrefix': prefix,
+            'after': str(after),
+            'waitMs': str(int(wait_s * 1000)),
+        }
+        found = await self._get(
+            names.WATCH_PATH, query, wait_s + _READ_TIMEOUT_S, _Events
+        )
+        return found.at, found.events
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+        kind: type[_Answer],
+    ) -> _Answer:
+        self.call_count += 1
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        with platform_call.platform_errors('store'):
+            async with self._session.get(
+                f'{self._url}{path}', params=query, timeout=timeout
+            ) as response:
+                if response.status == _GONE:
+                    raise _HistoryGoneError('store: history gone')
+                if response.status >= _ERROR_STATUS:
+                    raise errors.PlatformError(
+                        f'store: status {response.status}'
+                    )
+                data = await platform_call.read_limited(response, _MAX_BYTES)
+                return msgspec.json.decode(data, type=kind)
+
+
+class Follower:
+    """Follows what is published under one prefix.
+
+    Parameters
+    ----------
+    pause_s
+        Time after a change in which further ones gather.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        pause_s: float,
+        source: random.Random,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._pause_s = pause_s
+        self._random = source
+        self._changes: reactivex.subject.Subject[Change] = (
+            reactivex.subject.Subject()
+        )
+        self._is_away = False
+        self._failure_count = 0
+
+    @property
+    def changes(self) -> reactivex.Observable[Change]:
+        """Return what changes, from the first read on."""
+        return self._changes
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        revision = 0
+        while True:
+            try:
+                if not revision:
+                    revision, items = await self._store.read_all(self._prefix)
+                    self._returned()
+                    self._changes.on_next(Change(items, is_whole=True))
+                revision, events = await self._store.watch(
+                    self._prefix, revision, _WATCH_S
+                )
+                self._returned()
+                self._changes.on_next(Change(events))
+                if events:
+                    await asyncio.sleep(self._pause_s)
+            except _HistoryGoneError:
+                log.info('history gone, reading anew', prefix=self._prefix)
+                revision = 0
+            except errors.PlatformError as error:
+                self._failed(error)
+                await asyncio.sleep(self._backoff_s())
+
+    def _returned(self) -> None:
+        if self._is_away:
+            log.info(
+                'dependency regained',
+                dependency='store',
+                prefix=self._prefix,
+                failures=self._failure_count,
+            )
+        self._is_away = False
+        self._failure_count = 0
+
+    def _failed(self, error: errors.PlatformError) -> None:
+        self._failure_count += 1
+        if not self._is_away:
+            log.warning(
+                'dependency lost',
+                dependency='store',
+                prefix=self._prefix,
+                error=str(error),
+            )
+            self._is_away = True
+        self._changes.on_next(Change(is_away=True))
+
+    def _backoff_s(self) -> float:
+        limit_s = min(
+            _FIRST_PAUSE_S * 2 ** min(self._failure_count, 8), _MAX_PAUSE_S
+        )
+        return limit_s * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/lacewingpitch/platform/wire.py
@@ -0,0 +1,218 @@
+"""Decoding of what the operator and the engines publish in the store."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from lacewingpitch import backend_list
+from lacewingpitch import errors
+from lacewingpitch import routing
+from lacewingpitch.platform import names
+from lacewingpitch.platform import settings as settings_module
+
+_MS_PER_S = 1000
+_KINDS = {
+    'safe': routing.RequestKind.IDEMPOTENT,
+    'unsafe': routing.RequestKind.AT_MOST_ONCE,
+    'streaming': routing.RequestKind.STREAM,
+}
+_DRAINING = 'draining'
+
+
+class _Share(msgspec.Struct, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    prefix: str = msgspec.field(name='pathPrefix')
+    kind: str = msgspec.field(name='type')
+    timeout_ms: float = msgspec.field(name='timeoutMs')
+    # For a stream this is the time to its first event.
+    target_ms: float = msgspec.field(name='targetLatencyMs', default=1000)
+    service: str = ''
+    split: tuple[_Share, ...] = ()
+    max_attempts: int = msgspec.field(name='maxAttempts', default=1)
+    # 0 is the most urgent.
+    priority: int = 0
+    is_resumable: bool = msgspec.field(name='resumable', default=False)
+    gap_ms: float = msgspec.field(name='targetGapMs', default=0)
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int
+    adapter_slots: int = msgspec.field(name='adapterSlots', default=0)
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    header_bytes: int = msgspec.field(name='maxHeaderBytes', default=16 << 10)
+    body_bytes: int = msgspec.field(name='maxBodyBytes', default=4 << 20)
+    header_ms: float = msgspec.field(name='headerTimeoutMs', default=3000)
+    idle_ms: float = msgspec.field(name='idleTimeoutMs', default=15000)
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+
+
+class HeldModel(msgspec.Struct, frozen=True):
+    """A model that an engine holds, with its adapters.
+
+    Parameters
+    ----------
+    adapters
+        Each as NAME@VERSION.
+    """
+
+    name: str
+    version: int = 0
+    adapters: tuple[str, ...] = ()
+
+
+class _BackendServer(msgspec.Struct, frozen=True):
+    service: str
+    # IP:PORT.
+    address: str
+    zone: str
+    # Requests that are worked on at once.
+    slots: int = 1
+    state: str = 'ready'
+    models: tuple[HeldModel, ...] = ()
+
+
+class _AdapterVersion(msgspec.Struct, frozen=True):
+    model: str
+    adapter: str
+    version: int
+
+
+def decode_configuration(content: bytes) -> routing.Configuration:
+    """Return the published configuration.
+
+    Raises
+    ------
+    PlatformError
+        It cannot be read.
+    """
+    found = _decode(content, _Configuration, 'configuration')
+    return routing.Configuration(
+        version=found.version,
+        routes=tuple(
+            _route(route) for route in found.routes if route.kind in _KINDS
+        ),
+        engines={
+            service.name: routing.EngineLimits(
+                max_running=service.engine.slots,
+                adapter_slots=service.engine.adapter_slots,
+            )
+            for service in found.services
+            if service.engine is not None
+        },
+        limits=routing.CallerLimits(
+            header_bytes=found.limits.header_bytes,
+            body_bytes=found.limits.body_bytes,
+            header_timeout_s=found.limits.header_ms / _MS_PER_S,
+            idle_timeout_s=found.limits.idle_ms / _MS_PER_S,
+        ),
+        content=content,
+    )
+
+
+def decode_backend_server(
+    key: str, content: bytes
+) -> backend_list.BackendServer:
+    """Return the backend server that an entry of the list describes.
+
+    Raises
+    ------
+    PlatformError
+        It cannot be read.
+    """
+    found = _decode(content, _BackendServer, key)
+    try:
+        ip, port = settings_module.split_endpoint(found.address)
+    except ValueError as error:
+        raise errors.PlatformError(f'{key}: {error}') from error
+    return backend_list.BackendServer(
+        name=key.removeprefix(names.BACKEND_SERVER_PREFIX),
+        service=found.service,
+        ip=ip,
+        port=port,
+        availability_zone=found.zone,
+        is_leaving=found.state == _DRAINING,
+        max_running=found.slots,
+        adapters=held_versions(found.models),
+    )
+
+
+def decode_adapter_version(content: bytes) -> tuple[str, str, int]:
+    """Return model, adapter and version of a published adapter version.
+
+    Raises
+    ------
+    PlatformError
+        It cannot be read.
+    """
+    found = _decode(content, _AdapterVersion, 'adapter version')
+    return found.model, found.adapter, found.version
+
+
+def held_versions(models: Iterable[HeldModel]) -> dict[str, int]:
+    """Return the versions of the adapters held, by MODEL/ADAPTER."""
+    held = {}
+    for model in models:
+        for listed in model.adapters:
+            adapter, _, version = listed.rpartition('@')
+            held[f'{model.name}/{adapter}'] = _whole_number(version)
+    return held
+
+
+def pending_versions(pending: Iterable[str]) -> dict[str, int]:
+    """Return the same of adapters listed as MODEL/NAME@VERSION."""
+    found = {}
+    for listed in pending:
+        key, _, version = listed.rpartition('@')
+        found[key] = _whole_number(version)
+    return found
+
+
+def _route(found: _Route) -> routing.Route:
+    shares = found.split or (_Share(found.service),)
+    return routing.Route(
+        name=found.name,
+        host=found.host,
+        path_prefix=found.prefix,
+        services=tuple(
+            routing.WeightedService(share.service, share.weight)
+            for share in shares
+        ),
+        kind=_KINDS[found.kind],
+        timeout_s=found.timeout_ms / _MS_PER_S,
+        target_latency_s=found.target_ms / _MS_PER_S,
+        max_attempts=found.max_attempts,
+        rank=found.priority,
+        is_resumable=found.is_resumable,
+        target_gap_s=found.gap_ms / _MS_PER_S,
+    )
+
+
+def _whole_number(text: str) -> int:
+    return int(text) if text.isdecimal() else 0
+
+
+def _decode(content: bytes, kind: Any, source: str) -> Any:
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.PlatformError(f'{source}: {error}') from error
--- a/lacewingpitch/retry_budget.py
+++ b/lacewingpitch/retry_budget.py
@@ -75,3 +75,48 @@
     """
     limit_s = min(_FIRST_BACKOFF_S * 2 ** (retry - 1), _MAX_BACKOFF_S)
     return source.uniform(0.0, limit_s)
+
+
+class ServiceBudgets:
+    """Retry budgets of the services, each a share of a common one.
+
+    All entry instances together may add so many retries in a window.
+    Each takes its part of the fixed allowance, for as many entries as it
+    knows of, and never fewer than `least_entries`: a count that is too
+    low would overdraw the common budget when all fail at once.
+
+    Parameters
+    ----------
+    ratio
+        Retries allowed per request of a service in the window.
+    allowance
+        Further retries in the window, of all entries together.
+    """
+
+    # Requests that are counted in one window may be followed by retries
+    # in the next, and entries count what they took and not what arrived.
+    _SAFE_RATIO = 0.8
+
+    def __init__(
+        self, ratio: float, allowance: float, least_entries: int
+    ) -> None:
+        self._ratio = ratio * self._SAFE_RATIO
+        self._reserve = max(
+            1.0, allowance * self._SAFE_RATIO / max(1, least_entries)
+        )
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def earn(self, service: str) -> None:
+        """Record a request that is sent for the first time."""
+        self._budget(service).earn()
+
+    def spend(self, service: str) -> bool:
+        """Take the token of one retry; return whether there was one."""
+        return self._budget(service).spend()
+
+    def _budget(self, service: str) -> RetryBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = RetryBudget(self._ratio, self._reserve)
+            self._budgets[service] = found
+        return found
--- /dev/null
+++ b/lacewingpitch/routing.py
@@ -0,0 +1,199 @@
+"""Routes: which service a request goes to, and what may be done with it."""
+
+from collections.abc import Iterator, Mapping
+import dataclasses
+import enum
+import random
+
+
+class RequestKind(enum.StrEnum):
+    """What may be repeated of the requests of a route."""
+
+    IDEMPOTENT = 'idempotent'
+    AT_MOST_ONCE = 'at-most-once'
+    STREAM = 'stream'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedService:
+    """One of the services that share a route's requests."""
+
+    name: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one host and path go, and how they are treated.
+
+    Parameters
+    ----------
+    timeout_s
+        Longest time until the final answer.
+    target_latency_s
+        Time within which an answer, or the first event, is on time.
+    target_gap_s
+        Longest pause between events of a stream that is on time.
+    max_attempts
+        Backend servers that one request may be sent to.
+    rank
+        Urgency; 0 is the most urgent.
+    is_resumable
+        Whether another engine may go on with a stream that broke.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    services: tuple[WeightedService, ...]
+    kind: RequestKind
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int = 1
+    rank: int = 0
+    is_resumable: bool = False
+    target_gap_s: float = 0.0
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether answers are streams of events."""
+        return self.kind is RequestKind.STREAM
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.is_stream:
+            return self.is_resumable
+        return self.kind is RequestKind.IDEMPOTENT
+
+    def service_order(self, source: random.Random) -> tuple[str, ...]:
+        """Return the services in the order to try them.
+
+        The first is drawn by weight; the others stand in where it has no
+        backend server.
+        """
+        if len(self.services) == 1:
+            return (self.services[0].name,)
+        weights = [max(s.weight, 0.0) for s in self.services]
+        if not any(weights):
+            weights = [1.0] * len(weights)
+        names = [s.name for s in self.services]
+        first = source.choices(names, weights)[0]
+        rest = [
+            name
+            for name, weight in zip(names, weights, strict=True)
+            if name != first and weight > 0.0
+        ]
+        return (first, *rest)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineLimits:
+    """What each model engine of a service can hold.
+
+    Parameters
+    ----------
+    max_running
+        Requests that an engine batches at once.
+    adapter_slots
+        Adapters that an engine holds at once, those on their way to it
+        included.
+    """
+
+    max_running: int
+    adapter_slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send."""
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of the published configuration.
+
+    Parameters
+    ----------
+    engines
+        Limits of the services whose backend servers are model engines,
+        by service.
+    content
+        The published bytes, for a process that cannot read them itself.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    engines: Mapping[str, EngineLimits]
+    limits: CallerLimits
+    content: bytes = b''
+
+
+class RoutingTable:
+    """The configuration in force in this process.
+
+    The highest version wins for good: a read that was on its way while
+    a newer version came must not put the older one in force again, or
+    a caller would see a route vanish that it has used already.
+
+    Attributes
+    ----------
+    is_current
+        Whether the store could be read when it was last asked, so that
+        a route which is not here is not in force anywhere.
+    """
+
+    def __init__(self) -> None:
+        self._by_host: dict[str, dict[str, Route]] = {}
+        self.configuration: Configuration | None = None
+        self.is_current = False
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 if none is known."""
+        return self.configuration.version if self.configuration else 0
+
+    def apply(self, configuration: Configuration) -> bool:
+        """Put a version in force; return whether it is newer."""
+        if configuration.version <= self.version:
+            return False
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            prefixes = by_host.setdefault(route.host.lower(), {})
+            prefixes[route.path_prefix] = route
+        self._by_host = by_host
+        self.configuration = configuration
+        return True
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of the longest prefix, if there is one."""
+        name = host.partition(':')[0].lower()
+        prefixes = self._by_host.get(name)
+        if prefixes is None:
+            return None
+        for prefix in _prefixes(path):
+            found = prefixes.get(prefix)
+            if found is not None:
+                return found
+        return None
+
+    def engine_limits(self, service: str) -> EngineLimits | None:
+        """Return the limits of a service of model engines."""
+        if self.configuration is None:
+            return None
+        return self.configuration.engines.get(service)
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield the prefixes of a path that end in a slash, longest first."""
+    end = len(path)
+    while True:
+        end = path.rfind('/', 0, end)
+        if end < 0:
+            return
+        yield path[: end + 1]
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -126,18 +126,22 @@
         Says when a load may start.
     stall_weight
         The operator's objective, see `settings.ObjectiveSettings`.
+    max_loading
+        Loads that may wait for a permit or be under way at once.
     """
 
     def __init__(
         self,
-        engine: engine_module.Engine,
+        engine: engine_module.AdapterHost,
         slot_count: int,
         fence: fence_module.Fence,
         clock: clock_module.Clock,
         pacer: LoadPacer | None = None,
         stall_weight: float = 0.5,
+        max_loading: int = _MAX_ASKING,
     ) -> None:
         self._engine = engine
+        self._max_loading = max_loading
         self._slot_count = slot_count
         self._fence = fence
         self._clock = clock
@@ -167,6 +171,10 @@
         slot = self._slots.get(name)
         return slot is not None and slot.is_open
 
+    def knows(self, name: str) -> bool:
+        """Return whether a slot is taken by adapter `name`."""
+        return name in self._slots
+
     @property
     def waiting_count(self) -> int:
         """Return how many requests wait for their adapter."""
@@ -194,7 +202,7 @@
         if name in self._queue:
             cost = self._cost(name)
             ahead = [n for n in ahead if self._cost(n) > cost]
-        return self._turnaround_s * (1 + len(ahead) // _MAX_ASKING)
+        return self._turnaround_s * (1 + len(ahead) // self._max_loading)
 
     @contextlib.asynccontextmanager
     async def hold(
@@ -394,7 +402,9 @@
         if self._is_closed:
             return
         self._reopen_slots()
-        wanted = min(len(self._loadable()), self._room_count(), _MAX_ASKING)
+        wanted = min(
+            len(self._loadable()), self._room_count(), self._max_loading
+        )
         for _ in range(wanted - self._asking):
             self._asking += 1
             loader = asyncio.create_task(self._load_next())
--- a/lacewingpitch/turn_queue.py
+++ b/lacewingpitch/turn_queue.py
@@ -199,6 +199,11 @@
         """Return how many requests have a turn."""
         return len(self._running)
 
+    @property
+    def turn_count(self) -> int:
+        """Return how many requests may have a turn at once."""
+        return self._turn_count
+
     def load(self) -> QueueLoad:
         """Return how much work there is, for hints."""
         return QueueLoad(self.queued, self.running, self._wait_of_last())
--- /dev/null
+++ b/lacewingpitch/turn_source.py
@@ -0,0 +1,397 @@
+"""Where an entry gets turns at model engines from."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator, Callable, Collection, Sequence
+import contextlib
+import dataclasses
+from typing import Protocol
+
+import structlog
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import backend_list
+from lacewingpitch import clock as clock_module
+from lacewingpitch import ejection
+from lacewingpitch import errors
+from lacewingpitch import grant
+from lacewingpitch import live_list
+from lacewingpitch import placement as placement_module
+
+_MS_PER_S = 1000
+# A sidecar replies at once or says within this time that the turn is
+# still waited for, so that a longer silence tells of its loss.  Most
+# loads of an adapter end within it (0.25 s each while the store is not
+# crowded), which saves a second message.
+_REPLY_WITHIN_S = 0.4
+# Round trips take 2 to 4 ms between zones; the rest is for a sidecar
+# that runs on a share of a core and is busy.
+_SILENT_AFTER_S = _REPLY_WITHIN_S + 0.25
+# Ends of turns are sent together: one message for some 1 to 10 turns at
+# the sites' loads, while a place stays taken hardly longer.
+_ENDS_INTERVAL_S = 0.03
+_ENDS_TIMEOUT_S = 1.0
+_MAX_KEPT_ENDS = 1024
+# More engines than these would only spread one request's wait: those
+# further down are the most loaded, or the last to get the adapter.
+_MAX_ASKED = 3
+_SIDECAR_KEY = '{}/sidecar'
+# An engine that restarts is listed again after some 2 s; a third of a
+# caller's time, which it can wait at most, is more than 1 s.
+_NO_ENGINE_RETRY_S = 0.7
+log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantedTurn:
+    """What a request needs of an engine.
+
+    Parameters
+    ----------
+    until_s
+        Monotonic time at which its final answer is due.
+    """
+
+    run_id: str
+    attempt: int
+    service: str
+    model: str
+    adapter: str
+    version: int
+    route: str
+    rank: int
+    max_tokens: int
+    until_s: float
+
+    @property
+    def key(self) -> str:
+        """Return the name under which the adapter is placed."""
+        if not self.adapter:
+            return ''
+        return adapter_versions.slot_name(
+            self.model, self.adapter, self.version
+        )
+
+    @property
+    def turn_id(self) -> str:
+        """Return the id of the turn."""
+        return f'{self.run_id}.{self.attempt}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """The right to send one request to one engine.
+
+    Parameters
+    ----------
+    version
+        Version of the adapter that the engine holds; 0 if not known.
+    """
+
+    server: backend_list.BackendServer
+    version: int
+
+
+class SidecarLink(Protocol):
+    """Messages to the sidecars of engines."""
+
+    async def ask_turn(
+        self, ip: str, request: grant.TurnRequest, timeout_s: float
+    ) -> grant.TurnReply:
+        """Ask for a turn."""
+        ...
+
+    async def end_turns(
+        self, ip: str, message: grant.TurnEnds, timeout_s: float
+    ) -> None:
+        """Say that turns have ended."""
+        ...
+
+
+class TurnSource:
+    """Chooses an engine for a request, and asks its sidecar for a turn.
+
+    Parameters
+    ----------
+    note_configuration
+        Called with the configuration version of each sidecar that
+        replies.
+    """
+
+    def __init__(
+        self,
+        link: SidecarLink,
+        servers: backend_list.BackendList,
+        placement: placement_module.Placement,
+        ejector: ejection.Ejector,
+        clock: clock_module.Clock,
+        note_configuration: Callable[[str, int], None],
+    ) -> None:
+        self._link = link
+        self._servers = servers
+        self._placement = placement
+        self._ejector = ejector
+        self._clock = clock
+        self._note_configuration = note_configuration
+        self._instances: dict[
+            str,
+            tuple[
+                tuple[backend_list.BackendServer, ...],
+                tuple[live_list.Instance, ...],
+            ],
+        ] = {}
+        self._ends: collections.defaultdict[str, list[str]] = (
+            collections.defaultdict(list)
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @contextlib.asynccontextmanager
+    async def turn(
+        self, wanted: WantedTurn, excluded: Collection[str]
+    ) -> AsyncIterator[Turn]:
+        """Get a turn and keep it while the context lasts.
+
+        Parameters
+        ----------
+        excluded
+            Backend servers that the request must not go to again.
+
+        Raises
+        ------
+        RefusalError
+            No engine can take the request in time; it did not run.
+        """
+        turn, is_granted = await self._acquire(wanted, excluded)
+        try:
+            with self._placement.sent(wanted.key, turn.server.name):
+                yield turn
+        finally:
+            if is_granted:
+                self._end(turn.server.ip, wanted.turn_id)
+
+    async def run(self) -> None:
+        """Tell the sidecars which turns have ended, for ever."""
+        while True:
+            await asyncio.sleep(_ENDS_INTERVAL_S)
+            if not self._ends:
+                continue
+            ends, self._ends = self._ends, collections.defaultdict(list)
+            for ip, turn_ids in ends.items():
+                # Each sidecar in a task of its own: one that is frozen
+                # must not hold up the places at all others.
+                task = asyncio.create_task(self._send_ends(ip, turn_ids))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _acquire(
+        self, wanted: WantedTurn, excluded: Collection[str]
+    ) -> tuple[Turn, bool]:
+        refusals: list[errors.RefusalError] = []
+        fallback: Turn | None = None
+        for server in self._candidates(wanted, excluded):
+            try:
+                return await self._ask(server, wanted), True
+            except errors.NoReplyError as error:
+                self._ejector.silent(_sidecar_key(server))
+                log.warning(
+                    'sidecar silent',
+                    request_id=wanted.run_id,
+                    backend_server=server.name,
+                    error=str(error),
+                )
+                if fallback is None:
+                    fallback = self._without_sidecar(server, wanted)
+            except errors.RefusalError as error:
+                refusals.append(error)
+                if not error.retry_elsewhere:
+                    raise
+            if self._left_s(wanted) <= 0.0:
+                break
+        if fallback is None and not refusals:
+            fallback = self._any_holding(wanted, excluded)
+        if fallback is not None:
+            return fallback, False
+        raise _soonest(refusals)
+
+    def _candidates(
+        self, wanted: WantedTurn, excluded: Collection[str]
+    ) -> list[backend_list.BackendServer]:
+        instances = self._instances_of(wanted.service)
+        ranked = self._placement.candidates(
+            wanted.key or wanted.run_id, instances
+        )
+        names = [i.name for i in ranked if i.name not in excluded]
+        allowed = set(self._ejector.allowed(names))
+        asked = [_SIDECAR_KEY.format(name) for name in names]
+        allowed_to_ask = set(self._ejector.allowed(asked))
+        chosen = []
+        for name in names:
+            server = self._servers.find(wanted.service, name)
+            if server is None or name not in allowed:
+                continue
+            if _SIDECAR_KEY.format(name) in allowed_to_ask:
+                chosen.append(server)
+        return chosen[:_MAX_ASKED]
+
+    async def _ask(
+        self, server: backend_list.BackendServer, wanted: WantedTurn
+    ) -> Turn:
+        self._ejector.begin(_sidecar_key(server))
+        while True:
+            left_s = self._left_s(wanted)
+            wait_s = max(0.0, min(_REPLY_WITHIN_S, left_s))
+            request = grant.TurnRequest(
+                turn_id=wanted.turn_id,
+                run_id=wanted.run_id,
+                model=wanted.model,
+                adapter=wanted.adapter,
+                version=wanted.version,
+                route=wanted.route,
+                rank=wanted.rank,
+                max_tokens=wanted.max_tokens,
+                wait_ms=int(wait_s * _MS_PER_S),
+                deadline_ms=max(0, int(left_s * _MS_PER_S)),
+            )
+            try:
+                reply = await self._link.ask_turn(
+                    server.ip, request, wait_s + _SILENT_AFTER_S
+                )
+            except BaseException:
+                # The turn may be granted all the same: the caller left,
+                # or the reply was lost.  Its place would stay taken.
+                self._end(server.ip, wanted.turn_id)
+                raise
+            self._ejector.succeeded(_sidecar_key(server))
+            self._learn(server, reply)
+            if reply.refusal is not None:
+                raise errors.RefusalError(
+                    reply.refusal,
+                    reply.detail,
+                    retry_after_s=reply.retry_after_ms / _MS_PER_S,
+                )
+            if not reply.is_pending:
+                return Turn(self._granted_at(server, reply), reply.version)
+            if left_s <= wait_s:
+                self._end(server.ip, wanted.turn_id)
+                raise errors.RefusalError(
+                    errors.ErrorKind.DEADLINE_UNREACHABLE,
+                    'no turn within the time of the request',
+                )
+
+    def _granted_at(
+        self, server: backend_list.BackendServer, reply: grant.TurnReply
+    ) -> backend_list.BackendServer:
+        # The sidecar sees a restart of its engine before the list tells
+        # of it, and its grant is for the new incarnation.
+        name = reply.backend_server
+        if not name or name == server.name:
+            return server
+        return dataclasses.replace(server, name=name)
+
+    def _learn(
+        self, server: backend_list.BackendServer, reply: grant.TurnReply
+    ) -> None:
+        if reply.hint is not None:
+            self._placement.learn_hint(server.name, reply.hint)
+        self._note_configuration(server.ip, reply.configuration_version)
+
+    def _without_sidecar(
+        self, server: backend_list.BackendServer, wanted: WantedTurn
+    ) -> Turn | None:
+        """Return a turn at an engine that is known to hold the adapter.
+
+        An engine serves on while its sidecar is frozen or restarts.  It
+        refuses what it does not hold, so that a list that is out of date
+        costs an attempt and no wrong answer.
+        """
+        if not wanted.adapter:
+            return Turn(server, 0)
+        held = server.adapters.get(f'{wanted.model}/{wanted.adapter}')
+        if held is None or held < wanted.version:
+            return None
+        return Turn(server, held)
+
+    def _any_holding(
+        self, wanted: WantedTurn, excluded: Collection[str]
+    ) -> Turn | None:
+        for server in self._servers.serving(wanted.service):
+            if server.name not in excluded:
+                turn = self._without_sidecar(server, wanted)
+                if turn is not None:
+                    return turn
+        return None
+
+    def _instances_of(self, service: str) -> Sequence[live_list.Instance]:
+        servers = self._servers.serving(service)
+        known = self._instances.get(service)
+        if known is not None and known[0] is servers:
+            return known[1]
+        found = tuple(map(_instance, servers))
+        if known is not None and known[1] == found:
+            # Placement knows a list by its identity, and would weigh all
+            # engines anew each time that one of them loads an adapter.
+            found = known[1]
+        else:
+            self._retain(service, found)
+        self._instances[service] = (servers, found)
+        return found
+
+    def _retain(
+        self, service: str, instances: tuple[live_list.Instance, ...]
+    ) -> None:
+        others = [
+            instance
+            for name, (_, found) in self._instances.items()
+            if name != service
+            for instance in found
+        ]
+        self._placement.retain([*others, *instances])
+
+    def _left_s(self, wanted: WantedTurn) -> float:
+        return wanted.until_s - self._clock.monotonic_s()
+
+    def _end(self, ip: str, turn_id: str) -> None:
+        if len(self._ends[ip]) < _MAX_KEPT_ENDS:
+            self._ends[ip].append(turn_id)
+
+    async def _send_ends(self, ip: str, turn_ids: list[str]) -> None:
+        try:
+            await self._link.end_turns(
+                ip, grant.TurnEnds(turn_ids=tuple(turn_ids)), _ENDS_TIMEOUT_S
+            )
+        except errors.LinkError as error:
+            # The sidecar finds out by the engine's report.
+            log.info(
+                'ends of turns not delivered',
+                ip=ip,
+                count=len(turn_ids),
+                error=str(error),
+            )
+
+
+def _sidecar_key(server: backend_list.BackendServer) -> str:
+    return _SIDECAR_KEY.format(server.name)
+
+
+def _instance(server: backend_list.BackendServer) -> live_list.Instance:
+    return live_list.Instance(
+        name=server.name,
+        role=live_list.Role.SIDECAR,
+        region='',
+        availability_zone=server.availability_zone,
+        ip=server.ip,
+        work_port=server.port,
+        control_port=0,
+        serves=server.service,
+    )
+
+
+def _soonest(refusals: list[errors.RefusalError]) -> errors.RefusalError:
+    """Return the refusal that lets the caller come back first."""
+    if not refusals:
+        return errors.RefusalError(
+            errors.ErrorKind.NO_BACKEND_SERVER,
+            'no engine can be reached',
+            retry_after_s=_NO_ENGINE_RETRY_S,
+        )
+    return min(refusals, key=lambda error: error.retry_after_s or 0.0)
