Sidecars follow the store until they know a configuration; busy engines are asked again

Cause: a sidecar that started before the first configuration was published read nothing and waited for entries to bring it; 38 requests of the first second were refused. An engine that takes four adapters answers BUSY, and four tries within 0.4 s failed the load for all who waited.

--- a/lacewingpitch/daemon.py
+++ b/lacewingpitch/daemon.py
@@ -1,13 +1,16 @@
 """Running a daemon until a signal asks it to end."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 import signal
-from typing import Protocol
+from typing import Any, Protocol
 
 import click
 import structlog
 import uvloop
 
+# A fault that shows at once would otherwise keep the processor busy.
+_RESTART_AFTER_S = 0.5
 log = structlog.get_logger(__name__)
 
 
@@ -27,6 +30,24 @@
         ...
 
 
+async def supervised(
+    name: str, work: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
+    """Run a task that is to go on for ever; begin it anew if it fails.
+
+    The loop keeps quiet about a task that has failed.  The process would
+    look well and go on with what it last believed: no error shows it but
+    that of callers.
+    """
+    while True:
+        try:
+            await work()
+            return
+        except Exception:
+            log.exception('task failed', task=name)
+            await asyncio.sleep(_RESTART_AFTER_S)
+
+
 def serve(daemon: Daemon) -> None:
     """Run a daemon until SIGTERM or SIGINT, and let it end gracefully.
 
--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -36,6 +36,10 @@
 class Engine(engine_view.EngineOrders, Protocol):
     """What is needed of the engine."""
 
+    async def incarnation(self) -> str:
+        """Return the name of the engine's incarnation."""
+        ...
+
     async def report(self) -> engine_view.EngineSnapshot:
         """Return what the engine says of itself."""
         ...
@@ -108,6 +112,8 @@
         asked_at_s = self._clock.monotonic_s()
         try:
             snapshot = await self._engine.report()
+            if self._is_down or self.view.is_restart(snapshot):
+                await self._attach(snapshot)
         except errors.PlatformError as error:
             if not self._is_down:
                 log.warning(
@@ -115,10 +121,8 @@
                 )
             self._is_down = True
             return
-        self._note_up(snapshot)
-        is_restart = self.view.update(snapshot)
-        if is_restart:
-            await self._forget_all()
+        self._note_leaving(snapshot)
+        self.view.update(snapshot)
         self._begin(snapshot)
         self._reconcile(snapshot, asked_at_s)
         if self.desk is not None:
@@ -126,27 +130,36 @@
                 snapshot.run_ids, asked_at_s, snapshot.queued > 0
             )
 
-    def _note_up(self, snapshot: engine_view.EngineSnapshot) -> None:
+    async def _attach(self, snapshot: engine_view.EngineSnapshot) -> None:
+        before = self.view.backend_server
+        if self._table.engine_limits(self._service) is None:
+            raise errors.PlatformError('the configuration is not known yet')
+        incarnation = await self._engine.incarnation()
+        self._is_down = False
+        log.info(
+            'dependency regained',
+            dependency='engine',
+            backend_server=incarnation,
+            backend_server_before=before,
+            adapters=len(snapshot.held),
+        )
+        if incarnation == before:
+            return
+        self.view.attach(incarnation)
+        if before:
+            await self._forget_all()
+
+    def _note_leaving(self, snapshot: engine_view.EngineSnapshot) -> None:
         before = self.view.snapshot
-        if self._is_down:
-            log.info(
-                'dependency regained',
-                dependency='engine',
-                backend_server=snapshot.incarnation,
-                adapters=len(snapshot.held),
-            )
-        elif before is not None and before.is_leaving != snapshot.is_leaving:
+        was_leaving = before is not None and before.is_leaving
+        if was_leaving != snapshot.is_leaving:
             log.info(
                 'engine leaving',
-                backend_server=snapshot.incarnation,
+                backend_server=self.view.backend_server,
                 leaving=snapshot.is_leaving,
             )
-        self._is_down = False
 
     async def _forget_all(self) -> None:
-        log.warning(
-            'engine restarted', backend_server=self.view.backend_server
-        )
         self._adopted_runs = frozenset()
         if self.desk is not None:
             await self.desk.forget_all()
@@ -191,7 +204,7 @@
         )
         log.info(
             'engine taken over',
-            backend_server=snapshot.incarnation,
+            backend_server=self.view.backend_server,
             adapter_slots=limits.adapter_slots,
             max_running=limits.max_running,
             adapters=len(snapshot.held),
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -21,8 +21,10 @@
 # than the store bears; at three times what all engines together may have
 # under way, and with a replacement that waits for its runs, it is done.
 _LOAD_TIMEOUT_S = 6.0
+# Runs whose caller has left end within some 0.2 s.
+_UNLOAD_TIMEOUT_S = 1.0
 _ORDER_TRIES = 4
-_ORDER_PAUSE_S = 0.1
+_ORDER_PAUSE_S = 0.05
 log = structlog.get_logger(__name__)
 
 
@@ -43,8 +45,8 @@
 
     Parameters
     ----------
-    incarnation
-        Changes when the engine restarts, and so is empty.
+    order_count
+        Orders that it has taken since its start.
     held
         Versions of the adapters that it holds, by MODEL/ADAPTER.
     pending
@@ -55,7 +57,7 @@
         Requests that it has accepted and not begun.
     """
 
-    incarnation: str
+    order_count: int
     is_leaving: bool
     held: Mapping[str, int]
     pending: Mapping[str, int]
@@ -106,6 +108,8 @@
         self._snapshot: EngineSnapshot | None = None
         self._reported_at_s = 0.0
         self._news = asyncio.Event()
+        # The engine's incarnation; empty if it is not known.
+        self.backend_server = ''
         self.loading_count = 0
 
     @property
@@ -113,10 +117,10 @@
         """Return the last report."""
         return self._snapshot
 
-    @property
-    def backend_server(self) -> str:
-        """Return the engine's incarnation; empty if not known."""
-        return self._snapshot.incarnation if self._snapshot else ''
+    def is_restart(self, snapshot: EngineSnapshot) -> bool:
+        """Whether a report can only be that of another incarnation."""
+        before = self._snapshot
+        return before is not None and snapshot.order_count < before.order_count
 
     @property
     def report_age_s(self) -> float:
@@ -155,20 +159,24 @@
         held = self._snapshot.held.get(key)
         return held is not None and held >= version
 
-    def update(self, snapshot: EngineSnapshot) -> bool:
-        """Take over a report; return whether the engine has restarted."""
-        before = self.backend_server
-        is_restart = bool(before) and snapshot.incarnation != before
-        self._snapshot = snapshot
-        self._reported_at_s = self._clock.monotonic_s()
+    def attach(self, incarnation: str) -> None:
+        """Take note of which incarnation of the engine there is."""
+        self.backend_server = incarnation
+        self._snapshot = None
         self._fence.renew(
-            engine_module.EngineReport(
-                incarnation=snapshot.incarnation, base_model=''
-            )
+            engine_module.EngineReport(incarnation=incarnation, base_model='')
         )
+        self._tell()
+
+    def update(self, snapshot: EngineSnapshot) -> None:
+        """Take over a report."""
+        self._snapshot = snapshot
+        self._reported_at_s = self._clock.monotonic_s()
+        self._tell()
+
+    def _tell(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
-        return is_restart
 
     async def load_adapter(self, name: str, fencing: int) -> None:
         """Order the engine to load an adapter, and wait for it.
@@ -215,7 +223,10 @@
             result = await self._orders.unload(
                 model, adapter, self._fence.number, incarnation
             )
-            if result in (OrderResult.ACCEPTED, OrderResult.DONE):
+            if result is OrderResult.ACCEPTED:
+                await self._until_gone(key, incarnation)
+                result = OrderResult.DONE
+            if result is OrderResult.DONE:
                 log.info('adapter unloaded', adapter=name)
                 return
             await self._prepare_again(result)
@@ -224,14 +235,15 @@
     async def _give_load(
         self, model: str, adapter: str, version: int, incarnation: str
     ) -> None:
-        for _ in range(_ORDER_TRIES):
+        # The engine is busy while it takes as many adapters as it can;
+        # the caller limits how long that is waited for.
+        while True:
             result = await self._orders.load(
                 model, adapter, version, self._fence.number, incarnation
             )
             if result in (OrderResult.ACCEPTED, OrderResult.DONE):
                 return
             await self._prepare_again(result)
-        raise errors.PlatformError(f'loading {model}/{adapter}: {result.name}')
 
     async def _prepare_again(self, result: OrderResult) -> None:
         if result is OrderResult.FENCED:
@@ -249,6 +261,25 @@
             if self.backend_server != incarnation:
                 raise errors.PlatformError('the engine has restarted')
 
+    async def _until_gone(self, key: str, incarnation: str) -> None:
+        # A caller that has left frees its turn before the engine stops
+        # its run.  The order is then accepted and carried out when the
+        # run has ended; a load that came before would be one too many,
+        # and an engine that is given one too many crashes.
+        self.loading_count += 1
+        try:
+            async with asyncio.timeout(_UNLOAD_TIMEOUT_S):
+                while self._snapshot is None or key in self._snapshot.held:
+                    await self._news.wait()
+                    if self.backend_server != incarnation:
+                        raise errors.PlatformError('the engine has restarted')
+        except TimeoutError as error:
+            raise errors.PlatformError(
+                f'{key} still in use after {_UNLOAD_TIMEOUT_S:g} s'
+            ) from error
+        finally:
+            self.loading_count -= 1
+
 
 def _split(slot_name: str) -> tuple[str, int]:
     """Return MODEL/ADAPTER and the version that is wanted."""
--- a/lacewingpitch/platform/engine.py
+++ b/lacewingpitch/platform/engine.py
@@ -1,5 +1,7 @@
 """The model engine beside a sidecar: its report, and orders to it."""
 
+from collections.abc import Callable
+
 import aiohttp
 import msgspec
 
@@ -47,16 +49,45 @@
     ----------
     holder
         Name under which orders are given.
+    health_path
+        Returns the path of the engine's health answer.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, url: str, holder: str
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        holder: str,
+        health_path: Callable[[], str],
     ) -> None:
+        self._health_path = health_path
         self._session = session
         self._url = url
         self._holder = holder
         self.order_count = 0
 
+    async def incarnation(self) -> str:
+        """Return the name of the engine's incarnation.
+
+        The report does not say it.  The answer about its health does,
+        whether it is healthy or not.
+
+        Raises
+        ------
+        PlatformError
+            It does not answer.
+        """
+        timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
+        with platform_call.platform_errors('engine'):
+            async with self._session.get(
+                f'{self._url}{self._health_path()}', timeout=timeout
+            ) as response:
+                await response.read()
+                found = response.headers.get(names.INCARNATION, '')
+        if not found:
+            raise errors.PlatformError('engine: no incarnation named')
+        return found
+
     async def report(self) -> engine_view.EngineSnapshot:
         """Return what the engine says of itself.
 
@@ -77,10 +108,9 @@
                 data = await platform_call.read_limited(
                     response, _MAX_REPORT_BYTES
                 )
-                incarnation = response.headers.get(names.INCARNATION, '')
                 found = msgspec.json.decode(data, type=_Report)
         return engine_view.EngineSnapshot(
-            incarnation=incarnation,
+            order_count=found.sequence,
             is_leaving=found.state != 'ready',
             held=wire.held_versions(found.models),
             pending=wire.pending_versions(found.pending),
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -1,7 +1,7 @@
 """The entry instance on the platform."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 import contextlib
 import random
 import time
@@ -17,6 +17,7 @@
 from lacewingpitch import carrier as carrier_module
 from lacewingpitch import clock as clock_module
 from lacewingpitch import configuration_exchange
+from lacewingpitch import daemon
 from lacewingpitch import ejection
 from lacewingpitch import link
 from lacewingpitch import placement as placement_module
@@ -32,11 +33,6 @@
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
 
-DEPLOYMENT = 'lacewingpitch'
-# The control messages cross the platform's internal network, which only
-# the system's own instances reach.  The signature tells damaged messages
-# and those of another version apart; it is no secret.
-SEAL = 'lacewingpitch-internal-network'
 _BACKLOG = 1024
 # Balancers take an instance out after two questions a second apart.
 _LEAST_DRAIN_S = 2.5
@@ -45,8 +41,10 @@
 # As many entries share the retry budget at least: more than there are at
 # the small sites, spare instances included.
 _LEAST_ENTRIES = 10
-# New entries of engines come with each adapter that they load.
-_LIST_PAUSE_S = 0.4
+# Each adapter that an engine loads is a change of the list.  With this
+# pause an entry makes one call a second; a server that leaves gets no
+# new requests within 2 s, of which this is less than half.
+_LIST_PAUSE_S = 0.9
 _OPERATOR_PAUSE_S = 0.1
 log = structlog.get_logger(__name__)
 
@@ -82,9 +80,7 @@
     async def start(self) -> None:
         """Follow the store, and listen for callers."""
         settings = self._settings
-        pool = link.PeerPool(
-            link.Sealer(DEPLOYMENT, SEAL, settings.instance), 2048
-        )
+        pool = link.PeerPool(settings_module.sealer(settings), 2048)
         self._exits.callback(pool.close)
         peers = sidecar_peers.SidecarPeers(pool, settings.internal_port)
         exchange = configuration_exchange.ConfigurationExchange(
@@ -120,7 +116,7 @@
             self.versions,
             self._random,
         )
-        self._run(turns.run())
+        self._run('turns', turns.run)
         await self._follow(exchange)
         await self._listen(settings.ready, web.Server(self._ready))
         await self._listen(settings.callers, self.front.server())
@@ -170,9 +166,14 @@
             session, settings_module.url_of(self._settings.store)
         )
         operator = published.OperatorNews(self.versions, exchange)
-        self._run(operator.follow(store, _OPERATOR_PAUSE_S, self._random))
+        self._run(
+            'operator',
+            lambda: operator.follow(store, _OPERATOR_PAUSE_S, self._random),
+        )
         news = published.BackendNews(self.servers)
-        self._run(news.follow(store, _LIST_PAUSE_S, self._random))
+        self._run(
+            'list', lambda: news.follow(store, _LIST_PAUSE_S, self._random)
+        )
 
     async def _listen(self, endpoint: str, server: web.Server) -> None:
         ip, port = settings_module.split_endpoint(endpoint)
@@ -189,6 +190,8 @@
             return web.Response(status=503, text='starting\n')
         return web.Response(text='ready\n')
 
-    def _run(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+    def _run(
+        self, name: str, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        task = asyncio.create_task(daemon.supervised(name, work))
         self._exits.callback(task.cancel)
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -1,5 +1,6 @@
 """What is published in the store, put in force in this process."""
 
+from collections.abc import Callable
 import random
 
 import structlog
@@ -28,14 +29,18 @@
         self._exchange = exchange
 
     async def follow(
-        self, store: store_module.Store, pause_s: float, source: random.Random
+        self,
+        store: store_module.Store,
+        pause_s: float,
+        source: random.Random,
+        is_enough: Callable[[], bool] = lambda: False,
     ) -> None:
-        """Follow what the operator publishes, for ever."""
+        """Follow what the operator publishes, until it is enough."""
         follower = store_module.Follower(
             store, names.OPERATOR_PREFIX, pause_s, source
         )
         with follower.changes.subscribe(self.take):
-            await follower.run()
+            await follower.run(is_enough)
 
     def take(self, change: store_module.Change) -> None:
         """Put a change in force."""
@@ -71,7 +76,7 @@
             store, names.BACKEND_SERVER_PREFIX, pause_s, source
         )
         with follower.changes.subscribe(self.take):
-            await follower.run()
+            await follower.run(lambda: False)
 
     def take(self, change: store_module.Change) -> None:
         """Take over a change of the list."""
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -6,9 +6,15 @@
 
 from lacewingpitch import contract
 from lacewingpitch import decoding
+from lacewingpitch import link
 from lacewingpitch import settings as settings_module
 
 Endpoint = str
+_DEPLOYMENT = 'lacewingpitch'
+# The control messages cross the platform's internal network, which only
+# the system's own instances reach.  The signature tells damaged messages
+# and those of another version apart; it is no secret.
+_SEAL = 'lacewingpitch-internal-network'
 
 
 class DaemonSettings(decoding.Record, frozen=True, kw_only=True):
@@ -73,6 +79,11 @@
     return ip, number
 
 
+def sealer(settings: DaemonSettings) -> link.Sealer:
+    """Return what signs the control messages of a process."""
+    return link.Sealer(_DEPLOYMENT, _SEAL, settings.instance)
+
+
 def url_of(endpoint: str) -> str:
     """Return the HTTP URL of IP:PORT."""
     ip, port = split_endpoint(endpoint)
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -1,7 +1,7 @@
 """The process beside a model engine on the platform."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 import contextlib
 import random
 from typing import Any
@@ -12,12 +12,12 @@
 from lacewingpitch import adapter_versions
 from lacewingpitch import clock as clock_module
 from lacewingpitch import configuration_exchange
+from lacewingpitch import daemon
 from lacewingpitch import engine_keeper
 from lacewingpitch import grant
 from lacewingpitch import link
 from lacewingpitch import routing
 from lacewingpitch.platform import engine as engine_module
-from lacewingpitch.platform import entry as entry_module
 from lacewingpitch.platform import published
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
@@ -25,7 +25,6 @@
 # Each waits for one turn.  More entries than this would wait at once only
 # where an engine is so overloaded that it refuses.
 _CONTROL_CONTEXTS = 256
-_OPERATOR_PAUSE_S = 0.3
 log = structlog.get_logger(__name__)
 
 
@@ -44,9 +43,7 @@
         self.table = routing.RoutingTable()
         self.versions = adapter_versions.AdapterVersions()
         self._control = link.ControlServer(
-            link.Sealer(
-                entry_module.DEPLOYMENT, entry_module.SEAL, settings.instance
-            ),
+            settings_module.sealer(settings),
             _CONTROL_CONTEXTS,
         )
 
@@ -61,7 +58,10 @@
             aiohttp.ClientSession()
         )
         engine = engine_module.Engine(
-            session, settings_module.url_of(settings.engine), settings.instance
+            session,
+            settings_module.url_of(settings.engine),
+            settings.instance,
+            lambda: self.table.health_path(settings.service),
         )
         keeper = engine_keeper.EngineKeeper(
             engine, self.table, self.versions, settings.service, self._clock
@@ -78,8 +78,15 @@
             session, settings_module.url_of(settings.store)
         )
         operator = published.OperatorNews(self.versions, exchange)
-        self._run(operator.follow(store, _OPERATOR_PAUSE_S, self._random))
-        self._run(keeper.run())
+        # What is published later comes with the messages of entries, so
+        # that calls to the store do not grow with the number of engines.
+        self._run(
+            'operator',
+            lambda: operator.follow(
+                store, 0.0, self._random, lambda: self.table.version > 0
+            ),
+        )
+        self._run('engine', keeper.run)
         await self._control.start(settings.ip, settings.internal_port)
         self._exits.push_async_callback(self._control.close)
 
@@ -87,6 +94,8 @@
         """Release everything; entries go on with what they were granted."""
         await self._exits.aclose()
 
-    def _run(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+    def _run(
+        self, name: str, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        task = asyncio.create_task(daemon.supervised(name, work))
         self._exits.callback(task.cancel)
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's store: reading it, and following what changes there."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import TypeVar
@@ -15,13 +16,13 @@
 from lacewingpitch import platform_call
 from lacewingpitch.platform import names
 
-# The store answers in 4 ms; sixty times as long counts as slow, and
-# longer than this as lost.
-_READ_TIMEOUT_S = 1.5
+# The store answers in 4 ms, or in some 0.4 s while it is slow; what takes
+# longer than this is lost.
+_READ_TIMEOUT_S = 1.0
 # A watch costs one call each time it ends without news.  A connection
-# that went silent is found out this late, of which a configuration that
-# is to be in force within 2 s bears the most.
-_WATCH_S = 1.5
+# that went silent is found out this much later; instances count as out
+# of touch for 3 s after that, and a configuration has 2 s more.
+_WATCH_S = 4.0
 # Changes that come close together are taken with one call.
 _FIRST_PAUSE_S = 0.05
 _MAX_PAUSE_S = 1.0
@@ -170,15 +171,16 @@
         """Return what changes, from the first read on."""
         return self._changes
 
-    async def run(self) -> None:
-        """Follow for ever."""
+    async def run(self, is_enough: Callable[[], bool]) -> None:
+        """Follow until what is known is enough."""
         revision = 0
-        while True:
+        while not is_enough():
             try:
                 if not revision:
                     revision, items = await self._store.read_all(self._prefix)
                     self._returned()
                     self._changes.on_next(Change(items, is_whole=True))
+                    continue
                 revision, events = await self._store.watch(
                     self._prefix, revision, _WATCH_S
                 )
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -49,6 +49,7 @@
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
+    health_path: str = msgspec.field(name='healthPath', default='/')
     engine: _Engine | None = None
 
 
@@ -115,6 +116,7 @@
             service.name: routing.EngineLimits(
                 max_running=service.engine.slots,
                 adapter_slots=service.engine.adapter_slots,
+                health_path=service.health_path,
             )
             for service in found.services
             if service.engine is not None
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -98,10 +98,13 @@
     adapter_slots
         Adapters that an engine holds at once, those on their way to it
         included.
+    health_path
+        Where an engine is asked for its health.
     """
 
     max_running: int
     adapter_slots: int
+    health_path: str = '/'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,6 +185,11 @@
                 return found
         return None
 
+    def health_path(self, service: str) -> str:
+        """Return where an engine of a service is asked for its health."""
+        limits = self.engine_limits(service)
+        return limits.health_path if limits else '/'
+
     def engine_limits(self, service: str) -> EngineLimits | None:
         """Return the limits of a service of model engines."""
         if self.configuration is None:
