--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -26,6 +26,8 @@
         Those that are passed on.
     model, adapter
         What it is to run on; empty where it names none.
+    prompt_tokens
+        Tokens of its prompt; 0 if it does not say.
     max_tokens
         Most tokens of its answer; 0 if it does not say.
     last_event_id
@@ -46,6 +48,7 @@
     until_s: float
     model: str = ''
     adapter: str = ''
+    prompt_tokens: int = 0
     max_tokens: int = 0
     last_event_id: int = 0
 
--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -59,6 +59,10 @@
         Backend servers that the request was sent to.
     may_have_run
         Whether one of them may have run it.
+    first_event_s
+        Time from the arrival of the request to the first event.
+    longest_gap_s
+        Longest pause between events since.
     """
 
     splitter: event_splitter.EventSplitter
@@ -68,8 +72,21 @@
     servers: list[str] = dataclasses.field(default_factory=list)
     status: int = 0
     turn_wait_s: float = 0.0
+    first_event_s: float = 0.0
+    longest_gap_s: float = 0.0
+    last_event_at_s: float = 0.0
     first_answer: backend_call.BackendAnswer | None = None
 
+    def note_events(self, request: backend_call.CallerRequest) -> None:
+        """Take note that events have come."""
+        now_s = time.monotonic()
+        if not self.last_event_at_s:
+            self.first_event_s = now_s - request.arrived_s
+        else:
+            gap_s = now_s - self.last_event_at_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.last_event_at_s = now_s
+
 
 class Carrier:
     """Sends each request to backend servers until it has its final answer.
@@ -181,6 +198,7 @@
             version=self._versions.wanted(request.model, request.adapter),
             route=request.route.name,
             rank=request.route.rank,
+            prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
             until_s=request.until_s,
         )
@@ -265,6 +283,7 @@
             trail.first_answer = answer
         splitter = trail.splitter
         async for events in _whole_events(request, answer, splitter):
+            trail.note_events(request)
             if not delivery.has_begun:
                 await delivery.begin(trail.first_answer)
             await delivery.write(events)
--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -13,6 +13,7 @@
 from lacewingpitch import fence as fence_module
 from lacewingpitch import grant
 from lacewingpitch import grant_desk
+from lacewingpitch import prefill_pacer
 from lacewingpitch import routing
 from lacewingpitch import slots as slots_module
 from lacewingpitch import turn_queue
@@ -199,6 +200,7 @@
             queue,
             adapters,
             self.view,
+            prefill_pacer.PrefillPacer(self._clock),
             self._clock,
             lambda: self._table.version,
         )
--- a/lacewingpitch/grant.py
+++ b/lacewingpitch/grant.py
@@ -31,6 +31,8 @@
         Route of the request; turns are shared between routes.
     rank
         The route's urgency; 0 is the most urgent.
+    prompt_tokens
+        Tokens of the prompt; 0 if not known.
     max_tokens
         Most tokens that the answer can have; 0 if not known.
     wait_ms
@@ -46,6 +48,7 @@
     version: int
     route: str
     rank: int
+    prompt_tokens: int
     max_tokens: int
     wait_ms: int
     deadline_ms: int
--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -13,6 +13,7 @@
 from lacewingpitch import errors
 from lacewingpitch import grant
 from lacewingpitch import hint as hint_module
+from lacewingpitch import prefill_pacer
 from lacewingpitch import slots as slots_module
 from lacewingpitch import turn_queue
 from lacewingpitch import work
@@ -86,12 +87,14 @@
         queue: turn_queue.TurnQueue,
         adapters: slots_module.AdapterSlots,
         engine: EngineState,
+        pacer: prefill_pacer.PrefillPacer,
         clock: clock_module.Clock,
         configuration_version: Callable[[], int],
     ) -> None:
         self._queue = queue
         self._adapters = adapters
         self._engine = engine
+        self._pacer = pacer
         self._clock = clock
         self._configuration_version = configuration_version
         self._turns: dict[str, _Turn] = {}
@@ -225,6 +228,7 @@
                 self._adapters.hold(name, left_s)
             )
         await turn.held.enter_async_context(place.turn())
+        await self._pacer.admit(request.prompt_tokens, request.rank)
 
     async def _end(self, turn_id: str, is_settling: bool = False) -> None:
         turn = self._turns.pop(turn_id, None)
@@ -311,4 +315,5 @@
             load_wait_ms=int(self._adapters.expected_wait_s() * _MS_PER_S),
             spare_slots=self._adapters.spare_count,
             adapters=hint_module.join_fingerprints(names),
+            turn_wait_ms=int(self._pacer.wait_s() * _MS_PER_S),
         )
--- a/lacewingpitch/hint.py
+++ b/lacewingpitch/hint.py
@@ -34,6 +34,8 @@
         Slots that are free, or whose adapter has not been used of late.
     adapters
         Fingerprints of the adapters that the engine holds, joined.
+    turn_wait_ms
+        What a request that came now would wait for its prompt's turn.
     """
 
     running: Count
@@ -42,6 +44,7 @@
     load_wait_ms: Count
     spare_slots: Count = 0
     adapters: bytes = b''
+    turn_wait_ms: Count = 0
 
     @property
     def fingerprints(self) -> frozenset[bytes]:
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -101,6 +101,8 @@
         """Return what is waited for a turn there."""
         fill_ratio = self.fill_ratio
         over_s = max(0.0, fill_ratio - 1.0) * _TURN_WAIT_S
+        if self.hint is not None:
+            over_s += self.hint.turn_wait_ms / _MS_PER_S
         return over_s + min(fill_ratio, 1.0) * spread_s
 
     def load_wait_s(self, turn_wait_s: float) -> float:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -153,6 +153,8 @@
             backend_servers=trail.servers,
             turn_wait_ms=round(trail.turn_wait_s * 1000),
             events=trail.splitter.event_count,
+            first_event_ms=round(trail.first_event_s * 1000),
+            longest_gap_ms=round(trail.longest_gap_s * 1000),
             list_age_s=round(self.servers.age_s, 1),
         )
 
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -259,6 +259,7 @@
         if request.body_exists:
             body = await http_guard.read_body(request, _BODY_TIMEOUT_S)
         model, _, adapter = request.headers.get(names.MODEL, '').partition('/')
+        prompt_tokens, max_tokens = _tokens(request)
         last_event_id = 0
         if route.is_stream:
             last_event_id = _number(request, names.LAST_EVENT_ID)
@@ -273,7 +274,8 @@
             until_s=arrived_s + limit_s,
             model=model,
             adapter=adapter,
-            max_tokens=_max_tokens(request),
+            prompt_tokens=prompt_tokens,
+            max_tokens=max_tokens,
             last_event_id=last_event_id,
         )
 
@@ -289,9 +291,15 @@
     return int(text)
 
 
-def _max_tokens(request: web.BaseRequest) -> int:
-    _, _, text = request.headers.get(names.TOKENS, '').partition(',')
-    return int(text) if text.strip().isdecimal() else 0
+def _tokens(request: web.BaseRequest) -> tuple[int, int]:
+    """Return the tokens of the prompt, and the most of the answer."""
+    prompt, _, answer = request.headers.get(names.TOKENS, '').partition(',')
+    return _count(prompt), _count(answer)
+
+
+def _count(text: str) -> int:
+    text = text.strip()
+    return int(text) if text.isdecimal() else 0
 
 
 def _passed_on(
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -60,6 +60,7 @@
     version: int
     route: str
     rank: int
+    prompt_tokens: int
     max_tokens: int
     until_s: float
 
@@ -248,6 +249,7 @@
                 version=wanted.version,
                 route=wanted.route,
                 rank=wanted.rank,
+                prompt_tokens=wanted.prompt_tokens,
                 max_tokens=wanted.max_tokens,
                 wait_ms=int(wait_s * _MS_PER_S),
                 deadline_ms=max(0, int(left_s * _MS_PER_S)),
