Overload is refused at once, empty engines get their model, drain closes idle connections

Changes: weighted shares of what an engine can read, refusal when the wait is over half the target; model ordered for an empty engine; watches of 1.9 s; listening ends before idle connections are closed.

--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -39,6 +39,8 @@
 # A refusal that tells of one moment, such as a server that was full: the
 # caller's next attempt finds another server.
 _SOON_S = 0.1
+# From a turn to the first event: the prompt's own reading, and its way.
+_TO_FIRST_EVENT_S = 0.4
 _UNKNOWN_BACKEND_RETRY_S = 0.5
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _MAX_ANSWER_BYTES = 8 << 20
@@ -200,12 +202,18 @@
             rank=request.route.rank,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
+            start_by_s=self._start_by_s(request),
+            target_at_s=request.arrived_s + request.route.target_latency_s,
             until_s=request.until_s,
         )
         async with self._turns.turn(wanted, trail.servers) as turn:
             trail.turn_wait_s += time.monotonic() - started_s
             yield turn
 
+    def _start_by_s(self, request: backend_call.CallerRequest) -> float:
+        patience_s = request.route.patience_s - _TO_FIRST_EVENT_S
+        return min(request.until_s, request.arrived_s + patience_s)
+
     def _choose(
         self, services: tuple[str, ...], trail: Trail
     ) -> backend_list.BackendServer:
--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -1,6 +1,7 @@
 """Keeps one engine: follows its state and grants turns at it."""
 
 import asyncio
+import random
 from typing import Protocol
 
 import structlog
@@ -31,6 +32,8 @@
 _LOOKAHEAD_COUNT = 8
 _MAX_QUEUED = 512
 _STARTING_RETRY_S = 0.3
+# An order whose answer was lost shows in the next report or two.
+_MODEL_ORDER_INTERVAL_S = 1.0
 log = structlog.get_logger(__name__)
 
 
@@ -76,6 +79,7 @@
         self.desk: grant_desk.GrantDesk | None = None
         self._adopted_runs: frozenset[str] = frozenset()
         self._is_down = True
+        self._model_order_at_s = 0.0
 
     async def ask(self, request: grant.TurnRequest) -> grant.TurnReply:
         """Return a turn, a refusal, or that it is still waited for."""
@@ -124,6 +128,7 @@
             return
         self._note_leaving(snapshot)
         self.view.update(snapshot)
+        await self._order_model(snapshot)
         self._begin(snapshot)
         self._reconcile(snapshot, asked_at_s)
         if self.desk is not None:
@@ -150,6 +155,32 @@
         if before:
             await self._forget_all()
 
+    async def _order_model(self, snapshot: engine_view.EngineSnapshot) -> None:
+        """Order the base model for an engine that holds none.
+
+        An engine restarts empty.  Until it holds the model, it refuses
+        each adapter, and its requests wait for nothing.
+        """
+        limits = self._table.engine_limits(self._service)
+        now_s = self._clock.monotonic_s()
+        if (
+            snapshot.models
+            or snapshot.is_busy
+            or snapshot.is_leaving
+            or limits is None
+            or not limits.models
+            or now_s < self._model_order_at_s
+        ):
+            return
+        self._model_order_at_s = now_s + _MODEL_ORDER_INTERVAL_S
+        model = limits.models[0]
+        try:
+            result = await self.view.load_model(model)
+        except errors.PlatformError as error:
+            log.warning('model not ordered', model=model, error=str(error))
+            return
+        log.info('model ordered', model=model, result=result.name)
+
     def _note_leaving(self, snapshot: engine_view.EngineSnapshot) -> None:
         before = self.view.snapshot
         was_leaving = before is not None and before.is_leaving
@@ -203,6 +234,7 @@
             prefill_pacer.PrefillPacer(self._clock),
             self._clock,
             lambda: self._table.version,
+            random.Random(),
         )
         log.info(
             'engine taken over',
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -47,6 +47,10 @@
     ----------
     order_count
         Orders that it has taken since its start.
+    is_busy
+        Whether it carries out an order about a model.
+    models
+        Models that it holds.
     held
         Versions of the adapters that it holds, by MODEL/ADAPTER.
     pending
@@ -59,6 +63,8 @@
 
     order_count: int
     is_leaving: bool
+    is_busy: bool
+    models: frozenset[str]
     held: Mapping[str, int]
     pending: Mapping[str, int]
     run_ids: frozenset[str]
@@ -69,6 +75,12 @@
 class EngineOrders(Protocol):
     """The calls that change what an engine holds."""
 
+    async def load_model(
+        self, model: str, fencing: int, incarnation: str
+    ) -> OrderResult:
+        """Order a model to be loaded."""
+        ...
+
     async def load(
         self,
         model: str,
@@ -129,10 +141,11 @@
 
     @property
     def is_serving(self) -> bool:
-        """Whether the engine is up, and not about to leave."""
+        """Whether the engine is up with a model, and not about to leave."""
         return (
             self._snapshot is not None
             and not self._snapshot.is_leaving
+            and bool(self._snapshot.models)
             and self.report_age_s < _DOWN_AFTER_S
         )
 
@@ -178,6 +191,15 @@
         self._news.set()
         self._news = asyncio.Event()
 
+    async def load_model(self, model: str) -> OrderResult:
+        """Order the engine to load a model, and do not wait for it."""
+        result = await self._orders.load_model(
+            model, self._fence.number, self.backend_server
+        )
+        if result is OrderResult.FENCED:
+            self._fence.refused()
+        return result
+
     async def load_adapter(self, name: str, fencing: int) -> None:
         """Order the engine to load an adapter, and wait for it.
 
--- a/lacewingpitch/grant.py
+++ b/lacewingpitch/grant.py
@@ -37,6 +37,10 @@
         Most tokens that the answer can have; 0 if not known.
     wait_ms
         How long the reply may stay away before it says `is_pending`.
+    start_within_ms
+        Time left in which the turn is of use.
+    target_ms
+        Time left until the first event is late; negative if it is.
     deadline_ms
         Time left until the request's final answer is due.
     """
@@ -51,6 +55,8 @@
     prompt_tokens: int
     max_tokens: int
     wait_ms: int
+    start_within_ms: int
+    target_ms: int
     deadline_ms: int
 
 
--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection
 import contextlib
 import dataclasses
+import random
 from typing import Protocol
 
 import structlog
@@ -26,6 +27,15 @@
 _UNSEEN_AFTER_S = 1.5
 # Refused requests that come back together would be refused again.
 _LEAVING_RETRY_S = 0.2
+# Share of the time to the first event that may be spent in waiting for
+# other prompts: reading its own takes 20 to 200 ms of 800, and an adapter
+# that is missing 300.
+_WAIT_TARGET_RATIO = 0.5
+# What is late anyway is still served where it delays nobody else long.
+_LEAST_WAIT_S = 0.1
+# Added to the time after which callers come back: bursts at the sites
+# last 3 to 5 s, and callers wait for a third of their time at most.
+_COME_BACK_S = (0.3, 1.5)
 # Far above what a healthy engine lets wait: requests that can't be in
 # time are refused by the estimate of their wait, and sooner.
 _MAX_QUEUED_OF_A_ROUTE = 256
@@ -90,7 +100,9 @@
         pacer: prefill_pacer.PrefillPacer,
         clock: clock_module.Clock,
         configuration_version: Callable[[], int],
+        source: random.Random,
     ) -> None:
+        self._random = source
         self._queue = queue
         self._adapters = adapters
         self._engine = engine
@@ -119,6 +131,9 @@
                         retry_after_s=_LEAVING_RETRY_S,
                     ),
                 )
+            refusal = self._overload(request)
+            if refusal is not None:
+                return self._refused(request, refusal)
             turn = self._enter(request)
         assert turn.task is not None
         done, _ = await asyncio.wait(
@@ -183,6 +198,30 @@
             since_s = max(since_s, turn.seen_at_s)
         return asked_at_s - since_s >= _UNSEEN_AFTER_S
 
+    def _overload(
+        self, request: grant.TurnRequest
+    ) -> errors.RefusalError | None:
+        """Return a refusal if the request would start too late.
+
+        While an engine can't read all prompts in time, a queue that is
+        let grow makes all answers late.  With a short one, those that
+        are admitted are on time, and the others are told at once.
+        """
+        wait_s = self._pacer.wait_s(
+            request.prompt_tokens, request.route, request.rank
+        )
+        limit_s = max(
+            _LEAST_WAIT_S,
+            _WAIT_TARGET_RATIO * request.target_ms / _MS_PER_S,
+        )
+        if wait_s <= limit_s:
+            return None
+        return errors.RefusalError(
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            f'prompts of {wait_s:.2f} s are ahead',
+            retry_after_s=wait_s + self._random.uniform(*_COME_BACK_S),
+        )
+
     def _enter(self, request: grant.TurnRequest) -> _Turn:
         now_s = self._clock.monotonic_s()
         turn = _Turn(request, now_s, now_s + request.deadline_ms / _MS_PER_S)
@@ -223,12 +262,15 @@
         order = self._order(request, name)
         place = await turn.held.enter_async_context(self._queue.place(order))
         if name:
-            left_s = turn.until_s - self._clock.monotonic_s()
+            waited_s = self._clock.monotonic_s() - turn.asked_at_s
+            left_s = request.start_within_ms / _MS_PER_S - waited_s
             await turn.held.enter_async_context(
                 self._adapters.hold(name, left_s)
             )
         await turn.held.enter_async_context(place.turn())
-        await self._pacer.admit(request.prompt_tokens, request.rank)
+        await self._pacer.admit(
+            request.prompt_tokens, request.route, request.rank
+        )
 
     async def _end(self, turn_id: str, is_settling: bool = False) -> None:
         turn = self._turns.pop(turn_id, None)
@@ -260,7 +302,7 @@
             contract_revision=0,
             urgency=urgency,
             weight=1.0,
-            deadline_s=request.deadline_ms / _MS_PER_S,
+            deadline_s=request.start_within_ms / _MS_PER_S,
             method='',
             path=name,
             repeatable=False,
--- a/lacewingpitch/platform/engine.py
+++ b/lacewingpitch/platform/engine.py
@@ -40,6 +40,8 @@
     runs: tuple[_Run, ...] = ()
     # Number of orders taken; it starts anew when the engine does.
     sequence: int = 0
+    # Whether an order about a model is under way; adapters do not count.
+    busy: bool = False
 
 
 class Engine:
@@ -112,6 +114,8 @@
         return engine_view.EngineSnapshot(
             order_count=found.sequence,
             is_leaving=found.state != 'ready',
+            is_busy=found.busy,
+            models=frozenset(model.name for model in found.models),
             held=wire.held_versions(found.models),
             pending=wire.pending_versions(found.pending),
             run_ids=frozenset(run.request_id for run in found.runs),
@@ -119,6 +123,13 @@
             running=found.active,
         )
 
+    async def load_model(
+        self, model: str, fencing: int, incarnation: str
+    ) -> engine_view.OrderResult:
+        """Order a model to be loaded."""
+        body: dict[str, str | int] = {'operation': 'load', 'model': model}
+        return await self._order(body, fencing, incarnation)
+
     async def load(
         self,
         model: str,
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -35,7 +35,10 @@
 
 _BACKLOG = 1024
 # Balancers take an instance out after two questions a second apart.
-_LEAST_DRAIN_S = 2.5
+_OUT_OF_ROTATION_S = 2.2
+# A stream that begins later than this would seldom end within the time
+# to drain; its caller is told at once that it has not run.
+_TAKEN_WHILE_DRAINING_S = 2.9
 _DRAIN_CHECK_S = 0.05
 _LEFT_TO_CLOSE_S = 0.5
 # As many entries share the retry budget at least: more than there are at
@@ -66,6 +69,7 @@
         self.versions = adapter_versions.AdapterVersions()
         self.ejector = ejection.Ejector(self._clock, self._random)
         self.front = front_module.Front(self.table, self._serve)
+        self._callers_site: web.TCPSite | None = None
         self._carrier: carrier_module.Carrier | None = None
 
     def ports(self) -> dict[str, int]:
@@ -119,18 +123,26 @@
         self._run('turns', turns.run)
         await self._follow(exchange)
         await self._listen(settings.ready, web.Server(self._ready))
-        await self._listen(settings.callers, self.front.server())
+        self._callers_site = await self._listen(
+            settings.callers, self.front.server()
+        )
 
     async def close(self) -> None:
         """Finish what is in progress, then release everything."""
         self.front.is_draining = True
         started_s = time.monotonic()
         limit_s = self._settings.drain_s - _LEFT_TO_CLOSE_S
-        while True:
+        took_s = 0.0
+        while took_s < limit_s:
             await asyncio.sleep(_DRAIN_CHECK_S)
             took_s = time.monotonic() - started_s
-            is_idle = not self.front.in_progress
-            if took_s >= limit_s or (is_idle and took_s >= _LEAST_DRAIN_S):
+            if took_s < _OUT_OF_ROTATION_S:
+                continue
+            # New and idle connections would bring requests until the end.
+            await self._stop_listening()
+            self.front.close_idle()
+            self.front.is_refusing = took_s >= _TAKEN_WHILE_DRAINING_S
+            if self.front.is_refusing and not self.front.in_progress:
                 break
         log.info(
             'drained',
@@ -184,6 +196,12 @@
         self._exits.push_async_callback(runner.cleanup)
         site = web.TCPSite(runner, ip, port, backlog=_BACKLOG)
         await site.start()
+        return site
+
+    async def _stop_listening(self) -> None:
+        if self._callers_site is not None:
+            site, self._callers_site = self._callers_site, None
+            await site.stop()
 
     async def _ready(self, _request: web.BaseRequest) -> web.Response:
         if self.front.is_draining:
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -126,11 +126,18 @@
         self._table = table
         self._serve = serve
         self.is_draining = False
-        self.in_progress = 0
+        self.is_refusing = False
+        self._busy: set[asyncio.BaseTransport] = set()
+        self._server: web.Server | None = None
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many requests are in progress."""
+        return len(self._busy)
 
     def server(self) -> web.Server:
         """Return the protocol factory of callers' connections."""
-        return web.Server(
+        self._server = web.Server(
             self._handle,
             request_factory=self._new_request,
             handler_cancellation=True,
@@ -141,6 +148,21 @@
             max_field_size=_MAX_LINE_BYTES,
             auto_decompress=False,
         )
+        return self._server
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is in progress.
+
+        The others close with their answers.  The library's own way ends
+        the task of an idle connection and leaves the connection open: a
+        request that comes then is taken by nobody.
+        """
+        if self._server is None:
+            return
+        for handler in self._server.connections:
+            transport = handler.transport
+            if transport is not None and transport not in self._busy:
+                transport.close()
 
     def _new_request(
         self,
@@ -171,12 +193,15 @@
         arrived_s = time.monotonic()
         delivery = ResponseDelivery(request, lambda: self.is_draining)
         request_id = request.headers.get(names.REQUEST_ID, '')
-        self.in_progress += 1
+        transport = request.transport
+        if transport is None:
+            raise ConnectionResetError('the caller is gone')
+        self._busy.add(transport)
         try:
             http_guard.limit_stall(request, _STALL_S)
             await self._answer(request, request_id, delivery, arrived_s)
         finally:
-            self.in_progress -= 1
+            self._busy.discard(transport)
         assert delivery.response is not None
         return delivery.response
 
@@ -220,6 +245,12 @@
             )
 
     def _route(self, request: web.BaseRequest) -> routing.Route:
+        if self.is_refusing:
+            raise errors.RefusalError(
+                errors.ErrorKind.DRAINING,
+                'this instance is about to end',
+                retry_after_s=0.0,
+            )
         if self._table.configuration is None:
             raise errors.RefusalError(
                 errors.ErrorKind.NO_BACKEND_SERVER,
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -18,11 +18,12 @@
 
 # The store answers in 4 ms, or in some 0.4 s while it is slow; what takes
 # longer than this is lost.
-_READ_TIMEOUT_S = 1.0
+_READ_TIMEOUT_S = 0.8
 # A watch costs one call each time it ends without news.  A connection
-# that went silent is found out this much later; instances count as out
-# of touch for 3 s after that, and a configuration has 2 s more.
-_WATCH_S = 4.0
+# can fall silent for good, which shows only when the watch is overdue.
+# What was published meanwhile must be in force once instances count as in
+# touch again, 3 s after: the watch and its timeout together are less.
+_WATCH_S = 1.9
 # Changes that come close together are taken with one call.
 _FIRST_PAUSE_S = 0.05
 _MAX_PAUSE_S = 1.0
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -42,8 +42,13 @@
     gap_ms: float = msgspec.field(name='targetGapMs', default=0)
 
 
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+
+
 class _Engine(msgspec.Struct, frozen=True):
     slots: int
+    models: tuple[_Model, ...] = ()
     adapter_slots: int = msgspec.field(name='adapterSlots', default=0)
 
 
@@ -116,6 +121,7 @@
             service.name: routing.EngineLimits(
                 max_running=service.engine.slots,
                 adapter_slots=service.engine.adapter_slots,
+                models=tuple(model.name for model in service.engine.models),
                 health_path=service.health_path,
             )
             for service in found.services
--- a/lacewingpitch/prefill_pacer.py
+++ b/lacewingpitch/prefill_pacer.py
@@ -1,8 +1,7 @@
 """Spreads the reading of prompts, so that running streams do not pause."""
 
 import asyncio
-from collections.abc import Iterator
-import contextlib
+import dataclasses
 import heapq
 import itertools
 
@@ -10,11 +9,26 @@
 from lacewingpitch import token_bucket
 
 # An engine reads prompts between the tokens of its streams, 30 to 40
-# tokens a ms where it was measured, and an event takes 30 to 40 ms without
-# that.  A pause of 250 ms then bears 6,000 tokens: the burst and what
+# tokens a ms where it was measured, and an event takes 30 to 50 ms without
+# that.  A pause of 250 ms then bears some 6,000 tokens: the burst and what
 # comes at this rate within a pause are 6,000 together.
-_TOKENS_PER_S = 14_000.0
-_BURST_TOKENS = 2_500.0
+_TOKENS_PER_S = 21_000.0
+_BURST_TOKENS = 750.0
+# While more is wanted than can be read, a route of the highest rank gets
+# four tokens for each one of another: its requests are worth some seven
+# times as much a token at the sites, and the others must not starve.
+_URGENT_WEIGHT = 4.0
+_MAX_ROUTES = 4096
+
+
+@dataclasses.dataclass(slots=True, order=True)
+class _Waiter:
+    """A prompt that waits; the lowest `finish` goes first."""
+
+    finish: float
+    number: int
+    tokens: int = dataclasses.field(compare=False)
+    turn: asyncio.Future[None] = dataclasses.field(compare=False)
 
 
 class PrefillPacer:
@@ -22,8 +36,8 @@
 
     Load it answers: bursts of new streams at an engine whose batch has
     places left.  Admitted together, their prompts are read in one go,
-    and each stream that runs there pauses for that long.  The more
-    urgent goes first, then who came first.
+    and each stream that runs there pauses for that long.  Routes share
+    what can be read by weighted fair queueing.
     """
 
     def __init__(self, clock: clock_module.Clock) -> None:
@@ -34,18 +48,21 @@
             _BURST_TOKENS,
             clock.monotonic_s(),
         )
-        self._waiting: list[tuple[int, int, int, asyncio.Future[None]]] = []
+        self._waiting: list[_Waiter] = []
         self._numbers = itertools.count()
+        self._virtual = 0.0
+        self._finish_by_route: dict[str, float] = {}
         self._timer: asyncio.TimerHandle | None = None
 
-    def wait_s(self) -> float:
+    def wait_s(self, tokens: int = 0, route: str = '', rank: int = 0) -> float:
         """Return how long a request that came now would wait."""
         now_s = self._clock.monotonic_s()
-        tokens = sum(tokens for _, _, tokens, _ in self._waiting)
-        missing = tokens + 1.0 - self._bucket.level(now_s)
+        finish = self._finish(tokens, route, rank)
+        ahead = sum(w.tokens for w in self._waiting if w.finish <= finish)
+        missing = ahead + 1.0 - self._bucket.level(now_s)
         return max(0.0, missing / _TOKENS_PER_S)
 
-    async def admit(self, tokens: int, rank: int) -> None:
+    async def admit(self, tokens: int, route: str, rank: int) -> None:
         """Wait until the engine can read a prompt.
 
         Parameters
@@ -57,25 +74,31 @@
         if not self._waiting and self._bucket.level(now_s) > 0.0:
             self._bucket.add(-tokens, now_s)
             return
-        turn = asyncio.get_running_loop().create_future()
-        entry = (rank, next(self._numbers), tokens, turn)
-        heapq.heappush(self._waiting, entry)
+        finish = self._finish(tokens, route, rank)
+        if len(self._finish_by_route) >= _MAX_ROUTES:
+            self._finish_by_route.clear()
+        self._finish_by_route[route] = finish
+        waiter = _Waiter(
+            finish,
+            next(self._numbers),
+            tokens,
+            asyncio.get_running_loop().create_future(),
+        )
+        heapq.heappush(self._waiting, waiter)
         self._schedule()
-        with self._forgotten_if_cancelled(entry):
-            await turn
-
-    @contextlib.contextmanager
-    def _forgotten_if_cancelled(
-        self, entry: tuple[int, int, int, asyncio.Future[None]]
-    ) -> Iterator[None]:
         try:
-            yield
+            await waiter.turn
         except asyncio.CancelledError:
-            if entry in self._waiting:
-                self._waiting.remove(entry)
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
                 heapq.heapify(self._waiting)
             raise
 
+    def _finish(self, tokens: int, route: str, rank: int) -> float:
+        weight = 1.0 if rank else _URGENT_WEIGHT
+        start = max(self._virtual, self._finish_by_route.get(route, 0.0))
+        return start + tokens / weight
+
     def _schedule(self) -> None:
         if self._timer is None and self._waiting:
             now_s = self._clock.monotonic_s()
@@ -90,8 +113,9 @@
         self._timer = None
         now_s = self._clock.monotonic_s()
         while self._waiting and self._bucket.level(now_s) > 0.0:
-            _, _, tokens, turn = heapq.heappop(self._waiting)
-            if not turn.done():
-                self._bucket.add(-tokens, now_s)
-                turn.set_result(None)
+            waiter = heapq.heappop(self._waiting)
+            self._virtual = max(self._virtual, waiter.finish)
+            if not waiter.turn.done():
+                self._bucket.add(-waiter.tokens, now_s)
+                waiter.turn.set_result(None)
         self._schedule()
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -59,6 +59,20 @@
         """Whether answers are streams of events."""
         return self.kind is RequestKind.STREAM
 
+    @property
+    def patience_s(self) -> float:
+        """Return how long callers wait for the beginning of an answer.
+
+        They give a stream up, also before its first event, after 2 s,
+        four times its target or eight times its longest pause.
+        """
+        if not self.is_stream:
+            return self.timeout_s
+        return min(
+            self.timeout_s,
+            max(2.0, 4.0 * self.target_latency_s, 8.0 * self.target_gap_s),
+        )
+
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
@@ -98,12 +112,15 @@
     adapter_slots
         Adapters that an engine holds at once, those on their way to it
         included.
+    models
+        Models that the service's engines can hold.
     health_path
         Where an engine is asked for its health.
     """
 
     max_running: int
     adapter_slots: int
+    models: tuple[str, ...] = ()
     health_path: str = '/'
 
 
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -48,6 +48,11 @@
 
     Parameters
     ----------
+    start_by_s
+        Monotonic time after which its caller has given up waiting for
+        the beginning of an answer.
+    target_at_s
+        Monotonic time after which the first event is late.
     until_s
         Monotonic time at which its final answer is due.
     """
@@ -62,6 +67,8 @@
     rank: int
     prompt_tokens: int
     max_tokens: int
+    start_by_s: float
+    target_at_s: float
     until_s: float
 
     @property
@@ -239,6 +246,7 @@
     ) -> Turn:
         self._ejector.begin(_sidecar_key(server))
         while True:
+            now_s = self._clock.monotonic_s()
             left_s = self._left_s(wanted)
             wait_s = max(0.0, min(_REPLY_WITHIN_S, left_s))
             request = grant.TurnRequest(
@@ -252,7 +260,9 @@
                 prompt_tokens=wanted.prompt_tokens,
                 max_tokens=wanted.max_tokens,
                 wait_ms=int(wait_s * _MS_PER_S),
-                deadline_ms=max(0, int(left_s * _MS_PER_S)),
+                start_within_ms=max(0, int(left_s * _MS_PER_S)),
+                target_ms=int((wanted.target_at_s - now_s) * _MS_PER_S),
+                deadline_ms=max(0, int((wanted.until_s - now_s) * _MS_PER_S)),
             )
             try:
                 reply = await self._link.ask_turn(
@@ -350,7 +360,7 @@
         self._placement.retain([*others, *instances])
 
     def _left_s(self, wanted: WantedTurn) -> float:
-        return wanted.until_s - self._clock.monotonic_s()
+        return wanted.start_by_s - self._clock.monotonic_s()
 
     def _end(self, ip: str, turn_id: str) -> None:
         if len(self._ends[ip]) < _MAX_KEPT_ENDS:
