--- a/lacewingpitch/daemon.py
+++ b/lacewingpitch/daemon.py
@@ -48,25 +48,34 @@
             await asyncio.sleep(_RESTART_AFTER_S)
 
 
-def serve(daemon: Daemon) -> None:
+def serve(daemon: Daemon, reload: Callable[[], None] | None = None) -> None:
     """Run a daemon until SIGTERM or SIGINT, and let it end gracefully.
 
+    Parameters
+    ----------
+    reload
+        Called at SIGHUP; without it that signal ends the process.
+
     Raises
     ------
     ClickException
         It cannot listen.
     """
     try:
-        uvloop.run(_serve_until_signal(daemon))
+        uvloop.run(_serve_until_signal(daemon, reload))
     except OSError as error:
         raise click.ClickException(f'cannot listen: {error}') from error
 
 
-async def _serve_until_signal(daemon: Daemon) -> None:
+async def _serve_until_signal(
+    daemon: Daemon, reload: Callable[[], None] | None
+) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     await daemon.start()
     log.info('listening', **daemon.ports())
     await stopping.wait()
--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -127,7 +127,7 @@
             self._is_down = True
             return
         self._note_leaving(snapshot)
-        self.view.update(snapshot)
+        self.view.update(snapshot, asked_at_s)
         await self._order_model(snapshot)
         self._begin(snapshot)
         self._reconcile(snapshot, asked_at_s)
@@ -206,6 +206,7 @@
             # Loads of an earlier sidecar take slots that this one would
             # count as free; an engine over its capacity crashes.
             return
+        self.view.slot_count = limits.adapter_slots
         self._adapters = slots_module.AdapterSlots(
             self.view,
             limits.adapter_slots,
@@ -256,9 +257,13 @@
             for key, version in snapshot.held.items()
         }
         for name in adapters.adapters:
-            if name not in held:
+            if name not in held and self.view.is_shown(name):
                 adapters.forget(name)
-        unknown = [name for name in held if not adapters.knows(name)]
+        unknown = [
+            name
+            for name in held
+            if not adapters.knows(name) and self.view.is_shown(name)
+        ]
         if unknown:
             self._adopted_runs |= snapshot.run_ids
             adapters.adopt(unknown)
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+import math
 from typing import Protocol
 
 import structlog
@@ -118,11 +119,18 @@
         self._versions = versions
         self._clock = clock
         self._snapshot: EngineSnapshot | None = None
+        self._asked_at_s = -math.inf
         self._reported_at_s = 0.0
+        # Orders that the last report may not show yet, by MODEL/ADAPTER,
+        # with the time at which they were answered, or may have been.
+        self._loads_at_s: dict[str, float] = {}
+        self._unloads_at_s: dict[str, float] = {}
         self._news = asyncio.Event()
         # The engine's incarnation; empty if it is not known.
         self.backend_server = ''
         self.loading_count = 0
+        # Adapters that the engine can hold; it crashes at one more.
+        self.slot_count = 0
 
     @property
     def snapshot(self) -> EngineSnapshot | None:
@@ -172,18 +180,35 @@
         held = self._snapshot.held.get(key)
         return held is not None and held >= version
 
+    def is_shown(self, slot_name: str) -> bool:
+        """Whether the last report is newer than the orders for it."""
+        key, _ = _split(slot_name)
+        return not (key in self._loads_at_s or key in self._unloads_at_s)
+
+    def taken(self) -> set[str]:
+        """Return the adapters that take a slot, or may do."""
+        if self._snapshot is None:
+            return set(self._loads_at_s)
+        shown = set(self._snapshot.held) | set(self._snapshot.pending)
+        return (shown - set(self._unloads_at_s)) | set(self._loads_at_s)
+
     def attach(self, incarnation: str) -> None:
         """Take note of which incarnation of the engine there is."""
         self.backend_server = incarnation
         self._snapshot = None
+        self._loads_at_s.clear()
+        self._unloads_at_s.clear()
         self._fence.renew(
             engine_module.EngineReport(incarnation=incarnation, base_model='')
         )
         self._tell()
 
-    def update(self, snapshot: EngineSnapshot) -> None:
-        """Take over a report."""
+    def update(self, snapshot: EngineSnapshot, asked_at_s: float) -> None:
+        """Take over a report that was asked for at some time."""
         self._snapshot = snapshot
+        self._asked_at_s = asked_at_s
+        self._loads_at_s = _after(self._loads_at_s, asked_at_s)
+        self._unloads_at_s = _after(self._unloads_at_s, asked_at_s)
         self._reported_at_s = self._clock.monotonic_s()
         self._tell()
 
@@ -209,13 +234,14 @@
             The order was refused, or not done in time.
         """
         key, version = _split(name)
-        model, _, adapter = key.partition('/')
         incarnation = self.backend_server
+        slot_count = self.slot_count
         self.loading_count += 1
         started_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(_LOAD_TIMEOUT_S):
-                await self._give_load(model, adapter, version, incarnation)
+                await self._until_room(key, slot_count, incarnation)
+                await self._give_load(key, version, incarnation)
                 await self._until_held(name, incarnation)
         except TimeoutError as error:
             raise errors.PlatformError(
@@ -249,24 +275,50 @@
                 await self._until_gone(key, incarnation)
                 result = OrderResult.DONE
             if result is OrderResult.DONE:
+                self._unloads_at_s[key] = self._clock.monotonic_s()
                 log.info('adapter unloaded', adapter=name)
                 return
             await self._prepare_again(result)
         raise errors.PlatformError(f'unloading {name}: {result.name}')
 
     async def _give_load(
-        self, model: str, adapter: str, version: int, incarnation: str
+        self, key: str, version: int, incarnation: str
     ) -> None:
+        model, _, adapter = key.partition('/')
         # The engine is busy while it takes as many adapters as it can;
         # the caller limits how long that is waited for.
         while True:
-            result = await self._orders.load(
-                model, adapter, version, self._fence.number, incarnation
-            )
+            try:
+                result = await self._orders.load(
+                    model, adapter, version, self._fence.number, incarnation
+                )
+            finally:
+                # An order whose answer is lost may have been taken.
+                self._loads_at_s[key] = self._clock.monotonic_s()
+                self._unloads_at_s.pop(key, None)
             if result in (OrderResult.ACCEPTED, OrderResult.DONE):
                 return
             await self._prepare_again(result)
 
+    async def _until_room(
+        self, key: str, slot_count: int, incarnation: str
+    ) -> None:
+        # Whoever orders counts slots as well, but a load whose answer was
+        # lost, or that took too long, may still come.  An engine that is
+        # ordered to hold one adapter too many crashes, with all its runs.
+        while len(self.taken() | {key}) > slot_count:
+            log.warning(
+                'no slot for a load', adapter=key, taken=len(self.taken())
+            )
+            await self._next_report(incarnation)
+        # Another load must not take the same room before this is ordered.
+        self._loads_at_s[key] = math.inf
+
+    async def _next_report(self, incarnation: str) -> None:
+        await self._news.wait()
+        if self.backend_server != incarnation:
+            raise errors.PlatformError('the engine has restarted')
+
     async def _prepare_again(self, result: OrderResult) -> None:
         if result is OrderResult.FENCED:
             self._fence.refused()
@@ -278,10 +330,10 @@
         raise errors.PlatformError(f'order answered {result.name}')
 
     async def _until_held(self, name: str, incarnation: str) -> None:
-        while not self.holds(name):
-            await self._news.wait()
-            if self.backend_server != incarnation:
-                raise errors.PlatformError('the engine has restarted')
+        # A report that was asked for before the order may show the
+        # adapter as it was before it was unloaded.
+        while not (self.is_shown(name) and self.holds(name)):
+            await self._next_report(incarnation)
 
     async def _until_gone(self, key: str, incarnation: str) -> None:
         # A caller that has left frees its turn before the engine stops
@@ -291,10 +343,8 @@
         self.loading_count += 1
         try:
             async with asyncio.timeout(_UNLOAD_TIMEOUT_S):
-                while self._snapshot is None or key in self._snapshot.held:
-                    await self._news.wait()
-                    if self.backend_server != incarnation:
-                        raise errors.PlatformError('the engine has restarted')
+                while key in self.taken():
+                    await self._next_report(incarnation)
         except TimeoutError as error:
             raise errors.PlatformError(
                 f'{key} still in use after {_UNLOAD_TIMEOUT_S:g} s'
@@ -303,6 +353,10 @@
             self.loading_count -= 1
 
 
+def _after(times_s: dict[str, float], time_s: float) -> dict[str, float]:
+    return {key: at_s for key, at_s in times_s.items() if at_s >= time_s}
+
+
 def _split(slot_name: str) -> tuple[str, int]:
     """Return MODEL/ADAPTER and the version that is wanted."""
     key, _, version = slot_name.partition('@')
--- a/lacewingpitch/platform/__main__.py
+++ b/lacewingpitch/platform/__main__.py
@@ -9,7 +9,6 @@
 from lacewingpitch import daemon
 from lacewingpitch import errors
 from lacewingpitch import log_output
-from lacewingpitch import settings as product_settings
 from lacewingpitch.platform import settings as settings_module
 
 _SETTINGS_VARIABLE = 'LACEWINGPITCH_CONFIG'
@@ -29,21 +28,22 @@
     """Take callers' requests.
 
     SIGTERM drains: it says that it is not ready, finishes what is in
-    progress within its time to drain, and exits 0.
+    progress within its time to drain, and exits 0.  SIGHUP reads the
+    settings again, as does a change of their file.
     """
-    settings = _start('entry')
+    file = _start('entry')
     from lacewingpitch.platform import entry as module
 
-    daemon.serve(module.Entry(settings))
+    daemon.serve(module.Entry(file), file.reload)
 
 
 @main.command()
 def sidecar() -> None:
     """Keep the model engine on this instance."""
-    settings = _start('sidecar')
+    file = _start('sidecar')
     from lacewingpitch.platform import sidecar as module
 
-    daemon.serve(module.Sidecar(settings))
+    daemon.serve(module.Sidecar(file), file.reload)
 
 
 @main.command()
@@ -53,22 +53,23 @@
     click.echo('1 checked, 0 with problems')
 
 
-def _start(role: str) -> settings_module.DaemonSettings:
-    settings = _load()
+def _start(role: str) -> settings_module.SettingsFile:
+    file = _load()
     log_output.configure(
-        'info', sys.stdout.fileno(), instance=settings.instance, role=role
+        'info',
+        sys.stdout.fileno(),
+        instance=file.settings.instance,
+        role=role,
     )
-    return settings
+    return file
 
 
-def _load() -> settings_module.DaemonSettings:
+def _load() -> settings_module.SettingsFile:
     path = os.environ.get(_SETTINGS_VARIABLE, '')
     if not path:
         raise click.ClickException(f'{_SETTINGS_VARIABLE} is not set')
     try:
-        return product_settings.load_settings(
-            pathlib.Path(path), settings_module.DaemonSettings
-        )
+        return settings_module.SettingsFile(pathlib.Path(path))
     except errors.SettingsError as error:
         raise click.ClickException(str(error)) from error
 
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -57,10 +57,10 @@
 
     def __init__(
         self,
-        settings: settings_module.DaemonSettings,
+        file: settings_module.SettingsFile,
         clock: clock_module.Clock | None = None,
     ) -> None:
-        self._settings = settings
+        self._file = file
         self._clock = clock or clock_module.SystemClock()
         self._random = random.Random()
         self._exits = contextlib.AsyncExitStack()
@@ -75,15 +75,17 @@
     def ports(self) -> dict[str, int]:
         """Return the ports it listens on, by name."""
         return {
-            'callers': settings_module.split_endpoint(self._settings.callers)[
+            'callers': settings_module.split_endpoint(
+                self._file.settings.callers
+            )[1],
+            'ready': settings_module.split_endpoint(self._file.settings.ready)[
                 1
             ],
-            'ready': settings_module.split_endpoint(self._settings.ready)[1],
         }
 
     async def start(self) -> None:
         """Follow the store, and listen for callers."""
-        settings = self._settings
+        settings = self._file.settings
         pool = link.PeerPool(settings_module.sealer(settings), 2048)
         self._exits.callback(pool.close)
         peers = sidecar_peers.SidecarPeers(pool, settings.internal_port)
@@ -120,6 +122,7 @@
             self.versions,
             self._random,
         )
+        self._run('settings', self._file.follow)
         self._run('turns', turns.run)
         await self._follow(exchange)
         await self._listen(settings.ready, web.Server(self._ready))
@@ -131,7 +134,7 @@
         """Finish what is in progress, then release everything."""
         self.front.is_draining = True
         started_s = time.monotonic()
-        limit_s = self._settings.drain_s - _LEFT_TO_CLOSE_S
+        limit_s = self._file.settings.drain_s - _LEFT_TO_CLOSE_S
         took_s = 0.0
         while took_s < limit_s:
             await asyncio.sleep(_DRAIN_CHECK_S)
@@ -177,7 +180,7 @@
             aiohttp.ClientSession()
         )
         store = store_module.Store(
-            session, settings_module.url_of(self._settings.store)
+            session, settings_module.url_of(self._file.settings.store)
         )
         operator = published.OperatorNews(self.versions, exchange)
         self._run(
@@ -189,7 +192,7 @@
             'list', lambda: news.follow(store, _LIST_PAUSE_S, self._random)
         )
 
-    async def _listen(self, endpoint: str, server: web.Server) -> None:
+    async def _listen(self, endpoint: str, server: web.Server) -> web.TCPSite:
         ip, port = settings_module.split_endpoint(endpoint)
         runner = web.ServerRunner(server, shutdown_timeout=_LEFT_TO_CLOSE_S)
         await runner.setup()
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -4,17 +4,26 @@
 file, at each start and whenever a setting changes.
 """
 
+import asyncio
+import pathlib
+
+import structlog
+
 from lacewingpitch import contract
 from lacewingpitch import decoding
+from lacewingpitch import errors
 from lacewingpitch import link
 from lacewingpitch import settings as settings_module
 
 Endpoint = str
+# Settings change a few times a day; a look costs some 10 us.
+_LOOK_INTERVAL_S = 1.0
 _DEPLOYMENT = 'lacewingpitch'
 # The control messages cross the platform's internal network, which only
 # the system's own instances reach.  The signature tells damaged messages
 # and those of another version apart; it is no secret.
 _SEAL = 'lacewingpitch-internal-network'
+log = structlog.get_logger(__name__)
 
 
 class DaemonSettings(decoding.Record, frozen=True, kw_only=True):
@@ -88,3 +97,44 @@
     """Return the HTTP URL of IP:PORT."""
     ip, port = split_endpoint(endpoint)
     return settings_module.Address(ip=ip, port=port).url
+
+
+class SettingsFile:
+    """The settings of this process, and what changes in their file."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self.settings = settings_module.load_settings(path, DaemonSettings)
+        self._modified_ns = path.stat().st_mtime_ns
+
+    def reload(self) -> None:
+        """Read the file again; keep what was in force if it is wrong."""
+        try:
+            self._modified_ns = self._path.stat().st_mtime_ns
+            found = settings_module.load_settings(self._path, DaemonSettings)
+        except (errors.SettingsError, OSError) as error:
+            log.error('settings rejected', error=str(error))
+            return
+        before, self.settings = self.settings, found
+        fields = [
+            name
+            for name in DaemonSettings.__struct_fields__
+            if getattr(before, name) != getattr(found, name)
+        ]
+        log.info('settings reloaded', changed=fields)
+
+    def reload_if_changed(self) -> None:
+        """Read the file again if it was written since."""
+        try:
+            modified_ns = self._path.stat().st_mtime_ns
+        except OSError as error:
+            log.error('settings file lost', error=str(error))
+            return
+        if modified_ns != self._modified_ns:
+            self.reload()
+
+    async def follow(self) -> None:
+        """Look for changes for ever: they may come without a signal."""
+        while True:
+            await asyncio.sleep(_LOOK_INTERVAL_S)
+            self.reload_if_changed()
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -33,17 +33,17 @@
 
     def __init__(
         self,
-        settings: settings_module.DaemonSettings,
+        file: settings_module.SettingsFile,
         clock: clock_module.Clock | None = None,
     ) -> None:
-        self._settings = settings
+        self._file = file
         self._clock = clock or clock_module.SystemClock()
         self._random = random.Random()
         self._exits = contextlib.AsyncExitStack()
         self.table = routing.RoutingTable()
         self.versions = adapter_versions.AdapterVersions()
         self._control = link.ControlServer(
-            settings_module.sealer(settings),
+            settings_module.sealer(file.settings),
             _CONTROL_CONTEXTS,
         )
 
@@ -53,7 +53,7 @@
 
     async def start(self) -> None:
         """Attach to the engine, and listen for entries."""
-        settings = self._settings
+        settings = self._file.settings
         session = await self._exits.enter_async_context(
             aiohttp.ClientSession()
         )
@@ -86,6 +86,7 @@
                 store, 0.0, self._random, lambda: self.table.version > 0
             ),
         )
+        self._run('settings', self._file.follow)
         self._run('engine', keeper.run)
         await self._control.start(settings.ip, settings.internal_port)
         self._exits.push_async_callback(self._control.close)
