--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -6,13 +6,13 @@
 import contextlib
 import dataclasses
 import random
-import time
 
 import structlog
 
 from lacewingpitch import adapter_versions
 from lacewingpitch import backend_call
 from lacewingpitch import backend_list
+from lacewingpitch import clock as clock_module
 from lacewingpitch import ejection
 from lacewingpitch import errors
 from lacewingpitch import event_splitter
@@ -79,9 +79,10 @@
     last_event_at_s: float = 0.0
     first_answer: backend_call.BackendAnswer | None = None
 
-    def note_events(self, request: backend_call.CallerRequest) -> None:
+    def note_events(
+        self, request: backend_call.CallerRequest, now_s: float
+    ) -> None:
         """Take note that events have come."""
-        now_s = time.monotonic()
         if not self.last_event_at_s:
             self.first_event_s = now_s - request.arrived_s
         else:
@@ -110,8 +111,10 @@
         ejector: ejection.Ejector,
         budgets: retry_budget.ServiceBudgets,
         versions: adapter_versions.AdapterVersions,
+        clock: clock_module.Clock,
         source: random.Random,
     ) -> None:
+        self._clock = clock
         self._client = client
         self._turns = turns
         self._services = services
@@ -137,7 +140,7 @@
         trail = Trail(event_splitter.EventSplitter(request.last_event_id))
         services = request.route.service_order(self._random)
         self._budgets.earn(services[0])
-        left_s = request.until_s - time.monotonic()
+        left_s = request.until_s - self._clock.monotonic_s()
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 await self._try_all(request, services, trail, delivery)
@@ -190,7 +193,7 @@
             with self._services.sent(server):
                 yield turn_source.Turn(server, 0)
             return
-        started_s = time.monotonic()
+        started_s = self._clock.monotonic_s()
         wanted = turn_source.WantedTurn(
             run_id=request.request_id,
             attempt=trail.sent_count + trail.unreached_count + 1,
@@ -207,7 +210,7 @@
             until_s=request.until_s,
         )
         async with self._turns.turn(wanted, trail.servers) as turn:
-            trail.turn_wait_s += time.monotonic() - started_s
+            trail.turn_wait_s += self._clock.monotonic_s() - started_s
             yield turn
 
     def _start_by_s(self, request: backend_call.CallerRequest) -> float:
@@ -246,13 +249,20 @@
             last_event_id=trail.splitter.last_id,
             until_s=request.until_s,
         )
-        started_s = time.monotonic()
+        started_s = self._clock.monotonic_s()
+        had_run = trail.may_have_run
+        # From here on it may run: the time of the request can be over, or
+        # its caller leave, while the answer is still waited for.
+        trail.may_have_run = True
         try:
             await self._exchange(call, trail, delivery)
+        except (backend_call.NotSentError, backend_call.NotRunError) as error:
+            trail.may_have_run = had_run
+            return self._failure(request, turn, trail, error)
         except errors.PlatformError as error:
             return self._failure(request, turn, trail, error)
         self._ejector.succeeded(name)
-        self._services.answered(name, time.monotonic() - started_s)
+        self._services.answered(name, self._clock.monotonic_s() - started_s)
         return None
 
     async def _exchange(
@@ -270,7 +280,6 @@
                     answer = await exits.enter_async_context(
                         self._client.send(call)
                     )
-                trail.may_have_run = True
                 if request.route.is_stream and answer.status == _OK:
                     await self._pass_stream(request, answer, trail, delivery)
                     return
@@ -291,7 +300,7 @@
             trail.first_answer = answer
         splitter = trail.splitter
         async for events in _whole_events(request, answer, splitter):
-            trail.note_events(request)
+            trail.note_events(request, self._clock.monotonic_s())
             if not delivery.has_begun:
                 await delivery.begin(trail.first_answer)
             await delivery.write(events)
@@ -339,7 +348,6 @@
                     retry_after_s=_SOON_S,
                 )
             )
-        trail.may_have_run = True
         self._ejector.failed(name)
         refusal = errors.RefusalError(
             errors.ErrorKind.OUTCOME_UNKNOWN, f'no whole answer: {error}'
--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -74,6 +74,9 @@
     task: asyncio.Task[grant.TurnReply] | None = None
     granted_at_s: float | None = None
     seen_at_s: float | None = None
+    expected: contextlib.ExitStack = dataclasses.field(
+        default_factory=contextlib.ExitStack
+    )
     held: contextlib.AsyncExitStack = dataclasses.field(
         default_factory=contextlib.AsyncExitStack
     )
@@ -226,6 +229,9 @@
         now_s = self._clock.monotonic_s()
         turn = _Turn(request, now_s, now_s + request.deadline_ms / _MS_PER_S)
         self._turns[request.turn_id] = turn
+        turn.expected.enter_context(
+            self._pacer.expecting(request.prompt_tokens)
+        )
         turn.task = asyncio.create_task(self._settle(turn))
         return turn
 
@@ -268,6 +274,7 @@
                 self._adapters.hold(name, left_s)
             )
         await turn.held.enter_async_context(place.turn())
+        turn.expected.close()
         await self._pacer.admit(
             request.prompt_tokens, request.route, request.rank
         )
@@ -280,6 +287,7 @@
             if not turn.task.done():
                 turn.task.cancel()
                 await asyncio.wait([turn.task])
+        turn.expected.close()
         await turn.held.aclose()
 
     def _slot_name(self, request: grant.TurnRequest) -> str:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -120,6 +120,7 @@
                 settings.retry_ratio, settings.retry_allowance, _LEAST_ENTRIES
             ),
             self.versions,
+            self._clock,
             self._random,
         )
         self._run('settings', self._file.follow)
--- a/lacewingpitch/prefill_pacer.py
+++ b/lacewingpitch/prefill_pacer.py
@@ -1,6 +1,8 @@
 """Spreads the reading of prompts, so that running streams do not pause."""
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import heapq
 import itertools
@@ -49,6 +51,7 @@
             clock.monotonic_s(),
         )
         self._waiting: list[_Waiter] = []
+        self._expected_tokens = 0
         self._numbers = itertools.count()
         self._virtual = 0.0
         self._finish_by_route: dict[str, float] = {}
@@ -59,9 +62,23 @@
         now_s = self._clock.monotonic_s()
         finish = self._finish(tokens, route, rank)
         ahead = sum(w.tokens for w in self._waiting if w.finish <= finish)
+        ahead += self._expected_tokens
         missing = ahead + 1.0 - self._bucket.level(now_s)
         return max(0.0, missing / _TOKENS_PER_S)
 
+    @contextlib.contextmanager
+    def expecting(self, tokens: int) -> Iterator[None]:
+        """Count a prompt as ahead of others while it prepares.
+
+        Requests that come together all find the engine free, and those
+        that wait for their adapters come back together.
+        """
+        self._expected_tokens += tokens
+        try:
+            yield
+        finally:
+            self._expected_tokens -= tokens
+
     async def admit(self, tokens: int, route: str, rank: int) -> None:
         """Wait until the engine can read a prompt.
 
--- /dev/null
+++ b/tests/fake_engine.py
@@ -0,0 +1,136 @@
+"""A model engine in virtual time: reports, orders, and its capacity."""
+
+import asyncio
+
+from lacewingpitch import engine_view
+from lacewingpitch import errors
+
+Result = engine_view.OrderResult
+MODEL = 'm'
+
+
+class FakeEngine:
+    """Holds adapters as an engine does, and crashes at one too many.
+
+    Parameters
+    ----------
+    load_s
+        How long an adapter takes.
+    """
+
+    def __init__(self, slot_count=3, load_s=0.25, has_model=True):
+        self.slot_count = slot_count
+        self.load_s = load_s
+        self.name = 'i-1'
+        self.is_up = True
+        self.is_leaving = False
+        self.models = {MODEL} if has_model else set()
+        self.held = {}
+        self.pending = {}
+        self.runs = set()
+        self.queued = 0
+        self.in_use = set()
+        self.order_count = 0
+        self.fence = 0
+        self.crash_count = 0
+        self.loads = []
+        self.model_orders = []
+        self.lose_answers = 0
+        self.report_delay_s = 0.0
+
+    def restart(self, name):
+        self.name = name
+        self.held.clear()
+        self.pending.clear()
+        self.runs.clear()
+        self.models.clear()
+        self.order_count = 0
+        self.fence = 0
+
+    async def incarnation(self):
+        self._check_up()
+        return self.name
+
+    async def report(self):
+        self._check_up()
+        found = engine_view.EngineSnapshot(
+            order_count=self.order_count,
+            is_leaving=self.is_leaving,
+            is_busy=False,
+            models=frozenset(self.models),
+            held=dict(self.held),
+            pending=dict(self.pending),
+            run_ids=frozenset(self.runs),
+            queued=self.queued,
+            running=len(self.runs),
+        )
+        await asyncio.sleep(self.report_delay_s)
+        return found
+
+    async def load_model(self, model, fencing, incarnation):
+        refused = self._refusal(fencing, incarnation)
+        if refused:
+            return refused
+        self.model_orders.append(model)
+        asyncio.get_running_loop().call_later(1.0, self.models.add, model)
+        return Result.ACCEPTED
+
+    async def load(self, model, adapter, version, fencing, incarnation):
+        refused = self._refusal(fencing, incarnation)
+        if refused:
+            return refused
+        key = f'{model}/{adapter}'
+        version = version or 1
+        if self.held.get(key) == version:
+            return Result.DONE
+        taken = set(self.held) | set(self.pending) | {key}
+        if len(taken) > self.slot_count:
+            self.crash_count += 1
+            self.is_up = False
+            raise errors.PlatformError('crashed')
+        self.pending[key] = version
+        self.loads.append(key)
+        asyncio.get_running_loop().call_later(
+            self.load_s, self._loaded, self.name, key, version
+        )
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise errors.PlatformError('the answer is lost')
+        return Result.ACCEPTED
+
+    async def unload(self, model, adapter, fencing, incarnation):
+        refused = self._refusal(fencing, incarnation)
+        if refused:
+            return refused
+        key = f'{model}/{adapter}'
+        if key in self.in_use:
+            asyncio.get_running_loop().call_later(
+                0.2, self._unloaded, self.name, key
+            )
+            return Result.ACCEPTED
+        self.held.pop(key, None)
+        return Result.DONE
+
+    def _check_up(self):
+        if not self.is_up:
+            raise errors.PlatformError('down')
+
+    def _refusal(self, fencing, incarnation):
+        self._check_up()
+        if incarnation != self.name:
+            return Result.OTHER_INCARNATION
+        if fencing < self.fence:
+            return Result.FENCED
+        self.fence = fencing
+        self.order_count += 1
+        return None
+
+    def _loaded(self, name, key, version):
+        if name == self.name and key in self.pending:
+            del self.pending[key]
+            self.held[key] = version
+
+    def _unloaded(self, name, key):
+        if name == self.name:
+            self.in_use.discard(key)
+            self.held.pop(key, None)
--- /dev/null
+++ b/tests/test_backend_list.py
@@ -0,0 +1,105 @@
+"""Which backend servers get requests while the list comes and goes."""
+
+import dataclasses
+
+import pytest
+
+from lacewingpitch import backend_list
+from tests import clocks
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock(100.0)
+
+
+@pytest.fixture
+def servers(clock):
+    found = backend_list.BackendList(clock)
+    found.note_read()
+    found.replace_all([server('a'), server('b', port=2)])
+    return found
+
+
+def server(name, port=1, **fields):
+    return backend_list.BackendServer(
+        name, 'chat', '10.0.0.1', port, 'z', **fields
+    )
+
+
+def names(servers):
+    return {found.name for found in servers.serving('chat')}
+
+
+class TestServing:
+    def test_leaves_out_who_is_leaving(self, servers):
+        servers.put(server('a', is_leaving=True))
+        assert names(servers) == {'b'}
+
+    def test_is_the_same_object_while_nothing_changes(self, servers):
+        assert servers.serving('chat') is servers.serving('chat')
+
+    def test_what_left_the_list_gets_nothing_more(self, servers):
+        servers.remove('a')
+        assert names(servers) == {'b'}
+
+    def test_without_any_other_it_is_the_last_resort(self, servers, clock):
+        servers.remove('a')
+        servers.remove('b')
+        assert names(servers) == {'a', 'b'}
+        clock.now_s += 1.6
+        assert names(servers) == set()
+
+    def test_who_was_leaving_is_no_last_resort(self, servers):
+        servers.put(server('a', is_leaving=True))
+        servers.put(server('b', port=2, is_leaving=True))
+        servers.remove('a')
+        assert names(servers) == set()
+
+
+class TestOutage:
+    def test_entries_that_lapse_meanwhile_are_kept_until_relisted(
+        self, servers, clock
+    ):
+        """All requests are refused although every server works.
+
+        The store is down for longer than its entries live.  When it is
+        back it lists no server, until each has written its entry again.
+        """
+        servers.note_away()
+        clock.now_s += 5.0
+        servers.note_read()
+        servers.replace_all([])
+        assert names(servers) == {'a', 'b'}
+        clock.now_s += 1.0
+        servers.put(server('a'))
+        assert names(servers) == {'a', 'b'}
+        clock.now_s += 2.0
+        assert names(servers) == {'a'}
+
+    def test_a_server_that_leaves_meanwhile_gets_nothing(self, servers, clock):
+        servers.put(server('a', is_leaving=True))
+        servers.note_away()
+        clock.now_s += 5.0
+        assert names(servers) == {'b'}
+
+    def test_an_address_that_is_used_again_is_the_new_server(
+        self, servers, clock
+    ):
+        """A request reaches a server of another service.
+
+        A server is gone and its address belongs to a new one, while the
+        old entry is still kept after an outage.
+        """
+        servers.note_away()
+        servers.note_read()
+        servers.replace_all([server('b', port=2), server('new')])
+        assert names(servers) == {'b', 'new'}
+        assert servers.at('10.0.0.1', 1).name == 'new'
+
+    def test_find_knows_only_who_serves(self, servers):
+        assert servers.find('chat', 'a').name == 'a'
+        assert servers.find('other', 'a') is None
+        changed = dataclasses.replace(server('a'), is_leaving=True)
+        servers.put(changed)
+        assert servers.find('chat', 'a') is None
--- /dev/null
+++ b/tests/test_carrier.py
@@ -0,0 +1,431 @@
+"""One request from its arrival to its final answer, in virtual time."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from benchmarks import virtual_time
+from lacewingpitch import adapter_versions
+from lacewingpitch import backend_call
+from lacewingpitch import backend_list
+from lacewingpitch import carrier
+from lacewingpitch import ejection
+from lacewingpitch import errors
+from lacewingpitch import retry_budget
+from lacewingpitch import routing
+from lacewingpitch import service_choice
+from lacewingpitch import turn_source
+
+Kind = routing.RequestKind
+Outcome = errors.Outcome
+SERVERS = ('a', 'b', 'c')
+
+
+def event(number):
+    return b'id: %d\ndata: x\n\n' % number
+
+
+def route(kind=Kind.IDEMPOTENT, **fields):
+    fields = {'max_attempts': 2, **fields}
+    return routing.Route(
+        'r',
+        'h',
+        '/',
+        (routing.WeightedService('s', 1.0),),
+        kind,
+        10.0,
+        0.1,
+        **fields,
+    )
+
+
+STREAM = {'kind': Kind.STREAM, 'target_gap_s': 0.25}
+
+
+class Script:
+    """What the backend servers do with each sending, in turn."""
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.calls = []
+        self.open_count = 0
+
+    @contextlib.asynccontextmanager
+    async def send(self, call):
+        self.calls.append(call)
+        step = self.steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        self.open_count += 1
+        try:
+            await asyncio.sleep(step.get('delay_s', 0.01))
+            yield backend_call.BackendAnswer(
+                step.get('status', 200),
+                (('Signed-By', call.server.name),),
+                False,
+                self._chunks(step),
+            )
+        finally:
+            self.open_count -= 1
+
+    async def _chunks(self, step):
+        for chunk in step.get('chunks', (b'body',)):
+            if isinstance(chunk, Exception):
+                raise chunk
+            if isinstance(chunk, float):
+                await asyncio.sleep(chunk)
+                continue
+            yield chunk
+
+
+class Delivered:
+    """What reached the caller."""
+
+    def __init__(self):
+        self.head = None
+        self.body = b''
+        self.is_complete = False
+
+    @property
+    def has_begun(self):
+        return self.head is not None
+
+    async def send_whole(self, answer, body):
+        assert self.head is None
+        self.head, self.body, self.is_complete = answer, body, True
+
+    async def begin(self, answer):
+        assert self.head is None
+        self.head = answer
+
+    async def write(self, events):
+        assert self.head is not None
+        self.body += events
+
+    async def finish(self):
+        self.is_complete = True
+
+
+class Turns:
+    """Grants turns at the servers in order."""
+
+    def __init__(self):
+        self.wanted = []
+        self.open_count = 0
+
+    @contextlib.asynccontextmanager
+    async def turn(self, wanted, excluded):
+        self.wanted.append(wanted)
+        name = next(n for n in SERVERS if n not in excluded)
+        self.open_count += 1
+        try:
+            yield turn_source.Turn(server(name), 3)
+        finally:
+            self.open_count -= 1
+
+
+def server(name):
+    return backend_list.BackendServer(name, 's', '10.0.0.1', 80, 'z')
+
+
+class Scene:
+    """A carrier before scripted backend servers."""
+
+    def __init__(self, *steps, allowance=100.0):
+        self.clock = virtual_time.LoopClock()
+        self.client = Script(*steps)
+        self.turns = Turns()
+        source = random.Random(3)
+        servers = backend_list.BackendList(self.clock)
+        servers.replace_all(map(server, SERVERS))
+        self.ejector = ejection.Ejector(self.clock, source)
+        self.delivered = Delivered()
+        self.carrier = carrier.Carrier(
+            self.client,
+            self.turns,
+            service_choice.ServiceChoice(servers, self.ejector, 'z', source),
+            self.ejector,
+            retry_budget.ServiceBudgets(0.2, allowance, 1),
+            adapter_versions.AdapterVersions(),
+            self.clock,
+            source,
+        )
+
+    async def carry(self, found_route, model='', limit_s=5.0, **fields):
+        now_s = self.clock.monotonic_s()
+        request = backend_call.CallerRequest(
+            request_id='id-1',
+            method='POST',
+            target='/x?y=1',
+            headers=(),
+            body=b'',
+            route=found_route,
+            arrived_s=now_s,
+            until_s=now_s + limit_s,
+            model=model,
+            **fields,
+        )
+        return await self.carrier.carry(request, self.delivered)
+
+
+def play(found_route, *steps, allowance=100.0, **fields):
+    """Return the scene after a request, and its refusal if it has one."""
+
+    async def main():
+        scene = Scene(*steps, allowance=allowance)
+        try:
+            await scene.carry(found_route, **fields)
+        except errors.RefusalError as error:
+            return scene, error
+        return scene, None
+
+    scene, refusal = virtual_time.run(main())
+    assert scene.client.open_count == 0
+    assert scene.turns.open_count == 0
+    return scene, refusal
+
+
+LOST = backend_call.AnswerLostError('reset')
+NOT_RUN = backend_call.NotRunError('full', is_other_server=False)
+NOT_SENT = backend_call.NotSentError('refused')
+ONCE = route(Kind.AT_MOST_ONCE)
+SAFE = route()
+
+
+class TestWholeAnswers:
+    def test_are_delivered_unchanged(self):
+        scene, refusal = play(ONCE, {'status': 201})
+        assert refusal is None
+        assert scene.delivered.head.status == 201
+        assert scene.delivered.body == b'body'
+        assert scene.client.calls[0].request.target == '/x?y=1'
+
+    def test_a_broken_one_never_reaches_the_caller(self):
+        broken = {'chunks': (b'bo', LOST)}
+        scene, refusal = play(SAFE, broken, {})
+        assert refusal is None
+        assert scene.delivered.body == b'body'
+
+    @pytest.mark.parametrize('status', [408, 421, 429, 503])
+    def test_a_status_that_promises_not_run_is_not_passed_on(self, status):
+        """A watering command runs twice.
+
+        A backend server answers 503 and has run the request; the caller
+        takes that for a promise and sends it again.
+        """
+        scene, refusal = play(ONCE, {'status': status})
+        assert refusal.outcome is Outcome.UNKNOWN
+        assert not scene.delivered.has_begun
+
+    def test_a_failure_is_delivered_if_it_cannot_be_replaced(self):
+        scene, refusal = play(ONCE, {'status': 500, 'chunks': (b'no',)})
+        assert refusal is None
+        assert scene.delivered.head.status == 500
+        assert scene.delivered.body == b'no'
+
+    def test_a_failure_is_replaced_where_it_may_run_again(self):
+        scene, refusal = play(SAFE, {'status': 500}, {})
+        assert refusal is None
+        assert scene.delivered.head.status == 200
+
+    def test_the_last_failure_is_delivered(self):
+        scene, _ = play(SAFE, {'status': 500}, {'status': 502})
+        assert scene.delivered.head.status == 502
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize('step', [LOST, {'chunks': (LOST,)}])
+    def test_what_may_have_run_is_not_sent_again(self, step):
+        scene, refusal = play(ONCE, step)
+        assert len(scene.client.calls) == 1
+        assert refusal.outcome is Outcome.UNKNOWN
+        assert refusal.status not in (408, 421, 429, 503)
+
+    def test_what_provably_did_not_run_is(self):
+        scene, refusal = play(ONCE, NOT_RUN, {})
+        assert refusal is None
+        names = [call.server.name for call in scene.client.calls]
+        assert len(set(names)) == 2
+
+    def test_not_run_by_any_is_told_so(self):
+        _, refusal = play(ONCE, NOT_RUN, NOT_RUN)
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert refusal.retry_after_s is not None
+
+    def test_not_run_is_not_said_after_an_attempt_that_may_have_run(self):
+        """A valve opens twice.
+
+        A first attempt is lost, the second is refused by a server that
+        is full.  Its "not run" speaks for the second attempt only.
+        """
+        _, refusal = play(SAFE, LOST, NOT_RUN)
+        assert refusal.outcome is Outcome.UNKNOWN
+
+    def test_a_server_that_hangs_is_waited_for(self):
+        scene, refusal = play(ONCE, {'delay_s': 2.0})
+        assert refusal is None
+        assert len(scene.client.calls) == 1
+
+
+class TestAttempts:
+    def test_are_counted_against_the_route(self):
+        scene, refusal = play(route(max_attempts=1), LOST)
+        assert len(scene.client.calls) == 1
+        assert refusal.outcome is Outcome.UNKNOWN
+
+    def test_a_server_that_was_not_reached_counts_as_none(self):
+        scene, refusal = play(route(max_attempts=1), NOT_SENT, {})
+        assert refusal is None
+        assert len(scene.client.calls) == 2
+
+    def test_need_the_retry_budget(self):
+        """Back ends that fail get three times their load.
+
+        All requests fail, and each is sent again.
+        """
+        scene, refusal = play(SAFE, LOST, LOST, allowance=0.0)
+        assert len(scene.client.calls) == 2
+        scene, refusal = play(route(max_attempts=9), *[LOST] * 9)
+        assert len(scene.client.calls) <= 9
+
+    def test_a_silent_server_is_left_for_another(self):
+        scene, refusal = play(SAFE, {'delay_s': 4.0}, {})
+        assert refusal is None
+        assert len(scene.client.calls) == 2
+
+
+class TestTime:
+    def test_the_final_answer_comes_at_the_limit(self):
+        async def main():
+            scene = Scene({'delay_s': 60.0})
+            with pytest.raises(errors.RefusalError) as found:
+                await scene.carry(ONCE, limit_s=0.4)
+            return scene.clock.monotonic_s(), found.value
+
+        at_s, refusal = virtual_time.run(main())
+        assert 0.4 <= at_s < 0.41
+        assert refusal.outcome is Outcome.UNKNOWN
+
+    def test_the_time_left_is_passed_on(self):
+        scene, _ = play(ONCE, {}, limit_s=0.4)
+        assert scene.client.calls[0].until_s == pytest.approx(0.4)
+
+
+class TestStreams:
+    def test_events_are_passed_on_as_they_come(self):
+        steps = {'chunks': (event(1), 0.1, event(2), event(3))}
+        scene, refusal = play(route(**STREAM), steps, model='m', adapter='a')
+        assert refusal is None
+        assert scene.delivered.is_complete
+        assert scene.delivered.body == event(1) + event(2) + event(3)
+        wanted = scene.turns.wanted[0]
+        assert (wanted.model, wanted.adapter) == ('m', 'a')
+        assert scene.client.calls[0].adapter_version == 3
+
+    def test_one_that_may_be_resumed_goes_on_elsewhere(self):
+        """Half a care plan arrives, and then nothing.
+
+        An engine crashes in the middle of an event.  Another goes on,
+        and the caller sees one stream with the head of the first.
+        """
+        first = {'chunks': (event(1), event(2)[:5], LOST)}
+        second = {'chunks': (event(2), event(3))}
+        scene, refusal = play(
+            route(is_resumable=True, **STREAM), first, second, model='m'
+        )
+        assert refusal is None
+        assert scene.delivered.body == event(1) + event(2) + event(3)
+        assert scene.delivered.head.headers == (('Signed-By', 'a'),)
+        assert scene.client.calls[1].last_event_id == 1
+        assert scene.delivered.is_complete
+
+    def test_the_first_engine_is_left_before_the_next_goes_on(self):
+        """Two engines work on one stream.
+
+        The first falls silent; it must be told to stop before another
+        goes on.
+        """
+        first = {'chunks': (event(1), 5.0, event(2))}
+        second = {'chunks': (event(2),)}
+
+        async def main():
+            scene = Scene(first, second)
+            sent = scene.client.send
+
+            @contextlib.asynccontextmanager
+            async def send(call):
+                assert scene.client.open_count == 0
+                async with sent(call) as answer:
+                    yield answer
+
+            scene.client.send = send
+            found = route(is_resumable=True, **STREAM)
+            await scene.carry(found, model='m')
+            return scene
+
+        scene = virtual_time.run(main())
+        assert scene.delivered.body == event(1) + event(2)
+
+    def test_one_that_may_not_is_cut_visibly(self):
+        first = {'chunks': (event(1), LOST)}
+        scene, refusal = play(route(**STREAM), first, model='m')
+        assert refusal.kind is errors.ErrorKind.ANSWER_CUT
+        assert not scene.delivered.is_complete
+        assert len(scene.client.calls) == 1
+
+    def test_one_that_ends_in_an_event_is_not_complete(self):
+        first = {'chunks': (event(1), event(2)[:4])}
+        scene, refusal = play(route(**STREAM), first, model='m')
+        assert refusal.kind is errors.ErrorKind.ANSWER_CUT
+        assert not scene.delivered.is_complete
+
+    def test_one_that_fails_before_its_first_event_begins_anew(self):
+        found = route(is_resumable=True, **STREAM)
+        second = {'chunks': (event(1),)}
+        scene, refusal = play(found, {'chunks': (LOST,)}, second, model='m')
+        assert refusal is None
+        assert scene.delivered.body == event(1)
+
+    def test_a_caller_that_resumes_is_passed_on(self):
+        found = route(is_resumable=True, **STREAM)
+        answer = {'chunks': (event(8),)}
+        scene, refusal = play(found, answer, model='m', last_event_id=7)
+        assert refusal is None
+        assert scene.client.calls[0].last_event_id == 7
+        assert scene.delivered.body == event(8)
+
+    def test_a_turn_is_asked_for_while_it_is_of_use(self):
+        """Requests wait for engines long after their callers have left.
+
+        Callers leave after 3.2 s without an event, with a deadline of
+        12 s.
+        """
+        found = routing.Route(
+            'r',
+            'h',
+            '/',
+            (routing.WeightedService('s', 1.0),),
+            Kind.STREAM,
+            12.0,
+            0.8,
+            target_gap_s=0.25,
+        )
+        answer = {'chunks': (event(1),)}
+        scene, _ = play(found, answer, model='m', limit_s=12.0)
+        wanted = scene.turns.wanted[0]
+        assert wanted.start_by_s < 3.2
+        assert wanted.until_s == pytest.approx(12.0)
+
+    def test_a_caller_that_leaves_ends_the_run(self):
+        async def main():
+            scene = Scene({'chunks': (event(1), 60.0, event(2))})
+            task = asyncio.create_task(scene.carry(route(**STREAM), model='m'))
+            await asyncio.sleep(1.0)
+            assert scene.client.open_count == 1
+            task.cancel()
+            await asyncio.wait([task])
+            return scene.client.open_count, scene.turns.open_count
+
+        assert virtual_time.run(main()) == (0, 0)
--- /dev/null
+++ b/tests/test_engine_keeper.py
@@ -0,0 +1,264 @@
+"""The keeper of one engine: turns, adapters, restarts, in virtual time."""
+
+import asyncio
+
+from benchmarks import virtual_time
+from lacewingpitch import adapter_versions
+from lacewingpitch import engine_keeper
+from lacewingpitch import errors
+from lacewingpitch import grant
+from lacewingpitch import routing
+from tests import fake_engine
+
+SERVICE = 'chat'
+LIMITS = routing.EngineLimits(
+    max_running=4, adapter_slots=3, models=(fake_engine.MODEL,)
+)
+
+
+class Scene:
+    """A keeper that follows a fake engine."""
+
+    def __init__(self, limits=LIMITS, **options):
+        self.clock = virtual_time.LoopClock()
+        self.engine = fake_engine.FakeEngine(**options)
+        self.versions = adapter_versions.AdapterVersions()
+        self.table = routing.RoutingTable()
+        if limits is not None:
+            self.configure(limits)
+        self.keeper = engine_keeper.EngineKeeper(
+            self.engine, self.table, self.versions, SERVICE, self.clock
+        )
+
+    def configure(self, limits):
+        self.table.apply(routing.Configuration(7, (), {SERVICE: limits}, None))
+
+    async def __aenter__(self):
+        self._running = asyncio.create_task(self.keeper.run())
+        await asyncio.sleep(0.5)
+        return self
+
+    async def __aexit__(self, *exception):
+        self._running.cancel()
+        await self.keeper.close()
+
+    async def ask(self, name, adapter='a', **fields):
+        request = {
+            'turn_id': f'{name}.1',
+            'run_id': name,
+            'model': fake_engine.MODEL,
+            'adapter': adapter,
+            'version': 0,
+            'route': 'r',
+            'rank': 0,
+            'prompt_tokens': 100,
+            'max_tokens': 100,
+            'wait_ms': 1000,
+            'start_within_ms': 3000,
+            'target_ms': 800,
+            'deadline_ms': 12_000,
+        }
+        return await self.keeper.ask(
+            grant.TurnRequest(**{**request, **fields})
+        )
+
+    async def end(self, name):
+        await self.keeper.end(grant.TurnEnds(turn_ids=(f'{name}.1',)))
+
+
+def play(story, **options):
+    async def main():
+        async with Scene(**options) as scene:
+            await story(scene)
+            return scene
+
+    return virtual_time.run(main())
+
+
+class TestTurn:
+    def test_is_granted_once_the_adapter_is_held(self):
+        async def story(scene):
+            reply = await scene.ask('one')
+            assert reply.refusal is None
+            assert reply.backend_server == 'i-1'
+            assert reply.version == 1
+            assert reply.configuration_version == 7
+            assert scene.engine.held == {'m/a': 1}
+
+        play(story)
+
+    def test_asking_again_is_idempotent(self):
+        async def story(scene):
+            first, second = await asyncio.gather(
+                scene.ask('one'), scene.ask('one')
+            )
+            assert first.refusal is None and second.refusal is None
+            assert len(scene.keeper.desk) == 1
+
+        play(story)
+
+    def test_says_that_it_is_pending_instead_of_staying_silent(self):
+        async def story(scene):
+            reply = await scene.ask('one', wait_ms=50)
+            assert reply.is_pending
+            reply = await scene.ask('one')
+            assert not reply.is_pending and reply.refusal is None
+
+        play(story)
+
+    def test_the_base_model_needs_no_adapter(self):
+        async def story(scene):
+            reply = await scene.ask('one', adapter='')
+            assert reply.refusal is None
+            assert scene.engine.held == {}
+
+        play(story)
+
+    def test_what_starts_too_late_is_refused_at_once(self):
+        """Callers leave after three seconds without any answer.
+
+        More prompts come than the engine can read, each of them waits
+        behind all others, and all are late.
+        """
+
+        async def story(scene):
+            waits = [
+                asyncio.create_task(
+                    scene.ask(f'r{n}', adapter='', prompt_tokens=3000)
+                )
+                for n in range(30)
+            ]
+            replies = await asyncio.gather(*waits)
+            refused = [r for r in replies if r.refusal]
+            assert refused
+            kinds = {r.refusal for r in refused}
+            assert kinds == {errors.ErrorKind.DEADLINE_UNREACHABLE}
+            assert all(r.retry_after_ms > 0 for r in refused)
+
+        limits = routing.EngineLimits(64, 3, (fake_engine.MODEL,))
+        play(story, limits=limits)
+
+
+class TestLease:
+    def test_a_turn_that_ended_makes_room(self):
+        async def story(scene):
+            for name in ('a', 'b', 'c'):
+                await scene.ask(name, adapter=name)
+            late = await scene.ask('d', adapter='d', wait_ms=400)
+            assert late.is_pending
+            await scene.end('a')
+            reply = await scene.ask('d', adapter='d')
+            assert reply.refusal is None
+            assert 'm/d' in scene.engine.held
+            assert 'm/a' not in scene.engine.held
+
+        scene = play(story)
+        assert scene.engine.crash_count == 0
+
+    def test_lapses_when_its_entry_is_lost(self):
+        """An engine's places fill up, and it is idle.
+
+        An entry is killed after it was granted turns, and never says
+        that they have ended.
+        """
+
+        async def story(scene):
+            await scene.ask('lost')
+            assert len(scene.keeper.desk) == 1
+            await asyncio.sleep(2.0)
+            assert len(scene.keeper.desk) == 0
+
+        play(story)
+
+    def test_stays_while_the_engine_works_on_its_run(self):
+        async def story(scene):
+            await scene.ask('long')
+            scene.engine.runs.add('long')
+            await asyncio.sleep(4.0)
+            assert len(scene.keeper.desk) == 1
+            scene.engine.runs.clear()
+            await asyncio.sleep(2.0)
+            assert len(scene.keeper.desk) == 0
+
+        play(story)
+
+    def test_giving_up_while_waiting_frees_all(self):
+        async def story(scene):
+            asked = asyncio.create_task(scene.ask('one'))
+            await asyncio.sleep(0.05)
+            await scene.end('one')
+            assert (await asked).refusal is errors.ErrorKind.CALLER_GONE
+            assert len(scene.keeper.desk) == 0
+            assert (await scene.ask('two')).refusal is None
+
+        play(story)
+
+
+class TestEngine:
+    def test_without_a_configuration_it_says_that_it_starts(self):
+        async def story(scene):
+            reply = await scene.ask('one')
+            assert reply.refusal is errors.ErrorKind.QUEUE_FULL
+            scene.configure(LIMITS)
+            await asyncio.sleep(0.5)
+            assert (await scene.ask('two')).refusal is None
+
+        play(story, limits=None)
+
+    def test_an_empty_one_gets_its_model(self):
+        """Every request of an engine that restarted waits for nothing.
+
+        It restarts without its base model, and refuses each adapter.
+        """
+
+        async def story(scene):
+            await scene.ask('one')
+            scene.engine.restart('i-2')
+            await asyncio.sleep(3.0)
+            assert scene.engine.model_orders == [fake_engine.MODEL]
+            reply = await scene.ask('two')
+            assert reply.refusal is None
+            assert reply.backend_server == 'i-2'
+
+        play(story)
+
+    def test_one_that_leaves_refuses_at_once(self):
+        async def story(scene):
+            scene.engine.is_leaving = True
+            await asyncio.sleep(0.5)
+            reply = await scene.ask('one')
+            assert reply.refusal is errors.ErrorKind.DRAINING
+
+        play(story)
+
+    def test_a_new_version_replaces_the_old(self):
+        async def story(scene):
+            await scene.ask('one')
+            await scene.end('one')
+            scene.versions.note('m', 'a', 2)
+            reply = await scene.ask('two')
+            assert reply.version == 2
+            assert scene.engine.held == {'m/a': 2}
+
+        play(story)
+
+    def test_many_adapters_in_turn_never_crash_it(self):
+        async def story(scene):
+            async def one(number):
+                await asyncio.sleep(number * 0.05)
+                reply = await scene.ask(
+                    f'r{number}', adapter=f'a{number % 17}', wait_ms=3000
+                )
+                if reply.refusal is None:
+                    scene.engine.runs.add(f'r{number}')
+                    await asyncio.sleep(0.3)
+                    scene.engine.runs.discard(f'r{number}')
+                    await scene.end(f'r{number}')
+                return reply
+
+            replies = await asyncio.gather(*map(one, range(120)))
+            granted = [r for r in replies if r.refusal is None]
+            assert len(granted) > 20
+
+        scene = play(story)
+        assert scene.engine.crash_count == 0
--- /dev/null
+++ b/tests/test_engine_view.py
@@ -0,0 +1,203 @@
+"""Orders to an engine, and what its reports prove of them."""
+
+import asyncio
+
+import pytest
+
+from benchmarks import virtual_time
+from lacewingpitch import adapter_versions
+from lacewingpitch import engine_view
+from lacewingpitch import errors
+from lacewingpitch import fence
+from tests import fake_engine
+
+REPORT_INTERVAL_S = 0.04
+
+
+class Scene:
+    """An engine, the view of it, and reports at their interval."""
+
+    def __init__(self, **options):
+        self.clock = virtual_time.LoopClock()
+        self.engine = fake_engine.FakeEngine(**options)
+        self.fence = fence.Fence(self.clock)
+        self.versions = adapter_versions.AdapterVersions()
+        self.view = engine_view.EngineView(
+            self.engine, self.fence, self.versions, self.clock
+        )
+        self.view.slot_count = self.engine.slot_count
+
+    async def __aenter__(self):
+        self.view.attach(await self.engine.incarnation())
+        self._reports = asyncio.create_task(self._report())
+        return self
+
+    async def __aexit__(self, *exception):
+        self._reports.cancel()
+
+    async def _report(self):
+        while True:
+            asked_at_s = self.clock.monotonic_s()
+            try:
+                self.view.update(await self.engine.report(), asked_at_s)
+            except errors.PlatformError:
+                pass
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+def play(story, **options):
+    async def main():
+        async with Scene(**options) as scene:
+            await story(scene)
+            return scene
+
+    return virtual_time.run(main())
+
+
+class TestLoad:
+    def test_ends_when_a_report_shows_it(self):
+        async def story(scene):
+            started_s = scene.clock.monotonic_s()
+            await scene.view.load_adapter('m/a', 0)
+            took_s = scene.clock.monotonic_s() - started_s
+            assert 0.25 <= took_s <= 0.25 + 2 * REPORT_INTERVAL_S
+            assert scene.view.held_version('m/a') == 1
+
+        play(story)
+
+    def test_a_report_from_before_an_unload_proves_nothing(self):
+        """An engine crashes: it is ordered to hold one too many.
+
+        An adapter is unloaded and ordered again before the next report.
+        The last one still shows it; it counts as loaded, is found
+        missing in the next, and its slot is given to another while its
+        load is on its way.
+        """
+
+        async def story(scene):
+            scene.engine.report_delay_s = 0.02
+            for name in 'abc':
+                await scene.view.load_adapter(f'm/{name}', 0)
+            await scene.view.evict_adapter('m/a', 0)
+            started_s = scene.clock.monotonic_s()
+            await scene.view.load_adapter('m/a', 0)
+            assert scene.clock.monotonic_s() - started_s >= 0.25
+            assert 'm/a' in scene.engine.held
+
+        play(story)
+
+    def test_an_order_whose_answer_is_lost_takes_a_slot(self):
+        """An engine crashes: it is ordered to hold one too many.
+
+        It accepts a load, and the answer is lost on the way.  Whoever
+        ordered it takes the slot for free and orders another.
+        """
+
+        async def story(scene):
+            await scene.view.load_adapter('m/a', 0)
+            await scene.view.load_adapter('m/b', 0)
+            scene.engine.lose_answers = 1
+            with pytest.raises(errors.PlatformError):
+                await scene.view.load_adapter('m/lost', 0)
+            other = asyncio.create_task(scene.view.load_adapter('m/c', 0))
+            await asyncio.sleep(1.0)
+            assert not other.done()
+            await scene.view.evict_adapter('m/lost', 0)
+            await other
+
+        scene = play(story)
+        assert scene.engine.crash_count == 0
+
+    def test_two_that_find_one_slot_do_not_both_take_it(self):
+        async def story(scene):
+            await scene.view.load_adapter('m/a', 0)
+            await scene.view.load_adapter('m/b', 0)
+            loads = [
+                asyncio.create_task(scene.view.load_adapter(name, 0))
+                for name in ('m/c', 'm/d')
+            ]
+            await asyncio.sleep(1.0)
+            assert sum(load.done() for load in loads) == 1
+            await scene.view.evict_adapter('m/a', 0)
+            await asyncio.gather(*loads)
+
+        scene = play(story)
+        assert scene.engine.crash_count == 0
+
+    def test_fails_when_the_engine_restarts(self):
+        async def story(scene):
+            load = asyncio.create_task(scene.view.load_adapter('m/a', 0))
+            await asyncio.sleep(0.1)
+            scene.engine.restart('i-2')
+            scene.view.attach('i-2')
+            with pytest.raises(errors.PlatformError):
+                await load
+            assert scene.view.taken() == set()
+
+        play(story)
+
+    def test_takes_the_version_that_is_wanted(self):
+        async def story(scene):
+            await scene.view.load_adapter('m/a', 0)
+            assert not scene.view.holds('m/a@2')
+            await scene.view.load_adapter('m/a@2', 0)
+            assert scene.engine.held == {'m/a': 2}
+            assert scene.view.holds('m/a@2')
+
+        play(story)
+
+
+class TestUnload:
+    def test_one_that_waits_for_a_run_is_waited_for(self):
+        """An engine crashes: it is ordered to hold one too many.
+
+        A caller has left, and its run ends a moment later.  The engine
+        accepts the unload and carries it out when the run has ended.
+        """
+
+        async def story(scene):
+            for name in 'abc':
+                await scene.view.load_adapter(f'm/{name}', 0)
+            scene.engine.in_use.add('m/a')
+            await scene.view.evict_adapter('m/a', 0)
+            assert 'm/a' not in scene.engine.held
+            await scene.view.load_adapter('m/d', 0)
+
+        scene = play(story)
+        assert scene.engine.crash_count == 0
+
+
+class TestFencing:
+    def test_a_higher_number_that_was_taken_is_overtaken(self):
+        """No adapter is loaded any more after a sidecar's restart.
+
+        The sidecar before had a clock that was ahead, so that each order
+        of this one is refused by its fencing number.
+        """
+
+        async def story(scene):
+            scene.engine.fence = scene.fence.number + 25_000
+            await scene.view.load_adapter('m/a', 0)
+
+        play(story)
+
+
+class TestServing:
+    def test_needs_a_model_and_fresh_reports(self):
+        async def story(scene):
+            await asyncio.sleep(0.1)
+            assert scene.view.is_serving
+            scene.engine.is_leaving = True
+            await asyncio.sleep(0.1)
+            assert not scene.view.is_serving
+            scene.engine.is_leaving = False
+            scene.engine.models.clear()
+            await asyncio.sleep(0.1)
+            assert not scene.view.is_serving
+            scene.engine.models.add('m')
+            await asyncio.sleep(0.1)
+            scene.engine.is_up = False
+            await asyncio.sleep(1.2)
+            assert not scene.view.is_serving
+
+        play(story)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,94 @@
+"""Routes by host and prefix, and versions of the configuration."""
+
+import random
+
+from lacewingpitch import routing
+
+SAFE = routing.RequestKind.IDEMPOTENT
+STREAM = routing.RequestKind.STREAM
+
+
+def route(name='r', host='a.example', prefix='/x/', kind=SAFE, **fields):
+    services = fields.pop('services', (routing.WeightedService('s', 1.0),))
+    return routing.Route(
+        name, host, prefix, services, kind, 10.0, 0.8, **fields
+    )
+
+
+def configuration(version, *routes):
+    return routing.Configuration(
+        version=version, routes=routes, engines={}, limits=None
+    )
+
+
+class TestMatch:
+    def table(self, *routes):
+        table = routing.RoutingTable()
+        table.apply(configuration(1, *routes))
+        return table
+
+    def test_takes_the_longest_prefix_of_the_host(self):
+        table = self.table(
+            route('root', prefix='/'),
+            route('x'),
+            route('xy', prefix='/x/y/'),
+            route('other', host='b.example'),
+        )
+        assert table.match('a.example', '/x/y/z').name == 'xy'
+        assert table.match('a.example', '/x/yy').name == 'x'
+        assert table.match('a.example', '/q').name == 'root'
+        assert table.match('b.example', '/x/1').name == 'other'
+        assert table.match('c.example', '/x/1') is None
+
+    def test_a_prefix_ends_at_a_slash(self):
+        table = self.table(route('x'))
+        assert table.match('a.example', '/x') is None
+        assert table.match('a.example', '/xy/') is None
+        assert table.match('a.example', '/x/').name == 'x'
+
+    def test_host_is_without_port_and_case(self):
+        table = self.table(route('x'))
+        assert table.match('A.Example:8080', '/x/1').name == 'x'
+
+
+class TestVersion:
+    def test_an_older_version_that_comes_late_is_not_put_in_force(self):
+        """A caller sees a route vanish that it has used already.
+
+        A read of version 4 is on its way while version 6 arrives by
+        another process; then the read ends.
+        """
+        table = routing.RoutingTable()
+        assert table.apply(configuration(6, route('new')))
+        assert not table.apply(configuration(4, route('old')))
+        assert not table.apply(configuration(6, route('old')))
+        assert table.version == 6
+        assert table.match('a.example', '/x/').name == 'new'
+
+
+class TestServiceOrder:
+    def test_draws_by_weight_and_names_the_rest(self):
+        services = (
+            routing.WeightedService('a', 90.0),
+            routing.WeightedService('b', 10.0),
+            routing.WeightedService('c', 0.0),
+        )
+        source = random.Random(1)
+        found = route(services=services)
+        orders = [found.service_order(source) for _ in range(1000)]
+        first = [order[0] for order in orders]
+        assert 850 < first.count('a') < 950
+        assert all(set(order) == {'a', 'b'} for order in orders)
+
+
+class TestRoute:
+    def test_a_stream_is_idempotent_only_if_it_can_be_resumed(self):
+        assert not route(kind=STREAM).is_idempotent
+        assert route(kind=STREAM, is_resumable=True).is_idempotent
+        assert route(kind=SAFE).is_idempotent
+        assert not route(kind=routing.RequestKind.AT_MOST_ONCE).is_idempotent
+
+    def test_patience_of_callers(self):
+        assert route(kind=STREAM, target_gap_s=0.25).patience_s == 3.2
+        assert route(kind=STREAM, target_gap_s=1.0).patience_s == 8.0
+        assert route(kind=SAFE).patience_s == 10.0
