--- a/lacewingpitch/ejection.py
+++ b/lacewingpitch/ejection.py
@@ -16,6 +16,8 @@
 # within seconds, so that a server which is left gets another chance.
 _RATIO_HALF_LIFE_S = 3.0
 _RATIO_PRIOR_COUNT = 2.0
+# Below this the server is as good as one without failures.
+_LEAST_RATIO = 0.01
 _MAX_RECORDS = 4096
 
 
@@ -95,7 +97,8 @@
             return 0.0
         record.fade(self._clock.monotonic_s())
         # A single failure tells little while nothing else is known.
-        return record.failed / (record.total + _RATIO_PRIOR_COUNT)
+        ratio = record.failed / (record.total + _RATIO_PRIOR_COUNT)
+        return ratio if ratio >= _LEAST_RATIO else 0.0
 
     def failed(self, name: str) -> None:
         """Record a failure that tells of the server, not the request."""
--- /dev/null
+++ b/tests/test_configuration_exchange.py
@@ -0,0 +1,94 @@
+"""How the configuration reaches a process that the store turns away."""
+
+import asyncio
+
+from benchmarks import virtual_time
+from lacewingpitch import configuration_exchange
+from lacewingpitch import errors
+from lacewingpitch import grant
+from lacewingpitch import routing
+
+
+def decode(content):
+    if not content.isdigit():
+        raise errors.PlatformError('not a configuration')
+    return routing.Configuration(int(content), (), {}, None, content)
+
+
+class FakeLink:
+    """One sidecar with a version, reached or not."""
+
+    def __init__(self, content):
+        self.content = content
+        self.offered = []
+        self.asked_count = 0
+
+    async def ask_configuration(self, ip, message, timeout_s):
+        self.asked_count += 1
+        if self.content is None:
+            raise errors.NoReplyError(ip)
+        return grant.ConfigurationReply(content=self.content)
+
+    async def offer_configuration(self, ip, message, timeout_s):
+        self.offered.append(message.content)
+
+
+def play(own, peer, *, notes=1, interval_s=0.5):
+    async def main():
+        link = FakeLink(peer)
+        table = routing.RoutingTable()
+        exchange = configuration_exchange.ConfigurationExchange(
+            link, table, decode, virtual_time.LoopClock()
+        )
+        if own:
+            exchange.take(own, 'store')
+        for _ in range(notes):
+            exchange.note('10.0.0.1', int(peer or 9))
+            await asyncio.sleep(interval_s)
+        return link, table
+
+    return virtual_time.run(main())
+
+
+class TestNote:
+    def test_a_newer_version_is_fetched(self):
+        """An entry refuses routes that are in force everywhere else.
+
+        The store turns it away and serves the other instances.
+        """
+        _, table = play(b'3', b'5')
+        assert table.version == 5
+
+    def test_an_equal_one_costs_no_message(self):
+        link, _ = play(b'5', b'5', notes=20)
+        assert link.asked_count == 0
+        assert link.offered == []
+
+    def test_an_older_one_is_brought_ours_after_a_while(self):
+        link, _ = play(b'5', b'3')
+        assert link.offered == []
+        link, _ = play(b'5', b'3', notes=4)
+        assert link.offered == [b'5']
+
+    def test_a_lost_peer_changes_nothing(self):
+        _, table = play(b'3', None)
+        assert table.version == 3
+
+
+class TestAnswer:
+    def test_only_what_is_newer(self):
+        async def main():
+            table = routing.RoutingTable()
+            exchange = configuration_exchange.ConfigurationExchange(
+                None, table, decode, virtual_time.LoopClock()
+            )
+            ask = grant.ConfigurationRequest
+            assert (await exchange.answer(ask(above_version=0))).content == b''
+            offer = grant.ConfigurationOffer(content=b'4')
+            await exchange.accept(offer)
+            assert table.version == 4
+            reply = await exchange.answer(ask(above_version=3))
+            assert reply.content == b'4'
+            assert (await exchange.answer(ask(above_version=4))).content == b''
+
+        virtual_time.run(main())
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -76,3 +76,14 @@
         ejector.begin('a')
         clock.now_s += 11.0
         assert 'a' in ejector.allowed(NAMES)
+
+
+class TestFailureRatio:
+    def test_is_the_share_of_late_and_fades(self, ejector, clock):
+        assert ejector.failure_ratio('a') == 0.0
+        for _ in range(20):
+            ejector.failed('a')
+            ejector.succeeded('a')
+        assert 0.4 < ejector.failure_ratio('a') < 0.5
+        clock.now_s += 30.0
+        assert ejector.failure_ratio('a') < 0.05
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -32,3 +32,26 @@
             waits = [retry_budget.backoff_s(retry, source) for _ in range(50)]
             assert 0.0 <= min(waits) < max(waits) <= 1.0
         assert max(waits) > 0.5
+
+
+class TestServiceBudgets:
+    def test_entries_together_stay_within_the_common_budget(self):
+        """Back ends that fail are flooded by retries of all entries.
+
+        Everything fails at once, after a quiet time that saved up
+        retries at each of ten entries.
+        """
+        ratio, allowance, entries = 0.2, 52.0, 10
+        retries = 0
+        for _ in range(entries):
+            budgets = retry_budget.ServiceBudgets(ratio, allowance, entries)
+            for _ in range(100):
+                budgets.earn('s')
+                retries += budgets.spend('s')
+        assert retries <= ratio * 100 * entries + allowance
+
+    def test_services_have_budgets_of_their_own(self):
+        budgets = retry_budget.ServiceBudgets(0.0, 8.0, 4)
+        assert budgets.spend('a')
+        assert not budgets.spend('a')
+        assert budgets.spend('b')
--- /dev/null
+++ b/tests/test_turn_source.py
@@ -0,0 +1,238 @@
+"""Where an entry gets turns from while sidecars come and go."""
+
+import asyncio
+import random
+
+import pytest
+
+from benchmarks import virtual_time
+from lacewingpitch import backend_list
+from lacewingpitch import ejection
+from lacewingpitch import errors
+from lacewingpitch import grant
+from lacewingpitch import placement
+from lacewingpitch import settings
+from lacewingpitch import turn_source
+
+DRAINING = errors.ErrorKind.DRAINING
+
+
+class FakeSidecars:
+    """Sidecars by IP, each with a reply, an error, or silence."""
+
+    def __init__(self):
+        self.replies = {}
+        self.asked = []
+        self.ended = []
+
+    async def ask_turn(self, ip, request, timeout_s):
+        self.asked.append((ip, request))
+        reply = self.replies.get(ip, grant.TurnReply())
+        if reply is None:
+            await asyncio.sleep(timeout_s)
+            raise errors.NoReplyError(ip)
+        if isinstance(reply, list):
+            reply = reply.pop(0)
+        return reply
+
+    async def end_turns(self, ip, message, timeout_s):
+        self.ended += [(ip, turn_id) for turn_id in message.turn_ids]
+
+
+class Scene:
+    """A source before three engines."""
+
+    def __init__(self, **adapters):
+        self.clock = virtual_time.LoopClock()
+        self.sidecars = FakeSidecars()
+        self.servers = backend_list.BackendList(self.clock)
+        self.servers.replace_all(
+            backend_list.BackendServer(
+                name,
+                'chat',
+                f'10.0.0.{number}',
+                80,
+                'z',
+                adapters=adapters.get(name, {}),
+            )
+            for number, name in enumerate('abc', 1)
+        )
+        self.versions = []
+        self.source = turn_source.TurnSource(
+            self.sidecars,
+            self.servers,
+            placement.Placement(
+                self.clock, settings.ObjectiveSettings(stall_weight=1)
+            ),
+            ejection.Ejector(self.clock, random.Random(1)),
+            self.clock,
+            lambda ip, version: self.versions.append(version),
+        )
+
+    def wanted(self, name='one', **fields):
+        now_s = self.clock.monotonic_s()
+        values = {
+            'run_id': name,
+            'attempt': 1,
+            'service': 'chat',
+            'model': 'm',
+            'adapter': 'x',
+            'version': 0,
+            'route': 'r',
+            'rank': 0,
+            'prompt_tokens': 10,
+            'max_tokens': 10,
+            'start_by_s': now_s + 3.0,
+            'target_at_s': now_s + 0.8,
+            'until_s': now_s + 12.0,
+        }
+        return turn_source.WantedTurn(**{**values, **fields})
+
+    async def take(self, name='one', excluded=(), **fields):
+        wanted = self.wanted(name, **fields)
+        async with self.source.turn(wanted, excluded) as turn:
+            return turn
+
+
+def play(story, **adapters):
+    async def main():
+        scene = Scene(**adapters)
+        sending = asyncio.create_task(scene.source.run())
+        await story(scene)
+        await asyncio.sleep(0.1)
+        sending.cancel()
+        return scene
+
+    return virtual_time.run(main())
+
+
+class TestTurn:
+    def test_is_ended_at_the_sidecar(self):
+        async def story(scene):
+            await scene.take()
+
+        scene = play(story)
+        ip = scene.sidecars.asked[0][0]
+        assert scene.sidecars.ended == [(ip, 'one.1')]
+
+    def test_requests_for_one_adapter_go_to_one_engine(self):
+        async def story(scene):
+            for number in range(10):
+                await scene.take(f'r{number}')
+
+        scene = play(story)
+        assert len({ip for ip, _ in scene.sidecars.asked}) == 1
+
+    def test_pending_is_asked_again(self):
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = [
+                    grant.TurnReply(is_pending=True),
+                    grant.TurnReply(version=2),
+                ]
+            assert (await scene.take()).version == 2
+
+        scene = play(story)
+        first, second = scene.sidecars.asked
+        assert first[0] == second[0]
+        assert first[1].turn_id == second[1].turn_id
+
+    def test_names_the_incarnation_that_the_sidecar_sees(self):
+        """A request goes to an engine that was replaced, and is refused.
+
+        The engine restarts; its sidecar knows at once, the list later.
+        """
+
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = grant.TurnReply(
+                    backend_server='new'
+                )
+            assert (await scene.take()).server.name == 'new'
+
+        play(story)
+
+
+class TestRefusals:
+    def test_another_engine_is_asked(self):
+        async def story(scene):
+            for number in (1, 2):
+                scene.sidecars.replies[f'10.0.0.{number}'] = grant.TurnReply(
+                    refusal=DRAINING
+                )
+            turn = await scene.take()
+            assert turn.server.name == 'c'
+
+        play(story)
+
+    def test_of_all_is_the_soonest(self):
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = grant.TurnReply(
+                    refusal=DRAINING, retry_after_ms=number * 100
+                )
+            with pytest.raises(errors.RefusalError) as found:
+                await scene.take()
+            assert found.value.retry_after_s == pytest.approx(0.1)
+            assert found.value.outcome is errors.Outcome.NOT_RUN
+
+        play(story)
+
+    def test_excluded_engines_are_not_asked(self):
+        async def story(scene):
+            turn = await scene.take(excluded=['a', 'b'])
+            assert turn.server.name == 'c'
+
+        play(story)
+
+
+class TestSilence:
+    def test_a_silent_sidecar_does_not_stop_its_engine(self):
+        """Answers stop although every engine works.
+
+        All sidecars are frozen or restart; engines hold adapters as the
+        list says.
+        """
+
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = None
+            turn = await scene.take()
+            assert (turn.server.name, turn.version) == ('b', 4)
+
+        play(story, b={'m/x': 4})
+
+    def test_an_older_version_is_no_substitute(self):
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = None
+            with pytest.raises(errors.RefusalError):
+                await scene.take(version=5)
+
+        play(story, b={'m/x': 4})
+
+    def test_it_is_asked_no_more_for_a_while(self):
+        async def story(scene):
+            await scene.take('first')
+            ip = scene.sidecars.asked[0][0]
+            scene.sidecars.replies[ip] = None
+            await scene.take('second')
+            scene.sidecars.asked.clear()
+            started_s = scene.clock.monotonic_s()
+            await scene.take('third')
+            assert scene.clock.monotonic_s() - started_s < 0.1
+            assert ip not in {asked for asked, _ in scene.sidecars.asked}
+
+        play(story)
+
+    def test_a_turn_that_may_be_granted_is_given_back(self):
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = None
+            task = asyncio.create_task(scene.take())
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await asyncio.wait([task])
+
+        scene = play(story)
+        assert scene.sidecars.ended
