--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,354 @@
+"""A small stand-in of the platform: its store, engines and a service."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import re
+import tomllib
+
+from aiohttp import web
+
+from tests import processes
+
+SERVICE = 'svc-engine'
+PLAIN = 'svc-plain'
+MODEL = 'base-1'
+SIGNATURE = 'Response-Signature'
+
+
+class Store:
+    """Items with revisions, ranges and watches."""
+
+    def __init__(self):
+        self.revision = 10
+        self.items = {}
+        self.history = []
+        self.oldest = 10
+        self.is_down = False
+        self.call_count = 0
+        self.news = asyncio.Condition()
+        self.page_size = 3
+
+    async def put(self, key, value):
+        content = base64.b64encode(json.dumps(value).encode()).decode()
+        self.revision += 1
+        item = {'key': key, 'value': content, 'revision': self.revision}
+        self.items[key] = item
+        await self._tell(item)
+
+    async def delete(self, key):
+        self.revision += 1
+        del self.items[key]
+        await self._tell(
+            {'key': key, 'revision': self.revision, 'deleted': True}
+        )
+
+    async def drop_history(self):
+        self.history.clear()
+        self.oldest = self.revision
+
+    async def _tell(self, event):
+        self.history.append(event)
+        async with self.news:
+            self.news.notify_all()
+
+    def routes(self):
+        return [
+            web.get('/lacewingpitch/kv-range', self._range),
+            web.get('/lacewingpitch/kv-watch', self._watch),
+        ]
+
+    async def _range(self, request):
+        self.call_count += 1
+        if self.is_down:
+            return web.Response(status=503)
+        prefix = request.query['pathPrefix']
+        after = request.query.get('after', '')
+        keys = sorted(
+            key for key in self.items if key.startswith(prefix) and key > after
+        )
+        page = keys[: self.page_size]
+        return web.json_response(
+            {
+                'items': [self.items[key] for key in page],
+                'hasMore': len(keys) > len(page),
+                'at': self.revision,
+            }
+        )
+
+    async def _watch(self, request):
+        self.call_count += 1
+        prefix = request.query['pathPrefix']
+        after = int(request.query['after'])
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(request.query['waitMs']) / 1000):
+                while not self._events(prefix, after) and not self.is_down:
+                    if after < self.oldest:
+                        return web.Response(status=410)
+                    async with self.news:
+                        await self.news.wait()
+        if self.is_down:
+            return web.Response(status=503)
+        events = self._events(prefix, after)
+        return web.json_response({'events': events, 'at': self.revision})
+
+    def _events(self, prefix, after):
+        return [
+            event
+            for event in self.history
+            if event['revision'] > after and event['key'].startswith(prefix)
+        ]
+
+
+class Engine:
+    """A model engine, with the answers that the pages describe."""
+
+    def __init__(self, name, adapter_slots=4):
+        self.name = name
+        self.adapter_slots = adapter_slots
+        self.adapters = {}
+        self.pending = {}
+        self.runs = []
+        self.seen = []
+        self.order_count = 0
+        self.has_crashed = False
+        self.event_count = 5
+        self.event_pause_s = 0.02
+        self.cut_after = None
+
+    def routes(self):
+        return [
+            web.get('/lacewingpitch/report', self._report),
+            web.post('/lacewingpitch/order', self._order),
+            web.get('/healthz', self._health),
+            web.route('*', '/{path:.*}', self._run),
+        ]
+
+    async def _health(self, _request):
+        return web.Response(headers={'Instance-Id': self.name})
+
+    async def _report(self, _request):
+        return web.json_response(
+            {
+                'stage': 'mixed',
+                'state': 'ready',
+                'models': [self._model()],
+                'pending': [
+                    f'{MODEL}/{a}@{v}' for a, v in self.pending.items()
+                ],
+                'busy': False,
+                'sequence': self.order_count,
+                'queued': 0,
+                'active': len(self.runs),
+                'runs': [[run, 10, 1, 5] for run in self.runs],
+            }
+        )
+
+    def _model(self):
+        listed = [f'{a}@{v}' for a, v in self.adapters.items()]
+        return {'name': MODEL, 'version': 1, 'adapters': listed}
+
+    def entry(self, address, zone='zone-a', state='ready'):
+        return {
+            'service': SERVICE,
+            'address': address,
+            'zone': zone,
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'models': [self._model()],
+        }
+
+    async def _order(self, request):
+        body = await request.json()
+        if request.headers.get('Expect-Instance') != self.name:
+            return web.Response(status=421, headers={'Instance-Id': self.name})
+        if not body.get('holder') or 'fencingToken' not in body:
+            return web.Response(status=400)
+        self.order_count += 1
+        adapter = body['adapter']
+        if body['operation'] == 'unload':
+            self.adapters.pop(adapter, None)
+            return web.Response()
+        taken = {*self.adapters, *self.pending, adapter}
+        if len(taken) > self.adapter_slots:
+            self.has_crashed = True
+        self.pending[adapter] = body.get('version', 1)
+        asyncio.get_running_loop().call_later(0.1, self._loaded, adapter)
+        return web.Response(status=202)
+
+    def _loaded(self, adapter):
+        self.adapters[adapter] = self.pending.pop(adapter)
+
+    async def _run(self, request):
+        await request.read()
+        self.seen.append((request.raw_path, dict(request.headers)))
+        adapter = request.headers.get('Model', '').partition('/')[2]
+        if request.headers.get('Expect-Instance') != self.name or (
+            adapter and adapter not in self.adapters
+        ):
+            return web.Response(status=421, headers={'Not-Executed': '1'})
+        return await self._stream(request)
+
+    async def _stream(self, request):
+        request_id = request.headers['Request-Id']
+        self.runs.append(request_id)
+        try:
+            response = web.StreamResponse(
+                headers={
+                    'Content-Type': 'text/event-stream',
+                    'Request-Id': request_id,
+                    SIGNATURE: f'signed-by-{self.name}',
+                }
+            )
+            await response.prepare(request)
+            first = int(request.headers.get('Last-Event-Id', 0)) + 1
+            for number in range(first, self.event_count + 1):
+                await response.write(b'id: %d\ndata: x\n\n' % number)
+                if number == self.cut_after:
+                    self.cut_after = None
+                    request.transport.abort()
+                    return response
+                await asyncio.sleep(self.event_pause_s)
+            await response.write_eof()
+            return response
+        finally:
+            self.runs.remove(request_id)
+
+
+class Service:
+    """A plain service that counts what it runs."""
+
+    def __init__(self, name):
+        self.name = name
+        self.runs = []
+        self.delay_s = 0.0
+        self.cuts = 0
+
+    def routes(self):
+        return [web.route('*', '/{path:.*}', self._run)]
+
+    def entry(self, address, zone='zone-a', state='ready'):
+        return {
+            'service': PLAIN,
+            'address': address,
+            'zone': zone,
+            'version': 'v1',
+            'slots': 6,
+            'state': state,
+        }
+
+    async def _run(self, request):
+        body = await request.read()
+        self.runs.append(request.headers['Request-Id'])
+        if self.cuts:
+            self.cuts -= 1
+            request.transport.abort()
+            return web.Response()
+        await asyncio.sleep(self.delay_s)
+        return web.Response(
+            body=b'ran ' + body,
+            headers={
+                'Request-Id': request.headers['Request-Id'],
+                SIGNATURE: f'signed-by-{self.name}',
+            },
+        )
+
+
+def configuration(version, **changed):
+    """Return a configuration with one route of each kind."""
+    routes = [
+        _route('chat', 'streaming', SERVICE, 2, resumable=True),
+        _route('draft', 'streaming', SERVICE, 1),
+        _route('command', 'unsafe', PLAIN, 1),
+        _route('lookup', 'safe', PLAIN, 2),
+    ]
+    for route in routes:
+        route.update(changed.get(route['name'], {}))
+    engine = {
+        'slots': 8,
+        'adapterSlots': 4,
+        'models': [{'name': MODEL, 'adapters': 50}],
+    }
+    return {
+        'version': version,
+        'routes': routes,
+        'services': [
+            {'name': SERVICE, 'healthPath': '/healthz', 'engine': engine},
+            {'name': PLAIN, 'healthPath': '/healthz'},
+        ],
+        'limits': {'maxBodyBytes': 1 << 20},
+    }
+
+
+def _route(name, kind, service, attempts, **fields):
+    return {
+        'name': name,
+        'host': 'h.example',
+        'pathPrefix': f'/{name}/',
+        'type': kind,
+        'timeoutMs': 8000,
+        'targetLatencyMs': 800,
+        'priority': 0,
+        'service': service,
+        'maxAttempts': attempts,
+        'targetGapMs': 250,
+        **fields,
+    }
+
+
+def fields_of(role, ip, ports, store):
+    """Return the fields of a settings file, as the platform names them."""
+    listen = {}
+    if role == 'entry':
+        listen = {
+            'frontend': f'{ip}:{ports["callers"]}',
+            'ready': f'{ip}:{ports["ready"]}',
+        }
+    app = {} if role == 'entry' else {'app': store['engine']}
+    return {
+        'nodeName': f'{role}-{ip}',
+        'zone': 'zone-a',
+        'ip': ip,
+        'internalPortRange': [ports['internal'], ports['internal'] + 15],
+        'platform': {'address': store['address']},
+        'listen': listen,
+        'service': SERVICE,
+        **app,
+        'bounds': {
+            'graceS': 4,
+            'retryBudgetRatio': 0.2,
+            'retryBudgetExtra': 52,
+        },
+    }
+
+
+def render(fields):
+    """Fill in the settings template as the platform does."""
+    text = (processes.ROOT / 'deploy' / 'settings.json').read_text()
+    section = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.S)
+    text = section.sub(lambda m: m[2] if _value(fields, m[1]) else '', text)
+    return re.sub(
+        r'\{\{([\w.]+)\|json\}\}',
+        lambda m: json.dumps(_value(fields, m[1])),
+        text,
+    )
+
+
+def _value(fields, path):
+    for step in path.split('.'):
+        if isinstance(fields, list):
+            fields = fields[int(step)]
+        else:
+            fields = fields.get(step)
+        if fields is None:
+            return None
+    return fields
+
+
+def commands():
+    """Return the programs of the deploy file, by role."""
+    text = (processes.ROOT / 'deploy' / 'system.toml').read_text()
+    roles = tomllib.loads(text)['roles']
+    return {name: role['run'].split()[1:] for name, role in roles.items()}
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,388 @@
+"""The programs of the deploy file, as real processes on a stand-in."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+
+import aiohttp
+from aiohttp import web
+import pytest
+import yarl
+
+from tests import platform_standin as standin
+from tests import processes
+
+START_S = 30.0
+ENTRY_IP = '127.0.0.10'
+
+
+class Program:
+    """One process of the system, with its log."""
+
+    def __init__(self, role, fields, folder):
+        self.role = role
+        self.lines = []
+        self._path = folder / f'{fields["nodeName"]}.json'
+        self._path.write_text(standin.render(fields))
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *standin.commands()[self.role],
+            cwd=processes.ROOT,
+            env={**os.environ, 'LACEWINGPITCH_CONFIG': str(self._path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self):
+        async for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    def events(self, name):
+        return [line for line in self.lines if line['event'] == name]
+
+    async def stop(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self._reading
+
+
+class Platform:
+    """The stand-in with one entry and two engines with their sidecars."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self.store = standin.Store()
+        self.engines = [standin.Engine('i-1'), standin.Engine('i-2')]
+        self.services = [standin.Service('p-1'), standin.Service('p-2')]
+        self._exits = contextlib.AsyncExitStack()
+        self.programs = []
+
+    async def __aenter__(self):
+        address = await self._serve(self.store, '127.0.0.1')
+        ports = {
+            'internal': _free_port('127.0.0.11'),
+            'callers': _free_port(ENTRY_IP),
+            'ready': _free_port(ENTRY_IP),
+        }
+        await self.store.put('op/config', standin.configuration(5))
+        for number, engine in enumerate(self.engines):
+            ip = f'127.0.0.{11 + number}'
+            place = await self._serve(engine, ip)
+            entry = engine.entry(place)
+            await self.store.put(f'servers/{engine.name}', entry)
+            settings = {'address': address, 'engine': place}
+            await self._start('sidecar', ip, ports, settings)
+        for service in self.services:
+            place = await self._serve(service, '127.0.0.1')
+            entry = service.entry(place)
+            await self.store.put(f'servers/{service.name}', entry)
+        self.entry = await self._start(
+            'entry', ENTRY_IP, ports, {'address': address}
+        )
+        self.session = await self._exits.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.callers = f'http://{ENTRY_IP}:{ports["callers"]}'
+        self.ready = f'http://{ENTRY_IP}:{ports["ready"]}'
+        await self.until(self.is_ready)
+        taken = [p for p in self.programs if p.role == 'sidecar']
+        await self.until(
+            lambda: all(p.events('engine taken over') for p in taken)
+        )
+        return self
+
+    async def __aexit__(self, *exception):
+        for program in self.programs:
+            await program.stop()
+        await self._exits.aclose()
+
+    async def _serve(self, part, ip):
+        app = web.Application()
+        app.add_routes(part.routes())
+        runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        self._exits.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, ip, 0).start()
+        return '{}:{}'.format(*runner.addresses[0][:2])
+
+    async def _start(self, role, ip, ports, settings):
+        fields = standin.fields_of(role, ip, ports, settings)
+        program = Program(role, fields, self._folder)
+        await program.start()
+        self.programs.append(program)
+        return program
+
+    async def is_ready(self):
+        try:
+            async with self.session.get(
+                f'{self.ready}/lacewingpitch/readyz'
+            ) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def until(self, condition):
+        async with asyncio.timeout(START_S):
+            while True:
+                found = condition()
+                if asyncio.iscoroutine(found):
+                    found = await found
+                if found:
+                    return
+                await asyncio.sleep(0.05)
+
+    def call(self, path, request_id, method='POST', **headers):
+        sent = {
+            'Host': 'h.example',
+            'Request-Id': request_id,
+            'Deadline-Ms': '5000',
+        }
+        sent.update(
+            {name.replace('_', '-'): value for name, value in headers.items()}
+        )
+        url = yarl.URL(f'{self.callers}{path}', encoded=True)
+        return self.session.request(method, url, data=b'body', headers=sent)
+
+
+def _free_port(ip):
+    with socket.socket() as found:
+        found.bind((ip, 0))
+        return found.getsockname()[1]
+
+
+@pytest.fixture
+async def platform(tmp_path):
+    async with Platform(tmp_path) as found:
+        yield found
+
+
+class TestServing:
+    async def test_streams_services_and_refusals(self, platform):
+        async with platform.call(
+            '/chat/x?a=%2f',
+            'r-1',
+            Model=f'{standin.MODEL}/a7',
+            Token_Usage='100,50',
+            Hold='h-1',
+        ) as response:
+            body = await response.read()
+        assert response.status == 200
+        assert response.headers[standin.SIGNATURE].startswith('signed-by-i-')
+        assert body.count(b'id: ') == 5
+        engine = next(e for e in platform.engines if e.seen)
+        path, headers = engine.seen[0]
+        assert path == '/chat/x?a=%2f'
+        assert headers['Expect-Version'] == '1'
+        assert 0 < int(headers['Deadline-Ms']) <= 5000
+        assert 'Hold' not in headers
+        async with platform.call('/command/1', 'r-2') as response:
+            assert await response.read() == b'ran body'
+        async with platform.call('/nowhere/1', 'r-3') as response:
+            assert response.status == 404
+
+    async def test_a_stream_goes_on_at_the_other_engine(self, platform):
+        """Half an answer arrives, and then nothing.
+
+        An engine resets in the middle of a stream that may be resumed.
+        """
+        for engine in platform.engines:
+            engine.cut_after = 2
+        platform.engines[0].cut_after = 2
+        async with platform.call(
+            '/chat/x', 'r-1', Model=f'{standin.MODEL}/a7'
+        ) as response:
+            first = response.headers[standin.SIGNATURE]
+            other = next(
+                e for e in platform.engines if f'signed-by-{e.name}' != first
+            )
+            other.cut_after = None
+            body = await response.read()
+        numbers = [int(n) for n in body.split() if n.isdigit()]
+        assert numbers == [1, 2, 3, 4, 5]
+
+    async def test_what_may_not_be_resumed_ends_visibly(self, platform):
+        for engine in platform.engines:
+            engine.cut_after = 2
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with platform.call(
+                '/draft/x', 'r-1', Model=f'{standin.MODEL}/a7'
+            ) as response:
+                await response.read()
+
+    async def test_a_command_whose_answer_is_lost_runs_once(self, platform):
+        for service in platform.services:
+            service.cuts = 1
+        async with platform.call('/command/1', 'r-1') as response:
+            assert response.status not in (408, 421, 429, 503)
+        assert sum(len(s.runs) for s in platform.services) == 1
+
+    async def test_a_lookup_whose_answer_is_lost_runs_again(self, platform):
+        for service in platform.services:
+            service.cuts = 1
+        platform.services[0].cuts = 1
+        platform.services[1].cuts = 0
+        for number in range(4):
+            async with platform.call(
+                '/lookup/1', f'r-{number}', 'GET'
+            ) as response:
+                assert response.status == 200
+
+    async def test_many_adapters_never_crash_an_engine(self, platform):
+        async def one(number):
+            async with platform.call(
+                '/chat/x',
+                f'r-{number}',
+                Model=f'{standin.MODEL}/a{number % 15}',
+            ) as response:
+                await response.read()
+                return response.status
+
+        statuses = await asyncio.gather(*map(one, range(40)))
+        assert statuses.count(200) >= 20
+        assert set(statuses) <= {200, 503}
+        assert not any(e.has_crashed for e in platform.engines)
+
+    async def test_a_callers_leaving_reaches_the_engine(self, platform):
+        for engine in platform.engines:
+            engine.event_pause_s = 5.0
+        response = await platform.call(
+            '/chat/x', 'r-1', Model=f'{standin.MODEL}/a7'
+        )
+        await response.content.readany()
+        assert any(e.runs for e in platform.engines)
+        response.close()
+        await platform.until(lambda: not any(e.runs for e in platform.engines))
+
+
+class TestConfiguration:
+    async def test_a_new_version_is_in_force(self, platform):
+        changed = standin.configuration(8, lookup={'pathPrefix': '/moved/'})
+        await platform.store.put('op/config', changed)
+
+        async def is_moved():
+            async with platform.call('/moved/1', 'r-1', 'GET') as response:
+                return response.status == 200
+
+        async with asyncio.timeout(3.0):
+            await platform.until(is_moved)
+        async with platform.call('/lookup/1', 'r-2', 'GET') as response:
+            assert response.status == 404
+
+    async def test_history_that_is_gone_is_read_anew(self, platform):
+        """A route that was added is refused for good.
+
+        The store drops its history while a change is made, so that the
+        watch can't tell of it.
+        """
+        platform.store.is_down = True
+        await asyncio.sleep(0.2)
+        changed = standin.configuration(8, lookup={'pathPrefix': '/moved/'})
+        await platform.store.put('op/config', changed)
+        await platform.store.drop_history()
+        platform.store.is_down = False
+
+        async def is_moved():
+            async with platform.call('/moved/1', 'r-1', 'GET') as response:
+                return response.status == 200
+
+        await platform.until(is_moved)
+
+    async def test_without_the_store_unknown_routes_are_not_denied(
+        self, platform
+    ):
+        platform.store.is_down = True
+        await platform.store.put('other/x', 1)
+
+        async def is_away():
+            async with platform.call('/new/1', 'r-1', 'GET') as response:
+                return response.status == 503
+
+        await platform.until(is_away)
+        async with platform.call('/lookup/1', 'r-2', 'GET') as response:
+            assert response.status == 200
+
+
+class TestLeaving:
+    async def test_a_server_that_drains_gets_nothing_more(self, platform):
+        first, other = platform.services
+        entry = first.entry('127.0.0.1:1', state='draining')
+        await platform.store.put(f'servers/{first.name}', entry)
+        await asyncio.sleep(1.5)
+        before = len(first.runs)
+        for number in range(10):
+            async with platform.call('/lookup/1', f'r-{number}', 'GET') as r:
+                assert r.status == 200
+        assert len(first.runs) == before
+
+    async def test_a_signal_to_end_cuts_nothing(self, platform):
+        """An answer stops in the middle while an instance is replaced.
+
+        The entry gets SIGTERM with a stream under way.
+        """
+        for engine in platform.engines:
+            engine.event_pause_s = 0.3
+        response = await platform.call(
+            '/chat/x', 'r-1', Model=f'{standin.MODEL}/a7'
+        )
+        platform.entry.process.send_signal(signal.SIGTERM)
+        await platform.until(lambda: bool(platform.entry.events('stopping')))
+        assert not await platform.is_ready()
+        body = await response.read()
+        assert body.count(b'id: ') == 5
+        async with asyncio.timeout(START_S):
+            assert await platform.entry.process.wait() == 0
+
+    async def test_a_reload_cuts_nothing(self, platform):
+        for engine in platform.engines:
+            engine.event_pause_s = 0.2
+        response = await platform.call(
+            '/chat/x', 'r-1', Model=f'{standin.MODEL}/a7'
+        )
+        platform.entry.process.send_signal(signal.SIGHUP)
+        body = await response.read()
+        assert body.count(b'id: ') == 5
+        await platform.until(
+            lambda: bool(platform.entry.events('settings reloaded'))
+        )
+
+
+class TestSidecarLost:
+    async def test_its_engine_serves_on_what_it_holds(self, platform):
+        """Answers stop although every engine works.
+
+        All sidecars are killed at once.
+        """
+        name = f'{standin.MODEL}/a7'
+        async with platform.call('/chat/x', 'r-1', Model=name) as response:
+            await response.read()
+        for program in platform.programs:
+            if program.role == 'sidecar':
+                program.process.kill()
+        for engine in platform.engines:
+            if engine.adapters:
+                entry = platform.store.items[f'servers/{engine.name}']
+                assert entry
+                await platform.store.put(
+                    f'servers/{engine.name}',
+                    engine.entry(_address_of(platform, engine)),
+                )
+        await asyncio.sleep(1.5)
+        async with platform.call('/chat/x', 'r-2', Model=name) as response:
+            body = await response.read()
+        assert response.status == 200
+        assert body.count(b'id: ') == 5
+
+
+def _address_of(platform, engine):
+    item = platform.store.items[f'servers/{engine.name}']
+    return json.loads(base64.b64decode(item['value']))['address']
