--- a/lacewingpitch/platform/engine.py
+++ b/lacewingpitch/platform/engine.py
@@ -7,9 +7,9 @@
 
 from lacewingpitch import engine_view
 from lacewingpitch import errors
-from lacewingpitch import platform_call
 from lacewingpitch.platform import names
 from lacewingpitch.platform import wire
+from lacewingpitch import platform_call
 
 # An engine on the same instance answers within a few ms.
 _REPORT_TIMEOUT_S = 0.5
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -21,17 +21,17 @@
 from lacewingpitch import ejection
 from lacewingpitch import link
 from lacewingpitch import placement as placement_module
+from lacewingpitch.platform import backend_client
+from lacewingpitch.platform import front as front_module
+from lacewingpitch.platform import published
+from lacewingpitch.platform import settings as settings_module
+from lacewingpitch.platform import store as store_module
 from lacewingpitch import retry_budget
 from lacewingpitch import routing
 from lacewingpitch import service_choice
 from lacewingpitch import settings as product_settings
 from lacewingpitch import sidecar_peers
 from lacewingpitch import turn_source
-from lacewingpitch.platform import backend_client
-from lacewingpitch.platform import front as front_module
-from lacewingpitch.platform import published
-from lacewingpitch.platform import settings as settings_module
-from lacewingpitch.platform import store as store_module
 
 _BACKLOG = 1024
 # Balancers take an instance out after two questions a second apart.
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -14,8 +14,8 @@
 from lacewingpitch import backend_call
 from lacewingpitch import errors
 from lacewingpitch import http_guard
-from lacewingpitch import routing
 from lacewingpitch.platform import names
+from lacewingpitch import routing
 
 _MS_PER_S = 1000
 _CLOSE = 'close'
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -16,11 +16,11 @@
 from lacewingpitch import engine_keeper
 from lacewingpitch import grant
 from lacewingpitch import link
-from lacewingpitch import routing
 from lacewingpitch.platform import engine as engine_module
 from lacewingpitch.platform import published
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
+from lacewingpitch import routing
 
 # Each waits for one turn.  More entries than this would wait at once only
 # where an engine is so overloaded that it refuses.
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -13,8 +13,8 @@
 import structlog
 
 from lacewingpitch import errors
-from lacewingpitch import platform_call
 from lacewingpitch.platform import names
+from lacewingpitch import platform_call
 
 # The store answers in 4 ms, or in some 0.4 s while it is slow; what takes
 # longer than this is lost.
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -7,9 +7,9 @@
 
 from lacewingpitch import backend_list
 from lacewingpitch import errors
-from lacewingpitch import routing
 from lacewingpitch.platform import names
 from lacewingpitch.platform import settings as settings_module
+from lacewingpitch import routing
 
 _MS_PER_S = 1000
 _KINDS = {
