--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -30,6 +30,8 @@
         Versions of the adapters that it holds, by MODEL/ADAPTER.
     is_leaving
         Whether it is to get no new requests.
+    created_revision
+        Grows with each entry of the list that is made.
     """
 
     name: str
@@ -40,6 +42,7 @@
     is_leaving: bool = False
     max_running: int = 1
     adapters: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    created_revision: int = 0
 
 
 class BackendList:
@@ -117,14 +120,6 @@
                 return server
         return None
 
-    def at(self, ip: str, port: int) -> BackendServer | None:
-        """Return the newest server listed at an address."""
-        found = None
-        for server in self._servers.values():
-            if (server.ip, server.port) == (ip, port):
-                found = server
-        return found
-
     def serving(self, service: str) -> tuple[BackendServer, ...]:
         """Return the servers of a service that may get new requests.
 
@@ -139,9 +134,19 @@
         return found
 
     def _listed(self, service: str) -> tuple[BackendServer, ...]:
+        # The entry of a server that restarted stands beside that of its
+        # last incarnation until the latter lapses.
+        newest: dict[tuple[str, int], BackendServer] = {}
+        for server in self._servers.values():
+            address = (server.ip, server.port)
+            other = newest.get(address)
+            if other is None or other.created_revision <= (
+                server.created_revision
+            ):
+                newest[address] = server
         return tuple(
             server
-            for server in self._servers.values()
+            for server in newest.values()
             if server.service == service and not server.is_leaving
         )
 
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -157,6 +157,15 @@
             and self.report_age_s < _DOWN_AFTER_S
         )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the engine is up, and about to leave."""
+        return (
+            self._snapshot is not None
+            and self._snapshot.is_leaving
+            and self.report_age_s < _DOWN_AFTER_S
+        )
+
     def slot_name(self, model: str, adapter: str, version: int) -> str:
         """Return the name under which an adapter is to be held.
 
--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -25,8 +25,12 @@
 # whose run is missing for so long belongs to an entry that died or was
 # cut off, and its place is free.
 _UNSEEN_AFTER_S = 1.5
-# Refused requests that come back together would be refused again.
+# Other engines take what one that leaves refuses.
 _LEAVING_RETRY_S = 0.2
+# An engine that restarts has its model again after some 1.5 s from its
+# disk, or 3 s from the store.  Callers that come back sooner would be
+# refused again, and those that come back together as well.
+_RESTART_RETRY_S = (1.5, 3.0)
 # Share of the time to the first event that may be spent in waiting for
 # other prompts: reading its own takes 20 to 200 ms of 800, and an adapter
 # that is missing 300.
@@ -55,6 +59,11 @@
         """Whether the engine is up, and not about to leave."""
         ...
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the engine is up, and about to leave."""
+        ...
+
     def slot_name(self, model: str, adapter: str, version: int) -> str:
         """Return the adapter's name in `slots.AdapterSlots`."""
         ...
@@ -126,14 +135,7 @@
         turn = self._turns.get(request.turn_id)
         if turn is None:
             if not self._engine.is_serving:
-                return self._refused(
-                    request,
-                    errors.RefusalError(
-                        errors.ErrorKind.DRAINING,
-                        'the engine is down or leaving',
-                        retry_after_s=_LEAVING_RETRY_S,
-                    ),
-                )
+                return self._refused(request, self._not_serving())
             refusal = self._overload(request)
             if refusal is not None:
                 return self._refused(request, refusal)
@@ -201,6 +203,19 @@
             since_s = max(since_s, turn.seen_at_s)
         return asked_at_s - since_s >= _UNSEEN_AFTER_S
 
+    def _not_serving(self) -> errors.RefusalError:
+        if self._engine.is_leaving:
+            return errors.RefusalError(
+                errors.ErrorKind.DRAINING,
+                'the engine is leaving',
+                retry_after_s=_LEAVING_RETRY_S,
+            )
+        return errors.RefusalError(
+            errors.ErrorKind.DRAINING,
+            'the engine is down or loads its model',
+            retry_after_s=self._random.uniform(*_RESTART_RETRY_S),
+        )
+
     def _overload(
         self, request: grant.TurnRequest
     ) -> errors.RefusalError | None:
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -92,7 +92,9 @@
                 )
                 continue
             try:
-                server = wire.decode_backend_server(item.key, item.value)
+                server = wire.decode_backend_server(
+                    item.key, item.value, item.created_revision
+                )
             except errors.PlatformError as error:
                 log.error('entry rejected', key=item.key, error=str(error))
                 continue
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -40,7 +40,9 @@
     key: str
     # JSON text as base64, which the decoder takes off.
     value: bytes = b''
+    # Of its last change.
     revision: int = 0
+    created_revision: int = msgspec.field(name='createdAt', default=0)
     is_deleted: bool = msgspec.field(name='deleted', default=False)
 
 
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -138,7 +138,7 @@
 
 
 def decode_backend_server(
-    key: str, content: bytes
+    key: str, content: bytes, created_revision: int
 ) -> backend_list.BackendServer:
     """Return the backend server that an entry of the list describes.
 
@@ -161,6 +161,7 @@
         is_leaving=found.state == _DRAINING,
         max_running=found.slots,
         adapters=held_versions(found.models),
+        created_revision=created_revision,
     )
 
 
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -36,9 +36,9 @@
 # further down are the most loaded, or the last to get the adapter.
 _MAX_ASKED = 3
 _SIDECAR_KEY = '{}/sidecar'
-# An engine that restarts is listed again after some 2 s; a third of a
-# caller's time, which it can wait at most, is more than 1 s.
-_NO_ENGINE_RETRY_S = 0.7
+# An engine that restarts is listed again after some 2 s, of which a part
+# has passed when its requests are refused.
+_NO_ENGINE_RETRY_S = 1.5
 log = structlog.get_logger(__name__)
 
 
--- a/tests/test_backend_list.py
+++ b/tests/test_backend_list.py
@@ -95,7 +95,20 @@
         servers.note_read()
         servers.replace_all([server('b', port=2), server('new')])
         assert names(servers) == {'b', 'new'}
-        assert servers.at('10.0.0.1', 1).name == 'new'
+
+    def test_of_two_incarnations_the_newer_gets_requests(self, servers):
+        """Requests wait for engines that are gone.
+
+        All engines restart, and the entries of their last incarnations
+        stand beside the new ones until they lapse.
+        """
+        servers.put(server('new', created_revision=9))
+        servers.put(server('a', created_revision=5))
+        assert names(servers) == {'b', 'new'}
+
+    def test_a_new_incarnation_that_leaves_brings_back_none(self, servers):
+        servers.put(server('new', created_revision=9, is_leaving=True))
+        assert names(servers) == {'b'}
 
     def test_find_knows_only_who_serves(self, servers):
         assert servers.find('chat', 'a').name == 'a'
