--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -32,11 +32,16 @@
 # refused again, and those that come back together as well.
 _RESTART_RETRY_S = (1.5, 3.0)
 # Share of the time to the first event that may be spent in waiting for
-# other prompts: reading its own takes 20 to 200 ms of 800, and an adapter
-# that is missing 300.
-_WAIT_TARGET_RATIO = 0.5
-# What is late anyway is still served where it delays nobody else long.
-_LEAST_WAIT_S = 0.1
+# the adapter and for other prompts; the rest is for reading its own
+# prompt, 20 to 200 ms of 800, and for what the estimate is wrong by.
+_WAIT_TARGET_RATIO = 0.75
+# A load while the weight store is not crowded.  What loads took of late is
+# no guide: after some slow ones every request that needs a load would be
+# refused, and none would show that they are quick again.
+_LOAD_S = 0.3
+# What is late anyway is still served where it delays nobody else long: an
+# adapter that is missing takes 0.3 s.
+_LEAST_WAIT_S = 0.4
 # Added to the time after which callers come back: bursts at the sites
 # last 3 to 5 s, and callers wait for a third of their time at most.
 _COME_BACK_S = (0.3, 1.5)
@@ -80,6 +85,7 @@
     request: grant.TurnRequest
     asked_at_s: float
     until_s: float
+    expected_wait_s: float
     task: asyncio.Task[grant.TurnReply] | None = None
     granted_at_s: float | None = None
     seen_at_s: float | None = None
@@ -136,10 +142,11 @@
         if turn is None:
             if not self._engine.is_serving:
                 return self._refused(request, self._not_serving())
-            refusal = self._overload(request)
+            wait_s = self._expected_wait_s(request)
+            refusal = self._overload(request, wait_s)
             if refusal is not None:
                 return self._refused(request, refusal)
-            turn = self._enter(request)
+            turn = self._enter(request, wait_s)
         assert turn.task is not None
         done, _ = await asyncio.wait(
             [turn.task], timeout=request.wait_ms / _MS_PER_S
@@ -216,8 +223,18 @@
             retry_after_s=self._random.uniform(*_RESTART_RETRY_S),
         )
 
+    def _expected_wait_s(self, request: grant.TurnRequest) -> float:
+        """Return how long a request would wait for its turn."""
+        name = self._slot_name(request)
+        load_s = 0.0
+        if name and not self._adapters.holds(name):
+            load_s = _LOAD_S
+        return load_s + self._pacer.wait_s(
+            request.prompt_tokens, request.route, request.rank
+        )
+
     def _overload(
-        self, request: grant.TurnRequest
+        self, request: grant.TurnRequest, wait_s: float
     ) -> errors.RefusalError | None:
         """Return a refusal if the request would start too late.
 
@@ -225,9 +242,6 @@
         let grow makes all answers late.  With a short one, those that
         are admitted are on time, and the others are told at once.
         """
-        wait_s = self._pacer.wait_s(
-            request.prompt_tokens, request.route, request.rank
-        )
         limit_s = max(
             _LEAST_WAIT_S,
             _WAIT_TARGET_RATIO * request.target_ms / _MS_PER_S,
@@ -236,13 +250,14 @@
             return None
         return errors.RefusalError(
             errors.ErrorKind.DEADLINE_UNREACHABLE,
-            f'prompts of {wait_s:.2f} s are ahead',
+            f'a turn would come in {wait_s:.2f} s',
             retry_after_s=wait_s + self._random.uniform(*_COME_BACK_S),
         )
 
-    def _enter(self, request: grant.TurnRequest) -> _Turn:
+    def _enter(self, request: grant.TurnRequest, wait_s: float) -> _Turn:
         now_s = self._clock.monotonic_s()
-        turn = _Turn(request, now_s, now_s + request.deadline_ms / _MS_PER_S)
+        until_s = now_s + request.deadline_ms / _MS_PER_S
+        turn = _Turn(request, now_s, until_s, wait_s)
         self._turns[request.turn_id] = turn
         turn.expected.enter_context(
             self._pacer.expecting(request.prompt_tokens)
@@ -272,6 +287,7 @@
             version=version,
             wanted_version=request.version,
             waited_ms=round((now_s - turn.asked_at_s) * _MS_PER_S),
+            expected_ms=round(turn.expected_wait_s * _MS_PER_S),
             running=self._queue.running,
             queued=self._queue.queued,
         )
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -44,11 +44,11 @@
 # As many entries share the retry budget at least: more than there are at
 # the small sites, spare instances included.
 _LEAST_ENTRIES = 10
-# Each adapter that an engine loads is a change of the list.  With this
-# pause an entry makes one call a second; a server that leaves gets no
-# new requests within 2 s, of which this is less than half.
-_LIST_PAUSE_S = 0.9
-_OPERATOR_PAUSE_S = 0.1
+# Each adapter that an engine loads is a change of the list, so that the
+# pause decides how many calls an entry makes.  What is published has to
+# be in force within 2 or 3 s; the rest is for a slow store and a busy
+# processor.
+_PAUSE_RATIO = 0.55
 log = structlog.get_logger(__name__)
 
 
@@ -183,14 +183,14 @@
         store = store_module.Store(
             session, settings_module.url_of(self._file.settings.store)
         )
-        operator = published.OperatorNews(self.versions, exchange)
-        self._run(
-            'operator',
-            lambda: operator.follow(store, _OPERATOR_PAUSE_S, self._random),
+        news = (
+            published.OperatorNews(self.versions, exchange),
+            published.BackendNews(self.servers),
         )
-        news = published.BackendNews(self.servers)
+        pause_s = _PAUSE_RATIO * self._file.settings.news_within_s
         self._run(
-            'list', lambda: news.follow(store, _LIST_PAUSE_S, self._random)
+            'store',
+            lambda: published.follow(store, news, pause_s, self._random),
         )
 
     async def _listen(self, endpoint: str, server: web.Server) -> web.TCPSite:
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -1,7 +1,9 @@
 """What is published in the store, put in force in this process."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+import os.path
 import random
+from typing import Protocol
 
 import structlog
 
@@ -17,9 +19,45 @@
 decode = wire.decode_configuration
 
 
+class News(Protocol):
+    """Takes what is new under one prefix."""
+
+    prefix: str
+
+    def take(self, change: store_module.Change) -> None:
+        """Take over a change."""
+        ...
+
+
+async def follow(
+    store: store_module.Store,
+    news: Sequence[News],
+    pause_s: float,
+    source: random.Random,
+    is_enough: Callable[[], bool] = lambda: False,
+) -> None:
+    """Hand on what is published, by prefix, until it is enough.
+
+    All prefixes are followed by one watch: the list of backend servers
+    changes nearly all the time, so that a watch of its own for the
+    operator's values would add a third to the calls.
+    """
+    common = os.path.commonprefix([taker.prefix for taker in news])
+    follower = store_module.Follower(store, common, pause_s, source)
+
+    def take(change: store_module.Change) -> None:
+        for taker in news:
+            taker.take(change.under(taker.prefix))
+
+    with follower.changes.subscribe(take):
+        await follower.run(is_enough)
+
+
 class OperatorNews:
     """Puts the operator's configuration and adapter versions in force."""
 
+    prefix = names.OPERATOR_PREFIX
+
     def __init__(
         self,
         versions: adapter_versions.AdapterVersions,
@@ -28,20 +66,6 @@
         self._versions = versions
         self._exchange = exchange
 
-    async def follow(
-        self,
-        store: store_module.Store,
-        pause_s: float,
-        source: random.Random,
-        is_enough: Callable[[], bool] = lambda: False,
-    ) -> None:
-        """Follow what the operator publishes, until it is enough."""
-        follower = store_module.Follower(
-            store, names.OPERATOR_PREFIX, pause_s, source
-        )
-        with follower.changes.subscribe(self.take):
-            await follower.run(is_enough)
-
     def take(self, change: store_module.Change) -> None:
         """Put a change in force."""
         self._exchange.note_store(change.is_away)
@@ -65,19 +89,11 @@
 class BackendNews:
     """Follows the list of backend servers."""
 
+    prefix = names.BACKEND_SERVER_PREFIX
+
     def __init__(self, servers: backend_list.BackendList) -> None:
         self._servers = servers
 
-    async def follow(
-        self, store: store_module.Store, pause_s: float, source: random.Random
-    ) -> None:
-        """Follow the list, for ever."""
-        follower = store_module.Follower(
-            store, names.BACKEND_SERVER_PREFIX, pause_s, source
-        )
-        with follower.changes.subscribe(self.take):
-            await follower.run(lambda: False)
-
     def take(self, change: store_module.Change) -> None:
         """Take over a change of the list."""
         if change.is_away:
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -18,6 +18,7 @@
 Endpoint = str
 # Settings change a few times a day; a look costs some 10 us.
 _LOOK_INTERVAL_S = 1.0
+_MS_PER_S = 1000
 _DEPLOYMENT = 'lacewingpitch'
 # The control messages cross the platform's internal network, which only
 # the system's own instances reach.  The signature tells damaged messages
@@ -43,6 +44,10 @@
         Address of the engine beside a sidecar.
     service
         Service that this engine belongs to.
+    configuration_within_ms
+        Time in which a configuration must be in force.
+    leaving_within_ms
+        Time in which a server that leaves must get no new requests.
     drain_s
         Time between the signal to end and the end by force.
     retry_ratio
@@ -60,10 +65,18 @@
     ready: Endpoint = ''
     engine: Endpoint = ''
     service: str = ''
+    configuration_within_ms: contract.PositiveFloat
+    leaving_within_ms: contract.PositiveFloat
     drain_s: contract.PositiveFloat
     retry_ratio: float
     retry_allowance: float
 
+    @property
+    def news_within_s(self) -> float:
+        """Return the time in which all that is published must be known."""
+        within_ms = min(self.configuration_within_ms, self.leaving_within_ms)
+        return within_ms / _MS_PER_S
+
     def __post_init__(self) -> None:
         """Refuse what only looks like an address."""
         settings_module.check_ip(self.ip)
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -77,13 +77,13 @@
         store = store_module.Store(
             session, settings_module.url_of(settings.store)
         )
-        operator = published.OperatorNews(self.versions, exchange)
+        news = (published.OperatorNews(self.versions, exchange),)
         # What is published later comes with the messages of entries, so
         # that calls to the store do not grow with the number of engines.
         self._run(
-            'operator',
-            lambda: operator.follow(
-                store, 0.0, self._random, lambda: self.table.version > 0
+            'store',
+            lambda: published.follow(
+                store, news, 0.0, self._random, lambda: self.table.version > 0
             ),
         )
         self._run('settings', self._file.follow)
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -74,6 +74,11 @@
     is_whole: bool = False
     is_away: bool = False
 
+    def under(self, prefix: str) -> 'Change':
+        """Return the part of it under a prefix."""
+        items = tuple(i for i in self.items if i.key.startswith(prefix))
+        return dataclasses.replace(self, items=items)
+
 
 class _HistoryGoneError(errors.PlatformError):
     """The store no longer has the changes since a revision."""
--- a/lacewingpitch/prefill_pacer.py
+++ b/lacewingpitch/prefill_pacer.py
@@ -10,12 +10,21 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import token_bucket
 
-# An engine reads prompts between the tokens of its streams, 30 to 40
-# tokens a ms where it was measured, and an event takes 30 to 50 ms without
-# that.  A pause of 250 ms then bears some 6,000 tokens: the burst and what
-# comes at this rate within a pause are 6,000 together.
-_TOKENS_PER_S = 21_000.0
-_BURST_TOKENS = 750.0
+# An engine reads 30 to 40 tokens of prompts a ms where it was measured,
+# between the tokens of its streams; an event takes 35 to 50 ms without
+# that.  A pause of 250 ms, the longest on time, bears some 6,000 tokens:
+# what comes at the low rate within a pause, and one prompt of 3,300 more.
+_LOW_TOKENS_PER_S = 12_000.0
+# With this rate streams pause for longer on the slowest engines.  It is
+# what all can read together with their streams, and used while more
+# requests wait than the low rate lets go in time.
+_HIGH_TOKENS_PER_S = 22_000.0
+_BURST_TOKENS = 1_000.0
+# A backlog that would take longer than this raises the rate.
+_BACKLOG_S = 0.2
+# Requests whose adapter is being loaded come back after some 0.25 s; what
+# can be read until then is not waited for behind them.
+_PREPARE_S = 0.25
 # While more is wanted than can be read, a route of the highest rank gets
 # four tokens for each one of another: its requests are worth some seven
 # times as much a token at the sites, and the others must not starve.
@@ -45,13 +54,13 @@
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
         self._bucket = token_bucket.TokenBucket(
-            _TOKENS_PER_S,
+            _LOW_TOKENS_PER_S,
             _BURST_TOKENS,
             _BURST_TOKENS,
             clock.monotonic_s(),
         )
         self._waiting: list[_Waiter] = []
-        self._expected_tokens = 0
+        self._expected_tokens: float = 0.0
         self._numbers = itertools.count()
         self._virtual = 0.0
         self._finish_by_route: dict[str, float] = {}
@@ -61,10 +70,13 @@
         """Return how long a request that came now would wait."""
         now_s = self._clock.monotonic_s()
         finish = self._finish(tokens, route, rank)
-        ahead = sum(w.tokens for w in self._waiting if w.finish <= finish)
-        ahead += self._expected_tokens
+        ahead: float = sum(
+            w.tokens for w in self._waiting if w.finish <= finish
+        )
+        soon = self._expected_tokens - _PREPARE_S * _HIGH_TOKENS_PER_S
+        ahead += max(0.0, soon)
         missing = ahead + 1.0 - self._bucket.level(now_s)
-        return max(0.0, missing / _TOKENS_PER_S)
+        return max(0.0, missing / _rate_per_s(missing))
 
     @contextlib.contextmanager
     def expecting(self, tokens: int) -> Iterator[None]:
@@ -102,6 +114,7 @@
             asyncio.get_running_loop().create_future(),
         )
         heapq.heappush(self._waiting, waiter)
+        self._set_rate()
         self._schedule()
         try:
             await waiter.turn
@@ -135,4 +148,22 @@
             if not waiter.turn.done():
                 self._bucket.add(-waiter.tokens, now_s)
                 waiter.turn.set_result(None)
+        self._set_rate()
         self._schedule()
+
+    def _set_rate(self) -> None:
+        now_s = self._clock.monotonic_s()
+        backlog = sum(waiter.tokens for waiter in self._waiting)
+        missing = backlog - self._bucket.level(now_s)
+        rate_per_s = _rate_per_s(missing)
+        if rate_per_s != self._bucket.rate_per_s:
+            self._bucket.change(rate_per_s, _BURST_TOKENS, now_s)
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+
+
+def _rate_per_s(missing_tokens: float) -> float:
+    """Return the rate at which a backlog is let go."""
+    wanted_per_s = missing_tokens / _BACKLOG_S
+    return min(max(wanted_per_s, _LOW_TOKENS_PER_S), _HIGH_TOKENS_PER_S)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -318,6 +318,8 @@
         **app,
         'bounds': {
             'graceS': 4,
+            'configApplyMs': 2000,
+            'drainMs': 2000,
             'retryBudgetRatio': 0.2,
             'retryBudgetExtra': 52,
         },
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -138,6 +138,24 @@
         limits = routing.EngineLimits(64, 3, (fake_engine.MODEL,))
         play(story, limits=limits)
 
+    def test_slow_loads_do_not_refuse_what_comes_later(self):
+        """An idle engine refuses every adapter that it does not hold.
+
+        Some loads took seconds.  Nothing is loaded after that, so that
+        nothing shows that loads are quick again.
+        """
+
+        async def story(scene):
+            scene.engine.load_s = 3.0
+            for name in ('a', 'b'):
+                await scene.ask(name, adapter=name, wait_ms=4000)
+                await scene.end(name)
+            scene.engine.load_s = 0.25
+            reply = await scene.ask('c', adapter='c')
+            assert reply.refusal is None
+
+        play(story)
+
 
 class TestLease:
     def test_a_turn_that_ended_makes_room(self):
