Metrics of the platform's daemons; entries share the retry budget by their number

28 entries with a tenth of the allowance each would have overdrawn it; each sidecar says how many have asked it in 10 s.

--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -14,6 +14,7 @@
 from lacewingpitch import fence as fence_module
 from lacewingpitch import grant
 from lacewingpitch import grant_desk
+from lacewingpitch import metrics as metrics_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import routing
 from lacewingpitch import slots as slots_module
@@ -65,7 +66,9 @@
         versions: adapter_versions.AdapterVersions,
         service: str,
         clock: clock_module.Clock,
+        metrics: metrics_module.Metrics,
     ) -> None:
+        self._metrics = metrics
         self._engine = engine
         self._table = table
         self._versions = versions
@@ -236,7 +239,11 @@
             self._clock,
             lambda: self._table.version,
             random.Random(),
+            self._metrics.seconds(
+                'turn_wait_seconds', 'Time that granted turns were waited for.'
+            ),
         )
+        self._add_metrics(self.desk, adapters)
         log.info(
             'engine taken over',
             backend_server=self.view.backend_server,
@@ -245,6 +252,43 @@
             adapters=len(snapshot.held),
         )
 
+    def _add_metrics(
+        self,
+        desk: grant_desk.GrantDesk,
+        adapters: slots_module.AdapterSlots,
+    ) -> None:
+        metrics = self._metrics
+        metrics.counter_by(
+            'turns_total',
+            'Turns that were asked for, by what became of them.',
+            'outcome',
+            lambda: {
+                'granted': desk.granted_count,
+                'refused': desk.refused_count,
+                'lapsed': desk.lapsed_count,
+            },
+        )
+        metrics.counter_by(
+            'adapter_orders_total',
+            'Orders about adapters, by what became of them.',
+            'outcome',
+            lambda: {
+                'loaded': adapters.load_count,
+                'unloaded': adapters.eviction_count,
+                'load failed': adapters.failed_load_count,
+            },
+        )
+        metrics.gauge(
+            'turns_held',
+            'Turns that are granted or waited for.',
+            lambda: len(desk),
+        )
+        metrics.gauge(
+            'engine_report_age_seconds',
+            'How old the last report of the engine is.',
+            lambda: self.view.report_age_s,
+        )
+
     def _reconcile(
         self, snapshot: engine_view.EngineSnapshot, asked_at_s: float
     ) -> None:
--- a/lacewingpitch/grant.py
+++ b/lacewingpitch/grant.py
@@ -19,6 +19,8 @@
 
     Parameters
     ----------
+    entry
+        Instance that asks.
     turn_id
         Names one attempt of one request.
     run_id
@@ -45,6 +47,7 @@
         Time left until the request's final answer is due.
     """
 
+    entry: str
     turn_id: str
     run_id: str
     model: str
@@ -74,6 +77,8 @@
         Why there is no turn; empty if there is one.
     configuration_version
         Version of the configuration that the sidecar has in force.
+    entry_count
+        Entries that have asked this sidecar of late.
     hint
         State of the engine.
     """
@@ -85,6 +90,7 @@
     detail: str = ''
     retry_after_ms: int = 0
     configuration_version: int = 0
+    entry_count: int = 0
     hint: hint_module.Hint | None = None
 
 
--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -14,6 +14,7 @@
 from lacewingpitch import errors
 from lacewingpitch import grant
 from lacewingpitch import hint as hint_module
+from lacewingpitch import metrics
 from lacewingpitch import prefill_pacer
 from lacewingpitch import slots as slots_module
 from lacewingpitch import turn_queue
@@ -27,6 +28,9 @@
 _UNSEEN_AFTER_S = 1.5
 # Other engines take what one that leaves refuses.
 _LEAVING_RETRY_S = 0.2
+# As long as the window of the common retry budget, so that an entry which
+# still has retries to spend is counted.
+_ENTRY_KEPT_S = 10.0
 # An engine that restarts has its model again after some 1.5 s from its
 # disk, or 3 s from the store.  Callers that come back sooner would be
 # refused again, and those that come back together as well.
@@ -119,7 +123,9 @@
         clock: clock_module.Clock,
         configuration_version: Callable[[], int],
         source: random.Random,
+        wait_times: metrics.Seconds,
     ) -> None:
+        self._wait_times = wait_times
         self._random = source
         self._queue = queue
         self._adapters = adapters
@@ -128,6 +134,7 @@
         self._clock = clock
         self._configuration_version = configuration_version
         self._turns: dict[str, _Turn] = {}
+        self._entries_at_s: dict[str, float] = {}
         self.granted_count = 0
         self.refused_count = 0
         self.lapsed_count = 0
@@ -138,6 +145,7 @@
 
     async def ask(self, request: grant.TurnRequest) -> grant.TurnReply:
         """Return a turn, a refusal, or that it is still waited for."""
+        self._note_entry(request.entry)
         turn = self._turns.get(request.turn_id)
         if turn is None:
             if not self._engine.is_serving:
@@ -210,6 +218,19 @@
             since_s = max(since_s, turn.seen_at_s)
         return asked_at_s - since_s >= _UNSEEN_AFTER_S
 
+    def _note_entry(self, entry: str) -> None:
+        now_s = self._clock.monotonic_s()
+        # The one that asked longest ago comes first.
+        self._entries_at_s.pop(entry, None)
+        self._entries_at_s[entry] = now_s
+        oldest = next(iter(self._entries_at_s))
+        if now_s - self._entries_at_s[oldest] > _ENTRY_KEPT_S:
+            self._entries_at_s = {
+                name: at_s
+                for name, at_s in self._entries_at_s.items()
+                if now_s - at_s <= _ENTRY_KEPT_S
+            }
+
     def _not_serving(self) -> errors.RefusalError:
         if self._engine.is_leaving:
             return errors.RefusalError(
@@ -278,6 +299,9 @@
         now_s = self._clock.monotonic_s()
         turn.granted_at_s = now_s
         self.granted_count += 1
+        self._wait_times.observe(
+            'route', request.route, now_s - turn.asked_at_s
+        )
         name = self._slot_name(request)
         version = self._engine.held_version(name) if name else 0
         log.info(
@@ -384,6 +408,7 @@
             detail=detail,
             retry_after_ms=retry_after_ms,
             configuration_version=self._configuration_version(),
+            entry_count=len(self._entries_at_s),
             hint=self._hint(),
         )
 
--- a/lacewingpitch/metrics.py
+++ b/lacewingpitch/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a process, in the text form that Prometheus reads."""
 
 from collections.abc import Callable, Mapping
+import math
 
 from aiohttp import web
 import aioprometheus
@@ -9,6 +10,23 @@
 from lacewingpitch import account as account_module
 from lacewingpitch import account_copy
 
+# From the shortest answers of plain services to the longest that callers
+# wait for the beginning of a stream.
+_SECONDS_BUCKETS = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+    6.4,
+    12.8,
+    math.inf,
+)
+
 Read = Callable[[], float]
 ReadByLabel = Callable[[], Mapping[str, float]]
 
@@ -51,7 +69,19 @@
 
         self._readers.append(update)
 
-    async def answer(self, request: web.Request) -> web.Response:
+    def seconds(self, name: str, doc: str) -> 'Seconds':
+        """Offer a distribution of times."""
+        return Seconds(
+            aioprometheus.Histogram(
+                f'lacewingpitch_{name}',
+                doc,
+                const_labels=self._labels,
+                registry=self._registry,
+                buckets=_SECONDS_BUCKETS,
+            )
+        )
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
         """Answer ``/metrics``."""
         for update in self._readers:
             update()
@@ -69,6 +99,17 @@
         )
 
 
+class Seconds:
+    """A distribution of times, told apart by one label."""
+
+    def __init__(self, histogram: aioprometheus.Histogram) -> None:
+        self._histogram = histogram
+
+    def observe(self, label: str, value: str, seconds: float) -> None:
+        """Take note of one time."""
+        self._histogram.observe({label: value}, seconds)
+
+
 def add_account(
     metrics: Metrics,
     account: account_module.Account,
--- /dev/null
+++ b/lacewingpitch/metrics_server.py
@@ -0,0 +1,36 @@
+"""Serves the metrics of a daemon at an address of their own."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+from aiohttp import web
+
+from lacewingpitch import http_guard
+from lacewingpitch import metrics as metrics_module
+
+_PATH = '/metrics'
+_NOT_FOUND = 404
+_CLOSE_S = 0.1
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    metrics: metrics_module.Metrics, ip: str, port: int
+) -> AsyncIterator[None]:
+    """Answer ``/metrics`` while the context lasts."""
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        if request.path != _PATH:
+            return web.Response(status=_NOT_FOUND)
+        return await metrics.answer(request)
+
+    runner = web.ServerRunner(
+        web.Server(answer, access_log=None, logger=http_guard.SILENT_LOGGER),
+        shutdown_timeout=_CLOSE_S,
+    )
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, ip, port).start()
+        yield
+    finally:
+        await runner.cleanup()
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -20,6 +20,8 @@
 from lacewingpitch import daemon
 from lacewingpitch import ejection
 from lacewingpitch import link
+from lacewingpitch import metrics as metrics_module
+from lacewingpitch import metrics_server
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
 from lacewingpitch.platform import front as front_module
@@ -68,7 +70,21 @@
         self.servers = backend_list.BackendList(self._clock)
         self.versions = adapter_versions.AdapterVersions()
         self.ejector = ejection.Ejector(self._clock, self._random)
-        self.front = front_module.Front(self.table, self._serve)
+        settings = file.settings
+        self._metrics = metrics_module.Metrics(
+            settings.instance, settings.availability_zone
+        )
+        self._first_event_times = self._metrics.seconds(
+            'first_event_seconds',
+            'Time from a request to the first event of its stream.',
+        )
+        self.front = front_module.Front(
+            self.table,
+            self._serve,
+            self._metrics.seconds(
+                'request_seconds', 'Time from a request to its end.'
+            ),
+        )
         self._callers_site: web.TCPSite | None = None
         self._carrier: carrier_module.Carrier | None = None
 
@@ -93,7 +109,11 @@
             peers, self.table, published.decode, self._clock
         )
         self._exits.callback(exchange.close)
+        budgets = retry_budget.ServiceBudgets(
+            settings.retry_ratio, settings.retry_allowance, _LEAST_ENTRIES
+        )
         turns = turn_source.TurnSource(
+            settings.instance,
             peers,
             self.servers,
             placement_module.Placement(
@@ -102,6 +122,7 @@
             self.ejector,
             self._clock,
             exchange.note,
+            budgets.note_entries,
         )
         session = await self._exits.enter_async_context(
             backend_client.new_session()
@@ -116,16 +137,19 @@
                 self._random,
             ),
             self.ejector,
-            retry_budget.ServiceBudgets(
-                settings.retry_ratio, settings.retry_allowance, _LEAST_ENTRIES
-            ),
+            budgets,
             self.versions,
             self._clock,
             self._random,
         )
         self._run('settings', self._file.follow)
         self._run('turns', turns.run)
-        await self._follow(exchange)
+        self._add_metrics(self._carrier, await self._follow(exchange))
+        await self._exits.enter_async_context(
+            metrics_server.serving(
+                self._metrics, settings.ip, settings.metrics_port
+            )
+        )
         await self._listen(settings.ready, web.Server(self._ready))
         self._callers_site = await self._listen(
             settings.callers, self.front.server()
@@ -155,6 +179,45 @@
         )
         await self._exits.aclose()
 
+    def _add_metrics(
+        self,
+        carrier: carrier_module.Carrier,
+        store: store_module.Store,
+    ) -> None:
+        metrics = self._metrics
+        metrics.counter_by(
+            'requests_ended_total',
+            'Requests that came to an end, by outcome.',
+            'outcome',
+            lambda: self.front.ended_by_outcome,
+        )
+        metrics.counter_by(
+            'requests_resent_total',
+            'Requests sent to another backend server, by service.',
+            'service',
+            lambda: carrier.resent_count,
+        )
+        metrics.counter(
+            'store_calls_total',
+            'Calls to the store.',
+            lambda: store.call_count,
+        )
+        metrics.gauge(
+            'requests_in_progress',
+            'Requests that are in progress here.',
+            lambda: self.front.in_progress,
+        )
+        metrics.gauge(
+            'configuration_version',
+            'Version of the configuration in force.',
+            lambda: self.table.version,
+        )
+        metrics.gauge(
+            'list_age_seconds',
+            'How long ago the list of backend servers was current.',
+            lambda: self.servers.age_s,
+        )
+
     async def _serve(
         self,
         request: backend_call.CallerRequest,
@@ -162,6 +225,10 @@
     ) -> None:
         assert self._carrier is not None
         trail = await self._carrier.carry(request, delivery)
+        if trail.first_event_s:
+            self._first_event_times.observe(
+                'route', request.route.name, trail.first_event_s
+            )
         log.info(
             'answered',
             request_id=request.request_id,
@@ -176,7 +243,7 @@
 
     async def _follow(
         self, exchange: configuration_exchange.ConfigurationExchange
-    ) -> None:
+    ) -> store_module.Store:
         session = await self._exits.enter_async_context(
             aiohttp.ClientSession()
         )
@@ -192,6 +259,7 @@
             'store',
             lambda: published.follow(store, news, pause_s, self._random),
         )
+        return store
 
     async def _listen(self, endpoint: str, server: web.Server) -> web.TCPSite:
         ip, port = settings_module.split_endpoint(endpoint)
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -1,6 +1,7 @@
 """The HTTP interface of an entry towards callers, as the platform has it."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 import time
 
@@ -14,6 +15,7 @@
 from lacewingpitch import backend_call
 from lacewingpitch import errors
 from lacewingpitch import http_guard
+from lacewingpitch import metrics as metrics_module
 from lacewingpitch.platform import names
 from lacewingpitch import routing
 
@@ -120,11 +122,20 @@
     ----------
     serve
         Answers a request; raises `errors.RefusalError` otherwise.
+    times
+        Takes note of how long requests took, by outcome.
     """
 
-    def __init__(self, table: routing.RoutingTable, serve: Serve) -> None:
+    def __init__(
+        self,
+        table: routing.RoutingTable,
+        serve: Serve,
+        times: metrics_module.Seconds,
+    ) -> None:
         self._table = table
         self._serve = serve
+        self._times = times
+        self.ended_by_outcome: collections.Counter[str] = collections.Counter()
         self.is_draining = False
         self.is_refusing = False
         self._busy: set[asyncio.BaseTransport] = set()
@@ -234,13 +245,16 @@
             )
             await delivery.refuse(fault, request_id)
         finally:
+            took_s = time.monotonic() - arrived_s
+            self.ended_by_outcome[outcome] += 1
+            self._times.observe('outcome', outcome, took_s)
             log.info(
                 'request ended',
                 request_id=request_id,
                 route=route_name,
                 outcome=outcome,
                 status=delivery.response.status if delivery.response else 0,
-                took_ms=round((time.monotonic() - arrived_s) * _MS_PER_S),
+                took_ms=round(took_s * _MS_PER_S),
                 configuration_version=self._table.version,
             )
 
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -32,6 +32,8 @@
 
     Parameters
     ----------
+    metrics_port
+        Port of ``/metrics``.
     store
         Address of the platform's store, as IP:PORT.
     internal_port
@@ -60,6 +62,7 @@
     availability_zone: contract.Name
     ip: settings_module.Ip
     internal_port: settings_module.Port
+    metrics_port: settings_module.Port
     store: Endpoint
     callers: Endpoint = ''
     ready: Endpoint = ''
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -16,6 +16,8 @@
 from lacewingpitch import engine_keeper
 from lacewingpitch import grant
 from lacewingpitch import link
+from lacewingpitch import metrics as metrics_module
+from lacewingpitch import metrics_server
 from lacewingpitch.platform import engine as engine_module
 from lacewingpitch.platform import published
 from lacewingpitch.platform import settings as settings_module
@@ -63,8 +65,19 @@
             settings.instance,
             lambda: self.table.health_path(settings.service),
         )
+        metrics = metrics_module.Metrics(
+            settings.instance, settings.availability_zone
+        )
+        await self._exits.enter_async_context(
+            metrics_server.serving(metrics, settings.ip, settings.metrics_port)
+        )
         keeper = engine_keeper.EngineKeeper(
-            engine, self.table, self.versions, settings.service, self._clock
+            engine,
+            self.table,
+            self.versions,
+            settings.service,
+            self._clock,
+            metrics,
         )
         self._exits.push_async_callback(keeper.close)
         exchange = configuration_exchange.ConfigurationExchange(
--- a/lacewingpitch/retry_budget.py
+++ b/lacewingpitch/retry_budget.py
@@ -37,6 +37,11 @@
         self._tokens -= 1.0
         return True
 
+    def limit(self, reserve: float) -> None:
+        """Save up no more than this from now on."""
+        self._reserve = reserve
+        self._tokens = min(self._tokens, reserve)
+
 
 class RetryPermit:
     """The right of one attempt to be followed by another.
@@ -101,11 +106,25 @@
         self, ratio: float, allowance: float, least_entries: int
     ) -> None:
         self._ratio = ratio * self._SAFE_RATIO
-        self._reserve = max(
-            1.0, allowance * self._SAFE_RATIO / max(1, least_entries)
-        )
+        self._allowance = allowance * self._SAFE_RATIO
+        self._entry_count = max(1, least_entries)
         self._budgets: dict[str, RetryBudget] = {}
 
+    def note_entries(self, count: int) -> None:
+        """Take note of how many entries were seen to share the budget.
+
+        The count never falls: entries that are cut off are not seen, and
+        retry all the same.
+        """
+        if count > self._entry_count:
+            self._entry_count = count
+            for budget in self._budgets.values():
+                budget.limit(self._reserve)
+
+    @property
+    def _reserve(self) -> float:
+        return max(1.0, self._allowance / self._entry_count)
+
     def earn(self, service: str) -> None:
         """Record a request that is sent for the first time."""
         self._budget(service).earn()
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -121,20 +121,28 @@
 
     Parameters
     ----------
+    instance
+        Name of this entry.
     note_configuration
         Called with the configuration version of each sidecar that
         replies.
+    note_entries
+        Called with how many entries ask it.
     """
 
     def __init__(
         self,
+        instance: str,
         link: SidecarLink,
         servers: backend_list.BackendList,
         placement: placement_module.Placement,
         ejector: ejection.Ejector,
         clock: clock_module.Clock,
         note_configuration: Callable[[str, int], None],
+        note_entries: Callable[[int], None],
     ) -> None:
+        self._instance = instance
+        self._note_entries = note_entries
         self._link = link
         self._servers = servers
         self._placement = placement
@@ -250,6 +258,7 @@
             left_s = self._left_s(wanted)
             wait_s = max(0.0, min(_REPLY_WITHIN_S, left_s))
             request = grant.TurnRequest(
+                entry=self._instance,
                 turn_id=wanted.turn_id,
                 run_id=wanted.run_id,
                 model=wanted.model,
@@ -306,6 +315,7 @@
         if reply.hint is not None:
             self._placement.learn_hint(server.name, reply.hint)
         self._note_configuration(server.ip, reply.configuration_version)
+        self._note_entries(reply.entry_count)
 
     def _without_sidecar(
         self, server: backend_list.BackendServer, wanted: WantedTurn
--- a/tests/test_carrier.py
+++ b/tests/test_carrier.py
@@ -127,7 +127,8 @@
 
 
 def server(name):
-    return backend_list.BackendServer(name, 's', '10.0.0.1', 80, 'z')
+    ip = f'10.0.0.{SERVERS.index(name) + 1}'
+    return backend_list.BackendServer(name, 's', ip, 80, 'z')
 
 
 class Scene:
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -7,6 +7,7 @@
 from lacewingpitch import engine_keeper
 from lacewingpitch import errors
 from lacewingpitch import grant
+from lacewingpitch import metrics
 from lacewingpitch import routing
 from tests import fake_engine
 
@@ -27,7 +28,12 @@
         if limits is not None:
             self.configure(limits)
         self.keeper = engine_keeper.EngineKeeper(
-            self.engine, self.table, self.versions, SERVICE, self.clock
+            self.engine,
+            self.table,
+            self.versions,
+            SERVICE,
+            self.clock,
+            metrics.Metrics('side-1', 'zone-a'),
         )
 
     def configure(self, limits):
@@ -44,6 +50,7 @@
 
     async def ask(self, name, adapter='a', **fields):
         request = {
+            'entry': 'edge-1',
             'turn_id': f'{name}.1',
             'run_id': name,
             'model': fake_engine.MODEL,
@@ -87,6 +94,17 @@
 
         play(story)
 
+    def test_says_how_many_entries_ask(self):
+        async def story(scene):
+            await scene.ask('one', entry='edge-1')
+            reply = await scene.ask('two', entry='edge-2')
+            assert reply.entry_count == 2
+            await asyncio.sleep(11.0)
+            reply = await scene.ask('three', entry='edge-1')
+            assert reply.entry_count == 1
+
+        play(story)
+
     def test_asking_again_is_idempotent(self):
         async def story(scene):
             first, second = await asyncio.gather(
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -18,7 +18,13 @@
 from tests import processes
 
 START_S = 30.0
-ENTRY_IP = '127.0.0.10'
+# The metrics port is the same at every instance, so that tests which run
+# beside each other need addresses of their own.
+WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
+NETWORK = f'127.0.{10 + WORKER}'
+ENTRY_IP = f'{NETWORK}.10'
+SIDECAR_IPS = (f'{NETWORK}.11', f'{NETWORK}.12')
+METRICS_PORT = 9464
 
 
 class Program:
@@ -68,13 +74,12 @@
     async def __aenter__(self):
         address = await self._serve(self.store, '127.0.0.1')
         ports = {
-            'internal': _free_port('127.0.0.11'),
+            'internal': _free_port(SIDECAR_IPS[0]),
             'callers': _free_port(ENTRY_IP),
             'ready': _free_port(ENTRY_IP),
         }
         await self.store.put('op/config', standin.configuration(5))
-        for number, engine in enumerate(self.engines):
-            ip = f'127.0.0.{11 + number}'
+        for ip, engine in zip(SIDECAR_IPS, self.engines, strict=True):
             place = await self._serve(engine, ip)
             entry = engine.entry(place)
             await self.store.put(f'servers/{engine.name}', entry)
@@ -131,6 +136,12 @@
         except aiohttp.ClientError:
             return False
 
+    async def metrics(self, ip):
+        url = f'http://{ip}:{METRICS_PORT}/metrics'
+        headers = {'Accept': 'text/plain'}
+        async with self.session.get(url, headers=headers) as response:
+            return await response.text()
+
     async def until(self, condition):
         async with asyncio.timeout(START_S):
             while True:
@@ -264,6 +275,19 @@
         await platform.until(lambda: not any(e.runs for e in platform.engines))
 
 
+class TestMetrics:
+    async def test_tell_what_was_served(self, platform):
+        async with platform.call(
+            '/chat/x', 'r-1', Model=f'{standin.MODEL}/a7'
+        ) as response:
+            await response.read()
+        text = await platform.metrics(ENTRY_IP)
+        assert 'lacewingpitch_requests_ended_total{' in text
+        assert 'lacewingpitch_first_event_seconds_bucket{' in text
+        texts = [await platform.metrics(ip) for ip in SIDECAR_IPS]
+        assert any('outcome="granted"' in text for text in texts)
+
+
 class TestConfiguration:
     async def test_a_new_version_is_in_force(self, platform):
         changed = standin.configuration(8, lookup={'pathPrefix': '/moved/'})
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -55,3 +55,11 @@
         assert budgets.spend('a')
         assert not budgets.spend('a')
         assert budgets.spend('b')
+
+    def test_more_entries_than_expected_share_it(self):
+        budgets = retry_budget.ServiceBudgets(0.0, 100.0, 1)
+        assert budgets.spend('s')
+        budgets.note_entries(40)
+        budgets.note_entries(2)
+        spent = sum(budgets.spend('s') for _ in range(100))
+        assert spent <= 100.0 / 40
--- a/tests/test_turn_source.py
+++ b/tests/test_turn_source.py
@@ -58,7 +58,9 @@
             for number, name in enumerate('abc', 1)
         )
         self.versions = []
+        self.entries = []
         self.source = turn_source.TurnSource(
+            'edge-1',
             self.sidecars,
             self.servers,
             placement.Placement(
@@ -67,6 +69,7 @@
             ejection.Ejector(self.clock, random.Random(1)),
             self.clock,
             lambda ip, version: self.versions.append(version),
+            self.entries.append,
         )
 
     def wanted(self, name='one', **fields):
