--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -205,18 +205,14 @@
             rank=request.route.rank,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
-            start_by_s=self._start_by_s(request),
-            target_at_s=request.arrived_s + request.route.target_latency_s,
+            start_by_s=_start_by_s(request, trail),
+            target_at_s=_target_at_s(request, trail),
             until_s=request.until_s,
         )
         async with self._turns.turn(wanted, trail.servers) as turn:
             trail.turn_wait_s += self._clock.monotonic_s() - started_s
             yield turn
 
-    def _start_by_s(self, request: backend_call.CallerRequest) -> float:
-        patience_s = request.route.patience_s - _TO_FIRST_EVENT_S
-        return min(request.until_s, request.arrived_s + patience_s)
-
     def _choose(
         self, services: tuple[str, ...], trail: Trail
     ) -> backend_list.BackendServer:
@@ -437,6 +433,25 @@
     return error
 
 
+def _start_by_s(request: backend_call.CallerRequest, trail: Trail) -> float:
+    """Return when the caller of a request gives up on its next event."""
+    waits_since_s = trail.last_event_at_s or request.arrived_s
+    patience_s = request.route.patience_s - _TO_FIRST_EVENT_S
+    return min(request.until_s, waits_since_s + patience_s)
+
+
+def _target_at_s(request: backend_call.CallerRequest, trail: Trail) -> float:
+    """Return until when a turn is worth waiting for.
+
+    A first attempt gives way to others where it would be late.  What was
+    sent before has cost an engine's work, and its caller cannot be told
+    that it has not run: it is worth all the time that its caller waits.
+    """
+    if trail.sent_count:
+        return _start_by_s(request, trail)
+    return request.arrived_s + request.route.target_latency_s
+
+
 def _first_silence_s(request: backend_call.CallerRequest) -> float:
     """Return how long the beginning of an answer may stay away."""
     route = request.route
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -19,6 +19,7 @@
 _OTHER_INCARNATION = 421
 _CLOSE = 'close'
 _READ_BUFFER_BYTES = 1 << 16
+_MAX_REASON_CHARS = 160
 
 
 class HttpBackendClient:
@@ -70,9 +71,9 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            raise backend_call.NotSentError(repr(error)) from error
+            raise backend_call.NotSentError(_reason(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise backend_call.AnswerLostError(repr(error)) from error
+            raise backend_call.AnswerLostError(_reason(error)) from error
 
 
 def new_session() -> aiohttp.ClientSession:
@@ -94,6 +95,18 @@
     )
 
 
+def _reason(error: Exception) -> str:
+    """Return what went wrong, without the request that it went wrong for.
+
+    The library's text of some errors holds all headers, which belong to
+    the caller, and fill the log.
+    """
+    text = str(error)
+    if isinstance(error, aiohttp.ClientResponseError):
+        text = error.message
+    return f'{type(error).__name__}: {text}'[:_MAX_REASON_CHARS]
+
+
 def _headers(call: backend_call.BackendCall) -> list[tuple[str, str]]:
     request = call.request
     left_s = call.until_s - time.monotonic()
@@ -151,7 +164,7 @@
         async for chunk in response.content.iter_any():
             yield chunk
     except (aiohttp.ClientError, OSError) as error:
-        raise backend_call.AnswerLostError(repr(error)) from error
+        raise backend_call.AnswerLostError(_reason(error)) from error
     if _is_framed(response) or protocol is None:
         return
     # An answer without a length ends with its connection.  The library
--- a/tests/test_carrier.py
+++ b/tests/test_carrier.py
@@ -419,6 +419,22 @@
         assert wanted.start_by_s < 3.2
         assert wanted.until_s == pytest.approx(12.0)
 
+    def test_a_turn_to_go_on_is_of_use_as_long_as_its_caller_waits(self):
+        """A stream ends in its middle although another engine is free.
+
+        An engine crashes seconds after a stream began; the turn to go on
+        is refused, since the time to a first event is long over.
+        """
+        found = route(is_resumable=True, **STREAM)
+        first = {'chunks': (event(1), 0.9, event(2), 0.9, event(3), LOST)}
+        second = {'chunks': (event(4),)}
+        scene, refusal = play(found, first, second, model='m')
+        assert refusal is None
+        first_wanted, second_wanted = scene.turns.wanted
+        assert first_wanted.target_at_s == pytest.approx(0.1)
+        assert second_wanted.start_by_s > 3.0
+        assert second_wanted.target_at_s == second_wanted.start_by_s
+
     def test_a_caller_that_leaves_ends_the_run(self):
         async def main():
             scene = Scene({'chunks': (event(1), 60.0, event(2))})
