--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -42,7 +42,9 @@
 # to drain; its caller is told at once that it has not run.
 _TAKEN_WHILE_DRAINING_S = 2.9
 _DRAIN_CHECK_S = 0.05
-_LEFT_TO_CLOSE_S = 0.5
+# Of the time to drain, for closing what is left and ending the process.
+_LEFT_TO_CLOSE_S = 0.8
+_CLOSE_S = 0.1
 # As many entries share the retry budget at least: more than there are at
 # the small sites, spare instances included.
 _LEAST_ENTRIES = 10
@@ -263,7 +265,7 @@
 
     async def _listen(self, endpoint: str, server: web.Server) -> web.TCPSite:
         ip, port = settings_module.split_endpoint(endpoint)
-        runner = web.ServerRunner(server, shutdown_timeout=_LEFT_TO_CLOSE_S)
+        runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_S)
         await runner.setup()
         self._exits.push_async_callback(runner.cleanup)
         site = web.TCPSite(runner, ip, port, backlog=_BACKLOG)
