--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 .PHONY: demo test lint format bench bench-account bench-claims \
 	bench-contracts bench-homes bench-hop bench-limits bench-order \
 	bench-policy bench-policy-trace bench-retries bench-silence \
-	capacity fault-matrix fault-matrix-check
+	deploy-check capacity fault-matrix fault-matrix-check
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -26,6 +26,11 @@
 	$(BIN)/flake8
 	$(BIN)/mypy
 
+# Builds as the deploy file says, and starts each program with what was
+# built alone.
+deploy-check: $(STAMP)
+	$(BIN)/python -m tests.deploy_check
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 
