--- a/lacewingpitch/configuration_exchange.py
+++ b/lacewingpitch/configuration_exchange.py
@@ -78,7 +78,7 @@
 
     def note_store(self, is_away: bool) -> None:
         """Take note whether the store could be read."""
-        self._table.is_current = not is_away
+        self._table.is_away = is_away
 
     def take(self, content: bytes, source: str) -> bool:
         """Put published bytes in force; return whether they are newer."""
--- a/lacewingpitch/daemon.py
+++ b/lacewingpitch/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+import contextlib
 import signal
 from typing import Any, Protocol
 
@@ -30,6 +31,20 @@
         ...
 
 
+class Background:
+    """What a daemon keeps open, and its tasks that go on for ever."""
+
+    def __init__(self) -> None:
+        self.exits = contextlib.AsyncExitStack()
+
+    def run(
+        self, name: str, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a task until the exits are left."""
+        task = asyncio.create_task(supervised(name, work))
+        self.exits.callback(task.cancel)
+
+
 async def supervised(
     name: str, work: Callable[[], Coroutine[Any, Any, None]]
 ) -> None:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -1,11 +1,6 @@
 """The entry instance on the platform."""
 
-import asyncio
-from collections.abc import Callable, Coroutine
-import contextlib
 import random
-import time
-from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -18,6 +13,7 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import configuration_exchange
 from lacewingpitch import daemon
+from lacewingpitch import draining
 from lacewingpitch import ejection
 from lacewingpitch import link
 from lacewingpitch import metrics as metrics_module
@@ -25,6 +21,7 @@
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
 from lacewingpitch.platform import front as front_module
+from lacewingpitch.platform import listening
 from lacewingpitch.platform import published
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
@@ -35,16 +32,6 @@
 from lacewingpitch import sidecar_peers
 from lacewingpitch import turn_source
 
-_BACKLOG = 1024
-# Balancers take an instance out after two questions a second apart.
-_OUT_OF_ROTATION_S = 2.2
-# A stream that begins later than this would seldom end within the time
-# to drain; its caller is told at once that it has not run.
-_TAKEN_WHILE_DRAINING_S = 2.9
-_DRAIN_CHECK_S = 0.05
-# Of the time to drain, for closing what is left and ending the process.
-_LEFT_TO_CLOSE_S = 0.8
-_CLOSE_S = 0.1
 # As many entries share the retry budget at least: more than there are at
 # the small sites, spare instances included.
 _LEAST_ENTRIES = 10
@@ -67,8 +54,9 @@
         self._file = file
         self._clock = clock or clock_module.SystemClock()
         self._random = random.Random()
-        self._exits = contextlib.AsyncExitStack()
-        self.table = routing.RoutingTable()
+        self._background = daemon.Background()
+        self._exits = self._background.exits
+        self.table = routing.RoutingTable(self._random)
         self.servers = backend_list.BackendList(self._clock)
         self.versions = adapter_versions.AdapterVersions()
         self.ejector = ejection.Ejector(self._clock, self._random)
@@ -87,7 +75,6 @@
                 'request_seconds', 'Time from a request to its end.'
             ),
         )
-        self._callers_site: web.TCPSite | None = None
         self._carrier: carrier_module.Carrier | None = None
 
     def ports(self) -> dict[str, int]:
@@ -144,40 +131,23 @@
             self._clock,
             self._random,
         )
-        self._run('settings', self._file.follow)
-        self._run('turns', turns.run)
+        self._background.run('settings', self._file.follow)
+        self._background.run('turns', turns.run)
         self._add_metrics(self._carrier, await self._follow(exchange))
         await self._exits.enter_async_context(
             metrics_server.serving(
                 self._metrics, settings.ip, settings.metrics_port
             )
         )
-        await self._listen(settings.ready, web.Server(self._ready))
-        self._callers_site = await self._listen(
-            settings.callers, self.front.server()
+        await listening.listen(
+            web.Server(self._ready), settings.ready, self._exits
         )
+        await self.front.listen(settings.callers, self._exits)
 
     async def close(self) -> None:
         """Finish what is in progress, then release everything."""
-        self.front.is_draining = True
-        started_s = time.monotonic()
-        limit_s = self._file.settings.drain_s - _LEFT_TO_CLOSE_S
-        took_s = 0.0
-        while took_s < limit_s:
-            await asyncio.sleep(_DRAIN_CHECK_S)
-            took_s = time.monotonic() - started_s
-            if took_s < _OUT_OF_ROTATION_S:
-                continue
-            # New and idle connections would bring requests until the end.
-            await self._stop_listening()
-            self.front.close_idle()
-            self.front.is_refusing = took_s >= _TAKEN_WHILE_DRAINING_S
-            if self.front.is_refusing and not self.front.in_progress:
-                break
-        log.info(
-            'drained',
-            took_s=round(took_s, 3),
-            left_over=self.front.in_progress,
+        await draining.drain(
+            self.front, self._clock, self._file.settings.drain_s
         )
         await self._exits.aclose()
 
@@ -257,35 +227,15 @@
             published.BackendNews(self.servers),
         )
         pause_s = _PAUSE_RATIO * self._file.settings.news_within_s
-        self._run(
+        self._background.run(
             'store',
             lambda: published.follow(store, news, pause_s, self._random),
         )
         return store
 
-    async def _listen(self, endpoint: str, server: web.Server) -> web.TCPSite:
-        ip, port = settings_module.split_endpoint(endpoint)
-        runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_S)
-        await runner.setup()
-        self._exits.push_async_callback(runner.cleanup)
-        site = web.TCPSite(runner, ip, port, backlog=_BACKLOG)
-        await site.start()
-        return site
-
-    async def _stop_listening(self) -> None:
-        if self._callers_site is not None:
-            site, self._callers_site = self._callers_site, None
-            await site.stop()
-
     async def _ready(self, _request: web.BaseRequest) -> web.Response:
         if self.front.is_draining:
             return web.Response(status=503, text='draining\n')
         if self.table.configuration is None or not self.servers.is_known:
             return web.Response(status=503, text='starting\n')
         return web.Response(text='ready\n')
-
-    def _run(
-        self, name: str, work: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        task = asyncio.create_task(daemon.supervised(name, work))
-        self._exits.callback(task.cancel)
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Awaitable, Callable
+import contextlib
 import time
 
 from aiohttp import abc
@@ -16,6 +17,7 @@
 from lacewingpitch import errors
 from lacewingpitch import http_guard
 from lacewingpitch import metrics as metrics_module
+from lacewingpitch.platform import listening
 from lacewingpitch.platform import names
 from lacewingpitch import routing
 
@@ -28,7 +30,6 @@
 _STALL_S = 10.0
 _BODY_TIMEOUT_S = 10.0
 _MAX_LINE_BYTES = 16 << 10
-_UNKNOWN_ROUTE_RETRY_S = 0.3
 log = structlog.get_logger(__name__)
 
 Serve = Callable[
@@ -140,14 +141,17 @@
         self.is_refusing = False
         self._busy: set[asyncio.BaseTransport] = set()
         self._server: web.Server | None = None
+        self._site: web.TCPSite | None = None
 
     @property
     def in_progress(self) -> int:
         """Return how many requests are in progress."""
         return len(self._busy)
 
-    def server(self) -> web.Server:
-        """Return the protocol factory of callers' connections."""
+    async def listen(
+        self, endpoint: str, exits: contextlib.AsyncExitStack
+    ) -> None:
+        """Take callers' connections until `exits` is left."""
         self._server = web.Server(
             self._handle,
             request_factory=self._new_request,
@@ -159,7 +163,13 @@
             max_field_size=_MAX_LINE_BYTES,
             auto_decompress=False,
         )
-        return self._server
+        self._site = await listening.listen(self._server, endpoint, exits)
+
+    async def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._site is not None:
+            site, self._site = self._site, None
+            await site.stop()
 
     def close_idle(self) -> None:
         """Close connections on which no request is in progress.
@@ -265,25 +275,8 @@
                 'this instance is about to end',
                 retry_after_s=0.0,
             )
-        if self._table.configuration is None:
-            raise errors.RefusalError(
-                errors.ErrorKind.NO_BACKEND_SERVER,
-                'no configuration is known yet',
-                retry_after_s=_UNKNOWN_ROUTE_RETRY_S,
-            )
         path = request.raw_path.partition('?')[0]
-        route = self._table.match(request.headers.get('Host', ''), path)
-        if route is not None:
-            return route
-        if not self._table.is_current:
-            # The route may be in a version that could not be read: the
-            # caller of a new route would take "not found" as final.
-            raise errors.RefusalError(
-                errors.ErrorKind.NO_BACKEND_SERVER,
-                'no such route here, and the configuration may be old',
-                retry_after_s=_UNKNOWN_ROUTE_RETRY_S,
-            )
-        raise errors.RefusalError(errors.ErrorKind.NOT_FOUND, 'no such route')
+        return self._table.find(request.headers.get('Host', ''), path)
 
     async def _read(
         self,
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -100,23 +100,31 @@
             self._servers.note_away()
             return
         self._servers.note_read()
-        found = []
+        if change.is_whole:
+            found = map(self._decoded, change.items)
+            self._servers.replace_all(
+                server for server in found if server is not None
+            )
+            return
+        # In the order in which they were made: a change that holds a
+        # server's last entry and then its end must not bring it back.
         for item in change.items:
             if item.is_deleted:
                 self._servers.remove(
                     item.key.removeprefix(names.BACKEND_SERVER_PREFIX)
                 )
                 continue
-            try:
-                server = wire.decode_backend_server(
-                    item.key, item.value, item.created_revision
-                )
-            except errors.PlatformError as error:
-                log.error('entry rejected', key=item.key, error=str(error))
-                continue
-            found.append(server)
-        if change.is_whole:
-            self._servers.replace_all(found)
-            return
-        for server in found:
-            self._servers.put(server)
+            server = self._decoded(item)
+            if server is not None:
+                self._servers.put(server)
+
+    def _decoded(
+        self, item: store_module.Item
+    ) -> backend_list.BackendServer | None:
+        try:
+            return wire.decode_backend_server(
+                item.key, item.value, item.created_revision
+            )
+        except errors.PlatformError as error:
+            log.error('entry rejected', key=item.key, error=str(error))
+            return None
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -1,10 +1,6 @@
 """The process beside a model engine on the platform."""
 
-import asyncio
-from collections.abc import Callable, Coroutine
-import contextlib
 import random
-from typing import Any
 
 import aiohttp
 import structlog
@@ -41,8 +37,9 @@
         self._file = file
         self._clock = clock or clock_module.SystemClock()
         self._random = random.Random()
-        self._exits = contextlib.AsyncExitStack()
-        self.table = routing.RoutingTable()
+        self._background = daemon.Background()
+        self._exits = self._background.exits
+        self.table = routing.RoutingTable(self._random)
         self.versions = adapter_versions.AdapterVersions()
         self._control = link.ControlServer(
             settings_module.sealer(file.settings),
@@ -93,23 +90,17 @@
         news = (published.OperatorNews(self.versions, exchange),)
         # What is published later comes with the messages of entries, so
         # that calls to the store do not grow with the number of engines.
-        self._run(
+        self._background.run(
             'store',
             lambda: published.follow(
                 store, news, 0.0, self._random, lambda: self.table.version > 0
             ),
         )
-        self._run('settings', self._file.follow)
-        self._run('engine', keeper.run)
+        self._background.run('settings', self._file.follow)
+        self._background.run('engine', keeper.run)
         await self._control.start(settings.ip, settings.internal_port)
         self._exits.push_async_callback(self._control.close)
 
     async def close(self) -> None:
         """Release everything; entries go on with what they were granted."""
         await self._exits.aclose()
-
-    def _run(
-        self, name: str, work: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        task = asyncio.create_task(daemon.supervised(name, work))
-        self._exits.callback(task.cancel)
--- a/lacewingpitch/platform_call.py
+++ b/lacewingpitch/platform_call.py
@@ -15,7 +15,9 @@
     try:
         yield
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise errors.PlatformError(f'{name}: {error!r}') from error
+        raise errors.PlatformError(
+            f'{name}: {type(error).__name__}: {error}'
+        ) from error
     except (msgspec.DecodeError, RecursionError) as error:
         raise errors.PlatformError(
             f'{name}: unusable answer: {error}'
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -5,6 +5,15 @@
 import enum
 import random
 
+from lacewingpitch import errors
+
+# A process that starts reads the configuration within some 0.1 s.
+_STARTING_RETRY_S = 0.3
+# A store that is down stays so for seconds.  Callers that come back at
+# once, or all together, would only be refused again; they wait for a third
+# of their time at most, whatever they are told.
+_AWAY_RETRY_S = (1.0, 2.5)
+
 
 class RequestKind(enum.StrEnum):
     """What may be repeated of the requests of a route."""
@@ -163,15 +172,16 @@
 
     Attributes
     ----------
-    is_current
-        Whether the store could be read when it was last asked, so that
-        a route which is not here is not in force anywhere.
+    is_away
+        Whether the store could not be read when it was last asked, so
+        that a route which is not here may be in force.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
         self._by_host: dict[str, dict[str, Route]] = {}
         self.configuration: Configuration | None = None
-        self.is_current = False
+        self.is_away = False
 
     @property
     def version(self) -> int:
@@ -190,6 +200,32 @@
         self.configuration = configuration
         return True
 
+    def find(self, host: str, path: str) -> Route:
+        """Return the route of a request.
+
+        Raises
+        ------
+        RefusalError
+            There is none, or it is not known whether there is one.
+        """
+        route = self.match(host, path)
+        if route is not None:
+            return route
+        if self.configuration is not None and not self.is_away:
+            raise errors.RefusalError(
+                errors.ErrorKind.NOT_FOUND, 'no such route'
+            )
+        # The route may be in a version that could not be read: its caller
+        # would take "not found" as final.
+        retry_after_s = _STARTING_RETRY_S
+        if self.is_away:
+            retry_after_s = self._random.uniform(*_AWAY_RETRY_S)
+        raise errors.RefusalError(
+            errors.ErrorKind.NO_BACKEND_SERVER,
+            'the configuration is not known, or may be old',
+            retry_after_s=retry_after_s,
+        )
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the longest prefix, if there is one."""
         name = host.partition(':')[0].lower()
--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -1,6 +1,7 @@
 """How the configuration reaches a process that the store turns away."""
 
 import asyncio
+import random
 
 from benchmarks import virtual_time
 from lacewingpitch import configuration_exchange
@@ -36,7 +37,7 @@
 def play(own, peer, *, notes=1, interval_s=0.5):
     async def main():
         link = FakeLink(peer)
-        table = routing.RoutingTable()
+        table = routing.RoutingTable(random.Random(1))
         exchange = configuration_exchange.ConfigurationExchange(
             link, table, decode, virtual_time.LoopClock()
         )
@@ -78,7 +79,7 @@
 class TestAnswer:
     def test_only_what_is_newer(self):
         async def main():
-            table = routing.RoutingTable()
+            table = routing.RoutingTable(random.Random(1))
             exchange = configuration_exchange.ConfigurationExchange(
                 None, table, decode, virtual_time.LoopClock()
             )
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -1,6 +1,7 @@
 """The keeper of one engine: turns, adapters, restarts, in virtual time."""
 
 import asyncio
+import random
 
 from benchmarks import virtual_time
 from lacewingpitch import adapter_versions
@@ -24,7 +25,7 @@
         self.clock = virtual_time.LoopClock()
         self.engine = fake_engine.FakeEngine(**options)
         self.versions = adapter_versions.AdapterVersions()
-        self.table = routing.RoutingTable()
+        self.table = routing.RoutingTable(random.Random(1))
         if limits is not None:
             self.configure(limits)
         self.keeper = engine_keeper.EngineKeeper(
--- /dev/null
+++ b/tests/test_platform_published.py
@@ -0,0 +1,155 @@
+"""What is published in the store, decoded and put in force."""
+
+import json
+import random
+
+import pytest
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import backend_list
+from lacewingpitch import configuration_exchange
+from lacewingpitch import errors
+from lacewingpitch.platform import published
+from lacewingpitch.platform import store
+from lacewingpitch.platform import wire
+from lacewingpitch import routing
+from tests import clocks
+from tests import platform_standin as standin
+
+
+def item(key, value=None, **fields):
+    return store.Item(
+        key=key, value=json.dumps(value).encode(), revision=7, **fields
+    )
+
+
+def entry(name='i-1', **fields):
+    found = standin.Engine(name).entry('10.0.0.7:8080', **fields)
+    return item(f'servers/{name}', found)
+
+
+def end(name='i-1'):
+    return item(f'servers/{name}', is_deleted=True)
+
+
+@pytest.fixture
+def servers():
+    return backend_list.BackendList(clocks.ManualClock())
+
+
+@pytest.fixture
+def news(servers):
+    return published.BackendNews(servers)
+
+
+def names(servers):
+    return [server.name for server in servers.serving(standin.SERVICE)]
+
+
+class TestBackendNews:
+    def test_a_server_that_ends_within_one_change_stays_gone(
+        self, news, servers
+    ):
+        """Requests wait for a server that is gone, for as long as it takes.
+
+        An engine writes its entry once more and then leaves.  Both come
+        with one answer of the store; the entry, taken over after the end,
+        brings the server back for good.
+        """
+        news.take(store.Change((entry(), entry('i-2')), is_whole=True))
+        other = item('servers/i-2', {'service': 'x', 'address': 'bad'})
+        news.take(store.Change((other, entry(state='draining'), end())))
+        assert names(servers) == ['i-2']
+        assert servers.get('i-1') is None
+
+    def test_one_that_comes_back_is_there(self, news, servers):
+        news.take(store.Change((end(), entry()), is_whole=False))
+        assert names(servers) == ['i-1']
+
+    def test_an_entry_that_cannot_be_read_leaves_the_others(
+        self, news, servers
+    ):
+        bad = item('servers/i-9', {'service': 3})
+        news.take(store.Change((bad, entry()), is_whole=True))
+        assert names(servers) == ['i-1']
+
+    def test_decodes_what_an_engine_holds(self, news, servers):
+        engine = standin.Engine('i-1')
+        engine.adapters = {'a7': 3}
+        found = item('servers/i-1', engine.entry('10.0.0.7:8080'))
+        news.take(store.Change((found,), is_whole=True))
+        server = servers.get('i-1')
+        assert server.adapters == {f'{standin.MODEL}/a7': 3}
+        assert (server.ip, server.port) == ('10.0.0.7', 8080)
+        assert server.max_running == 8
+
+
+class TestOperatorNews:
+    def scene(self):
+        table = routing.RoutingTable(random.Random(1))
+        versions = adapter_versions.AdapterVersions()
+        exchange = configuration_exchange.ConfigurationExchange(
+            None, table, published.decode, clocks.ManualClock()
+        )
+        return published.OperatorNews(versions, exchange), table, versions
+
+    def test_puts_configuration_and_versions_in_force(self):
+        news, table, versions = self.scene()
+        version = {'model': 'm', 'adapter': 'a', 'version': 4}
+        news.take(
+            store.Change(
+                (
+                    item('op/config', standin.configuration(5)),
+                    item('op/version/m.a', version),
+                ),
+                is_whole=True,
+            )
+        )
+        assert table.version == 5
+        assert versions.wanted('m', 'a') == 4
+        route = table.find('h.example', '/chat/x')
+        assert route.is_resumable and route.is_stream
+        assert route.timeout_s == 8.0
+        limits = table.engine_limits(standin.SERVICE)
+        assert (limits.max_running, limits.adapter_slots) == (8, 4)
+        assert limits.models == (standin.MODEL,)
+
+    def test_one_value_that_cannot_be_read_leaves_the_others(self):
+        news, table, versions = self.scene()
+        news.take(
+            store.Change(
+                (
+                    item('op/config', {'version': 'x'}),
+                    item('op/version/m.a', []),
+                    item('op/other', 1),
+                )
+            )
+        )
+        assert table.version == 0
+
+    def test_the_store_that_is_away_is_told(self):
+        news, table, _ = self.scene()
+        news.take(store.Change(is_away=True))
+        assert table.is_away
+        news.take(store.Change())
+        assert not table.is_away
+
+
+class TestSplits:
+    def test_shares_are_decoded(self):
+        changed = standin.configuration(
+            5,
+            lookup={
+                'split': [
+                    {'service': 'a', 'weight': 90},
+                    {'service': 'b', 'weight': 10},
+                ]
+            },
+        )
+        found = wire.decode_configuration(json.dumps(changed).encode())
+        route = next(r for r in found.routes if r.name == 'lookup')
+        assert [s.name for s in route.services] == ['a', 'b']
+
+    def test_what_is_no_configuration_is_refused(self):
+        with pytest.raises(errors.PlatformError):
+            wire.decode_configuration(b'[]')
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,9 @@
 
 import random
 
+import pytest
+
+from lacewingpitch import errors
 from lacewingpitch import routing
 
 SAFE = routing.RequestKind.IDEMPOTENT
@@ -23,7 +26,7 @@
 
 class TestMatch:
     def table(self, *routes):
-        table = routing.RoutingTable()
+        table = routing.RoutingTable(random.Random(1))
         table.apply(configuration(1, *routes))
         return table
 
@@ -51,6 +54,35 @@
         assert table.match('A.Example:8080', '/x/1').name == 'x'
 
 
+class TestFind:
+    def refusal(self, table):
+        with pytest.raises(errors.RefusalError) as found:
+            table.find('a.example', '/new/1')
+        return found.value
+
+    def test_what_no_version_has_is_not_found(self):
+        table = routing.RoutingTable(random.Random(1))
+        table.apply(configuration(1, route()))
+        assert self.refusal(table).kind is errors.ErrorKind.NOT_FOUND
+
+    def test_nothing_is_denied_while_nothing_is_known(self):
+        """Callers give up for good on routes that are there.
+
+        An instance starts and has not read the configuration yet.
+        """
+        refusal = self.refusal(routing.RoutingTable(random.Random(1)))
+        assert refusal.status == 503
+        assert refusal.retry_after_s < 0.5
+
+    def test_a_store_that_is_away_is_waited_for(self):
+        table = routing.RoutingTable(random.Random(1))
+        table.apply(configuration(1, route()))
+        table.is_away = True
+        refusal = self.refusal(table)
+        assert refusal.status == 503
+        assert refusal.retry_after_s >= 1.0
+
+
 class TestVersion:
     def test_an_older_version_that_comes_late_is_not_put_in_force(self):
         """A caller sees a route vanish that it has used already.
@@ -58,7 +90,7 @@
         A read of version 4 is on its way while version 6 arrives by
         another process; then the read ends.
         """
-        table = routing.RoutingTable()
+        table = routing.RoutingTable(random.Random(1))
         assert table.apply(configuration(6, route('new')))
         assert not table.apply(configuration(4, route('old')))
         assert not table.apply(configuration(6, route('old')))
