--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -19,9 +19,10 @@
 
 START_S = 30.0
 # The metrics port is the same at every instance, so that tests which run
-# beside each other need addresses of their own.
+# beside each other need addresses of their own, also those of other runs.
 WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
-NETWORK = f'127.0.{10 + WORKER}'
+RUN = 20 + os.getppid() % 200
+NETWORK = f'127.{RUN}.{WORKER}'
 ENTRY_IP = f'{NETWORK}.10'
 SIDECAR_IPS = (f'{NETWORK}.11', f'{NETWORK}.12')
 METRICS_PORT = 9464
