--- a/lacewingpitch/platform/__main__.py
+++ b/lacewingpitch/platform/__main__.py
@@ -31,7 +31,7 @@
     progress within its time to drain, and exits 0.  SIGHUP reads the
     settings again, as does a change of their file.
     """
-    file = _start('entry')
+    file = _start('entry', 'callers', 'ready')
     from lacewingpitch.platform import entry as module
 
     daemon.serve(module.Entry(file), file.reload)
@@ -40,7 +40,7 @@
 @main.command()
 def sidecar() -> None:
     """Keep the model engine on this instance."""
-    file = _start('sidecar')
+    file = _start('sidecar', 'engine', 'service')
     from lacewingpitch.platform import sidecar as module
 
     daemon.serve(module.Sidecar(file), file.reload)
@@ -53,8 +53,12 @@
     click.echo('1 checked, 0 with problems')
 
 
-def _start(role: str) -> settings_module.SettingsFile:
+def _start(role: str, *needed: str) -> settings_module.SettingsFile:
     file = _load()
+    try:
+        file.require(*needed)
+    except errors.SettingsError as error:
+        raise click.ClickException(str(error)) from error
     log_output.configure(
         'info',
         sys.stdout.fileno(),
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -27,8 +27,8 @@
 
     A backend server may send bytes after an answer, close an idle
     connection as a request is on its way, or fall silent on it.  On a
-    connection that is used once none of these can touch another request;
-    each costs 1 ms of its server, and a thousandth of a request's worth.
+    connection that is used once none of these can touch another request.
+    Each costs 1 ms of its server.
     """
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
--- a/lacewingpitch/platform/engine.py
+++ b/lacewingpitch/platform/engine.py
@@ -23,6 +23,7 @@
     421: engine_view.OrderResult.OTHER_INCARNATION,
 }
 _OK = 200
+_READY = 'ready'
 
 
 class _Run(msgspec.Struct, frozen=True, array_like=True):
@@ -34,7 +35,8 @@
     models: tuple[wire.HeldModel, ...] = ()
     # Adapters on their way, as MODEL/NAME@VERSION.
     pending: tuple[str, ...] = ()
-    state: str = 'ready'
+    # Anything but ready: it takes no more requests.
+    state: str = _READY
     queued: int = 0
     active: int = 0
     runs: tuple[_Run, ...] = ()
@@ -113,7 +115,7 @@
                 found = msgspec.json.decode(data, type=_Report)
         return engine_view.EngineSnapshot(
             order_count=found.sequence,
-            is_leaving=found.state != 'ready',
+            is_leaving=found.state != _READY,
             is_busy=found.busy,
             models=frozenset(model.name for model in found.models),
             held=wire.held_versions(found.models),
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -25,6 +25,7 @@
 from lacewingpitch.platform import published
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
+from lacewingpitch.platform import wire
 from lacewingpitch import retry_budget
 from lacewingpitch import routing
 from lacewingpitch import service_choice
@@ -35,6 +36,8 @@
 # As many entries share the retry budget at least: more than there are at
 # the small sites, spare instances included.
 _LEAST_ENTRIES = 10
+# Links to sidecars that are kept open: twice the engines of the target.
+_MAX_PEERS = 2048
 # Each adapter that an engine loads is a change of the list, so that the
 # pause decides how many calls an entry makes.  What is published has to
 # be in force within 2 or 3 s; the rest is for a slow store and a busy
@@ -79,23 +82,20 @@
 
     def ports(self) -> dict[str, int]:
         """Return the ports it listens on, by name."""
+        settings = self._file.settings
         return {
-            'callers': settings_module.split_endpoint(
-                self._file.settings.callers
-            )[1],
-            'ready': settings_module.split_endpoint(self._file.settings.ready)[
-                1
-            ],
+            'callers': settings_module.port_of(settings.callers),
+            'ready': settings_module.port_of(settings.ready),
         }
 
     async def start(self) -> None:
         """Follow the store, and listen for callers."""
         settings = self._file.settings
-        pool = link.PeerPool(settings_module.sealer(settings), 2048)
+        pool = link.PeerPool(settings_module.sealer(settings), _MAX_PEERS)
         self._exits.callback(pool.close)
         peers = sidecar_peers.SidecarPeers(pool, settings.internal_port)
         exchange = configuration_exchange.ConfigurationExchange(
-            peers, self.table, published.decode, self._clock
+            peers, self.table, wire.decode_configuration, self._clock
         )
         self._exits.callback(exchange.close)
         budgets = retry_budget.ServiceBudgets(
--- a/lacewingpitch/platform/names.py
+++ b/lacewingpitch/platform/names.py
@@ -52,10 +52,8 @@
     }
 )
 
-READY_PATH = '/lacewingpitch/readyz'
 REPORT_PATH = '/lacewingpitch/report'
 ORDER_PATH = '/lacewingpitch/order'
-ITEM_PATH = '/lacewingpitch/kv-key'
 RANGE_PATH = '/lacewingpitch/kv-range'
 WATCH_PATH = '/lacewingpitch/kv-watch'
 
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -16,7 +16,6 @@
 from lacewingpitch.platform import wire
 
 log = structlog.get_logger(__name__)
-decode = wire.decode_configuration
 
 
 class News(Protocol):
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -15,7 +15,9 @@
 from lacewingpitch import link
 from lacewingpitch import settings as settings_module
 
+# IP:PORT; empty where the process has none.
 Endpoint = str
+
 # Settings change a few times a day; a look costs some 10 us.
 _LOOK_INTERVAL_S = 1.0
 _MS_PER_S = 1000
@@ -32,12 +34,12 @@
 
     Parameters
     ----------
+    internal_port
+        Port of control messages, the same at every instance.
     metrics_port
         Port of ``/metrics``.
     store
-        Address of the platform's store, as IP:PORT.
-    internal_port
-        Port of control messages, the same at every instance.
+        Address of the platform's store.
     callers
         Where an entry listens for callers.
     ready
@@ -88,6 +90,11 @@
                 split_endpoint(endpoint)
 
 
+def port_of(endpoint: Endpoint) -> int:
+    """Return the port of IP:PORT."""
+    return split_endpoint(endpoint)[1]
+
+
 def split_endpoint(endpoint: str) -> tuple[str, int]:
     """Return IP number and port of IP:PORT.
 
@@ -123,6 +130,20 @@
         self.settings = settings_module.load_settings(path, DaemonSettings)
         self._modified_ns = path.stat().st_mtime_ns
 
+    def require(self, *names: str) -> None:
+        """Check that fields are there which one kind of process needs.
+
+        Raises
+        ------
+        SettingsError
+            Names those that are missing.
+        """
+        missing = [n for n in names if not getattr(self.settings, n)]
+        if missing:
+            raise errors.SettingsError(
+                f'{self._path}: {", ".join(missing)} needed here'
+            )
+
     def reload(self) -> None:
         """Read the file again; keep what was in force if it is wrong."""
         try:
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -18,6 +18,7 @@
 from lacewingpitch.platform import published
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
+from lacewingpitch.platform import wire
 from lacewingpitch import routing
 
 # Each waits for one turn.  More entries than this would wait at once only
@@ -78,7 +79,7 @@
         )
         self._exits.push_async_callback(keeper.close)
         exchange = configuration_exchange.ConfigurationExchange(
-            None, self.table, published.decode, self._clock
+            None, self.table, wire.decode_configuration, self._clock
         )
         self._control.handle(grant.TurnRequest, keeper.ask)
         self._control.handle(grant.TurnEnds, keeper.end)
--- a/tests/test_platform_published.py
+++ b/tests/test_platform_published.py
@@ -89,7 +89,7 @@
         table = routing.RoutingTable(random.Random(1))
         versions = adapter_versions.AdapterVersions()
         exchange = configuration_exchange.ConfigurationExchange(
-            None, table, published.decode, clocks.ManualClock()
+            None, table, wire.decode_configuration, clocks.ManualClock()
         )
         return published.OperatorNews(versions, exchange), table, versions
 
