--- a/tests/test_upgrade_processes.py
+++ b/tests/test_upgrade_processes.py
@@ -151,7 +151,7 @@
             (processes.PROGRAM, processes.NEXT),
             (processes.NEXT, processes.PROGRAM),
         ],
-        ids=['from the previous', 'to the next', 'back'],
+        ids=['from-the-previous', 'to-the-next', 'back'],
     )
     async def test_both_versions_serve_and_nothing_is_lost(
         self, tmp_path, programs
