--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,34 +35,22 @@
     config.stash[_LISTED] = {line.test: line for line in listed}
 
 
-def _line_of(config, node_id):
-    """Return the line of a test; one without brackets is for them all."""
-    listed = config.stash[_LISTED]
-    return listed.get(node_id) or listed.get(node_id.partition('[')[0])
-
-
 def pytest_collection_modifyitems(config, items):
     """Let the listed tests fail, and no others."""
     for item in items:
-        line = _line_of(config, item.nodeid)
+        line = config.stash[_LISTED].get(item.nodeid)
         if line is not None:
             reason = f'{line.cause} (issue {line.issue})'
             item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
 
 
-def _names(reports):
-    """Return the ids of tests, with and without their parameters."""
-    found = {report.nodeid for report in reports}
-    return found | {node_id.partition('[')[0] for node_id in found}
-
-
 def pytest_terminal_summary(terminalreporter, config):
     """Print what is listed, with how it went."""
     listed = config.stash[_LISTED]
     if not listed:
         return
-    failed = _names(terminalreporter.getreports('xfailed'))
-    passed = _names(terminalreporter.getreports('xpassed'))
+    failed = {r.nodeid for r in terminalreporter.getreports('xfailed')}
+    passed = {r.nodeid for r in terminalreporter.getreports('xpassed')}
     terminalreporter.section(known_red.PAGE.name)
     for line in listed.values():
         state = 'did not run'
