A trial without a verdict is followed by another

Cause: a request that tries an ejected server can end without telling of it (its caller leaves, it is refused for a reason of its own). The trial then counted as under way for 10 s, and the server stayed out of use. Met in the upgrade test, where an entry never used a sidecar again after its replacement: its trials were refused as key-out-of-window. Ruled out: ejections that double (each was ejected once, for about a second), and placement (another entry used the sidecar all the while). Change: the end of a request ends its trial; ejections and returns are logged. Before: two tests of ejection fail. After: they pass.

--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -257,6 +257,8 @@
             return self._failure(request, turn, trail, error)
         except errors.PlatformError as error:
             return self._failure(request, turn, trail, error)
+        finally:
+            self._ejector.ended(name)
         self._ejector.succeeded(name)
         self._services.answered(name, self._clock.monotonic_s() - started_s)
         return None
--- a/lacewingpitch/dispatch.py
+++ b/lacewingpitch/dispatch.py
@@ -143,6 +143,7 @@
         name = attempt.sidecar.name
         self.ejector.begin(name)
         with contextlib.ExitStack() as held:
+            held.callback(self.ejector.ended, name)
             held.enter_context(
                 self._placement.sent(_placement_key(attempt.order), name)
             )
--- a/lacewingpitch/ejection.py
+++ b/lacewingpitch/ejection.py
@@ -4,6 +4,8 @@
 import dataclasses
 import random
 
+import structlog
+
 from lacewingpitch import clock as clock_module
 
 MAX_EJECTED_RATIO = 0.5
@@ -19,6 +21,7 @@
 # Below this the server is as good as one without failures.
 _LEAST_RATIO = 0.01
 _MAX_RECORDS = 4096
+log = structlog.get_logger(__name__)
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,9 +90,27 @@
 
     def succeeded(self, name: str) -> None:
         """Record an answer: the server is well."""
-        self._health.pop(name, None)
+        before = self._health.pop(name, None)
+        if before is not None and before.ejected_until_s is not None:
+            log.info(
+                'backend server in use again',
+                backend_server=name,
+                ejections=before.ejections,
+            )
         self._count(name, 0.0)
 
+    def ended(self, name: str) -> None:
+        """Record that a request has ended, whatever came of it.
+
+        A trial can end without a verdict: its caller leaves, or the
+        server refuses it for a reason of the request's own.  The next
+        request is a trial then; without this, a server that is well
+        would be passed over until the trial's timeout.
+        """
+        found = self._health.get(name)
+        if found is not None:
+            found.trial_until_s = 0.0
+
     def failure_ratio(self, name: str) -> float:
         """Return the share of requests that failed of late."""
         record = self._records.get(name)
@@ -118,6 +139,14 @@
         # Spread out, so that entry instances do not try it all at once.
         length_s *= self._source.uniform(0.75, 1.25)
         found.ejected_until_s = now_s + length_s
+        log.warning(
+            'backend server ejected',
+            backend_server=name,
+            failures=found.failures,
+            ejections=found.ejections,
+            silent=found.is_silent,
+            for_s=round(length_s, 3),
+        )
 
     def silent(self, name: str) -> None:
         """Record that a server does not answer: eject it at once."""
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -252,7 +252,16 @@
     async def _ask(
         self, server: backend_list.BackendServer, wanted: WantedTurn
     ) -> Turn:
-        self._ejector.begin(_sidecar_key(server))
+        key = _sidecar_key(server)
+        self._ejector.begin(key)
+        try:
+            return await self._ask_until_settled(server, wanted)
+        finally:
+            self._ejector.ended(key)
+
+    async def _ask_until_settled(
+        self, server: backend_list.BackendServer, wanted: WantedTurn
+    ) -> Turn:
         while True:
             now_s = self._clock.monotonic_s()
             left_s = self._left_s(wanted)
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -77,6 +77,32 @@
         clock.now_s += 11.0
         assert 'a' in ejector.allowed(NAMES)
 
+    def test_trial_without_a_verdict_is_followed_by_another(
+        self, ejector, clock
+    ):
+        """A server that is well again gets no requests for ten seconds.
+
+        It was ejected, and its time is up.  The request that tries it is
+        refused for a reason of its own, or its caller leaves, so that the
+        trial neither fails nor succeeds.
+        """
+        fail(ejector, 'a')
+        clock.now_s += 1.5
+        ejector.begin('a')
+        assert 'a' not in ejector.allowed(NAMES)
+        ejector.ended('a')
+        assert 'a' in ejector.allowed(NAMES)
+
+    def test_the_end_of_a_trial_that_failed_lets_no_other_in(
+        self, ejector, clock
+    ):
+        fail(ejector, 'a')
+        clock.now_s += 1.5
+        ejector.begin('a')
+        ejector.failed('a')
+        ejector.ended('a')
+        assert 'a' not in ejector.allowed(NAMES)
+
 
 class TestFailureRatio:
     def test_is_the_share_of_late_and_fades(self, ejector, clock):
