A restart refuses nobody for the 0.3 s that it takes

After that, adapters that the engine held were taken as in use for 3 s, so that no slot came free. Ruled out: the engines (none restarted), the store (read in 13 ms). Change: requests wait up to 0.25 s for the configuration and up to their reply's time for the sidecar; a sidecar looks every 40 ms until it has its engine; the report of its own engine is believed at once.

--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -1,6 +1,7 @@
 """Keeps one engine: follows its state and grants turns at it."""
 
 import asyncio
+import contextlib
 import random
 from typing import Protocol
 
@@ -33,6 +34,10 @@
 _LOOKAHEAD_COUNT = 8
 _MAX_QUEUED = 512
 _STARTING_RETRY_S = 0.3
+_MS_PER_S = 1000
+# The engine beside this process is asked directly, so that its report is
+# as of now.
+_OWN_REPORT_LAG_S = 0.0
 # An order whose answer was lost shows in the next report or two.
 _MODEL_ORDER_INTERVAL_S = 1.0
 log = structlog.get_logger(__name__)
@@ -83,15 +88,18 @@
         self._adopted_runs: frozenset[str] = frozenset()
         self._is_down = True
         self._model_order_at_s = 0.0
+        self._is_ready = asyncio.Event()
 
     async def ask(self, request: grant.TurnRequest) -> grant.TurnReply:
         """Return a turn, a refusal, or that it is still waited for."""
+        if self.desk is None:
+            await self._until_ready(request.wait_ms / _MS_PER_S)
         if self.desk is None:
             return grant.TurnReply(
                 backend_server=self.view.backend_server,
                 refusal=errors.ErrorKind.QUEUE_FULL,
                 detail='the sidecar is starting',
-                retry_after_ms=int(_STARTING_RETRY_S * 1000),
+                retry_after_ms=int(_STARTING_RETRY_S * _MS_PER_S),
                 configuration_version=self._table.version,
             )
         return await self.desk.ask(request)
@@ -104,13 +112,23 @@
 
     async def run(self) -> None:
         """Follow the engine, for ever."""
+        await self._table.until_known()
         while True:
             await self._look()
             interval_s = _IDLE_INTERVAL_S
-            if self.view.loading_count:
+            if self.view.loading_count or self.desk is None:
                 interval_s = _LOADING_INTERVAL_S
             await asyncio.sleep(interval_s)
 
+    async def _until_ready(self, limit_s: float) -> None:
+        # All processes of a deployment can start at once.  Entries then
+        # ask while this one reads its engine's state, which takes some
+        # 30 ms; a refusal would send their callers away, and most of
+        # them come back once at most.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._is_ready.wait()
+
     async def close(self) -> None:
         """End the loads that are waited for."""
         if self._adapters is not None:
@@ -217,6 +235,7 @@
             self._clock,
             stall_weight=1.0,
             max_loading=_MAX_LOADING,
+            report_lag_s=_OWN_REPORT_LAG_S,
         )
         adapters = self._adapters
         queue = turn_queue.TurnQueue(
@@ -243,6 +262,7 @@
                 'turn_wait_seconds', 'Time that granted turns were waited for.'
             ),
         )
+        self._is_ready.set()
         self._add_metrics(self.desk, adapters)
         log.info(
             'engine taken over',
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -30,6 +30,9 @@
 _STALL_S = 10.0
 _BODY_TIMEOUT_S = 10.0
 _MAX_LINE_BYTES = 16 << 10
+# Reading the configuration at a start takes 5 to 20 ms, and 0.2 s while
+# the store is slow.
+_START_WAIT_S = 0.25
 log = structlog.get_logger(__name__)
 
 Serve = Callable[
@@ -236,7 +239,7 @@
         outcome = 'left'
         route_name = ''
         try:
-            route = self._route(request)
+            route = await self._route(request)
             route_name = route.name
             found = await self._read(request, request_id, route, arrived_s)
             await self._serve(found, delivery)
@@ -268,7 +271,18 @@
                 configuration_version=self._table.version,
             )
 
-    def _route(self, request: web.BaseRequest) -> routing.Route:
+    async def _until_started(self) -> None:
+        # Callers that connect while an instance restarts are let in as
+        # soon as it listens.  Refused then, they would have used up the
+        # one more try that most of them have.
+        if self._table.configuration is not None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_START_WAIT_S):
+                await self._table.until_known()
+
+    async def _route(self, request: web.BaseRequest) -> routing.Route:
+        await self._until_started()
         if self.is_refusing:
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING,
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -1,5 +1,6 @@
 """Routes: which service a request goes to, and what may be done with it."""
 
+import asyncio
 from collections.abc import Iterator, Mapping
 import dataclasses
 import enum
@@ -182,6 +183,7 @@
         self._by_host: dict[str, dict[str, Route]] = {}
         self.configuration: Configuration | None = None
         self.is_away = False
+        self._is_known = asyncio.Event()
 
     @property
     def version(self) -> int:
@@ -198,8 +200,13 @@
             prefixes[route.path_prefix] = route
         self._by_host = by_host
         self.configuration = configuration
+        self._is_known.set()
         return True
 
+    async def until_known(self) -> None:
+        """Wait until some version is in force."""
+        await self._is_known.wait()
+
     def find(self, host: str, path: str) -> Route:
         """Return the route of a request.
 
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -128,6 +128,8 @@
         The operator's objective, see `settings.ObjectiveSettings`.
     max_loading
         Loads that may wait for a permit or be under way at once.
+    report_lag_s
+        How old the engine's report may be when it is read.
     """
 
     def __init__(
@@ -139,8 +141,10 @@
         pacer: LoadPacer | None = None,
         stall_weight: float = 0.5,
         max_loading: int = _MAX_ASKING,
+        report_lag_s: float = _REPORT_LAG_S,
     ) -> None:
         self._engine = engine
+        self._report_lag_s = report_lag_s
         self._max_loading = max_loading
         self._slot_count = slot_count
         self._fence = fence
@@ -285,7 +289,7 @@
         for slot in list(self._slots.values()):
             if (
                 slot.adopted_at_s is not None
-                and asked_at_s >= slot.adopted_at_s + _REPORT_LAG_S
+                and asked_at_s >= slot.adopted_at_s + self._report_lag_s
                 and is_idle(slot.name)
             ):
                 slot.adopted_at_s = None
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -16,16 +16,18 @@
     ----------
     load_s
         How long an adapter takes.
+    held
+        Versions of the adapters that it holds at first.
     """
 
-    def __init__(self, slot_count=3, load_s=0.25, has_model=True):
+    def __init__(self, slot_count=3, load_s=0.25, has_model=True, held=()):
         self.slot_count = slot_count
         self.load_s = load_s
         self.name = 'i-1'
         self.is_up = True
         self.is_leaving = False
         self.models = {MODEL} if has_model else set()
-        self.held = {}
+        self.held = dict(held)
         self.pending = {}
         self.runs = set()
         self.queued = 0
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -242,6 +242,49 @@
 
         play(story, limits=None)
 
+    def test_asked_as_it_starts_it_answers_once_it_is_ready(self):
+        """All callers are refused for a moment after a restart.
+
+        Entries and sidecars start together.  An entry's first requests
+        come while the sidecar still reads its configuration.
+        """
+
+        async def story(scene):
+            asked = asyncio.create_task(scene.ask('one', wait_ms=900))
+            await asyncio.sleep(0.1)
+            scene.configure(LIMITS)
+            reply = await asked
+            assert reply.refusal is None
+            assert not reply.is_pending
+
+        play(story, limits=None)
+
+    def test_it_is_taken_over_as_soon_as_its_limits_are_known(self):
+        async def story(scene):
+            scene.configure(LIMITS)
+            await asyncio.sleep(0.06)
+            assert scene.keeper.desk is not None
+
+        play(story, limits=None)
+
+    def test_adapters_of_an_earlier_sidecar_give_way_when_unused(self):
+        """Callers wait for seconds after a sidecar has restarted.
+
+        Its engine's slots are all taken by adapters that were loaded
+        before, and nothing runs on them any more.
+        """
+
+        async def story(scene):
+            scene.configure(LIMITS)
+            await asyncio.sleep(0.5)
+            reply = await scene.ask('one', adapter='d', wait_ms=900)
+            assert reply.refusal is None
+            assert not reply.is_pending
+
+        held = {'m/a': 1, 'm/b': 1, 'm/c': 1}
+        scene = play(story, limits=None, held=held)
+        assert scene.engine.crash_count == 0
+
     def test_an_empty_one_gets_its_model(self):
         """Every request of an engine that restarted waits for nothing.
 
