An engine is ordered no more loads than it takes at once

Ruled out: turns (0 ms for 95 in 100 grants) and places. Change: four loads under way at most; the others wait in order. The test fails before.

--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -28,7 +28,10 @@
 # Otherwise a report tells of a restart, of leaving and of lost turns,
 # for which a fifth of a second is soon enough.
 _IDLE_INTERVAL_S = 0.2
-# An engine takes so many adapters at once from the store.
+# An engine takes so many adapters at once from the store, and refuses
+# more.  What waits here instead is ordered by what its waiting costs: the
+# wait for an adapter fell from 773 to 408 ms for 9 in 10 grants at the
+# heaviest load that was played.
 _MAX_LOADING = 4
 # Requests whose adapter is being loaded while all turns are taken.
 _LOOKAHEAD_COUNT = 8
@@ -235,6 +238,7 @@
             self._clock,
             stall_weight=1.0,
             max_loading=_MAX_LOADING,
+            max_under_way=_MAX_LOADING,
             report_lag_s=_OWN_REPORT_LAG_S,
         )
         adapters = self._adapters
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -127,7 +127,9 @@
     stall_weight
         The operator's objective, see `settings.ObjectiveSettings`.
     max_loading
-        Loads that may wait for a permit or be under way at once.
+        Loads that may wait for a permit at once.
+    max_under_way
+        Loads that the engine takes at once; without it, the pacer says.
     report_lag_s
         How old the engine's report may be when it is read.
     """
@@ -141,11 +143,13 @@
         pacer: LoadPacer | None = None,
         stall_weight: float = 0.5,
         max_loading: int = _MAX_ASKING,
+        max_under_way: int | None = None,
         report_lag_s: float = _REPORT_LAG_S,
     ) -> None:
         self._engine = engine
         self._report_lag_s = report_lag_s
         self._max_loading = max_loading
+        self._max_under_way = max_under_way or slot_count
         self._slot_count = slot_count
         self._fence = fence
         self._clock = clock
@@ -407,7 +411,10 @@
             return
         self._reopen_slots()
         wanted = min(
-            len(self._loadable()), self._room_count(), self._max_loading
+            len(self._loadable()),
+            self._room_count(),
+            self._max_loading,
+            self._max_under_way - self._loading_count(),
         )
         for _ in range(wanted - self._asking):
             self._asking += 1
@@ -416,6 +423,13 @@
             loader.add_done_callback(self._loaders.discard)
         self._close_slot()
 
+    def _loading_count(self) -> int:
+        return sum(
+            1
+            for slot in self._slots.values()
+            if slot.state is SlotState.LOADING
+        )
+
     def _loadable(self) -> list[str]:
         return [name for name in self._queue if name not in self._slots]
 
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -322,6 +322,29 @@
 
         play(story)
 
+    def test_it_is_ordered_no_more_loads_than_it_takes_at_once(self):
+        """A request waits for a second although its load is quick.
+
+        More adapters are wanted than the engine takes at once.  Orders
+        that it refuses are given again and again, and which of them it
+        takes next is chance.
+        """
+
+        async def story(scene):
+            asked = [
+                asyncio.create_task(scene.ask(f'r{n}', adapter=f'a{n}'))
+                for n in range(9)
+            ]
+            most = 0
+            while not all(task.done() for task in asked):
+                most = max(most, len(scene.engine.pending))
+                await asyncio.sleep(0.01)
+            assert most == 4
+            assert all(task.result().refusal is None for task in asked)
+
+        limits = routing.EngineLimits(16, 12, (fake_engine.MODEL,))
+        play(story, limits=limits, slot_count=12)
+
     def test_many_adapters_in_turn_never_crash_it(self):
         async def story(scene):
             async def one(number):
