--- /dev/null
+++ b/tests/platform_processes.py
@@ -0,0 +1,203 @@
+"""The programs of the deploy file, started on a stand-in of the platform."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import os
+import socket
+import sys
+
+import aiohttp
+from aiohttp import web
+import yarl
+
+from tests import platform_standin as standin
+from tests import processes
+from tests import relay
+
+START_S = 30.0
+# The metrics port is the same at every instance, so that tests which run
+# beside each other need addresses of their own, also those of other runs.
+WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
+RUN = 20 + os.getppid() % 200
+NETWORK = f'127.{RUN}.{WORKER}'
+ENTRY_IPS = (f'{NETWORK}.10', f'{NETWORK}.20')
+SIDECAR_IPS = (f'{NETWORK}.11', f'{NETWORK}.12')
+METRICS_PORT = 9464
+
+
+class Program:
+    """One process of the system, with its log."""
+
+    def __init__(self, role, fields, folder):
+        self.role = role
+        self.name = fields['nodeName']
+        self.lines = []
+        self._path = folder / f'{fields["nodeName"]}.json'
+        self._path.write_text(standin.render(fields))
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *standin.commands()[self.role],
+            cwd=processes.ROOT,
+            env={**os.environ, 'LACEWINGPITCH_CONFIG': str(self._path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self):
+        async for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    def events(self, name):
+        return [line for line in self.lines if line['event'] == name]
+
+    async def stop(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self._reading
+
+
+class Platform:
+    """The stand-in with entries, and two engines with their sidecars.
+
+    With `is_relayed` each part of the stand-in, and each entry, is
+    reached through a relay, by its name in `relays`.
+    """
+
+    def __init__(self, folder, entry_count=1, is_relayed=False):
+        self._folder = folder
+        self._entry_ips = ENTRY_IPS[:entry_count]
+        self._is_relayed = is_relayed
+        self.relays = {}
+        self.entries = []
+        self.callers_of = []
+        self.store = standin.Store()
+        self.engines = [standin.Engine('i-1'), standin.Engine('i-2')]
+        self.services = [standin.Service('p-1'), standin.Service('p-2')]
+        self._exits = contextlib.AsyncExitStack()
+        self.programs = []
+
+    async def __aenter__(self):
+        address = await self._serve('store', self.store, '127.0.0.1')
+        ports = {
+            'internal': _free_port(SIDECAR_IPS[0]),
+            'callers': _free_port(ENTRY_IPS[0]),
+            'ready': _free_port(ENTRY_IPS[0]),
+        }
+        await self.store.put('op/config', standin.configuration(5))
+        for ip, engine in zip(SIDECAR_IPS, self.engines, strict=True):
+            own = await self._serve_directly(engine, ip)
+            place = await self._relayed(engine.name, own, ip)
+            entry = engine.entry(place)
+            await self.store.put(f'servers/{engine.name}', entry)
+            settings = {'address': address, 'engine': own}
+            await self._start('sidecar', ip, ports, settings)
+        for service in self.services:
+            place = await self._serve(service.name, service, '127.0.0.1')
+            entry = service.entry(place)
+            await self.store.put(f'servers/{service.name}', entry)
+        for ip in self._entry_ips:
+            entry = await self._start('entry', ip, ports, {'address': address})
+            self.entries.append(entry)
+            own = f'{ip}:{ports["callers"]}'
+            place = await self._relayed(f'entry-{ip}', own, '127.0.0.1')
+            self.callers_of.append(f'http://{place}')
+        self.entry = self.entries[0]
+        self.session = await self._exits.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.callers = self.callers_of[0]
+        self.ready = f'http://{ENTRY_IPS[0]}:{ports["ready"]}'
+        await self.until(self.is_ready)
+        taken = [p for p in self.programs if p.role == 'sidecar']
+        await self.until(
+            lambda: all(p.events('engine taken over') for p in taken)
+        )
+        return self
+
+    async def __aexit__(self, *exception):
+        for program in self.programs:
+            await program.stop()
+        await self._exits.aclose()
+
+    async def _serve(self, name, part, ip):
+        place = await self._serve_directly(part, ip)
+        return await self._relayed(name, place, ip)
+
+    async def _relayed(self, name, place, ip):
+        if not self._is_relayed:
+            return place
+        target_ip, _, port = place.rpartition(':')
+        found = relay.Relay(int(port), target_ip, ip)
+        self.relays[name] = await self._exits.enter_async_context(found)
+        return f'{ip}:{found.port}'
+
+    async def _serve_directly(self, part, ip):
+        app = web.Application()
+        app.add_routes(part.routes())
+        runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        self._exits.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, ip, 0).start()
+        return '{}:{}'.format(*runner.addresses[0][:2])
+
+    async def _start(self, role, ip, ports, settings):
+        fields = standin.fields_of(role, ip, ports, settings)
+        program = Program(role, fields, self._folder)
+        await program.start()
+        self.programs.append(program)
+        return program
+
+    async def is_ready(self):
+        try:
+            async with self.session.get(
+                f'{self.ready}/lacewingpitch/readyz'
+            ) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    def address_of(self, server):
+        """Return where a server is listed."""
+        item = self.store.items[f'servers/{server.name}']
+        return json.loads(base64.b64decode(item['value']))['address']
+
+    async def metrics(self, ip):
+        url = f'http://{ip}:{METRICS_PORT}/metrics'
+        headers = {'Accept': 'text/plain'}
+        async with self.session.get(url, headers=headers) as response:
+            return await response.text()
+
+    async def until(self, condition):
+        async with asyncio.timeout(START_S):
+            while True:
+                found = condition()
+                if asyncio.iscoroutine(found):
+                    found = await found
+                if found:
+                    return
+                await asyncio.sleep(0.05)
+
+    def call(self, path, request_id, method='POST', **headers):
+        sent = {
+            'Host': 'h.example',
+            'Request-Id': request_id,
+            'Deadline-Ms': '5000',
+        }
+        sent.update(
+            {name.replace('_', '-'): value for name, value in headers.items()}
+        )
+        url = yarl.URL(f'{self.callers}{path}', encoded=True)
+        return self.session.request(method, url, data=b'body', headers=sent)
+
+
+def _free_port(ip):
+    with socket.socket() as found:
+        found.bind((ip, 0))
+        return found.getsockname()[1]
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -110,6 +110,7 @@
         self.adapters = {}
         self.pending = {}
         self.runs = []
+        self.ran = []
         self.seen = []
         self.order_count = 0
         self.has_crashed = False
@@ -117,6 +118,13 @@
         self.event_pause_s = 0.02
         self.cut_after = None
 
+    def restart(self, name):
+        """Come back empty, as another incarnation."""
+        self.name = name
+        self.adapters.clear()
+        self.pending.clear()
+        self.order_count = 0
+
     def routes(self):
         return [
             web.get('/lacewingpitch/report', self._report),
@@ -179,7 +187,9 @@
         return web.Response(status=202)
 
     def _loaded(self, adapter):
-        self.adapters[adapter] = self.pending.pop(adapter)
+        version = self.pending.pop(adapter, None)
+        if version is not None:
+            self.adapters[adapter] = version
 
     async def _run(self, request):
         await request.read()
@@ -194,6 +204,7 @@
     async def _stream(self, request):
         request_id = request.headers['Request-Id']
         self.runs.append(request_id)
+        self.ran.append(request_id)
         try:
             response = web.StreamResponse(
                 headers={
@@ -263,6 +274,7 @@
         _route('draft', 'streaming', SERVICE, 1),
         _route('command', 'unsafe', PLAIN, 1),
         _route('lookup', 'safe', PLAIN, 2),
+        _route('extra', 'safe', PLAIN, 2),
     ]
     for route in routes:
         route.update(changed.get(route['name'], {}))
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -24,8 +24,9 @@
     bytes of the answer have passed; one number for each connection.
     """
 
-    def __init__(self, port, ip=IP):
+    def __init__(self, port, ip=IP, listen_ip=IP):
         self._target = (ip, port)
+        self.ip = listen_ip
         self.delay_s = 0.0
         self.loses_ends = False
         self.cut_after_bytes = []
@@ -42,7 +43,7 @@
         self.heal()
         # While the link is cut nobody listens, and without this any
         # other connection could take the port that `mend` needs again.
-        self._held = _bound(0)
+        self._held = _bound(self.ip, 0)
         self.port = self._held.getsockname()[1]
         await self._listen()
         return self
@@ -53,7 +54,7 @@
 
     async def _listen(self):
         self._server = await asyncio.start_server(
-            self._serve, sock=_bound(self.port)
+            self._serve, sock=_bound(self.ip, self.port)
         )
 
     async def cut(self):
@@ -178,9 +179,9 @@
         return held
 
 
-def _bound(port):
+def _bound(ip, port):
     """Return a socket of a port that only sockets like it can share."""
     found = socket.socket()
     found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    found.bind((IP, port))
+    found.bind((ip, port))
     return found
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -113,6 +113,32 @@
         assert sorted(i.name for i in found) == [i.name for i in instances]
 
 
+class TestListed:
+    def test_prefers_where_the_list_says_it_is(self, clock, instances):
+        """An adapter is loaded anew that another engine holds.
+
+        Another entry had it loaded.  This one has not heard from that
+        engine since; the published list tells it.
+        """
+        places = make_placement(clock)
+        for instance in instances:
+            places.learn(instance.name, make_hint())
+        last = places.candidates('m/a', instances)[-1]
+        places.learn_listed(last.name, ['m/a', 'm/b'])
+        assert places.candidates('m/a', instances)[0] == last
+
+    def test_what_is_listed_no_more_is_forgotten(self, clock, instances):
+        places = make_placement(clock)
+        before = places.candidates('m/a', instances)
+        places.learn_listed(before[-1].name, ['m/a'])
+        places.learn_listed(before[-1].name, ['m/b'])
+        assert places.candidates('m/a', instances) == before
+        places.learn_listed(before[-1].name, ['m/a'])
+        places.retain([i for i in instances if i != before[-1]])
+        places.retain(instances)
+        assert places.candidates('m/a', instances)[0] != before[-1]
+
+
 class TestHints:
     def test_prefers_where_the_adapter_is(self, clock, instances):
         places = make_placement(clock)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,180 +1,22 @@
 """The programs of the deploy file, as real processes on a stand-in."""
 
 import asyncio
-import base64
-import contextlib
-import json
-import os
 import signal
-import socket
-import sys
 
 import aiohttp
-from aiohttp import web
 import pytest
-import yarl
 
+from tests import platform_processes
 from tests import platform_standin as standin
-from tests import processes
-
-START_S = 30.0
-# The metrics port is the same at every instance, so that tests which run
-# beside each other need addresses of their own, also those of other runs.
-WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
-RUN = 20 + os.getppid() % 200
-NETWORK = f'127.{RUN}.{WORKER}'
-ENTRY_IP = f'{NETWORK}.10'
-SIDECAR_IPS = (f'{NETWORK}.11', f'{NETWORK}.12')
-METRICS_PORT = 9464
-
-
-class Program:
-    """One process of the system, with its log."""
-
-    def __init__(self, role, fields, folder):
-        self.role = role
-        self.lines = []
-        self._path = folder / f'{fields["nodeName"]}.json'
-        self._path.write_text(standin.render(fields))
-
-    async def start(self):
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *standin.commands()[self.role],
-            cwd=processes.ROOT,
-            env={**os.environ, 'LACEWINGPITCH_CONFIG': str(self._path)},
-            stdout=asyncio.subprocess.PIPE,
-        )
-        self._reading = asyncio.create_task(self._read())
-
-    async def _read(self):
-        async for line in self.process.stdout:
-            self.lines.append(json.loads(line))
-
-    def events(self, name):
-        return [line for line in self.lines if line['event'] == name]
-
-    async def stop(self):
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
-        await self._reading
-
-
-class Platform:
-    """The stand-in with one entry and two engines with their sidecars."""
-
-    def __init__(self, folder):
-        self._folder = folder
-        self.store = standin.Store()
-        self.engines = [standin.Engine('i-1'), standin.Engine('i-2')]
-        self.services = [standin.Service('p-1'), standin.Service('p-2')]
-        self._exits = contextlib.AsyncExitStack()
-        self.programs = []
-
-    async def __aenter__(self):
-        address = await self._serve(self.store, '127.0.0.1')
-        ports = {
-            'internal': _free_port(SIDECAR_IPS[0]),
-            'callers': _free_port(ENTRY_IP),
-            'ready': _free_port(ENTRY_IP),
-        }
-        await self.store.put('op/config', standin.configuration(5))
-        for ip, engine in zip(SIDECAR_IPS, self.engines, strict=True):
-            place = await self._serve(engine, ip)
-            entry = engine.entry(place)
-            await self.store.put(f'servers/{engine.name}', entry)
-            settings = {'address': address, 'engine': place}
-            await self._start('sidecar', ip, ports, settings)
-        for service in self.services:
-            place = await self._serve(service, '127.0.0.1')
-            entry = service.entry(place)
-            await self.store.put(f'servers/{service.name}', entry)
-        self.entry = await self._start(
-            'entry', ENTRY_IP, ports, {'address': address}
-        )
-        self.session = await self._exits.enter_async_context(
-            aiohttp.ClientSession()
-        )
-        self.callers = f'http://{ENTRY_IP}:{ports["callers"]}'
-        self.ready = f'http://{ENTRY_IP}:{ports["ready"]}'
-        await self.until(self.is_ready)
-        taken = [p for p in self.programs if p.role == 'sidecar']
-        await self.until(
-            lambda: all(p.events('engine taken over') for p in taken)
-        )
-        return self
-
-    async def __aexit__(self, *exception):
-        for program in self.programs:
-            await program.stop()
-        await self._exits.aclose()
-
-    async def _serve(self, part, ip):
-        app = web.Application()
-        app.add_routes(part.routes())
-        runner = web.AppRunner(
-            app, handler_cancellation=True, shutdown_timeout=0.1
-        )
-        await runner.setup()
-        self._exits.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, ip, 0).start()
-        return '{}:{}'.format(*runner.addresses[0][:2])
-
-    async def _start(self, role, ip, ports, settings):
-        fields = standin.fields_of(role, ip, ports, settings)
-        program = Program(role, fields, self._folder)
-        await program.start()
-        self.programs.append(program)
-        return program
-
-    async def is_ready(self):
-        try:
-            async with self.session.get(
-                f'{self.ready}/lacewingpitch/readyz'
-            ) as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
 
-    async def metrics(self, ip):
-        url = f'http://{ip}:{METRICS_PORT}/metrics'
-        headers = {'Accept': 'text/plain'}
-        async with self.session.get(url, headers=headers) as response:
-            return await response.text()
-
-    async def until(self, condition):
-        async with asyncio.timeout(START_S):
-            while True:
-                found = condition()
-                if asyncio.iscoroutine(found):
-                    found = await found
-                if found:
-                    return
-                await asyncio.sleep(0.05)
-
-    def call(self, path, request_id, method='POST', **headers):
-        sent = {
-            'Host': 'h.example',
-            'Request-Id': request_id,
-            'Deadline-Ms': '5000',
-        }
-        sent.update(
-            {name.replace('_', '-'): value for name, value in headers.items()}
-        )
-        url = yarl.URL(f'{self.callers}{path}', encoded=True)
-        return self.session.request(method, url, data=b'body', headers=sent)
-
-
-def _free_port(ip):
-    with socket.socket() as found:
-        found.bind((ip, 0))
-        return found.getsockname()[1]
+START_S = platform_processes.START_S
+ENTRY_IP = platform_processes.ENTRY_IPS[0]
+SIDECAR_IPS = platform_processes.SIDECAR_IPS
 
 
 @pytest.fixture
 async def platform(tmp_path):
-    async with Platform(tmp_path) as found:
+    async with platform_processes.Platform(tmp_path) as found:
         yield found
 
 
@@ -399,15 +241,10 @@
                 assert entry
                 await platform.store.put(
                     f'servers/{engine.name}',
-                    engine.entry(_address_of(platform, engine)),
+                    engine.entry(platform.address_of(engine)),
                 )
         await asyncio.sleep(1.5)
         async with platform.call('/chat/x', 'r-2', Model=name) as response:
             body = await response.read()
         assert response.status == 200
         assert body.count(b'id: ') == 5
-
-
-def _address_of(platform, engine):
-    item = platform.store.items[f'servers/{engine.name}']
-    return json.loads(base64.b64decode(item['value']))['address']
