--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -1,33 +1,28 @@
 """The entry instance on the platform."""
 
-import random
-
 import aiohttp
 from aiohttp import web
 import structlog
 
-from lacewingpitch import adapter_versions
 from lacewingpitch import backend_call
 from lacewingpitch import backend_list
 from lacewingpitch import carrier as carrier_module
 from lacewingpitch import clock as clock_module
 from lacewingpitch import configuration_exchange
-from lacewingpitch import daemon
 from lacewingpitch import draining
 from lacewingpitch import ejection
 from lacewingpitch import link
-from lacewingpitch import metrics as metrics_module
 from lacewingpitch import metrics_server
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
 from lacewingpitch.platform import front as front_module
 from lacewingpitch.platform import listening
+from lacewingpitch.platform import process as process_module
 from lacewingpitch.platform import published
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import wire
 from lacewingpitch import retry_budget
-from lacewingpitch import routing
 from lacewingpitch import service_choice
 from lacewingpitch import settings as product_settings
 from lacewingpitch import sidecar_peers
@@ -54,19 +49,17 @@
         file: settings_module.SettingsFile,
         clock: clock_module.Clock | None = None,
     ) -> None:
+        process = process_module.Process(file, clock)
         self._file = file
-        self._clock = clock or clock_module.SystemClock()
-        self._random = random.Random()
-        self._background = daemon.Background()
-        self._exits = self._background.exits
-        self.table = routing.RoutingTable(self._random)
+        self._clock = process.clock
+        self._random = process.random
+        self._background = process.background
+        self._exits = process.exits
+        self._metrics = process.metrics
+        self.table = process.table
+        self.versions = process.versions
         self.servers = backend_list.BackendList(self._clock)
-        self.versions = adapter_versions.AdapterVersions()
         self.ejector = ejection.Ejector(self._clock, self._random)
-        settings = file.settings
-        self._metrics = metrics_module.Metrics(
-            settings.instance, settings.availability_zone
-        )
         self._first_event_times = self._metrics.seconds(
             'first_event_seconds',
             'Time from a request to the first event of its stream.',
--- /dev/null
+++ b/lacewingpitch/platform/process.py
@@ -0,0 +1,30 @@
+"""What an entry and a sidecar on the platform both begin with."""
+
+import random
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import clock as clock_module
+from lacewingpitch import daemon
+from lacewingpitch import metrics as metrics_module
+from lacewingpitch.platform import settings as settings_module
+from lacewingpitch import routing
+
+
+class Process:
+    """Settings, clock, metrics, and what is published, of one process."""
+
+    def __init__(
+        self,
+        file: settings_module.SettingsFile,
+        clock: clock_module.Clock | None,
+    ) -> None:
+        self.file = file
+        self.clock = clock or clock_module.SystemClock()
+        self.random = random.Random()
+        self.background = daemon.Background()
+        self.exits = self.background.exits
+        self.table = routing.RoutingTable(self.random)
+        self.versions = adapter_versions.AdapterVersions()
+        self.metrics = metrics_module.Metrics(
+            file.settings.instance, file.settings.availability_zone
+        )
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -1,25 +1,20 @@
 """The process beside a model engine on the platform."""
 
-import random
-
 import aiohttp
 import structlog
 
-from lacewingpitch import adapter_versions
 from lacewingpitch import clock as clock_module
 from lacewingpitch import configuration_exchange
-from lacewingpitch import daemon
 from lacewingpitch import engine_keeper
 from lacewingpitch import grant
 from lacewingpitch import link
-from lacewingpitch import metrics as metrics_module
 from lacewingpitch import metrics_server
 from lacewingpitch.platform import engine as engine_module
+from lacewingpitch.platform import process as process_module
 from lacewingpitch.platform import published
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import wire
-from lacewingpitch import routing
 
 # Each waits for one turn.  More entries than this would wait at once only
 # where an engine is so overloaded that it refuses.
@@ -35,13 +30,15 @@
         file: settings_module.SettingsFile,
         clock: clock_module.Clock | None = None,
     ) -> None:
+        process = process_module.Process(file, clock)
         self._file = file
-        self._clock = clock or clock_module.SystemClock()
-        self._random = random.Random()
-        self._background = daemon.Background()
-        self._exits = self._background.exits
-        self.table = routing.RoutingTable(self._random)
-        self.versions = adapter_versions.AdapterVersions()
+        self._clock = process.clock
+        self._random = process.random
+        self._background = process.background
+        self._exits = process.exits
+        self._metrics = process.metrics
+        self.table = process.table
+        self.versions = process.versions
         self._control = link.ControlServer(
             settings_module.sealer(file.settings),
             _CONTROL_CONTEXTS,
@@ -63,11 +60,10 @@
             settings.instance,
             lambda: self.table.health_path(settings.service),
         )
-        metrics = metrics_module.Metrics(
-            settings.instance, settings.availability_zone
-        )
         await self._exits.enter_async_context(
-            metrics_server.serving(metrics, settings.ip, settings.metrics_port)
+            metrics_server.serving(
+                self._metrics, settings.ip, settings.metrics_port
+            )
         )
         keeper = engine_keeper.EngineKeeper(
             engine,
@@ -75,7 +71,7 @@
             self.versions,
             settings.service,
             self._clock,
-            metrics,
+            self._metrics,
         )
         self._exits.push_async_callback(keeper.close)
         exchange = configuration_exchange.ConfigurationExchange(
