The published list tells entries what engines hold

Change: placement takes the holders that the list names, beside those of hints; the list is followed anyway, so that it costs no call.

--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -283,6 +283,9 @@
         self._weighings: dict[int, _Weighing] = {}
         # Names by what they hold, and by what is on its way to them.
         self._holders: dict[bytes, set[str]] = {}
+        # The same by the published list, which tells of all, though late.
+        self._listed: dict[str, frozenset[bytes]] = {}
+        self._listed_holders: dict[bytes, set[str]] = {}
         self._targets: dict[str, collections.Counter[str]] = {}
         self._heard_at_s: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -366,11 +369,30 @@
         view.loads_since_hint = 0
         self._note_change(view)
 
+    def learn_listed(self, instance: str, keys: Iterable[str]) -> None:
+        """Take over what the published list says that one holds.
+
+        Load it answers: fleets in which an entry hears from each engine
+        too seldom to know what the others had loaded there.  A list that
+        is out of date costs little: an engine keeps a copy of what it
+        held of late.
+        """
+        found = frozenset(map(hint_module.fingerprint, keys))
+        before = self._listed.get(instance, frozenset())
+        for adapter in before - found:
+            self._forget_listed(adapter, instance)
+        for adapter in found - before:
+            self._listed_holders.setdefault(adapter, set()).add(instance)
+        self._listed[instance] = found
+
     def retain(self, instances: Sequence[live_list.Instance]) -> None:
         """Forget backend servers that are listed no more."""
         # Weighings are of the list before.
         self._drop_weighings()
         names = {instance.name for instance in instances}
+        for name in self._listed.keys() - names:
+            for adapter in self._listed.pop(name):
+                self._forget_listed(adapter, name)
         for name in self._views.keys() - names:
             view = self._views[name]
             if not view.under_way_count:
@@ -405,6 +427,12 @@
                 del self._holders[adapter]
         view.hint = None
 
+    def _forget_listed(self, adapter: bytes, instance: str) -> None:
+        holders = self._listed_holders[adapter]
+        holders.discard(instance)
+        if not holders:
+            del self._listed_holders[adapter]
+
     def _forget_target(self, key: str, instance: str) -> None:
         targets = self._targets[key]
         targets[instance] -= 1
@@ -416,8 +444,10 @@
     def _names_holding(self, key: str) -> set[str]:
         # A request that is on its way there brings the adapter, also
         # before a hint can tell of it.
-        held = self._holders.get(hint_module.fingerprint(key), set())
-        return held.union(self._targets.get(key, ()))
+        adapter = hint_module.fingerprint(key)
+        held = self._holders.get(adapter, set())
+        listed = self._listed_holders.get(adapter, set())
+        return held.union(listed, self._targets.get(key, ()))
 
     def _weighing(self, instances: Sequence[live_list.Instance]) -> _Weighing:
         """Return the weights of instances, as of now."""
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -2,7 +2,14 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator, Callable, Collection, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Collection,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 import contextlib
 import dataclasses
 from typing import Protocol
@@ -364,9 +371,22 @@
             found = known[1]
         else:
             self._retain(service, found)
+        self._learn_listed(known[0] if known else (), servers)
         self._instances[service] = (servers, found)
         return found
 
+    def _learn_listed(
+        self,
+        before: Sequence[backend_list.BackendServer],
+        servers: Sequence[backend_list.BackendServer],
+    ) -> None:
+        known = {server.name: server.adapters for server in before}
+        for server in servers:
+            if known.get(server.name) is not server.adapters:
+                self._placement.learn_listed(
+                    server.name, _slot_names(server.adapters)
+                )
+
     def _retain(
         self, service: str, instances: tuple[live_list.Instance, ...]
     ) -> None:
@@ -400,6 +420,14 @@
             )
 
 
+def _slot_names(adapters: Mapping[str, int]) -> Iterator[str]:
+    # A request names a version only once a newer one was published.
+    for key, version in adapters.items():
+        model, _, adapter = key.partition('/')
+        yield adapter_versions.slot_name(model, adapter, 0)
+        yield adapter_versions.slot_name(model, adapter, version)
+
+
 def _sidecar_key(server: backend_list.BackendServer) -> str:
     return _SIDECAR_KEY.format(server.name)
 
