--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 .PHONY: demo test lint format bench bench-account bench-claims \
 	bench-contracts bench-homes bench-hop bench-limits bench-order \
 	bench-policy bench-policy-trace bench-retries bench-silence \
-	deploy-check capacity fault-matrix fault-matrix-check
+	deploy-check capacity capacity-platform fault-matrix fault-matrix-check
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -73,6 +73,9 @@
 capacity: $(STAMP)
 	$(BIN)/python -m benchmarks.capacity
 
+capacity-platform: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity_platform
+
 fault-matrix: $(STAMP)
 	$(BIN)/python -m tests.fault_matrix
 
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import datetime
@@ -25,6 +25,7 @@
 import psutil
 import structlog
 
+from benchmarks import slopes
 from benchmarks import virtual_time
 from lacewingpitch import account as account_module
 from lacewingpitch import account_copy
@@ -66,8 +67,7 @@
 SIDECAR_CONTRACTS = 1_024
 REGIONS = 4
 ZONES = 11
-_US = 1e6
-_REPEATS = 3
+_US = slopes.US
 _AHEAD_S = 96.0
 _PROBE_KEYS = 50
 _LOOK_UPS = 2_000
@@ -86,23 +86,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Slope:
-    """A line through measured costs."""
-
-    subject: str
-    unit: str
-    sizes: Sequence[int]
-    costs: Sequence[float]
-
-    def fit(self):
-        """Return slope, intercept and relative residual."""
-        slope, intercept = numpy.polyfit(self.sizes, self.costs, 1)
-        fitted = numpy.polyval((slope, intercept), self.sizes)
-        residual = numpy.sqrt(numpy.mean((fitted - self.costs) ** 2))
-        return slope, intercept, residual / numpy.mean(self.costs)
-
-
 class FixedClock(clock_module.SystemClock):
     """The system's clock, some time from now."""
 
@@ -112,36 +95,6 @@
         return super().wall_s() + self.ahead_s
 
 
-def held_bytes(build: Callable[..., object], *arguments: object) -> int:
-    """Return the memory that what `build` returns keeps."""
-    gc.collect()
-    tracemalloc.start()
-    kept = build(*arguments)
-    gc.collect()
-    used_bytes, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    del kept
-    return used_bytes
-
-
-def least_us(
-    count: int, work: Callable[..., object], *arguments: object
-) -> float:
-    """Return the least processor time of `work` for each of `count`."""
-    found = []
-    for _ in range(_REPEATS):
-        started_s = time.process_time()
-        work(*arguments)
-        found.append(time.process_time() - started_s)
-    return min(found) / count * _US
-
-
-def for_each(work: Callable[..., object], keys, *arguments) -> None:
-    """Call `work` with each key."""
-    for key in keys:
-        work(key, *arguments)
-
-
 def make_contract(number: int) -> contract_module.Contract:
     """Return a contract of one adapter, as an operator would write it."""
     return contract_module.Contract(
@@ -228,17 +181,21 @@
         )
         step = count // _LOOK_UPS
         keys = [f'key-{number}' for number in range(0, count, step)]
-        lookups.append(least_us(len(keys), _look_up, book, keys))
+        lookups.append(slopes.least_us(len(keys), _look_up, book, keys))
         del book
-        held.append(held_bytes(make_book, contracts))
-        versions.append(held_bytes(make_book, contracts, SIDECAR_CONTRACTS))
+        held.append(slopes.held_bytes(make_book, contracts))
+        versions.append(
+            slopes.held_bytes(make_book, contracts, SIDECAR_CONTRACTS)
+        )
     return [
-        Slope('contract held at an entry', 'B', CONTRACTS, held),
-        Slope('version held at a sidecar', 'B', CONTRACTS, versions),
-        Slope('contract as published', 'B', CONTRACTS, bytes_sent),
-        Slope('versions as sent', 'B', CONTRACTS, all_versions),
-        Slope('contract taken over', 'us', CONTRACTS, takes),
-        Slope('look-up of a key, by contracts', 'us', CONTRACTS, lookups),
+        slopes.Slope('contract held at an entry', 'B', CONTRACTS, held),
+        slopes.Slope('version held at a sidecar', 'B', CONTRACTS, versions),
+        slopes.Slope('contract as published', 'B', CONTRACTS, bytes_sent),
+        slopes.Slope('versions as sent', 'B', CONTRACTS, all_versions),
+        slopes.Slope('contract taken over', 'us', CONTRACTS, takes),
+        slopes.Slope(
+            'look-up of a key, by contracts', 'us', CONTRACTS, lookups
+        ),
     ]
 
 
@@ -254,16 +211,22 @@
     for count in INSTANCES:
         raw = encode_list(1, make_instances(count))
         sizes_bytes.append(len(raw))
-        held.append(held_bytes(_member, raw))
-        times.append(least_us(1, _member, raw))
+        held.append(slopes.held_bytes(_member, raw))
+        times.append(slopes.least_us(1, _member, raw))
         found = _member(raw)
         models = ['base-1'] * _PROBE_KEYS
-        filters.append(least_us(_PROBE_KEYS, for_each, found.sidecars, models))
+        filters.append(
+            slopes.least_us(
+                _PROBE_KEYS, slopes.for_each, found.sidecars, models
+            )
+        )
     return [
-        Slope('list, by instances', 'B', INSTANCES, sizes_bytes),
-        Slope('instance held in Membership', 'B', INSTANCES, held),
-        Slope('list decoded and taken over', 'us', INSTANCES, times),
-        Slope('Membership.sidecars, by instances', 'us', INSTANCES, filters),
+        slopes.Slope('list, by instances', 'B', INSTANCES, sizes_bytes),
+        slopes.Slope('instance held in Membership', 'B', INSTANCES, held),
+        slopes.Slope('list decoded and taken over', 'us', INSTANCES, times),
+        slopes.Slope(
+            'Membership.sidecars, by instances', 'us', INSTANCES, filters
+        ),
     ]
 
 
@@ -291,12 +254,14 @@
         ]
         keys = [f'adapter-{number:05}@v1' for number in range(_PROBE_KEYS)]
         ranks.append(
-            least_us(len(keys), for_each, placement.rank, keys, members)
+            slopes.least_us(
+                len(keys), slopes.for_each, placement.rank, keys, members
+            )
         )
         votings.append(
-            least_us(
+            slopes.least_us(
                 len(keys),
-                for_each,
+                slopes.for_each,
                 _voters_of,
                 keys,
                 voter.VoterIndex(same_region),
@@ -304,16 +269,22 @@
         )
         choice = placement.Placement(clock_module.SystemClock())
         choices.append(
-            least_us(len(keys), for_each, choice.candidates, keys, members)
+            slopes.least_us(
+                len(keys), slopes.for_each, choice.candidates, keys, members
+            )
         )
         requests.append(
-            least_us(len(keys), for_each, _place, keys, choice, members)
+            slopes.least_us(
+                len(keys), slopes.for_each, _place, keys, choice, members
+            )
         )
     return [
-        Slope('placement.rank, by sidecars', 'us', SIDECARS, ranks),
-        Slope('voters_of, by sidecars', 'us', SIDECARS, votings),
-        Slope('Placement.candidates, by sidecars', 'us', SIDECARS, choices),
-        Slope('the same, sent, and its hint', 'us', SIDECARS, requests),
+        slopes.Slope('placement.rank, by sidecars', 'us', SIDECARS, ranks),
+        slopes.Slope('voters_of, by sidecars', 'us', SIDECARS, votings),
+        slopes.Slope(
+            'Placement.candidates, by sidecars', 'us', SIDECARS, choices
+        ),
+        slopes.Slope('the same, sent, and its hint', 'us', SIDECARS, requests),
     ]
 
 
@@ -335,7 +306,7 @@
 def measure_votes():
     """Memory of the table of votes, and time of a vote."""
     members = make_instances(1, 0.0)
-    held = [held_bytes(_vote, members, count) for count in VOTES]
+    held = [slopes.held_bytes(_vote, members, count) for count in VOTES]
     times = []
     for count in SIDECARS:
         fleet = tuple(
@@ -343,10 +314,10 @@
             for member in make_instances(count, 0.0)
         )
         asks = _vote_requests(fleet, _PROBE_KEYS)
-        times.append(least_us(len(asks), _vote_all, fleet, asks))
+        times.append(slopes.least_us(len(asks), _vote_all, fleet, asks))
     return [
-        Slope('vote held in Voter', 'B', VOTES, held),
-        Slope(
+        slopes.Slope('vote held in Voter', 'B', VOTES, held),
+        slopes.Slope(
             'Voter.vote, one list, by sidecars',
             'us',
             SIDECARS,
@@ -408,11 +379,11 @@
 
 def measure_ledger():
     """What a sidecar remembers of each attempt."""
-    held = [held_bytes(_run, count) for count in VOTES]
-    times = [least_us(1, _run, count) for count in VOTES]
+    held = [slopes.held_bytes(_run, count) for count in VOTES]
+    times = [slopes.least_us(1, _run, count) for count in VOTES]
     return [
-        Slope('attempt held in RunLedger', 'B', VOTES, held),
-        Slope('attempt admitted, started, closed', 'us', VOTES, times),
+        slopes.Slope('attempt held in RunLedger', 'B', VOTES, held),
+        slopes.Slope('attempt admitted, started, closed', 'us', VOTES, times),
     ]
 
 
@@ -457,8 +428,8 @@
 def measure_account():
     """Rows of the account, active and packed, and copied deltas."""
     row = make_row()
-    active = [held_bytes(_rows, row, count, 0) for count in ROWS]
-    packed = [held_bytes(_rows, row, count, 3) for count in ROWS]
+    active = [slopes.held_bytes(_rows, row, count, 0) for count in ROWS]
+    packed = [slopes.held_bytes(_rows, row, count, 3) for count in ROWS]
     account_id = account_module.AccountId('entry-1', 'i', 'zone-1', 0.0)
     head = account_copy.AccountHead(account_id=account_id)
     counts = (1, 8, 32, 64)
@@ -466,12 +437,14 @@
         account_copy.make_copy(head, _deltas(row, count)) for count in counts
     ]
     sizes = [len(msgspec.msgpack.encode(message)) for message in messages]
-    times = [least_us(1, _merge, message, account_id) for message in messages]
+    times = [
+        slopes.least_us(1, _merge, message, account_id) for message in messages
+    ]
     return [
-        Slope('account row, active', 'B', ROWS, active),
-        Slope('account row, packed', 'B', ROWS, packed),
-        Slope('delta of a customer in a copy', 'B', counts, sizes),
-        Slope('delta merged by a holder', 'us', counts, times),
+        slopes.Slope('account row, active', 'B', ROWS, active),
+        slopes.Slope('account row, packed', 'B', ROWS, packed),
+        slopes.Slope('delta of a customer in a copy', 'B', counts, sizes),
+        slopes.Slope('delta merged by a holder', 'us', counts, times),
     ]
 
 
@@ -507,11 +480,11 @@
 
 def measure_limits():
     """Leases at holder and owner, and the bytes of an exchange."""
-    holding = [held_bytes(_holdings, count) for count in ACTIVE]
+    holding = [slopes.held_bytes(_holdings, count) for count in ACTIVE]
     owning = []
     for count in ACTIVE:
         contracts = {c.customer: c for c in map(make_contract, range(count))}
-        owning.append(held_bytes(_owner, contracts, 5))
+        owning.append(slopes.held_bytes(_owner, contracts, 5))
     times, sizes = [], []
     sealer = link.Sealer('fleet', 'secret', 'entry-0001')
     for count in WANTS:
@@ -523,20 +496,22 @@
         ask = _ask(held, 'entry-0001', next(numbers))
         size = len(sealer.seal_short(ask)) + len(sealer.seal_short(reply))
         sizes.append(size)
-        times.append(least_us(1, _renew, sealer, owner, held, numbers))
+        times.append(slopes.least_us(1, _renew, sealer, owner, held, numbers))
     owners = []
     for count in ENTRIES:
         ring = _ring(count)
         keys = [f'customer-{number:05}' for number in range(_PROBE_KEYS)]
         owners.append(
-            least_us(len(keys), for_each, ring.owner, keys, 'region-0')
+            slopes.least_us(
+                len(keys), slopes.for_each, ring.owner, keys, 'region-0'
+            )
         )
     return [
-        Slope('customer held in LimitHolding', 'B', ACTIVE, holding),
-        Slope('customer owned, of 5 holders', 'B', ACTIVE, owning),
-        Slope('exchange of leases, by customers', 'B', WANTS, sizes),
-        Slope('the same, without the link', 'us', WANTS, times),
-        Slope('owner of a customer, by entries', 'us', ENTRIES, owners),
+        slopes.Slope('customer held in LimitHolding', 'B', ACTIVE, holding),
+        slopes.Slope('customer owned, of 5 holders', 'B', ACTIVE, owning),
+        slopes.Slope('exchange of leases, by customers', 'B', WANTS, sizes),
+        slopes.Slope('the same, without the link', 'us', WANTS, times),
+        slopes.Slope('owner of a customer, by entries', 'us', ENTRIES, owners),
     ]
 
 
@@ -638,11 +613,11 @@
         # Sizes take turns, since the machine's speed drifts.
         found = [
             [await _exchange_us(peer, size) for size in MESSAGE_BYTES]
-            for _ in range(2 * _REPEATS)
+            for _ in range(2 * slopes.REPEATS)
         ]
         times.extend(map(min, zip(*found, strict=True)))
     return [
-        Slope(
+        slopes.Slope(
             'exchange over pynng, both ends, by bytes each way',
             'us',
             MESSAGE_BYTES,
@@ -675,15 +650,19 @@
             idle.append(await _watch_us(source, found.revision))
             taken.append(await _watch_us(source, 0))
     return [
-        Slope('idle watch, both ends, by instances', 'us', INSTANCES, idle),
-        Slope('list read, both ends, by instances', 'us', INSTANCES, taken),
+        slopes.Slope(
+            'idle watch, both ends, by instances', 'us', INSTANCES, idle
+        ),
+        slopes.Slope(
+            'list read, both ends, by instances', 'us', INSTANCES, taken
+        ),
     ]
 
 
 async def _watch_us(source: live_list.HttpLiveList, after: int) -> float:
     count = 10
     found = []
-    for _ in range(_REPEATS):
+    for _ in range(slopes.REPEATS):
         started_s = time.process_time()
         for _ in range(count):
             await source.watch(after, 0.0)
@@ -706,8 +685,10 @@
         await _locate(home, count)
         times.append((time.process_time() - started_s) * _US)
     return [
-        Slope('adapter at its home', 'B', counts, held),
-        Slope('question to a home, without the link', 'us', counts, times),
+        slopes.Slope('adapter at its home', 'B', counts, held),
+        slopes.Slope(
+            'question to a home, without the link', 'us', counts, times
+        ),
     ]
 
 
@@ -803,11 +784,11 @@
             for task in running:
                 task.cancel()
     return [
-        Slope('gossip, exchanges/s a process', '', FLEETS, rounds),
-        Slope('gossip, bytes/s a process', 'B', FLEETS, round_bytes),
-        Slope('a change, exchanges a process', '', FLEETS, changes),
-        Slope('a change, bytes a process', 'B', FLEETS, change_bytes),
-        Slope('a change, until all have it', 'ms', FLEETS, spread_s),
+        slopes.Slope('gossip, exchanges/s a process', '', FLEETS, rounds),
+        slopes.Slope('gossip, bytes/s a process', 'B', FLEETS, round_bytes),
+        slopes.Slope('a change, exchanges a process', '', FLEETS, changes),
+        slopes.Slope('a change, bytes a process', 'B', FLEETS, change_bytes),
+        slopes.Slope('a change, until all have it', 'ms', FLEETS, spread_s),
     ]
 
 
@@ -815,16 +796,20 @@
     """The store's permits at their keeper, by sidecars that wait."""
     held, times = [], []
     for count in ASKING:
-        held.append(held_bytes(_desk, count))
+        held.append(slopes.held_bytes(_desk, count))
         desk = _desk(count)
         asks = [_permit(number) for number in range(count)]
         repeats = max(1, _PROBE_KEYS // count)
         work = [a for _ in range(repeats) for a in asks]
-        times.append(least_us(len(work), for_each, desk.ask, work))
+        times.append(
+            slopes.least_us(len(work), slopes.for_each, desk.ask, work)
+        )
         desk.close()
     return [
-        Slope('request for a permit, held', 'B', ASKING, held),
-        Slope('request for a permit, by those waiting', 'us', ASKING, times),
+        slopes.Slope('request for a permit, held', 'B', ASKING, held),
+        slopes.Slope(
+            'request for a permit, by those waiting', 'us', ASKING, times
+        ),
     ]
 
 
@@ -966,21 +951,6 @@
                 print(f'a real {name} without load: {rss_mb:.0f} MB')
 
 
-def show(slopes: Sequence[Slope]) -> None:
-    """Print each line as a row of a table."""
-    for found in slopes:
-        slope, intercept, residual = found.fit()
-        unit = f' {found.unit}' if found.unit else ''
-        sizes = ', '.join(f'{size:,}' for size in found.sizes)
-        largest = found.costs[-1]
-        print(
-            f'| {found.subject} | {sizes} | {slope:.4g}{unit} |'
-            f' {intercept:.4g}{unit} | {residual:.1%} |'
-            f' {largest:.4g}{unit} |',
-            flush=True,
-        )
-
-
 async def main() -> None:
     """Print every line."""
     structlog.configure(
@@ -1001,7 +971,7 @@
         measure_account,
         measure_limits,
     ):
-        show(measure())
+        slopes.show(measure())
     for measure_async in (
         measure_link,
         measure_watch,
@@ -1009,7 +979,7 @@
         measure_gossip,
         measure_permits,
     ):
-        show(await measure_async())
+        slopes.show(await measure_async())
     show_messages()
     await asyncio.to_thread(show_queues)
     await show_processes()
--- /dev/null
+++ b/benchmarks/capacity_platform.py
@@ -0,0 +1,206 @@
+"""Slopes of what an entry holds and computes on the users' platform.
+
+Run ``make capacity-platform``.  Sizes go up to the target of 1,000
+engines.  Times are processor time, the least of a few runs.
+"""
+
+import functools
+import json
+import random
+
+import msgspec
+import structlog
+
+from benchmarks import slopes
+from lacewingpitch import backend_list
+from lacewingpitch import clock as clock_module
+from lacewingpitch import grant
+from lacewingpitch import hint as hint_module
+from lacewingpitch import live_list
+from lacewingpitch import placement
+from lacewingpitch.platform import wire
+from lacewingpitch import settings
+
+ENGINES = (100, 250, 500, 1_000)
+SLOTS = 30
+_KEYS = 200
+_MODEL = 'base-1'
+
+
+def make_server(number: int, adapters: int = SLOTS) -> bytes:
+    """Return an entry of the list, as the platform publishes it."""
+    listed = [f'a{(number * SLOTS + n) % 36_000}@1' for n in range(adapters)]
+    model = {'name': _MODEL, 'version': 1, 'adapters': listed}
+    entry = {
+        'service': 'chat',
+        'address': f'10.{number >> 8}.{number & 255}.7:8000',
+        'zone': f'zone-{number % 11}',
+        'slots': 32,
+        'state': 'ready',
+        'models': [model],
+    }
+    return json.dumps(entry).encode()
+
+
+def make_servers(count: int) -> list[backend_list.BackendServer]:
+    """Return the servers of a whole list."""
+    return [
+        wire.decode_backend_server(f'servers/i-{n}', make_server(n), n)
+        for n in range(count)
+    ]
+
+
+def make_instances(count: int) -> tuple[live_list.Instance, ...]:
+    """Return the same as placement takes them."""
+    return tuple(
+        live_list.Instance(
+            name=f'i-{n}',
+            role=live_list.Role.SIDECAR,
+            region='',
+            availability_zone=f'zone-{n % 11}',
+            ip=f'10.{n >> 8}.{n & 255}.7',
+            work_port=8000,
+            control_port=0,
+            serves='chat',
+        )
+        for n in range(count)
+    )
+
+
+def make_list(count: int) -> backend_list.BackendList:
+    """Return a list that knows so many servers."""
+    found = backend_list.BackendList(clock_module.SystemClock())
+    found.replace_all(make_servers(count))
+    return found
+
+
+def make_placement(count: int) -> placement.Placement:
+    """Return a placement that knows what all engines hold."""
+    found = placement.Placement(
+        clock_module.SystemClock(), settings.ObjectiveSettings(stall_weight=1)
+    )
+    for server in make_servers(count):
+        found.learn_listed(server.name, server.adapters)
+        found.learn_hint(server.name, _hint(server))
+    return found
+
+
+def _hint(server: backend_list.BackendServer) -> hint_module.Hint:
+    return hint_module.Hint(
+        running=10,
+        queued=0,
+        max_running=32,
+        load_wait_ms=300,
+        spare_slots=5,
+        adapters=hint_module.join_fingerprints(server.adapters),
+    )
+
+
+def measure_list() -> list[slopes.Slope]:
+    """What the list of backend servers costs an entry."""
+    held, taken, changed = [], [], []
+    for count in ENGINES:
+        held.append(slopes.held_bytes(make_list, count))
+        taken.append(slopes.least_us(1, make_servers, count))
+        found = make_list(count)
+        changed.append(slopes.least_us(1, _change, found, make_servers(1)[0]))
+    return [
+        slopes.Slope('list held at an entry', 'B', ENGINES, held),
+        slopes.Slope('list decoded whole', 'us', ENGINES, taken),
+        slopes.Slope('serving() after a change', 'us', ENGINES, changed),
+    ]
+
+
+def _change(
+    found: backend_list.BackendList, server: backend_list.BackendServer
+) -> None:
+    found.put(server)
+    found.serving('chat')
+
+
+def measure_placement() -> list[slopes.Slope]:
+    """What the choice of an engine costs an entry."""
+    held, chosen, listed = [], [], []
+    keys = [f'{_MODEL}/a{number * 97 % 36_000}' for number in range(_KEYS)]
+    random.Random(1).shuffle(keys)
+    for count in ENGINES:
+        held.append(slopes.held_bytes(make_placement, count))
+        found = make_placement(count)
+        instances = make_instances(count)
+        found.candidates(keys[0], instances)
+        choose = functools.partial(_choose, found, instances)
+        chosen.append(slopes.least_us(_KEYS, slopes.for_each, choose, keys))
+        servers = make_servers(count)
+        listed.append(slopes.least_us(count, _learn, found, servers))
+    return [
+        slopes.Slope('placement held at an entry', 'B', ENGINES, held),
+        slopes.Slope('candidates, for a request', 'us', ENGINES, chosen),
+        slopes.Slope('learn_listed, for a change', 'us', ENGINES, listed),
+    ]
+
+
+def _choose(
+    found: placement.Placement,
+    instances: tuple[live_list.Instance, ...],
+    key: str,
+) -> None:
+    name = found.candidates(key, instances)[0].name
+    with found.sent(key, name):
+        pass
+
+
+def _learn(
+    found: placement.Placement, servers: list[backend_list.BackendServer]
+) -> None:
+    for server in servers:
+        found.learn_listed(server.name, server.adapters)
+
+
+def measure_messages() -> None:
+    """Print the size of what goes between an entry and a sidecar."""
+    server = make_servers(1)[0]
+    request = grant.TurnRequest(
+        entry='edge-zone-a-1',
+        turn_id='9c41d07be2a35f68.1',
+        run_id='9c41d07be2a35f68',
+        model=_MODEL,
+        adapter='a1',
+        version=1,
+        route='r-4sp5wj2',
+        rank=0,
+        prompt_tokens=826,
+        max_tokens=300,
+        wait_ms=400,
+        start_within_ms=2800,
+        target_ms=800,
+        deadline_ms=12_000,
+    )
+    reply = grant.TurnReply(
+        backend_server=server.name,
+        version=1,
+        configuration_version=7,
+        entry_count=380,
+        hint=_hint(server),
+    )
+    for message in (request, reply):
+        # Without the envelope and its signature, some 100 bytes.
+        size = len(msgspec.msgpack.encode(message))
+        print(f'| {type(message).__name__} | {size} B |')
+
+
+def main() -> None:
+    """Print every line."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(50)
+    )
+    print(
+        '| subject | sizes | slope | intercept | residual | at the largest |'
+    )
+    print('| --- | --- | --- | --- | --- | --- |')
+    slopes.show(measure_list())
+    slopes.show(measure_placement())
+    measure_messages()
+
+
+if __name__ == '__main__':
+    main()
