Memory binds adapters too, not their slots alone; accounts are not imported

Cause: capacity was counted in adapter slots. An engine whose memory holds fewer adapters beside its model than it has slots would be ordered one too many, and crash.

--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -230,10 +230,12 @@
             # Loads of an earlier sidecar take slots that this one would
             # count as free; an engine over its capacity crashes.
             return
-        self.view.slot_count = limits.adapter_slots
+        models = snapshot.models or limits.models[:1]
+        slot_count = limits.adapters_beside(models)
+        self.view.slot_count = slot_count
         self._adapters = slots_module.AdapterSlots(
             self.view,
-            limits.adapter_slots,
+            slot_count,
             self._fence,
             self._clock,
             stall_weight=1.0,
@@ -271,7 +273,7 @@
         log.info(
             'engine taken over',
             backend_server=self.view.backend_server,
-            adapter_slots=limits.adapter_slots,
+            adapter_slots=slot_count,
             max_running=limits.max_running,
             adapters=len(snapshot.held),
         )
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -14,6 +14,7 @@
 
 from lacewingpitch import account as account_module
 from lacewingpitch import account_copy
+from lacewingpitch import account_metrics
 from lacewingpitch import account_query
 from lacewingpitch import answer
 from lacewingpitch import answer_delivery
@@ -175,7 +176,7 @@
             self._node.clock,
         )
         reports.add_routes(self._server)
-        metrics_module.add_account(
+        account_metrics.add_account(
             self._metrics, self._account, holder, copier
         )
         self._server.route('GET', '/metrics', self._metrics.answer)
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -1,6 +1,7 @@
 """Decoding of what the operator and the engines publish in the store."""
 
 from collections.abc import Iterable
+import math
 from typing import Any
 
 import msgspec
@@ -44,12 +45,18 @@
 
 class _Model(msgspec.Struct, frozen=True):
     name: str
+    weights_mb: float = msgspec.field(name='weightsMb', default=0.0)
+    adapter_mb: float = msgspec.field(name='adapterMb', default=0.0)
 
 
 class _Engine(msgspec.Struct, frozen=True):
+    # Requests that are batched, not places for adapters.
     slots: int
     models: tuple[_Model, ...] = ()
     adapter_slots: int = msgspec.field(name='adapterSlots', default=0)
+    # Of the engine: memory for models and adapters together.  Of a model
+    # the same name says what it takes.
+    weights_mb: float = msgspec.field(name='weightsMb', default=math.inf)
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -123,6 +130,13 @@
                 adapter_slots=service.engine.adapter_slots,
                 models=tuple(model.name for model in service.engine.models),
                 health_path=service.health_path,
+                weights_mb=service.engine.weights_mb,
+                sizes={
+                    model.name: routing.ModelSize(
+                        model.weights_mb, model.adapter_mb
+                    )
+                    for model in service.engine.models
+                },
             )
             for service in found.services
             if service.engine is not None
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -1,9 +1,10 @@
 """Routes: which service a request goes to, and what may be done with it."""
 
 import asyncio
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 import dataclasses
 import enum
+import math
 import random
 
 from lacewingpitch import errors
@@ -111,6 +112,20 @@
         return (first, *rest)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelSize:
+    """What a model takes of an engine's memory for weights.
+
+    Parameters
+    ----------
+    adapter_mb
+        What each of its adapters takes beside it.
+    """
+
+    weights_mb: float = 0.0
+    adapter_mb: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineLimits:
     """What each model engine of a service can hold.
@@ -126,12 +141,31 @@
         Models that the service's engines can hold.
     health_path
         Where an engine is asked for its health.
+    weights_mb
+        Memory for models and adapters together.
+    sizes
+        What models take of it, by name.
     """
 
     max_running: int
     adapter_slots: int
     models: tuple[str, ...] = ()
     health_path: str = '/'
+    weights_mb: float = math.inf
+    sizes: Mapping[str, ModelSize] = dataclasses.field(default_factory=dict)
+
+    def adapters_beside(self, models: Iterable[str]) -> int:
+        """Return how many adapters fit beside models that are held.
+
+        An engine that is ordered to hold more than its memory bears
+        crashes, also while adapter slots are free.
+        """
+        sizes = [self.sizes.get(name, ModelSize()) for name in models]
+        left_mb = self.weights_mb - sum(size.weights_mb for size in sizes)
+        adapter_mb = max((size.adapter_mb for size in sizes), default=0.0)
+        if left_mb >= self.adapter_slots * adapter_mb:
+            return self.adapter_slots
+        return max(0, int(left_mb // adapter_mb)) if adapter_mb else 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -345,6 +345,24 @@
         limits = routing.EngineLimits(16, 12, (fake_engine.MODEL,))
         play(story, limits=limits, slot_count=12)
 
+    def test_it_is_given_no_more_than_its_memory_holds(self):
+        async def story(scene):
+            for name in ('a', 'b', 'c'):
+                await scene.ask(name, adapter=name, wait_ms=900)
+                await scene.end(name)
+            assert set(scene.engine.held) == {'m/b', 'm/c'}
+
+        size = routing.ModelSize(weights_mb=1000.0, adapter_mb=50.0)
+        limits = routing.EngineLimits(
+            16,
+            12,
+            (fake_engine.MODEL,),
+            weights_mb=1149.0,
+            sizes={fake_engine.MODEL: size},
+        )
+        scene = play(story, limits=limits, slot_count=2)
+        assert scene.engine.crash_count == 0
+
     def test_many_adapters_in_turn_never_crash_it(self):
         async def story(scene):
             async def one(number):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -124,3 +124,32 @@
         assert route(kind=STREAM, target_gap_s=0.25).patience_s == 3.2
         assert route(kind=STREAM, target_gap_s=1.0).patience_s == 8.0
         assert route(kind=SAFE).patience_s == 10.0
+
+
+class TestEngineLimits:
+    """An engine crashes with all its runs.
+
+    Its slots are not all taken, but the adapters that it is ordered to
+    hold do not fit its memory beside the model.
+    """
+
+    SIZES = {'m': routing.ModelSize(weights_mb=72_700, adapter_mb=66)}
+
+    def _limits(self, weights_mb):
+        return routing.EngineLimits(
+            64, 30, ('m',), weights_mb=weights_mb, sizes=self.SIZES
+        )
+
+    def test_slots_bind_where_memory_is_ample(self):
+        assert self._limits(76_200).adapters_beside(['m']) == 30
+
+    def test_memory_binds_where_it_is_less(self):
+        assert self._limits(73_700).adapters_beside(['m']) == 15
+        assert self._limits(72_700 + 15 * 66).adapters_beside(['m']) == 15
+
+    def test_nothing_fits_beside_a_model_that_takes_all(self):
+        assert self._limits(72_700).adapters_beside(['m']) == 0
+
+    def test_without_sizes_slots_bind(self):
+        limits = routing.EngineLimits(64, 30, ('m',))
+        assert limits.adapters_beside(['m']) == 30
