The upgrade test waits for its condition while it can come about

Cause: the test waits until both remaining entries have met every engine, and began to wait after the third entry had left. On a busy machine too little was sent before. Change: it waits while three entries take turns, in which each calls each adapter, and after the leaving it waits until two calls of each adapter were served. As strict: the same condition, all checks after it stay, and one is added.

--- a/tests/test_upgrade_processes.py
+++ b/tests/test_upgrade_processes.py
@@ -179,13 +179,6 @@
             everyone = (*deployment.sidecars, leaving, old, new)
             await check_contracts(deployment, everyone)
             await check_claims(deployment, (old, new))
-            await callers.leave(leaving)
-            leaving.terminate()
-            assert await leaving.exited() == 0
-            deployment.instances = [
-                i for i in deployment.instances if i.name != 'entry-0'
-            ]
-            await deployment.publish_instances()
 
             async def each_met_each():
                 assert not any(task.done() for task in pressing)
@@ -196,7 +189,25 @@
                     for entry in (old, new)
                 )
 
+            # While three entries take turns, each of them calls each
+            # adapter.  Two would each call every other one, and never
+            # meet an engine that holds the rest.
             await processes.until(each_met_each)
+            await callers.leave(leaving)
+            leaving.terminate()
+            assert await leaving.exited() == 0
+            deployment.instances = [
+                i for i in deployment.instances if i.name != 'entry-0'
+            ]
+            await deployment.publish_instances()
+            served = sum(len(ids) for ids in callers.ids.values())
+
+            async def go_on():
+                assert not any(task.done() for task in pressing)
+                now = sum(len(ids) for ids in callers.ids.values())
+                return now > served + 2 * len(ADAPTERS)
+
+            await processes.until(go_on)
             callers.stop()
             await asyncio.gather(*pressing)
             counts = collections.Counter(sum(await runs(deployment), []))
