--- a/tests/soak.py
+++ b/tests/soak.py
@@ -39,6 +39,8 @@
 _DEADLINES_MS = {'chat': 5000, 'draft': 5000, 'command': 1500, 'lookup': 1500}
 _ONCE = frozenset({'draft', 'command'})
 EVENTS = [1, 2, 3, 4, 5]
+# The request that finds out which configuration is in force.
+_PROBE_ID = 'probe'
 
 
 class BrokenPromiseError(AssertionError):
@@ -94,8 +96,13 @@
     def check_runs(self):
         """Check what ran against what callers were told."""
         ran = collections.Counter()
-        for server in (*self.platform.services, *self.platform.engines):
-            ran.update(server.ran if hasattr(server, 'ran') else server.runs)
+        for service in self.platform.services:
+            ran.update(service.runs)
+        for engine in self.platform.engines:
+            ran.update(engine.ran)
+        unasked = ran.keys() - {call.id for call in self.calls} - {_PROBE_ID}
+        if unasked:
+            self.broken.append(f'nobody sent {sorted(unasked)[:3]}')
         for call in self.calls:
             if call.kind not in _ONCE:
                 continue
@@ -169,7 +176,8 @@
         finally:
             self._is_ending = True
             await asyncio.gather(*callers)
-        self.judge.check_runs()
+            # Also where calm showed a failure: what ran may say why.
+            self.judge.check_runs()
         return planned
 
     def _targets(self):
@@ -255,7 +263,7 @@
         for url in self.platform.callers_of:
             async with self.platform.session.get(
                 f'{url}{self.newest_path}',
-                headers={'Host': 'h.example', 'Request-Id': 'probe'},
+                headers={'Host': 'h.example', 'Request-Id': _PROBE_ID},
             ) as response:
                 if response.status != 200:
                     raise BrokenPromiseError(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -90,6 +90,11 @@
         with pytest.raises(soak.BrokenPromiseError, match='and ran'):
             judge.check_runs()
 
+    def test_a_run_that_nobody_asked_for_is_found(self, judge):
+        judge.platform.services[0].runs.append('command-of-nobody')
+        with pytest.raises(soak.BrokenPromiseError, match='nobody sent'):
+            judge.check_runs()
+
     def test_an_adapter_too_many_is_found(self, judge):
         judge.platform.engines[0].has_crashed = True
         with pytest.raises(soak.BrokenPromiseError, match='too many'):
