--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -380,7 +380,7 @@
         found = frozenset(map(hint_module.fingerprint, keys))
         before = self._listed.get(instance, frozenset())
         for adapter in before - found:
-            self._forget_listed(adapter, instance)
+            _drop_holder(self._listed_holders, adapter, instance)
         for adapter in found - before:
             self._listed_holders.setdefault(adapter, set()).add(instance)
         self._listed[instance] = found
@@ -392,7 +392,7 @@
         names = {instance.name for instance in instances}
         for name in self._listed.keys() - names:
             for adapter in self._listed.pop(name):
-                self._forget_listed(adapter, name)
+                _drop_holder(self._listed_holders, adapter, name)
         for name in self._views.keys() - names:
             view = self._views[name]
             if not view.under_way_count:
@@ -421,18 +421,9 @@
         if view.hint is None:
             return
         for adapter in view.hint.fingerprints:
-            holders = self._holders[adapter]
-            holders.discard(instance)
-            if not holders:
-                del self._holders[adapter]
+            _drop_holder(self._holders, adapter, instance)
         view.hint = None
 
-    def _forget_listed(self, adapter: bytes, instance: str) -> None:
-        holders = self._listed_holders[adapter]
-        holders.discard(instance)
-        if not holders:
-            del self._listed_holders[adapter]
-
     def _forget_target(self, key: str, instance: str) -> None:
         targets = self._targets[key]
         targets[instance] -= 1
@@ -611,3 +602,13 @@
     @property
     def _pressed_s(self) -> float:
         return _PRESSED_S / max(self._objective.stall_weight, _LEAST_WEIGHT)
+
+
+def _drop_holder(
+    holders: dict[bytes, set[str]], adapter: bytes, instance: str
+) -> None:
+    """Forget that an instance holds an adapter."""
+    names = holders[adapter]
+    names.discard(instance)
+    if not names:
+        del holders[adapter]
--- a/lacewingpitch/platform/process.py
+++ b/lacewingpitch/platform/process.py
@@ -18,7 +18,6 @@
         file: settings_module.SettingsFile,
         clock: clock_module.Clock | None,
     ) -> None:
-        self.file = file
         self.clock = clock or clock_module.SystemClock()
         self.random = random.Random()
         self.background = daemon.Background()
