Limits tests wait until a new owner has its whole burst

A new owner of a limit starts with a third of the burst and has all of it 2 s after its process started; the tests pressed 0.7 to 1.3 s after, and ended with the first caller of any entry that was limited. Whether 30 had come in by then depended on how fast the processes start.

Change: both tests wait until the owner leases and has its whole burst (2 s by its rate), and go on until every entry that is pressed is limited; what they assert stays.

--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -28,6 +28,9 @@
 BURST = 10
 LARGE = 'caravan-yard'
 LARGE_BURST = 30
+# A new owner starts with a third of the burst; the rest comes in by the
+# rate of the limit.
+FILL_S = (LARGE_BURST - LARGE_BURST / 3) / RATE_PER_S
 PRESS_S = 6.0
 CALLERS = 3
 
@@ -114,6 +117,12 @@
         await processes.until(is_leasing)
 
 
+async def until_whole_burst(deployment, number):
+    """Wait until an owner that is new has the whole of a large burst."""
+    await until_leasing(deployment, number, LARGE)
+    await asyncio.sleep(FILL_S)
+
+
 class Press:
     """Callers that send to some entries as fast as they are answered."""
 
@@ -126,9 +135,10 @@
         self._press_s = press_s
         self.served = {}
         self.kinds = set()
+        self._limited = set()
 
     async def run(self, until_limited=False):
-        """Press on; for longer if that is what it takes to be limited."""
+        """Press on; for longer if it takes that until all are limited."""
         self._until_limited = until_limited
         started_s = time.monotonic()
         self._until_s = started_s + self._press_s
@@ -143,7 +153,7 @@
         return self
 
     def _goes_on(self):
-        if self._until_limited and 'rate-limited' not in self.kinds:
+        if self._until_limited and self._limited != set(self._entries):
             return True
         return time.monotonic() < self._until_s
 
@@ -158,7 +168,10 @@
                     served = self.served.get(number, 0)
                     self.served[number] = served + 1
                     continue
-                self.kinds.add(response.headers[work.KIND_HEADER])
+                kind = response.headers[work.KIND_HEADER]
+                self.kinds.add(kind)
+                if kind == 'rate-limited':
+                    self._limited.add(number)
                 assert response.headers[work.OUTCOME_HEADER] == 'not-run'
                 assert int(response.headers['Retry-After']) >= 1
             await asyncio.sleep(0.05)
@@ -233,6 +246,7 @@
         """
         owner = owner_number(LARGE)
         rest = [number for number in range(3) if number != owner]
+        await until_whole_burst(deployment, owner)
         press = Press(deployment, rest, 1.0, LARGE)
         before = await press.run(until_limited=True)
         assert before.total >= LARGE_BURST
@@ -276,6 +290,7 @@
             listed = tuple(deployment.instances)
             await deployment.put(lagging, '/v1/instances', listed)
             await deployment.publish()
+            await until_whole_burst(deployment, owner)
             press = Press(deployment, [owner], 1.0, LARGE)
             before = await press.run(until_limited=True)
             assert before.total >= LARGE_BURST
