--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -49,25 +49,20 @@
         file: settings_module.SettingsFile,
         clock: clock_module.Clock | None = None,
     ) -> None:
-        process = process_module.Process(file, clock)
         self._file = file
-        self._clock = process.clock
-        self._random = process.random
-        self._background = process.background
-        self._exits = process.exits
-        self._metrics = process.metrics
-        self.table = process.table
-        self.versions = process.versions
-        self.servers = backend_list.BackendList(self._clock)
-        self.ejector = ejection.Ejector(self._clock, self._random)
-        self._first_event_times = self._metrics.seconds(
+        self._process = process_module.Process(file, clock)
+        self.servers = backend_list.BackendList(self._process.clock)
+        self.ejector = ejection.Ejector(
+            self._process.clock, self._process.random
+        )
+        self._first_event_times = self._process.metrics.seconds(
             'first_event_seconds',
             'Time from a request to the first event of its stream.',
         )
         self.front = front_module.Front(
-            self.table,
+            self._process.table,
             self._serve,
-            self._metrics.seconds(
+            self._process.metrics.seconds(
                 'request_seconds', 'Time from a request to its end.'
             ),
         )
@@ -85,12 +80,15 @@
         """Follow the store, and listen for callers."""
         settings = self._file.settings
         pool = link.PeerPool(settings_module.sealer(settings), _MAX_PEERS)
-        self._exits.callback(pool.close)
+        self._process.exits.callback(pool.close)
         peers = sidecar_peers.SidecarPeers(pool, settings.internal_port)
         exchange = configuration_exchange.ConfigurationExchange(
-            peers, self.table, wire.decode_configuration, self._clock
+            peers,
+            self._process.table,
+            wire.decode_configuration,
+            self._process.clock,
         )
-        self._exits.callback(exchange.close)
+        self._process.exits.callback(exchange.close)
         budgets = retry_budget.ServiceBudgets(
             settings.retry_ratio, settings.retry_allowance, _LEAST_ENTRIES
         )
@@ -99,14 +97,15 @@
             peers,
             self.servers,
             placement_module.Placement(
-                self._clock, product_settings.ObjectiveSettings(stall_weight=1)
+                self._process.clock,
+                product_settings.ObjectiveSettings(stall_weight=1),
             ),
             self.ejector,
-            self._clock,
+            self._process.clock,
             exchange.note,
             budgets.note_entries,
         )
-        session = await self._exits.enter_async_context(
+        session = await self._process.exits.enter_async_context(
             backend_client.new_session()
         )
         self._carrier = carrier_module.Carrier(
@@ -116,40 +115,40 @@
                 self.servers,
                 self.ejector,
                 settings.availability_zone,
-                self._random,
+                self._process.random,
             ),
             self.ejector,
             budgets,
-            self.versions,
-            self._clock,
-            self._random,
+            self._process.versions,
+            self._process.clock,
+            self._process.random,
         )
-        self._background.run('settings', self._file.follow)
-        self._background.run('turns', turns.run)
+        self._process.background.run('settings', self._file.follow)
+        self._process.background.run('turns', turns.run)
         self._add_metrics(self._carrier, await self._follow(exchange))
-        await self._exits.enter_async_context(
+        await self._process.exits.enter_async_context(
             metrics_server.serving(
-                self._metrics, settings.ip, settings.metrics_port
+                self._process.metrics, settings.ip, settings.metrics_port
             )
         )
         await listening.listen(
-            web.Server(self._ready), settings.ready, self._exits
+            web.Server(self._ready), settings.ready, self._process.exits
         )
-        await self.front.listen(settings.callers, self._exits)
+        await self.front.listen(settings.callers, self._process.exits)
 
     async def close(self) -> None:
         """Finish what is in progress, then release everything."""
         await draining.drain(
-            self.front, self._clock, self._file.settings.drain_s
+            self.front, self._process.clock, self._file.settings.drain_s
         )
-        await self._exits.aclose()
+        await self._process.exits.aclose()
 
     def _add_metrics(
         self,
         carrier: carrier_module.Carrier,
         store: store_module.Store,
     ) -> None:
-        metrics = self._metrics
+        metrics = self._process.metrics
         metrics.counter_by(
             'requests_ended_total',
             'Requests that came to an end, by outcome.',
@@ -175,7 +174,7 @@
         metrics.gauge(
             'configuration_version',
             'Version of the configuration in force.',
-            lambda: self.table.version,
+            lambda: self._process.table.version,
         )
         metrics.gauge(
             'list_age_seconds',
@@ -209,26 +208,31 @@
     async def _follow(
         self, exchange: configuration_exchange.ConfigurationExchange
     ) -> store_module.Store:
-        session = await self._exits.enter_async_context(
+        session = await self._process.exits.enter_async_context(
             aiohttp.ClientSession()
         )
         store = store_module.Store(
             session, settings_module.url_of(self._file.settings.store)
         )
         news = (
-            published.OperatorNews(self.versions, exchange),
+            published.OperatorNews(self._process.versions, exchange),
             published.BackendNews(self.servers),
         )
         pause_s = _PAUSE_RATIO * self._file.settings.news_within_s
-        self._background.run(
+        self._process.background.run(
             'store',
-            lambda: published.follow(store, news, pause_s, self._random),
+            lambda: published.follow(
+                store, news, pause_s, self._process.random
+            ),
         )
         return store
 
     async def _ready(self, _request: web.BaseRequest) -> web.Response:
         if self.front.is_draining:
             return web.Response(status=503, text='draining\n')
-        if self.table.configuration is None or not self.servers.is_known:
+        if (
+            self._process.table.configuration is None
+            or not self.servers.is_known
+        ):
             return web.Response(status=503, text='starting\n')
         return web.Response(text='ready\n')
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -30,15 +30,8 @@
         file: settings_module.SettingsFile,
         clock: clock_module.Clock | None = None,
     ) -> None:
-        process = process_module.Process(file, clock)
         self._file = file
-        self._clock = process.clock
-        self._random = process.random
-        self._background = process.background
-        self._exits = process.exits
-        self._metrics = process.metrics
-        self.table = process.table
-        self.versions = process.versions
+        self._process = process_module.Process(file, clock)
         self._control = link.ControlServer(
             settings_module.sealer(file.settings),
             _CONTROL_CONTEXTS,
@@ -51,31 +44,34 @@
     async def start(self) -> None:
         """Attach to the engine, and listen for entries."""
         settings = self._file.settings
-        session = await self._exits.enter_async_context(
+        session = await self._process.exits.enter_async_context(
             aiohttp.ClientSession()
         )
         engine = engine_module.Engine(
             session,
             settings_module.url_of(settings.engine),
             settings.instance,
-            lambda: self.table.health_path(settings.service),
+            lambda: self._process.table.health_path(settings.service),
         )
-        await self._exits.enter_async_context(
+        await self._process.exits.enter_async_context(
             metrics_server.serving(
-                self._metrics, settings.ip, settings.metrics_port
+                self._process.metrics, settings.ip, settings.metrics_port
             )
         )
         keeper = engine_keeper.EngineKeeper(
             engine,
-            self.table,
-            self.versions,
+            self._process.table,
+            self._process.versions,
             settings.service,
-            self._clock,
-            self._metrics,
+            self._process.clock,
+            self._process.metrics,
         )
-        self._exits.push_async_callback(keeper.close)
+        self._process.exits.push_async_callback(keeper.close)
         exchange = configuration_exchange.ConfigurationExchange(
-            None, self.table, wire.decode_configuration, self._clock
+            None,
+            self._process.table,
+            wire.decode_configuration,
+            self._process.clock,
         )
         self._control.handle(grant.TurnRequest, keeper.ask)
         self._control.handle(grant.TurnEnds, keeper.end)
@@ -84,20 +80,24 @@
         store = store_module.Store(
             session, settings_module.url_of(settings.store)
         )
-        news = (published.OperatorNews(self.versions, exchange),)
+        news = (published.OperatorNews(self._process.versions, exchange),)
         # What is published later comes with the messages of entries, so
         # that calls to the store do not grow with the number of engines.
-        self._background.run(
+        self._process.background.run(
             'store',
             lambda: published.follow(
-                store, news, 0.0, self._random, lambda: self.table.version > 0
+                store,
+                news,
+                0.0,
+                self._process.random,
+                lambda: self._process.table.version > 0,
             ),
         )
-        self._background.run('settings', self._file.follow)
-        self._background.run('engine', keeper.run)
+        self._process.background.run('settings', self._file.follow)
+        self._process.background.run('engine', keeper.run)
         await self._control.start(settings.ip, settings.internal_port)
-        self._exits.push_async_callback(self._control.close)
+        self._process.exits.push_async_callback(self._control.close)
 
     async def close(self) -> None:
         """Release everything; entries go on with what they were granted."""
-        await self._exits.aclose()
+        await self._process.exits.aclose()
