Waiting requests and pauses of failing loads leave the slots' module

The slots of an engine, who waits for which adapter, and the pauses after failed loads were one class of 620 lines. Each has its own module and tests now; no behaviour changes, the tests of the slots pass as they were.

--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -5,15 +5,17 @@
 import contextlib
 import dataclasses
 import enum
-from typing import Protocol
+from typing import Protocol, TypeAlias
 
 import structlog
 
+from lacewingpitch import adapter_waiters
 from lacewingpitch import clock as clock_module
 from lacewingpitch import demand
 from lacewingpitch import engine as engine_module
 from lacewingpitch import errors
 from lacewingpitch import fence as fence_module
+from lacewingpitch import load_backoff
 
 # Two outstanding requests for a permit keep the store busy; more would
 # only crowd out the sidecars whose waiting requests cost more.
@@ -21,10 +23,6 @@
 _DEMAND_HALF_LIFE_S = 10.0
 _RECENT_USE_S = 5.0
 _UNUSED_S = 6.0
-_FIRST_BACKOFF_S = 1.0
-_MAX_BACKOFF_S = 30.0
-_MAX_BACKOFFS = 4096
-_AGING_S = 30.0
 _CLOSE_AFTER_S = 2.0
 _FIRST_LOAD_GUESS_S = 0.5
 _SMOOTHING_RATIO = 0.2
@@ -99,17 +97,7 @@
         return self.state is SlotState.READY and not self.is_closing
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Waiter:
-    weight: float
-    since_s: float
-    slot: 'asyncio.Future[Slot]'
-
-
-@dataclasses.dataclass(slots=True)
-class _Backoff:
-    until_s: float
-    delay_s: float
+_Waiter: TypeAlias = adapter_waiters.Waiter[Slot]
 
 
 class AdapterSlots:
@@ -157,8 +145,8 @@
         self._close_after_s = _CLOSE_AFTER_S / max(stall_weight, 0.05)
         self._demand = demand.DecayedCounts(clock, _DEMAND_HALF_LIFE_S)
         self._slots: dict[str, Slot] = {}
-        self._queue: dict[str, list[_Waiter]] = {}
-        self._backoffs: dict[str, _Backoff] = {}
+        self._waiters = adapter_waiters.AdapterWaiters[Slot](clock)
+        self._backoffs = load_backoff.LoadBackoffs(clock)
         self._evicted_at_s: dict[str, float] = {}
         self._generation = 0
         self._is_closed = False
@@ -186,7 +174,7 @@
     @property
     def waiting_count(self) -> int:
         """Return how many requests wait for their adapter."""
-        return sum(map(len, self._queue.values()))
+        return len(self._waiters)
 
     @property
     def spare_count(self) -> int:
@@ -207,9 +195,9 @@
         if name in self._slots:
             return self._turnaround_s
         ahead = self._loadable()
-        if name in self._queue:
-            cost = self._cost(name)
-            ahead = [n for n in ahead if self._cost(n) > cost]
+        if name in self._waiters:
+            cost = self._waiters.cost(name)
+            ahead = [n for n in ahead if self._waiters.cost(n) > cost]
         return self._turnaround_s * (1 + len(ahead) // self._max_loading)
 
     @contextlib.asynccontextmanager
@@ -324,10 +312,7 @@
         return await self._wait(name, deadline_s, weight)
 
     def _check_backoff(self, name: str) -> None:
-        backoff = self._backoffs.get(name)
-        if backoff is None:
-            return
-        left_s = backoff.until_s - self._clock.monotonic_s()
+        left_s = self._backoffs.left_s(name)
         if left_s > 0:
             raise errors.RefusalError(
                 errors.ErrorKind.ADAPTER_UNAVAILABLE,
@@ -345,12 +330,7 @@
             )
 
     async def _wait(self, name: str, deadline_s: float, weight: float) -> Slot:
-        waiter = _Waiter(
-            weight,
-            self._clock.monotonic_s(),
-            asyncio.get_running_loop().create_future(),
-        )
-        self._queue.setdefault(name, []).append(waiter)
+        waiter = self._waiters.add(name, weight)
         self._start_loads()
         try:
             return await self._settled(name, waiter, deadline_s)
@@ -365,7 +345,7 @@
         # or adapters with more waiting go first.  Callers would learn
         # only at their deadline that they had waited for nothing.
         until_s = waiter.since_s + deadline_s
-        while not waiter.slot.done():
+        while not waiter.given.done():
             left_s = until_s - self._clock.monotonic_s()
             if left_s <= 0.0:
                 raise errors.RefusalError(
@@ -376,28 +356,24 @@
             if name not in self._slots:
                 self._check_deadline(name, left_s)
             await asyncio.wait(
-                [waiter.slot], timeout=min(_RECHECK_INTERVAL_S, left_s)
+                [waiter.given], timeout=min(_RECHECK_INTERVAL_S, left_s)
             )
-        return waiter.slot.result()
+        return waiter.given.result()
 
     def _abandon(self, name: str, waiter: _Waiter) -> None:
         # A waiter can be given its slot and be cancelled in the same
         # turn of the loop.  Its hold would never be given back, and the
         # slot never be free again, so it is given back here.
-        if waiter.slot.done() and not waiter.slot.cancelled():
-            if waiter.slot.exception() is None:
-                self._release(waiter.slot.result())
+        if waiter.given.done() and not waiter.given.cancelled():
+            if waiter.given.exception() is None:
+                self._release(waiter.given.result())
             return
-        waiters = self._queue.get(name, [])
-        if waiter in waiters:
-            waiters.remove(waiter)
-        if not waiters:
-            self._queue.pop(name, None)
+        self._waiters.remove(name, waiter)
 
     def _release(self, slot: Slot) -> None:
         slot.serving -= 1
         slot.used_at_s = self._clock.monotonic_s()
-        if self._queue:
+        if self._waiters:
             self._start_loads()
 
     def _discard(self, slot: Slot) -> None:
@@ -431,7 +407,7 @@
         )
 
     def _loadable(self) -> list[str]:
-        return [name for name in self._queue if name not in self._slots]
+        return [name for name in self._waiters if name not in self._slots]
 
     def _room_count(self) -> int:
         free = self._slot_count - len(self._slots)
@@ -444,15 +420,8 @@
             if slot.state is SlotState.READY and not slot.serving
         )
 
-    def _cost(self, name: str) -> float:
-        now_s = self._clock.monotonic_s()
-        return sum(
-            waiter.weight * (1.0 + (now_s - waiter.since_s) / _AGING_S)
-            for waiter in self._queue.get(name, ())
-        )
-
     def _highest_cost(self) -> float:
-        return max(map(self._cost, self._loadable()), default=0.0)
+        return max(map(self._waiters.cost, self._loadable()), default=0.0)
 
     async def _load_next(self) -> None:
         started_s = self._clock.monotonic_s()
@@ -464,7 +433,7 @@
                 names = self._loadable()
                 if not names or self._room_count() < 1:
                     return
-                await self._bring(max(names, key=self._cost))
+                await self._bring(max(names, key=self._waiters.cost))
                 self._note_turnaround(started_s)
         finally:
             self._asking -= is_asking
@@ -501,15 +470,14 @@
             return
         slot.state = SlotState.READY
         self.load_count += 1
-        self._backoffs.pop(slot.name, None)
+        self._backoffs.end(slot.name)
         self._serve_waiters(slot)
 
     def _serve_waiters(self, slot: Slot) -> None:
         slot.used_at_s = self._clock.monotonic_s()
-        for waiter in self._queue.pop(slot.name, []):
-            if not waiter.slot.done():
-                slot.serving += 1
-                waiter.slot.set_result(slot)
+        for waiter in self._waiters.take_all(slot.name):
+            slot.serving += 1
+            waiter.given.set_result(slot)
 
     def _choose_victims(self) -> list[Slot]:
         victims: list[Slot] = []
@@ -558,27 +526,15 @@
     def _fail(self, name: str, error: errors.PlatformError) -> None:
         log.warning('load failed', adapter=name, error=str(error))
         self.failed_load_count += 1
-        delay_s = self._back_off(name)
-        for waiter in self._queue.pop(name, []):
-            if not waiter.slot.done():
-                waiter.slot.set_exception(
-                    errors.RefusalError(
-                        errors.ErrorKind.ADAPTER_UNAVAILABLE,
-                        'the adapter failed to load',
-                        retry_after_s=delay_s,
-                    )
+        delay_s = self._backoffs.begin(name)
+        for waiter in self._waiters.take_all(name):
+            waiter.given.set_exception(
+                errors.RefusalError(
+                    errors.ErrorKind.ADAPTER_UNAVAILABLE,
+                    'the adapter failed to load',
+                    retry_after_s=delay_s,
                 )
-
-    def _back_off(self, name: str) -> float:
-        earlier = self._backoffs.pop(name, None)
-        delay_s = _FIRST_BACKOFF_S
-        if earlier is not None:
-            delay_s = min(earlier.delay_s * 2, _MAX_BACKOFF_S)
-        until_s = self._clock.monotonic_s() + delay_s
-        self._backoffs[name] = _Backoff(until_s, delay_s)
-        if len(self._backoffs) > _MAX_BACKOFFS:
-            del self._backoffs[next(iter(self._backoffs))]
-        return delay_s
+            )
 
     def _close_slot(self) -> None:
         # Slots whose requests overlap without a gap are never idle, and
@@ -586,11 +542,9 @@
         # of them takes no new requests until it has been evicted.
         if self._room_count() > 0 or self._is_freeing():
             return
-        names = self._loadable()
-        now_s = self._clock.monotonic_s()
         if not any(
-            now_s - self._queue[name][0].since_s >= self._close_after_s
-            for name in names
+            self._waiters.longest_wait_s(name) >= self._close_after_s
+            for name in self._loadable()
         ):
             return
         ready = [s for s in self._slots.values() if s.is_open]
