An entry that starts while the store is away learns from another

Cause: an entry that restarted, or was added, while the store was down or turned it away knew neither configuration nor backend servers, and refused every request until the store was back. The others served on.

Ruled out: asking sidecars, which know the configuration (an entry without a list knows no sidecar); keeping it on a disk (there is none).

Change: entries also listen for one another, at the control address that the platform gives them, and ask up to three of them as they start, once the store has not answered for 0.3 s. What they learn counts as read while the store is away: routes that are not in it are not denied, servers that lapse are kept until the store has listed them anew. Nothing is asked again once it is known, so that messages do not grow with the instances.

--- a/lacewingpitch/adapter_versions.py
+++ b/lacewingpitch/adapter_versions.py
@@ -1,10 +1,21 @@
 """The versions of adapters that requests must run on at least."""
 
+import dataclasses
+
 import structlog
 
 log = structlog.get_logger(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterVersion:
+    """A published version of an adapter."""
+
+    model: str
+    adapter: str
+    version: int
+
+
 class AdapterVersions:
     """The newest published version of each adapter that has a new one.
 
@@ -29,6 +40,13 @@
         )
         return True
 
+    def all(self) -> tuple[AdapterVersion, ...]:
+        """Return the newest version of each adapter that has a new one."""
+        return tuple(
+            AdapterVersion(model, adapter, version)
+            for (model, adapter), version in self._versions.items()
+        )
+
     def wanted(self, model: str, adapter: str) -> int:
         """Return the version to run on; 0 if any will do."""
         return self._versions.get((model, adapter), 0)
--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -89,6 +89,22 @@
             self.put(server)
         self.is_known = True
 
+    def adopt(self, servers: Iterable[BackendServer], age_s: float) -> None:
+        """Take over the list of another process, in place of none.
+
+        Parameters
+        ----------
+        age_s
+            How long ago that list was known to be current.
+        """
+        self.replace_all(servers)
+        self.note_away()
+        self._confirmed_at_s = self._clock.monotonic_s() - age_s
+
+    def all(self) -> tuple[BackendServer, ...]:
+        """Return all servers that are listed."""
+        return tuple(self._servers.values())
+
     def put(self, server: BackendServer) -> None:
         """Take over one entry."""
         before = self._servers.get(server.name)
--- a/lacewingpitch/configuration_exchange.py
+++ b/lacewingpitch/configuration_exchange.py
@@ -64,6 +64,11 @@
         self._offer_at_s: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
+    @property
+    def configuration(self) -> routing.Configuration | None:
+        """Return the configuration in force."""
+        return self._table.configuration
+
     def note(self, ip: str, version: int) -> None:
         """Take note of the version that a sidecar has in force."""
         if version == self._table.version:
--- /dev/null
+++ b/lacewingpitch/peer_state.py
@@ -0,0 +1,154 @@
+"""What a process that starts learns from others while the store is away."""
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+from typing import Protocol
+
+import structlog
+
+from lacewingpitch import adapter_versions
+from lacewingpitch import backend_list
+from lacewingpitch import configuration_exchange
+from lacewingpitch import errors
+from lacewingpitch import link as link_module
+
+# A store that works gives all that is published within some 30 ms of the
+# start, 0.2 s where it is slow: it is asked alone for so long.
+_STORE_FIRST_S = 0.3
+# A process that has the answer gives it within 10 ms; on a share of a core
+# that is busy it takes some 100 ms.
+_TIMEOUT_S = 0.5
+# All peers are down, or know nothing either: the store is tried by others
+# meanwhile, so that asking more often finds nothing sooner.
+_PAUSE_S = 0.5
+log = structlog.get_logger(__name__)
+
+
+class StateRequest(link_module.Message, frozen=True):
+    """Asks for all that is published."""
+
+
+class StateReply(link_module.Message, frozen=True):
+    """All that is published, as far as the sender knows.
+
+    Parameters
+    ----------
+    is_known
+        Whether the sender has a configuration and a list at all.
+    configuration
+        Published bytes of the configuration.
+    versions
+        Adapter versions that were published.
+    servers
+        Backend servers, without the adapters that they hold: at the
+        target's size these are nine tenths of the list, and the replies
+        of sidecars tell them anew.
+    list_age_s
+        How long ago the list was known to be current.
+    """
+
+    is_known: bool = False
+    configuration: bytes = b''
+    versions: tuple[adapter_versions.AdapterVersion, ...] = ()
+    servers: tuple[backend_list.BackendServer, ...] = ()
+    list_age_s: float = 0.0
+
+
+class StateLink(Protocol):
+    """Messages to other processes, by their address."""
+
+    async def ask_state(
+        self, endpoint: str, message: StateRequest, timeout_s: float
+    ) -> StateReply:
+        """Ask what a process knows."""
+        ...
+
+
+class PeerState:
+    """Brings up a process that starts while the store is away.
+
+    Failure it answers: a process restarts, or is added, as the store is
+    down or turns it away.  It would refuse every request until the store
+    is back, while the others serve on with what they know.
+
+    It is asked for at the start only, of three peers at most, so that its
+    messages do not grow with the number of instances.
+
+    Parameters
+    ----------
+    peers
+        Control addresses of other processes, some perhaps down.
+    """
+
+    def __init__(
+        self,
+        link: StateLink,
+        peers: Sequence[str],
+        servers: backend_list.BackendList,
+        versions: adapter_versions.AdapterVersions,
+        exchange: configuration_exchange.ConfigurationExchange,
+    ) -> None:
+        self._link = link
+        self._peers = peers
+        self._servers = servers
+        self._versions = versions
+        self._exchange = exchange
+
+    async def answer(self, _message: StateRequest) -> StateReply:
+        """Answer a process that starts."""
+        configuration = self._exchange.configuration
+        if configuration is None or not self._servers.is_known:
+            return StateReply()
+        return StateReply(
+            is_known=True,
+            configuration=configuration.content,
+            versions=self._versions.all(),
+            servers=tuple(
+                dataclasses.replace(server, adapters={})
+                for server in self._servers.all()
+            ),
+            list_age_s=self._servers.age_s,
+        )
+
+    async def run(self) -> None:
+        """Ask the peers until this process knows what is published."""
+        if not self._peers:
+            return
+        await asyncio.sleep(_STORE_FIRST_S)
+        while True:
+            for peer in self._peers:
+                if self._servers.is_known:
+                    return
+                await self._ask(peer)
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _ask(self, peer: str) -> None:
+        try:
+            reply = await self._link.ask_state(
+                peer, StateRequest(), _TIMEOUT_S
+            )
+        except errors.LinkError as error:
+            log.info('state not fetched', peer=peer, error=str(error))
+            return
+        # The store may have answered while the peer did, and knows more.
+        if reply.is_known and not self._servers.is_known:
+            self._take(reply, peer)
+
+    def _take(self, reply: StateReply, peer: str) -> None:
+        try:
+            self._exchange.take(reply.configuration, source=peer)
+        except errors.PlatformError as error:
+            log.error('state rejected', peer=peer, error=str(error))
+            return
+        # A route that the peer does not know may be in force.
+        self._exchange.note_store(is_away=True)
+        for found in reply.versions:
+            self._versions.note(found.model, found.adapter, found.version)
+        self._servers.adopt(reply.servers, reply.list_age_s)
+        log.info(
+            'state taken over',
+            peer=peer,
+            backend_servers=len(reply.servers),
+            list_age_s=round(reply.list_age_s, 1),
+        )
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -13,6 +13,7 @@
 from lacewingpitch import ejection
 from lacewingpitch import link
 from lacewingpitch import metrics_server
+from lacewingpitch import peer_state
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
 from lacewingpitch.platform import front as front_module
@@ -33,6 +34,8 @@
 _LEAST_ENTRIES = 10
 # Links to sidecars that are kept open: twice the engines of the target.
 _MAX_PEERS = 2048
+# Processes that start ask once each, and seldom many of them together.
+_CONTROL_CONTEXTS = 4
 # Each adapter that an engine loads is a change of the list, so that the
 # pause decides how many calls an entry makes.  What is published has to
 # be in force within 2 or 3 s; the rest is for a slow store and a busy
@@ -79,8 +82,9 @@
     async def start(self) -> None:
         """Follow the store, and listen for callers."""
         settings = self._file.settings
+        exits = self._process.exits
         pool = link.PeerPool(settings_module.sealer(settings), _MAX_PEERS)
-        self._process.exits.callback(pool.close)
+        exits.callback(pool.close)
         peers = sidecar_peers.SidecarPeers(pool, settings.internal_port)
         exchange = configuration_exchange.ConfigurationExchange(
             peers,
@@ -88,7 +92,26 @@
             wire.decode_configuration,
             self._process.clock,
         )
-        self._process.exits.callback(exchange.close)
+        exits.callback(exchange.close)
+        self._process.background.run('settings', self._file.follow)
+        self._carrier = await self._new_carrier(peers, exchange)
+        self._add_metrics(self._carrier, await self._follow(exchange))
+        await self._share_state(peers, exchange)
+        await exits.enter_async_context(
+            metrics_server.serving(
+                self._process.metrics, settings.ip, settings.metrics_port
+            )
+        )
+        await listening.listen(web.Server(self._ready), settings.ready, exits)
+        await self.front.listen(settings.callers, exits)
+
+    async def _new_carrier(
+        self,
+        peers: sidecar_peers.SidecarPeers,
+        exchange: configuration_exchange.ConfigurationExchange,
+    ) -> carrier_module.Carrier:
+        settings = self._file.settings
+        process = self._process
         budgets = retry_budget.ServiceBudgets(
             settings.retry_ratio, settings.retry_allowance, _LEAST_ENTRIES
         )
@@ -97,44 +120,57 @@
             peers,
             self.servers,
             placement_module.Placement(
-                self._process.clock,
+                process.clock,
                 product_settings.ObjectiveSettings(stall_weight=1),
             ),
             self.ejector,
-            self._process.clock,
+            process.clock,
             exchange.note,
             budgets.note_entries,
         )
-        session = await self._process.exits.enter_async_context(
+        process.background.run('turns', turns.run)
+        session = await process.exits.enter_async_context(
             backend_client.new_session()
         )
-        self._carrier = carrier_module.Carrier(
+        return carrier_module.Carrier(
             backend_client.HttpBackendClient(session),
             turns,
             service_choice.ServiceChoice(
                 self.servers,
                 self.ejector,
                 settings.availability_zone,
-                self._process.random,
+                process.random,
             ),
             self.ejector,
             budgets,
-            self._process.versions,
-            self._process.clock,
-            self._process.random,
+            process.versions,
+            process.clock,
+            process.random,
         )
-        self._process.background.run('settings', self._file.follow)
-        self._process.background.run('turns', turns.run)
-        self._add_metrics(self._carrier, await self._follow(exchange))
-        await self._process.exits.enter_async_context(
-            metrics_server.serving(
-                self._process.metrics, settings.ip, settings.metrics_port
-            )
+
+    async def _share_state(
+        self,
+        peers: sidecar_peers.SidecarPeers,
+        exchange: configuration_exchange.ConfigurationExchange,
+    ) -> None:
+        """Answer entries that start, and ask them as this one does."""
+        settings = self._file.settings
+        state = peer_state.PeerState(
+            peers,
+            [seed for seed in settings.seeds if seed != settings.control],
+            self.servers,
+            self._process.versions,
+            exchange,
         )
-        await listening.listen(
-            web.Server(self._ready), settings.ready, self._process.exits
+        self._process.background.run('state', state.run)
+        if not settings.control:
+            return
+        control = link.ControlServer(
+            settings_module.sealer(settings), _CONTROL_CONTEXTS
         )
-        await self.front.listen(settings.callers, self._process.exits)
+        control.handle(peer_state.StateRequest, state.answer)
+        await control.start(*settings_module.split_endpoint(settings.control))
+        self._process.exits.push_async_callback(control.close)
 
     async def close(self) -> None:
         """Finish what is in progress, then release everything."""
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -44,6 +44,10 @@
         Where an entry listens for callers.
     ready
         Where an entry is asked whether it is ready.
+    control
+        Where an entry listens for other entries that start.
+    seeds
+        Control addresses of some entries, this one perhaps among them.
     engine
         Address of the engine beside a sidecar.
     service
@@ -68,6 +72,8 @@
     store: Endpoint
     callers: Endpoint = ''
     ready: Endpoint = ''
+    control: Endpoint = ''
+    seeds: tuple[Endpoint, ...] = ()
     engine: Endpoint = ''
     service: str = ''
     configuration_within_ms: contract.PositiveFloat
@@ -85,7 +91,8 @@
     def __post_init__(self) -> None:
         """Refuse what only looks like an address."""
         settings_module.check_ip(self.ip)
-        for endpoint in (self.store, self.callers, self.ready, self.engine):
+        endpoints = (self.store, self.callers, self.ready, self.control)
+        for endpoint in (*endpoints, self.engine, *self.seeds):
             if endpoint:
                 split_endpoint(endpoint)
 
--- a/lacewingpitch/sidecar_peers.py
+++ b/lacewingpitch/sidecar_peers.py
@@ -1,12 +1,13 @@
-"""Messages of an entry to the sidecars of engines."""
+"""Messages of an entry to sidecars of engines, and to other entries."""
 
 from lacewingpitch import errors
 from lacewingpitch import grant
 from lacewingpitch import link
+from lacewingpitch import peer_state
 
 
 class SidecarPeers:
-    """The control links of an entry, one to each sidecar it asks.
+    """The control links of an entry, one to each process it asks.
 
     Parameters
     ----------
@@ -44,8 +45,17 @@
         """Bring a newer configuration."""
         await self._peer(ip).ask(message, grant.ConfigurationTaken, timeout_s)
 
-    def _peer(self, ip: str) -> link.Peer:
+    async def ask_state(
+        self, endpoint: str, message: peer_state.StateRequest, timeout_s: float
+    ) -> peer_state.StateReply:
+        """Ask another entry what is published; `endpoint` is IP:PORT."""
+        ip, _, port = endpoint.rpartition(':')
+        return await self._peer(ip, int(port)).ask(
+            message, peer_state.StateReply, timeout_s
+        )
+
+    def _peer(self, ip: str, port: int | None = None) -> link.Peer:
         try:
-            return self._pool.peer(ip, self._port)
+            return self._pool.peer(ip, port or self._port)
         except OSError as error:
             raise errors.NoReplyError(f'{ip}: {error}') from error
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -87,6 +87,7 @@
             'internal': _free_port(SIDECAR_IPS[0]),
             'callers': _free_port(ENTRY_IPS[0]),
             'ready': _free_port(ENTRY_IPS[0]),
+            'control': _free_port(ENTRY_IPS[0]),
         }
         await self.store.put('op/config', standin.configuration(5))
         for ip, engine in zip(SIDECAR_IPS, self.engines, strict=True):
@@ -148,7 +149,7 @@
         return '{}:{}'.format(*runner.addresses[0][:2])
 
     async def _start(self, role, ip, ports, settings):
-        fields = standin.fields_of(role, ip, ports, settings)
+        fields = standin.fields_of(role, ip, ports, settings, self._entry_ips)
         program = Program(role, fields, self._folder)
         await program.start()
         self.programs.append(program)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -310,13 +310,14 @@
     }
 
 
-def fields_of(role, ip, ports, store):
+def fields_of(role, ip, ports, store, seeds=()):
     """Return the fields of a settings file, as the platform names them."""
     listen = {}
     if role == 'entry':
         listen = {
             'frontend': f'{ip}:{ports["callers"]}',
             'ready': f'{ip}:{ports["ready"]}',
+            'controlPlane': f'{ip}:{ports["control"]}',
         }
     app = {} if role == 'entry' else {'app': store['engine']}
     return {
@@ -326,6 +327,7 @@
         'internalPortRange': [ports['internal'], ports['internal'] + 15],
         'platform': {'address': store['address']},
         'listen': listen,
+        'seeds': [f'{seed}:{ports["control"]}' for seed in seeds],
         'service': SERVICE,
         **app,
         'bounds': {
--- /dev/null
+++ b/tests/test_peer_state.py
@@ -0,0 +1,183 @@
+"""What an entry that starts learns from others, in virtual time."""
+
+import asyncio
+import random
+
+from benchmarks import virtual_time
+from lacewingpitch import adapter_versions
+from lacewingpitch import backend_list
+from lacewingpitch import configuration_exchange
+from lacewingpitch import errors
+from lacewingpitch import peer_state
+from lacewingpitch import routing
+
+SERVER = backend_list.BackendServer(
+    'i-1', 'chat', '10.0.0.7', 80, 'zone-a', adapters={'m/a': 3}
+)
+
+
+def decode(content):
+    if not content.isdigit():
+        raise errors.PlatformError('not a configuration')
+    return routing.Configuration(int(content), (), {}, None, content)
+
+
+class Entry:
+    """What one entry knows, and how it shares it."""
+
+    def __init__(self, link=None, peers=()):
+        clock = virtual_time.LoopClock()
+        self.servers = backend_list.BackendList(clock)
+        self.versions = adapter_versions.AdapterVersions()
+        self.table = routing.RoutingTable(random.Random(1))
+        self.exchange = configuration_exchange.ConfigurationExchange(
+            None, self.table, decode, clock
+        )
+        self.state = peer_state.PeerState(
+            link, peers, self.servers, self.versions, self.exchange
+        )
+
+    def read_store(self, content=b'5'):
+        self.exchange.take(content, 'store')
+        self.servers.note_read()
+        self.servers.replace_all([SERVER])
+
+
+class FakeLink:
+    """Entries by their address; those that are not here are down."""
+
+    def __init__(self):
+        self.entries = {}
+        self.asked = []
+
+    async def ask_state(self, endpoint, message, timeout_s):
+        self.asked.append(endpoint)
+        if endpoint not in self.entries:
+            await asyncio.sleep(timeout_s)
+            raise errors.NoReplyError(endpoint)
+        found = self.entries[endpoint]
+        if isinstance(found, peer_state.StateReply):
+            return found
+        return await found.state.answer(message)
+
+
+class Scene:
+    def __init__(self):
+        self.link = FakeLink()
+        self.other = Entry()
+        self.starting = Entry(self.link, ['a:1', 'b:1', 'c:1'])
+
+
+def play(story):
+    async def main():
+        await story(Scene())
+
+    virtual_time.run(main())
+
+
+class TestPeerState:
+    def test_an_entry_serves_although_the_store_is_down(self):
+        """An entry that restarts refuses all until the store is back.
+
+        The store is down; one of three other entries is, too, and one
+        knows as little.  The third serves with what it knew before.
+        """
+
+        async def story(scene):
+            scene.other.read_store()
+            scene.other.versions.note('m', 'a', 4)
+            scene.link.entries = {'b:1': Entry(), 'c:1': scene.other}
+            await asyncio.sleep(20.0)
+            await scene.starting.state.run()
+            assert scene.starting.table.version == 5
+            assert scene.starting.versions.wanted('m', 'a') == 4
+            (found,) = scene.starting.servers.serving('chat')
+            assert (found.name, found.adapters) == ('i-1', {})
+            assert scene.starting.servers.age_s >= 20.0
+
+        play(story)
+
+    def test_a_route_that_a_peer_does_not_know_is_not_denied(self):
+        """A caller is told "not found" for a route that is in force.
+
+        The peer has an old configuration, since the store turned it away.
+        """
+
+        async def story(scene):
+            scene.other.read_store()
+            scene.link.entries = {'a:1': scene.other}
+            await scene.starting.state.run()
+            assert scene.starting.table.is_away
+
+        play(story)
+
+    def test_a_store_that_works_is_enough(self):
+        async def story(scene):
+            scene.starting.read_store()
+            await scene.starting.state.run()
+            assert scene.link.asked == []
+
+        play(story)
+
+    def test_the_store_goes_before_a_late_reply(self):
+        """A server that is gone is back in the list of one entry.
+
+        The store answers while a peer whose list is old is asked.
+        """
+
+        async def story(scene):
+            scene.other.read_store()
+            scene.other.servers.put(
+                backend_list.BackendServer('gone', 'chat', 'x', 1, 'z')
+            )
+            running = asyncio.create_task(scene.starting.state.run())
+            await asyncio.sleep(0.4)
+            scene.starting.read_store(b'6')
+            scene.link.entries = {'b:1': scene.other}
+            await running
+            assert scene.starting.servers.get('gone') is None
+            assert not scene.starting.table.is_away
+
+        play(story)
+
+    def test_all_are_asked_until_one_knows(self):
+        async def story(scene):
+            running = asyncio.create_task(scene.starting.state.run())
+            await asyncio.sleep(10.0)
+            assert set(scene.link.asked) == {'a:1', 'b:1', 'c:1'}
+            assert len(scene.link.asked) < 20
+            scene.other.read_store()
+            scene.link.entries = {'a:1': scene.other}
+            async with asyncio.timeout(3.0):
+                await running
+
+        play(story)
+
+    def test_what_cannot_be_read_is_not_taken(self):
+        async def story(scene):
+            scene.other.read_store()
+            scene.link.entries = {
+                'a:1': peer_state.StateReply(
+                    is_known=True, configuration=b'x', servers=(SERVER,)
+                ),
+                'b:1': scene.other,
+            }
+            await scene.starting.state.run()
+            assert scene.starting.table.version == 5
+
+        play(story)
+
+    def test_the_store_is_believed_once_it_is_back(self):
+        """Requests go to a server that left while the store was away."""
+
+        async def story(scene):
+            scene.other.read_store()
+            scene.link.entries = {'a:1': scene.other}
+            await scene.starting.state.run()
+            scene.starting.servers.note_read()
+            scene.starting.servers.replace_all([])
+            assert scene.starting.servers.serving('chat')
+            await asyncio.sleep(3.0)
+            assert not scene.starting.servers.serving('chat')
+
+        play(story)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -223,6 +223,29 @@
         )
 
 
+class TestStoreAway:
+    async def test_an_entry_that_restarts_learns_from_another(self, tmp_path):
+        """An entry that restarts refuses all until the store is back.
+
+        The store is down; the other entry serves with what it knows.
+        """
+        async with platform_processes.Platform(tmp_path, 2) as platform:
+            first = platform.entries[0]
+            platform.store.is_down = True
+            await first.stop()
+            await first.start()
+            await platform.until(platform.is_ready)
+            assert first.events('state taken over')
+            async with platform.call(
+                '/chat/x', 'r-1', Model=f'{standin.MODEL}/a7'
+            ) as response:
+                body = await response.read()
+            assert response.status == 200
+            assert body.count(b'id: ') == 5
+            async with platform.call('/nowhere/1', 'r-2') as response:
+                assert response.status == 503
+
+
 class TestSidecarLost:
     async def test_its_engine_serves_on_what_it_holds(self, platform):
         """Answers stop although every engine works.
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -12,7 +12,7 @@
 from tests import platform_standin as standin
 from tests import processes
 
-PORTS = {'callers': 8001, 'ready': 8002, 'internal': 7300}
+PORTS = {'callers': 8001, 'ready': 8002, 'control': 8003, 'internal': 7300}
 STORE = {'address': '10.0.0.9:8142', 'engine': '10.0.0.2:8145'}
 
 
