--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -27,6 +27,7 @@
 from lacewingpitch import service_choice
 from lacewingpitch import settings as product_settings
 from lacewingpitch import sidecar_peers
+from lacewingpitch import start_wait
 from lacewingpitch import turn_source
 
 # As many entries share the retry budget at least: more than there are at
@@ -68,6 +69,7 @@
             self._process.metrics.seconds(
                 'request_seconds', 'Time from a request to its end.'
             ),
+            start_wait.StartWait(self._process.clock),
         )
         self._carrier: carrier_module.Carrier | None = None
 
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -20,6 +20,7 @@
 from lacewingpitch.platform import listening
 from lacewingpitch.platform import names
 from lacewingpitch import routing
+from lacewingpitch import start_wait as start_wait_module
 
 _MS_PER_S = 1000
 _CLOSE = 'close'
@@ -30,9 +31,6 @@
 _STALL_S = 10.0
 _BODY_TIMEOUT_S = 10.0
 _MAX_LINE_BYTES = 16 << 10
-# Reading the configuration at a start takes 5 to 20 ms, and 0.2 s while
-# the store is slow.
-_START_WAIT_S = 0.25
 log = structlog.get_logger(__name__)
 
 Serve = Callable[
@@ -128,6 +126,8 @@
         Answers a request; raises `errors.RefusalError` otherwise.
     times
         Takes note of how long requests took, by outcome.
+    start_wait
+        How long requests wait until a configuration is known.
     """
 
     def __init__(
@@ -135,7 +135,9 @@
         table: routing.RoutingTable,
         serve: Serve,
         times: metrics_module.Seconds,
+        start_wait: start_wait_module.StartWait,
     ) -> None:
+        self._start_wait = start_wait
         self._table = table
         self._serve = serve
         self._times = times
@@ -166,6 +168,7 @@
             max_field_size=_MAX_LINE_BYTES,
             auto_decompress=False,
         )
+        self._start_wait.begin()
         self._site = await listening.listen(self._server, endpoint, exits)
 
     async def stop_listening(self) -> None:
@@ -271,18 +274,19 @@
                 configuration_version=self._table.version,
             )
 
-    async def _until_started(self) -> None:
+    async def _until_started(self, request: web.BaseRequest) -> None:
         # Callers that connect while an instance restarts are let in as
         # soon as it listens.  Refused then, they would have used up the
         # one more try that most of them have.
         if self._table.configuration is not None:
             return
+        caller_s = _number(request, names.DEADLINE_MS) / _MS_PER_S
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_START_WAIT_S):
+            async with asyncio.timeout(self._start_wait.left_s(caller_s)):
                 await self._table.until_known()
 
     async def _route(self, request: web.BaseRequest) -> routing.Route:
-        await self._until_started()
+        await self._until_started(request)
         if self.is_refusing:
             raise errors.RefusalError(
                 errors.ErrorKind.DRAINING,
