The test of an entry that restarts waits for the other one's list

Cause: of 14 runs side by side 4 failed; in each of them the second entry had not read the list when the store was taken away (its log had no 'backend server listed'), so that nobody could tell the first.

Change: it waits until the second entry has the list.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -230,7 +230,11 @@
         The store is down; the other entry serves with what it knows.
         """
         async with platform_processes.Platform(tmp_path, 2) as platform:
-            first = platform.entries[0]
+            first, second = platform.entries
+            # The other has read the store before it is lost.
+            await platform.until(
+                lambda: second.events('backend server listed')
+            )
             platform.store.is_down = True
             await first.stop()
             await first.start()
