--- a/benchmarks/capacity_platform.py
+++ b/benchmarks/capacity_platform.py
@@ -4,6 +4,7 @@
 engines.  Times are processor time, the least of a few runs.
 """
 
+import dataclasses
 import functools
 import json
 import random
@@ -17,6 +18,7 @@
 from lacewingpitch import grant
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
+from lacewingpitch import peer_state
 from lacewingpitch import placement
 from lacewingpitch.platform import wire
 from lacewingpitch import settings
@@ -156,6 +158,19 @@
         found.learn_listed(server.name, server.adapters)
 
 
+def measure_state() -> list[slopes.Slope]:
+    """What an entry that starts while the store is away is sent."""
+    sizes = []
+    for count in ENGINES:
+        servers = tuple(
+            dataclasses.replace(server, adapters={})
+            for server in make_servers(count)
+        )
+        reply = peer_state.StateReply(is_known=True, servers=servers)
+        sizes.append(len(msgspec.msgpack.encode(reply)))
+    return [slopes.Slope('list sent to an entry', 'B', ENGINES, sizes)]
+
+
 def measure_messages() -> None:
     """Print the size of what goes between an entry and a sidecar."""
     server = make_servers(1)[0]
@@ -199,6 +214,7 @@
     print('| --- | --- | --- | --- | --- | --- |')
     slopes.show(measure_list())
     slopes.show(measure_placement())
+    slopes.show(measure_state())
     measure_messages()
 
 
