--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -224,6 +224,9 @@
                 await asyncio.sleep(self.event_pause_s)
             await response.write_eof()
             return response
+        except ConnectionResetError:
+            # The caller has left, which ends the run.
+            return response
         finally:
             self.runs.remove(request_id)
 
