An instance that was to leave, and stays, is used again

Operators have an engine leave, and stay at once; its sidecar refuses by the first list, and the entry that hears it passes it over for 60 s, though the next list says that it stays. When the other engine leaves then, that entry knows of none.

Change: a sidecar that leaves by the list says by which revision. A newer list by which it stays ends its word; the word of one that got a signal holds as before. Peers of before read the header as they did. The scene says now which calls were never served, and what they got.

--- a/lacewingpitch/membership.py
+++ b/lacewingpitch/membership.py
@@ -18,6 +18,9 @@
 _WATCH_S = 10.0
 _RETRY_S = 1.0
 _SUSPECT_S = 5.0
+# A list reaches another instance some 0.01 s later, and within a retry of
+# the watch where that fails.
+_LIST_LAG_S = 1.0
 log = structlog.get_logger(__name__)
 
 
@@ -47,6 +50,9 @@
         self._current_at_s = -math.inf
         self._suspect_until_s: dict[str, float] = {}
         self._leaving_until_s: dict[str, float] = {}
+        # Revision of the list by which an instance said that it leaves;
+        # 0 if it does so by itself.
+        self._leaving_by: dict[str, int] = {}
         self._older_since_s: float | None = None
         self._changes: reactivex.subject.Subject[live_list.InstanceList] = (
             reactivex.subject.Subject()
@@ -83,6 +89,11 @@
             for instance in self._list.instances
         )
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the list that was last taken over."""
+        return self._list.revision
+
     @property
     def age_s(self) -> float:
         """Return how long ago the list was last known to be current."""
@@ -113,13 +124,26 @@
         self._suspect_until_s[instance] = self._clock.monotonic_s() + for_s
         self._usable_by_serves.clear()
 
-    def note_leaving(self, instance: str) -> None:
+    def note_leaving(self, instance: str, revision: int = 0) -> None:
         """Pass over an instance that says itself that it leaves.
 
         Its word comes before the list, which lags.  It holds until the
         list names another process by that name, or for `LEAVING_WORD_S`;
         a call after that is refused by the instance again.
+
+        Parameters
+        ----------
+        revision
+            Of the list by which it leaves; a newer one by which it stays
+            ends its word.  0 if it leaves by itself.
         """
+        # Operators can have an instance leave, and stay.  Its word would
+        # hold for long after; with one such word for each instance, none
+        # would seem live until the first of them ends.
+        if revision and self._stays_by_newer(instance, revision):
+            self.suspect(instance, _LIST_LAG_S)
+            return
+        self._leaving_by[instance] = revision
         until_s = self._clock.monotonic_s() + LEAVING_WORD_S
         self._leaving_until_s[instance] = until_s
         self._usable_by_serves.clear()
@@ -140,6 +164,21 @@
             self._usable_by_serves[serves] = found
         return found or ()
 
+    def _stays_by_newer(self, instance: str, revision: int) -> bool:
+        found = self._by_name.get(instance)
+        return (
+            self._list.revision > revision
+            and found is not None
+            and found.state is live_list.InstanceState.LIVE
+        )
+
+    def _end_words_by_lists(self) -> None:
+        for name, revision in list(self._leaving_by.items()):
+            if revision and self._stays_by_newer(name, revision):
+                self._leaving_until_s.pop(name, None)
+            if name not in self._leaving_until_s:
+                del self._leaving_by[name]
+
     def _unmarked(
         self, instances: Iterable[live_list.Instance]
     ) -> tuple[live_list.Instance, ...]:
@@ -247,6 +286,7 @@
         for marks in (self._suspect_until_s, self._leaving_until_s):
             for name in marks.keys() - self._by_name.keys():
                 del marks[name]
+        self._end_words_by_lists()
         self._changes.on_next(taken)
 
     def _pass_over(self, reason: str, instance: str = '') -> None:
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -254,8 +254,11 @@
     async def _mark_leaving(
         self, _request: web.Request, response: web.StreamResponse
     ) -> None:
-        if self.is_leaving:
-            response.headers[work.LEAVING_HEADER] = 'true'
+        if self._draining:
+            response.headers[work.LEAVING_HEADER] = work.LEAVES_BY_ITSELF
+        elif self.is_leaving:
+            revision = self._node.membership.revision
+            response.headers[work.LEAVING_HEADER] = str(revision)
 
     async def _health(self, _request: web.Request) -> web.Response:
         return web.Response(text='ok\n')
--- a/lacewingpitch/sidecar_link.py
+++ b/lacewingpitch/sidecar_link.py
@@ -300,8 +300,11 @@
         self._placement.learn(
             sidecar.name, response.headers.get(work.HINT_HEADER, '')
         )
-        if work.LEAVING_HEADER in response.headers:
-            self._membership.note_leaving(sidecar.name)
+        leaving = response.headers.get(work.LEAVING_HEADER, '')
+        if leaving:
+            self._membership.note_leaving(
+                sidecar.name, int(leaving) if leaving.isdecimal() else 0
+            )
         if work.KIND_HEADER in response.headers:
             await self._raise_refusal(response, attempt)
         if response.headers.get(work.ATTEMPT_HEADER) != attempt.attempt_id:
@@ -321,7 +324,8 @@
         except msgspec.DecodeError as error:
             raise aiohttp.ClientPayloadError('unusable refusal') from error
         kind = body.error.kind
-        if kind is errors.ErrorKind.DRAINING:
+        is_noted = work.LEAVING_HEADER in response.headers
+        if kind is errors.ErrorKind.DRAINING and not is_noted:
             self._membership.note_leaving(attempt.sidecar.name)
         if kind is errors.ErrorKind.CONTRACT_OUTDATED and self._on_outdated:
             await self._on_outdated(attempt.order.customer, attempt.sidecar)
--- a/lacewingpitch/work.py
+++ b/lacewingpitch/work.py
@@ -15,7 +15,9 @@
 ATTEMPT_HEADER = 'Lacewingpitch-Attempt'
 HINT_HEADER = 'Lacewingpitch-Hint'
 LOAD_STALL_HEADER = 'Lacewingpitch-Load-Stall-S'
+# The revision of the list by which a sidecar leaves, or the word below.
 LEAVING_HEADER = 'Lacewingpitch-Leaving'
+LEAVES_BY_ITSELF = 'true'
 
 
 class WorkOrder(link.Message, frozen=True):
--- a/tests/cell_scene.py
+++ b/tests/cell_scene.py
@@ -390,23 +390,30 @@
 
     async def serve(self, names, *entries, has_keys=False):
         """Wait until each of these is served through these entries."""
-        async with asyncio.timeout(processes.WAIT_S):
-            await asyncio.gather(
-                *(
-                    self._served(name, entry, has_keys)
-                    for name in names
-                    for entry in entries
+        unserved = {}
+        try:
+            async with asyncio.timeout(processes.WAIT_S):
+                await asyncio.gather(
+                    *(
+                        self._served(name, entry, has_keys, unserved)
+                        for name in names
+                        for entry in entries
+                    )
                 )
-            )
+        except TimeoutError as error:
+            raise AssertionError(f'never served: {unserved}') from error
 
-    async def _served(self, name, entry, has_keys):
+    async def _served(self, name, entry, has_keys, unserved):
+        """Ask until it is served, and keep what came last in `unserved`."""
         has_key = has_keys and ADAPTERS.get(name) != 'again'
         while True:
             key = processes.new_key() if has_key else ''
             call = self.ask(name, entry, key=key, max_tokens=FEW_TOKENS)
             await self.asking[-1]
             if call.is_whole():
+                unserved.pop((name, entry), None)
                 return
+            unserved[name, entry] = (call.outcome, call.text[:200])
             await asyncio.sleep(RETRY_S)
 
     async def check(self):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -134,6 +134,46 @@
         publish(members, 2, make_instance('a', started_at_s=9.0))
         assert names(members) == ['a']
 
+    def test_word_by_a_list_ends_with_that_list(self, members):
+        """No backend server is known to be live, and all are.
+
+        Operators have a server leave, and stay at once.  It refuses by
+        the first list; an entry hears that, and only ever sees the next
+        list.  Then another server leaves.
+        """
+        publish(members, 1, make_instance('a'), make_instance('b'))
+        members.note_leaving('a', 2)
+        assert names(members) == ['b']
+        leaving = make_instance('b', state=LEAVING)
+        publish(members, 3, make_instance('a'), leaving)
+        assert names(members) == ['a']
+
+    def test_word_by_an_older_list_holds_for_a_moment(self, members, clock):
+        publish(members, 3, make_instance('a'), make_instance('b'))
+        members.note_leaving('a', 2)
+        assert names(members) == ['b']
+        clock.now_s += 1.0
+        assert names(members) == ['a', 'b']
+
+    def test_word_by_a_list_holds_while_the_list_says_so(self, members):
+        leaving = make_instance('a', state=LEAVING)
+        publish(members, 1, make_instance('a'), make_instance('b'))
+        members.note_leaving('a', 2)
+        publish(members, 2, leaving, make_instance('b'))
+        publish(members, 3, leaving, make_instance('b'))
+        assert names(members) == ['b']
+
+    def test_a_signal_goes_before_a_list(self, members):
+        """A server that was told to end gets new work.
+
+        It said first that it leaves by the list, and then by itself.
+        """
+        publish(members, 1, make_instance('a'), make_instance('b'))
+        members.note_leaving('a', 2)
+        members.note_leaving('a')
+        publish(members, 3, make_instance('a'), make_instance('b'))
+        assert names(members) == ['b']
+
     def test_suspect_is_passed_over_for_a_while(self, members, clock):
         publish(members, 1, make_instance('a'))
         members.suspect('a', for_s=2.0)
