The test of a caller that leaves waits until the engine has heard why

The engine stops a run as its connection closes; the order to cancel it comes on another connection a moment later. The test looked as soon as nothing ran, and could find the run neither finished nor cancelled.

Change: it waits until the run is cancelled or finished; what it asserts stays.

--- a/tests/test_not_run_processes.py
+++ b/tests/test_not_run_processes.py
@@ -490,7 +490,14 @@
         async def idle():
             return not await running(deployment, engine)
 
+        async def is_ended():
+            (run,) = (await deployment.truth(engine)).runs
+            return run.cancelled or run.finished
+
         await processes.until(idle)
+        # The engine stops as its connection closes, and hears a moment
+        # later why.
+        await processes.until(is_ended)
         (run,) = (await deployment.truth(engine)).runs
         assert run.cancelled is is_cancelled
         assert run.finished is not is_cancelled
