--- a/lacewingpitch/sidecar_peers.py
+++ b/lacewingpitch/control_peers.py
@@ -1,41 +1,42 @@
-"""Messages of an entry to sidecars of engines, and to other entries."""
+"""Control messages of an entry to sidecars and to other entries."""
 
 from lacewingpitch import errors
 from lacewingpitch import grant
 from lacewingpitch import link
 from lacewingpitch import peer_state
+from lacewingpitch import settings
 
 
-class SidecarPeers:
+class ControlPeers:
     """The control links of an entry, one to each process it asks.
 
     Parameters
     ----------
-    port
+    sidecar_port
         Control port, the same at every sidecar.
     """
 
-    def __init__(self, pool: link.PeerPool, port: int) -> None:
+    def __init__(self, pool: link.PeerPool, sidecar_port: int) -> None:
         self._pool = pool
-        self._port = port
+        self._sidecar_port = sidecar_port
 
     async def ask_turn(
         self, ip: str, request: grant.TurnRequest, timeout_s: float
     ) -> grant.TurnReply:
         """Ask for a turn."""
-        return await self._peer(ip).ask(request, grant.TurnReply, timeout_s)
+        return await self._sidecar(ip).ask(request, grant.TurnReply, timeout_s)
 
     async def end_turns(
         self, ip: str, message: grant.TurnEnds, timeout_s: float
     ) -> None:
         """Say that turns have ended."""
-        await self._peer(ip).ask(message, grant.TurnEndsReply, timeout_s)
+        await self._sidecar(ip).ask(message, grant.TurnEndsReply, timeout_s)
 
     async def ask_configuration(
         self, ip: str, message: grant.ConfigurationRequest, timeout_s: float
     ) -> grant.ConfigurationReply:
         """Ask for a newer configuration."""
-        return await self._peer(ip).ask(
+        return await self._sidecar(ip).ask(
             message, grant.ConfigurationReply, timeout_s
         )
 
@@ -43,19 +44,26 @@
         self, ip: str, message: grant.ConfigurationOffer, timeout_s: float
     ) -> None:
         """Bring a newer configuration."""
-        await self._peer(ip).ask(message, grant.ConfigurationTaken, timeout_s)
+        await self._sidecar(ip).ask(
+            message, grant.ConfigurationTaken, timeout_s
+        )
 
     async def ask_state(
-        self, endpoint: str, message: peer_state.StateRequest, timeout_s: float
+        self,
+        entry: settings.Address,
+        message: peer_state.StateRequest,
+        timeout_s: float,
     ) -> peer_state.StateReply:
-        """Ask another entry what is published; `endpoint` is IP:PORT."""
-        ip, _, port = endpoint.rpartition(':')
-        return await self._peer(ip, int(port)).ask(
+        """Ask another entry what is published."""
+        return await self._peer(entry.ip, entry.port).ask(
             message, peer_state.StateReply, timeout_s
         )
 
-    def _peer(self, ip: str, port: int | None = None) -> link.Peer:
+    def _sidecar(self, ip: str) -> link.Peer:
+        return self._peer(ip, self._sidecar_port)
+
+    def _peer(self, ip: str, port: int) -> link.Peer:
         try:
-            return self._pool.peer(ip, port or self._port)
+            return self._pool.peer(ip, port)
         except OSError as error:
             raise errors.NoReplyError(f'{ip}: {error}') from error
--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -122,9 +122,8 @@
 
     @property
     def _interval_s(self) -> float:
-        if self.desk is None or self.view.is_starting:
-            return _LOADING_INTERVAL_S
-        if self.view.loading_count:
+        is_awaited = self.view.loading_count or self.view.is_starting
+        if self.desk is None or is_awaited:
             return _LOADING_INTERVAL_S
         return _IDLE_INTERVAL_S
 
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -160,29 +160,25 @@
     @property
     def is_serving(self) -> bool:
         """Whether the engine is up with a model, and not about to leave."""
+        found = self._fresh
         return (
-            self._snapshot is not None
-            and not self._snapshot.is_leaving
-            and bool(self._snapshot.models)
-            and self.report_age_s < _DOWN_AFTER_S
+            found is not None and not found.is_leaving and bool(found.models)
         )
 
     @property
     def is_leaving(self) -> bool:
         """Whether the engine is up, and about to leave."""
-        return (
-            self._snapshot is not None
-            and self._snapshot.is_leaving
-            and self.report_age_s < _DOWN_AFTER_S
-        )
+        found = self._fresh
+        return found is not None and found.is_leaving
 
     @property
     def is_starting(self) -> bool:
         """Whether the engine is up, and is to serve within seconds."""
+        found = self._fresh
         return (
-            self._empty_since_s is not None
-            and not self.is_leaving
-            and self.report_age_s < _DOWN_AFTER_S
+            found is not None
+            and not found.is_leaving
+            and not found.models
             and self._starting_for_s < _MAX_START_S
         )
 
@@ -191,6 +187,13 @@
         """Return when an engine that starts is expected to serve."""
         return max(_LEAST_START_S, _START_S - self._starting_for_s)
 
+    @property
+    def _fresh(self) -> EngineSnapshot | None:
+        """Return the last report, unless the engine counts as down."""
+        if self.report_age_s < _DOWN_AFTER_S:
+            return self._snapshot
+        return None
+
     @property
     def _starting_for_s(self) -> float:
         if self._empty_since_s is None:
--- a/lacewingpitch/peer_state.py
+++ b/lacewingpitch/peer_state.py
@@ -12,6 +12,7 @@
 from lacewingpitch import configuration_exchange
 from lacewingpitch import errors
 from lacewingpitch import link as link_module
+from lacewingpitch import settings
 
 # A store that works gives all that is published within some 30 ms of the
 # start, 0.2 s where it is slow: it is asked alone for so long.
@@ -59,7 +60,10 @@
     """Messages to other processes, by their address."""
 
     async def ask_state(
-        self, endpoint: str, message: StateRequest, timeout_s: float
+        self,
+        entry: settings.Address,
+        message: StateRequest,
+        timeout_s: float,
     ) -> StateReply:
         """Ask what a process knows."""
         ...
@@ -84,7 +88,7 @@
     def __init__(
         self,
         link: StateLink,
-        peers: Sequence[str],
+        peers: Sequence[settings.Address],
         servers: backend_list.BackendList,
         versions: adapter_versions.AdapterVersions,
         exchange: configuration_exchange.ConfigurationExchange,
@@ -123,23 +127,23 @@
                 await self._ask(peer)
             await asyncio.sleep(_PAUSE_S)
 
-    async def _ask(self, peer: str) -> None:
+    async def _ask(self, peer: settings.Address) -> None:
         try:
             reply = await self._link.ask_state(
                 peer, StateRequest(), _TIMEOUT_S
             )
         except errors.LinkError as error:
-            log.info('state not fetched', peer=peer, error=str(error))
+            log.info('state not fetched', peer=peer.ip, error=str(error))
             return
         # The store may have answered while the peer did, and knows more.
         if reply.is_known and not self._servers.is_known:
             self._take(reply, peer)
 
-    def _take(self, reply: StateReply, peer: str) -> None:
+    def _take(self, reply: StateReply, peer: settings.Address) -> None:
         try:
-            self._exchange.take(reply.configuration, source=peer)
+            self._exchange.take(reply.configuration, source=peer.ip)
         except errors.PlatformError as error:
-            log.error('state rejected', peer=peer, error=str(error))
+            log.error('state rejected', peer=peer.ip, error=str(error))
             return
         # A route that the peer does not know may be in force.
         self._exchange.note_store(is_away=True)
@@ -148,7 +152,7 @@
         self._servers.adopt(reply.servers, reply.list_age_s)
         log.info(
             'state taken over',
-            peer=peer,
+            peer=peer.ip,
             backend_servers=len(reply.servers),
             list_age_s=round(reply.list_age_s, 1),
         )
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -9,6 +9,7 @@
 from lacewingpitch import carrier as carrier_module
 from lacewingpitch import clock as clock_module
 from lacewingpitch import configuration_exchange
+from lacewingpitch import control_peers
 from lacewingpitch import draining
 from lacewingpitch import ejection
 from lacewingpitch import link
@@ -26,7 +27,6 @@
 from lacewingpitch import retry_budget
 from lacewingpitch import service_choice
 from lacewingpitch import settings as product_settings
-from lacewingpitch import sidecar_peers
 from lacewingpitch import start_wait
 from lacewingpitch import turn_source
 
@@ -88,7 +88,7 @@
         exits = self._process.exits
         pool = link.PeerPool(settings_module.sealer(settings), _MAX_PEERS)
         exits.callback(pool.close)
-        peers = sidecar_peers.SidecarPeers(pool, settings.internal_port)
+        peers = control_peers.ControlPeers(pool, settings.internal_port)
         exchange = configuration_exchange.ConfigurationExchange(
             peers,
             self._process.table,
@@ -111,7 +111,7 @@
 
     async def _new_carrier(
         self,
-        peers: sidecar_peers.SidecarPeers,
+        peers: control_peers.ControlPeers,
         exchange: configuration_exchange.ConfigurationExchange,
     ) -> carrier_module.Carrier:
         settings = self._file.settings
@@ -154,14 +154,18 @@
 
     async def _share_state(
         self,
-        peers: sidecar_peers.SidecarPeers,
+        peers: control_peers.ControlPeers,
         exchange: configuration_exchange.ConfigurationExchange,
     ) -> None:
         """Answer entries that start, and ask them as this one does."""
         settings = self._file.settings
         state = peer_state.PeerState(
             peers,
-            [seed for seed in settings.seeds if seed != settings.control],
+            [
+                settings_module.address_of(seed)
+                for seed in settings.seeds
+                if seed != settings.control
+            ],
             self.servers,
             self._process.versions,
             exchange,
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -193,24 +193,15 @@
         the task of an idle connection and leaves the connection open: a
         request that comes then is taken by nobody.
         """
-        if self._server is None:
-            return
-        for handler in self._server.connections:
-            transport = handler.transport
-            if transport is not None and transport not in self._busy:
+        for transport in self._transports():
+            if transport not in self._busy:
                 transport.close()
 
     async def close_silent(self) -> None:
         """Close connections that never bring a request, for ever."""
         while True:
             await asyncio.sleep(_LOOK_INTERVAL_S)
-            if self._server is None:
-                continue
-            transports = [
-                handler.transport
-                for handler in self._server.connections
-                if handler.transport is not None
-            ]
+            transports = self._transports()
             limit_s = self._limits.idle_timeout_s
             overdue = self._silent.overdue(transports, limit_s)
             for transport in overdue:
@@ -223,6 +214,15 @@
                     open_count=len(transports),
                 )
 
+    def _transports(self) -> list[asyncio.BaseTransport]:
+        """Return the connections that are open."""
+        handlers = self._server.connections if self._server else ()
+        return [
+            handler.transport
+            for handler in handlers
+            if handler.transport is not None
+        ]
+
     def _new_request(
         self,
         message: http_parser.RawRequestMessage,
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -123,10 +123,15 @@
     return link.Sealer(_DEPLOYMENT, _SEAL, settings.instance)
 
 
-def url_of(endpoint: str) -> str:
-    """Return the HTTP URL of IP:PORT."""
+def address_of(endpoint: Endpoint) -> settings_module.Address:
+    """Return IP:PORT as the product's address."""
     ip, port = split_endpoint(endpoint)
-    return settings_module.Address(ip=ip, port=port).url
+    return settings_module.Address(ip=ip, port=port)
+
+
+def url_of(endpoint: Endpoint) -> str:
+    """Return the HTTP URL of IP:PORT."""
+    return address_of(endpoint).url
 
 
 class SettingsFile:
--- a/lacewingpitch/start_wait.py
+++ b/lacewingpitch/start_wait.py
@@ -28,7 +28,7 @@
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
-        self._until_s = clock.monotonic_s() + _START_S
+        self.begin()
 
     def begin(self) -> None:
         """Take note that the process takes requests from now on."""
--- a/tests/test_asking_entries.py
+++ b/tests/test_asking_entries.py
@@ -1,17 +1,7 @@
 """How many entries ask one sidecar."""
 
 from lacewingpitch import asking_entries
-
-
-class Clock:
-    def __init__(self):
-        self.now_s = 0.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
+from tests import clocks
 
 
 class TestAskingEntries:
@@ -20,7 +10,7 @@
 
         Those that are gone would keep their share of the budget.
         """
-        clock = Clock()
+        clock = clocks.ManualClock()
         entries = asking_entries.AskingEntries(clock)
         for name in ('a', 'b', 'a'):
             entries.note(name)
--- a/tests/test_load_backoff.py
+++ b/tests/test_load_backoff.py
@@ -3,22 +3,12 @@
 import pytest
 
 from lacewingpitch import load_backoff
-
-
-class Clock:
-    def __init__(self):
-        self.now_s = 0.0
-
-    def monotonic_s(self):
-        return self.now_s
-
-    def wall_s(self):
-        return self.now_s
+from tests import clocks
 
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return clocks.ManualClock()
 
 
 @pytest.fixture
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -10,10 +10,15 @@
 from lacewingpitch import errors
 from lacewingpitch import peer_state
 from lacewingpitch import routing
+from lacewingpitch import settings
 
 SERVER = backend_list.BackendServer(
     'i-1', 'chat', '10.0.0.7', 80, 'zone-a', adapters={'m/a': 3}
 )
+A, B, C = ('10.0.1.1:81', '10.0.1.2:81', '10.0.1.3:81')
+ADDRESSES = [
+    settings.Address(ip=f'10.0.1.{number}', port=81) for number in (1, 2, 3)
+]
 
 
 def decode(content):
@@ -50,7 +55,8 @@
         self.entries = {}
         self.asked = []
 
-    async def ask_state(self, endpoint, message, timeout_s):
+    async def ask_state(self, entry, message, timeout_s):
+        endpoint = f'{entry.ip}:{entry.port}'
         self.asked.append(endpoint)
         if endpoint not in self.entries:
             await asyncio.sleep(timeout_s)
@@ -65,7 +71,7 @@
     def __init__(self):
         self.link = FakeLink()
         self.other = Entry()
-        self.starting = Entry(self.link, ['a:1', 'b:1', 'c:1'])
+        self.starting = Entry(self.link, ADDRESSES)
 
 
 def play(story):
@@ -86,7 +92,7 @@
         async def story(scene):
             scene.other.read_store()
             scene.other.versions.note('m', 'a', 4)
-            scene.link.entries = {'b:1': Entry(), 'c:1': scene.other}
+            scene.link.entries = {B: Entry(), C: scene.other}
             await asyncio.sleep(20.0)
             await scene.starting.state.run()
             assert scene.starting.table.version == 5
@@ -105,7 +111,7 @@
 
         async def story(scene):
             scene.other.read_store()
-            scene.link.entries = {'a:1': scene.other}
+            scene.link.entries = {A: scene.other}
             await scene.starting.state.run()
             assert scene.starting.table.is_away
 
@@ -133,7 +139,7 @@
             running = asyncio.create_task(scene.starting.state.run())
             await asyncio.sleep(0.4)
             scene.starting.read_store(b'6')
-            scene.link.entries = {'b:1': scene.other}
+            scene.link.entries = {B: scene.other}
             await running
             assert scene.starting.servers.get('gone') is None
             assert not scene.starting.table.is_away
@@ -144,10 +150,10 @@
         async def story(scene):
             running = asyncio.create_task(scene.starting.state.run())
             await asyncio.sleep(10.0)
-            assert set(scene.link.asked) == {'a:1', 'b:1', 'c:1'}
+            assert set(scene.link.asked) == {A, B, C}
             assert len(scene.link.asked) < 20
             scene.other.read_store()
-            scene.link.entries = {'a:1': scene.other}
+            scene.link.entries = {A: scene.other}
             async with asyncio.timeout(3.0):
                 await running
 
@@ -157,10 +163,10 @@
         async def story(scene):
             scene.other.read_store()
             scene.link.entries = {
-                'a:1': peer_state.StateReply(
+                A: peer_state.StateReply(
                     is_known=True, configuration=b'x', servers=(SERVER,)
                 ),
-                'b:1': scene.other,
+                B: scene.other,
             }
             await scene.starting.state.run()
             assert scene.starting.table.version == 5
@@ -172,7 +178,7 @@
 
         async def story(scene):
             scene.other.read_store()
-            scene.link.entries = {'a:1': scene.other}
+            scene.link.entries = {A: scene.other}
             await scene.starting.state.run()
             scene.starting.servers.note_read()
             scene.starting.servers.replace_all([])
