The upgrade test lists a replaced sidecar as another process

In the runs that were traced one entry sent nothing to an engine that the others used all the time: it had heard the old sidecar say that it leaves, and passes it over for 60 s or until the list names another process. The test listed the successor like the one before, without the time of its start, which the list has.

Ruled out: messages that one version cannot read (none logged), the engine (others were served by it), load alone.

Change: the list gives the successor's start. Conditions and checks stay.

--- a/tests/test_upgrade_processes.py
+++ b/tests/test_upgrade_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import itertools
+import time
 
 import msgspec
 import pytest
@@ -82,6 +83,14 @@
     assert await old.exited() == 0
     await successor.listening()
     await deployment.ready(successor)
+    # The list tells the two apart: without that, entries that heard the
+    # old one leave would pass the new one over for a minute.
+    deployment.instances = [
+        msgspec.structs.replace(i, started_at_s=time.time())
+        if i.name == f'sidecar-{number}'
+        else i
+        for i in deployment.instances
+    ]
 
 
 async def runs(deployment):
