Engines that start again under their name, and entries of other writers

An engine may start again under the name that it had. Its sidecar told a restart by the fall of the count of orders or by a new name alone, so that one that had taken more orders by the next report kept turns and adapters that were not there; the entries kept its hints, its ejection and what the list said before. The time of its start now tells: from the report, the list and each reply of a sidecar; an older one never replaces a newer one.

A load in flight at a restart counted as a failed load, and nobody got its adapter for a second: the slots drop all before the loads hear of it.

An entry of the list with missing or mistyped fields or an unknown state names no server, also where it overwrites one that was well; one of a service that no configuration names does not hide the server whose address it bears.

--- a/benchmarks/capacity_platform.py
+++ b/benchmarks/capacity_platform.py
@@ -47,7 +47,7 @@
 def make_servers(count: int) -> list[backend_list.BackendServer]:
     """Return the servers of a whole list."""
     return [
-        wire.decode_backend_server(f'servers/i-{n}', make_server(n), n)
+        wire.decode_backend_server(f'i-{n}', make_server(n), n)
         for n in range(count)
     ]
 
--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -1,8 +1,10 @@
 """The backend servers that take requests, as far as this process knows."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import dataclasses
 
+import reactivex
+import reactivex.subject
 import structlog
 
 from lacewingpitch import clock as clock_module
@@ -32,6 +34,9 @@
         Whether it is to get no new requests.
     created_revision
         Grows with each entry of the list that is made.
+    started_at_ms
+        Unix time of its start; 0 if it does not say.  A server may start
+        again under its name, and then holds nothing of before.
     """
 
     name: str
@@ -43,6 +48,7 @@
     max_running: int = 1
     adapters: Mapping[str, int] = dataclasses.field(default_factory=dict)
     created_revision: int = 0
+    started_at_ms: int = 0
 
 
 class BackendList:
@@ -51,10 +57,23 @@
     While the list cannot be read, entries of servers that work well can
     lapse.  Taking such a server as gone at once would leave requests
     without any; it is kept until the time to be listed again is over.
+
+    Parameters
+    ----------
+    is_service
+        Whether the configuration names a service.
     """
 
-    def __init__(self, clock: clock_module.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        is_service: Callable[[str], bool] = lambda _service: True,
+    ) -> None:
         self._clock = clock
+        self._is_service = is_service
+        self._restarts: reactivex.subject.Subject[str] = (
+            reactivex.subject.Subject()
+        )
         self._servers: dict[str, BackendServer] = {}
         self._lapsed: dict[str, tuple[BackendServer, float]] = {}
         self._outage_until_s = -_RELISTED_WITHIN_S
@@ -68,6 +87,14 @@
         """Return how long ago the list was known to be current."""
         return self._clock.monotonic_s() - self._confirmed_at_s
 
+    @property
+    def restarts(self) -> reactivex.Observable[str]:
+        """Return the names of servers that start again under their name.
+
+        What was known of them before holds no more.
+        """
+        return self._restarts
+
     def note_away(self) -> None:
         """Take note that the list cannot be read."""
         self._is_away = True
@@ -107,9 +134,16 @@
 
     def put(self, server: BackendServer) -> None:
         """Take over one entry."""
-        before = self._servers.get(server.name)
+        before = self._known(server.name)
+        if before and server.started_at_ms < before.started_at_ms:
+            # What a server wrote before its restart can come late.  Taken
+            # over, it would name adapters that are not there any more.
+            log.info('entry of an earlier start', backend_server=server.name)
+            return
         self._lapsed.pop(server.name, None)
         self._servers[server.name] = server
+        if before and server.started_at_ms > before.started_at_ms:
+            self._tell_restart(server)
         if before is None or before.is_leaving != server.is_leaving:
             log.info(
                 'backend server listed',
@@ -125,6 +159,34 @@
         if name in self._servers:
             self._lapse(name)
 
+    def reject(self, name: str) -> None:
+        """Take note that an entry cannot be read: it names no server."""
+        if name in self._servers:
+            del self._servers[name]
+            self._by_service.clear()
+
+    def note_start(self, name: str, started_at_ms: int) -> bool:
+        """Take note of a server's start, as its own instance tells it.
+
+        Returns
+        -------
+        bool
+            Whether what comes with it is not of an earlier start.
+        """
+        server = self._servers.get(name)
+        if server is None or not started_at_ms:
+            return True
+        if started_at_ms == server.started_at_ms:
+            return True
+        if started_at_ms < server.started_at_ms:
+            return False
+        self._servers[name] = dataclasses.replace(
+            server, started_at_ms=started_at_ms, adapters={}
+        )
+        self._by_service.clear()
+        self._tell_restart(self._servers[name])
+        return True
+
     def get(self, name: str) -> BackendServer | None:
         """Return a server that is listed."""
         return self._servers.get(name)
@@ -154,6 +216,10 @@
         # last incarnation until the latter lapses.
         newest: dict[tuple[str, int], BackendServer] = {}
         for server in self._servers.values():
+            # An entry of another writer may name the address of a server
+            # that is well, which must not lose its requests by that.
+            if not self._is_service(server.service):
+                continue
             address = (server.ip, server.port)
             other = newest.get(address)
             if other is None or other.created_revision <= (
@@ -185,6 +251,19 @@
             return listed + lapsed
         return listed or lapsed
 
+    def _known(self, name: str) -> BackendServer | None:
+        if name in self._lapsed:
+            return self._lapsed[name][0]
+        return self._servers.get(name)
+
+    def _tell_restart(self, server: BackendServer) -> None:
+        log.info(
+            'backend server restarted',
+            backend_server=server.name,
+            started_at_ms=server.started_at_ms,
+        )
+        self._restarts.on_next(server.name)
+
     def _lapse(self, name: str) -> None:
         server = self._servers.pop(name)
         self._by_service.clear()
--- a/lacewingpitch/ejection.py
+++ b/lacewingpitch/ejection.py
@@ -160,6 +160,11 @@
         found = self._health.get(name)
         return found is not None and found.is_silent
 
+    def forget(self, name: str) -> None:
+        """Forget what was seen of a server: it has started again."""
+        self._health.pop(name, None)
+        self._records.pop(name, None)
+
     def _count(self, name: str, failed: float) -> None:
         record = self._records.get(name)
         if record is None:
--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -145,6 +145,8 @@
         asked_at_s = self._clock.monotonic_s()
         try:
             snapshot = await self._engine.report()
+            if self.view.is_outdated(snapshot):
+                raise errors.PlatformError('report of an earlier start')
             if self._is_down or self.view.is_restart(snapshot):
                 await self._attach(snapshot)
         except errors.PlatformError as error:
@@ -176,12 +178,19 @@
             backend_server=incarnation,
             backend_server_before=before,
             adapters=len(snapshot.held),
+            started_at_ms=snapshot.started_at_ms,
         )
-        if incarnation == before:
+        if incarnation == before and not self.view.is_restart(snapshot):
             return
-        self.view.attach(incarnation)
-        if before:
-            await self._forget_all()
+        if self._adapters is not None:
+            # Before the loads in flight hear that the engine is gone: they
+            # would count as failures of their adapters, which nobody then
+            # gets for a second.
+            self._adapters.drop_all()
+        self.view.attach(incarnation, snapshot.started_at_ms)
+        self._adopted_runs = frozenset()
+        if self.desk is not None:
+            await self.desk.forget_all()
 
     async def _order_model(self, snapshot: engine_view.EngineSnapshot) -> None:
         """Order the base model for an engine that holds none.
@@ -224,13 +233,6 @@
                 leaving=snapshot.is_leaving,
             )
 
-    async def _forget_all(self) -> None:
-        self._adopted_runs = frozenset()
-        if self.desk is not None:
-            await self.desk.forget_all()
-        if self._adapters is not None:
-            self._adapters.forget_all()
-
     def _begin(self, snapshot: engine_view.EngineSnapshot) -> None:
         limits = self._table.engine_limits(self._service)
         if self.desk is not None or limits is None:
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -68,6 +68,8 @@
         Runs that it works on.
     queued
         Requests that it has accepted and not begun.
+    started_at_ms
+        Unix time of its start; 0 if it does not say.
     """
 
     order_count: int
@@ -79,6 +81,7 @@
     run_ids: frozenset[str]
     queued: int
     running: int
+    started_at_ms: int = 0
 
 
 class EngineOrders(Protocol):
@@ -138,6 +141,10 @@
         self._news = asyncio.Event()
         # The engine's incarnation; empty if it is not known.
         self.backend_server = ''
+        # Unix time of its start; 0 if it does not say.
+        self.started_at_ms = 0
+        # Starts that were met; orders of one say nothing about the next.
+        self._start_count = 0
         self.loading_count = 0
         # Adapters that the engine can hold; it crashes at one more.
         self.slot_count = 0
@@ -148,9 +155,20 @@
         return self._snapshot
 
     def is_restart(self, snapshot: EngineSnapshot) -> bool:
-        """Whether a report can only be that of another incarnation."""
+        """Whether a report can only be that of another start.
+
+        An engine may start again under its name, and between two reports.
+        """
         before = self._snapshot
-        return before is not None and snapshot.order_count < before.order_count
+        if before is None:
+            return False
+        if snapshot.started_at_ms != before.started_at_ms:
+            return snapshot.started_at_ms > before.started_at_ms
+        return snapshot.order_count < before.order_count
+
+    def is_outdated(self, snapshot: EngineSnapshot) -> bool:
+        """Whether a report is of a start before the last known one."""
+        return snapshot.started_at_ms < self.started_at_ms
 
     @property
     def report_age_s(self) -> float:
@@ -239,15 +257,22 @@
         shown = set(self._snapshot.held) | set(self._snapshot.pending)
         return (shown - set(self._unloads_at_s)) | set(self._loads_at_s)
 
-    def attach(self, incarnation: str) -> None:
-        """Take note of which incarnation of the engine there is."""
+    def attach(self, incarnation: str, started_at_ms: int = 0) -> None:
+        """Take note of which start of the engine there is.
+
+        Its counts and fencing numbers start anew, also under one name.
+        """
         self.backend_server = incarnation
+        self.started_at_ms = started_at_ms
+        self._start_count += 1
         self._snapshot = None
         self._empty_since_s = None
         self._loads_at_s.clear()
         self._unloads_at_s.clear()
         self._fence.renew(
-            engine_module.EngineReport(incarnation=incarnation, base_model='')
+            engine_module.EngineReport(
+                incarnation=f'{incarnation}/{self._start_count}', base_model=''
+            )
         )
         self._tell()
 
@@ -286,15 +311,15 @@
             The order was refused, or not done in time.
         """
         key, version = _split(name)
-        incarnation = self.backend_server
+        incarnation, start = self.backend_server, self._start_count
         slot_count = self.slot_count
         self.loading_count += 1
         started_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(_LOAD_TIMEOUT_S):
-                await self._until_room(key, slot_count, incarnation)
+                await self._until_room(key, slot_count, start)
                 await self._give_load(key, version, incarnation)
-                await self._until_held(name, incarnation)
+                await self._until_held(name, start)
         except TimeoutError as error:
             raise errors.PlatformError(
                 f'{name} not loaded within {_LOAD_TIMEOUT_S:g} s'
@@ -318,13 +343,13 @@
         """
         key, _ = _split(name)
         model, _, adapter = key.partition('/')
-        incarnation = self.backend_server
+        incarnation, start = self.backend_server, self._start_count
         for _ in range(_ORDER_TRIES):
             result = await self._orders.unload(
                 model, adapter, self._fence.number, incarnation
             )
             if result is OrderResult.ACCEPTED:
-                await self._until_gone(key, incarnation)
+                await self._until_gone(key, start)
                 result = OrderResult.DONE
             if result is OrderResult.DONE:
                 self._unloads_at_s[key] = self._clock.monotonic_s()
@@ -352,9 +377,7 @@
                 return
             await self._prepare_again(result)
 
-    async def _until_room(
-        self, key: str, slot_count: int, incarnation: str
-    ) -> None:
+    async def _until_room(self, key: str, slot_count: int, start: int) -> None:
         # Whoever orders counts slots as well, but a load whose answer was
         # lost, or that took too long, may still come.  An engine that is
         # ordered to hold one adapter too many crashes, with all its runs.
@@ -362,13 +385,13 @@
             log.warning(
                 'no slot for a load', adapter=key, taken=len(self.taken())
             )
-            await self._next_report(incarnation)
+            await self._next_report(start)
         # Another load must not take the same room before this is ordered.
         self._loads_at_s[key] = math.inf
 
-    async def _next_report(self, incarnation: str) -> None:
+    async def _next_report(self, start: int) -> None:
         await self.next_report()
-        if self.backend_server != incarnation:
+        if self._start_count != start:
             raise errors.PlatformError('the engine has restarted')
 
     async def _prepare_again(self, result: OrderResult) -> None:
@@ -381,13 +404,13 @@
             return
         raise errors.PlatformError(f'order answered {result.name}')
 
-    async def _until_held(self, name: str, incarnation: str) -> None:
+    async def _until_held(self, name: str, start: int) -> None:
         # A report that was asked for before the order may show the
         # adapter as it was before it was unloaded.
         while not (self.is_shown(name) and self.holds(name)):
-            await self._next_report(incarnation)
+            await self._next_report(start)
 
-    async def _until_gone(self, key: str, incarnation: str) -> None:
+    async def _until_gone(self, key: str, start: int) -> None:
         # A caller that has left frees its turn before the engine stops
         # its run.  The order is then accepted and carried out when the
         # run has ended; a load that came before would be one too many,
@@ -396,7 +419,7 @@
         try:
             async with asyncio.timeout(_UNLOAD_TIMEOUT_S):
                 while key in self.taken():
-                    await self._next_report(incarnation)
+                    await self._next_report(start)
         except TimeoutError as error:
             raise errors.PlatformError(
                 f'{key} still in use after {_UNLOAD_TIMEOUT_S:g} s'
--- a/lacewingpitch/grant.py
+++ b/lacewingpitch/grant.py
@@ -79,6 +79,8 @@
         Version of the adapter that the engine holds; 0 if not known.
     refusal
         Why there is no turn; empty if there is one.
+    started_at_ms
+        Unix time of the engine's start; 0 if it does not say.
     configuration_version
         Version of the configuration that the sidecar has in force.
     entry_count
@@ -96,6 +98,7 @@
     configuration_version: int = 0
     entry_count: int = 0
     hint: hint_module.Hint | None = None
+    started_at_ms: int = 0
 
 
 class TurnEnds(link.Message, frozen=True):
--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -43,6 +43,11 @@
         """Return the engine's incarnation; empty if not known."""
         ...
 
+    @property
+    def started_at_ms(self) -> int:
+        """Return the Unix time of its start; 0 if it does not say."""
+        ...
+
     async def next_report(self) -> None:
         """Wait until the engine has reported again."""
         ...
@@ -358,6 +363,7 @@
             configuration_version=self._configuration_version(),
             entry_count=len(self._entries),
             hint=self._hint(),
+            started_at_ms=self._engine.started_at_ms,
         )
 
     def _hint(self) -> hint_module.Hint:
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -385,6 +385,15 @@
             self._listed_holders.setdefault(adapter, set()).add(instance)
         self._listed[instance] = found
 
+    def forget(self, instance: str) -> None:
+        """Forget what one holds and told: it has started again, empty."""
+        self.learn_listed(instance, ())
+        view = self._views.get(instance)
+        if view is not None:
+            self._heard_at_s.pop(instance, None)
+            self._forget_hint(instance, view)
+            self._note_change(view)
+
     def retain(self, instances: Sequence[live_list.Instance]) -> None:
         """Forget backend servers that are listed no more."""
         # Weighings are of the list before.
--- a/lacewingpitch/platform/engine.py
+++ b/lacewingpitch/platform/engine.py
@@ -44,6 +44,8 @@
     sequence: int = 0
     # Whether an order about a model is under way; adapters do not count.
     busy: bool = False
+    # Unix ms of its start; 0 where engines do not say it.
+    born: int = 0
 
 
 class Engine:
@@ -123,6 +125,7 @@
             run_ids=frozenset(run.request_id for run in found.runs),
             queued=found.queued,
             running=found.active,
+            started_at_ms=found.born,
         )
 
     async def load_model(
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -55,7 +55,9 @@
     ) -> None:
         self._file = file
         self._process = process_module.Process(file, clock)
-        self.servers = backend_list.BackendList(self._process.clock)
+        self.servers = backend_list.BackendList(
+            self._process.clock, self._process.table.is_service
+        )
         self.ejector = ejection.Ejector(
             self._process.clock, self._process.random
         )
@@ -116,6 +118,23 @@
     ) -> carrier_module.Carrier:
         settings = self._file.settings
         process = self._process
+        placement = placement_module.Placement(
+            process.clock,
+            product_settings.ObjectiveSettings(stall_weight=1),
+        )
+        services = service_choice.ServiceChoice(
+            self.servers,
+            self.ejector,
+            settings.availability_zone,
+            process.random,
+        )
+        for forget in (
+            placement.forget,
+            services.forget,
+            self.ejector.forget,
+        ):
+            subscription = self.servers.restarts.subscribe(forget)
+            process.exits.callback(subscription.dispose)
         budgets = retry_budget.ServiceBudgets(
             settings.retry_ratio, settings.retry_allowance, _LEAST_ENTRIES
         )
@@ -123,10 +142,7 @@
             settings.instance,
             peers,
             self.servers,
-            placement_module.Placement(
-                process.clock,
-                product_settings.ObjectiveSettings(stall_weight=1),
-            ),
+            placement,
             self.ejector,
             process.clock,
             exchange.note,
@@ -139,12 +155,7 @@
         return carrier_module.Carrier(
             backend_client.HttpBackendClient(session),
             turns,
-            service_choice.ServiceChoice(
-                self.servers,
-                self.ejector,
-                settings.availability_zone,
-                process.random,
-            ),
+            services,
             self.ejector,
             budgets,
             process.versions,
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -15,6 +15,8 @@
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import wire
 
+# Entries whose rejection is remembered.
+_MAX_REJECTED = 1024
 log = structlog.get_logger(__name__)
 
 
@@ -92,6 +94,9 @@
 
     def __init__(self, servers: backend_list.BackendList) -> None:
         self._servers = servers
+        # Why entries were rejected, so that each is told once and not with
+        # every change of it.
+        self._rejected: dict[str, str] = {}
 
     def take(self, change: store_module.Change) -> None:
         """Take over a change of the list."""
@@ -100,30 +105,48 @@
             return
         self._servers.note_read()
         if change.is_whole:
-            found = map(self._decoded, change.items)
-            self._servers.replace_all(
-                server for server in found if server is not None
-            )
+            found = []
+            for item in change.items:
+                server = self._decoded(item)
+                if server is None:
+                    self._servers.reject(_name_of(item))
+                else:
+                    found.append(server)
+            self._servers.replace_all(found)
             return
         # In the order in which they were made: a change that holds a
         # server's last entry and then its end must not bring it back.
         for item in change.items:
             if item.is_deleted:
-                self._servers.remove(
-                    item.key.removeprefix(names.BACKEND_SERVER_PREFIX)
-                )
+                self._servers.remove(_name_of(item))
                 continue
             server = self._decoded(item)
-            if server is not None:
+            if server is None:
+                self._servers.reject(_name_of(item))
+            else:
                 self._servers.put(server)
 
     def _decoded(
         self, item: store_module.Item
     ) -> backend_list.BackendServer | None:
         try:
-            return wire.decode_backend_server(
-                item.key, item.value, item.created_revision
+            found = wire.decode_backend_server(
+                _name_of(item), item.value, item.created_revision
             )
         except errors.PlatformError as error:
-            log.error('entry rejected', key=item.key, error=str(error))
+            self._reject(item.key, str(error))
             return None
+        self._rejected.pop(item.key, None)
+        return found
+
+    def _reject(self, key: str, reason: str) -> None:
+        if self._rejected.get(key) == reason:
+            return
+        if len(self._rejected) >= _MAX_REJECTED:
+            self._rejected.clear()
+        self._rejected[key] = reason
+        log.error('entry rejected', key=key, error=reason)
+
+
+def _name_of(item: store_module.Item) -> str:
+    return item.key.removeprefix(names.BACKEND_SERVER_PREFIX)
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -8,7 +8,6 @@
 
 from lacewingpitch import backend_list
 from lacewingpitch import errors
-from lacewingpitch.platform import names
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch import routing
 
@@ -18,7 +17,8 @@
     'unsafe': routing.RequestKind.AT_MOST_ONCE,
     'streaming': routing.RequestKind.STREAM,
 }
-_DRAINING = 'draining'
+# Whether a server of a state is leaving; any other state is not in use.
+_IS_LEAVING = {'ready': False, 'draining': True}
 
 
 class _Share(msgspec.Struct, frozen=True):
@@ -99,9 +99,11 @@
     address: str
     zone: str
     # Requests that are worked on at once.
-    slots: int = 1
-    state: str = 'ready'
+    slots: int
+    state: str
     models: tuple[HeldModel, ...] = ()
+    # Unix ms of its start; 0 where engines do not say it.
+    born: int = 0
 
 
 class _AdapterVersion(msgspec.Struct, frozen=True):
@@ -148,11 +150,12 @@
             idle_timeout_s=found.limits.idle_ms / _MS_PER_S,
         ),
         content=content,
+        services=frozenset(service.name for service in found.services),
     )
 
 
 def decode_backend_server(
-    key: str, content: bytes, created_revision: int
+    name: str, content: bytes, created_revision: int
 ) -> backend_list.BackendServer:
     """Return the backend server that an entry of the list describes.
 
@@ -161,21 +164,25 @@
     PlatformError
         It cannot be read.
     """
-    found = _decode(content, _BackendServer, key)
+    found = _decode(content, _BackendServer, name)
     try:
         ip, port = settings_module.split_endpoint(found.address)
     except ValueError as error:
-        raise errors.PlatformError(f'{key}: {error}') from error
+        raise errors.PlatformError(f'{name}: {error}') from error
+    is_leaving = _IS_LEAVING.get(found.state)
+    if is_leaving is None:
+        raise errors.PlatformError(f'{name}: unknown state')
     return backend_list.BackendServer(
-        name=key.removeprefix(names.BACKEND_SERVER_PREFIX),
+        name=name,
         service=found.service,
         ip=ip,
         port=port,
         availability_zone=found.zone,
-        is_leaving=found.state == _DRAINING,
+        is_leaving=is_leaving,
         max_running=found.slots,
         adapters=held_versions(found.models),
         created_revision=created_revision,
+        started_at_ms=found.born,
     )
 
 
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -189,6 +189,8 @@
         by service.
     content
         The published bytes, for a process that cannot read them itself.
+    services
+        Names of all services; empty if it does not say.
     """
 
     version: int
@@ -196,6 +198,7 @@
     engines: Mapping[str, EngineLimits]
     limits: CallerLimits
     content: bytes = b''
+    services: frozenset[str] = frozenset()
 
 
 class RoutingTable:
@@ -279,6 +282,12 @@
                 return found
         return None
 
+    def is_service(self, name: str) -> bool:
+        """Whether a service is named, as far as that is known."""
+        if self.configuration is None or not self.configuration.services:
+            return True
+        return name in self.configuration.services
+
     def health_path(self, service: str) -> str:
         """Return where an engine of a service is asked for its health."""
         limits = self.engine_limits(service)
--- a/lacewingpitch/service_choice.py
+++ b/lacewingpitch/service_choice.py
@@ -79,6 +79,12 @@
         view = self._view(name)
         view.latency_s += _SMOOTHING_RATIO * (latency_s - view.latency_s)
 
+    def forget(self, name: str) -> None:
+        """Forget how quick a server was: it has started again."""
+        view = self._views.get(name)
+        if view is not None:
+            view.latency_s = _FIRST_LATENCY_S
+
     def _view(self, name: str) -> _View:
         found = self._views.get(name)
         if found is None:
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -221,7 +221,12 @@
             self._release(slot)
 
     def forget_all(self) -> None:
-        """Record that the engine restarted empty.
+        """Record that the engine restarted empty, and load anew."""
+        self.drop_all()
+        self._start_loads()
+
+    def drop_all(self) -> None:
+        """Record that the engine restarted, and cannot load yet.
 
         Holds that are out keep their own slot objects, so that giving
         them back changes nothing here; a load that is in flight finds
@@ -230,7 +235,6 @@
         self._generation += 1
         self._slots.clear()
         self._evicted_at_s.clear()
-        self._start_loads()
 
     def forget(self, name: str) -> None:
         """Record that the engine says it does not hold an adapter."""
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -396,7 +396,8 @@
     def _learn(
         self, server: backend_list.BackendServer, reply: grant.TurnReply
     ) -> None:
-        if reply.hint is not None:
+        is_current = self._servers.note_start(server.name, reply.started_at_ms)
+        if reply.hint is not None and is_current:
             self._placement.learn_hint(server.name, reply.hint)
         self._note_configuration(server.ip, reply.configuration_version)
         self._note_entries(reply.entry_count)
--- a/tests/test_backend_list.py
+++ b/tests/test_backend_list.py
@@ -57,6 +57,49 @@
         assert names(servers) == set()
 
 
+class TestRestart:
+    """A server starts again under the name that it had."""
+
+    @pytest.fixture
+    def restarted(self, servers):
+        found = []
+        servers.restarts.subscribe(found.append)
+        servers.put(server('a', started_at_ms=1000, adapters={'m/x': 1}))
+        found.clear()
+        return found
+
+    def test_is_told(self, servers, restarted):
+        servers.put(server('a', started_at_ms=1000))
+        assert not restarted
+        servers.put(server('a', started_at_ms=2000))
+        assert restarted == ['a']
+
+    def test_what_it_wrote_before_is_not_taken_over(self, servers, restarted):
+        """Requests go where their adapter was before a restart.
+
+        An entry that an engine wrote before it restarted comes after the
+        first one of its new start.
+        """
+        servers.put(server('a', started_at_ms=2000))
+        servers.put(server('a', started_at_ms=1000, adapters={'m/x': 1}))
+        assert servers.get('a').started_at_ms == 2000
+        assert servers.get('a').adapters == {}
+
+    def test_a_sidecar_tells_it_sooner_than_the_list(self, servers, restarted):
+        assert servers.note_start('a', 2000)
+        assert restarted == ['a']
+        assert servers.get('a').adapters == {}
+        assert not servers.note_start('a', 1000)
+        assert servers.note_start('a', 2000)
+        assert servers.note_start('a', 0)
+        assert restarted == ['a']
+
+    def test_one_that_lapsed_keeps_its_start(self, servers, restarted):
+        servers.remove('a')
+        servers.put(server('a', started_at_ms=900))
+        assert servers.get('a') is None
+
+
 class TestOutage:
     def test_entries_that_lapse_meanwhile_are_kept_until_relisted(
         self, servers, clock
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -113,3 +113,17 @@
         assert 0.4 < ejector.failure_ratio('a') < 0.5
         clock.now_s += 30.0
         assert ejector.failure_ratio('a') < 0.05
+
+
+class TestForget:
+    def test_one_that_started_again_is_well(self, ejector):
+        """An engine that has just restarted gets no requests.
+
+        It failed before it restarted, and the time of its ejection goes
+        on.
+        """
+        fail(ejector, 'a')
+        assert ejector.allowed(NAMES) == ['b', 'c', 'd']
+        ejector.forget('a')
+        assert ejector.allowed(NAMES) == NAMES
+        assert ejector.failure_ratio('a') == 0.0
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -483,3 +483,72 @@
 
         scene = play(story)
         assert scene.engine.crash_count == 0
+
+
+class TestSameName:
+    """An engine starts again under the name that it had."""
+
+    def test_nothing_of_before_is_believed(self):
+        """Requests are granted turns with an adapter that is not there.
+
+        The engine restarts between two reports, and by the next one has
+        taken more orders than before, so that its count does not fall.
+        """
+
+        async def story(scene):
+            await scene.ask('one')
+            await scene.ask('two', adapter='b')
+            scene.engine.restart('i-1', started_at_ms=2000)
+            scene.engine.models.add(fake_engine.MODEL)
+            scene.engine.order_count = 9
+            await asyncio.sleep(0.5)
+            assert len(scene.keeper.desk) == 0
+            loads = len(scene.engine.loads)
+            reply = await scene.ask('three')
+            assert reply.refusal is None
+            assert reply.started_at_ms == 2000
+            assert scene.engine.loads[loads:] == ['m/a']
+
+        scene = play(story)
+        assert scene.engine.crash_count == 0
+
+    def test_a_load_of_before_is_ordered_again(self):
+        """A request waits for a load that died with the engine."""
+
+        async def story(scene):
+            asked = asyncio.create_task(scene.ask('one', wait_ms=3000))
+            await asyncio.sleep(0.1)
+            scene.engine.restart('i-1', started_at_ms=2000)
+            scene.engine.models.add(fake_engine.MODEL)
+            scene.engine.order_count = 9
+            reply = await asyncio.wait_for(asked, 2.5)
+            assert reply.refusal is not None or 'm/a' in scene.engine.held
+            assert (await scene.ask('two')).refusal is None
+            assert 'm/a' in scene.engine.held
+
+        play(story)
+
+    def test_a_report_of_before_changes_nothing(self):
+        async def story(scene):
+            scene.engine.restart('i-1', started_at_ms=2000)
+            scene.engine.models.add(fake_engine.MODEL)
+            await asyncio.sleep(0.5)
+            scene.engine.started_at_ms = 1000
+            await asyncio.sleep(0.1)
+            assert scene.keeper.view.started_at_ms == 2000
+
+        play(story)
+
+    def test_its_fencing_numbers_start_anew(self):
+        """An engine that restarted refuses no order of its sidecar."""
+
+        async def story(scene):
+            await scene.ask('one')
+            number = scene.engine.fence
+            scene.engine.restart('i-1', started_at_ms=2000)
+            scene.engine.models.add(fake_engine.MODEL)
+            await asyncio.sleep(0.5)
+            assert (await scene.ask('two')).refusal is None
+            assert scene.engine.fence >= number
+
+        play(story)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -511,3 +511,15 @@
         assert virtual_time.run(sleep()) == pytest.approx(3600.0)
         with pytest.raises(RuntimeError, match='deadlock'):
             virtual_time.run(asyncio.Event().wait())
+
+
+class TestForget:
+    def test_one_that_started_again_holds_nothing(self, clock, instances):
+        """Requests go to an engine that was emptied by its restart."""
+        places = make_placement(clock)
+        places.learn('sidecar-1', make_hint('x'))
+        places.learn_listed('sidecar-1', ['x'])
+        assert places.candidates('x', instances)[0].name == 'sidecar-1'
+        places.forget('sidecar-1')
+        home = placement.rank('x', instances)[0]
+        assert places.candidates('x', instances)[0] == home
