A busy engine is not given one adapter too many; no turn at one that left

The place stays reserved until the last answer.

The entry looks at the list again once it has a turn. Ruled out: the list (the engine was unlisted for new requests in time).

--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -364,18 +364,22 @@
         model, _, adapter = key.partition('/')
         # The engine is busy while it takes as many adapters as it can;
         # the caller limits how long that is waited for.
-        while True:
-            try:
+        try:
+            while True:
                 result = await self._orders.load(
                     model, adapter, version, self._fence.number, incarnation
                 )
-            finally:
-                # An order whose answer is lost may have been taken.
-                self._loads_at_s[key] = self._clock.monotonic_s()
-                self._unloads_at_s.pop(key, None)
-            if result in (OrderResult.ACCEPTED, OrderResult.DONE):
-                return
-            await self._prepare_again(result)
+                if result in (OrderResult.ACCEPTED, OrderResult.DONE):
+                    return
+                await self._prepare_again(result)
+        finally:
+            # An order whose answer is lost may have been taken.  Until the
+            # last one is answered, its place stays reserved: a report that
+            # comes while the engine is busy shows nothing of it, another
+            # load would take the place, and the engine crash at the next
+            # try.
+            self._loads_at_s[key] = self._clock.monotonic_s()
+            self._unloads_at_s.pop(key, None)
 
     async def _until_room(self, key: str, slot_count: int, start: int) -> None:
         # Whoever orders counts slots as well, but a load whose answer was
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -375,7 +375,9 @@
                     retry_after_s=reply.retry_after_ms / _MS_PER_S,
                 )
             if not reply.is_pending:
-                return Turn(self._granted_at(server, reply), reply.version)
+                turn = Turn(self._granted_at(server, reply), reply.version)
+                self._check_listed(wanted, server, turn)
+                return turn
             if left_s <= wait_s:
                 self._end(server.ip, wanted.turn_id)
                 raise errors.RefusalError(
@@ -393,6 +395,23 @@
             return server
         return dataclasses.replace(server, name=name)
 
+    def _check_listed(
+        self,
+        wanted: WantedTurn,
+        server: backend_list.BackendServer,
+        turn: Turn,
+    ) -> None:
+        # Its engine may have said that it leaves while the turn was waited
+        # for, and the list tells it here before its sidecar knows.
+        if turn.server.name != server.name:
+            return
+        if self._servers.find(wanted.service, server.name) is None:
+            self._end(server.ip, wanted.turn_id)
+            raise errors.RefusalError(
+                errors.ErrorKind.DRAINING,
+                'the engine left while the turn was waited for',
+            )
+
     def _learn(
         self, server: backend_list.BackendServer, reply: grant.TurnReply
     ) -> None:
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -38,6 +38,7 @@
         self.loads = []
         self.model_orders = []
         self.lose_answers = 0
+        self.busy_answers = 0
         self.report_delay_s = 0.0
         self.is_load_lost = False
         self.started_at_ms = 0
@@ -90,6 +91,9 @@
         version = version or 1
         if self.held.get(key) == version:
             return Result.DONE
+        if self.busy_answers:
+            self.busy_answers -= 1
+            return Result.BUSY
         taken = set(self.held) | set(self.pending) | {key}
         if len(taken) > self.slot_count:
             self.crash_count += 1
--- a/tests/test_engine_view.py
+++ b/tests/test_engine_view.py
@@ -147,6 +147,29 @@
         play(story)
 
 
+class TestReservation:
+    def test_a_busy_engine_is_not_given_one_too_many(self):
+        """An engine crashes with all its runs.
+
+        It is busy as a load is ordered, which is tried again.  A report
+        that comes between shows nothing of it; another load takes the last
+        place, and then the first is ordered as well.
+        """
+
+        async def story(scene):
+            scene.engine.busy_answers = 6
+            first = asyncio.create_task(scene.view.load_adapter('m/c', 1))
+            await asyncio.sleep(0.1)
+            second = asyncio.create_task(scene.view.load_adapter('m/d', 1))
+            await asyncio.sleep(1.0)
+            assert scene.engine.crash_count == 0
+            assert first.done()
+            second.cancel()
+            await asyncio.wait([second])
+
+        play(story, held={'m/a': 1, 'm/b': 1})
+
+
 class TestUnload:
     def test_one_that_waits_for_a_run_is_waited_for(self):
         """An engine crashes: it is ordered to hold one too many.
--- a/tests/test_turn_source.py
+++ b/tests/test_turn_source.py
@@ -27,10 +27,12 @@
         self.replies = {}
         self.asked = []
         self.ended = []
+        self.delay_s = 0.0
 
     async def ask_turn(self, ip, request, timeout_s):
         self.asked.append((ip, request))
         reply = self.replies.get(ip, grant.TurnReply())
+        await asyncio.sleep(self.delay_s)
         if isinstance(reply, list):
             reply = reply.pop(0)
         if reply is None:
@@ -309,6 +311,37 @@
         assert scene.sidecars.ended
 
 
+class TestLeaving:
+    def test_a_turn_at_an_engine_that_left_meanwhile_is_not_used(self):
+        """A request reaches an engine seconds after it began to leave.
+
+        The list told of it while the request waited for its turn there.
+        """
+
+        async def story(scene):
+            taking = asyncio.create_task(scene.take())
+            await asyncio.sleep(0.05)
+            first_ip = scene.sidecars.asked[0][0]
+            for server in scene.servers.all():
+                if server.ip == first_ip:
+                    scene.servers.put(
+                        dataclasses.replace(server, is_leaving=True)
+                    )
+            turn = await taking
+            assert turn.server.ip != first_ip
+            await asyncio.sleep(0.1)
+            assert (first_ip, 'one.1') in scene.sidecars.ended
+
+        async def main():
+            scene = Scene()
+            sending = asyncio.create_task(scene.source.run())
+            scene.sidecars.delay_s = 0.2
+            await story(scene)
+            sending.cancel()
+
+        virtual_time.run(main())
+
+
 class TestRestart:
     def test_a_hint_of_before_is_not_believed(self):
         """A request goes where its adapter was before a restart.
