The forecast of places knows that hot adapters are never idle

Of the turns with an error over 0.3 s most waited for a place that hot adapters kept: the next request came before the last had ended. The busy period of M/G/infinity, by the adapter's measured rate and use, is added.

--- a/lacewingpitch/demand.py
+++ b/lacewingpitch/demand.py
@@ -1,6 +1,7 @@
 """Counts that fade, for telling hot adapters from cold ones."""
 
 import collections
+import math
 
 from lacewingpitch import clock as clock_module
 
@@ -38,6 +39,10 @@
         if len(self._counts) > self._capacity_keys:
             self._counts.popitem(last=False)
 
+    def rate_per_s(self, key: str) -> float:
+        """Return how often `key` is asked for, as of late."""
+        return self.value(key) * math.log(2.0) / self._half_life_s
+
     def value(self, key: str) -> float:
         """Return the faded count of `key`."""
         found = self._counts.get(key)
--- a/lacewingpitch/place_forecast.py
+++ b/lacewingpitch/place_forecast.py
@@ -3,6 +3,11 @@
 from collections.abc import Iterable
 import dataclasses
 import heapq
+import math
+
+# At this load a busy period lasts some 8 of its requests' times, longer
+# than any caller waits.
+_MAX_LOAD = 3.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +47,27 @@
         return self.place_s + self.load_s
 
 
+def renewed_s(busy_s: float, rate_per_s: float, use_s: float) -> float:
+    """Return how much longer a place is kept by requests to come.
+
+    While it is busy, they come by chance at some rate, and each keeps it
+    for some time: the busy period of a queue with any number of servers
+    (M/G/infinity), begun again where one comes before the last has ended.
+
+    Parameters
+    ----------
+    busy_s
+        Until when those that are there keep it.
+    use_s
+        For how long each of them keeps it, in the mean.
+    """
+    if not rate_per_s:
+        return 0.0
+    load = min(rate_per_s * use_s, _MAX_LOAD)
+    period_s = math.expm1(load) / rate_per_s
+    return -math.expm1(-rate_per_s * busy_s) * period_s
+
+
 class PlaceForecast:
     """Plays the places of an engine forward, adapter by adapter.
 
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -27,6 +27,7 @@
 _UNUSED_S = 6.0
 _CLOSE_AFTER_S = 2.0
 _FIRST_LOAD_GUESS_S = 0.5
+_SMOOTHING_RATIO = 0.2
 _RECHECK_INTERVAL_S = 1.0
 # Engines report with a lag: what they say of an earlier sidecar's runs
 # is believed only so long after we came.
@@ -86,6 +87,8 @@
     busy_until_s
         When its requests are expected to have ended; ``None`` if none of
         them said.
+    mean_use_s
+        For how long one of them is expected to use it, in the mean.
     """
 
     name: str
@@ -96,6 +99,7 @@
     adopted_at_s: float | None = None
     busy_until_s: float | None = None
     loading_since_s: float = 0.0
+    mean_use_s: float = 0.0
 
     @property
     def is_open(self) -> bool:
@@ -107,6 +111,9 @@
         self.serving += 1
         if use_s is not None:
             until_s = now_s + use_s
+            if not self.mean_use_s:
+                self.mean_use_s = use_s
+            self.mean_use_s += _SMOOTHING_RATIO * (use_s - self.mean_use_s)
             self.busy_until_s = max(self.busy_until_s or 0.0, until_s)
 
     def free_in_s(self, now_s: float) -> float:
@@ -253,6 +260,18 @@
         load_s = self._load_times.expected_s(slot.name)
         return abs(slot.loading_since_s + load_s - now_s)
 
+    def _renewed_s(self, slot: Slot, busy_s: float) -> float:
+        """Return for how long requests to come keep a place, too.
+
+        A hot adapter is never idle: its next request comes before the
+        last has ended, and begins another busy period.
+        """
+        if slot.is_closing or not busy_s:
+            return 0.0
+        return place_forecast.renewed_s(
+            busy_s, self._demand.rate_per_s(slot.name), slot.mean_use_s
+        )
+
     def _free_in_s(self, now_s: float) -> list[float]:
         free_in_s = []
         for slot in self._slots.values():
@@ -260,7 +279,8 @@
                 use_s = self._waiters.use_s(slot.name)
                 free_in_s.append(self._load_left_s(slot, now_s) + use_s)
             elif slot.state is SlotState.READY:
-                free_in_s.append(slot.free_in_s(now_s))
+                busy_s = slot.free_in_s(now_s)
+                free_in_s.append(busy_s + self._renewed_s(slot, busy_s))
         spare = self._slot_count - len(free_in_s)
         return free_in_s + [0.0] * spare
 
