Connections to engines are used again where a request may run twice

Idempotent requests and resumable streams go on kept connections, after a whole and framed answer and 2 s of idleness at most; what may run once never does. The id of an answer is compared before anything else in it is believed; a reset on a kept connection is no failure of its server.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -106,6 +106,8 @@
             There was no connection, so that nothing was sent.
         NotRunError
             The backend server says that it did not run the request.
+        StaleConnectionError
+            The connection was kept, and is closed.
         AnswerLostError
             The request may have run, and there is no whole answer.
         """
@@ -141,6 +143,14 @@
     """There was no connection, so that nothing was sent."""
 
 
+class StaleConnectionError(errors.PlatformError):
+    """A kept connection was closed as a request was sent on it.
+
+    It tells nothing of the backend server, which closes connections that
+    are idle; whether the request ran is not known.
+    """
+
+
 class NotRunError(errors.PlatformError):
     """The backend server says that it did not run the request.
 
--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -338,6 +338,13 @@
                     retry_after_s=_SOON_S,
                 )
             )
+        if isinstance(error, backend_call.StaleConnectionError):
+            return _Failure(
+                errors.RefusalError(
+                    errors.ErrorKind.OUTCOME_UNKNOWN,
+                    f'a kept connection was closed: {error}',
+                )
+            )
         if isinstance(error, backend_call.NotRunError):
             return _Failure(
                 errors.RefusalError(
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import time
+import types
 
 import aiohttp
 import yarl
@@ -13,6 +14,10 @@
 # Within a region a connection takes some 2 ms; one that takes longer
 # meets an instance that is down, or behind a cut.
 _CONNECT_TIMEOUT_S = 0.4
+# Connections that are idle for longer are closed.  Servers close theirs
+# after seconds, some sooner than they say; a request that crosses this is
+# sent once more.  At the sites' loads the next one comes within 0.5 s.
+_MAX_IDLE_S = 2.0
 _MS_PER_S = 1000
 _LEAST_DEADLINE_MS = 1
 _MOST_PRIORITY = 9
@@ -22,17 +27,34 @@
 _MAX_REASON_CHARS = 160
 
 
-class HttpBackendClient:
-    """Sends each request on a connection of its own.
+class _Connection:
+    """What is known of the connection of one request."""
+
+    is_kept = False
 
-    A backend server may send bytes after an answer, close an idle
-    connection as a request is on its way, or fall silent on it.  On a
-    connection that is used once none of these can touch another request.
-    Each costs 1 ms of its server.
+
+class HttpBackendClient:
+    """Sends requests; those that may run twice use connections again.
+
+    A new connection costs 1 ms of its server, and one for each request
+    costs more than all other messages together.  A connection is used
+    again only after an answer that was whole and framed, with no byte
+    after it, and only while it has hardly been idle.
+
+    A backend server may send an answer twice, close an idle connection as
+    a request is on its way, or fall silent on it.  What may run once at
+    most, or whose stream cannot go on elsewhere, therefore has a
+    connection of its own, which none of these can touch.  For the others
+    the answer's id shows one that belongs to another request.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    def __init__(
+        self,
+        single_use: aiohttp.ClientSession,
+        kept: aiohttp.ClientSession,
+    ) -> None:
+        self._single_use = single_use
+        self._kept = kept
 
     @contextlib.asynccontextmanager
     async def send(
@@ -59,13 +81,18 @@
         url = yarl.URL(
             f'http://{server.ip}:{server.port}{request.target}', encoded=True
         )
+        session = self._single_use
+        if request.route.is_idempotent:
+            session = self._kept
+        connection = _Connection()
         try:
-            return await self._session.request(
+            return await session.request(
                 request.method,
                 url,
                 data=request.body or None,
                 headers=_headers(call),
                 allow_redirects=False,
+                trace_request_ctx=connection,
             )
         except (
             aiohttp.ClientConnectorError,
@@ -73,13 +100,38 @@
         ) as error:
             raise backend_call.NotSentError(_reason(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            if connection.is_kept:
+                raise backend_call.StaleConnectionError(
+                    _reason(error)
+                ) from error
             raise backend_call.AnswerLostError(_reason(error)) from error
 
 
-def new_session() -> aiohttp.ClientSession:
-    """Return a session for `HttpBackendClient`."""
+def new_client(exits: contextlib.AsyncExitStack) -> HttpBackendClient:
+    """Return a client whose connections close with `exits`."""
+    single_use = _new_session(aiohttp.TCPConnector(limit=0, force_close=True))
+    kept = _new_session(
+        aiohttp.TCPConnector(limit=0, keepalive_timeout=_MAX_IDLE_S)
+    )
+    for session in (single_use, kept):
+        exits.push_async_callback(session.close)
+    return HttpBackendClient(single_use, kept)
+
+
+async def _note_kept(
+    _session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    _params: aiohttp.TraceConnectionReuseconnParams,
+) -> None:
+    context.trace_request_ctx.is_kept = True
+
+
+def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(_note_kept)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=connector,
+        trace_configs=[trace],
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
@@ -129,6 +181,10 @@
 def _check_ran(
     call: backend_call.BackendCall, response: aiohttp.ClientResponse
 ) -> None:
+    # An answer of another request may lie where this one's is due.
+    answered_id = response.headers.get(names.REQUEST_ID)
+    if answered_id not in (None, call.request.request_id):
+        raise backend_call.AnswerLostError('the answer is not to this request')
     if response.status == _OTHER_INCARNATION:
         raise backend_call.NotRunError(
             'another incarnation or version', is_other_server=True
@@ -137,10 +193,8 @@
         raise backend_call.NotRunError(
             f'status {response.status}', is_other_server=False
         )
-    # An answer of another request may lie where this one's is due.
-    answered_id = response.headers.get(names.REQUEST_ID)
-    if answered_id != call.request.request_id:
-        raise backend_call.AnswerLostError('the answer is not to this request')
+    if answered_id is None:
+        raise backend_call.AnswerLostError('the answer names no request')
     if 'Content-Encoding' in response.headers:
         raise backend_call.AnswerLostError('the answer is encoded')
 
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -149,11 +149,8 @@
             budgets.note_entries,
         )
         process.background.run('turns', turns.run)
-        session = await process.exits.enter_async_context(
-            backend_client.new_session()
-        )
         return carrier_module.Carrier(
-            backend_client.HttpBackendClient(session),
+            backend_client.new_client(process.exits),
             turns,
             services,
             self.ejector,
