The first engine that is soon gets a request, else the soonest

An engine let a request in that was just in time there, while another had a free place. A sidecar is asked with the longest wait that will do; one that refuses says what it would wait, and the least gets it.

--- a/lacewingpitch/admission.py
+++ b/lacewingpitch/admission.py
@@ -108,7 +108,10 @@
         if not self._engine.is_serving:
             return self.not_serving()
         target_s = request.target_ms / _MS_PER_S
-        if wait_s <= max(_LEAST_WAIT_S, _WAIT_TARGET_RATIO * target_s):
+        limit_s = max(_LEAST_WAIT_S, _WAIT_TARGET_RATIO * target_s)
+        if request.accept_within_ms:
+            limit_s = min(limit_s, request.accept_within_ms / _MS_PER_S)
+        if wait_s <= limit_s:
             return None
         return errors.RefusalError(
             errors.ErrorKind.DEADLINE_UNREACHABLE,
--- a/lacewingpitch/grant.py
+++ b/lacewingpitch/grant.py
@@ -48,6 +48,9 @@
     waits_for_engine
         Whether to wait for an engine that loads its base model, since
         no other engine serves.
+    accept_within_ms
+        Longest wait with which the turn is wanted here, since another
+        engine may be sooner; 0 for any with which it is on time.
     """
 
     entry: str
@@ -65,6 +68,7 @@
     target_ms: int
     deadline_ms: int
     waits_for_engine: bool = False
+    accept_within_ms: int = 0
 
 
 class TurnReply(link.Message, frozen=True):
@@ -87,6 +91,8 @@
         Entries that have asked this sidecar of late.
     hint
         State of the engine.
+    wait_ms
+        What a turn that is refused would have waited; 0 if not known.
     """
 
     backend_server: str = ''
@@ -99,6 +105,7 @@
     entry_count: int = 0
     hint: hint_module.Hint | None = None
     started_at_ms: int = 0
+    wait_ms: int = 0
 
 
 class TurnEnds(link.Message, frozen=True):
--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -144,7 +144,7 @@
             wait = self._expected_wait.of(request, name)
             refusal = self._admission.refusal(request, wait.total_s)
             if refusal is not None:
-                return self._refused(request, refusal)
+                return self._refused(request, refusal, wait.total_s)
             turn = self._enter(request, wait)
         assert turn.task is not None
         done, _ = await asyncio.wait(
@@ -359,7 +359,10 @@
         )
 
     def _refused(
-        self, request: grant.TurnRequest, error: errors.RefusalError
+        self,
+        request: grant.TurnRequest,
+        error: errors.RefusalError,
+        wait_s: float = 0.0,
     ) -> grant.TurnReply:
         self.refused_count += 1
         log.info(
@@ -375,6 +378,7 @@
             refusal=error.kind,
             detail=error.detail,
             retry_after_ms=int((error.retry_after_s or 0.0) * _MS_PER_S),
+            wait_ms=int(wait_s * _MS_PER_S),
         )
 
     def _reply(
@@ -384,6 +388,7 @@
         refusal: errors.ErrorKind | None = None,
         detail: str = '',
         retry_after_ms: int = 0,
+        wait_ms: int = 0,
     ) -> grant.TurnReply:
         return grant.TurnReply(
             backend_server=self._engine.backend_server,
@@ -396,6 +401,7 @@
             entry_count=len(self._entries),
             hint=self._hint(),
             started_at_ms=self._engine.started_at_ms,
+            wait_ms=wait_ms,
         )
 
     def _hint(self) -> hint_module.Hint:
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -43,6 +43,11 @@
 # further down are the most loaded, or the last to get the adapter.
 _MAX_ASKED = 3
 _SIDECAR_KEY = '{}/sidecar'
+# The first engine that is asked will do where the request would wait no
+# longer than this share of its time: for a load, but for no place as well.
+# Otherwise each candidate says what it would wait there, and the soonest
+# gets it.
+_SOON_TARGET_RATIO = 0.4
 # An engine that restarts is listed again after some 2 s, of which a part
 # has passed when its requests are refused.
 _NO_ENGINE_RETRY_S = 1.5
@@ -117,6 +122,8 @@
     starting: list[backend_list.BackendServer] = dataclasses.field(
         default_factory=list
     )
+    # What the request would wait at those that refused it, by name.
+    waits_s: dict[str, float] = dataclasses.field(default_factory=dict)
     # A turn without the consent of a sidecar that is silent.
     fallback: Turn | None = None
 
@@ -229,12 +236,17 @@
         self, wanted: WantedTurn, excluded: Collection[str]
     ) -> tuple[Turn, bool]:
         asked = _Asked()
-        for server in self._candidates(wanted, excluded):
-            turn = await self._try(server, wanted, asked)
+        candidates = self._candidates(wanted, excluded)
+        soon_s = self._soon_s(wanted) if len(candidates) > 1 else 0.0
+        for server in candidates:
+            turn = await self._try(server, wanted, asked, soon_s)
             if turn is not None:
                 return turn, True
             if self._left_s(wanted) <= 0.0:
                 break
+        turn = await self._try_soonest(candidates, wanted, asked)
+        if turn is not None:
+            return turn, True
         fallback = asked.fallback
         if fallback is None and not asked.refusals:
             fallback = self._any_holding(wanted, excluded)
@@ -244,15 +256,36 @@
             return await self._await_start(asked.starting[0], wanted), True
         raise _soonest(asked.refusals)
 
+    def _soon_s(self, wanted: WantedTurn) -> float:
+        """Return the wait with which the first engine asked will do."""
+        left_s = wanted.target_at_s - self._clock.monotonic_s()
+        return max(0.0, _SOON_TARGET_RATIO * left_s)
+
+    async def _try_soonest(
+        self,
+        candidates: Sequence[backend_list.BackendServer],
+        wanted: WantedTurn,
+        asked: _Asked,
+    ) -> Turn | None:
+        """Ask the one again where the request would wait least."""
+        known = [s for s in candidates if asked.waits_s.get(s.name)]
+        if not known or self._left_s(wanted) <= 0.0:
+            return None
+        soonest = min(known, key=lambda server: asked.waits_s[server.name])
+        return await self._try(soonest, wanted, asked)
+
     async def _try(
         self,
         server: backend_list.BackendServer,
         wanted: WantedTurn,
         asked: _Asked,
+        accept_within_s: float = 0.0,
     ) -> Turn | None:
         """Ask one sidecar, and note what it says if there is no turn."""
         try:
-            return await self._ask(server, wanted)
+            return await self._ask(
+                server, wanted, asked, accept_within_s=accept_within_s
+            )
         except errors.NoReplyError as error:
             self._note_silent(server, wanted, error)
             if asked.fallback is None:
@@ -276,7 +309,9 @@
             left_ms=int(self._left_s(wanted) * _MS_PER_S),
         )
         try:
-            return await self._ask(server, wanted, waits_for_engine=True)
+            return await self._ask(
+                server, wanted, _Asked(), waits_for_engine=True
+            )
         except errors.NoReplyError as error:
             self._note_silent(server, wanted, error)
             raise _soonest([]) from error
@@ -319,13 +354,15 @@
         self,
         server: backend_list.BackendServer,
         wanted: WantedTurn,
+        asked: _Asked,
         waits_for_engine: bool = False,
+        accept_within_s: float = 0.0,
     ) -> Turn:
         key = _sidecar_key(server)
         self._ejector.begin(key)
         try:
             return await self._ask_until_settled(
-                server, wanted, waits_for_engine
+                server, wanted, asked, waits_for_engine, accept_within_s
             )
         finally:
             self._ejector.ended(key)
@@ -334,7 +371,9 @@
         self,
         server: backend_list.BackendServer,
         wanted: WantedTurn,
+        asked: _Asked,
         waits_for_engine: bool,
+        accept_within_s: float,
     ) -> Turn:
         while True:
             now_s = self._clock.monotonic_s()
@@ -356,6 +395,7 @@
                 target_ms=int((wanted.target_at_s - now_s) * _MS_PER_S),
                 deadline_ms=max(0, int((wanted.until_s - now_s) * _MS_PER_S)),
                 waits_for_engine=waits_for_engine,
+                accept_within_ms=int(accept_within_s * _MS_PER_S),
             )
             try:
                 reply = await self._link.ask_turn(
@@ -369,6 +409,7 @@
             self._ejector.succeeded(_sidecar_key(server))
             self._learn(server, reply)
             if reply.refusal is not None:
+                asked.waits_s[server.name] = reply.wait_ms / _MS_PER_S
                 raise errors.RefusalError(
                     reply.refusal,
                     reply.detail,
