Ends of turns after 10 ms, reports each 15 ms while a load is awaited

A place is held for nothing until the sidecar hears that its run has ended, or sees that its load has. Idle connections are kept for 5 s.

--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -24,7 +24,7 @@
 
 # While a load is under way, or the engine starts, requests wait for the
 # report that shows it done: 40 ms are a sixth of a load's 250 ms.
-_LOADING_INTERVAL_S = 0.04
+_LOADING_INTERVAL_S = 0.015
 # Otherwise a report tells of a restart, of leaving and of lost turns,
 # for which a fifth of a second is soon enough.
 _IDLE_INTERVAL_S = 0.2
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -17,7 +17,7 @@
 # Connections that are idle for longer are closed.  Servers close theirs
 # after seconds, some sooner than they say; a request that crosses this is
 # sent once more.  At the sites' loads the next one comes within 0.5 s.
-_MAX_IDLE_S = 2.0
+_MAX_IDLE_S = 5.0
 _MS_PER_S = 1000
 _LEAST_DEADLINE_MS = 1
 _MOST_PRIORITY = 9
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -36,7 +36,7 @@
 _SILENT_AFTER_S = _REPLY_WITHIN_S + 0.25
 # Ends of turns are sent together: one message for some 1 to 10 turns at
 # the sites' loads, while a place stays taken hardly longer.
-_ENDS_INTERVAL_S = 0.03
+_ENDS_INTERVAL_S = 0.01
 _ENDS_TIMEOUT_S = 1.0
 _MAX_KEPT_ENDS = 1024
 # More engines than these would only spread one request's wait: those
