Lengths that callers expect tell when places come free

Each request says how long its answer is expected to be, right within a half; the most that it may be is one number for each route. A line through what runs took by that length replaces the mean of the route.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -30,6 +30,8 @@
         Tokens of its prompt; 0 if it does not say.
     max_tokens
         Most tokens of its answer; 0 if it does not say.
+    expected_tokens
+        Tokens that its caller expects of the answer; 0 if it does not say.
     last_event_id
         Last event that the caller has of a stream to be resumed; 0 if it
         has none.
@@ -50,6 +52,7 @@
     adapter: str = ''
     prompt_tokens: int = 0
     max_tokens: int = 0
+    expected_tokens: int = 0
     last_event_id: int = 0
 
 
--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -205,6 +205,7 @@
             rank=request.route.rank,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
+            expected_tokens=request.expected_tokens,
             start_by_s=_start_by_s(request, trail),
             target_at_s=_target_at_s(request, trail),
             until_s=request.until_s,
--- a/lacewingpitch/grant.py
+++ b/lacewingpitch/grant.py
@@ -37,6 +37,8 @@
         Tokens of the prompt; 0 if not known.
     max_tokens
         Most tokens that the answer can have; 0 if not known.
+    expected_tokens
+        Tokens that the caller expects of the answer; 0 if not known.
     wait_ms
         How long the reply may stay away before it says `is_pending`.
     start_within_ms
@@ -69,6 +71,7 @@
     deadline_ms: int
     waits_for_engine: bool = False
     accept_within_ms: int = 0
+    expected_tokens: int = 0
 
 
 class TurnReply(link.Message, frozen=True):
--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -20,6 +20,7 @@
 from lacewingpitch import hint as hint_module
 from lacewingpitch import metrics
 from lacewingpitch import prefill_pacer
+from lacewingpitch import run_time
 from lacewingpitch import slots as slots_module
 from lacewingpitch import turn_queue
 from lacewingpitch import work
@@ -122,6 +123,7 @@
         self._entries = asking_entries.AskingEntries(clock)
         self._expected_wait = expected_wait.ExpectedWait(adapters, pacer)
         self._admission = admission_module.Admission(engine, source)
+        self._run_times = run_time.RunTimes()
         self._awaiting_start_count = 0
         self.granted_count = 0
         self.refused_count = 0
@@ -162,6 +164,9 @@
     async def end(self, message: grant.TurnEnds) -> grant.TurnEndsReply:
         """Take back turns."""
         for turn_id in message.turn_ids:
+            turn = self._turns.get(turn_id)
+            if turn is not None:
+                self._learn_run(turn)
             await self._end(turn_id)
         return grant.TurnEndsReply()
 
@@ -295,7 +300,7 @@
             left_s = request.start_within_ms / _MS_PER_S - waited_s
             await turn.held.enter_async_context(
                 self._adapters.hold(
-                    name, left_s, use_s=self._queue.expected_turn_s(order)
+                    name, left_s, use_s=self._expected_use_s(request)
                 )
             )
         self._note_step(turn)
@@ -306,6 +311,23 @@
             request.prompt_tokens, request.route, request.rank
         )
 
+    def _expected_use_s(self, request: grant.TurnRequest) -> float:
+        """Return for how long a request keeps its adapter's place."""
+        tokens = request.expected_tokens or request.max_tokens
+        prompt_s = self._pacer.wait_s(
+            request.prompt_tokens, request.route, request.rank
+        )
+        return prompt_s + self._run_times.expected_s(tokens)
+
+    def _learn_run(self, turn: _Turn) -> None:
+        if turn.granted_at_s is None:
+            return
+        request = turn.request
+        self._run_times.learn(
+            request.expected_tokens or request.max_tokens,
+            self._clock.monotonic_s() - turn.granted_at_s,
+        )
+
     def _note_errors(
         self, expected: expected_wait.Wait, waits_ms: dict[str, int]
     ) -> None:
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -365,6 +365,7 @@
             adapter=adapter,
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
+            expected_tokens=int(_number(request, names.EXPECTED_TOKENS)),
             last_event_id=last_event_id,
         )
 
--- a/lacewingpitch/platform/names.py
+++ b/lacewingpitch/platform/names.py
@@ -10,6 +10,8 @@
 MODEL = 'Model'
 # Tokens of the prompt and most tokens of the answer, with a comma.
 TOKENS = 'Token-Usage'
+# Tokens that the caller expects of the answer: right at the median.
+EXPECTED_TOKENS = 'Length-Hint'
 # The incarnation that may run the request; any other refuses it.
 EXPECT_INCARNATION = 'Expect-Instance'
 # The adapter's version if the request names one, else the model's.
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -79,6 +79,7 @@
     rank: int
     prompt_tokens: int
     max_tokens: int
+    expected_tokens: int
     start_by_s: float
     target_at_s: float
     until_s: float
@@ -390,6 +391,7 @@
                 rank=wanted.rank,
                 prompt_tokens=wanted.prompt_tokens,
                 max_tokens=wanted.max_tokens,
+                expected_tokens=wanted.expected_tokens,
                 wait_ms=int(wait_s * _MS_PER_S),
                 start_within_ms=max(0, int(left_s * _MS_PER_S)),
                 target_ms=int((wanted.target_at_s - now_s) * _MS_PER_S),
--- a/tests/test_turn_source.py
+++ b/tests/test_turn_source.py
@@ -91,6 +91,7 @@
             'rank': 0,
             'prompt_tokens': 10,
             'max_tokens': 10,
+            'expected_tokens': 10,
             'start_by_s': now_s + 3.0,
             'target_at_s': now_s + 0.8,
             'until_s': now_s + 12.0,
