--- a/lacewingpitch/expected_wait.py
+++ b/lacewingpitch/expected_wait.py
@@ -7,6 +7,12 @@
 from lacewingpitch import place_forecast
 from lacewingpitch import prefill_pacer
 
+# What is expected until a place is free is a mean; runs last longer and
+# shorter by chance.  Of the requests that were let in with an expected wait
+# of 400 to 600 ms, 47 in 100 waited for more than 650; counted so many
+# times, those that are let in are on time with three chances in four.
+_CAUTION = 1.5
+
 
 class AdapterPlaces(Protocol):
     """The places for adapters of an engine."""
@@ -77,16 +83,11 @@
         found = place_forecast.AdapterWait()
         if name:
             found = self._adapters.expected_wait(name)
+        place_s = _CAUTION * found.place_s
         prompt_s = self._pacer.wait_s(
             request.prompt_tokens,
             request.route,
             request.rank,
-            found.total_s,
+            place_s + found.load_s,
         )
-        return Wait(found.place_s, found.load_s, prompt_s)
-
-    def of_unknown(self) -> Wait:
-        """Return the same of a request for an adapter that is not held."""
-        found = self._adapters.expected_wait()
-        prompt_s = self._pacer.wait_s(after_s=found.total_s)
-        return Wait(found.place_s, found.load_s, prompt_s)
+        return Wait(place_s, found.load_s, prompt_s)
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -36,6 +36,8 @@
 # 0.4 ms with 1,000 connections, half of them unused.
 _LOOK_INTERVAL_S = 1.0
 _MAX_LINE_BYTES = 16 << 10
+# Far above any answer; what callers write is theirs.
+_MAX_EXPECTED_TOKENS = 1 << 20
 log = structlog.get_logger(__name__)
 
 Serve = Callable[
@@ -365,7 +367,7 @@
             adapter=adapter,
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
-            expected_tokens=int(_number(request, names.EXPECTED_TOKENS)),
+            expected_tokens=_expected_tokens(request),
             last_event_id=last_event_id,
         )
 
@@ -381,6 +383,14 @@
     return int(text)
 
 
+def _expected_tokens(request: web.BaseRequest) -> int:
+    # An estimate that cannot be read is no reason to refuse.
+    text = request.headers.get(names.EXPECTED_TOKENS, '')
+    if not text.isdecimal():
+        return 0
+    return min(int(text), _MAX_EXPECTED_TOKENS)
+
+
 def _tokens(request: web.BaseRequest) -> tuple[int, int]:
     """Return the tokens of the prompt, and the most of the answer."""
     prompt, _, answer = request.headers.get(names.TOKENS, '').partition(',')
--- a/lacewingpitch/run_time.py
+++ b/lacewingpitch/run_time.py
@@ -4,8 +4,8 @@
 _KEPT_RATIO = 0.98
 # As if so many runs of the first guess had been seen.
 _PRIOR_COUNT = 2.0
-# An answer of three words and one of 300 tokens, as guesses until some ran.
-_PRIOR_RUNS = ((10.0, 0.3), (300.0, 5.0))
+# Until some ran, the engine is taken for a quick one, and lets more in.
+_PRIOR_RUNS = ((10.0, 0.1), (300.0, 0.1))
 
 
 class RunTimes:
