--- a/lacewingpitch/admission.py
+++ b/lacewingpitch/admission.py
@@ -19,7 +19,7 @@
 # Share of the time to the first event that may be spent in waiting for
 # the adapter and for other prompts; the rest is for reading its own
 # prompt, 20 to 200 ms of 800, and for what the estimate is wrong by.
-_WAIT_TARGET_RATIO = 0.75
+_WAIT_TARGET_RATIO = 0.6
 # What is late anyway is still served where it delays nobody else long: an
 # adapter that is missing takes 0.3 s.
 _LEAST_WAIT_S = 0.4
