--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -30,6 +30,8 @@
         Tokens of its prompt; 0 if it does not say.
     max_tokens
         Most tokens of its answer; 0 if it does not say.
+    expected_tokens
+        Tokens that its caller expects of the answer; 0 if it does not say.
     last_event_id
         Last event that the caller has of a stream to be resumed; 0 if it
         has none.
@@ -50,6 +52,7 @@
     adapter: str = ''
     prompt_tokens: int = 0
     max_tokens: int = 0
+    expected_tokens: int = 0
     last_event_id: int = 0
 
 
@@ -106,6 +109,8 @@
             There was no connection, so that nothing was sent.
         NotRunError
             The backend server says that it did not run the request.
+        StaleConnectionError
+            The connection was kept, and is closed.
         AnswerLostError
             The request may have run, and there is no whole answer.
         """
@@ -141,6 +146,14 @@
     """There was no connection, so that nothing was sent."""
 
 
+class StaleConnectionError(errors.PlatformError):
+    """A kept connection was closed as a request was sent on it.
+
+    It tells nothing of the backend server, which closes connections that
+    are idle; whether the request ran is not known.
+    """
+
+
 class NotRunError(errors.PlatformError):
     """The backend server says that it did not run the request.
 
--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -24,7 +24,7 @@
 
 # While a load is under way, or the engine starts, requests wait for the
 # report that shows it done: 40 ms are a sixth of a load's 250 ms.
-_LOADING_INTERVAL_S = 0.04
+_LOADING_INTERVAL_S = 0.015
 # Otherwise a report tells of a restart, of leaving and of lost turns,
 # for which a fifth of a second is soon enough.
 _IDLE_INTERVAL_S = 0.2
@@ -33,6 +33,8 @@
 # wait for an adapter fell from 773 to 408 ms for 9 in 10 grants at the
 # heaviest load that was played.
 _MAX_LOADING = 4
+# A load while the weight store is not crowded, until loads tell.
+_FIRST_LOAD_S = 0.3
 # Requests whose adapter is being loaded while all turns are taken.
 _LOOKAHEAD_COUNT = 8
 _MAX_QUEUED = 512
@@ -145,6 +147,8 @@
         asked_at_s = self._clock.monotonic_s()
         try:
             snapshot = await self._engine.report()
+            if self.view.is_outdated(snapshot):
+                raise errors.PlatformError('report of an earlier start')
             if self._is_down or self.view.is_restart(snapshot):
                 await self._attach(snapshot)
         except errors.PlatformError as error:
@@ -153,9 +157,11 @@
                     'dependency lost', dependency='engine', error=str(error)
                 )
             self._is_down = True
+            await self._refuse_unless_serving()
             return
         self._note_leaving(snapshot)
         self.view.update(snapshot, asked_at_s)
+        await self._refuse_unless_serving()
         await self._order_model(snapshot)
         self._begin(snapshot)
         self._reconcile(snapshot, asked_at_s)
@@ -164,6 +170,10 @@
                 snapshot.run_ids, asked_at_s, snapshot.queued > 0
             )
 
+    async def _refuse_unless_serving(self) -> None:
+        if self.desk is not None and not self.view.is_serving:
+            await self.desk.refuse_waiting()
+
     async def _attach(self, snapshot: engine_view.EngineSnapshot) -> None:
         before = self.view.backend_server
         if self._table.engine_limits(self._service) is None:
@@ -176,12 +186,19 @@
             backend_server=incarnation,
             backend_server_before=before,
             adapters=len(snapshot.held),
+            started_at_ms=snapshot.started_at_ms,
         )
-        if incarnation == before:
+        if incarnation == before and not self.view.is_restart(snapshot):
             return
-        self.view.attach(incarnation)
-        if before:
-            await self._forget_all()
+        if self._adapters is not None:
+            # Before the loads in flight hear that the engine is gone: they
+            # would count as failures of their adapters, which nobody then
+            # gets for a second.
+            self._adapters.drop_all()
+        self.view.attach(incarnation, snapshot.started_at_ms)
+        self._adopted_runs = frozenset()
+        if self.desk is not None:
+            await self.desk.forget_all()
 
     async def _order_model(self, snapshot: engine_view.EngineSnapshot) -> None:
         """Order the base model for an engine that holds none.
@@ -224,13 +241,6 @@
                 leaving=snapshot.is_leaving,
             )
 
-    async def _forget_all(self) -> None:
-        self._adopted_runs = frozenset()
-        if self.desk is not None:
-            await self.desk.forget_all()
-        if self._adapters is not None:
-            self._adapters.forget_all()
-
     def _begin(self, snapshot: engine_view.EngineSnapshot) -> None:
         limits = self._table.engine_limits(self._service)
         if self.desk is not None or limits is None:
@@ -251,6 +261,7 @@
             max_loading=_MAX_LOADING,
             max_under_way=_MAX_LOADING,
             report_lag_s=_OWN_REPORT_LAG_S,
+            first_load_s=_FIRST_LOAD_S,
         )
         adapters = self._adapters
         queue = turn_queue.TurnQueue(
@@ -276,6 +287,10 @@
             self._metrics.seconds(
                 'turn_wait_seconds', 'Time that granted turns were waited for.'
             ),
+            self._metrics.seconds(
+                'wait_error_seconds',
+                'Difference between expected and real wait, by its part.',
+            ),
         )
         self._is_ready.set()
         self._add_metrics(self.desk, adapters)
--- a/lacewingpitch/grant.py
+++ b/lacewingpitch/grant.py
@@ -37,6 +37,8 @@
         Tokens of the prompt; 0 if not known.
     max_tokens
         Most tokens that the answer can have; 0 if not known.
+    expected_tokens
+        Tokens that the caller expects of the answer; 0 if not known.
     wait_ms
         How long the reply may stay away before it says `is_pending`.
     start_within_ms
@@ -48,6 +50,9 @@
     waits_for_engine
         Whether to wait for an engine that loads its base model, since
         no other engine serves.
+    accept_within_ms
+        Longest wait with which the turn is wanted here, since another
+        engine may be sooner; 0 for any with which it is on time.
     """
 
     entry: str
@@ -65,6 +70,8 @@
     target_ms: int
     deadline_ms: int
     waits_for_engine: bool = False
+    accept_within_ms: int = 0
+    expected_tokens: int = 0
 
 
 class TurnReply(link.Message, frozen=True):
@@ -79,12 +86,16 @@
         Version of the adapter that the engine holds; 0 if not known.
     refusal
         Why there is no turn; empty if there is one.
+    started_at_ms
+        Unix time of the engine's start; 0 if it does not say.
     configuration_version
         Version of the configuration that the sidecar has in force.
     entry_count
         Entries that have asked this sidecar of late.
     hint
         State of the engine.
+    wait_ms
+        What a turn that is refused would have waited; 0 if not known.
     """
 
     backend_server: str = ''
@@ -96,6 +107,8 @@
     configuration_version: int = 0
     entry_count: int = 0
     hint: hint_module.Hint | None = None
+    started_at_ms: int = 0
+    wait_ms: int = 0
 
 
 class TurnEnds(link.Message, frozen=True):
--- a/tests/test_turn_source.py
+++ b/tests/test_turn_source.py
@@ -1,6 +1,7 @@
 """Where an entry gets turns from while sidecars come and go."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -10,6 +11,7 @@
 from lacewingpitch import ejection
 from lacewingpitch import errors
 from lacewingpitch import grant
+from lacewingpitch import hint
 from lacewingpitch import placement
 from lacewingpitch import settings
 from lacewingpitch import turn_source
@@ -25,10 +27,12 @@
         self.replies = {}
         self.asked = []
         self.ended = []
+        self.delay_s = 0.0
 
     async def ask_turn(self, ip, request, timeout_s):
         self.asked.append((ip, request))
         reply = self.replies.get(ip, grant.TurnReply())
+        await asyncio.sleep(self.delay_s)
         if isinstance(reply, list):
             reply = reply.pop(0)
         if reply is None:
@@ -60,13 +64,14 @@
         )
         self.versions = []
         self.entries = []
+        self.placement = placement.Placement(
+            self.clock, settings.ObjectiveSettings(stall_weight=1)
+        )
         self.source = turn_source.TurnSource(
             'edge-1',
             self.sidecars,
             self.servers,
-            placement.Placement(
-                self.clock, settings.ObjectiveSettings(stall_weight=1)
-            ),
+            self.placement,
             ejection.Ejector(self.clock, random.Random(1)),
             self.clock,
             lambda ip, version: self.versions.append(version),
@@ -86,6 +91,7 @@
             'rank': 0,
             'prompt_tokens': 10,
             'max_tokens': 10,
+            'expected_tokens': 10,
             'start_by_s': now_s + 3.0,
             'target_at_s': now_s + 0.8,
             'until_s': now_s + 12.0,
@@ -304,3 +310,78 @@
 
         scene = play(story)
         assert scene.sidecars.ended
+
+
+class TestLeaving:
+    def test_a_turn_at_an_engine_that_left_meanwhile_is_not_used(self):
+        """A request reaches an engine seconds after it began to leave.
+
+        The list told of it while the request waited for its turn there.
+        """
+
+        async def story(scene):
+            taking = asyncio.create_task(scene.take())
+            await asyncio.sleep(0.05)
+            first_ip = scene.sidecars.asked[0][0]
+            for server in scene.servers.all():
+                if server.ip == first_ip:
+                    scene.servers.put(
+                        dataclasses.replace(server, is_leaving=True)
+                    )
+            turn = await taking
+            assert turn.server.ip != first_ip
+            await asyncio.sleep(0.1)
+            assert (first_ip, 'one.1') in scene.sidecars.ended
+
+        async def main():
+            scene = Scene()
+            sending = asyncio.create_task(scene.source.run())
+            scene.sidecars.delay_s = 0.2
+            await story(scene)
+            sending.cancel()
+
+        virtual_time.run(main())
+
+
+class TestRestart:
+    def test_a_hint_of_before_is_not_believed(self):
+        """A request goes where its adapter was before a restart.
+
+        A reply that a sidecar sent before its engine restarted comes after
+        the list has told of the new start.
+        """
+        told = hint.Hint(
+            running=0,
+            queued=0,
+            max_running=16,
+            load_wait_ms=0,
+            spare_slots=9,
+            adapters=hint.join_fingerprints(['m/x']),
+        )
+
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = grant.TurnReply(
+                    hint=told, started_at_ms=1000
+                )
+            for server in scene.servers.all():
+                scene.servers.put(
+                    dataclasses.replace(server, started_at_ms=2000)
+                )
+            await scene.take()
+            assert not scene.placement._holders
+
+        play(story)
+
+    def test_a_reply_tells_of_a_restart(self):
+        async def story(scene):
+            restarted = []
+            scene.servers.restarts.subscribe(restarted.append)
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = grant.TurnReply(
+                    started_at_ms=1000
+                )
+            await scene.take()
+            assert len(restarted) == 1
+
+        play(story)
