--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -279,6 +279,8 @@
             adapter=name,
             version=version,
             wanted_version=request.version,
+            prompt_tokens=request.prompt_tokens,
+            expected_tokens=request.expected_tokens,
             waited_ms=round((now_s - turn.asked_at_s) * _MS_PER_S),
             expected_ms=round(turn.expected_wait.total_s * _MS_PER_S),
             expected_place_ms=round(turn.expected_wait.place_s * _MS_PER_S),
@@ -393,6 +395,9 @@
             kind=error.kind,
             detail=error.detail,
             retry_after_s=error.retry_after_s,
+            prompt_tokens=request.prompt_tokens,
+            expected_tokens=request.expected_tokens,
+            is_asked_for_sooner=request.accept_within_ms > 0,
             running=self._queue.running,
             queued=self._queue.queued,
         )
