--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -7,6 +7,7 @@
 from lacewingpitch import engine as engine_module
 from lacewingpitch import engine_runner
 from lacewingpitch import fence as fence_module
+from lacewingpitch import load_pacer
 from lacewingpitch import node as node_module
 from lacewingpitch import plain_service
 from lacewingpitch import runs
@@ -69,7 +70,7 @@
 def make_runner(
     settings: settings_module.SidecarSettings,
     node: node_module.Node,
-    pacer: slots.LoadPacer,
+    pacer: load_pacer.LoadPacer,
     queue: turn_queue.TurnQueue,
 ) -> Runner:
     """Return the runner for the backend server of a sidecar."""
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -3,31 +3,28 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterable
 import contextlib
-import dataclasses
-import enum
-from typing import Protocol, TypeAlias
+from typing import TypeAlias
 
 import structlog
 
 from lacewingpitch import adapter_waiters
 from lacewingpitch import clock as clock_module
-from lacewingpitch import demand
 from lacewingpitch import engine as engine_module
 from lacewingpitch import errors
 from lacewingpitch import fence as fence_module
 from lacewingpitch import load_backoff
+from lacewingpitch import load_pacer
 from lacewingpitch import load_times
 from lacewingpitch import place_forecast
+from lacewingpitch import slot as slot_module
+from lacewingpitch import slot_forecast
+from lacewingpitch import slot_table
 
 # Two outstanding requests for a permit keep the store busy; more would
 # only crowd out the sidecars whose waiting requests cost more.
 _MAX_ASKING = 2
-_DEMAND_HALF_LIFE_S = 10.0
-_RECENT_USE_S = 5.0
-_UNUSED_S = 6.0
 _CLOSE_AFTER_S = 2.0
 _FIRST_LOAD_GUESS_S = 0.5
-_SMOOTHING_RATIO = 0.2
 _RECHECK_INTERVAL_S = 1.0
 # Engines report with a lag: what they say of an earlier sidecar's runs
 # is believed only so long after we came.
@@ -36,105 +33,14 @@
 log = structlog.get_logger(__name__)
 
 
-class LoadPacer(Protocol):
-    """Says when the store has room for one more load."""
-
-    def permit(
-        self, weight: Callable[[], float]
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Wait for a permit and keep it for the length of a load.
-
-        Parameters
-        ----------
-        weight
-            What waiting costs; it may grow meanwhile.
-        """
-        ...
-
-
-class UnpacedLoads:
-    """Lets every load start at once."""
-
-    def permit(
-        self, weight: Callable[[], float]
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Return a permit at once."""
-        return contextlib.nullcontext()
-
-
-class SlotState(enum.Enum):
-    """What an adapter slot is at."""
-
-    LOADING = enum.auto()
-    READY = enum.auto()
-    EVICTING = enum.auto()
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Slot:
-    """One adapter in the engine.
-
-    Parameters
-    ----------
-    serving
-        Requests that run on it or are about to, streams being resumed
-        included.
-    is_closing
-        Whether it takes no new requests, so that it comes free.
-    adopted_at_s
-        When it was taken over from an earlier sidecar, whose runs may
-        still be on it; they count as one in `serving`.
-    busy_until_s
-        When its requests are expected to have ended; ``None`` if none of
-        them said.
-    mean_use_s
-        For how long one of them is expected to use it, in the mean.
-    """
-
-    name: str
-    state: SlotState = SlotState.LOADING
-    serving: int = 0
-    is_closing: bool = False
-    used_at_s: float = 0.0
-    adopted_at_s: float | None = None
-    busy_until_s: float | None = None
-    loading_since_s: float = 0.0
-    mean_use_s: float = 0.0
-
-    @property
-    def is_open(self) -> bool:
-        """Whether a request can start on it now."""
-        return self.state is SlotState.READY and not self.is_closing
-
-    def serve(self, now_s: float, use_s: float | None) -> None:
-        """Count one more request, expected to keep it for some time."""
-        self.serving += 1
-        if use_s is not None:
-            until_s = now_s + use_s
-            if not self.mean_use_s:
-                self.mean_use_s = use_s
-            self.mean_use_s += _SMOOTHING_RATIO * (use_s - self.mean_use_s)
-            self.busy_until_s = max(self.busy_until_s or 0.0, until_s)
-
-    def free_in_s(self, now_s: float) -> float:
-        """Return when its requests are expected to have ended."""
-        if not self.serving or self.busy_until_s is None:
-            return 0.0
-        # What is overdue by some time is expected to last as long again,
-        # so that a stalled engine worsens every estimate.
-        return abs(self.busy_until_s - now_s)
-
-
-_Waiter: TypeAlias = adapter_waiters.Waiter[Slot]
+_Waiter: TypeAlias = adapter_waiters.Waiter[slot_module.Slot]
 
 
 class AdapterSlots:
     """Loads and evicts adapters so that each request finds its own.
 
     Waiting requests are kept by adapter.  The adapter whose waiting
-    costs most is loaded next, and all its requests start together.  An
-    adapter is evicted only when nothing runs on it and nothing is about
-    to; among these, the one least in demand goes.
+    costs most is loaded next, and all its requests start together.
 
     Parameters
     ----------
@@ -158,7 +64,7 @@
         slot_count: int,
         fence: fence_module.Fence,
         clock: clock_module.Clock,
-        pacer: LoadPacer | None = None,
+        pacer: load_pacer.LoadPacer | None = None,
         stall_weight: float = 0.5,
         max_loading: int = _MAX_ASKING,
         max_under_way: int | None = None,
@@ -169,20 +75,21 @@
         self._report_lag_s = report_lag_s
         self._max_loading = max_loading
         self._max_under_way = max_under_way or slot_count
-        self._slot_count = slot_count
         self._fence = fence
         self._clock = clock
-        self._pacer = pacer or UnpacedLoads()
+        self._pacer = pacer or load_pacer.UnpacedLoads()
         self._close_after_s = _CLOSE_AFTER_S / max(stall_weight, 0.05)
-        self._demand = demand.DecayedCounts(clock, _DEMAND_HALF_LIFE_S)
-        self._slots: dict[str, Slot] = {}
-        self._waiters = adapter_waiters.AdapterWaiters[Slot](clock)
+        self._slots = slot_table.SlotTable(slot_count, clock)
+        self._waiters = adapter_waiters.AdapterWaiters[slot_module.Slot](clock)
         self._backoffs = load_backoff.LoadBackoffs(clock)
         self._evicted_at_s: dict[str, float] = {}
         self._generation = 0
         self._is_closed = False
         self._asking = 0
         self._load_times = load_times.LoadTimes(clock, first_load_s)
+        self._forecast = slot_forecast.SlotForecast(
+            self._slots, self._waiters, self._load_times, max_loading, clock
+        )
         self._loaders: set[asyncio.Task[None]] = set()
         self.load_count = 0
         self.eviction_count = 0
@@ -191,12 +98,11 @@
     @property
     def adapters(self) -> tuple[str, ...]:
         """Return the adapters that requests can start on."""
-        return tuple(s.name for s in self._slots.values() if s.is_open)
+        return tuple(slot.name for slot in self._slots if slot.is_open)
 
     def holds(self, name: str) -> bool:
         """Return whether a request for adapter `name` can start now."""
-        slot = self._slots.get(name)
-        return slot is not None and slot.is_open
+        return self._slots.is_open(name)
 
     def knows(self, name: str) -> bool:
         """Return whether a slot is taken by adapter `name`."""
@@ -210,14 +116,8 @@
     @property
     def spare_count(self) -> int:
         """Return how many slots can change hands at little cost."""
-        now_s = self._clock.monotonic_s()
-        unused = sum(
-            1
-            for slot in self._idle_slots()
-            if now_s - slot.used_at_s >= _UNUSED_S
-        )
-        waiting = len(self._loadable())
-        return max(0, self._slot_count - len(self._slots) + unused - waiting)
+        spare = self._slots.free_count + self._slots.unused_count
+        return max(0, spare - len(self._loadable()))
 
     def expected_wait_s(self, name: str = '') -> float:
         """Return what a request for adapter `name` would wait now."""
@@ -225,64 +125,7 @@
 
     def expected_wait(self, name: str = '') -> place_forecast.AdapterWait:
         """Return the same by its parts."""
-        if self.holds(name):
-            return place_forecast.AdapterWait()
-        now_s = self._clock.monotonic_s()
-        slot = self._slots.get(name)
-        if slot is not None and slot.state is SlotState.LOADING:
-            return place_forecast.AdapterWait(
-                load_s=self._load_left_s(slot, now_s)
-            )
-        forecast = place_forecast.PlaceForecast(
-            self._free_in_s(now_s), self._max_loading
-        )
-        for other in self._load_order(name):
-            forecast.take(self._occupancy(other))
-        return forecast.take(self._occupancy(name))
-
-    def _load_order(self, name: str) -> list[str]:
-        """Return the adapters that are loaded before one."""
-        ahead = self._loadable()
-        if name in self._waiters:
-            cost = self._waiters.cost(name)
-            ahead = [n for n in ahead if self._waiters.cost(n) > cost]
-        return sorted(ahead, key=self._waiters.cost, reverse=True)
-
-    def _occupancy(self, name: str) -> place_forecast.Occupancy:
-        return place_forecast.Occupancy(
-            self._load_times.expected_s(
-                name, 2 * self._loading_count() < self._max_loading
-            ),
-            self._waiters.use_s(name),
-        )
-
-    def _load_left_s(self, slot: Slot, now_s: float) -> float:
-        load_s = self._load_times.expected_s(slot.name)
-        return abs(slot.loading_since_s + load_s - now_s)
-
-    def _renewed_s(self, slot: Slot, busy_s: float) -> float:
-        """Return for how long requests to come keep a place, too.
-
-        A hot adapter is never idle: its next request comes before the
-        last has ended, and begins another busy period.
-        """
-        if slot.is_closing or not busy_s:
-            return 0.0
-        return place_forecast.renewed_s(
-            busy_s, self._demand.rate_per_s(slot.name), slot.mean_use_s
-        )
-
-    def _free_in_s(self, now_s: float) -> list[float]:
-        free_in_s = []
-        for slot in self._slots.values():
-            if slot.state is SlotState.LOADING:
-                use_s = self._waiters.use_s(slot.name)
-                free_in_s.append(self._load_left_s(slot, now_s) + use_s)
-            elif slot.state is SlotState.READY:
-                busy_s = slot.free_in_s(now_s)
-                free_in_s.append(busy_s + self._renewed_s(slot, busy_s))
-        spare = self._slot_count - len(free_in_s)
-        return free_in_s + [0.0] * spare
+        return self._forecast.wait(name)
 
     @contextlib.asynccontextmanager
     async def hold(
@@ -333,8 +176,8 @@
     def forget(self, name: str) -> None:
         """Record that the engine says it does not hold an adapter."""
         slot = self._slots.get(name)
-        if slot is not None and slot.state is SlotState.READY:
-            self._discard(slot)
+        if slot is not None and slot.state is slot_module.SlotState.READY:
+            self._slots.discard(slot)
             self._start_loads()
 
     def adopt(self, names: Iterable[str]) -> None:
@@ -358,8 +201,10 @@
             # A sidecar that was killed may have left runs at the engine.
             # Nobody waits for them here, so their adapters would seem
             # idle, and be evicted under a request.
-            slot = Slot(name, SlotState.READY, 1, adopted_at_s=now_s)
-            self._slots[name] = slot
+            slot = slot_module.Slot(
+                name, slot_module.SlotState.READY, 1, adopted_at_s=now_s
+            )
+            self._slots.put(slot)
             self._serve_waiters(slot)
         self._start_loads()
 
@@ -376,7 +221,7 @@
         is_idle
             Whether the engine says that nothing runs on an adapter.
         """
-        for slot in list(self._slots.values()):
+        for slot in self._slots:
             if (
                 slot.adopted_at_s is not None
                 and asked_at_s >= slot.adopted_at_s + self._report_lag_s
@@ -390,7 +235,7 @@
         # Settings that name more than there are would make each load
         # into a slot that is none fail, and its requests with it.
         if slot_count > 0:
-            self._slot_count = min(self._slot_count, slot_count)
+            self._slots.slot_count = min(self._slots.slot_count, slot_count)
 
     async def close(self) -> None:
         """End the loads that are waited for, and begin no more."""
@@ -405,8 +250,8 @@
         deadline_s: float,
         weight: float,
         use_s: float | None,
-    ) -> Slot:
-        self._demand.add(name)
+    ) -> slot_module.Slot:
+        self._slots.demand.add(name)
         slot = self._slots.get(name)
         if slot is not None and slot.is_open:
             slot.serve(self._clock.monotonic_s(), use_s)
@@ -439,7 +284,7 @@
         deadline_s: float,
         weight: float,
         use_s: float | None,
-    ) -> Slot:
+    ) -> slot_module.Slot:
         waiter = self._waiters.add(name, weight, use_s)
         self._start_loads()
         try:
@@ -450,7 +295,7 @@
 
     async def _settled(
         self, name: str, waiter: _Waiter, deadline_s: float
-    ) -> Slot:
+    ) -> slot_module.Slot:
         # What was expected on arrival can worsen: the store slows down,
         # or adapters with more waiting go first.  Callers would learn
         # only at their deadline that they had waited for nothing.
@@ -480,27 +325,21 @@
             return
         self._waiters.remove(name, waiter)
 
-    def _release(self, slot: Slot) -> None:
+    def _release(self, slot: slot_module.Slot) -> None:
         slot.serving -= 1
         slot.used_at_s = self._clock.monotonic_s()
         if self._waiters:
             self._start_loads()
 
-    def _discard(self, slot: Slot) -> None:
-        # After a restart another slot of the same name may stand here;
-        # only the one that is meant goes.
-        if self._slots.get(slot.name) is slot:
-            del self._slots[slot.name]
-
     def _start_loads(self) -> None:
         if self._is_closed:
             return
         self._reopen_slots()
         wanted = min(
             len(self._loadable()),
-            self._room_count(),
+            self._slots.room_count,
             self._max_loading,
-            self._max_under_way - self._loading_count(),
+            self._max_under_way - self._slots.loading_count,
         )
         for _ in range(wanted - self._asking):
             self._asking += 1
@@ -509,27 +348,9 @@
             loader.add_done_callback(self._loaders.discard)
         self._close_slot()
 
-    def _loading_count(self) -> int:
-        return sum(
-            1
-            for slot in self._slots.values()
-            if slot.state is SlotState.LOADING
-        )
-
     def _loadable(self) -> list[str]:
         return [name for name in self._waiters if name not in self._slots]
 
-    def _room_count(self) -> int:
-        free = self._slot_count - len(self._slots)
-        return free + sum(1 for _ in self._idle_slots())
-
-    def _idle_slots(self) -> Iterable[Slot]:
-        return (
-            slot
-            for slot in self._slots.values()
-            if slot.state is SlotState.READY and not slot.serving
-        )
-
     def _highest_cost(self) -> float:
         return max(map(self._waiters.cost, self._loadable()), default=0.0)
 
@@ -541,7 +362,7 @@
                 self._asking -= 1
                 is_asking = False
                 names = self._loadable()
-                if not names or self._room_count() < 1:
+                if not names or self._slots.room_count < 1:
                     return
                 name = max(names, key=self._waiters.cost)
                 if await self._bring(name):
@@ -554,64 +375,44 @@
     async def _bring(self, name: str) -> bool:
         """Load an adapter; return whether it is held now."""
         generation = self._generation
-        slot = Slot(name, loading_since_s=self._clock.monotonic_s())
-        self._slots[name] = slot
-        victims = self._choose_victims()
+        slot = slot_module.Slot(
+            name, loading_since_s=self._clock.monotonic_s()
+        )
+        self._slots.put(slot)
+        victims = self._slots.choose_victims()
         try:
             await self._evict(victims)
             await self._engine.load_adapter(name, self._fence.number)
             self._fence.accepted()
         except errors.PlatformError as error:
-            self._discard(slot)
+            self._slots.discard(slot)
             if generation == self._generation:
                 self._fail(name, error)
             return False
         except BaseException:
-            self._discard(slot)
+            self._slots.discard(slot)
             raise
         return self._finish_load(slot, generation)
 
-    def _finish_load(self, slot: Slot, generation: int) -> bool:
+    def _finish_load(self, slot: slot_module.Slot, generation: int) -> bool:
         # An engine that restarted during the load may have taken the
         # order before or after; its requests stay queued and it is
         # ordered again, which an engine that holds it answers at once.
         if generation != self._generation:
             return False
-        slot.state = SlotState.READY
+        slot.state = slot_module.SlotState.READY
         self.load_count += 1
         self._backoffs.end(slot.name)
         self._serve_waiters(slot)
         return True
 
-    def _serve_waiters(self, slot: Slot) -> None:
+    def _serve_waiters(self, slot: slot_module.Slot) -> None:
         slot.used_at_s = self._clock.monotonic_s()
         for waiter in self._waiters.take_all(slot.name):
             slot.serve(slot.used_at_s, waiter.use_s)
             waiter.given.set_result(slot)
 
-    def _choose_victims(self) -> list[Slot]:
-        victims: list[Slot] = []
-        while len(self._slots) - len(victims) > self._slot_count:
-            idle = list(self._idle_slots())
-            if not idle:
-                break
-            victim = min(idle, key=self._worth)
-            victim.state = SlotState.EVICTING
-            victims.append(victim)
-        return victims
-
-    def _worth(self, slot: Slot) -> tuple[bool, bool, float, float]:
-        # A slot used a moment ago stays while another can go: the next
-        # request of the same conversation would find it just evicted.
-        now_s = self._clock.monotonic_s()
-        return (
-            not slot.is_closing,
-            now_s - slot.used_at_s < _RECENT_USE_S,
-            self._demand.value(slot.name),
-            slot.used_at_s,
-        )
-
-    async def _evict(self, victims: list[Slot]) -> None:
+    async def _evict(self, victims: list[slot_module.Slot]) -> None:
         for victim in victims:
             try:
                 await self._engine.evict_adapter(
@@ -623,15 +424,15 @@
                 # refuses its next request, which is then `forget`.
                 self._restore(victims)
                 raise
-            self._discard(victim)
+            self._slots.discard(victim)
             self._load_times.used(victim.name)
             self._evicted_at_s[victim.name] = self._clock.monotonic_s()
             self.eviction_count += 1
 
-    def _restore(self, victims: list[Slot]) -> None:
+    def _restore(self, victims: list[slot_module.Slot]) -> None:
         for victim in victims:
             if self._slots.get(victim.name) is victim:
-                victim.state = SlotState.READY
+                victim.state = slot_module.SlotState.READY
                 self._serve_waiters(victim)
 
     def _fail(self, name: str, error: errors.PlatformError) -> None:
@@ -651,27 +452,19 @@
         # Slots whose requests overlap without a gap are never idle, and
         # an adapter that waits would wait for ever.  The least wanted
         # of them takes no new requests until it has been evicted.
-        if self._room_count() > 0 or self._is_freeing():
+        if self._slots.room_count > 0 or self._slots.is_freeing:
             return
         if not any(
             self._waiters.longest_wait_s(name) >= self._close_after_s
             for name in self._loadable()
         ):
             return
-        ready = [s for s in self._slots.values() if s.is_open]
-        if ready:
-            min(ready, key=self._worth).is_closing = True
-
-    def _is_freeing(self) -> bool:
-        return any(
-            slot.is_closing or slot.state is not SlotState.READY
-            for slot in self._slots.values()
-        )
+        self._slots.close_least_wanted()
 
     def _reopen_slots(self) -> None:
         if self._loadable():
             return
-        for slot in list(self._slots.values()):
+        for slot in self._slots:
             if slot.is_closing:
                 slot.is_closing = False
                 self._serve_waiters(slot)
