--- a/lacewingpitch/place_forecast.py
+++ b/lacewingpitch/place_forecast.py
@@ -8,6 +8,8 @@
 # At this load a busy period lasts some 8 of its requests' times, longer
 # than any caller waits.
 _MAX_LOAD = 3.5
+# What an engine without any place tells: longer than any request waits.
+_NEVER_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +94,7 @@
     def take(self, occupancy: Occupancy) -> AdapterWait:
         """Give the next place to an adapter; return what it waits."""
         if not self._places:
-            return AdapterWait(float('inf'), occupancy.load_s)
+            return AdapterWait(_NEVER_S, occupancy.load_s)
         begin_s = max(self._places[0], self._loaders[0])
         loaded_s = begin_s + occupancy.load_s
         heapq.heapreplace(self._loaders, loaded_s)
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -15,6 +15,7 @@
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
 from lacewingpitch import settings as settings_module
+from lacewingpitch import weighing as weighing_module
 
 HINT_AGE_S = 30.0
 _DEMAND_HALF_LIFE_S = 30.0
@@ -26,9 +27,6 @@
 _SILENT_S = 5.0
 _MAX_ASSIGNMENTS = 8192
 _MS_PER_S = 1000
-_DEFAULT_LOAD_WAIT_S = 1.0
-_TURN_WAIT_S = 2.0
-_DEFAULT_MAX_RUNNING = 16
 _SPREAD_S = 0.2
 # How much longer a request waits for an adapter that nobody holds at its
 # home by hash, rather than where slots are free.  Entries then bring it to
@@ -63,195 +61,6 @@
     return xxhash.xxh3_64_intdigest(key.encode()) % count
 
 
-@dataclasses.dataclass(slots=True)
-class _View:
-    """What this entry instance knows of one backend server.
-
-    Parameters
-    ----------
-    hint
-        What it told last; ``None`` once that is too old.
-    under_way_count
-        Own requests that are on their way there or not answered yet.
-    places
-        Where this backend server stands in weighings.
-    """
-
-    hint: hint_module.Hint | None = None
-    sent_since_hint: int = 0
-    loads_since_hint: int = 0
-    under_way_count: int = 0
-    places: list[tuple['_Weighing', int]] = dataclasses.field(
-        default_factory=list
-    )
-
-    @property
-    def load(self) -> int:
-        """Return the requests that are thought to be there."""
-        own = self.under_way_count
-        if self.hint is None:
-            return own
-        told = self.hint.running + self.hint.queued + self.sent_since_hint
-        return max(own, told)
-
-    @property
-    def capacity(self) -> int:
-        """Return how many requests it batches."""
-        return self.hint.max_running if self.hint else _DEFAULT_MAX_RUNNING
-
-    @property
-    def fill_ratio(self) -> float:
-        """Return the load as a share of the batch."""
-        return self.load / self.capacity
-
-    def turn_wait_s(self, spread_s: float) -> float:
-        """Return what is waited for a turn there."""
-        fill_ratio = self.fill_ratio
-        over_s = max(0.0, fill_ratio - 1.0) * _TURN_WAIT_S
-        if self.hint is not None:
-            over_s += self.hint.turn_wait_ms / _MS_PER_S
-        return over_s + min(fill_ratio, 1.0) * spread_s
-
-    def load_wait_s(self, turn_wait_s: float, squeeze_s: float) -> float:
-        """Return the same for an adapter that must be loaded there."""
-        if self.hint is None:
-            return turn_wait_s + _DEFAULT_LOAD_WAIT_S
-        spare = self.hint.spare_slots - self.loads_since_hint
-        loaded_s = turn_wait_s + self.hint.load_wait_ms / _MS_PER_S
-        return loaded_s + squeeze_s / (1.0 + max(0, spare))
-
-
-@dataclasses.dataclass(slots=True)
-class _Pool:
-    """Backend servers of one model, and how many of them are in use."""
-
-    active_count: int
-    seen_at_s: float
-    spare_since_s: float
-    load: float = 0.0
-
-
-class _Weighing:
-    """The weights of one set of backend servers, one column for each.
-
-    A column is worked out again only when what is known of its backend
-    server has changed, so that a choice among hundreds does not weigh
-    each of them anew.
-
-    Parameters
-    ----------
-    spread_s
-        What a full batch counts, in seconds of waiting.
-    squeeze_s
-        See `Placement`.
-    """
-
-    def __init__(
-        self,
-        instances: tuple[live_list.Instance, ...],
-        views: Sequence[_View],
-        pool: _Pool,
-        spread_s: float,
-        squeeze_s: float,
-    ) -> None:
-        self._squeeze_s = squeeze_s
-        self.instances = instances
-        self.pool = pool
-        self.indexes = {i.name: n for n, i in enumerate(instances)}
-        self._views = views
-        self._spread_s = spread_s
-        self._names = [i.name.encode() for i in instances]
-        self._standings = [directory.standing(i.name) for i in instances]
-        self._by_standing = sorted(
-            range(len(instances)),
-            key=self._standings.__getitem__,
-            reverse=True,
-        )
-        self._active: frozenset[int] = frozenset()
-        count = len(instances)
-        self._loads = [0] * count
-        self._capacities = [0] * count
-        self._load_waits_ms = [0] * count
-        self._hints = [False] * count
-        self._held_s = [0.0] * count
-        self._missing_s = [0.0] * count
-        self._changed = set(range(count))
-        for index, view in enumerate(views):
-            view.places.append((self, index))
-
-    def __len__(self) -> int:
-        """Return the number of backend servers."""
-        return len(self.instances)
-
-    def note_change(self, index: int) -> None:
-        """Have a backend server weighed again."""
-        self._changed.add(index)
-
-    def by_hash(self, key: str) -> list[int]:
-        """Return the places of all by rendezvous hash."""
-        prefix = f'{key}/'.encode()
-        digest = xxhash.xxh3_64_intdigest
-        digests = [digest(prefix + name) for name in self._names]
-        places = range(len(digests))
-        return sorted(places, key=digests.__getitem__, reverse=True)
-
-    def active(self) -> frozenset[int]:
-        """Return the places of those in use."""
-        if len(self._active) != self.pool.active_count:
-            count = self.pool.active_count
-            self._active = frozenset(self._by_standing[:count])
-        return self._active
-
-    @property
-    def parked_below(self) -> int:
-        """Return the standing below which none is in use."""
-        if self.pool.active_count >= len(self):
-            return 0
-        return self._standings[self._by_standing[self.pool.active_count - 1]]
-
-    def waits_s(self, holders: Iterable[str]) -> list[float]:
-        """Return what a request would wait at each."""
-        self._refresh()
-        waits_s = self._missing_s.copy()
-        for name in holders:
-            index = self.indexes.get(name)
-            if index is not None:
-                waits_s[index] = self._held_s[index]
-        return waits_s
-
-    def load_sum(self) -> int:
-        """Return the requests in progress, without those that queue."""
-        self._refresh()
-        return sum(self._loads)
-
-    def mean_capacity(self) -> float:
-        """Return how many requests one batches in the mean."""
-        self._refresh()
-        return sum(self._capacities) / len(self)
-
-    def is_pressed(self, limit_s: float) -> bool:
-        """Whether loads wait longer than a limit in the mean."""
-        self._refresh()
-        limit_ms = limit_s * _MS_PER_S * sum(self._hints)
-        return sum(self._load_waits_ms) > limit_ms
-
-    def _refresh(self) -> None:
-        while self._changed:
-            index = self._changed.pop()
-            view = self._views[index]
-            hint = view.hint
-            # What waits for a turn at one engine says that it is too
-            # full, not that there are too few.
-            self._loads[index] = min(view.load, view.capacity)
-            self._capacities[index] = view.capacity
-            self._load_waits_ms[index] = hint.load_wait_ms if hint else 0
-            self._hints[index] = hint is not None
-            self._held_s[index] = view.turn_wait_s(self._spread_s)
-            self._missing_s[index] = view.load_wait_s(
-                self._held_s[index], self._squeeze_s
-            )
-
-
 @dataclasses.dataclass(slots=True)
 class _Assignment:
     """Where the home of an adapter has it used."""
@@ -290,8 +99,8 @@
         self._homes = homes
         self._squeeze_s = squeeze_s
         self._demand = demand.DecayedCounts(clock, _DEMAND_HALF_LIFE_S)
-        self._views: dict[str, _View] = {}
-        self._weighings: dict[int, _Weighing] = {}
+        self._views: dict[str, weighing_module.View] = {}
+        self._weighings: dict[int, weighing_module.Weighing] = {}
         # Names by what they hold, and by what is on its way to them.
         self._holders: dict[bytes, set[str]] = {}
         # The same by the published list, which tells of all, though late.
@@ -301,7 +110,7 @@
         self._heard_at_s: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._pools: dict[frozenset[str], _Pool] = {}
+        self._pools: dict[frozenset[str], weighing_module.Pool] = {}
         self._assignments: collections.OrderedDict[str, _Assignment] = (
             collections.OrderedDict()
         )
@@ -330,7 +139,7 @@
         return self._ranked(key, self._weighing(instances))
 
     def _ranked(
-        self, key: str, weighing: _Weighing
+        self, key: str, weighing: weighing_module.Weighing
     ) -> list[live_list.Instance]:
         active = weighing.active()
         holding = self._names_holding(key)
@@ -420,10 +229,10 @@
                 self._heard_at_s.pop(name, None)
                 del self._views[name]
 
-    def _view(self, instance: str) -> _View:
-        return self._views.setdefault(instance, _View())
+    def _view(self, instance: str) -> weighing_module.View:
+        return self._views.setdefault(instance, weighing_module.View())
 
-    def _note_change(self, view: _View) -> None:
+    def _note_change(self, view: weighing_module.View) -> None:
         for weighing, index in view.places:
             weighing.note_change(index)
 
@@ -437,7 +246,7 @@
             self._forget_hint(name, self._views[name])
             self._note_change(self._views[name])
 
-    def _forget_hint(self, instance: str, view: _View) -> None:
+    def _forget_hint(self, instance: str, view: weighing_module.View) -> None:
         if view.hint is None:
             return
         for adapter in view.hint.fingerprints:
@@ -460,7 +269,9 @@
         listed = self._listed_holders.get(adapter, set())
         return held.union(listed, self._targets.get(key, ()))
 
-    def _weighing(self, instances: Sequence[live_list.Instance]) -> _Weighing:
+    def _weighing(
+        self, instances: Sequence[live_list.Instance]
+    ) -> weighing_module.Weighing:
         """Return the weights of instances, as of now."""
         self._drop_old_hints()
         fixed = tuple(instances)
@@ -474,10 +285,10 @@
 
     def _new_weighing(
         self, instances: tuple[live_list.Instance, ...]
-    ) -> _Weighing:
+    ) -> weighing_module.Weighing:
         if len(self._weighings) >= _MAX_WEIGHINGS:
             self._drop_weighings()
-        found = _Weighing(
+        found = weighing_module.Weighing(
             instances,
             [self._view(instance.name) for instance in instances],
             self._pool(instances),
@@ -495,7 +306,7 @@
     async def _assigned(
         self,
         key: str,
-        weighing: _Weighing,
+        weighing: weighing_module.Weighing,
         ranked: list[live_list.Instance],
     ) -> tuple[str, ...]:
         active_count = weighing.pool.active_count
@@ -521,7 +332,7 @@
         return await self._ask_home(home, request) or told
 
     def _told(
-        self, key: str, weighing: _Weighing
+        self, key: str, weighing: weighing_module.Weighing
     ) -> tuple[tuple[str, ...], float]:
         """Return what the home said, and how long ago."""
         known = self._assignments.get(key)
@@ -532,7 +343,10 @@
         return names, self._clock.monotonic_s() - known.known_at_s
 
     def _seen(
-        self, key: str, weighing: _Weighing, likely: tuple[str, ...]
+        self,
+        key: str,
+        weighing: weighing_module.Weighing,
+        likely: tuple[str, ...],
     ) -> tuple[str, ...]:
         """Return who holds an adapter, by hints of late."""
         # An engine that was emptied since is given the adapter again: it
@@ -579,7 +393,7 @@
         # taken, below it the fuller, whose steps are then used better.
         return _SPREAD_S * (2.0 * self._objective.stall_weight - 1.0)
 
-    def _set_active_count(self, weighing: _Weighing) -> None:
+    def _set_active_count(self, weighing: weighing_module.Weighing) -> None:
         fill_ratio = 1.0 - self._objective.stall_weight
         if fill_ratio <= 0.0:
             return
@@ -595,18 +409,25 @@
             pool.active_count -= 1
             pool.spare_since_s = now_s
 
-    def _pool(self, instances: Sequence[live_list.Instance]) -> _Pool:
+    def _pool(
+        self, instances: Sequence[live_list.Instance]
+    ) -> weighing_module.Pool:
         names = frozenset(instance.name for instance in instances)
         pool = self._pools.get(names)
         if pool is None:
             if len(self._pools) >= _MAX_POOLS:
                 self._pools.clear()
             now_s = self._clock.monotonic_s()
-            pool = self._pools[names] = _Pool(len(instances), now_s, now_s)
+            pool = self._pools[names] = weighing_module.Pool(
+                len(instances), now_s, now_s
+            )
         return pool
 
     def _needed_count(
-        self, weighing: _Weighing, fill_ratio: float, now_s: float
+        self,
+        weighing: weighing_module.Weighing,
+        fill_ratio: float,
+        now_s: float,
     ) -> int:
         pool = weighing.pool
         load = float(weighing.load_sum())
