Connections to a server that hands out wrong bytes are given up together

A second answer that came late lay where the next one was due; its id showed that, and the answer after it was in the way of the next request, and so on. Turn source in modules of its own: wanted turn, ended turns, placed instances. Tests of reuse, of stale connections, and of the soonest engine.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -76,6 +76,17 @@
     last_event_id: int
     until_s: float
 
+    @property
+    def may_share_connection(self) -> bool:
+        """Whether it may be sent on a connection that was used before.
+
+        A backend server may close such a connection as the request is on
+        its way, or fall silent on it.  Whether the request ran is not known
+        then: what may run once at most, or whose stream cannot go on
+        elsewhere, would be lost.
+        """
+        return self.request.route.is_idempotent
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendAnswer:
--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -20,6 +20,7 @@
 from lacewingpitch import retry_budget
 from lacewingpitch import service_choice
 from lacewingpitch import turn_source
+from lacewingpitch import wanted_turn
 
 # An idempotent request is taken elsewhere when its answer stays away for
 # this many times its target: 4 x 125 ms is four times the longest of a
@@ -186,15 +187,15 @@
         request: backend_call.CallerRequest,
         services: tuple[str, ...],
         trail: Trail,
-    ) -> AsyncIterator[turn_source.Turn]:
+    ) -> AsyncIterator[wanted_turn.Turn]:
         """Choose where the request goes next, and keep the place there."""
         if not request.model:
             server = self._choose(services, trail)
             with self._services.sent(server):
-                yield turn_source.Turn(server, 0)
+                yield wanted_turn.Turn(server, 0)
             return
         started_s = self._clock.monotonic_s()
-        wanted = turn_source.WantedTurn(
+        wanted = wanted_turn.WantedTurn(
             run_id=request.request_id,
             attempt=trail.sent_count + trail.unreached_count + 1,
             service=services[0],
@@ -230,7 +231,7 @@
     async def _try(
         self,
         request: backend_call.CallerRequest,
-        turn: turn_source.Turn,
+        turn: wanted_turn.Turn,
         trail: Trail,
         delivery: backend_call.Delivery,
     ) -> '_Failure | None':
@@ -313,7 +314,7 @@
     def _failure(
         self,
         request: backend_call.CallerRequest,
-        turn: turn_source.Turn,
+        turn: wanted_turn.Turn,
         trail: Trail,
         error: errors.PlatformError,
     ) -> '_Failure':
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -9,6 +9,7 @@
 import yarl
 
 from lacewingpitch import backend_call
+from lacewingpitch import kept_sessions
 from lacewingpitch.platform import names
 
 # Within a region a connection takes some 2 ms; one that takes longer
@@ -34,24 +35,19 @@
 
 
 class HttpBackendClient:
-    """Sends requests; those that may run twice use connections again.
+    """Sends requests, on connections that were used before where it may.
 
     A new connection costs 1 ms of its server, and one for each request
     costs more than all other messages together.  A connection is used
     again only after an answer that was whole and framed, with no byte
-    after it, and only while it has hardly been idle.
-
-    A backend server may send an answer twice, close an idle connection as
-    a request is on its way, or fall silent on it.  What may run once at
-    most, or whose stream cannot go on elsewhere, therefore has a
-    connection of its own, which none of these can touch.  For the others
-    the answer's id shows one that belongs to another request.
+    after it, and only while it has hardly been idle.  The id of an answer
+    shows one that belongs to another request.
     """
 
     def __init__(
         self,
         single_use: aiohttp.ClientSession,
-        kept: aiohttp.ClientSession,
+        kept: kept_sessions.KeptSessions,
     ) -> None:
         self._single_use = single_use
         self._kept = kept
@@ -61,29 +57,34 @@
         self, call: backend_call.BackendCall
     ) -> AsyncIterator[backend_call.BackendAnswer]:
         """Send a request; see `backend_call.BackendClient`."""
-        response = await self._open(call)
-        try:
-            _check_ran(call, response)
-            yield backend_call.BackendAnswer(
-                status=response.status,
-                headers=_end_to_end(response),
-                is_leaving=_says_close(response),
-                chunks=_chunks(response),
-            )
-        finally:
-            response.close()
+        async with self._session(call) as session:
+            response = await self._open(session, call)
+            try:
+                _check_ran(call, response)
+                yield backend_call.BackendAnswer(
+                    status=response.status,
+                    headers=_end_to_end(response),
+                    is_leaving=_says_close(response),
+                    chunks=_chunks(response),
+                )
+            finally:
+                response.close()
+
+    def _session(
+        self, call: backend_call.BackendCall
+    ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientSession]:
+        if call.may_share_connection:
+            return self._kept.use(call.server)
+        return contextlib.nullcontext(self._single_use)
 
     async def _open(
-        self, call: backend_call.BackendCall
+        self, session: aiohttp.ClientSession, call: backend_call.BackendCall
     ) -> aiohttp.ClientResponse:
         request = call.request
         server = call.server
         url = yarl.URL(
             f'http://{server.ip}:{server.port}{request.target}', encoded=True
         )
-        session = self._single_use
-        if request.route.is_idempotent:
-            session = self._kept
         connection = _Connection()
         try:
             return await session.request(
@@ -110,12 +111,16 @@
 def new_client(exits: contextlib.AsyncExitStack) -> HttpBackendClient:
     """Return a client whose connections close with `exits`."""
     single_use = _new_session(aiohttp.TCPConnector(limit=0, force_close=True))
-    kept = _new_session(
+    exits.push_async_callback(single_use.close)
+    kept = kept_sessions.KeptSessions(_new_keeping_session)
+    exits.push_async_callback(kept.close)
+    return HttpBackendClient(single_use, kept)
+
+
+def _new_keeping_session() -> aiohttp.ClientSession:
+    return _new_session(
         aiohttp.TCPConnector(limit=0, keepalive_timeout=_MAX_IDLE_S)
     )
-    for session in (single_use, kept):
-        exits.push_async_callback(session.close)
-    return HttpBackendClient(single_use, kept)
 
 
 async def _note_kept(
--- a/tests/test_carrier.py
+++ b/tests/test_carrier.py
@@ -16,7 +16,7 @@
 from lacewingpitch import retry_budget
 from lacewingpitch import routing
 from lacewingpitch import service_choice
-from lacewingpitch import turn_source
+from lacewingpitch import wanted_turn
 
 Kind = routing.RequestKind
 Outcome = errors.Outcome
@@ -121,7 +121,7 @@
         name = next(n for n in SERVERS if n not in excluded)
         self.open_count += 1
         try:
-            yield turn_source.Turn(server(name), 3)
+            yield wanted_turn.Turn(server(name), 3)
         finally:
             self.open_count -= 1
 
@@ -297,6 +297,33 @@
         assert len(scene.client.calls) == 2
 
 
+class TestStaleConnection:
+    STALE = backend_call.StaleConnectionError('reset')
+
+    def test_is_sent_once_more_within_the_budget(self):
+        scene, refusal = play(SAFE, self.STALE, {})
+        assert refusal is None
+        assert len(scene.client.calls) == 2
+        scene, refusal = play(SAFE, self.STALE, self.STALE, {})
+        assert len(scene.client.calls) == 2
+
+    def test_tells_nothing_of_the_server(self):
+        """Healthy servers are passed over after their idle connections.
+
+        Three kept connections to one server are closed in a row as
+        requests are sent on them.
+        """
+
+        async def main():
+            scene = Scene(*[self.STALE] * 6)
+            for _ in range(3):
+                with contextlib.suppress(errors.RefusalError):
+                    await scene.carry(SAFE)
+            return scene.ejector.allowed(SERVERS)
+
+        assert virtual_time.run(main()) == list(SERVERS)
+
+
 class TestTime:
     def test_the_final_answer_comes_at_the_limit(self):
         async def main():
--- a/tests/test_turn_source.py
+++ b/tests/test_turn_source.py
@@ -15,6 +15,7 @@
 from lacewingpitch import placement
 from lacewingpitch import settings
 from lacewingpitch import turn_source
+from lacewingpitch import wanted_turn
 
 DRAINING = errors.ErrorKind.DRAINING
 STARTING = errors.ErrorKind.BACKEND_STARTING
@@ -96,7 +97,7 @@
             'target_at_s': now_s + 0.8,
             'until_s': now_s + 12.0,
         }
-        return turn_source.WantedTurn(**{**values, **fields})
+        return wanted_turn.WantedTurn(**{**values, **fields})
 
     async def take(self, name='one', excluded=(), **fields):
         wanted = self.wanted(name, **fields)
@@ -312,6 +313,58 @@
         assert scene.sidecars.ended
 
 
+class TestSoonest:
+    """Engines that say what a request would wait there."""
+
+    def play(self, *waits_ms):
+        """Return where the turn was, and the limits that were asked with."""
+        found = []
+
+        class Sidecars(FakeSidecars):
+            async def ask_turn(self, ip, request, timeout_s):
+                self.asked.append((ip, request.accept_within_ms))
+                wait_ms = waits_ms[int(ip.rpartition('.')[2]) - 1]
+                limit_ms = request.accept_within_ms or 600
+                if wait_ms <= limit_ms:
+                    return grant.TurnReply()
+                return grant.TurnReply(
+                    refusal=errors.ErrorKind.DEADLINE_UNREACHABLE,
+                    retry_after_ms=wait_ms,
+                    wait_ms=wait_ms,
+                )
+
+        async def story(scene):
+            turn = await scene.take()
+            found.append(int(turn.server.ip.rpartition('.')[2]) - 1)
+
+        async def main():
+            scene = Scene()
+            scene.sidecars.__class__ = Sidecars
+            await story(scene)
+            return scene.sidecars.asked
+
+        asked = virtual_time.run(main())
+        return found[0], [limit_ms for _, limit_ms in asked]
+
+    def test_the_first_that_is_soon_is_taken(self):
+        _, limits_ms = self.play(100, 100, 100)
+        assert limits_ms == [400]
+
+    def test_where_none_is_soon_the_least_wait_is_taken(self):
+        """A request waits at an engine while another is sooner.
+
+        The first that is asked would let it in just in time.
+        """
+        chosen, limits_ms = self.play(590, 450, 560)
+        assert chosen == 1
+        assert limits_ms == [400, 400, 400, 0]
+
+    def test_where_all_are_late_the_caller_hears_when_to_come_back(self):
+        with pytest.raises(errors.RefusalError) as caught:
+            self.play(900, 700, 800)
+        assert caught.value.retry_after_s == 0.7
+
+
 class TestLeaving:
     def test_a_turn_at_an_engine_that_left_meanwhile_is_not_used(self):
         """A request reaches an engine seconds after it began to leave.
