--- a/tests/test_expected_wait.py
+++ b/tests/test_expected_wait.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import statistics
 
 import msgspec
 import pytest
@@ -64,10 +63,12 @@
 class TestUnderLoad:
     """More adapters are wanted than an engine holds."""
 
-    def play(self):
-        """Return what granted turns waited, and were expected to."""
+    REQUEST_COUNT = 400
+
+    def play(self, seed):
+        """Return what the turns waited that were granted."""
         limits = routing.EngineLimits(64, 6, (fake_engine.MODEL,))
-        source = random.Random(5)
+        source = random.Random(seed)
         found = []
 
         async def story(scene):
@@ -75,32 +76,36 @@
                 await asyncio.sleep(number * 0.07)
                 name = f'r{number}'
                 adapter = f'a{int(source.paretovariate(0.5)) % 40}'
+                # A short class, and one that lasts seven times as long;
+                # callers know the length within a half.
+                run_s, tokens = (1.7, 170) if number % 5 == 0 else (0.25, 24)
+                told = int(tokens * source.uniform(0.5, 1.7))
                 started_s = scene.clock.monotonic_s()
-                reply = await scene.ask(name, adapter=adapter, wait_ms=3000)
+                reply = await scene.ask(
+                    name, adapter=adapter, wait_ms=3000, expected_tokens=told
+                )
                 if reply.refusal is None:
-                    waited_s = scene.clock.monotonic_s() - started_s
-                    found.append(waited_s)
+                    found.append(scene.clock.monotonic_s() - started_s)
                     scene.engine.runs.add(name)
-                    # A short class, and one that lasts seven times as long.
-                    long = number % 5 == 0
-                    await asyncio.sleep(1.7 if long else 0.25)
+                    await asyncio.sleep(run_s)
                     scene.engine.runs.discard(name)
                     await scene.end(name)
 
-            await asyncio.gather(*map(one, range(400)))
+            await asyncio.gather(*map(one, range(self.REQUEST_COUNT)))
 
         test_engine_keeper.play(story, limits=limits, slot_count=6)
         return found
 
-    def test_who_is_let_in_is_on_time(self):
+    @pytest.mark.parametrize('seed', [5, 6, 7])
+    def test_who_is_let_in_is_on_time(self, seed):
         """Callers get their answers late, and the engine is half idle.
 
-        Requests wait for a place in the engine.  Where admission does not
-        know how long runs keep them, they are let in and are late: 37 in
-        100 of these, against 9 with the forecast.
+        Requests wait for a place in the engine.  While admission did not
+        know how long runs keep them, 23 to 30 in 100 of those let in
+        waited for more than 0.75 s; with the forecast fewer than 1 in 100,
+        and 85 in 100 are let in.
         """
-        waits_s = self.play()
-        assert len(waits_s) > 150
+        waits_s = self.play(seed)
         late = sum(wait_s > 0.75 for wait_s in waits_s)
-        assert late / len(waits_s) < 0.15
-        assert statistics.median(waits_s) < 0.35
+        assert late / len(waits_s) < 0.1
+        assert len(waits_s) > 0.75 * self.REQUEST_COUNT
