--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -20,6 +20,7 @@
 from lacewingpitch import hint as hint_module
 from lacewingpitch import metrics
 from lacewingpitch import prefill_pacer
+from lacewingpitch import request_size
 from lacewingpitch import run_time
 from lacewingpitch import slots as slots_module
 from lacewingpitch import turn_queue
@@ -124,6 +125,7 @@
         self._expected_wait = expected_wait.ExpectedWait(adapters, pacer)
         self._admission = admission_module.Admission(engine, source)
         self._run_times = run_time.RunTimes()
+        self._sizes = request_size.RequestSizes()
         self._awaiting_start_count = 0
         self.granted_count = 0
         self.refused_count = 0
@@ -279,6 +281,8 @@
             adapter=name,
             version=version,
             wanted_version=request.version,
+            prompt_tokens=request.prompt_tokens,
+            expected_tokens=request.expected_tokens,
             waited_ms=round((now_s - turn.asked_at_s) * _MS_PER_S),
             expected_ms=round(turn.expected_wait.total_s * _MS_PER_S),
             expected_place_ms=round(turn.expected_wait.place_s * _MS_PER_S),
@@ -300,7 +304,14 @@
             left_s = request.start_within_ms / _MS_PER_S - waited_s
             await turn.held.enter_async_context(
                 self._adapters.hold(
-                    name, left_s, use_s=self._expected_use_s(request)
+                    name,
+                    left_s,
+                    self._sizes.weight(
+                        request.route,
+                        request.prompt_tokens,
+                        request.expected_tokens,
+                    ),
+                    self._expected_use_s(request),
                 )
             )
         self._note_step(turn)
@@ -393,6 +404,9 @@
             kind=error.kind,
             detail=error.detail,
             retry_after_s=error.retry_after_s,
+            prompt_tokens=request.prompt_tokens,
+            expected_tokens=request.expected_tokens,
+            is_asked_for_sooner=request.accept_within_ms > 0,
             running=self._queue.running,
             queued=self._queue.queued,
         )
