--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -20,7 +20,6 @@
 from lacewingpitch import hint as hint_module
 from lacewingpitch import metrics
 from lacewingpitch import prefill_pacer
-from lacewingpitch import request_size
 from lacewingpitch import run_time
 from lacewingpitch import slots as slots_module
 from lacewingpitch import turn_queue
@@ -125,7 +124,6 @@
         self._expected_wait = expected_wait.ExpectedWait(adapters, pacer)
         self._admission = admission_module.Admission(engine, source)
         self._run_times = run_time.RunTimes()
-        self._sizes = request_size.RequestSizes()
         self._awaiting_start_count = 0
         self.granted_count = 0
         self.refused_count = 0
@@ -304,14 +302,7 @@
             left_s = request.start_within_ms / _MS_PER_S - waited_s
             await turn.held.enter_async_context(
                 self._adapters.hold(
-                    name,
-                    left_s,
-                    self._sizes.weight(
-                        request.route,
-                        request.prompt_tokens,
-                        request.expected_tokens,
-                    ),
-                    self._expected_use_s(request),
+                    name, left_s, use_s=self._expected_use_s(request)
                 )
             )
         self._note_step(turn)
