--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -31,10 +31,10 @@
 # Round trips take 2 to 4 ms between zones; the rest is for a sidecar
 # that runs on a share of a core and is busy.
 _SILENT_AFTER_S = _REPLY_WITHIN_S + 0.25
-# A sidecar says at once whether a request would be on time; a question
-# takes 2 to 4 ms.  Of three, all refused 30 in 100 requests of the heaviest
-# day while a fourth or fifth engine had a place.
-_MAX_ASKED = 5
+# More engines than these would only spread one request's wait: those
+# further down are the most loaded, or the last to get the adapter.  With
+# five on the heaviest day no more requests were on time.
+_MAX_ASKED = 3
 _SIDECAR_KEY = '{}/sidecar'
 # The first engine that is asked will do where the request would wait no
 # longer than this share of its time: for a load, but for no place as well.
