--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -255,8 +255,12 @@
         delivery = ResponseDelivery(request, lambda: self.is_draining)
         request_id = request.headers.get(names.REQUEST_ID, '')
         transport = request.transport
-        if transport is None:
-            raise ConnectionResetError('the caller is gone')
+        # A request can come in the same moment in which its connection is
+        # closed as idle, before it counts as busy.  Sent on, which takes no
+        # wait on a kept connection, it would run and its answer be lost;
+        # not read, it is sent again by its caller.
+        if transport is None or transport.is_closing():
+            raise ConnectionResetError('the connection is closed')
         self._busy.add(transport)
         self._silent.note_request(transport)
         try:
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import pytest
+import uvloop
 
 from lacewingpitch import backend_call
 from lacewingpitch import clock
@@ -133,3 +134,49 @@
             with pytest.raises(TimeoutError):
                 async with asyncio.timeout(2.5):
                     await reader.read()
+
+
+class TestDrain:
+    @pytest.mark.parametrize('step_count', [0, 1, 2])
+    def test_what_comes_as_its_connection_closes_is_not_sent_on(
+        self, step_count
+    ):
+        """A request runs, and its caller gets neither answer nor refusal.
+
+        An instance that drains closes its idle connections.  After it was
+        held up for a moment it reads a request and closes that connection
+        a step or two of its loop later; the request is sent on, and cut.
+        """
+
+        async def main():
+            async with Scene() as scene:
+                scene.table.apply(
+                    routing.Configuration(
+                        7, (ROUTE,), {}, routing.CallerLimits()
+                    )
+                )
+                served = []
+
+                async def serve(request, _delivery):
+                    served.append(request.request_id)
+
+                scene.front._serve = serve
+                host, port = scene._endpoint.split(':')
+                reader, writer = await asyncio.open_connection(host, port)
+                await asyncio.sleep(0.05)
+                (handler,) = scene.front._server.connections
+                handler.data_received(
+                    b'GET /lookup/x HTTP/1.1\r\nHost: h.example\r\n'
+                    b'Request-Id: one\r\nDeadline-Ms: 1000\r\n\r\n'
+                )
+                for _ in range(step_count):
+                    await asyncio.sleep(0)
+                was_busy = scene.front.in_progress or served
+                scene.front.close_idle()
+                await reader.read()
+                writer.close()
+                return served if not was_busy else []
+
+        # The loop that daemons use tells of a closed connection later.
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            assert runner.run(main()) == []
