The test of a connection that closes as its request comes tells the two apart

It compared a list with itself, and passed without the mend as well. Now it fails without it (one step of the loop between), and passes with it.

--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -171,7 +171,7 @@
                 )
                 for _ in range(step_count):
                     await asyncio.sleep(0)
-                was_busy = scene.front.in_progress or served
+                was_busy = bool(scene.front.in_progress or served)
                 scene.front.close_idle()
                 await reader.read()
                 writer.close()
