A method that nothing calls is gone; two tests share their scene

Turns' expected length comes from the length of answers now, so that TurnQueue.expected_turn_s had no caller left. The two tests of turns that wait behind runs set it up in one place; their assertions are unchanged.

--- a/lacewingpitch/turn_queue.py
+++ b/lacewingpitch/turn_queue.py
@@ -204,10 +204,6 @@
         """Return how many requests may have a turn at once."""
         return self._turn_count
 
-    def expected_turn_s(self, order: work.WorkOrder) -> float:
-        """Return for how long a request is expected to keep its turn."""
-        return self._turn_times.predict_s(order)
-
     def load(self) -> QueueLoad:
         """Return how much work there is, for hints."""
         return QueueLoad(self.queued, self.running, self._wait_of_last())
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -77,6 +77,15 @@
             if not reply.is_pending:
                 return reply.refusal, reply.backend_server
 
+    async def wait_behind_runs(self):
+        """Return the asking of one that waits while all places are kept."""
+        for name in ('a', 'b', 'c'):
+            await self.ask(name, adapter=name)
+            self.engine.runs.add(name)
+        waiting = asyncio.create_task(self.ask('d', adapter='d', wait_ms=3000))
+        await asyncio.sleep(0.1)
+        return waiting
+
     async def end(self, name):
         await self.keeper.end(grant.TurnEnds(turn_ids=(f'{name}.1',)))
 
@@ -419,13 +428,7 @@
         """
 
         async def story(scene):
-            for name in ('a', 'b', 'c'):
-                await scene.ask(name, adapter=name)
-                scene.engine.runs.add(name)
-            waiting = asyncio.create_task(
-                scene.ask('d', adapter='d', wait_ms=3000)
-            )
-            await asyncio.sleep(0.1)
+            waiting = await scene.wait_behind_runs()
             scene.engine.is_leaving = True
             reply = await asyncio.wait_for(waiting, 0.5)
             assert reply.refusal is errors.ErrorKind.DRAINING
@@ -437,13 +440,7 @@
         """Callers wait for seconds at an engine that crashed."""
 
         async def story(scene):
-            for name in ('a', 'b', 'c'):
-                await scene.ask(name, adapter=name)
-                scene.engine.runs.add(name)
-            waiting = asyncio.create_task(
-                scene.ask('d', adapter='d', wait_ms=3000)
-            )
-            await asyncio.sleep(0.1)
+            waiting = await scene.wait_behind_runs()
             scene.engine.is_up = False
             reply = await asyncio.wait_for(waiting, 1.5)
             assert reply.refusal is errors.ErrorKind.DRAINING
