Loads that cross a restart of their engine count

Change: loads are counted one by one from before the order until a report asked for after its answer, across starts; an unload counts for the start that answered. The comments of engine_view lose their figures.

--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -18,19 +18,17 @@
 # Without a report for so long, the engine counts as down: three reports
 # in a row are missing.
 _DOWN_AFTER_S = 1.0
-# An engine loads its base model from its own disk in some 1.5 s, as 27
-# engines showed that lost their power together.
+# An engine that starts again loads its base model from its own disk.
 _START_S = 1.5
-# From the store it takes some 3 s, and longer where many load.  At twice
-# that an engine without a model counts as down: nobody waits for it.
+# From the store it takes longer, the more so where many load.  After this
+# an engine without a model counts as down: nobody waits for it.
 _MAX_START_S = 6.0
 # What is left of a start that takes longer than expected.
 _LEAST_START_S = 0.2
-# A load takes 0.25 s, and longer in proportion where more are under way
-# than the store bears; at three times what all engines together may have
-# under way, and with a replacement that waits for its runs, it is done.
+# A load takes longer where more are under way than the store bears, and
+# where a replacement waits for its runs; after this it counts as failed.
 _LOAD_TIMEOUT_S = 6.0
-# Runs whose caller has left end within some 0.2 s.
+# An unload waits for the runs whose caller has left to end.
 _UNLOAD_TIMEOUT_S = 1.0
 _ORDER_TRIES = 4
 _ORDER_PAUSE_S = 0.05
@@ -84,6 +82,22 @@
     started_at_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _LoadOrder:
+    """A load that takes a slot, whether or not a report shows it.
+
+    Parameters
+    ----------
+    key
+        MODEL/ADAPTER.
+    settled_at_s
+        When it was answered, or its answer was lost; infinite before.
+    """
+
+    key: str
+    settled_at_s: float = math.inf
+
+
 class EngineOrders(Protocol):
     """The calls that change what an engine holds."""
 
@@ -134,9 +148,9 @@
         self._reported_at_s = 0.0
         # When it was first seen without a model; None while it has one.
         self._empty_since_s: float | None = None
-        # Orders that the last report may not show yet, by MODEL/ADAPTER,
-        # with the time at which they were answered, or may have been.
-        self._loads_at_s: dict[str, float] = {}
+        # Orders that the last report may not show yet; unloads by
+        # MODEL/ADAPTER, with the time at which they were answered.
+        self._loads: list[_LoadOrder] = []
         self._unloads_at_s: dict[str, float] = {}
         self._news = asyncio.Event()
         # The engine's incarnation; empty if it is not known.
@@ -248,26 +262,30 @@
     def is_shown(self, slot_name: str) -> bool:
         """Whether the last report is newer than the orders for it."""
         key, _ = _split(slot_name)
-        return not (key in self._loads_at_s or key in self._unloads_at_s)
+        return key not in self._unloads_at_s and key not in self._load_keys()
 
     def taken(self) -> set[str]:
         """Return the adapters that take a slot, or may do."""
         if self._snapshot is None:
-            return set(self._loads_at_s)
+            return self._load_keys()
         shown = set(self._snapshot.held) | set(self._snapshot.pending)
-        return (shown - set(self._unloads_at_s)) | set(self._loads_at_s)
+        return (shown - set(self._unloads_at_s)) | self._load_keys()
+
+    def _load_keys(self) -> set[str]:
+        return {order.key for order in self._loads}
 
     def attach(self, incarnation: str, started_at_ms: int = 0) -> None:
         """Take note of which start of the engine there is.
 
         Its counts and fencing numbers start anew, also under one name.
+        Loads that are on their way still take a slot: under one name, an
+        order that was meant for the last start may be taken by this one.
         """
         self.backend_server = incarnation
         self.started_at_ms = started_at_ms
         self._start_count += 1
         self._snapshot = None
         self._empty_since_s = None
-        self._loads_at_s.clear()
         self._unloads_at_s.clear()
         self._fence.renew(
             engine_module.EngineReport(
@@ -280,8 +298,14 @@
         """Take over a report that was asked for at some time."""
         self._snapshot = snapshot
         self._asked_at_s = asked_at_s
-        self._loads_at_s = _after(self._loads_at_s, asked_at_s)
-        self._unloads_at_s = _after(self._unloads_at_s, asked_at_s)
+        self._loads = [
+            order for order in self._loads if order.settled_at_s >= asked_at_s
+        ]
+        self._unloads_at_s = {
+            key: at_s
+            for key, at_s in self._unloads_at_s.items()
+            if at_s >= asked_at_s
+        }
         self._reported_at_s = self._clock.monotonic_s()
         if snapshot.models:
             self._empty_since_s = None
@@ -317,8 +341,8 @@
         started_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(_LOAD_TIMEOUT_S):
-                await self._until_room(key, slot_count, start)
-                await self._give_load(key, version, incarnation)
+                order = await self._until_room(key, slot_count, start)
+                await self._give_load(order, version, incarnation)
                 await self._until_held(name, start)
         except TimeoutError as error:
             raise errors.PlatformError(
@@ -348,6 +372,9 @@
             result = await self._orders.unload(
                 model, adapter, self._fence.number, incarnation
             )
+            # What the last start answered says nothing about this one,
+            # which may hold the adapter.
+            self._check_start(start)
             if result is OrderResult.ACCEPTED:
                 await self._until_gone(key, start)
                 result = OrderResult.DONE
@@ -359,9 +386,9 @@
         raise errors.PlatformError(f'unloading {name}: {result.name}')
 
     async def _give_load(
-        self, key: str, version: int, incarnation: str
+        self, order: _LoadOrder, version: int, incarnation: str
     ) -> None:
-        model, _, adapter = key.partition('/')
+        model, _, adapter = order.key.partition('/')
         # The engine is busy while it takes as many adapters as it can;
         # the caller limits how long that is waited for.
         try:
@@ -378,10 +405,12 @@
             # comes while the engine is busy shows nothing of it, another
             # load would take the place, and the engine crash at the next
             # try.
-            self._loads_at_s[key] = self._clock.monotonic_s()
-            self._unloads_at_s.pop(key, None)
+            order.settled_at_s = self._clock.monotonic_s()
+            self._unloads_at_s.pop(order.key, None)
 
-    async def _until_room(self, key: str, slot_count: int, start: int) -> None:
+    async def _until_room(
+        self, key: str, slot_count: int, start: int
+    ) -> _LoadOrder:
         # Whoever orders counts slots as well, but a load whose answer was
         # lost, or that took too long, may still come.  An engine that is
         # ordered to hold one adapter too many crashes, with all its runs.
@@ -391,10 +420,15 @@
             )
             await self._next_report(start)
         # Another load must not take the same room before this is ordered.
-        self._loads_at_s[key] = math.inf
+        order = _LoadOrder(key)
+        self._loads.append(order)
+        return order
 
     async def _next_report(self, start: int) -> None:
         await self.next_report()
+        self._check_start(start)
+
+    def _check_start(self, start: int) -> None:
         if self._start_count != start:
             raise errors.PlatformError('the engine has restarted')
 
@@ -432,10 +466,6 @@
             self.loading_count -= 1
 
 
-def _after(times_s: dict[str, float], time_s: float) -> dict[str, float]:
-    return {key: at_s for key, at_s in times_s.items() if at_s >= time_s}
-
-
 def _split(slot_name: str) -> tuple[str, int]:
     """Return MODEL/ADAPTER and the version that is wanted."""
     key, _, version = slot_name.partition('@')
--- a/tests/test_engine_keeper.py
+++ b/tests/test_engine_keeper.py
@@ -21,9 +21,11 @@
 class Scene:
     """A keeper that follows a fake engine."""
 
-    def __init__(self, limits=LIMITS, **options):
+    def __init__(
+        self, limits=LIMITS, new_engine=fake_engine.FakeEngine, **options
+    ):
         self.clock = virtual_time.LoopClock()
-        self.engine = fake_engine.FakeEngine(**options)
+        self.engine = new_engine(**options)
         self.versions = adapter_versions.AdapterVersions()
         self.table = routing.RoutingTable(random.Random(1))
         if limits is not None:
