--- a/lacewingpitch/admission.py
+++ b/lacewingpitch/admission.py
@@ -9,24 +9,22 @@
 _MS_PER_S = 1000
 # Other engines take what one that leaves refuses.
 _LEAVING_RETRY_S = 0.2
-# An engine that restarts has its model again after some 1.5 s from its
-# disk, or 3 s from the store.  Callers that come back sooner would be
-# refused again, and those that come back together as well.
+# An engine that restarts loads its model, from its disk or from the store.
+# Callers that come back sooner would be refused again, and those that come
+# back together as well.
 _RESTART_RETRY_S = (1.5, 3.0)
 # Requests that wait for an engine to start: half of the messages that a
 # sidecar has in hand at once, so that the ends of turns come through.
 _MAX_AWAITING_START = 128
-# Share of the time to the first event that may be spent in waiting for
-# the adapter and for other prompts; the rest is for reading its own
-# prompt, 20 to 200 ms of 800, and for what the estimate is wrong by.
+# Share of the time to the first event that may be spent in waiting; the
+# rest is for reading its own prompt, and for what the estimate is wrong by.
 _WAIT_TARGET_RATIO = 0.6
-# What is late anyway is still served where it delays nobody else long: an
-# adapter that is missing takes 0.3 s.
+# What is late anyway is still served where it delays nobody else for longer
+# than the load of an adapter.
 _LEAST_WAIT_S = 0.4
 # Added to the time after which callers would be let in if nobody else came,
 # so that they don't come together.  They come back once, and are on time if
-# that is soon: 70 in 100 summaries of the heaviest day were on time, against
-# 64 with 0.3 to 1.5 s after the whole wait.
+# that is soon.
 _COME_BACK_S = (0.1, 0.4)
 
 
@@ -82,8 +80,7 @@
 
         After a loss of power all engines load their model at the same
         time.  Callers come back once at most, and most of those that were
-        refused at once were refused again: 19 of 1,000 requests of a day
-        with such a loss, and 11 where they wait.
+        refused at once would be refused again.
 
         Parameters
         ----------
--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -23,8 +23,7 @@
 from lacewingpitch import wanted_turn
 
 # An idempotent request is taken elsewhere when its answer stays away for
-# this many times its target: 4 x 125 ms is four times the longest of a
-# hundred answers, so that a slow answer is seldom run twice.
+# this many times its target, so that a slow answer is seldom run twice.
 _SILENT_TARGETS = 4.0
 _LEAST_SILENCE_S = 0.4
 # The first event of a stream waits for its prompt to be read among those
--- a/lacewingpitch/ended_turns.py
+++ b/lacewingpitch/ended_turns.py
@@ -9,8 +9,8 @@
 from lacewingpitch import errors
 from lacewingpitch import grant
 
-# Ends of turns are sent together: one message for some 1 to 10 turns at
-# the sites' loads, while a place stays taken hardly longer.
+# Ends of turns are sent together: fewer messages, while a place stays
+# taken hardly longer.
 _ENDS_INTERVAL_S = 0.01
 _ENDS_TIMEOUT_S = 1.0
 _MAX_KEPT_ENDS = 1024
--- a/lacewingpitch/engine_keeper.py
+++ b/lacewingpitch/engine_keeper.py
@@ -23,15 +23,13 @@
 from lacewingpitch import work
 
 # While a load is under way, or the engine starts, requests wait for the
-# report that shows it done: 40 ms are a sixth of a load's 250 ms.
+# report that shows it done.
 _LOADING_INTERVAL_S = 0.015
 # Otherwise a report tells of a restart, of leaving and of lost turns,
 # for which a fifth of a second is soon enough.
 _IDLE_INTERVAL_S = 0.2
 # An engine takes so many adapters at once from the store, and refuses
-# more.  What waits here instead is ordered by what its waiting costs: the
-# wait for an adapter fell from 773 to 408 ms for 9 in 10 grants at the
-# heaviest load that was played.
+# more.  What waits here instead is ordered by what its waiting costs.
 _MAX_LOADING = 4
 # A load while the weight store is not crowded, until loads tell.
 _FIRST_LOAD_S = 0.3
@@ -131,9 +129,8 @@
 
     async def _until_ready(self, limit_s: float) -> None:
         # All processes of a deployment can start at once.  Entries then
-        # ask while this one reads its engine's state, which takes some
-        # 30 ms; a refusal would send their callers away, and most of
-        # them come back once at most.
+        # ask while this one reads its engine's state; a refusal would
+        # send their callers away, and most of them come back once at most.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
                 await self._is_ready.wait()
--- a/lacewingpitch/log_output.py
+++ b/lacewingpitch/log_output.py
@@ -8,8 +8,8 @@
 
 from lacewingpitch import token_bucket
 
-# A few lines a request at the sites' loads, some 40 requests a second at
-# an entry, and bursts of five times that for some seconds.
+# A few lines for each request of a busy entry, and bursts of five times
+# that for some seconds.
 _LINES_PER_S = 400.0
 _BURST_LINES = 2000.0
 _LEVELS = {'debug': 10, 'info': 20, 'warning': 30, 'error': 40}
--- a/lacewingpitch/membership.py
+++ b/lacewingpitch/membership.py
@@ -18,8 +18,7 @@
 _WATCH_S = 10.0
 _RETRY_S = 1.0
 _SUSPECT_S = 5.0
-# A list reaches another instance some 0.01 s later, and within a retry of
-# the watch where that fails.
+# A list reaches another instance within a retry of the watch.
 _LIST_LAG_S = 1.0
 log = structlog.get_logger(__name__)
 
--- a/lacewingpitch/peer_state.py
+++ b/lacewingpitch/peer_state.py
@@ -14,11 +14,10 @@
 from lacewingpitch import link as link_module
 from lacewingpitch import settings
 
-# A store that works gives all that is published within some 30 ms of the
-# start, 0.2 s where it is slow: it is asked alone for so long.
+# A store that works gives all that is published within this time of the
+# start, and is asked alone for so long.
 _STORE_FIRST_S = 0.3
-# A process that has the answer gives it within 10 ms; on a share of a core
-# that is busy it takes some 100 ms.
+# A process that has the answer gives it at once, unless its core is busy.
 _TIMEOUT_S = 0.5
 # All peers are down, or know nothing either: the store is tried by others
 # meanwhile, so that asking more often finds nothing sooner.
--- a/lacewingpitch/place_forecast.py
+++ b/lacewingpitch/place_forecast.py
@@ -5,8 +5,8 @@
 import heapq
 import math
 
-# At this load a busy period lasts some 8 of its requests' times, longer
-# than any caller waits.
+# Requests of one adapter at once.  Above it a busy period lasts longer than
+# any caller waits.
 _MAX_LOAD = 3.5
 # What an engine without any place tells: longer than any request waits.
 _NEVER_S = 3600.0
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -12,12 +12,12 @@
 from lacewingpitch import kept_sessions
 from lacewingpitch.platform import names
 
-# Within a region a connection takes some 2 ms; one that takes longer
-# meets an instance that is down, or behind a cut.
+# A connection that takes longer meets an instance that is down, or behind
+# a cut.
 _CONNECT_TIMEOUT_S = 0.4
 # Connections that are idle for longer are closed.  Servers close theirs
 # after seconds, some sooner than they say; a request that crosses this is
-# sent once more.  At the sites' loads the next one comes within 0.5 s.
+# sent once more.
 _MAX_IDLE_S = 5.0
 _MS_PER_S = 1000
 _LEAST_DEADLINE_MS = 1
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -38,9 +38,8 @@
 # Processes that start ask once each, and seldom many of them together.
 _CONTROL_CONTEXTS = 4
 # Each adapter that an engine loads is a change of the list, so that the
-# pause decides how many calls an entry makes.  What is published has to
-# be in force within 2 or 3 s; the rest is for a slow store and a busy
-# processor.
+# pause decides how many calls an entry makes.  The rest of the time within
+# which news must be in force is for a slow store and a busy processor.
 _PAUSE_RATIO = 0.55
 log = structlog.get_logger(__name__)
 
--- a/lacewingpitch/platform/front.py
+++ b/lacewingpitch/platform/front.py
@@ -32,8 +32,7 @@
 # A caller that takes no byte for so long has gone without a word.
 _STALL_S = 10.0
 _BODY_TIMEOUT_S = 10.0
-# How exactly the limit of time for a first head is kept; a look costs
-# 0.4 ms with 1,000 connections, half of them unused.
+# How exactly the limit of time for a first head is kept.
 _LOOK_INTERVAL_S = 1.0
 _MAX_LINE_BYTES = 16 << 10
 # Far above any answer; what callers write is theirs.
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -18,7 +18,7 @@
 # IP:PORT; empty where the process has none.
 Endpoint = str
 
-# Settings change a few times a day; a look costs some 10 us.
+# Settings change a few times a day.
 _LOOK_INTERVAL_S = 1.0
 _MS_PER_S = 1000
 _DEPLOYMENT = 'lacewingpitch'
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -16,8 +16,7 @@
 from lacewingpitch.platform import names
 from lacewingpitch import platform_call
 
-# The store answers in 4 ms, or in some 0.4 s while it is slow; what takes
-# longer than this is lost.
+# An answer that takes longer than this, also of a slow store, is lost.
 _READ_TIMEOUT_S = 0.8
 # A watch costs one call each time it ends without news.  A connection
 # can fall silent for good, which shows only when the watch is overdue.
--- a/lacewingpitch/prefill_pacer.py
+++ b/lacewingpitch/prefill_pacer.py
@@ -10,24 +10,21 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import token_bucket
 
-# An engine reads 30 to 40 tokens of prompts a ms where it was measured,
-# between the tokens of its streams; an event takes 35 to 50 ms without
-# that.  A pause of 250 ms, the longest on time, bears some 6,000 tokens:
-# what comes at the low rate within a pause, and one prompt of 3,300 more.
+# Engines read prompts between the events of their streams.  At this rate no
+# pause between two events is longer than callers bear, one prompt of the
+# largest size included.
 _LOW_TOKENS_PER_S = 12_000.0
-# With this rate streams pause for longer on the slowest engines.  It is
-# what all can read together with their streams, and used while more
-# requests wait than the low rate lets go in time.
+# With this rate streams pause for longer on the slowest engines; it is used
+# while more requests wait than the low rate lets go in time.
 _HIGH_TOKENS_PER_S = 22_000.0
 _BURST_TOKENS = 1_000.0
 # A backlog that would take longer than this raises the rate.
 _BACKLOG_S = 0.2
-# Requests whose adapter is being loaded come back after some 0.25 s; what
-# can be read until then is not waited for behind them.
+# Time until requests whose adapter is being loaded come for their turn;
+# what can be read until then is not waited for behind them.
 _PREPARE_S = 0.25
-# While more is wanted than can be read, a route of the highest rank gets
-# four tokens for each one of another: its requests are worth some seven
-# times as much a token at the sites, and the others must not starve.
+# While more is wanted than can be read, a route of the highest rank gets so
+# many tokens for each one of another, which must not starve.
 _URGENT_WEIGHT = 4.0
 _MAX_ROUTES = 4096
 
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -9,7 +9,7 @@
 
 from lacewingpitch import errors
 
-# A process that starts reads the configuration within some 0.1 s.
+# A process that starts reads the configuration at once.
 _STARTING_RETRY_S = 0.3
 # A store that is down stays so for seconds.  Callers that come back at
 # once, or all together, would only be refused again; they wait for a third
--- a/lacewingpitch/run_time.py
+++ b/lacewingpitch/run_time.py
@@ -12,9 +12,8 @@
     """A straight line through what runs of known length took.
 
     Load it answers: answers of a few tokens and of hundreds at the same
-    engine, whose runs last 0.2 to 8 s.  What routes took in the mean tells
-    when a place comes free to within seconds, the length that callers
-    expect to within a half.
+    engine.  The length that callers expect tells when a place comes free
+    far better than what their routes took in the mean.
     """
 
     def __init__(self) -> None:
--- a/lacewingpitch/service_choice.py
+++ b/lacewingpitch/service_choice.py
@@ -8,9 +8,8 @@
 from lacewingpitch import backend_list
 from lacewingpitch import ejection
 
-# Round trip between two zones of a region (0.5 to 0.9 ms one way), plus
-# what its bytes cost; it decides only between servers that are equally
-# idle and well.
+# Round trip between two zones of a region, plus what its bytes cost; it
+# decides only between servers that are equally idle and well.
 _OTHER_ZONE_S = 0.003
 # What a failed answer counts in seconds of waiting: a request that may
 # not be repeated is lost, and its caller waits for its own deadline.
--- a/lacewingpitch/start_wait.py
+++ b/lacewingpitch/start_wait.py
@@ -2,11 +2,9 @@
 
 from lacewingpitch import clock as clock_module
 
-# The configuration is read 5 to 20 ms after the start, and 0.35 s after it
-# from another entry where the store is away.  Where all have restarted and
-# the store is away, too, it was read up to 1.2 s after the start, once the
-# store was back: of 199 refusals until then, 75 went to callers that had
-# no time or try left to come back.
+# The configuration is read at once, from another entry where the store is
+# away, and where all have restarted once the store is back.  Callers that
+# are refused before may have no try left.
 _START_S = 1.5
 # A caller that is refused in the end must have time left to come back.
 _MAX_RATIO = 1.0 / 3.0
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -25,15 +25,12 @@
 _MS_PER_S = 1000
 # A sidecar replies at once or says within this time that the turn is
 # still waited for, so that a longer silence tells of its loss.  Most
-# loads of an adapter end within it (0.25 s each while the store is not
-# crowded), which saves a second message.
+# loads of an adapter end within it, which saves a second message.
 _REPLY_WITHIN_S = 0.4
-# Round trips take 2 to 4 ms between zones; the rest is for a sidecar
-# that runs on a share of a core and is busy.
+# Beyond the round trip, for a sidecar on a share of a core that is busy.
 _SILENT_AFTER_S = _REPLY_WITHIN_S + 0.25
 # More engines than these would only spread one request's wait: those
-# further down are the most loaded, or the last to get the adapter.  With
-# five on the heaviest day no more requests were on time.
+# further down are the most loaded, or the last to get the adapter.
 _MAX_ASKED = 3
 _SIDECAR_KEY = '{}/sidecar'
 # The first engine that is asked will do where the request would wait no
@@ -41,8 +38,7 @@
 # Otherwise each candidate says what it would wait there, and the soonest
 # gets it.
 _SOON_TARGET_RATIO = 0.5
-# An engine that restarts is listed again after some 2 s, of which a part
-# has passed when its requests are refused.
+# An engine that restarts is listed again once it has started.
 _NO_ENGINE_RETRY_S = 1.5
 log = structlog.get_logger(__name__)
 
