--- a/lacewingpitch/grant_desk.py
+++ b/lacewingpitch/grant_desk.py
@@ -406,14 +406,16 @@
 
     def _hint(self) -> hint_module.Hint:
         names = self._adapters.adapters
+        missing = self._adapters.expected_wait()
+        copy_wait_s = missing.place_s + self._adapters.copy_load_s
         return hint_module.Hint(
             running=self._queue.running,
             queued=self._queue.queued,
             max_running=max(1, self._queue.turn_count),
-            load_wait_ms=int(
-                self._adapters.expected_wait().total_s * _MS_PER_S
-            ),
+            load_wait_ms=int(missing.total_s * _MS_PER_S),
             spare_slots=self._adapters.spare_count,
             adapters=hint_module.join_fingerprints(names),
             turn_wait_ms=int(self._pacer.wait_s() * _MS_PER_S),
+            copy_wait_ms=int(copy_wait_s * _MS_PER_S),
+            copy_count=self._adapters.copy_count,
         )
--- a/lacewingpitch/hint.py
+++ b/lacewingpitch/hint.py
@@ -36,6 +36,12 @@
         Fingerprints of the adapters that the engine holds, joined.
     turn_wait_ms
         What a request that came now would wait for its prompt's turn.
+    copy_wait_ms
+        What a request would wait for an adapter that is not held, and of
+        which the engine kept a copy.
+    copy_count
+        Copies that the engine keeps of adapters that it held; 0 if it
+        is not known to keep any.
     """
 
     running: Count
@@ -45,6 +51,8 @@
     spare_slots: Count = 0
     adapters: bytes = b''
     turn_wait_ms: Count = 0
+    copy_wait_ms: Count = 0
+    copy_count: Count = 0
 
     @property
     def fingerprints(self) -> frozenset[bytes]:
--- a/lacewingpitch/load_times.py
+++ b/lacewingpitch/load_times.py
@@ -69,6 +69,11 @@
         """Return how many copies the engine seems to keep."""
         return self._copy_count
 
+    @property
+    def copy_s(self) -> float:
+        """Return how long the load of a copy would take."""
+        return self._from_copy_s.value
+
     def expected_s(self, name: str = '', is_trial: bool = False) -> float:
         """Return how long a load of adapter `name` would take.
 
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -12,6 +12,7 @@
 from lacewingpitch import control_peers
 from lacewingpitch import draining
 from lacewingpitch import ejection
+from lacewingpitch import kept_copies
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch import peer_state
@@ -33,6 +34,9 @@
 # As many entries share the retry budget at least: more than there are at
 # the small sites, spare instances included.
 _LEAST_ENTRIES = 10
+# Runs at model engines last about as long; what one told before that says
+# little of its load now.
+_LOAD_AGE_S = 2.0
 # Links to sidecars that are kept open: twice the engines of the target.
 _MAX_PEERS = 2048
 # Processes that start ask once each, and seldom many of them together.
@@ -121,6 +125,9 @@
             process.clock,
             product_settings.ObjectiveSettings(stall_weight=1),
             squeeze_s=0.0,
+            load_age_s=_LOAD_AGE_S,
+            copies=kept_copies.KeptCopies(),
+            instance=settings.instance,
         )
         services = service_choice.ServiceChoice(
             self.servers,
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -127,6 +127,16 @@
         """Return the same by its parts."""
         return self._forecast.wait(name)
 
+    @property
+    def copy_load_s(self) -> float:
+        """Return how long an adapter loads of which there is a copy."""
+        return self._load_times.copy_s
+
+    @property
+    def copy_count(self) -> int:
+        """Return how many copies the engine seems to keep."""
+        return self._load_times.copy_count
+
     @contextlib.asynccontextmanager
     async def hold(
         self,
--- a/lacewingpitch/weighing.py
+++ b/lacewingpitch/weighing.py
@@ -11,6 +11,7 @@
 
 _MS_PER_S = 1000
 _DEFAULT_LOAD_WAIT_S = 1.0
+_DEFAULT_COPY_WAIT_S = 0.1
 _TURN_WAIT_S = 2.0
 _DEFAULT_MAX_RUNNING = 16
 
@@ -23,6 +24,8 @@
     ----------
     hint
         What it told last; ``None`` once that is too old.
+    is_load_known
+        Whether what it told of its load is still believed.
     under_way_count
         Own requests that are on their way there or not answered yet.
     places
@@ -30,6 +33,7 @@
     """
 
     hint: hint_module.Hint | None = None
+    is_load_known: bool = False
     sent_since_hint: int = 0
     loads_since_hint: int = 0
     under_way_count: int = 0
@@ -41,7 +45,7 @@
     def load(self) -> int:
         """Return the requests that are thought to be there."""
         own = self.under_way_count
-        if self.hint is None:
+        if self.hint is None or not self.is_load_known:
             return own
         told = self.hint.running + self.hint.queued + self.sent_since_hint
         return max(own, told)
@@ -60,7 +64,7 @@
         """Return what is waited for a turn there."""
         fill_ratio = self.fill_ratio
         over_s = max(0.0, fill_ratio - 1.0) * _TURN_WAIT_S
-        if self.hint is not None:
+        if self.hint is not None and self.is_load_known:
             over_s += self.hint.turn_wait_ms / _MS_PER_S
         return over_s + min(fill_ratio, 1.0) * spread_s
 
@@ -72,6 +76,12 @@
         loaded_s = turn_wait_s + self.hint.load_wait_ms / _MS_PER_S
         return loaded_s + squeeze_s / (1.0 + max(0, spare))
 
+    def copy_wait_s(self, turn_wait_s: float) -> float:
+        """Return the same for an adapter of which it kept a copy."""
+        if self.hint is None:
+            return turn_wait_s + _DEFAULT_COPY_WAIT_S
+        return turn_wait_s + self.hint.copy_wait_ms / _MS_PER_S
+
 
 @dataclasses.dataclass(slots=True)
 class Pool:
@@ -127,6 +137,7 @@
         self._hints = [False] * count
         self._held_s = [0.0] * count
         self._missing_s = [0.0] * count
+        self._copied_s = [0.0] * count
         self._changed = set(range(count))
         for index, view in enumerate(views):
             view.places.append((self, index))
@@ -161,14 +172,29 @@
             return 0
         return self._standings[self._by_standing[self.pool.active_count - 1]]
 
-    def waits_s(self, holders: Iterable[str]) -> list[float]:
-        """Return what a request would wait at each."""
+    def places(self, names: Iterable[str]) -> list[int]:
+        """Return the places of backend servers, of those in the set."""
+        found = (self.indexes.get(name) for name in names)
+        return [place for place in found if place is not None]
+
+    def waits_s(
+        self, holders: Iterable[int], copies: Iterable[int] = ()
+    ) -> list[float]:
+        """Return what a request would wait at each.
+
+        Parameters
+        ----------
+        holders
+            Places of those that hold its adapter.
+        copies
+            Places of those that may have kept a copy of it.
+        """
         self._refresh()
         waits_s = self._missing_s.copy()
-        for name in holders:
-            index = self.indexes.get(name)
-            if index is not None:
-                waits_s[index] = self._held_s[index]
+        for place in copies:
+            waits_s[place] = self._copied_s[place]
+        for place in holders:
+            waits_s[place] = self._held_s[place]
         return waits_s
 
     def load_sum(self) -> int:
@@ -202,3 +228,4 @@
             self._missing_s[index] = view.load_wait_s(
                 self._held_s[index], self._squeeze_s
             )
+            self._copied_s[index] = view.copy_wait_s(self._held_s[index])
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -12,6 +12,7 @@
 from lacewingpitch import directory
 from lacewingpitch import errors
 from lacewingpitch import hint
+from lacewingpitch import kept_copies
 from lacewingpitch import placement
 from lacewingpitch import settings
 from tests import clocks
@@ -113,6 +114,102 @@
         assert sorted(i.name for i in found) == [i.name for i in instances]
 
 
+class TestFleet:
+    """Many engines, of which an entry hears now and then."""
+
+    KEY = 'a@1'
+
+    def make_places(self, clock, entry='edge-1'):
+        return placement.Placement(
+            clock,
+            settings.ObjectiveSettings(stall_weight=1.0),
+            squeeze_s=0.0,
+            load_age_s=2.0,
+            copies=kept_copies.KeptCopies(),
+            instance=entry,
+        )
+
+    def names(self, places, instances):
+        return [i.name for i in places.candidates(self.KEY, instances)]
+
+    def test_a_load_that_was_told_long_ago_is_not_believed(
+        self, clock, instances
+    ):
+        """An adapter is loaded anew that an idle engine holds.
+
+        The engine was full when this entry last heard from it, and is
+        passed over for as long as its hint is kept.
+        """
+        places = self.make_places(clock)
+        full = make_hint(self.KEY, running=16, queued=8)
+        places.learn(instances[2].name, full)
+        for other in (0, 1, 3, 4):
+            places.learn(instances[other].name, make_hint(load_wait_ms=200))
+        assert self.names(places, instances)[0] != instances[2].name
+        clock.now_s += 2.5
+        assert self.names(places, instances)[0] == instances[2].name
+
+    def test_who_kept_a_copy_is_asked_before_its_home(self, clock, instances):
+        places = self.make_places(clock)
+        by_hash = placement.rank(self.KEY, instances)
+        for instance in instances:
+            places.learn(
+                instance.name, make_hint(copy_wait_ms=30, copy_count=66)
+            )
+        keeper = by_hash[3].name
+        places.learn_listed(keeper, [self.KEY])
+        places.learn_listed(keeper, [])
+        assert self.names(places, instances)[0] == keeper
+        places.forget(keeper)
+        assert self.names(places, instances)[0] == by_hash[0].name
+
+    def test_entries_bring_what_overflows_to_the_same_engines(
+        self, clock, instances
+    ):
+        """An adapter is brought to as many engines as there are entries.
+
+        Its home has no turn for it, and each entry takes the engine for
+        the next one of which it has heard that it is a little emptier.
+        """
+        by_hash = placement.rank(self.KEY, instances)
+        for number in range(4):
+            places = self.make_places(clock, f'edge-{number}')
+            for place, instance in enumerate(instances):
+                running = (place + number) % 3
+                places.learn(instance.name, make_hint(running=running))
+            full = make_hint(self.KEY, running=16, queued=16)
+            places.learn(by_hash[0].name, full)
+            assert self.names(places, instances)[0] == by_hash[1].name
+
+    def test_entries_ask_holders_in_orders_of_their_own(
+        self, clock, instances
+    ):
+        """All entries ask one engine, and are refused, beside idle ones.
+
+        Several engines hold an adapter, and nothing is known of their load.
+        """
+        first = set()
+        for number in range(20):
+            places = self.make_places(clock, f'edge-{number}')
+            for instance in instances[:3]:
+                places.learn_listed(instance.name, [self.KEY])
+            found = self.names(places, instances)
+            assert set(found[:2]) < {i.name for i in instances[:3]}
+            first.add(found[0])
+        assert len(first) == 3
+
+    def test_one_that_does_not_hold_it_is_asked_third(self, clock, instances):
+        """Requests for a hot adapter are refused beside idle engines.
+
+        All that hold it are full, and only these are asked.
+        """
+        places = self.make_places(clock)
+        for instance in instances[:4]:
+            places.learn_listed(instance.name, [self.KEY])
+        found = self.names(places, instances)
+        assert found[2] == instances[4].name
+
+
 class TestListed:
     def test_prefers_where_the_list_says_it_is(self, clock, instances):
         """An adapter is loaded anew that another engine holds.
