A process that knows nothing yet reads the store again soon

Change: until something was read once, tries begin 0.4 s apart, or as soon as the last one failed; the pauses are product code.

--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import random
+import time
 from typing import TypeVar
 
 import aiohttp
@@ -15,6 +16,7 @@
 from lacewingpitch import errors
 from lacewingpitch.platform import names
 from lacewingpitch import platform_call
+from lacewingpitch import read_backoff
 
 # An answer that takes longer than this, also of a slow store, is lost.
 _READ_TIMEOUT_S = 0.8
@@ -23,9 +25,6 @@
 # What was published meanwhile must be in force once instances count as in
 # touch again, 3 s after: the watch and its timeout together are less.
 _WATCH_S = 1.9
-# Changes that come close together are taken with one call.
-_FIRST_PAUSE_S = 0.05
-_MAX_PAUSE_S = 1.0
 _MAX_BYTES = 8 << 20
 _ERROR_STATUS = 300
 _GONE = 410
@@ -166,12 +165,11 @@
         self._store = store
         self._prefix = prefix
         self._pause_s = pause_s
-        self._random = source
+        self._backoff = read_backoff.ReadBackoff(source)
         self._changes: reactivex.subject.Subject[Change] = (
             reactivex.subject.Subject()
         )
         self._is_away = False
-        self._failure_count = 0
 
     @property
     def changes(self) -> reactivex.Observable[Change]:
@@ -182,6 +180,7 @@
         """Follow until what is known is enough."""
         revision = 0
         while not is_enough():
+            began_s = time.monotonic()
             try:
                 if not revision:
                     revision, items = await self._store.read_all(self._prefix)
@@ -199,8 +198,9 @@
                 log.info('history gone, reading anew', prefix=self._prefix)
                 revision = 0
             except errors.PlatformError as error:
+                pause_s = self._backoff.failed(time.monotonic() - began_s)
                 self._failed(error)
-                await asyncio.sleep(self._backoff_s())
+                await asyncio.sleep(pause_s)
 
     def _returned(self) -> None:
         if self._is_away:
@@ -208,13 +208,12 @@
                 'dependency regained',
                 dependency='store',
                 prefix=self._prefix,
-                failures=self._failure_count,
+                failures=self._backoff.failure_count,
             )
         self._is_away = False
-        self._failure_count = 0
+        self._backoff.succeeded()
 
     def _failed(self, error: errors.PlatformError) -> None:
-        self._failure_count += 1
         if not self._is_away:
             log.warning(
                 'dependency lost',
@@ -224,9 +223,3 @@
             )
             self._is_away = True
         self._changes.on_next(Change(is_away=True))
-
-    def _backoff_s(self) -> float:
-        limit_s = min(
-            _FIRST_PAUSE_S * 2 ** min(self._failure_count, 8), _MAX_PAUSE_S
-        )
-        return limit_s * self._random.uniform(0.5, 1.0)
