--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -145,12 +145,12 @@
         self, key: str, weighing: weighing_module.Weighing
     ) -> list[live_list.Instance]:
         active = weighing.active()
-        holders = weighing.places(self._holders.names(key))
+        holders = frozenset(weighing.places(self._holders.names(key)))
         copies = weighing.places(self._holders.names_with_copy(key))
         waits_s = weighing.waits_s(holders, copies)
         by_hash = weighing.by_hash(key)
         if self._homes is None:
-            known = {*holders, *copies}
+            known = holders.union(copies)
             _add_detours(waits_s, by_hash, known)
             if not known:
                 waits_s[by_hash[0]] -= _HOME_S
