A store that sends is not given up: reads are limited by silence

Hypothesis: a list of 3,000 entries is some 2 MB, 1.6 s on a link of 10 Mbit/s, and each read was given up after 0.8 s as a whole and begun anew. Ruled out: processor time (5.9% of a core) and memory, which do not grow; the store's rate. Change: a read lasts while bytes come, and is given up after 0.8 s of silence.

--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -18,8 +18,11 @@
 from lacewingpitch import platform_call
 from lacewingpitch import read_backoff
 
-# An answer that takes longer than this, also of a slow store, is lost.
-_READ_TIMEOUT_S = 0.8
+# A store that is silent for longer than this, also a slow one, has lost the
+# answer.
+_SILENCE_S = 0.8
+# A long list takes some seconds to come over a slow link.
+_TRANSFER_S = 20.0
 # A watch costs one call each time it ends without news.  A connection
 # can fall silent for good, which shows only when the watch is overdue.
 # What was published meanwhile must be in force once instances count as in
@@ -100,9 +103,7 @@
         query = {'pathPrefix': prefix}
         first_at = 0
         while True:
-            page = await self._get(
-                names.RANGE_PATH, query, _READ_TIMEOUT_S, _Page
-            )
+            page = await self._get(names.RANGE_PATH, query, _SILENCE_S, _Page)
             first_at = first_at or page.at
             items += page.items
             if not page.has_more or not page.items:
@@ -119,7 +120,7 @@
             'waitMs': str(int(wait_s * 1000)),
         }
         found = await self._get(
-            names.WATCH_PATH, query, wait_s + _READ_TIMEOUT_S, _Events
+            names.WATCH_PATH, query, wait_s + _SILENCE_S, _Events
         )
         return found.at, found.events
 
@@ -127,11 +128,17 @@
         self,
         path: str,
         query: dict[str, str],
-        timeout_s: float,
+        silence_s: float,
         kind: type[_Answer],
     ) -> _Answer:
         self.call_count += 1
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        # While bytes come the answer is not lost.  Limited as a whole, a
+        # list of thousands of servers would never be read over a slow link.
+        timeout = aiohttp.ClientTimeout(
+            total=silence_s + _TRANSFER_S,
+            sock_connect=_SILENCE_S,
+            sock_read=silence_s,
+        )
         with platform_call.platform_errors('store'):
             async with self._session.get(
                 f'{self._url}{path}', params=query, timeout=timeout
