--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -158,7 +158,7 @@
         ranked = [place for place in by_hash if place in active]
         ranked.sort(key=waits_s.__getitem__)
         if self._homes is None:
-            _raise_newcomer(ranked, holders)
+            _promote_non_holder(ranked, holders)
         ranked += [place for place in by_hash if place not in active]
         return [weighing.instances[place] for place in ranked]
 
@@ -331,7 +331,7 @@
             waits_s[place] += min(number * _NEXT_HOME_S, _MAX_DETOUR_S)
 
 
-def _raise_newcomer(ranked: list[int], holders: Collection[int]) -> None:
+def _promote_non_holder(ranked: list[int], holders: Collection[int]) -> None:
     """Have one engine that does not hold an adapter come early.
 
     An adapter that becomes hot fills the engines that hold it.  Where only
@@ -341,7 +341,7 @@
         return
     if any(place not in holders for place in ranked[: _HOLDERS_FIRST + 1]):
         return
-    newcomer = next((p for p in ranked if p not in holders), None)
-    if newcomer is not None:
-        ranked.remove(newcomer)
-        ranked.insert(_HOLDERS_FIRST, newcomer)
+    other = next((p for p in ranked if p not in holders), None)
+    if other is not None:
+        ranked.remove(other)
+        ranked.insert(_HOLDERS_FIRST, other)
