--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 .PHONY: demo test lint format bench bench-account bench-claims \
 	bench-contracts bench-homes bench-hop bench-limits bench-order \
 	bench-policy bench-policy-trace bench-retries bench-silence \
-	deploy-check capacity capacity-platform fault-matrix fault-matrix-check
+	deploy-check capacity capacity-platform fault-matrix \
+	fault-matrix-check regression
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -81,3 +82,10 @@
 
 fault-matrix-check: $(STAMP)
 	$(BIN)/python -m tests.fault_matrix --check
+
+# Scores deployments of the users' bench, which lie outside the repository:
+# make regression FLEETBENCH=PROGRAM SITES="FILE ..."
+regression:
+	for site in $(SITES); do \
+		$(FLEETBENCH) score $$site --jobs 4 --why regression || exit 1; \
+	done
