--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -267,15 +267,17 @@
     def _lapse(self, name: str) -> None:
         server = self._servers.pop(name)
         self._by_service.clear()
+        now_s = self._clock.monotonic_s()
         log.info(
             'backend server unlisted',
             backend_server=name,
             service=server.service,
             was_leaving=server.is_leaving,
             list_away=self._is_away,
+            outage_ago_s=round(now_s - self._outage_until_s, 3),
         )
         if not server.is_leaving:
-            self._lapsed[name] = (server, self._clock.monotonic_s())
+            self._lapsed[name] = (server, now_s)
 
     def _forget_lapsed(self) -> None:
         now_s = self._clock.monotonic_s()
@@ -283,3 +285,9 @@
             since_s = max(lapsed_at_s, self._outage_until_s)
             if not self._is_away and now_s - since_s >= _RELISTED_WITHIN_S:
                 del self._lapsed[name]
+                log.info(
+                    'backend server given up',
+                    backend_server=name,
+                    unlisted_for_s=round(now_s - lapsed_at_s, 3),
+                    outage_ago_s=round(now_s - self._outage_until_s, 3),
+                )
