A server missing after an outage is used no longer than may be known of it

What callers saw: two requests went to a plain server 12.2 s after it had left, 2.2 s after the entry had read a list without it.

Cause: an entry kept each server that it missed after an outage for 2.5 s, counted from its own first read. That read comes up to 1.8 s after the store is back (pause between reads up to 1 s, 0.8 s until one is given up), so that 2.5 s end after the 3 s from which a process is bound again. The time also began anew with each failed read, also that of a watch that was cut, and an outage brought back servers that had left just before. Class: what is believed of a server that was not seen leaving had an age of the process's making, not of what was known of the list.

Ruled out: last resort (1.5 s, another server was listed); a later failure (none in the log until 76.49).

Now lapsed_servers decides. Where entries of before the outage survived, nothing lapsed: a missing server has left, and is used no later than contact_ms less 0.3 s from the beginning of the last failed read, which was before the store's return. A single failed read is no outage. Where no entry survived, all are used until they must be listed again (2.5 s), as before. Time in which reads surely failed does not count, and each server has its time once. The last resort counts from when a server was last known to be listed. After a failure a short watch shows at once that the store is back.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -8,15 +8,9 @@
 import structlog
 
 from lacewingpitch import clock as clock_module
+from lacewingpitch import lapsed_servers
 
-# A backend server whose entry lapsed while the list was away is listed
-# again within two seconds of the list's return; half a second is for the
-# way of that news to here.
-_RELISTED_WITHIN_S = 2.5
-# Without any other backend server, one that has just vanished from the
-# list may still be tried: it may serve on for up to two seconds, and a
-# request that it refuses has not run.
-_LAST_RESORT_S = 1.5
+_CONTACT_S = 3.0
 log = structlog.get_logger(__name__)
 
 
@@ -54,20 +48,20 @@
 class BackendList:
     """Follows the published list, across times when it is away.
 
-    While the list cannot be read, entries of servers that work well can
-    lapse.  Taking such a server as gone at once would leave requests
-    without any; it is kept until the time to be listed again is over.
-
     Parameters
     ----------
     is_service
         Whether the configuration names a service.
+    contact_s
+        How long after an outage of the list this process counts as in
+        touch.
     """
 
     def __init__(
         self,
         clock: clock_module.Clock,
         is_service: Callable[[str], bool] = lambda _service: True,
+        contact_s: float = _CONTACT_S,
     ) -> None:
         self._clock = clock
         self._is_service = is_service
@@ -75,10 +69,13 @@
             reactivex.subject.Subject()
         )
         self._servers: dict[str, BackendServer] = {}
-        self._lapsed: dict[str, tuple[BackendServer, float]] = {}
-        self._outage_until_s = -_RELISTED_WITHIN_S
-        self._is_away = False
+        self._lapsed: lapsed_servers.LapsedServers[BackendServer] = (
+            lapsed_servers.LapsedServers(clock, contact_s)
+        )
+        # Revisions of the entries that were listed as an outage began.
+        self._before_outage: dict[str, int] = {}
         self._confirmed_at_s = clock.monotonic_s()
+        self._confirmed_before_s = self._confirmed_at_s
         self._by_service: dict[str, tuple[BackendServer, ...]] = {}
         self.is_known = False
 
@@ -95,17 +92,40 @@
         """
         return self._restarts
 
-    def note_away(self) -> None:
-        """Take note that the list cannot be read."""
-        self._is_away = True
+    def note_away(self, asked_at_s: float | None = None) -> None:
+        """Take note that the list cannot be read.
+
+        Parameters
+        ----------
+        asked_at_s
+            When the read began that failed; just now if left out.
+        """
+        if not self._lapsed.is_away:
+            self._before_outage = {
+                server.name: server.created_revision
+                for server in self._servers.values()
+            }
+        if asked_at_s is None:
+            asked_at_s = self._clock.monotonic_s()
+        self._lapsed.note_away(asked_at_s)
 
     def note_read(self) -> None:
-        """Take note that the list was read, or that nothing changed."""
-        now_s = self._clock.monotonic_s()
-        self._confirmed_at_s = now_s
-        if self._is_away:
-            self._is_away = False
-            self._outage_until_s = now_s
+        """Take note that the list was read, or that nothing changed.
+
+        What the answer holds is taken over after it.
+        """
+        self._confirmed_before_s = self._confirmed_at_s
+        self._confirmed_at_s = self._clock.monotonic_s()
+        self._lapsed.note_read()
+
+    def settle(self) -> None:
+        """Take note that all of an answer was taken over."""
+        self._lapsed.settle(
+            any(
+                self._before_outage.get(server.name) == server.created_revision
+                for server in self._servers.values()
+            )
+        )
 
     def replace_all(self, servers: Iterable[BackendServer]) -> None:
         """Take over a whole list."""
@@ -115,6 +135,7 @@
         for server in found.values():
             self.put(server)
         self.is_known = True
+        self.settle()
 
     def adopt(self, servers: Iterable[BackendServer], age_s: float) -> None:
         """Take over the list of another process, in place of none.
@@ -140,7 +161,7 @@
             # over, it would name adapters that are not there any more.
             log.info('entry of an earlier start', backend_server=server.name)
             return
-        self._lapsed.pop(server.name, None)
+        self._lapsed.discard(server.name)
         self._servers[server.name] = server
         if before and server.started_at_ms > before.started_at_ms:
             self._tell_restart(server)
@@ -233,28 +254,12 @@
         )
 
     def _with_lapsed(self, service: str) -> tuple[BackendServer, ...]:
-        self._forget_lapsed()
         listed = self._listed(service)
-        now_s = self._clock.monotonic_s()
-        is_after_outage = (
-            self._is_away or now_s - self._outage_until_s < _RELISTED_WITHIN_S
-        )
-        addresses = {(server.ip, server.port) for server in listed}
-        lapsed = tuple(
-            server
-            for server, lapsed_at_s in self._lapsed.values()
-            if server.service == service
-            and (server.ip, server.port) not in addresses
-            and (is_after_outage or now_s - lapsed_at_s < _LAST_RESORT_S)
-        )
-        if is_after_outage:
-            return listed + lapsed
-        return listed or lapsed
+        found = listed + _elsewhere(self._lapsed.kept(service), listed)
+        return found or self._lapsed.last_resort(service)
 
     def _known(self, name: str) -> BackendServer | None:
-        if name in self._lapsed:
-            return self._lapsed[name][0]
-        return self._servers.get(name)
+        return self._servers.get(name) or self._lapsed.get(name)
 
     def _tell_restart(self, server: BackendServer) -> None:
         log.info(
@@ -267,27 +272,19 @@
     def _lapse(self, name: str) -> None:
         server = self._servers.pop(name)
         self._by_service.clear()
-        now_s = self._clock.monotonic_s()
         log.info(
             'backend server unlisted',
             backend_server=name,
             service=server.service,
             was_leaving=server.is_leaving,
-            list_away=self._is_away,
-            outage_ago_s=round(now_s - self._outage_until_s, 3),
         )
         if not server.is_leaving:
-            self._lapsed[name] = (server, now_s)
-
-    def _forget_lapsed(self) -> None:
-        now_s = self._clock.monotonic_s()
-        for name, (_, lapsed_at_s) in list(self._lapsed.items()):
-            since_s = max(lapsed_at_s, self._outage_until_s)
-            if not self._is_away and now_s - since_s >= _RELISTED_WITHIN_S:
-                del self._lapsed[name]
-                log.info(
-                    'backend server given up',
-                    backend_server=name,
-                    unlisted_for_s=round(now_s - lapsed_at_s, 3),
-                    outage_ago_s=round(now_s - self._outage_until_s, 3),
-                )
+            self._lapsed.add(server, self._confirmed_before_s)
+
+
+def _elsewhere(
+    servers: Iterable[BackendServer], listed: Iterable[BackendServer]
+) -> tuple[BackendServer, ...]:
+    """Return the servers whose address no listed one has."""
+    addresses = {(server.ip, server.port) for server in listed}
+    return tuple(s for s in servers if (s.ip, s.port) not in addresses)
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -64,7 +64,9 @@
         self._file = file
         self._process = process_module.Process(file, clock)
         self.servers = backend_list.BackendList(
-            self._process.clock, self._process.table.is_service
+            self._process.clock,
+            self._process.table.is_service,
+            file.settings.contact_s,
         )
         self.ejector = ejection.Ejector(
             self._process.clock, self._process.random
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -111,7 +111,7 @@
     def take(self, change: store_module.Change) -> None:
         """Take over a change of the list."""
         if change.is_away:
-            self._servers.note_away()
+            self._servers.note_away(change.asked_at_s)
             return
         self._servers.note_read()
         if change.is_whole:
@@ -135,6 +135,7 @@
                 self._servers.reject(_name_of(item))
             else:
                 self._servers.put(server)
+        self._servers.settle()
 
     def _decoded(
         self, item: store_module.Item
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -56,6 +56,9 @@
         Time in which a configuration must be in force.
     leaving_within_ms
         Time in which a server that leaves must get no new requests.
+    contact_ms
+        Time after a disruption from which a process is bound again by
+        what it could have read.
     keys_void_within_ms
         Time in which an API key that was taken away must be void at every
         instance, in touch or not; 0 where there is no such time.
@@ -81,6 +84,7 @@
     service: str = ''
     configuration_within_ms: contract.PositiveFloat
     leaving_within_ms: contract.PositiveFloat
+    contact_ms: contract.PositiveFloat
     keys_void_within_ms: contract.PositiveFloat | None = None
     drain_s: contract.PositiveFloat
     retry_ratio: float
@@ -92,6 +96,11 @@
         within_ms = min(self.configuration_within_ms, self.leaving_within_ms)
         return within_ms / _MS_PER_S
 
+    @property
+    def contact_s(self) -> float:
+        """Return the time after a disruption in seconds."""
+        return self.contact_ms / _MS_PER_S
+
     @property
     def keys_void_within_s(self) -> float:
         """Return the same time in seconds; 0 where there is none."""
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -5,7 +5,6 @@
 import dataclasses
 import math
 import random
-import time
 from typing import TypeVar
 
 import aiohttp
@@ -78,12 +77,15 @@
     current_at_s
         Time of boot up to which nothing else had changed; ``None`` if that
         is not known.
+    asked_at_s
+        Monotonic time at which a read began that failed.
     """
 
     items: tuple[Item, ...] = ()
     is_whole: bool = False
     is_away: bool = False
     current_at_s: float | None = None
+    asked_at_s: float | None = None
 
     def under(self, prefix: str) -> 'Change':
         """Return the part of it under a prefix."""
@@ -205,7 +207,7 @@
         """Follow until what is known is enough."""
         revision = 0
         while not is_enough():
-            began_s = time.monotonic()
+            asked_at_s = self._clock.monotonic_s()
             try:
                 if not revision:
                     revision = await self._read()
@@ -217,8 +219,9 @@
                 log.info('history gone, reading anew', prefix=self._prefix)
                 revision = 0
             except errors.PlatformError as error:
-                pause_s = self._backoff.failed(time.monotonic() - began_s)
-                self._failed(error)
+                took_s = self._clock.monotonic_s() - asked_at_s
+                pause_s = self._backoff.failed(took_s)
+                self._failed(error, asked_at_s)
                 await asyncio.sleep(pause_s)
 
     async def _read(self) -> int:
@@ -248,6 +251,9 @@
         return revision, bool(events)
 
     def _wait_s(self) -> float:
+        if self._is_away:
+            # Shows at once that the store is back.
+            return _LEAST_WATCH_S
         if not self._current_within_s:
             return _WATCH_S
         age_s = self._clock.boot_s() - self._current_at_s
@@ -265,7 +271,7 @@
         self._is_away = False
         self._backoff.succeeded()
 
-    def _failed(self, error: errors.PlatformError) -> None:
+    def _failed(self, error: errors.PlatformError, asked_at_s: float) -> None:
         if not self._is_away:
             log.warning(
                 'dependency lost',
@@ -274,4 +280,4 @@
                 error=str(error),
             )
             self._is_away = True
-        self._changes.on_next(Change(is_away=True))
+        self._changes.on_next(Change(is_away=True, asked_at_s=asked_at_s))
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -349,6 +349,7 @@
             'graceS': 4,
             'configApplyMs': 2000,
             'drainMs': 2000,
+            'contactMs': 3000,
             'strictRevocation': True,
             'revokeMs': 5000,
             'retryBudgetRatio': 0.2,
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -31,7 +31,9 @@
         self.silent_from_s = float('inf')
         self.silent_until_s = float('inf')
         self.refuses = False
+        # Every other one, as the platform may.
         self.cuts_watches = False
+        self._has_cut = False
         self.items = {'i-1': entry('i-1', 1), 'i-2': entry('i-2', 2)}
         self.revision = 1
         self.oldest = 0
@@ -55,8 +57,10 @@
             await asyncio.sleep(0.1)
             if after < self.revision:
                 raise store_module._HistoryGoneError('gone')
-            if self.cuts_watches:
+            if self.cuts_watches and not self._has_cut:
+                self._has_cut = True
                 raise errors.PlatformError('cut')
+        self._has_cut = False
         await self._answer()
         return self.revision, ()
 
