Name a request by a fingerprint in the lines of failed attempts

Callers name each attempt anew, so that no log line showed that engines ended under attempts of one request. A keyed hash of method, target, organisation and body does, and holds none of them.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -3,17 +3,19 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import functools
 from typing import Protocol
 
 from lacewingpitch import backend_list
 from lacewingpitch import errors
 from lacewingpitch import organisation as organisation_module
+from lacewingpitch import request_fingerprint
 from lacewingpitch import routing
 
 Headers = tuple[tuple[str, str], ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class CallerRequest:
     """One request of a caller, whole.
 
@@ -66,6 +68,16 @@
             return self.route.rank
         return self.organisation.rank
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Return what is the same for each attempt of the request."""
+        return request_fingerprint.of(
+            self.method,
+            self.target,
+            self.organisation.name if self.organisation else '',
+            self.body,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendCall:
--- a/lacewingpitch/carrier.py
+++ b/lacewingpitch/carrier.py
@@ -283,6 +283,7 @@
         log.info(
             'attempt failed',
             request_id=request.request_id,
+            fingerprint=request.fingerprint,
             backend_server=name,
             attempt=trail.sent_count,
             error=type(error).__name__,
--- /dev/null
+++ b/tests/test_request_fingerprint.py
@@ -0,0 +1,25 @@
+"""What makes two requests the same one."""
+
+import hypothesis
+from hypothesis import strategies
+
+from lacewingpitch import request_fingerprint
+
+PARTS = strategies.tuples(
+    strategies.sampled_from(['GET', 'POST']),
+    strategies.text(max_size=6),
+    strategies.text(max_size=6),
+    strategies.binary(max_size=6),
+)
+
+
+class TestFingerprint:
+    @hypothesis.given(PARTS, PARTS)
+    def test_is_equal_for_equal_requests_alone(self, one, other):
+        found = request_fingerprint.of(*one), request_fingerprint.of(*other)
+        assert (found[0] == found[1]) == (one == other)
+
+    def test_shows_nothing_of_the_request(self):
+        found = request_fingerprint.of('POST', '/a', 'acme', b'secret')
+        assert len(found) == 16
+        assert int(found, 16) >= 0
