--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -120,6 +120,12 @@
         self.event_count = 5
         self.event_pause_s = 0.02
         self.cut_after = None
+        # A request with this body ends the engine soon after it begins.
+        self.deadly_body = None
+        self.crash_count = 0
+        self.is_down = False
+        self.on_crash = None
+        self._transports = set()
 
     def restart(self, name):
         """Come back empty, as another incarnation."""
@@ -128,14 +134,38 @@
         self.pending.clear()
         self.order_count = 0
 
+    def crash(self):
+        """Cut all that is open, and answer nothing until it is up again."""
+        self.crash_count += 1
+        self.is_down = True
+        for transport in list(self._transports):
+            transport.abort()
+        if self.on_crash:
+            self.on_crash(self)
+
     def routes(self):
         return [
-            web.get('/lacewingpitch/report', self._report),
-            web.post('/lacewingpitch/order', self._order),
-            web.get('/healthz', self._health),
-            web.route('*', '/{path:.*}', self._run),
+            web.get('/lacewingpitch/report', self._up(self._report)),
+            web.post('/lacewingpitch/order', self._up(self._order)),
+            web.get('/healthz', self._up(self._health)),
+            web.route('*', '/{path:.*}', self._up(self._run)),
         ]
 
+    def _up(self, handler):
+        async def answer(request):
+            transport = request.transport
+            if transport is None or self.is_down:
+                if transport is not None:
+                    transport.abort()
+                return web.Response()
+            self._transports.add(transport)
+            try:
+                return await handler(request)
+            finally:
+                self._transports.discard(transport)
+
+        return answer
+
     async def _health(self, _request):
         return web.Response(headers={'Instance-Id': self.name})
 
@@ -195,13 +225,16 @@
             self.adapters[adapter] = version
 
     async def _run(self, request):
-        await request.read()
+        body = await request.read()
         self.seen.append((request.raw_path, dict(request.headers)))
         adapter = request.headers.get('Model', '').partition('/')[2]
         if request.headers.get('Expect-Instance') != self.name or (
             adapter and adapter not in self.adapters
         ):
             return web.Response(status=421, headers={'Not-Executed': '1'})
+        if self.deadly_body is not None and body == self.deadly_body:
+            asyncio.get_running_loop().call_later(0.05, self.crash)
+            await asyncio.sleep(1.0)
         return await self._stream(request)
 
     async def _stream(self, request):
