A store that comes back from a copy reverts nothing, and is read anew

The store may be away for a moment and come back some seconds older, with revisions that it gives out again. Entries went on watching from their old revision, so that what changed below it was missed for good; servers that had left were used again, those that the copy lacks were dropped, and the age of the configuration was renewed by a copy without its newest version.

A revision now counts only together with the number that the store gives each of its histories, on all its answers. Who left stays away (departed_servers), what the copy lacks is used until it must be back, and a store with an older configuration than is in force proves nothing of it.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 .PHONY: demo test lint format bench bench-account bench-claims \
 	bench-contracts bench-homes bench-hop bench-limits bench-order \
 	bench-policy bench-policy-trace bench-retries bench-silence \
-	bench-suspects bench-usage \
+	bench-store-return bench-suspects bench-usage \
 	deploy-check capacity capacity-platform fault-matrix \
 	fault-matrix-check regression
 
@@ -72,6 +72,9 @@
 bench-silence: $(STAMP)
 	$(BIN)/python -m benchmarks.silence
 
+bench-store-return: $(STAMP)
+	$(BIN)/python -m benchmarks.store_return
+
 bench-suspects: $(STAMP)
 	$(BIN)/python -m benchmarks.suspects
 
--- /dev/null
+++ b/benchmarks/store_return.py
@@ -0,0 +1,105 @@
+"""Calls to a store that comes back from a copy, in virtual time."""
+
+import asyncio
+import collections
+import random
+
+from benchmarks import virtual_time
+from lacewingpitch import backend_list
+from lacewingpitch import errors
+from lacewingpitch.platform import published
+from lacewingpitch.platform import store as store_module
+
+PAGE_ITEMS = 500
+DOWN_S = 1.5
+WATCHED_S = 5.0
+BUCKET_S = 0.1
+ANSWER_S = 0.004
+SIZES = ((6, 12), (30, 60), (300, 1000))
+
+
+class CountedStore:
+    """A store whose calls are counted by the moment they come."""
+
+    def __init__(self, item_count):
+        self.era = 1
+        self.is_down = False
+        self.page_count = -(-item_count // PAGE_ITEMS)
+        self.calls = collections.Counter()
+
+    async def call(self):
+        now_s = asyncio.get_running_loop().time()
+        self.calls[int(now_s / BUCKET_S)] += 1
+        await asyncio.sleep(ANSWER_S)
+        if self.is_down:
+            raise errors.PlatformError('down')
+
+
+class Reader:
+    """What one process sees of it."""
+
+    def __init__(self, store):
+        self._store = store
+        self.era = 0
+
+    async def read_all(self, _prefix):
+        for _ in range(self._store.page_count):
+            await self._store.call()
+        self.era = self._store.era
+        return 1, ()
+
+    async def watch(self, _prefix, _after, wait_s):
+        await self._store.call()
+        until_s = asyncio.get_running_loop().time() + wait_s
+        while asyncio.get_running_loop().time() < until_s:
+            await asyncio.sleep(0.01)
+            if self._store.is_down:
+                raise errors.PlatformError('cut')
+            if self.era != self._store.era:
+                break
+        self.era = self._store.era
+        return 1, ()
+
+
+async def play(entry_count, item_count):
+    """Return calls an entry in the watched time, and the most in 1 s."""
+    clock = virtual_time.LoopClock()
+    store = CountedStore(item_count)
+    source = random.Random(1)
+    for _ in range(entry_count):
+        follower = store_module.Follower(
+            Reader(store),
+            '',
+            1.1,
+            0.0,
+            clock,
+            random.Random(source.random()),
+        )
+        news = [published.BackendNews(backend_list.BackendList(clock))]
+        asyncio.create_task(published.follow(follower, news))
+    await asyncio.sleep(4.0 + source.random())
+    store.is_down = True
+    await asyncio.sleep(DOWN_S)
+    store.is_down = False
+    store.era += 1
+    store.calls.clear()
+    await asyncio.sleep(WATCHED_S)
+    first = min(store.calls)
+    buckets = [
+        store.calls[first + n] for n in range(int(WATCHED_S / BUCKET_S))
+    ]
+    most = max(sum(buckets[n : n + 10]) for n in range(len(buckets) - 9))
+    return sum(buckets) / entry_count, most
+
+
+def main():
+    """Print the table."""
+    print('| entries | items | calls an entry in 5 s | most in one second |')
+    print('| --- | --- | --- | --- |')
+    for entry_count, item_count in SIZES:
+        calls, most = virtual_time.run(play(entry_count, item_count))
+        print(f'| {entry_count} | {item_count} | {calls:.1f} | {most} |')
+
+
+if __name__ == '__main__':
+    main()
--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -8,6 +8,7 @@
 import structlog
 
 from lacewingpitch import clock as clock_module
+from lacewingpitch import departed_servers
 from lacewingpitch import lapsed_servers
 
 _CONTACT_S = 3.0
@@ -80,6 +81,8 @@
         self._lapsed: lapsed_servers.LapsedServers[BackendServer] = (
             lapsed_servers.LapsedServers(clock, contact_s)
         )
+        self._departed = departed_servers.DepartedServers(clock)
+        self._is_new_era = False
         # Revisions of the entries that were listed as an outage began.
         self._before_outage: dict[str, int] = {}
         self._confirmed_at_s = clock.monotonic_s()
@@ -122,17 +125,31 @@
             asked_at_s = self._clock.monotonic_s()
         self._lapsed.note_away(asked_at_s)
 
-    def note_read(self) -> None:
+    def note_read(self, is_new_era: bool = False) -> None:
         """Take note that the list was read, or that nothing changed.
 
         What the answer holds is taken over after it.
+
+        Parameters
+        ----------
+        is_new_era
+            Whether the list has come back from a copy since.
         """
+        self._is_new_era = is_new_era
+        if is_new_era:
+            self._departed.note_new_era(
+                {server.start_id for server in self._lapsed.all_kept()}
+            )
         self._confirmed_before_s = self._confirmed_at_s
         self._confirmed_at_s = self._clock.monotonic_s()
         self._lapsed.note_read()
 
     def settle(self) -> None:
         """Take note that all of an answer was taken over."""
+        if self._is_new_era:
+            # A copy lacks what was written after it, whatever else it has.
+            self._lapsed.settle_new_era()
+            return
         self._lapsed.settle(
             any(
                 self._before_outage.get(server.name) == server.created_revision
@@ -174,6 +191,12 @@
             # over, it would name adapters that are not there any more.
             log.info('entry of an earlier start', backend_server=server.name)
             return
+        if server.is_leaving:
+            self._departed.note_leaving(server.start_id)
+        elif self._departed.is_barred(server.start_id):
+            server = dataclasses.replace(server, is_leaving=True)
+        else:
+            self._departed.note_listed(server.start_id)
         self._lapsed.discard(server.name)
         self._servers[server.name] = server
         if before and server.started_at_ms > before.started_at_ms:
@@ -295,6 +318,8 @@
         )
         if not server.is_leaving:
             self._lapsed.add(server, self._confirmed_before_s)
+        self._departed.note_removed(server.start_id)
+        if not self._is_new_era and not self._lapsed.is_after_outage:
             self._ends.on_next(server)
 
 
--- a/lacewingpitch/configuration_exchange.py
+++ b/lacewingpitch/configuration_exchange.py
@@ -69,6 +69,11 @@
         """Return the configuration in force."""
         return self._table.configuration
 
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 if none is known."""
+        return self._table.version
+
     def note(self, ip: str, version: int) -> None:
         """Take note of the version that a sidecar has in force."""
         if version == self._table.version:
@@ -85,12 +90,12 @@
         """Take note whether the store could be read."""
         self._table.is_away = is_away
 
-    def take(self, content: bytes, source: str) -> bool:
-        """Put published bytes in force; return whether they are newer."""
+    def take(self, content: bytes, source: str) -> int:
+        """Put published bytes in force if newer; return their version."""
         configuration = self._decode(content)
         before = self._table.version
         if not self._table.apply(configuration):
-            return False
+            return configuration.version
         log.info(
             'configuration in force',
             version=configuration.version,
@@ -98,7 +103,7 @@
             routes=len(configuration.routes),
             source=source,
         )
-        return True
+        return configuration.version
 
     async def answer(
         self, message: grant.ConfigurationRequest
--- a/lacewingpitch/lapsed_servers.py
+++ b/lacewingpitch/lapsed_servers.py
@@ -91,6 +91,11 @@
         """Whether there are any."""
         return bool(self._records)
 
+    @property
+    def is_after_outage(self) -> bool:
+        """Whether the last answer is the first one after a failed read."""
+        return self._failure_count > 0
+
     def note_away(self, asked_at_s: float) -> None:
         """Take note of a read that failed.
 
@@ -148,7 +153,19 @@
         """
         if not self._unsettled:
             return
-        kept_until_s = self._kept_until_s(has_survivors)
+        self._settle(self._kept_until_s(has_survivors), has_survivors)
+
+    def settle_new_era(self) -> None:
+        """Decide on all that a list lacks that came back from a copy.
+
+        They write their entries again, also those that an outage before
+        had made lapse.
+        """
+        self._unsettled.update(server.name for server in self.all_kept())
+        if self._unsettled:
+            self._settle(self._relisted_by_s, has_survivors=False)
+
+    def _settle(self, kept_until_s: float, has_survivors: bool) -> None:
         for name in self._unsettled:
             self._records[name].kept_until_s = kept_until_s
         log.info(
@@ -165,16 +182,20 @@
         record = self._records.get(name)
         return record.server if record else None
 
-    def kept(self, service: str) -> tuple[_Server, ...]:
-        """Return those to use beside the servers that are listed."""
-        self._forget()
+    def all_kept(self) -> tuple[_Server, ...]:
+        """Return all that are used beside the servers that are listed."""
         now_s = self._now_s()
         return tuple(
             record.server
             for record in self._records.values()
-            if record.server.service == service and now_s < record.kept_until_s
+            if now_s < record.kept_until_s
         )
 
+    def kept(self, service: str) -> tuple[_Server, ...]:
+        """Return those of a service to use beside the listed ones."""
+        self._forget()
+        return tuple(s for s in self.all_kept() if s.service == service)
+
     def last_resort(self, service: str) -> tuple[_Server, ...]:
         """Return those to use where no server is listed."""
         now_s = self._clock.monotonic_s()
@@ -186,14 +207,18 @@
         )
 
     def _kept_until_s(self, has_survivors: bool) -> float:
-        if not self._failure_count:
+        if not self.is_after_outage:
             return -math.inf
         if not has_survivors:
-            return self._clock.monotonic_s() + _RELISTED_WITHIN_S
+            return self._relisted_by_s
         if self._failure_count < _LEAST_FAILURES:
             return -math.inf
         return self._asked_at_s + self._contact_s - _CONTACT_MARGIN_S
 
+    @property
+    def _relisted_by_s(self) -> float:
+        return self._clock.monotonic_s() + _RELISTED_WITHIN_S
+
     def _now_s(self) -> float:
         """Return the time, which stands still while the list is away."""
         if self.is_away:
--- a/lacewingpitch/peer_state.py
+++ b/lacewingpitch/peer_state.py
@@ -1,7 +1,7 @@
 """What a process that starts learns from others while the store is away."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import dataclasses
 import math
 from typing import Protocol
@@ -81,6 +81,9 @@
     down or turns it away.  It would refuse every request until the store
     is back, while the others serve on with what they know.
 
+    A store that may have come back from a copy lacks what was accepted
+    after that.  A process that starts on it learns that from a peer.
+
     It is asked for at the start only, of three peers at most, so that its
     messages do not grow with the number of instances.
 
@@ -88,6 +91,8 @@
     ----------
     peers
         Control addresses of other processes, some perhaps down.
+    may_be_copy
+        Whether what the store holds may lack what was accepted.
     """
 
     def __init__(
@@ -99,7 +104,10 @@
         exchange: configuration_exchange.ConfigurationExchange,
         age: configuration_age.ConfigurationAge,
         clock: clock_module.Clock,
+        may_be_copy: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._may_be_copy = may_be_copy
+        self._has_reply = False
         self._age = age
         self._clock = clock
         self._link = link
@@ -130,12 +138,18 @@
         if not self._peers:
             return
         await asyncio.sleep(_STORE_FIRST_S)
-        while True:
+        while not self._servers.is_known:
             for peer in self._peers:
                 if self._servers.is_known:
-                    return
+                    break
+                await self._ask(peer)
+            else:
+                await asyncio.sleep(_PAUSE_S)
+        if not self._may_be_copy():
+            return
+        for peer in self._peers:
+            if not self._has_reply:
                 await self._ask(peer)
-            await asyncio.sleep(_PAUSE_S)
 
     async def _ask(self, peer: settings.Address) -> None:
         asked_at_s = self._clock.boot_s()
@@ -146,25 +160,24 @@
         except errors.LinkError as error:
             log.info('state not fetched', peer=peer.ip, error=str(error))
             return
+        if not reply.is_known:
+            return
         # The store may have answered while the peer did, and knows more.
-        if reply.is_known and not self._servers.is_known:
+        if not self._servers.is_known:
             self._take(reply, peer, asked_at_s)
+        elif self._may_be_copy():
+            self._take_published(reply, peer)
 
     def _take(
         self, reply: StateReply, peer: settings.Address, asked_at_s: float
     ) -> None:
-        try:
-            self._exchange.take(reply.configuration, source=peer.ip)
-        except errors.PlatformError as error:
-            log.error('state rejected', peer=peer.ip, error=str(error))
+        if not self._take_published(reply, peer):
             return
         # The peer's age is as of its answer, which came later than the
         # question was sent.
         self._age.confirm(asked_at_s - reply.configuration_age_s)
         # A route that the peer does not know may be in force.
         self._exchange.note_store(is_away=True)
-        for found in reply.versions:
-            self._versions.note(found.model, found.adapter, found.version)
         self._servers.adopt(reply.servers, reply.list_age_s)
         log.info(
             'state taken over',
@@ -172,3 +185,17 @@
             backend_servers=len(reply.servers),
             list_age_s=round(reply.list_age_s, 1),
         )
+
+    def _take_published(
+        self, reply: StateReply, peer: settings.Address
+    ) -> bool:
+        """Put in force what operators published; return whether it is."""
+        try:
+            self._exchange.take(reply.configuration, source=peer.ip)
+        except errors.PlatformError as error:
+            log.error('state rejected', peer=peer.ip, error=str(error))
+            return False
+        for found in reply.versions:
+            self._versions.note(found.model, found.adapter, found.version)
+        self._has_reply = True
+        return True
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -151,8 +151,9 @@
         self._process.background.run('settings', self._file.follow)
         self._process.background.run('silence', self.front.close_silent)
         self._carrier = await self._new_carrier(exchange)
-        self._add_metrics(self._carrier, await self._follow(exchange))
-        await self._share_state(exchange)
+        store = await self._follow(exchange)
+        self._add_metrics(self._carrier, store)
+        await self._share_state(exchange, store)
         await exits.enter_async_context(
             metrics_server.serving(
                 self._process.metrics, settings.ip, settings.metrics_port
@@ -212,7 +213,9 @@
         )
 
     async def _share_state(
-        self, exchange: configuration_exchange.ConfigurationExchange
+        self,
+        exchange: configuration_exchange.ConfigurationExchange,
+        store: store_module.Store,
     ) -> None:
         """Answer entries that start, and ask them as this one does."""
         settings = self._file.settings
@@ -228,6 +231,7 @@
             exchange,
             self._process.age,
             self._process.clock,
+            lambda: store.era > 0,
         )
         self._process.background.run('state', state.run)
         if not settings.control:
--- a/lacewingpitch/platform/names.py
+++ b/lacewingpitch/platform/names.py
@@ -65,6 +65,9 @@
 
 REPORT_PATH = '/lacewingpitch/report'
 ORDER_PATH = '/lacewingpitch/order'
+# On all answers of the store: rises each time that it comes back from a
+# copy, with revisions that it gives out again.
+STORE_ERA = 'Store-Era'
 RANGE_PATH = '/lacewingpitch/kv-range'
 WATCH_PATH = '/lacewingpitch/kv-watch'
 
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -71,10 +71,15 @@
         self._age = age
         # The newest configuration may take keys away, and cannot be read.
         self._is_unreadable = False
+        # The version that the store holds.  One that came back from a copy
+        # holds less than is known, and proves nothing of what it lost.
+        self._stored_version = 0
 
     def take(self, change: store_module.Change) -> None:
         """Put a change in force."""
         self._exchange.note_store(change.is_away)
+        if change.is_new_era:
+            self._stored_version = 0
         for item in change.items:
             try:
                 self._take_item(item)
@@ -84,14 +89,23 @@
                 log.error('value rejected', key=item.key, error=str(error))
                 if item.key == names.CONFIGURATION_KEY:
                     self._is_unreadable = True
-        if change.current_at_s is not None and not self._is_unreadable:
+        if change.current_at_s is not None and self._is_newest:
             self._age.confirm(change.current_at_s)
 
+    @property
+    def _is_newest(self) -> bool:
+        """Whether what the store holds is all that is known."""
+        if self._is_unreadable:
+            return False
+        return self._stored_version >= self._exchange.version
+
     def _take_item(self, item: store_module.Item) -> None:
         if item.is_deleted:
             return
         if item.key == names.CONFIGURATION_KEY:
-            self._exchange.take(item.value, source='store')
+            self._stored_version = self._exchange.take(
+                item.value, source='store'
+            )
             self._is_unreadable = False
         elif item.key.startswith(names.ADAPTER_VERSION_PREFIX):
             self._versions.note(*wire.decode_adapter_version(item.value))
@@ -113,7 +127,7 @@
         if change.is_away:
             self._servers.note_away(change.asked_at_s)
             return
-        self._servers.note_read()
+        self._servers.note_read(is_new_era=change.is_new_era)
         if change.is_whole:
             found = []
             for item in change.items:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -30,9 +30,27 @@
         self.call_count = 0
         self.news = asyncio.Condition()
         self.page_size = 3
+        self.era = 1
+
+    def copy(self):
+        """Return what a later return to this moment brings back."""
+        return self.revision, dict(self.items)
+
+    async def go_back(self, copy):
+        """Come back from a copy: what was written since is gone."""
+        self.revision, items = copy
+        self.items = dict(items)
+        self.history.clear()
+        self.oldest = self.revision
+        self.era += 1
+        async with self.news:
+            self.news.notify_all()
 
     async def put(self, key, value):
         content = base64.b64encode(json.dumps(value).encode()).decode()
+        await self.put_content(key, content)
+
+    async def put_content(self, key, content):
         self.revision += 1
         item = {'key': key, 'value': content, 'revision': self.revision}
         self.items[key] = item
@@ -56,10 +74,18 @@
 
     def routes(self):
         return [
-            web.get('/lacewingpitch/kv-range', self._range),
-            web.get('/lacewingpitch/kv-watch', self._watch),
+            web.get('/lacewingpitch/kv-range', self._in_era('_range')),
+            web.get('/lacewingpitch/kv-watch', self._in_era('_watch')),
         ]
 
+    def _in_era(self, name):
+        async def answer(request):
+            response = await getattr(self, name)(request)
+            response.headers.setdefault('Store-Era', str(self.era))
+            return response
+
+        return answer
+
     async def _range(self, request):
         self.call_count += 1
         if self.is_down:
@@ -84,8 +110,12 @@
         after = int(request.query['after'])
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(request.query['waitMs']) / 1000):
+                era = self.era
                 while not self._events(prefix, after) and not self.is_down:
-                    if after < self.oldest:
+                    if era != self.era:
+                        request.transport.abort()
+                        return web.Response()
+                    if after < self.oldest or after > self.revision:
                         return web.Response(status=410)
                     async with self.news:
                         await self.news.wait()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -161,6 +161,29 @@
         await self.platform.store.put('op/config', found)
         self.newest_path = f'/v{version}/x'
 
+    async def store_goes_back(self, for_s):
+        """Lose what was written since a copy, and write it again."""
+        store = self.platform.store
+        copy = store.copy()
+        await asyncio.sleep(for_s)
+        store.is_down = True
+        await asyncio.sleep(for_s / 4)
+        store.is_down = False
+        accepted = dict(store.items)
+        await store.go_back(copy)
+        await asyncio.sleep(for_s / 4)
+        for key in sorted(accepted.keys() | store.items.keys()):
+            # What was written since is newer.
+            if not any(event['key'] == key for event in store.history):
+                await self._write_again(key, accepted.get(key))
+
+    async def _write_again(self, key, item):
+        store = self.platform.store
+        if item is None:
+            await store.delete(key)
+        elif store.items.get(key, {}).get('value') != item['value']:
+            await store.put_content(key, item['value'])
+
     async def replace_key(self):
         taken = self.keys.replace(self._random)
         await self.publish()
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -103,6 +103,11 @@
     await scene.platform.store.drop_history()
 
 
+async def store_goes_back(scene, target, for_s):
+    """The store comes back from a copy, and all is written again later."""
+    await scene.store_goes_back(for_s)
+
+
 async def configuration(scene, target, for_s):
     """A new version of the configuration is published."""
     await scene.publish()
@@ -141,6 +146,7 @@
     reload: 'process',
     store_down: 'store',
     history_gone: 'store',
+    store_goes_back: 'store',
     configuration: 'store',
     key_replaced: 'store',
     engine_restart: 'engine',
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -33,6 +33,7 @@
 
     def __init__(self, link=None, peers=()):
         clock = virtual_time.LoopClock()
+        self.is_copy = False
         self.servers = backend_list.BackendList(clock)
         self.versions = adapter_versions.AdapterVersions()
         self.table = routing.RoutingTable(random.Random(1))
@@ -48,6 +49,7 @@
             self.exchange,
             self.age,
             clock,
+            lambda: self.is_copy,
         )
 
     def read_store(self, content=b'5'):
@@ -126,6 +128,23 @@
 
         play(story)
 
+    def test_a_store_that_may_be_a_copy_is_not(self):
+        """Guards against a restart that brings a lost version back."""
+
+        async def story(scene):
+            scene.other.read_store(b'6')
+            scene.other.versions.note('m', 'a', 4)
+            scene.link.entries = {B: scene.other}
+            scene.starting.is_copy = True
+            scene.starting.read_store(b'5')
+            await scene.starting.state.run()
+            assert scene.starting.table.version == 6
+            assert scene.starting.versions.wanted('m', 'a') == 4
+            assert not scene.starting.table.is_away
+            assert scene.link.asked == [A, B]
+
+        play(story)
+
     def test_the_store_goes_before_a_late_reply(self):
         """Guards against a peer's old list that replaces the store's."""
 
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -34,6 +34,7 @@
         # Every other one, as the platform may.
         self.cuts_watches = False
         self._has_cut = False
+        self.era = 1
         self.items = {'i-1': entry('i-1', 1), 'i-2': entry('i-2', 2)}
         self.revision = 1
         self.oldest = 0
--- /dev/null
+++ b/tests/test_store_era_interleavings.py
@@ -0,0 +1,260 @@
+"""Writes, returns to a copy, reads and time, in any order."""
+
+import asyncio
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from benchmarks import virtual_time
+from lacewingpitch import adapter_versions
+from lacewingpitch import backend_list
+from lacewingpitch import configuration_age
+from lacewingpitch import configuration_exchange
+from lacewingpitch import errors
+from lacewingpitch.platform import published
+from lacewingpitch.platform import store as store_module
+from lacewingpitch import routing
+from tests import platform_standin as standin
+from tests.test_platform_published import item
+
+KNOWN_WITHIN_S = 4.0
+# Longer than the list may lag behind the store while that works.
+SEEN_WITHIN_S = 2.2
+
+
+def decode(content):
+    return routing.Configuration(int(content), (), {}, None, content)
+
+
+class MemoryStore:
+    """A store in memory that goes back to copies."""
+
+    def __init__(self):
+        self.era = 1
+        self.seen_era = 1
+        self.revision = 1
+        self.items = {}
+        self.changes = []
+        self.oldest = 0
+        self.is_down = False
+
+    def write(self, key, found):
+        self.revision += 1
+        if found is None:
+            if key not in self.items:
+                return
+            del self.items[key]
+            found = store_module.Item(key=key, is_deleted=True)
+        else:
+            self.items[key] = found
+        self.changes.append((self.revision, found))
+
+    def copy(self):
+        return self.revision, dict(self.items)
+
+    def go_back(self, copy):
+        self.revision, items = copy
+        self.items = dict(items)
+        self.changes.clear()
+        self.oldest = self.revision
+        self.era += 1
+
+
+class Reader:
+    """What a follower sees of it."""
+
+    def __init__(self, store):
+        self._store = store
+        self.era = 0
+
+    async def read_all(self, _prefix):
+        await self._answer()
+        return self._store.revision, tuple(self._store.items.values())
+
+    async def watch(self, _prefix, after, wait_s):
+        era = self.era
+        await self._answer(era)
+        for _ in range(int(wait_s / 0.1)):
+            if not self._store.oldest <= after <= self._store.revision:
+                raise store_module._HistoryGoneError('gone')
+            news = [c for at, c in self._store.changes if at > after]
+            if news:
+                break
+            await asyncio.sleep(0.1)
+            await self._answer(era)
+        return self._store.revision, tuple(
+            c for at, c in self._store.changes if at > after
+        )
+
+    async def _answer(self, era=None):
+        await asyncio.sleep(0.004)
+        if self._store.is_down:
+            raise errors.PlatformError('down')
+        self.era = self._store.era
+        if era not in (None, self.era):
+            raise store_module._HistoryGoneError('another era')
+
+
+class Scene:
+    """One process, the store, and what was accepted."""
+
+    def __init__(self, seed):
+        clock = virtual_time.LoopClock()
+        self.store = MemoryStore()
+        self.servers = backend_list.BackendList(clock)
+        self.table = routing.RoutingTable(random.Random(1))
+        self.age = configuration_age.ConfigurationAge(clock)
+        exchange = configuration_exchange.ConfigurationExchange(
+            None, self.table, decode, clock
+        )
+        news = [
+            published.OperatorNews(
+                adapter_versions.AdapterVersions(), exchange, self.age
+            ),
+            published.BackendNews(self.servers),
+        ]
+        follower = store_module.Follower(
+            Reader(self.store), '', 1.1, 0.0, clock, random.Random(seed)
+        )
+        self.task = asyncio.create_task(published.follow(follower, news))
+        self.copies = [self.store.copy()]
+        self.next_name = 0
+        self.version = 0
+        # By name: whether it leaves.  What is not here has left.
+        self.truth = {}
+        self.seen_leaving = set()
+        self.seen_version = 0
+
+    def entry(self, name):
+        state = 'draining' if self.truth[name] else 'ready'
+        found = standin.Engine(name).entry(
+            f'10.0.0.7:{1 + int(name[2:])}', state=state
+        )
+        return item(f'servers/{name}', found)
+
+    def configuration(self):
+        return store_module.Item(
+            key='op/config', value=b'%d' % self.version, revision=1
+        )
+
+    def step(self, kind, number):
+        names = sorted(self.truth)
+        if kind == 'list':
+            name = f'i-{self.next_name}'
+            self.next_name += 1
+            self.truth[name] = False
+            self.store.write(f'servers/{name}', self.entry(name))
+        elif kind == 'drain' and names:
+            name = names[number % len(names)]
+            self.truth[name] = True
+            self.store.write(f'servers/{name}', self.entry(name))
+        elif kind == 'remove' and names:
+            name = names[number % len(names)]
+            del self.truth[name]
+            self.store.write(f'servers/{name}', None)
+        elif kind == 'configure':
+            self.version += 1
+            self.store.write('op/config', self.configuration())
+
+    def write_again(self, seed):
+        names = [f'servers/i-{number}' for number in range(self.next_name)]
+        random.Random(seed).shuffle(names)
+        for key in names:
+            name = key.removeprefix('servers/')
+            found = self.entry(name) if name in self.truth else None
+            self.store.write(key, found)
+        if self.version:
+            self.store.write('op/config', self.configuration())
+
+    def names(self):
+        return {s.name for s in self.servers.serving(standin.SERVICE)}
+
+    def look(self):
+        """Take note of what the process has seen; check that it stays."""
+        assert not self.names() & self.seen_leaving
+        assert self.table.version >= self.seen_version
+        self.seen_version = self.table.version
+
+    def settle(self):
+        """What has been in a readable store for long was seen."""
+        gone = {f'i-{number}' for number in range(self.next_name)}
+        gone -= {name for name, leaves in self.truth.items() if not leaves}
+        self.seen_leaving |= gone
+
+
+WRITES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(['list', 'drain', 'remove', 'configure']),
+        strategies.integers(0, 9),
+    ),
+    max_size=5,
+)
+
+
+@strategies.composite
+def episodes(draw):
+    """Draw what happens around one return to a copy."""
+    return {
+        'before': draw(WRITES),
+        'after': draw(WRITES),
+        'is_settled': draw(strategies.booleans()),
+        'is_down': draw(strategies.booleans()),
+        'copy': draw(strategies.integers(0, 2)),
+        'later': draw(WRITES),
+        'steps': draw(strategies.integers(0, 30)),
+        'order': draw(strategies.integers(0, 99)),
+    }
+
+
+async def play_episode(scene, episode):
+    for kind, number in episode['before']:
+        scene.step(kind, number)
+    scene.copies.append(scene.store.copy())
+    for kind, number in episode['after']:
+        scene.step(kind, number)
+    if episode['is_settled']:
+        await asyncio.sleep(KNOWN_WITHIN_S)
+        scene.settle()
+        scene.look()
+    scene.store.is_down = episode['is_down']
+    await asyncio.sleep(0.1 * episode['order'] / 20)
+    scene.store.go_back(scene.copies[-1 - episode['copy']])
+    scene.store.is_down = False
+    for kind, number in episode['later']:
+        scene.step(kind, number)
+    for _ in range(episode['steps']):
+        await asyncio.sleep(0.1)
+        scene.look()
+    scene.write_again(episode['order'])
+    for _ in range(10):
+        await asyncio.sleep(0.1)
+        scene.look()
+
+
+async def play(found, seed):
+    scene = Scene(seed)
+    for _ in range(3):
+        scene.step('list', 0)
+        scene.copies.append(scene.store.copy())
+    await asyncio.sleep(SEEN_WITHIN_S)
+    for episode in found:
+        await play_episode(scene, episode)
+    await asyncio.sleep(KNOWN_WITHIN_S)
+    scene.settle()
+    scene.look()
+    assert scene.names() == {
+        n for n, leaves in scene.truth.items() if not leaves
+    }
+    assert scene.table.version == scene.version
+    scene.task.cancel()
+
+
+class TestInterleavings:
+    @hypothesis.settings(max_examples=150)
+    @hypothesis.given(
+        strategies.lists(episodes(), max_size=3), strategies.integers(0, 3)
+    )
+    def test_nothing_reverts_and_all_is_known_again(self, found, seed):
+        """Guards against what a copy lacks, lost or brought back for good."""
+        virtual_time.run(play(found, seed))
