A settings signal during a start does not end the process

The programs ignore the signal from their first line on; the settings are read after it. The command line has a module of its own for that.

--- a/lacewingpitch/platform/__main__.py
+++ b/lacewingpitch/platform/__main__.py
@@ -1,82 +1,11 @@
-"""Command line of the daemons on the platform."""
+"""Starts a daemon on the platform."""
 
-import os
-import pathlib
-import sys
-
-import click
-
-from lacewingpitch import daemon
-from lacewingpitch import errors
-from lacewingpitch import log_output
-from lacewingpitch.platform import settings as settings_module
-
-_SETTINGS_VARIABLE = 'LACEWINGPITCH_CONFIG'
-
-
-@click.group()
-def main() -> None:
-    """Run lacewingpitch on the platform.
-
-    Settings are read from the file that LACEWINGPITCH_CONFIG names.  Logs
-    go to standard output as JSON lines.
-    """
-
-
-@main.command()
-def entry() -> None:
-    """Take callers' requests.
-
-    SIGTERM drains: it says that it is not ready, finishes what is in
-    progress within its time to drain, and exits 0.  SIGHUP reads the
-    settings again, as does a change of their file.
-    """
-    file = _start('entry', 'callers', 'ready')
-    from lacewingpitch.platform import entry as module
-
-    daemon.serve(module.Entry(file), file.reload)
-
-
-@main.command()
-def sidecar() -> None:
-    """Keep the model engine on this instance."""
-    file = _start('sidecar', 'engine', 'service')
-    from lacewingpitch.platform import sidecar as module
-
-    daemon.serve(module.Sidecar(file), file.reload)
-
-
-@main.command()
-def check() -> None:
-    """Check the settings file; exit 1 if there is a problem."""
-    _load()
-    click.echo('1 checked, 0 with problems')
-
-
-def _start(role: str, *needed: str) -> settings_module.SettingsFile:
-    file = _load()
-    try:
-        file.require(*needed)
-    except errors.SettingsError as error:
-        raise click.ClickException(str(error)) from error
-    log_output.configure(
-        'info',
-        sys.stdout.fileno(),
-        instance=file.settings.instance,
-        role=role,
-    )
-    return file
-
-
-def _load() -> settings_module.SettingsFile:
-    path = os.environ.get(_SETTINGS_VARIABLE, '')
-    if not path:
-        raise click.ClickException(f'{_SETTINGS_VARIABLE} is not set')
-    try:
-        return settings_module.SettingsFile(pathlib.Path(path))
-    except errors.SettingsError as error:
-        raise click.ClickException(str(error)) from error
+import importlib
+import signal
 
+# Reading the modules takes half a second, in which a signal to read the
+# settings again would end the process; they are read after it anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 if __name__ == '__main__':
-    main()
+    importlib.import_module('lacewingpitch.platform.command_line').main()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -2,13 +2,22 @@
 
 import asyncio
 import signal
+import subprocess
+import sys
 
 import aiohttp
 import pytest
 
 from tests import platform_processes
 from tests import platform_standin as standin
-
+from tests import processes
+
+REPORT_AT_START = """
+import signal, sys
+import lacewingpitch.platform.__main__
+print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+print('click' in sys.modules)
+"""
 START_S = platform_processes.START_S
 ENTRY_IP = platform_processes.ENTRY_IPS[0]
 SIDECAR_IPS = platform_processes.SIDECAR_IPS
@@ -20,6 +29,19 @@
         yield found
 
 
+class TestStart:
+    def test_a_reload_signal_is_ignored_before_modules_are_read(self):
+        """Guards against a process that ends by itself as it starts."""
+        found = subprocess.run(
+            [sys.executable, '-c', REPORT_AT_START],
+            cwd=processes.ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert found.stdout.split() == ['True', 'False']
+
+
 class TestServing:
     async def test_streams_services_and_refusals(self, platform):
         async with platform.call(
