A request that becomes suspect while it waits gives its turn back

Found by reading: a turn asked for before the third crash was still granted and used after it. The entry looks at what it knows after each reply of a sidecar. A request that was forgotten after half an hour was never counted again, since its old crashes left no place for new ones; it begins anew now. Both tests failed before.

What the platform calls an era is an epoch outside the adapter.

--- a/benchmarks/store_return.py
+++ b/benchmarks/store_return.py
@@ -22,7 +22,7 @@
     """A store whose calls are counted by the moment they come."""
 
     def __init__(self, item_count):
-        self.era = 1
+        self.epoch = 1
         self.is_down = False
         self.page_count = -(-item_count // PAGE_ITEMS)
         self.calls = collections.Counter()
@@ -40,12 +40,12 @@
 
     def __init__(self, store):
         self._store = store
-        self.era = 0
+        self.epoch = 0
 
     async def read_all(self, _prefix):
         for _ in range(self._store.page_count):
             await self._store.call()
-        self.era = self._store.era
+        self.epoch = self._store.epoch
         return 1, ()
 
     async def watch(self, _prefix, _after, wait_s):
@@ -55,9 +55,9 @@
             await asyncio.sleep(0.01)
             if self._store.is_down:
                 raise errors.PlatformError('cut')
-            if self.era != self._store.era:
+            if self.epoch != self._store.epoch:
                 break
-        self.era = self._store.era
+        self.epoch = self._store.epoch
         return 1, ()
 
 
@@ -81,7 +81,7 @@
     store.is_down = True
     await asyncio.sleep(DOWN_S)
     store.is_down = False
-    store.era += 1
+    store.epoch += 1
     store.calls.clear()
     await asyncio.sleep(WATCHED_S)
     first = min(store.calls)
--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -82,7 +82,7 @@
             lapsed_servers.LapsedServers(clock, contact_s)
         )
         self._departed = departed_servers.DepartedServers(clock)
-        self._is_new_era = False
+        self._is_new_epoch = False
         # Revisions of the entries that were listed as an outage began.
         self._before_outage: dict[str, int] = {}
         self._confirmed_at_s = clock.monotonic_s()
@@ -125,19 +125,19 @@
             asked_at_s = self._clock.monotonic_s()
         self._lapsed.note_away(asked_at_s)
 
-    def note_read(self, is_new_era: bool = False) -> None:
+    def note_read(self, is_new_epoch: bool = False) -> None:
         """Take note that the list was read, or that nothing changed.
 
         What the answer holds is taken over after it.
 
         Parameters
         ----------
-        is_new_era
+        is_new_epoch
             Whether the list has come back from a copy since.
         """
-        self._is_new_era = is_new_era
-        if is_new_era:
-            self._departed.note_new_era(
+        self._is_new_epoch = is_new_epoch
+        if is_new_epoch:
+            self._departed.note_new_epoch(
                 {server.start_id for server in self._lapsed.all_kept()}
             )
         self._confirmed_before_s = self._confirmed_at_s
@@ -146,9 +146,9 @@
 
     def settle(self) -> None:
         """Take note that all of an answer was taken over."""
-        if self._is_new_era:
+        if self._is_new_epoch:
             # A copy lacks what was written after it, whatever else it has.
-            self._lapsed.settle_new_era()
+            self._lapsed.settle_new_epoch()
             return
         self._lapsed.settle(
             any(
@@ -319,7 +319,7 @@
         if not server.is_leaving:
             self._lapsed.add(server, self._confirmed_before_s)
         self._departed.note_removed(server.start_id)
-        if not self._is_new_era and not self._lapsed.is_after_outage:
+        if not self._is_new_epoch and not self._lapsed.is_after_outage:
             self._ends.on_next(server)
 
 
--- a/lacewingpitch/crash_record.py
+++ b/lacewingpitch/crash_record.py
@@ -258,7 +258,9 @@
 
     def _add(self, fingerprint: str, crashes: Iterable[Crash]) -> bool:
         """Add crashes; return whether anything is new."""
-        suspect = self._suspects.get(fingerprint) or _Suspect()
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or self._is_old(suspect):
+            suspect = _Suspect()
         has_changed = False
         for crash in crashes:
             known = suspect.crashes.get(crash.server)
--- a/lacewingpitch/departed_servers.py
+++ b/lacewingpitch/departed_servers.py
@@ -39,7 +39,7 @@
         """Take note of a server that is listed, and may be again."""
         self._removed_at_s.pop(start_id, None)
 
-    def note_new_era(self, kept: Collection[str]) -> None:
+    def note_new_epoch(self, kept: Collection[str]) -> None:
         """Take note that the list has come back from a copy.
 
         Parameters
--- a/lacewingpitch/isolation.py
+++ b/lacewingpitch/isolation.py
@@ -14,7 +14,7 @@
 _PROBATION_S = 1.5
 # Another one has its turn, and is done within its probation.
 _RETRY_AFTER_S = 1.0
-# The entry learns with the refusal what is known of the request.
+# Its entry has learned by then what is known of the request.
 _UNKNOWN_RETRY_S = 0.2
 _KEY = 'isolation'
 
@@ -54,11 +54,7 @@
         if not request.is_isolated:
             if handling is crash_record.Handling.FREE:
                 return None
-            return errors.RefusalError(
-                errors.ErrorKind.QUEUE_FULL,
-                'the request is to run isolated',
-                retry_after_s=_UNKNOWN_RETRY_S,
-            )
+            return to_isolate()
         if any(_is_on_probation(turn, now_s) for turn in turns):
             return errors.RefusalError(
                 errors.ErrorKind.QUEUE_FULL,
@@ -84,6 +80,15 @@
     )
 
 
+def to_isolate() -> errors.RefusalError:
+    """Return the answer to a suspect that was not known to be one."""
+    return errors.RefusalError(
+        errors.ErrorKind.QUEUE_FULL,
+        'the request is to run isolated',
+        retry_after_s=_UNKNOWN_RETRY_S,
+    )
+
+
 def refused(
     record: crash_record.CrashRecord, fingerprint: str
 ) -> errors.RefusalError:
--- a/lacewingpitch/lapsed_servers.py
+++ b/lacewingpitch/lapsed_servers.py
@@ -155,7 +155,7 @@
             return
         self._settle(self._kept_until_s(has_survivors), has_survivors)
 
-    def settle_new_era(self) -> None:
+    def settle_new_epoch(self) -> None:
         """Decide on all that a list lacks that came back from a copy.
 
         They write their entries again, also those that an outage before
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -231,7 +231,7 @@
             exchange,
             self._process.age,
             self._process.clock,
-            lambda: store.era > 0,
+            lambda: store.epoch > 0,
         )
         self._process.background.run('state', state.run)
         if not settings.control:
--- a/lacewingpitch/platform/published.py
+++ b/lacewingpitch/platform/published.py
@@ -78,7 +78,7 @@
     def take(self, change: store_module.Change) -> None:
         """Put a change in force."""
         self._exchange.note_store(change.is_away)
-        if change.is_new_era:
+        if change.is_new_epoch:
             self._stored_version = 0
         for item in change.items:
             try:
@@ -127,7 +127,7 @@
         if change.is_away:
             self._servers.note_away(change.asked_at_s)
             return
-        self._servers.note_read(is_new_era=change.is_new_era)
+        self._servers.note_read(is_new_epoch=change.is_new_epoch)
         if change.is_whole:
             found = []
             for item in change.items:
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -33,7 +33,7 @@
 _LEAST_WATCH_S = 0.2
 # Over which processes spread their reading anew; all are to know what is
 # listed well before they count as in touch.
-_ERA_SPREAD_S = 0.3
+_EPOCH_SPREAD_S = 0.3
 # A store may end a watch this much sooner than it was asked to.
 _WATCH_TOLERANCE_S = 0.05
 _MAX_BYTES = 8 << 20
@@ -82,7 +82,7 @@
         is not known.
     asked_at_s
         Monotonic time at which a read began that failed.
-    is_new_era
+    is_new_epoch
         Whether the store has come back from a copy since the last change.
     """
 
@@ -91,7 +91,7 @@
     is_away: bool = False
     current_at_s: float | None = None
     asked_at_s: float | None = None
-    is_new_era: bool = False
+    is_new_epoch: bool = False
 
     def under(self, prefix: str) -> 'Change':
         """Return the part of it under a prefix."""
@@ -103,7 +103,7 @@
     """The store no longer has the changes since a revision."""
 
 
-class _EarlierEraError(errors.PlatformError):
+class _EarlierEpochError(errors.PlatformError):
     """The answer is of a history that the store has left since."""
 
 
@@ -112,7 +112,7 @@
 
     Attributes
     ----------
-    era
+    epoch
         The newest that any answer was of, also one that refused; 0 if none
         said.  A revision names a change only together with it.
     """
@@ -121,7 +121,7 @@
         self._session = session
         self._url = url
         self.call_count = 0
-        self.era = 0
+        self.epoch = 0
 
     async def read_all(self, prefix: str) -> tuple[int, tuple[Item, ...]]:
         """Return a revision and the items under a prefix.
@@ -132,12 +132,12 @@
         items: list[Item] = []
         query = {'pathPrefix': prefix}
         first_at = 0
-        era = 0
+        epoch = 0
         while True:
             page = await self._get(names.RANGE_PATH, query, _SILENCE_S, _Page)
-            era = era or self.era
-            if self.era != era:
-                raise _HistoryGoneError('store: pages of two eras')
+            epoch = epoch or self.epoch
+            if self.epoch != epoch:
+                raise _HistoryGoneError('store: pages of two epochs')
             first_at = first_at or page.at
             items += page.items
             if not page.has_more or not page.items:
@@ -153,12 +153,12 @@
             'after': str(after),
             'waitMs': str(int(wait_s * 1000)),
         }
-        era = self.era
+        epoch = self.epoch
         found = await self._get(
             names.WATCH_PATH, query, wait_s + _SILENCE_S, _Events
         )
-        if self.era != era:
-            raise _HistoryGoneError('store: the revision is of another era')
+        if self.epoch != epoch:
+            raise _HistoryGoneError('store: the revision is of another epoch')
         return found.at, found.events
 
     async def _get(
@@ -180,7 +180,7 @@
             async with self._session.get(
                 f'{self._url}{path}', params=query, timeout=timeout
             ) as response:
-                self._note_era(response.headers.get(names.STORE_ERA, ''))
+                self._note_epoch(response.headers.get(names.STORE_ERA, ''))
                 if response.status == _GONE:
                     raise _HistoryGoneError('store: history gone')
                 if response.status >= _ERROR_STATUS:
@@ -190,13 +190,13 @@
                 data = await platform_call.read_limited(response, _MAX_BYTES)
                 return msgspec.json.decode(data, type=kind)
 
-    def _note_era(self, text: str) -> None:
+    def _note_epoch(self, text: str) -> None:
         if not text.isdecimal():
             return
-        era = int(text)
-        if era < self.era:
-            raise _EarlierEraError(f'store: answer of era {era}')
-        self.era = era
+        epoch = int(text)
+        if epoch < self.epoch:
+            raise _EarlierEpochError(f'store: answer of epoch {epoch}')
+        self.epoch = epoch
 
 
 class Follower:
@@ -233,7 +233,7 @@
         self._is_away = False
         self._random = source
         # Of the last list that was read whole.
-        self._era = 0
+        self._epoch = 0
 
     @property
     def changes(self) -> reactivex.Observable[Change]:
@@ -244,7 +244,7 @@
         """Follow until what is known is enough."""
         revision = 0
         while not is_enough():
-            if self._is_new_era:
+            if self._is_new_epoch:
                 revision = 0
                 await self._spread()
             asked_at_s = self._clock.monotonic_s()
@@ -265,32 +265,32 @@
                 await asyncio.sleep(pause_s)
 
     @property
-    def _is_new_era(self) -> bool:
-        return self._era not in (0, self._store.era)
+    def _is_new_epoch(self) -> bool:
+        return self._epoch not in (0, self._store.epoch)
 
     async def _spread(self) -> None:
         """Wait, so that not all processes read anew in one moment."""
         log.warning(
             'store came back from a copy',
             prefix=self._prefix,
-            era=self._store.era,
-            era_before=self._era,
+            epoch=self._store.epoch,
+            epoch_before=self._epoch,
         )
-        await asyncio.sleep(self._random.uniform(0.0, _ERA_SPREAD_S))
+        await asyncio.sleep(self._random.uniform(0.0, _EPOCH_SPREAD_S))
 
     async def _read(self) -> int:
         asked_at_s = self._clock.boot_s()
         revision, items = await self._store.read_all(self._prefix)
         self._returned()
         self._current_at_s = asked_at_s
-        is_new_era = self._is_new_era
-        self._era = self._store.era
+        is_new_epoch = self._is_new_epoch
+        self._epoch = self._store.epoch
         self._changes.on_next(
             Change(
                 items,
                 is_whole=True,
                 current_at_s=asked_at_s,
-                is_new_era=is_new_era,
+                is_new_epoch=is_new_epoch,
             )
         )
         return revision
--- a/lacewingpitch/turn_source.py
+++ b/lacewingpitch/turn_source.py
@@ -228,7 +228,7 @@
                     server, wanted
                 )
         except errors.RefusalError as error:
-            if not error.retry_elsewhere:
+            if not error.retry_elsewhere or self._is_suspect(wanted):
                 raise
             asked.refusals.append(error)
             if error.kind is errors.ErrorKind.BACKEND_STARTING:
@@ -350,6 +350,9 @@
                     reply.detail,
                     retry_after_s=reply.retry_after_ms / _MS_PER_S,
                 )
+            if not is_isolated and self._is_suspect(wanted):
+                self._ended.note(server.ip, wanted.turn_id)
+                raise self._suspect_refusal(wanted)
             if not reply.is_pending:
                 turn = wanted_turn.Turn(
                     self._granted_at(server, reply), reply.version
@@ -363,6 +366,20 @@
                     'no turn within the time of the request',
                 )
 
+    def _is_suspect(self, wanted: wanted_turn.WantedTurn) -> bool:
+        handling = self._suspects.record.handling(wanted.fingerprint)
+        return handling is not crash_record.Handling.FREE
+
+    def _suspect_refusal(
+        self, wanted: wanted_turn.WantedTurn
+    ) -> errors.RefusalError:
+        """Return the answer to what became a suspect while it waited."""
+        record = self._suspects.record
+        handling = record.handling(wanted.fingerprint)
+        if handling is crash_record.Handling.REFUSED:
+            return isolation.refused(record, wanted.fingerprint)
+        return isolation.to_isolate()
+
     def _granted_at(
         self, server: backend_list.BackendServer, reply: grant.TurnReply
     ) -> backend_list.BackendServer:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -30,7 +30,7 @@
         self.call_count = 0
         self.news = asyncio.Condition()
         self.page_size = 3
-        self.era = 1
+        self.epoch = 1
 
     def copy(self):
         """Return what a later return to this moment brings back."""
@@ -42,7 +42,7 @@
         self.items = dict(items)
         self.history.clear()
         self.oldest = self.revision
-        self.era += 1
+        self.epoch += 1
         async with self.news:
             self.news.notify_all()
 
@@ -74,14 +74,14 @@
 
     def routes(self):
         return [
-            web.get('/lacewingpitch/kv-range', self._in_era('_range')),
-            web.get('/lacewingpitch/kv-watch', self._in_era('_watch')),
+            web.get('/lacewingpitch/kv-range', self._in_epoch('_range')),
+            web.get('/lacewingpitch/kv-watch', self._in_epoch('_watch')),
         ]
 
-    def _in_era(self, name):
+    def _in_epoch(self, name):
         async def answer(request):
             response = await getattr(self, name)(request)
-            response.headers.setdefault('Store-Era', str(self.era))
+            response.headers.setdefault('Store-Era', str(self.epoch))
             return response
 
         return answer
@@ -110,9 +110,9 @@
         after = int(request.query['after'])
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(request.query['waitMs']) / 1000):
-                era = self.era
+                epoch = self.epoch
                 while not self._events(prefix, after) and not self.is_down:
-                    if era != self.era:
+                    if epoch != self.epoch:
                         request.transport.abort()
                         return web.Response()
                     if after < self.oldest or after > self.revision:
--- a/tests/test_crash_record.py
+++ b/tests/test_crash_record.py
@@ -89,6 +89,14 @@
             clock.now_s += 1000.0
             assert record.handling('f') is REFUSED
 
+    def test_what_was_forgotten_counts_anew(self, clock):
+        """Guards against a forgotten request whose crashes count no more."""
+        record = new_record(clock)
+        crashed(record, 'i-1', 'i-2', 'i-3')
+        clock.now_s += 1801.0
+        assert crashed(record, 'i-4') is FREE
+        assert crashed(record, 'i-5', 'i-6') is REFUSED
+
     def test_memory_is_bounded(self, clock):
         """Guards against a record that grows with each new request."""
         record = new_record(clock)
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -3,14 +3,21 @@
 import asyncio
 import random
 
+import pytest
+
 from benchmarks import virtual_time
 from lacewingpitch import backend_list
 from lacewingpitch import errors
 from lacewingpitch.platform import published
 from lacewingpitch.platform import store as store_module
+from tests import fault_matrix
 from tests import platform_standin as standin
 from tests.test_platform_published import item
 
+Fault = fault_matrix.Fault
+Promise = fault_matrix.Promise
+Step = fault_matrix.Step
+
 # Instances count as in touch again this long after the store is back, and
 # are bound by what they could have known then.
 CONTACT_S = 3.0
@@ -34,7 +41,7 @@
         # Every other one, as the platform may.
         self.cuts_watches = False
         self._has_cut = False
-        self.era = 1
+        self.epoch = 1
         self.items = {'i-1': entry('i-1', 1), 'i-2': entry('i-2', 2)}
         self.revision = 1
         self.oldest = 0
@@ -102,6 +109,7 @@
 
 
 class TestOutOfReach:
+    @pytest.mark.proves(Promise.LEAVING, Fault.CONFIG_DOWN, Step.ANY)
     def test_a_server_that_left_meanwhile_is_dropped_before_contact_counts(
         self,
     ):
@@ -120,6 +128,7 @@
 
         assert kept_too_long(play) == []
 
+    @pytest.mark.proves(Promise.LEAVING, Fault.TWO_FAULTS, Step.ANY)
     def test_a_server_that_left_before_it_stays_gone(self):
         """Guards against a server brought back by a later outage."""
 
--- a/tests/test_store_era.py
+++ b/tests/test_store_epoch.py
@@ -18,8 +18,13 @@
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import wire
 from lacewingpitch import routing
+from tests import fault_matrix
 from tests import platform_standin as standin
 
+Fault = fault_matrix.Fault
+Promise = fault_matrix.Promise
+Step = fault_matrix.Step
+
 KNOWN_WITHIN_S = 2.0
 
 
@@ -105,20 +110,20 @@
             await scene.list('i-3')
         await scene.until(lambda: 'i-4' in scene.names())
 
-    async def test_an_answer_of_an_earlier_era_is_dropped(self, scene):
+    async def test_an_answer_of_an_earlier_epoch_is_dropped(self, scene):
         """Guards against an answer that was held on its way."""
         copy = scene.store.copy()
         await scene.store.go_back(copy)
         await scene.list('i-3')
         await scene.until(lambda: 'i-3' in scene.names())
-        scene.store.era -= 1
+        scene.store.epoch -= 1
         await scene.list('i-4')
         await scene.settle()
         assert 'i-4' not in scene.names()
-        scene.store.era += 1
+        scene.store.epoch += 1
         await scene.until(lambda: 'i-4' in scene.names())
 
-    async def test_pages_of_two_eras_are_no_list(self, scene):
+    async def test_pages_of_two_epochs_are_no_list(self, scene):
         """Guards against a list whose first half is of an older history."""
         for name in ('i-3', 'i-4', 'i-5'):
             await scene.list(name)
@@ -141,7 +146,9 @@
         _, items = await scene.reader.read_all('')
         assert {item.key for item in items} == set(scene.store.items)
 
-    async def test_a_watch_that_ends_in_another_era_tells_nothing(self, scene):
+    async def test_a_watch_that_ends_in_another_epoch_tells_nothing(
+        self, scene
+    ):
         """Guards against changes of a new history on top of the old one."""
         copy = scene.store.copy()
         await scene.unlist('i-1')
@@ -160,6 +167,7 @@
 
 
 class TestServers:
+    @pytest.mark.proves(Promise.LEAVING, Fault.CONFIG_STALE, Step.ANY)
     async def test_one_that_left_is_not_used_again(self, scene):
         """Guards against requests to a server that a copy lists again."""
         copy = scene.store.copy()
@@ -226,6 +234,9 @@
         await scene.settle()
         assert scene.table.version == 6
 
+    @pytest.mark.proves(
+        Promise.KEYS, Fault.CONFIG_STALE, Step.BEFORE_ADMISSION
+    )
     async def test_a_copy_proves_nothing_of_what_it_lacks(self, scene):
         """Guards against trust in API keys on the word of an old copy."""
         copy = scene.store.copy()
--- a/tests/test_store_era_interleavings.py
+++ b/tests/test_store_epoch_interleavings.py
@@ -31,8 +31,8 @@
     """A store in memory that goes back to copies."""
 
     def __init__(self):
-        self.era = 1
-        self.seen_era = 1
+        self.epoch = 1
+        self.seen_epoch = 1
         self.revision = 1
         self.items = {}
         self.changes = []
@@ -58,7 +58,7 @@
         self.items = dict(items)
         self.changes.clear()
         self.oldest = self.revision
-        self.era += 1
+        self.epoch += 1
 
 
 class Reader:
@@ -66,15 +66,15 @@
 
     def __init__(self, store):
         self._store = store
-        self.era = 0
+        self.epoch = 0
 
     async def read_all(self, _prefix):
         await self._answer()
         return self._store.revision, tuple(self._store.items.values())
 
     async def watch(self, _prefix, after, wait_s):
-        era = self.era
-        await self._answer(era)
+        epoch = self.epoch
+        await self._answer(epoch)
         for _ in range(int(wait_s / 0.1)):
             if not self._store.oldest <= after <= self._store.revision:
                 raise store_module._HistoryGoneError('gone')
@@ -82,18 +82,18 @@
             if news:
                 break
             await asyncio.sleep(0.1)
-            await self._answer(era)
+            await self._answer(epoch)
         return self._store.revision, tuple(
             c for at, c in self._store.changes if at > after
         )
 
-    async def _answer(self, era=None):
+    async def _answer(self, epoch=None):
         await asyncio.sleep(0.004)
         if self._store.is_down:
             raise errors.PlatformError('down')
-        self.era = self._store.era
-        if era not in (None, self.era):
-            raise store_module._HistoryGoneError('another era')
+        self.epoch = self._store.epoch
+        if epoch not in (None, self.epoch):
+            raise store_module._HistoryGoneError('another epoch')
 
 
 class Scene:
--- a/tests/test_turn_source.py
+++ b/tests/test_turn_source.py
@@ -508,6 +508,27 @@
 
         assert len(play(story).sidecars.asked) == 1
 
+    @pytest.mark.parametrize(
+        ('count', 'kind'), [(2, errors.ErrorKind.QUEUE_FULL), (3, CRASHES)]
+    )
+    def test_a_turn_is_given_back_by_what_became_one_meanwhile(
+        self, count, kind
+    ):
+        """Guards against a deadly request that waited for its turn."""
+
+        async def story(scene):
+            scene.sidecars.delay_s = 0.2
+            taking = asyncio.create_task(scene.take(fingerprint='f'))
+            await asyncio.sleep(0.1)
+            self.crash(scene, count)
+            with pytest.raises(errors.RefusalError) as raised:
+                await taking
+            assert raised.value.kind is kind
+
+        scene = play(story)
+        assert len(scene.sidecars.asked) == 1
+        assert len(scene.sidecars.ended) == 1
+
     @pytest.mark.parametrize(
         ('state', 'crash_count'),
         [
