Log and count the limits that servers name in their answers

Entries read Server-Limit from each answer of a server, sidecars from the reports of their engine, and say in one line when it changes: the limit before and after, and how old the answer was. Gauges: limited_servers at entries, engine_limit_per_second at sidecars. Nothing acts on it yet.

Answers overtake each other: a limit that ends is believed only from an answer whose request was sent after the limit was heard, an answer to a request before the one in force changes nothing, and a limit belongs to one start of its server.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -155,6 +155,19 @@
         ...
 
 
+class AnswerObserver(Protocol):
+    """Learns what servers say about themselves in their answers."""
+
+    def record_answer(
+        self,
+        server: backend_list.BackendServer,
+        per_s: float | None,
+        asked_at_s: float,
+    ) -> None:
+        """Record whether an answer names a limit; see `server_limits`."""
+        ...
+
+
 class Delivery(Protocol):
     """Sends one answer to its caller."""
 
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -11,6 +11,7 @@
 from lacewingpitch import adapter_versions
 from lacewingpitch import clock as clock_module
 from lacewingpitch import crash_record
+from lacewingpitch import engine_limit
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
 from lacewingpitch import engine_view
@@ -98,6 +99,7 @@
         self.view = engine_view.EngineView(
             engine, self._fence, versions, clock
         )
+        self.limit = engine_limit.EngineLimit(clock, lambda _limit_per_s: None)
         self._adapters: slots_module.AdapterSlots | None = None
         self.granter: turn_granter.TurnGranter | None = None
         self._adopted_runs: frozenset[str] = frozenset()
@@ -182,6 +184,7 @@
 
     async def _poll(self) -> None:
         polled_at_s = self._clock.monotonic_s()
+        polled_at_boot_s = self._clock.boot_s()
         try:
             snapshot = await self._engine.report()
             if self.view.is_outdated(snapshot):
@@ -197,6 +200,7 @@
             await self._refuse_pending_unless_serving()
             return
         self._log_leaving(snapshot)
+        self.limit.record_report(snapshot.limit_per_s, polled_at_boot_s)
         self.view.update(snapshot, polled_at_s)
         await self._refuse_pending_unless_serving()
         await self._order_model(snapshot)
@@ -233,6 +237,7 @@
             # for a second.
             self._adapters.clear()
         self.view.attach(incarnation, snapshot.started_at_ms)
+        self.limit.reset()
         self._adopted_runs = frozenset()
         if self.granter is not None:
             await self.granter.end_all()
@@ -374,6 +379,11 @@
             'Turns that are granted or waited for.',
             lambda: len(granter),
         )
+        metrics.gauge(
+            'engine_limit_per_second',
+            'Requests per second that the engine accepts; -1 without limit.',
+            lambda: -1.0 if self.limit.per_s is None else self.limit.per_s,
+        )
         metrics.gauge(
             'engine_report_age_seconds',
             'How old the last report of the engine is.',
--- /dev/null
+++ b/lacewingpitch/engine_limit.py
@@ -0,0 +1,76 @@
+"""The request rate limit of an engine, as known to its sidecar."""
+
+from collections.abc import Callable
+
+import structlog
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import named_limit
+
+log = structlog.get_logger(__name__)
+
+
+class EngineLimit:
+    """Follows the limit that the local engine names.
+
+    The engine names it in its answers, which only the entries read, and may
+    name it in its reports, which only the sidecar reads.
+
+    Parameters
+    ----------
+    on_change
+        Called with the new limit in requests per second; ``None`` if there
+        is none.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        on_change: Callable[[float | None], None],
+    ) -> None:
+        self._clock = clock
+        self._on_change = on_change
+        self._limit = named_limit.NamedLimit()
+        self._is_in_reports = False
+
+    @property
+    def per_s(self) -> float | None:
+        """Return the limit; ``None`` if there is none."""
+        return self._limit.per_s
+
+    def reset(self) -> None:
+        """Forget the limit, as the engine has restarted."""
+        had_limit = self.per_s is not None
+        self._limit = named_limit.NamedLimit()
+        self._is_in_reports = False
+        if had_limit:
+            self._on_change(None)
+
+    def record_report(self, per_s: float | None, asked_at_s: float) -> None:
+        """Record whether a report names a limit.
+
+        Parameters
+        ----------
+        asked_at_s
+            When the report was requested, by the boot clock.
+        """
+        self._is_in_reports |= per_s is not None
+        # A report without a limit means nothing if the engine names limits
+        # in its answers to requests only.
+        if self._is_in_reports:
+            self._record(per_s, asked_at_s, 'report')
+
+    def _record(
+        self, per_s: float | None, asked_at_s: float, source: str
+    ) -> None:
+        before = self.per_s
+        now_s = self._clock.boot_s()
+        if self._limit.record(per_s, asked_at_s, now_s):
+            log.info(
+                'engine limit changed',
+                limit_per_s=self.per_s,
+                limit_before_per_s=before,
+                answer_age_s=round(now_s - asked_at_s, 3),
+                source=source,
+            )
+            self._on_change(self.per_s)
--- a/lacewingpitch/engine_snapshot.py
+++ b/lacewingpitch/engine_snapshot.py
@@ -26,6 +26,9 @@
         Requests that it has accepted and not started.
     started_at_ms
         Unix time of its start; 0 if unknown.
+    limit_per_s
+        Requests per second that it accepts from all entries together;
+        ``None`` if its report names no limit.
     """
 
     order_count: int
@@ -38,3 +41,4 @@
     queued: int
     running: int
     started_at_ms: int = 0
+    limit_per_s: float | None = None
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -7,10 +7,15 @@
 import types
 
 import aiohttp
+import structlog
 import yarl
 
 from lacewingpitch import backend_call
+from lacewingpitch import backend_list
+from lacewingpitch import clock as clock_module
+from lacewingpitch import errors
 from lacewingpitch.platform import names
+from lacewingpitch.platform import wire
 from lacewingpitch import session_pool
 
 # If connecting takes longer, the instance is down or unreachable.
@@ -26,6 +31,7 @@
 _CONNECTION_CLOSE = 'close'
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
+log = structlog.get_logger(__name__)
 
 
 class _ConnectionTrace:
@@ -49,15 +55,21 @@
         Session for requests that must not share a connection.
     pool
         Sessions with persistent connections.
+    observer
+        Learns the limits that servers name.
     """
 
     def __init__(
         self,
         single_use: aiohttp.ClientSession,
         pool: session_pool.SessionPool,
+        observer: backend_call.AnswerObserver,
+        clock: clock_module.Clock,
     ) -> None:
         self._single_use = single_use
         self._pool = pool
+        self._observer = observer
+        self._clock = clock
 
     @contextlib.asynccontextmanager
     async def send(
@@ -65,9 +77,12 @@
     ) -> AsyncIterator[backend_call.BackendAnswer]:
         """Send a request; see `backend_call.BackendClient`."""
         async with self._session(call) as session:
+            asked_at_s = self._clock.boot_s()
             response = await self._open(session, call)
             try:
-                _check_response(call, response)
+                _check_request_id(call, response)
+                self._observe(call.server, response, asked_at_s)
+                _check_response(response)
                 yield backend_call.BackendAnswer(
                     status=response.status,
                     headers=_end_to_end_headers(response),
@@ -77,6 +92,26 @@
             finally:
                 response.close()
 
+    def _observe(
+        self,
+        server: backend_list.BackendServer,
+        response: aiohttp.ClientResponse,
+        asked_at_s: float,
+    ) -> None:
+        # An answer of another incarnation says nothing about this one.
+        if response.status == _STATUS_OTHER_INCARNATION:
+            return
+        try:
+            per_s = wire.decode_server_limit(response.headers)
+        except errors.PlatformError as error:
+            log.warning(
+                'invalid server limit',
+                backend_server=server.name,
+                error=str(error),
+            )
+            return
+        self._observer.record_answer(server, per_s, asked_at_s)
+
     def _session(
         self, call: backend_call.BackendCall
     ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientSession]:
@@ -117,13 +152,17 @@
             raise backend_call.AnswerLostError(_reason(error)) from error
 
 
-def new_client(exits: contextlib.AsyncExitStack) -> HttpBackendClient:
+def new_client(
+    exits: contextlib.AsyncExitStack,
+    observer: backend_call.AnswerObserver,
+    clock: clock_module.Clock,
+) -> HttpBackendClient:
     """Return a client whose connections are closed by `exits`."""
     single_use = _new_session(aiohttp.TCPConnector(limit=0, force_close=True))
     exits.push_async_callback(single_use.close)
     pool = session_pool.SessionPool(_new_persistent_session)
     exits.push_async_callback(pool.close)
-    return HttpBackendClient(single_use, pool)
+    return HttpBackendClient(single_use, pool, observer, clock)
 
 
 def _new_persistent_session() -> aiohttp.ClientSession:
@@ -201,7 +240,7 @@
     return headers
 
 
-def _check_response(
+def _check_request_id(
     call: backend_call.BackendCall, response: aiohttp.ClientResponse
 ) -> None:
     # A late response to an earlier request may still be on the connection.
@@ -210,6 +249,9 @@
         raise backend_call.AnswerLostError(
             'the response is to another request'
         )
+
+
+def _check_response(response: aiohttp.ClientResponse) -> None:
     if response.status == _STATUS_OTHER_INCARNATION:
         raise backend_call.NotRunError(
             'another incarnation or version', is_other_server=True
@@ -218,7 +260,7 @@
         raise backend_call.NotRunError(
             f'status {response.status}', is_other_server=False
         )
-    if response_request_id is None:
+    if names.REQUEST_ID not in response.headers:
         raise backend_call.AnswerLostError('the response has no request id')
     if 'Content-Encoding' in response.headers:
         raise backend_call.AnswerLostError('the response is compressed')
--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import msgspec
+import structlog
 
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
@@ -25,6 +26,7 @@
 }
 _STATUS_OK = 200
 _STATE_READY = 'ready'
+log = structlog.get_logger(__name__)
 
 
 class _RunReport(msgspec.Struct, frozen=True, array_like=True):
@@ -125,6 +127,7 @@
                     response, _MAX_REPORT_BYTES
                 )
                 report = msgspec.json.decode(data, type=_EngineReport)
+                limit_per_s = _limit_per_s(response)
         return engine_snapshot.EngineSnapshot(
             order_count=report.sequence,
             is_leaving=report.state != _STATE_READY,
@@ -136,6 +139,7 @@
             queued=report.queued,
             running=report.active,
             started_at_ms=report.born,
+            limit_per_s=limit_per_s,
         )
 
     async def load_model(
@@ -195,3 +199,11 @@
                 return _RESULT_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.REJECTED
                 )
+
+
+def _limit_per_s(response: aiohttp.ClientResponse) -> float | None:
+    try:
+        return wire.decode_server_limit(response.headers)
+    except errors.PlatformError as error:
+        log.warning('invalid server limit', error=str(error))
+        return None
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -30,6 +30,7 @@
 from lacewingpitch.platform import wire
 from lacewingpitch import request_forwarder
 from lacewingpitch import retry_budget
+from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
 from lacewingpitch import settings as product_settings
 from lacewingpitch import startup_grace
@@ -108,6 +109,7 @@
             self._suspects.detector.record_exit
         )
         self._process.exits.callback(ends.dispose)
+        self._limits = server_limits.ServerLimits(self._process.clock)
         self._usage = usage_limits.UsageLimits(
             file.settings.instance,
             self._peers,
@@ -206,7 +208,9 @@
         )
         process.background.run('turns', turns.run)
         return request_forwarder.RequestForwarder(
-            backend_client.new_client(process.exits),
+            backend_client.new_client(
+                process.exits, self._limits, process.clock
+            ),
             turns,
             services,
             self.ejector,
@@ -305,6 +309,11 @@
             'Requests that are refused, as servers crashed under them.',
             lambda: record.request_count(crash_record.Handling.REFUSED),
         )
+        metrics.gauge(
+            'limited_servers',
+            'Backend servers that name a request rate limit.',
+            lambda: len(self._limits),
+        )
         metrics.gauge(
             'requests_in_progress',
             'Requests that are in progress here.',
--- a/lacewingpitch/platform/names.py
+++ b/lacewingpitch/platform/names.py
@@ -25,6 +25,9 @@
 # In responses: the engine has not run the request and never will.
 NOT_RUN = 'Not-Executed'
 INCARNATION = 'Instance-Id'
+# In responses: requests per second that the engine accepts from all entries
+# together, a decimal.  In force while the engine's responses contain it.
+SERVER_LIMIT = 'Server-Limit'
 
 # Headers that concern a single connection, and are not forwarded.
 HOP_BY_HOP = frozenset(
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -1,6 +1,6 @@
 """Decoding of the values that operator and engines publish in the store."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 import math
 from typing import Any
 
@@ -9,6 +9,7 @@
 from lacewingpitch import backend_list
 from lacewingpitch import errors
 from lacewingpitch import organisation
+from lacewingpitch.platform import names
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch import routing
 
@@ -240,6 +241,31 @@
     return versions
 
 
+def decode_server_limit(headers: Mapping[str, str]) -> float | None:
+    """Return the requests per second that a server says it accepts.
+
+    Returns
+    -------
+    float or None
+        ``None`` if the headers of its response name no limit.
+
+    Raises
+    ------
+    PlatformError
+        The limit is not a number, or negative.
+    """
+    text = headers.get(names.SERVER_LIMIT)
+    if text is None:
+        return None
+    try:
+        per_s = float(text)
+    except ValueError as error:
+        raise errors.PlatformError(f'server limit: {error}') from error
+    if not 0.0 <= per_s < math.inf:
+        raise errors.PlatformError(f'server limit out of range: {text!r}')
+    return per_s
+
+
 def _route(published: _Route) -> routing.Route:
     shares = published.split or (_WeightedService(published.service),)
     return routing.Route(
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -43,6 +43,7 @@
         self.report_delay_s = 0.0
         self.is_load_lost = False
         self.started_at_ms = 0
+        self.limit_per_s = None
 
     def restart(self, name, started_at_ms=0):
         self.name = name
@@ -71,6 +72,7 @@
             queued=self.queued,
             running=len(self.runs),
             started_at_ms=self.started_at_ms,
+            limit_per_s=self.limit_per_s,
         )
         await asyncio.sleep(self.report_delay_s)
         return found
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -8,8 +8,10 @@
 
 from lacewingpitch import backend_call
 from lacewingpitch import backend_list
+from lacewingpitch import clock
 from lacewingpitch.platform import backend_client
 from lacewingpitch import routing
+from lacewingpitch import server_limits
 
 BODY = b'whole'
 
@@ -79,7 +81,10 @@
         port = listening.sockets[0].getsockname()[1]
 
         async with contextlib.AsyncExitStack() as exits:
-            client = backend_client.new_client(exits)
+            limits = server_limits.ServerLimits(clock.SystemClock())
+            client = backend_client.new_client(
+                exits, limits, clock.SystemClock()
+            )
 
             async def send(request_id, **fields):
                 call = make_call(request_id, port, **fields)
