Failing tests: servers that name a limit get several times as much

Two entries with the real programs and two servers, of which one names a limit of 1.5 requests a second, get 25 requests a second for 11 s. A model engine gets 84 requests in 4 s and a plain server 49; 14 are allowed.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -155,6 +155,9 @@
         self.crash_count = 0
         self.is_down = False
         self.on_crash = None
+        # Requests per second that its answers name as its limit.
+        self.limit_per_s = None
+        self.arrived_at_s = []
         self._transports = set()
 
     def restart(self, name):
@@ -257,11 +260,15 @@
     async def _run(self, request):
         body = await request.read()
         self.seen.append((request.raw_path, dict(request.headers)))
+        self.arrived_at_s.append(time.monotonic())
         adapter = request.headers.get('Model', '').partition('/')[2]
         if request.headers.get('Expect-Instance') != self.name or (
             adapter and adapter not in self.adapters
         ):
-            return web.Response(status=421, headers={'Not-Executed': '1'})
+            return web.Response(
+                status=421,
+                headers={'Not-Executed': '1', **_limit_headers(self)},
+            )
         if self.crash_body is not None and body == self.crash_body:
             asyncio.get_running_loop().call_later(0.05, self.crash)
             await asyncio.sleep(1.0)
@@ -278,6 +285,7 @@
                     'Content-Type': 'text/event-stream',
                     'Request-Id': request_id,
                     SIGNATURE: f'signed-by-{self.name}',
+                    **_limit_headers(self),
                 }
             )
             await response.prepare(request)
@@ -307,6 +315,8 @@
         self.run_log = []
         self.delay_s = 0.0
         self.aborts_left = 0
+        self.limit_per_s = None
+        self.arrived_at_s = []
 
     def routes(self):
         return [web.route('*', '/{path:.*}', self._run)]
@@ -323,6 +333,7 @@
 
     async def _run(self, request):
         body = await request.read()
+        self.arrived_at_s.append(time.monotonic())
         self.runs.append(request.headers['Request-Id'])
         self.run_log.append(_run_entry(request))
         if self.aborts_left:
@@ -335,10 +346,17 @@
             headers={
                 'Request-Id': request.headers['Request-Id'],
                 SIGNATURE: f'signed-by-{self.name}',
+                **_limit_headers(self),
             },
         )
 
 
+def _limit_headers(server):
+    if server.limit_per_s is None:
+        return {}
+    return {'Server-Limit': str(server.limit_per_s)}
+
+
 def _run_entry(request):
     headers = dict(request.headers)
     return headers['Request-Id'], time.monotonic(), headers
