Pace the turns of an engine by the limit that it names

Cause: nobody read Server-Limit; the sidecar granted turns by batch, adapters and prompts alone.

The entry that reads an answer tells the engine's sidecar at once, and the sidecar releases turns from one bucket at that rate, flows by weight. The wait for it is a part of the account of waits, so that admission, hints and Retry-After follow it: what the limit leaves out goes to other engines, or is refused at once (server-limited, not run), each caller with a time of its own. Turns that wait when a limit falls and would come too late are refused then. Replies state the limit, requests for a turn state what the entry knows: a restarted sidecar adopts it. Turns without a sidecar's consent, and requests to plain servers, need a share of the limit that entries do not save up.

--- a/lacewingpitch/admission.py
+++ b/lacewingpitch/admission.py
@@ -5,6 +5,7 @@
 
 from lacewingpitch import errors
 from lacewingpitch import turn_messages
+from lacewingpitch import wait_estimator
 
 _MS_PER_S = 1000
 # Other engines accept what a leaving engine refuses.
@@ -56,6 +57,14 @@
         ...
 
 
+class LimitedReturns(Protocol):
+    """Spreads the return of callers that a rate limit refuses."""
+
+    def next_return_s(self, wait_s: float) -> float:
+        """Return when the next of them should return."""
+        ...
+
+
 class Admission:
     """Decides which requests may wait for a turn at one engine.
 
@@ -67,15 +76,20 @@
     ----------
     source
         Source of the jitter of retry times.
+    returns
+        When callers that the engine's request rate limit refuses should
+        return.
     """
 
     def __init__(
         self,
         engine: EngineStatus,
         source: random.Random,
+        returns: LimitedReturns,
     ) -> None:
         self._engine = engine
         self._random = source
+        self._returns = returns
 
     def must_await_start(
         self, request: turn_messages.TurnRequest, awaiting_count: int
@@ -101,14 +115,14 @@
     def refusal(
         self,
         request: turn_messages.TurnRequest,
-        wait_s: float,
+        wait: wait_estimator.WaitEstimate,
         is_above_share: bool = False,
     ) -> errors.RefusalError | None:
         """Return why a request is refused at once; ``None`` if admitted.
 
         Parameters
         ----------
-        wait_s
+        wait
             Expected wait for its turn.
         is_above_share
             Whether its organisation would exceed its fair share.
@@ -121,13 +135,21 @@
             limit_s *= _ABOVE_SHARE_WAIT_RATIO
         if request.accept_within_ms:
             limit_s = min(limit_s, request.accept_within_ms / _MS_PER_S)
-        if wait_s <= limit_s:
+        if wait.total_s <= limit_s:
             return None
+        retry_after_s = max(0.0, wait.total_s - limit_s)
+        retry_after_s += self._random.uniform(*_RETRY_JITTER_S)
+        kind = errors.ErrorKind.DEADLINE_UNREACHABLE
+        if wait.total_s - wait.limit_s <= limit_s:
+            kind = errors.ErrorKind.SERVER_LIMITED
+            # An entry that compares engines asks once more before it
+            # refuses its caller.
+            if not request.accept_within_ms:
+                retry_after_s = self._returns.next_return_s(wait.total_s)
         return errors.RefusalError(
-            errors.ErrorKind.DEADLINE_UNREACHABLE,
-            f'the expected wait for a turn is {wait_s:.2f} s',
-            retry_after_s=max(0.0, wait_s - limit_s)
-            + self._random.uniform(*_RETRY_JITTER_S),
+            kind,
+            f'the expected wait for a turn is {wait.total_s:.2f} s',
+            retry_after_s=retry_after_s,
         )
 
     def not_serving_refusal(self) -> errors.RefusalError:
--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -52,7 +52,12 @@
     @property
     def start_id(self) -> str:
         """Return the unique id of this start of the server."""
-        return f'{self.name}@{self.started_at_ms}'
+        return start_id(self.name, self.started_at_ms)
+
+
+def start_id(name: str, started_at_ms: int) -> str:
+    """Return the unique id of one start of a server."""
+    return f'{name}@{started_at_ms}'
 
 
 class BackendList:
--- a/lacewingpitch/control_client.py
+++ b/lacewingpitch/control_client.py
@@ -40,6 +40,14 @@
             message, turn_messages.TurnEndsReply, timeout_s
         )
 
+    async def report_limit(
+        self, ip: str, message: turn_messages.AnsweredLimit, timeout_s: float
+    ) -> None:
+        """Tell a sidecar whether an answer of its engine names a limit."""
+        await self._sidecar(ip).ask(
+            message, turn_messages.AnsweredLimitReply, timeout_s
+        )
+
     async def request_configuration(
         self,
         ip: str,
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -99,7 +99,7 @@
         self.view = engine_view.EngineView(
             engine, self._fence, versions, clock
         )
-        self.limit = engine_limit.EngineLimit(clock, lambda _limit_per_s: None)
+        self.limit = engine_limit.EngineLimit(clock)
         self._adapters: slots_module.AdapterSlots | None = None
         self.granter: turn_granter.TurnGranter | None = None
         self._adopted_runs: frozenset[str] = frozenset()
@@ -125,6 +125,9 @@
     async def _request_turn(
         self, request: turn_messages.TurnRequest
     ) -> turn_messages.TurnReply:
+        if request.server_start_id == self.view.start_id:
+            self.limit.adopt(request.limit_per_s, request.entry)
+            await self._apply_limit()
         if self.granter is None:
             await self._wait_until_ready(request.wait_ms / _MS_PER_S)
         if self.granter is None:
@@ -154,6 +157,24 @@
             started_at_ms=self.view.started_at_ms,
         )
 
+    async def record_answered_limit(
+        self, message: turn_messages.AnsweredLimit
+    ) -> turn_messages.AnsweredLimitReply:
+        """Record whether an answer to an entry names a limit."""
+        if message.server_start_id == self.view.start_id:
+            age_s = message.answer_age_ms / _MS_PER_S
+            self.limit.record_answer(
+                message.limit_per_s,
+                self._clock.boot_s() - age_s,
+                message.entry,
+            )
+            await self._apply_limit()
+        return turn_messages.AnsweredLimitReply()
+
+    async def _apply_limit(self) -> None:
+        if self.granter is not None:
+            await self.granter.apply_limit(self.limit.per_s)
+
     async def run(self) -> None:
         """Poll the engine until cancelled."""
         await self._table.wait_until_loaded()
@@ -205,6 +226,7 @@
         await self._refuse_pending_unless_serving()
         await self._order_model(snapshot)
         self._start_granting(snapshot)
+        await self._apply_limit()
         self._reconcile(snapshot, polled_at_s)
         if self.granter is not None:
             await self.granter.end_stale(
--- a/lacewingpitch/engine_limit.py
+++ b/lacewingpitch/engine_limit.py
@@ -1,6 +1,6 @@
 """The request rate limit of an engine, as known to its sidecar."""
 
-from collections.abc import Callable
+import math
 
 import structlog
 
@@ -15,21 +15,10 @@
 
     The engine names it in its answers, which only the entries read, and may
     name it in its reports, which only the sidecar reads.
-
-    Parameters
-    ----------
-    on_change
-        Called with the new limit in requests per second; ``None`` if there
-        is none.
     """
 
-    def __init__(
-        self,
-        clock: clock_module.Clock,
-        on_change: Callable[[float | None], None],
-    ) -> None:
+    def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
-        self._on_change = on_change
         self._limit = named_limit.NamedLimit()
         self._is_in_reports = False
 
@@ -40,11 +29,8 @@
 
     def reset(self) -> None:
         """Forget the limit, as the engine has restarted."""
-        had_limit = self.per_s is not None
         self._limit = named_limit.NamedLimit()
         self._is_in_reports = False
-        if had_limit:
-            self._on_change(None)
 
     def record_report(self, per_s: float | None, asked_at_s: float) -> None:
         """Record whether a report names a limit.
@@ -60,6 +46,26 @@
         if self._is_in_reports:
             self._record(per_s, asked_at_s, 'report')
 
+    def record_answer(
+        self, per_s: float | None, asked_at_s: float, entry: str
+    ) -> None:
+        """Record whether an answer to an entry names a limit.
+
+        Parameters
+        ----------
+        asked_at_s
+            When the entry sent its request, by the boot clock.
+        """
+        self._record(per_s, asked_at_s, entry)
+
+    def adopt(self, per_s: float | None, entry: str) -> None:
+        """Adopt what an entry knows, unless something is known here.
+
+        A restarted sidecar knows nothing of the limit.
+        """
+        if per_s is not None and not self._limit.is_known:
+            self._record(per_s, -math.inf, entry)
+
     def _record(
         self, per_s: float | None, asked_at_s: float, source: str
     ) -> None:
@@ -70,7 +76,5 @@
                 'engine limit changed',
                 limit_per_s=self.per_s,
                 limit_before_per_s=before,
-                answer_age_s=round(now_s - asked_at_s, 3),
                 source=source,
             )
-            self._on_change(self.per_s)
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -6,6 +6,7 @@
 import structlog
 
 from lacewingpitch import adapter_versions
+from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
 from lacewingpitch import engine as engine_module
 from lacewingpitch import engine_orders
@@ -69,6 +70,11 @@
         # Adapters that the engine can hold; it crashes beyond them.
         self.slot_count = 0
 
+    @property
+    def start_id(self) -> str:
+        """Return the id of the engine's start, as in the backend list."""
+        return backend_list.start_id(self.backend_server, self.started_at_ms)
+
     @property
     def snapshot(self) -> engine_snapshot.EngineSnapshot | None:
         """Return the last report."""
--- a/lacewingpitch/errors.py
+++ b/lacewingpitch/errors.py
@@ -34,6 +34,7 @@
     QUEUE_FULL = 'queue-full'
     DEADLINE_UNREACHABLE = 'deadline-unreachable'
     ADAPTER_UNAVAILABLE = 'adapter-unavailable'
+    SERVER_LIMITED = 'server-limited'
     NO_BACKEND_SERVER = 'no-backend-server'
     CLAIM_UNAVAILABLE = 'claim-unavailable'
     ATTEMPT_OUT_OF_WINDOW = 'attempt-out-of-window'
@@ -90,6 +91,7 @@
     ErrorKind.QUEUE_FULL: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.DEADLINE_UNREACHABLE: AnswerRule(503, _NOT_RUN, 2.0, True),
     ErrorKind.ADAPTER_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0, True),
+    ErrorKind.SERVER_LIMITED: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.NO_BACKEND_SERVER: AnswerRule(503, _NOT_RUN, 2.0),
     ErrorKind.CLAIM_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0),
     ErrorKind.ATTEMPT_OUT_OF_WINDOW: AnswerRule(503, _NOT_RUN, 1.0),
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -68,6 +68,10 @@
     errors.ErrorKind.ADAPTER_UNAVAILABLE: (
         'the adapter could not be loaded, or the engine refused it'
     ),
+    errors.ErrorKind.SERVER_LIMITED: (
+        'the backend server names a request rate limit that is used up; '
+        'says when it allows another request'
+    ),
     errors.ErrorKind.NO_BACKEND_SERVER: (
         'no live backend server for this model or service is known'
     ),
--- a/lacewingpitch/hint_builder.py
+++ b/lacewingpitch/hint_builder.py
@@ -6,6 +6,7 @@
 from lacewingpitch import hint as hint_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import slots as slots_module
+from lacewingpitch import turn_pacer as turn_pacer_module
 from lacewingpitch import turn_queue
 
 _MS_PER_S = 1000
@@ -19,10 +20,12 @@
         queue: turn_queue.TurnQueue,
         adapters: slots_module.AdapterSlots,
         pacer: prefill_pacer.PrefillPacer,
+        turn_pacer: turn_pacer_module.TurnPacer,
     ) -> None:
         self._queue = queue
         self._adapters = adapters
         self._pacer = pacer
+        self._turn_pacer = turn_pacer
 
     def build(self) -> hint_module.Hint:
         """Return a hint with the current load of the engine."""
@@ -30,6 +33,7 @@
         copy_wait_s = (
             new_adapter_wait.slot_s + self._adapters.cached_copy_load_s
         )
+        turn_wait_s = self._pacer.wait_s() + self._turn_pacer.wait_s()
         return hint_module.Hint(
             running=self._queue.running,
             queued=self._queue.queued,
@@ -37,7 +41,7 @@
             load_wait_ms=int(new_adapter_wait.total_s * _MS_PER_S),
             spare_slots=self._adapters.spare_slot_count,
             adapters=hint_module.encode_fingerprints(self._adapters.adapters),
-            turn_wait_ms=int(self._pacer.wait_s() * _MS_PER_S),
+            turn_wait_ms=int(turn_wait_s * _MS_PER_S),
             copy_wait_ms=int(copy_wait_s * _MS_PER_S),
             copy_count=self._adapters.cached_copy_count,
         )
--- a/lacewingpitch/plain_server_selector.py
+++ b/lacewingpitch/plain_server_selector.py
@@ -7,6 +7,7 @@
 from lacewingpitch import crash_record
 from lacewingpitch import errors
 from lacewingpitch import isolation
+from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
 
 _NO_SERVER_RETRY_AFTER_S = 0.5
@@ -24,13 +25,17 @@
     ----------
     record
         Record of suspect requests.
+    limits
+        Limits that the servers name.
     """
 
     def __init__(
         self,
         balancer: service_balancer.ServiceBalancer,
         record: crash_record.CrashRecord,
+        limits: server_limits.ServerLimits,
     ) -> None:
+        self._limits = limits
         self._balancer = balancer
         self._record = record
         self._is_isolating = False
@@ -85,15 +90,23 @@
         excluded: Collection[str],
         is_isolated: bool,
     ) -> backend_list.BackendServer:
+        limited: dict[str, backend_list.BackendServer] = {}
         for service in services:
-            if is_isolated:
-                server = self._balancer.choose_isolation_server(
-                    service, excluded
-                )
-            else:
-                server = self._balancer.choose(service, excluded)
-            if server is not None:
-                return server
+            while True:
+                skipped = {*excluded, *limited}
+                if is_isolated:
+                    server = self._balancer.choose_isolation_server(
+                        service, skipped
+                    )
+                else:
+                    server = self._balancer.choose(service, skipped)
+                if server is None:
+                    break
+                if self._limits.try_acquire(server):
+                    return server
+                limited[server.name] = server
+        if limited:
+            raise self._limits.earliest_refusal(limited.values())
         raise errors.RefusalError(
             errors.ErrorKind.NO_BACKEND_SERVER,
             'no backend server of the service can be reached',
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -109,7 +109,15 @@
             self._suspects.detector.record_exit
         )
         self._process.exits.callback(ends.dispose)
-        self._limits = server_limits.ServerLimits(self._process.clock)
+        self._limits = server_limits.ServerLimits(
+            file.settings.instance,
+            self._peers,
+            self._has_sidecar,
+            lambda: self._budgets.entry_count,
+            self._process.clock,
+            self._process.random,
+        )
+        self._process.exits.push_async_callback(self._limits.close)
         self._usage = usage_limits.UsageLimits(
             file.settings.instance,
             self._peers,
@@ -205,6 +213,7 @@
             exchange.reconcile,
             self._budgets.record_entry_count,
             self._suspects,
+            self._limits,
         )
         process.background.run('turns', turns.run)
         return request_forwarder.RequestForwarder(
@@ -219,6 +228,7 @@
             process.clock,
             process.random,
             self._suspects,
+            self._limits,
         )
 
     async def _start_peer_bootstrap(
@@ -309,10 +319,18 @@
             'Requests that are refused, as servers crashed under them.',
             lambda: record.request_count(crash_record.Handling.REFUSED),
         )
+        metrics.counter(
+            'requests_over_server_limit_total',
+            'Requests kept from a server by its request rate limit.',
+            lambda: self._limits.exceeded_count,
+        )
         metrics.gauge(
             'limited_servers',
             'Backend servers that name a request rate limit.',
-            lambda: len(self._limits),
+            lambda: sum(
+                self._limits.per_s(server) is not None
+                for server in self.servers.all()
+            ),
         )
         metrics.gauge(
             'requests_in_progress',
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -87,6 +87,9 @@
             turn_messages.TurnRequest, controller.request_turn
         )
         self._control.handle(turn_messages.TurnEnds, controller.end_turns)
+        self._control.handle(
+            turn_messages.AnsweredLimit, controller.record_answered_limit
+        )
         self._control.handle(
             turn_messages.ConfigurationRequest, exchange.answer
         )
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -20,6 +20,7 @@
 from lacewingpitch import plain_server_selector
 from lacewingpitch import request_history
 from lacewingpitch import retry_budget
+from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_client
@@ -50,6 +51,8 @@
         Minimum versions of adapters that requests must run on.
     suspects
         Tracks requests that crash backend servers.
+    limits
+        Limits that the backend servers name.
     """
 
     def __init__(
@@ -63,10 +66,11 @@
         clock: clock_module.Clock,
         source: random.Random,
         suspects: suspects_module.Suspects,
+        limits: server_limits.ServerLimits,
     ) -> None:
         self._suspects = suspects
         self._plain_servers = plain_server_selector.PlainServerSelector(
-            services, suspects.record
+            services, suspects.record, limits
         )
         self._clock = clock
         self._client = client
--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -6,7 +6,7 @@
 form in which placement ranks it.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 from lacewingpitch import backend_list
 from lacewingpitch import ejection
@@ -87,12 +87,12 @@
             server for server in servers if sidecar_key(server.name) in allowed
         )
 
-    def fallback_turn(
+    def fallback_turns(
         self, spec: turn_spec.TurnSpec, excluded: Collection[str]
-    ) -> turn_spec.Turn | None:
-        """Return an unconfirmed turn at the first engine that allows one.
+    ) -> Iterator[turn_spec.Turn]:
+        """Yield an unconfirmed turn at each engine that allows one.
 
-        It is used when no sidecar has granted or refused a turn, and no
+        They are used when no sidecar has granted or refused a turn, and no
         candidate allows an unconfirmed one.  Ejections are ignored.
         Without an adapter, any engine that isn't excluded will do.
         """
@@ -100,8 +100,7 @@
             if server.name not in excluded:
                 turn = unconfirmed_turn(server, spec)
                 if turn is not None:
-                    return turn
-        return None
+                    yield turn
 
 
 def sidecar_key(name: str) -> str:
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -4,6 +4,7 @@
     AsyncIterator,
     Callable,
     Collection,
+    Iterable,
     Sequence,
 )
 import contextlib
@@ -19,6 +20,7 @@
 from lacewingpitch import errors
 from lacewingpitch import isolation
 from lacewingpitch import placement as placement_module
+from lacewingpitch import server_limits
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_candidates
 from lacewingpitch import turn_end_reporter
@@ -49,22 +51,24 @@
 
     Parameters
     ----------
+    refusals
+        The last refusal of each server that refused the request, by name.
     starting
         Servers whose engine is starting.
     refused_waits_s
         Expected wait at each server that refused the request, by name.
-    fallback
-        Turn without the consent of a sidecar that does not answer.
+    fallbacks
+        Turns without the consent of sidecars that do not answer.
     """
 
-    refusals: list[errors.RefusalError] = dataclasses.field(
-        default_factory=list
+    refusals: dict[str, errors.RefusalError] = dataclasses.field(
+        default_factory=dict
     )
     starting: list[backend_list.BackendServer] = dataclasses.field(
         default_factory=list
     )
     refused_waits_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    fallback: turn_spec.Turn | None = None
+    fallbacks: list[turn_spec.Turn] = dataclasses.field(default_factory=list)
 
     @property
     def are_all_starting(self) -> bool:
@@ -96,6 +100,8 @@
         Called with the number of entries that use the replying sidecar.
     suspects
         Requests that are suspected to crash engines.
+    limits
+        Limits that the engines name.
     """
 
     def __init__(
@@ -109,7 +115,9 @@
         on_configuration_version: Callable[[str, int], None],
         on_entry_count: Callable[[int], None],
         suspects: suspects_module.Suspects,
+        limits: server_limits.ServerLimits,
     ) -> None:
+        self._limits = limits
         self._instance = instance
         self._on_entry_count = on_entry_count
         self._link = link
@@ -180,14 +188,30 @@
         turn = await self._try_shortest_wait(candidates, spec, replies)
         if turn is not None:
             return turn, True
-        fallback = replies.fallback
-        if fallback is None and not replies.refusals:
-            fallback = self._candidates.fallback_turn(spec, excluded)
-        if fallback is not None:
-            return fallback, False
+        turn = self._unconfirmed_turn(spec, excluded, replies)
+        if turn is not None:
+            return turn, False
         if replies.are_all_starting:
             return await self._await_start(replies.starting[0], spec), True
-        raise _earliest_retry(replies.refusals)
+        raise _earliest_retry(replies.refusals.values())
+
+    def _unconfirmed_turn(
+        self,
+        spec: turn_spec.TurnSpec,
+        excluded: Collection[str],
+        replies: _Replies,
+    ) -> turn_spec.Turn | None:
+        """Return a turn without consent, within the limit of its engine."""
+        turns: Iterable[turn_spec.Turn] = replies.fallbacks
+        if not replies.fallbacks and not replies.refusals:
+            turns = self._candidates.fallback_turns(spec, excluded)
+        for turn in turns:
+            if self._limits.try_acquire(turn.server):
+                return turn
+            replies.refusals[turn.server.name] = self._limits.refusal(
+                turn.server
+            )
+        return None
 
     async def _acquire_isolated(
         self, spec: turn_spec.TurnSpec, excluded: Collection[str]
@@ -246,14 +270,13 @@
             )
         except errors.NoReplyError as error:
             self._record_unresponsive(server, spec, error)
-            if replies.fallback is None:
-                replies.fallback = turn_candidates.unconfirmed_turn(
-                    server, spec
-                )
+            turn = turn_candidates.unconfirmed_turn(server, spec)
+            if turn is not None:
+                replies.fallbacks.append(turn)
         except errors.RefusalError as error:
             if not error.retry_elsewhere or self._is_suspect(spec):
                 raise
-            replies.refusals.append(error)
+            replies.refusals[server.name] = error
             if error.kind is errors.ErrorKind.BACKEND_STARTING:
                 replies.starting.append(server)
         return None
@@ -355,7 +378,10 @@
                 fingerprint=spec.fingerprint,
                 is_isolated=is_isolated,
                 suspects=self._suspects.exchange.update_for(server.ip),
+                server_start_id=server.start_id,
+                limit_per_s=self._limits.per_s(server),
             )
+            asked_at_s = self._clock.boot_s()
             try:
                 reply = await self._link.request_turn(
                     server.ip, request, wait_s + _REPLY_MARGIN_S
@@ -372,6 +398,11 @@
                 server.ip, request.suspects, reply.suspects
             )
             self._apply_reply(server, reply)
+            self._limits.record_reply(
+                self._granting_server(server, reply),
+                reply.limit_per_s,
+                asked_at_s,
+            )
             if reply.refusal is not None:
                 replies.refused_waits_s[server.name] = (
                     reply.wait_ms / _MS_PER_S
@@ -460,7 +491,7 @@
 
 
 def _earliest_retry(
-    refusals: list[errors.RefusalError],
+    refusals: Collection[errors.RefusalError],
 ) -> errors.RefusalError:
     """Return the refusal that allows the earliest retry."""
     if not refusals:
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -27,6 +27,7 @@
 from lacewingpitch import turn_lease
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_metrics
+from lacewingpitch import turn_pacer as turn_pacer_module
 from lacewingpitch import turn_queue
 from lacewingpitch import wait_estimator
 from lacewingpitch import work
@@ -96,6 +97,8 @@
         self._adapters = adapters
         self._engine = engine
         self._pacer = pacer
+        self._turn_pacer = turn_pacer_module.TurnPacer(clock, source)
+        self._limit_per_s: float | None = None
         self._clock = clock
         self._configuration_version = configuration_version
         self._turns: dict[str, turn_lease.TurnLease] = {}
@@ -104,9 +107,14 @@
             adapters,
             batch_forecast.BatchForecast(self._turns, queue.turn_count, clock),
             pacer,
+            self._turn_pacer,
+        )
+        self._hint_builder = hint_builder.HintBuilder(
+            queue, adapters, pacer, self._turn_pacer
+        )
+        self._admission = admission_module.Admission(
+            engine, source, self._turn_pacer
         )
-        self._hint_builder = hint_builder.HintBuilder(queue, adapters, pacer)
-        self._admission = admission_module.Admission(engine, source)
         self._run_durations = run_duration.RunDurationEstimator()
         self._awaiting_start_count = 0
 
@@ -133,9 +141,7 @@
             name = self._slot_name(request)
             wait = self._wait_estimator.estimate(request, name)
             is_above_share = self._exceeds_fair_share(request, wait)
-            refusal = self._admission.refusal(
-                request, wait.total_s, is_above_share
-            )
+            refusal = self._admission.refusal(request, wait, is_above_share)
             if refusal is not None:
                 return self._refused(
                     request, refusal, wait.total_s, is_above_share
@@ -204,13 +210,50 @@
                 turn.refusal = self._admission.not_serving_refusal()
                 await self._end(turn_id)
 
+    async def apply_limit(self, per_s: float | None) -> None:
+        """Apply the request rate limit that the engine names.
+
+        Parameters
+        ----------
+        per_s
+            Requests per second; ``None`` for no limit.
+        """
+        if per_s == self._limit_per_s:
+            return
+        self._limit_per_s = per_s
+        now_s = self._clock.monotonic_s()
+        unsent_count = sum(
+            turn.may_be_unsent(now_s) for turn in self._turns.values()
+        )
+        self._turn_pacer.apply_limit(per_s, unsent_count)
+        if per_s is not None:
+            await self._refuse_unreachable()
+
+    async def _refuse_unreachable(self) -> None:
+        """Refuse the pending turns that the limit allows too late."""
+        now_s = self._clock.monotonic_s()
+        pending_count = 0
+        for turn_id, turn in list(self._turns.items()):
+            if turn.granted_at_s is not None:
+                continue
+            wait_s = self._turn_pacer.wait_behind_s(pending_count)
+            if now_s + wait_s <= turn.start_by_s:
+                pending_count += 1
+                continue
+            turn.refusal = errors.RefusalError(
+                errors.ErrorKind.SERVER_LIMITED,
+                'the engine accepts fewer requests now',
+                retry_after_s=self._turn_pacer.next_return_s(wait_s),
+            )
+            await self._end(turn_id)
+
     def _exceeds_fair_share(
         self,
         request: turn_messages.TurnRequest,
         wait: wait_estimator.WaitEstimate,
     ) -> bool:
         # While turns are free, a further one delays no other organisation.
-        if not wait.turn_s:
+        if not wait.turn_s and not wait.limit_s:
             return False
         return fair_share.is_exceeded(
             request, (turn.request for turn in self._turns.values())
@@ -242,9 +285,10 @@
             request, now_s, deadline_at_s, wait, self._expected_run_s(request)
         )
         self._turns[request.turn_id] = turn
-        turn.expected_prompt.enter_context(
+        turn.expected_work.enter_context(
             self._pacer.expecting(request.prompt_tokens)
         )
+        turn.expected_work.enter_context(self._turn_pacer.expecting())
         turn.task = asyncio.create_task(self._acquire(turn))
         return turn
 
@@ -285,7 +329,11 @@
         turn.record_step(self._clock.monotonic_s())
         await turn.resources.enter_async_context(reservation.turn())
         turn.record_step(self._clock.monotonic_s())
-        turn.expected_prompt.close()
+        turn.expected_work.close()
+        await self._turn_pacer.admit(
+            request.flow, request.rank, request.weight
+        )
+        turn.record_step(self._clock.monotonic_s())
         await self._pacer.admit(
             request.prompt_tokens, request.flow, request.rank, request.weight
         )
@@ -324,7 +372,7 @@
             if not turn.task.done():
                 turn.task.cancel()
                 await asyncio.wait([turn.task])
-        turn.expected_prompt.close()
+        turn.expected_work.close()
         await turn.resources.aclose()
 
     def _slot_name(self, request: turn_messages.TurnRequest) -> str:
@@ -394,4 +442,5 @@
             hint=self._hint_builder.build(),
             started_at_ms=self._engine.started_at_ms,
             wait_ms=wait_ms,
+            limit_per_s=self._limit_per_s,
         )
--- a/lacewingpitch/turn_lease.py
+++ b/lacewingpitch/turn_lease.py
@@ -11,16 +11,19 @@
 
 _MS_PER_S = 1000
 # Number of completed steps: a queue reservation, the adapter, a turn in the
-# batch.
+# batch, the engine's request rate limit.
 _RESERVED_STEPS = 1
 _PREPARED_STEPS = 2
 _TURN_STEPS = 3
-_STEP_NAMES = ('place_ms', 'adapter_ms', 'turn_ms', 'prompt_ms')
+_STEP_NAMES = ('place_ms', 'adapter_ms', 'turn_ms', 'limit_ms', 'prompt_ms')
 # A granted run shows in the engine's report only after the entry has sent
 # the request: the transfer, the body, and the engine's own queue take time.
 # A turn whose run is missing for longer belongs to an entry that has died or
 # is partitioned, and its capacity is free.
 _MISSING_AFTER_S = 1.5
+# Time in which a request normally reaches the engine after its turn was
+# granted.
+_SEND_DELAY_S = 0.2
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -37,8 +40,9 @@
         Expected duration of the run.
     last_reported_s
         When a report that showed the run was requested; None before.
-    expected_prompt
-        Closed once the prompt no longer counts as expected by the pacer.
+    expected_work
+        Closed once its prompt and its turn no longer count as expected by
+        their pacers.
     resources
         Queue reservation, adapter and turn, released together.
     """
@@ -52,7 +56,7 @@
     refusal: errors.RefusalError | None = None
     granted_at_s: float | None = None
     last_reported_s: float | None = None
-    expected_prompt: contextlib.ExitStack = dataclasses.field(
+    expected_work: contextlib.ExitStack = dataclasses.field(
         default_factory=contextlib.ExitStack
     )
     resources: contextlib.AsyncExitStack = dataclasses.field(
@@ -60,6 +64,11 @@
     )
     _steps_at_s: list[float] = dataclasses.field(default_factory=list)
 
+    @property
+    def start_by_s(self) -> float:
+        """Return the time after which the turn is of no use."""
+        return self.requested_at_s + self.request.start_within_ms / _MS_PER_S
+
     @property
     def has_reservation(self) -> bool:
         """Whether it has left the queue, and prepares or runs."""
@@ -79,6 +88,14 @@
         """Record that the next step is completed."""
         self._steps_at_s.append(now_s)
 
+    def may_be_unsent(self, now_s: float) -> bool:
+        """Whether its request may still be on the way to the engine."""
+        return (
+            self.granted_at_s is not None
+            and self.last_reported_s is None
+            and now_s - self.granted_at_s < _SEND_DELAY_S
+        )
+
     def remaining_s(self, now_s: float) -> float:
         """Return how much longer the turn is expected to last."""
         if self.granted_at_s is None:
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -67,6 +67,12 @@
         Whether it must run as the only suspect request.
     suspects
         The entry's updates about suspect requests.
+    server_start_id
+        Start of the engine that the entry knows; see
+        `backend_list.BackendServer`.
+    limit_per_s
+        Request rate limit that this start of the engine has named, as the
+        entry knows it; ``None`` if it knows of none.
     """
 
     entry: str
@@ -91,6 +97,8 @@
     fingerprint: str = ''
     is_isolated: bool = False
     suspects: suspect_exchange.SuspectNews | None = None
+    server_start_id: str = ''
+    limit_per_s: float | None = None
 
     @property
     def flow(self) -> str:
@@ -123,6 +131,8 @@
         Expected wait of a refused turn; 0 if unknown.
     suspects
         The sidecar's updates about suspect requests.
+    limit_per_s
+        Request rate limit of the engine; ``None`` if it names none.
     """
 
     backend_server: str = ''
@@ -137,6 +147,7 @@
     started_at_ms: int = 0
     wait_ms: int = 0
     suspects: suspect_exchange.SuspectNews | None = None
+    limit_per_s: float | None = None
 
 
 class TurnEnds(link.Message, frozen=True):
@@ -174,6 +185,29 @@
     started_at_ms: int = 0
 
 
+class AnsweredLimit(link.Message, frozen=True):
+    """Tells a sidecar whether an answer of its engine names a limit.
+
+    Parameters
+    ----------
+    server_start_id
+        Start of the engine; see `backend_list.BackendServer`.
+    limit_per_s
+        Request rate limit; ``None`` if the answer names none.
+    answer_age_ms
+        Time since the request was sent to the engine.
+    """
+
+    entry: str
+    server_start_id: str
+    limit_per_s: float | None
+    answer_age_ms: int
+
+
+class AnsweredLimitReply(link.Message, frozen=True):
+    """Confirms `AnsweredLimit`."""
+
+
 class ConfigurationRequest(link.Message, frozen=True):
     """Requests the configuration if it is newer than a version."""
 
--- a/lacewingpitch/turn_metrics.py
+++ b/lacewingpitch/turn_metrics.py
@@ -57,6 +57,7 @@
             expected_place_ms=round(estimate.slot_s * _MS_PER_S),
             expected_load_ms=round(estimate.load_s * _MS_PER_S),
             expected_turn_ms=round(estimate.turn_s * _MS_PER_S),
+            expected_limit_ms=round(estimate.limit_s * _MS_PER_S),
             **waits_ms,
             running=self._queue.running,
             queued=self._queue.queued,
@@ -101,6 +102,7 @@
         for part, expected_s, waited_ms in (
             ('adapter', estimate.adapter_s, waits_ms['adapter_ms']),
             ('turn', estimate.turn_s, waits_ms['turn_ms']),
+            ('limit', estimate.limit_s, waits_ms['limit_ms']),
             ('prompt', estimate.prompt_s, waits_ms['prompt_ms']),
         ):
             error_s = abs(waited_ms / _MS_PER_S - expected_s)
--- a/lacewingpitch/wait_estimator.py
+++ b/lacewingpitch/wait_estimator.py
@@ -6,6 +6,7 @@
 from lacewingpitch import prefill_pacer
 from lacewingpitch import slot_simulation
 from lacewingpitch import turn_messages
+from lacewingpitch import turn_pacer as turn_pacer_module
 
 # The expected time until an adapter slot is free is a mean; individual runs
 # are longer or shorter.  With this safety factor most of the admitted
@@ -41,6 +42,8 @@
         From then until the adapter is loaded.
     turn_s
         From then until a turn in the engine's batch is free.
+    limit_s
+        From then until the engine's request rate limit allows it.
     prompt_s
         From then until the prompts ahead of its own are read.
     """
@@ -48,6 +51,7 @@
     slot_s: float = 0.0
     load_s: float = 0.0
     turn_s: float = 0.0
+    limit_s: float = 0.0
     prompt_s: float = 0.0
 
     @property
@@ -58,7 +62,7 @@
     @property
     def total_s(self) -> float:
         """Return the whole wait."""
-        return self.adapter_s + self.turn_s + self.prompt_s
+        return self.adapter_s + self.turn_s + self.limit_s + self.prompt_s
 
 
 class WaitEstimator:
@@ -75,6 +79,8 @@
         Estimates when a run ends, and who gets its turn.
     pacer
         Estimates which prompts are ahead, and how fast they are read.
+    turn_pacer
+        Estimates when the engine's request rate limit allows a turn.
     """
 
     def __init__(
@@ -82,10 +88,12 @@
         adapters: AdapterWaits,
         batch: BatchWaits,
         pacer: prefill_pacer.PrefillPacer,
+        turn_pacer: turn_pacer_module.TurnPacer,
     ) -> None:
         self._adapters = adapters
         self._batch = batch
         self._pacer = pacer
+        self._turn_pacer = turn_pacer
 
     def estimate(
         self, request: turn_messages.TurnRequest, name: str
@@ -102,11 +110,15 @@
             wait = self._adapters.expected_wait(name)
         slot_s = _SLOT_WAIT_SAFETY_FACTOR * wait.slot_s
         turn_s = self._batch.wait_s(wait.total_s, request.flow, request.weight)
+        ready_s = slot_s + wait.load_s + turn_s
+        limit_s = self._turn_pacer.wait_s(
+            request.flow, request.rank, request.weight, ready_s
+        )
         prompt_s = self._pacer.wait_s(
             request.prompt_tokens,
             request.flow,
             request.rank,
-            slot_s + wait.load_s + turn_s,
+            ready_s + limit_s,
             request.weight,
         )
-        return WaitEstimate(slot_s, wait.load_s, turn_s, prompt_s)
+        return WaitEstimate(slot_s, wait.load_s, turn_s, limit_s, prompt_s)
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -15,6 +15,7 @@
 from lacewingpitch import turn_messages
 from lacewingpitch import wait_estimator
 from tests import clocks
+from tests import limit_fakes
 
 WAIT = wait_estimator.WaitEstimate()
 
@@ -126,6 +127,7 @@
                 servers, ejection.Ejector(clock, source), 'z', source
             ),
             record,
+            limit_fakes.make_limits(clock),
         )
 
     def chosen(self, selector, count=20, **fields):
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -20,6 +20,7 @@
 from lacewingpitch import service_balancer
 from lacewingpitch import suspects
 from lacewingpitch import turn_spec
+from tests import limit_fakes
 
 Kind = routing.RequestKind
 Outcome = errors.Outcome
@@ -159,6 +160,7 @@
             self.clock,
             source,
             self.suspects,
+            limit_fakes.make_limits(self.clock, has_sidecar=False),
         )
 
     async def forward(self, found_route, model='', limit_s=5.0, **fields):
--- /dev/null
+++ b/tests/test_server_limits.py
@@ -0,0 +1,399 @@
+"""Pacing by the limits that servers name, in virtual time."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from benchmarks import virtual_time
+from lacewingpitch import backend_list
+from lacewingpitch import ejection
+from lacewingpitch import errors
+from lacewingpitch import limit_share
+from lacewingpitch import plain_server_selector
+from lacewingpitch import return_times
+from lacewingpitch import service_balancer
+from lacewingpitch import suspects
+from lacewingpitch import turn_messages
+from lacewingpitch import turn_pacer
+from tests import clocks
+from tests import limit_fakes
+from tests import test_organisation_fairness
+from tests import test_turn_client
+
+LIMITED = errors.ErrorKind.SERVER_LIMITED
+WINDOW_S = 4.0
+
+
+def most_in_window(times_s):
+    return max(
+        (
+            sum(end_s - WINDOW_S < at_s <= end_s for at_s in times_s)
+            for end_s in times_s
+        ),
+        default=0,
+    )
+
+
+def allowed(limit_per_s):
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+class TestTurnPacer:
+    def released(self, limit_per_s, count, **fields):
+        async def main():
+            clock = virtual_time.LoopClock()
+            pacer = turn_pacer.TurnPacer(clock, random.Random(1))
+            pacer.apply_limit(limit_per_s, **{'unsent_count': 0, **fields})
+            times_s = []
+
+            async def admit():
+                await pacer.admit('chat', 1, 1.0)
+                times_s.append(clock.monotonic_s())
+
+            started_s = clock.monotonic_s()
+            await asyncio.gather(*(admit() for _ in range(count)))
+            return [at_s - started_s for at_s in times_s]
+
+        return virtual_time.run(main())
+
+    def test_turns_are_released_at_the_limit(self):
+        times_s = self.released(2.0, 6)
+        assert times_s == pytest.approx([0.5, 1.0, 1.5, 2.0, 2.5, 3.0])
+
+    def test_unsent_turns_count(self):
+        """Guards against turns on their way beyond the limit."""
+        assert self.released(2.0, 1, unsent_count=3) == pytest.approx([2.0])
+
+    def test_no_limit_delays_nothing(self):
+        assert self.released(None, 50) == [0.0] * 50
+
+    def test_an_engine_that_accepts_nothing_is_tried_now_and_then(self):
+        """Guards against a limit of zero that nobody hears the end of."""
+        assert self.released(0.0, 1) == pytest.approx([30.0])
+
+    def test_waiting_turns_are_released_when_the_limit_ends(self):
+        """Guards against turns that wait for a limit of before."""
+
+        async def main():
+            clock = virtual_time.LoopClock()
+            pacer = turn_pacer.TurnPacer(clock, random.Random(1))
+            pacer.apply_limit(0.1, 0)
+            tasks = [
+                asyncio.create_task(pacer.admit('chat', 1, 1.0))
+                for _ in range(20)
+            ]
+            await asyncio.sleep(1.0)
+            pacer.apply_limit(None, 0)
+            await asyncio.wait(tasks, timeout=0.1)
+            return all(task.done() for task in tasks)
+
+        assert virtual_time.run(main())
+
+    def test_flows_share_the_limit(self):
+        """Guards against a flood that takes the whole limit."""
+
+        async def main():
+            clock = virtual_time.LoopClock()
+            pacer = turn_pacer.TurnPacer(clock, random.Random(1))
+            pacer.apply_limit(2.0, 0)
+            order = []
+
+            async def admit(flow):
+                await pacer.admit(flow, 1, 1.0)
+                order.append(flow)
+
+            flows = ['flood'] * 20 + ['calm'] * 3
+            await asyncio.gather(*(admit(flow) for flow in flows))
+            return order
+
+        assert virtual_time.run(main())[:7].count('calm') == 3
+
+
+class TestReturnTimes:
+    def test_callers_return_one_after_the_other(self):
+        """Guards against refused callers that return all at once."""
+        clock = clocks.ManualClock()
+        returns = return_times.ReturnTimes(clock, random.Random(1))
+        assert [returns.next_s(2.0, 0.5) for _ in range(3)] == [2.0, 2.5, 3.0]
+        clock.now_s = 10.0
+        assert returns.next_s(0.2, 0.5) == pytest.approx(0.2)
+
+    def test_times_have_a_maximum(self):
+        clock = clocks.ManualClock()
+        returns = return_times.ReturnTimes(clock, random.Random(1))
+        times_s = [returns.next_s(1.0, 1.0) for _ in range(100)]
+        assert max(times_s) <= 10.0
+        assert len(set(times_s)) == 100
+
+
+class TestLimitShare:
+    @pytest.mark.parametrize('limit_per_s', [1.2, 5.0, 30.0])
+    @pytest.mark.parametrize('entry_count', [1, 4, 30, 300])
+    def test_entries_keep_the_limit_together(self, limit_per_s, entry_count):
+        """Guards against shares that add up to more than the limit."""
+        clock = clocks.ManualClock()
+        source = random.Random(7)
+        shares = [
+            limit_share.LimitShare(
+                0.75 * limit_per_s / entry_count, clock, source
+            )
+            for _ in range(entry_count)
+        ]
+        times_s = []
+        for step in range(400):
+            clock.now_s = step * 0.1
+            # Every entry has more requests than its share allows.
+            times_s += [clock.now_s for s in shares if s.try_acquire()]
+        assert most_in_window(times_s) <= allowed(limit_per_s)
+        assert len(times_s) > 0.3 * limit_per_s * 40.0
+
+    def test_idle_entries_save_up_nothing(self):
+        """Guards against entries that all send at once after an idle time."""
+        clock = clocks.ManualClock()
+        source = random.Random(7)
+        shares = [
+            limit_share.LimitShare(1.5 / 300, clock, source)
+            for _ in range(300)
+        ]
+        clock.now_s = 5000.0
+        assert sum(s.try_acquire() for s in shares) <= 5
+
+    def test_the_wait_ends_when_a_request_is_allowed(self):
+        clock = clocks.ManualClock()
+        share = limit_share.LimitShare(0.1, clock, random.Random(7))
+        wait_s = share.wait_s()
+        assert 0.0 < wait_s <= 10.0
+        clock.now_s = wait_s + 1e-6
+        assert share.try_acquire()
+        assert not share.try_acquire()
+
+
+class GranterScene(test_organisation_fairness.Scene):
+    """A granter whose engine names a limit."""
+
+    async def send(self, per_s, length_s, **fields):
+        """Request turns at a steady rate; return when they were granted."""
+        granted_at_s = []
+        refusals = []
+
+        async def one():
+            request = msgspec.structs.replace(
+                self.request('one', 3.0), **fields
+            )
+            reply = await self.granter.request_turn(request)
+            if reply.refusal is None and not reply.is_pending:
+                granted_at_s.append(self.clock.monotonic_s())
+            else:
+                refusals.append(reply)
+            await self.granter.end_turns([request.turn_id])
+
+        tasks = []
+        for _ in range(int(per_s * length_s)):
+            tasks.append(asyncio.create_task(one()))
+            await asyncio.sleep(1.0 / per_s)
+        await asyncio.gather(*tasks)
+        return granted_at_s, refusals
+
+
+class TestGranter:
+    def play(self, limit_per_s, per_s=20.0, length_s=20.0):
+        async def main():
+            scene = GranterScene()
+            await scene.send(per_s, 2.0)
+            await scene.granter.apply_limit(limit_per_s)
+            return await scene.send(per_s, length_s)
+
+        return virtual_time.run(main())
+
+    @pytest.mark.parametrize('limit_per_s', [0.4, 1.5, 6.0])
+    def test_turns_keep_the_limit(self, limit_per_s):
+        """Guards against an engine that gets more than it accepts."""
+        granted_at_s, refusals = self.play(limit_per_s)
+        assert most_in_window(granted_at_s) <= limit_per_s * WINDOW_S + 1
+        assert len(granted_at_s) >= 0.8 * limit_per_s * 20.0
+        assert {reply.refusal for reply in refusals} == {LIMITED}
+
+    def test_refused_callers_return_at_different_times(self):
+        """Guards against refused callers that return all at once."""
+        _, refusals = self.play(1.5, length_s=1.0)
+        times_ms = [reply.retry_after_ms for reply in refusals]
+        assert len(set(times_ms)) == len(times_ms) > 5
+
+    def test_pending_turns_that_come_too_late_are_refused_at_once(self):
+        """Guards against callers that wait for a turn until their deadline."""
+
+        async def main():
+            scene = GranterScene()
+            await scene.granter.apply_limit(5.0)
+            waiting = [
+                asyncio.create_task(
+                    scene.granter.request_turn(scene.request('one', 3.0))
+                )
+                for _ in range(3)
+            ]
+            await asyncio.sleep(0.01)
+            await scene.granter.apply_limit(0.1)
+            done, _ = await asyncio.wait(waiting, timeout=0.1)
+            return [task.result().refusal for task in done]
+
+        assert virtual_time.run(main()) == [LIMITED] * 3
+
+    def test_replies_state_the_limit(self):
+        async def main():
+            scene = GranterScene()
+            await scene.granter.apply_limit(5.0)
+            return await scene.granter.request_turn(scene.request('one', 3.0))
+
+        assert virtual_time.run(main()).limit_per_s == 5.0
+
+
+class TestTurnClient:
+    def test_turns_without_consent_keep_the_share(self):
+        """Guards against an engine without sidecar that gets too much."""
+
+        async def main():
+            scene = test_turn_client.Scene(a={'m/x': 1})
+            server = scene.servers.get('a')
+            scene.limits.record_answer(server, 1.5, scene.clock.boot_s())
+            scene.sidecars.replies = {f'10.0.0.{n}': None for n in (1, 2, 3)}
+            times_s = []
+            for number in range(60):
+                try:
+                    async with scene.client.acquire(
+                        scene.spec(f'r{number}'), ()
+                    ):
+                        times_s.append(scene.clock.monotonic_s())
+                except errors.RefusalError as error:
+                    assert error.outcome is errors.Outcome.NOT_RUN
+                    assert error.retry_after_s > 0.0
+                await asyncio.sleep(0.05)
+            return times_s
+
+        times_s = virtual_time.run(main())
+        assert 0 < most_in_window(times_s) <= 1.5 * WINDOW_S
+
+    def test_requests_tell_a_sidecar_the_limit(self):
+        """Guards against a restarted sidecar that knows no limit."""
+
+        async def main():
+            scene = test_turn_client.Scene(a={'m/x': 1})
+            server = scene.servers.get('a')
+            scene.limits.record_answer(server, 1.5, scene.clock.boot_s())
+            async with scene.client.acquire(scene.spec(), 'bc'):
+                return scene.sidecars.requests[-1][1]
+
+        request = virtual_time.run(main())
+        assert request.limit_per_s == 1.5
+        assert request.server_start_id == 'a@0'
+
+    def test_replies_tell_an_entry_the_limit(self):
+        """Guards against an entry that ignores a limit it has not heard."""
+
+        async def main():
+            scene = test_turn_client.Scene(a={'m/x': 1})
+            reply = turn_messages.TurnReply(limit_per_s=1.5)
+            scene.sidecars.replies = {'10.0.0.1': reply}
+            async with scene.client.acquire(scene.spec(), 'bc'):
+                return scene.limits.per_s(scene.servers.get('a'))
+
+        assert virtual_time.run(main()) == 1.5
+
+
+class TestReports:
+    def play(self, link, *limits_per_s):
+        async def main():
+            clock = virtual_time.LoopClock()
+            limits = limit_fakes.make_limits(clock, link)
+            server = backend_list.BackendServer('a', 's', '10.0.0.1', 80, 'z')
+            for limit_per_s in limits_per_s:
+                asked_at_s = clock.boot_s()
+                await asyncio.sleep(0.1)
+                limits.record_answer(server, limit_per_s, asked_at_s)
+                await asyncio.sleep(0.1)
+            await limits.close()
+
+        virtual_time.run(main())
+
+    def test_the_sidecar_is_told_at_once(self):
+        """Guards against a limit that only one entry knows."""
+        link = limit_fakes.LimitLink()
+        self.play(link, 1.5, None)
+        assert [m.limit_per_s for _, m in link.reports] == [1.5, None]
+        assert {ip for ip, _ in link.reports} == {'10.0.0.1'}
+        assert link.reports[0][1].answer_age_ms == pytest.approx(100, abs=2)
+
+    def test_without_limit_nothing_is_sent(self):
+        link = limit_fakes.LimitLink()
+        self.play(link, None, None)
+        assert link.reports == []
+
+    def test_a_silent_sidecar_is_no_error(self):
+        link = limit_fakes.LimitLink()
+        link.is_silent = True
+        self.play(link, 1.5)
+
+
+class TestPlainServers:
+    def scene(self, entry_count=1):
+        clock = clocks.ManualClock()
+        servers = backend_list.BackendList(clock)
+        servers.replace_all(
+            backend_list.BackendServer(
+                name, 'lookup', f'10.0.0.{number}', 80, 'z'
+            )
+            for number, name in enumerate('ab')
+        )
+        source = random.Random(2)
+        limits = limit_fakes.make_limits(
+            clock, has_sidecar=False, entry_count=entry_count
+        )
+        selector = plain_server_selector.PlainServerSelector(
+            service_balancer.ServiceBalancer(
+                servers, ejection.Ejector(clock, source), 'z', source
+            ),
+            suspects.Suspects(clock, source).record,
+            limits,
+        )
+        return clock, servers, limits, selector
+
+    def chosen(self, clock, selector, count=200, pause_s=0.1):
+        found = []
+        for _ in range(count):
+            clock.now_s += pause_s
+            try:
+                with selector.select('f', ('lookup',), ()) as server:
+                    found.append((server.name, clock.now_s))
+            except errors.RefusalError as error:
+                found.append((error, clock.now_s))
+        return found
+
+    def test_what_the_limit_leaves_out_goes_elsewhere(self):
+        """Guards against a plain server that gets more than it accepts."""
+        clock, servers, limits, selector = self.scene()
+        limits.record_answer(servers.get('a'), 1.5, 0.0)
+        found = self.chosen(clock, selector)
+        times_s = [at_s for name, at_s in found if name == 'a']
+        assert 0 < most_in_window(times_s) <= 1.5 * WINDOW_S
+        assert {name for name, _ in found} == {'a', 'b'}
+
+    def test_without_another_server_it_is_refused_at_once(self):
+        clock, servers, limits, selector = self.scene()
+        for name in 'ab':
+            limits.record_answer(servers.get(name), 0.5, 0.0)
+        found = self.chosen(clock, selector, 20)
+        refusals = [e for e, _ in found if isinstance(e, errors.RefusalError)]
+        assert {error.kind for error in refusals} == {LIMITED}
+        assert {error.outcome for error in refusals} == {
+            errors.Outcome.NOT_RUN
+        }
+        assert all(error.retry_after_s > 0.0 for error in refusals)
+
+    def test_the_end_of_a_limit_frees_the_server(self):
+        """Guards against a limit that stays after it has ended."""
+        clock, servers, limits, selector = self.scene()
+        limits.record_answer(servers.get('a'), 0.5, 0.0)
+        limits.record_answer(servers.get('a'), None, 0.1)
+        found = [name for name, _ in self.chosen(clock, selector, 40)]
+        assert found.count('a') > 10
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -17,6 +17,7 @@
 from lacewingpitch import turn_client
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_spec
+from tests import limit_fakes
 
 DRAINING = errors.ErrorKind.DRAINING
 STARTING = errors.ErrorKind.BACKEND_STARTING
@@ -75,6 +76,7 @@
         self.placement = placement.Placement(
             self.clock, settings.ObjectiveSettings(stall_weight=1)
         )
+        self.limits = limit_fakes.make_limits(self.clock)
         self.client = turn_client.TurnClient(
             'edge-1',
             self.sidecars,
@@ -85,6 +87,7 @@
             lambda ip, version: self.versions.append(version),
             self.entries.append,
             self.suspects,
+            self.limits,
         )
 
     def spec(self, name='one', **fields):
