Permits of one owner for plain servers that name a limit

One sidecar by rendezvous hash, as for the limits of organisations, grants permits; a refused entry gets a time of its own to ask again. Turns without the consent of an engine's sidecar use such permits, too, of a quarter of the limit. Shares are left for when no owner answers.

--- a/benchmarks/server_limits.py
+++ b/benchmarks/server_limits.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from lacewingpitch import limit_share
+from lacewingpitch import server_permits
 from lacewingpitch import token_bucket
 
 SEED_COUNT = 5
@@ -33,6 +34,8 @@
     def boot_s(self):
         return self.now_s
 
+    monotonic_s = boot_s
+
 
 class Buckets:
     """Token buckets that hold at most one request.
@@ -71,6 +74,30 @@
         return self._shares[entry].try_acquire()
 
 
+class Permits:
+    """Permits of one owner, which each entry asks when it said."""
+
+    def __init__(self, clock, rate_per_s, count, source):
+        self._clock = clock
+        self._owner = server_permits.PermitOwner(clock, source)
+        self._rate_per_s = rate_per_s
+        self._refused_until_s = [0.0] * count
+        self.message_count = 0
+
+    def try_acquire(self, entry):
+        if self._clock.now_s < self._refused_until_s[entry]:
+            return False
+        self.message_count += 1
+        reply = self._owner.grant(
+            server_permits.PermitRequest(
+                entry=str(entry), server_start_id='a', per_s=self._rate_per_s
+            )
+        )
+        wait_s = reply.wait_ms / 1000
+        self._refused_until_s[entry] = self._clock.now_s + wait_s
+        return not wait_s
+
+
 def ways(clock, per_s, entry_count, source):
     """Return the ways to compare, by name."""
     share_per_s = per_s / entry_count
@@ -83,6 +110,7 @@
         f'the same, {SHARED_RATIO:.0%} of the limit': Shares(
             clock, SHARED_RATIO * share_per_s, entry_count, source
         ),
+        'permits of one owner': Permits(clock, per_s, entry_count, source),
         'one bucket at the sidecar': Buckets(clock, per_s, 1),
     }
 
--- a/lacewingpitch/control_client.py
+++ b/lacewingpitch/control_client.py
@@ -3,6 +3,7 @@
 from lacewingpitch import errors
 from lacewingpitch import link
 from lacewingpitch import peer_bootstrap
+from lacewingpitch import server_permits
 from lacewingpitch import settings
 from lacewingpitch import turn_messages
 from lacewingpitch import usage_lease
@@ -48,6 +49,14 @@
             message, turn_messages.AnsweredLimitReply, timeout_s
         )
 
+    async def request_permit(
+        self, ip: str, message: server_permits.PermitRequest, timeout_s: float
+    ) -> server_permits.PermitReply:
+        """Request a permit to send to a server that names a limit."""
+        return await self._sidecar(ip).ask(
+            message, server_permits.PermitReply, timeout_s
+        )
+
     async def request_configuration(
         self,
         ip: str,
--- a/lacewingpitch/plain_server_selector.py
+++ b/lacewingpitch/plain_server_selector.py
@@ -1,6 +1,6 @@
 """Selects a server of a plain service for one request."""
 
-from collections.abc import Collection, Iterator, Sequence
+from collections.abc import AsyncIterator, Collection, Iterator, Sequence
 import contextlib
 
 from lacewingpitch import backend_list
@@ -40,13 +40,13 @@
         self._record = record
         self._is_isolating = False
 
-    @contextlib.contextmanager
-    def select(
+    @contextlib.asynccontextmanager
+    async def select(
         self,
         fingerprint: str,
         services: Sequence[str],
         excluded: Collection[str],
-    ) -> Iterator[backend_list.BackendServer]:
+    ) -> AsyncIterator[backend_list.BackendServer]:
         """Select a server, and count the request while the context is open.
 
         Parameters
@@ -66,7 +66,7 @@
         with contextlib.ExitStack() as stack:
             if is_isolated:
                 stack.enter_context(self._isolated_run())
-            server = self._choose(services, excluded, is_isolated)
+            server = await self._choose(services, excluded, is_isolated)
             stack.enter_context(self._balancer.track_request(server))
             yield server
 
@@ -84,13 +84,13 @@
         finally:
             self._is_isolating = False
 
-    def _choose(
+    async def _choose(
         self,
         services: Sequence[str],
         excluded: Collection[str],
         is_isolated: bool,
     ) -> backend_list.BackendServer:
-        limited: dict[str, backend_list.BackendServer] = {}
+        limited: dict[str, errors.RefusalError] = {}
         for service in services:
             while True:
                 skipped = {*excluded, *limited}
@@ -102,13 +102,18 @@
                     server = self._balancer.choose(service, skipped)
                 if server is None:
                     break
-                if self._limits.try_acquire(server):
+                refusal = await self._limits.try_acquire(server)
+                if refusal is None:
                     return server
-                limited[server.name] = server
+                limited[server.name] = refusal
         if limited:
-            raise self._limits.earliest_refusal(limited.values())
+            raise min(limited.values(), key=_retry_after_s)
         raise errors.RefusalError(
             errors.ErrorKind.NO_BACKEND_SERVER,
             'no backend server of the service can be reached',
             retry_after_s=_NO_SERVER_RETRY_AFTER_S,
         )
+
+
+def _retry_after_s(error: errors.RefusalError) -> float:
+    return error.retry_after_s or 0.0
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -109,9 +109,13 @@
             self._suspects.detector.record_exit
         )
         self._process.exits.callback(ends.dispose)
+        owners = usage_ownership.UsageOwnership(
+            self.servers, self._has_sidecar, self._process.clock
+        )
         self._limits = server_limits.ServerLimits(
             file.settings.instance,
             self._peers,
+            owners,
             self._has_sidecar,
             lambda: self._budgets.entry_count,
             self._process.clock,
@@ -121,9 +125,7 @@
         self._usage = usage_limits.UsageLimits(
             file.settings.instance,
             self._peers,
-            usage_ownership.UsageOwnership(
-                self.servers, self._has_sidecar, self._process.clock
-            ),
+            owners,
             self._process.clock,
             lambda: self._process.table.version,
             lambda: self._budgets.entry_count,
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -15,6 +15,7 @@
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import store_updates
 from lacewingpitch.platform import wire
+from lacewingpitch import server_permits
 from lacewingpitch import turn_messages
 from lacewingpitch import usage_lease
 
@@ -96,6 +97,10 @@
         self._control.handle(turn_messages.ConfigurationOffer, exchange.accept)
         usage_owner = usage_lease.UsageOwner(self._process.clock)
         self._control.handle(usage_lease.UsageAsk, usage_owner.grant)
+        permit_owner = server_permits.PermitOwner(
+            self._process.clock, self._process.random
+        )
+        self._control.handle(server_permits.PermitRequest, permit_owner.answer)
         store = store_module.Store(
             session, settings_module.url_of(settings.store)
         )
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -180,7 +180,7 @@
         Requests without a model need no turn.
         """
         if not request.model:
-            with self._plain_servers.select(
+            async with self._plain_servers.select(
                 request.fingerprint, services, history.servers
             ) as server:
                 yield turn_spec.Turn(server, 0)
--- a/lacewingpitch/server_limits.py
+++ b/lacewingpitch/server_limits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 import dataclasses
 import random
 from typing import Protocol
@@ -15,6 +15,7 @@
 from lacewingpitch import limit_share
 from lacewingpitch import named_limit
 from lacewingpitch import return_times
+from lacewingpitch import server_permits
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_pacer
 
@@ -23,18 +24,15 @@
 _REPORT_TIMEOUT_S = 1.0
 # Reports in progress; further answers of the same servers say the same.
 _MAX_REPORTS = 64
-# The sidecar of an engine may grant turns to other entries while this entry
-# sends without its consent.
-_UNCONFIRMED_RATIO = 0.5
-# Entries don't know each other's phases, so that more than the mean can send
-# in the same seconds.
-_SHARED_RATIO = 0.75
+_PERMIT_TIMEOUT_S = 0.25
+# Time for which an owner that didn't answer is not asked again.
+_UNRESPONSIVE_S = 1.0
 _MS_PER_S = 1000
 log = structlog.get_logger(__name__)
 
 
 class SidecarLink(Protocol):
-    """Messages to the sidecars of engines."""
+    """Messages to sidecars."""
 
     async def report_limit(
         self, ip: str, message: turn_messages.AnsweredLimit, timeout_s: float
@@ -42,22 +40,72 @@
         """Tell a sidecar whether an answer of its engine names a limit."""
         ...
 
+    async def request_permit(
+        self, ip: str, message: server_permits.PermitRequest, timeout_s: float
+    ) -> server_permits.PermitReply:
+        """Request a permit to send to a server from its owner."""
+        ...
+
+
+class Owners(Protocol):
+    """Finds the sidecars that own limits."""
+
+    def owner(self, name: str) -> str:
+        """Return the owner's address; empty if there is no owner."""
+        ...
+
+    def mark_unresponsive(self, ip: str) -> None:
+        """Record that a process did not answer."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Parts:
+    """Parts of a limit for requests that no sidecar of the server paces.
+
+    Parameters
+    ----------
+    permitted_ratio
+        Part that the owner of its permits grants.
+    shared_ratio
+        Part that entries share which can't reach that owner.
+    """
+
+    permitted_ratio: float
+    shared_ratio: float
+
+
+# The sidecar of an engine may grant all of the limit to other entries at the
+# same time, and the owner its part to some of them.
+_ENGINE_PARTS = _Parts(permitted_ratio=0.25, shared_ratio=0.25)
+_PLAIN_PARTS = _Parts(permitted_ratio=1.0, shared_ratio=0.5)
+
 
 @dataclasses.dataclass(slots=True)
 class _ServerLimit:
-    """The limit of one start of a server, and this entry's share of it."""
+    """The limit of one start of a server.
+
+    Parameters
+    ----------
+    share
+        This entry's share, while the owner of the permits can't be reached.
+    refused_until_s
+        When to ask the owner of the permits again, by the boot clock.
+    """
 
     named: named_limit.NamedLimit
     returns: return_times.ReturnTimes
     share: limit_share.LimitShare | None = None
+    refused_until_s: float = 0.0
 
 
 class ServerLimits:
     """Follows the limits that backend servers name in their answers.
 
     The sidecar of an engine paces the turns that it grants, and is told at
-    once what the engine's answers say.  Without the sidecar, and at plain
-    servers, which have none, each entry uses an equal share of the limit.
+    once what the engine's answers say.  Without that sidecar, and at plain
+    servers, which have none, requests need a permit of the sidecar that owns
+    the limit.  If it does not answer, each entry uses an equal share.
 
     A limit belongs to one start of a server, and ends with it.
 
@@ -65,6 +113,8 @@
     ----------
     instance
         Name of this entry.
+    owners
+        Finds the owners of permits.
     has_sidecar
         Whether the servers of a service have sidecars.
     entry_count
@@ -75,13 +125,14 @@
     Attributes
     ----------
     exceeded_count
-        Requests that a share did not allow.
+        Requests that neither a permit nor a share allowed.
     """
 
     def __init__(
         self,
         instance: str,
         link: SidecarLink,
+        owners: Owners,
         has_sidecar: Callable[[str], bool],
         entry_count: Callable[[], int],
         clock: clock_module.Clock,
@@ -89,6 +140,8 @@
     ) -> None:
         self._instance = instance
         self._link = link
+        self._owners = owners
+        self._unresponsive_until_s: dict[str, float] = {}
         self._has_sidecar = has_sidecar
         self._entry_count = entry_count
         self._clock = clock
@@ -140,40 +193,32 @@
         """
         self._record(server, per_s, asked_at_s, 'sidecar')
 
-    def try_acquire(self, server: backend_list.BackendServer) -> bool:
-        """Whether a request may be sent without a sidecar's consent.
-
-        It then counts against this entry's share of the server's limit.
-        """
-        found = self._limits.get(server.start_id)
-        if found is None or found.share is None:
-            return True
-        if found.share.try_acquire():
-            return True
-        self.exceeded_count += 1
-        return False
-
-    def refusal(
+    async def try_acquire(
         self, server: backend_list.BackendServer
-    ) -> errors.RefusalError:
-        """Return the refusal of a request that the share doesn't allow."""
-        retry_after_s = 0.0
-        found = self._limits.get(server.start_id)
-        if found is not None and found.share is not None:
-            retry_after_s = found.returns.next_s(
-                found.share.wait_s(), found.share.period_s
-            )
-        return errors.RefusalError(
-            errors.ErrorKind.SERVER_LIMITED,
-            'the backend server accepts no more requests now',
-            retry_after_s=retry_after_s,
-        )
+    ) -> errors.RefusalError | None:
+        """Acquire what a request needs that no sidecar of the server paces.
 
-    def earliest_refusal(
-        self, servers: Iterable[backend_list.BackendServer]
-    ) -> errors.RefusalError:
-        """Return the refusal for the server that is free first."""
-        return self.refusal(min(servers, key=self._share_wait_s))
+        Returns
+        -------
+        errors.RefusalError or None
+            Why the request may not be sent there now; ``None`` if it may.
+        """
+        limit = self._limits.get(server.start_id)
+        if limit is None or limit.share is None:
+            return None
+        now_s = self._clock.boot_s()
+        if now_s < limit.refused_until_s:
+            return self._refused(limit, limit.refused_until_s - now_s)
+        reply = await self._request_permit(server, limit)
+        if reply is None:
+            if limit.share.try_acquire():
+                return None
+            return self._refused(limit, limit.share.wait_s())
+        if not reply.wait_ms:
+            return None
+        wait_s = reply.wait_ms / _MS_PER_S
+        limit.refused_until_s = now_s + wait_s
+        return self._refused(limit, wait_s)
 
     async def close(self) -> None:
         """Cancel the reports in progress."""
@@ -182,11 +227,49 @@
         if self._reports:
             await asyncio.wait(self._reports)
 
-    def _share_wait_s(self, server: backend_list.BackendServer) -> float:
-        found = self._limits.get(server.start_id)
-        if found is None or found.share is None:
-            return 0.0
-        return found.share.wait_s()
+    def _refused(
+        self, limit: _ServerLimit, wait_s: float
+    ) -> errors.RefusalError:
+        self.exceeded_count += 1
+        interval_s = limit.share.period_s if limit.share else wait_s
+        return errors.RefusalError(
+            errors.ErrorKind.SERVER_LIMITED,
+            'the backend server accepts no more requests now',
+            retry_after_s=limit.returns.next_s(wait_s, interval_s),
+        )
+
+    async def _request_permit(
+        self, server: backend_list.BackendServer, limit: _ServerLimit
+    ) -> server_permits.PermitReply | None:
+        """Request a permit; return ``None`` if no owner answers."""
+        owner = self._owners.owner(server.start_id)
+        now_s = self._clock.boot_s()
+        if not owner or now_s < self._unresponsive_until_s.get(owner, 0.0):
+            return None
+        rate_per_s = max(turn_pacer.MIN_RATE_PER_S, limit.named.per_s or 0.0)
+        message = server_permits.PermitRequest(
+            entry=self._instance,
+            server_start_id=server.start_id,
+            per_s=self._parts(server).permitted_ratio * rate_per_s,
+        )
+        try:
+            return await self._link.request_permit(
+                owner, message, _PERMIT_TIMEOUT_S
+            )
+        except errors.LinkError as error:
+            self._owners.mark_unresponsive(owner)
+            if len(self._unresponsive_until_s) >= _MAX_SERVERS:
+                self._unresponsive_until_s.clear()
+            self._unresponsive_until_s[owner] = (
+                self._clock.boot_s() + _UNRESPONSIVE_S
+            )
+            log.warning(
+                'server limit owner unreachable',
+                ip=owner,
+                backend_server=server.name,
+                error=str(error),
+            )
+            return None
 
     def _record(
         self,
@@ -228,16 +311,19 @@
     ) -> limit_share.LimitShare | None:
         if per_s is None:
             return None
-        ratio = _SHARED_RATIO
-        if self._has_sidecar(server.service):
-            ratio = _UNCONFIRMED_RATIO
-        rate_per_s = max(turn_pacer.MIN_RATE_PER_S, ratio * per_s)
+        rate_per_s = max(turn_pacer.MIN_RATE_PER_S, per_s)
+        ratio = self._parts(server).shared_ratio
         return limit_share.LimitShare(
-            rate_per_s / max(1, self._entry_count()),
+            ratio * rate_per_s / max(1, self._entry_count()),
             self._clock,
             self._random,
         )
 
+    def _parts(self, server: backend_list.BackendServer) -> _Parts:
+        if self._has_sidecar(server.service):
+            return _ENGINE_PARTS
+        return _PLAIN_PARTS
+
     def _start_report(
         self,
         server: backend_list.BackendServer,
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -188,14 +188,14 @@
         turn = await self._try_shortest_wait(candidates, spec, replies)
         if turn is not None:
             return turn, True
-        turn = self._unconfirmed_turn(spec, excluded, replies)
+        turn = await self._unconfirmed_turn(spec, excluded, replies)
         if turn is not None:
             return turn, False
         if replies.are_all_starting:
             return await self._await_start(replies.starting[0], spec), True
         raise _earliest_retry(replies.refusals.values())
 
-    def _unconfirmed_turn(
+    async def _unconfirmed_turn(
         self,
         spec: turn_spec.TurnSpec,
         excluded: Collection[str],
@@ -206,11 +206,10 @@
         if not replies.fallbacks and not replies.refusals:
             turns = self._candidates.fallback_turns(spec, excluded)
         for turn in turns:
-            if self._limits.try_acquire(turn.server):
+            refusal = await self._limits.try_acquire(turn.server)
+            if refusal is None:
                 return turn
-            replies.refusals[turn.server.name] = self._limits.refusal(
-                turn.server
-            )
+            replies.refusals[turn.server.name] = refusal
         return None
 
     async def _acquire_isolated(
--- a/lacewingpitch/usage_ownership.py
+++ b/lacewingpitch/usage_ownership.py
@@ -1,4 +1,4 @@
-"""Maps each organisation to the sidecar that owns its limit."""
+"""Maps limits to the sidecars that own them."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -25,6 +25,9 @@
 class UsageOwnership:
     """Finds the owner of a limit among the sidecars.
 
+    Limits are those of organisations, by their names, and those that
+    servers name, by the ids of their starts.
+
     Sidecars own the limits because every entry knows them.  All entries
     with the same list find the same owner, by rendezvous hash of the
     sidecars' addresses, which stay the same when an engine restarts.
@@ -49,19 +52,19 @@
         self._owners: dict[str, str] = {}
         self._refresh_at_s = 0.0
 
-    def owner(self, organisation: str) -> str:
+    def owner(self, name: str) -> str:
         """Return the owner's address; empty if there is no owner."""
         now_s = self._clock.monotonic_s()
         if now_s >= self._refresh_at_s or not self._listed_at_s:
             self._refresh(now_s)
-        found = self._owners.get(organisation)
+        found = self._owners.get(name)
         if found is None:
             found = max(
                 self._listed_at_s,
-                key=lambda ip: rendezvous.score(f'usage/{organisation}', ip),
+                key=lambda ip: rendezvous.score(f'usage/{name}', ip),
                 default='',
             )
-            self._owners[organisation] = found
+            self._owners[name] = found
         return found
 
     def mark_unresponsive(self, ip: str) -> None:
--- a/tests/limit_fakes.py
+++ b/tests/limit_fakes.py
@@ -4,26 +4,50 @@
 
 from lacewingpitch import errors
 from lacewingpitch import server_limits
+from lacewingpitch import server_permits
+
+OWNER_IP = '10.9.9.9'
 
 
 class LimitLink:
-    """Records the reports to sidecars, or answers none of them."""
+    """One sidecar that records reports, and owns the permits.
+
+    Without a clock it owns none; if it is silent, it answers nothing.
+    """
 
-    def __init__(self):
+    def __init__(self, clock=None):
         self.reports = []
+        self.permit_requests = []
         self.is_silent = False
+        self._owner = None
+        if clock is not None:
+            self._owner = server_permits.PermitOwner(clock, random.Random(4))
+
+    def owner(self, _name):
+        return '' if self._owner is None else OWNER_IP
+
+    def mark_unresponsive(self, ip):
+        assert ip == OWNER_IP
 
     async def report_limit(self, ip, message, _timeout_s):
         if self.is_silent:
             raise errors.NoReplyError(ip)
         self.reports.append((ip, message))
 
+    async def request_permit(self, ip, message, _timeout_s):
+        self.permit_requests.append(message)
+        if self.is_silent:
+            raise errors.NoReplyError(ip)
+        return self._owner.grant(message)
+
 
 def make_limits(clock, link=None, has_sidecar=True, entry_count=1, seed=5):
     """Return the limits at one of `entry_count` entries."""
+    link = link or LimitLink()
     return server_limits.ServerLimits(
         'edge-1',
-        link or LimitLink(),
+        link,
+        link,
         lambda _service: has_sidecar,
         lambda: entry_count,
         clock,
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+import math
 import re
 import time
 import tomllib
@@ -132,10 +133,45 @@
         ]
 
 
-class Engine:
+class LimitedServer:
+    """A server that may name a request rate limit in its answers."""
+
+    def __init__(self):
+        self.arrived_at_s = []
+        self._limit_per_s = None
+        # Limits, each with the times of its first and of its last answer.
+        self._periods = []
+
+    def set_limit(self, per_s):
+        """Name a limit in all answers from now on; none for ``None``."""
+        self._limit_per_s = per_s
+
+    def limit_periods(self):
+        """Return each limit with the times from which and to which it was.
+
+        A limit begins with the first answer that names it.
+        """
+        return [tuple(period) for period in self._periods]
+
+    def limit_headers(self):
+        """Return the headers of an answer that is written now."""
+        now_s = time.monotonic()
+        is_open = bool(self._periods) and self._periods[-1][2] == math.inf
+        if is_open and self._periods[-1][0] != self._limit_per_s:
+            self._periods[-1][2] = now_s
+            is_open = False
+        if self._limit_per_s is None:
+            return {}
+        if not is_open:
+            self._periods.append([self._limit_per_s, now_s, math.inf])
+        return {'Server-Limit': str(self._limit_per_s)}
+
+
+class Engine(LimitedServer):
     """A model engine that answers as documented by the platform."""
 
     def __init__(self, name, adapter_slots=4):
+        super().__init__()
         self.name = name
         self.adapter_slots = adapter_slots
         self.adapters = {}
@@ -155,9 +191,6 @@
         self.crash_count = 0
         self.is_down = False
         self.on_crash = None
-        # Requests per second that its answers name as its limit.
-        self.limit_per_s = None
-        self.arrived_at_s = []
         self._transports = set()
 
     def restart(self, name):
@@ -166,6 +199,8 @@
         self.adapters.clear()
         self.pending.clear()
         self.order_count = 0
+        self.set_limit(None)
+        self.limit_headers()
 
     def crash(self):
         """Abort all open connections; answer nothing until it is up again."""
@@ -267,7 +302,7 @@
         ):
             return web.Response(
                 status=421,
-                headers={'Not-Executed': '1', **_limit_headers(self)},
+                headers={'Not-Executed': '1', **self.limit_headers()},
             )
         if self.crash_body is not None and body == self.crash_body:
             asyncio.get_running_loop().call_later(0.05, self.crash)
@@ -285,7 +320,7 @@
                     'Content-Type': 'text/event-stream',
                     'Request-Id': request_id,
                     SIGNATURE: f'signed-by-{self.name}',
-                    **_limit_headers(self),
+                    **self.limit_headers(),
                 }
             )
             await response.prepare(request)
@@ -306,17 +341,16 @@
             self.runs.remove(request_id)
 
 
-class Service:
+class Service(LimitedServer):
     """A plain service that records the requests that it runs."""
 
     def __init__(self, name):
+        super().__init__()
         self.name = name
         self.runs = []
         self.run_log = []
         self.delay_s = 0.0
         self.aborts_left = 0
-        self.limit_per_s = None
-        self.arrived_at_s = []
 
     def routes(self):
         return [web.route('*', '/{path:.*}', self._run)]
@@ -346,17 +380,11 @@
             headers={
                 'Request-Id': request.headers['Request-Id'],
                 SIGNATURE: f'signed-by-{self.name}',
-                **_limit_headers(self),
+                **self.limit_headers(),
             },
         )
 
 
-def _limit_headers(server):
-    if server.limit_per_s is None:
-        return {}
-    return {'Server-Limit': str(server.limit_per_s)}
-
-
 def _run_entry(request):
     headers = dict(request.headers)
     return headers['Request-Id'], time.monotonic(), headers
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,7 @@
 from tests import platform_standin as standin
 from tests import soak_faults
 from tests import soak_keys
+from tests import soak_limits
 
 CALLER_COUNT = 6
 ADAPTER_COUNT = 7
@@ -128,6 +129,9 @@
             for run in server.run_log
         ]
         self.broken += list(soak_keys.check(self.calls, identified))[:5]
+        self.broken += soak_limits.check(
+            (*self.platform.engines, *self.platform.services)
+        )
         if self.broken:
             raise BrokenPromiseError('; '.join(self.broken))
 
@@ -142,6 +146,7 @@
         self.platform = platform
         self.checker = ResultChecker(platform)
         self.keys = keys
+        self._seed = seed
         self._random = random.Random(seed)
         self._versions = itertools.count(6)
         self._names = itertools.count(100)
@@ -214,6 +219,8 @@
             async with asyncio.TaskGroup() as faults:
                 for fault in planned:
                     faults.create_task(self._inject(fault))
+                for server, limit in self._limits(length_s):
+                    faults.create_task(soak_limits.name(server, limit))
             await self._check_recovery()
             await self._check_configuration()
             await self._check_drain()
@@ -225,6 +232,12 @@
             self.checker.check_runs()
         return planned
 
+    def _limits(self, length_s):
+        """Yield the servers that name limits, each with its limit."""
+        servers = (*self.platform.engines, *self.platform.services)
+        for limit in soak_limits.plan(self._seed, len(servers), length_s):
+            yield servers[limit.server], limit
+
     def _targets(self):
         return {
             'link': sorted(self.platform.relays),
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -130,43 +130,43 @@
             limit_fakes.make_limits(clock),
         )
 
-    def chosen(self, selector, count=20, **fields):
+    async def chosen(self, selector, count=20):
         found = set()
         for _ in range(count):
-            with selector.select('f', ('lookup',), ()) as server:
+            async with selector.select('f', ('lookup',), ()) as server:
                 found.add(server.name)
         return found
 
-    def test_other_requests_go_to_all_servers(self, selector):
-        assert len(self.chosen(selector)) > 1
+    async def test_other_requests_go_to_all_servers(self, selector):
+        assert len(await self.chosen(selector)) > 1
 
-    def test_suspects_go_to_one_server(self, selector, record):
+    async def test_suspects_go_to_one_server(self, selector, record):
         crash(record, 2)
-        assert len(self.chosen(selector)) == 1
+        assert len(await self.chosen(selector)) == 1
 
-    def test_suspects_run_one_at_a_time(self, selector, record):
+    async def test_suspects_run_one_at_a_time(self, selector, record):
         """Guards against blaming a suspect for the crash of another."""
         crash(record, 2)
         crash(record, 2, 'g')
-        with selector.select('f', ('lookup',), ()):
+        async with selector.select('f', ('lookup',), ()):
             with pytest.raises(errors.RefusalError) as raised:
-                with selector.select('g', ('lookup',), ()):
+                async with selector.select('g', ('lookup',), ()):
                     pass
         assert raised.value.kind is errors.ErrorKind.QUEUE_FULL
-        with selector.select('g', ('lookup',), ()):
+        async with selector.select('g', ('lookup',), ()):
             pass
 
-    def test_a_request_that_crashed_three_servers_is_refused(
+    async def test_a_request_that_crashed_three_servers_is_refused(
         self, selector, record
     ):
         """Guards against a request that crashes server after server."""
         crash(record, 3)
         with pytest.raises(errors.RefusalError) as raised:
-            self.chosen(selector)
+            await self.chosen(selector)
         assert raised.value.kind is errors.ErrorKind.CRASHES_BACKEND_SERVERS
 
-    def test_is_refused_without_any_server(self, selector):
+    async def test_is_refused_without_any_server(self, selector):
         with pytest.raises(errors.RefusalError) as raised:
-            with selector.select('f', ('other',), ()):
+            async with selector.select('f', ('other',), ()):
                 pass
         assert raised.value.kind is errors.ErrorKind.NO_BACKEND_SERVER
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -10,13 +10,8 @@
 
 from tests import platform_processes
 from tests import platform_standin as standin
+from tests import soak_limits
 
-CONTACT_S = 3.0
-# From half a second after an entry has heard of a limit, it has to follow it.
-HEARD_S = 0.5
-WINDOW_S = 4.0
-EXCESS_RATIO = 1.5
-EXCESS_COUNT = 5
 LIMIT_PER_S = 1.5
 LENGTH_S = 11.0
 PAUSE_S = 0.04
@@ -94,29 +89,6 @@
     return {'Model': f'{standin.MODEL}/a{adapter}'}
 
 
-def most_in_window(server, named_at_s):
-    """Return the most requests in any window in which the limit binds.
-
-    The limit binds from `CONTACT_S` after it was first named, and counts
-    what arrives from `HEARD_S` after it.
-    """
-    counted_s = [
-        at_s for at_s in server.arrived_at_s if at_s > named_at_s + HEARD_S
-    ]
-    ends_s = [at_s for at_s in counted_s if at_s > named_at_s + CONTACT_S]
-    return max(
-        (
-            sum(end_s - WINDOW_S < at_s <= end_s for at_s in counted_s)
-            for end_s in ends_s
-        ),
-        default=0,
-    )
-
-
-def allowed(limit_per_s):
-    return EXCESS_RATIO * limit_per_s * WINDOW_S + EXCESS_COUNT
-
-
 @pytest.fixture
 async def scene(tmp_path):
     async with platform_processes.Platform(
@@ -131,19 +103,19 @@
     ):
         """Guards against entries that ignore an engine's limit."""
         engine, other = scene.platform.engines
-        engine.limit_per_s = LIMIT_PER_S
+        engine.set_limit(LIMIT_PER_S)
         named_at_s = time.monotonic()
         await scene.send_model_requests()
-        most = most_in_window(engine, named_at_s)
-        assert most <= allowed(LIMIT_PER_S)
+        most = soak_limits.most_in_window(engine.arrived_at_s, named_at_s)
+        assert most <= soak_limits.allowed(LIMIT_PER_S)
         assert len(other.ran) > len(engine.ran) > 0
 
     async def test_it_gets_its_requests_again_when_the_limit_ends(self, scene):
         """Guards against a limit that stays after it has ended."""
         engine, _ = scene.platform.engines
-        engine.limit_per_s = LIMIT_PER_S
+        engine.set_limit(LIMIT_PER_S)
         await scene.send_model_requests(3.0)
-        engine.limit_per_s = None
+        engine.set_limit(None)
         ended_at_s = time.monotonic()
         await scene.send_model_requests(6.0)
         later_s = [
@@ -156,9 +128,9 @@
     ):
         """Guards against the limit of an earlier start of an engine."""
         engine, _ = scene.platform.engines
-        engine.limit_per_s = LIMIT_PER_S
+        engine.set_limit(LIMIT_PER_S)
         await scene.send_model_requests(3.0)
-        engine.limit_per_s = None
+        engine.set_limit(None)
         key = f'servers/{engine.name}'
         address = scene.platform.address_of(engine)
         engine.restart('i-3')
@@ -174,16 +146,16 @@
     async def test_what_no_engine_accepts_is_refused_at_once(self, scene):
         """Guards against callers that wait for turns they can't get."""
         for engine in scene.platform.engines:
-            engine.limit_per_s = LIMIT_PER_S
+            engine.set_limit(LIMIT_PER_S)
         named_at_s = time.monotonic()
         await scene.send_model_requests()
         for engine in scene.platform.engines:
-            most = most_in_window(engine, named_at_s)
-            assert 0 < most <= allowed(LIMIT_PER_S)
+            most = soak_limits.most_in_window(engine.arrived_at_s, named_at_s)
+            assert 0 < most <= soak_limits.allowed(LIMIT_PER_S)
         refused = [
             answer
             for answer in scene.answers
-            if answer.started_s > named_at_s + CONTACT_S
+            if answer.started_s > named_at_s + soak_limits.CONTACT_S
             and answer.status != 200
         ]
         assert {answer.status for answer in refused} == {503}
@@ -196,13 +168,15 @@
 class TestSidecarOfLimitedEngine:
     async def play(self, scene, disturb):
         engine, other = scene.platform.engines
-        engine.limit_per_s = LIMIT_PER_S
+        engine.set_limit(LIMIT_PER_S)
         named_at_s = time.monotonic()
         async with asyncio.TaskGroup() as group:
             group.create_task(scene.send_model_requests(14.0))
             await asyncio.sleep(4.0)
             await disturb(scene.sidecar(0))
-        assert most_in_window(engine, named_at_s) <= allowed(LIMIT_PER_S)
+        assert soak_limits.most_in_window(
+            engine.arrived_at_s, named_at_s
+        ) <= soak_limits.allowed(LIMIT_PER_S)
         assert len(other.ran) > len(engine.ran)
 
     async def test_the_limit_holds_while_it_is_killed_and_restarted(
@@ -243,14 +217,16 @@
     async def test_the_limit_holds_while_an_entry_restarts(self, scene):
         """Guards against an entry whose restart forgets the limit."""
         engine, _ = scene.platform.engines
-        engine.limit_per_s = LIMIT_PER_S
+        engine.set_limit(LIMIT_PER_S)
         named_at_s = time.monotonic()
         async with asyncio.TaskGroup() as group:
             group.create_task(scene.send_model_requests(12.0))
             await asyncio.sleep(4.0)
             await scene.platform.entries[1].stop()
             await scene.platform.entries[1].start()
-        assert most_in_window(engine, named_at_s) <= allowed(LIMIT_PER_S)
+        assert soak_limits.most_in_window(
+            engine.arrived_at_s, named_at_s
+        ) <= soak_limits.allowed(LIMIT_PER_S)
 
 
 class TestPlainServerLimit:
@@ -259,9 +235,9 @@
     ):
         """Guards against entries that ignore a plain server's limit."""
         server, other = scene.platform.services
-        server.limit_per_s = LIMIT_PER_S
+        server.set_limit(LIMIT_PER_S)
         named_at_s = time.monotonic()
         await scene.send('/lookup/x')
-        most = most_in_window(server, named_at_s)
-        assert most <= allowed(LIMIT_PER_S)
+        most = soak_limits.most_in_window(server.arrived_at_s, named_at_s)
+        assert most <= soak_limits.allowed(LIMIT_PER_S)
         assert len(other.runs) > len(server.runs) > 0
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,6 +1,7 @@
 """Pacing by the limits that servers name, in virtual time."""
 
 import asyncio
+import math
 import random
 
 import msgspec
@@ -13,31 +14,24 @@
 from lacewingpitch import limit_share
 from lacewingpitch import plain_server_selector
 from lacewingpitch import return_times
+from lacewingpitch import server_permits
 from lacewingpitch import service_balancer
 from lacewingpitch import suspects
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_pacer
 from tests import clocks
 from tests import limit_fakes
+from tests import soak_limits
 from tests import test_organisation_fairness
 from tests import test_turn_client
 
 LIMITED = errors.ErrorKind.SERVER_LIMITED
-WINDOW_S = 4.0
+WINDOW_S = soak_limits.WINDOW_S
 
 
 def most_in_window(times_s):
-    return max(
-        (
-            sum(end_s - WINDOW_S < at_s <= end_s for at_s in times_s)
-            for end_s in times_s
-        ),
-        default=0,
-    )
-
-
-def allowed(limit_per_s):
-    return 1.5 * limit_per_s * WINDOW_S + 5
+    """Return the most requests in any window, from the first on."""
+    return soak_limits.most_in_window(times_s, -math.inf)
 
 
 class TestTurnPacer:
@@ -146,7 +140,7 @@
             clock.now_s = step * 0.1
             # Every entry has more requests than its share allows.
             times_s += [clock.now_s for s in shares if s.try_acquire()]
-        assert most_in_window(times_s) <= allowed(limit_per_s)
+        assert most_in_window(times_s) <= soak_limits.allowed(limit_per_s)
         assert len(times_s) > 0.3 * limit_per_s * 40.0
 
     def test_idle_entries_save_up_nothing(self):
@@ -335,54 +329,106 @@
         self.play(link, 1.5)
 
 
-class TestPlainServers:
-    def scene(self, entry_count=1):
-        clock = clocks.ManualClock()
-        servers = backend_list.BackendList(clock)
-        servers.replace_all(
+class PlainScene:
+    """Entries that use two servers of a plain service."""
+
+    def __init__(self, entry_count=1, owns_permits=True):
+        self.clock = clocks.ManualClock()
+        self.link = limit_fakes.LimitLink(self.clock if owns_permits else None)
+        self.servers = backend_list.BackendList(self.clock)
+        self.servers.replace_all(
             backend_list.BackendServer(
                 name, 'lookup', f'10.0.0.{number}', 80, 'z'
             )
             for number, name in enumerate('ab')
         )
-        source = random.Random(2)
-        limits = limit_fakes.make_limits(
-            clock, has_sidecar=False, entry_count=entry_count
-        )
-        selector = plain_server_selector.PlainServerSelector(
+        self.limits = [
+            limit_fakes.make_limits(
+                self.clock,
+                self.link,
+                has_sidecar=False,
+                entry_count=entry_count,
+                seed=seed,
+            )
+            for seed in range(entry_count)
+        ]
+        self.selectors = [
+            self._selector(limits, random.Random(seed))
+            for seed, limits in enumerate(self.limits)
+        ]
+
+    def _selector(self, limits, source):
+        return plain_server_selector.PlainServerSelector(
             service_balancer.ServiceBalancer(
-                servers, ejection.Ejector(clock, source), 'z', source
+                self.servers,
+                ejection.Ejector(self.clock, source),
+                'z',
+                source,
             ),
-            suspects.Suspects(clock, source).record,
+            suspects.Suspects(self.clock, source).record,
             limits,
         )
-        return clock, servers, limits, selector
 
-    def chosen(self, clock, selector, count=200, pause_s=0.1):
-        found = []
-        for _ in range(count):
-            clock.now_s += pause_s
+    def name_limit(self, name, per_s, at_s=0.0):
+        for limits in self.limits:
+            limits.record_answer(self.servers.get(name), per_s, at_s)
+
+    def chosen(self, count=400, pause_s=0.05):
+        """Return the server or refusal of each request, and its time."""
+
+        async def choose(selector):
             try:
-                with selector.select('f', ('lookup',), ()) as server:
-                    found.append((server.name, clock.now_s))
+                async with selector.select('f', ('lookup',), ()) as server:
+                    return server.name
             except errors.RefusalError as error:
-                found.append((error, clock.now_s))
-        return found
+                return error
+
+        async def main():
+            found = []
+            for number in range(count):
+                self.clock.now_s += pause_s
+                selector = self.selectors[number % len(self.selectors)]
+                found.append((await choose(selector), self.clock.now_s))
+            return found
 
-    def test_what_the_limit_leaves_out_goes_elsewhere(self):
+        return asyncio.run(main())
+
+
+class TestPlainServers:
+    @pytest.mark.parametrize('owns_permits', [True, False])
+    @pytest.mark.parametrize('entry_count', [1, 4, 30])
+    def test_what_the_limit_leaves_out_goes_elsewhere(
+        self, entry_count, owns_permits
+    ):
         """Guards against a plain server that gets more than it accepts."""
-        clock, servers, limits, selector = self.scene()
-        limits.record_answer(servers.get('a'), 1.5, 0.0)
-        found = self.chosen(clock, selector)
+        scene = PlainScene(entry_count, owns_permits)
+        scene.name_limit('a', 1.5)
+        found = scene.chosen()
         times_s = [at_s for name, at_s in found if name == 'a']
-        assert 0 < most_in_window(times_s) <= 1.5 * WINDOW_S
-        assert {name for name, _ in found} == {'a', 'b'}
+        assert most_in_window(times_s) <= 1.5 * WINDOW_S + 1
+        assert len(times_s) > 0 or not owns_permits
+        assert {name for name, _ in found} <= {'a', 'b'}
+
+    def test_entries_use_the_limit(self):
+        """Guards against a limit of which most is left unused."""
+        scene = PlainScene(30)
+        scene.name_limit('a', 1.5)
+        times_s = [at_s for name, at_s in scene.chosen() if name == 'a']
+        assert len(times_s) > 0.5 * 1.5 * 20.0
+
+    def test_a_silent_owner_is_not_asked_for_each_request(self):
+        """Guards against callers that wait for an owner that is gone."""
+        scene = PlainScene()
+        scene.link.is_silent = True
+        scene.name_limit('a', 1.5)
+        scene.chosen(count=80, pause_s=0.05)
+        assert len(scene.link.permit_requests) <= 5
 
     def test_without_another_server_it_is_refused_at_once(self):
-        clock, servers, limits, selector = self.scene()
+        scene = PlainScene()
         for name in 'ab':
-            limits.record_answer(servers.get(name), 0.5, 0.0)
-        found = self.chosen(clock, selector, 20)
+            scene.name_limit(name, 0.5)
+        found = scene.chosen(20)
         refusals = [e for e, _ in found if isinstance(e, errors.RefusalError)]
         assert {error.kind for error in refusals} == {LIMITED}
         assert {error.outcome for error in refusals} == {
@@ -392,8 +438,41 @@
 
     def test_the_end_of_a_limit_frees_the_server(self):
         """Guards against a limit that stays after it has ended."""
-        clock, servers, limits, selector = self.scene()
-        limits.record_answer(servers.get('a'), 0.5, 0.0)
-        limits.record_answer(servers.get('a'), None, 0.1)
-        found = [name for name, _ in self.chosen(clock, selector, 40)]
+        scene = PlainScene()
+        scene.name_limit('a', 0.5)
+        scene.name_limit('a', None, 0.1)
+        found = [name for name, _ in scene.chosen(40)]
         assert found.count('a') > 10
+
+
+class TestPermitOwner:
+    def request(self, per_s):
+        return server_permits.PermitRequest(
+            entry='edge-1', server_start_id='a@0', per_s=per_s
+        )
+
+    def test_a_new_owner_grants_nothing_at_once(self):
+        """Guards against permits of an owner and of its successor."""
+        clock = clocks.ManualClock()
+        owner = server_permits.PermitOwner(clock, random.Random(1))
+        assert owner.grant(self.request(2.0)).wait_ms > 0
+        clock.now_s = 0.5
+        assert owner.grant(self.request(2.0)).wait_ms == 0
+
+    def test_refused_entries_get_different_times(self):
+        """Guards against entries that ask again all at once."""
+        clock = clocks.ManualClock()
+        owner = server_permits.PermitOwner(clock, random.Random(1))
+        waits_ms = [owner.grant(self.request(2.0)).wait_ms for _ in range(9)]
+        assert len(set(waits_ms)) == 9
+
+    def test_the_last_named_limit_counts(self):
+        """Guards against permits at an outdated limit."""
+        clock = clocks.ManualClock()
+        owner = server_permits.PermitOwner(clock, random.Random(1))
+        owner.grant(self.request(100.0))
+        granted = 0
+        for step in range(1, 200):
+            clock.now_s = step * 0.05
+            granted += not owner.grant(self.request(1.0)).wait_ms
+        assert granted <= 11
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -108,6 +108,34 @@
             checker.check_runs()
 
 
+class TestLimits:
+    """Checks of the limits that servers name."""
+
+    def check(self, checker, *arrived_after_s):
+        server = checker.platform.engines[0]
+        server.set_limit(1.0)
+        server.limit_headers()
+        named_at_s = server.limit_periods()[0][1]
+        server.arrived_at_s += [named_at_s + at_s for at_s in arrived_after_s]
+        checker.check_runs()
+
+    def test_accepts_what_the_limit_allows(self, checker):
+        self.check(checker, *[0.1] * 50, *[3.5] * 11)
+
+    def test_finds_more_than_the_limit_allows(self, checker):
+        with pytest.raises(soak.BrokenPromiseError, match='named 1.0'):
+            self.check(checker, *[0.6] * 6, *[3.5] * 6)
+
+    def test_a_limit_ends_with_the_first_answer_without_it(self, checker):
+        server = checker.platform.engines[0]
+        server.set_limit(1.0)
+        server.limit_headers()
+        server.set_limit(None)
+        server.limit_headers()
+        (period,) = server.limit_periods()
+        assert period[2] < float('inf')
+
+
 class TestKeys:
     """Checks of API keys and usage limits."""
 
