--- a/tests/test_named_limit.py
+++ b/tests/test_named_limit.py
@@ -1,5 +1,9 @@
 """Limits that servers name, by answers that overtake each other."""
 
+import math
+
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from lacewingpitch import backend_list
@@ -112,3 +116,41 @@
     def test_anything_else_is_an_error(self, text):
         with pytest.raises(errors.PlatformError):
             wire.decode_server_limit({'Server-Limit': text})
+
+
+class TestOvertakingAnswers:
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 20.0),
+                st.floats(0.01, 5.0),
+                st.floats(0.0, 5.0),
+            ),
+            max_size=30,
+        ),
+        st.lists(
+            st.tuples(st.floats(0.0, 20.0), st.sampled_from([None, 0.5, 3.0])),
+            max_size=4,
+        ),
+    )
+    def test_the_limit_is_known_once_all_answers_are_read(
+        self, requests, changes
+    ):
+        """Guards against a limit that late answers bring back or end."""
+        changes = sorted(changes, key=lambda change: change[0])
+
+        def stated(at_s):
+            found = [per_s for changed_s, per_s in changes if changed_s < at_s]
+            return found[-1] if found else None
+
+        answers = [
+            (stated(sent_s + answer_s), sent_s, sent_s + answer_s + delay_s)
+            for sent_s, answer_s, delay_s in requests
+        ]
+        answers.append((stated(math.inf), 40.0, 40.1))
+        limit = named_limit.NamedLimit()
+        for per_s, asked_at_s, heard_at_s in sorted(
+            answers, key=lambda answer: answer[2]
+        ):
+            limit.record(per_s, asked_at_s, heard_at_s)
+        assert limit.per_s == stated(math.inf)
--- a/tests/test_organisation_fairness.py
+++ b/tests/test_organisation_fairness.py
@@ -156,3 +156,38 @@
         assert flooded >= usual - 0.05
         # The flooder gets the remaining capacity, and isn't starved.
         assert flooder > 0.3
+
+
+class TestOrganisationFloodAtALimitedEngine:
+    def served_ratios(self, limit_per_s, flood_per_s, usual_per_s):
+        """Return the share of requests on time, of the others and flooder."""
+
+        async def main():
+            scene = Scene()
+            await scene.granter.apply_limit(limit_per_s)
+            flooder, *others = OTHERS
+            await asyncio.gather(
+                scene.load(flooder, flood_per_s, 0),
+                *(
+                    scene.load(name, usual_per_s, seed)
+                    for seed, name in enumerate(others, 1)
+                ),
+            )
+            on_time = sum(scene.on_time_count[name] for name in others)
+            sent = sum(scene.request_count[name] for name in others)
+            return (
+                on_time / sent,
+                scene.on_time_count[flooder] / scene.request_count[flooder],
+            )
+
+        return virtual_time.run(main())
+
+    def test_organisations_keep_their_shares_of_the_limit(self):
+        """Guards against a flood that takes an engine's whole limit."""
+        limit_per_s = 12.0
+        share_per_s = limit_per_s / len(OTHERS)
+        others, flooder = self.served_ratios(
+            limit_per_s, 4.0 * limit_per_s, 0.5 * share_per_s
+        )
+        assert others > 0.7
+        assert 0.05 < flooder < 0.4
