A sidecar that knows nothing of a limit neither ends it nor grants beyond it

Found by reading, with a test that failed first (4 turns at once at a limit of one a second). A restarted sidecar looked at what an entry says of the limit before it knew its engine's start, dropped it, and granted; its reply without a limit made the entry forget it as well, until the next answer named it.

Requests are looked at once the engine is known, and replies say whether the sidecar has heard of a limit at all. A limit that changes forgets the times that were given at the old rate: at ten times the rate nothing was asked for up to 10 s.

--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -115,6 +115,11 @@
             request.suspects.states if request.suspects else ()
         )
         reply = await self._request_turn(request)
+        reply = msgspec.structs.replace(
+            reply,
+            limit_per_s=self.limit.per_s,
+            is_limit_known=self.limit.is_known,
+        )
         update = suspect_exchange.update_for_requester(
             self._crashes, request.suspects
         )
@@ -125,11 +130,11 @@
     async def _request_turn(
         self, request: turn_messages.TurnRequest
     ) -> turn_messages.TurnReply:
+        if self.granter is None:
+            await self._wait_until_ready(request.wait_ms / _MS_PER_S)
         if request.server_start_id == self.view.start_id:
             self.limit.adopt(request.limit_per_s, request.entry)
             await self._apply_limit()
-        if self.granter is None:
-            await self._wait_until_ready(request.wait_ms / _MS_PER_S)
         if self.granter is None:
             return turn_messages.TurnReply(
                 backend_server=self.view.backend_server,
--- a/lacewingpitch/engine_limit.py
+++ b/lacewingpitch/engine_limit.py
@@ -27,6 +27,11 @@
         """Return the limit; ``None`` if there is none."""
         return self._limit.per_s
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the engine has named a limit since its start."""
+        return self._limit.is_known
+
     def reset(self) -> None:
         """Forget the limit, as the engine has restarted."""
         self._limit = named_limit.NamedLimit()
--- a/lacewingpitch/return_times.py
+++ b/lacewingpitch/return_times.py
@@ -28,6 +28,10 @@
         self._random = source
         self._next_at_s = 0.0
 
+    def reset(self) -> None:
+        """Forget the times that were given, as the rate has changed."""
+        self._next_at_s = 0.0
+
     def next_s(self, earliest_s: float, interval_s: float) -> float:
         """Return the time until the next caller should return.
 
--- a/lacewingpitch/server_limits.py
+++ b/lacewingpitch/server_limits.py
@@ -181,7 +181,7 @@
     def record_reply(
         self,
         server: backend_list.BackendServer,
-        per_s: float | None,
+        reply: turn_messages.TurnReply,
         asked_at_s: float,
     ) -> None:
         """Record the limit of an engine that its sidecar states.
@@ -191,7 +191,8 @@
         asked_at_s
             When the sidecar was asked, by the boot clock.
         """
-        self._record(server, per_s, asked_at_s, 'sidecar')
+        if reply.is_limit_known:
+            self._record(server, reply.limit_per_s, asked_at_s, 'sidecar')
 
     async def try_acquire(
         self, server: backend_list.BackendServer
@@ -206,19 +207,22 @@
         limit = self._limits.get(server.start_id)
         if limit is None or limit.share is None:
             return None
+        # The limit may end or change while the owner is asked.
+        share = limit.share
         now_s = self._clock.boot_s()
         if now_s < limit.refused_until_s:
-            return self._refused(limit, limit.refused_until_s - now_s)
+            return self._refused(limit, share, limit.refused_until_s - now_s)
         reply = await self._request_permit(server, limit)
         if reply is None:
-            if limit.share.try_acquire():
+            if share.try_acquire():
                 return None
-            return self._refused(limit, limit.share.wait_s())
+            return self._refused(limit, share, share.wait_s())
         if not reply.wait_ms:
             return None
         wait_s = reply.wait_ms / _MS_PER_S
-        limit.refused_until_s = now_s + wait_s
-        return self._refused(limit, wait_s)
+        if limit.share is share:
+            limit.refused_until_s = now_s + wait_s
+        return self._refused(limit, share, wait_s)
 
     async def close(self) -> None:
         """Cancel the reports in progress."""
@@ -228,14 +232,16 @@
             await asyncio.wait(self._reports)
 
     def _refused(
-        self, limit: _ServerLimit, wait_s: float
+        self,
+        limit: _ServerLimit,
+        share: limit_share.LimitShare,
+        wait_s: float,
     ) -> errors.RefusalError:
         self.exceeded_count += 1
-        interval_s = limit.share.period_s if limit.share else wait_s
         return errors.RefusalError(
             errors.ErrorKind.SERVER_LIMITED,
             'the backend server accepts no more requests now',
-            retry_after_s=limit.returns.next_s(wait_s, interval_s),
+            retry_after_s=limit.returns.next_s(wait_s, share.period_s),
         )
 
     async def _request_permit(
@@ -288,6 +294,8 @@
         if not limit.named.record(per_s, asked_at_s, now_s):
             return
         limit.share = self._new_share(server, limit.named.per_s)
+        limit.refused_until_s = 0.0
+        limit.returns.reset()
         log.info(
             'server limit changed',
             backend_server=server.name,
--- a/lacewingpitch/server_permits.py
+++ b/lacewingpitch/server_permits.py
@@ -106,6 +106,7 @@
             self._permits.move_to_end(request.server_start_id)
             if found.bucket.rate_per_s != request.per_s:
                 found.bucket.change(request.per_s, _BURST, now_s)
+                found.returns.reset()
             return found
         if len(self._permits) >= _MAX_SERVERS:
             self._permits.popitem(last=False)
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -399,7 +399,7 @@
             self._apply_reply(server, reply)
             self._limits.record_reply(
                 self._granting_server(server, reply),
-                reply.limit_per_s,
+                reply,
                 asked_at_s,
             )
             if reply.refusal is not None:
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -442,5 +442,4 @@
             hint=self._hint_builder.build(),
             started_at_ms=self._engine.started_at_ms,
             wait_ms=wait_ms,
-            limit_per_s=self._limit_per_s,
         )
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -133,6 +133,9 @@
         The sidecar's updates about suspect requests.
     limit_per_s
         Request rate limit of the engine; ``None`` if it names none.
+    is_limit_known
+        Whether the sidecar has heard of a limit of this start of the engine,
+        or of its end.
     """
 
     backend_server: str = ''
@@ -148,6 +151,7 @@
     wait_ms: int = 0
     suspects: suspect_exchange.SuspectNews | None = None
     limit_per_s: float | None = None
+    is_limit_known: bool = False
 
 
 class TurnEnds(link.Message, frozen=True):
--- a/lacewingpitch/turn_pacer.py
+++ b/lacewingpitch/turn_pacer.py
@@ -57,6 +57,7 @@
         if per_s is not None:
             self._rate_per_s = max(MIN_RATE_PER_S, per_s)
         self._pacer.update_rate()
+        self._returns.reset()
         if self.is_limited and not was_limited:
             self._pacer.set_level(-float(unsent_count))
 
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -683,3 +683,92 @@
             assert not reply.is_known
 
         play(story)
+
+
+class TestRequestRateLimit:
+    """The limit that the engine names."""
+
+    def answered(self, limit_per_s, answer_age_ms=0, start_id='i-1@0'):
+        return turn_messages.AnsweredLimit(
+            entry='edge-1',
+            server_start_id=start_id,
+            limit_per_s=limit_per_s,
+            answer_age_ms=answer_age_ms,
+        )
+
+    def test_a_starting_sidecar_adopts_it_before_it_grants(self):
+        """Guards against a restarted sidecar that grants beyond the limit."""
+
+        async def main():
+            scene = Scene()
+            waiting = [
+                asyncio.create_task(
+                    scene.request_turn(
+                        f'r{number}',
+                        adapter='',
+                        limit_per_s=1.0,
+                        server_start_id='i-1@0',
+                        target_ms=10_000,
+                    )
+                )
+                for number in range(4)
+            ]
+            await asyncio.sleep(0.01)
+            async with scene:
+                done, _ = await asyncio.wait(waiting, timeout=1.5)
+                replies = [task.result() for task in done]
+                granted = [
+                    reply
+                    for reply in replies
+                    if reply.refusal is None and not reply.is_pending
+                ]
+                return len(granted), {reply.limit_per_s for reply in replies}
+
+        granted_count, limits_per_s = virtual_time.run(main())
+        assert granted_count <= 1
+        assert limits_per_s == {1.0}
+
+    def test_answers_reported_by_entries_set_and_end_it(self):
+        async def story(scene):
+            record = scene.controller.record_answered_limit
+            await record(self.answered(2.0, answer_age_ms=100))
+            assert (await scene.request_turn('r1')).limit_per_s == 2.0
+            await record(self.answered(None, answer_age_ms=5000))
+            assert (await scene.request_turn('r2')).limit_per_s == 2.0
+            await asyncio.sleep(1.0)
+            await record(self.answered(None, answer_age_ms=100))
+            reply = await scene.request_turn('r3')
+            assert reply.limit_per_s is None
+            assert reply.is_limit_known
+
+        play(story)
+
+    def test_the_limit_of_another_start_does_not_count(self):
+        """Guards against the limit of an earlier start of the engine."""
+
+        async def story(scene):
+            record = scene.controller.record_answered_limit
+            await record(self.answered(2.0, start_id='i-0@0'))
+            assert scene.controller.limit.per_s is None
+            await record(self.answered(2.0))
+            scene.engine.restart('i-2', started_at_ms=5)
+            scene.engine.models.add(fake_engine.MODEL)
+            await asyncio.sleep(1.0)
+            reply = await scene.request_turn('r1')
+            assert reply.limit_per_s is None
+            assert not reply.is_limit_known
+
+        play(story)
+
+    def test_a_limit_in_reports_is_followed(self):
+        """Guards against a limit that only the sidecar hears."""
+
+        async def story(scene):
+            scene.engine.limit_per_s = 2.0
+            await asyncio.sleep(0.5)
+            assert (await scene.request_turn('r1')).limit_per_s == 2.0
+            scene.engine.limit_per_s = None
+            await asyncio.sleep(0.5)
+            assert (await scene.request_turn('r2')).limit_per_s is None
+
+        play(story)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -234,14 +234,6 @@
 
         assert virtual_time.run(main()) == [LIMITED] * 3
 
-    def test_replies_state_the_limit(self):
-        async def main():
-            scene = GranterScene()
-            await scene.granter.apply_limit(5.0)
-            return await scene.granter.request_turn(scene.request('one', 3.0))
-
-        assert virtual_time.run(main()).limit_per_s == 5.0
-
 
 class TestTurnClient:
     def test_turns_without_consent_keep_the_share(self):
@@ -287,13 +279,34 @@
 
         async def main():
             scene = test_turn_client.Scene(a={'m/x': 1})
-            reply = turn_messages.TurnReply(limit_per_s=1.5)
+            reply = turn_messages.TurnReply(
+                limit_per_s=1.5, is_limit_known=True
+            )
             scene.sidecars.replies = {'10.0.0.1': reply}
             async with scene.client.acquire(scene.spec(), 'bc'):
                 return scene.limits.per_s(scene.servers.get('a'))
 
         assert virtual_time.run(main()) == 1.5
 
+    @pytest.mark.parametrize('is_limit_known', [False, True])
+    def test_a_sidecar_that_knows_nothing_does_not_end_a_limit(
+        self, is_limit_known
+    ):
+        """Guards against a restarted sidecar that ends a limit."""
+
+        async def main():
+            scene = test_turn_client.Scene(a={'m/x': 1})
+            server = scene.servers.get('a')
+            scene.limits.record_answer(server, 1.5, scene.clock.boot_s())
+            await asyncio.sleep(0.1)
+            reply = turn_messages.TurnReply(is_limit_known=is_limit_known)
+            scene.sidecars.replies = {'10.0.0.1': reply}
+            async with scene.client.acquire(scene.spec(), 'bc'):
+                return scene.limits.per_s(server)
+
+        expected = None if is_limit_known else 1.5
+        assert virtual_time.run(main()) == expected
+
 
 class TestReports:
     def play(self, link, *limits_per_s):
@@ -436,6 +449,15 @@
         }
         assert all(error.retry_after_s > 0.0 for error in refusals)
 
+    def test_a_higher_limit_counts_at_once(self):
+        """Guards against waiting for a permit at the limit of before."""
+        scene = PlainScene()
+        scene.name_limit('a', 0.1)
+        scene.chosen(40)
+        scene.name_limit('a', 5.0, scene.clock.now_s)
+        found = [name for name, _ in scene.chosen(60)]
+        assert found.count('a') >= 3
+
     def test_the_end_of_a_limit_frees_the_server(self):
         """Guards against a limit that stays after it has ended."""
         scene = PlainScene()
