--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -352,6 +352,7 @@
             now_s = self._clock.monotonic_s()
             remaining_s = self._remaining_s(spec)
             wait_s = max(0.0, min(_REPLY_WITHIN_S, remaining_s))
+            limit_per_s = self._limits.per_s(server)
             request = turn_messages.TurnRequest(
                 entry=self._instance,
                 turn_id=spec.turn_id,
@@ -377,8 +378,10 @@
                 fingerprint=spec.fingerprint,
                 is_isolated=is_isolated,
                 suspects=self._suspects.exchange.update_for(server.ip),
-                server_start_id=server.start_id,
-                limit_per_s=self._limits.per_s(server),
+                server_start_id=(
+                    '' if limit_per_s is None else server.start_id
+                ),
+                limit_per_s=limit_per_s,
             )
             asked_at_s = self._clock.boot_s()
             try:
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -67,12 +67,12 @@
         Whether it must run as the only suspect request.
     suspects
         The entry's updates about suspect requests.
+    limit_per_s
+        Request rate limit that the engine names, as the entry knows it;
+        ``None`` if it knows of none.
     server_start_id
-        Start of the engine that the entry knows; see
+        Start of the engine that names the limit; see
         `backend_list.BackendServer`.
-    limit_per_s
-        Request rate limit that this start of the engine has named, as the
-        entry knows it; ``None`` if it knows of none.
     """
 
     entry: str
@@ -97,8 +97,8 @@
     fingerprint: str = ''
     is_isolated: bool = False
     suspects: suspect_exchange.SuspectNews | None = None
-    server_start_id: str = ''
     limit_per_s: float | None = None
+    server_start_id: str = ''
 
     @property
     def flow(self) -> str:
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -22,7 +22,7 @@
 WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
 RUN = 20 + os.getppid() % 200
 NETWORK = f'127.{RUN}.{WORKER}'
-ENTRY_IPS = (f'{NETWORK}.10', f'{NETWORK}.20')
+ENTRY_IPS = tuple(f'{NETWORK}.{10 * number}' for number in range(1, 25))
 SIDECAR_IPS = (f'{NETWORK}.11', f'{NETWORK}.12')
 METRICS_PORT = 9464
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -26,6 +26,7 @@
 from tests import soak_keys
 from tests import soak_limits
 
+ENTRY_COUNT = 2
 CALLER_COUNT = 6
 ADAPTER_COUNT = 7
 FAULTS_S = 8.0
@@ -147,6 +148,7 @@
         self.checker = ResultChecker(platform)
         self.keys = keys
         self._seed = seed
+        self._caller_count = max(CALLER_COUNT, len(platform.entries))
         self._random = random.Random(seed)
         self._versions = itertools.count(6)
         self._names = itertools.count(100)
@@ -213,7 +215,7 @@
         planned = soak_faults.plan(self._random, self._targets(), length_s)
         callers = [
             asyncio.create_task(self._run_caller(number))
-            for number in range(CALLER_COUNT)
+            for number in range(self._caller_count)
         ]
         try:
             async with asyncio.TaskGroup() as faults:
@@ -380,14 +382,14 @@
             )
 
 
-async def run(seed, length_s=FAULTS_S):
+async def run(seed, length_s=FAULTS_S, entry_count=ENTRY_COUNT):
     """Run one seed; raise `BrokenPromiseError` if a check fails."""
     with contextlib.ExitStack() as exits:
         folder = exits.enter_context(tempfile.TemporaryDirectory())
         keys = soak_keys.Keys()
         async with platform_processes.Platform(
             pathlib.Path(folder),
-            entry_count=2,
+            entry_count=entry_count,
             is_relayed=True,
             tenants=keys.tenants(),
         ) as platform:
@@ -416,12 +418,18 @@
     default=FAULTS_S,
     help='Time during which faults start, in seconds.',
 )
-def main(first, count, seconds):
+@click.option(
+    '--entries',
+    default=ENTRY_COUNT,
+    type=click.IntRange(1, len(platform_processes.ENTRY_IPS)),
+    help='How many entry processes.',
+)
+def main(first, count, seconds, entries):
     """Run seeds one after another, and print what broke."""
     failed = 0
     for seed in range(first, first + count):
         try:
-            scene, planned = asyncio.run(run(seed, seconds))
+            scene, planned = asyncio.run(run(seed, seconds, entries))
         except BrokenPromiseError as error:
             failed += 1
             click.echo(f'seed {seed}: BROKEN: {error}')
