--- a/lacewingpitch/admission.py
+++ b/lacewingpitch/admission.py
@@ -130,17 +130,17 @@
         if not self._engine.is_serving:
             return self.not_serving_refusal()
         target_s = request.target_ms / _MS_PER_S
-        limit_s = max(_MIN_WAIT_LIMIT_S, _MAX_WAIT_TARGET_RATIO * target_s)
+        allowed_s = max(_MIN_WAIT_LIMIT_S, _MAX_WAIT_TARGET_RATIO * target_s)
         if is_above_share:
-            limit_s *= _ABOVE_SHARE_WAIT_RATIO
+            allowed_s *= _ABOVE_SHARE_WAIT_RATIO
         if request.accept_within_ms:
-            limit_s = min(limit_s, request.accept_within_ms / _MS_PER_S)
-        if wait.total_s <= limit_s:
+            allowed_s = min(allowed_s, request.accept_within_ms / _MS_PER_S)
+        if wait.total_s <= allowed_s:
             return None
-        retry_after_s = max(0.0, wait.total_s - limit_s)
+        retry_after_s = max(0.0, wait.total_s - allowed_s)
         retry_after_s += self._random.uniform(*_RETRY_JITTER_S)
         kind = errors.ErrorKind.DEADLINE_UNREACHABLE
-        if wait.total_s - wait.limit_s <= limit_s:
+        if wait.total_s - wait.limit_s <= allowed_s:
             kind = errors.ErrorKind.SERVER_LIMITED
             # An entry that compares engines asks once more before it
             # refuses its caller.
