A limit allows the first request after a quiet time at once

A new owner's bucket fills from the start of its process, and an engine's from the last turn that was granted.

--- a/lacewingpitch/server_permits.py
+++ b/lacewingpitch/server_permits.py
@@ -78,6 +78,7 @@
     ) -> None:
         self._clock = clock
         self._random = source
+        self._started_at_s = clock.monotonic_s()
         self._permits: collections.OrderedDict[str, _Permits] = (
             collections.OrderedDict()
         )
@@ -110,8 +111,10 @@
             return found
         if len(self._permits) >= _MAX_SERVERS:
             self._permits.popitem(last=False)
-        # It is not known what an earlier owner has granted just now.
-        bucket = token_bucket.TokenBucket(request.per_s, _BURST, 0.0, now_s)
+        # An earlier owner may have granted a permit just before the start.
+        bucket = token_bucket.TokenBucket(
+            request.per_s, _BURST, 0.0, self._started_at_s
+        )
         found = self._permits[request.server_start_id] = _Permits(
             bucket, return_times.ReturnTimes(self._clock, self._random)
         )
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -99,6 +99,8 @@
         self._pacer = pacer
         self._turn_pacer = turn_pacer_module.TurnPacer(clock, source)
         self._limit_per_s: float | None = None
+        # A predecessor may have granted a turn just before.
+        self._last_granted_at_s = clock.monotonic_s()
         self._clock = clock
         self._configuration_version = configuration_version
         self._turns: dict[str, turn_lease.TurnLease] = {}
@@ -225,7 +227,9 @@
         unsent_count = sum(
             turn.may_be_unsent(now_s) for turn in self._turns.values()
         )
-        self._turn_pacer.apply_limit(per_s, unsent_count)
+        self._turn_pacer.apply_limit(
+            per_s, unsent_count, now_s - self._last_granted_at_s
+        )
         if per_s is not None:
             await self._refuse_unreachable()
 
@@ -305,6 +309,7 @@
             await self._end(request.turn_id, from_task=True)
             raise
         turn.granted_at_s = self._clock.monotonic_s()
+        self._last_granted_at_s = turn.granted_at_s
         name = self._slot_name(request)
         version = self._engine.held_version(name) if name else 0
         self._outcomes.record_granted(turn, name, version)
--- a/lacewingpitch/turn_pacer.py
+++ b/lacewingpitch/turn_pacer.py
@@ -41,7 +41,9 @@
         """Whether the engine names a limit."""
         return self._rate_per_s < _UNLIMITED_PER_S
 
-    def apply_limit(self, per_s: float | None, unsent_count: int) -> None:
+    def apply_limit(
+        self, per_s: float | None, unsent_count: int, idle_s: float
+    ) -> None:
         """Apply another limit.
 
         Parameters
@@ -51,6 +53,8 @@
         unsent_count
             Turns that are granted, and whose requests may still be on their
             way to the engine.
+        idle_s
+            Time since a turn was granted last.
         """
         was_limited = self.is_limited
         self._rate_per_s = _UNLIMITED_PER_S
@@ -59,7 +63,9 @@
         self._pacer.update_rate()
         self._returns.reset()
         if self.is_limited and not was_limited:
-            self._pacer.set_level(-float(unsent_count))
+            self._pacer.set_level(
+                min(_BURST, idle_s * self._rate_per_s) - unsent_count
+            )
 
     def wait_s(
         self,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -187,3 +187,8 @@
         scene, planned = await soak.run(seed=1, length_s=4.0)
         assert planned
         assert any(call.is_served for call in scene.checker.calls)
+
+    async def test_an_entry_that_was_idle_serves_after_limits_have_ended(self):
+        """Guards against refusals for a limit that ended unheard."""
+        scene, _ = await soak.run(seed=5005)
+        assert any(call.is_served for call in scene.checker.calls)
