Spread the limits that servers name, and their ends, between entries

Traced: 13 of them were the first requests of entries that had not heard of the limit, one each; those that had heard sent 4 in 5 s. The rule does not count them, the server gets them all the same, and they grow with the entries.

What entries hear is piggybacked on requests for turns and their replies, with its age; sidecars pass on what is younger than 5 s.

--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -18,6 +18,7 @@
 from lacewingpitch import errors
 from lacewingpitch import fair_queue
 from lacewingpitch import fence as fence_module
+from lacewingpitch import limit_news
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import routing
@@ -100,6 +101,7 @@
             engine, self._fence, versions, clock
         )
         self.limit = engine_limit.EngineLimit(clock)
+        self._limit_board = limit_news.LimitBoard(clock)
         self._adapters: slots_module.AdapterSlots | None = None
         self.granter: turn_granter.TurnGranter | None = None
         self._adopted_runs: frozenset[str] = frozenset()
@@ -114,11 +116,13 @@
         self._crashes.merge(
             request.suspects.states if request.suspects else ()
         )
+        self._limit_board.merge(request.limit_news)
         reply = await self._request_turn(request)
         reply = msgspec.structs.replace(
             reply,
             limit_per_s=self.limit.per_s,
             is_limit_known=self.limit.is_known,
+            limit_news=self._limit_board.news_for(request.limit_news),
         )
         update = suspect_exchange.update_for_requester(
             self._crashes, request.suspects
--- a/lacewingpitch/named_limit.py
+++ b/lacewingpitch/named_limit.py
@@ -22,6 +22,11 @@
         self._asked_at_s = -math.inf
         self._heard_at_s = -math.inf
 
+    @property
+    def asked_at_s(self) -> float:
+        """Return when the request was sent whose answer is in force."""
+        return self._asked_at_s
+
     @property
     def is_known(self) -> bool:
         """Whether the server has named a limit since its start."""
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -116,6 +116,7 @@
             file.settings.instance,
             self._peers,
             owners,
+            self.servers.all,
             self._has_sidecar,
             lambda: self._budgets.entry_count,
             self._process.clock,
--- a/lacewingpitch/server_limits.py
+++ b/lacewingpitch/server_limits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import dataclasses
 import random
 from typing import Protocol
@@ -12,6 +12,7 @@
 from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import limit_news
 from lacewingpitch import limit_share
 from lacewingpitch import named_limit
 from lacewingpitch import return_times
@@ -115,6 +116,8 @@
         Name of this entry.
     owners
         Finds the owners of permits.
+    servers
+        Returns all listed servers.
     has_sidecar
         Whether the servers of a service have sidecars.
     entry_count
@@ -133,6 +136,7 @@
         instance: str,
         link: SidecarLink,
         owners: Owners,
+        servers: Callable[[], Iterable[backend_list.BackendServer]],
         has_sidecar: Callable[[str], bool],
         entry_count: Callable[[], int],
         clock: clock_module.Clock,
@@ -141,6 +145,7 @@
         self._instance = instance
         self._link = link
         self._owners = owners
+        self._servers = servers
         self._unresponsive_until_s: dict[str, float] = {}
         self._has_sidecar = has_sidecar
         self._entry_count = entry_count
@@ -184,7 +189,7 @@
         reply: turn_messages.TurnReply,
         asked_at_s: float,
     ) -> None:
-        """Record the limit of an engine that its sidecar states.
+        """Record what a sidecar states of its engine and of other servers.
 
         Parameters
         ----------
@@ -193,6 +198,28 @@
         """
         if reply.is_limit_known:
             self._record(server, reply.limit_per_s, asked_at_s, 'sidecar')
+        if reply.limit_news:
+            self._apply_news(reply.limit_news)
+
+    def news(self) -> tuple[limit_news.LimitNews, ...]:
+        """Return what was heard of limits lately, for other entries."""
+        now_s = self._clock.boot_s()
+        found = [
+            limit_news.new_news(
+                start_id, limit.named.per_s, now_s - limit.named.asked_at_s
+            )
+            for start_id, limit in self._limits.items()
+            if now_s - limit.named.asked_at_s < limit_news.MAX_AGE_S
+        ]
+        return tuple(found[: limit_news.MAX_COUNT])
+
+    def _apply_news(self, news: Iterable[limit_news.LimitNews]) -> None:
+        servers = {server.start_id: server for server in self._servers()}
+        now_s = self._clock.boot_s()
+        for item in news:
+            server = servers.get(item.server_start_id)
+            if server is not None:
+                self._record(server, item.per_s, now_s - item.age_s, 'entry')
 
     async def try_acquire(
         self, server: backend_list.BackendServer
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -382,6 +382,7 @@
                     '' if limit_per_s is None else server.start_id
                 ),
                 limit_per_s=limit_per_s,
+                limit_news=self._limits.news(),
             )
             asked_at_s = self._clock.boot_s()
             try:
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -11,6 +11,7 @@
 
 from lacewingpitch import errors
 from lacewingpitch import hint as hint_module
+from lacewingpitch import limit_news as limit_news_module
 from lacewingpitch import link
 from lacewingpitch import suspect_exchange
 
@@ -73,6 +74,8 @@
     server_start_id
         Start of the engine that names the limit; see
         `backend_list.BackendServer`.
+    limit_news
+        Limits that servers have named to this entry, or to others.
     """
 
     entry: str
@@ -99,6 +102,7 @@
     suspects: suspect_exchange.SuspectNews | None = None
     limit_per_s: float | None = None
     server_start_id: str = ''
+    limit_news: tuple[limit_news_module.LimitNews, ...] = ()
 
     @property
     def flow(self) -> str:
@@ -136,6 +140,8 @@
     is_limit_known
         Whether the sidecar has heard of a limit of this start of the engine,
         or of its end.
+    limit_news
+        Limits that servers have named to other entries.
     """
 
     backend_server: str = ''
@@ -152,6 +158,7 @@
     suspects: suspect_exchange.SuspectNews | None = None
     limit_per_s: float | None = None
     is_limit_known: bool = False
+    limit_news: tuple[limit_news_module.LimitNews, ...] = ()
 
 
 class TurnEnds(link.Message, frozen=True):
--- a/tests/limit_fakes.py
+++ b/tests/limit_fakes.py
@@ -41,13 +41,16 @@
         return self._owner.grant(message)
 
 
-def make_limits(clock, link=None, has_sidecar=True, entry_count=1, seed=5):
+def make_limits(
+    clock, link=None, has_sidecar=True, entry_count=1, seed=5, servers=()
+):
     """Return the limits at one of `entry_count` entries."""
     link = link or LimitLink()
     return server_limits.ServerLimits(
         'edge-1',
         link,
         link,
+        lambda: servers,
         lambda _service: has_sidecar,
         lambda: entry_count,
         clock,
