Log and count what servers say of leaving and of backoff in answers

Both are decoded now, once, with the limit, into a notice of the answer; an invalid value is logged and counts as absent. An answer speaks of its server only if it repeats the id of the request, which an answer of another program at the address does not. New lines 'backend server announced that it leaves' and 'backend server asked for backoff', with the age of the answer; new metrics leaving_answers_total and backoff_answers_total. No decision uses them yet.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -11,6 +11,7 @@
 from lacewingpitch import organisation as organisation_module
 from lacewingpitch import request_fingerprint
 from lacewingpitch import routing
+from lacewingpitch import server_notice
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -161,10 +162,16 @@
     def record_answer(
         self,
         server: backend_list.BackendServer,
-        per_s: float | None,
+        notice: server_notice.ServerNotice,
         asked_at_s: float,
     ) -> None:
-        """Record whether an answer names a limit; see `server_limits`."""
+        """Record what an answer says about its server.
+
+        Parameters
+        ----------
+        asked_at_s
+            When the request was sent, by the boot clock.
+        """
         ...
 
 
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -7,15 +7,12 @@
 import types
 
 import aiohttp
-import structlog
 import yarl
 
 from lacewingpitch import backend_call
-from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
-from lacewingpitch import errors
 from lacewingpitch.platform import names
-from lacewingpitch.platform import wire
+from lacewingpitch.platform import notices
 from lacewingpitch import session_pool
 
 # If connecting takes longer, the instance is down or unreachable.
@@ -31,7 +28,6 @@
 _CONNECTION_CLOSE = 'close'
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
-log = structlog.get_logger(__name__)
 
 
 class _ConnectionTrace:
@@ -56,7 +52,7 @@
     pool
         Sessions with persistent connections.
     observer
-        Learns the limits that servers name.
+        Learns what servers say about themselves.
     """
 
     def __init__(
@@ -81,7 +77,7 @@
             response = await self._open(session, call)
             try:
                 _check_request_id(call, response)
-                self._observe(call.server, response, asked_at_s)
+                self._observe(call, response, asked_at_s)
                 _check_response(response)
                 yield backend_call.BackendAnswer(
                     status=response.status,
@@ -94,23 +90,18 @@
 
     def _observe(
         self,
-        server: backend_list.BackendServer,
+        call: backend_call.BackendCall,
         response: aiohttp.ClientResponse,
         asked_at_s: float,
     ) -> None:
-        # An answer of another incarnation says nothing about this one.
+        # An answer of another incarnation, or of another program at the
+        # address, says nothing about this server.
         if response.status == _STATUS_OTHER_INCARNATION:
             return
-        try:
-            per_s = wire.decode_server_limit(response.headers)
-        except errors.PlatformError as error:
-            log.warning(
-                'invalid server limit',
-                backend_server=server.name,
-                error=str(error),
-            )
+        if response.headers.get(names.REQUEST_ID) != call.request.request_id:
             return
-        self._observer.record_answer(server, per_s, asked_at_s)
+        notice = notices.decode_notice(response, call.server.name)
+        self._observer.record_answer(call.server, notice, asked_at_s)
 
     def _session(
         self, call: backend_call.BackendCall
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -18,6 +18,7 @@
 from lacewingpitch import ejection
 from lacewingpitch import link
 from lacewingpitch import metrics_server
+from lacewingpitch import notice_router
 from lacewingpitch import peer_bootstrap
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
@@ -123,6 +124,9 @@
             self._process.random,
         )
         self._process.exits.push_async_callback(self._limits.close)
+        self._notices = notice_router.NoticeRouter(
+            self._limits, self._process.clock
+        )
         self._usage = usage_limits.UsageLimits(
             file.settings.instance,
             self._peers,
@@ -221,7 +225,7 @@
         process.background.run('turns', turns.run)
         return request_forwarder.RequestForwarder(
             backend_client.new_client(
-                process.exits, self._limits, process.clock
+                process.exits, self._notices, process.clock
             ),
             turns,
             services,
@@ -335,6 +339,16 @@
                 for server in self.servers.all()
             ),
         )
+        metrics.counter(
+            'leaving_answers_total',
+            'Answers of backend servers that announced that they leave.',
+            lambda: self._notices.leaving_count,
+        )
+        metrics.counter(
+            'backoff_answers_total',
+            'Answers of backend servers that asked for backoff.',
+            lambda: self._notices.backoff_count,
+        )
         metrics.gauge(
             'requests_in_progress',
             'Requests that are in progress here.',
--- a/lacewingpitch/platform/names.py
+++ b/lacewingpitch/platform/names.py
@@ -4,6 +4,8 @@
 REQUEST_ID = 'Request-Id'
 # Time for which the caller still waits.  An engine stops work at its end.
 DEADLINE_MS = 'Deadline-Ms'
+# Seconds, with fractions.  In our refusals: when the caller may come back.
+# In an engine's: the time for which this process must send it nothing.
 RETRY_AFTER = 'Retry-After'
 LAST_EVENT_ID = 'Last-Event-Id'
 # MODEL or MODEL/ADAPTER.
@@ -28,6 +30,8 @@
 # In responses: requests per second that the engine accepts from all entries
 # together, a decimal.  In force while the engine's responses contain it.
 SERVER_LIMIT = 'Server-Limit'
+# In all responses of a leaving engine: 1.
+SERVER_LEAVING = 'Server-Leaving'
 
 # Headers that concern a single connection, and are not forwarded.
 HOP_BY_HOP = frozenset(
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -11,7 +11,6 @@
 from lacewingpitch import clock
 from lacewingpitch.platform import backend_client
 from lacewingpitch import routing
-from tests import limit_fakes
 
 BODY = b'whole'
 
@@ -25,6 +24,16 @@
     return head.encode() + body + extra
 
 
+class Observer:
+    """Records what servers say about themselves."""
+
+    def __init__(self):
+        self.notices = []
+
+    def record_answer(self, server, notice, asked_at_s):
+        self.notices.append(notice)
+
+
 class Server:
     """Answers each request with a scripted response; counts connections."""
 
@@ -81,9 +90,9 @@
         port = listening.sockets[0].getsockname()[1]
 
         async with contextlib.AsyncExitStack() as exits:
-            limits = limit_fakes.make_limits(clock.SystemClock())
+            server.observer = Observer()
             client = backend_client.new_client(
-                exits, limits, clock.SystemClock()
+                exits, server.observer, clock.SystemClock()
             )
 
             async def send(request_id, **fields):
