Failing tests: servers that leave or ask for backoff get requests at once

A plain server that leaves while the store is down: 50 of 88 requests were sent later than 2 s after its entry had been told (limit: none). An engine or plain server that answers 503 with Retry-After: 3: 21 and 31 requests of one entry between 0.5 s and 3 s after it, allowed 2.

The stand-in's servers announce that they leave, and shed with Retry-After.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import math
+import random
 import re
 import time
 import tomllib
@@ -133,11 +134,26 @@
         ]
 
 
-class LimitedServer:
-    """A server that may name a request rate limit in its answers."""
+class AnnouncingServer:
+    """A server that says in its answers how it wants to be used.
+
+    It may name a request rate limit, announce that it leaves, and turn
+    requests away and ask their senders for backoff.
+    """
 
     def __init__(self):
         self.arrived_at_s = []
+        # Ids and times of requests, in the order of their arrival.
+        self.arrivals = []
+        self.is_leaving = False
+        # Ids and times of the requests that were told that it leaves.
+        self.leaving_answers = []
+        self.shed_ratio = 0.0
+        # The text of Retry-After; the header is absent if it is empty.
+        self.retry_after = ''
+        # Ids, times and backoffs of the requests that were turned away.
+        self.backoff_answers = []
+        self._random = random.Random(1)
         self._limit_per_s = None
         # Limits, each with the times of its first and of its last answer.
         self._periods = []
@@ -153,6 +169,36 @@
         """
         return [tuple(period) for period in self._periods]
 
+    def record_arrival(self, request):
+        """Record a request that has arrived."""
+        now_s = time.monotonic()
+        self.arrived_at_s.append(now_s)
+        self.arrivals.append((request.headers['Request-Id'], now_s))
+
+    def shed(self, request):
+        """Return the answer that turns a request away, or ``None``."""
+        if self._random.random() >= self.shed_ratio:
+            return None
+        request_id = request.headers['Request-Id']
+        headers = {'Not-Executed': '1', 'Request-Id': request_id}
+        if self.retry_after:
+            headers['Retry-After'] = self.retry_after
+            self.backoff_answers.append(
+                (request_id, time.monotonic(), float(self.retry_after))
+            )
+        headers.update(self.notice_headers(request))
+        return web.Response(status=503, headers=headers)
+
+    def notice_headers(self, request):
+        """Return what an answer that is written now says of the server."""
+        headers = self.limit_headers()
+        if self.is_leaving:
+            headers['Server-Leaving'] = '1'
+            self.leaving_answers.append(
+                (request.headers['Request-Id'], time.monotonic())
+            )
+        return headers
+
     def limit_headers(self):
         """Return the headers of an answer that is written now."""
         now_s = time.monotonic()
@@ -167,7 +213,7 @@
         return {'Server-Limit': str(self._limit_per_s)}
 
 
-class Engine(LimitedServer):
+class Engine(AnnouncingServer):
     """A model engine that answers as documented by the platform."""
 
     def __init__(self, name, adapter_slots=4):
@@ -183,6 +229,8 @@
         self.seen = []
         self.order_count = 0
         self.has_crashed = False
+        # Whether its reports show that it leaves, as its answers do.
+        self.reports_leaving = True
         self.event_count = 5
         self.event_pause_s = 0.02
         self.abort_after_event = None
@@ -199,6 +247,8 @@
         self.adapters.clear()
         self.pending.clear()
         self.order_count = 0
+        self.is_leaving = False
+        self.shed_ratio = 0.0
         self.set_limit(None)
         self.limit_headers()
 
@@ -241,7 +291,7 @@
         return web.json_response(
             {
                 'stage': 'mixed',
-                'state': 'ready',
+                'state': self._state(),
                 'models': [self._model()],
                 'pending': [
                     f'{MODEL}/{a}@{v}' for a, v in self.pending.items()
@@ -254,6 +304,10 @@
             }
         )
 
+    def _state(self):
+        is_shown = self.is_leaving and self.reports_leaving
+        return 'draining' if is_shown else 'ready'
+
     def _model(self):
         listed = [f'{a}@{v}' for a, v in self.adapters.items()]
         return {'name': MODEL, 'version': 1, 'adapters': listed}
@@ -295,14 +349,16 @@
     async def _run(self, request):
         body = await request.read()
         self.seen.append((request.raw_path, dict(request.headers)))
-        self.arrived_at_s.append(time.monotonic())
+        self.record_arrival(request)
+        if (refused := self.shed(request)) is not None:
+            return refused
         adapter = request.headers.get('Model', '').partition('/')[2]
         if request.headers.get('Expect-Instance') != self.name or (
             adapter and adapter not in self.adapters
         ):
             return web.Response(
                 status=421,
-                headers={'Not-Executed': '1', **self.limit_headers()},
+                headers={'Not-Executed': '1', **self.notice_headers(request)},
             )
         if self.crash_body is not None and body == self.crash_body:
             asyncio.get_running_loop().call_later(0.05, self.crash)
@@ -320,7 +376,7 @@
                     'Content-Type': 'text/event-stream',
                     'Request-Id': request_id,
                     SIGNATURE: f'signed-by-{self.name}',
-                    **self.limit_headers(),
+                    **self.notice_headers(request),
                 }
             )
             await response.prepare(request)
@@ -341,7 +397,7 @@
             self.runs.remove(request_id)
 
 
-class Service(LimitedServer):
+class Service(AnnouncingServer):
     """A plain service that records the requests that it runs."""
 
     def __init__(self, name):
@@ -367,7 +423,9 @@
 
     async def _run(self, request):
         body = await request.read()
-        self.arrived_at_s.append(time.monotonic())
+        self.record_arrival(request)
+        if (refused := self.shed(request)) is not None:
+            return refused
         self.runs.append(request.headers['Request-Id'])
         self.run_log.append(_run_entry(request))
         if self.aborts_left:
@@ -380,7 +438,7 @@
             headers={
                 'Request-Id': request.headers['Request-Id'],
                 SIGNATURE: f'signed-by-{self.name}',
-                **self.limit_headers(),
+                **self.notice_headers(request),
             },
         )
 
