Servers that announce that they leave get no more requests

Cause: Server-Leaving was passed on to the caller and read by nobody; entries knew of leaving by the list, and sidecars by their engine's report.

Change: an announcement marks the start of the server in the list for good; the list, a peer or a copy of the store does not take it back, and a later start under the same name serves. ServerGate decides; selections skip closed servers, and each request passes its admit() after it has its connection and before the first byte, whatever way it came. A request that is withheld there is placed anew within the same attempt, and costs no retry. The entry tells the engine's sidecar at once, which refuses turns; the starts ride on the messages about turns to other entries for 5 s. BackendAnswer.is_leaving, which nobody used, is gone: Connection: close comes with other answers too.

Ownership of limits still follows the list: if it followed announcements, two entries of which one has heard would use two owners.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -121,16 +121,12 @@
 
     Parameters
     ----------
-    is_leaving
-        Whether the backend server announces that it accepts no more
-        requests.
     chunks
         Yields the body; raises `AnswerLostError` if it breaks off.
     """
 
     status: int
     headers: Headers
-    is_leaving: bool
     chunks: AsyncIterator[bytes]
 
 
@@ -146,6 +142,8 @@
         ------
         NotSentError
             There was no connection, so that nothing was sent.
+        WithheldError
+            The server must get no requests now, so that nothing was sent.
         NotRunError
             The backend server reports that it did not run the request.
         StaleConnectionError
@@ -175,6 +173,20 @@
         ...
 
 
+class SendGate(Protocol):
+    """Stops requests to servers that must get none now."""
+
+    def admit(self, server: backend_list.BackendServer) -> None:
+        """Admit a request that is about to be sent.
+
+        Raises
+        ------
+        WithheldError
+            It must not be sent.
+        """
+        ...
+
+
 class Delivery(Protocol):
     """Sends one answer to its caller."""
 
@@ -215,6 +227,10 @@
         self.is_refused = is_refused
 
 
+class WithheldError(errors.PlatformError):
+    """A request was not sent, as its server must get none now."""
+
+
 class StaleConnectionError(errors.PlatformError):
     """A reused connection was closed while a request was sent on it.
 
--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -9,6 +9,7 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import departed_servers
+from lacewingpitch import leaving_servers
 from lacewingpitch import unlisted_servers
 
 _CONTACT_S = 3.0
@@ -60,6 +61,20 @@
     return f'{name}@{started_at_ms}'
 
 
+def split_start_id(text: str) -> tuple[str, int]:
+    """Return the name of a server and the time of its start.
+
+    Raises
+    ------
+    ValueError
+        It is no id of a start.
+    """
+    name, separator, started_at_ms = text.rpartition('@')
+    if not separator:
+        raise ValueError(f'no start id: {text!r}')
+    return name, int(started_at_ms)
+
+
 class BackendList:
     """Holds the published list of servers, also while it cannot be read.
 
@@ -91,6 +106,9 @@
             unlisted_servers.UnlistedServers(clock, contact_s)
         )
         self._departed = departed_servers.DepartedServers(clock)
+        self._leaving = leaving_servers.LeavingServers(
+            lambda name: name in self._servers
+        )
         self._is_new_epoch = False
         # `created_revision` by name, of entries listed as an outage began.
         self._revisions_before_outage: dict[str, int] = {}
@@ -275,6 +293,55 @@
         self._announce_restart(self._servers[name])
         return True
 
+    def record_leaving(self, start_id: str, source: str) -> bool:
+        """Record that a start of a server announced that it leaves.
+
+        It gets no requests from now on, whatever the list says of it.
+
+        Parameters
+        ----------
+        source
+            Who said so, for the log.
+
+        Returns
+        -------
+        bool
+            Whether this was unknown.
+        """
+        try:
+            name, started_at_ms = split_start_id(start_id)
+        except ValueError as error:
+            log.warning('announcement ignored', error=str(error))
+            return False
+        if not self._leaving.record(name, started_at_ms):
+            return False
+        unlisted = self._unlisted.get(name)
+        if unlisted is not None and self._leaves(unlisted):
+            self._unlisted.discard(name)
+        self._by_service.clear()
+        log.info(
+            'backend server leaving',
+            backend_server=name,
+            started_at_ms=started_at_ms,
+            source=source,
+        )
+        return True
+
+    def is_known_leaving(self, server: BackendServer) -> bool:
+        """Whether a start of a server leaves, by the list or by itself.
+
+        The list may lag behind what the server says, and what is derived from
+        the list at all entries stays the same until it changes.
+        """
+        if self._leaves(server):
+            return True
+        listed = self._servers.get(server.name)
+        return (
+            listed is not None
+            and listed.is_leaving
+            and listed.started_at_ms == server.started_at_ms
+        )
+
     def get(self, name: str) -> BackendServer | None:
         """Return a listed server."""
         return self._servers.get(name)
@@ -317,7 +384,7 @@
         return tuple(
             server
             for server in newest.values()
-            if server.service == service and not server.is_leaving
+            if server.service == service and not self._leaves(server)
         )
 
     def _with_unlisted(self, service: str) -> tuple[BackendServer, ...]:
@@ -327,6 +394,11 @@
         )
         return found or self._unlisted.last_resort(service)
 
+    def _leaves(self, server: BackendServer) -> bool:
+        return server.is_leaving or self._leaving.includes(
+            server.name, server.started_at_ms
+        )
+
     def _listed_or_unlisted(self, name: str) -> BackendServer | None:
         return self._servers.get(name) or self._unlisted.get(name)
 
@@ -347,7 +419,7 @@
             service=server.service,
             was_leaving=server.is_leaving,
         )
-        if not server.is_leaving:
+        if not self._leaves(server):
             self._unlisted.add(server, self._previously_confirmed_at_s)
         self._departed.record_removed(server.start_id)
         if not self._is_new_epoch and not self._unlisted.is_after_outage:
--- a/lacewingpitch/control_client.py
+++ b/lacewingpitch/control_client.py
@@ -49,6 +49,14 @@
             message, turn_messages.AnsweredLimitReply, timeout_s
         )
 
+    async def report_leaving(
+        self, ip: str, message: turn_messages.AnsweredLeaving, timeout_s: float
+    ) -> None:
+        """Tell a sidecar that its engine announced that it leaves."""
+        await self._sidecar(ip).ask(
+            message, turn_messages.AnsweredLeavingReply, timeout_s
+        )
+
     async def request_permit(
         self, ip: str, message: server_permits.PermitRequest, timeout_s: float
     ) -> server_permits.PermitReply:
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -18,6 +18,7 @@
 from lacewingpitch import errors
 from lacewingpitch import fair_queue
 from lacewingpitch import fence as fence_module
+from lacewingpitch import leaving_news
 from lacewingpitch import limit_news
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import prefill_pacer
@@ -102,6 +103,7 @@
         )
         self.limit = engine_limit.EngineLimit(clock)
         self._limit_board = limit_news.LimitBoard(clock)
+        self._heard_leaving = leaving_news.HeardLeaving(clock)
         self._adapters: slots_module.AdapterSlots | None = None
         self.granter: turn_granter.TurnGranter | None = None
         self._adopted_runs: frozenset[str] = frozenset()
@@ -117,12 +119,14 @@
             request.suspects.states if request.suspects else ()
         )
         self._limit_board.merge(request.limit_news)
+        self._heard_leaving.merge(request.leaving)
         reply = await self._request_turn(request)
         reply = msgspec.structs.replace(
             reply,
             limit_per_s=self.limit.per_s,
             is_limit_known=self.limit.is_known,
             limit_news=self._limit_board.news_for(request.limit_news),
+            leaving=self._heard_leaving.recent(request.leaving),
         )
         update = suspect_exchange.update_for_requester(
             self._crashes, request.suspects
@@ -180,6 +184,22 @@
             await self._apply_limit()
         return turn_messages.AnsweredLimitReply()
 
+    async def record_answered_leaving(
+        self, message: turn_messages.AnsweredLeaving
+    ) -> turn_messages.AnsweredLeavingReply:
+        """Record that the engine announced to an entry that it leaves."""
+        if message.server_start_id == self.view.start_id:
+            self._heard_leaving.record(message.server_start_id)
+            if self.view.record_leaving():
+                log.info(
+                    'engine leaving',
+                    backend_server=self.view.backend_server,
+                    leaving=True,
+                    source=message.entry,
+                )
+            await self._refuse_pending_unless_serving()
+        return turn_messages.AnsweredLeavingReply()
+
     async def _apply_limit(self) -> None:
         if self.granter is not None:
             await self.granter.apply_limit(self.limit.per_s)
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -66,6 +66,8 @@
         self.started_at_ms = 0
         # Starts of the engine so far; orders apply to one start only.
         self._start_count = 0
+        # Whether this start announced in an answer that it leaves.
+        self._has_announced_leaving = False
         self.loading_count = 0
         # Adapters that the engine can hold; it crashes beyond them.
         self.slot_count = 0
@@ -107,7 +109,7 @@
         snapshot = self._current
         return (
             snapshot is not None
-            and not snapshot.is_leaving
+            and not self._leaves(snapshot)
             and bool(snapshot.models)
         )
 
@@ -115,7 +117,7 @@
     def is_leaving(self) -> bool:
         """Whether the engine is up, and leaving."""
         snapshot = self._current
-        return snapshot is not None and snapshot.is_leaving
+        return snapshot is not None and self._leaves(snapshot)
 
     @property
     def is_starting(self) -> bool:
@@ -123,7 +125,7 @@
         snapshot = self._current
         return (
             snapshot is not None
-            and not snapshot.is_leaving
+            and not self._leaves(snapshot)
             and not snapshot.models
             and self._without_model_for_s < _MAX_MODEL_LOAD_S
         )
@@ -149,6 +151,21 @@
             return 0.0
         return self._clock.monotonic_s() - self._without_model_since_s
 
+    def _leaves(self, snapshot: engine_snapshot.EngineSnapshot) -> bool:
+        return snapshot.is_leaving or self._has_announced_leaving
+
+    def record_leaving(self) -> bool:
+        """Record that the engine announced that it leaves.
+
+        Returns
+        -------
+        bool
+            Whether this was unknown.
+        """
+        was_leaving = self.is_leaving
+        self._has_announced_leaving = True
+        return not was_leaving
+
     async def next_report(self) -> None:
         """Wait for the next report of the engine."""
         await self._report_received.wait()
@@ -195,6 +212,7 @@
         self.backend_server = incarnation
         self.started_at_ms = started_at_ms
         self._start_count += 1
+        self._has_announced_leaving = False
         self._snapshot = None
         self._without_model_since_s = None
         self._unconfirmed_orders.restart()
--- a/lacewingpitch/errors.py
+++ b/lacewingpitch/errors.py
@@ -35,6 +35,7 @@
     DEADLINE_UNREACHABLE = 'deadline-unreachable'
     ADAPTER_UNAVAILABLE = 'adapter-unavailable'
     SERVER_LIMITED = 'server-limited'
+    SERVER_BACKOFF = 'server-backoff'
     NO_BACKEND_SERVER = 'no-backend-server'
     CLAIM_UNAVAILABLE = 'claim-unavailable'
     ATTEMPT_OUT_OF_WINDOW = 'attempt-out-of-window'
@@ -92,6 +93,7 @@
     ErrorKind.DEADLINE_UNREACHABLE: AnswerRule(503, _NOT_RUN, 2.0, True),
     ErrorKind.ADAPTER_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0, True),
     ErrorKind.SERVER_LIMITED: AnswerRule(503, _NOT_RUN, 1.0, True),
+    ErrorKind.SERVER_BACKOFF: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.NO_BACKEND_SERVER: AnswerRule(503, _NOT_RUN, 2.0),
     ErrorKind.CLAIM_UNAVAILABLE: AnswerRule(503, _NOT_RUN, 2.0),
     ErrorKind.ATTEMPT_OUT_OF_WINDOW: AnswerRule(503, _NOT_RUN, 1.0),
--- a/lacewingpitch/notice_router.py
+++ b/lacewingpitch/notice_router.py
@@ -1,18 +1,40 @@
 """Passes what backend servers say about themselves to those who act on it."""
 
-import structlog
+from collections.abc import Callable
+from typing import Protocol
 
 from lacewingpitch import backend_list
-from lacewingpitch import clock as clock_module
+from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import server_notice
+from lacewingpitch import sidecar_reporter
+from lacewingpitch import turn_messages
 
-log = structlog.get_logger(__name__)
+_REPORT_TIMEOUT_S = 1.0
+
+
+class SidecarLink(Protocol):
+    """Messages to sidecars."""
+
+    async def report_leaving(
+        self, ip: str, message: turn_messages.AnsweredLeaving, timeout_s: float
+    ) -> None:
+        """Tell a sidecar that its engine announced that it leaves."""
+        ...
 
 
 class NoticeRouter:
     """Receives the notices of all answers to one entry.
 
+    Parameters
+    ----------
+    instance
+        Name of this entry.
+    has_sidecar
+        Whether the servers of a service have sidecars.
+    reporter
+        Sends what answers say to the sidecars.
+
     Attributes
     ----------
     leaving_count
@@ -23,11 +45,19 @@
 
     def __init__(
         self,
+        instance: str,
         limits: server_limits.ServerLimits,
-        clock: clock_module.Clock,
+        gate: server_gate.ServerGate,
+        link: SidecarLink,
+        has_sidecar: Callable[[str], bool],
+        reporter: sidecar_reporter.SidecarReporter,
     ) -> None:
+        self._instance = instance
         self._limits = limits
-        self._clock = clock
+        self._gate = gate
+        self._link = link
+        self._has_sidecar = has_sidecar
+        self._reporter = reporter
         self.leaving_count = 0
         self.backoff_count = 0
 
@@ -38,20 +68,20 @@
         asked_at_s: float,
     ) -> None:
         """Record what an answer says; see `backend_call.AnswerObserver`."""
+        self.leaving_count += notice.is_leaving
+        self.backoff_count += notice.backoff_s > 0.0
         self._limits.record_answer(server, notice.limit_per_s, asked_at_s)
-        age_s = round(self._clock.boot_s() - asked_at_s, 3)
-        if notice.is_leaving:
-            self.leaving_count += 1
-            log.info(
-                'backend server announced that it leaves',
-                backend_server=server.name,
-                answer_age_s=age_s,
-            )
-        if notice.backoff_s:
-            self.backoff_count += 1
-            log.info(
-                'backend server asked for backoff',
-                backend_server=server.name,
-                backoff_s=notice.backoff_s,
-                answer_age_s=age_s,
-            )
+        is_news = self._gate.record_answer(server, notice, asked_at_s)
+        if is_news and self._has_sidecar(server.service):
+            self._report_leaving(server)
+
+    def _report_leaving(self, server: backend_list.BackendServer) -> None:
+        message = turn_messages.AnsweredLeaving(
+            entry=self._instance, server_start_id=server.start_id
+        )
+        self._reporter.start(
+            server.ip,
+            lambda: self._link.report_leaving(
+                server.ip, message, _REPORT_TIMEOUT_S
+            ),
+        )
--- a/lacewingpitch/peer_bootstrap.py
+++ b/lacewingpitch/peer_bootstrap.py
@@ -133,7 +133,11 @@
             configuration=configuration.content,
             versions=self._versions.all(),
             servers=tuple(
-                dataclasses.replace(server, adapters={})
+                dataclasses.replace(
+                    server,
+                    adapters={},
+                    is_leaving=self._servers.is_known_leaving(server),
+                )
                 for server in self._servers.all()
             ),
             list_age_s=self._servers.age_s,
--- a/lacewingpitch/plain_server_selector.py
+++ b/lacewingpitch/plain_server_selector.py
@@ -1,12 +1,19 @@
 """Selects a server of a plain service for one request."""
 
-from collections.abc import AsyncIterator, Collection, Iterator, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Collection,
+    Iterable,
+    Iterator,
+    Sequence,
+)
 import contextlib
 
 from lacewingpitch import backend_list
 from lacewingpitch import crash_record
 from lacewingpitch import errors
 from lacewingpitch import isolation
+from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
 
@@ -27,6 +34,8 @@
         Record of suspect requests.
     limits
         Limits that the servers name.
+    gate
+        Tells which servers must get no requests of this entry now.
     """
 
     def __init__(
@@ -34,7 +43,9 @@
         balancer: service_balancer.ServiceBalancer,
         record: crash_record.CrashRecord,
         limits: server_limits.ServerLimits,
+        gate: server_gate.ServerGate,
     ) -> None:
+        self._gate = gate
         self._limits = limits
         self._balancer = balancer
         self._record = record
@@ -92,8 +103,13 @@
     ) -> backend_list.BackendServer:
         limited: dict[str, errors.RefusalError] = {}
         for service in services:
+            closed = self._closed_names(service)
+            if closed and is_isolated:
+                # Another server would run a second suspect beside that of
+                # the entries that may use this one.
+                break
             while True:
-                skipped = {*excluded, *limited}
+                skipped = {*excluded, *limited, *closed}
                 if is_isolated:
                     server = self._balancer.choose_isolation_server(
                         service, skipped
@@ -106,9 +122,32 @@
                 if refusal is None:
                     return server
                 limited[server.name] = refusal
-        if limited:
-            raise min(limited.values(), key=_retry_after_s)
-        raise errors.RefusalError(
+        raise self._refusal(services, limited.values())
+
+    def _closed_names(self, service: str) -> set[str]:
+        return {
+            server.name
+            for server in self._balancer.servers(service)
+            if not self._gate.is_open(server)
+        }
+
+    def _refusal(
+        self,
+        services: Sequence[str],
+        refusals: Iterable[errors.RefusalError],
+    ) -> errors.RefusalError:
+        """Return the refusal that allows the earliest retry."""
+        found = list(refusals)
+        backoff = self._gate.refusal(
+            server
+            for service in services
+            for server in self._balancer.servers(service)
+        )
+        if backoff is not None:
+            found.append(backoff)
+        if found:
+            return min(found, key=_retry_after_s)
+        return errors.RefusalError(
             errors.ErrorKind.NO_BACKEND_SERVER,
             'no backend server of the service can be reached',
             retry_after_s=_NO_SERVER_RETRY_AFTER_S,
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -1,6 +1,6 @@
 """HTTP client for requests to backend servers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
 import errno
 import time
@@ -25,15 +25,24 @@
 _MIN_DEADLINE_MS = 1
 _MAX_PRIORITY = 9
 _STATUS_OTHER_INCARNATION = 421
-_CONNECTION_CLOSE = 'close'
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
 
 
-class _ConnectionTrace:
-    """Whether the connection of one request had been used before."""
+class _RequestTrace:
+    """What happens to one request until it is sent.
 
-    is_reused = False
+    Parameters
+    ----------
+    admit
+        Called just before the request is sent.
+    is_reused
+        Whether its connection had been used before.
+    """
+
+    def __init__(self, admit: Callable[[], None]) -> None:
+        self.admit = admit
+        self.is_reused = False
 
 
 class HttpBackendClient:
@@ -53,6 +62,8 @@
         Sessions with persistent connections.
     observer
         Learns what servers say about themselves.
+    gate
+        Stops requests to servers that must get none now.
     """
 
     def __init__(
@@ -60,8 +71,10 @@
         single_use: aiohttp.ClientSession,
         pool: session_pool.SessionPool,
         observer: backend_call.AnswerObserver,
+        gate: backend_call.SendGate,
         clock: clock_module.Clock,
     ) -> None:
+        self._gate = gate
         self._single_use = single_use
         self._pool = pool
         self._observer = observer
@@ -82,7 +95,6 @@
                 yield backend_call.BackendAnswer(
                     status=response.status,
                     headers=_end_to_end_headers(response),
-                    is_leaving=_is_closing(response),
                     chunks=_chunks(response),
                 )
             finally:
@@ -118,7 +130,7 @@
         url = yarl.URL(
             f'http://{server.ip}:{server.port}{request.target}', encoded=True
         )
-        trace = _ConnectionTrace()
+        trace = _RequestTrace(lambda: self._gate.admit(server))
         try:
             return await session.request(
                 request.method,
@@ -146,6 +158,7 @@
 def new_client(
     exits: contextlib.AsyncExitStack,
     observer: backend_call.AnswerObserver,
+    gate: backend_call.SendGate,
     clock: clock_module.Clock,
 ) -> HttpBackendClient:
     """Return a client whose connections are closed by `exits`."""
@@ -153,7 +166,7 @@
     exits.push_async_callback(single_use.close)
     pool = session_pool.SessionPool(_new_persistent_session)
     exits.push_async_callback(pool.close)
-    return HttpBackendClient(single_use, pool, observer, clock)
+    return HttpBackendClient(single_use, pool, observer, gate, clock)
 
 
 def _new_persistent_session() -> aiohttp.ClientSession:
@@ -170,9 +183,19 @@
     context.trace_request_ctx.is_reused = True
 
 
+async def _admit(
+    _session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    _params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    # aiohttp calls this once it has a connection, before it writes to it.
+    context.trace_request_ctx.admit()
+
+
 def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(_mark_reused)
+    trace.on_request_headers_sent.append(_admit)
     return aiohttp.ClientSession(
         connector=connector,
         trace_configs=[trace],
@@ -267,10 +290,6 @@
     )
 
 
-def _is_closing(response: aiohttp.ClientResponse) -> bool:
-    return response.headers.get('Connection', '').lower() == _CONNECTION_CLOSE
-
-
 async def _chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     connection = response.connection
     protocol = connection.protocol if connection else None
--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -4,14 +4,15 @@
 
 import aiohttp
 import msgspec
-import structlog
 
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
 from lacewingpitch import errors
 from lacewingpitch.platform import names
+from lacewingpitch.platform import notices
 from lacewingpitch.platform import wire
 from lacewingpitch import platform_call
+from lacewingpitch import server_notice
 
 # An engine on the same instance normally answers within a few milliseconds.
 _REPORT_TIMEOUT_S = 0.5
@@ -26,7 +27,6 @@
 }
 _STATUS_OK = 200
 _STATE_READY = 'ready'
-log = structlog.get_logger(__name__)
 
 
 class _RunReport(msgspec.Struct, frozen=True, array_like=True):
@@ -100,6 +100,7 @@
             async with self._session.get(
                 f'{self._url}{self._health_path()}', timeout=timeout
             ) as response:
+                self._read_notice(response)
                 await response.read()
                 incarnation = response.headers.get(names.INCARNATION, '')
         if not incarnation:
@@ -119,6 +120,7 @@
             async with self._session.get(
                 f'{self._url}{names.REPORT_PATH}', timeout=timeout
             ) as response:
+                notice = self._read_notice(response)
                 if response.status != _STATUS_OK:
                     raise errors.PlatformError(
                         f'engine: status {response.status}'
@@ -127,10 +129,9 @@
                     response, _MAX_REPORT_BYTES
                 )
                 report = msgspec.json.decode(data, type=_EngineReport)
-                limit_per_s = _limit_per_s(response)
         return engine_snapshot.EngineSnapshot(
             order_count=report.sequence,
-            is_leaving=report.state != _STATE_READY,
+            is_leaving=report.state != _STATE_READY or notice.is_leaving,
             is_busy=report.busy,
             models=frozenset(model.name for model in report.models),
             held=wire.held_versions(report.models),
@@ -139,7 +140,7 @@
             queued=report.queued,
             running=report.active,
             started_at_ms=report.born,
-            limit_per_s=limit_per_s,
+            limit_per_s=notice.limit_per_s,
         )
 
     async def load_model(
@@ -195,15 +196,13 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
+                self._read_notice(response)
                 await response.read()
                 return _RESULT_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.REJECTED
                 )
 
-
-def _limit_per_s(response: aiohttp.ClientResponse) -> float | None:
-    try:
-        return wire.decode_server_limit(response.headers)
-    except errors.PlatformError as error:
-        log.warning('invalid server limit', error=str(error))
-        return None
+    def _read_notice(
+        self, response: aiohttp.ClientResponse
+    ) -> server_notice.ServerNotice:
+        return notices.decode_notice(response, 'engine')
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -31,9 +31,11 @@
 from lacewingpitch.platform import wire
 from lacewingpitch import request_forwarder
 from lacewingpitch import retry_budget
+from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
 from lacewingpitch import settings as product_settings
+from lacewingpitch import sidecar_reporter
 from lacewingpitch import startup_grace
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_client
@@ -113,6 +115,11 @@
         owners = usage_ownership.UsageOwnership(
             self.servers, self._has_sidecar, self._process.clock
         )
+        reporter = sidecar_reporter.SidecarReporter()
+        self._process.exits.push_async_callback(reporter.close)
+        self._gate = server_gate.ServerGate(
+            self.servers, self._process.clock, self._process.random
+        )
         self._limits = server_limits.ServerLimits(
             file.settings.instance,
             self._peers,
@@ -122,10 +129,15 @@
             lambda: self._budgets.entry_count,
             self._process.clock,
             self._process.random,
+            reporter,
         )
-        self._process.exits.push_async_callback(self._limits.close)
         self._notices = notice_router.NoticeRouter(
-            self._limits, self._process.clock
+            file.settings.instance,
+            self._limits,
+            self._gate,
+            self._peers,
+            self._has_sidecar,
+            reporter,
         )
         self._usage = usage_limits.UsageLimits(
             file.settings.instance,
@@ -221,11 +233,12 @@
             self._budgets.record_entry_count,
             self._suspects,
             self._limits,
+            self._gate,
         )
         process.background.run('turns', turns.run)
         return request_forwarder.RequestForwarder(
             backend_client.new_client(
-                process.exits, self._notices, process.clock
+                process.exits, self._notices, self._gate, process.clock
             ),
             turns,
             services,
@@ -236,6 +249,7 @@
             process.random,
             self._suspects,
             self._limits,
+            self._gate,
         )
 
     async def _start_peer_bootstrap(
@@ -349,6 +363,11 @@
             'Answers of backend servers that asked for backoff.',
             lambda: self._notices.backoff_count,
         )
+        metrics.counter(
+            'requests_withheld_total',
+            'Requests stopped on their way to a server that accepts none now.',
+            lambda: self._gate.withheld_count,
+        )
         metrics.gauge(
             'requests_in_progress',
             'Requests that are in progress here.',
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -91,6 +91,9 @@
         self._control.handle(
             turn_messages.AnsweredLimit, controller.record_answered_limit
         )
+        self._control.handle(
+            turn_messages.AnsweredLeaving, controller.record_answered_leaving
+        )
         self._control.handle(
             turn_messages.ConfigurationRequest, exchange.answer
         )
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -20,6 +20,7 @@
 from lacewingpitch import plain_server_selector
 from lacewingpitch import request_history
 from lacewingpitch import retry_budget
+from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
 from lacewingpitch import suspects as suspects_module
@@ -53,6 +54,8 @@
         Tracks requests that crash backend servers.
     limits
         Limits that the backend servers name.
+    gate
+        Tells which servers must get no requests of this entry now.
     """
 
     def __init__(
@@ -67,10 +70,11 @@
         source: random.Random,
         suspects: suspects_module.Suspects,
         limits: server_limits.ServerLimits,
+        gate: server_gate.ServerGate,
     ) -> None:
         self._suspects = suspects
         self._plain_servers = plain_server_selector.PlainServerSelector(
-            services, suspects.record, limits
+            services, suspects.record, limits, gate
         )
         self._clock = clock
         self._client = client
@@ -239,7 +243,11 @@
         history.may_have_run = True
         try:
             await self._call(call, history, delivery)
-        except (backend_call.NotSentError, backend_call.NotRunError) as error:
+        except (
+            backend_call.NotSentError,
+            backend_call.WithheldError,
+            backend_call.NotRunError,
+        ) as error:
             history.may_have_run = may_have_run_before
             return self._record_failure(request, turn, history, error)
         except errors.PlatformError as error:
@@ -340,6 +348,15 @@
                     retry_after_s=_TRANSIENT_RETRY_S,
                 )
             )
+        if isinstance(error, backend_call.WithheldError):
+            history.sent_count -= 1
+            return _Failure(
+                errors.RefusalError(
+                    errors.ErrorKind.SERVER_BACKOFF,
+                    'the backend server accepts no requests now',
+                    retry_after_s=_TRANSIENT_RETRY_S,
+                )
+            )
         if isinstance(error, backend_call.StaleConnectionError):
             return _Failure(
                 errors.RefusalError(
@@ -398,6 +415,9 @@
                 return False
         if history.sent_count >= route.max_attempts:
             return False
+        if refusal.kind is errors.ErrorKind.SERVER_BACKOFF:
+            # Nothing was sent, and this server is not chosen again.
+            return True
         if refusal.kind is errors.ErrorKind.NO_BACKEND_SERVER:
             return history.unreached_count < _MAX_UNREACHED
         if not self._budgets.try_withdraw(service):
--- a/lacewingpitch/server_limits.py
+++ b/lacewingpitch/server_limits.py
@@ -1,6 +1,5 @@
 """Request rate limits that backend servers name, as known to one entry."""
 
-import asyncio
 import collections
 from collections.abc import Callable, Iterable
 import dataclasses
@@ -17,14 +16,13 @@
 from lacewingpitch import named_limit
 from lacewingpitch import return_times
 from lacewingpitch import server_permits
+from lacewingpitch import sidecar_reporter
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_pacer
 
 # Few servers name a limit at the same time.
 _MAX_SERVERS = 1024
 _REPORT_TIMEOUT_S = 1.0
-# Reports in progress; further answers of the same servers say the same.
-_MAX_REPORTS = 64
 _PERMIT_TIMEOUT_S = 0.25
 # Time for which an owner that didn't answer is not asked again.
 _UNRESPONSIVE_S = 1.0
@@ -124,6 +122,8 @@
         Returns the known number of entries.
     source
         Source of random phases and jitter.
+    reporter
+        Sends what answers say to the sidecars.
 
     Attributes
     ----------
@@ -141,6 +141,7 @@
         entry_count: Callable[[], int],
         clock: clock_module.Clock,
         source: random.Random,
+        reporter: sidecar_reporter.SidecarReporter,
     ) -> None:
         self._instance = instance
         self._link = link
@@ -154,7 +155,7 @@
         self._limits: collections.OrderedDict[str, _ServerLimit] = (
             collections.OrderedDict()
         )
-        self._reports: set[asyncio.Task[None]] = set()
+        self._reporter = reporter
         self.exceeded_count = 0
 
     def per_s(self, server: backend_list.BackendServer) -> float | None:
@@ -251,13 +252,6 @@
             limit.refused_until_s = now_s + wait_s
         return self._refused(limit, share, wait_s)
 
-    async def close(self) -> None:
-        """Cancel the reports in progress."""
-        for task in self._reports:
-            task.cancel()
-        if self._reports:
-            await asyncio.wait(self._reports)
-
     def _refused(
         self,
         limit: _ServerLimit,
@@ -365,23 +359,16 @@
         per_s: float | None,
         asked_at_s: float,
     ) -> None:
-        if len(self._reports) >= _MAX_REPORTS:
-            return
         message = turn_messages.AnsweredLimit(
             entry=self._instance,
             server_start_id=server.start_id,
             limit_per_s=per_s,
             answer_age_ms=int((self._clock.boot_s() - asked_at_s) * _MS_PER_S),
         )
-        task = asyncio.create_task(self._report(server.ip, message))
-        self._reports.add(task)
-        task.add_done_callback(self._reports.discard)
-
-    async def _report(
-        self, ip: str, message: turn_messages.AnsweredLimit
-    ) -> None:
-        try:
-            await self._link.report_limit(ip, message, _REPORT_TIMEOUT_S)
-        except errors.LinkError as error:
-            # The entry's next request for a turn tells the sidecar as well.
-            log.info('server limit not reported', ip=ip, error=str(error))
+        # The entry's next request for a turn tells the sidecar as well.
+        self._reporter.start(
+            server.ip,
+            lambda: self._link.report_limit(
+                server.ip, message, _REPORT_TIMEOUT_S
+            ),
+        )
--- a/lacewingpitch/service_balancer.py
+++ b/lacewingpitch/service_balancer.py
@@ -68,6 +68,10 @@
             min(names, key=lambda name: self._cost_s(candidates[name]))
         ]
 
+    def servers(self, service: str) -> tuple[backend_list.BackendServer, ...]:
+        """Return the servers of a service that may get new requests."""
+        return self._servers.serving(service)
+
     def choose_isolation_server(
         self, service: str, excluded: Collection[str]
     ) -> backend_list.BackendServer | None:
--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -13,6 +13,7 @@
 from lacewingpitch import isolation
 from lacewingpitch import listed_instances
 from lacewingpitch import placement as placement_module
+from lacewingpitch import server_gate
 from lacewingpitch import turn_spec
 
 # Engines further down the ranking are the most loaded, or the least likely to
@@ -24,6 +25,11 @@
     """Selects from the listed engines that may get new requests.
 
     The ejector tracks each engine and its sidecar under separate keys.
+
+    Parameters
+    ----------
+    gate
+        Tells which engines must get no requests of this entry now.
     """
 
     def __init__(
@@ -31,7 +37,9 @@
         servers: backend_list.BackendList,
         placement: placement_module.Placement,
         ejector: ejection.Ejector,
+        gate: server_gate.ServerGate,
     ) -> None:
+        self._gate = gate
         self._servers = servers
         self._placement = placement
         self._ejector = ejector
@@ -43,7 +51,7 @@
         """Return the engines to try, in order of preference.
 
         Leaves out engines that the ejector excludes, themselves or by their
-        sidecars.
+        sidecars, and those that must get no requests now.
         """
         instances = self._instances.serving(spec.service)
         # Among equal engines, placement prefers some by a hash of the key.
@@ -62,6 +70,8 @@
             server = self._servers.find_serving(spec.service, name)
             if server is None or name not in allowed:
                 continue
+            if not self._gate.is_open(server):
+                continue
             if sidecar_key(name) in allowed_sidecars:
                 candidates.append(server)
         return candidates[:_MAX_CANDIDATES]
@@ -97,7 +107,7 @@
         Without an adapter, any engine that isn't excluded will do.
         """
         for server in self._servers.serving(spec.service):
-            if server.name not in excluded:
+            if server.name not in excluded and self._gate.is_open(server):
                 turn = unconfirmed_turn(server, spec)
                 if turn is not None:
                     yield turn
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -20,6 +20,7 @@
 from lacewingpitch import errors
 from lacewingpitch import isolation
 from lacewingpitch import placement as placement_module
+from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_candidates
@@ -42,6 +43,7 @@
 _ACCEPT_TARGET_RATIO = 0.5
 # A restarting engine is listed again once it has started.
 _NO_ENGINE_RETRY_AFTER_S = 1.5
+_MAX_RETRY_AFTER_S = 10.0
 log = structlog.get_logger(__name__)
 
 
@@ -102,6 +104,8 @@
         Requests that are suspected to crash engines.
     limits
         Limits that the engines name.
+    gate
+        Tells which engines must get no requests of this entry now.
     """
 
     def __init__(
@@ -116,6 +120,7 @@
         on_entry_count: Callable[[int], None],
         suspects: suspects_module.Suspects,
         limits: server_limits.ServerLimits,
+        gate: server_gate.ServerGate,
     ) -> None:
         self._limits = limits
         self._instance = instance
@@ -127,8 +132,9 @@
         self._clock = clock
         self._on_configuration_version = on_configuration_version
         self._candidates = turn_candidates.TurnCandidates(
-            servers, placement, ejector
+            servers, placement, ejector, gate
         )
+        self._gate = gate
         self._suspects = suspects
         self._end_reporter = turn_end_reporter.TurnEndReporter(
             link, suspects.detector
@@ -193,7 +199,17 @@
             return turn, False
         if replies.are_all_starting:
             return await self._await_start(replies.starting[0], spec), True
-        raise _earliest_retry(replies.refusals.values())
+        raise self._refusal(spec, replies)
+
+    def _refusal(
+        self, spec: turn_spec.TurnSpec, replies: _Replies
+    ) -> errors.RefusalError:
+        """Return the refusal of a request that got no turn."""
+        refusals = list(replies.refusals.values())
+        if not refusals:
+            backoff = self._gate.refusal(self._servers.serving(spec.service))
+            refusals += [backoff] if backoff else []
+        return _earliest_retry(refusals)
 
     async def _unconfirmed_turn(
         self,
@@ -219,6 +235,11 @@
         server = self._candidates.isolation_server(spec, excluded)
         if server is None:
             raise _earliest_retry([])
+        # Another engine would run a second suspect beside that of the
+        # entries that may use this one.
+        backoff = self._gate.refusal([server])
+        if backoff is not None:
+            raise backoff
         log.info(
             'suspect request isolated',
             request_id=spec.run_id,
@@ -383,6 +404,7 @@
                 ),
                 limit_per_s=limit_per_s,
                 limit_news=self._limits.news(),
+                leaving=self._gate.leaving_news(),
             )
             asked_at_s = self._clock.boot_s()
             try:
@@ -401,6 +423,7 @@
                 server.ip, request.suspects, reply.suspects
             )
             self._apply_reply(server, reply)
+            self._gate.apply_news(reply.leaving)
             self._limits.record_reply(
                 self._granting_server(server, reply),
                 reply,
@@ -418,6 +441,7 @@
             if not is_isolated and self._is_suspect(spec):
                 self._end_reporter.record(server.ip, spec.turn_id)
                 raise self._suspect_error(spec)
+            self._check_open(spec, self._granting_server(server, reply))
             if not reply.is_pending:
                 turn = turn_spec.Turn(
                     self._granting_server(server, reply), reply.version
@@ -458,6 +482,19 @@
             server, name=name, started_at_ms=started_at_ms
         )
 
+    def _check_open(
+        self, spec: turn_spec.TurnSpec, server: backend_list.BackendServer
+    ) -> None:
+        # The engine may have asked for backoff while the turn was pending.
+        if self._gate.is_open(server):
+            return
+        self._end_reporter.record(server.ip, spec.turn_id)
+        raise errors.RefusalError(
+            errors.ErrorKind.SERVER_BACKOFF,
+            'the engine accepts no requests of this entry now',
+            retry_after_s=min(self._gate.wait_s(server), _MAX_RETRY_AFTER_S),
+        )
+
     def _check_listed(
         self,
         spec: turn_spec.TurnSpec,
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -76,6 +76,8 @@
         `backend_list.BackendServer`.
     limit_news
         Limits that servers have named to this entry, or to others.
+    leaving
+        Start ids of servers that announced to this entry that they leave.
     """
 
     entry: str
@@ -103,6 +105,7 @@
     limit_per_s: float | None = None
     server_start_id: str = ''
     limit_news: tuple[limit_news_module.LimitNews, ...] = ()
+    leaving: tuple[str, ...] = ()
 
     @property
     def flow(self) -> str:
@@ -142,6 +145,8 @@
         or of its end.
     limit_news
         Limits that servers have named to other entries.
+    leaving
+        Start ids of servers that announced to others that they leave.
     """
 
     backend_server: str = ''
@@ -159,6 +164,7 @@
     limit_per_s: float | None = None
     is_limit_known: bool = False
     limit_news: tuple[limit_news_module.LimitNews, ...] = ()
+    leaving: tuple[str, ...] = ()
 
 
 class TurnEnds(link.Message, frozen=True):
@@ -219,6 +225,23 @@
     """Confirms `AnsweredLimit`."""
 
 
+class AnsweredLeaving(link.Message, frozen=True):
+    """Tells a sidecar that an answer of its engine announces its leaving.
+
+    Parameters
+    ----------
+    server_start_id
+        Start of the engine; see `backend_list.BackendServer`.
+    """
+
+    entry: str
+    server_start_id: str
+
+
+class AnsweredLeavingReply(link.Message, frozen=True):
+    """Confirms `AnsweredLeaving`."""
+
+
 class ConfigurationRequest(link.Message, frozen=True):
     """Requests the configuration if it is newer than a version."""
 
--- a/tests/limit_fakes.py
+++ b/tests/limit_fakes.py
@@ -5,6 +5,7 @@
 from lacewingpitch import errors
 from lacewingpitch import server_limits
 from lacewingpitch import server_permits
+from lacewingpitch import sidecar_reporter
 
 OWNER_IP = '10.9.9.9'
 
@@ -42,7 +43,13 @@
 
 
 def make_limits(
-    clock, link=None, has_sidecar=True, entry_count=1, seed=5, servers=()
+    clock,
+    link=None,
+    has_sidecar=True,
+    entry_count=1,
+    seed=5,
+    servers=(),
+    reporter=None,
 ):
     """Return the limits at one of `entry_count` entries."""
     link = link or LimitLink()
@@ -55,4 +62,5 @@
         lambda: entry_count,
         clock,
         random.Random(seed),
+        reporter or sidecar_reporter.SidecarReporter(),
     )
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -10,6 +10,7 @@
 from lacewingpitch import errors
 from lacewingpitch import isolation
 from lacewingpitch import plain_server_selector
+from lacewingpitch import server_gate
 from lacewingpitch import service_balancer
 from lacewingpitch import turn_lease
 from lacewingpitch import turn_messages
@@ -128,6 +129,7 @@
             ),
             record,
             limit_fakes.make_limits(clock),
+            server_gate.ServerGate(servers, clock, source),
         )
 
     async def chosen(self, selector, count=20):
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -34,6 +34,17 @@
         self.notices.append(notice)
 
 
+class Gate:
+    """Admits requests until it is closed."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def admit(self, server):
+        if self.is_closed:
+            raise backend_call.WithheldError('closed')
+
+
 class Server:
     """Answers each request with a scripted response; counts connections."""
 
@@ -91,8 +102,9 @@
 
         async with contextlib.AsyncExitStack() as exits:
             server.observer = Observer()
+            server.gate = Gate()
             client = backend_client.new_client(
-                exits, server.observer, clock.SystemClock()
+                exits, server.observer, server.gate, clock.SystemClock()
             )
 
             async def send(request_id, **fields):
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -81,7 +81,7 @@
 
     async def _serve(self, request, delivery):
         self.received.append(request)
-        answer = backend_call.BackendAnswer(200, (), False, None)
+        answer = backend_call.BackendAnswer(200, (), None)
         await delivery.send_whole(answer, b'whole')
 
     async def call(self, *more, path='/lookup/1'):
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -17,6 +17,7 @@
 from lacewingpitch import request_forwarder
 from lacewingpitch import retry_budget
 from lacewingpitch import routing
+from lacewingpitch import server_gate
 from lacewingpitch import service_balancer
 from lacewingpitch import suspects
 from lacewingpitch import turn_spec
@@ -55,9 +56,11 @@
         self.steps = list(steps)
         self.calls = []
         self.open_count = 0
+        self.gate = None
 
     @contextlib.asynccontextmanager
     async def send(self, call):
+        self.gate.admit(call.server)
         self.calls.append(call)
         step = self.steps.pop(0)
         if isinstance(step, Exception):
@@ -68,7 +71,6 @@
             yield backend_call.BackendAnswer(
                 step.get('status', 200),
                 (('Signed-By', call.server.name),),
-                False,
                 self._chunks(step),
             )
         finally:
@@ -146,6 +148,8 @@
         servers = backend_list.BackendList(self.clock)
         servers.replace_all(map(server, SERVERS))
         self.ejector = ejection.Ejector(self.clock, source)
+        self.gate = server_gate.ServerGate(servers, self.clock, source)
+        self.client.gate = self.gate
         self.delivered = Delivered()
         self.suspects = suspects.Suspects(self.clock, source)
         self.forwarder = request_forwarder.RequestForwarder(
@@ -161,6 +165,7 @@
             source,
             self.suspects,
             limit_fakes.make_limits(self.clock, has_sidecar=False),
+            self.gate,
         )
 
     async def forward(self, found_route, model='', limit_s=5.0, **fields):
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -14,8 +14,10 @@
 from lacewingpitch import limit_share
 from lacewingpitch import plain_server_selector
 from lacewingpitch import return_times
+from lacewingpitch import server_gate
 from lacewingpitch import server_permits
 from lacewingpitch import service_balancer
+from lacewingpitch import sidecar_reporter
 from lacewingpitch import suspects
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_pacer
@@ -318,14 +320,15 @@
     def play(self, link, *limits_per_s):
         async def main():
             clock = virtual_time.LoopClock()
-            limits = limit_fakes.make_limits(clock, link)
+            reporter = sidecar_reporter.SidecarReporter()
+            limits = limit_fakes.make_limits(clock, link, reporter=reporter)
             server = backend_list.BackendServer('a', 's', '10.0.0.1', 80, 'z')
             for limit_per_s in limits_per_s:
                 asked_at_s = clock.boot_s()
                 await asyncio.sleep(0.1)
                 limits.record_answer(server, limit_per_s, asked_at_s)
                 await asyncio.sleep(0.1)
-            await limits.close()
+            await reporter.close()
 
         virtual_time.run(main())
 
@@ -386,6 +389,7 @@
             ),
             suspects.Suspects(self.clock, source).record,
             limits,
+            server_gate.ServerGate(self.servers, self.clock, source),
         )
 
     def name_limit(self, name, per_s, at_s=0.0):
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -12,6 +12,7 @@
 from lacewingpitch import errors
 from lacewingpitch import hint
 from lacewingpitch import placement
+from lacewingpitch import server_gate
 from lacewingpitch import settings
 from lacewingpitch import suspects
 from lacewingpitch import turn_client
@@ -77,6 +78,9 @@
             self.clock, settings.ObjectiveSettings(stall_weight=1)
         )
         self.limits = limit_fakes.make_limits(self.clock)
+        self.gate = server_gate.ServerGate(
+            self.servers, self.clock, random.Random(4)
+        )
         self.client = turn_client.TurnClient(
             'edge-1',
             self.sidecars,
@@ -88,6 +92,7 @@
             self.entries.append,
             self.suspects,
             self.limits,
+            self.gate,
         )
 
     def spec(self, name='one', **fields):
