Servers that ask an entry for backoff get nothing from it in that time

What callers saw: refusals, and second attempts at engines that had just said when to come back; up to 30 requests of one entry in 3 s (BUDGET).

Cause: Retry-After of a 503 was read by nobody. The request in hand went to another engine, and the next one to the same again, since an engine that runs nothing has the shortest wait.

Change: ServerBackoffs follows them by start of the server and for this entry alone; the latest end counts; at the end one request tries the server before the others follow. ServerGate asks it, so that all ways to a server do.

--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from lacewingpitch import engine_gate
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
 from lacewingpitch import errors
@@ -64,6 +65,8 @@
         Name of this sidecar in its orders.
     health_path
         Returns the path of the engine's health check.
+    gate
+        Stops calls while the engine has asked for backoff.
 
     Attributes
     ----------
@@ -77,7 +80,9 @@
         url: str,
         holder: str,
         health_path: Callable[[], str],
+        gate: engine_gate.EngineGate,
     ) -> None:
+        self._gate = gate
         self._health_path = health_path
         self._session = session
         self._url = url
@@ -95,6 +100,7 @@
         PlatformError
             The engine does not answer, or does not name its incarnation.
         """
+        self._gate.check()
         timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
         with platform_call.platform_errors('engine'):
             async with self._session.get(
@@ -115,6 +121,7 @@
         PlatformError
             The engine does not answer, or its report is malformed.
         """
+        self._gate.check()
         timeout = aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S)
         with platform_call.platform_errors('engine'):
             async with self._session.get(
@@ -182,6 +189,7 @@
     async def _order(
         self, body: dict[str, str | int], fencing: int, incarnation: str
     ) -> engine_orders.OrderResult:
+        self._gate.check()
         self.order_count += 1
         body['holder'] = self._holder
         body['fencingToken'] = fencing
@@ -205,4 +213,6 @@
     def _read_notice(
         self, response: aiohttp.ClientResponse
     ) -> server_notice.ServerNotice:
-        return notices.decode_notice(response, 'engine')
+        notice = notices.decode_notice(response, 'engine')
+        self._gate.record(notice.backoff_s)
+        return notice
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -368,6 +368,11 @@
             'Requests stopped on their way to a server that accepts none now.',
             lambda: self._gate.withheld_count,
         )
+        metrics.gauge(
+            'servers_in_backoff',
+            'Backend servers that asked this entry for backoff.',
+            lambda: len(self._gate.backoffs),
+        )
         metrics.gauge(
             'requests_in_progress',
             'Requests that are in progress here.',
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -7,6 +7,7 @@
 from lacewingpitch import configuration_exchange
 from lacewingpitch import crash_record
 from lacewingpitch import engine_controller
+from lacewingpitch import engine_gate
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch.platform import engine_client as engine_client_module
@@ -58,6 +59,7 @@
             settings_module.url_of(settings.engine),
             settings.instance,
             lambda: self._process.table.health_path(settings.service),
+            engine_gate.EngineGate(self._process.clock),
         )
         await self._process.exits.enter_async_context(
             metrics_server.serving(
--- a/lacewingpitch/server_gate.py
+++ b/lacewingpitch/server_gate.py
@@ -12,6 +12,7 @@
 from lacewingpitch import errors
 from lacewingpitch import leaving_news
 from lacewingpitch import return_times
+from lacewingpitch import server_backoff
 from lacewingpitch import server_notice
 
 # Time between callers that return after a backoff.
@@ -48,6 +49,7 @@
         self._clock = clock
         self._random = source
         self._news = leaving_news.HeardLeaving(clock)
+        self.backoffs = server_backoff.ServerBackoffs(clock)
         # By service.
         self._returns: dict[str, return_times.ReturnTimes] = {}
         self.withheld_count = 0
@@ -66,7 +68,7 @@
         """
         if self._servers.is_known_leaving(server):
             return math.inf
-        return 0.0
+        return self.backoffs.wait_s(server)
 
     def admit(self, server: backend_list.BackendServer) -> None:
         """Admit a request that is about to be sent.
@@ -78,6 +80,7 @@
         """
         wait_s = self.wait_s(server)
         if not wait_s:
+            self.backoffs.record_sending(server)
             return
         self.withheld_count += 1
         reason = 'backoff' if wait_s < math.inf else 'leaving'
@@ -124,6 +127,10 @@
         asked_at_s
             When the request was sent, by the boot clock.
         """
+        if notice.backoff_s:
+            self.backoffs.record(server, notice.backoff_s)
+        else:
+            self.backoffs.record_served(server, asked_at_s)
         if not notice.is_leaving:
             return False
         self._news.record(server.start_id)
