Tests: the gate, its parts, and servers that announce in the soak

Unit tests of what closes and opens a server (lists, copies, peers, starts, addresses, order of answers, bounds), of each way to a server (plain, turn, turn without consent, resumed stream, isolated request, request that waited), of what headers say, and that no byte of a withheld request reaches a server on a new or a kept connection. The soak's servers leave and shed on a schedule of their own; the seeds kept from before run without it, as they were.

--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -77,6 +77,8 @@
         self.entries = []
         self.caller_urls = []
         self.store = standin.Store()
+        # Addresses with which servers are listed, by their links.
+        self.listed_at = {}
         self.engines = [standin.Engine('i-1'), standin.Engine('i-2')]
         self.services = [standin.Service('p-1'), standin.Service('p-2')]
         self._exits = contextlib.AsyncExitStack()
@@ -95,12 +97,14 @@
         for ip, engine in zip(SIDECAR_IPS, self.engines, strict=True):
             direct_address = await self._serve_directly(engine, ip)
             address = await self._relayed(engine.name, direct_address, ip)
+            self.listed_at[engine.link] = address
             entry = engine.entry(address)
             await self.store.put(f'servers/{engine.name}', entry)
             settings = {'address': store_address, 'engine': direct_address}
             await self._start('sidecar', ip, ports, settings)
         for service in self.services:
             address = await self._serve(service.name, service, '127.0.0.1')
+            self.listed_at[service.link] = address
             entry = service.entry(address)
             await self.store.put(f'servers/{service.name}', entry)
         for ip in self._entry_ips:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -141,17 +141,22 @@
     requests away and ask their senders for backoff.
     """
 
-    def __init__(self):
+    def __init__(self, name):
+        self.name = name
+        # Stays the same at a restart, as its address does.
+        self.link = name
         self.arrived_at_s = []
-        # Ids and times of requests, in the order of their arrival.
+        # Ids and times of requests, in the order of their arrival, each with
+        # the name of the incarnation that got it.
         self.arrivals = []
         self.is_leaving = False
-        # Ids and times of the requests that were told that it leaves.
+        # Ids, times and incarnations of answers that announced its leaving.
         self.leaving_answers = []
         self.shed_ratio = 0.0
         # The text of Retry-After; the header is absent if it is empty.
         self.retry_after = ''
-        # Ids, times and backoffs of the requests that were turned away.
+        # Ids, times, incarnations and backoffs of the requests that were
+        # turned away.
         self.backoff_answers = []
         self._random = random.Random(1)
         self._limit_per_s = None
@@ -173,7 +178,8 @@
         """Record a request that has arrived."""
         now_s = time.monotonic()
         self.arrived_at_s.append(now_s)
-        self.arrivals.append((request.headers['Request-Id'], now_s))
+        request_id = request.headers['Request-Id']
+        self.arrivals.append((request_id, now_s, self.name))
 
     def shed(self, request):
         """Return the answer that turns a request away, or ``None``."""
@@ -184,7 +190,12 @@
         if self.retry_after:
             headers['Retry-After'] = self.retry_after
             self.backoff_answers.append(
-                (request_id, time.monotonic(), float(self.retry_after))
+                (
+                    request_id,
+                    time.monotonic(),
+                    self.name,
+                    float(self.retry_after),
+                )
             )
         headers.update(self.notice_headers(request))
         return web.Response(status=503, headers=headers)
@@ -195,7 +206,7 @@
         if self.is_leaving:
             headers['Server-Leaving'] = '1'
             self.leaving_answers.append(
-                (request.headers['Request-Id'], time.monotonic())
+                (request.headers['Request-Id'], time.monotonic(), self.name)
             )
         return headers
 
@@ -217,8 +228,7 @@
     """A model engine that answers as documented by the platform."""
 
     def __init__(self, name, adapter_slots=4):
-        super().__init__()
-        self.name = name
+        super().__init__(name)
         self.adapter_slots = adapter_slots
         self.adapters = {}
         self.pending = {}
@@ -401,8 +411,7 @@
     """A plain service that records the requests that it runs."""
 
     def __init__(self, name):
-        super().__init__()
-        self.name = name
+        super().__init__(name)
         self.runs = []
         self.run_log = []
         self.delay_s = 0.0
@@ -411,6 +420,14 @@
     def routes(self):
         return [web.route('*', '/{path:.*}', self._run)]
 
+    def restart(self, name):
+        """Restart as another incarnation."""
+        self.name = name
+        self.is_leaving = False
+        self.shed_ratio = 0.0
+        self.set_limit(None)
+        self.limit_headers()
+
     def entry(self, address, zone='zone-a', state='ready'):
         return {
             'service': PLAIN,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,6 +25,7 @@
 from tests import soak_faults
 from tests import soak_keys
 from tests import soak_limits
+from tests import soak_notices
 
 ENTRY_COUNT = 2
 CALLER_COUNT = 6
@@ -62,6 +63,9 @@
     status: int = 0
     is_whole: bool = False
     error: str = ''
+    # The server that announced in its answer that it leaves.
+    leaving: str = ''
+    head_at_s: float = 0.0
 
     @property
     def is_served(self):
@@ -75,6 +79,8 @@
         self.platform = platform
         self.calls = []
         self.broken = []
+        # Checks what the servers announced, if they do.
+        self.check_notices = list
 
     def start_call(self, kind, entry, key=None):
         name = f'{kind}-{len(self.calls)}'
@@ -133,6 +139,7 @@
         self.broken += soak_limits.check(
             (*self.platform.engines, *self.platform.services)
         )
+        self.broken += self.check_notices()
         if self.broken:
             raise BrokenPromiseError('; '.join(self.broken))
 
@@ -143,9 +150,13 @@
 class Scene:
     """One run of the soak test."""
 
-    def __init__(self, platform, seed, keys):
+    def __init__(self, platform, seed, keys, has_notices=True):
         self.platform = platform
         self.checker = ResultChecker(platform)
+        self.disturbances = soak_notices.Disturbances()
+        self._has_notices = has_notices
+        if has_notices:
+            self.checker.check_notices = self._check_notices
         self.keys = keys
         self._seed = seed
         self._caller_count = max(CALLER_COUNT, len(platform.entries))
@@ -210,6 +221,34 @@
         )
         await self.platform.store.delete(key)
 
+    async def replace_server(self, server):
+        """End a server, and list another incarnation at its address."""
+        key = f'servers/{server.name}'
+        address = self.platform.listed_at[server.link]
+        server.restart(f'{server.name}+')
+        await self.platform.store.put(
+            f'servers/{server.name}', server.entry(address)
+        )
+        # A store that was restored may lack the entry.
+        if key in self.platform.store.items:
+            await self.platform.store.delete(key)
+
+    async def list_as_leaving(self, server):
+        address = self.platform.listed_at[server.link]
+        await self.platform.store.put(
+            f'servers/{server.name}', server.entry(address, state='draining')
+        )
+
+    def entry_name(self, number):
+        return self.platform.entries[number].name
+
+    def _check_notices(self):
+        return soak_notices.check(self, self._servers)
+
+    @property
+    def _servers(self):
+        return (*self.platform.engines, *self.platform.services)
+
     async def play(self, length_s):
         await self.publish()
         planned = soak_faults.plan(self._random, self._targets(), length_s)
@@ -223,6 +262,12 @@
                     faults.create_task(self._inject(fault))
                 for server, limit in self._limits(length_s):
                     faults.create_task(soak_limits.name(server, limit))
+                for notice in self._notices(length_s):
+                    faults.create_task(
+                        soak_notices.play(
+                            self, self._servers[notice.server], notice
+                        )
+                    )
             await self._check_recovery()
             await self._check_configuration()
             await self._check_drain()
@@ -236,10 +281,15 @@
 
     def _limits(self, length_s):
         """Yield the servers that name limits, each with its limit."""
-        servers = (*self.platform.engines, *self.platform.services)
+        servers = self._servers
         for limit in soak_limits.plan(self._seed, len(servers), length_s):
             yield servers[limit.server], limit
 
+    def _notices(self, length_s):
+        if not self._has_notices:
+            return []
+        return soak_notices.plan(self._seed, len(self._servers), length_s)
+
     def _targets(self):
         return {
             'link': sorted(self.platform.relays),
@@ -253,9 +303,11 @@
         await asyncio.sleep(fault.at_s)
         # A second fault of the same process would find no process.
         async with self._locks[fault.target]:
+            since_s = time.monotonic()
             await soak_faults.BY_NAME[fault.kind](
                 self, fault.target, fault.for_s
             )
+            self.disturbances.record(fault.target, since_s, time.monotonic())
 
     async def _run_caller(self, number):
         """Send requests on a connection until it closes, then on another."""
@@ -292,6 +344,7 @@
                     method, url, data=call.id.encode(), headers=headers
                 ) as response:
                     call.status = response.status
+                    self._record_leaving(call, response)
                     body = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             call.error = repr(error)
@@ -299,6 +352,12 @@
         self.checker.check_answer(call, response.headers, body)
         return response.headers.get('Connection') != 'close'
 
+    def _record_leaving(self, call, response):
+        if 'Server-Leaving' in response.headers:
+            signature = response.headers[standin.SIGNATURE]
+            call.leaving = signature.removeprefix('signed-by-')
+            call.head_at_s = time.monotonic()
+
     async def _served_ratio(self, since_s, until_s):
         await asyncio.sleep(max(0.0, until_s - time.monotonic()))
         calls = [c for c in self.checker.calls if since_s <= c.sent_at_s]
@@ -382,7 +441,9 @@
             )
 
 
-async def run(seed, length_s=FAULTS_S, entry_count=ENTRY_COUNT):
+async def run(
+    seed, length_s=FAULTS_S, entry_count=ENTRY_COUNT, has_notices=True
+):
     """Run one seed; raise `BrokenPromiseError` if a check fails."""
     with contextlib.ExitStack() as exits:
         folder = exits.enter_context(tempfile.TemporaryDirectory())
@@ -393,7 +454,7 @@
             is_relayed=True,
             tenants=keys.tenants(),
         ) as platform:
-            scene = Scene(platform, seed, keys)
+            scene = Scene(platform, seed, keys, has_notices)
             try:
                 return scene, await scene.play(length_s)
             except BrokenPromiseError:
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -772,3 +772,59 @@
             assert (await scene.request_turn('r2')).limit_per_s is None
 
         play(story)
+
+
+class TestAnnouncedLeaving:
+    """The engine announces that it leaves, and its report says ready."""
+
+    async def announce(self, scene, start_id=None):
+        await scene.controller.record_answered_leaving(
+            turn_messages.AnsweredLeaving(
+                entry='edge-1',
+                server_start_id=start_id or scene.controller.view.start_id,
+            )
+        )
+
+    def test_turns_are_refused_at_once(self):
+        """Guards against turns granted at an engine that leaves."""
+
+        async def main():
+            async with Scene() as scene:
+                await self.announce(scene)
+                return await scene.request_turn('one')
+
+        reply = virtual_time.run(main())
+        assert reply.refusal is errors.ErrorKind.DRAINING
+        assert len(reply.leaving) == 1
+
+    def test_an_announcement_of_another_start_is_ignored(self):
+        async def main():
+            async with Scene() as scene:
+                await self.announce(scene, 'another@0')
+                return await scene.request_turn('one')
+
+        assert virtual_time.run(main()).refusal is None
+
+    def test_a_restarted_engine_serves_again(self):
+        """Guards against an announcement that outlives its start."""
+
+        async def main():
+            async with Scene() as scene:
+                await self.announce(scene)
+                scene.engine.restart('i-9')
+                await asyncio.sleep(3.0)
+                return await scene.request_turn('one')
+
+        assert virtual_time.run(main()).refusal is None
+
+    def test_other_entries_are_told_for_a_while(self):
+        async def main():
+            async with Scene() as scene:
+                await scene.request_turn('one', leaving=('p-1@0',))
+                told = await scene.request_turn('two')
+                knowing = await scene.request_turn('three', leaving=('p-1@0',))
+                await asyncio.sleep(6.0)
+                later = await scene.request_turn('four')
+                return told.leaving, knowing.leaving, later.leaving
+
+        assert virtual_time.run(main()) == (('p-1@0',), (), ())
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -9,8 +9,10 @@
 from lacewingpitch import backend_call
 from lacewingpitch import backend_list
 from lacewingpitch import clock
+from lacewingpitch import errors
 from lacewingpitch.platform import backend_client
 from lacewingpitch import routing
+from lacewingpitch import server_notice
 
 BODY = b'whole'
 
@@ -51,6 +53,7 @@
     def __init__(self):
         self.connection_count = 0
         self.scripts = []
+        self.seen = []
         self.writers = []
 
     async def serve(self, reader, writer):
@@ -243,3 +246,110 @@
             assert server.connection_count == 2
 
         play(scenario)
+
+
+class TestNotices:
+    """What answers say about their server."""
+
+    def observe(self, status='200 OK', request_id='one', **headers):
+        lines = ''.join(
+            f'{name.replace("_", "-")}: {value}\r\n'
+            for name, value in headers.items()
+        )
+        found = []
+
+        async def scenario(server, send):
+            head = f'HTTP/1.1 {status}\r\nContent-Length: 0\r\n{lines}'
+            if request_id:
+                head += f'Request-Id: {request_id}\r\n'
+            server.scripts = [lambda _: f'{head}\r\n'.encode()]
+            with contextlib.suppress(errors.PlatformError):
+                await send('one')
+            found.extend(server.observer.notices)
+
+        play(scenario)
+        return found
+
+    def test_are_decoded_together(self):
+        (notice,) = self.observe(
+            '503 Busy',
+            Not_Executed='1',
+            Server_Leaving='1',
+            Server_Limit='1.5',
+            Retry_After='2.5',
+        )
+        assert notice == server_notice.ServerNotice(1.5, True, 2.5)
+
+    @pytest.mark.parametrize(
+        ('text', 'backoff_s'),
+        [
+            ('3', 3.0),
+            ('0.25', 0.25),
+            ('0', 0.0),
+            ('1e9', 1e9),
+            ('inf', float('inf')),
+            ('-3', 0.0),
+            ('nan', 0.0),
+            ('soon', 0.0),
+            ('Wed, 21 Oct 2026 07:28:00 GMT', 0.0),
+        ],
+    )
+    def test_a_backoff_may_have_any_text(self, text, backoff_s):
+        """Guards against an answer that is lost by an odd Retry-After."""
+        (notice,) = self.observe('503 Busy', Retry_After=text)
+        assert notice.backoff_s == backoff_s
+
+    @pytest.mark.parametrize(
+        ('status', 'backoff_s'),
+        [('200 OK', 0.0), ('500 Error', 0.0), ('429 Too Many', 3.0)],
+    )
+    def test_only_who_turns_away_asks_for_backoff(self, status, backoff_s):
+        (notice,) = self.observe(status, Retry_After='3')
+        assert notice.backoff_s == backoff_s
+
+    @pytest.mark.parametrize('text', ['0', 'no', ''])
+    def test_only_one_value_means_leaving(self, text):
+        (notice,) = self.observe(Server_Leaving=text)
+        assert not notice.is_leaving
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'status': '421 Misdirected'},
+            {'request_id': ''},
+            {'request_id': 'another'},
+        ],
+        ids=['other incarnation', 'without id', 'to another request'],
+    )
+    def test_other_answers_say_nothing(self, fields):
+        """Guards against a proxy or a late answer that closes a server."""
+        notices = self.observe(
+            **{'status': '503 Busy', **fields},
+            Server_Leaving='1',
+            Retry_After='3',
+        )
+        assert notices == []
+
+    def test_connection_close_is_no_announcement_of_leaving(self):
+        (notice,) = self.observe(Connection='close')
+        assert not notice.is_leaving
+
+
+class TestGate:
+    @pytest.mark.parametrize('kind', list(routing.RequestKind))
+    def test_no_byte_of_a_withheld_request_reaches_the_server(self, kind):
+        """Guards against requests whose server closed as they connected."""
+
+        async def scenario(server, send):
+            await send('one', kind=kind)
+            server.gate.is_closed = True
+            server.scripts = [lambda name: server.seen.append(name)]
+            with pytest.raises(backend_call.WithheldError):
+                await send('two', kind=kind)
+            await asyncio.sleep(0.05)
+            assert server.seen == []
+            server.gate.is_closed = False
+            server.scripts.clear()
+            assert await send('three', kind=kind) == BODY
+
+        play(scenario)
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -87,7 +87,7 @@
         assert engine.backoff_answers
         assert most <= notice_checks.MAX_IN_BACKOFF
         assert set(served_after(scene, since_s)) == {200}
-        assert [at_s for _, at_s in engine.arrivals if at_s > until_s]
+        assert [at_s for _, at_s, _ in engine.arrivals if at_s > until_s]
         assert other.ran
 
     async def test_a_plain_server_that_asks_for_backoff_gets_none(self, scene):
@@ -127,7 +127,7 @@
         first_end_s = min(
             at_s + BACKOFF_S
             for server in scene.platform.services
-            for _, at_s, _ in server.backoff_answers
+            for _, at_s, _, _ in server.backoff_answers
         )
         assert min(returns_s) > first_end_s - 0.1
         assert len({round(at_s, 2) for at_s in returns_s}) > len(returns_s) / 2
@@ -148,7 +148,7 @@
         sent = sent_by(scene)
         entries = {
             sent[request_id][0]
-            for request_id, at_s in engine.arrivals
+            for request_id, at_s, _ in engine.arrivals
             if at_s > until_s + notice_checks.REACTION_S
         }
         assert entries == {1}
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -18,6 +18,7 @@
 from lacewingpitch import retry_budget
 from lacewingpitch import routing
 from lacewingpitch import server_gate
+from lacewingpitch import server_notice
 from lacewingpitch import service_balancer
 from lacewingpitch import suspects
 from lacewingpitch import turn_spec
@@ -55,12 +56,14 @@
     def __init__(self, *steps):
         self.steps = list(steps)
         self.calls = []
+        self.sent = []
         self.open_count = 0
         self.gate = None
 
     @contextlib.asynccontextmanager
     async def send(self, call):
         self.gate.admit(call.server)
+        self.sent.append(call)
         self.calls.append(call)
         step = self.steps.pop(0)
         if isinstance(step, Exception):
@@ -622,3 +625,52 @@
         scene, refusal = virtual_time.run(main())
         assert len(scene.client.calls) == 1
         assert refusal.outcome is errors.Outcome.UNKNOWN
+
+
+class TestWithheld:
+    """The server closes between its selection and the sending."""
+
+    CLOSED = server_notice.ServerNotice(backoff_s=3.0)
+
+    def play(self, closed, *steps, found_route=None, **fields):
+        async def main():
+            scene = Scene(*steps, allowance=0.0)
+            for name in closed:
+                now_s = scene.clock.boot_s()
+                scene.gate.record_answer(server(name), self.CLOSED, now_s)
+            try:
+                await scene.forward(
+                    found_route or route(Kind.AT_MOST_ONCE, max_attempts=1),
+                    **fields,
+                )
+            except errors.RefusalError as error:
+                return scene, error
+            return scene, None
+
+        return virtual_time.run(main())
+
+    def test_the_request_is_placed_anew_in_the_same_attempt(self):
+        """Guards against a request lost, or a retry paid, by a backoff."""
+        scene, refusal = self.play('ab', {}, model='m')
+        assert refusal is None
+        assert [t.attempt for t in scene.turns.wanted] == [1, 1, 1]
+        assert [c.server.name for c in scene.client.sent] == ['c']
+        assert scene.forwarder.retry_counts.total() == 0
+        assert scene.ejector.failure_ratio('a') == 0.0
+
+    def test_a_plain_service_without_open_servers_refuses_at_once(self):
+        scene, refusal = self.play('abc')
+        assert refusal.kind is errors.ErrorKind.SERVER_BACKOFF
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert refusal.retry_after_s >= 3.0
+        assert scene.client.calls == []
+
+    def test_a_stream_is_resumed_at_an_open_server(self):
+        """Guards against a resumed stream that passes the gate by."""
+        stream = route(**STREAM, is_resumable=True, max_attempts=3)
+        cut = {'chunks': (event(1), LOST)}
+        scene, refusal = self.play(
+            'b', cut, {'chunks': (event(2),)}, found_route=stream, model='m'
+        )
+        assert refusal is None
+        assert [c.server.name for c in scene.client.sent] == ['a', 'c']
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests import notice_checks
 from tests import platform_standin as standin
 from tests import soak
 from tests import soak_faults
@@ -136,6 +137,44 @@
         assert period[2] < float('inf')
 
 
+class TestNotices:
+    """Checks of servers that leave or ask for backoff."""
+
+    SENT = {'one': (0, 100.0), 'two': (0, 103.0), 'of another': (1, 103.0)}
+
+    def late(self, **fields):
+        server = standin.Service('p-1')
+        server.arrivals += [
+            ('one', 100.1, 'p-1'),
+            ('two', 103.1, 'p-1'),
+            ('of another', 103.1, 'p-1'),
+        ]
+        told = {(0, 'p-1'): 100.5}
+        return notice_checks.sent_while_leaving(
+            server, self.SENT, told, **fields
+        )
+
+    def test_finds_what_was_sent_after_the_bound(self):
+        assert self.late() == ['two']
+
+    def test_excuses_an_entry_that_restarted(self):
+        assert self.late(is_excused=lambda *_: True) == []
+
+    def in_backoff(self, *arrived_after_s, **fields):
+        server = standin.Service('p-1')
+        server.backoff_answers.append(('one', 100.0, 'p-1', 3.0))
+        server.arrivals += [
+            ('two', 100.0 + at_s, 'p-1') for at_s in arrived_after_s
+        ]
+        return notice_checks.most_in_backoff(server, self.SENT, **fields)
+
+    def test_counts_what_arrives_in_a_backoff(self):
+        assert self.in_backoff(0.4, 0.6, 1.0, 2.9, 3.1) == 3
+
+    def test_excuses_an_entry_that_was_cut_off(self):
+        assert self.in_backoff(1.0, is_excused=lambda *_: True) == 0
+
+
 class TestKeys:
     """Checks of API keys and usage limits."""
 
@@ -184,11 +223,20 @@
 class TestSoak:
     async def test_a_short_run_passes(self):
         """Real processes recover from overlapping faults."""
-        scene, planned = await soak.run(seed=1, length_s=4.0)
+        scene, planned = await soak.run(
+            seed=1, length_s=4.0, has_notices=False
+        )
         assert planned
         assert any(call.is_served for call in scene.checker.calls)
 
     async def test_an_entry_that_was_idle_serves_after_limits_have_ended(self):
         """Guards against refusals for a limit that ended unheard."""
-        scene, _ = await soak.run(seed=5005)
+        scene, _ = await soak.run(seed=5005, has_notices=False)
         assert any(call.is_served for call in scene.checker.calls)
+
+    async def test_servers_that_announce_how_to_use_them_get_no_more(self):
+        """Guards against requests to servers that leave or asked for none."""
+        scene, _ = await soak.run(seed=7001)
+        assert any(call.leaving for call in scene.checker.calls)
+        servers = (*scene.platform.engines, *scene.platform.services)
+        assert any(server.backoff_answers for server in servers)
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -13,6 +13,7 @@
 from lacewingpitch import hint
 from lacewingpitch import placement
 from lacewingpitch import server_gate
+from lacewingpitch import server_notice
 from lacewingpitch import settings
 from lacewingpitch import suspects
 from lacewingpitch import turn_client
@@ -589,3 +590,105 @@
         scene = play(story)
         assert len(scene.suspects.record.crashed_servers('f')) == crash_count
         assert scene.sidecars.end_messages[-1].asks_state
+
+
+class TestClosedEngines:
+    """Engines that leave or asked this entry for backoff."""
+
+    def close(self, scene, *names, backoff_s=3.0, is_leaving=False):
+        notice = server_notice.ServerNotice(
+            backoff_s=0.0 if is_leaving else backoff_s, is_leaving=is_leaving
+        )
+        for name in names:
+            scene.gate.record_answer(
+                scene.servers.get(name), notice, scene.clock.boot_s()
+            )
+
+    def test_their_sidecars_are_not_asked(self):
+        """Guards against turns that an entry can't use."""
+
+        async def story(scene):
+            self.close(scene, 'a', 'b')
+            assert (await scene.acquire()).server.name == 'c'
+
+        scene = play(story)
+        assert [ip for ip, _ in scene.sidecars.requests] == ['10.0.0.3']
+
+    def test_a_request_is_refused_at_once_if_all_are_closed(self):
+        async def story(scene):
+            self.close(scene, 'a', 'b', 'c')
+            before_s = scene.clock.monotonic_s()
+            with pytest.raises(errors.RefusalError) as found:
+                await scene.acquire()
+            assert scene.clock.monotonic_s() == before_s
+            assert found.value.kind is errors.ErrorKind.SERVER_BACKOFF
+            assert found.value.retry_after_s >= 3.0
+
+        assert play(story).sidecars.requests == []
+
+    def test_no_turn_without_consent_is_used_at_them(self):
+        """Guards against a backoff that ends with its sidecar."""
+
+        async def story(scene):
+            scene.sidecars.replies = dict.fromkeys(
+                ('10.0.0.1', '10.0.0.2', '10.0.0.3')
+            )
+            self.close(scene, 'a', 'b', backoff_s=60.0)
+            turn = await scene.acquire(adapter='')
+            assert turn.server.name == 'c'
+
+        play(story)
+
+    @pytest.mark.parametrize('is_leaving', [False, True])
+    def test_a_turn_that_was_pending_is_given_up(self, is_leaving):
+        """Guards against a request that waited while its engine closed."""
+
+        async def story(scene):
+            scene.sidecars.delay_s = 0.3
+            pending = turn_messages.TurnReply(is_pending=True)
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = [
+                    pending,
+                    turn_messages.TurnReply(version=2),
+                ]
+            acquiring = asyncio.create_task(scene.acquire())
+            await asyncio.sleep(0.1)
+            ip = scene.sidecars.requests[0][0]
+            name = 'abc'[int(ip[-1]) - 1]
+            self.close(scene, name, is_leaving=is_leaving)
+            assert (await acquiring).server.name != name
+            await asyncio.sleep(0.1)
+            assert (ip, 'one.1') in scene.sidecars.ended_turns
+
+        play(story)
+
+    def test_a_suspect_request_does_not_move_to_another_engine(self):
+        """Guards against two suspect requests that run at the same time."""
+
+        async def story(scene):
+            spec = scene.spec(fingerprint='f')
+            for start in ('x@1', 'y@1'):
+                scene.suspects.record.record_crash('f', start)
+            chosen = scene.client._candidates.isolation_server(spec, ())
+            self.close(scene, chosen.name)
+            with pytest.raises(errors.RefusalError) as found:
+                await scene.acquire(fingerprint='f')
+            assert found.value.kind is errors.ErrorKind.SERVER_BACKOFF
+
+        assert play(story).sidecars.requests == []
+
+    def test_leaving_is_told_and_heard_with_the_messages_about_turns(self):
+        """Guards against entries that hear of leaving by the list alone."""
+
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = (
+                    turn_messages.TurnReply(leaving=('b@0',))
+                )
+            self.close(scene, 'a', is_leaving=True)
+            await scene.acquire(excluded=['b'])
+            turn = await scene.acquire('two')
+            assert turn.server.name == 'c'
+
+        scene = play(story)
+        assert scene.sidecars.requests[0][1].leaving == ('a@0',)
