--- a/lacewingpitch/plain_server_selector.py
+++ b/lacewingpitch/plain_server_selector.py
@@ -103,19 +103,10 @@
     ) -> backend_list.BackendServer:
         limited: dict[str, errors.RefusalError] = {}
         for service in services:
-            closed = self._closed_names(service)
-            if closed and is_isolated:
-                # Another server would run a second suspect beside that of
-                # the entries that may use this one.
-                break
             while True:
-                skipped = {*excluded, *limited, *closed}
-                if is_isolated:
-                    server = self._balancer.choose_isolation_server(
-                        service, skipped
-                    )
-                else:
-                    server = self._balancer.choose(service, skipped)
+                server = self._candidate(
+                    service, {*excluded, *limited}, is_isolated
+                )
                 if server is None:
                     break
                 refusal = await self._limits.try_acquire(server)
@@ -124,6 +115,19 @@
                 limited[server.name] = refusal
         raise self._refusal(services, limited.values())
 
+    def _candidate(
+        self, service: str, excluded: Collection[str], is_isolated: bool
+    ) -> backend_list.BackendServer | None:
+        if not is_isolated:
+            closed = self._closed_names(service)
+            return self._balancer.choose(service, {*excluded, *closed})
+        server = self._balancer.choose_isolation_server(service, excluded)
+        # If it is closed, no other one may run the suspect request beside
+        # those of entries that still use it.
+        if server is None or not self._gate.is_open(server):
+            return None
+        return server
+
     def _closed_names(self, service: str) -> set[str]:
         return {
             server.name
--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -59,21 +59,22 @@
         ranked = self._placement.ranked_instances(
             spec.key or spec.run_id, instances
         )
-        names = [i.name for i in ranked if i.name not in excluded]
+        # Lacks an engine that is no longer listed if its retention has
+        # expired since the instances were read.
+        servers = {
+            server.name: server
+            for server in self._servers.serving(spec.service)
+            if server.name not in excluded and self._gate.is_open(server)
+        }
+        names = [i.name for i in ranked if i.name in servers]
         allowed = set(self._ejector.allowed(names))
         sidecar_keys = [sidecar_key(name) for name in names]
         allowed_sidecars = set(self._ejector.allowed(sidecar_keys))
-        candidates = []
-        for name in names:
-            # ``None`` if the retention of an engine that is no longer listed
-            # has expired since the instances were read.
-            server = self._servers.find_serving(spec.service, name)
-            if server is None or name not in allowed:
-                continue
-            if not self._gate.is_open(server):
-                continue
-            if sidecar_key(name) in allowed_sidecars:
-                candidates.append(server)
+        candidates = [
+            servers[name]
+            for name in names
+            if name in allowed and sidecar_key(name) in allowed_sidecars
+        ]
         return candidates[:_MAX_CANDIDATES]
 
     def isolation_server(
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -139,6 +139,21 @@
                 found.add(server.name)
         return found
 
+    async def test_a_closed_server_moves_no_suspect_to_another(
+        self, selector, record
+    ):
+        """Guards against suspect requests at two servers at a time."""
+        for start in ('x@1', 'y@1'):
+            record.record_crash('f', start)
+        (name,) = await self.chosen(selector, 1)
+        server = next(
+            s for s in selector._balancer.servers('lookup') if s.name == name
+        )
+        selector._gate.backoffs.record(server, 3.0)
+        with pytest.raises(errors.RefusalError) as found:
+            await self.chosen(selector, 1)
+        assert found.value.kind is errors.ErrorKind.SERVER_BACKOFF
+
     async def test_other_requests_go_to_all_servers(self, selector):
         assert len(await self.chosen(selector)) > 1
 
