--- a/lacewingpitch/account_counters.py
+++ b/lacewingpitch/account_counters.py
@@ -54,6 +54,7 @@
     'configuration-outdated': 28,
     'crashes-backend-servers': 29,
     'server-limited': 30,
+    'server-backoff': 31,
 }
 _KIND_NAMES = {number: kind for kind, number in KIND_NUMBERS.items()}
 _BUCKETS_PER_DOUBLING = 4
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -72,6 +72,10 @@
         'the backend server names a request rate limit that is used up; '
         'says when it allows another request'
     ),
+    errors.ErrorKind.SERVER_BACKOFF: (
+        'the backend servers that could run it asked this entry to send '
+        'nothing for a time; says when it ends'
+    ),
     errors.ErrorKind.NO_BACKEND_SERVER: (
         'no live backend server for this model or service is known'
     ),
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -211,6 +211,37 @@
 
         play(scenario)
 
+    def test_a_connection_that_the_server_will_close_is_not_reused(self):
+        """Guards against a request sent on a connection that ends."""
+
+        async def scenario(server, send):
+            closing = b'HTTP/1.1 200 OK\r\nConnection: close\r\n'
+            server.scripts = [
+                lambda name: answer(name).replace(
+                    b'HTTP/1.1 200 OK\r\n', closing
+                )
+            ]
+            assert await send('one') == BODY
+            assert await send('two') == BODY
+            assert server.connection_count == 2
+
+        play(scenario)
+
+    def test_a_compressed_answer_counts_as_lost(self):
+        """Guards against a body that is not the server's."""
+
+        async def scenario(server, send):
+            encoded = b'HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n'
+            server.scripts = [
+                lambda name: answer(name).replace(
+                    b'HTTP/1.1 200 OK\r\n', encoded
+                )
+            ]
+            with pytest.raises(backend_call.AnswerLostError):
+                await send('one')
+
+        play(scenario)
+
 
 class TestStale:
     def test_a_reset_of_a_reused_connection_is_a_stale_connection(self):
