A caller turned away last returns after the backoff if all servers are closed

A request whose last allowed attempt got 503 with Retry-After was told to return after 0.1 s, since another server would take it; if no server of its service is open it would be refused a second time. It gets a time of its own after the end now. The test failed without the change (closed servers: 0.1 s, expected 3 s or more).

--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -73,6 +73,7 @@
         gate: server_gate.ServerGate,
     ) -> None:
         self._suspects = suspects
+        self._gate = gate
         self._plain_servers = plain_server_selector.PlainServerSelector(
             services, suspects.record, limits, gate
         )
@@ -167,11 +168,26 @@
                 history.splitter.drop_partial_event()
                 continue
             if failure.answer is None or delivery.has_begun:
-                raise failure.refusal
+                raise self._final_refusal(services, failure.refusal)
             history.status = failure.answer.status
             await delivery.send_whole(failure.answer, failure.body)
             return
 
+    def _final_refusal(
+        self, services: tuple[str, ...], refusal: errors.RefusalError
+    ) -> errors.RefusalError:
+        """Return a refusal whose caller does not return to closed servers."""
+        if refusal.kind is not errors.ErrorKind.QUEUE_FULL:
+            return refusal
+        servers = [
+            server
+            for service in services
+            for server in self._services.servers(service)
+        ]
+        if any(self._gate.is_open(server) for server in servers):
+            return refusal
+        return self._gate.refusal(servers) or refusal
+
     @contextlib.asynccontextmanager
     async def _acquire_turn(
         self,
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -59,6 +59,7 @@
         self.sent = []
         self.open_count = 0
         self.gate = None
+        self.on_error = lambda error: None
 
     @contextlib.asynccontextmanager
     async def send(self, call):
@@ -67,6 +68,7 @@
         self.calls.append(call)
         step = self.steps.pop(0)
         if isinstance(step, Exception):
+            self.on_error(step)
             raise step
         self.open_count += 1
         try:
@@ -665,6 +667,30 @@
         assert refusal.retry_after_s >= 3.0
         assert scene.client.calls == []
 
+    @pytest.mark.parametrize('closed', ['bc', 'b'])
+    def test_who_was_turned_away_last_returns_after_the_end(self, closed):
+        """Guards against callers that return to closed servers at once."""
+
+        async def main():
+            scene = Scene(NOT_RUN)
+            for name in closed:
+                now_s = scene.clock.boot_s()
+                scene.gate.record_answer(server(name), self.CLOSED, now_s)
+
+            def close_last(error):
+                scene.gate.record_answer(
+                    server('a'), self.CLOSED, scene.clock.boot_s()
+                )
+
+            scene.client.on_error = close_last
+            with pytest.raises(errors.RefusalError) as found:
+                await scene.forward(route(max_attempts=1), model='m')
+            return found.value
+
+        refusal = virtual_time.run(main())
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert (refusal.retry_after_s >= 3.0) == (closed == 'bc')
+
     def test_a_stream_is_resumed_at_an_open_server(self):
         """Guards against a resumed stream that passes the gate by."""
         stream = route(**STREAM, is_resumable=True, max_attempts=3)
