--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -330,8 +330,8 @@
     def is_known_leaving(self, server: BackendServer) -> bool:
         """Whether a start of a server leaves, by the list or by itself.
 
-        The list may lag behind what the server says, and what is derived from
-        the list at all entries stays the same until it changes.
+        Only some entries have heard an announcement.  What all of them must
+        derive alike, such as owners of limits, follows the list alone.
         """
         if self._leaves(server):
             return True
--- a/lacewingpitch/server_backoff.py
+++ b/lacewingpitch/server_backoff.py
@@ -10,7 +10,7 @@
 
 # A server that asks for more by mistake is used again after this time.
 _MAX_BACKOFF_S = 3600.0
-# Time for which the first request after a backoff is waited for alone.
+# A trial without an answer for this long is followed by another.
 _TRIAL_S = 1.0
 _MAX_SERVERS = 4096
 log = structlog.get_logger(__name__)
