Account test: callers end their requests before their counts are compared

Cause, in the test: it cancelled the caller of the entry that lives, in the middle of a request. An answer that the entry has delivered and counted, and that the cancelled caller has not recorded, makes the report one higher; it shows only if the copy of the killed entry lacks nothing of that customer. Callers stop after the request in hand now; the check and its bounds are as they were.

--- a/tests/test_account_processes.py
+++ b/tests/test_account_processes.py
@@ -52,6 +52,11 @@
     def __init__(self, deployment):
         self.deployment = deployment
         self.received = []
+        self._stopped = set()
+
+    def stop(self, entry):
+        """Send no more requests to an entry; those in progress end."""
+        self._stopped.add(entry)
 
     async def call(self, entry, customer, adapter, stream):
         try:
@@ -69,6 +74,8 @@
     async def keep_calling(self, entry, count):
         for number in range(count):
             for customer, adapter in CUSTOMER_ADAPTERS:
+                if entry in self._stopped:
+                    return
                 is_stream = number % 2 == 1
                 if not await self.call(entry, customer, adapter, is_stream):
                     return
@@ -182,9 +189,9 @@
             return len(copied) == lost_count
 
         await asyncio.gather(*calling[-lost_count:])
-        for task in calling[:-lost_count]:
-            task.cancel()
-            await asyncio.wait([task])
+        for entry in deployment.entries[1:]:
+            callers.stop(entry)
+        await asyncio.gather(*calling)
         await processes.wait_until(are_copied)
         report = await read_report(deployment, first)
         names = ['entry-1', 'entry-2'][-lost_count:]
