--- a/benchmarks/server_backoff.py
+++ b/benchmarks/server_backoff.py
@@ -23,6 +23,8 @@
 SERVER_COUNT = 5
 # Time between the choice of a server and the sending.
 WAIT_S = (0.0, 1.5)
+# Time between the sending and the answer.
+ANSWER_S = 0.2
 ENTRY_COUNTS = (4, 30, 300)
 SERVERS = [
     backend_list.BackendServer(f's-{number}', 'chat', '10.0.0.1', number, 'z')
@@ -74,6 +76,7 @@
     asks_at_choice: bool = True
     asks_at_sending: bool = True
     tells_others: bool = False
+    tries_alone: bool = True
 
 
 WAYS = (
@@ -81,6 +84,7 @@
     Way('at the choice', asks_at_sending=False),
     Way('at the sending', asks_at_choice=False),
     Way('at both'),
+    Way('at both, all at the end', tries_alone=False),
     Way('at both, others are told', tells_others=True),
 )
 
@@ -111,27 +115,30 @@
         ]
         self.figures = Figures()
         self._owed_s = [[] for _ in range(entry_count)]
+        self._events = []
+        self._number = 0
 
     def play(self):
-        events = []
         at_s = 0.0
         while at_s < LENGTH_S:
             at_s += self.source.expovariate(REQUESTS_PER_S)
             entry = self.source.randrange(self.entry_count)
-            heapq.heappush(events, (at_s, len(events), entry, None))
-        number = len(events)
-        while events:
-            self.clock.now_s, _, entry, server = heapq.heappop(events)
-            if server is None:
-                number += 1
-                wait_s = self.source.uniform(*WAIT_S)
-                due_s = self.clock.now_s + wait_s
-                chosen = self._choose(entry)
-                heapq.heappush(events, (due_s, number, entry, chosen))
-            else:
-                self._send(entry, server)
+            self._schedule(at_s, self._arrive, entry)
+        while self._events:
+            self.clock.now_s, _, action, arguments = heapq.heappop(
+                self._events
+            )
+            action(*arguments)
         return self.figures
 
+    def _schedule(self, at_s, action, *arguments):
+        self._number += 1
+        heapq.heappush(self._events, (at_s, self._number, action, arguments))
+
+    def _arrive(self, entry):
+        due_s = self.clock.now_s + self.source.uniform(*WAIT_S)
+        self._schedule(due_s, self._send, entry, self._choose(entry))
+
     def _choose(self, entry):
         backoffs = self.backoffs[entry]
         candidates = list(SERVERS)
@@ -148,15 +155,26 @@
         self.figures.sent += 1
         if server is not SERVERS[0]:
             return
-        backoffs.record_sending(server)
+        if self.way.tries_alone:
+            backoffs.record_sending(server)
         self._count_owed(entry, now_s)
-        if not self.trouble.sheds(entry, self.entry_count, now_s, self.source):
+        is_shed = self.trouble.sheds(
+            entry, self.entry_count, now_s, self.source
+        )
+        self._schedule(
+            now_s + ANSWER_S, self._answer, entry, server, is_shed, now_s
+        )
+
+    def _answer(self, entry, server, is_shed, sent_at_s):
+        if not is_shed:
             self.figures.served_by_first += 1
-            backoffs.record_served(server, now_s)
+            self.backoffs[entry].record_served(server, sent_at_s)
             return
         self.figures.turned_away += 1
-        self._owed_s[entry].append([now_s, 0])
-        told = self.backoffs if self.way.tells_others else [backoffs]
+        self._owed_s[entry].append([self.clock.now_s, 0])
+        told = [self.backoffs[entry]]
+        if self.way.tells_others:
+            told = self.backoffs
         for each in told:
             each.record(server, BACKOFF_S)
 
