A sidecar whose engine leaves keeps its limits until it no longer answers

Cause: ownership of an organisation's limit moved as soon as the owner's engine was listed as leaving, to a sidecar whose idle bucket holds a burst; with two engines that leave in turn it moved three times in 4 s, once to nobody, which lets each entry use its share besides.

Change: a leaving sidecar stays the owner while it answers, and is replaced at the first time that it does not, which before held for unlisted ones only.

The test test_a_leaving_owner_is_replaced asked for the move itself. What it guards against (an incident in which owners had ended with their engines and were asked for 20 s) is kept by test_a_leaving_owner_that_has_ended_is_replaced; the cost is one message of an entry that is not answered.

--- a/lacewingpitch/usage_ownership.py
+++ b/lacewingpitch/usage_ownership.py
@@ -48,7 +48,10 @@
         self._has_sidecar = has_sidecar
         self._clock = clock
         self._listed_at_s: dict[str, float] = {}
+        # Listed and not leaving.
         self._listed: set[str] = set()
+        # Leaving, or no longer listed, and not answering.
+        self._ended: set[str] = set()
         self._owners: dict[str, str] = {}
         self._refresh_at_s = 0.0
 
@@ -72,10 +75,12 @@
 
         If its engine is still listed, the process may be paused, and go on
         as the owner when it resumes.  A second owner beside it would grant
-        its limits twice.
+        its limits twice.  If its engine leaves, the process has ended with
+        it.
         """
         if ip in self._listed_at_s and ip not in self._listed:
             del self._listed_at_s[ip]
+            self._ended.add(ip)
             self._owners.clear()
 
     def _refresh(self, now_s: float) -> None:
@@ -85,14 +90,17 @@
             s for s in self._servers.all() if self._has_sidecar(s.service)
         ]
         self._listed = {s.ip for s in found if not s.is_leaving}
-        # The sidecar of an engine that leaves ends soon after it.
         leaving = {s.ip for s in found} - self._listed
+        self._ended &= leaving
         listed_at_s = {
             ip: at_s
             for ip, at_s in self._listed_at_s.items()
-            if now_s - at_s < _UNLISTED_RETENTION_S and ip not in leaving
+            if now_s - at_s < _UNLISTED_RETENTION_S
         }
-        listed_at_s.update((ip, now_s) for ip in self._listed)
+        # A new owner grants a burst of its own.  A sidecar whose engine
+        # leaves therefore stays the owner until it no longer answers.
+        present = self._listed | (leaving - self._ended)
+        listed_at_s.update((ip, now_s) for ip in present)
         if listed_at_s.keys() != previous:
             self._owners.clear()
         self._listed_at_s = listed_at_s
--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -1,13 +1,17 @@
 """Limits of organisations at several entries with one owner."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
 
 from benchmarks import virtual_time
+from lacewingpitch import backend_list
 from lacewingpitch import errors
 from lacewingpitch import organisation
+from lacewingpitch import usage_limits
+from lacewingpitch import usage_ownership
 from tests import fault_matrix
 from tests import usage_fakes
 
@@ -20,6 +24,10 @@
 LIMIT = organisation.UsageLimit(RATE_PER_S, BURST, default_cost=200.0)
 BALCONY = organisation.Organisation('balcony', ('key-1',), limit=LIMIT)
 WINDOW_S = 8.0
+ENGINES = tuple(
+    backend_list.BackendServer(f'i-{n}', 'chat', f'10.0.0.{n}', 80, 'z')
+    for n in (1, 2)
+)
 # Excess that an unreachable owner may cause, in bursts.
 SPARE_BURSTS = 2
 
@@ -283,3 +291,82 @@
                 return await second
 
         assert virtual_time.run(scenario()) is None
+
+
+class TwoOwners:
+    """Messages to the sidecars of two engines."""
+
+    def __init__(self, clock):
+        self.by_ip = {
+            engine.ip: usage_fakes.Link(clock).owner for engine in ENGINES
+        }
+
+    async def request_usage(self, ip, message, _timeout_s):
+        return await self.by_ip[ip].grant(message)
+
+
+class Listed:
+    """The list of servers as one entry sees it."""
+
+    def __init__(self):
+        self.listed = ENGINES
+
+    def all(self):
+        return self.listed
+
+
+class TestOwnersThatLeave:
+    ENTRY_COUNT = 20
+    LIMIT = organisation.UsageLimit(60.0, 60.0, default_cost=10.0)
+    # Time until all entries have read a change of the list.
+    SPREAD_S = 0.02
+
+    def test_a_flood_stays_within_the_limit_as_they_leave_in_turn(self):
+        """Guards against a burst of each owner that a limit moves to."""
+        caller = organisation.Organisation('small', limit=self.LIMIT)
+
+        async def scenario():
+            fleet = Fleet(self.ENTRY_COUNT)
+            link = TwoOwners(fleet.clock)
+            views = [Listed() for _ in fleet.entries]
+            fleet.entries = [
+                usage_limits.UsageLimits(
+                    f'edge-{number}',
+                    link,
+                    usage_ownership.UsageOwnership(
+                        view, lambda _service: True, fleet.clock
+                    ),
+                    fleet.clock,
+                    lambda: 1,
+                    lambda: self.ENTRY_COUNT,
+                )
+                for number, view in enumerate(views)
+            ]
+            source = random.Random(5)
+
+            async def change(view, at_s, *leaving):
+                await asyncio.sleep(at_s + source.uniform(0.0, self.SPREAD_S))
+                view.listed = tuple(
+                    dataclasses.replace(e, is_leaving=e.name in leaving)
+                    for e in ENGINES
+                )
+
+            async def flood():
+                await asyncio.sleep(9.5)
+                for _ in range(600):
+                    await asyncio.sleep(0.02)
+                    entry = source.randrange(self.ENTRY_COUNT)
+                    asyncio.create_task(fleet.call(entry, caller, 10))
+
+            async with asyncio.TaskGroup() as group:
+                group.create_task(flood())
+                for view in views:
+                    group.create_task(change(view, 10.0, 'i-2'))
+                    group.create_task(change(view, 13.0, 'i-1', 'i-2'))
+                    group.create_task(change(view, 14.1))
+                    group.create_task(change(view, 16.0, 'i-1'))
+            return fleet
+
+        fleet = virtual_time.run(scenario())
+        allowed = 1.25 * (WINDOW_S + 1.0) * 60.0 + 60.0
+        assert fleet.worst_window() <= allowed
--- a/tests/test_usage_ownership.py
+++ b/tests/test_usage_ownership.py
@@ -68,15 +68,43 @@
         scene.clock.now_s += 5.0
         assert scene.all() == before
 
-    def test_a_leaving_owner_is_replaced(self):
+    def leave(self, scene, *engines):
+        scene.servers.listed = tuple(
+            dataclasses.replace(engine, is_leaving=engine in engines)
+            for engine in ENGINES
+        )
+        scene.clock.now_s += 1.0
+
+    def test_a_leaving_owner_stays_while_it_answers(self):
+        """Guards against a burst of a second owner as an engine leaves."""
+        scene = Scene(*ENGINES)
+        before = scene.all()
+        self.leave(scene, ENGINES[0])
+        assert scene.all() == before
+        self.leave(scene, *ENGINES)
+        assert scene.all() == before
+
+    def test_a_leaving_owner_that_has_ended_is_replaced(self):
         """Guards against limits whose owner ends along with its engine."""
         scene = Scene(*ENGINES)
         before = scene.all()
-        leaving = dataclasses.replace(ENGINES[0], is_leaving=True)
-        scene.servers.listed = (leaving, *ENGINES[1:])
-        scene.clock.now_s += 1.0
+        self.leave(scene, ENGINES[0])
+        scene.all()
+        scene.owners.mark_unresponsive(ENGINES[0].ip)
+        assert_only_moved_from(ENGINES[0].ip, before, scene.all())
+        self.leave(scene, ENGINES[0])
         assert_only_moved_from(ENGINES[0].ip, before, scene.all())
 
+    def test_an_engine_that_follows_at_the_address_owns_again(self):
+        scene = Scene(*ENGINES)
+        before = scene.all()
+        self.leave(scene, ENGINES[0])
+        scene.all()
+        scene.owners.mark_unresponsive(ENGINES[0].ip)
+        assert ENGINES[0].ip not in scene.all()
+        self.leave(scene)
+        assert scene.all() == before
+
     def test_an_unresponsive_unlisted_owner_is_replaced(self):
         """Guards against requests that wait for an owner that has ended."""
         scene = Scene(*ENGINES)
