--- /dev/null
+++ b/lacewingpitch/engine_pace.py
@@ -0,0 +1,40 @@
+"""How fast a model engine runs."""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EnginePace:
+    """How fast an engine runs, as its sidecar measured it.
+
+    Parameters
+    ----------
+    token_s
+        Time for each token of the answers that run; 0 if unknown.
+    prompt_tokens_per_s
+        Rate at which the engine reads prompts; 0 if unknown.
+    stalls_per_s
+        Expected pauses per second of a running stream that are longer than
+        its caller allows.
+    """
+
+    token_s: float = 0.0
+    prompt_tokens_per_s: float = 0.0
+    stalls_per_s: float = 0.0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the engine has been measured since its start."""
+        return self.token_s > 0.0
+
+    def run_s(self, tokens: int) -> float:
+        """Return the expected duration of an answer of some tokens."""
+        return tokens * self.token_s
+
+    def stall_probability(self, tokens: int) -> float:
+        """Return the probability that an answer of some tokens stalls."""
+        return -math.expm1(-self.stalls_per_s * self.run_s(tokens))
+
+
+UNKNOWN_PACE = EnginePace()
--- a/lacewingpitch/engine_snapshot.py
+++ b/lacewingpitch/engine_snapshot.py
@@ -29,6 +29,8 @@
     limit_per_s
         Requests per second that it accepts from all entries together;
         ``None`` if its report names no limit.
+    events_by_run
+        Events of the answer that each run has made.
     """
 
     order_count: int
@@ -42,3 +44,4 @@
     running: int
     started_at_ms: int = 0
     limit_per_s: float | None = None
+    events_by_run: Mapping[str, int] = dataclasses.field(default_factory=dict)
--- a/lacewingpitch/hint.py
+++ b/lacewingpitch/hint.py
@@ -12,7 +12,11 @@
 import msgspec
 import xxhash
 
+from lacewingpitch import engine_pace
+
 MAX_HINT_CHARS = 1024
+_US_PER_S = 1_000_000
+_STALL_PERIOD_S = 1000
 _FINGERPRINT_BYTES = 4
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 31)]
 
@@ -44,6 +48,11 @@
     copy_count
         How many copies of evicted adapters the engine caches; 0 if none
         are known.
+    token_us
+        Time for each token of the answers that run; 0 if unknown.
+    stalls_per_1000s
+        Expected pauses in 1000 s of a running stream that are longer than
+        its caller allows.
     """
 
     running: Count
@@ -55,6 +64,16 @@
     turn_wait_ms: Count = 0
     copy_wait_ms: Count = 0
     copy_count: Count = 0
+    token_us: Count = 0
+    stalls_per_1000s: Count = 0
+
+    @property
+    def pace(self) -> engine_pace.EnginePace:
+        """Return how fast the engine runs."""
+        return engine_pace.EnginePace(
+            token_s=self.token_us / _US_PER_S,
+            stalls_per_s=self.stalls_per_1000s / _STALL_PERIOD_S,
+        )
 
     @property
     def fingerprints(self) -> frozenset[bytes]:
--- /dev/null
+++ b/lacewingpitch/parts.py
@@ -0,0 +1,19 @@
+"""Optional parts of the system that settings switch on."""
+
+import enum
+
+
+class Part(enum.StrEnum):
+    """A part of the system that a deployment switches on by its name.
+
+    Without a part, requests are served as if it did not exist.
+    """
+
+    # Measures how fast each engine runs, and places and paces by it.
+    ENGINE_PACE = 'engine-pace'
+    # Ranks waiting requests by what their callers lose.
+    CALLER_LOSS = 'caller-loss'
+    # Refusals name engines that have room.
+    ROOM_NEWS = 'room-news'
+    # Moves runs to another engine when theirs leaves.
+    MOVING_RUNS = 'moving-runs'
--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -1,6 +1,7 @@
 """HTTP client of the model engine beside a sidecar: reports and orders."""
 
 from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -33,6 +34,10 @@
 class _RunReport(msgspec.Struct, frozen=True, array_like=True):
     # The caller's id of the attempt that is running.
     request_id: str
+    # Tokens in memory.
+    memory_tokens: Any = 0
+    # Events of the answer so far.
+    event_count: Any = 0
 
 
 class _EngineReport(msgspec.Struct, frozen=True):
@@ -148,6 +153,11 @@
             running=report.active,
             started_at_ms=report.born,
             limit_per_s=notice.limit_per_s,
+            events_by_run={
+                run.request_id: run.event_count
+                for run in report.runs
+                if type(run.event_count) is int
+            },
         )
 
     async def load_model(
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -13,6 +13,7 @@
 from lacewingpitch import decoding
 from lacewingpitch import errors
 from lacewingpitch import link
+from lacewingpitch import parts as parts_module
 from lacewingpitch import settings as settings_module
 
 # IP:PORT; empty if the process has none.
@@ -71,6 +72,8 @@
     released_fingerprints
         Requests that are allowed although backend servers crashed when
         they started to run them.
+    parts
+        Optional parts of the system that are on, as of the process's start.
     """
 
     instance: contract.Name
@@ -93,6 +96,7 @@
     retry_ratio: float
     retry_allowance: float
     released_fingerprints: tuple[str, ...] = ()
+    parts: tuple[parts_module.Part, ...] = ()
 
     @property
     def propagation_limit_s(self) -> float:
@@ -117,6 +121,8 @@
         for endpoint in (*endpoints, self.engine, *self.seeds):
             if endpoint:
                 split_endpoint(endpoint)
+        if len(set(self.parts)) < len(self.parts):
+            raise ValueError('parts: a part is named twice')
 
 
 def port_of(endpoint: Endpoint) -> int:
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -227,6 +227,7 @@
             organisation=caller.name if caller else '',
             weight=caller.weight if caller else 1.0,
             fingerprint=request.fingerprint,
+            gap_s=request.route.target_gap_s,
         )
         async with self._turns.acquire(spec, history.servers) as turn:
             history.turn_wait_s += self._clock.monotonic_s() - started_s
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -405,6 +405,7 @@
                 limit_per_s=limit_per_s,
                 limit_news=self._limits.news(),
                 leaving=self._gate.leaving_news(),
+                gap_ms=int(spec.gap_s * _MS_PER_S),
             )
             asked_at_s = self._clock.boot_s()
             try:
--- a/lacewingpitch/turn_spec.py
+++ b/lacewingpitch/turn_spec.py
@@ -31,6 +31,8 @@
         Weight of the organisation relative to others.
     fingerprint
         Fingerprint of the request; see `request_fingerprint`.
+    gap_s
+        Longest pause between events that the caller allows; 0 if unknown.
     """
 
     run_id: str
@@ -50,6 +52,7 @@
     organisation: str = ''
     weight: float = 1.0
     fingerprint: str = ''
+    gap_s: float = 0.0
 
     @property
     def key(self) -> str:
