--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -12,6 +12,7 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import crash_record
 from lacewingpitch import engine_limit
+from lacewingpitch import engine_metrics
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
 from lacewingpitch import engine_view
@@ -389,7 +390,14 @@
             self._crashes,
         )
         self._is_ready.set()
-        self._add_metrics(self.granter, outcomes, adapters)
+        engine_metrics.register(
+            self._metrics,
+            self.granter,
+            outcomes,
+            adapters,
+            self.limit,
+            self.view,
+        )
         log.info(
             'engine taken over',
             backend_server=self.view.backend_server,
@@ -398,49 +406,6 @@
             adapters=len(snapshot.held),
         )
 
-    def _add_metrics(
-        self,
-        granter: turn_granter.TurnGranter,
-        outcomes: turn_metrics.TurnMetrics,
-        adapters: slots_module.AdapterSlots,
-    ) -> None:
-        metrics = self._metrics
-        metrics.counter_by(
-            'turns_total',
-            'Turns that were asked for, by what became of them.',
-            'outcome',
-            lambda: {
-                'granted': outcomes.granted_count,
-                'refused': outcomes.refused_count,
-                'lapsed': outcomes.lapsed_count,
-            },
-        )
-        metrics.counter_by(
-            'adapter_orders_total',
-            'Orders about adapters, by what became of them.',
-            'outcome',
-            lambda: {
-                'loaded': adapters.load_count,
-                'unloaded': adapters.eviction_count,
-                'load failed': adapters.failed_load_count,
-            },
-        )
-        metrics.gauge(
-            'turns_held',
-            'Turns that are granted or waited for.',
-            lambda: len(granter),
-        )
-        metrics.gauge(
-            'engine_limit_per_second',
-            'Requests per second that the engine accepts; -1 without limit.',
-            lambda: -1.0 if self.limit.per_s is None else self.limit.per_s,
-        )
-        metrics.gauge(
-            'engine_report_age_seconds',
-            'How old the last report of the engine is.',
-            lambda: self.view.report_age_s,
-        )
-
     def _reconcile(
         self, snapshot: engine_snapshot.EngineSnapshot, polled_at_s: float
     ) -> None:
--- /dev/null
+++ b/lacewingpitch/engine_metrics.py
@@ -0,0 +1,54 @@
+"""Metrics of a sidecar about its engine."""
+
+from lacewingpitch import engine_limit
+from lacewingpitch import engine_view
+from lacewingpitch import metrics as metrics_module
+from lacewingpitch import slots as slots_module
+from lacewingpitch import turn_granter
+from lacewingpitch import turn_metrics
+
+
+def register(
+    metrics: metrics_module.Metrics,
+    granter: turn_granter.TurnGranter,
+    outcomes: turn_metrics.TurnMetrics,
+    adapters: slots_module.AdapterSlots,
+    limit: engine_limit.EngineLimit,
+    view: engine_view.EngineView,
+) -> None:
+    """Register what a sidecar counts and knows about its engine."""
+    metrics.counter_by(
+        'turns_total',
+        'Turns that were asked for, by what became of them.',
+        'outcome',
+        lambda: {
+            'granted': outcomes.granted_count,
+            'refused': outcomes.refused_count,
+            'lapsed': outcomes.lapsed_count,
+        },
+    )
+    metrics.counter_by(
+        'adapter_orders_total',
+        'Orders about adapters, by what became of them.',
+        'outcome',
+        lambda: {
+            'loaded': adapters.load_count,
+            'unloaded': adapters.eviction_count,
+            'load failed': adapters.failed_load_count,
+        },
+    )
+    metrics.gauge(
+        'turns_held',
+        'Turns that are granted or waited for.',
+        lambda: len(granter),
+    )
+    metrics.gauge(
+        'engine_limit_per_second',
+        'Requests per second that the engine accepts; -1 without limit.',
+        lambda: -1.0 if limit.per_s is None else limit.per_s,
+    )
+    metrics.gauge(
+        'engine_report_age_seconds',
+        'How old the last report of the engine is.',
+        lambda: view.report_age_s,
+    )
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Collection, Iterable
 import contextlib
 import random
-from typing import Protocol
 
 import structlog
 
@@ -17,6 +16,7 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract
 from lacewingpitch import crash_record
+from lacewingpitch import engine_state
 from lacewingpitch import errors
 from lacewingpitch import fair_share
 from lacewingpitch import hint_builder
@@ -39,32 +39,6 @@
 log = structlog.get_logger(__name__)
 
 
-class EngineState(admission_module.EngineStatus, Protocol):
-    """Engine state that granting turns depends on."""
-
-    @property
-    def backend_server(self) -> str:
-        """Return the engine's incarnation; empty if unknown."""
-        ...
-
-    @property
-    def started_at_ms(self) -> int:
-        """Return the Unix time of the engine's start; 0 if unknown."""
-        ...
-
-    async def next_report(self) -> None:
-        """Wait for the next report of the engine."""
-        ...
-
-    def slot_name(self, model: str, adapter: str, version: int) -> str:
-        """Return the adapter's name in `slots.AdapterSlots`."""
-        ...
-
-    def held_version(self, slot_name: str) -> int:
-        """Return the version held under a slot name; 0 if unknown."""
-        ...
-
-
 class TurnGranter:
     """Grants and ends the turns of one engine.
 
@@ -83,7 +57,7 @@
         self,
         queue: turn_queue.TurnQueue,
         adapters: slots_module.AdapterSlots,
-        engine: EngineState,
+        engine: engine_state.EngineState,
         pacer: prefill_pacer.PrefillPacer,
         clock: clock_module.Clock,
         configuration_version: Callable[[], int],
