Sidecars measure the pace of their engine and release prompts by it

Two constants paced the prompts of all engines. On an engine that reads 24,000 tokens a second, 22,000 of them leave no time for the streams that run; one that reads 58,000 kept prompts waiting that it had time for.

With the part engine-pace, a sidecar compares successive reports of its engine: the time for a token, the rate at which prompts are read, and how often streams pause longer than callers allow. Prompts get the share of time that leaves an event within half of the strictest allowed pause; hints carry the pace. Without the part, or while the pace is unknown, rates, hints and poll interval are as before.

--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -22,6 +22,7 @@
 from lacewingpitch import leaving_news
 from lacewingpitch import limit_news
 from lacewingpitch import metrics as metrics_module
+from lacewingpitch import pace_watch as pace_watch_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import routing
 from lacewingpitch import slots as slots_module
@@ -78,6 +79,8 @@
         configured per service.
     crashes
         Requests that crash engines.
+    watch
+        Measures the engine's pace; it is not measured by default.
     """
 
     def __init__(
@@ -89,7 +92,9 @@
         clock: clock_module.Clock,
         metrics: metrics_module.Metrics,
         crashes: crash_record.CrashRecord,
+        watch: pace_watch_module.PaceWatch | None = None,
     ) -> None:
+        self._watch = watch or pace_watch_module.NoPaceWatch()
         self._metrics = metrics
         self._crashes = crashes
         self._poll_lock = asyncio.Lock()
@@ -107,6 +112,7 @@
         self._heard_leaving = leaving_news.HeardLeaving(clock)
         self._adapters: slots_module.AdapterSlots | None = None
         self.granter: turn_granter.TurnGranter | None = None
+        self._pacer = prefill_pacer.PrefillPacer(clock, self._watch.rates)
         self._adopted_runs: frozenset[str] = frozenset()
         self._is_down = True
         self._next_model_order_s = 0.0
@@ -218,7 +224,7 @@
         is_busy = self.view.loading_count or self.view.is_starting
         if self.granter is None or is_busy:
             return _BUSY_POLL_INTERVAL_S
-        return _IDLE_POLL_INTERVAL_S
+        return self._watch.poll_interval_s(_IDLE_POLL_INTERVAL_S)
 
     async def _wait_until_ready(self, limit_s: float) -> None:
         # When all processes of a deployment start at once, requests arrive
@@ -253,11 +259,13 @@
         self._log_leaving(snapshot)
         self.limit.record_report(snapshot.limit_per_s, polled_at_boot_s)
         self.view.update(snapshot, polled_at_s)
+        self._watch.record_report(snapshot, polled_at_s)
         await self._refuse_pending_unless_serving()
         await self._order_model(snapshot)
         self._start_granting(snapshot)
         await self._apply_limit()
         self._reconcile(snapshot, polled_at_s)
+        self._pacer.update_rates()
         if self.granter is not None:
             await self.granter.end_stale(
                 snapshot.run_ids, polled_at_s, snapshot.queued > 0
@@ -290,6 +298,7 @@
             self._adapters.clear()
         self.view.attach(incarnation, snapshot.started_at_ms)
         self.limit.reset()
+        self._watch.reset()
         self._adopted_runs = frozenset()
         if self.granter is not None:
             await self.granter.end_all()
@@ -382,12 +391,13 @@
             queue,
             adapters,
             self.view,
-            prefill_pacer.PrefillPacer(self._clock),
+            self._pacer,
             self._clock,
             lambda: self._table.version,
             random.Random(),
             outcomes,
             self._crashes,
+            self._watch,
         )
         self._is_ready.set()
         engine_metrics.register(
@@ -398,6 +408,7 @@
             self.limit,
             self.view,
         )
+        engine_metrics.register_pace(self._metrics, self._watch)
         log.info(
             'engine taken over',
             backend_server=self.view.backend_server,
--- a/lacewingpitch/engine_metrics.py
+++ b/lacewingpitch/engine_metrics.py
@@ -3,11 +3,38 @@
 from lacewingpitch import engine_limit
 from lacewingpitch import engine_view
 from lacewingpitch import metrics as metrics_module
+from lacewingpitch import pace_watch
 from lacewingpitch import slots as slots_module
 from lacewingpitch import turn_granter
 from lacewingpitch import turn_metrics
 
 
+def register_pace(
+    metrics: metrics_module.Metrics, watch: pace_watch.PaceWatch
+) -> None:
+    """Register how fast the engine runs, and is given prompts."""
+    metrics.gauge(
+        'engine_token_seconds',
+        'Time for each token of the answers that run; 0 if unknown.',
+        lambda: watch.pace.token_s,
+    )
+    metrics.gauge(
+        'engine_prompt_tokens_per_second',
+        'Rate at which the engine reads prompts; 0 if unknown.',
+        lambda: watch.pace.prompt_tokens_per_s,
+    )
+    metrics.gauge(
+        'engine_stalls_per_second',
+        'Pauses beyond what callers allow per second of a stream.',
+        lambda: watch.pace.stalls_per_s,
+    )
+    metrics.gauge(
+        'engine_prefill_limit_tokens_per_second',
+        'Highest rate at which prompts are released to the engine.',
+        lambda: watch.rates.max_tokens_per_s,
+    )
+
+
 def register(
     metrics: metrics_module.Metrics,
     granter: turn_granter.TurnGranter,
--- a/lacewingpitch/fair_pacer.py
+++ b/lacewingpitch/fair_pacer.py
@@ -146,6 +146,14 @@
             self._bucket.change(rate_per_s, self._burst, now_s)
             self._restart_timer()
 
+    def set_burst(self, burst: float) -> None:
+        """Set the capacity of the bucket."""
+        if burst != self._burst:
+            self._burst = burst
+            self._bucket.change(
+                self._bucket.rate_per_s, burst, self._clock.monotonic_s()
+            )
+
     def _virtual_finish(self, cost: float, flow: str, weight: float) -> float:
         start = max(self._virtual_time, self._finish_by_flow.get(flow, 0.0))
         return start + cost / weight
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -10,6 +10,8 @@
 from lacewingpitch import engine_gate
 from lacewingpitch import link
 from lacewingpitch import metrics_server
+from lacewingpitch import pace_watch
+from lacewingpitch import parts
 from lacewingpitch.platform import engine_client as engine_client_module
 from lacewingpitch.platform import process as process_module
 from lacewingpitch.platform import settings as settings_module
@@ -78,6 +80,7 @@
                 self._process.random,
                 lambda: self._file.settings.released_fingerprints,
             ),
+            self._pace_watch(),
         )
         self._process.exits.push_async_callback(controller.close)
         exchange = configuration_exchange.ConfigurationExchange(
@@ -135,6 +138,15 @@
         await self._control.start(settings.ip, settings.internal_port)
         self._process.exits.push_async_callback(self._control.close)
 
+    def _pace_watch(self) -> pace_watch.PaceWatch:
+        settings = self._file.settings
+        if parts.Part.ENGINE_PACE not in settings.parts:
+            return pace_watch.NoPaceWatch()
+        return pace_watch.MeasuringPaceWatch(
+            self._process.clock,
+            lambda: self._process.table.tokens_per_event(settings.service),
+        )
+
     async def close(self) -> None:
         """Release all resources; turns that were granted stay valid."""
         await self._process.exits.aclose()
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -62,6 +62,8 @@
     # Memory of the engine for models and adapters together.  In a model, the
     # field of the same name is the memory that the model takes.
     weights_mb: float = msgspec.field(name='weightsMb', default=math.inf)
+    # Tokens in each event of a stream.
+    stride: float = 1
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -162,6 +164,7 @@
                     )
                     for model in service.engine.models
                 },
+                tokens_per_event=max(1, int(service.engine.stride)),
             )
             for service in published.services
             if service.engine is not None
--- a/lacewingpitch/prefill_pacer.py
+++ b/lacewingpitch/prefill_pacer.py
@@ -4,15 +4,8 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import fair_pacer
+from lacewingpitch import prefill_rates
 
-# Engines read prompts between the events of their streams.  At this rate the
-# gaps between events stay below what callers tolerate, even with one prompt
-# of the largest size.
-_BASE_TOKENS_PER_S = 12_000.0
-# This rate lengthens the gaps on the slowest engines.  It is used while more
-# requests wait than the base rate can release in time.
-_MAX_TOKENS_PER_S = 22_000.0
-_BURST_TOKENS = 1_000.0
 # A backlog that would take longer than this to drain raises the rate.
 _TARGET_DRAIN_S = 0.2
 # Time until requests whose adapters are loading need their turns.  Prompts
@@ -26,10 +19,37 @@
     Designed for bursts of new streams at an engine whose batch has free
     slots.  If such requests are released together, their prompts are read
     in one go, and every running stream stalls meanwhile.
+
+    Parameters
+    ----------
+    rates
+        What the engine can read; the same for every engine by default.
     """
 
-    def __init__(self, clock: clock_module.Clock) -> None:
-        self._pacer = fair_pacer.FairPacer(clock, _rate_per_s, _BURST_TOKENS)
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        rates: prefill_rates.PrefillRates | None = None,
+    ) -> None:
+        self._rates = rates or prefill_rates.ConstantRates()
+        self._pacer = fair_pacer.FairPacer(
+            clock, self._rate_per_s, self._rates.burst_tokens
+        )
+        self._applied_rates = self._current_rates
+
+    @property
+    def max_tokens_per_s(self) -> float:
+        """Return the highest rate at which prompts are released now."""
+        return self._rates.max_tokens_per_s
+
+    def update_rates(self) -> None:
+        """Apply the rates as they are now to the prompts that wait."""
+        rates = self._current_rates
+        if rates == self._applied_rates:
+            return
+        self._applied_rates = rates
+        self._pacer.set_burst(self._rates.burst_tokens)
+        self._pacer.update_rate()
 
     def wait_s(
         self,
@@ -50,9 +70,9 @@
             tokens, flow, fair_pacer.effective_weight(rank, weight)
         )
         preparing = self._pacer.expected_cost
-        ahead += max(0.0, preparing - _PREPARATION_S * _MAX_TOKENS_PER_S)
+        ahead += max(0.0, preparing - _PREPARATION_S * self.max_tokens_per_s)
         deficit = ahead + 1.0 - self._pacer.level
-        return max(0.0, deficit / _rate_per_s(deficit) - after_s)
+        return max(0.0, deficit / self._rate_per_s(deficit) - after_s)
 
     def expecting(
         self, tokens: int
@@ -78,8 +98,18 @@
             tokens, flow, fair_pacer.effective_weight(rank, weight)
         )
 
+    @property
+    def _current_rates(self) -> tuple[float, float, float]:
+        return (
+            self._rates.base_tokens_per_s,
+            self._rates.max_tokens_per_s,
+            self._rates.burst_tokens,
+        )
 
-def _rate_per_s(deficit_tokens: float) -> float:
-    """Return the rate at which a backlog is released."""
-    wanted_per_s = deficit_tokens / _TARGET_DRAIN_S
-    return min(max(wanted_per_s, _BASE_TOKENS_PER_S), _MAX_TOKENS_PER_S)
+    def _rate_per_s(self, deficit_tokens: float) -> float:
+        """Return the rate at which a backlog is released."""
+        wanted_per_s = deficit_tokens / _TARGET_DRAIN_S
+        return min(
+            max(wanted_per_s, self._rates.base_tokens_per_s),
+            self._rates.max_tokens_per_s,
+        )
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -153,6 +153,8 @@
         Memory for models and adapters together.
     sizes
         Memory that models need, by name.
+    tokens_per_event
+        Tokens of an answer in each event of its stream.
     """
 
     max_running: int
@@ -161,6 +163,7 @@
     health_path: str = '/'
     weights_mb: float = math.inf
     sizes: Mapping[str, ModelSize] = dataclasses.field(default_factory=dict)
+    tokens_per_event: int = 1
 
     def adapter_capacity(self, models: Iterable[str]) -> int:
         """Return how many adapters fit beside the models that are held.
@@ -312,6 +315,11 @@
         limits = self.engine_limits(service)
         return limits.health_path if limits else '/'
 
+    def tokens_per_event(self, service: str) -> int:
+        """Return the tokens in each event of a service's streams."""
+        limits = self.engine_limits(service)
+        return limits.tokens_per_event if limits else 1
+
     def engine_limits(self, service: str) -> EngineLimits | None:
         """Return the limits of a service; ``None`` without model engines."""
         if self.configuration is None:
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -12,6 +12,7 @@
 
 from lacewingpitch import active_entries
 from lacewingpitch import admission as admission_module
+from lacewingpitch import answer_deadline
 from lacewingpitch import batch_forecast
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract
@@ -21,6 +22,7 @@
 from lacewingpitch import fair_share
 from lacewingpitch import hint_builder
 from lacewingpitch import isolation
+from lacewingpitch import pace_watch as pace_watch_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import run_duration
 from lacewingpitch import slots as slots_module
@@ -51,6 +53,8 @@
         Returns the configuration version in force in this process.
     outcomes
         Logs and counts the outcomes of turns.
+    watch
+        Knows the engine's pace; nothing is known by default.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         source: random.Random,
         outcomes: turn_metrics.TurnMetrics,
         crashes: crash_record.CrashRecord,
+        watch: pace_watch_module.PaceWatch | None = None,
     ) -> None:
         self._outcomes = outcomes
         self._isolation = isolation.Isolation(crashes)
@@ -71,6 +76,7 @@
         self._adapters = adapters
         self._engine = engine
         self._pacer = pacer
+        self._watch = watch or pace_watch_module.NoPaceWatch()
         self._turn_pacer = turn_pacer_module.TurnPacer(clock, source)
         self._limit_per_s: float | None = None
         # A predecessor may have granted a turn just before.
@@ -86,7 +92,7 @@
             self._turn_pacer,
         )
         self._hint_builder = hint_builder.HintBuilder(
-            queue, adapters, pacer, self._turn_pacer
+            queue, adapters, pacer, self._turn_pacer, self._watch
         )
         self._admission = admission_module.Admission(
             engine, source, self._turn_pacer
@@ -122,6 +128,9 @@
                 return self._refused(
                     request, refusal, wait.total_s, is_above_share
                 )
+            refusal = answer_deadline.refusal(request, wait, self._watch.pace)
+            if refusal is not None:
+                return self._refused(request, refusal)
             turn = self._add_turn(request, wait)
         assert turn.task is not None
         done, _ = await asyncio.wait(
@@ -284,6 +293,7 @@
             raise
         turn.granted_at_s = self._clock.monotonic_s()
         self._last_granted_at_s = turn.granted_at_s
+        self._watch.record_granted(request)
         name = self._slot_name(request)
         version = self._engine.held_version(name) if name else 0
         self._outcomes.record_granted(turn, name, version)
