Prompts beside streams get 0.4 to 0.6 of an engine's time; tests of the pace

A share near the engine's whole time left nothing for moments at which it is slower, and a share below 0.4 kept prompts of faltering engines waiting.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 
 .PHONY: demo test lint format bench bench-account bench-claims \
 	bench-contracts bench-homes bench-hop bench-limits bench-order \
-	bench-policy bench-policy-trace bench-retries bench-server-backoff \
+	bench-pace bench-policy bench-policy-trace bench-retries \
+	bench-server-backoff \
 	bench-server-limits \
 	bench-silence \
 	bench-store-return bench-suspects bench-usage \
@@ -62,6 +63,9 @@
 bench-order: $(STAMP)
 	$(BIN)/python -m benchmarks.order
 
+bench-pace: $(STAMP)
+	$(BIN)/python -m benchmarks.engine_pace
+
 bench-policy: $(STAMP)
 	$(BIN)/python -m benchmarks.policy
 
--- a/lacewingpitch/prefill_rates.py
+++ b/lacewingpitch/prefill_rates.py
@@ -7,11 +7,13 @@
 # Share of the allowed pause that an event may take while prompts are read.
 # The rest is for moments at which the engine is slower.
 _MAX_EVENT_GAP_RATIO = 0.5
-# Share of the engine's time that remains for prompts, however slow it is.
-_MIN_PROMPT_RATIO = 0.2
+# Bounds of the share of the engine's time that prompts get beside streams:
+# a slow engine must not starve them, and a fast one may slow down.
+_MIN_PROMPT_RATIO = 0.4
+_MAX_PROMPT_RATIO = 0.6
 # Prompts that are released together, as a share of those that may be read
 # within the time that an event may take.
-_BURST_RATIO = 0.5
+_BURST_RATIO = 0.2
 
 
 class PrefillRates(Protocol):
@@ -113,4 +115,7 @@
             return pace.prompt_tokens_per_s
         event_s = pace.token_s * self._measured.tokens_per_event
         prompt_ratio = 1.0 - event_s / (_MAX_EVENT_GAP_RATIO * gap_s)
-        return pace.prompt_tokens_per_s * max(_MIN_PROMPT_RATIO, prompt_ratio)
+        prompt_ratio = min(
+            max(prompt_ratio, _MIN_PROMPT_RATIO), _MAX_PROMPT_RATIO
+        )
+        return pace.prompt_tokens_per_s * prompt_ratio
--- a/lacewingpitch/run_progress.py
+++ b/lacewingpitch/run_progress.py
@@ -73,33 +73,26 @@
 
 
 class RunProgress:
-    """Compares successive reports of one start of an engine."""
+    """Compares successive reports of one start of an engine.
+
+    Attributes
+    ----------
+    gap_s
+        Strictest pause that callers allow now, or allowed last; 0 if none
+        has stated one.
+    """
 
     def __init__(self) -> None:
         self._grants: dict[str, _Grant] = {}
         self._runs: dict[str, _Run] = {}
         self._compared_at_s: float | None = None
-        self._gap_s = 0.0
+        self.gap_s = 0.0
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing runs, or was granted and may run soon."""
         return not self._runs and not self._grants
 
-    @property
-    def gap_s(self) -> float:
-        """Return the strictest pause that is allowed now, or was last.
-
-        Returns
-        -------
-        float
-            0 if no caller has stated one.
-        """
-        gaps_s = [run.gap_s for run in self._runs.values() if run.gap_s]
-        gaps_s += [grant.gap_s for grant in self._grants.values()]
-        self._gap_s = min(filter(None, gaps_s), default=self._gap_s)
-        return self._gap_s
-
     def reset(self) -> None:
         """Forget all runs, after the engine has restarted."""
         self._grants.clear()
@@ -113,6 +106,7 @@
         if len(self._grants) >= _MAX_UNREPORTED:
             del self._grants[next(iter(self._grants))]
         self._grants[run_id] = _Grant(prompt_tokens, gap_s, now_s)
+        self._update_gap()
 
     def record_report(
         self, events_by_run: Mapping[str, int], at_s: float
@@ -129,10 +123,18 @@
         if since_s is not None and at_s - since_s < _MIN_INTERVAL_S:
             return None
         self._compared_at_s = at_s
+        interval = None
         if since_s is None or at_s - since_s > _MAX_INTERVAL_S:
             self._start_over(events_by_run, at_s)
-            return None
-        return self._compare(events_by_run, at_s, at_s - since_s)
+        else:
+            interval = self._compare(events_by_run, at_s, at_s - since_s)
+        self._update_gap()
+        return interval
+
+    def _update_gap(self) -> None:
+        gaps_s = [run.gap_s for run in self._runs.values()]
+        gaps_s += [grant.gap_s for grant in self._grants.values()]
+        self.gap_s = min(filter(None, gaps_s), default=self.gap_s)
 
     def _start_over(
         self, events_by_run: Mapping[str, int], at_s: float
--- a/lacewingpitch/token_regression.py
+++ b/lacewingpitch/token_regression.py
@@ -8,7 +8,7 @@
 # Prior for the prompt tokens that an engine reads in the time of one token
 # of its answers, and its weight as prompt tokens of one window.
 _PRIOR_PROMPT_TOKENS_PER_TOKEN = 200.0
-_PRIOR_PROMPT_TOKENS = 4000.0
+_PRIOR_PROMPT_TOKENS = 3000.0
 _MAX_PRIOR_FACTOR = 5.0
 
 
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -31,6 +31,8 @@
         self.held = dict(held)
         self.pending = {}
         self.runs = set()
+        self.events_by_run = {}
+        self.report_count = 0
         self.queued = 0
         self.in_use = set()
         self.order_count = 0
@@ -51,6 +53,7 @@
         self.held.clear()
         self.pending.clear()
         self.runs.clear()
+        self.events_by_run.clear()
         self.models.clear()
         self.order_count = 0
         self.fence = 0
@@ -61,6 +64,7 @@
 
     async def report(self):
         self._check_up()
+        self.report_count += 1
         found = engine_snapshot.EngineSnapshot(
             order_count=self.order_count,
             is_leaving=self.is_leaving,
@@ -73,6 +77,7 @@
             running=len(self.runs),
             started_at_ms=self.started_at_ms,
             limit_per_s=self.limit_per_s,
+            events_by_run=dict(self.events_by_run),
         )
         await asyncio.sleep(self.report_delay_s)
         return found
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -9,6 +9,7 @@
 from lacewingpitch import engine_controller
 from lacewingpitch import errors
 from lacewingpitch import metrics
+from lacewingpitch import pace_watch
 from lacewingpitch import routing
 from lacewingpitch import suspect_exchange
 from lacewingpitch import turn_messages
@@ -24,7 +25,11 @@
     """An engine controller that polls a fake engine."""
 
     def __init__(
-        self, limits=LIMITS, new_engine=fake_engine.FakeEngine, **options
+        self,
+        limits=LIMITS,
+        new_engine=fake_engine.FakeEngine,
+        measures_pace=False,
+        **options,
     ):
         self.clock = virtual_time.LoopClock()
         self.engine = new_engine(**options)
@@ -41,6 +46,12 @@
             self.clock,
             metrics.Metrics('side-1', 'zone-a'),
             self.crashes,
+            self._pace_watch() if measures_pace else None,
+        )
+
+    def _pace_watch(self):
+        return pace_watch.MeasuringPaceWatch(
+            self.clock, lambda: self.table.tokens_per_event(SERVICE)
         )
 
     def configure(self, limits):
@@ -828,3 +839,76 @@
                 return told.leaving, knowing.leaving, later.leaving
 
         assert virtual_time.run(main()) == (('p-1@0',), (), ())
+
+
+class TestEnginePace:
+    TOKEN_S = 0.02
+
+    async def generate(self, scene, duration_s):
+        """Let two runs generate tokens, in events of one token."""
+        for name in ('a', 'b'):
+            reply = await scene.request_turn(name, gap_ms=300)
+            assert reply.refusal is None
+            scene.engine.runs.add(name)
+        for count in range(1, int(duration_s / self.TOKEN_S)):
+            scene.engine.events_by_run = {'a': count, 'b': count}
+            await asyncio.sleep(self.TOKEN_S)
+
+    def test_is_told_to_entries(self):
+        async def story(scene):
+            reply = await scene.request_turn('first')
+            assert not reply.hint.pace.is_known
+            await self.generate(scene, 3.0)
+            reply = await scene.request_turn('next', wait_ms=0)
+            assert abs(reply.hint.pace.token_s / self.TOKEN_S - 1.0) < 0.1
+
+        play(story, measures_pace=True)
+
+    def test_restarted_engine_has_none(self):
+        """Guards against the pace of an earlier start of the engine."""
+
+        async def story(scene):
+            await self.generate(scene, 3.0)
+            scene.engine.restart('i-2')
+            scene.engine.models.add(fake_engine.MODEL)
+            await asyncio.sleep(0.5)
+            reply = await scene.request_turn('next')
+            assert reply.backend_server == 'i-2'
+            assert not reply.hint.pace.is_known
+
+        play(story, measures_pace=True)
+
+    def test_engine_at_work_is_polled_more_often(self):
+        async def story(scene):
+            await self.generate(scene, 0.5)
+            before = scene.engine.report_count
+            await asyncio.sleep(1.0)
+            assert 9 <= scene.engine.report_count - before <= 11
+
+        play(story, measures_pace=True)
+
+    def test_part_that_is_off_changes_nothing(self):
+        """Guards against a part that acts although it is off."""
+
+        async def story(scene):
+            await self.generate(scene, 3.0)
+            before = scene.engine.report_count
+            await asyncio.sleep(1.0)
+            assert 4 <= scene.engine.report_count - before <= 6
+            reply = await scene.request_turn('next', wait_ms=0)
+            assert (reply.hint.token_us, reply.hint.stalls_per_1000s) == (0, 0)
+
+        play(story)
+
+    def test_answer_that_would_miss_its_deadline_is_refused(self):
+        """Guards against a run that occupies a turn until its deadline."""
+
+        async def story(scene):
+            await self.generate(scene, 3.0)
+            reply = await scene.request_turn(
+                'next', wait_ms=0, expected_tokens=900, deadline_ms=12_000
+            )
+            assert reply.refusal is errors.ErrorKind.DEADLINE_UNREACHABLE
+            assert 'next.1' not in scene.controller.granter._turns
+
+        play(story, measures_pace=True)
--- a/tests/test_platform_store_updates.py
+++ b/tests/test_platform_store_updates.py
@@ -239,6 +239,17 @@
         limits = table.engine_limits(standin.SERVICE)
         assert (limits.max_running, limits.adapter_slots) == (8, 4)
         assert limits.models == (standin.MODEL,)
+        assert table.tokens_per_event(standin.SERVICE) == 1
+
+    def test_applies_the_tokens_of_an_event(self):
+        updates, table, _ = self.scene()
+        config = standin.configuration(5)
+        config['services'][0]['engine']['stride'] = 7
+        updates.apply(
+            store.Change((item('op/config', config),), is_full_read=True)
+        )
+        assert table.tokens_per_event(standin.SERVICE) == 7
+        assert table.tokens_per_event('unknown') == 1
 
     def test_malformed_values_are_ignored(self):
         updates, table, versions = self.scene()
