--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -7,20 +7,22 @@
 from collections.abc import Callable, Collection, Iterable
 import contextlib
 import random
-from typing import Protocol
 
 import structlog
 
 from lacewingpitch import active_entries
 from lacewingpitch import admission as admission_module
+from lacewingpitch import answer_deadline
 from lacewingpitch import batch_forecast
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract
 from lacewingpitch import crash_record
+from lacewingpitch import engine_state
 from lacewingpitch import errors
 from lacewingpitch import fair_share
 from lacewingpitch import hint_builder
 from lacewingpitch import isolation
+from lacewingpitch import pace_watch as pace_watch_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import run_duration
 from lacewingpitch import slots as slots_module
@@ -39,32 +41,6 @@
 log = structlog.get_logger(__name__)
 
 
-class EngineState(admission_module.EngineStatus, Protocol):
-    """Engine state that granting turns depends on."""
-
-    @property
-    def backend_server(self) -> str:
-        """Return the engine's incarnation; empty if unknown."""
-        ...
-
-    @property
-    def started_at_ms(self) -> int:
-        """Return the Unix time of the engine's start; 0 if unknown."""
-        ...
-
-    async def next_report(self) -> None:
-        """Wait for the next report of the engine."""
-        ...
-
-    def slot_name(self, model: str, adapter: str, version: int) -> str:
-        """Return the adapter's name in `slots.AdapterSlots`."""
-        ...
-
-    def held_version(self, slot_name: str) -> int:
-        """Return the version held under a slot name; 0 if unknown."""
-        ...
-
-
 class TurnGranter:
     """Grants and ends the turns of one engine.
 
@@ -77,19 +53,22 @@
         Returns the configuration version in force in this process.
     outcomes
         Logs and counts the outcomes of turns.
+    watch
+        Knows the engine's pace; nothing is known by default.
     """
 
     def __init__(
         self,
         queue: turn_queue.TurnQueue,
         adapters: slots_module.AdapterSlots,
-        engine: EngineState,
+        engine: engine_state.EngineState,
         pacer: prefill_pacer.PrefillPacer,
         clock: clock_module.Clock,
         configuration_version: Callable[[], int],
         source: random.Random,
         outcomes: turn_metrics.TurnMetrics,
         crashes: crash_record.CrashRecord,
+        watch: pace_watch_module.PaceWatch | None = None,
     ) -> None:
         self._outcomes = outcomes
         self._isolation = isolation.Isolation(crashes)
@@ -97,6 +76,7 @@
         self._adapters = adapters
         self._engine = engine
         self._pacer = pacer
+        self._watch = watch or pace_watch_module.NoPaceWatch()
         self._turn_pacer = turn_pacer_module.TurnPacer(clock, source)
         self._limit_per_s: float | None = None
         # A predecessor may have granted a turn just before.
@@ -112,7 +92,7 @@
             self._turn_pacer,
         )
         self._hint_builder = hint_builder.HintBuilder(
-            queue, adapters, pacer, self._turn_pacer
+            queue, adapters, pacer, self._turn_pacer, self._watch
         )
         self._admission = admission_module.Admission(
             engine, source, self._turn_pacer
@@ -148,6 +128,9 @@
                 return self._refused(
                     request, refusal, wait.total_s, is_above_share
                 )
+            refusal = answer_deadline.refusal(request, wait, self._watch.pace)
+            if refusal is not None:
+                return self._refused(request, refusal)
             turn = self._add_turn(request, wait)
         assert turn.task is not None
         done, _ = await asyncio.wait(
@@ -310,6 +293,7 @@
             raise
         turn.granted_at_s = self._clock.monotonic_s()
         self._last_granted_at_s = turn.granted_at_s
+        self._watch.record_granted(request)
         name = self._slot_name(request)
         version = self._engine.held_version(name) if name else 0
         self._outcomes.record_granted(turn, name, version)
