--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -16,6 +16,7 @@
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
 from lacewingpitch import placement_costs
+from lacewingpitch import rank_rules
 from lacewingpitch import rendezvous
 from lacewingpitch import settings as settings_module
 
@@ -27,13 +28,6 @@
 # A request for an adapter that no engine holds accepts this much more
 # waiting at the adapter's home than at an engine with free slots.
 _HOME_PREFERENCE_S = 1.0
-# The penalty for each engine that comes earlier in the order by hash.
-# With it, all entry instances send the requests that a busy home cannot
-# run to the same next engines.
-_PENALTY_PER_RANK_S = 0.05
-_MAX_RANK_PENALTY_S = 0.5
-# How many holders of an adapter may rank before the first non-holder.
-_MAX_LEADING_HOLDERS = 2
 _MAX_CACHED_COSTS = 64
 
 
@@ -158,14 +152,14 @@
         by_hash = costs.columns_by_hash(key)
         if self._homes is None:
             known = holders.union(copies)
-            _add_rank_penalties(waits_s, by_hash, known)
+            rank_rules.add_rank_penalties(waits_s, by_hash, known)
             if not known:
                 waits_s[by_hash[0]] -= _HOME_PREFERENCE_S
             by_hash = self._shuffle_holders(key, costs, by_hash, holders)
         ranked = [column for column in by_hash if column in active]
         ranked.sort(key=waits_s.__getitem__)
         if self._homes is None:
-            _promote_non_holder(ranked, holders)
+            rank_rules.promote_non_holder(ranked, holders)
         ranked += [column for column in by_hash if column not in active]
         return [costs.instances[column] for column in ranked]
 
@@ -343,32 +337,3 @@
         self._costs.clear()
         for state in self._states.values():
             state.columns.clear()
-
-
-def _add_rank_penalties(
-    waits_s: list[float], by_hash: Sequence[int], known: Collection[int]
-) -> None:
-    """Penalize engines without the adapter by their rank by hash."""
-    for number, column in enumerate(by_hash):
-        if column not in known:
-            waits_s[column] += min(
-                number * _PENALTY_PER_RANK_S, _MAX_RANK_PENALTY_S
-            )
-
-
-def _promote_non_holder(ranked: list[int], holders: Collection[int]) -> None:
-    """Move the best engine that does not hold the adapter to third rank.
-
-    An adapter that becomes hot fills the engines that hold it.  If only
-    these were tried, its requests would be refused while others are idle.
-    """
-    if len(ranked) <= _MAX_LEADING_HOLDERS:
-        return
-    if any(
-        column not in holders for column in ranked[: _MAX_LEADING_HOLDERS + 1]
-    ):
-        return
-    other = next((c for c in ranked if c not in holders), None)
-    if other is not None:
-        ranked.remove(other)
-        ranked.insert(_MAX_LEADING_HOLDERS, other)
