Placement adds what a caller loses at a slow engine to its wait

Cause: placement counts waits and loads and takes all engines as alike, so slow ones get as many streams as the others and pause longer than callers allow. Change: with the part engine-pace, the ranking of a request adds the probability that the engine's told pace fails its caller (a stall within the answer, or an end after its deadline) times a cost in seconds of waiting. A told pace outlives the load and the hint and ends with the engine's start; an avoided engine is probed within a budget of expected losses. Unknown costs as little as the best known engine.

--- a/lacewingpitch/engine_pace.py
+++ b/lacewingpitch/engine_pace.py
@@ -38,3 +38,17 @@
 
 
 UNKNOWN_PACE = EnginePace()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldPace:
+    """The pace that an engine's sidecar told last.
+
+    Parameters
+    ----------
+    told_at_s
+        Monotonic time at which it was told.
+    """
+
+    pace: EnginePace
+    told_at_s: float
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -8,10 +8,12 @@
 
 from lacewingpitch import adapter_holders
 from lacewingpitch import adapter_homes
+from lacewingpitch import answer_needs
 from lacewingpitch import cached_copies as cached_copies_module
 from lacewingpitch import clock as clock_module
 from lacewingpitch import demand
 from lacewingpitch import directory
+from lacewingpitch import engine_pace
 from lacewingpitch import engine_pools
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
@@ -19,6 +21,7 @@
 from lacewingpitch import rank_rules
 from lacewingpitch import rendezvous
 from lacewingpitch import settings as settings_module
+from lacewingpitch import stall_costs as stall_costs_module
 
 # Hints older than this are dropped.
 HINT_MAX_AGE_S = 30.0
@@ -73,6 +76,9 @@
     instance
         Name of this entry instance.  It breaks ties, so that entry
         instances choose different ones of several equally good engines.
+    stall_costs
+        Costs of engines that are too slow for a request; ``None`` if all
+        engines are taken to be equally fast.
     """
 
     def __init__(
@@ -84,10 +90,12 @@
         load_max_age_s: float = HINT_MAX_AGE_S,
         cached_copies: cached_copies_module.CachedCopies | None = None,
         instance: str = '',
+        stall_costs: stall_costs_module.StallCosts | None = None,
     ) -> None:
         self._clock = clock
         self._load_max_age_s = load_max_age_s
         self._instance = instance
+        self._stall_costs = stall_costs
         self._no_spare_slot_penalty_s = no_spare_slot_penalty_s
         objective = objective or settings_module.ObjectiveSettings()
         # With a stall weight above one half, the emptier of two equal
@@ -135,15 +143,21 @@
         return assigned + [i for i in ranked if i.name not in names]
 
     def ranked_instances(
-        self, key: str, instances: Sequence[live_list.Instance]
+        self,
+        key: str,
+        instances: Sequence[live_list.Instance],
+        needs: answer_needs.AnswerNeeds | None = None,
     ) -> list[live_list.Instance]:
         """Return the instances, best first, without asking a home."""
         if not instances:
             return []
-        return self._ranked(key, self._costs_for(instances))
+        return self._ranked(key, self._costs_for(instances), needs)
 
     def _ranked(
-        self, key: str, costs: placement_costs.PlacementCosts
+        self,
+        key: str,
+        costs: placement_costs.PlacementCosts,
+        needs: answer_needs.AnswerNeeds | None = None,
     ) -> list[live_list.Instance]:
         active = costs.active()
         holders = frozenset(costs.columns_of(self._holders.holders(key)))
@@ -157,6 +171,8 @@
                 waits_s[by_hash[0]] -= _HOME_PREFERENCE_S
             by_hash = self._shuffle_holders(key, costs, by_hash, holders)
         ranked = [column for column in by_hash if column in active]
+        if self._stall_costs is not None and needs is not None:
+            self._stall_costs.add(waits_s, ranked, costs.paces, needs)
         ranked.sort(key=waits_s.__getitem__)
         if self._homes is None:
             rank_rules.promote_non_holder(ranked, holders)
@@ -211,6 +227,8 @@
         state.hint = hint
         self._holders.apply_hint(instance, hint)
         now_s = self._clock.monotonic_s()
+        if hint.pace.is_known:
+            state.told_pace = engine_pace.ToldPace(hint.pace, now_s)
         for received_at_s in (
             self._hint_received_at_s,
             self._load_received_at_s,
@@ -258,6 +276,7 @@
         self, name: str, state: placement_costs.BackendState
     ) -> None:
         self._forget_hint(name, state)
+        state.told_pace = None
         self._hint_received_at_s.pop(name, None)
         self._load_received_at_s.pop(name, None)
 
--- a/lacewingpitch/placement_costs.py
+++ b/lacewingpitch/placement_costs.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from lacewingpitch import directory
+from lacewingpitch import engine_pace
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
 
@@ -34,6 +35,9 @@
         Of these, the ones for an adapter that must be loaded.
     in_progress_count
         Requests of this entry instance that are sent and not answered.
+    told_pace
+        The last pace that the sidecar told of this start of the engine;
+        ``None`` if it told none.
     columns
         The estimates that include this backend server, each with its
         column there.
@@ -44,6 +48,7 @@
     sent_since_hint: int = 0
     loads_since_hint: int = 0
     in_progress_count: int = 0
+    told_pace: engine_pace.ToldPace | None = None
     columns: list[tuple['PlacementCosts', int]] = dataclasses.field(
         default_factory=list
     )
@@ -163,6 +168,7 @@
         self._held_waits_s = [0.0] * count
         self._load_waits_s = [0.0] * count
         self._copy_waits_s = [0.0] * count
+        self.paces: dict[int, engine_pace.ToldPace] = {}
         self._stale = set(range(count))
         for column, state in enumerate(states):
             state.columns.append((self, column))
@@ -238,11 +244,19 @@
         limit_ms = limit_s * _MS_PER_S * sum(self._has_hint)
         return sum(self._hinted_load_waits_ms) > limit_ms
 
+    def _refresh_pace(self, column: int) -> None:
+        told = self._states[column].told_pace
+        if told is None:
+            self.paces.pop(column, None)
+        else:
+            self.paces[column] = told
+
     def _refresh(self) -> None:
         while self._stale:
             column = self._stale.pop()
             state = self._states[column]
             hint = state.hint
+            self._refresh_pace(column)
             # A queue at one engine shows that this engine is overloaded,
             # not that too few engines are in use.
             self._loads[column] = min(state.load, state.capacity)
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -19,6 +19,7 @@
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch import notice_router
+from lacewingpitch import parts as parts_module
 from lacewingpitch import peer_bootstrap
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
@@ -36,6 +37,7 @@
 from lacewingpitch import service_balancer
 from lacewingpitch import settings as product_settings
 from lacewingpitch import sidecar_reporter
+from lacewingpitch import stall_costs as stall_costs_module
 from lacewingpitch import startup_grace
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_client
@@ -208,6 +210,7 @@
             load_max_age_s=_MAX_LOAD_AGE_S,
             cached_copies=cached_copies.CachedCopies(),
             instance=settings.instance,
+            stall_costs=self._new_stall_costs(),
         )
         services = service_balancer.ServiceBalancer(
             self.servers,
@@ -252,6 +255,26 @@
             self._gate,
         )
 
+    def _new_stall_costs(self) -> stall_costs_module.StallCosts | None:
+        settings = self._file.settings
+        if parts_module.Part.ENGINE_PACE not in settings.parts:
+            return None
+        costs = stall_costs_module.StallCosts(
+            self._process.clock, settings.instance
+        )
+        metrics = self._process.metrics
+        metrics.counter(
+            'requests_moved_by_pace_total',
+            'Rankings whose first engine changed by the pace of engines.',
+            lambda: costs.moved_count,
+        )
+        metrics.counter(
+            'pace_probes_total',
+            'Rankings that ignored the pace of one engine to test it.',
+            lambda: costs.probe_count,
+        )
+        return costs
+
     async def _start_peer_bootstrap(
         self,
         exchange: configuration_exchange.ConfigurationExchange,
--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -8,7 +8,9 @@
 
 from collections.abc import Collection, Iterator
 
+from lacewingpitch import answer_needs
 from lacewingpitch import backend_list
+from lacewingpitch import clock as clock_module
 from lacewingpitch import ejection
 from lacewingpitch import isolation
 from lacewingpitch import listed_instances
@@ -38,7 +40,9 @@
         placement: placement_module.Placement,
         ejector: ejection.Ejector,
         gate: server_gate.ServerGate,
+        clock: clock_module.Clock,
     ) -> None:
+        self._clock = clock
         self._gate = gate
         self._servers = servers
         self._placement = placement
@@ -57,7 +61,7 @@
         # Among equal engines, placement prefers some by a hash of the key.
         # The run id spreads requests without an adapter over the engines.
         ranked = self._placement.ranked_instances(
-            spec.key or spec.run_id, instances
+            spec.key or spec.run_id, instances, self._needs(spec)
         )
         # Lacks an engine that is no longer listed if its retention has
         # expired since the instances were read.
@@ -77,6 +81,13 @@
         ]
         return candidates[:_MAX_CANDIDATES]
 
+    def _needs(self, spec: turn_spec.TurnSpec) -> answer_needs.AnswerNeeds:
+        return answer_needs.AnswerNeeds(
+            tokens=spec.expected_tokens or spec.max_tokens,
+            within_s=spec.deadline_at_s - self._clock.monotonic_s(),
+            has_gap_limit=spec.gap_s > 0.0,
+        )
+
     def isolation_server(
         self, spec: turn_spec.TurnSpec, excluded: Collection[str]
     ) -> backend_list.BackendServer | None:
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -132,7 +132,7 @@
         self._clock = clock
         self._on_configuration_version = on_configuration_version
         self._candidates = turn_candidates.TurnCandidates(
-            servers, placement, ejector, gate
+            servers, placement, ejector, gate, clock
         )
         self._gate = gate
         self._suspects = suspects
