--- a/lacewingpitch/answer_needs.py
+++ b/lacewingpitch/answer_needs.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 
-from lacewingpitch import engine_pace
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerNeeds:
@@ -22,11 +20,3 @@
     tokens: int
     within_s: float
     has_gap_limit: bool
-
-    def loss_probability(self, pace: engine_pace.EnginePace) -> float:
-        """Return the probability that an engine's pace fails the caller."""
-        if pace.run_s(self.tokens) > self.within_s:
-            return 1.0
-        if not self.has_gap_limit:
-            return 0.0
-        return pace.stall_probability(self.tokens)
--- a/lacewingpitch/placement_costs.py
+++ b/lacewingpitch/placement_costs.py
@@ -9,6 +9,7 @@
 from lacewingpitch import engine_pace
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
+from lacewingpitch import pace_table
 
 _MS_PER_S = 1000
 # These defaults apply to a backend server without a hint.
@@ -168,7 +169,7 @@
         self._held_waits_s = [0.0] * count
         self._load_waits_s = [0.0] * count
         self._copy_waits_s = [0.0] * count
-        self.paces: dict[int, engine_pace.ToldPace] = {}
+        self.paces = pace_table.PaceTable()
         self._stale = set(range(count))
         for column, state in enumerate(states):
             state.columns.append((self, column))
@@ -244,19 +245,12 @@
         limit_ms = limit_s * _MS_PER_S * sum(self._has_hint)
         return sum(self._hinted_load_waits_ms) > limit_ms
 
-    def _refresh_pace(self, column: int) -> None:
-        told = self._states[column].told_pace
-        if told is None:
-            self.paces.pop(column, None)
-        else:
-            self.paces[column] = told
-
     def _refresh(self) -> None:
         while self._stale:
             column = self._stale.pop()
             state = self._states[column]
             hint = state.hint
-            self._refresh_pace(column)
+            self.paces.put(column, state.told_pace)
             # A queue at one engine shows that this engine is overloaded,
             # not that too few engines are in use.
             self._loads[column] = min(state.load, state.capacity)
--- a/lacewingpitch/stall_costs.py
+++ b/lacewingpitch/stall_costs.py
@@ -5,11 +5,11 @@
 callers allow while the others have room.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from lacewingpitch import answer_needs
 from lacewingpitch import clock as clock_module
-from lacewingpitch import engine_pace
+from lacewingpitch import pace_table
 from lacewingpitch import probe_budget
 
 # A certain loss, such as a stall or a missed deadline, in seconds of waiting.
@@ -39,7 +39,7 @@
         self,
         waits_s: list[float],
         ranked: Sequence[int],
-        paces: Mapping[int, engine_pace.ToldPace],
+        paces: pace_table.PaceTable,
         needs: answer_needs.AnswerNeeds,
     ) -> None:
         """Add the costs of a request to its expected waits, by column.
@@ -49,42 +49,25 @@
         ranked
             Columns of the engines in use; of equal ones, the first wins.
         paces
-            Known paces by column.
+            Known paces of the engines.
         """
         self._probes.record_request()
-        losses = _losses(paces, needs)
+        losses = paces.losses(needs)
         if not losses or not ranked:
             return
         first = min(ranked, key=waits_s.__getitem__)
-        if first in losses and self._may_probe(paces[first], losses[first]):
+        if first in losses and self._may_probe(
+            paces.told_at_s(first), losses[first]
+        ):
             del losses[first]
             self.probe_count += 1
         for column, probability in losses.items():
             waits_s[column] += probability * _LOSS_COST_S
-        if min(ranked, key=waits_s.__getitem__) != first:
-            self.moved_count += 1
+        if first in losses:
+            best = min(ranked, key=waits_s.__getitem__)
+            self.moved_count += best != first
 
-    def _may_probe(
-        self, told: engine_pace.ToldPace, loss_probability: float
-    ) -> bool:
-        age_s = self._clock.monotonic_s() - told.told_at_s
-        if age_s < _PROBE_AFTER_S:
+    def _may_probe(self, told_at_s: float, loss_probability: float) -> bool:
+        if self._clock.monotonic_s() - told_at_s < _PROBE_AFTER_S:
             return False
         return self._probes.try_acquire(loss_probability)
-
-
-def _losses(
-    paces: Mapping[int, engine_pace.ToldPace],
-    needs: answer_needs.AnswerNeeds,
-) -> dict[int, float]:
-    """Return the losses above that of the best engine, by column."""
-    losses = {
-        column: needs.loss_probability(told.pace)
-        for column, told in paces.items()
-    }
-    least = min(losses.values(), default=0.0)
-    return {
-        column: probability - least
-        for column, probability in losses.items()
-        if probability > least
-    }
--- a/tests/test_stall_costs.py
+++ b/tests/test_stall_costs.py
@@ -12,6 +12,7 @@
 from lacewingpitch import cached_copies
 from lacewingpitch import engine_pace
 from lacewingpitch import hint
+from lacewingpitch import pace_table
 from lacewingpitch import placement
 from lacewingpitch import probe_budget
 from lacewingpitch import settings
@@ -71,6 +72,9 @@
         entry.apply_hint(instance.name, make_hint(**pace, **fields))
 
 
+SLOW_PACE = make_hint(**SLOW).pace
+
+
 def home_of(key, instances):
     ranked = placement.rank_by_hash(key, instances)
     return instances.index(ranked[0])
@@ -251,7 +255,7 @@
             clock.now_s += 6.0
             ranked = entry.ranked_instances(KEYS[0], instances, LONG)
             if ranked[0] == instances[home]:
-                losses += LONG.loss_probability(make_hint(**SLOW).pace)
+                losses += SLOW_PACE.stall_probability(LONG.tokens)
         assert costs.probe_count > 0
         assert losses <= 0.01 * 2000 + 1.0
 
@@ -290,20 +294,42 @@
         assert len(firsts) > 15
 
 
-class TestAnswerNeeds:
+class TestPaceTable:
+    def loss(self, needs, **fields):
+        table = pace_table.PaceTable()
+        for column, pace in enumerate([FAST, SLOW | fields]):
+            told = engine_pace.ToldPace(make_hint(**pace).pace, 0.0)
+            table.put(column, told)
+        return table.losses(needs).get(1, 0.0)
+
     def test_loss_grows_with_the_length(self):
-        pace = engine_pace.EnginePace(token_s=0.02, stalls_per_s=0.1)
         losses = [
-            answer_needs.AnswerNeeds(n, math.inf, True).loss_probability(pace)
-            for n in (0, 8, 80, 800)
+            self.loss(answer_needs.AnswerNeeds(tokens, math.inf, True))
+            for tokens in (0, 8, 80, 800)
         ]
         assert losses == sorted(losses)
         assert losses[0] == 0.0
+        assert losses[-1] > 0.9
 
     def test_no_loss_where_pauses_do_not_matter(self):
-        pace = engine_pace.EnginePace(token_s=0.02, stalls_per_s=0.1)
-        needs = answer_needs.AnswerNeeds(100, 12.0, False)
-        assert needs.loss_probability(pace) == 0.0
+        assert self.loss(answer_needs.AnswerNeeds(100, 12.0, False)) == 0.0
+
+    def test_small_difference_is_no_loss(self):
+        """Noise of the measurements moves requests and loads adapters."""
+        small = {'token_us': 7000, 'stalls_per_1000s': 5}
+        assert self.loss(LONG, **small) == 0.0
+
+    def test_is_relative_to_the_best_engine(self):
+        probability = SLOW_PACE.stall_probability(LONG.tokens)
+        least = make_hint(**FAST).pace.stall_probability(LONG.tokens)
+        assert self.loss(LONG) == pytest.approx(probability - least)
+
+    def test_forgotten_pace_is_no_loss(self):
+        table = pace_table.PaceTable()
+        table.put(0, engine_pace.ToldPace(SLOW_PACE, 0.0))
+        table.put(1, engine_pace.ToldPace(make_hint(**FAST).pace, 0.0))
+        table.put(0, None)
+        assert table.losses(LONG) == {}
 
 
 class TestStates:
@@ -320,6 +346,6 @@
         costs = entry._costs_for(instances)
         paces = {
             instances[column].name: told.pace.token_s
-            for column, told in costs.paces.items()
+            for column, told in costs.paces._told.items()
         }
         assert paces == last
