Placement by pace: the best avoided engine is tried fourth

Cause: at high load the better engines are full, and requests were refused that only they were tried for, while slow engines were idle. Change: a ranking names the best of the avoided engines, and a request asks it after its three candidates.

--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -19,6 +19,7 @@
 from lacewingpitch import live_list
 from lacewingpitch import placement_costs
 from lacewingpitch import rank_rules
+from lacewingpitch import ranking as ranking_module
 from lacewingpitch import rendezvous
 from lacewingpitch import settings as settings_module
 from lacewingpitch import stall_costs as stall_costs_module
@@ -134,7 +135,7 @@
         if not instances:
             return []
         costs = self._costs_for(instances)
-        ranked = self._ranked(key, costs)
+        ranked = self._ranked(key, costs).instances
         if self._homes is None or len(instances) <= 1:
             return ranked
         home = rank_by_hash(key, ranked)[0]
@@ -143,14 +144,20 @@
         return assigned + [i for i in ranked if i.name not in names]
 
     def ranked_instances(
+        self, key: str, instances: Sequence[live_list.Instance]
+    ) -> list[live_list.Instance]:
+        """Return the instances, best first, without asking a home."""
+        return self.rank(key, instances).instances
+
+    def rank(
         self,
         key: str,
         instances: Sequence[live_list.Instance],
         needs: answer_needs.AnswerNeeds | None = None,
-    ) -> list[live_list.Instance]:
-        """Return the instances, best first, without asking a home."""
+    ) -> ranking_module.Ranking:
+        """Return the ranking for a request, without asking a home."""
         if not instances:
-            return []
+            return ranking_module.Ranking([])
         return self._ranked(key, self._costs_for(instances), needs)
 
     def _ranked(
@@ -158,7 +165,7 @@
         key: str,
         costs: placement_costs.PlacementCosts,
         needs: answer_needs.AnswerNeeds | None = None,
-    ) -> list[live_list.Instance]:
+    ) -> ranking_module.Ranking:
         active = costs.active()
         holders = frozenset(costs.columns_of(self._holders.holders(key)))
         copies = costs.columns_of(self._holders.copy_holders(key))
@@ -171,13 +178,19 @@
                 waits_s[by_hash[0]] -= _HOME_PREFERENCE_S
             by_hash = self._shuffle_holders(key, costs, by_hash, holders)
         ranked = [column for column in by_hash if column in active]
+        fallback = None
         if self._stall_costs is not None and needs is not None:
-            self._stall_costs.add(waits_s, ranked, costs.paces, needs)
+            fallback = self._stall_costs.add(
+                waits_s, ranked, costs.paces, needs
+            )
         ranked.sort(key=waits_s.__getitem__)
         if self._homes is None:
             rank_rules.promote_non_holder(ranked, holders)
         ranked += [column for column in by_hash if column not in active]
-        return [costs.instances[column] for column in ranked]
+        return ranking_module.Ranking(
+            [costs.instances[column] for column in ranked],
+            None if fallback is None else costs.instances[fallback],
+        )
 
     def _shuffle_holders(
         self,
--- a/lacewingpitch/stall_costs.py
+++ b/lacewingpitch/stall_costs.py
@@ -5,7 +5,8 @@
 callers allow while the others have room.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+import math
 
 from lacewingpitch import answer_needs
 from lacewingpitch import clock as clock_module
@@ -14,6 +15,8 @@
 
 # A certain loss, such as a stall or a missed deadline, in seconds of waiting.
 _LOSS_COST_S = 4.0
+# An engine that is likelier to fail the caller is no better than a refusal.
+_MAX_FALLBACK_LOSS = 0.9
 # News of an engine's pace that is younger needs no probe.
 _PROBE_AFTER_S = 5.0
 
@@ -41,9 +44,12 @@
         ranked: Sequence[int],
         paces: pace_table.PaceTable,
         needs: answer_needs.AnswerNeeds,
-    ) -> None:
+    ) -> int | None:
         """Add the costs of a request to its expected waits, by column.
 
+        Returns the best of the avoided engines, unless each would almost
+        certainly fail the caller.
+
         Parameters
         ----------
         ranked
@@ -54,7 +60,8 @@
         self._probes.record_request()
         losses = paces.losses(needs)
         if not losses or not ranked:
-            return
+            return None
+        fallback = _best_avoided(waits_s, ranked, losses)
         first = min(ranked, key=waits_s.__getitem__)
         if first in losses and self._may_probe(
             paces.told_at_s(first), losses[first]
@@ -66,8 +73,24 @@
         if first in losses:
             best = min(ranked, key=waits_s.__getitem__)
             self.moved_count += best != first
+        return fallback
 
     def _may_probe(self, told_at_s: float, loss_probability: float) -> bool:
         if self._clock.monotonic_s() - told_at_s < _PROBE_AFTER_S:
             return False
         return self._probes.try_acquire(loss_probability)
+
+
+def _best_avoided(
+    waits_s: Sequence[float],
+    ranked: Sequence[int],
+    losses: Mapping[int, float],
+) -> int | None:
+    """Return the engine with the least wait of those that are avoided."""
+    best = None
+    best_s = math.inf
+    for column in ranked:
+        if column in losses and waits_s[column] < best_s:
+            if losses[column] < _MAX_FALLBACK_LOSS:
+                best, best_s = column, waits_s[column]
+    return best
--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -60,7 +60,7 @@
         instances = self._instances.serving(spec.service)
         # Among equal engines, placement prefers some by a hash of the key.
         # The run id spreads requests without an adapter over the engines.
-        ranked = self._placement.ranked_instances(
+        ranking = self._placement.rank(
             spec.key or spec.run_id, instances, self._needs(spec)
         )
         # Lacks an engine that is no longer listed if its retention has
@@ -70,7 +70,7 @@
             for server in self._servers.serving(spec.service)
             if server.name not in excluded and self._gate.is_open(server)
         }
-        names = [i.name for i in ranked if i.name in servers]
+        names = [i.name for i in ranking.instances if i.name in servers]
         allowed = set(self._ejector.allowed(names))
         sidecar_keys = [sidecar_key(name) for name in names]
         allowed_sidecars = set(self._ejector.allowed(sidecar_keys))
@@ -79,7 +79,12 @@
             for name in names
             if name in allowed and sidecar_key(name) in allowed_sidecars
         ]
-        return candidates[:_MAX_CANDIDATES]
+        others = [
+            server
+            for server in candidates[_MAX_CANDIDATES:]
+            if ranking.fallback and server.name == ranking.fallback.name
+        ]
+        return candidates[:_MAX_CANDIDATES] + others
 
     def _needs(self, spec: turn_spec.TurnSpec) -> answer_needs.AnswerNeeds:
         return answer_needs.AnswerNeeds(
--- a/tests/test_stall_costs.py
+++ b/tests/test_stall_costs.py
@@ -125,9 +125,9 @@
                 name, hint.Hint(**fields | pace_of(token_us, stalls))
             )
             for needs in (LONG, SHORT):
-                assert found.ranked_instances(
+                assert found.rank(
                     key, instances, needs
-                ) == plain.ranked_instances(key, instances)
+                ).instances == plain.ranked_instances(key, instances)
 
     @hypothesis.given(STEPS)
     def test_when_the_part_is_off(self, steps):
@@ -160,7 +160,7 @@
         entry = make_placement(clock, make_costs(clock))
         home = home_of(key, instances)
         apply_paces(entry, instances, {home})
-        ranked = entry.ranked_instances(key, instances, LONG)
+        ranked = entry.rank(key, instances, LONG).instances
         assert ranked[0] != instances[home]
 
     @pytest.mark.parametrize('key', KEYS)
@@ -168,7 +168,7 @@
         entry = make_placement(clock, make_costs(clock))
         home = home_of(key, instances)
         apply_paces(entry, instances, {home})
-        ranked = entry.ranked_instances(key, instances, SHORT)
+        ranked = entry.rank(key, instances, SHORT).instances
         assert ranked[0] == instances[home]
 
     def test_entries_agree_on_the_next_engine(self, clock, instances):
@@ -181,7 +181,7 @@
             for entry in entries:
                 apply_paces(entry, instances, {home_of(key, instances)})
             first, second = (
-                entry.ranked_instances(key, instances, LONG)[0]
+                entry.rank(key, instances, LONG).instances[0]
                 for entry in entries
             )
             assert first == second
@@ -193,7 +193,7 @@
         needs = answer_needs.AnswerNeeds(900, 12.0, False)
         home = home_of(KEYS[0], instances)
         apply_paces(entry, instances, {home})
-        ranked = entry.ranked_instances(KEYS[0], instances, needs)
+        ranked = entry.rank(KEYS[0], instances, needs).instances
         assert ranked[0] != instances[home]
 
     def test_counts_moved_requests(self, clock, instances):
@@ -201,9 +201,9 @@
         entry = make_placement(clock, costs)
         home = home_of(KEYS[0], instances)
         apply_paces(entry, instances, {home})
-        entry.ranked_instances(KEYS[0], instances, SHORT)
+        entry.rank(KEYS[0], instances, SHORT)
         assert costs.moved_count == 0
-        entry.ranked_instances(KEYS[0], instances, LONG)
+        entry.rank(KEYS[0], instances, LONG)
         assert costs.moved_count == 1
 
 
@@ -219,7 +219,7 @@
             if number != home:
                 entry.apply_hint(instance.name, make_hint(**FAST))
         chosen = [
-            entry.ranked_instances(KEYS[0], instances, LONG)[0]
+            entry.rank(KEYS[0], instances, LONG).instances[0]
             for _ in range(20)
         ]
         assert chosen.count(instances[home]) <= 1
@@ -230,7 +230,7 @@
         home = home_of(KEYS[0], instances)
         apply_paces(entry, instances, {home})
         entry.reset_instance(instances[home].name)
-        ranked = entry.ranked_instances(KEYS[0], instances, LONG)
+        ranked = entry.rank(KEYS[0], instances, LONG).instances
         assert ranked[0] == instances[home]
 
     def test_hint_without_a_pace_keeps_it(self, clock, instances):
@@ -238,7 +238,7 @@
         home = home_of(KEYS[0], instances)
         apply_paces(entry, instances, {home})
         entry.apply_hint(instances[home].name, make_hint())
-        ranked = entry.ranked_instances(KEYS[0], instances, LONG)
+        ranked = entry.rank(KEYS[0], instances, LONG).instances
         assert ranked[0] != instances[home]
 
 
@@ -253,7 +253,7 @@
             clock.now_s += 6.0
             apply_paces(entry, instances, {home})
             clock.now_s += 6.0
-            ranked = entry.ranked_instances(KEYS[0], instances, LONG)
+            ranked = entry.rank(KEYS[0], instances, LONG).instances
             if ranked[0] == instances[home]:
                 losses += SLOW_PACE.stall_probability(LONG.tokens)
         assert costs.probe_count > 0
@@ -266,9 +266,9 @@
         apply_paces(entry, instances, {home})
         for _ in range(200):
             clock.now_s += 0.5
-            first = entry.ranked_instances(KEYS[0], instances, LONG)[0]
+            first = entry.rank(KEYS[0], instances, LONG).instances[0]
             entry.apply_hint(first.name, make_hint(**FAST))
-        ranked = entry.ranked_instances(KEYS[0], instances, LONG)
+        ranked = entry.rank(KEYS[0], instances, LONG).instances
         assert ranked[0] == instances[home]
 
     def test_recent_news_needs_no_probe(self, clock, instances):
@@ -278,7 +278,7 @@
         for _ in range(300):
             clock.now_s += 1.0
             apply_paces(entry, instances, {home})
-            entry.ranked_instances(KEYS[0], instances, LONG)
+            entry.rank(KEYS[0], instances, LONG)
         assert costs.probe_count == 0
 
     def test_entries_probe_at_different_times(self):
@@ -341,7 +341,7 @@
             instance = source.choice(instances)
             token_us = source.randrange(1, 30_000)
             entry.apply_hint(instance.name, make_hint(token_us=token_us))
-            entry.ranked_instances('a@1', instances, LONG)
+            entry.rank('a@1', instances, LONG)
             last[instance.name] = token_us / 1_000_000
         costs = entry._costs_for(instances)
         paces = {
