Tests: what callers get from a fleet whose engines differ in pace

The fake sidecar counts a stream once that stalls; one that counted each pause stayed slow in its own report for more than 20 s after its engine had recovered, and so in the entries.

--- a/tests/uneven_fleet.py
+++ b/tests/uneven_fleet.py
@@ -66,7 +66,7 @@
         self.stream_s *= kept
         while self.runs and self.runs[0][0] <= now_s:
             _, _, stalls, duration_s = heapq.heappop(self.runs)
-            self.stalls += stalls
+            self.stalls += stalls > 0
             self.stream_s += duration_s
 
     def can_run(self, key, now_s):
