--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -8,16 +8,21 @@
 
 from lacewingpitch import adapter_holders
 from lacewingpitch import adapter_homes
+from lacewingpitch import answer_needs
 from lacewingpitch import cached_copies as cached_copies_module
 from lacewingpitch import clock as clock_module
 from lacewingpitch import demand
 from lacewingpitch import directory
+from lacewingpitch import engine_pace
 from lacewingpitch import engine_pools
 from lacewingpitch import hint as hint_module
 from lacewingpitch import live_list
 from lacewingpitch import placement_costs
+from lacewingpitch import rank_rules
+from lacewingpitch import ranking as ranking_module
 from lacewingpitch import rendezvous
 from lacewingpitch import settings as settings_module
+from lacewingpitch import stall_costs as stall_costs_module
 
 # Hints older than this are dropped.
 HINT_MAX_AGE_S = 30.0
@@ -27,13 +32,6 @@
 # A request for an adapter that no engine holds accepts this much more
 # waiting at the adapter's home than at an engine with free slots.
 _HOME_PREFERENCE_S = 1.0
-# The penalty for each engine that comes earlier in the order by hash.
-# With it, all entry instances send the requests that a busy home cannot
-# run to the same next engines.
-_PENALTY_PER_RANK_S = 0.05
-_MAX_RANK_PENALTY_S = 0.5
-# How many holders of an adapter may rank before the first non-holder.
-_MAX_LEADING_HOLDERS = 2
 _MAX_CACHED_COSTS = 64
 
 
@@ -79,6 +77,9 @@
     instance
         Name of this entry instance.  It breaks ties, so that entry
         instances choose different ones of several equally good engines.
+    stall_costs
+        Costs of engines that are too slow for a request; ``None`` if all
+        engines are taken to be equally fast.
     """
 
     def __init__(
@@ -90,10 +91,12 @@
         load_max_age_s: float = HINT_MAX_AGE_S,
         cached_copies: cached_copies_module.CachedCopies | None = None,
         instance: str = '',
+        stall_costs: stall_costs_module.StallCosts | None = None,
     ) -> None:
         self._clock = clock
         self._load_max_age_s = load_max_age_s
         self._instance = instance
+        self._stall_costs = stall_costs
         self._no_spare_slot_penalty_s = no_spare_slot_penalty_s
         objective = objective or settings_module.ObjectiveSettings()
         # With a stall weight above one half, the emptier of two equal
@@ -132,7 +135,7 @@
         if not instances:
             return []
         costs = self._costs_for(instances)
-        ranked = self._ranked(key, costs)
+        ranked = self._ranked(key, costs).instances
         if self._homes is None or len(instances) <= 1:
             return ranked
         home = rank_by_hash(key, ranked)[0]
@@ -144,13 +147,25 @@
         self, key: str, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
         """Return the instances, best first, without asking a home."""
+        return self.rank(key, instances).instances
+
+    def rank(
+        self,
+        key: str,
+        instances: Sequence[live_list.Instance],
+        needs: answer_needs.AnswerNeeds | None = None,
+    ) -> ranking_module.Ranking:
+        """Return the ranking for a request, without asking a home."""
         if not instances:
-            return []
-        return self._ranked(key, self._costs_for(instances))
+            return ranking_module.Ranking([])
+        return self._ranked(key, self._costs_for(instances), needs)
 
     def _ranked(
-        self, key: str, costs: placement_costs.PlacementCosts
-    ) -> list[live_list.Instance]:
+        self,
+        key: str,
+        costs: placement_costs.PlacementCosts,
+        needs: answer_needs.AnswerNeeds | None = None,
+    ) -> ranking_module.Ranking:
         active = costs.active()
         holders = frozenset(costs.columns_of(self._holders.holders(key)))
         copies = costs.columns_of(self._holders.copy_holders(key))
@@ -158,16 +173,24 @@
         by_hash = costs.columns_by_hash(key)
         if self._homes is None:
             known = holders.union(copies)
-            _add_rank_penalties(waits_s, by_hash, known)
+            rank_rules.add_rank_penalties(waits_s, by_hash, known)
             if not known:
                 waits_s[by_hash[0]] -= _HOME_PREFERENCE_S
             by_hash = self._shuffle_holders(key, costs, by_hash, holders)
         ranked = [column for column in by_hash if column in active]
+        fallback = None
+        if self._stall_costs is not None and needs is not None:
+            fallback = self._stall_costs.add(
+                waits_s, ranked, costs.paces, needs
+            )
         ranked.sort(key=waits_s.__getitem__)
         if self._homes is None:
-            _promote_non_holder(ranked, holders)
+            rank_rules.promote_non_holder(ranked, holders)
         ranked += [column for column in by_hash if column not in active]
-        return [costs.instances[column] for column in ranked]
+        return ranking_module.Ranking(
+            [costs.instances[column] for column in ranked],
+            None if fallback is None else costs.instances[fallback],
+        )
 
     def _shuffle_holders(
         self,
@@ -217,6 +240,8 @@
         state.hint = hint
         self._holders.apply_hint(instance, hint)
         now_s = self._clock.monotonic_s()
+        if hint.pace.is_known:
+            state.told_pace = engine_pace.ToldPace(hint.pace, now_s)
         for received_at_s in (
             self._hint_received_at_s,
             self._load_received_at_s,
@@ -264,6 +289,7 @@
         self, name: str, state: placement_costs.BackendState
     ) -> None:
         self._forget_hint(name, state)
+        state.told_pace = None
         self._hint_received_at_s.pop(name, None)
         self._load_received_at_s.pop(name, None)
 
@@ -343,32 +369,3 @@
         self._costs.clear()
         for state in self._states.values():
             state.columns.clear()
-
-
-def _add_rank_penalties(
-    waits_s: list[float], by_hash: Sequence[int], known: Collection[int]
-) -> None:
-    """Penalize engines without the adapter by their rank by hash."""
-    for number, column in enumerate(by_hash):
-        if column not in known:
-            waits_s[column] += min(
-                number * _PENALTY_PER_RANK_S, _MAX_RANK_PENALTY_S
-            )
-
-
-def _promote_non_holder(ranked: list[int], holders: Collection[int]) -> None:
-    """Move the best engine that does not hold the adapter to third rank.
-
-    An adapter that becomes hot fills the engines that hold it.  If only
-    these were tried, its requests would be refused while others are idle.
-    """
-    if len(ranked) <= _MAX_LEADING_HOLDERS:
-        return
-    if any(
-        column not in holders for column in ranked[: _MAX_LEADING_HOLDERS + 1]
-    ):
-        return
-    other = next((c for c in ranked if c not in holders), None)
-    if other is not None:
-        ranked.remove(other)
-        ranked.insert(_MAX_LEADING_HOLDERS, other)
--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -8,7 +8,9 @@
 
 from collections.abc import Collection, Iterator
 
+from lacewingpitch import answer_needs
 from lacewingpitch import backend_list
+from lacewingpitch import clock as clock_module
 from lacewingpitch import ejection
 from lacewingpitch import isolation
 from lacewingpitch import listed_instances
@@ -38,7 +40,9 @@
         placement: placement_module.Placement,
         ejector: ejection.Ejector,
         gate: server_gate.ServerGate,
+        clock: clock_module.Clock,
     ) -> None:
+        self._clock = clock
         self._gate = gate
         self._servers = servers
         self._placement = placement
@@ -56,8 +60,8 @@
         instances = self._instances.serving(spec.service)
         # Among equal engines, placement prefers some by a hash of the key.
         # The run id spreads requests without an adapter over the engines.
-        ranked = self._placement.ranked_instances(
-            spec.key or spec.run_id, instances
+        ranking = self._placement.rank(
+            spec.key or spec.run_id, instances, self._needs(spec)
         )
         # Lacks an engine that is no longer listed if its retention has
         # expired since the instances were read.
@@ -66,7 +70,7 @@
             for server in self._servers.serving(spec.service)
             if server.name not in excluded and self._gate.is_open(server)
         }
-        names = [i.name for i in ranked if i.name in servers]
+        names = [i.name for i in ranking.instances if i.name in servers]
         allowed = set(self._ejector.allowed(names))
         sidecar_keys = [sidecar_key(name) for name in names]
         allowed_sidecars = set(self._ejector.allowed(sidecar_keys))
@@ -75,7 +79,19 @@
             for name in names
             if name in allowed and sidecar_key(name) in allowed_sidecars
         ]
-        return candidates[:_MAX_CANDIDATES]
+        others = [
+            server
+            for server in candidates[_MAX_CANDIDATES:]
+            if ranking.fallback and server.name == ranking.fallback.name
+        ]
+        return candidates[:_MAX_CANDIDATES] + others
+
+    def _needs(self, spec: turn_spec.TurnSpec) -> answer_needs.AnswerNeeds:
+        return answer_needs.AnswerNeeds(
+            tokens=spec.expected_tokens or spec.max_tokens,
+            within_s=spec.deadline_at_s - self._clock.monotonic_s(),
+            has_gap_limit=spec.gap_s > 0.0,
+        )
 
     def isolation_server(
         self, spec: turn_spec.TurnSpec, excluded: Collection[str]
