Requests of a plain service are refused at once while its servers make answers late

What callers saw: as two of three servers of a plain service were taken away, the last one queued all it could, so that nearly all its answers were late, and it turned the others away. With the part service-admission, an entry refuses a share of the first attempts that rises with late answers and with servers without room, only while a server said that it has none.

--- a/lacewingpitch/parts.py
+++ b/lacewingpitch/parts.py
@@ -15,5 +15,7 @@
     CALLER_LOSS = 'caller-loss'
     # Refusals name engines that have room.
     ROOM_NEWS = 'room-news'
+    # Refuses requests of plain services whose answers would be late.
+    SERVICE_ADMISSION = 'service-admission'
     # Moves runs to another engine when theirs leaves.
     MOVING_RUNS = 'moving-runs'
--- a/lacewingpitch/plain_server_selector.py
+++ b/lacewingpitch/plain_server_selector.py
@@ -8,6 +8,9 @@
     Sequence,
 )
 import contextlib
+import math
+
+import structlog
 
 from lacewingpitch import backend_list
 from lacewingpitch import crash_record
@@ -15,10 +18,12 @@
 from lacewingpitch import isolation
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
+from lacewingpitch import service_admission
 from lacewingpitch import service_balancer
 
 _NO_SERVER_RETRY_AFTER_S = 0.5
 _SUSPECT_RETRY_AFTER_S = 0.5
+log = structlog.get_logger(__name__)
 
 
 class PlainServerSelector:
@@ -36,6 +41,9 @@
         Limits that the servers name.
     gate
         Tells which servers must get no requests of this entry now.
+    admission
+        Decides which requests may be sent to a service; without it, all
+        may.
     """
 
     def __init__(
@@ -44,7 +52,9 @@
         record: crash_record.CrashRecord,
         limits: server_limits.ServerLimits,
         gate: server_gate.ServerGate,
+        admission: service_admission.ServiceAdmission | None = None,
     ) -> None:
+        self._admission = admission or service_admission.AdmitAll()
         self._gate = gate
         self._limits = limits
         self._balancer = balancer
@@ -57,6 +67,7 @@
         fingerprint: str,
         services: Sequence[str],
         excluded: Collection[str],
+        target_s: float = math.inf,
     ) -> AsyncIterator[backend_list.BackendServer]:
         """Select a server, and count the request while the context is open.
 
@@ -64,6 +75,10 @@
         ----------
         services
             Names of services, in order of preference.
+        excluded
+            Servers that the request was sent to before.
+        target_s
+            Target time until its answer.
 
         Raises
         ------
@@ -73,6 +88,8 @@
         handling = self._record.handling(fingerprint)
         if handling is crash_record.Handling.REFUSED:
             raise isolation.barred_refusal(self._record, fingerprint)
+        if not excluded:
+            self._check_admission(fingerprint, services[0], target_s)
         is_isolated = handling is crash_record.Handling.ISOLATED
         with contextlib.ExitStack() as stack:
             if is_isolated:
@@ -81,6 +98,31 @@
             stack.enter_context(self._balancer.track_request(server))
             yield server
 
+    def _check_admission(
+        self, fingerprint: str, service: str, target_s: float
+    ) -> None:
+        refusal = self._admission.refusal(service, target_s)
+        if refusal is None:
+            return
+        log.info(
+            'request not admitted to its service',
+            fingerprint=fingerprint,
+            service=service,
+            detail=refusal.detail,
+        )
+        raise refusal
+
+    def record_answer(
+        self, server: backend_list.BackendServer, latency_s: float
+    ) -> None:
+        """Record the latency of an answer."""
+        self._balancer.record_latency(server.name, latency_s)
+        self._admission.record_answer(server.service, latency_s)
+
+    def record_full(self, server: backend_list.BackendServer) -> None:
+        """Record that a server had no room for a request."""
+        self._admission.record_full(server.service)
+
     @contextlib.contextmanager
     def _isolated_run(self) -> Iterator[None]:
         if self._is_isolating:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -19,6 +19,7 @@
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch import notice_router
+from lacewingpitch import parts as parts_module
 from lacewingpitch import peer_bootstrap
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
@@ -33,6 +34,7 @@
 from lacewingpitch import retry_budget
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
+from lacewingpitch import service_admission
 from lacewingpitch import service_balancer
 from lacewingpitch import settings as product_settings
 from lacewingpitch import sidecar_reporter
@@ -250,8 +252,33 @@
             self._suspects,
             self._limits,
             self._gate,
+            self._service_admission(),
         )
 
+    def _service_admission(self) -> service_admission.ServiceAdmission:
+        if (
+            parts_module.Part.SERVICE_ADMISSION
+            not in self._file.settings.parts
+        ):
+            return service_admission.AdmitAll()
+        admission = service_admission.LatencyAdmission(
+            self._process.clock, self._process.random
+        )
+        metrics = self._process.metrics
+        metrics.counter(
+            'service_requests_refused_total',
+            'Requests refused because answers of their service are late.',
+            lambda: admission.refused_count,
+        )
+        metrics.gauge(
+            'service_refused_ratio',
+            'Largest share of the requests of a plain service refused now.',
+            lambda: max(
+                (ratio for _, ratio in admission.refused_ratios()), default=0.0
+            ),
+        )
+        return admission
+
     async def _start_peer_bootstrap(
         self,
         exchange: configuration_exchange.ConfigurationExchange,
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -22,6 +22,7 @@
 from lacewingpitch import retry_budget
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
+from lacewingpitch import service_admission
 from lacewingpitch import service_balancer
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_client
@@ -56,6 +57,9 @@
         Limits that the backend servers name.
     gate
         Tells which servers must get no requests of this entry now.
+    admission
+        Decides which requests may be sent to a plain service; without it,
+        all may.
     """
 
     def __init__(
@@ -71,11 +75,16 @@
         suspects: suspects_module.Suspects,
         limits: server_limits.ServerLimits,
         gate: server_gate.ServerGate,
+        admission: service_admission.ServiceAdmission | None = None,
     ) -> None:
         self._suspects = suspects
         self._gate = gate
         self._plain_servers = plain_server_selector.PlainServerSelector(
-            services, suspects.record, limits, gate
+            services,
+            suspects.record,
+            limits,
+            gate,
+            admission,
         )
         self._clock = clock
         self._client = client
@@ -201,7 +210,10 @@
         """
         if not request.model:
             async with self._plain_servers.select(
-                request.fingerprint, services, history.servers
+                request.fingerprint,
+                services,
+                history.servers,
+                request.route.target_latency_s,
             ) as server:
                 yield turn_spec.Turn(server, 0)
             return
@@ -273,8 +285,8 @@
             self._ejector.record_end(name)
         self._ejector.record_success(name)
         self._suspects.record.record_answer(request.fingerprint)
-        self._services.record_latency(
-            name, self._clock.monotonic_s() - started_s
+        self._plain_servers.record_answer(
+            turn.server, self._clock.monotonic_s() - started_s
         )
         return None
 
@@ -382,6 +394,7 @@
                 )
             )
         if isinstance(error, backend_call.NotRunError):
+            self._plain_servers.record_full(turn.server)
             return _Failure(
                 errors.RefusalError(
                     errors.ErrorKind.QUEUE_FULL,
