--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -5,7 +5,6 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
-import contextlib
 import random
 from typing import Protocol
 
@@ -24,6 +23,7 @@
 from lacewingpitch import prefill_pacer
 from lacewingpitch import run_duration
 from lacewingpitch import slots as slots_module
+from lacewingpitch import start_wait
 from lacewingpitch import turn_lease
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_metrics
@@ -39,7 +39,9 @@
 log = structlog.get_logger(__name__)
 
 
-class EngineState(admission_module.EngineStatus, Protocol):
+class EngineState(
+    admission_module.EngineStatus, start_wait.StartingEngine, Protocol
+):
     """Engine state that granting turns depends on."""
 
     @property
@@ -52,10 +54,6 @@
         """Return the Unix time of the engine's start; 0 if unknown."""
         ...
 
-    async def next_report(self) -> None:
-        """Wait for the next report of the engine."""
-        ...
-
     def slot_name(self, model: str, adapter: str, version: int) -> str:
         """Return the adapter's name in `slots.AdapterSlots`."""
         ...
@@ -118,7 +116,7 @@
             engine, source, self._turn_pacer
         )
         self._run_durations = run_duration.RunDurationEstimator()
-        self._awaiting_start_count = 0
+        self._start_wait = start_wait.StartWait(engine, self._admission)
 
     def __len__(self) -> int:
         """Return the number of granted and pending turns."""
@@ -129,10 +127,8 @@
     ) -> turn_messages.TurnReply:
         """Grant or refuse a turn, or reply that it is still pending."""
         self._entries.record(request.entry)
-        if self._must_await_start(request):
-            await self._await_start(request.wait_ms / _MS_PER_S)
-            if self._must_await_start(request):
-                return self._reply(is_pending=True)
+        if await self._start_wait.wait(request):
+            return self._reply(is_pending=True)
         turn = self._turns.get(request.turn_id)
         if turn is None:
             refusal = self._isolation.refusal(
@@ -263,21 +259,6 @@
             request, (turn.request for turn in self._turns.values())
         )
 
-    def _must_await_start(self, request: turn_messages.TurnRequest) -> bool:
-        return self._admission.must_await_start(
-            request, self._awaiting_start_count
-        )
-
-    async def _await_start(self, limit_s: float) -> None:
-        self._awaiting_start_count += 1
-        try:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(limit_s):
-                    while self._engine.is_starting:
-                        await self._engine.next_report()
-        finally:
-            self._awaiting_start_count -= 1
-
     def _add_turn(
         self,
         request: turn_messages.TurnRequest,
