--- a/lacewingpitch/admission.py
+++ b/lacewingpitch/admission.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from lacewingpitch import errors
+from lacewingpitch import turn_decision
 from lacewingpitch import turn_messages
 from lacewingpitch import wait_estimator
 
@@ -152,6 +153,26 @@
             retry_after_s=retry_after_s,
         )
 
+    def order_s(self, request: turn_messages.TurnRequest) -> None:
+        """Return ``None``: flows share by weight."""
+
+    def has_contention(self, wait: wait_estimator.WaitEstimate) -> bool:
+        """Whether organisations are to keep to their shares."""
+        # While turns are free, a further one delays no other organisation.
+        return wait.turn_s > 0.0 or wait.limit_s > 0.0
+
+    def decide(
+        self,
+        request: turn_messages.TurnRequest,
+        wait: wait_estimator.WaitEstimate,
+        run_s: float,
+        is_above_share: bool,
+    ) -> turn_decision.Decision:
+        """Return the decision about a request; see `TurnDecider`."""
+        return turn_decision.Decision(
+            self.refusal(request, wait, is_above_share)
+        )
+
     def not_serving_refusal(self) -> errors.RefusalError:
         """Return the refusal of an engine that doesn't serve."""
         if self._engine.is_leaving:
--- a/lacewingpitch/batch_forecast.py
+++ b/lacewingpitch/batch_forecast.py
@@ -34,7 +34,11 @@
         self._clock = clock
 
     def wait_s(
-        self, prepared_in_s: float, flow: str = '', weight: float = 1.0
+        self,
+        prepared_in_s: float,
+        flow: str = '',
+        weight: float = 1.0,
+        order_s: float | None = None,
     ) -> float:
         """Return the wait of a request that arrives now.
 
@@ -46,11 +50,17 @@
             Flow that the request belongs to.
         weight
             Weight of the flow relative to the others.
+        order_s
+            Order of the request; ``None`` if flows share by weight.
         """
-        if len(self._leases) < self._turn_count:
+        count = sum(not lease.is_put_off for lease in self._leases.values())
+        if count < self._turn_count:
             return 0.0
         forecast = slot_simulation.SlotSimulation(self._turns_free_in_s(), 1)
-        for lease in self._leases_ahead(prepared_in_s, flow, weight):
+        ahead = self._leases_ahead(prepared_in_s, flow, weight)
+        if order_s is not None:
+            ahead = self._leases_before(order_s)
+        for lease in ahead:
             forecast.assign_next(slot_simulation.Occupancy(0.0, lease.run_s))
         start_in_s = forecast.assign_next(
             slot_simulation.Occupancy(0.0)
@@ -66,6 +76,15 @@
         ]
         return free_in_s + [0.0] * (self._turn_count - len(free_in_s))
 
+    def _leases_before(self, order_s: float) -> Iterator[turn_lease.TurnLease]:
+        """Yield the leases without a turn whose order is lower."""
+        for lease in self._leases.values():
+            if lease.has_turn or lease.is_put_off:
+                continue
+            lease_order_s = lease.decision.order_s
+            if lease_order_s is not None and lease_order_s <= order_s:
+                yield lease
+
     def _leases_ahead(
         self, prepared_in_s: float, flow: str, weight: float
     ) -> Iterator[turn_lease.TurnLease]:
@@ -73,11 +92,11 @@
         own_count = 1 + sum(
             lease.request.flow == flow
             for lease in self._leases.values()
-            if not lease.has_reservation
+            if not lease.has_reservation and not lease.is_put_off
         )
         queued_count: collections.Counter[str] = collections.Counter()
         for lease in self._leases.values():
-            if lease.has_turn:
+            if lease.has_turn or lease.is_put_off:
                 continue
             if lease.has_reservation:
                 # Turns go in the order in which requests finish preparing:
--- a/lacewingpitch/fair_pacer.py
+++ b/lacewingpitch/fair_pacer.py
@@ -74,9 +74,15 @@
         """Return what the bucket holds, negative for a debt."""
         return self._bucket.level(self._clock.monotonic_s())
 
-    def queued_ahead(self, cost: float, flow: str, weight: float) -> float:
+    def queued_ahead(
+        self,
+        cost: float,
+        flow: str,
+        weight: float,
+        order_s: float | None = None,
+    ) -> float:
         """Return the cost of the queued work that goes before new work."""
-        virtual_finish = self._virtual_finish(cost, flow, weight)
+        virtual_finish = self._virtual_finish(cost, flow, weight, order_s)
         return sum(
             queued.cost
             for queued in self._waiting
@@ -96,7 +102,13 @@
         finally:
             self.expected_cost -= cost
 
-    async def admit(self, cost: float, flow: str, weight: float) -> None:
+    async def admit(
+        self,
+        cost: float,
+        flow: str,
+        weight: float,
+        order_s: float | None = None,
+    ) -> None:
         """Wait until work is released.
 
         Parameters
@@ -105,11 +117,14 @@
             Flow of weighted fair queueing that the work belongs to.
         weight
             Weight of the flow relative to the others.
+        order_s
+            Orders the work instead of its flow; the lowest goes first.  Of
+            a pacer, either all work has an order or none.
         """
         if not self._waiting and self.level > self._ready_level:
             self._bucket.add(-cost, self._clock.monotonic_s())
             return
-        virtual_finish = self._virtual_finish(cost, flow, weight)
+        virtual_finish = self._virtual_finish(cost, flow, weight, order_s)
         if len(self._finish_by_flow) >= _MAX_FLOWS:
             self._finish_by_flow.clear()
         self._finish_by_flow[flow] = virtual_finish
@@ -146,7 +161,11 @@
             self._bucket.change(rate_per_s, self._burst, now_s)
             self._restart_timer()
 
-    def _virtual_finish(self, cost: float, flow: str, weight: float) -> float:
+    def _virtual_finish(
+        self, cost: float, flow: str, weight: float, order_s: float | None
+    ) -> float:
+        if order_s is not None:
+            return order_s
         start = max(self._virtual_time, self._finish_by_flow.get(flow, 0.0))
         return start + cost / weight
 
--- a/lacewingpitch/prefill_pacer.py
+++ b/lacewingpitch/prefill_pacer.py
@@ -38,6 +38,7 @@
         rank: int = 0,
         after_s: float = 0.0,
         weight: float = 1.0,
+        order_s: float | None = None,
     ) -> float:
         """Return the expected wait of a request beyond `after_s`.
 
@@ -47,7 +48,7 @@
             Time until it is ready, during which other prompts are read.
         """
         ahead = self._pacer.queued_ahead(
-            tokens, flow, fair_pacer.effective_weight(rank, weight)
+            tokens, flow, fair_pacer.effective_weight(rank, weight), order_s
         )
         preparing = self._pacer.expected_cost
         ahead += max(0.0, preparing - _PREPARATION_S * _MAX_TOKENS_PER_S)
@@ -61,7 +62,12 @@
         return self._pacer.expecting(tokens)
 
     async def admit(
-        self, tokens: int, flow: str, rank: int, weight: float = 1.0
+        self,
+        tokens: int,
+        flow: str,
+        rank: int,
+        weight: float = 1.0,
+        order_s: float | None = None,
     ) -> None:
         """Wait until the engine can read a prompt.
 
@@ -73,9 +79,11 @@
             Urgency; 0 is the most urgent.
         weight
             Weight of the flow relative to the others.
+        order_s
+            Orders the request instead of its flow; see `FairPacer.admit`.
         """
         await self._pacer.admit(
-            tokens, flow, fair_pacer.effective_weight(rank, weight)
+            tokens, flow, fair_pacer.effective_weight(rank, weight), order_s
         )
 
 
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -13,6 +13,7 @@
 from lacewingpitch import active_entries
 from lacewingpitch import admission as admission_module
 from lacewingpitch import batch_forecast
+from lacewingpitch import caller_loss
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract
 from lacewingpitch import crash_record
@@ -20,10 +21,14 @@
 from lacewingpitch import fair_share
 from lacewingpitch import hint_builder
 from lacewingpitch import isolation
+from lacewingpitch import parts as parts_module
 from lacewingpitch import prefill_pacer
+from lacewingpitch import put_off_queue
+from lacewingpitch import return_times
 from lacewingpitch import run_duration
 from lacewingpitch import slots as slots_module
 from lacewingpitch import start_wait
+from lacewingpitch import turn_decision
 from lacewingpitch import turn_lease
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_metrics
@@ -88,6 +93,7 @@
         source: random.Random,
         outcomes: turn_metrics.TurnMetrics,
         crashes: crash_record.CrashRecord,
+        parts: Collection[parts_module.Part] = (),
     ) -> None:
         self._outcomes = outcomes
         self._isolation = isolation.Isolation(crashes)
@@ -115,6 +121,16 @@
         self._admission = admission_module.Admission(
             engine, source, self._turn_pacer
         )
+        self._put_off = put_off_queue.PutOffQueue(clock, self._has_room)
+        self._decider: turn_decision.TurnDecider = self._admission
+        if parts_module.Part.CALLER_LOSS in parts:
+            self._decider = caller_loss.CallerLoss(
+                self._admission,
+                engine,
+                self._put_off,
+                return_times.ReturnTimes(clock, source),
+                clock,
+            )
         self._run_durations = run_duration.RunDurationEstimator()
         self._start_wait = start_wait.StartWait(engine, self._admission)
 
@@ -137,14 +153,19 @@
             if refusal is not None:
                 return self._refused(request, refusal)
             name = self._slot_name(request)
-            wait = self._wait_estimator.estimate(request, name)
+            wait = self._wait_estimator.estimate(
+                request, name, self._decider.order_s(request)
+            )
             is_above_share = self._exceeds_fair_share(request, wait)
-            refusal = self._admission.refusal(request, wait, is_above_share)
-            if refusal is not None:
+            run_s = self._expected_run_s(request)
+            decision = self._decider.decide(
+                request, wait, run_s, is_above_share
+            )
+            if decision.refusal is not None:
                 return self._refused(
-                    request, refusal, wait.total_s, is_above_share
+                    request, decision.refusal, wait.total_s, is_above_share
                 )
-            turn = self._add_turn(request, wait)
+            turn = self._add_turn(request, wait, run_s, decision)
         assert turn.task is not None
         done, _ = await asyncio.wait(
             [turn.task], timeout=request.wait_ms / _MS_PER_S
@@ -252,30 +273,37 @@
         request: turn_messages.TurnRequest,
         wait: wait_estimator.WaitEstimate,
     ) -> bool:
-        # While turns are free, a further one delays no other organisation.
-        if not wait.turn_s and not wait.limit_s:
+        if not self._decider.has_contention(wait):
             return False
         return fair_share.is_exceeded(
-            request, (turn.request for turn in self._turns.values())
+            request,
+            (t.request for t in self._turns.values() if not t.is_put_off),
         )
 
     def _add_turn(
         self,
         request: turn_messages.TurnRequest,
         wait: wait_estimator.WaitEstimate,
+        run_s: float,
+        decision: turn_decision.Decision,
     ) -> turn_lease.TurnLease:
         now_s = self._clock.monotonic_s()
         deadline_at_s = now_s + request.deadline_ms / _MS_PER_S
         turn = turn_lease.TurnLease(
-            request, now_s, deadline_at_s, wait, self._expected_run_s(request)
+            request, now_s, deadline_at_s, wait, run_s, decision=decision
         )
+        turn.is_put_off = decision.tier is turn_decision.Tier.PUT_OFF
         self._turns[request.turn_id] = turn
+        if not turn.is_put_off:
+            self._expect_work(turn)
+        turn.task = asyncio.create_task(self._acquire(turn))
+        return turn
+
+    def _expect_work(self, turn: turn_lease.TurnLease) -> None:
         turn.expected_work.enter_context(
-            self._pacer.expecting(request.prompt_tokens)
+            self._pacer.expecting(turn.request.prompt_tokens)
         )
         turn.expected_work.enter_context(self._turn_pacer.expecting())
-        turn.task = asyncio.create_task(self._acquire(turn))
-        return turn
 
     async def _acquire(
         self, turn: turn_lease.TurnLease
@@ -298,10 +326,13 @@
 
     async def _acquire_resources(self, turn: turn_lease.TurnLease) -> None:
         request = turn.request
+        if turn.is_put_off:
+            await self._put_off.wait(turn)
+            self._expect_work(turn)
         name = self._slot_name(request)
-        order = self._order(request, name)
+        order = self._order(turn, name)
         reservation = await turn.resources.enter_async_context(
-            self._queue.reserve(order)
+            self._queue.reserve(order, turn.decision.order_s or 0.0)
         )
         turn.record_step(self._clock.monotonic_s())
         if name:
@@ -316,14 +347,24 @@
         await turn.resources.enter_async_context(reservation.turn())
         turn.record_step(self._clock.monotonic_s())
         turn.expected_work.close()
+        order_s = turn.decision.order_s
         await self._turn_pacer.admit(
-            request.flow, request.rank, request.weight
+            request.flow, request.rank, request.weight, order_s
         )
         turn.record_step(self._clock.monotonic_s())
         await self._pacer.admit(
-            request.prompt_tokens, request.flow, request.rank, request.weight
+            request.prompt_tokens,
+            request.flow,
+            request.rank,
+            request.weight,
+            order_s,
         )
 
+    def _has_room(self, request: turn_messages.TurnRequest) -> bool:
+        """Whether a request could start now without delaying another one."""
+        name = self._slot_name(request)
+        return not self._wait_estimator.estimate(request, name).delayed_s
+
     def _expected_slot_use_s(
         self, request: turn_messages.TurnRequest
     ) -> float:
@@ -368,12 +409,11 @@
             request.model, request.adapter, request.version
         )
 
-    def _order(
-        self, request: turn_messages.TurnRequest, name: str
-    ) -> work.WorkOrder:
+    def _order(self, turn: turn_lease.TurnLease, name: str) -> work.WorkOrder:
         # The queue schedules flows, that is the routes of organisations, as
         # it schedules customers with contracts: each flow gets its share of
         # the turns, and urgent routes go ahead.
+        request = turn.request
         urgency = contract.Urgency.STANDARD
         if not request.rank:
             urgency = contract.Urgency.INTERACTIVE
@@ -384,7 +424,7 @@
             contract_revision=0,
             urgency=urgency,
             weight=request.weight,
-            deadline_s=request.start_within_ms / _MS_PER_S,
+            deadline_s=request.start_within_ms / _MS_PER_S - turn.put_off_s,
             method='',
             path=name,
             repeatable=False,
--- a/lacewingpitch/turn_lease.py
+++ b/lacewingpitch/turn_lease.py
@@ -6,6 +6,7 @@
 import itertools
 
 from lacewingpitch import errors
+from lacewingpitch import turn_decision
 from lacewingpitch import turn_messages
 from lacewingpitch import wait_estimator
 
@@ -40,6 +41,12 @@
         Expected duration of the run.
     last_reported_s
         When a report that showed the run was requested; None before.
+    decision
+        Decision by which it was admitted.
+    is_put_off
+        Whether it still waits until it delays no other request.
+    put_off_s
+        How long it waited for that.
     expected_work
         Closed once its prompt and its turn no longer count as expected by
         their pacers.
@@ -54,6 +61,9 @@
     run_s: float = 0.0
     task: asyncio.Task[turn_messages.TurnReply] | None = None
     refusal: errors.RefusalError | None = None
+    decision: turn_decision.Decision = turn_decision.Decision()
+    is_put_off: bool = False
+    put_off_s: float = 0.0
     granted_at_s: float | None = None
     last_reported_s: float | None = None
     expected_work: contextlib.ExitStack = dataclasses.field(
--- a/lacewingpitch/turn_pacer.py
+++ b/lacewingpitch/turn_pacer.py
@@ -73,6 +73,7 @@
         rank: int = 0,
         weight: float = 1.0,
         after_s: float = 0.0,
+        order_s: float | None = None,
     ) -> float:
         """Return the expected wait of a request beyond `after_s`.
 
@@ -84,7 +85,7 @@
         if not self.is_limited:
             return 0.0
         ahead = self._pacer.expected_cost + self._pacer.queued_ahead(
-            1.0, flow, fair_pacer.effective_weight(rank, weight)
+            1.0, flow, fair_pacer.effective_weight(rank, weight), order_s
         )
         return max(0.0, self.wait_behind_s(ahead) - after_s)
 
@@ -107,7 +108,13 @@
         """Count a turn as ahead of others while its request prepares."""
         return self._pacer.expecting(1.0)
 
-    async def admit(self, flow: str, rank: int, weight: float) -> None:
+    async def admit(
+        self,
+        flow: str,
+        rank: int,
+        weight: float,
+        order_s: float | None = None,
+    ) -> None:
         """Wait until the engine accepts one more request.
 
         Parameters
@@ -118,8 +125,10 @@
             Urgency; 0 is the most urgent.
         weight
             Weight of the flow relative to the others.
+        order_s
+            Orders the request instead of its flow; see `FairPacer.admit`.
         """
         if self.is_limited:
             await self._pacer.admit(
-                1.0, flow, fair_pacer.effective_weight(rank, weight)
+                1.0, flow, fair_pacer.effective_weight(rank, weight), order_s
             )
--- a/lacewingpitch/turn_queue.py
+++ b/lacewingpitch/turn_queue.py
@@ -31,6 +31,8 @@
     ----------
     cost_s
         Expected duration of its turn.
+    order_s
+        The lowest goes first among requests that wait for a turn.
     reserved
         Resolved when the request gets its reservation; fails when the
         request is refused.
@@ -44,6 +46,7 @@
     cost_s: float
     reserved: asyncio.Future[None]
     turn: asyncio.Future[None]
+    order_s: float = 0.0
     reserved_s: float = 0.0
     started_s: float = 0.0
     used_s: float = 0.0
@@ -129,7 +132,7 @@
     its adapter), and then waits for its turn.  There are a few more
     reservations than turns, so that some requests prepare while others
     run.  The queue discipline assigns reservations; turns go to requests
-    in the order in which they finish preparing.
+    by their order, and then as they finish preparing.
 
     Parameters
     ----------
@@ -190,17 +193,23 @@
 
     @contextlib.asynccontextmanager
     async def reserve(
-        self, order: work.WorkOrder
+        self, order: work.WorkOrder, order_s: float = 0.0
     ) -> AsyncIterator[Reservation]:
         """Acquire a reservation and hold it while the context is open.
 
+        Parameters
+        ----------
+        order_s
+            The lowest gets its turn first; those of the same order get
+            theirs as they finish preparing.
+
         Raises
         ------
         RefusalError
             The queue is full, or the turn would start after the
             deadline.  The request did not run.
         """
-        waiter = self._enter(order)
+        waiter = self._enter(order, order_s)
         # A caller may disconnect after it got the reservation and before
         # its task resumes.  Without the cleanup each such reservation
         # would leak, and the backend server would lose capacity.
@@ -221,7 +230,7 @@
         finally:
             self._end_turn(waiter)
 
-    def _enter(self, order: work.WorkOrder) -> Waiter:
+    def _enter(self, order: work.WorkOrder, order_s: float) -> Waiter:
         self._check_limits(order)
         loop = asyncio.get_running_loop()
         waiter = Waiter(
@@ -230,6 +239,7 @@
             self._turn_durations.predict_s(order),
             loop.create_future(),
             loop.create_future(),
+            order_s,
         )
         self._add(waiter)
         # With fewer reservations than turns, a turn is free for the request.
@@ -317,7 +327,7 @@
 
     def _grant_turns(self) -> None:
         while self._prepared and len(self._running) < self._turn_count:
-            waiter = next(iter(self._prepared))
+            waiter = min(self._prepared, key=lambda w: w.order_s)
             del self._prepared[waiter]
             waiter.started_s = self._clock.monotonic_s()
             self._running[waiter] = None
--- a/lacewingpitch/wait_estimator.py
+++ b/lacewingpitch/wait_estimator.py
@@ -25,7 +25,13 @@
 class BatchWaits(Protocol):
     """Estimates waits for the turns in an engine's batch."""
 
-    def wait_s(self, prepared_in_s: float, flow: str, weight: float) -> float:
+    def wait_s(
+        self,
+        prepared_in_s: float,
+        flow: str,
+        weight: float,
+        order_s: float | None,
+    ) -> float:
         """Return the wait of a request that has its adapter by then."""
         ...
 
@@ -59,6 +65,11 @@
         """Return the wait for the adapter."""
         return self.slot_s + self.load_s
 
+    @property
+    def delayed_s(self) -> float:
+        """Return the wait that other requests cause."""
+        return self.total_s - self.load_s
+
     @property
     def total_s(self) -> float:
         """Return the whole wait."""
@@ -96,7 +107,10 @@
         self._turn_pacer = turn_pacer
 
     def estimate(
-        self, request: turn_messages.TurnRequest, name: str
+        self,
+        request: turn_messages.TurnRequest,
+        name: str,
+        order_s: float | None = None,
     ) -> WaitEstimate:
         """Return the expected wait of a request that arrives now.
 
@@ -104,15 +118,19 @@
         ----------
         name
             Slot name of its adapter; empty for the base model alone.
+        order_s
+            Order of the request; ``None`` if flows share by weight.
         """
         wait = slot_simulation.AdapterWait()
         if name:
             wait = self._adapters.expected_wait(name)
         slot_s = _SLOT_WAIT_SAFETY_FACTOR * wait.slot_s
-        turn_s = self._batch.wait_s(wait.total_s, request.flow, request.weight)
+        turn_s = self._batch.wait_s(
+            wait.total_s, request.flow, request.weight, order_s
+        )
         ready_s = slot_s + wait.load_s + turn_s
         limit_s = self._turn_pacer.wait_s(
-            request.flow, request.rank, request.weight, ready_s
+            request.flow, request.rank, request.weight, ready_s, order_s
         )
         prompt_s = self._pacer.wait_s(
             request.prompt_tokens,
@@ -120,5 +138,6 @@
             request.rank,
             ready_s + limit_s,
             request.weight,
+            order_s,
         )
         return WaitEstimate(slot_s, wait.load_s, turn_s, limit_s, prompt_s)
