Competition for room: who waits, yields, is refused and returns, by what callers lose

Cause: patient and urgent requests were refused by the same share of their aims, requests admitted as on time were overtaken in the order by weight and began late, and a caller that returned counted as new.

Change, switched on by the setting parts (caller-loss): turns and prompts go in the order in which they are due; requests that will be late are put off until they delay nobody, or refused with the time at which room is expected; less urgent ranks find a shorter queue, and are not served more often than more urgent ones; callers that return are known by their fingerprint.

The fake of a batch in test_wait_estimator takes the new argument; its checks are the same.

--- a/lacewingpitch/caller_loss.py
+++ b/lacewingpitch/caller_loss.py
@@ -1,6 +1,7 @@
 """Decides who waits and who is refused, by what callers lose."""
 
 import dataclasses
+import random
 
 from lacewingpitch import admission as admission_module
 from lacewingpitch import clock as clock_module
@@ -93,8 +94,8 @@
     ----------
     put_off
         Requests that are put off.
-    returns
-        When callers that are refused should return.
+    source
+        Source of the jitter of return times.
     """
 
     def __init__(
@@ -102,13 +103,13 @@
         admission: admission_module.Admission,
         engine: admission_module.EngineStatus,
         put_off: put_off_queue.PutOffQueue,
-        returns: return_times.ReturnTimes,
         clock: clock_module.Clock,
+        source: random.Random,
     ) -> None:
         self._admission = admission
         self._engine = engine
         self._put_off = put_off
-        self._returns = returns
+        self._returns = return_times.ReturnTimes(clock, source)
         self._clock = clock
         self._callers = refused_callers.RefusedCallers(clock)
         self._ratios = service_ratios.ServiceRatios(clock)
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -1,6 +1,7 @@
 """Controls one engine: polls its state and grants its turns."""
 
 import asyncio
+from collections.abc import Collection
 import contextlib
 import random
 from typing import Protocol
@@ -11,7 +12,9 @@
 from lacewingpitch import adapter_versions
 from lacewingpitch import clock as clock_module
 from lacewingpitch import crash_record
+from lacewingpitch import due_queue
 from lacewingpitch import engine_limit
+from lacewingpitch import engine_metrics
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
 from lacewingpitch import engine_view
@@ -21,6 +24,7 @@
 from lacewingpitch import leaving_news
 from lacewingpitch import limit_news
 from lacewingpitch import metrics as metrics_module
+from lacewingpitch import parts as parts_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import routing
 from lacewingpitch import slots as slots_module
@@ -77,6 +81,8 @@
         configured per service.
     crashes
         Requests that crash engines.
+    parts
+        Optional parts of the system that are on.
     """
 
     def __init__(
@@ -88,7 +94,9 @@
         clock: clock_module.Clock,
         metrics: metrics_module.Metrics,
         crashes: crash_record.CrashRecord,
+        parts: Collection[parts_module.Part] = (),
     ) -> None:
+        self._parts = parts
         self._metrics = metrics
         self._crashes = crashes
         self._poll_lock = asyncio.Lock()
@@ -368,11 +376,7 @@
             limits.max_running,
             _LOOKAHEAD_COUNT,
             _MAX_QUEUED,
-            fair_queue.FairQueue(
-                limits.max_running,
-                lambda order: not order.path or adapters.holds(order.path),
-                self._clock,
-            ),
+            self._discipline(limits.max_running, adapters),
             self._clock,
             lambda order: _expected_adapter_wait_s(adapters, order),
         )
@@ -387,9 +391,17 @@
             random.Random(),
             outcomes,
             self._crashes,
+            parts=self._parts,
         )
         self._is_ready.set()
-        self._add_metrics(self.granter, outcomes, adapters)
+        engine_metrics.register(
+            self._metrics,
+            self.granter,
+            outcomes,
+            adapters,
+            self.limit,
+            self.view,
+        )
         log.info(
             'engine taken over',
             backend_server=self.view.backend_server,
@@ -398,47 +410,15 @@
             adapters=len(snapshot.held),
         )
 
-    def _add_metrics(
-        self,
-        granter: turn_granter.TurnGranter,
-        outcomes: turn_metrics.TurnMetrics,
-        adapters: slots_module.AdapterSlots,
-    ) -> None:
-        metrics = self._metrics
-        metrics.counter_by(
-            'turns_total',
-            'Turns that were asked for, by what became of them.',
-            'outcome',
-            lambda: {
-                'granted': outcomes.granted_count,
-                'refused': outcomes.refused_count,
-                'lapsed': outcomes.lapsed_count,
-            },
-        )
-        metrics.counter_by(
-            'adapter_orders_total',
-            'Orders about adapters, by what became of them.',
-            'outcome',
-            lambda: {
-                'loaded': adapters.load_count,
-                'unloaded': adapters.eviction_count,
-                'load failed': adapters.failed_load_count,
-            },
-        )
-        metrics.gauge(
-            'turns_held',
-            'Turns that are granted or waited for.',
-            lambda: len(granter),
-        )
-        metrics.gauge(
-            'engine_limit_per_second',
-            'Requests per second that the engine accepts; -1 without limit.',
-            lambda: -1.0 if self.limit.per_s is None else self.limit.per_s,
-        )
-        metrics.gauge(
-            'engine_report_age_seconds',
-            'How old the last report of the engine is.',
-            lambda: self.view.report_age_s,
+    def _discipline(
+        self, turn_count: int, adapters: slots_module.AdapterSlots
+    ) -> turn_queue.QueueDiscipline:
+        if parts_module.Part.CALLER_LOSS in self._parts:
+            return due_queue.DueQueue()
+        return fair_queue.FairQueue(
+            turn_count,
+            lambda order: not order.path or adapters.holds(order.path),
+            self._clock,
         )
 
     def _reconcile(
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -78,6 +78,7 @@
                 self._process.random,
                 lambda: self._file.settings.released_fingerprints,
             ),
+            parts=settings.parts,
         )
         self._process.exits.push_async_callback(controller.close)
         exchange = configuration_exchange.ConfigurationExchange(
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -6,7 +6,6 @@
 import asyncio
 from collections.abc import Callable, Collection, Iterable
 import random
-from typing import Protocol
 
 import structlog
 
@@ -17,6 +16,7 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract
 from lacewingpitch import crash_record
+from lacewingpitch import engine_state
 from lacewingpitch import errors
 from lacewingpitch import fair_share
 from lacewingpitch import hint_builder
@@ -24,7 +24,6 @@
 from lacewingpitch import parts as parts_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import put_off_queue
-from lacewingpitch import return_times
 from lacewingpitch import run_duration
 from lacewingpitch import slots as slots_module
 from lacewingpitch import start_wait
@@ -44,30 +43,6 @@
 log = structlog.get_logger(__name__)
 
 
-class EngineState(
-    admission_module.EngineStatus, start_wait.StartingEngine, Protocol
-):
-    """Engine state that granting turns depends on."""
-
-    @property
-    def backend_server(self) -> str:
-        """Return the engine's incarnation; empty if unknown."""
-        ...
-
-    @property
-    def started_at_ms(self) -> int:
-        """Return the Unix time of the engine's start; 0 if unknown."""
-        ...
-
-    def slot_name(self, model: str, adapter: str, version: int) -> str:
-        """Return the adapter's name in `slots.AdapterSlots`."""
-        ...
-
-    def held_version(self, slot_name: str) -> int:
-        """Return the version held under a slot name; 0 if unknown."""
-        ...
-
-
 class TurnGranter:
     """Grants and ends the turns of one engine.
 
@@ -86,7 +61,7 @@
         self,
         queue: turn_queue.TurnQueue,
         adapters: slots_module.AdapterSlots,
-        engine: EngineState,
+        engine: engine_state.EngineState,
         pacer: prefill_pacer.PrefillPacer,
         clock: clock_module.Clock,
         configuration_version: Callable[[], int],
@@ -125,11 +100,7 @@
         self._decider: turn_decision.TurnDecider = self._admission
         if parts_module.Part.CALLER_LOSS in parts:
             self._decider = caller_loss.CallerLoss(
-                self._admission,
-                engine,
-                self._put_off,
-                return_times.ReturnTimes(clock, source),
-                clock,
+                self._admission, engine, self._put_off, clock, source
             )
         self._run_durations = run_duration.RunDurationEstimator()
         self._start_wait = start_wait.StartWait(engine, self._admission)
@@ -163,7 +134,11 @@
             )
             if decision.refusal is not None:
                 return self._refused(
-                    request, decision.refusal, wait.total_s, is_above_share
+                    request,
+                    decision.refusal,
+                    wait.total_s,
+                    is_above_share,
+                    decision.is_return,
                 )
             turn = self._add_turn(request, wait, run_s, decision)
         assert turn.task is not None
@@ -331,8 +306,9 @@
             self._expect_work(turn)
         name = self._slot_name(request)
         order = self._order(turn, name)
+        order_s = turn.decision.order_s
         reservation = await turn.resources.enter_async_context(
-            self._queue.reserve(order, turn.decision.order_s or 0.0)
+            self._queue.reserve(order, order_s or 0.0)
         )
         turn.record_step(self._clock.monotonic_s())
         if name:
@@ -347,18 +323,10 @@
         await turn.resources.enter_async_context(reservation.turn())
         turn.record_step(self._clock.monotonic_s())
         turn.expected_work.close()
-        order_s = turn.decision.order_s
-        await self._turn_pacer.admit(
-            request.flow, request.rank, request.weight, order_s
-        )
+        place = (request.flow, request.rank, request.weight, order_s)
+        await self._turn_pacer.admit(*place)
         turn.record_step(self._clock.monotonic_s())
-        await self._pacer.admit(
-            request.prompt_tokens,
-            request.flow,
-            request.rank,
-            request.weight,
-            order_s,
-        )
+        await self._pacer.admit(request.prompt_tokens, *place)
 
     def _has_room(self, request: turn_messages.TurnRequest) -> bool:
         """Whether a request could start now without delaying another one."""
@@ -438,8 +406,11 @@
         error: errors.RefusalError,
         wait_s: float = 0.0,
         is_above_share: bool = False,
+        is_return: bool = False,
     ) -> turn_messages.TurnReply:
-        self._outcomes.record_refused(request, error, is_above_share)
+        self._outcomes.record_refused(
+            request, error, is_above_share, is_return
+        )
         return self._reply(
             refusal=error.kind,
             detail=error.detail,
--- a/tests/test_wait_estimator.py
+++ b/tests/test_wait_estimator.py
@@ -36,7 +36,7 @@
     def __init__(self, free_in_s=0.0):
         self.free_in_s = free_in_s
 
-    def wait_s(self, prepared_in_s, _flow, _weight):
+    def wait_s(self, prepared_in_s, _flow, _weight, _order_s):
         return max(0.0, self.free_in_s - prepared_in_s)
 
 
