Requests that were put off in vain are known when their callers return

A request that was put off until its caller gave up, and came back, counted as new and went before requests that could be on time; an entry that froze while its request was put off held it until its end.

--- a/lacewingpitch/admission.py
+++ b/lacewingpitch/admission.py
@@ -156,6 +156,14 @@
     def order_s(self, request: turn_messages.TurnRequest) -> None:
         """Return ``None``: flows share by weight."""
 
+    def record_refused(
+        self,
+        request: turn_messages.TurnRequest,
+        refusal: errors.RefusalError,
+        waited_s: float,
+    ) -> None:
+        """Have no effect: refused callers are not remembered."""
+
     def has_contention(self, wait: wait_estimator.WaitEstimate) -> bool:
         """Whether organisations are to keep to their shares."""
         # While turns are free, a further one delays no other organisation.
--- a/lacewingpitch/caller_loss.py
+++ b/lacewingpitch/caller_loss.py
@@ -118,6 +118,24 @@
         """Return the time by which a request that arrives now is due."""
         return self._arrival(request).due_at_s
 
+    def record_refused(
+        self,
+        request: turn_messages.TurnRequest,
+        refusal: errors.RefusalError,
+        waited_s: float,
+    ) -> None:
+        """Record that an admitted request is refused after a wait."""
+        now_s = self._clock.monotonic_s()
+        target_s = request.target_ms / _MS_PER_S
+        self._callers.record(
+            request.fingerprint,
+            refused_callers.RefusedCaller(
+                request.run_id,
+                now_s - waited_s + target_s,
+                now_s + (refusal.retry_after_s or 0.0),
+            ),
+        )
+
     def has_contention(self, wait: wait_estimator.WaitEstimate) -> bool:
         """Whether organisations are to keep to their shares."""
         # Prompts are read as they are due, with no shares of their own.
@@ -137,7 +155,7 @@
         arrival = self._arrival(request)
         if not self._engine.is_serving:
             refusal = self._admission.not_serving_refusal()
-            self._record_refused(arrival, refusal)
+            self._record(arrival, refusal)
             return turn_decision.Decision(refusal)
         allowed_s = self._allowed_s(arrival, is_above_share)
         tier = None
@@ -237,12 +255,10 @@
         )
         if is_final:
             self._ratios.record(arrival.request.rank, False, arrival.is_return)
-            self._record_refused(arrival, refusal)
+            self._record(arrival, refusal)
         return turn_decision.Decision(refusal, is_return=arrival.is_return)
 
-    def _record_refused(
-        self, arrival: _Arrival, refusal: errors.RefusalError
-    ) -> None:
+    def _record(self, arrival: _Arrival, refusal: errors.RefusalError) -> None:
         self._callers.record(
             arrival.request.fingerprint,
             refused_callers.RefusedCaller(
--- a/lacewingpitch/put_off_queue.py
+++ b/lacewingpitch/put_off_queue.py
@@ -130,19 +130,31 @@
             if queued.released.done():
                 continue
             wait_s = len(kept) * interval_s
-            if now_s + wait_s < queued.turn.start_by_s:
+            refusal = _refusal(queued.turn, now_s, wait_s + interval_s)
+            if refusal is None:
                 kept.append(queued)
-                continue
-            queued.released.set_exception(
-                errors.RefusalError(
-                    errors.ErrorKind.DEADLINE_UNREACHABLE,
-                    'other requests took all turns',
-                    retry_after_s=wait_s + interval_s,
-                )
-            )
+            else:
+                queued.released.set_exception(refusal)
         self._waiting = kept
 
     def _discard_old_releases(self) -> None:
         since_s = self._clock.monotonic_s() - _RATE_WINDOW_S
         while self._released_at_s and self._released_at_s[0] < since_s:
             self._released_at_s.popleft()
+
+
+def _refusal(
+    turn: turn_lease.TurnLease, now_s: float, wait_s: float
+) -> errors.RefusalError | None:
+    """Return why a turn is put off no longer; ``None`` if it still is."""
+    if now_s > turn.asked_until_s:
+        return errors.RefusalError(
+            errors.ErrorKind.CALLER_GONE, 'its entry no longer asks for it'
+        )
+    if now_s + wait_s > turn.start_by_s:
+        return errors.RefusalError(
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            'it was put off until its caller gives up',
+            retry_after_s=wait_s,
+        )
+    return None
--- a/lacewingpitch/turn_decision.py
+++ b/lacewingpitch/turn_decision.py
@@ -53,6 +53,15 @@
         """
         ...
 
+    def record_refused(
+        self,
+        request: turn_messages.TurnRequest,
+        refusal: errors.RefusalError,
+        waited_s: float,
+    ) -> None:
+        """Record that an admitted request is refused after a wait."""
+        ...
+
     def has_contention(self, wait: wait_estimator.WaitEstimate) -> bool:
         """Whether organisations are to keep to their shares.
 
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -142,9 +142,9 @@
                 )
             turn = self._add_turn(request, wait, run_s, decision)
         assert turn.task is not None
-        done, _ = await asyncio.wait(
-            [turn.task], timeout=request.wait_ms / _MS_PER_S
-        )
+        wait_s = request.wait_ms / _MS_PER_S
+        turn.record_ask(self._clock.monotonic_s(), wait_s)
+        done, _ = await asyncio.wait([turn.task], timeout=wait_s)
         if not done:
             return self._reply(is_pending=True)
         if turn.task.cancelled():
@@ -287,6 +287,9 @@
         try:
             await self._acquire_resources(turn)
         except errors.RefusalError as error:
+            self._decider.record_refused(
+                request, error, self._clock.monotonic_s() - turn.requested_at_s
+            )
             await self._end(request.turn_id, from_task=True)
             return self._refused(request, error)
         except BaseException:
--- a/lacewingpitch/turn_lease.py
+++ b/lacewingpitch/turn_lease.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import math
 
 from lacewingpitch import errors
 from lacewingpitch import turn_decision
@@ -26,6 +27,10 @@
 # granted.
 _SEND_DELAY_S = 0.2
 
+# An entry that waits for a turn asks for it again at once.  One that has not
+# after this time is frozen or has died.
+_ASK_AGAIN_WITHIN_S = 1.0
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class TurnLease:
@@ -45,6 +50,8 @@
         Decision by which it was admitted.
     is_put_off
         Whether it still waits until it delays no other request.
+    asked_until_s
+        Time until which its entry should have asked for it again.
     put_off_s
         How long it waited for that.
     expected_work
@@ -63,6 +70,7 @@
     refusal: errors.RefusalError | None = None
     decision: turn_decision.Decision = turn_decision.Decision()
     is_put_off: bool = False
+    asked_until_s: float = math.inf
     put_off_s: float = 0.0
     granted_at_s: float | None = None
     last_reported_s: float | None = None
@@ -94,6 +102,10 @@
         """Whether it occupies a slot of the engine's batch."""
         return len(self._steps_at_s) >= _TURN_STEPS
 
+    def record_ask(self, now_s: float, wait_s: float) -> None:
+        """Record that its entry waits for it for a time."""
+        self.asked_until_s = now_s + wait_s + _ASK_AGAIN_WITHIN_S
+
     def record_step(self, now_s: float) -> None:
         """Record that the next step is completed."""
         self._steps_at_s.append(now_s)
