--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -1,6 +1,7 @@
 """Controls one engine: polls its state and grants its turns."""
 
 import asyncio
+from collections.abc import Collection
 import contextlib
 import random
 from typing import Protocol
@@ -11,6 +12,7 @@
 from lacewingpitch import adapter_versions
 from lacewingpitch import clock as clock_module
 from lacewingpitch import crash_record
+from lacewingpitch import due_queue
 from lacewingpitch import engine_limit
 from lacewingpitch import engine_metrics
 from lacewingpitch import engine_orders
@@ -23,6 +25,7 @@
 from lacewingpitch import limit_news
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import pace_watch as pace_watch_module
+from lacewingpitch import parts as parts_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import routing
 from lacewingpitch import slots as slots_module
@@ -81,6 +84,8 @@
         Requests that crash engines.
     watch
         Measures the engine's pace; it is not measured by default.
+    parts
+        Optional parts of the system that are on.
     """
 
     def __init__(
@@ -93,8 +98,10 @@
         metrics: metrics_module.Metrics,
         crashes: crash_record.CrashRecord,
         watch: pace_watch_module.PaceWatch | None = None,
+        parts: Collection[parts_module.Part] = (),
     ) -> None:
         self._watch = watch or pace_watch_module.NoPaceWatch()
+        self._parts = parts
         self._metrics = metrics
         self._crashes = crashes
         self._poll_lock = asyncio.Lock()
@@ -378,11 +385,7 @@
             limits.max_running,
             _LOOKAHEAD_COUNT,
             _MAX_QUEUED,
-            fair_queue.FairQueue(
-                limits.max_running,
-                lambda order: not order.path or adapters.holds(order.path),
-                self._clock,
-            ),
+            self._discipline(limits.max_running, adapters),
             self._clock,
             lambda order: _expected_adapter_wait_s(adapters, order),
         )
@@ -398,6 +401,7 @@
             outcomes,
             self._crashes,
             self._watch,
+            parts=self._parts,
         )
         self._is_ready.set()
         engine_metrics.register(
@@ -417,6 +421,17 @@
             adapters=len(snapshot.held),
         )
 
+    def _discipline(
+        self, turn_count: int, adapters: slots_module.AdapterSlots
+    ) -> turn_queue.QueueDiscipline:
+        if parts_module.Part.CALLER_LOSS in self._parts:
+            return due_queue.DueQueue()
+        return fair_queue.FairQueue(
+            turn_count,
+            lambda order: not order.path or adapters.holds(order.path),
+            self._clock,
+        )
+
     def _reconcile(
         self, snapshot: engine_snapshot.EngineSnapshot, polled_at_s: float
     ) -> None:
--- a/lacewingpitch/engine_metrics.py
+++ b/lacewingpitch/engine_metrics.py
@@ -54,6 +54,17 @@
             'lapsed': outcomes.lapsed_count,
         },
     )
+    metrics.counter_by(
+        'turns_granted_total',
+        'Turns that were granted, by why the request was admitted.',
+        'tier',
+        lambda: outcomes.granted_by_tier,
+    )
+    metrics.counter(
+        'turns_granted_to_returns_total',
+        'Turns that were granted to callers that were refused here before.',
+        lambda: outcomes.returned_count,
+    )
     metrics.counter_by(
         'adapter_orders_total',
         'Orders about adapters, by what became of them.',
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -81,6 +81,7 @@
                 lambda: self._file.settings.released_fingerprints,
             ),
             self._pace_watch(),
+            parts=settings.parts,
         )
         self._process.exits.push_async_callback(controller.close)
         exchange = configuration_exchange.ConfigurationExchange(
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -5,7 +5,6 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
-import contextlib
 import random
 
 import structlog
@@ -14,6 +13,7 @@
 from lacewingpitch import admission as admission_module
 from lacewingpitch import answer_deadline
 from lacewingpitch import batch_forecast
+from lacewingpitch import caller_loss
 from lacewingpitch import clock as clock_module
 from lacewingpitch import contract
 from lacewingpitch import crash_record
@@ -23,9 +23,13 @@
 from lacewingpitch import hint_builder
 from lacewingpitch import isolation
 from lacewingpitch import pace_watch as pace_watch_module
+from lacewingpitch import parts as parts_module
 from lacewingpitch import prefill_pacer
+from lacewingpitch import put_off_queue
 from lacewingpitch import run_duration
 from lacewingpitch import slots as slots_module
+from lacewingpitch import start_wait
+from lacewingpitch import turn_decision
 from lacewingpitch import turn_lease
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_metrics
@@ -69,6 +73,7 @@
         outcomes: turn_metrics.TurnMetrics,
         crashes: crash_record.CrashRecord,
         watch: pace_watch_module.PaceWatch | None = None,
+        parts: Collection[parts_module.Part] = (),
     ) -> None:
         self._outcomes = outcomes
         self._isolation = isolation.Isolation(crashes)
@@ -97,8 +102,14 @@
         self._admission = admission_module.Admission(
             engine, source, self._turn_pacer
         )
+        self._put_off = put_off_queue.PutOffQueue(clock, self._has_room)
+        self._decider: turn_decision.TurnDecider = self._admission
+        if parts_module.Part.CALLER_LOSS in parts:
+            self._decider = caller_loss.CallerLoss(
+                self._admission, engine, self._put_off, clock, source
+            )
         self._run_durations = run_duration.RunDurationEstimator()
-        self._awaiting_start_count = 0
+        self._start_wait = start_wait.StartWait(engine, self._admission)
 
     def __len__(self) -> int:
         """Return the number of granted and pending turns."""
@@ -109,10 +120,8 @@
     ) -> turn_messages.TurnReply:
         """Grant or refuse a turn, or reply that it is still pending."""
         self._entries.record(request.entry)
-        if self._must_await_start(request):
-            await self._await_start(request.wait_ms / _MS_PER_S)
-            if self._must_await_start(request):
-                return self._reply(is_pending=True)
+        if await self._start_wait.wait(request):
+            return self._reply(is_pending=True)
         turn = self._turns.get(request.turn_id)
         if turn is None:
             refusal = self._isolation.refusal(
@@ -121,21 +130,30 @@
             if refusal is not None:
                 return self._refused(request, refusal)
             name = self._slot_name(request)
-            wait = self._wait_estimator.estimate(request, name)
+            wait = self._wait_estimator.estimate(
+                request, name, self._decider.order_s(request)
+            )
             is_above_share = self._exceeds_fair_share(request, wait)
-            refusal = self._admission.refusal(request, wait, is_above_share)
-            if refusal is not None:
+            run_s = self._expected_run_s(request)
+            decision = self._decider.decide(
+                request, wait, run_s, is_above_share
+            )
+            if decision.refusal is not None:
                 return self._refused(
-                    request, refusal, wait.total_s, is_above_share
+                    request,
+                    decision.refusal,
+                    wait.total_s,
+                    is_above_share,
+                    decision.is_return,
                 )
             refusal = answer_deadline.refusal(request, wait, self._watch.pace)
             if refusal is not None:
                 return self._refused(request, refusal)
-            turn = self._add_turn(request, wait)
+            turn = self._add_turn(request, wait, run_s, decision)
         assert turn.task is not None
-        done, _ = await asyncio.wait(
-            [turn.task], timeout=request.wait_ms / _MS_PER_S
-        )
+        wait_s = request.wait_ms / _MS_PER_S
+        turn.record_ask(self._clock.monotonic_s(), wait_s)
+        done, _ = await asyncio.wait([turn.task], timeout=wait_s)
         if not done:
             return self._reply(is_pending=True)
         if turn.task.cancelled():
@@ -239,45 +257,37 @@
         request: turn_messages.TurnRequest,
         wait: wait_estimator.WaitEstimate,
     ) -> bool:
-        # While turns are free, a further one delays no other organisation.
-        if not wait.turn_s and not wait.limit_s:
+        if not self._decider.has_contention(wait):
             return False
         return fair_share.is_exceeded(
-            request, (turn.request for turn in self._turns.values())
+            request,
+            (t.request for t in self._turns.values() if not t.is_put_off),
         )
 
-    def _must_await_start(self, request: turn_messages.TurnRequest) -> bool:
-        return self._admission.must_await_start(
-            request, self._awaiting_start_count
-        )
-
-    async def _await_start(self, limit_s: float) -> None:
-        self._awaiting_start_count += 1
-        try:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(limit_s):
-                    while self._engine.is_starting:
-                        await self._engine.next_report()
-        finally:
-            self._awaiting_start_count -= 1
-
     def _add_turn(
         self,
         request: turn_messages.TurnRequest,
         wait: wait_estimator.WaitEstimate,
+        run_s: float,
+        decision: turn_decision.Decision,
     ) -> turn_lease.TurnLease:
         now_s = self._clock.monotonic_s()
         deadline_at_s = now_s + request.deadline_ms / _MS_PER_S
         turn = turn_lease.TurnLease(
-            request, now_s, deadline_at_s, wait, self._expected_run_s(request)
+            request, now_s, deadline_at_s, wait, run_s, decision=decision
         )
+        turn.is_put_off = decision.tier is turn_decision.Tier.PUT_OFF
         self._turns[request.turn_id] = turn
+        if not turn.is_put_off:
+            self._expect_work(turn)
+        turn.task = asyncio.create_task(self._acquire(turn))
+        return turn
+
+    def _expect_work(self, turn: turn_lease.TurnLease) -> None:
         turn.expected_work.enter_context(
-            self._pacer.expecting(request.prompt_tokens)
+            self._pacer.expecting(turn.request.prompt_tokens)
         )
         turn.expected_work.enter_context(self._turn_pacer.expecting())
-        turn.task = asyncio.create_task(self._acquire(turn))
-        return turn
 
     async def _acquire(
         self, turn: turn_lease.TurnLease
@@ -286,6 +296,9 @@
         try:
             await self._acquire_resources(turn)
         except errors.RefusalError as error:
+            self._decider.record_refused(
+                request, error, self._clock.monotonic_s() - turn.requested_at_s
+            )
             await self._end(request.turn_id, from_task=True)
             return self._refused(request, error)
         except BaseException:
@@ -301,10 +314,14 @@
 
     async def _acquire_resources(self, turn: turn_lease.TurnLease) -> None:
         request = turn.request
+        if turn.is_put_off:
+            await self._put_off.wait(turn)
+            self._expect_work(turn)
         name = self._slot_name(request)
-        order = self._order(request, name)
+        order = self._order(turn, name)
+        order_s = turn.decision.order_s
         reservation = await turn.resources.enter_async_context(
-            self._queue.reserve(order)
+            self._queue.reserve(order, order_s or 0.0)
         )
         turn.record_step(self._clock.monotonic_s())
         if name:
@@ -319,13 +336,15 @@
         await turn.resources.enter_async_context(reservation.turn())
         turn.record_step(self._clock.monotonic_s())
         turn.expected_work.close()
-        await self._turn_pacer.admit(
-            request.flow, request.rank, request.weight
-        )
+        place = (request.flow, request.rank, request.weight, order_s)
+        await self._turn_pacer.admit(*place)
         turn.record_step(self._clock.monotonic_s())
-        await self._pacer.admit(
-            request.prompt_tokens, request.flow, request.rank, request.weight
-        )
+        await self._pacer.admit(request.prompt_tokens, *place)
+
+    def _has_room(self, request: turn_messages.TurnRequest) -> bool:
+        """Whether a request could start now without delaying another one."""
+        name = self._slot_name(request)
+        return not self._wait_estimator.estimate(request, name).delayed_s
 
     def _expected_slot_use_s(
         self, request: turn_messages.TurnRequest
@@ -371,12 +390,11 @@
             request.model, request.adapter, request.version
         )
 
-    def _order(
-        self, request: turn_messages.TurnRequest, name: str
-    ) -> work.WorkOrder:
+    def _order(self, turn: turn_lease.TurnLease, name: str) -> work.WorkOrder:
         # The queue schedules flows, that is the routes of organisations, as
         # it schedules customers with contracts: each flow gets its share of
         # the turns, and urgent routes go ahead.
+        request = turn.request
         urgency = contract.Urgency.STANDARD
         if not request.rank:
             urgency = contract.Urgency.INTERACTIVE
@@ -387,7 +405,7 @@
             contract_revision=0,
             urgency=urgency,
             weight=request.weight,
-            deadline_s=request.start_within_ms / _MS_PER_S,
+            deadline_s=request.start_within_ms / _MS_PER_S - turn.put_off_s,
             method='',
             path=name,
             repeatable=False,
@@ -401,8 +419,11 @@
         error: errors.RefusalError,
         wait_s: float = 0.0,
         is_above_share: bool = False,
+        is_return: bool = False,
     ) -> turn_messages.TurnReply:
-        self._outcomes.record_refused(request, error, is_above_share)
+        self._outcomes.record_refused(
+            request, error, is_above_share, is_return
+        )
         return self._reply(
             refusal=error.kind,
             detail=error.detail,
--- a/lacewingpitch/turn_metrics.py
+++ b/lacewingpitch/turn_metrics.py
@@ -1,5 +1,7 @@
 """Logs and metrics of the turns at one engine."""
 
+import collections
+
 import structlog
 
 from lacewingpitch import errors
@@ -27,6 +29,8 @@
             'wait_error_seconds',
             'Difference between expected and real wait, by its part.',
         )
+        self.granted_by_tier: collections.Counter[str] = collections.Counter()
+        self.returned_count = 0
         self.granted_count = 0
         self.refused_count = 0
         self.lapsed_count = 0
@@ -37,6 +41,9 @@
         """Record a turn that is granted now."""
         assert turn.granted_at_s is not None
         self.granted_count += 1
+        decision = turn.decision
+        self.granted_by_tier[decision.tier.value] += 1
+        self.returned_count += decision.is_return
         request = turn.request
         estimate = turn.wait_estimate
         waited_s = turn.granted_at_s - turn.requested_at_s
@@ -52,6 +59,10 @@
             wanted_version=request.version,
             prompt_tokens=request.prompt_tokens,
             expected_tokens=request.expected_tokens,
+            rank=request.rank,
+            tier=decision.tier,
+            is_return=decision.is_return,
+            put_off_ms=round(turn.put_off_s * _MS_PER_S),
             waited_ms=round(waited_s * _MS_PER_S),
             expected_ms=round(estimate.total_s * _MS_PER_S),
             expected_place_ms=round(estimate.slot_s * _MS_PER_S),
@@ -68,6 +79,7 @@
         request: turn_messages.TurnRequest,
         error: errors.RefusalError,
         is_above_share: bool,
+        is_return: bool = False,
     ) -> None:
         """Record a refused turn."""
         self.refused_count += 1
@@ -75,7 +87,11 @@
             'turn refused',
             request_id=request.run_id,
             organisation=request.organisation,
+            rank=request.rank,
+            target_ms=request.target_ms,
+            start_within_ms=request.start_within_ms,
             is_above_share=is_above_share,
+            is_return=is_return,
             kind=error.kind,
             detail=error.detail,
             retry_after_s=error.retry_after_s,
--- a/lacewingpitch/turn_queue.py
+++ b/lacewingpitch/turn_queue.py
@@ -16,15 +16,11 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch import queue_backlog
 from lacewingpitch import turn_duration
 from lacewingpitch import work
 
 RECHECK_INTERVAL_S = 0.2
-# With fewer reservations, a customer's rate counts as unknown.
-_MIN_RESERVED_COUNT = 16
-# Bounds the window in which a customer's rate is measured, so that the rate
-# follows changes.
-_MAX_RATE_WINDOW_S = 20.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -35,6 +31,8 @@
     ----------
     cost_s
         Expected duration of its turn.
+    order_s
+        The lowest goes first among requests that wait for a turn.
     reserved
         Resolved when the request gets its reservation; fails when the
         request is refused.
@@ -48,6 +46,7 @@
     cost_s: float
     reserved: asyncio.Future[None]
     turn: asyncio.Future[None]
+    order_s: float = 0.0
     reserved_s: float = 0.0
     started_s: float = 0.0
     used_s: float = 0.0
@@ -58,56 +57,6 @@
         return self.arrived_s + self.order.deadline_s
 
 
-@dataclasses.dataclass(slots=True)
-class _Backlog:
-    """One customer's queued requests and its measured service rate.
-
-    It exists while the customer has requests without a reservation.
-
-    Parameters
-    ----------
-    count
-        Requests without a reservation.
-    reserved_count
-        Reservations since the backlog began, also before `since_s`; compared
-        with `_MIN_RESERVED_COUNT`.
-    reserved_turns_s
-        Expected turn seconds of the reservations that the customer got from
-        `since_s` to `until_s`.
-    cached_wait_s
-        Estimated wait of its newest request, valid to `cached_until_s`.
-    """
-
-    since_s: float
-    until_s: float
-    count: int = 0
-    reserved_count: int = 0
-    reserved_turns_s: float = 0.0
-    cached_wait_s: float = 0.0
-    cached_until_s: float = 0.0
-
-    def record_reservation(self, cost_s: float, now_s: float) -> None:
-        """Record that a request of the customer got its reservation."""
-        self.until_s = now_s
-        self.reserved_count += 1
-        self.reserved_turns_s += cost_s
-        age_s = now_s - self.since_s
-        # Halving the window and its turn seconds keeps the rate, and gives
-        # later reservations more weight in it.
-        if age_s > _MAX_RATE_WINDOW_S:
-            self.since_s = now_s - age_s / 2
-            self.reserved_turns_s /= 2
-
-    def estimate_wait_s(self, ahead_s: float) -> float:
-        """Return the wait behind `ahead_s` turn seconds of this customer.
-
-        It is 0 while there are too few reservations to measure the rate.
-        """
-        if self.reserved_count < _MIN_RESERVED_COUNT:
-            return 0.0
-        return ahead_s * (self.until_s - self.since_s) / self.reserved_turns_s
-
-
 class QueueDiscipline(Protocol):
     """Queue discipline: selects the request that is reserved next."""
 
@@ -183,7 +132,7 @@
     its adapter), and then waits for its turn.  There are a few more
     reservations than turns, so that some requests prepare while others
     run.  The queue discipline assigns reservations; turns go to requests
-    in the order in which they finish preparing.
+    by their order, and then as they finish preparing.
 
     Parameters
     ----------
@@ -220,7 +169,7 @@
         self._reserved: dict[Waiter, None] = {}
         self._prepared: dict[Waiter, None] = {}
         self._running: dict[Waiter, None] = {}
-        self._backlogs: dict[str, _Backlog] = {}
+        self._backlogs: dict[str, queue_backlog.QueueBacklog] = {}
         self._recheck_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -244,17 +193,23 @@
 
     @contextlib.asynccontextmanager
     async def reserve(
-        self, order: work.WorkOrder
+        self, order: work.WorkOrder, order_s: float = 0.0
     ) -> AsyncIterator[Reservation]:
         """Acquire a reservation and hold it while the context is open.
 
+        Parameters
+        ----------
+        order_s
+            The lowest gets its turn first; those of the same order get
+            theirs as they finish preparing.
+
         Raises
         ------
         RefusalError
             The queue is full, or the turn would start after the
             deadline.  The request did not run.
         """
-        waiter = self._enter(order)
+        waiter = self._enter(order, order_s)
         # A caller may disconnect after it got the reservation and before
         # its task resumes.  Without the cleanup each such reservation
         # would leak, and the backend server would lose capacity.
@@ -275,7 +230,7 @@
         finally:
             self._end_turn(waiter)
 
-    def _enter(self, order: work.WorkOrder) -> Waiter:
+    def _enter(self, order: work.WorkOrder, order_s: float) -> Waiter:
         self._check_limits(order)
         loop = asyncio.get_running_loop()
         waiter = Waiter(
@@ -284,6 +239,7 @@
             self._turn_durations.predict_s(order),
             loop.create_future(),
             loop.create_future(),
+            order_s,
         )
         self._add(waiter)
         # With fewer reservations than turns, a turn is free for the request.
@@ -333,7 +289,7 @@
         self._waiting[waiter] = None
         customer = waiter.order.customer
         if customer not in self._backlogs:
-            self._backlogs[customer] = _Backlog(
+            self._backlogs[customer] = queue_backlog.QueueBacklog(
                 waiter.arrived_s, waiter.arrived_s
             )
         self._backlogs[customer].count += 1
@@ -371,7 +327,7 @@
 
     def _grant_turns(self) -> None:
         while self._prepared and len(self._running) < self._turn_count:
-            waiter = next(iter(self._prepared))
+            waiter = min(self._prepared, key=lambda w: w.order_s)
             del self._prepared[waiter]
             waiter.started_s = self._clock.monotonic_s()
             self._running[waiter] = None
