The regression's prior counts more at engines that falter

The rate of prompts was 0.92 off at a fast engine that falters 0.15 of the time and gets 3 requests a second, 0.45 at 8 a second: the tokens of a window differ by more than a prompt costs.

--- a/lacewingpitch/token_regression.py
+++ b/lacewingpitch/token_regression.py
@@ -6,10 +6,12 @@
 # read are counted in whole numbers.
 _MIN_WINDOW_S = 0.4
 # Prior for the prompt tokens that an engine reads in the time of one token
-# of its answers, and its weight as prompt tokens of one window.
+# of its answers, and its standard deviation as a share of it.
 _PRIOR_PROMPT_TOKENS_PER_TOKEN = 200.0
-_PRIOR_PROMPT_TOKENS = 3000.0
+_PRIOR_DEVIATION_RATIO = 0.5
 _MAX_PRIOR_FACTOR = 5.0
+# Least standard deviation of the tokens of a window, from their rounding.
+_MIN_TOKENS_ERROR = 3.0
 
 
 class TokenRegression:
@@ -17,7 +19,9 @@
 
     In an interval each run generates `duration_s / token_s` tokens, less
     those whose time goes to prompts.  The number of tokens is the dependent
-    variable, because its rounding to events is the largest error.
+    variable, because its rounding to events is the largest error.  The more
+    the intervals differ from the estimate, as those of an engine that falters
+    do, the more the prior counts.
     """
 
     def __init__(self) -> None:
@@ -29,6 +33,8 @@
         self._s_prompt = 0.0
         self._squared_prompt = 0.0
         self._prompt_tokens = 0.0
+        self._squared_error = 0.0
+        self._count = 0.0
         self._tokens_per_s = 0.0
         self._tokens_per_prompt_token = 1.0 / _PRIOR_PROMPT_TOKENS_PER_TOKEN
 
@@ -76,6 +82,8 @@
         self._s_prompt *= ratio
         self._squared_prompt *= ratio
         self._prompt_tokens *= ratio
+        self._squared_error *= ratio
+        self._count *= ratio
 
     def _add(
         self, duration_s: float, tokens: float, prompt_tokens: float
@@ -85,10 +93,21 @@
         self._s_prompt += duration_s * prompt_tokens
         self._squared_prompt += prompt_tokens**2
         self._prompt_tokens += prompt_tokens * tokens
+        if self.is_known:
+            error_s = duration_s - self.expected_s(tokens, prompt_tokens)
+            self._squared_error += (error_s * self._tokens_per_s) ** 2
+            self._count += 1.0
+
+    @property
+    def _variance(self) -> float:
+        """Return the variance of the tokens of a window."""
+        if not self._count:
+            return _MIN_TOKENS_ERROR**2
+        return max(_MIN_TOKENS_ERROR**2, self._squared_error / self._count)
 
     def _solve(self) -> None:
         prior = 1.0 / _PRIOR_PROMPT_TOKENS_PER_TOKEN
-        weight = _PRIOR_PROMPT_TOKENS**2
+        weight = self._variance / (_PRIOR_DEVIATION_RATIO * prior) ** 2
         squared_prompt = self._squared_prompt + weight
         product = weight * prior - self._prompt_tokens
         determinant = self._squared_s * squared_prompt - self._s_prompt**2
