--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -125,6 +125,13 @@
             collections.OrderedDict()
         )
 
+    @property
+    def known_pace_count(self) -> int:
+        """Return how many engines told their pace since their start."""
+        return sum(
+            state.told_pace is not None for state in self._states.values()
+        )
+
     async def locate(
         self, key: str, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -203,6 +203,7 @@
     ) -> request_forwarder.RequestForwarder:
         settings = self._file.settings
         process = self._process
+        stall_costs = self._new_stall_costs()
         placement = placement_module.Placement(
             process.clock,
             product_settings.ObjectiveSettings(stall_weight=1),
@@ -210,8 +211,10 @@
             load_max_age_s=_MAX_LOAD_AGE_S,
             cached_copies=cached_copies.CachedCopies(),
             instance=settings.instance,
-            stall_costs=self._new_stall_costs(),
+            stall_costs=stall_costs,
         )
+        if stall_costs is not None:
+            self._add_pace_metrics(stall_costs, placement)
         services = service_balancer.ServiceBalancer(
             self.servers,
             self.ejector,
@@ -259,10 +262,21 @@
         settings = self._file.settings
         if parts_module.Part.ENGINE_PACE not in settings.parts:
             return None
-        costs = stall_costs_module.StallCosts(
+        return stall_costs_module.StallCosts(
             self._process.clock, settings.instance
         )
+
+    def _add_pace_metrics(
+        self,
+        costs: stall_costs_module.StallCosts,
+        placement: placement_module.Placement,
+    ) -> None:
         metrics = self._process.metrics
+        metrics.gauge(
+            'engines_of_known_pace',
+            'Engines whose sidecar told the pace of their present start.',
+            lambda: placement.known_pace_count,
+        )
         metrics.counter(
             'requests_moved_by_pace_total',
             'Rankings whose first engine changed by the pace of engines.',
@@ -273,7 +287,6 @@
             'Rankings that ignored the pace of one engine to test it.',
             lambda: costs.probe_count,
         )
-        return costs
 
     async def _start_peer_bootstrap(
         self,
--- a/tests/test_stall_costs.py
+++ b/tests/test_stall_costs.py
@@ -224,6 +224,13 @@
         ]
         assert chosen.count(instances[home]) <= 1
 
+    def test_unlisted_engine_is_forgotten(self, clock, instances):
+        entry = make_placement(clock, make_costs(clock))
+        apply_paces(entry, instances)
+        assert entry.known_pace_count == len(instances)
+        entry.retain(instances[:2])
+        assert entry.known_pace_count == 2
+
     def test_restart_forgets_it(self, clock, instances):
         """A restarted engine is avoided for what it was before."""
         entry = make_placement(clock, make_costs(clock))
