Placement prefers engines of the own availability zone, as a part

Cause: no decision on placement knows a zone, so two thirds of all turns are at engines of another one, and their answers cross zones.

--- a/lacewingpitch/parts.py
+++ b/lacewingpitch/parts.py
@@ -11,6 +11,8 @@
 
     # Measures how fast each engine runs, and places and paces by it.
     ENGINE_PACE = 'engine-pace'
+    # Prefers engines of an entry's own availability zone.
+    OWN_ZONE = 'own-zone'
     # Ranks waiting requests by what their callers lose.
     CALLER_LOSS = 'caller-loss'
     # Refusals name engines that have room.
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -23,6 +23,7 @@
 from lacewingpitch import rendezvous
 from lacewingpitch import settings as settings_module
 from lacewingpitch import stall_costs as stall_costs_module
+from lacewingpitch import zone_costs as zone_costs_module
 
 # Hints older than this are dropped.
 HINT_MAX_AGE_S = 30.0
@@ -80,6 +81,9 @@
     stall_costs
         Costs of engines that are too slow for a request; ``None`` if all
         engines are taken to be equally fast.
+    zone_costs
+        Costs of engines in other availability zones; ``None`` if zones
+        don't matter.
     """
 
     def __init__(
@@ -92,11 +96,13 @@
         cached_copies: cached_copies_module.CachedCopies | None = None,
         instance: str = '',
         stall_costs: stall_costs_module.StallCosts | None = None,
+        zone_costs: zone_costs_module.ZoneCosts | None = None,
     ) -> None:
         self._clock = clock
         self._load_max_age_s = load_max_age_s
         self._instance = instance
         self._stall_costs = stall_costs
+        self._zone_costs = zone_costs
         self._no_spare_slot_penalty_s = no_spare_slot_penalty_s
         objective = objective or settings_module.ObjectiveSettings()
         # With a stall weight above one half, the emptier of two equal
@@ -368,6 +374,9 @@
             self._pools.of(instances),
             self._fill_cost_s,
             self._no_spare_slot_penalty_s,
+            self._zone_costs.costs_s(instances)
+            if self._zone_costs
+            else [0.0] * len(instances),
         )
         self._costs[id(instances)] = costs
         return costs
--- a/lacewingpitch/placement_costs.py
+++ b/lacewingpitch/placement_costs.py
@@ -135,6 +135,9 @@
         prefers fuller backend servers.
     no_spare_slot_penalty_s
         See `placement.Placement`.
+    zone_costs_s
+        Costs of the backend servers by their availability zones, in seconds
+        of waiting.
     """
 
     def __init__(
@@ -144,7 +147,9 @@
         pool: Pool,
         fill_cost_s: float,
         no_spare_slot_penalty_s: float,
+        zone_costs_s: Sequence[float],
     ) -> None:
+        self._zone_costs_s = zone_costs_s
         self._no_spare_slot_penalty_s = no_spare_slot_penalty_s
         self.instances = instances
         self.pool = pool
@@ -259,7 +264,10 @@
                 hint.load_wait_ms if hint else 0
             )
             self._has_hint[column] = hint is not None
-            self._held_waits_s[column] = state.turn_wait_s(self._fill_cost_s)
+            self._held_waits_s[column] = (
+                state.turn_wait_s(self._fill_cost_s)
+                + self._zone_costs_s[column]
+            )
             self._load_waits_s[column] = state.load_wait_s(
                 self._held_waits_s[column], self._no_spare_slot_penalty_s
             )
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -43,6 +43,7 @@
 from lacewingpitch import turn_client
 from lacewingpitch import usage_limits
 from lacewingpitch import usage_ownership
+from lacewingpitch import zone_costs as zone_costs_module
 
 # The retry budget is divided by this number of entries at least, which is
 # more than small deployments have, including spare instances.
@@ -212,6 +213,7 @@
             cached_copies=cached_copies.CachedCopies(),
             instance=settings.instance,
             stall_costs=stall_costs,
+            zone_costs=self._new_zone_costs(),
         )
         if stall_costs is not None:
             self._add_pace_metrics(stall_costs, placement)
@@ -266,6 +268,12 @@
             self._process.clock, settings.instance
         )
 
+    def _new_zone_costs(self) -> zone_costs_module.ZoneCosts | None:
+        settings = self._file.settings
+        if parts_module.Part.OWN_ZONE not in settings.parts:
+            return None
+        return zone_costs_module.ZoneCosts(settings.availability_zone)
+
     def _add_pace_metrics(
         self,
         costs: stall_costs_module.StallCosts,
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -39,3 +39,13 @@
     def test_unknown_part_is_rejected(self, tmp_path):
         with pytest.raises(errors.SettingsError, match='parts'):
             make_file(tmp_path, parts=['engine-speed'])
+
+
+class TestOwnZone:
+    async def test_is_off_by_default(self, tmp_path):
+        entry = entry_module.Entry(make_file(tmp_path, parts=['engine-pace']))
+        assert entry._new_zone_costs() is None
+
+    async def test_is_on_where_settings_name_it(self, tmp_path):
+        entry = entry_module.Entry(make_file(tmp_path, parts=['own-zone']))
+        assert entry._new_zone_costs() is not None
--- a/tests/uneven_fleet.py
+++ b/tests/uneven_fleet.py
@@ -12,11 +12,13 @@
 from lacewingpitch import placement
 from lacewingpitch import settings
 from lacewingpitch import stall_costs
+from lacewingpitch import zone_costs
 from tests import clocks
 from tests import samples
 
 ENGINE_COUNT = 27
 ENTRY_COUNT = 29
+ZONE_COUNT = 3
 MAX_RUNNING = 32
 SLOT_COUNT = 19
 COPY_COUNT = 66
@@ -149,14 +151,23 @@
     ----------
     by_pace
         Whether the entry instances place by the pace of engines.
+    by_zone
+        Whether they prefer engines of their own availability zone.
+    skew_ratio
+        Share of the requests that all come to the first zone, beyond its
+        part of the others.
     """
 
-    def __init__(self, seed, by_pace, ratios):
+    def __init__(self, seed, by_pace, ratios, by_zone=False, skew_ratio=0.0):
         self.clock = clocks.ManualClock(100.0)
         self.random = random.Random(seed)
         self.by_pace = by_pace
+        self.by_zone = by_zone
+        self.skew_ratio = skew_ratio
         self.instances = tuple(
-            samples.sidecar(f'engine-{number}')
+            samples.sidecar(
+                f'engine-{number}', availability_zone=zone_of(number // 3)
+            )
             for number in range(len(ratios))
         )
         self.engines = {
@@ -172,6 +183,7 @@
     def new_entry(self, number):
         name = f'entry-{number}'
         costs = stall_costs.StallCosts(self.clock, name)
+        zones = zone_costs.ZoneCosts(zone_of(number))
         return placement.Placement(
             self.clock,
             settings.ObjectiveSettings(stall_weight=1.0),
@@ -180,6 +192,7 @@
             cached_copies=cached_copies.CachedCopies(),
             instance=name,
             stall_costs=costs if self.by_pace else None,
+            zone_costs=zones if self.by_zone else None,
         )
 
     def restart(self, name):
@@ -193,9 +206,14 @@
             if self.clock.monotonic_s() - self.listed_at_s >= LIST_INTERVAL_S:
                 self.listed_at_s = self.clock.monotonic_s()
                 self._publish()
-            entry = self.random.choice(self.entries)
+            entry = self._choose_entry()
             self._serve(f'a{number}', int(tokens), entry)
 
+    def _choose_entry(self):
+        if self.skew_ratio and self.random.random() < self.skew_ratio:
+            return self.random.choice(self.entries[::ZONE_COUNT])
+        return self.random.choice(self.entries)
+
     def _publish(self):
         for name, engine in self.engines.items():
             for entry in self.entries:
@@ -213,6 +231,9 @@
             entry.apply_hint(server.name, engine.hint())
             if found is not None:
                 self.requests_by_engine[server.name] += 1
+                number = self.entries.index(entry)
+                is_own = server.availability_zone == zone_of(number)
+                self.outcomes['own zone'] += is_own
                 self._record(key, tokens, *found)
                 return
         self.outcomes['refused'] += 1
@@ -245,6 +266,10 @@
         return self.outcomes['loads'] - len(self.loaded)
 
 
+def zone_of(number):
+    return f'zone-{number % ZONE_COUNT}'
+
+
 def uneven_ratios(slow_ratio=SLOW_RATIO):
     return [
         slow_ratio if number % 3 == 0 else 1.0
