--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -44,6 +44,7 @@
 from lacewingpitch import turn_client
 from lacewingpitch import usage_limits
 from lacewingpitch import usage_ownership
+from lacewingpitch import zone_costs as zone_costs_module
 
 # The retry budget is divided by this number of entries at least, which is
 # more than small deployments have, including spare instances.
@@ -204,6 +205,7 @@
     ) -> request_forwarder.RequestForwarder:
         settings = self._file.settings
         process = self._process
+        stall_costs = self._new_stall_costs()
         placement = placement_module.Placement(
             process.clock,
             product_settings.ObjectiveSettings(stall_weight=1),
@@ -211,8 +213,11 @@
             load_max_age_s=_MAX_LOAD_AGE_S,
             cached_copies=cached_copies.CachedCopies(),
             instance=settings.instance,
-            stall_costs=self._new_stall_costs(),
+            stall_costs=stall_costs,
+            zone_costs=self._new_zone_costs(),
         )
+        if stall_costs is not None:
+            self._add_pace_metrics(stall_costs, placement)
         services = service_balancer.ServiceBalancer(
             self.servers,
             self.ejector,
@@ -261,10 +266,27 @@
         settings = self._file.settings
         if parts_module.Part.ENGINE_PACE not in settings.parts:
             return None
-        costs = stall_costs_module.StallCosts(
+        return stall_costs_module.StallCosts(
             self._process.clock, settings.instance
         )
+
+    def _new_zone_costs(self) -> zone_costs_module.ZoneCosts | None:
+        settings = self._file.settings
+        if parts_module.Part.OWN_ZONE not in settings.parts:
+            return None
+        return zone_costs_module.ZoneCosts(settings.availability_zone)
+
+    def _add_pace_metrics(
+        self,
+        costs: stall_costs_module.StallCosts,
+        placement: placement_module.Placement,
+    ) -> None:
         metrics = self._process.metrics
+        metrics.gauge(
+            'engines_of_known_pace',
+            'Engines whose sidecar told the pace of their present start.',
+            lambda: placement.known_pace_count,
+        )
         metrics.counter(
             'requests_moved_by_pace_total',
             'Rankings whose first engine changed by the pace of engines.',
@@ -275,7 +297,6 @@
             'Rankings that ignored the pace of one engine to test it.',
             lambda: costs.probe_count,
         )
-        return costs
 
     def _service_admission(self) -> service_admission.ServiceAdmission:
         if (
