Reports up to 0.1 s late and 0.4 s apart still measure an engine

A sidecar that shares its machine with a busy engine is often late by tens of ms; its engine would stay unknown. A late report shifts the events of two intervals only, in opposite directions.

--- a/lacewingpitch/pace_watch.py
+++ b/lacewingpitch/pace_watch.py
@@ -16,7 +16,7 @@
 # Pauses between events show only in reports that are closer to each other.
 _POLL_INTERVAL_S = 0.1
 # A report that takes longer states the events of an uncertain time.
-_MAX_REPORT_S = 0.05
+_MAX_REPORT_S = 0.1
 # The pace of an engine that hasn't been heard of for this long is unknown.
 _MAX_AGE_S = 2.0
 
--- a/lacewingpitch/run_progress.py
+++ b/lacewingpitch/run_progress.py
@@ -7,7 +7,7 @@
 # Shorter intervals hold too few events to tell a rate.
 _MIN_INTERVAL_S = 0.08
 # A longer one says more about this process than about the engine.
-_MAX_INTERVAL_S = 0.25
+_MAX_INTERVAL_S = 0.4
 # All runs of a batch make their events at the same rate.  One that differs
 # by more from the others waited, or was preempted, for part of the interval.
 _MAX_EVENT_DIFFERENCE = 1
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -304,3 +304,31 @@
             body = await response.read()
         assert response.status == 200
         assert body.count(b'id: ') == 5
+
+
+class TestEnginePace:
+    async def test_sidecar_measures_its_engine(self, tmp_path):
+        parts = ('engine-pace',)
+        async with platform_processes.Platform(
+            tmp_path, parts=parts
+        ) as platform:
+            for engine in platform.engines:
+                engine.event_count = 100
+                engine.event_pause_s = 0.02
+            answers = await asyncio.gather(
+                *(self.read(platform, f'r-{n}') for n in range(4))
+            )
+            assert all(body.count(b'id: ') == 100 for body in answers)
+            sidecars = [p for p in platform.programs if p.role == 'sidecar']
+            lines = [
+                line for p in sidecars for line in p.events('engine pace')
+            ]
+            assert lines
+            # Events hold one token here, and a busy machine is slower.
+            assert all(line['token_ms'] >= 18.0 for line in lines)
+
+    async def read(self, platform, request_id):
+        async with platform.call(
+            '/chat/x', request_id, Model=f'{standin.MODEL}/a7'
+        ) as response:
+            return await response.read()
