Competition for room: own load of an adapter is no delay by others; late requests start while few prompts wait

Requests of less urgent ranks were refused for the load of their own adapter, and no late request was released above the base rate of prompts, where some prompts always wait.

--- a/benchmarks/caller_loss.py
+++ b/benchmarks/caller_loss.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 import contextlib
 import dataclasses
 import random
@@ -15,8 +15,10 @@
 
 from benchmarks import virtual_time
 from lacewingpitch import crash_record
+from lacewingpitch import due_queue
 from lacewingpitch import fair_queue
 from lacewingpitch import metrics
+from lacewingpitch import parts as parts_module
 from lacewingpitch import prefill_pacer
 from lacewingpitch import slot_simulation
 from lacewingpitch import turn_granter
@@ -159,7 +161,11 @@
         return _STEP_S * (1.0 + self.running_count / TURNS)
 
 
-def _fair_queue(clock):
+def _discipline(
+    clock: virtual_time.LoopClock, parts: Collection[parts_module.Part]
+) -> turn_queue.QueueDiscipline:
+    if parts_module.Part.CALLER_LOSS in parts:
+        return due_queue.DueQueue()
     return fair_queue.FairQueue(TURNS, lambda _order: True, clock)
 
 
@@ -167,17 +173,18 @@
     """An engine and its sidecar's granter."""
 
     def __init__(
-        self, number: int, seed: int, make_discipline=None, **granter_fields
+        self, number: int, seed: int, parts: Collection[parts_module.Part]
     ) -> None:
         clock = virtual_time.LoopClock()
         self.queue = turn_queue.TurnQueue(
             TURNS,
             8,
             512,
-            (make_discipline or _fair_queue)(clock),
+            _discipline(clock, parts),
             clock,
             lambda _order: 0.0,
         )
+        self.tasks: list[asyncio.Future[None]] = []
         self.engine = Engine(f'i-{number}')
         self.outcomes = turn_metrics.TurnMetrics(
             self.queue, metrics.Metrics('s', 'zone-a')
@@ -192,7 +199,7 @@
             random.Random(seed),
             self.outcomes,
             crash_record.CrashRecord(clock, random.Random(seed)),
-            **granter_fields,
+            parts=parts,
         )
 
 
@@ -342,26 +349,50 @@
     return found
 
 
+def with_flood(load: list[Call], organisation: str, seed: int) -> list[Call]:
+    """Return a load to which an organisation adds as many calls again."""
+    source = random.Random(seed)
+    own = [call for call in load if call.organisation == organisation]
+    ends_at_s = max(call.at_s for call in load)
+    return load + [
+        dataclasses.replace(
+            source.choice(own),
+            number=len(load) + number,
+            at_s=source.uniform(0.0, ends_at_s),
+        )
+        for number in range(len(load))
+    ]
+
+
 Event = Callable[[list[Site]], None]
 
 
+def away(
+    number: int, from_s: float, until_s: float
+) -> tuple[tuple[float, Event], ...]:
+    """Return the events of an engine that takes no requests for a time."""
+
+    def leave(sites: list[Site]) -> None:
+        sites[number].engine.is_serving = False
+        refusing = sites[number].granter.refuse_pending()
+        sites[number].tasks.append(asyncio.ensure_future(refusing))
+
+    def come_back(sites: list[Site]) -> None:
+        sites[number].engine.is_serving = True
+
+    return ((from_s, leave), (until_s, come_back))
+
+
 def play(
     load: list[Call],
     seed: int = 1,
     events: Iterable[tuple[float, Event]] = (),
-    **granter_fields: Callable[[], object],
+    parts: Collection[parts_module.Part] = (),
 ) -> tuple[list[Fate], list[Site]]:
     """Play a load; return what became of each call, and the sites."""
 
     async def main():
-        sites = [
-            Site(
-                number,
-                seed,
-                **{name: make() for name, make in granter_fields.items()},
-            )
-            for number in range(ENGINE_COUNT)
-        ]
+        sites = [Site(number, seed, parts) for number in range(ENGINE_COUNT)]
         loop = asyncio.get_running_loop()
         for at_s, event in events:
             loop.call_at(at_s, event, sites)
--- a/lacewingpitch/caller_loss.py
+++ b/lacewingpitch/caller_loss.py
@@ -23,8 +23,9 @@
 # each request whose first event can still be on time after it.
 _MIN_WAIT_LIMIT_S = 0.4
 _FIRST_EVENT_S = 0.1
-# Shares of the allowed wait for an organisation above its fair share, and
-# for a less urgent rank, so that the others find a short queue.
+# Shares of the allowed wait that others may cause, for an organisation above
+# its fair share and for a less urgent rank, so that the others find a short
+# queue.
 _ABOVE_SHARE_WAIT_RATIO = 0.25
 _LESS_URGENT_WAIT_RATIO = 0.5
 # Organisations keep to their shares while prompts are read this much later.
@@ -75,7 +76,9 @@
     def allowed_s(self) -> float:
         """Return how long it may wait and still be on time."""
         least_s = min(_MIN_WAIT_LIMIT_S, self.target_s - _FIRST_EVENT_S)
-        return max(0.0, least_s, self.target_s - _margin_s(self.target_s))
+        most_s = max(0.0, least_s, self.target_s - _margin_s(self.target_s))
+        accept_s = self.request.accept_within_ms / _MS_PER_S
+        return min(most_s, accept_s) if accept_s else most_s
 
 
 class CallerLoss:
@@ -157,16 +160,17 @@
             refusal = self._admission.not_serving_refusal()
             self._record(arrival, refusal)
             return turn_decision.Decision(refusal)
-        allowed_s = self._allowed_s(arrival, is_above_share)
+        allowed_s = arrival.allowed_s
+        delay_limit_s = self._delay_limit_s(arrival, is_above_share)
         tier = None
-        if wait.total_s <= allowed_s:
+        if wait.total_s <= allowed_s and wait.delayed_s <= delay_limit_s:
             tier = turn_decision.Tier.ON_TIME
         elif not request.accept_within_ms:
             # Otherwise the entry compares engines, and asks once more
             # before it refuses its caller.
             tier = self._late_tier(arrival, wait, run_s, is_above_share)
         if tier is None:
-            return self._refused(arrival, wait, allowed_s)
+            return self._refused(arrival, wait, min(allowed_s, delay_limit_s))
         self._ratios.record(request.rank, True, arrival.is_return)
         self._callers.forget(request.fingerprint)
         # An organisation above its share goes behind the others.
@@ -193,19 +197,17 @@
             request, now_s, target_s, give_up_at_s, caller.target_at_s, True
         )
 
-    def _allowed_s(self, arrival: _Arrival, is_above_share: bool) -> float:
-        """Return the longest wait with which a request is on time."""
-        request = arrival.request
-        if self._ratios.is_preferred(request.rank):
+    def _delay_limit_s(self, arrival: _Arrival, is_above_share: bool) -> float:
+        """Return how much of the allowed wait may be caused by others."""
+        rank = arrival.request.rank
+        if self._ratios.is_preferred(rank):
             return 0.0
-        allowed_s = arrival.allowed_s
+        limit_s = arrival.allowed_s
         if is_above_share:
-            allowed_s *= _ABOVE_SHARE_WAIT_RATIO
-        if request.rank and not self._ratios.is_neglected(request.rank):
-            allowed_s *= _LESS_URGENT_WAIT_RATIO
-        if request.accept_within_ms:
-            allowed_s = min(allowed_s, request.accept_within_ms / _MS_PER_S)
-        return allowed_s
+            limit_s *= _ABOVE_SHARE_WAIT_RATIO
+        if rank and not self._ratios.is_neglected(rank):
+            limit_s *= _LESS_URGENT_WAIT_RATIO
+        return limit_s
 
     def _late_tier(
         self,
@@ -215,11 +217,13 @@
         is_above_share: bool,
     ) -> turn_decision.Tier | None:
         """Return how a late request is admitted; ``None`` if it is not."""
-        if not wait.delayed_s:
+        if wait.is_unhindered:
             return turn_decision.Tier.SPARE_ROOM
-        if is_above_share or self._put_off.is_full:
-            return None
         request = arrival.request
+        if self._put_off.is_full:
+            return None
+        if is_above_share and self._put_off.has_any_of(request.organisation):
+            return None
         put_off_s = self._put_off.expected_wait_s(arrival.put_off_order_s)
         start_s = request.start_within_ms / _MS_PER_S
         last_start_s = min(start_s, request.deadline_ms / _MS_PER_S - run_s)
--- a/lacewingpitch/put_off_queue.py
+++ b/lacewingpitch/put_off_queue.py
@@ -69,6 +69,13 @@
         """Whether no further request can be put off."""
         return len(self._waiting) >= _MAX_COUNT
 
+    def has_any_of(self, organisation: str) -> bool:
+        """Whether a request of an organisation is put off."""
+        return any(
+            queued.turn.request.organisation == organisation
+            for queued in self._waiting
+        )
+
     @property
     def interval_s(self) -> float:
         """Return the expected time from one release to the next."""
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
+import math
 import random
 
 import structlog
@@ -334,7 +335,8 @@
     def _has_room(self, request: turn_messages.TurnRequest) -> bool:
         """Whether a request could start now without delaying another one."""
         name = self._slot_name(request)
-        return not self._wait_estimator.estimate(request, name).delayed_s
+        wait = self._wait_estimator.estimate(request, name, math.inf)
+        return wait.is_unhindered
 
     def _expected_slot_use_s(
         self, request: turn_messages.TurnRequest
--- a/lacewingpitch/wait_estimator.py
+++ b/lacewingpitch/wait_estimator.py
@@ -13,6 +13,9 @@
 # requests are on time.
 _SLOT_WAIT_SAFETY_FACTOR = 1.5
 
+# Up to this wait an engine reads prompts faster as more of them wait.
+_UNHINDERED_PROMPT_S = 0.2
+
 
 class AdapterWaits(Protocol):
     """Estimates waits for the adapter slots of an engine."""
@@ -65,6 +68,16 @@
         """Return the wait for the adapter."""
         return self.slot_s + self.load_s
 
+    @property
+    def is_unhindered(self) -> bool:
+        """Whether the request could start without delaying others.
+
+        The order in which prompts are read protects the others from a
+        short wait for prompts.
+        """
+        others_s = self.slot_s + self.turn_s + self.limit_s
+        return not others_s and self.prompt_s <= _UNHINDERED_PROMPT_S
+
     @property
     def delayed_s(self) -> float:
         """Return the wait that other requests cause."""
