--- /dev/null
+++ b/lacewingpitch/turn_replies.py
@@ -0,0 +1,38 @@
+"""Replies of the sidecars that were asked for one turn."""
+
+import dataclasses
+
+from lacewingpitch import backend_list
+from lacewingpitch import errors
+from lacewingpitch import turn_spec
+
+
+@dataclasses.dataclass(slots=True)
+class TurnReplies:
+    """Replies of the sidecars that were tried for one request.
+
+    Parameters
+    ----------
+    refusals
+        The last refusal of each server that refused the request, by name.
+    starting
+        Servers whose engine is starting.
+    refused_waits_s
+        Expected wait at each server that refused the request, by name.
+    fallbacks
+        Turns without the consent of sidecars that do not answer.
+    """
+
+    refusals: dict[str, errors.RefusalError] = dataclasses.field(
+        default_factory=dict
+    )
+    starting: list[backend_list.BackendServer] = dataclasses.field(
+        default_factory=list
+    )
+    refused_waits_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    fallbacks: list[turn_spec.Turn] = dataclasses.field(default_factory=list)
+
+    @property
+    def are_all_starting(self) -> bool:
+        """Whether every server that was tried has a starting engine."""
+        return len(self.starting) == len(self.refusals) > 0
