Ask further engines by chance once the preferred ones have refused

An entry asked three engines and refused its caller while a fourth was free. With the part room-news it asks up to two more, chosen by chance among all that it may use, before it asks the soonest again; up to two that don't serve are not counted. Only refusals start and continue it: a silent sidecar ends it.

--- a/lacewingpitch/parts.py
+++ b/lacewingpitch/parts.py
@@ -13,7 +13,7 @@
     ENGINE_PACE = 'engine-pace'
     # Ranks waiting requests by what their callers lose.
     CALLER_LOSS = 'caller-loss'
-    # Refusals name engines that have room.
+    # Asks further engines for a turn once the preferred ones have refused.
     ROOM_NEWS = 'room-news'
     # Moves runs to another engine when theirs leaves.
     MOVING_RUNS = 'moving-runs'
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -19,6 +19,7 @@
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch import notice_router
+from lacewingpitch import parts
 from lacewingpitch import peer_bootstrap
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
@@ -31,6 +32,7 @@
 from lacewingpitch.platform import wire
 from lacewingpitch import request_forwarder
 from lacewingpitch import retry_budget
+from lacewingpitch import room_search
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
@@ -234,6 +236,7 @@
             self._suspects,
             self._limits,
             self._gate,
+            self._new_room_search(),
         )
         process.background.run('turns', turns.run)
         return request_forwarder.RequestForwarder(
@@ -252,6 +255,13 @@
             self._gate,
         )
 
+    def _new_room_search(self) -> room_search.RoomSearch | None:
+        if parts.Part.ROOM_NEWS not in self._file.settings.parts:
+            return None
+        search = room_search.RoomSearch(self._process.random)
+        search.add_metrics(self._process.metrics)
+        return search
+
     async def _start_peer_bootstrap(
         self,
         exchange: configuration_exchange.ConfigurationExchange,
--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -6,7 +6,7 @@
 form in which placement ranks it.
 """
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 
 from lacewingpitch import backend_list
 from lacewingpitch import ejection
@@ -61,21 +61,48 @@
         )
         # Lacks an engine that is no longer listed if its retention has
         # expired since the instances were read.
-        servers = {
+        servers = self._open_servers(spec)
+        names = [
+            instance.name
+            for instance in ranked
+            if instance.name in servers and instance.name not in excluded
+        ]
+        allowed = self._allowed(names)
+        return [servers[name] for name in allowed[:_MAX_CANDIDATES]]
+
+    def further_candidates(
+        self, spec: turn_spec.TurnSpec, excluded: Collection[str]
+    ) -> list[backend_list.BackendServer]:
+        """Return all engines that may be tried, in no order of preference.
+
+        The ejector counts those that were tried, too.
+        """
+        servers = self._open_servers(spec)
+        return [
+            servers[name]
+            for name in self._allowed(list(servers))
+            if name not in excluded
+        ]
+
+    def _open_servers(
+        self, spec: turn_spec.TurnSpec
+    ) -> dict[str, backend_list.BackendServer]:
+        return {
             server.name: server
             for server in self._servers.serving(spec.service)
-            if server.name not in excluded and self._gate.is_open(server)
+            if self._gate.is_open(server)
         }
-        names = [i.name for i in ranked if i.name in servers]
+
+    def _allowed(self, names: Sequence[str]) -> list[str]:
+        """Return the engines that the ejector doesn't exclude."""
         allowed = set(self._ejector.allowed(names))
         sidecar_keys = [sidecar_key(name) for name in names]
         allowed_sidecars = set(self._ejector.allowed(sidecar_keys))
-        candidates = [
-            servers[name]
+        return [
+            name
             for name in names
             if name in allowed and sidecar_key(name) in allowed_sidecars
         ]
-        return candidates[:_MAX_CANDIDATES]
 
     def isolation_server(
         self, spec: turn_spec.TurnSpec, excluded: Collection[str]
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -5,7 +5,6 @@
     Callable,
     Collection,
     Iterable,
-    Sequence,
 )
 import contextlib
 
@@ -18,6 +17,7 @@
 from lacewingpitch import errors
 from lacewingpitch import isolation
 from lacewingpitch import placement as placement_module
+from lacewingpitch import room_search
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import suspects as suspects_module
@@ -56,6 +56,9 @@
         Limits that the engines name.
     gate
         Tells which engines must get no requests of this entry now.
+    search
+        Asks further engines once the preferred ones have refused; ``None``
+        to refuse then.
     """
 
     def __init__(
@@ -71,8 +74,10 @@
         suspects: suspects_module.Suspects,
         limits: server_limits.ServerLimits,
         gate: server_gate.ServerGate,
+        search: room_search.RoomSearch | None = None,
     ) -> None:
         self._limits = limits
+        self._search = search
         self._servers = servers
         self._placement = placement
         self._ejector = ejector
@@ -151,13 +156,17 @@
                 return turn, True
             if self._remaining_s(spec) <= 0.0:
                 break
-        turn = await self._try_shortest_wait(candidates, spec, replies)
+        are_all_starting = replies.are_all_starting
+        turn = await self._search_room(spec, excluded, replies, acceptable_s)
+        if turn is not None:
+            return turn, True
+        turn = await self._try_shortest_wait(spec, replies)
         if turn is not None:
             return turn, True
         turn = await self._unconfirmed_turn(spec, excluded, replies)
         if turn is not None:
             return turn, False
-        if replies.are_all_starting:
+        if are_all_starting:
             return await self._await_start(replies.starting[0], spec), True
         raise self._refusal(spec, replies)
 
@@ -222,15 +231,40 @@
         remaining_s = spec.target_at_s - self._clock.monotonic_s()
         return max(0.0, _ACCEPT_TARGET_RATIO * remaining_s)
 
-    async def _try_shortest_wait(
+    async def _search_room(
         self,
-        candidates: Sequence[backend_list.BackendServer],
         spec: turn_spec.TurnSpec,
+        excluded: Collection[str],
         replies: turn_replies.TurnReplies,
+        acceptable_s: float,
+    ) -> turn_spec.Turn | None:
+        """Try further engines if all that were tried have refused."""
+        if self._search is None:
+            return None
+
+        def choices() -> list[backend_list.BackendServer]:
+            if self._remaining_s(spec) <= 0.0:
+                return []
+            tried = {server.name for server in replies.tried}
+            return self._candidates.further_candidates(
+                spec, tried.union(excluded)
+            )
+
+        return await self._search.find(
+            spec,
+            replies,
+            choices,
+            lambda server: self._try_server(
+                server, spec, replies, acceptable_s
+            ),
+        )
+
+    async def _try_shortest_wait(
+        self, spec: turn_spec.TurnSpec, replies: turn_replies.TurnReplies
     ) -> turn_spec.Turn | None:
         """Retry the server that reported the shortest wait."""
         refusing = [
-            s for s in candidates if replies.refused_waits_s.get(s.name)
+            s for s in replies.tried if replies.refused_waits_s.get(s.name)
         ]
         if not refusing or self._remaining_s(spec) <= 0.0:
             return None
@@ -247,6 +281,7 @@
         accept_within_s: float = 0.0,
     ) -> turn_spec.Turn | None:
         """Request a turn of one sidecar, and record why there is none."""
+        replies.tried.append(server)
         try:
             return await self._exchange.request(
                 server,
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -13,7 +13,6 @@
 from lacewingpitch import hint as hint_module
 from lacewingpitch import limit_news as limit_news_module
 from lacewingpitch import link
-from lacewingpitch import room_news
 from lacewingpitch import suspect_exchange
 
 
@@ -81,8 +80,6 @@
         Start ids of servers that announced to this entry that they leave.
     gap_ms
         Longest pause between events that the caller allows; 0 if unknown.
-    room
-        Room of engines that their sidecars told this entry.
     """
 
     entry: str
@@ -112,7 +109,6 @@
     limit_news: tuple[limit_news_module.LimitNews, ...] = ()
     leaving: tuple[str, ...] = ()
     gap_ms: int = 0
-    room: tuple[room_news.RoomReport, ...] = ()
 
     @property
     def flow(self) -> str:
@@ -154,8 +150,6 @@
         Limits that servers have named to other entries.
     leaving
         Start ids of servers that announced to others that they leave.
-    room
-        Engines that have room, if this one refuses.
     """
 
     backend_server: str = ''
@@ -174,7 +168,6 @@
     is_limit_known: bool = False
     limit_news: tuple[limit_news_module.LimitNews, ...] = ()
     leaving: tuple[str, ...] = ()
-    room: tuple[room_news.RoomReport, ...] = ()
 
 
 class TurnEnds(link.Message, frozen=True):
--- a/lacewingpitch/turn_replies.py
+++ b/lacewingpitch/turn_replies.py
@@ -13,6 +13,8 @@
 
     Parameters
     ----------
+    tried
+        Servers whose sidecars were asked, in this order.
     refusals
         The last refusal of each server that refused the request, by name.
     starting
@@ -23,6 +25,9 @@
         Turns without the consent of sidecars that do not answer.
     """
 
+    tried: list[backend_list.BackendServer] = dataclasses.field(
+        default_factory=list
+    )
     refusals: dict[str, errors.RefusalError] = dataclasses.field(
         default_factory=dict
     )
@@ -32,6 +37,11 @@
     refused_waits_s: dict[str, float] = dataclasses.field(default_factory=dict)
     fallbacks: list[turn_spec.Turn] = dataclasses.field(default_factory=list)
 
+    @property
+    def were_all_refusals(self) -> bool:
+        """Whether every server that was tried has replied, and refused."""
+        return all(server.name in self.refusals for server in self.tried)
+
     @property
     def are_all_starting(self) -> bool:
         """Whether every server that was tried has a starting engine."""
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -57,7 +57,7 @@
 class Scene:
     """A turn client with three engines."""
 
-    def __init__(self, **adapters):
+    def __init__(self, search=None, **adapters):
         self.clock = virtual_time.LoopClock()
         self.sidecars = FakeSidecars()
         self.servers = backend_list.BackendList(self.clock)
@@ -95,6 +95,7 @@
             self.suspects,
             self.limits,
             self.gate,
+            search,
         )
 
     def spec(self, name='one', **fields):
