--- a/lacewingpitch/parts.py
+++ b/lacewingpitch/parts.py
@@ -15,7 +15,7 @@
     OWN_ZONE = 'own-zone'
     # Ranks waiting requests by what their callers lose.
     CALLER_LOSS = 'caller-loss'
-    # Refusals name engines that have room.
+    # Asks further engines for a turn once the preferred ones have refused.
     ROOM_NEWS = 'room-news'
     # Refuses requests of plain services whose answers would be late.
     SERVICE_ADMISSION = 'service-admission'
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -32,6 +32,7 @@
 from lacewingpitch.platform import wire
 from lacewingpitch import request_forwarder
 from lacewingpitch import retry_budget
+from lacewingpitch import room_search
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_admission
@@ -243,6 +244,7 @@
             self._suspects,
             self._limits,
             self._gate,
+            self._new_room_search(),
         )
         process.background.run('turns', turns.run)
         return request_forwarder.RequestForwarder(
@@ -322,6 +324,13 @@
         )
         return admission
 
+    def _new_room_search(self) -> room_search.RoomSearch | None:
+        if parts_module.Part.ROOM_NEWS not in self._file.settings.parts:
+            return None
+        search = room_search.RoomSearch(self._process.random)
+        search.add_metrics(self._process.metrics)
+        return search
+
     async def _start_peer_bootstrap(
         self,
         exchange: configuration_exchange.ConfigurationExchange,
