Stalls near the allowed pause count as a quarter; bounds for wrong reports

The measured stall rate was half of the real one: reports 0.1 s apart place a pause within 0.1 s, and one near the allowed pause counted as none.

A report with an absurd count of events, or minutes without any, could make a pace that no entry can decode; both are bounded, and the tests fail without _MAX_EVENTS_PER_S or with a _MAX_TOKEN_S of 1e12.

--- a/benchmarks/engine_pace.py
+++ b/benchmarks/engine_pace.py
@@ -55,6 +55,7 @@
         if not super().pace(gap_s, tokens_per_event, now_s).is_known:
             return engine_pace.UNKNOWN_PACE
         tt, tp, pp, ts, ps = self._sums
+        tt += 1e-6
         pp += 1e-3
         determinant = tt * pp - tp**2
         token_s = (ts * pp - ps * tp) / determinant
@@ -85,7 +86,7 @@
     def pace(self, gap_s, tokens_per_event, now_s):
         if not super().pace(gap_s, tokens_per_event, now_s).is_known:
             return engine_pace.UNKNOWN_PACE
-        token_s = self._seconds / self._tokens
+        token_s = self._seconds / max(1.0, self._tokens)
         return engine_pace.EnginePace(
             token_s, self.PROMPT_TOKENS_PER_TOKEN / token_s
         )
--- a/benchmarks/pace_scene.py
+++ b/benchmarks/pace_scene.py
@@ -208,6 +208,8 @@
         ]
         await scene.send(per_s)
         for task in tasks:
+            if task.done():
+                task.result()
             task.cancel()
         return scene
 
--- a/lacewingpitch/pace_meter.py
+++ b/lacewingpitch/pace_meter.py
@@ -13,6 +13,9 @@
 # Weight of the usual pace, as seconds of measurement.
 _USUAL_WEIGHT_S = 0.02
 _MAX_COUNTED_RUNS = 64
+# An engine outside of these doesn't serve, or its reports are wrong.
+_MIN_TOKEN_S = 1e-5
+_MAX_TOKEN_S = 1.0
 
 
 class PaceMeter:
@@ -45,7 +48,7 @@
         now_s: float,
     ) -> None:
         """Record what the runs of the engine did between two reports."""
-        self._stall_rate.record(interval.stall_count, interval.stream_s, now_s)
+        self._stall_rate.record(interval.stalls, interval.stream_s, now_s)
         if len(interval.run_ids) < _MIN_RUNS:
             return
         tokens = interval.events * tokens_per_event
@@ -76,7 +79,9 @@
         if self._measured_s < _MIN_MEASURED_S or not self._usual.is_known:
             return engine_pace.UNKNOWN_PACE
         slowdown = self._slowdown(now_s)
-        token_s = self._usual.token_s * slowdown
+        token_s = min(
+            max(self._usual.token_s * slowdown, _MIN_TOKEN_S), _MAX_TOKEN_S
+        )
         return engine_pace.EnginePace(
             token_s,
             self._usual.prompt_tokens_per_s / slowdown,
--- a/lacewingpitch/run_progress.py
+++ b/lacewingpitch/run_progress.py
@@ -11,6 +11,11 @@
 # All runs of a batch make their events at the same rate.  One that differs
 # by more from the others waited, or was preempted, for part of the interval.
 _MAX_EVENT_DIFFERENCE = 1
+# Reports that show more are wrong.
+_MAX_EVENTS_PER_S = 10_000.0
+# A pause that is as long as allowed within the accuracy of the reports was
+# probably shorter, as most pauses are.
+_UNCERTAIN_STALL = 0.25
 # By then a granted request is at the engine, unless its answer was too short
 # to show in a report.
 _MAX_UNREPORTED_S = 0.5
@@ -31,8 +36,9 @@
         Tokens of the prompts that were read.
     stream_s
         Sum of the durations of the runs whose pauses are limited.
-    stall_count
-        Pauses that became longer than their callers allow.
+    stalls
+        Pauses that became longer than their callers allow.  One that may
+        have counts as a part of one.
     """
 
     duration_s: float
@@ -40,7 +46,7 @@
     run_ids: frozenset[str]
     prompt_tokens: int
     stream_s: float
-    stall_count: int
+    stalls: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,15 +164,17 @@
         deltas = {}
         prompt_tokens = 0
         limited_count = 0
-        stall_count = 0
+        stalls = 0.0
         for run_id, events in events_by_run.items():
             run = before.get(run_id)
-            if run is None or events < run.events:
+            if run is None or not _is_plausible(
+                events - run.events, duration_s
+            ):
                 run = _Run(0, 0.0, at_s)
             elif run.is_generating:
                 deltas[run_id] = events - run.events
                 limited_count += run.gap_s > 0
-                stall_count += _has_stalled(run, events, at_s, duration_s)
+                stalls += _stalls(run, events, at_s, duration_s)
             self._runs[run_id] = run
             prompt_tokens += self._update(run_id, run, events, at_s)
         prompt_tokens += self._expire_grants(at_s)
@@ -179,7 +187,7 @@
             frozenset(in_step),
             prompt_tokens,
             limited_count * duration_s,
-            stall_count,
+            stalls,
         )
 
     def _update(self, run_id: str, run: _Run, events: int, at_s: float) -> int:
@@ -209,18 +217,25 @@
         )
 
 
-def _has_stalled(
-    run: _Run, events: int, at_s: float, interval_s: float
-) -> bool:
-    """Whether a run's pause is now known to be longer than allowed."""
+def _is_plausible(events: int, duration_s: float) -> bool:
+    return 0 <= events <= _MAX_EVENTS_PER_S * duration_s
+
+
+def _stalls(run: _Run, events: int, at_s: float, interval_s: float) -> float:
+    """Return how likely a run's pause is now longer than allowed.
+
+    A pause counts once, as soon as it is certain.
+    """
     if not run.gap_s or run.is_stalled:
-        return False
+        return 0.0
     pause_s = at_s - run.progressed_at_s
-    if events > run.events:
-        # The pause may have ended at any time since the last report.
-        return pause_s > run.gap_s + interval_s / 2
-    run.is_stalled = pause_s >= run.gap_s
-    return run.is_stalled
+    if events == run.events:
+        run.is_stalled = pause_s >= run.gap_s
+        return float(run.is_stalled)
+    # The pause began and ended at any time within two intervals.
+    if abs(pause_s - run.gap_s) <= interval_s / 2:
+        return _UNCERTAIN_STALL
+    return float(pause_s > run.gap_s)
 
 
 def _in_step(deltas: Mapping[str, int]) -> Sequence[str]:
--- a/lacewingpitch/stall_rate.py
+++ b/lacewingpitch/stall_rate.py
@@ -22,7 +22,7 @@
         self._stream_s = 0.0
         self._at_s = 0.0
 
-    def record(self, stalls: int, stream_s: float, now_s: float) -> None:
+    def record(self, stalls: float, stream_s: float, now_s: float) -> None:
         """Record the pauses of streams that ran for some time together."""
         ratio = self._decay_ratio(now_s)
         self._stalls = self._stalls * ratio + stalls
--- a/tests/test_pace_meter.py
+++ b/tests/test_pace_meter.py
@@ -3,6 +3,7 @@
 import random
 
 from lacewingpitch import engine_pace
+from lacewingpitch import hint as hint_module
 from lacewingpitch import pace_meter
 from lacewingpitch import run_progress
 from lacewingpitch import stall_rate
@@ -157,6 +158,27 @@
         assert_near(engine.pace.token_s, usual_s, 0.4)
 
 
+class TestBounds:
+    def test_engine_that_makes_no_events_stays_within_a_hint(self):
+        """Guards against a pace that no entry can decode."""
+        engine = Engine()
+        engine.run(5.0)
+        engine.run(900.0, slowdown=1e9, prompts_per_s=0.0)
+        pace = engine.pace
+        hint = hint_module.Hint(
+            running=1,
+            queued=0,
+            max_running=32,
+            load_wait_ms=0,
+            token_us=round(pace.token_s * 1_000_000),
+            stalls_per_1000s=round(pace.stalls_per_s * 1000),
+        )
+        decoded = hint_module.decode_hint(hint_module.encode_hint(hint))
+        assert decoded is not None
+        engine.run(60.0)
+        assert engine.pace.token_s < 0.01
+
+
 class TestStallRate:
     def test_observed_pauses(self):
         rate = stall_rate.StallRate()
--- a/tests/test_run_progress.py
+++ b/tests/test_run_progress.py
@@ -52,6 +52,13 @@
         interval = reports.report(a=5, b=9, c=1_000_000)
         assert interval.events == 2.0
 
+    def test_absurd_count_beside_one_run_is_left_out(self):
+        """Guards against a wrong report that makes an engine seem fast."""
+        reports = Reports()
+        reports.report(a=3, b=7)
+        interval = reports.report(a=5, b=1 << 60)
+        assert interval.run_ids == {'a'}
+
     def test_interval_without_events_is_none(self):
         reports = Reports()
         reports.report(a=0)
@@ -73,7 +80,7 @@
         assert reports.report(2.0, a=4) is None
         interval = reports.report(a=6)
         assert interval.events == 2.0
-        assert interval.stall_count == 0
+        assert interval.stalls == 0
         assert interval.stream_s > 0.0
 
 
@@ -105,16 +112,16 @@
         reports = Reports()
         reports.grant('a')
         reports.report(a=1)
-        counts = [reports.report(a=2).stall_count]
-        counts += [reports.report(a=2).stall_count for _ in range(6)]
-        counts.append(reports.report(a=3).stall_count)
+        counts = [reports.report(a=2).stalls]
+        counts += [reports.report(a=2).stalls for _ in range(6)]
+        counts.append(reports.report(a=3).stalls)
         assert sum(counts) == 1
 
     def test_shorter_than_allowed_counts_none(self):
         reports = Reports()
         reports.grant('a')
         reports.report(a=1)
-        counts = [reports.report(a=n // 2).stall_count for n in range(4, 40)]
+        counts = [reports.report(a=n // 2).stalls for n in range(4, 40)]
         assert sum(counts) == 0
 
     def test_wait_for_the_first_event_is_no_pause(self):
@@ -122,14 +129,14 @@
         reports.grant('a')
         reports.report(a=0, b=1)
         intervals = [reports.report(a=0, b=n) for n in range(2, 20)]
-        assert sum(interval.stall_count for interval in intervals) == 0
+        assert sum(interval.stalls for interval in intervals) == 0
 
     def test_run_of_another_sidecar_has_no_limit(self):
         """Guards against pauses of runs whose callers allow them."""
         reports = Reports()
         reports.report(a=1)
         intervals = [reports.report(a=1) for _ in range(10)]
-        assert sum(interval.stall_count for interval in intervals) == 0
+        assert sum(interval.stalls for interval in intervals) == 0
         assert sum(interval.stream_s for interval in intervals) == 0.0
 
 
