--- a/lacewingpitch/prefill_pacer.py
+++ b/lacewingpitch/prefill_pacer.py
@@ -37,11 +37,6 @@
         )
         self._applied_rates = self._current_rates
 
-    @property
-    def max_tokens_per_s(self) -> float:
-        """Return the highest rate at which prompts are released now."""
-        return self._rates.max_tokens_per_s
-
     def update_rates(self) -> None:
         """Apply the rates as they are now to the prompts that wait."""
         rates = self._current_rates
@@ -70,7 +65,8 @@
             tokens, flow, fair_pacer.effective_weight(rank, weight)
         )
         preparing = self._pacer.expected_cost
-        ahead += max(0.0, preparing - _PREPARATION_S * self.max_tokens_per_s)
+        prepared = _PREPARATION_S * self._rates.max_tokens_per_s
+        ahead += max(0.0, preparing - prepared)
         deficit = ahead + 1.0 - self._pacer.level
         return max(0.0, deficit / self._rate_per_s(deficit) - after_s)
 
