--- a/benchmarks/capacity_platform.py
+++ b/benchmarks/capacity_platform.py
@@ -13,6 +13,7 @@
 import structlog
 
 from benchmarks import slopes
+from lacewingpitch import answer_needs
 from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
 from lacewingpitch import hint as hint_module
@@ -21,11 +22,14 @@
 from lacewingpitch import placement
 from lacewingpitch.platform import wire
 from lacewingpitch import settings
+from lacewingpitch import stall_costs
 from lacewingpitch import turn_messages
 
 ENGINES = (100, 250, 500, 1_000)
 SLOTS = 30
 _KEYS = 200
+_SLOW_INTERVAL = 3
+_NEEDS = answer_needs.AnswerNeeds(300, 12.0, True)
 _MODEL = 'base-1'
 
 
@@ -78,16 +82,22 @@
 
 def make_placement(count: int) -> placement.Placement:
     """Return a placement with the adapters and loads of all engines."""
+    clock = clock_module.SystemClock()
     found = placement.Placement(
-        clock_module.SystemClock(), settings.ObjectiveSettings(stall_weight=1)
+        clock,
+        settings.ObjectiveSettings(stall_weight=1),
+        stall_costs=stall_costs.StallCosts(clock, 'edge-1'),
     )
-    for server in make_servers(count):
+    for number, server in enumerate(make_servers(count)):
         found.apply_listed_adapters(server.name, server.adapters)
-        found.apply_hint(server.name, _hint(server))
+        is_slow = number % _SLOW_INTERVAL == 0
+        found.apply_hint(server.name, _hint(server, is_slow))
     return found
 
 
-def _hint(server: backend_list.BackendServer) -> hint_module.Hint:
+def _hint(
+    server: backend_list.BackendServer, is_slow: bool = False
+) -> hint_module.Hint:
     return hint_module.Hint(
         running=10,
         queued=0,
@@ -95,6 +105,8 @@
         load_wait_ms=300,
         spare_slots=5,
         adapters=hint_module.encode_fingerprints(server.adapters),
+        token_us=20_000 if is_slow else 7_000,
+        stalls_per_1000s=300 if is_slow else 1,
     )
 
 
@@ -122,7 +134,7 @@
 
 def measure_placement() -> list[slopes.Slope]:
     """Measure the costs of selecting an engine at an entry."""
-    held, chosen, listed = [], [], []
+    held, chosen, by_pace, listed = [], [], [], []
     keys = [f'{_MODEL}/a{number * 97 % 36_000}' for number in range(_KEYS)]
     random.Random(1).shuffle(keys)
     for count in ENGINES:
@@ -132,17 +144,28 @@
         found.ranked_instances(keys[0], instances)
         select = functools.partial(_select, found, instances)
         chosen.append(slopes.least_us(_KEYS, slopes.for_each, select, keys))
+        rank = functools.partial(_rank, found, instances)
+        by_pace.append(slopes.least_us(_KEYS, slopes.for_each, rank, keys))
         servers = make_servers(count)
         listed.append(slopes.least_us(count, _apply_listed, found, servers))
     return [
         slopes.Slope('placement held at an entry', 'B', ENGINES, held),
         slopes.Slope('ranked_instances, for a request', 'us', ENGINES, chosen),
+        slopes.Slope('rank, by the pace of engines', 'us', ENGINES, by_pace),
         slopes.Slope(
             'apply_listed_adapters, for a change', 'us', ENGINES, listed
         ),
     ]
 
 
+def _rank(
+    found: placement.Placement,
+    instances: tuple[live_list.Instance, ...],
+    key: str,
+) -> None:
+    found.rank(key, instances, _NEEDS)
+
+
 def _select(
     found: placement.Placement,
     instances: tuple[live_list.Instance, ...],
