--- a/lacewingpitch/engine_pace.py
+++ b/lacewingpitch/engine_pace.py
@@ -3,6 +3,9 @@
 import dataclasses
 import math
 
+# A pace is forgotten when the sidecar answers without one after this time.
+_MAX_SILENCE_S = 30.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EnginePace:
@@ -52,3 +55,18 @@
 
     pace: EnginePace
     told_at_s: float
+
+
+def newer_pace(
+    told: ToldPace | None, pace: EnginePace, now_s: float
+) -> ToldPace | None:
+    """Return what is known after a sidecar told a pace or an unknown one.
+
+    A sidecar may miss a few reports of its engine.  If it tells nothing for
+    longer, it no longer measures.
+    """
+    if pace.is_known:
+        return ToldPace(pace, now_s)
+    if told is not None and now_s - told.told_at_s < _MAX_SILENCE_S:
+        return told
+    return None
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -253,8 +253,9 @@
         state.hint = hint
         self._holders.apply_hint(instance, hint)
         now_s = self._clock.monotonic_s()
-        if hint.pace.is_known:
-            state.told_pace = engine_pace.ToldPace(hint.pace, now_s)
+        state.told_pace = engine_pace.newer_pace(
+            state.told_pace, hint.pace, now_s
+        )
         for received_at_s in (
             self._hint_received_at_s,
             self._load_received_at_s,
--- a/tests/test_stall_costs.py
+++ b/tests/test_stall_costs.py
@@ -240,6 +240,16 @@
         ranked = entry.rank(KEYS[0], instances, LONG).instances
         assert ranked[0] == instances[home]
 
+    def test_is_forgotten_when_the_sidecar_tells_none(self, clock, instances):
+        """An engine is avoided for ever as its sidecar no longer measures."""
+        entry = make_placement(clock, make_costs(clock))
+        home = home_of(KEYS[0], instances)
+        apply_paces(entry, instances, {home})
+        clock.now_s += 60.0
+        entry.apply_hint(instances[home].name, make_hint())
+        ranked = entry.rank(KEYS[0], instances, LONG).instances
+        assert ranked[0] == instances[home]
+
     def test_hint_without_a_pace_keeps_it(self, clock, instances):
         entry = make_placement(clock, make_costs(clock))
         home = home_of(KEYS[0], instances)
