--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -182,6 +182,23 @@
         play(story)
 
 
+class TestPace:
+    def test_reply_tells_the_pace_of_the_engine(self):
+        async def story(scene):
+            told = hint.Hint(
+                running=1,
+                queued=0,
+                max_running=8,
+                load_wait_ms=0,
+                token_us=7000,
+            )
+            for ip in ('10.0.0.1', '10.0.0.2', '10.0.0.3'):
+                scene.sidecars.replies[ip] = turn_messages.TurnReply(hint=told)
+            await scene.acquire()
+
+        assert play(story).placement.known_pace_count == 1
+
+
 class TestRefusals:
     def test_another_engine_is_tried(self):
         async def story(scene):
