--- a/lacewingpitch/room_search.py
+++ b/lacewingpitch/room_search.py
@@ -72,7 +72,7 @@
         """
         left_count = _MAX_ASKS
         not_serving_count = _MAX_NOT_SERVING_ASKS
-        while left_count and replies.were_all_refusals:
+        while left_count and replies.have_all_refused:
             servers = choices()
             if not servers:
                 return None
--- a/lacewingpitch/turn_replies.py
+++ b/lacewingpitch/turn_replies.py
@@ -38,7 +38,7 @@
     fallbacks: list[turn_spec.Turn] = dataclasses.field(default_factory=list)
 
     @property
-    def were_all_refusals(self) -> bool:
+    def have_all_refused(self) -> bool:
         """Whether every server that was tried has replied, and refused."""
         return all(server.name in self.refusals for server in self.tried)
 
--- a/tests/room_scene.py
+++ b/tests/room_scene.py
@@ -21,6 +21,7 @@
 
 TARGET_S = 0.8
 RUN_S = 1.5
+LONG_S = 60.0
 LOAD_S = 0.3
 LIST_LAG_S = 0.5
 ONE_WAY_S = 0.002
@@ -34,12 +35,18 @@
     ----------
     down
         Begin and end of the time in which the engine is down.
+    refusal
+        Why it refuses all; ``None`` to decide by its turns.
+    is_silent
+        Whether it answers nothing.
     """
 
     def __init__(self, server, turn_count, clock):
         self.server = server
         self.turn_count = turn_count
         self.down = (0.0, 0.0)
+        self.refusal = None
+        self.is_silent = False
         self.held = set()
         self.ends_at_s = {}
         self.asks = []
@@ -67,6 +74,10 @@
     async def request_turn(self, request):
         """Grant or refuse a turn as a sidecar would."""
         self.asks.append(request)
+        if self.refusal is not None:
+            return self._reply(
+                refusal=self.refusal, wait_ms=900, retry_after_ms=400
+            )
         if self.is_down:
             return self._down_reply()
         key = f'{MODEL}/{request.adapter}'
@@ -84,6 +95,11 @@
         await asyncio.sleep(wait_s)
         return self._reply()
 
+    def fill(self):
+        """Occupy all turns, and as many again by waiting requests."""
+        for number in range(2 * self.turn_count):
+            self.ends_at_s[f'long-{number}'] = LONG_S
+
     def end(self, turn_id):
         self.ends_at_s.pop(turn_id, None)
 
@@ -125,9 +141,14 @@
     def __init__(self, sidecars):
         self._sidecars = sidecars
         self.ask_count = 0
+        self.asked = []
 
-    async def request_turn(self, ip, request, _timeout_s):
+    async def request_turn(self, ip, request, timeout_s):
         self.ask_count += 1
+        self.asked.append(self._sidecars[ip].server.name)
+        if self._sidecars[ip].is_silent:
+            await asyncio.sleep(timeout_s)
+            raise errors.NoReplyError(ip)
         await asyncio.sleep(ONE_WAY_S)
         reply = await self._sidecars[ip].request_turn(request)
         await asyncio.sleep(ONE_WAY_S)
@@ -151,6 +172,7 @@
         self.servers.replace_all(s.server for s in fleet.sidecars.values())
         self.gate = server_gate.ServerGate(self.servers, clock, source)
         self.ejector = ejection.Ejector(clock, source)
+        self.suspects = suspects.Suspects(clock, source)
         self.client = turn_client.TurnClient(
             name,
             self.link,
@@ -167,7 +189,7 @@
             clock,
             lambda _ip, _version: None,
             lambda _count: None,
-            suspects.Suspects(clock, source),
+            self.suspects,
             limit_fakes.make_limits(clock, has_sidecar=False),
             self.gate,
             search,
@@ -191,17 +213,9 @@
             server = backend_list.BackendServer(
                 f'i-{number}', 'chat', ip, 80, 'z', started_at_ms=1000
             )
-            self.sidecars[ip] = Sidecar(
-                server,
-                turn_count,
-                self.clock,
-            )
+            self.sidecars[ip] = Sidecar(server, turn_count, self.clock)
         self.entries = [
-            Entry(
-                number,
-                self,
-                new_search(random.Random(2000 + number)),
-            )
+            Entry(number, self, new_search(random.Random(2000 + number)))
             for number in range(entry_count)
         ]
 
@@ -222,21 +236,22 @@
                 for entry in self.entries:
                     entry.servers.put(sidecar.server)
 
-    def spec(self, name, adapter, target_at_s, attempt=1):
+    def spec(self, name, adapter, **fields):
         now_s = self.clock.monotonic_s()
-        return turn_spec.TurnSpec(
-            run_id=name,
-            attempt=attempt,
-            service='chat',
-            model=MODEL,
-            adapter=adapter,
-            version=0,
-            route='r',
-            rank=0,
-            prompt_tokens=10,
-            max_tokens=10,
-            expected_tokens=10,
-            start_by_s=now_s + 5.0,
-            target_at_s=target_at_s,
-            deadline_at_s=now_s + 12.0,
-        )
+        values = {
+            'run_id': name,
+            'attempt': 1,
+            'service': 'chat',
+            'model': MODEL,
+            'adapter': adapter,
+            'version': 0,
+            'route': 'r',
+            'rank': 0,
+            'prompt_tokens': 10,
+            'max_tokens': 10,
+            'expected_tokens': 10,
+            'start_by_s': now_s + 5.0,
+            'target_at_s': now_s + TARGET_S,
+            'deadline_at_s': now_s + 12.0,
+        }
+        return turn_spec.TurnSpec(**{**values, **fields})
