--- a/benchmarks/caller_loss.py
+++ b/benchmarks/caller_loss.py
@@ -10,9 +10,12 @@
 from collections.abc import Callable, Collection, Iterable
 import contextlib
 import dataclasses
+import logging
 import random
 import statistics
 
+import structlog
+
 from benchmarks import virtual_time
 from lacewingpitch import crash_record
 from lacewingpitch import due_queue
@@ -31,7 +34,7 @@
 # Requests per second that one engine serves with these kinds and sizes.
 CAPACITY_PER_S = 21.0
 ORGANISATIONS = tuple(f'organisation-{n}' for n in range(16))
-_PROMPT_TOKENS_PER_S = 29_400.0
+PROMPT_TOKENS_PER_S = 29_400.0
 _STEP_S = 0.0051
 _EVENT_TOKENS = 7
 _LOAD_S = 0.3
@@ -146,7 +149,7 @@
         now_s = asyncio.get_running_loop().time()
         self.running_count += 1
         try:
-            read_s = call.prompt_tokens / _PROMPT_TOKENS_PER_S
+            read_s = call.prompt_tokens / PROMPT_TOKENS_PER_S
             self._read_until_s = max(now_s, self._read_until_s) + read_s
             await asyncio.sleep(self._read_until_s - now_s)
             await asyncio.sleep(_EVENT_TOKENS * self._step_s)
@@ -450,3 +453,43 @@
     for fate in fates:
         by_name[fate.call.organisation].append(fate)
     return min(Summary.of(group).served for group in by_name.values())
+
+
+LOADS = {
+    '0.8 times': (Phase(0.8, 10.0),),
+    '1.2 times': (Phase(1.2, 10.0),),
+    '1.5 times': (Phase(1.5, 10.0),),
+    '2 times': (Phase(2.0, 10.0),),
+    'burst of 3 s': (Phase(0.7, 4.0), Phase(2.2, 3.0), Phase(0.7, 6.0)),
+}
+_SEEDS = (1, 2, 3)
+
+
+def _row(fates: list[Fate], kind: Kind | None = None) -> str:
+    found = Summary.of(f for f in fates if kind in (None, f.call.kind))
+    return f'{found.on_time:.3f}, {found.late:.3f}, {found.lost:.3f}'
+
+
+def main() -> None:
+    """Print what becomes of the callers, without and with the part."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    kinds = ' | '.join(kind.name for kind in KINDS)
+    print(f'| load | part | all | {kinds} | least organisation |')
+    print('| --- ' * (4 + len(KINDS)) + '|')
+    for name, phases in LOADS.items():
+        for is_on in (False, True):
+            parts = (parts_module.Part.CALLER_LOSS,) if is_on else ()
+            fates = []
+            for seed in _SEEDS:
+                fates += play(calls(phases, seed), seed, parts=parts)[0]
+            rows = [_row(fates), *(_row(fates, kind) for kind in KINDS)]
+            print(
+                f'| {name} | {"on" if is_on else "off"} | '
+                f'{" | ".join(rows)} | {least_served(fates):.2f} |'
+            )
+
+
+if __name__ == '__main__':
+    main()
--- a/lacewingpitch/engine_metrics.py
+++ b/lacewingpitch/engine_metrics.py
@@ -33,6 +33,12 @@
         'tier',
         lambda: outcomes.granted_by_tier,
     )
+    metrics.counter_by(
+        'turns_refused_by_reason_total',
+        'Turns that were refused, by what is known of their requests.',
+        'reason',
+        lambda: outcomes.refused_by_reason,
+    )
     metrics.counter(
         'turns_granted_to_returns_total',
         'Turns that were granted to callers that were refused here before.',
--- a/lacewingpitch/turn_metrics.py
+++ b/lacewingpitch/turn_metrics.py
@@ -30,6 +30,9 @@
             'Difference between expected and real wait, by its part.',
         )
         self.granted_by_tier: collections.Counter[str] = collections.Counter()
+        self.refused_by_reason: collections.Counter[str] = (
+            collections.Counter()
+        )
         self.returned_count = 0
         self.granted_count = 0
         self.refused_count = 0
@@ -83,6 +86,11 @@
     ) -> None:
         """Record a refused turn."""
         self.refused_count += 1
+        is_asked_for_sooner = request.accept_within_ms > 0
+        reason = _refusal_reason(
+            is_asked_for_sooner, is_return, is_above_share
+        )
+        self.refused_by_reason[reason] += 1
         log.info(
             'turn refused',
             request_id=request.run_id,
@@ -97,7 +105,7 @@
             retry_after_s=error.retry_after_s,
             prompt_tokens=request.prompt_tokens,
             expected_tokens=request.expected_tokens,
-            is_asked_for_sooner=request.accept_within_ms > 0,
+            is_asked_for_sooner=is_asked_for_sooner,
             running=self._queue.running,
             queued=self._queue.queued,
         )
@@ -123,3 +131,14 @@
         ):
             error_s = abs(waited_ms / _MS_PER_S - expected_s)
             self._wait_errors.observe('part', part, error_s)
+
+
+def _refusal_reason(
+    is_asked_for_sooner: bool, is_return: bool, is_above_share: bool
+) -> str:
+    """Return the first of the reasons that applies."""
+    if is_asked_for_sooner:
+        return 'asked for sooner'
+    if is_return:
+        return 'return'
+    return 'above share' if is_above_share else 'other'
