Ask the better ranked of two engines chosen by chance

What placement knows of loads, holders and later the pace of engines counts in the search too, and entries still spread. The engines are ranked once for each request; each ask checks anew who is listed, open and not ejected. The switch has a test.

--- a/lacewingpitch/room_search.py
+++ b/lacewingpitch/room_search.py
@@ -29,10 +29,10 @@
 
 
 class RoomSearch:
-    """Asks further engines, chosen by chance.
+    """Asks further engines: the better ranked of two chosen by chance.
 
     The answers are fresh, and entries that search at the same time spread
-    over all engines.
+    over the engines.
 
     Parameters
     ----------
@@ -66,7 +66,7 @@
         replies
             Replies of the sidecars that were asked, which `ask` extends.
         choices
-            Returns the engines that may still be asked.
+            Returns the engines that may still be asked, best first.
         ask
             Requests a turn of one sidecar.
         """
@@ -76,7 +76,7 @@
             servers = choices()
             if not servers:
                 return None
-            server = self._random.choice(servers)
+            server = self._choose(servers)
             turn = await ask(server)
             self._record(spec, server, replies, is_found=turn is not None)
             if turn is not None:
@@ -99,6 +99,12 @@
             },
         )
 
+    def _choose(
+        self, servers: Sequence[backend_list.BackendServer]
+    ) -> backend_list.BackendServer:
+        ranks = [self._random.randrange(len(servers)) for _ in range(2)]
+        return servers[min(ranks)]
+
     def _record(
         self,
         spec: turn_spec.TurnSpec,
--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -6,7 +6,7 @@
 form in which placement ranks it.
 """
 
-from collections.abc import Collection, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 
 from lacewingpitch import backend_list
 from lacewingpitch import ejection
@@ -18,7 +18,7 @@
 
 # Engines further down the ranking are the most loaded, or the least likely to
 # hold the adapter, and would only add to the request's wait.
-_MAX_CANDIDATES = 3
+MAX_CANDIDATES = 3
 
 
 class TurnCandidates:
@@ -48,7 +48,7 @@
     def ranked_candidates(
         self, spec: turn_spec.TurnSpec, excluded: Collection[str]
     ) -> list[backend_list.BackendServer]:
-        """Return the engines to try, in order of preference.
+        """Return the engines that may be tried, in order of preference.
 
         Leaves out engines that the ejector excludes, themselves or by their
         sidecars, and those that must get no requests now.
@@ -67,22 +67,17 @@
             for instance in ranked
             if instance.name in servers and instance.name not in excluded
         ]
-        allowed = self._allowed(names)
-        return [servers[name] for name in allowed[:_MAX_CANDIDATES]]
+        return [servers[name] for name in self._allowed(names)]
 
-    def further_candidates(
-        self, spec: turn_spec.TurnSpec, excluded: Collection[str]
+    def still_allowed(
+        self,
+        spec: turn_spec.TurnSpec,
+        ranked: Iterable[backend_list.BackendServer],
     ) -> list[backend_list.BackendServer]:
-        """Return all engines that may be tried, in no order of preference.
-
-        The ejector counts those that were tried, too.
-        """
+        """Return those of the engines that may be tried now."""
         servers = self._open_servers(spec)
-        return [
-            servers[name]
-            for name in self._allowed(list(servers))
-            if name not in excluded
-        ]
+        allowed = set(self._allowed(list(servers)))
+        return [servers[s.name] for s in ranked if s.name in allowed]
 
     def _open_servers(
         self, spec: turn_spec.TurnSpec
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -5,6 +5,7 @@
     Callable,
     Collection,
     Iterable,
+    Sequence,
 )
 import contextlib
 
@@ -146,7 +147,8 @@
         if handling is crash_record.Handling.ISOLATED:
             return await self._acquire_isolated(spec, excluded), True
         replies = turn_replies.TurnReplies()
-        candidates = self._candidates.ranked_candidates(spec, excluded)
+        ranked = self._candidates.ranked_candidates(spec, excluded)
+        candidates = ranked[: turn_candidates.MAX_CANDIDATES]
         acceptable_s = (
             self._acceptable_wait_s(spec) if len(candidates) > 1 else 0.0
         )
@@ -157,7 +159,7 @@
             if self._remaining_s(spec) <= 0.0:
                 break
         are_all_starting = replies.are_all_starting
-        turn = await self._search_room(spec, excluded, replies, acceptable_s)
+        turn = await self._search_room(spec, ranked, replies, acceptable_s)
         if turn is not None:
             return turn, True
         turn = await self._try_shortest_wait(spec, replies)
@@ -234,7 +236,7 @@
     async def _search_room(
         self,
         spec: turn_spec.TurnSpec,
-        excluded: Collection[str],
+        ranked: Sequence[backend_list.BackendServer],
         replies: turn_replies.TurnReplies,
         acceptable_s: float,
     ) -> turn_spec.Turn | None:
@@ -246,8 +248,8 @@
             if self._remaining_s(spec) <= 0.0:
                 return []
             tried = {server.name for server in replies.tried}
-            return self._candidates.further_candidates(
-                spec, tried.union(excluded)
+            return self._candidates.still_allowed(
+                spec, (s for s in ranked if s.name not in tried)
             )
 
         return await self._search.find(
--- a/tests/test_room_search.py
+++ b/tests/test_room_search.py
@@ -1,15 +1,19 @@
 """The search for an engine with room, with one entry."""
 
 import asyncio
+import collections
+import random
 
 import pytest
 import structlog
 
 from benchmarks import virtual_time
+from lacewingpitch import backend_list
 from lacewingpitch import errors
 from lacewingpitch import metrics
 from lacewingpitch import room_search
 from lacewingpitch import server_notice
+from lacewingpitch import turn_replies
 from tests import room_scene
 
 FULL = errors.ErrorKind.DEADLINE_UNREACHABLE
@@ -46,9 +50,8 @@
         """Return the engine that placement ranks last."""
         candidates = self.entry.client._candidates
         spec = self.fleet.spec('one', '')
-        first = candidates.ranked_candidates(spec, ())
-        names = {server.name for server in first}
-        return next(s for n, s in self.sidecars.items() if n not in names)
+        ranked = candidates.ranked_candidates(spec, ())
+        return self.sidecars[ranked[-1].name]
 
     async def acquire(self, adapter='', excluded=(), **fields):
         spec = self.fleet.spec('one', adapter, **fields)
@@ -104,6 +107,29 @@
         # Apart from the second ask of the engine with the shortest wait.
         assert len(set(scene.asked[:-1])) == len(scene.asked[:-1]) == 5
 
+    def test_engines_that_rank_better_are_asked_more_often(self):
+        """Guards against a search that ignores loads and holders."""
+        asked = collections.Counter()
+
+        async def refuse(server):
+            asked[server.name] += 1
+
+        async def main():
+            search = room_search.RoomSearch(random.Random(1))
+            spec = room_scene.Fleet(1, 1, 1, no_search).spec('one', '')
+            for _ in range(500):
+                replies = turn_replies.TurnReplies()
+                await search.find(spec, replies, lambda: servers, refuse)
+
+        servers = [
+            backend_list.BackendServer(f'i-{n}', 'chat', '10.0.0.1', 80, 'z')
+            for n in range(5)
+        ]
+        virtual_time.run(main())
+        counts = [asked[server.name] for server in servers]
+        assert counts == sorted(counts, reverse=True)
+        assert counts[-1]
+
     def test_engines_that_do_not_serve_are_not_counted(self):
         """Guards against asks that are spent on engines that are down."""
 
@@ -148,7 +174,7 @@
                 sidecar.is_silent = True
             spec = scene.fleet.spec('one', '')
             candidates = scene.entry.client._candidates
-            for server in candidates.ranked_candidates(spec, ()):
+            for server in candidates.ranked_candidates(spec, ())[:3]:
                 scene.sidecars[server.name].is_silent = False
             await scene.acquire()
 
@@ -212,7 +238,7 @@
         async def story(scene):
             spec = scene.fleet.spec('one', '')
             candidates = scene.entry.client._candidates
-            first = candidates.ranked_candidates(spec, ())
+            first = candidates.ranked_candidates(spec, ())[:3]
             for server in first:
                 scene.sidecars[server.name].refusal = STARTING
             await scene.refused()
