--- a/lacewingpitch/turn_candidates.py
+++ b/lacewingpitch/turn_candidates.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Collection, Iterable, Iterator, Sequence
+import dataclasses
 
 from lacewingpitch import answer_needs
 from lacewingpitch import backend_list
@@ -20,7 +21,23 @@
 
 # Engines further down the ranking are the most loaded, or the least likely to
 # hold the adapter, and would only add to the request's wait.
-MAX_CANDIDATES = 3
+_MAX_CANDIDATES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidates:
+    """Engines at which a request may get a turn.
+
+    Parameters
+    ----------
+    preferred
+        The few engines that are tried, in order of preference.
+    ranked
+        All engines that may be tried, in order of preference.
+    """
+
+    preferred: Sequence[backend_list.BackendServer]
+    ranked: Sequence[backend_list.BackendServer]
 
 
 class TurnCandidates:
@@ -51,8 +68,8 @@
 
     def ranked_candidates(
         self, spec: turn_spec.TurnSpec, excluded: Collection[str]
-    ) -> list[backend_list.BackendServer]:
-        """Return the engines that may be tried, in order of preference.
+    ) -> Candidates:
+        """Return the engines to try.
 
         Leaves out engines that the ejector excludes, themselves or by their
         sidecars, and those that must get no requests now.
@@ -72,13 +89,13 @@
             if instance.name in servers and instance.name not in excluded
         ]
         candidates = [servers[name] for name in self._allowed(names)]
-        others = [
+        preferred = candidates[:_MAX_CANDIDATES]
+        preferred += [
             server
             for server in candidates[_MAX_CANDIDATES:]
             if ranking.fallback and server.name == ranking.fallback.name
         ]
-        return candidates[:_MAX_CANDIDATES] + others
-        return [servers[name] for name in self._allowed(names)]
+        return Candidates(preferred, candidates)
 
     def still_allowed(
         self,
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -147,19 +147,20 @@
         if handling is crash_record.Handling.ISOLATED:
             return await self._acquire_isolated(spec, excluded), True
         replies = turn_replies.TurnReplies()
-        ranked = self._candidates.ranked_candidates(spec, excluded)
-        candidates = ranked[: turn_candidates.MAX_CANDIDATES]
-        acceptable_s = (
-            self._acceptable_wait_s(spec) if len(candidates) > 1 else 0.0
-        )
-        for server in candidates:
+        candidates = self._candidates.ranked_candidates(spec, excluded)
+        acceptable_s = 0.0
+        if len(candidates.preferred) > 1:
+            acceptable_s = self._acceptable_wait_s(spec)
+        for server in candidates.preferred:
             turn = await self._try_server(server, spec, replies, acceptable_s)
             if turn is not None:
                 return turn, True
             if self._remaining_s(spec) <= 0.0:
                 break
         are_all_starting = replies.are_all_starting
-        turn = await self._search_room(spec, ranked, replies, acceptable_s)
+        turn = await self._search_room(
+            spec, candidates.ranked, replies, acceptable_s
+        )
         if turn is not None:
             return turn, True
         turn = await self._try_shortest_wait(spec, replies)
--- a/tests/test_room_search.py
+++ b/tests/test_room_search.py
@@ -50,7 +50,7 @@
         """Return the engine that placement ranks last."""
         candidates = self.entry.client._candidates
         spec = self.fleet.spec('one', '')
-        ranked = candidates.ranked_candidates(spec, ())
+        ranked = candidates.ranked_candidates(spec, ()).ranked
         return self.sidecars[ranked[-1].name]
 
     async def acquire(self, adapter='', excluded=(), **fields):
@@ -174,7 +174,7 @@
                 sidecar.is_silent = True
             spec = scene.fleet.spec('one', '')
             candidates = scene.entry.client._candidates
-            for server in candidates.ranked_candidates(spec, ())[:3]:
+            for server in candidates.ranked_candidates(spec, ()).ranked[:3]:
                 scene.sidecars[server.name].is_silent = False
             await scene.acquire()
 
@@ -238,7 +238,7 @@
         async def story(scene):
             spec = scene.fleet.spec('one', '')
             candidates = scene.entry.client._candidates
-            first = candidates.ranked_candidates(spec, ())[:3]
+            first = candidates.ranked_candidates(spec, ()).ranked[:3]
             for server in first:
                 scene.sidecars[server.name].refusal = STARTING
             await scene.refused()
--- a/tests/test_turn_candidates.py
+++ b/tests/test_turn_candidates.py
@@ -76,7 +76,7 @@
             'gap_s': 0.3,
         }
         spec = turn_spec.TurnSpec(**values | fields)
-        found = self.candidates.ranked_candidates(spec, excluded)
+        found = self.candidates.ranked_candidates(spec, excluded).preferred
         return [server.name for server in found]
 
 
