Keep the wait for a start as it was beside the search for room

Replies of further engines made a request whose preferred engines all load their model look as if one of them were busy, and it would have been refused. They now extend a copy of the replies, which is dropped in that case. Without the search the order of decisions is the one of before.

--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -158,17 +158,19 @@
                 return turn, True
             if self._remaining_s(spec) <= 0.0:
                 break
-        are_all_starting = replies.are_all_starting
-        turn = await self._search_room(spec, ranked, replies, acceptable_s)
+        further = replies.copy()
+        turn = await self._search_room(spec, ranked, further, acceptable_s)
         if turn is not None:
             return turn, True
+        if not replies.are_all_starting:
+            replies = further
         turn = await self._try_shortest_wait(spec, replies)
         if turn is not None:
             return turn, True
         turn = await self._unconfirmed_turn(spec, excluded, replies)
         if turn is not None:
             return turn, False
-        if are_all_starting:
+        if replies.are_all_starting:
             return await self._await_start(replies.starting[0], spec), True
         raise self._refusal(spec, replies)
 
--- a/lacewingpitch/turn_replies.py
+++ b/lacewingpitch/turn_replies.py
@@ -37,6 +37,16 @@
     refused_waits_s: dict[str, float] = dataclasses.field(default_factory=dict)
     fallbacks: list[turn_spec.Turn] = dataclasses.field(default_factory=list)
 
+    def copy(self) -> 'TurnReplies':
+        """Return a copy, which further replies extend alone."""
+        return TurnReplies(
+            tried=list(self.tried),
+            refusals=dict(self.refusals),
+            starting=list(self.starting),
+            refused_waits_s=dict(self.refused_waits_s),
+            fallbacks=list(self.fallbacks),
+        )
+
     @property
     def have_all_refused(self) -> bool:
         """Whether every server that was tried has replied, and refused."""
