Entries wait for engines that start although these told their waits

What callers saw: after all engines had restarted, requests for adapters were refused at once (252 with "the engine is loading its model" within 4 s of a loss of power), although an entry asks the first engine to wait until it serves. The engine with the shortest told wait is asked once more before, and was then counted twice among the starting ones, so that not all that had refused seemed to be starting. Starting engines are kept by name; an engine that refuses for another reason when asked again no longer counts. The test failed before (the request was refused).

--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -172,7 +172,7 @@
         if turn is not None:
             return turn, False
         if replies.are_all_starting:
-            return await self._await_start(replies.starting[0], spec), True
+            return await self._await_start(replies.first_starting, spec), True
         raise self._refusal(spec, replies)
 
     def _refusal(
@@ -304,7 +304,9 @@
                 raise
             replies.refusals[server.name] = error
             if error.kind is errors.ErrorKind.BACKEND_STARTING:
-                replies.starting.append(server)
+                replies.starting[server.name] = server
+            else:
+                replies.starting.pop(server.name, None)
         return None
 
     async def _await_start(
--- a/lacewingpitch/turn_replies.py
+++ b/lacewingpitch/turn_replies.py
@@ -18,7 +18,7 @@
     refusals
         The last refusal of each server that refused the request, by name.
     starting
-        Servers whose engine is starting.
+        Servers whose engine is starting, by name.
     refused_waits_s
         Expected wait at each server that refused the request, by name.
     fallbacks
@@ -31,8 +31,8 @@
     refusals: dict[str, errors.RefusalError] = dataclasses.field(
         default_factory=dict
     )
-    starting: list[backend_list.BackendServer] = dataclasses.field(
-        default_factory=list
+    starting: dict[str, backend_list.BackendServer] = dataclasses.field(
+        default_factory=dict
     )
     refused_waits_s: dict[str, float] = dataclasses.field(default_factory=dict)
     fallbacks: list[turn_spec.Turn] = dataclasses.field(default_factory=list)
@@ -42,7 +42,7 @@
         return TurnReplies(
             tried=list(self.tried),
             refusals=dict(self.refusals),
-            starting=list(self.starting),
+            starting=dict(self.starting),
             refused_waits_s=dict(self.refused_waits_s),
             fallbacks=list(self.fallbacks),
         )
@@ -56,3 +56,8 @@
     def are_all_starting(self) -> bool:
         """Whether every server that was tried has a starting engine."""
         return len(self.starting) == len(self.refusals) > 0
+
+    @property
+    def first_starting(self) -> backend_list.BackendServer:
+        """Return the starting server that was asked first."""
+        return next(iter(self.starting.values()))
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -261,6 +261,23 @@
         assert waits == [False, False, False, True, True]
         assert ips[0] == ips[3] == ips[4]
 
+    def test_waits_for_a_start_although_the_engines_tell_their_waits(self):
+        """Guards against an engine that counts twice, as it was asked twice."""
+
+        async def story(scene):
+            starting = turn_messages.TurnReply(
+                refusal=STARTING, retry_after_ms=1500, wait_ms=300
+            )
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = [
+                    starting,
+                    starting,
+                    turn_messages.TurnReply(version=2),
+                ]
+            assert (await scene.acquire()).version == 2
+
+        assert play(story).sidecars.requests[-1][1].waits_for_engine
+
     def test_no_wait_for_a_start_if_another_engine_is_busy(self):
         async def story(scene):
             for number in (1, 2, 3):
