--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -11,6 +11,7 @@
 
 from lacewingpitch import adapter_versions
 from lacewingpitch import answer_reading
+from lacewingpitch import attempt_refusals
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
 from lacewingpitch import ejection
@@ -19,6 +20,7 @@
 from lacewingpitch import idle_timeout
 from lacewingpitch import plain_server_selector
 from lacewingpitch import request_history
+from lacewingpitch import request_turns
 from lacewingpitch import retry_budget
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
@@ -30,9 +32,6 @@
 # Servers that accept no connection do not count as attempts.  More than these
 # would only use up the caller's time.
 _MAX_UNREACHED = 3
-# Retry-After of a transient refusal, such as by a server that is full: the
-# caller's next attempt finds another server.
-_TRANSIENT_RETRY_S = 0.1
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _MS_PER_S = 1000
 _SERVER_ERROR = 500
@@ -116,7 +115,7 @@
             refusal = errors.RefusalError(
                 errors.ErrorKind.DEADLINE_UNREACHABLE,
                 'the deadline of the request has passed',
-                retry_after_s=_TRANSIENT_RETRY_S,
+                retry_after_s=attempt_refusals.TRANSIENT_RETRY_S,
             )
             raise history.combined_refusal(
                 refusal, delivery.has_begun
@@ -206,29 +205,10 @@
                 yield turn_spec.Turn(server, 0)
             return
         started_s = self._clock.monotonic_s()
-        caller = request.organisation
-        spec = turn_spec.TurnSpec(
-            run_id=request.request_id,
-            attempt=history.sent_count + history.unreached_count + 1,
-            service=services[0],
-            model=request.model,
-            adapter=request.adapter,
-            version=self._versions.required_version(
-                request.model, request.adapter
-            ),
-            route=request.route.name,
-            rank=request.rank,
-            prompt_tokens=request.prompt_tokens,
-            max_tokens=request.max_tokens,
-            expected_tokens=request.expected_tokens,
-            start_by_s=history.start_by_s(request),
-            target_at_s=history.target_at_s(request),
-            deadline_at_s=request.deadline_at_s,
-            organisation=caller.name if caller else '',
-            weight=caller.weight if caller else 1.0,
-            fingerprint=request.fingerprint,
-            gap_s=request.route.target_gap_s,
+        version = self._versions.required_version(
+            request.model, request.adapter
         )
+        spec = request_turns.new_spec(request, history, services[0], version)
         async with self._turns.acquire(spec, history.servers) as turn:
             history.turn_wait_s += self._clock.monotonic_s() - started_s
             yield turn
@@ -354,45 +334,17 @@
             events=history.splitter.event_count,
         )
         self._record_crash(request, turn, history, error)
+        refusal = attempt_refusals.refusal_of(error)
         if isinstance(error, backend_call.NotSentError):
             history.sent_count -= 1
             history.unreached_count += 1
             self._ejector.record_unresponsive(name)
-            return _Failure(
-                errors.RefusalError(
-                    errors.ErrorKind.NO_BACKEND_SERVER,
-                    'no connection to the backend server',
-                    retry_after_s=_TRANSIENT_RETRY_S,
-                )
-            )
-        if isinstance(error, backend_call.WithheldError):
+        elif isinstance(error, backend_call.WithheldError):
             history.sent_count -= 1
-            return _Failure(
-                errors.RefusalError(
-                    errors.ErrorKind.SERVER_BACKOFF,
-                    'the backend server accepts no requests now',
-                    retry_after_s=_TRANSIENT_RETRY_S,
-                )
-            )
-        if isinstance(error, backend_call.StaleConnectionError):
-            return _Failure(
-                errors.RefusalError(
-                    errors.ErrorKind.OUTCOME_UNKNOWN,
-                    f'a reused connection was closed: {error}',
-                )
-            )
-        if isinstance(error, backend_call.NotRunError):
-            return _Failure(
-                errors.RefusalError(
-                    errors.ErrorKind.QUEUE_FULL,
-                    f'the backend server did not run it: {error}',
-                    retry_after_s=_TRANSIENT_RETRY_S,
-                )
-            )
-        self._ejector.record_failure(name)
-        refusal = errors.RefusalError(
-            errors.ErrorKind.OUTCOME_UNKNOWN, f'no complete answer: {error}'
-        )
+        elif not isinstance(
+            error, backend_call.StaleConnectionError | backend_call.NotRunError
+        ):
+            self._ejector.record_failure(name)
         if isinstance(error, _FailedAnswerError):
             return _Failure(refusal, error.answer, error.body)
         return _Failure(refusal)
