Runs move from engines that leave: first form, not yet tested

Cause: streams that callers cannot resume break off when their engine leaves. Change: with the part moving-runs, and where the configuration says that engines copy memory, an entry has the run's memory copied, the source stop, and the target continue within the same answer.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -11,6 +11,7 @@
 from lacewingpitch import organisation as organisation_module
 from lacewingpitch import request_fingerprint
 from lacewingpitch import routing
+from lacewingpitch import run_memory
 from lacewingpitch import server_notice
 
 Headers = tuple[tuple[str, str], ...]
@@ -95,6 +96,8 @@
         Event after which the stream must continue; 0 for the whole stream.
     deadline_at_s
         Monotonic time from which the backend server may stop working on it.
+    memory
+        Copied memory from which the run continues; ``None`` for a new run.
     """
 
     request: CallerRequest
@@ -102,6 +105,7 @@
     adapter_version: int
     last_event_id: int
     deadline_at_s: float
+    memory: run_memory.MemoryHandle | None = None
 
     @property
     def may_share_connection(self) -> bool:
@@ -123,11 +127,15 @@
     ----------
     chunks
         Yields the body; raises `AnswerLostError` if it breaks off.
+    is_framed
+        Whether the body marks its own end, rather than ending with its
+        connection.
     """
 
     status: int
     headers: Headers
     chunks: AsyncIterator[bytes]
+    is_framed: bool = True
 
 
 class BackendClient(Protocol):
--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -37,6 +37,8 @@
     started_at_ms
         Unix time of its start; 0 if unknown.  A server may restart under
         the same name, and then holds nothing from before.
+    leaves_in_s
+        Time until it ends, as it was listed; 0 if it states none.
     """
 
     name: str
@@ -49,6 +51,7 @@
     adapters: Mapping[str, int] = dataclasses.field(default_factory=dict)
     created_revision: int = 0
     started_at_ms: int = 0
+    leaves_in_s: float = 0.0
 
     @property
     def start_id(self) -> str:
@@ -101,6 +104,9 @@
         self._unplanned_ends: reactivex.subject.Subject[BackendServer] = (
             reactivex.subject.Subject()
         )
+        self._leavings: reactivex.subject.Subject[BackendServer] = (
+            reactivex.subject.Subject()
+        )
         self._servers: dict[str, BackendServer] = {}
         self._unlisted: unlisted_servers.UnlistedServers[BackendServer] = (
             unlisted_servers.UnlistedServers(clock, contact_s)
@@ -139,6 +145,15 @@
         """
         return self._unplanned_ends
 
+    @property
+    def leavings(self) -> reactivex.Observable[BackendServer]:
+        """Return an observable of servers that begin to leave.
+
+        A server leaves if the list or the server says so, or if it is no
+        longer listed without an outage of the list.
+        """
+        return self._leavings
+
     def record_read_failure(self, asked_at_s: float | None = None) -> None:
         """Record that the list could not be read.
 
@@ -248,6 +263,8 @@
         if before and server.started_at_ms > before.started_at_ms:
             self._unplanned_ends.on_next(before)
             self._announce_restart(server)
+        if server.is_leaving and (before is None or not before.is_leaving):
+            self._leavings.on_next(server)
         if before is None or before.is_leaving != server.is_leaving:
             log.info(
                 'backend server listed',
@@ -315,6 +332,7 @@
             return False
         if not self._leaving.record(name, started_at_ms):
             return False
+        known = self._listed_or_unlisted(name)
         unlisted = self._unlisted.get(name)
         if unlisted is not None and self._leaves(unlisted):
             self._unlisted.discard(name)
@@ -325,6 +343,8 @@
             started_at_ms=started_at_ms,
             source=source,
         )
+        if known is not None and self._leaves(known):
+            self._leavings.on_next(known)
         return True
 
     def is_known_leaving(self, server: BackendServer) -> bool:
@@ -424,6 +444,7 @@
         self._departed.record_removed(server.start_id)
         if not self._is_new_epoch and not self._unlisted.is_after_outage:
             self._unplanned_ends.on_next(server)
+            self._leavings.on_next(server)
 
 
 def _at_other_addresses(
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -96,6 +96,7 @@
                     status=response.status,
                     headers=_end_to_end_headers(response),
                     chunks=_chunks(response),
+                    is_framed=_is_framed(response),
                 )
             finally:
                 response.close()
@@ -244,6 +245,14 @@
     ]
     if call.last_event_id:
         headers.append((names.LAST_EVENT_ID, str(call.last_event_id)))
+    if call.memory is not None:
+        source = call.memory.source
+        headers.append(
+            (
+                names.MEMORY_FROM,
+                f'{source.ip}:{source.port}/{call.memory.text}',
+            )
+        )
     if request.model:
         rank = min(request.rank, _MAX_PRIORITY)
         headers.append((names.PRIORITY, str(rank)))
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -19,11 +19,13 @@
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch import notice_router
+from lacewingpitch import parts
 from lacewingpitch import peer_bootstrap
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
 from lacewingpitch.platform import frontend as frontend_module
 from lacewingpitch.platform import listening
+from lacewingpitch.platform import memory_client
 from lacewingpitch.platform import process as process_module
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
@@ -31,6 +33,7 @@
 from lacewingpitch.platform import wire
 from lacewingpitch import request_forwarder
 from lacewingpitch import retry_budget
+from lacewingpitch import run_mover
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
@@ -160,6 +163,7 @@
             self._usage,
         )
         self._forwarder: request_forwarder.RequestForwarder | None = None
+        self._mover: run_mover.RunMover | None = None
 
     def ports(self) -> dict[str, int]:
         """Return the ports that it listens on, by name."""
@@ -236,10 +240,13 @@
             self._gate,
         )
         process.background.run('turns', turns.run)
+        client = backend_client.new_client(
+            process.exits, self._notices, self._gate, process.clock
+        )
+        if parts.Part.MOVING_RUNS in settings.parts:
+            self._mover = await self._new_mover(client, turns)
         return request_forwarder.RequestForwarder(
-            backend_client.new_client(
-                process.exits, self._notices, self._gate, process.clock
-            ),
+            client,
             turns,
             services,
             self.ejector,
@@ -250,8 +257,31 @@
             self._suspects,
             self._limits,
             self._gate,
+            self._mover,
         )
 
+    async def _new_mover(
+        self,
+        client: backend_call.BackendClient,
+        turns: turn_client.TurnClient,
+    ) -> run_mover.RunMover:
+        settings = self._file.settings
+        exits = self._process.exits
+        mover = run_mover.RunMover(
+            await memory_client.new_client(exits),
+            client,
+            turns,
+            self._budgets,
+            self.ejector,
+            self.servers,
+            self._process.table.memory_link,
+            self._process.clock,
+            settings.leaving_within_s,
+            _BATCH_DELAY_RATIO * settings.propagation_limit_s,
+        )
+        exits.push_async_callback(mover.close)
+        return mover
+
     async def _start_peer_bootstrap(
         self,
         exchange: configuration_exchange.ConfigurationExchange,
@@ -308,6 +338,8 @@
             'service',
             lambda: forwarder.retry_counts,
         )
+        if self._mover is not None:
+            self._add_move_metrics(self._mover)
         metrics.counter(
             'store_calls_total',
             'Calls to the store.',
@@ -394,6 +426,25 @@
             lambda: self.servers.age_s,
         )
 
+    def _add_move_metrics(self, mover: run_mover.RunMover) -> None:
+        metrics = self._process.metrics
+        metrics.counter_by(
+            'run_moves_total',
+            'Moves of runs to other engines that have ended, by outcome.',
+            'outcome',
+            lambda: mover.move_counts,
+        )
+        metrics.counter(
+            'run_memory_copied_bytes_total',
+            'Expected size of the memory of runs that have moved.',
+            lambda: mover.copied_bytes,
+        )
+        metrics.gauge(
+            'movable_runs',
+            'Streams that move if their engine leaves.',
+            lambda: mover.run_count,
+        )
+
     def _has_sidecar(self, service: str) -> bool:
         return self._process.table.engine_limits(service) is not None
 
--- a/lacewingpitch/platform/names.py
+++ b/lacewingpitch/platform/names.py
@@ -19,6 +19,8 @@
 # The version of the adapter if the request names one, else of the model.
 EXPECT_VERSION = 'Expect-Version'
 PRIORITY = 'Request-Priority'
+# IP:PORT/HANDLE of the copied memory from which a run continues.
+MEMORY_FROM = 'Kv-From'
 # The API key of the caller, after the name of the scheme.
 AUTHORIZATION = 'Authorization'
 AUTHORIZATION_SCHEME = 'token'
@@ -72,6 +74,10 @@
 
 REPORT_PATH = '/lacewingpitch/report'
 ORDER_PATH = '/lacewingpitch/order'
+# Copies the memory of a run to another engine.
+MEMORY_COPY_PATH = '/lacewingpitch/kv-move'
+# Followed by the handle of a copy.
+MEMORY_HANDLE_PATH = '/lacewingpitch/kv-handle/'
 # In all responses of the store: its epoch, which rises each time that the
 # store is restored from a backup and uses revisions again.
 STORE_ERA = 'Store-Era'
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -104,6 +104,11 @@
         within_ms = min(self.configuration_within_ms, self.leaving_within_ms)
         return within_ms / _MS_PER_S
 
+    @property
+    def leaving_within_s(self) -> float:
+        """Return `leaving_within_ms` in seconds."""
+        return self.leaving_within_ms / _MS_PER_S
+
     @property
     def contact_s(self) -> float:
         """Return `contact_ms` in seconds."""
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -12,8 +12,10 @@
 from lacewingpitch.platform import names
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch import routing
+from lacewingpitch import run_memory
 
 _MS_PER_S = 1000
+_BYTES_PER_MBIT = 125_000
 _TOKEN_UNIT = 'token_count'
 _KIND_BY_TYPE = {
     'safe': routing.RequestKind.IDEMPOTENT,
@@ -62,6 +64,12 @@
     # Memory of the engine for models and adapters together.  In a model, the
     # field of the same name is the memory that the model takes.
     weights_mb: float = msgspec.field(name='weightsMb', default=math.inf)
+    # Whether engines copy the memory of runs to each other, and how.  Values
+    # of another type do not make the configuration invalid.
+    copies_runs: Any = msgspec.field(name='moves', default=False)
+    handle_s: Any = 0.0
+    token_bytes: Any = msgspec.field(name='kvBytes', default=0.0)
+    link_mbps: Any = msgspec.field(name='linkMbps', default=0.0)
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -125,6 +133,8 @@
     models: tuple[HeldModel, ...] = ()
     # Unix time of its start in ms; 0 if engines do not report it.
     born: int = 0
+    # Of a server that is removed at short notice: time until it ends.
+    remaining_ms: Any = msgspec.field(name='remainingMs', default=None)
 
 
 class _AdapterVersion(msgspec.Struct, frozen=True):
@@ -162,6 +172,7 @@
                     )
                     for model in service.engine.models
                 },
+                memory_link=_memory_link(service.engine),
             )
             for service in published.services
             if service.engine is not None
@@ -207,6 +218,7 @@
         adapters=held_versions(entry.models),
         created_revision=created_revision,
         started_at_ms=entry.born,
+        leaves_in_s=_number(entry.remaining_ms) / _MS_PER_S,
     )
 
 
@@ -266,6 +278,23 @@
     return per_s
 
 
+def _memory_link(engine: _Engine) -> run_memory.MemoryLink | None:
+    if engine.copies_runs is not True:
+        return None
+    return run_memory.MemoryLink(
+        token_bytes=_number(engine.token_bytes),
+        bytes_per_s=_number(engine.link_mbps) * _BYTES_PER_MBIT,
+        kept_s=_number(engine.handle_s),
+    )
+
+
+def _number(value: Any) -> float:
+    """Return a positive finite number; 0 for any other value."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return 0.0
+    return float(value) if 0.0 < value < math.inf else 0.0
+
+
 def _route(published: _Route) -> routing.Route:
     shares = published.split or (_WeightedService(published.service),)
     return routing.Route(
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -25,6 +25,7 @@
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_balancer
+from lacewingpitch import stream_sources
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_client
 from lacewingpitch import turn_spec
@@ -55,6 +56,8 @@
         Limits that the backend servers name.
     gate
         Tells which servers must get no requests of this entry now.
+    streams
+        Reads the events of streams; directly if ``None``.
     """
 
     def __init__(
@@ -70,7 +73,9 @@
         suspects: suspects_module.Suspects,
         limits: server_limits.ServerLimits,
         gate: server_gate.ServerGate,
+        streams: stream_sources.StreamSource | None = None,
     ) -> None:
+        self._streams = streams or stream_sources.DirectStreams()
         self._suspects = suspects
         self._gate = gate
         self._plain_servers = plain_server_selector.PlainServerSelector(
@@ -276,9 +281,7 @@
                         self._client.send(call)
                     )
                 if request.route.is_stream and answer.status == _OK:
-                    await self._forward_stream(
-                        request, answer, history, delivery
-                    )
+                    await self._forward_stream(call, answer, history, delivery)
                     return
                 with answer_reading.raise_on_timeout(timeout):
                     body = await answer_reading.read_whole(answer)
@@ -288,7 +291,7 @@
 
     async def _forward_stream(
         self,
-        request: backend_call.CallerRequest,
+        call: backend_call.BackendCall,
         answer: backend_call.BackendAnswer,
         history: request_history.RequestHistory,
         delivery: backend_call.Delivery,
@@ -296,13 +299,12 @@
         if history.first_answer is None:
             history.first_answer = answer
         splitter = history.splitter
-        async for events in answer_reading.read_events(
-            request, answer, splitter
-        ):
-            history.record_events(request, self._clock.monotonic_s())
-            if not delivery.has_begun:
-                await delivery.begin(history.first_answer)
-            await delivery.write(events)
+        async with self._streams.open(call, answer, history) as stream:
+            async for events in stream:
+                history.record_events(call.request, self._clock.monotonic_s())
+                if not delivery.has_begun:
+                    await delivery.begin(history.first_answer)
+                await delivery.write(events)
         if not splitter.is_at_event_end:
             raise backend_call.AnswerLostError('the last event is incomplete')
         if not delivery.has_begun:
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -10,6 +10,7 @@
 from lacewingpitch import api_keys
 from lacewingpitch import errors
 from lacewingpitch import organisation
+from lacewingpitch import run_memory
 
 # A process reads the configuration as soon as it starts.
 _STARTING_RETRY_S = 0.3
@@ -153,6 +154,9 @@
         Memory for models and adapters together.
     sizes
         Memory that models need, by name.
+    memory_link
+        How the engines copy the memory of runs to each other; ``None`` if
+        they do not.
     """
 
     max_running: int
@@ -161,6 +165,7 @@
     health_path: str = '/'
     weights_mb: float = math.inf
     sizes: Mapping[str, ModelSize] = dataclasses.field(default_factory=dict)
+    memory_link: run_memory.MemoryLink | None = None
 
     def adapter_capacity(self, models: Iterable[str]) -> int:
         """Return how many adapters fit beside the models that are held.
@@ -307,6 +312,11 @@
             return True
         return name in self.configuration.services
 
+    def memory_link(self, service: str) -> run_memory.MemoryLink | None:
+        """Return how engines of a service copy the memory of runs."""
+        limits = self.engine_limits(service)
+        return limits.memory_link if limits else None
+
     def health_path(self, service: str) -> str:
         """Return the URL path of the health check of a service's engines."""
         limits = self.engine_limits(service)
