--- a/lacewingpitch/moving_run.py
+++ b/lacewingpitch/moving_run.py
@@ -129,34 +129,34 @@
             raise lost
         assert transfer.turn is not None
         self.history.splitter.drop_partial_event()
-        before = self.call
-        self.call = dataclasses.replace(
-            before,
+        call = dataclasses.replace(
+            self.call,
             server=transfer.turn.server,
             last_event_id=self.history.splitter.last_id,
             memory=transfer.handle(),
         )
         self._exits.push_async_callback(transfer.exits.aclose)
         try:
-            self._answer = await self._send()
+            self._answer = await self._send(call)
         except errors.PlatformError as error:
             await transfer.end(transfer.state.not_continued(str(error)))
             raise backend_call.AnswerLostError(
                 f'the run did not continue: {error}'
             ) from error
         await transfer.end(transfer.state.continued())
+        before, self.call = self.call, call
         self._chunks = cuttable_chunks.CuttableChunks(self._answer.chunks)
         self.transfer = None
         self._on_placed(self, before)
 
-    async def _send(self) -> backend_call.BackendAnswer:
-        name = self.call.server.name
+    async def _send(
+        self, call: backend_call.BackendCall
+    ) -> backend_call.BackendAnswer:
+        name = call.server.name
         self.history.servers.append(name)
         self._ejector.record_start(name)
         self._exits.callback(self._ejector.record_end, name)
-        answer = await self._exits.enter_async_context(
-            self._client.send(self.call)
-        )
+        answer = await self._exits.enter_async_context(self._client.send(call))
         if answer.status != _OK:
             raise backend_call.AnswerLostError(f'status {answer.status}')
         return answer
