--- a/tests/move_fakes.py
+++ b/tests/move_fakes.py
@@ -55,6 +55,7 @@
 
     request_id: str
     made: int
+    is_framed: bool
     is_stopped: bool = False
 
 
@@ -140,7 +141,7 @@
                 200,
                 (('Signed-By', engine.name),),
                 self._chunks(engine, run),
-                self.is_framed,
+                run.is_framed,
             )
         finally:
             if engine.runs.get(run.request_id) is run:
@@ -168,7 +169,7 @@
                 self.broken_rules.append('two engines run one request')
         elif any(request_id in e.runs for e in self.engines.values()):
             self.broken_rules.append('a request runs twice')
-        run = Run(request_id, call.last_event_id)
+        run = Run(request_id, call.last_event_id, self.is_framed)
         engine.runs[request_id] = run
         return run
 
@@ -176,7 +177,7 @@
         while run.made < self.lengths[run.request_id]:
             await asyncio.sleep(EVENT_S)
             if engine.runs.get(run.request_id) is not run:
-                if self.is_framed or not run.is_stopped:
+                if run.is_framed or not run.is_stopped:
                     raise backend_call.AnswerLostError('closed')
                 return
             run.made += 1
