Runs that move: real processes, and time for the target to load the adapter

Cause: with the real programs every move was refused: 0.3 s for a turn does not cover a load of the adapter at the target (admission allows 0.6 of it). Change: a move begins 1.0 s before the engine's expected end, waits 0.9 s for its turn, and is tried again 0.2 s later; the stream goes on meanwhile.

--- a/lacewingpitch/moving_run.py
+++ b/lacewingpitch/moving_run.py
@@ -38,6 +38,8 @@
         The move in progress, if any.
     try_count
         Moves that were tried.
+    next_try_at_s
+        Monotonic time before which no other move is tried.
     may_move
         Whether another move may be tried.
     """
@@ -55,6 +57,7 @@
         self.history = history
         self.transfer: run_transfer.RunTransfer | None = None
         self.try_count = 0
+        self.next_try_at_s = 0.0
         self.may_move = True
         self._client = client
         self._ejector = ejector
--- a/lacewingpitch/run_move.py
+++ b/lacewingpitch/run_move.py
@@ -14,9 +14,9 @@
 
 # Runs that are about to end are not worth a copy of their memory.
 MIN_REMAINDER_S = 0.15
-# Runs move this long before their engine is expected to end.  Many have ended
-# by themselves until then.
-LEAD_S = 0.6
+# Runs move this long before their engine is expected to end: enough for their
+# target to load an adapter.  Many have ended by themselves until then.
+LEAD_S = 1.0
 # A copy whose answer was lost, or that found no room, is asked for again.
 _MAX_STOPS = 2
 
--- a/lacewingpitch/run_mover.py
+++ b/lacewingpitch/run_mover.py
@@ -35,8 +35,11 @@
 _CHECK_INTERVAL_S = 0.05
 # Engines serve for some time after their expected end.
 _MAX_OVERTIME_S = 10.0
-# A target is found within this time, or the run stays.
-_TURN_WITHIN_S = 0.3
+# Time to wait for a turn, which includes the load of an adapter.  The stream
+# goes on meanwhile.
+_TURN_WITHIN_S = 0.9
+# A run that stayed is tried again after this time.
+_RETRY_INTERVAL_S = 0.2
 # Turns of moves differ in their ids from those of attempts.
 _FIRST_TURN = 1000
 _CLOSE_TIMEOUT_S = 1.0
@@ -211,7 +214,7 @@
         remainders_s = {
             run: self._remainder_s(run)
             for run in self._runs.get(server.start_id, ())
-            if _is_movable(run)
+            if self._is_movable(run)
         }
         due = [
             run
@@ -223,6 +226,15 @@
         for run in due[: max(0, free_count)]:
             self._move(run, remainders_s[run])
 
+    def _is_movable(self, run: moving_run.MovingRun) -> bool:
+        if run.transfer is not None or not run.may_move:
+            return False
+        if run.try_count >= _MAX_TRIES:
+            return False
+        if self._clock.monotonic_s() < run.next_try_at_s:
+            return False
+        return run.history.splitter.event_count > 0
+
     def _remainder_s(self, run: moving_run.MovingRun) -> float:
         """Return the expected time until a run ends.
 
@@ -237,6 +249,7 @@
         if spec is None:
             return
         run.try_count += 1
+        run.next_try_at_s = self._clock.monotonic_s() + _RETRY_INTERVAL_S
         transfer = run_transfer.RunTransfer(
             spec,
             self._services,
@@ -350,14 +363,6 @@
         log.error('run move failed', exc_info=task.exception())
 
 
-def _is_movable(run: moving_run.MovingRun) -> bool:
-    if run.transfer is not None or not run.may_move:
-        return False
-    if run.try_count >= _MAX_TRIES:
-        return False
-    return run.history.splitter.event_count > 0
-
-
 def _expected_tokens(run: moving_run.MovingRun) -> int:
     request = run.call.request
     return request.expected_tokens or request.max_tokens
