--- a/tests/test_backend_list.py
+++ b/tests/test_backend_list.py
@@ -161,3 +161,39 @@
         changed = dataclasses.replace(server('a'), is_leaving=True)
         servers.put(changed)
         assert servers.find_serving('chat', 'a') is None
+
+
+class TestLeavings:
+    """Servers that begin to leave are announced to those that follow them."""
+
+    @pytest.fixture
+    def found(self, servers):
+        found = []
+        servers.leavings.subscribe(lambda server: found.append(server.name))
+        return found
+
+    def test_a_listed_announcement_counts_once(self, servers, found):
+        servers.put(server('a', is_leaving=True))
+        servers.put(server('a', is_leaving=True, max_running=2))
+        assert found == ['a']
+
+    def test_an_announcement_of_the_server_counts_once(self, servers, found):
+        servers.record_leaving(server('a').start_id, 'answer')
+        servers.record_leaving(server('a').start_id, 'entry')
+        assert found == ['a']
+
+    def test_one_of_an_earlier_start_does_not_count(self, servers, found):
+        servers.put(server('a', started_at_ms=5))
+        servers.record_leaving(server('a').start_id, 'entry')
+        assert found == []
+
+    def test_a_removed_server_leaves(self, servers, found):
+        servers.remove('a')
+        assert found == ['a']
+
+    def test_one_that_lapsed_in_an_outage_does_not(self, servers, found):
+        """Guards against moves of all runs after an outage of the store."""
+        servers.record_read_failure()
+        servers.record_read()
+        servers.remove('a')
+        assert found == []
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import time
 
 import pytest
@@ -12,6 +13,7 @@
 from lacewingpitch import errors
 from lacewingpitch.platform import backend_client
 from lacewingpitch import routing
+from lacewingpitch import run_memory
 from lacewingpitch import server_notice
 
 BODY = b'whole'
@@ -384,3 +386,20 @@
             assert await send('three', kind=kind) == BODY
 
         play(scenario)
+
+
+class TestContinuedRun:
+    """Guards against a run that continues from the memory of another."""
+
+    def test_only_its_memory_is_named_in_addition(self):
+        call = make_call('r-1', 80)
+        before = backend_client._request_headers(call)
+        source = backend_list.BackendServer('i-2', 's', '127.0.0.2', 81, 'z')
+        memory = run_memory.MemoryHandle(source, 'h-1')
+        continued = dataclasses.replace(call, memory=memory)
+        added = backend_client._request_headers(continued)
+        assert [name for name, _ in before] == [
+            name for name, _ in added if name != 'Kv-From'
+        ]
+        assert dict(added)['Kv-From'] == '127.0.0.2:81/h-1'
+        assert 'Kv-From' not in dict(before)
