--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -11,6 +11,7 @@
 
 from lacewingpitch import adapter_versions
 from lacewingpitch import answer_reading
+from lacewingpitch import attempt_refusals
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
 from lacewingpitch import ejection
@@ -19,11 +20,13 @@
 from lacewingpitch import idle_timeout
 from lacewingpitch import plain_server_selector
 from lacewingpitch import request_history
+from lacewingpitch import request_turns
 from lacewingpitch import retry_budget
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_admission
 from lacewingpitch import service_balancer
+from lacewingpitch import stream_sources
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_client
 from lacewingpitch import turn_spec
@@ -31,9 +34,6 @@
 # Servers that accept no connection do not count as attempts.  More than these
 # would only use up the caller's time.
 _MAX_UNREACHED = 3
-# Retry-After of a transient refusal, such as by a server that is full: the
-# caller's next attempt finds another server.
-_TRANSIENT_RETRY_S = 0.1
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _MS_PER_S = 1000
 _SERVER_ERROR = 500
@@ -60,6 +60,8 @@
     admission
         Decides which requests may be sent to a plain service; without it,
         all may.
+    streams
+        Reads the events of streams; directly if ``None``.
     """
 
     def __init__(
@@ -76,7 +78,9 @@
         limits: server_limits.ServerLimits,
         gate: server_gate.ServerGate,
         admission: service_admission.ServiceAdmission | None = None,
+        streams: stream_sources.StreamSource | None = None,
     ) -> None:
+        self._streams = streams or stream_sources.DirectStreams()
         self._suspects = suspects
         self._gate = gate
         self._plain_servers = plain_server_selector.PlainServerSelector(
@@ -125,7 +129,7 @@
             refusal = errors.RefusalError(
                 errors.ErrorKind.DEADLINE_UNREACHABLE,
                 'the deadline of the request has passed',
-                retry_after_s=_TRANSIENT_RETRY_S,
+                retry_after_s=attempt_refusals.TRANSIENT_RETRY_S,
             )
             raise history.combined_refusal(
                 refusal, delivery.has_begun
@@ -218,29 +222,10 @@
                 yield turn_spec.Turn(server, 0)
             return
         started_s = self._clock.monotonic_s()
-        caller = request.organisation
-        spec = turn_spec.TurnSpec(
-            run_id=request.request_id,
-            attempt=history.sent_count + history.unreached_count + 1,
-            service=services[0],
-            model=request.model,
-            adapter=request.adapter,
-            version=self._versions.required_version(
-                request.model, request.adapter
-            ),
-            route=request.route.name,
-            rank=request.rank,
-            prompt_tokens=request.prompt_tokens,
-            max_tokens=request.max_tokens,
-            expected_tokens=request.expected_tokens,
-            start_by_s=history.start_by_s(request),
-            target_at_s=history.target_at_s(request),
-            deadline_at_s=request.deadline_at_s,
-            organisation=caller.name if caller else '',
-            weight=caller.weight if caller else 1.0,
-            fingerprint=request.fingerprint,
-            gap_s=request.route.target_gap_s,
+        version = self._versions.required_version(
+            request.model, request.adapter
         )
+        spec = request_turns.new_spec(request, history, services[0], version)
         async with self._turns.acquire(spec, history.servers) as turn:
             history.turn_wait_s += self._clock.monotonic_s() - started_s
             yield turn
@@ -308,9 +293,7 @@
                         self._client.send(call)
                     )
                 if request.route.is_stream and answer.status == _OK:
-                    await self._forward_stream(
-                        request, answer, history, delivery
-                    )
+                    await self._forward_stream(call, answer, history, delivery)
                     return
                 with answer_reading.raise_on_timeout(timeout):
                     body = await answer_reading.read_whole(answer)
@@ -320,7 +303,7 @@
 
     async def _forward_stream(
         self,
-        request: backend_call.CallerRequest,
+        call: backend_call.BackendCall,
         answer: backend_call.BackendAnswer,
         history: request_history.RequestHistory,
         delivery: backend_call.Delivery,
@@ -328,13 +311,12 @@
         if history.first_answer is None:
             history.first_answer = answer
         splitter = history.splitter
-        async for events in answer_reading.read_events(
-            request, answer, splitter
-        ):
-            history.record_events(request, self._clock.monotonic_s())
-            if not delivery.has_begun:
-                await delivery.begin(history.first_answer)
-            await delivery.write(events)
+        async with self._streams.open(call, answer, history) as stream:
+            async for events in stream:
+                history.record_events(call.request, self._clock.monotonic_s())
+                if not delivery.has_begun:
+                    await delivery.begin(history.first_answer)
+                await delivery.write(events)
         if not splitter.is_at_event_end:
             raise backend_call.AnswerLostError('the last event is incomplete')
         if not delivery.has_begun:
@@ -366,46 +348,17 @@
             events=history.splitter.event_count,
         )
         self._record_crash(request, turn, history, error)
+        refusal = attempt_refusals.refusal_of(error)
         if isinstance(error, backend_call.NotSentError):
             history.sent_count -= 1
             history.unreached_count += 1
             self._ejector.record_unresponsive(name)
-            return _Failure(
-                errors.RefusalError(
-                    errors.ErrorKind.NO_BACKEND_SERVER,
-                    'no connection to the backend server',
-                    retry_after_s=_TRANSIENT_RETRY_S,
-                )
-            )
-        if isinstance(error, backend_call.WithheldError):
+        elif isinstance(error, backend_call.WithheldError):
             history.sent_count -= 1
-            return _Failure(
-                errors.RefusalError(
-                    errors.ErrorKind.SERVER_BACKOFF,
-                    'the backend server accepts no requests now',
-                    retry_after_s=_TRANSIENT_RETRY_S,
-                )
-            )
-        if isinstance(error, backend_call.StaleConnectionError):
-            return _Failure(
-                errors.RefusalError(
-                    errors.ErrorKind.OUTCOME_UNKNOWN,
-                    f'a reused connection was closed: {error}',
-                )
-            )
-        if isinstance(error, backend_call.NotRunError):
+        elif isinstance(error, backend_call.NotRunError):
             self._plain_servers.record_full(turn.server)
-            return _Failure(
-                errors.RefusalError(
-                    errors.ErrorKind.QUEUE_FULL,
-                    f'the backend server did not run it: {error}',
-                    retry_after_s=_TRANSIENT_RETRY_S,
-                )
-            )
-        self._ejector.record_failure(name)
-        refusal = errors.RefusalError(
-            errors.ErrorKind.OUTCOME_UNKNOWN, f'no complete answer: {error}'
-        )
+        elif not isinstance(error, backend_call.StaleConnectionError):
+            self._ejector.record_failure(name)
         if isinstance(error, _FailedAnswerError):
             return _Failure(refusal, error.answer, error.body)
         return _Failure(refusal)
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -92,6 +92,8 @@
         # Addresses with which servers are listed, by their links.
         self.listed_at = {}
         self.engines = [standin.Engine('i-1'), standin.Engine('i-2')]
+        self.copies = self.engines[0].copies
+        self.engines[1].copies = self.copies
         self.services = [standin.Service('p-1'), standin.Service('p-2')]
         self._exits = contextlib.AsyncExitStack()
         self.programs = []
@@ -104,12 +106,15 @@
             'ready': _free_port(ENTRY_IPS[0]),
             'control': _free_port(ENTRY_IPS[0]),
         }
-        configuration = standin.configuration(5, tenants=self._tenants)
+        configuration = standin.configuration(
+            5, tenants=self._tenants, copies_runs=bool(self._parts)
+        )
         await self.store.put('op/config', configuration)
         for ip, engine in zip(SIDECAR_IPS, self.engines, strict=True):
             direct_address = await self._serve_directly(engine, ip)
             address = await self._relayed(engine.name, direct_address, ip)
             self.listed_at[engine.link] = address
+            self.copies.engines[address] = engine
             entry = engine.entry(address)
             await self.store.put(f'servers/{engine.name}', entry)
             settings = {'address': store_address, 'engine': direct_address}
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -262,7 +262,7 @@
         assert ips[0] == ips[3] == ips[4]
 
     def test_waits_for_a_start_although_the_engines_tell_their_waits(self):
-        """Guards against an engine that counts twice, as it was asked twice."""
+        """Guards against an engine that counts twice, asked twice."""
 
         async def story(scene):
             starting = turn_messages.TurnReply(
