--- a/tests/move_fakes.py
+++ b/tests/move_fakes.py
@@ -356,7 +356,7 @@
             suspects.Suspects(self.clock, source),
             limit_fakes.make_limits(self.clock, has_sidecar=False),
             self.gate,
-            self.mover,
+            streams=self.mover,
         )
         self.callers = {}
 
