--- a/tests/test_caller_loss.py
+++ b/tests/test_caller_loss.py
@@ -10,11 +10,15 @@
 from lacewingpitch import admission
 from lacewingpitch import caller_loss
 from lacewingpitch import errors
+from lacewingpitch import parts
 from lacewingpitch import put_off_queue
+from lacewingpitch import routing
 from lacewingpitch import turn_decision
 from lacewingpitch import turn_lease
 from lacewingpitch import wait_estimator
+from tests import fake_engine
 from tests import test_admission
+from tests import test_engine_controller
 
 REQUEST = msgspec.structs.replace(
     test_admission.REQUEST, rank=0, fingerprint='f', start_within_ms=2800
@@ -283,6 +287,31 @@
         assert run(scenario) >= 20
 
 
+class TestSwitch:
+    @pytest.mark.parametrize('is_on', [False, True])
+    def test_sidecar_decides_so_only_with_the_part(self, is_on):
+        """Guards against a part that is on by default, or never."""
+
+        async def story(scene):
+            await scene.request_turn('first', adapter='')
+            scene.engine.runs.add('first')
+            await asyncio.sleep(1.0)
+            reply = await scene.request_turn(
+                'second', adapter='', deadline_ms=400
+            )
+            details.append(reply.detail)
+
+        details: list[str] = []
+        test_engine_controller.play(
+            story,
+            limits=routing.EngineLimits(1, 2, (fake_engine.MODEL,)),
+            parts=(parts.Part.CALLER_LOSS,) if is_on else (),
+        )
+        (detail,) = details
+        assert detail.startswith('the expected wait for a turn is')
+        assert ('put off' in detail) == is_on
+
+
 class TestPutOffQueue:
     def test_released_one_by_one_in_the_order_of_giving_up(self):
         async def scenario(scene):
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -24,7 +24,11 @@
     """An engine controller that polls a fake engine."""
 
     def __init__(
-        self, limits=LIMITS, new_engine=fake_engine.FakeEngine, **options
+        self,
+        limits=LIMITS,
+        new_engine=fake_engine.FakeEngine,
+        parts=(),
+        **options,
     ):
         self.clock = virtual_time.LoopClock()
         self.engine = new_engine(**options)
@@ -41,6 +45,7 @@
             self.clock,
             metrics.Metrics('side-1', 'zone-a'),
             self.crashes,
+            parts=parts,
         )
 
     def configure(self, limits):
