--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -29,6 +29,7 @@
         limits=LIMITS,
         new_engine=fake_engine.FakeEngine,
         measures_pace=False,
+        parts=(),
         **options,
     ):
         self.clock = virtual_time.LoopClock()
@@ -47,6 +48,7 @@
             metrics.Metrics('side-1', 'zone-a'),
             self.crashes,
             self._pace_watch() if measures_pace else None,
+            parts=parts,
         )
 
     def _pace_watch(self):
