--- a/lacewingpitch/parts.py
+++ b/lacewingpitch/parts.py
@@ -16,7 +16,7 @@
     # Ranks waiting requests by what their callers lose.
     CALLER_LOSS = 'caller-loss'
     # Asks further engines for a turn once the preferred ones have refused.
-    ROOM_NEWS = 'room-news'
+    ROOM_SEARCH = 'room-search'
     # Refuses requests of plain services whose answers would be late.
     SERVICE_ADMISSION = 'service-admission'
     # Moves runs to another engine when theirs leaves.
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -332,7 +332,7 @@
         return admission
 
     def _new_room_search(self) -> room_search.RoomSearch | None:
-        if parts_module.Part.ROOM_NEWS not in self._file.settings.parts:
+        if parts_module.Part.ROOM_SEARCH not in self._file.settings.parts:
             return None
         search = room_search.RoomSearch(self._process.random)
         search.add_metrics(self._process.metrics)
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -32,7 +32,7 @@
         assert entry._new_stall_costs() is not None
 
     async def test_is_off_where_settings_name_others(self, tmp_path):
-        file = make_file(tmp_path, parts=['room-news', 'moving-runs'])
+        file = make_file(tmp_path, parts=['room-search', 'moving-runs'])
         entry = entry_module.Entry(file)
         assert entry._new_stall_costs() is None
 
@@ -53,7 +53,7 @@
 
 class TestRoomSearch:
     @pytest.mark.parametrize(
-        ('changed', 'is_on'), [({}, False), ({'parts': ['room-news']}, True)]
+        ('changed', 'is_on'), [({}, False), ({'parts': ['room-search']}, True)]
     )
     async def test_is_on_only_if_named(self, tmp_path, changed, is_on):
         found = entry_module.Entry(make_file(tmp_path, **changed))
