--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -16,7 +16,6 @@
 from lacewingpitch import batch_forecast
 from lacewingpitch import caller_loss
 from lacewingpitch import clock as clock_module
-from lacewingpitch import contract
 from lacewingpitch import crash_record
 from lacewingpitch import engine_state
 from lacewingpitch import errors
@@ -34,15 +33,12 @@
 from lacewingpitch import turn_lease
 from lacewingpitch import turn_messages
 from lacewingpitch import turn_metrics
+from lacewingpitch import turn_order
 from lacewingpitch import turn_pacer as turn_pacer_module
 from lacewingpitch import turn_queue
 from lacewingpitch import wait_estimator
-from lacewingpitch import work
 
 _MS_PER_S = 1000
-# Far more than a healthy engine has queued: requests that would miss their
-# deadline are refused earlier, by their estimated wait.
-_MAX_QUEUED_PER_FLOW = 256
 log = structlog.get_logger(__name__)
 
 
@@ -319,7 +315,7 @@
             await self._put_off.wait(turn)
             self._expect_work(turn)
         name = self._slot_name(request)
-        order = self._order(turn, name)
+        order = turn_order.work_order(turn, name)
         order_s = turn.decision.order_s
         reservation = await turn.resources.enter_async_context(
             self._queue.reserve(order, order_s or 0.0)
@@ -392,29 +388,6 @@
             request.model, request.adapter, request.version
         )
 
-    def _order(self, turn: turn_lease.TurnLease, name: str) -> work.WorkOrder:
-        # The queue schedules flows, that is the routes of organisations, as
-        # it schedules customers with contracts: each flow gets its share of
-        # the turns, and urgent routes go ahead.
-        request = turn.request
-        urgency = contract.Urgency.STANDARD
-        if not request.rank:
-            urgency = contract.Urgency.INTERACTIVE
-        return work.WorkOrder(
-            request_id=request.run_id,
-            attempt=1,
-            customer=request.flow,
-            contract_revision=0,
-            urgency=urgency,
-            weight=request.weight,
-            deadline_s=request.start_within_ms / _MS_PER_S - turn.put_off_s,
-            method='',
-            path=name,
-            repeatable=False,
-            max_tokens=request.max_tokens,
-            queued_requests=_MAX_QUEUED_PER_FLOW,
-        )
-
     def _refused(
         self,
         request: turn_messages.TurnRequest,
