--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -78,6 +78,7 @@
         parts=(),
     ):
         self._parts = parts
+        self.copies_runs = bool(parts)
         self._folder = folder
         self._tenants = tenants
         self._entry_ips = ENTRY_IPS[:entry_count]
@@ -104,7 +105,7 @@
             'control': _free_port(ENTRY_IPS[0]),
         }
         configuration = standin.configuration(
-            5, tenants=self._tenants, copies_runs=bool(self._parts)
+            5, tenants=self._tenants, copies_runs=self.copies_runs
         )
         await self.store.put('op/config', configuration)
         for ip, engine in zip(SIDECAR_IPS, self.engines, strict=True):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -381,7 +381,8 @@
             asyncio.get_running_loop().call_later(0.05, self.crash)
             await asyncio.sleep(1.0)
         copy = request.headers.get('Kv-From')
-        if copy is not None and not self.copies.take(self, copy):
+        request_id = request.headers['Request-Id']
+        if copy and not self.copies.take(self, request_id, copy):
             return web.Response(status=503, headers={'Not-Executed': '1'})
         return await self._stream(request)
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,6 +25,7 @@
 from tests import soak_faults
 from tests import soak_keys
 from tests import soak_limits
+from tests import soak_moves
 from tests import soak_notices
 
 ENTRY_COUNT = 2
@@ -140,6 +141,7 @@
             (*self.platform.engines, *self.platform.services)
         )
         self.broken += self.check_notices()
+        self.broken += soak_moves.check(self.platform.engines[0].copies)
         if self.broken:
             raise BrokenPromiseError('; '.join(self.broken))
 
@@ -176,6 +178,7 @@
         found = standin.configuration(
             version,
             tenants=self.keys.tenants(),
+            copies_runs=self.platform.copies_runs,
             extra={'pathPrefix': f'/v{version}/'},
             command={'maxAttempts': 2},
             draft={'maxAttempts': 2},
@@ -268,6 +271,8 @@
                             self, self._servers[notice.server], notice
                         )
                     )
+            if self.platform.copies_runs:
+                soak_moves.speed_up(self.platform.engines)
             await self._check_recovery()
             await self._check_configuration()
             await self._check_drain()
@@ -288,7 +293,10 @@
     def _notices(self, length_s):
         if not self._has_notices:
             return []
-        return soak_notices.plan(self._seed, len(self._servers), length_s)
+        found = soak_notices.plan(self._seed, len(self._servers), length_s)
+        if self.platform.copies_runs:
+            found += soak_moves.plan(self._seed, length_s)
+        return found
 
     def _targets(self):
         return {
@@ -446,7 +454,11 @@
 
 
 async def run(
-    seed, length_s=FAULTS_S, entry_count=ENTRY_COUNT, has_notices=True
+    seed,
+    length_s=FAULTS_S,
+    entry_count=ENTRY_COUNT,
+    has_notices=True,
+    parts=(),
 ):
     """Run one seed; raise `BrokenPromiseError` if a check fails."""
     with contextlib.ExitStack() as exits:
@@ -457,7 +469,10 @@
             entry_count=entry_count,
             is_relayed=True,
             tenants=keys.tenants(),
+            parts=parts,
         ) as platform:
+            if platform.copies_runs:
+                soak_moves.slow_down(platform.engines)
             scene = Scene(platform, seed, keys, has_notices)
             try:
                 return scene, await scene.play(length_s)
@@ -489,12 +504,16 @@
     type=click.IntRange(1, len(platform_processes.ENTRY_IPS)),
     help='How many entry processes.',
 )
-def main(first, count, seconds, entries):
+@click.option('--moves', is_flag=True, help='Whether runs move.')
+def main(first, count, seconds, entries, moves):
     """Run seeds one after another, and print what broke."""
     failed = 0
+    parts = soak_moves.PARTS if moves else ()
     for seed in range(first, first + count):
         try:
-            scene, planned = asyncio.run(run(seed, seconds, entries))
+            scene, planned = asyncio.run(
+                run(seed, seconds, entries, parts=parts)
+            )
         except BrokenPromiseError as error:
             failed += 1
             click.echo(f'seed {seed}: BROKEN: {error}')
@@ -503,7 +522,8 @@
         served = sum(call.is_served for call in calls)
         click.echo(
             f'seed {seed}: held, {len(planned)} faults, '
-            f'{served} of {len(calls)} calls served'
+            f'{served} of {len(calls)} calls served, '
+            f'{len(scene.platform.copies.used)} runs moved'
         )
     click.echo(f'{count - failed} held, {failed} broken')
     raise SystemExit(bool(failed))
--- a/tests/standin_memory.py
+++ b/tests/standin_memory.py
@@ -16,6 +16,10 @@
         Request id, and names of source and target, by handle.
     used, freed
         Handles that were used, and that were freed.
+    overlaps
+        Requests that continued while another engine ran them.
+    mixed
+        Requests that continued from the memory of another.
     faults
         What goes wrong with the next copies: ``lost`` or ``refused``.
     """
@@ -25,6 +29,8 @@
         self.held = {}
         self.used = []
         self.freed = []
+        self.overlaps = []
+        self.mixed = []
         self.faults = []
         self.delay_s = 0.0
         self._stops = {}
@@ -43,14 +49,18 @@
         stop = self._stops[request_id] = asyncio.Event()
         return stop
 
-    def take(self, engine, header):
+    def take(self, engine, request_id, header):
         """Use the copy that a request names; return whether it is there."""
         handle = header.partition('/')[2]
-        _, *names = self.held.get(handle, ('',))
+        run_id, *names = self.held.get(handle, ('',))
         if engine.name not in names:
             return False
         del self.held[handle]
         self.used.append(handle)
+        if run_id != request_id:
+            self.mixed.append(request_id)
+        if any(run_id in found.runs for found in self.engines.values()):
+            self.overlaps.append(run_id)
         return True
 
     def drop(self, name):
