--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -80,6 +80,7 @@
         tenants=None,
         parts=(),
     ):
+        self.copies_runs = bool(parts)
         self._folder = folder
         self._parts = parts
         self._tenants = tenants
@@ -107,7 +108,7 @@
             'control': _free_port(ENTRY_IPS[0]),
         }
         configuration = standin.configuration(
-            5, tenants=self._tenants, copies_runs=bool(self._parts)
+            5, tenants=self._tenants, copies_runs=self.copies_runs
         )
         await self.store.put('op/config', configuration)
         for ip, engine in zip(SIDECAR_IPS, self.engines, strict=True):
