--- a/lacewingpitch/plain_server_selector.py
+++ b/lacewingpitch/plain_server_selector.py
@@ -88,40 +88,26 @@
         handling = self._record.handling(fingerprint)
         if handling is crash_record.Handling.REFUSED:
             raise isolation.barred_refusal(self._record, fingerprint)
-        if not excluded:
-            self._check_admission(fingerprint, services[0], target_s)
         is_isolated = handling is crash_record.Handling.ISOLATED
         with contextlib.ExitStack() as stack:
             if is_isolated:
                 stack.enter_context(self._isolated_run())
-            server = await self._choose(services, excluded, is_isolated)
+            server = await self._choose(
+                services, excluded, is_isolated, target_s
+            )
             stack.enter_context(self._balancer.track_request(server))
             yield server
 
-    def _check_admission(
-        self, fingerprint: str, service: str, target_s: float
-    ) -> None:
-        refusal = self._admission.refusal(service, target_s)
-        if refusal is None:
-            return
-        log.info(
-            'request not admitted to its service',
-            fingerprint=fingerprint,
-            service=service,
-            detail=refusal.detail,
-        )
-        raise refusal
-
     def record_answer(
         self, server: backend_list.BackendServer, latency_s: float
     ) -> None:
         """Record the latency of an answer."""
         self._balancer.record_latency(server.name, latency_s)
-        self._admission.record_answer(server.service, latency_s)
+        self._admission.record_answer(server.name, latency_s)
 
     def record_full(self, server: backend_list.BackendServer) -> None:
         """Record that a server had no room for a request."""
-        self._admission.record_full(server.service)
+        self._admission.record_full(server.name)
 
     @contextlib.contextmanager
     def _isolated_run(self) -> Iterator[None]:
@@ -142,6 +128,7 @@
         services: Sequence[str],
         excluded: Collection[str],
         is_isolated: bool,
+        target_s: float,
     ) -> backend_list.BackendServer:
         limited: dict[str, errors.RefusalError] = {}
         for service in services:
@@ -151,12 +138,31 @@
                 )
                 if server is None:
                     break
-                refusal = await self._limits.try_acquire(server)
+                refusal = self._admission_refusal(server, excluded, target_s)
+                refusal = refusal or await self._limits.try_acquire(server)
                 if refusal is None:
                     return server
                 limited[server.name] = refusal
         raise self._refusal(services, limited.values())
 
+    def _admission_refusal(
+        self,
+        server: backend_list.BackendServer,
+        excluded: Collection[str],
+        target_s: float,
+    ) -> errors.RefusalError | None:
+        # A request that another server had no room for goes on at once.
+        if excluded:
+            return None
+        refusal = self._admission.refusal(server.name, target_s)
+        if refusal is not None:
+            log.info(
+                'request kept from a full server',
+                backend_server=server.name,
+                detail=refusal.detail,
+            )
+        return refusal
+
     def _candidate(
         self, service: str, excluded: Collection[str], is_isolated: bool
     ) -> backend_list.BackendServer | None:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -318,13 +318,13 @@
         )
         metrics = self._process.metrics
         metrics.counter(
-            'service_requests_refused_total',
-            'Requests refused because answers of their service are late.',
+            'server_requests_refused_total',
+            'Requests kept from plain servers that are full and late.',
             lambda: admission.refused_count,
         )
         metrics.gauge(
-            'service_refused_ratio',
-            'Largest share of the requests of a plain service refused now.',
+            'server_refused_ratio',
+            'Largest share of requests kept from a plain server now.',
             lambda: max(
                 (ratio for _, ratio in admission.refused_ratios()), default=0.0
             ),
--- a/lacewingpitch/service_admission.py
+++ b/lacewingpitch/service_admission.py
@@ -1,4 +1,4 @@
-"""Decides which requests of a plain service are refused while it is full."""
+"""Decides which requests a full server of a plain service doesn't get."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -17,19 +17,19 @@
 _MAX_REFUSED_RATIO = 0.9
 # While few requests are admitted, few answers show that the load is over.
 _HALF_LIFE_S = 8.0
-# Requests are refused only while servers turn requests away for want of room:
+# Requests are refused only while the server turns others away, being full:
 # late answers alone may have another cause.
 _FULL_RETENTION_S = 4.0
 # Range in which callers return, so that they do not return together.
 _RETRY_AFTER_S = (0.3, 1.0)
-_MAX_SERVICES = 1024
+_MAX_SERVERS = 1024
 
 
 class ServiceAdmission(Protocol):
-    """Decides which requests may be sent to a plain service."""
+    """Decides which requests may be sent to a server of a plain service."""
 
     def refusal(
-        self, service: str, target_s: float
+        self, server: str, target_s: float
     ) -> errors.RefusalError | None:
         """Return why a request is refused now; ``None`` if admitted.
 
@@ -40,12 +40,12 @@
         """
         ...
 
-    def record_answer(self, service: str, latency_s: float) -> None:
-        """Record the latency of an answer."""
+    def record_answer(self, server: str, latency_s: float) -> None:
+        """Record the latency of an answer of the server."""
         ...
 
-    def record_full(self, service: str) -> None:
-        """Record that a server had no room for a request."""
+    def record_full(self, server: str) -> None:
+        """Record that the server had no room for a request."""
         ...
 
 
@@ -53,21 +53,21 @@
     """Admits every request."""
 
     def refusal(
-        self, service: str, target_s: float
+        self, server: str, target_s: float
     ) -> errors.RefusalError | None:
         """Return ``None``."""
         return None
 
-    def record_answer(self, service: str, latency_s: float) -> None:
+    def record_answer(self, server: str, latency_s: float) -> None:
         """Ignore an answer."""
 
-    def record_full(self, service: str) -> None:
+    def record_full(self, server: str) -> None:
         """Ignore a server without room."""
 
 
 @dataclasses.dataclass(slots=True)
-class _ServiceLoad:
-    """Load of one service as this entry sees it.
+class _ServerLoad:
+    """Load of one server as this entry sees it.
 
     Parameters
     ----------
@@ -76,7 +76,7 @@
     refused_ratio
         Share of the requests that are refused, as of `updated_at_s`.
     full_at_s
-        When a server last had no room.
+        When it last had no room.
     """
 
     target_s: float
@@ -92,7 +92,7 @@
     can run.  Each queues requests until its queue is full, and then all its
     answers are late.  An entry sees a small part of a server's load, so that
     it cannot count the requests that are queued there; the latency of the
-    answers shows them.
+    answers shows them.  What one server refuses may go to another.
 
     Parameters
     ----------
@@ -105,32 +105,32 @@
     ) -> None:
         self._clock = clock
         self._random = source
-        self._loads: dict[str, _ServiceLoad] = {}
+        self._loads: dict[str, _ServerLoad] = {}
         self.refused_count = 0
 
     def refused_ratios(self) -> Iterable[tuple[str, float]]:
-        """Return the services with the share of requests refused now."""
-        for service, load in self._loads.items():
-            yield service, self._refused_ratio(load)
+        """Return the servers with the share of requests refused now."""
+        for server, load in self._loads.items():
+            yield server, self._refused_ratio(load)
 
     def refusal(
-        self, service: str, target_s: float
+        self, server: str, target_s: float
     ) -> errors.RefusalError | None:
         """Return why a request is refused now; ``None`` if admitted."""
-        load = self._load(service, target_s)
+        load = self._load(server, target_s)
         ratio = self._refused_ratio(load)
         if self._random.random() >= ratio:
             return None
         self.refused_count += 1
         return errors.RefusalError(
             errors.ErrorKind.QUEUE_FULL,
-            f'servers are full, {ratio:.2f} of the requests are refused',
+            f'the server is full, {ratio:.2f} of the requests are refused',
             retry_after_s=self._random.uniform(*_RETRY_AFTER_S),
         )
 
-    def record_answer(self, service: str, latency_s: float) -> None:
-        """Record the latency of an answer."""
-        load = self._loads.get(service)
+    def record_answer(self, server: str, latency_s: float) -> None:
+        """Record the latency of an answer of the server."""
+        load = self._loads.get(server)
         if load is None:
             return
         if latency_s > load.target_s:
@@ -140,34 +140,34 @@
         load.refused_ratio = ratio
         load.updated_at_s = self._clock.monotonic_s()
 
-    def record_full(self, service: str) -> None:
-        """Record that a server had no room for a request."""
-        load = self._loads.get(service)
+    def record_full(self, server: str) -> None:
+        """Record that the server had no room for a request."""
+        load = self._loads.get(server)
         if load is not None:
             load.full_at_s = self._clock.monotonic_s()
             self._raise(load)
 
-    def _raise(self, load: _ServiceLoad) -> None:
+    def _raise(self, load: _ServerLoad) -> None:
         ratio = self._decayed_ratio(load)
         ratio += _RAISE_RATIO * (1.0 - ratio)
         load.refused_ratio = min(_MAX_REFUSED_RATIO, ratio)
         load.updated_at_s = self._clock.monotonic_s()
 
-    def _load(self, service: str, target_s: float) -> _ServiceLoad:
-        load = self._loads.get(service)
+    def _load(self, server: str, target_s: float) -> _ServerLoad:
+        load = self._loads.get(server)
         if load is None:
-            if len(self._loads) >= _MAX_SERVICES:
+            if len(self._loads) >= _MAX_SERVERS:
                 self._loads.clear()
-            load = self._loads[service] = _ServiceLoad(target_s)
+            load = self._loads[server] = _ServerLoad(target_s)
         load.target_s = target_s
         return load
 
-    def _refused_ratio(self, load: _ServiceLoad) -> float:
+    def _refused_ratio(self, load: _ServerLoad) -> float:
         full_s = self._clock.monotonic_s() - load.full_at_s
         if full_s > _FULL_RETENTION_S:
             return 0.0
         return self._decayed_ratio(load)
 
-    def _decayed_ratio(self, load: _ServiceLoad) -> float:
+    def _decayed_ratio(self, load: _ServerLoad) -> float:
         age_s = self._clock.monotonic_s() - load.updated_at_s
         return load.refused_ratio * 0.5 ** (age_s / _HALF_LIFE_S)
