--- a/lacewingpitch/pace_table.py
+++ b/lacewingpitch/pace_table.py
@@ -6,7 +6,7 @@
 from lacewingpitch import engine_pace
 
 # A smaller probability to lose than this is noise of the measurement.
-_MIN_LOSS_PROBABILITY = 0.02
+_MIN_LOSS_PROBABILITY = 0.08
 
 
 class PaceTable:
