--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -381,11 +381,14 @@
             initial_load_s=_INITIAL_LOAD_S,
         )
         adapters = self._adapters
+        parts = parts_module.in_force(
+            self._parts, self._table.api_keys is not None
+        )
         queue = turn_queue.TurnQueue(
             limits.max_running,
             _LOOKAHEAD_COUNT,
             _MAX_QUEUED,
-            self._discipline(limits.max_running, adapters),
+            self._discipline(parts, limits.max_running, adapters),
             self._clock,
             lambda order: _expected_adapter_wait_s(adapters, order),
         )
@@ -401,7 +404,7 @@
             outcomes,
             self._crashes,
             self._watch,
-            parts=self._parts,
+            parts=parts,
         )
         self._is_ready.set()
         engine_metrics.register(
@@ -422,9 +425,12 @@
         )
 
     def _discipline(
-        self, turn_count: int, adapters: slots_module.AdapterSlots
+        self,
+        parts: Collection[parts_module.Part],
+        turn_count: int,
+        adapters: slots_module.AdapterSlots,
     ) -> turn_queue.QueueDiscipline:
-        if parts_module.Part.CALLER_LOSS in self._parts:
+        if parts_module.Part.CALLER_LOSS in parts:
             return due_queue.DueQueue()
         return fair_queue.FairQueue(
             turn_count,
--- a/lacewingpitch/pace_table.py
+++ b/lacewingpitch/pace_table.py
@@ -6,7 +6,12 @@
 from lacewingpitch import engine_pace
 
 # A smaller probability to lose than this is noise of the measurement.
-_MIN_LOSS_PROBABILITY = 0.08
+_MIN_LOSS_PROBABILITY = 0.02
+# Engines differ in pace if the second slowest takes this many times as long
+# for a token as the second fastest.  A single engine may falter or be
+# measured wrongly.
+_UNEVEN_RATIO = 1.5
+_MIN_COMPARED = 4
 
 
 class PaceTable:
@@ -20,9 +25,18 @@
         self._told: dict[int, engine_pace.ToldPace] = {}
         self._stalls_per_token: dict[int, float] = {}
         self._token_s: dict[int, float] = {}
+        self._is_uneven: bool | None = None
+
+    @property
+    def is_uneven(self) -> bool:
+        """Whether several engines are much slower than several others."""
+        if self._is_uneven is None:
+            self._is_uneven = self._compare()
+        return self._is_uneven
 
     def put(self, column: int, told: engine_pace.ToldPace | None) -> None:
         """Set the pace of an engine; ``None`` if it isn't known."""
+        self._is_uneven = None
         if told is None:
             self._told.pop(column, None)
             self._stalls_per_token.pop(column, None)
@@ -54,6 +68,12 @@
             if probability > least
         }
 
+    def _compare(self) -> bool:
+        if len(self._token_s) < _MIN_COMPARED:
+            return False
+        times_s = sorted(self._token_s.values())
+        return times_s[-2] > _UNEVEN_RATIO * times_s[1]
+
     def _stall_probabilities(
         self, needs: answer_needs.AnswerNeeds
     ) -> dict[int, float]:
--- a/lacewingpitch/pace_watch.py
+++ b/lacewingpitch/pace_watch.py
@@ -15,6 +15,8 @@
 _MS_PER_S = 1000
 # Pauses between events show only in reports that are closer to each other.
 _POLL_INTERVAL_S = 0.1
+# What entries say of the other engines counts for this long.
+_UNEVEN_RETENTION_S = 10.0
 # A report that takes longer states the events of an uncertain time.
 _MAX_REPORT_S = 0.1
 # The pace of an engine that hasn't been heard of for this long is unknown.
@@ -82,20 +84,26 @@
     ----------
     tokens_per_event
         Returns how many tokens an event of a stream holds.
+    only_uneven
+        Whether prompts are paced as without the part where engines run
+        about alike.
     """
 
     def __init__(
         self,
         clock: clock_module.Clock,
         tokens_per_event: Callable[[], int],
+        only_uneven: bool = False,
     ) -> None:
         self._clock = clock
+        self._only_uneven = only_uneven
         self._tokens_per_event = tokens_per_event
         self._progress = run_progress.RunProgress()
         self._meter = pace_meter.PaceMeter()
         self._log = pace_log_module.PaceLog()
         self._pace = engine_pace.UNKNOWN_PACE
         self._heard_at_s = 0.0
+        self._uneven_until_s = 0.0
         self.rates: prefill_rates.PrefillRates = prefill_rates.MeasuredRates(
             self
         )
@@ -128,8 +136,18 @@
             return usual_s
         return min(usual_s, _POLL_INTERVAL_S)
 
+    @property
+    def is_uneven(self) -> bool:
+        """Whether the engines differ in pace, as entries told of late."""
+        if not self._only_uneven:
+            return True
+        return self._clock.monotonic_s() < self._uneven_until_s
+
     def record_granted(self, request: turn_messages.TurnRequest) -> None:
         """Record a request whose turn is granted."""
+        if request.has_uneven_engines:
+            now_s = self._clock.monotonic_s()
+            self._uneven_until_s = now_s + _UNEVEN_RETENTION_S
         self._progress.record_granted(
             request.run_id,
             request.prompt_tokens,
--- a/lacewingpitch/parts.py
+++ b/lacewingpitch/parts.py
@@ -1,5 +1,6 @@
 """Optional parts of the system that settings switch on."""
 
+from collections.abc import Collection
 import enum
 
 
@@ -21,3 +22,21 @@
     SERVICE_ADMISSION = 'service-admission'
     # Moves runs to another engine when theirs leaves.
     MOVING_RUNS = 'moving-runs'
+
+
+def in_force(
+    parts: Collection[Part], has_organisations: bool
+) -> frozenset[Part]:
+    """Return the parts that a configuration calls for.
+
+    Parameters
+    ----------
+    parts
+        Parts that the settings name.
+    has_organisations
+        Whether the configuration names organisations, which compete for the
+        engines.
+    """
+    if has_organisations:
+        return frozenset(parts)
+    return frozenset(parts) - {Part.CALLER_LOSS}
--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -138,6 +138,11 @@
             state.told_pace is not None for state in self._states.values()
         )
 
+    @property
+    def has_uneven_engines(self) -> bool:
+        """Whether the engines ranked last are known to differ in pace."""
+        return self._stall_costs is not None and self._stall_costs.is_uneven
+
     async def locate(
         self, key: str, instances: Sequence[live_list.Instance]
     ) -> list[live_list.Instance]:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -276,7 +276,7 @@
         if parts_module.Part.ENGINE_PACE not in settings.parts:
             return None
         return stall_costs_module.StallCosts(
-            self._process.clock, settings.instance
+            self._process.clock, settings.instance, only_uneven=True
         )
 
     def _new_zone_costs(self) -> zone_costs_module.ZoneCosts | None:
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -146,6 +146,7 @@
         return pace_watch.MeasuringPaceWatch(
             self._process.clock,
             lambda: self._process.table.tokens_per_event(settings.service),
+            only_uneven=True,
         )
 
     async def close(self) -> None:
--- a/lacewingpitch/prefill_rates.py
+++ b/lacewingpitch/prefill_rates.py
@@ -7,14 +7,13 @@
 # Share of the allowed pause that an event may take while prompts are read.
 # The rest is for moments at which the engine is slower.
 _MAX_EVENT_GAP_RATIO = 0.5
-# Bounds of the share of the engine's time that prompts get beside streams: a
-# slow engine must not starve them, and a fast one may slow down.  Prompts get
-# the larger share while more of them wait than are released in time.
-_MIN_PROMPT_RATIO = 0.2
-_BASE_PROMPT_RATIO = 0.3
-_MAX_PROMPT_RATIO = 0.55
-# Prompts that are released together, as a time at the base rate.
-_BURST_S = 0.09
+# Bounds of the share of the engine's time that prompts get beside streams:
+# a slow engine must not starve them, and a fast one may slow down.
+_MIN_PROMPT_RATIO = 0.4
+_MAX_PROMPT_RATIO = 0.6
+# Prompts that are released together, as a share of those that may be read
+# within the time that an event may take.
+_BURST_RATIO = 0.2
 
 
 class PrefillRates(Protocol):
@@ -71,13 +70,18 @@
         """Whether nothing runs."""
         ...
 
+    @property
+    def is_uneven(self) -> bool:
+        """Whether it differs in pace from other engines."""
+        ...
+
 
 class MeasuredRates:
     """Rates at which an engine's streams keep their allowed pause.
 
     While a share of the engine's time goes to prompts, its events take
     longer by the inverse of the rest.  Without a known pace, or an allowed
-    pause, the constant rates apply.
+    pause, or among engines that run alike, the constant rates apply.
     """
 
     def __init__(self, measured: MeasuredPace) -> None:
@@ -87,36 +91,36 @@
     @property
     def base_tokens_per_s(self) -> float:
         """Return the rate while few prompts wait."""
-        return (
-            self._rate_per_s(_BASE_PROMPT_RATIO)
-            or self._fallback.base_tokens_per_s
-        )
+        rate_per_s = self._rate_per_s
+        return rate_per_s or self._fallback.base_tokens_per_s
 
     @property
     def max_tokens_per_s(self) -> float:
         """Return the rate while more wait than it releases in time."""
-        return (
-            self._rate_per_s(_MAX_PROMPT_RATIO)
-            or self._fallback.max_tokens_per_s
-        )
+        rate_per_s = self._rate_per_s
+        return rate_per_s or self._fallback.max_tokens_per_s
 
     @property
     def burst_tokens(self) -> float:
         """Return how many tokens may be released together."""
-        rate_per_s = self._rate_per_s(_BASE_PROMPT_RATIO)
+        rate_per_s = self._rate_per_s
         if not rate_per_s:
             return self._fallback.burst_tokens
-        return _BURST_S * rate_per_s
+        event_limit_s = _MAX_EVENT_GAP_RATIO * self._measured.gap_s
+        return _BURST_RATIO * rate_per_s * event_limit_s
 
-    def _rate_per_s(self, max_ratio: float) -> float:
+    @property
+    def _rate_per_s(self) -> float:
         """Return the rate; 0 if it is unknown."""
         pace = self._measured.pace
         gap_s = self._measured.gap_s
-        if not pace.is_known or not gap_s:
+        if not (pace.is_known and gap_s and self._measured.is_uneven):
             return 0.0
         if self._measured.is_idle:
             return pace.prompt_tokens_per_s
         event_s = pace.token_s * self._measured.tokens_per_event
         prompt_ratio = 1.0 - event_s / (_MAX_EVENT_GAP_RATIO * gap_s)
-        prompt_ratio = max(_MIN_PROMPT_RATIO, min(max_ratio, prompt_ratio))
+        prompt_ratio = min(
+            max(prompt_ratio, _MIN_PROMPT_RATIO), _MAX_PROMPT_RATIO
+        )
         return pace.prompt_tokens_per_s * prompt_ratio
--- a/lacewingpitch/stall_costs.py
+++ b/lacewingpitch/stall_costs.py
@@ -30,11 +30,25 @@
     ----------
     instance
         Name of this entry instance.
+    only_uneven
+        Whether it adds nothing where engines run about alike.
+
+    Attributes
+    ----------
+    is_uneven
+        Whether the engines ranked last differ in pace.
     """
 
-    def __init__(self, clock: clock_module.Clock, instance: str) -> None:
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        instance: str,
+        only_uneven: bool = False,
+    ) -> None:
         self._clock = clock
         self._probes = probe_budget.ProbeBudget(instance)
+        self._only_uneven = only_uneven
+        self.is_uneven = False
         self.moved_count = 0
         self.probe_count = 0
 
@@ -58,8 +72,11 @@
             Known paces of the engines.
         """
         self._probes.record_request()
+        self.is_uneven = paces.is_uneven
+        if not ranked or (self._only_uneven and not self.is_uneven):
+            return None
         losses = paces.losses(needs)
-        if not losses or not ranked:
+        if not losses:
             return None
         fallback = _best_avoided(waits_s, ranked, losses)
         first = min(ranked, key=waits_s.__getitem__)
--- a/lacewingpitch/turn_exchange.py
+++ b/lacewingpitch/turn_exchange.py
@@ -236,6 +236,7 @@
             limit_news=self._limits.news(),
             leaving=self._gate.leaving_news(),
             gap_ms=int(spec.gap_s * _MS_PER_S),
+            has_uneven_engines=self._placement.has_uneven_engines,
         )
 
     def _apply_reply(
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -80,6 +80,8 @@
         Start ids of servers that announced to this entry that they leave.
     gap_ms
         Longest pause between events that the caller allows; 0 if unknown.
+    has_uneven_engines
+        Whether the engines differ in pace, by what the entry knows.
     """
 
     entry: str
@@ -109,6 +111,7 @@
     limit_news: tuple[limit_news_module.LimitNews, ...] = ()
     leaving: tuple[str, ...] = ()
     gap_ms: int = 0
+    has_uneven_engines: bool = False
 
     @property
     def flow(self) -> str:
--- a/tests/test_stall_costs.py
+++ b/tests/test_stall_costs.py
@@ -366,3 +366,39 @@
             for column, told in costs.paces._told.items()
         }
         assert paces == last
+
+
+class TestOnlyUneven:
+    """Fleets on which the part changes nothing."""
+
+    def table(self, *token_ms):
+        table = pace_table.PaceTable()
+        for column, token in enumerate(token_ms):
+            pace = engine_pace.EnginePace(token / 1000.0, 0.0, 0.1 * token)
+            table.put(column, engine_pace.ToldPace(pace, 0.0))
+        return table
+
+    def added(self, table, only_uneven):
+        waits_s = [0.0] * 6
+        costs = stall_costs.StallCosts(
+            clocks.ManualClock(), 'edge-1', only_uneven
+        )
+        needs = answer_needs.AnswerNeeds(300, 12.0, True)
+        costs.add(waits_s, range(6), table, needs)
+        return sum(waits_s)
+
+    def test_nothing_is_added_where_engines_run_about_alike(self):
+        """Guards against moves that only bring adapters to more engines."""
+        table = self.table(5.0, 5.2, 5.0, 6.5, 6.6, 5.1)
+        assert not table.is_uneven
+        assert self.added(table, only_uneven=True) == 0.0
+        assert self.added(table, only_uneven=False) > 0.0
+
+    def test_one_slow_engine_does_not_make_a_fleet_uneven(self):
+        table = self.table(5.0, 5.2, 5.0, 5.1, 5.0, 20.0)
+        assert not table.is_uneven
+
+    def test_slow_engines_cost_among_others_that_are_fast(self):
+        table = self.table(3.5, 3.6, 3.5, 8.6, 8.6, 8.7)
+        assert table.is_uneven
+        assert self.added(table, only_uneven=True) > 0.0
