--- a/lacewingpitch/pace_table.py
+++ b/lacewingpitch/pace_table.py
@@ -10,7 +10,7 @@
 # Engines differ in pace if the second slowest takes this many times as long
 # for a token as the second fastest.  A single engine may falter or be
 # measured wrongly.
-_UNEVEN_RATIO = 1.5
+_UNEVEN_RATIO = 2.0
 _MIN_COMPARED = 4
 
 
