--- a/lacewingpitch/pace_watch.py
+++ b/lacewingpitch/pace_watch.py
@@ -31,6 +31,11 @@
         """Return the engine's pace."""
         ...
 
+    @property
+    def deciding_pace(self) -> engine_pace.EnginePace:
+        """Return the pace; unknown where nothing is decided by it."""
+        ...
+
     @property
     def rates(self) -> prefill_rates.PrefillRates:
         """Return the rates at which prompts may be released."""
@@ -59,6 +64,7 @@
     """Knows nothing; serves sidecars without the part."""
 
     pace = engine_pace.UNKNOWN_PACE
+    deciding_pace = engine_pace.UNKNOWN_PACE
     rates: prefill_rates.PrefillRates = prefill_rates.ConstantRates()
 
     def poll_interval_s(self, usual_s: float) -> float:
@@ -115,6 +121,11 @@
             return engine_pace.UNKNOWN_PACE
         return self._pace
 
+    @property
+    def deciding_pace(self) -> engine_pace.EnginePace:
+        """Return the pace; unknown where engines run about alike."""
+        return self.pace if self.is_uneven else engine_pace.UNKNOWN_PACE
+
     @property
     def tokens_per_event(self) -> int:
         """Return how many tokens an event of a stream holds."""
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -143,7 +143,9 @@
                     is_above_share,
                     decision.is_return,
                 )
-            refusal = answer_deadline.refusal(request, wait, self._watch.pace)
+            refusal = answer_deadline.refusal(
+                request, wait, self._watch.deciding_pace
+            )
             if refusal is not None:
                 return self._refused(request, refusal)
             turn = self._add_turn(request, wait, run_s, decision)
