--- a/lacewingpitch/placement.py
+++ b/lacewingpitch/placement.py
@@ -138,6 +138,11 @@
             state.told_pace is not None for state in self._states.values()
         )
 
+    @property
+    def uses_pace(self) -> bool:
+        """Whether it ranks by the pace of engines where they differ."""
+        return self._stall_costs is not None
+
     @property
     def has_uneven_engines(self) -> bool:
         """Whether the engines ranked last are known to differ in pace."""
--- a/lacewingpitch/turn_exchange.py
+++ b/lacewingpitch/turn_exchange.py
@@ -235,7 +235,7 @@
             limit_per_s=limit_per_s,
             limit_news=self._limits.news(),
             leaving=self._gate.leaving_news(),
-            gap_ms=int(spec.gap_s * _MS_PER_S),
+            gap_ms=self._gap_ms(spec),
             has_uneven_engines=self._placement.has_uneven_engines,
         )
 
@@ -269,6 +269,12 @@
             return isolation.barred_refusal(record, spec.fingerprint)
         return isolation.isolation_refusal()
 
+    def _gap_ms(self, spec: turn_spec.TurnSpec) -> int:
+        """Return the allowed pause for sidecars that measure the pace."""
+        if not self._placement.uses_pace:
+            return 0
+        return int(spec.gap_s * _MS_PER_S)
+
     def _check_open(
         self, spec: turn_spec.TurnSpec, server: backend_list.BackendServer
     ) -> None:
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -235,6 +235,18 @@
         play(story)
 
 
+class TestMessages:
+    def test_nothing_is_told_of_pauses_without_the_part(self):
+        """Guards against messages that differ although the part is off."""
+
+        async def story(scene):
+            await scene.acquire()
+
+        (request,) = [r for _, r in play(story).sidecars.requests]
+        assert request.gap_ms == 0
+        assert not request.has_uneven_engines
+
+
 class TestStarting:
     """All engines restart together and load their model."""
 
