--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -7,6 +7,7 @@
 from lacewingpitch import errors
 from lacewingpitch.platform import entry as entry_module
 from lacewingpitch.platform import settings
+from lacewingpitch import service_admission
 from tests import platform_standin as standin
 
 PORTS = {'callers': 8001, 'ready': 8002, 'control': 8003, 'internal': 7300}
@@ -61,3 +62,20 @@
         found = entry_module.Entry(make_file(tmp_path, **changed))
         assert (found._new_room_search() is not None) is is_on
         await found._process.exits.aclose()
+
+
+class TestServiceAdmission:
+    @pytest.mark.parametrize(
+        ('changed', 'kind'),
+        [
+            ({}, service_admission.AdmitAll),
+            (
+                {'parts': ['service-admission']},
+                service_admission.LatencyAdmission,
+            ),
+        ],
+    )
+    async def test_is_on_only_if_named(self, tmp_path, changed, kind):
+        entry = entry_module.Entry(make_file(tmp_path, **changed))
+        assert isinstance(entry._service_admission(), kind)
+        await entry._process.exits.aclose()
