Log each failed read of the store and each use of an unlisted server

The hypotheses could not be told apart: only the first failed read of a row was logged, an extended retention not at all, and no line said that a request went to a server that the list lacks.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -259,13 +259,17 @@
         else:
             self._departed.record_listed(server.start_id)
         self._unlisted.discard(server.name)
+        listed_before = self._servers.get(server.name)
         self._servers[server.name] = server
         if before and server.started_at_ms > before.started_at_ms:
             self._unplanned_ends.on_next(before)
             self._announce_restart(server)
         if server.is_leaving and (before is None or not before.is_leaving):
             self._leavings.on_next(server)
-        if before is None or before.is_leaving != server.is_leaving:
+        if (
+            listed_before is None
+            or listed_before.is_leaving != server.is_leaving
+        ):
             log.info(
                 'backend server listed',
                 backend_server=server.name,
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -478,6 +478,11 @@
             'Requests stopped on their way to a server that accepts none now.',
             lambda: self._gate.withheld_count,
         )
+        metrics.counter(
+            'requests_to_unlisted_servers_total',
+            'Requests sent to backend servers that are not listed.',
+            lambda: self._gate.unlisted_count,
+        )
         metrics.gauge(
             'servers_in_backoff',
             'Backend servers that asked this entry for backoff.',
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -369,6 +369,13 @@
                 error=str(error),
             )
             self._is_unreachable = True
+        log.info(
+            'store read failed',
+            prefix=self._prefix,
+            error=str(error),
+            failures=self._backoff.failure_count,
+            took_s=round(self._clock.monotonic_s() - requested_at_s, 3),
+        )
         self._changes.on_next(
             Change(is_read_failure=True, requested_at_s=requested_at_s)
         )
--- a/lacewingpitch/server_gate.py
+++ b/lacewingpitch/server_gate.py
@@ -37,6 +37,8 @@
     ----------
     withheld_count
         Requests that `admit` has stopped.
+    unlisted_count
+        Requests that were sent to servers that were not listed.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         # By service.
         self._returns: dict[str, return_times.ReturnTimes] = {}
         self.withheld_count = 0
+        self.unlisted_count = 0
 
     def is_open(self, server: backend_list.BackendServer) -> bool:
         """Whether a request may be sent to a server."""
@@ -81,6 +84,7 @@
         wait_s = self.wait_s(server)
         if not wait_s:
             self.backoffs.record_sending(server)
+            self._count_unlisted(server)
             return
         self.withheld_count += 1
         reason = 'backoff' if wait_s < math.inf else 'leaving'
@@ -145,6 +149,16 @@
         for start_id in start_ids:
             self._servers.record_leaving(start_id, 'entry')
 
+    def _count_unlisted(self, server: backend_list.BackendServer) -> None:
+        if self._servers.get(server.name) is not None:
+            return
+        self.unlisted_count += 1
+        log.info(
+            'request sent to an unlisted backend server',
+            backend_server=server.name,
+            list_age_s=round(self._servers.age_s, 3),
+        )
+
     def _returns_to(self, service: str) -> return_times.ReturnTimes:
         if service not in self._returns:
             if len(self._returns) >= _MAX_SERVICES:
--- a/lacewingpitch/unlisted_servers.py
+++ b/lacewingpitch/unlisted_servers.py
@@ -128,6 +128,13 @@
         )
         for record in self._records.values():
             record.retained_until_s += unreadable_s
+        if self._records and unreadable_s:
+            log.info(
+                'retention of unlisted backend servers extended',
+                backend_servers=sorted(self._records),
+                failed_reads=self._failure_count,
+                by_s=round(unreadable_s, 3),
+            )
 
     def add(self, server: _Server, listed_at_s: float) -> None:
         """Add a server that is no longer listed.
