Failing test: reads refused after an outage extend the use of a server that left

A store of which one process is cut off, for 1 to 12 s; a server leaves before or meanwhile; then, for 0.2 to 2 s after the store's return, 6 of 10 reads are refused (429, 503) or watches are cut. The bound is the platform's: contactMs after the return, drainMs after the leaving.

--- /dev/null
+++ b/tests/test_left_servers.py
@@ -0,0 +1,192 @@
+"""Use of servers that left, around outages of the store."""
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from benchmarks import virtual_time
+from lacewingpitch import backend_list
+from lacewingpitch.platform import store as store_module
+from lacewingpitch.platform import store_updates
+from tests import fault_matrix
+from tests import platform_standin as standin
+from tests import store_faults
+
+Fault = fault_matrix.Fault
+Promise = fault_matrix.Promise
+Step = fault_matrix.Step
+
+# The platform's bounds: a process that could read the store for so long must
+# act on what it said, and a server that left may get requests for so long.
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+OUTAGE_FROM_S = 6.0
+STEP_S = 0.05
+SEEDS = 200
+LEFT = 'i-left'
+HEALTHY = ('i-1', 'i-2')
+OUTAGES = ('silent', 'reset', '503', '429', 'mixed')
+
+
+def entry(name, service=standin.PLAIN, state='ready'):
+    found = standin.Engine(name).entry(f'10.0.0.7:{hash_port(name)}')
+    return {**found, 'service': service, 'state': state}
+
+
+def hash_port(name):
+    return 1000 + sum(name.encode())
+
+
+class Play:
+    """One entry that reads a faulty store in virtual time."""
+
+    def __init__(self, seed, outages, refusals=(), healthy=HEALTHY):
+        self.random = random.Random(f'{seed} left servers')
+        self.clock = virtual_time.LoopClock()
+        self.outages = outages
+        self.healthy = healthy
+        self.store = store_faults.FaultyStore(
+            self.clock, seed, outages, refusals
+        )
+        for name in (LEFT, *healthy):
+            self.store.write(name, entry(name))
+        self.store.write('i-other', entry('i-other', 'svc-other'))
+        self.servers = backend_list.BackendList(
+            self.clock, contact_s=CONTACT_S
+        )
+        watcher = store_module.PrefixWatcher(
+            store_module.Store(self.store, 'http://store'),
+            '',
+            1.1,
+            0.0,
+            self.clock,
+            random.Random(seed),
+        )
+        self._tasks = [
+            asyncio.create_task(
+                store_updates.dispatch_changes(
+                    watcher, [store_updates.BackendUpdates(self.servers)]
+                )
+            )
+        ]
+
+    def at(self, at_s, write, *arguments):
+        asyncio.get_running_loop().call_at(at_s, write, *arguments)
+
+    def write_at(self, at_s, name, content):
+        self.at(at_s, self.store.write, name, content)
+
+    def change_entries(self, until_s):
+        """Let a healthy server's entry change every few 100 ms."""
+        at_s = 0.5
+        while at_s < until_s:
+            if not any(o.covers(at_s) for o in self.outages):
+                changed = {**entry('i-other', 'svc-other'), 'slots': 9}
+                self.write_at(at_s, 'i-other', changed)
+            at_s += self.random.uniform(0.2, 0.8)
+
+    def is_in_touch(self, now_s):
+        return not any(
+            o.from_s <= now_s and now_s - CONTACT_S < o.until_s
+            for o in self.outages
+        )
+
+    def names(self):
+        return {s.name for s in self.servers.serving(standin.PLAIN)}
+
+    async def used_too_late(self, left_at_s, until_s):
+        """Return when the server was used although it must not be."""
+        found = []
+        while (now_s := self.clock.monotonic_s()) < until_s:
+            is_due = now_s > left_at_s + DRAIN_S and self.is_in_touch(now_s)
+            if is_due and LEFT in self.names():
+                found.append(round(now_s, 2))
+            await asyncio.sleep(STEP_S)
+        return found
+
+
+@dataclasses.dataclass(frozen=True)
+class Draw:
+    """What is random in one play."""
+
+    how: str
+    leaving: str
+    refused: str
+    until_s: float
+    left_at_s: float
+    refused_until_s: float
+
+    @classmethod
+    def of(cls, seed):
+        source = random.Random(seed)
+        until_s = OUTAGE_FROM_S + source.uniform(1.0, 12.0)
+        return cls(
+            how=source.choice(OUTAGES),
+            leaving=source.choice(['removed', 'draining']),
+            refused=source.choice(['429', '503', 'cut']),
+            until_s=until_s,
+            left_at_s=source.uniform(OUTAGE_FROM_S - 1.5, until_s - 0.1),
+            refused_until_s=until_s + source.uniform(0.2, 2.0),
+        )
+
+    @property
+    def outage(self):
+        return store_faults.Outage(OUTAGE_FROM_S, self.until_s, self.how)
+
+    @property
+    def refusals(self):
+        return store_faults.Refusals(
+            self.until_s, self.refused_until_s, self.refused
+        )
+
+
+def leave(play, how, at_s):
+    """Let the server leave; its entry is removed some seconds later."""
+    if how == 'removed':
+        play.write_at(at_s, LEFT, None)
+        return
+    play.write_at(at_s, LEFT, entry(LEFT, state='draining'))
+    play.write_at(at_s + play.random.uniform(2.0, 8.0), LEFT, None)
+
+
+def failures(play):
+    """Return the seeds that fail, with what they show."""
+    found = {seed: virtual_time.run(play(seed)) for seed in range(SEEDS)}
+    return {seed: shown for seed, shown in found.items() if shown}
+
+
+class TestOwnOutage:
+    """The store serves all but this process."""
+
+    @pytest.mark.proves(Promise.LEAVING, Fault.TWO_FAULTS, Step.ANY)
+    def test_refused_reads_afterwards_do_not_extend_the_use(self):
+        """Guards against use past the deadline when later reads fail."""
+
+        async def play(seed):
+            draw = Draw.of(seed)
+            scene = Play(seed, (draw.outage,), (draw.refusals,))
+            scene.change_entries(draw.until_s + 8.0)
+            leave(scene, draw.leaving, draw.left_at_s)
+            if seed % 2:
+                scene.at(draw.until_s - 0.5, scene.store.forget_history)
+            return await scene.used_too_late(
+                draw.left_at_s, draw.until_s + 8.0
+            )
+
+        assert failures(play) == {}
+
+    @pytest.mark.proves(Promise.LEAVING, Fault.SAME_TWICE, Step.ANY)
+    def test_a_second_outage_does_not_bring_the_server_back(self):
+        """Guards against a retention that each outage starts anew."""
+
+        async def play(seed):
+            draw = Draw.of(seed)
+            again_s = draw.refused_until_s + 0.3
+            again = store_faults.Outage(again_s, again_s + 4.0, draw.how)
+            scene = Play(seed, (draw.outage, again))
+            leave(scene, 'removed', draw.left_at_s)
+            return await scene.used_too_late(draw.left_at_s, again_s + 10.0)
+
+        assert failures(play) == {}
