Reads refused after an outage no longer extend the use of unlisted servers

What callers saw: requests sent to a plain server that had left 12 s ago, by an entry that had been cut off from the store and was in touch again.

Cause: the deadline after which a missing server is dropped was counted from the last failed read, and each failed read counted as one of the outage. A read that the store refused after its return (429, 503), or a watch that it cut, moved the deadline by up to its own delay; one that came after the first good read stopped the clock of the deadline. Entries of servers that were taken for expired were even kept for 2.5 s from this process's own read, however late that was.

Change: - Only a read that shows the store out of reach moves the deadline; 429 and a cut watch do not. - A plain server that a list lacks which still holds entries of its service from before is dropped at once: it has left, and nobody refuses for it. - Others are used for 2.5 s, but no longer than contactMs less 0.3 s after the last read that found the store out of reach. - So that healthy servers are listed again by then, attempts in an outage are counted from start to start, the probe of an unreachable store waits 0.02 s instead of 0.2 s, and changes are batched for 0.2 s only in the 2.5 s after its return.

Tests changed: those of UnlistedServers call it by services; the one that a server is used up to the deadline if entries survived asks more now (dropped at once), and one where the last failed read was 5 s old has one more, since nothing is known of the store in such a gap.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -88,6 +88,9 @@
     contact_s
         Time after an outage of the list from which this process counts as
         connected again, in seconds.
+    has_sidecar
+        Returns whether the servers of a service have a sidecar, which refuses
+        requests once its server leaves.
     """
 
     def __init__(
@@ -95,9 +98,11 @@
         clock: clock_module.Clock,
         is_service: Callable[[str], bool] = lambda _service: True,
         contact_s: float = _CONTACT_S,
+        has_sidecar: Callable[[str], bool] = lambda _service: False,
     ) -> None:
         self._clock = clock
         self._is_service = is_service
+        self._has_sidecar = has_sidecar
         self._restarts: reactivex.subject.Subject[str] = (
             reactivex.subject.Subject()
         )
@@ -154,7 +159,9 @@
         """
         return self._leavings
 
-    def record_read_failure(self, asked_at_s: float | None = None) -> None:
+    def record_read_failure(
+        self, asked_at_s: float | None = None, is_unreachable: bool = True
+    ) -> None:
         """Record that the list could not be read.
 
         Parameters
@@ -162,6 +169,8 @@
         asked_at_s
             Monotonic time at which the failed read began; the current time
             if ``None``.
+        is_unreachable
+            Whether the read shows that the store was out of reach.
         """
         if not self._unlisted.is_unreadable:
             self._revisions_before_outage = {
@@ -170,7 +179,7 @@
             }
         if asked_at_s is None:
             asked_at_s = self._clock.monotonic_s()
-        self._unlisted.record_read_failure(asked_at_s)
+        self._unlisted.record_read_failure(asked_at_s, is_unreachable)
 
     def record_read(self, is_new_epoch: bool = False) -> None:
         """Record that the list was read, or that nothing has changed.
@@ -202,14 +211,24 @@
             # entries from before the outage are in it.
             self._unlisted.set_retention_after_restore()
             return
+        # Servers without a sidecar have nobody who refuses for them.
         self._unlisted.set_retention(
-            any(
-                self._revisions_before_outage.get(server.name)
-                == server.created_revision
-                for server in self._servers.values()
-            )
+            {
+                service
+                for service in self._surviving_services()
+                if not self._has_sidecar(service)
+            }
         )
 
+    def _surviving_services(self) -> set[str]:
+        """Return the services with entries from before the last outage."""
+        return {
+            server.service
+            for server in self._servers.values()
+            if self._revisions_before_outage.get(server.name)
+            == server.created_revision
+        }
+
     def replace_all(self, servers: Iterable[BackendServer]) -> None:
         """Apply a whole list."""
         found = {server.name: server for server in servers}
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -81,6 +81,7 @@
             self._process.clock,
             self._process.table.is_service,
             file.settings.contact_s,
+            has_sidecar=self._has_sidecar,
         )
         self.ejector = ejection.Ejector(
             self._process.clock, self._process.random
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -34,8 +34,17 @@
 # must be in force once the instance counts as connected again, 3 s later, so
 # that a watch and its timeout together must take less than that.
 _MAX_WATCH_S = 1.9
+# The store may cut a watch that waits.  A connection that breaks sooner was
+# refused.
+_MIN_CUT_WATCH_S = 0.05
 # Shorter watches would amount to polling.
 _MIN_WATCH_S = 0.2
+# While the store is out of reach, a watch only finds out whether it is back.
+_PROBE_WATCH_S = 0.02
+# For this time after its return, servers write their entries again, and
+# changes are batched for less time.
+_REGISTRATION_S = 2.5
+_REGISTRATION_BATCH_DELAY_S = 0.2
 # Time over which processes spread their reads after a restore of the store.
 # All must have the list well before they count as connected.
 _EPOCH_JITTER_S = 0.3
@@ -43,7 +52,13 @@
 _WATCH_TOLERANCE_S = 0.05
 _MAX_RESPONSE_BYTES = 8 << 20
 _MIN_ERROR_STATUS = 300
+_STATUS_TOO_MANY = 429
 _STATUS_GONE = 410
+_CONNECTION_LOST = (
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+    aiohttp.ServerDisconnectedError,
+)
 _Answer = TypeVar('_Answer')
 log = structlog.get_logger(__name__)
 
@@ -87,6 +102,8 @@
         not known.
     requested_at_s
         Monotonic time at which the failed read started.
+    is_unreachable
+        Whether the failed read shows that the store was out of reach.
     is_new_epoch
         Whether the store was restored since the previous change.
     """
@@ -96,6 +113,7 @@
     is_read_failure: bool = False
     current_at_s: float | None = None
     requested_at_s: float | None = None
+    is_unreachable: bool = False
     is_new_epoch: bool = False
 
     def restrict_to(self, prefix: str) -> 'Change':
@@ -115,6 +133,10 @@
     """The response is from before the last restore of the store."""
 
 
+class _RejectedError(errors.PlatformError):
+    """The store is up, and rejected a read."""
+
+
 class Store:
     """Reads the store over HTTP.
 
@@ -200,6 +222,8 @@
                 self._update_epoch(response.headers.get(names.STORE_ERA, ''))
                 if response.status == _STATUS_GONE:
                     raise _HistoryGoneError('store: revision out of history')
+                if response.status == _STATUS_TOO_MANY:
+                    raise _RejectedError('store: too many reads')
                 if response.status >= _MIN_ERROR_STATUS:
                     raise errors.PlatformError(
                         f'store: status {response.status}'
@@ -252,6 +276,7 @@
             reactivex.subject.Subject()
         )
         self._is_unreachable = False
+        self._regained_at_s = -math.inf
         self._random = source
         # Epoch of the last full read.
         self._epoch = 0
@@ -275,7 +300,7 @@
                     continue
                 revision, has_changed = await self._watch(revision)
                 if has_changed:
-                    await asyncio.sleep(self._batch_delay_s)
+                    await asyncio.sleep(self._current_batch_delay_s)
             except _HistoryGoneError:
                 log.info(
                     'store history lost, reading all again',
@@ -292,6 +317,13 @@
     def _is_new_epoch(self) -> bool:
         return self._epoch not in (0, self._store.epoch)
 
+    @property
+    def _current_batch_delay_s(self) -> float:
+        returned_s = self._clock.monotonic_s() - self._regained_at_s
+        if returned_s < _REGISTRATION_S:
+            return min(self._batch_delay_s, _REGISTRATION_BATCH_DELAY_S)
+        return self._batch_delay_s
+
     async def _wait_jitter(self) -> None:
         """Wait a random time, so that processes do not all read at once."""
         log.warning(
@@ -329,7 +361,7 @@
         # unknown.  A watch without changes has lasted for its whole wait.
         self._confirmed_at_s = requested_at_s
         waited_s = self._clock.boot_s() - requested_at_s
-        min_wait_s = wait_s - _WATCH_TOLERANCE_S
+        min_wait_s = max(0.0, wait_s - _WATCH_TOLERANCE_S)
         if not events and waited_s >= min_wait_s:
             self._confirmed_at_s += min_wait_s
         self._changes.on_next(
@@ -339,8 +371,7 @@
 
     def _wait_s(self) -> float:
         if self._is_unreachable:
-            # A short watch detects quickly that the store has recovered.
-            return _MIN_WATCH_S
+            return _PROBE_WATCH_S
         if not self._max_confirmation_age_s:
             return _MAX_WATCH_S
         age_s = self._clock.boot_s() - self._confirmed_at_s
@@ -349,6 +380,7 @@
 
     def _record_success(self) -> None:
         if self._is_unreachable:
+            self._regained_at_s = self._clock.monotonic_s()
             log.info(
                 'dependency regained',
                 dependency='store',
@@ -369,13 +401,36 @@
                 error=str(error),
             )
             self._is_unreachable = True
+        took_s = self._clock.monotonic_s() - requested_at_s
+        is_unreachable = _shows_unreachable(error, took_s)
         log.info(
             'store read failed',
             prefix=self._prefix,
             error=str(error),
             failures=self._backoff.failure_count,
-            took_s=round(self._clock.monotonic_s() - requested_at_s, 3),
+            is_unreachable=is_unreachable,
+            took_s=round(took_s, 3),
         )
         self._changes.on_next(
-            Change(is_read_failure=True, requested_at_s=requested_at_s)
+            Change(
+                is_read_failure=True,
+                requested_at_s=requested_at_s,
+                is_unreachable=is_unreachable,
+            )
         )
+
+
+def _shows_unreachable(error: errors.PlatformError, took_s: float) -> bool:
+    """Whether a failed read shows that the store was out of reach.
+
+    Parameters
+    ----------
+    took_s
+        Time from the start of the read to its failure.
+    """
+    if isinstance(error, _RejectedError):
+        return False
+    is_cut = isinstance(error.__cause__, _CONNECTION_LOST) and not isinstance(
+        error.__cause__, aiohttp.ClientConnectorError
+    )
+    return not is_cut or took_s < _MIN_CUT_WATCH_S
--- a/lacewingpitch/platform/store_updates.py
+++ b/lacewingpitch/platform/store_updates.py
@@ -126,7 +126,9 @@
     def apply(self, change: store_module.Change) -> None:
         """Apply a change of the list, or record that it cannot be read."""
         if change.is_read_failure:
-            self._servers.record_read_failure(change.requested_at_s)
+            self._servers.record_read_failure(
+                change.requested_at_s, change.is_unreachable
+            )
             return
         self._servers.record_read(is_new_epoch=change.is_new_epoch)
         if change.is_full_read:
--- a/lacewingpitch/read_backoff.py
+++ b/lacewingpitch/read_backoff.py
@@ -3,9 +3,11 @@
 import random
 
 _FIRST_PAUSE_S = 0.05
-_MAX_PAUSE_S = 1.0
+# Longest time between the starts of two attempts.  A process must read what
+# changed soon after the store's return.
+_MAX_INTERVAL_S = 1.0
 _MAX_DOUBLINGS = 8
-# Time between the starts of two attempts, before the first read succeeds.
+# The same before the first read succeeds.
 _START_INTERVAL_S = 0.4
 
 
@@ -42,9 +44,9 @@
             Time from the start of the read to its failure.
         """
         self.failure_count += 1
+        doublings = min(self.failure_count, _MAX_DOUBLINGS)
+        interval_s = min(_FIRST_PAUSE_S * 2**doublings, _MAX_INTERVAL_S)
         if not self._has_read:
-            limit_s = max(_FIRST_PAUSE_S, _START_INTERVAL_S - took_s)
-        else:
-            doublings = min(self.failure_count, _MAX_DOUBLINGS)
-            limit_s = min(_FIRST_PAUSE_S * 2**doublings, _MAX_PAUSE_S)
+            interval_s = _START_INTERVAL_S
+        limit_s = max(_FIRST_PAUSE_S, interval_s - took_s)
         return limit_s * self._random.uniform(0.5, 1.0)
--- a/lacewingpitch/unlisted_servers.py
+++ b/lacewingpitch/unlisted_servers.py
@@ -1,5 +1,6 @@
 """Use of backend servers whose entries are gone after a store outage."""
 
+from collections.abc import Collection
 import dataclasses
 import math
 from typing import Generic, Protocol, TypeVar
@@ -18,8 +19,6 @@
 # Time between the last use of a server and the moment from which this
 # process must act on what it could have read.
 _CONTACT_MARGIN_S = 0.3
-# A broken connection fails a single read; an outage also fails the next one.
-_MIN_OUTAGE_FAILURES = 2
 log = structlog.get_logger(__name__)
 
 
@@ -65,8 +64,11 @@
     entries of healthy servers have expired, and without them requests would
     find no server.  If only this process could not read it, a server whose
     entry is gone has left, and must get no requests once this process
-    counts as connected again.  The first list after the outage tells the
-    two apart: entries from before survive only the second case.
+    counts as connected again.  Where entries of the same service are still
+    listed after the outage, a missing one has left.
+
+    A failed read does not always mean that the store was out of reach: it
+    may also have rejected the read.  Only the former moves a deadline.
 
     Servers that announced that they leave are not added here.  A server
     whose time is over is dropped, and a later outage does not bring it back.
@@ -84,8 +86,10 @@
         self._records: dict[str, _Record[_Server]] = {}
         self._pending: set[str] = set()
         self._failure_count = 0
-        self._unreadable_since_s = 0.0
-        self._failure_began_at_s = -math.inf
+        self._is_unreachable = False
+        self._unreachable_since_s = 0.0
+        # Time at which a read began that found the store out of reach.
+        self._last_unreachable_at_s = -math.inf
         self.is_unreadable = False
 
     def __bool__(self) -> bool:
@@ -97,21 +101,30 @@
         """Whether the last successful read was the first after a failure."""
         return self._failure_count > 0
 
-    def record_read_failure(self, began_at_s: float) -> None:
+    def record_read_failure(
+        self, began_at_s: float, is_unreachable: bool = True
+    ) -> None:
         """Record a failed read.
 
         Parameters
         ----------
         began_at_s
             Monotonic time at which the read began; the list became readable
-            later than that.
+            later than that if the store was out of reach.
+        is_unreachable
+            Whether the read shows that the store was out of reach.
         """
         if not self.is_unreadable:
-            self._unreadable_since_s = self._clock.monotonic_s()
             self._failure_count = 0
+            self._last_unreachable_at_s = -math.inf
         self.is_unreadable = True
         self._failure_count += 1
-        self._failure_began_at_s = began_at_s
+        if not is_unreachable:
+            return
+        if not self._is_unreachable:
+            self._unreachable_since_s = self._clock.monotonic_s()
+        self._is_unreachable = True
+        self._last_unreachable_at_s = began_at_s
 
     def record_read(self) -> None:
         """Record that the list was read, or that nothing has changed.
@@ -123,17 +136,20 @@
             self._failure_count = 0
             return
         self.is_unreadable = False
-        unreadable_s = max(
-            0.0, self._failure_began_at_s - self._unreadable_since_s
+        if not self._is_unreachable:
+            return
+        self._is_unreachable = False
+        unreachable_s = max(
+            0.0, self._last_unreachable_at_s - self._unreachable_since_s
         )
         for record in self._records.values():
-            record.retained_until_s += unreadable_s
-        if self._records and unreadable_s:
+            record.retained_until_s += unreachable_s
+        if self._records and unreachable_s:
             log.info(
                 'retention of unlisted backend servers extended',
                 backend_servers=sorted(self._records),
                 failed_reads=self._failure_count,
-                by_s=round(unreadable_s, 3),
+                by_s=round(unreachable_s, 3),
             )
 
     def add(self, server: _Server, listed_at_s: float) -> None:
@@ -157,19 +173,22 @@
         self._records.pop(name, None)
         self._pending.discard(name)
 
-    def set_retention(self, has_survivors: bool) -> None:
+    def set_retention(self, dropped_services: Collection[str]) -> None:
         """Set how long to use the servers that were added since a read.
 
         Parameters
         ----------
-        has_survivors
-            Whether entries from before the last outage are still listed.
+        dropped_services
+            Services whose missing servers are not used any more.
         """
-        if not self._pending:
-            return
-        self._set_retention(
-            self._retained_until_s(has_survivors), has_survivors
-        )
+        dropped = {
+            name
+            for name in self._pending
+            if self._records[name].server.service in dropped_services
+        }
+        self._set_retention(dropped, -math.inf)
+        self._set_retention(self._pending - dropped, self._expired_until_s)
+        self._pending.clear()
 
     def set_retention_after_restore(self) -> None:
         """Set how long to use servers that a restored list lacks.
@@ -179,22 +198,22 @@
         outage.
         """
         self._pending.update(server.name for server in self.all_retained())
-        if self._pending:
-            self._set_retention(self._relisted_by_s, has_survivors=False)
+        self._set_retention(self._pending, self._relisted_by_s)
+        self._pending.clear()
 
     def _set_retention(
-        self, retained_until_s: float, has_survivors: bool
+        self, names: Collection[str], retained_until_s: float
     ) -> None:
-        for name in self._pending:
+        if not names:
+            return
+        for name in names:
             self._records[name].retained_until_s = retained_until_s
         log.info(
             'retention of unlisted backend servers set',
-            backend_servers=sorted(self._pending),
+            backend_servers=sorted(names),
             failed_reads=self._failure_count,
-            entries_survived=has_survivors,
             kept_s=round(max(0.0, retained_until_s - self._now_s()), 3),
         )
-        self._pending.clear()
 
     def get(self, name: str) -> _Server | None:
         """Return a server if it is still recorded."""
@@ -225,14 +244,13 @@
             and now_s < record.last_resort_until_s
         )
 
-    def _retained_until_s(self, has_survivors: bool) -> float:
+    @property
+    def _expired_until_s(self) -> float:
+        """Time until which servers with expired entries are used."""
         if not self.is_after_outage:
             return -math.inf
-        if not has_survivors:
-            return self._relisted_by_s
-        if self._failure_count < _MIN_OUTAGE_FAILURES:
-            return -math.inf
-        return self._failure_began_at_s + self._contact_s - _CONTACT_MARGIN_S
+        connected_at_s = self._last_unreachable_at_s + self._contact_s
+        return min(self._relisted_by_s, connected_at_s - _CONTACT_MARGIN_S)
 
     @property
     def _relisted_by_s(self) -> float:
@@ -240,8 +258,8 @@
 
     def _now_s(self) -> float:
         """Return the monotonic time, which stops during an outage."""
-        if self.is_unreadable:
-            return self._unreadable_since_s
+        if self._is_unreachable:
+            return self._unreachable_since_s
         return self._clock.monotonic_s()
 
     def _expire(self) -> None:
--- a/tests/store_faults.py
+++ b/tests/store_faults.py
@@ -107,18 +107,16 @@
         if refusal:
             return refusal
         began_s = self._clock.monotonic_s()
-        while self._clock.monotonic_s() < began_s + wait_s:
+        while True:
             if after < self._forgotten_before:
                 return _Response(410)
             events = [c for c in self._changes if c['revision'] > after]
-            if events:
+            if events or self._clock.monotonic_s() > began_s + wait_s:
                 return self._answer(events=events)
             await asyncio.sleep(0.02)
             outage = self._outage()
             if outage:
-                await self._fail(outage.how, timeout)
-                return _Response(503)
-        return self._answer(events=[])
+                return await self._fail(outage.how, timeout)
 
     def _answer(self, **fields):
         body = json.dumps({'at': self._revision, **fields}).encode()
@@ -140,6 +138,8 @@
             if refusals.how == 'cut' and not is_watch:
                 continue
             if self._random.random() < refusals.share:
+                if refusals.how == 'cut':
+                    await asyncio.sleep(self._random.uniform(0.06, 0.2))
                 return await self._fail(refusals.how, timeout)
         return None
 
--- a/tests/test_backend_list.py
+++ b/tests/test_backend_list.py
@@ -115,6 +115,7 @@
         """
         servers.record_read_failure()
         clock.now_s += 5.0
+        servers.record_read_failure()
         servers.record_read()
         servers.replace_all([])
         assert names(servers) == {'a', 'b'}
--- a/tests/test_left_servers.py
+++ b/tests/test_left_servers.py
@@ -22,6 +22,11 @@
 # act on what it said, and a server that left may get requests for so long.
 CONTACT_S = 3.0
 DRAIN_S = 2.0
+# Heartbeats that must be missing before the store removes an entry.
+HEARTBEAT_S = 1.2
+EXPIRY_S = 3 * HEARTBEAT_S
+# Within this time of the store's return all servers have registered again.
+REGISTERED_WITHIN_S = 2.0
 OUTAGE_FROM_S = 6.0
 STEP_S = 0.05
 SEEDS = 200
@@ -42,7 +47,14 @@
 class Play:
     """One entry that reads a faulty store in virtual time."""
 
-    def __init__(self, seed, outages, refusals=(), healthy=HEALTHY):
+    def __init__(
+        self,
+        seed,
+        outages,
+        refusals=(),
+        healthy=HEALTHY,
+        has_sidecar=False,
+    ):
         self.random = random.Random(f'{seed} left servers')
         self.clock = virtual_time.LoopClock()
         self.outages = outages
@@ -54,7 +66,9 @@
             self.store.write(name, entry(name))
         self.store.write('i-other', entry('i-other', 'svc-other'))
         self.servers = backend_list.BackendList(
-            self.clock, contact_s=CONTACT_S
+            self.clock,
+            contact_s=CONTACT_S,
+            has_sidecar=lambda _service: has_sidecar,
         )
         watcher = store_module.PrefixWatcher(
             store_module.Store(self.store, 'http://store'),
@@ -106,6 +120,16 @@
             await asyncio.sleep(STEP_S)
         return found
 
+    async def unserved(self, until_s):
+        """Return when no healthy server was in use."""
+        await asyncio.sleep(1.0)
+        found = []
+        while (now_s := self.clock.monotonic_s()) < until_s:
+            if not self.names() & set(self.healthy):
+                found.append(round(now_s, 2))
+            await asyncio.sleep(STEP_S)
+        return found
+
 
 @dataclasses.dataclass(frozen=True)
 class Draw:
@@ -177,6 +201,26 @@
 
         assert failures(play) == {}
 
+    @pytest.mark.proves(Promise.LEAVING, Fault.TWO_FAULTS, Step.ANY)
+    def test_rejected_reads_do_not_extend_the_use_of_engines(self):
+        """Guards against engines used past the deadline.
+
+        A store that answers 429 or cuts a watch is not out of reach.
+        """
+
+        async def play(seed):
+            draw = Draw.of(seed)
+            how = '429' if draw.refused == '503' else draw.refused
+            refusals = dataclasses.replace(draw.refusals, how=how)
+            scene = Play(seed, (draw.outage,), (refusals,), has_sidecar=True)
+            scene.change_entries(draw.until_s + 8.0)
+            leave(scene, draw.leaving, draw.left_at_s)
+            return await scene.used_too_late(
+                draw.left_at_s, draw.until_s + 8.0
+            )
+
+        assert failures(play) == {}
+
     @pytest.mark.proves(Promise.LEAVING, Fault.SAME_TWICE, Step.ANY)
     def test_a_second_outage_does_not_bring_the_server_back(self):
         """Guards against a retention that each outage starts anew."""
@@ -190,3 +234,70 @@
             return await scene.used_too_late(draw.left_at_s, again_s + 10.0)
 
         assert failures(play) == {}
+
+    @pytest.mark.proves(Promise.LEAVING, Fault.CONFIG_DOWN, Step.ANY)
+    def test_all_servers_of_a_service_that_left_are_dropped(self):
+        """Guards against servers kept as if their entries had expired."""
+
+        async def play(seed):
+            draw = Draw.of(seed)
+            refusals = dataclasses.replace(draw.refusals, how='429')
+            scene = Play(seed, (draw.outage,), (refusals,), healthy=())
+            leave(scene, draw.leaving, draw.left_at_s)
+            return await scene.used_too_late(
+                draw.left_at_s, draw.until_s + 8.0
+            )
+
+        assert failures(play) == {}
+
+
+class TestOutageForAll:
+    """The store serves nobody, and entries expire meanwhile."""
+
+    def scene_of(self, seed, draw):
+        how = random.Random(seed).choice(['silent', 'reset', '503'])
+        outage = dataclasses.replace(draw.outage, how=how)
+        refusals = dataclasses.replace(draw.refusals, how='429')
+        scene = Play(seed, (outage,), (refusals,) if seed % 2 else ())
+        for name in (*HEALTHY, 'i-other'):
+            self.expire(scene, draw, name)
+        return scene
+
+    def expire(self, scene, draw, name):
+        """Let an entry expire, if the outage is long enough."""
+        expires_at_s = OUTAGE_FROM_S + EXPIRY_S
+        expires_at_s -= scene.random.uniform(0.0, HEARTBEAT_S)
+        if expires_at_s > draw.until_s:
+            return
+        service = 'svc-other' if name == 'i-other' else standin.PLAIN
+        again_at_s = draw.until_s
+        again_at_s += scene.random.uniform(0.0, REGISTERED_WITHIN_S)
+        scene.write_at(expires_at_s, name, None)
+        scene.write_at(again_at_s, name, entry(name, service))
+
+    @pytest.mark.proves(Promise.LEAVING, Fault.CONFIG_DOWN, Step.ANY)
+    def test_healthy_servers_stay_in_use(self):
+        """Guards against a service without servers after an outage."""
+
+        async def play(seed):
+            draw = Draw.of(seed)
+            scene = self.scene_of(seed, draw)
+            self.expire(scene, draw, LEFT)
+            scene.healthy = (LEFT, *HEALTHY)
+            return await scene.unserved(draw.until_s + 8.0)
+
+        assert failures(play) == {}
+
+    @pytest.mark.proves(Promise.LEAVING, Fault.TWO_FAULTS, Step.ANY)
+    def test_a_server_that_left_just_before_is_dropped(self):
+        """Guards against a server kept as if its entry had expired."""
+
+        async def play(seed):
+            draw = Draw.of(seed)
+            scene = self.scene_of(seed, draw)
+            scene.change_entries(OUTAGE_FROM_S)
+            left_at_s = OUTAGE_FROM_S - scene.random.uniform(0.0, 1.2)
+            leave(scene, 'removed', left_at_s)
+            return await scene.used_too_late(left_at_s, draw.until_s + 8.0)
+
+        assert failures(play) == {}
--- a/tests/test_unlisted_servers.py
+++ b/tests/test_unlisted_servers.py
@@ -8,6 +8,9 @@
 from tests import clocks
 
 CONTACT_S = 4.0
+# Services of which entries from before the outage are still listed.
+SURVIVED = ('lookup',)
+NONE = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,33 +46,61 @@
     def test_no_server_is_retained_without_an_outage(self, unlisted):
         unlisted.record_read()
         unlisted.add(A, 100.0)
-        unlisted.set_retention(has_survivors=True)
+        unlisted.set_retention(SURVIVED)
         assert unlisted.retained('lookup') == ()
 
-    def test_ends_before_contact_if_entries_survived(self, unlisted, clock):
-        """Guards against requests to a server that left in the outage.
+    def test_ends_at_once_if_entries_of_the_service_survived(
+        self, unlisted, clock
+    ):
+        """Guards against requests to a server that left in the outage."""
+        fail_reads(unlisted, clock)
+        unlisted.record_read()
+        unlisted.add(A, 100.0)
+        unlisted.set_retention(SURVIVED)
+        assert unlisted.retained('lookup') == ()
+
+    def test_ends_before_contact(self, unlisted, clock):
+        """Guards against use after this process counts as connected again.
 
-        Only this process could not read the list, and counts as connected
-        again.
+        All servers of the service have left, or all their entries expired.
         """
-        asked_at_s = fail_reads(unlisted, clock)
+        asked_at_s = fail_reads(unlisted, clock, step_s=2.0)
         unlisted.record_read()
         unlisted.add(A, 100.0)
-        unlisted.set_retention(has_survivors=True)
+        unlisted.set_retention(('other',))
         assert unlisted.retained('lookup') == (A,)
         assert unlisted.retained('other') == ()
+        clock.now_s = asked_at_s + CONTACT_S - 0.4
+        assert unlisted.retained('lookup') == (A,)
         clock.now_s = asked_at_s + CONTACT_S - 0.2
         assert unlisted.retained('lookup') == ()
 
+    @pytest.mark.parametrize('is_unreadable', [False, True])
+    def test_rejected_reads_do_not_extend_it(
+        self, unlisted, clock, is_unreadable
+    ):
+        """Guards against a deadline that each rejected read moves."""
+        asked_at_s = fail_reads(unlisted, clock, step_s=2.0)
+        clock.now_s += 0.2
+        unlisted.record_read_failure(clock.now_s, is_unreachable=False)
+        unlisted.record_read()
+        unlisted.add(A, 100.0)
+        unlisted.set_retention(NONE)
+        clock.now_s = asked_at_s + CONTACT_S - 0.4
+        if is_unreadable:
+            unlisted.record_read_failure(clock.now_s, is_unreachable=False)
+        assert unlisted.retained('lookup') == (A,)
+        clock.now_s += 0.2
+        assert unlisted.retained('lookup') == ()
+
     def test_lasts_until_all_are_listed_again_if_none_survived(
         self, unlisted, clock
     ):
         """Guards against refusals while all entries are written again."""
-        fail_reads(unlisted, clock)
-        clock.now_s += 2.0
+        fail_reads(unlisted, clock, step_s=0.8)
         unlisted.record_read()
         unlisted.add(A, 100.0)
-        unlisted.set_retention(has_survivors=False)
+        unlisted.set_retention(NONE)
         clock.now_s += 2.4
         assert unlisted.retained('lookup') == (A,)
         clock.now_s += 0.2
@@ -80,16 +111,16 @@
         unlisted.record_read_failure(99.9)
         unlisted.record_read()
         unlisted.add(A, 98.0)
-        unlisted.set_retention(has_survivors=True)
+        unlisted.set_retention(SURVIVED)
         assert unlisted.retained('lookup') == ()
 
     def test_no_server_is_retained_if_unlisted_later(self, unlisted, clock):
         fail_reads(unlisted, clock)
         unlisted.record_read()
-        unlisted.set_retention(has_survivors=True)
+        unlisted.set_retention(SURVIVED)
         unlisted.record_read()
         unlisted.add(A, clock.now_s)
-        unlisted.set_retention(has_survivors=True)
+        unlisted.set_retention(SURVIVED)
         assert unlisted.retained('lookup') == ()
 
     def test_a_server_that_is_listed_again_is_dropped(self, unlisted, clock):
@@ -97,7 +128,7 @@
         unlisted.record_read()
         unlisted.add(A, 100.0)
         unlisted.discard('a')
-        unlisted.set_retention(has_survivors=True)
+        unlisted.set_retention(SURVIVED)
         assert not unlisted
         assert unlisted.get('a') is None
 
@@ -108,7 +139,7 @@
         fail_reads(unlisted, clock)
         unlisted.record_read()
         unlisted.add(A, 100.0)
-        unlisted.set_retention(has_survivors=False)
+        unlisted.set_retention(NONE)
         clock.now_s += 1.0
         return unlisted
 
@@ -120,7 +151,7 @@
         """Guards against a time that starts again with each outage."""
         last_s = fail_reads(retained, clock, length_s=30.0)
         retained.record_read()
-        retained.set_retention(has_survivors=True)
+        retained.set_retention(SURVIVED)
         clock.now_s = last_s + 0.4
         assert retained.retained('lookup') == (A,)
         clock.now_s = last_s + 1.6
@@ -140,7 +171,7 @@
         The list was not read for a while, so that its removal shows late.
         """
         unlisted.add(A, 99.0)
-        unlisted.set_retention(has_survivors=True)
+        unlisted.set_retention(SURVIVED)
         assert unlisted.last_resort('lookup') == (A,)
         clock.now_s += 0.6
         assert unlisted.last_resort('lookup') == ()
