A late write does not make a server ready that the list named as leaving

What callers could see: requests sent to a server that said that it leaves, after the store took an earlier write of the same server late.

Cause: an entry of the list replaced the one before it, whatever that said. Only what a server announces in its answers was for good; what the list said was asked only after a restore of the store.

Change: a start of a server that the list named as leaving is leaving for good, also in later entries. Another start of it serves again.

--- a/lacewingpitch/departed_servers.py
+++ b/lacewingpitch/departed_servers.py
@@ -1,4 +1,4 @@
-"""Record of departed backend servers, for a store restored from a copy."""
+"""Record of backend servers that left, against entries that are outdated."""
 
 from collections.abc import Collection
 
@@ -16,8 +16,9 @@
 class DepartedServers:
     """Remembers which starts of servers have left or announced it.
 
-    A store that is restored from a copy may list such a server as ready.
-    Its entry is then barred: the server gets no requests.
+    A write that the store takes late, or a store that is restored from a
+    copy, may list such a server as ready.  Its entry is then barred: the
+    server gets no requests.
     """
 
     def __init__(self, clock: clock_module.Clock) -> None:
@@ -53,15 +54,12 @@
             for start_id, at_s in self._removed_at_s.items()
             if now_s - at_s < _RETENTION_S and start_id not in retained
         }
-        # A start that has announced that it leaves never serves again.
-        self._barred_until_s.update(
-            (start_id, float('inf')) for start_id in self._leaving_at_s
-        )
 
     def is_barred(self, start_id: str) -> bool:
         """Whether an entry of a start dates from before it left."""
-        if not self._barred_until_s:
-            return False
+        # A start that has announced that it leaves never serves again.
+        if start_id in self._leaving_at_s:
+            return True
         until_s = self._barred_until_s.get(start_id, 0.0)
         return self._clock.monotonic_s() < until_s
 
--- a/tests/test_left_servers.py
+++ b/tests/test_left_servers.py
@@ -301,3 +301,26 @@
             return await scene.used_too_late(left_at_s, draw.until_s + 8.0)
 
         assert failures(play) == {}
+
+
+class TestLateWrite:
+    @pytest.mark.parametrize('is_cut_off', [False, True])
+    @pytest.mark.proves(Promise.LEAVING, Fault.LIST_WRONG, Step.ANY)
+    def test_a_late_write_does_not_make_a_leaving_server_ready(
+        self, is_cut_off
+    ):
+        """Guards against an entry from before the leaving, stored late."""
+
+        async def play(seed):
+            draw = Draw.of(seed)
+            outage = store_faults.Outage(
+                OUTAGE_FROM_S, OUTAGE_FROM_S + 3.0, draw.how
+            )
+            scene = Play(seed, (outage,) if is_cut_off else ())
+            left_at_s = OUTAGE_FROM_S - 2.0
+            leave(scene, 'draining', left_at_s)
+            late_at_s = left_at_s + scene.random.uniform(1.2, 6.0)
+            scene.write_at(late_at_s, LEFT, entry(LEFT))
+            return await scene.used_too_late(left_at_s, late_at_s + 8.0)
+
+        assert failures(play) == {}
