Entries that can't read the list hear from others which servers left

The server may end at any time, and nobody refuses for it.

Cause: what the list says stayed with the process that read it. Messages about turns pass on what servers announce in answers, not what the list says.

Change: an entry that reads that a server leaves or is gone tells it on its messages about turns for 5 s, with the epoch and the revision of its list; sidecars pass it on. A process whose list is older uses the server no more until it has read as much itself. Not told: entries missing within 2.5 s after an outage of the store, as these may have expired, so that healthy servers stay in use when the store was down for all. Late news can't hide a server: its revision is then no newer than the list. A process that starts with a peer's list takes over its position.

Ruled out: the age of the news in place of the revision (a frozen sidecar would pass on old news as new), and asking peers (a question of every entry in the dark to others, in an outage for all without any answer).

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 import dataclasses
+import math
 
 import reactivex
 import reactivex.subject
@@ -9,10 +10,14 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import departed_servers
+from lacewingpitch import leaving_news
 from lacewingpitch import leaving_servers
 from lacewingpitch import unlisted_servers
 
 _CONTACT_S = 3.0
+# For this time after an outage, an entry may be missing as it has expired in
+# the outage or just after it.
+_EXPIRY_AFTER_OUTAGE_S = 2.5
 log = structlog.get_logger(__name__)
 
 
@@ -121,6 +126,14 @@
             lambda name: name in self._servers
         )
         self._is_new_epoch = False
+        self._epoch = 0
+        self._revision = 0
+        self._readable_since_s = -math.inf
+        self._removals: leaving_news.RecentNews[leaving_news.ServerRemoval] = (
+            leaving_news.RecentNews(clock)
+        )
+        # Revisions by start id, of removals that this process has not read.
+        self._removed_elsewhere: dict[str, int] = {}
         # `created_revision` by name, of entries listed as an outage began.
         self._revisions_before_outage: dict[str, int] = {}
         self._confirmed_at_s = clock.monotonic_s()
@@ -181,7 +194,12 @@
             asked_at_s = self._clock.monotonic_s()
         self._unlisted.record_read_failure(asked_at_s, is_unreachable)
 
-    def record_read(self, is_new_epoch: bool = False) -> None:
+    def record_read(
+        self,
+        is_new_epoch: bool = False,
+        epoch: int = 0,
+        revision: int = 0,
+    ) -> None:
         """Record that the list was read, or that nothing has changed.
 
         Called before the changes of the read are applied.
@@ -191,8 +209,14 @@
         is_new_epoch
             Whether the store has been restored from a copy since the last
             read.
+        epoch, revision
+            Position up to which the list is known with this read.
         """
         self._is_new_epoch = is_new_epoch
+        self._epoch = epoch
+        self._revision = revision
+        if self._unlisted.is_unreadable:
+            self._readable_since_s = self._clock.monotonic_s()
         if is_new_epoch:
             self._departed.bar_departed(
                 {server.start_id for server in self._unlisted.all_retained()}
@@ -206,6 +230,7 @@
 
         Decides how long servers that are no longer listed may be used.
         """
+        self._forget_outdated_removals()
         if self._is_new_epoch:
             # A copy lacks all entries that were written after it, also if
             # entries from before the outage are in it.
@@ -239,8 +264,16 @@
         self.is_known = True
         self.finish_update()
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Return epoch and revision up to which the list is known."""
+        return self._epoch, self._revision
+
     def replace_from_peer(
-        self, servers: Iterable[BackendServer], age_s: float
+        self,
+        servers: Iterable[BackendServer],
+        age_s: float,
+        position: tuple[int, int] = (0, 0),
     ) -> None:
         """Apply the list of another process, without one of its own.
 
@@ -248,7 +281,10 @@
         ----------
         age_s
             Time since that list was known to be current, in seconds.
+        position
+            Epoch and revision of that list.
         """
+        self._epoch, self._revision = position
         self.replace_all(servers)
         self.record_read_failure()
         self._confirmed_at_s = self._clock.monotonic_s() - age_s
@@ -285,6 +321,7 @@
             self._announce_restart(server)
         if server.is_leaving and (before is None or not before.is_leaving):
             self._leavings.on_next(server)
+            self._tell_removal(server)
         if (
             listed_before is None
             or listed_before.is_leaving != server.is_leaving
@@ -370,6 +407,39 @@
             self._leavings.on_next(known)
         return True
 
+    def recent_removals(self) -> tuple[leaving_news.ServerRemoval, ...]:
+        """Return which servers the list has lately given up."""
+        return self._removals.recent()
+
+    def record_removal(self, removal: leaving_news.ServerRemoval) -> bool:
+        """Record that another process read that a server was given up.
+
+        It gets no requests until this process has read as much.
+
+        Returns
+        -------
+        bool
+            Whether the server is listed here, by an older list.
+        """
+        if removal.epoch != self._epoch or removal.revision <= self._revision:
+            return False
+        name = removal.start_id.rpartition('@')[0]
+        server = self._servers.get(name)
+        if server is None or server.start_id != removal.start_id:
+            return False
+        known = self._removed_elsewhere.get(removal.start_id)
+        if known is None:
+            log.info(
+                'backend server removed, as another entry read',
+                backend_server=name,
+                list_age_s=round(self.age_s, 3),
+            )
+        self._removed_elsewhere[removal.start_id] = max(
+            known or 0, removal.revision
+        )
+        self._by_service.clear()
+        return True
+
     def is_known_leaving(self, server: BackendServer) -> bool:
         """Whether a start of a server leaves, by the list or by itself.
 
@@ -438,8 +508,38 @@
         return found or self._unlisted.last_resort(service)
 
     def _leaves(self, server: BackendServer) -> bool:
-        return server.is_leaving or self._leaving.includes(
-            server.name, server.started_at_ms
+        return (
+            server.is_leaving
+            or self._is_removed_elsewhere(server)
+            or self._leaving.includes(server.name, server.started_at_ms)
+        )
+
+    def _is_removed_elsewhere(self, server: BackendServer) -> bool:
+        if not self._removed_elsewhere:
+            return False
+        return server.start_id in self._removed_elsewhere
+
+    def _forget_outdated_removals(self) -> None:
+        outdated = [
+            start_id
+            for start_id, revision in self._removed_elsewhere.items()
+            if revision <= self._revision or self._is_new_epoch
+        ]
+        for start_id in outdated:
+            del self._removed_elsewhere[start_id]
+        if outdated:
+            self._by_service.clear()
+
+    def _tell_removal_unless_expired(self, server: BackendServer) -> None:
+        readable_s = self._clock.monotonic_s() - self._readable_since_s
+        if readable_s >= _EXPIRY_AFTER_OUTAGE_S:
+            self._tell_removal(server)
+
+    def _tell_removal(self, server: BackendServer) -> None:
+        self._removals.record(
+            leaving_news.ServerRemoval(
+                server.start_id, self._epoch, self._revision
+            )
         )
 
     def _listed_or_unlisted(self, name: str) -> BackendServer | None:
@@ -468,6 +568,7 @@
         if not self._is_new_epoch and not self._unlisted.is_after_outage:
             self._unplanned_ends.on_next(server)
             self._leavings.on_next(server)
+            self._tell_removal_unless_expired(server)
 
 
 def _at_other_addresses(
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -116,7 +116,12 @@
         )
         self.limit = engine_limit.EngineLimit(clock)
         self._limit_board = limit_news.LimitBoard(clock)
-        self._heard_leaving = leaving_news.HeardLeaving(clock)
+        self._heard_leaving: leaving_news.RecentNews[str] = (
+            leaving_news.RecentNews(clock)
+        )
+        self._heard_removals: leaving_news.RecentNews[
+            leaving_news.ServerRemoval
+        ] = leaving_news.RecentNews(clock)
         self._adapters: slots_module.AdapterSlots | None = None
         self.granter: turn_granter.TurnGranter | None = None
         self._pacer = prefill_pacer.PrefillPacer(clock, self._watch.rates)
@@ -134,6 +139,7 @@
         )
         self._limit_board.merge(request.limit_news)
         self._heard_leaving.merge(request.leaving)
+        self._heard_removals.merge(request.removals)
         reply = await self._request_turn(request)
         reply = msgspec.structs.replace(
             reply,
@@ -141,6 +147,7 @@
             is_limit_known=self.limit.is_known,
             limit_news=self._limit_board.news_for(request.limit_news),
             leaving=self._heard_leaving.recent(request.leaving),
+            removals=self._heard_removals.recent(request.removals),
         )
         update = suspect_exchange.update_for_requester(
             self._crashes, request.suspects
--- a/lacewingpitch/leaving_news.py
+++ b/lacewingpitch/leaving_news.py
@@ -1,61 +1,85 @@
-"""Spreads between entries which servers announced that they leave.
+"""Spreads between entries which servers have left, or announced it.
 
 A server that leaves soon ends, and breaks off what it runs.  The messages
-between entries and sidecars about turns carry the starts of such servers;
-without any they carry no extra data.
+between entries and sidecars about turns carry what an entry heard; without
+any news they carry no extra data.
 """
 
 from collections.abc import Collection, Iterable
+from typing import Generic, TypeVar
+
+import msgspec
 
 from lacewingpitch import clock as clock_module
 
-# Entries that send nothing for longer hear it from the server itself.
+# Entries that send nothing for longer hear it from the server itself, or
+# read it in the list.
 _MAX_AGE_S = 5.0
-# Most starts of servers in one message.
+# Most items in one message.
 _MAX_COUNT = 16
-# Starts that one process remembers.
-_MAX_SERVERS = 256
+# Items that one process remembers.
+_MAX_ITEMS = 256
+_Item = TypeVar('_Item')
+
+
+class ServerRemoval(msgspec.Struct, frozen=True):
+    """A start of a server that the published list gave up.
+
+    The list says that it leaves, or names it no more.  Which of two processes
+    knows better is decided by revisions, and needs no clocks.
+
+    Parameters
+    ----------
+    epoch
+        Epoch of the list; revisions of different epochs do not compare.
+    revision
+        Revision of the list at which it was read.
+    """
+
+    start_id: str
+    epoch: int
+    revision: int
 
 
-class HeardLeaving:
-    """Starts of servers of which a process has heard lately.
+class RecentNews(Generic[_Item]):
+    """What a process has heard lately about servers that leave.
 
-    An entry records what servers told it and nothing that others did, so that
-    no announcement is passed on for ever.
+    An entry records what servers and the list told it and nothing that other
+    entries did, so that no news is passed on for ever.
     """
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
-        # First time that it was heard, by start id; the oldest comes first.
-        self._heard_at_s: dict[str, float] = {}
+        # First time that it was heard; the oldest comes first.
+        self._heard_at_s: dict[_Item, float] = {}
 
-    def record(self, start_id: str) -> None:
-        """Record a start of a server that leaves."""
-        if start_id in self._heard_at_s:
+    def record(self, item: _Item) -> None:
+        """Record an item of news."""
+        if item in self._heard_at_s:
             return
-        if len(self._heard_at_s) >= _MAX_SERVERS:
+        if len(self._heard_at_s) >= _MAX_ITEMS:
             del self._heard_at_s[next(iter(self._heard_at_s))]
-        self._heard_at_s[start_id] = self._clock.boot_s()
+        self._heard_at_s[item] = self._clock.boot_s()
 
-    def merge(self, start_ids: Iterable[str]) -> None:
-        """Record several starts of servers."""
-        for start_id in start_ids:
-            self.record(start_id)
+    def merge(self, items: Iterable[_Item]) -> None:
+        """Record several items."""
+        for item in items:
+            self.record(item)
 
-    def recent(self, known: Collection[str] = ()) -> tuple[str, ...]:
+    def recent(self, known: Collection[_Item] = ()) -> tuple[_Item, ...]:
         """Return what was heard lately.
 
         Parameters
         ----------
         known
-            Start ids to leave out.
+            Items to leave out.
         """
         if not self._heard_at_s:
             return ()
         since_s = self._clock.boot_s() - _MAX_AGE_S
         found = [
-            start_id
-            for start_id, heard_at_s in self._heard_at_s.items()
-            if heard_at_s > since_s and start_id not in known
+            item
+            for item, heard_at_s in self._heard_at_s.items()
+            if heard_at_s > since_s and item not in known
         ]
         return tuple(found[-_MAX_COUNT:])
--- a/lacewingpitch/peer_bootstrap.py
+++ b/lacewingpitch/peer_bootstrap.py
@@ -51,6 +51,8 @@
         Seconds since the list was last known to be current.
     configuration_age_s
         Seconds since the configuration was last known to be the newest.
+    list_position
+        Epoch and revision up to which the list is known.
     """
 
     is_known: bool = False
@@ -59,6 +61,7 @@
     servers: tuple[backend_list.BackendServer, ...] = ()
     list_age_s: float = 0.0
     configuration_age_s: float = math.inf
+    list_position: tuple[int, int] = (0, 0)
 
 
 class StateLink(Protocol):
@@ -142,6 +145,7 @@
             ),
             list_age_s=self._servers.age_s,
             configuration_age_s=self._age.age_s,
+            list_position=self._servers.position,
         )
 
     async def run(self) -> None:
@@ -189,7 +193,9 @@
         self._age.confirm(requested_at_s - reply.configuration_age_s)
         # Routes unknown to the peer may be in force.
         self._exchange.record_store_state(is_unreachable=True)
-        self._servers.replace_from_peer(reply.servers, reply.list_age_s)
+        self._servers.replace_from_peer(
+            reply.servers, reply.list_age_s, reply.list_position
+        )
         log.info(
             'peer state applied',
             peer=peer.ip,
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -106,6 +106,10 @@
         Whether the failed read shows that the store was out of reach.
     is_new_epoch
         Whether the store was restored since the previous change.
+    epoch
+        Epoch of the store.
+    revision
+        Revision of the store up to which everything is known.
     """
 
     items: tuple[Item, ...] = ()
@@ -115,6 +119,8 @@
     requested_at_s: float | None = None
     is_unreachable: bool = False
     is_new_epoch: bool = False
+    epoch: int = 0
+    revision: int = 0
 
     def restrict_to(self, prefix: str) -> 'Change':
         """Return a copy with only the items under a prefix."""
@@ -347,6 +353,8 @@
                 is_full_read=True,
                 current_at_s=requested_at_s,
                 is_new_epoch=is_new_epoch,
+                epoch=self._epoch,
+                revision=revision,
             )
         )
         return revision
@@ -365,7 +373,12 @@
         if not events and waited_s >= min_wait_s:
             self._confirmed_at_s += min_wait_s
         self._changes.on_next(
-            Change(events, current_at_s=self._confirmed_at_s)
+            Change(
+                events,
+                current_at_s=self._confirmed_at_s,
+                epoch=self._epoch,
+                revision=revision,
+            )
         )
         return revision, bool(events)
 
--- a/lacewingpitch/platform/store_updates.py
+++ b/lacewingpitch/platform/store_updates.py
@@ -130,7 +130,11 @@
                 change.requested_at_s, change.is_unreachable
             )
             return
-        self._servers.record_read(is_new_epoch=change.is_new_epoch)
+        self._servers.record_read(
+            is_new_epoch=change.is_new_epoch,
+            epoch=change.epoch,
+            revision=change.revision,
+        )
         if change.is_full_read:
             listed = []
             for item in change.items:
--- a/lacewingpitch/server_gate.py
+++ b/lacewingpitch/server_gate.py
@@ -50,7 +50,9 @@
         self._servers = servers
         self._clock = clock
         self._random = source
-        self._news = leaving_news.HeardLeaving(clock)
+        self._news: leaving_news.RecentNews[str] = leaving_news.RecentNews(
+            clock
+        )
         self.backoffs = server_backoff.ServerBackoffs(clock)
         # By service.
         self._returns: dict[str, return_times.ReturnTimes] = {}
--- a/lacewingpitch/turn_exchange.py
+++ b/lacewingpitch/turn_exchange.py
@@ -237,6 +237,7 @@
             leaving=self._gate.leaving_news(),
             gap_ms=self._gap_ms(spec),
             has_uneven_engines=self._placement.has_uneven_engines,
+            removals=self._servers.recent_removals(),
         )
 
     def _apply_reply(
@@ -257,6 +258,8 @@
         self._on_configuration_version(server.ip, reply.configuration_version)
         self._on_entry_count(reply.entry_count)
         self._gate.apply_news(reply.leaving)
+        for removal in reply.removals:
+            self._servers.record_removal(removal)
         self._limits.record_reply(
             _granting_server(server, reply), reply, asked_at_s
         )
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -11,6 +11,7 @@
 
 from lacewingpitch import errors
 from lacewingpitch import hint as hint_module
+from lacewingpitch import leaving_news
 from lacewingpitch import limit_news as limit_news_module
 from lacewingpitch import link
 from lacewingpitch import suspect_exchange
@@ -82,6 +83,8 @@
         Longest pause between events that the caller allows; 0 if unknown.
     has_uneven_engines
         Whether the engines differ in pace, by what the entry knows.
+    removals
+        Servers that the list, as the entry read it, has given up.
     """
 
     entry: str
@@ -112,6 +115,7 @@
     leaving: tuple[str, ...] = ()
     gap_ms: int = 0
     has_uneven_engines: bool = False
+    removals: tuple[leaving_news.ServerRemoval, ...] = ()
 
     @property
     def flow(self) -> str:
@@ -153,6 +157,8 @@
         Limits that servers have named to other entries.
     leaving
         Start ids of servers that announced to others that they leave.
+    removals
+        Servers that the list, as others read it, has given up.
     """
 
     backend_server: str = ''
@@ -171,6 +177,7 @@
     is_limit_known: bool = False
     limit_news: tuple[limit_news_module.LimitNews, ...] = ()
     leaving: tuple[str, ...] = ()
+    removals: tuple[leaving_news.ServerRemoval, ...] = ()
 
 
 class TurnEnds(link.Message, frozen=True):
