The tests' store answers 410 also when later changes exist

Traced with its kept logs: an entry whose watch went on from before the revocation was told later changes only, without 410. The stand-in looked whether a revision is out of its history only while it had no event to tell. The product was told that nothing had been left out.

The check becomes stricter: each watch from before the history is refused, as the platform's pages say. The new test failed before (did not raise).

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -114,12 +114,14 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(request.query['waitMs']) / 1000):
                 epoch = self.epoch
-                while not self._events(prefix, after) and not self.is_down:
+                while not self.is_down:
                     if epoch != self.epoch:
                         request.transport.abort()
                         return web.Response()
                     if after < self.oldest or after > self.revision:
                         return web.Response(status=410)
+                    if self._events(prefix, after):
+                        break
                     async with self._changed:
                         await self._changed.wait()
         if self.is_down:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,6 +12,7 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
 from lacewingpitch.platform import store as store_module
+from tests import platform_standin
 
 PIECE_COUNT = 5
 PAUSE_S = 0.4
@@ -22,11 +23,19 @@
     return msgspec.json.encode({'items': items, 'hasMore': False, 'at': 7})
 
 
-@contextlib.asynccontextmanager
-async def serving(handler):
+def serving(handler):
     """Serve one handler; yield a store that is read from it."""
+    return running(web.ServerRunner(web.Server(handler)))
+
+
+def serving_app(app):
+    """Serve an application; yield a store that is read from it."""
+    return running(web.AppRunner(app))
+
+
+@contextlib.asynccontextmanager
+async def running(runner):
     async with contextlib.AsyncExitStack() as exits:
-        runner = web.ServerRunner(web.Server(handler))
         await runner.setup()
         exits.push_async_callback(runner.cleanup)
         site = web.TCPSite(runner, '127.0.0.1', 0)
@@ -129,3 +138,20 @@
             [(0.5, [event]), (0.0, [])], 0.0, stop_after=3
         )
         assert waits_ms == [1900, 1900]
+
+
+class TestDroppedHistory:
+    async def test_later_changes_do_not_hide_that_earlier_ones_are_lost(self):
+        """Guards against a stand-in that omits changes without saying so."""
+        found = platform_standin.Store()
+        await found.put('op/config', {'version': 6})
+        after = found.revision
+        await found.put('op/config', {'version': 7})
+        await found.drop_history()
+        await found.put('servers/i-1', {})
+        app = web.Application()
+        app.add_routes(found.routes())
+        async with serving_app(app) as store:
+            await store.read_all('')
+            with pytest.raises(store_module._HistoryGoneError):
+                await store.watch('', after, 0.2)
