A sidecar asks for the incarnation when its engine may have been replaced

Cause, from the kept logs: an engine was replaced between two reports and had accepted no order before, so that its reports looked like the next one's. Every load named the old incarnation, and was refused with 421 (OTHER_INCARNATION) for good; only the load of the base model took that as a sign of a replacement, and an engine that leaves and no longer does so in its report was not taken as one.

Change: after an order that was refused so, and after a report that no longer says that the engine leaves, the sidecar asks for the incarnation, and starts over if it is another one.

--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -260,7 +260,11 @@
             snapshot = await self._engine.report()
             if self.view.is_outdated(snapshot):
                 raise errors.PlatformError('the report is of an earlier start')
-            if self._is_down or self.view.is_restart(snapshot):
+            if (
+                self._is_down
+                or self.view.is_restart(snapshot)
+                or self.view.may_be_replaced(snapshot)
+            ):
                 await self._attach(snapshot)
         except errors.PlatformError as error:
             if not self._is_down:
@@ -294,6 +298,7 @@
         if self._table.engine_limits(self._service) is None:
             raise errors.PlatformError('no configuration is known yet')
         incarnation = await self._engine.incarnation()
+        self.view.record_incarnation()
         self._is_down = False
         log.info(
             'dependency regained',
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -66,6 +66,8 @@
         self.started_at_ms = 0
         # Starts of the engine so far; orders apply to one start only.
         self._start_count = 0
+        # Whether an order was refused as meant for another incarnation.
+        self._is_order_misdirected = False
         # Whether this start announced in an answer that it leaves.
         self._has_announced_leaving = False
         self.loading_count = 0
@@ -94,6 +96,24 @@
             return snapshot.started_at_ms > previous.started_at_ms
         return snapshot.order_count < previous.order_count
 
+    def may_be_replaced(
+        self, snapshot: engine_snapshot.EngineSnapshot
+    ) -> bool:
+        """Whether another incarnation may have taken the engine's place.
+
+        If it had accepted no orders, its reports look like those of a new
+        one.
+        """
+        previous = self._snapshot
+        was_leaving = previous is not None and previous.is_leaving
+        return self._is_order_misdirected or (
+            was_leaving and not snapshot.is_leaving
+        )
+
+    def record_incarnation(self) -> None:
+        """Record that the engine's incarnation has been asked for."""
+        self._is_order_misdirected = False
+
     def is_outdated(self, snapshot: engine_snapshot.EngineSnapshot) -> bool:
         """Whether a report is of an earlier start than the known one."""
         return snapshot.started_at_ms < self.started_at_ms
@@ -370,6 +390,8 @@
         if result is engine_orders.OrderResult.BUSY:
             await asyncio.sleep(_ORDER_RETRY_DELAY_S)
             return
+        if result is engine_orders.OrderResult.OTHER_INCARNATION:
+            self._is_order_misdirected = True
         raise errors.PlatformError(
             f'the engine refused the order: {result.name}'
         )
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -4,6 +4,8 @@
 import random
 
 from benchmarks import virtual_time
+import pytest
+
 from lacewingpitch import adapter_versions
 from lacewingpitch import crash_record
 from lacewingpitch import engine_controller
@@ -370,6 +372,29 @@
 
         play(story)
 
+    @pytest.mark.parametrize('is_leaving', [False, True])
+    def test_engine_replaced_between_two_reports_gets_orders(self, is_leaving):
+        """Guards against orders that name an incarnation that has ended.
+
+        The engine had accepted no order before, and the next one holds the
+        model from its start.
+        """
+
+        async def story(scene):
+            scene.engine.is_leaving = is_leaving
+            await asyncio.sleep(1.0)
+            scene.engine.is_leaving = False
+            scene.engine.restart('i-2')
+            scene.engine.models.add(fake_engine.MODEL)
+            await asyncio.sleep(0.1)
+            if not is_leaving:
+                await scene.request_turn('one')
+            await asyncio.sleep(3.0)
+            reply = await scene.request_turn('two')
+            assert (reply.refusal, reply.backend_server) == (None, 'i-2')
+
+        play(story)
+
     def test_requests_may_wait_for_a_starting_engine(self):
         """Guards against callers refused twice while engines restart.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -241,3 +241,9 @@
         assert scene.platform.services[0].name == 'p-1+'
         servers = (*scene.platform.engines, *scene.platform.services)
         assert any(server.backoff_answers for server in servers)
+
+    @pytest.mark.parametrize('seed', [8009, 8013])
+    async def test_orders_reach_engines_that_were_replaced(self, seed):
+        """Guards against orders that name an incarnation that has ended."""
+        scene, _ = await soak.run(seed=seed)
+        assert any(call.is_served for call in scene.checker.calls)
