--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -242,7 +242,7 @@
         servers = (*scene.platform.engines, *scene.platform.services)
         assert any(server.backoff_answers for server in servers)
 
-    @pytest.mark.parametrize('seed', [8009, 8013])
+    @pytest.mark.parametrize('seed', [8009, 8013, 8050])
     async def test_orders_reach_engines_that_were_replaced(self, seed):
         """Guards against orders that name an incarnation that has ended."""
         scene, _ = await soak.run(seed=seed)
