--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -408,13 +408,13 @@
         return True
 
     def recent_removals(self) -> tuple[leaving_news.ServerRemoval, ...]:
-        """Return which servers the list has lately given up."""
+        """Return which servers the list has lately ceased to offer."""
         return self._removals.recent()
 
     def record_removal(self, removal: leaving_news.ServerRemoval) -> bool:
-        """Record that another process read that a server was given up.
+        """Record that a newer list, read elsewhere, does not offer a server.
 
-        It gets no requests until this process has read as much.
+        The server gets no requests until this process has read that list.
 
         Returns
         -------
--- a/lacewingpitch/leaving_news.py
+++ b/lacewingpitch/leaving_news.py
@@ -23,10 +23,10 @@
 
 
 class ServerRemoval(msgspec.Struct, frozen=True):
-    """A start of a server that the published list gave up.
+    """A start of a server that the published list no longer offers.
 
-    The list says that it leaves, or names it no more.  Which of two processes
-    knows better is decided by revisions, and needs no clocks.
+    The list names it as leaving, or lacks it.  Revisions, and not clocks,
+    decide which of two processes has the newer list.
 
     Parameters
     ----------
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -84,7 +84,7 @@
     has_uneven_engines
         Whether the engines differ in pace, by what the entry knows.
     removals
-        Servers that the list, as the entry read it, has given up.
+        Servers that the list no longer offers, as the entry read it.
     """
 
     entry: str
@@ -158,7 +158,7 @@
     leaving
         Start ids of servers that announced to others that they leave.
     removals
-        Servers that the list, as others read it, has given up.
+        Servers that the list no longer offers, as others read it.
     """
 
     backend_server: str = ''
--- a/tests/test_removal_news.py
+++ b/tests/test_removal_news.py
@@ -189,8 +189,8 @@
 
     @pytest.mark.proves(Promise.LEAVING, Fault.CONFIG_DOWN, Step.ANY)
     @pytest.mark.parametrize('how', ['removed', 'draining'])
-    def test_a_server_that_leaves_is_given_up_in_the_dark(self, how):
-        """Guards against use of a server that the others gave up."""
+    def test_a_server_that_leaves_gets_nothing_more(self, how):
+        """Guards against use of a server that no other entry uses."""
 
         async def story(cut_off, other):
             for scene in (cut_off, other):
