One failed read is no outage for engines either

What callers could meet: an engine that the list no longer names got asked for turns for up to 2.5 s more after a single broken connection to the store.

Cause: left out that an outage fails two reads at least, and its tests did not show it: they asked for servers of a service with survivors only, which are dropped for that reason alone.

Change: a server is dropped at once if others of its service survive and fewer than two reads found the store out of reach, or it has no sidecar. The decision stands in UnlistedServers whole; the list only says which services survive. The tests ask with and without survivors, and for engines.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -107,7 +107,6 @@
     ) -> None:
         self._clock = clock
         self._is_service = is_service
-        self._has_sidecar = has_sidecar
         self._restarts: reactivex.subject.Subject[str] = (
             reactivex.subject.Subject()
         )
@@ -119,7 +118,7 @@
         )
         self._servers: dict[str, BackendServer] = {}
         self._unlisted: unlisted_servers.UnlistedServers[BackendServer] = (
-            unlisted_servers.UnlistedServers(clock, contact_s)
+            unlisted_servers.UnlistedServers(clock, contact_s, has_sidecar)
         )
         self._departed = departed_servers.DepartedServers(clock)
         self._leaving = leaving_servers.LeavingServers(
@@ -236,14 +235,7 @@
             # entries from before the outage are in it.
             self._unlisted.set_retention_after_restore()
             return
-        # Servers without a sidecar have nobody who refuses for them.
-        self._unlisted.set_retention(
-            {
-                service
-                for service in self._surviving_services()
-                if not self._has_sidecar(service)
-            }
-        )
+        self._unlisted.set_retention(self._surviving_services())
 
     def _surviving_services(self) -> set[str]:
         """Return the services with entries from before the last outage."""
--- a/lacewingpitch/unlisted_servers.py
+++ b/lacewingpitch/unlisted_servers.py
@@ -1,6 +1,6 @@
 """Use of backend servers whose entries are gone after a store outage."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 import dataclasses
 import math
 from typing import Generic, Protocol, TypeVar
@@ -19,6 +19,8 @@
 # Time between the last use of a server and the moment from which this
 # process must act on what it could have read.
 _CONTACT_MARGIN_S = 0.3
+# A broken connection fails a single read; an outage also fails the next one.
+_MIN_OUTAGE_FAILURES = 2
 log = structlog.get_logger(__name__)
 
 
@@ -78,14 +80,24 @@
     contact_s
         Time after an outage from which this process counts as connected
         again, in seconds.
+    has_sidecar
+        Returns whether the servers of a service have a sidecar, which refuses
+        requests once its server leaves.
     """
 
-    def __init__(self, clock: clock_module.Clock, contact_s: float) -> None:
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        contact_s: float,
+        has_sidecar: Callable[[str], bool] = lambda _service: False,
+    ) -> None:
         self._clock = clock
         self._contact_s = contact_s
+        self._has_sidecar = has_sidecar
         self._records: dict[str, _Record[_Server]] = {}
         self._pending: set[str] = set()
         self._failure_count = 0
+        self._unreachable_count = 0
         self._is_unreachable = False
         self._unreachable_since_s = 0.0
         # Time at which a read began that found the store out of reach.
@@ -116,6 +128,7 @@
         """
         if not self.is_unreadable:
             self._failure_count = 0
+            self._unreachable_count = 0
             self._last_unreachable_at_s = -math.inf
         self.is_unreadable = True
         self._failure_count += 1
@@ -124,6 +137,7 @@
         if not self._is_unreachable:
             self._unreachable_since_s = self._clock.monotonic_s()
         self._is_unreachable = True
+        self._unreachable_count += 1
         self._last_unreachable_at_s = began_at_s
 
     def record_read(self) -> None:
@@ -173,23 +187,32 @@
         self._records.pop(name, None)
         self._pending.discard(name)
 
-    def set_retention(self, dropped_services: Collection[str]) -> None:
+    def set_retention(self, surviving_services: Collection[str]) -> None:
         """Set how long to use the servers that were added since a read.
 
         Parameters
         ----------
-        dropped_services
-            Services whose missing servers are not used any more.
+        surviving_services
+            Services of which entries from before the last outage are still
+            listed.
         """
         dropped = {
             name
             for name in self._pending
-            if self._records[name].server.service in dropped_services
+            if self._records[name].server.service in surviving_services
+            and self._is_dropped_at_once(self._records[name].server)
         }
         self._set_retention(dropped, -math.inf)
         self._set_retention(self._pending - dropped, self._expired_until_s)
         self._pending.clear()
 
+    def _is_dropped_at_once(self, server: _Server) -> bool:
+        """Whether a server is not used, if others of its service survive."""
+        if self._unreachable_count < _MIN_OUTAGE_FAILURES:
+            return True
+        # Without a sidecar, nobody refuses requests for a server that left.
+        return not self._has_sidecar(server.service)
+
     def set_retention_after_restore(self) -> None:
         """Set how long to use servers that a restored list lacks.
 
--- a/tests/test_unlisted_servers.py
+++ b/tests/test_unlisted_servers.py
@@ -32,6 +32,13 @@
     return unlisted_servers.UnlistedServers(clock, CONTACT_S)
 
 
+@pytest.fixture
+def engines(clock):
+    return unlisted_servers.UnlistedServers(
+        clock, CONTACT_S, has_sidecar=lambda _service: True
+    )
+
+
 def fail_reads(unlisted, clock, length_s=5.0, step_s=1.0):
     """Let reads fail; return when the last one began."""
     began_s = clock.now_s
@@ -43,11 +50,15 @@
 
 
 class TestRetention:
-    def test_no_server_is_retained_without_an_outage(self, unlisted):
-        unlisted.record_read()
-        unlisted.add(A, 100.0)
-        unlisted.set_retention(SURVIVED)
-        assert unlisted.retained('lookup') == ()
+    @pytest.mark.parametrize('surviving', [SURVIVED, NONE])
+    def test_no_server_is_retained_without_an_outage(
+        self, unlisted, engines, surviving
+    ):
+        for found in (unlisted, engines):
+            found.record_read()
+            found.add(A, 100.0)
+            found.set_retention(surviving)
+            assert found.retained('lookup') == ()
 
     def test_ends_at_once_if_entries_of_the_service_survived(
         self, unlisted, clock
@@ -60,10 +71,7 @@
         assert unlisted.retained('lookup') == ()
 
     def test_ends_before_contact(self, unlisted, clock):
-        """Guards against use after this process counts as connected again.
-
-        All servers of the service have left, or all their entries expired.
-        """
+        """Guards against use after this process counts as connected again."""
         asked_at_s = fail_reads(unlisted, clock, step_s=2.0)
         unlisted.record_read()
         unlisted.add(A, 100.0)
@@ -106,21 +114,36 @@
         clock.now_s += 0.2
         assert unlisted.retained('lookup') == ()
 
-    def test_one_failed_read_is_no_outage(self, unlisted, clock):
+    def test_one_failed_read_is_no_outage(self, unlisted, engines):
         """Guards against retaining a server after one broken connection."""
-        unlisted.record_read_failure(99.9)
-        unlisted.record_read()
-        unlisted.add(A, 98.0)
-        unlisted.set_retention(SURVIVED)
-        assert unlisted.retained('lookup') == ()
+        for found in (unlisted, engines):
+            found.record_read_failure(99.9)
+            found.record_read()
+            found.add(A, 98.0)
+            found.set_retention(SURVIVED)
+            assert found.retained('lookup') == ()
+
+    def test_an_engine_is_retained_beside_entries_that_survived(
+        self, engines, clock
+    ):
+        asked_at_s = fail_reads(engines, clock, step_s=2.0)
+        engines.record_read()
+        engines.add(A, 100.0)
+        engines.set_retention(SURVIVED)
+        assert engines.retained('lookup') == (A,)
+        clock.now_s = asked_at_s + CONTACT_S - 0.2
+        assert engines.retained('lookup') == ()
 
-    def test_no_server_is_retained_if_unlisted_later(self, unlisted, clock):
+    @pytest.mark.parametrize('surviving', [SURVIVED, NONE])
+    def test_no_server_is_retained_if_unlisted_later(
+        self, unlisted, clock, surviving
+    ):
         fail_reads(unlisted, clock)
         unlisted.record_read()
-        unlisted.set_retention(SURVIVED)
+        unlisted.set_retention(surviving)
         unlisted.record_read()
         unlisted.add(A, clock.now_s)
-        unlisted.set_retention(SURVIVED)
+        unlisted.set_retention(surviving)
         assert unlisted.retained('lookup') == ()
 
     def test_a_server_that_is_listed_again_is_dropped(self, unlisted, clock):
