What a peer says of a leaving server is not taken as for good

What callers could miss: a healthy server, for as long as an entry lives that had started while the store was away. A peer tells which servers it does not use, among them those that a newer list lacked or that it barred for 30 s after a restore. The starting entry took each as named by the list as leaving, which is for good since, and told other entries so.

Change: only entries that the process has read in the store itself mark a start as leaving for good, and are told to others.

Evidence: the two new tests failed before (a server listed again is not used; a removal is told that was not read).

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -248,11 +248,16 @@
 
     def replace_all(self, servers: Iterable[BackendServer]) -> None:
         """Apply a whole list."""
+        self._replace_all(servers, is_adopted=False)
+
+    def _replace_all(
+        self, servers: Iterable[BackendServer], is_adopted: bool
+    ) -> None:
         found = {server.name: server for server in servers}
         for name in self._servers.keys() - found.keys():
             self._unlist(name)
         for server in found.values():
-            self.put(server)
+            self._put(server, is_adopted)
         self.is_known = True
         self.finish_update()
 
@@ -277,7 +282,7 @@
             Epoch and revision of that list.
         """
         self._epoch, self._revision = position
-        self.replace_all(servers)
+        self._replace_all(servers, is_adopted=True)
         self.record_read_failure()
         self._confirmed_at_s = self._clock.monotonic_s() - age_s
 
@@ -290,6 +295,9 @@
 
         An entry of an earlier start of the server is ignored.
         """
+        self._put(server, is_adopted=False)
+
+    def _put(self, server: BackendServer, is_adopted: bool) -> None:
         before = self._listed_or_unlisted(server.name)
         if before and server.started_at_ms < before.started_at_ms:
             # An entry that a server wrote before its restart can arrive
@@ -300,7 +308,9 @@
             )
             return
         if server.is_leaving:
-            self._departed.record_leaving(server.start_id)
+            # A peer may say so of a server that returns.
+            if not is_adopted:
+                self._departed.record_leaving(server.start_id)
         elif self._departed.is_barred(server.start_id):
             server = dataclasses.replace(server, is_leaving=True)
         else:
@@ -313,7 +323,8 @@
             self._announce_restart(server)
         if server.is_leaving and (before is None or not before.is_leaving):
             self._leavings.on_next(server)
-            self._tell_removal(server)
+            if not is_adopted:
+                self._tell_removal(server)
         if (
             listed_before is None
             or listed_before.is_leaving != server.is_leaving
--- a/tests/test_removal_news.py
+++ b/tests/test_removal_news.py
@@ -1,6 +1,7 @@
 """Entries that can't read the list hear from others which servers left."""
 
 import asyncio
+import dataclasses
 import time
 
 import pytest
@@ -100,6 +101,36 @@
         assert servers.position == (EPOCH, 8)
 
 
+class TestAdoptedList:
+    """A process starts with the list of another one."""
+
+    @pytest.fixture
+    def adopted(self, clock, servers):
+        servers.record_removal(REMOVAL)
+        found = backend_list.BackendList(clock)
+        found.replace_from_peer(
+            [
+                dataclasses.replace(
+                    listed, is_leaving=servers.is_known_leaving(listed)
+                )
+                for listed in servers.all()
+            ],
+            0.5,
+            servers.position,
+        )
+        return found
+
+    def test_a_server_that_is_listed_again_is_used(self, adopted):
+        """Guards against a server that is taken as leaving for good."""
+        assert names(adopted) == {'b'}
+        adopted.record_read(epoch=EPOCH, revision=12)
+        adopted.replace_all([server('a'), server('b')])
+        assert names(adopted) == {'a', 'b'}
+
+    def test_others_are_not_told_what_it_has_not_read(self, adopted):
+        assert adopted.recent_removals() == ()
+
+
 class TestTold:
     def test_a_removed_and_a_leaving_server(self, servers):
         servers.record_read(epoch=EPOCH, revision=8)
