--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -433,7 +433,7 @@
         known = self._removed_elsewhere.get(removal.start_id)
         if known is None:
             log.info(
-                'backend server removed, as another entry read',
+                'backend server removed by a newer list',
                 backend_server=name,
                 list_age_s=round(self.age_s, 3),
             )
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -374,11 +374,7 @@
 
     @pytest.mark.parametrize('is_leaving', [False, True])
     def test_engine_replaced_between_two_reports_gets_orders(self, is_leaving):
-        """Guards against orders that name an incarnation that has ended.
-
-        The engine had accepted no order before, and the next one holds the
-        model from its start.
-        """
+        """Guards against orders that name an incarnation that has ended."""
 
         async def story(scene):
             scene.engine.is_leaving = is_leaving
--- a/tests/test_left_servers.py
+++ b/tests/test_left_servers.py
@@ -36,15 +36,15 @@
 
 
 def entry(name, service=standin.PLAIN, state='ready'):
-    found = standin.Engine(name).entry(f'10.0.0.7:{hash_port(name)}')
+    found = standin.Engine(name).entry(f'10.0.0.7:{port_of(name)}')
     return {**found, 'service': service, 'state': state}
 
 
-def hash_port(name):
+def port_of(name):
     return 1000 + sum(name.encode())
 
 
-class Play:
+class Scene:
     """One entry that reads a faulty store in virtual time."""
 
     def __init__(
@@ -166,13 +166,13 @@
         )
 
 
-def leave(play, how, at_s):
+def leave(scene, how, at_s):
     """Let the server leave; its entry is removed some seconds later."""
     if how == 'removed':
-        play.write_at(at_s, LEFT, None)
+        scene.write_at(at_s, LEFT, None)
         return
-    play.write_at(at_s, LEFT, entry(LEFT, state='draining'))
-    play.write_at(at_s + play.random.uniform(2.0, 8.0), LEFT, None)
+    scene.write_at(at_s, LEFT, entry(LEFT, state='draining'))
+    scene.write_at(at_s + scene.random.uniform(2.0, 8.0), LEFT, None)
 
 
 def failures(play):
@@ -190,7 +190,7 @@
 
         async def play(seed):
             draw = Draw.of(seed)
-            scene = Play(seed, (draw.outage,), (draw.refusals,))
+            scene = Scene(seed, (draw.outage,), (draw.refusals,))
             scene.change_entries(draw.until_s + 8.0)
             leave(scene, draw.leaving, draw.left_at_s)
             if seed % 2:
@@ -203,16 +203,13 @@
 
     @pytest.mark.proves(Promise.LEAVING, Fault.TWO_FAULTS, Step.ANY)
     def test_rejected_reads_do_not_extend_the_use_of_engines(self):
-        """Guards against engines used past the deadline.
-
-        A store that answers 429 or cuts a watch is not out of reach.
-        """
+        """Guards against engines used past the deadline."""
 
         async def play(seed):
             draw = Draw.of(seed)
             how = '429' if draw.refused == '503' else draw.refused
             refusals = dataclasses.replace(draw.refusals, how=how)
-            scene = Play(seed, (draw.outage,), (refusals,), has_sidecar=True)
+            scene = Scene(seed, (draw.outage,), (refusals,), has_sidecar=True)
             scene.change_entries(draw.until_s + 8.0)
             leave(scene, draw.leaving, draw.left_at_s)
             return await scene.used_too_late(
@@ -229,7 +226,7 @@
             draw = Draw.of(seed)
             again_s = draw.refused_until_s + 0.3
             again = store_faults.Outage(again_s, again_s + 4.0, draw.how)
-            scene = Play(seed, (draw.outage, again))
+            scene = Scene(seed, (draw.outage, again))
             leave(scene, 'removed', draw.left_at_s)
             return await scene.used_too_late(draw.left_at_s, again_s + 10.0)
 
@@ -242,7 +239,7 @@
         async def play(seed):
             draw = Draw.of(seed)
             refusals = dataclasses.replace(draw.refusals, how='429')
-            scene = Play(seed, (draw.outage,), (refusals,), healthy=())
+            scene = Scene(seed, (draw.outage,), (refusals,), healthy=())
             leave(scene, draw.leaving, draw.left_at_s)
             return await scene.used_too_late(
                 draw.left_at_s, draw.until_s + 8.0
@@ -258,7 +255,7 @@
         how = random.Random(seed).choice(['silent', 'reset', '503'])
         outage = dataclasses.replace(draw.outage, how=how)
         refusals = dataclasses.replace(draw.refusals, how='429')
-        scene = Play(seed, (outage,), (refusals,) if seed % 2 else ())
+        scene = Scene(seed, (outage,), (refusals,) if seed % 2 else ())
         for name in (*HEALTHY, 'i-other'):
             self.expire(scene, draw, name)
         return scene
@@ -316,7 +313,7 @@
             outage = store_faults.Outage(
                 OUTAGE_FROM_S, OUTAGE_FROM_S + 3.0, draw.how
             )
-            scene = Play(seed, (outage,) if is_cut_off else ())
+            scene = Scene(seed, (outage,) if is_cut_off else ())
             left_at_s = OUTAGE_FROM_S - 2.0
             leave(scene, 'draining', left_at_s)
             late_at_s = left_at_s + scene.random.uniform(1.2, 6.0)
--- a/tests/test_removal_news.py
+++ b/tests/test_removal_news.py
@@ -198,8 +198,8 @@
 
         async def main():
             outage = store_faults.Outage(6.0, 6.0 + length_s, 'silent')
-            cut_off = test_left_servers.Play(seed, (outage,))
-            other = test_left_servers.Play(seed, ())
+            cut_off = test_left_servers.Scene(seed, (outage,))
+            other = test_left_servers.Scene(seed, ())
 
             async def tell():
                 while True:
