--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable, Mapping
 import dataclasses
-import math
 
 import reactivex
 import reactivex.subject
@@ -15,9 +14,6 @@
 from lacewingpitch import unlisted_servers
 
 _CONTACT_S = 3.0
-# For this time after an outage, an entry may be missing as it has expired in
-# the outage or just after it.
-_EXPIRY_AFTER_OUTAGE_S = 2.5
 log = structlog.get_logger(__name__)
 
 
@@ -127,7 +123,6 @@
         self._is_new_epoch = False
         self._epoch = 0
         self._revision = 0
-        self._readable_since_s = -math.inf
         self._removals: leaving_news.RecentNews[leaving_news.ServerRemoval] = (
             leaving_news.RecentNews(clock)
         )
@@ -214,8 +209,6 @@
         self._is_new_epoch = is_new_epoch
         self._epoch = epoch
         self._revision = revision
-        if self._unlisted.is_unreadable:
-            self._readable_since_s = self._clock.monotonic_s()
         if is_new_epoch:
             self._departed.bar_departed(
                 {server.start_id for server in self._unlisted.all_retained()}
@@ -533,11 +526,6 @@
         if outdated:
             self._by_service.clear()
 
-    def _tell_removal_unless_expired(self, server: BackendServer) -> None:
-        readable_s = self._clock.monotonic_s() - self._readable_since_s
-        if readable_s >= _EXPIRY_AFTER_OUTAGE_S:
-            self._tell_removal(server)
-
     def _tell_removal(self, server: BackendServer) -> None:
         self._removals.record(
             leaving_news.ServerRemoval(
@@ -571,7 +559,8 @@
         if not self._is_new_epoch and not self._unlisted.is_after_outage:
             self._unplanned_ends.on_next(server)
             self._leavings.on_next(server)
-            self._tell_removal_unless_expired(server)
+            if not self._unlisted.may_have_expired:
+                self._tell_removal(server)
 
 
 def _at_other_addresses(
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -351,12 +351,6 @@
             )
             return
         log.info('model load ordered', model=model, result=result.name)
-        if result is engine_orders.OrderResult.OTHER_INCARNATION:
-            # The engine restarted between two reports and had accepted no
-            # order before, so that its order count didn't show the restart.
-            # Without a new attach every order would keep naming the old
-            # incarnation.
-            self._is_down = True
 
     def _log_leaving(self, snapshot: engine_snapshot.EngineSnapshot) -> None:
         previous = self.view.snapshot
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -268,6 +268,7 @@
         )
         if result is engine_orders.OrderResult.FENCED:
             self._fence.raise_token()
+        self._record_result(result)
         return result
 
     async def load_adapter(self, name: str, fencing: int) -> None:
@@ -390,12 +391,15 @@
         if result is engine_orders.OrderResult.BUSY:
             await asyncio.sleep(_ORDER_RETRY_DELAY_S)
             return
-        if result is engine_orders.OrderResult.OTHER_INCARNATION:
-            self._is_order_misdirected = True
+        self._record_result(result)
         raise errors.PlatformError(
             f'the engine refused the order: {result.name}'
         )
 
+    def _record_result(self, result: engine_orders.OrderResult) -> None:
+        if result is engine_orders.OrderResult.OTHER_INCARNATION:
+            self._is_order_misdirected = True
+
     async def _wait_until_held(self, name: str, start: int) -> None:
         # A report that was requested before the order may show the adapter
         # as it was before an unload.
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -23,6 +23,7 @@
 from lacewingpitch.platform import names
 from lacewingpitch import platform_call
 from lacewingpitch import read_backoff
+from lacewingpitch import unlisted_servers
 
 # Longest time without a byte.  Even a slow store answers within it, so that
 # a longer silence means that the response is lost.
@@ -41,9 +42,7 @@
 _MIN_WATCH_S = 0.2
 # While the store is out of reach, a watch only finds out whether it is back.
 _PROBE_WATCH_S = 0.02
-# For this time after its return, servers write their entries again, and
-# changes are batched for less time.
-_REGISTRATION_S = 2.5
+# After the store's return, servers write their entries again.
 _REGISTRATION_BATCH_DELAY_S = 0.2
 # Time over which processes spread their reads after a restore of the store.
 # All must have the list well before they count as connected.
@@ -326,7 +325,7 @@
     @property
     def _current_batch_delay_s(self) -> float:
         returned_s = self._clock.monotonic_s() - self._regained_at_s
-        if returned_s < _REGISTRATION_S:
+        if returned_s < unlisted_servers.RELISTED_WITHIN_S:
             return min(self._batch_delay_s, _REGISTRATION_BATCH_DELAY_S)
         return self._batch_delay_s
 
--- a/lacewingpitch/unlisted_servers.py
+++ b/lacewingpitch/unlisted_servers.py
@@ -11,7 +11,7 @@
 
 # A server whose entry expired in an outage writes it again within 2 s of the
 # store's return; 0.5 s more is for the change to reach this process.
-_RELISTED_WITHIN_S = 2.5
+RELISTED_WITHIN_S = 2.5
 # Without any other backend server, one that has just left the list may still
 # be tried: it may serve for up to 2 s more, and a request that it refuses
 # has not run.
@@ -102,6 +102,7 @@
         self._unreachable_since_s = 0.0
         # Time at which a read began that found the store out of reach.
         self._last_unreachable_at_s = -math.inf
+        self._readable_since_s = -math.inf
         self.is_unreadable = False
 
     def __bool__(self) -> bool:
@@ -113,6 +114,12 @@
         """Whether the last successful read was the first after a failure."""
         return self._failure_count > 0
 
+    @property
+    def may_have_expired(self) -> bool:
+        """Whether a missing entry may have expired in the last outage."""
+        readable_s = self._clock.monotonic_s() - self._readable_since_s
+        return readable_s < RELISTED_WITHIN_S
+
     def record_read_failure(
         self, began_at_s: float, is_unreachable: bool = True
     ) -> None:
@@ -150,6 +157,7 @@
             self._failure_count = 0
             return
         self.is_unreadable = False
+        self._readable_since_s = self._clock.monotonic_s()
         if not self._is_unreachable:
             return
         self._is_unreachable = False
@@ -277,7 +285,7 @@
 
     @property
     def _relisted_by_s(self) -> float:
-        return self._clock.monotonic_s() + _RELISTED_WITHIN_S
+        return self._clock.monotonic_s() + RELISTED_WITHIN_S
 
     def _now_s(self) -> float:
         """Return the monotonic time, which stops during an outage."""
