The watcher of the store in a module of its own; behaviour unchanged

It keeps single reads and watches, prefix_watcher follows a prefix and tells what a failed read shows.

--- a/benchmarks/store_return.py
+++ b/benchmarks/store_return.py
@@ -7,7 +7,7 @@
 from benchmarks import virtual_time
 from lacewingpitch import backend_list
 from lacewingpitch import errors
-from lacewingpitch.platform import store as store_module
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store_updates
 
 PAGE_ITEMS = 500
@@ -67,7 +67,7 @@
     store = CountingStore(item_count)
     source = random.Random(1)
     for _ in range(entry_count):
-        watcher = store_module.PrefixWatcher(
+        watcher = prefix_watcher.PrefixWatcher(
             StoreReader(store),
             '',
             1.1,
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -26,6 +26,7 @@
 from lacewingpitch.platform import frontend as frontend_module
 from lacewingpitch.platform import listening
 from lacewingpitch.platform import memory_client
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import process as process_module
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
@@ -571,7 +572,7 @@
             store_updates.BackendUpdates(self.servers),
         )
         settings = self._file.settings
-        watcher = store_module.PrefixWatcher(
+        watcher = prefix_watcher.PrefixWatcher(
             store,
             store_updates.common_prefix(handlers),
             batch_delay_s=_BATCH_DELAY_RATIO * settings.propagation_limit_s,
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -13,6 +13,7 @@
 from lacewingpitch import pace_watch
 from lacewingpitch import parts
 from lacewingpitch.platform import engine_client as engine_client_module
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import process as process_module
 from lacewingpitch.platform import settings as settings_module
 from lacewingpitch.platform import store as store_module
@@ -118,7 +119,7 @@
                 self._process.versions, exchange, self._process.age
             ),
         )
-        watcher = store_module.PrefixWatcher(
+        watcher = prefix_watcher.PrefixWatcher(
             store,
             store_updates.common_prefix(handlers),
             batch_delay_s=0.0,
--- a/lacewingpitch/platform/store_updates.py
+++ b/lacewingpitch/platform/store_updates.py
@@ -12,6 +12,7 @@
 from lacewingpitch import configuration_exchange
 from lacewingpitch import errors
 from lacewingpitch.platform import names
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import wire
 
@@ -25,19 +26,19 @@
 
     prefix: str
 
-    def apply(self, change: store_module.Change) -> None:
+    def apply(self, change: prefix_watcher.Change) -> None:
         """Apply a change."""
         ...
 
 
 async def dispatch_changes(
-    watcher: store_module.PrefixWatcher,
+    watcher: prefix_watcher.PrefixWatcher,
     handlers: Sequence[UpdateHandler],
     is_done: Callable[[], bool] = lambda: False,
 ) -> None:
     """Pass each change to the handlers of its prefix until `is_done`."""
 
-    def apply(change: store_module.Change) -> None:
+    def apply(change: prefix_watcher.Change) -> None:
         for handler in handlers:
             handler.apply(change.restrict_to(handler.prefix))
 
@@ -76,7 +77,7 @@
         # than the one in force; it cannot confirm the newer one.
         self._stored_version = 0
 
-    def apply(self, change: store_module.Change) -> None:
+    def apply(self, change: prefix_watcher.Change) -> None:
         """Apply a change, and confirm the configuration if it is newest."""
         self._exchange.record_store_state(change.is_read_failure)
         if change.is_new_epoch:
@@ -123,7 +124,7 @@
         # change of the entry.
         self._rejection_reasons: dict[str, str] = {}
 
-    def apply(self, change: store_module.Change) -> None:
+    def apply(self, change: prefix_watcher.Change) -> None:
         """Apply a change of the list, or record that it cannot be read."""
         if change.is_read_failure:
             self._servers.record_read_failure(
--- a/tests/test_left_servers.py
+++ b/tests/test_left_servers.py
@@ -8,6 +8,7 @@
 
 from benchmarks import virtual_time
 from lacewingpitch import backend_list
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import store_updates
 from tests import fault_matrix
@@ -70,7 +71,7 @@
             contact_s=CONTACT_S,
             has_sidecar=lambda _service: has_sidecar,
         )
-        watcher = store_module.PrefixWatcher(
+        watcher = prefix_watcher.PrefixWatcher(
             store_module.Store(self.store, 'http://store'),
             '',
             1.1,
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -8,6 +8,7 @@
 from benchmarks import virtual_time
 from lacewingpitch import backend_list
 from lacewingpitch import errors
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import store_updates
 from tests import fault_matrix
@@ -60,11 +61,11 @@
     async def watch(self, _prefix, after, wait_s):
         await self._answer()
         if after < self.oldest:
-            raise store_module._HistoryGoneError('gone')
+            raise store_module.HistoryGoneError('gone')
         for _ in range(int(wait_s / 0.1)):
             await asyncio.sleep(0.1)
             if after < self.revision:
-                raise store_module._HistoryGoneError('gone')
+                raise store_module.HistoryGoneError('gone')
             if self.aborts_watches and not self._has_aborted:
                 self._has_aborted = True
                 raise errors.PlatformError('cut')
@@ -88,7 +89,7 @@
         self.clock = virtual_time.LoopClock()
         self.store = FlakyStore(self.clock)
         self.servers = backend_list.BackendList(self.clock)
-        self._watcher = store_module.PrefixWatcher(
+        self._watcher = prefix_watcher.PrefixWatcher(
             self.store, '', 1.1, 0.0, self.clock, random.Random(seed)
         )
         self.task = asyncio.create_task(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -11,6 +11,7 @@
 
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store as store_module
 from tests import platform_standin
 
@@ -96,7 +97,7 @@
 
         changes = []
         async with serving(answer) as store:
-            watcher = store_module.PrefixWatcher(
+            watcher = prefix_watcher.PrefixWatcher(
                 store, '', 0.0, max_confirmation_age_s, clock, random.Random(1)
             )
             with watcher.changes.subscribe(
@@ -153,5 +154,5 @@
         app.add_routes(found.routes())
         async with serving_app(app) as store:
             await store.read_all('')
-            with pytest.raises(store_module._HistoryGoneError):
+            with pytest.raises(store_module.HistoryGoneError):
                 await store.watch('', after, 0.2)
--- a/tests/test_platform_store_updates.py
+++ b/tests/test_platform_store_updates.py
@@ -12,6 +12,7 @@
 from lacewingpitch import configuration_age
 from lacewingpitch import configuration_exchange
 from lacewingpitch import errors
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store
 from lacewingpitch.platform import store_updates
 from lacewingpitch.platform import wire
@@ -54,9 +55,13 @@
         self, updates, servers
     ):
         """Guards against a removed server listed by its last entry."""
-        updates.apply(store.Change((entry(), entry('i-2')), is_full_read=True))
         updates.apply(
-            store.Change((entry('i-2'), entry(state='draining'), deletion()))
+            prefix_watcher.Change((entry(), entry('i-2')), is_full_read=True)
+        )
+        updates.apply(
+            prefix_watcher.Change(
+                (entry('i-2'), entry(state='draining'), deletion())
+            )
         )
         assert names(servers) == ['i-2']
         assert servers.get('i-1') is None
@@ -64,14 +69,16 @@
     def test_a_server_removed_and_added_in_one_change_is_listed(
         self, updates, servers
     ):
-        updates.apply(store.Change((deletion(), entry()), is_full_read=False))
+        updates.apply(
+            prefix_watcher.Change((deletion(), entry()), is_full_read=False)
+        )
         assert names(servers) == ['i-1']
 
     def test_a_malformed_entry_does_not_affect_the_others(
         self, updates, servers
     ):
         bad = item('servers/i-9', {'service': 3})
-        updates.apply(store.Change((bad, entry()), is_full_read=True))
+        updates.apply(prefix_watcher.Change((bad, entry()), is_full_read=True))
         assert names(servers) == ['i-1']
 
     @pytest.mark.parametrize(
@@ -99,9 +106,9 @@
         """
         found = standin.Engine('i-9').entry('10.0.0.9:8080') | change
         bad = item('servers/i-9', found)
-        updates.apply(store.Change((bad, entry()), is_full_read=True))
+        updates.apply(prefix_watcher.Change((bad, entry()), is_full_read=True))
         assert names(servers) == ['i-1']
-        updates.apply(store.Change((bad,)))
+        updates.apply(prefix_watcher.Change((bad,)))
         assert names(servers) == ['i-1']
 
     @pytest.mark.parametrize('field', ['service', 'address', 'zone', 'state'])
@@ -111,7 +118,7 @@
         found = standin.Engine('i-9').entry('10.0.0.9:8080')
         del found[field]
         bad = item('servers/i-9', found)
-        updates.apply(store.Change((bad, entry()), is_full_read=True))
+        updates.apply(prefix_watcher.Change((bad, entry()), is_full_read=True))
         assert names(servers) == ['i-1']
 
     @pytest.mark.parametrize('content', [b'', b'\xff\xfe\x00', b'[', b'null'])
@@ -119,7 +126,7 @@
         self, updates, servers, content
     ):
         bad = store.Item(key='servers/i-9', value=content, revision=8)
-        updates.apply(store.Change((bad, entry()), is_full_read=True))
+        updates.apply(prefix_watcher.Change((bad, entry()), is_full_read=True))
         assert names(servers) == ['i-1']
 
     def test_an_entry_overwritten_with_invalid_data_is_dropped(
@@ -128,10 +135,14 @@
         """Guards against an engine used after its entry was overwritten."""
         other = standin.Engine('i-2').entry('10.0.0.8:8080')
         other = item('servers/i-2', other)
-        updates.apply(store.Change((entry(), other), is_full_read=True))
-        updates.apply(store.Change((item('servers/i-1', {'service': 3}),)))
+        updates.apply(
+            prefix_watcher.Change((entry(), other), is_full_read=True)
+        )
+        updates.apply(
+            prefix_watcher.Change((item('servers/i-1', {'service': 3}),))
+        )
         assert names(servers) == ['i-2']
-        updates.apply(store.Change((entry(),)))
+        updates.apply(prefix_watcher.Change((entry(),)))
         assert sorted(names(servers)) == ['i-1', 'i-2']
 
     def test_an_entry_of_an_unknown_service_takes_no_address(self, updates):
@@ -144,7 +155,7 @@
         )
         stranger = standin.Service('i-9').entry('10.0.0.7:8080')
         store_updates.BackendUpdates(servers).apply(
-            store.Change(
+            prefix_watcher.Change(
                 (
                     entry(),
                     item('servers/i-9', stranger, created_revision=99),
@@ -159,14 +170,16 @@
         with structlog.testing.capture_logs() as lines:
             for _ in range(5):
                 bad = item('servers/i-9', {'service': 3})
-                updates.apply(store.Change((bad,)))
+                updates.apply(prefix_watcher.Change((bad,)))
         assert [line['event'] for line in lines] == ['entry rejected']
 
     def test_decodes_the_start_time_of_an_engine(self, updates, servers):
         found = standin.Engine('i-1').entry('10.0.0.7:8080')
         found['born'] = 1_800_000_000_123
         updates.apply(
-            store.Change((item('servers/i-1', found),), is_full_read=True)
+            prefix_watcher.Change(
+                (item('servers/i-1', found),), is_full_read=True
+            )
         )
         assert servers.get('i-1').started_at_ms == 1_800_000_000_123
 
@@ -174,7 +187,7 @@
         engine = standin.Engine('i-1')
         engine.adapters = {'a7': 3}
         found = item('servers/i-1', engine.entry('10.0.0.7:8080'))
-        updates.apply(store.Change((found,), is_full_read=True))
+        updates.apply(prefix_watcher.Change((found,), is_full_read=True))
         server = servers.get('i-1')
         assert server.adapters == {f'{standin.MODEL}/a7': 3}
         assert (server.ip, server.port) == ('10.0.0.7', 8080)
@@ -193,7 +206,7 @@
         return updates, table, versions
 
     def change(self, at_s, *items):
-        return store.Change(items, current_at_s=at_s)
+        return prefix_watcher.Change(items, current_at_s=at_s)
 
     def test_confirms_the_configuration_with_each_read(self):
         updates, _, _ = self.scene()
@@ -206,7 +219,7 @@
     def test_a_failed_read_confirms_nothing(self):
         updates, _, _ = self.scene()
         updates.apply(self.change(4.0))
-        updates.apply(store.Change(is_read_failure=True))
+        updates.apply(prefix_watcher.Change(is_read_failure=True))
         assert self.age.age_s == 5.0
 
     def test_a_malformed_configuration_is_not_confirmed(self):
@@ -223,7 +236,7 @@
         updates, table, versions = self.scene()
         version = {'model': 'm', 'adapter': 'a', 'version': 4}
         updates.apply(
-            store.Change(
+            prefix_watcher.Change(
                 (
                     item('op/config', standin.configuration(5)),
                     item('op/version/m.a', version),
@@ -246,7 +259,9 @@
         config = standin.configuration(5)
         config['services'][0]['engine']['stride'] = 7
         updates.apply(
-            store.Change((item('op/config', config),), is_full_read=True)
+            prefix_watcher.Change(
+                (item('op/config', config),), is_full_read=True
+            )
         )
         assert table.tokens_per_event(standin.SERVICE) == 7
         assert table.tokens_per_event('unknown') == 1
@@ -254,7 +269,7 @@
     def test_malformed_values_are_ignored(self):
         updates, table, versions = self.scene()
         updates.apply(
-            store.Change(
+            prefix_watcher.Change(
                 (
                     item('op/config', {'version': 'x'}),
                     item('op/version/m.a', []),
@@ -266,9 +281,9 @@
 
     def test_records_whether_the_store_can_be_read(self):
         updates, table, _ = self.scene()
-        updates.apply(store.Change(is_read_failure=True))
+        updates.apply(prefix_watcher.Change(is_read_failure=True))
         assert table.is_store_unreachable
-        updates.apply(store.Change())
+        updates.apply(prefix_watcher.Change())
         assert not table.is_store_unreachable
 
 
--- a/tests/test_store_epoch.py
+++ b/tests/test_store_epoch.py
@@ -14,6 +14,7 @@
 from lacewingpitch import configuration_age
 from lacewingpitch import configuration_exchange
 from lacewingpitch import errors
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import store_updates
 from lacewingpitch.platform import wire
@@ -46,7 +47,7 @@
             store_updates.OperatorUpdates(self.versions, exchange, self.age),
             store_updates.BackendUpdates(self.servers),
         ]
-        self.watcher = store_module.PrefixWatcher(
+        self.watcher = prefix_watcher.PrefixWatcher(
             reader, '', 0.02, 0.4, clock, random.Random(2)
         )
         self.task = asyncio.create_task(
--- a/tests/test_store_epoch_interleavings.py
+++ b/tests/test_store_epoch_interleavings.py
@@ -12,6 +12,7 @@
 from lacewingpitch import configuration_age
 from lacewingpitch import configuration_exchange
 from lacewingpitch import errors
+from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import store_updates
 from lacewingpitch import routing
@@ -77,7 +78,7 @@
         await self._answer(epoch)
         for _ in range(int(wait_s / 0.1)):
             if not self._store.oldest <= after <= self._store.revision:
-                raise store_module._HistoryGoneError('gone')
+                raise store_module.HistoryGoneError('gone')
             events = [c for at, c in self._store.changes if at > after]
             if events:
                 break
@@ -93,7 +94,7 @@
             raise errors.PlatformError('down')
         self.epoch = self._store.epoch
         if epoch not in (None, self.epoch):
-            raise store_module._HistoryGoneError('another epoch')
+            raise store_module.HistoryGoneError('another epoch')
 
 
 class Scene:
@@ -114,7 +115,7 @@
             ),
             store_updates.BackendUpdates(self.servers),
         ]
-        watcher = store_module.PrefixWatcher(
+        watcher = prefix_watcher.PrefixWatcher(
             Reader(self.store), '', 1.1, 0.0, clock, random.Random(seed)
         )
         self.task = asyncio.create_task(
