--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -11,6 +11,7 @@
 from lacewingpitch import departed_servers
 from lacewingpitch import leaving_news
 from lacewingpitch import leaving_servers
+from lacewingpitch import list_removals
 from lacewingpitch import unlisted_servers
 
 _CONTACT_S = 3.0
@@ -121,13 +122,7 @@
             lambda name: name in self._servers
         )
         self._is_new_epoch = False
-        self._epoch = 0
-        self._revision = 0
-        self._removals: leaving_news.RecentNews[leaving_news.ServerRemoval] = (
-            leaving_news.RecentNews(clock)
-        )
-        # Revisions by start id, of removals that this process has not read.
-        self._removed_elsewhere: dict[str, int] = {}
+        self._removals = list_removals.ListRemovals(clock)
         # `created_revision` by name, of entries listed as an outage began.
         self._revisions_before_outage: dict[str, int] = {}
         self._confirmed_at_s = clock.monotonic_s()
@@ -207,8 +202,7 @@
             Position up to which the list is known with this read.
         """
         self._is_new_epoch = is_new_epoch
-        self._epoch = epoch
-        self._revision = revision
+        self._removals.position = epoch, revision
         if is_new_epoch:
             self._departed.bar_departed(
                 {server.start_id for server in self._unlisted.all_retained()}
@@ -222,7 +216,8 @@
 
         Decides how long servers that are no longer listed may be used.
         """
-        self._forget_outdated_removals()
+        if self._removals.forget_outdated():
+            self._by_service.clear()
         if self._is_new_epoch:
             # A copy lacks all entries that were written after it, also if
             # entries from before the outage are in it.
@@ -257,7 +252,7 @@
     @property
     def position(self) -> tuple[int, int]:
         """Return epoch and revision up to which the list is known."""
-        return self._epoch, self._revision
+        return self._removals.position
 
     def replace_from_peer(
         self,
@@ -274,7 +269,7 @@
         position
             Epoch and revision of that list.
         """
-        self._epoch, self._revision = position
+        self._removals.position = position
         self._replace_all(servers, is_adopted=True)
         self.record_read_failure()
         self._confirmed_at_s = self._clock.monotonic_s() - age_s
@@ -317,7 +312,7 @@
         if server.is_leaving and (before is None or not before.is_leaving):
             self._leavings.on_next(server)
             if not is_adopted:
-                self._tell_removal(server)
+                self._removals.record_read(server.start_id)
         if (
             listed_before is None
             or listed_before.is_leaving != server.is_leaving
@@ -417,23 +412,19 @@
         bool
             Whether the server is listed here, by an older list.
         """
-        if removal.epoch != self._epoch or removal.revision <= self._revision:
-            return False
         name = removal.start_id.rpartition('@')[0]
         server = self._servers.get(name)
         if server is None or server.start_id != removal.start_id:
             return False
-        known = self._removed_elsewhere.get(removal.start_id)
-        if known is None:
+        if not self._removals.is_newer(removal):
+            return False
+        if self._removals.record_heard(removal):
+            self._by_service.clear()
             log.info(
                 'backend server removed by a newer list',
                 backend_server=name,
                 list_age_s=round(self.age_s, 3),
             )
-        self._removed_elsewhere[removal.start_id] = max(
-            known or 0, removal.revision
-        )
-        self._by_service.clear()
         return True
 
     def is_known_leaving(self, server: BackendServer) -> bool:
@@ -506,33 +497,10 @@
     def _leaves(self, server: BackendServer) -> bool:
         return (
             server.is_leaving
-            or self._is_removed_elsewhere(server)
+            or self._removals.includes(server.start_id)
             or self._leaving.includes(server.name, server.started_at_ms)
         )
 
-    def _is_removed_elsewhere(self, server: BackendServer) -> bool:
-        if not self._removed_elsewhere:
-            return False
-        return server.start_id in self._removed_elsewhere
-
-    def _forget_outdated_removals(self) -> None:
-        outdated = [
-            start_id
-            for start_id, revision in self._removed_elsewhere.items()
-            if revision <= self._revision or self._is_new_epoch
-        ]
-        for start_id in outdated:
-            del self._removed_elsewhere[start_id]
-        if outdated:
-            self._by_service.clear()
-
-    def _tell_removal(self, server: BackendServer) -> None:
-        self._removals.record(
-            leaving_news.ServerRemoval(
-                server.start_id, self._epoch, self._revision
-            )
-        )
-
     def _listed_or_unlisted(self, name: str) -> BackendServer | None:
         return self._servers.get(name) or self._unlisted.get(name)
 
@@ -560,7 +528,7 @@
             self._unplanned_ends.on_next(server)
             self._leavings.on_next(server)
             if not self._unlisted.may_have_expired:
-                self._tell_removal(server)
+                self._removals.record_read(server.start_id)
 
 
 def _at_other_addresses(
