--- a/tests/test_left_servers.py
+++ b/tests/test_left_servers.py
@@ -185,37 +185,35 @@
 class TestOwnOutage:
     """The store serves all but this process."""
 
+    async def used_too_late(self, seed, refused, has_sidecar=False):
+        """Let reads fail after an outage in which a server may leave."""
+        draw = Draw.of(seed)
+        refusals = dataclasses.replace(draw.refusals, how=refused)
+        scene = Scene(
+            seed, (draw.outage,), (refusals,), has_sidecar=has_sidecar
+        )
+        scene.change_entries(draw.until_s + 8.0)
+        leave(scene, draw.leaving, draw.left_at_s)
+        if seed % 2:
+            scene.at(draw.until_s - 0.5, scene.store.forget_history)
+        return await scene.used_too_late(draw.left_at_s, draw.until_s + 8.0)
+
     @pytest.mark.proves(Promise.LEAVING, Fault.TWO_FAULTS, Step.ANY)
     def test_refused_reads_afterwards_do_not_extend_the_use(self):
         """Guards against use past the deadline when later reads fail."""
 
-        async def play(seed):
-            draw = Draw.of(seed)
-            scene = Scene(seed, (draw.outage,), (draw.refusals,))
-            scene.change_entries(draw.until_s + 8.0)
-            leave(scene, draw.leaving, draw.left_at_s)
-            if seed % 2:
-                scene.at(draw.until_s - 0.5, scene.store.forget_history)
-            return await scene.used_too_late(
-                draw.left_at_s, draw.until_s + 8.0
-            )
+        def play(seed):
+            return self.used_too_late(seed, Draw.of(seed).refused)
 
         assert failures(play) == {}
 
+    @pytest.mark.parametrize('refused', ['429', 'cut'])
     @pytest.mark.proves(Promise.LEAVING, Fault.TWO_FAULTS, Step.ANY)
-    def test_rejected_reads_do_not_extend_the_use_of_engines(self):
+    def test_rejected_reads_do_not_extend_the_use_of_engines(self, refused):
         """Guards against engines used past the deadline."""
 
-        async def play(seed):
-            draw = Draw.of(seed)
-            how = '429' if draw.refused == '503' else draw.refused
-            refusals = dataclasses.replace(draw.refusals, how=how)
-            scene = Scene(seed, (draw.outage,), (refusals,), has_sidecar=True)
-            scene.change_entries(draw.until_s + 8.0)
-            leave(scene, draw.leaving, draw.left_at_s)
-            return await scene.used_too_late(
-                draw.left_at_s, draw.until_s + 8.0
-            )
+        def play(seed):
+            return self.used_too_late(seed, refused, has_sidecar=True)
 
         assert failures(play) == {}
 
--- a/tests/test_removal_news.py
+++ b/tests/test_removal_news.py
@@ -10,12 +10,12 @@
 from lacewingpitch import backend_list
 from lacewingpitch import leaving_news
 from lacewingpitch import turn_messages
-from tests import clocks
 from tests import entry_load
 from tests import fault_matrix
 from tests import notice_checks
 from tests import platform_processes
 from tests import store_faults
+from tests import test_backend_list
 from tests import test_engine_controller
 from tests import test_left_servers
 from tests import test_turn_client
@@ -27,32 +27,20 @@
 EPOCH = 3
 # Number of the entry that is cut off from the store.
 CUT_OFF = 1
+clock = test_backend_list.clock
+names = test_backend_list.names
+server = test_backend_list.server
 REMOVAL = leaving_news.ServerRemoval('a@0', EPOCH, 8)
 
 
-def server(name, **fields):
-    return backend_list.BackendServer(
-        name, 'lookup', '10.0.0.9', 1000 + ord(name), 'zone-a', **fields
-    )
-
-
-@pytest.fixture
-def clock():
-    return clocks.ManualClock(100.0)
-
-
 @pytest.fixture
 def servers(clock):
     found = backend_list.BackendList(clock)
     found.record_read(epoch=EPOCH, revision=5)
-    found.replace_all([server('a'), server('b')])
+    found.replace_all([server('a'), server('b', port=2)])
     return found
 
 
-def names(servers):
-    return {found.name for found in servers.serving('lookup')}
-
-
 class TestHeard:
     def test_a_removed_server_gets_nothing(self, servers):
         """Guards against use of a server by a list that is outdated."""
@@ -124,7 +112,7 @@
         """Guards against a server that is taken as leaving for good."""
         assert names(adopted) == {'b'}
         adopted.record_read(epoch=EPOCH, revision=12)
-        adopted.replace_all([server('a'), server('b')])
+        adopted.replace_all([server('a'), server('b', port=2)])
         assert names(adopted) == {'a', 'b'}
 
     def test_others_are_not_told_what_it_has_not_read(self, adopted):
@@ -135,7 +123,7 @@
     def test_a_removed_and_a_leaving_server(self, servers):
         servers.record_read(epoch=EPOCH, revision=8)
         servers.remove('a')
-        servers.put(server('b', is_leaving=True))
+        servers.put(server('b', port=2, is_leaving=True))
         assert set(servers.recent_removals()) == {
             REMOVAL,
             leaving_news.ServerRemoval('b@0', EPOCH, 8),
