--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -443,6 +443,11 @@
         self.run_log = []
         self.delay_s = 0.0
         self.aborts_left = 0
+        # Share of the requests that it runs and then breaks off, and what of
+        # the answer it sends before.
+        self.broken_ratio = 0.0
+        self.sent_before_break = b''
+        self.error_ratio = 0.0
 
     def routes(self):
         return [web.route('*', '/{path:.*}', self._run)]
@@ -477,7 +482,13 @@
             request.transport.abort()
             return web.Response()
         await asyncio.sleep(self.delay_s)
+        if self._random.random() < self.broken_ratio:
+            request.transport.write(self.sent_before_break)
+            request.transport.close()
+            return web.Response()
+        is_failed = self._random.random() < self.error_ratio
         return web.Response(
+            status=500 if is_failed else 200,
             body=b'ran ' + body,
             headers={
                 'Request-Id': request.headers['Request-Id'],
