Log and measure sendings, charged retries and who shares the budgets

Nothing told a second sending by the HTTP client from a retry of the entry, nor what was left of a budget. Now each sending is counted where the request is written (requests_sent_total), a request that one attempt sent more than once is logged with the count, a charged retry is logged with the tokens left, and so is a change of the number of entries that share the budgets.

--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -1,5 +1,6 @@
 """HTTP client for requests to backend servers."""
 
+import collections
 from collections.abc import AsyncIterator, Callable
 import contextlib
 import errno
@@ -7,6 +8,7 @@
 import types
 
 import aiohttp
+import structlog
 import yarl
 
 from lacewingpitch import backend_call
@@ -27,6 +29,7 @@
 _STATUS_OTHER_INCARNATION = 421
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
+log = structlog.get_logger(__name__)
 
 
 class _RequestTrace:
@@ -36,13 +39,24 @@
     ----------
     admit
         Called just before the request is sent.
+
+    Attributes
+    ----------
     is_reused
         Whether its connection had been used before.
+    sending_count
+        How often the HTTP client has sent it.
     """
 
     def __init__(self, admit: Callable[[], None]) -> None:
-        self.admit = admit
+        self._admit = admit
         self.is_reused = False
+        self.sending_count = 0
+
+    def start_sending(self) -> None:
+        """Admit the request, and count that it is sent."""
+        self._admit()
+        self.sending_count += 1
 
 
 class HttpBackendClient:
@@ -64,6 +78,11 @@
         Learns what servers say about themselves.
     gate
         Stops requests to servers that must get none now.
+
+    Attributes
+    ----------
+    sending_counts
+        How often requests were sent, by service.
     """
 
     def __init__(
@@ -79,6 +98,7 @@
         self._pool = pool
         self._observer = observer
         self._clock = clock
+        self.sending_counts: collections.Counter[str] = collections.Counter()
 
     @contextlib.asynccontextmanager
     async def send(
@@ -154,6 +174,20 @@
                     _reason(error)
                 ) from error
             raise backend_call.AnswerLostError(_reason(error)) from error
+        finally:
+            self._record_sendings(call, trace.sending_count)
+
+    def _record_sendings(
+        self, call: backend_call.BackendCall, count: int
+    ) -> None:
+        self.sending_counts[call.server.service] += count
+        if count > 1:
+            log.error(
+                'request sent more than once in one attempt',
+                request_id=call.request.request_id,
+                backend_server=call.server.name,
+                sendings=count,
+            )
 
 
 def new_client(
@@ -190,7 +224,7 @@
     _params: aiohttp.TraceRequestHeadersSentParams,
 ) -> None:
     # aiohttp calls this once it has a connection, before it writes to it.
-    context.trace_request_ctx.admit()
+    context.trace_request_ctx.start_sending()
 
 
 def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -255,6 +255,7 @@
         client = backend_client.new_client(
             process.exits, self._notices, self._gate, process.clock
         )
+        self._add_sending_metrics(client)
         if parts_module.Part.MOVING_RUNS in settings.parts:
             self._mover = await self._new_mover(client, turns)
         return request_forwarder.RequestForwarder(
@@ -273,6 +274,27 @@
             self._mover,
         )
 
+    def _add_sending_metrics(
+        self, client: backend_client.HttpBackendClient
+    ) -> None:
+        metrics = self._process.metrics
+        metrics.counter_by(
+            'requests_sent_total',
+            'How often requests were sent to backend servers, by service.',
+            'service',
+            lambda: client.sending_counts,
+        )
+        metrics.gauge(
+            'retry_budget_tokens',
+            'Retries left for the service that has least of them.',
+            lambda: self._budgets.least_tokens,
+        )
+        metrics.gauge(
+            'retry_budget_entries',
+            'Entries that share the retry budgets, as this one knows them.',
+            lambda: self._budgets.entry_count,
+        )
+
     def _new_stall_costs(self) -> stall_costs_module.StallCosts | None:
         settings = self._file.settings
         if parts_module.Part.ENGINE_PACE not in settings.parts:
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -404,9 +404,20 @@
         if refusal.kind is errors.ErrorKind.NO_BACKEND_SERVER:
             return history.unreached_count < _MAX_UNREACHED
         if not self._budgets.try_withdraw(service):
-            log.info('retry budget exhausted', request_id=request.request_id)
+            log.info(
+                'retry budget exhausted',
+                request_id=request.request_id,
+                service=service,
+            )
             return False
         self.retry_counts[service] += 1
+        log.info(
+            'retry charged',
+            request_id=request.request_id,
+            service=service,
+            attempt=history.sent_count + 1,
+            tokens_left=round(self._budgets.tokens(service), 2),
+        )
         return True
 
 
--- a/lacewingpitch/retry_budget.py
+++ b/lacewingpitch/retry_budget.py
@@ -2,8 +2,11 @@
 
 import random
 
+import structlog
+
 _FIRST_BACKOFF_S = 0.02
 _MAX_BACKOFF_S = 1.0
+log = structlog.get_logger(__name__)
 
 
 class RetryBudget:
@@ -37,6 +40,11 @@
         self._tokens -= 1.0
         return True
 
+    @property
+    def tokens(self) -> float:
+        """Return the tokens that are left."""
+        return self._tokens
+
     def set_reserve(self, reserve: float) -> None:
         """Lower or raise the maximum number of tokens saved up."""
         self._reserve = reserve
@@ -124,6 +132,11 @@
             self._entry_count = count
             for budget in self._budgets.values():
                 budget.set_reserve(self._reserve)
+            log.info(
+                'retry budgets shared by more entries',
+                entry_count=count,
+                reserve=round(self._reserve, 2),
+            )
 
     @property
     def entry_count(self) -> int:
@@ -142,6 +155,15 @@
         """Withdraw the token of one retry; return whether there was one."""
         return self._budget(service).try_withdraw()
 
+    def tokens(self, service: str) -> float:
+        """Return the tokens that are left for retries of a service."""
+        return self._budget(service).tokens
+
+    @property
+    def least_tokens(self) -> float:
+        """Return the tokens of the service that has least; 0 without any."""
+        return min((b.tokens for b in self._budgets.values()), default=0.0)
+
     def _budget(self, service: str) -> RetryBudget:
         found = self._budgets.get(service)
         if found is None:
