Send each request once per attempt: no repeats by the HTTP client

Cause: aiohttp sends a request of the methods GET, HEAD, OPTIONS, TRACE, PUT and DELETE once more, by itself, when its connection breaks before the answer, on new connections too. One attempt made two arrivals: no budget was charged, max_attempts did not count it, the deadline in its headers was that of the first sending. If the second sending met a closed gate or a refused connection, the entry took back that the request may have run, although it had arrived.

Why it works: aiohttp repeats for two error classes only. A middleware, which is public, turns them into an error of another class inside the retry loop, with the cause kept; what is repeated is then decided by the forwarder, which charges it.

Another client library was ruled out: all else depends on this one.

--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -16,12 +16,13 @@
 from lacewingpitch.platform import names
 from lacewingpitch.platform import notices
 from lacewingpitch import session_pool
+from lacewingpitch import single_sending
 
 # If connecting takes longer, the instance is down or unreachable.
 _CONNECT_TIMEOUT_S = 0.4
 # Connections that are idle for longer are closed.  Servers close idle
 # connections after seconds, some earlier than they state; a request sent at
-# that moment is retried once.
+# that moment may have run, and needs another attempt.
 _MAX_IDLE_S = 5.0
 _MS_PER_S = 1000
 _MIN_DEADLINE_MS = 1
@@ -231,7 +232,7 @@
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(_mark_reused)
     trace.on_request_headers_sent.append(_admit)
-    return aiohttp.ClientSession(
+    return single_sending.new_session(
         connector=connector,
         trace_configs=[trace],
         auto_decompress=False,
@@ -255,6 +256,8 @@
     The messages of some aiohttp errors contain all headers, which are
     private to the caller and would fill the log.
     """
+    if isinstance(error, single_sending.BrokenConnectionError):
+        return _reason(error.cause)
     text = str(error)
     if isinstance(error, aiohttp.ClientResponseError):
         text = error.message
