No HTTP client repeats a request or follows a redirect by itself

Reads of the store, of the engine's report and incarnation, of the list of instances and of the configuration service, the freeing of a copied run and calls of plain services in the product's own mode went through sessions that send again when a connection breaks (the last one had a middleware of its own, so the cause had been known in one place). A repeated read of the store was not in store_calls_total, and the gate that an engine's backoff closes was asked once for two sendings. The same sessions followed redirects: a 307 of the engine would have sent an order to an address that nobody listed, counted as one.

Now all sessions come from one place and send once; no request follows a redirect, and a redirect counts as a failure. Reads are repeated once, logged and counted, if they broke on a connection that had been used before, since a server may close an idle connection as a request arrives.

pynng repeats a message if its connection is lost; its handlers are idempotent by the id of the turn, or err towards less (permits, leases).

--- a/lacewingpitch/config_service.py
+++ b/lacewingpitch/config_service.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from lacewingpitch import platform_call
+from lacewingpitch import single_sending
 
 MAX_VALUE_BYTES = 1 << 20
 _ENVELOPE_BYTES = 1 << 10
@@ -73,14 +74,23 @@
         self, name: str, query: dict[str, str], timeout_s: float
     ) -> Value | None:
         timeout = aiohttp.ClientTimeout(total=timeout_s)
-        with platform_call.platform_errors('configuration service'):
+
+        async def read_once() -> Value | None:
             async with self._session.get(
-                f'{self._url}/v1/values/{name}', params=query, timeout=timeout
+                f'{self._url}/v1/values/{name}',
+                params=query,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status in (204, 304, 404):
                     return None
-                response.raise_for_status()
+                platform_call.check_success(response, 'configuration service')
                 data = await platform_call.read_limited(
                     response, MAX_VALUE_BYTES + _ENVELOPE_BYTES
                 )
                 return msgspec.json.decode(data, type=Value)
+
+        with platform_call.platform_errors('configuration service'):
+            return await single_sending.read_twice_if_stale(
+                read_once, 'configuration service'
+            )
--- a/lacewingpitch/demo_traffic.py
+++ b/lacewingpitch/demo_traffic.py
@@ -11,6 +11,7 @@
 from lacewingpitch import demo
 from lacewingpitch import report_text
 from lacewingpitch import response_format
+from lacewingpitch import single_sending
 from lacewingpitch import work
 
 _SERVED = 'served'
@@ -117,11 +118,16 @@
         url = self._deployment.url
         if call.is_service:
             return self._session.get(
-                f'{url}/services/{demo.SERVICE}/{call.target}', headers=headers
+                f'{url}/services/{demo.SERVICE}/{call.target}',
+                headers=headers,
+                allow_redirects=False,
             )
         body = {'model': call.target, 'messages': [], 'stream': call.stream}
         return self._session.post(
-            f'{url}/v1/chat/completions', json=body, headers=headers
+            f'{url}/v1/chat/completions',
+            json=body,
+            headers=headers,
+            allow_redirects=False,
         )
 
 
@@ -134,7 +140,7 @@
     console = console or rich.console.Console()
     async with (
         demo.Deployment() as deployment,
-        aiohttp.ClientSession() as session,
+        single_sending.new_session() as session,
     ):
         caller = Caller(deployment, session)
         results = await asyncio.gather(*(caller.send(call) for call in CALLS))
--- a/lacewingpitch/engine.py
+++ b/lacewingpitch/engine.py
@@ -158,9 +158,11 @@
         timeout = aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S)
         with platform_call.platform_errors('engine'):
             async with self._session.get(
-                f'{self._url}/v1/report', timeout=timeout
+                f'{self._url}/v1/report',
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
-                response.raise_for_status()
+                platform_call.check_success(response, 'engine')
                 data = await platform_call.read_limited(
                     response, _MAX_REPORT_BYTES
                 )
@@ -232,6 +234,7 @@
                 f'{self._url}/v1/cancel',
                 json={'run_id': run_id},
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 await response.read()
 
@@ -242,10 +245,11 @@
                 f'{self._url}/v1/{verb}',
                 json={'lora_name': name, 'fencing': fencing},
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status == _HTTP_CONFLICT:
                     raise FencedError(f'engine: {verb} fenced off')
-                response.raise_for_status()
+                platform_call.check_success(response, 'engine')
 
     @contextlib.asynccontextmanager
     async def _post(
@@ -278,6 +282,7 @@
                         data=body,
                         headers=headers,
                         timeout=timeout,
+                        allow_redirects=False,
                     )
             except (
                 aiohttp.ClientConnectorError,
--- a/lacewingpitch/live_list.py
+++ b/lacewingpitch/live_list.py
@@ -9,6 +9,7 @@
 
 from lacewingpitch import platform_call
 from lacewingpitch import settings
+from lacewingpitch import single_sending
 
 _READ_TIMEOUT_S = 5.0
 _MAX_LIST_BYTES = 4 << 20
@@ -145,17 +146,24 @@
         self, timeout_s: float, query: dict[str, str], headers: dict[str, str]
     ) -> InstanceList | None:
         timeout = aiohttp.ClientTimeout(total=timeout_s + _READ_TIMEOUT_S)
-        with platform_call.platform_errors('list of instances'):
+
+        async def read_once() -> InstanceList | None:
             async with self._session.get(
                 f'{self._url}/v1/instances',
                 params=query,
                 headers=headers,
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status in (204, 304):
                     return None
-                response.raise_for_status()
+                platform_call.check_success(response, 'list of instances')
                 data = await platform_call.read_limited(
                     response, _MAX_LIST_BYTES
                 )
                 return decode_list(data)
+
+        with platform_call.platform_errors('list of instances'):
+            return await single_sending.read_twice_if_stale(
+                read_once, 'list of instances'
+            )
--- a/lacewingpitch/node.py
+++ b/lacewingpitch/node.py
@@ -19,6 +19,7 @@
 from lacewingpitch import membership
 from lacewingpitch import published_contracts
 from lacewingpitch import settings as settings_module
+from lacewingpitch import single_sending
 
 _SIDECAR_CONTRACT_COUNT = 1024
 _WATCH_CHECK_INTERVAL_S = 1.0
@@ -76,7 +77,7 @@
         """Open the session and listen for control messages."""
         async with contextlib.AsyncExitStack() as exits:
             self.session = await exits.enter_async_context(
-                aiohttp.ClientSession(
+                single_sending.new_session(
                     connector=aiohttp.TCPConnector(limit=0),
                     auto_decompress=False,
                 )
--- a/lacewingpitch/plain_service.py
+++ b/lacewingpitch/plain_service.py
@@ -84,7 +84,6 @@
                     headers=headers,
                     timeout=timeout,
                     allow_redirects=False,
-                    middlewares=(_send_once,),
                 )
             except _NOT_SENT as error:
                 raise engine.NotSentError(f'service: {error!r}') from error
@@ -95,18 +94,3 @@
                     response.content.iter_any(),
                     response.content_length,
                 )
-
-
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    # aiohttp retries a PUT, DELETE or GET itself if the connection is closed
-    # before the answer, so a call that the contract marks as not repeatable
-    # could run twice.  It does so for these two exception types, which are
-    # therefore replaced by another one.
-    try:
-        return await handler(request)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise aiohttp.ClientPayloadError(repr(error)) from error
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -234,7 +234,7 @@
     trace.on_request_headers_sent.append(_admit)
     return single_sending.new_session(
         connector=connector,
-        trace_configs=[trace],
+        trace_configs=(trace,),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -15,6 +15,7 @@
 from lacewingpitch.platform import wire
 from lacewingpitch import platform_call
 from lacewingpitch import server_notice
+from lacewingpitch import single_sending
 
 # An engine on the same instance normally answers within a few milliseconds.
 _REPORT_TIMEOUT_S = 0.5
@@ -105,15 +106,23 @@
         PlatformError
             The engine does not answer, or does not name its incarnation.
         """
-        self._gate.check()
         timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
-        with platform_call.platform_errors('engine'):
+
+        async def read() -> str:
+            self._gate.check()
             async with self._session.get(
-                f'{self._url}{self._health_path()}', timeout=timeout
+                f'{self._url}{self._health_path()}',
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 self._read_notice(response)
                 await response.read()
-                incarnation = response.headers.get(names.INCARNATION, '')
+                return response.headers.get(names.INCARNATION, '')
+
+        with platform_call.platform_errors('engine'):
+            incarnation = await single_sending.read_twice_if_stale(
+                read, 'engine'
+            )
         if not incarnation:
             raise errors.PlatformError('engine: no incarnation in response')
         return incarnation
@@ -126,21 +135,10 @@
         PlatformError
             The engine does not answer, or its report is malformed.
         """
-        self._gate.check()
-        timeout = aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S)
         with platform_call.platform_errors('engine'):
-            async with self._session.get(
-                f'{self._url}{names.REPORT_PATH}', timeout=timeout
-            ) as response:
-                notice = self._read_notice(response)
-                if response.status != _STATUS_OK:
-                    raise errors.PlatformError(
-                        f'engine: status {response.status}'
-                    )
-                data = await platform_call.read_limited(
-                    response, _MAX_REPORT_BYTES
-                )
-                report = msgspec.json.decode(data, type=_EngineReport)
+            report, notice = await single_sending.read_twice_if_stale(
+                self._read_report, 'engine'
+            )
         return engine_snapshot.EngineSnapshot(
             order_count=report.sequence,
             is_leaving=report.state != _STATE_READY or notice.is_leaving,
@@ -160,6 +158,23 @@
             },
         )
 
+    async def _read_report(
+        self,
+    ) -> tuple[_EngineReport, server_notice.ServerNotice]:
+        self._gate.check()
+        async with self._session.get(
+            f'{self._url}{names.REPORT_PATH}',
+            timeout=aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S),
+            allow_redirects=False,
+        ) as response:
+            notice = self._read_notice(response)
+            if response.status != _STATUS_OK:
+                raise errors.PlatformError(f'engine: status {response.status}')
+            data = await platform_call.read_limited(
+                response, _MAX_REPORT_BYTES
+            )
+            return msgspec.json.decode(data, type=_EngineReport), notice
+
     async def load_model(
         self, model: str, fencing: int, incarnation: str
     ) -> engine_orders.OrderResult:
@@ -213,6 +228,7 @@
                 data=msgspec.json.encode(body),
                 headers=headers,
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 self._read_notice(response)
                 await response.read()
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -2,7 +2,6 @@
 
 import contextlib
 
-import aiohttp
 from aiohttp import web
 import structlog
 
@@ -42,6 +41,7 @@
 from lacewingpitch import service_balancer
 from lacewingpitch import settings as product_settings
 from lacewingpitch import sidecar_reporter
+from lacewingpitch import single_sending
 from lacewingpitch import stall_costs as stall_costs_module
 from lacewingpitch import startup_grace
 from lacewingpitch import suspects as suspects_module
@@ -582,7 +582,7 @@
         self, exchange: configuration_exchange.ConfigurationExchange
     ) -> store_module.Store:
         session = await self._process.exits.enter_async_context(
-            aiohttp.ClientSession()
+            single_sending.new_session()
         )
         store = store_module.Store(
             session, settings_module.url_of(self._file.settings.store)
--- a/lacewingpitch/platform/memory_client.py
+++ b/lacewingpitch/platform/memory_client.py
@@ -12,6 +12,7 @@
 from lacewingpitch import backend_list
 from lacewingpitch.platform import names
 from lacewingpitch import run_memory
+from lacewingpitch import single_sending
 
 _CONNECT_TIMEOUT_S = 0.4
 _FREE_TIMEOUT_S = 1.0
@@ -124,7 +125,7 @@
 async def new_client(exits: contextlib.AsyncExitStack) -> HttpMemoryClient:
     """Return a client whose connections are closed by `exits`."""
     session = await exits.enter_async_context(
-        aiohttp.ClientSession(
+        single_sending.new_session(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -1,6 +1,5 @@
 """Sidecar process: grants turns at a model engine and loads its adapters."""
 
-import aiohttp
 import structlog
 
 from lacewingpitch import clock as clock_module
@@ -20,6 +19,7 @@
 from lacewingpitch.platform import store_updates
 from lacewingpitch.platform import wire
 from lacewingpitch import server_permits
+from lacewingpitch import single_sending
 from lacewingpitch import turn_messages
 from lacewingpitch import usage_lease
 
@@ -55,7 +55,7 @@
         """Connect to the engine, and listen for entries."""
         settings = self._file.settings
         session = await self._process.exits.enter_async_context(
-            aiohttp.ClientSession()
+            single_sending.new_session()
         )
         engine = engine_client_module.EngineClient(
             session,
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -13,6 +13,7 @@
 from lacewingpitch import errors
 from lacewingpitch.platform import names
 from lacewingpitch import platform_call
+from lacewingpitch import single_sending
 
 # Longest time without a byte.  Even a slow store answers within it, so that
 # a longer silence means that the response is lost.
@@ -134,7 +135,6 @@
         read_timeout_s: float,
         response_type: type[_Answer],
     ) -> _Answer:
-        self.call_count += 1
         # The timeout applies to each read from the socket: with a limit on
         # the whole response, a list of thousands of servers could never be
         # read over a slow link.
@@ -143,9 +143,14 @@
             sock_connect=_READ_TIMEOUT_S,
             sock_read=read_timeout_s,
         )
-        with platform_call.platform_errors('store'):
+
+        async def read() -> _Answer:
+            self.call_count += 1
             async with self._session.get(
-                f'{self._url}{path}', params=query, timeout=timeout
+                f'{self._url}{path}',
+                params=query,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 self._update_epoch(response.headers.get(names.STORE_ERA, ''))
                 if response.status == _STATUS_GONE:
@@ -161,6 +166,9 @@
                 )
                 return msgspec.json.decode(data, type=response_type)
 
+        with platform_call.platform_errors('store'):
+            return await single_sending.read_twice_if_stale(read, 'store')
+
     def _update_epoch(self, text: str) -> None:
         if not text.isdecimal():
             return
--- a/lacewingpitch/platform_call.py
+++ b/lacewingpitch/platform_call.py
@@ -7,6 +7,9 @@
 import msgspec
 
 from lacewingpitch import errors
+from lacewingpitch import single_sending
+
+_MIN_ERROR_STATUS = 300
 
 
 @contextlib.contextmanager
@@ -20,6 +23,8 @@
     """
     try:
         yield
+    except single_sending.BrokenConnectionError as error:
+        raise errors.PlatformError(f'{name}: {error}') from error.cause
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise errors.PlatformError(
             f'{name}: {type(error).__name__}: {error}'
@@ -30,6 +35,15 @@
         ) from error
 
 
+def check_success(response: aiohttp.ClientResponse, name: str) -> None:
+    """Raise `errors.PlatformError` unless a request was successful.
+
+    A redirect is none: only the called part of the platform may answer.
+    """
+    if response.status >= _MIN_ERROR_STATUS:
+        raise errors.PlatformError(f'{name}: status {response.status}')
+
+
 async def read_limited(
     response: aiohttp.ClientResponse, max_bytes: int
 ) -> bytes:
--- a/lacewingpitch/report.py
+++ b/lacewingpitch/report.py
@@ -22,6 +22,7 @@
 from lacewingpitch import node as node_module
 from lacewingpitch import report_content
 from lacewingpitch import report_gaps
+from lacewingpitch import single_sending
 
 _REQUEST_TIMEOUT_S = 1.0
 _FETCH_TIMEOUT_S = 30.0
@@ -266,11 +267,12 @@
     timeout = aiohttp.ClientTimeout(total=_FETCH_TIMEOUT_S)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            single_sending.new_session(timeout=timeout) as session,
             session.get(
                 url.rstrip('/') + path,
                 params={'format': 'json'},
                 headers={'Authorization': f'Bearer {token}'},
+                allow_redirects=False,
             ) as response,
         ):
             data = await response.read()
--- a/lacewingpitch/sidecar_link.py
+++ b/lacewingpitch/sidecar_link.py
@@ -334,6 +334,7 @@
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=_CONNECT_TIMEOUT_S
             ),
+            allow_redirects=False,
         )
         self._placement.apply_hint_header(
             sidecar.name, response.headers.get(work.HINT_HEADER, '')
--- /dev/null
+++ b/tests/test_http_clients.py
@@ -0,0 +1,205 @@
+"""What each HTTP client sends if connections break or servers redirect."""
+
+import ast
+import asyncio
+import contextlib
+import pathlib
+
+import pytest
+
+from lacewingpitch import backend_list
+from lacewingpitch import config_service
+from lacewingpitch import engine as engine_module
+from lacewingpitch import engine_gate
+from lacewingpitch import errors
+from lacewingpitch import live_list
+from lacewingpitch import plain_service
+from lacewingpitch.platform import engine_client
+from lacewingpitch.platform import memory_client
+from lacewingpitch.platform import store
+from lacewingpitch import single_sending
+from tests import clocks
+
+PACKAGE = pathlib.Path(single_sending.__file__).parent
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+SENDING_METHODS = {'get', 'post', 'request', 'delete', 'put'}
+
+
+class Server:
+    """Answers requests until it breaks their connections or redirects."""
+
+    def __init__(self):
+        self.arrived_count = 0
+        self.answer = OK
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                length = head.lower().partition(b'content-length: ')[2]
+                await reader.readexactly(
+                    int(length.split()[0] or 0) if length else 0
+                )
+                self.arrived_count += 1
+                if not self.answer:
+                    writer.transport.abort()
+                    return
+                writer.write(self.answer)
+
+
+async def read_store(session, url):
+    await store.Store(session, url).read_all('a')
+
+
+async def watch_store(session, url):
+    await store.Store(session, url).watch('a', 1, 0.5)
+
+
+def new_engine_client(session, url):
+    gate = engine_gate.EngineGate(clocks.ManualClock())
+    return engine_client.EngineClient(session, url, 'h', lambda: '/h', gate)
+
+
+async def read_report(session, url):
+    await new_engine_client(session, url).report()
+
+
+async def read_incarnation(session, url):
+    await new_engine_client(session, url).incarnation()
+
+
+async def order_load(session, url):
+    await new_engine_client(session, url).load('m', 'a', 1, 1, 'i-1')
+
+
+async def free_copy(session, url):
+    host, _, port = url.removeprefix('http://').partition(':')
+    server = backend_list.BackendServer('i-1', 's', host, int(port), 'z')
+    await memory_client.HttpMemoryClient(session).free(server, 'h')
+
+
+async def read_list(session, url):
+    await live_list.HttpLiveList(session, url).read(0)
+
+
+async def read_value(session, url):
+    await config_service.HttpConfigService(session, url).watch('v', 0, 0.5)
+
+
+async def call_service(session, url):
+    call = plain_service.ServiceCall('r', 'DELETE', '/x', b'', '')
+    async with plain_service.HttpPlainService(session, url).run(call):
+        pass
+
+
+async def read_own_engine(session, url):
+    await engine_module.HttpEngine(session, url).report()
+
+
+async def load_own_adapter(session, url):
+    await engine_module.HttpEngine(session, url).load_adapter('a', 1)
+
+
+READS = [
+    read_store,
+    watch_store,
+    read_report,
+    read_incarnation,
+    read_list,
+    read_value,
+]
+SENT_ONCE = [
+    order_load,
+    free_copy,
+    call_service,
+    read_own_engine,
+    load_own_adapter,
+]
+
+
+async def arrivals(call, answer, is_reused):
+    """Return how often a call arrives at a server, and at another one."""
+    server, other = Server(), Server()
+    async with contextlib.AsyncExitStack() as exits:
+        urls = []
+        for each in (server, other):
+            listening = await asyncio.start_server(each.serve, '127.0.0.1', 0)
+            exits.callback(listening.close)
+            port = listening.sockets[0].getsockname()[1]
+            urls.append(f'http://127.0.0.1:{port}')
+        session = await exits.enter_async_context(single_sending.new_session())
+        if is_reused:
+            async with session.post(urls[0]) as response:
+                await response.read()
+        server.arrived_count = 0
+        server.answer = answer.replace(b'OTHER', urls[1].encode())
+        with contextlib.suppress(errors.PlatformError):
+            await call(session, urls[0])
+    return server.arrived_count, other.arrived_count
+
+
+class TestBrokenConnections:
+    """Guards against repeats below the process that counts them."""
+
+    @pytest.mark.parametrize('call', READS + SENT_ONCE)
+    async def test_a_new_connection_gets_one_request(self, call):
+        assert await arrivals(call, b'', False) == (1, 0)
+
+    @pytest.mark.parametrize('call', SENT_ONCE)
+    async def test_a_reused_connection_gets_one_request(self, call):
+        assert await arrivals(call, b'', True) == (1, 0)
+
+    @pytest.mark.parametrize('call', READS)
+    async def test_a_read_on_a_reused_connection_is_repeated_once(self, call):
+        assert await arrivals(call, b'', True) == (2, 0)
+
+    async def test_a_repeated_read_of_the_store_counts_as_two_calls(self):
+        counts = []
+
+        async def call(session, url):
+            found = store.Store(session, url)
+            try:
+                await found.read_all('a')
+            finally:
+                counts.append(found.call_count)
+
+        await arrivals(call, b'', True)
+        assert counts == [2]
+
+
+class TestRedirects:
+    @pytest.mark.parametrize('call', READS + SENT_ONCE)
+    @pytest.mark.parametrize('status', [302, 307])
+    async def test_are_not_followed(self, call, status):
+        """Guards against requests to addresses that nobody listed."""
+        answer = (
+            f'HTTP/1.1 {status} Found\r\nLocation: OTHER/x\r\n'
+            'Content-Length: 0\r\n\r\n'
+        )
+        assert await arrivals(call, answer.encode(), False) == (1, 0)
+
+
+class TestSources:
+    """Guards against new clients that repeat or redirect by themselves."""
+
+    def calls(self):
+        for path in sorted(PACKAGE.rglob('*.py')):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.Call) and isinstance(
+                    node.func, ast.Attribute
+                ):
+                    yield path.name, node
+
+    def test_sessions_are_made_in_one_place(self):
+        found = {n for n, c in self.calls() if c.func.attr == 'ClientSession'}
+        assert found == {'single_sending.py'}
+
+    def test_no_request_follows_redirects(self):
+        found = [
+            name
+            for name, call in self.calls()
+            if call.func.attr in SENDING_METHODS
+            and ast.unparse(call.func.value).endswith('session')
+            and 'allow_redirects=False' not in ast.unparse(call)
+        ]
+        assert found == []
