Retry budgets: earned, not given at the start, and not by a count alone

What callers and servers saw: a process that starts had a full allowance of retries, whatever the process before it had spent; entries that no sidecar had counted shared the allowance by ten, and sidecars that hear each entry rarely counted a few of many.

Now an entry begins without tokens and earns them by its requests (0.16 of the allowed 0.2 each). It saves up at most 0.04 for each request of its last 10 s, or its part of the allowance where that is more. The sum over all entries then is at most 0.16 of the requests of a window and 0.04 of those of the window before, whoever restarts and however many they are; the count matters for the part of the allowance only. A sidecar names a count only if three of four requests came from entries that it heard before, scaled by that share; until one is known, the part is one token. If the part is less than one token and the entry is idle, a retry is drawn by chance at the same average cost.

--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -32,13 +32,13 @@
 from lacewingpitch.platform import store_updates
 from lacewingpitch.platform import wire
 from lacewingpitch import request_forwarder
-from lacewingpitch import retry_budget
 from lacewingpitch import room_search
 from lacewingpitch import run_mover
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_admission
 from lacewingpitch import service_balancer
+from lacewingpitch import service_budgets
 from lacewingpitch import settings as product_settings
 from lacewingpitch import sidecar_reporter
 from lacewingpitch import single_sending
@@ -50,8 +50,8 @@
 from lacewingpitch import usage_ownership
 from lacewingpitch import zone_costs as zone_costs_module
 
-# The retry budget is divided by this number of entries at least, which is
-# more than small deployments have, including spare instances.
+# The allowance of the retry budgets is divided by this number of entries at
+# least, which is more than small deployments have, including spare instances.
 _MIN_ENTRIES = 10
 # About the duration of a run at a model engine; an older load report says
 # little about the current load.
@@ -107,10 +107,12 @@
             ),
             file.settings.internal_port,
         )
-        self._budgets = retry_budget.ServiceBudgets(
+        self._budgets = service_budgets.ServiceBudgets(
             file.settings.retry_ratio,
             file.settings.retry_allowance,
             _MIN_ENTRIES,
+            self._process.clock,
+            self._process.random,
         )
         self._suspects = suspects_module.Suspects(
             self._process.clock,
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -21,11 +21,11 @@
 from lacewingpitch import plain_server_selector
 from lacewingpitch import request_history
 from lacewingpitch import request_turns
-from lacewingpitch import retry_budget
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_admission
 from lacewingpitch import service_balancer
+from lacewingpitch import service_budgets
 from lacewingpitch import stream_sources
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_client
@@ -70,7 +70,7 @@
         turns: turn_client.TurnClient,
         services: service_balancer.ServiceBalancer,
         ejector: ejection.Ejector,
-        budgets: retry_budget.ServiceBudgets,
+        budgets: service_budgets.ServiceBudgets,
         versions: adapter_versions.AdapterVersions,
         clock: clock_module.Clock,
         source: random.Random,
--- a/lacewingpitch/retry_budget.py
+++ b/lacewingpitch/retry_budget.py
@@ -2,11 +2,8 @@
 
 import random
 
-import structlog
-
 _FIRST_BACKOFF_S = 0.02
 _MAX_BACKOFF_S = 1.0
-log = structlog.get_logger(__name__)
 
 
 class RetryBudget:
@@ -40,16 +37,6 @@
         self._tokens -= 1.0
         return True
 
-    @property
-    def tokens(self) -> float:
-        """Return the tokens that are left."""
-        return self._tokens
-
-    def set_reserve(self, reserve: float) -> None:
-        """Lower or raise the maximum number of tokens saved up."""
-        self._reserve = reserve
-        self._tokens = min(self._tokens, reserve)
-
 
 class RetryPermit:
     """Permit for one attempt to be followed by a retry.
@@ -89,84 +76,3 @@
     """
     limit_s = min(_FIRST_BACKOFF_S * 2 ** (retry - 1), _MAX_BACKOFF_S)
     return source.uniform(0.0, limit_s)
-
-
-class ServiceBudgets:
-    """Retry budgets by service, each a share of a budget of all entries.
-
-    All entry instances together may add a limited number of retries in a
-    window.  Each gets an equal part of the fixed allowance, divided by the
-    number of entries that it knows of and at least by `min_entries`: with
-    too low a count, the entries would overdraw the common budget when all
-    requests fail at once.
-
-    Parameters
-    ----------
-    ratio
-        Retries allowed per request of a service in the window.
-    allowance
-        Further retries in the window, of all entries together.
-    min_entries
-        Minimum number of entries that share the allowance.
-    """
-
-    # Requests counted in one window may be retried in the next, and entries
-    # count the requests that they accepted, not those that arrived.
-    _SAFE_RATIO = 0.8
-
-    def __init__(
-        self, ratio: float, allowance: float, min_entries: int
-    ) -> None:
-        self._ratio = ratio * self._SAFE_RATIO
-        self._allowance = allowance * self._SAFE_RATIO
-        self._entry_count = max(1, min_entries)
-        self._budgets: dict[str, RetryBudget] = {}
-
-    def record_entry_count(self, count: int) -> None:
-        """Record how many entries share the budgets.
-
-        The count never falls: entries that are partitioned off are not
-        counted, but still retry.
-        """
-        if count > self._entry_count:
-            self._entry_count = count
-            for budget in self._budgets.values():
-                budget.set_reserve(self._reserve)
-            log.info(
-                'retry budgets shared by more entries',
-                entry_count=count,
-                reserve=round(self._reserve, 2),
-            )
-
-    @property
-    def entry_count(self) -> int:
-        """Return how many entries share the budgets."""
-        return self._entry_count
-
-    @property
-    def _reserve(self) -> float:
-        return max(1.0, self._allowance / self._entry_count)
-
-    def deposit(self, service: str) -> None:
-        """Add the share of a request that is sent for the first time."""
-        self._budget(service).deposit()
-
-    def try_withdraw(self, service: str) -> bool:
-        """Withdraw the token of one retry; return whether there was one."""
-        return self._budget(service).try_withdraw()
-
-    def tokens(self, service: str) -> float:
-        """Return the tokens that are left for retries of a service."""
-        return self._budget(service).tokens
-
-    @property
-    def least_tokens(self) -> float:
-        """Return the tokens of the service that has least; 0 without any."""
-        return min((b.tokens for b in self._budgets.values()), default=0.0)
-
-    def _budget(self, service: str) -> RetryBudget:
-        found = self._budgets.get(service)
-        if found is None:
-            found = RetryBudget(self._ratio, self._reserve)
-            self._budgets[service] = found
-        return found
--- a/lacewingpitch/run_mover.py
+++ b/lacewingpitch/run_mover.py
@@ -21,11 +21,11 @@
 from lacewingpitch import moving_run
 from lacewingpitch import request_history
 from lacewingpitch import request_turns
-from lacewingpitch import retry_budget
 from lacewingpitch import run_duration
 from lacewingpitch import run_memory
 from lacewingpitch import run_move
 from lacewingpitch import run_transfer
+from lacewingpitch import service_budgets
 
 # Moves of one entry at once, so that copies queue only briefly.
 _MAX_FROM_ENGINE = 4
@@ -75,7 +75,7 @@
         memory: run_memory.RunMemory,
         client: backend_call.BackendClient,
         turns: run_transfer.TurnSource,
-        budgets: retry_budget.ServiceBudgets,
+        budgets: service_budgets.ServiceBudgets,
         ejector: ejection.Ejector,
         servers: backend_list.BackendList,
         link_of: Callable[[str], run_memory.MemoryLink | None],
--- /dev/null
+++ b/lacewingpitch/service_budgets.py
@@ -0,0 +1,155 @@
+"""Retry budgets that all entries share, by service."""
+
+import random
+
+import structlog
+
+from lacewingpitch import clock as clock_module
+from lacewingpitch import recent_count
+
+# Of the retries that are allowed per request, these are earned by requests;
+# the rest covers what entries have saved up when everything fails at once.
+_EARNED_SHARE = 0.8
+_SAVED_SHARE = 1.0 - _EARNED_SHARE
+# Requests reach an entry later than the window in which they are counted.
+_ALLOWANCE_SHARE = 0.8
+_WINDOW_S = 10.0
+log = structlog.get_logger(__name__)
+
+
+class ServiceBudgets:
+    """Retry budgets by service, each a share of a budget of all entries.
+
+    All entries together may add a limited number of retries in a window: a
+    ratio of the requests, and a fixed allowance.  Each earns tokens by its
+    own requests, and begins without any: what a process has spent is
+    forgotten when it restarts, so that tokens of its own would be spent once
+    more at each start.  It saves up no more than its recent requests allow,
+    or its part of the allowance if that is more.  The first limit holds
+    without knowing the other entries.
+
+    Parameters
+    ----------
+    ratio
+        Retries allowed per request of a service in the window.
+    allowance
+        Further retries in the window, of all entries together.
+    min_entries
+        Minimum number of entries that share the allowance.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        allowance: float,
+        min_entries: int,
+        clock: clock_module.Clock,
+        source: random.Random,
+    ) -> None:
+        self._ratio = ratio
+        self._allowance = allowance * _ALLOWANCE_SHARE
+        self._entry_count = max(1, min_entries)
+        self._is_count_known = False
+        self._clock = clock
+        self._random = source
+        self._budgets: dict[str, _ServiceBudget] = {}
+
+    def record_entry_count(self, count: int) -> None:
+        """Record how many entries share the budgets; 0 if unknown.
+
+        The count never falls: entries that are partitioned off are not
+        counted, but still retry.
+        """
+        if count <= 0:
+            return
+        is_changed = not self._is_count_known or count > self._entry_count
+        self._is_count_known = True
+        self._entry_count = max(self._entry_count, count)
+        if is_changed:
+            log.info(
+                'retry budgets shared',
+                entry_count=self._entry_count,
+                share=round(self._share, 2),
+            )
+
+    @property
+    def entry_count(self) -> int:
+        """Return how many entries share the budgets, at least."""
+        return self._entry_count
+
+    def deposit(self, service: str) -> None:
+        """Add the share of a request that is sent for the first time."""
+        self._budget(service).deposit(self._share)
+
+    def try_withdraw(self, service: str) -> bool:
+        """Withdraw the token of one retry; return whether there was one."""
+        return self._budget(service).try_withdraw(self._share)
+
+    def refund(self, service: str) -> None:
+        """Return the token of a retry that was not sent."""
+        self._budget(service).refund(self._share)
+
+    def tokens(self, service: str) -> float:
+        """Return the tokens that are left for retries of a service."""
+        return self._budget(service).tokens
+
+    @property
+    def least_tokens(self) -> float:
+        """Return the tokens of the service that has least; 0 without any."""
+        return min((b.tokens for b in self._budgets.values()), default=0.0)
+
+    @property
+    def _share(self) -> float:
+        """Return this entry's part of the allowance."""
+        if not self._is_count_known:
+            return 1.0
+        return self._allowance / self._entry_count
+
+    def _budget(self, service: str) -> '_ServiceBudget':
+        found = self._budgets.get(service)
+        if found is None:
+            found = _ServiceBudget(self._ratio, self._clock, self._random)
+            self._budgets[service] = found
+        return found
+
+
+class _ServiceBudget:
+    """Tokens of one service, earned by its requests at this entry."""
+
+    def __init__(
+        self,
+        ratio: float,
+        clock: clock_module.Clock,
+        source: random.Random,
+    ) -> None:
+        self._ratio = ratio
+        self._requests = recent_count.RecentCount(_WINDOW_S, clock)
+        self._random = source
+        self.tokens = 0.0
+
+    def deposit(self, share: float) -> None:
+        self._requests.add()
+        self._add(self._ratio * _EARNED_SHARE, share)
+
+    def refund(self, share: float) -> None:
+        self._add(1.0, share)
+
+    def try_withdraw(self, share: float) -> bool:
+        self._add(0.0, share)
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return True
+        if self._limit(share) >= 1.0:
+            return False
+        # One token can never be saved up.  A retry that is drawn by chance
+        # costs as much on average.
+        chance, self.tokens = self.tokens, 0.0
+        return self._random.random() < chance
+
+    def _add(self, tokens: float, share: float) -> None:
+        self.tokens = min(self.tokens + tokens, self._limit(share))
+
+    def _limit(self, share: float) -> float:
+        """Return how many tokens may be saved up now."""
+        recent = self._ratio * _SAVED_SHARE * self._requests.count
+        return max(share, recent)
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -425,7 +425,7 @@
             detail=detail,
             retry_after_ms=retry_after_ms,
             configuration_version=self._configuration_version(),
-            entry_count=len(self._entries),
+            entry_count=self._entries.estimate(),
             hint=self._hint_builder.build(),
             started_at_ms=self._engine.started_at_ms,
             wait_ms=wait_ms,
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -141,7 +141,7 @@
     configuration_version
         Version of the configuration in force at the sidecar.
     entry_count
-        Entries that have recently sent requests to this sidecar.
+        Estimated number of entries; 0 if it is unknown.
     hint
         Load report of the engine.
     wait_ms
--- a/tests/test_active_entries.py
+++ b/tests/test_active_entries.py
@@ -20,3 +20,22 @@
         clock.now_s = 11.0
         entries.record('c')
         assert len(entries) == 2
+
+
+class TestEstimate:
+    def estimate(self, *names):
+        entries = active_entries.ActiveEntries(clocks.ManualClock())
+        for name in names:
+            entries.record(name)
+        return entries.estimate()
+
+    def test_is_the_number_of_entries_that_are_heard_often(self):
+        assert self.estimate(*'abcabcabc') == 3
+
+    def test_is_unknown_if_most_are_heard_once(self):
+        """Guards against a count of the few that were heard by chance."""
+        assert self.estimate() == 0
+        assert self.estimate(*'abcdefgh') == 0
+
+    def test_allows_for_entries_that_were_not_heard(self):
+        assert self.estimate(*'aaabbbcccd') == 5
--- a/tests/test_platform_repeats.py
+++ b/tests/test_platform_repeats.py
@@ -1,5 +1,7 @@
 """How often requests arrive at servers that fail, as real processes."""
 
+import asyncio
+
 import pytest
 
 from tests import arrivals
@@ -37,3 +39,26 @@
         assert load.beyond('/command', 1) == []
         assert load.beyond('/lookup', 2) == []
         assert load.most_repeats().count
+
+
+class TestRestarts:
+    async def test_entries_that_start_again_share_one_budget(self, platform):
+        """Guards against a full allowance for each process that starts."""
+        load = arrivals.Load(platform, ['/lookup/x'], METHODS)
+        await load.run(CALM_S)
+        for server in platform.services:
+            server.error_ratio = 1.0
+        async with asyncio.TaskGroup() as group:
+            group.create_task(load.run(FAILING_S))
+            for delay_s in range(1, int(FAILING_S), 2):
+                group.create_task(self.restart_all(platform, delay_s))
+        assert load.most_repeats().used_ratio <= 1.0
+        assert load.beyond('/lookup', 2) == []
+
+    async def restart_all(self, platform, delay_s):
+        await asyncio.sleep(delay_s)
+        for entry in platform.entries:
+            entry.process.kill()
+        for entry in platform.entries:
+            await entry.process.wait()
+            await entry.start()
