A retry is charged to the service that gets it, and given back if none does

The first service of a route's order paid for each retry, also for one that went to another service because the first had no server; a repeat that got no turn, or never reached a server, stayed paid, so that later requests failed for want of a token.

Now the charge moves to the service of the next attempt, which is not sent if that service has no retry left, and is refunded if it does not arrive anywhere. A first attempt at another service earns its part there.

--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -149,6 +149,9 @@
                 longest_gap_ms=round(history.longest_gap_s * _MS_PER_S),
             )
             raise
+        finally:
+            if history.charged_service:
+                self._budgets.refund(history.charged_service)
         return history
 
     def _log_if_barred(
@@ -164,6 +167,27 @@
                 ),
             )
 
+    def _move_charge(
+        self,
+        service: str,
+        history: request_history.RequestHistory,
+        failure: '_Failure',
+    ) -> None:
+        """Charge a retry to the service that gets it.
+
+        Raises
+        ------
+        RefusalError
+            The refusal of the last attempt; the service has no retry left.
+        """
+        charged = history.charged_service
+        if charged in ('', service):
+            return
+        if not self._budgets.try_withdraw(service):
+            raise failure.refusal
+        self._budgets.refund(charged)
+        history.charged_service = service
+
     async def _attempt_until_done(
         self,
         request: backend_call.CallerRequest,
@@ -171,8 +195,14 @@
         history: request_history.RequestHistory,
         delivery: backend_call.Delivery,
     ) -> None:
+        failure: _Failure | None = None
         while True:
             async with self._acquire_turn(request, services, history) as turn:
+                service = turn.server.service
+                if failure is not None:
+                    self._move_charge(service, history, failure)
+                elif service != services[0]:
+                    self._budgets.deposit(service)
                 failure = await self._attempt(request, turn, history, delivery)
             if failure is None:
                 return
@@ -242,6 +272,7 @@
         history.servers.append(name)
         history.sent_count += 1
         history.run_began_at_s = 0.0
+        charged_service, history.charged_service = history.charged_service, ''
         self._ejector.record_start(name)
         call = backend_call.BackendCall(
             request=request,
@@ -263,6 +294,8 @@
             backend_call.NotRunError,
         ) as error:
             history.may_have_run = may_have_run_before
+            if not isinstance(error, backend_call.NotRunError):
+                history.charged_service = charged_service
             return self._record_failure(request, turn, history, error)
         except errors.PlatformError as error:
             return self._record_failure(request, turn, history, error)
@@ -403,6 +436,9 @@
             return True
         if refusal.kind is errors.ErrorKind.NO_BACKEND_SERVER:
             return history.unreached_count < _MAX_UNREACHED
+        if history.charged_service:
+            # The attempt that it was charged for did not arrive.
+            return True
         if not self._budgets.try_withdraw(service):
             log.info(
                 'retry budget exhausted',
@@ -410,6 +446,7 @@
                 service=service,
             )
             return False
+        history.charged_service = service
         self.retry_counts[service] += 1
         log.info(
             'retry charged',
--- a/lacewingpitch/request_history.py
+++ b/lacewingpitch/request_history.py
@@ -35,6 +35,9 @@
         Longest pause between events after the first one.
     run_began_at_s
         Monotonic time of the first event of the current attempt; 0 before.
+    charged_service
+        Service whose retry budget was charged for the next attempt; empty
+        if none was.
     """
 
     splitter: event_splitter.EventSplitter
@@ -48,6 +51,7 @@
     longest_gap_s: float = 0.0
     last_event_at_s: float = 0.0
     run_began_at_s: float = 0.0
+    charged_service: str = ''
     first_answer: backend_call.BackendAnswer | None = None
 
     def record_events(
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 
 import pytest
@@ -318,6 +319,72 @@
         assert len(scene.client.calls) == 2
 
 
+class OtherService(Turns):
+    """Grants turns on a server of another service, or none."""
+
+    def __init__(self, services):
+        super().__init__()
+        self._services = list(services)
+
+    @contextlib.asynccontextmanager
+    async def acquire(self, wanted, excluded):
+        if not self._services:
+            raise errors.RefusalError(errors.ErrorKind.QUEUE_FULL, 'full')
+        async with super().acquire(wanted, excluded) as turn:
+            found = dataclasses.replace(
+                turn.server, service=self._services.pop(0)
+            )
+            yield turn_spec.Turn(found, turn.version)
+
+
+class TestCharges:
+    """Guards against repeats that the budget of another service pays."""
+
+    def play(self, services, *steps, earned=('s', 't')):
+        async def main():
+            scene = Scene(*steps, allowance=0.0)
+            scene.forwarder._turns = OtherService(services)
+            self.budgets = scene.forwarder._budgets
+            for service in earned:
+                for _ in range(7):
+                    self.budgets.deposit(service)
+            before = {s: self.budgets.tokens(s) for s in 'st'}
+            try:
+                await scene.forward(SAFE, model='m')
+            except errors.RefusalError:
+                pass
+            self.spent = {
+                s: round(before[s] - self.budgets.tokens(s), 2) for s in 'st'
+            }
+            return len(scene.client.sent)
+
+        return virtual_time.run(main())
+
+    def test_the_service_that_gets_the_repeat_is_charged(self):
+        assert self.play('st', LOST, {}) == 2
+        assert self.spent == {'s': 0.0, 't': 1.0}
+
+    def test_nothing_is_sent_to_a_service_without_retries(self):
+        assert self.play('st', LOST, earned='s') == 1
+        assert self.spent == {'s': 0.0, 't': 0.0}
+
+    def test_a_repeat_that_gets_no_turn_is_refunded(self):
+        assert self.play('s', LOST) == 1
+        assert self.spent == {'s': 0.0, 't': 0.0}
+
+    def test_a_repeat_that_does_not_arrive_is_refunded(self):
+        assert self.play('ss', LOST, NOT_SENT) == 2
+        assert self.spent == {'s': 0.0, 't': 0.0}
+
+    def test_a_repeat_that_arrives_later_is_charged_once(self):
+        assert self.play('sss', LOST, NOT_SENT, {}) == 3
+        assert self.spent == {'s': 1.0, 't': 0.0}
+
+    def test_a_first_attempt_elsewhere_earns_there(self):
+        assert self.play('t', {}, earned='') == 1
+        assert self.spent['t'] < 0
+
+
 class TestStaleConnection:
     STALE = backend_call.StaleConnectionError('reset')
 
