Retry budgets: an entry gets its part of the allowance over time

The allowance was not used by anybody.

An entry now gets half of its part within each 10 s, from its start on, and saves up the other half; both are at most the part in any window, whoever restarts.

--- a/lacewingpitch/active_entries.py
+++ b/lacewingpitch/active_entries.py
@@ -10,9 +10,11 @@
 _ACTIVE_WINDOW_S = 10.0
 # Bounds the memory; the window is shorter if more requests arrive.
 _MAX_REQUESTS = 4096
-# Share of the requests from entries that sent others.  With fewer, many
+# Fewer requests say little about how many entries there are.
+_MIN_REQUESTS = 30
+# Share of the requests from entries that sent others.  With fewer, most
 # entries send too rarely to be heard in the window.
-_MIN_COVERAGE = 0.75
+_MIN_COVERAGE = 0.5
 
 
 class ActiveEntries:
@@ -46,7 +48,7 @@
         of requests whose entry sent no other is about the chance that the
         next one comes from an entry not heard yet.
         """
-        if not self._counts:
+        if len(self._requests) < _MIN_REQUESTS:
             return 0
         single = sum(count == 1 for count in self._counts.values())
         coverage = 1.0 - single / len(self._requests)
--- a/lacewingpitch/service_budgets.py
+++ b/lacewingpitch/service_budgets.py
@@ -14,6 +14,8 @@
 # Requests reach an entry later than the window in which they are counted.
 _ALLOWANCE_SHARE = 0.8
 _WINDOW_S = 10.0
+# Part of the allowance of an entry that does not know how many there are.
+_UNKNOWN_PART = 2.0
 log = structlog.get_logger(__name__)
 
 
@@ -22,11 +24,11 @@
 
     All entries together may add a limited number of retries in a window: a
     ratio of the requests, and a fixed allowance.  Each earns tokens by its
-    own requests, and begins without any: what a process has spent is
-    forgotten when it restarts, so that tokens of its own would be spent once
-    more at each start.  It saves up no more than its recent requests allow,
-    or its part of the allowance if that is more.  The first limit holds
-    without knowing the other entries.
+    own requests, and gets its part of the allowance over time.  It begins
+    without any: what a process has spent is forgotten when it restarts, so
+    that tokens of its own would be spent once more at each start.  It saves
+    up no more than its recent requests or its part allow.  The first limit
+    holds without knowing the other entries.
 
     Parameters
     ----------
@@ -52,6 +54,7 @@
         self._is_count_known = False
         self._clock = clock
         self._random = source
+        self._started_at_s = clock.monotonic_s()
         self._budgets: dict[str, _ServiceBudget] = {}
 
     def record_entry_count(self, count: int) -> None:
@@ -69,7 +72,7 @@
             log.info(
                 'retry budgets shared',
                 entry_count=self._entry_count,
-                share=round(self._share, 2),
+                part=round(self._part, 2),
             )
 
     @property
@@ -79,15 +82,15 @@
 
     def deposit(self, service: str) -> None:
         """Add the share of a request that is sent for the first time."""
-        self._budget(service).deposit(self._share)
+        self._budget(service).deposit(self._part)
 
     def try_withdraw(self, service: str) -> bool:
         """Withdraw the token of one retry; return whether there was one."""
-        return self._budget(service).try_withdraw(self._share)
+        return self._budget(service).try_withdraw(self._part)
 
     def refund(self, service: str) -> None:
         """Return the token of a retry that was not sent."""
-        self._budget(service).refund(self._share)
+        self._budget(service).refund(self._part)
 
     def tokens(self, service: str) -> float:
         """Return the tokens that are left for retries of a service."""
@@ -99,57 +102,78 @@
         return min((b.tokens for b in self._budgets.values()), default=0.0)
 
     @property
-    def _share(self) -> float:
+    def _part(self) -> float:
         """Return this entry's part of the allowance."""
         if not self._is_count_known:
-            return 1.0
+            return _UNKNOWN_PART
         return self._allowance / self._entry_count
 
     def _budget(self, service: str) -> '_ServiceBudget':
         found = self._budgets.get(service)
         if found is None:
-            found = _ServiceBudget(self._ratio, self._clock, self._random)
+            found = _ServiceBudget(
+                self._ratio, self._clock, self._random, self._started_at_s
+            )
             self._budgets[service] = found
         return found
 
 
 class _ServiceBudget:
-    """Tokens of one service, earned by its requests at this entry."""
+    """Tokens of one service, earned by its requests at this entry.
+
+    Its methods take the entry's part of the allowance.
+    """
 
     def __init__(
         self,
         ratio: float,
         clock: clock_module.Clock,
         source: random.Random,
+        started_at_s: float,
     ) -> None:
         self._ratio = ratio
+        self._clock = clock
         self._requests = recent_count.RecentCount(_WINDOW_S, clock)
         self._random = source
+        self._updated_at_s = started_at_s
         self.tokens = 0.0
 
-    def deposit(self, share: float) -> None:
+    def deposit(self, part: float) -> None:
         self._requests.add()
-        self._add(self._ratio * _EARNED_SHARE, share)
+        self._add(self._ratio * _EARNED_SHARE, part)
 
-    def refund(self, share: float) -> None:
-        self._add(1.0, share)
+    def refund(self, part: float) -> None:
+        self._add(1.0, part)
 
-    def try_withdraw(self, share: float) -> bool:
-        self._add(0.0, share)
+    def try_withdraw(self, part: float) -> bool:
+        self._add(0.0, part)
         if self.tokens >= 1.0:
             self.tokens -= 1.0
             return True
-        if self._limit(share) >= 1.0:
+        if self._limit(part) >= 1.0:
             return False
         # One token can never be saved up.  A retry that is drawn by chance
         # costs as much on average.
         chance, self.tokens = self.tokens, 0.0
         return self._random.random() < chance
 
-    def _add(self, tokens: float, share: float) -> None:
-        self.tokens = min(self.tokens + tokens, self._limit(share))
+    def _add(self, tokens: float, part: float) -> None:
+        now_s = self._clock.monotonic_s()
+        passed = (now_s - self._updated_at_s) / _WINDOW_S
+        self._updated_at_s = now_s
+        tokens += passed * (part - _saved_part(part))
+        self.tokens = min(self.tokens + tokens, self._limit(part))
 
-    def _limit(self, share: float) -> float:
+    def _limit(self, part: float) -> float:
         """Return how many tokens may be saved up now."""
         recent = self._ratio * _SAVED_SHARE * self._requests.count
-        return max(share, recent)
+        return max(_saved_part(part), recent)
+
+
+def _saved_part(part: float) -> float:
+    """Return how much of a part may be saved up; the rest comes over time.
+
+    Both together are at most the part in any window, whenever a process
+    starts.
+    """
+    return max(min(part, 1.0), part / 2.0)
