Soak: count arrivals, commands of four methods, callers that send once

Why the soak saw nothing: its commands were all POST, which aiohttp never repeats; its lookups (GET) may run twice; arrivals were not counted; and its own callers repeated lookups with the same id, which also hid lookups that were cut at SIGTERM. Seeds kept from before play their methods as they were.

--- a/tests/arrivals.py
+++ b/tests/arrivals.py
@@ -13,6 +13,8 @@
 import random
 import time
 
+import aiohttp
+
 WINDOW_S = 10.0
 # Bounds in the settings of the stand-in.
 RATIO = 0.2
@@ -104,6 +106,14 @@
     status: int
 
 
+async def send_once(request, handler):
+    """Keep aiohttp from repeating a request by itself, as a middleware."""
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionError(repr(error)) from error
+
+
 class Caller:
     """Sends requests one by one on a connection, until that is closed."""
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,6 +20,7 @@
 import aiohttp
 import click
 
+from tests import arrivals
 from tests import platform_processes
 from tests import platform_standin as standin
 from tests import soak_faults
@@ -27,6 +28,7 @@
 from tests import soak_limits
 from tests import soak_moves
 from tests import soak_notices
+from tests import soak_repeats
 
 ENTRY_COUNT = 2
 CALLER_COUNT = 6
@@ -142,6 +144,13 @@
         )
         self.broken += self.check_notices()
         self.broken += soak_moves.check(self.platform.engines[0].copies)
+        self.broken += soak_repeats.check(
+            self.calls,
+            (
+                (self.platform.engines, ('chat', 'draft')),
+                (self.platform.services, ('command', 'lookup')),
+            ),
+        )
         if self.broken:
             raise BrokenPromiseError('; '.join(self.broken))
 
@@ -152,11 +161,14 @@
 class Scene:
     """One run of the soak test."""
 
-    def __init__(self, platform, seed, keys, has_notices=True):
+    def __init__(
+        self, platform, seed, keys, has_notices=True, mixes_methods=True
+    ):
         self.platform = platform
         self.checker = ResultChecker(platform)
         self.disturbances = soak_notices.Disturbances()
         self._has_notices = has_notices
+        self._mixes_methods = mixes_methods
         if has_notices:
             self.checker.check_notices = self._check_notices
         self.keys = keys
@@ -327,7 +339,9 @@
         entry = number % len(self.platform.caller_urls)
         while not self._is_ending:
             connector = aiohttp.TCPConnector(limit=1)
-            async with aiohttp.ClientSession(connector=connector) as session:
+            async with aiohttp.ClientSession(
+                connector=connector, middlewares=(arrivals.send_once,)
+            ) as session:
                 is_open = True
                 while is_open and not self._is_ending:
                     is_open = await self._call(session, rng, entry)
@@ -348,7 +362,9 @@
         if kind in ('chat', 'draft'):
             adapter = rng.randrange(ADAPTER_COUNT)
             headers['Model'] = f'{standin.MODEL}/a{adapter}'
-        method = 'GET' if kind == 'lookup' else 'POST'
+        method = soak_repeats.method(
+            kind, len(self.checker.calls), self._mixes_methods
+        )
         url = f'{self.platform.caller_urls[entry]}/{kind}/x'
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
@@ -459,6 +475,7 @@
     entry_count=ENTRY_COUNT,
     has_notices=True,
     parts=(),
+    mixes_methods=True,
 ):
     """Run one seed; raise `BrokenPromiseError` if a check fails."""
     with contextlib.ExitStack() as exits:
@@ -473,7 +490,7 @@
         ) as platform:
             if platform.copies_runs:
                 soak_moves.slow_down(platform.engines)
-            scene = Scene(platform, seed, keys, has_notices)
+            scene = Scene(platform, seed, keys, has_notices, mixes_methods)
             try:
                 return scene, await scene.play(length_s)
             except BrokenPromiseError:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -109,6 +109,38 @@
             checker.check_runs()
 
 
+class TestRepeats:
+    """Checks of how often requests arrive."""
+
+    def arrive(self, checker, name, *after_s):
+        server = checker.platform.services[0]
+        server.arrivals += [(name, 100.0 + at_s, 'p-1') for at_s in after_s]
+
+    def test_accepts_the_attempts_of_a_route(self, checker):
+        call = checker.start_call('lookup', 0)
+        self.arrive(checker, call.id, 0.0, 0.1)
+        checker.check_runs()
+
+    def test_finds_more_attempts_than_the_route_allows(self, checker):
+        call = checker.start_call('lookup', 0)
+        self.arrive(checker, call.id, 0.0, 0.1, 0.2)
+        with pytest.raises(soak.BrokenPromiseError, match='more than 2'):
+            checker.check_runs()
+
+    def test_finds_more_repeats_than_the_budget_allows(self, checker):
+        for _ in range(60):
+            call = checker.start_call('lookup', 0)
+            call.sent_at_s = 100.0
+            self.arrive(checker, call.id, 0.0, 0.1)
+        checker.check_runs()
+        for _ in range(60):
+            call = checker.start_call('lookup', 0)
+            call.sent_at_s = 100.0
+            self.arrive(checker, call.id, 1.0, 1.1)
+        with pytest.raises(soak.BrokenPromiseError, match='repeats in 10 s'):
+            checker.check_runs()
+
+
 class TestLimits:
     """Checks of the limits that servers name."""
 
@@ -224,26 +256,33 @@
     async def test_a_short_run_passes(self):
         """Real processes recover from overlapping faults."""
         scene, planned = await soak.run(
-            seed=1, length_s=4.0, has_notices=False
+            seed=1, length_s=4.0, has_notices=False, mixes_methods=False
         )
         assert planned
         assert any(call.is_served for call in scene.checker.calls)
 
     async def test_an_entry_that_was_idle_serves_after_limits_have_ended(self):
         """Guards against refusals for a limit that ended unheard."""
-        scene, _ = await soak.run(seed=5005, has_notices=False)
+        scene, _ = await soak.run(
+            seed=5005, has_notices=False, mixes_methods=False
+        )
         assert any(call.is_served for call in scene.checker.calls)
 
     async def test_servers_that_announce_how_to_use_them_get_no_more(self):
         """Guards against requests to servers that leave or asked for none."""
-        scene, _ = await soak.run(seed=7010)
+        scene, _ = await soak.run(seed=7010, mixes_methods=False)
         # Whether a caller is told depends on which server its entry prefers.
         assert scene.platform.services[0].name == 'p-1+'
         servers = (*scene.platform.engines, *scene.platform.services)
         assert any(server.backoff_answers for server in servers)
 
+    async def test_commands_of_any_method_run_once(self):
+        """Guards against a client that repeats some methods by itself."""
+        scene, _ = await soak.run(seed=9003)
+        assert any(call.is_served for call in scene.checker.calls)
+
     @pytest.mark.parametrize('seed', [8009, 8013, 8050])
     async def test_orders_reach_engines_that_were_replaced(self, seed):
         """Guards against orders that name an incarnation that has ended."""
-        scene, _ = await soak.run(seed=seed)
+        scene, _ = await soak.run(seed=seed, mixes_methods=False)
         assert any(call.is_served for call in scene.checker.calls)
