Retry budgets: no more than the allowance while the count is unknown

An entry that knows no count had two tokens also where the settings allow fewer, or none. A retry that is not sent because its service has none left is logged as the others are.

--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -169,6 +169,7 @@
 
     def _move_charge(
         self,
+        request: backend_call.CallerRequest,
         service: str,
         history: request_history.RequestHistory,
         failure: '_Failure',
@@ -184,6 +185,11 @@
         if charged in ('', service):
             return
         if not self._budgets.try_withdraw(service):
+            log.info(
+                'retry budget exhausted',
+                request_id=request.request_id,
+                service=service,
+            )
             raise failure.refusal
         self._budgets.refund(charged)
         history.charged_service = service
@@ -200,7 +206,7 @@
             async with self._acquire_turn(request, services, history) as turn:
                 service = turn.server.service
                 if failure is not None:
-                    self._move_charge(service, history, failure)
+                    self._move_charge(request, service, history, failure)
                 elif service != services[0]:
                     self._budgets.deposit(service)
                 failure = await self._attempt(request, turn, history, delivery)
--- a/lacewingpitch/service_budgets.py
+++ b/lacewingpitch/service_budgets.py
@@ -81,7 +81,7 @@
         return self._entry_count
 
     def deposit(self, service: str) -> None:
-        """Add the share of a request that is sent for the first time."""
+        """Earn the share of a request that is sent for the first time."""
         self._budget(service).deposit(self._part)
 
     def try_withdraw(self, service: str) -> bool:
@@ -105,7 +105,7 @@
     def _part(self) -> float:
         """Return this entry's part of the allowance."""
         if not self._is_count_known:
-            return _UNKNOWN_PART
+            return min(_UNKNOWN_PART, self._allowance)
         return self._allowance / self._entry_count
 
     def _budget(self, service: str) -> '_ServiceBudget':
@@ -119,9 +119,15 @@
 
 
 class _ServiceBudget:
-    """Tokens of one service, earned by its requests at this entry.
+    """Tokens for retries of one service at this entry.
 
-    Its methods take the entry's part of the allowance.
+    Its methods take the entry's part of the allowance, which changes as the
+    entry learns of others.
+
+    Parameters
+    ----------
+    started_at_s
+        Monotonic time since which the part comes.
     """
 
     def __init__(
--- a/tests/test_service_budgets.py
+++ b/tests/test_service_budgets.py
@@ -251,6 +251,15 @@
             fleet.run(60.0, press)
             assert 0.4 < fleet.used_ratio() <= 1.0, seed
 
+    def test_an_unknown_count_gives_no_more_than_the_allowance(self):
+        """Guards against retries where the settings allow none."""
+        self.clock = clocks.ManualClock()
+        budgets = service_budgets.ServiceBudgets(
+            RATIO, 0.0, 1, self.clock, random.Random(1)
+        )
+        self.clock.now_s += 60.0
+        assert self.spend(budgets) == 0
+
     def test_a_refund_can_be_spent_again(self):
         budgets = self.make()
         for _ in range(100):
