--- a/tests/test_service_budgets.py
+++ b/tests/test_service_budgets.py
@@ -66,9 +66,9 @@
             expected = self._rate_per_s * STEP_S
             count = int(expected) + (self.random.random() < expected % 1)
             for _ in range(count):
-                self._send(self.random.randrange(len(self.entries)))
+                self.send(self.random.randrange(len(self.entries)))
 
-    def _send(self, number):
+    def send(self, number):
         entry = self.entries[number]
         now_s = self.clock.now_s
         self.sent.append(now_s)
@@ -125,7 +125,7 @@
                 for _ in range(400):
                     fleet.clock.now_s += 0.025
                     number = fleet.random.randrange(4)
-                    fleet._send(number)
+                    fleet.send(number)
                     if fleet.random.random() < 0.02:
                         lost += 1
                         entry = fleet.entries[number]
