One trace of sendings for all HTTP clients; behaviour unchanged

Whether a connection had been used before was recorded in two places: by the client of backend servers, and by a context variable for the reads. Sessions record it, and each sending, in the trace that a request passes.

--- a/lacewingpitch/config_service.py
+++ b/lacewingpitch/config_service.py
@@ -75,12 +75,15 @@
     ) -> Value | None:
         timeout = aiohttp.ClientTimeout(total=timeout_s)
 
-        async def read_once() -> Value | None:
+        async def read_once(
+            trace: single_sending.SendingTrace,
+        ) -> Value | None:
             async with self._session.get(
                 f'{self._url}/v1/values/{name}',
                 params=query,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=trace,
             ) as response:
                 if response.status in (204, 304, 404):
                     return None
--- a/lacewingpitch/live_list.py
+++ b/lacewingpitch/live_list.py
@@ -147,13 +147,16 @@
     ) -> InstanceList | None:
         timeout = aiohttp.ClientTimeout(total=timeout_s + _READ_TIMEOUT_S)
 
-        async def read_once() -> InstanceList | None:
+        async def read_once(
+            trace: single_sending.SendingTrace,
+        ) -> InstanceList | None:
             async with self._session.get(
                 f'{self._url}/v1/instances',
                 params=query,
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=trace,
             ) as response:
                 if response.status in (204, 304):
                     return None
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -1,11 +1,10 @@
 """HTTP client for requests to backend servers."""
 
 import collections
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 import contextlib
 import errno
 import time
-import types
 
 import aiohttp
 import structlog
@@ -33,33 +32,6 @@
 log = structlog.get_logger(__name__)
 
 
-class _RequestTrace:
-    """What happens to one request until it is sent.
-
-    Parameters
-    ----------
-    admit
-        Called just before the request is sent.
-
-    Attributes
-    ----------
-    is_reused
-        Whether its connection had been used before.
-    sending_count
-        How often the HTTP client has sent it.
-    """
-
-    def __init__(self, admit: Callable[[], None]) -> None:
-        self._admit = admit
-        self.is_reused = False
-        self.sending_count = 0
-
-    def start_sending(self) -> None:
-        """Admit the request, and count that it is sent."""
-        self._admit()
-        self.sending_count += 1
-
-
 class HttpBackendClient:
     """Sends requests, on persistent connections where that is safe.
 
@@ -152,7 +124,7 @@
         url = yarl.URL(
             f'http://{server.ip}:{server.port}{request.target}', encoded=True
         )
-        trace = _RequestTrace(lambda: self._gate.admit(server))
+        trace = single_sending.SendingTrace(lambda: self._gate.admit(server))
         try:
             return await session.request(
                 request.method,
@@ -211,30 +183,9 @@
     )
 
 
-async def _mark_reused(
-    _session: aiohttp.ClientSession,
-    context: types.SimpleNamespace,
-    _params: aiohttp.TraceConnectionReuseconnParams,
-) -> None:
-    context.trace_request_ctx.is_reused = True
-
-
-async def _admit(
-    _session: aiohttp.ClientSession,
-    context: types.SimpleNamespace,
-    _params: aiohttp.TraceRequestHeadersSentParams,
-) -> None:
-    # aiohttp calls this once it has a connection, before it writes to it.
-    context.trace_request_ctx.start_sending()
-
-
 def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_reuseconn.append(_mark_reused)
-    trace.on_request_headers_sent.append(_admit)
     return single_sending.new_session(
         connector=connector,
-        trace_configs=(trace,),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -108,12 +108,13 @@
         """
         timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
 
-        async def read() -> str:
+        async def read(trace: single_sending.SendingTrace) -> str:
             self._gate.check()
             async with self._session.get(
                 f'{self._url}{self._health_path()}',
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=trace,
             ) as response:
                 self._read_notice(response)
                 await response.read()
@@ -159,13 +160,14 @@
         )
 
     async def _read_report(
-        self,
+        self, trace: single_sending.SendingTrace
     ) -> tuple[_EngineReport, server_notice.ServerNotice]:
         self._gate.check()
         async with self._session.get(
             f'{self._url}{names.REPORT_PATH}',
             timeout=aiohttp.ClientTimeout(total=_REPORT_TIMEOUT_S),
             allow_redirects=False,
+            trace_request_ctx=trace,
         ) as response:
             notice = self._read_notice(response)
             if response.status != _STATUS_OK:
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -144,13 +144,14 @@
             sock_read=read_timeout_s,
         )
 
-        async def read() -> _Answer:
+        async def read(trace: single_sending.SendingTrace) -> _Answer:
             self.call_count += 1
             async with self._session.get(
                 f'{self._url}{path}',
                 params=query,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=trace,
             ) as response:
                 self._update_epoch(response.headers.get(names.STORE_ERA, ''))
                 if response.status == _STATUS_GONE:
--- a/lacewingpitch/single_sending.py
+++ b/lacewingpitch/single_sending.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Awaitable, Callable
-import contextvars
 import types
 from typing import Any, TypeVar
 
@@ -24,45 +23,57 @@
     ----------
     cause
         The error of the connection.
-    is_reused
-        Whether the connection had been used before.
     """
 
-    def __init__(self, cause: aiohttp.ClientError, is_reused: bool) -> None:
+    def __init__(self, cause: aiohttp.ClientError) -> None:
         super().__init__(f'{type(cause).__name__}: {cause}')
         self.cause = cause
-        self.is_reused = is_reused
 
 
-class _Sending:
-    """One request on its way."""
+class SendingTrace:
+    """What happens to one request until it is sent.
 
-    def __init__(self) -> None:
-        self.is_reused = False
+    It is passed to the session as `trace_request_ctx`.
 
+    Parameters
+    ----------
+    admit
+        Called just before the request is sent; may raise.
 
-# The request that the current task sends.
-_sending: contextvars.ContextVar[_Sending] = contextvars.ContextVar('sending')
+    Attributes
+    ----------
+    is_reused
+        Whether its connection had been used before.
+    sending_count
+        How often the request was sent.
+    """
 
+    def __init__(self, admit: Callable[[], None] = lambda: None) -> None:
+        self._admit = admit
+        self.is_reused = False
+        self.sending_count = 0
+
+    def start_sending(self) -> None:
+        """Admit the request, and count that it is sent."""
+        self._admit()
+        self.sending_count += 1
 
-def new_session(
-    trace_configs: tuple[aiohttp.TraceConfig, ...] = (), **options: Any
-) -> aiohttp.ClientSession:
+
+def new_session(**options: Any) -> aiohttp.ClientSession:
     """Return a session that sends each request once.
 
     Redirects are followed unless a request says otherwise.
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(_mark_reused)
+    trace.on_request_headers_sent.append(_start_sending)
     return aiohttp.ClientSession(
-        middlewares=(_send_once,),
-        trace_configs=[trace, *trace_configs],
-        **options,
+        middlewares=(_send_once,), trace_configs=[trace], **options
     )
 
 
 async def read_twice_if_stale(
-    read: Callable[[], Awaitable[_Result]], name: str
+    read: Callable[[SendingTrace], Awaitable[_Result]], name: str
 ) -> _Result:
     """Read, and once more if the read broke on a reused connection.
 
@@ -71,38 +82,48 @@
     Parameters
     ----------
     read
-        Sends a request that changes nothing.
+        Sends a request that changes nothing, with the given trace.
     name
         Name of the server, for the log.
     """
+    trace = SendingTrace()
     try:
-        return await read()
-    except BrokenConnectionError as error:
-        if not error.is_reused:
+        return await read(trace)
+    except BrokenConnectionError:
+        if not trace.is_reused:
             raise
         log.info('read again on a new connection', server=name)
-    return await read()
+    return await read(SendingTrace())
 
 
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
-    sending = _Sending()
-    token = _sending.set(sending)
     try:
         return await handler(request)
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         # aiohttp repeats a request for these two errors only.
-        raise BrokenConnectionError(error, sending.is_reused) from error
-    finally:
-        _sending.reset(token)
+        raise BrokenConnectionError(error) from error
 
 
 async def _mark_reused(
     _session: aiohttp.ClientSession,
-    _context: types.SimpleNamespace,
+    context: types.SimpleNamespace,
     _params: aiohttp.TraceConnectionReuseconnParams,
 ) -> None:
-    _sending.get().is_reused = True
+    trace = context.trace_request_ctx
+    if trace is not None:
+        trace.is_reused = True
+
+
+async def _start_sending(
+    _session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    _params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    # aiohttp calls this once it has a connection, before it writes to it.
+    trace = context.trace_request_ctx
+    if trace is not None:
+        trace.start_sending()
--- a/tests/store_faults.py
+++ b/tests/store_faults.py
@@ -92,7 +92,7 @@
     def forget_history(self):
         self._forgotten_before = self._revision
 
-    def get(self, url, params, timeout, allow_redirects):
+    def get(self, url, params, timeout, allow_redirects, trace_request_ctx):
         assert not allow_redirects
         if url.endswith(names.RANGE_PATH):
             return _Call(self._range(timeout))
