Retry budgets: the window comes from the settings

The budgets counted in windows of 10 s, whatever window the platform names (budgetWindowS), which the settings left out. With a window of 2 s and 400 requests a second entries had saved up for five windows and exceeded the allowed.

Tests: the forwarder's and the mover's take an exact number of retries.

--- a/lacewingpitch/active_entries.py
+++ b/lacewingpitch/active_entries.py
@@ -5,8 +5,7 @@
 
 from lacewingpitch import clock as clock_module
 
-# Equals the window of the shared retry budget, so that an entry that still
-# has retries left is counted.
+# An entry that sent nothing for longer has earned no retries.
 _ACTIVE_WINDOW_S = 10.0
 # Bounds the memory; the window is shorter if more requests arrive.
 _MAX_REQUESTS = 4096
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -110,6 +110,7 @@
         self._budgets = service_budgets.ServiceBudgets(
             file.settings.retry_ratio,
             file.settings.retry_allowance,
+            file.settings.retry_window_s,
             _MIN_ENTRIES,
             self._process.clock,
             self._process.random,
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -69,6 +69,8 @@
         Retries allowed per request of a service, over all entries.
     retry_allowance
         Further retries in a window, over all entries.
+    retry_window_s
+        Window in which retries are counted.
     released_fingerprints
         Requests that are allowed although backend servers crashed when
         they started to run them.
@@ -95,6 +97,7 @@
     drain_s: contract.PositiveFloat
     retry_ratio: float
     retry_allowance: float
+    retry_window_s: contract.PositiveFloat = 10.0
     released_fingerprints: tuple[str, ...] = ()
     parts: tuple[parts_module.Part, ...] = ()
 
--- a/lacewingpitch/recent_count.py
+++ b/lacewingpitch/recent_count.py
@@ -8,7 +8,7 @@
 
 
 class RecentCount:
-    """Counts events within a sliding window, at most too few.
+    """Counts events within a sliding window, never too many.
 
     Parameters
     ----------
--- a/lacewingpitch/service_budgets.py
+++ b/lacewingpitch/service_budgets.py
@@ -13,7 +13,6 @@
 _SAVED_SHARE = 1.0 - _EARNED_SHARE
 # Requests reach an entry later than the window in which they are counted.
 _ALLOWANCE_SHARE = 0.8
-_WINDOW_S = 10.0
 # Tokens of a process that starts, in place of the first that come over time.
 _START_TOKENS = 1.0
 # Part of the allowance of an entry that does not know how many there are.
@@ -39,6 +38,8 @@
         Retries allowed per request of a service in the window.
     allowance
         Further retries in the window, of all entries together.
+    window_s
+        Length of the window; any window of this length counts.
     min_entries
         Minimum number of entries that share the allowance.
     """
@@ -47,12 +48,14 @@
         self,
         ratio: float,
         allowance: float,
+        window_s: float,
         min_entries: int,
         clock: clock_module.Clock,
         source: random.Random,
     ) -> None:
         self._ratio = ratio
         self._allowance = allowance * _ALLOWANCE_SHARE
+        self._window_s = window_s
         self._entry_count = max(1, min_entries)
         self._is_count_known = False
         self._clock = clock
@@ -115,7 +118,11 @@
         found = self._budgets.get(service)
         if found is None:
             found = _ServiceBudget(
-                self._ratio, self._clock, self._random, self._started_at_s
+                self._ratio,
+                self._window_s,
+                self._clock,
+                self._random,
+                self._started_at_s,
             )
             self._budgets[service] = found
         return found
@@ -136,17 +143,19 @@
     def __init__(
         self,
         ratio: float,
+        window_s: float,
         clock: clock_module.Clock,
         source: random.Random,
         started_at_s: float,
     ) -> None:
         self._ratio = ratio
+        self._window_s = window_s
         self._clock = clock
-        self._requests = recent_count.RecentCount(_WINDOW_S, clock)
+        self._requests = recent_count.RecentCount(window_s, clock)
         self._random = source
         self._updated_at_s = started_at_s
         self.tokens = _START_TOKENS
-        # What has come over time and is in the tokens of the start already.
+        # Tokens of the start for which nothing has come over time yet.
         self._ahead = _START_TOKENS
 
     def deposit(self, part: float) -> None:
@@ -170,7 +179,7 @@
 
     def _add(self, tokens: float, part: float) -> None:
         now_s = self._clock.monotonic_s()
-        passed = (now_s - self._updated_at_s) / _WINDOW_S
+        passed = (now_s - self._updated_at_s) / self._window_s
         self._updated_at_s = now_s
         came = passed * (part - _saved_part(part))
         repaid = min(came, self._ahead)
--- a/tests/arrivals.py
+++ b/tests/arrivals.py
@@ -53,17 +53,19 @@
     return worst_window(_repeated_at(servers), sent, ratio, allowance)
 
 
-def worst_window(repeats, sent, ratio=RATIO, allowance=ALLOWANCE):
+def worst_window(
+    repeats, sent, ratio=RATIO, allowance=ALLOWANCE, window_s=WINDOW_S
+):
     """Return the worst window, by the times of repeats and requests."""
     repeats, sent = sorted(repeats), sorted(sent)
     worst = Repeats(allowed=allowance)
     for number, until_s in enumerate(repeats):
-        since_s = until_s - WINDOW_S
+        since_s = until_s - window_s
         count = number + 1 - bisect.bisect_left(repeats, since_s)
         requests = max(
             bisect.bisect_right(sent, until_s - back_s)
             - bisect.bisect_left(sent, since_s - back_s)
-            for back_s in (0.0, WINDOW_S / 2, WINDOW_S)
+            for back_s in (0.0, window_s / 2, window_s)
         )
         found = Repeats(count, ratio * requests + allowance)
         worst = max(worst, found, key=lambda window: window.used_ratio)
--- a/tests/earned_budgets.py
+++ b/tests/earned_budgets.py
@@ -2,19 +2,18 @@
 
 from lacewingpitch import service_budgets
 
-_REQUEST_COUNT = 25
+_MANY = 40
+_REQUESTS = 1010
 
 
-def new(ratio, allowance, clock, source):
-    """Return the budgets of a single entry, with all that can be saved up.
+def new(clock, source, retry_count=_MANY):
+    """Return budgets with so many retries of service ``s``.
 
-    An allowance of 1.25 is one retry; without an allowance there is none.
+    More come by requests only.
     """
-    budgets = service_budgets.ServiceBudgets(
-        ratio, allowance, 1, clock, source
-    )
-    if allowance:
-        budgets.record_entry_count(1)
-        for _ in range(_REQUEST_COUNT):
-            budgets.deposit('s')
+    budgets = service_budgets.ServiceBudgets(0.2, 0.0, 10.0, 1, clock, source)
+    for _ in range(_REQUESTS):
+        budgets.deposit('s')
+    for _ in range(_MANY - retry_count):
+        assert budgets.try_withdraw('s')
     return budgets
--- a/tests/move_fakes.py
+++ b/tests/move_fakes.py
@@ -316,7 +316,7 @@
 class Scene:
     """An entry's forwarder and mover with a fleet."""
 
-    def __init__(self, link=LINK, allowance=100.0, has_mover=True):
+    def __init__(self, link=LINK, has_mover=True):
         self.clock = virtual_time.LoopClock()
         source = random.Random(3)
         self.servers = backend_list.BackendList(self.clock)
@@ -327,7 +327,7 @@
         self.gate = server_gate.ServerGate(self.servers, self.clock, source)
         self.fleet.gate = self.gate
         self.ejector = ejection.Ejector(self.clock, source)
-        budgets = earned_budgets.new(0.2, allowance, self.clock, source)
+        budgets = earned_budgets.new(self.clock, source)
         self.mover = None
         if has_mover:
             self.mover = run_mover.RunMover(
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -147,7 +147,7 @@
 class Scene:
     """A forwarder with scripted backend servers."""
 
-    def __init__(self, *steps, allowance=100.0):
+    def __init__(self, *steps, **budget):
         self.clock = virtual_time.LoopClock()
         self.client = Script(*steps)
         self.turns = Turns()
@@ -166,7 +166,7 @@
                 servers, self.ejector, 'z', source
             ),
             self.ejector,
-            earned_budgets.new(0.2, allowance, self.clock, source),
+            earned_budgets.new(self.clock, source, **budget),
             adapter_versions.AdapterVersions(),
             self.clock,
             source,
@@ -192,11 +192,11 @@
         return await self.forwarder.forward(request, self.delivered)
 
 
-def play(found_route, *steps, allowance=100.0, **fields):
+def play(found_route, *steps, retry_count=40, **fields):
     """Forward a request; return the scene and the refusal, if any."""
 
     async def main():
-        scene = Scene(*steps, allowance=allowance)
+        scene = Scene(*steps, retry_count=retry_count)
         try:
             await scene.forward(found_route, **fields)
         except errors.RefusalError as error:
@@ -307,9 +307,9 @@
 
         All requests fail, and each is retried.
         """
-        scene, refusal = play(SAFE, LOST, LOST, allowance=0.0)
+        scene, refusal = play(SAFE, LOST, LOST, retry_count=0)
         assert len(scene.client.calls) == 1
-        scene, refusal = play(SAFE, LOST, LOST)
+        scene, refusal = play(SAFE, LOST, LOST, retry_count=1)
         assert len(scene.client.calls) == 2
         scene, refusal = play(route(max_attempts=9), *[LOST] * 9)
         assert len(scene.client.calls) <= 9
@@ -346,7 +346,7 @@
             scene = Scene(*steps)
             scene.forwarder._turns = OtherService(services)
             self.budgets = service_budgets.ServiceBudgets(
-                0.2, 100.0, 1, scene.clock, random.Random(1)
+                0.2, 100.0, 10.0, 1, scene.clock, random.Random(1)
             )
             scene.forwarder._budgets = self.budgets
             # Each service has one retry at the start.
@@ -707,9 +707,9 @@
 
     CLOSED = server_notice.ServerNotice(backoff_s=3.0)
 
-    def play(self, closed, *steps, found_route=None, allowance=0.0, **fields):
+    def play(self, closed, *steps, found_route=None, retry_count=0, **fields):
         async def main():
-            scene = Scene(*steps, allowance=allowance)
+            scene = Scene(*steps, retry_count=retry_count)
             for name in closed:
                 now_s = scene.clock.boot_s()
                 scene.gate.record_answer(server(name), self.CLOSED, now_s)
@@ -774,7 +774,7 @@
             {'chunks': (event(2),)},
             found_route=stream,
             model='m',
-            allowance=1.25,
+            retry_count=1,
         )
         assert refusal is None
         assert [c.server.name for c in scene.client.sent] == ['a', 'c']
--- a/tests/test_run_mover.py
+++ b/tests/test_run_mover.py
@@ -262,7 +262,7 @@
                 pass
             scene.leave('a')
 
-        scene, caller = play(used_up, allowance=1.25)
+        scene, caller = play(used_up)
         assert_whole(caller)
         assert not any(is_last for *_, is_last in scene.fleet.copy_calls)
         assert scene.fleet.freed
--- a/tests/test_service_budgets.py
+++ b/tests/test_service_budgets.py
@@ -12,6 +12,7 @@
 RATIO = 0.2
 ALLOWANCE = 52.0
 MIN_ENTRIES = 10
+WINDOW_S = 10.0
 STEP_S = 0.05
 SEEDS = range(20)
 
@@ -37,8 +38,10 @@
         sidecar_count=0,
         failing_from_s=20.0,
         allowance=ALLOWANCE,
+        window_s=WINDOW_S,
     ):
         self.clock = clocks.ManualClock()
+        self.window_s = window_s
         self.random = random.Random(seed)
         self.allowance = allowance
         self._rate_per_s = rate_per_s
@@ -53,7 +56,12 @@
 
     def _start(self):
         return service_budgets.ServiceBudgets(
-            RATIO, self.allowance, MIN_ENTRIES, self.clock, self.random
+            RATIO,
+            self.allowance,
+            self.window_s,
+            MIN_ENTRIES,
+            self.clock,
+            self.random,
         )
 
     def restart(self, number):
@@ -82,7 +90,7 @@
 
     def used_ratio(self):
         return arrivals.worst_window(
-            self.repeats, self.sent, RATIO, self.allowance
+            self.repeats, self.sent, RATIO, self.allowance, self.window_s
         ).used_ratio
 
 
@@ -133,6 +141,16 @@
         assert refused < 0.1 * lost
 
 
+class TestWindow:
+    @pytest.mark.parametrize('window_s', [2.0, 5.0, 30.0])
+    def test_is_that_of_the_settings(self, window_s):
+        """Guards against budgets for a window that does not apply."""
+        for seed in SEEDS[:5]:
+            fleet = Fleet(8, 400.0, seed, sidecar_count=2, window_s=window_s)
+            fleet.run(60.0)
+            assert 0.3 < fleet.used_ratio() <= 1.0, seed
+
+
 class TestUnknownEntries:
     @pytest.mark.parametrize('entry_count', [11, 20, 30, 41])
     def test_share_the_allowance_without_sidecars(self, entry_count):
@@ -180,7 +198,7 @@
     def make(self, allowance=ALLOWANCE, count=4):
         self.clock = clocks.ManualClock()
         budgets = service_budgets.ServiceBudgets(
-            RATIO, allowance, 1, self.clock, random.Random(1)
+            RATIO, allowance, WINDOW_S, 1, self.clock, random.Random(1)
         )
         budgets.record_entry_count(count)
         return budgets
@@ -197,11 +215,7 @@
         assert self.spend(budgets, 'b') == 1
 
     def test_entries_together_stay_within_the_common_budget(self):
-        """Guards against retries of all entries flooding failing servers.
-
-        Everything fails at once, after a quiet time in which each of ten
-        entries has saved up retries.
-        """
+        """Guards against retries of all entries flooding failing servers."""
         retries = 0
         for _ in range(10):
             budgets = self.make(count=10)
@@ -257,7 +271,7 @@
         """Guards against retries where the settings allow none."""
         self.clock = clocks.ManualClock()
         budgets = service_budgets.ServiceBudgets(
-            RATIO, 0.0, 1, self.clock, random.Random(1)
+            RATIO, 0.0, WINDOW_S, 1, self.clock, random.Random(1)
         )
         self.clock.now_s += 60.0
         assert self.spend(budgets) == 0
