--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -448,6 +448,7 @@
         self.broken_ratio = 0.0
         self.sent_before_break = b''
         self.error_ratio = 0.0
+        self._failures = random.Random(2)
 
     def routes(self):
         return [web.route('*', '/{path:.*}', self._run)]
@@ -482,11 +483,11 @@
             request.transport.abort()
             return web.Response()
         await asyncio.sleep(self.delay_s)
-        if self._random.random() < self.broken_ratio:
+        if self._failures.random() < self.broken_ratio:
             request.transport.write(self.sent_before_break)
             request.transport.close()
             return web.Response()
-        is_failed = self._random.random() < self.error_ratio
+        is_failed = self._failures.random() < self.error_ratio
         return web.Response(
             status=500 if is_failed else 200,
             body=b'ran ' + body,
@@ -579,6 +580,7 @@
             'revokeMs': 5000,
             'retryBudgetRatio': 0.2,
             'retryBudgetExtra': 52,
+            'budgetWindowS': 10,
         },
     }
 
