Charges of a request's retries in a class of their own; callers of tests send once

The forwarder held a charge in three places and logged an exhausted budget in two; behaviour unchanged. The sessions of the tests' deployments sent a GET, PUT or DELETE again by themselves, so that a check of runs or of lost answers could have been helped by it.

--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -21,6 +21,7 @@
 from lacewingpitch import plain_server_selector
 from lacewingpitch import request_history
 from lacewingpitch import request_turns
+from lacewingpitch import retry_charges
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
 from lacewingpitch import service_admission
@@ -115,7 +116,8 @@
             ``ANSWER_CUT``.
         """
         history = request_history.RequestHistory(
-            event_splitter.EventSplitter(request.last_event_id)
+            event_splitter.EventSplitter(request.last_event_id),
+            retry_charges.RetryCharges(self._budgets, request.request_id),
         )
         services = request.route.service_order(self._random)
         self._budgets.deposit(services[0])
@@ -150,8 +152,7 @@
             )
             raise
         finally:
-            if history.charged_service:
-                self._budgets.refund(history.charged_service)
+            history.charges.close()
         return history
 
     def _log_if_barred(
@@ -167,33 +168,6 @@
                 ),
             )
 
-    def _move_charge(
-        self,
-        request: backend_call.CallerRequest,
-        service: str,
-        history: request_history.RequestHistory,
-        failure: '_Failure',
-    ) -> None:
-        """Charge a retry to the service that gets it.
-
-        Raises
-        ------
-        RefusalError
-            The refusal of the last attempt; the service has no retry left.
-        """
-        charged = history.charged_service
-        if charged in ('', service):
-            return
-        if not self._budgets.try_withdraw(service):
-            log.info(
-                'retry budget exhausted',
-                request_id=request.request_id,
-                service=service,
-            )
-            raise failure.refusal
-        self._budgets.refund(charged)
-        history.charged_service = service
-
     async def _attempt_until_done(
         self,
         request: backend_call.CallerRequest,
@@ -205,10 +179,10 @@
         while True:
             async with self._acquire_turn(request, services, history) as turn:
                 service = turn.server.service
-                if failure is not None:
-                    self._move_charge(request, service, history, failure)
-                elif service != services[0]:
+                if failure is None and service != services[0]:
                     self._budgets.deposit(service)
+                if failure and not history.charges.try_move(service):
+                    raise failure.refusal
                 failure = await self._attempt(request, turn, history, delivery)
             if failure is None:
                 return
@@ -278,7 +252,7 @@
         history.servers.append(name)
         history.sent_count += 1
         history.run_began_at_s = 0.0
-        charged_service, history.charged_service = history.charged_service, ''
+        history.charges.start_attempt()
         self._ejector.record_start(name)
         call = backend_call.BackendCall(
             request=request,
@@ -301,7 +275,7 @@
         ) as error:
             history.may_have_run = may_have_run_before
             if not isinstance(error, backend_call.NotRunError):
-                history.charged_service = charged_service
+                history.charges.record_not_arrived()
             return self._record_failure(request, turn, history, error)
         except errors.PlatformError as error:
             return self._record_failure(request, turn, history, error)
@@ -442,25 +416,9 @@
             return True
         if refusal.kind is errors.ErrorKind.NO_BACKEND_SERVER:
             return history.unreached_count < _MAX_UNREACHED
-        if history.charged_service:
-            # The attempt that it was charged for did not arrive.
-            return True
-        if not self._budgets.try_withdraw(service):
-            log.info(
-                'retry budget exhausted',
-                request_id=request.request_id,
-                service=service,
-            )
+        if not history.charges.try_charge(service, history.sent_count + 1):
             return False
-        history.charged_service = service
         self.retry_counts[service] += 1
-        log.info(
-            'retry charged',
-            request_id=request.request_id,
-            service=service,
-            attempt=history.sent_count + 1,
-            tokens_left=round(self._budgets.tokens(service), 2),
-        )
         return True
 
 
--- a/lacewingpitch/request_history.py
+++ b/lacewingpitch/request_history.py
@@ -5,6 +5,7 @@
 from lacewingpitch import backend_call
 from lacewingpitch import errors
 from lacewingpitch import event_splitter
+from lacewingpitch import retry_charges
 
 # Time from a turn to the first event: prefill of the prompt and transfer.
 _FIRST_EVENT_S = 0.4
@@ -19,6 +20,8 @@
 
     Parameters
     ----------
+    charges
+        What its retries have cost.
     sent_count
         Number of attempts that reached a backend server.
     unreached_count
@@ -35,12 +38,10 @@
         Longest pause between events after the first one.
     run_began_at_s
         Monotonic time of the first event of the current attempt; 0 before.
-    charged_service
-        Service whose retry budget was charged for the next attempt; empty
-        if none was.
     """
 
     splitter: event_splitter.EventSplitter
+    charges: retry_charges.RetryCharges
     sent_count: int = 0
     unreached_count: int = 0
     may_have_run: bool = False
@@ -51,7 +52,6 @@
     longest_gap_s: float = 0.0
     last_event_at_s: float = 0.0
     run_began_at_s: float = 0.0
-    charged_service: str = ''
     first_answer: backend_call.BackendAnswer | None = None
 
     def record_events(
--- a/tests/arrivals.py
+++ b/tests/arrivals.py
@@ -112,6 +112,8 @@
     """Keep aiohttp from repeating a request by itself, as a middleware."""
     try:
         return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         raise ConnectionError(repr(error)) from error
 
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 import yarl
 
+from tests import arrivals
 from tests import platform_standin as standin
 from tests import processes
 from tests import relay
@@ -137,7 +138,7 @@
             self.caller_urls.append(f'http://{address}')
         self.entry = self.entries[0]
         self.session = await self._exits.enter_async_context(
-            aiohttp.ClientSession()
+            aiohttp.ClientSession(middlewares=(arrivals.send_once,))
         )
         self.callers = self.caller_urls[0]
         self.ready = f'http://{ENTRY_IPS[0]}:{ports["ready"]}'
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -23,6 +23,7 @@
 from lacewingpitch import standin_engine
 from lacewingpitch import standin_service
 from lacewingpitch import voiding
+from tests import arrivals
 
 IP = '127.0.0.1'
 START_TIMEOUT_S = 30.0
@@ -156,7 +157,7 @@
 
     async def __aenter__(self):
         self.session = await self._exits.enter_async_context(
-            aiohttp.ClientSession()
+            aiohttp.ClientSession(middlewares=(arrivals.send_once,))
         )
         self.platform = await self.run('standin', 'platform')
         return self
