--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -12,7 +12,6 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import configuration_exchange
 from lacewingpitch import control_client
-from lacewingpitch import crash_record
 from lacewingpitch import draining
 from lacewingpitch import ejection
 from lacewingpitch import link
@@ -22,6 +21,7 @@
 from lacewingpitch import peer_bootstrap
 from lacewingpitch import placement as placement_module
 from lacewingpitch.platform import backend_client
+from lacewingpitch.platform import entry_metrics
 from lacewingpitch.platform import frontend as frontend_module
 from lacewingpitch.platform import listening
 from lacewingpitch.platform import memory_client
@@ -226,7 +226,9 @@
             zone_costs=self._new_zone_costs(),
         )
         if stall_costs is not None:
-            self._add_pace_metrics(stall_costs, placement)
+            entry_metrics.register_pace(
+                process.metrics, stall_costs, placement
+            )
         services = service_balancer.ServiceBalancer(
             self.servers,
             self.ejector,
@@ -258,7 +260,7 @@
         client = backend_client.new_client(
             process.exits, self._notices, self._gate, process.clock
         )
-        self._add_sending_metrics(client)
+        entry_metrics.register_sendings(process.metrics, client, self._budgets)
         if parts_module.Part.MOVING_RUNS in settings.parts:
             self._mover = await self._new_mover(client, turns)
         return request_forwarder.RequestForwarder(
@@ -277,27 +279,6 @@
             self._mover,
         )
 
-    def _add_sending_metrics(
-        self, client: backend_client.HttpBackendClient
-    ) -> None:
-        metrics = self._process.metrics
-        metrics.counter_by(
-            'requests_sent_total',
-            'How often requests were sent to backend servers, by service.',
-            'service',
-            lambda: client.sending_counts,
-        )
-        metrics.gauge(
-            'retry_budget_tokens',
-            'Retries left for the service that has least of them.',
-            lambda: self._budgets.least_tokens,
-        )
-        metrics.gauge(
-            'retry_budget_entries',
-            'Entries that share the retry budgets, as this one knows them.',
-            lambda: self._budgets.entry_count,
-        )
-
     def _new_stall_costs(self) -> stall_costs_module.StallCosts | None:
         settings = self._file.settings
         if parts_module.Part.ENGINE_PACE not in settings.parts:
@@ -312,28 +293,6 @@
             return None
         return zone_costs_module.ZoneCosts(settings.availability_zone)
 
-    def _add_pace_metrics(
-        self,
-        costs: stall_costs_module.StallCosts,
-        placement: placement_module.Placement,
-    ) -> None:
-        metrics = self._process.metrics
-        metrics.gauge(
-            'engines_of_known_pace',
-            'Engines whose sidecar told the pace of their present start.',
-            lambda: placement.known_pace_count,
-        )
-        metrics.counter(
-            'requests_moved_by_pace_total',
-            'Rankings whose first engine changed by the pace of engines.',
-            lambda: costs.moved_count,
-        )
-        metrics.counter(
-            'pace_probes_total',
-            'Rankings that ignored the pace of one engine to test it.',
-            lambda: costs.probe_count,
-        )
-
     def _service_admission(self) -> service_admission.ServiceAdmission:
         if (
             parts_module.Part.SERVICE_ADMISSION
@@ -343,19 +302,7 @@
         admission = service_admission.LatencyAdmission(
             self._process.clock, self._process.random
         )
-        metrics = self._process.metrics
-        metrics.counter(
-            'server_requests_refused_total',
-            'Requests kept from plain servers that are full and late.',
-            lambda: admission.refused_count,
-        )
-        metrics.gauge(
-            'server_refused_ratio',
-            'Largest share of requests kept from a plain server now.',
-            lambda: max(
-                (ratio for _, ratio in admission.refused_ratios()), default=0.0
-            ),
-        )
+        entry_metrics.register_admission(self._process.metrics, admission)
         return admission
 
     def _new_room_search(self) -> room_search.RoomSearch | None:
@@ -431,129 +378,17 @@
         store: store_module.Store,
     ) -> None:
         metrics = self._process.metrics
-        metrics.counter_by(
-            'requests_ended_total',
-            'Requests that came to an end, by outcome.',
-            'outcome',
-            lambda: self.frontend.ended_by_outcome,
-        )
-        metrics.counter_by(
-            'requests_resent_total',
-            'Requests sent to another backend server, by service.',
-            'service',
-            lambda: forwarder.retry_counts,
+        entry_metrics.register_requests(metrics, self.frontend, forwarder)
+        entry_metrics.register_suspects(metrics, self._suspects)
+        entry_metrics.register_servers(
+            metrics, self.servers, self._limits, self._notices, self._gate
         )
-        if self._mover is not None:
-            self._add_move_metrics(self._mover)
-        metrics.counter(
-            'store_calls_total',
-            'Calls to the store.',
-            lambda: store.call_count,
-        )
-        metrics.counter(
-            'usage_asks_total',
-            'Messages to the owners of limits.',
-            lambda: self._usage.ask_count,
-        )
-        metrics.counter(
-            'usage_unreached_total',
-            'Requests charged while the owner of their limit was silent.',
-            lambda: self._usage.unreached_count,
-        )
-        metrics.counter_by(
-            'requests_by_organisation_total',
-            'Requests that came to an end, by organisation.',
-            'organisation',
-            lambda: self.frontend.ended_by_organisation,
-        )
-        record = self._suspects.record
-        metrics.gauge(
-            'requests_isolated',
-            'Requests that run isolated, as servers crashed under them.',
-            lambda: record.request_count(crash_record.Handling.ISOLATED),
-        )
-        metrics.gauge(
-            'requests_barred',
-            'Requests that are refused, as servers crashed under them.',
-            lambda: record.request_count(crash_record.Handling.REFUSED),
-        )
-        metrics.counter(
-            'requests_over_server_limit_total',
-            'Requests kept from a server by its request rate limit.',
-            lambda: self._limits.exceeded_count,
-        )
-        metrics.gauge(
-            'limited_servers',
-            'Backend servers that name a request rate limit.',
-            lambda: sum(
-                self._limits.per_s(server) is not None
-                for server in self.servers.all()
-            ),
-        )
-        metrics.counter(
-            'leaving_answers_total',
-            'Answers of backend servers that announced that they leave.',
-            lambda: self._notices.leaving_count,
-        )
-        metrics.counter(
-            'backoff_answers_total',
-            'Answers of backend servers that asked for backoff.',
-            lambda: self._notices.backoff_count,
-        )
-        metrics.counter(
-            'requests_withheld_total',
-            'Requests stopped on their way to a server that accepts none now.',
-            lambda: self._gate.withheld_count,
-        )
-        metrics.counter(
-            'requests_to_unlisted_servers_total',
-            'Requests sent to backend servers that are not listed.',
-            lambda: self._gate.unlisted_count,
-        )
-        metrics.gauge(
-            'servers_in_backoff',
-            'Backend servers that asked this entry for backoff.',
-            lambda: len(self._gate.backoffs),
-        )
-        metrics.gauge(
-            'requests_in_progress',
-            'Requests that are in progress here.',
-            lambda: self.frontend.in_progress,
-        )
-        metrics.gauge(
-            'configuration_version',
-            'Version of the configuration in force.',
-            lambda: self._process.table.version,
-        )
-        metrics.gauge(
-            'configuration_age_seconds',
-            'How long ago the configuration was known to be the newest.',
-            lambda: self._process.age.age_s,
-        )
-        metrics.gauge(
-            'list_age_seconds',
-            'How long ago the list of backend servers was current.',
-            lambda: self.servers.age_s,
-        )
-
-    def _add_move_metrics(self, mover: run_mover.RunMover) -> None:
-        metrics = self._process.metrics
-        metrics.counter_by(
-            'run_moves_total',
-            'Moves of runs to other engines that have ended, by outcome.',
-            'outcome',
-            lambda: mover.move_counts,
-        )
-        metrics.counter(
-            'run_memory_copied_bytes_total',
-            'Expected size of the memory of runs that have moved.',
-            lambda: mover.copied_bytes,
-        )
-        metrics.gauge(
-            'movable_runs',
-            'Streams that move if their engine leaves.',
-            lambda: mover.run_count,
+        entry_metrics.register_configuration(
+            metrics, self._process.table, self._process.age
         )
+        entry_metrics.register_calls(metrics, store, self._usage)
+        if self._mover is not None:
+            entry_metrics.register_moves(metrics, self._mover)
 
     def _has_sidecar(self, service: str) -> bool:
         return self._process.table.engine_limits(service) is not None
