--- a/lacewingpitch/crash_record.py
+++ b/lacewingpitch/crash_record.py
@@ -1,9 +1,10 @@
 """Record of backend-server crashes by request, merged across processes."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 import dataclasses
 import enum
 import random
+import types
 
 import msgspec
 import structlog
@@ -21,6 +22,7 @@
 _MAX_STATES_PER_MESSAGE = 32
 _EPOCH_BITS = 31
 _COUNT_BITS = 32
+_NO_EVIDENCE: Mapping[str, object] = types.MappingProxyType({})
 log = structlog.get_logger(__name__)
 
 
@@ -125,6 +127,11 @@
     released
         Returns fingerprints that the operator exempts from isolation and
         refusal.
+
+    Attributes
+    ----------
+    answered_count
+        How often an answer made crashes void in this process.
     """
 
     def __init__(
@@ -139,6 +146,7 @@
         self._released = released
         self._epoch = source.getrandbits(_EPOCH_BITS) + 1
         self._change_count = 0
+        self.answered_count = 0
         # In the order of use; the least recently used comes first.
         self._suspects: dict[str, _Suspect] = {}
 
@@ -198,15 +206,25 @@
                 crashes=len(self.crashed_servers(fingerprint)),
             )
 
-    def record_answer(self, fingerprint: str) -> None:
-        """Mark a request's crashes as void: a backend server answered it."""
+    def record_answer(
+        self, fingerprint: str, evidence: Mapping[str, object] = _NO_EVIDENCE
+    ) -> None:
+        """Mark a request's crashes as void: a backend server answered it.
+
+        Parameters
+        ----------
+        evidence
+            What the answer was, for the log.
+        """
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.count:
             return
+        self.answered_count += 1
         log.info(
             'suspect answered',
             fingerprint=fingerprint,
             crashes=suspect.count,
+            **evidence,
         )
         self._add(
             fingerprint,
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -411,6 +411,7 @@
             backend_servers=history.servers,
             turn_wait_ms=round(history.turn_wait_s * 1000),
             events=history.splitter.event_count,
+            is_framed=history.is_framed,
             first_event_ms=round(history.first_event_s * 1000),
             longest_gap_ms=round(history.longest_gap_s * 1000),
             list_age_s=round(self.servers.age_s, 1),
--- a/lacewingpitch/platform/entry_metrics.py
+++ b/lacewingpitch/platform/entry_metrics.py
@@ -91,6 +91,11 @@
         'Requests that are refused, as servers crashed under them.',
         lambda: record.request_count(crash_record.Handling.REFUSED),
     )
+    metrics.counter(
+        'suspects_answered_total',
+        'Answers that made the crashes of a request void.',
+        lambda: record.answered_count,
+    )
 
 
 def register_servers(
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -282,7 +282,7 @@
         finally:
             self._ejector.record_end(name)
         self._ejector.record_success(name)
-        self._suspects.record.record_answer(request.fingerprint)
+        self._record_answered(request, turn, history)
         self._plain_servers.record_answer(
             turn.server, self._clock.monotonic_s() - started_s
         )
@@ -305,6 +305,7 @@
                     answer = await exits.enter_async_context(
                         self._client.send(call)
                     )
+                history.is_framed = answer.is_framed
                 if request.route.is_stream and answer.status == _OK:
                     await self._forward_stream(call, answer, history, delivery)
                     return
@@ -388,7 +389,9 @@
             if error.is_refused:
                 self._suspects.detector.record_exit(turn.server)
         elif isinstance(error, _FailedAnswerError):
-            self._suspects.record.record_answer(request.fingerprint)
+            history.status = error.answer.status
+            history.is_framed = error.answer.is_framed
+            self._record_answered(request, turn, history)
         elif backend_call.is_disconnect(error) and history.is_run_starting(
             self._clock.monotonic_s()
         ):
@@ -396,6 +399,24 @@
                 request.fingerprint, turn.server
             )
 
+    def _record_answered(
+        self,
+        request: backend_call.CallerRequest,
+        turn: turn_spec.Turn,
+        history: request_history.RequestHistory,
+    ) -> None:
+        """Record that a backend server has answered a request."""
+        self._suspects.record.record_answer(
+            request.fingerprint,
+            {
+                'request_id': request.request_id,
+                'backend_server': turn.server.name,
+                'status': history.status,
+                'events': history.splitter.event_count,
+                'is_framed': history.is_framed,
+            },
+        )
+
     def _should_retry(
         self,
         request: backend_call.CallerRequest,
--- a/lacewingpitch/request_history.py
+++ b/lacewingpitch/request_history.py
@@ -38,6 +38,8 @@
         Longest pause between events after the first one.
     run_began_at_s
         Monotonic time of the first event of the current attempt; 0 before.
+    is_framed
+        Whether the latest answer marks its own end.
     """
 
     splitter: event_splitter.EventSplitter
@@ -52,6 +54,7 @@
     longest_gap_s: float = 0.0
     last_event_at_s: float = 0.0
     run_began_at_s: float = 0.0
+    is_framed: bool = True
     first_answer: backend_call.BackendAnswer | None = None
 
     def record_events(
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -79,6 +79,7 @@
                 step.get('status', 200),
                 (('Signed-By', call.server.name),),
                 self._chunks(step),
+                step.get('is_framed', True),
             )
         finally:
             self.open_count -= 1
@@ -659,6 +660,23 @@
         scene = virtual_time.run(main())
         assert scene.suspects.record.crashed_servers(self.fingerprint()) == ()
 
+    def test_the_answer_that_makes_crashes_void_is_logged(self):
+        async def main():
+            scene = Scene({'is_framed': False})
+            self.record(scene, 2)
+            with structlog.testing.capture_logs() as lines:
+                await scene.forward(SAFE)
+            assert scene.suspects.record.answered_count == 1
+            return [
+                line for line in lines if line['event'] == 'suspect answered'
+            ]
+
+        (line,) = virtual_time.run(main())
+        assert line['request_id'] == 'id-1'
+        assert line['backend_server'] in SERVERS
+        assert (line['status'], line['events']) == (200, 0)
+        assert not line['is_framed']
+
     def test_a_server_that_refuses_connections_has_ended(self):
         async def main():
             scene = Scene(REFUSED, REFUSED, REFUSED)
