--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -99,6 +99,7 @@
         self.services = [standin.Service('p-1'), standin.Service('p-2')]
         self._exits = contextlib.AsyncExitStack()
         self.programs = []
+        self._listeners = {}
 
     async def __aenter__(self):
         store_address = await self._serve('store', self.store, '127.0.0.1')
@@ -174,8 +175,17 @@
         )
         await runner.setup()
         self._exits.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, ip, 0).start()
-        return '{}:{}'.format(*runner.addresses[0][:2])
+        listener = _Listener(runner.server, ip)
+        self._listeners[part] = listener
+        self._exits.callback(listener.stop)
+        await listener.start()
+        part.stop_listening = listener.stop
+        return f'{ip}:{listener.port}'
+
+    async def bring_up(self, server):
+        """Have a server that crashed accept connections again."""
+        server.is_down = False
+        await self._listeners[server].start()
 
     async def _start(self, role, ip, ports, settings):
         fields = standin.fields_of(role, ip, ports, settings, self._entry_ips)
@@ -227,6 +237,26 @@
         return self.session.request(method, url, data=b'body', headers=sent)
 
 
+class _Listener:
+    """Listens at one port, on and off."""
+
+    def __init__(self, protocol_factory, ip):
+        self.port = 0
+        self._protocol_factory = protocol_factory
+        self._ip = ip
+        self._server = None
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._protocol_factory, self._ip, self.port, backlog=1024
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self):
+        self._server.close()
+
+
 def _free_port(ip):
     with socket.socket() as found:
         found.bind((ip, 0))
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from tests import processes
+from tests import standin_crashes
 from tests import standin_memory
 
 SERVICE = 'svc-engine'
@@ -203,6 +204,14 @@
         headers.update(self.notice_headers(request))
         return web.Response(status=503, headers=headers)
 
+    def answer_headers(self, request):
+        """Return the headers of an answer to a request that ran."""
+        return {
+            'Request-Id': request.headers['Request-Id'],
+            SIGNATURE: f'signed-by-{self.name}',
+            **self.notice_headers(request),
+        }
+
     def notice_headers(self, request):
         """Return what an answer that is written now says of the server."""
         headers = self.limit_headers()
@@ -249,11 +258,13 @@
         self.event_count = 5
         self.event_pause_s = 0.02
         self.abort_after_event = None
-        # A request with this body crashes the engine soon after it starts.
-        self.crash_body = None
-        self.crash_count = 0
+        self.crashes = standin_crashes.Crashes()
+        # Share of the requests that it answers with 500.
+        self.error_ratio = 0.0
+        self._failures = random.Random(2)
         self.is_down = False
-        self.on_crash = None
+        # Stops to accept connections; set where it is served.
+        self.stop_listening = lambda: None
         self.copies = standin_memory.RunCopies()
         self._transports = set()
 
@@ -269,14 +280,14 @@
         self.set_limit(None)
         self.limit_headers()
 
-    def crash(self):
-        """Abort all open connections; answer nothing until it is up again."""
-        self.crash_count += 1
+    def crash(self, is_in_order=False):
+        """End all open connections; accept none until it is up again."""
+        self.crashes.count += 1
         self.is_down = True
-        for transport in list(self._transports):
-            transport.abort()
-        if self.on_crash:
-            self.on_crash(self)
+        self.stop_listening()
+        standin_crashes.close_all(self._transports, is_in_order)
+        if self.crashes.on_crash:
+            self.crashes.on_crash(self)
 
     def routes(self):
         return [
@@ -384,8 +395,11 @@
                 status=421,
                 headers={'Not-Executed': '1', **self.notice_headers(request)},
             )
-        if self.crash_body is not None and body == self.crash_body:
-            asyncio.get_running_loop().call_later(0.05, self.crash)
+        if self._failures.random() < self.error_ratio:
+            headers = self.answer_headers(request)
+            return web.Response(status=500, headers=headers)
+        if self.crashes.is_deadly(request, body):
+            await self.crashes.crash_under(self, request)
             await asyncio.sleep(1.0)
         copy = request.headers.get('Kv-From')
         request_id = request.headers['Request-Id']
@@ -401,12 +415,12 @@
         self.run_log.append(_run_entry(request))
         stop = self.copies.begin(request_id)
         try:
+            if self.crashes.is_unframed:
+                return await self._stream_unframed(request)
             response = web.StreamResponse(
                 headers={
                     'Content-Type': 'text/event-stream',
-                    'Request-Id': request_id,
-                    SIGNATURE: f'signed-by-{self.name}',
-                    **self.notice_headers(request),
+                    **self.answer_headers(request),
                 }
             )
             await response.prepare(request)
@@ -433,6 +447,16 @@
             self.runs.remove(request_id)
             self.events_by_run.pop(request_id, None)
 
+    async def _stream_unframed(self, request):
+        standin_crashes.begin_unframed(self, request)
+        first = int(request.headers.get('Last-Event-Id', 0)) + 1
+        for number in range(first, self.event_count + 1):
+            request.transport.write(standin_crashes.event(number))
+            self.events_by_run[request.headers['Request-Id']] = number
+            await asyncio.sleep(self.event_pause_s)
+        request.transport.close()
+        return web.Response()
+
 
 class Service(AnnouncingServer):
     """A plain service that records the requests that it runs."""
@@ -449,9 +473,34 @@
         self.sent_before_break = b''
         self.error_ratio = 0.0
         self._failures = random.Random(2)
+        self.crashes = standin_crashes.Crashes()
+        self.is_down = False
+        self.stop_listening = lambda: None
+        self._transports = set()
 
     def routes(self):
-        return [web.route('*', '/{path:.*}', self._run)]
+        return [web.route('*', '/{path:.*}', self._tracked)]
+
+    def crash(self, is_in_order=False):
+        """End all open connections; accept none until it is up again."""
+        self.crashes.count += 1
+        self.is_down = True
+        self.stop_listening()
+        standin_crashes.close_all(self._transports, is_in_order)
+        if self.crashes.on_crash:
+            self.crashes.on_crash(self)
+
+    async def _tracked(self, request):
+        transport = request.transport
+        if transport is None or self.is_down:
+            if transport is not None:
+                transport.abort()
+            return web.Response()
+        self._transports.add(transport)
+        try:
+            return await self._run(request)
+        finally:
+            self._transports.discard(transport)
 
     def restart(self, name):
         """Restart as another incarnation."""
@@ -482,6 +531,9 @@
             self.aborts_left -= 1
             request.transport.abort()
             return web.Response()
+        if self.crashes.is_deadly(request, body):
+            await self.crashes.crash_under(self, request)
+            return web.Response()
         await asyncio.sleep(self.delay_s)
         if self._failures.random() < self.broken_ratio:
             request.transport.write(self.sent_before_break)
@@ -491,11 +543,7 @@
         return web.Response(
             status=500 if is_failed else 200,
             body=b'ran ' + body,
-            headers={
-                'Request-Id': request.headers['Request-Id'],
-                SIGNATURE: f'signed-by-{self.name}',
-                **self.notice_headers(request),
-            },
+            headers=self.answer_headers(request),
         )
 
 
