An answer without an end is whole only if its server still runs

What callers saw: streams that a crash had cut were ended as whole ones, and a request that crashes engines was sent to engine after engine.

Cause: an answer with neither a length nor chunks ends with its connection. A crash that closes the connection in order, before the first event or between two, looked the same. The entry finished the stream, and 'answered' made all crashes of the request void. Class: what proves a request innocent.

Why it works: the client asks whether the start that answered still runs, before it says that such an answer has ended: the sidecar polls its engine; for plain servers, and where the sidecar is silent, a connection tells. If it has ended, or nothing tells, the answer is lost, and the request counts as one under which the server crashed. One place for streams, whole answers and runs that move. A stream without an event is never whole.

Ways weighed: the count of expected tokens (an event holds several, and the count is a maximum); to send a resumable stream on each time (two runs for each calm answer); to hold back the last event (late for all). Cost for a calm caller: one message to the sidecar and a poll, only where an answer marks no end.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -195,6 +195,22 @@
         ...
 
 
+class EndCheck(Protocol):
+    """Checks answers that end with their connection."""
+
+    async def confirm(
+        self, server: backend_list.BackendServer, request_id: str
+    ) -> None:
+        """Confirm that the answer to a request has ended by itself.
+
+        Raises
+        ------
+        AnswerLostError
+            It may have been interrupted.
+        """
+        ...
+
+
 class Delivery(Protocol):
     """Sends one answer to its caller."""
 
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -27,6 +27,7 @@
 _MIN_DEADLINE_MS = 1
 _MAX_PRIORITY = 9
 _STATUS_OTHER_INCARNATION = 421
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
 log = structlog.get_logger(__name__)
@@ -51,6 +52,8 @@
         Learns what servers say about themselves.
     gate
         Stops requests to servers that must get none now.
+    end_check
+        Checks answers that end with their connection.
 
     Attributes
     ----------
@@ -64,9 +67,11 @@
         pool: session_pool.SessionPool,
         observer: backend_call.AnswerObserver,
         gate: backend_call.SendGate,
+        end_check: backend_call.EndCheck,
         clock: clock_module.Clock,
     ) -> None:
         self._gate = gate
+        self._end_check = end_check
         self._single_use = single_use
         self._pool = pool
         self._observer = observer
@@ -88,7 +93,7 @@
                 yield backend_call.BackendAnswer(
                     status=response.status,
                     headers=_end_to_end_headers(response),
-                    chunks=_chunks(response),
+                    chunks=self._chunks(call, response),
                     is_framed=_is_framed(response),
                 )
             finally:
@@ -150,6 +155,26 @@
         finally:
             self._record_sendings(call, trace.sending_count)
 
+    async def _chunks(
+        self, call: backend_call.BackendCall, response: aiohttp.ClientResponse
+    ) -> AsyncIterator[bytes]:
+        connection = response.connection
+        protocol = connection.protocol if connection else None
+        try:
+            async for chunk in response.content.iter_any():
+                yield chunk
+        except (aiohttp.ClientError, OSError) as broken:
+            raise backend_call.AnswerLostError(_reason(broken)) from broken
+        if _is_framed(response):
+            return
+        # A response without a length ends when its connection is closed.
+        # aiohttp treats a reset as such an end, so that a caller would take
+        # a truncated response for a complete one.
+        error = None if protocol is None else protocol.exception()
+        if isinstance(error, OSError):
+            raise backend_call.AnswerLostError('reset before the end')
+        await self._end_check.confirm(call.server, call.request.request_id)
+
     def _record_sendings(
         self, call: backend_call.BackendCall, count: int
     ) -> None:
@@ -167,6 +192,7 @@
     exits: contextlib.AsyncExitStack,
     observer: backend_call.AnswerObserver,
     gate: backend_call.SendGate,
+    end_check: backend_call.EndCheck,
     clock: clock_module.Clock,
 ) -> HttpBackendClient:
     """Return a client whose connections are closed by `exits`."""
@@ -174,7 +200,9 @@
     exits.push_async_callback(single_use.close)
     pool = session_pool.SessionPool(_new_persistent_session)
     exits.push_async_callback(pool.close)
-    return HttpBackendClient(single_use, pool, observer, gate, clock)
+    return HttpBackendClient(
+        single_use, pool, observer, gate, end_check, clock
+    )
 
 
 def _new_persistent_session() -> aiohttp.ClientSession:
@@ -287,23 +315,9 @@
     )
 
 
-async def _chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    connection = response.connection
-    protocol = connection.protocol if connection else None
-    try:
-        async for chunk in response.content.iter_any():
-            yield chunk
-    except (aiohttp.ClientError, OSError) as error:
-        raise backend_call.AnswerLostError(_reason(error)) from error
-    if _is_framed(response) or protocol is None:
-        return
-    # A response without a length ends when its connection is closed.
-    # aiohttp treats a reset as such an end, so that a caller would take a
-    # truncated response for a complete one.
-    if isinstance(protocol.exception(), OSError):
-        raise backend_call.AnswerLostError('reset before the end')
-
-
 def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Whether a response marks the end of its body, or can have none."""
+    if response.method == 'HEAD' or response.status in _STATUSES_WITHOUT_BODY:
+        return True
     headers = response.headers
     return 'Content-Length' in headers or 'Transfer-Encoding' in headers
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 import structlog
 
+from lacewingpitch import answer_end
 from lacewingpitch import authentication
 from lacewingpitch import backend_call
 from lacewingpitch import backend_list
@@ -36,6 +37,7 @@
 from lacewingpitch import run_mover
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
+from lacewingpitch import server_state
 from lacewingpitch import service_admission
 from lacewingpitch import service_balancer
 from lacewingpitch import service_budgets
@@ -257,8 +259,18 @@
             self._new_room_search(),
         )
         process.background.run('turns', turns.run)
+        end_check = answer_end.AnswerEnd(
+            self._peers,
+            self._has_sidecar,
+            server_state.probe,
+            self._suspects.detector,
+        )
         client = backend_client.new_client(
-            process.exits, self._notices, self._gate, process.clock
+            process.exits,
+            self._notices,
+            self._gate,
+            end_check,
+            process.clock,
         )
         entry_metrics.register_sendings(process.metrics, client, self._budgets)
         if parts_module.Part.MOVING_RUNS in settings.parts:
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -333,6 +333,8 @@
                 await delivery.write(events)
         if not splitter.is_at_event_end:
             raise backend_call.AnswerLostError('the last event is incomplete')
+        if not answer.is_framed and not _has_begun(call, history):
+            raise backend_call.AnswerLostError('the stream has no event')
         if not delivery.has_begun:
             await delivery.begin(history.first_answer)
         history.status = history.first_answer.status
@@ -463,6 +465,13 @@
         self.body = body
 
 
+def _has_begun(
+    call: backend_call.BackendCall, history: request_history.RequestHistory
+) -> bool:
+    """Whether the current attempt has brought an event, or needs none."""
+    return bool(history.run_began_at_s or call.last_event_id)
+
+
 def _check_status(
     answer: backend_call.BackendAnswer,
     body: bytes,
--- a/lacewingpitch/turn_end_reporter.py
+++ b/lacewingpitch/turn_end_reporter.py
@@ -10,6 +10,7 @@
 from lacewingpitch import backend_list
 from lacewingpitch import crash_detector
 from lacewingpitch import errors
+from lacewingpitch import server_state
 from lacewingpitch import turn_messages
 
 # Ends of turns are batched: fewer messages, while a turn stays occupied
@@ -110,19 +111,23 @@
                 error=str(error),
             )
             return
-        if not reply.is_known:
-            return
         for server in batch.servers.values():
-            if _is_running(server, reply):
+            state = state_of(server, reply)
+            if state is server_state.ServerState.RUNNING:
                 self._detector.record_running(server)
-            else:
+            elif state is server_state.ServerState.ENDED:
                 self._detector.record_exit(server)
 
 
-def _is_running(
+def state_of(
     server: backend_list.BackendServer, reply: turn_messages.TurnEndsReply
-) -> bool:
+) -> server_state.ServerState:
+    """Return what the reply of its sidecar says about a start of an engine."""
+    if not reply.is_known:
+        return server_state.ServerState.UNKNOWN
     if not reply.is_running or reply.backend_server != server.name:
-        return False
+        return server_state.ServerState.ENDED
     starts_ms = {reply.started_at_ms, server.started_at_ms}
-    return len(starts_ms) == 1 or 0 in starts_ms
+    if len(starts_ms) == 1 or 0 in starts_ms:
+        return server_state.ServerState.RUNNING
+    return server_state.ServerState.ENDED
--- a/tests/standin_crashes.py
+++ b/tests/standin_crashes.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 import random
+import socket
+import struct
 
 CRASH_AFTER_S = 0.05
 PARTS = 'Prompt-Prefix'
@@ -100,4 +102,14 @@
         if is_in_order:
             transport.close()
         else:
+            reset_on_close(transport)
             transport.abort()
+
+
+def reset_on_close(transport):
+    """Have a connection end by a reset once it is closed."""
+    found = transport.get_extra_info('socket')
+    if found is not None:
+        found.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
--- /dev/null
+++ b/tests/test_answer_end.py
@@ -0,0 +1,116 @@
+"""Ends of answers that mark no end, in virtual time."""
+
+import random
+
+import pytest
+
+from benchmarks import virtual_time
+from lacewingpitch import answer_end
+from lacewingpitch import backend_call
+from lacewingpitch import backend_list
+from lacewingpitch import crash_detector
+from lacewingpitch import crash_record
+from lacewingpitch import errors
+from lacewingpitch import server_state
+from lacewingpitch import turn_messages
+from tests import clocks
+
+State = server_state.ServerState
+SERVER = backend_list.BackendServer(
+    'i-1', 's', '10.0.0.1', 80, 'z', started_at_ms=5
+)
+RUNNING = turn_messages.TurnEndsReply(
+    is_known=True, is_running=True, backend_server='i-1', started_at_ms=5
+)
+UNKNOWN = turn_messages.TurnEndsReply()
+
+
+class Scene:
+    """An answer that has ended, and what is known of its server."""
+
+    def __init__(self, reply=RUNNING, probed=State.UNKNOWN, has_sidecar=True):
+        clock = clocks.ManualClock()
+        self.record = crash_record.CrashRecord(clock, random.Random(1))
+        self.detector = crash_detector.CrashDetector(self.record, clock)
+        self.asked = []
+        self.probed = []
+        self._reply = reply
+        self._found = probed
+        self.end = answer_end.AnswerEnd(
+            self, lambda _service: has_sidecar, self._probe, self.detector
+        )
+
+    async def end_turns(self, ip, message, _timeout_s):
+        self.asked.append((ip, message))
+        if isinstance(self._reply, Exception):
+            raise self._reply
+        return self._reply
+
+    async def _probe(self, ip, port):
+        self.probed.append((ip, port))
+        return self._found
+
+    def confirm(self):
+        """Return whether the answer is taken for a whole one."""
+
+        async def main():
+            await self.end.confirm(SERVER, 'r-1')
+
+        try:
+            virtual_time.run(main())
+        except backend_call.AnswerLostError:
+            return False
+        return True
+
+
+def changed(**fields):
+    return turn_messages.TurnEndsReply(
+        **{
+            'is_known': True,
+            'is_running': True,
+            'backend_server': 'i-1',
+            'started_at_ms': 5,
+            **fields,
+        }
+    )
+
+
+class TestEngines:
+    def test_the_end_is_believed_if_the_sidecar_sees_the_same_start(self):
+        scene = Scene()
+        assert scene.confirm()
+        assert scene.probed == []
+        assert scene.asked[0][1].asks_state
+
+    @pytest.mark.parametrize(
+        'reply',
+        [
+            changed(is_running=False),
+            changed(backend_server='i-2'),
+            changed(started_at_ms=6),
+        ],
+        ids=['down', 'another', 'started again'],
+    )
+    def test_the_end_of_a_server_is_none_of_its_answer(self, reply):
+        """Guards against a part of an answer that passes for the whole."""
+        scene = Scene(reply)
+        assert not scene.confirm()
+        scene.detector.record_disconnect('f', SERVER)
+        assert scene.record.crashed_servers('f') == (SERVER.start_id,)
+
+    @pytest.mark.parametrize('reply', [UNKNOWN, errors.NoReplyError('silent')])
+    @pytest.mark.parametrize('state', list(State))
+    def test_a_connection_tells_where_the_sidecar_does_not(self, reply, state):
+        scene = Scene(reply, probed=state)
+        assert scene.confirm() is (state is State.RUNNING)
+        assert scene.probed == [('10.0.0.1', 80)]
+
+
+class TestPlainServers:
+    @pytest.mark.parametrize('state', list(State))
+    def test_a_connection_tells_whether_the_server_runs(self, state):
+        """Guards against an answer that nothing shows to be whole."""
+        scene = Scene(probed=state, has_sidecar=False)
+        assert scene.confirm() is (state is State.RUNNING)
+        assert scene.asked == []
+        assert scene.end.interrupted_count == (state is not State.RUNNING)
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -16,6 +16,7 @@
 from lacewingpitch import routing
 from lacewingpitch import run_memory
 from lacewingpitch import server_notice
+from tests import standin_crashes
 
 BODY = b'whole'
 
@@ -50,6 +51,19 @@
             raise backend_call.WithheldError('closed')
 
 
+class EndCheck:
+    """Confirms that answers have ended by themselves, unless it is told."""
+
+    def __init__(self):
+        self.checked = []
+        self.has_server_ended = False
+
+    async def confirm(self, server, request_id):
+        self.checked.append((server.name, request_id))
+        if self.has_server_ended:
+            raise backend_call.AnswerLostError('the server has ended')
+
+
 class Server:
     """Answers each request with a scripted response; counts connections."""
 
@@ -113,9 +127,14 @@
         async with contextlib.AsyncExitStack() as exits:
             server.observer = Observer()
             server.gate = Gate()
+            server.end_check = EndCheck()
             server.listening = listening
             client = backend_client.new_client(
-                exits, server.observer, server.gate, clock.SystemClock()
+                exits,
+                server.observer,
+                server.gate,
+                server.end_check,
+                clock.SystemClock(),
             )
 
             async def send(request_id, **fields):
@@ -484,3 +503,65 @@
         ]
         assert dict(added)['Kv-From'] == '127.0.0.2:81/h-1'
         assert 'Kv-From' not in dict(before)
+
+
+def unframed(request_id, status='200 OK', body=BODY):
+    """Return an answer with neither a length nor chunks."""
+    head = f'HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n\r\n'
+    return head.encode() + body
+
+
+class TestUnframedAnswers:
+    """Answers that end with their connection."""
+
+    async def send_unframed(self, server, send, is_reset=False, **fields):
+        server.scripts = [lambda name: unframed(name, **fields)]
+        sending = asyncio.create_task(send('one'))
+        while not server.writers:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        transport = server.writers[-1].transport
+        if is_reset:
+            standin_crashes.reset_on_close(transport)
+        transport.close()
+        return await sending
+
+    def test_the_end_is_confirmed(self):
+        async def scenario(server, send):
+            assert await self.send_unframed(server, send) == BODY
+            assert server.end_check.checked == [('i-1', 'one')]
+
+        play(scenario)
+
+    def test_an_answer_whose_server_has_ended_is_lost(self):
+        """Guards against a part of an answer that passes for the whole."""
+
+        async def scenario(server, send):
+            server.end_check.has_server_ended = True
+            with pytest.raises(backend_call.AnswerLostError):
+                await self.send_unframed(server, send)
+
+        play(scenario)
+
+    def test_a_connection_that_is_reset_needs_no_check(self):
+        async def scenario(server, send):
+            with pytest.raises(backend_call.AnswerLostError):
+                await self.send_unframed(server, send, is_reset=True)
+            assert server.end_check.checked == []
+
+        play(scenario)
+
+    def test_an_answer_that_marks_its_end_is_not_checked(self):
+        """Guards against a wait at each answer."""
+
+        async def scenario(server, send):
+            assert await send('one') == BODY
+            server.scripts = [
+                lambda name: unframed(name, body=b''),
+                lambda name: unframed(name, '204 No Content', b''),
+            ]
+            assert await send('two', method='HEAD') == b''
+            assert await send('three') == b''
+            assert server.end_check.checked == []
+
+        play(scenario)
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -660,6 +660,12 @@
         scene = virtual_time.run(main())
         assert scene.suspects.record.crashed_servers(self.fingerprint()) == ()
 
+    def test_a_stream_without_an_event_and_an_end_is_lost(self):
+        """Guards against a crash that passes for an empty answer."""
+        steps = {'chunks': (), 'is_framed': False}
+        found = route(**STREAM)
+        assert len(self.servers(steps, found_route=found, model='m')) == 1
+
     def test_the_answer_that_makes_crashes_void_is_logged(self):
         async def main():
             scene = Scene({'is_framed': False})
