A failure, a rejection or an empty rest is no proof that a request ran

What callers saw: a request that crashes engines was sent on after three crashes where engines also failed. Cause: an answer of 500 made all crashes of the request void though it never began to run; so did any status below 500 and the empty rest of a resumed stream. Crashes are void now only by a success that shows a run: a whole answer, or a stream with an event. A calm caller meets no difference: whoever was there by chance is cleared by the next answer, as before.

--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -282,7 +282,8 @@
         finally:
             self._ejector.record_end(name)
         self._ejector.record_success(name)
-        self._record_answered(request, turn, history)
+        if history.shows_run(request):
+            self._record_answered(request, turn, history)
         self._plain_servers.record_answer(
             turn.server, self._clock.monotonic_s() - started_s
         )
@@ -390,10 +391,6 @@
         if isinstance(error, backend_call.NotSentError):
             if error.is_refused:
                 self._suspects.detector.record_exit(turn.server)
-        elif isinstance(error, _FailedAnswerError):
-            history.status = error.answer.status
-            history.is_framed = error.answer.is_framed
-            self._record_answered(request, turn, history)
         elif backend_call.is_disconnect(error) and history.is_run_starting(
             self._clock.monotonic_s()
         ):
@@ -407,7 +404,7 @@
         turn: turn_spec.Turn,
         history: request_history.RequestHistory,
     ) -> None:
-        """Record that a backend server has answered a request."""
+        """Record that a backend server has run a request."""
         self._suspects.record.record_answer(
             request.fingerprint,
             {
--- a/lacewingpitch/request_history.py
+++ b/lacewingpitch/request_history.py
@@ -12,6 +12,7 @@
 # A request that crashes a backend server does so as it begins to run, which
 # may be shortly after its first event.
 _RUN_START_S = 0.5
+_SUCCESSES = range(200, 300)
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +79,16 @@
             return True
         return now_s - self.run_began_at_s < _RUN_START_S
 
+    def shows_run(self, request: backend_call.CallerRequest) -> bool:
+        """Whether the answer of the last attempt shows that it ran.
+
+        A failure or a rejection may come before the run, and the rest of a
+        resumed stream may be empty.
+        """
+        if self.status not in _SUCCESSES:
+            return False
+        return not request.route.is_stream or self.run_began_at_s > 0.0
+
     def start_by_s(self, request: backend_call.CallerRequest) -> float:
         """Return the latest useful time for a turn to be granted.
 
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -660,6 +660,28 @@
         scene = virtual_time.run(main())
         assert scene.suspects.record.crashed_servers(self.fingerprint()) == ()
 
+    @pytest.mark.parametrize(
+        ('steps', 'found_route', 'fields'),
+        [
+            ([{'status': 500}, {'status': 500}], SAFE, {}),
+            ([{'status': 404}], SAFE, {}),
+            ([{'chunks': ()}], route(**STREAM), {'last_event_id': 3}),
+        ],
+        ids=['failure', 'rejection', 'end of a resumed stream'],
+    )
+    def test_an_answer_that_shows_no_run_leaves_crashes(
+        self, steps, found_route, fields
+    ):
+        """Guards against taking what did not run for innocent."""
+
+        async def main():
+            scene = Scene(*steps)
+            self.record(scene, 2)
+            await scene.forward(found_route, **fields)
+            return scene.suspects.record.crashed_servers(self.fingerprint())
+
+        assert len(virtual_time.run(main())) == 2
+
     def test_a_stream_without_an_event_and_an_end_is_lost(self):
         """Guards against a crash that passes for an empty answer."""
         steps = {'chunks': (), 'is_framed': False}
