The last check before a request is sent knows what crashes servers

What callers saw: a request that crashes servers could still be sent after its third crash was known, with a turn that its sidecar had not granted, or where a connection took its time after the turn. Cause: each path looked at the crashes as it chose a server, and the gate just before the first byte looked at servers alone. Now the gate looks at both, for first attempts, later ones, turns without consent and runs that move; a withheld request goes through the choice again and gets its final refusal there.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -98,6 +98,8 @@
         Monotonic time from which the backend server may stop working on it.
     memory
         Copied memory from which the run continues; ``None`` for a new run.
+    is_isolated
+        Whether it runs as the only suspect on its server.
     """
 
     request: CallerRequest
@@ -106,6 +108,7 @@
     last_event_id: int
     deadline_at_s: float
     memory: run_memory.MemoryHandle | None = None
+    is_isolated: bool = False
 
     @property
     def may_share_connection(self) -> bool:
@@ -184,7 +187,7 @@
 class SendGate(Protocol):
     """Stops requests to servers that must get none now."""
 
-    def admit(self, server: backend_list.BackendServer) -> None:
+    def admit(self, call: BackendCall) -> None:
         """Admit a request that is about to be sent.
 
         Raises
--- a/lacewingpitch/plain_server_selector.py
+++ b/lacewingpitch/plain_server_selector.py
@@ -20,6 +20,7 @@
 from lacewingpitch import server_limits
 from lacewingpitch import service_admission
 from lacewingpitch import service_balancer
+from lacewingpitch import turn_spec
 
 _NO_SERVER_RETRY_AFTER_S = 0.5
 _SUSPECT_RETRY_AFTER_S = 0.5
@@ -68,7 +69,7 @@
         services: Sequence[str],
         excluded: Collection[str],
         target_s: float = math.inf,
-    ) -> AsyncIterator[backend_list.BackendServer]:
+    ) -> AsyncIterator[turn_spec.Turn]:
         """Select a server, and count the request while the context is open.
 
         Parameters
@@ -96,7 +97,7 @@
                 services, excluded, is_isolated, target_s
             )
             stack.enter_context(self._balancer.track_request(server))
-            yield server
+            yield turn_spec.Turn(server, 0, is_isolated)
 
     def record_answer(
         self, server: backend_list.BackendServer, latency_s: float
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -129,7 +129,7 @@
         url = yarl.URL(
             f'http://{server.ip}:{server.port}{request.target}', encoded=True
         )
-        trace = single_sending.SendingTrace(lambda: self._gate.admit(server))
+        trace = single_sending.SendingTrace(lambda: self._gate.admit(call))
         try:
             return await session.request(
                 request.method,
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -33,6 +33,7 @@
 from lacewingpitch.platform import store_updates
 from lacewingpitch.platform import wire
 from lacewingpitch import request_forwarder
+from lacewingpitch import request_gate
 from lacewingpitch import room_search
 from lacewingpitch import run_mover
 from lacewingpitch import server_gate
@@ -268,7 +269,7 @@
         client = backend_client.new_client(
             process.exits,
             self._notices,
-            self._gate,
+            request_gate.RequestGate(self._gate, self._suspects.record),
             end_check,
             process.clock,
         )
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -228,8 +228,8 @@
                 services,
                 history.servers,
                 request.route.target_latency_s,
-            ) as server:
-                yield turn_spec.Turn(server, 0)
+            ) as turn:
+                yield turn
             return
         started_s = self._clock.monotonic_s()
         version = self._versions.required_version(
@@ -260,6 +260,7 @@
             adapter_version=turn.version,
             last_event_id=history.splitter.last_id,
             deadline_at_s=request.deadline_at_s,
+            is_isolated=turn.is_isolated,
         )
         started_s = self._clock.monotonic_s()
         may_have_run_before = history.may_have_run
--- a/lacewingpitch/turn_exchange.py
+++ b/lacewingpitch/turn_exchange.py
@@ -171,7 +171,7 @@
             raise self._suspect_error(spec)
         self._check_open(spec, granting)
         if not reply.is_pending:
-            turn = turn_spec.Turn(granting, reply.version)
+            turn = turn_spec.Turn(granting, reply.version, terms.is_isolated)
             self._check_listed(spec, server, turn)
             return turn
         if remaining_s <= wait_s:
--- a/lacewingpitch/turn_spec.py
+++ b/lacewingpitch/turn_spec.py
@@ -77,7 +77,10 @@
     ----------
     version
         Version of the adapter that the engine holds; 0 if unknown.
+    is_isolated
+        Whether the request is the only suspect on its server.
     """
 
     server: backend_list.BackendServer
     version: int
+    is_isolated: bool = False
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -135,8 +135,8 @@
     async def chosen(self, selector, count=20):
         found = set()
         for _ in range(count):
-            async with selector.select('f', ('lookup',), ()) as server:
-                found.add(server.name)
+            async with selector.select('f', ('lookup',), ()) as turn:
+                found.add(turn.server.name)
         return found
 
     async def test_a_closed_server_moves_no_suspect_to_another(
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -46,7 +46,7 @@
     def __init__(self):
         self.is_closed = False
 
-    def admit(self, server):
+    def admit(self, call):
         if self.is_closed:
             raise backend_call.WithheldError('closed')
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -401,8 +401,8 @@
 
         async def choose(selector):
             try:
-                async with selector.select('f', ('lookup',), ()) as server:
-                    return server.name
+                async with selector.select('f', ('lookup',), ()) as turn:
+                    return turn.server.name
             except errors.RefusalError as error:
                 return error
 
--- a/tests/test_service_admission.py
+++ b/tests/test_service_admission.py
@@ -144,8 +144,8 @@
     async def overload(self, selector, name):
         others = set('abc') - {name}
         await self.admitted_count(selector)
-        async with selector.select('f', ('lookup',), others) as server:
-            pass
+        async with selector.select('f', ('lookup',), others) as turn:
+            server = turn.server
         for _ in range(20):
             selector.record_answer(server, 0.8)
             selector.record_full(server)
