Crashes spread without turns, and an entry that starts hears of them first

What callers saw: a request that crashes plain servers was sent on and on where entries start again, also long after its third crash. Cause: news of crashes rode on requests for turns alone, which plain services do not need, and an entry that starts knew of no crash before it sent. Class: a limit over all entries that each process keeps by what it has heard.

Why it works: entries exchange crashes with a few sidecars at intervals, at each change and before the first request.

--- a/lacewingpitch/control_client.py
+++ b/lacewingpitch/control_client.py
@@ -5,6 +5,7 @@
 from lacewingpitch import peer_bootstrap
 from lacewingpitch import server_permits
 from lacewingpitch import settings
+from lacewingpitch import suspect_exchange
 from lacewingpitch import turn_messages
 from lacewingpitch import usage_lease
 
@@ -95,6 +96,17 @@
             message, usage_lease.UsageReply, timeout_s
         )
 
+    async def exchange_crashes(
+        self,
+        ip: str,
+        message: suspect_exchange.CrashNews,
+        timeout_s: float,
+    ) -> suspect_exchange.CrashNews:
+        """Exchange crash records with a sidecar."""
+        return await self._sidecar(ip).ask(
+            message, suspect_exchange.CrashNews, timeout_s
+        )
+
     async def request_state(
         self,
         entry: settings.Address,
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -47,6 +47,7 @@
 from lacewingpitch import single_sending
 from lacewingpitch import stall_costs as stall_costs_module
 from lacewingpitch import startup_grace
+from lacewingpitch import suspect_sync
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import turn_client
 from lacewingpitch import usage_limits
@@ -135,6 +136,15 @@
         self._gate = server_gate.ServerGate(
             self.servers, self._process.clock, self._process.random
         )
+        self._sync = suspect_sync.SuspectSync(
+            self._suspects,
+            owners.owner,
+            self._peers.exchange_crashes,
+            lambda: self._budgets.entry_count,
+            lambda: self.servers.is_known,
+            self._process.clock,
+            self._process.random,
+        )
         self._limits = server_limits.ServerLimits(
             file.settings.instance,
             self._peers,
@@ -200,6 +210,7 @@
         self._process.background.run('silence', self.frontend.close_silent)
         self._forwarder = await self._new_forwarder(exchange)
         store = await self._watch_store(exchange)
+        self._process.background.run('crashes', self._sync.run)
         self._add_metrics(self._forwarder, store)
         await self._start_peer_bootstrap(exchange, store)
         await exits.enter_async_context(
@@ -290,6 +301,7 @@
             self._gate,
             self._service_admission(),
             self._mover,
+            self._sync.wait_until_informed,
         )
 
     def _new_stall_costs(self) -> stall_costs_module.StallCosts | None:
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -20,6 +20,7 @@
 from lacewingpitch.platform import wire
 from lacewingpitch import server_permits
 from lacewingpitch import single_sending
+from lacewingpitch import suspect_exchange
 from lacewingpitch import turn_messages
 from lacewingpitch import usage_lease
 
@@ -69,6 +70,11 @@
                 self._process.metrics, settings.ip, settings.metrics_port
             )
         )
+        crashes = crash_record.CrashRecord(
+            self._process.clock,
+            self._process.random,
+            lambda: self._file.settings.released_fingerprints,
+        )
         controller = engine_controller.EngineController(
             engine,
             self._process.table,
@@ -76,11 +82,7 @@
             settings.service,
             self._process.clock,
             self._process.metrics,
-            crash_record.CrashRecord(
-                self._process.clock,
-                self._process.random,
-                lambda: self._file.settings.released_fingerprints,
-            ),
+            crashes,
             self._pace_watch(),
             parts=settings.parts,
         )
@@ -105,6 +107,10 @@
             turn_messages.ConfigurationRequest, exchange.answer
         )
         self._control.handle(turn_messages.ConfigurationOffer, exchange.accept)
+        self._control.handle(
+            suspect_exchange.CrashNews,
+            suspect_exchange.CrashNewsAnswerer(crashes).answer,
+        )
         usage_owner = usage_lease.UsageOwner(self._process.clock)
         self._control.handle(usage_lease.UsageAsk, usage_owner.grant)
         permit_owner = server_permits.PermitOwner(
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import dataclasses
 import random
@@ -63,6 +63,9 @@
         all may.
     streams
         Reads the events of streams; directly if ``None``.
+    wait_until_informed
+        Waits until this process knows the crashes that others have seen;
+        it knows them always if ``None``.
     """
 
     def __init__(
@@ -80,7 +83,9 @@
         gate: server_gate.ServerGate,
         admission: service_admission.ServiceAdmission | None = None,
         streams: stream_sources.StreamSource | None = None,
+        wait_until_informed: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
+        self._wait_until_informed = wait_until_informed or _is_informed
         self._streams = streams or stream_sources.DirectStreams()
         self._suspects = suspects
         self._gate = gate
@@ -222,6 +227,7 @@
 
         Requests without a model need no turn.
         """
+        await self._wait_until_informed()
         if not request.model:
             async with self._plain_servers.select(
                 request.fingerprint,
@@ -463,6 +469,10 @@
         self.body = body
 
 
+async def _is_informed() -> None:
+    """Return at once."""
+
+
 def _has_begun(
     call: backend_call.BackendCall, history: request_history.RequestHistory
 ) -> bool:
--- a/lacewingpitch/suspect_exchange.py
+++ b/lacewingpitch/suspect_exchange.py
@@ -3,11 +3,13 @@
 Changes are piggybacked on the requests for turns and their replies.  An
 entry merges the changes of each sidecar that it asks for a turn, and passes
 on those of others.  Without any crash the messages carry no extra data.
+Where no turn is requested, `suspect_sync` sends messages of its own.
 """
 
 import msgspec
 
 from lacewingpitch import crash_record
+from lacewingpitch import link
 
 _MAX_PEERS = 2048
 
@@ -30,6 +32,12 @@
     states: tuple[crash_record.SuspectState, ...] = ()
 
 
+class CrashNews(link.Message, frozen=True):
+    """Tells another process of crashes; the reply is of the same kind."""
+
+    news: SuspectNews | None = None
+
+
 class SuspectExchange:
     """The entry's side of the exchange, which sends the requests.
 
@@ -97,3 +105,21 @@
         return None
     states, revision = record.changes_since(known_revision)
     return SuspectNews(revision=revision, states=states)
+
+
+class CrashNewsAnswerer:
+    """Answers entries that exchange crashes without requesting a turn.
+
+    Parameters
+    ----------
+    record
+        Crash record of this process.
+    """
+
+    def __init__(self, record: crash_record.CrashRecord) -> None:
+        self._record = record
+
+    async def answer(self, message: CrashNews) -> CrashNews:
+        """Merge the sender's crashes, and reply with those that it lacks."""
+        self._record.merge(message.news.states if message.news else ())
+        return CrashNews(update_for_requester(self._record, message.news))
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -58,3 +58,25 @@
         await play(scene)
         assert scene.late_sends(CRASHES_OF_REQUEST) <= MOST_LATE_SENDS
         assert scene.lies() == []
+
+
+class TestCrashingRequestOfPlainService:
+    @pytest.mark.parametrize('with_models', [False, True])
+    async def test_entries_that_start_again_learn_of_crashes(
+        self, tmp_path, with_models
+    ):
+        """Guards against a start that forgets what crashes servers."""
+        async with platform_processes.Platform(
+            tmp_path, entry_count=4
+        ) as platform:
+            scene = crash_scene.CrashScene(platform, platform.services)
+            for server in platform.services:
+                server.crashes.body = crash_scene.DEADLY_BODY
+            loads = [crash_scene.same_lookup, crash_scene.other_lookup]
+            if with_models:
+                loads.append(crash_scene.other_stream)
+            await asyncio.gather(
+                crash_scene.kill_in_series(platform, LENGTH_S, 1.0),
+                *(scene.press(LENGTH_S, PAUSE_S, load) for load in loads),
+            )
+        assert scene.late_sends(CRASHES_OF_REQUEST) <= MOST_LATE_SENDS
