Parts of prompts are decoded, and named where an attempt failed

The list of parts is decoded once, in the platform folder; a malformed one counts as absent. No decision has changed.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -48,6 +48,8 @@
         none.
     organisation
         Organisation that sends it; ``None`` if callers need no API key.
+    shared_parts
+        Ids of the parts of its prompt that other requests may share.
     """
 
     request_id: str
@@ -65,6 +67,7 @@
     expected_tokens: int = 0
     last_event_id: int = 0
     organisation: organisation_module.Organisation | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def rank(self) -> int:
--- a/lacewingpitch/platform/caller_headers.py
+++ b/lacewingpitch/platform/caller_headers.py
@@ -1,5 +1,7 @@
 """Parsing of the headers of callers' requests."""
 
+import re
+
 from aiohttp import web
 
 from lacewingpitch import backend_call
@@ -8,6 +10,10 @@
 
 # Far above the length of any answer; bounds what callers may state.
 _MAX_EXPECTED_TOKENS = 1 << 20
+# As ID:TOKENS.
+_PROMPT_PART = re.compile(r' *([0-9A-Fa-f]{1,64}):([0-9]{1,15}) *')
+# Bounds what callers may state; prompts have a few.
+_MAX_PROMPT_PARTS = 64
 # Longer numbers are not valid times or counts, and slow to parse.
 _MAX_NUMBER_DIGITS = 15
 
@@ -57,6 +63,23 @@
     return _parse_count(prompt), _parse_count(answer)
 
 
+def shared_parts(request: web.BaseRequest) -> tuple[str, ...]:
+    """Return the ids of the parts of the prompt that others may share.
+
+    These are all parts but the last, which belongs to the request itself or
+    to its session.  A malformed list counts as absent.
+    """
+    listed = ','.join(request.headers.getall(names.PROMPT_PARTS, ()))
+    if not listed:
+        return ()
+    found = [_PROMPT_PART.fullmatch(part) for part in listed.split(',')]
+    if len(found) > _MAX_PROMPT_PARTS or not all(found):
+        return ()
+    ids = [match[1].lower() for match in found if match]
+    shared = (part for part in ids[:-1] if part != ids[-1])
+    return tuple(dict.fromkeys(shared))
+
+
 def _parse_count(text: str) -> int:
     text = text.strip()
     return int(text) if _is_number(text) else 0
--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -362,6 +362,7 @@
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             expected_tokens=caller_headers.expected_tokens(request),
+            shared_parts=caller_headers.shared_parts(request),
             last_event_id=last_event_id,
             organisation=caller,
         )
--- a/lacewingpitch/platform/names.py
+++ b/lacewingpitch/platform/names.py
@@ -12,6 +12,8 @@
 MODEL = 'Model'
 # Tokens of the prompt and maximum tokens of the answer, separated by a comma.
 TOKENS = 'Token-Usage'
+# Parts of the prompt in their order, as ID:TOKENS separated by commas.
+PROMPT_PARTS = 'Prompt-Prefix'
 # Tokens that the caller expects in the answer; accurate in the median.
 EXPECTED_TOKENS = 'Length-Hint'
 # The only incarnation that may run the request; any other refuses it.
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -36,6 +36,8 @@
 # would only use up the caller's time.
 _MAX_UNREACHED = 3
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Bounds the length of a log line.
+_MAX_LOGGED_PARTS = 16
 _MS_PER_S = 1000
 _SERVER_ERROR = 500
 _OK = 200
@@ -370,6 +372,7 @@
             error=type(error).__name__,
             detail=str(error),
             events=history.splitter.event_count,
+            shared_parts=request.shared_parts[:_MAX_LOGGED_PARTS],
         )
         self._record_crash(request, turn, history, error)
         refusal = attempt_refusals.refusal_of(error)
--- a/tests/test_platform_caller_headers.py
+++ b/tests/test_platform_caller_headers.py
@@ -9,7 +9,14 @@
 from lacewingpitch import errors
 from lacewingpitch.platform import caller_headers
 
-NAMES = ('Authorization', 'Tenant', 'Token-Usage', 'Length-Hint', 'Model')
+NAMES = (
+    'Authorization',
+    'Tenant',
+    'Token-Usage',
+    'Length-Hint',
+    'Model',
+    'Prompt-Prefix',
+)
 VALUES = strategies.text(
     strategies.characters(codec='latin-1', exclude_characters='\r\n\0')
 )
@@ -53,6 +60,55 @@
         assert caller_headers.tokens(sent) == (0, 0)
 
 
+class TestSharedParts:
+    @pytest.mark.parametrize(
+        ('text', 'found'),
+        [
+            ('5c1e07a2:800,91bd3f06:410,e4402b7d:250', 2),
+            ('5C1E07A2:800, 91bd3f06:410 ,e4402b7d:250', 2),
+            ('5c:1,5c:1,91:2,e4:3', 2),
+            ('5c:1,e4:2,91:2,e4:3', 2),
+            ('e4402b7d:250', 0),
+            ('', 0),
+        ],
+    )
+    def test_are_all_parts_but_the_last(self, text, found):
+        sent = request(('Prompt-Prefix', text))
+        assert (
+            caller_headers.shared_parts(sent)
+            == (
+                ('5c1e07a2', '91bd3f06')
+                if '91bd3f06' in text
+                else ('5c', '91')
+            )[:found]
+        )
+
+    @pytest.mark.parametrize(
+        'text',
+        [
+            'xyz:1,5c:2',
+            '5c,91:2',
+            '5c:1,,91:2',
+            '5c:-1,91:2',
+            '5c:1:2,91:2',
+            f'{"5" * 65}:1,91:2',
+            f'5c:{"9" * 16},91:2',
+            ','.join(f'{number:x}:1' for number in range(65)),
+        ],
+    )
+    def test_a_malformed_list_counts_as_absent(self, text):
+        """Guards against blaming what the caller did not mean."""
+        assert (
+            caller_headers.shared_parts(request(('Prompt-Prefix', text))) == ()
+        )
+
+    def test_several_headers_are_one_list(self):
+        sent = request(
+            ('Prompt-Prefix', '5c:1,91:2'), ('prompt-prefix', 'e4:3')
+        )
+        assert caller_headers.shared_parts(sent) == ('5c', '91')
+
+
 class TestAnyHeaders:
     @hypothesis.given(HEADERS)
     def test_parsing_never_fails_and_no_identity_is_forwarded(self, headers):
@@ -60,6 +116,7 @@
         caller_headers.api_key(sent)
         caller_headers.tokens(sent)
         caller_headers.expected_tokens(sent)
+        caller_headers.shared_parts(sent)
         passed = caller_headers.forwarded(
             sent, has_event_id=False, forwards_key=False
         )
