--- a/tests/crash_scene.py
+++ b/tests/crash_scene.py
@@ -15,6 +15,8 @@
 CONTACT_S = 3.0
 DOWN_S = 0.5
 WHOLE_EVENTS = 5
+# Servers crash under the request, so that a retry does not help.
+NOT_RUN_FINAL = 500
 DEADLY = 'd-'
 DEADLY_BODY = b'deadly'
 DEADLY_PART = 'dead0bad'
@@ -172,6 +174,15 @@
         ]
         return sum(found) / len(found) if found else 1.0
 
+    def refused_count(self, since_s):
+        """Return how many deadly requests got a final answer, not run."""
+        return sum(
+            answer.request_id.startswith(DEADLY)
+            and answer.sent_at_s >= since_s
+            and answer.status == NOT_RUN_FINAL
+            for answer in self.answers
+        )
+
 
 def same_stream(number):
     """Return a request that is the same each time but for its id."""
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -16,6 +16,9 @@
 # Until entries and sidecars have exchanged their crashes, the request may
 # reach further engines.
 MOST_CRASHES = 6
+CRASHES_OF_PART = 5
+CALM_S = 3.0
+SOUND_PAUSE_S = 0.08
 
 
 @pytest.fixture
@@ -80,3 +83,26 @@
                 *(scene.press(LENGTH_S, PAUSE_S, load) for load in loads),
             )
         assert scene.late_sends(CRASHES_OF_REQUEST) <= MOST_LATE_SENDS
+
+
+class TestCrashingPart:
+    async def test_requests_with_a_part_that_crashes_engines_are_stopped(
+        self, platform
+    ):
+        """Guards against one part of unlike prompts that crashes engines."""
+        scene = crash_scene.CrashScene(platform, platform.engines)
+        for engine in platform.engines:
+            engine.crashes.part = crash_scene.DEADLY_PART
+        sound_load = crash_scene.shares_parts
+        await scene.press(CALM_S, SOUND_PAUSE_S, sound_load)
+        await asyncio.gather(
+            scene.press(LENGTH_S, PAUSE_S, crash_scene.has_deadly_part),
+            scene.press(LENGTH_S, SOUND_PAUSE_S, sound_load),
+        )
+        assert scene.late_sends(CRASHES_OF_PART) <= MOST_LATE_SENDS
+        first_s, last_s = scene.crashed_at_s[0], scene.crashed_at_s[-1]
+        before = scene.served_ratio(until_s=first_s - 0.5)
+        after = scene.served_ratio(last_s + 2 * crash_scene.CONTACT_S)
+        assert after >= before / 2
+        # Some are sent after the last crash, and are answered at once.
+        assert scene.refused_count(last_s + crash_scene.CONTACT_S)
