Crashes are counted by part of prompts, and sound runs clear them

Cause: crashes were counted by a fingerprint of the whole request, so that nothing added up: 73 of 96 lines 'crash under request' were a first crash. Class: evidence kept by a key that the cause does not share.

Fix: each part of a prompt but the last is a key of the same record, with the same thresholds, messages and refusal. What runs soundly clears its parts, half a second after its first event already; what ran soundly within 30 s is not suspected; crashes under a refused key count against no other key.

Tests that changed: a refused request kept three crashes and no more; it keeps eight now, its bound, since they explain others (the bound is asserted as before). Requests under the crashes of a refused one are free, so that the test of the counts uses other servers.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	bench-server-backoff \
 	bench-server-limits \
 	bench-silence \
-	bench-store-return bench-suspects bench-usage \
+	bench-store-return bench-suspect-parts bench-suspects bench-usage \
 	deploy-check capacity capacity-platform fault-matrix \
 	fault-matrix-check regression
 
@@ -91,6 +91,9 @@
 bench-store-return: $(STAMP)
 	$(BIN)/python -m benchmarks.store_return
 
+bench-suspect-parts: $(STAMP)
+	$(BIN)/python -m benchmarks.suspect_parts
+
 bench-suspects: $(STAMP)
 	$(BIN)/python -m benchmarks.suspects
 
--- a/benchmarks/suspects.py
+++ b/benchmarks/suspects.py
@@ -11,6 +11,7 @@
 import random
 
 from benchmarks import virtual_time
+from lacewingpitch import blame
 from lacewingpitch import crash_record
 from lacewingpitch import suspect_exchange
 
@@ -28,12 +29,12 @@
 MAX_ATTEMPTS = 2
 UNREACHED_COUNT = 10**6
 STRATEGIES = {
-    'nothing': crash_record.Thresholds(UNREACHED_COUNT, UNREACHED_COUNT),
-    'refused at 1': crash_record.Thresholds(UNREACHED_COUNT, 1),
-    'refused at 2': crash_record.Thresholds(UNREACHED_COUNT, 2),
-    'refused at 3': crash_record.Thresholds(UNREACHED_COUNT, 3),
-    'isolated at 1, refused at 3': crash_record.Thresholds(1, 3),
-    'isolated at 2, refused at 3': crash_record.Thresholds(2, 3),
+    'nothing': blame.Thresholds(UNREACHED_COUNT, UNREACHED_COUNT),
+    'refused at 1': blame.Thresholds(UNREACHED_COUNT, 1),
+    'refused at 2': blame.Thresholds(UNREACHED_COUNT, 2),
+    'refused at 3': blame.Thresholds(UNREACHED_COUNT, 3),
+    'isolated at 1, refused at 3': blame.Thresholds(1, 3),
+    'isolated at 2, refused at 3': blame.Thresholds(2, 3),
 }
 
 
@@ -116,9 +117,9 @@
         """Return the outcome of a caller's request."""
         for _ in range(MAX_ATTEMPTS):
             handling = self.record.handling(fingerprint)
-            if handling is crash_record.Handling.REFUSED:
+            if handling is blame.Handling.REFUSED:
                 return 'barred'
-            is_isolated = handling is crash_record.Handling.ISOLATED
+            is_isolated = handling is blame.Handling.ISOLATED
             engine = self.simulation.choose_engine(is_isolated)
             if engine is None or not self._request_turn(
                 engine, fingerprint, is_isolated
@@ -142,9 +143,7 @@
         reply = suspect_exchange.update_for_requester(engine.record, sent)
         self.exchange.apply_reply(ip, sent, reply)
         if engine.record.handling(fingerprint) is not (
-            crash_record.Handling.ISOLATED
-            if is_isolated
-            else crash_record.Handling.FREE
+            blame.Handling.ISOLATED if is_isolated else blame.Handling.FREE
         ):
             return False
         now_s = self.simulation.now_s
@@ -173,7 +172,7 @@
         return crash_record.CrashRecord(
             virtual_time.LoopClock(),
             random.Random(self.random.random()),
-            thresholds=self.thresholds,
+            policy=blame.Policy(request=self.thresholds),
         )
 
     def choose_engine(self, is_isolated):
--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -13,6 +13,7 @@
 from lacewingpitch import routing
 from lacewingpitch import run_memory
 from lacewingpitch import server_notice
+from lacewingpitch import suspect_keys
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -86,6 +87,16 @@
             self.body,
         )
 
+    @functools.cached_property
+    def suspect_keys(self) -> tuple[str, ...]:
+        """Return the keys under which crashes of servers are counted."""
+        return (self.fingerprint, *self.part_keys)
+
+    @property
+    def part_keys(self) -> tuple[str, ...]:
+        """Return the keys of the parts of its prompt that others may share."""
+        return tuple(map(suspect_keys.part_key, self.shared_parts))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendCall:
--- a/lacewingpitch/crash_detector.py
+++ b/lacewingpitch/crash_detector.py
@@ -17,7 +17,7 @@
 class _Disconnect:
     """One connection that ended before, or soon after, its first event."""
 
-    fingerprint: str
+    keys: tuple[str, ...]
     at_s: float
 
 
@@ -47,19 +47,24 @@
         self._ended_at_s: dict[str, float] = {}
 
     def record_disconnect(
-        self, fingerprint: str, server: backend_list.BackendServer
+        self, keys: tuple[str, ...], server: backend_list.BackendServer
     ) -> None:
         """Record that a connection ended as its request began to run.
 
         It counts as a crash at once if the server has ended recently.
         Beyond `_MAX_SERVERS` servers it is ignored.
+
+        Parameters
+        ----------
+        keys
+            Keys of the request; see `suspect_keys`.
         """
         self._expire()
         if server.start_id in self._ended_at_s:
-            self._record.record_crash(fingerprint, server.start_id)
+            self._record_crash(keys, server)
             return
         if len(self._disconnects) < _MAX_SERVERS:
-            disconnect = _Disconnect(fingerprint, self._clock.boot_s())
+            disconnect = _Disconnect(keys, self._clock.boot_s())
             self._disconnects[server.start_id].append(disconnect)
 
     def has_pending(self, server: backend_list.BackendServer) -> bool:
@@ -74,12 +79,18 @@
         self._expire()
         self._ended_at_s.setdefault(server.start_id, self._clock.boot_s())
         for disconnect in self._disconnects.pop(server.start_id, ()):
-            self._record.record_crash(disconnect.fingerprint, server.start_id)
+            self._record_crash(disconnect.keys, server)
 
     def record_running(self, server: backend_list.BackendServer) -> None:
         """Record that a server is running, so that it has not crashed."""
         self._disconnects.pop(server.start_id, None)
 
+    def _record_crash(
+        self, keys: tuple[str, ...], server: backend_list.BackendServer
+    ) -> None:
+        for key in keys:
+            self._record.record_crash(key, server.start_id)
+
     def _expire(self) -> None:
         since_s = self._clock.boot_s() - _CONFIRMATION_TIMEOUT_S
         for start_id, disconnects in list(self._disconnects.items()):
--- a/lacewingpitch/crash_record.py
+++ b/lacewingpitch/crash_record.py
@@ -1,71 +1,44 @@
-"""Record of backend-server crashes by request, merged across processes."""
+"""Record of backend-server crashes by suspect, merged across processes."""
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 import dataclasses
-import enum
 import random
 import types
 
 import msgspec
 import structlog
 
+from lacewingpitch import blame
 from lacewingpitch import clock as clock_module
+from lacewingpitch import sound_runs
+from lacewingpitch import suspect_keys
 
 # A request that is repeated after a longer time may crash servers again.
 _RETENTION_S = 1800.0
 # Time for all processes to learn that the request was answered.
 _ANSWERED_RETENTION_S = 60.0
-_MAX_REQUESTS = 1024
-# Crashes of one request that are kept and sent to other processes.  Crashes
+_EXPIRY_INTERVAL_S = 1.0
+_MAX_SUSPECTS = 1024
+# Crashes of one suspect that are kept and sent to other processes.  Crashes
 # from before an answer stay for the processes that still count them.
 _MAX_CRASHES = 8
-_MAX_STATES_PER_MESSAGE = 32
+MAX_STATES_PER_MESSAGE = 32
 _EPOCH_BITS = 31
 _COUNT_BITS = 32
 _NO_EVIDENCE: Mapping[str, object] = types.MappingProxyType({})
 log = structlog.get_logger(__name__)
 
 
-class Handling(enum.Enum):
-    """How a request is scheduled, given its crashes."""
-
-    FREE = 'free'
-    # Sent to one server only, and to it one such request at a time.
-    ISOLATED = 'isolated'
-    REFUSED = 'refused'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Thresholds:
-    """Numbers of crashes from which a request is isolated or refused.
-
-    A single crash can have any cause, and interrupts every request that
-    runs on the server.  An isolated request is the only suspect on its
-    server, so that a crash there is evidence against it.
-    """
-
-    isolated_from: int = 2
-    refused_from: int = 3
-
-    def handling(self, crash_count: int) -> Handling:
-        """Return how a request with this many crashes is scheduled."""
-        if crash_count >= self.refused_from:
-            return Handling.REFUSED
-        if crash_count >= self.isolated_from:
-            return Handling.ISOLATED
-        return Handling.FREE
-
-
 class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """One crash of a backend server as a request began to run on it.
+    """One crash of a backend server as a suspect began to run on it.
 
     Parameters
     ----------
     server
         Start id of the backend server; see `backend_list.BackendServer`.
     is_void
-        Whether a backend server has answered the request since, so that
-        the crash no longer counts against it.
+        Whether a backend server has run the suspect since, so that the
+        crash no longer counts against it.
     """
 
     server: str
@@ -73,48 +46,68 @@
 
 
 class SuspectState(msgspec.Struct, frozen=True, array_like=True):
-    """All crashes that one process has recorded for one request.
+    """All crashes that one process has recorded for one suspect.
 
     Parameters
     ----------
-    fingerprint
-        Fingerprint of the request; see `request_fingerprint`.
+    key
+        Fingerprint of a request, or key of a part of prompts; see
+        `request_fingerprint` and `suspect_keys`.
     """
 
-    fingerprint: str
+    key: str
     crashes: tuple[Crash, ...]
 
 
-_THRESHOLDS = Thresholds()
+_POLICY = blame.Policy()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """How a request is scheduled, and the suspect that decides it.
+
+    Parameters
+    ----------
+    key
+        Key of the suspect; empty if the request is free.
+    """
+
+    handling: blame.Handling = blame.Handling.FREE
+    key: str = ''
 
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    """Crashes of one request by start id; the value is `True` if void."""
+    """Crashes of one suspect by start id; the value is `True` if void."""
 
     crashes: dict[str, bool] = dataclasses.field(default_factory=dict)
+    # Start ids of the crashes that are not void.
+    counted: frozenset[str] = frozenset()
     changed_at: int = 0
     used_at_s: float = 0.0
 
-    @property
-    def count(self) -> int:
-        """Return the number of crashes that are not void."""
-        return sum(not is_void for is_void in self.crashes.values())
+    def count(self) -> None:
+        """Count the crashes again after a change."""
+        self.counted = frozenset(
+            server for server, is_void in self.crashes.items() if not is_void
+        )
 
 
 class CrashRecord:
-    """Counts crashes of backend servers by the request that ran on them.
+    """Counts crashes of backend servers by what ran on them.
 
-    A suspect is a request that was beginning to run on a server when the
-    server crashed.
+    A suspect is a request, or a part of prompts, that was beginning to run
+    on a server when the server crashed.
 
     Guards against a request that crashes every server that begins to run
-    it, and that its caller sends again to any entry under a new id.
+    it, and that its caller sends again to any entry under a new id, and
+    against such a part of many different requests.
 
     A crash interrupts all requests on the server, and one of them causes
-    it.  A request that another server answers is innocent, and its crashes
-    become void.  By default, a request that was running at two crashes is
-    isolated, and at three crashes it is refused.
+    it.  What runs soundly on another server is innocent, and its crashes
+    become void; a part that ran soundly a moment ago is not suspected.  By
+    default, a request that was running at two crashes is isolated, and at
+    three crashes it is refused; see `blame`.
 
     Crashes are only added or marked void, so that merging is commutative
     and idempotent: processes may exchange records in any order, any number
@@ -125,13 +118,12 @@
     source
         Draws the number that identifies this start of the process.
     released
-        Returns fingerprints that the operator exempts from isolation and
-        refusal.
+        Returns keys that the operator exempts from isolation and refusal.
 
     Attributes
     ----------
     answered_count
-        How often an answer made crashes void in this process.
+        How often a sound run made crashes void in this process.
     """
 
     def __init__(
@@ -139,16 +131,23 @@
         clock: clock_module.Clock,
         source: random.Random,
         released: Callable[[], Collection[str]] = tuple,
-        thresholds: Thresholds = _THRESHOLDS,
+        policy: blame.Policy = _POLICY,
     ) -> None:
-        self._thresholds = thresholds
+        self._policy = policy
         self._clock = clock
         self._released = released
         self._epoch = source.getrandbits(_EPOCH_BITS) + 1
         self._change_count = 0
         self.answered_count = 0
+        self._sound_runs = sound_runs.SoundRuns(clock)
         # In the order of use; the least recently used comes first.
         self._suspects: dict[str, _Suspect] = {}
+        # Keys with several crashes that count; others are always free.
+        self._repeated: set[str] = set()
+        self._expired_at_s = clock.boot_s()
+        # What is not free, as of a number of changes.
+        self._handlings: dict[str, blame.Handling] = {}
+        self._handlings_at = 0
 
     @property
     def revision(self) -> int:
@@ -161,20 +160,31 @@
             return 0
         return (self._epoch << _COUNT_BITS) + self._change_count
 
-    def handling(self, fingerprint: str) -> Handling:
-        """Return how a request is scheduled."""
-        suspect = self._suspects.get(fingerprint)
+    def handling(self, key: str) -> blame.Handling:
+        """Return how requests with one key are scheduled."""
+        handling = self._current_handlings().get(key, blame.Handling.FREE)
+        if handling is blame.Handling.FREE or key in self._released():
+            return blame.Handling.FREE
+        suspect = self._suspects.get(key)
         if suspect is None or self._is_expired(suspect):
-            return Handling.FREE
-        handling = self._thresholds.handling(suspect.count)
-        if handling is Handling.FREE or fingerprint in self._released():
-            return Handling.FREE
-        self._touch(fingerprint, suspect)
+            return blame.Handling.FREE
+        self._touch(key, suspect)
         return handling
 
-    def crashed_servers(self, fingerprint: str) -> tuple[str, ...]:
-        """Return start ids of servers whose crash counts for a request."""
-        suspect = self._suspects.get(fingerprint)
+    def verdict(self, keys: Iterable[str]) -> Verdict:
+        """Return how a request with several keys is scheduled, and why."""
+        found = Verdict()
+        for key in keys:
+            handling = self.handling(key)
+            if handling is blame.Handling.REFUSED:
+                return Verdict(handling, key)
+            if handling is blame.Handling.ISOLATED and not found.key:
+                found = Verdict(handling, key)
+        return found
+
+    def crashed_servers(self, key: str) -> tuple[str, ...]:
+        """Return start ids of servers whose crash counts for a suspect."""
+        suspect = self._suspects.get(key)
         if suspect is None:
             return ()
         return tuple(
@@ -183,69 +193,95 @@
             if not is_void
         )
 
-    def request_count(self, handling: Handling) -> int:
-        """Return how many requests have a given handling."""
+    def suspect_count(
+        self, handling: blame.Handling, *, is_part: bool = False
+    ) -> int:
+        """Return how many requests, or parts, have a given handling."""
         return sum(
-            self._thresholds.handling(suspect.count) is handling
-            for suspect in self._suspects.values()
+            found is handling and suspect_keys.is_part(key) is is_part
+            for key, found in self._current_handlings().items()
         )
 
-    def record_crash(self, fingerprint: str, server: str) -> None:
-        """Record a crash that occurred as a request began to run.
+    def record_crash(self, key: str, server: str) -> None:
+        """Record a crash that occurred as a suspect began to run.
 
         Parameters
         ----------
         server
             Start id of the backend server that crashed.
         """
-        if self._add(fingerprint, (Crash(server, False),)):
+        if self._is_sound(key):
+            return
+        if self._add(key, (Crash(server, False),)):
             log.warning(
                 'crash under request',
-                fingerprint=fingerprint,
+                fingerprint=key,
                 backend_server=server,
-                crashes=len(self.crashed_servers(fingerprint)),
+                crashes=len(self.crashed_servers(key)),
             )
 
     def record_answer(
-        self, fingerprint: str, evidence: Mapping[str, object] = _NO_EVIDENCE
+        self, key: str, evidence: Mapping[str, object] = _NO_EVIDENCE
     ) -> None:
-        """Mark a request's crashes as void: a backend server answered it.
+        """Mark a suspect's crashes as void: a backend server has run it.
 
         Parameters
         ----------
         evidence
-            What the answer was, for the log.
+            What the run was, for the log.
         """
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or not suspect.count:
+        if suspect_keys.is_part(key):
+            self._sound_runs.record(key)
+        suspect = self._suspects.get(key)
+        if suspect is None or not suspect.counted:
             return
         self.answered_count += 1
         log.info(
             'suspect answered',
-            fingerprint=fingerprint,
-            crashes=suspect.count,
+            fingerprint=key,
+            crashes=len(suspect.counted),
             **evidence,
         )
-        self._add(
-            fingerprint,
-            [Crash(server, True) for server in suspect.crashes],
-        )
+        self._add(key, [Crash(server, True) for server in suspect.crashes])
 
     def merge(self, states: Iterable[SuspectState]) -> None:
         """Merge crashes that another process has recorded."""
-        for state in states:
-            before = self.handling(state.fingerprint)
-            if not self._add(state.fingerprint, state.crashes):
-                continue
-            after = self.handling(state.fingerprint)
-            if after is not before:
+        changed = [
+            state.key
+            for state in states
+            if self._add(state.key, self._judged(state))
+        ]
+        if not changed:
+            return
+        before = self._handlings
+        after = self._current_handlings()
+        for key in before.keys() | after.keys():
+            if before.get(key) is not after.get(key):
                 log.info(
                     'suspect handling changed',
-                    fingerprint=state.fingerprint,
-                    handling=after.value,
-                    backend_servers=self.crashed_servers(state.fingerprint),
+                    fingerprint=key,
+                    handling=after.get(key, blame.Handling.FREE).value,
+                    backend_servers=self.crashed_servers(key),
                 )
 
+    def _judged(self, state: SuspectState) -> Iterable[Crash]:
+        """Return another process's crashes, void if this one knows better."""
+        if not self._is_sound(state.key):
+            return state.crashes
+        return [Crash(crash.server, True) for crash in state.crashes]
+
+    def _is_sound(self, key: str) -> bool:
+        return suspect_keys.is_part(key) and self._sound_runs.has_recent(key)
+
+    def _current_handlings(self) -> Mapping[str, blame.Handling]:
+        if self._handlings_at != self._change_count:
+            self._handlings = blame.handlings(
+                {key: self._suspects[key].counted for key in self._repeated},
+                self._policy,
+            )
+            self._handlings_at = self._change_count
+        return self._handlings
+
     def changes_since(
         self, revision: int
     ) -> tuple[tuple[SuspectState, ...], int]:
@@ -259,13 +295,13 @@
         if revision >> _COUNT_BITS == self._epoch:
             since = revision & ((1 << _COUNT_BITS) - 1)
         changed = sorted(
-            (suspect.changed_at, fingerprint)
-            for fingerprint, suspect in self._suspects.items()
+            (suspect.changed_at, key)
+            for key, suspect in self._suspects.items()
             if suspect.changed_at > since
         )
-        if len(changed) <= _MAX_STATES_PER_MESSAGE:
+        if len(changed) <= MAX_STATES_PER_MESSAGE:
             return self._states(changed), self.revision
-        sent = changed[:_MAX_STATES_PER_MESSAGE]
+        sent = changed[:MAX_STATES_PER_MESSAGE]
         return self._states(sent), (self._epoch << _COUNT_BITS) + sent[-1][0]
 
     def _states(
@@ -273,20 +309,18 @@
     ) -> tuple[SuspectState, ...]:
         return tuple(
             SuspectState(
-                fingerprint,
+                key,
                 tuple(
                     Crash(server, is_void)
-                    for server, is_void in self._suspects[
-                        fingerprint
-                    ].crashes.items()
+                    for server, is_void in self._suspects[key].crashes.items()
                 ),
             )
-            for _, fingerprint in changed
+            for _, key in changed
         )
 
-    def _add(self, fingerprint: str, crashes: Iterable[Crash]) -> bool:
+    def _add(self, key: str, crashes: Iterable[Crash]) -> bool:
         """Add crashes, or mark them void; return whether any changed."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(key)
         if suspect is None or self._is_expired(suspect):
             suspect = _Suspect()
         has_changed = False
@@ -294,49 +328,70 @@
             known = suspect.crashes.get(crash.server)
             if known is True or known is crash.is_void:
                 continue
-            if known is None and not self._make_room(suspect, crash):
+            if known is None and not _make_room(suspect):
                 continue
             suspect.crashes[crash.server] = crash.is_void
             has_changed = True
         if has_changed:
             self._change_count += 1
             suspect.changed_at = self._change_count
-            self._touch(fingerprint, suspect)
+            suspect.count()
+            self._touch(key, suspect)
+            self._repeated.discard(key)
+            if len(suspect.counted) >= self._policy.least_count:
+                self._repeated.add(key)
             self._evict()
         return has_changed
 
-    def _touch(self, fingerprint: str, suspect: _Suspect) -> None:
+    def _touch(self, key: str, suspect: _Suspect) -> None:
         suspect.used_at_s = self._clock.boot_s()
-        self._suspects.pop(fingerprint, None)
-        self._suspects[fingerprint] = suspect
+        self._suspects.pop(key, None)
+        self._suspects[key] = suspect
 
     def _evict(self) -> None:
-        for fingerprint, suspect in list(self._suspects.items()):
-            is_full = len(self._suspects) > _MAX_REQUESTS
-            if is_full or self._is_expired(suspect):
-                del self._suspects[fingerprint]
+        """Drop what has expired, and what exceeds the bound.
+
+        Suspects that are refused go last: others may be many under crashes.
+        """
+        now_s = self._clock.boot_s()
+        if now_s - self._expired_at_s >= _EXPIRY_INTERVAL_S:
+            self._expired_at_s = now_s
+            for key, suspect in list(self._suspects.items()):
+                if self._is_expired(suspect):
+                    self._remove(key)
+        if len(self._suspects) <= _MAX_SUSPECTS:
+            return
+        refused = {
+            key
+            for key, handling in self._handlings.items()
+            if handling is blame.Handling.REFUSED
+        }
+        oldest = next((k for k in self._suspects if k not in refused), None)
+        self._remove(oldest or next(iter(self._suspects)))
+
+    def _remove(self, key: str) -> None:
+        del self._suspects[key]
+        self._repeated.discard(key)
 
     def _is_expired(self, suspect: _Suspect) -> bool:
-        retention_s = _RETENTION_S if suspect.count else _ANSWERED_RETENTION_S
+        retention_s = _ANSWERED_RETENTION_S
+        if suspect.counted:
+            retention_s = _RETENTION_S
         return self._clock.boot_s() - suspect.used_at_s > retention_s
 
-    def _make_room(self, suspect: _Suspect, crash: Crash) -> bool:
-        """Make room for a new crash; return whether it may be stored.
 
-        A crash that counts is not stored for a request that is refused
-        already.  At the limit, the oldest void crash is evicted.
-        """
-        if not crash.is_void:
-            handling = self._thresholds.handling(suspect.count)
-            if handling is Handling.REFUSED:
-                return False
-        if len(suspect.crashes) < _MAX_CRASHES:
-            return True
-        void = [s for s, is_void in suspect.crashes.items() if is_void]
-        if not void:
-            return False
-        del suspect.crashes[void[0]]
+def _make_room(suspect: _Suspect) -> bool:
+    """Make room for a new crash; return whether it may be stored.
+
+    At the limit, the oldest void crash is evicted.
+    """
+    if len(suspect.crashes) < _MAX_CRASHES:
         return True
+    void = [s for s, is_void in suspect.crashes.items() if is_void]
+    if not void:
+        return False
+    del suspect.crashes[void[0]]
+    return True
 
 
 def is_same_start(revision: int, other: int) -> bool:
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -105,8 +105,8 @@
         'the engine answered from another adapter; the answer is withheld'
     ),
     errors.ErrorKind.CRASHES_BACKEND_SERVERS: (
-        'backend servers crashed when they started to run this request; '
-        'it is not sent to any other'
+        'backend servers crashed when they started to run this request, or '
+        'others with a part of its prompt; it is not sent to any other'
     ),
     errors.ErrorKind.CALLER_GONE: 'the caller disconnected; only in logs',
     errors.ErrorKind.OUTCOME_UNKNOWN: (
--- a/lacewingpitch/isolation.py
+++ b/lacewingpitch/isolation.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable
 
 from lacewingpitch import backend_list
+from lacewingpitch import blame
 from lacewingpitch import crash_record
 from lacewingpitch import errors
 from lacewingpitch import rendezvous
+from lacewingpitch import suspect_keys
 from lacewingpitch import turn_lease
 from lacewingpitch import turn_messages
 
@@ -49,10 +51,10 @@
             All turns of the engine, both granted and queued.
         """
         handling = self._record.handling(request.fingerprint)
-        if handling is crash_record.Handling.REFUSED:
+        if handling is blame.Handling.REFUSED:
             return barred_refusal(self._record, request.fingerprint)
         if not request.is_isolated:
-            if handling is crash_record.Handling.FREE:
+            if handling is blame.Handling.FREE:
                 return None
             return isolation_refusal()
         if any(_is_on_probation(turn, now_s) for turn in turns):
@@ -91,13 +93,22 @@
 
 
 def barred_refusal(
-    record: crash_record.CrashRecord, fingerprint: str
+    record: crash_record.CrashRecord, key: str
 ) -> errors.RefusalError:
-    """Return the final refusal of a request that crashes backend servers."""
-    count = len(record.crashed_servers(fingerprint))
+    """Return the final refusal of a request that crashes backend servers.
+
+    Parameters
+    ----------
+    key
+        Key of the request, or of the part of its prompt, that is refused.
+    """
+    count = len(record.crashed_servers(key))
+    what = 'this request'
+    if suspect_keys.is_part(key):
+        what = 'requests with a part of this prompt'
     return errors.RefusalError(
         errors.ErrorKind.CRASHES_BACKEND_SERVERS,
-        f'{count} backend servers crashed as they began to run this request',
+        f'{count} backend servers crashed as they began to run {what}',
     )
 
 
--- a/lacewingpitch/plain_server_selector.py
+++ b/lacewingpitch/plain_server_selector.py
@@ -13,6 +13,7 @@
 import structlog
 
 from lacewingpitch import backend_list
+from lacewingpitch import blame
 from lacewingpitch import crash_record
 from lacewingpitch import errors
 from lacewingpitch import isolation
@@ -65,7 +66,7 @@
     @contextlib.asynccontextmanager
     async def select(
         self,
-        fingerprint: str,
+        suspect_keys: Collection[str],
         services: Sequence[str],
         excluded: Collection[str],
         target_s: float = math.inf,
@@ -74,6 +75,8 @@
 
         Parameters
         ----------
+        suspect_keys
+            Keys under which crashes count against the request.
         services
             Names of services, in order of preference.
         excluded
@@ -86,10 +89,10 @@
         RefusalError
             There is no server now; the request did not run.
         """
-        handling = self._record.handling(fingerprint)
-        if handling is crash_record.Handling.REFUSED:
-            raise isolation.barred_refusal(self._record, fingerprint)
-        is_isolated = handling is crash_record.Handling.ISOLATED
+        verdict = self._record.verdict(suspect_keys)
+        if verdict.handling is blame.Handling.REFUSED:
+            raise isolation.barred_refusal(self._record, verdict.key)
+        is_isolated = verdict.handling is blame.Handling.ISOLATED
         with contextlib.ExitStack() as stack:
             if is_isolated:
                 stack.enter_context(self._isolated_run())
--- a/lacewingpitch/platform/entry_metrics.py
+++ b/lacewingpitch/platform/entry_metrics.py
@@ -1,8 +1,8 @@
 """Metrics of an entry."""
 
 from lacewingpitch import backend_list
+from lacewingpitch import blame
 from lacewingpitch import configuration_age
-from lacewingpitch import crash_record
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import notice_router
 from lacewingpitch import placement as placement_module
@@ -84,16 +84,26 @@
     metrics.gauge(
         'requests_isolated',
         'Requests that run isolated, as servers crashed under them.',
-        lambda: record.request_count(crash_record.Handling.ISOLATED),
+        lambda: record.suspect_count(blame.Handling.ISOLATED),
     )
     metrics.gauge(
         'requests_barred',
         'Requests that are refused, as servers crashed under them.',
-        lambda: record.request_count(crash_record.Handling.REFUSED),
+        lambda: record.suspect_count(blame.Handling.REFUSED),
+    )
+    metrics.gauge(
+        'prompt_parts_isolated',
+        'Parts of prompts whose requests run isolated.',
+        lambda: record.suspect_count(blame.Handling.ISOLATED, is_part=True),
+    )
+    metrics.gauge(
+        'prompt_parts_barred',
+        'Parts of prompts whose requests are refused.',
+        lambda: record.suspect_count(blame.Handling.REFUSED, is_part=True),
     )
     metrics.counter(
         'suspects_answered_total',
-        'Answers that made the crashes of a request void.',
+        'Answers that made the crashes of a request or part void.',
         lambda: record.answered_count,
     )
 
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -72,8 +72,8 @@
     retry_window_s
         Window in which retries are counted.
     released_fingerprints
-        Requests that are allowed although backend servers crashed when
-        they started to run them.
+        Keys of requests, or of parts of prompts, that are allowed although
+        backend servers crashed when they started to run them.
     parts
         Optional parts of the system that are on, as of the process's start.
     """
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -13,6 +13,7 @@
 from lacewingpitch import answer_reading
 from lacewingpitch import attempt_refusals
 from lacewingpitch import backend_call
+from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
 from lacewingpitch import ejection
 from lacewingpitch import errors
@@ -166,13 +167,14 @@
         self, request: backend_call.CallerRequest, error: errors.RefusalError
     ) -> None:
         if error.kind is errors.ErrorKind.CRASHES_BACKEND_SERVERS:
+            record = self._suspects.record
+            suspect = record.verdict(request.suspect_keys).key
             log.warning(
                 'request barred',
                 request_id=request.request_id,
                 fingerprint=request.fingerprint,
-                backend_servers=self._suspects.record.crashed_servers(
-                    request.fingerprint
-                ),
+                suspect=suspect,
+                backend_servers=record.crashed_servers(suspect),
             )
 
     async def _attempt_until_done(
@@ -232,7 +234,7 @@
         await self._wait_until_informed()
         if not request.model:
             async with self._plain_servers.select(
-                request.fingerprint,
+                request.suspect_keys,
                 services,
                 history.servers,
                 request.route.target_latency_s,
@@ -260,6 +262,7 @@
         history.servers.append(name)
         history.sent_count += 1
         history.run_began_at_s = 0.0
+        history.is_run_recorded = False
         history.charges.start_attempt()
         self._ejector.record_start(name)
         call = backend_call.BackendCall(
@@ -291,8 +294,8 @@
         finally:
             self._ejector.record_end(name)
         self._ejector.record_success(name)
-        if history.shows_run(request):
-            self._record_answered(request, turn, history)
+        if not history.is_run_recorded and history.shows_run(request):
+            self._record_run(request, turn.server, history)
         self._plain_servers.record_answer(
             turn.server, self._clock.monotonic_s() - started_s
         )
@@ -337,7 +340,13 @@
         splitter = history.splitter
         async with self._streams.open(call, answer, history) as stream:
             async for events in stream:
-                history.record_events(call.request, self._clock.monotonic_s())
+                now_s = self._clock.monotonic_s()
+                history.record_events(call.request, now_s)
+                # The server still sends, so that its start was sound.
+                if not (
+                    history.is_run_recorded or history.is_run_starting(now_s)
+                ):
+                    self._record_run(call.request, call.server, history)
                 if not delivery.has_begun:
                     await delivery.begin(history.first_answer)
                 await delivery.write(events)
@@ -405,26 +414,26 @@
             self._clock.monotonic_s()
         ):
             self._suspects.detector.record_disconnect(
-                request.fingerprint, turn.server
+                request.suspect_keys, turn.server
             )
 
-    def _record_answered(
+    def _record_run(
         self,
         request: backend_call.CallerRequest,
-        turn: turn_spec.Turn,
+        server: backend_list.BackendServer,
         history: request_history.RequestHistory,
     ) -> None:
-        """Record that a backend server has run a request."""
-        self._suspects.record.record_answer(
-            request.fingerprint,
-            {
-                'request_id': request.request_id,
-                'backend_server': turn.server.name,
-                'status': history.status,
-                'events': history.splitter.event_count,
-                'is_framed': history.is_framed,
-            },
-        )
+        """Record that a backend server has run a request without a crash."""
+        evidence = {
+            'request_id': request.request_id,
+            'backend_server': server.name,
+            'status': history.status,
+            'events': history.splitter.event_count,
+            'is_framed': history.is_framed,
+        }
+        for key in request.suspect_keys:
+            self._suspects.record.record_answer(key, evidence)
+        history.is_run_recorded = True
 
     def _should_retry(
         self,
--- a/lacewingpitch/request_gate.py
+++ b/lacewingpitch/request_gate.py
@@ -3,6 +3,7 @@
 import structlog
 
 from lacewingpitch import backend_call
+from lacewingpitch import blame
 from lacewingpitch import crash_record
 from lacewingpitch import server_gate
 
@@ -40,19 +41,20 @@
         WithheldError
             It must not be sent.
         """
-        handling = self._record.handling(call.request.fingerprint)
-        if not _may_be_sent(handling, call.is_isolated):
+        verdict = self._record.verdict(call.request.suspect_keys)
+        if not _may_be_sent(verdict.handling, call.is_isolated):
             log.info(
                 'request withheld',
                 request_id=call.request.request_id,
                 backend_server=call.server.name,
                 reason='suspect',
+                suspect=verdict.key,
             )
             raise backend_call.WithheldError('servers crash under it')
         self._servers.admit(call.server)
 
 
-def _may_be_sent(handling: crash_record.Handling, is_isolated: bool) -> bool:
-    if handling is crash_record.Handling.ISOLATED:
+def _may_be_sent(handling: blame.Handling, is_isolated: bool) -> bool:
+    if handling is blame.Handling.ISOLATED:
         return is_isolated
-    return handling is crash_record.Handling.FREE
+    return handling is blame.Handling.FREE
--- a/lacewingpitch/request_history.py
+++ b/lacewingpitch/request_history.py
@@ -41,6 +41,8 @@
         Monotonic time of the first event of the current attempt; 0 before.
     is_framed
         Whether the latest answer marks its own end.
+    is_run_recorded
+        Whether the current attempt has shown that it runs without a crash.
     """
 
     splitter: event_splitter.EventSplitter
@@ -56,6 +58,7 @@
     last_event_at_s: float = 0.0
     run_began_at_s: float = 0.0
     is_framed: bool = True
+    is_run_recorded: bool = False
     first_answer: backend_call.BackendAnswer | None = None
 
     def record_events(
--- a/lacewingpitch/suspect_sync.py
+++ b/lacewingpitch/suspect_sync.py
@@ -13,6 +13,7 @@
 import structlog
 
 from lacewingpitch import clock as clock_module
+from lacewingpitch import crash_record
 from lacewingpitch import errors
 from lacewingpitch import suspect_exchange
 from lacewingpitch import suspects as suspects_module
@@ -29,6 +30,8 @@
 # gets do not grow with the deployment.
 _ENTRIES_PER_RELAY = 2
 _MIN_RELAYS = 2
+# Messages to one relay in a row, if the changes do not fit into one.
+_MAX_MESSAGES = 8
 # Relays that are told of a new crash at once.
 _MAX_TOLD = 4
 log = structlog.get_logger(__name__)
@@ -39,6 +42,13 @@
 ]
 
 
+def _is_full(news: suspect_exchange.SuspectNews | None) -> bool:
+    """Whether a message may have had no room for all changes."""
+    if news is None:
+        return False
+    return len(news.states) >= crash_record.MAX_STATES_PER_MESSAGE
+
+
 class SuspectSync:
     """Exchanges crash records with relays, at intervals and at each change.
 
@@ -129,13 +139,16 @@
         self._told_revision = told
 
     async def _exchange_once(self, ip: str) -> None:
-        update = self._exchange.update_for(ip)
-        self.message_count += 1
-        try:
-            reply = await self._send(
-                ip, suspect_exchange.CrashNews(update), _MESSAGE_TIMEOUT_S
-            )
-        except errors.LinkError as error:
-            log.info('crashes not exchanged', ip=ip, error=str(error))
-            return
-        self._exchange.apply_reply(ip, update, reply.news)
+        for _ in range(_MAX_MESSAGES):
+            update = self._exchange.update_for(ip)
+            self.message_count += 1
+            try:
+                reply = await self._send(
+                    ip, suspect_exchange.CrashNews(update), _MESSAGE_TIMEOUT_S
+                )
+            except errors.LinkError as error:
+                log.info('crashes not exchanged', ip=ip, error=str(error))
+                return
+            self._exchange.apply_reply(ip, update, reply.news)
+            if not (_is_full(update) or _is_full(reply.news)):
+                return
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -12,8 +12,8 @@
 import structlog
 
 from lacewingpitch import backend_list
+from lacewingpitch import blame
 from lacewingpitch import clock as clock_module
-from lacewingpitch import crash_record
 from lacewingpitch import ejection
 from lacewingpitch import errors
 from lacewingpitch import isolation
@@ -139,12 +139,10 @@
     async def _acquire(
         self, spec: turn_spec.TurnSpec, excluded: Collection[str]
     ) -> tuple[turn_spec.Turn, bool]:
-        handling = self._suspects.record.handling(spec.fingerprint)
-        if handling is crash_record.Handling.REFUSED:
-            raise isolation.barred_refusal(
-                self._suspects.record, spec.fingerprint
-            )
-        if handling is crash_record.Handling.ISOLATED:
+        verdict = self._suspects.record.verdict(spec.suspect_keys)
+        if verdict.handling is blame.Handling.REFUSED:
+            raise isolation.barred_refusal(self._suspects.record, verdict.key)
+        if verdict.handling is blame.Handling.ISOLATED:
             return await self._acquire_isolated(spec, excluded), True
         replies = turn_replies.TurnReplies()
         candidates = self._candidates.ranked_candidates(spec, excluded)
@@ -218,6 +216,7 @@
             'suspect request isolated',
             request_id=spec.run_id,
             fingerprint=spec.fingerprint,
+            suspect=self._suspects.record.verdict(spec.suspect_keys).key,
             backend_server=server.name,
         )
         try:
--- a/lacewingpitch/turn_exchange.py
+++ b/lacewingpitch/turn_exchange.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 from lacewingpitch import backend_list
+from lacewingpitch import blame
 from lacewingpitch import clock as clock_module
-from lacewingpitch import crash_record
 from lacewingpitch import ejection
 from lacewingpitch import errors
 from lacewingpitch import isolation
@@ -139,8 +139,8 @@
 
     def is_suspect(self, spec: turn_spec.TurnSpec) -> bool:
         """Whether a request is suspected to crash engines."""
-        handling = self._suspects.record.handling(spec.fingerprint)
-        return handling is not crash_record.Handling.FREE
+        verdict = self._suspects.record.verdict(spec.suspect_keys)
+        return verdict.handling is not blame.Handling.FREE
 
     async def _ask(
         self,
@@ -267,9 +267,9 @@
     def _suspect_error(self, spec: turn_spec.TurnSpec) -> errors.RefusalError:
         """Return the error for a request that became suspect meanwhile."""
         record = self._suspects.record
-        handling = record.handling(spec.fingerprint)
-        if handling is crash_record.Handling.REFUSED:
-            return isolation.barred_refusal(record, spec.fingerprint)
+        verdict = record.verdict(spec.suspect_keys)
+        if verdict.handling is blame.Handling.REFUSED:
+            return isolation.barred_refusal(record, verdict.key)
         return isolation.isolation_refusal()
 
     def _gap_ms(self, spec: turn_spec.TurnSpec) -> int:
--- a/lacewingpitch/turn_spec.py
+++ b/lacewingpitch/turn_spec.py
@@ -33,6 +33,9 @@
         Fingerprint of the request; see `request_fingerprint`.
     gap_s
         Longest pause between events that the caller allows; 0 if unknown.
+    part_keys
+        Keys of the parts of its prompt that others may share; see
+        `suspect_keys`.
     """
 
     run_id: str
@@ -53,6 +56,12 @@
     weight: float = 1.0
     fingerprint: str = ''
     gap_s: float = 0.0
+    part_keys: tuple[str, ...] = ()
+
+    @property
+    def suspect_keys(self) -> tuple[str, ...]:
+        """Return the keys under which crashes count against the request."""
+        return (self.fingerprint, *self.part_keys)
 
     @property
     def key(self) -> str:
--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -95,7 +95,7 @@
         """Guards against a part of an answer that passes for the whole."""
         scene = Scene(reply)
         assert not scene.confirm()
-        scene.detector.record_disconnect('f', SERVER)
+        scene.detector.record_disconnect(('f',), SERVER)
         assert scene.record.crashed_servers('f') == (SERVER.start_id,)
 
     @pytest.mark.parametrize('reply', [UNKNOWN, errors.NoReplyError('silent')])
--- a/tests/test_crash_record.py
+++ b/tests/test_crash_record.py
@@ -7,12 +7,14 @@
 from hypothesis import strategies
 import pytest
 
+from lacewingpitch import blame
 from lacewingpitch import crash_record
+from lacewingpitch import suspect_keys
 from tests import clocks
 
-FREE = crash_record.Handling.FREE
-ISOLATED = crash_record.Handling.ISOLATED
-REFUSED = crash_record.Handling.REFUSED
+FREE = blame.Handling.FREE
+ISOLATED = blame.Handling.ISOLATED
+REFUSED = blame.Handling.REFUSED
 SERVERS = ('i-1', 'i-2', 'i-3', 'i-4')
 FINGERPRINTS = ('f', 'g')
 
@@ -69,9 +71,72 @@
     def test_counts_requests_by_handling(self):
         record = new_record()
         crashed(record, 'i-1', 'i-2', 'i-3')
-        crashed(record, 'i-1', 'i-2', fingerprint='g')
-        assert record.request_count(REFUSED) == 1
-        assert record.request_count(ISOLATED) == 1
+        crashed(record, 'i-4', 'i-5', fingerprint='g')
+        assert record.suspect_count(REFUSED) == 1
+        assert record.suspect_count(ISOLATED) == 1
+
+
+class TestParts:
+    PART = suspect_keys.part_key('5c1e')
+    SHARED = suspect_keys.part_key('aa01')
+
+    def crash(self, record, count, *keys, first=0):
+        for number in range(first, first + count):
+            for key in keys:
+                record.record_crash(key, f'i-{number}')
+
+    def test_a_part_under_three_crashes_is_refused(self):
+        """Guards against a part of unlike requests that crashes servers."""
+        record = new_record()
+        self.crash(record, 2, self.PART)
+        assert record.handling(self.PART) is ISOLATED
+        self.crash(record, 3, self.PART)
+        assert record.handling(self.PART) is REFUSED
+        verdict = record.verdict(('f', self.SHARED, self.PART))
+        assert (verdict.handling, verdict.key) == (REFUSED, self.PART)
+        assert record.suspect_count(REFUSED, is_part=True) == 1
+        assert record.suspect_count(REFUSED) == 0
+
+    def test_a_part_that_ran_soundly_before_is_not_blamed(self):
+        """Guards against refusing all that share the first part."""
+        record = new_record()
+        record.record_answer(self.SHARED)
+        self.crash(record, 5, self.SHARED, self.PART)
+        assert record.handling(self.SHARED) is FREE
+        assert record.handling(self.PART) is REFUSED
+        assert record.crashed_servers(self.SHARED) == ()
+
+    def test_what_others_blame_is_cleared_by_a_sound_run_here(self):
+        """Guards against blame by processes that have seen no sound run."""
+        here, there = new_record(seed=1), new_record(seed=2)
+        here.record_answer(self.SHARED)
+        self.crash(there, 5, self.SHARED)
+        here.merge(there.changes_since(0)[0])
+        there.merge(here.changes_since(0)[0])
+        assert here.handling(self.SHARED) is FREE
+        assert there.handling(self.SHARED) is FREE
+
+    def test_a_part_that_crashes_servers_later_on_is_blamed(self, clock):
+        """Guards against trust in runs from before a new version."""
+        record = new_record(clock)
+        record.record_answer(self.PART)
+        clock.now_s += 31.0
+        self.crash(record, 3, self.PART)
+        assert record.handling(self.PART) is REFUSED
+
+    def test_an_operator_may_release_a_part(self):
+        record = new_record(released=(self.PART,))
+        self.crash(record, 5, self.PART, 'f')
+        assert record.handling(self.PART) is FREE
+
+    def test_many_suspects_do_not_push_a_refused_one_out(self, clock):
+        """Guards against a day of crashes that makes a part forgotten."""
+        record = new_record(clock)
+        self.crash(record, 5, self.PART)
+        assert record.handling(self.PART) is REFUSED
+        for number in range(3000):
+            record.record_crash(f'f-{number}', f'x-{number}')
+        assert record.handling(self.PART) is REFUSED
 
 
 class TestAge:
@@ -107,7 +172,7 @@
         states, _ = record.changes_since(0)
         assert len(states) == 32
         assert record.handling('f') is REFUSED
-        assert len(record.crashed_servers('f')) == 3
+        assert len(record.crashed_servers('f')) == 8
 
 
 class TestMerge:
@@ -135,7 +200,7 @@
         assert record.changes_since(revision) == ((), revision)
         crashed(record, 'i-1', fingerprint='g')
         states, _ = record.changes_since(revision)
-        assert [state.fingerprint for state in states] == ['g']
+        assert [state.key for state in states] == ['g']
 
     def test_all_is_returned_for_another_start(self):
         """Guards against a restart after which a request is not refused."""
@@ -153,7 +218,7 @@
         for _ in range(5):
             states, revision = record.changes_since(revision)
             other.merge(states)
-        assert other.request_count(ISOLATED) == 150
+        assert other.suspect_count(ISOLATED) == 150
         assert revision == record.revision
 
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -135,7 +135,7 @@
     async def chosen(self, selector, count=20):
         found = set()
         for _ in range(count):
-            async with selector.select('f', ('lookup',), ()) as turn:
+            async with selector.select(('f',), ('lookup',), ()) as turn:
                 found.add(turn.server.name)
         return found
 
@@ -165,12 +165,12 @@
         """Guards against blaming a suspect for the crash of another."""
         crash(record, 2)
         crash(record, 2, 'g')
-        async with selector.select('f', ('lookup',), ()):
+        async with selector.select(('f',), ('lookup',), ()):
             with pytest.raises(errors.RefusalError) as raised:
-                async with selector.select('g', ('lookup',), ()):
+                async with selector.select(('g',), ('lookup',), ()):
                     pass
         assert raised.value.kind is errors.ErrorKind.QUEUE_FULL
-        async with selector.select('g', ('lookup',), ()):
+        async with selector.select(('g',), ('lookup',), ()):
             pass
 
     async def test_a_request_that_crashed_three_servers_is_refused(
@@ -184,6 +184,6 @@
 
     async def test_is_refused_without_any_server(self, selector):
         with pytest.raises(errors.RefusalError) as raised:
-            async with selector.select('f', ('other',), ()):
+            async with selector.select(('f',), ('other',), ()):
                 pass
         assert raised.value.kind is errors.ErrorKind.NO_BACKEND_SERVER
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -711,7 +711,7 @@
             with pytest.raises(errors.RefusalError):
                 await scene.forward(ONCE)
             for name in SERVERS:
-                scene.suspects.detector.record_disconnect('f', server(name))
+                scene.suspects.detector.record_disconnect(('f',), server(name))
             return scene.suspects.record.crashed_servers('f')
 
         assert len(virtual_time.run(main())) == 3
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -401,7 +401,7 @@
 
         async def choose(selector):
             try:
-                async with selector.select('f', ('lookup',), ()) as turn:
+                async with selector.select(('f',), ('lookup',), ()) as turn:
                     return turn.server.name
             except errors.RefusalError as error:
                 return error
--- a/tests/test_service_admission.py
+++ b/tests/test_service_admission.py
@@ -137,14 +137,14 @@
         count = 0
         for _ in range(50):
             with contextlib.suppress(errors.RefusalError):
-                async with selector.select('f', ('lookup',), excluded, 0.4):
+                async with selector.select(('f',), ('lookup',), excluded, 0.4):
                     count += 1
         return count
 
     async def overload(self, selector, name):
         others = set('abc') - {name}
         await self.admitted_count(selector)
-        async with selector.select('f', ('lookup',), others) as turn:
+        async with selector.select(('f',), ('lookup',), others) as turn:
             server = turn.server
         for _ in range(20):
             selector.record_answer(server, 0.8)
--- a/tests/test_suspect_exchange.py
+++ b/tests/test_suspect_exchange.py
@@ -4,12 +4,13 @@
 
 import pytest
 
+from lacewingpitch import blame
 from lacewingpitch import crash_record
 from lacewingpitch import suspect_exchange
 from tests import clocks
 
 CLOCK = clocks.ManualClock(100.0)
-REFUSED = crash_record.Handling.REFUSED
+REFUSED = blame.Handling.REFUSED
 
 
 def new_record(seed):
--- a/tests/test_suspect_sync.py
+++ b/tests/test_suspect_sync.py
@@ -6,13 +6,14 @@
 import pytest
 
 from benchmarks import virtual_time
+from lacewingpitch import blame
 from lacewingpitch import crash_record
 from lacewingpitch import errors
 from lacewingpitch import suspect_exchange
 from lacewingpitch import suspect_sync
 from lacewingpitch import suspects
 
-REFUSED = crash_record.Handling.REFUSED
+REFUSED = blame.Handling.REFUSED
 CONTACT_S = 3.0
 MESSAGE_S = 0.002
 # A fifth of what a process may receive in a second, at 100 bytes each.
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -633,7 +633,7 @@
             spec = scene.spec(fingerprint='f', adapter='')
             excluded = ('b', 'c')
             async with scene.client.acquire(spec, excluded):
-                scene.suspects.detector.record_disconnect('f', server)
+                scene.suspects.detector.record_disconnect(('f',), server)
 
         scene = play(story)
         assert len(scene.suspects.record.crashed_servers('f')) == crash_count
