Own mode: an answer without an end is whole only if its service still runs

The same cause as in the platform's client: a plain service that crashes ends its answer as if it were whole, where it has neither a length nor chunks; a connection that was reset did so too. Framing and resets of response bodies are judged in one module now.

--- a/lacewingpitch/plain_service.py
+++ b/lacewingpitch/plain_service.py
@@ -7,8 +7,11 @@
 
 import aiohttp
 
+from lacewingpitch import answer_framing
 from lacewingpitch import engine
+from lacewingpitch import errors
 from lacewingpitch import platform_call
+from lacewingpitch import server_state
 
 _CONNECT_TIMEOUT_S = 2.0
 _IDLE_TIMEOUT_S = 60.0
@@ -91,6 +94,22 @@
                 yield ServiceAnswer(
                     response.status,
                     response.headers.get('Content-Type', ''),
-                    response.content.iter_any(),
+                    self._chunks(response),
                     response.content_length,
                 )
+
+    async def _chunks(
+        self, response: aiohttp.ClientResponse
+    ) -> AsyncIterator[bytes]:
+        with platform_call.platform_errors('service'):
+            async for chunk in answer_framing.chunks(response):
+                yield chunk
+        if answer_framing.is_framed(response):
+            return
+        # A crash of the service may have ended the connection.
+        url = response.url
+        state = await server_state.probe(url.host or '', url.port or 0)
+        if state is not server_state.ServerState.RUNNING:
+            raise errors.PlatformError(
+                f'service: {state.value} as its answer ended'
+            )
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -10,6 +10,7 @@
 import structlog
 import yarl
 
+from lacewingpitch import answer_framing
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
 from lacewingpitch.platform import names
@@ -27,7 +28,6 @@
 _MIN_DEADLINE_MS = 1
 _MAX_PRIORITY = 9
 _STATUS_OTHER_INCARNATION = 421
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
 log = structlog.get_logger(__name__)
@@ -94,7 +94,7 @@
                     status=response.status,
                     headers=_end_to_end_headers(response),
                     chunks=self._chunks(call, response),
-                    is_framed=_is_framed(response),
+                    is_framed=answer_framing.is_framed(response),
                 )
             finally:
                 response.close()
@@ -158,22 +158,13 @@
     async def _chunks(
         self, call: backend_call.BackendCall, response: aiohttp.ClientResponse
     ) -> AsyncIterator[bytes]:
-        connection = response.connection
-        protocol = connection.protocol if connection else None
         try:
-            async for chunk in response.content.iter_any():
+            async for chunk in answer_framing.chunks(response):
                 yield chunk
-        except (aiohttp.ClientError, OSError) as broken:
-            raise backend_call.AnswerLostError(_reason(broken)) from broken
-        if _is_framed(response):
-            return
-        # A response without a length ends when its connection is closed.
-        # aiohttp treats a reset as such an end, so that a caller would take
-        # a truncated response for a complete one.
-        error = None if protocol is None else protocol.exception()
-        if isinstance(error, OSError):
-            raise backend_call.AnswerLostError('reset before the end')
-        await self._end_check.confirm(call.server, call.request.request_id)
+        except (aiohttp.ClientError, OSError) as error:
+            raise backend_call.AnswerLostError(_reason(error)) from error
+        if not answer_framing.is_framed(response):
+            await self._end_check.confirm(call.server, call.request.request_id)
 
     def _record_sendings(
         self, call: backend_call.BackendCall, count: int
@@ -313,11 +304,3 @@
         for name, value in response.headers.items()
         if name.lower() not in names.HOP_BY_HOP
     )
-
-
-def _is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Whether a response marks the end of its body, or can have none."""
-    if response.method == 'HEAD' or response.status in _STATUSES_WITHOUT_BODY:
-        return True
-    headers = response.headers
-    return 'Content-Length' in headers or 'Transfer-Encoding' in headers
