Soak: requests and parts of prompts that crash servers

In half of the seeds a request, a lookup or a part crashes servers for some seconds: by reset or in order, before and after an event, beside answers without an end and servers that fail. No more than three may be sent 3 s after the third crash (the fifth for a part) by entries in touch. Kept seeds run without it, as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,6 +23,7 @@
 from tests import arrivals
 from tests import platform_processes
 from tests import platform_standin as standin
+from tests import soak_crashes
 from tests import soak_faults
 from tests import soak_keys
 from tests import soak_limits
@@ -84,6 +85,8 @@
         self.broken = []
         # Checks what the servers announced, if they do.
         self.check_notices = list
+        # Checks requests that crash servers, if there are any.
+        self.check_crashes = list
 
     def start_call(self, kind, entry, key=None):
         name = f'{kind}-{len(self.calls)}'
@@ -143,6 +146,7 @@
             (*self.platform.engines, *self.platform.services)
         )
         self.broken += self.check_notices()
+        self.broken += self.check_crashes()
         self.broken += soak_moves.check(self.platform.engines[0].copies)
         self.broken += soak_repeats.check(
             self.calls,
@@ -162,7 +166,13 @@
     """One run of the soak test."""
 
     def __init__(
-        self, platform, seed, keys, has_notices=True, mixes_methods=True
+        self,
+        platform,
+        seed,
+        keys,
+        has_notices=True,
+        mixes_methods=True,
+        has_crashes=True,
     ):
         self.platform = platform
         self.checker = ResultChecker(platform)
@@ -171,6 +181,9 @@
         self._mixes_methods = mixes_methods
         if has_notices:
             self.checker.check_notices = self._check_notices
+        self._has_crashes = has_crashes
+        # Servers that are coming back after a crash.
+        self.crash_tasks = set()
         self.keys = keys
         self._seed = seed
         self._caller_count = max(CALLER_COUNT, len(platform.entries))
@@ -273,6 +286,8 @@
         ]
         try:
             async with asyncio.TaskGroup() as faults:
+                for episode in self._crash_episodes(length_s):
+                    faults.create_task(episode.play())
                 for fault in planned:
                     faults.create_task(self._inject(fault))
                 for server, limit in self._limits(length_s):
@@ -302,6 +317,28 @@
         for limit in soak_limits.plan(self._seed, len(servers), length_s):
             yield servers[limit.server], limit
 
+    def _crash_episodes(self, length_s):
+        """Return the episode of the run in which requests crash servers."""
+        planned = soak_crashes.plan(self._seed, length_s)
+        if planned is None or not self._has_crashes:
+            return []
+        episode = soak_crashes.CrashEpisode(self, planned, self._seed)
+        self.checker.check_crashes = lambda: list(
+            soak_crashes.check(episode, self._is_out_of_touch)
+        )
+        return [episode]
+
+    def _is_out_of_touch(self, entry, since_s, until_s):
+        """Whether an entry, a sidecar or a link was disturbed in a time."""
+        targets = {('process', self.entry_name(entry))}
+        targets |= {('link', name) for name in self.platform.relays}
+        targets |= {
+            ('process', program.name)
+            for program in self.platform.programs
+            if program.role == 'sidecar'
+        }
+        return self.disturbances.any_of(targets, since_s, until_s)
+
     def _notices(self, length_s):
         if not self._has_notices:
             return []
@@ -422,7 +459,7 @@
                 headers={
                     'Host': 'h.example',
                     'Request-Id': _PROBE_ID,
-                    'Authorization': f'Token {self._valid_key()}',
+                    'Authorization': f'Token {self.valid_key()}',
                 },
             ) as response:
                 if response.status != 200:
@@ -430,7 +467,7 @@
                         f'status {response.status} on a new route at {url}'
                     )
 
-    def _valid_key(self):
+    def valid_key(self):
         keys = self.keys.by_organisation['balcony']
         return next(key.text for key in keys if key.revoked_at_s is None)
 
@@ -476,6 +513,7 @@
     has_notices=True,
     parts=(),
     mixes_methods=True,
+    has_crashes=True,
 ):
     """Run one seed; raise `BrokenPromiseError` if a check fails."""
     with contextlib.ExitStack() as exits:
@@ -490,7 +528,9 @@
         ) as platform:
             if platform.copies_runs:
                 soak_moves.slow_down(platform.engines)
-            scene = Scene(platform, seed, keys, has_notices, mixes_methods)
+            scene = Scene(
+                platform, seed, keys, has_notices, mixes_methods, has_crashes
+            )
             try:
                 return scene, await scene.play(length_s)
             except BrokenPromiseError:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -256,7 +256,11 @@
     async def test_a_short_run_passes(self):
         """Real processes recover from overlapping faults."""
         scene, planned = await soak.run(
-            seed=1, length_s=4.0, has_notices=False, mixes_methods=False
+            seed=1,
+            length_s=4.0,
+            has_notices=False,
+            mixes_methods=False,
+            has_crashes=False,
         )
         assert planned
         assert any(call.is_served for call in scene.checker.calls)
@@ -264,13 +268,18 @@
     async def test_an_entry_that_was_idle_serves_after_limits_have_ended(self):
         """Guards against refusals for a limit that ended unheard."""
         scene, _ = await soak.run(
-            seed=5005, has_notices=False, mixes_methods=False
+            seed=5005,
+            has_notices=False,
+            mixes_methods=False,
+            has_crashes=False,
         )
         assert any(call.is_served for call in scene.checker.calls)
 
     async def test_servers_that_announce_how_to_use_them_get_no_more(self):
         """Guards against requests to servers that leave or asked for none."""
-        scene, _ = await soak.run(seed=7010, mixes_methods=False)
+        scene, _ = await soak.run(
+            seed=7010, mixes_methods=False, has_crashes=False
+        )
         # Whether a caller is told depends on which server its entry prefers.
         assert scene.platform.services[0].name == 'p-1+'
         servers = (*scene.platform.engines, *scene.platform.services)
@@ -278,11 +287,13 @@
 
     async def test_commands_of_any_method_run_once(self):
         """Guards against a client that repeats some methods by itself."""
-        scene, _ = await soak.run(seed=9003)
+        scene, _ = await soak.run(seed=9003, has_crashes=False)
         assert any(call.is_served for call in scene.checker.calls)
 
     @pytest.mark.parametrize('seed', [8009, 8013, 8050])
     async def test_orders_reach_engines_that_were_replaced(self, seed):
         """Guards against orders that name an incarnation that has ended."""
-        scene, _ = await soak.run(seed=seed, mixes_methods=False)
+        scene, _ = await soak.run(
+            seed=seed, mixes_methods=False, has_crashes=False
+        )
         assert any(call.is_served for call in scene.checker.calls)
