--- a/lacewingpitch/crash_record.py
+++ b/lacewingpitch/crash_record.py
@@ -212,12 +212,16 @@
         """
         if self._is_sound(key):
             return
-        if self._add(key, (Crash(server, False),)):
+        if not self._add(key, (Crash(server, False),)):
+            return
+        count = len(self.crashed_servers(key))
+        # Each crash interrupts many requests, with several parts each.
+        if count > 1 or not suspect_keys.is_part(key):
             log.warning(
                 'crash under request',
                 fingerprint=key,
                 backend_server=server,
-                crashes=len(self.crashed_servers(key)),
+                crashes=count,
             )
 
     def record_answer(
