Suspects, and what attempts show about crashes, in modules of their own; behaviour unchanged

The stand-in's servers crash in one place. The soak restarts engines by the address of their link, as another replacement may have come between.

--- a/lacewingpitch/crash_record.py
+++ b/lacewingpitch/crash_record.py
@@ -5,23 +5,16 @@
 import random
 import types
 
-import msgspec
 import structlog
 
 from lacewingpitch import blame
 from lacewingpitch import clock as clock_module
 from lacewingpitch import sound_runs
+from lacewingpitch import suspect as suspect_module
 from lacewingpitch import suspect_keys
 
-# A request that is repeated after a longer time may crash servers again.
-_RETENTION_S = 1800.0
-# Time for all processes to learn that the request was answered.
-_ANSWERED_RETENTION_S = 60.0
 _EXPIRY_INTERVAL_S = 1.0
 _MAX_SUSPECTS = 1024
-# Crashes of one suspect that are kept and sent to other processes.  Crashes
-# from before an answer stay for the processes that still count them.
-_MAX_CRASHES = 8
 MAX_STATES_PER_MESSAGE = 32
 _EPOCH_BITS = 31
 _COUNT_BITS = 32
@@ -29,36 +22,6 @@
 log = structlog.get_logger(__name__)
 
 
-class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """One crash of a backend server as a suspect began to run on it.
-
-    Parameters
-    ----------
-    server
-        Start id of the backend server; see `backend_list.BackendServer`.
-    is_void
-        Whether a backend server has run the suspect since, so that the
-        crash no longer counts against it.
-    """
-
-    server: str
-    is_void: bool
-
-
-class SuspectState(msgspec.Struct, frozen=True, array_like=True):
-    """All crashes that one process has recorded for one suspect.
-
-    Parameters
-    ----------
-    key
-        Fingerprint of a request, or key of a part of prompts; see
-        `request_fingerprint` and `suspect_keys`.
-    """
-
-    key: str
-    crashes: tuple[Crash, ...]
-
-
 _POLICY = blame.Policy()
 
 
@@ -76,23 +39,6 @@
     key: str = ''
 
 
-@dataclasses.dataclass(slots=True)
-class _Suspect:
-    """Crashes of one suspect by start id; the value is `True` if void."""
-
-    crashes: dict[str, bool] = dataclasses.field(default_factory=dict)
-    # Start ids of the crashes that are not void.
-    counted: frozenset[str] = frozenset()
-    changed_at: int = 0
-    used_at_s: float = 0.0
-
-    def count(self) -> None:
-        """Count the crashes again after a change."""
-        self.counted = frozenset(
-            server for server, is_void in self.crashes.items() if not is_void
-        )
-
-
 class CrashRecord:
     """Counts crashes of backend servers by what ran on them.
 
@@ -141,7 +87,7 @@
         self.answered_count = 0
         self._sound_runs = sound_runs.SoundRuns(clock)
         # In the order of use; the least recently used comes first.
-        self._suspects: dict[str, _Suspect] = {}
+        self._suspects: dict[str, suspect_module.Suspect] = {}
         # Keys with several crashes that count; others are always free.
         self._repeated: set[str] = set()
         self._expired_at_s = clock.boot_s()
@@ -188,9 +134,7 @@
         if suspect is None:
             return ()
         return tuple(
-            server
-            for server, is_void in suspect.crashes.items()
-            if not is_void
+            crash.server for crash in suspect.crashes if not crash.is_void
         )
 
     def suspect_count(
@@ -212,7 +156,7 @@
         """
         if self._is_sound(key):
             return
-        if not self._add(key, (Crash(server, False),)):
+        if not self._add(key, (suspect_module.Crash(server, False),)):
             return
         count = len(self.crashed_servers(key))
         # Each crash interrupts many requests, with several parts each.
@@ -246,9 +190,9 @@
             crashes=len(suspect.counted),
             **evidence,
         )
-        self._add(key, [Crash(server, True) for server in suspect.crashes])
+        self._add(key, _voided(suspect.crashes))
 
-    def merge(self, states: Iterable[SuspectState]) -> None:
+    def merge(self, states: Iterable[suspect_module.SuspectState]) -> None:
         """Merge crashes that another process has recorded."""
         changed = [
             state.key
@@ -268,11 +212,13 @@
                     backend_servers=self.crashed_servers(key),
                 )
 
-    def _judged(self, state: SuspectState) -> Iterable[Crash]:
+    def _judged(
+        self, state: suspect_module.SuspectState
+    ) -> Iterable[suspect_module.Crash]:
         """Return another process's crashes, void if this one knows better."""
         if not self._is_sound(state.key):
             return state.crashes
-        return [Crash(crash.server, True) for crash in state.crashes]
+        return _voided(state.crashes)
 
     def _is_sound(self, key: str) -> bool:
         return suspect_keys.is_part(key) and self._sound_runs.has_recent(key)
@@ -288,7 +234,7 @@
 
     def changes_since(
         self, revision: int
-    ) -> tuple[tuple[SuspectState, ...], int]:
+    ) -> tuple[tuple[suspect_module.SuspectState, ...], int]:
         """Return what changed since a revision, and the revision reached.
 
         Returns everything if the revision is of another start of the
@@ -310,36 +256,21 @@
 
     def _states(
         self, changed: Iterable[tuple[int, str]]
-    ) -> tuple[SuspectState, ...]:
+    ) -> tuple[suspect_module.SuspectState, ...]:
         return tuple(
-            SuspectState(
-                key,
-                tuple(
-                    Crash(server, is_void)
-                    for server, is_void in self._suspects[key].crashes.items()
-                ),
-            )
+            suspect_module.SuspectState(key, self._suspects[key].crashes)
             for _, key in changed
         )
 
-    def _add(self, key: str, crashes: Iterable[Crash]) -> bool:
+    def _add(self, key: str, crashes: Iterable[suspect_module.Crash]) -> bool:
         """Add crashes, or mark them void; return whether any changed."""
         suspect = self._suspects.get(key)
         if suspect is None or self._is_expired(suspect):
-            suspect = _Suspect()
-        has_changed = False
-        for crash in crashes:
-            known = suspect.crashes.get(crash.server)
-            if known is True or known is crash.is_void:
-                continue
-            if known is None and not _make_room(suspect):
-                continue
-            suspect.crashes[crash.server] = crash.is_void
-            has_changed = True
+            suspect = suspect_module.Suspect()
+        has_changed = suspect.add(crashes)
         if has_changed:
             self._change_count += 1
             suspect.changed_at = self._change_count
-            suspect.count()
             self._touch(key, suspect)
             self._repeated.discard(key)
             if len(suspect.counted) >= self._policy.least_count:
@@ -347,7 +278,7 @@
             self._evict()
         return has_changed
 
-    def _touch(self, key: str, suspect: _Suspect) -> None:
+    def _touch(self, key: str, suspect: suspect_module.Suspect) -> None:
         suspect.used_at_s = self._clock.boot_s()
         self._suspects.pop(key, None)
         self._suspects[key] = suspect
@@ -377,25 +308,14 @@
         del self._suspects[key]
         self._repeated.discard(key)
 
-    def _is_expired(self, suspect: _Suspect) -> bool:
-        retention_s = _ANSWERED_RETENTION_S
-        if suspect.counted:
-            retention_s = _RETENTION_S
-        return self._clock.boot_s() - suspect.used_at_s > retention_s
+    def _is_expired(self, suspect: suspect_module.Suspect) -> bool:
+        return suspect.is_expired(self._clock.boot_s())
 
 
-def _make_room(suspect: _Suspect) -> bool:
-    """Make room for a new crash; return whether it may be stored.
-
-    At the limit, the oldest void crash is evicted.
-    """
-    if len(suspect.crashes) < _MAX_CRASHES:
-        return True
-    void = [s for s, is_void in suspect.crashes.items() if is_void]
-    if not void:
-        return False
-    del suspect.crashes[void[0]]
-    return True
+def _voided(
+    crashes: Iterable[suspect_module.Crash],
+) -> list[suspect_module.Crash]:
+    return [suspect_module.Crash(crash.server, True) for crash in crashes]
 
 
 def is_same_start(revision: int, other: int) -> bool:
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -13,8 +13,8 @@
 from lacewingpitch import answer_reading
 from lacewingpitch import attempt_refusals
 from lacewingpitch import backend_call
-from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
+from lacewingpitch import crash_evidence
 from lacewingpitch import ejection
 from lacewingpitch import errors
 from lacewingpitch import event_splitter
@@ -90,7 +90,7 @@
     ) -> None:
         self._wait_until_informed = wait_until_informed or _is_informed
         self._streams = streams or stream_sources.DirectStreams()
-        self._suspects = suspects
+        self._crash_evidence = crash_evidence.CrashEvidence(suspects, clock)
         self._gate = gate
         self._plain_servers = plain_server_selector.PlainServerSelector(
             services,
@@ -145,7 +145,7 @@
                 refusal, delivery.has_begun
             ) from error
         except errors.RefusalError as error:
-            self._log_if_barred(request, error)
+            self._crash_evidence.log_if_barred(request, error)
             raise history.combined_refusal(
                 error, delivery.has_begun
             ) from error
@@ -163,20 +163,6 @@
             history.charges.close()
         return history
 
-    def _log_if_barred(
-        self, request: backend_call.CallerRequest, error: errors.RefusalError
-    ) -> None:
-        if error.kind is errors.ErrorKind.CRASHES_BACKEND_SERVERS:
-            record = self._suspects.record
-            suspect = record.verdict(request.suspect_keys).key
-            log.warning(
-                'request barred',
-                request_id=request.request_id,
-                fingerprint=request.fingerprint,
-                suspect=suspect,
-                backend_servers=record.crashed_servers(suspect),
-            )
-
     async def _attempt_until_done(
         self,
         request: backend_call.CallerRequest,
@@ -294,8 +280,7 @@
         finally:
             self._ejector.record_end(name)
         self._ejector.record_success(name)
-        if not history.is_run_recorded and history.shows_run(request):
-            self._record_run(request, turn.server, history)
+        self._crash_evidence.record_answer(request, turn.server, history)
         self._plain_servers.record_answer(
             turn.server, self._clock.monotonic_s() - started_s
         )
@@ -340,13 +325,8 @@
         splitter = history.splitter
         async with self._streams.open(call, answer, history) as stream:
             async for events in stream:
-                now_s = self._clock.monotonic_s()
-                history.record_events(call.request, now_s)
-                # The server still sends, so that its start was sound.
-                if not (
-                    history.is_run_recorded or history.is_run_starting(now_s)
-                ):
-                    self._record_run(call.request, call.server, history)
+                history.record_events(call.request, self._clock.monotonic_s())
+                self._crash_evidence.record_events(call, history)
                 if not delivery.has_begun:
                     await delivery.begin(history.first_answer)
                 await delivery.write(events)
@@ -383,7 +363,9 @@
             events=history.splitter.event_count,
             shared_parts=request.shared_parts[:_MAX_LOGGED_PARTS],
         )
-        self._record_crash(request, turn, history, error)
+        self._crash_evidence.record_failure(
+            request, turn.server, history, error
+        )
         refusal = attempt_refusals.refusal_of(error)
         if isinstance(error, backend_call.NotSentError):
             history.sent_count -= 1
@@ -399,42 +381,6 @@
             return _Failure(refusal, error.answer, error.body)
         return _Failure(refusal)
 
-    def _record_crash(
-        self,
-        request: backend_call.CallerRequest,
-        turn: turn_spec.Turn,
-        history: request_history.RequestHistory,
-        error: errors.PlatformError,
-    ) -> None:
-        """Record what a failure shows about a crash of the server."""
-        if isinstance(error, backend_call.NotSentError):
-            if error.is_refused:
-                self._suspects.detector.record_exit(turn.server)
-        elif backend_call.is_disconnect(error) and history.is_run_starting(
-            self._clock.monotonic_s()
-        ):
-            self._suspects.detector.record_disconnect(
-                request.suspect_keys, turn.server
-            )
-
-    def _record_run(
-        self,
-        request: backend_call.CallerRequest,
-        server: backend_list.BackendServer,
-        history: request_history.RequestHistory,
-    ) -> None:
-        """Record that a backend server has run a request without a crash."""
-        evidence = {
-            'request_id': request.request_id,
-            'backend_server': server.name,
-            'status': history.status,
-            'events': history.splitter.event_count,
-            'is_framed': history.is_framed,
-        }
-        for key in request.suspect_keys:
-            self._suspects.record.record_answer(key, evidence)
-        history.is_run_recorded = True
-
     def _should_retry(
         self,
         request: backend_call.CallerRequest,
--- a/lacewingpitch/suspect_exchange.py
+++ b/lacewingpitch/suspect_exchange.py
@@ -10,6 +10,7 @@
 
 from lacewingpitch import crash_record
 from lacewingpitch import link
+from lacewingpitch import suspect
 
 _MAX_PEERS = 2048
 
@@ -29,7 +30,7 @@
 
     revision: int = 0
     known_revision: int = 0
-    states: tuple[crash_record.SuspectState, ...] = ()
+    states: tuple[suspect.SuspectState, ...] = ()
 
 
 class CrashNews(link.Message, frozen=True):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -162,11 +162,29 @@
         # Ids, times, incarnations and backoffs of the requests that were
         # turned away.
         self.backoff_answers = []
+        self.crashes = standin_crashes.Crashes()
+        self.is_down = False
+        # Stops to accept connections; set where it is served.
+        self.stop_listening = lambda: None
+        # Connections of the requests in progress.
+        self._transports = set()
+        # Share of the requests that it answers with 500.
+        self.error_ratio = 0.0
+        self._failures = random.Random(2)
         self._random = random.Random(1)
         self._limit_per_s = None
         # Limits, each with the times of its first and of its last answer.
         self._periods = []
 
+    def crash(self, is_in_order=False):
+        """End all open connections; accept none until it is up again."""
+        self.crashes.count += 1
+        self.is_down = True
+        self.stop_listening()
+        standin_crashes.close_all(self._transports, is_in_order)
+        if self.crashes.on_crash:
+            self.crashes.on_crash(self)
+
     def set_limit(self, per_s):
         """Name a limit in all answers from now on; none for ``None``."""
         self._limit_per_s = per_s
@@ -258,15 +276,7 @@
         self.event_count = 5
         self.event_pause_s = 0.02
         self.abort_after_event = None
-        self.crashes = standin_crashes.Crashes()
-        # Share of the requests that it answers with 500.
-        self.error_ratio = 0.0
-        self._failures = random.Random(2)
-        self.is_down = False
-        # Stops to accept connections; set where it is served.
-        self.stop_listening = lambda: None
         self.copies = standin_memory.RunCopies()
-        self._transports = set()
 
     def restart(self, name):
         """Restart without adapters, as another incarnation."""
@@ -280,15 +290,6 @@
         self.set_limit(None)
         self.limit_headers()
 
-    def crash(self, is_in_order=False):
-        """End all open connections; accept none until it is up again."""
-        self.crashes.count += 1
-        self.is_down = True
-        self.stop_listening()
-        standin_crashes.close_all(self._transports, is_in_order)
-        if self.crashes.on_crash:
-            self.crashes.on_crash(self)
-
     def routes(self):
         return [
             web.get('/lacewingpitch/report', self._up(self._report)),
@@ -471,25 +472,10 @@
         # the answer it sends before.
         self.broken_ratio = 0.0
         self.sent_before_break = b''
-        self.error_ratio = 0.0
-        self._failures = random.Random(2)
-        self.crashes = standin_crashes.Crashes()
-        self.is_down = False
-        self.stop_listening = lambda: None
-        self._transports = set()
 
     def routes(self):
         return [web.route('*', '/{path:.*}', self._tracked)]
 
-    def crash(self, is_in_order=False):
-        """End all open connections; accept none until it is up again."""
-        self.crashes.count += 1
-        self.is_down = True
-        self.stop_listening()
-        standin_crashes.close_all(self._transports, is_in_order)
-        if self.crashes.on_crash:
-            self.crashes.on_crash(self)
-
     async def _tracked(self, request):
         transport = request.transport
         if transport is None or self.is_down:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -242,12 +242,15 @@
     async def restart_engine(self, number):
         engine = self.platform.engines[number]
         key = f'servers/{engine.name}'
-        address = self.platform.address_of(engine)
+        address = self.platform.listed_at[engine.link]
         engine.restart(f'i-{next(self._names)}')
         await self.platform.store.put(
             f'servers/{engine.name}', engine.entry(address)
         )
-        await self.platform.store.delete(key)
+        # A store that was restored may lack the entry, or a crash may have
+        # replaced it meanwhile.
+        if key in self.platform.store.items:
+            await self.platform.store.delete(key)
 
     async def replace_server(self, server):
         """End a server, and list another incarnation at its address."""
@@ -257,7 +260,6 @@
         await self.platform.store.put(
             f'servers/{server.name}', server.entry(address)
         )
-        # A store that was restored may lack the entry.
         if key in self.platform.store.items:
             await self.platform.store.delete(key)
 
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -13,6 +13,7 @@
 from lacewingpitch import metrics
 from lacewingpitch import pace_watch
 from lacewingpitch import routing
+from lacewingpitch import suspect
 from lacewingpitch import suspect_exchange
 from lacewingpitch import turn_messages
 from tests import fake_engine
@@ -676,9 +677,9 @@
 
     def test_suspects_of_the_entry_are_applied(self):
         async def story(scene):
-            state = crash_record.SuspectState(
+            state = suspect.SuspectState(
                 'f',
-                tuple(crash_record.Crash(f'i-{n}', False) for n in range(3)),
+                tuple(suspect.Crash(f'i-{n}', False) for n in range(3)),
             )
             news = suspect_exchange.SuspectNews(revision=9, states=(state,))
             reply = await scene.request_turn(
