--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -682,6 +682,58 @@
 
         assert len(virtual_time.run(main())) == 2
 
+    def test_a_stream_past_its_start_makes_crashes_void(self):
+        """Guards against blame that waits for the end of long streams."""
+
+        async def main():
+            scene = Scene({'chunks': (event(1), 0.6, event(2), 5.0)})
+            self.record(scene, 2)
+            found = route(**STREAM)
+            forwarding = asyncio.create_task(scene.forward(found, model='m'))
+            await asyncio.sleep(0.3)
+            before = scene.suspects.record.crashed_servers(self.fingerprint())
+            await asyncio.sleep(0.5)
+            after = scene.suspects.record.crashed_servers(self.fingerprint())
+            forwarding.cancel()
+            return len(before), len(after)
+
+        assert virtual_time.run(main()) == (2, 0)
+
+    def test_a_disconnect_counts_against_each_shared_part(self):
+        """Guards against a part of unlike prompts that crashes servers."""
+
+        async def main():
+            scene = Scene(CUT)
+            with pytest.raises(errors.RefusalError):
+                await scene.forward(ONCE, shared_parts=('5c', '91'))
+            for name in SERVERS:
+                scene.suspects.detector.record_exit(server(name))
+            return [
+                len(scene.suspects.record.crashed_servers(key))
+                for key in (self.fingerprint(), 'part:5c', 'part:91')
+            ]
+
+        assert virtual_time.run(main()) == [1, 1, 1]
+
+    def test_a_request_with_a_part_under_three_crashes_is_not_sent(self):
+        """Guards against unlike requests that crash server after server."""
+
+        async def main():
+            scene = Scene()
+            for name in SERVERS:
+                scene.suspects.record.record_crash('part:5c', name)
+            with structlog.testing.capture_logs() as lines:
+                with pytest.raises(errors.RefusalError) as raised:
+                    await scene.forward(SAFE, shared_parts=('5c', '91'))
+            return scene, raised.value, lines
+
+        scene, refusal, lines = virtual_time.run(main())
+        assert refusal.kind is errors.ErrorKind.CRASHES_BACKEND_SERVERS
+        assert refusal.outcome is errors.Outcome.NOT_RUN
+        assert scene.client.calls == []
+        (line,) = [x for x in lines if x['event'] == 'request barred']
+        assert line['suspect'] == 'part:5c'
+
     def test_a_stream_without_an_event_and_an_end_is_lost(self):
         """Guards against a crash that passes for an empty answer."""
         steps = {'chunks': (), 'is_framed': False}
