--- a/lacewingpitch/crash_record.py
+++ b/lacewingpitch/crash_record.py
@@ -91,9 +91,9 @@
         # Keys with several crashes that count; others are always free.
         self._repeated: set[str] = set()
         self._expired_at_s = clock.boot_s()
-        # What is not free, as of a number of changes.
+        # What is not free; computed again when it is needed.
         self._handlings: dict[str, blame.Handling] = {}
-        self._handlings_at = 0
+        self._are_handlings_stale = False
 
     @property
     def revision(self) -> int:
@@ -224,12 +224,12 @@
         return suspect_keys.is_part(key) and self._sound_runs.has_recent(key)
 
     def _current_handlings(self) -> Mapping[str, blame.Handling]:
-        if self._handlings_at != self._change_count:
+        if self._are_handlings_stale:
             self._handlings = blame.handlings(
                 {key: self._suspects[key].counted for key in self._repeated},
                 self._policy,
             )
-            self._handlings_at = self._change_count
+            self._are_handlings_stale = False
         return self._handlings
 
     def changes_since(
@@ -272,12 +272,20 @@
             self._change_count += 1
             suspect.changed_at = self._change_count
             self._touch(key, suspect)
-            self._repeated.discard(key)
-            if len(suspect.counted) >= self._policy.least_count:
-                self._repeated.add(key)
+            self._record_repeated(key, suspect)
             self._evict()
         return has_changed
 
+    def _record_repeated(
+        self, key: str, suspect: suspect_module.Suspect
+    ) -> None:
+        was_repeated = key in self._repeated
+        self._repeated.discard(key)
+        if len(suspect.counted) >= self._policy.least_count:
+            self._repeated.add(key)
+        if was_repeated or key in self._repeated:
+            self._are_handlings_stale = True
+
     def _touch(self, key: str, suspect: suspect_module.Suspect) -> None:
         suspect.used_at_s = self._clock.boot_s()
         self._suspects.pop(key, None)
@@ -306,7 +314,9 @@
 
     def _remove(self, key: str) -> None:
         del self._suspects[key]
-        self._repeated.discard(key)
+        if key in self._repeated:
+            self._repeated.discard(key)
+            self._are_handlings_stale = True
 
     def _is_expired(self, suspect: suspect_module.Suspect) -> bool:
         return suspect.is_expired(self._clock.boot_s())
