--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -277,6 +277,7 @@
             server_state.probe,
             self._suspects.detector,
         )
+        entry_metrics.register_answer_ends(process.metrics, end_check)
         client = backend_client.new_client(
             process.exits,
             self._notices,
@@ -404,7 +405,7 @@
     ) -> None:
         metrics = self._process.metrics
         entry_metrics.register_requests(metrics, self.frontend, forwarder)
-        entry_metrics.register_suspects(metrics, self._suspects)
+        entry_metrics.register_suspects(metrics, self._suspects, self._sync)
         entry_metrics.register_servers(
             metrics, self.servers, self._limits, self._notices, self._gate
         )
--- a/lacewingpitch/platform/entry_metrics.py
+++ b/lacewingpitch/platform/entry_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of an entry."""
 
+from lacewingpitch import answer_end
 from lacewingpitch import backend_list
 from lacewingpitch import blame
 from lacewingpitch import configuration_age
@@ -17,6 +18,7 @@
 from lacewingpitch import service_admission
 from lacewingpitch import service_budgets
 from lacewingpitch import stall_costs as stall_costs_module
+from lacewingpitch import suspect_sync
 from lacewingpitch import suspects as suspects_module
 from lacewingpitch import usage_limits
 
@@ -77,7 +79,9 @@
 
 
 def register_suspects(
-    metrics: metrics_module.Metrics, suspects: suspects_module.Suspects
+    metrics: metrics_module.Metrics,
+    suspects: suspects_module.Suspects,
+    sync: suspect_sync.SuspectSync,
 ) -> None:
     """Register the metrics of requests that crash backend servers."""
     record = suspects.record
@@ -106,6 +110,22 @@
         'Answers that made the crashes of a request or part void.',
         lambda: record.answered_count,
     )
+    metrics.counter(
+        'crash_messages_total',
+        'Messages to sidecars about crashes, without a request for a turn.',
+        lambda: sync.message_count,
+    )
+
+
+def register_answer_ends(
+    metrics: metrics_module.Metrics, end: answer_end.AnswerEnd
+) -> None:
+    """Register the metrics of answers that mark no end of their own."""
+    metrics.counter(
+        'answers_interrupted_total',
+        'Answers without an end whose server was not known to run.',
+        lambda: end.interrupted_count,
+    )
 
 
 def register_servers(
--- a/lacewingpitch/suspect_sync.py
+++ b/lacewingpitch/suspect_sync.py
@@ -63,6 +63,11 @@
         Returns the number of entries, as far as it is known.
     is_list_known
         Returns whether the list of backend servers has been read.
+
+    Attributes
+    ----------
+    message_count
+        Number of messages sent.
     """
 
     def __init__(
