--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -163,6 +163,11 @@
         await self.store.put(f'servers/{server.name}', entry)
         self.record.line('store', 'lists', server.name, entry['state'])
 
+    async def write_foreign(self, key: str, content: str) -> None:
+        """Have another writer write to the store."""
+        await self.store.put_bytes(key, content.encode())
+        self.record.line('another writer writes', key, content)
+
     async def add_sidecar(
         self,
         number: int,
