--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -111,6 +111,8 @@
         self.tasks: list[asyncio.Task[None]] = []
         # Before the store, one for each machine.
         self.store_proxies: list[proxy_module.Proxy] = []
+        # Before plain servers, by their names.
+        self.server_proxies: dict[str, proxy_module.Proxy] = {}
         # Before the control ports of sidecars.
         self.control_proxies: list[proxy_module.Proxy] = []
 
@@ -157,6 +159,16 @@
         await self.list_server(server)
         return address
 
+    async def add_server_behind_proxy(
+        self, server: servers.Server, ip: str, port: int
+    ) -> None:
+        """List a server that listens already, at the address of a proxy."""
+        [own_port] = _free_ports(ip, 1)
+        proxy = await self._add_proxy((ip, own_port), (ip, port))
+        self.server_proxies[server.name] = proxy
+        self.addresses[server.name] = f'{ip}:{own_port}'
+        await self.list_server(server)
+
     async def list_server(self, server: servers.Server) -> None:
         """Write the entry of a server."""
         entry = server.entry(self.addresses[server.name])
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy whose open connections can go silent."""
+"""A TCP proxy that cuts a link, or lets open connections go silent."""
 
 import asyncio
 import contextlib
@@ -31,6 +31,8 @@
 
     def __init__(self, target: tuple[str, int]) -> None:
         self._target = target
+        self._is_whole = asyncio.Event()
+        self._is_whole.set()
         self._pairs: set[_Pair] = set()
         self._server: asyncio.Server | None = None
         self.connection_count = 0
@@ -46,9 +48,22 @@
         tasks = [pair.task for pair in self._pairs]
         for pair in self._pairs:
             pair.abort()
+        self.heal()
         if tasks:
             await asyncio.wait(tasks)
 
+    def cut(self) -> None:
+        """Hold back all bytes, and new connections, until `heal`.
+
+        TCP sends again what it has not got across, also the end of a
+        connection.
+        """
+        self._is_whole.clear()
+
+    def heal(self) -> None:
+        """Pass on what was held back."""
+        self._is_whole.set()
+
     def silence(self) -> int:
         """Drop all further bytes of the open connections, for good.
 
@@ -67,6 +82,7 @@
         pair = _Pair(task)
         pair.writers.append(writer)
         self._pairs.add(pair)
+        await self._is_whole.wait()
         try:
             target_reader, target_writer = await asyncio.open_connection(
                 *self._target
@@ -78,23 +94,27 @@
         pair.writers.append(target_writer)
         try:
             async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(_copy(reader, target_writer, pair))
-                tasks.create_task(_copy(target_reader, writer, pair))
+                tasks.create_task(self._copy(reader, target_writer, pair))
+                tasks.create_task(self._copy(target_reader, writer, pair))
         finally:
             self._pairs.discard(pair)
             writer.close()
             target_writer.close()
 
-
-async def _copy(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pair: _Pair
-) -> None:
-    with contextlib.suppress(OSError):
-        while data := await reader.read(_CHUNK_BYTES):
-            if pair.is_silent:
-                continue
-            writer.write(data)
-            await writer.drain()
-    # The end of a silent connection does not arrive either.
-    if not pair.is_silent:
-        writer.close()
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pair: _Pair,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(_CHUNK_BYTES):
+                await self._is_whole.wait()
+                if pair.is_silent:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        await self._is_whole.wait()
+        # The end of a silent connection does not arrive either.
+        if not pair.is_silent:
+            writer.close()
