--- a/review/2/foreign_entry.py
+++ b/review/2/foreign_entry.py
@@ -16,6 +16,8 @@
 
 _ENTRIES = (31, 32, 33, 34)
 _PLAIN_SERVERS = 4
+# As `water-cmd`.
+_OBJECTIVE_MS = 125
 _DEADLINE_MS = 1500
 _REQUESTS = 12
 _DRAIN_S = fleet_module.BOUNDS['drainMs'] / 1000
@@ -124,7 +126,11 @@
     await fleet.store.put(
         'op/config',
         fleet_module.configuration(
-            order={'type': 'unsafe', 'timeoutMs': _DEADLINE_MS}
+            order={
+                'type': 'unsafe',
+                'timeoutMs': _DEADLINE_MS,
+                'targetLatencyMs': _OBJECTIVE_MS,
+            }
         ),
     )
     engine = servers.Engine('i-1', fleet_module.ENGINES, record)
