Log and count who ended a connection without an answer, and at which step

'request ended' had the outcome 'left' or 'connection lost' for every request that was cancelled or whose connection broke, whoever ended it. It now says closed_by (caller, entry, or nobody for a whole answer) and the last step (head read, body read, sent, answering); requests_cut_total counts what this entry ended, by step. No other behaviour changes.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -236,6 +236,10 @@
         """Whether the head of an answer has been sent."""
         ...
 
+    def record_sent(self) -> None:
+        """Record that the request is being sent to a backend server."""
+        ...
+
     async def send_whole(self, answer: BackendAnswer, body: bytes) -> None:
         """Send a complete answer."""
         ...
--- a/lacewingpitch/platform/entry_metrics.py
+++ b/lacewingpitch/platform/entry_metrics.py
@@ -35,6 +35,12 @@
         'outcome',
         lambda: frontend.ended_by_outcome,
     )
+    metrics.counter_by(
+        'requests_cut_total',
+        'Requests whose connection ended here without an answer, by step.',
+        'step',
+        lambda: frontend.cut_by_step,
+    )
     metrics.counter_by(
         'requests_resent_total',
         'Requests sent to another backend server, by service.',
--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -23,6 +23,7 @@
 from lacewingpitch.platform import listening
 from lacewingpitch.platform import names
 from lacewingpitch.platform import response_delivery
+from lacewingpitch import request_end
 from lacewingpitch import routing
 from lacewingpitch import silent_connections
 from lacewingpitch import startup_grace as startup_grace_module
@@ -70,6 +71,9 @@
         Number of requests that have ended, by outcome.
     ended_by_organisation
         The same by organisation, for requests that have one.
+    cut_by_step
+        Number of requests whose connection this entry ended before a whole
+        answer, by their last step.
     is_draining
         Whether connections are closed after their current answers.
     is_refusing
@@ -97,6 +101,7 @@
         self.ended_by_organisation: collections.Counter[str] = (
             collections.Counter()
         )
+        self.cut_by_step: collections.Counter[str] = collections.Counter()
         self.is_draining = False
         self.is_refusing = False
         self._busy_transports: set[asyncio.BaseTransport] = set()
@@ -246,6 +251,7 @@
             caller_request = await self._read_request(
                 request, request_id, route, caller, arrived_at_s
             )
+            delivery.record_read()
             async with self._usage.charged(
                 caller, caller_request.prompt_tokens, caller_request.max_tokens
             ):
@@ -267,6 +273,8 @@
         finally:
             took_s = time.monotonic() - arrived_at_s
             self.ended_by_outcome[outcome] += 1
+            if delivery.closed_by is request_end.ClosedBy.ENTRY:
+                self.cut_by_step[delivery.step] += 1
             self._count_by_organisation(caller)
             self._request_times.observe('outcome', outcome, took_s)
             log.info(
@@ -277,6 +285,8 @@
                 outcome=outcome,
                 status=delivery.response.status if delivery.response else 0,
                 took_ms=round(took_s * _MS_PER_S),
+                step=delivery.step,
+                closed_by=delivery.closed_by,
                 configuration_version=self._table.version,
                 configuration_age_ms=self._authenticator.age_ms(
                     arrived_boot_s
--- a/lacewingpitch/platform/response_delivery.py
+++ b/lacewingpitch/platform/response_delivery.py
@@ -7,6 +7,7 @@
 from lacewingpitch import backend_call
 from lacewingpitch import errors
 from lacewingpitch.platform import names
+from lacewingpitch import request_end
 from lacewingpitch import response_format
 
 
@@ -22,6 +23,8 @@
     ----------
     response
         The HTTP response; ``None`` until one is started.
+    step
+        The last step that the request has reached.
     """
 
     def __init__(
@@ -30,6 +33,35 @@
         self._request = request
         self._is_draining = is_draining
         self.response: web.StreamResponse | None = None
+        self.step = request_end.Step.HEAD_READ
+        self._is_complete = False
+        self._is_cut = False
+
+    @property
+    def is_caller_gone(self) -> bool:
+        """Whether the connection has ended, and not by this object."""
+        if self._is_cut:
+            return False
+        transport = self._request.transport
+        return transport is None or transport.is_closing()
+
+    @property
+    def closed_by(self) -> request_end.ClosedBy:
+        """Return who ended the connection if the answer is not whole."""
+        if self._is_complete:
+            return request_end.ClosedBy.NOBODY
+        if self.is_caller_gone:
+            return request_end.ClosedBy.CALLER
+        return request_end.ClosedBy.ENTRY
+
+    def record_read(self) -> None:
+        """Record that the body of the request has been read."""
+        self.step = request_end.Step.BODY_READ
+
+    def record_sent(self) -> None:
+        """Record that the request is being sent to a backend server."""
+        if not self.has_begun:
+            self.step = request_end.Step.SENT
 
     @property
     def has_begun(self) -> bool:
@@ -43,6 +75,7 @@
         response = web.Response(status=answer.status, body=body)
         await self._begin(response, answer)
         await response.write_eof()
+        self._is_complete = True
 
     async def begin(self, answer: backend_call.BackendAnswer) -> None:
         """Send the headers of a stream."""
@@ -57,6 +90,7 @@
         """End a stream, which marks it as complete."""
         assert self.response is not None
         await self.response.write_eof()
+        self._is_complete = True
 
     async def refuse(
         self, error: errors.RefusalError, request_id: str
@@ -66,7 +100,8 @@
             # Without the final chunk, the caller sees that the stream is
             # incomplete.
             transport = self._request.transport
-            if transport is not None:
+            if transport is not None and not transport.is_closing():
+                self._is_cut = True
                 transport.close()
             return
         headers = {names.REQUEST_ID: request_id} if request_id else {}
@@ -82,6 +117,7 @@
         self._close_when_draining(response)
         await response.prepare(self._request)
         await response.write_eof()
+        self._is_complete = True
 
     async def _begin(
         self,
@@ -93,6 +129,7 @@
             response.headers.add(name, value)
         self._close_when_draining(response)
         self.response = response
+        self.step = request_end.Step.ANSWERING
         await response.prepare(self._request)
 
     def _close_when_draining(self, response: web.StreamResponse) -> None:
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -264,6 +264,7 @@
         # From here on the request may run, also if its deadline passes or
         # its caller disconnects before the answer arrives.
         history.may_have_run = True
+        delivery.record_sent()
         try:
             await self._call(call, history, delivery)
         except (
--- a/tests/move_fakes.py
+++ b/tests/move_fakes.py
@@ -295,6 +295,9 @@
     def has_begun(self):
         return self.head is not None
 
+    def record_sent(self):
+        pass
+
     async def send_whole(self, answer, body):
         raise AssertionError('not a stream')
 
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -16,6 +16,7 @@
 from lacewingpitch import backend_call
 from lacewingpitch import clock
 from lacewingpitch import configuration_age
+from lacewingpitch import errors
 from lacewingpitch import metrics
 from lacewingpitch import organisation
 from lacewingpitch.platform import frontend as frontend_module
@@ -197,6 +198,57 @@
             assert runner.run(main()) == []
 
 
+class TestLogOfEnds:
+    REQUEST = (
+        b'GET /lookup/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n\r\n'
+    )
+
+    async def ended(self, scene, serve, leaves=False):
+        """Return what the log says of the end of a request."""
+        scene.configure()
+        scene.frontend._serve = serve
+        with structlog.testing.capture_logs() as lines:
+            reader, writer = await scene.connect()
+            with contextlib.closing(writer):
+                writer.write(self.REQUEST)
+                if leaves:
+                    await asyncio.sleep(0.1)
+                    writer.close()
+                else:
+                    await reader.read(1)
+            async with asyncio.timeout(5.0):
+                while not any(x['event'] == 'request ended' for x in lines):
+                    await asyncio.sleep(0.01)
+        (line,) = [x for x in lines if x['event'] == 'request ended']
+        return line['closed_by'], line['step']
+
+    async def test_a_whole_answer_is_closed_by_nobody(self, scene):
+        assert await self.ended(scene, scene._serve) == ('', 'answering')
+
+    async def test_a_refusal_is_closed_by_nobody(self, scene):
+        async def serve(_request, _delivery):
+            raise errors.RefusalError(errors.ErrorKind.QUEUE_FULL, 'full')
+
+        assert await self.ended(scene, serve) == ('', 'body read')
+
+    async def test_a_caller_that_leaves_is_told_from_the_entry(self, scene):
+        async def serve(_request, delivery):
+            delivery.record_sent()
+            await asyncio.sleep(10.0)
+
+        ended = await self.ended(scene, serve, leaves=True)
+        assert ended == ('caller', 'sent')
+
+    async def test_an_answer_that_is_cut_is_closed_by_the_entry(self, scene):
+        async def serve(_request, delivery):
+            delivery.record_sent()
+            await delivery.begin(backend_call.BackendAnswer(200, (), None))
+            raise errors.RefusalError(errors.ErrorKind.ANSWER_CUT, 'lost')
+
+        assert await self.ended(scene, serve) == ('entry', 'answering')
+        assert scene.frontend.cut_by_step == {'answering': 1}
+
+
 def authorization(value):
     return ('Authorization', value)
 
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -101,11 +101,15 @@
         self.head = None
         self.body = b''
         self.is_complete = False
+        self.sent_count = 0
 
     @property
     def has_begun(self):
         return self.head is not None
 
+    def record_sent(self):
+        self.sent_count += 1
+
     async def send_whole(self, answer, body):
         assert self.head is None
         self.head, self.body, self.is_complete = answer, body, True
