--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -168,6 +168,9 @@
         self.stop_listening = lambda: None
         # Connections of the requests in progress.
         self._transports = set()
+        # Set while it writes; what it has to say waits otherwise.
+        self._speaks = asyncio.Event()
+        self._speaks.set()
         # Share of the requests that it answers with 500.
         self.error_ratio = 0.0
         self._failures = random.Random(2)
@@ -185,6 +188,17 @@
         if self.crashes.on_crash:
             self.crashes.on_crash(self)
 
+    def fall_silent(self, for_s=math.inf):
+        """Write nothing for some time, and then go on."""
+        self._speaks.clear()
+        if math.isfinite(for_s):
+            asyncio.get_running_loop().call_later(for_s, self._speaks.set)
+
+    async def spoken(self, answer):
+        """Return an answer as soon as it may be written."""
+        await self._speaks.wait()
+        return answer
+
     def set_limit(self, per_s):
         """Name a limit in all answers from now on; none for ``None``."""
         self._limit_per_s = per_s
@@ -311,7 +325,7 @@
                 return web.Response()
             self._transports.add(transport)
             try:
-                return await handler(request)
+                return await self.spoken(await handler(request))
             finally:
                 self._transports.discard(transport)
 
@@ -424,9 +438,11 @@
                     **self.answer_headers(request),
                 }
             )
+            await self._speaks.wait()
             await response.prepare(request)
             first = int(request.headers.get('Last-Event-Id', 0)) + 1
             for number in range(first, self.event_count + 1):
+                await self._speaks.wait()
                 await response.write(b'id: %d\ndata: x\n\n' % number)
                 self.events_by_run[request_id] = number
                 if number == self.abort_after_event:
@@ -452,6 +468,7 @@
         standin_crashes.begin_unframed(self, request)
         first = int(request.headers.get('Last-Event-Id', 0)) + 1
         for number in range(first, self.event_count + 1):
+            await self._speaks.wait()
             request.transport.write(standin_crashes.event(number))
             self.events_by_run[request.headers['Request-Id']] = number
             await asyncio.sleep(self.event_pause_s)
@@ -484,7 +501,7 @@
             return web.Response()
         self._transports.add(transport)
         try:
-            return await self._run(request)
+            return await self.spoken(await self._run(request))
         finally:
             self._transports.discard(transport)
 
