--- a/lacewingpitch/answer_reading.py
+++ b/lacewingpitch/answer_reading.py
@@ -21,6 +21,8 @@
 # give up after eight times the target gap.
 _GAP_TIMEOUT_RATIO = 4.0
 _MIN_GAP_TIMEOUT_S = 1.5
+# Of the time for which callers wait; the rest is for a start elsewhere.
+_PATIENCE_RATIO = 0.5
 # Without another server to move to, an answer is waited for until the
 # request's deadline.
 _UNLIMITED_S = 3600.0
@@ -53,7 +55,10 @@
     route = request.route
     if standby is None or not route.is_idempotent:
         return idle_timeout.IdleTimeout(_UNLIMITED_S)
-    limit_s = max(_GAP_TIMEOUT_RATIO * route.target_gap_s, _MIN_GAP_TIMEOUT_S)
+    limit_s = max(
+        _GAP_TIMEOUT_RATIO * route.target_gap_s,
+        min(_MIN_GAP_TIMEOUT_S, _PATIENCE_RATIO * route.caller_timeout_s),
+    )
     return idle_timeout.IdleTimeout(limit_s, standby)
 
 
--- a/lacewingpitch/ejection.py
+++ b/lacewingpitch/ejection.py
@@ -170,6 +170,35 @@
             for_s=round(ejection_s, 3),
         )
 
+    def record_silence(self, name: str) -> None:
+        """Record that a request waits too long; it counts as a failure."""
+        self.record_failure(name)
+
+    def retract_silence(self, name: str) -> None:
+        """Record that a wait that counted as a failure has ended.
+
+        It ends an ejection that needed this failure.
+        """
+        counts = self._counts.get(name)
+        if counts is not None:
+            counts.failed = max(0.0, counts.failed - 1.0)
+            counts.total = max(0.0, counts.total - 1.0)
+        found = self._health.get(name)
+        if found is None or not found.failures:
+            return
+        found.failures -= 1
+        if (
+            found.failures < _FAILURES_TO_EJECT
+            and found.ejected_until_s is not None
+        ):
+            found.ejected_until_s = None
+            found.ejections -= 1
+            log.info(
+                'backend server no longer ejected',
+                backend_server=name,
+                ejections=found.ejections,
+            )
+
     def record_unresponsive(self, name: str) -> None:
         """Record that a server does not answer, and eject it at once."""
         found = self._health.setdefault(name, Health())
--- a/lacewingpitch/idle_timeout.py
+++ b/lacewingpitch/idle_timeout.py
@@ -9,12 +9,12 @@
 class Alternative(Protocol):
     """What a wait that takes too long may be given up for."""
 
-    def start(self, waiting_s: float, on_held: Callable[[], None]) -> None:
-        """Look for it; call `on_held` once it is there."""
+    def start(self, waiting_s: float, on_left: Callable[[], None]) -> None:
+        """Look for it; call `on_left` once it is there."""
         ...
 
-    def stop(self, is_answered: bool) -> None:
-        """Stop looking, as the wait has ended."""
+    def stop(self, error_kind: type[BaseException] | None) -> None:
+        """Stop looking, as the wait has ended, by an error or without."""
         ...
 
 
@@ -84,7 +84,7 @@
             The wait took longer than the limit.
         """
         if self._alternative is not None:
-            self._alternative.stop(is_answered=kind is None)
+            self._alternative.stop(kind)
         if not self._is_expired:
             self._task = None
             return
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -191,7 +191,7 @@
                 if failure is None:
                     return
                 # The turn has ended, and its slot is free for others.
-                if standby.is_held or self._should_retry(
+                if standby.is_left or self._should_retry(
                     request, services[0], history, failure
                 ):
                     history.splitter.drop_partial_event()
@@ -211,10 +211,10 @@
         exits: contextlib.AsyncExitStack,
     ) -> turn_spec.Turn:
         """Return the turn of the next attempt, held by `exits`."""
-        if standby is not None:
+        if standby is not None and standby.is_left:
+            self.retry_counts[services[0]] += 1
             held = await standby.take(exits)
             if held is not None:
-                self.retry_counts[services[0]] += 1
                 return held
         return await exits.enter_async_context(
             self._acquire_turn(request, services, history)
@@ -231,7 +231,9 @@
         next_attempt = history.sent_count + 2
         route = request.route
         return standby_turn.StandbyTurn(
-            lambda: self._acquire_turn(request, services, history),
+            lambda: self._acquire_turn(
+                request, services, history, history.next_search()
+            ),
             history.charges,
             self._ejector,
             self._clock,
@@ -240,6 +242,8 @@
             server_name=turn.server.name,
             request_id=request.request_id,
             may_move=next_attempt <= route.max_attempts,
+            move_by_s=lambda: history.move_by_s(request),
+            is_isolated=turn.is_isolated,
         )
 
     def _final_refusal(
@@ -263,6 +267,7 @@
         request: backend_call.CallerRequest,
         services: tuple[str, ...],
         history: request_history.RequestHistory,
+        search: int = 0,
     ) -> AsyncIterator[turn_spec.Turn]:
         """Acquire a turn on the backend server for the next attempt.
 
@@ -282,7 +287,9 @@
         version = self._versions.required_version(
             request.model, request.adapter
         )
-        spec = request_turns.new_spec(request, history, services[0], version)
+        spec = request_turns.new_spec(
+            request, history, services[0], version, search
+        )
         async with self._turns.acquire(spec, history.servers) as turn:
             history.turn_wait_s += self._clock.monotonic_s() - started_s
             yield turn
--- a/lacewingpitch/request_history.py
+++ b/lacewingpitch/request_history.py
@@ -31,6 +31,8 @@
         Whether one of the attempts may have run.
     servers
         Names of the backend servers of all attempts, in their order.
+    search_count
+        Number of searches for another server while an attempt went on.
     turn_wait_s
         Time spent waiting for turns.
     first_event_s
@@ -52,6 +54,7 @@
     may_have_run: bool = False
     servers: list[str] = dataclasses.field(default_factory=list)
     status: int = 0
+    search_count: int = 0
     turn_wait_s: float = 0.0
     first_event_s: float = 0.0
     longest_gap_s: float = 0.0
@@ -102,6 +105,17 @@
         timeout_s = request.route.caller_timeout_s - _FIRST_EVENT_S
         return min(request.deadline_at_s, waits_since_s + timeout_s)
 
+    def next_search(self) -> int:
+        """Return the number of a search that begins now."""
+        self.search_count += 1
+        return self.search_count
+
+    def move_by_s(self, request: backend_call.CallerRequest) -> float:
+        """Return the latest useful time to send it to another server."""
+        if request.route.is_stream:
+            return self.start_by_s(request)
+        return request.deadline_at_s - request.route.target_latency_s
+
     def target_at_s(self, request: backend_call.CallerRequest) -> float:
         """Return the time until which a turn is worth waiting for.
 
--- a/lacewingpitch/request_turns.py
+++ b/lacewingpitch/request_turns.py
@@ -10,6 +10,7 @@
     history: request_history.RequestHistory,
     service: str,
     version: int,
+    search: int = 0,
 ) -> turn_spec.TurnSpec:
     """Return what the next attempt of a request requires of a turn.
 
@@ -17,11 +18,14 @@
     ----------
     version
         Lowest version of the adapter that it may run on; 0 for any.
+    search
+        Number of the search during the attempt before; 0 for none.
     """
     caller = request.organisation
     return turn_spec.TurnSpec(
         run_id=request.request_id,
         attempt=history.sent_count + history.unreached_count + 1,
+        search=search,
         service=service,
         model=request.model,
         adapter=request.adapter,
--- a/lacewingpitch/standby_turn.py
+++ b/lacewingpitch/standby_turn.py
@@ -17,6 +17,8 @@
 # A sound server goes on before this.  Until then a part of the retry budget
 # is kept for attempts that have failed.
 _SOUND_SILENCE_S = 2.5
+# No part is kept in the last tries that can still help.
+_LAST_TRIES_S = 0.3
 _MS_PER_S = 1000
 log = structlog.get_logger(__name__)
 
@@ -48,6 +50,11 @@
         Request, for the log.
     may_move
         Whether the request may be sent once more.
+    move_by_s
+        Returns the latest useful monotonic time for another attempt.
+    is_isolated
+        Whether the attempt runs as the only suspect.  No second one may
+        start beside it, so that it is left as soon as a retry is paid for.
     """
 
     def __init__(
@@ -62,6 +69,8 @@
         server_name: str,
         request_id: str,
         may_move: bool,
+        move_by_s: Callable[[], float],
+        is_isolated: bool = False,
     ) -> None:
         self._acquire = acquire
         self._charges = charges
@@ -72,6 +81,9 @@
         self._server_name = server_name
         self._request_id = request_id
         self._may_move = may_move
+        self._move_by_s = move_by_s
+        self._is_isolated = is_isolated
+        self._is_left = False
         self._silent_since_s = 0.0
         self._is_silent = False
         self._is_charged = False
@@ -81,28 +93,34 @@
         self._exits = contextlib.AsyncExitStack()
 
     @property
-    def is_held(self) -> bool:
-        """Whether there is a turn elsewhere."""
-        return self._turn is not None
+    def is_left(self) -> bool:
+        """Whether the server was left, with the next attempt paid for."""
+        return self._is_left
 
-    def start(self, waiting_s: float, on_held: Callable[[], None]) -> None:
+    def start(self, waiting_s: float, on_left: Callable[[], None]) -> None:
         """Look for a turn elsewhere, as the server has not answered in time.
 
         Parameters
         ----------
         waiting_s
             How long the attempt has waited.
-        on_held
-            Called once there is a turn.
+        on_left
+            Called once the server is left.
         """
         self._is_silent = True
         self._silent_since_s = self._clock.monotonic_s() - waiting_s
-        self._ejector.record_failure(self._server_name)
+        self._ejector.record_silence(self._server_name)
         if self._may_move:
-            self._search = asyncio.create_task(self._find(on_held))
+            self._search = asyncio.create_task(self._find(on_left))
 
-    def stop(self, is_answered: bool) -> None:
-        """Stop looking, as the wait has ended."""
+    def stop(self, error_kind: type[BaseException] | None) -> None:
+        """Stop looking, as the wait has ended.
+
+        Parameters
+        ----------
+        error_kind
+            What ended it; ``None`` if the server has gone on.
+        """
         if not self._is_silent:
             return
         self._is_silent = False
@@ -114,8 +132,11 @@
         if self._is_charged:
             self._charges.refund()
             self._is_charged = False
-        if is_answered:
-            self._ejector.record_success(self._server_name)
+        if error_kind is asyncio.CancelledError:
+            return
+        # How the attempt ends counts by itself.
+        self._ejector.retract_silence(self._server_name)
+        if error_kind is None:
             self._log('backend server goes on')
 
     async def take(
@@ -129,42 +150,47 @@
 
     async def close(self) -> None:
         """Stop looking, and release a turn that was not taken."""
-        self.stop(is_answered=False)
+        self.stop(asyncio.CancelledError)
         if self._ending:
             await asyncio.wait(self._ending)
         await self._exits.aclose()
 
-    async def _find(self, on_held: Callable[[], None]) -> None:
-        while True:
-            turn = await self._try_acquire()
-            if turn is not None:
-                break
+    async def _find(self, on_left: Callable[[], None]) -> None:
+        while not self._try_charge() or not await self._try_acquire():
             await asyncio.sleep(_SEARCH_INTERVAL_S)
-        self._turn = turn
         self._search = None
         self._is_charged = False
         self._is_silent = False
-        self._log('silent backend server left', to=turn.server.name)
-        on_held()
-
-    async def _try_acquire(self) -> turn_spec.Turn | None:
-        silent_s = self._clock.monotonic_s() - self._silent_since_s
+        self._is_left = True
+        to = self._turn.server.name if self._turn is not None else ''
+        self._log('silent backend server left', to=to)
+        on_left()
+
+    def _try_charge(self) -> bool:
+        now_s = self._clock.monotonic_s()
+        keeps_part = now_s < min(
+            self._silent_since_s + _SOUND_SILENCE_S,
+            self._move_by_s() - _LAST_TRIES_S,
+        )
         self._is_charged = self._charges.try_charge_early(
-            self._service,
-            self._attempt,
-            keeps_part=silent_s < _SOUND_SILENCE_S,
+            self._service, self._attempt, keeps_part
         )
-        if not self._is_charged:
-            return None
+        return self._is_charged
+
+    async def _try_acquire(self) -> bool:
+        """Acquire a turn elsewhere; refund the charge without one."""
+        if self._is_isolated:
+            return True
         async with contextlib.AsyncExitStack() as exits:
             with contextlib.suppress(errors.RefusalError):
                 turn = await exits.enter_async_context(self._acquire())
                 if self._charges.try_move(turn.server.service):
+                    self._turn = turn
                     self._exits = exits.pop_all()
-                    return turn
+                    return True
         self._charges.refund()
         self._is_charged = False
-        return None
+        return False
 
     def _log(self, event: str, **fields: str) -> None:
         silent_s = self._clock.monotonic_s() - self._silent_since_s
--- a/lacewingpitch/turn_spec.py
+++ b/lacewingpitch/turn_spec.py
@@ -36,6 +36,9 @@
     part_keys
         Keys of the parts of its prompt that others may share; see
         `suspect_keys`.
+    search
+        Number of the search that asks for the turn while an attempt goes
+        on; 0 for none.
     """
 
     run_id: str
@@ -57,6 +60,7 @@
     fingerprint: str = ''
     gap_s: float = 0.0
     part_keys: tuple[str, ...] = ()
+    search: int = 0
 
     @property
     def suspect_keys(self) -> tuple[str, ...]:
@@ -74,7 +78,13 @@
 
     @property
     def turn_id(self) -> str:
-        """Return the id of the turn."""
+        """Return the id of the turn.
+
+        Each search has its own: the end of the turn of the one before may
+        still be on its way to the sidecar.
+        """
+        if self.search:
+            return f'{self.run_id}.{self.attempt}s{self.search}'
         return f'{self.run_id}.{self.attempt}'
 
 
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -407,19 +407,24 @@
         assert 'a' not in during
         assert 'a' in after
 
-    def test_one_silence_leaves_half_of_the_budget(self):
+    @pytest.mark.parametrize(
+        ('target_s', 'silent_s'), [(0.1, 1.25), (0.8, 2.0)]
+    )
+    def test_one_silence_leaves_half_of_the_budget(self, target_s, silent_s):
         """Guards against a budget spent by the streams of one server."""
         count = 50
+        found = dataclasses.replace(self.RESUMABLE, target_latency_s=target_s)
+        silent = {'chunks': (event(1), silent_s, event(2))}
 
         async def main():
             rest = [self.REST] * count
-            scene = Scene(*[self.SILENT] * count, *rest)
+            scene = Scene(*[silent] * count, *rest)
             deliveries = []
             async with asyncio.TaskGroup() as group:
                 for _ in range(count):
                     scene.delivered = Delivered()
                     deliveries.append(scene.delivered)
-                    group.create_task(scene.forward(self.RESUMABLE, model='m'))
+                    group.create_task(scene.forward(found, model='m'))
                     await asyncio.sleep(0)
             return scene, deliveries
 
