A sound engine that is silent for a moment is waited for, not refused

Callers saw 503 "the engine is down" with a Retry-After of 1.7 to 3 s while every engine that could serve them was sound, and back within a second.

Cause: after 1 s without a report an engine counted as down, also where the reports only timed out. Entries wait for engines that start, but not for one that is down.

Now a timeout (`errors.SilentError`) is told from a failure that shows an end. From 1 s to 2.5 s without a report an engine whose reports only timed out is silent: turns are refused towards other engines as soon as before, and where none of those that were asked serves, the entry waits 0.4 s at each silent one in turn. A refused connection or 2.5 s end that. The incarnation is not asked for again after a mere silence.

--- a/benchmarks/caller_loss.py
+++ b/benchmarks/caller_loss.py
@@ -129,6 +129,7 @@
 
     is_leaving = False
     is_starting = False
+    is_silent = False
     remaining_start_s = 0.0
     started_at_ms = 0
 
--- a/lacewingpitch/admission.py
+++ b/lacewingpitch/admission.py
@@ -15,6 +15,8 @@
 # its disk or from the store.  Earlier retries would be refused again, and so
 # would simultaneous ones.
 _RESTART_RETRY_AFTER_S = (1.5, 3.0)
+# The same for an engine that goes on within a second or so.
+_SILENT_RETRY_AFTER_S = (0.5, 1.0)
 # Maximum number of requests that wait for an engine to start: half of the
 # messages that a sidecar handles at once, so that the ends of turns get
 # through.
@@ -52,6 +54,11 @@
         """Whether the engine is up, and expected to serve within seconds."""
         ...
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it starts to serve again once it answers again."""
+        ...
+
     @property
     def remaining_start_s(self) -> float:
         """Return the expected time until a starting engine serves."""
@@ -189,6 +196,12 @@
                 'the engine is leaving',
                 retry_after_s=_LEAVING_RETRY_AFTER_S,
             )
+        if self._engine.is_silent:
+            return errors.RefusalError(
+                errors.ErrorKind.BACKEND_STARTING,
+                'the engine does not answer at the moment',
+                retry_after_s=self._random.uniform(*_SILENT_RETRY_AFTER_S),
+            )
         retry_after_s = self._random.uniform(*_RESTART_RETRY_AFTER_S)
         if self._engine.is_starting:
             return errors.RefusalError(
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -126,7 +126,6 @@
         self.granter: turn_granter.TurnGranter | None = None
         self._pacer = prefill_pacer.PrefillPacer(clock, self._watch.rates)
         self._adopted_runs: frozenset[str] = frozenset()
-        self._is_down = True
         self._next_model_order_s = 0.0
         self._is_ready = asyncio.Event()
 
@@ -186,7 +185,9 @@
             await self._poll()
         return turn_messages.TurnEndsReply(
             is_known=True,
-            is_running=not self._is_down,
+            is_running=not (
+                self.view.contact.is_lost or self.view.contact.is_unanswered
+            ),
             backend_server=self.view.backend_server,
             started_at_ms=self.view.started_at_ms,
         )
@@ -261,17 +262,13 @@
             if self.view.is_outdated(snapshot):
                 raise errors.PlatformError('the report is of an earlier start')
             if (
-                self._is_down
+                self.view.contact.is_lost
                 or self.view.is_restart(snapshot)
                 or self.view.may_be_replaced(snapshot)
             ):
                 await self._attach(snapshot)
         except errors.PlatformError as error:
-            if not self._is_down:
-                log.warning(
-                    'dependency lost', dependency='engine', error=str(error)
-                )
-            self._is_down = True
+            self.view.contact.record_failure(error)
             await self._refuse_pending_unless_serving()
             return
         self._log_leaving(snapshot)
@@ -299,7 +296,6 @@
             raise errors.PlatformError('no configuration is known yet')
         incarnation = await self._engine.incarnation()
         self.view.record_incarnation()
-        self._is_down = False
         log.info(
             'dependency regained',
             dependency='engine',
--- a/lacewingpitch/engine_metrics.py
+++ b/lacewingpitch/engine_metrics.py
@@ -94,5 +94,5 @@
     metrics.gauge(
         'engine_report_age_seconds',
         'How old the last report of the engine is.',
-        lambda: view.report_age_s,
+        lambda: view.contact.report_age_s,
     )
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -1,7 +1,6 @@
 """Last reported state of an engine, and the orders sent to it."""
 
 import asyncio
-import math
 
 import structlog
 
@@ -9,14 +8,12 @@
 from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
 from lacewingpitch import engine as engine_module
+from lacewingpitch import engine_contact
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
 from lacewingpitch import errors
 from lacewingpitch import fence as fence_module
 
-# An engine without a report for this long counts as down: three consecutive
-# reports are missing.
-_DOWN_AFTER_S = 1.0
 # A restarting engine loads its base model from its own disk.
 _EXPECTED_START_S = 1.5
 # A load from the weight store takes longer, especially while many engines
@@ -54,8 +51,7 @@
         self._versions = versions
         self._clock = clock
         self._snapshot: engine_snapshot.EngineSnapshot | None = None
-        self._polled_at_s = -math.inf
-        self._reported_at_s = 0.0
+        self.contact = engine_contact.EngineContact(clock)
         # When a report first showed no model; None while there is one.
         self._without_model_since_s: float | None = None
         self._unconfirmed_orders = engine_orders.UnconfirmedOrders()
@@ -113,20 +109,25 @@
     def record_incarnation(self) -> None:
         """Record that the engine's incarnation has been asked for."""
         self._is_order_misdirected = False
+        self.contact.record_attached()
 
     def is_outdated(self, snapshot: engine_snapshot.EngineSnapshot) -> bool:
         """Whether a report is of an earlier start than the known one."""
         return snapshot.started_at_ms < self.started_at_ms
 
-    @property
-    def report_age_s(self) -> float:
-        """Return the age of the last report."""
-        return self._clock.monotonic_s() - self._reported_at_s
-
     @property
     def is_serving(self) -> bool:
         """Whether the engine is up with a model, and not leaving."""
-        snapshot = self._current
+        return self.contact.is_current and self._may_serve
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the engine would serve, and does not answer for a moment."""
+        return self.contact.is_silent and self._may_serve
+
+    @property
+    def _may_serve(self) -> bool:
+        snapshot = self._snapshot
         return (
             snapshot is not None
             and not self._leaves(snapshot)
@@ -143,7 +144,7 @@
     def is_starting(self) -> bool:
         """Whether the engine is up, and expected to serve within seconds."""
         snapshot = self._current
-        return (
+        return self.is_silent or (
             snapshot is not None
             and not self._leaves(snapshot)
             and not snapshot.models
@@ -153,6 +154,8 @@
     @property
     def remaining_start_s(self) -> float:
         """Return the expected time until a starting engine serves."""
+        if self.is_silent:
+            return self.contact.remaining_silence_s
         return max(
             _MIN_REMAINING_START_S,
             _EXPECTED_START_S - self._without_model_for_s,
@@ -161,9 +164,7 @@
     @property
     def _current(self) -> engine_snapshot.EngineSnapshot | None:
         """Return the last report, unless the engine counts as down."""
-        if self.report_age_s < _DOWN_AFTER_S:
-            return self._snapshot
-        return None
+        return self._snapshot if self.contact.is_up else None
 
     @property
     def _without_model_for_s(self) -> float:
@@ -248,13 +249,12 @@
     ) -> None:
         """Apply a report that was requested at `polled_at_s`."""
         self._snapshot = snapshot
-        self._polled_at_s = polled_at_s
         self._unconfirmed_orders.apply_report(polled_at_s)
-        self._reported_at_s = self._clock.monotonic_s()
+        self.contact.record_report()
         if snapshot.models:
             self._without_model_since_s = None
         elif self._without_model_since_s is None:
-            self._without_model_since_s = self._reported_at_s
+            self._without_model_since_s = self._clock.monotonic_s()
         self._notify_report()
 
     def _notify_report(self) -> None:
--- a/lacewingpitch/errors.py
+++ b/lacewingpitch/errors.py
@@ -111,6 +111,9 @@
     ErrorKind.INTERNAL: AnswerRule(500, Outcome.UNKNOWN),
 }
 
+# Refusals by engines that serve no request now.
+NOT_SERVING_KINDS = (ErrorKind.DRAINING, ErrorKind.BACKEND_STARTING)
+
 
 class LacewingpitchError(Exception):
     """Base class of the errors that this package raises."""
@@ -132,6 +135,10 @@
     """The platform refused a call, or its answer is missing or invalid."""
 
 
+class SilentError(PlatformError):
+    """The called part did not answer in time; it may be sound."""
+
+
 class RefusalError(LacewingpitchError):
     """A request ends without a whole answer.
 
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -96,7 +96,8 @@
     ),
     errors.ErrorKind.DRAINING: 'the instance is shutting down',
     errors.ErrorKind.BACKEND_STARTING: (
-        'every engine that could serve it is still loading its base model'
+        'every engine that could serve it is still loading its base model, '
+        'or does not answer for a moment'
     ),
     errors.ErrorKind.FOREIGN_PROCESS: (
         'an order of another deployment; callers do not receive this error'
--- a/lacewingpitch/platform_call.py
+++ b/lacewingpitch/platform_call.py
@@ -16,6 +16,8 @@
 def platform_errors(name: str) -> Iterator[None]:
     """Convert errors of a call to `errors.PlatformError`.
 
+    A timeout becomes `errors.SilentError`.
+
     Parameters
     ----------
     name
@@ -25,7 +27,11 @@
         yield
     except single_sending.BrokenConnectionError as error:
         raise errors.PlatformError(f'{name}: {error}') from error.cause
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except TimeoutError as error:
+        raise errors.SilentError(
+            f'{name}: {type(error).__name__}: {error}'
+        ) from error
+    except (aiohttp.ClientError, OSError) as error:
         raise errors.PlatformError(
             f'{name}: {type(error).__name__}: {error}'
         ) from error
--- a/lacewingpitch/room_search.py
+++ b/lacewingpitch/room_search.py
@@ -20,10 +20,6 @@
 _MAX_ASKS = 2
 # Engines that don't serve say nothing of the load of the others.
 _MAX_NOT_SERVING_ASKS = 2
-_NOT_SERVING = (
-    errors.ErrorKind.DRAINING,
-    errors.ErrorKind.BACKEND_STARTING,
-)
 Ask = Callable[[backend_list.BackendServer], Awaitable[turn_spec.Turn | None]]
 log = structlog.get_logger(__name__)
 
@@ -131,4 +127,4 @@
     replies: turn_replies.TurnReplies, server: backend_list.BackendServer
 ) -> bool:
     refusal = replies.refusals.get(server.name)
-    return refusal is not None and refusal.kind in _NOT_SERVING
+    return refusal is not None and refusal.kind in errors.NOT_SERVING_KINDS
--- a/lacewingpitch/start_wait.py
+++ b/lacewingpitch/start_wait.py
@@ -1,4 +1,4 @@
-"""Waits of requests until their engine has started."""
+"""Waits of requests until their engine has started, or goes on."""
 
 import asyncio
 import contextlib
@@ -24,7 +24,7 @@
 
 
 class StartWait:
-    """Holds requests while their engine starts."""
+    """Holds requests while their engine starts, or is silent."""
 
     def __init__(
         self, engine: StartingEngine, admission: admission_module.Admission
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -161,7 +161,7 @@
         )
         if turn is not None:
             return turn, True
-        if not replies.are_all_starting:
+        if replies.silent or not replies.are_all_starting:
             replies = further
         turn = await self._try_shortest_wait(spec, replies)
         if turn is not None:
@@ -169,6 +169,8 @@
         turn = await self._unconfirmed_turn(spec, excluded, replies)
         if turn is not None:
             return turn, False
+        if replies.is_silence_awaited:
+            return await self._await_silent(spec, replies), True
         if replies.are_all_starting:
             return await self._await_start(replies.first_starting, spec), True
         raise self._refusal(spec, replies)
@@ -283,6 +285,7 @@
         spec: turn_spec.TurnSpec,
         replies: turn_replies.TurnReplies,
         accept_within_s: float = 0.0,
+        waits_for_engine: bool = False,
     ) -> turn_spec.Turn | None:
         """Request a turn of one sidecar, and record why there is none."""
         replies.tried.append(server)
@@ -291,10 +294,14 @@
                 server,
                 spec,
                 replies,
-                turn_exchange.TurnTerms(accept_within_s=accept_within_s),
+                turn_exchange.TurnTerms(
+                    waits_for_engine=waits_for_engine,
+                    accept_within_s=accept_within_s,
+                ),
             )
         except errors.NoReplyError as error:
             self._record_unresponsive(server, spec, error)
+            replies.silent.pop(server.name, None)
             turn = turn_candidates.unconfirmed_turn(server, spec)
             if turn is not None:
                 replies.fallbacks.append(turn)
@@ -331,6 +338,28 @@
             self._record_unresponsive(server, spec, error)
             raise _earliest_retry([]) from error
 
+    async def _await_silent(
+        self, spec: turn_spec.TurnSpec, replies: turn_replies.TurnReplies
+    ) -> turn_spec.Turn:
+        """Acquire a turn at the first silent engine that goes on.
+
+        Each of them is waited for in turn, since some may never go on.
+        """
+        log.info(
+            'waiting for silent engines',
+            request_id=spec.run_id,
+            backend_servers=sorted(replies.silent),
+            left_ms=int(self._remaining_s(spec) * _MS_PER_S),
+        )
+        while replies.silent and self._remaining_s(spec) > 0.0:
+            for server in list(replies.silent.values()):
+                turn = await self._try_server(
+                    server, spec, replies, waits_for_engine=True
+                )
+                if turn is not None:
+                    return turn
+        raise self._refusal(spec, replies)
+
     def _record_unresponsive(
         self,
         server: backend_list.BackendServer,
--- a/lacewingpitch/turn_exchange.py
+++ b/lacewingpitch/turn_exchange.py
@@ -29,6 +29,8 @@
 # and a sidecar whose share of a core is busy.
 _REPLY_MARGIN_S = _REPLY_WITHIN_S + 0.25
 _MAX_RETRY_AFTER_S = 10.0
+# An engine that is silent for a moment goes on within a second or so.
+_SILENT_RETRY_AFTER_S = 0.5
 
 
 class SidecarLink(turn_end_reporter.TurnEndLink, Protocol):
@@ -159,6 +161,7 @@
         self._ejector.record_success(turn_candidates.sidecar_key(server.name))
         self._apply_reply(server, request, reply, asked_at_s)
         granting = _granting_server(server, reply)
+        replies.record_silence(server, _may_go_on(reply, terms))
         if reply.refusal is not None:
             replies.refused_waits_s[server.name] = reply.wait_ms / _MS_PER_S
             raise errors.RefusalError(
@@ -166,6 +169,12 @@
                 reply.detail,
                 retry_after_s=reply.retry_after_ms / _MS_PER_S,
             )
+        if reply.is_silent and reply.is_pending:
+            raise errors.RefusalError(
+                errors.ErrorKind.BACKEND_STARTING,
+                'the engine does not answer at the moment',
+                retry_after_s=_SILENT_RETRY_AFTER_S,
+            )
         if not terms.is_isolated and self.is_suspect(spec):
             self._end_reporter.record(server.ip, spec.turn_id)
             raise self._suspect_error(spec)
@@ -314,6 +323,13 @@
     return max(0, int((at_s - now_s) * _MS_PER_S))
 
 
+def _may_go_on(reply: turn_messages.TurnReply, terms: TurnTerms) -> bool:
+    """Whether the engine is silent, and may be waited for."""
+    if not reply.is_silent:
+        return False
+    return reply.is_pending or not terms.waits_for_engine
+
+
 def _granting_server(
     server: backend_list.BackendServer, reply: turn_messages.TurnReply
 ) -> backend_list.BackendServer:
--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -118,7 +118,7 @@
         """Grant or refuse a turn, or reply that it is still pending."""
         self._entries.record(request.entry)
         if await self._start_wait.wait(request):
-            return self._reply(is_pending=True)
+            return self._reply(True, is_silent=self._engine.is_silent)
         turn = self._turns.get(request.turn_id)
         if turn is None:
             refusal = self._isolation.refusal(
@@ -359,18 +359,14 @@
         return prompt_s + self._expected_run_s(request)
 
     def _expected_run_s(self, request: turn_messages.TurnRequest) -> float:
-        return self._run_durations.expected_s(
-            request.expected_tokens or request.max_tokens
-        )
+        return self._run_durations.expected_s(request.length_tokens)
 
     def _record_run_time(self, turn: turn_lease.TurnLease) -> None:
         if turn.granted_at_s is None:
             return
         request = turn.request
-        self._run_durations.record(
-            request.expected_tokens or request.max_tokens,
-            self._clock.monotonic_s() - turn.granted_at_s,
-        )
+        run_s = self._clock.monotonic_s() - turn.granted_at_s
+        self._run_durations.record(request.length_tokens, run_s)
 
     async def _end(self, turn_id: str, from_task: bool = False) -> None:
         turn = self._turns.pop(turn_id, None)
@@ -406,16 +402,18 @@
             detail=error.detail,
             retry_after_ms=int((error.retry_after_s or 0.0) * _MS_PER_S),
             wait_ms=int(wait_s * _MS_PER_S),
+            is_silent=self._engine.is_silent,
         )
 
     def _reply(
         self,
-        version: int = 0,
         is_pending: bool = False,
+        version: int = 0,
         refusal: errors.ErrorKind | None = None,
         detail: str = '',
         retry_after_ms: int = 0,
         wait_ms: int = 0,
+        is_silent: bool = False,
     ) -> turn_messages.TurnReply:
         return turn_messages.TurnReply(
             backend_server=self._engine.backend_server,
@@ -429,4 +427,5 @@
             hint=self._hint_builder.build(),
             started_at_ms=self._engine.started_at_ms,
             wait_ms=wait_ms,
+            is_silent=is_silent,
         )
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -117,6 +117,11 @@
     has_uneven_engines: bool = False
     removals: tuple[leaving_news.ServerRemoval, ...] = ()
 
+    @property
+    def length_tokens(self) -> int:
+        """Return the expected length of its answer, or the longest one."""
+        return self.expected_tokens or self.max_tokens
+
     @property
     def flow(self) -> str:
         """Return the flow of weighted fair queueing that it belongs to."""
@@ -159,6 +164,9 @@
         Start ids of servers that announced to others that they leave.
     removals
         Servers that the list no longer offers, as others read it.
+    is_silent
+        Whether the engine doesn't answer, and is expected to go on in a
+        moment.  A pending request then has no turn there that must be ended.
     """
 
     backend_server: str = ''
@@ -178,6 +186,7 @@
     limit_news: tuple[limit_news_module.LimitNews, ...] = ()
     leaving: tuple[str, ...] = ()
     removals: tuple[leaving_news.ServerRemoval, ...] = ()
+    is_silent: bool = False
 
 
 class TurnEnds(link.Message, frozen=True):
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -1,6 +1,7 @@
 """A fake model engine in virtual time, with reports and orders."""
 
 import asyncio
+import math
 
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
@@ -8,6 +9,8 @@
 
 Result = engine_orders.OrderResult
 MODEL = 'm'
+REPORT_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 1.0
 
 
 class FakeEngine:
@@ -46,6 +49,23 @@
         self.is_load_lost = False
         self.started_at_ms = 0
         self.limit_per_s = None
+        self._silent_until_s = 0.0
+
+    def fall_silent(self, for_s=math.inf):
+        """Read and work, but answer nothing for some time."""
+        now_s = asyncio.get_running_loop().time()
+        self._silent_until_s = now_s + for_s
+
+    async def _spoken(self, timeout_s):
+        now_s = asyncio.get_running_loop().time()
+        left_s = self._silent_until_s - now_s
+        if left_s > timeout_s:
+            await asyncio.sleep(timeout_s)
+            self._check_up()
+            raise errors.SilentError('no answer in time')
+        if left_s > 0.0:
+            await asyncio.sleep(left_s)
+            self._check_up()
 
     def restart(self, name, started_at_ms=0):
         self.name = name
@@ -60,6 +80,7 @@
 
     async def incarnation(self):
         self._check_up()
+        await self._spoken(ORDER_TIMEOUT_S)
         return self.name
 
     async def report(self):
@@ -80,6 +101,7 @@
             events_by_run=dict(self.events_by_run),
         )
         await asyncio.sleep(self.report_delay_s)
+        await self._spoken(REPORT_TIMEOUT_S)
         return found
 
     async def load_model(self, model, fencing, incarnation):
@@ -89,6 +111,7 @@
         self.model_orders.append(model)
         if not self.is_load_lost:
             asyncio.get_running_loop().call_later(1.0, self.models.add, model)
+        await self._spoken(ORDER_TIMEOUT_S)
         return Result.ACCEPTED
 
     async def load(self, model, adapter, version, fencing, incarnation):
@@ -115,6 +138,7 @@
         if self.lose_answers:
             self.lose_answers -= 1
             raise errors.PlatformError('the answer is lost')
+        await self._spoken(ORDER_TIMEOUT_S)
         return Result.ACCEPTED
 
     async def unload(self, model, adapter, fencing, incarnation):
@@ -126,8 +150,10 @@
             asyncio.get_running_loop().call_later(
                 0.2, self._unloaded, self._start, key
             )
+            await self._spoken(ORDER_TIMEOUT_S)
             return Result.ACCEPTED
         self.held.pop(key, None)
+        await self._spoken(ORDER_TIMEOUT_S)
         return Result.DONE
 
     def _check_up(self):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -32,6 +32,7 @@
 @dataclasses.dataclass
 class Engine:
     is_serving: bool = True
+    is_silent: bool = False
     is_leaving: bool = False
     is_starting: bool = False
     remaining_start_s: float = 1.0
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -277,6 +277,19 @@
 
         play(story)
 
+    def test_turns_outlast_a_silence_of_their_engine(self):
+        """Guards against turns that end while the engine still runs them."""
+
+        async def story(scene):
+            await scene.request_turn('long')
+            scene.engine.runs.add('long')
+            await asyncio.sleep(0.3)
+            scene.engine.fall_silent(2.0)
+            await asyncio.sleep(3.0)
+            assert len(scene.controller.granter) == 1
+
+        play(story)
+
     def test_ending_a_pending_turn_frees_its_resources(self):
         async def story(scene):
             requesting = asyncio.create_task(scene.request_turn('one'))
--- a/tests/test_organisation_fairness.py
+++ b/tests/test_organisation_fairness.py
@@ -40,6 +40,7 @@
     is_serving = True
     is_leaving = False
     is_starting = False
+    is_silent = False
     remaining_start_s = 0.0
     backend_server = 'i-1'
     started_at_ms = 0
--- /dev/null
+++ b/tests/test_silent_engines.py
@@ -0,0 +1,86 @@
+"""Sound engines that fall silent for a moment, as their sidecars see them."""
+
+import asyncio
+
+import pytest
+
+from lacewingpitch import errors
+from tests import silent_engines
+
+
+class TestSilence:
+    @pytest.mark.parametrize('silent_s', [1.0, 1.3, 1.6, 2.0])
+    @pytest.mark.parametrize('engine_count', [1, 2, 3])
+    @pytest.mark.parametrize('adapters', [('',), ('a', 'b')])
+    def test_no_caller_is_refused_while_all_engines_are_silent(
+        self, silent_s, engine_count, adapters
+    ):
+        """Guards against refusals although an engine is back in a moment."""
+
+        async def story(scene):
+            load = asyncio.create_task(scene.load(14, 6.0, adapters))
+            await asyncio.sleep(2.0)
+            for engine in scene.engines:
+                engine.fall_silent(silent_s)
+            await load
+
+        scene = silent_engines.play(
+            story, engine_count=engine_count, max_running=64
+        )
+        assert scene.refused == []
+
+    def test_waiting_callers_leave_an_engine_that_stays_silent(self):
+        """Guards against waiting for an engine that hangs beside a sound."""
+
+        async def story(scene):
+            for engine, silent_s in zip(scene.engines, (99, 1.4), strict=True):
+                engine.fall_silent(silent_s)
+            await asyncio.sleep(1.25)
+            await scene.load(20, 0.5)
+
+        scene = silent_engines.play(story)
+        assert {end for _, end, _, _ in scene.ends} == {'i-1'}
+        waits_s = [settled - asked for _, _, asked, settled in scene.ends]
+        assert max(waits_s) < 1.2
+
+    def test_silent_engine_is_left_where_another_serves(self):
+        """Guards against callers that wait for an engine that hangs."""
+
+        async def story(scene):
+            scene.engines[0].fall_silent()
+            await asyncio.sleep(1.5)
+            await scene.load(14, 4.0)
+
+        scene = silent_engines.play(story)
+        assert {end for _, end, _, _ in scene.ends} == {'i-1'}
+        waits_s = [settled - asked for _, _, asked, settled in scene.ends]
+        assert max(waits_s) < 0.1
+
+    def test_callers_are_refused_once_all_engines_hang(self):
+        """Guards against callers that wait until their deadline in vain."""
+
+        async def story(scene):
+            for engine in scene.engines:
+                engine.fall_silent()
+            await asyncio.sleep(1.5)
+            await scene.run('one')
+
+        scene = silent_engines.play(story)
+        (_, end, asked_at_s, settled_at_s) = scene.ends[0]
+        assert end.kind is errors.ErrorKind.DRAINING
+        assert settled_at_s - asked_at_s < 2.0
+
+    def test_engine_that_crashes_while_silent_is_down_at_once(self):
+        """Guards against waiting for an engine that has ended."""
+
+        async def story(scene):
+            (engine,) = scene.engines
+            engine.fall_silent()
+            await asyncio.sleep(1.5)
+            engine.is_up = False
+            await scene.run('one')
+
+        scene = silent_engines.play(story, engine_count=1)
+        (_, end, asked_at_s, settled_at_s) = scene.ends[0]
+        assert end.kind is errors.ErrorKind.DRAINING
+        assert settled_at_s - asked_at_s < 0.6
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -340,6 +340,60 @@
         play(story)
 
 
+class TestSilent:
+    """Engines that don't answer for a moment."""
+
+    def silent(self, **fields):
+        return turn_messages.TurnReply(
+            refusal=STARTING, retry_after_ms=700, is_silent=True, **fields
+        )
+
+    def test_waits_for_a_silent_engine_if_the_others_do_not_serve(self):
+        """Guards against refusals although an engine serves soon."""
+
+        async def story(scene):
+            for number in (2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = (
+                    turn_messages.TurnReply(refusal=DRAINING)
+                )
+            scene.sidecars.replies['10.0.0.1'] = [
+                self.silent(),
+                turn_messages.TurnReply(is_pending=True, is_silent=True),
+                turn_messages.TurnReply(version=2),
+            ]
+            assert (await scene.acquire()).version == 2
+
+        requests = play(story).sidecars.requests
+        waits = [ip for ip, request in requests if request.waits_for_engine]
+        assert waits == ['10.0.0.1', '10.0.0.1']
+
+    def test_refusal_while_waiting_ends_the_wait(self):
+        """Guards against asking a sidecar without a pause."""
+
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = self.silent()
+            with pytest.raises(errors.RefusalError) as found:
+                await scene.acquire()
+            assert found.value.retry_after_s == pytest.approx(0.7)
+
+        assert len(play(story).sidecars.requests) == 6
+
+    def test_sidecar_lost_during_the_wait_is_not_asked_again(self):
+        """Guards against waiting for a sidecar that has ended."""
+
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = [
+                    self.silent(),
+                    None,
+                ]
+            with pytest.raises(errors.RefusalError):
+                await scene.acquire()
+
+        assert len(play(story).sidecars.requests) <= 6
+
+
 class TestUnresponsiveSidecar:
     def test_engine_serves_without_its_sidecar(self):
         """Guards against an outage although every engine serves.
