A silent engine is not reported as ended

An entry that asks a sidecar whether its engine still runs (after a broken connection, or for an answer that ends with its connection) was told that it does not run while the engine was merely silent. The answer then counted as cut, and its request as one during which an engine crashed.

Cause: the sidecar polls its engine for the reply, and took a report that timed out for an engine that has ended.

A refused connection still shows an end at once.

Evidence: test_silent_engine_is_not_reported_as_ended failed on the code before (is_known and not is_running).

--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -184,10 +184,8 @@
         async with self._poll_lock:
             await self._poll()
         return turn_messages.TurnEndsReply(
-            is_known=True,
-            is_running=not (
-                self.view.contact.is_lost or self.view.contact.is_unanswered
-            ),
+            is_known=not self.view.contact.is_unanswered,
+            is_running=not self.view.contact.is_lost,
             backend_server=self.view.backend_server,
             started_at_ms=self.view.started_at_ms,
         )
--- a/lacewingpitch/turn_messages.py
+++ b/lacewingpitch/turn_messages.py
@@ -208,8 +208,8 @@
     Parameters
     ----------
     is_known
-        Whether the engine was polled; the other fields are valid only
-        then.
+        Whether the engine was polled, and was not silent; the other fields
+        are valid only then.
     is_running
         Whether the engine could be reached.
     backend_server
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -5,8 +5,11 @@
 import pytest
 
 from lacewingpitch import errors
+from lacewingpitch import turn_messages
 from tests import silent_engines
 
+ASKS_STATE = turn_messages.TurnEnds(turn_ids=(), asks_state=True)
+
 
 class TestSilence:
     @pytest.mark.parametrize('silent_s', [1.0, 1.3, 1.6, 2.0])
@@ -84,3 +87,21 @@
         (_, end, asked_at_s, settled_at_s) = scene.ends[0]
         assert end.kind is errors.ErrorKind.DRAINING
         assert settled_at_s - asked_at_s < 0.6
+
+
+class TestState:
+    def test_silent_engine_is_not_reported_as_ended(self):
+        """Guards against crashes that are blamed on runs of a sound engine."""
+
+        async def story(scene):
+            (engine,) = scene.engines
+            engine.fall_silent(1.3)
+            await asyncio.sleep(0.3)
+            (controller,) = scene.controllers.values()
+            reply = await controller.end_turns(ASKS_STATE)
+            assert not reply.is_known
+            await asyncio.sleep(1.5)
+            reply = await controller.end_turns(ASKS_STATE)
+            assert reply.is_known and reply.is_running
+
+        silent_engines.play(story, engine_count=1)
