An order that a silent engine answers late does not block its adapter

Callers of an adapter were refused 503 adapter-unavailable, and later ones for the second after, although the engine had loaded it.

Cause: an order to load or unload that was not answered within 1 s failed the load, and its adapter was blocked as one that can't be loaded. An engine that is silent for a moment reads orders and carries them out.

Now such an order is repeated once, after a report shows that the engine goes on (within 1.5 s; `patient_orders`). An unload whose result the report shows is done. A load's slot stays reserved until its last try is answered, as before, so the engine isn't ordered beyond its capacity.

Evidence: all six cases of test_orders_outlast_a_silence failed on the code before. test_unload_at_an_engine_that_hangs_is_given_up passed on both.

--- a/lacewingpitch/adapter_versions.py
+++ b/lacewingpitch/adapter_versions.py
@@ -78,3 +78,9 @@
     """
     name = f'{model}/{adapter}'
     return f'{name}@{version}' if version else name
+
+
+def split_slot_name(slot_name: str) -> tuple[str, int]:
+    """Return MODEL/ADAPTER and the required version of a slot name."""
+    key, _, version = slot_name.partition('@')
+    return key, int(version) if version else 0
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -13,6 +13,7 @@
 from lacewingpitch import engine_snapshot
 from lacewingpitch import errors
 from lacewingpitch import fence as fence_module
+from lacewingpitch import patient_orders
 
 # A restarting engine loads its base model from its own disk.
 _EXPECTED_START_S = 1.5
@@ -46,7 +47,7 @@
         versions: adapter_versions.AdapterVersions,
         clock: clock_module.Clock,
     ) -> None:
-        self._orders = orders
+        self._orders = patient_orders.PatientOrders(orders, self)
         self._fence = fence
         self._versions = versions
         self._clock = clock
@@ -206,19 +207,21 @@
         """Return the version held under a slot name; 0 if unknown."""
         if self._snapshot is None:
             return 0
-        return self._snapshot.held.get(_split_slot_name(slot_name)[0], 0)
+        return self._snapshot.held.get(
+            adapter_versions.split_slot_name(slot_name)[0], 0
+        )
 
     def holds(self, slot_name: str) -> bool:
         """Whether the last report shows the adapter at its version."""
         if self._snapshot is None:
             return False
-        key, version = _split_slot_name(slot_name)
+        key, version = adapter_versions.split_slot_name(slot_name)
         held = self._snapshot.held.get(key)
         return held is not None and held >= version
 
     def is_confirmed(self, slot_name: str) -> bool:
         """Whether the last report is newer than the adapter's orders."""
-        key, _ = _split_slot_name(slot_name)
+        key, _ = adapter_versions.split_slot_name(slot_name)
         return not self._unconfirmed_orders.has_unconfirmed(key)
 
     def occupied_slots(self) -> set[str]:
@@ -279,7 +282,7 @@
         PlatformError
             The order was refused, or not carried out in time.
         """
-        key, version = _split_slot_name(name)
+        key, version = adapter_versions.split_slot_name(name)
         incarnation, start = self.backend_server, self._start_count
         slot_count = self.slot_count
         self.loading_count += 1
@@ -310,7 +313,7 @@
         PlatformError
             The order was refused, or its answer was lost.
         """
-        key, _ = _split_slot_name(name)
+        key, _ = adapter_versions.split_slot_name(name)
         model, _, adapter = key.partition('/')
         incarnation, start = self.backend_server, self._start_count
         for _ in range(_ORDER_ATTEMPTS):
@@ -422,9 +425,3 @@
             ) from error
         finally:
             self.loading_count -= 1
-
-
-def _split_slot_name(slot_name: str) -> tuple[str, int]:
-    """Return MODEL/ADAPTER and the required version of a slot name."""
-    key, _, version = slot_name.partition('@')
-    return key, int(version) if version else 0
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -105,3 +105,46 @@
             assert reply.is_known and reply.is_running
 
         silent_engines.play(story, engine_count=1)
+
+
+class TestOrders:
+    """Orders that a silent engine carries out, and answers late."""
+
+    def unavailable(self, scene):
+        kind = errors.ErrorKind.ADAPTER_UNAVAILABLE
+        return [error for error in scene.refused if error.kind is kind]
+
+    @pytest.mark.parametrize('silent_s', [1.1, 1.6, 2.0])
+    @pytest.mark.parametrize('adapters', ['', 'abc'])
+    def test_orders_outlast_a_silence(self, silent_s, adapters):
+        """Guards against adapters blocked after an order timed out."""
+
+        async def story(scene):
+            for adapter in adapters:
+                await scene.run(adapter, adapter)
+            scene.engines[0].fall_silent(silent_s)
+            await asyncio.sleep(0.02)
+            await scene.run('new', 'd')
+            await scene.run('again', 'd')
+
+        scene = silent_engines.play(story, engine_count=1)
+        assert not self.unavailable(scene)
+        assert scene.engines[0].crash_count == 0
+
+    def test_unload_at_an_engine_that_hangs_is_given_up(self):
+        """Guards against a load permit that is held forever."""
+
+        async def story(scene):
+            (engine,) = scene.engines
+            for adapter in 'abc':
+                await scene.run(adapter, adapter)
+            engine.fall_silent()
+            await asyncio.sleep(0.02)
+            await scene.run('new', 'd')
+            await asyncio.sleep(3.0)
+            engine.fall_silent(0.0)
+            await asyncio.sleep(1.5)
+            await scene.run('later', 'e')
+
+        scene = silent_engines.play(story, engine_count=1)
+        assert scene.ends[-1][1] == 'i-0'
