An unload outlasts a silence of its engine

Callers of an adapter that needed a slot were refused 503 adapter-unavailable, with their adapter blocked for a second.

Cause: an engine accepts an unload of an adapter whose run is just ending, and reports show when it is done. These were waited for for 1 s, and none came while the engine was silent.

Now 3 s: 1 s as before, and a silence of up to 2 s. An unload that never ends holds one of four permits for loads for 2 s longer.

Evidence: the three cases of test_accepted_unload_outlasts_a_silence failed on the code before.

--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -26,8 +26,9 @@
 # A load is slow while the weight store is overloaded, or while the adapter
 # that it replaces still has runs.  After this time it counts as failed.
 _LOAD_TIMEOUT_S = 6.0
-# An unload waits for runs of disconnected callers to end.
-_UNLOAD_TIMEOUT_S = 1.0
+# An unload waits for runs of disconnected callers to end, at an engine that
+# may be silent meanwhile.
+_UNLOAD_TIMEOUT_S = 3.0
 _ORDER_ATTEMPTS = 4
 _ORDER_RETRY_DELAY_S = 0.05
 log = structlog.get_logger(__name__)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -131,6 +131,24 @@
         assert not self.unavailable(scene)
         assert scene.engines[0].crash_count == 0
 
+    @pytest.mark.parametrize('silent_s', [1.1, 1.6, 2.0])
+    def test_accepted_unload_outlasts_a_silence(self, silent_s):
+        """Guards against adapters blocked after an unload was not seen."""
+
+        async def story(scene):
+            (engine,) = scene.engines
+            for adapter in 'abc':
+                await scene.run(adapter, adapter)
+            engine.in_use |= {f'm/{adapter}' for adapter in 'abc'}
+            requesting = asyncio.create_task(scene.run('new', 'd'))
+            await asyncio.sleep(0.02)
+            engine.fall_silent(silent_s)
+            await requesting
+
+        scene = silent_engines.play(story, engine_count=1)
+        assert not self.unavailable(scene)
+        assert scene.engines[0].crash_count == 0
+
     def test_unload_at_an_engine_that_hangs_is_given_up(self):
         """Guards against a load permit that is held forever."""
 
