A load that a silence hides is not taken for a slow one

As an engine went on after 1.6 or 2 s of silence, callers of the adapter that it had loaded meanwhile were refused 503 deadline-unreachable ("the expected wait for a turn is 1.68 s"), though its next report showed it.

Cause: an overdue load is expected to take as long again as it is overdue, and no load can be seen to end while its engine is silent.

Now the first report after a silence excludes it from the loads in progress, and the times of these loads are not recorded.

Evidence: test_load_during_a_silence_is_not_taken_for_slow failed for 1.6 and 2 s on the code before (two refused each) and passed for 1.1 s. That recorded times must not hold the silence is shown by a trial only: the estimate of a load was 1.13 s with, and 0.27 s without, after three loads in a silence of 2 s.

--- a/lacewingpitch/engine_contact.py
+++ b/lacewingpitch/engine_contact.py
@@ -29,6 +29,8 @@
         Whether the engine may have been replaced since its last report.
     is_unanswered
         Whether the last request for a report was not answered in time.
+    pause_s
+        Length of the silence that the last report has ended; 0 if none.
     """
 
     def __init__(self, clock: clock_module.Clock) -> None:
@@ -36,6 +38,7 @@
         self._reported_at_s = 0.0
         self.is_lost = True
         self.is_unanswered = False
+        self.pause_s = 0.0
 
     @property
     def report_age_s(self) -> float:
@@ -68,8 +71,9 @@
 
     def record_report(self) -> None:
         """Record a report of the engine."""
-        if self.is_unanswered and not self.is_lost:
-            log.info('engine goes on', silent_s=round(self.report_age_s, 3))
+        self.pause_s = self.report_age_s if self.is_unanswered else 0.0
+        if self.pause_s:
+            log.info('engine goes on', silent_s=round(self.pause_s, 3))
         self._reported_at_s = self._clock.monotonic_s()
         self.is_unanswered = False
 
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -272,6 +272,8 @@
         self._log_leaving(snapshot)
         self.limit.record_report(snapshot.limit_per_s, polled_at_boot_s)
         self.view.update(snapshot, polled_at_s)
+        if self._adapters is not None and self.view.contact.pause_s:
+            self._adapters.exclude_pause(self.view.contact.pause_s)
         self._watch.record_report(snapshot, polled_at_s)
         await self._refuse_pending_unless_serving()
         await self._order_model(snapshot)
--- a/lacewingpitch/slots.py
+++ b/lacewingpitch/slots.py
@@ -95,6 +95,7 @@
         self._is_closed = False
         self._pending_permits = 0
         self._load_times = load_times.LoadTimes(clock, initial_load_s)
+        self._pause_count = 0
         self._forecast = slot_forecast.SlotForecast(
             self._slots,
             self._waiters,
@@ -199,6 +200,17 @@
         self._evicted_at_s.clear()
         self._load_times.clear_copies()
 
+    def exclude_pause(self, pause_s: float) -> None:
+        """Exclude a silence of the engine from the times of its loads.
+
+        None of them could be seen to end.
+        """
+        self._pause_count += 1
+        now_s = self._clock.monotonic_s()
+        for slot in self._slots:
+            since_s = slot.loading_since_s + pause_s
+            slot.loading_since_s = min(now_s, since_s)
+
     def remove(self, name: str) -> None:
         """Remove an adapter that the engine turned out not to hold."""
         slot = self._slots.get(name)
@@ -385,6 +397,7 @@
 
     async def _load_next(self) -> None:
         started_s = self._clock.monotonic_s()
+        pause_count = self._pause_count
         is_pending = True
         try:
             async with self._pacer.permit(self._highest_cost):
@@ -394,8 +407,12 @@
                 if not names or self._slots.available_count < 1:
                     return
                 name = max(names, key=self._waiters.cost)
-                if await self._load(name):
-                    took_s = self._clock.monotonic_s() - started_s
+                if not await self._load(name):
+                    return
+                took_s = self._clock.monotonic_s() - started_s
+                if pause_count != self._pause_count:
+                    self._load_times.record_use(name)
+                else:
                     self._load_times.record_load(name, took_s)
         finally:
             self._pending_permits -= is_pending
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -166,3 +166,20 @@
 
         scene = silent_engines.play(story, engine_count=1)
         assert scene.ends[-1][1] == 'i-0'
+
+
+class TestEstimates:
+    """Estimates of a sidecar whose engine was silent."""
+
+    @pytest.mark.parametrize('silent_s', [1.1, 1.6, 2.0])
+    def test_load_during_a_silence_is_not_taken_for_slow(self, silent_s):
+        """Guards against callers refused for a load that has just ended."""
+
+        async def story(scene):
+            scene.engines[0].fall_silent(silent_s)
+            await asyncio.sleep(0.02)
+            await scene.run('new', 'd')
+            await scene.run('again', 'd')
+
+        scene = silent_engines.play(story, engine_count=1)
+        assert scene.refused == []
