A stream whose stop its silent source answers late is not cut

A stream that its caller can't resume was cut (answer-cut) as it moved from a leaving engine that was silent for 1.3 s or more just then.

Cause: the source is asked twice to stop the run, with 0.5 s and four expected copies for each answer. A silent source stops it, and answers later; the move was given up as unclear, and nobody continued the run.

Now the second answer is waited for 2 s longer. Before the stop nothing changes; after it there is nothing to go back to. A source that ends closes the connection, which ends the wait at once.

Evidence: test_a_run_whose_stop_is_answered_late_continues failed for 1.3 and 2 s on the code before, and passed for 0.4 and 1 s.

--- a/lacewingpitch/run_transfer.py
+++ b/lacewingpitch/run_transfer.py
@@ -18,6 +18,9 @@
 # Time for a copy beyond that of its bytes: setup, copies queued before it on
 # the same links, and the round trip.
 _COPY_MARGIN_S = 0.5
+# A sound source may be silent for this long.  It may have stopped the run, so
+# that nothing is gained by giving up its last answer sooner.
+_SILENCE_S = 2.0
 # As a multiple of the expected duration of a copy.
 _COPY_TIMEOUT_RATIO = 4.0
 _MS_PER_S = 1000
@@ -210,13 +213,16 @@
     async def _copy(self, is_last: bool) -> run_memory.CopyAnswer:
         assert self.turn is not None
         spec = self.spec
-        expected_s = spec.link.copy_s(spec.tokens)
+        timeout_s = _COPY_MARGIN_S
+        timeout_s += _COPY_TIMEOUT_RATIO * spec.link.copy_s(spec.tokens)
+        if self.state.stop_count > 1:
+            timeout_s += _SILENCE_S
         return await self._services.memory.copy(
             spec.source,
             self.turn.server,
             spec.turn.run_id,
             is_last,
-            _COPY_MARGIN_S + _COPY_TIMEOUT_RATIO * expected_s,
+            timeout_s,
         )
 
     def _log(self) -> None:
--- a/tests/move_fakes.py
+++ b/tests/move_fakes.py
@@ -77,6 +77,7 @@
         self.name = name
         self.started_at_ms = 1
         self.is_up = True
+        self.silent_until_s = 0.0
         self.runs = {}
 
     def server(self, **fields):
@@ -121,6 +122,7 @@
         self.is_framed = True
         self.specs = []
         self.copy_s = 0.005
+        self.silent_s = 0.0
         self.gate = None
 
     # Requests.
@@ -176,6 +178,8 @@
     async def _chunks(self, engine, run):
         while run.made < self.lengths[run.request_id]:
             await asyncio.sleep(EVENT_S)
+            while engine.silent_until_s > self.clock.monotonic_s():
+                await asyncio.sleep(EVENT_S)
             if engine.runs.get(run.request_id) is not run:
                 if run.is_framed or not run.is_stopped:
                     raise backend_call.AnswerLostError('closed')
@@ -187,9 +191,26 @@
     # Memory.
 
     async def copy(self, source, target, run_id, is_last, timeout_s):
-        """Copy memory; a fault is the outcome, and whether it acted."""
+        """Copy memory; a fault is the outcome, and whether it acted.
+
+        A silent engine acts, and answers later.
+        """
         self.copy_calls.append((source.name, target.name, is_last))
         fault = self.faults.pop(0) if self.faults else None
+        engine = self.engines[source.name]
+        if fault == 'silent':
+            engine.silent_until_s = self.clock.monotonic_s() + self.silent_s
+        answer = await self._copy(
+            source, target, run_id, is_last, timeout_s, fault
+        )
+        left_s = engine.silent_until_s - self.clock.monotonic_s()
+        if left_s > timeout_s:
+            await asyncio.sleep(timeout_s)
+            return run_memory.CopyAnswer(Outcome.LOST)
+        await asyncio.sleep(max(0.0, left_s))
+        return answer
+
+    async def _copy(self, source, target, run_id, is_last, timeout_s, fault):
         await asyncio.sleep(self.copy_s)
         engine = self.engines[source.name]
         if not engine.is_up or engine.started_at_ms != source.started_at_ms:
--- a/tests/test_run_mover.py
+++ b/tests/test_run_mover.py
@@ -405,3 +405,19 @@
 
         scene, _ = play(disconnect)
         assert scene.outcomes() == {'kept': 1}
+
+
+class TestSilence:
+    """A sound engine that copies and stops runs, and answers later."""
+
+    @pytest.mark.parametrize('silent_s', [0.4, 1.0, 1.3, 2.0])
+    def test_a_run_whose_stop_is_answered_late_continues(self, silent_s):
+        """Guards against streams cut since their engine was silent."""
+
+        async def silent(scene, _caller):
+            scene.fleet.faults = [None, 'silent']
+            scene.fleet.silent_s = silent_s
+            scene.leave('a')
+
+        _, caller = play(silent)
+        assert_whole(caller)
