One silence does not use up all tries to move a run

A stream that its caller can't resume was cut with its engine, which was silent for 2 s as it left.

Cause: each first copy was given up after 0.5 s and four expected copies, and all three tries fell into the silence.

Now the last try waits 2 s longer for its answers: nothing follows if it fails.

--- a/lacewingpitch/run_mover.py
+++ b/lacewingpitch/run_mover.py
@@ -300,6 +300,7 @@
             ),
             events=run.history.splitter.event_count,
             remainder_s=remainder_s,
+            is_last_try=run.try_count + 1 >= _MAX_TRIES,
         )
 
     def _moves_from(self, server: backend_list.BackendServer) -> int:
--- a/lacewingpitch/run_transfer.py
+++ b/lacewingpitch/run_transfer.py
@@ -18,8 +18,8 @@
 # Time for a copy beyond that of its bytes: setup, copies queued before it on
 # the same links, and the round trip.
 _COPY_MARGIN_S = 0.5
-# A sound source may be silent for this long.  It may have stopped the run, so
-# that nothing is gained by giving up its last answer sooner.
+# A sound source may be silent for this long.  Nothing is gained by giving up
+# its answer sooner in the last try, or once it may have stopped the run.
 _SILENCE_S = 2.0
 # As a multiple of the expected duration of a copy.
 _COPY_TIMEOUT_RATIO = 4.0
@@ -75,6 +75,8 @@
         Events that were passed on when the move began.
     remainder_s
         Expected time until the run ends.
+    is_last_try
+        Whether the run stays where it is if this move fails.
     """
 
     source: backend_list.BackendServer
@@ -84,6 +86,7 @@
     tokens: int
     events: int
     remainder_s: float
+    is_last_try: bool = False
 
 
 class RunTransfer:
@@ -215,7 +218,7 @@
         spec = self.spec
         timeout_s = _COPY_MARGIN_S
         timeout_s += _COPY_TIMEOUT_RATIO * spec.link.copy_s(spec.tokens)
-        if self.state.stop_count > 1:
+        if spec.is_last_try or self.state.stop_count > 1:
             timeout_s += _SILENCE_S
         return await self._services.memory.copy(
             spec.source,
--- a/tests/test_run_mover.py
+++ b/tests/test_run_mover.py
@@ -421,3 +421,17 @@
 
         _, caller = play(silent)
         assert_whole(caller)
+
+    @pytest.mark.parametrize('silent_s', [0.4, 1.0, 1.3, 2.0])
+    def test_a_run_whose_copy_is_answered_late_moves(self, silent_s):
+        """Guards against runs that stay where their engine ends."""
+
+        async def silent(scene, _caller):
+            scene.fleet.faults = ['silent']
+            scene.fleet.silent_s = silent_s
+            scene.leave('a')
+            await asyncio.sleep(silent_s + 1.0)
+            scene.fleet.crash('a')
+
+        _, caller = play(silent)
+        assert_whole(caller)
