Runs that a silence hides are not taken for slow ones

As an engine whose turns were all in use went on after a silence, callers who had waited for it were refused 503 deadline-unreachable ("the expected wait for a turn is 1.70 s"), though its runs were ending.

Cause: an overdue run is expected to last as long again as it is overdue, and no answer can end while the engine is silent.

Now a run that is reported again after more than 1 s was paused for that time: neither its expected end nor its recorded duration counts it.

In tests/silent_engines.py a run at a silent engine now lasts until the engine goes on, as its answer waits.

--- a/lacewingpitch/turn_granter.py
+++ b/lacewingpitch/turn_granter.py
@@ -187,7 +187,7 @@
         now_s = self._clock.monotonic_s()
         for turn_id, turn in list(self._turns.items()):
             if turn.request.run_id in run_ids:
-                turn.last_reported_s = polled_at_s
+                turn.record_reported(polled_at_s, now_s)
             if now_s >= turn.deadline_at_s or (
                 not is_queueing and turn.is_missing(polled_at_s)
             ):
@@ -365,7 +365,7 @@
         if turn.granted_at_s is None:
             return
         request = turn.request
-        run_s = self._clock.monotonic_s() - turn.granted_at_s
+        run_s = turn.run_time_s(self._clock.monotonic_s())
         self._run_durations.record(request.length_tokens, run_s)
 
     async def _end(self, turn_id: str, from_task: bool = False) -> None:
--- a/lacewingpitch/turn_lease.py
+++ b/lacewingpitch/turn_lease.py
@@ -26,6 +26,9 @@
 # Time in which a request normally reaches the engine after its turn was
 # granted.
 _SEND_DELAY_S = 0.2
+# An engine that reports nothing for longer is silent: its runs go on, but no
+# answer ends.
+_SILENT_AFTER_S = 1.0
 
 # An entry that waits for a turn asks for it again at once.  One that has not
 # after this time is frozen or has died.
@@ -46,6 +49,8 @@
         Expected duration of the run.
     last_reported_s
         When a report that showed the run was requested; None before.
+    paused_s
+        For how long the engine reported nothing while the run lasted.
     decision
         Decision by which it was admitted.
     is_put_off
@@ -74,6 +79,7 @@
     put_off_s: float = 0.0
     granted_at_s: float | None = None
     last_reported_s: float | None = None
+    paused_s: float = 0.0
     expected_work: contextlib.ExitStack = dataclasses.field(
         default_factory=contextlib.ExitStack
     )
@@ -106,6 +112,19 @@
         """Record that its entry waits for it for a time."""
         self.asked_until_s = now_s + wait_s + _ASK_AGAIN_WITHIN_S
 
+    def record_reported(self, polled_at_s: float, now_s: float) -> None:
+        """Record a report that shows the run, requested at `polled_at_s`."""
+        since_s = self.last_reported_s or self.granted_at_s
+        if since_s is not None and now_s - since_s > _SILENT_AFTER_S:
+            self.paused_s += now_s - since_s
+        self.last_reported_s = polled_at_s
+
+    def run_time_s(self, now_s: float) -> float:
+        """Return how long the run has lasted, without pauses."""
+        if self.granted_at_s is None:
+            return 0.0
+        return max(0.0, now_s - self.granted_at_s - self.paused_s)
+
     def record_step(self, now_s: float) -> None:
         """Record that the next step is completed."""
         self._steps_at_s.append(now_s)
@@ -124,7 +143,7 @@
             return self.run_s
         # An overdue run is expected to last as long again as it is overdue,
         # so that a stalled engine worsens every estimate.
-        return abs(self.granted_at_s + self.run_s - now_s)
+        return abs(self.run_s - self.run_time_s(now_s))
 
     def is_missing(self, polled_at_s: float) -> bool:
         """Whether a report as of `polled_at_s` should show the run.
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -56,9 +56,14 @@
         now_s = asyncio.get_running_loop().time()
         self._silent_until_s = now_s + for_s
 
-    async def _spoken(self, timeout_s):
+    @property
+    def silent_left_s(self):
+        """Return how long it still answers nothing."""
         now_s = asyncio.get_running_loop().time()
-        left_s = self._silent_until_s - now_s
+        return max(0.0, self._silent_until_s - now_s)
+
+    async def _spoken(self, timeout_s):
+        left_s = self.silent_left_s
         if left_s > timeout_s:
             await asyncio.sleep(timeout_s)
             self._check_up()
--- a/tests/silent_engines.py
+++ b/tests/silent_engines.py
@@ -141,6 +141,8 @@
                 engine = self._engine(end)
                 engine.runs.add(name)
                 await asyncio.sleep(RUN_S)
+                # It has run, and its answer waits.
+                await asyncio.sleep(min(DEADLINE_S, engine.silent_left_s))
                 engine.runs.discard(name)
         except errors.RefusalError as error:
             end = error
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -183,3 +183,19 @@
 
         scene = silent_engines.play(story, engine_count=1)
         assert scene.refused == []
+
+    @pytest.mark.parametrize('silent_s', [1.3, 1.6, 2.0])
+    def test_runs_of_a_silence_are_not_taken_for_slow(self, silent_s):
+        """Guards against callers refused as runs seem to last for long."""
+
+        async def story(scene):
+            async with asyncio.TaskGroup() as group:
+                for number in range(8):
+                    group.create_task(scene.run(f'r{number}'))
+                await asyncio.sleep(0.2)
+                scene.engines[0].fall_silent(silent_s)
+                await asyncio.sleep(1.25)
+                group.create_task(scene.run('late'))
+
+        scene = silent_engines.play(story, engine_count=1, max_running=8)
+        assert scene.refused == []
