--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -1,7 +1,6 @@
 """Last reported state of an engine, and the orders sent to it."""
 
 import asyncio
-import math
 
 import structlog
 
@@ -9,14 +8,13 @@
 from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
 from lacewingpitch import engine as engine_module
+from lacewingpitch import engine_contact
 from lacewingpitch import engine_orders
 from lacewingpitch import engine_snapshot
 from lacewingpitch import errors
 from lacewingpitch import fence as fence_module
+from lacewingpitch import patient_orders
 
-# An engine without a report for this long counts as down: three consecutive
-# reports are missing.
-_DOWN_AFTER_S = 1.0
 # A restarting engine loads its base model from its own disk.
 _EXPECTED_START_S = 1.5
 # A load from the weight store takes longer, especially while many engines
@@ -28,8 +26,9 @@
 # A load is slow while the weight store is overloaded, or while the adapter
 # that it replaces still has runs.  After this time it counts as failed.
 _LOAD_TIMEOUT_S = 6.0
-# An unload waits for runs of disconnected callers to end.
-_UNLOAD_TIMEOUT_S = 1.0
+# An unload waits for runs of disconnected callers to end, at an engine that
+# may be silent meanwhile.
+_UNLOAD_TIMEOUT_S = 3.0
 _ORDER_ATTEMPTS = 4
 _ORDER_RETRY_DELAY_S = 0.05
 log = structlog.get_logger(__name__)
@@ -49,13 +48,12 @@
         versions: adapter_versions.AdapterVersions,
         clock: clock_module.Clock,
     ) -> None:
-        self._orders = orders
+        self._orders = patient_orders.PatientOrders(orders, self)
         self._fence = fence
         self._versions = versions
         self._clock = clock
         self._snapshot: engine_snapshot.EngineSnapshot | None = None
-        self._polled_at_s = -math.inf
-        self._reported_at_s = 0.0
+        self.contact = engine_contact.EngineContact(clock)
         # When a report first showed no model; None while there is one.
         self._without_model_since_s: float | None = None
         self._unconfirmed_orders = engine_orders.UnconfirmedOrders()
@@ -113,20 +111,25 @@
     def record_incarnation(self) -> None:
         """Record that the engine's incarnation has been asked for."""
         self._is_order_misdirected = False
+        self.contact.record_attached()
 
     def is_outdated(self, snapshot: engine_snapshot.EngineSnapshot) -> bool:
         """Whether a report is of an earlier start than the known one."""
         return snapshot.started_at_ms < self.started_at_ms
 
-    @property
-    def report_age_s(self) -> float:
-        """Return the age of the last report."""
-        return self._clock.monotonic_s() - self._reported_at_s
-
     @property
     def is_serving(self) -> bool:
         """Whether the engine is up with a model, and not leaving."""
-        snapshot = self._current
+        return self.contact.is_current and self._may_serve
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the engine would serve, and does not answer for a moment."""
+        return self.contact.is_silent and self._may_serve
+
+    @property
+    def _may_serve(self) -> bool:
+        snapshot = self._snapshot
         return (
             snapshot is not None
             and not self._leaves(snapshot)
@@ -143,7 +146,7 @@
     def is_starting(self) -> bool:
         """Whether the engine is up, and expected to serve within seconds."""
         snapshot = self._current
-        return (
+        return self.is_silent or (
             snapshot is not None
             and not self._leaves(snapshot)
             and not snapshot.models
@@ -153,6 +156,8 @@
     @property
     def remaining_start_s(self) -> float:
         """Return the expected time until a starting engine serves."""
+        if self.is_silent:
+            return self.contact.remaining_silence_s
         return max(
             _MIN_REMAINING_START_S,
             _EXPECTED_START_S - self._without_model_for_s,
@@ -161,9 +166,7 @@
     @property
     def _current(self) -> engine_snapshot.EngineSnapshot | None:
         """Return the last report, unless the engine counts as down."""
-        if self.report_age_s < _DOWN_AFTER_S:
-            return self._snapshot
-        return None
+        return self._snapshot if self.contact.is_up else None
 
     @property
     def _without_model_for_s(self) -> float:
@@ -205,19 +208,21 @@
         """Return the version held under a slot name; 0 if unknown."""
         if self._snapshot is None:
             return 0
-        return self._snapshot.held.get(_split_slot_name(slot_name)[0], 0)
+        return self._snapshot.held.get(
+            adapter_versions.split_slot_name(slot_name)[0], 0
+        )
 
     def holds(self, slot_name: str) -> bool:
         """Whether the last report shows the adapter at its version."""
         if self._snapshot is None:
             return False
-        key, version = _split_slot_name(slot_name)
+        key, version = adapter_versions.split_slot_name(slot_name)
         held = self._snapshot.held.get(key)
         return held is not None and held >= version
 
     def is_confirmed(self, slot_name: str) -> bool:
         """Whether the last report is newer than the adapter's orders."""
-        key, _ = _split_slot_name(slot_name)
+        key, _ = adapter_versions.split_slot_name(slot_name)
         return not self._unconfirmed_orders.has_unconfirmed(key)
 
     def occupied_slots(self) -> set[str]:
@@ -248,13 +253,12 @@
     ) -> None:
         """Apply a report that was requested at `polled_at_s`."""
         self._snapshot = snapshot
-        self._polled_at_s = polled_at_s
         self._unconfirmed_orders.apply_report(polled_at_s)
-        self._reported_at_s = self._clock.monotonic_s()
+        self.contact.record_report()
         if snapshot.models:
             self._without_model_since_s = None
         elif self._without_model_since_s is None:
-            self._without_model_since_s = self._reported_at_s
+            self._without_model_since_s = self._clock.monotonic_s()
         self._notify_report()
 
     def _notify_report(self) -> None:
@@ -279,7 +283,7 @@
         PlatformError
             The order was refused, or not carried out in time.
         """
-        key, version = _split_slot_name(name)
+        key, version = adapter_versions.split_slot_name(name)
         incarnation, start = self.backend_server, self._start_count
         slot_count = self.slot_count
         self.loading_count += 1
@@ -310,7 +314,7 @@
         PlatformError
             The order was refused, or its answer was lost.
         """
-        key, _ = _split_slot_name(name)
+        key, _ = adapter_versions.split_slot_name(name)
         model, _, adapter = key.partition('/')
         incarnation, start = self.backend_server, self._start_count
         for _ in range(_ORDER_ATTEMPTS):
@@ -422,9 +426,3 @@
             ) from error
         finally:
             self.loading_count -= 1
-
-
-def _split_slot_name(slot_name: str) -> tuple[str, int]:
-    """Return MODEL/ADAPTER and the required version of a slot name."""
-    key, _, version = slot_name.partition('@')
-    return key, int(version) if version else 0
