Refuse a request whose handling fails with an error of a connection

Callers saw: an answer of status 500 (or 504) in plain text, with no request id and no kind, so neither an answer nor a refusal, and an entry's log that said that the caller had left ("connection lost").

Cause: the frontend passed on every ConnectionError and TimeoutError as if the connection of the caller had ended, also those that come from elsewhere in the entry. aiohttp then answered by itself.

Evidence: a handler that raises ConnectionResetError, BrokenPipeError or TimeoutError while the caller waits. All three cases of the new test failed before (the body was not a refusal) and pass now.

Why the fix works: such an error is passed on only if the caller's own connection has ended or is closing. Any other becomes a refusal of kind `internal`, whose outcome is unknown, and is logged with its trace.

--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -260,10 +260,10 @@
         except errors.RefusalError as error:
             outcome = error.kind.value
             await delivery.refuse(error, request_id)
-        except (ConnectionError, TimeoutError):
-            outcome = 'connection lost'
-            raise
-        except Exception:
+        except Exception as error:
+            if delivery.is_caller_gone and request_end.is_of_connection(error):
+                outcome = 'connection lost'
+                raise
             outcome = errors.ErrorKind.INTERNAL.value
             log.exception('handler failed', request_id=request_id)
             refusal = errors.RefusalError(
--- a/lacewingpitch/request_end.py
+++ b/lacewingpitch/request_end.py
@@ -18,3 +18,8 @@
     NOBODY = ''
     CALLER = 'caller'
     ENTRY = 'entry'
+
+
+def is_of_connection(error: BaseException) -> bool:
+    """Whether an error may come from the end of a caller's connection."""
+    return isinstance(error, ConnectionError | TimeoutError)
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -92,6 +92,14 @@
         ) as response:
             return response.status
 
+    async def call_for_refusal(self):
+        headers = {'Host': 'h.example', 'Request-Id': 'r-1'}
+        async with self._session.get(
+            f'http://{self._endpoint}/lookup/1', headers=headers
+        ) as response:
+            answer = await response.json(content_type=None)
+            return response.status, answer['error']['kind']
+
     def configure(self, limits=None, organisations=None, version=7):
         limits = limits or routing.CallerLimits()
         routes = (ROUTE, PUBLIC_ROUTE)
@@ -249,6 +257,51 @@
         assert scene.frontend.cut_by_step == {'answering': 1}
 
 
+class TestErrorsFromWithin:
+    """Errors of the entry itself, while the caller waits for an answer."""
+
+    async def refusal(self, scene, serve):
+        """Return the status and the error kind of the answer."""
+        scene.configure()
+        scene.frontend._serve = serve
+        return await scene.call_for_refusal()
+
+    @pytest.mark.parametrize(
+        'error',
+        [
+            ConnectionResetError('of another connection'),
+            BrokenPipeError('of another connection'),
+            TimeoutError('of another wait'),
+            ValueError('of a message'),
+        ],
+        ids=lambda error: type(error).__name__,
+    )
+    async def test_an_error_is_not_taken_for_a_caller_that_left(
+        self, scene, error
+    ):
+        """Guards against closed connections without answer or refusal."""
+
+        async def serve(_request, _delivery):
+            raise error
+
+        with structlog.testing.capture_logs() as lines:
+            status, kind = await self.refusal(scene, serve)
+        assert (status, kind) == (500, 'internal')
+        assert 'handler failed' in [line['event'] for line in lines]
+        assert scene.frontend.ended_by_outcome == {'internal': 1}
+
+    async def test_an_answer_that_has_begun_is_cut(self, scene):
+        """Guards against a refusal in the middle of an answer."""
+
+        async def serve(_request, delivery):
+            await delivery.begin(backend_call.BackendAnswer(200, (), None))
+            await delivery.write(b'part')
+            raise ConnectionResetError('of another connection')
+
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await self.refusal(scene, serve)
+
+
 def authorization(value):
     return ('Authorization', value)
 
