Refuse a request whose wait another task has cancelled

Callers saw: their connection closed with neither an answer nor a refusal. The log had the outcome `left`, as if they had left.

Cause: a CancelledError in the handling of a request was always taken for aiohttp's own, which ends the handling when the caller's connection ends. It also comes from a future or task that the request waits for and that another task cancels. aiohttp then closes the connection.

Evidence: a handler that awaits a future which is cancelled 0.1 s later. The new test failed before (ServerDisconnectedError) and passes now.

Why the fix works: `cancelling()` of the request's own task is above 0 only if the task itself is cancelled. Any other CancelledError becomes a refusal of kind `internal`, whose outcome is unknown, and is logged with its trace. A second test keeps the outcome `left` for callers that do leave.

--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -260,7 +260,9 @@
         except errors.RefusalError as error:
             outcome = error.kind.value
             await delivery.refuse(error, request_id)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            if request_end.is_cancelled():
+                raise
             if delivery.is_caller_gone and request_end.is_of_connection(error):
                 outcome = 'connection lost'
                 raise
--- a/lacewingpitch/request_end.py
+++ b/lacewingpitch/request_end.py
@@ -1,5 +1,6 @@
 """How far a request got, and who ended a connection without an answer."""
 
+import asyncio
 import enum
 
 
@@ -20,6 +21,16 @@
     ENTRY = 'entry'
 
 
+def is_cancelled() -> bool:
+    """Whether the task of the current request is being cancelled.
+
+    A `CancelledError` without it comes from something that the request
+    waited for, and which another task has cancelled.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def is_of_connection(error: BaseException) -> bool:
     """Whether an error may come from the end of a caller's connection."""
     return isinstance(error, ConnectionError | TimeoutError)
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -19,6 +19,7 @@
 from lacewingpitch import errors
 from lacewingpitch import event_splitter
 from lacewingpitch import plain_server_selector
+from lacewingpitch import request_end
 from lacewingpitch import request_history
 from lacewingpitch import request_turns
 from lacewingpitch import retry_charges
@@ -148,8 +149,9 @@
                 error, delivery.has_begun
             ) from error
         except asyncio.CancelledError:
+            is_caller_gone = request_end.is_cancelled()
             log.info(
-                'caller disconnected',
+                'caller disconnected' if is_caller_gone else 'wait cancelled',
                 request_id=request.request_id,
                 backend_servers=history.servers,
                 turn_wait_ms=round(history.turn_wait_s * _MS_PER_S),
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -290,6 +290,34 @@
         assert 'handler failed' in [line['event'] for line in lines]
         assert scene.frontend.ended_by_outcome == {'internal': 1}
 
+    async def test_a_cancelled_wait_is_not_taken_for_a_caller_that_left(
+        self, scene
+    ):
+        """Guards against closed connections without answer or refusal."""
+        shared = asyncio.get_running_loop().create_future()
+
+        async def serve(_request, _delivery):
+            asyncio.get_running_loop().call_later(0.1, shared.cancel)
+            await shared
+
+        with structlog.testing.capture_logs() as lines:
+            status, kind = await self.refusal(scene, serve)
+        assert (status, kind) == (500, 'internal')
+        assert 'handler failed' in [line['event'] for line in lines]
+        assert scene.frontend.ended_by_outcome == {'internal': 1}
+
+    async def test_a_caller_that_leaves_gets_no_refusal(self, scene):
+        """Guards against departures that are counted as faults."""
+        scene.configure()
+        scene.frontend._serve = lambda *_: asyncio.sleep(10.0)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await scene.call()
+        async with asyncio.timeout(5.0):
+            while not scene.frontend.ended_by_outcome:
+                await asyncio.sleep(0.01)
+        assert scene.frontend.ended_by_outcome == {'left': 1}
+
     async def test_an_answer_that_has_begun_is_cut(self, scene):
         """Guards against a refusal in the middle of an answer."""
 
