Requests that wait for a lease end also if the exchange fails

Callers saw: of requests that waited for a lease of a usage limit, some had their connection closed with neither an answer nor a refusal, and others never ended.

Cause: if the message to a limit's owner failed with anything but a LinkError (pynng cannot open a socket, for one), or its task was cancelled, the futures of the requests it asked for were cancelled. Those that had arrived during the exchange were left without a task that resolves them.

Evidence: a link that raises OSError, with one request before and one during the exchange, and the same with the limits closed meanwhile. Both new tests failed before (the second request never ended) and pass now.

Why the fix works: an error of any kind is handled like an owner that does not answer, with its trace in the log, and the task goes on with what is due. If the task itself ends early, it resolves all that it was to ask for. The requests use the fallback that needs no lease: they are admitted or refused as rate-limited, and nothing of a refused one was sent.

A third test, which passed before, covers a limit whose owner moves while requests wait for the earlier one.

--- a/lacewingpitch/usage_limits.py
+++ b/lacewingpitch/usage_limits.py
@@ -229,13 +229,25 @@
 
     async def _send_due_wants(self, owner: str, state: _OwnerState) -> None:
         """Send the due wants to one owner, one message at a time."""
-        while state.due:
-            accounts = [self._accounts[name] for name in state.due]
-            state.due.clear()
-            await self._send_and_apply(owner, state, accounts)
-            for account in accounts:
-                if account.waiters:
-                    state.due.add(account.name)
+        asked: list[_Account] = []
+        try:
+            while state.due:
+                asked = self._take_due(state)
+                await self._send_and_apply(owner, state, asked)
+                for account in asked:
+                    if account.waiters:
+                        state.due.add(account.name)
+        except BaseException:
+            # No other task would resolve them.
+            for account in (*asked, *self._take_due(state)):
+                self._resolve_waiters(account, [None] * len(account.waiters))
+            raise
+
+    def _take_due(self, state: _OwnerState) -> list[_Account]:
+        """Return the accounts that are due, and expect no further message."""
+        due = [self._accounts[name] for name in state.due]
+        state.due.clear()
+        return due
 
     async def _send_and_apply(
         self, owner: str, state: _OwnerState, accounts: list[_Account]
@@ -265,17 +277,14 @@
             )
             grants = {grant.organisation: grant for grant in reply.grants}
         except errors.LinkError as error:
-            state.unresponsive_until_s = (
-                self._clock.monotonic_s() + _UNRESPONSIVE_S
-            )
+            self._mark_unresponsive(state)
             self._owners.mark_unresponsive(owner)
             log.warning(
                 'usage limit owner unreachable', ip=owner, error=str(error)
             )
-        except BaseException:
-            for account in accounts:
-                _cancel_waiters(account)
-            raise
+        except Exception:
+            self._mark_unresponsive(state)
+            log.exception('usage limit owner not asked', ip=owner)
         for account, costs in zip(accounts, costs_asked, strict=True):
             grant = grants.get(account.name)
             if grant is None:
@@ -284,6 +293,10 @@
             account.leased.apply(grant, costs, asked_at_s)
             self._resolve_waiters(account, grant.admitted)
 
+    def _mark_unresponsive(self, state: _OwnerState) -> None:
+        now_s = self._clock.monotonic_s()
+        state.unresponsive_until_s = now_s + _UNRESPONSIVE_S
+
     def _resolve_waiters(
         self, account: _Account, admitted: Sequence[bool | None]
     ) -> None:
@@ -324,8 +337,3 @@
         f'the limit of {account.name} is reached',
         retry_after_s=max(_MIN_RETRY_S, retry_after_s),
     )
-
-
-def _cancel_waiters(account: _Account) -> None:
-    while account.waiters:
-        account.waiters.popleft().done.cancel()
--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -293,6 +293,79 @@
         assert virtual_time.run(scenario()) is None
 
 
+class FailingLink:
+    """Fails with an error that isn't of a link, after a round trip."""
+
+    async def request_usage(self, _ip, _message, _timeout_s):
+        await asyncio.sleep(0.1)
+        raise OSError('too many open files')
+
+
+class TestExchangeThatFails:
+    @staticmethod
+    def ends(closes_after_s=None):
+        """Return how calls of two organisations end.
+
+        The second arrives during the exchange of the first.
+        """
+
+        async def scenario():
+            fleet = Fleet(entry_count=1)
+            fleet.entries[0]._link = FailingLink()
+            calls = []
+            for name in ('balcony', 'garden'):
+                caller = dataclasses.replace(BALCONY, name=name)
+                calls.append(asyncio.create_task(fleet.call(0, caller)))
+                await asyncio.sleep(0.03)
+            if closes_after_s is not None:
+                await asyncio.sleep(closes_after_s)
+                await fleet.entries[0].close()
+            async with asyncio.timeout(5.0):
+                return await asyncio.gather(*calls, return_exceptions=True)
+
+        return virtual_time.run(scenario())
+
+    def test_each_that_waits_is_admitted_or_refused(self):
+        """Guards against requests that are cancelled or never end."""
+        assert self.ends() == [None, None]
+
+    def test_each_that_waits_ends_as_the_limits_are_closed(self):
+        """Guards against requests that are cancelled or never end."""
+        assert self.ends(closes_after_s=0.01) == [None, None]
+
+
+class TestOwnerThatMoves:
+    def test_each_that_waits_for_the_earlier_one_ends(self):
+        """Guards against requests that no reply resolves."""
+
+        async def scenario():
+            fleet = Fleet(entry_count=1)
+            owners = usage_fakes.OneOwner()
+            owners.owner = lambda _name: fleet.owner_ip
+            fleet.owner_ip = ENGINES[0].ip
+            fleet.entries[0]._owners = owners
+
+            async def request_usage(ip, message, timeout_s):
+                if ip == ENGINES[0].ip:
+                    await asyncio.sleep(timeout_s)
+                    raise errors.NoReplyError('silent')
+                await asyncio.sleep(0.05)
+                return await fleet.link.owner.grant(message)
+
+            fleet.link.request_usage = request_usage
+            calls = []
+            for number in range(20):
+                if number == 10:
+                    fleet.owner_ip = ENGINES[1].ip
+                calls.append(asyncio.create_task(fleet.call(0, cost=900)))
+                await asyncio.sleep(0.02)
+            async with asyncio.timeout(5.0):
+                return await asyncio.gather(*calls)
+
+        ends = virtual_time.run(scenario())
+        assert set(ends) <= {None, errors.ErrorKind.RATE_LIMITED}
+
+
 class TwoOwners:
     """Messages to the sidecars of two engines."""
 
