An evicted account doesn't stop the requests of other organisations

Callers would see: requests over their lease never end.

Cause: an account may be due at two owners, after its limit has moved. If the second resolves its requests and the account is then evicted (above 4096 organisations), the task of the first fails with a KeyError, and so does each later task for that owner: none of its requests is asked for.

Evidence: the new test, with the name of an evicted account among those due, failed before (the request never ended) and passes now.

Why the fix works: only accounts that still exist are taken; those with waiting requests are never evicted.

--- a/lacewingpitch/usage_limits.py
+++ b/lacewingpitch/usage_limits.py
@@ -245,7 +245,11 @@
 
     def _take_due(self, state: _OwnerState) -> list[_Account]:
         """Return the accounts that are due, and expect no further message."""
-        due = [self._accounts[name] for name in state.due]
+        # Another owner may have resolved the waiting requests of an account
+        # since, so that it was evicted.
+        due = [
+            self._accounts[name] for name in state.due & self._accounts.keys()
+        ]
         state.due.clear()
         return due
 
--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -365,6 +365,18 @@
         ends = virtual_time.run(scenario())
         assert set(ends) <= {None, errors.ErrorKind.RATE_LIMITED}
 
+    def test_an_evicted_account_does_not_stop_the_others(self):
+        """Guards against requests that wait for a message never sent."""
+
+        async def scenario():
+            fleet = Fleet(entry_count=1)
+            limits = fleet.entries[0]
+            limits._states[usage_fakes.OWNER_IP].due.add('evicted')
+            async with asyncio.timeout(5.0):
+                return await fleet.call(0)
+
+        assert virtual_time.run(scenario()) is None
+
 
 class TwoOwners:
     """Messages to the sidecars of two engines."""
