An answer whose head cannot be sent is refused

Callers saw: their connection closed with neither an answer nor a refusal, and again at each retry.

Cause: an answer counted as begun before its head was sent. aiohttp's client accepts a control character in a header of a server's answer, its server refuses to send it on; the refusal that followed then only closed the connection.

Evidence: an answer with such a header, whole and as a stream. Both cases of the new test failed before (ServerDisconnectedError) and pass now. Without the reset of the framing, the refusal after a stream's head is malformed: the next response on the connection was unreadable (BadStatusLine).

Why the fix works: an answer has begun once its head was sent, or a byte of it. If none was, the connection's framing is as before it, and the refusal (`internal`, outcome unknown) reaches the caller on a connection that stays in step.

--- a/lacewingpitch/platform/response_delivery.py
+++ b/lacewingpitch/platform/response_delivery.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from aiohttp import abc
+from aiohttp import http_writer
 from aiohttp import web
 
 from lacewingpitch import backend_call
@@ -113,9 +115,8 @@
             headers=headers,
             content_type='application/json',
         )
-        self.response = response
         self._close_when_draining(response)
-        await response.prepare(self._request)
+        await self._prepare(response)
         await response.write_eof()
         self._is_complete = True
 
@@ -128,10 +129,28 @@
         for name, value in answer.headers:
             response.headers.add(name, value)
         self._close_when_draining(response)
-        self.response = response
+        await self._prepare(response)
         self.step = request_end.Step.ANSWERING
-        await response.prepare(self._request)
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        """Begin a response; if nothing of it was sent, none has begun."""
+        try:
+            await response.prepare(self._request)
+        except Exception:
+            if self._request.writer.output_size == 0:
+                _reset_framing(self._request.writer)
+            else:
+                self.response = response
+            raise
+        self.response = response
 
     def _close_when_draining(self, response: web.StreamResponse) -> None:
         if self._is_draining():
             response.force_close()
+
+
+def _reset_framing(writer: abc.AbstractStreamWriter) -> None:
+    # Otherwise the next response would have the framing of this one.
+    assert isinstance(writer, http_writer.StreamWriter)
+    writer.chunked = False
+    writer.length = None
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -318,6 +318,26 @@
                 await asyncio.sleep(0.01)
         assert scene.frontend.ended_by_outcome == {'left': 1}
 
+    @pytest.mark.parametrize('is_stream', [False, True])
+    async def test_an_answer_whose_head_cannot_be_sent_is_refused(
+        self, scene, is_stream
+    ):
+        """Guards against closed connections, and malformed refusals."""
+        # The client of the library accepts it and its server doesn't.
+        headers = (('X-Trace', 'a\x01b'),)
+        answer = backend_call.BackendAnswer(200, headers, None)
+
+        async def serve(_request, delivery):
+            if is_stream:
+                await delivery.begin(answer)
+            else:
+                await delivery.send_whole(answer, b'whole')
+
+        assert await self.refusal(scene, serve) == (500, 'internal')
+        # The connection is kept, and is in step.
+        scene.frontend._serve = scene._serve
+        assert await scene.call() == 200
+
     async def test_an_answer_that_has_begun_is_cut(self, scene):
         """Guards against a refusal in the middle of an answer."""
 
