A request that was read is answered as unused connections are closed

Callers saw: their connection closed with neither an answer nor a refusal, after the entry had read their whole request, on a connection that had been silent for longer than the idle timeout (of a new configuration, for one), or idle as the entry drained.

Cause: aiohttp starts the handler of a request up to two steps of the event loop after it has read its head. Meanwhile the connection counted as silent or idle and was closed; the handler then only raises ConnectionResetError.

Why the fix works: a connection isn't read for three steps of the event loop before it is closed, and is closed only if no request of it is handled then. What was read before has its handler by then; what comes later is not read.

The test that such a request isn't sent on is replaced by the stricter one that it is answered; on a connection that is closing for another reason, it is still not sent on, which a test keeps.

--- a/lacewingpitch/draining.py
+++ b/lacewingpitch/draining.py
@@ -43,7 +43,7 @@
         """Accept no new connections."""
         ...
 
-    def close_idle(self) -> None:
+    async def close_idle(self) -> None:
         """Close connections on which no request is in progress."""
         ...
 
@@ -73,7 +73,7 @@
         if took_s < _OUT_OF_ROTATION_S:
             continue
         await frontend.stop_listening()
-        frontend.close_idle()
+        await frontend.close_idle()
         frontend.is_refusing = took_s >= _ACCEPTING_S
         if frontend.is_refusing and not frontend.in_progress:
             break
--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -15,6 +15,7 @@
 from lacewingpitch import authentication as authentication_module
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
+from lacewingpitch import connection_closing
 from lacewingpitch import errors
 from lacewingpitch import http_guard
 from lacewingpitch import metrics as metrics_module
@@ -106,7 +107,7 @@
         self.is_refusing = False
         self._busy_transports: set[asyncio.BaseTransport] = set()
         self._silent_connections: silent_connections.SilentConnections[
-            asyncio.BaseTransport
+            asyncio.Transport
         ] = silent_connections.SilentConnections(clock)
         self._server: web.Server | None = None
         self._site: web.TCPSite | None = None
@@ -140,16 +141,21 @@
             site, self._site = self._site, None
             await site.stop()
 
-    def close_idle(self) -> None:
+    async def close_idle(self) -> None:
         """Close connections on which no request is in progress.
 
         The others close after their answers.  The method of the library
         cancels the task of an idle connection but leaves the connection
         open, so that a request that arrives then is never handled.
         """
-        for transport in self._transports():
-            if transport not in self._busy_transports:
-                transport.close()
+        idle = [
+            transport
+            for transport in self._transports()
+            if transport not in self._busy_transports
+        ]
+        await connection_closing.close_unused(
+            idle, self._busy_transports.__contains__
+        )
 
     async def close_silent(self) -> None:
         """Close connections without any request, in an endless loop.
@@ -159,26 +165,30 @@
         """
         while True:
             await asyncio.sleep(_SILENCE_CHECK_INTERVAL_S)
-            transports = self._transports()
-            limit_s = self._limits.idle_timeout_s
-            overdue = self._silent_connections.overdue(transports, limit_s)
-            for transport in overdue:
-                transport.close()
-            if overdue:
-                log.info(
-                    'silent connections closed',
-                    count=len(overdue),
-                    limit_s=limit_s,
-                    open_count=len(transports),
-                )
+            await self._close_overdue()
+
+    async def _close_overdue(self) -> None:
+        transports = self._transports()
+        limit_s = self._limits.idle_timeout_s
+        closed_count = await connection_closing.close_unused(
+            self._silent_connections.overdue(transports, limit_s),
+            self._silent_connections.has_sent,
+        )
+        if closed_count:
+            log.info(
+                'silent connections closed',
+                count=closed_count,
+                limit_s=limit_s,
+                open_count=len(transports),
+            )
 
-    def _transports(self) -> list[asyncio.BaseTransport]:
+    def _transports(self) -> list[asyncio.Transport]:
         """Return the open connections."""
         handlers = self._server.connections if self._server else ()
         return [
             handler.transport
             for handler in handlers
-            if handler.transport is not None
+            if handler.transport and not handler.transport.is_closing()
         ]
 
     def _new_request(
@@ -213,10 +223,10 @@
         )
         request_id = request.headers.get(names.REQUEST_ID, '')
         transport = request.transport
-        # A request may arrive while its connection is being closed as idle,
-        # before it counts as busy.  If it were forwarded, which needs no
-        # wait on a persistent connection, it would run and its answer would
-        # be lost.  If it is not read, its caller sends it again.
+        # A connection may end before its request counts as busy.  If the
+        # request were forwarded, which needs no wait on a persistent
+        # connection, it would run and its answer would be lost.  If it is
+        # not read, its caller sends it again.
         if transport is None or transport.is_closing():
             raise ConnectionResetError('the connection is closed')
         self._busy_transports.add(transport)
--- a/lacewingpitch/silent_connections.py
+++ b/lacewingpitch/silent_connections.py
@@ -31,6 +31,10 @@
         """Record that a complete request head has arrived."""
         self._used.add(connection)
 
+    def has_sent(self, connection: _Connection) -> bool:
+        """Whether a complete request head has arrived."""
+        return connection in self._used
+
     def overdue(
         self, connections: Iterable[_Connection], limit_s: float
     ) -> list[_Connection]:
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -20,7 +20,7 @@
         if self.listening_until_s is None:
             self.listening_until_s = asyncio.get_running_loop().time()
 
-    def close_idle(self):
+    async def close_idle(self):
         assert self.listening_until_s is not None
         self.closed_idle = True
 
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -114,6 +114,15 @@
         return await asyncio.open_connection(ip, int(port))
 
 
+async def first_bytes(reader, end):
+    """Return what is read up to `end`, or to the end of the connection."""
+    async with asyncio.timeout(2.0):
+        try:
+            return await reader.readuntil(end)
+        except asyncio.IncompleteReadError as error:
+            return error.partial
+
+
 @pytest.fixture
 async def scene():
     async with Scene() as found:
@@ -164,46 +173,104 @@
                     await reader.read()
 
 
-class TestDrain:
-    @pytest.mark.parametrize('step_count', [0, 1, 2])
-    def test_a_request_on_a_closing_connection_is_not_forwarded(
-        self, step_count
-    ):
-        """Guards against an answer lost as its idle connection closes."""
+class TestRequestThatHasJustBeenRead:
+    """Its handler hasn't started as its connection is to be closed."""
+
+    REQUEST = (
+        b'GET /lookup/x HTTP/1.1\r\nHost: h.example\r\n'
+        b'Request-Id: one\r\nDeadline-Ms: 1000\r\n\r\n'
+    )
+
+    def play(self, step_count, close):
+        """Return what the caller got, and how often it was served.
+
+        Parameters
+        ----------
+        close
+            Called with the scene `step_count` steps of the event loop after
+            the request was read.
+        """
 
         async def main():
             async with Scene() as scene:
-                scene.table.apply(
-                    routing.Configuration(
-                        7, (ROUTE,), {}, routing.CallerLimits()
-                    )
-                )
-                served = []
-
-                async def serve(request, _delivery):
-                    served.append(request.request_id)
-
-                scene.frontend._serve = serve
-                host, port = scene._endpoint.split(':')
-                reader, writer = await asyncio.open_connection(host, port)
+                scene.configure(routing.CallerLimits(idle_timeout_s=0.01))
+                reader, writer = await scene.connect()
+                await asyncio.sleep(0.05)
+                await scene.frontend._close_overdue()
                 await asyncio.sleep(0.05)
                 (handler,) = scene.frontend._server.connections
-                handler.data_received(
-                    b'GET /lookup/x HTTP/1.1\r\nHost: h.example\r\n'
-                    b'Request-Id: one\r\nDeadline-Ms: 1000\r\n\r\n'
-                )
+                handler.data_received(self.REQUEST)
                 for _ in range(step_count):
                     await asyncio.sleep(0)
-                was_busy = bool(scene.frontend.in_progress or served)
-                scene.frontend.close_idle()
-                await reader.read()
+                await close(scene)
+                got = await first_bytes(reader, b'whole')
                 writer.close()
-                return served if not was_busy else []
+                return got, len(scene.received)
 
         # uvloop, which the daemons use, reports a closed connection later
         # than the loop of asyncio.
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            assert runner.run(main()) == []
+            return runner.run(main())
+
+    @pytest.mark.parametrize('step_count', range(4))
+    def test_is_answered_as_idle_connections_are_closed(self, step_count):
+        """Guards against an answer lost as its idle connection closes."""
+
+        async def close(scene):
+            scene.frontend.is_draining = True
+            await scene.frontend.close_idle()
+
+        got, served_count = self.play(step_count, close)
+        assert got.startswith(b'HTTP/1.1 200 ')
+        assert served_count == 1
+
+    @pytest.mark.parametrize('step_count', range(4))
+    def test_is_answered_as_silent_connections_are_closed(self, step_count):
+        """Guards against a request lost as the idle timeout is shortened."""
+
+        async def close(scene):
+            await scene.frontend._close_overdue()
+
+        got, served_count = self.play(step_count, close)
+        assert got.startswith(b'HTTP/1.1 200 ')
+        assert served_count == 1
+
+    @pytest.mark.parametrize('step_count', [0, 1])
+    def test_is_not_served_on_a_closing_connection(self, step_count):
+        """Guards against requests that run without a caller."""
+
+        async def close(scene):
+            (transport,) = scene.frontend._transports()
+            transport.close()
+
+        assert self.play(step_count, close) == (b'', 0)
+
+
+class TestClosing:
+    async def test_an_idle_connection_is_closed(self, scene):
+        scene.configure()
+        reader, writer = await scene.connect()
+        with contextlib.closing(writer):
+            writer.write(TestRequestThatHasJustBeenRead.REQUEST)
+            await reader.readuntil(b'whole')
+            await scene.frontend.close_idle()
+            async with asyncio.timeout(2.0):
+                assert await reader.read() == b''
+
+    async def test_a_body_that_is_being_read_is_read_on(self, scene):
+        """Guards against a connection whose reading stays paused."""
+        scene.configure()
+        reader, writer = await scene.connect()
+        with contextlib.closing(writer):
+            await asyncio.sleep(0.05)
+            (handler,) = scene.frontend._server.connections
+            head = TestRequestThatHasJustBeenRead.REQUEST
+            handler.data_received(head[:-2] + b'Content-Length: 4\r\n\r\nbo')
+            await scene.frontend.close_idle()
+            writer.write(b'dy')
+            async with asyncio.timeout(2.0):
+                await reader.readuntil(b'whole')
+        assert scene.received[0].body == b'body'
 
 
 class TestLogOfEnds:
