Tests: requests in progress at a change of the configuration end properly

- Two entries, two engines and two plain servers, as real processes.
Their routes are removed, moved to other services, or given a time-out of 500 ms after 1 s.
With servers that answer nothing, each request (of 3 s at most) is refused; with sound servers, each that was sent before is answered whole, also streams that last beyond the change.
- A request that arrives behind another on one connection is answered around a change that shortens the idle timeout.
Behind an answer that says that the connection closes, as a drain makes it, it isn't served.

--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -273,6 +273,72 @@
         assert scene.received[0].body == b'body'
 
 
+class TestPipelinedRequests:
+    @staticmethod
+    def request(request_id):
+        head = TestRequestThatHasJustBeenRead.REQUEST
+        return head.replace(b'one', request_id)
+
+    async def served(self, scene, during):
+        """Return what is answered to two requests, and which were served.
+
+        Parameters
+        ----------
+        during
+            Called while the first is served, with the second behind it.
+        """
+        is_released = asyncio.Event()
+        serve = scene._serve
+
+        async def serve_later(request, delivery):
+            if request.request_id == 'first':
+                await is_released.wait()
+            await serve(request, delivery)
+
+        scene.frontend._serve = serve_later
+        reader, writer = await scene.connect()
+        with contextlib.closing(writer):
+            writer.write(self.request(b'first') + self.request(b'second'))
+            await asyncio.sleep(0.05)
+            await during()
+            is_released.set()
+            answers = [
+                await first_bytes(reader, b'whole'),
+                await first_bytes(reader, b'whole'),
+            ]
+        return answers, [request.request_id for request in scene.received]
+
+    async def test_are_answered_around_a_change_of_the_configuration(
+        self, scene
+    ):
+        """Guards against a request that ends with a new configuration."""
+        scene.configure()
+
+        async def change():
+            limits = routing.CallerLimits(idle_timeout_s=0.01)
+            scene.configure(limits, version=8)
+            for _ in range(2):
+                await scene.frontend._close_overdue()
+                await asyncio.sleep(0.05)
+
+        answers, served = await self.served(scene, change)
+        assert all(answer.endswith(b'whole') for answer in answers)
+        assert served == ['first', 'second']
+
+    async def test_behind_a_last_answer_are_not_served(self, scene):
+        """Guards against requests that run without a caller."""
+        scene.configure()
+
+        async def drain():
+            scene.frontend.is_draining = True
+            await scene.frontend.close_idle()
+
+        answers, served = await self.served(scene, drain)
+        assert b'Connection: close' in answers[0]
+        assert answers[1] == b''
+        assert served == ['first']
+
+
 class TestLogOfEnds:
     REQUEST = (
         b'GET /lookup/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n\r\n'
--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -37,8 +37,9 @@
 class Callers:
     """Send requests of all kinds, and record how each one ends."""
 
-    def __init__(self, platform):
+    def __init__(self, platform, deadline_ms=8000):
         self._platform = platform
+        self._deadline_ms = deadline_ms
         self._numbers = itertools.count()
         # Ids of the requests by how they ended: whole, refused or lost.
         self.ends = collections.defaultdict(list)
@@ -58,7 +59,7 @@
         headers = {
             'Host': 'h.example',
             'Request-Id': name,
-            'Deadline-Ms': '8000',
+            'Deadline-Ms': str(self._deadline_ms),
         }
         if path in MODEL_PATHS:
             headers['Model'] = standin.MODEL
@@ -113,3 +114,60 @@
         """Guards against lookups given up because their server is silent."""
         ends = await play(platform, platform.services[:count])
         assert ends['lost'] == ends['refused'] == []
+
+
+def without_routes(configuration):
+    configuration['routes'] = configuration['routes'][-1:]
+
+
+def with_other_services(configuration):
+    for route in configuration['routes']:
+        route['service'] = f'other-{route["service"]}'
+    for service in configuration['services']:
+        service['name'] = f'other-{service["name"]}'
+
+
+def with_shorter_timeouts(configuration):
+    for route in configuration['routes']:
+        route['timeoutMs'] = 500
+
+
+CHANGES = [without_routes, with_other_services, with_shorter_timeouts]
+
+
+async def play_change(platform, change, callers, load_s):
+    """Send requests for `load_s`; change the configuration after 1 s."""
+    configuration = standin.configuration(6)
+    change(configuration)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(callers.run(load_s))
+        await asyncio.sleep(1.0)
+        await platform.store.put('op/config', configuration)
+    for entry in platform.entries:
+        last = entry.events('configuration in force')[-1]
+        assert last['version'] == configuration['version']
+
+
+class TestRequestsInProgressAtAChange:
+    DEADLINE_MS = 3000
+
+    @pytest.mark.parametrize('change', CHANGES)
+    async def test_each_is_refused_by_its_deadline_if_nothing_answers(
+        self, platform, change
+    ):
+        """Guards against requests that end with a change, or never."""
+        for server in (*platform.engines, *platform.services):
+            server.fall_silent()
+        callers = Callers(platform, self.DEADLINE_MS)
+        async with asyncio.timeout(2 * self.DEADLINE_MS / 1000):
+            await play_change(platform, change, callers, load_s=2.0)
+        assert callers.ends['lost'] == []
+        assert callers.ends['refused']
+
+    @pytest.mark.parametrize('change', CHANGES)
+    async def test_each_is_answered_by_sound_servers(self, platform, change):
+        """Guards against answers that are cut as their route changes."""
+        callers = Callers(platform)
+        # The streams last for 1.6 s, beyond the change.
+        await play_change(platform, change, callers, load_s=0.9)
+        assert callers.ends.keys() == {'whole'}
