A control handler whose wait is cancelled doesn't end its serving task

Peers would see: each such message unanswered until their time limit, and once all serving tasks of a process had ended, every message. No handler in use was found that awaits what another task may cancel.

Cause: a CancelledError isn't an Exception. The server let it end the task that serves messages, as if the server itself were being closed.

Evidence: a handler that awaits a cancelled future.

Why the fix works: only a cancellation of the serving task itself ends it; any other is refused and logged with its trace, like other errors of a handler.

--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -29,6 +29,7 @@
 import xxhash
 
 from lacewingpitch import errors
+from lacewingpitch import request_end
 
 PROTOCOL_VERSION = 2
 OLDEST_PROTOCOL_VERSION = 1
@@ -329,9 +330,11 @@
             return sign(self._refuse(str(error)))
         try:
             return sign(await handler(message))
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             # An exception must not end the serving task: once all of them
             # had ended, every request would time out.
+            if request_end.is_cancelled():
+                raise
             log.exception('control handler failed', kind=kind.__name__)
             return sign(self._refuse('handler failed'))
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -71,6 +71,10 @@
             await asyncio.Event().wait()
         if ping.note == 'fail':
             raise ValueError(ping.note)
+        if ping.note == 'cancel':
+            shared = asyncio.get_running_loop().create_future()
+            shared.cancel()
+            await shared
         # A number beyond 64 bits cannot be encoded.
         factor = 1 << 70 if ping.note == 'huge' else 1
         return Pong(number=ping.number * factor)
@@ -210,7 +214,7 @@
         assert server.control.refused_count == {reason: MANY}
         assert await server.still_serves()
 
-    @pytest.mark.parametrize('note', ['fail', 'huge'])
+    @pytest.mark.parametrize('note', ['fail', 'huge', 'cancel'])
     async def test_of_a_failing_handler_do_not_end_serving(self, server, note):
         for _ in range(MANY):
             with pytest.raises(errors.LinkError, match='Refused'):
