A sidecar whose reply is unusable doesn't end a request

Callers saw: a refusal of kind `internal` with an unknown outcome, although nothing of the request had been sent and other engines could serve it.

Cause: of the errors of a control link, the search for a turn handled only a missing reply. A sidecar that refuses the message itself (its handler has failed, for one) or whose reply is malformed ended the whole search.

Evidence: two of three sidecars, and all three, with such replies.

Why the fix works: such a reply counts as a refusal of that engine, and is logged; the turn that its sidecar may have granted is ended as before. If no other engine grants one, the refusal is `no-backend-server`, not run.

--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -229,6 +229,8 @@
         except errors.NoReplyError as error:
             self._record_unresponsive(server, spec, error)
             raise _earliest_retry([]) from error
+        except errors.LinkError as error:
+            raise _unusable(server, spec, error) from error
 
     def _acceptable_wait_s(self, spec: turn_spec.TurnSpec) -> float:
         """Return the wait up to which an engine is accepted at once."""
@@ -298,6 +300,8 @@
             turn = turn_candidates.unconfirmed_turn(server, spec)
             if turn is not None:
                 replies.fallbacks.append(turn)
+        except errors.LinkError as error:
+            replies.refusals[server.name] = _unusable(server, spec, error)
         except errors.RefusalError as error:
             if not error.retry_elsewhere or self._exchange.is_suspect(spec):
                 raise
@@ -330,6 +334,8 @@
         except errors.NoReplyError as error:
             self._record_unresponsive(server, spec, error)
             raise _earliest_retry([]) from error
+        except errors.LinkError as error:
+            raise _unusable(server, spec, error) from error
 
     def _record_unresponsive(
         self,
@@ -362,3 +368,18 @@
             retry_after_s=_NO_ENGINE_RETRY_AFTER_S,
         )
     return min(refusals, key=lambda error: error.retry_after_s or 0.0)
+
+
+def _unusable(
+    server: backend_list.BackendServer,
+    spec: turn_spec.TurnSpec,
+    error: errors.LinkError,
+) -> errors.RefusalError:
+    """Return the refusal of a sidecar that replied, and with no turn."""
+    log.warning(
+        'sidecar reply unusable',
+        request_id=spec.run_id,
+        backend_server=server.name,
+        error=str(error),
+    )
+    return _earliest_retry([])
--- a/tests/test_turn_client.py
+++ b/tests/test_turn_client.py
@@ -43,6 +43,8 @@
         await asyncio.sleep(self.delay_s)
         if isinstance(reply, list):
             reply = reply.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
         if reply is None:
             await asyncio.sleep(timeout_s)
             raise errors.NoReplyError(ip)
@@ -340,6 +342,38 @@
         play(story)
 
 
+class TestUnusableReply:
+    """A sidecar refuses the message itself, or its reply is malformed."""
+
+    def test_another_engine_is_tried(self):
+        """Guards against faults of one sidecar that callers see."""
+
+        async def story(scene):
+            for number in (1, 2):
+                scene.sidecars.replies[f'10.0.0.{number}'] = errors.LinkError(
+                    'replied _Refused'
+                )
+            turn = await scene.acquire()
+            assert turn.server.name == 'c'
+
+        play(story)
+
+    def test_request_is_refused_as_not_run_if_there_is_no_other(self):
+        """Guards against unknown outcomes of requests that were not sent."""
+
+        async def story(scene):
+            for number in (1, 2, 3):
+                scene.sidecars.replies[f'10.0.0.{number}'] = errors.LinkError(
+                    'replied _Refused'
+                )
+            with pytest.raises(errors.RefusalError) as caught:
+                await scene.acquire()
+            assert caught.value.kind is errors.ErrorKind.NO_BACKEND_SERVER
+            assert caught.value.outcome is errors.Outcome.NOT_RUN
+
+        play(story)
+
+
 class TestUnresponsiveSidecar:
     def test_engine_serves_without_its_sidecar(self):
         """Guards against an outage although every engine serves.
