--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -92,6 +92,14 @@
         ) as response:
             return response.status
 
+    async def call_for_refusal(self):
+        headers = {'Host': 'h.example', 'Request-Id': 'r-1'}
+        async with self._session.get(
+            f'http://{self._endpoint}/lookup/1', headers=headers
+        ) as response:
+            answer = await response.json(content_type=None)
+            return response.status, answer['error']['kind']
+
     def configure(self, limits=None, organisations=None, version=7):
         limits = limits or routing.CallerLimits()
         routes = (ROUTE, PUBLIC_ROUTE)
@@ -106,6 +114,15 @@
         return await asyncio.open_connection(ip, int(port))
 
 
+async def first_bytes(reader, end):
+    """Return what is read up to `end`, or to the end of the connection."""
+    async with asyncio.timeout(2.0):
+        try:
+            return await reader.readuntil(end)
+        except asyncio.IncompleteReadError as error:
+            return error.partial
+
+
 @pytest.fixture
 async def scene():
     async with Scene() as found:
@@ -156,46 +173,170 @@
                     await reader.read()
 
 
-class TestDrain:
-    @pytest.mark.parametrize('step_count', [0, 1, 2])
-    def test_a_request_on_a_closing_connection_is_not_forwarded(
-        self, step_count
-    ):
-        """Guards against an answer lost as its idle connection closes."""
+class TestRequestThatHasJustBeenRead:
+    """Its handler hasn't started as its connection is to be closed."""
+
+    REQUEST = (
+        b'GET /lookup/x HTTP/1.1\r\nHost: h.example\r\n'
+        b'Request-Id: one\r\nDeadline-Ms: 1000\r\n\r\n'
+    )
+
+    def play(self, step_count, close):
+        """Return what the caller got, and how often it was served.
+
+        Parameters
+        ----------
+        close
+            Called with the scene `step_count` steps of the event loop after
+            the request was read.
+        """
 
         async def main():
             async with Scene() as scene:
-                scene.table.apply(
-                    routing.Configuration(
-                        7, (ROUTE,), {}, routing.CallerLimits()
-                    )
-                )
-                served = []
-
-                async def serve(request, _delivery):
-                    served.append(request.request_id)
-
-                scene.frontend._serve = serve
-                host, port = scene._endpoint.split(':')
-                reader, writer = await asyncio.open_connection(host, port)
+                scene.configure(routing.CallerLimits(idle_timeout_s=0.01))
+                reader, writer = await scene.connect()
+                await asyncio.sleep(0.05)
+                await scene.frontend._close_overdue()
                 await asyncio.sleep(0.05)
                 (handler,) = scene.frontend._server.connections
-                handler.data_received(
-                    b'GET /lookup/x HTTP/1.1\r\nHost: h.example\r\n'
-                    b'Request-Id: one\r\nDeadline-Ms: 1000\r\n\r\n'
-                )
+                handler.data_received(self.REQUEST)
                 for _ in range(step_count):
                     await asyncio.sleep(0)
-                was_busy = bool(scene.frontend.in_progress or served)
-                scene.frontend.close_idle()
-                await reader.read()
+                await close(scene)
+                got = await first_bytes(reader, b'whole')
                 writer.close()
-                return served if not was_busy else []
+                return got, len(scene.received)
 
         # uvloop, which the daemons use, reports a closed connection later
         # than the loop of asyncio.
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            assert runner.run(main()) == []
+            return runner.run(main())
+
+    @pytest.mark.parametrize('step_count', range(4))
+    def test_is_answered_as_idle_connections_are_closed(self, step_count):
+        """Guards against an answer lost as its idle connection closes."""
+
+        async def close(scene):
+            scene.frontend.is_draining = True
+            await scene.frontend.close_idle()
+
+        got, served_count = self.play(step_count, close)
+        assert got.startswith(b'HTTP/1.1 200 ')
+        assert served_count == 1
+
+    @pytest.mark.parametrize('step_count', range(4))
+    def test_is_answered_as_silent_connections_are_closed(self, step_count):
+        """Guards against a request lost as the idle timeout is shortened."""
+
+        async def close(scene):
+            await scene.frontend._close_overdue()
+
+        got, served_count = self.play(step_count, close)
+        assert got.startswith(b'HTTP/1.1 200 ')
+        assert served_count == 1
+
+    @pytest.mark.parametrize('step_count', [0, 1])
+    def test_is_not_served_on_a_closing_connection(self, step_count):
+        """Guards against requests that run without a caller."""
+
+        async def close(scene):
+            (transport,) = scene.frontend._transports()
+            transport.close()
+
+        assert self.play(step_count, close) == (b'', 0)
+
+
+class TestClosing:
+    async def test_an_idle_connection_is_closed(self, scene):
+        scene.configure()
+        reader, writer = await scene.connect()
+        with contextlib.closing(writer):
+            writer.write(TestRequestThatHasJustBeenRead.REQUEST)
+            await reader.readuntil(b'whole')
+            await scene.frontend.close_idle()
+            async with asyncio.timeout(2.0):
+                assert await reader.read() == b''
+
+    async def test_a_body_that_is_being_read_is_read_on(self, scene):
+        """Guards against a connection whose reading stays paused."""
+        scene.configure()
+        reader, writer = await scene.connect()
+        with contextlib.closing(writer):
+            await asyncio.sleep(0.05)
+            (handler,) = scene.frontend._server.connections
+            head = TestRequestThatHasJustBeenRead.REQUEST
+            handler.data_received(head[:-2] + b'Content-Length: 4\r\n\r\nbo')
+            await scene.frontend.close_idle()
+            writer.write(b'dy')
+            async with asyncio.timeout(2.0):
+                await reader.readuntil(b'whole')
+        assert scene.received[0].body == b'body'
+
+
+class TestPipelinedRequests:
+    @staticmethod
+    def request(request_id):
+        head = TestRequestThatHasJustBeenRead.REQUEST
+        return head.replace(b'one', request_id)
+
+    async def served(self, scene, during):
+        """Return what is answered to two requests, and which were served.
+
+        Parameters
+        ----------
+        during
+            Called while the first is served, with the second behind it.
+        """
+        is_released = asyncio.Event()
+        serve = scene._serve
+
+        async def serve_later(request, delivery):
+            if request.request_id == 'first':
+                await is_released.wait()
+            await serve(request, delivery)
+
+        scene.frontend._serve = serve_later
+        reader, writer = await scene.connect()
+        with contextlib.closing(writer):
+            writer.write(self.request(b'first') + self.request(b'second'))
+            await asyncio.sleep(0.05)
+            await during()
+            is_released.set()
+            answers = [
+                await first_bytes(reader, b'whole'),
+                await first_bytes(reader, b'whole'),
+            ]
+        return answers, [request.request_id for request in scene.received]
+
+    async def test_are_answered_around_a_change_of_the_configuration(
+        self, scene
+    ):
+        """Guards against a request that ends with a new configuration."""
+        scene.configure()
+
+        async def change():
+            limits = routing.CallerLimits(idle_timeout_s=0.01)
+            scene.configure(limits, version=8)
+            for _ in range(2):
+                await scene.frontend._close_overdue()
+                await asyncio.sleep(0.05)
+
+        answers, served = await self.served(scene, change)
+        assert all(answer.endswith(b'whole') for answer in answers)
+        assert served == ['first', 'second']
+
+    async def test_behind_a_last_answer_are_not_served(self, scene):
+        """Guards against requests that run without a caller."""
+        scene.configure()
+
+        async def drain():
+            scene.frontend.is_draining = True
+            await scene.frontend.close_idle()
+
+        answers, served = await self.served(scene, drain)
+        assert b'Connection: close' in answers[0]
+        assert answers[1] == b''
+        assert served == ['first']
 
 
 class TestLogOfEnds:
@@ -249,6 +390,99 @@
         assert scene.frontend.cut_by_step == {'answering': 1}
 
 
+class TestErrorsFromWithin:
+    """Errors of the entry itself, while the caller waits for an answer."""
+
+    async def refusal(self, scene, serve):
+        """Return the status and the error kind of the answer."""
+        scene.configure()
+        scene.frontend._serve = serve
+        return await scene.call_for_refusal()
+
+    @pytest.mark.parametrize(
+        'error',
+        [
+            ConnectionResetError('of another connection'),
+            BrokenPipeError('of another connection'),
+            TimeoutError('of another wait'),
+            ValueError('of a message'),
+        ],
+        ids=lambda error: type(error).__name__,
+    )
+    async def test_an_error_is_not_taken_for_a_caller_that_left(
+        self, scene, error
+    ):
+        """Guards against closed connections without answer or refusal."""
+
+        async def serve(_request, _delivery):
+            raise error
+
+        with structlog.testing.capture_logs() as lines:
+            status, kind = await self.refusal(scene, serve)
+        assert (status, kind) == (500, 'internal')
+        assert 'handler failed' in [line['event'] for line in lines]
+        assert scene.frontend.ended_by_outcome == {'internal': 1}
+
+    async def test_a_cancelled_wait_is_not_taken_for_a_caller_that_left(
+        self, scene
+    ):
+        """Guards against closed connections without answer or refusal."""
+        shared = asyncio.get_running_loop().create_future()
+
+        async def serve(_request, _delivery):
+            asyncio.get_running_loop().call_later(0.1, shared.cancel)
+            await shared
+
+        with structlog.testing.capture_logs() as lines:
+            status, kind = await self.refusal(scene, serve)
+        assert (status, kind) == (500, 'internal')
+        assert 'handler failed' in [line['event'] for line in lines]
+        assert scene.frontend.ended_by_outcome == {'internal': 1}
+
+    async def test_a_caller_that_leaves_gets_no_refusal(self, scene):
+        """Guards against departures that are counted as faults."""
+        scene.configure()
+        scene.frontend._serve = lambda *_: asyncio.sleep(10.0)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await scene.call()
+        async with asyncio.timeout(5.0):
+            while not scene.frontend.ended_by_outcome:
+                await asyncio.sleep(0.01)
+        assert scene.frontend.ended_by_outcome == {'left': 1}
+
+    @pytest.mark.parametrize('is_stream', [False, True])
+    async def test_an_answer_whose_head_cannot_be_sent_is_refused(
+        self, scene, is_stream
+    ):
+        """Guards against closed connections, and malformed refusals."""
+        # The client of the library accepts it and its server doesn't.
+        headers = (('X-Trace', 'a\x01b'),)
+        answer = backend_call.BackendAnswer(200, headers, None)
+
+        async def serve(_request, delivery):
+            if is_stream:
+                await delivery.begin(answer)
+            else:
+                await delivery.send_whole(answer, b'whole')
+
+        assert await self.refusal(scene, serve) == (500, 'internal')
+        # The connection is kept, and is in step.
+        scene.frontend._serve = scene._serve
+        assert await scene.call() == 200
+
+    async def test_an_answer_that_has_begun_is_cut(self, scene):
+        """Guards against a refusal in the middle of an answer."""
+
+        async def serve(_request, delivery):
+            await delivery.begin(backend_call.BackendAnswer(200, (), None))
+            await delivery.write(b'part')
+            raise ConnectionResetError('of another connection')
+
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await self.refusal(scene, serve)
+
+
 def authorization(value):
     return ('Authorization', value)
 
