An event number of thousands of digits is a lost answer

Callers would see: their stream ends in an internal error instead of a refusal or a move to another server; a request that may run once gets no word on whether it ran. Cause: Python converts no text of more than 4300 digits to an integer, and the ValueError passed all handlers of platform errors. Evidence: read_events raised ValueError from a server that repeats 'id: 9...9' with 5000 digits. Fix: a number of more than 18 digits raises EventGapError, as other events out of order do, and the answer counts as lost. Tests: test_platform_endless; the test of the number failed before. The table of heads and bodies without end passed before.

--- a/lacewingpitch/answer_reading.py
+++ b/lacewingpitch/answer_reading.py
@@ -24,7 +24,7 @@
 # Without another server to move to, an answer is waited for until the
 # request's deadline.
 _UNLIMITED_S = 3600.0
-_MAX_ANSWER_BYTES = 8 << 20
+MAX_ANSWER_BYTES = 8 << 20
 
 
 def first_byte_timeout(
@@ -86,7 +86,7 @@
     body = bytearray()
     async for chunk in answer.chunks:
         body += chunk
-        if len(body) > _MAX_ANSWER_BYTES:
+        if len(body) > MAX_ANSWER_BYTES:
             raise backend_call.AnswerLostError('the answer is too large')
     return bytes(body)
 
--- a/lacewingpitch/event_splitter.py
+++ b/lacewingpitch/event_splitter.py
@@ -3,6 +3,8 @@
 import re
 
 MAX_EVENT_BYTES = 1 << 20
+# Larger numbers are no numbers of events.
+_MAX_ID_DIGITS = 18
 _EVENT_END = b'\n\n'
 _ID = re.compile(rb'(?m)^id: ?(\d+)\r?$')
 
@@ -44,8 +46,8 @@
         Raises
         ------
         EventGapError
-            An event is missing, has no number although others have, or is
-            larger than `MAX_EVENT_BYTES`.
+            An event is missing, has no number although others have, has
+            one that is too long, or is larger than `MAX_EVENT_BYTES`.
         """
         data = self._rest + chunk
         end = data.rfind(_EVENT_END)
@@ -59,7 +61,7 @@
         return self._accept(data[:end])
 
     def _accept(self, events: bytes) -> bytes:
-        numbers = [int(found) for found in _ID.findall(events)]
+        numbers = [_number(found) for found in _ID.findall(events)]
         if not numbers:
             if self._is_numbered:
                 # Without a number it may be a repetition.
@@ -81,7 +83,7 @@
         kept = []
         for event in events.split(_EVENT_END)[:-1]:
             found = _ID.search(event)
-            number = int(found[1]) if found else 0
+            number = _number(found[1]) if found else 0
             if number <= self.last_id:
                 continue
             if number != self.last_id + 1:
@@ -92,3 +94,9 @@
             self.event_count += 1
             kept.append(event + _EVENT_END)
         return b''.join(kept)
+
+
+def _number(digits: bytes) -> int:
+    if len(digits) > _MAX_ID_DIGITS:
+        raise EventGapError('the number of an event is too long')
+    return int(digits)
--- /dev/null
+++ b/tests/test_platform_endless.py
@@ -0,0 +1,156 @@
+"""Servers that send bytes without end, in place of answers.
+
+Each server here writes until its connection is closed, and counts what it
+could write.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from lacewingpitch import answer_reading
+from lacewingpitch import backend_call
+from lacewingpitch import clock as clock_module
+from lacewingpitch import event_splitter
+from lacewingpitch import routing
+from lacewingpitch.platform import backend_client
+from tests import test_platform_backend_client as client_scene
+
+Kind = routing.RequestKind
+PIECE_BYTES = 1 << 16
+# Of both sockets and of the server's writer, on top of what a client reads.
+BUFFERS_BYTES = 16 << 20
+# A client that does not read on is seen to do so after this.
+CLOSE_S = 5.0
+OK = b'HTTP/1.1 200 OK\r\nRequest-Id: r\r\n'
+CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
+ONE_CHUNK = CHUNKED + b'fffffffffff\r\n'
+SIZED = OK + b'Content-Length: 999999999999\r\n\r\n'
+FILLER = b'x' * PIECE_BYTES
+# What a server sends first, and then without end.
+HEADS = {
+    'status line': (b'HTTP/1.1 200 ', FILLER),
+    'no protocol': (b'', FILLER),
+    'header': (OK + b'X: ', FILLER),
+    'header name': (OK, FILLER),
+    'headers': (OK, b'X: y\r\n' * 10_000),
+    'folded header': (OK + b'X: y\r\n', b' y\r\n' * 10_000),
+}
+BODIES = {
+    'sized': (SIZED, FILLER),
+    'unframed': (OK + b'\r\n', FILLER),
+    'chunks': (CHUNKED, b'10000\r\n' + FILLER + b'\r\n'),
+    'one chunk': (ONE_CHUNK, FILLER),
+    'lines': (ONE_CHUNK, b'data: x\n' * 8_000),
+    'chunk size': (CHUNKED, b'f' * PIECE_BYTES),
+    'no chunk size': (CHUNKED + b'5\r\nhello\r\n', FILLER),
+    'trailer': (CHUNKED + b'0\r\nX: ', FILLER),
+    'trailers': (CHUNKED + b'0\r\n', b'X: y\r\n' * 10_000),
+}
+
+
+class EndlessServer:
+    """Answers each request with `start`, and then `piece` without end."""
+
+    def __init__(self, start, piece, pause_s=0.0):
+        self._start = start
+        self._piece = piece
+        self._pause_s = pause_s
+        self.written_bytes = 0
+        self.connection_count = 0
+        self.open_count = 0
+
+    async def serve(self, reader, writer):
+        self.connection_count += 1
+        self.open_count += 1
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(self._start)
+            while True:
+                writer.write(self._piece)
+                await writer.drain()
+                self.written_bytes += len(self._piece)
+                await asyncio.sleep(self._pause_s)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.open_count -= 1
+            writer.transport.abort()
+
+    async def wait_until_closed(self):
+        async with asyncio.timeout(CLOSE_S):
+            while self.open_count:
+                await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def listening(server):
+    """Serve at a free port; yield the port."""
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    async with listener:
+        yield listener.sockets[0].getsockname()[1]
+
+
+@contextlib.asynccontextmanager
+async def backend(server):
+    """Yield a client, and a function that returns a call to a server."""
+    async with contextlib.AsyncExitStack() as exits:
+        port = await exits.enter_async_context(listening(server))
+        client = backend_client.new_client(
+            exits,
+            client_scene.Observer(),
+            client_scene.Gate(),
+            client_scene.EndCheck(),
+            clock_module.SystemClock(),
+        )
+
+        def make_call(kind):
+            return client_scene.make_call('r', port, kind=kind)
+
+        yield client, make_call
+
+
+async def read_whole(client, call):
+    async with client.send(call) as answer:
+        return await answer_reading.read_whole(answer)
+
+
+async def read_events(client, call, standby=None):
+    splitter = event_splitter.EventSplitter()
+    async with client.send(call) as answer:
+        events = answer_reading.read_events(
+            call.request, answer, splitter, standby
+        )
+        return b''.join([found async for found in events])
+
+
+READERS = {
+    Kind.IDEMPOTENT: read_whole,
+    Kind.AT_MOST_ONCE: read_whole,
+    Kind.STREAM: read_events,
+}
+
+
+class TestBackendServer:
+    @pytest.mark.parametrize('kind', READERS)
+    @pytest.mark.parametrize('form', [*HEADS, *BODIES])
+    async def test_bytes_without_end_are_a_lost_answer(self, form, kind):
+        server = EndlessServer(*(HEADS | BODIES)[form])
+        async with backend(server) as (client, make_call):
+            with pytest.raises(backend_call.AnswerLostError):
+                async with asyncio.timeout(CLOSE_S):
+                    await READERS[kind](client, make_call(kind))
+            await server.wait_until_closed()
+        limit_bytes = answer_reading.MAX_ANSWER_BYTES + BUFFERS_BYTES
+        assert server.written_bytes < limit_bytes
+        assert server.connection_count == 1
+
+    async def test_an_event_number_without_end_is_a_lost_answer(self):
+        """Guards against a request that fails with an internal error."""
+        digits = b'id: ' + b'9' * 5_000 + b'\n\n'
+        server = EndlessServer(ONE_CHUNK, digits)
+        async with backend(server) as (client, make_call):
+            with pytest.raises(backend_call.AnswerLostError):
+                await read_events(client, make_call(Kind.STREAM))
+            await server.wait_until_closed()
