Answers to orders and health checks of an engine are read up to a limit

An engine beside a sidecar that sends a body without end grew the sidecar's memory until the call's timeout of 1 s: 407 and 471 MB in one call each, over the loopback interface. Callers would see the instance fall out of use as the sidecar runs out of memory. Cause: EngineClient read the bodies of these two answers whole; those of its reports were limited. Fix: both are read by read_limited, with the limit of a report; a larger one is a failed call, like a body that breaks off. Tests: test_platform_endless::TestPlatform; 10 of its cases failed before, all of these two calls. The store's reads and the reports held before.

--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -117,7 +117,9 @@
                 trace_request_ctx=trace,
             ) as response:
                 self._read_notice(response)
-                await response.read()
+                await platform_call.read_limited(
+                    response, _MAX_REPORT_BYTES
+                )
                 return response.headers.get(names.INCARNATION, '')
 
         with platform_call.platform_errors('engine'):
@@ -233,7 +235,9 @@
                 allow_redirects=False,
             ) as response:
                 self._read_notice(response)
-                await response.read()
+                await platform_call.read_limited(
+                    response, _MAX_REPORT_BYTES
+                )
                 return _RESULT_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.REJECTED
                 )
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -20,7 +20,7 @@
 _READ_TIMEOUT_S = 0.8
 # Allowed on top of the wait; a long list takes seconds over a slow link.
 _MAX_TRANSFER_S = 20.0
-_MAX_RESPONSE_BYTES = 8 << 20
+MAX_RESPONSE_BYTES = 8 << 20
 _MIN_ERROR_STATUS = 300
 _STATUS_TOO_MANY = 429
 _STATUS_GONE = 410
@@ -163,7 +163,7 @@
                         f'store: status {response.status}'
                     )
                 data = await platform_call.read_limited(
-                    response, _MAX_RESPONSE_BYTES
+                    response, MAX_RESPONSE_BYTES
                 )
                 return msgspec.json.decode(data, type=response_type)
 
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -7,14 +7,20 @@
 import asyncio
 import contextlib
 
+import aiohttp
 import pytest
 
 from lacewingpitch import answer_reading
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
+from lacewingpitch import engine_gate
+from lacewingpitch import errors
 from lacewingpitch import event_splitter
-from lacewingpitch import routing
 from lacewingpitch.platform import backend_client
+from lacewingpitch.platform import engine_client
+from lacewingpitch.platform import store as store_module
+from lacewingpitch import routing
+from tests import clocks
 from tests import test_platform_backend_client as client_scene
 
 Kind = routing.RequestKind
@@ -132,6 +138,43 @@
 }
 
 
+async def read_list(session, url):
+    await store_module.Store(session, url).read_all('a')
+
+
+async def watch(session, url):
+    await store_module.Store(session, url).watch('a', 1, 0.5)
+
+
+def new_engine_client(session, url):
+    gate = engine_gate.EngineGate(clocks.ManualClock())
+    return engine_client.EngineClient(session, url, 'h', lambda: '/h', gate)
+
+
+async def read_report(session, url):
+    await new_engine_client(session, url).report()
+
+
+async def read_incarnation(session, url):
+    await new_engine_client(session, url).incarnation()
+
+
+async def order_load(session, url):
+    await new_engine_client(session, url).load('m', 'a', 1, 1, 'i-1')
+
+
+PLATFORM_CALLS = [read_list, watch, read_report, read_incarnation, order_load]
+
+
+@contextlib.asynccontextmanager
+async def platform_part(server):
+    """Yield a session, and the URL of a server."""
+    async with contextlib.AsyncExitStack() as exits:
+        port = await exits.enter_async_context(listening(server))
+        session = await exits.enter_async_context(aiohttp.ClientSession())
+        yield session, f'http://127.0.0.1:{port}'
+
+
 class TestBackendServer:
     @pytest.mark.parametrize('kind', READERS)
     @pytest.mark.parametrize('form', [*HEADS, *BODIES])
@@ -154,3 +197,19 @@
             with pytest.raises(backend_call.AnswerLostError):
                 await read_events(client, make_call(Kind.STREAM))
             await server.wait_until_closed()
+
+
+class TestPlatform:
+    @pytest.mark.parametrize('call', PLATFORM_CALLS)
+    @pytest.mark.parametrize('form', [*HEADS, *BODIES])
+    async def test_bytes_without_end_are_a_failed_call(self, form, call):
+        """Guards against bodies that are read into memory until a timeout."""
+        server = EndlessServer(*(HEADS | BODIES)[form])
+        async with platform_part(server) as (session, url):
+            with pytest.raises(errors.PlatformError):
+                async with asyncio.timeout(CLOSE_S):
+                    await call(session, url)
+            await server.wait_until_closed()
+        limit_bytes = store_module.MAX_RESPONSE_BYTES + BUFFERS_BYTES
+        assert server.written_bytes < limit_bytes
+        assert server.connection_count == 1
