A list of the store without end is a failed read

Callers would see: an entry whose store answers each page with 'there are more' never learns of changes again, and grows until it runs out of memory. Cause: each page was limited to 8 MB, their number was not. Fix: the pages of one read are limited together, to 64 MB of keys and values, 200 000 items and 60 s; a longer list is a failed read, which is logged and tried again as others are. Tests: test_platform_endless, 3 tests; before, they ran into their timeout (with the limits set by the tests, which the code did not know).

--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -5,6 +5,8 @@
 uses revisions again, so that a revision is only unique within an epoch.
 """
 
+import asyncio
+from collections.abc import Iterable
 from typing import TypeVar
 
 import aiohttp
@@ -21,6 +23,11 @@
 # Allowed on top of the wait; a long list takes seconds over a slow link.
 _MAX_TRANSFER_S = 20.0
 MAX_RESPONSE_BYTES = 8 << 20
+# Of the keys and values of all pages of a list.
+_MAX_LIST_BYTES = 64 << 20
+_MAX_LIST_ITEMS = 200_000
+# Longest time for all pages of a list.
+_MAX_LIST_S = 60.0
 _MIN_ERROR_STATUS = 300
 _STATUS_TOO_MANY = 429
 _STATUS_GONE = 410
@@ -91,7 +98,13 @@
         of the first page, so that a watch repeats the changes made between
         the pages.
         """
+        with platform_call.platform_errors('store'):
+            async with asyncio.timeout(_MAX_LIST_S):
+                return await self._read_pages(prefix)
+
+    async def _read_pages(self, prefix: str) -> tuple[int, tuple[Item, ...]]:
         items: list[Item] = []
+        size_bytes = 0
         query = {'pathPrefix': prefix}
         first_revision = 0
         epoch = 0
@@ -104,6 +117,9 @@
                 raise HistoryGoneError('store: pages from two epochs')
             first_revision = first_revision or page.at
             items += page.items
+            size_bytes += _size_bytes(page.items)
+            if size_bytes > _MAX_LIST_BYTES or len(items) > _MAX_LIST_ITEMS:
+                raise errors.PlatformError('store: the list is too long')
             if not page.has_more or not page.items:
                 return first_revision, tuple(items)
             query = {**query, 'after': page.items[-1].key}
@@ -179,3 +195,7 @@
                 f'store: response from the earlier epoch {epoch}'
             )
         self.epoch = epoch
+
+
+def _size_bytes(items: Iterable[Item]) -> int:
+    return sum(len(item.key) + len(item.value) for item in items)
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import contextlib
+import itertools
 
 import aiohttp
+from aiohttp import web
 import pytest
 
 from lacewingpitch import answer_reading
@@ -22,6 +24,7 @@
 from lacewingpitch import routing
 from tests import clocks
 from tests import test_platform_backend_client as client_scene
+from tests import test_platform_store as store_scene
 
 Kind = routing.RequestKind
 PIECE_BYTES = 1 << 16
@@ -213,3 +216,40 @@
         limit_bytes = store_module.MAX_RESPONSE_BYTES + BUFFERS_BYTES
         assert server.written_bytes < limit_bytes
         assert server.connection_count == 1
+
+    @pytest.mark.parametrize(
+        ('key', 'value'), [('a', 'eHh4' * 10_000), ('k' * 50, '')]
+    )
+    async def test_pages_without_end_are_a_failed_read(
+        self, key, value, monkeypatch
+    ):
+        """Guards against a list that is read into memory for ever."""
+        monkeypatch.setattr(store_module, '_MAX_LIST_BYTES', 4 << 20)
+        monkeypatch.setattr(store_module, '_MAX_LIST_ITEMS', 2_000)
+        page_count = itertools.count()
+        items = [{'key': key, 'value': value}] * 100
+        page = {'at': 1, 'items': items, 'hasMore': True}
+
+        async def answer(request):
+            next(page_count)
+            return web.json_response(page)
+
+        async with store_scene.serving(answer) as store:
+            with pytest.raises(errors.PlatformError, match='too long'):
+                async with asyncio.timeout(CLOSE_S):
+                    await store.read_all('a')
+        assert next(page_count) <= 21
+
+    async def test_pages_that_trickle_are_a_failed_read(self, monkeypatch):
+        """Guards against a read of a list that goes on for ever."""
+        monkeypatch.setattr(store_module, '_MAX_LIST_S', 0.5)
+        page = {'at': 1, 'items': [{'key': 'a'}], 'hasMore': True}
+
+        async def answer(request):
+            await asyncio.sleep(0.05)
+            return web.json_response(page)
+
+        async with store_scene.serving(answer) as store:
+            with pytest.raises(errors.PlatformError):
+                async with asyncio.timeout(CLOSE_S):
+                    await store.read_all('a')
