An epoch of thousands of digits is a failed read of the store

Callers would see: the entry never learns of a change again, after one answer of the store whose header Store-Era never ends but fits into a head. Cause: Python converts no text of more than 4300 digits to an integer, and the ValueError is no platform error, so that it ended the watch. Evidence: read_all and watch raised ValueError for 5000 digits. Fix: an epoch of more than 18 digits is a PlatformError, as other answers that break the protocol are. Tests: test_platform_endless, both cases failed before.

--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -28,6 +28,8 @@
 _MAX_LIST_ITEMS = 200_000
 # Longest time for all pages of a list.
 _MAX_LIST_S = 60.0
+# Larger numbers are no epochs.
+_MAX_EPOCH_DIGITS = 18
 _MIN_ERROR_STATUS = 300
 _STATUS_TOO_MANY = 429
 _STATUS_GONE = 410
@@ -189,6 +191,8 @@
     def _update_epoch(self, text: str) -> None:
         if not text.isdecimal():
             return
+        if len(text) > _MAX_EPOCH_DIGITS:
+            raise errors.PlatformError('store: the epoch is too long')
         epoch = int(text)
         if epoch < self.epoch:
             raise EarlierEpochError(
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -253,3 +253,13 @@
             with pytest.raises(errors.PlatformError):
                 async with asyncio.timeout(CLOSE_S):
                     await store.read_all('a')
+
+    @pytest.mark.parametrize('call', [read_list, watch])
+    async def test_an_epoch_without_end_is_a_failed_read(self, call):
+        """Guards against a watch of the store that ends for ever."""
+        head = b'HTTP/1.1 200 OK\r\nStore-Era: ' + b'9' * 5_000 + b'\r\n'
+        server = EndlessServer(head + b'Content-Length: 99\r\n\r\n', b' ')
+        async with platform_part(server) as (session, url):
+            with pytest.raises(errors.PlatformError):
+                await call(session, url)
+            await server.wait_until_closed()
