An adapter version of thousands of digits in a report is unknown

Callers would see: requests find no turn at an engine whose sidecar has stopped to read reports, after one report that names such a version. Cause: the ValueError of the conversion to an integer is no platform error. Evidence: pending_versions raised ValueError for 5000 digits. Fix: it counts as no version, as other texts that are no number do. Tests: test_platform_endless, failed before.

--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -17,6 +17,8 @@
 _MS_PER_S = 1000
 _BYTES_PER_MBIT = 125_000
 _TOKEN_UNIT = 'token_count'
+# Larger numbers are no versions.
+_MAX_VERSION_DIGITS = 18
 _KIND_BY_TYPE = {
     'safe': routing.RequestKind.IDEMPOTENT,
     'unsafe': routing.RequestKind.AT_MOST_ONCE,
@@ -348,7 +350,9 @@
 
 
 def _parse_version(text: str) -> int:
-    return int(text) if text.isdecimal() else 0
+    if len(text) > _MAX_VERSION_DIGITS or not text.isdecimal():
+        return 0
+    return int(text)
 
 
 def _decode(content: bytes, kind: Any, source: str) -> Any:
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -21,6 +21,7 @@
 from lacewingpitch.platform import backend_client
 from lacewingpitch.platform import engine_client
 from lacewingpitch.platform import store as store_module
+from lacewingpitch.platform import wire
 from lacewingpitch import routing
 from tests import clocks
 from tests import test_platform_backend_client as client_scene
@@ -263,3 +264,8 @@
             with pytest.raises(errors.PlatformError):
                 await call(session, url)
             await server.wait_until_closed()
+
+    def test_a_version_without_end_is_unknown(self):
+        """Guards against reports that end the task that reads them."""
+        versions = wire.pending_versions(['m/a@' + '9' * 5_000])
+        assert versions == {'m/a': 0}
