--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -117,9 +117,7 @@
                 trace_request_ctx=trace,
             ) as response:
                 self._read_notice(response)
-                await platform_call.read_limited(
-                    response, _MAX_REPORT_BYTES
-                )
+                await platform_call.read_limited(response, _MAX_REPORT_BYTES)
                 return response.headers.get(names.INCARNATION, '')
 
         with platform_call.platform_errors('engine'):
@@ -235,9 +233,7 @@
                 allow_redirects=False,
             ) as response:
                 self._read_notice(response)
-                await platform_call.read_limited(
-                    response, _MAX_REPORT_BYTES
-                )
+                await platform_call.read_limited(response, _MAX_REPORT_BYTES)
                 return _RESULT_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.REJECTED
                 )
