A stream whose event does not end is left for another server

Callers saw: a resumable stream stood still until its deadline and was then cut, while another engine could have gone on, if its engine sent single bytes without the end of an event. Cause: the timeout between events began again with each chunk, although it is documented, and meant, for events. Fix: a wait ends with a chunk that completes an event; one that was passed on before counts, so that a resumed stream that begins anew has the same time. Whole answers that trickle were left in time before.

--- a/lacewingpitch/answer_reading.py
+++ b/lacewingpitch/answer_reading.py
@@ -120,12 +120,29 @@
         )
         while True:
             with raise_on_timeout(later if splitter.event_count else first):
-                chunk = await anext(chunks, None)
-            if chunk is None:
+                events = await _next_events(chunks, splitter)
+            if events is None:
                 return
-            try:
-                events = splitter.feed(chunk)
-            except event_splitter.EventGapError as error:
-                raise backend_call.AnswerLostError(str(error)) from error
             if events:
                 yield events
+
+
+async def _next_events(
+    chunks: AsyncIterator[bytes], splitter: event_splitter.EventSplitter
+) -> bytes | None:
+    """Return the events that are complete next; ``None`` at the end.
+
+    Events that were passed on before are left out.  A chunk without the end
+    of an event is no sign that the server goes on.
+    """
+    feed_count = splitter.feed_count
+    while True:
+        chunk = await anext(chunks, None)
+        if chunk is None:
+            return None
+        try:
+            events = splitter.feed(chunk)
+        except event_splitter.EventGapError as error:
+            raise backend_call.AnswerLostError(str(error)) from error
+        if splitter.feed_count > feed_count:
+            return events
--- a/lacewingpitch/event_splitter.py
+++ b/lacewingpitch/event_splitter.py
@@ -23,11 +23,17 @@
     ----------
     last_id
         Number of the last event that the caller has received.
+
+    Attributes
+    ----------
+    feed_count
+        How many chunks have completed events, repeated ones included.
     """
 
     def __init__(self, last_id: int = 0) -> None:
         self.last_id = last_id
         self.event_count = 0
+        self.feed_count = 0
         self._is_numbered = False
         self._rest = b''
 
@@ -58,6 +64,7 @@
             return b''
         end += len(_EVENT_END)
         self._rest = data[end:]
+        self.feed_count += 1
         return self._accept(data[:end])
 
     def _accept(self, events: bytes) -> bytes:
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 
 import aiohttp
@@ -33,6 +34,7 @@
 BUFFERS_BYTES = 16 << 20
 # A client that does not read on is seen to do so after this.
 CLOSE_S = 5.0
+TRICKLE_S = 0.05
 OK = b'HTTP/1.1 200 OK\r\nRequest-Id: r\r\n'
 CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
 ONE_CHUNK = CHUNKED + b'fffffffffff\r\n'
@@ -121,6 +123,22 @@
         yield client, make_call
 
 
+def make_resumable(call):
+    route = dataclasses.replace(call.request.route, is_resumable=True)
+    request = dataclasses.replace(call.request, route=route)
+    return dataclasses.replace(call, request=request)
+
+
+class Standby:
+    """Another server that has a turn at once."""
+
+    def start(self, waiting_s, on_held):
+        on_held()
+
+    def stop(self, is_answered):
+        pass
+
+
 async def read_whole(client, call):
     async with client.send(call) as answer:
         return await answer_reading.read_whole(answer)
@@ -202,6 +220,40 @@
                 await read_events(client, make_call(Kind.STREAM))
             await server.wait_until_closed()
 
+    @pytest.mark.parametrize('start', [b'', b'id: 1\ndata: a\n\n'])
+    async def test_a_stream_that_trickles_is_left_for_another_server(
+        self, start, monkeypatch
+    ):
+        """Guards against a wait until the deadline for an event's end."""
+        monkeypatch.setattr(answer_reading, '_FIRST_EVENT_TIMEOUT_RATIO', 0.3)
+        monkeypatch.setattr(answer_reading, '_MIN_GAP_TIMEOUT_S', 0.3)
+        monkeypatch.setattr(answer_reading, '_GAP_TIMEOUT_RATIO', 0.0)
+        server = EndlessServer(ONE_CHUNK + start, b'd', TRICKLE_S)
+        async with backend(server) as (client, make_call):
+            with pytest.raises(backend_call.AnswerLostError) as caught:
+                async with asyncio.timeout(CLOSE_S):
+                    call = make_resumable(make_call(Kind.STREAM))
+                    await read_events(client, call, Standby())
+            assert caught.value.is_timeout
+            await server.wait_until_closed()
+
+    async def test_a_whole_answer_that_trickles_is_left_for_another_server(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(answer_reading, '_ANSWER_TIMEOUT_RATIO', 0.0)
+        server = EndlessServer(SIZED, b'd', TRICKLE_S)
+        async with backend(server) as (client, make_call):
+            call = make_call(Kind.IDEMPOTENT)
+            timeout = answer_reading.first_byte_timeout(
+                call.request, Standby()
+            )
+            with pytest.raises(backend_call.AnswerLostError) as caught:
+                async with asyncio.timeout(CLOSE_S):
+                    with answer_reading.raise_on_timeout(timeout):
+                        await read_whole(client, call)
+            assert caught.value.is_timeout
+            await server.wait_until_closed()
+
 
 class TestPlatform:
     @pytest.mark.parametrize('call', PLATFORM_CALLS)
