A status that is not final is a lost answer

Callers saw a complete answer of status 101 without a body, from a server that switches to another protocol and writes on without end. Cause: aiohttp takes a 101 for the last head of an answer, as it does for WebSockets; the body counts as empty then.

--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -254,6 +254,18 @@
             assert caught.value.is_timeout
             await server.wait_until_closed()
 
+    @pytest.mark.parametrize('kind', READERS)
+    async def test_another_protocol_is_a_lost_answer(self, kind):
+        """Guards against a status 101 that passes for a whole answer."""
+        head = OK.replace(b'200 OK', b'101 Other')
+        head += b'Connection: upgrade\r\nUpgrade: x\r\n\r\n'
+        server = EndlessServer(head, FILLER)
+        async with backend(server) as (client, make_call):
+            with pytest.raises(backend_call.AnswerLostError):
+                await READERS[kind](client, make_call(kind))
+            await server.wait_until_closed()
+        assert server.written_bytes < BUFFERS_BYTES
+
 
 class TestPlatform:
     @pytest.mark.parametrize('call', PLATFORM_CALLS)
