Connections end once a server sends too much beside bodies

Callers saw: a request that may run once, at a server that sends line ends, interim heads, chunk extensions or the like without end, waited until its deadline, and all requests of the entry with it became slow; an entry also grew by what an idle connection received. Cause: aiohttp limits each part of a head, but not spaces and line ends, the number of interim heads, leading zeros of a chunk size, chunk extensions and tiny chunks; and it keeps the heads that arrive on an idle connection. Fix: HTTP clients of the platform's programs use connections that end after 1 MB of heads and framing beyond the size of the body, or 16 heads that nobody has read, and that parse 32 kB at a time. aiohttp has no public way to set the class of connections; the tests fail if the private one goes.

--- /dev/null
+++ b/lacewingpitch/guarded_connection.py
@@ -0,0 +1,73 @@
+"""HTTP client connections that end when a server sends no answer.
+
+By itself aiohttp limits the parts of a head, but neither what may come
+between the parts of an answer nor what may come after it.
+"""
+
+import asyncio
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp import client_proto
+
+# Bytes that are parsed before other tasks go on.
+_READ_BYTES = 1 << 15
+# Heads of interim answers that came at once, or of answers nobody asked for.
+_MAX_UNREAD_HEADS = 16
+# Bytes beside the body: heads, and the framing of chunks.  A body has at
+# least as many bytes as its framing, as servers send no chunks of few bytes.
+_MAX_OVERHEAD_BYTES = 1 << 20
+
+
+class GuardedConnection(client_proto.ResponseHandler):
+    """Connection that ends if its server sends too much beside bodies."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._received_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit the size of each read."""
+        super().connection_made(transport)
+        # Transports of asyncio have this attribute; it is not documented.
+        vars(transport)['max_size'] = _READ_BYTES
+
+    def set_response_params(self, **options: Any) -> None:
+        """Begin to read the answer to a request."""
+        self._received_bytes = 0
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; close the connection if it is no answer."""
+        transport = self.transport
+        self._received_bytes += len(data)
+        super().data_received(data)
+        if transport is not None and self._is_endless:
+            transport.abort()
+            self._fail()
+
+    @property
+    def _is_endless(self) -> bool:
+        if len(self) > _MAX_UNREAD_HEADS:
+            return True
+        body_bytes = self._payload.total_bytes if self._payload else 0
+        overhead_bytes = self._received_bytes - body_bytes
+        return overhead_bytes > _MAX_OVERHEAD_BYTES + body_bytes
+
+    def _fail(self) -> None:
+        error = aiohttp.ClientPayloadError('too many bytes beside the body')
+        payload = self._payload
+        self.set_exception(error)
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+
+
+def new_connector(**options: Any) -> aiohttp.TCPConnector:
+    """Return a connector whose connections are guarded."""
+    connector = aiohttp.TCPConnector(**options)
+    # aiohttp has no other way to set the class of connections.
+    connector._factory = functools.partial(  # noqa: SLF001
+        GuardedConnection, loop=asyncio.get_running_loop()
+    )
+    return connector
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -13,6 +13,7 @@
 from lacewingpitch import answer_framing
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
+from lacewingpitch import guarded_connection
 from lacewingpitch.platform import names
 from lacewingpitch.platform import notices
 from lacewingpitch import session_pool
@@ -188,7 +189,9 @@
     clock: clock_module.Clock,
 ) -> HttpBackendClient:
     """Return a client whose connections are closed by `exits`."""
-    single_use = _new_session(aiohttp.TCPConnector(limit=0, force_close=True))
+    single_use = _new_session(
+        guarded_connection.new_connector(limit=0, force_close=True)
+    )
     exits.push_async_callback(single_use.close)
     pool = session_pool.SessionPool(_new_persistent_session)
     exits.push_async_callback(pool.close)
@@ -199,7 +202,9 @@
 
 def _new_persistent_session() -> aiohttp.ClientSession:
     return _new_session(
-        aiohttp.TCPConnector(limit=0, keepalive_timeout=_MAX_IDLE_S)
+        guarded_connection.new_connector(
+            limit=0, keepalive_timeout=_MAX_IDLE_S
+        )
     )
 
 
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -15,6 +15,7 @@
 from lacewingpitch import control_client
 from lacewingpitch import draining
 from lacewingpitch import ejection
+from lacewingpitch import guarded_connection
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch import notice_router
@@ -447,7 +448,9 @@
         self, exchange: configuration_exchange.ConfigurationExchange
     ) -> store_module.Store:
         session = await self._process.exits.enter_async_context(
-            single_sending.new_session()
+            single_sending.new_session(
+                connector=guarded_connection.new_connector()
+            )
         )
         store = store_module.Store(
             session, settings_module.url_of(self._file.settings.store)
--- a/lacewingpitch/platform/memory_client.py
+++ b/lacewingpitch/platform/memory_client.py
@@ -10,6 +10,7 @@
 import yarl
 
 from lacewingpitch import backend_list
+from lacewingpitch import guarded_connection
 from lacewingpitch.platform import names
 from lacewingpitch import run_memory
 from lacewingpitch import single_sending
@@ -126,7 +127,9 @@
     """Return a client whose connections are closed by `exits`."""
     session = await exits.enter_async_context(
         single_sending.new_session(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=guarded_connection.new_connector(
+                limit=0, force_close=True
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
     )
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -7,6 +7,7 @@
 from lacewingpitch import crash_record
 from lacewingpitch import engine_controller
 from lacewingpitch import engine_gate
+from lacewingpitch import guarded_connection
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch import pace_watch
@@ -56,7 +57,9 @@
         """Connect to the engine, and listen for entries."""
         settings = self._file.settings
         session = await self._process.exits.enter_async_context(
-            single_sending.new_session()
+            single_sending.new_session(
+                connector=guarded_connection.new_connector()
+            )
         )
         engine = engine_client_module.EngineClient(
             session,
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -9,7 +9,6 @@
 import dataclasses
 import itertools
 
-import aiohttp
 from aiohttp import web
 import pytest
 
@@ -19,11 +18,13 @@
 from lacewingpitch import engine_gate
 from lacewingpitch import errors
 from lacewingpitch import event_splitter
+from lacewingpitch import guarded_connection
 from lacewingpitch.platform import backend_client
 from lacewingpitch.platform import engine_client
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import wire
 from lacewingpitch import routing
+from lacewingpitch import single_sending
 from tests import clocks
 from tests import test_platform_backend_client as client_scene
 from tests import test_platform_store as store_scene
@@ -47,6 +48,9 @@
     'header': (OK + b'X: ', FILLER),
     'header name': (OK, FILLER),
     'headers': (OK, b'X: y\r\n' * 10_000),
+    'line ends': (b'', b'\r\n' * 30_000),
+    'header of spaces': (OK + b'X: ', b' ' * PIECE_BYTES),
+    'interim heads': (b'', b'HTTP/1.1 103 E\r\n\r\n' * 3_000),
     'folded header': (OK + b'X: y\r\n', b' y\r\n' * 10_000),
 }
 BODIES = {
@@ -58,6 +62,11 @@
     'chunk size': (CHUNKED, b'f' * PIECE_BYTES),
     'no chunk size': (CHUNKED + b'5\r\nhello\r\n', FILLER),
     'trailer': (CHUNKED + b'0\r\nX: ', FILLER),
+    'chunk size of zeros': (CHUNKED, b'0' * PIECE_BYTES),
+    'chunk extension': (CHUNKED + b'1;', FILLER),
+    'chunk extensions': (CHUNKED, b'1;' + FILLER + b'\r\nx\r\n'),
+    'small chunks': (CHUNKED, b'1\r\nx\r\n' * 10_000),
+    'trailer of spaces': (CHUNKED + b'0\r\nX: ', b' ' * PIECE_BYTES),
     'trailers': (CHUNKED + b'0\r\n', b'X: y\r\n' * 10_000),
 }
 
@@ -65,10 +74,11 @@
 class EndlessServer:
     """Answers each request with `start`, and then `piece` without end."""
 
-    def __init__(self, start, piece, pause_s=0.0):
+    def __init__(self, start, piece, pause_s=0.0, pause_first_s=0.0):
         self._start = start
         self._piece = piece
         self._pause_s = pause_s
+        self._pause_first_s = pause_first_s
         self.written_bytes = 0
         self.connection_count = 0
         self.open_count = 0
@@ -79,6 +89,7 @@
         try:
             await reader.readuntil(b'\r\n\r\n')
             writer.write(self._start)
+            await asyncio.sleep(self._pause_first_s)
             while True:
                 writer.write(self._piece)
                 await writer.drain()
@@ -193,7 +204,10 @@
     """Yield a session, and the URL of a server."""
     async with contextlib.AsyncExitStack() as exits:
         port = await exits.enter_async_context(listening(server))
-        session = await exits.enter_async_context(aiohttp.ClientSession())
+        connector = guarded_connection.new_connector()
+        session = await exits.enter_async_context(
+            single_sending.new_session(connector=connector)
+        )
         yield session, f'http://127.0.0.1:{port}'
 
 
@@ -254,6 +268,26 @@
             assert caught.value.is_timeout
             await server.wait_until_closed()
 
+    @pytest.mark.parametrize(
+        'piece',
+        [
+            b'HTTP/1.1 103 E\r\n\r\n' * 3_000,
+            b'HTTP/1.1 200 E\r\nContent-Length: 0\r\n\r\n' * 2_000,
+            b'\r\n' * 30_000,
+        ],
+    )
+    async def test_bytes_after_a_whole_answer_close_the_connection(
+        self, piece
+    ):
+        """Guards against heads that an idle connection keeps in memory."""
+        whole = OK + b'Content-Length: 1\r\n\r\nx'
+        server = EndlessServer(whole, piece, pause_first_s=0.1)
+        async with backend(server) as (client, make_call):
+            assert await read_whole(client, make_call(Kind.IDEMPOTENT)) == b'x'
+            await asyncio.sleep(0.1)
+            await server.wait_until_closed()
+        assert server.written_bytes < BUFFERS_BYTES
+
     @pytest.mark.parametrize('kind', READERS)
     async def test_another_protocol_is_a_lost_answer(self, kind):
         """Guards against a status 101 that passes for a whole answer."""
