A connection is closed although its server does not read the request

A server that answers without reading the request kept its connection, with the unsent rest of the request in the entry's memory, for as long as it liked; nothing ended it, not even the request's deadline. Cause: closing a transport first sends what is left in its buffer. Evidence: with a request of 16 MB, the server saw its connection open 5 s after the caller had its refusal. Fix: a connection with unsent bytes is aborted instead, also one whose answer breaks the protocol.

--- a/lacewingpitch/guarded_connection.py
+++ b/lacewingpitch/guarded_connection.py
@@ -21,7 +21,10 @@
 
 
 class GuardedConnection(client_proto.ResponseHandler):
-    """Connection that ends if its server sends too much beside bodies."""
+    """Connection that is closed once its server sends too much beside bodies.
+
+    Closing it never waits for the server, which may not read the request.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
@@ -43,10 +46,23 @@
         transport = self.transport
         self._received_bytes += len(data)
         super().data_received(data)
-        if transport is not None and self._is_endless:
+        if transport is None:
+            return
+        if transport.is_closing():
+            # It was closed as what arrived breaks the protocol.
+            transport.abort()
+        elif self._is_endless:
             transport.abort()
             self._fail()
 
+    def close(self) -> None:
+        """Close the connection, also if a part of the request is unsent."""
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size():
+            self.abort()
+        else:
+            super().close()
+
     @property
     def _is_endless(self) -> bool:
         if len(self) > _MAX_UNREAD_HEADS:
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -288,6 +288,22 @@
             await server.wait_until_closed()
         assert server.written_bytes < BUFFERS_BYTES
 
+    @pytest.mark.parametrize('kind', READERS)
+    @pytest.mark.parametrize('form', ['no protocol', 'sized', 'interim heads'])
+    async def test_a_connection_whose_request_is_not_read_is_closed(
+        self, form, kind
+    ):
+        """Guards against a connection that stays open to send the rest."""
+        server = EndlessServer(*(HEADS | BODIES)[form])
+        async with backend(server) as (client, make_call):
+            call = make_call(kind)
+            request = dataclasses.replace(call.request, body=bytes(16 << 20))
+            with pytest.raises(backend_call.AnswerLostError):
+                async with asyncio.timeout(CLOSE_S):
+                    call = dataclasses.replace(call, request=request)
+                    await READERS[kind](client, call)
+            await server.wait_until_closed()
+
     @pytest.mark.parametrize('kind', READERS)
     async def test_another_protocol_is_a_lost_answer(self, kind):
         """Guards against a status 101 that passes for a whole answer."""
