Guarded connections work with uvloop

What arrives is parsed in slices of 32 kB with a check after each instead, so that a read that brings no answer is given up early.

--- a/lacewingpitch/guarded_connection.py
+++ b/lacewingpitch/guarded_connection.py
@@ -11,8 +11,8 @@
 import aiohttp
 from aiohttp import client_proto
 
-# Bytes that are parsed before other tasks go on.
-_READ_BYTES = 1 << 15
+# Bytes that are parsed between two checks.
+_SLICE_BYTES = 1 << 15
 # Heads of interim answers that came at once, or of answers nobody asked for.
 _MAX_UNREAD_HEADS = 16
 # Bytes beside the body: heads, and the framing of chunks.  A body has at
@@ -30,12 +30,6 @@
         super().__init__(loop)
         self._received_bytes = 0
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Limit the size of each read."""
-        super().connection_made(transport)
-        # Transports of asyncio have this attribute; it is not documented.
-        vars(transport)['max_size'] = _READ_BYTES
-
     def set_response_params(self, **options: Any) -> None:
         """Begin to read the answer to a request."""
         self._received_bytes = 0
@@ -43,6 +37,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived; close the connection if it is no answer."""
+        if not data:
+            # More of what arrived before is parsed.
+            super().data_received(data)
+        for start in range(0, len(data), _SLICE_BYTES):
+            self._parse(data[start : start + _SLICE_BYTES])
+            if self.transport is None or self.transport.is_closing():
+                return
+
+    def _parse(self, data: bytes) -> None:
         transport = self.transport
         self._received_bytes += len(data)
         super().data_received(data)
@@ -83,7 +86,13 @@
     """Return a connector whose connections are guarded."""
     connector = aiohttp.TCPConnector(**options)
     # aiohttp has no other way to set the class of connections.
-    connector._factory = functools.partial(  # noqa: SLF001
-        GuardedConnection, loop=asyncio.get_running_loop()
+    connector._factory = functools.partial(
+        _new_connection, loop=asyncio.get_running_loop()
     )
     return connector
+
+
+def _new_connection(
+    loop: asyncio.AbstractEventLoop,
+) -> client_proto.ResponseHandler:
+    return GuardedConnection(loop)
