--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -13,6 +13,7 @@
 from lacewingpitch import answer_framing
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
+from lacewingpitch import guarded_connection
 from lacewingpitch.platform import names
 from lacewingpitch.platform import notices
 from lacewingpitch import session_pool
@@ -27,6 +28,7 @@
 _MS_PER_S = 1000
 _MIN_DEADLINE_MS = 1
 _MAX_PRIORITY = 9
+_MIN_FINAL_STATUS = 200
 _STATUS_OTHER_INCARNATION = 421
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
@@ -187,7 +189,9 @@
     clock: clock_module.Clock,
 ) -> HttpBackendClient:
     """Return a client whose connections are closed by `exits`."""
-    single_use = _new_session(aiohttp.TCPConnector(limit=0, force_close=True))
+    single_use = _new_session(
+        guarded_connection.new_connector(limit=0, force_close=True)
+    )
     exits.push_async_callback(single_use.close)
     pool = session_pool.SessionPool(_new_persistent_session)
     exits.push_async_callback(pool.close)
@@ -198,7 +202,9 @@
 
 def _new_persistent_session() -> aiohttp.ClientSession:
     return _new_session(
-        aiohttp.TCPConnector(limit=0, keepalive_timeout=_MAX_IDLE_S)
+        guarded_connection.new_connector(
+            limit=0, keepalive_timeout=_MAX_IDLE_S
+        )
     )
 
 
@@ -292,6 +298,10 @@
         )
     if names.REQUEST_ID not in response.headers:
         raise backend_call.AnswerLostError('the response has no request id')
+    if response.status < _MIN_FINAL_STATUS:
+        raise backend_call.AnswerLostError(
+            f'status {response.status} is not final'
+        )
     if 'Content-Encoding' in response.headers:
         raise backend_call.AnswerLostError('the response is compressed')
 
