Soak: servers fall silent, and every call that was passed on ends

Servers, one or several, write nothing for 1 to 2 s and go on, also as the configuration changes or a process or server ends, on a schedule of its own. A call that was passed on is whole or refused before its deadline, unless its entry, its links, its server or that one's sidecar was disturbed; a silence, SIGHUP and SIGTERM until its grace excuse nothing.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -162,6 +162,8 @@
         # Ids, times, incarnations and backoffs of the requests that were
         # turned away.
         self.backoff_answers = []
+        # Ids of requests whose connection it ended before a whole answer.
+        self.broken_off = set()
         self.crashes = standin_crashes.Crashes()
         self.is_down = False
         # Stops to accept connections; set where it is served.
@@ -188,6 +190,11 @@
         if self.crashes.on_crash:
             self.crashes.on_crash(self)
 
+    def break_off(self, request):
+        """End the connection of a request before its answer is whole."""
+        self.broken_off.add(request.headers['Request-Id'])
+        request.transport.abort()
+
     def fall_silent(self, for_s=math.inf):
         """Write nothing for some time, and then go on."""
         self._speaks.clear()
@@ -447,7 +454,7 @@
                 self.events_by_run[request_id] = number
                 if number == self.abort_after_event:
                     self.abort_after_event = None
-                    request.transport.abort()
+                    self.break_off(request)
                     return response
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(self.event_pause_s):
@@ -532,7 +539,7 @@
         self.run_log.append(_run_entry(request))
         if self.aborts_left:
             self.aborts_left -= 1
-            request.transport.abort()
+            self.break_off(request)
             return web.Response()
         if self.crashes.is_deadly(request, body):
             await self.crashes.crash_under(self, request)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -30,6 +30,7 @@
 from tests import soak_moves
 from tests import soak_notices
 from tests import soak_repeats
+from tests import soak_silence
 
 ENTRY_COUNT = 2
 CALLER_COUNT = 6
@@ -70,11 +71,22 @@
     # The server that announced in its answer that it leaves.
     leaving: str = ''
     head_at_s: float = 0.0
+    ended_at_s: float = 0.0
 
     @property
     def is_served(self):
         return self.status == 200 and self.is_whole
 
+    @property
+    def is_lost(self):
+        """Whether it ended before its deadline without a whole answer.
+
+        One that does not end is lost, too.
+        """
+        deadline_s = self.sent_at_s + _DEADLINES_MS[self.kind] / 1000
+        is_in_time = self.ended_at_s < deadline_s
+        return bool(self.error) and (is_in_time or 'Timeout' in self.error)
+
 
 class ResultChecker:
     """Checks the calls against what the backend servers ran."""
@@ -87,6 +99,8 @@
         self.check_notices = list
         # Checks requests that crash servers, if there are any.
         self.check_crashes = list
+        # Checks how calls ended.
+        self.check_ends = list
         # Ids of requests that are sent to crash servers.
         self.deadly_ids = set()
 
@@ -150,6 +164,7 @@
         )
         self.broken += self.check_notices()
         self.broken += self.check_crashes()
+        self.broken += self.check_ends()[:5]
         self.broken += soak_moves.check(self.platform.engines[0].copies)
         self.broken += soak_repeats.check(
             self.calls,
@@ -176,6 +191,7 @@
         has_notices=True,
         mixes_methods=True,
         has_crashes=True,
+        has_silences=True,
     ):
         self.platform = platform
         self.checker = ResultChecker(platform)
@@ -184,7 +200,9 @@
         self._mixes_methods = mixes_methods
         if has_notices:
             self.checker.check_notices = self._check_notices
+        self.checker.check_ends = self._check_ends
         self._has_crashes = has_crashes
+        self._has_silences = has_silences
         # Servers that are coming back after a crash.
         self.crash_tasks = set()
         self.keys = keys
@@ -247,6 +265,7 @@
         key = f'servers/{engine.name}'
         address = self.platform.listed_at[engine.link]
         engine.restart(f'i-{next(self._names)}')
+        self._record_end(engine)
         await self.platform.store.put(
             f'servers/{engine.name}', engine.entry(address)
         )
@@ -260,12 +279,17 @@
         key = f'servers/{server.name}'
         address = self.platform.listed_at[server.link]
         server.restart(f'{server.name}+')
+        self._record_end(server)
         await self.platform.store.put(
             f'servers/{server.name}', server.entry(address)
         )
         if key in self.platform.store.items:
             await self.platform.store.delete(key)
 
+    def _record_end(self, server):
+        now_s = time.monotonic()
+        self.disturbances.record('server', server.link, now_s, now_s)
+
     async def list_as_leaving(self, server):
         address = self.platform.listed_at[server.link]
         await self.platform.store.put(
@@ -278,6 +302,9 @@
     def _check_notices(self):
         return soak_notices.check(self, self._servers)
 
+    def _check_ends(self):
+        return list(soak_silence.check(self, self._servers))
+
     @property
     def _servers(self):
         return (*self.platform.engines, *self.platform.services)
@@ -294,7 +321,8 @@
                 for episode in self._crash_episodes(length_s):
                     faults.create_task(episode.play())
                 for fault in planned:
-                    faults.create_task(self._inject(fault))
+                    faults.create_task(self.inject(fault))
+                faults.create_task(self._play_silences(length_s))
                 for server, limit in self._limits(length_s):
                     faults.create_task(soak_limits.name(server, limit))
                 for notice in self._notices(length_s):
@@ -316,6 +344,11 @@
             self.checker.check_runs()
         return planned
 
+    async def _play_silences(self, length_s):
+        if self._has_silences:
+            planned = soak_silence.plan(self._seed, self._targets(), length_s)
+            await soak_silence.play(self, self._servers, planned)
+
     def _limits(self, length_s):
         """Yield the servers that name limits, each with its limit."""
         servers = self._servers
@@ -361,7 +394,8 @@
             'service': ['0', '1'],
         }
 
-    async def _inject(self, fault):
+    async def inject(self, fault):
+        """Inject a fault at its time, and record it."""
         await asyncio.sleep(fault.at_s)
         # A second fault of the same process would find no process.
         async with self._locks[fault.target]:
@@ -373,6 +407,7 @@
                 fault.target,
                 since_s,
                 time.monotonic(),
+                fault.kind,
             )
 
     async def _run_caller(self, number):
@@ -418,6 +453,7 @@
                     body = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             call.error = repr(error)
+            call.ended_at_s = time.monotonic()
             return False
         self.checker.check_answer(call, response.headers, body)
         return response.headers.get('Connection') != 'close'
@@ -519,6 +555,7 @@
     parts=(),
     mixes_methods=True,
     has_crashes=True,
+    has_silences=True,
 ):
     """Run one seed; raise `BrokenPromiseError` if a check fails."""
     with contextlib.ExitStack() as exits:
@@ -534,7 +571,13 @@
             if platform.copies_runs:
                 soak_moves.slow_down(platform.engines)
             scene = Scene(
-                platform, seed, keys, has_notices, mixes_methods, has_crashes
+                platform,
+                seed,
+                keys,
+                has_notices,
+                mixes_methods,
+                has_crashes,
+                has_silences,
             )
             try:
                 return scene, await scene.play(length_s)
--- a/tests/soak_crashes.py
+++ b/tests/soak_crashes.py
@@ -117,14 +117,7 @@
 
     def _crashed(self, server):
         self.crashed_at_s.append(time.monotonic())
-        self._scene.crash_tasks.add(
-            asyncio.create_task(self._bring_back(server))
-        )
-
-    async def _bring_back(self, server):
-        await asyncio.sleep(self._rng.uniform(*_DOWN_S))
-        await self._scene.replace_server(server)
-        await self._scene.platform.bring_up(server)
+        _start_again(self._scene, server, self._rng.uniform(*_DOWN_S))
 
     async def _send(self):
         number = next(self._numbers)
@@ -177,6 +170,26 @@
         ]
 
 
+def crash(scene, server):
+    """Crash a server, unless requests crash it in this run."""
+    if not server.is_down and server.crashes.on_crash is None:
+        server.crash()
+        _start_again(scene, server, _DOWN_S[0])
+
+
+def _start_again(scene, server, down_s):
+    task = asyncio.create_task(_bring_back(scene, server, down_s))
+    scene.crash_tasks.add(task)
+
+
+async def _bring_back(scene, server, down_s):
+    since_s = time.monotonic()
+    await asyncio.sleep(down_s)
+    await scene.replace_server(server)
+    await scene.platform.bring_up(server)
+    scene.disturbances.record('server', server.link, since_s, time.monotonic())
+
+
 def check(episode, is_disturbed):
     """Yield what was sent although servers crash under it."""
     late = episode.late_ids(is_disturbed)
--- a/tests/soak_notices.py
+++ b/tests/soak_notices.py
@@ -90,21 +90,26 @@
     def __init__(self):
         self._times = []
 
-    def record(self, kind, name, since_s, until_s):
+    def record(self, kind, name, since_s, until_s, fault=''):
         """Record that a fault of a target, of some kind, has ended."""
-        self._times.append(((kind, name), since_s, until_s))
+        self._times.append(((kind, name), since_s, until_s, fault))
 
-    def any_of(self, targets, since_s, until_s):
+    def any_of(self, targets, since_s, until_s, begins_after_s=None):
         """Whether one of the targets was disturbed in a time.
 
         Parameters
         ----------
         targets
             The kind and the name of each.
+        begins_after_s
+            Time after which a fault disturbs, by its name; others do at once.
         """
+        lags_s = begins_after_s or {}
         return any(
-            target in targets and begin_s < until_s and since_s < end_s
-            for target, begin_s, end_s in self._times
+            target in targets
+            and begin_s + lags_s.get(fault, 0.0) < until_s
+            and since_s < end_s
+            for target, begin_s, end_s, fault in self._times
         )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -261,6 +261,7 @@
             has_notices=False,
             mixes_methods=False,
             has_crashes=False,
+            has_silences=False,
         )
         assert planned
         assert any(call.is_served for call in scene.checker.calls)
@@ -272,13 +273,17 @@
             has_notices=False,
             mixes_methods=False,
             has_crashes=False,
+            has_silences=False,
         )
         assert any(call.is_served for call in scene.checker.calls)
 
     async def test_servers_that_announce_how_to_use_them_get_no_more(self):
         """Guards against requests to servers that leave or asked for none."""
         scene, _ = await soak.run(
-            seed=7010, mixes_methods=False, has_crashes=False
+            seed=7010,
+            mixes_methods=False,
+            has_crashes=False,
+            has_silences=False,
         )
         # Whether a caller is told depends on which server its entry prefers.
         assert scene.platform.services[0].name == 'p-1+'
@@ -287,19 +292,24 @@
 
     async def test_commands_of_any_method_run_once(self):
         """Guards against a client that repeats some methods by itself."""
-        scene, _ = await soak.run(seed=9003, has_crashes=False)
+        scene, _ = await soak.run(
+            seed=9003, has_crashes=False, has_silences=False
+        )
         assert any(call.is_served for call in scene.checker.calls)
 
     @pytest.mark.parametrize('seed', [8009, 8013, 8050])
     async def test_orders_reach_engines_that_were_replaced(self, seed):
         """Guards against orders that name an incarnation that has ended."""
         scene, _ = await soak.run(
-            seed=seed, mixes_methods=False, has_crashes=False
+            seed=seed,
+            mixes_methods=False,
+            has_crashes=False,
+            has_silences=False,
         )
         assert any(call.is_served for call in scene.checker.calls)
 
     @pytest.mark.parametrize('seed', [10004, 10018])
     async def test_what_crashes_servers_is_stopped(self, seed):
         """Guards against requests, or parts of prompts, that crash servers."""
-        scene, _ = await soak.run(seed=seed)
+        scene, _ = await soak.run(seed=seed, has_silences=False)
         assert any(call.is_served for call in scene.checker.calls)
