--- a/tests/soak.py
+++ b/tests/soak.py
@@ -495,18 +495,25 @@
         await self.publish()
         await asyncio.sleep(2.5)
         for url in self.platform.caller_urls:
+            status = await self._probe(url)
+            if status != 200:
+                raise BrokenPromiseError(
+                    f'status {status} on a new route at {url}'
+                )
+
+    async def _probe(self, url):
+        headers = {
+            'Host': 'h.example',
+            'Request-Id': _PROBE_ID,
+            'Authorization': f'Token {self.valid_key()}',
+        }
+        try:
             async with self.platform.session.get(
-                f'{url}{self.newest_route}',
-                headers={
-                    'Host': 'h.example',
-                    'Request-Id': _PROBE_ID,
-                    'Authorization': f'Token {self.valid_key()}',
-                },
+                f'{url}{self.newest_route}', headers=headers
             ) as response:
-                if response.status != 200:
-                    raise BrokenPromiseError(
-                        f'status {response.status} on a new route at {url}'
-                    )
+                return response.status
+        except (aiohttp.ClientError, OSError) as error:
+            return repr(error)
 
     def valid_key(self):
         keys = self.keys.by_organisation['balcony']
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak test: its checks, and a short seeded run."""
 
 import random
+import types
 
 import pytest
 
@@ -9,6 +10,8 @@
 from tests import soak
 from tests import soak_faults
 from tests import soak_keys
+from tests import soak_notices
+from tests import soak_silence
 
 SIGNED_HEADERS = {standin.SIGNATURE: 's'}
 WHOLE_STREAM = b''.join(
@@ -252,6 +255,111 @@
             checker.check_runs()
 
 
+class TestSilence:
+    """Checks of calls that were passed on to servers."""
+
+    @pytest.fixture
+    def scene(self, checker):
+        checker.platform.programs = [
+            types.SimpleNamespace(role='sidecar', name='sidecar-1')
+        ]
+        return types.SimpleNamespace(
+            platform=checker.platform,
+            checker=checker,
+            disturbances=soak_notices.Disturbances(),
+            entry_name=lambda number: f'entry-{number}',
+        )
+
+    def lose(self, scene, after_s=1.2, error='ServerDisconnectedError()'):
+        call = scene.checker.start_call('chat', 0)
+        engine = scene.platform.engines[0]
+        engine.arrivals.append((call.id, call.sent_at_s, engine.name))
+        call.error = error
+        call.ended_at_s = call.sent_at_s + after_s
+        return call
+
+    def lost(self, scene):
+        platform = scene.platform
+        servers = (*platform.engines, *platform.services)
+        return list(soak_silence.check(scene, servers))
+
+    def disturb(self, scene, call, kind, name, fault='', since_s=0.0):
+        at_s = call.sent_at_s + since_s
+        scene.disturbances.record(kind, name, at_s, at_s + 9.0, fault)
+
+    def test_finds_calls_that_end_without_an_answer(self, scene):
+        self.lose(scene)
+        self.lose(scene, after_s=6.0, error='TimeoutError()')
+        assert len(self.lost(scene)) == 2
+
+    def test_accepts_calls_that_were_answered_or_not_passed_on(self, scene):
+        self.lose(scene, error='')
+        self.lose(scene)
+        scene.platform.engines[0].arrivals.pop()
+        assert self.lost(scene) == []
+
+    def test_accepts_calls_that_reach_their_deadline(self, scene):
+        self.lose(scene, after_s=5.1)
+        assert self.lost(scene) == []
+
+    def test_accepts_calls_that_their_server_broke_off(self, scene):
+        call = self.lose(scene)
+        scene.platform.engines[0].broken_off.add(call.id)
+        assert self.lost(scene) == []
+
+    @pytest.mark.parametrize(
+        ('kind', 'name'),
+        [
+            ('process', 'entry-0'),
+            ('link', 'entry-0'),
+            ('link', 'i-1'),
+            ('server', 'i-1'),
+            ('process', 'sidecar-1'),
+        ],
+    )
+    def test_accepts_calls_that_a_fault_may_have_ended(
+        self, scene, kind, name
+    ):
+        call = self.lose(scene)
+        self.disturb(scene, call, kind, name, since_s=1.1)
+        assert self.lost(scene) == []
+
+    @pytest.mark.parametrize(
+        ('kind', 'name', 'fault', 'since_s'),
+        [
+            ('process', 'entry-1', 'kill', 0.0),
+            ('link', 'i-2', 'reset', 0.0),
+            ('server', 'p-1', '', 0.0),
+            ('store', 'store', 'configuration', 0.0),
+            ('process', 'entry-0', 'reload', 0.0),
+            ('process', 'entry-0', 'terminate', -2.0),
+            ('process', 'entry-0', 'kill', 1.3),
+        ],
+    )
+    def test_finds_calls_that_no_fault_excuses(
+        self, scene, kind, name, fault, since_s
+    ):
+        call = self.lose(scene)
+        self.disturb(scene, call, kind, name, fault, since_s)
+        assert len(self.lost(scene)) == 1
+
+    def test_accepts_calls_that_outlast_the_grace(self, scene):
+        call = self.lose(scene)
+        self.disturb(scene, call, 'process', 'entry-0', 'terminate', -3.0)
+        assert self.lost(scene) == []
+
+    def test_servers_are_silent_one_at_a_time_and_at_once(self):
+        planned = [
+            silence
+            for seed in range(20)
+            for silence in soak_silence.plan(seed, TARGETS, 8.0)
+        ]
+        assert {len(silence.servers) for silence in planned} == {1, 2, 4}
+        assert any(silence.beside for silence in planned)
+        assert any(silence.crashed is not None for silence in planned)
+        assert planned[:2] == soak_silence.plan(0, TARGETS, 8.0)[:2]
+
+
 class TestSoak:
     async def test_a_short_run_passes(self):
         """Real processes recover from overlapping faults."""
