--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -203,9 +203,16 @@
 
     async def spoken(self, answer):
         """Return an answer as soon as it may be written."""
-        await self._speaks.wait()
+        await self.may_speak()
         return answer
 
+    async def may_speak(self):
+        """Wait until the server writes.
+
+        What an answer says of the server is said as it is written.
+        """
+        await self._speaks.wait()
+
     def set_limit(self, per_s):
         """Name a limit in all answers from now on; none for ``None``."""
         self._limit_per_s = per_s
@@ -224,10 +231,11 @@
         request_id = request.headers['Request-Id']
         self.arrivals.append((request_id, now_s, self.name))
 
-    def shed(self, request):
+    async def shed(self, request):
         """Return the answer that turns a request away, or ``None``."""
         if self._random.random() >= self.shed_ratio:
             return None
+        await self.may_speak()
         request_id = request.headers['Request-Id']
         headers = {'Not-Executed': '1', 'Request-Id': request_id}
         if self.retry_after:
@@ -407,17 +415,19 @@
         body = await request.read()
         self.seen.append((request.raw_path, dict(request.headers)))
         self.record_arrival(request)
-        if (refused := self.shed(request)) is not None:
+        if (refused := await self.shed(request)) is not None:
             return refused
         adapter = request.headers.get('Model', '').partition('/')[2]
         if request.headers.get('Expect-Instance') != self.name or (
             adapter and adapter not in self.adapters
         ):
+            await self.may_speak()
             return web.Response(
                 status=421,
                 headers={'Not-Executed': '1', **self.notice_headers(request)},
             )
         if self._failures.random() < self.error_ratio:
+            await self.may_speak()
             headers = self.answer_headers(request)
             return web.Response(status=500, headers=headers)
         if self.crashes.is_deadly(request, body):
@@ -439,17 +449,17 @@
         try:
             if self.crashes.is_unframed:
                 return await self._stream_unframed(request)
+            await self.may_speak()
             response = web.StreamResponse(
                 headers={
                     'Content-Type': 'text/event-stream',
                     **self.answer_headers(request),
                 }
             )
-            await self._speaks.wait()
             await response.prepare(request)
             first = int(request.headers.get('Last-Event-Id', 0)) + 1
             for number in range(first, self.event_count + 1):
-                await self._speaks.wait()
+                await self.may_speak()
                 await response.write(b'id: %d\ndata: x\n\n' % number)
                 self.events_by_run[request_id] = number
                 if number == self.abort_after_event:
@@ -462,6 +472,7 @@
                 if stop.is_set():
                     request.transport.abort()
                     return response
+            await self.may_speak()
             await response.write_eof()
             return response
         except ConnectionResetError:
@@ -472,10 +483,11 @@
             self.events_by_run.pop(request_id, None)
 
     async def _stream_unframed(self, request):
+        await self.may_speak()
         standin_crashes.begin_unframed(self, request)
         first = int(request.headers.get('Last-Event-Id', 0)) + 1
         for number in range(first, self.event_count + 1):
-            await self._speaks.wait()
+            await self.may_speak()
             request.transport.write(standin_crashes.event(number))
             self.events_by_run[request.headers['Request-Id']] = number
             await asyncio.sleep(self.event_pause_s)
@@ -533,7 +545,7 @@
     async def _run(self, request):
         body = await request.read()
         self.record_arrival(request)
-        if (refused := self.shed(request)) is not None:
+        if (refused := await self.shed(request)) is not None:
             return refused
         self.runs.append(request.headers['Request-Id'])
         self.run_log.append(_run_entry(request))
@@ -550,6 +562,7 @@
             request.transport.close()
             return web.Response()
         is_failed = self._failures.random() < self.error_ratio
+        await self.may_speak()
         return web.Response(
             status=500 if is_failed else 200,
             body=b'ran ' + body,
