One entry of another writer costs that entry alone

Cause: the highest start ever seen under a name was taken for true, and a number of 401 digits raised an OverflowError that ended the task which applies all changes, for as long as the entry stood. Class: one item of a list decides over the others. Fix: a start that is no time in milliseconds makes its entry unreadable; an entry of an earlier start is ignored only as long as a delayed write may come (server_starts); numbers without bound decode to 'not stated'; an error that no decoder foresees costs its item, with a log line and a counter. Why it works: what an entry says can no longer outlast it, and no exception of an item reaches the loop.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -12,6 +12,7 @@
 from lacewingpitch import leaving_news
 from lacewingpitch import leaving_servers
 from lacewingpitch import list_removals
+from lacewingpitch import server_starts
 from lacewingpitch import unlisted_servers
 
 _CONTACT_S = 3.0
@@ -122,6 +123,7 @@
             lambda name: name in self._servers
         )
         self._is_new_epoch = False
+        self._starts = server_starts.ServerStarts(clock)
         self._removals = list_removals.ListRemovals(clock)
         # `created_revision` by name, of entries listed as an outage began.
         self._revisions_before_outage: dict[str, int] = {}
@@ -216,6 +218,7 @@
 
         Decides how long servers that are no longer listed may be used.
         """
+        self._starts.prune(self._servers.keys())
         if self._removals.forget_outdated():
             self._by_service.clear()
         if self._is_new_epoch:
@@ -281,13 +284,14 @@
     def put(self, server: BackendServer) -> None:
         """Apply one entry.
 
-        An entry of an earlier start of the server is ignored.
+        A late entry of an earlier start of the server is ignored.
         """
         self._put(server, is_adopted=False)
 
     def _put(self, server: BackendServer, is_adopted: bool) -> None:
         before = self._listed_or_unlisted(server.name)
-        if before and server.started_at_ms < before.started_at_ms:
+        is_believed = self._starts.accept(server.name, server.started_at_ms)
+        if before and not is_believed:
             # An entry that a server wrote before its restart can arrive
             # late.  It names adapters that the server no longer holds.
             log.info(
@@ -306,8 +310,9 @@
         self._unlisted.discard(server.name)
         listed_before = self._servers.get(server.name)
         self._servers[server.name] = server
-        if before and server.started_at_ms > before.started_at_ms:
-            self._unplanned_ends.on_next(before)
+        if before and server.started_at_ms != before.started_at_ms:
+            if server.started_at_ms > before.started_at_ms:
+                self._unplanned_ends.on_next(before)
             self._announce_restart(server)
         if server.is_leaving and (before is None or not before.is_leaving):
             self._leavings.on_next(server)
@@ -353,6 +358,7 @@
             return True
         if started_at_ms < server.started_at_ms:
             return False
+        self._starts.accept(name, started_at_ms)
         self._servers[name] = dataclasses.replace(
             server, started_at_ms=started_at_ms, adapters={}
         )
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -452,11 +452,13 @@
         store = store_module.Store(
             session, settings_module.url_of(self._file.settings.store)
         )
+        list_updates = store_updates.BackendUpdates(self.servers)
+        entry_metrics.register_list(self._process.metrics, list_updates)
         handlers = (
             store_updates.OperatorUpdates(
                 self._process.versions, exchange, self._process.age
             ),
-            store_updates.BackendUpdates(self.servers),
+            list_updates,
         )
         settings = self._file.settings
         watcher = prefix_watcher.PrefixWatcher(
--- a/lacewingpitch/platform/entry_metrics.py
+++ b/lacewingpitch/platform/entry_metrics.py
@@ -10,6 +10,7 @@
 from lacewingpitch.platform import backend_client
 from lacewingpitch.platform import frontend as frontend_module
 from lacewingpitch.platform import store as store_module
+from lacewingpitch.platform import store_updates
 from lacewingpitch import request_forwarder
 from lacewingpitch import routing
 from lacewingpitch import run_mover
@@ -134,6 +135,17 @@
     )
 
 
+def register_list(
+    metrics: metrics_module.Metrics, updates: store_updates.BackendUpdates
+) -> None:
+    """Register the metrics of the list of backend servers."""
+    metrics.counter(
+        'entries_rejected_total',
+        'Entries of the list of backend servers that could not be decoded.',
+        lambda: updates.rejected_count,
+    )
+
+
 def register_servers(
     metrics: metrics_module.Metrics,
     servers: backend_list.BackendList,
--- a/lacewingpitch/platform/store_updates.py
+++ b/lacewingpitch/platform/store_updates.py
@@ -89,11 +89,18 @@
                 # One malformed value must not block the others, and the
                 # value in force before stays in force.
                 log.error('value rejected', key=item.key, error=str(error))
-                if item.key == names.CONFIGURATION_KEY:
-                    self._is_unreadable = True
+                self._record_rejection(item)
+            except Exception:
+                # A value that no decoder foresees must not stop the others.
+                log.exception('value rejected', key=item.key)
+                self._record_rejection(item)
         if change.current_at_s is not None and self._is_newest:
             self._age.confirm(change.current_at_s)
 
+    def _record_rejection(self, item: store_module.Item) -> None:
+        if item.key == names.CONFIGURATION_KEY:
+            self._is_unreadable = True
+
     @property
     def _is_newest(self) -> bool:
         """Whether the store holds the newest known configuration."""
@@ -114,7 +121,13 @@
 
 
 class BackendUpdates:
-    """Applies changes of the list of backend servers."""
+    """Applies changes of the list of backend servers.
+
+    Attributes
+    ----------
+    rejected_count
+        Number of entries that could not be decoded.
+    """
 
     prefix = names.BACKEND_SERVER_PREFIX
 
@@ -123,6 +136,7 @@
         # By key, so that a rejection is logged only once and not with every
         # change of the entry.
         self._rejection_reasons: dict[str, str] = {}
+        self.rejected_count = 0
 
     def apply(self, change: prefix_watcher.Change) -> None:
         """Apply a change of the list, or record that it cannot be read."""
@@ -169,10 +183,15 @@
         except errors.PlatformError as error:
             self._log_rejection(item.key, str(error))
             return None
+        except Exception as error:
+            # An entry that no decoder foresees must not stop the others.
+            self._log_rejection(item.key, repr(error))
+            return None
         self._rejection_reasons.pop(item.key, None)
         return server
 
     def _log_rejection(self, key: str, reason: str) -> None:
+        self.rejected_count += 1
         if self._rejection_reasons.get(key) == reason:
             return
         if len(self._rejection_reasons) >= _MAX_REJECTIONS:
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -15,6 +15,9 @@
 from lacewingpitch import run_memory
 
 _MS_PER_S = 1000
+# Far in the future; a larger start is no Unix time in milliseconds.
+_MAX_START_MS = 10**13
+_MAX_VERSION_DIGITS = 18
 _BYTES_PER_MBIT = 125_000
 _TOKEN_UNIT = 'token_count'
 _KIND_BY_TYPE = {
@@ -200,13 +203,15 @@
     Raises
     ------
     PlatformError
-        It is malformed, or its state is unknown.
+        It is malformed, its state is unknown, or its start is no time.
     """
     entry = _decode(content, _BackendServer, name)
     try:
         ip, port = settings_module.split_endpoint(entry.address)
     except ValueError as error:
         raise errors.PlatformError(f'{name}: {error}') from error
+    if not 0 <= entry.born < _MAX_START_MS:
+        raise errors.PlatformError(f'{name}: start out of range')
     is_leaving = _IS_LEAVING.get(entry.state)
     if is_leaving is None:
         raise errors.PlatformError(f'{name}: unknown state')
@@ -295,7 +300,11 @@
     """Return a positive finite number; 0 for any other value."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return 0.0
-    return float(value) if 0.0 < value < math.inf else 0.0
+    try:
+        found = float(value)
+    except OverflowError:
+        return 0.0
+    return found if 0.0 < found < math.inf else 0.0
 
 
 def _route(published: _Route) -> routing.Route:
@@ -348,7 +357,9 @@
 
 
 def _parse_version(text: str) -> int:
-    return int(text) if text.isdecimal() else 0
+    if not text.isdecimal() or len(text) > _MAX_VERSION_DIGITS:
+        return 0
+    return int(text)
 
 
 def _decode(content: bytes, kind: Any, source: str) -> Any:
--- a/tests/test_backend_list.py
+++ b/tests/test_backend_list.py
@@ -87,6 +87,27 @@
         assert servers.get('a').started_at_ms == 2000
         assert servers.get('a').adapters == {}
 
+    def test_a_start_that_was_never_true_is_corrected(self, servers, clock):
+        """Guards against a server whose own entries are ignored for good."""
+        servers.put(server('a', started_at_ms=1000))
+        servers.put(server('a', started_at_ms=9000))
+        for _ in range(3):
+            clock.now_s += 3.0
+            servers.put(server('a', started_at_ms=1000))
+        assert servers.get('a').started_at_ms == 1000
+        servers.put(server('a', started_at_ms=1000, is_leaving=True))
+        assert names(servers) == {'b'}
+
+    def test_late_entries_do_not_end_a_start_that_goes_on(
+        self, servers, clock
+    ):
+        servers.put(server('a', started_at_ms=2000))
+        for _ in range(5):
+            clock.now_s += 3.0
+            servers.put(server('a', started_at_ms=2000))
+            servers.put(server('a', started_at_ms=1000))
+        assert servers.get('a').started_at_ms == 2000
+
     def test_a_report_of_the_sidecar_precedes_the_list(
         self, servers, restarted
     ):
@@ -98,6 +119,13 @@
         assert servers.record_start('a', 0)
         assert restarted == ['a']
 
+    def test_a_late_entry_does_not_undo_a_report_of_the_sidecar(
+        self, servers, restarted
+    ):
+        assert servers.record_start('a', 2000)
+        servers.put(server('a', started_at_ms=1000, adapters={'m/x': 1}))
+        assert servers.get('a').started_at_ms == 2000
+
     def test_an_unlisted_server_keeps_its_start(self, servers, restarted):
         servers.remove('a')
         servers.put(server('a', started_at_ms=900))
--- a/tests/test_platform_store_updates.py
+++ b/tests/test_platform_store_updates.py
@@ -1,9 +1,12 @@
 """Decoding and application of what is published in the store."""
 
+import contextlib
 import json
 import math
 import random
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 import structlog
 
@@ -194,6 +197,128 @@
         assert server.max_running == 8
 
 
+_HUGE = 10**400
+_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.sampled_from([_HUGE, -_HUGE, 10**18, 1e300, '9' * 5000]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+_ENTRY_FIELDS = ('service', 'address', 'zone', 'slots', 'state', 'models')
+_OPTIONAL_FIELDS = ('born', 'remainingMs', 'version', 'sequence')
+_MODEL_FIELDS = ('name', 'version', 'adapters')
+
+
+class TestForeignEntries:
+    """Entries that another writer has put into the list."""
+
+    def test_a_start_in_another_unit_hides_no_later_entry(
+        self, updates, servers
+    ):
+        """Guards against a leaving server that is used on and on."""
+        own = standin.Engine('i-1').entry('10.0.0.7:8080')
+        own['born'] = 1_800_000_000_123
+        foreign = {**own, 'born': own['born'] * 1_000_000}
+        for found in (own, foreign, own, {**own, 'state': 'draining'}):
+            updates.apply(prefix_watcher.Change((item('servers/i-1', found),)))
+        assert servers.get('i-1').is_leaving
+        assert updates.rejected_count == 1
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'remainingMs': _HUGE},
+            {'born': -_HUGE},
+            {'models': [{'name': 'm', 'adapters': ['a@' + '9' * 5000]}]},
+        ],
+    )
+    def test_a_number_without_bound_does_not_stop_the_list(
+        self, updates, servers, fields
+    ):
+        """Guards against a list that is never applied again."""
+        found = {**standin.Engine('i-9').entry('10.0.0.9:8080'), **fields}
+        updates.apply(
+            prefix_watcher.Change(
+                (item('servers/i-9', found), entry()), is_full_read=True
+            )
+        )
+        assert 'i-1' in names(servers)
+
+    def test_an_entry_that_no_decoder_foresees_stops_no_other(
+        self, updates, servers, monkeypatch
+    ):
+        """Guards against a list that one entry stops."""
+        decode = wire.decode_backend_server
+
+        def fail(name, *rest):
+            if name == 'i-9':
+                raise ZeroDivisionError
+            return decode(name, *rest)
+
+        monkeypatch.setattr(wire, 'decode_backend_server', fail)
+        change = prefix_watcher.Change(
+            (entry('i-9'), entry()), is_full_read=True
+        )
+        updates.apply(change)
+        assert names(servers) == ['i-1']
+        assert updates.rejected_count == 1
+
+    @hypothesis.given(
+        st.dictionaries(
+            st.sampled_from((*_ENTRY_FIELDS, *_OPTIONAL_FIELDS)), _VALUES
+        ),
+        st.dictionaries(st.sampled_from(_MODEL_FIELDS), _VALUES),
+    )
+    def test_any_entry_is_decoded_or_rejected(self, fields, model):
+        """Guards against a process that an entry of the list stops."""
+        found = standin.Engine('i-1').entry('10.0.0.7:8080')
+        found |= {'models': [{'name': 'm', **model}], **fields}
+        content = json.dumps(found).encode()
+        with contextlib.suppress(errors.PlatformError):
+            wire.decode_backend_server('i-1', content, 1)
+
+    @hypothesis.given(st.binary(max_size=64))
+    def test_any_bytes_are_decoded_or_rejected(self, content):
+        for decode in (
+            lambda value: wire.decode_backend_server('i-1', value, 1),
+            wire.decode_configuration,
+            wire.decode_adapter_version,
+        ):
+            with contextlib.suppress(errors.PlatformError):
+                decode(content)
+
+    @hypothesis.given(
+        st.sampled_from(['routes', 'services', 'limits', 'tenants']),
+        st.dictionaries(
+            st.sampled_from(
+                (
+                    *('timeoutMs', 'targetLatencyMs', 'maxAttempts', 'split'),
+                    *('engine', 'idleTimeoutMs', 'ratePerS', 'apiKeys'),
+                    *('priority', 'unit', 'uncachedTokens', 'burst', 'type'),
+                )
+            ),
+            _VALUES,
+        ),
+    )
+    def test_any_configuration_is_decoded_or_rejected(self, part, fields):
+        """Guards against a process that a configuration stops."""
+        found = standin.configuration(5, tenants=[{'name': 't'}])
+        if isinstance(found[part], list):
+            found[part][0] |= fields
+        else:
+            found[part] |= fields
+        content = json.dumps(found).encode()
+        with contextlib.suppress(errors.PlatformError):
+            wire.decode_configuration(content)
+
+
 class TestOperatorUpdates:
     def scene(self):
         table = routing.RoutingTable(random.Random(1))
