A request whose caller leaves before the crash counts as having run there

Cause: an attempt gave evidence only by errors of its own; one that is ended from this side, as its caller leaves or its deadline passes, gave none, and its connection was closed before it could break. Fix: such an attempt is followed for the half second in which a crash comes (abandoned_runs), then the state of the server's start is asked for, once for all of them; if it has ended they count as interrupted by the crash, else nothing counts for or against them. The engine's work still ends at once.

--- a/lacewingpitch/answer_end.py
+++ b/lacewingpitch/answer_end.py
@@ -75,7 +75,7 @@
         AnswerLostError
             The server has ended, or nothing shows that it runs.
         """
-        state = await self._state(server)
+        state = await self.state(server)
         if state is server_state.ServerState.RUNNING:
             return
         self.interrupted_count += 1
@@ -91,9 +91,10 @@
             f'the answer ended, and its server is {state.value}'
         )
 
-    async def _state(
+    async def state(
         self, server: backend_list.BackendServer
     ) -> server_state.ServerState:
+        """Return whether a start of a server runs, as far as is known."""
         state = server_state.ServerState.UNKNOWN
         if self._has_sidecar(server.service):
             state = await self._state_by_sidecar(server)
--- a/lacewingpitch/crash_evidence.py
+++ b/lacewingpitch/crash_evidence.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from lacewingpitch import abandoned_runs
 from lacewingpitch import backend_call
 from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
@@ -17,14 +18,22 @@
 
     Only a run that is past the point at which a crash would come, on a
     server that still runs, shows that a request is innocent.
+
+    Parameters
+    ----------
+    abandoned
+        Follows attempts that are ended from this side; nobody does if
+        ``None``.
     """
 
     def __init__(
         self,
         suspects: suspects_module.Suspects,
         clock: clock_module.Clock,
+        abandoned: abandoned_runs.AbandonedRuns | None = None,
     ) -> None:
         self._suspects = suspects
+        self._abandoned = abandoned
         self._clock = clock
 
     def record_events(
@@ -66,6 +75,21 @@
                 request.suspect_keys, server
             )
 
+    def record_abandoned(
+        self,
+        request: backend_call.CallerRequest,
+        server: backend_list.BackendServer,
+        history: request_history.RequestHistory,
+    ) -> None:
+        """Record that an attempt in progress is ended from this side.
+
+        Its end shows neither a crash nor a run without one.
+        """
+        if self._abandoned is None:
+            return
+        if history.is_run_starting(self._clock.monotonic_s()):
+            self._abandoned.record(request.suspect_keys, server)
+
     def log_if_barred(
         self, request: backend_call.CallerRequest, error: errors.RefusalError
     ) -> None:
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 import structlog
 
+from lacewingpitch import abandoned_runs
 from lacewingpitch import answer_end
 from lacewingpitch import authentication
 from lacewingpitch import backend_call
@@ -277,6 +278,10 @@
             server_state.probe,
             self._suspects.detector,
         )
+        abandoned = abandoned_runs.AbandonedRuns(
+            end_check.state, self._suspects.detector
+        )
+        process.exits.push_async_callback(abandoned.close)
         entry_metrics.register_answer_ends(process.metrics, end_check)
         client = backend_client.new_client(
             process.exits,
@@ -303,6 +308,7 @@
             self._service_admission(),
             self._mover,
             self._sync.wait_until_informed,
+            abandoned,
         )
 
     def _new_stall_costs(self) -> stall_costs_module.StallCosts | None:
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from lacewingpitch import abandoned_runs
 from lacewingpitch import adapter_versions
 from lacewingpitch import answer_reading
 from lacewingpitch import attempt_failure
@@ -67,6 +68,8 @@
     wait_until_informed
         Waits until this process knows the crashes that others have seen;
         it knows them always if ``None``.
+    abandoned
+        Follows attempts whose callers leave; nobody does if ``None``.
     """
 
     def __init__(
@@ -85,10 +88,13 @@
         admission: service_admission.ServiceAdmission | None = None,
         streams: stream_sources.StreamSource | None = None,
         wait_until_informed: Callable[[], Awaitable[None]] | None = None,
+        abandoned: abandoned_runs.AbandonedRuns | None = None,
     ) -> None:
         self._wait_until_informed = wait_until_informed or _is_informed
         self._streams = streams or stream_sources.DirectStreams()
-        self._crash_evidence = crash_evidence.CrashEvidence(suspects, clock)
+        self._crash_evidence = crash_evidence.CrashEvidence(
+            suspects, clock, abandoned
+        )
         self._gate = gate
         self._plain_servers = plain_server_selector.PlainServerSelector(
             services,
@@ -330,6 +336,11 @@
             return self._record_failure(request, turn, history, error)
         except errors.PlatformError as error:
             return self._record_failure(request, turn, history, error)
+        except asyncio.CancelledError:
+            self._crash_evidence.record_abandoned(
+                request, turn.server, history
+            )
+            raise
         finally:
             self._ejector.record_end(name)
         self._ejector.record_success(name)
