--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 import structlog
 
+from lacewingpitch import abandoned_runs
 from lacewingpitch import answer_end
 from lacewingpitch import authentication
 from lacewingpitch import backend_call
@@ -278,6 +279,10 @@
             server_state.probe,
             self._suspects.detector,
         )
+        abandoned = abandoned_runs.AbandonedRuns(
+            end_check.state, self._suspects.detector
+        )
+        process.exits.push_async_callback(abandoned.close)
         entry_metrics.register_answer_ends(process.metrics, end_check)
         client = backend_client.new_client(
             process.exits,
@@ -304,6 +309,7 @@
             self._service_admission(),
             self._mover,
             self._sync.wait_until_informed,
+            abandoned,
         )
 
     def _new_stall_costs(self) -> stall_costs_module.StallCosts | None:
@@ -455,11 +461,13 @@
         store = store_module.Store(
             session, settings_module.url_of(self._file.settings.store)
         )
+        list_updates = store_updates.BackendUpdates(self.servers)
+        entry_metrics.register_list(self._process.metrics, list_updates)
         handlers = (
             store_updates.OperatorUpdates(
                 self._process.versions, exchange, self._process.age
             ),
-            store_updates.BackendUpdates(self.servers),
+            list_updates,
         )
         settings = self._file.settings
         watcher = prefix_watcher.PrefixWatcher(
