The end of a plain server's answer is believed of its own start alone

Cause: a server without a sidecar was taken to run on if anything accepted a connection at its address after the end of an answer that marks none. Behind a cut link the ends of connections come after the restart. Fix: a second connection is opened as the head comes, and the server has to answer a health check on it after the end (start_witness). What accepted it was there while the answer came.

--- a/lacewingpitch/answer_end.py
+++ b/lacewingpitch/answer_end.py
@@ -5,7 +5,9 @@
 does not show whether the answer is whole.
 """
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import dataclasses
 from typing import Protocol
 
 import structlog
@@ -15,6 +17,7 @@
 from lacewingpitch import crash_detector
 from lacewingpitch import errors
 from lacewingpitch import server_state
+from lacewingpitch import start_witness
 from lacewingpitch import turn_end_reporter
 from lacewingpitch import turn_messages
 
@@ -42,9 +45,11 @@
     has_sidecar
         Returns whether the servers of a service have a sidecar.
     probe
-        Is used where no sidecar knows.
+        Is used where a sidecar does not know.
     detector
         Learns that a server has ended.
+    witnesses
+        Opens connections to servers without a sidecar.
 
     Attributes
     ----------
@@ -58,24 +63,41 @@
         has_sidecar: Callable[[str], bool],
         probe: StateProbe,
         detector: crash_detector.CrashDetector,
+        witnesses: start_witness.WitnessSource,
     ) -> None:
+        self._witnesses = witnesses
         self._link = link
         self._has_sidecar = has_sidecar
         self._probe = probe
         self._detector = detector
         self.interrupted_count = 0
 
-    async def confirm(
-        self, server: backend_list.BackendServer, request_id: str
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, server: backend_list.BackendServer, waited_s: float
+    ) -> AsyncIterator[backend_call.EndWatch]:
+        """Watch a server while its answer comes; see `EndCheck`."""
+        if self._has_sidecar(server.service):
+            yield _Watch(self, server, lambda: self.state(server))
+            return
+        async with start_witness.StartWitness(
+            self._witnesses, server, waited_s
+        ) as witness:
+            yield _Watch(self, server, witness.state)
+
+    def check(
+        self,
+        server: backend_list.BackendServer,
+        request_id: str,
+        state: server_state.ServerState,
     ) -> None:
-        """Confirm that the answer to a request has ended by itself.
+        """Check that the server of an answer that has ended runs on.
 
         Raises
         ------
         AnswerLostError
             The server has ended, or nothing shows that it runs.
         """
-        state = await self.state(server)
         if state is server_state.ServerState.RUNNING:
             return
         self.interrupted_count += 1
@@ -118,3 +140,16 @@
             )
             return server_state.ServerState.UNKNOWN
         return turn_end_reporter.state_of(server, reply)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Watch:
+    """The watch of one answer."""
+
+    ends: AnswerEnd
+    server: backend_list.BackendServer
+    state_of: Callable[[], Awaitable[server_state.ServerState]]
+
+    async def confirm(self, request_id: str) -> None:
+        """Confirm that the answer has ended by itself; see `EndWatch`."""
+        self.ends.check(self.server, request_id, await self.state_of())
--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -212,12 +212,10 @@
         ...
 
 
-class EndCheck(Protocol):
-    """Checks answers that end with their connection."""
+class EndWatch(Protocol):
+    """Watches a server while one answer of it comes."""
 
-    async def confirm(
-        self, server: backend_list.BackendServer, request_id: str
-    ) -> None:
+    async def confirm(self, request_id: str) -> None:
         """Confirm that the answer to a request has ended by itself.
 
         Raises
@@ -228,6 +226,22 @@
         ...
 
 
+class EndCheck(Protocol):
+    """Checks answers that end with their connection."""
+
+    def watch(
+        self, server: backend_list.BackendServer, waited_s: float
+    ) -> contextlib.AbstractAsyncContextManager[EndWatch]:
+        """Watch a server from the head of its answer to the end.
+
+        Parameters
+        ----------
+        waited_s
+            Time from the request to the head of its answer.
+        """
+        ...
+
+
 class Delivery(Protocol):
     """Sends one answer to its caller."""
 
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -92,12 +92,20 @@
                 _check_request_id(call, response)
                 self._observe(call, response, asked_at_s)
                 _check_response(response)
-                yield backend_call.BackendAnswer(
-                    status=response.status,
-                    headers=_end_to_end_headers(response),
-                    chunks=self._chunks(call, response),
-                    is_framed=answer_framing.is_framed(response),
-                )
+                async with contextlib.AsyncExitStack() as exits:
+                    end = None
+                    is_framed = answer_framing.is_framed(response)
+                    if not is_framed:
+                        waited_s = self._clock.boot_s() - asked_at_s
+                        end = await exits.enter_async_context(
+                            self._end_check.watch(call.server, waited_s)
+                        )
+                    yield backend_call.BackendAnswer(
+                        status=response.status,
+                        headers=_end_to_end_headers(response),
+                        chunks=self._chunks(call, response, end),
+                        is_framed=is_framed,
+                    )
             finally:
                 response.close()
 
@@ -158,15 +166,18 @@
             self._record_sendings(call, trace.sending_count)
 
     async def _chunks(
-        self, call: backend_call.BackendCall, response: aiohttp.ClientResponse
+        self,
+        call: backend_call.BackendCall,
+        response: aiohttp.ClientResponse,
+        end: backend_call.EndWatch | None,
     ) -> AsyncIterator[bytes]:
         try:
             async for chunk in answer_framing.chunks(response):
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise backend_call.AnswerLostError(_reason(error)) from error
-        if not answer_framing.is_framed(response):
-            await self._end_check.confirm(call.server, call.request.request_id)
+        if end is not None:
+            await end.confirm(call.request.request_id)
 
     def _record_sendings(
         self, call: backend_call.BackendCall, count: int
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -34,6 +34,7 @@
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import store_updates
 from lacewingpitch.platform import wire
+from lacewingpitch.platform import witness
 from lacewingpitch import request_forwarder
 from lacewingpitch import request_gate
 from lacewingpitch import room_search
@@ -278,6 +279,7 @@
             self._has_sidecar,
             server_state.probe,
             self._suspects.detector,
+            witness.HealthConnections(process.table.health_path),
         )
         abandoned = abandoned_runs.AbandonedRuns(
             end_check.state, self._suspects.detector
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -170,7 +170,6 @@
                 max_running=service.engine.slots,
                 adapter_slots=service.engine.adapter_slots,
                 models=tuple(model.name for model in service.engine.models),
-                health_path=service.health_path,
                 weights_mb=service.engine.weights_mb,
                 sizes={
                     model.name: routing.ModelSize(
@@ -192,6 +191,9 @@
         ),
         content=content,
         services=frozenset(service.name for service in published.services),
+        health_paths={
+            service.name: service.health_path for service in published.services
+        },
         organisations=_organisations(published.tenants),
     )
 
--- a/lacewingpitch/routing.py
+++ b/lacewingpitch/routing.py
@@ -148,8 +148,6 @@
         being loaded.
     models
         Models that the service's engines can hold.
-    health_path
-        URL path of the engine's health check.
     weights_mb
         Memory for models and adapters together.
     sizes
@@ -164,7 +162,6 @@
     max_running: int
     adapter_slots: int
     models: tuple[str, ...] = ()
-    health_path: str = '/'
     weights_mb: float = math.inf
     sizes: Mapping[str, ModelSize] = dataclasses.field(default_factory=dict)
     tokens_per_event: int = 1
@@ -208,6 +205,8 @@
         store.
     services
         Names of all services; empty if unknown.
+    health_paths
+        URL paths of the health checks, by service.
     organisations
         Organisations whose API keys are valid; ``None`` if callers need no
         API key.
@@ -219,6 +218,7 @@
     limits: CallerLimits
     content: bytes = b''
     services: frozenset[str] = frozenset()
+    health_paths: Mapping[str, str] = dataclasses.field(default_factory=dict)
     organisations: tuple[organisation.Organisation, ...] | None = None
 
 
@@ -321,9 +321,10 @@
         return limits.memory_link if limits else None
 
     def health_path(self, service: str) -> str:
-        """Return the URL path of the health check of a service's engines."""
-        limits = self.engine_limits(service)
-        return limits.health_path if limits else '/'
+        """Return the URL path of the health check of a service."""
+        if self.configuration is None:
+            return '/'
+        return self.configuration.health_paths.get(service, '/')
 
     def tokens_per_event(self, service: str) -> int:
         """Return the tokens in each event of a service's streams."""
--- a/tests/test_answer_end.py
+++ b/tests/test_answer_end.py
@@ -1,5 +1,6 @@
 """Ends of answers that mark no end, in virtual time."""
 
+import asyncio
 import random
 
 import pytest
@@ -28,7 +29,14 @@
 class Scene:
     """An answer that has ended, and what is known of its server."""
 
-    def __init__(self, reply=RUNNING, probed=State.UNKNOWN, has_sidecar=True):
+    def __init__(
+        self,
+        reply=RUNNING,
+        probed=State.UNKNOWN,
+        has_sidecar=True,
+        witnessed=State.UNKNOWN,
+        waited_s=0.1,
+    ):
         clock = clocks.ManualClock()
         self.record = crash_record.CrashRecord(clock, random.Random(1))
         self.detector = crash_detector.CrashDetector(self.record, clock)
@@ -37,8 +45,30 @@
         self._reply = reply
         self._found = probed
         self.end = answer_end.AnswerEnd(
-            self, lambda _service: has_sidecar, self._probe, self.detector
+            self,
+            lambda _service: has_sidecar,
+            self._probe,
+            self.detector,
+            self,
         )
+        self._waited_s = waited_s
+        self._witnessed = witnessed
+        # Open connections, and all that were opened.
+        self.open_count = 0
+        self.opened_count = 0
+
+    async def open(self, _server):
+        self.opened_count += 1
+        if self._witnessed is None:
+            return None
+        self.open_count += 1
+        return self
+
+    async def state(self):
+        return self._witnessed
+
+    def close(self):
+        self.open_count -= 1
 
     async def end_turns(self, ip, message, _timeout_s):
         self.asked.append((ip, message))
@@ -54,7 +84,9 @@
         """Return whether the answer is taken for a whole one."""
 
         async def main():
-            await self.end.confirm(SERVER, 'r-1')
+            async with self.end.watch(SERVER, self._waited_s) as watch:
+                await asyncio.sleep(0.5)
+                await watch.confirm('r-1')
 
         try:
             virtual_time.run(main())
@@ -108,9 +140,40 @@
 
 class TestPlainServers:
     @pytest.mark.parametrize('state', list(State))
-    def test_a_connection_tells_whether_the_server_runs(self, state):
+    def test_an_open_connection_tells_whether_the_start_runs(self, state):
         """Guards against an answer that nothing shows to be whole."""
-        scene = Scene(probed=state, has_sidecar=False)
+        scene = Scene(witnessed=state, has_sidecar=False)
         assert scene.confirm() is (state is State.RUNNING)
         assert scene.asked == []
         assert scene.end.interrupted_count == (state is not State.RUNNING)
+        assert (scene.opened_count, scene.open_count) == (1, 0)
+
+    def test_what_accepts_a_new_connection_proves_nothing(self):
+        """Guards against half an answer of a server that started again."""
+        scene = Scene(
+            probed=State.RUNNING, witnessed=State.ENDED, has_sidecar=False
+        )
+        assert not scene.confirm()
+        assert scene.probed == []
+
+    def test_without_a_connection_the_end_is_not_believed(self):
+        scene = Scene(witnessed=None, has_sidecar=False)
+        assert not scene.confirm()
+
+    def test_a_head_that_came_late_may_be_of_an_earlier_start(self):
+        """Guards against a connection to the start after a crash."""
+        scene = Scene(witnessed=State.RUNNING, has_sidecar=False, waited_s=1.5)
+        assert not scene.confirm()
+        assert scene.opened_count == 0
+
+    def test_a_caller_that_leaves_closes_the_connection(self):
+        """Guards against connections that are left open."""
+
+        async def main():
+            scene = Scene(witnessed=State.RUNNING, has_sidecar=False)
+            async with scene.end.watch(SERVER, 0.1):
+                await asyncio.sleep(0.1)
+                assert scene.open_count == 1
+            return scene
+
+        assert virtual_time.run(main()).open_count == 0
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -58,8 +58,13 @@
         self.checked = []
         self.has_server_ended = False
 
-    async def confirm(self, server, request_id):
-        self.checked.append((server.name, request_id))
+    @contextlib.asynccontextmanager
+    async def watch(self, server, _waited_s):
+        self._server = server
+        yield self
+
+    async def confirm(self, request_id):
+        self.checked.append((self._server.name, request_id))
         if self.has_server_ended:
             raise backend_call.AnswerLostError('the server has ended')
 
