--- a/lacewingpitch/standby_turn.py
+++ b/lacewingpitch/standby_turn.py
@@ -156,8 +156,16 @@
         await self._exits.aclose()
 
     async def _find(self, on_left: Callable[[], None]) -> None:
-        while not self._try_charge() or not await self._try_acquire():
-            await asyncio.sleep(_SEARCH_INTERVAL_S)
+        try:
+            while not self._try_charge() or not await self._try_acquire():
+                await asyncio.sleep(_SEARCH_INTERVAL_S)
+        except Exception:
+            # The attempt itself goes on.
+            log.exception(
+                'search for another server failed',
+                request_id=self._request_id,
+            )
+            return
         self._search = None
         self._is_charged = False
         self._is_silent = False
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -331,12 +331,13 @@
     def __init__(self):
         super().__init__()
         self.search_count = 0
+        self.error = errors.RefusalError(errors.ErrorKind.QUEUE_FULL, 'full')
 
     @contextlib.asynccontextmanager
     async def acquire(self, wanted, excluded):
         if excluded:
             self.search_count += 1
-            raise errors.RefusalError(errors.ErrorKind.QUEUE_FULL, 'full')
+            raise self.error
         async with super().acquire(wanted, excluded) as turn:
             yield turn
 
@@ -388,6 +389,23 @@
             40.0, abs=0.5
         )
 
+    def test_a_search_that_fails_ends_no_stream(self):
+        """Guards against a stream that ends by a fault of its search."""
+
+        async def main():
+            scene = Scene(self.SILENT)
+            scene.turns = scene.forwarder._turns = NoOtherTurn()
+            scene.turns.error = ZeroDivisionError()
+            await scene.forward(self.RESUMABLE, model='m')
+            return scene
+
+        scene = virtual_time.run(main())
+        assert scene.delivered.is_complete
+        assert scene.turns.search_count == 1
+        assert scene.forwarder._budgets.tokens('s') == pytest.approx(
+            40.0, abs=0.5
+        )
+
     def test_a_server_that_goes_on_is_not_avoided(self):
         """Guards against a sound server that is ejected for one silence."""
 
