--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 import contextlib
 import random
 
@@ -13,6 +13,7 @@
 from lacewingpitch import answer_reading
 from lacewingpitch import attempt_failure
 from lacewingpitch import attempt_refusals
+from lacewingpitch import attempt_turns
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
 from lacewingpitch import crash_evidence
@@ -22,7 +23,6 @@
 from lacewingpitch import plain_server_selector
 from lacewingpitch import request_end
 from lacewingpitch import request_history
-from lacewingpitch import request_turns
 from lacewingpitch import retry_charges
 from lacewingpitch import server_gate
 from lacewingpitch import server_limits
@@ -91,7 +91,6 @@
         wait_until_informed: Callable[[], Awaitable[None]] | None = None,
         abandoned: abandoned_runs.AbandonedRuns | None = None,
     ) -> None:
-        self._wait_until_informed = wait_until_informed or _is_informed
         self._streams = streams or stream_sources.DirectStreams()
         self._crash_evidence = crash_evidence.CrashEvidence(
             suspects, clock, abandoned
@@ -106,13 +105,24 @@
         )
         self._clock = clock
         self._client = client
-        self._turns = turns
+        self._turns = attempt_turns.AttemptTurns(
+            turns,
+            self._plain_servers,
+            versions,
+            ejector,
+            clock,
+            wait_until_informed or _is_informed,
+        )
         self._services = services
         self._ejector = ejector
         self._budgets = budgets
-        self._versions = versions
         self._random = source
-        self.retry_counts: collections.Counter[str] = collections.Counter()
+        self._retry_counts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def retry_counts(self) -> collections.Counter[str]:
+        """Return how often requests were sent again, by service."""
+        return self._retry_counts + self._turns.moved_counts
 
     async def forward(
         self,
@@ -181,7 +191,7 @@
         async with contextlib.AsyncExitStack() as standbys:
             while True:
                 async with contextlib.AsyncExitStack() as exits:
-                    turn = await self._next_turn(
+                    turn = await self._turns.next_turn(
                         request, services, history, standby, exits
                     )
                     service = turn.server.service
@@ -189,7 +199,7 @@
                         self._budgets.deposit(service)
                     if failure and not history.charges.try_move(service):
                         raise failure.refusal
-                    standby = self._new_standby(
+                    standby = self._turns.new_standby(
                         request, services, history, turn
                     )
                     standbys.push_async_callback(standby.close)
@@ -210,50 +220,6 @@
                 await delivery.send_whole(failure.answer, failure.body)
                 return
 
-    async def _next_turn(
-        self,
-        request: backend_call.CallerRequest,
-        services: tuple[str, ...],
-        history: request_history.RequestHistory,
-        standby: standby_turn.StandbyTurn | None,
-        exits: contextlib.AsyncExitStack,
-    ) -> turn_spec.Turn:
-        """Return the turn of the next attempt, held by `exits`."""
-        if standby is not None and standby.is_left:
-            self.retry_counts[services[0]] += 1
-            held = await standby.take(exits)
-            if held is not None:
-                return held
-        return await exits.enter_async_context(
-            self._acquire_turn(request, services, history)
-        )
-
-    def _new_standby(
-        self,
-        request: backend_call.CallerRequest,
-        services: tuple[str, ...],
-        history: request_history.RequestHistory,
-        turn: turn_spec.Turn,
-    ) -> standby_turn.StandbyTurn:
-        """Return what looks for another server if this one is silent."""
-        next_attempt = history.sent_count + 2
-        route = request.route
-        return standby_turn.StandbyTurn(
-            lambda: self._acquire_turn(
-                request, services, history, history.next_search()
-            ),
-            history.charges,
-            self._ejector,
-            self._clock,
-            service=services[0],
-            attempt=next_attempt,
-            server_name=turn.server.name,
-            request_id=request.request_id,
-            may_move=next_attempt <= route.max_attempts,
-            move_by_s=lambda: history.move_by_s(request),
-            is_isolated=turn.is_isolated,
-        )
-
     def _final_refusal(
         self, services: tuple[str, ...], refusal: errors.RefusalError
     ) -> errors.RefusalError:
@@ -269,39 +235,6 @@
             return refusal
         return self._gate.refusal(servers) or refusal
 
-    @contextlib.asynccontextmanager
-    async def _acquire_turn(
-        self,
-        request: backend_call.CallerRequest,
-        services: tuple[str, ...],
-        history: request_history.RequestHistory,
-        search: int = 0,
-    ) -> AsyncIterator[turn_spec.Turn]:
-        """Acquire a turn on the backend server for the next attempt.
-
-        Requests without a model need no turn.
-        """
-        await self._wait_until_informed()
-        if not request.model:
-            async with self._plain_servers.select(
-                request.suspect_keys,
-                services,
-                history.servers,
-                request.route.target_latency_s,
-            ) as turn:
-                yield turn
-            return
-        started_s = self._clock.monotonic_s()
-        version = self._versions.required_version(
-            request.model, request.adapter
-        )
-        spec = request_turns.new_spec(
-            request, history, services[0], version, search
-        )
-        async with self._turns.acquire(spec, history.servers) as turn:
-            history.turn_wait_s += self._clock.monotonic_s() - started_s
-            yield turn
-
     async def _attempt(
         self,
         request: backend_call.CallerRequest,
@@ -485,7 +418,7 @@
             return history.unreached_count < _MAX_UNREACHED
         if not history.charges.try_charge(service, history.sent_count + 1):
             return False
-        self.retry_counts[service] += 1
+        self._retry_counts[service] += 1
         return True
 
 
--- a/lacewingpitch/turn_client.py
+++ b/lacewingpitch/turn_client.py
@@ -25,6 +25,7 @@
 from lacewingpitch import turn_candidates
 from lacewingpitch import turn_end_reporter
 from lacewingpitch import turn_exchange
+from lacewingpitch import turn_refusals
 from lacewingpitch import turn_replies
 from lacewingpitch import turn_spec
 
@@ -34,8 +35,6 @@
 # not for an adapter slot as well.  Otherwise each candidate reports its
 # expected wait, and the shortest one gets the request.
 _ACCEPT_TARGET_RATIO = 0.5
-# A restarting engine is listed again once it has started.
-_NO_ENGINE_RETRY_AFTER_S = 1.5
 log = structlog.get_logger(__name__)
 
 
@@ -183,7 +182,7 @@
         if not refusals:
             backoff = self._gate.refusal(self._servers.serving(spec.service))
             refusals += [backoff] if backoff else []
-        return _earliest_retry(refusals)
+        return turn_refusals.earliest_retry(refusals)
 
     async def _unconfirmed_turn(
         self,
@@ -208,7 +207,7 @@
         """Acquire a turn at the one engine that runs suspect requests."""
         server = self._candidates.isolation_server(spec, excluded)
         if server is None:
-            raise _earliest_retry([])
+            raise turn_refusals.earliest_retry([])
         # Another engine would run a second suspect beside that of the
         # entries that may use this one.
         backoff = self._gate.refusal([server])
@@ -230,9 +229,9 @@
             )
         except errors.NoReplyError as error:
             self._record_unresponsive(server, spec, error)
-            raise _earliest_retry([]) from error
+            raise turn_refusals.earliest_retry([]) from error
         except errors.LinkError as error:
-            raise _unusable(server, spec, error) from error
+            raise turn_refusals.unusable_reply(server, spec, error) from error
 
     def _acceptable_wait_s(self, spec: turn_spec.TurnSpec) -> float:
         """Return the wait up to which an engine is accepted at once."""
@@ -308,7 +307,9 @@
             if turn is not None:
                 replies.fallbacks.append(turn)
         except errors.LinkError as error:
-            replies.refusals[server.name] = _unusable(server, spec, error)
+            replies.refusals[server.name] = turn_refusals.unusable_reply(
+                server, spec, error
+            )
         except errors.RefusalError as error:
             if not error.retry_elsewhere or self._exchange.is_suspect(spec):
                 raise
@@ -340,9 +341,9 @@
             )
         except errors.NoReplyError as error:
             self._record_unresponsive(server, spec, error)
-            raise _earliest_retry([]) from error
+            raise turn_refusals.earliest_retry([]) from error
         except errors.LinkError as error:
-            raise _unusable(server, spec, error) from error
+            raise turn_refusals.unusable_reply(server, spec, error) from error
 
     async def _await_silent(
         self, spec: turn_spec.TurnSpec, replies: turn_replies.TurnReplies
@@ -384,31 +385,3 @@
 
     def _remaining_s(self, spec: turn_spec.TurnSpec) -> float:
         return spec.start_by_s - self._clock.monotonic_s()
-
-
-def _earliest_retry(
-    refusals: Collection[errors.RefusalError],
-) -> errors.RefusalError:
-    """Return the refusal that allows the earliest retry."""
-    if not refusals:
-        return errors.RefusalError(
-            errors.ErrorKind.NO_BACKEND_SERVER,
-            'no engine can be reached',
-            retry_after_s=_NO_ENGINE_RETRY_AFTER_S,
-        )
-    return min(refusals, key=lambda error: error.retry_after_s or 0.0)
-
-
-def _unusable(
-    server: backend_list.BackendServer,
-    spec: turn_spec.TurnSpec,
-    error: errors.LinkError,
-) -> errors.RefusalError:
-    """Return the refusal of a sidecar that replied, and with no turn."""
-    log.warning(
-        'sidecar reply unusable',
-        request_id=spec.run_id,
-        backend_server=server.name,
-        error=str(error),
-    )
-    return _earliest_retry([])
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -377,7 +377,7 @@
 
         async def main():
             scene = Scene(self.SILENT)
-            scene.turns = scene.forwarder._turns = NoOtherTurn()
+            scene.turns = scene.forwarder._turns.model_turns = NoOtherTurn()
             await scene.forward(self.RESUMABLE, model='m')
             return scene
 
@@ -394,7 +394,7 @@
 
         async def main():
             scene = Scene(self.SILENT)
-            scene.turns = scene.forwarder._turns = NoOtherTurn()
+            scene.turns = scene.forwarder._turns.model_turns = NoOtherTurn()
             scene.turns.error = ZeroDivisionError()
             await scene.forward(self.RESUMABLE, model='m')
             return scene
@@ -466,7 +466,7 @@
 
         async def main():
             scene = Scene({'chunks': (event(1), 60.0)})
-            scene.turns = scene.forwarder._turns = NoOtherTurn()
+            scene.turns = scene.forwarder._turns.model_turns = NoOtherTurn()
             task = asyncio.create_task(
                 scene.forward(self.RESUMABLE, model='m')
             )
@@ -506,7 +506,7 @@
     def play(self, services, *steps, earned=('s', 't')):
         async def main():
             scene = Scene(*steps)
-            scene.forwarder._turns = OtherService(services)
+            scene.forwarder._turns.model_turns = OtherService(services)
             self.budgets = service_budgets.ServiceBudgets(
                 0.2, 100.0, 10.0, 1, scene.clock, random.Random(1)
             )
--- a/tests/test_review_silence.py
+++ b/tests/test_review_silence.py
@@ -133,20 +133,22 @@
         self.sidecars = Sidecars(self.clock, load_s)
         servers = backend_list.BackendList(self.clock)
         servers.replace_all(map(forwarding.server, forwarding.SERVERS))
-        self.turns = self.forwarder._turns = turn_client.TurnClient(
-            'edge-1',
-            self.sidecars,
-            servers,
-            placement.Placement(
-                self.clock, settings.ObjectiveSettings(stall_weight=1)
-            ),
-            self.ejector,
-            self.clock,
-            lambda _ip, _version: None,
-            lambda _count: None,
-            self.suspects,
-            limit_fakes.make_limits(self.clock),
-            self.gate,
+        self.turns = self.forwarder._turns.model_turns = (
+            turn_client.TurnClient(
+                'edge-1',
+                self.sidecars,
+                servers,
+                placement.Placement(
+                    self.clock, settings.ObjectiveSettings(stall_weight=1)
+                ),
+                self.ejector,
+                self.clock,
+                lambda _ip, _version: None,
+                lambda _count: None,
+                self.suspects,
+                limit_fakes.make_limits(self.clock),
+                self.gate,
+            )
         )
 
     def held_count(self):
--- a/tests/test_silence_interleavings.py
+++ b/tests/test_silence_interleavings.py
@@ -150,7 +150,7 @@
             budgets.deposit('t')
         for _ in range(20):
             assert budgets.try_withdraw('t')
-        scene.turns = scene.forwarder._turns = Turns(self.grants)
+        scene.turns = scene.forwarder._turns.model_turns = Turns(self.grants)
         scene.client = scene.forwarder._client = Client(
             self.steps, scene.turns
         )
@@ -260,7 +260,9 @@
 
         async def main():
             scene = forwarding.Scene()
-            turns = scene.turns = scene.forwarder._turns = LeavingTurns(())
+            turns = scene.turns = scene.forwarder._turns.model_turns = (
+                LeavingTurns(())
+            )
             scene.client = scene.forwarder._client = Client(
                 [Step('whole', (0.0, 0.0, 60.0))], turns
             )
