Requests that a drain leaves over are refused, and get its time

Cause: the drain returned 0.8 s before its end, whatever its length, and the exit stacks then cancelled what was in progress; a cancelled request counts as one whose caller has left, and gets no refusal. Fix: what is left over is cancelled as such, and refused: 503 if nothing was sent to a server, else 504; an answer that has begun is broken off, visibly. At most an eighth of the drain time is kept for closing, which leaves the drain time of 8 s as it was.

--- a/lacewingpitch/draining.py
+++ b/lacewingpitch/draining.py
@@ -16,6 +16,10 @@
 _POLL_INTERVAL_S = 0.05
 # Part of the drain time for closing connections and ending the process.
 _CLOSING_S = 0.8
+# At most this share of it, as answers may end until then.
+_CLOSING_SHARE = 0.125
+# For the refusals of requests that are left over.
+_LAST_REFUSALS_S = 0.2
 log = structlog.get_logger(__name__)
 
 
@@ -47,13 +51,17 @@
         """Close connections on which no request is in progress."""
         ...
 
+    async def end_requests(self, limit_s: float) -> None:
+        """Refuse or break off the requests that are still in progress."""
+        ...
+
 
 async def drain(
     frontend: Drainable, clock: clock_module.Clock, drain_s: float
 ) -> None:
     """Stop accepting requests; return once none is in progress.
 
-    Returns earlier if only `_CLOSING_S` of the drain time are left.
+    Ends the requests that are left over shortly before the drain time ends.
 
     Requests arrive until the load balancer has removed the instance, and on
     kept-alive connections for as long as these are open.  If they were
@@ -67,7 +75,8 @@
     frontend.is_draining = True
     started_s = clock.monotonic_s()
     took_s = 0.0
-    while took_s < drain_s - _CLOSING_S:
+    closing_s = min(_CLOSING_S, _CLOSING_SHARE * drain_s)
+    while took_s < drain_s - closing_s:
         await asyncio.sleep(_POLL_INTERVAL_S)
         took_s = clock.monotonic_s() - started_s
         if took_s < _OUT_OF_ROTATION_S:
@@ -80,3 +89,5 @@
     log.info(
         'drained', took_s=round(took_s, 3), left_over=frontend.in_progress
     )
+    if frontend.in_progress:
+        await frontend.end_requests(_LAST_REFUSALS_S)
--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -25,6 +25,7 @@
 from lacewingpitch.platform import names
 from lacewingpitch.platform import response_delivery
 from lacewingpitch import request_end
+from lacewingpitch import requests_in_progress
 from lacewingpitch import routing
 from lacewingpitch import silent_connections
 from lacewingpitch import startup_grace as startup_grace_module
@@ -105,7 +106,7 @@
         self.cut_by_step: collections.Counter[str] = collections.Counter()
         self.is_draining = False
         self.is_refusing = False
-        self._busy_transports: set[asyncio.BaseTransport] = set()
+        self._requests = requests_in_progress.RequestsInProgress()
         self._silent_connections: silent_connections.SilentConnections[
             asyncio.Transport
         ] = silent_connections.SilentConnections(clock)
@@ -115,7 +116,7 @@
     @property
     def in_progress(self) -> int:
         """Return how many requests are in progress."""
-        return len(self._busy_transports)
+        return len(self._requests)
 
     async def listen(
         self, endpoint: str, exits: contextlib.AsyncExitStack
@@ -151,12 +152,16 @@
         idle = [
             transport
             for transport in self._transports()
-            if transport not in self._busy_transports
+            if transport not in self._requests
         ]
         await connection_closing.close_unused(
-            idle, self._busy_transports.__contains__
+            idle, self._requests.__contains__
         )
 
+    async def end_requests(self, limit_s: float) -> None:
+        """Refuse or break off the requests that are still in progress."""
+        await self._requests.end(limit_s)
+
     async def close_silent(self) -> None:
         """Close connections without any request, in an endless loop.
 
@@ -229,15 +234,12 @@
         # not read, its caller sends it again.
         if transport is None or transport.is_closing():
             raise ConnectionResetError('the connection is closed')
-        self._busy_transports.add(transport)
         self._silent_connections.record_request(transport)
-        try:
+        with self._requests.track(transport):
             http_guard.set_stall_timeout(request, _STALL_TIMEOUT_S)
             await self._serve_request(
                 request, request_id, delivery, arrived_at_s
             )
-        finally:
-            self._busy_transports.discard(transport)
         assert delivery.response is not None
         return delivery.response
 
@@ -271,6 +273,11 @@
             outcome = error.kind.value
             await delivery.refuse(error, request_id)
         except (Exception, asyncio.CancelledError) as error:
+            if request_end.is_of_drain(error) and not delivery.is_caller_gone:
+                outcome = 'left over by the drain'
+                refusal = request_end.drain_refusal(delivery.step)
+                await delivery.refuse(refusal, request_id)
+                return
             if request_end.is_cancelled():
                 raise
             if delivery.is_caller_gone and request_end.is_of_connection(error):
--- a/lacewingpitch/request_end.py
+++ b/lacewingpitch/request_end.py
@@ -3,6 +3,11 @@
 import asyncio
 import enum
 
+from lacewingpitch import errors
+
+# Message of the cancellation of requests that a drain has left over.
+DRAIN_ENDED = 'the drain has ended'
+
 
 class Step(enum.StrEnum):
     """The last step that a request has reached."""
@@ -34,3 +39,30 @@
 def is_of_connection(error: BaseException) -> bool:
     """Whether an error may come from the end of a caller's connection."""
     return isinstance(error, ConnectionError | TimeoutError)
+
+
+def is_of_drain(error: BaseException) -> bool:
+    """Whether a request is cancelled as the drain of its process ends."""
+    return isinstance(error, asyncio.CancelledError) and error.args == (
+        DRAIN_ENDED,
+    )
+
+
+def cancellation_event(error: asyncio.CancelledError) -> str:
+    """Return the log event of a request that is cancelled."""
+    if is_of_drain(error):
+        return 'left over by the drain'
+    return 'caller disconnected' if is_cancelled() else 'wait cancelled'
+
+
+def drain_refusal(step: Step) -> errors.RefusalError:
+    """Return the refusal of a request that a drain has left over."""
+    if step in (Step.HEAD_READ, Step.BODY_READ):
+        return errors.RefusalError(
+            errors.ErrorKind.DRAINING,
+            'this instance is shutting down',
+            retry_after_s=0.0,
+        )
+    return errors.RefusalError(
+        errors.ErrorKind.OUTCOME_UNKNOWN, 'this instance has shut down'
+    )
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -164,10 +164,9 @@
             raise history.combined_refusal(
                 error, delivery.has_begun
             ) from error
-        except asyncio.CancelledError:
-            is_caller_gone = request_end.is_cancelled()
+        except asyncio.CancelledError as error:
             log.info(
-                'caller disconnected' if is_caller_gone else 'wait cancelled',
+                request_end.cancellation_event(error),
                 request_id=request.request_id,
                 backend_servers=history.servers,
                 turn_wait_ms=round(history.turn_wait_s * _MS_PER_S),
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -581,3 +581,46 @@
         assert await scene.call(key, tokens) == 200
         assert await scene.call(key, tokens) == 429
         assert len(scene.received) == 1
+
+
+class TestLeftOver:
+    """Requests that are in progress as the drain ends."""
+
+    async def end(self, scene, step):
+        """Return what the caller of a request that is served gets."""
+        scene.configure()
+
+        async def serve(_request, delivery):
+            if step != 'waiting':
+                delivery.record_sent()
+            if step == 'answering':
+                answer = backend_call.BackendAnswer(200, (), None)
+                await delivery.begin(answer)
+            await asyncio.sleep(10.0)
+
+        scene.frontend._serve = serve
+        reader, writer = await scene.connect()
+        with contextlib.closing(writer), structlog.testing.capture_logs() as x:
+            writer.write(TestRequestThatHasJustBeenRead.REQUEST)
+            await asyncio.sleep(0.1)
+            await scene.frontend.end_requests(1.0)
+            got = await first_bytes(reader, b'}')
+        (line,) = [line for line in x if line['event'] == 'request ended']
+        assert scene.frontend.in_progress == 0
+        return got, line['closed_by']
+
+    @pytest.mark.parametrize(
+        ('step', 'status'), [('waiting', b'503'), ('sent', b'504')]
+    )
+    async def test_without_an_answer_are_refused(self, scene, step, status):
+        """Guards against a request that gets neither answer nor refusal."""
+        got, closed_by = await self.end(scene, step)
+        assert got.startswith(b'HTTP/1.1 ' + status)
+        assert closed_by == ''
+
+    async def test_in_the_middle_of_an_answer_are_cut_by_the_entry(
+        self, scene
+    ):
+        got, closed_by = await self.end(scene, 'answering')
+        assert b'0\r\n\r\n' not in got
+        assert closed_by == 'entry'
