--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -422,6 +422,11 @@
         scene, _ = await soak.run(seed=seed, has_silences=False)
         assert any(call.is_served for call in scene.checker.calls)
 
+    async def test_calls_end_as_their_entry_does(self):
+        """Guards against requests that a drain leaves without a word."""
+        scene, _ = await soak.run(seed=58013)
+        assert any(call.is_served for call in scene.checker.calls)
+
     async def test_calls_end_whole_while_engines_are_silent(self):
         """Guards against streams cut off because their engine is silent."""
         scene, _ = await soak.run(seed=61180, length_s=4.0)
