The witness of an answer's end outlasts a silence of its server

A plain server that is sound and falls silent as its answer without a length ends was given 1 s for the health check, and the whole answer counted as broken off. It has 2.5 s now, as all waits for a sound server have; test_a_silent_server_is_waited_for failed with 1 s (silent for 2 s).

--- a/lacewingpitch/platform/witness.py
+++ b/lacewingpitch/platform/witness.py
@@ -11,8 +11,9 @@
 from lacewingpitch import start_witness
 
 _CONNECT_TIMEOUT_S = 0.4
-# A health check waits for a slot, as any request does.
-_ANSWER_TIMEOUT_S = 1.0
+# A health check waits for a slot, as any request does, and a sound server may
+# be silent for a moment.
+_ANSWER_TIMEOUT_S = 2.5
 _MAX_LINE_BYTES = 1 << 12
 _STATUS_OTHER_INCARNATION = b'421'
 _STATUS_PREFIX = b'HTTP/1.'
--- a/tests/test_platform_witness.py
+++ b/tests/test_platform_witness.py
@@ -28,6 +28,7 @@
 
     def __init__(self, answer):
         self._answer = answer
+        self.silent_s = 0.0
         self.heads = []
         self.writers = []
 
@@ -37,6 +38,7 @@
             self.heads.append(await reader.readuntil(b'\r\n\r\n'))
         except (OSError, asyncio.IncompleteReadError):
             return
+        await asyncio.sleep(self.silent_s)
         if self._answer is not None:
             writer.write(self._answer)
             writer.close()
@@ -78,6 +80,12 @@
 
         assert await ask(server, crash) is State.UNKNOWN
 
+    async def test_a_silent_server_is_waited_for(self):
+        """Guards against whole answers lost for one silence."""
+        server = Server(HEALTHY)
+        server.silent_s = 2.0
+        assert await ask(server) is State.RUNNING
+
     async def test_another_incarnation_shows_an_end(self):
         answer = HEALTHY.replace(b'200 OK', b'421 Other')
         assert await ask(Server(answer)) is State.ENDED
