--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import functools
 import json
 import os
 import socket
@@ -58,6 +59,10 @@
     def events(self, name):
         return [line for line in self.lines if line['event'] == name]
 
+    def state(self):
+        last = json.dumps(self.lines[-3:])
+        return f'{self.name}: exit {self.process.returncode}, {last}'
+
     async def stop(self):
         if self.process.returncode is None:
             self.process.kill()
@@ -102,13 +107,22 @@
         self._listeners = {}
 
     async def __aenter__(self):
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start_all(self):
         store_address = await self._serve('store', self.store, '127.0.0.1')
-        ports = {
-            'internal': _free_port(SIDECAR_IPS[0]),
-            'callers': _free_port(ENTRY_IPS[0]),
-            'ready': _free_port(ENTRY_IPS[0]),
-            'control': _free_port(ENTRY_IPS[0]),
-        }
+        ports = dict(
+            zip(
+                ('internal', 'callers', 'ready', 'control'),
+                _free_ports(SIDECAR_IPS[0], *[ENTRY_IPS[0]] * 3),
+                strict=True,
+            )
+        )
         configuration = standin.configuration(
             5, tenants=self._tenants, copies_runs=self.copies_runs
         )
@@ -143,12 +157,13 @@
         )
         self.callers = self.caller_urls[0]
         self.ready = f'http://{ENTRY_IPS[0]}:{ports["ready"]}'
-        await self.until(self.is_ready)
+        for ip in self._entry_ips:
+            url = f'http://{ip}:{ports["ready"]}'
+            await self.until(functools.partial(self.is_ready, url))
         sidecars = [p for p in self.programs if p.role == 'sidecar']
         await self.until(
             lambda: all(p.events('engine taken over') for p in sidecars)
         )
-        return self
 
     async def __aexit__(self, *exception):
         for program in self.programs:
@@ -194,10 +209,10 @@
         self.programs.append(program)
         return program
 
-    async def is_ready(self):
+    async def is_ready(self, url=None):
         try:
             async with self.session.get(
-                f'{self.ready}/lacewingpitch/readyz'
+                f'{url or self.ready}/lacewingpitch/readyz'
             ) as response:
                 return response.status == 200
         except aiohttp.ClientError:
@@ -215,14 +230,13 @@
             return await response.text()
 
     async def until(self, condition):
-        async with asyncio.timeout(START_S):
-            while True:
-                found = condition()
-                if asyncio.iscoroutine(found):
-                    found = await found
-                if found:
-                    return
-                await asyncio.sleep(0.05)
+        try:
+            async with asyncio.timeout(START_S):
+                await _holds(condition)
+        except TimeoutError as error:
+            for program in self.programs:
+                error.add_note(program.state())
+            raise
 
     def call(self, path, request_id, method='POST', **headers):
         sent = {
@@ -237,6 +251,16 @@
         return self.session.request(method, url, data=b'body', headers=sent)
 
 
+async def _holds(condition):
+    while True:
+        found = condition()
+        if asyncio.iscoroutine(found):
+            found = await found
+        if found:
+            return
+        await asyncio.sleep(0.05)
+
+
 class _Listener:
     """Listens at one port, on and off."""
 
@@ -257,7 +281,10 @@
         self._server.close()
 
 
-def _free_port(ip):
-    with socket.socket() as found:
-        found.bind((ip, 0))
-        return found.getsockname()[1]
+def _free_ports(*ips):
+    """Return a free port for each IP address, no port twice."""
+    with contextlib.ExitStack() as exits:
+        sockets = [exits.enter_context(socket.socket()) for _ in ips]
+        for found, ip in zip(sockets, ips, strict=True):
+            found.bind((ip, 0))
+        return [found.getsockname()[1] for found in sockets]
