Control links that went silent are dialled anew

What callers saw: after the control connections of the entries had gone silent without a reset, a request that crashes servers crashed 12 of them, 9 later than contactMs after the third, as no entry heard of the others' crashes any more.

Cause: `Peer` kept one socket for the life of the process. An exchange without a reply left the connection as it was, and nothing but a reset made pynng dial again.

Fix: an exchange that ends without a reply, with none on its connection since it began, makes the link dial a second socket, at most one in a second. It is used once the peer's process has accepted it; until then the former one stays, and a reply there drops the new one. Exchanges in progress end on the socket on which they began, within their own time, so that a peer that is silent for a moment loses none and gets none twice. A replaced socket is closed with its last exchange. No task, no timer and no byte without a failed exchange.

--- a/lacewingpitch/control_client.py
+++ b/lacewingpitch/control_client.py
@@ -26,6 +26,11 @@
         self._pool = pool
         self._sidecar_port = sidecar_port
 
+    @property
+    def redial_count(self) -> int:
+        """Return how often links were dialled anew after a silence."""
+        return self._pool.redial_count
+
     async def request_turn(
         self, ip: str, request: turn_messages.TurnRequest, timeout_s: float
     ) -> turn_messages.TurnReply:
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -182,6 +182,7 @@
         account_metrics.add_account(
             self._metrics, self._account, holder, copier
         )
+        self._node.add_metrics(self._metrics)
         self._server.route('GET', '/metrics', self._metrics.answer)
 
     def _add_routes(self) -> None:
--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -14,13 +14,14 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import dataclasses
 import functools
 import hashlib
 import hmac
 import socket
+import time
 from typing import Any, TypeVar
 
 import msgspec
@@ -29,6 +30,7 @@
 import xxhash
 
 from lacewingpitch import errors
+from lacewingpitch import link_sockets
 from lacewingpitch import request_end
 
 PROTOCOL_VERSION = 2
@@ -45,7 +47,6 @@
 _SERVER_CONTEXT_COUNT = 16
 
 Reply = TypeVar('Reply', bound=msgspec.Struct)
-Result = TypeVar('Result')
 Handler = Callable[[Any], Awaitable[msgspec.Struct]]
 log = structlog.get_logger(__name__)
 
@@ -307,10 +308,10 @@
     async def _serve(self, context: pynng.Context) -> None:
         with contextlib.closing(context):
             while True:
-                data = await _await_cancellable(context.arecv())
+                data = await link_sockets.await_cancellable(context.arecv())
                 reply = await self._answer(data)
                 with contextlib.suppress(pynng.NNGException):
-                    await _await_cancellable(context.asend(reply))
+                    await link_sockets.await_cancellable(context.asend(reply))
 
     async def _answer(self, data: bytes) -> bytes:
         # The requester reads the form that it sent.  A process of protocol 1
@@ -359,26 +360,19 @@
     def __init__(self, signer: MessageSigner, ip: str, port: int) -> None:
         self._signer = signer
         self.address = f'tcp://{ip}:{port}'
-        self._socket = pynng.Req0(recv_max_size=MAX_MESSAGE_BYTES)
-        self._socket.dial(self.address, block=False)
+        self._sockets = link_sockets.LinkSockets(
+            self.address, MAX_MESSAGE_BYTES
+        )
         self._reads_short_form = False
 
+    @property
+    def redial_count(self) -> int:
+        """Return how often the link was dialled anew after a silence."""
+        return self._sockets.redial_count
+
     def close(self) -> None:
         """Close the link."""
-        self._socket.close()
-
-    @contextlib.contextmanager
-    def _context(self) -> Iterator[pynng.Context]:
-        # The link may be closed while a request is in progress.
-        try:
-            context = self._socket.new_context()
-        except pynng.NNGException as error:
-            raise errors.LinkError(f'{self.address} is closed') from error
-        try:
-            yield context
-        finally:
-            with contextlib.suppress(pynng.NNGException):
-                context.close()
+        self._sockets.close()
 
     async def ask(
         self, message: msgspec.Struct, kind: type[Reply], timeout_s: float
@@ -394,8 +388,13 @@
             No valid reply within `timeout_s`; `NoReplyError` if there was
             no reply at all.
         """
-        async with _reply_timeout(self.address, timeout_s):
-            verified = await self._exchange(message)
+        asked_at_s = time.monotonic()
+        try:
+            async with _reply_timeout(self.address, timeout_s):
+                verified = await self._exchange(message)
+        except errors.NoReplyError:
+            self._sockets.record_no_reply(asked_at_s)
+            raise
         if verified.has_kind(_Refused):
             raise errors.LinkError(f'{self.address} replied _Refused')
         if not verified.has_kind(kind):
@@ -418,11 +417,7 @@
         return verified
 
     async def _send(self, data: bytes) -> VerifiedMessage:
-        with self._context() as context:
-            await _await_cancellable(context.asend(data))
-            return self._signer.verify(
-                await _await_cancellable(context.arecv())
-            )
+        return self._signer.verify(await self._sockets.exchange(data))
 
 
 class PeerPool:
@@ -444,6 +439,7 @@
         self._peers: collections.OrderedDict[tuple[str, int], Peer] = (
             collections.OrderedDict()
         )
+        self._dropped_redial_count = 0
 
     def peer(self, ip: str, port: int) -> Peer:
         """Return the link to the process at `ip` and `port`."""
@@ -454,13 +450,25 @@
             self._peers[address] = found
         self._peers.move_to_end(address)
         while len(self._peers) > self._capacity_peers:
-            self._peers.popitem(last=False)[1].close()
+            self._drop(self._peers.popitem(last=False)[1])
         return found
 
+    @property
+    def redial_count(self) -> int:
+        """Return how often links were dialled anew after a silence."""
+        open_links = self._peers.values()
+        return self._dropped_redial_count + sum(
+            peer.redial_count for peer in open_links
+        )
+
     def close(self) -> None:
         """Close every link."""
         while self._peers:
-            self._peers.popitem()[1].close()
+            self._drop(self._peers.popitem()[1])
+
+    def _drop(self, peer: Peer) -> None:
+        self._dropped_redial_count += peer.redial_count
+        peer.close()
 
 
 @contextlib.asynccontextmanager
@@ -476,21 +484,6 @@
         ) from error
 
 
-async def _await_cancellable(operation: Awaitable[Result]) -> Result:
-    """Await an operation of pynng without losing a cancellation."""
-    # pynng swallows a cancellation that arrives as the operation completes.
-    # A closing server would then wait forever for a task that goes on
-    # serving, and a timeout, which fires only once, would not end the next
-    # operation.
-    task = asyncio.current_task()
-    assert task is not None
-    cancelling_before = task.cancelling()
-    result = await operation
-    if task.cancelling() > cancelling_before:
-        raise asyncio.CancelledError
-    return result
-
-
 async def _cancel_and_wait(task: asyncio.Task[None]) -> None:
     task.cancel()
     # Awaiting the task itself would not distinguish its cancellation from
--- a/lacewingpitch/node.py
+++ b/lacewingpitch/node.py
@@ -17,6 +17,7 @@
 from lacewingpitch import link
 from lacewingpitch import live_list
 from lacewingpitch import membership
+from lacewingpitch import metrics as metrics_module
 from lacewingpitch import published_contracts
 from lacewingpitch import settings as settings_module
 from lacewingpitch import single_sending
@@ -104,6 +105,14 @@
         """Close everything, in reverse order."""
         await self._exits.aclose()
 
+    def add_metrics(self, metrics: metrics_module.Metrics) -> None:
+        """Register the metrics of the links to peers."""
+        metrics.counter(
+            'control_redials_total',
+            'New dials of control links that had gone silent.',
+            lambda: self.peers.redial_count,
+        )
+
     def follow_platform(self) -> None:
         """Start to follow the published instance list and contracts."""
         instances = live_list.HttpLiveList(
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -421,7 +421,7 @@
         entry_metrics.register_configuration(
             metrics, self._process.table, self._process.age
         )
-        entry_metrics.register_calls(metrics, store, self._usage)
+        entry_metrics.register_calls(metrics, store, self._usage, self._peers)
         if self._mover is not None:
             entry_metrics.register_moves(metrics, self._mover)
 
--- a/lacewingpitch/platform/entry_metrics.py
+++ b/lacewingpitch/platform/entry_metrics.py
@@ -4,6 +4,7 @@
 from lacewingpitch import backend_list
 from lacewingpitch import blame
 from lacewingpitch import configuration_age
+from lacewingpitch import control_client
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import notice_router
 from lacewingpitch import placement as placement_module
@@ -220,8 +221,9 @@
     metrics: metrics_module.Metrics,
     store: store_module.Store,
     usage: usage_limits.UsageLimits,
+    peers: control_client.ControlClient,
 ) -> None:
-    """Register the metrics of calls to the store and to owners of limits."""
+    """Register the metrics of calls to the store and to peers."""
     metrics.counter(
         'store_calls_total',
         'Calls to the store.',
@@ -237,6 +239,11 @@
         'Requests charged while the owner of their limit was silent.',
         lambda: usage.unreached_count,
     )
+    metrics.counter(
+        'control_redials_total',
+        'New dials of control links that had gone silent.',
+        lambda: peers.redial_count,
+    )
 
 
 def register_pace(
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -161,6 +161,7 @@
             'kind',
             lambda: self._error_count_by_kind,
         )
+        self._node.add_metrics(metrics)
         self._server.route('GET', '/metrics', metrics.answer)
 
     async def _drain(self) -> None:
