Control servers probe connections that bring nothing

What was seen: nothing yet; found by reading while control links were made to dial anew. The server's end of a connection that went silent stayed open for good, one socket for each link and silence, until the process would have none left.

Cause: no close arrives on such a connection, and control servers did not ask the kernel for probes (the kernel's table showed no timer).

Fix: `tcp_keepalive` of pynng, so that the kernel ends connections whose other end no longer acknowledges, after its own time (2 h and 11 min unless set otherwise; pynng has no option for it). A peer that is merely silent acknowledges through its kernel.

Test: test_link_silence::TestControlServer, failed before (no timer). The end of such a connection after 2 h was not run.

--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -294,6 +294,9 @@
         """Listen on `ip` and `port`; port 0 selects a free port."""
         rep = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         self._exits.callback(rep.close)
+        # A peer whose connection went silent dials anew.  What is left of
+        # the former one here would stay open for good.
+        rep.tcp_keepalive = True
         listener = rep.listen(f'tcp://{ip}:{port}')
         # pynng returns the port in network byte order.
         self.port = port or socket.ntohs(listener.local_address.port)
--- a/tests/test_link_silence.py
+++ b/tests/test_link_silence.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import pathlib
 import time
 
 import pytest
@@ -28,6 +29,9 @@
 DIAL_INTERVAL_S = 1.1
 ROUNDS = 4
 MANY = 20
+# As the kernel writes them to its table of connections.
+ESTABLISHED = '01'
+KEEPALIVE_TIMER = '02'
 
 
 class Ping(link.Message, frozen=True):
@@ -162,6 +166,22 @@
         assert silenced.peers.redial_count == 1
 
 
+class TestControlServer:
+    async def test_probes_connections_that_bring_nothing(self):
+        """Guards against sockets of peers that have dialled anew.
+
+        No close arrives on a connection that went silent.
+        """
+        control = link.ControlServer(make_signer())
+        await control.start(IP, 0)
+        with contextlib.closing(link.PeerPool(make_signer())) as peers:
+            peers.peer(IP, control.port)
+            await wait_until(
+                lambda: kernel_timers(control.port) == [KEEPALIVE_TIMER]
+            )
+        await control.close()
+
+
 class TestSilentPeer:
     async def test_gets_all_that_was_in_flight_once(self, paused):
         """Guards against requests lost or doubled by a dial made too soon.
@@ -242,6 +262,16 @@
         assert paused.relay.connection_count == 1
 
 
+def kernel_timers(port):
+    """Return the timers of the connections that a port has accepted."""
+    found = []
+    for line in pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        _, local, _, state, _, timer, *_ = line.split()
+        if int(local.partition(':')[2], 16) == port and state == ESTABLISHED:
+            found.append(timer.partition(':')[0])
+    return found
+
+
 async def wait_until(is_met):
     deadline_s = time.monotonic() + 10 * REGAINED_S
     while not is_met():
