A new control connection that waits to be used needs no further dial

What was seen: in a test, a second dial when another exchange on the silent connection ended after the first dial had connected.

Cause: the no-reply of that exchange changed to the new connection and went on to dial, as the interval since the last dial was over.

Fix: having changed to it, nothing more is done; nothing has been asked on it yet.

Test: test_one_dial_serves_all_exchanges_on_it, failed before (2 dials).

--- a/lacewingpitch/link_sockets.py
+++ b/lacewingpitch/link_sockets.py
@@ -96,7 +96,8 @@
         silent_s = now_s - self._silent_since_s
         if silent_s < _SILENT_AFTER_S:
             return
-        self._use_next_if_connected()
+        if self._use_next_if_connected():
+            return
         if now_s - self._dialled_at_s >= _DIAL_INTERVAL_S:
             self._dial_anew(silent_s)
 
@@ -125,9 +126,9 @@
             silent_s=round(silent_s, 3),
         )
 
-    def _use_next_if_connected(self) -> None:
+    def _use_next_if_connected(self) -> bool:
         if self._next is None or not self._next.is_connected:
-            return
+            return False
         self._active.close_when_unused()
         self._former = [
             dialled
@@ -138,6 +139,7 @@
         # Nothing has been asked on the new connection yet.
         self._heard_at_s = time.monotonic()
         self._silent_since_s = math.inf
+        return True
 
     def _drop_next(self) -> None:
         if self._next is not None:
--- a/tests/test_link_silence.py
+++ b/tests/test_link_silence.py
@@ -142,6 +142,20 @@
         # It was not sent a second time either.
         assert not silenced.arrived[1]
 
+    async def test_one_dial_serves_all_exchanges_on_it(self, silenced):
+        """Guards against a dial while a new connection waits to be used."""
+        await silenced.use_for(DIAL_INTERVAL_S)
+        silenced.relay.silence()
+        asked = [
+            silenced.ask(number, timeout_s)
+            for number, timeout_s in enumerate(
+                (ASK_S, ASK_S, LATE_S + PAUSE_S)
+            )
+        ]
+        results = await asyncio.gather(*asked, return_exceptions=True)
+        assert {type(result) for result in results} == {errors.NoReplyError}
+        assert silenced.peers.redial_count == 1
+
     async def test_sockets_of_the_replaced_are_closed(self, silenced):
         """Guards against a process that runs out of sockets."""
         for _ in range(ROUNDS):
