A new control connection is watched from its first exchange

What was seen: in a test, a second silence cost two exchanges in place of one.

Cause: an exchange noted its beginning before the link changed to the new connection, so that it seemed to be of the former one, and its missing reply was not counted.

Fix: the link chooses the connection first and then names the time (`LinkSockets.begin`).

Test: test_a_second_one_costs_one_exchange_too, failed before.

--- a/lacewingpitch/link.py
+++ b/lacewingpitch/link.py
@@ -21,7 +21,6 @@
 import hashlib
 import hmac
 import socket
-import time
 from typing import Any, TypeVar
 
 import msgspec
@@ -391,7 +390,7 @@
             No valid reply within `timeout_s`; `NoReplyError` if there was
             no reply at all.
         """
-        asked_at_s = time.monotonic()
+        asked_at_s = self._sockets.begin()
         try:
             async with _reply_timeout(self.address, timeout_s):
                 verified = await self._exchange(message)
--- a/lacewingpitch/link_sockets.py
+++ b/lacewingpitch/link_sockets.py
@@ -66,15 +66,19 @@
             dialled.close()
         self._drop_next()
 
+    def begin(self) -> float:
+        """Choose the connection to use; return the monotonic time."""
+        self._use_next_if_connected()
+        return time.monotonic()
+
     async def exchange(self, data: bytes) -> bytes:
-        """Send `data` and return the reply.
+        """Send `data` and return the reply; call `begin` before.
 
         Raises
         ------
         LinkError
             The link is closed.
         """
-        self._use_next_if_connected()
         used = self._active
         reply = await used.exchange(data)
         if used is self._active:
@@ -87,7 +91,7 @@
         Parameters
         ----------
         asked_at_s
-            Monotonic time at which the exchange without a reply began.
+            What `begin` returned for the exchange without a reply.
         """
         if self._is_closed or asked_at_s < self._heard_at_s:
             return
--- a/tests/test_link_silence.py
+++ b/tests/test_link_silence.py
@@ -25,6 +25,8 @@
 PAUSE_S = 1.5
 # An exchange with a slow handler is given up after it.
 LATE_S = 1.0
+# Ample time for a handshake on a busy machine.
+ACCEPT_S = 0.5
 # The link dials anew no sooner after its first dial.
 DIAL_INTERVAL_S = 1.1
 ROUNDS = 4
@@ -95,6 +97,11 @@
             await asyncio.sleep(POLL_S)
         return time.monotonic() - began_s
 
+    async def relay_accepts(self, count):
+        """Wait for new connections, and for the peer to accept them."""
+        await wait_until(lambda: self.relay.connection_count >= count)
+        await asyncio.sleep(ACCEPT_S)
+
     async def use_for(self, seconds):
         """Use the link until it may dial anew."""
         await self.ask(0, LONG_ASK_S)
@@ -156,6 +163,18 @@
         assert {type(result) for result in results} == {errors.NoReplyError}
         assert silenced.peers.redial_count == 1
 
+    async def test_a_second_one_costs_one_exchange_too(self, silenced):
+        """Guards against a new connection that is not watched at once."""
+        await silenced.use_for(DIAL_INTERVAL_S)
+        silenced.relay.silence()
+        assert not await silenced.is_answered(1)
+        await silenced.relay_accepts(2)
+        await asyncio.sleep(DIAL_INTERVAL_S)
+        silenced.relay.silence()
+        assert not await silenced.is_answered(2)
+        await silenced.relay_accepts(3)
+        await silenced.ask(3, LONG_ASK_S / 2)
+
     async def test_sockets_of_the_replaced_are_closed(self, silenced):
         """Guards against a process that runs out of sockets."""
         for _ in range(ROUNDS):
