A sidecar takes no new connection for the start that it knows

Callers got half of an unframed answer of an engine as a whole one, if the engine crashed and started again while its sidecar was frozen or between two of its polls.

Cause: a report names no incarnation. The first report after the freeze came over a new connection from the start after the crash, and looked like one of the start before unless that had accepted orders or engines report the time of their start. The sidecar told the entry that the same start still ran.

Fix: reports on one connection are of the same process. After a new one the sidecar asks for the incarnation before it says that the engine runs; without an answer it says that it does not know. It asks only when an entry asks for the state, once for each new connection, so that polls and calm engines cost nothing more.

--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -21,6 +21,7 @@
 from lacewingpitch import errors
 from lacewingpitch import fair_queue
 from lacewingpitch import fence as fence_module
+from lacewingpitch import incarnation_check
 from lacewingpitch import leaving_news
 from lacewingpitch import limit_news
 from lacewingpitch import metrics as metrics_module
@@ -106,6 +107,7 @@
         self._crashes = crashes
         self._poll_lock = asyncio.Lock()
         self._engine = engine
+        self._incarnation_check = incarnation_check.IncarnationCheck(engine)
         self._table = table
         self._versions = versions
         self._service = service
@@ -183,12 +185,13 @@
             return turn_messages.TurnEndsReply()
         async with self._poll_lock:
             await self._poll()
-        return turn_messages.TurnEndsReply(
-            is_known=not self.view.contact.is_unanswered,
-            is_running=not self.view.contact.is_lost,
-            backend_server=self.view.backend_server,
-            started_at_ms=self.view.started_at_ms,
-        )
+            reply = turn_messages.TurnEndsReply(
+                is_known=not self.view.contact.is_unanswered,
+                is_running=not self.view.contact.is_lost,
+                backend_server=self.view.backend_server,
+                started_at_ms=self.view.started_at_ms,
+            )
+        return await self._incarnation_check.checked(reply)
 
     async def record_answered_limit(
         self, message: turn_messages.AnsweredLimit
@@ -259,8 +262,10 @@
             snapshot = await self._engine.report()
             if self.view.is_outdated(snapshot):
                 raise errors.PlatformError('the report is of an earlier start')
+            self._incarnation_check.record_report(snapshot)
             if (
                 self.view.contact.is_lost
+                or self._incarnation_check.has_changed
                 or self.view.is_restart(snapshot)
                 or self.view.may_be_replaced(snapshot)
             ):
@@ -296,6 +301,7 @@
             raise errors.PlatformError('no configuration is known yet')
         incarnation = await self._engine.incarnation()
         self.view.record_incarnation()
+        self._incarnation_check.record_confirmed()
         log.info(
             'dependency regained',
             dependency='engine',
--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -137,9 +137,10 @@
             The engine does not answer, or its report is malformed.
         """
         with platform_call.platform_errors('engine'):
-            report, notice = await single_sending.read_twice_if_stale(
+            found = await single_sending.read_twice_if_stale(
                 self._read_report, 'engine'
             )
+        report, notice, is_reused = found
         return engine_snapshot.EngineSnapshot(
             order_count=report.sequence,
             is_leaving=report.state != _STATE_READY or notice.is_leaving,
@@ -157,11 +158,12 @@
                 for run in report.runs
                 if type(run.event_count) is int
             },
+            is_on_new_connection=not is_reused,
         )
 
     async def _read_report(
         self, trace: single_sending.SendingTrace
-    ) -> tuple[_EngineReport, server_notice.ServerNotice]:
+    ) -> tuple[_EngineReport, server_notice.ServerNotice, bool]:
         self._gate.check()
         async with self._session.get(
             f'{self._url}{names.REPORT_PATH}',
@@ -175,7 +177,8 @@
             data = await platform_call.read_limited(
                 response, _MAX_REPORT_BYTES
             )
-            return msgspec.json.decode(data, type=_EngineReport), notice
+            report = msgspec.json.decode(data, type=_EngineReport)
+            return report, notice, trace.is_reused
 
     async def load_model(
         self, model: str, fencing: int, incarnation: str
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -49,6 +49,10 @@
         self.is_load_lost = False
         self.started_at_ms = 0
         self.limit_per_s = None
+        self.is_connection_new = True
+        # How often it was asked for its name, and whether it keeps silent.
+        self.name_count = 0
+        self.names_silent = False
         self._silent_until_s = 0.0
 
     def fall_silent(self, for_s=math.inf):
@@ -82,9 +86,13 @@
         self.models.clear()
         self.order_count = 0
         self.fence = 0
+        self.is_connection_new = True
 
     async def incarnation(self):
         self._check_up()
+        self.name_count += 1
+        if self.names_silent:
+            raise errors.SilentError('no answer in time')
         await self._spoken(ORDER_TIMEOUT_S)
         return self.name
 
@@ -104,7 +112,9 @@
             started_at_ms=self.started_at_ms,
             limit_per_s=self.limit_per_s,
             events_by_run=dict(self.events_by_run),
+            is_on_new_connection=self.is_connection_new,
         )
+        self.is_connection_new = False
         await asyncio.sleep(self.report_delay_s)
         await self._spoken(REPORT_TIMEOUT_S)
         return found
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -19,6 +19,7 @@
 from tests import fake_engine
 
 SERVICE = 'chat'
+ASKS_STATE = turn_messages.TurnEnds(turn_ids=(), asks_state=True)
 LIMITS = routing.EngineLimits(
     max_running=4, adapter_slots=3, models=(fake_engine.MODEL,)
 )
@@ -737,6 +738,51 @@
 
         play(story)
 
+    def test_an_engine_replaced_since_the_last_report_has_ended(self):
+        """Guards against half an answer that passes for the whole."""
+
+        async def story(scene):
+            scene.engine.restart('i-2')
+            scene.engine.models.add(fake_engine.MODEL)
+            reply = await scene.controller.end_turns(ASKS_STATE)
+            assert reply.is_known
+            assert reply.backend_server == 'i-2'
+            await asyncio.sleep(0.5)
+            assert scene.controller.view.backend_server == 'i-2'
+
+        play(story)
+
+    def test_a_new_connection_alone_proves_no_start(self):
+        """Guards against taking what accepts it for the known start."""
+
+        async def story(scene):
+            scene.engine.is_connection_new = True
+            scene.engine.names_silent = True
+            reply = await scene.controller.end_turns(ASKS_STATE)
+            assert not reply.is_known
+            scene.engine.names_silent = False
+            reply = await scene.controller.end_turns(ASKS_STATE)
+            assert reply.is_known and reply.is_running
+
+        play(story)
+
+    @pytest.mark.parametrize('started_at_ms', [0, 2000])
+    def test_a_confirmed_connection_is_not_asked_again(self, started_at_ms):
+        """Guards against a health check for each answer that ends."""
+
+        async def story(scene):
+            scene.engine.restart('i-2', started_at_ms)
+            scene.engine.models.add(fake_engine.MODEL)
+            await scene.controller.end_turns(ASKS_STATE)
+            await asyncio.sleep(0.5)
+            count = scene.engine.name_count
+            for _ in range(5):
+                reply = await scene.controller.end_turns(ASKS_STATE)
+                assert reply.is_known and reply.is_running
+            assert scene.engine.name_count == count
+
+        play(story)
+
     def test_engine_is_not_polled_without_request(self):
         async def story(scene):
             reply = await scene.controller.end_turns(
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -167,6 +167,24 @@
         assert counts == [2]
 
 
+class TestReports:
+    async def test_say_whether_their_connection_is_new(self):
+        """Guards against a start after a crash that passes for the first."""
+        server = Server()
+        listening = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        port = listening.sockets[0].getsockname()[1]
+        async with listening, single_sending.new_session() as session:
+            client = new_engine_client(session, f'http://127.0.0.1:{port}')
+            found = [await client.report() for _ in range(3)]
+            server.answer = b''
+            with pytest.raises(errors.PlatformError):
+                await client.report()
+            server.answer = OK
+            found += [await client.report() for _ in range(2)]
+        are_new = [report.is_on_new_connection for report in found]
+        assert are_new == [True, False, False, True, False]
+
+
 class TestRedirects:
     @pytest.mark.parametrize('call', READS + SENT_ONCE)
     @pytest.mark.parametrize('status', [302, 307])
