A crash of the stand-in ends idle connections as well

`crash` says that it ends all open connections, and ended those with a request in progress. A connection that was opened before the crash and used after it was answered by the start after it, which no process can do.

--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -180,6 +180,7 @@
         self._exits.callback(listener.stop)
         await listener.start()
         part.stop_listening = listener.stop
+        part.open_transports = listener.open_transports
         return f'{ip}:{listener.port}'
 
     async def bring_up(self, server):
@@ -256,6 +257,12 @@
     def stop(self):
         self._server.close()
 
+    def open_transports(self):
+        """Return the open connections, also those without a request."""
+        handlers = self._protocol_factory.connections
+        found = [handler.transport for handler in handlers]
+        return [transport for transport in found if transport is not None]
+
 
 def _free_port(ip):
     with socket.socket() as found:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -168,6 +168,9 @@
         self.is_down = False
         # Stops to accept connections; set where it is served.
         self.stop_listening = lambda: None
+        # Returns the open connections, also idle ones; set where it is
+        # served.
+        self.open_transports = lambda: ()
         # Connections of the requests in progress.
         self._transports = set()
         # Set while it writes; what it has to say waits otherwise.
@@ -186,7 +189,8 @@
         self.crashes.count += 1
         self.is_down = True
         self.stop_listening()
-        standin_crashes.close_all(self._transports, is_in_order)
+        transports = self._transports.union(self.open_transports())
+        standin_crashes.close_all(transports, is_in_order)
         if self.crashes.on_crash:
             self.crashes.on_crash(self)
 
