The store is read on connections that answered just now

What callers saw: 404 on a route that their entry had to know. The entry's connection to the store went silent, without a reset, while the entry waited for further changes of the list (1.1 s). It watched again on that connection, and the watch timed out 2.7 s later: 3.8 s after the silence, though it counts as connected after 3 s.

Cause: the bound of 2.7 s (a watch and its time-out) was counted from the next read, not from the last answer, so that the pause came on top.

Why this works: a connection that was idle for over 0.1 s since its last answer is dialed anew, so that a silence is at most 0.1 s older than the read that meets it. Watches that follow each other keep theirs.

--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -16,7 +16,6 @@
 from lacewingpitch import control_client
 from lacewingpitch import draining
 from lacewingpitch import ejection
-from lacewingpitch import guarded_connection
 from lacewingpitch import link
 from lacewingpitch import metrics_server
 from lacewingpitch import notice_router
@@ -47,7 +46,6 @@
 from lacewingpitch import service_budgets
 from lacewingpitch import settings as product_settings
 from lacewingpitch import sidecar_reporter
-from lacewingpitch import single_sending
 from lacewingpitch import stall_costs as stall_costs_module
 from lacewingpitch import startup_grace
 from lacewingpitch import suspect_sync
@@ -456,9 +454,7 @@
         self, exchange: configuration_exchange.ConfigurationExchange
     ) -> store_module.Store:
         session = await self._process.exits.enter_async_context(
-            single_sending.new_session(
-                connector=guarded_connection.new_connector()
-            )
+            store_module.new_session()
         )
         store = store_module.Store(
             session, settings_module.url_of(self._file.settings.store)
--- a/lacewingpitch/platform/prefix_watcher.py
+++ b/lacewingpitch/platform/prefix_watcher.py
@@ -20,7 +20,8 @@
 # Each watch that ends without changes costs a call.  A dead connection is
 # detected only when the watch times out.  What was published in the meantime
 # must be in force once the instance counts as connected again, 3 s later, so
-# that a watch and its timeout together must take less than that.
+# that the idle time of a connection, a watch and its timeout together must
+# take less than that.
 _MAX_WATCH_S = 1.9
 # The store may cut a watch that waits.  A connection that breaks sooner was
 # refused.
--- a/lacewingpitch/platform/store.py
+++ b/lacewingpitch/platform/store.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from lacewingpitch import errors
+from lacewingpitch import guarded_connection
 from lacewingpitch.platform import names
 from lacewingpitch import platform_call
 from lacewingpitch import single_sending
@@ -20,6 +21,9 @@
 # Longest time without a byte.  Even a slow store answers within it, so that
 # a longer silence means that the response is lost.
 _READ_TIMEOUT_S = 0.8
+# Longest time from an answer to the next read on the same connection.  After
+# a longer pause the read dials anew.
+_MAX_IDLE_S = 0.1
 # Allowed on top of the wait; a long list takes seconds over a slow link.
 _MAX_TRANSFER_S = 20.0
 MAX_RESPONSE_BYTES = 8 << 20
@@ -75,6 +79,20 @@
     """The store is up, and rejected a read."""
 
 
+def new_session() -> aiohttp.ClientSession:
+    """Return a session that reads on connections that answered just now.
+
+    A silent connection shows only by the time-out of a read.  If it could
+    have been silent since long before the read, the pause between the reads
+    would add to the time-out.
+    """
+    return single_sending.new_session(
+        connector=guarded_connection.new_connector(
+            keepalive_timeout=_MAX_IDLE_S
+        )
+    )
+
+
 class Store:
     """Reads the store over HTTP.
 
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -70,7 +70,8 @@
 
     `parts` are the optional parts that its programs have on.  With
     `is_relayed`, each part of the stand-in and each entry is reached
-    through a relay; `relays` holds them by name.
+    through a relay; `relays` holds them by name.  `bounds` replaces some of
+    the platform's bounds.
     """
 
     def __init__(
@@ -80,8 +81,10 @@
         is_relayed=False,
         tenants=None,
         parts=(),
+        bounds=None,
     ):
         self.copies_runs = bool(parts)
+        self._bounds = bounds or {}
         self._folder = folder
         self._parts = parts
         self._tenants = tenants
@@ -189,6 +192,7 @@
 
     async def _start(self, role, ip, ports, settings):
         fields = standin.fields_of(role, ip, ports, settings, self._entry_ips)
+        fields['bounds'].update(self._bounds)
         program = Program(role, fields, self._folder, self._parts)
         await program.start()
         self.programs.append(program)
