Targets of requests reach backend servers as they were sent

What callers saw: `/x?` arrived at the backend server as `/x`, and `/x?a#b` as `/x?a`: other requests than they had sent, to the server's eyes.

Cause: the URL was parsed from text, and the URL library keeps neither an empty query nor a fragment for the request line, though it was told that the text is encoded already.

Why this works: the target is handed over whole, as the path of a URL that is built and not parsed (`request_target`), and the HTTP library sends a path as it is. Nothing else of the URL changes.

Evidence: `test_request_target` plays nine targets from the caller's bytes to the entry, and from the client to the bytes at a server.

The same cause elsewhere: the client of plain services in the product's own mode (`plain_service`) also resolves dot segments and rewrites escapes; it is left as it is, since test_edges asks for rewritten escapes there. Paths that this process makes up itself (reports, copies of runs) have no query.

--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -8,7 +8,6 @@
 
 import aiohttp
 import structlog
-import yarl
 
 from lacewingpitch import answer_framing
 from lacewingpitch import backend_call
@@ -16,6 +15,7 @@
 from lacewingpitch import guarded_connection
 from lacewingpitch.platform import names
 from lacewingpitch.platform import notices
+from lacewingpitch import request_target
 from lacewingpitch import session_pool
 from lacewingpitch import single_sending
 
@@ -136,9 +136,7 @@
     ) -> aiohttp.ClientResponse:
         request = call.request
         server = call.server
-        url = yarl.URL(
-            f'http://{server.ip}:{server.port}{request.target}', encoded=True
-        )
+        url = request_target.url(f'{server.ip}:{server.port}', request.target)
         trace = single_sending.SendingTrace(lambda: self._gate.admit(call))
         try:
             return await session.request(
