A sidecar believes an engine whose start time goes back, after 8 s

What callers saw: no turn at an engine, for good, once its host's clock had been set back and it had restarted (or an older host had taken its place).

Cause: the sidecar took the highest start that it had attached to for the newest, and refused each report of a lower one as late. Entries did the same with the start in a sidecar's reply, and ignored its hints. Entries of the list have been believed after 8 s without the newer start.

Why this works: all three ask `ServerStarts`, the decision of the list. A late report comes within 8 s of the newer start's last one and is still refused; a start that alone goes on reporting is believed. It then counts as a restart, so that its counts, loads and turns start over.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -356,14 +356,14 @@
             return True
         if started_at_ms == server.started_at_ms:
             return True
-        if started_at_ms < server.started_at_ms:
+        if not self._starts.accept(name, started_at_ms):
             return False
-        self._starts.accept(name, started_at_ms)
         self._servers[name] = dataclasses.replace(
             server, started_at_ms=started_at_ms, adapters={}
         )
         self._by_service.clear()
-        self._unplanned_ends.on_next(server)
+        if started_at_ms > server.started_at_ms:
+            self._unplanned_ends.on_next(server)
         self._announce_restart(self._servers[name])
         return True
 
--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -257,7 +257,7 @@
         polled_at_boot_s = self._clock.boot_s()
         try:
             snapshot = await self._engine.report()
-            if self.view.is_outdated(snapshot):
+            if not self.view.accepts(snapshot):
                 raise errors.PlatformError('the report is of an earlier start')
             if (
                 self.view.contact.is_lost
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -14,6 +14,7 @@
 from lacewingpitch import errors
 from lacewingpitch import fence as fence_module
 from lacewingpitch import patient_orders
+from lacewingpitch import server_starts
 
 # A restarting engine loads its base model from its own disk.
 _EXPECTED_START_S = 1.5
@@ -31,6 +32,8 @@
 _UNLOAD_TIMEOUT_S = 3.0
 _ORDER_ATTEMPTS = 4
 _ORDER_RETRY_DELAY_S = 0.05
+# Name of the engine among the starts; there is one engine.
+_ENGINE = 'engine'
 log = structlog.get_logger(__name__)
 
 
@@ -56,6 +59,7 @@
         self.contact = engine_contact.EngineContact(clock)
         # When a report first showed no model; None while there is one.
         self._without_model_since_s: float | None = None
+        self._starts = server_starts.ServerStarts(clock)
         self._unconfirmed_orders = engine_orders.UnconfirmedOrders()
         self._report_received = asyncio.Event()
         # The engine's incarnation; empty if unknown.
@@ -91,7 +95,8 @@
         if previous is None:
             return False
         if snapshot.started_at_ms != previous.started_at_ms:
-            return snapshot.started_at_ms > previous.started_at_ms
+            # Also an earlier one: the clock of its host may go back.
+            return True
         return snapshot.order_count < previous.order_count
 
     def may_be_replaced(
@@ -113,9 +118,12 @@
         self._is_order_misdirected = False
         self.contact.record_attached()
 
-    def is_outdated(self, snapshot: engine_snapshot.EngineSnapshot) -> bool:
-        """Whether a report is of an earlier start than the known one."""
-        return snapshot.started_at_ms < self.started_at_ms
+    def accepts(self, snapshot: engine_snapshot.EngineSnapshot) -> bool:
+        """Return whether a report that was just read is to be believed.
+
+        Late reports of an earlier start are not.
+        """
+        return self._starts.accept(_ENGINE, snapshot.started_at_ms)
 
     @property
     def is_serving(self) -> bool:
--- a/lacewingpitch/server_starts.py
+++ b/lacewingpitch/server_starts.py
@@ -25,8 +25,9 @@
 
     An entry of an earlier start is usually one that was written before a
     restart and arrives late.  But an entry of another writer may name any
-    start.  The server then goes on to write its own entries, with a start
-    that seems to be an earlier one.
+    start, and the clock of a host may go back.  The server then goes on to
+    write its own entries, with a start that seems to be an earlier one.  The
+    same holds for reports of an engine.
     """
 
     def __init__(self, clock: clock_module.Clock) -> None:
@@ -34,12 +35,12 @@
         self._newest: dict[str, _Newest] = {}
 
     def accept(self, name: str, started_at_ms: int) -> bool:
-        """Return whether an entry of a start is to be believed.
+        """Return whether an entry or report of a start is to be believed.
 
         Parameters
         ----------
         name
-            Name of the server; its entry was just read.
+            Name of the server; its entry or report was just read.
         """
         now_s = self._clock.monotonic_s()
         newest = self._newest.get(name)
--- a/tests/test_backend_list.py
+++ b/tests/test_backend_list.py
@@ -126,6 +126,21 @@
         servers.put(server('a', started_at_ms=1000, adapters={'m/x': 1}))
         assert servers.get('a').started_at_ms == 2000
 
+    def test_a_report_of_the_sidecar_corrects_a_start(
+        self, servers, restarted, clock
+    ):
+        """Guards against hints of an engine that are ignored for good.
+
+        The clock of its host was set back before it restarted.
+        """
+        assert servers.record_start('a', 9000)
+        clock.now_s += 7.0
+        assert not servers.record_start('a', 2000)
+        clock.now_s += 2.0
+        assert servers.record_start('a', 2000)
+        assert servers.get('a').started_at_ms == 2000
+        assert restarted == ['a', 'a']
+
     def test_an_unlisted_server_keeps_its_start(self, servers, restarted):
         servers.remove('a')
         servers.put(server('a', started_at_ms=900))
--- a/tests/test_engine_controller.py
+++ b/tests/test_engine_controller.py
@@ -655,6 +655,46 @@
 
         play(story)
 
+    def test_a_start_whose_clock_went_back_serves(self):
+        """Guards against an engine that is ignored for good.
+
+        The clock of its host was set back before it restarted.
+        """
+
+        async def story(scene):
+            scene.engine.restart('i-1', started_at_ms=2000)
+            scene.engine.models.add(fake_engine.MODEL)
+            await asyncio.sleep(0.5)
+            await scene.request_turn('one')
+            scene.engine.restart('i-1', started_at_ms=1000)
+            scene.engine.models.add(fake_engine.MODEL)
+            await asyncio.sleep(7.0)
+            assert scene.controller.view.started_at_ms == 2000
+            await asyncio.sleep(2.0)
+            assert len(scene.controller.granter) == 0
+            reply = await scene.request_turn('two')
+            assert reply.refusal is None
+            assert reply.started_at_ms == 1000
+            assert scene.engine.loads == ['m/a', 'm/a']
+
+        scene = play(story)
+        assert scene.engine.crash_count == 0
+
+    def test_late_reports_do_not_end_a_start_that_goes_on(self):
+        async def story(scene):
+            scene.engine.restart('i-1', started_at_ms=2000)
+            scene.engine.models.add(fake_engine.MODEL)
+            await asyncio.sleep(0.5)
+            for _ in range(5):
+                scene.engine.started_at_ms = 1000
+                await asyncio.sleep(2.0)
+                scene.engine.started_at_ms = 2000
+                await asyncio.sleep(1.0)
+                assert scene.controller.view.started_at_ms == 2000
+            assert (await scene.request_turn('one')).refusal is None
+
+        play(story)
+
     def test_fencing_works_after_the_restart(self):
         """Guards against a restarted engine that refuses all orders."""
 
