An answer that nobody asked for is not taken for that of a later request

What callers saw, proven by a run against the product's sessions: after one extra answer of a server, the next request on the connection got it, and each later one the answer to the request before. So a sidecar's reports and order answers shifted, as they name no request, and so did reads of the store. A part of an answer (1 or 20 bytes) failed the next request instead.

Cause: the HTTP library closes a connection with unread bytes only if they are there as it is released. What came with the end of a body, between two requests, or lay unread in the kernel as the next request began, stayed.

Why this works: a connection notes a second final answer, and bytes after a whole one, and asks the kernel for unread bytes as it is about to be reused. With any of these it counts as not connected, so that the pool closes it. Interim answers and connections without surplus are reused as before. An extra answer that arrives after the next request was sent can't be told from its answer, unless the answers name their request.

All sessions of the platform's processes share the class: store, sidecar's engine client, backend servers, copies of runs.

Not changed: the product's own mode (`node`) has connections without it.

--- a/lacewingpitch/guarded_connection.py
+++ b/lacewingpitch/guarded_connection.py
@@ -11,6 +11,8 @@
 import aiohttp
 from aiohttp import client_proto
 
+from lacewingpitch import reusable_connection
+
 # Bytes that are parsed between two checks.
 _SLICE_BYTES = 1 << 15
 # Heads of interim answers that came at once, or of answers nobody asked for.
@@ -20,7 +22,7 @@
 _MAX_OVERHEAD_BYTES = 1 << 20
 
 
-class GuardedConnection(client_proto.ResponseHandler):
+class GuardedConnection(reusable_connection.ReusableConnection):
     """Connection that is closed once its server sends too much beside bodies.
 
     Closing it never waits for the server, which may not read the request.
--- /dev/null
+++ b/lacewingpitch/reusable_connection.py
@@ -0,0 +1,91 @@
+"""HTTP client connections that are not reused with unexpected bytes on them.
+
+By itself aiohttp reads what a server wrote after an answer as the answer to
+the next request.  All later answers of the connection are then shifted.
+"""
+
+import asyncio
+import select
+from typing import Any
+
+from aiohttp import client_proto
+from aiohttp import http_parser
+from aiohttp import streams
+import structlog
+
+_MIN_FINAL_STATUS = 200
+log = structlog.get_logger(__name__)
+
+
+class ReusableConnection(client_proto.ResponseHandler):
+    """Connection that is closed, not reused, after more than its answers.
+
+    An answer that arrives after the next request was sent can't be told from
+    the answer to that one.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._has_final_head = False
+        self._has_surplus = False
+
+    def set_response_params(self, **options: Any) -> None:
+        """Begin to read the answer to a request."""
+        self._has_final_head = False
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived, and note what comes after the answer."""
+        if data and self._is_answered:
+            self._record_surplus('unexpected bytes')
+        super().data_received(data)
+
+    def feed_data(
+        self,
+        data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Pass on the head of an answer."""
+        if self._has_final_head:
+            self._record_surplus('second answer')
+        message, _ = data
+        self._has_final_head = message.code >= _MIN_FINAL_STATUS
+        super().feed_data(data, size)
+
+    def is_connected(self) -> bool:
+        """Whether it is connected, and may send another request if idle."""
+        if not super().is_connected() or self._has_surplus:
+            return False
+        if self._is_answered and self._is_readable:
+            self._record_surplus('unread bytes, or closed')
+        return not self._has_surplus
+
+    @property
+    def _is_answered(self) -> bool:
+        """Whether the answer to the last request has arrived whole."""
+        payload = self._payload
+        return (
+            self._has_final_head and payload is not None and payload.is_eof()
+        )
+
+    @property
+    def _is_readable(self) -> bool:
+        """Whether the kernel holds something that the loop hasn't read."""
+        assert self.transport is not None
+        polled = select.poll()
+        polled.register(
+            self.transport.get_extra_info('socket').fileno(), select.POLLIN
+        )
+        return bool(polled.poll(0))
+
+    def _record_surplus(self, reason: str) -> None:
+        if self._has_surplus:
+            return
+        self._has_surplus = True
+        self.force_close()
+        transport = self.transport
+        log.info(
+            'connection not reused',
+            reason=reason,
+            peer=transport and transport.get_extra_info('peername'),
+        )
