--- a/lacewingpitch/engine_controller.py
+++ b/lacewingpitch/engine_controller.py
@@ -260,7 +260,7 @@
         polled_at_boot_s = self._clock.boot_s()
         try:
             snapshot = await self._engine.report()
-            if self.view.is_outdated(snapshot):
+            if not self.view.accepts(snapshot):
                 raise errors.PlatformError('the report is of an earlier start')
             self._incarnation_check.record_report(snapshot)
             if (
