The product's own processes discard connections with surplus, too

An answer of the engine, the service or the configuration service that nobody asked for was read as the answer to a later request in the product's own mode as well: its session had connections of the HTTP library's class.

`reusable_connection` now makes all connectors; `test_http_clients` fails if another place makes one (it would have: `node` and `guarded_connection` did). The report of the command line and the demo's callers keep sessions without a connector; they belong to no process that serves.

--- a/lacewingpitch/guarded_connection.py
+++ b/lacewingpitch/guarded_connection.py
@@ -5,11 +5,9 @@
 """
 
 import asyncio
-import functools
 from typing import Any
 
 import aiohttp
-from aiohttp import client_proto
 
 from lacewingpitch import reusable_connection
 
@@ -86,15 +84,4 @@
 
 def new_connector(**options: Any) -> aiohttp.TCPConnector:
     """Return a connector whose connections are guarded."""
-    connector = aiohttp.TCPConnector(**options)
-    # aiohttp has no other way to set the class of connections.
-    connector._factory = functools.partial(
-        _new_connection, loop=asyncio.get_running_loop()
-    )
-    return connector
-
-
-def _new_connection(
-    loop: asyncio.AbstractEventLoop,
-) -> client_proto.ResponseHandler:
-    return GuardedConnection(loop)
+    return reusable_connection.new_connector(GuardedConnection, **options)
--- a/lacewingpitch/node.py
+++ b/lacewingpitch/node.py
@@ -18,6 +18,7 @@
 from lacewingpitch import live_list
 from lacewingpitch import membership
 from lacewingpitch import published_contracts
+from lacewingpitch import reusable_connection
 from lacewingpitch import settings as settings_module
 from lacewingpitch import single_sending
 
@@ -78,7 +79,7 @@
         async with contextlib.AsyncExitStack() as exits:
             self.session = await exits.enter_async_context(
                 single_sending.new_session(
-                    connector=aiohttp.TCPConnector(limit=0),
+                    connector=reusable_connection.new_connector(limit=0),
                     auto_decompress=False,
                 )
             )
--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import functools
 import select
 from typing import Any
 
+import aiohttp
 from aiohttp import client_proto
 from aiohttp import http_parser
 from aiohttp import streams
@@ -89,3 +91,21 @@
             reason=reason,
             peer=transport and transport.get_extra_info('peername'),
         )
+
+
+def new_connector(
+    kind: type[ReusableConnection] = ReusableConnection, **options: Any
+) -> aiohttp.TCPConnector:
+    """Return a connector with connections of a kind."""
+    connector = aiohttp.TCPConnector(**options)
+    # aiohttp has no other way to set the class of connections.
+    connector._factory = functools.partial(
+        _new_connection, kind, asyncio.get_running_loop()
+    )
+    return connector
+
+
+def _new_connection(
+    kind: type[ReusableConnection], loop: asyncio.AbstractEventLoop
+) -> client_proto.ResponseHandler:
+    return kind(loop)
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -194,6 +194,11 @@
         found = {n for n, c in self.calls() if c.func.attr == 'ClientSession'}
         assert found == {'single_sending.py'}
 
+    def test_connectors_are_made_in_one_place(self):
+        """Guards against clients that read what nobody asked for."""
+        found = {n for n, c in self.calls() if c.func.attr == 'TCPConnector'}
+        assert found == {'reusable_connection.py'}
+
     def test_no_request_follows_redirects(self):
         found = [
             name
