Of two owners that lists of different ages name, one grants a limit

Cause: an entry asks the first sidecar of its own list, and each owner grants from a bucket of its own to whoever asks. Nothing told an owner that the limit had moved. Fix: an owner holds a limit by the position of a list, which requests state. A process that does not hold it has the entry ask the owners before to cede it; one that has ceded refers entries with older lists to its successor, and one that was asked by a list as new does not cede.

--- a/benchmarks/usage.py
+++ b/benchmarks/usage.py
@@ -17,6 +17,7 @@
 
 from benchmarks import virtual_time
 from lacewingpitch import errors
+from lacewingpitch import limit_tenure
 from lacewingpitch import organisation
 from lacewingpitch import token_bucket
 from lacewingpitch import usage_lease
@@ -62,6 +63,15 @@
     def mark_unresponsive(self, _ip):
         pass
 
+    def claim(self, _name):
+        return limit_tenure.Claim()
+
+    def previous_owners(self, _name):
+        return frozenset()
+
+    def record_owner(self, name, ip, position):
+        raise AssertionError(f'{name} has one owner')
+
 
 class EqualShare:
     """Each entry admits the same share of the limit."""
--- a/lacewingpitch/leased_usage.py
+++ b/lacewingpitch/leased_usage.py
@@ -4,6 +4,7 @@
 import math
 
 from lacewingpitch import clock as clock_module
+from lacewingpitch import limit_tenure
 from lacewingpitch import organisation
 from lacewingpitch import token_bucket
 from lacewingpitch import usage_lease
@@ -105,13 +106,20 @@
             self._expires_at_s = now_s + usage_lease.LEASE_S
         self._level += cost
 
-    def want(self, name: str, costs: Sequence[float]) -> usage_lease.UsageWant:
+    def want(
+        self,
+        name: str,
+        costs: Sequence[float],
+        claim: limit_tenure.Claim,
+    ) -> usage_lease.UsageWant:
         """Return the message for the owner, which returns the lease.
 
         Parameters
         ----------
         costs
             Units needed by each waiting request, in the order of arrival.
+        claim
+            By which list the receiver is the owner.
         """
         now_s = self._clock.boot_s()
         self._record_used(0.0, now_s)
@@ -126,6 +134,20 @@
             ahead=self._used_per_s * _LEASE_AHEAD_S,
             unused=unused,
             used_per_s=self._used_per_s,
+            claim=claim,
+        )
+
+    def cession(
+        self, name: str, claim: limit_tenure.Claim
+    ) -> usage_lease.UsageWant:
+        """Return the message that asks an owner before to cede the limit."""
+        return usage_lease.UsageWant(
+            organisation=name,
+            rate_per_s=self._limit.rate_per_s,
+            burst=self._limit.burst,
+            costs=(),
+            ahead=0.0,
+            claim=claim,
         )
 
     def apply(
--- a/lacewingpitch/server_limits.py
+++ b/lacewingpitch/server_limits.py
@@ -14,6 +14,7 @@
 from lacewingpitch import limit_news
 from lacewingpitch import limit_share
 from lacewingpitch import named_limit
+from lacewingpitch import permit_client
 from lacewingpitch import return_times
 from lacewingpitch import server_permits
 from lacewingpitch import sidecar_reporter
@@ -23,14 +24,11 @@
 # Few servers name a limit at the same time.
 _MAX_SERVERS = 1024
 _REPORT_TIMEOUT_S = 1.0
-_PERMIT_TIMEOUT_S = 0.25
-# Time for which an owner that didn't answer is not asked again.
-_UNRESPONSIVE_S = 1.0
 _MS_PER_S = 1000
 log = structlog.get_logger(__name__)
 
 
-class SidecarLink(Protocol):
+class SidecarLink(permit_client.PermitLink, Protocol):
     """Messages to sidecars."""
 
     async def report_limit(
@@ -39,24 +37,6 @@
         """Tell a sidecar whether an answer of its engine names a limit."""
         ...
 
-    async def request_permit(
-        self, ip: str, message: server_permits.PermitRequest, timeout_s: float
-    ) -> server_permits.PermitReply:
-        """Request a permit to send to a server from its owner."""
-        ...
-
-
-class Owners(Protocol):
-    """Finds the sidecars that own limits."""
-
-    def owner(self, name: str) -> str:
-        """Return the owner's address; empty if there is no owner."""
-        ...
-
-    def mark_unresponsive(self, ip: str) -> None:
-        """Record that a process did not answer."""
-        ...
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Parts:
@@ -135,7 +115,7 @@
         self,
         instance: str,
         link: SidecarLink,
-        owners: Owners,
+        owners: permit_client.Owners,
         servers: Callable[[], Iterable[backend_list.BackendServer]],
         has_sidecar: Callable[[str], bool],
         entry_count: Callable[[], int],
@@ -145,9 +125,10 @@
     ) -> None:
         self._instance = instance
         self._link = link
-        self._owners = owners
+        self._permits = permit_client.PermitClient(
+            instance, link, owners, clock
+        )
         self._servers = servers
-        self._unresponsive_until_s: dict[str, float] = {}
         self._has_sidecar = has_sidecar
         self._entry_count = entry_count
         self._clock = clock
@@ -269,34 +250,9 @@
         self, server: backend_list.BackendServer, limit: _ServerLimit
     ) -> server_permits.PermitReply | None:
         """Request a permit; return ``None`` if no owner answers."""
-        owner = self._owners.owner(server.start_id)
-        now_s = self._clock.boot_s()
-        if not owner or now_s < self._unresponsive_until_s.get(owner, 0.0):
-            return None
         rate_per_s = max(turn_pacer.MIN_RATE_PER_S, limit.named.per_s or 0.0)
-        message = server_permits.PermitRequest(
-            entry=self._instance,
-            server_start_id=server.start_id,
-            per_s=self._parts(server).permitted_ratio * rate_per_s,
-        )
-        try:
-            return await self._link.request_permit(
-                owner, message, _PERMIT_TIMEOUT_S
-            )
-        except errors.LinkError as error:
-            self._owners.mark_unresponsive(owner)
-            if len(self._unresponsive_until_s) >= _MAX_SERVERS:
-                self._unresponsive_until_s.clear()
-            self._unresponsive_until_s[owner] = (
-                self._clock.boot_s() + _UNRESPONSIVE_S
-            )
-            log.warning(
-                'server limit owner unreachable',
-                ip=owner,
-                backend_server=server.name,
-                error=str(error),
-            )
-            return None
+        ratio = self._parts(server).permitted_ratio
+        return await self._permits.request(server, ratio * rate_per_s)
 
     def _record(
         self,
--- a/lacewingpitch/server_permits.py
+++ b/lacewingpitch/server_permits.py
@@ -10,6 +10,7 @@
 import random
 
 from lacewingpitch import clock as clock_module
+from lacewingpitch import limit_tenure
 from lacewingpitch import link
 from lacewingpitch import return_times
 from lacewingpitch import token_bucket
@@ -21,6 +22,8 @@
 # An entry that asks a little before its time does not have to wait again.
 _GRANT_LEVEL = 0.9
 _MS_PER_S = 1000
+# For entries that don't read the denial.
+_DENIED_WAIT_MS = 1000
 
 
 class PermitRequest(link.Message, frozen=True):
@@ -33,11 +36,14 @@
     per_s
         Permits per second to grant to all entries together, as the entry
         knows the limit.
+    claim
+        By which list the receiver is the owner of the limit.
     """
 
     entry: str
     server_start_id: str
     per_s: float
+    claim: limit_tenure.Claim = limit_tenure.Claim()
 
 
 class PermitReply(link.Message, frozen=True):
@@ -48,9 +54,12 @@
     wait_ms
         When to ask again; 0 if the permit is granted.  Each entry that is
         refused gets a time of its own.
+    denial
+        Why the process grants no permits of that server now.
     """
 
     wait_ms: int = 0
+    denial: limit_tenure.Denial | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,6 +88,7 @@
         self._clock = clock
         self._random = source
         self._started_at_s = clock.monotonic_s()
+        self._tenures = limit_tenure.Tenures()
         self._permits: collections.OrderedDict[str, _Permits] = (
             collections.OrderedDict()
         )
@@ -88,6 +98,13 @@
 
     async def answer(self, request: PermitRequest) -> PermitReply:
         """Answer the message of an entry."""
+        name, claim = request.server_start_id, request.claim
+        if claim.successor:
+            denial = self._tenures.cede(name, claim)
+            return PermitReply(wait_ms=_DENIED_WAIT_MS, denial=denial)
+        denial = self._tenures.check(name, claim)
+        if denial is not None:
+            return PermitReply(wait_ms=_DENIED_WAIT_MS, denial=denial)
         return self.grant(request)
 
     def grant(self, request: PermitRequest) -> PermitReply:
--- a/lacewingpitch/usage_lease.py
+++ b/lacewingpitch/usage_lease.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from lacewingpitch import clock as clock_module
+from lacewingpitch import limit_tenure
 from lacewingpitch import link
 from lacewingpitch import token_bucket
 
@@ -42,6 +43,8 @@
         Units leased before and returned now.
     used_per_s
         Moving average of the units that the entry uses.
+    claim
+        By which list the receiver is the owner of the limit.
     """
 
     organisation: str
@@ -51,6 +54,7 @@
     ahead: float
     unused: float = 0.0
     used_per_s: float = 0.0
+    claim: limit_tenure.Claim = limit_tenure.Claim()
 
 
 class UsageAsk(link.Message, frozen=True):
@@ -84,6 +88,8 @@
     unreached_per_s
         Units per second that the entry may use while the owner is
         unreachable.
+    denial
+        Why the process grants nothing of that limit now.
     """
 
     organisation: str
@@ -91,6 +97,7 @@
     ahead: float = 0.0
     left: float = 0.0
     unreached_per_s: float = 0.0
+    denial: limit_tenure.Denial | None = None
 
 
 class UsageReply(link.Message, frozen=True):
@@ -130,6 +137,7 @@
         self._clock = clock
         self._started_at_s = clock.boot_s()
         self._limits: dict[str, _Limit] = {}
+        self._tenures = limit_tenure.Tenures()
 
     def __len__(self) -> int:
         return len(self._limits)
@@ -137,7 +145,30 @@
     async def grant(self, ask: UsageAsk) -> UsageReply:
         """Grant the available part of what is asked for."""
         return UsageReply(
-            grants=tuple(self._grant(ask, want) for want in ask.wants)
+            grants=tuple(self._answer(ask, want) for want in ask.wants)
+        )
+
+    def _answer(self, ask: UsageAsk, want: UsageWant) -> UsageGrant:
+        if want.claim.successor:
+            return self._cede(want)
+        denial = self._tenures.check(want.organisation, want.claim)
+        if denial is None:
+            return self._grant(ask, want)
+        # For entries that don't read the denial, it is a refusal.
+        return UsageGrant(
+            organisation=want.organisation,
+            admitted=(False,) * len(want.costs),
+            denial=denial,
+        )
+
+    def _cede(self, want: UsageWant) -> UsageGrant:
+        denial = self._tenures.cede(want.organisation, want.claim)
+        limit = self._limits.get(want.organisation)
+        left = want.burst
+        if limit is not None:
+            left = limit.bucket.level(self._clock.boot_s())
+        return UsageGrant(
+            organisation=want.organisation, left=left, denial=denial
         )
 
     def _grant(self, ask: UsageAsk, want: UsageWant) -> UsageGrant:
@@ -176,6 +207,10 @@
         elif ask.version > limit.version:
             limit.version = ask.version
             limit.bucket.change(want.rate_per_s, want.burst, now_s)
+        if want.claim.level is not None:
+            # What the owner before has granted is not granted again.
+            excess = limit.bucket.level(now_s) - want.claim.level
+            limit.bucket.add(-max(0.0, excess), now_s)
         limit.asked_at_s = now_s
         return limit
 
--- a/lacewingpitch/usage_limits.py
+++ b/lacewingpitch/usage_limits.py
@@ -12,7 +12,10 @@
 from lacewingpitch import clock as clock_module
 from lacewingpitch import errors
 from lacewingpitch import leased_usage
+from lacewingpitch import limit_cession
+from lacewingpitch import limit_tenure
 from lacewingpitch import organisation as organisation_module
+from lacewingpitch import usage_account
 from lacewingpitch import usage_lease
 
 # Far longer than a round trip.  After it, waiting requests use the fallback
@@ -21,8 +24,6 @@
 # Time for which an owner that didn't answer is not asked again.
 _UNRESPONSIVE_S = 1.0
 _MAX_ACCOUNTS = 4096
-# Limits the requests of an organisation in one message.
-_MAX_COSTS_PER_WANT = 64
 # Callers that retry all at once would find the limit used up again.
 _MIN_RETRY_S = 0.1
 _MS_PER_S = 1000
@@ -41,37 +42,14 @@
         ...
 
 
-class Owners(Protocol):
+class Owners(limit_cession.Owners, Protocol):
     """Finds the owners of limits."""
 
-    def owner(self, organisation: str) -> str:
-        """Return the owner's address; empty if there is no owner."""
-        ...
-
     def mark_unresponsive(self, ip: str) -> None:
         """Record that a process did not answer."""
         ...
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiter:
-    """A request that waits for a lease."""
-
-    cost: float
-    done: asyncio.Future[None]
-
-
-@dataclasses.dataclass(slots=True)
-class _Account:
-    """The state of one organisation's limit at an entry."""
-
-    name: str
-    leased: leased_usage.LeasedUsage
-    waiters: collections.deque[_Waiter] = dataclasses.field(
-        default_factory=collections.deque
-    )
-
-
 @dataclasses.dataclass(slots=True)
 class _OwnerState:
     """Outstanding requests to one owner, and whether it answers."""
@@ -120,7 +98,8 @@
         self._clock = clock
         self._version = version
         self._entry_count = entry_count
-        self._accounts: dict[str, _Account] = {}
+        self._cessions = limit_cession.Cessions(owners)
+        self._accounts: dict[str, usage_account.Account] = {}
         self._states: dict[str, _OwnerState] = collections.defaultdict(
             _OwnerState
         )
@@ -169,11 +148,11 @@
 
     def _account(
         self, name: str, limit: organisation_module.UsageLimit
-    ) -> _Account:
+    ) -> usage_account.Account:
         found = self._accounts.get(name)
         if found is None:
             self._evict_idle()
-            found = _Account(
+            found = usage_account.Account(
                 name,
                 leased_usage.LeasedUsage(
                     limit, self._entry_count(), self._clock
@@ -191,7 +170,9 @@
             if account.leased.is_idle and not account.waiters:
                 del self._accounts[name]
 
-    async def _spend(self, account: _Account, cost: float) -> None:
+    async def _spend(
+        self, account: usage_account.Account, cost: float
+    ) -> None:
         leased = account.leased
         # A later request must not use a lease that earlier ones wait for.
         if not account.waiters and leased.spend(cost):
@@ -199,27 +180,42 @@
         owner_wait_s = leased.owner_wait_s(cost)
         if owner_wait_s:
             raise _limit_refusal(account, owner_wait_s)
-        owner = self._owners.owner(account.name)
-        state = self._states[owner]
-        is_unresponsive = (
-            self._clock.monotonic_s() < state.unresponsive_until_s
-        )
-        if owner and not is_unresponsive:
-            waiter = _Waiter(cost, asyncio.get_running_loop().create_future())
-            account.waiters.append(waiter)
-            state.due.add(account.name)
-            if state.task is None or state.task.done():
-                state.task = asyncio.create_task(
-                    self._send_due_wants(owner, state)
-                )
+        owner = self._answering_owner(account.name)
+        if owner:
+            waiter = account.add_waiter(cost)
+            self._ask(owner, account)
             await waiter.done
             return
         refusal = self._spend_fallback(account, cost)
         if refusal is not None:
             raise refusal
 
+    def _answering_owner(self, name: str) -> str:
+        """Return the owner's address; empty if none can be asked now."""
+        owner = self._owners.owner(name)
+        until_s = self._states[owner].unresponsive_until_s
+        return '' if self._clock.monotonic_s() < until_s else owner
+
+    def _ask(self, owner: str, account: usage_account.Account) -> None:
+        state = self._states[owner]
+        state.due.add(account.name)
+        if state.task is None or state.task.done():
+            state.task = asyncio.create_task(
+                self._send_due_wants(owner, state)
+            )
+
+    def _ask_again(self, account: usage_account.Account) -> None:
+        """Ask for the requests that still wait, or use the fallback."""
+        if not account.waiters:
+            return
+        owner = self._answering_owner(account.name)
+        if owner:
+            self._ask(owner, account)
+            return
+        self._resolve_waiters(account, [None] * len(account.waiters))
+
     def _spend_fallback(
-        self, account: _Account, cost: float
+        self, account: usage_account.Account, cost: float
     ) -> errors.RefusalError | None:
         """Use units of the fallback; return a refusal if it has none."""
         self.unreached_count += 1
@@ -229,21 +225,20 @@
 
     async def _send_due_wants(self, owner: str, state: _OwnerState) -> None:
         """Send the due wants to one owner, one message at a time."""
-        asked: list[_Account] = []
+        asked: list[usage_account.Account] = []
         try:
             while state.due:
                 asked = self._take_due(state)
                 await self._send_and_apply(owner, state, asked)
                 for account in asked:
-                    if account.waiters:
-                        state.due.add(account.name)
+                    self._ask_again(account)
         except BaseException:
             # No other task would resolve them.
             for account in (*asked, *self._take_due(state)):
                 self._resolve_waiters(account, [None] * len(account.waiters))
             raise
 
-    def _take_due(self, state: _OwnerState) -> list[_Account]:
+    def _take_due(self, state: _OwnerState) -> list[usage_account.Account]:
         """Return the accounts that are due, and expect no further message."""
         # Another owner may have resolved the waiting requests of an account
         # since, so that it was evicted.
@@ -254,32 +249,21 @@
         return due
 
     async def _send_and_apply(
-        self, owner: str, state: _OwnerState, accounts: list[_Account]
+        self,
+        owner: str,
+        state: _OwnerState,
+        accounts: list[usage_account.Account],
     ) -> None:
         # Requests that arrive during the exchange go with the next message.
-        costs_asked = [
-            [waiter.cost for waiter in account.waiters][:_MAX_COSTS_PER_WANT]
-            for account in accounts
-        ]
+        costs_asked = [account.costs() for account in accounts]
         wants = tuple(
-            account.leased.want(account.name, costs)
+            account.want(costs, self._owners.claim(account.name))
             for account, costs in zip(accounts, costs_asked, strict=True)
         )
-        self._sequence += 1
-        self.ask_count += 1
-        message = usage_lease.UsageAsk(
-            entry=self._instance,
-            sequence=self._sequence,
-            version=self._version(),
-            wants=wants,
-        )
         asked_at_s = self._clock.boot_s()
         grants: dict[str, usage_lease.UsageGrant] = {}
         try:
-            reply = await self._link.request_usage(
-                owner, message, _ASK_TIMEOUT_S
-            )
-            grants = {grant.organisation: grant for grant in reply.grants}
+            grants = await self._send(owner, wants)
         except errors.LinkError as error:
             self._mark_unresponsive(state)
             self._owners.mark_unresponsive(owner)
@@ -289,20 +273,69 @@
         except Exception:
             self._mark_unresponsive(state)
             log.exception('usage limit owner not asked', ip=owner)
+        denied: list[tuple[usage_account.Account, limit_tenure.Denial]] = []
         for account, costs in zip(accounts, costs_asked, strict=True):
             grant = grants.get(account.name)
             if grant is None:
                 self._resolve_waiters(account, [None] * len(costs))
                 continue
+            if grant.denial is not None:
+                denied.append((account, grant.denial))
+                continue
+            account.denied_count = 0
             account.leased.apply(grant, costs, asked_at_s)
             self._resolve_waiters(account, grant.admitted)
+        await asyncio.gather(
+            *(self._follow(owner, account, d) for account, d in denied)
+        )
+
+    async def _send(
+        self, ip: str, wants: tuple[usage_lease.UsageWant, ...]
+    ) -> dict[str, usage_lease.UsageGrant]:
+        """Return the grants of an owner, by organisation."""
+        self._sequence += 1
+        self.ask_count += 1
+        message = usage_lease.UsageAsk(
+            entry=self._instance,
+            sequence=self._sequence,
+            version=self._version(),
+            wants=wants,
+        )
+        reply = await self._link.request_usage(ip, message, _ASK_TIMEOUT_S)
+        return {grant.organisation: grant for grant in reply.grants}
+
+    async def _follow(
+        self,
+        owner: str,
+        account: usage_account.Account,
+        denial: limit_tenure.Denial,
+    ) -> None:
+        """Do what a denial asks for, so that the owner can be asked."""
+
+        async def cede(
+            ip: str, claim: limit_tenure.Claim
+        ) -> limit_cession.Ceded:
+            want = account.leased.cession(account.name, claim)
+            grants = await self._send(ip, (want,))
+            grant = grants.get(account.name)
+            if grant is None:
+                return limit_cession.Ceded(None)
+            return limit_cession.Ceded(grant.denial, grant.left)
+
+        if not account.record_denial():
+            log.warning('usage limit owner unsettled', limit=account.name)
+            self._resolve_waiters(account, [None] * len(account.waiters))
+            return
+        account.claim = await self._cessions.follow(
+            account.name, owner, denial, cede
+        )
 
     def _mark_unresponsive(self, state: _OwnerState) -> None:
         now_s = self._clock.monotonic_s()
         state.unresponsive_until_s = now_s + _UNRESPONSIVE_S
 
     def _resolve_waiters(
-        self, account: _Account, admitted: Sequence[bool | None]
+        self, account: usage_account.Account, admitted: Sequence[bool | None]
     ) -> None:
         """Admit or refuse the first waiting requests.
 
@@ -324,7 +357,10 @@
                 waiter.done.set_exception(refusal)
 
     def _refusal(
-        self, account: _Account, cost: float, is_admitted: bool | None
+        self,
+        account: usage_account.Account,
+        cost: float,
+        is_admitted: bool | None,
     ) -> errors.RefusalError | None:
         if is_admitted is None:
             return self._spend_fallback(account, cost)
@@ -334,7 +370,7 @@
 
 
 def _limit_refusal(
-    account: _Account, retry_after_s: float
+    account: usage_account.Account, retry_after_s: float
 ) -> errors.RefusalError:
     return errors.RefusalError(
         errors.ErrorKind.RATE_LIMITED,
--- a/tests/limit_fakes.py
+++ b/tests/limit_fakes.py
@@ -3,6 +3,7 @@
 import random
 
 from lacewingpitch import errors
+from lacewingpitch import limit_tenure
 from lacewingpitch import server_limits
 from lacewingpitch import server_permits
 from lacewingpitch import sidecar_reporter
@@ -30,6 +31,15 @@
     def mark_unresponsive(self, ip):
         assert ip == OWNER_IP
 
+    def claim(self, _name):
+        return limit_tenure.Claim()
+
+    def previous_owners(self, _name):
+        return frozenset()
+
+    def record_owner(self, name, ip, position):
+        raise AssertionError(f'{name} has one owner')
+
     async def report_limit(self, ip, message, _timeout_s):
         if self.is_silent:
             raise errors.NoReplyError(ip)
--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -395,6 +395,7 @@
 
     def __init__(self):
         self.listed = ENGINES
+        self.position = (1, 1)
 
     def all(self):
         return self.listed
@@ -431,6 +432,7 @@
 
             async def change(view, at_s, *leaving):
                 await asyncio.sleep(at_s + source.uniform(0.0, self.SPREAD_S))
+                view.position = (1, int(at_s))
                 view.listed = tuple(
                     dataclasses.replace(e, is_leaving=e.name in leaving)
                     for e in ENGINES
--- a/tests/test_usage_ownership.py
+++ b/tests/test_usage_ownership.py
@@ -16,6 +16,8 @@
 
 
 class Servers:
+    position = (1, 1)
+
     def __init__(self, *listed):
         self.listed = listed
 
@@ -135,3 +137,66 @@
         assert scene.owners.owner('a') == ''
         scene.servers.listed = ENGINES
         assert scene.owners.owner('a') != ''
+
+
+class TestPreviousOwners:
+    def test_the_owners_before_sidecars_were_added_are_known(self):
+        """Guards against a started entry that knows no owner before."""
+        aged = [
+            dataclasses.replace(engine, created_revision=number)
+            for number, engine in enumerate(ENGINES, 1)
+        ]
+        scene = Scene(*aged)
+        for count in range(1, len(aged)):
+            for name, before in zip(
+                NAMES, Scene(*aged[:count]).all(), strict=True
+            ):
+                owner = scene.owners.owner(name)
+                known = scene.owners.previous_owners(name) | {owner}
+                assert before in known
+
+    def test_an_owner_by_the_own_earlier_list_is_known(self):
+        scene = Scene(*ENGINES)
+        before = scene.all()
+        scene.servers.listed = ENGINES[1:]
+        scene.clock.now_s += 30.0
+        for name, owner in zip(NAMES, before, strict=True):
+            scene.owners.owner(name)
+            if owner == ENGINES[0].ip:
+                assert owner in scene.owners.previous_owners(name)
+
+    def test_they_are_few(self):
+        """Guards against messages that grow with the number of sidecars."""
+        scene = Scene(
+            *(
+                backend_list.BackendServer(
+                    f'i-{n}',
+                    'chat',
+                    f'10.0.{n}.1',
+                    80,
+                    'z',
+                    created_revision=n,
+                )
+                for n in range(1000)
+            )
+        )
+        counts = [len(scene.owners.previous_owners(name)) for name in NAMES]
+        assert sum(counts) / len(counts) < 9
+
+
+class TestHeardOwner:
+    def test_it_counts_until_the_own_list_is_newer(self):
+        """Guards against an old list that is believed before a newer one."""
+        scene = Scene(*ENGINES)
+        listed = scene.owners.owner('a')
+        scene.owners.record_owner('a', '10.0.7.7', (1, 5))
+        assert scene.owners.owner('a') == '10.0.7.7'
+        scene.servers.position = (1, 6)
+        scene.clock.now_s += 1.0
+        assert scene.owners.owner('a') == listed
+
+    def test_one_that_does_not_answer_is_forgotten(self):
+        scene = Scene(*ENGINES)
+        scene.owners.record_owner('a', '10.0.7.7', (1, 5))
+        scene.owners.mark_unresponsive('10.0.7.7')
+        assert scene.owners.owner('a') != '10.0.7.7'
--- a/tests/usage_fakes.py
+++ b/tests/usage_fakes.py
@@ -1,6 +1,7 @@
 """Usage limits of entries with one owner, without a network."""
 
 from lacewingpitch import errors
+from lacewingpitch import limit_tenure
 from lacewingpitch import usage_lease
 from lacewingpitch import usage_limits
 
@@ -33,6 +34,15 @@
     def mark_unresponsive(self, ip):
         self.unresponsive += (ip,)
 
+    def claim(self, _name):
+        return limit_tenure.Claim()
+
+    def previous_owners(self, _name):
+        return frozenset()
+
+    def record_owner(self, name, ip, position):
+        raise AssertionError(f'{name} has one owner')
+
 
 def limits(link, clock, instance='edge-1', entry_count=30, version=1):
     return usage_limits.UsageLimits(
