The event loop of a process opens no io_uring

What was seen: an entry left over by a trial held a descriptor of io_uring, which the binding rules exclude; no caller saw anything.

Cause: uvloop's library batches epoll changes over io_uring on newer kernels.

What epoll alone costs is not measured.

--- a/lacewingpitch/cli.py
+++ b/lacewingpitch/cli.py
@@ -9,7 +9,6 @@
 import msgspec
 import rich.console
 import structlog
-import uvloop
 
 import lacewingpitch
 from lacewingpitch import checking
@@ -20,6 +19,7 @@
 from lacewingpitch import entry as entry_module
 from lacewingpitch import errors
 from lacewingpitch import errors_page
+from lacewingpitch import event_loop
 from lacewingpitch import published_contracts
 from lacewingpitch import report as report_module
 from lacewingpitch import report_text
@@ -97,7 +97,7 @@
     and one that must run only once is sent twice.
     """
     configure_logs('critical')
-    sys.exit(uvloop.run(demo_traffic.run_demo()))
+    sys.exit(event_loop.run(demo_traffic.run_demo()))
 
 
 @main.command()
--- a/lacewingpitch/daemon.py
+++ b/lacewingpitch/daemon.py
@@ -8,7 +8,8 @@
 
 import click
 import structlog
-import uvloop
+
+from lacewingpitch import event_loop
 
 # Keeps a task that fails at once from using all processor time.
 _RESTART_DELAY_S = 0.5
@@ -77,7 +78,7 @@
         The daemon cannot listen on its address.
     """
     try:
-        uvloop.run(_serve_until_signal(daemon, reload))
+        event_loop.run(_serve_until_signal(daemon, reload))
     except OSError as error:
         raise click.ClickException(f'cannot listen: {error}') from error
 
