A witness that names another incarnation shows an end

Fix: the answer on a witness names its incarnation; another than the one that got the request shows that that has ended. Answers without a name are believed as before.

Evidence: test_platform_engine_ends::test_half_of_its_answer_is_not_believed_ by_a_silent_entry (real processes) and a case of test_platform_witness failed before, and hold now.

--- a/lacewingpitch/platform/witness.py
+++ b/lacewingpitch/platform/witness.py
@@ -15,6 +15,7 @@
 # be silent for a moment.
 _ANSWER_TIMEOUT_S = 2.5
 _MAX_LINE_BYTES = 1 << 12
+_MAX_HEADERS = 64
 _STATUS_OTHER_INCARNATION = b'421'
 _STATUS_PREFIX = b'HTTP/1.'
 log = structlog.get_logger(__name__)
@@ -28,23 +29,27 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         request: bytes,
+        name: str,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._request = request
+        self._name = name
 
     async def state(self) -> server_state.ServerState:
         """Return whether the process that accepted it still runs.
 
-        Any answer shows that, also one that the server is full.  A
-        connection that has ended shows nothing: a server may end it for
-        having too many.
+        Any answer shows that, also one that the server is full, unless it
+        names another incarnation: a process that was silent may have opened
+        the connection too late.  A connection that has ended shows nothing:
+        a server may end it for having too many.
         """
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
                 self._writer.write(self._request)
                 await self._writer.drain()
                 line = await self._reader.readline()
+                name = await self._read_incarnation()
         except (OSError, ValueError, TimeoutError) as error:
             log.info('no answer to a witness', error=repr(error))
             return server_state.ServerState.UNKNOWN
@@ -53,8 +58,21 @@
             return server_state.ServerState.UNKNOWN
         if words[1] == _STATUS_OTHER_INCARNATION:
             return server_state.ServerState.ENDED
+        if name not in ('', self._name):
+            return server_state.ServerState.ENDED
         return server_state.ServerState.RUNNING
 
+    async def _read_incarnation(self) -> str:
+        """Return the name in the headers; empty without one."""
+        for _ in range(_MAX_HEADERS):
+            line = await self._reader.readline()
+            header, _, value = line.decode('latin-1').partition(':')
+            if header.lower() == names.INCARNATION.lower():
+                return value.strip()
+            if not line.strip():
+                break
+        return ''
+
     def close(self) -> None:
         """Close it."""
         self._writer.close()
@@ -94,4 +112,4 @@
             f'{names.EXPECT_INCARNATION}: {server.name}\r\n'
             'Connection: close\r\n\r\n'
         )
-        return HealthConnection(reader, writer, request.encode())
+        return HealthConnection(reader, writer, request.encode(), server.name)
--- a/tests/test_platform_engine_ends.py
+++ b/tests/test_platform_engine_ends.py
@@ -112,6 +112,44 @@
         arrivals = [a for engine in platform.engines for a in engine.arrivals]
         assert len(arrivals) == 1
 
+    async def test_half_of_its_answer_is_not_believed_by_a_silent_entry(
+        self, platform
+    ):
+        """Guards against a witness that the start after a crash accepts."""
+        scene = crash_scene.CrashScene(platform, platform.engines, DOWN_S)
+        plays = []
+
+        async def play(engine):
+            with stopped(sidecars_of(platform)):
+                with stopped([platform.entry]):
+                    await asyncio.sleep(0.35)
+                    engine.crash(is_in_order=True)
+                    await asyncio.sleep(2 * DOWN_S)
+                await asyncio.sleep(0.85)
+
+        for engine in platform.engines:
+            call_on_arrival(engine, plays, play)
+        events = await read(platform, RUNS_ONCE, no_disturbance)
+        await asyncio.gather(*plays)
+        assert len(scene.crashed_at_s) == len(plays) == 1
+        assert events is None
+
+
+def call_on_arrival(engine, plays, play):
+    """Start to play once the first request arrives at an engine."""
+    record_arrival = engine.record_arrival
+
+    def record(request):
+        record_arrival(request)
+        if not plays and request.path == RUNS_ONCE:
+            plays.append(asyncio.create_task(play(engine)))
+
+    engine.record_arrival = record
+
+
+async def no_disturbance(_engine):
+    """Leave the engine alone."""
+
 
 class TestCommand:
     """Requests to engines that may run once, on a route with two attempts."""
--- a/tests/test_platform_witness.py
+++ b/tests/test_platform_witness.py
@@ -90,6 +90,14 @@
         answer = HEALTHY.replace(b'200 OK', b'421 Other')
         assert await ask(Server(answer)) is State.ENDED
 
+    @pytest.mark.parametrize('name', ['p-1', 'p-2'])
+    async def test_the_name_in_the_answer_tells_starts_apart(self, name):
+        """Guards against a witness that was opened after a restart."""
+        header = f'200 OK\r\nDate: x\r\nInstance-Id: {name}'
+        answer = HEALTHY.replace(b'200 OK', header.encode())
+        expected = State.RUNNING if name == 'p-1' else State.ENDED
+        assert await ask(Server(answer)) is expected
+
     @pytest.mark.parametrize('answer', [None, b'x' * 9000, b'no\r\n'])
     async def test_no_answer_shows_nothing(self, answer):
         assert await ask(Server(answer)) is State.UNKNOWN
