A connection that an order opened counts as new for the next report

A sidecar confirms the incarnation after a new connection; an order may be the first call that reaches the start after a crash, and the next report then reuses that connection and did not count as on a new one.

Fix: the client notes each connection that any answered call opened, and the next report says so.

--- a/lacewingpitch/engine_snapshot.py
+++ b/lacewingpitch/engine_snapshot.py
@@ -31,8 +31,9 @@
         ``None`` if its report names no limit.
     events_by_run
         Events of the answer that each run has made.
-    is_on_new_connection
-        Whether no earlier answer of the engine came on its connection.
+    follows_new_connection
+        Whether a connection to the engine was opened since the report
+        before, for it or for another call.
     """
 
     order_count: int
@@ -47,4 +48,4 @@
     started_at_ms: int = 0
     limit_per_s: float | None = None
     events_by_run: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    is_on_new_connection: bool = False
+    follows_new_connection: bool = False
--- a/lacewingpitch/incarnation_check.py
+++ b/lacewingpitch/incarnation_check.py
@@ -42,8 +42,8 @@
         self.has_changed = False
 
     def record_report(self, snapshot: engine_snapshot.EngineSnapshot) -> None:
-        """Record on which connection a report came."""
-        self._connection_count += snapshot.is_on_new_connection
+        """Record whether a report came after a new connection."""
+        self._connection_count += snapshot.follows_new_connection
 
     def record_confirmed(self) -> None:
         """Record that the incarnation has been asked for since."""
--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -93,6 +93,8 @@
         self._session = session
         self._url = url
         self._holder = holder
+        # Whether a connection was opened since the last report.
+        self._has_connected = False
         self.order_count = 0
 
     async def incarnation(self) -> str:
@@ -116,6 +118,7 @@
                 allow_redirects=False,
                 trace_request_ctx=trace,
             ) as response:
+                self._record_connection(trace)
                 self._read_notice(response)
                 await platform_call.read_limited(response, _MAX_REPORT_BYTES)
                 return response.headers.get(names.INCARNATION, '')
@@ -140,7 +143,9 @@
             found = await single_sending.read_twice_if_stale(
                 self._read_report, 'engine'
             )
-        report, notice, is_reused = found
+        report, notice = found
+        follows_new_connection = self._has_connected
+        self._has_connected = False
         return engine_snapshot.EngineSnapshot(
             order_count=report.sequence,
             is_leaving=report.state != _STATE_READY or notice.is_leaving,
@@ -158,12 +163,12 @@
                 for run in report.runs
                 if type(run.event_count) is int
             },
-            is_on_new_connection=not is_reused,
+            follows_new_connection=follows_new_connection,
         )
 
     async def _read_report(
         self, trace: single_sending.SendingTrace
-    ) -> tuple[_EngineReport, server_notice.ServerNotice, bool]:
+    ) -> tuple[_EngineReport, server_notice.ServerNotice]:
         self._gate.check()
         async with self._session.get(
             f'{self._url}{names.REPORT_PATH}',
@@ -171,6 +176,7 @@
             allow_redirects=False,
             trace_request_ctx=trace,
         ) as response:
+            self._record_connection(trace)
             notice = self._read_notice(response)
             if response.status != _STATUS_OK:
                 raise errors.PlatformError(f'engine: status {response.status}')
@@ -178,7 +184,7 @@
                 response, _MAX_REPORT_BYTES
             )
             report = msgspec.json.decode(data, type=_EngineReport)
-            return report, notice, trace.is_reused
+            return report, notice
 
     async def load_model(
         self, model: str, fencing: int, incarnation: str
@@ -227,6 +233,7 @@
         if incarnation:
             headers[names.EXPECT_INCARNATION] = incarnation
         timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
+        trace = single_sending.SendingTrace()
         with platform_call.platform_errors('engine'):
             async with self._session.post(
                 f'{self._url}{names.ORDER_PATH}',
@@ -234,13 +241,20 @@
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=trace,
             ) as response:
+                self._record_connection(trace)
                 self._read_notice(response)
                 await platform_call.read_limited(response, _MAX_REPORT_BYTES)
                 return _RESULT_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.REJECTED
                 )
 
+    def _record_connection(self, trace: single_sending.SendingTrace) -> None:
+        """Record whether a call that is answered opened a connection."""
+        if not trace.is_reused:
+            self._has_connected = True
+
     def _read_notice(
         self, response: aiohttp.ClientResponse
     ) -> server_notice.ServerNotice:
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -112,7 +112,7 @@
             started_at_ms=self.started_at_ms,
             limit_per_s=self.limit_per_s,
             events_by_run=dict(self.events_by_run),
-            is_on_new_connection=self.is_connection_new,
+            follows_new_connection=self.is_connection_new,
         )
         self.is_connection_new = False
         await asyncio.sleep(self.report_delay_s)
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -181,9 +181,28 @@
                 await client.report()
             server.answer = OK
             found += [await client.report() for _ in range(2)]
-        are_new = [report.is_on_new_connection for report in found]
+        are_new = [report.follows_new_connection for report in found]
         assert are_new == [True, False, False, True, False]
 
+    @pytest.mark.parametrize('status', ['200 OK', '409 C', '421 M', '503 F'])
+    async def test_follow_a_connection_that_an_order_opened(self, status):
+        """Guards against a start after a crash that an order meets first."""
+        server = Server()
+        listening = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        port = listening.sockets[0].getsockname()[1]
+        async with listening, single_sending.new_session() as session:
+            client = new_engine_client(session, f'http://127.0.0.1:{port}')
+            await client.report()
+            server.answer = b''
+            with pytest.raises(errors.PlatformError):
+                await client.report()
+            server.answer = OK.replace(b'200 OK', status.encode())
+            await client.load('m', 'a', 1, 1, 'i-1')
+            server.answer = OK
+            found = [await client.report() for _ in range(2)]
+        are_new = [report.follows_new_connection for report in found]
+        assert are_new == [True, False]
+
 
 class TestRedirects:
     @pytest.mark.parametrize('call', READS + SENT_ONCE)
