A reset breaks an answer off, also one that follows data at once

The check for a reset looked at the connection when the body was read, and found none if head, events and reset came before that.

Fix: the connection breaks its answer off as it ends; at an orderly end it asks the kernel whether that was a reset. This replaces the check in `answer_framing`, so that one place decides for all clients of the system.

--- a/lacewingpitch/answer_framing.py
+++ b/lacewingpitch/answer_framing.py
@@ -1,6 +1,4 @@
-"""Bodies of HTTP responses that end with their connection."""
-
-from collections.abc import AsyncIterator
+"""Whether HTTP responses mark the end of their bodies."""
 
 import aiohttp
 
@@ -13,22 +11,3 @@
         return True
     headers = response.headers
     return 'Content-Length' in headers or 'Transfer-Encoding' in headers
-
-
-async def chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    """Yield the body of a response as it arrives.
-
-    Raises
-    ------
-    aiohttp.ClientError, OSError
-        The body broke off.  aiohttp treats a reset as the end of a body
-        that does not mark its own; this does not.
-    """
-    connection = response.connection
-    protocol = connection.protocol if connection else None
-    async for chunk in response.content.iter_any():
-        yield chunk
-    if is_framed(response) or protocol is None:
-        return
-    if isinstance(protocol.exception(), OSError):
-        raise ConnectionResetError('reset before the end')
--- a/lacewingpitch/plain_service.py
+++ b/lacewingpitch/plain_service.py
@@ -102,7 +102,7 @@
         self, response: aiohttp.ClientResponse
     ) -> AsyncIterator[bytes]:
         with platform_call.platform_errors('service'):
-            async for chunk in answer_framing.chunks(response):
+            async for chunk in response.content.iter_any():
                 yield chunk
         if answer_framing.is_framed(response):
             return
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -170,7 +170,7 @@
         end: backend_call.EndWatch | None,
     ) -> AsyncIterator[bytes]:
         try:
-            async for chunk in answer_framing.chunks(response):
+            async for chunk in response.content.iter_any():
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise backend_call.AnswerLostError(_reason(error)) from error
--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -1,12 +1,16 @@
-"""HTTP client connections that are not reused with unexpected bytes on them.
+"""HTTP client connections that tell where an answer ends.
 
 By itself aiohttp reads what a server wrote after an answer as the answer to
-the next request.  All later answers of the connection are then shifted.
+the next request, so that all later answers of the connection are shifted.  It
+also takes a reset for the end of a body that does not mark its own.
 """
 
 import asyncio
+import errno
 import functools
+import os
 import select
+import socket
 from typing import Any
 
 import aiohttp
@@ -54,6 +58,19 @@
         self._has_final_head = message.code >= _MIN_FINAL_STATUS
         super().feed_data(data, size)
 
+    def eof_received(self) -> None:
+        """End the answer; a reset breaks it off."""
+        # uvloop may report a reset that follows data as an orderly end.
+        if self._is_reset:
+            self._break_off()
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the connection; a reset breaks off the answer in progress."""
+        if isinstance(exc, OSError):
+            self._break_off()
+        super().connection_lost(exc)
+
     def is_connected(self) -> bool:
         """Whether it is connected, and may send another request if idle."""
         if not super().is_connected() or self._has_surplus:
@@ -70,6 +87,21 @@
             self._has_final_head and payload is not None and payload.is_eof()
         )
 
+    @property
+    def _is_reset(self) -> bool:
+        """Whether the server has reset the connection, not closed it."""
+        assert self.transport is not None
+        fileno = self.transport.get_extra_info('socket').fileno()
+        with socket.socket(fileno=os.dup(fileno)) as found:
+            error = found.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return error == errno.ECONNRESET
+
+    def _break_off(self) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            error = aiohttp.ClientPayloadError('reset before the end')
+            payload.set_exception(error)
+
     @property
     def _is_readable(self) -> bool:
         """Whether the kernel holds something that the loop hasn't read."""
--- a/tests/test_plain_service.py
+++ b/tests/test_plain_service.py
@@ -7,6 +7,7 @@
 
 from lacewingpitch import errors
 from lacewingpitch import plain_service
+from lacewingpitch import reusable_connection
 from tests import standin_crashes
 
 CALL = plain_service.ServiceCall('r-1', 'POST', '/x', '', b'')
@@ -30,7 +31,11 @@
 
     listening = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = listening.sockets[0].getsockname()[1]
-    async with listening, aiohttp.ClientSession() as session:
+    connector = reusable_connection.new_connector()
+    async with (
+        listening,
+        aiohttp.ClientSession(connector=connector) as session,
+    ):
         service = plain_service.HttpPlainService(
             session, f'http://127.0.0.1:{port}'
         )
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -79,6 +79,13 @@
         self.arrived = []
         self.writers = []
 
+    async def reset_last(self):
+        """Reset the last connection, and wait until its client knows."""
+        transport = self.writers[-1].transport
+        standin_crashes.reset_on_close(transport)
+        transport.close()
+        await asyncio.sleep(0.1)
+
     async def serve(self, reader, writer):
         self.connection_count += 1
         self.writers.append(writer)
@@ -142,9 +149,11 @@
                 clock.SystemClock(),
             )
 
-            async def send(request_id, **fields):
+            async def send(request_id, before_reading=None, **fields):
                 call = make_call(request_id, port, **fields)
                 async with client.send(call) as found:
+                    if before_reading is not None:
+                        await before_reading()
                     return b''.join([chunk async for chunk in found.chunks])
 
             await scenario(server, send)
@@ -556,6 +565,17 @@
 
         play(scenario)
 
+    def test_a_reset_that_comes_before_the_answer_is_read_breaks_it_off(self):
+        """Guards against a part of an answer that passes for the whole."""
+
+        async def scenario(server, send):
+            server.scripts = [unframed]
+            with pytest.raises(backend_call.AnswerLostError):
+                await send('one', before_reading=server.reset_last)
+            assert server.end_check.checked == []
+
+        play(scenario)
+
     def test_an_answer_that_marks_its_end_is_not_checked(self):
         """Guards against a wait at each answer."""
 
--- a/tests/test_platform_witness.py
+++ b/tests/test_platform_witness.py
@@ -50,7 +50,9 @@
     port = listener.sockets[0].getsockname()[1]
     found = backend_list.BackendServer('p-1', 's', '127.0.0.1', port, 'z')
     source = witness.HealthConnections(lambda _service: '/healthz')
-    connection = await source.open(found)
+    connection = None
+    while connection is None:
+        connection = await source.open(found)
     await asyncio.sleep(0.05)
     if disturb is not None:
         disturb()
