--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -17,18 +17,16 @@
 from lacewingpitch import answer_reading
 from lacewingpitch import backend_call
 from lacewingpitch import clock as clock_module
-from lacewingpitch import engine_gate
 from lacewingpitch import errors
 from lacewingpitch import event_splitter
 from lacewingpitch import guarded_connection
 from lacewingpitch import link as link_module
 from lacewingpitch.platform import backend_client
-from lacewingpitch.platform import engine_client
 from lacewingpitch.platform import store as store_module
 from lacewingpitch.platform import wire
 from lacewingpitch import routing
 from lacewingpitch import single_sending
-from tests import clocks
+from tests import test_http_clients
 from tests import test_platform_backend_client as client_scene
 from tests import test_platform_store as store_scene
 
@@ -184,32 +182,13 @@
 }
 
 
-async def read_list(session, url):
-    await store_module.Store(session, url).read_all('a')
-
-
-async def watch(session, url):
-    await store_module.Store(session, url).watch('a', 1, 0.5)
-
-
-def new_engine_client(session, url):
-    gate = engine_gate.EngineGate(clocks.ManualClock())
-    return engine_client.EngineClient(session, url, 'h', lambda: '/h', gate)
-
-
-async def read_report(session, url):
-    await new_engine_client(session, url).report()
-
-
-async def read_incarnation(session, url):
-    await new_engine_client(session, url).incarnation()
-
-
-async def order_load(session, url):
-    await new_engine_client(session, url).load('m', 'a', 1, 1, 'i-1')
-
-
-PLATFORM_CALLS = [read_list, watch, read_report, read_incarnation, order_load]
+PLATFORM_CALLS = [
+    test_http_clients.read_store,
+    test_http_clients.watch_store,
+    test_http_clients.read_report,
+    test_http_clients.read_incarnation,
+    test_http_clients.order_load,
+]
 
 
 @contextlib.asynccontextmanager
@@ -394,7 +373,7 @@
                 async with asyncio.timeout(CLOSE_S):
                     await store.read_all('a')
 
-    @pytest.mark.parametrize('call', [read_list, watch])
+    @pytest.mark.parametrize('call', PLATFORM_CALLS[:2])
     async def test_an_epoch_without_end_is_a_failed_read(self, call):
         """Guards against a watch of the store that ends for ever."""
         head = b'HTTP/1.1 200 OK\r\nStore-Era: ' + b'9' * 5_000 + b'\r\n'
