An entry that lacks a field, or has one of another type, names no server

Cause: _BackendServer required 5 of the 8 fields that every entry has, and read the others, and the optional ones, in any type. Fix: all 8 are required, with their types and signs; optional ones are of their type if they are there. An optional field is not owed here, so that plain servers, and engines that state no start, are listed as before. Why it works: what is not such an entry is rejected before it reaches the list, so that it can neither be used nor hide, restart or end anything. Stand-ins write whole entries.

--- a/benchmarks/capacity_platform.py
+++ b/benchmarks/capacity_platform.py
@@ -41,8 +41,12 @@
         'service': 'chat',
         'address': f'10.{number >> 8}.{number & 255}.7:8000',
         'zone': f'zone-{number % 11}',
+        'version': 'v1',
         'slots': 32,
         'state': 'ready',
+        'coldRemainingMs': 0,
+        'sequence': 1,
+        'stage': 'mixed',
         'models': [model],
     }
     return json.dumps(entry).encode()
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 import math
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -17,6 +17,7 @@
 _MS_PER_S = 1000
 # Far in the future; a larger start is no Unix time in milliseconds.
 _MAX_START_MS = 10**13
+_StartMs = Annotated[int, msgspec.Meta(ge=0, lt=_MAX_START_MS)]
 _BYTES_PER_MBIT = 125_000
 _TOKEN_UNIT = 'token_count'
 # Larger numbers are no versions.
@@ -133,14 +134,26 @@
     # IP:PORT.
     address: str
     zone: str
+    # Of its software.
+    version: str
     # Requests that run concurrently.
-    slots: int
+    slots: Annotated[int, msgspec.Meta(gt=0)]
     state: str
-    models: tuple[HeldModel, ...] = ()
-    # Unix time of its start in ms; 0 if engines do not report it.
-    born: int = 0
+    # Time for which it remains slow after its start.
+    cold_ms: float = msgspec.field(name='coldRemainingMs')
+    # Orders that it has accepted.
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    # Of a model engine.
+    stage: str | msgspec.UnsetType = msgspec.UNSET
+    models: tuple[HeldModel, ...] | msgspec.UnsetType = msgspec.UNSET
+    # Copies of weights by place.
+    available: dict[str, Any] | msgspec.UnsetType = msgspec.UNSET
+    # Unix time of its start in ms, if servers state it.
+    born: _StartMs | msgspec.UnsetType = msgspec.UNSET
     # Of a server that is removed at short notice: time until it ends.
-    remaining_ms: Any = msgspec.field(name='remainingMs', default=None)
+    remaining_ms: float | msgspec.UnsetType = msgspec.field(
+        name='remainingMs', default=msgspec.UNSET
+    )
 
 
 class _AdapterVersion(msgspec.Struct, frozen=True):
@@ -206,15 +219,13 @@
     Raises
     ------
     PlatformError
-        It is malformed, its state is unknown, or its start is no time.
+        It lacks a field, one is of another type, or its state is unknown.
     """
     entry = _decode(content, _BackendServer, name)
     try:
         ip, port = settings_module.split_endpoint(entry.address)
     except ValueError as error:
         raise errors.PlatformError(f'{name}: {error}') from error
-    if not 0 <= entry.born < _MAX_START_MS:
-        raise errors.PlatformError(f'{name}: start out of range')
     is_leaving = _IS_LEAVING.get(entry.state)
     if is_leaving is None:
         raise errors.PlatformError(f'{name}: unknown state')
@@ -226,9 +237,9 @@
         availability_zone=entry.zone,
         is_leaving=is_leaving,
         max_running=entry.slots,
-        adapters=held_versions(entry.models),
+        adapters=held_versions(entry.models or ()),
         created_revision=created_revision,
-        started_at_ms=entry.born,
+        started_at_ms=entry.born or 0,
         leaves_in_s=_number(entry.remaining_ms) / _MS_PER_S,
     )
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -389,6 +389,9 @@
             'version': 'v1',
             'slots': 8,
             'state': state,
+            'coldRemainingMs': 0,
+            'sequence': self.order_count,
+            'stage': 'mixed',
             'models': [self._model()],
         }
 
@@ -544,6 +547,8 @@
             'version': 'v1',
             'slots': 6,
             'state': state,
+            'coldRemainingMs': 0,
+            'sequence': 1,
         }
 
     async def _run(self, request):
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,179 @@
+"""Entries of the list of servers that another writer has put."""
+
+import json
+
+import pytest
+
+from lacewingpitch import backend_list
+from lacewingpitch.platform import prefix_watcher
+from lacewingpitch.platform import store
+from lacewingpitch.platform import store_updates
+from tests import clocks
+from tests import platform_standin as standin
+
+_OWN_START_MS = 1_800_000_000_000
+_HOUR_MS = 3_600_000
+_REQUIRED = (
+    *('service', 'address', 'zone', 'version', 'slots', 'state'),
+    *('coldRemainingMs', 'sequence'),
+)
+_WRONG_VALUES = {
+    'service': (None, 3, ['svc']),
+    'address': (None, 3, ['10.0.0.7:8080'], 'nowhere', '10.0.0.7:0x50'),
+    'zone': (None, 7, {}),
+    'version': (None, 3, ['v1']),
+    'slots': (None, '8', 8.5, True, -8, [8]),
+    'state': (None, 3, True, 'zombie', 'Ready'),
+    'coldRemainingMs': (None, '0', False, [0]),
+    'sequence': (None, '1', 1.5, True, -1, {}),
+    'stage': (None, 1, []),
+    'models': (None, 'm', {'name': 'm'}, [3], [{'name': 3}]),
+    'available': (None, [], 'm'),
+    'born': (None, '1', 1.5, True, -1, _OWN_START_MS * 1_000_000),
+    'remainingMs': (None, '900', True, [900]),
+}
+_FAULTS = [
+    *(pytest.param(name, None, id=f'{name} missing') for name in _REQUIRED),
+    *(
+        pytest.param(name, [value], id=f'{name} {value!r}')
+        for name, values in _WRONG_VALUES.items()
+        for value in values
+    ),
+]
+
+
+def own_entry(name='i-1', **fields):
+    host = name.rpartition('-')[2]
+    found = standin.Engine(name).entry(f'10.0.0.{host}:8080')
+    return {**found, 'born': _OWN_START_MS, **fields}
+
+
+def foreign_entry(field, values, name='i-1', **fields):
+    """Return an entry with a field missing, or of another value."""
+    found = own_entry(name, **fields)
+    found.pop(field, None)
+    if values:
+        found[field] = values[0]
+    return found
+
+
+class Scene:
+    """The list as one process follows it, in virtual time."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock(100.0)
+        self.servers = backend_list.BackendList(
+            self.clock,
+            lambda name: name in (standin.SERVICE, standin.PLAIN),
+        )
+        self.updates = store_updates.BackendUpdates(self.servers)
+        self.restarts = []
+        self.servers.restarts.subscribe(self.restarts.append)
+        self.ends = []
+        self.servers.unplanned_ends.subscribe(self.ends.append)
+
+    def write(self, entry, name='i-1'):
+        content = json.dumps(entry).encode()
+        self.write_bytes(content, name)
+
+    def write_bytes(self, content, name='i-1'):
+        item = store.Item(key=f'servers/{name}', value=content, revision=7)
+        self.updates.apply(prefix_watcher.Change((item,)))
+
+    def read_all(self, entries):
+        items = tuple(
+            store.Item(
+                key=f'servers/{name}',
+                value=json.dumps(entry).encode(),
+                revision=7,
+            )
+            for name, entry in entries.items()
+        )
+        self.updates.apply(prefix_watcher.Change(items, is_full_read=True))
+
+    def remove(self, name='i-1'):
+        item = store.Item(key=f'servers/{name}', is_deleted=True)
+        self.updates.apply(prefix_watcher.Change((item,)))
+
+    def wait(self, seconds):
+        """Pass time, with the reads that find nothing new."""
+        for _ in range(round(seconds * 2)):
+            self.clock.now_s += 0.5
+            self.updates.apply(prefix_watcher.Change())
+
+    @property
+    def names(self):
+        serving = self.servers.serving(standin.SERVICE)
+        return sorted(server.name for server in serving)
+
+
+@pytest.fixture
+def scene():
+    found = Scene()
+    found.write(own_entry('i-2'), 'i-2')
+    return found
+
+
+class TestFields:
+    """An entry that lacks a field, or has one of another type."""
+
+    @pytest.mark.parametrize(('field', 'values'), _FAULTS)
+    def test_names_no_server_to_use(self, scene, field, values):
+        """Guards against requests to a server that no server listed."""
+        scene.write(foreign_entry(field, values, 'i-9'), 'i-9')
+        scene.read_all(
+            {
+                'i-2': own_entry('i-2'),
+                'i-9': foreign_entry(field, values, 'i-9'),
+            }
+        )
+        assert scene.names == ['i-2']
+
+    @pytest.mark.parametrize('offset_ms', [-_HOUR_MS, 0, _HOUR_MS])
+    @pytest.mark.parametrize('is_first', [True, False])
+    @pytest.mark.parametrize(('field', 'values'), _FAULTS)
+    def test_hides_nothing_that_the_server_says(
+        self, scene, field, values, is_first, offset_ms
+    ):
+        """Guards against a leaving server that is used on and on."""
+        start_ms = _OWN_START_MS + offset_ms
+        foreign = foreign_entry(field, values, born=start_ms)
+        if not is_first:
+            scene.write(own_entry())
+        scene.write(foreign)
+        scene.write(own_entry())
+        assert scene.names == ['i-1', 'i-2']
+        assert not scene.restarts
+        assert not scene.ends
+        scene.write(own_entry(state='draining'))
+        assert scene.names == ['i-2']
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {},
+            {'available': {'inMemory': [], 'onDisk': ['m']}},
+            {'coldRemainingMs': 812.5},
+            {'sequence': 10**6},
+            {'unknown': {'field': [1]}},
+        ],
+        ids=str,
+    )
+    def test_none_is_owed_beyond_those_of_every_server(self, scene, fields):
+        """Guards against a sound server that is refused."""
+        scene.write(own_entry('i-3', **fields), 'i-3')
+        plain = standin.Service('i-4').entry('10.0.0.4:8080')
+        scene.write({**plain, **fields}, 'i-4')
+        assert scene.names == ['i-2', 'i-3']
+        assert [s.name for s in scene.servers.serving(standin.PLAIN)] == [
+            'i-4'
+        ]
+
+    @pytest.mark.parametrize('remaining_ms', [0, 900, 900.5, -3])
+    def test_the_time_that_remains_may_be_any_number(
+        self, scene, remaining_ms
+    ):
+        """Guards against a server that is not seen leaving."""
+        scene.write(own_entry())
+        scene.write(own_entry(state='draining', remainingMs=remaining_ms))
+        assert scene.names == ['i-2']
