A start that a server never had no longer hides that the server leaves

Cause: an entry of an earlier start was dropped, not kept: the store shows an entry once, at its write, so that the one that stood in the store was never read again. Why it works: a live server writes again within a heartbeat of 1.2 s what another entry replaced; what stands for longer is its own. Reports keep their 8 s; a start that only the list named bars them for 4 s.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -8,6 +8,7 @@
 import structlog
 
 from lacewingpitch import clock as clock_module
+from lacewingpitch import deferred_entries
 from lacewingpitch import departed_servers
 from lacewingpitch import leaving_news
 from lacewingpitch import leaving_servers
@@ -118,6 +119,9 @@
         self._unlisted: unlisted_servers.UnlistedServers[BackendServer] = (
             unlisted_servers.UnlistedServers(clock, contact_s, has_sidecar)
         )
+        self._deferred: deferred_entries.DeferredEntries[BackendServer] = (
+            deferred_entries.DeferredEntries(clock)
+        )
         self._departed = departed_servers.DepartedServers(clock)
         self._leaving = leaving_servers.LeavingServers(
             lambda name: name in self._servers
@@ -219,6 +223,7 @@
         Decides how long servers that are no longer listed may be used.
         """
         self._starts.prune(self._servers.keys())
+        self._believe_deferred()
         if self._removals.forget_outdated():
             self._by_service.clear()
         if self._is_new_epoch:
@@ -246,7 +251,7 @@
     ) -> None:
         found = {server.name: server for server in servers}
         for name in self._servers.keys() - found.keys():
-            self._unlist(name)
+            self.remove(name)
         for server in found.values():
             self._put(server, is_adopted)
         self.is_known = True
@@ -284,21 +289,52 @@
     def put(self, server: BackendServer) -> None:
         """Apply one entry.
 
-        A late entry of an earlier start of the server is ignored.
+        An entry of an earlier start takes effect once it has stood for some
+        seconds, but that it says the server leaves takes effect at once.
         """
         self._put(server, is_adopted=False)
 
     def _put(self, server: BackendServer, is_adopted: bool) -> None:
         before = self._listed_or_unlisted(server.name)
-        is_believed = self._starts.accept(server.name, server.started_at_ms)
-        if before and not is_believed:
-            # An entry that a server wrote before its restart can arrive
-            # late.  It names adapters that the server no longer holds.
+        if before and server.started_at_ms < before.started_at_ms:
+            self._defer(server)
+            return
+        self._deferred.drop(server.name)
+        self._apply(server, before, is_adopted)
+
+    def _defer(self, server: BackendServer) -> None:
+        log.info(
+            'entry of an earlier start put off',
+            backend_server=server.name,
+            started_at_ms=server.started_at_ms,
+            leaving=server.is_leaving,
+        )
+        self._deferred.defer(server)
+        self._by_service.clear()
+        self._believe_deferred()
+
+    def _believe_deferred(self) -> None:
+        """Apply the entries that their servers have not written again."""
+        for server in self._deferred.due():
+            if self._starts.is_reported_later(
+                server.name, server.started_at_ms
+            ):
+                continue
             log.info(
-                'entry of an earlier start ignored',
+                'entry of an earlier start believed',
                 backend_server=server.name,
+                started_at_ms=server.started_at_ms,
             )
-            return
+            self._deferred.drop(server.name)
+            before = self._listed_or_unlisted(server.name)
+            self._apply(server, before, is_adopted=False)
+
+    def _apply(
+        self,
+        server: BackendServer,
+        before: BackendServer | None,
+        is_adopted: bool,
+    ) -> None:
         if server.is_leaving:
             # A peer may say so of a server that returns.
             if not is_adopted:
@@ -307,6 +343,7 @@
             server = dataclasses.replace(server, is_leaving=True)
         else:
             self._departed.record_listed(server.start_id)
+        self._starts.record_listed(server.name, server.started_at_ms)
         self._unlisted.discard(server.name)
         listed_before = self._servers.get(server.name)
         self._servers[server.name] = server
@@ -335,6 +372,7 @@
         """Record that an entry is no longer listed."""
         if name in self._servers:
             self._unlist(name)
+        self._deferred.drop(name)
 
     def discard(self, name: str) -> None:
         """Drop an entry that cannot be decoded."""
@@ -354,10 +392,10 @@
         server = self._servers.get(name)
         if server is None or not started_at_ms:
             return True
+        if not self._starts.accept_report(name, started_at_ms):
+            return False
         if started_at_ms == server.started_at_ms:
             return True
-        if not self._starts.accept(name, started_at_ms):
-            return False
         self._servers[name] = dataclasses.replace(
             server, started_at_ms=started_at_ms, adapters={}
         )
@@ -503,6 +541,7 @@
     def _leaves(self, server: BackendServer) -> bool:
         return (
             server.is_leaving
+            or self._deferred.is_leaving(server.name)
             or self._removals.includes(server.start_id)
             or self._leaving.includes(server.name, server.started_at_ms)
         )
--- a/lacewingpitch/engine_view.py
+++ b/lacewingpitch/engine_view.py
@@ -123,7 +123,7 @@
 
         Late reports of an earlier start are not.
         """
-        return self._starts.accept(_ENGINE, snapshot.started_at_ms)
+        return self._starts.accept_report(_ENGINE, snapshot.started_at_ms)
 
     @property
     def is_serving(self) -> bool:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -2,6 +2,8 @@
 
 import json
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from lacewingpitch import backend_list
@@ -177,3 +179,117 @@
         scene.write(own_entry())
         scene.write(own_entry(state='draining', remainingMs=remaining_ms))
         assert scene.names == ['i-2']
+
+
+class TestStarts:
+    """A whole entry with another start of the server."""
+
+    @pytest.mark.parametrize('offset_ms', [1, 5000, _HOUR_MS])
+    def test_a_later_one_does_not_hide_that_the_server_leaves(
+        self, scene, offset_ms
+    ):
+        """Guards against requests to a server that has said it leaves."""
+        scene.write(own_entry())
+        scene.write(own_entry(born=_OWN_START_MS + offset_ms))
+        scene.write(own_entry())
+        scene.wait(1)
+        scene.write(own_entry(state='draining'))
+        assert scene.names == ['i-2']
+        scene.wait(10)
+        assert scene.names == ['i-2']
+
+    @pytest.mark.parametrize('offset_ms', [-_HOUR_MS, 1, _HOUR_MS])
+    def test_none_ends_the_leaving_of_a_server_that_goes_on_to_say_so(
+        self, scene, offset_ms
+    ):
+        """Guards against a leaving server that another entry makes ready."""
+        scene.write(own_entry(state='draining'))
+        for _ in range(5):
+            scene.write(own_entry(born=_OWN_START_MS + offset_ms))
+            scene.write(own_entry(state='draining'))
+            assert scene.names == ['i-2']
+            scene.wait(3)
+            assert scene.names == ['i-2']
+
+    def test_the_entry_that_stands_is_believed_in_the_end(self, scene):
+        """Guards against an entry that is ignored and never read again."""
+        scene.write(own_entry())
+        foreign = own_entry(born=_OWN_START_MS + _HOUR_MS)
+        scene.write({**foreign, 'address': '10.9.9.9:1'})
+        scene.write(own_entry())
+        scene.wait(5)
+        assert scene.servers.get('i-1').ip == '10.0.0.1'
+
+    def test_a_report_of_the_server_outranks_a_later_one(self, scene):
+        """Guards against reports that an entry makes look outdated."""
+        scene.write(own_entry())
+        assert scene.servers.record_start('i-1', _OWN_START_MS)
+        scene.write(own_entry(born=_OWN_START_MS + _HOUR_MS))
+        scene.clock.now_s += 4.5
+        assert scene.servers.record_start('i-1', _OWN_START_MS)
+        assert scene.servers.get('i-1').started_at_ms == _OWN_START_MS
+
+    def test_no_late_one_is_believed_against_a_report(self, scene):
+        """Guards against adapters that a server had before its restart."""
+        scene.write(own_entry())
+        for _ in range(4):
+            start_ms = _OWN_START_MS + 5000
+            assert scene.servers.record_start('i-1', start_ms)
+            scene.write(own_entry())
+            scene.wait(2)
+            assert scene.servers.get('i-1').started_at_ms == start_ms
+
+    def test_a_late_one_does_not_outlast_the_next_heartbeat(self, scene):
+        """Guards against a restarted server that its last start holds back."""
+        restarted = own_entry(born=_OWN_START_MS + 5000)
+        scene.write(own_entry())
+        scene.write(restarted)
+        scene.write(own_entry(state='draining'))
+        scene.wait(1)
+        scene.write(restarted)
+        assert scene.names == ['i-1', 'i-2']
+        scene.wait(10)
+        assert scene.names == ['i-1', 'i-2']
+        assert scene.servers.get('i-1').started_at_ms == _OWN_START_MS + 5000
+
+    def test_a_clock_that_went_back_is_believed_after_a_while(self, scene):
+        """Guards against a restarted server whose entries are ignored."""
+        scene.write(own_entry())
+        scene.write(own_entry(born=_OWN_START_MS - _HOUR_MS))
+        scene.wait(5)
+        server = scene.servers.get('i-1')
+        assert server.started_at_ms == _OWN_START_MS - _HOUR_MS
+        scene.write(own_entry(born=_OWN_START_MS - _HOUR_MS, state='draining'))
+        assert scene.names == ['i-2']
+
+    def test_one_that_is_put_off_goes_with_its_key(self, scene):
+        """Guards against a server that is listed after its removal."""
+        scene.write(own_entry())
+        scene.write(own_entry(born=_OWN_START_MS - _HOUR_MS))
+        scene.remove()
+        scene.wait(10)
+        assert scene.names == ['i-2']
+        assert scene.servers.get('i-1') is None
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([-_HOUR_MS, -1, 0, 1, _HOUR_MS]),
+                st.sampled_from(['ready', 'draining']),
+                st.sampled_from([0.0, 0.5, 3.0, 6.0]),
+            ),
+            max_size=6,
+        )
+    )
+    def test_the_last_word_of_a_leaving_server_holds(self, writes):
+        """Guards against foreign entries that undo a server's leaving."""
+        scene = Scene()
+        scene.write(own_entry())
+        for offset_ms, state, wait_s in writes:
+            start_ms = _OWN_START_MS + offset_ms
+            scene.write(own_entry(born=start_ms, state=state))
+            scene.wait(wait_s)
+        scene.write(own_entry(state='draining'))
+        assert not scene.names
+        scene.wait(10)
+        assert not scene.names
