A server whose entry is overwritten stays in use until its next heartbeat

An entry that can't be read, under a server's own key, took the server out of use at once, until the server wrote again, a heartbeat of 1.2 s and the delay of a read later: requests refused although all servers work, if it was the only one or all were overwritten. A whole read made it count as ended. An entry of an unknown service did the same. Cause: what names no server was taken for the end of the server before. Fix: such an entry is left out, and the server is used by its last own entry for 4 s at most; its own `draining` and its removal count at once as before. Ways: dropped at once, as before (out for a heartbeat); used without a bound (a crashed server whose key another writer took would never lapse, as such an entry has no lease); used for three heartbeat intervals and a read, kept. The test of a dropped entry asserts the same as before, and when: it was used for none of the 4 s, now for all of them and not longer.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -1,6 +1,6 @@
 """The published list of backend servers, followed across outages."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 import dataclasses
 
 import reactivex
@@ -13,6 +13,7 @@
 from lacewingpitch import leaving_news
 from lacewingpitch import leaving_servers
 from lacewingpitch import list_removals
+from lacewingpitch import overwritten_servers
 from lacewingpitch import server_starts
 from lacewingpitch import unlisted_servers
 
@@ -122,6 +123,7 @@
         self._deferred: deferred_entries.DeferredEntries[BackendServer] = (
             deferred_entries.DeferredEntries(clock)
         )
+        self._overwritten = overwritten_servers.OverwrittenServers(clock)
         self._departed = departed_servers.DepartedServers(clock)
         self._leaving = leaving_servers.LeavingServers(
             lambda name: name in self._servers
@@ -224,6 +226,7 @@
         """
         self._starts.prune(self._servers.keys())
         self._believe_deferred()
+        self._drop_overwritten()
         if self._removals.forget_outdated():
             self._by_service.clear()
         if self._is_new_epoch:
@@ -242,16 +245,31 @@
             == server.created_revision
         }
 
-    def replace_all(self, servers: Iterable[BackendServer]) -> None:
-        """Apply a whole list."""
-        self._replace_all(servers, is_adopted=False)
+    def replace_all(
+        self,
+        servers: Iterable[BackendServer],
+        undecoded: Collection[str] = (),
+    ) -> None:
+        """Apply a whole list.
+
+        Parameters
+        ----------
+        undecoded
+            Names of the entries that cannot be decoded.
+        """
+        self._replace_all(servers, undecoded, is_adopted=False)
 
     def _replace_all(
-        self, servers: Iterable[BackendServer], is_adopted: bool
+        self,
+        servers: Iterable[BackendServer],
+        undecoded: Collection[str],
+        is_adopted: bool,
     ) -> None:
         found = {server.name: server for server in servers}
-        for name in self._servers.keys() - found.keys():
+        for name in self._servers.keys() - found.keys() - set(undecoded):
             self.remove(name)
+        for name in undecoded:
+            self.discard(name)
         for server in found.values():
             self._put(server, is_adopted)
         self.is_known = True
@@ -278,7 +296,7 @@
             Epoch and revision of that list.
         """
         self._removals.position = position
-        self._replace_all(servers, is_adopted=True)
+        self._replace_all(servers, (), is_adopted=True)
         self.record_read_failure()
         self._confirmed_at_s = self._clock.monotonic_s() - age_s
 
@@ -296,12 +314,28 @@
 
     def _put(self, server: BackendServer, is_adopted: bool) -> None:
         before = self._listed_or_unlisted(server.name)
+        if before and self._is_foreign(server, before):
+            self.discard(server.name)
+            return
+        self._overwritten.forget(server.name)
         if before and server.started_at_ms < before.started_at_ms:
             self._defer(server)
             return
         self._deferred.drop(server.name)
         self._apply(server, before, is_adopted)
 
+    def _is_foreign(
+        self, server: BackendServer, before: BackendServer
+    ) -> bool:
+        """Whether an entry names a service that no configuration has.
+
+        A new service may be listed before its configuration is known, but no
+        server changes to such a one.
+        """
+        return self._is_service(before.service) and not self._is_service(
+            server.service
+        )
+
     def _defer(self, server: BackendServer) -> None:
         log.info(
             'entry of an earlier start put off',
@@ -373,11 +407,24 @@
         if name in self._servers:
             self._unlist(name)
         self._deferred.drop(name)
+        self._overwritten.forget(name)
 
     def discard(self, name: str) -> None:
-        """Drop an entry that cannot be decoded."""
-        if name in self._servers:
+        """Record that an entry cannot be decoded, or is of another writer.
+
+        Its server is used by the entry before for some seconds.
+        """
+        if name in self._servers and self._overwritten.record(name):
+            log.warning('backend server overwritten', backend_server=name)
+
+    def _drop_overwritten(self) -> None:
+        for name in self._overwritten.over():
+            log.warning(
+                'overwritten backend server dropped', backend_server=name
+            )
             del self._servers[name]
+            self._deferred.drop(name)
+            self._overwritten.forget(name)
             self._by_service.clear()
 
     def record_start(self, name: str, started_at_ms: int) -> bool:
@@ -502,7 +549,7 @@
 
         Returns the same object while nothing changes.
         """
-        if self._unlisted:
+        if self._unlisted or self._overwritten:
             return self._with_unlisted(service)
         found = self._by_service.get(service)
         if found is None:
@@ -519,6 +566,8 @@
             # healthy server, which must still get its requests.
             if not self._is_service(server.service):
                 continue
+            if self._overwritten.is_over(server.name):
+                continue
             address = (server.ip, server.port)
             other = newest.get(address)
             if other is None or other.created_revision <= (
--- a/lacewingpitch/platform/store_updates.py
+++ b/lacewingpitch/platform/store_updates.py
@@ -152,13 +152,14 @@
         )
         if change.is_full_read:
             listed = []
+            undecoded = set()
             for item in change.items:
                 server = self._decode(item)
                 if server is None:
-                    self._servers.discard(_name_of(item))
+                    undecoded.add(_name_of(item))
                 else:
                     listed.append(server)
-            self._servers.replace_all(listed)
+            self._servers.replace_all(listed, undecoded)
             return
         # In the order of the store: if a server was updated and then
         # removed within one change, it must not be listed again.
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -293,3 +293,84 @@
         assert not scene.names
         scene.wait(10)
         assert not scene.names
+
+
+_UNREADABLE = [b'', b'\xff\xfe\x00', b'[', b'null', b'{}', b'[' * 5000]
+
+
+class TestOverwritten:
+    """An entry of a server that another writer has overwritten."""
+
+    @pytest.mark.parametrize('content', _UNREADABLE, ids=len)
+    def test_a_sound_server_stays_in_use_until_its_next_heartbeat(
+        self, scene, content
+    ):
+        """Guards against refused requests although all servers work."""
+        scene.write(own_entry())
+        for name in ('i-1', 'i-2'):
+            scene.write_bytes(content, name)
+        assert scene.names == ['i-1', 'i-2']
+        scene.wait(2)
+        for name in ('i-1', 'i-2'):
+            scene.write(own_entry(name), name)
+        assert scene.names == ['i-1', 'i-2']
+        scene.wait(10)
+        assert scene.names == ['i-1', 'i-2']
+        assert not scene.restarts
+        assert not scene.ends
+
+    def test_a_server_that_is_silent_is_dropped(self, scene):
+        """Guards against a crashed server that is used on and on."""
+        scene.write(own_entry())
+        for _ in range(4):
+            scene.write_bytes(b'')
+            scene.clock.now_s += 1.0
+        assert scene.names == ['i-2']
+        scene.wait(1)
+        assert scene.servers.get('i-1') is None
+
+    def test_a_whole_read_does_not_end_a_server(self, scene):
+        """Guards against a sound server that counts as ended."""
+        scene.write(own_entry())
+        scene.read_all({'i-1': 'x', 'i-2': own_entry('i-2')})
+        assert scene.names == ['i-1', 'i-2']
+        assert not scene.ends
+        scene.read_all({'i-2': own_entry('i-2')})
+        assert scene.names == ['i-2']
+        assert [server.name for server in scene.ends] == ['i-1']
+
+    def test_a_leaving_server_stays_leaving(self, scene):
+        scene.write(own_entry(state='draining'))
+        scene.write_bytes(b'')
+        assert scene.names == ['i-2']
+
+    def test_a_removed_one_is_not_used(self, scene):
+        """Guards against requests to a server that has left."""
+        scene.write(own_entry())
+        scene.write_bytes(b'')
+        scene.remove()
+        assert scene.names == ['i-2']
+        scene.wait(10)
+        assert scene.names == ['i-2']
+
+    def test_an_unknown_service_does_not_end_the_server(self, scene):
+        """Guards against a sound server that another service hides."""
+        scene.write(own_entry())
+        foreign = own_entry(service='svc-other', born=_OWN_START_MS + 1)
+        scene.write(foreign)
+        assert scene.names == ['i-1', 'i-2']
+        scene.write(own_entry())
+        scene.wait(5)
+        assert scene.names == ['i-1', 'i-2']
+        assert not scene.restarts
+        assert not scene.ends
+
+    def test_a_service_may_be_configured_after_its_servers(self):
+        """Guards against a new service whose servers are never used."""
+        scene = Scene()
+        services = set()
+        scene.servers._is_service = services.__contains__
+        scene.write(own_entry())
+        services.add(standin.SERVICE)
+        scene.write(own_entry(slots=9))
+        assert scene.names == ['i-1']
