An entry without a field that servers of its software state names no server

Entries with neither a start nor models were used under a key that no server had, took the address of a sound server, and under a server's own key dropped its start and its adapters. Cause: stage, models and born are not in every entry (plain servers, engines that state no start), so that a missing one was taken for a server without. Fix: which ones a server owes is observed: servers of one service and one version of their software state the same, so that a field is owed if most of the others, two at least, state it. Ways: owed by the configuration (it does not say whether servers state their start); owed by what the server itself stated before (one foreign entry that states more refuses the server's own entries for good); owed by most of the others, kept. Why it works: one foreign entry, whether it states more or less, is never most of three; sound servers of a service with fewer are never refused for it.

--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -14,6 +14,7 @@
 from lacewingpitch import leaving_servers
 from lacewingpitch import list_removals
 from lacewingpitch import overwritten_servers
+from lacewingpitch import owed_fields
 from lacewingpitch import server_starts
 from lacewingpitch import unlisted_servers
 
@@ -44,6 +45,8 @@
         the same name, and then holds nothing from before.
     leaves_in_s
         Time until it ends, as it was listed; 0 if it states none.
+    software_version, stated_fields
+        Version of its software, and the optional fields of its entry.
     """
 
     name: str
@@ -57,6 +60,8 @@
     created_revision: int = 0
     started_at_ms: int = 0
     leaves_in_s: float = 0.0
+    software_version: str = ''
+    stated_fields: frozenset[str] = frozenset()
 
     @property
     def start_id(self) -> str:
@@ -327,14 +332,18 @@
     def _is_foreign(
         self, server: BackendServer, before: BackendServer
     ) -> bool:
-        """Whether an entry names a service that no configuration has.
+        """Whether an entry is of another writer than its server.
 
-        A new service may be listed before its configuration is known, but no
-        server changes to such a one.
+        It lacks a field, or names a service that no configuration has.  A new
+        service may be listed before its configuration is known, but no server
+        changes to such a one.
         """
-        return self._is_service(before.service) and not self._is_service(
-            server.service
-        )
+        if not self._is_service(server.service):
+            return self._is_service(before.service)
+        if server.stated_fields >= before.stated_fields:
+            return False
+        others = {**self._servers, server.name: server}
+        return server.name in owed_fields.find_incomplete(others.values())
 
     def _defer(self, server: BackendServer) -> None:
         log.info(
@@ -561,11 +570,14 @@
         # The entry of a restarted server is listed beside that of its last
         # incarnation until the latter expires.
         newest: dict[tuple[str, int], BackendServer] = {}
+        incomplete = owed_fields.find_incomplete(self._servers.values())
         for server in self._servers.values():
             # An entry of another writer may contain the address of a
             # healthy server, which must still get its requests.
             if not self._is_service(server.service):
                 continue
+            if server.name in incomplete:
+                continue
             if self._overwritten.is_over(server.name):
                 continue
             address = (server.ip, server.port)
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -27,6 +27,8 @@
     'unsafe': routing.RequestKind.AT_MOST_ONCE,
     'streaming': routing.RequestKind.STREAM,
 }
+# Of an entry of the list; servers of the same software state the same ones.
+_OPTIONAL_FIELDS = ('stage', 'models', 'born')
 # Whether a server in a state is leaving.  Entries in any other state are
 # rejected.
 _IS_LEAVING = {'ready': False, 'draining': True}
@@ -241,6 +243,16 @@
         created_revision=created_revision,
         started_at_ms=entry.born or 0,
         leaves_in_s=_number(entry.remaining_ms) / _MS_PER_S,
+        software_version=entry.version,
+        stated_fields=_stated_fields(entry),
+    )
+
+
+def _stated_fields(entry: _BackendServer) -> frozenset[str]:
+    return frozenset(
+        name
+        for name in _OPTIONAL_FIELDS
+        if getattr(entry, name) is not msgspec.UNSET
     )
 
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -374,3 +374,58 @@
         services.add(standin.SERVICE)
         scene.write(own_entry(slots=9))
         assert scene.names == ['i-1']
+
+
+class TestOwedFields:
+    """An entry that lacks what all servers of its software state."""
+
+    @pytest.fixture
+    def engines(self, scene):
+        for name in ('i-1', 'i-2', 'i-3'):
+            scene.write(own_entry(name), name)
+        return scene
+
+    @pytest.mark.parametrize('field', ['born', 'stage', 'models'])
+    def test_it_names_no_server_to_use(self, engines, field):
+        """Guards against requests to a server that no server listed."""
+        foreign = foreign_entry(field, None, 'i-9')
+        engines.write(foreign, 'i-9')
+        assert engines.names == ['i-1', 'i-2', 'i-3']
+
+    @pytest.mark.parametrize('field', ['born', 'stage', 'models'])
+    def test_it_takes_no_address(self, engines, field):
+        """Guards against a sound server that a foreign entry hides."""
+        foreign = foreign_entry(field, None, 'i-9', address='10.0.0.1:8080')
+        engines.write(foreign, 'i-9')
+        assert engines.names == ['i-1', 'i-2', 'i-3']
+
+    @pytest.mark.parametrize('field', ['born', 'stage', 'models'])
+    def test_it_hides_nothing_of_a_server(self, engines, field):
+        """Guards against a server that loses its start and its adapters."""
+        foreign = foreign_entry(field, None, born=_OWN_START_MS + 1)
+        engines.write(foreign)
+        assert engines.servers.get('i-1').started_at_ms == _OWN_START_MS
+        assert engines.names == ['i-1', 'i-2', 'i-3']
+        assert not engines.restarts
+        assert not engines.ends
+
+    @pytest.mark.parametrize('field', ['born', 'stage', 'models'])
+    def test_what_one_alone_states_is_not_owed(self, field):
+        """Guards against sound servers that one foreign entry refuses."""
+        scene = Scene()
+        for name in ('i-1', 'i-2', 'i-3'):
+            scene.write(foreign_entry(field, None, name), name)
+        scene.write(own_entry('i-9'), 'i-9')
+        assert set(scene.names) >= {'i-1', 'i-2', 'i-3'}
+
+    def test_another_version_of_the_software_may_state_less(self, engines):
+        """Guards against a release whose servers are refused."""
+        older = foreign_entry('born', None, 'i-4', version='v0')
+        engines.write(older, 'i-4')
+        assert 'i-4' in engines.names
+
+    def test_servers_of_another_service_may_state_less(self, engines):
+        plain = standin.Service('i-4').entry('10.0.0.4:8080')
+        engines.write(plain, 'i-4')
+        serving = engines.servers.serving(standin.PLAIN)
+        assert [server.name for server in serving] == ['i-4']
