A number that fits into no message no longer stops the replies to peers

One entry with 10**30 slots, or a published adapter version of that size, made each reply to an entry that starts fail to encode (OverflowError, `handler failed`), so that none could learn its state from a peer while the store was away; a report with such a count did the same to a sidecar's replies, and a negative count reached its forecasts. Cause: whole numbers from outside were read without bounds, and messages hold 64 bits. Fix: versions, slots, order and request counts lie between 0 and 2**53, starts below 10**13 ms in reports too; anything else is rejected with its item. Where else it was looked for: reports, headers of answers, deep nesting, bytes that are no JSON (Hypothesis, real connections): errors of one item already; messages between processes are signed, their handlers catch all errors; text can't hold lone surrogates.

--- a/lacewingpitch/platform/engine_client.py
+++ b/lacewingpitch/platform/engine_client.py
@@ -47,15 +47,15 @@
     pending: tuple[str, ...] = ()
     # In any other state than ready it accepts no more requests.
     state: str = _STATE_READY
-    queued: int = 0
-    active: int = 0
+    queued: wire.Count = 0
+    active: wire.Count = 0
     runs: tuple[_RunReport, ...] = ()
     # Number of orders accepted since the engine started.
-    sequence: int = 0
+    sequence: wire.Count = 0
     # Whether an order for a model is in progress; adapters do not count.
     busy: bool = False
     # Unix time of its start in ms; 0 if engines do not report it.
-    born: int = 0
+    born: wire.StartMs = 0
 
 
 class EngineClient:
--- a/lacewingpitch/platform/wire.py
+++ b/lacewingpitch/platform/wire.py
@@ -17,7 +17,10 @@
 _MS_PER_S = 1000
 # Far in the future; a larger start is no Unix time in milliseconds.
 _MAX_START_MS = 10**13
-_StartMs = Annotated[int, msgspec.Meta(ge=0, lt=_MAX_START_MS)]
+StartMs = Annotated[int, msgspec.Meta(ge=0, lt=_MAX_START_MS)]
+# Larger numbers fit into no message between processes.
+_MAX_COUNT = 2**53
+Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 _BYTES_PER_MBIT = 125_000
 _TOKEN_UNIT = 'token_count'
 # Larger numbers are no versions.
@@ -109,7 +112,7 @@
 
 
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
@@ -139,19 +142,19 @@
     # Of its software.
     version: str
     # Requests that run concurrently.
-    slots: Annotated[int, msgspec.Meta(gt=0)]
+    slots: Annotated[int, msgspec.Meta(gt=0, le=_MAX_COUNT)]
     state: str
     # Time for which it remains slow after its start.
     cold_ms: float = msgspec.field(name='coldRemainingMs')
     # Orders that it has accepted.
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    sequence: Count
     # Of a model engine.
     stage: str | msgspec.UnsetType = msgspec.UNSET
     models: tuple[HeldModel, ...] | msgspec.UnsetType = msgspec.UNSET
     # Copies of weights by place.
     available: dict[str, Any] | msgspec.UnsetType = msgspec.UNSET
     # Unix time of its start in ms, if servers state it.
-    born: _StartMs | msgspec.UnsetType = msgspec.UNSET
+    born: StartMs | msgspec.UnsetType = msgspec.UNSET
     # Of a server that is removed at short notice: time until it ends.
     remaining_ms: float | msgspec.UnsetType = msgspec.field(
         name='remainingMs', default=msgspec.UNSET
@@ -161,7 +164,7 @@
 class _AdapterVersion(msgspec.Struct, frozen=True):
     model: str
     adapter: str
-    version: int
+    version: Count
 
 
 def decode_configuration(content: bytes) -> routing.Configuration:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -4,12 +4,17 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
+from lacewingpitch import adapter_versions
 from lacewingpitch import backend_list
+from lacewingpitch import errors
+from lacewingpitch import peer_bootstrap
 from lacewingpitch.platform import prefix_watcher
 from lacewingpitch.platform import store
 from lacewingpitch.platform import store_updates
+from lacewingpitch.platform import wire
 from tests import clocks
 from tests import platform_standin as standin
 
@@ -429,3 +434,35 @@
         engines.write(plain, 'i-4')
         serving = engines.servers.serving(standin.PLAIN)
         assert [server.name for server in serving] == ['i-4']
+
+
+class TestHugeNumbers:
+    """A whole number that fits into no message between processes."""
+
+    @pytest.mark.parametrize('field', ['slots', 'sequence', 'born'])
+    def test_in_an_entry_does_not_stop_the_replies_to_peers(
+        self, scene, field
+    ):
+        """Guards against entries that start and can learn from no peer."""
+        scene.write(own_entry('i-9', **{field: 10**30}), 'i-9')
+        reply = peer_bootstrap.StateReply(servers=scene.servers.all())
+        msgspec.msgpack.encode(reply)
+        assert scene.names == ['i-2']
+
+    def test_in_a_version_does_not_stop_the_replies_to_peers(self):
+        """Guards against entries that start and can learn from no peer."""
+        versions = adapter_versions.AdapterVersions()
+        published = {'model': 'm', 'adapter': 'a', 'version': 10**30}
+        with pytest.raises(errors.PlatformError):
+            versions.record(
+                *wire.decode_adapter_version(json.dumps(published).encode())
+            )
+        msgspec.msgpack.encode(
+            peer_bootstrap.StateReply(versions=versions.all())
+        )
+
+    def test_in_a_configuration_is_rejected(self):
+        """Guards against messages that can't name their configuration."""
+        found = standin.configuration(10**30)
+        with pytest.raises(errors.PlatformError):
+            wire.decode_configuration(json.dumps(found).encode())
