--- a/lacewingpitch/backend_list.py
+++ b/lacewingpitch/backend_list.py
@@ -347,7 +347,7 @@
 
     def _defer(self, server: BackendServer) -> None:
         log.info(
-            'entry of an earlier start put off',
+            'entry of an earlier start deferred',
             backend_server=server.name,
             started_at_ms=server.started_at_ms,
             leaving=server.is_leaving,
@@ -364,7 +364,7 @@
             ):
                 continue
             log.info(
-                'entry of an earlier start believed',
+                'deferred entry believed',
                 backend_server=server.name,
                 started_at_ms=server.started_at_ms,
             )
--- a/lacewingpitch/deferred_entries.py
+++ b/lacewingpitch/deferred_entries.py
@@ -52,7 +52,7 @@
         self._entries: dict[str, _Deferred[_Entry]] = {}
 
     def defer(self, entry: _Entry) -> None:
-        """Put an entry off; a repeated entry keeps its time."""
+        """Defer an entry; a repeated one keeps its time."""
         known = self._entries.get(entry.name)
         if known and known.entry.started_at_ms == entry.started_at_ms:
             believed_from_s = known.believed_from_s
@@ -61,11 +61,11 @@
         self._entries[entry.name] = _Deferred(entry, believed_from_s)
 
     def drop(self, name: str) -> None:
-        """Drop the entry of a server that was put off, if there is one."""
+        """Drop the deferred entry of a server, if there is one."""
         self._entries.pop(name, None)
 
     def is_leaving(self, name: str) -> bool:
-        """Whether an entry that was put off says that its server leaves."""
+        """Whether a deferred entry says that its server leaves."""
         found = self._entries.get(name)
         return found is not None and found.entry.is_leaving
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -267,7 +267,7 @@
         scene.write(own_entry(born=_OWN_START_MS - _HOUR_MS, state='draining'))
         assert scene.names == ['i-2']
 
-    def test_one_that_is_put_off_goes_with_its_key(self, scene):
+    def test_a_deferred_one_goes_with_its_key(self, scene):
         """Guards against a server that is listed after its removal."""
         scene.write(own_entry())
         scene.write(own_entry(born=_OWN_START_MS - _HOUR_MS))
