--- a/tests/test_engine_reports.py
+++ b/tests/test_engine_reports.py
@@ -14,28 +14,16 @@
 from lacewingpitch import engine_gate
 from lacewingpitch import errors
 from lacewingpitch.platform import engine_client
+from tests import any_json
 from tests import clocks
 
-_VALUES = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.floats()
-    | st.text()
-    | st.sampled_from([10**30, -1, 10**400, -(10**400), '9' * 5000]),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
-    ),
-    max_leaves=6,
-)
 _FIELDS = (
     *('state', 'models', 'pending', 'busy', 'sequence', 'queued', 'active'),
     *('runs', 'born', 'remainingMs', 'next', 'unknown'),
 )
-_REPORTS = st.dictionaries(st.sampled_from(_FIELDS), _VALUES, max_size=4).map(
-    lambda fields: json.dumps(fields).encode()
-)
+_REPORTS = st.dictionaries(
+    st.sampled_from(_FIELDS), any_json.VALUES, max_size=4
+).map(lambda fields: json.dumps(fields).encode())
 _DEEP = [b'[' * 100_000, b'{"models":' * 50_000, b'{"x":' + b'[' * 100_000]
 _HEADERS = st.dictionaries(
     st.sampled_from(['Server-Limit', 'Server-Leaving', 'Retry-After']),
--- a/tests/test_platform_store_updates.py
+++ b/tests/test_platform_store_updates.py
@@ -20,6 +20,7 @@
 from lacewingpitch.platform import store_updates
 from lacewingpitch.platform import wire
 from lacewingpitch import routing
+from tests import any_json
 from tests import clocks
 from tests import platform_standin as standin
 
@@ -207,20 +208,6 @@
         assert server.max_running == 8
 
 
-_HUGE = 10**400
-_VALUES = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.floats()
-    | st.text()
-    | st.sampled_from([_HUGE, -_HUGE, 10**18, 1e300, '9' * 5000]),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
-    ),
-    max_leaves=6,
-)
 _ENTRY_FIELDS = ('service', 'address', 'zone', 'slots', 'state', 'models')
 _OPTIONAL_FIELDS = ('born', 'remainingMs', 'version', 'sequence')
 _MODEL_FIELDS = ('name', 'version', 'adapters')
@@ -244,8 +231,8 @@
     @pytest.mark.parametrize(
         'fields',
         [
-            {'remainingMs': _HUGE},
-            {'born': -_HUGE},
+            {'remainingMs': any_json.HUGE},
+            {'born': -any_json.HUGE},
             {'models': [{'name': 'm', 'adapters': ['a@' + '9' * 5000]}]},
         ],
     )
@@ -282,9 +269,10 @@
 
     @hypothesis.given(
         st.dictionaries(
-            st.sampled_from((*_ENTRY_FIELDS, *_OPTIONAL_FIELDS)), _VALUES
+            st.sampled_from((*_ENTRY_FIELDS, *_OPTIONAL_FIELDS)),
+            any_json.VALUES,
         ),
-        st.dictionaries(st.sampled_from(_MODEL_FIELDS), _VALUES),
+        st.dictionaries(st.sampled_from(_MODEL_FIELDS), any_json.VALUES),
     )
     def test_any_entry_is_decoded_or_rejected(self, fields, model):
         """Guards against a process that an entry of the list stops."""
@@ -314,7 +302,7 @@
                     *('priority', 'unit', 'uncachedTokens', 'burst', 'type'),
                 )
             ),
-            _VALUES,
+            any_json.VALUES,
         ),
     )
     def test_any_configuration_is_decoded_or_rejected(self, part, fields):
