A stream is not the first to try a server after its backoff

The stream's engine was sound and silent for 1.6 s. The entry paid for a turn at the other engine, whose backoff had just ended, left, and got 503 there: not run. Two attempts are allowed, so that nothing was left to go back to.

Cause: an attempt at a silent server is given up for a turn, and a turn is no answer. At the end of a backoff one request tries the server, and the others follow once it has an answer; the stream was that request.

Fix: while its server may be sound, a stream chooses no server that has asked for backoff and not served since. Later it may choose any, as its own server then hangs. Test: test_request_forwarder::TestSilence, which failed before (the stream was cut, as NotRunError came second); the test beside it holds that a server that hangs is still left.

Remains: a server that turns requests away for the first time.

--- a/lacewingpitch/attempt_turns.py
+++ b/lacewingpitch/attempt_turns.py
@@ -1,7 +1,7 @@
 """Turns for the attempts of requests, and for what may replace them."""
 
 import collections
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 import contextlib
 
 from lacewingpitch import adapter_versions
@@ -11,6 +11,7 @@
 from lacewingpitch import plain_server_selector
 from lacewingpitch import request_history
 from lacewingpitch import request_turns
+from lacewingpitch import server_gate
 from lacewingpitch import standby_turn
 from lacewingpitch import turn_client
 from lacewingpitch import turn_spec
@@ -29,6 +30,8 @@
         Minimum versions of adapters that requests must run on.
     wait_until_informed
         Waits until this process knows the crashes that others have seen.
+    gate
+        Tells which servers have asked for backoff and not served since.
 
     Attributes
     ----------
@@ -44,6 +47,7 @@
         ejector: ejection.Ejector,
         clock: clock_module.Clock,
         wait_until_informed: Callable[[], Awaitable[None]],
+        gate: server_gate.ServerGate,
     ) -> None:
         self.model_turns = model_turns
         self._plain_servers = plain_servers
@@ -51,6 +55,7 @@
         self._ejector = ejector
         self._clock = clock
         self._wait_until_informed = wait_until_informed
+        self._gate = gate
         self.moved_counts: collections.Counter[str] = collections.Counter()
 
     async def next_turn(
@@ -82,8 +87,12 @@
         next_attempt = history.sent_count + 2
         route = request.route
         return standby_turn.StandbyTurn(
-            lambda: self._acquire(
-                request, services, history, history.next_search()
+            lambda only_proven: self._acquire(
+                request,
+                services,
+                history,
+                history.next_search(),
+                self._gate.backoffs.unproven() if only_proven else (),
             ),
             history.charges,
             self._ejector,
@@ -104,17 +113,24 @@
         services: tuple[str, ...],
         history: request_history.RequestHistory,
         search: int = 0,
+        avoided: Collection[str] = (),
     ) -> AsyncIterator[turn_spec.Turn]:
         """Acquire a turn on the backend server for the next attempt.
 
         Requests without a model need no turn.
+
+        Parameters
+        ----------
+        avoided
+            Names of servers that are not chosen, beside those tried before.
         """
         await self._wait_until_informed()
+        excluded = [*history.servers, *avoided]
         if not request.model:
             async with self._plain_servers.select(
                 request.suspect_keys,
                 services,
-                history.servers,
+                excluded,
                 request.route.target_latency_s,
             ) as turn:
                 yield turn
@@ -126,6 +142,6 @@
         spec = request_turns.new_spec(
             request, history, services[0], version, search
         )
-        async with self.model_turns.acquire(spec, history.servers) as turn:
+        async with self.model_turns.acquire(spec, excluded) as turn:
             history.turn_wait_s += self._clock.monotonic_s() - started_s
             yield turn
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -112,6 +112,7 @@
             ejector,
             clock,
             wait_until_informed or _is_informed,
+            gate,
         )
         self._services = services
         self._ejector = ejector
--- a/lacewingpitch/server_backoff.py
+++ b/lacewingpitch/server_backoff.py
@@ -95,6 +95,13 @@
         until_s = max(found.until_s, found.trial_until_s)
         return max(0.0, until_s - self._clock.boot_s())
 
+    def unproven(self) -> frozenset[str]:
+        """Return the names of the servers that have not served again."""
+        return frozenset(
+            backend_list.split_start_id(start_id)[0]
+            for start_id in self._backoffs
+        )
+
     def record_sending(self, server: backend_list.BackendServer) -> None:
         """Record that a request is sent, which may try the server."""
         found = self._backoffs.get(server.start_id)
--- a/lacewingpitch/standby_turn.py
+++ b/lacewingpitch/standby_turn.py
@@ -15,15 +15,17 @@
 # Between two tries to get a turn elsewhere.
 _SEARCH_INTERVAL_S = 0.25
 # A sound server goes on before this.  Until then a part of the retry budget
-# is kept for attempts that have failed.
+# is kept for attempts that have failed, and no server is tried that may turn
+# the request away.
 _SOUND_SILENCE_S = 2.5
 # No part is kept in the last tries that can still help.
 _LAST_TRIES_S = 0.3
 _MS_PER_S = 1000
 log = structlog.get_logger(__name__)
 
+# Acquires a turn; with `True`, only at a server that is known to serve.
 TurnSource = Callable[
-    [], contextlib.AbstractAsyncContextManager[turn_spec.Turn]
+    [bool], contextlib.AbstractAsyncContextManager[turn_spec.Turn]
 ]
 
 
@@ -174,14 +176,17 @@
         self._log('silent backend server left', to=to)
         on_left()
 
-    def _try_charge(self) -> bool:
-        now_s = self._clock.monotonic_s()
-        keeps_part = now_s < min(
+    @property
+    def _may_be_sound(self) -> bool:
+        """Whether the silent server may go on in time."""
+        return self._clock.monotonic_s() < min(
             self._silent_since_s + _SOUND_SILENCE_S,
             self._move_by_s() - _LAST_TRIES_S,
         )
+
+    def _try_charge(self) -> bool:
         self._is_charged = self._charges.try_charge_early(
-            self._service, self._attempt, keeps_part
+            self._service, self._attempt, keeps_part=self._may_be_sound
         )
         return self._is_charged
 
@@ -191,7 +196,9 @@
             return True
         async with contextlib.AsyncExitStack() as exits:
             with contextlib.suppress(errors.RefusalError):
-                turn = await exits.enter_async_context(self._acquire())
+                turn = await exits.enter_async_context(
+                    self._acquire(self._may_be_sound)
+                )
                 if self._charges.try_move(turn.server.service):
                     self._turn = turn
                     self._exits = exits.pop_all()
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -136,7 +136,9 @@
     @contextlib.asynccontextmanager
     async def acquire(self, wanted, excluded):
         self.wanted.append(wanted)
-        name = next(n for n in SERVERS if n not in excluded)
+        name = next((n for n in SERVERS if n not in excluded), None)
+        if name is None:
+            raise errors.RefusalError(errors.ErrorKind.QUEUE_FULL, 'none')
         self.open_count += 1
         try:
             yield turn_spec.Turn(server(name), 3)
@@ -461,6 +463,38 @@
         assert scene.delivered.body == event(1) + event(2)
         assert len(scene.client.calls) == 2
 
+    def play_with_backoffs(self, *steps):
+        """Play with the other servers at the end of a backoff.
+
+        Callers wait for 3.2 s.
+        """
+        found = dataclasses.replace(self.RESUMABLE, target_latency_s=0.8)
+
+        async def main():
+            scene = Scene(*steps)
+            for name in SERVERS[1:]:
+                scene.gate.backoffs.record(server(name), 0.1)
+            await asyncio.sleep(0.2)
+            await scene.forward(found, model='m')
+            return scene
+
+        return virtual_time.run(main())
+
+    def test_a_stream_is_not_the_first_to_try_a_server_after_a_backoff(self):
+        """Guards against a stream that leaves its server for a full one."""
+        scene = self.play_with_backoffs(self.SILENT, NOT_RUN)
+        assert scene.delivered.body == event(1) + event(2)
+        assert scene.delivered.is_complete
+        assert len(scene.client.calls) == 1
+        assert scene.turns.open_count == 0
+
+    def test_a_server_that_hangs_is_left_for_one_after_a_backoff(self):
+        """Guards against a stream that waits for a server that hangs."""
+        hanging = {'chunks': (event(1), 60.0, event(2))}
+        scene = self.play_with_backoffs(hanging, self.REST)
+        assert scene.delivered.is_complete
+        assert len(scene.client.calls) == 2
+
     def test_a_caller_that_leaves_ends_the_search(self):
         """Guards against turns that are held for callers that left."""
 
