--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -243,6 +243,15 @@
                 error.add_note(program.state())
             raise
 
+    def request_log(self, request_id):
+        """Return what the programs logged about a request, as text."""
+        return '\n'.join(
+            f'{program.name}: {json.dumps(line)}'
+            for program in self.programs
+            for line in program.lines
+            if line.get('request_id') == request_id
+        )
+
     def call(self, path, request_id, method='POST', **headers):
         sent = {
             'Host': 'h.example',
--- a/tests/test_platform_engine_ends.py
+++ b/tests/test_platform_engine_ends.py
@@ -104,7 +104,7 @@
                 await asyncio.sleep(frozen_s)
 
         events = await read(platform, path, crash)
-        assert len(scene.crashed_at_s) == 1
+        assert len(scene.crashed_at_s) == 1, platform.request_log('r-1')
         if path == RESUMABLE:
             assert events in (None, EVENT_COUNT)
             return
