Logs tell a second answer of a server from mixed connections of callers

What callers saw: an answer that was not their own, by report; the logs could not tell by which of three ways. 'attempt failed' now names the id that a foreign answer had, and 'request ended' the caller's end of the connection, so that two answers on one connection, mixed connections within an entry, and answers of servers differ. No decision has changed.

--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -32,6 +32,7 @@
 _STATUS_OTHER_INCARNATION = 421
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
+_MAX_ID_CHARS = 64
 log = structlog.get_logger(__name__)
 
 
@@ -292,7 +293,8 @@
     response_request_id = response.headers.get(names.REQUEST_ID)
     if response_request_id not in (None, call.request.request_id):
         raise backend_call.AnswerLostError(
-            'the response is to another request'
+            'the response is to another request: '
+            f'{response_request_id[:_MAX_ID_CHARS]!r}'
         )
 
 
--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -306,6 +306,7 @@
                 took_ms=round(took_s * _MS_PER_S),
                 step=delivery.step,
                 closed_by=delivery.closed_by,
+                peer=delivery.peer,
                 configuration_version=self._table.version,
                 configuration_age_ms=self._authenticator.age_ms(
                     arrived_boot_s
--- a/lacewingpitch/platform/response_delivery.py
+++ b/lacewingpitch/platform/response_delivery.py
@@ -27,6 +27,8 @@
         The HTTP response; ``None`` until one is started.
     step
         The last step that the request has reached.
+    peer
+        The caller's end of the connection, as IP:PORT.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
     ) -> None:
         self._request = request
         self._is_draining = is_draining
+        self.peer = _peer(request)
         self.response: web.StreamResponse | None = None
         self.step = request_end.Step.HEAD_READ
         self._is_complete = False
@@ -149,6 +152,12 @@
             response.force_close()
 
 
+def _peer(request: web.BaseRequest) -> str:
+    transport = request.transport
+    found = transport and transport.get_extra_info('peername')
+    return f'{found[0]}:{found[1]}' if found else ''
+
+
 def _reset_framing(writer: abc.AbstractStreamWriter) -> None:
     # Otherwise the next response would have the framing of this one.
     assert isinstance(writer, http_writer.StreamWriter)
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -224,6 +224,16 @@
 
         play(scenario)
 
+    def test_the_error_names_the_request_of_a_foreign_response(self):
+        async def scenario(server, send):
+            server.scripts = [lambda name: answer('stranger')]
+            with pytest.raises(
+                backend_call.AnswerLostError, match="'stranger'"
+            ):
+                await send('one')
+
+        play(scenario)
+
     def test_a_connection_with_an_incomplete_response_is_not_reused(self):
         async def scenario(server, send):
             server.scripts = [lambda name: answer(name, body=b'wh')]
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -345,11 +345,17 @@
     )
 
     async def ended(self, scene, serve, leaves=False):
-        """Return what the log says of the end of a request."""
+        """Return who ended a request and at which step, by the log."""
+        line, _ = await self.logged(scene, serve, leaves)
+        return line['closed_by'], line['step']
+
+    async def logged(self, scene, serve, leaves=False):
+        """Return the log line of a request's end, and its caller's address."""
         scene.configure()
         scene.frontend._serve = serve
         with structlog.testing.capture_logs() as lines:
             reader, writer = await scene.connect()
+            address = writer.get_extra_info('sockname')
             with contextlib.closing(writer):
                 writer.write(self.REQUEST)
                 if leaves:
@@ -361,7 +367,11 @@
                 while not any(x['event'] == 'request ended' for x in lines):
                     await asyncio.sleep(0.01)
         (line,) = [x for x in lines if x['event'] == 'request ended']
-        return line['closed_by'], line['step']
+        return line, address
+
+    async def test_it_names_the_connection_of_the_caller(self, scene):
+        line, (ip, port, *_) = await self.logged(scene, scene._serve)
+        assert line['peer'] == f'{ip}:{port}'
 
     async def test_a_whole_answer_is_closed_by_nobody(self, scene):
         assert await self.ended(scene, scene._serve) == ('', 'answering')
