A transfer coding other than chunked marks no end of an answer

What callers could get: half an answer as a whole one, or the coded bytes in place of the body, from a server whose answer names a transfer coding other than chunked, and that crashes in the middle.

Cause: any Transfer-Encoding header counted as a mark of the end. Only chunked as the last coding is one; with another the body ends with its connection, as a crash does, and the end was believed without asking whether the start still runs. A coding before chunked is taken away by nobody, and the header is not passed on.

Why it works: identity and an empty header count as no coding, so that the end is confirmed as for other answers without a length; an answer in any other coding is lost. In platform and own mode, by one module.

--- a/lacewingpitch/plain_service.py
+++ b/lacewingpitch/plain_service.py
@@ -91,6 +91,10 @@
             except _NOT_SENT as error:
                 raise engine.NotSentError(f'service: {error!r}') from error
             async with response:
+                if not answer_framing.is_decoded(response):
+                    raise errors.PlatformError(
+                        'service: an unknown transfer coding'
+                    )
                 yield ServiceAnswer(
                     response.status,
                     response.headers.get('Content-Type', ''),
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -315,6 +315,8 @@
         )
     if 'Content-Encoding' in response.headers:
         raise backend_call.AnswerLostError('the response is compressed')
+    if not answer_framing.is_decoded(response):
+        raise backend_call.AnswerLostError('an unknown transfer coding')
 
 
 def _end_to_end_headers(
--- a/tests/test_plain_service.py
+++ b/tests/test_plain_service.py
@@ -11,16 +11,17 @@
 from tests import standin_crashes
 
 CALL = plain_service.ServiceCall('r-1', 'POST', '/x', '', b'')
-HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
+HEAD = b'HTTP/1.1 200 OK\r\n'
 
 
-async def answer(body, is_reset=False, has_crashed=False):
+async def answer(body, is_reset=False, has_crashed=False, coding=b''):
     """Return the body of an answer without a length."""
     listening = None
 
     async def serve(reader, writer):
         await reader.readuntil(b'\r\n\r\n')
-        writer.write(HEAD + body)
+        header = coding and b'Transfer-Encoding: %s\r\n' % coding
+        writer.write(HEAD + header + b'\r\n' + body)
         await writer.drain()
         if is_reset:
             await asyncio.sleep(0.05)
@@ -52,3 +53,15 @@
         """Guards against the end of a crash that passes for an answer's."""
         with pytest.raises(errors.PlatformError):
             await answer(b'wh', **{fault: True})
+
+    async def test_no_coding_hides_that_the_end_is_not_marked(self):
+        """Guards against the end of a crash that passes for an answer's."""
+        assert await answer(b'whole', coding=b'identity') == b'whole'
+        with pytest.raises(errors.PlatformError):
+            await answer(b'wh', has_crashed=True, coding=b'identity')
+
+    @pytest.mark.parametrize('coding', [b'gzip', b'gzip, chunked'])
+    async def test_a_body_in_an_unknown_coding_is_lost(self, coding):
+        """Guards against bytes that pass for the body they encode."""
+        with pytest.raises(errors.PlatformError):
+            await answer(b'4\r\nbody\r\n0\r\n\r\n', coding=coding)
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -529,10 +529,10 @@
         assert 'Kv-From' not in dict(before)
 
 
-def unframed(request_id, status='200 OK', body=BODY):
+def unframed(request_id, status='200 OK', body=BODY, headers=()):
     """Return an answer with neither a length nor chunks."""
-    head = f'HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n\r\n'
-    return head.encode() + body
+    lines = [f'HTTP/1.1 {status}', f'Request-Id: {request_id}', *headers]
+    return '\r\n'.join([*lines, '', '']).encode() + body
 
 
 class TestUnframedAnswers:
@@ -567,6 +567,34 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize('coding', ['identity', 'IDENTITY ', '', ','])
+    def test_the_end_is_confirmed_if_a_coding_does_not_mark_it(self, coding):
+        """Guards against a part of an answer that passes for the whole."""
+        header = f'Transfer-Encoding: {coding}'
+
+        async def scenario(server, send):
+            found = await self.send_unframed(server, send, headers=[header])
+            assert found == BODY
+            assert server.end_check.checked == [('i-1', 'one')]
+
+        play(scenario)
+
+    @pytest.mark.parametrize(
+        'coding', ['gzip', 'gzip, chunked', 'chunked, identity', 'x-chunked']
+    )
+    def test_a_body_in_an_unknown_coding_is_lost(self, coding):
+        """Guards against bytes that pass for the body they encode."""
+        header = f'Transfer-Encoding: {coding}'
+        body = b'4\r\nbody\r\n0\r\n\r\n'
+
+        async def scenario(server, send):
+            with pytest.raises(backend_call.AnswerLostError):
+                await self.send_unframed(
+                    server, send, headers=[header], body=body
+                )
+
+        play(scenario)
+
     def test_a_connection_that_is_reset_needs_no_check(self):
         async def scenario(server, send):
             with pytest.raises(backend_call.AnswerLostError):
