--- /dev/null
+++ b/tests/test_second_answers.py
@@ -0,0 +1,217 @@
+"""Servers that answer twice, beside callers that leave and held-up loops."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+import time
+
+import pytest
+
+from lacewingpitch import backend_call
+from lacewingpitch import clock
+from lacewingpitch import errors
+from lacewingpitch import event_loop
+from lacewingpitch.platform import backend_client
+from lacewingpitch import routing
+from tests import stuttering_server
+from tests import test_platform_backend_client as client_tests
+
+# Errors that promise that the request has not run.
+PROMISES = client_tests.NOT_RUN_ERRORS
+SERVER_COUNT = 2
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What became of the requests of a play, by request."""
+
+    answers: dict = dataclasses.field(default_factory=dict)
+    promised: dict = dataclasses.field(default_factory=dict)
+    counts: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+class Callers:
+    """Send requests at the same time, and check what they get."""
+
+    def __init__(self, seed, client, ports, leave_ratio, kind):
+        self._source = random.Random(seed)
+        self._client = client
+        self._ports = ports
+        self._leave_ratio = leave_ratio
+        self._kind = kind
+        self._number = 0
+        self.outcome = Outcome()
+
+    async def run(self, until_s):
+        """Send requests one by one until a monotonic time."""
+        while time.monotonic() < until_s:
+            self._number += 1
+            await self._send(f'r{self._number}')
+
+    async def _send(self, request_id):
+        source = self._source
+        method = source.choice(('POST', 'POST', 'GET', 'HEAD'))
+        call = client_tests.make_call(
+            request_id, source.choice(self._ports), self._kind, method
+        )
+        body = b''
+        if method == 'POST' and source.random() < 0.2:
+            body = b'b' * source.choice((1, 70_000, 300_000, 1_000_000))
+        request = dataclasses.replace(call.request, body=body)
+        call = dataclasses.replace(call, request=request)
+        limit_s = 0.5
+        if source.random() < self._leave_ratio:
+            limit_s = source.uniform(0.0, 0.008)
+        try:
+            async with (
+                asyncio.timeout(limit_s),
+                self._client.send(call) as found,
+            ):
+                chunks = [chunk async for chunk in found.chunks]
+        except PROMISES as error:
+            self.outcome.promised[request_id] = str(error)
+            self._count(error)
+        except (errors.PlatformError, TimeoutError) as error:
+            self._count(error)
+        else:
+            self.outcome.counts['answered'] += 1
+            ids = [v for n, v in found.headers if n.lower() == 'request-id']
+            self.outcome.answers[request_id] = (
+                ids,
+                found.status,
+                b''.join(chunks),
+            )
+
+    def _count(self, error):
+        text = f'{type(error).__name__}: {error}'[:60]
+        self.outcome.counts[text] += 1
+
+
+async def hold_up(source, until_s, longest_s):
+    """Hold up the loop time and again, so that answers come together."""
+    while time.monotonic() < until_s:
+        await asyncio.sleep(source.uniform(0.0, 0.05))
+        time.sleep(source.uniform(0.0, longest_s))
+
+
+def play(
+    seed,
+    duration_s,
+    callers=12,
+    leave_ratio=0.1,
+    longest_hold_s=0.0,
+    kind=routing.RequestKind.IDEMPOTENT,
+    **server_options,
+):
+    """Return the answers of others, wrong promises, and the counts."""
+    journal = stuttering_server.Journal()
+    servers = [
+        stuttering_server.StutteringServer(
+            f'{seed} {number}', journal, **server_options
+        )
+        for number in range(SERVER_COUNT)
+    ]
+
+    async def main(ports):
+        until_s = time.monotonic() + duration_s
+        async with contextlib.AsyncExitStack() as exits:
+            client = backend_client.new_client(
+                exits,
+                client_tests.Observer(),
+                client_tests.Gate(),
+                client_tests.EndCheck(),
+                clock.SystemClock(),
+            )
+            sending = Callers(seed, client, ports, leave_ratio, kind)
+            tasks = [sending.run(until_s) for _ in range(callers)]
+            if longest_hold_s:
+                source = random.Random(seed)
+                tasks.append(hold_up(source, until_s, longest_hold_s))
+            await asyncio.gather(*tasks)
+        return sending.outcome
+
+    with stuttering_server.serving(servers) as ports:
+        outcome = event_loop.run(main(ports))
+    mixed = {
+        request_id: answer
+        for request_id, answer in outcome.answers.items()
+        if answer[0] != [request_id]
+        or answer[1:] not in journal.answers.get(request_id, [])
+    }
+    broken = {
+        request_id: reason
+        for request_id, reason in outcome.promised.items()
+        if request_id in journal.ran
+    }
+    return mixed, broken, outcome.counts, journal
+
+
+class TestPlays:
+    """Guards against an answer that is another request's, or not whole."""
+
+    @pytest.mark.parametrize('seed', range(2))
+    def test_each_answer_is_that_of_its_request(self, seed):
+        """Guards against second answers that reach the next caller."""
+        mixed, broken, counts, journal = play(seed, duration_s=0.9)
+        assert mixed == {}
+        assert broken == {}
+        # It shows nothing if few requests are answered, or answered twice.
+        assert counts['answered'] > 50
+        assert journal.second_count > 25
+
+    def test_answers_that_are_read_together_are_told_apart(self):
+        """Guards against a busy entry that reads several answers at once."""
+        mixed, broken, counts, journal = play(
+            2, duration_s=1.2, longest_hold_s=0.1
+        )
+        assert mixed == {}
+        assert broken == {}
+        assert counts['answered'] > 25
+        assert journal.second_count > 10
+
+
+def second_before_own(kind):
+    """Return a script: a second answer to 'one', then the own answer."""
+
+    def script(request_id):
+        second = stuttering_server.second_answer(
+            kind, 'one', client_tests.BODY
+        )
+        return second + client_tests.answer(request_id)
+
+    return script
+
+
+class TestPromises:
+    """Guards against a request that runs, and is reported as not run."""
+
+    @pytest.mark.parametrize('kind', ['421 without id', '503 without id'])
+    def test_a_late_answer_without_an_id_promises_nothing(self, kind):
+        """Guards against the promise of the answer to another request."""
+
+        async def scenario(server, send):
+            assert await send('one') == client_tests.BODY
+            server.scripts = [second_before_own(kind)]
+            with pytest.raises(backend_call.AnswerLostError):
+                await send('two')
+            assert server.arrived == ['one', 'two']
+            assert server.connection_count == 1
+
+        client_tests.play(scenario)
+
+    @pytest.mark.parametrize('kind', ['421 without id', '503 without id'])
+    def test_a_first_answer_without_an_id_is_believed(self, kind):
+        """Guards against a request that is lost, as nothing ran it."""
+
+        async def scenario(server, send):
+            server.scripts = [
+                lambda _: stuttering_server.second_answer(kind, '', b'')
+            ]
+            with pytest.raises(backend_call.NotRunError):
+                await send('one')
+
+        client_tests.play(scenario)
