Owe an id on connections that were used before (proposed)

An answer without a Request-Id on such a connection may be a late second answer to an earlier request. Nothing that it says is believed: neither 421 nor Not-Executed. On a new connection there is no earlier request, and both are believed as before.

--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -87,9 +87,10 @@
         """Send a request; see `backend_call.BackendClient`."""
         async with self._session(call) as session:
             asked_at_s = self._clock.boot_s()
-            response = await self._open(session, call)
+            trace = single_sending.SendingTrace(lambda: self._gate.admit(call))
+            response = await self._open(session, call, trace)
             try:
-                _check_request_id(call, response)
+                _check_request_id(call, response, trace.is_reused)
                 self._observe(call, response, asked_at_s)
                 _check_response(response)
                 async with contextlib.AsyncExitStack() as exits:
@@ -132,12 +133,14 @@
         return contextlib.nullcontext(self._single_use)
 
     async def _open(
-        self, session: aiohttp.ClientSession, call: backend_call.BackendCall
+        self,
+        session: aiohttp.ClientSession,
+        call: backend_call.BackendCall,
+        trace: single_sending.SendingTrace,
     ) -> aiohttp.ClientResponse:
         request = call.request
         server = call.server
         url = request_target.url(f'{server.ip}:{server.port}', request.target)
-        trace = single_sending.SendingTrace(lambda: self._gate.admit(call))
         try:
             return await session.request(
                 request.method,
@@ -286,13 +289,17 @@
 
 
 def _check_request_id(
-    call: backend_call.BackendCall, response: aiohttp.ClientResponse
+    call: backend_call.BackendCall,
+    response: aiohttp.ClientResponse,
+    is_reused: bool,
 ) -> None:
     # A late response to an earlier request may still be on the connection.
     response_request_id = response.headers.get(names.REQUEST_ID)
-    if response_request_id not in (None, call.request.request_id):
+    if response_request_id is None and not is_reused:
+        return
+    if response_request_id != call.request.request_id:
         raise backend_call.AnswerLostError(
-            'the response is to another request'
+            'the response is to another request, or to an unknown one'
         )
 
 
