--- a/tests/stuttering_server.py
+++ b/tests/stuttering_server.py
@@ -12,6 +12,8 @@
 
 _LENGTH = re.compile(rb'(?i)\r\ncontent-length: *(\d+)')
 _REASONS = {200: 'OK', 421: 'Misdirected', 500: 'Error', 503: 'Busy'}
+# What the bodies of requests consist of.
+BODY_BYTE = b'b'
 # What a second answer says of itself.
 KINDS = (
     'same',
@@ -44,6 +46,8 @@
         Requests that the server ran.
     answers
         Status and body of each whole answer, by request.
+    changed
+        Requests with other bytes where their bodies were due.
     second_count
         Number of second answers.
     """
@@ -52,6 +56,7 @@
     answers: dict[str, list[tuple[int, bytes]]] = dataclasses.field(
         default_factory=dict
     )
+    changed: set[str] = dataclasses.field(default_factory=set)
     second_count: int = 0
 
 
@@ -169,7 +174,7 @@
             length = int(found[1]) if found else 0
             is_early = length and source.random() < 0.4
             if not is_early:
-                await reader.readexactly(length)
+                await self._read_body(reader, request_id, length)
             _put(writer, due)
             due = b''
             if source.random() < 0.5:
@@ -186,7 +191,12 @@
                 return
             if is_early:
                 await asyncio.sleep(source.choice((0, 0.002, 0.01)))
-                await reader.readexactly(length)
+                await self._read_body(reader, request_id, length)
+
+    async def _read_body(self, reader, request_id, length):
+        body = await reader.readexactly(length)
+        if body != BODY_BYTE * length:
+            self._journal.changed.add(request_id)
 
     def _may_stutter(self, framing):
         # What follows a body without an end, or one that was cut short, can't
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -60,7 +60,8 @@
         )
         body = b''
         if method == 'POST' and source.random() < 0.2:
-            body = b'b' * source.choice((1, 70_000, 300_000, 1_000_000))
+            size = source.choice((1, 70_000, 300_000, 1_000_000))
+            body = stuttering_server.BODY_BYTE * size
         request = dataclasses.replace(call.request, body=body)
         call = dataclasses.replace(call, request=request)
         limit_s = 0.5
@@ -159,6 +160,7 @@
         mixed, broken, counts, journal = play(seed, duration_s=0.9)
         assert mixed == {}
         assert broken == {}
+        assert journal.changed == set()
         # It shows nothing if few requests are answered, or answered twice.
         assert counts['answered'] > 50
         assert journal.second_count > 25
@@ -170,6 +172,7 @@
         )
         assert mixed == {}
         assert broken == {}
+        assert journal.changed == set()
         assert counts['answered'] > 25
         assert journal.second_count > 10
 
