--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -294,10 +294,11 @@
     is_reused: bool,
 ) -> None:
     # A late response to an earlier request may still be on the connection.
-    response_request_id = response.headers.get(names.REQUEST_ID)
-    if response_request_id is None and not is_reused:
+    response_request_ids = response.headers.getall(names.REQUEST_ID, [])
+    if not response_request_ids and not is_reused:
         return
-    if response_request_id != call.request.request_id:
+    # Two ids show that a head was cut short, and that another one followed.
+    if response_request_ids != [call.request.request_id]:
         raise backend_call.AnswerLostError(
             'the response is to another request, or to an unknown one'
         )
