Tests: close a connection only once its request has arrived

The server closed it 50 ms after the request was begun: if the loop was held up meanwhile, the request was still unread, and the connection was reset.

--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -244,6 +244,8 @@
             head = b'HTTP/1.1 200 OK\r\nRequest-Id: one\r\n\r\n'
             server.scripts = [lambda name: head + BODY]
             sending = asyncio.create_task(send('one'))
+            while not server.arrived:
+                await asyncio.sleep(0.01)
             await asyncio.sleep(0.05)
             server.writers[0].close()
             assert await sending == BODY
