--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -237,3 +237,24 @@
                 await send('one')
 
         client_tests.play(scenario)
+
+
+class TestWholeAnswers:
+    """Guards against a whole answer that is lost by what follows it."""
+
+    @pytest.mark.parametrize('kind', ['garbage', 'same'])
+    @pytest.mark.parametrize('closing', ['', 'Connection: close\r\n'])
+    def test_bytes_in_the_same_read_do_not_undo_it(self, kind, closing):
+        """Guards against a request that ran, and gets no answer."""
+
+        async def scenario(server, send):
+            surplus = stuttering_server.second_answer(
+                kind, 'one', client_tests.BODY
+            )
+            own = client_tests.answer('one').replace(
+                b'Content-Length', closing.encode() + b'Content-Length'
+            )
+            server.scripts = [lambda _: own + surplus]
+            assert await send('one') == client_tests.BODY
+
+        client_tests.play(scenario)
