Tests: servers close the connections that they served

Writers that were left over were closed by the collector, after their loop: each such error was formatted in the middle of whatever ran then.

--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -48,7 +48,10 @@
         self.answer = OK
 
     async def serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with (
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+            contextlib.closing(writer),
+        ):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 length = head.lower().partition(b'content-length: ')[2]
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -89,7 +89,10 @@
     async def serve(self, reader, writer):
         self.connection_count += 1
         self.writers.append(writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with (
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+            contextlib.closing(writer),
+        ):
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
                 request_id = head.partition('X-Id: ')[2].partition('\r')[0]
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -38,7 +38,10 @@
     async def serve(self, reader, writer):
         self.connection_count += 1
         self._writers.append(writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with (
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+            contextlib.closing(writer),
+        ):
             while True:
                 request = await reader.readuntil(b'\r\n\r\n')
                 number = request.split(b' ')[1].strip(b'/')
