An answer that breaks the protocol midway is lost at once

What callers saw: nothing until their deadline, or until another server was tried after the usual silence, where a server sent something else where a chunk was due, after the head had been read.

Cause: the HTTP library fails the next read of a head, and closes the connection; who reads a body is told by the parser alone, which then has forgotten the body. Why it works: the connection tells the body's reader.

test_an_invalid_chunk_ends_the_answer_at_once failed before (a wait of over a second, as long as it was given).

--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -44,7 +44,7 @@
         """Parse what arrived, and note what comes after the answer."""
         if data and self._is_answered:
             self._record_surplus('unexpected bytes')
-        super().data_received(data)
+        self._feed(data)
 
     def feed_data(
         self,
@@ -62,13 +62,13 @@
         """End the answer; a reset breaks it off."""
         # uvloop may report a reset that follows data as an orderly end.
         if self._is_reset:
-            self._break_off()
+            self._break_off('reset before the end')
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the connection; a reset breaks off the answer in progress."""
         if isinstance(exc, OSError):
-            self._break_off()
+            self._break_off('reset before the end')
         super().connection_lost(exc)
 
     def is_connected(self) -> bool:
@@ -96,11 +96,17 @@
             error = found.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return error == errno.ECONNRESET
 
-    def _break_off(self) -> None:
+    def _feed(self, data: bytes) -> None:
+        """Parse a part of an answer; break it off if it is none."""
+        super().data_received(data)
+        # By itself aiohttp fails the next read of a head alone.
+        if self.exception() is not None:
+            self._break_off(str(self.exception()))
+
+    def _break_off(self, reason: str) -> None:
         payload = self._payload
         if payload is not None and not payload.is_eof():
-            error = aiohttp.ClientPayloadError('reset before the end')
-            payload.set_exception(error)
+            payload.set_exception(aiohttp.ClientPayloadError(reason))
 
     @property
     def _is_readable(self) -> bool:
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -258,3 +258,24 @@
             assert await send('one') == client_tests.BODY
 
         client_tests.play(scenario)
+
+
+class TestInvalidBodies:
+    """Guards against an answer that is waited for though it is none."""
+
+    def test_an_invalid_chunk_ends_the_answer_at_once(self):
+        """Guards against a wait until the deadline, or for ever."""
+
+        async def scenario(server, send):
+            head = b'HTTP/1.1 200 OK\r\nRequest-Id: one\r\n'
+            chunked = b'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n'
+            server.scripts = [lambda _: head + chunked]
+
+            async def break_protocol():
+                server.writers[0].write(b'no size\r\n')
+
+            async with asyncio.timeout(1.0):
+                with pytest.raises(backend_call.AnswerLostError):
+                    await send('one', before_reading=break_protocol)
+
+        client_tests.play(scenario)
