A whole answer is not undone by bytes behind it in the same read

What callers saw: 502 or 504 for a request that had run, where its server sent more than the answer: bytes that are no answer, or anything behind an answer with Connection: close. Requests that may run once were hit as well.

Cause: the HTTP parser fails on what follows, and drops the heads that it got in the same call, that of the whole answer among them. Why it works: it gets the rest only after the head is delivered; what follows a whole answer is dropped with its connection as before.

Three cases of TestWholeAnswers failed before.

--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -20,6 +20,7 @@
 import structlog
 
 _MIN_FINAL_STATUS = 200
+_HEAD_END = b'\r\n\r\n'
 log = structlog.get_logger(__name__)
 
 
@@ -44,6 +45,14 @@
         """Parse what arrived, and note what comes after the answer."""
         if data and self._is_answered:
             self._record_surplus('unexpected bytes')
+        # If the parser fails on what follows a head, it also drops the heads
+        # that it got with it.
+        while not self._has_final_head and self.exception() is None:
+            end = data.find(_HEAD_END) + len(_HEAD_END)
+            if not len(_HEAD_END) <= end < len(data):
+                break
+            self._feed(data[:end])
+            data = data[end:]
         self._feed(data)
 
     def feed_data(
