A stream that restarts before its first event has the head of its own run

What callers could get: the whole run of one server under the headers and the signature of another, whose attempt had brought a head and no whole event.

Cause: the head of the first attempt was kept whether or not anything of it had been passed on. A head is kept from the moment at which it is sent to the caller, as a resumed stream needs it.

test_a_stream_that_restarts_has_the_head_of_its_own_run failed before.

--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -328,7 +328,7 @@
         delivery: backend_call.Delivery,
         standby: standby_turn.StandbyTurn,
     ) -> None:
-        if history.first_answer is None:
+        if history.first_answer is None or not delivery.has_begun:
             history.first_answer = answer
         splitter = history.splitter
         async with self._streams.open(
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -705,6 +705,15 @@
         assert refusal is None
         assert scene.delivered.body == event(1)
 
+    @pytest.mark.parametrize('chunks', [(LOST,), (event(1)[:4], LOST)])
+    def test_a_stream_that_restarts_has_the_head_of_its_own_run(self, chunks):
+        """Guards against one run's events under another run's signature."""
+        found = route(is_resumable=True, **STREAM)
+        second = {'chunks': (event(1),)}
+        scene, _ = play(found, {'chunks': chunks}, second, model='m')
+        assert scene.delivered.body == event(1)
+        assert scene.delivered.head.headers == (('Signed-By', 'b'),)
+
     def test_the_last_event_id_of_the_caller_is_passed_on(self):
         found = route(is_resumable=True, **STREAM)
         answer = {'chunks': (event(8),)}
