Close after requests behind which a caller's connection is out of step

Behind a request with an Upgrade field the HTTP library drops what it read in one piece with it; it reads the body of a CONNECT as a request, and gives a stream no end where the caller speaks HTTP/1.0. The answer to each of these now closes its connection, and what is behind it is not read. A stream to an HTTP/1.0 caller that is cut ends with a reset.

--- a/lacewingpitch/platform/response_delivery.py
+++ b/lacewingpitch/platform/response_delivery.py
@@ -1,8 +1,13 @@
 """Delivery of answers as HTTP responses."""
 
+import asyncio
 from collections.abc import Callable
+import socket
+import struct
 
+import aiohttp
 from aiohttp import abc
+from aiohttp import hdrs
 from aiohttp import http_writer
 from aiohttp import web
 
@@ -12,6 +17,9 @@
 from lacewingpitch import request_end
 from lacewingpitch import response_format
 
+# Has a connection reset as it is closed.
+_RESET = struct.pack('ii', 1, 0)
+
 
 class ResponseDelivery:
     """Sends one answer on the connection of its request.
@@ -103,8 +111,7 @@
             # incomplete.
             transport = self._request.transport
             if transport is not None and not transport.is_closing():
-                self._is_cut = True
-                transport.close()
+                self._cut(transport)
             return
         headers = {names.REQUEST_ID: request_id} if request_id else {}
         if error.retry_after_s is not None:
@@ -115,7 +122,7 @@
             headers=headers,
             content_type='application/json',
         )
-        self._close_when_draining(response)
+        self._close_if_last(response)
         await self._prepare(response)
         await response.write_eof()
         self._is_complete = True
@@ -128,7 +135,7 @@
         response.headers.clear()
         for name, value in answer.headers:
             response.headers.add(name, value)
-        self._close_when_draining(response)
+        self._close_if_last(response)
         await self._prepare(response)
         self.step = request_end.Step.ANSWERING
 
@@ -144,10 +151,34 @@
             raise
         self.response = response
 
-    def _close_when_draining(self, response: web.StreamResponse) -> None:
-        if self._is_draining():
+    def _close_if_last(self, response: web.StreamResponse) -> None:
+        if self._is_draining() or _is_last(self._request):
             response.force_close()
 
+    def _cut(self, transport: asyncio.Transport) -> None:
+        self._is_cut = True
+        if self._request.version < aiohttp.HttpVersion11:
+            # The end of the connection marks that of a stream.
+            found = transport.get_extra_info('socket')
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            transport.abort()
+            return
+        transport.close()
+
+
+def _is_last(request: web.BaseRequest) -> bool:
+    """Whether nothing may follow a request on its connection.
+
+    The library drops what it reads in one piece with a request that asks for
+    another protocol, reads the body of a CONNECT as a request, and doesn't
+    mark where a stream to an older caller ends.
+    """
+    return (
+        'Upgrade' in request.headers
+        or request.method == hdrs.METH_CONNECT
+        or request.version < aiohttp.HttpVersion11
+    )
+
 
 def _reset_framing(writer: abc.AbstractStreamWriter) -> None:
     # Otherwise the next response would have the framing of this one.
