Test: an answer whose framing breaks ends at once

Red: where something else than a chunk follows a chunk, be it a second answer or a chunk that is too long, the connection is closed, but what reads the answer waits on, up to the deadline of its request. The test's servers also close their connections: their finalizers, called while pytest parses a source, let Python 3.11 fail in ast.parse.

--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import aiohttp
 import pytest
 
 from lacewingpitch import guarded_connection
@@ -51,6 +52,11 @@
         """Write on the first connection, unasked."""
         self._writers[0].write(data)
 
+    def close(self):
+        """Close all connections."""
+        for writer in self._writers:
+            writer.close()
+
 
 @contextlib.asynccontextmanager
 async def serving(script):
@@ -59,6 +65,7 @@
     async with contextlib.AsyncExitStack() as exits:
         listening = await asyncio.start_server(server.serve, '127.0.0.1', 0)
         exits.callback(listening.close)
+        exits.callback(server.close)
         port = listening.sockets[0].getsockname()[1]
         session = await exits.enter_async_context(
             single_sending.new_session(
@@ -136,3 +143,34 @@
             got = [await get(number) for number in range(4)]
         assert got == [b'0', b'1', b'2', b'3']
         assert server.connection_count == 1
+
+
+async def between_chunks(writer):
+    whole = chunked(b'0')
+    end = whole.index(b'0\r\n\r\n')
+    await write_later(writer, whole[:end], SURPLUS + whole[end:])
+
+
+async def with_a_chunk_too_long(writer):
+    whole = chunked(b'0')
+    end = whole.index(b'1\r\n0')
+    await write_later(writer, whole[:end], b'1\r\n00\r\n0\r\n\r\n')
+
+
+async def write_later(writer, first, rest):
+    writer.write(first)
+    await asyncio.sleep(0.05)
+    writer.write(rest)
+
+
+class TestBrokenFraming:
+    @pytest.mark.parametrize('script', [between_chunks, with_a_chunk_too_long])
+    async def test_an_answer_with_it_ends_at_once(self, script):
+        """Guards against a request that waits for a closed connection."""
+        async with serving(script) as (server, get):
+            with pytest.raises(aiohttp.ClientError):
+                async with asyncio.timeout(2.0):
+                    await get(0)
+            got = [await get(number) for number in range(1, 4)]
+        assert got == [b'1', b'2', b'3']
+        assert server.connection_count == 2
