--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -45,6 +45,9 @@
         if data and self._is_answered:
             self._record_surplus('unexpected bytes')
         super().data_received(data)
+        if self.transport is not None and self.transport.is_closing():
+            # By itself the library doesn't end a body whose framing breaks.
+            self._break_off('broken framing')
 
     def feed_data(
         self,
@@ -62,13 +65,13 @@
         """End the answer; a reset breaks it off."""
         # uvloop may report a reset that follows data as an orderly end.
         if self._is_reset:
-            self._break_off()
+            self._break_off('reset before the end')
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the connection; a reset breaks off the answer in progress."""
         if isinstance(exc, OSError):
-            self._break_off()
+            self._break_off('reset before the end')
         super().connection_lost(exc)
 
     def is_connected(self) -> bool:
@@ -96,11 +99,10 @@
             error = found.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return error == errno.ECONNRESET
 
-    def _break_off(self) -> None:
+    def _break_off(self, reason: str) -> None:
         payload = self._payload
         if payload is not None and not payload.is_eof():
-            error = aiohttp.ClientPayloadError('reset before the end')
-            payload.set_exception(error)
+            payload.set_exception(aiohttp.ClientPayloadError(reason))
 
     @property
     def _is_readable(self) -> bool:
