Test: two heads that run together are no answer

A second answer that is late and breaks off in its head, and then the answer to the next request on that connection. Red in each of six orders of the fields: broken off in its status line, its 200 stands for the 500 of the next request, whose id and signature follow. A failing test of this file closes its connections, too.

--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -78,6 +78,13 @@
         self.seen = []
         self.arrived = []
         self.writers = []
+        # What the client took for answers.
+        self.answers = []
+
+    def close(self):
+        """Close all connections."""
+        for writer in self.writers:
+            writer.close()
 
     async def reset_last(self):
         """Reset the last connection, and wait until its client knows."""
@@ -137,6 +144,8 @@
         port = listening.sockets[0].getsockname()[1]
 
         async with contextlib.AsyncExitStack() as exits:
+            exits.callback(server.close)
+            exits.callback(listening.close)
             server.observer = Observer()
             server.gate = Gate()
             server.end_check = EndCheck()
@@ -152,14 +161,12 @@
             async def send(request_id, before_reading=None, **fields):
                 call = make_call(request_id, port, **fields)
                 async with client.send(call) as found:
+                    server.answers.append(found)
                     if before_reading is not None:
                         await before_reading()
                     return b''.join([chunk async for chunk in found.chunks])
 
             await scenario(server, send)
-        listening.close()
-        for writer in server.writers:
-            writer.close()
 
     asyncio.run(asyncio.wait_for(main(), 20.0))
 
@@ -590,3 +597,50 @@
             assert server.end_check.checked == []
 
         play(scenario)
+
+
+def signed(request_id, fields, status='200 OK'):
+    """Return an answer, and its fields in the given order."""
+    found = {
+        'Request-Id': request_id,
+        'Response-Signature': f'by-{request_id}',
+        'Content-Length': str(len(BODY)),
+    }
+    lines = [f'HTTP/1.1 {status}', *(f'{n}: {found[n]}' for n in fields)]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + BODY, found
+
+
+class TestHeadsThatRunTogether:
+    ORDERS = list(
+        itertools.permutations(
+            ('Request-Id', 'Response-Signature', 'Content-Length')
+        )
+    )
+
+    @pytest.mark.parametrize('fields', ORDERS, ids='/'.join)
+    def test_are_no_answer_to_the_second_request(self, fields):
+        """Guards against fields of two answers in one.
+
+        A server answers twice, and its second answer, which is late, breaks
+        off in its head; it goes on with the answer to the next request.
+        """
+        surplus, _ = signed('first', fields)
+        own, found = signed('next', fields, '500 Internal Server Error')
+
+        async def scenario(server, send):
+            for cut in range(surplus.index(b'\r\n\r\n') + 4):
+                server.scripts = [
+                    lambda _: signed('first', fields)[0],
+                    lambda _, cut=cut: surplus[:cut] + own,
+                ]
+                await send('first')
+                server.answers.clear()
+                with contextlib.suppress(errors.PlatformError):
+                    await send('next')
+                for taken in server.answers:
+                    assert taken.status == 500, surplus[:cut]
+                    kept = [x for x in taken.headers if x[0] in found]
+                    assert dict(kept).items() <= found.items(), surplus[:cut]
+                    assert len(dict(kept)) == len(kept), surplus[:cut]
+
+        play(scenario)
