Take no head for an answer that holds two status lines

What remains of a late second answer, broken off in its status line or in a field, made the head of the next answer: its status, or a field, is of another request.

--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import errno
+import re
 import time
 
 import aiohttp
@@ -32,6 +33,7 @@
 _STATUS_OTHER_INCARNATION = 421
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
+_STATUS_LINE = re.compile(r'HTTP/\d\.\d ')
 log = structlog.get_logger(__name__)
 
 
@@ -89,6 +91,7 @@
             asked_at_s = self._clock.boot_s()
             response = await self._open(session, call)
             try:
+                _check_head(response)
                 _check_request_id(call, response)
                 self._observe(call, response, asked_at_s)
                 _check_response(response)
@@ -285,6 +288,14 @@
     return headers
 
 
+def _check_head(response: aiohttp.ClientResponse) -> None:
+    # A late response that breaks off in its head runs together with the next
+    # one, whose request id may be the only one in both.
+    texts = (response.reason or '', *response.headers.values())
+    if any(_STATUS_LINE.search(text) for text in texts):
+        raise backend_call.AnswerLostError('two responses in one head')
+
+
 def _check_request_id(
     call: backend_call.BackendCall, response: aiohttp.ClientResponse
 ) -> None:
