--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -163,6 +163,44 @@
     writer.write(rest)
 
 
+BODY = b'0' * 100
+
+
+async def second_after_a_part(writer):
+    await write_later(writer, head(BODY) + BODY[:40], answer(BODY))
+
+
+async def second_after_a_part_of_chunks(writer):
+    whole = chunked(BODY)
+    await write_later(writer, whole[:-60], whole)
+
+
+async def second_after_the_head(writer):
+    await write_later(writer, head(BODY), answer(BODY))
+
+
+class TestBodiesThatRunTogether:
+    """A server breaks off in a body, and then answers once more."""
+
+    @pytest.mark.parametrize(
+        'script',
+        [
+            second_after_a_part,
+            second_after_a_part_of_chunks,
+            second_after_the_head,
+        ],
+    )
+    async def test_are_no_answer(self, script):
+        """Guards against half a body that is filled up with a head."""
+        async with serving(script) as (server, get):
+            with pytest.raises(aiohttp.ClientError):
+                async with asyncio.timeout(2.0):
+                    await get(0)
+            got = [await get(number) for number in range(1, 4)]
+        assert got == [b'1', b'2', b'3']
+        assert server.connection_count == 2
+
+
 class TestBrokenFraming:
     @pytest.mark.parametrize('script', [between_chunks, with_a_chunk_too_long])
     async def test_an_answer_with_it_ends_at_once(self, script):
