--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -59,7 +59,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(script):
+async def serving(script, **options):
     """Yield a server, and a function that sends requests by number."""
     server = Server(script)
     async with contextlib.AsyncExitStack() as exits:
@@ -69,7 +69,7 @@
         port = listening.sockets[0].getsockname()[1]
         session = await exits.enter_async_context(
             single_sending.new_session(
-                connector=guarded_connection.new_connector()
+                connector=guarded_connection.new_connector(**options)
             )
         )
 
@@ -190,15 +190,17 @@
             second_after_the_head,
         ],
     )
-    async def test_are_no_answer(self, script):
+    @pytest.mark.parametrize('is_single_use', [False, True])
+    async def test_are_no_answer(self, script, is_single_use):
         """Guards against half a body that is filled up with a head."""
-        async with serving(script) as (server, get):
+        options = {'force_close': is_single_use}
+        async with serving(script, **options) as (server, get):
             with pytest.raises(aiohttp.ClientError):
                 async with asyncio.timeout(2.0):
                     await get(0)
             got = [await get(number) for number in range(1, 4)]
         assert got == [b'1', b'2', b'3']
-        assert server.connection_count == 2
+        assert server.connection_count == (4 if is_single_use else 2)
 
 
 class TestBrokenFraming:
