Doubt an answer that is followed by what is no answer

Where a body with a length is filled up with a second answer, the rest of that is read in the same piece and can't be parsed; the library closes the connection but had ended the body before. A body in chunks already ended at once. An answer that is followed by a whole second one is believed as before.

--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -34,6 +34,7 @@
         super().__init__(loop)
         self._has_final_head = False
         self._has_surplus = False
+        self._has_failed = False
 
     def set_response_params(self, **options: Any) -> None:
         """Begin to read the answer to a request."""
@@ -42,12 +43,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived, and note what comes after the answer."""
-        if data and self._is_answered:
+        payload = self._payload
+        was_answered = self._is_answered
+        if data and was_answered:
             self._record_surplus('unexpected bytes')
+        self._has_failed = False
         super().data_received(data)
-        if self.transport is not None and self.transport.is_closing():
-            # By itself the library doesn't end a body whose framing breaks.
-            self._break_off('broken framing')
+        if self._has_failed and payload is not None and not was_answered:
+            # By itself the library doesn't end a body whose framing breaks,
+            # and believes one that ends in what can't be read any further.
+            error = aiohttp.ClientPayloadError('broken framing')
+            payload.set_exception(error)
+
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Fail, as what arrived can't be read or the connection ended."""
+        self._has_failed = True
+        super().set_exception(exc, *cause)
 
     def feed_data(
         self,
@@ -65,13 +76,13 @@
         """End the answer; a reset breaks it off."""
         # uvloop may report a reset that follows data as an orderly end.
         if self._is_reset:
-            self._break_off('reset before the end')
+            self._break_off()
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the connection; a reset breaks off the answer in progress."""
         if isinstance(exc, OSError):
-            self._break_off('reset before the end')
+            self._break_off()
         super().connection_lost(exc)
 
     def is_connected(self) -> bool:
@@ -99,10 +110,11 @@
             error = found.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return error == errno.ECONNRESET
 
-    def _break_off(self, reason: str) -> None:
+    def _break_off(self) -> None:
         payload = self._payload
         if payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(reason))
+            error = aiohttp.ClientPayloadError('reset before the end')
+            payload.set_exception(error)
 
     @property
     def _is_readable(self) -> bool:
