--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -547,6 +547,19 @@
         transport.close()
         return await sending
 
+    @pytest.mark.parametrize('part', [BODY, BODY[:2], b''])
+    @pytest.mark.parametrize('name', ['one', 'another'])
+    @pytest.mark.parametrize('kind', ['framed', 'unframed'])
+    def test_a_second_answer_is_no_part_of_the_body(self, part, name, kind):
+        """Guards against a body that goes on with another answer."""
+        second = {'framed': answer, 'unframed': unframed}[kind](name)
+
+        async def scenario(server, send):
+            with pytest.raises(backend_call.AnswerLostError):
+                await self.send_unframed(server, send, body=part + second)
+
+        play(scenario)
+
     def test_the_end_is_confirmed(self):
         async def scenario(server, send):
             assert await self.send_unframed(server, send) == BODY
