--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -34,6 +34,9 @@
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
 _STATUS_LINE = re.compile(r'HTTP/\d\.\d ')
+# Holds a status line that began in the chunk before.
+_MAX_STATUS_LINE_BYTES = 256
+_STATUS_LINE_IN_BODY = re.compile(rb'HTTP/\d\.\d \d{3}[^\r\n]*\r\n')
 log = structlog.get_logger(__name__)
 
 
@@ -172,8 +175,16 @@
         response: aiohttp.ClientResponse,
         end: backend_call.EndWatch | None,
     ) -> AsyncIterator[bytes]:
+        recent = b''
         try:
             async for chunk in response.content.iter_any():
+                if end is not None:
+                    # Only its connection ends it, after all that is written.
+                    recent = recent[-_MAX_STATUS_LINE_BYTES:] + chunk
+                    if _STATUS_LINE_IN_BODY.search(recent):
+                        raise backend_call.AnswerLostError(
+                            'a second response in the body'
+                        )
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise backend_call.AnswerLostError(_reason(error)) from error
