--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import errno
+import re
 import time
 
 import aiohttp
@@ -33,6 +34,10 @@
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
 _MAX_ID_CHARS = 64
+_STATUS_LINE = re.compile(r'HTTP/\d\.\d \d{3}')
+# Holds a status line that began in the chunk before.
+_MAX_STATUS_LINE_BYTES = 256
+_STATUS_LINE_IN_BODY = re.compile(rb'HTTP/\d\.\d \d{3}[^\r\n]*\r\n')
 log = structlog.get_logger(__name__)
 
 
@@ -91,6 +96,7 @@
             trace = single_sending.SendingTrace(lambda: self._gate.admit(call))
             response = await self._open(session, call, trace)
             try:
+                _check_head(response)
                 _check_request_id(call, response, trace.is_reused)
                 self._observe(call, response, asked_at_s)
                 _check_response(response)
@@ -173,8 +179,16 @@
         response: aiohttp.ClientResponse,
         end: backend_call.EndWatch | None,
     ) -> AsyncIterator[bytes]:
+        recent = b''
         try:
             async for chunk in response.content.iter_any():
+                if end is not None:
+                    # Only its connection ends it, after all that is written.
+                    recent = recent[-_MAX_STATUS_LINE_BYTES:] + chunk
+                    if _STATUS_LINE_IN_BODY.search(recent):
+                        raise backend_call.AnswerLostError(
+                            'a second response in the body'
+                        )
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise backend_call.AnswerLostError(_reason(error)) from error
@@ -289,6 +303,14 @@
     return headers
 
 
+def _check_head(response: aiohttp.ClientResponse) -> None:
+    # A late response that breaks off in its head runs together with the next
+    # one, whose request id may be the only one in both.
+    texts = (response.reason or '', *response.headers.values())
+    if any(_STATUS_LINE.search(text) for text in texts):
+        raise backend_call.AnswerLostError('two responses in one head')
+
+
 def _check_request_id(
     call: backend_call.BackendCall,
     response: aiohttp.ClientResponse,
--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -9,6 +9,7 @@
 import errno
 import functools
 import os
+import re
 import select
 import socket
 from typing import Any
@@ -21,6 +22,8 @@
 
 _MIN_FINAL_STATUS = 200
 _HEAD_END = b'\r\n\r\n'
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
+_STATUS_LINE_BYTES = len(b'HTTP/1.1 200')
 log = structlog.get_logger(__name__)
 
 
@@ -35,10 +38,12 @@
         super().__init__(loop)
         self._has_final_head = False
         self._has_surplus = False
+        self._reset_search()
 
     def set_response_params(self, **options: Any) -> None:
         """Begin to read the answer to a request."""
         self._has_final_head = False
+        self._reset_search()
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
@@ -107,10 +112,42 @@
 
     def _feed(self, data: bytes) -> None:
         """Parse a part of an answer; break it off if it is none."""
+        payload = self._payload
+        is_body = self._has_final_head and not self._is_answered
         super().data_received(data)
+        if is_body:
+            self._look_for_status_line(data)
+        error = self.exception()
+        if error is None:
+            return
         # By itself aiohttp fails the next read of a head alone.
-        if self.exception() is not None:
-            self._break_off(str(self.exception()))
+        self._break_off(str(error))
+        if is_body and payload is not None and self._is_filled_up(payload):
+            payload.set_exception(aiohttp.ClientPayloadError(str(error)))
+
+    def _reset_search(self) -> None:
+        # The last bytes after the head, in which a status line may begin.
+        self._recent = b''
+        self._searched_bytes = 0
+        self._status_line_at: int | None = None
+
+    def _look_for_status_line(self, data: bytes) -> None:
+        recent = self._recent + data
+        found = _STATUS_LINE.search(recent)
+        if found and self._status_line_at is None:
+            start = self._searched_bytes - len(self._recent)
+            self._status_line_at = start + found.start()
+        self._searched_bytes += len(data)
+        self._recent = recent[-_STATUS_LINE_BYTES:]
+
+    def _is_filled_up(self, body: streams.StreamReader) -> bool:
+        """Whether a body may end in a part of another answer.
+
+        If a body is cut short and another answer follows, the rest of that
+        can't be read once the stated length is reached.
+        """
+        at = self._status_line_at
+        return at is not None and at < body.total_bytes
 
     def _break_off(self, reason: str) -> None:
         payload = self._payload
