Let the soak have servers that answer twice

Which servers do, and how often, is on a schedule of its own. Streams name their request in each event, and the check compares it, and the id of each answer, with the caller's.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -308,6 +308,8 @@
         self.reports_leaving = True
         self.event_count = 5
         self.event_pause_s = 0.02
+        # Whether the data of each event is the id of its request.
+        self.has_ids_in_events = False
         self.abort_after_event = None
         self.copies = standin_memory.RunCopies()
 
@@ -467,7 +469,7 @@
             first = int(request.headers.get('Last-Event-Id', 0)) + 1
             for number in range(first, self.event_count + 1):
                 await self.may_speak()
-                await response.write(b'id: %d\ndata: x\n\n' % number)
+                await response.write(self._event(request, number))
                 self.events_by_run[request_id] = number
                 if number == self.abort_after_event:
                     self.abort_after_event = None
@@ -489,13 +491,19 @@
             self.runs.remove(request_id)
             self.events_by_run.pop(request_id, None)
 
+    def _event(self, request, number):
+        if not self.has_ids_in_events:
+            return standin_crashes.event(number)
+        request_id = request.headers['Request-Id'].encode()
+        return standin_crashes.event(number, request_id)
+
     async def _stream_unframed(self, request):
         await self.may_speak()
         standin_crashes.begin_unframed(self, request)
         first = int(request.headers.get('Last-Event-Id', 0)) + 1
         for number in range(first, self.event_count + 1):
             await self.may_speak()
-            request.transport.write(standin_crashes.event(number))
+            request.transport.write(self._event(request, number))
             self.events_by_run[request.headers['Request-Id']] = number
             await asyncio.sleep(self.event_pause_s)
         request.transport.close()
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -25,6 +25,9 @@
     `cut_after_bytes` holds one limit for each of the next connections:
     every connection is reset when more bytes of that one's answer have
     arrived.
+
+    `new_echo` returns, for the writer to a caller, what may answer twice on
+    that connection (see `soak_stutter`).
     """
 
     def __init__(self, port, ip=IP, listen_ip=IP):
@@ -33,6 +36,7 @@
         self.delay_s = 0.0
         self.drops_close = False
         self.cut_after_bytes = []
+        self.new_echo = None
         self.connection_count = 0
         self._target_gate = asyncio.Event()
         self._caller_gate = asyncio.Event()
@@ -127,9 +131,14 @@
             target = await asyncio.open_connection(*self._target)
             self._writers.add(target[1])
             target[1].write(held)
+            echo = self.new_echo(writer) if self.new_echo else None
+            if echo and held:
+                echo.record_request(held)
             await asyncio.gather(
-                self._pump_to_target(reader, target[1], target_gate),
-                self._pump_to_caller(target[0], writer, caller_gate, limit),
+                self._pump_to_target(reader, target[1], target_gate, echo),
+                self._pump_to_caller(
+                    target[0], writer, caller_gate, limit, echo
+                ),
             )
         except (OSError, asyncio.CancelledError):
             # The cancellation is not raised again, since asyncio streams of
@@ -140,18 +149,20 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _pump_to_target(self, reader, writer, is_open):
+    async def _pump_to_target(self, reader, writer, is_open, echo):
         with contextlib.closing(writer):
             while data := await reader.read(_CHUNK_BYTES):
                 self._record(data)
                 await asyncio.sleep(self.delay_s)
                 data += await self._wait_until_open(reader, is_open)
+                if echo:
+                    echo.record_request(data)
                 writer.write(data)
                 await writer.drain()
             if self.drops_close:
                 await writer.wait_closed()
 
-    async def _pump_to_caller(self, reader, writer, is_open, limit):
+    async def _pump_to_caller(self, reader, writer, is_open, limit, echo):
         passed = 0
         with contextlib.closing(writer):
             while data := await reader.read(_CHUNK_BYTES):
@@ -161,8 +172,10 @@
                 if limit is not None and passed > limit:
                     self.reset()
                     return
-                writer.write(data)
+                writer.write(echo.answer_bytes(data) if echo else data)
                 await writer.drain()
+            if echo:
+                writer.write(echo.last_bytes())
 
     async def _wait_until_open(self, reader, is_open):
         """Wait until the link is open; return what arrived meanwhile."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -14,6 +14,7 @@
 import itertools
 import pathlib
 import random
+import re
 import tempfile
 import time
 
@@ -31,6 +32,7 @@
 from tests import soak_notices
 from tests import soak_repeats
 from tests import soak_silence
+from tests import soak_stutter
 
 ENTRY_COUNT = 2
 CALLER_COUNT = 6
@@ -48,6 +50,8 @@
 _DEADLINES_MS = {'chat': 5000, 'draft': 5000, 'command': 1500, 'lookup': 1500}
 _AT_MOST_ONCE_KINDS = frozenset({'draft', 'command'})
 EVENT_NUMBERS = [1, 2, 3, 4, 5]
+# The stand-in writes the id of the request.
+_EVENT_DATA = re.compile(rb'(?m)^data: *(.*)$')
 # ID of the request that tests whether a configuration is in force.
 _PROBE_ID = 'probe'
 
@@ -113,6 +117,9 @@
     def check_answer(self, call, headers, body):
         """Check an answer that arrived completely."""
         call.is_whole = True
+        answered_id = headers.get('Request-Id', call.id)
+        if answered_id != call.id:
+            self._fail(call, f'got the answer of {answered_id}')
         if call.status != 200:
             if call.status == 401 and soak_keys.may_be_denied(call):
                 return
@@ -127,6 +134,9 @@
                 self._fail(
                     call, f'ended without an error after events {numbers}'
                 )
+            others = set(_EVENT_DATA.findall(body)) - {call.id.encode()}
+            if others:
+                self._fail(call, f'got events of {sorted(others)}')
         elif body != b'ran ' + call.id.encode():
             self._fail(call, f'got the answer of another request: {body!r}')
 
@@ -192,8 +202,11 @@
         mixes_methods=True,
         has_crashes=True,
         has_silences=True,
+        has_stutter=False,
     ):
         self.platform = platform
+        for engine in platform.engines:
+            engine.has_ids_in_events = True
         self.checker = ResultChecker(platform)
         self.disturbances = soak_notices.Disturbances()
         self._has_notices = has_notices
@@ -203,6 +216,9 @@
         self.checker.check_ends = self._check_ends
         self._has_crashes = has_crashes
         self._has_silences = has_silences
+        self._has_stutter = has_stutter
+        # What stuttered, once it no longer does.
+        self.stutters = []
         # Servers that are coming back after a crash.
         self.crash_tasks = set()
         self.keys = keys
@@ -323,6 +339,7 @@
                 for fault in planned:
                     faults.create_task(self.inject(fault))
                 faults.create_task(self._play_silences(length_s))
+                faults.create_task(self._play_stutter(length_s))
                 for server, limit in self._limits(length_s):
                     faults.create_task(soak_limits.name(server, limit))
                 for notice in self._notices(length_s):
@@ -349,6 +366,15 @@
             planned = soak_silence.plan(self._seed, self._targets(), length_s)
             await soak_silence.play(self, self._servers, planned)
 
+    async def _play_stutter(self, length_s):
+        if self._has_stutter:
+            servers = self._servers
+            relays = [self.platform.relays[s.link] for s in servers]
+            planned = soak_stutter.plan(self._seed, len(relays))
+            self.stutters = await soak_stutter.play(
+                relays, planned, self._seed, length_s
+            )
+
     def _limits(self, length_s):
         """Yield the servers that name limits, each with its limit."""
         servers = self._servers
@@ -563,6 +589,7 @@
     mixes_methods=True,
     has_crashes=True,
     has_silences=True,
+    has_stutter=False,
 ):
     """Run one seed; raise `BrokenPromiseError` if a check fails."""
     with contextlib.ExitStack() as exits:
@@ -585,6 +612,7 @@
                 mixes_methods,
                 has_crashes,
                 has_silences,
+                has_stutter,
             )
             try:
                 return scene, await scene.play(length_s)
@@ -617,14 +645,19 @@
     help='How many entry processes.',
 )
 @click.option('--moves', is_flag=True, help='Whether runs move.')
-def main(first, count, seconds, entries, moves):
+@click.option(
+    '--stutter/--no-stutter',
+    default=True,
+    help='Whether servers answer twice.',
+)
+def main(first, count, seconds, entries, moves, stutter):
     """Run seeds one after another, and print what broke."""
     failed = 0
     parts = soak_moves.PARTS if moves else ()
     for seed in range(first, first + count):
         try:
             scene, planned = asyncio.run(
-                run(seed, seconds, entries, parts=parts)
+                run(seed, seconds, entries, parts=parts, has_stutter=stutter)
             )
         except BrokenPromiseError as error:
             failed += 1
@@ -635,7 +668,8 @@
         click.echo(
             f'seed {seed}: held, {len(planned)} faults, '
             f'{served} of {len(calls)} calls served, '
-            f'{len(scene.platform.copies.used)} runs moved'
+            f'{len(scene.platform.copies.used)} runs moved, '
+            f'{sum(s.count for s in scene.stutters)} answers written twice'
         )
     click.echo(f'{count - failed} held, {failed} broken')
     raise SystemExit(bool(failed))
--- a/tests/standin_crashes.py
+++ b/tests/standin_crashes.py
@@ -80,9 +80,9 @@
     return [part.partition(':')[0] for part in listed]
 
 
-def event(number):
+def event(number, text=b'x'):
     """Return the bytes of an event."""
-    return b'id: %d\ndata: x\n\n' % number
+    return b'id: %d\ndata: %s\n\n' % (number, text)
 
 
 def begin_unframed(server, request):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak test: its checks, and a short seeded run."""
 
+import asyncio
 import random
 import types
 
@@ -12,10 +13,12 @@
 from tests import soak_keys
 from tests import soak_notices
 from tests import soak_silence
+from tests import soak_stutter
 
 SIGNED_HEADERS = {standin.SIGNATURE: 's'}
+# The data of an event is the id of its request.
 WHOLE_STREAM = b''.join(
-    b'id: %d\ndata: x\n\n' % number for number in soak.EVENT_NUMBERS
+    b'id: %d\ndata: chat-0\n\n' % number for number in soak.EVENT_NUMBERS
 )
 TARGETS = {
     'link': ['store'],
@@ -77,10 +80,20 @@
             ('chat', {'body': WHOLE_STREAM.replace(b'id: 3', b'id: 2')}),
             ('chat', {'body': WHOLE_STREAM[:30]}),
             ('chat', {'headers': {}}),
+            ('chat', {'headers': {**SIGNED_HEADERS, 'Request-Id': 'chat-9'}}),
+            ('chat', {'body': WHOLE_STREAM.replace(b'chat-0', b'chat-9', 1)}),
             ('lookup', {'body': b'ran lookup-of-another'}),
             ('lookup', {'status': 404}),
         ],
-        ids=['doubled', 'cut', 'unsigned', 'of another', 'denied'],
+        ids=[
+            'doubled',
+            'cut',
+            'unsigned',
+            'of another id',
+            'with an event of another',
+            'of another',
+            'denied',
+        ],
     )
     def test_finds_a_wrong_answer(self, checker, kind, fields):
         answer(checker, kind, **fields)
@@ -360,6 +373,97 @@
         assert planned[:2] == soak_silence.plan(0, TARGETS, 8.0)[:2]
 
 
+class FakeWriter:
+    """What is written to a caller beside the answers."""
+
+    def __init__(self):
+        self.written = b''
+
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        self.written += data
+
+
+class TestStutter:
+    """Servers that write answers twice."""
+
+    HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n'
+    ANSWERS = (
+        HEAD + b'Content-Length: 2\r\n\r\nok',
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+        HEAD + b'Content-Length: 0\r\n\r\n',
+    )
+    REQUEST = b'GET / HTTP/1.1\r\nRequest-Id: r-1\r\n\r\n'
+
+    def echo(self, monkeypatch, time, request=REQUEST, without_id=0.0):
+        monkeypatch.setattr(soak_stutter, '_TIMES', (time,))
+        monkeypatch.setattr(soak_stutter, '_WITHOUT_ID_RATIO', without_id)
+        writer = FakeWriter()
+        echo = soak_stutter.Stutter(1.0, 'seed').new_echo(writer)
+        echo.record_request(request)
+        return echo, writer
+
+    @pytest.mark.parametrize('answer', ANSWERS)
+    def test_an_answer_comes_again_with_its_last_bytes(
+        self, monkeypatch, answer
+    ):
+        echo, _ = self.echo(monkeypatch, soak_stutter.AT_ONCE)
+        assert echo.answer_bytes(answer[:-1]) == answer[:-1]
+        assert echo.answer_bytes(answer[-1:]) == answer[-1:] + answer
+
+    @pytest.mark.parametrize('answer', ANSWERS)
+    def test_an_answer_comes_again_as_the_next_request_arrives(
+        self, monkeypatch, answer
+    ):
+        echo, writer = self.echo(monkeypatch, soak_stutter.NEXT)
+        assert echo.answer_bytes(answer) == answer
+        assert not writer.written
+        echo.record_request(self.REQUEST)
+        assert writer.written == answer
+
+    async def test_an_answer_comes_again_late_but_not_within_another(
+        self, monkeypatch
+    ):
+        first, second, _ = self.ANSWERS
+        echo, writer = self.echo(monkeypatch, soak_stutter.LATE)
+        echo.answer_bytes(first)
+        echo.record_request(self.REQUEST)
+        echo.answer_bytes(second[:-1])
+        await asyncio.sleep(0.15)
+        assert not writer.written
+        assert echo.answer_bytes(second[-1:]) == second[-1:] + first
+        await asyncio.sleep(0.15)
+        assert writer.written == second
+
+    def test_an_answer_without_a_length_comes_again_at_its_end(
+        self, monkeypatch
+    ):
+        echo, _ = self.echo(monkeypatch, soak_stutter.AT_ONCE)
+        answer = self.HEAD + b'\r\nok'
+        assert echo.answer_bytes(answer) == answer
+        assert echo.last_bytes() == answer
+
+    def test_an_answer_may_come_again_without_its_id(self, monkeypatch):
+        echo, _ = self.echo(monkeypatch, soak_stutter.AT_ONCE, without_id=1.0)
+        answer = self.ANSWERS[0]
+        again = answer.replace(b'Request-Id: r-1\r\n', b'')
+        assert echo.answer_bytes(answer) == answer + again
+
+    def test_what_callers_did_not_ask_for_is_answered_once(self, monkeypatch):
+        """Guards against reports that come twice, which no seed asks for."""
+        answer = self.ANSWERS[0]
+        request = b'GET /healthz HTTP/1.1\r\n\r\n'
+        echo, _ = self.echo(monkeypatch, soak_stutter.AT_ONCE, request)
+        assert echo.answer_bytes(answer) == answer
+
+    def test_the_schedule_is_the_same_for_the_same_seed(self):
+        first, second = (soak_stutter.plan(7, 4) for _ in range(2))
+        assert first == second
+        assert all(0.05 <= stutter.share <= 0.5 for stutter in first)
+
+
 class TestSoak:
     async def test_a_short_run_passes(self):
         """Real processes recover from overlapping faults."""
