--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -535,3 +535,8 @@
         """Guards against streams cut off because their engine is silent."""
         scene, _ = await soak.run(seed=61180, length_s=4.0)
         assert any(call.is_served for call in scene.checker.calls)
+
+    async def test_answers_are_the_callers_own_from_servers_that_stutter(self):
+        """Guards against second answers that are given to other callers."""
+        scene, _ = await soak.run(seed=70101, length_s=4.0, has_stutter=True)
+        assert sum(stutter.count for stutter in scene.stutters)
