A retry is sent on a new connection

What callers saw: streams cut with status 200, and 504 for requests that may be repeated, where two servers in a row answered twice: a foreign answer costs an attempt, and the second attempt met another connection of the same kind.

Why it works: nothing but the answer to the retry can come on a connection that is opened for it. The price is a connection for each retry.

test_a_retry_is_sent_on_a_new_connection failed before.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -114,6 +114,8 @@
         Copied memory from which the run continues; ``None`` for a new run.
     is_isolated
         Whether it runs as the only suspect on its server.
+    is_retry
+        Whether the request has been sent before.
     """
 
     request: CallerRequest
@@ -123,6 +125,7 @@
     deadline_at_s: float
     memory: run_memory.MemoryHandle | None = None
     is_isolated: bool = False
+    is_retry: bool = False
 
     @property
     def may_share_connection(self) -> bool:
@@ -131,9 +134,10 @@
         A backend server may close such a connection while the request is
         being sent, or stop answering on it, and then it is unknown whether
         the request ran.  A request that may run at most once, or a stream
-        that another server cannot resume, would be lost.
+        that another server cannot resume, would be lost.  So would a retry,
+        which is often the last.
         """
-        return self.request.route.is_idempotent
+        return self.request.route.is_idempotent and not self.is_retry
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -114,7 +114,11 @@
 
 
 def make_call(
-    request_id, port, kind=routing.RequestKind.IDEMPOTENT, method='POST'
+    request_id,
+    port,
+    kind=routing.RequestKind.IDEMPOTENT,
+    method='POST',
+    is_retry=False,
 ):
     route = routing.Route(
         'r',
@@ -137,7 +141,9 @@
         deadline_at_s=now_s + 5.0,
     )
     server = backend_list.BackendServer('i-1', 's', '127.0.0.1', port, 'z')
-    return backend_call.BackendCall(request, server, 0, 0, now_s + 5.0)
+    return backend_call.BackendCall(
+        request, server, 0, 0, now_s + 5.0, is_retry=is_retry
+    )
 
 
 def play(scenario):
@@ -202,6 +208,21 @@
 
         play(scenario)
 
+    def test_a_retry_is_sent_on_a_new_connection(self):
+        """Guards against a second answer that costs the last attempt."""
+
+        async def scenario(server, send):
+            server.scripts = [answer, lambda name: answer('one')]
+            await send('one')
+            with pytest.raises(backend_call.AnswerLostError):
+                await send('two')
+            await send('three')
+            count = server.connection_count
+            assert await send('two', is_retry=True) == BODY
+            assert server.connection_count == count + 1
+
+        play(scenario)
+
     def test_a_connection_with_extra_bytes_is_not_reused(self):
         """Guards against a caller receiving the answer to another request.
 
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -704,6 +704,7 @@
         scene, refusal = play(found, {'chunks': (LOST,)}, second, model='m')
         assert refusal is None
         assert scene.delivered.body == event(1)
+        assert [call.is_retry for call in scene.client.calls] == [False, True]
 
     @pytest.mark.parametrize('chunks', [(LOST,), (event(1)[:4], LOST)])
     def test_a_stream_that_restarts_has_the_head_of_its_own_run(self, chunks):
