--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import errno
+import re
 import time
 
 import aiohttp
@@ -32,6 +33,11 @@
 _STATUS_OTHER_INCARNATION = 421
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
+_MAX_ID_CHARS = 64
+_STATUS_LINE = re.compile(r'HTTP/\d\.\d \d{3}')
+# Holds a status line that began in the chunk before.
+_MAX_STATUS_LINE_BYTES = 256
+_STATUS_LINE_IN_BODY = re.compile(rb'HTTP/\d\.\d \d{3}[^\r\n]*\r\n')
 log = structlog.get_logger(__name__)
 
 
@@ -87,9 +93,11 @@
         """Send a request; see `backend_call.BackendClient`."""
         async with self._session(call) as session:
             asked_at_s = self._clock.boot_s()
-            response = await self._open(session, call)
+            trace = single_sending.SendingTrace(lambda: self._gate.admit(call))
+            response = await self._open(session, call, trace)
             try:
-                _check_request_id(call, response)
+                _check_head(response)
+                _check_request_id(call, response, trace.is_reused)
                 self._observe(call, response, asked_at_s)
                 _check_response(response)
                 async with contextlib.AsyncExitStack() as exits:
@@ -132,12 +140,14 @@
         return contextlib.nullcontext(self._single_use)
 
     async def _open(
-        self, session: aiohttp.ClientSession, call: backend_call.BackendCall
+        self,
+        session: aiohttp.ClientSession,
+        call: backend_call.BackendCall,
+        trace: single_sending.SendingTrace,
     ) -> aiohttp.ClientResponse:
         request = call.request
         server = call.server
         url = request_target.url(f'{server.ip}:{server.port}', request.target)
-        trace = single_sending.SendingTrace(lambda: self._gate.admit(call))
         try:
             return await session.request(
                 request.method,
@@ -169,8 +179,16 @@
         response: aiohttp.ClientResponse,
         end: backend_call.EndWatch | None,
     ) -> AsyncIterator[bytes]:
+        recent = b''
         try:
             async for chunk in response.content.iter_any():
+                if end is not None:
+                    # Only its connection ends it, after all that is written.
+                    recent = recent[-_MAX_STATUS_LINE_BYTES:] + chunk
+                    if _STATUS_LINE_IN_BODY.search(recent):
+                        raise backend_call.AnswerLostError(
+                            'a second response in the body'
+                        )
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise backend_call.AnswerLostError(_reason(error)) from error
@@ -285,14 +303,28 @@
     return headers
 
 
+def _check_head(response: aiohttp.ClientResponse) -> None:
+    # A late response that breaks off in its head runs together with the next
+    # one, whose request id may be the only one in both.
+    texts = (response.reason or '', *response.headers.values())
+    if any(_STATUS_LINE.search(text) for text in texts):
+        raise backend_call.AnswerLostError('two responses in one head')
+
+
 def _check_request_id(
-    call: backend_call.BackendCall, response: aiohttp.ClientResponse
+    call: backend_call.BackendCall,
+    response: aiohttp.ClientResponse,
+    is_reused: bool,
 ) -> None:
     # A late response to an earlier request may still be on the connection.
-    response_request_id = response.headers.get(names.REQUEST_ID)
-    if response_request_id not in (None, call.request.request_id):
+    response_request_ids = response.headers.getall(names.REQUEST_ID, [])
+    if not response_request_ids and not is_reused:
+        return
+    # Two ids show that a head was cut short, and that another one followed.
+    if response_request_ids != [call.request.request_id]:
+        named = ', '.join(response_request_ids)[:_MAX_ID_CHARS]
         raise backend_call.AnswerLostError(
-            'the response is to another request'
+            f'the response is to another request: {named!r}'
         )
 
 
@@ -313,6 +345,8 @@
         )
     if 'Content-Encoding' in response.headers:
         raise backend_call.AnswerLostError('the response is compressed')
+    if not answer_framing.is_decoded(response):
+        raise backend_call.AnswerLostError('an unknown transfer coding')
 
 
 def _end_to_end_headers(
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -258,6 +258,7 @@
             last_event_id=history.splitter.last_id,
             deadline_at_s=request.deadline_at_s,
             is_isolated=turn.is_isolated,
+            is_retry=history.sent_count > 1,
         )
         started_s = self._clock.monotonic_s()
         may_have_run_before = history.may_have_run
@@ -328,7 +329,7 @@
         delivery: backend_call.Delivery,
         standby: standby_turn.StandbyTurn,
     ) -> None:
-        if history.first_answer is None:
+        if history.first_answer is None or not delivery.has_begun:
             history.first_answer = answer
         splitter = history.splitter
         async with self._streams.open(
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -3,6 +3,7 @@
 import ast
 import asyncio
 import contextlib
+import gc
 import pathlib
 
 import pytest
@@ -33,7 +34,10 @@
         self.answer = OK
 
     async def serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with (
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+            contextlib.closing(writer),
+        ):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 length = head.lower().partition(b'content-length: ')[2]
@@ -221,7 +225,7 @@
 
     def calls(self):
         for path in sorted(PACKAGE.rglob('*.py')):
-            for node in ast.walk(ast.parse(path.read_text())):
+            for node in ast.walk(_parsed(path)):
                 if isinstance(node, ast.Call) and isinstance(
                     node.func, ast.Attribute
                 ):
@@ -239,7 +243,7 @@
 
     def subclasses(self, base):
         for path in sorted(PACKAGE.rglob('*.py')):
-            for node in ast.walk(ast.parse(path.read_text())):
+            for node in ast.walk(_parsed(path)):
                 if isinstance(node, ast.ClassDef) and any(
                     isinstance(found, ast.Attribute) and found.attr == base
                     for found in node.bases
@@ -255,3 +259,17 @@
             and 'allow_redirects=False' not in ast.unparse(call)
         ]
         assert found == []
+
+
+def _parsed(path):
+    """Parse a file without a garbage collection meanwhile.
+
+    Some interpreters fail if another parse, as in a traceback that a
+    finalizer logs, begins within one.
+    """
+    gc.collect()
+    gc.disable()
+    try:
+        return ast.parse(path.read_text())
+    finally:
+        gc.enable()
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -78,6 +78,13 @@
         self.seen = []
         self.arrived = []
         self.writers = []
+        # What the client took for answers.
+        self.answers = []
+
+    def close(self):
+        """Close all connections."""
+        for writer in self.writers:
+            writer.close()
 
     async def reset_last(self):
         """Reset the last connection, and wait until its client knows."""
@@ -89,7 +96,10 @@
     async def serve(self, reader, writer):
         self.connection_count += 1
         self.writers.append(writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with (
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+            contextlib.closing(writer),
+        ):
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
                 request_id = head.partition('X-Id: ')[2].partition('\r')[0]
@@ -104,7 +114,11 @@
 
 
 def make_call(
-    request_id, port, kind=routing.RequestKind.IDEMPOTENT, method='POST'
+    request_id,
+    port,
+    kind=routing.RequestKind.IDEMPOTENT,
+    method='POST',
+    is_retry=False,
 ):
     route = routing.Route(
         'r',
@@ -127,7 +141,9 @@
         deadline_at_s=now_s + 5.0,
     )
     server = backend_list.BackendServer('i-1', 's', '127.0.0.1', port, 'z')
-    return backend_call.BackendCall(request, server, 0, 0, now_s + 5.0)
+    return backend_call.BackendCall(
+        request, server, 0, 0, now_s + 5.0, is_retry=is_retry
+    )
 
 
 def play(scenario):
@@ -137,6 +153,8 @@
         port = listening.sockets[0].getsockname()[1]
 
         async with contextlib.AsyncExitStack() as exits:
+            exits.callback(server.close)
+            exits.callback(listening.close)
             server.observer = Observer()
             server.gate = Gate()
             server.end_check = EndCheck()
@@ -152,14 +170,12 @@
             async def send(request_id, before_reading=None, **fields):
                 call = make_call(request_id, port, **fields)
                 async with client.send(call) as found:
+                    server.answers.append(found)
                     if before_reading is not None:
                         await before_reading()
                     return b''.join([chunk async for chunk in found.chunks])
 
             await scenario(server, send)
-        listening.close()
-        for writer in server.writers:
-            writer.close()
 
     asyncio.run(asyncio.wait_for(main(), 20.0))
 
@@ -192,6 +208,21 @@
 
         play(scenario)
 
+    def test_a_retry_is_sent_on_a_new_connection(self):
+        """Guards against a second answer that costs the last attempt."""
+
+        async def scenario(server, send):
+            server.scripts = [answer, lambda name: answer('one')]
+            await send('one')
+            with pytest.raises(backend_call.AnswerLostError):
+                await send('two')
+            await send('three')
+            count = server.connection_count
+            assert await send('two', is_retry=True) == BODY
+            assert server.connection_count == count + 1
+
+        play(scenario)
+
     def test_a_connection_with_extra_bytes_is_not_reused(self):
         """Guards against a caller receiving the answer to another request.
 
@@ -224,6 +255,16 @@
 
         play(scenario)
 
+    def test_the_error_names_the_request_of_a_foreign_response(self):
+        async def scenario(server, send):
+            server.scripts = [lambda name: answer('stranger')]
+            with pytest.raises(
+                backend_call.AnswerLostError, match="'stranger'"
+            ):
+                await send('one')
+
+        play(scenario)
+
     def test_a_connection_with_an_incomplete_response_is_not_reused(self):
         async def scenario(server, send):
             server.scripts = [lambda name: answer(name, body=b'wh')]
@@ -244,6 +285,8 @@
             head = b'HTTP/1.1 200 OK\r\nRequest-Id: one\r\n\r\n'
             server.scripts = [lambda name: head + BODY]
             sending = asyncio.create_task(send('one'))
+            while not server.arrived:
+                await asyncio.sleep(0.01)
             await asyncio.sleep(0.05)
             server.writers[0].close()
             assert await sending == BODY
@@ -519,10 +562,10 @@
         assert 'Kv-From' not in dict(before)
 
 
-def unframed(request_id, status='200 OK', body=BODY):
+def unframed(request_id, status='200 OK', body=BODY, headers=()):
     """Return an answer with neither a length nor chunks."""
-    head = f'HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n\r\n'
-    return head.encode() + body
+    lines = [f'HTTP/1.1 {status}', f'Request-Id: {request_id}', *headers]
+    return '\r\n'.join([*lines, '', '']).encode() + body
 
 
 class TestUnframedAnswers:
@@ -540,6 +583,19 @@
         transport.close()
         return await sending
 
+    @pytest.mark.parametrize('part', [BODY, BODY[:2], b''])
+    @pytest.mark.parametrize('name', ['one', 'another'])
+    @pytest.mark.parametrize('kind', ['framed', 'unframed'])
+    def test_a_second_answer_is_no_part_of_the_body(self, part, name, kind):
+        """Guards against a body that goes on with another answer."""
+        second = {'framed': answer, 'unframed': unframed}[kind](name)
+
+        async def scenario(server, send):
+            with pytest.raises(backend_call.AnswerLostError):
+                await self.send_unframed(server, send, body=part + second)
+
+        play(scenario)
+
     def test_the_end_is_confirmed(self):
         async def scenario(server, send):
             assert await self.send_unframed(server, send) == BODY
@@ -557,6 +613,34 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize('coding', ['identity', 'IDENTITY ', '', ','])
+    def test_the_end_is_confirmed_if_a_coding_does_not_mark_it(self, coding):
+        """Guards against a part of an answer that passes for the whole."""
+        header = f'Transfer-Encoding: {coding}'
+
+        async def scenario(server, send):
+            found = await self.send_unframed(server, send, headers=[header])
+            assert found == BODY
+            assert server.end_check.checked == [('i-1', 'one')]
+
+        play(scenario)
+
+    @pytest.mark.parametrize(
+        'coding', ['gzip', 'gzip, chunked', 'chunked, identity', 'x-chunked']
+    )
+    def test_a_body_in_an_unknown_coding_is_lost(self, coding):
+        """Guards against bytes that pass for the body they encode."""
+        header = f'Transfer-Encoding: {coding}'
+        body = b'4\r\nbody\r\n0\r\n\r\n'
+
+        async def scenario(server, send):
+            with pytest.raises(backend_call.AnswerLostError):
+                await self.send_unframed(
+                    server, send, headers=[header], body=body
+                )
+
+        play(scenario)
+
     def test_a_connection_that_is_reset_needs_no_check(self):
         async def scenario(server, send):
             with pytest.raises(backend_call.AnswerLostError):
@@ -590,3 +674,50 @@
             assert server.end_check.checked == []
 
         play(scenario)
+
+
+def signed(request_id, fields, status='200 OK'):
+    """Return an answer, and its fields in the given order."""
+    found = {
+        'Request-Id': request_id,
+        'Response-Signature': f'by-{request_id}',
+        'Content-Length': str(len(BODY)),
+    }
+    lines = [f'HTTP/1.1 {status}', *(f'{n}: {found[n]}' for n in fields)]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + BODY, found
+
+
+class TestHeadsThatRunTogether:
+    ORDERS = list(
+        itertools.permutations(
+            ('Request-Id', 'Response-Signature', 'Content-Length')
+        )
+    )
+
+    @pytest.mark.parametrize('fields', ORDERS, ids='/'.join)
+    def test_are_no_answer_to_the_second_request(self, fields):
+        """Guards against fields of two answers in one.
+
+        A server answers twice, and its second answer, which is late, breaks
+        off in its head; it goes on with the answer to the next request.
+        """
+        surplus, _ = signed('first', fields)
+        own, found = signed('next', fields, '500 Internal Server Error')
+
+        async def scenario(server, send):
+            for cut in range(surplus.index(b'\r\n\r\n') + 4):
+                server.scripts = [
+                    lambda _: signed('first', fields)[0],
+                    lambda _, cut=cut: surplus[:cut] + own,
+                ]
+                await send('first')
+                server.answers.clear()
+                with contextlib.suppress(errors.PlatformError):
+                    await send('next')
+                for taken in server.answers:
+                    assert taken.status == 500, surplus[:cut]
+                    kept = [x for x in taken.headers if x[0] in found]
+                    assert dict(kept).items() <= found.items(), surplus[:cut]
+                    assert len(dict(kept)) == len(kept), surplus[:cut]
+
+        play(scenario)
