Own mode: no second answer of a backend server reaches the next request

What callers could get: the answer to another request, whole, with status 200, from a plain service or an engine of own mode that answers twice, the second time late.

Cause: runs shared kept connections, and these answers name no request. Each run has a connection of its own now.

test_plain_service::TestSecondAnswers fails on a shared connection, with the answer of the run before.

--- a/lacewingpitch/node.py
+++ b/lacewingpitch/node.py
@@ -73,10 +73,11 @@
             settings.instance,
         )
         self.session: aiohttp.ClientSession
+        self.backend_session: aiohttp.ClientSession
         self._exits = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        """Open the session and listen for control messages."""
+        """Open the sessions and listen for control messages."""
         async with contextlib.AsyncExitStack() as exits:
             self.session = await exits.enter_async_context(
                 single_sending.new_session(
@@ -84,6 +85,9 @@
                     auto_decompress=False,
                 )
             )
+            self.backend_session = await exits.enter_async_context(
+                new_backend_session()
+            )
             exits.callback(self.peers.close)
             self.contract_gossip.register(self.control)
             await self._listen()
@@ -156,3 +160,15 @@
         """Run a task until the node is closed."""
         task = asyncio.create_task(work)
         self._exits.callback(task.cancel)
+
+
+def new_backend_session() -> aiohttp.ClientSession:
+    """Return a session with a connection of its own for each request.
+
+    The answers of backend servers name no request, so that a late second one
+    would be taken for the answer to the next request on its connection.
+    """
+    return single_sending.new_session(
+        connector=reusable_connection.new_connector(limit=0, force_close=True),
+        auto_decompress=False,
+    )
--- a/lacewingpitch/runner.py
+++ b/lacewingpitch/runner.py
@@ -81,9 +81,9 @@
     url = backend.address.url
     if isinstance(backend, settings_module.ServiceSettings):
         return service_runner.ServiceRunner(
-            plain_service.HttpPlainService(node.session, url)
+            plain_service.HttpPlainService(node.backend_session, url)
         )
-    engine = engine_module.HttpEngine(node.session, url)
+    engine = engine_module.HttpEngine(node.backend_session, url)
     fence = fence_module.Fence(node.clock)
     return engine_runner.EngineRunner(
         engine,
--- a/tests/test_plain_service.py
+++ b/tests/test_plain_service.py
@@ -1,11 +1,13 @@
 """Answers of plain services that end with their connection."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
 
 from lacewingpitch import errors
+from lacewingpitch import node
 from lacewingpitch import plain_service
 from lacewingpitch import reusable_connection
 from tests import standin_crashes
@@ -65,3 +67,36 @@
         """Guards against bytes that pass for the body they encode."""
         with pytest.raises(errors.PlatformError):
             await answer(b'4\r\nbody\r\n0\r\n\r\n', coding=coding)
+
+
+class TestSecondAnswers:
+    async def test_they_reach_nobody(self):
+        """Guards against the answer to another request."""
+        number = 0
+
+        async def serve(reader, writer):
+            nonlocal number
+            late = b''
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while True:
+                    await reader.readuntil(b'\r\n\r\n')
+                    answer = (
+                        b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d'
+                        % number
+                    )
+                    number += 1
+                    writer.write(late + answer)
+                    late = answer
+            writer.close()
+
+        listening = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = listening.sockets[0].getsockname()[1]
+        got = []
+        async with listening, node.new_backend_session() as session:
+            service = plain_service.HttpPlainService(
+                session, f'http://127.0.0.1:{port}'
+            )
+            for _ in range(3):
+                async with service.run(CALL) as found:
+                    got.append(b''.join([c async for c in found.chunks]))
+        assert got == [b'0', b'1', b'2']
