A whole answer whose head came in parts is not undone either

Where the end of a head was split between two reads, bytes behind the answer in the second one still lost it, or a status line behind it counted as within it. The last bytes of an unfinished head are kept for the search of its end.

--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -38,11 +38,14 @@
         super().__init__(loop)
         self._has_final_head = False
         self._has_surplus = False
+        # The last bytes of a head that has not ended.
+        self._head_tail = b''
         self._reset_search()
 
     def set_response_params(self, **options: Any) -> None:
         """Begin to read the answer to a request."""
         self._has_final_head = False
+        self._head_tail = b''
         self._reset_search()
         super().set_response_params(**options)
 
@@ -53,11 +56,14 @@
         # If the parser fails on what follows a head, it also drops the heads
         # that it got with it.
         while not self._has_final_head and self.exception() is None:
-            end = data.find(_HEAD_END) + len(_HEAD_END)
-            if not len(_HEAD_END) <= end < len(data):
+            tail = self._head_tail
+            end = (tail + data).find(_HEAD_END) + len(_HEAD_END) - len(tail)
+            if not 0 < end < len(data):
                 break
+            self._head_tail = b''
             self._feed(data[:end])
             data = data[end:]
+        self._head_tail = (self._head_tail + data)[-len(_HEAD_END) + 1 :]
         self._feed(data)
 
     def feed_data(
@@ -70,6 +76,8 @@
             self._record_surplus('second answer')
         message, _ = data
         self._has_final_head = message.code >= _MIN_FINAL_STATUS
+        # The framing of chunks shows by itself that a body was cut short.
+        self._is_searched = not message.chunked
         super().feed_data(data, size)
 
     def eof_received(self) -> None:
@@ -115,7 +123,7 @@
         payload = self._payload
         is_body = self._has_final_head and not self._is_answered
         super().data_received(data)
-        if is_body:
+        if is_body and self._is_searched:
             self._look_for_status_line(data)
         error = self.exception()
         if error is None:
@@ -130,6 +138,7 @@
         self._recent = b''
         self._searched_bytes = 0
         self._status_line_at: int | None = None
+        self._is_searched = True
 
     def _look_for_status_line(self, data: bytes) -> None:
         recent = self._recent + data
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -259,6 +259,25 @@
 
         client_tests.play(scenario)
 
+    @pytest.mark.parametrize('split', [1, 2, 3])
+    def test_bytes_behind_it_do_not_undo_it_if_its_head_came_in_parts(
+        self, split
+    ):
+        """Guards against a request that ran, and gets no answer."""
+
+        async def scenario(server, send):
+            own = client_tests.answer('one')
+            cut = own.index(b'\r\n\r\n') + split
+            server.scripts = [lambda _: own[:cut]]
+            sending = asyncio.create_task(send('one'))
+            while not server.arrived:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            server.writers[0].write(own[cut:] + b'\x00 no answer\r\n\r\n')
+            assert await sending == client_tests.BODY
+
+        client_tests.play(scenario)
+
 
 class TestInvalidBodies:
     """Guards against an answer that is waited for though it is none."""
