Only a request that may have run is sent again on a new connection

A retry after 'not run' may share a connection as a first sending does: no answer of the attempt before can be lost. Otherwise each of them, at full servers, costs a connection. Two status lines in a head are looked for on connections that were used before, and need a status that ends there, so that a header with an address behind a protocol is no second head.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -115,7 +115,7 @@
     is_isolated
         Whether it runs as the only suspect on its server.
     is_retry
-        Whether the request has been sent before.
+        Whether the request was sent before and may have run.
     """
 
     request: CallerRequest
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -34,7 +34,7 @@
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
 _MAX_ID_CHARS = 64
-_STATUS_LINE = re.compile(r'HTTP/\d\.\d \d{3}')
+_STATUS_LINE = re.compile(r'HTTP/\d\.\d \d{3}(?: |$)')
 # Holds a status line that began in the chunk before.
 _MAX_STATUS_LINE_BYTES = 256
 _STATUS_LINE_IN_BODY = re.compile(rb'HTTP/\d\.\d \d{3}[^\r\n]*\r\n')
@@ -96,7 +96,8 @@
             trace = single_sending.SendingTrace(lambda: self._gate.admit(call))
             response = await self._open(session, call, trace)
             try:
-                _check_head(response)
+                if trace.is_reused:
+                    _check_head(response)
                 _check_request_id(call, response, trace.is_reused)
                 self._observe(call, response, asked_at_s)
                 _check_response(response)
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -258,7 +258,7 @@
             last_event_id=history.splitter.last_id,
             deadline_at_s=request.deadline_at_s,
             is_isolated=turn.is_isolated,
-            is_retry=history.sent_count > 1,
+            is_retry=history.may_have_run,
         )
         started_s = self._clock.monotonic_s()
         may_have_run_before = history.may_have_run
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -277,6 +277,7 @@
         assert refusal is None
         names = [call.server.name for call in scene.client.calls]
         assert len(set(names)) == 2
+        assert not any(call.is_retry for call in scene.client.calls)
 
     def test_not_run_by_any_server_is_reported(self):
         _, refusal = play(ONCE, NOT_RUN, NOT_RUN)
