A part of a head is searched for its end once, not every few bytes

What callers saw: nothing but time. Where a head came in parts, and its end was not in one of them, that part was parsed three bytes at a time, and an end that was split could still be missed, so that bytes behind the answer lost it.

Cause: a search that finds nothing counted as one that finds the end there. Found by reading the change once more.

test_a_part_of_a_head_is_parsed_at_once and three of twelve cases of heads in parts failed before.

--- a/lacewingpitch/reusable_connection.py
+++ b/lacewingpitch/reusable_connection.py
@@ -57,8 +57,9 @@
         # that it got with it.
         while not self._has_final_head and self.exception() is None:
             tail = self._head_tail
-            end = (tail + data).find(_HEAD_END) + len(_HEAD_END) - len(tail)
-            if not 0 < end < len(data):
+            start = (tail + data).find(_HEAD_END)
+            end = start + len(_HEAD_END) - len(tail)
+            if start < 0 or end >= len(data):
                 break
             self._head_tail = b''
             self._feed(data[:end])
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+from aiohttp import client_proto
 import pytest
 
 from lacewingpitch import backend_call
@@ -14,6 +15,7 @@
 from lacewingpitch import errors
 from lacewingpitch import event_loop
 from lacewingpitch.platform import backend_client
+from lacewingpitch import reusable_connection
 from lacewingpitch import routing
 from tests import stuttering_server
 from tests import test_platform_backend_client as client_tests
@@ -260,13 +262,16 @@
         client_tests.play(scenario)
 
     @pytest.mark.parametrize('split', [1, 2, 3])
+    @pytest.mark.parametrize('pad_bytes', range(4))
     def test_bytes_behind_it_do_not_undo_it_if_its_head_came_in_parts(
-        self, split
+        self, split, pad_bytes
     ):
         """Guards against a request that ran, and gets no answer."""
 
         async def scenario(server, send):
-            own = client_tests.answer('one')
+            own = client_tests.answer('one').replace(
+                b' OK\r\n', b' OK%s\r\n' % (b'.' * pad_bytes)
+            )
             cut = own.index(b'\r\n\r\n') + split
             server.scripts = [lambda _: own[:cut]]
             sending = asyncio.create_task(send('one'))
@@ -278,6 +283,22 @@
 
         client_tests.play(scenario)
 
+    async def test_a_part_of_a_head_is_parsed_at_once(self, monkeypatch):
+        """Guards against processor time for each few bytes of a head."""
+        sizes = []
+        connection = reusable_connection.ReusableConnection(
+            asyncio.get_running_loop()
+        )
+        connection.set_response_params()
+        monkeypatch.setattr(
+            client_proto.ResponseHandler,
+            'data_received',
+            lambda _, data: sizes.append(len(data)),
+        )
+        part = b'HTTP/1.1 200 OK\r\nX: ' + bytes(300)
+        connection.data_received(part)
+        assert sizes == [len(part)]
+
 
 class TestInvalidBodies:
     """Guards against an answer that is waited for though it is none."""
