--- a/tests/stuttering_server.py
+++ b/tests/duplicating_server.py
@@ -115,7 +115,7 @@
     writer.write(data)
 
 
-class StutteringServer:
+class DuplicatingServer:
     """Answers each request once, and some a second time.
 
     Parameters
@@ -184,7 +184,7 @@
                 await asyncio.sleep(source.choice((0, 0.001, 0.004)))
             framing, body, is_reset = self._write(request_id, is_head, writer)
             if (
-                self._may_stutter(framing)
+                self._may_duplicate(framing)
                 and source.random() < self._second_ratio
             ):
                 due = await self._write_second(request_id, body, writer)
@@ -201,7 +201,7 @@
         if body != BODY_BYTE * length:
             self._journal.changed.add(request_id)
 
-    def _may_stutter(self, framing):
+    def _may_duplicate(self, framing):
         # What follows a body without an end, or one that was cut short, can't
         # be told from it.
         return framing not in ('unframed', 'cut') or self._is_ambiguous
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -27,7 +27,7 @@
     arrived.
 
     `new_echo` returns, for the writer to a caller, what may answer twice on
-    that connection (see `soak_stutter`).
+    that connection (see `soak_duplicates`).
     """
 
     def __init__(self, port, ip=IP, listen_ip=IP):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,6 +25,7 @@
 from tests import platform_processes
 from tests import platform_standin as standin
 from tests import soak_crashes
+from tests import soak_duplicates
 from tests import soak_faults
 from tests import soak_keys
 from tests import soak_limits
@@ -32,7 +33,6 @@
 from tests import soak_notices
 from tests import soak_repeats
 from tests import soak_silence
-from tests import soak_stutter
 
 ENTRY_COUNT = 2
 CALLER_COUNT = 6
@@ -202,7 +202,7 @@
         mixes_methods=True,
         has_crashes=True,
         has_silences=True,
-        has_stutter=False,
+        has_duplicates=False,
     ):
         self.platform = platform
         for engine in platform.engines:
@@ -216,9 +216,9 @@
         self.checker.check_ends = self._check_ends
         self._has_crashes = has_crashes
         self._has_silences = has_silences
-        self._has_stutter = has_stutter
-        # What stuttered, once it no longer does.
-        self.stutters = []
+        self._has_duplicates = has_duplicates
+        # What answered twice, once it no longer does.
+        self.duplicates = []
         # Servers that are coming back after a crash.
         self.crash_tasks = set()
         self.keys = keys
@@ -339,7 +339,7 @@
                 for fault in planned:
                     faults.create_task(self.inject(fault))
                 faults.create_task(self._play_silences(length_s))
-                faults.create_task(self._play_stutter(length_s))
+                faults.create_task(self._play_duplicates(length_s))
                 for server, limit in self._limits(length_s):
                     faults.create_task(soak_limits.name(server, limit))
                 for notice in self._notices(length_s):
@@ -366,12 +366,12 @@
             planned = soak_silence.plan(self._seed, self._targets(), length_s)
             await soak_silence.play(self, self._servers, planned)
 
-    async def _play_stutter(self, length_s):
-        if self._has_stutter:
+    async def _play_duplicates(self, length_s):
+        if self._has_duplicates:
             servers = self._servers
             relays = [self.platform.relays[s.link] for s in servers]
-            planned = soak_stutter.plan(self._seed, len(relays))
-            self.stutters = await soak_stutter.play(
+            planned = soak_duplicates.plan(self._seed, len(relays))
+            self.duplicates = await soak_duplicates.play(
                 relays, planned, self._seed, length_s
             )
 
@@ -589,7 +589,7 @@
     mixes_methods=True,
     has_crashes=True,
     has_silences=True,
-    has_stutter=False,
+    has_duplicates=False,
 ):
     """Run one seed; raise `BrokenPromiseError` if a check fails."""
     with contextlib.ExitStack() as exits:
@@ -612,7 +612,7 @@
                 mixes_methods,
                 has_crashes,
                 has_silences,
-                has_stutter,
+                has_duplicates,
             )
             try:
                 return scene, await scene.play(length_s)
@@ -646,18 +646,24 @@
 )
 @click.option('--moves', is_flag=True, help='Whether runs move.')
 @click.option(
-    '--stutter/--no-stutter',
+    '--duplicates/--no-duplicates',
     default=True,
     help='Whether servers answer twice.',
 )
-def main(first, count, seconds, entries, moves, stutter):
+def main(first, count, seconds, entries, moves, duplicates):
     """Run seeds one after another, and print what broke."""
     failed = 0
     parts = soak_moves.PARTS if moves else ()
     for seed in range(first, first + count):
         try:
             scene, planned = asyncio.run(
-                run(seed, seconds, entries, parts=parts, has_stutter=stutter)
+                run(
+                    seed,
+                    seconds,
+                    entries,
+                    parts=parts,
+                    has_duplicates=duplicates,
+                )
             )
         except BrokenPromiseError as error:
             failed += 1
@@ -669,7 +675,7 @@
             f'seed {seed}: held, {len(planned)} faults, '
             f'{served} of {len(calls)} calls served, '
             f'{len(scene.platform.copies.used)} runs moved, '
-            f'{sum(s.count for s in scene.stutters)} answers written twice'
+            f'{sum(s.count for s in scene.duplicates)} answers written twice'
         )
     click.echo(f'{count - failed} held, {failed} broken')
     raise SystemExit(bool(failed))
--- a/tests/soak_stutter.py
+++ b/tests/soak_duplicates.py
@@ -27,7 +27,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class PlannedStutter:
+class PlannedDuplicates:
     """The share of its answers that a server writes twice."""
 
     server: int
@@ -35,29 +35,29 @@
 
 
 def plan(seed, server_count):
-    """Return which servers stutter, on a schedule of their own."""
+    """Return which servers answer twice, on a schedule of their own."""
     rng = random.Random(f'stutter/{seed}')
     found = []
     for server in range(server_count):
         share = rng.uniform(*_SHARES)
         if rng.random() < _SERVER_RATIO:
-            found.append(PlannedStutter(server, share))
+            found.append(PlannedDuplicates(server, share))
     return found
 
 
 async def play(relays, planned, seed, length_s):
-    """Have servers stutter for some time; return their stutters."""
+    """Have servers answer twice for some time; return what they wrote."""
     found = []
-    for number, stutter in enumerate(planned):
-        found.append(Stutter(stutter.share, f'{seed}/{number}'))
-        relays[stutter.server].new_echo = found[-1].new_echo
+    for number, duplicates in enumerate(planned):
+        found.append(Duplicates(duplicates.share, f'{seed}/{number}'))
+        relays[duplicates.server].new_echo = found[-1].new_echo
     await asyncio.sleep(length_s)
-    for stutter in found:
-        stutter.share = 0.0
+    for duplicates in found:
+        duplicates.share = 0.0
     return found
 
 
-class Stutter:
+class Duplicates:
     """Writes a share of the answers of one server twice.
 
     Attributes
@@ -93,8 +93,8 @@
 class _Echo:
     """Finds the answers of one connection, and writes some again."""
 
-    def __init__(self, stutter, writer):
-        self._stutter = stutter
+    def __init__(self, duplicates, writer):
+        self._duplicates = duplicates
         self._writer = writer
         self._answer = b''
         self._is_awaited = False
@@ -122,17 +122,17 @@
     def last_bytes(self):
         """Return what to write before an orderly end of the connection."""
         if self._answer and not self._is_framed:
-            _, answer = self._stutter.draw(self._answer)
+            _, answer = self._duplicates.draw(self._answer)
             return answer
         return b''
 
     def _repeat(self, answer):
         if not self._is_callers:
             return b''
-        time, again = self._stutter.draw(answer)
+        time, again = self._duplicates.draw(answer)
         if time == LATE:
             asyncio.get_running_loop().call_later(
-                self._stutter.delay_s(), self._write_late, again
+                self._duplicates.delay_s(), self._write_late, again
             )
         elif time == NEXT:
             self._held += again
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -17,7 +17,7 @@
 from lacewingpitch.platform import backend_client
 from lacewingpitch import reusable_connection
 from lacewingpitch import routing
-from tests import stuttering_server
+from tests import duplicating_server
 from tests import test_platform_backend_client as client_tests
 
 # Errors that promise that the request has not run.
@@ -63,7 +63,7 @@
         body = b''
         if method == 'POST' and source.random() < 0.2:
             size = source.choice((1, 70_000, 300_000, 1_000_000))
-            body = stuttering_server.BODY_BYTE * size
+            body = duplicating_server.BODY_BYTE * size
         request = dataclasses.replace(call.request, body=body)
         call = dataclasses.replace(call, request=request)
         limit_s = 0.5
@@ -114,9 +114,9 @@
     **server_options,
 ):
     """Return the answers of others, wrong promises, and the counts."""
-    journal = stuttering_server.Journal()
+    journal = duplicating_server.Journal()
     servers = [
-        stuttering_server.StutteringServer(
+        duplicating_server.DuplicatingServer(
             f'{seed} {number}', journal, **server_options
         )
         for number in range(SERVER_COUNT)
@@ -140,7 +140,7 @@
             await asyncio.gather(*tasks)
         return sending.outcome
 
-    with stuttering_server.serving(servers) as ports:
+    with duplicating_server.serving(servers) as ports:
         outcome = event_loop.run(main(ports))
     mixed = {
         request_id: answer
@@ -186,7 +186,7 @@
     """Return a script: a second answer to 'one', then the own answer."""
 
     def script(request_id):
-        second = stuttering_server.second_answer(
+        second = duplicating_server.second_answer(
             kind, 'one', client_tests.BODY
         )
         return second + client_tests.answer(request_id)
@@ -217,7 +217,7 @@
 
         async def scenario(server, send):
             server.scripts = [
-                lambda _: stuttering_server.second_answer(kind, '', b'')
+                lambda _: duplicating_server.second_answer(kind, '', b'')
             ]
             with pytest.raises(backend_call.NotRunError):
                 await send('one')
@@ -250,7 +250,7 @@
         """Guards against a request that ran, and gets no answer."""
 
         async def scenario(server, send):
-            surplus = stuttering_server.second_answer(
+            surplus = duplicating_server.second_answer(
                 kind, 'one', client_tests.BODY
             )
             own = client_tests.answer('one').replace(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,11 +9,11 @@
 from tests import notice_checks
 from tests import platform_standin as standin
 from tests import soak
+from tests import soak_duplicates
 from tests import soak_faults
 from tests import soak_keys
 from tests import soak_notices
 from tests import soak_silence
-from tests import soak_stutter
 
 SIGNED_HEADERS = {standin.SIGNATURE: 's'}
 # The data of an event is the id of its request.
@@ -386,7 +386,7 @@
         self.written += data
 
 
-class TestStutter:
+class TestDuplicates:
     """Servers that write answers twice."""
 
     HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n'
@@ -398,10 +398,10 @@
     REQUEST = b'GET / HTTP/1.1\r\nRequest-Id: r-1\r\n\r\n'
 
     def echo(self, monkeypatch, time, request=REQUEST, without_id=0.0):
-        monkeypatch.setattr(soak_stutter, '_TIMES', (time,))
-        monkeypatch.setattr(soak_stutter, '_WITHOUT_ID_RATIO', without_id)
+        monkeypatch.setattr(soak_duplicates, '_TIMES', (time,))
+        monkeypatch.setattr(soak_duplicates, '_WITHOUT_ID_RATIO', without_id)
         writer = FakeWriter()
-        echo = soak_stutter.Stutter(1.0, 'seed').new_echo(writer)
+        echo = soak_duplicates.Duplicates(1.0, 'seed').new_echo(writer)
         echo.record_request(request)
         return echo, writer
 
@@ -409,7 +409,7 @@
     def test_an_answer_comes_again_with_its_last_bytes(
         self, monkeypatch, answer
     ):
-        echo, _ = self.echo(monkeypatch, soak_stutter.AT_ONCE)
+        echo, _ = self.echo(monkeypatch, soak_duplicates.AT_ONCE)
         assert echo.answer_bytes(answer[:-1]) == answer[:-1]
         assert echo.answer_bytes(answer[-1:]) == answer[-1:] + answer
 
@@ -417,7 +417,7 @@
     def test_an_answer_comes_again_as_the_next_request_arrives(
         self, monkeypatch, answer
     ):
-        echo, writer = self.echo(monkeypatch, soak_stutter.NEXT)
+        echo, writer = self.echo(monkeypatch, soak_duplicates.NEXT)
         assert echo.answer_bytes(answer) == answer
         assert not writer.written
         echo.record_request(self.REQUEST)
@@ -427,7 +427,7 @@
         self, monkeypatch
     ):
         first, second, _ = self.ANSWERS
-        echo, writer = self.echo(monkeypatch, soak_stutter.LATE)
+        echo, writer = self.echo(monkeypatch, soak_duplicates.LATE)
         echo.answer_bytes(first)
         echo.record_request(self.REQUEST)
         echo.answer_bytes(second[:-1])
@@ -440,13 +440,15 @@
     def test_an_answer_without_a_length_comes_again_at_its_end(
         self, monkeypatch
     ):
-        echo, _ = self.echo(monkeypatch, soak_stutter.AT_ONCE)
+        echo, _ = self.echo(monkeypatch, soak_duplicates.AT_ONCE)
         answer = self.HEAD + b'\r\nok'
         assert echo.answer_bytes(answer) == answer
         assert echo.last_bytes() == answer
 
     def test_an_answer_may_come_again_without_its_id(self, monkeypatch):
-        echo, _ = self.echo(monkeypatch, soak_stutter.AT_ONCE, without_id=1.0)
+        echo, _ = self.echo(
+            monkeypatch, soak_duplicates.AT_ONCE, without_id=1.0
+        )
         answer = self.ANSWERS[0]
         again = answer.replace(b'Request-Id: r-1\r\n', b'')
         assert echo.answer_bytes(answer) == answer + again
@@ -455,13 +457,13 @@
         """Guards against reports that come twice, which no seed asks for."""
         answer = self.ANSWERS[0]
         request = b'GET /healthz HTTP/1.1\r\n\r\n'
-        echo, _ = self.echo(monkeypatch, soak_stutter.AT_ONCE, request)
+        echo, _ = self.echo(monkeypatch, soak_duplicates.AT_ONCE, request)
         assert echo.answer_bytes(answer) == answer
 
     def test_the_schedule_is_the_same_for_the_same_seed(self):
-        first, second = (soak_stutter.plan(7, 4) for _ in range(2))
+        first, second = (soak_duplicates.plan(7, 4) for _ in range(2))
         assert first == second
-        assert all(0.05 <= stutter.share <= 0.5 for stutter in first)
+        assert all(0.05 <= duplicates.share <= 0.5 for duplicates in first)
 
 
 class TestSoak:
@@ -536,7 +538,11 @@
         scene, _ = await soak.run(seed=61180, length_s=4.0)
         assert any(call.is_served for call in scene.checker.calls)
 
-    async def test_answers_are_the_callers_own_from_servers_that_stutter(self):
+    async def test_answers_are_the_callers_own_from_servers_that_answer_twice(
+        self,
+    ):
         """Guards against second answers that are given to other callers."""
-        scene, _ = await soak.run(seed=70101, length_s=4.0, has_stutter=True)
-        assert sum(stutter.count for stutter in scene.stutters)
+        scene, _ = await soak.run(
+            seed=70101, length_s=4.0, has_duplicates=True
+        )
+        assert sum(duplicates.count for duplicates in scene.duplicates)
