--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 test: $(STAMP)
 	$(BIN)/pytest
+	$(BIN)/pytest -n 0 -m crowd
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -14,6 +14,14 @@
         assert len(known_red.parse(text)) == 3
         assert known_red.parse('') == []
 
+    def test_crowds_of_clients_do_not_count(self):
+        crowds = [
+            f'tests/test_client_crowds.py::TestA::test_{number} | why | 68'
+            for number in range(9)
+        ]
+        others = [LINE.replace('test_c', f'test_{n}') for n in range(3)]
+        assert len(known_red.parse('\n'.join(crowds + others))) == 12
+
     @pytest.mark.parametrize(
         'text',
         [
