--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -14,6 +14,7 @@
 from tests import client_crowd
 from tests import platform_processes
 from tests import platform_standin as standin
+from tests import processes
 
 pytestmark = [pytest.mark.crowd, pytest.mark.timeout(240)]
 CLIENT_COUNT = 60
@@ -170,6 +171,18 @@
         yield platform
 
 
+@pytest.fixture
+async def deployment(tmp_path):
+    """An entry and an engine of the own interface on small machines."""
+    limits = {'memory_mb': MEMORY_MB, 'max_descriptors': MAX_DESCRIPTORS}
+    async with processes.Deployment(tmp_path) as deployment:
+        deployment.sidecar_process = await deployment.add_engine(**limits)
+        deployment.entry_process = await deployment.add_entry(**limits)
+        deployment.add_customer('haneul', 'ficus')
+        await deployment.publish()
+        yield deployment
+
+
 async def check_ordinary_request(platform, body=b'ordinary'):
     """Send an ordinary request until it is answered, as callers do."""
     async with asyncio.timeout(ORDINARY_TIMEOUT_S):
@@ -195,10 +208,13 @@
     """Check that the entry lives, and never had more than its machine."""
     process = platform.entry.process
     assert process.returncode is None
-    peak_bytes = client_crowd.peak_memory_bytes(process.pid)
+    check_resources(process.pid)
+
+
+def check_resources(process_id):
+    peak_bytes = client_crowd.peak_memory_bytes(process_id)
     assert peak_bytes <= MEMORY_MB * MB, f'{peak_bytes / MB:.0f} MB'
-    count = client_crowd.descriptor_count(process.pid)
-    assert count <= MAX_DESCRIPTORS
+    assert client_crowd.descriptor_count(process_id) <= MAX_DESCRIPTORS
 
 
 def address_of(platform, listener):
@@ -261,6 +277,44 @@
         check_process(platform)
 
 
+class TestOwnInterface:
+    """A crowd made a process of the own interface hold too much."""
+
+    @pytest.mark.parametrize('role', ['entry', 'sidecar'])
+    @pytest.mark.parametrize('script', [large_fields, *ENDLESS])
+    async def test_heads(self, deployment, role, script):
+        process = getattr(deployment, f'{role}_process')
+        await self._check(deployment, process, script)
+
+    async def test_bodies(self, deployment):
+        authorization = f'Authorization: Bearer {deployment.keys["haneul"]}'
+
+        async def script(_reader, writer):
+            path = '/v1/chat/completions'
+            head = client_crowd.head(path, SIZED, authorization)
+            await client_crowd.write(writer, head + b'\r\n' + BODY[:-1])
+
+        await self._check(deployment, deployment.entry_process, script)
+
+    async def _check(self, deployment, process, script):
+        address = process.url.removeprefix('http://')
+        async with client_crowd.Crowd(address, script, CLIENT_COUNT) as crowd:
+            await crowd.settle()
+            if script in ENDLESS:
+                assert crowd.closed_count == CLIENT_COUNT
+            check_resources(process.pid)
+        async with asyncio.timeout(ORDINARY_TIMEOUT_S):
+            while not await self._is_answered(deployment):
+                await asyncio.sleep(0.5)
+        check_resources(process.pid)
+
+    async def _is_answered(self, deployment):
+        async with deployment.call(
+            deployment.entry_process, 'haneul', 'ficus'
+        ) as response:
+            return response.status == 200
+
+
 class TestDescriptors:
     """A crowd used up the descriptors that ordinary requests need."""
 
