All that callers have sent and a process holds has one budget

What callers saw: clients with bodies of legal size, most of them unfinished, brought an entry from some 50 MB to 307 to 487 MB with sixty clients, where its machine has 128; in production such a crowd ended a process. An answer before the end of a body was lost behind bytes that nobody read.

Cause: `limits.body_bytes` bound one body, nothing bound their sum, nor answers that wait for callers, nor bodies read ahead behind a request.

`memory_budget` counts bytes as they arrive until their request has ended, and decides who gets room: the last quarter is for requests of up to 64 KB; stalled and slow bodies and unread answers are ended first, the longest waiting first; then the request that asks is refused, 503 `memory-short`, before anything was sent on. The budget is a quarter of the machine's memory beyond 64 MB: 59 MB of 300. Connections and servers that count are new (`caller_connection`, `caller_server`), and serve all HTTP listeners.

A reader that had been woken and found its body refused waited for the rest of its ten seconds; found in such a trial, and tested.

--- a/lacewingpitch/backend_call.py
+++ b/lacewingpitch/backend_call.py
@@ -151,12 +151,15 @@
     is_framed
         Whether the body marks its own end, rather than ending with its
         connection.
+    body_bytes
+        Announced size of the body; 0 if there is none.
     """
 
     status: int
     headers: Headers
     chunks: AsyncIterator[bytes]
     is_framed: bool = True
+    body_bytes: int = 0
 
 
 class BackendClient(Protocol):
@@ -258,6 +261,10 @@
         """Record that the request is being sent to a backend server."""
         ...
 
+    async def make_room(self, byte_count: int) -> None:
+        """Wait until there is memory for an answer of an announced size."""
+        ...
+
     async def send_whole(self, answer: BackendAnswer, body: bytes) -> None:
         """Send a complete answer."""
         ...
--- /dev/null
+++ b/lacewingpitch/caller_connection.py
@@ -0,0 +1,313 @@
+"""HTTP server connections that bound what their clients may send.
+
+By itself aiohttp limits each header field, but not a whole head, the empty
+lines before it or the framing of chunks.  After bytes that are no request it
+reads on and keeps an error for each read.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Any, Protocol
+
+from aiohttp import streams
+from aiohttp import web
+
+from lacewingpitch import errors
+from lacewingpitch import memory_budget
+
+# Bytes that are parsed between two checks.
+_SLICE_BYTES = 8 << 10
+# The end of a body that was refused is read for this long, and up to this
+# multiple of the largest body, so that its client sees the refusal.
+_LINGER_S = 5.0
+_LINGER_RATIO = 2
+_LINGER_MIN_BYTES = 64 << 10
+_LINGER_MAX_BYTES = 8 << 20
+_RETRY_RANGE_S = (0.5, 1.5)
+_CLOSING = b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+_NO_MEMORY = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.3f\r\n' + _CLOSING
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """What a client may send on a connection.
+
+    Parameters
+    ----------
+    header_bytes
+        Largest size of all header fields of a request.
+    header_timeout_s
+        Time from the first byte of a head to its end.
+    body_bytes
+        Largest size of a body.
+    """
+
+    header_bytes: int
+    header_timeout_s: float
+    body_bytes: int
+
+
+class ConnectionObserver(Protocol):
+    """Learns what becomes of connections."""
+
+    def record_closed(self, reason: str) -> None:
+        """Record that a connection is closed for what its client does."""
+        ...
+
+
+class CallerConnection(web.RequestHandler):
+    """Connection that is closed once its client sends what is not allowed.
+
+    Parameters
+    ----------
+    limits
+        Returns the limits in force.
+    budget
+        Memory for all connections.
+
+    Attributes
+    ----------
+    account
+        The memory that the connection holds.
+    is_discarding
+        Whether all that is still read is dropped.
+    is_lingering
+        Whether it waits only for its client to close it.
+    """
+
+    def __init__(
+        self,
+        server: web.Server,
+        observer: ConnectionObserver,
+        limits: Callable[[], ConnectionLimits],
+        budget: memory_budget.MemoryBudget,
+        **options: Any,
+    ) -> None:
+        super().__init__(server, **options)
+        self._observer = observer
+        self._limits = limits
+        self.account = budget.open(self._end_for_memory)
+        self.is_discarding = False
+        self.is_lingering = False
+        self._refusal: errors.RefusalError | None = None
+        self._has_ended_reading = False
+        self._body: streams.StreamReader | None = None
+        self._received = b''
+        self._parsed_bytes = 0
+        self._discarded_bytes = 0
+        # Bytes of the requests that have not ended, and of the next head.
+        self._request_bytes: list[int] = []
+        self._next_head_bytes = 0
+        self._lost = self._loop.create_future()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in progress."""
+        if self._messages:
+            return False
+        waiter = self._waiter
+        return not self._request_count or (
+            waiter is not None and not waiter.done()
+        )
+
+    def check(self) -> None:
+        """Raise the refusal of the requests on this connection, if any."""
+        if self._refusal is not None:
+            raise self._refusal
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release what the connection holds."""
+        self.account.close()
+        if not self._lost.done():
+            self._lost.set_result(None)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; stop reading if it is not allowed."""
+        if self.is_discarding:
+            self._discard(len(data))
+        elif self._has_ended_reading:
+            return
+        elif data:
+            self._receive(data)
+        else:
+            # More of what arrived before is parsed.
+            self._parse(data)
+            self._parse_received()
+
+    def _receive(self, data: bytes) -> None:
+        has_room = self.account.take(len(data))
+        self._received = self._received[self._parsed_bytes :] + data
+        self._parsed_bytes = 0
+        self._parse_received()
+        if not self._is_reading:
+            return
+        if not has_room:
+            self._refuse_for_memory()
+        elif self._request_bytes:
+            self._request_bytes[-1] += len(data)
+        else:
+            self._next_head_bytes += len(data)
+
+    def _parse_received(self) -> None:
+        """Parse what was received, until a buffer is full."""
+        while (
+            self._is_reading
+            and not self._reading_paused
+            and not self._buffer_paused
+            and self._parsed_bytes < len(self._received)
+        ):
+            start = self._parsed_bytes
+            self._parsed_bytes += _SLICE_BYTES
+            self._parse(self._received[start : self._parsed_bytes])
+        if self._parsed_bytes >= len(self._received):
+            self._received = b''
+            self._parsed_bytes = 0
+
+    def _resume_reading_for_buffer(self) -> None:
+        super()._resume_reading_for_buffer()
+        self._parse_received()
+
+    @property
+    def _is_reading(self) -> bool:
+        return not self.is_discarding and not self._has_ended_reading
+
+    def _parse(self, data: bytes) -> None:
+        request_count = self._request_count
+        super().data_received(data)
+        new_count = self._request_count - request_count
+        if new_count:
+            self._begin_requests(new_count)
+
+    def _begin_requests(self, new_count: int) -> None:
+        for _, payload in list(self._messages)[-new_count:]:
+            self._request_bytes.append(self._next_head_bytes)
+            self._next_head_bytes = 0
+            self._body = payload
+            self.account.begin(memory_budget.Phase.RECEIVING)
+
+    def hold_decoded(self, byte_count: int) -> None:
+        """Hold a part of a body that was compressed.
+
+        Raises
+        ------
+        RefusalError
+            There is no memory for it.
+        """
+        if self.account.take(byte_count):
+            self._request_bytes[0] += byte_count
+        else:
+            self._refuse_for_memory()
+            self.check()
+
+    def _refuse_for_memory(self) -> None:
+        retry_after_s = random.uniform(*_RETRY_RANGE_S)
+        if not self._request_bytes:
+            self._reject_head(_NO_MEMORY % retry_after_s, 'no memory')
+            return
+        self._refuse(
+            errors.RefusalError(
+                errors.ErrorKind.MEMORY_SHORT,
+                'too much memory is in use for other requests',
+                retry_after_s=retry_after_s,
+            )
+        )
+
+    def _end_for_memory(self) -> None:
+        if self.account.phase is memory_budget.Phase.SENDING:
+            self._observer.record_closed('unread answer')
+            if self.transport is not None:
+                self.transport.abort()
+            return
+        self._refuse_for_memory()
+
+    def _refuse(self, refusal: errors.RefusalError) -> None:
+        """Refuse the last request; drop what is read from now on."""
+        self._refusal = refusal
+        self.stop_receiving()
+
+    def stop_receiving(self) -> None:
+        """Drop the rest of a body that nobody wants any more."""
+        if not self._is_reading:
+            return
+        self.is_discarding = True
+        self._received = b''
+        self._fail_body(
+            self._refusal or ConnectionError('the rest is not read')
+        )
+        self.resume_reading(resume_parser=False)
+
+    def _fail_body(self, error: Exception) -> None:
+        """Drop a body that is not whole, and fail its reader."""
+        body = self._body
+        if body is None or body.is_eof() or body.exception() is not None:
+            return
+        # A reader that was woken would wait again if it found nothing.
+        if any(payload is body for _, payload in self._messages):
+            body.read_nowait()
+        body.set_exception(error)
+
+    def _stop_reading(self, reason: str) -> None:
+        """Read nothing more; the connection closes after its answers."""
+        self._observer.record_closed(reason)
+        self._has_ended_reading = True
+        self._received = b''
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def _reject_head(self, answer: bytes, reason: str) -> None:
+        is_idle = self.is_idle
+        self._stop_reading(reason)
+        if is_idle and self.transport is not None:
+            self.transport.write(answer)
+            self.force_close()
+        else:
+            self.close()
+
+    def _discard(self, byte_count: int) -> None:
+        self._discarded_bytes += byte_count
+        wanted_bytes = _LINGER_RATIO * self._limits().body_bytes
+        limit_bytes = min(
+            max(wanted_bytes, _LINGER_MIN_BYTES), _LINGER_MAX_BYTES
+        )
+        if self._discarded_bytes > limit_bytes and self.transport is not None:
+            self._observer.record_closed('unread body')
+            self.transport.abort()
+
+    async def linger(self) -> None:
+        """Wait until the client has closed, so that it reads its answer.
+
+        Closing a connection with unread bytes resets it, and the answer may
+        be lost.
+        """
+        transport = self.transport
+        if (
+            transport is not None
+            and not transport.is_closing()
+            and not self._has_ended_reading
+        ):
+            self.is_lingering = True
+            self.stop_receiving()
+            transport.write_eof()
+            await asyncio.wait((self._lost,), timeout=_LINGER_S)
+        self.force_close()
+
+    def end_request(self) -> None:
+        """Release the memory of the oldest request and of its answer."""
+        self.account.give_back_answer()
+        if self._request_bytes:
+            self.account.give_back(self._request_bytes.pop(0))
+        if not self._request_bytes:
+            self.account.give_back(self._next_head_bytes)
+            self._next_head_bytes = 0
+        self.account.begin(memory_budget.Phase.RECEIVING)
+
+
+def connection_of(request: web.BaseRequest) -> CallerConnection | None:
+    """Return the connection of a request if it is guarded and open."""
+    protocol = request.protocol
+    return protocol if isinstance(protocol, CallerConnection) else None
--- a/lacewingpitch/entry.py
+++ b/lacewingpitch/entry.py
@@ -27,6 +27,7 @@
 from lacewingpitch import http_guard
 from lacewingpitch import http_server
 from lacewingpitch import idempotency
+from lacewingpitch import machine_limits
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import node
 from lacewingpitch import placement
@@ -83,7 +84,11 @@
         self.settings = settings
         self._node = node.Node(settings, clock or clock_module.SystemClock())
         self._server = http_server.HttpServer(
-            settings.max_body_bytes, stall_s=settings.stall_timeout_s
+            settings.max_body_bytes,
+            stall_s=settings.stall_timeout_s,
+            machine_limits=machine_limits.machine_limits(
+                settings.memory_mb, settings.max_descriptors
+            ),
         )
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -42,6 +42,10 @@
     errors.ErrorKind.BODY_TOO_SLOW: (
         'the body was not received within `body_timeout_s`'
     ),
+    errors.ErrorKind.MEMORY_SHORT: (
+        'other requests hold all memory for callers; nothing of this one was '
+        'sent on'
+    ),
     errors.ErrorKind.UNAUTHENTICATED: 'no API key, or an unknown one',
     errors.ErrorKind.NOT_IN_CONTRACT: (
         'the contract grants no such adapter or service, or is revoked'
--- a/lacewingpitch/http_guard.py
+++ b/lacewingpitch/http_guard.py
@@ -9,7 +9,9 @@
 import structlog
 import uuid_utils
 
+from lacewingpitch import caller_connection
 from lacewingpitch import errors
+from lacewingpitch import memory_budget
 from lacewingpitch import response_format
 
 _REQUEST_ID = 'request_id'
@@ -79,26 +81,53 @@
     Raises
     ------
     RefusalError
-        The body is too large, malformed, or incomplete after `timeout_s`.
+        The body is too large, malformed, or incomplete after `timeout_s`, or
+        there is no memory for it.
     """
+    connection = caller_connection.connection_of(request)
+    if connection is not None:
+        connection.check()
+    if (request.content_length or 0) > request.client_max_size:
+        raise _too_large()
     # Without the timeout, a caller that sends its body very slowly would
     # count among the requests in progress indefinitely.
     try:
         async with asyncio.timeout(timeout_s):
-            return await request.read()
+            body = await _read_chunks(request)
     except TimeoutError as error:
         raise errors.RefusalError(
             errors.ErrorKind.BODY_TOO_SLOW,
             f'the body was not complete within {timeout_s:g} s',
         ) from error
-    except web.HTTPRequestEntityTooLarge as error:
-        raise errors.RefusalError(
-            errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
-        ) from error
-    except web.HTTPBadRequest as error:
+    except (web.HTTPBadRequest, web.RequestPayloadError) as error:
         raise errors.RefusalError(
             errors.ErrorKind.BAD_REQUEST, 'the body cannot be read'
         ) from error
+    if connection is not None:
+        connection.check()
+        connection.account.begin(memory_budget.Phase.SERVING)
+    return body
+
+
+async def _read_chunks(request: web.BaseRequest) -> bytes:
+    connection = caller_connection.connection_of(request)
+    is_coded = 'Content-Encoding' in request.headers
+    chunks = []
+    size_bytes = 0
+    while chunk := await request.content.readany():
+        size_bytes += len(chunk)
+        if size_bytes > request.client_max_size:
+            raise _too_large()
+        if is_coded and connection is not None:
+            connection.hold_decoded(len(chunk))
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+def _too_large() -> errors.RefusalError:
+    return errors.RefusalError(
+        errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
+    )
 
 
 def bind_request_id(request_id: str) -> None:
@@ -178,9 +207,7 @@
             errors.ErrorKind.NOT_FOUND, 'no such method and path'
         )
     if error.status == _HTTP_TOO_LARGE:
-        return errors.RefusalError(
-            errors.ErrorKind.BODY_TOO_LARGE, 'the body is too large'
-        )
+        return _too_large()
     return errors.RefusalError(errors.ErrorKind.BAD_REQUEST, error.reason)
 
 
--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -9,7 +9,12 @@
 from aiohttp import web
 import structlog
 
+from lacewingpitch import caller_connection
+from lacewingpitch import caller_server
+from lacewingpitch import clock as clock_module
 from lacewingpitch import http_guard
+from lacewingpitch import machine_limits as machine_limits_module
+from lacewingpitch import memory_budget
 
 Handler = http_guard.Handler
 ResponseHook = Callable[[web.Request, web.StreamResponse], Awaitable[None]]
@@ -18,6 +23,9 @@
 _MAX_BIND_DELAY_S = 1.0
 log = structlog.get_logger(__name__)
 _STALL_TIMEOUT_S = 60.0
+_HEADER_TIMEOUT_S = 10.0
+# Header fields of the largest size that a request may have.
+_HEADER_FIELDS = 2
 
 
 class HttpServer:
@@ -32,6 +40,8 @@
     stall_s
         Resets the connection of a tracked request if the peer acknowledges
         no data for this time.
+    machine_limits
+        What the process may use; ``None`` to ask the operating system.
     """
 
     def __init__(
@@ -40,11 +50,21 @@
         *,
         max_field_bytes: int = http_guard.MAX_FIELD_BYTES,
         stall_s: float = _STALL_TIMEOUT_S,
+        machine_limits: machine_limits_module.MachineLimits | None = None,
     ) -> None:
+        self._machine_limits = (
+            machine_limits or machine_limits_module.machine_limits()
+        )
+        self._limits = caller_connection.ConnectionLimits(
+            header_bytes=_HEADER_FIELDS * max_field_bytes,
+            header_timeout_s=_HEADER_TIMEOUT_S,
+            body_bytes=max_body_bytes,
+        )
         self._app = web.Application(
             client_max_size=max_body_bytes,
             middlewares=[http_guard.error_middleware],
         )
+        self._app.on_response_prepare.append(_close_if_unread)
         self._max_field_bytes = max_field_bytes
         self._stall_s = stall_s
         self._exits = contextlib.AsyncExitStack()
@@ -103,12 +123,14 @@
             return
 
     async def _set_up(self) -> web.AppRunner:
-        runner = web.AppRunner(
+        runner = caller_server.CallerRunner(
             self._app,
+            lambda: self._limits,
+            memory_budget.MemoryBudget(
+                self._machine_limits.memory_bytes, clock_module.SystemClock()
+            ),
             handler_cancellation=True,
-            access_log=None,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
-            logger=http_guard.DISABLED_LOGGER,
             keepalive_timeout=http_guard.KEEPALIVE_S,
             max_line_size=http_guard.MAX_FIELD_BYTES,
             max_field_size=self._max_field_bytes,
@@ -155,3 +177,12 @@
             self.in_progress -= 1
             if not self.in_progress:
                 self._idle.set()
+
+
+async def _close_if_unread(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    """Announce that a connection ends whose body was not read whole."""
+    if not request.content.is_eof():
+        response.headers['Connection'] = 'close'
+        response.force_close()
--- a/lacewingpitch/metrics_server.py
+++ b/lacewingpitch/metrics_server.py
@@ -5,7 +5,8 @@
 
 from aiohttp import web
 
-from lacewingpitch import http_guard
+from lacewingpitch import caller_server
+from lacewingpitch import memory_budget
 from lacewingpitch import metrics as metrics_module
 
 _PATH = '/metrics'
@@ -15,7 +16,10 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    metrics: metrics_module.Metrics, ip: str, port: int
+    metrics: metrics_module.Metrics,
+    ip: str,
+    port: int,
+    budget: memory_budget.MemoryBudget,
 ) -> AsyncIterator[None]:
     """Serve ``/metrics`` until the context exits."""
 
@@ -25,7 +29,7 @@
         return await metrics.answer(request)
 
     runner = web.ServerRunner(
-        web.Server(answer, access_log=None, logger=http_guard.DISABLED_LOGGER),
+        caller_server.monitoring_server(answer, budget),
         shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
     )
     await runner.setup()
--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -114,6 +114,7 @@
                         headers=_end_to_end_headers(response),
                         chunks=self._chunks(call, response, end),
                         is_framed=is_framed,
+                        body_bytes=response.content_length or 0,
                     )
             finally:
                 response.close()
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -11,6 +11,7 @@
 from lacewingpitch import backend_call
 from lacewingpitch import backend_list
 from lacewingpitch import cached_copies
+from lacewingpitch import caller_server
 from lacewingpitch import clock as clock_module
 from lacewingpitch import configuration_exchange
 from lacewingpitch import control_client
@@ -65,6 +66,8 @@
 _MAX_PEERS = 2048
 # A starting process sends one state request; few processes start together.
 _MAX_CONTROL_REQUESTS = 4
+# Readiness checks that wait to be accepted while the CPU is busy.
+_READY_BACKLOG = 32
 # Share of `propagation_limit_s` for which changes of the store are batched.
 # Each adapter that an engine loads changes the list, so that this delay
 # determines how many calls an entry makes.  The rest of the time allows for a
@@ -184,6 +187,7 @@
             self._process.clock,
             self._authenticator,
             self._usage,
+            self._process.memory,
         )
         self._forwarder: request_forwarder.RequestForwarder | None = None
         self._mover: run_mover.RunMover | None = None
@@ -216,11 +220,19 @@
         await self._start_peer_bootstrap(exchange, store)
         await exits.enter_async_context(
             metrics_server.serving(
-                self._process.metrics, settings.ip, settings.metrics_port
+                self._process.metrics,
+                settings.ip,
+                settings.metrics_port,
+                self._process.memory,
             )
         )
         await listening.listen(
-            web.Server(self._handle_ready), settings.ready, exits
+            caller_server.monitoring_server(
+                self._handle_ready, self._process.memory
+            ),
+            settings.ready,
+            _READY_BACKLOG,
+            exits,
         )
         await self.frontend.listen(settings.callers, exits)
 
@@ -412,6 +424,9 @@
     ) -> None:
         metrics = self._process.metrics
         entry_metrics.register_requests(metrics, self.frontend, forwarder)
+        entry_metrics.register_callers(
+            metrics, self.frontend, self._process.memory
+        )
         entry_metrics.register_suspects(metrics, self._suspects, self._sync)
         entry_metrics.register_servers(
             metrics, self.servers, self._limits, self._notices, self._gate
--- a/lacewingpitch/platform/entry_metrics.py
+++ b/lacewingpitch/platform/entry_metrics.py
@@ -5,6 +5,7 @@
 from lacewingpitch import blame
 from lacewingpitch import configuration_age
 from lacewingpitch import control_client
+from lacewingpitch import memory_budget
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import notice_router
 from lacewingpitch import placement as placement_module
@@ -62,6 +63,35 @@
     )
 
 
+def register_callers(
+    metrics: metrics_module.Metrics,
+    frontend: frontend_module.Frontend,
+    memory: memory_budget.MemoryBudget,
+) -> None:
+    """Register the metrics of what callers hold."""
+    metrics.gauge(
+        'caller_memory_bytes',
+        'Memory held for callers: requests, and answers that wait for them.',
+        lambda: memory.held_bytes,
+    )
+    metrics.counter(
+        'caller_memory_refusals_total',
+        'How often there was no memory for a request.',
+        lambda: memory.refused_count,
+    )
+    metrics.counter(
+        'caller_memory_ended_total',
+        'Slow requests and unread answers ended to make room for others.',
+        lambda: memory.ended_count,
+    )
+    metrics.counter_by(
+        'caller_connections_closed_total',
+        'Connections closed for what their callers did, by reason.',
+        'reason',
+        lambda: frontend.closed_by_reason,
+    )
+
+
 def register_sendings(
     metrics: metrics_module.Metrics,
     client: backend_client.HttpBackendClient,
--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -14,10 +14,13 @@
 
 from lacewingpitch import authentication as authentication_module
 from lacewingpitch import backend_call
+from lacewingpitch import caller_connection
+from lacewingpitch import caller_server
 from lacewingpitch import clock as clock_module
 from lacewingpitch import connection_closing
 from lacewingpitch import errors
 from lacewingpitch import http_guard
+from lacewingpitch import memory_budget
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import organisation as organisation_module
 from lacewingpitch.platform import caller_headers
@@ -41,6 +44,9 @@
 # Precision of the time limit for the first request on a connection.
 _SILENCE_CHECK_INTERVAL_S = 1.0
 _MAX_LINE_BYTES = 16 << 10
+# Connections that wait to be accepted while the CPU is busy: a burst of five
+# times the usual rate within a second.
+_BACKLOG = 1024
 # Bounds the number of time series.  Further organisations count as one.
 _MAX_ORGANISATION_LABELS = 64
 _OTHER_ORGANISATIONS = 'other'
@@ -66,6 +72,8 @@
         Finds the organisation of a caller by its API key.
     usage
         Enforces the usage limits of organisations.
+    memory
+        Memory for what callers send and what waits for them.
 
     Attributes
     ----------
@@ -91,7 +99,9 @@
         clock: clock_module.Clock,
         authenticator: authentication_module.Authenticator,
         usage: usage_limits.UsageLimits,
+        memory: memory_budget.MemoryBudget,
     ) -> None:
+        self._memory = memory
         self._clock = clock
         self._authenticator = authenticator
         self._usage = usage
@@ -110,7 +120,7 @@
         self._silent_connections: silent_connections.SilentConnections[
             asyncio.Transport
         ] = silent_connections.SilentConnections(clock)
-        self._server: web.Server | None = None
+        self._server: caller_server.CallerServer | None = None
         self._site: web.TCPSite | None = None
 
     @property
@@ -118,23 +128,35 @@
         """Return how many requests are in progress."""
         return len(self._requests)
 
+    @property
+    def closed_by_reason(self) -> collections.Counter[str]:
+        """Return how many connections were closed, by reason."""
+        if self._server is None:
+            return collections.Counter()
+        return self._server.closed_by_reason
+
     async def listen(
         self, endpoint: str, exits: contextlib.AsyncExitStack
     ) -> None:
         """Accept connections of callers until `exits` is closed."""
-        self._server = web.Server(
+        self._server = caller_server.CallerServer(
             self._handle,
+            self._connection_limits,
+            self._memory,
             request_factory=self._new_request,
             handler_cancellation=True,
-            access_log=None,
-            logger=http_guard.DISABLED_LOGGER,
             keepalive_timeout=_KEEPALIVE_S,
             max_line_size=_MAX_LINE_BYTES,
             max_field_size=_MAX_LINE_BYTES,
             auto_decompress=False,
         )
         self._startup_grace.begin()
-        self._site = await listening.listen(self._server, endpoint, exits)
+        self._site = await listening.listen(
+            self._server,
+            endpoint,
+            _BACKLOG,
+            exits,
+        )
 
     async def stop_listening(self) -> None:
         """Stop accepting connections."""
@@ -221,6 +243,14 @@
             return routing.CallerLimits()
         return configuration.limits
 
+    def _connection_limits(self) -> caller_connection.ConnectionLimits:
+        limits = self._limits
+        return caller_connection.ConnectionLimits(
+            header_bytes=limits.header_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            body_bytes=limits.body_bytes,
+        )
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at_s = time.monotonic()
         delivery = response_delivery.ResponseDelivery(
@@ -255,6 +285,9 @@
         caller: organisation_module.Organisation | None = None
         arrived_boot_s = self._clock.boot_s()
         try:
+            connection = caller_connection.connection_of(request)
+            if connection is not None:
+                connection.check()
             route = await self._find_route(request)
             route_name = route.name
             caller = self._authenticator.authenticate(
--- a/lacewingpitch/platform/response_delivery.py
+++ b/lacewingpitch/platform/response_delivery.py
@@ -12,11 +12,14 @@
 from aiohttp import web
 
 from lacewingpitch import backend_call
+from lacewingpitch import caller_connection
 from lacewingpitch import errors
+from lacewingpitch import memory_budget
 from lacewingpitch.platform import names
 from lacewingpitch import request_end
 from lacewingpitch import response_format
 
+_ROOM_POLL_S = 0.05
 # Has a connection reset as it is closed.
 _RESET = struct.pack('ii', 1, 0)
 
@@ -44,6 +47,8 @@
     ) -> None:
         self._request = request
         self._is_draining = is_draining
+        connection = caller_connection.connection_of(request)
+        self._account = connection.account if connection else None
         self.peer = _peer(request)
         self.response: web.StreamResponse | None = None
         self.step = request_end.Step.HEAD_READ
@@ -70,6 +75,8 @@
     def record_read(self) -> None:
         """Record that the body of the request has been read."""
         self.step = request_end.Step.BODY_READ
+        if self._account is not None:
+            self._account.begin(memory_budget.Phase.SERVING)
 
     def record_sent(self) -> None:
         """Record that the request is being sent to a backend server."""
@@ -81,10 +88,21 @@
         """Whether the headers of an answer have been sent."""
         return self.response is not None
 
+    async def make_room(self, byte_count: int) -> None:
+        """Wait until there is memory for an answer."""
+        if self._account is None:
+            return
+        self._account.give_back_answer()
+        while not self._account.take_answer(byte_count):
+            await asyncio.sleep(_ROOM_POLL_S)
+
     async def send_whole(
         self, answer: backend_call.BackendAnswer, body: bytes
     ) -> None:
         """Send a complete answer."""
+        if self._account is not None:
+            self._account.hold_answer(len(body))
+            self._account.begin(memory_budget.Phase.SENDING)
         response = web.Response(status=answer.status, body=body)
         await self._begin(response, answer)
         await response.write_eof()
@@ -155,7 +173,11 @@
         self.response = response
 
     def _close_if_last(self, response: web.StreamResponse) -> None:
-        if self._is_draining() or _is_last(self._request):
+        if (
+            self._is_draining()
+            or _is_last(self._request)
+            or not self._request.content.is_eof()
+        ):
             response.force_close()
 
     def _cut(self, transport: asyncio.Transport) -> None:
--- a/lacewingpitch/platform/settings.py
+++ b/lacewingpitch/platform/settings.py
@@ -76,6 +76,11 @@
         backend servers crashed when they started to run them.
     parts
         Optional parts of the system that are on, as of the process's start.
+    memory_mb
+        Memory of the machine; by default what the operating system reports.
+    max_descriptors
+        Largest number of open file descriptors; by default the limit of the
+        operating system.
     """
 
     instance: contract.Name
@@ -100,6 +105,8 @@
     retry_window_s: contract.PositiveFloat = 10.0
     released_fingerprints: tuple[str, ...] = ()
     parts: tuple[parts_module.Part, ...] = ()
+    memory_mb: contract.PositiveFloat | None = None
+    max_descriptors: contract.PositiveInt | None = None
 
     @property
     def propagation_limit_s(self) -> float:
--- a/lacewingpitch/platform/sidecar.py
+++ b/lacewingpitch/platform/sidecar.py
@@ -70,7 +70,10 @@
         )
         await self._process.exits.enter_async_context(
             metrics_server.serving(
-                self._process.metrics, settings.ip, settings.metrics_port
+                self._process.metrics,
+                settings.ip,
+                settings.metrics_port,
+                self._process.memory,
             )
         )
         crashes = crash_record.CrashRecord(
--- a/lacewingpitch/request_forwarder.py
+++ b/lacewingpitch/request_forwarder.py
@@ -315,6 +315,7 @@
                         call, answer, history, delivery, standby
                     )
                     return
+                await delivery.make_room(answer.body_bytes)
                 with answer_reading.raise_on_timeout(timeout):
                     body = await answer_reading.read_whole(answer)
         attempt_failure.check_status(answer, body, delivery)
--- a/lacewingpitch/settings.py
+++ b/lacewingpitch/settings.py
@@ -64,6 +64,11 @@
     stall_timeout_s
         Maximum time for which the receiver of an answer may accept no
         data.
+    memory_mb
+        Memory of the machine; by default what the operating system reports.
+    max_descriptors
+        Largest number of open file descriptors; by default the limit of the
+        operating system.
     """
 
     deployment: contract.Name
@@ -82,6 +87,8 @@
     list_lag_s: contract.PositiveFloat = 60.0
     body_timeout_s: contract.PositiveFloat = 30.0
     stall_timeout_s: contract.PositiveFloat = 30.0
+    memory_mb: contract.PositiveFloat | None = None
+    max_descriptors: contract.PositiveInt | None = None
 
     def __post_init__(self) -> None:
         """Reject text that matches the pattern but is no IP address."""
--- a/lacewingpitch/sidecar.py
+++ b/lacewingpitch/sidecar.py
@@ -14,6 +14,7 @@
 from lacewingpitch import errors
 from lacewingpitch import http_guard
 from lacewingpitch import http_server
+from lacewingpitch import machine_limits
 from lacewingpitch import metrics as metrics_module
 from lacewingpitch import node
 from lacewingpitch import response_format
@@ -56,6 +57,9 @@
             MAX_BODY_BYTES,
             max_field_bytes=http_guard.MAX_ORDER_FIELD_BYTES,
             stall_s=settings.stall_timeout_s,
+            machine_limits=machine_limits.machine_limits(
+                settings.memory_mb, settings.max_descriptors
+            ),
         )
         self._exits = contextlib.AsyncExitStack()
         self._draining = False
--- a/tests/move_fakes.py
+++ b/tests/move_fakes.py
@@ -319,6 +319,9 @@
     def record_sent(self):
         pass
 
+    async def make_room(self, byte_count):
+        pass
+
     async def send_whole(self, answer, body):
         raise AssertionError('not a stream')
 
--- a/tests/test_caller_answers.py
+++ b/tests/test_caller_answers.py
@@ -16,6 +16,7 @@
 from lacewingpitch import clock
 from lacewingpitch import configuration_age
 from lacewingpitch import errors
+from lacewingpitch import memory_budget
 from lacewingpitch import metrics
 from lacewingpitch.platform import frontend as frontend_module
 from lacewingpitch import routing
@@ -23,6 +24,7 @@
 from tests import usage_fakes
 
 IP = '127.0.0.1'
+MEMORY_BYTES = 256 << 20
 BODY_LIMIT = 64 << 10
 HEAD_END = b'\r\n\r\n'
 # The library's own answer to what it can't read is of the older version.
@@ -103,6 +105,7 @@
                 self.table, age, 5.0, random.Random(1)
             ),
             usage_fakes.limits(usage_fakes.Link(system_clock), system_clock),
+            memory_budget.MemoryBudget(MEMORY_BYTES, system_clock),
         )
         limits = routing.CallerLimits(
             idle_timeout_s=0.2, body_bytes=BODY_LIMIT
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -17,6 +17,7 @@
 from lacewingpitch import clock
 from lacewingpitch import configuration_age
 from lacewingpitch import errors
+from lacewingpitch import memory_budget
 from lacewingpitch import metrics
 from lacewingpitch import organisation
 from lacewingpitch.platform import frontend as frontend_module
@@ -37,6 +38,7 @@
 PUBLIC_ROUTE = dataclasses.replace(
     ROUTE, name='public', path_prefix='/public/', is_public=True
 )
+MEMORY_BYTES = 256 << 20
 BALCONY = organisation.Organisation('balcony', ('key-1', 'key-2'), rank=3)
 GARDEN = organisation.Organisation('garden', ('key-3',))
 
@@ -62,6 +64,7 @@
                 self.table, self.age, 5.0, random.Random(1)
             ),
             usage_fakes.limits(self.link, system_clock),
+            memory_budget.MemoryBudget(MEMORY_BYTES, system_clock),
         )
 
     async def __aenter__(self):
--- a/tests/test_request_forwarder.py
+++ b/tests/test_request_forwarder.py
@@ -110,6 +110,9 @@
     def record_sent(self):
         self.sent_count += 1
 
+    async def make_room(self, byte_count):
+        pass
+
     async def send_whole(self, answer, body):
         assert self.head is None
         self.head, self.body, self.is_complete = answer, body, True
