Heads are bounded as a whole, in bytes and in time

What callers saw: a field, a request line or fields without end brought an entry to 590 to 940 MB with sixty clients, 120 fields of 16 KB to 205 MB; empty lines without end, and heads that stop, were never ended.

Cause: `header_bytes` and `header_timeout_s` of the configuration were decoded and never applied. The HTTP library bounds each field, not a head; after bytes that are no request it goes on reading, queues an error for each read, with what was read, and sends that back to the client.

A connection counts the bytes of a head, empty lines included, and ends it beyond twice the limit of the fields (a request line may be as long), or some time after its first byte. After a malformed head nothing is read.

--- a/lacewingpitch/caller_connection.py
+++ b/lacewingpitch/caller_connection.py
@@ -11,22 +11,38 @@
 import random
 from typing import Any, Protocol
 
+from aiohttp import http_exceptions
+from aiohttp import http_parser
 from aiohttp import streams
 from aiohttp import web
+from aiohttp import web_protocol
 
 from lacewingpitch import errors
 from lacewingpitch import memory_budget
 
 # Bytes that are parsed between two checks.
 _SLICE_BYTES = 8 << 10
+# A request line may be as large as all header fields, which limits heads.
+_HEAD_PARTS = 2
+# Colon, space and line end of a header field.
+_FIELD_FRAMING_BYTES = 4
 # The end of a body that was refused is read for this long, and up to this
 # multiple of the largest body, so that its client sees the refusal.
 _LINGER_S = 5.0
 _LINGER_RATIO = 2
 _LINGER_MIN_BYTES = 64 << 10
 _LINGER_MAX_BYTES = 8 << 20
+# A process that was suspended reads what has arrived before it gives up.
+_GRACE_S = 1.0
 _RETRY_RANGE_S = (0.5, 1.5)
+_MALFORMED = web_protocol._ErrInfo(
+    status=400,
+    exc=http_exceptions.BadHttpMessage('malformed request'),
+    message='malformed request',
+)
 _CLOSING = b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+_TOO_LARGE = b'HTTP/1.1 431 Request Header Fields Too Large\r\n' + _CLOSING
+_TOO_SLOW = b'HTTP/1.1 408 Request Timeout\r\n' + _CLOSING
 _NO_MEMORY = (
     b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.3f\r\n' + _CLOSING
 )
@@ -98,10 +114,12 @@
         self._body: streams.StreamReader | None = None
         self._received = b''
         self._parsed_bytes = 0
+        self._head_bytes = 0
         self._discarded_bytes = 0
         # Bytes of the requests that have not ended, and of the next head.
         self._request_bytes: list[int] = []
         self._next_head_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
         self._lost = self._loop.create_future()
 
     @property
@@ -121,6 +139,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release what the connection holds."""
+        self._stop_head_timer()
         self.account.close()
         if not self._lost.done():
             self._lost.set_result(None)
@@ -182,13 +201,63 @@
         new_count = self._request_count - request_count
         if new_count:
             self._begin_requests(new_count)
+        elif self._body is not None and not self._body.is_eof():
+            return
+        elif data:
+            self._check_head(data)
 
     def _begin_requests(self, new_count: int) -> None:
-        for _, payload in list(self._messages)[-new_count:]:
+        self._stop_head_timer()
+        self._head_bytes = 0
+        for message, payload in list(self._messages)[-new_count:]:
+            if isinstance(message, web_protocol._ErrInfo):
+                # The library answers it when its turn comes; its own error
+                # holds, and would send back, what was received.
+                self._messages[-1] = (_MALFORMED, payload)
+                self._fail_body(web.RequestPayloadError('malformed body'))
+                self._stop_reading('malformed request')
+                return
             self._request_bytes.append(self._next_head_bytes)
             self._next_head_bytes = 0
             self._body = payload
             self.account.begin(memory_budget.Phase.RECEIVING)
+            if self._field_bytes(message) > self._limits().header_bytes:
+                self._refuse(
+                    errors.RefusalError(
+                        errors.ErrorKind.HEADERS_TOO_LARGE,
+                        'the header fields are too large',
+                    )
+                )
+                return
+
+    def _field_bytes(self, message: http_parser.RawRequestMessage) -> int:
+        return sum(
+            len(name) + len(value) + _FIELD_FRAMING_BYTES
+            for name, value in message.raw_headers
+        )
+
+    def _check_head(self, data: bytes) -> None:
+        self._head_bytes += len(data)
+        limits = self._limits()
+        if self._head_bytes > _HEAD_PARTS * limits.header_bytes:
+            self._reject_head(_TOO_LARGE, 'head too large')
+        elif self._head_timer is None and data.strip(b'\r\n'):
+            self._head_timer = self._loop.call_later(
+                limits.header_timeout_s, self._expire_head, True
+            )
+
+    def _expire_head(self, may_wait: bool) -> None:
+        if may_wait:
+            self._head_timer = self._loop.call_later(
+                _GRACE_S, self._expire_head, False
+            )
+        else:
+            self._reject_head(_TOO_SLOW, 'head too slow')
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
 
     def hold_decoded(self, byte_count: int) -> None:
         """Hold a part of a body that was compressed.
@@ -236,6 +305,7 @@
             return
         self.is_discarding = True
         self._received = b''
+        self._stop_head_timer()
         self._fail_body(
             self._refusal or ConnectionError('the rest is not read')
         )
@@ -256,6 +326,7 @@
         self._observer.record_closed(reason)
         self._has_ended_reading = True
         self._received = b''
+        self._stop_head_timer()
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
 
--- a/lacewingpitch/errors.py
+++ b/lacewingpitch/errors.py
@@ -24,6 +24,7 @@
     NOT_FOUND = 'not-found'
     BODY_TOO_LARGE = 'body-too-large'
     BODY_TOO_SLOW = 'body-too-slow'
+    HEADERS_TOO_LARGE = 'headers-too-large'
     MEMORY_SHORT = 'memory-short'
     UNAUTHENTICATED = 'unauthenticated'
     NOT_IN_CONTRACT = 'not-in-contract'
@@ -83,6 +84,7 @@
     ErrorKind.NOT_FOUND: AnswerRule(404, _NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: AnswerRule(413, _NOT_RUN),
     ErrorKind.BODY_TOO_SLOW: AnswerRule(408, _NOT_RUN),
+    ErrorKind.HEADERS_TOO_LARGE: AnswerRule(431, _NOT_RUN),
     ErrorKind.MEMORY_SHORT: AnswerRule(503, _NOT_RUN, 1.0, True),
     ErrorKind.UNAUTHENTICATED: AnswerRule(401, _NOT_RUN),
     ErrorKind.NOT_IN_CONTRACT: AnswerRule(403, _NOT_RUN),
--- a/lacewingpitch/errors_page.py
+++ b/lacewingpitch/errors_page.py
@@ -42,6 +42,9 @@
     errors.ErrorKind.BODY_TOO_SLOW: (
         'the body was not received within `body_timeout_s`'
     ),
+    errors.ErrorKind.HEADERS_TOO_LARGE: (
+        'the header fields are larger than allowed'
+    ),
     errors.ErrorKind.MEMORY_SHORT: (
         'other requests hold all memory for callers; nothing of this one was '
         'sent on'
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -124,6 +124,77 @@
         yield scene
 
 
+class TestHeads:
+    @pytest.mark.parametrize(
+        'start, piece',
+        [
+            (HEAD + b'X: ', b'x' * 64 * KB),
+            (b'GET /', b'x' * 64 * KB),
+            (HEAD, b'X: y\r\n' * 10_000),
+            (b'', b'\r\n' * 30_000),
+            (GET, b'\r\n' * 30_000),
+            (b'', b'\x00' * 64 * KB),
+            (GET * 2, HEAD + b'X: ' + b'x' * 64 * KB),
+        ],
+    )
+    async def test_endless_heads_are_not_read(self, scene, start, piece):
+        """A process read heads without end, and kept what it had read."""
+        taken_bytes = await scene.count_until_closed(start, piece)
+        assert taken_bytes < ENDLESS_BYTES
+        assert scene.budget.held_bytes < 64 * KB
+
+    async def test_a_refused_head_is_answered_once(self, scene):
+        """Each read after a malformed head kept a further error."""
+        answer = await scene.send(b'\x00' * 20 * KB)
+        assert answer.count(b'HTTP/1.') == 1
+        assert len(answer) < KB
+        assert status_of(answer) == 400
+
+    async def test_fields_over_the_limit_are_refused(self, scene):
+        fields = b'X: ' + b'x' * (HEADER_BYTES - 8) + b'\r\nY: yy\r\n'
+        assert status_of(await scene.send(HEAD + fields + b'\r\n')) == 431
+        assert not scene.bodies
+
+    async def test_fields_at_the_limit_are_served(self, scene):
+        host_bytes = len(b'Host: h\r\n')
+        close_bytes = len(b'Connection: close\r\n')
+        value = b'x' * (HEADER_BYTES - host_bytes - close_bytes - 5)
+        fields = b'Connection: close\r\nX: ' + value + b'\r\n\r\n'
+        assert status_of(await scene.send(HEAD + fields)) == 200
+
+    async def test_a_long_path_beside_fields_is_served(self, scene):
+        path = b'/' + b'x' * (HEADER_BYTES - 64)
+        fields = b'Connection: close\r\nX: ' + path + b'\r\n\r\n'
+        request = HEAD.replace(b'/ ', path + b' ', 1) + fields
+        assert status_of(await scene.send(request)) in (200, 431)
+
+    async def test_slow_heads_are_ended(self, scene):
+        """Connections with a part of a head stayed open for good."""
+        assert status_of(await scene.send(HEAD, b'X: y\r\n')) == 408
+
+    async def test_slow_second_heads_are_ended(self, scene):
+        reader, writer = await scene.connect()
+        writer.write(GET)
+        await reader.readuntil(b'\r\n\r\n0')
+        writer.write(HEAD)
+        assert status_of(await reader.read()) == 408
+
+    async def test_a_request_in_progress_outlives_a_bad_one(self, scene):
+        scene.may_answer.clear()
+        reader, writer = await scene.connect()
+        writer.write(GET + HEAD + b'X: ' + b'x' * 64 * KB)
+        await asyncio.sleep(0.1)
+        scene.may_answer.set()
+        answer = await reader.read()
+        assert status_of(answer) == 200
+
+    async def test_line_ends_between_requests_are_allowed(self, scene):
+        reader, writer = await scene.connect()
+        for _ in range(3):
+            writer.write(b'\r\n' + GET)
+            await reader.readuntil(b'\r\n\r\n0')
+
+
 class TestBodies:
     @pytest.mark.parametrize('chunk_bytes', [16, 100, 64 * KB])
     async def test_chunks_of_usual_sizes_are_served(self, scene, chunk_bytes):
