Bytes beside a chunked body are bounded

What callers saw: chunks of one byte kept an entry's event loop busy, so that no ordinary request beside them was answered in 45 s; extensions of chunks and trailers went on for as long as a client sent them.

Cause: only the bytes of the body counted, and each chunk costs 1.6 to 2.4 microseconds here, whatever it holds.

Sizes, extensions and trailers may have 16 KB and half of the body: bodies in chunks of 12 bytes or more are never refused, nor any of up to 3 KB.

--- a/lacewingpitch/caller_connection.py
+++ b/lacewingpitch/caller_connection.py
@@ -26,6 +26,9 @@
 _HEAD_PARTS = 2
 # Colon, space and line end of a header field.
 _FIELD_FRAMING_BYTES = 4
+# Bytes beside a chunked body: sizes and extensions of chunks, and trailers.
+_MAX_OVERHEAD_BYTES = 16 << 10
+_MAX_OVERHEAD_RATIO = 0.5
 # The end of a body that was refused is read for this long, and up to this
 # multiple of the largest body, so that its client sees the refusal.
 _LINGER_S = 5.0
@@ -115,6 +118,7 @@
         self._received = b''
         self._parsed_bytes = 0
         self._head_bytes = 0
+        self._body_wire_bytes = 0
         self._discarded_bytes = 0
         # Bytes of the requests that have not ended, and of the next head.
         self._request_bytes: list[int] = []
@@ -202,13 +206,14 @@
         if new_count:
             self._begin_requests(new_count)
         elif self._body is not None and not self._body.is_eof():
-            return
+            self._check_body(len(data))
         elif data:
             self._check_head(data)
 
     def _begin_requests(self, new_count: int) -> None:
         self._stop_head_timer()
         self._head_bytes = 0
+        self._body_wire_bytes = 0
         for message, payload in list(self._messages)[-new_count:]:
             if isinstance(message, web_protocol._ErrInfo):
                 # The library answers it when its turn comes; its own error
@@ -259,6 +264,21 @@
             self._head_timer.cancel()
             self._head_timer = None
 
+    def _check_body(self, received_bytes: int) -> None:
+        assert self._body is not None
+        body_bytes = self._body.total_bytes
+        self._body_wire_bytes += received_bytes
+        overhead_bytes = self._body_wire_bytes - body_bytes
+        allowed_bytes = _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_RATIO * body_bytes
+        if overhead_bytes > allowed_bytes:
+            self._observer.record_closed('too many bytes beside a body')
+            self._refuse(
+                errors.RefusalError(
+                    errors.ErrorKind.BAD_REQUEST,
+                    'too many bytes beside the body',
+                )
+            )
+
     def hold_decoded(self, byte_count: int) -> None:
         """Hold a part of a body that was compressed.
 
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -196,6 +196,16 @@
 
 
 class TestBodies:
+    @pytest.mark.parametrize(
+        'piece',
+        [b'1;' + b'x' * 64 * KB, b'1\r\nx\r\n' * 10_000, b'0\r\nX: y\r\n'],
+    )
+    async def test_framing_is_bounded(self, scene, piece):
+        """A body of next to nothing kept the event loop busy."""
+        taken_bytes = await scene.count_until_closed(CHUNKED, piece)
+        assert taken_bytes < ENDLESS_BYTES
+        assert not scene.bodies
+
     @pytest.mark.parametrize('chunk_bytes', [16, 100, 64 * KB])
     async def test_chunks_of_usual_sizes_are_served(self, scene, chunk_bytes):
         chunk = b'%x\r\n%s\r\n' % (chunk_bytes, b'x' * chunk_bytes)
