The number of callers' connections follows from the descriptors

What callers saw: silent clients used up the descriptors of an entry, and no ordinary request beside them was answered in 45 s, at any listener that they used.

Cause: accepting stopped only when no descriptor was left, for connections to servers and the store neither; `accept` then fails for everyone.

Beyond that the oldest connection without a request is closed, else the oldest idle one, else the newest; requests in progress stay. The accept queue has a quarter of the descriptors at most, since the event loop accepts all of it before it counts any.

--- a/lacewingpitch/caller_connection.py
+++ b/lacewingpitch/caller_connection.py
@@ -126,15 +126,18 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._lost = self._loop.create_future()
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether no request has arrived on it."""
+        return not self._request_count
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress."""
         if self._messages:
             return False
         waiter = self._waiter
-        return not self._request_count or (
-            waiter is not None and not waiter.done()
-        )
+        return self.is_unused or (waiter is not None and not waiter.done())
 
     def check(self) -> None:
         """Raise the refusal of the requests on this connection, if any."""
--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -123,12 +123,14 @@
             return
 
     async def _set_up(self) -> web.AppRunner:
+        descriptor_count = self._machine_limits.descriptor_count
         runner = caller_server.CallerRunner(
             self._app,
             lambda: self._limits,
             memory_budget.MemoryBudget(
                 self._machine_limits.memory_bytes, clock_module.SystemClock()
             ),
+            caller_server.connection_limit(descriptor_count),
             handler_cancellation=True,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
             keepalive_timeout=http_guard.KEEPALIVE_S,
@@ -145,7 +147,9 @@
             ip,
             port,
             reuse_port=False,
-            backlog=1024,
+            backlog=caller_server.backlog(
+                self._machine_limits.descriptor_count
+            ),
         )
         try:
             await site.start()
--- a/lacewingpitch/platform/entry.py
+++ b/lacewingpitch/platform/entry.py
@@ -188,6 +188,7 @@
             self._authenticator,
             self._usage,
             self._process.memory,
+            self._process.limits.descriptor_count,
         )
         self._forwarder: request_forwarder.RequestForwarder | None = None
         self._mover: run_mover.RunMover | None = None
--- a/lacewingpitch/platform/frontend.py
+++ b/lacewingpitch/platform/frontend.py
@@ -44,9 +44,6 @@
 # Precision of the time limit for the first request on a connection.
 _SILENCE_CHECK_INTERVAL_S = 1.0
 _MAX_LINE_BYTES = 16 << 10
-# Connections that wait to be accepted while the CPU is busy: a burst of five
-# times the usual rate within a second.
-_BACKLOG = 1024
 # Bounds the number of time series.  Further organisations count as one.
 _MAX_ORGANISATION_LABELS = 64
 _OTHER_ORGANISATIONS = 'other'
@@ -74,6 +71,8 @@
         Enforces the usage limits of organisations.
     memory
         Memory for what callers send and what waits for them.
+    descriptor_count
+        Largest number of open file descriptors of the process.
 
     Attributes
     ----------
@@ -100,8 +99,10 @@
         authenticator: authentication_module.Authenticator,
         usage: usage_limits.UsageLimits,
         memory: memory_budget.MemoryBudget,
+        descriptor_count: int,
     ) -> None:
         self._memory = memory
+        self._descriptor_count = descriptor_count
         self._clock = clock
         self._authenticator = authenticator
         self._usage = usage
@@ -143,6 +144,7 @@
             self._handle,
             self._connection_limits,
             self._memory,
+            caller_server.connection_limit(self._descriptor_count),
             request_factory=self._new_request,
             handler_cancellation=True,
             keepalive_timeout=_KEEPALIVE_S,
@@ -154,7 +156,7 @@
         self._site = await listening.listen(
             self._server,
             endpoint,
-            _BACKLOG,
+            caller_server.backlog(self._descriptor_count),
             exits,
         )
 
--- a/tests/test_caller_answers.py
+++ b/tests/test_caller_answers.py
@@ -106,6 +106,7 @@
             ),
             usage_fakes.limits(usage_fakes.Link(system_clock), system_clock),
             memory_budget.MemoryBudget(MEMORY_BYTES, system_clock),
+            descriptor_count=1024,
         )
         limits = routing.CallerLimits(
             idle_timeout_s=0.2, body_bytes=BODY_LIMIT
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -36,7 +36,7 @@
 class Scene:
     """A server that answers with the size of each body."""
 
-    def __init__(self):
+    def __init__(self, max_connections=100):
         self.bodies = []
         self.may_answer = asyncio.Event()
         self.may_answer.set()
@@ -47,6 +47,7 @@
             self._answer,
             lambda: LIMITS,
             self.budget,
+            max_connections,
             request_factory=self._new_request,
             handler_cancellation=True,
         )
@@ -299,3 +300,43 @@
             writer.write(GET + sized(BODY_BYTES) + b'x' * (BODY_BYTES - 1))
         await asyncio.sleep(0.3)
         assert scene.budget.held_bytes <= BUDGET_BYTES
+
+
+class TestConnections:
+    async def test_unused_connections_make_room(self):
+        """Silent clients used up the descriptors that others need."""
+        async with Scene(max_connections=4) as scene:
+            silent = [await scene.connect() for _ in range(20)]
+            reader, writer = await scene.connect()
+            writer.write(GET)
+            await reader.readuntil(b'\r\n\r\n0')
+            await asyncio.sleep(0.1)
+            assert len(scene.server.connections) <= 4
+            assert silent
+
+    async def test_requests_in_progress_are_not_cut(self):
+        async with Scene(max_connections=4) as scene:
+            scene.may_answer.clear()
+            busy = [await scene.connect() for _ in range(4)]
+            for _, writer in busy:
+                writer.write(GET)
+            await asyncio.sleep(0.1)
+            more = [await scene.connect() for _ in range(4)]
+            await asyncio.sleep(0.1)
+            scene.may_answer.set()
+            for reader, _ in busy:
+                await reader.readuntil(b'\r\n\r\n0')
+            for reader, _ in more:
+                assert await reader.read() == b''
+
+    async def test_idle_connections_are_closed_after_unused_ones(self):
+        async with Scene(max_connections=3) as scene:
+            used = await scene.connect()
+            used[1].write(GET)
+            await used[0].readuntil(b'\r\n\r\n0')
+            unused = await scene.connect()
+            await scene.connect()
+            await scene.connect()
+            assert await unused[0].read() == b''
+            used[1].write(GET)
+            await used[0].readuntil(b'\r\n\r\n0')
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -65,6 +65,7 @@
             ),
             usage_fakes.limits(self.link, system_clock),
             memory_budget.MemoryBudget(MEMORY_BYTES, system_clock),
+            descriptor_count=1024,
         )
 
     async def __aenter__(self):
