A request that is handled again from the start has its body

What callers saw: 400 "Input data was truncated" where a sidecar knew a newer contract than the entry (own interface): 1 of 3, 1 of 6 runs alone of test_slots::TestRealProcesses::test_version_changes_while_requests_wait, and in one run of a part of the tests.

Cause: the new reading of bodies keeps nothing, while the library's own kept the body with its request; the second reading found none. The body is kept with the request again. The server of test_caller_connection reads each body twice, which fails without it; the test above held 8 times in a row.

--- a/lacewingpitch/http_guard.py
+++ b/lacewingpitch/http_guard.py
@@ -16,6 +16,7 @@
 
 _REQUEST_ID = 'request_id'
 _IS_FINISHED = web.RequestKey('finished', bool)
+_BODY = web.RequestKey('body', bytes)
 MAX_FIELD_BYTES = 8190
 # An order contains a path of up to `MAX_FIELD_BYTES`, in base64.
 MAX_ORDER_FIELD_BYTES = 32 << 10
@@ -84,6 +85,9 @@
         The body is too large, malformed, or incomplete after `timeout_s`, or
         there is no memory for it.
     """
+    # A request may be handled again from the start.
+    if _BODY in request:
+        return request[_BODY]
     connection = caller_connection.connection_of(request)
     if connection is not None:
         connection.check()
@@ -106,6 +110,7 @@
     if connection is not None:
         connection.check()
         connection.account.begin(memory_budget.Phase.SERVING)
+    request[_BODY] = body
     return body
 
 
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -68,6 +68,8 @@
         try:
             caller_connection.connection_of(request).check()
             body = await http_guard.read_body(request, 10.0)
+            # A request that is handled again has the same body.
+            assert await http_guard.read_body(request, 10.0) == body
         except errors.RefusalError as error:
             return web.Response(status=error.status)
         self.bodies.append(body)
