--- a/lacewingpitch/account_counters.py
+++ b/lacewingpitch/account_counters.py
@@ -55,6 +55,8 @@
     'crashes-backend-servers': 29,
     'server-limited': 30,
     'server-backoff': 31,
+    'headers-too-large': 32,
+    'memory-short': 33,
 }
 _KIND_NAMES = {number: kind for kind, number in KIND_NUMBERS.items()}
 _BUCKETS_PER_DOUBLING = 4
