Unread answers of the own interface count as memory for callers

What callers would see: clients that ask for whole answers and read none held up to stall_timeout_s of them outside the budget, so that it gave the same memory to others. Found by reading, as the same cause at another listener; the platform's entry counted its own.

Both begin an answer in one place now (ConnectionMemory.begin_answer). test_unread_answers_hold_memory failed before and passes now.

--- a/lacewingpitch/connection_memory.py
+++ b/lacewingpitch/connection_memory.py
@@ -59,6 +59,11 @@
         self._next_head_bytes = 0
         self.account.begin(memory_budget.Phase.RECEIVING)
 
+    def begin_answer(self, byte_count: int) -> None:
+        """Hold an answer while it is sent."""
+        self.account.hold_answer(byte_count)
+        self.account.begin(memory_budget.Phase.SENDING)
+
     def end_request(self) -> None:
         """Release the oldest request and its answer."""
         self.account.give_back_answer()
--- a/lacewingpitch/http_guard.py
+++ b/lacewingpitch/http_guard.py
@@ -201,6 +201,9 @@
     transport = request.transport
     if transport is None:
         raise ConnectionResetError('the caller is gone')
+    connection = caller_connection.connection_of(request)
+    if connection is not None and isinstance(response, web.Response):
+        connection.memory.begin_answer(response.content_length or 0)
     # A write only fills the buffer of this process.  If the caller then
     # disappears, it has no whole answer although the last write succeeded,
     # and the account must not count it as served.  With a buffer limit of 0,
--- a/lacewingpitch/http_server.py
+++ b/lacewingpitch/http_server.py
@@ -42,6 +42,11 @@
         no data for this time.
     machine_limits
         What the process may use; ``None`` to ask the operating system.
+
+    Attributes
+    ----------
+    memory
+        Memory for what clients send and what waits for them.
     """
 
     def __init__(
@@ -55,6 +60,9 @@
         self._machine_limits = (
             machine_limits or machine_limits_module.machine_limits()
         )
+        self.memory = memory_budget.MemoryBudget(
+            self._machine_limits.memory_bytes, clock_module.SystemClock()
+        )
         self._limits = caller_limits.CallerLimits(
             header_bytes=_HEADER_FIELDS * max_field_bytes,
             header_timeout_s=_HEADER_TIMEOUT_S,
@@ -127,9 +135,7 @@
         runner = caller_server.CallerRunner(
             self._app,
             lambda: self._limits,
-            memory_budget.MemoryBudget(
-                self._machine_limits.memory_bytes, clock_module.SystemClock()
-            ),
+            self.memory,
             caller_server.connection_limit(descriptor_count),
             handler_cancellation=True,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
--- a/lacewingpitch/platform/response_delivery.py
+++ b/lacewingpitch/platform/response_delivery.py
@@ -49,7 +49,7 @@
         self._request = request
         self._is_draining = is_draining
         connection = caller_connection.connection_of(request)
-        self._account = connection.memory.account if connection else None
+        self._memory = connection.memory if connection else None
         self.peer = _peer(request)
         self.response: web.StreamResponse | None = None
         self.step = request_end.Step.HEAD_READ
@@ -76,8 +76,8 @@
     def record_read(self) -> None:
         """Record that the body of the request has been read."""
         self.step = request_end.Step.BODY_READ
-        if self._account is not None:
-            self._account.begin(memory_budget.Phase.SERVING)
+        if self._memory is not None:
+            self._memory.account.begin(memory_budget.Phase.SERVING)
 
     def record_sent(self) -> None:
         """Record that the request is being sent to a backend server."""
@@ -91,19 +91,19 @@
 
     async def make_room(self, byte_count: int) -> None:
         """Wait until there is memory for an answer."""
-        if self._account is None:
+        if self._memory is None:
             return
-        self._account.give_back_answer()
-        while not self._account.take_answer(byte_count):
+        account = self._memory.account
+        account.give_back_answer()
+        while not account.take_answer(byte_count):
             await asyncio.sleep(_ROOM_POLL_S)
 
     async def send_whole(
         self, answer: backend_call.BackendAnswer, body: bytes
     ) -> None:
         """Send a complete answer."""
-        if self._account is not None:
-            self._account.hold_answer(len(body))
-            self._account.begin(memory_budget.Phase.SENDING)
+        if self._memory is not None:
+            self._memory.begin_answer(len(body))
         response = web.Response(status=answer.status, body=body)
         await self._begin(response, answer)
         await response.write_eof()
--- a/tests/test_http_guard.py
+++ b/tests/test_http_guard.py
@@ -77,6 +77,16 @@
         assert await asyncio.wait_for(results.get(), 30) == 'gone'
         writer.close()
 
+    async def test_unread_answers_hold_memory(self, served):
+        """Answers that nobody read did not count as memory in use."""
+        server, results = served
+        _, writer = await send_request(server, '/big')
+        async with asyncio.timeout(STALL_S):
+            while server.memory.held_bytes < len(BIG):
+                await asyncio.sleep(0.01)
+        assert await asyncio.wait_for(results.get(), 30) == 'gone'
+        writer.close()
+
     async def test_whole_answers_are_delivered_on_one_connection(self, served):
         server, results = served
         reader, writer = await send_request(server, '/big')
