Tests: each limit for clients fails alone where it is taken out

Played with one guard removed at a time. Endless heads and framing were still ended without their own limits, as the small memory of the scene ended them; the scene of these tests has memory for all now, and bodies whose framing is larger than they are must be refused. A body that was refused must be readable to its end, which fails where the connection closes at once.

All checks are as strict or stricter; crowds and bounds are the same.

--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -36,12 +36,12 @@
 class Scene:
     """A server that answers with the size of each body."""
 
-    def __init__(self, max_connections=100):
+    def __init__(self, max_connections=100, machine_bytes=MACHINE_BYTES):
         self.bodies = []
         self.may_answer = asyncio.Event()
         self.may_answer.set()
         self.budget = memory_budget.MemoryBudget(
-            MACHINE_BYTES, clock.SystemClock()
+            machine_bytes, clock.SystemClock()
         )
         self.server = caller_server.CallerServer(
             self._answer,
@@ -127,6 +127,13 @@
         yield scene
 
 
+@pytest.fixture
+async def wide_scene():
+    """A server whose memory ends no request."""
+    async with Scene(machine_bytes=1 << 34) as scene:
+        yield scene
+
+
 class TestHeads:
     @pytest.mark.parametrize(
         'start, piece',
@@ -140,11 +147,11 @@
             (GET * 2, HEAD + b'X: ' + b'x' * 64 * KB),
         ],
     )
-    async def test_endless_heads_are_not_read(self, scene, start, piece):
+    async def test_endless_heads_are_not_read(self, wide_scene, start, piece):
         """A process read heads without end, and kept what it had read."""
-        taken_bytes = await scene.count_until_closed(start, piece)
+        taken_bytes = await wide_scene.count_until_closed(start, piece)
         assert taken_bytes < ENDLESS_BYTES
-        assert scene.budget.held_bytes < 64 * KB
+        assert wide_scene.budget.held_bytes < 64 * KB
 
     async def test_a_refused_head_is_answered_once(self, scene):
         """Each read after a malformed head kept a further error."""
@@ -204,11 +211,38 @@
         'piece',
         [b'1;' + b'x' * 64 * KB, b'1\r\nx\r\n' * 10_000, b'0\r\nX: y\r\n'],
     )
-    async def test_framing_is_bounded(self, scene, piece):
+    async def test_endless_framing_is_not_read(self, wide_scene, piece):
         """A body of next to nothing kept the event loop busy."""
-        taken_bytes = await scene.count_until_closed(CHUNKED, piece)
+        taken_bytes = await wide_scene.count_until_closed(CHUNKED, piece)
         assert taken_bytes < ENDLESS_BYTES
-        assert not scene.bodies
+        assert not wide_scene.bodies
+
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'1\r\nx\r\n' * 50_000 + b'0\r\n\r\n',
+            b'1;' + b'x' * 64 * KB + b'\r\nx\r\n0\r\n\r\n',
+            b'1\r\nx\r\n0\r\n'
+            + (b'X: ' + b'x' * 8000 + b'\r\n') * 8
+            + b'\r\n',
+        ],
+    )
+    async def test_framing_larger_than_its_body_is_refused(
+        self, wide_scene, body
+    ):
+        """Work without bytes of a body had no limit."""
+        assert status_of(await wide_scene.send(CHUNKED, body)) == 400
+        assert not wide_scene.bodies
+
+    async def test_the_rest_of_a_refused_body_is_read(self, scene):
+        """A client whose body was refused could not finish sending it."""
+        reader, writer = await scene.connect()
+        writer.write(sized(2 * BODY_BYTES))
+        for _ in range(16):
+            writer.write(b'x' * 64 * KB)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        assert status_of(await reader.read()) == 413
 
     @pytest.mark.parametrize('chunk_bytes', [16, 100, 64 * KB])
     async def test_chunks_of_usual_sizes_are_served(self, scene, chunk_bytes):
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -20,6 +20,8 @@
 CLIENT_COUNT = 60
 MEMORY_MB = 128
 MAX_DESCRIPTORS = 256
+# Left for servers, peers and the store.
+SPARE_DESCRIPTORS = MAX_DESCRIPTORS // 4
 BODY_BYTES = 4 << 20
 ANSWER_BYTES = 1 << 20
 ORDINARY_TIMEOUT_S = 45.0
@@ -340,6 +342,8 @@
             await crowd.settle()
             check_process(platform)
             await check_ordinary_request(platform)
+            count = client_crowd.descriptor_count(platform.entry.process.pid)
+            assert count <= MAX_DESCRIPTORS - SPARE_DESCRIPTORS
         check_process(platform)
 
 
