--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -22,7 +22,7 @@
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HOST = 'h.example'
 # Bounds of the small deployments of the users' pages.
-BOUNDS = {
+BOUNDS: dict[str, Any] = {
     'graceS': 8,
     'configApplyMs': 2000,
     'drainMs': 2000,
@@ -100,6 +100,8 @@
     ----------
     engines, services
         Stand-ins of the model engines and of the plain servers.
+    tenants
+        Tenants of the configuration; callers need no key without any.
     """
 
     def __init__(
@@ -109,10 +111,12 @@
         entry_count: int,
         engines: list[Any] | None = None,
         services: list[Any] | None = None,
+        tenants: list[dict[str, Any]] | None = None,
     ) -> None:
         super().__init__(
             folder,
             entry_count,
+            tenants=tenants,
             bounds=BOUNDS,
             machine_limits=MACHINE_LIMITS,
         )
