--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""One plain server answers one request with bytes without end."""
+"""A part that crashes engines comes in prompts of many parts."""
 
 import asyncio
 import pathlib
@@ -7,104 +7,94 @@
 from aiohttp import web
 
 from review.standins_2 import deployment
+from tests import crash_scene
 from tests import platform_standin
+from tests import standin_crashes
 
-# The timeout of the ordinary requests' route, as on the sheet, and the slack
-# of the rule.
-TIMEOUT_S = 1.5
-SLACK_S = 0.5
-CONFIGURED_WITHIN_S = 3.0
-# What the server in trouble writes again and again: the start of an answer.
-PIECE = b'HTTP/1.1 200 ' * 5000
-PIECE_PAUSE_S = 0.002
-REQUEST_COUNT = 40
-COMMAND_AFTER = 5
-PAUSE_S = 0.1
-DEADLINE_MS = 4000
+CONTACT_S = 3.0
+# Engines are back after some seconds.
+DOWN_S = 2.0
+CALM_S = 3.0
+PLAY_S = 25.0
+DEADLY_PAUSE_S = 0.5
+SOUND_PAUSE_S = 0.2
+CRASHES_OF_PART = 5
+MOST_LATE_SENDS = 3
+FIRST_PART = 'aa01:198'
+DEADLY_PART = 'dead0bad'
+# A long conversation: each of its turns is a part.
+TURN_COUNT = 66
 
 
-class TroubledService(platform_standin.Service):
-    """Begins an answer without a length, and writes on until it is cut."""
+class RecordingEngine(platform_standin.Engine):
+    """Records the requests that arrive, and crashes under one part."""
 
     record: deployment.Record
-    # Answers of both servers that are yet to go wrong.
-    troubles_left = 0
-
-    async def _run(self, request: web.Request) -> web.StreamResponse:
-        request_id = request.headers.get('Request-Id')
-        if request_id is None:
-            return web.Response(headers={'Instance-Id': self.name})
-        self.record.add(f'{self.name} runs {request_id}')
-        if not request.path.startswith('/command/'):
-            return await super()._run(request)
-        if not TroubledService.troubles_left:
-            return await super()._run(request)
-        TroubledService.troubles_left -= 1
-        transport = request.transport
-        assert transport is not None
-        head = (
-            'HTTP/1.1 200 OK\r\n'
-            f'Request-Id: {request_id}\r\n'
-            'Response-Signature: s\r\n\r\n'
-        )
-        transport.write(head.encode())
-        written_bytes = 0
-        while not transport.is_closing():
-            # The connection's buffer limits what is written.
-            if transport.get_write_buffer_size() < len(PIECE):
-                transport.write(PIECE)
-                written_bytes += len(PIECE)
-            await asyncio.sleep(PIECE_PAUSE_S)
-        self.record.add(f'{self.name} was cut after {written_bytes} bytes')
-        return web.Response()
+
+    def record_arrival(self, request: web.Request) -> None:
+        """Record a request that has arrived."""
+        super().record_arrival(request)
+        request_id = request.headers['Request-Id']
+        self.record.add(f'{self.name} gets {request_id}')
+
+    def crash(self, is_in_order: bool = False) -> None:
+        """End all open connections; accept none until it is up again."""
+        self.record.add(f'{self.name} crashes')
+        super().crash(is_in_order)
+
+
+def _headers(parts: list[str], number: int) -> dict[str, str]:
+    listed = [*parts, f'cc{number:06x}:60']
+    tokens = sum(int(part.partition(':')[2]) for part in listed)
+    return {
+        'Model': f'{platform_standin.MODEL}/a7',
+        'Token-Usage': f'{tokens},294',
+        standin_crashes.PARTS: ','.join(listed),
+    }
+
+
+def _turns() -> list[str]:
+    return [f'bb{number:04x}:10' for number in range(TURN_COUNT)]
+
+
+def sound(number: int) -> tuple[str, str, bytes, dict[str, str]]:
+    """Return a sound request with all other parts of a deadly one."""
+    headers = _headers([FIRST_PART, *_turns()], number)
+    return 'o-', '/chat/x', b'sound %d' % number, headers
+
+
+def deadly(number: int) -> tuple[str, str, bytes, dict[str, str]]:
+    """Return a request unlike all others with the part that crashes."""
+    parts = [FIRST_PART, *_turns(), f'{DEADLY_PART}:60']
+    headers = _headers(parts, number)
+    return crash_scene.DEADLY, '/chat/x', b'deadly %d' % number, headers
 
 
 async def play(folder: pathlib.Path, record: deployment.Record) -> str:
-    """Return how many ordinary requests had no answer in time."""
-    TroubledService.record = record
-    services = [TroubledService('p-1'), TroubledService('p-2')]
-    TroubledService.troubles_left = int(deployment.HAS_TROUBLE)
-    async with deployment.Deployment(
-        folder, record, 2, services=services
-    ) as platform:
-        answers: list[deployment.Answer] = []
-
-        async def ask(number: int) -> None:
-            answers.append(
-                await platform.send(
-                    0,
-                    '/lookup/x',
-                    f'lookup-{number}',
-                    'GET',
-                    b'',
-                    DEADLINE_MS,
-                )
-            )
-
-        configuration = platform_standin.configuration(
-            6, lookup={'timeoutMs': int(1000 * TIMEOUT_S)}
-        )
-        await platform.store.put('op/config', configuration)
-        await asyncio.sleep(CONFIGURED_WITHIN_S)
-        tasks: list[asyncio.Task[Any]] = []
-        for number in range(REQUEST_COUNT):
-            if number == COMMAND_AFTER:
-                sent = platform.send(0, '/command/x', f'command-{number}')
-                tasks.append(asyncio.create_task(sent))
-            tasks.append(asyncio.create_task(ask(number)))
-            await asyncio.sleep(PAUSE_S)
-        await asyncio.gather(*tasks)
-    overdue = [a for a in answers if not a.status or a.took_s > TIMEOUT_S]
-    late = [
-        a for a in overdue if not a.status or a.took_s > TIMEOUT_S + SLACK_S
-    ]
+    """Return how many requests with the part reached engines too late."""
+    RecordingEngine.record = record
+    engines = deployment.new_engines(4, RecordingEngine)
+    async with deployment.Deployment(folder, record, 2, engines) as platform:
+        scene: Any = crash_scene.CrashScene(platform, engines, DOWN_S)
+        for engine in engines:
+            engine.crashes.part = DEADLY_PART
+        await scene.press(CALM_S, SOUND_PAUSE_S, sound)
+        loads = [scene.press(PLAY_S, SOUND_PAUSE_S, sound)]
+        if deployment.HAS_TROUBLE:
+            loads.append(scene.press(PLAY_S, DEADLY_PAUSE_S, deadly))
+        await asyncio.gather(*loads)
+    for answer in scene.answers:
+        record.add(f'answer: {answer}')
+    late = scene.late_sends(CRASHES_OF_PART)
     record.add(
-        f'{len(overdue)} of {len(answers)} lookups unanswered at their '
-        f"route's timeout, {len(late)} of them half a second later"
+        f'crashes: {len(scene.crashed_at_s)}; requests with the part that '
+        f'reached engines: {len(scene.deadly_arrivals())}, of them {late} '
+        f'later than {CONTACT_S:g} s after the fifth crash; sound requests '
+        f'served: {scene.served_ratio():.2f}'
     )
-    if not late or 2 * len(late) <= len(overdue):
+    if late <= MOST_LATE_SENDS:
         return ''
-    return f'{len(late)} of {len(overdue)} overdue requests had no answer'
+    return f'{late} requests reached engines after the bound'
 
 
 if __name__ == '__main__':
