KNOWN-RED: scripts of review cases have entries of their own

The reader takes scripts of review/ now and does not count them, as it does with crowds of clients; tests are bounded and checked as before.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -22,9 +22,17 @@
         others = [LINE.replace('test_c', f'test_{n}') for n in range(3)]
         assert len(known_red.parse('\n'.join(crowds + others))) == 12
 
+    def test_scripts_of_cases_do_not_count(self):
+        scripts = [f'review/{number}/run.sh | why | 75' for number in range(5)]
+        others = [LINE.replace('test_c', f'test_{n}') for n in range(3)]
+        entries = known_red.parse('\n'.join(others + scripts))
+        assert sum(entry.is_script for entry in entries) == 5
+
     @pytest.mark.parametrize(
         'text',
         [
+            'review/run.sh | cause | 5',
+            'review/4/run.sh tests | cause | 5',
             '\n'.join(LINE.replace('test_c', f'test_{n}') for n in range(4)),
             f'{LINE}\n{LINE}',
             'tests/test_a.py::test_b',
