Parts in the same crashes are refused together, and told apart by trials

Cause: of keys with the same crashes blame.handlings refused the one whose text sorts first, and let it explain the crashes of the others. If that is the part which sound requests share, nothing can correct it: all requests that would show the truth are refused. A quiet route or a start is only the way to meet it; the sound runs that are remembered for 30 s hid it elsewhere.

Change: parts in the same crashes form a group. A request with all of its parts is refused, one with some of them runs isolated, and its end tells them apart at all processes. No choice depends on a name or an order. Groups that no request tells apart are tried again after 5, 10, 20 ... minutes, three times past the fifth crash. Of two requests with the same three crashes none is chosen by its hash: both run isolated. `request barred` names what is not told apart; before it could not.

--- a/benchmarks/suspect_parts.py
+++ b/benchmarks/suspect_parts.py
@@ -2,7 +2,9 @@
 
 Requests with one part, no two alike, arrive at all entries beside sound
 requests with all their other parts.  In the second load engines crash by
-themselves, without a request as the cause.
+themselves, without a request as the cause.  In the third all have just
+started, and sound requests come only after the first crashes; in the fourth
+engines crash by themselves beside it.
 """
 
 import asyncio
@@ -40,6 +42,7 @@
 COMPANION_COUNT = 40
 CRASHES_TO_BOUND = 5
 NEVER = 10**6
+TRIAL_DELAY_S = 30.0
 DEADLY = suspect_keys.part_key('dead')
 FIRST = suspect_keys.part_key('first')
 
@@ -52,10 +55,55 @@
     explains: bool = True
     remembers_sound: bool = True
     clears_early: bool = True
+    kind: type[blame.Policy] = blame.Policy
 
     @property
     def policy(self):
-        return blame.Policy(part=self.part, explains=self.explains)
+        return self.kind(part=self.part, explains=self.explains)
+
+
+@dataclasses.dataclass(frozen=True)
+class AnyHolderIsRefused(blame.Policy):
+    """Refuses requests with any of the parts that crashes don't tell apart."""
+
+    def trial_delay_s(self, group, holds_all):
+        return NEVER
+
+
+@dataclasses.dataclass(frozen=True)
+class TrialsAfterDelay(blame.Policy):
+    """Tries requests with some of the parts from five crashes on later."""
+
+    def trial_delay_s(self, group, holds_all):
+        delay_s = blame.Policy.trial_delay_s(self, group, holds_all)
+        if holds_all or group.crash_count < CRASHES_TO_BOUND:
+            return delay_s
+        return max(TRIAL_DELAY_S, delay_s)
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What arrives, and when.
+
+    Parameters
+    ----------
+    sound_from_s, deadly_from_s, crashes_from_s
+        When requests, and crashes without a request as the cause, begin.
+    """
+
+    sound_from_s: float = 0.0
+    deadly_from_s: float = NEVER
+    crashes_from_s: float = NEVER
+
+
+LOADS = {
+    'a deadly part': Load(deadly_from_s=CALM_S),
+    'crashes': Load(crashes_from_s=CALM_S),
+    'a deadly part first': Load(sound_from_s=CALM_S, deadly_from_s=0.0),
+    'the same beside crashes': Load(
+        sound_from_s=CALM_S, deadly_from_s=0.0, crashes_from_s=0.0
+    ),
+}
 
 
 def way(isolated_from, refused_from, **fields):
@@ -77,6 +125,8 @@
     'refused at 3': way(NEVER, 3),
     'refused at 4': way(NEVER, 4),
     'refused at 5': way(NEVER, 5),
+    'any holder is refused': way(2, 3, kind=AnyHolderIsRefused),
+    'trials of some parts are delayed': way(2, 3, kind=TrialsAfterDelay),
 }
 
 
@@ -279,16 +329,22 @@
         since_s = self.crashed_at_s[CRASHES_TO_BOUND - 1] + CONTACT_S
         return sum(at_s > since_s for at_s in self.deadly_sent_at_s)
 
-    async def run_load(self, is_deadly):
+    async def run_load(self, load):
         for entry in self.entries:
             asyncio.create_task(entry.sync())
         tasks = []
         number = 0
+        starts_s = {
+            'sound': (load.sound_from_s, SOUND_PER_S),
+            'deadly': (load.deadly_from_s, DEADLY_PER_S),
+            'crash': (load.crashes_from_s, CRASHES_PER_S),
+        }
         while self.now_s < DURATION_S:
-            rates = {'sound': SOUND_PER_S}
-            if self.now_s >= CALM_S:
-                name = 'deadly' if is_deadly else 'crash'
-                rates[name] = DEADLY_PER_S if is_deadly else CRASHES_PER_S
+            rates = {
+                name: rate
+                for name, (from_s, rate) in starts_s.items()
+                if self.now_s >= from_s
+            }
             await asyncio.sleep(self.random.expovariate(sum(rates.values())))
             kind = self.random.choices(list(rates), rates.values())[0]
             if kind == 'crash':
@@ -313,13 +369,13 @@
         return (f'r-{number}', *parts)
 
 
-def measure(found, is_deadly):
+def measure(found, load):
     """Return the sums of the counts over all seeds."""
     counts = collections.Counter()
     for seed in range(SEED_COUNT):
 
         async def main(seed=seed):
-            return await Simulation(found, seed).run_load(is_deadly)
+            return await Simulation(found, seed).run_load(load)
 
         counts += virtual_time.run(main())
     return counts
@@ -336,12 +392,13 @@
     )
     print('| --- | --- | --- | --- | --- | --- | --- | --- |')
     outcomes = ('served', 'barred', 'failed', 'isolated', 'no engine')
-    for is_deadly, load in ((True, 'a deadly part'), (False, 'crashes')):
+    for load_name, load in LOADS.items():
         for name, found in WAYS.items():
-            counts = measure(found, is_deadly)
+            counts = measure(found, load)
             ended = sum(counts[outcome] for outcome in outcomes)
             print(
-                f'| {name} | {load} | {counts["crashes"] / SEED_COUNT:.1f} '
+                f'| {name} | {load_name} '
+                f'| {counts["crashes"] / SEED_COUNT:.1f} '
                 f'| {counts["late"] / SEED_COUNT:.1f} '
                 f'| {counts["served"] / ended:.4f} '
                 f'| {counts["first served"] / ended:.4f} '
--- a/lacewingpitch/blame.py
+++ b/lacewingpitch/blame.py
@@ -1,11 +1,19 @@
 """Decides which requests and parts of prompts have caused crashes."""
 
-from collections.abc import Mapping, Set
+from collections.abc import Mapping, Sequence, Set
 import dataclasses
 import enum
+import functools
+import itertools
+import math
 
 from lacewingpitch import suspect_keys
 
+# Doubled with each further crash.
+_RETRIAL_DELAY_S = 300.0
+# Whether keys are of parts, and start ids of the servers that crashed.
+_Evidence = tuple[bool, frozenset[str]]
+
 
 class Handling(enum.Enum):
     """How a request is scheduled, given the crashes of its keys."""
@@ -39,17 +47,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """Thresholds by what a key stands for.
+    """Thresholds by what a key stands for, and trials of what is refused.
 
     Parameters
     ----------
     explains
         Whether a crash under a refused key counts against no other key.
+    trials_until
+        Number of crashes from which requests with refused parts are not
+        tried again.
     """
 
     request: Thresholds = Thresholds()
     part: Thresholds = Thresholds()
     explains: bool = True
+    trials_until: int = 8
 
     @property
     def least_count(self) -> int:
@@ -58,46 +70,158 @@
             *dataclasses.astuple(self.request), *dataclasses.astuple(self.part)
         )
 
-    def thresholds(self, key: str) -> Thresholds:
-        """Return the thresholds of a key."""
-        return self.part if suspect_keys.is_part(key) else self.request
+    def trial_delay_s(self, group: 'Group', holds_all: bool) -> float:
+        """Return how long after the last crash a request may run isolated.
+
+        A request that holds only some of the parts of a group shows by its
+        run whether the cause is among these.  One that holds all of them
+        can only show that the crashes had another cause.
+
+        Parameters
+        ----------
+        holds_all
+            Whether the request holds all keys of the group.
+        """
+        if group.is_request or group.crash_count >= self.trials_until:
+            return math.inf
+        if not holds_all:
+            return 0.0
+        exponent = max(0, group.crash_count - self.part.refused_from)
+        return _RETRIAL_DELAY_S * 2.0**exponent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """Keys, one of which causes crashes, that crashes don't tell apart.
+
+    Parameters
+    ----------
+    keys
+        Parts of prompts, or one request.
+    crash_count
+        Number of servers that crashed under each of those with the most.
+    """
+
+    keys: frozenset[str]
+    crash_count: int
 
+    @property
+    def is_request(self) -> bool:
+        """Whether it is one request."""
+        return not any(map(suspect_keys.is_part, self.keys))
+
+
+@dataclasses.dataclass(frozen=True)
+class Assessment:
+    """What is refused and what is isolated.
 
-def handlings(
-    crashes: Mapping[str, Set[str]], policy: Policy
-) -> dict[str, Handling]:
-    """Return the handling of each key that is not free.
+    Parameters
+    ----------
+    groups
+        Requests that hold all keys of a group are refused.
+    isolated
+        Keys of requests that run isolated.
+    """
+
+    groups: tuple[Group, ...] = ()
+    isolated: frozenset[str] = frozenset()
+
+    @functools.cached_property
+    def keys(self) -> frozenset[str]:
+        """Return all keys that are not free."""
+        return self.isolated.union(*(group.keys for group in self.groups))
+
+
+def assess(crashes: Mapping[str, Set[str]], policy: Policy) -> Assessment:
+    """Return what the crashes of all keys show.
 
     A crash has one cause.  Once a key is refused, the crashes under it count
     against no other key, so that what merely ran beside it is free again.
-    The key with the most crashes is taken first: the cause is in all of
+    The keys with the most crashes are taken first: the cause is in all of
     them.  Of equal keys a request comes before a part, as it is the narrower
-    explanation; if the choice is wrong, the next crash under the right key
-    corrects it.
+    explanation.
+
+    Parts that were in the same crashes form a group, whatever their order or
+    their ids: what tells them apart is a request that holds only some of
+    them.
 
     Parameters
     ----------
     crashes
         Start ids of the servers that crashed, by key.
     """
-    found: dict[str, Handling] = {}
+    keys_by_servers = _keys_by_servers(crashes)
+    groups: list[Group] = []
     explained: set[str] = set()
-    for key in sorted(crashes, key=lambda key: _order(key, crashes[key])):
-        own_count = len(crashes[key] - explained)
-        handling = policy.thresholds(key).handling(own_count)
-        if handling is Handling.FREE:
-            continue
-        found[key] = handling
-        if handling is Handling.REFUSED and policy.explains:
-            explained |= crashes[key]
-    return {
-        key: handling
-        for key, handling in found.items()
-        if handling is Handling.REFUSED
-        or policy.thresholds(key).handling(len(crashes[key] - explained))
-        is not Handling.FREE
-    }
-
-
-def _order(key: str, servers: Set[str]) -> tuple[int, bool, str]:
-    return -len(servers), suspect_keys.is_part(key), key
+    ordered = sorted(keys_by_servers, key=_order)
+    for _, tier in itertools.groupby(ordered, _order):
+        found = [
+            (kind, servers)
+            for kind, servers in tier
+            if _handling(kind, servers - explained, policy) is Handling.REFUSED
+        ]
+        new_groups = _groups(found, keys_by_servers, explained, policy)
+        groups += new_groups
+        if new_groups and policy.explains:
+            explained.update(*(servers for _, servers in found))
+    isolated = itertools.chain.from_iterable(
+        keys
+        for (kind, servers), keys in keys_by_servers.items()
+        if _handling(kind, servers - explained, policy) is not Handling.FREE
+    )
+    return Assessment(tuple(groups), frozenset(isolated))
+
+
+def _keys_by_servers(
+    crashes: Mapping[str, Set[str]],
+) -> dict[_Evidence, frozenset[str]]:
+    found: dict[_Evidence, set[str]] = {}
+    for key, servers in crashes.items():
+        evidence = suspect_keys.is_part(key), frozenset(servers)
+        found.setdefault(evidence, set()).add(key)
+    return {evidence: frozenset(keys) for evidence, keys in found.items()}
+
+
+def _order(evidence: _Evidence) -> tuple[int, bool]:
+    is_part, servers = evidence
+    return -len(servers), is_part
+
+
+def _handling(is_part: bool, servers: Set[str], policy: Policy) -> Handling:
+    thresholds = policy.part if is_part else policy.request
+    return thresholds.handling(len(servers))
+
+
+def _groups(
+    found: Sequence[_Evidence],
+    keys_by_servers: Mapping[_Evidence, frozenset[str]],
+    explained: Set[str],
+    policy: Policy,
+) -> list[Group]:
+    """Return the groups of the keys that have the most crashes."""
+    if not found:
+        return []
+    is_part, servers = found[0]
+    if is_part:
+        return [
+            _part_group(servers - explained, keys_by_servers)
+            for _, servers in found
+        ]
+    keys = frozenset.union(*(keys_by_servers[evidence] for evidence in found))
+    # Each runs as the only suspect on its server until one has a crash more.
+    if len(keys) > 1 and len(servers) <= policy.request.refused_from:
+        return []
+    return [Group(frozenset((key,)), len(servers)) for key in keys]
+
+
+def _part_group(
+    servers: frozenset[str],
+    keys_by_servers: Mapping[_Evidence, frozenset[str]],
+) -> Group:
+    """Return the parts that were in all of some crashes."""
+    members = (
+        keys
+        for (is_part, others), keys in keys_by_servers.items()
+        if is_part and servers <= others
+    )
+    return Group(frozenset().union(*members), len(servers))
--- a/lacewingpitch/crash_evidence.py
+++ b/lacewingpitch/crash_evidence.py
@@ -6,6 +6,7 @@
 from lacewingpitch import backend_call
 from lacewingpitch import backend_list
 from lacewingpitch import clock as clock_module
+from lacewingpitch import crash_record
 from lacewingpitch import errors
 from lacewingpitch import request_history
 from lacewingpitch import suspects as suspects_module
@@ -97,13 +98,16 @@
         if error.kind is not errors.ErrorKind.CRASHES_BACKEND_SERVERS:
             return
         record = self._suspects.record
-        suspect = record.verdict(request.suspect_keys).key
+        verdict = record.verdict(request.suspect_keys)
+        group = verdict.group.keys if verdict.group else ()
         log.warning(
             'request barred',
             request_id=request.request_id,
             fingerprint=request.fingerprint,
-            suspect=suspect,
-            backend_servers=record.crashed_servers(suspect),
+            suspect=verdict.key,
+            backend_servers=record.crashed_servers(verdict.key),
+            not_told_apart=crash_record.logged_keys(group),
+            not_told_apart_count=len(group),
         )
 
     def _record_run(
--- a/lacewingpitch/crash_record.py
+++ b/lacewingpitch/crash_record.py
@@ -19,6 +19,7 @@
 _EPOCH_BITS = 31
 _COUNT_BITS = 32
 _NO_EVIDENCE: Mapping[str, object] = types.MappingProxyType({})
+_MAX_LOGGED_KEYS = 8
 log = structlog.get_logger(__name__)
 
 
@@ -32,11 +33,18 @@
     Parameters
     ----------
     key
-        Key of the suspect; empty if the request is free.
+        Key of the suspect; empty if the request is free.  It is one of
+        `group` if the request is refused or tried again.
+    group
+        Keys that crashes do not tell apart; ``None`` if there are none.
     """
 
     handling: blame.Handling = blame.Handling.FREE
     key: str = ''
+    group: blame.Group | None = None
+
+
+_FREE = Verdict()
 
 
 class CrashRecord:
@@ -53,7 +61,8 @@
     it.  What runs soundly on another server is innocent, and its crashes
     become void; a part that ran soundly a moment ago is not suspected.  By
     default, a request that was running at two crashes is isolated, and at
-    three crashes it is refused; see `blame`.
+    three crashes it is refused.  Parts that no crash tells apart are refused
+    together only: a request with some of them runs isolated; see `blame`.
 
     Crashes are only added or marked void, so that merging is commutative
     and idempotent: processes may exchange records in any order, any number
@@ -91,9 +100,9 @@
         # Keys with several crashes that count; others are always free.
         self._repeated: set[str] = set()
         self._expired_at_s = clock.boot_s()
-        # What is not free; computed again when it is needed.
-        self._handlings: dict[str, blame.Handling] = {}
-        self._are_handlings_stale = False
+        # Computed again when it is needed.
+        self._assessment = blame.Assessment()
+        self._is_assessment_stale = False
 
     @property
     def revision(self) -> int:
@@ -107,26 +116,58 @@
         return (self._epoch << _COUNT_BITS) + self._change_count
 
     def handling(self, key: str) -> blame.Handling:
-        """Return how requests with one key are scheduled."""
-        handling = self._current_handlings().get(key, blame.Handling.FREE)
-        if handling is blame.Handling.FREE or key in self._released():
-            return blame.Handling.FREE
-        suspect = self._suspects.get(key)
-        if suspect is None or self._is_expired(suspect):
-            return blame.Handling.FREE
-        self._touch(key, suspect)
-        return handling
+        """Return how requests with one key alone are scheduled."""
+        return self.verdict((key,)).handling
 
     def verdict(self, keys: Iterable[str]) -> Verdict:
         """Return how a request with several keys is scheduled, and why."""
-        found = Verdict()
-        for key in keys:
-            handling = self.handling(key)
-            if handling is blame.Handling.REFUSED:
-                return Verdict(handling, key)
-            if handling is blame.Handling.ISOLATED and not found.key:
-                found = Verdict(handling, key)
-        return found
+        if not self._suspects:
+            return _FREE
+        self._expire()
+        assessment = self._current_assessment()
+        held = assessment.keys.intersection(keys).difference(self._released())
+        if not held:
+            return _FREE
+        for key in held:
+            self._touch(key, self._suspects[key])
+        found = _FREE
+        for group in assessment.groups:
+            verdict = self._group_verdict(group, held)
+            if verdict.handling is blame.Handling.REFUSED:
+                return verdict
+            if not found.key:
+                found = verdict
+        isolated = held & assessment.isolated
+        if found.key or not isolated:
+            return found
+        return Verdict(blame.Handling.ISOLATED, self._most_crashed(isolated))
+
+    def _group_verdict(
+        self, group: blame.Group, held: frozenset[str]
+    ) -> Verdict:
+        """Return what a group of keys means for a request.
+
+        Parameters
+        ----------
+        held
+            Keys of the request that are not free.
+        """
+        held_here = group.keys & held
+        if not held_here:
+            return _FREE
+        others = group.keys.difference(held_here, self._released())
+        for key in others:
+            self._touch(key, self._suspects[key])
+        delay_s = self._policy.trial_delay_s(group, holds_all=not others)
+        crashed_at_s = max(self._suspects[k].crashed_at_s for k in group.keys)
+        handling = blame.Handling.REFUSED
+        if self._clock.boot_s() - crashed_at_s >= delay_s:
+            handling = blame.Handling.ISOLATED
+        return Verdict(handling, self._most_crashed(held_here), group)
+
+    def _most_crashed(self, keys: Iterable[str]) -> str:
+        """Return the key to report for several."""
+        return min(keys, key=lambda k: (-len(self._suspects[k].counted), k))
 
     def crashed_servers(self, key: str) -> tuple[str, ...]:
         """Return start ids of servers whose crash counts for a suspect."""
@@ -141,10 +182,12 @@
         self, handling: blame.Handling, *, is_part: bool = False
     ) -> int:
         """Return how many requests, or parts, have a given handling."""
-        return sum(
-            found is handling and suspect_keys.is_part(key) is is_part
-            for key, found in self._current_handlings().items()
-        )
+        assessment = self._current_assessment()
+        refused = _refused_keys(assessment)
+        found = refused
+        if handling is not blame.Handling.REFUSED:
+            found = assessment.isolated - refused
+        return sum(suspect_keys.is_part(key) is is_part for key in found)
 
     def record_crash(self, key: str, server: str) -> None:
         """Record a crash that occurred as a suspect began to run.
@@ -194,23 +237,8 @@
 
     def merge(self, states: Iterable[suspect_module.SuspectState]) -> None:
         """Merge crashes that another process has recorded."""
-        changed = [
-            state.key
-            for state in states
-            if self._add(state.key, self._judged(state))
-        ]
-        if not changed:
-            return
-        before = self._handlings
-        after = self._current_handlings()
-        for key in before.keys() | after.keys():
-            if before.get(key) is not after.get(key):
-                log.info(
-                    'suspect handling changed',
-                    fingerprint=key,
-                    handling=after.get(key, blame.Handling.FREE).value,
-                    backend_servers=self.crashed_servers(key),
-                )
+        for state in states:
+            self._add(state.key, self._judged(state))
 
     def _judged(
         self, state: suspect_module.SuspectState
@@ -223,14 +251,16 @@
     def _is_sound(self, key: str) -> bool:
         return suspect_keys.is_part(key) and self._sound_runs.has_recent(key)
 
-    def _current_handlings(self) -> Mapping[str, blame.Handling]:
-        if self._are_handlings_stale:
-            self._handlings = blame.handlings(
+    def _current_assessment(self) -> blame.Assessment:
+        if self._is_assessment_stale:
+            before = self._assessment
+            self._assessment = blame.assess(
                 {key: self._suspects[key].counted for key in self._repeated},
                 self._policy,
             )
-            self._are_handlings_stale = False
-        return self._handlings
+            self._is_assessment_stale = False
+            _log_changes(before, self._assessment)
+        return self._assessment
 
     def changes_since(
         self, revision: int
@@ -267,12 +297,16 @@
         suspect = self._suspects.get(key)
         if suspect is None or self._is_expired(suspect):
             suspect = suspect_module.Suspect()
+        counted_before = suspect.counted
         has_changed = suspect.add(crashes)
+        if suspect.counted - counted_before:
+            suspect.crashed_at_s = self._clock.boot_s()
         if has_changed:
             self._change_count += 1
             suspect.changed_at = self._change_count
             self._touch(key, suspect)
             self._record_repeated(key, suspect)
+            self._expire()
             self._evict()
         return has_changed
 
@@ -284,31 +318,31 @@
         if len(suspect.counted) >= self._policy.least_count:
             self._repeated.add(key)
         if was_repeated or key in self._repeated:
-            self._are_handlings_stale = True
+            self._is_assessment_stale = True
 
     def _touch(self, key: str, suspect: suspect_module.Suspect) -> None:
         suspect.used_at_s = self._clock.boot_s()
         self._suspects.pop(key, None)
         self._suspects[key] = suspect
 
+    def _expire(self) -> None:
+        """Drop what was not used for long."""
+        now_s = self._clock.boot_s()
+        if now_s - self._expired_at_s < _EXPIRY_INTERVAL_S:
+            return
+        self._expired_at_s = now_s
+        for key, suspect in list(self._suspects.items()):
+            if self._is_expired(suspect):
+                self._remove(key)
+
     def _evict(self) -> None:
-        """Drop what has expired, and what exceeds the bound.
+        """Drop what exceeds the bound.
 
         Suspects that are refused go last: others may be many under crashes.
         """
-        now_s = self._clock.boot_s()
-        if now_s - self._expired_at_s >= _EXPIRY_INTERVAL_S:
-            self._expired_at_s = now_s
-            for key, suspect in list(self._suspects.items()):
-                if self._is_expired(suspect):
-                    self._remove(key)
         if len(self._suspects) <= _MAX_SUSPECTS:
             return
-        refused = {
-            key
-            for key, handling in self._handlings.items()
-            if handling is blame.Handling.REFUSED
-        }
+        refused = _refused_keys(self._assessment)
         oldest = next((k for k in self._suspects if k not in refused), None)
         self._remove(oldest or next(iter(self._suspects)))
 
@@ -316,7 +350,7 @@
         del self._suspects[key]
         if key in self._repeated:
             self._repeated.discard(key)
-            self._are_handlings_stale = True
+            self._is_assessment_stale = True
 
     def _is_expired(self, suspect: suspect_module.Suspect) -> bool:
         return suspect.is_expired(self._clock.boot_s())
@@ -328,6 +362,36 @@
     return [suspect_module.Crash(crash.server, True) for crash in crashes]
 
 
+def _refused_keys(assessment: blame.Assessment) -> frozenset[str]:
+    return frozenset().union(*(group.keys for group in assessment.groups))
+
+
+def _log_changes(before: blame.Assessment, after: blame.Assessment) -> None:
+    for group in after.groups:
+        if group not in before.groups:
+            log.warning(
+                'suspects refused',
+                suspects=logged_keys(group.keys),
+                suspect_count=len(group.keys),
+                crashes=group.crash_count,
+            )
+    isolated = after.isolated - before.isolated
+    freed = before.keys - after.keys
+    for event, keys in (
+        ('suspects isolated', isolated),
+        ('suspects free again', freed),
+    ):
+        if keys:
+            log.info(
+                event, suspects=logged_keys(keys), suspect_count=len(keys)
+            )
+
+
+def logged_keys(keys: Iterable[str]) -> list[str]:
+    """Return the first of several keys, for a line of the log."""
+    return sorted(keys)[:_MAX_LOGGED_KEYS]
+
+
 def is_same_start(revision: int, other: int) -> bool:
     """Whether two revisions are of the same start of a process."""
     return revision >> _COUNT_BITS == other >> _COUNT_BITS
--- a/lacewingpitch/suspect.py
+++ b/lacewingpitch/suspect.py
@@ -54,11 +54,15 @@
         Start ids of the servers whose crash is not void.
     changed_at
         Number of the record's change that changed it last.
+    crashed_at_s
+        Time since boot at which this process learned of the last crash that
+        is not void.
     """
 
     counted: frozenset[str] = frozenset()
     changed_at: int = 0
     used_at_s: float = 0.0
+    crashed_at_s: float = 0.0
     # By start id; the value is `True` if the crash is void.
     _crashes: dict[str, bool] = dataclasses.field(default_factory=dict)
 
--- a/tests/crash_scene.py
+++ b/tests/crash_scene.py
@@ -208,25 +208,33 @@
 
 def has_deadly_part(number):
     """Return a request unlike all others with the part that crashes."""
-    parts = f'{FIRST_PART}:9,{_companion(number)}:9,{DEADLY_PART}:9'
-    return DEADLY, '/chat/x', b'deadly %d' % number, _parted(parts, number)
+    parts = (FIRST_PART, _companion(number), DEADLY_PART)
+    return of_parts(DEADLY, parts, number)
 
 
 def shares_parts(number):
     """Return a sound request with all other parts of such a request."""
-    parts = f'{FIRST_PART}:9,{_companion(number)}:9'
-    return 'o-', '/chat/x', b'sound %d' % number, _parted(parts, number)
+    return of_parts('o-', (FIRST_PART, _companion(number)), number)
 
 
-def _companion(number):
-    return f'bb{random.Random(number).randrange(20):02x}'
-
+def of_parts(prefix, parts, number):
+    """Return a request unlike all others with some parts.
 
-def _parted(parts, number):
-    return {
+    Parameters
+    ----------
+    prefix
+        Prefix of its id.
+    """
+    listed = ','.join(f'{part}:9' for part in (*parts, f'cc{number:06x}'))
+    headers = {
         'Model': f'{standin.MODEL}/a7',
-        standin_crashes.PARTS: f'{parts},cc{number:06x}:9',
+        standin_crashes.PARTS: listed,
     }
+    return prefix, '/chat/x', f'{prefix}{number}'.encode(), headers
+
+
+def _companion(number):
+    return f'bb{random.Random(number).randrange(20):02x}'
 
 
 async def kill_in_series(platform, length_s, pause_s):
--- a/tests/test_crash_record.py
+++ b/tests/test_crash_record.py
@@ -129,6 +129,51 @@
         self.crash(record, 5, self.PART, 'f')
         assert record.handling(self.PART) is FREE
 
+    def test_sound_requests_run_after_crashes_of_a_quiet_route(self):
+        """Guards against refusing all requests with the same first part."""
+        record = new_record()
+        self.crash(record, 3, self.SHARED, self.PART)
+        assert record.verdict((self.SHARED, self.PART)).handling is REFUSED
+        assert record.verdict(('f', self.SHARED)).handling is ISOLATED
+        record.record_answer(self.SHARED)
+        assert record.verdict(('g', self.SHARED)).handling is FREE
+        verdict = record.verdict(('h', self.SHARED, self.PART))
+        assert (verdict.handling, verdict.key) == (REFUSED, self.PART)
+        assert record.handling(self.PART) is REFUSED
+
+    def test_a_run_after_the_blame_clears_a_part_at_all_processes(self):
+        """Guards against processes that keep refusing a sound part."""
+        here, there = new_record(seed=1), new_record(seed=2)
+        self.crash(here, 3, self.SHARED, self.PART)
+        there.merge(here.changes_since(0)[0])
+        there.record_answer(self.SHARED)
+        here.merge(there.changes_since(0)[0])
+        for record in (here, there):
+            assert record.handling(self.SHARED) is FREE
+            assert record.handling(self.PART) is REFUSED
+
+    def test_what_no_sound_run_can_clear_is_tried_again(self, clock):
+        """Guards against a refusal that no evidence can end."""
+        record = new_record(clock)
+        self.crash(record, 3, self.SHARED)
+        clock.now_s += 299.0
+        assert record.handling(self.SHARED) is REFUSED
+        clock.now_s += 2.0
+        assert record.handling(self.SHARED) is ISOLATED
+        self.crash(record, 1, self.SHARED, first=3)
+        clock.now_s += 599.0
+        assert record.handling(self.SHARED) is REFUSED
+        clock.now_s += 2.0
+        assert record.handling(self.SHARED) is ISOLATED
+        record.record_answer(self.SHARED)
+        assert record.handling(self.SHARED) is FREE
+
+    def test_an_operator_may_release_one_of_several_parts(self):
+        record = new_record(released=(self.SHARED,))
+        self.crash(record, 3, self.SHARED, self.PART)
+        assert record.handling(self.SHARED) is FREE
+        assert record.handling(self.PART) is REFUSED
+
     def test_many_suspects_do_not_push_a_refused_one_out(self, clock):
         """Guards against a day of crashes that makes a part forgotten."""
         record = new_record(clock)
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -18,6 +18,9 @@
 MOST_CRASHES = 6
 CRASHES_OF_PART = 5
 CALM_S = 3.0
+# Requests that crash engines are the only ones in this time.
+QUIET_S = 4.0
+LEAST_SERVED = 0.5
 SOUND_PAUSE_S = 0.08
 
 
@@ -106,3 +109,33 @@
         assert after >= before / 2
         # Some are sent after the last crash, and are answered at once.
         assert scene.refused_count(last_s + crash_scene.CONTACT_S)
+
+    @pytest.mark.parametrize('deadly_part', ['0bad', 'dead0bad'])
+    async def test_sound_requests_are_served_though_none_ran_before(
+        self, platform, deadly_part
+    ):
+        """Guards against blaming the part that all requests share."""
+        scene = crash_scene.CrashScene(platform, platform.engines)
+        for engine in platform.engines:
+            engine.crashes.part = deadly_part
+
+        def has_part(number):
+            return crash_scene.of_parts(
+                crash_scene.DEADLY,
+                (crash_scene.FIRST_PART, deadly_part),
+                number,
+            )
+
+        def is_sound(number):
+            return crash_scene.of_parts(
+                'o-', (crash_scene.FIRST_PART,), number
+            )
+
+        await scene.press(QUIET_S, PAUSE_S, has_part)
+        await asyncio.gather(
+            scene.press(LENGTH_S, PAUSE_S, has_part),
+            scene.press(LENGTH_S, SOUND_PAUSE_S, is_sound),
+        )
+        assert scene.late_sends(CRASHES_OF_PART) <= MOST_LATE_SENDS
+        judged_from_s = scene.crashed_at_s[-1] + 2 * crash_scene.CONTACT_S
+        assert scene.served_ratio(judged_from_s) >= LEAST_SERVED
