Tokens in other forms are charged, or refused

A number of more than 15 characters counted as absent, as did any other form, so that the usage limit did not see it; of two headers the first was charged, and both were forwarded.

Change: leading zeros do not count as digits. What is malformed, larger than 15 digits or stated twice is refused with 400 before it runs. Weighed: the largest number in place of a refusal, which would take a budget that other requests share; charging the default, as before.

--- a/lacewingpitch/platform/caller_headers.py
+++ b/lacewingpitch/platform/caller_headers.py
@@ -41,27 +41,39 @@
     text = request.headers.get(name, '')
     if not text:
         return 0
-    if not _is_number(text):
+    found = _whole_number(text)
+    if found is None:
         raise errors.RefusalError(
             errors.ErrorKind.BAD_REQUEST, f'{name} is not a whole number'
         )
-    return int(text)
+    return found
 
 
 def expected_tokens(request: web.BaseRequest) -> int:
     """Return the tokens that the caller expects; 0 if not stated."""
     # It is only an estimate, so a malformed value is ignored.
-    stated = _parse_count(request.headers.get(names.EXPECTED_TOKENS, ''))
-    return min(stated, _MAX_EXPECTED_TOKENS)
+    text = request.headers.get(names.EXPECTED_TOKENS, '')
+    return min(_whole_number(text.strip()) or 0, _MAX_EXPECTED_TOKENS)
 
 
 def tokens(request: web.BaseRequest) -> tuple[int, int]:
     """Return the tokens of the prompt and the maximum of the answer.
 
-    Each is 0 if it is absent or malformed.
+    Each is 0 if it is absent.
+
+    Raises
+    ------
+    RefusalError
+        Either is malformed, or both are stated more than once: the backend
+        server might read other numbers than those that are charged.
     """
-    prompt, _, answer = request.headers.get(names.TOKENS, '').partition(',')
-    return _parse_count(prompt), _parse_count(answer)
+    listed = request.headers.getall(names.TOKENS, ())
+    if len(listed) > 1:
+        raise errors.RefusalError(
+            errors.ErrorKind.BAD_REQUEST, f'several {names.TOKENS} headers'
+        )
+    prompt, _, answer = ''.join(listed).partition(',')
+    return _count(prompt), _count(answer)
 
 
 def shared_parts(request: web.BaseRequest) -> Iterable[str]:
@@ -105,13 +117,21 @@
     return hashlib.blake2b(data, digest_size=_PART_DIGEST_BYTES).hexdigest()
 
 
-def _parse_count(text: str) -> int:
-    text = text.strip()
-    return int(text) if _is_number(text) else 0
+def _count(text: str) -> int:
+    found = _whole_number(text.strip() or '0')
+    if found is None:
+        raise errors.RefusalError(
+            errors.ErrorKind.BAD_REQUEST, f'{names.TOKENS} is malformed'
+        )
+    return found
 
 
-def _is_number(text: str) -> bool:
-    return text.isdecimal() and len(text) <= _MAX_NUMBER_DIGITS
+def _whole_number(text: str) -> int | None:
+    """Return a whole number; ``None`` if it is malformed or too large."""
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    digits = text.lstrip('0')
+    return int(digits or '0') if len(digits) <= _MAX_NUMBER_DIGITS else None
 
 
 def forwarded(
