An answer with a status that is none is lost, for every HTTP client

What callers saw: in the own mode a plain service's answer with status 000 reached the caller as `HTTP/1.1 0 `, 099, 600 and 999 as they were; on the platform 600 and 999 did, and a status of 000 beside Not-Executed told the caller "not run".

Cause: HttpPlainService checked no status; the platform's client checked what is below 200 alone, after "not run"; store, lists and orders took all below 300 for a success or what is unknown for a rejection.

Change: the session that all clients share raises an error for a status outside 200 to 599, and the answer is lost with an outcome that is not known. Weighed: a check in each client (eleven places, one forgotten is the fault again), breaking the connection off in the parser (a reused connection then counts as closed while idle, and the request is sent again without a charge), and this.

Before the change test_plain_service::TestStatuses failed for all four statuses, test_platform_backend_client::TestStatuses for 600 and 999 and, beside Not-Executed, for 000 and 099; test_http_clients::TestStatuses failed for all clients, those that raised another error among them.

--- a/lacewingpitch/platform/backend_client.py
+++ b/lacewingpitch/platform/backend_client.py
@@ -29,7 +29,6 @@
 _MS_PER_S = 1000
 _MIN_DEADLINE_MS = 1
 _MAX_PRIORITY = 9
-_MIN_FINAL_STATUS = 200
 _STATUS_OTHER_INCARNATION = 421
 _READ_BUFFER_BYTES = 1 << 16
 _MAX_REASON_CHARS = 160
@@ -166,6 +165,8 @@
             raise backend_call.NotSentError(
                 _reason(error), is_refused=_is_refused(error)
             ) from error
+        except single_sending.InvalidStatusError as error:
+            raise backend_call.AnswerLostError(str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if trace.is_reused:
                 raise backend_call.StaleConnectionError(
@@ -341,10 +342,6 @@
         )
     if names.REQUEST_ID not in response.headers:
         raise backend_call.AnswerLostError('the response has no request id')
-    if response.status < _MIN_FINAL_STATUS:
-        raise backend_call.AnswerLostError(
-            f'status {response.status} is not final'
-        )
     if 'Content-Encoding' in response.headers:
         raise backend_call.AnswerLostError('the response is compressed')
     if not answer_framing.is_decoded(response):
--- a/lacewingpitch/single_sending.py
+++ b/lacewingpitch/single_sending.py
@@ -1,8 +1,9 @@
-"""HTTP client sessions that send each request once.
+"""HTTP client sessions that send each request once, and check its status.
 
 By itself aiohttp sends a request again whose connection breaks before its
 response, if the method is idempotent by the HTTP standard.  Here the caller
 decides what may be repeated, so that each repeat can be counted and logged.
+A response whose status HTTP does not know is an error for each caller.
 """
 
 from collections.abc import Awaitable, Callable
@@ -14,6 +15,9 @@
 
 from lacewingpitch import reusable_connection
 
+# Final responses; aiohttp reads interim ones itself.
+_MIN_STATUS = 200
+_MAX_STATUS = 599
 _Result = TypeVar('_Result')
 log = structlog.get_logger(__name__)
 
@@ -32,6 +36,13 @@
         self.cause = cause
 
 
+class InvalidStatusError(aiohttp.ClientPayloadError):
+    """The status of the response is none; the request may have run."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f'status {status} is not valid')
+
+
 class SendingTrace:
     """What happens to one request until it is sent.
 
@@ -64,7 +75,9 @@
 def new_session(**options: Any) -> aiohttp.ClientSession:
     """Return a session that sends each request once.
 
-    Redirects are followed unless a request says otherwise.
+    Redirects are followed unless a request says otherwise.  Requests raise
+    `InvalidStatusError` for responses that are neither a success nor any
+    other final response of HTTP.
     """
     if 'connector' not in options:
         options['connector'] = reusable_connection.new_connector()
@@ -104,12 +117,16 @@
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
     try:
-        return await handler(request)
+        response = await handler(request)
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         # aiohttp repeats a request for these two errors only.
         raise BrokenConnectionError(error) from error
+    if not _MIN_STATUS <= response.status <= _MAX_STATUS:
+        response.close()
+        raise InvalidStatusError(response.status)
+    return response
 
 
 async def _mark_reused(
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -7,9 +7,11 @@
 import pathlib
 
 import pytest
+import structlog
 
 from lacewingpitch import backend_list
 from lacewingpitch import config_service
+from lacewingpitch import contract
 from lacewingpitch import engine as engine_module
 from lacewingpitch import engine_gate
 from lacewingpitch import errors
@@ -104,6 +106,15 @@
     await engine_module.HttpEngine(session, url).load_adapter('a', 1)
 
 
+async def run_at_own_engine(session, url):
+    grant = contract.AdapterGrant(name='a', version='1', base_model='b')
+    call = engine_module.EngineCall(
+        'r', '/v1/x', grant, b'{}', False, contract.Urgency.STANDARD, 1
+    )
+    async with engine_module.HttpEngine(session, url).run(call):
+        pass
+
+
 READS = [
     read_store,
     watch_store,
@@ -118,6 +129,7 @@
     call_service,
     read_own_engine,
     load_own_adapter,
+    run_at_own_engine,
 ]
 
 
@@ -142,6 +154,25 @@
     return server.arrived_count, other.arrived_count
 
 
+class TestStatuses:
+    @pytest.mark.parametrize('status', [0, 99, 600, 999])
+    @pytest.mark.parametrize('call', READS + SENT_ONCE)
+    async def test_a_status_that_is_none_is_no_answer(self, call, status):
+        """Guards against taking what a failing server sends for an answer."""
+        server = Server()
+        server.answer = OK.replace(b'200', b'%03d' % status)
+        listening = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        port = listening.sockets[0].getsockname()[1]
+        async with listening, single_sending.new_session() as session:
+            with structlog.testing.capture_logs() as lines:
+                try:
+                    await call(session, f'http://127.0.0.1:{port}')
+                except errors.PlatformError as error:
+                    lines.append({'error': str(error)})
+        assert 'InvalidStatusError' in str(lines)
+        assert server.arrived_count == 1
+
+
 class TestBrokenConnections:
     """Guards against repeats below the process that counts them."""
 
--- a/tests/test_plain_service.py
+++ b/tests/test_plain_service.py
@@ -4,12 +4,16 @@
 import contextlib
 
 import aiohttp
+from aiohttp import test_utils
 import pytest
 
 from lacewingpitch import errors
 from lacewingpitch import node
 from lacewingpitch import plain_service
 from lacewingpitch import reusable_connection
+from lacewingpitch import runs
+from lacewingpitch import service_runner
+from tests import samples
 from tests import standin_crashes
 
 CALL = plain_service.ServiceCall('r-1', 'POST', '/x', '', b'')
@@ -69,6 +73,32 @@
             await answer(b'4\r\nbody\r\n0\r\n\r\n', coding=coding)
 
 
+class TestStatuses:
+    @pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+    async def test_a_status_that_is_none_does_not_reach_a_caller(self, status):
+        """Guards against an answer whose status says nothing."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(
+                b'HTTP/1.1 %s \r\nContent-Length: 1\r\n\r\nx' % status
+            )
+
+        listening = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = listening.sockets[0].getsockname()[1]
+        order = samples.order(adapter=None, service='plain')
+        request = test_utils.make_mocked_request('POST', '/x')
+        async with listening, node.new_backend_session() as session:
+            service = plain_service.HttpPlainService(
+                session, f'http://127.0.0.1:{port}'
+            )
+            runner = service_runner.ServiceRunner(service)
+            with pytest.raises(errors.RefusalError) as found:
+                await runner.run(order, b'', runs.Delivery(request, {}))
+        assert found.value.kind is errors.ErrorKind.OUTCOME_UNKNOWN
+        assert found.value.outcome is errors.Outcome.UNKNOWN
+
+
 class TestSecondAnswers:
     async def test_they_reach_nobody(self):
         """Guards against the answer to another request."""
--- a/tests/test_platform_backend_client.py
+++ b/tests/test_platform_backend_client.py
@@ -327,6 +327,30 @@
         play(scenario)
 
 
+class TestStatuses:
+    @pytest.mark.parametrize('is_reused', [False, True])
+    @pytest.mark.parametrize('extra', [b'', b'Not-Executed: 1\r\n'])
+    @pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+    def test_a_status_that_is_none_is_a_lost_answer(
+        self, status, extra, is_reused
+    ):
+        """Guards against telling a caller less than is known."""
+
+        def script(request_id):
+            line, _, rest = answer(request_id).partition(b'\r\n')
+            return line.replace(b'200', status) + b'\r\n' + extra + rest
+
+        async def scenario(server, send):
+            if is_reused:
+                await send('r-0')
+            server.scripts = [script]
+            with pytest.raises(backend_call.AnswerLostError):
+                await send('r-1')
+            assert server.arrived[-1] == 'r-1'
+
+        play(scenario)
+
+
 class Break:
     """Ways in which a server ends a connection that a request arrived on."""
 
